Lay out the project: build, style, vocabulary types, messages and interfaces

Cause: nothing existed. Change: CMake and Ninja build with warnings as errors, formatter and linter settings, one list of packages, the vocabulary (time without a clock, handles, typed errors with remedies), the entry-agent messages with their cereal codec, the interfaces of networking, settings, metrics and events, and the protocols as a page. Conclusion: folders can now be filled side by side.

--- /dev/null
+++ b/src/base/digest.cpp
@@ -0,0 +1,43 @@
+#include "base/digest.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+
+namespace daisytack {
+
+Digest256 sha256(std::string_view data) {
+  Digest256 out{};
+  unsigned n = 0;
+  EVP_Digest(data.data(), data.size(), out.data(), &n, EVP_sha256(), nullptr);
+  return out;
+}
+
+Digest256 hmacSha256(std::string_view key, std::string_view data) {
+  Digest256 out{};
+  unsigned n = 0;
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const uint8_t *>(data.data()), data.size(), out.data(),
+       &n);
+  return out;
+}
+
+std::string hexDigest(const Digest256 &digest) {
+  return toHex(PieceKey{digest});
+}
+
+bool equalConstantTime(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+uint64_t secureRandom() {
+  uint64_t out = 0;
+  RAND_bytes(reinterpret_cast<uint8_t *>(&out), sizeof(out));
+  return out;
+}
+
+Id128 randomId(const RandomSource &random) { return {random(), random()}; }
+
+} // namespace daisytack
--- /dev/null
+++ b/src/base/rcu.h
@@ -0,0 +1,67 @@
+/// Read-copy-update pointer: many readers see an immutable snapshot, one writer
+/// replaces it.
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace daisytack {
+
+/// Holds the current snapshot of T. A reader that has seen the current version
+/// touches no shared cache line but the version counter, which changes only
+/// when a writer publishes.
+template <class T> class Rcu {
+public:
+  explicit Rcu(std::shared_ptr<const T> first) : Current(std::move(first)) {}
+  Rcu(const Rcu &) = delete;
+  Rcu &operator=(const Rcu &) = delete;
+
+  /// A reader's own handle, one per thread or connection. Not shared between
+  /// threads.
+  class Reader {
+  public:
+    explicit Reader(const Rcu &source) : Source(&source) {}
+
+    /// The latest snapshot; valid until the next call on this reader, or longer
+    /// when the pointer is copied.
+    const std::shared_ptr<const T> &get() {
+      uint64_t latest = Source->Version.load(std::memory_order_acquire);
+      if (!Cached || latest != Seen)
+        refresh();
+      return Cached;
+    }
+
+  private:
+    void refresh() {
+      std::lock_guard guard(Source->Lock);
+      Cached = Source->Current;
+      Seen = Source->Version.load(std::memory_order_relaxed);
+    }
+
+    const Rcu *Source;
+    std::shared_ptr<const T> Cached;
+    uint64_t Seen = 0;
+  };
+
+  /// Makes the snapshot visible to every reader's next get().
+  void publish(std::shared_ptr<const T> next) {
+    std::lock_guard guard(Lock);
+    Current.swap(next);
+    Version.fetch_add(1, std::memory_order_release);
+  }
+
+  /// The latest snapshot, for readers off the path of requests.
+  std::shared_ptr<const T> load() const {
+    std::lock_guard guard(Lock);
+    return Current;
+  }
+
+private:
+  mutable std::mutex Lock;
+  std::shared_ptr<const T> Current;
+  std::atomic<uint64_t> Version{0};
+};
+
+} // namespace daisytack
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,81 @@
+/// INI settings, read once at start. Every mistake is collected, so that all
+/// are reported together.
+#pragma once
+
+#include "daisytack/types.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace daisytack {
+
+/// One mistake in a settings file.
+struct SettingError {
+  std::string File;
+  std::string Key;   ///< "section.key".
+  std::string Value; ///< "(hidden)" for secrets.
+  std::string Remedy;
+  auto operator<=>(const SettingError &) const = default;
+};
+
+/// "FILE: section.key = VALUE: REMEDY".
+std::string toString(const SettingError &error);
+
+/// Reads typed values by "section.key". A key that no call asked for is an
+/// error at finish().
+class Settings {
+public:
+  /// Parses the text of an INI file; syntax mistakes become errors.
+  Settings(std::string fileName, std::string_view text);
+  /// Reads and parses a file; an unreadable file is an error of its own.
+  static Settings fromFile(const std::string &path);
+  ~Settings();
+  Settings(Settings &&) noexcept;
+
+  bool has(std::string_view key) const;
+  std::string text(std::string_view key, std::optional<std::string> fallback);
+  /// Like text, but the value never shows in an error.
+  std::string secret(std::string_view key, std::optional<std::string> fallback);
+  bool flag(std::string_view key, std::optional<bool> fallback);
+  int64_t integer(std::string_view key, std::optional<int64_t> fallback,
+                  int64_t least, int64_t most);
+  double number(std::string_view key, std::optional<double> fallback,
+                double least, double most);
+  /// "250us", "10ms", "3s", "5m", "2h", "7d".
+  Duration duration(std::string_view key, std::optional<Duration> fallback,
+                    Duration least, Duration most);
+  /// "64", "64k", "16M", "1G" (powers of 1024).
+  uint64_t bytes(std::string_view key, std::optional<uint64_t> fallback,
+                 uint64_t least, uint64_t most);
+  Endpoint endpoint(std::string_view key, std::optional<Endpoint> fallback);
+  /// Comma-separated; empty when absent.
+  std::vector<Endpoint> endpoints(std::string_view key);
+  std::vector<std::string> list(std::string_view key);
+  /// One of the choices.
+  std::string choice(std::string_view key, std::optional<std::string> fallback,
+                     std::vector<std::string> choices);
+  /// Keys below a section, for sections whose keys are names (for instance
+  /// [peer_keys]).
+  std::vector<std::string> keysOf(std::string_view section);
+
+  /// Adds a mistake that the caller found, for instance two settings that
+  /// clash.
+  void reject(std::string_view key, std::string remedy);
+  /// All mistakes, with unknown keys among them. Call after the last read.
+  std::vector<SettingError> finish();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Self;
+};
+
+/// Parses "250us", "10ms", "3s", "5m", "2h", "7d".
+std::optional<Duration> parseDuration(std::string_view text);
+/// Inverse of parseDuration, in the largest unit that divides the value.
+std::string toString(Duration value);
+
+} // namespace daisytack
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,59 @@
+/// HTTP/1.1 client on Boost.Beast: asynchronous, with kept-alive connections,
+/// deadlines and cancellation.
+#pragma once
+
+#include "net/http_server.h"
+
+namespace daisytack::net {
+
+/// Called on an I/O thread, in order, and never after done.
+struct HttpHooks {
+  std::function<void(unsigned status, const std::vector<HttpHeader> &headers)>
+      Head;
+  std::function<void(std::string_view data)> Data;
+  /// Kind None when the whole response was received. Error::Kind ServerLost:
+  /// the connection broke after bytes of the request may have been sent.
+  /// ServiceUnavailable: nothing was sent.
+  std::function<void(const Error &error)> Done;
+};
+
+/// Cancels a call; Done is then called with Cancelled unless it was already.
+/// Copyable, may outlive the call.
+class HttpCall {
+public:
+  HttpCall() = default;
+  explicit HttpCall(std::function<void()> cancel) : Stop(std::move(cancel)) {}
+  void cancel() const {
+    if (Stop)
+      Stop();
+  }
+
+private:
+  std::function<void()> Stop;
+};
+
+struct HttpClientInit {
+  size_t MaxIdlePerEndpoint = 16;
+  Duration ConnectTimeout{1'000'000};
+  size_t MaxResponseHeaderBytes = 64U << 10;
+  size_t MaxResponseBodyBytes = 64U << 20;
+};
+
+/// Thread-safe.
+class HttpClient {
+public:
+  HttpClient(boost::asio::io_context &io, HttpClientInit init);
+  ~HttpClient();
+  /// Sends the request. A timeout of zero means none but the connect timeout.
+  HttpCall call(const Endpoint &to, HttpRequest request, Duration timeout,
+                HttpHooks hooks);
+  /// The same with the whole response at once.
+  HttpCall fetch(const Endpoint &to, HttpRequest request, Duration timeout,
+                 std::function<void(const Error &, HttpResponse)> done);
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Self;
+};
+
+} // namespace daisytack::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,96 @@
+/// HTTP/1.1 server on Boost.Beast: bounded input, streamed answers, several
+/// threads.
+#pragma once
+
+#include "daisytack/error.h"
+#include "daisytack/types.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisytack::net {
+
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+  auto operator<=>(const HttpHeader &) const = default;
+};
+
+struct HttpRequest {
+  std::string Method;
+  std::string Path;  ///< Without the query.
+  std::string Query; ///< Without the question mark.
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+
+  /// Value of the first header of that name, whatever its case; empty when
+  /// there is none.
+  std::string_view header(std::string_view name) const;
+};
+
+struct HttpResponse {
+  unsigned Status = 200;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+};
+
+/// The answer to one request. Every function may be called from any thread, and
+/// after the caller has gone.
+class HttpExchange {
+public:
+  virtual ~HttpExchange() = default;
+  /// The whole answer. Nothing may follow.
+  virtual void respond(HttpResponse response) = 0;
+  /// Starts a streamed answer (chunked transfer encoding).
+  virtual void beginStream(unsigned status,
+                           std::vector<HttpHeader> headers) = 0;
+  virtual void write(std::string data) = 0;
+  virtual void endStream() = 0;
+  /// Closes the connection without ending the stream, so that the caller sees
+  /// that the answer is not whole.
+  virtual void abort() = 0;
+  /// Bytes written but not yet taken by the socket.
+  virtual size_t pendingBytes() const = 0;
+  /// Called at most once, when the caller goes away before the answer ended.
+  /// Set it before returning from the handler.
+  virtual void onClosed(std::function<void()> hook) = 0;
+};
+
+using HttpHandler =
+    std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
+
+struct HttpServerInit {
+  Endpoint Listen;
+  size_t MaxHeaderBytes = MaxHttpHeaderBytes;
+  size_t MaxBodyBytes = MaxHttpBodyBytes;
+  size_t MaxPendingBytes = 1U << 20; ///< A slower reader is cut off.
+  Duration ReadTimeout{
+      10'000'000}; ///< For a whole request, from its first byte.
+  Duration IdleTimeout{60'000'000}; ///< Between requests of one connection.
+};
+
+class HttpServer {
+public:
+  HttpServer(boost::asio::io_context &io, HttpServerInit init,
+             HttpHandler handler);
+  ~HttpServer();
+  /// Binds and listens; false with the reason when the address can't be had.
+  bool start(Error &reason);
+  /// Port in use, for Listen.Port 0 in tests.
+  uint16_t port() const;
+  /// Accepts no further connection and closes idle ones; running exchanges go
+  /// on.
+  void stopAccepting();
+  size_t openConnections() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> Self;
+};
+
+} // namespace daisytack::net
