--- a/include/daisytack/types.h
+++ b/include/daisytack/types.h
@@ -24,7 +24,6 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady = true;
 };
 
 /// Tag of wall-clock time since the Unix epoch; used for release times and the
@@ -34,7 +33,6 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<CalendarClock>;
-  static constexpr bool is_steady = false;
 };
 
 using TimePoint = MonotonicClock::time_point;
