--- /dev/null
+++ b/src/control/snapshot.cpp
@@ -0,0 +1,165 @@
+#include "control/snapshot.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace daisytack {
+
+namespace {
+
+/// The element of a table sorted by Name.
+template <class T>
+const T *findByName(const std::vector<T> &table, std::string_view name) {
+  auto it = std::lower_bound(
+      table.begin(), table.end(), name,
+      [](const T &row, std::string_view n) { return row.Name < n; });
+  return it != table.end() && it->Name == name ? &*it : nullptr;
+}
+
+template <class T> void sortByName(std::vector<T> &table) {
+  std::sort(table.begin(), table.end(),
+            [](const T &a, const T &b) { return a.Name < b.Name; });
+}
+
+std::string rawDigest(const Digest256 &digest) {
+  return {reinterpret_cast<const char *>(digest.data()), digest.size()};
+}
+
+/// Position by raw hash; rows whose hash is not one are left out.
+template <class T>
+std::unordered_map<std::string, uint32_t>
+indexKeys(const std::vector<T> &table) {
+  std::unordered_map<std::string, uint32_t> out;
+  out.reserve(table.size());
+  for (uint32_t i = 0; i < table.size(); ++i)
+    if (std::optional<PieceKey> hash = parsePieceKey(table[i].KeyHash))
+      out.emplace(rawDigest(hash->Bytes), i);
+  return out;
+}
+
+/// Looks a bearer key up by its digest: the time taken tells nothing of the
+/// key.
+template <class T>
+const T *findByKey(const std::vector<T> &table,
+                   const std::unordered_map<std::string, uint32_t> &index,
+                   std::string_view bearerKey) {
+  auto it = index.find(rawDigest(sha256(bearerKey)));
+  return it != index.end() ? &table[it->second] : nullptr;
+}
+
+const ReusePolicy *findPolicy(const std::vector<ReusePolicy> &table,
+                              std::string_view organisation,
+                              std::string_view requestClass) {
+  auto before = [](const ReusePolicy &row, const auto &key) {
+    return std::tuple<std::string_view, std::string_view>(row.Organisation,
+                                                          row.Class) < key;
+  };
+  std::tuple key(organisation, requestClass);
+  auto it = std::lower_bound(table.begin(), table.end(), key, before);
+  bool found = it != table.end() && it->Organisation == organisation &&
+               it->Class == requestClass;
+  return found ? &*it : nullptr;
+}
+
+bool poolBefore(const Pool &pool,
+                const std::tuple<bool, std::string_view> &key) {
+  return std::tuple<bool, std::string_view>(pool.IsService, pool.Name) < key;
+}
+
+bool takesWork(const Server &server) {
+  return server.State == MemberState::Live && !server.Drained;
+}
+
+} // namespace
+
+const Organisation *Snapshot::organisation(std::string_view name) const {
+  return findByName(Organisations, name);
+}
+
+const Organisation *
+Snapshot::organisationByKey(std::string_view bearerKey) const {
+  return findByKey(Organisations, OrganisationKeys, bearerKey);
+}
+
+const OperatorAccount *
+Snapshot::operatorByKey(std::string_view bearerKey) const {
+  return findByKey(Operators, OperatorKeys, bearerKey);
+}
+
+const Model *Snapshot::model(std::string_view name) const {
+  return findByName(Models, name);
+}
+
+const RequestClass *Snapshot::requestClass(std::string_view name) const {
+  static const RequestClass BuiltIn = [] {
+    RequestClass out;
+    out.Name = "default";
+    return out;
+  }();
+  if (!name.empty() && name != BuiltIn.Name)
+    return findByName(Classes, name);
+  const RequestClass *configured = findByName(Classes, BuiltIn.Name);
+  return configured ? configured : &BuiltIn;
+}
+
+const PlainService *Snapshot::service(std::string_view name) const {
+  return findByName(Services, name);
+}
+
+ReusePolicy Snapshot::policy(std::string_view organisation,
+                             std::string_view requestClass) const {
+  if (const ReusePolicy *exact =
+          findPolicy(Policies, organisation, requestClass))
+    return *exact;
+  if (const ReusePolicy *all = findPolicy(Policies, organisation, "*"))
+    return *all;
+  ReusePolicy out;
+  out.Organisation = organisation;
+  return out;
+}
+
+const Pool *Snapshot::pool(std::string_view name, bool isService) const {
+  std::tuple key(isService, name);
+  auto it = std::lower_bound(Pools.begin(), Pools.end(), key, poolBefore);
+  bool found =
+      it != Pools.end() && it->IsService == isService && it->Name == name;
+  return found ? &*it : nullptr;
+}
+
+const Server *Snapshot::server(std::string_view name) const {
+  return findByName(Servers, name);
+}
+
+void Snapshot::finish() {
+  sortByName(Organisations);
+  sortByName(Models);
+  sortByName(Classes);
+  sortByName(Services);
+  sortByName(Operators);
+  sortByName(Servers);
+  sortByName(Entries);
+  std::sort(Policies.begin(), Policies.end(),
+            [](const ReusePolicy &a, const ReusePolicy &b) {
+              return std::tie(a.Organisation, a.Class) <
+                     std::tie(b.Organisation, b.Class);
+            });
+  OrganisationKeys = indexKeys(Organisations);
+  OperatorKeys = indexKeys(Operators);
+  Pools.clear();
+  for (uint32_t i = 0; i < Servers.size(); ++i) {
+    const Server &server = Servers[i];
+    if (server.Serves.empty())
+      continue;
+    std::tuple<bool, std::string_view> key(server.IsService, server.Serves);
+    auto it = std::lower_bound(Pools.begin(), Pools.end(), key, poolBefore);
+    if (it == Pools.end() || it->IsService != server.IsService ||
+        it->Name != server.Serves)
+      it = Pools.insert(it, {server.Serves, server.IsService, {}});
+    if (takesWork(server))
+      it->Servers.push_back(ServerHandle{i});
+  }
+}
+
+} // namespace daisytack
