Run a call at most once by tickets that name their only process

Cause: a call that may not be repeated must run at most once, through moves of servers, pauses, restarts and outages of the key-value service. A tenure held by a lease needs that service to be renewed and needs clocks to agree on its end.

Change: a ticket names the incarnation of the one agent process that may run it, with an expiry by that process's own clock and a signature by a secret that never leaves it. The ledger records a call before it is handed over, keeps the record as long as the ticket can be presented, refuses new calls when it has no room, and knows a duplicated submission from a repeated one. Answers make room for one another; records don't.

Conclusion: two processes can't both run a ticket, because no two share an incarnation; no lease, no agreement on time and no service takes part.

--- /dev/null
+++ b/src/once/ticket_ledger.cpp
@@ -0,0 +1,271 @@
+#include "once/ticket_ledger.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace daisytack {
+
+namespace {
+
+/// Appends a length and the text, so that no two lists of fields read alike.
+void appendField(std::string &out, std::string_view field) {
+  out += std::to_string(field.size());
+  out += ':';
+  out += field;
+}
+
+TicketVerdict refuse(ErrorKind kind, Outcome ran, std::string detail,
+                     Duration retryAfter = Duration(0)) {
+  TicketVerdict out;
+  out.Reason = {kind, std::move(detail), retryAfter};
+  out.Ran = ran;
+  return out;
+}
+
+TicketVerdict ignore() {
+  TicketVerdict out;
+  out.Do = TicketVerdict::Action::Ignore;
+  return out;
+}
+
+size_t answerSize(const KeptAnswer &answer) {
+  size_t out = sizeof(KeptAnswer) + answer.Body.size();
+  for (const wire::HeaderField &it : answer.End.ServiceHeaders)
+    out += sizeof(it) + it.Name.size() + it.Value.size();
+  return out;
+}
+
+} // namespace
+
+Id128 callHash(const wire::Offer &offer) {
+  std::string text;
+  appendField(text, offer.Call.Method);
+  appendField(text, offer.Call.Target);
+  appendField(text, offer.Body);
+  Digest256 digest = sha256(text);
+  Id128 out;
+  std::memcpy(&out.Hi, digest.data(), sizeof(out.Hi));
+  std::memcpy(&out.Lo, digest.data() + sizeof(out.Hi), sizeof(out.Lo));
+  return out;
+}
+
+std::vector<wire::Message> replayAnswer(const KeptAnswer &answer, RequestId id,
+                                        Attempt attempt) {
+  wire::Finished end = answer.End;
+  end.Id = id;
+  end.Try = attempt;
+  end.Chunks = answer.Body.empty() ? 0 : 1;
+  std::vector<wire::Message> out;
+  if (!answer.Body.empty())
+    out.emplace_back(
+        wire::Chunk{id, attempt, 0, end.GeneratedTokens, answer.Body});
+  out.emplace_back(std::move(end));
+  return out;
+}
+
+TicketLedger::TicketLedger(TicketLedgerInit init, RandomSource random,
+                           EventSink events)
+    : Init(std::move(init)), Random(std::move(random)),
+      Events(std::move(events)) {}
+
+std::optional<std::string> TicketLedger::issue(const std::string &organisation,
+                                               TimePoint now, Error &reason) {
+  advance(now);
+  if (Records.size() >= Init.MaxRecords) {
+    reason = {ErrorKind::RecordFull, "the at-most-once record is full",
+              Init.StillRunningRetry};
+    return std::nullopt;
+  }
+  Ticket ticket{Init.Instance,    Init.Process, organisation,
+                randomId(Random), Latest,       Latest + Init.TicketLife};
+  auto out = signTicket(ticket, Init.Secret, reason);
+  if (out)
+    note(EventKind::TicketIssued, {ticket.Serial, 0}, ErrorKind::None);
+  return out;
+}
+
+TicketVerdict TicketLedger::present(const Presentation &presentation,
+                                    TimePoint now) {
+  advance(now);
+  Submission submission{presentation.Id, presentation.Try};
+  if (Withdrawn.contains(submission))
+    return ignore();
+  TicketVerdict out;
+  auto claimed = claim(presentation, out);
+  if (claimed) {
+    auto it = Records.find(claimed->Key);
+    out = it == Records.end() ? start(*claimed, presentation)
+                              : repeat(it->second, presentation);
+    out.Key = claimed->Key;
+  }
+  if (out.Do == TicketVerdict::Action::Refuse)
+    note(EventKind::TicketRefused, submission, out.Reason.Kind);
+  return out;
+}
+
+std::optional<TicketLedger::Claim>
+TicketLedger::claim(const Presentation &presentation,
+                    TicketVerdict &refusal) const {
+  if (presentation.Ticket.empty())
+    return Claim{presentation.Id, Latest + Init.TicketLife};
+  return claimTicket(presentation, refusal);
+}
+
+std::optional<TicketLedger::Claim>
+TicketLedger::claimTicket(const Presentation &presentation,
+                          TicketVerdict &refusal) const {
+  Error reason;
+  auto ticket = parseTicket(presentation.Ticket, reason);
+  if (!ticket)
+    refusal = refuse(reason.Kind, Outcome::NotRun, reason.Detail);
+  else if (ticket->Process != Init.Process)
+    refusal = refuse(ErrorKind::TicketUnknown, Outcome::MayHaveRun,
+                     "the process that issued the ticket is gone");
+  else if (!verifyTicket(presentation.Ticket, Init.Secret))
+    refusal = refuse(ErrorKind::BadRequest, Outcome::NotRun,
+                     "the ticket's signature is wrong");
+  else if (ticket->Organisation != presentation.Organisation)
+    refusal = refuse(ErrorKind::Forbidden, Outcome::NotRun,
+                     "the ticket belongs to another organisation");
+  else if (Latest >= ticket->ExpiresAt && !Records.contains(ticket->Serial))
+    refusal = refuse(ErrorKind::TicketExpired, Outcome::MayHaveRun,
+                     "the ticket has expired");
+  else
+    return Claim{ticket->Serial, ticket->ExpiresAt};
+  return std::nullopt;
+}
+
+TicketVerdict TicketLedger::repeat(const Record &record,
+                                   const Presentation &presentation) const {
+  if (record.By == Submission{presentation.Id, presentation.Try})
+    return ignore();
+  if (record.Call != presentation.Call)
+    return refuse(ErrorKind::KeyReused, Outcome::NotRun,
+                  "the ticket was presented with another call");
+  if (record.Running)
+    return refuse(ErrorKind::StillRunning, Outcome::MayHaveRun,
+                  "the call is still running", Init.StillRunningRetry);
+  if (record.Ran != Outcome::Completed)
+    return refuse(record.Ended, Outcome::MayHaveRun,
+                  "the call failed and may have run");
+  if (!record.Answer)
+    return refuse(ErrorKind::AnswerLost, Outcome::Completed,
+                  "the call completed; its answer is no longer held");
+  TicketVerdict out;
+  out.Do = TicketVerdict::Action::Repeat;
+  out.Answer = record.Answer;
+  out.Ran = Outcome::Completed;
+  return out;
+}
+
+TicketVerdict TicketLedger::start(const Claim &claim,
+                                  const Presentation &presentation) {
+  Submission submission{presentation.Id, presentation.Try};
+  if (Records.size() >= Init.MaxRecords) {
+    rememberWithdrawn(submission);
+    return refuse(ErrorKind::RecordFull, Outcome::NotRun,
+                  "the at-most-once record is full", Init.StillRunningRetry);
+  }
+  Record record;
+  record.ExpiresAt = claim.ExpiresAt;
+  record.Call = presentation.Call;
+  record.By = submission;
+  note(EventKind::TicketRecorded, record.By, ErrorKind::None);
+  Records.emplace(claim.Key, std::move(record));
+  Expiries.emplace(claim.ExpiresAt, claim.Key);
+  TicketVerdict out;
+  out.Do = TicketVerdict::Action::Run;
+  return out;
+}
+
+void TicketLedger::withdraw(const TicketKey &key, TimePoint now) {
+  advance(now);
+  auto it = Records.find(key);
+  if (it == Records.end() || !it->second.Running)
+    return;
+  rememberWithdrawn(it->second.By);
+  erase(it);
+}
+
+void TicketLedger::finish(const TicketKey &key, KeptAnswer answer,
+                          TimePoint now) {
+  if (answer.End.Ran == Outcome::NotRun) {
+    withdraw(key, now);
+    return;
+  }
+  advance(now);
+  auto it = Records.find(key);
+  if (it == Records.end() || !it->second.Running)
+    return;
+  Record &record = it->second;
+  record.Running = false;
+  record.Ran = answer.End.Ran;
+  record.Ended = answer.End.Kind;
+  if (Latest >= record.ExpiresAt)
+    erase(it);
+  else if (record.Ran == Outcome::Completed)
+    keepAnswer(key, record, std::move(answer));
+}
+
+void TicketLedger::advance(TimePoint now) {
+  Latest = std::max(Latest, now);
+  auto it = Expiries.begin();
+  while (it != Expiries.end() && it->first <= Latest) {
+    auto record = Records.find(it->second);
+    ++it;
+    // finish() forgets a call that still runs.
+    if (!record->second.Running)
+      erase(record);
+  }
+}
+
+void TicketLedger::keepAnswer(const TicketKey &key, Record &record,
+                              KeptAnswer answer) {
+  size_t n = answerSize(answer);
+  if (n > Init.MaxAnswerBytes)
+    return;
+  record.Answer = std::make_shared<const KeptAnswer>(std::move(answer));
+  record.AnswerNumber = NextAnswer++;
+  AnswerOrder.emplace(record.AnswerNumber, key);
+  AnswerBytes += n;
+  while (AnswerBytes > Init.MaxAnswerBytes)
+    dropAnswer(Records.at(AnswerOrder.begin()->second));
+}
+
+void TicketLedger::dropAnswer(Record &record) {
+  if (!record.Answer)
+    return;
+  AnswerBytes -= answerSize(*record.Answer);
+  AnswerOrder.erase(record.AnswerNumber);
+  record.Answer.reset();
+}
+
+void TicketLedger::erase(RecordTable::iterator it) {
+  dropAnswer(it->second);
+  Expiries.erase({it->second.ExpiresAt, it->first});
+  Records.erase(it);
+}
+
+void TicketLedger::rememberWithdrawn(const Submission &submission) {
+  if (!Withdrawn.insert(submission).second)
+    return;
+  WithdrawnOrder.push_back(submission);
+  if (WithdrawnOrder.size() > Init.MaxWithdrawn) {
+    Withdrawn.erase(WithdrawnOrder.front());
+    WithdrawnOrder.pop_front();
+  }
+}
+
+void TicketLedger::note(EventKind kind, const Submission &submission,
+                        ErrorKind reason) const {
+  if (!Events)
+    return;
+  Event event;
+  event.Kind = kind;
+  event.Request = submission.Id;
+  event.Try = submission.Try;
+  event.Reason = reason;
+  Events(std::move(event));
+}
+
+} // namespace daisytack
