Add the agent's core: one state machine for offers, runs and answers

Work at an agent arrives on many threads: messages of entries, parts of answers, answers of stores, timers. Decisions spread over callbacks could not be tested fault by fault. AgentCore takes typed inputs one at a time with the present time as argument, and returns typed actions; it holds no socket, clock or thread. This first form queues in order of arrival and accepts at once.

--- /dev/null
+++ b/src/serve/agent_core.cpp
@@ -0,0 +1,210 @@
+#include "serve/agent_core.h"
+
+#include "serve/agent_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::serve {
+
+namespace {
+
+void earliest(std::optional<TimePoint> &out, TimePoint when) {
+  if (!out || when < *out)
+    out = when;
+}
+
+RunView viewOf(const Run &run) {
+  RunView out;
+  out.Id = run.Token.Id;
+  out.Try = run.Token.Try;
+  out.State = run.State;
+  out.Organisation = run.Organisation;
+  out.Class = run.Request->Class;
+  out.Version = run.Version;
+  out.Priority = run.Request->Priority;
+  out.Arrived = run.Arrived;
+  out.Deadline = run.Deadline;
+  out.PromptTokens = run.Request->PromptTokens;
+  out.GeneratedTokens = run.Answer.tokens();
+  out.Links = static_cast<uint32_t>(run.Readers.size());
+  return out;
+}
+
+} // namespace
+
+AgentCore::Impl::Impl(AgentSettings settings, RandomSource random)
+    : Settings(std::move(settings)), Random(std::move(random)),
+      Picture(std::make_shared<const AgentSnapshot>()) {}
+
+AgentCore::AgentCore(AgentSettings settings, RandomSource random)
+    : Self(std::make_unique<Impl>(std::move(settings), std::move(random))) {}
+
+AgentCore::~AgentCore() = default;
+
+AgentActions AgentCore::apply(AgentInput input, TimePoint now) {
+  AgentActions out;
+  apply(std::move(input), now, out);
+  return out;
+}
+
+void AgentCore::apply(AgentInput input, TimePoint now, AgentActions &out) {
+  Step step{now, out};
+  std::visit([&](const auto &in) { Self->on(in, step); }, input);
+  Self->publish(now);
+}
+
+std::optional<TimePoint> AgentCore::nextTimer() const {
+  return Self->nextTimer();
+}
+bool AgentCore::isDrained() const { return Self->isDrained(); }
+bool AgentCore::isReady() const { return Self->isReady(); }
+wire::LoadReport AgentCore::loadReport(TimePoint now) const {
+  return Self->loadReport(now);
+}
+const Rcu<AgentSnapshot> &AgentCore::snapshot() const { return Self->Picture; }
+
+void AgentCore::Impl::on(const AgentConfig &input, Step & /*step*/) {
+  if (input.Revision < Config.Revision)
+    return;
+  Config = input;
+  Dirty = true;
+}
+
+void AgentCore::Impl::on(const DrainRequested & /*input*/, Step &step) {
+  if (Draining)
+    return;
+  Draining = true;
+  Dirty = true;
+  Event event;
+  event.Kind = EventKind::ProcessDraining;
+  event.Subject = Settings.Instance;
+  event.Scores = {static_cast<int64_t>(Running),
+                  static_cast<int64_t>(Queue.size())};
+  step.Out.push_back(RecordEvent{event});
+}
+
+void AgentCore::Impl::on(const TimerFired & /*input*/, Step &step) {
+  for (const RequestId &id : Runs.due(step.Now))
+    wakeRun(id, step);
+  forgetCancelled(step.Now);
+  if (!Settings.IsService)
+    poll(step);
+}
+
+void AgentCore::Impl::wakeRun(const RequestId &id, Step &step) {
+  Run *run = Runs.find(id);
+  if (!run)
+    return;
+  bool abandoned = run->KeptUntil && *run->KeptUntil <= step.Now;
+  if (run->isFinished()) {
+    if (abandoned) {
+      HeldBytes -= run->Answer.bytes();
+      Runs.erase(id);
+    }
+    return;
+  }
+  if (abandoned) {
+    stopAtServer(*run, step);
+    record(step, EventKind::RunCancelled, *run, ErrorKind::Cancelled);
+    fail(*run, {ErrorKind::Cancelled, "nobody reads the answer"}, step);
+  } else if (run->Deadline <= step.Now) {
+    stopAtServer(*run, step);
+    fail(*run, {ErrorKind::DeadlinePassed, "deadline passed at the agent"},
+         step);
+  }
+}
+
+void AgentCore::Impl::poll(Step &step) {
+  if (NextStatus <= step.Now) {
+    NextStatus = step.Now + Settings.StatusPeriod;
+    step.Out.push_back(PollStatus{});
+  }
+  if (NextCacheEvents <= step.Now) {
+    NextCacheEvents = step.Now + Settings.CacheEventPeriod;
+    step.Out.push_back(PollCacheEvents{CacheNext});
+  }
+}
+
+std::optional<TimePoint> AgentCore::Impl::nextTimer() const {
+  std::optional<TimePoint> out = Runs.nextWake();
+  if (!Settings.IsService) {
+    earliest(out, NextStatus);
+    earliest(out, NextCacheEvents);
+  }
+  if (Dirty)
+    earliest(out, NextPicture);
+  for (const auto &[id, cancelled] : CancelledEarly)
+    earliest(out, cancelled.Until);
+  return out;
+}
+
+bool AgentCore::Impl::isDrained() const {
+  if (!Draining)
+    return false;
+  return std::all_of(Runs.all().begin(), Runs.all().end(), [](const auto &it) {
+    return it.second->isFinished() && it.second->Delivered;
+  });
+}
+
+bool AgentCore::Impl::isReachable() const {
+  return Settings.IsService || EngineSeen.has_value();
+}
+
+bool AgentCore::Impl::isReady() const { return !isLeaving() && isReachable(); }
+
+wire::LoadReport AgentCore::Impl::loadReport(TimePoint /*now*/) const {
+  wire::LoadReport out;
+  out.PrefillTokensPerSecond =
+      static_cast<uint32_t>(Engine.PrefillTokensPerSecond);
+  out.Running = Running;
+  out.Waiting = static_cast<uint32_t>(Queue.size());
+  out.Version = version();
+  out.Leaving = isLeaving();
+  return out;
+}
+
+std::shared_ptr<const AgentSnapshot>
+AgentCore::Impl::picture(TimePoint now) const {
+  auto out = std::make_shared<AgentSnapshot>();
+  out->At = now;
+  out->Draining = isLeaving();
+  out->EngineReachable = isReachable();
+  out->Load = loadReport(now);
+  out->DesiredVersion = Config.Version;
+  for (const auto &[id, run] : Runs.all())
+    if (!run->isFinished())
+      out->Runs.push_back(viewOf(*run));
+  std::sort(
+      out->Runs.begin(), out->Runs.end(),
+      [](const RunView &a, const RunView &b) { return a.Arrived < b.Arrived; });
+  out->Refusals.assign(Refusals.begin(), Refusals.end());
+  return out;
+}
+
+void AgentCore::Impl::publish(TimePoint now) {
+  if (!Dirty || now < NextPicture)
+    return;
+  Picture.publish(picture(now));
+  NextPicture = now + Settings.SnapshotPeriod;
+  Dirty = false;
+}
+
+void AgentCore::Impl::record(Step &step, EventKind kind, const Run &run,
+                             ErrorKind reason,
+                             std::array<int64_t, Event::MaxScores> scores) {
+  Event event;
+  event.Kind = kind;
+  event.Request = run.Token.Id;
+  event.Try = run.Token.Try;
+  event.Reason = reason;
+  event.Scores = scores;
+  event.Subject = run.Organisation;
+  step.Out.push_back(RecordEvent{std::move(event)});
+}
+
+void AgentCore::Impl::send(Step &step, LinkHandle link, wire::Message message) {
+  step.Out.push_back(SendMessage{link, std::move(message)});
+}
+
+} // namespace daisytack::serve
--- /dev/null
+++ b/src/serve/agent_runs.cpp
@@ -0,0 +1,264 @@
+/// AgentCore: runs at the backend server.
+#include "serve/agent_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::serve {
+
+namespace {
+
+uint64_t micros(Duration d) { return static_cast<uint64_t>(d.count()); }
+
+} // namespace
+
+void AgentCore::Impl::startWaiting(Step &step) {
+  while (Running < Settings.MaxRunning && !Queue.empty()) {
+    Run *run = Runs.find(Queue.front());
+    Queue.pop_front();
+    if (!run || run->State != RunState::Waiting)
+      continue;
+    if (isOvertaken(*run))
+      handBack(*run, {ErrorKind::NotReady, "the server changed its version"},
+               step);
+    else
+      start(*run, step);
+  }
+}
+
+/// A swap took place while the run waited: its pieces and its caller belong to
+/// the other version.
+bool AgentCore::Impl::isOvertaken(const Run &run) const {
+  const std::string &wanted = run.Request->Version;
+  return !Settings.IsService && !wanted.empty() && wanted != version();
+}
+
+void AgentCore::Impl::start(Run &run, Step &step) {
+  run.State = RunState::Running;
+  run.Token.Start = ++Starts;
+  run.Started = step.Now;
+  run.MayHaveRun = true;
+  run.NextSequence = 0;
+  run.Version = version();
+  ++Running;
+  Dirty = true;
+  StartRun out;
+  out.Run = run.Token;
+  out.Offer = run.Request;
+  out.ResumeText = run.Request->Generated + run.Answer.text();
+  out.Timeout = run.Deadline - step.Now;
+  step.Out.push_back(std::move(out));
+  record(step, EventKind::RunStarted, run, ErrorKind::None,
+         {(step.Now - run.Arrived).count()});
+}
+
+Run *AgentCore::Impl::current(const RunToken &token) {
+  Run *run = Runs.find(token.Id);
+  if (!run || run->isFinished() || run->Token != token)
+    return nullptr;
+  return run;
+}
+
+bool AgentCore::Impl::isOwnAnswer(Run &run, const RunToken &answer,
+                                  Step &step) {
+  if (answer == run.Token)
+    return true;
+  lose(run, {ErrorKind::ServerFailed, "the server answered another request"},
+       step);
+  return false;
+}
+
+void AgentCore::Impl::lose(Run &run, const Error &why, Step &step) {
+  record(step, EventKind::AttemptLost, run, why.Kind);
+  stopAtServer(run, step);
+  fail(run, why, step);
+}
+
+void AgentCore::Impl::on(const RunText &input, Step &step) {
+  Run *run = current(input.Run);
+  if (!run || !isOwnAnswer(*run, input.Answer, step))
+    return;
+  if (input.Sequence) {
+    if (*input.Sequence < run->NextSequence)
+      return;
+    if (*input.Sequence > run->NextSequence)
+      return lose(*run,
+                  {ErrorKind::ServerFailed, "a part of the answer is "
+                                            "missing"},
+                  step);
+  }
+  ++run->NextSequence;
+  if (!run->FirstToken) {
+    run->FirstToken = step.Now;
+    record(step, EventKind::FirstToken, *run, ErrorKind::None,
+           {(step.Now - run->Arrived).count()});
+  }
+  size_t before = run->Answer.bytes();
+  uint32_t index = run->Answer.append(input.Text, input.Tokens);
+  HeldBytes += run->Answer.bytes() - before;
+  for (const Reader &reader : run->Readers)
+    send(step, reader.Link,
+         wire::Chunk{run->Token.Id, reader.Try, index, input.Tokens,
+                     input.Text});
+  boundHeldBytes(step);
+}
+
+void AgentCore::Impl::on(const RunDone &input, Step &step) {
+  Run *run = current(input.Run);
+  if (!run || !isOwnAnswer(*run, input.Answer, step))
+    return;
+  wire::Finished out;
+  out.Ran = Outcome::Completed;
+  out.FinishReason = input.FinishReason;
+  out.PromptTokens = input.PromptTokens;
+  out.RecomputedTokens =
+      input.PromptTokens - std::min(input.PromptTokens, input.CachedTokens);
+  out.GeneratedTokens = input.CompletionTokens;
+  out.ServiceStatus = input.ServiceStatus;
+  out.ServiceHeaders = input.ServiceHeaders;
+  finish(*run, std::move(out), step);
+}
+
+void AgentCore::Impl::on(const RunFailed &input, Step &step) {
+  Run *run = current(input.Run);
+  if (!run)
+    return;
+  if (input.Why.Kind == ErrorKind::ServiceUnavailable &&
+      run->Answer.bytes() == 0)
+    run->MayHaveRun = false;
+  Error why = input.Why;
+  if (why.Kind == ErrorKind::ServiceUnavailable)
+    why.Kind = ErrorKind::ServerLost;
+  record(step, EventKind::AttemptLost, *run, why.Kind);
+  fail(*run, why, step);
+}
+
+void AgentCore::Impl::fail(Run &run, const Error &why, Step &step) {
+  if (!run.MayHaveRun)
+    return handBack(run, why, step);
+  wire::Finished out;
+  out.Ran = Outcome::MayHaveRun;
+  out.Kind = why.Kind;
+  out.Detail = why.Detail;
+  out.GeneratedTokens = run.Answer.tokens();
+  finish(run, std::move(out), step);
+}
+
+void AgentCore::Impl::finish(Run &run, wire::Finished final, Step &step) {
+  leaveServer(run);
+  final.Id = run.Token.Id;
+  final.Chunks = run.Answer.nextIndex();
+  if (run.FirstToken)
+    final.FirstTokenMicros = micros(*run.FirstToken - run.Arrived);
+  record(step, EventKind::RunFinished, run, final.Kind,
+         {(step.Now - run.Arrived).count(), final.PromptTokens,
+          final.RecomputedTokens, final.GeneratedTokens});
+  run.State = RunState::Finished;
+  run.Final = std::move(final);
+  run.Request.reset();
+  for (const Reader &reader : run.Readers)
+    sendFinal(run, reader, step);
+  Runs.clearReaders(run);
+  run.KeptUntil = step.Now + Settings.ResumeWindow;
+  Runs.schedule(run);
+  Dirty = true;
+  startWaiting(step);
+}
+
+void AgentCore::Impl::handBack(Run &run, const Error &why, Step &step) {
+  leaveServer(run);
+  for (const Reader &reader : run.Readers) {
+    wire::Refused out;
+    out.Id = run.Token.Id;
+    out.Try = reader.Try;
+    out.Kind = why.Kind;
+    out.Ran = Outcome::NotRun;
+    out.RetryAfterMicros = micros(why.RetryAfter);
+    out.Detail = why.Detail;
+    out.Load = loadReport(step.Now);
+    send(step, reader.Link, std::move(out));
+  }
+  record(step, EventKind::OfferRefused, run, why.Kind);
+  HeldBytes -= run.Answer.bytes();
+  Runs.erase(RequestId(run.Token.Id));
+  Dirty = true;
+  startWaiting(step);
+}
+
+void AgentCore::Impl::leaveServer(Run &run) {
+  if (run.State == RunState::Waiting)
+    std::erase(Queue, run.Token.Id);
+  else if (run.State == RunState::Running)
+    --Running;
+}
+
+void AgentCore::Impl::stopAtServer(Run &run, Step &step) {
+  if (run.State == RunState::Running || run.State == RunState::Suspended)
+    step.Out.push_back(CancelRun{run.Token});
+}
+
+void AgentCore::Impl::sendFinal(Run &run, const Reader &reader, Step &step) {
+  wire::Finished out = *run.Final;
+  out.Try = reader.Try;
+  out.Load = loadReport(step.Now);
+  send(step, reader.Link, std::move(out));
+  run.Delivered = true;
+}
+
+void AgentCore::Impl::keepForReaders(Run &run, TimePoint now) {
+  if (!run.Readers.empty())
+    run.KeptUntil.reset();
+  else if (!run.KeptUntil || run.isFinished())
+    run.KeptUntil = now + Settings.ResumeWindow;
+  Runs.schedule(run);
+}
+
+void AgentCore::Impl::handBackWaiting(const Error &why, Step &step) {
+  std::deque<RequestId> waiting;
+  waiting.swap(Queue);
+  for (const RequestId &id : waiting)
+    if (Run *run = Runs.find(id))
+      fail(*run, why, step);
+}
+
+/// Finished answers go first, the oldest of them first.
+void AgentCore::Impl::boundHeldBytes(Step & /*step*/) {
+  while (HeldBytes > Settings.MaxHeldBytes) {
+    const Run *oldest = nullptr;
+    for (const auto &[id, run] : Runs.all())
+      if (run->isFinished() &&
+          (!oldest || *run->KeptUntil < *oldest->KeptUntil))
+        oldest = run.get();
+    if (!oldest)
+      return;
+    HeldBytes -= oldest->Answer.bytes();
+    Runs.erase(RequestId(oldest->Token.Id));
+  }
+}
+
+void AgentCore::Impl::on(const EngineStatus &input, Step &step) {
+  Dirty = Dirty || !EngineSeen || input != Engine;
+  Engine = input;
+  EngineSeen = step.Now;
+  startWaiting(step);
+}
+
+void AgentCore::Impl::on(const EngineSilent &input, Step &step) {
+  if (!EngineSeen || step.Now - *EngineSeen < Settings.SilenceLimit)
+    return;
+  EngineSeen.reset();
+  Dirty = true;
+  handBackWaiting({ErrorKind::ServerLost, input.Why.Detail}, step);
+}
+
+void AgentCore::Impl::on(const CacheEvents &input, Step & /*step*/) {
+  CacheNext = input.Next;
+}
+
+void AgentCore::Impl::on(const PieceExport & /*input*/, Step & /*step*/) {}
+void AgentCore::Impl::on(const PieceImport & /*input*/, Step & /*step*/) {}
+void AgentCore::Impl::on(const OrderAnswer & /*input*/, Step & /*step*/) {}
+void AgentCore::Impl::on(const StoreAnswer & /*input*/, Step & /*step*/) {}
+void AgentCore::Impl::on(const StoreProgress & /*input*/, Step & /*step*/) {}
+
+} // namespace daisytack::serve
--- /dev/null
+++ b/tests/serve_agent/agent_core_test.cpp
@@ -0,0 +1,224 @@
+#include "serve_agent/agent_rig.h"
+
+#include <gtest/gtest.h>
+
+namespace daisytack::serve::test {
+namespace {
+
+TEST(RunTokenText, RoundTrip) {
+  RunToken token{{0x1234, 0xabcd}, 3, 99};
+  EXPECT_EQ(parseRunToken(toString(token)), token);
+  for (const char *bad : {"", "12", "00000000000000000000000000000001",
+                          "00000000000000000000000000000001-1",
+                          "00000000000000000000000000000001-1-x",
+                          "00000000000000000000000000000001-1-2-"})
+    EXPECT_FALSE(parseRunToken(bad)) << bad;
+}
+
+TEST(AgentCore, AcceptedAnswerArrivesWhole) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  ASSERT_EQ(rig.Started.size(), 1U);
+  EXPECT_EQ(rig.sentTo<wire::Accepted>(LinkA).size(), 1U);
+  rig.text(rig.Started[0].Run, "one ");
+  rig.text(rig.Started[0].Run, "two");
+  rig.done(rig.Started[0].Run);
+  EXPECT_EQ(rig.textTo(LinkA), "one two");
+  auto final = rig.lastTo<wire::Finished>(LinkA);
+  EXPECT_EQ(final.Kind, ErrorKind::None);
+  EXPECT_EQ(final.Chunks, 2U);
+  EXPECT_EQ(final.Ran, Outcome::Completed);
+}
+
+struct RefusalCase {
+  const char *Name;
+  std::function<void(AgentRig &, wire::Offer &)> Arrange;
+  ErrorKind Want;
+};
+
+TEST(AgentCore, RefusalsAreTypedAndNotRun) {
+  const RefusalCase cases[] = {
+      {"model", [](AgentRig &, wire::Offer &o) { o.Model = "other"; },
+       ErrorKind::UnknownModel},
+      {"version", [](AgentRig &, wire::Offer &o) { o.Version = "v2"; },
+       ErrorKind::NotReady},
+      {"deadline", [](AgentRig &, wire::Offer &o) { o.RemainingMicros = 0; },
+       ErrorKind::DeadlineTooShort},
+      {"drain",
+       [](AgentRig &rig, wire::Offer &) { rig.apply(DrainRequested{}); },
+       ErrorKind::Draining},
+      {"drained by configuration",
+       [](AgentRig &rig, wire::Offer &) {
+         AgentConfig config;
+         config.Revision = 4;
+         config.Drained = true;
+         rig.apply(config);
+       },
+       ErrorKind::Draining},
+      {"silent engine",
+       [](AgentRig &rig, wire::Offer &) {
+         rig.Now += Duration(5'000'000);
+         rig.apply(EngineSilent{});
+       },
+       ErrorKind::NotReady},
+      {"cancelled before",
+       [](AgentRig &rig, wire::Offer &o) {
+         rig.apply(LinkMessage{LinkA, wire::Cancel{o.Id, o.Try}});
+       },
+       ErrorKind::Cancelled},
+  };
+  for (const RefusalCase &it : cases) {
+    AgentRig rig;
+    wire::Offer offer = offerOf(1);
+    it.Arrange(rig, offer);
+    rig.offer(offer);
+    auto refused = rig.lastTo<wire::Refused>(LinkA);
+    EXPECT_EQ(refused.Kind, it.Want) << it.Name;
+    EXPECT_EQ(refused.Ran, Outcome::NotRun) << it.Name;
+    EXPECT_TRUE(rig.Started.empty()) << it.Name;
+  }
+}
+
+TEST(AgentCore, AnswerForAnotherRequestIsNeverForwarded) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  RunToken other{{9, 9}, 1, 1};
+  rig.apply(RunText{rig.Started[0].Run, other, std::nullopt, 1, "secret"});
+  EXPECT_EQ(rig.textTo(LinkA), "");
+  EXPECT_EQ(rig.lastTo<wire::Finished>(LinkA).Kind, ErrorKind::ServerFailed);
+  EXPECT_EQ(rig.lastTo<wire::Finished>(LinkA).Ran, Outcome::MayHaveRun);
+  EXPECT_EQ(rig.Cancelled.size(), 1U);
+}
+
+TEST(AgentCore, RepeatedChunkIsDroppedAndMissingOneLosesTheAttempt) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  RunToken run = rig.Started[0].Run;
+  rig.apply(RunText{run, run, 0, 1, "a"});
+  rig.apply(RunText{run, run, 0, 1, "a"});
+  rig.apply(RunText{run, run, 1, 1, "b"});
+  EXPECT_EQ(rig.textTo(LinkA), "ab");
+  rig.apply(RunText{run, run, 3, 1, "d"});
+  EXPECT_EQ(rig.textTo(LinkA), "ab");
+  EXPECT_EQ(rig.lastTo<wire::Finished>(LinkA).Kind, ErrorKind::ServerFailed);
+}
+
+TEST(AgentCore, ConnectionRefusedIsNotRunAndBrokenOneMayHaveRun) {
+  struct Case {
+    ErrorKind Kind;
+    bool NotRun;
+  };
+  for (Case it : {Case{ErrorKind::ServiceUnavailable, true},
+                  Case{ErrorKind::ServerLost, false},
+                  Case{ErrorKind::ServerFailed, false}}) {
+    AgentRig rig;
+    rig.offer(offerOf(1));
+    rig.apply(RunFailed{rig.Started[0].Run, {it.Kind, "broke"}});
+    EXPECT_EQ(rig.sentTo<wire::Refused>(LinkA).size(), it.NotRun ? 1U : 0U);
+    EXPECT_EQ(rig.sentTo<wire::Finished>(LinkA).size(), it.NotRun ? 0U : 1U);
+  }
+}
+
+TEST(AgentCore, LostEntryResumesOnAnotherLinkForItsOrganisationOnly) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  RunToken run = rig.Started[0].Run;
+  rig.text(run, "one ");
+  rig.apply(LinkClosed{LinkA});
+  rig.text(run, "two ");
+  rig.apply(LinkMessage{LinkB, wire::Resume{run.Id, 1, "dakar-notices", 0}});
+  EXPECT_EQ(rig.lastTo<wire::Refused>(LinkB).Kind, ErrorKind::AnswerLost);
+  EXPECT_EQ(rig.textTo(LinkB), "");
+  rig.apply(LinkMessage{LinkB, wire::Resume{run.Id, 1, "riga-buyers", 1}});
+  rig.text(run, "three");
+  rig.done(run);
+  EXPECT_EQ(rig.textTo(LinkB), "two three");
+  EXPECT_EQ(rig.lastTo<wire::Finished>(LinkB).Chunks, 3U);
+}
+
+TEST(AgentCore, FinishedAnswerIsKeptForTheWindow) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  RunToken run = rig.Started[0].Run;
+  rig.apply(LinkClosed{LinkA});
+  rig.text(run, "whole");
+  rig.done(run);
+  rig.pass(Duration(5'000'000));
+  rig.apply(LinkMessage{LinkB, wire::Resume{run.Id, 1, "riga-buyers", 0}});
+  EXPECT_EQ(rig.textTo(LinkB), "whole");
+  rig.pass(Duration(11'000'000));
+  rig.apply(LinkMessage{LinkB, wire::Resume{run.Id, 1, "riga-buyers", 0}});
+  EXPECT_EQ(rig.lastTo<wire::Refused>(LinkB).Kind, ErrorKind::AnswerLost);
+}
+
+TEST(AgentCore, RunWithoutReaderStopsAfterTheWindow) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  rig.apply(LinkClosed{LinkA});
+  rig.pass(Duration(11'000'000));
+  EXPECT_EQ(rig.Cancelled.size(), 1U);
+}
+
+TEST(AgentCore, RepeatJoinsAndOtherBodyIsRefused) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  RunToken run = rig.Started[0].Run;
+  rig.text(run, "one ");
+  rig.offer(offerOf(1, 2), LinkB);
+  wire::Offer other = offerOf(1, 3);
+  other.Body = "{}";
+  rig.offer(other, LinkB);
+  EXPECT_EQ(rig.lastTo<wire::Refused>(LinkB).Kind, ErrorKind::KeyReused);
+  rig.text(run, "two");
+  rig.done(run);
+  EXPECT_EQ(rig.Started.size(), 1U);
+  EXPECT_EQ(rig.textTo(LinkA), "one two");
+  EXPECT_EQ(rig.textTo(LinkB), "one two");
+  EXPECT_EQ(rig.lastTo<wire::Finished>(LinkB).Try, 2U);
+}
+
+TEST(AgentCore, DrainFinishesWhatWasAccepted) {
+  AgentRig rig;
+  for (uint64_t i = 1; i <= 3; ++i)
+    rig.offer(offerOf(i));
+  rig.apply(DrainRequested{});
+  EXPECT_FALSE(rig.Core.isDrained());
+  for (size_t i = 0; i < 3; ++i) {
+    ASSERT_LT(i, rig.Started.size());
+    rig.done(rig.Started[i].Run);
+  }
+  EXPECT_EQ(rig.sentTo<wire::Finished>(LinkA).size(), 3U);
+  EXPECT_TRUE(rig.Core.isDrained());
+}
+
+TEST(AgentCore, SwapWhileWaitingHandsTheRequestBack) {
+  AgentRig rig;
+  for (uint64_t i = 1; i <= 3; ++i)
+    rig.offer(offerOf(i));
+  EngineStatus next = engineStatus();
+  next.Version = "v2";
+  rig.apply(next);
+  rig.done(rig.Started[0].Run);
+  EXPECT_EQ(rig.Started.size(), 2U);
+  EXPECT_EQ(rig.lastTo<wire::Refused>(LinkA).Kind, ErrorKind::NotReady);
+  EXPECT_EQ(rig.lastTo<wire::Refused>(LinkA).Ran, Outcome::NotRun);
+}
+
+TEST(AgentCore, PictureShowsRunningWaitingAndRefused) {
+  AgentRig rig;
+  for (uint64_t i = 1; i <= 3; ++i)
+    rig.offer(offerOf(i));
+  wire::Offer bad = offerOf(4);
+  bad.Model = "other";
+  rig.offer(bad);
+  rig.pass(Duration(100'000));
+  auto picture = rig.Core.snapshot().load();
+  EXPECT_EQ(picture->Runs.size(), 3U);
+  EXPECT_EQ(picture->Load.Running, 2U);
+  EXPECT_EQ(picture->Load.Waiting, 1U);
+  ASSERT_EQ(picture->Refusals.size(), 1U);
+  EXPECT_EQ(picture->Refusals[0].Kind, ErrorKind::UnknownModel);
+}
+
+} // namespace
+} // namespace daisytack::serve::test
--- /dev/null
+++ b/tests/serve_agent/agent_rig.h
@@ -0,0 +1,137 @@
+/// An agent's core with what it sent, for tests.
+#pragma once
+
+#include "serve/agent_core.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace daisytack::serve::test {
+
+constexpr LinkHandle LinkA{1};
+constexpr LinkHandle LinkB{2};
+inline const std::string Model = "lima";
+inline const std::string Version = "v1";
+
+inline AgentSettings modelSettings() {
+  AgentSettings out;
+  out.Instance = "agent-1";
+  out.Serves = Model;
+  out.MaxRunning = 2;
+  return out;
+}
+
+inline EngineStatus engineStatus() {
+  EngineStatus out;
+  out.Model = Model;
+  out.Version = Version;
+  out.PrefillTokensPerSecond = 10'000;
+  out.DecodeTokensPerSecond = 100;
+  return out;
+}
+
+inline wire::Offer offerOf(uint64_t id, Attempt attempt = 1) {
+  wire::Offer out;
+  out.Id = {7, id};
+  out.Try = attempt;
+  out.Organisation = "riga-buyers";
+  out.Model = Model;
+  out.Version = Version;
+  out.Class = "quote";
+  out.Priority = 5;
+  out.RemainingMicros = 30'000'000;
+  out.PromptTokens = 100;
+  out.MaxTokens = 16;
+  out.Body = "{\"prompt\":\"price of apples\"}";
+  return out;
+}
+
+/// Applies inputs and sorts the actions.
+class AgentRig {
+public:
+  explicit AgentRig(AgentSettings settings = modelSettings())
+      : Core(std::move(settings), [this] { return ++Draws; }) {
+    apply(engineStatus());
+    apply(LinkOpened{LinkA});
+    apply(LinkOpened{LinkB});
+  }
+
+  void apply(AgentInput input) {
+    for (AgentAction &action : Core.apply(std::move(input), Now))
+      take(std::move(action));
+  }
+  void offer(wire::Offer offer, LinkHandle link = LinkA) {
+    apply(LinkMessage{link, std::move(offer)});
+  }
+  void text(const RunToken &run, std::string text) {
+    apply(RunText{run, run, std::nullopt, 1, std::move(text)});
+  }
+  void done(const RunToken &run) {
+    RunDone out;
+    out.Run = run;
+    out.Answer = run;
+    out.FinishReason = "stop";
+    out.PromptTokens = 100;
+    apply(out);
+  }
+  /// Lets time pass, firing every timer on the way.
+  void pass(Duration d) {
+    TimePoint end = Now + d;
+    for (auto next = Core.nextTimer(); next && *next <= end;
+         next = Core.nextTimer()) {
+      Now = std::max(Now, *next);
+      apply(engineStatus());
+      apply(TimerFired{});
+    }
+    Now = end;
+  }
+
+  template <class T> std::vector<T> sentTo(LinkHandle link) const {
+    std::vector<T> out;
+    for (const SendMessage &sent : Sent)
+      if (sent.Link == link && std::holds_alternative<T>(sent.Body))
+        out.push_back(std::get<T>(sent.Body));
+    return out;
+  }
+  template <class T> T lastTo(LinkHandle link) const {
+    std::vector<T> all = sentTo<T>(link);
+    return all.empty() ? T() : all.back();
+  }
+  std::string textTo(LinkHandle link) const {
+    std::string out;
+    for (const auto &chunk : sentTo<wire::Chunk>(link))
+      out += chunk.Text;
+    return out;
+  }
+  size_t events(EventKind kind) const {
+    auto it = Events.find(kind);
+    return it == Events.end() ? 0 : it->second;
+  }
+
+  TimePoint Now{Duration(1'000'000)};
+  uint64_t Draws = 0;
+  AgentCore Core;
+  std::vector<SendMessage> Sent;
+  std::vector<StartRun> Started;
+  std::vector<RunToken> Cancelled;
+  std::vector<AgentAction> Others;
+  std::map<EventKind, size_t> Events;
+
+private:
+  void take(AgentAction action) {
+    if (auto *sent = std::get_if<SendMessage>(&action))
+      Sent.push_back(std::move(*sent));
+    else if (auto *start = std::get_if<StartRun>(&action))
+      Started.push_back(std::move(*start));
+    else if (auto *cancel = std::get_if<CancelRun>(&action))
+      Cancelled.push_back(cancel->Run);
+    else if (auto *event = std::get_if<RecordEvent>(&action))
+      ++Events[event->What.Kind];
+    else
+      Others.push_back(std::move(action));
+  }
+};
+
+} // namespace daisytack::serve::test
