--- /dev/null
+++ b/src/context/link_scheduler.cpp
@@ -0,0 +1,188 @@
+#include "context/link_scheduler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisytack {
+
+namespace {
+
+/// Weight of a new measurement in the learned rate.
+constexpr double LearnWeight = 0.3;
+/// After this long without a measurement, half of the way back to the budget.
+constexpr double ForgetHalfLifeSeconds = 20;
+/// A rate is never taken for less, so that predictions stay finite.
+constexpr double LeastBytesPerSecond = 1;
+/// An export leaves this share of the burst to fetches.
+constexpr double FetchReserve = 0.5;
+/// Measured times shorter than this say nothing about the rate.
+constexpr double LeastSeconds = 1e-6;
+/// A byte's worth of rounding; keeps nextAt and next in agreement.
+constexpr double TokenSlack = 1e-3;
+
+double secondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration<double>(to - from).count();
+}
+
+/// True when a starts after b: fetches before exports, then the earlier
+/// deadline, then the lower id.
+bool startsAfter(const Transfer &a, const Transfer &b) {
+  if (a.Kind != b.Kind)
+    return a.Kind == TransferKind::Export;
+  if (a.Deadline != b.Deadline)
+    return a.Deadline > b.Deadline;
+  return a.Id > b.Id;
+}
+
+} // namespace
+
+LinkScheduler::LinkScheduler(const LinkLimits &limits)
+    : Limits(limits), Tokens(static_cast<double>(limits.BurstBytes)),
+      Learned(limits.BytesPerSecond) {}
+
+bool LinkScheduler::add(const Transfer &transfer, TimePoint now,
+                        Error &reason) {
+  (void)now;
+  if (transfer.Bytes > Limits.BurstBytes) {
+    reason = {ErrorKind::BodyTooLarge, "piece exceeds the link's burst", {}};
+    return false;
+  }
+  if (transfer.Kind == TransferKind::Export) {
+    if (ExportBacklog + transfer.Bytes > Limits.ExportBacklogBytes) {
+      reason = {ErrorKind::BudgetSpent, "export backlog is full", {}};
+      return false;
+    }
+    ExportBacklog += transfer.Bytes;
+  }
+  auto at =
+      std::lower_bound(Waiting.begin(), Waiting.end(), transfer, startsAfter);
+  Waiting.insert(at, transfer);
+  return true;
+}
+
+const Transfer *LinkScheduler::best() const {
+  if (Waiting.empty() || Running.size() >= Limits.MaxInFlight)
+    return nullptr;
+  const Transfer &out = Waiting.back();
+  // An export starts alone, so that it delays a fetch by one piece at most.
+  if (out.Kind == TransferKind::Export && !Running.empty())
+    return nullptr;
+  return &out;
+}
+
+double LinkScheduler::tokensAt(TimePoint now) const {
+  double gained =
+      std::max(0.0, secondsBetween(TokensSince, now)) * Limits.BytesPerSecond;
+  return std::min(static_cast<double>(Limits.BurstBytes), Tokens + gained);
+}
+
+double LinkScheduler::tokensNeeded(const Transfer &transfer) const {
+  auto burst = static_cast<double>(Limits.BurstBytes);
+  auto bytes = static_cast<double>(transfer.Bytes);
+  if (transfer.Kind == TransferKind::Export)
+    return std::min(burst, bytes + FetchReserve * burst);
+  return bytes;
+}
+
+std::optional<Transfer> LinkScheduler::next(TimePoint now) {
+  const Transfer *head = best();
+  if (head == nullptr)
+    return std::nullopt;
+  double available = tokensAt(now);
+  if (available + TokenSlack < tokensNeeded(*head))
+    return std::nullopt;
+  Transfer out = *head;
+  Waiting.pop_back();
+  Tokens = available - static_cast<double>(out.Bytes);
+  TokensSince = std::max(TokensSince, now);
+  if (out.Kind == TransferKind::Export) {
+    ExportBacklog -= out.Bytes;
+    ExportBytes += out.Bytes;
+  } else {
+    FetchBytes += out.Bytes;
+  }
+  Running.push_back({out, now});
+  return out;
+}
+
+std::optional<TimePoint> LinkScheduler::nextAt(TimePoint now) const {
+  const Transfer *head = best();
+  if (head == nullptr)
+    return std::nullopt;
+  double missing = tokensNeeded(*head) - tokensAt(now);
+  if (missing <= TokenSlack)
+    return now;
+  double micros = std::ceil(missing / Limits.BytesPerSecond * 1e6);
+  return now + Duration(static_cast<int64_t>(micros));
+}
+
+void LinkScheduler::finish(uint64_t id, uint64_t bytes, TimePoint now) {
+  auto it = std::find_if(Running.begin(), Running.end(),
+                         [&](const Flight &f) { return f.What.Id == id; });
+  if (it == Running.end())
+    return;
+  learn(*it, bytes, now);
+  Running.erase(it);
+}
+
+void LinkScheduler::learn(const Flight &flight, uint64_t bytes, TimePoint now) {
+  double seconds = secondsBetween(flight.Started, now) -
+                   std::chrono::duration<double>(Limits.RoundTrip).count();
+  seconds = std::max(seconds, LeastSeconds);
+  if (bytes == 0)
+    return;
+  // Transfers side by side share the link.
+  double share = static_cast<double>(Running.size());
+  double measured = static_cast<double>(bytes) * share / seconds;
+  measured = std::min(measured, Limits.BytesPerSecond);
+  Learned += LearnWeight * (measured - Learned);
+  LearnedAt = now;
+}
+
+void LinkScheduler::cancel(uint64_t id) {
+  auto waits = std::find_if(Waiting.begin(), Waiting.end(),
+                            [&](const Transfer &t) { return t.Id == id; });
+  if (waits != Waiting.end()) {
+    if (waits->Kind == TransferKind::Export)
+      ExportBacklog -= waits->Bytes;
+    Waiting.erase(waits);
+    return;
+  }
+  std::erase_if(Running, [&](const Flight &f) { return f.What.Id == id; });
+}
+
+uint64_t LinkScheduler::bytesInFlight() const {
+  uint64_t out = 0;
+  for (const Flight &it : Running)
+    out += it.What.Bytes;
+  return out;
+}
+
+uint64_t LinkScheduler::backlogBefore(TimePoint deadline) const {
+  uint64_t out = bytesInFlight();
+  for (const Transfer &it : Waiting)
+    if (it.Kind == TransferKind::Fetch && it.Deadline <= deadline)
+      out += it.Bytes;
+  return out;
+}
+
+double LinkScheduler::bytesPerSecond(TimePoint now) const {
+  double age = std::max(0.0, secondsBetween(LearnedAt, now));
+  double kept = std::exp2(-age / ForgetHalfLifeSeconds);
+  double rate =
+      Limits.BytesPerSecond - kept * (Limits.BytesPerSecond - Learned);
+  // What is in flight bounds the rate before it has ended.
+  for (const Flight &it : Running) {
+    double seconds = secondsBetween(it.Started, now) -
+                     std::chrono::duration<double>(Limits.RoundTrip).count();
+    if (seconds > 0)
+      rate = std::min(rate, static_cast<double>(bytesInFlight()) / seconds);
+  }
+  return std::max(rate, LeastBytesPerSecond);
+}
+
+uint64_t LinkScheduler::startedBytes(TransferKind kind) const {
+  return kind == TransferKind::Fetch ? FetchBytes : ExportBytes;
+}
+
+} // namespace daisytack
--- /dev/null
+++ b/src/context/store_choice.cpp
@@ -0,0 +1,58 @@
+#include "context/store_choice.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+
+namespace daisytack {
+
+namespace {
+
+uint64_t weightOf(uint64_t keyHash, const StoreInstance &store) {
+  return mix64(keyHash ^ mix64(store.NameHash));
+}
+
+bool isTaken(const std::vector<uint32_t> &chosen, uint32_t index) {
+  return std::find(chosen.begin(), chosen.end(), index) != chosen.end();
+}
+
+bool sharesDomain(const std::vector<uint32_t> &chosen,
+                  std::span<const StoreInstance> stores, uint32_t index) {
+  return std::any_of(chosen.begin(), chosen.end(), [&](uint32_t it) {
+    return stores[it].FailureDomain == stores[index].FailureDomain;
+  });
+}
+
+} // namespace
+
+const PieceKey &placementKey(std::span<const PieceKey> pieces, size_t index) {
+  return pieces[index - index % PlacementGroup];
+}
+
+std::vector<uint32_t> chooseStores(const PieceKey &placement,
+                                   std::span<const StoreInstance> stores,
+                                   size_t copies) {
+  uint64_t hash = std::hash<PieceKey>{}(placement);
+  std::vector<uint32_t> out;
+  copies = std::min(copies, stores.size());
+  while (out.size() < copies) {
+    std::optional<uint32_t> best;
+    bool bestShares = true;
+    for (uint32_t i = 0; i < stores.size(); ++i) {
+      if (isTaken(out, i))
+        continue;
+      bool shares = sharesDomain(out, stores, i);
+      bool wins = !best || (bestShares && !shares) ||
+                  (bestShares == shares &&
+                   weightOf(hash, stores[i]) > weightOf(hash, stores[*best]));
+      if (!wins || (best && shares && !bestShares))
+        continue;
+      best = i;
+      bestShares = shares;
+    }
+    out.push_back(*best);
+  }
+  return out;
+}
+
+} // namespace daisytack
