--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,109 @@
+#include "net/http_client.h"
+
+#include "net/http_client_call.h"
+
+#include <utility>
+
+namespace daisytack::net {
+
+bool HttpClientConnection::isFresh(SteadyClock::time_point now) {
+  return now - Since < MaxIdleAge && probePeer(Socket) == PeerState::Quiet;
+}
+
+std::shared_ptr<HttpClientConnection>
+HttpConnectionPool::take(const Endpoint &to) {
+  auto now = SteadyClock::now();
+  while (auto connection = takeLast(to))
+    if (connection->isFresh(now))
+      return connection;
+  return nullptr;
+}
+
+std::shared_ptr<HttpClientConnection>
+HttpConnectionPool::takeLast(const Endpoint &to) {
+  std::lock_guard guard(Lock);
+  auto it = Idle.find(to);
+  if (it == Idle.end() || it->second.empty())
+    return nullptr;
+  auto out = std::move(it->second.back());
+  it->second.pop_back();
+  return out;
+}
+
+void HttpConnectionPool::put(const Endpoint &to,
+                             std::shared_ptr<HttpClientConnection> connection) {
+  connection->Since = SteadyClock::now();
+  std::shared_ptr<HttpClientConnection> oldest; // Closed outside the lock.
+  std::lock_guard guard(Lock);
+  if (Closed)
+    return;
+  auto &idle = Idle[to];
+  idle.push_back(std::move(connection));
+  if (idle.size() <= MaxIdle)
+    return;
+  oldest = std::move(idle.front());
+  idle.erase(idle.begin());
+}
+
+void HttpConnectionPool::close() {
+  std::map<Endpoint, std::vector<std::shared_ptr<HttpClientConnection>>> all;
+  std::lock_guard guard(Lock);
+  Closed = true;
+  all.swap(Idle);
+}
+
+struct HttpClient::Impl {
+  Impl(asio::io_context &io, HttpClientInit init)
+      : Io(io), Init(init),
+        Pool(std::make_shared<HttpConnectionPool>(init.MaxIdlePerEndpoint)) {}
+
+  asio::io_context &Io;
+  HttpClientInit Init;
+  std::shared_ptr<HttpConnectionPool> Pool;
+};
+
+HttpClient::HttpClient(asio::io_context &io, HttpClientInit init)
+    : Self(std::make_shared<Impl>(io, init)) {}
+
+HttpClient::~HttpClient() { Self->Pool->close(); }
+
+HttpCall HttpClient::call(const Endpoint &to, HttpRequest request,
+                          Duration timeout, HttpHooks hooks) {
+  auto running =
+      std::make_shared<HttpClientCall>(Self->Io, Self->Init, Self->Pool, to,
+                                       std::move(request), std::move(hooks));
+  running->start(timeout);
+  return HttpCall([weak = std::weak_ptr(running)] {
+    if (auto self = weak.lock())
+      self->cancel();
+  });
+}
+
+HttpCall
+HttpClient::fetch(const Endpoint &to, HttpRequest request, Duration timeout,
+                  std::function<void(const Error &, HttpResponse)> done) {
+  struct Collector {
+    HttpResponse Response;
+    bool TooLarge = false;
+  };
+  auto all = std::make_shared<Collector>();
+  HttpHooks hooks;
+  hooks.Head = [all](unsigned status, const std::vector<HttpHeader> &headers) {
+    all->Response.Status = status;
+    all->Response.Headers = headers;
+  };
+  size_t most = Self->Init.MaxResponseBodyBytes;
+  hooks.Data = [all, most](std::string_view data) {
+    all->TooLarge |= all->Response.Body.size() + data.size() > most;
+    if (!all->TooLarge)
+      all->Response.Body.append(data);
+  };
+  hooks.Done = [all, done = std::move(done)](const Error &error) {
+    if (all->TooLarge)
+      return done({ErrorKind::ProtocolError, "the response is too large"}, {});
+    done(error, error ? HttpResponse{} : std::move(all->Response));
+  };
+  return call(to, std::move(request), timeout, std::move(hooks));
+}
+
+} // namespace daisytack::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,9 +11,10 @@
   std::function<void(unsigned status, const std::vector<HttpHeader> &headers)>
       Head;
   std::function<void(std::string_view data)> Data;
-  /// Kind None when the whole response was received. Error::Kind ServerLost:
-  /// the connection broke after bytes of the request may have been sent.
-  /// ServiceUnavailable: nothing was sent.
+  /// Kind None when the whole response was received. ServerLost: the connection
+  /// broke after bytes of the request may have been sent. DeadlinePassed: the
+  /// timeout came then. ServiceUnavailable: nothing was sent, for whichever
+  /// reason. ProtocolError: the response is malformed or too large.
   std::function<void(const Error &error)> Done;
 };
 
@@ -36,7 +37,7 @@
   size_t MaxIdlePerEndpoint = 16;
   Duration ConnectTimeout{1'000'000};
   size_t MaxResponseHeaderBytes = 64U << 10;
-  size_t MaxResponseBodyBytes = 64U << 20;
+  size_t MaxResponseBodyBytes = 64U << 20; ///< Of fetch; call() is unbounded.
 };
 
 /// Thread-safe.
@@ -45,6 +46,8 @@
   HttpClient(boost::asio::io_context &io, HttpClientInit init);
   ~HttpClient();
   /// Sends the request. A timeout of zero means none but the connect timeout.
+  /// A kept-alive connection that turns out stale is replaced once, if nothing
+  /// was sent over it or the method is GET or HEAD.
   HttpCall call(const Endpoint &to, HttpRequest request, Duration timeout,
                 HttpHooks hooks);
   /// The same with the whole response at once.
--- /dev/null
+++ b/src/net/http_client_call.cpp
@@ -0,0 +1,256 @@
+#include "net/http_client_call.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::net {
+
+namespace {
+
+constexpr unsigned HttpVersion11 = 11;
+
+http::request<http::string_body> toMessage(const Endpoint &to,
+                                           HttpRequest request) {
+  http::request<http::string_body> out;
+  out.version(HttpVersion11);
+  out.method_string(request.Method);
+  std::string target = request.Path.empty() ? "/" : request.Path;
+  if (!request.Query.empty())
+    target += "?" + request.Query;
+  out.target(target);
+  out.set(http::field::host, toString(to));
+  for (const HttpHeader &header : request.Headers)
+    out.insert(header.Name, header.Value);
+  out.body() = std::move(request.Body);
+  bool mayHaveBody =
+      out.method() != http::verb::get && out.method() != http::verb::head;
+  if (mayHaveBody || !out.body().empty())
+    out.content_length(out.body().size());
+  return out;
+}
+
+bool isSafe(http::verb method) {
+  return method == http::verb::get || method == http::verb::head;
+}
+
+std::vector<HttpHeader> headersOf(const http::fields &fields) {
+  std::vector<HttpHeader> out;
+  for (const auto &field : fields)
+    out.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  return out;
+}
+
+} // namespace
+
+HttpClientCall::HttpClientCall(asio::io_context &io, const HttpClientInit &init,
+                               std::shared_ptr<HttpConnectionPool> pool,
+                               Endpoint to, HttpRequest request,
+                               HttpHooks hooks)
+    : Io(io), Init(init), Pool(std::move(pool)), To(std::move(to)),
+      Message(toMessage(To, std::move(request))), Hooks(std::move(hooks)),
+      Order(asio::make_strand(io)), Timer(Order) {}
+
+void HttpClientCall::start(Duration timeout) {
+  if (timeout > Duration::zero())
+    Deadline = SteadyClock::now() + timeout;
+  asio::post(Order, [self = shared_from_this()] { self->begin(); });
+}
+
+void HttpClientCall::cancel() {
+  asio::post(Order, [self = shared_from_this()] {
+    Error error{ErrorKind::Cancelled, "cancelled"};
+    self->finish(error);
+  });
+}
+
+void HttpClientCall::begin() {
+  if (Finished)
+    return;
+  Connection = Pool->take(To);
+  Reused = Connection != nullptr;
+  if (!Reused)
+    return connect();
+  if (Deadline)
+    armTimer(Duration::max());
+  send();
+}
+
+void HttpClientCall::connect() {
+  Reused = false;
+  Connection = std::make_shared<HttpClientConnection>(Io);
+  tcp::endpoint address;
+  if (!toTcp(To, address))
+    return failed(asio::error::invalid_argument, "address");
+  armTimer(Init.ConnectTimeout);
+  Connection->Socket.async_connect(
+      address,
+      asio::bind_executor(Order, [self = shared_from_this()](ErrorCode ec) {
+        self->onConnected(ec);
+      }));
+}
+
+void HttpClientCall::onConnected(ErrorCode ec) {
+  if (Finished)
+    return;
+  if (ec)
+    return failed(ec, "connect");
+  tuneSocket(Connection->Socket);
+  if (Deadline)
+    armTimer(Duration::max());
+  else
+    Timer.cancel();
+  send();
+}
+
+void HttpClientCall::send() {
+  MaySend = true;
+  http::async_write(Connection->Socket, Message,
+                    asio::bind_executor(Order, [self = shared_from_this()](
+                                                   ErrorCode ec, size_t n) {
+                      self->onSent(ec, n);
+                    }));
+}
+
+void HttpClientCall::onSent(ErrorCode ec, size_t n) {
+  if (Finished)
+    return;
+  if (ec && n == 0) {
+    MaySend = false;
+    if (startAgain())
+      return;
+    return failed(ec, "send");
+  }
+  // A server may answer before it has read everything, and then close.
+  readHead();
+}
+
+void HttpClientCall::readHead() {
+  Response.emplace();
+  Response->header_limit(static_cast<uint32_t>(Init.MaxResponseHeaderBytes));
+  Response->body_limit(boost::none);
+  Response->skip(Message.method() == http::verb::head);
+  http::async_read_header(
+      Connection->Socket, Connection->Buffer, *Response,
+      asio::bind_executor(Order,
+                          [self = shared_from_this()](ErrorCode ec, size_t n) {
+                            self->AnyReceived |= n > 0;
+                            self->onHead(ec);
+                          }));
+}
+
+void HttpClientCall::onHead(ErrorCode ec) {
+  if (Finished)
+    return;
+  if (ec) {
+    if (!AnyReceived && isSafe(Message.method()) && startAgain())
+      return;
+    return failed(ec, "response");
+  }
+  if (Response->get().result() == http::status::continue_)
+    return readHead();
+  if (Hooks.Head)
+    Hooks.Head(Response->get().result_int(), headersOf(Response->get().base()));
+  if (Finished)
+    return;
+  if (Response->is_done())
+    return complete();
+  ReadBuffer.resize(ReadBytes);
+  readBody();
+}
+
+void HttpClientCall::readBody() {
+  Response->get().body().data = ReadBuffer.data();
+  Response->get().body().size = ReadBuffer.size();
+  Response->get().body().more = true;
+  http::async_read_some(Connection->Socket, Connection->Buffer, *Response,
+                        asio::bind_executor(Order, [self = shared_from_this()](
+                                                       ErrorCode ec, size_t) {
+                          self->onBody(ec);
+                        }));
+}
+
+void HttpClientCall::onBody(ErrorCode ec) {
+  if (Finished)
+    return;
+  size_t n = ReadBuffer.size() - Response->get().body().size;
+  if (n > 0 && Hooks.Data)
+    Hooks.Data(std::string_view(ReadBuffer.data(), n));
+  if (Finished)
+    return;
+  if (ec == http::error::need_buffer)
+    ec = {};
+  if (ec)
+    return failed(ec, "response");
+  if (Response->is_done())
+    return complete();
+  readBody();
+}
+
+bool HttpClientCall::startAgain() {
+  if (!Reused || AnyReceived)
+    return false;
+  ErrorCode ignored;
+  Connection->Socket.close(ignored);
+  MaySend = false;
+  connect();
+  return true;
+}
+
+void HttpClientCall::complete() {
+  bool whole = Response->keep_alive() && Connection->Buffer.size() == 0;
+  if (whole)
+    Pool->put(To, std::exchange(Connection, nullptr));
+  finish({});
+}
+
+void HttpClientCall::failed(ErrorCode ec, const char *what) {
+  std::string detail = toString(To) + ": " + what + ": " + ec.message();
+  bool malformed =
+      ec.category() ==
+          http::make_error_code(http::error::end_of_stream).category() &&
+      ec != http::error::end_of_stream && ec != http::error::partial_message;
+  if (!MaySend)
+    return finish({ErrorKind::ServiceUnavailable, std::move(detail)});
+  finish({malformed ? ErrorKind::ProtocolError : ErrorKind::ServerLost,
+          std::move(detail)});
+}
+
+void HttpClientCall::expired() {
+  if (!MaySend)
+    return finish(
+        {ErrorKind::ServiceUnavailable, toString(To) + ": no connection"});
+  finish({ErrorKind::DeadlinePassed, toString(To) + ": no answer in time"});
+}
+
+void HttpClientCall::finish(const Error &error) {
+  if (std::exchange(Finished, true))
+    return;
+  Timer.cancel();
+  if (Connection) {
+    ErrorCode ignored;
+    Connection->Socket.close(ignored);
+  }
+  HttpHooks hooks = std::exchange(Hooks, {});
+  if (hooks.Done)
+    hooks.Done(error);
+}
+
+void HttpClientCall::armTimer(Duration after) {
+  auto at = Deadline.value_or(SteadyClock::time_point::max());
+  if (after != Duration::max())
+    at = std::min(at, SteadyClock::now() + after);
+  Timer.expires_at(at);
+  Timer.async_wait([weak = weak_from_this()](ErrorCode ec) {
+    auto self = weak.lock();
+    if (self && !ec && SteadyClock::now() >= self->Timer.expiry())
+      self->expired();
+  });
+}
+
+} // namespace daisytack::net
--- /dev/null
+++ b/src/net/http_connection.cpp
@@ -0,0 +1,350 @@
+#include "net/http_connection.h"
+
+#include "net/problem.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <utility>
+
+namespace daisytack::net {
+
+namespace {
+
+constexpr size_t KeptBufferBytes = 4096; ///< More is freed between requests.
+/// A request that was on its way when the server stopped accepting is met.
+constexpr Duration LastIdleTime{250'000};
+
+class Exchange : public HttpExchange {
+public:
+  Exchange(std::shared_ptr<HttpConnection> connection, uint64_t serial)
+      : Connection(std::move(connection)), Serial(serial) {}
+  ~Exchange() override { Connection->abandon(Serial); }
+  Exchange(const Exchange &) = delete;
+  Exchange &operator=(const Exchange &) = delete;
+
+  void respond(HttpResponse response) override {
+    Connection->respond(Serial, std::move(response));
+  }
+  void beginStream(unsigned status, std::vector<HttpHeader> headers) override {
+    Connection->beginStream(Serial, status, std::move(headers));
+  }
+  void write(std::string data) override {
+    Connection->write(Serial, std::move(data));
+  }
+  void endStream() override { Connection->endStream(Serial); }
+  void abort() override { Connection->abort(Serial); }
+  size_t pendingBytes() const override { return Connection->pendingBytes(); }
+  void onClosed(std::function<void()> hook) override {
+    Connection->setClosedHook(Serial, std::move(hook));
+  }
+
+private:
+  std::shared_ptr<HttpConnection> Connection;
+  uint64_t Serial;
+};
+
+HttpRequest toRequest(http::request<http::string_body> &&message) {
+  HttpRequest out;
+  out.Method = std::string(message.method_string());
+  std::string_view target = message.target();
+  size_t mark = target.find('?');
+  out.Path = std::string(target.substr(0, mark));
+  if (mark != std::string_view::npos)
+    out.Query = std::string(target.substr(mark + 1));
+  for (const auto &field : message.base())
+    out.Headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  out.Body = std::move(message.body());
+  return out;
+}
+
+Error inputError(ErrorCode ec, bool timedOut) {
+  if (timedOut)
+    return {ErrorKind::RequestTimeout, "the request did not arrive in time"};
+  if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+    return {ErrorKind::HeaderTooLarge, "the headers exceed the limit"};
+  if (ec == http::error::body_limit)
+    return {ErrorKind::BodyTooLarge, "the body exceeds the limit"};
+  if (ec == http::error::partial_message || ec == asio::error::eof)
+    return {ErrorKind::BadRequest, "the request ended before it was whole"};
+  return {ErrorKind::BadRequest, "malformed HTTP: " + ec.message()};
+}
+
+} // namespace
+
+std::vector<std::shared_ptr<HttpConnection>> HttpServerShared::connections() {
+  std::vector<std::shared_ptr<HttpConnection>> out;
+  std::lock_guard guard(Lock);
+  for (auto &[raw, weak] : Connections)
+    if (auto connection = weak.lock())
+      out.push_back(std::move(connection));
+  return out;
+}
+
+HttpConnection::HttpConnection(StrandSocket socket,
+                               std::shared_ptr<HttpServerShared> shared)
+    : Socket(std::move(socket)), Timer(Socket.get_executor()),
+      Shared(std::move(shared)) {
+  Shared->Open.fetch_add(1);
+}
+
+HttpConnection::~HttpConnection() {
+  std::lock_guard guard(Shared->Lock);
+  Shared->Connections.erase(this);
+  Shared->Open.fetch_sub(1);
+}
+
+void HttpConnection::start() {
+  {
+    std::lock_guard guard(Shared->Lock);
+    Shared->Connections[this] = weak_from_this();
+  }
+  tuneSocket(Socket);
+  asio::dispatch(Socket.get_executor(), [self = shared_from_this()] {
+    self->setDeadline(self->Shared->Init.IdleTimeout);
+    self->waitReadable();
+  });
+}
+
+void HttpConnection::closeWhenIdle() {
+  asio::post(Socket.get_executor(), [self = shared_from_this()] {
+    if (self->Now == State::Idle)
+      self->setDeadline(LastIdleTime);
+  });
+}
+
+void HttpConnection::closeNow() {
+  asio::post(Socket.get_executor(),
+             [self = shared_from_this()] { self->close(); });
+}
+
+void HttpConnection::waitReadable() {
+  if (std::exchange(Waiting, true))
+    return;
+  Socket.async_wait(
+      StrandSocket::wait_read,
+      [self = shared_from_this()](ErrorCode ec) { self->onReadable(ec); });
+}
+
+void HttpConnection::onReadable(ErrorCode ec) {
+  Waiting = false;
+  if (Now == State::Closed)
+    return;
+  if (ec)
+    return close();
+  if (Now == State::Idle)
+    return readHeader();
+  if (Now != State::Answering)
+    return;
+  switch (probePeer(Socket)) {
+  case PeerState::Quiet:
+    return waitReadable();
+  case PeerState::HasData:
+    Pipelined = true;
+    return;
+  case PeerState::Closed:
+    return peerHalfClosed();
+  }
+}
+
+void HttpConnection::readHeader() {
+  Now = State::Reading;
+  TimedOut = false;
+  Pipelined = false;
+  setDeadline(Shared->Init.ReadTimeout);
+  Input = std::make_unique<Parser>();
+  Input->header_limit(static_cast<uint32_t>(Shared->Init.MaxHeaderBytes));
+  Input->body_limit(Shared->Init.MaxBodyBytes);
+  http::async_read_header(Socket, Buffer, *Input,
+                          [self = shared_from_this()](ErrorCode ec, size_t) {
+                            self->onHeader(ec);
+                          });
+}
+
+void HttpConnection::onHeader(ErrorCode ec) {
+  if (Now != State::Reading)
+    return;
+  if (ec == http::error::end_of_stream)
+    return close();
+  if (ec || TimedOut)
+    return rejectInput(ec);
+  std::string_view expect = Input->get()[http::field::expect];
+  if (!Input->is_done() && boost::beast::iequals(expect, "100-continue")) {
+    {
+      std::lock_guard guard(Lock);
+      queueLocked("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    flush();
+  }
+  readBody();
+}
+
+void HttpConnection::readBody() {
+  http::async_read(
+      Socket, Buffer, *Input,
+      [self = shared_from_this()](ErrorCode ec, size_t) { self->onBody(ec); });
+}
+
+void HttpConnection::onBody(ErrorCode ec) {
+  if (Now != State::Reading)
+    return;
+  if (ec || TimedOut)
+    return rejectInput(ec);
+  handleRequest();
+}
+
+void HttpConnection::rejectInput(ErrorCode ec) {
+  bool isParserError =
+      ec.category() ==
+      http::make_error_code(http::error::end_of_stream).category();
+  if (!isParserError && !TimedOut)
+    return close();
+  Error error = inputError(ec, TimedOut);
+  uint64_t serial = 0;
+  {
+    std::lock_guard guard(Lock);
+    serial = ++Serial;
+    Ended = HeadSent = KeepAlive = IsHead = false;
+  }
+  Now = State::Draining;
+  setDeadline(DiscardTime);
+  respond(serial, problemResponse(error, Outcome::NotRun, RequestId{}));
+}
+
+void HttpConnection::handleRequest() {
+  Now = State::Answering;
+  Deadline = SteadyClock::time_point::max();
+  uint64_t serial = 0;
+  {
+    std::lock_guard guard(Lock);
+    serial = ++Serial;
+    Ended = HeadSent = false;
+    KeepAlive = Input->keep_alive() && !Shared->Stopping;
+    IsHead = Input->get().method() == http::verb::head;
+    IsOld = Input->get().version() < 11;
+  }
+  HttpRequest request = toRequest(Input->release());
+  Input.reset();
+  if (Buffer.size() == 0 && Buffer.capacity() > KeptBufferBytes)
+    Buffer = {};
+  if (Buffer.size() == 0)
+    waitReadable();
+  else
+    Pipelined = true;
+  auto exchange = std::make_shared<Exchange>(shared_from_this(), serial);
+  if (!Shared->Closed)
+    Shared->Handler(std::move(request), std::move(exchange));
+}
+
+void HttpConnection::nextRequest() {
+  Now = State::Idle;
+  if (Pipelined || Buffer.size() > 0) {
+    // Not at once, so that answered requests can't build up the stack.
+    asio::post(Socket.get_executor(), [self = shared_from_this()] {
+      if (self->Now == State::Idle)
+        self->readHeader();
+    });
+    return;
+  }
+  setDeadline(Shared->Stopping ? LastIdleTime : Shared->Init.IdleTimeout);
+  waitReadable();
+}
+
+void HttpConnection::discardInput(size_t allowance) {
+  Buffer.clear();
+  if (allowance == 0)
+    return close();
+  Socket.async_read_some(
+      Buffer.prepare(KeptBufferBytes),
+      [self = shared_from_this(), allowance](ErrorCode ec, size_t n) {
+        if (ec || self->Now == State::Closed)
+          return self->close();
+        self->discardInput(allowance - std::min(allowance, n));
+      });
+}
+
+void HttpConnection::peerHalfClosed() {
+  std::function<void()> hook;
+  uint64_t serial = 0;
+  bool mayAnswer = false;
+  {
+    std::lock_guard guard(Lock);
+    if (!Ended)
+      hook = std::exchange(ClosedHook, nullptr);
+    KeepAlive = false;
+    serial = Serial;
+    mayAnswer = !HeadSent;
+  }
+  // A peer that only ended its sending side still reads why it gets no answer.
+  if (mayAnswer)
+    respond(serial,
+            problemResponse({ErrorKind::Cancelled,
+                             "the connection was closed for sending before "
+                             "the answer; keep it open until then"},
+                            Outcome::MayHaveRun, RequestId{}));
+  if (hook)
+    hook();
+  bool isEnding = false;
+  {
+    std::lock_guard guard(Lock);
+    isEnding = Ended;
+  }
+  if (!isEnding)
+    close();
+}
+
+void HttpConnection::close() {
+  if (std::exchange(Now, State::Closed) == State::Closed)
+    return;
+  std::function<void()> hook;
+  {
+    std::lock_guard guard(Lock);
+    Gone = true;
+    if (!Ended)
+      hook = std::move(ClosedHook);
+    ClosedHook = nullptr;
+    Queued.clear();
+    Pending = 0;
+  }
+  ErrorCode ignored;
+  Socket.close(ignored);
+  Timer.cancel();
+  if (hook)
+    hook();
+}
+
+void HttpConnection::setDeadline(Duration fromNow) {
+  Deadline = SteadyClock::now() + fromNow;
+  if (Deadline < TimerAt)
+    armTimer();
+}
+
+void HttpConnection::armTimer() {
+  TimerAt = Deadline;
+  Timer.expires_at(TimerAt);
+  Timer.async_wait([weak = weak_from_this()](ErrorCode ec) {
+    auto self = weak.lock();
+    if (!self || ec)
+      return;
+    self->TimerAt = SteadyClock::time_point::max();
+    if (self->Deadline == SteadyClock::time_point::max())
+      return;
+    if (SteadyClock::now() < self->Deadline)
+      return self->armTimer();
+    self->onDeadline();
+  });
+}
+
+void HttpConnection::onDeadline() {
+  if (Now != State::Reading || TimedOut)
+    return close();
+  // Ends the pending read, whose handler then answers 408.
+  TimedOut = true;
+  ErrorCode ignored;
+  Socket.cancel(ignored);
+}
+
+} // namespace daisytack::net
--- /dev/null
+++ b/src/net/http_connection_output.cpp
@@ -0,0 +1,237 @@
+/// The answering half of HttpConnection.
+#include "net/http_connection.h"
+
+#include "net/problem.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace daisytack::net {
+
+namespace {
+
+constexpr size_t BuffersAtOnce = 16;
+
+bool isCleanHeader(const HttpHeader &header) {
+  return header.Name.find_first_of("\r\n: ") == std::string::npos &&
+         header.Value.find_first_of("\r\n") == std::string::npos;
+}
+
+std::string chunkOf(std::string_view data) {
+  std::array<char, 20> size{};
+  auto end =
+      std::to_chars(size.data(), size.data() + size.size(), data.size(), 16)
+          .ptr;
+  std::string out;
+  out.reserve(data.size() + 24);
+  out.append(size.data(), end).append("\r\n").append(data).append("\r\n");
+  return out;
+}
+
+} // namespace
+
+bool HttpConnection::isOpenLocked(uint64_t serial) const {
+  return serial == Serial && !Ended && !Gone;
+}
+
+void HttpConnection::queueLocked(std::string data) {
+  Pending += data.size();
+  Queued.push_back(std::move(data));
+}
+
+std::string HttpConnection::headOf(unsigned status,
+                                   const std::vector<HttpHeader> &headers,
+                                   bool streamed, size_t length) {
+  auto reason = http::obsolete_reason(static_cast<http::status>(status));
+  std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+  out.append(reason.data(), reason.size()).append("\r\n");
+  for (const HttpHeader &header : headers)
+    if (isCleanHeader(header))
+      out.append(header.Name).append(": ").append(header.Value).append("\r\n");
+  if (!streamed)
+    out.append("Content-Length: ")
+        .append(std::to_string(length))
+        .append("\r\n");
+  else if (Chunked)
+    out.append("Transfer-Encoding: chunked\r\n");
+  if (!KeepAlive)
+    out.append("Connection: close\r\n");
+  else if (IsOld)
+    out.append("Connection: keep-alive\r\n");
+  out.append("\r\n");
+  return out;
+}
+
+void HttpConnection::respond(uint64_t serial, HttpResponse response) {
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial) || HeadSent)
+      return;
+    KeepAlive = KeepAlive && !Shared->Stopping;
+    std::string out =
+        headOf(response.Status, response.Headers, false, response.Body.size());
+    if (!IsHead)
+      out += response.Body;
+    queueLocked(std::move(out));
+    HeadSent = Ended = true;
+  }
+  scheduleFlush();
+}
+
+void HttpConnection::beginStream(uint64_t serial, unsigned status,
+                                 std::vector<HttpHeader> headers) {
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial) || HeadSent)
+      return;
+    Chunked = !IsOld;
+    KeepAlive = KeepAlive && Chunked && !Shared->Stopping;
+    queueLocked(headOf(status, headers, true, 0));
+    HeadSent = true;
+  }
+  scheduleFlush();
+}
+
+void HttpConnection::write(uint64_t serial, std::string data) {
+  if (data.empty())
+    return;
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial) || !HeadSent || IsHead)
+      return;
+    if (Pending > Shared->Init.MaxPendingBytes)
+      return closeNow();
+    queueLocked(Chunked ? chunkOf(data) : std::move(data));
+  }
+  scheduleFlush();
+}
+
+void HttpConnection::endStream(uint64_t serial) {
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial) || !HeadSent)
+      return;
+    if (Chunked && !IsHead)
+      queueLocked("0\r\n\r\n");
+    Ended = true;
+  }
+  scheduleFlush();
+}
+
+void HttpConnection::abort(uint64_t serial) {
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial))
+      return;
+    Ended = true;
+    KeepAlive = false;
+  }
+  closeNow();
+}
+
+void HttpConnection::abandon(uint64_t serial) {
+  bool streaming = false;
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial))
+      return;
+    streaming = HeadSent;
+  }
+  if (streaming)
+    return abort(serial);
+  respond(serial, problemResponse({ErrorKind::Internal, "no answer was given"},
+                                  Outcome::MayHaveRun, RequestId{}));
+}
+
+void HttpConnection::setClosedHook(uint64_t serial,
+                                   std::function<void()> hook) {
+  std::lock_guard guard(Lock);
+  if (isOpenLocked(serial))
+    ClosedHook = std::move(hook);
+}
+
+void HttpConnection::scheduleFlush() {
+  asio::dispatch(Socket.get_executor(),
+                 [self = shared_from_this()] { self->flush(); });
+}
+
+void HttpConnection::flush() {
+  if (Writing || Now == State::Closed)
+    return;
+  bool ended = false;
+  std::function<void()> finishedHook; // Destroyed outside the lock.
+  {
+    std::lock_guard guard(Lock);
+    Sending.swap(Queued);
+    ended = Ended;
+    if (ended)
+      finishedHook = std::exchange(ClosedHook, nullptr);
+  }
+  if (Sending.empty()) {
+    if (ended && (Now == State::Answering || Now == State::Draining))
+      answerDone();
+    return;
+  }
+  SendIndex = SendOffset = 0;
+  Writing = true;
+  sendSome();
+}
+
+void HttpConnection::sendSome() {
+  if (Now == State::Answering)
+    setDeadline(Shared->Init.IdleTimeout);
+  std::array<asio::const_buffer, BuffersAtOnce> buffers;
+  size_t n = 0;
+  for (size_t i = SendIndex; i < Sending.size() && n < buffers.size(); ++i) {
+    size_t skip = i == SendIndex ? SendOffset : 0;
+    buffers[n++] = asio::buffer(Sending[i]) + skip;
+  }
+  Socket.async_write_some(
+      buffers, [self = shared_from_this()](ErrorCode ec, size_t sent) {
+        self->onSent(ec, sent);
+      });
+}
+
+void HttpConnection::onSent(ErrorCode ec, size_t n) {
+  if (Now == State::Closed)
+    return;
+  if (ec == asio::error::operation_aborted)
+    return sendSome(); // Only the pending read was to end.
+  if (ec)
+    return close();
+  Pending -= n;
+  for (SendOffset += n;
+       SendIndex < Sending.size() && SendOffset >= Sending[SendIndex].size();
+       ++SendIndex)
+    SendOffset -= Sending[SendIndex].size();
+  if (SendIndex < Sending.size())
+    return sendSome();
+  Sending.clear();
+  Writing = false;
+  if (Now == State::Answering)
+    Deadline = SteadyClock::time_point::max();
+  flush();
+}
+
+void HttpConnection::answerDone() {
+  bool keep = false;
+  {
+    std::lock_guard guard(Lock);
+    keep = KeepAlive;
+  }
+  if (keep && Now == State::Answering)
+    return nextRequest();
+  // Unread input would turn the close into a reset that can destroy the
+  // answer on its way; so it is read first.
+  Now = State::Draining;
+  setDeadline(DiscardTime);
+  ErrorCode ignored;
+  Socket.shutdown(StrandSocket::shutdown_send, ignored);
+  discardInput(DiscardBytes);
+}
+
+} // namespace daisytack::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,128 @@
+#include "net/http_server.h"
+
+#include "net/http_connection.h"
+
+namespace daisytack::net {
+
+namespace {
+/// Before accepting again after the system ran out of descriptors.
+constexpr Duration AcceptPause{50'000};
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(asio::io_context &io, HttpServerInit init, HttpHandler handler)
+      : Io(io), Acceptor(asio::make_strand(io)), Pause(Acceptor.get_executor()),
+        Shared(std::make_shared<HttpServerShared>(std::move(init),
+                                                  std::move(handler))) {}
+
+  bool listen(Error &reason);
+  void accept();
+  void onAccepted(ErrorCode ec, StrandSocket socket);
+  void acceptWaiting();
+  void admit(StrandSocket socket);
+
+  asio::io_context &Io;
+  asio::basic_socket_acceptor<tcp, Strand> Acceptor;
+  StrandTimer Pause;
+  std::shared_ptr<HttpServerShared> Shared;
+  uint16_t Port = 0;
+};
+
+bool HttpServer::Impl::listen(Error &reason) {
+  tcp::endpoint address;
+  ErrorCode ec;
+  if (!toTcp(Shared->Init.Listen, address))
+    ec = asio::error::invalid_argument;
+  if (!ec)
+    Acceptor.open(address.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(address, ec);
+  if (!ec)
+    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec) {
+    reason = {ErrorKind::BadValue, "can't listen on " +
+                                       toString(Shared->Init.Listen) + ": " +
+                                       ec.message()};
+    return false;
+  }
+  Port = Acceptor.local_endpoint(ec).port();
+  accept();
+  return true;
+}
+
+void HttpServer::Impl::accept() {
+  Acceptor.async_accept(
+      asio::make_strand(Io),
+      [self = shared_from_this()](ErrorCode ec, StrandSocket socket) {
+        self->onAccepted(ec, std::move(socket));
+      });
+}
+
+void HttpServer::Impl::onAccepted(ErrorCode ec, StrandSocket socket) {
+  if (!Acceptor.is_open())
+    return;
+  if (!ec) {
+    admit(std::move(socket));
+    return accept();
+  }
+  Pause.expires_after(AcceptPause);
+  Pause.async_wait([self = shared_from_this()](ErrorCode failed) {
+    if (!failed && self->Acceptor.is_open())
+      self->accept();
+  });
+}
+
+void HttpServer::Impl::admit(StrandSocket socket) {
+  if (Shared->Open >= Shared->Init.MaxConnections)
+    return; // Closed by its destructor.
+  std::make_shared<HttpConnection>(std::move(socket), Shared)->start();
+}
+
+/// Takes what has connected already, so that closing the listener resets
+/// nobody.
+void HttpServer::Impl::acceptWaiting() {
+  ErrorCode ec;
+  Acceptor.non_blocking(true, ec);
+  while (!ec) {
+    StrandSocket socket(asio::make_strand(Io));
+    Acceptor.accept(socket, ec);
+    if (!ec)
+      admit(std::move(socket));
+  }
+}
+
+HttpServer::HttpServer(asio::io_context &io, HttpServerInit init,
+                       HttpHandler handler)
+    : Self(std::make_shared<Impl>(io, std::move(init), std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  Self->Shared->Closed = true;
+  stopAccepting();
+  for (const auto &connection : Self->Shared->connections())
+    connection->closeNow();
+}
+
+bool HttpServer::start(Error &reason) { return Self->listen(reason); }
+
+uint16_t HttpServer::port() const { return Self->Port; }
+
+void HttpServer::stopAccepting() {
+  if (Self->Shared->Stopping.exchange(true))
+    return;
+  asio::dispatch(Self->Acceptor.get_executor(), [self = Self] {
+    if (!self->Acceptor.is_open())
+      return;
+    self->acceptWaiting();
+    ErrorCode ignored;
+    self->Acceptor.close(ignored);
+    self->Pause.cancel();
+    for (const auto &connection : self->Shared->connections())
+      connection->closeWhenIdle();
+  });
+}
+
+size_t HttpServer::openConnections() const { return Self->Shared->Open; }
+
+} // namespace daisytack::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -57,7 +57,8 @@
   /// Bytes written but not yet taken by the socket.
   virtual size_t pendingBytes() const = 0;
   /// Called at most once, when the caller goes away before the answer ended.
-  /// Set it before returning from the handler.
+  /// A caller that ends only its sending side counts as gone: TCP can't tell
+  /// the two apart. Set it before returning from the handler.
   virtual void onClosed(std::function<void()> hook) = 0;
 };
 
@@ -69,9 +70,11 @@
   size_t MaxHeaderBytes = MaxHttpHeaderBytes;
   size_t MaxBodyBytes = MaxHttpBodyBytes;
   size_t MaxPendingBytes = 1U << 20; ///< A slower reader is cut off.
+  size_t MaxConnections = 20'000;    ///< Further ones are closed at once.
   Duration ReadTimeout{
       10'000'000}; ///< For a whole request, from its first byte.
-  Duration IdleTimeout{60'000'000}; ///< Between requests of one connection.
+  Duration IdleTimeout{
+      60'000'000}; ///< Between requests, and for a write without progress.
 };
 
 class HttpServer {
@@ -83,8 +86,9 @@
   bool start(Error &reason);
   /// Port in use, for Listen.Port 0 in tests.
   uint16_t port() const;
-  /// Accepts no further connection and closes idle ones; running exchanges go
-  /// on.
+  /// Accepts no further connection and closes idle ones after a moment, in
+  /// which a request that was on its way still reaches the handler; running
+  /// exchanges go on, each the last of its connection.
   void stopAccepting();
   size_t openConnections() const;
 
--- /dev/null
+++ b/src/net/sse.cpp
@@ -0,0 +1,81 @@
+#include "net/sse.h"
+
+#include <utility>
+
+namespace daisytack::net {
+
+bool SseParser::feed(std::string_view data, const Sink &sink) {
+  for (char c : data) {
+    if (Failed)
+      return false;
+    bool skip = c == '\n' && AfterCarriageReturn;
+    AfterCarriageReturn = c == '\r';
+    if (skip)
+      continue;
+    if (c == '\n' || c == '\r') {
+      takeLine(sink);
+      continue;
+    }
+    Line.push_back(c);
+    Failed = ++EventBytes > MaxEventBytes;
+  }
+  return !Failed;
+}
+
+void SseParser::takeLine(const Sink &sink) {
+  std::string line = std::exchange(Line, {});
+  if (line.empty()) {
+    SseEvent event = std::exchange(Next, {});
+    bool complete = std::exchange(HasData, false);
+    EventBytes = 0;
+    if (complete)
+      sink(std::move(event));
+    return;
+  }
+  size_t colon = line.find(':');
+  if (colon == 0)
+    return; // A comment.
+  std::string_view name = line;
+  std::string_view value;
+  if (colon != std::string::npos) {
+    value = name.substr(colon + 1);
+    name = name.substr(0, colon);
+    if (value.starts_with(' '))
+      value.remove_prefix(1);
+  }
+  takeField(name, value);
+}
+
+void SseParser::takeField(std::string_view name, std::string_view value) {
+  if (name == "data") {
+    if (HasData)
+      Next.Data.push_back('\n');
+    Next.Data.append(value);
+    HasData = true;
+  } else if (name == "event") {
+    Next.Event = value;
+  } else if (name == "id") {
+    Next.Id = value;
+  }
+}
+
+std::string formatSse(const SseEvent &event) {
+  std::string out;
+  out.reserve(event.Data.size() + event.Id.size() + event.Event.size() + 32);
+  if (!event.Event.empty())
+    out.append("event: ").append(event.Event).append("\n");
+  if (!event.Id.empty())
+    out.append("id: ").append(event.Id).append("\n");
+  size_t from = 0;
+  while (true) {
+    size_t to = event.Data.find('\n', from);
+    out.append("data: ").append(event.Data, from, to - from).append("\n");
+    if (to == std::string::npos)
+      break;
+    from = to + 1;
+  }
+  out.push_back('\n');
+  return out;
+}
+
+} // namespace daisytack::net
--- /dev/null
+++ b/tests/net_http/client_test.cpp
@@ -0,0 +1,188 @@
+#include "net_http/http_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace daisytack::net {
+namespace {
+
+/// Accepts connections one after another; what to do with each is scripted.
+class ScriptedServer {
+public:
+  using Step = std::function<void(tcp::socket &)>;
+  explicit ScriptedServer(std::vector<Step> steps)
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this, steps = std::move(steps)] {
+          for (const Step &step : steps) {
+            tcp::socket socket(Io);
+            Acceptor.accept(socket);
+            ++Accepted;
+            step(socket);
+          }
+        }) {}
+  ~ScriptedServer() { Thread.join(); }
+  Endpoint endpoint() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+  std::atomic<int> Accepted{0};
+
+private:
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+void readRequest(tcp::socket &socket) {
+  std::string seen;
+  char c = 0;
+  ErrorCode ec;
+  while (!seen.ends_with("\r\n\r\n") &&
+         socket.read_some(asio::buffer(&c, 1), ec) == 1)
+    seen.push_back(c);
+}
+
+void answer(tcp::socket &socket, const std::string &text) {
+  readRequest(socket);
+  asio::write(socket,
+              asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                           std::to_string(text.size()) + "\r\n\r\n" + text));
+}
+
+/// Answers once, takes the next request, and closes without a word.
+void answerThenDrop(tcp::socket &socket) {
+  answer(socket, "first");
+  readRequest(socket);
+}
+
+TEST(HttpClient, ReusesConnections) {
+  HttpFixture fixture(echo);
+  for (int i = 0; i < 20; ++i)
+    ASSERT_EQ(fixture.fetch({"POST", "/", "", {}, "b"}).Response.Body,
+              "POST  b");
+  EXPECT_EQ(fixture.Server.openConnections(), 1U);
+}
+
+TEST(HttpClient, UnreachableMeansNothingWasSent) {
+  HttpFixture fixture(echo);
+  Endpoint nobody{"127.0.0.1", 1};
+  auto got = fixture.fetch(nobody, {"POST", "/", "", {}, "b"}, Duration(0));
+  EXPECT_EQ(got.Reason.Kind, ErrorKind::ServiceUnavailable);
+}
+
+TEST(HttpClient, TimeoutAfterSendingIsDeadlinePassed) {
+  std::shared_ptr<HttpExchange> kept;
+  std::mutex lock;
+  HttpFixture fixture(
+      [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        std::lock_guard guard(lock);
+        kept = exchange;
+      });
+  auto got = fixture.fetch({"GET", "/", "", {}, ""}, Duration(50'000));
+  EXPECT_EQ(got.Reason.Kind, ErrorKind::DeadlinePassed);
+  std::lock_guard guard(lock);
+  kept.reset();
+}
+
+TEST(HttpClient, CancelEndsCallAndServerSeesIt) {
+  std::promise<void> closed;
+  std::promise<void> arrived;
+  std::shared_ptr<HttpExchange> kept;
+  HttpFixture fixture(
+      [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        kept = exchange;
+        exchange->onClosed([&] { closed.set_value(); });
+        exchange->beginStream(200, {});
+        exchange->write("a");
+        arrived.set_value();
+      });
+  std::promise<Error> done;
+  HttpHooks hooks;
+  hooks.Done = [&](const Error &error) { done.set_value(error); };
+  HttpCall call = fixture.Client.call(
+      fixture.endpoint(), {"GET", "/", "", {}, ""}, Duration(0), hooks);
+  arrived.get_future().wait();
+  call.cancel();
+  EXPECT_EQ(done.get_future().get().Kind, ErrorKind::Cancelled);
+  EXPECT_EQ(closed.get_future().wait_for(WaitLimit), std::future_status::ready);
+  kept.reset();
+}
+
+TEST(HttpClient, StaleConnectionIsReplacedForGet) {
+  ScriptedServer server(
+      {answerThenDrop, [](tcp::socket &s) { answer(s, "second"); }});
+  HttpFixture fixture(echo);
+  HttpRequest get{"GET", "/", "", {}, ""};
+  EXPECT_EQ(fixture.fetch(server.endpoint(), get, Duration(0)).Response.Body,
+            "first");
+  EXPECT_EQ(fixture.fetch(server.endpoint(), get, Duration(0)).Response.Body,
+            "second");
+}
+
+TEST(HttpClient, PostOverStaleConnectionIsNotRepeated) {
+  ScriptedServer server({answerThenDrop});
+  HttpFixture fixture(echo);
+  HttpRequest post{"POST", "/", "", {}, ""};
+  EXPECT_EQ(fixture.fetch(server.endpoint(), post, Duration(0)).Response.Body,
+            "first");
+  auto got = fixture.fetch(server.endpoint(), post, Duration(0));
+  EXPECT_EQ(got.Reason.Kind, ErrorKind::ServerLost);
+  EXPECT_EQ(server.Accepted, 1);
+}
+
+TEST(HttpClient, BodyEndedByCloseIsWhole) {
+  ScriptedServer server({[](tcp::socket &s) {
+    readRequest(s);
+    asio::write(s, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nall")));
+  }});
+  HttpFixture fixture(echo);
+  auto got =
+      fixture.fetch(server.endpoint(), {"GET", "/", "", {}, ""}, Duration(0));
+  EXPECT_FALSE(got.Reason);
+  EXPECT_EQ(got.Response.Body, "all");
+}
+
+TEST(HttpClient, CutResponseIsServerLost) {
+  ScriptedServer server({[](tcp::socket &s) {
+    readRequest(s);
+    asio::write(s, asio::buffer(std::string(
+                       "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall")));
+  }});
+  HttpFixture fixture(echo);
+  auto got =
+      fixture.fetch(server.endpoint(), {"GET", "/", "", {}, ""}, Duration(0));
+  EXPECT_EQ(got.Reason.Kind, ErrorKind::ServerLost);
+}
+
+TEST(HttpClient, MalformedResponseIsProtocolError) {
+  ScriptedServer server({[](tcp::socket &s) {
+    readRequest(s);
+    asio::write(s, asio::buffer(std::string("nonsense\r\n\r\n")));
+  }});
+  HttpFixture fixture(echo);
+  auto got =
+      fixture.fetch(server.endpoint(), {"GET", "/", "", {}, ""}, Duration(0));
+  EXPECT_EQ(got.Reason.Kind, ErrorKind::ProtocolError);
+}
+
+TEST(HttpClient, ManyCallsAtOnce) {
+  HttpFixture fixture(echo);
+  constexpr int Calls = 500;
+  std::atomic<int> good{0};
+  std::atomic<int> left{Calls};
+  std::promise<void> all;
+  for (int i = 0; i < Calls; ++i)
+    fixture.Client.fetch(
+        fixture.endpoint(), {"POST", "/", std::to_string(i), {}, "b"},
+        Duration(0), [&, i](const Error &, const HttpResponse &response) {
+          if (response.Body == "POST " + std::to_string(i) + " b")
+            ++good;
+          if (--left == 0)
+            all.set_value();
+        });
+  EXPECT_EQ(all.get_future().wait_for(WaitLimit), std::future_status::ready);
+  EXPECT_EQ(good, Calls);
+}
+
+} // namespace
+} // namespace daisytack::net
--- /dev/null
+++ b/tests/net_http/server_test.cpp
@@ -0,0 +1,245 @@
+#include "net_http/http_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace daisytack::net {
+namespace {
+
+constexpr size_t SmallHeaderLimit = 1024;
+constexpr size_t SmallBodyLimit = 4096;
+
+HttpServerInit smallLimits() {
+  HttpServerInit init;
+  init.MaxHeaderBytes = SmallHeaderLimit;
+  init.MaxBodyBytes = SmallBodyLimit;
+  init.ReadTimeout = Duration(200'000);
+  return init;
+}
+
+struct BadInput {
+  const char *Name;
+  std::string Bytes;
+  bool EndSending;
+  const char *Status;
+  const char *Kind;
+};
+
+class HttpServerBadInput : public testing::TestWithParam<BadInput> {};
+
+TEST_P(HttpServerBadInput, IsAnsweredAndCostsNobodyElse) {
+  HttpFixture fixture(echo, smallLimits());
+  const BadInput &in = GetParam();
+  RawClient raw(fixture.Server.port());
+  raw.send(in.Bytes);
+  if (in.EndSending)
+    raw.endSending();
+  std::string answer = raw.readAll();
+  EXPECT_TRUE(answer.starts_with(std::string("HTTP/1.1 ") + in.Status))
+      << answer;
+  EXPECT_NE(answer.find("application/problem+json"), std::string::npos);
+  EXPECT_NE(answer.find(std::string("\"kind\":\"") + in.Kind + "\""),
+            std::string::npos)
+      << answer;
+  EXPECT_NE(answer.find("\"outcome\":\"not_run\""), std::string::npos);
+  EXPECT_EQ(fixture.fetch({"POST", "/a", "", {}, "x"}).Response.Body,
+            "POST  x");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, HttpServerBadInput,
+    testing::Values(
+        BadInput{"Garbage", "this is not HTTP\r\n\r\n", false, "400",
+                 "bad_request"},
+        BadInput{"BadLength", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+                 false, "400", "bad_request"},
+        BadInput{"BadChunk",
+                 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                 false, "400", "bad_request"},
+        BadInput{"LongHeader",
+                 "GET / HTTP/1.1\r\nX: " +
+                     std::string(4 * SmallHeaderLimit, 'h') + "\r\n\r\n",
+                 false, "431", "header_too_large"},
+        BadInput{"EndlessHeader",
+                 "GET / HTTP/1.1\r\nX: " +
+                     std::string(2 * SmallHeaderLimit, 'h'),
+                 false, "431", "header_too_large"},
+        BadInput{"AnnouncedBody",
+                 "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\nabc",
+                 false, "413", "body_too_large"},
+        BadInput{
+            "ChunkedBody",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2000\r\n" +
+                std::string(0x2000, 'b') + "\r\n0\r\n\r\n",
+            false, "413", "body_too_large"},
+        BadInput{"SlowHeader", "GET / HTTP/1.1\r\nHo", false, "408",
+                 "request_timeout"},
+        BadInput{"SlowBody", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+                 false, "408", "request_timeout"},
+        BadInput{"HalfHeader", "GET / HTTP/1.1\r\nHo", true, "400",
+                 "bad_request"},
+        BadInput{"HalfBody", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+                 true, "400", "bad_request"}),
+    [](const auto &row) { return row.param.Name; });
+
+TEST(HttpServer, AnswersPipelinedRequestsInOrder) {
+  HttpFixture fixture(echo);
+  RawClient raw(fixture.Server.port());
+  std::string many;
+  for (int i = 0; i < 50; ++i)
+    many += "POST /p HTTP/1.1\r\nContent-Length: 2\r\n\r\n" +
+            std::to_string(10 + i);
+  many += "GET /last?q=1 HTTP/1.1\r\nConnection: close\r\n\r\n";
+  raw.send(many);
+  std::string answer = raw.readAll();
+  size_t at = 0;
+  for (int i = 0; i < 50; ++i) {
+    at = answer.find("POST  " + std::to_string(10 + i), at);
+    ASSERT_NE(at, std::string::npos) << i;
+  }
+  EXPECT_NE(answer.find("GET q=1 ", at), std::string::npos);
+}
+
+TEST(HttpServer, ContinuesWhenExpected) {
+  HttpFixture fixture(echo);
+  RawClient raw(fixture.Server.port());
+  raw.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: "
+           "2\r\nConnection: close\r\n\r\n");
+  EXPECT_NE(raw.readUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
+  raw.send("ab");
+  EXPECT_NE(raw.readAll().find("POST  ab"), std::string::npos);
+}
+
+/// Keeps the exchange and reports when its caller has gone.
+struct Holder {
+  std::promise<std::shared_ptr<HttpExchange>> Arrived;
+  std::promise<void> Closed;
+  std::atomic<int> ClosedCalls{0};
+
+  HttpHandler handler() {
+    return [this](const HttpRequest &,
+                  const std::shared_ptr<HttpExchange> &exchange) {
+      exchange->onClosed([this] {
+        if (ClosedCalls.fetch_add(1) == 0)
+          Closed.set_value();
+      });
+      Arrived.set_value(exchange);
+    };
+  }
+};
+
+TEST(HttpServer, NoticesCallerGoneWhileAnswerIsPending) {
+  Holder holder;
+  HttpFixture fixture(holder.handler());
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.1\r\n\r\n");
+  auto exchange = holder.Arrived.get_future().get();
+  raw.close();
+  EXPECT_EQ(holder.Closed.get_future().wait_for(WaitLimit),
+            std::future_status::ready);
+  exchange->respond({});
+  EXPECT_EQ(holder.ClosedCalls, 1);
+}
+
+TEST(HttpServer, TellsHalfClosedCallerWhyThereIsNoAnswer) {
+  Holder holder;
+  HttpFixture fixture(holder.handler());
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.1\r\n\r\n");
+  auto exchange = holder.Arrived.get_future().get();
+  raw.endSending();
+  std::string answer = raw.readAll();
+  EXPECT_NE(answer.find("\"kind\":\"cancelled\""), std::string::npos) << answer;
+  EXPECT_EQ(holder.ClosedCalls, 1);
+}
+
+TEST(HttpServer, StreamsChunksAndEnds) {
+  HttpFixture fixture(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {{"Content-Type", "text/plain"}});
+        for (int i = 0; i < 100; ++i)
+          exchange->write(std::to_string(i) + ";");
+        exchange->endStream();
+      });
+  auto got = fixture.fetch({"GET", "/", "", {}, ""});
+  EXPECT_FALSE(got.Reason);
+  EXPECT_TRUE(got.Response.Body.starts_with("0;1;2;"));
+  EXPECT_TRUE(got.Response.Body.ends_with(";98;99;"));
+}
+
+TEST(HttpServer, StreamForOldClientEndsByClose) {
+  HttpFixture fixture(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {});
+        exchange->write("plain");
+        exchange->endStream();
+      });
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.0\r\n\r\n");
+  std::string answer = raw.readAll();
+  EXPECT_TRUE(answer.ends_with("\r\n\r\nplain")) << answer;
+}
+
+TEST(HttpServer, AbortedStreamIsNotWhole) {
+  HttpFixture fixture(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {});
+        exchange->write("part");
+        exchange->abort();
+      });
+  EXPECT_EQ(fixture.fetch({"GET", "/", "", {}, ""}).Reason.Kind,
+            ErrorKind::ServerLost);
+}
+
+TEST(HttpServer, CutsOffSlowReader) {
+  HttpServerInit init;
+  init.MaxPendingBytes = 1U << 16;
+  Holder holder;
+  HttpFixture fixture(holder.handler(), init);
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.1\r\n\r\n");
+  auto exchange = holder.Arrived.get_future().get();
+  auto closed = holder.Closed.get_future();
+  exchange->beginStream(200, {});
+  size_t written = 0;
+  while (closed.wait_for(std::chrono::seconds(0)) !=
+             std::future_status::ready &&
+         written < (1U << 28)) {
+    exchange->write(std::string(1U << 14, 'x'));
+    written += 1U << 14;
+  }
+  EXPECT_EQ(closed.wait_for(WaitLimit), std::future_status::ready);
+}
+
+TEST(HttpServer, HandlerThatForgetsIsAnsweredAsInternal) {
+  HttpFixture fixture(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &) {});
+  EXPECT_EQ(fixture.fetch({"GET", "/", "", {}, ""}).Response.Status, 500U);
+}
+
+TEST(HttpServer, StopAcceptingFinishesRunningAnswers) {
+  Holder holder;
+  HttpFixture fixture(holder.handler());
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.1\r\n\r\n");
+  auto exchange = holder.Arrived.get_future().get();
+  fixture.Server.stopAccepting();
+  exchange->respond({200, {}, "whole"});
+  std::string answer = raw.readAll();
+  EXPECT_TRUE(answer.ends_with("whole")) << answer;
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+}
+
+TEST(HttpServer, HeadersCantBeInjected) {
+  HttpFixture fixture(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->respond({200, {{"X-A", "1\r\nX-Evil: 2"}}, ""});
+      });
+  auto got = fixture.fetch({"GET", "/", "", {}, ""});
+  for (const HttpHeader &header : got.Response.Headers)
+    EXPECT_NE(header.Name, "X-Evil");
+}
+
+} // namespace
+} // namespace daisytack::net
--- /dev/null
+++ b/tests/net_http/sse_test.cpp
@@ -0,0 +1,60 @@
+#include "net/problem.h"
+#include "net/sse.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace daisytack::net {
+namespace {
+
+std::vector<SseEvent> parse(std::string_view text, size_t step) {
+  SseParser parser;
+  std::vector<SseEvent> out;
+  for (size_t i = 0; i < text.size(); i += step)
+    parser.feed(text.substr(i, step),
+                [&](SseEvent event) { out.push_back(std::move(event)); });
+  return out;
+}
+
+TEST(Sse, ReadsFieldsCommentsAndAllLineEnds) {
+  std::string text = ": comment\nevent: error\r\nid:7\rdata: a\ndata:  b\n\n"
+                     "data\n\nretry: 5\n\ndata: last";
+  std::vector<SseEvent> want{{"error", "7", "a\n b"}, {"", "", ""}};
+  for (size_t step = 1; step < text.size(); ++step)
+    EXPECT_EQ(parse(text, step), want) << step;
+}
+
+TEST(Sse, TooLargeEventFails) {
+  SseParser parser(16);
+  EXPECT_TRUE(parser.feed("data: short\n\n", [](const SseEvent &) {}));
+  EXPECT_FALSE(parser.feed("data: much too long for it",
+                           [](const SseEvent &) { FAIL(); }));
+  EXPECT_FALSE(parser.feed("\n\n", [](const SseEvent &) { FAIL(); }));
+}
+
+RC_GTEST_PROP(Sse, WhatIsWrittenIsRead, ()) {
+  auto lines = *rc::gen::container<std::vector<std::string>>(
+      rc::gen::container<std::string>(rc::gen::inRange(' ', '~')));
+  SseEvent event{"e", "1.2", ""};
+  for (const std::string &line : lines)
+    event.Data += line + "\n";
+  size_t step = *rc::gen::inRange<size_t>(1, 50);
+  RC_ASSERT(parse(formatSse(event), step) == std::vector<SseEvent>{event});
+}
+
+TEST(Problem, CarriesKindOutcomeRemedyAndRetryAfter) {
+  Error error{ErrorKind::Overloaded, "queue of 3 s", Duration(2'000'001)};
+  RequestId id{1, 2};
+  HttpResponse out = problemResponse(error, Outcome::NotRun, id);
+  EXPECT_EQ(out.Status, 503U);
+  EXPECT_EQ(out.Headers[0].Value, "application/problem+json");
+  EXPECT_EQ(out.Headers[1], (HttpHeader{"Retry-After", "3"}));
+  for (const char *part :
+       {R"("type":"about:blank#overloaded")", R"("outcome":"not_run")",
+        R"("remedy":")", R"("detail":"queue of 3 s")",
+        R"("request_id":"00000000000000010000000000000002")"})
+    EXPECT_NE(out.Body.find(part), std::string::npos) << part;
+}
+
+} // namespace
+} // namespace daisytack::net
