Bind callers' own keys to tickets, and search schedules for a second run

Cause: an opaque Idempotency-Key presented at two entries must lead to one process; and the claim that a ticket runs once needed an attack.

Change: a key is bound by one create in the key-value service; a lost answer is read back by its claimant, an absent key is created again with the same ticket, and whatever stays unknown is refused as not run. A model of two agents, callers, a service and a counting server applies steps in any order: duplicates, misdeliveries, restarts, lost and late answers, expiry to the microsecond.

Found on the way: a submission without ticket whose message was duplicated ran again in the replaced process. An offer now names the process that it is for. It also ran again when the duplicate came after the record's expiry; the links never deliver so late, which the model states as its one assumption.

--- /dev/null
+++ b/src/once/key_binding.cpp
@@ -0,0 +1,140 @@
+#include "once/key_binding.h"
+
+#include "base/digest.h"
+#include "once/ticket.h"
+
+#include <algorithm>
+
+namespace daisytack {
+
+namespace {
+
+constexpr std::string_view BindingPrefix = "/daisytack/once/";
+constexpr size_t ClaimantDigits = 32;
+
+/// "CLAIMANT TICKET".
+std::string bindingValue(const BindRequest &request) {
+  return toHex(request.Claimant) + ' ' + request.Ticket;
+}
+
+BindStep refused(ErrorKind kind, std::string detail) {
+  return KeyRefused{{kind, std::move(detail), Duration(1'000'000)}};
+}
+
+} // namespace
+
+std::string bindingKey(std::string_view organisation,
+                       std::string_view idempotencyKey) {
+  std::string out(BindingPrefix);
+  out += organisation;
+  out += '/';
+  out += hexDigest(sha256(idempotencyKey));
+  return out;
+}
+
+KeyBinding::KeyBinding(BindRequest request)
+    : Request(std::move(request)),
+      Key(bindingKey(Request.Organisation, Request.IdempotencyKey)) {}
+
+BindStep KeyBinding::start() { return create(); }
+
+BindStep KeyBinding::create() {
+  ++Calls;
+  edge::KvTransaction out;
+  out.If.push_back({Key, edge::KvCompare::Target::CreateRevision, 0});
+  out.Then.push_back({Key, bindingValue(Request), Request.Lease, false});
+  out.ReadOnFailure.push_back(Key);
+  return out;
+}
+
+BindStep KeyBinding::readBack() {
+  if (Calls >= MaxCalls)
+    return refused(
+        ErrorKind::ServiceUnknown,
+        "the key-value service did not say whether the key is bound");
+  ++Calls;
+  edge::KvRange out;
+  out.Begin = Key;
+  return out;
+}
+
+BindStep KeyBinding::onCommit(const edge::KvTransactionResult &result) {
+  switch (result.Header.Status) {
+  case edge::KvStatus::Ok:
+    return KeyBound{Request.Ticket, true};
+  case edge::KvStatus::CompareFailed:
+    // Without the value: it lapsed between compare and read.
+    return result.Current.empty() ? readBack()
+                                  : bound(result.Current.front().Value);
+  case edge::KvStatus::Unavailable:
+    // A first create that may have taken effect before stays possible.
+    if (Calls == 1)
+      return refused(ErrorKind::ServiceUnavailable,
+                     "the key-value service can't be reached");
+    return readBack();
+  case edge::KvStatus::Unknown:
+    return readBack();
+  }
+  return refused(ErrorKind::Internal, "unknown status");
+}
+
+BindStep KeyBinding::onRange(const edge::KvRangeResult &result) {
+  if (result.Header.Status != edge::KvStatus::Ok)
+    return refused(
+        ErrorKind::ServiceUnknown,
+        "the key-value service did not say whether the key is bound");
+  if (!result.Entries.empty())
+    return bound(result.Entries.front().Value);
+  if (Calls >= MaxCalls)
+    return refused(ErrorKind::ServiceUnknown,
+                   "the key is not bound yet, but may be a little later");
+  // Creating again can't bind twice: both writes carry the same ticket, and
+  // only the first to arrive finds no key.
+  return create();
+}
+
+BindStep KeyBinding::bound(std::string_view value) const {
+  Error reason;
+  size_t n = ClaimantDigits;
+  bool split = value.size() > n && value[n] == ' ';
+  if (!split || !parseTicket(value.substr(n + 1), reason))
+    return refused(ErrorKind::BadValue, "the key's binding can't be read");
+  KeyBound out;
+  out.Ticket = std::string(value.substr(n + 1));
+  out.Ours = value.substr(0, n) == toHex(Request.Claimant);
+  return out;
+}
+
+BindingBudget::BindingBudget(BindingBudgetInit init)
+    : Init(init), Tokens(init.Burst) {}
+
+bool BindingBudget::take(TimePoint now, Error &reason) {
+  if (Last && now > *Last) {
+    double seconds = std::chrono::duration<double>(now - *Last).count();
+    Tokens = std::min(Init.Burst, Tokens + seconds * Init.BindingsPerSecond);
+  }
+  if (!Last || now > *Last)
+    Last = now;
+  if (Tokens >= 1) {
+    Tokens -= 1;
+    return true;
+  }
+  double wait = (1 - Tokens) / Init.BindingsPerSecond;
+  reason = {ErrorKind::BudgetSpent,
+            "this process has spent its calls to the key-value service",
+            std::chrono::ceil<Duration>(std::chrono::duration<double>(wait))};
+  return false;
+}
+
+std::optional<uint64_t> BindingLease::current(TimePoint now) const {
+  if (Lease == 0 || now - GrantedAt >= Init.ReuseFor)
+    return std::nullopt;
+  return Lease;
+}
+
+void BindingLease::granted(uint64_t lease, TimePoint askedAt) {
+  Lease = lease;
+  GrantedAt = askedAt;
+}
+
+} // namespace daisytack
--- a/src/once/ticket_ledger.cpp
+++ b/src/once/ticket_ledger.cpp
@@ -49,6 +49,11 @@
   return out;
 }
 
+Presentation presentationOf(const wire::Offer &offer) {
+  return {offer.Id,     offer.Try,       offer.Organisation,
+          offer.Ticket, callHash(offer), offer.Process};
+}
+
 std::vector<wire::Message> replayAnswer(const KeptAnswer &answer, RequestId id,
                                         Attempt attempt) {
   wire::Finished end = answer.End;
@@ -106,9 +111,13 @@
 std::optional<TicketLedger::Claim>
 TicketLedger::claim(const Presentation &presentation,
                     TicketVerdict &refusal) const {
-  if (presentation.Ticket.empty())
+  if (!presentation.Ticket.empty())
+    return claimTicket(presentation, refusal);
+  if (presentation.Process == Init.Process)
     return Claim{presentation.Id, Latest + Init.TicketLife};
-  return claimTicket(presentation, refusal);
+  refusal = refuse(ErrorKind::TicketUnknown, Outcome::MayHaveRun,
+                   "the call is for another process");
+  return std::nullopt;
 }
 
 std::optional<TicketLedger::Claim>
--- a/src/once/ticket_ledger.h
+++ b/src/once/ticket_ledger.h
@@ -47,9 +47,13 @@
   std::string Organisation; ///< As the entry authenticated it.
   std::string Ticket; ///< Empty: the submission is its own ticket, named by Id.
   Id128 Call;         ///< callHash of the offer.
+  Incarnation Process; ///< Without a ticket: the process that may run it.
   bool operator==(const Presentation &) const = default;
 };
 
+/// The presentation that an offer makes.
+Presentation presentationOf(const wire::Offer &offer);
+
 /// Names a record in the ledger: a ticket's serial, or the request id.
 using TicketKey = Id128;
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -89,12 +89,15 @@
   uint32_t GeneratedChunks =
       0; ///< Chunks that text was delivered in: the first new index.
   ServiceCall Call;
+  Incarnation Process; ///< Agent process that the offer is for, as its Hello
+                       ///< says. A call that is not idempotent and has no
+                       ///< ticket runs in no other one.
   bool operator==(const Offer &) const = default;
   template <class Archive> void serialize(Archive &ar) {
     ar(Id, Try, Organisation, Weight, Model, Version, Class, Priority,
        Idempotent, Ticket, RemainingMicros, ReserveMicros, PromptTokens,
        MaxTokens, Chat, Keep, KeepMicros, KeptQuota, Pieces, Body, Generated,
-       GeneratedChunks, Call);
+       GeneratedChunks, Call, Process);
   }
 };
 
--- /dev/null
+++ b/tests/once/once_world.h
@@ -0,0 +1,134 @@
+/// A few entries and agents around a key-value service and a server that counts
+/// what it runs. Every order of deliveries, losses, restarts and passing time
+/// is one list of steps, so that a property test can search it.
+#pragma once
+
+#include "once/key_binding.h"
+#include "once/ticket_ledger.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisytack::test {
+
+enum class StepKind : uint8_t {
+  IssueTicket,
+  SubmitTicket,
+  SubmitOpaqueKey,
+  SubmitWithoutKey,
+  ServeKv,      ///< The oldest waiting call is applied and answered.
+  LoseKvAnswer, ///< Applied, but the answer is lost.
+  DelayKvWrite, ///< Answered as unknown; applied by a later ServeKv.
+  RefuseKv,     ///< The service is down: surely not applied.
+  Deliver,      ///< A message reaches its agent.
+  DeliverTwice, ///< It stays in flight as well: duplicated, crossed or late.
+  Misdeliver,   ///< It reaches another agent.
+  DeliverToDrained, ///< The agent refuses it for a reason of its own.
+  DeliverToDrainedTwice,
+  FinishRun,
+  LoseRun,
+  RestartAgent, ///< Empty, with what was in flight to it still arriving.
+  PassTime,
+  PassTimeToExpiry, ///< To the very moment at which some ticket expires.
+  Count,
+};
+
+struct Step {
+  StepKind Kind = StepKind::Count;
+  uint8_t Choice = 0;
+};
+
+/// What a seeded defect breaks, to show that the checks see it.
+enum class Defect : uint8_t {
+  None,
+  RestartKeepsIncarnation,
+  RecordLostWhileRunning,
+  ServiceIgnoresCompare,
+  DuplicateRunsAgain,
+  RefusalForgotten,
+};
+
+class OnceWorld {
+public:
+  explicit OnceWorld(Defect defect);
+  void apply(const Step &step);
+  /// The first promise found broken; empty when all hold.
+  const std::string &violation() const { return Violation; }
+  size_t runs() const { return TotalRuns; }
+
+private:
+  /// What must run at most once: a ticket, a key or a submission.
+  using CallName = std::string;
+  struct Agent {
+    std::string Name;
+    std::unique_ptr<TicketLedger> Ledger;
+    Duration ClockOffset{0};
+  };
+  struct Message {
+    size_t Agent = 0;
+    Presentation What;
+    CallName Call;
+    TimePoint SentAt;
+  };
+  struct Run {
+    size_t Agent = 0;
+    TicketKey Key;
+    Message By;
+  };
+  struct Binding {
+    KeyBinding Machine;
+    Presentation What; ///< Without its ticket.
+    CallName Call;
+    BindStep Next;
+  };
+  struct HeldTicket {
+    std::string Text;
+    TimePoint ExpiresAt;
+    size_t Agent = 0;
+    bool OfKey = false; ///< Known to entries only, not to callers.
+  };
+
+  static constexpr size_t Agents = 2;
+  void restart(size_t agent);
+  TimePoint clockOf(size_t agent) const;
+  std::optional<HeldTicket> issue(size_t agent);
+  Presentation submission(uint8_t choice);
+  void submitTicket(uint8_t choice);
+  void submitOpaqueKey(uint8_t choice);
+  void send(const std::string &ticket, Presentation what, CallName call);
+  void serveKv(StepKind how);
+  void advance(Binding binding, BindStep next);
+  edge::KvTransactionResult commit(const edge::KvTransaction &transaction);
+  edge::KvRangeResult read(const edge::KvRange &range) const;
+  void deliver(const Step &step);
+  void present(size_t agent, const Message &message, bool drained);
+  void handOver(size_t agent, const TicketKey &key, const Message &message);
+  void told(const Message &message, Outcome outcome);
+  void endRun(uint8_t choice, bool completed);
+  void passToExpiry(uint8_t choice);
+  void fail(std::string what);
+
+  Defect Seeded;
+  std::string Violation;
+  uint64_t Drawn = 0;
+  uint64_t Requests = 0;
+  TimePoint Now{Duration(1'000'000)};
+  std::vector<Agent> Fleet;
+  std::vector<HeldTicket> Tickets;
+  std::deque<Message> InFlight;
+  std::deque<Binding> WaitingKv;
+  std::vector<edge::KvTransaction> DelayedWrites;
+  std::map<std::string, std::string> Kv;
+  std::vector<Run> Running;
+  size_t TotalRuns = 0;
+  std::map<CallName, size_t> RunsOfCall;
+  std::set<std::pair<RequestId, Attempt>> RanSubmissions;
+  std::set<std::pair<RequestId, Attempt>> ToldNotRun;
+};
+
+} // namespace daisytack::test
--- a/tests/once/ticket_ledger_test.cpp
+++ b/tests/once/ticket_ledger_test.cpp
@@ -34,7 +34,7 @@
   }
 
   Presentation submission(std::string ticket, uint64_t call = 1) {
-    return {{9, ++Requests}, 1, "org", std::move(ticket), {call, call}};
+    return {{9, ++Requests}, 1, "org", std::move(ticket), {call, call}, {7, 7}};
   }
 
   static KeptAnswer completed(std::string body) {
@@ -192,6 +192,15 @@
   EXPECT_EQ(ledger.present(fresh, at(4)).Do, Action::Run);
 }
 
+TEST_F(LedgerTest, ASubmissionWithoutTicketRunsOnlyInTheProcessItIsFor) {
+  auto ledger = make(makeInit());
+  auto fresh = submission("");
+  fresh.Process = {6, 6};
+  auto verdict = ledger.present(fresh, at(1));
+  EXPECT_EQ(verdict.Reason.Kind, ErrorKind::TicketUnknown);
+  EXPECT_EQ(verdict.Ran, Outcome::MayHaveRun);
+}
+
 TEST_F(LedgerTest, AWithdrawnTicketMayBePresentedAgain) {
   auto ledger = make(makeInit());
   std::string ticket = issue(ledger, at(0));
