--- a/src/context/piece_key.cpp
+++ b/src/context/piece_key.cpp
@@ -23,7 +23,7 @@
 /// SHA-256 over several parts; one context per thread, made once.
 class Sha256Stream {
 public:
-  void start() { EVP_DigestInit_ex2(Context.get(), Algorithm, nullptr); }
+  void start() { EVP_DigestInit_ex2(Context.get(), Algorithm.get(), nullptr); }
   void add(const void *data, size_t n) {
     EVP_DigestUpdate(Context.get(), data, n);
   }
@@ -34,9 +34,12 @@
 
 private:
   struct Free {
-    void operator()(EVP_MD_CTX *context) const { EVP_MD_CTX_free(context); }
+    void operator()(EVP_MD *it) const { EVP_MD_free(it); }
+    void operator()(EVP_MD_CTX *it) const { EVP_MD_CTX_free(it); }
   };
-  const EVP_MD *Algorithm = EVP_sha256();
+  /// Fetched once: EVP_sha256() would be looked up by every start.
+  std::unique_ptr<EVP_MD, Free> Algorithm{
+      EVP_MD_fetch(nullptr, "SHA256", nullptr)};
   std::unique_ptr<EVP_MD_CTX, Free> Context{EVP_MD_CTX_new()};
 };
 
