Test reads, writes, plans and what is kept, under store faults

One fault was found: at time zero the table of sightings could not tell a free slot from one just used and overwrote it, so that 9 of 500 pieces seen twice outlived a flood of new ones.

--- a/src/context/sight_table.cpp
+++ b/src/context/sight_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <cstring>
+#include <tuple>
 
 namespace daisytack {
 
@@ -67,14 +68,12 @@
                          [&](const Slot &s) { return s.Tag == tag; });
   if (it == set.end()) {
     // Free slots first, then those seen once, then the longest ago.
-    it = std::min_element(set.begin(), set.end(),
-                          [](const Slot &a, const Slot &b) {
-                            bool aTwice = a.Count > 1;
-                            bool bTwice = b.Count > 1;
-                            if (aTwice != bTwice)
-                              return bTwice;
-                            return a.Second < b.Second;
-                          });
+    it = std::min_element(
+        set.begin(), set.end(), [](const Slot &a, const Slot &b) {
+          uint32_t aClass = std::min(a.Count, 2U);
+          uint32_t bClass = std::min(b.Count, 2U);
+          return std::tie(aClass, a.Second) < std::tie(bClass, b.Second);
+        });
     *it = Slot{tag, 0, 0};
   }
   it->Second = secondOf(now);
--- /dev/null
+++ b/tests/context/fake_store.h
@@ -0,0 +1,141 @@
+/// A store of kept context in memory, with the faults that reads and writes
+/// must survive.
+#pragma once
+
+#include "context/committed_write.h"
+#include "context/verified_read.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daisytack {
+
+inline PieceKey testKey(uint8_t n) {
+  PieceKey out;
+  out.Bytes.fill(n);
+  return out;
+}
+
+class FakeStore {
+public:
+  struct Kept {
+    uint64_t Generation = 0;
+    uint64_t Length = 0;
+    Digest256 Checksum{};
+    std::string Bytes;
+    std::string Meta;
+  };
+
+  bool Down = false;
+  uint64_t Capacity = UINT64_MAX; ///< Bytes.
+
+  // What writers do.
+  uint64_t create(const PieceKey &key) {
+    Uncommitted[++Last] = {key, {}};
+    return Last;
+  }
+  PutAnswer put(uint64_t generation, const std::string &bytes) {
+    auto it = Uncommitted.find(generation);
+    if (it == Uncommitted.end())
+      return PutAnswer::Refused;
+    if (used() + bytes.size() > Capacity)
+      return PutAnswer::Full;
+    it->second.second = bytes;
+    return PutAnswer::Stored;
+  }
+  CommitAnswer commit(uint64_t generation, const Digest256 &checksum,
+                      const std::string &meta = {}) {
+    auto it = Uncommitted.find(generation);
+    if (it == Uncommitted.end())
+      return Visible.contains(keyOf(generation)) ? CommitAnswer::Committed
+                                                 : CommitAnswer::Refused;
+    auto [key, bytes] = it->second;
+    Uncommitted.erase(it);
+    if (Visible[key].Generation > generation)
+      return CommitAnswer::Refused;
+    Visible[key] = {generation, bytes.size(), checksum, bytes, meta};
+    return CommitAnswer::Committed;
+  }
+  void erase(const PieceKey &key, uint64_t generation) {
+    Uncommitted.erase(generation);
+    auto it = Visible.find(key);
+    if (it != Visible.end() && it->second.Generation == generation)
+      Visible.erase(it);
+  }
+  std::vector<SampledPiece> sample() const {
+    std::vector<SampledPiece> out;
+    for (const auto &[key, kept] : Visible)
+      out.push_back({key, kept.Generation, kept.Length, kept.Meta});
+    return out;
+  }
+
+  /// A whole piece, written at once.
+  void write(const PieceKey &key, std::string_view payload,
+             const std::string &meta = {}) {
+    uint64_t generation = create(key);
+    std::string frame = encodePieceFrame(key, generation, payload);
+    put(generation, frame);
+    commit(generation, sha256(frame), meta);
+  }
+
+  // What readers see.
+  std::optional<LookupAnswer> lookup(const PieceKey &key) const {
+    const Kept *kept = find(key);
+    if (kept == nullptr)
+      return std::nullopt;
+    return LookupAnswer{key, kept->Generation, kept->Length};
+  }
+  PieceHeader header(const PieceKey &key) const {
+    const Kept *kept = find(key);
+    if (kept == nullptr)
+      return {};
+    return {kept->Generation, kept->Length, kept->Checksum};
+  }
+  std::string bytes(const PieceKey &key) const {
+    const Kept *kept = find(key);
+    return kept == nullptr ? std::string() : kept->Bytes;
+  }
+  uint64_t generation(const PieceKey &key) const {
+    const Kept *kept = find(key);
+    return kept == nullptr ? 0 : kept->Generation;
+  }
+  size_t visible() const { return Visible.size(); }
+  size_t uncommitted() const { return Uncommitted.size(); }
+
+  // Faults.
+  void tear(const PieceKey &key) { Visible[key].Bytes.resize(9); }
+  void flip(const PieceKey &key) { Visible[key].Bytes.back() ^= 1; }
+  void free(const PieceKey &key) { Visible.erase(key); }
+  /// The store answers with another key's piece.
+  void alias(const PieceKey &key, const PieceKey &other) {
+    Visible[key] = Visible[other];
+  }
+
+private:
+  const Kept *find(const PieceKey &key) const {
+    auto it = Visible.find(key);
+    return it == Visible.end() ? nullptr : &it->second;
+  }
+  PieceKey keyOf(uint64_t generation) const {
+    for (const auto &[key, kept] : Visible)
+      if (kept.Generation == generation)
+        return key;
+    return {};
+  }
+  uint64_t used() const {
+    uint64_t out = 0;
+    for (const auto &it : Visible)
+      out += it.second.Bytes.size();
+    for (const auto &it : Uncommitted)
+      out += it.second.second.size();
+    return out;
+  }
+
+  uint64_t Last = 0;
+  std::map<PieceKey, Kept> Visible;
+  std::map<uint64_t, std::pair<PieceKey, std::string>> Uncommitted;
+};
+
+} // namespace daisytack
