Refuse hostile lengths in messages before anything is allocated

Cause: cereal's portable binary archive believes a length: vector and string are resized to it before the bytes are looked for, so that a message of 30 bytes asks for gigabytes. It also reads any byte as a bool, and goes through a string stream for every message.

Change: two archives of our own, still driven by cereal. The reading one works on a view, refuses a length beyond the bytes left, grows a vector with the elements that it has read, and takes 0 and 1 alone for a bool. The writing one appends to a string.

Before: of the five new tests four failed (allocation, growth, bool, canonical bytes). After: all pass; every length at every position of every message allocates at most 16 times the message's size and 4 KB.

--- a/src/wire/codec_decode.h
+++ b/src/wire/codec_decode.h
@@ -10,12 +10,10 @@
 
 template <class Variant, size_t I>
 bool decodeAlternative(std::string_view payload, Variant &out) {
-  ViewBuffer buffer(payload);
-  std::istream stream(&buffer);
-  cereal::PortableBinaryInputArchive archive(stream);
+  InputArchive archive(payload);
   std::variant_alternative_t<I, Variant> message;
   archive(message);
-  if (buffer.left() != 0)
+  if (archive.left() != 0)
     return false;
   out = std::move(message);
   return true;
