Carry frames between processes over authenticated TCP

Entries and agents, and peers among themselves, need one connection that carries many requests and that a stranger can neither read into nor replay.

Each side sends a hello with a nonce and the id of the key it signs with, then an empty signed frame as proof. The key of each direction is derived from the secret and both hellos, and every frame ends in a truncated HMAC-SHA256 over its sequence number and payload: a frame that is tampered with, repeated, left out or sent back to its sender does not verify, and the link closes. The first key signs and every listed key is accepted, so keys change without stopping. Frames queued while a write runs leave in one write, and a closed link first writes what was queued.

--- /dev/null
+++ b/src/net/frame_session.cpp
@@ -0,0 +1,324 @@
+#include "net/frame_session.h"
+
+#include "base/digest.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cstring>
+
+namespace daisytack::net {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr size_t ReadChunkBytes = 64U << 10;
+constexpr size_t KeptInputBytes = 256U
+                                  << 10; ///< A larger buffer is given back.
+constexpr Duration CloseLinger{1'000'000};
+/// A peer that has vanished without a word is given up after about this long.
+constexpr int DeadPeerMillis = 10'000;
+constexpr int KeepAliveSeconds = 3;
+
+const PeerKey *findKey(const PeerKeys &keys, std::string_view id) {
+  for (const PeerKey &key : keys)
+    if (key.Id == id)
+      return &key;
+  return nullptr;
+}
+
+void setOption(int fd, int level, int name, int value) {
+  ::setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void tuneSocket(int fd) {
+  setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+  setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+  setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, DeadPeerMillis);
+}
+
+FrameNonce freshNonce() {
+  FrameNonce nonce{};
+  for (size_t i = 0; i < nonce.size(); i += sizeof(uint64_t)) {
+    uint64_t bits = secureRandom();
+    std::memcpy(nonce.data() + i, &bits, sizeof(bits));
+  }
+  return nonce;
+}
+
+} // namespace
+
+FrameSession::FrameSession(asio::io_context &io, Socket socket, FrameRole role,
+                           PeerKeys keys, FrameHooks hooks)
+    : Strand(io.get_executor()), Stream(std::move(socket)), Deadline(io),
+      Role(role), Keys(std::move(keys)), Hooks(std::move(hooks)) {}
+
+void FrameSession::connect(const Endpoint &to, Duration timeout) {
+  asio::post(Strand, [self = shared_from_this(), to, timeout] {
+    self->armDeadline(timeout, "connecting timed out");
+    error_code ec;
+    auto address = asio::ip::make_address(to.Address, ec);
+    if (ec)
+      return self->finish({ErrorKind::ServiceUnavailable, "no such address"});
+    self->Stream.async_connect(
+        {address, to.Port},
+        asio::bind_executor(self->Strand, [self](error_code failed) {
+          if (failed)
+            return self->finish(
+                {ErrorKind::ServiceUnavailable, failed.message()});
+          self->startHandshake();
+        }));
+  });
+}
+
+void FrameSession::accepted(Duration timeout) {
+  asio::post(Strand, [self = shared_from_this(), timeout] {
+    self->armDeadline(timeout, "handshake timed out");
+    self->startHandshake();
+  });
+}
+
+void FrameSession::armDeadline(Duration timeout, const char *what) {
+  Deadline.expires_after(timeout);
+  Deadline.async_wait(asio::bind_executor(
+      Strand, [weak = weak_from_this(), what](error_code ec) {
+        auto self = weak.lock();
+        if (self && !ec)
+          self->finish({ErrorKind::ServiceUnavailable, what});
+      }));
+}
+
+void FrameSession::startHandshake() {
+  if (State == Phase::Closed)
+    return;
+  if (Keys.empty())
+    return finish({ErrorKind::Unauthenticated, "no peer key is set"});
+  tuneSocket(Stream.native_handle());
+  Own = {Role, freshNonce(), Keys.front().Id};
+  std::string hello = encodeFrameHello(Own);
+  appendFrameLength(Output, hello.size());
+  Output.append(hello);
+  writeNow();
+  readMore();
+}
+
+void FrameSession::readMore() {
+  if (State == Phase::Closed)
+    return;
+  if (InputBegin == InputEnd) {
+    InputBegin = InputEnd = 0;
+    if (Input.size() > KeptInputBytes)
+      std::vector<char>().swap(Input);
+  }
+  if (InputBegin > 0 && Input.size() - InputEnd < ReadChunkBytes) {
+    std::memmove(Input.data(), Input.data() + InputBegin,
+                 InputEnd - InputBegin);
+    InputEnd -= InputBegin;
+    InputBegin = 0;
+  }
+  if (Input.size() - InputEnd < ReadChunkBytes)
+    Input.resize(InputEnd + ReadChunkBytes);
+  Stream.async_read_some(
+      asio::buffer(Input.data() + InputEnd, Input.size() - InputEnd),
+      asio::bind_executor(
+          Strand, [self = shared_from_this()](error_code ec, size_t n) {
+            if (ec)
+              return self->finish({ErrorKind::ServerLost, ec.message()});
+            self->onRead(n);
+          }));
+}
+
+void FrameSession::onRead(size_t n) {
+  InputEnd += n;
+  while (State != Phase::Closed && takeFrame()) {
+  }
+  readMore();
+}
+
+/// Handles one whole frame of the input; false when more bytes are needed.
+bool FrameSession::takeFrame() {
+  std::string_view input(Input.data() + InputBegin, InputEnd - InputBegin);
+  if (input.size() < FrameLengthBytes)
+    return false;
+  size_t length = readFrameLength(input);
+  bool isHello = State == Phase::Hello;
+  if (length > (isHello ? MaxFrameHelloBytes : MaxFrameBytes)) {
+    finish({ErrorKind::ProtocolError,
+            "frame of " + std::to_string(length) + " bytes"});
+    return false;
+  }
+  size_t total = FrameLengthBytes + length + (isHello ? 0 : FrameMacBytes);
+  if (input.size() < total)
+    return false;
+  std::string_view payload = input.substr(FrameLengthBytes, length);
+  InputBegin += total;
+  if (isHello) {
+    onHello(payload);
+    return true;
+  }
+  std::string_view mac = input.substr(FrameLengthBytes + length, FrameMacBytes);
+  if (!ReceiveMac->verify(payload, mac)) {
+    finish({ErrorKind::Unauthenticated,
+            State == Phase::Proof ? "peer does not hold the key it names"
+                                  : "frame was tampered with or repeated"});
+    return false;
+  }
+  onAuthenticated(payload);
+  return true;
+}
+
+void FrameSession::onHello(std::string_view bytes) {
+  Error reason;
+  std::optional<FrameHello> peer = decodeFrameHello(bytes, reason);
+  if (!peer)
+    return finish(reason);
+  if (peer->Role == Role)
+    return finish({ErrorKind::ProtocolError, "peer plays the same role"});
+  const PeerKey *key = findKey(Keys, peer->KeyId);
+  if (key == nullptr)
+    return finish({ErrorKind::Unauthenticated,
+                   "peer signs with a key that is not in the settings"});
+  bool connector = Role == FrameRole::Connector;
+  const FrameHello &first = connector ? Own : *peer;
+  const FrameHello &second = connector ? *peer : Own;
+  SendMac = std::make_unique<FrameMac>(
+      frameSessionKey(Keys.front().Secret, Role, first, second));
+  ReceiveMac = std::make_unique<FrameMac>(
+      frameSessionKey(key->Secret, peer->Role, first, second));
+  State = Phase::Proof;
+  appendSigned({});
+  writeNow();
+}
+
+void FrameSession::onAuthenticated(std::string_view payload) {
+  if (State == Phase::Open) {
+    if (Hooks.Frame)
+      Hooks.Frame(shared_from_this(), payload);
+    return;
+  }
+  if (!payload.empty())
+    return finish({ErrorKind::ProtocolError, "proof carries a payload"});
+  State = Phase::Open;
+  if (!CloseWanted)
+    Deadline.cancel();
+  if (Hooks.Opened)
+    Hooks.Opened(shared_from_this());
+  flush();
+}
+
+void FrameSession::appendSigned(std::string_view payload) {
+  FrameMacValue mac = SendMac->sign(payload);
+  appendFrameLength(Output, payload.size());
+  Output.append(payload);
+  Output.append(reinterpret_cast<const char *>(mac.data()), mac.size());
+  OutputPayload += payload.size();
+}
+
+void FrameSession::send(std::string frame) {
+  {
+    std::lock_guard guard(QueueLock);
+    if (QueueClosed || frame.size() > MaxFrameBytes)
+      return;
+    Pending.fetch_add(frame.size(), std::memory_order_relaxed);
+    Queue.push_back(std::move(frame));
+    if (FlushScheduled)
+      return;
+    FlushScheduled = true;
+  }
+  scheduleFlush();
+}
+
+void FrameSession::scheduleFlush() {
+  asio::post(Strand, [self = shared_from_this()] { self->flush(); });
+}
+
+/// Signs all queued frames in one go; they leave in one write.
+void FrameSession::flush() {
+  std::vector<std::string> frames;
+  {
+    std::lock_guard guard(QueueLock);
+    if (State != Phase::Open && State != Phase::Closed)
+      return; // Opening flushes again.
+    FlushScheduled = false;
+    frames.swap(Queue);
+  }
+  if (State == Phase::Closed)
+    return;
+  for (const std::string &frame : frames)
+    appendSigned(frame);
+  writeNow();
+}
+
+void FrameSession::writeNow() {
+  if (WriteRunning || State == Phase::Closed)
+    return;
+  if (Output.empty()) {
+    if (CloseWanted)
+      finish({});
+    return;
+  }
+  Writing.clear();
+  Writing.swap(Output);
+  WritingPayload = std::exchange(OutputPayload, 0);
+  WriteRunning = true;
+  asio::async_write(
+      Stream, asio::buffer(Writing),
+      asio::bind_executor(
+          Strand, [self = shared_from_this()](error_code ec, size_t /*n*/) {
+            self->WriteRunning = false;
+            self->Pending.fetch_sub(self->WritingPayload,
+                                    std::memory_order_relaxed);
+            if (ec)
+              return self->finish({ErrorKind::ServerLost, ec.message()});
+            self->writeNow();
+          }));
+}
+
+void FrameSession::close() {
+  {
+    std::lock_guard guard(QueueLock);
+    QueueClosed = true;
+  }
+  asio::post(Strand, [self = shared_from_this()] {
+    if (self->State == Phase::Closed)
+      return;
+    if (self->State != Phase::Open)
+      return self->finish({});
+    self->CloseWanted = true;
+    self->armDeadline(CloseLinger, "peer did not take the last frames");
+    self->flush();
+  });
+}
+
+size_t FrameSession::pendingBytes() const {
+  return Pending.load(std::memory_order_relaxed);
+}
+
+void FrameSession::finish(const Error &reason) {
+  if (State == Phase::Closed)
+    return;
+  State = Phase::Closed;
+  {
+    std::lock_guard guard(QueueLock);
+    QueueClosed = true;
+    Queue.clear();
+  }
+  Deadline.cancel();
+  error_code ignored;
+  Stream.shutdown(Socket::shutdown_both, ignored);
+  Stream.close(ignored);
+  // The hooks hold their owner; they are let go with the last call.
+  FrameHooks hooks = std::exchange(Hooks, {});
+  if (hooks.Closed)
+    hooks.Closed(shared_from_this(), reason);
+}
+
+} // namespace daisytack::net
