Read settings, keep metrics and events, and frame a daemon's main()

The daemons need one way to read settings, to count, to keep events and to start and stop. Settings are parsed by Boost.PropertyTree; every mistake is collected with file, key, value and remedy, unknown keys are errors, and neither secrets nor the values of unknown keys (a mistyped secret) show. Distributions are Boost.Histogram with thread-safe counts; a share of 1 and values beyond the axis are counted too. The hybrid clock doesn't follow a remote clock that leads by over an hour, since one broken clock would carry the whole time line with it.

--- a/include/daisytack/event.h
+++ b/include/daisytack/event.h
@@ -80,6 +80,8 @@
 
 /// Stable lower-case name: "offer_accepted".
 std::string_view eventName(EventKind kind);
+/// Inverse of eventName; nothing when no kind has the name.
+std::optional<EventKind> parseEventKind(std::string_view name);
 
 /// One thing that happened. Holds no prompt, answer or key.
 struct Event {
--- /dev/null
+++ b/src/base/setting_text.cpp
@@ -0,0 +1,129 @@
+#include "base/setting_text.h"
+
+#include "base/settings.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <limits>
+
+namespace daisytack {
+
+namespace {
+
+/// A suffix and the number of basic units it stands for.
+struct Unit {
+  std::string_view Suffix;
+  uint64_t Factor;
+};
+
+// Largest first, so that formatting finds the largest one that divides.
+constexpr std::array DurationUnits{
+    Unit{"d", 86'400'000'000}, Unit{"h", 3'600'000'000}, Unit{"m", 60'000'000},
+    Unit{"s", 1'000'000},      Unit{"ms", 1'000},        Unit{"us", 1}};
+constexpr std::array ByteUnits{Unit{"T", 1ULL << 40U}, Unit{"G", 1ULL << 30U},
+                               Unit{"M", 1ULL << 20U}, Unit{"k", 1ULL << 10U},
+                               Unit{"", 1}};
+
+template <class T> std::optional<T> parseWhole(std::string_view text) {
+  T out{};
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+  if (ec != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return out;
+}
+
+template <size_t N>
+std::optional<uint64_t> parseUnits(std::string_view text,
+                                   const std::array<Unit, N> &units,
+                                   uint64_t most) {
+  size_t digits = std::min(text.find_first_not_of("0123456789"), text.size());
+  auto count = parseWhole<uint64_t>(text.substr(0, digits));
+  if (!count)
+    return std::nullopt;
+  for (const Unit &unit : units)
+    if (unit.Suffix == text.substr(digits)) {
+      if (*count > most / unit.Factor)
+        return std::nullopt;
+      return *count * unit.Factor;
+    }
+  return std::nullopt;
+}
+
+template <size_t N>
+std::string unitsText(uint64_t value, const std::array<Unit, N> &units) {
+  for (const Unit &unit : units)
+    if (value != 0 && value % unit.Factor == 0)
+      return std::to_string(value / unit.Factor) + std::string(unit.Suffix);
+  return "0" + std::string(units.back().Suffix);
+}
+
+std::string_view trimmed(std::string_view text) {
+  auto first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos)
+    return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+} // namespace
+
+std::optional<bool> parseFlag(std::string_view text) {
+  if (text == "true")
+    return true;
+  if (text == "false")
+    return false;
+  return std::nullopt;
+}
+
+std::optional<int64_t> parseInteger(std::string_view text) {
+  return parseWhole<int64_t>(text);
+}
+
+std::optional<double> parseNumber(std::string_view text) {
+  auto out = parseWhole<double>(text);
+  if (!out || !std::isfinite(*out))
+    return std::nullopt;
+  return out;
+}
+
+std::optional<uint64_t> parseBytes(std::string_view text) {
+  return parseUnits(text, ByteUnits, std::numeric_limits<uint64_t>::max());
+}
+
+std::string bytesText(uint64_t bytes) { return unitsText(bytes, ByteUnits); }
+
+std::string numberText(double value) {
+  std::array<char, 32> buf{};
+  auto end = std::to_chars(buf.data(), buf.data() + buf.size(), value).ptr;
+  return {buf.data(), end};
+}
+
+std::vector<std::string> splitList(std::string_view text) {
+  std::vector<std::string> out;
+  while (true) {
+    size_t comma = text.find(',');
+    std::string_view word = trimmed(text.substr(0, comma));
+    if (!word.empty())
+      out.emplace_back(word);
+    if (comma == std::string_view::npos)
+      return out;
+    text.remove_prefix(comma + 1);
+  }
+}
+
+std::optional<Duration> parseDuration(std::string_view text) {
+  auto micros =
+      parseUnits(text, DurationUnits, std::numeric_limits<int64_t>::max());
+  if (!micros)
+    return std::nullopt;
+  return Duration(static_cast<int64_t>(*micros));
+}
+
+std::string toString(Duration value) {
+  if (value.count() < 0)
+    return "-" + toString(-value);
+  return unitsText(static_cast<uint64_t>(value.count()), DurationUnits);
+}
+
+} // namespace daisytack
--- /dev/null
+++ b/src/runtime/process.cpp
@@ -0,0 +1,177 @@
+#include "runtime/process.h"
+
+#include "runtime/process_log.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+DEFINE_string(config, "", "settings file (INI)");
+DEFINE_bool(check, false, "check the settings and exit");
+DECLARE_bool(help);
+DECLARE_bool(helpshort);
+DECLARE_bool(helpfull);
+DECLARE_bool(version);
+
+namespace daisytack::runtime {
+
+namespace {
+
+constexpr int64_t MaxThreads = 256;
+
+/// Settings of the frame itself.
+struct FrameSettings {
+  unsigned Threads = 1;
+  std::string LogLevel;
+  Duration DrainTimeout{0};
+};
+
+FrameSettings readFrameSettings(Settings &settings) {
+  FrameSettings out;
+  out.Threads = static_cast<unsigned>(
+      settings.integer("process.threads", 2, 1, MaxThreads));
+  out.LogLevel = settings.choice("process.log_level", "info",
+                                 {"error", "warn", "info", "debug"});
+  out.DrainTimeout =
+      settings.duration("process.drain_timeout", std::chrono::minutes(2),
+                        Duration(0), std::chrono::hours(24));
+  return out;
+}
+
+/// Runs the context until the daemon has drained.
+class Frame {
+public:
+  Frame(const ProcessInit &init, const FrameSettings &settings)
+      : Init(init), Config(settings), Io(static_cast<int>(settings.Threads)),
+        Signals(Io, SIGTERM, SIGINT), Timer(Io) {}
+
+  ExitCode run() {
+    waitForSignal();
+    Error reason;
+    if (!Init.Start(Io, reason)) {
+      logError("can't start: " + std::string(errorName(reason.Kind)) + ": " +
+               reason.Detail);
+      return ExitCode::Start;
+    }
+    logInfo("started");
+    runThreads();
+    logInfo("stopped");
+    if (Init.Stop)
+      Init.Stop();
+    return Result;
+  }
+
+private:
+  void waitForSignal() {
+    Signals.async_wait([this](boost::system::error_code ec, int) {
+      if (!ec)
+        onSignal();
+    });
+  }
+
+  void onSignal() {
+    if (IsDraining) {
+      stop(ExitCode::Interrupted);
+      return;
+    }
+    IsDraining = true;
+    waitForSignal();
+    logInfo("draining, for at most " + toString(Config.DrainTimeout));
+    Timer.expires_after(Config.DrainTimeout);
+    Timer.async_wait([this](boost::system::error_code ec) {
+      if (!ec)
+        stop(ExitCode::DrainTimeout);
+    });
+    Init.Drain([this] { stop(ExitCode::Done); });
+  }
+
+  void stop(ExitCode code) {
+    if (IsStopped.exchange(true))
+      return;
+    Result = code;
+    Io.stop();
+  }
+
+  void runThreads() {
+    std::vector<std::jthread> threads;
+    for (unsigned i = 1; i < Config.Threads; ++i)
+      threads.emplace_back([this] { Io.run(); });
+    Io.run();
+  }
+
+  const ProcessInit &Init;
+  FrameSettings Config;
+  boost::asio::io_context Io;
+  boost::asio::signal_set Signals;
+  boost::asio::steady_timer Timer;
+  bool IsDraining = false; ///< Touched by the signal's handlers only.
+  std::atomic<bool> IsStopped{false};
+  ExitCode Result = ExitCode::Done;
+};
+
+int asInt(ExitCode code) { return static_cast<int>(code); }
+
+void printErrors(const std::vector<SettingError> &errors) {
+  for (const SettingError &error : errors)
+    std::cerr << toString(error) << "\n";
+}
+
+int runConfigured(const ProcessInit &init) {
+  Settings settings = Settings::fromFile(FLAGS_config);
+  FrameSettings frame = readFrameSettings(settings);
+  init.ReadSettings(settings);
+  std::vector<SettingError> errors = settings.finish();
+  if (!errors.empty()) {
+    printErrors(errors);
+    return asInt(ExitCode::Settings);
+  }
+  if (FLAGS_check) {
+    std::cout << FLAGS_config << ": no mistakes\n";
+    return asInt(ExitCode::Done);
+  }
+  openLog(init.Name, frame.LogLevel);
+  return asInt(Frame(init, frame).run());
+}
+
+} // namespace
+
+std::string processUsage(const ProcessInit &init) {
+  return init.Summary + "\n\nusage: " + init.Name +
+         " --config=FILE [--check]\n\n"
+         "  --config=FILE  settings file (INI)\n"
+         "  --check        check the settings, print every mistake and exit\n"
+         "  --version      print the version and exit\n"
+         "  --help         print this and exit\n\n"
+         "SIGTERM or SIGINT drains: no new work, what was accepted "
+         "finishes.\n\n"
+         "exit codes: 0 done, 1 command line, 2 settings, 3 can't start,\n"
+         "            4 drain timeout, 5 second signal while draining\n";
+}
+
+int runProcess(int argc, char **argv, const ProcessInit &init) {
+  gflags::SetUsageMessage(processUsage(init));
+  gflags::SetVersionString(DAISYTACK_VERSION);
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  if (FLAGS_help || FLAGS_helpshort || FLAGS_helpfull) {
+    std::cout << processUsage(init);
+    return asInt(ExitCode::Done);
+  }
+  if (FLAGS_version) {
+    std::cout << init.Name << " " << DAISYTACK_VERSION << "\n";
+    return asInt(ExitCode::Done);
+  }
+  if (argc > 1 || FLAGS_config.empty()) {
+    std::cerr << (argc > 1
+                      ? "unexpected argument '" + std::string(argv[1]) + "'"
+                      : std::string("--config is missing"))
+              << "; see --help\n";
+    return asInt(ExitCode::CommandLine);
+  }
+  return runConfigured(init);
+}
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/process.h
@@ -0,0 +1,48 @@
+/// The frame of a daemon's main(): command line, settings, log, threads,
+/// signals and exit code.
+#pragma once
+
+#include "base/settings.h"
+#include "daisytack/error.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+
+namespace daisytack::runtime {
+
+/// Exit codes of the daemons.
+enum class ExitCode : int {
+  Done = 0,        ///< Drained and stopped, or nothing was to be started.
+  CommandLine = 1, ///< Unknown flag or argument.
+  Settings = 2,    ///< A mistake in the settings; all are printed.
+  Start = 3,       ///< An address can't be had, or a like cause.
+  DrainTimeout =
+      4,           ///< Accepted work was cut off after [process] drain_timeout.
+  Interrupted = 5, ///< A second signal came while draining.
+};
+
+/// What one daemon adds to the frame.
+struct ProcessInit {
+  std::string Name;    ///< "daisytack-entry".
+  std::string Summary; ///< One sentence for --help.
+  /// Reads every setting but [process]; keeps the values for Start.
+  std::function<void(Settings &)> ReadSettings;
+  /// Builds the daemon over the context; false with the reason when it can't.
+  std::function<bool(boost::asio::io_context &, Error &reason)> Start;
+  /// Called once on an I/O thread, after SIGTERM or SIGINT: refuses new work,
+  /// finishes what was accepted, then calls done.
+  std::function<void(std::function<void()> done)> Drain;
+  /// Called with no I/O thread left running; frees what Start built.
+  std::function<void()> Stop;
+};
+
+/// Runs the daemon to its end. Flags: --config, --check, --version, --help.
+/// Settings: [process] threads, log_level and drain_timeout.
+int runProcess(int argc, char **argv, const ProcessInit &init);
+
+/// The text that --help prints.
+std::string processUsage(const ProcessInit &init);
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/tests/base/process_test.cpp
@@ -0,0 +1,103 @@
+#include "runtime/process.h"
+
+#include <boost/asio/post.hpp>
+#include <gflags/gflags.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace daisytack::runtime {
+
+namespace {
+
+class Process : public testing::Test {
+protected:
+  int run(std::vector<std::string> arguments) {
+    gflags::FlagSaver saver;
+    arguments.insert(arguments.begin(), "trial");
+    std::vector<char *> raw;
+    for (std::string &it : arguments)
+      raw.push_back(it.data());
+    raw.push_back(nullptr);
+    return runProcess(static_cast<int>(arguments.size()), raw.data(), Init);
+  }
+
+  std::string fileWith(const std::string &text) {
+    std::string path = testing::TempDir() + "process_test.ini";
+    std::ofstream(path) << text;
+    return "--config=" + path;
+  }
+
+  std::vector<std::string> Calls;
+  ProcessInit Init{"trial",
+                   "A trial.",
+                   [](Settings &it) { it.integer("trial.n", 1, 0, 9); },
+                   [this](boost::asio::io_context &io, Error &) {
+                     Calls.emplace_back("start");
+                     boost::asio::post(io, [] { std::raise(SIGTERM); });
+                     return true;
+                   },
+                   [this](const std::function<void()> &done) {
+                     Calls.emplace_back("drain");
+                     done();
+                   },
+                   [this] { Calls.emplace_back("stop"); }};
+};
+
+} // namespace
+
+TEST_F(Process, DrainsOnSignalAndStops) {
+  EXPECT_EQ(run({fileWith("[process]\nthreads = 3\nlog_level = error\n")}), 0);
+  EXPECT_EQ(Calls, (std::vector<std::string>{"start", "drain", "stop"}));
+}
+
+TEST_F(Process, ASecondSignalEndsADrainThatHangs) {
+  Init.Drain = [](const std::function<void()> &) { std::raise(SIGINT); };
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 5);
+}
+
+TEST_F(Process, ADrainIsBoundedInTime) {
+  Init.Drain = [](const std::function<void()> &) {};
+  EXPECT_EQ(run({fileWith("[process]\ndrain_timeout = 0s\n"
+                          "log_level = error\n")}),
+            4);
+}
+
+TEST_F(Process, StartThatFailsHasItsOwnCode) {
+  Init.Start = [](boost::asio::io_context &, Error &reason) {
+    reason = {ErrorKind::Internal, "address in use", {}};
+    return false;
+  };
+  EXPECT_EQ(run({fileWith("")}), 3);
+}
+
+TEST_F(Process, PrintsEveryMistakeOfTheSettings) {
+  testing::internal::CaptureStderr();
+  int code = run({fileWith("[process]\nthreads = x\n[trial]\nn = 11\nm = 1\n"),
+                  "--check"});
+  std::string text = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(code, 2);
+  for (const char *key : {"process.threads", "trial.n = 11", "trial.m"})
+    EXPECT_NE(text.find(key), std::string::npos) << text;
+  EXPECT_TRUE(Calls.empty());
+}
+
+TEST_F(Process, CheckStartsNothing) {
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(run({fileWith("[trial]\nn = 2\n"), "--check"}), 0);
+  testing::internal::GetCapturedStdout();
+  EXPECT_TRUE(Calls.empty());
+}
+
+TEST_F(Process, HelpShowsItsOwnFlagsAlone) {
+  testing::internal::CaptureStdout();
+  EXPECT_EQ(run({"--help"}), 0);
+  std::string text = testing::internal::GetCapturedStdout();
+  EXPECT_NE(text.find("--config"), std::string::npos);
+  EXPECT_EQ(text.find("flagfile"), std::string::npos);
+  EXPECT_EQ(run({}), 1);
+  EXPECT_EQ(run({"word"}), 1);
+}
+
+} // namespace daisytack::runtime
