Give each process test a settings file of its own

Under ctest the tests of one file run at the same time; they shared one temporary file, and one read another's text (1 of 172 tests failed so). The file now carries the test's name.

--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -24,7 +24,10 @@
   }
 
   std::string fileWith(const std::string &text) {
-    std::string path = testing::TempDir() + "process_test.ini";
+    // Tests run at the same time, each in a process of its own.
+    std::string path =
+        testing::TempDir() + "process_" +
+        testing::UnitTest::GetInstance()->current_test_info()->name() + ".ini";
     std::ofstream(path) << text;
     return "--config=" + path;
   }
