Decide routing, acceptance, run order and limits in pure code

The daemons need the decisions under load as a library without sockets, clocks or threads.

Costs are not yet measured; candidates are still ranked over the whole pool.

--- /dev/null
+++ b/src/decide/acceptance.cpp
@@ -0,0 +1,76 @@
+#include "decide/acceptance.h"
+
+#include <algorithm>
+
+namespace daisytack {
+
+namespace {
+
+Duration scaled(Duration value, double factor) {
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(value.count()) * factor));
+}
+
+/// Lower priorities find the queue full earlier.
+Duration waitBound(const RunQueueSettings &queue,
+                   const AcceptanceSettings &settings, uint8_t priority) {
+  double rise = (1.0 - settings.LowestPriorityBound) * priority / MaxPriority;
+  return scaled(queue.MaxWait, settings.LowestPriorityBound + rise);
+}
+
+} // namespace
+
+AcceptanceDecision decideAcceptance(const RunQueue &queue,
+                                    const RunQueueSettings &queueSettings,
+                                    const AcceptanceSettings &settings,
+                                    const RunRequest &request, TimePoint now) {
+  AcceptanceDecision out;
+  RunPlan plan = queue.plan(request, now);
+  out.Wait = plan.Start - now;
+  out.Prefill = request.Prefill;
+  out.Decode = request.Decode;
+  out.FirstToken = plan.FirstToken - now;
+  out.Completion = plan.Finish - now;
+  out.Slack = request.Deadline - plan.Finish;
+  if (now + request.service() > request.Deadline) {
+    out.Reason.Kind = ErrorKind::DeadlineTooShort;
+    return out;
+  }
+  Duration headroom{0};
+  if (plan.OverShare)
+    headroom = scaled(out.Wait, settings.ShareHeadroom);
+  Duration bound = waitBound(queueSettings, settings, request.Priority);
+  Duration late = headroom - out.Slack;
+  Duration excess = out.Wait - bound;
+  if (late > Duration{0} || excess > Duration{0}) {
+    out.Reason.Kind = ErrorKind::Overloaded;
+    out.Reason.RetryAfter = std::max({late, excess, Duration{1}});
+    return out;
+  }
+  // An organisation alone may fill half of the queue; the more others have
+  // waiting, the less.
+  Duration capacity = queueSettings.MaxWait * queueSettings.Slots;
+  Duration free = capacity - queue.waitingWork();
+  Duration own = queue.waitingWork(request.Organisation) + request.service();
+  if (plan.OverShare && own > free) {
+    out.Reason.Kind = ErrorKind::OrganisationLimit;
+    out.Reason.RetryAfter = (own - free) / queueSettings.Slots;
+    return out;
+  }
+  if (plan.BreaksAccepted) {
+    out.Reason.Kind = ErrorKind::Overloaded;
+    out.Reason.RetryAfter = std::max(plan.Backlog, Duration{1});
+    out.Broken = plan.Broken;
+  }
+  return out;
+}
+
+Duration rerunReserve(bool idempotent, Duration remaining,
+                      Duration undisturbed) {
+  if (!idempotent)
+    return Duration{0};
+  return std::clamp(undisturbed, Duration{0},
+                    std::max(remaining / 2, Duration{0}));
+}
+
+} // namespace daisytack
--- /dev/null
+++ b/src/decide/backoff.cpp
@@ -0,0 +1,29 @@
+#include "decide/backoff.h"
+
+#include <algorithm>
+
+namespace daisytack {
+
+namespace {
+
+/// Doublings beyond this exceed any sensible bound.
+constexpr uint32_t MaxDoublings = 20;
+
+} // namespace
+
+std::optional<Duration> retryDelay(Attempt attempt, Duration retryAfter,
+                                   Duration remaining, Duration needed,
+                                   const BackoffSettings &settings,
+                                   const RandomSource &random) {
+  uint32_t doublings = std::min(attempt > 0 ? attempt - 1 : 0, MaxDoublings);
+  int64_t ceiling =
+      std::min(settings.Base.count() << doublings, settings.Most.count());
+  auto jitter = static_cast<int64_t>(
+      random() % static_cast<uint64_t>(std::max<int64_t>(ceiling, 0) + 1));
+  Duration delay = std::max(retryAfter, Duration{0}) + Duration(jitter);
+  if (delay + needed > remaining)
+    return std::nullopt;
+  return delay;
+}
+
+} // namespace daisytack
--- /dev/null
+++ b/src/decide/routing.h
@@ -0,0 +1,115 @@
+/// Which backend servers a request should be offered to, and in which order.
+/// Every entry of a region computes the same candidates from the same
+/// membership. See docs/ROUTING.md.
+#pragma once
+
+#include "control/snapshot.h"
+#include "daisytack/types.h"
+#include "decide/load_view.h"
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace daisytack {
+
+/// What places a request: Home is shared by prompts that may reuse one
+/// another's context, Spill differs from request to request.
+struct RouteKey {
+  uint64_t Home = 0;
+  uint64_t Spill = 0;
+  auto operator<=>(const RouteKey &) const = default;
+};
+
+/// The key of a request. Only the first RoutingPieces piece keys count. A
+/// request without whole pieces (a short prompt, or a call to a plain service)
+/// has nothing to reuse and is spread over the pool by the request hash.
+RouteKey makeRouteKey(uint64_t organisationHash, std::string_view serves,
+                      std::span<const PieceKey> pieces, uint64_t requestHash);
+
+/// Distinct servers in the order in which they should be weighed.
+struct CandidateList {
+  std::array<ServerHandle, MaxCandidates> Servers{};
+  uint32_t Count = 0;
+
+  const ServerHandle *begin() const { return Servers.data(); }
+  const ServerHandle *end() const { return Servers.data() + Count; }
+  bool contains(ServerHandle server) const;
+  bool operator==(const CandidateList &) const = default;
+};
+
+/// Candidates of one snapshot. Immutable; built whenever a snapshot is
+/// published, and kept with it.
+class RoutingTable {
+public:
+  explicit RoutingTable(std::shared_ptr<const Snapshot> source);
+
+  const Snapshot &snapshot() const { return *Source; }
+
+  /// In order: the key's home in the region; the next server of the region in
+  /// another failure domain, if there is one; the next one whatever its domain;
+  /// and one that depends on the request, so that a popular key spills over the
+  /// whole pool. Servers of other regions fill what the region can't. Empty
+  /// when nothing serves the name.
+  CandidateList candidates(std::string_view serves, bool isService,
+                           const RouteKey &key, std::string_view region) const;
+
+private:
+  struct RegionServers {
+    std::string Region;
+    std::vector<ServerHandle> Servers;
+  };
+  struct PoolIndex {
+    std::string Name;
+    bool IsService = false;
+    std::vector<RegionServers> Regions; ///< One per region, sorted by name.
+  };
+
+  const PoolIndex *find(std::string_view serves, bool isService) const;
+
+  std::shared_ptr<const Snapshot> Source;
+  std::vector<PoolIndex> Pools;
+};
+
+struct RouterSettings {
+  double HomeReuse = 0.8; ///< Share of a prompt's prefill that its home is
+                          ///< expected to save over another server.
+  Duration OtherRegion{50'000}; ///< Added for a server of another region.
+  Duration Unknown{0}; ///< Added for a server that nothing was heard of.
+  bool operator==(const RouterSettings &) const = default;
+};
+
+/// One candidate with its score.
+struct RankedCandidate {
+  ServerHandle Server;
+  Duration FirstToken{0}; ///< Predicted, from the offer on.
+  Duration Wait{0};       ///< Part of FirstToken.
+  bool operator==(const RankedCandidate &) const = default;
+};
+
+/// Candidates in the order in which to offer, earliest first token first.
+struct RouteDecision {
+  std::array<RankedCandidate, MaxCandidates> Ranked{};
+  uint32_t Count = 0;
+
+  const RankedCandidate *begin() const { return Ranked.data(); }
+  const RankedCandidate *end() const { return Ranked.data() + Count; }
+  /// FirstToken of each in microseconds, for the RequestRouted event.
+  std::array<int64_t, MaxCandidates> scores() const;
+  bool operator==(const RouteDecision &) const = default;
+};
+
+/// Orders the candidates by predicted first token: wait, plus the prefill of
+/// the tokens that the server is expected to lack. Servers that said that they
+/// leave are left out, unless all do. The prompt's tokens decide how much wait
+/// the home's reuse is worth.
+RouteDecision rankCandidates(const CandidateList &candidates,
+                             const Snapshot &snapshot, const LoadView &loads,
+                             const RouterSettings &settings,
+                             uint32_t promptTokens, const RouteKey &key,
+                             std::string_view region, TimePoint now);
+
+} // namespace daisytack
--- /dev/null
+++ b/src/decide/run_queue.cpp
@@ -0,0 +1,229 @@
+#include "decide/run_queue.h"
+
+#include <algorithm>
+
+namespace daisytack {
+
+namespace {
+
+/// A run that is past its predicted end is believed to need this share of its
+/// service more.
+constexpr int64_t OverrunShare = 10;
+
+bool matches(const RunRequest &request, const RequestId &id, Attempt attempt) {
+  return request.Id == id && request.Try == attempt;
+}
+
+TimePoint expectedFinish(const RunRequest &request, TimePoint finish,
+                         TimePoint now) {
+  if (finish > now)
+    return finish;
+  return now + request.service() / OverrunShare;
+}
+
+} // namespace
+
+/// Times at which the slots become free, as a binary heap with the earliest
+/// first.
+class RunQueue::SlotTimes {
+public:
+  void add(TimePoint t) {
+    Times[Count++] = t;
+    std::push_heap(Times.begin(), Times.begin() + Count, std::greater<>());
+  }
+  /// Runs a request on the earliest slot; its start is returned.
+  TimePoint run(const RunRequest &request) {
+    TimePoint start = std::max(Times[0], request.Ready);
+    std::pop_heap(Times.begin(), Times.begin() + Count, std::greater<>());
+    Times[Count - 1] = start + request.service();
+    std::push_heap(Times.begin(), Times.begin() + Count, std::greater<>());
+    return start;
+  }
+  TimePoint latest() const {
+    return *std::max_element(Times.begin(), Times.begin() + Count);
+  }
+  TimePoint earliest() const { return Times[0]; }
+
+private:
+  std::array<TimePoint, MaxRunSlots> Times{};
+  size_t Count = 0;
+};
+
+RunQueue::RunQueue(RunQueueSettings settings) : Settings(settings) {
+  Settings.Slots = std::clamp<uint32_t>(Settings.Slots, 1, MaxRunSlots);
+  Running.reserve(Settings.Slots);
+}
+
+RunQueue::SlotTimes RunQueue::slotTimes(TimePoint now) const {
+  SlotTimes out;
+  for (const ActiveRun &run : Running)
+    out.add(expectedFinish(run.Request, run.Finish, now));
+  for (size_t i = Running.size(); i < Settings.Slots; ++i)
+    out.add(now);
+  return out;
+}
+
+double RunQueue::startTag(const RunRequest &request) const {
+  double now = VirtualTime[request.Priority];
+  auto it = FinishTags.find({request.Priority, request.Organisation});
+  return it == FinishTags.end() ? now : std::max(now, it->second);
+}
+
+RunQueue::Place RunQueue::placeOf(const RunRequest &request) const {
+  Place out;
+  out.Priority = -static_cast<int>(request.Priority);
+  out.Round = static_cast<uint64_t>(
+      startTag(request) / static_cast<double>(Settings.Quantum.count()));
+  out.Deadline = request.Deadline;
+  out.Sequence = NextSequence;
+  return out;
+}
+
+RunPlan RunQueue::plan(const RunRequest &request, TimePoint now) const {
+  RunPlan out;
+  Place place = placeOf(request);
+  SlotTimes with = slotTimes(now);
+  auto it = Waiting.begin();
+  for (; it != Waiting.end() && it->At < place; ++it)
+    with.run(it->Request);
+  SlotTimes without = with;
+  out.Start = with.run(request);
+  out.FirstToken = out.Start + request.Prefill;
+  out.Finish = out.Start + request.service();
+  auto round =
+      static_cast<uint64_t>(VirtualTime[request.Priority] /
+                            static_cast<double>(Settings.Quantum.count()));
+  out.OverShare = place.Round > round;
+  for (; it != Waiting.end(); ++it) {
+    TimePoint before = without.run(it->Request) + it->Request.service();
+    TimePoint after = with.run(it->Request) + it->Request.service();
+    if (out.BreaksAccepted || after <= it->Request.Deadline || after <= before)
+      continue;
+    out.BreaksAccepted = true;
+    out.Broken = it->Request.Id;
+  }
+  out.Backlog = without.latest() - now;
+  return out;
+}
+
+Duration RunQueue::backlog(TimePoint now) const {
+  SlotTimes slots = slotTimes(now);
+  for (const WaitingRun &it : Waiting)
+    slots.run(it.Request);
+  return slots.earliest() - now;
+}
+
+std::optional<RunRequest> RunQueue::firstAtRisk(TimePoint now) const {
+  SlotTimes slots = slotTimes(now);
+  for (const WaitingRun &it : Waiting)
+    if (slots.run(it.Request) + it.Request.service() > it.Request.Deadline)
+      return it.Request;
+  return std::nullopt;
+}
+
+std::optional<RunRequest> RunQueue::preemptionVictim(const RunRequest &request,
+                                                     TimePoint now) const {
+  const ActiveRun *best = nullptr;
+  Duration bestSpare{0};
+  TimePoint restart = now + request.service();
+  for (const ActiveRun &run : Running) {
+    const RunRequest &it = run.Request;
+    if (!it.Preemptible || it.Priority >= request.Priority)
+      continue;
+    Duration spare = it.Deadline - (restart + it.service());
+    if (spare < Duration{0})
+      continue;
+    if (best != nullptr &&
+        (best->Request.Priority < it.Priority ||
+         (best->Request.Priority == it.Priority && bestSpare >= spare)))
+      continue;
+    best = &run;
+    bestSpare = spare;
+  }
+  if (best == nullptr)
+    return std::nullopt;
+  return best->Request;
+}
+
+Duration RunQueue::waitingWork(uint64_t organisation) const {
+  Duration out{0};
+  for (const WaitingRun &it : Waiting)
+    if (it.Request.Organisation == organisation)
+      out += it.Request.service();
+  return out;
+}
+
+Duration RunQueue::waitingWork() const {
+  Duration out{0};
+  for (const WaitingRun &it : Waiting)
+    out += it.Request.service();
+  return out;
+}
+
+void RunQueue::push(const RunRequest &request, TimePoint /*now*/) {
+  WaitingRun run{placeOf(request), startTag(request), request};
+  ++NextSequence;
+  double cost = static_cast<double>(request.service().count()) /
+                std::max<uint32_t>(request.Weight, 1);
+  FinishTags[{request.Priority, request.Organisation}] = run.Tag + cost;
+  auto at = std::lower_bound(
+      Waiting.begin(), Waiting.end(), run.At,
+      [](const WaitingRun &it, const Place &place) { return it.At < place; });
+  Waiting.insert(at, run);
+}
+
+std::optional<RunRequest> RunQueue::start(TimePoint now) {
+  if (!hasFreeSlot() || Waiting.empty())
+    return std::nullopt;
+  WaitingRun run = Waiting.front();
+  Waiting.erase(Waiting.begin());
+  double &time = VirtualTime[run.Request.Priority];
+  time = std::max(time, run.Tag);
+  TimePoint begin = std::max(now, run.Request.Ready);
+  Running.push_back({run.Request, now, begin + run.Request.service()});
+  if (Waiting.empty())
+    endBusyPeriod();
+  return run.Request;
+}
+
+void RunQueue::endBusyPeriod() {
+  for (const auto &[key, tag] : FinishTags)
+    VirtualTime[key.Priority] = std::max(VirtualTime[key.Priority], tag);
+  FinishTags.clear();
+}
+
+bool RunQueue::finish(const RequestId &id, Attempt attempt) {
+  return std::erase_if(Running, [&](const ActiveRun &run) {
+           return matches(run.Request, id, attempt);
+         }) != 0;
+}
+
+bool RunQueue::cancel(const RequestId &id, Attempt attempt) {
+  return std::erase_if(Waiting, [&](const WaitingRun &run) {
+           return matches(run.Request, id, attempt);
+         }) != 0;
+}
+
+bool RunQueue::suspend(const RequestId &id, Attempt attempt, TimePoint now) {
+  auto it =
+      std::find_if(Running.begin(), Running.end(), [&](const ActiveRun &run) {
+        return matches(run.Request, id, attempt);
+      });
+  if (it == Running.end())
+    return false;
+  RunRequest request = it->Request;
+  Running.erase(it);
+  push(request, now);
+  return true;
+}
+
+bool RunQueue::setReady(const RequestId &id, Attempt attempt, TimePoint ready) {
+  for (WaitingRun &it : Waiting)
+    if (matches(it.Request, id, attempt)) {
+      it.Request.Ready = ready;
+      return true;
+    }
+  return false;
+}
+
+} // namespace daisytack
--- /dev/null
+++ b/tests/decide/acceptance_test.cpp
@@ -0,0 +1,147 @@
+#include "decide/acceptance.h"
+
+#include "decide/fixtures.h"
+#include "decide/predictor.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+namespace daisytack {
+
+namespace {
+
+struct Fixture {
+  RunQueueSettings QueueSettings;
+  AcceptanceSettings Settings;
+  RunQueue Queue;
+
+  explicit Fixture(uint32_t slots) : Queue(withSlots(slots)) {
+    QueueSettings = withSlots(slots);
+  }
+  static RunQueueSettings withSlots(uint32_t slots) {
+    RunQueueSettings out;
+    out.Slots = slots;
+    return out;
+  }
+  AcceptanceDecision offer(const RunRequest &request, TimePoint now) {
+    AcceptanceDecision out =
+        decideAcceptance(Queue, QueueSettings, Settings, request, now);
+    if (out.accepted())
+      Queue.push(request, now);
+    return out;
+  }
+};
+
+} // namespace
+
+/// A server whose runs take exactly what is predicted, under any stream of
+/// offers: whatever is accepted ends in time.
+RC_GTEST_PROP(Acceptance, AcceptedRequestsOfAConstantServerNeverMiss, ()) {
+  auto slots = *rc::gen::inRange<uint32_t>(1, 6);
+  Fixture it(slots);
+  std::map<RequestId, TimePoint> ends;
+  std::map<RequestId, TimePoint> deadlines;
+  TimePoint now = Epoch;
+  auto advance = [&](TimePoint until) {
+    for (;;) {
+      while (auto run = it.Queue.start(now))
+        ends[run->Id] = std::max(now, run->Ready) + run->service();
+      auto next = std::min_element(
+          ends.begin(), ends.end(),
+          [](const auto &a, const auto &b) { return a.second < b.second; });
+      if (next == ends.end() || next->second > until)
+        break;
+      now = next->second;
+      RC_ASSERT(now <= deadlines[next->first]);
+      RC_ASSERT(it.Queue.finish(next->first, 1));
+      ends.erase(next);
+    }
+    now = until;
+  };
+  auto offers = *rc::gen::inRange<uint64_t>(1, 120);
+  for (uint64_t i = 1; i <= offers; ++i) {
+    advance(now + millis(*rc::gen::inRange(0, 400)));
+    RunRequest run = makeRun(i, *rc::gen::inRange<uint64_t>(1, 4),
+                             millis(*rc::gen::inRange(0, 500)),
+                             millis(*rc::gen::inRange(1, 1'500)),
+                             now + millis(*rc::gen::inRange(0, 8'000)),
+                             *rc::gen::inRange<uint8_t>(3, 7));
+    run.Ready = now + millis(*rc::gen::inRange(0, 300));
+    deadlines[run.Id] = run.Deadline;
+    it.offer(run, now);
+    advance(now);
+  }
+  advance(now + millis(1'000'000));
+  RC_ASSERT(it.Queue.waiting() == 0U);
+}
+
+TEST(Acceptance, RefusalsAreTypedAndSayWhen) {
+  Fixture it(1);
+  auto tooShort =
+      it.offer(makeRun(1, 1, millis(100), millis(900), at(999)), Epoch);
+  EXPECT_EQ(tooShort.Reason.Kind, ErrorKind::DeadlineTooShort);
+  ASSERT_TRUE(
+      it.offer(makeRun(2, 1, millis(100), millis(900), at(1'000)), Epoch)
+          .accepted());
+  it.Queue.start(Epoch);
+  auto full =
+      it.offer(makeRun(3, 2, millis(100), millis(900), at(1'500)), Epoch);
+  EXPECT_EQ(full.Reason.Kind, ErrorKind::Overloaded);
+  EXPECT_EQ(full.Reason.RetryAfter, millis(500));
+  EXPECT_EQ(full.Wait, millis(1'000));
+}
+
+TEST(Acceptance, DoesNotBreakAnEarlierPromise) {
+  Fixture it(1);
+  ASSERT_TRUE(
+      it.offer(makeRun(1, 1, millis(0), millis(1'000), at(1'000)), Epoch)
+          .accepted());
+  it.Queue.start(Epoch);
+  ASSERT_TRUE(
+      it.offer(makeRun(2, 1, millis(0), millis(1'000), at(2'100)), Epoch)
+          .accepted());
+  // Higher priority would run first, and make request 2 late.
+  auto urgent =
+      it.offer(makeRun(3, 2, millis(0), millis(200), at(9'000), 9), Epoch);
+  EXPECT_EQ(urgent.Reason.Kind, ErrorKind::Overloaded);
+  EXPECT_EQ(urgent.Broken, (RequestId{1, 2}));
+  EXPECT_TRUE(
+      it.offer(makeRun(4, 2, millis(0), millis(100), at(9'000), 9), Epoch)
+          .accepted());
+}
+
+TEST(Acceptance, LowPrioritiesAreShedFirst) {
+  Fixture it(1);
+  ASSERT_TRUE(
+      it.offer(makeRun(1, 1, millis(0), millis(16'000), at(90'000)), Epoch)
+          .accepted());
+  it.Queue.start(Epoch);
+  auto low =
+      it.offer(makeRun(2, 2, millis(0), millis(10), at(90'000), 0), Epoch);
+  EXPECT_EQ(low.Reason.Kind, ErrorKind::Overloaded);
+  EXPECT_TRUE(
+      it.offer(makeRun(3, 2, millis(0), millis(10), at(90'000), 5), Epoch)
+          .accepted());
+}
+
+TEST(Acceptance, ReserveIsHalfAtMostAndNoneWithoutRepeat) {
+  EXPECT_EQ(rerunReserve(true, millis(1'000), millis(300)), millis(300));
+  EXPECT_EQ(rerunReserve(true, millis(1'000), millis(700)), millis(500));
+  EXPECT_EQ(rerunReserve(false, millis(1'000), millis(300)), millis(0));
+}
+
+TEST(Predictor, ASlowServerLearnsThatItIsSlowBeforeAnythingEnds) {
+  ServerPredictor it({});
+  for (int i = 0; i < 50; ++i)
+    it.observePrefill(1'000, millis(100));
+  Duration before = it.prefill(1'000);
+  EXPECT_GE(before, millis(100));
+  EXPECT_LE(before, millis(110));
+  for (int i = 0; i < 20; ++i)
+    it.observeUnfinishedPrefill(1'000, millis(1'000));
+  EXPECT_GE(it.prefill(1'000), millis(1'000));
+}
+
+} // namespace daisytack
