Decide on configuration: objects, commands, signals and the state

Signals about one instance form a total order by generation, process, state and renewal, so that a replaced process can't be shadowed by its predecessor's words.

--- /dev/null
+++ b/src/control/field_text.h
@@ -0,0 +1,50 @@
+/// Field values as the text that commands take and tables show.
+#pragma once
+
+#include "daisytack/objects.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace daisytack::control {
+
+std::string fieldText(const std::string &value);
+std::string fieldText(bool value);
+std::string fieldText(uint32_t value);
+std::string fieldText(uint64_t value);
+std::string fieldText(double value);
+std::string fieldText(Duration value);
+std::string fieldText(KeepRule value);
+std::string fieldText(OperatorRole value);
+/// "none" without a time.
+std::string fieldText(const std::optional<WallTime> &value);
+
+/// Inverses of fieldText: false, and the value left alone, when the text does
+/// not parse.
+bool parseField(std::string_view text, std::string &value);
+bool parseField(std::string_view text, bool &value);
+bool parseField(std::string_view text, uint32_t &value);
+bool parseField(std::string_view text, uint64_t &value);
+bool parseField(std::string_view text, double &value);
+bool parseField(std::string_view text, Duration &value);
+bool parseField(std::string_view text, KeepRule &value);
+bool parseField(std::string_view text, OperatorRole &value);
+bool parseField(std::string_view text, std::optional<WallTime> &value);
+
+/// What a field of that type is to be written as: one short phrase.
+std::string_view fieldForm(const std::string &);
+std::string_view fieldForm(bool);
+std::string_view fieldForm(uint32_t);
+std::string_view fieldForm(uint64_t);
+std::string_view fieldForm(double);
+std::string_view fieldForm(Duration);
+std::string_view fieldForm(KeepRule);
+std::string_view fieldForm(OperatorRole);
+std::string_view fieldForm(const std::optional<WallTime> &);
+
+/// "2026-12-02T06:30:00Z", with a fraction of a second when there is one.
+std::string wallTimeText(WallTime time);
+std::optional<WallTime> parseWallTime(std::string_view text);
+
+} // namespace daisytack::control
--- a/src/control/replica.cpp
+++ b/src/control/replica.cpp
@@ -1,6 +1,7 @@
 #include "control/replica.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace daisytack::control {
 
@@ -82,7 +83,7 @@
 
 ReplicaDelta Replica::deltaAfter(uint64_t revision) const {
   ReplicaDelta out;
-  out.From = revision < DroppedThrough ? 0 : revision;
+  out.From = revision < DroppedThrough ? 0 : contentAt(revision);
   out.Through = Complete;
   auto it = ByRevision.lower_bound({out.From + 1, std::string_view()});
   for (; it != ByRevision.end(); ++it)
@@ -90,6 +91,12 @@
   return out;
 }
 
+uint64_t Replica::contentAt(uint64_t revision) const {
+  auto it = ByRevision.lower_bound({revision + 1, std::string_view()});
+  uint64_t latest = it != ByRevision.begin() ? std::prev(it)->first : 0;
+  return DroppedThrough <= revision ? std::max(latest, DroppedThrough) : latest;
+}
+
 const ReplicaEntry *Replica::find(std::string_view key) const {
   auto it = Entries.find(key);
   return it != Entries.end() ? &it->second : nullptr;
--- a/src/control/replica.h
+++ b/src/control/replica.h
@@ -60,8 +60,11 @@
 
   /// Complete through this revision; 0 before the first image.
   uint64_t watermark() const { return Complete; }
+  /// Revision of the latest change at or below the watermark. Two replicas with
+  /// the same content differ at most in how far they know it to be complete.
+  uint64_t content() const { return contentAt(Complete); }
   /// Everything after the revision, or an image when tombstones after it were
-  /// already dropped.
+  /// already dropped. From is the lowest one that costs no further entry.
   ReplicaDelta deltaAfter(uint64_t revision) const;
   /// Nothing when the key was never seen. The pointer holds until the next
   /// merge.
@@ -75,6 +78,7 @@
 private:
   using RevisionKey = std::pair<uint64_t, std::string_view>;
 
+  uint64_t contentAt(uint64_t revision) const;
   bool mergeEntry(const ReplicaEntry &entry);
   void dropAbsent(const ReplicaDelta &image, std::vector<std::string> &changed);
   void erase(std::string_view key);
--- /dev/null
+++ b/src/control/signal_board.h
@@ -0,0 +1,86 @@
+/// What processes say of themselves, ahead of the instance list: that they are
+/// leaving, or that a new process has taken over the name.
+///
+/// Signals about one name form a total order, so that every process ends with
+/// the same one whatever arrives first, twice or late.
+#pragma once
+
+#include "daisytack/objects.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daisytack::control {
+
+/// What one process says of itself. Ordered by all but the name: a later
+/// process first, then a higher state, then a renewal.
+struct SignalContent {
+  uint64_t Generation = 0; ///< Wall time of the start in microseconds, or more
+                           ///< when an earlier process had a higher one.
+  Incarnation Process;
+  MemberState State = MemberState::Live;
+  uint32_t Renewal = 0; ///< Raised when it is said again before it expires.
+  auto operator<=>(const SignalContent &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Generation, Process, State, Renewal);
+  }
+};
+
+struct Signal {
+  std::string Instance;
+  SignalContent Content;
+  auto operator<=>(const Signal &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Instance, Content);
+  }
+};
+
+/// A signal on its way, with the time since its process said it. A peer that
+/// has forgotten an old signal does not learn it anew for a full life.
+struct AgedSignal {
+  Signal Said;
+  uint32_t AgeMillis = 0;
+  bool operator==(const AgedSignal &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(Said, AgeMillis); }
+};
+
+/// Not thread-safe; its owner serialises access.
+class SignalBoard {
+public:
+  /// Signals and observations are forgotten after their life; by then the
+  /// instance list shows the same.
+  SignalBoard(Duration signalLife, Duration observationLife);
+
+  /// Whether the signal is news; older, repeated or expired ones change
+  /// nothing.
+  bool hear(const AgedSignal &signal, TimePoint now);
+  /// A request was refused because the instance is leaving.
+  void observeLeaving(const std::string &instance, TimePoint now);
+  /// Names whose state may have changed because something expired.
+  std::vector<std::string> expire(TimePoint now);
+
+  /// Live unless a signal or an observation says more.
+  MemberState stateOf(const std::string &instance) const;
+  std::vector<AgedSignal> signals(TimePoint now) const;
+  /// The latest one under the name.
+  std::optional<SignalContent> find(const std::string &instance) const;
+  /// Equal on two processes that know the same signals.
+  uint64_t hash() const { return Hash; }
+
+private:
+  struct Heard {
+    SignalContent Content;
+    TimePoint Until;
+  };
+
+  Duration SignalLife;
+  Duration ObservationLife;
+  std::map<std::string, Heard> Signals;
+  std::map<std::string, TimePoint> Observed; ///< Leaving, until.
+  uint64_t Hash = 0;
+};
+
+} // namespace daisytack::control
