--- /dev/null
+++ b/src/runtime/command_runner.h
@@ -0,0 +1,18 @@
+/// Drives command state machines against the key-value service.
+#pragma once
+
+#include "control/command_run.h"
+#include "runtime/service_reader.h"
+
+namespace daisytack::runtime {
+
+using CommandDone = std::function<void(control::CommandResult)>;
+
+/// Runs the command to its end; done is called once, on the strand. Must be
+/// called on the strand.
+void runCommand(const Strand &strand, const edge::KvStore &kv,
+                control::Command command,
+                std::optional<control::ReplicaEntry> base, Duration callTimeout,
+                Duration giveUpAfter, CommandDone done);
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/service_reader.cpp
@@ -0,0 +1,178 @@
+#include "runtime/service_reader.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace daisytack::runtime {
+
+namespace {
+
+constexpr Duration FirstBackoff{250'000};
+constexpr uint32_t MostDoublings = 5;
+constexpr uint64_t JitterSteps = 1024;
+
+std::string configBegin() { return std::string(control::ConfigPrefix); }
+std::string configEnd() { return edge::prefixEnd(configBegin()); }
+
+} // namespace
+
+ServiceReader::ServiceReader(Strand strand, ServiceReaderInit init,
+                             edge::KvStore kv, edge::InstanceList list,
+                             ServiceReaderHooks hooks, RandomSource random)
+    : On(std::move(strand)), Init(init), Kv(std::move(kv)),
+      List(std::move(list)), Hooks(std::move(hooks)), Random(std::move(random)),
+      ConfigTimer(On), ListTimer(On) {}
+
+void ServiceReader::setActive(bool active) {
+  if (active == Active)
+    return;
+  Active = active;
+  ++Epoch;
+  ConfigTimer.cancel();
+  ListTimer.cancel();
+  if (Active) {
+    checkConfig();
+    pollList();
+    return;
+  }
+  ++WatchEpoch;
+  if (std::exchange(Watching, false) && StopWatch)
+    StopWatch();
+}
+
+void ServiceReader::checkConfig() {
+  edge::KvRange range{configBegin(), configEnd(), 0, 0};
+  uint64_t watermark = Hooks.ConfigWatermark();
+  // Without a state the whole range is read: it is an image.
+  if (watermark != 0)
+    range.MinModRevision = watermark + 1;
+  auto self = shared_from_this();
+  Kv.Range(range, Init.Timeout,
+           [self, watermark, epoch = Epoch](edge::KvRangeResult result) {
+             boost::asio::post(self->On,
+                               [self, watermark, epoch,
+                                result = std::move(result)]() mutable {
+                                 if (epoch == self->Epoch)
+                                   self->onConfig(watermark, std::move(result));
+                               });
+           });
+}
+
+void ServiceReader::onConfig(uint64_t asked, edge::KvRangeResult result) {
+  Hooks.Attempted(result.Header.Reason);
+  bool ok = result.Header.Status == edge::KvStatus::Ok &&
+            Hooks.Accept(result.Header, asked);
+  if (!ok) {
+    after(ConfigTimer, backoff(ConfigFailures++), &ServiceReader::checkConfig);
+    return;
+  }
+  ConfigFailures = 0;
+  uint64_t watermark = Hooks.ConfigWatermark();
+  // What was read lies above the watermark at the time of the call, which has
+  // only grown since.
+  Hooks.Config(control::toDelta(watermark, result.Header.Revision,
+                                std::move(result.Entries)));
+  startWatch();
+  after(ConfigTimer, jittered(Init.CheckInterval), &ServiceReader::checkConfig);
+}
+
+void ServiceReader::startWatch() {
+  if (std::exchange(Watching, true))
+    return;
+  WatchedThrough = Hooks.ConfigWatermark();
+  uint64_t epoch = ++WatchEpoch;
+  auto self = shared_from_this();
+  edge::KvWatchHooks hooks;
+  hooks.Changed = [self, epoch](const edge::KvHeader &header,
+                                std::vector<edge::KvChange> changes) {
+    boost::asio::post(self->On,
+                      [self, epoch, header, changes = std::move(changes)] {
+                        if (epoch == self->WatchEpoch)
+                          self->onWatched(header, changes);
+                      });
+  };
+  hooks.Ended = [self, epoch](const edge::KvHeader &header, uint64_t) {
+    boost::asio::post(self->On, [self, epoch, header] {
+      if (epoch == self->WatchEpoch)
+        self->onWatchEnded(header);
+    });
+  };
+  StopWatch = Kv.Watch(configBegin(), configEnd(), WatchedThrough + 1,
+                       std::move(hooks));
+}
+
+void ServiceReader::onWatched(const edge::KvHeader &header,
+                              const std::vector<edge::KvChange> &changes) {
+  // A sign of progress may lag behind what a check has shown.
+  if (header.Revision < WatchedThrough)
+    return;
+  if (!Hooks.Accept(header, WatchedThrough))
+    return;
+  control::ReplicaDelta delta =
+      control::toDelta(WatchedThrough, header.Revision, changes);
+  WatchedThrough = header.Revision;
+  Hooks.Config(delta);
+}
+
+void ServiceReader::onWatchEnded(const edge::KvHeader &header) {
+  Watching = false;
+  if (header.Reason)
+    Hooks.Attempted(header.Reason);
+  // Compacted or cut: the next check reads all that was missed, whatever the
+  // cause, and then watches again.
+  after(ConfigTimer, backoff(ConfigFailures++), &ServiceReader::checkConfig);
+}
+
+void ServiceReader::pollList() {
+  uint64_t since = Hooks.MemberWatermark();
+  auto self = shared_from_this();
+  List.Poll(since, Init.Timeout,
+            [self, since, epoch = Epoch](edge::InstanceListResult result) {
+              boost::asio::post(
+                  self->On, [self, since, epoch, result = std::move(result)] {
+                    if (epoch == self->Epoch)
+                      self->onList(since, result);
+                  });
+            });
+}
+
+void ServiceReader::onList(uint64_t since,
+                           const edge::InstanceListResult &result) {
+  Hooks.Attempted(result.Reason);
+  if (result.Reason) {
+    after(ListTimer, backoff(ListFailures++), &ServiceReader::pollList);
+    return;
+  }
+  ListFailures = 0;
+  // A copy of the list that lags further behind than ours says nothing new.
+  if (result.Version >= since)
+    Hooks.Members(control::toDelta(since, result));
+  after(ListTimer, jittered(Init.ListInterval), &ServiceReader::pollList);
+}
+
+void ServiceReader::after(Timer &timer, Duration delay,
+                          void (ServiceReader::*step)()) {
+  timer.expires_after(delay);
+  timer.async_wait([self = shared_from_this(), step,
+                    epoch = Epoch](const boost::system::error_code &ec) {
+    if (!ec && epoch == self->Epoch)
+      (self.get()->*step)();
+  });
+}
+
+Duration ServiceReader::jittered(Duration around) {
+  // 0.8 to 1.2 of it, so that readers don't fall into step.
+  auto steps = static_cast<int64_t>(Random() % JitterSteps);
+  return around * 4 / 5 + around * 2 / 5 * steps / JitterSteps;
+}
+
+Duration ServiceReader::backoff(uint32_t failures) {
+  Duration longest = FirstBackoff * (1U << std::min(failures, MostDoublings));
+  auto steps = static_cast<int64_t>(Random() % JitterSteps);
+  return longest / 8 + longest * 7 / 8 * steps / JitterSteps;
+}
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/service_reader.h
@@ -0,0 +1,83 @@
+/// Reads the platform's services for one process: watches the configuration,
+/// polls the instance list, and hands deltas on.
+#pragma once
+
+#include "control/control_state.h"
+#include "edge/instance_list.h"
+#include "edge/kv.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace daisytack::runtime {
+
+using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+
+struct ServiceReaderInit {
+  Duration Timeout{2'000'000};       ///< For one call.
+  Duration ListInterval{1'000'000};  ///< Between polls of the list.
+  Duration CheckInterval{5'000'000}; ///< Between reads that show whether a
+                                     ///< silent watch is still alive.
+};
+
+/// Called on the strand.
+struct ServiceReaderHooks {
+  std::function<uint64_t()> ConfigWatermark;
+  std::function<uint64_t()> MemberWatermark;
+  /// Whether the answer comes from the service that this process follows; its
+  /// revision must have reached the one known when the call was made.
+  std::function<bool(const edge::KvHeader &, uint64_t atLeast)> Accept;
+  std::function<void(const control::ReplicaDelta &)> Config;
+  std::function<void(const control::ReplicaDelta &)> Members;
+  /// After each call: whether it was answered, and if not why.
+  std::function<void(const Error &)> Attempted;
+};
+
+/// Every function must be called on the strand.
+class ServiceReader : public std::enable_shared_from_this<ServiceReader> {
+public:
+  ServiceReader(Strand strand, ServiceReaderInit init, edge::KvStore kv,
+                edge::InstanceList list, ServiceReaderHooks hooks,
+                RandomSource random);
+
+  void setActive(bool active);
+  bool isActive() const { return Active; }
+
+private:
+  using Timer = boost::asio::steady_timer;
+
+  void checkConfig();
+  void onConfig(uint64_t asked, edge::KvRangeResult result);
+  void startWatch();
+  void onWatched(const edge::KvHeader &header,
+                 const std::vector<edge::KvChange> &changes);
+  void onWatchEnded(const edge::KvHeader &header);
+  void pollList();
+  void onList(uint64_t since, const edge::InstanceListResult &result);
+  void after(Timer &timer, Duration delay, void (ServiceReader::*step)());
+  Duration jittered(Duration around);
+  Duration backoff(uint32_t failures);
+
+  Strand On;
+  ServiceReaderInit Init;
+  edge::KvStore Kv;
+  edge::InstanceList List;
+  ServiceReaderHooks Hooks;
+  RandomSource Random;
+  Timer ConfigTimer;
+  Timer ListTimer;
+  bool Active = false;
+  uint64_t Epoch = 0; ///< Raised by setActive: older answers are dropped.
+  bool Watching = false;
+  uint64_t WatchEpoch = 0;
+  uint64_t WatchedThrough = 0;
+  edge::KvCancel StopWatch;
+  uint32_t ConfigFailures = 0;
+  uint32_t ListFailures = 0;
+};
+
+} // namespace daisytack::runtime
