--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -123,7 +123,8 @@
   std::vector<std::string> Queued;
   std::function<void()> ClosedHook;
   uint64_t Serial = 0;
-  bool Ended = true; ///< No further byte of this answer will be queued.
+  bool Ended = true;    ///< No further byte of this answer will be queued.
+  bool Aborted = false; ///< Close once what was queued has been sent.
   bool HeadSent = false;
   bool Chunked = false;
   bool KeepAlive = false;
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -127,10 +127,10 @@
     std::lock_guard guard(Lock);
     if (!isOpenLocked(serial))
       return;
-    Ended = true;
+    Ended = Aborted = true;
     KeepAlive = false;
   }
-  closeNow();
+  scheduleFlush();
 }
 
 void HttpConnection::abandon(uint64_t serial) {
@@ -163,15 +163,19 @@
   if (Writing || Now == State::Closed)
     return;
   bool ended = false;
+  bool aborted = false;
   std::function<void()> finishedHook; // Destroyed outside the lock.
   {
     std::lock_guard guard(Lock);
     Sending.swap(Queued);
     ended = Ended;
+    aborted = Aborted;
     if (ended)
       finishedHook = std::exchange(ClosedHook, nullptr);
   }
   if (Sending.empty()) {
+    if (aborted)
+      return close();
     if (ended && (Now == State::Answering || Now == State::Draining))
       answerDone();
     return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -51,8 +51,8 @@
                            std::vector<HttpHeader> headers) = 0;
   virtual void write(std::string data) = 0;
   virtual void endStream() = 0;
-  /// Closes the connection without ending the stream, so that the caller sees
-  /// that the answer is not whole.
+  /// Closes the connection after what was written, without ending the stream,
+  /// so that the caller sees that the answer is not whole.
   virtual void abort() = 0;
   /// Bytes written but not yet taken by the socket.
   virtual size_t pendingBytes() const = 0;
--- a/tests/net_http/server_test.cpp
+++ b/tests/net_http/server_test.cpp
@@ -190,6 +190,9 @@
       });
   EXPECT_EQ(fixture.fetch({"GET", "/", "", {}, ""}).Reason.Kind,
             ErrorKind::ServerLost);
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(raw.readAll().ends_with("\r\n\r\n4\r\npart\r\n"));
 }
 
 TEST(HttpServer, CutsOffSlowReader) {
--- /dev/null
+++ b/tools/standin/kv.cpp
@@ -0,0 +1,171 @@
+/// Stand-in of the key-value service: the JSON surface of etcd v3 that
+/// daisytack uses. Counts calls; can lose an answer after applying a write.
+#include "kv_data.h"
+
+#include "base/clock.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <list>
+
+namespace daisytack::standin {
+
+namespace {
+
+constexpr Duration LeaseTick{50'000};
+constexpr Duration ProgressPeriod{1'000'000};
+
+class KeyValueService {
+public:
+  explicit KeyValueService(Host &host) : Shared(host) {
+    Shared.Faults["lose_answers"] = 0;
+    Shared.Faults["drop_watch"] = false;
+    Shared.Faults["compact"] = false;
+    Shared.OnRequest = [this](const auto &request, const auto &exchange) {
+      onRequest(request, exchange);
+    };
+    Shared.OnFault = [this] { onFault(); };
+    Shared.OnStats = [this](json::object &out) {
+      out["revision"] = Data.revision();
+      out["keys"] = Data.size();
+      out["watches"] = Watches.size();
+      out["leases"] = Data.leaseCount();
+    };
+    Shared.every(LeaseTick, [this] {
+      Data.expireLeases(monotonicNow());
+      pushEvents();
+    });
+    Shared.every(ProgressPeriod, [this] { sendProgress(); });
+  }
+
+  bool load(const std::string &path) {
+    json::value content = readJsonFile(path);
+    if (!content.is_object())
+      return false;
+    for (const auto &[key, value] : content.get_object())
+      Data.put(std::string(key), json::serialize(value), 0);
+    return true;
+  }
+
+private:
+  struct Watch {
+    KeyRange Range;
+    int64_t Next = 1; ///< First revision not yet sent.
+    bool Progress = false;
+    Exchange To;
+  };
+
+  void onRequest(const HttpRequest &request, const Exchange &exchange) {
+    auto body = bodyOf(request, exchange);
+    if (!body)
+      return;
+    Shared.count("calls " + request.Path);
+    if (request.Path == "/v3/watch")
+      return startWatch(*body, exchange);
+    if (request.Path == "/v3/kv/range")
+      return respondJson(exchange, 200, Data.range(*body));
+    std::optional<json::object> answer = write(request.Path, *body);
+    if (!answer)
+      return respondError(exchange, 404, "no such path");
+    pushEvents();
+    if (Shared.takeOne("lose_answers"))
+      return exchange->abort();
+    if (answer->contains("error"))
+      return respondJson(exchange, 400, *answer);
+    respondJson(exchange, 200, *answer);
+  }
+
+  std::optional<json::object> write(const std::string &path,
+                                    const json::object &body) {
+    if (path == "/v3/kv/put")
+      return Data.put(body);
+    if (path == "/v3/kv/txn")
+      return Data.transact(body);
+    if (path == "/v3/kv/deleterange")
+      return Data.erase(body);
+    if (path == "/v3/lease/grant")
+      return Data.grant(body, monotonicNow());
+    if (path == "/v3/lease/keepalive")
+      return Data.keepAlive(body, monotonicNow());
+    if (path == "/v3/lease/revoke" || path == "/v3/kv/lease/revoke")
+      return Data.revoke(body);
+    return std::nullopt;
+  }
+
+  void startWatch(const json::object &body, const Exchange &exchange) {
+    const json::value *create = body.if_contains("create_request");
+    if (!create || !create->is_object())
+      return respondError(exchange, 400, "create_request is missing");
+    if (Shared.isOn("drop_watch"))
+      return exchange->abort();
+    const json::object &request = create->get_object();
+    exchange->beginStream(200, {{"Content-Type", "application/json"}});
+    send(exchange, {{"header", Data.header()}, {"created", true}});
+    int64_t from = numberIn(request, "start_revision");
+    if (from == 0)
+      from = Data.revision() + 1;
+    if (from <= Data.compacted()) {
+      send(exchange, {{"header", Data.header()},
+                      {"canceled", true},
+                      {"compact_revision", std::to_string(Data.compacted())}});
+      return exchange->endStream();
+    }
+    const json::value *progress = request.if_contains("progress_notify");
+    bool wantsProgress =
+        progress && progress->is_bool() && progress->get_bool();
+    Watches.push_back({rangeOf(request), from, wantsProgress, exchange});
+    exchange->onClosed([this, raw = exchange.get()] {
+      Watches.remove_if([raw](const Watch &w) { return w.To.get() == raw; });
+    });
+    pushEvents();
+  }
+
+  static void send(const Exchange &exchange, const json::object &result) {
+    exchange->write(json::serialize(json::object{{"result", result}}) + "\n");
+  }
+
+  void pushEvents() {
+    for (Watch &watch : Watches) {
+      json::array events = Data.eventsSince(watch.Next, watch.Range);
+      watch.Next = std::max(watch.Next, Data.revision() + 1);
+      if (!events.empty())
+        send(watch.To, {{"header", Data.header()}, {"events", events}});
+    }
+  }
+
+  void sendProgress() {
+    for (Watch &watch : Watches)
+      if (watch.Progress)
+        send(watch.To, {{"header", Data.header()}});
+  }
+
+  void onFault() {
+    if (Shared.isOn("compact")) {
+      Data.compact();
+      Shared.Faults["compact"] = false;
+    }
+    if (!Shared.isOn("drop_watch") && !Shared.isOn("down"))
+      return;
+    for (Watch &watch : Watches)
+      watch.To->abort();
+    Watches.clear();
+  }
+
+  Host &Shared;
+  KeyValueData Data;
+  std::list<Watch> Watches;
+};
+
+} // namespace
+
+int runKv(Host &host) {
+  KeyValueService service(host);
+  if (!host.Init.File.empty() && !service.load(host.Init.File))
+    return 1;
+  return host.run();
+}
+
+} // namespace daisytack::standin
