--- /dev/null
+++ b/tests/fakes/fake_kv.h
@@ -0,0 +1,168 @@
+/// The key-value service in one process: revisions, compares, leases and time
+/// as an argument. Faults are chosen per call by the test.
+#pragma once
+
+#include "edge/kv.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daisytack::test {
+
+class FakeKv {
+public:
+  explicit FakeKv(uint64_t clusterId = 1) : ClusterId(clusterId) {}
+
+  edge::KvRangeResult range(const edge::KvRange &what, TimePoint now) {
+    expire(now);
+    edge::KvRangeResult out;
+    out.Header = header(edge::KvStatus::Ok);
+    for (const auto &[key, entry] : Entries) {
+      bool inside = what.End.empty() ? key == what.Begin
+                                     : key >= what.Begin && key < what.End;
+      if (inside && entry.ModRevision >= what.MinModRevision)
+        out.Entries.push_back(entry);
+    }
+    return out;
+  }
+
+  edge::KvTransactionResult commit(const edge::KvTransaction &what,
+                                   TimePoint now) {
+    expire(now);
+    edge::KvTransactionResult out;
+    bool holds = std::all_of(what.If.begin(), what.If.end(),
+                             [&](const edge::KvCompare &it) {
+                               return IgnoreCompares || compare(it);
+                             });
+    if (!holds) {
+      out.Header = header(edge::KvStatus::CompareFailed);
+      for (const auto &key : what.ReadOnFailure)
+        if (auto it = Entries.find(key); it != Entries.end())
+          out.Current.push_back(it->second);
+      return out;
+    }
+    if (!leasesExist(what)) {
+      out.Header = header(edge::KvStatus::Unavailable);
+      out.Header.Reason = {ErrorKind::ServiceUnavailable, "no such lease"};
+      return out;
+    }
+    ++Revision;
+    for (const auto &it : what.Then)
+      write(it);
+    out.Header = header(edge::KvStatus::Ok);
+    return out;
+  }
+
+  edge::KvLeaseResult grant(Duration timeToLive, TimePoint now) {
+    expire(now);
+    uint64_t id = ++LastLease;
+    Leases[id] = {timeToLive, now + timeToLive};
+    return {header(edge::KvStatus::Ok), id, timeToLive};
+  }
+
+  edge::KvLeaseResult keep(uint64_t lease, TimePoint now) {
+    expire(now);
+    auto it = Leases.find(lease);
+    if (it == Leases.end())
+      return {header(edge::KvStatus::Ok), 0, Duration(0)};
+    it->second.EndsAt = now + it->second.TimeToLive;
+    return {header(edge::KvStatus::Ok), lease, it->second.TimeToLive};
+  }
+
+  edge::KvLeaseResult revoke(uint64_t lease, TimePoint now) {
+    expire(now);
+    Leases.erase(lease);
+    dropKeysOf(lease);
+    return {header(edge::KvStatus::Ok), lease, Duration(0)};
+  }
+
+  /// Drops what has lapsed.
+  void expire(TimePoint now) {
+    for (auto it = Leases.begin(); it != Leases.end();) {
+      if (now < it->second.EndsAt) {
+        ++it;
+        continue;
+      }
+      dropKeysOf(it->first);
+      it = Leases.erase(it);
+    }
+  }
+
+  edge::KvHeader header(edge::KvStatus status) const {
+    edge::KvHeader out;
+    out.Status = status;
+    out.ClusterId = ClusterId;
+    out.Revision = Revision;
+    return out;
+  }
+
+  uint64_t revision() const { return Revision; }
+  const std::map<std::string, edge::KvEntry> &entries() const {
+    return Entries;
+  }
+
+  /// A seeded defect: writes whatever the compares say.
+  bool IgnoreCompares = false;
+
+private:
+  struct Term {
+    Duration TimeToLive{0};
+    TimePoint EndsAt;
+  };
+
+  bool compare(const edge::KvCompare &what) const {
+    auto it = Entries.find(what.Key);
+    edge::KvEntry entry = it == Entries.end() ? edge::KvEntry{} : it->second;
+    using Target = edge::KvCompare::Target;
+    switch (what.What) {
+    case Target::CreateRevision:
+      return entry.CreateRevision == what.Number;
+    case Target::ModRevision:
+      return entry.ModRevision == what.Number;
+    case Target::Version:
+      return entry.Version == what.Number;
+    case Target::Lease:
+      return entry.Lease == what.Number;
+    }
+    return false;
+  }
+
+  bool leasesExist(const edge::KvTransaction &what) const {
+    return std::all_of(what.Then.begin(), what.Then.end(),
+                       [&](const edge::KvWrite &it) {
+                         return it.Lease == 0 || Leases.contains(it.Lease);
+                       });
+  }
+
+  void write(const edge::KvWrite &what) {
+    if (what.Delete) {
+      Entries.erase(what.Key);
+      return;
+    }
+    edge::KvEntry &entry = Entries[what.Key];
+    entry.Key = what.Key;
+    entry.Value = what.Value;
+    entry.Lease = what.Lease;
+    entry.ModRevision = Revision;
+    if (entry.CreateRevision == 0)
+      entry.CreateRevision = Revision;
+    ++entry.Version;
+  }
+
+  void dropKeysOf(uint64_t lease) {
+    size_t n = std::erase_if(
+        Entries, [&](const auto &it) { return it.second.Lease == lease; });
+    if (n > 0)
+      ++Revision;
+  }
+
+  uint64_t ClusterId;
+  uint64_t Revision = 1;
+  uint64_t LastLease = 100;
+  std::map<std::string, edge::KvEntry> Entries;
+  std::map<uint64_t, Term> Leases;
+};
+
+} // namespace daisytack::test
--- /dev/null
+++ b/tests/swap/swap_fleet.h
@@ -0,0 +1,90 @@
+/// Some agents with their servers and one key-value service, stepped through
+/// time. Watches what must hold of a swap at every step.
+#pragma once
+
+#include "fakes/fake_kv.h"
+#include "swap/converge.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace daisytack::test {
+
+/// What becomes of one call to the service.
+enum class CallFate : uint8_t { Answered, AnswerLost, NeverSent };
+
+struct FleetInit {
+  size_t Servers = 12;
+  uint32_t MinServers = 1;
+  Duration LoadTime{1'100'000};
+  Duration StatusLag{500'000};
+  bool ChecksFencing = true;
+  uint64_t Seed = 1;
+};
+
+class SwapFleet {
+public:
+  explicit SwapFleet(FleetInit init);
+
+  void setDesired(std::string version) { Desired = std::move(version); }
+  /// Chooses the fate of each call from now on; none: answered.
+  std::function<CallFate()> Fate;
+  void pause(size_t agent, bool paused) { Agents[agent].Paused = paused; }
+  void setRunning(size_t agent, uint32_t runs) { Agents[agent].Running = runs; }
+  /// Steps until the time has passed.
+  void run(Duration time);
+  /// Steps until all servers run the desired version; false after the limit.
+  bool runUntilConverged(Duration limit);
+
+  size_t agents() const { return Agents.size(); }
+  TimePoint now() const { return Now; }
+  const std::string &loaded(size_t agent) const { return Agents[agent].Loaded; }
+  const swap::Converge &core(size_t agent) const { return *Agents[agent].Core; }
+  uint32_t mostLoading() const { return MostLoading; }
+  uint32_t leastInService() const { return LeastInService; }
+  uint64_t calls() const { return Calls; }
+  uint64_t orders() const { return Orders; }
+  uint64_t staleOrdersTaken() const { return StaleOrdersTaken; }
+  /// Sends an order past the core, as a predecessor that woke up would.
+  void strayOrder(size_t agent, const std::string &version, uint64_t fence) {
+    order(Agents[agent], {{version, ""}, fence});
+  }
+
+private:
+  struct Agent {
+    std::unique_ptr<swap::Converge> Core;
+    std::string Loaded = "v1";
+    std::string LoadTarget;
+    TimePoint LoadedAt;
+    uint64_t Fence = 0;
+    uint32_t Running = 0;
+    bool Paused = false;
+    swap::SwapView Shown; ///< Lags behind the truth.
+    TimePoint ShownAt;
+    std::vector<swap::SlotResult> Answers;
+  };
+
+  void step();
+  void show(Agent &agent);
+  void carryOut(Agent &agent, const swap::SwapActions &actions);
+  void serve(Agent &agent, const swap::SlotCall &call);
+  swap::SlotResult answer(const swap::SlotCall &call, FakeKv &kv) const;
+  void order(Agent &agent, const swap::LoadOrder &order);
+  void watch();
+
+  FleetInit Init;
+  FakeKv Kv;
+  std::vector<Agent> Agents;
+  std::string Desired = "v1";
+  TimePoint Now{Duration(10'000'000)};
+  uint32_t MostLoading = 0;
+  uint32_t LeastInService = UINT32_MAX;
+  uint64_t Calls = 0;
+  uint64_t Orders = 0;
+  uint64_t StaleOrdersTaken = 0;
+};
+
+} // namespace daisytack::test
