Speak to engines, stores and plain services through narrow adapters

The agent's core returns actions; something has to carry them out over HTTP. Each of engine, plain service and stores is now a struct of hooks with one adapter, answers come back as the core's typed inputs. JSON is read and written in pure codecs.

--- /dev/null
+++ b/src/edge/run_calls.h
@@ -0,0 +1,41 @@
+/// HTTP calls of running requests, so that a run can be cancelled by its token.
+#pragma once
+
+#include "net/http_client.h"
+#include "serve/agent_messages.h"
+
+#include <tbb/concurrent_hash_map.h>
+
+namespace daisytack::edge {
+
+/// Thread-safe. A call may end before set() is reached, which is why begin()
+/// comes first.
+class RunCalls {
+public:
+  void begin(const serve::RunToken &run);
+  /// Ignored when the call has ended; cancelled when that was asked for.
+  void set(const serve::RunToken &run, net::HttpCall call);
+  void remove(const serve::RunToken &run);
+  void cancel(const serve::RunToken &run);
+
+private:
+  struct Slot {
+    net::HttpCall Call;
+    bool IsSet = false;
+    bool IsCancelled = false;
+  };
+  struct Hash {
+    static size_t hash(const serve::RunToken &run);
+    static bool equal(const serve::RunToken &a, const serve::RunToken &b) {
+      return a == b;
+    }
+  };
+  using Table = tbb::concurrent_hash_map<serve::RunToken, Slot, Hash>;
+
+  Table Slots;
+};
+
+/// What a broken call means for its run: not run when nothing was sent.
+serve::RunFailed failureOf(const serve::RunToken &run, const Error &error);
+
+} // namespace daisytack::edge
--- /dev/null
+++ b/src/edge/service_http.cpp
@@ -0,0 +1,95 @@
+/// The adapter to a plain service over HTTP.
+#include "edge/run_calls.h"
+#include "edge/service.h"
+
+#include <array>
+#include <utility>
+
+namespace daisytack::edge {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> HopHeaders{
+    "connection", "transfer-encoding", "content-length", "keep-alive"};
+
+bool isHopHeader(std::string_view name) {
+  for (std::string_view hop : HopHeaders) {
+    if (hop.size() != name.size())
+      continue;
+    bool same = true;
+    for (size_t i = 0; i < hop.size(); ++i)
+      same = same && hop[i] == std::tolower(static_cast<uint8_t>(name[i]));
+    if (same)
+      return true;
+  }
+  return false;
+}
+
+net::HttpRequest requestOf(const wire::Offer &offer) {
+  net::HttpRequest out;
+  out.Method = offer.Call.Method;
+  size_t mark = offer.Call.Target.find('?');
+  out.Path = offer.Call.Target.substr(0, mark);
+  if (mark != std::string::npos)
+    out.Query = offer.Call.Target.substr(mark + 1);
+  if (out.Path.empty() || out.Path[0] != '/')
+    out.Path.insert(0, 1, '/');
+  for (const wire::HeaderField &it : offer.Call.Headers)
+    if (!isHopHeader(it.Name))
+      out.Headers.push_back({it.Name, it.Value});
+  out.Body = offer.Body;
+  return out;
+}
+
+class HttpService : public std::enable_shared_from_this<HttpService> {
+public:
+  HttpService(net::HttpClient &client, Endpoint address, InputSink sink)
+      : Client(client), Address(std::move(address)), Sink(std::move(sink)) {}
+
+  void start(const serve::StartRun &start) {
+    auto final = std::make_shared<serve::RunDone>();
+    final->Run = start.Run;
+    final->Answer = start.Run;
+    net::HttpHooks hooks;
+    hooks.Head = [final](unsigned status, const auto &headers) {
+      final->ServiceStatus = static_cast<uint16_t>(status);
+      for (const net::HttpHeader &it : headers)
+        if (!isHopHeader(it.Name))
+          final->ServiceHeaders.push_back({it.Name, it.Value});
+    };
+    hooks.Data = [self = shared_from_this(),
+                  run = start.Run](std::string_view data) {
+      self->Sink(serve::RunText{run, run, std::nullopt, 0, std::string(data)});
+    };
+    hooks.Done = [self = shared_from_this(), final](const Error &error) {
+      self->Calls.remove(final->Run);
+      if (error)
+        self->Sink(failureOf(final->Run, error));
+      else
+        self->Sink(std::move(*final));
+    };
+    Calls.begin(start.Run);
+    Calls.set(start.Run, Client.call(Address, requestOf(*start.Offer),
+                                     start.Timeout, std::move(hooks)));
+  }
+
+  void cancel(const serve::RunToken &run) { Calls.cancel(run); }
+
+private:
+  net::HttpClient &Client;
+  Endpoint Address;
+  InputSink Sink;
+  RunCalls Calls;
+};
+
+} // namespace
+
+Service makeHttpService(net::HttpClient &client, Endpoint address,
+                        InputSink sink) {
+  auto self = std::make_shared<HttpService>(client, std::move(address),
+                                            std::move(sink));
+  return {[self](const serve::StartRun &start) { self->start(start); },
+          [self](const serve::RunToken &run) { self->cancel(run); }};
+}
+
+} // namespace daisytack::edge
--- /dev/null
+++ b/src/edge/store_codec.cpp
@@ -0,0 +1,231 @@
+#include "edge/store_codec.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace daisytack::edge {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusFull = 507;
+
+net::HttpRequest request(std::string method, std::string path,
+                         std::string body = {}) {
+  net::HttpRequest out;
+  out.Method = std::move(method);
+  out.Path = std::move(path);
+  out.Body = std::move(body);
+  return out;
+}
+
+std::string piecePath(const PieceKey &key) { return "/pieces/" + toHex(key); }
+
+std::string piecePath(const PieceKey &key, uint64_t generation) {
+  return piecePath(key) + "/" + std::to_string(generation);
+}
+
+/// Percent-encodes everything but unreserved characters.
+std::string escapeQuery(std::string_view text) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string out;
+  for (char c : text) {
+    auto byte = static_cast<uint8_t>(c);
+    if (std::isalnum(byte) != 0 || c == '-' || c == '.' || c == '_') {
+      out.push_back(c);
+      continue;
+    }
+    out.push_back('%');
+    out.push_back(Digits[byte >> 4U]);
+    out.push_back(Digits[byte & 15U]);
+  }
+  return out;
+}
+
+net::HttpRequest make(const serve::LookupPieces &ask) {
+  json::array keys;
+  for (const PieceKey &key : ask.Keys)
+    keys.emplace_back(toHex(key));
+  json::object body;
+  body["keys"] = std::move(keys);
+  return request("POST", "/lookup", json::serialize(body));
+}
+net::HttpRequest make(const serve::ReadPiece &ask) {
+  return request("GET", piecePath(ask.Key));
+}
+net::HttpRequest make(const serve::ReadGeneration &ask) {
+  return request("GET", piecePath(ask.Key) + "/generation");
+}
+net::HttpRequest make(const serve::BeginPiece &ask) {
+  return request("POST", piecePath(ask.Key), "{}");
+}
+net::HttpRequest make(const serve::WritePiece &ask) {
+  return request("PUT", piecePath(ask.Key, ask.Generation), *ask.Bytes);
+}
+net::HttpRequest make(const serve::CommitPiece &ask) {
+  json::object body;
+  body["length"] = ask.Length;
+  body["checksum"] = ask.Checksum;
+  body["meta"] = ask.Meta;
+  return request("POST", piecePath(ask.Key, ask.Generation) + "/commit",
+                 json::serialize(body));
+}
+net::HttpRequest make(const serve::FreePiece &ask) {
+  return request("DELETE", piecePath(ask.Key, ask.Generation));
+}
+net::HttpRequest make(const serve::SamplePieces &ask) {
+  net::HttpRequest out = request("GET", "/sample");
+  out.Query = "count=" + std::to_string(ask.Count);
+  return out;
+}
+net::HttpRequest make(const serve::AskUsage &ask) {
+  net::HttpRequest out = request("GET", "/usage");
+  out.Query = "meta_prefix=" + escapeQuery(ask.MetaPrefix);
+  return out;
+}
+net::HttpRequest make(const serve::AskStatus & /*ask*/) {
+  return request("GET", "/status");
+}
+
+Error unreadable() {
+  return {ErrorKind::ProtocolError, "store: unreadable answer"};
+}
+
+std::optional<json::object> parseObject(const std::string &text) {
+  boost::system::error_code ec;
+  json::value value = json::parse(text, ec);
+  if (ec || !value.is_object())
+    return std::nullopt;
+  return std::move(value.get_object());
+}
+
+uint64_t countOf(const json::object &object, std::string_view key) {
+  const json::value *value = object.if_contains(key);
+  if (!value || !value->is_number())
+    return 0;
+  boost::system::error_code ec;
+  auto out = value->to_number<uint64_t>(ec);
+  return ec ? 0 : out;
+}
+
+std::string textOf(const json::object &object, std::string_view key) {
+  const json::value *value = object.if_contains(key);
+  if (!value || !value->is_string())
+    return {};
+  return std::string(value->get_string());
+}
+
+std::optional<uint64_t> parseCount(std::string_view text) {
+  uint64_t out = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+  if (ec != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return out;
+}
+
+serve::StoreResult readPieces(const net::HttpResponse &response,
+                              std::string_view key) {
+  auto object = parseObject(response.Body);
+  const json::value *list = object ? object->if_contains(key) : nullptr;
+  if (!list || !list->is_array())
+    return unreadable();
+  serve::StoreFound out;
+  for (const json::value &value : list->get_array()) {
+    const json::object *piece = value.if_object();
+    auto name = piece ? parsePieceKey(textOf(*piece, "key")) : std::nullopt;
+    if (!name)
+      return unreadable();
+    out.Pieces.push_back(
+        {*name, countOf(*piece, "generation"), countOf(*piece, "length"),
+         textOf(*piece, "tier") == "disk", textOf(*piece, "meta")});
+  }
+  return out;
+}
+
+serve::StoreResult readGeneration(const net::HttpResponse &response) {
+  auto object = parseObject(response.Body);
+  if (!object || !object->contains("generation"))
+    return unreadable();
+  return serve::StoreGeneration{countOf(*object, "generation")};
+}
+
+struct ResultReader {
+  net::HttpResponse &Response;
+
+  serve::StoreResult operator()(const serve::LookupPieces & /*ask*/) const {
+    return readPieces(Response, "found");
+  }
+  serve::StoreResult operator()(const serve::SamplePieces & /*ask*/) const {
+    return readPieces(Response, "pieces");
+  }
+  serve::StoreResult operator()(const serve::ReadGeneration & /*ask*/) const {
+    return readGeneration(Response);
+  }
+  serve::StoreResult operator()(const serve::BeginPiece & /*ask*/) const {
+    return readGeneration(Response);
+  }
+  serve::StoreResult operator()(const serve::ReadPiece & /*ask*/) const {
+    net::HttpRequest lookup;
+    lookup.Headers = Response.Headers;
+    auto generation = parseCount(lookup.header("X-Generation"));
+    auto length = parseCount(lookup.header("X-Length"));
+    if (!generation || !length)
+      return unreadable();
+    serve::StoreBytes out;
+    out.Generation = *generation;
+    out.Length = *length;
+    out.Checksum = lookup.header("X-Checksum");
+    out.Meta = lookup.header("X-Meta");
+    out.Bytes = std::make_shared<const std::string>(std::move(Response.Body));
+    return out;
+  }
+  serve::StoreResult operator()(const serve::AskUsage & /*ask*/) const {
+    auto object = parseObject(Response.Body);
+    if (!object)
+      return unreadable();
+    return serve::StoreUsage{countOf(*object, "bytes"),
+                             countOf(*object, "pieces")};
+  }
+  serve::StoreResult operator()(const serve::AskStatus & /*ask*/) const {
+    auto object = parseObject(Response.Body);
+    if (!object)
+      return unreadable();
+    return serve::StoreStatus{
+        countOf(*object, "memory_used"), countOf(*object, "memory_total"),
+        countOf(*object, "disk_used"), countOf(*object, "disk_total"),
+        countOf(*object, "link_bytes_per_second")};
+  }
+  serve::StoreResult operator()(const serve::WritePiece & /*ask*/) const {
+    return serve::StoreDone{};
+  }
+  serve::StoreResult operator()(const serve::CommitPiece & /*ask*/) const {
+    return serve::StoreDone{};
+  }
+  serve::StoreResult operator()(const serve::FreePiece & /*ask*/) const {
+    return serve::StoreDone{};
+  }
+};
+
+} // namespace
+
+net::HttpRequest storeRequest(const serve::StoreRequest &request) {
+  return std::visit([](const auto &ask) { return make(ask); }, request);
+}
+
+serve::StoreResult storeResult(const serve::StoreRequest &request,
+                               net::HttpResponse response) {
+  if (response.Status == StatusNotFound)
+    return Error{ErrorKind::NotFound, "store: no such piece"};
+  if (response.Status == StatusFull)
+    return Error{ErrorKind::RecordFull, "store: full"};
+  if (response.Status < 200 || response.Status >= 300)
+    return Error{ErrorKind::ServerFailed,
+                 "store answered " + std::to_string(response.Status)};
+  return std::visit(ResultReader{response}, request);
+}
+
+} // namespace daisytack::edge
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -41,7 +41,6 @@
   void on(const PieceImport &input, Step &step);
   void on(const OrderAnswer &input, Step &step);
   void on(const StoreAnswer &input, Step &step);
-  void on(const StoreProgress &input, Step &step);
   void on(const AgentConfig &input, Step &step);
   void on(const DrainRequested &input, Step &step);
   void on(const TimerFired &input, Step &step);
--- a/src/serve/agent_messages.h
+++ b/src/serve/agent_messages.h
@@ -78,12 +78,13 @@
   std::vector<wire::HeaderField> ServiceHeaders;
 };
 
-/// The run ended without a whole answer. Why.Kind ServiceUnavailable: no byte
-/// of the request was sent. ServerFailed: the server refused or broke off with
-/// an error. Anything else: it may have run.
+/// The run ended without a whole answer. Ran is NotRun only when the server
+/// surely did nothing of it: no byte of the request was sent, or the server
+/// refused it.
 struct RunFailed {
   RunToken Run;
   Error Why;
+  Outcome Ran = Outcome::MayHaveRun;
 };
 
 /// What the engine says of itself; lags behind the truth.
@@ -193,13 +194,6 @@
   StoreResult Result;
 };
 
-/// Bytes of a running fetch that have arrived so far.
-struct StoreProgress {
-  CallId Call = 0;
-  StoreHandle Store;
-  uint64_t Bytes = 0;
-};
-
 // Inputs from the process itself.
 
 /// What configuration says of this agent's server. An older revision than the
@@ -223,7 +217,7 @@
     std::variant<LinkOpened, LinkMessage, LinkClosed, RunText, RunDone,
                  RunFailed, EngineStatus, EngineSilent, CacheEvents,
                  PieceExport, PieceImport, OrderAnswer, StoreAnswer,
-                 StoreProgress, AgentConfig, DrainRequested, TimerFired>;
+                 AgentConfig, DrainRequested, TimerFired>;
 
 // Actions.
 
@@ -286,7 +280,6 @@
 };
 struct BeginPiece {
   PieceKey Key;
-  uint64_t Generation = 0; ///< 0: the store chooses the next one.
 };
 struct WritePiece {
   PieceKey Key;
--- a/src/serve/agent_run.h
+++ b/src/serve/agent_run.h
@@ -37,6 +37,7 @@
   RunState State = RunState::Waiting;
   /// Some start may have reached the backend server.
   bool MayHaveRun = false;
+  bool RanEarlier = false; ///< MayHaveRun before the present start.
   /// The final message went to at least one reader.
   bool Delivered = false;
   TimePoint Arrived;
