Run the agent's core as a daemon

daisytack-agent is a thin shell: I/O threads push inputs into a concurrent queue, one strand applies them in order and carries out the actions, one timer stands for the core's next one. Kept context, acceptance and tickets are not wired yet.

--- a/tests/edge/engine_test.cpp
+++ b/tests/edge/engine_test.cpp
@@ -16,8 +16,8 @@
 const std::string OwnId = toString(RunToken{{1, 2}, 1, 5});
 
 std::string textEvent(const std::string &id, const std::string &text) {
-  return "data: {\"id\":\"" + id + "\",\"choices\":[{\"text\":\"" +
-         text + "\"}]}\n\n";
+  return "data: {\"id\":\"" + id + "\",\"choices\":[{\"text\":\"" + text +
+         "\"}]}\n\n";
 }
 
 std::string usageEvent(const std::string &id) {
--- /dev/null
+++ b/tools/agent/agent_daemon.cpp
@@ -0,0 +1,64 @@
+#include "agent_daemon.h"
+
+#include "base/clock.h"
+#include "base/digest.h"
+#include "edge/instance_list_http.h"
+#include "edge/kv_etcd.h"
+
+#include <utility>
+
+namespace daisytack::agent {
+
+namespace {
+
+AgentOptions withProcess(AgentOptions options) {
+  Incarnation process = randomId(secureRandom);
+  options.Core.Process = process;
+  options.Instance.Control.Process = process;
+  return options;
+}
+
+} // namespace
+
+AgentDaemon::AgentDaemon(boost::asio::io_context &io, AgentOptions options)
+    : Options(withProcess(std::move(options))), Events(EventRingSize, wallNow),
+      PlatformClient(io, net::HttpClientInit()),
+      Shell(io, Options,
+            [this](Event event) { Events.record(std::move(event)); }),
+      Control(
+          io, Options.Instance.Control,
+          edge::makeEtcdStore(PlatformClient, Options.Instance.KeyValue),
+          edge::makeHttpInstanceList(PlatformClient,
+                                     Options.Instance.InstanceList),
+          Series, [this](Event event) { Events.record(std::move(event)); },
+          secureRandom) {}
+
+AgentDaemon::~AgentDaemon() = default;
+
+bool AgentDaemon::start(Error &reason) {
+  Control.onPublished([this](const std::shared_ptr<const Snapshot> &snapshot) {
+    onSnapshot(*snapshot);
+  });
+  return Shell.start(reason) && Control.start(reason);
+}
+
+void AgentDaemon::drain(std::function<void()> done) {
+  Control.leave();
+  Shell.drain(std::move(done));
+}
+
+void AgentDaemon::onSnapshot(const Snapshot &snapshot) {
+  serve::AgentConfig out;
+  out.Revision = snapshot.ConfigRevision;
+  if (const Model *model = snapshot.model(Options.Core.Serves)) {
+    out.Version = model->Version;
+    out.Adapter = model->Adapter;
+  }
+  if (const daisytack::Server *self = snapshot.server(Options.Core.Instance)) {
+    out.Drained = self->Drained;
+    out.ChecksFencing = self->ChecksFencing;
+  }
+  Shell.push(out);
+}
+
+} // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/agent_daemon.h
@@ -0,0 +1,32 @@
+/// The parts of a running daisytack-agent and how they are tied together.
+#pragma once
+
+#include "agent_shell.h"
+#include "base/metrics.h"
+#include "runtime/control_runtime.h"
+
+#include <memory>
+
+namespace daisytack::agent {
+
+class AgentDaemon {
+public:
+  AgentDaemon(boost::asio::io_context &io, AgentOptions options);
+  ~AgentDaemon();
+
+  bool start(Error &reason);
+  /// Refuses new work; done is called once everything accepted was answered.
+  void drain(std::function<void()> done);
+
+private:
+  void onSnapshot(const Snapshot &snapshot);
+
+  AgentOptions Options;
+  Metrics Series;
+  EventRing Events;
+  net::HttpClient PlatformClient;
+  AgentShell Shell;
+  runtime::ControlRuntime Control;
+};
+
+} // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/agent_options.h
@@ -0,0 +1,23 @@
+/// Settings of daisytack-agent.
+#pragma once
+
+#include "base/settings.h"
+#include "runtime/instance_settings.h"
+#include "serve/agent_core.h"
+
+#include <vector>
+
+namespace daisytack::agent {
+
+struct AgentOptions {
+  runtime::InstanceSettings Instance;
+  serve::AgentSettings Core;
+  Endpoint Server; ///< The backend server: engine or plain service.
+  Endpoint Weights;
+  std::vector<Endpoint> Stores;
+};
+
+/// Reads every setting; mistakes are collected in the settings.
+AgentOptions readAgentOptions(Settings &settings);
+
+} // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/agent_shell.cpp
@@ -0,0 +1,199 @@
+#include "agent_shell.h"
+
+#include "base/clock.h"
+#include "base/digest.h"
+#include "wire/codec.h"
+
+#include <boost/asio/post.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace daisytack::agent {
+
+namespace {
+
+/// Inputs applied before other work gets its turn.
+constexpr int MaxInputsPerStep = 256;
+constexpr std::chrono::milliseconds FlushCheck{5};
+
+net::HttpClientInit clientInit(const AgentOptions &options) {
+  net::HttpClientInit out;
+  out.MaxIdlePerEndpoint = options.Core.MaxRunning + 8;
+  return out;
+}
+
+} // namespace
+
+AgentShell::AgentShell(boost::asio::io_context &io, AgentOptions options,
+                       EventSink events)
+    : Io(io), Strand(boost::asio::make_strand(io)), Options(std::move(options)),
+      Events(std::move(events)), Client(io, clientInit(Options)),
+      Server(io, Options.Instance.Control.Self.Work,
+             Options.Instance.Control.Keys, linkHooks()),
+      Timer(Strand), FlushTimer(Strand), Core(Options.Core, secureRandom) {
+  auto sink = [this](serve::AgentInput input) { push(std::move(input)); };
+  if (Options.Core.IsService)
+    Service = edge::makeHttpService(Client, Options.Server, sink);
+  else
+    Engine =
+        edge::makeHttpEngine(Client, {Options.Server, Options.Weights}, sink);
+  Stores = edge::makeHttpStores(Client, Options.Stores, sink);
+}
+
+AgentShell::~AgentShell() = default;
+
+bool AgentShell::start(Error &reason) {
+  if (!Server.start(reason))
+    return false;
+  push(serve::TimerFired{});
+  return true;
+}
+
+void AgentShell::drain(std::function<void()> done) {
+  boost::asio::post(Strand, [this, done = std::move(done)]() mutable {
+    Drained = std::move(done);
+    push(serve::DrainRequested{});
+  });
+}
+
+net::FrameHooks AgentShell::linkHooks() {
+  net::FrameHooks out;
+  out.Opened = [this](const std::shared_ptr<net::FrameLink> &link) {
+    push(serve::LinkOpened{Links.add(link)});
+  };
+  out.Frame = [this](const std::shared_ptr<net::FrameLink> &link,
+                     std::string_view frame) { onFrame(link, frame); };
+  out.Closed = [this](const std::shared_ptr<net::FrameLink> &link,
+                      const Error &) {
+    if (auto handle = Links.remove(link.get()))
+      push(serve::LinkClosed{*handle});
+  };
+  return out;
+}
+
+void AgentShell::onFrame(const std::shared_ptr<net::FrameLink> &link,
+                         std::string_view frame) {
+  auto handle = Links.find(link.get());
+  if (!handle)
+    return;
+  Error reason;
+  auto message = wire::decode<wire::Message>(frame, reason);
+  if (!message) {
+    Event event;
+    event.Kind = EventKind::PeerRejected;
+    event.Reason = reason.Kind;
+    Events(std::move(event));
+    return link->close();
+  }
+  push(serve::LinkMessage{*handle, std::move(*message)});
+}
+
+void AgentShell::push(serve::AgentInput input) {
+  Inputs.push(std::move(input));
+  if (!IsScheduled.exchange(true))
+    boost::asio::post(Strand, [this] { step(); });
+}
+
+void AgentShell::step() {
+  IsScheduled.store(false);
+  serve::AgentInput input;
+  int n = 0;
+  for (; n < MaxInputsPerStep && Inputs.try_pop(input); ++n) {
+    Core.apply(std::move(input), monotonicNow(), Actions);
+    for (serve::AgentAction &action : Actions)
+      perform(action);
+    Actions.clear();
+  }
+  if (n == MaxInputsPerStep && !IsScheduled.exchange(true))
+    boost::asio::post(Strand, [this] { step(); });
+  Ready.store(Core.isReady(), std::memory_order_relaxed);
+  setTimer();
+  checkDrained();
+}
+
+void AgentShell::setTimer() {
+  std::optional<TimePoint> next = Core.nextTimer();
+  if (next == TimerAt)
+    return;
+  TimerAt = next;
+  if (!next) {
+    Timer.cancel();
+    return;
+  }
+  Timer.expires_after(std::max(Duration(0), *next - monotonicNow()));
+  Timer.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    TimerAt.reset();
+    push(serve::TimerFired{});
+  });
+}
+
+/// The last answers may still wait in the connections' buffers.
+void AgentShell::checkDrained() {
+  if (!Drained || !Core.isDrained())
+    return;
+  if (Links.pendingBytes() == 0) {
+    std::exchange(Drained, nullptr)();
+    return;
+  }
+  FlushTimer.expires_after(FlushCheck);
+  FlushTimer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      checkDrained();
+  });
+}
+
+void AgentShell::perform(serve::AgentAction &action) {
+  std::visit([this](auto &it) { perform(it); }, action);
+}
+
+void AgentShell::perform(const serve::SendMessage &action) {
+  if (auto link = Links.find(action.Link))
+    link->send(wire::encode(action.Body));
+}
+void AgentShell::perform(const serve::StartRun &action) {
+  if (Options.Core.IsService)
+    Service.Start(action);
+  else
+    Engine.Start(action);
+}
+void AgentShell::perform(const serve::CancelRun &action) {
+  if (Options.Core.IsService)
+    Service.Cancel(action.Run);
+  else
+    Engine.Cancel(action.Run);
+}
+void AgentShell::perform(const serve::SuspendRun &action) {
+  Engine.Suspend(action.Run);
+}
+void AgentShell::perform(const serve::ResumeRun &action) {
+  Engine.Resume(action.Run);
+}
+void AgentShell::perform(const serve::PollStatus & /*action*/) {
+  Engine.PollStatus();
+}
+void AgentShell::perform(const serve::PollCacheEvents &action) {
+  Engine.PollCacheEvents(action);
+}
+void AgentShell::perform(const serve::ExportPiece &action) {
+  Engine.Export(action);
+}
+void AgentShell::perform(const serve::ImportPiece &action) {
+  Engine.Import(action);
+}
+void AgentShell::perform(const serve::SendOrder &action) {
+  Engine.Order(action);
+}
+void AgentShell::perform(const serve::CallStore &action) {
+  Stores.Call(action);
+}
+void AgentShell::perform(const serve::StopStoreCall &action) {
+  Stores.Stop(action);
+}
+void AgentShell::perform(serve::RecordEvent &action) {
+  Events(std::move(action.What));
+}
+
+} // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/agent_shell.h
@@ -0,0 +1,83 @@
+/// The daemon around AgentCore: I/O threads push inputs into a queue, one step
+/// at a time applies them and carries out the actions.
+#pragma once
+
+#include "agent_options.h"
+#include "base/event_ring.h"
+#include "edge/engine.h"
+#include "edge/service.h"
+#include "edge/store.h"
+#include "link_table.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <tbb/concurrent_queue.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace daisytack::agent {
+
+class AgentShell {
+public:
+  AgentShell(boost::asio::io_context &io, AgentOptions options,
+             EventSink events);
+  ~AgentShell();
+
+  bool start(Error &reason);
+  /// Refuses new work; done is called once everything accepted was answered and
+  /// sent.
+  void drain(std::function<void()> done);
+
+  const Rcu<serve::AgentSnapshot> &snapshot() const { return Core.snapshot(); }
+  bool isReady() const { return Ready.load(std::memory_order_relaxed); }
+  /// Takes an input from any thread.
+  void push(serve::AgentInput input);
+
+private:
+  net::FrameHooks linkHooks();
+  void onFrame(const std::shared_ptr<net::FrameLink> &link,
+               std::string_view frame);
+  void step();
+  void perform(serve::AgentAction &action);
+  void perform(const serve::SendMessage &action);
+  void perform(const serve::StartRun &action);
+  void perform(const serve::CancelRun &action);
+  void perform(const serve::SuspendRun &action);
+  void perform(const serve::ResumeRun &action);
+  void perform(const serve::PollStatus &action);
+  void perform(const serve::PollCacheEvents &action);
+  void perform(const serve::ExportPiece &action);
+  void perform(const serve::ImportPiece &action);
+  void perform(const serve::SendOrder &action);
+  void perform(const serve::CallStore &action);
+  void perform(const serve::StopStoreCall &action);
+  void perform(serve::RecordEvent &action);
+  void setTimer();
+  void checkDrained();
+
+  boost::asio::io_context &Io;
+  boost::asio::strand<boost::asio::io_context::executor_type> Strand;
+  AgentOptions Options;
+  EventSink Events;
+  LinkTable Links;
+  net::HttpClient Client;
+  edge::Engine Engine;
+  edge::Service Service;
+  edge::Stores Stores;
+  net::FrameServer Server;
+  boost::asio::steady_timer Timer;
+  boost::asio::steady_timer FlushTimer;
+  tbb::concurrent_queue<serve::AgentInput> Inputs;
+  std::atomic<bool> IsScheduled{false};
+  std::atomic<bool> Ready{false};
+
+  // Touched in the strand only.
+  serve::AgentCore Core;
+  serve::AgentActions Actions;
+  std::optional<TimePoint> TimerAt;
+  std::function<void()> Drained;
+};
+
+} // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/link_table.h
@@ -0,0 +1,34 @@
+/// Connections to entries, by the handle that the agent's core knows them by.
+#pragma once
+
+#include "net/frame_link.h"
+#include "serve/agent_messages.h"
+
+#include <tbb/concurrent_hash_map.h>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace daisytack::agent {
+
+/// Thread-safe.
+class LinkTable {
+public:
+  serve::LinkHandle add(std::shared_ptr<net::FrameLink> link);
+  std::optional<serve::LinkHandle> find(const net::FrameLink *link) const;
+  /// Nothing when the connection is gone.
+  std::shared_ptr<net::FrameLink> find(serve::LinkHandle handle) const;
+  std::optional<serve::LinkHandle> remove(const net::FrameLink *link);
+  size_t size() const { return ByHandle.size(); }
+  /// Bytes that the connections have yet to send. Not to be called while links
+  /// are added.
+  size_t pendingBytes() const;
+
+private:
+  std::atomic<uint32_t> Next{0};
+  tbb::concurrent_hash_map<const net::FrameLink *, uint32_t> ByLink;
+  tbb::concurrent_hash_map<uint32_t, std::shared_ptr<net::FrameLink>> ByHandle;
+};
+
+} // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/main.cpp
@@ -0,0 +1,28 @@
+/// daisytack-agent: stands beside one backend server and is the only way to it.
+#include "agent_daemon.h"
+
+#include "runtime/process.h"
+
+#include <memory>
+
+int main(int argc, char **argv) {
+  using namespace daisytack;
+  agent::AgentOptions options;
+  std::unique_ptr<agent::AgentDaemon> daemon;
+
+  runtime::ProcessInit init;
+  init.Name = "daisytack-agent";
+  init.Summary = "Accepts, queues and runs requests on one backend server.";
+  init.ReadSettings = [&](Settings &settings) {
+    options = agent::readAgentOptions(settings);
+  };
+  init.Start = [&](boost::asio::io_context &io, Error &reason) {
+    daemon = std::make_unique<agent::AgentDaemon>(io, options);
+    return daemon->start(reason);
+  };
+  init.Drain = [&](std::function<void()> done) {
+    daemon->drain(std::move(done));
+  };
+  init.Stop = [&] { daemon.reset(); };
+  return runtime::runProcess(argc, argv, init);
+}
