--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -121,8 +121,9 @@
             "operators": {"listen": f"{HOST}:{instance.operators}"},
             "platform": {"key_value": f"{HOST}:{self.kv}", "instance_list": f"{HOST}:{self.list}"},
             "peer_keys": {"2026": "a-peer-secret-for-loopback-only-0123456789"},
-            "context": {"secret": SECRET},
         }
+        if instance.role == "entry":
+            sections["context"] = {"secret": SECRET}
         if instance.role == "agent":
             sections["agent"] = {"serves": instance.serves, "server": f"{HOST}:{instance.server}",
                                  "kind": "service" if instance.serves == "registry" else "model"}
