Decide the path of a request in one pure state machine

An entry's retries, resumption, hedging and holding were to be decided in one place that a fault matrix can drive without sockets. RequestFlow takes the messages of its attempts, lost links, timers, a caller that left and changes of configuration, and returns what to send to servers and to the caller.

Only messages of the request's own attempts count; chunks must be consecutive; a whole answer needs all of its chunks. A non-idempotent request is never offered again once an offer may have arrived unrefused: its answer is read again over a new connection, which starts nothing, or reported as may_have_run. An idempotent one is taken up elsewhere from the text that was shown. What is given up is answered at once with a time to come back.

--- /dev/null
+++ b/src/serve/request_answer.cpp
@@ -0,0 +1,146 @@
+/// RequestFlow: the final answer, held or at once, and timers.
+#include "serve/request_flow.h"
+
+#include <algorithm>
+
+namespace daisytack::entry {
+
+namespace {
+
+template <class T> void keepEarliest(std::optional<T> &out, const T &value) {
+  if (!out || value < *out)
+    out = value;
+}
+
+} // namespace
+
+/// When the class lets its answers go; nothing when that is now.
+std::optional<WallTime>
+RequestFlow::releaseTime(const FlowContext &context) const {
+  const RequestClass *it = context.Config.requestClass(Spec.Offer.Class);
+  if (it == nullptr || !it->ReleaseAt || *it->ReleaseAt <= context.Wall)
+    return std::nullopt;
+  return it->ReleaseAt;
+}
+
+/// Sends the caller all chunks that it has not been sent.
+void RequestFlow::showParts(Step &step) {
+  if (Shown == Received)
+    return;
+  Shown = Received;
+  if (!CallerLeft)
+    step.Out.emplace_back(
+        AnswerPart{LastServer, Received - 1, Text.substr(ShownBytes)});
+  // Only a re-run elsewhere needs the text that was sent.
+  if (!Spec.Offer.Idempotent || Spec.Resume)
+    Text.clear();
+  ShownBytes = Text.size();
+}
+
+void RequestFlow::complete(Try &attempt, const wire::Finished &message,
+                           Step &step) {
+  cancelOthers(attempt.Number, step);
+  attempt.Phase = TryPhase::Closed;
+  LastServer = attempt.Server;
+  Summary.FinishReason = message.FinishReason;
+  Summary.PromptTokens = message.PromptTokens;
+  Summary.RecomputedTokens = message.RecomputedTokens;
+  Summary.GeneratedTokens = message.GeneratedTokens;
+  TimePoint first = FirstTokenAt.value_or(step.Context.Now);
+  Summary.FirstToken =
+      std::chrono::duration_cast<Duration>(first - Spec.Arrived);
+  Summary.ServiceStatus = message.ServiceStatus;
+  Summary.ServiceHeaders = message.ServiceHeaders;
+  record(step, EventKind::RunFinished, attempt.Number, ErrorKind::None,
+         attempt.Server, {message.GeneratedTokens, message.RecomputedTokens});
+  if (CallerLeft)
+    return end(step);
+  Phase = FlowPhase::Held;
+  checkRelease(step);
+  if (Phase == FlowPhase::Held)
+    record(step, EventKind::AnswerHeld, attempt.Number, ErrorKind::None,
+           Spec.Offer.Class);
+}
+
+void RequestFlow::checkRelease(Step &step) {
+  std::optional<WallTime> release = releaseTime(step.Context);
+  if (!release)
+    return deliver(step);
+  auto left =
+      std::chrono::duration_cast<Duration>(*release - step.Context.Wall);
+  ReleaseLook = step.Context.Now + std::min(left, Settings.ReleaseCheck);
+}
+
+void RequestFlow::deliver(Step &step) {
+  if (ReleaseLook)
+    record(step, EventKind::AnswerReleased, 0, ErrorKind::None,
+           Spec.Offer.Class);
+  record(step, EventKind::RequestAnswered, Tries.back().Number, ErrorKind::None,
+         LastServer, {(step.Context.Now - Spec.Arrived).count()});
+  if (!Spec.Stream) {
+    step.Out.emplace_back(AnswerWhole{std::move(Text), std::move(Summary)});
+    return end(step);
+  }
+  showParts(step);
+  step.Out.emplace_back(AnswerEnd{std::move(Summary)});
+  end(step);
+}
+
+void RequestFlow::giveUp(Error reason, Outcome ran, Step &step) {
+  cancelAll(step);
+  reason.RetryAfter = std::max(reason.RetryAfter, Settings.LeastRetryAfter);
+  record(step, EventKind::RequestRefused, 0, reason.Kind,
+         Spec.Offer.Organisation);
+  if (!CallerLeft)
+    step.Out.emplace_back(AnswerError{std::move(reason), ran});
+  end(step);
+}
+
+void RequestFlow::end(Step &step) {
+  Phase = FlowPhase::Ended;
+  step.Out.emplace_back(FlowEnded{});
+}
+
+std::optional<TimePoint> RequestFlow::earliestTimer() const {
+  if (Phase == FlowPhase::Held)
+    return ReleaseLook;
+  std::optional<TimePoint> out = Spec.Deadline;
+  if (GraceEnds)
+    keepEarliest(out, *GraceEnds);
+  if (RetryAt)
+    keepEarliest(out, *RetryAt);
+  std::optional<TimePoint> late;
+  bool canHelp = Spec.Offer.Idempotent && !Spec.Resume && !CallerLeft &&
+                 attempts() < Settings.Attempts;
+  for (const Try &attempt : Tries)
+    if (canHelp && attempt.isOpen() && (!late || attempt.LateAt > *late))
+      late = attempt.LateAt;
+  if (late)
+    keepEarliest(out, *late);
+  return out;
+}
+
+void RequestFlow::armTimer(Step &step) {
+  std::optional<TimePoint> wanted = earliestTimer();
+  // A timer that fires early is harmless and cheaper than one moved by every
+  // chunk.
+  if (!wanted || (Armed && *Armed <= *wanted))
+    return;
+  Armed = wanted;
+  step.Out.emplace_back(ArmTimer{*wanted});
+}
+
+void RequestFlow::record(Step &step, EventKind kind, Attempt attempt,
+                         ErrorKind reason, std::string subject,
+                         std::array<int64_t, Event::MaxScores> scores) const {
+  Event event;
+  event.Kind = kind;
+  event.Request = Spec.Offer.Id;
+  event.Try = attempt;
+  event.Reason = reason;
+  event.Subject = std::move(subject);
+  event.Scores = scores;
+  step.Out.emplace_back(RecordEvent{std::move(event)});
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/src/serve/request_attempts.cpp
@@ -0,0 +1,192 @@
+/// RequestFlow: choosing servers, offering, and what follows when an attempt
+/// comes to nothing.
+#include "serve/request_flow.h"
+
+#include <algorithm>
+
+namespace daisytack::entry {
+
+RequestFlow::Try *RequestFlow::find(Attempt number, std::string_view server) {
+  for (auto it = Tries.rbegin(); it != Tries.rend(); ++it)
+    if (it->Number == number && it->Server == server)
+      return &*it;
+  return nullptr;
+}
+
+bool RequestFlow::hasOpenTry() const {
+  return std::any_of(Tries.begin(), Tries.end(),
+                     [](const Try &it) { return it.isOpen(); });
+}
+
+bool RequestFlow::mayHaveRun() const {
+  return std::any_of(Tries.begin(), Tries.end(),
+                     [](const Try &it) { return it.Delivered && !it.Refused; });
+}
+
+std::optional<Candidate> RequestFlow::pick(const FlowContext &context) const {
+  // A server that refused may take an accepted request after a wait.
+  auto isOut = [&](const Candidate &it) {
+    return std::any_of(Tries.begin(), Tries.end(), [&](const Try &attempt) {
+      return attempt.Server == it.Server && !(Waited && attempt.Refused);
+    });
+  };
+  for (Candidate &it : Hooks.Rank(Spec, context))
+    if (!isOut(it))
+      return std::move(it);
+  return std::nullopt;
+}
+
+void RequestFlow::offer(const Candidate &candidate, Step &step) {
+  TimePoint now = step.Context.Now;
+  Try attempt;
+  attempt.Number = Spec.FirstTry + attempts();
+  attempt.Server = candidate.Server;
+  attempt.SentAt = now;
+  attempt.LateAt = now + Settings.OfferPatience;
+  attempt.FirstIndex = Received;
+  auto left = std::chrono::duration_cast<Duration>(Spec.Deadline - now);
+
+  wire::Offer out = Spec.Offer;
+  out.Try = attempt.Number;
+  out.RemainingMicros =
+      static_cast<uint64_t>(std::max<int64_t>(left.count(), 0));
+  bool mayRunAgain = out.Idempotent && Tries.empty();
+  out.ReserveMicros =
+      mayRunAgain
+          ? static_cast<uint64_t>(static_cast<double>(out.RemainingMicros) *
+                                  Settings.ReserveShare)
+          : 0;
+  out.Generated = out.Idempotent ? Text : std::string();
+  out.GeneratedChunks = Received;
+  if (Hooks.Refresh)
+    Hooks.Refresh(out, Spec, step.Context);
+
+  record(step, EventKind::RequestOffered, attempt.Number, ErrorKind::None,
+         attempt.Server, {candidate.FirstToken.count()});
+  step.Out.emplace_back(SendOffer{attempt.Server, std::move(out)});
+  Tries.push_back(std::move(attempt));
+}
+
+void RequestFlow::resume(const std::string &server, Attempt number,
+                         Step &step) {
+  Try attempt;
+  attempt.Number = number;
+  attempt.Server = server;
+  attempt.IsResume = true;
+  attempt.SentAt = step.Context.Now;
+  attempt.LateAt = step.Context.Now + Settings.StallPatience;
+  attempt.FirstIndex = Received;
+  record(step, EventKind::StreamResumed, number, ErrorKind::None, server,
+         {Received});
+  step.Out.emplace_back(SendResume{
+      server, {Spec.Offer.Id, number, Spec.Offer.Organisation, Received}});
+  Tries.push_back(std::move(attempt));
+}
+
+/// Whether one more attempt is allowed now, but for the budget.
+bool RequestFlow::canRetry(const FlowContext &context) const {
+  if (attempts() >= Settings.Attempts || context.Now >= Spec.Deadline ||
+      Spec.Resume || CallerLeft)
+    return false;
+  return Spec.Offer.Idempotent || !mayHaveRun();
+}
+
+bool RequestFlow::takeRetry() const {
+  return !Hooks.TakeRetry || Hooks.TakeRetry();
+}
+
+void RequestFlow::next(const Error &reason, Step &step) {
+  // The soonest that any server would take it is the best time to come back.
+  if (LastReason.RetryAfter.count() == 0 ||
+      (reason.RetryAfter.count() > 0 &&
+       reason.RetryAfter < LastReason.RetryAfter))
+    LastReason.RetryAfter = reason.RetryAfter;
+  LastReason.Kind = reason.Kind;
+  LastReason.Detail = reason.Detail;
+  if (hasOpenTry())
+    return;
+  std::optional<Candidate> candidate;
+  if (canRetry(step.Context))
+    candidate = pick(step.Context);
+  if (candidate && takeRetry()) {
+    record(step, EventKind::RequestRetried, Tries.back().Number, reason.Kind,
+           candidate->Server);
+    return offer(*candidate, step);
+  }
+  // A request that was accepted once is not dropped while there is time.
+  TimePoint again = step.Context.Now + Settings.RetryPause;
+  if (WasAccepted && canRetry(step.Context) && again < Spec.Deadline) {
+    Waited = true;
+    RetryAt = again;
+    return;
+  }
+  giveUp(LastReason, mayHaveRun() ? Outcome::MayHaveRun : Outcome::NotRun,
+         step);
+}
+
+void RequestFlow::lost(Try &attempt, const Error &reason, Step &step) {
+  attempt.Phase = TryPhase::Closed;
+  record(step, EventKind::AttemptLost, attempt.Number, reason.Kind,
+         attempt.Server);
+  std::string server = attempt.Server;
+  Attempt number = attempt.Number;
+  step.Out.emplace_back(NoteServer{server, NoteServer::Result::Failed, {}, {}});
+  if (Spec.Offer.Idempotent && !Spec.Resume)
+    return next(reason, step);
+  if (hasOpenTry())
+    return;
+  // The run may go on behind a broken connection: its answer is read again,
+  // which starts nothing.
+  bool canReconnect = reason.Kind == ErrorKind::ServerLost &&
+                      Reconnected < Settings.Reconnects && !CallerLeft;
+  if (!canReconnect)
+    return giveUp(reason, Outcome::MayHaveRun, step);
+  ++Reconnected;
+  resume(server, number, step);
+}
+
+/// A server is slow: one more is asked, and the first to go on wins.
+void RequestFlow::seekHelp(Step &step) {
+  TimePoint now = step.Context.Now;
+  uint32_t open = 0;
+  bool late = true;
+  for (const Try &attempt : Tries) {
+    if (!attempt.isOpen())
+      continue;
+    ++open;
+    late = late && now >= attempt.LateAt;
+  }
+  if (open == 0 || !late)
+    return;
+  for (Try &attempt : Tries)
+    if (attempt.isOpen())
+      attempt.LateAt = now + Settings.StallPatience;
+  if (!Spec.Offer.Idempotent || Spec.Resume || open > 1)
+    return;
+  if (!canRetry(step.Context))
+    return;
+  std::optional<Candidate> candidate = pick(step.Context);
+  if (!candidate || !takeRetry())
+    return;
+  record(step, EventKind::RequestRetried, Tries.back().Number,
+         ErrorKind::Overloaded, candidate->Server);
+  offer(*candidate, step);
+}
+
+void RequestFlow::cancel(Try &attempt, Step &step) {
+  if (!attempt.isOpen())
+    return;
+  attempt.Phase = TryPhase::Closed;
+  step.Out.emplace_back(
+      SendCancel{attempt.Server, {Spec.Offer.Id, attempt.Number}});
+}
+
+void RequestFlow::cancelOthers(const Attempt winner, Step &step) {
+  for (Try &attempt : Tries)
+    if (attempt.Number != winner)
+      cancel(attempt, step);
+}
+
+void RequestFlow::cancelAll(Step &step) { cancelOthers(0, step); }
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/src/serve/request_flow.cpp
@@ -0,0 +1,266 @@
+#include "serve/request_flow.h"
+
+#include <algorithm>
+
+namespace daisytack::entry {
+
+namespace {
+
+/// Refusals that no other server would answer otherwise.
+bool isFinalRefusal(ErrorKind kind) {
+  switch (kind) {
+  case ErrorKind::BadRequest:
+  case ErrorKind::BodyTooLarge:
+  case ErrorKind::Forbidden:
+  case ErrorKind::KeyReused:
+  case ErrorKind::TicketExpired:
+  case ErrorKind::TicketUnknown:
+  case ErrorKind::StillRunning:
+  case ErrorKind::DeadlinePassed:
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// Ends that another attempt must not undo: an operator stopped the request, or
+/// its time is over.
+bool isFinalEnd(ErrorKind kind) {
+  return kind == ErrorKind::Cancelled || kind == ErrorKind::DeadlinePassed;
+}
+
+template <class M> bool names(const M &message, const RequestId &id) {
+  return message.Id == id;
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(RequestSpec spec, FlowSettings settings,
+                         FlowHooks hooks)
+    : Spec(std::move(spec)), Settings(settings), Hooks(std::move(hooks)) {
+  if (Spec.Resume)
+    Received = Shown = Spec.Resume->FromIndex;
+}
+
+FlowActions RequestFlow::apply(const FlowInput &input,
+                               const FlowContext &context) {
+  Step step{context, {}};
+  if (Phase == FlowPhase::Ended)
+    return {};
+  std::visit([&](const auto &it) { on(it, step); }, input);
+  if (Phase != FlowPhase::Ended)
+    armTimer(step);
+  return std::move(step.Out);
+}
+
+std::vector<std::string> RequestFlow::servers() const {
+  std::vector<std::string> out;
+  for (const Try &attempt : Tries)
+    if (attempt.isOpen())
+      out.push_back(attempt.Server);
+  return out;
+}
+
+void RequestFlow::on(const FlowStarted & /*input*/, Step &step) {
+  if (Phase != FlowPhase::Waiting)
+    return;
+  Phase = FlowPhase::Running;
+  record(step, EventKind::RequestReceived, 0, ErrorKind::None,
+         Spec.Offer.Organisation);
+  if (step.Context.Now >= Spec.Deadline)
+    return giveUp({ErrorKind::DeadlineTooShort, "no time is left"},
+                  Outcome::NotRun, step);
+  if (Spec.Resume)
+    return resume(Spec.Resume->Server, Spec.FirstTry, step);
+  std::optional<Candidate> first = pick(step.Context);
+  if (!first)
+    return giveUp({ErrorKind::NoServer, "no backend server is in service"},
+                  Outcome::NotRun, step);
+  offer(*first, step);
+}
+
+void RequestFlow::on(const ServerSaid &input, Step &step) {
+  std::visit(
+      [&](const auto &message) {
+        if (!names(message, Spec.Offer.Id))
+          return;
+        Try *attempt = find(message.Try, input.Server);
+        if (attempt == nullptr || !attempt->isOpen())
+          return;
+        using M = std::decay_t<decltype(message)>;
+        if constexpr (std::is_same_v<M, wire::Accepted>)
+          onAccepted(*attempt, message, step);
+        else if constexpr (std::is_same_v<M, wire::Refused>)
+          onRefused(*attempt, message, step);
+        else if constexpr (std::is_same_v<M, wire::Chunk>)
+          onChunk(*attempt, message, step);
+        else
+          onFinished(*attempt, message, step);
+      },
+      input.Body);
+}
+
+void RequestFlow::on(const LinkLost &input, Step &step) {
+  auto it = std::find_if(Tries.begin(), Tries.end(), [&](const Try &attempt) {
+    return attempt.Number == input.Try && attempt.isOpen();
+  });
+  if (it == Tries.end())
+    return;
+  Try &attempt = *it;
+  Error reason{ErrorKind::ServerLost,
+               "the connection to " + attempt.Server + " broke"};
+  if (input.MayBeDelivered || attempt.IsResume)
+    return lost(attempt, reason, step);
+  attempt.Delivered = false;
+  attempt.Phase = TryPhase::Closed;
+  step.Out.emplace_back(
+      NoteServer{attempt.Server, NoteServer::Result::Failed, {}, {}});
+  next({ErrorKind::NoServer, "no connection to " + attempt.Server}, step);
+}
+
+void RequestFlow::on(const TimerFired & /*input*/, Step &step) {
+  Armed.reset();
+  TimePoint now = step.Context.Now;
+  if (Phase == FlowPhase::Held)
+    return checkRelease(step);
+  if (GraceEnds && now >= *GraceEnds) {
+    cancelAll(step);
+    return end(step);
+  }
+  if (now >= Spec.Deadline) {
+    Outcome ran = mayHaveRun() ? Outcome::MayHaveRun : Outcome::NotRun;
+    return giveUp({ErrorKind::DeadlinePassed, "no whole answer in time"}, ran,
+                  step);
+  }
+  if (RetryAt && now >= *RetryAt) {
+    RetryAt.reset();
+    return next(LastReason, step);
+  }
+  seekHelp(step);
+}
+
+void RequestFlow::on(const CallerGone & /*input*/, Step &step) {
+  if (CallerLeft)
+    return;
+  CallerLeft = true;
+  record(step, EventKind::RunCancelled, 0, ErrorKind::Cancelled);
+  bool canResume = Spec.Stream && Shown > 0 && Phase == FlowPhase::Running &&
+                   Settings.ResumeGrace.count() > 0;
+  if (canResume) {
+    GraceEnds = step.Context.Now + Settings.ResumeGrace;
+    return;
+  }
+  cancelAll(step);
+  end(step);
+}
+
+void RequestFlow::on(const ConfigChanged & /*input*/, Step &step) {
+  if (Phase == FlowPhase::Held)
+    checkRelease(step);
+}
+
+void RequestFlow::onAccepted(Try &attempt, const wire::Accepted &message,
+                             Step &step) {
+  if (attempt.Phase != TryPhase::Offered)
+    return;
+  attempt.Phase = TryPhase::Accepted;
+  WasAccepted = true;
+  constexpr uint64_t Longest = 3600ULL * 1'000'000;
+  attempt.Predicted = Duration(std::min(message.FirstTokenMicros, Longest));
+  auto extra = std::chrono::duration_cast<Duration>(attempt.Predicted *
+                                                    Settings.HedgeFactor);
+  attempt.LateAt =
+      step.Context.Now + attempt.Predicted + extra + Settings.HedgeMargin;
+  if (attempt.IsResume || message.CompletionMicros == 0)
+    attempt.LateAt = step.Context.Now + Settings.StallPatience;
+  record(step, EventKind::OfferAccepted, attempt.Number, ErrorKind::None,
+         attempt.Server,
+         {attempt.Predicted.count(),
+          static_cast<int64_t>(message.CompletionMicros)});
+}
+
+void RequestFlow::onRefused(Try &attempt, const wire::Refused &message,
+                            Step &step) {
+  Error reason{message.Kind, message.Detail,
+               Duration(static_cast<int64_t>(
+                   std::min<uint64_t>(message.RetryAfterMicros, INT64_MAX)))};
+  record(step, EventKind::OfferRefused, attempt.Number, message.Kind,
+         attempt.Server);
+  if (attempt.IsResume && !Spec.Offer.Idempotent && !Spec.Resume) {
+    attempt.Phase = TryPhase::Closed;
+    return giveUp({ErrorKind::ServerLost, "its answer is no longer held"},
+                  Outcome::MayHaveRun, step);
+  }
+  if (message.Ran == Outcome::NotRun && attempt.Phase != TryPhase::Streaming) {
+    attempt.Refused = true;
+    attempt.Phase = TryPhase::Closed;
+    if (isFinalRefusal(message.Kind) && !hasOpenTry())
+      return giveUp(reason, mayHaveRun() ? Outcome::MayHaveRun : message.Ran,
+                    step);
+    return next(reason, step);
+  }
+  if (Spec.Resume || !Spec.Offer.Idempotent) {
+    attempt.Phase = TryPhase::Closed;
+    return giveUp(reason,
+                  message.Ran == Outcome::NotRun ? Outcome::MayHaveRun
+                                                 : message.Ran,
+                  step);
+  }
+  lost(attempt, reason, step);
+}
+
+void RequestFlow::onChunk(Try &attempt, const wire::Chunk &message,
+                          Step &step) {
+  if (message.Index < Received)
+    return; // A duplicate, or an answer that another attempt has overtaken.
+  if (message.Index > Received) {
+    cancel(attempt, step);
+    return lost(attempt, {ErrorKind::ProtocolError, "a chunk is missing"},
+                step);
+  }
+  cancelOthers(attempt.Number, step);
+  if (!FirstTokenAt) {
+    FirstTokenAt = step.Context.Now;
+    record(step, EventKind::FirstToken, attempt.Number, ErrorKind::None,
+           attempt.Server, {(step.Context.Now - Spec.Arrived).count()});
+    step.Out.emplace_back(NoteServer{
+        attempt.Server, NoteServer::Result::Answered, attempt.Predicted,
+        std::chrono::duration_cast<Duration>(step.Context.Now -
+                                             attempt.SentAt)});
+  }
+  attempt.Phase = TryPhase::Streaming;
+  attempt.LateAt = step.Context.Now + Settings.StallPatience;
+  LastServer = attempt.Server;
+  ++Received;
+  Text += message.Text;
+  if (Spec.Stream && !releaseTime(step.Context))
+    showParts(step);
+}
+
+void RequestFlow::onFinished(Try &attempt, const wire::Finished &message,
+                             Step &step) {
+  bool whole =
+      message.Kind == ErrorKind::None && message.Ran == Outcome::Completed;
+  if (whole && message.Chunks == Received)
+    return complete(attempt, message, step);
+  if (whole) {
+    cancel(attempt, step);
+    return lost(attempt, {ErrorKind::ProtocolError, "the answer is not whole"},
+                step);
+  }
+  Error reason{message.Kind == ErrorKind::None ? ErrorKind::ServerFailed
+                                               : message.Kind,
+               message.Detail};
+  if (isFinalEnd(message.Kind)) {
+    attempt.Phase = TryPhase::Closed;
+    return giveUp(reason, message.Ran, step);
+  }
+  if (message.Ran == Outcome::NotRun && attempt.Phase != TryPhase::Streaming) {
+    attempt.Refused = true;
+    attempt.Phase = TryPhase::Closed;
+    return next(reason, step);
+  }
+  lost(attempt, reason, step);
+}
+
+} // namespace daisytack::entry
