Run requests from callers through the entry daemon

One connection to an agent carries all requests; it is opened on demand, used only after the agent has named itself, and closed when idle.

Limits, tickets and the operators' HTTP are not wired yet.

--- a/src/context/link_scheduler.cpp
+++ b/src/context/link_scheduler.cpp
@@ -131,14 +131,11 @@
   seconds = std::max(seconds, LeastSeconds);
   if (bytes == 0)
     return;
-  // Transfers side by side share the link. The mean is one of times, not of
-  // rates: what is predicted from it is a time.
+  // Transfers side by side share the link.
   double share = static_cast<double>(Running.size());
-  double measured = seconds / (static_cast<double>(bytes) * share);
-  measured = std::max(measured, 1 / Limits.BytesPerSecond);
-  double believed = 1 / learnedRate(now);
-  believed += LearnWeight * (measured - believed);
-  Learned = 1 / believed;
+  double measured = static_cast<double>(bytes) * share / seconds;
+  measured = std::min(measured, Limits.BytesPerSecond);
+  Learned += LearnWeight * (measured - Learned);
   LearnedAt = now;
 }
 
@@ -169,14 +166,11 @@
   return out;
 }
 
-double LinkScheduler::learnedRate(TimePoint now) const {
+double LinkScheduler::bytesPerSecond(TimePoint now) const {
   double age = std::max(0.0, secondsBetween(LearnedAt, now));
   double kept = std::exp2(-age / ForgetHalfLifeSeconds);
-  return Limits.BytesPerSecond - kept * (Limits.BytesPerSecond - Learned);
-}
-
-double LinkScheduler::bytesPerSecond(TimePoint now) const {
-  double rate = learnedRate(now);
+  double rate =
+      Limits.BytesPerSecond - kept * (Limits.BytesPerSecond - Learned);
   // What is in flight bounds the rate before it has ended.
   for (const Flight &it : Running) {
     double seconds = secondsBetween(it.Started, now) -
--- /dev/null
+++ b/tools/entry/active_request.cpp
@@ -0,0 +1,240 @@
+#include "active_request.h"
+
+#include "base/clock.h"
+#include "net/problem.h"
+#include "net/sse.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace daisytack::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned DefaultServiceStatus = 200;
+
+} // namespace
+
+void CallerWatch::gone() {
+  std::function<void()> hook;
+  {
+    std::lock_guard guard(Lock);
+    IsGone = true;
+    hook.swap(Hook);
+  }
+  if (hook)
+    hook();
+}
+
+void CallerWatch::onGone(std::function<void()> hook) {
+  {
+    std::lock_guard guard(Lock);
+    if (!IsGone) {
+      Hook = std::move(hook);
+      return;
+    }
+  }
+  hook();
+}
+
+ActiveRequest::ActiveRequest(EntryState &state, RequestSpec spec,
+                             AnswerName name,
+                             std::shared_ptr<net::HttpExchange> exchange)
+    : State(state), Strand(state.Io.get_executor()), Timer(Strand),
+      Flow(std::move(spec), state.Options.Flow, hooks()), Name(std::move(name)),
+      Exchange(std::move(exchange)) {
+  State.Counts.InFlight.add(1);
+}
+
+ActiveRequest::~ActiveRequest() {
+  State.Counts.InFlight.add(-1);
+  State.Running.fetch_sub(1, std::memory_order_release);
+}
+
+FlowHooks ActiveRequest::hooks() {
+  FlowHooks out;
+  out.Rank = [this](const RequestSpec &spec, const FlowContext &context) {
+    return State.rank(spec, context);
+  };
+  out.TakeRetry = [this] {
+    bool taken = State.Retries.tryRetry();
+    if (taken)
+      State.Counts.Retries.add();
+    return taken;
+  };
+  out.Refresh = [this](wire::Offer &offer, const RequestSpec &spec,
+                       const FlowContext &context) {
+    if (!spec.Service.empty())
+      return;
+    PieceScope scope = spec.Scope;
+    keyPieces(offer, scope, context.Config, State.Keyer);
+  };
+  return out;
+}
+
+void ActiveRequest::start(CallerWatch &watch) {
+  watch.onGone([weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->push(CallerGone{});
+  });
+  push(FlowStarted{});
+}
+
+void ActiveRequest::push(FlowInput input) {
+  auto run = [self = shared_from_this(), input = std::move(input)] {
+    self->apply(input);
+  };
+  // An input that an action brings about waits until the actions are done.
+  if (Strand.running_in_this_thread())
+    asio::post(Strand, std::move(run));
+  else
+    asio::dispatch(Strand, std::move(run));
+}
+
+void ActiveRequest::apply(const FlowInput &input) {
+  std::shared_ptr<const RoutingTable> routes = State.table();
+  FlowActions actions =
+      Flow.apply(input, {routes->snapshot(), monotonicNow(), wallNow()});
+  for (FlowAction &action : actions)
+    std::visit([this](auto &it) { perform(it); }, action);
+}
+
+void ActiveRequest::openAttempt(const std::string &server, Attempt number,
+                                const wire::Message &message) {
+  AttemptKey key{Flow.spec().Offer.Id, number};
+  std::shared_ptr<const RoutingTable> routes = State.table();
+  const Server *to = routes->snapshot().server(server);
+  if (to == nullptr || to->State == MemberState::Gone)
+    return push(LinkLost{number, false});
+  {
+    AttemptTable::accessor it;
+    State.Attempts.insert(it, key);
+    it->second = shared_from_this();
+  }
+  Opened.emplace_back(server, key);
+  State.Links.open(*to, key, message);
+}
+
+void ActiveRequest::perform(SendOffer &action) {
+  State.Counts.Offers.add();
+  openAttempt(action.Server, action.Offer.Try,
+              wire::Message(std::move(action.Offer)));
+}
+
+void ActiveRequest::perform(SendResume &action) {
+  State.Counts.Resumes.add();
+  openAttempt(action.Server, action.Resume.Try,
+              wire::Message(std::move(action.Resume)));
+}
+
+void ActiveRequest::perform(SendCancel &action) {
+  State.Links.send(action.Server, wire::Message(action.Cancel));
+}
+
+void ActiveRequest::perform(AnswerPart &action) {
+  bool isFirst = !StreamBegun;
+  if (isFirst) {
+    StreamBegun = true;
+    Exchange->beginStream(200, {{"Content-Type", "text/event-stream"},
+                                {"Cache-Control", "no-store"},
+                                {"X-Daisytack-Request-Id", toHex(Name.Id)}});
+  }
+  const std::string &organisation = Flow.spec().Offer.Organisation;
+  net::SseEvent event;
+  event.Id =
+      State.Ids.eventId(organisation, {Name.Id, action.Server, action.Index});
+  event.Data = answerPartJson(Name, action.Text, isFirst);
+  Exchange->write(net::formatSse(event));
+}
+
+void ActiveRequest::perform(AnswerEnd &action) {
+  if (!StreamBegun)
+    Exchange->beginStream(200, {{"Content-Type", "text/event-stream"},
+                                {"X-Daisytack-Request-Id", toHex(Name.Id)}});
+  net::SseEvent last;
+  last.Data = answerEndJson(Name, action.Summary);
+  net::SseEvent done;
+  done.Data = "[DONE]";
+  Exchange->write(net::formatSse(last) + net::formatSse(done));
+  Exchange->endStream();
+  State.Counts.answered(ErrorKind::None);
+  State.Counts.FirstToken.observe(action.Summary.FirstToken);
+}
+
+void ActiveRequest::respondService(AnswerWhole &action) {
+  net::HttpResponse out;
+  out.Status = action.Summary.ServiceStatus != 0 ? action.Summary.ServiceStatus
+                                                 : DefaultServiceStatus;
+  for (wire::HeaderField &it : action.Summary.ServiceHeaders)
+    if (isPassedOn(it.Name))
+      out.Headers.push_back({std::move(it.Name), std::move(it.Value)});
+  out.Headers.push_back({"X-Daisytack-Request-Id", toHex(Name.Id)});
+  out.Body = std::move(action.Text);
+  Exchange->respond(std::move(out));
+}
+
+void ActiveRequest::perform(AnswerWhole &action) {
+  State.Counts.answered(ErrorKind::None);
+  State.Counts.FirstToken.observe(action.Summary.FirstToken);
+  if (!Flow.spec().Service.empty())
+    return respondService(action);
+  const AnswerSummary &summary = action.Summary;
+  net::HttpResponse out;
+  out.Headers = {
+      {"Content-Type", "application/json"},
+      {"X-Daisytack-Request-Id", toHex(Name.Id)},
+      {"X-Daisytack-First-Token-Us",
+       std::to_string(summary.FirstToken.count())},
+      {"X-Daisytack-Prompt-Tokens", std::to_string(summary.PromptTokens)},
+      {"X-Daisytack-Recomputed-Tokens",
+       std::to_string(summary.RecomputedTokens)}};
+  out.Body = wholeAnswerJson(Name, action);
+  Exchange->respond(std::move(out));
+}
+
+void ActiveRequest::perform(AnswerError &action) {
+  State.Counts.answered(action.Reason.Kind);
+  if (!StreamBegun)
+    return Exchange->respond(
+        net::problemResponse(action.Reason, action.Ran, Name.Id));
+  net::SseEvent event;
+  event.Event = "error";
+  event.Data = net::problemJson(action.Reason, action.Ran, Name.Id);
+  Exchange->write(net::formatSse(event));
+  Exchange->endStream();
+}
+
+void ActiveRequest::perform(ArmTimer &action) {
+  Timer.expires_after(action.At - monotonicNow());
+  Timer.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code &ec) {
+        auto self = weak.lock();
+        if (self && !ec)
+          self->apply(TimerFired{});
+      });
+}
+
+void ActiveRequest::perform(NoteServer &action) {
+  State.note(action, Flow.spec());
+}
+
+void ActiveRequest::perform(RecordEvent &action) {
+  if (action.What.Kind == EventKind::RequestAnswered)
+    State.Counts.Whole.observe(Duration(action.What.Scores[0]));
+  State.Events(std::move(action.What));
+}
+
+void ActiveRequest::perform(FlowEnded & /*action*/) {
+  Timer.cancel();
+  for (const auto &[server, key] : Opened) {
+    State.Links.close(server, key);
+    State.Attempts.erase(key);
+  }
+  Exchange.reset();
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/active_request.h
@@ -0,0 +1,74 @@
+/// One request in flight: its flow on a strand, its caller and its timer.
+#pragma once
+
+#include "entry_state.h"
+#include "net/http_server.h"
+#include "serve/caller_answer.h"
+#include "serve/request_flow.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+namespace daisytack::entry {
+
+/// Notices when a caller goes away, from before its request is understood.
+/// Thread-safe.
+class CallerWatch {
+public:
+  void gone();
+  /// Calls the hook when the caller goes, at once if it has.
+  void onGone(std::function<void()> hook);
+
+private:
+  std::mutex Lock;
+  bool IsGone = false;
+  std::function<void()> Hook;
+};
+
+class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
+public:
+  ActiveRequest(EntryState &state, RequestSpec spec, AnswerName name,
+                std::shared_ptr<net::HttpExchange> exchange);
+  ~ActiveRequest();
+
+  void start(CallerWatch &watch);
+  /// Applies an input on the strand; from any thread.
+  void push(FlowInput input);
+
+private:
+  using ServerAttempt = std::pair<std::string, AttemptKey>;
+
+  void apply(const FlowInput &input);
+  void perform(SendOffer &action);
+  void perform(SendResume &action);
+  void perform(SendCancel &action);
+  void perform(AnswerPart &action);
+  void perform(AnswerEnd &action);
+  void perform(AnswerWhole &action);
+  void perform(AnswerError &action);
+  void perform(ArmTimer &action);
+  void perform(NoteServer &action);
+  void perform(RecordEvent &action);
+  void perform(FlowEnded &action);
+
+  void openAttempt(const std::string &server, Attempt number,
+                   const wire::Message &message);
+  void respondService(AnswerWhole &action);
+  FlowHooks hooks();
+
+  EntryState &State;
+  boost::asio::strand<boost::asio::io_context::executor_type> Strand;
+  boost::asio::steady_timer Timer;
+  RequestFlow Flow;
+  const AnswerName Name;
+  std::shared_ptr<net::HttpExchange> Exchange;
+  std::vector<ServerAttempt> Opened;
+  bool StreamBegun = false;
+};
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/agent_links.cpp
@@ -0,0 +1,220 @@
+#include "agent_links.h"
+
+#include "base/clock.h"
+#include "wire/codec.h"
+
+#include <utility>
+
+namespace daisytack::entry {
+
+/// One agent's connection. Nothing is sent before the agent has named itself: a
+/// successor at the same address must not get what was meant for another.
+class AgentLinks::Link : public std::enable_shared_from_this<AgentLinks::Link> {
+public:
+  Link(AgentLinks &owner, std::string name)
+      : Owner(owner), Name(std::move(name)), UsedAt(monotonicNow()),
+        IdleTimer(owner.Io) {}
+
+  void connect(const Endpoint &to) {
+    net::FrameHooks hooks;
+    hooks.Frame = [self = shared_from_this()](const auto &link,
+                                              std::string_view frame) {
+      self->onFrame(link, frame);
+    };
+    hooks.Closed = [self = shared_from_this()](const auto &, const Error &) {
+      self->onClosed();
+    };
+    std::shared_ptr<net::FrameLink> transport =
+        net::connectFrames(Owner.Io, to, Owner.Init.Keys,
+                           Owner.Init.ConnectTimeout, std::move(hooks));
+    transport->send(wire::encode(
+        wire::Message(wire::Hello{Owner.Init.Name, Owner.Init.Process})));
+    {
+      std::lock_guard guard(Lock);
+      if (!Closed && !Transport)
+        Transport = std::move(transport);
+    }
+    watchIdle();
+  }
+
+  /// False when the link has closed and the message was not taken.
+  bool open(const AttemptKey &attempt, std::string frame, TimePoint now) {
+    std::lock_guard guard(Lock);
+    if (Closed)
+      return false;
+    UsedAt = now;
+    Open.insert(attempt);
+    if (Named)
+      Transport->send(std::move(frame));
+    else
+      Waiting.push_back(std::move(frame));
+    return true;
+  }
+
+  void send(std::string frame) {
+    std::lock_guard guard(Lock);
+    if (Closed)
+      return;
+    if (Named)
+      Transport->send(std::move(frame));
+    else
+      Waiting.push_back(std::move(frame));
+  }
+
+  void close(const AttemptKey &attempt, TimePoint now) {
+    std::lock_guard guard(Lock);
+    Open.erase(attempt);
+    UsedAt = now;
+  }
+
+  bool isClosed() const {
+    std::lock_guard guard(Lock);
+    return Closed;
+  }
+
+  void shut() {
+    std::shared_ptr<net::FrameLink> transport;
+    {
+      std::lock_guard guard(Lock);
+      transport = Transport;
+    }
+    if (transport)
+      transport->close();
+  }
+
+private:
+  void onFrame(const std::shared_ptr<net::FrameLink> &link,
+               std::string_view frame) {
+    Error reason;
+    std::optional<wire::Message> message =
+        wire::decode<wire::Message>(frame, reason);
+    if (!message) {
+      Owner.Hooks.Rejected(reason.Kind);
+      return link->close();
+    }
+    if (const auto *hello = std::get_if<wire::Hello>(&*message)) {
+      if (!onHello(link, *hello))
+        link->close();
+      return;
+    }
+    Owner.Hooks.Message(Name, std::move(*message));
+  }
+
+  bool onHello(const std::shared_ptr<net::FrameLink> &link,
+               const wire::Hello &hello) {
+    if (hello.Instance != Name)
+      return false;
+    std::lock_guard guard(Lock);
+    Transport = link;
+    Named = true;
+    for (std::string &frame : Waiting)
+      Transport->send(std::move(frame));
+    Waiting.clear();
+    return true;
+  }
+
+  void onClosed() {
+    std::unordered_set<AttemptKey, AttemptKeyHash> open;
+    bool named = false;
+    {
+      std::lock_guard guard(Lock);
+      Closed = true;
+      open.swap(Open);
+      named = Named;
+      Transport.reset();
+      Waiting.clear();
+    }
+    Owner.drop(Name, this);
+    for (const AttemptKey &attempt : open)
+      Owner.Hooks.Lost(attempt, named);
+  }
+
+  void watchIdle() {
+    IdleTimer.expires_after(Owner.Init.Idle);
+    IdleTimer.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code &ec) {
+          auto self = weak.lock();
+          if (!self || ec || self->isClosed())
+            return;
+          if (self->isIdle())
+            return self->shut();
+          self->watchIdle();
+        });
+  }
+
+  bool isIdle() const {
+    std::lock_guard guard(Lock);
+    return Open.empty() && monotonicNow() - UsedAt > Owner.Init.Idle;
+  }
+
+  AgentLinks &Owner;
+  const std::string Name;
+  mutable std::mutex Lock;
+  std::shared_ptr<net::FrameLink> Transport;
+  bool Named = false; ///< The agent's hello was the one expected.
+  bool Closed = false;
+  std::vector<std::string> Waiting;
+  std::unordered_set<AttemptKey, AttemptKeyHash> Open;
+  TimePoint UsedAt;
+  boost::asio::steady_timer IdleTimer;
+};
+
+AgentLinks::AgentLinks(boost::asio::io_context &io, AgentLinksInit init,
+                       AgentHooks hooks)
+    : Io(io), Init(std::move(init)), Hooks(std::move(hooks)) {}
+
+AgentLinks::~AgentLinks() = default;
+
+std::shared_ptr<AgentLinks::Link>
+AgentLinks::find(const std::string &server) const {
+  LinkMap::const_accessor it;
+  return Links.find(it, server) ? it->second : nullptr;
+}
+
+std::shared_ptr<AgentLinks::Link>
+AgentLinks::findOrConnect(const Server &server) {
+  std::shared_ptr<Link> link;
+  {
+    LinkMap::accessor it;
+    if (!Links.insert(it, server.Name) && !it->second->isClosed())
+      return it->second;
+    link = std::make_shared<Link>(*this, server.Name);
+    it->second = link;
+  }
+  link->connect(server.Work);
+  return link;
+}
+
+void AgentLinks::drop(const std::string &server, const Link *link) {
+  LinkMap::accessor it;
+  if (Links.find(it, server) && it->second.get() == link)
+    Links.erase(it);
+}
+
+void AgentLinks::open(const Server &server, const AttemptKey &attempt,
+                      const wire::Message &message) {
+  std::string frame = wire::encode(message);
+  // A link that closed in between is replaced once; its attempt is then lost
+  // like any other.
+  for (int i = 0; i < 2; ++i)
+    if (findOrConnect(server)->open(attempt, frame, monotonicNow()))
+      return;
+  Hooks.Lost(attempt, false);
+}
+
+void AgentLinks::send(const std::string &server, const wire::Message &message) {
+  if (std::shared_ptr<Link> link = find(server))
+    link->send(wire::encode(message));
+}
+
+void AgentLinks::close(const std::string &server, const AttemptKey &attempt) {
+  if (std::shared_ptr<Link> link = find(server))
+    link->close(attempt, monotonicNow());
+}
+
+void AgentLinks::stop() {
+  for (const auto &[name, link] : Links)
+    link->shut();
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/caller_http.h
@@ -0,0 +1,58 @@
+/// The callers' side of an entry: authenticates and reads requests, and starts
+/// a flow for each.
+#pragma once
+
+#include "active_request.h"
+#include "entry_state.h"
+#include "net/http_server.h"
+
+#include <tbb/task_arena.h>
+
+#include <atomic>
+#include <memory>
+
+namespace daisytack::entry {
+
+/// Thread-safe.
+class CallerHttp {
+public:
+  CallerHttp(EntryState &state, std::function<runtime::Readiness()> ready);
+
+  bool start(Error &reason);
+  uint16_t port() const { return Server.port(); }
+  /// New requests are refused from now on; running ones go on.
+  void refuseNew() { Draining.store(true, std::memory_order_relaxed); }
+  void stopAccepting() { Server.stopAccepting(); }
+
+private:
+  /// One request on its way to a flow.
+  struct Incoming {
+    net::HttpRequest Request;
+    std::shared_ptr<net::HttpExchange> Exchange;
+    std::shared_ptr<CallerWatch> Watch;
+    RequestId Id;
+    TimePoint Arrived;
+  };
+
+  void handle(net::HttpRequest request,
+              const std::shared_ptr<net::HttpExchange> &exchange);
+  Error admit(const Incoming &incoming) const;
+  void read(Incoming incoming);
+  std::optional<RequestSpec> understand(Incoming &incoming,
+                                        const Snapshot &config,
+                                        const Organisation &caller,
+                                        Error &reason);
+  std::optional<RequestSpec> understandResume(const Incoming &incoming,
+                                              const Snapshot &config,
+                                              const Organisation &caller,
+                                              Error &reason);
+  void refuse(const Incoming &incoming, const Error &reason);
+
+  EntryState &State;
+  std::function<runtime::Readiness()> Ready;
+  std::atomic<bool> Draining{false};
+  tbb::task_arena Workers;
+  net::HttpServer Server;
+};
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/entry_shell.cpp
@@ -0,0 +1,74 @@
+#include "entry_shell.h"
+
+#include "base/clock.h"
+#include "base/digest.h"
+#include "daisytack/limits.h"
+#include "edge/instance_list_http.h"
+#include "edge/kv_etcd.h"
+
+#include <utility>
+
+namespace daisytack::entry {
+
+namespace {
+
+constexpr Duration DrainCheck{20'000};
+
+Event processEvent(EventKind kind, const std::string &name) {
+  Event out;
+  out.Kind = kind;
+  out.Subject = name;
+  return out;
+}
+
+} // namespace
+
+EntryShell::EntryShell(boost::asio::io_context &io, EntryOptions options)
+    : Options(std::move(options)), Ring(EventRingSize, wallNow), Client(io, {}),
+      Control(
+          io, Options.Instance.Control,
+          edge::makeEtcdStore(Client, Options.Instance.KeyValue),
+          edge::makeHttpInstanceList(Client, Options.Instance.InstanceList),
+          Counters, [this](Event event) { Ring.record(std::move(event)); },
+          secureRandom),
+      State(io, Options, Counters,
+            [this](Event event) { Ring.record(std::move(event)); }),
+      Callers(State, [this] { return Control.readiness(); }), DrainTimer(io) {}
+
+EntryShell::~EntryShell() = default;
+
+bool EntryShell::start(Error &reason) {
+  Ring.record(processEvent(EventKind::ProcessStarted, Options.self().Name));
+  Control.onPublished([this](std::shared_ptr<const Snapshot> snapshot) {
+    State.publish(std::move(snapshot));
+  });
+  return Control.start(reason) && Callers.start(reason);
+}
+
+void EntryShell::drain(std::function<void()> done) {
+  Ring.record(processEvent(EventKind::ProcessDraining, Options.self().Name));
+  Drained = std::move(done);
+  DrainSince = monotonicNow();
+  Callers.refuseNew();
+  Control.leave();
+  watchDrain();
+}
+
+/// Callers that still come are refused politely for a while; what runs is
+/// finished however long it takes.
+void EntryShell::watchDrain() {
+  bool noticed = monotonicNow() - DrainSince >= Options.DrainNotice;
+  if (noticed && State.Running.load(std::memory_order_acquire) == 0) {
+    Callers.stopAccepting();
+    State.Links.stop();
+    Control.stop();
+    return Drained();
+  }
+  DrainTimer.expires_after(DrainCheck);
+  DrainTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      watchDrain();
+  });
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/entry_shell.h
@@ -0,0 +1,43 @@
+/// The daemon: builds the parts of an entry over one io_context and drains
+/// them.
+#pragma once
+
+#include "base/event_ring.h"
+#include "caller_http.h"
+#include "entry_options.h"
+#include "entry_state.h"
+#include "net/http_client.h"
+#include "runtime/control_runtime.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace daisytack::entry {
+
+class EntryShell {
+public:
+  EntryShell(boost::asio::io_context &io, EntryOptions options);
+  ~EntryShell();
+
+  bool start(Error &reason);
+  /// Refuses new requests, and calls done once all running ones were answered.
+  void drain(std::function<void()> done);
+
+private:
+  void watchDrain();
+
+  EntryOptions Options;
+  Metrics Counters;
+  EventRing Ring;
+  net::HttpClient Client;
+  runtime::ControlRuntime Control;
+  EntryState State;
+  CallerHttp Callers;
+  boost::asio::steady_timer DrainTimer;
+  TimePoint DrainSince;
+  std::function<void()> Drained;
+};
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/entry_state.cpp
@@ -0,0 +1,153 @@
+#include "entry_state.h"
+
+#include "active_request.h"
+#include "base/clock.h"
+#include "base/digest.h"
+
+#include <algorithm>
+
+namespace daisytack::entry {
+
+namespace {
+
+std::shared_ptr<const RoutingTable>
+makeTable(std::shared_ptr<const Snapshot> snapshot) {
+  return std::make_shared<const RoutingTable>(std::move(snapshot));
+}
+
+AgentLinksInit linksInit(const EntryOptions &options) {
+  return {options.self().Name, options.Instance.Control.Process,
+          options.Instance.Control.Keys, options.ConnectTimeout,
+          options.LinkIdle};
+}
+
+std::string_view poolName(const RequestSpec &spec) {
+  return spec.Service.empty() ? spec.Offer.Model : spec.Service;
+}
+
+} // namespace
+
+EntryState::EntryState(boost::asio::io_context &io, const EntryOptions &options,
+                       Metrics &metrics, EventSink events)
+    : Io(io), Options(options), Events(std::move(events)), Counts(metrics),
+      Keyer(options.Secret), Ids(options.Secret), Loads(options.Loads),
+      Retries(options.Retries), Ejected(options.Ejection),
+      Links(io, linksInit(options), agentHooks()),
+      Tables(makeTable(std::make_shared<const Snapshot>())),
+      Readers([this] { return Reader(Tables); }) {}
+
+std::shared_ptr<const RoutingTable> EntryState::table() {
+  return Readers.local().get();
+}
+
+void EntryState::publish(std::shared_ptr<const Snapshot> snapshot) {
+  Tables.publish(makeTable(std::move(snapshot)));
+}
+
+Attempt EntryState::freshTry() {
+  constexpr uint32_t Step = 2 * MaxAttempts;
+  return NextTry.fetch_add(Step, std::memory_order_relaxed);
+}
+
+std::vector<Candidate> EntryState::rank(const RequestSpec &spec,
+                                        const FlowContext &context) {
+  std::shared_ptr<const RoutingTable> routes = table();
+  bool isService = !spec.Service.empty();
+  std::string_view serves = poolName(spec);
+  RouteKey key =
+      makeRouteKey(hashName(spec.Offer.Organisation), serves, spec.Offer.Pieces,
+                   std::hash<Id128>()(spec.Offer.Id));
+  CandidateList list =
+      routes->candidates(serves, isService, key, Options.self().Region);
+  RouteDecision decision = rankCandidates(
+      list, routes->snapshot(), Loads, Options.Router, spec.Offer.PromptTokens,
+      key, Options.self().Region, context.Now);
+  Event event;
+  event.Kind = EventKind::RequestRouted;
+  event.Request = spec.Offer.Id;
+  event.Scores = decision.scores();
+  event.Subject = serves;
+  Events(std::move(event));
+
+  std::vector<Candidate> out;
+  std::vector<Candidate> ejected;
+  for (const RankedCandidate &it : decision) {
+    const Server &server = routes->snapshot().Servers[it.Server.Index];
+    bool isOut = Ejected.isEjected(server.NameHash, context.Now);
+    (isOut ? ejected : out).push_back({server.Name, it.FirstToken});
+  }
+  // An ejected server is better than none.
+  out.insert(out.end(), ejected.begin(), ejected.end());
+  return out;
+}
+
+void EntryState::note(const NoteServer &note, const RequestSpec &spec) {
+  std::shared_ptr<const RoutingTable> routes = table();
+  const Snapshot &config = routes->snapshot();
+  const Server *server = config.server(note.Server);
+  const Pool *pool = config.pool(poolName(spec), !spec.Service.empty());
+  if (server == nullptr || pool == nullptr)
+    return;
+  TimePoint now = monotonicNow();
+  uint64_t poolHash = hashName(pool->Name);
+  EjectionVerdict verdict =
+      note.How == NoteServer::Result::Failed
+          ? Ejected.onFailure(poolHash, pool->Servers.size(), server->NameHash,
+                              now)
+          : Ejected.onAnswer(poolHash, pool->Servers.size(), server->NameHash,
+                             note.Predicted, note.Measured, now);
+  if (verdict == EjectionVerdict::None)
+    return;
+  Event event;
+  event.Kind = EventKind::ServerEjected;
+  event.Request = spec.Offer.Id;
+  event.Subject = note.Server;
+  event.Reason = verdict == EjectionVerdict::HeldBack ? ErrorKind::BudgetSpent
+                                                      : ErrorKind::ServerFailed;
+  Events(std::move(event));
+}
+
+AgentHooks EntryState::agentHooks() {
+  AgentHooks out;
+  out.Message = [this](const std::string &server, wire::Message message) {
+    onMessage(server, std::move(message));
+  };
+  out.Lost = [this](const AttemptKey &attempt, bool mayBeDelivered) {
+    AttemptTable::const_accessor it;
+    if (!Attempts.find(it, attempt))
+      return;
+    std::shared_ptr<ActiveRequest> request = it->second;
+    it.release();
+    request->push(LinkLost{attempt.Try, mayBeDelivered});
+  };
+  out.Rejected = [this](ErrorKind) { Counts.PeersRejected.add(); };
+  return out;
+}
+
+void EntryState::onMessage(const std::string &server, wire::Message message) {
+  auto deliver = [&](auto &&body) {
+    AttemptTable::const_accessor it;
+    if (!Attempts.find(it, AttemptKey{body.Id, body.Try}))
+      return Counts.Stray.add();
+    std::shared_ptr<ActiveRequest> request = it->second;
+    it.release();
+    request->push(ServerSaid{server, std::move(body)});
+  };
+  auto learn = [&](const wire::LoadReport &load) {
+    Loads.observe(hashName(server), load, monotonicNow());
+  };
+  if (auto *accepted = std::get_if<wire::Accepted>(&message)) {
+    learn(accepted->Load);
+    deliver(std::move(*accepted));
+  } else if (auto *refused = std::get_if<wire::Refused>(&message)) {
+    learn(refused->Load);
+    deliver(std::move(*refused));
+  } else if (auto *chunk = std::get_if<wire::Chunk>(&message)) {
+    deliver(std::move(*chunk));
+  } else if (auto *finished = std::get_if<wire::Finished>(&message)) {
+    learn(finished->Load);
+    deliver(std::move(*finished));
+  }
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/entry_state.h
@@ -0,0 +1,73 @@
+/// What all requests of one entry process share.
+#pragma once
+
+#include "agent_links.h"
+#include "base/event_ring.h"
+#include "base/metrics.h"
+#include "base/rcu.h"
+#include "decide/ejection.h"
+#include "decide/load_view.h"
+#include "decide/retry_budget.h"
+#include "decide/routing.h"
+#include "entry_metrics.h"
+#include "entry_options.h"
+#include "serve/caller_ids.h"
+#include "serve/request_flow.h"
+
+#include <tbb/concurrent_hash_map.h>
+#include <tbb/enumerable_thread_specific.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace daisytack::entry {
+
+class ActiveRequest;
+
+/// Requests in flight by each of their attempts.
+using AttemptTable =
+    tbb::concurrent_hash_map<AttemptKey, std::shared_ptr<ActiveRequest>,
+                             AttemptKeyHash>;
+
+/// Thread-safe in all members.
+class EntryState {
+public:
+  EntryState(boost::asio::io_context &io, const EntryOptions &options,
+             Metrics &metrics, EventSink events);
+
+  /// Routing table with its snapshot; a pointer of this thread.
+  std::shared_ptr<const RoutingTable> table();
+  void publish(std::shared_ptr<const Snapshot> snapshot);
+
+  /// Candidates for a request, best first.
+  std::vector<Candidate> rank(const RequestSpec &spec,
+                              const FlowContext &context);
+  void note(const NoteServer &note, const RequestSpec &spec);
+  /// First attempt number of a flow whose request id is not its own.
+  Attempt freshTry();
+
+  boost::asio::io_context &Io;
+  const EntryOptions &Options;
+  const EventSink Events;
+  EntryMetrics Counts;
+  PieceKeyer Keyer;
+  CallerIds Ids;
+  LoadView Loads;
+  RetryBudget Retries;
+  Ejector Ejected;
+  AttemptTable Attempts;
+  AgentLinks Links;
+  std::atomic<size_t> Running{0};
+
+private:
+  AgentHooks agentHooks();
+  void onMessage(const std::string &server, wire::Message message);
+
+  using Reader = Rcu<RoutingTable>::Reader;
+  Rcu<RoutingTable> Tables;
+  tbb::enumerable_thread_specific<Reader> Readers;
+  std::atomic<uint32_t> NextTry{MaxAttempts + 1};
+};
+
+} // namespace daisytack::entry
