--- /dev/null
+++ b/bench/loopback.cpp
@@ -0,0 +1,325 @@
+/// Load generator for scripts/bench-loopback: calls a completions address on
+/// loopback and prints one JSON object of figures. Modes: latency (requests
+/// spread evenly over time), throughput (a fixed number at once), streams (many
+/// slow streams at once, every answer checked), idle (open connections).
+#include "base/clock.h"
+#include "base/digest.h"
+#include "net/http_client.h"
+#include "net/sse.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+DEFINE_string(mode, "latency", "latency, throughput, streams or idle");
+DEFINE_string(target, "", "ADDRESS:PORT to call");
+DEFINE_string(key, "", "bearer key");
+DEFINE_string(model, "m", "model to name");
+DEFINE_uint64(threads, 2, "I/O threads");
+DEFINE_uint64(requests, 5000, "requests in all");
+DEFINE_double(rate, 500, "requests a second (latency)");
+DEFINE_uint64(at_once, 64,
+              "requests at a time (throughput), streams, or idle connections");
+DEFINE_uint64(tokens, 4, "tokens to ask for");
+DEFINE_uint64(pid, 0, "process whose memory is read");
+
+namespace daisytack {
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+std::string promptOf(uint64_t n) { return "prompt " + std::to_string(n); }
+
+std::string expectedText(const std::string &prompt) {
+  std::string word = hexDigest(sha256(prompt)).substr(0, 8);
+  std::string out;
+  for (uint64_t i = 0; i < FLAGS_tokens; ++i)
+    out += word + "." + std::to_string(i) + " ";
+  return out;
+}
+
+net::HttpRequest requestFor(const std::string &prompt, bool stream) {
+  json::object body{{"model", FLAGS_model},
+                    {"prompt", prompt},
+                    {"max_tokens", FLAGS_tokens},
+                    {"stream", stream}};
+  return {"POST",
+          "/v1/completions",
+          "",
+          {{"Content-Type", "application/json"},
+           {"Authorization", "Bearer " + FLAGS_key}},
+          json::serialize(body)};
+}
+
+/// Kilobytes from a line of /proc/PID/status; 0 when there is none.
+uint64_t memoryOf(const std::string &field) {
+  std::ifstream file("/proc/" + std::to_string(FLAGS_pid) + "/status");
+  for (std::string line; std::getline(file, line);)
+    if (line.starts_with(field + ":"))
+      return std::stoull(line.substr(field.size() + 1));
+  return 0;
+}
+
+std::string textOf(const json::value &answer) {
+  boost::system::error_code ec;
+  const json::value *text = answer.find_pointer("/choices/0/text", ec);
+  return text && text->is_string() ? std::string(text->get_string()) : "";
+}
+
+/// What all modes count.
+struct Tally {
+  std::atomic<uint64_t> Good{0};
+  std::atomic<uint64_t> Failed{0};
+  std::atomic<uint64_t> Mixed{0}; ///< Whole, but another text than expected.
+  std::mutex Lock;
+  std::vector<double> Micros;
+  std::string FirstFailure;
+
+  void fail(const std::string &why) {
+    ++Failed;
+    std::lock_guard guard(Lock);
+    if (FirstFailure.empty())
+      FirstFailure = why;
+  }
+  double quantile(double q) {
+    std::lock_guard guard(Lock);
+    if (Micros.empty())
+      return 0;
+    std::sort(Micros.begin(), Micros.end());
+    auto last = static_cast<double>(Micros.size() - 1);
+    return Micros[static_cast<size_t>(q * last)];
+  }
+};
+
+class Load {
+public:
+  explicit Load(Endpoint target)
+      : Target(std::move(target)), Work(Io.get_executor()),
+        Client(Io, {FLAGS_at_once, Duration(20'000'000)}) {
+    for (uint64_t i = 0; i < FLAGS_threads; ++i)
+      Threads.emplace_back([this] { Io.run(); });
+  }
+  ~Load() {
+    Io.stop();
+    for (auto &t : Threads)
+      t.join();
+  }
+
+  json::object latency() {
+    warmUp();
+    asio::steady_timer timer(Io);
+    auto begin = std::chrono::steady_clock::now();
+    for (uint64_t i = 0; i < FLAGS_requests; ++i) {
+      auto at = begin + std::chrono::duration_cast<std::chrono::nanoseconds>(
+                            std::chrono::duration<double>(
+                                static_cast<double>(i) / FLAGS_rate));
+      std::this_thread::sleep_until(at);
+      one(i, [this] { countDown(); });
+    }
+    Done.get_future().wait();
+    return figures();
+  }
+
+  json::object throughput() {
+    warmUp();
+    TimePoint begin = monotonicNow();
+    for (uint64_t i = 0; i < std::min(FLAGS_at_once, FLAGS_requests); ++i)
+      chain();
+    Done.get_future().wait();
+    json::object out = figures();
+    double seconds =
+        std::chrono::duration<double>(monotonicNow() - begin).count();
+    out["requests_per_second"] = static_cast<double>(FLAGS_requests) / seconds;
+    return out;
+  }
+
+  json::object streams() {
+    uint64_t before = memoryOf("VmRSS");
+    Left = FLAGS_at_once;
+    for (uint64_t i = 0; i < FLAGS_at_once; ++i)
+      stream(i);
+    Done.get_future().wait();
+    json::object out = figures();
+    out["rss_before_kib"] = before;
+    out["peak_kib"] = memoryOf("VmHWM");
+    out["most_at_once"] = MostOpen.load();
+    return out;
+  }
+
+  json::object idle() {
+    using Socket = asio::ip::tcp::socket;
+    uint64_t before = memoryOf("VmRSS");
+    asio::io_context io;
+    std::vector<Socket> sockets;
+    asio::ip::tcp::endpoint to(asio::ip::make_address(Target.Address),
+                               Target.Port);
+    for (uint64_t i = 0; i < FLAGS_at_once; ++i) {
+      sockets.emplace_back(io);
+      sockets.back().connect(to);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    uint64_t after = memoryOf("VmRSS");
+    return {
+        {"connections", FLAGS_at_once},
+        {"rss_before_kib", before},
+        {"rss_after_kib", after},
+        {"bytes_per_connection", static_cast<double>(after - before) * 1024 /
+                                     static_cast<double>(FLAGS_at_once)}};
+  }
+
+private:
+  void warmUp() {
+    constexpr uint64_t WarmUps = 200;
+    constexpr uint64_t FirstWarmUp = 1'000'000'000;
+    for (uint64_t i = 0; i < WarmUps; ++i) {
+      std::promise<void> done;
+      one(FirstWarmUp + i, [&done] { done.set_value(); });
+      done.get_future().wait();
+    }
+    Sum.Good = 0;
+    std::lock_guard guard(Sum.Lock);
+    Sum.Micros.clear();
+    Left = FLAGS_requests;
+  }
+
+  void one(uint64_t n, std::function<void()> then) {
+    std::string prompt = promptOf(n);
+    TimePoint begin = monotonicNow();
+    Client.fetch(Target, requestFor(prompt, false), Duration::zero(),
+                 [this, prompt, begin, then = std::move(then)](
+                     const Error &error, const net::HttpResponse &response) {
+                   Duration took = monotonicNow() - begin;
+                   check(prompt, error, response);
+                   {
+                     std::lock_guard guard(Sum.Lock);
+                     Sum.Micros.push_back(static_cast<double>(took.count()));
+                   }
+                   then();
+                 });
+  }
+
+  void check(const std::string &prompt, const Error &error,
+             const net::HttpResponse &response) {
+    boost::system::error_code ec;
+    json::value answer = json::parse(response.Body, ec);
+    if (error || response.Status != 200 || ec)
+      return Sum.fail(error.Detail + " " + std::to_string(response.Status) +
+                      " " + response.Body);
+    if (textOf(answer) == expectedText(prompt))
+      ++Sum.Good;
+    else
+      ++Sum.Mixed;
+  }
+
+  void chain() {
+    uint64_t n = Started++;
+    if (n >= FLAGS_requests)
+      return;
+    one(n, [this] {
+      countDown();
+      chain();
+    });
+  }
+
+  void countDown() {
+    if (--Left == 0)
+      Done.set_value();
+  }
+
+  struct StreamState {
+    net::SseParser Parser;
+    std::string Text;
+    bool Whole = false;
+    bool Opened = false;
+  };
+
+  void stream(uint64_t n) {
+    auto state = std::make_shared<StreamState>();
+    net::HttpHooks hooks;
+    hooks.Data = [this, state](std::string_view data) {
+      if (!std::exchange(state->Opened, true))
+        opened();
+      state->Parser.feed(data, [state](const net::SseEvent &event) {
+        state->Whole |= event.Data == "[DONE]";
+        boost::system::error_code ec;
+        json::value value = json::parse(event.Data, ec);
+        if (!ec)
+          state->Text += textOf(value);
+      });
+    };
+    hooks.Done = [this, state, n](const Error &error) {
+      if (state->Opened)
+        --Open;
+      if (error || !state->Whole)
+        Sum.fail(error.Detail + " " + state->Text);
+      else if (state->Text == expectedText(promptOf(n)))
+        ++Sum.Good;
+      else
+        ++Sum.Mixed;
+      countDown();
+    };
+    Client.call(Target, requestFor(promptOf(n), true), Duration::zero(),
+                std::move(hooks));
+  }
+
+  void opened() {
+    uint64_t now = ++Open;
+    uint64_t most = MostOpen;
+    while (now > most && !MostOpen.compare_exchange_weak(most, now))
+      continue;
+  }
+
+  json::object figures() {
+    return {
+        {"good", Sum.Good.load()},      {"failed", Sum.Failed.load()},
+        {"mixed", Sum.Mixed.load()},    {"p50_us", Sum.quantile(0.5)},
+        {"p99_us", Sum.quantile(0.99)}, {"first_failure", Sum.FirstFailure}};
+  }
+
+  Endpoint Target;
+  asio::io_context Io;
+  asio::executor_work_guard<asio::io_context::executor_type> Work;
+  net::HttpClient Client;
+  std::vector<std::thread> Threads;
+  Tally Sum;
+  std::atomic<uint64_t> Started{0};
+  std::atomic<uint64_t> Left{0};
+  std::atomic<uint64_t> Open{0};
+  std::atomic<uint64_t> MostOpen{0};
+  std::promise<void> Done;
+};
+
+} // namespace
+} // namespace daisytack
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  auto target = daisytack::parseEndpoint(FLAGS_target);
+  if (!target) {
+    std::cout << "loopback: a part of scripts/bench-loopback; give --target\n";
+    return 0;
+  }
+  daisytack::Load load(*target);
+  boost::json::object out;
+  if (FLAGS_mode == "latency")
+    out = load.latency();
+  else if (FLAGS_mode == "throughput")
+    out = load.throughput();
+  else if (FLAGS_mode == "streams")
+    out = load.streams();
+  else
+    out = load.idle();
+  std::cout << boost::json::serialize(out) << "\n";
+  return 0;
+}
--- /dev/null
+++ b/bench/once.cpp
@@ -0,0 +1,102 @@
+/// Cost of the at-most-once record: nanoseconds per decision and bytes per
+/// ticket, at several numbers of records.
+#include "base/clock.h"
+#include "base/digest.h"
+#include "once/ticket_ledger.h"
+
+#include <malloc.h>
+
+#include <cstdio>
+
+namespace daisytack {
+
+namespace {
+
+constexpr Duration Life{600'000'000};
+constexpr size_t AnswerBytes = 200;
+
+size_t heapBytes() { return mallinfo2().uordblks; }
+
+TicketLedgerInit makeInit(size_t records) {
+  TicketLedgerInit out;
+  out.Instance = "kengarags-portal-1";
+  out.Process = {7, 7};
+  out.Secret = std::string(32, 's');
+  out.TicketLife = Life;
+  out.MaxRecords = records;
+  out.MaxAnswerBytes = 1ULL << 30;
+  return out;
+}
+
+double nanosecondsEach(TimePoint start, size_t n) {
+  std::chrono::duration<double, std::nano> passed = monotonicNow() - start;
+  return passed.count() / static_cast<double>(n);
+}
+
+struct Run {
+  TicketLedger Ledger;
+  std::vector<std::string> Tickets;
+  std::vector<TicketKey> Keys;
+  double Issue = 0;
+  double Present = 0;
+  double Finish = 0;
+};
+
+void issueAll(Run &run, size_t n, TimePoint now) {
+  Error reason;
+  run.Tickets.reserve(n);
+  TimePoint start = monotonicNow();
+  for (size_t i = 0; i < n; ++i)
+    run.Tickets.push_back(*run.Ledger.issue("rimi-growers", now, reason));
+  run.Issue = nanosecondsEach(start, n);
+}
+
+void presentAll(Run &run, TimePoint now) {
+  run.Keys.reserve(run.Tickets.size());
+  Presentation what{{1, 0}, 1, "rimi-growers", "", {2, 2}, {}, 0};
+  TimePoint start = monotonicNow();
+  for (const std::string &it : run.Tickets) {
+    what.Ticket = it;
+    ++what.Id.Lo;
+    run.Keys.push_back(run.Ledger.present(what, now).Key);
+  }
+  run.Present = nanosecondsEach(start, run.Tickets.size());
+}
+
+void finishAll(Run &run, size_t answerBytes, TimePoint now) {
+  KeptAnswer answer;
+  answer.Body = std::string(answerBytes, 'x');
+  TimePoint start = monotonicNow();
+  for (const TicketKey &it : run.Keys)
+    run.Ledger.finish(it, answer, now);
+  run.Finish = nanosecondsEach(start, run.Keys.size());
+}
+
+void measure(size_t n) {
+  TimePoint now = monotonicNow();
+  Run run{{makeInit(n), secureRandom, nullptr}, {}, {}};
+  issueAll(run, n, now);
+  run.Keys.reserve(n);
+  size_t before = heapBytes();
+  presentAll(run, now);
+  size_t recorded = heapBytes();
+  finishAll(run, AnswerBytes, now);
+  size_t answered = heapBytes();
+  auto each = [&](size_t bytes) {
+    return static_cast<double>(bytes) / static_cast<double>(n);
+  };
+  std::printf("%8zu tickets  issue %5.0f ns  present %5.0f ns  finish %5.0f ns"
+              "  record %4.0f B  kept answer of %zu B %4.0f B\n",
+              n, run.Issue, run.Present, run.Finish, each(recorded - before),
+              AnswerBytes, each(answered - recorded));
+}
+
+} // namespace
+
+} // namespace daisytack
+
+int main() {
+  for (size_t n : {1'000, 10'000, 100'000})
+    daisytack::measure(n);
+  return 0;
+}
--- /dev/null
+++ b/bench/policy_model.h
@@ -0,0 +1,237 @@
+/// Scalar cost models of an engine, a store and its link: what the decisions
+/// are measured against. No network, process or membership model. Every
+/// assumption is a named constant with its reason.
+#pragma once
+
+#include "context/engine_view.h"
+#include "context/keep_policy.h"
+#include "context/plan.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisytack::bench {
+
+// An 8-billion-parameter model with grouped-query attention keeps 64 KB a
+// token at 8 bits: 32 layers x 2 x 8 heads x 128.
+constexpr uint64_t PieceSize = 64ULL * 1024 * PieceTokens;
+// A middling accelerator prefills such a model at this rate.
+constexpr double PrefillRate = 8'000; // tokens a second
+// A prefill costs a step of the engine however short it is.
+constexpr Duration PrefillStep{25'000};
+// Time between tokens of one run, alone, and the share that each other run
+// adds: decoding is bound by memory bandwidth, so a batch slows it little.
+constexpr Duration TokenTime{20'000};
+constexpr double BatchSlowdown = 0.02;
+// Runs that an agent hands to its engine at once.
+constexpr uint32_t EngineSlots = 16;
+// 19 GB of accelerator memory left for kept prefixes.
+constexpr size_t EnginePieces = 300;
+// A store instance: 10 Gbit/s of link, 128 GB of memory, 384 GB of solid-state
+// disk that reads faster than the link carries.
+constexpr double LinkRate = 1.25e9; // bytes a second
+constexpr double DiskRate = 2e9;    // bytes a second
+constexpr size_t StoreMemoryPieces = 2'000;
+constexpr size_t StorePieces = 8'000;
+// A fetch asks, reads and asks again: three trips.
+constexpr Duration FetchRoundTrip{9'000};
+// Caller to entry and entry to agent, there and back.
+constexpr Duration NetworkTime{9'000};
+// Engines publish cache events late, and lose some.
+constexpr Duration CacheEventPeriod{200'000};
+constexpr double CacheEventLoss = 0.001;
+// Pieces that a full store samples for eviction.
+constexpr size_t SampleSize = 16;
+
+using Random = std::mt19937_64;
+
+inline double uniform(Random &random) {
+  return static_cast<double>(random() >> 11U) * 0x1.0p-53;
+}
+
+inline double seconds(Duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+inline Duration fromSeconds(double value) {
+  return Duration(static_cast<int64_t>(value * 1e6));
+}
+
+/// Least recently used set of pieces.
+class LruPieces {
+public:
+  explicit LruPieces(size_t capacity) : Capacity(capacity) {}
+  bool contains(const PieceKey &key) const { return Where.contains(key); }
+  /// Inserts or refreshes; returns what had to go.
+  std::optional<PieceKey> touch(const PieceKey &key) {
+    erase(key);
+    Order.push_front(key);
+    Where[key] = Order.begin();
+    if (Order.size() <= Capacity)
+      return std::nullopt;
+    PieceKey last = Order.back();
+    erase(last);
+    return last;
+  }
+  void erase(const PieceKey &key) {
+    auto it = Where.find(key);
+    if (it == Where.end())
+      return;
+    Order.erase(it->second);
+    Where.erase(it);
+  }
+
+private:
+  size_t Capacity;
+  std::list<PieceKey> Order;
+  std::unordered_map<PieceKey, std::list<PieceKey>::iterator> Where;
+};
+
+/// One engine: prefills one after another, decodes side by side, and keeps the
+/// prefixes used last.
+class EngineModel {
+public:
+  explicit EngineModel(uint64_t seed) : Cache(EnginePieces), Chance(seed) {}
+
+  double Speed = 1;
+  uint32_t Running = 0;
+
+  /// Leading pieces that need no prefill.
+  uint32_t cached(std::span<const PieceKey> pieces) const {
+    uint32_t n = 0;
+    while (n < pieces.size() && Cache.contains(pieces[n]))
+      ++n;
+    return n;
+  }
+  /// When the first token is there.
+  TimePoint prefill(uint32_t tokens, TimePoint now) {
+    Duration work = PrefillStep + fromSeconds(tokens / PrefillRate);
+    FreeAt = std::max(FreeAt, now) + fromSeconds(seconds(work) / Speed);
+    return FreeAt;
+  }
+  Duration decode(uint32_t tokens) const {
+    double batch = 1 + BatchSlowdown * Running;
+    return fromSeconds(seconds(TokenTime) * tokens * batch / Speed);
+  }
+  /// Pieces that were imported or computed; later ones are kept less long.
+  void keep(std::span<const PieceKey> pieces) {
+    for (size_t i = pieces.size(); i-- > 0;) {
+      bool known = Cache.contains(pieces[i]);
+      auto gone = Cache.touch(pieces[i]);
+      if (!known)
+        publish(CacheEventKind::Stored, pieces[i]);
+      if (gone)
+        publish(CacheEventKind::Evicted, *gone);
+    }
+  }
+  bool holds(const PieceKey &piece) const { return Cache.contains(piece); }
+  /// Hands the events since the last poll to the view.
+  void poll(EngineView &view) {
+    view.apply(Events, Sequence);
+    Events.clear();
+  }
+
+private:
+  void publish(CacheEventKind kind, const PieceKey &piece) {
+    CacheEvent event{Sequence++, kind, piece};
+    if (uniform(Chance) >= CacheEventLoss)
+      Events.push_back(event);
+  }
+
+  LruPieces Cache;
+  Random Chance;
+  TimePoint FreeAt{};
+  std::vector<CacheEvent> Events;
+  uint64_t Sequence = 0;
+};
+
+/// One store instance behind its link: transfers one after another.
+class StoreModel {
+public:
+  StoreModel() : Memory(StoreMemoryPieces) {}
+
+  double Rate = LinkRate;
+  bool Up = true;
+  uint64_t Fetched = 0;  ///< Bytes.
+  uint64_t Exported = 0; ///< Bytes.
+  Duration Busy{0};
+
+  std::optional<StoredPiece> lookup(const PieceKey &key, uint32_t link) const {
+    auto it = Kept.find(key);
+    if (!Up || it == Kept.end())
+      return std::nullopt;
+    StoreTier tier = Memory.contains(key) ? StoreTier::Memory : StoreTier::Disk;
+    return StoredPiece{1, PieceSize, tier, link};
+  }
+  bool contains(const PieceKey &key) const { return Up && Kept.contains(key); }
+  /// When a transfer that starts now has ended.
+  TimePoint transfer(const PieceKey &key, bool fetch, TimePoint now) {
+    bool fromDisk = fetch && Kept.contains(key) && !Memory.contains(key);
+    TimePoint ready = now + FetchRoundTrip;
+    if (fromDisk) {
+      DiskFree = std::max(DiskFree, now) + fromSeconds(PieceSize / DiskRate);
+      ready = std::max(ready, DiskFree);
+    }
+    Duration work = fromSeconds(PieceSize / Rate);
+    LinkFree = std::max(LinkFree, now) + work;
+    Busy += work;
+    (fetch ? Fetched : Exported) += PieceSize;
+    if (fetch && Kept.contains(key))
+      Memory.touch(key);
+    return std::max(ready, LinkFree);
+  }
+  bool isFull() const { return Kept.size() >= StorePieces; }
+  double used() const { return static_cast<double>(Kept.size()) / StorePieces; }
+  void insert(const PieceKey &key, std::string meta) {
+    if (!Up || Kept.contains(key))
+      return;
+    Kept[key] = {Keys.size(), std::move(meta)};
+    Keys.push_back(key);
+    Memory.touch(key);
+  }
+  void erase(const PieceKey &key) {
+    auto it = Kept.find(key);
+    if (it == Kept.end())
+      return;
+    size_t slot = it->second.Slot;
+    Keys[slot] = Keys.back();
+    Kept[Keys[slot]].Slot = slot;
+    Keys.pop_back();
+    Kept.erase(key);
+    Memory.erase(key);
+  }
+  std::vector<SampledPiece> sample(Random &random) const {
+    std::vector<SampledPiece> out;
+    std::set<size_t> taken;
+    while (taken.size() < std::min(SampleSize, Keys.size()))
+      taken.insert(random() % Keys.size());
+    for (size_t it : taken)
+      out.push_back({Keys[it], 1, PieceSize, Kept.at(Keys[it]).Meta});
+    return out;
+  }
+  void lose() {
+    Up = false;
+    Kept.clear();
+    Keys.clear();
+  }
+
+private:
+  struct Entry {
+    size_t Slot = 0;
+    std::string Meta;
+  };
+  LruPieces Memory;
+  std::unordered_map<PieceKey, Entry> Kept;
+  std::vector<PieceKey> Keys;
+  TimePoint LinkFree{};
+  TimePoint DiskFree{};
+};
+
+} // namespace daisytack::bench
--- /dev/null
+++ b/bench/policy_stream.h
@@ -0,0 +1,225 @@
+/// Request streams shaped like the two deployments: organisations of unequal
+/// size, a prefix that an organisation shares, documents that return after
+/// heavy-tailed gaps, bursts before a deadline.
+#pragma once
+
+#include "policy_model.h"
+
+#include "base/digest.h"
+#include "daisytack/objects.h"
+
+#include <cmath>
+#include <string>
+#include <vector>
+
+namespace daisytack::bench {
+
+constexpr size_t Organisations = 10;
+// "A few of them large": sizes fall with the rank to this power.
+constexpr double SizePower = 1.0;
+// Gaps between returns of one document: Pareto from two minutes up to a day.
+// With an exponent near 1 every scale of gap is as common as the next.
+constexpr double GapLeastSeconds = 120;
+constexpr double GapMostSeconds = 86'400;
+constexpr double GapExponent = 1.1;
+// An organisation may send three times its usual rate.
+constexpr double LimitOverUsual = 3;
+// Of every half hour, the last five minutes carry this much more.
+constexpr double BurstPeriodSeconds = 1'800;
+constexpr double BurstSeconds = 300;
+constexpr double BurstFactor = 2.2;
+// The misbehaving organisation sends ten times its limit.
+constexpr double MisbehaviourFactor = 10;
+
+/// A kind of request.
+struct ClassShape {
+  std::string Name;
+  double Share = 1;            ///< Of the documents.
+  uint32_t GuidePieces = 0;    ///< Shared by the organisation.
+  uint32_t DocumentPieces = 0; ///< Return with the document.
+  uint32_t FreshTokens = 0;    ///< New in every request.
+  uint32_t AnswerTokens = 0;
+  Duration Deadline{0};
+  uint32_t Priority = 5;
+  KeepRule Keep = KeepRule::SecondSight;
+};
+
+struct Deployment {
+  std::string Name;
+  std::vector<std::string> Domains;
+  uint32_t Servers = 0;
+  uint32_t Stores = 2;
+  uint32_t Entries = 3;
+  double RequestsPerSecond = 0; ///< Usual rate.
+  PlanWeights Weights;
+  std::vector<ClassShape> Classes;
+};
+
+// Riga: quotes while the trader holds the phone (three seconds), and drafts of
+// commentary that must be there before the bulletin closes.
+inline Deployment riga() {
+  Deployment out;
+  out.Name = "Riga";
+  out.Domains = {"kengarags", "imanta", "jugla"};
+  out.Servers = 12;
+  out.RequestsPerSecond = 8;
+  out.Weights = firstTokenWeights();
+  out.Classes = {{"quote", 0.7, 3, 2, 200, 24, std::chrono::seconds(3), 8,
+                  KeepRule::SecondSight},
+                 {"draft", 0.3, 3, 8, 800, 600, std::chrono::seconds(90), 4,
+                  KeepRule::SecondSight}};
+  return out;
+}
+
+// Dakar: a long style guide and past notices before a family's draft; a short
+// check of names and dates. What returns is known to return, so the classes
+// keep always.
+inline Deployment dakar() {
+  Deployment out;
+  out.Name = "Dakar";
+  out.Domains = {"plateau", "medina", "pikine", "rufisque"};
+  out.Servers = 9;
+  out.RequestsPerSecond = 3;
+  out.Weights = recomputeWeights();
+  out.Classes = {{"notice", 0.6, 6, 10, 900, 400, std::chrono::seconds(120), 5,
+                  KeepRule::Always},
+                 {"check", 0.4, 6, 4, 500, 60, std::chrono::seconds(20), 7,
+                  KeepRule::Always}};
+  return out;
+}
+
+struct Request {
+  TimePoint At;
+  uint32_t Organisation = 0;
+  uint32_t Class = 0;
+  std::vector<PieceKey> Pieces;
+  uint32_t PromptTokens = 0;
+  bool Excess = false; ///< Part of the misbehaviour.
+};
+
+/// Share of the load of the organisation of that rank.
+inline double sizeOf(size_t rank) {
+  double sum = 0;
+  for (size_t i = 1; i <= Organisations; ++i)
+    sum += std::pow(i, -SizePower);
+  return std::pow(rank + 1, -SizePower) / sum;
+}
+
+/// Stands for the keyed hash, which costs the bench time and changes no
+/// decision.
+inline PieceKey benchKey(uint64_t organisation, uint64_t document,
+                         uint64_t index) {
+  PieceKey out;
+  uint64_t word = mix64(organisation * 0x9e3779b97f4a7c15ULL + document);
+  for (size_t i = 0; i < out.Bytes.size(); ++i) {
+    if (i % 8 == 0)
+      word = mix64(word + index * 0xd1342543de82ef95ULL + i + 1);
+    out.Bytes[i] = static_cast<uint8_t>(word >> (8 * (i % 8)));
+  }
+  return out;
+}
+
+struct StreamOptions {
+  Duration Length{0};
+  bool Bursts = false;
+  std::optional<TimePoint> MisbehavesFrom; ///< Organisation 0, to the end.
+  uint64_t Seed = 1;
+};
+
+/// Generates the whole stream, sorted by time.
+class StreamGenerator {
+public:
+  StreamGenerator(const Deployment &deployment, const StreamOptions &options)
+      : What(deployment), Options(options), Chance(options.Seed) {}
+
+  std::vector<Request> run() {
+    auto documents =
+        static_cast<uint64_t>(What.RequestsPerSecond * meanGapSeconds());
+    for (uint64_t i = 0; i < documents; ++i)
+      addDocument(i);
+    if (Options.Bursts)
+      addBursts(documents);
+    if (Options.MisbehavesFrom)
+      addMisbehaviour(documents);
+    std::stable_sort(
+        Out.begin(), Out.end(),
+        [](const Request &a, const Request &b) { return a.At < b.At; });
+    return std::move(Out);
+  }
+
+private:
+  static double gapSeconds(double chance, double exponent = GapExponent) {
+    double least = std::pow(GapLeastSeconds, -exponent);
+    double most = std::pow(GapMostSeconds, -exponent);
+    return std::pow(least - chance * (least - most), -1 / exponent);
+  }
+  static double meanGapSeconds() {
+    double sum = 0;
+    constexpr int Points = 10'000;
+    for (int i = 0; i < Points; ++i)
+      sum += gapSeconds((i + 0.5) / Points);
+    return sum / Points;
+  }
+  /// Documents belong to organisations and classes for good.
+  uint32_t organisationOf(uint64_t document) const {
+    double at = static_cast<double>(mix64(document) >> 11U) * 0x1.0p-53;
+    for (uint32_t i = 0; i + 1 < Organisations; ++i)
+      if ((at -= sizeOf(i)) < 0)
+        return i;
+    return Organisations - 1;
+  }
+  uint32_t classOf(uint64_t document) const {
+    double at = static_cast<double>(mix64(~document) >> 11U) * 0x1.0p-53;
+    return at < What.Classes[0].Share ? 0 : 1;
+  }
+  void add(double at, uint64_t document, uint32_t organisation, bool excess) {
+    Request out;
+    out.At = TimePoint(fromSeconds(at));
+    out.Organisation = organisation;
+    out.Class = classOf(document);
+    out.Excess = excess;
+    const ClassShape &shape = What.Classes[out.Class];
+    for (uint32_t i = 0; i < shape.GuidePieces; ++i)
+      out.Pieces.push_back(benchKey(organisation, 0, i));
+    for (uint32_t i = 0; i < shape.DocumentPieces; ++i)
+      out.Pieces.push_back(benchKey(organisation, document + 1, i));
+    out.PromptTokens = static_cast<uint32_t>(out.Pieces.size()) * PieceTokens +
+                       shape.FreshTokens;
+    Out.push_back(std::move(out));
+  }
+  void addDocument(uint64_t document) {
+    // A renewal process seen at random is in a gap that is chosen in
+    // proportion to its length, anywhere within it.
+    double at = gapSeconds(uniform(Chance), GapExponent - 1) * uniform(Chance);
+    double end = seconds(Options.Length);
+    while (at < end) {
+      add(at, document, organisationOf(document), false);
+      at += gapSeconds(uniform(Chance));
+    }
+  }
+  void addBursts(uint64_t documents) {
+    double extra = What.RequestsPerSecond * (BurstFactor - 1);
+    for (double from = BurstPeriodSeconds - BurstSeconds;
+         from < seconds(Options.Length); from += BurstPeriodSeconds)
+      for (double at = from; at < from + BurstSeconds;
+           at -= std::log(1 - uniform(Chance)) / extra) {
+        uint64_t document = Chance() % documents;
+        add(at, document, organisationOf(document), false);
+      }
+  }
+  void addMisbehaviour(uint64_t documents) {
+    double rate = What.RequestsPerSecond * sizeOf(0) * LimitOverUsual *
+                  MisbehaviourFactor;
+    double end = seconds(Options.Length);
+    for (double at = seconds(Options.MisbehavesFrom->time_since_epoch());
+         at < end; at -= std::log(1 - uniform(Chance)) / rate)
+      add(at, Chance() % documents, 0, true);
+  }
+
+  const Deployment &What;
+  StreamOptions Options;
+  Random Chance;
+  std::vector<Request> Out;
+};
+
+} // namespace daisytack::bench
--- a/src/context/link_scheduler.cpp
+++ b/src/context/link_scheduler.cpp
@@ -131,11 +131,14 @@
   seconds = std::max(seconds, LeastSeconds);
   if (bytes == 0)
     return;
-  // Transfers side by side share the link.
+  // Transfers side by side share the link. The mean is one of times, not of
+  // rates: what is predicted from it is a time.
   double share = static_cast<double>(Running.size());
-  double measured = static_cast<double>(bytes) * share / seconds;
-  measured = std::min(measured, Limits.BytesPerSecond);
-  Learned += LearnWeight * (measured - Learned);
+  double measured = seconds / (static_cast<double>(bytes) * share);
+  measured = std::max(measured, 1 / Limits.BytesPerSecond);
+  double believed = 1 / learnedRate(now);
+  believed += LearnWeight * (measured - believed);
+  Learned = 1 / believed;
   LearnedAt = now;
 }
 
@@ -166,11 +169,14 @@
   return out;
 }
 
-double LinkScheduler::bytesPerSecond(TimePoint now) const {
+double LinkScheduler::learnedRate(TimePoint now) const {
   double age = std::max(0.0, secondsBetween(LearnedAt, now));
   double kept = std::exp2(-age / ForgetHalfLifeSeconds);
-  double rate =
-      Limits.BytesPerSecond - kept * (Limits.BytesPerSecond - Learned);
+  return Limits.BytesPerSecond - kept * (Limits.BytesPerSecond - Learned);
+}
+
+double LinkScheduler::bytesPerSecond(TimePoint now) const {
+  double rate = learnedRate(now);
   // What is in flight bounds the rate before it has ended.
   for (const Flight &it : Running) {
     double seconds = secondsBetween(it.Started, now) -
--- a/src/context/link_scheduler.h
+++ b/src/context/link_scheduler.h
@@ -80,6 +80,7 @@
   const Transfer *best() const;
   void learn(const Flight &flight, uint64_t bytes, TimePoint now);
   uint64_t bytesInFlight() const;
+  double learnedRate(TimePoint now) const;
 
   LinkLimits Limits;
   std::vector<Transfer> Waiting; ///< Sorted: the best one last.
--- a/src/once/ticket_ledger.cpp
+++ b/src/once/ticket_ledger.cpp
@@ -49,9 +49,10 @@
   return out;
 }
 
-Presentation presentationOf(const wire::Offer &offer) {
+Presentation presentationOf(const wire::Offer &offer, uint32_t link) {
   return {offer.Id,     offer.Try,       offer.Organisation,
-          offer.Ticket, callHash(offer), offer.Process};
+          offer.Ticket, callHash(offer), offer.Process,
+          link};
 }
 
 std::vector<wire::Message> replayAnswer(const KeptAnswer &answer, RequestId id,
@@ -85,14 +86,14 @@
                 randomId(Random), Latest,       Latest + Init.TicketLife};
   auto out = signTicket(ticket, Init.Secret, reason);
   if (out)
-    note(EventKind::TicketIssued, {ticket.Serial, 0}, ErrorKind::None);
+    note(EventKind::TicketIssued, {ticket.Serial, 0, 0}, ErrorKind::None);
   return out;
 }
 
 TicketVerdict TicketLedger::present(const Presentation &presentation,
                                     TimePoint now) {
   advance(now);
-  Submission submission{presentation.Id, presentation.Try};
+  Submission submission{presentation.Id, presentation.Try, presentation.Link};
   if (Withdrawn.contains(submission))
     return ignore();
   TicketVerdict out;
@@ -146,7 +147,8 @@
 
 TicketVerdict TicketLedger::repeat(const Record &record,
                                    const Presentation &presentation) const {
-  if (record.By == Submission{presentation.Id, presentation.Try})
+  Submission submission{presentation.Id, presentation.Try, presentation.Link};
+  if (record.Running && record.By == submission)
     return ignore();
   if (record.Call != presentation.Call)
     return refuse(ErrorKind::KeyReused, Outcome::NotRun,
@@ -169,7 +171,7 @@
 
 TicketVerdict TicketLedger::start(const Claim &claim,
                                   const Presentation &presentation) {
-  Submission submission{presentation.Id, presentation.Try};
+  Submission submission{presentation.Id, presentation.Try, presentation.Link};
   if (Records.size() >= Init.MaxRecords) {
     rememberWithdrawn(submission);
     return refuse(ErrorKind::RecordFull, Outcome::NotRun,
--- a/src/once/ticket_ledger.h
+++ b/src/once/ticket_ledger.h
@@ -48,11 +48,13 @@
   std::string Ticket; ///< Empty: the submission is its own ticket, named by Id.
   Id128 Call;         ///< callHash of the offer.
   Incarnation Process; ///< Without a ticket: the process that may run it.
+  uint32_t Link = 0; ///< Connection that it came by. Entries that repeat a call
+                     ///< may use one request id and attempt.
   bool operator==(const Presentation &) const = default;
 };
 
 /// The presentation that an offer makes.
-Presentation presentationOf(const wire::Offer &offer);
+Presentation presentationOf(const wire::Offer &offer, uint32_t link);
 
 /// Names a record in the ledger: a ticket's serial, or the request id.
 using TicketKey = Id128;
@@ -63,7 +65,7 @@
     Run,    ///< Recorded as running: call finish or withdraw for Key later.
     Repeat, ///< It has completed; Answer is what it answered.
     Refuse, ///< Reason and Ran say why, and whether it may have run.
-    Ignore, ///< This very submission was decided on before: a duplicate
+    Ignore, ///< This very submission runs, or was refused before: a duplicate
             ///< message.
   };
   Action Do = Action::Refuse;
@@ -113,10 +115,11 @@
   const TicketLedgerInit &settings() const { return Init; }
 
 private:
-  /// One submission: a request and its attempt.
+  /// One submission, so that its duplicate is told from a repeat.
   struct Submission {
     RequestId Id;
     Attempt Try = 0;
+    uint32_t Link = 0;
     auto operator<=>(const Submission &) const = default;
   };
   struct Record {
--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -7,3 +7,6 @@
   set_tests_properties(process.${name} PROPERTIES TIMEOUT 180
     ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
 endforeach()
+
+# Where the example settings are.
+target_compile_definitions(test_examples PRIVATE DAISYTACK_EXAMPLES="${CMAKE_SOURCE_DIR}/examples")
--- a/tests/once/ticket_ledger_test.cpp
+++ b/tests/once/ticket_ledger_test.cpp
@@ -34,7 +34,8 @@
   }
 
   Presentation submission(std::string ticket, uint64_t call = 1) {
-    return {{9, ++Requests}, 1, "org", std::move(ticket), {call, call}, {7, 7}};
+    return {{9, ++Requests}, 1,      "org", std::move(ticket),
+            {call, call},    {7, 7}, 0};
   }
 
   static KeptAnswer completed(std::string body) {
@@ -201,6 +202,19 @@
   EXPECT_EQ(verdict.Ran, Outcome::MayHaveRun);
 }
 
+TEST_F(LedgerTest, TheSameIdByAnotherLinkIsARepeatAndNoDuplicate) {
+  auto ledger = make(makeInit());
+  std::string ticket = issue(ledger, at(0));
+  auto first = submission(ticket);
+  auto run = ledger.present(first, at(1));
+  auto other = first;
+  other.Link = 1;
+  EXPECT_EQ(ledger.present(other, at(2)).Reason.Kind, ErrorKind::StillRunning);
+  ledger.finish(run.Key, completed("done"), at(3));
+  EXPECT_EQ(ledger.present(other, at(4)).Do, Action::Repeat);
+  EXPECT_EQ(ledger.present(first, at(4)).Do, Action::Repeat);
+}
+
 TEST_F(LedgerTest, AWithdrawnTicketMayBePresentedAgain) {
   auto ledger = make(makeInit());
   std::string ticket = issue(ledger, at(0));
