--- /dev/null
+++ b/src/query/query_executor.cpp
@@ -0,0 +1,148 @@
+#include "query/query_executor.h"
+
+#include "query/schema.h"
+
+#include <algorithm>
+#include <map>
+
+namespace daisytack::query {
+
+namespace {
+
+const Column CountColumn{"count", CellType::Integer};
+
+bool isUnknown(const Cell &cell) {
+  return std::holds_alternative<std::monostate>(cell);
+}
+
+bool contains(const Cell &cell, CellType type, const Cell &value) {
+  const auto *wanted = std::get_if<std::string>(&value);
+  return wanted && cellText(cell, type).find(*wanted) != std::string::npos;
+}
+
+bool holds(const Condition &it, const Cell &cell, CellType type) {
+  if (isUnknown(cell))
+    return it.Compare == Comparison::NotEqual;
+  switch (it.Compare) {
+  case Comparison::Equal:
+    return cell == it.Value;
+  case Comparison::NotEqual:
+    return cell != it.Value;
+  case Comparison::Less:
+    return cell < it.Value;
+  case Comparison::LessEqual:
+    return cell <= it.Value;
+  case Comparison::Greater:
+    return cell > it.Value;
+  case Comparison::GreaterEqual:
+    return cell >= it.Value;
+  case Comparison::Contains:
+    return contains(cell, type, it.Value);
+  }
+  return false;
+}
+
+/// Orders stably, so that equal rows keep the order of their source. Unknown
+/// cells come first.
+void sortRows(Table &table, const Order &order) {
+  std::stable_sort(table.Rows.begin(), table.Rows.end(),
+                   [&](const auto &a, const auto &b) {
+                     const Cell &left = a[order.Column];
+                     const Cell &right = b[order.Column];
+                     return order.Descending ? right < left : left < right;
+                   });
+}
+
+void cut(Table &table, uint64_t limit) {
+  if (table.Rows.size() > limit)
+    table.Rows.resize(limit);
+}
+
+/// Largest count first.
+Table countsTable(const std::optional<Column> &by,
+                  const std::map<Cell, int64_t> &counts) {
+  Table out;
+  if (by)
+    out.Columns.push_back(*by);
+  out.Columns.push_back(CountColumn);
+  for (const auto &[value, count] : counts) {
+    std::vector<Cell> row;
+    if (by)
+      row.push_back(value);
+    row.emplace_back(count);
+    out.Rows.push_back(std::move(row));
+  }
+  sortRows(out, {out.Columns.size() - 1, true});
+  return out;
+}
+
+std::optional<Column> countedBy(const Query &query) {
+  if (!query.CountBy)
+    return std::nullopt;
+  return columnsOf(query.From)[*query.CountBy];
+}
+
+/// A count without "by" answers 0 rather than no row.
+std::map<Cell, int64_t> emptyCounts(const Query &query) {
+  std::map<Cell, int64_t> out;
+  if (!query.CountBy)
+    out[Cell()] = 0;
+  return out;
+}
+
+/// Every value is answered: a cut of counts couldn't be merged.
+Table countRows(const Query &query, const Table &rows) {
+  std::map<Cell, int64_t> counts = emptyCounts(query);
+  for (const auto &row : rows.Rows)
+    if (matches(query, row))
+      ++counts[query.CountBy ? row[*query.CountBy] : Cell()];
+  return countsTable(countedBy(query), counts);
+}
+
+Table mergeCounts(const Query &query, const std::vector<Table> &parts) {
+  std::map<Cell, int64_t> counts = emptyCounts(query);
+  for (const Table &part : parts)
+    for (const auto &row : part.Rows)
+      counts[query.CountBy ? row.front() : Cell()] +=
+          std::get<int64_t>(row.back());
+  Table out = countsTable(countedBy(query), counts);
+  cut(out, query.Limit);
+  return out;
+}
+
+} // namespace
+
+bool matches(const Query &query, const std::vector<Cell> &row) {
+  const auto &columns = columnsOf(query.From);
+  return std::all_of(
+      query.Where.begin(), query.Where.end(), [&](const Condition &it) {
+        return holds(it, row[it.Column], columns[it.Column].Type);
+      });
+}
+
+Table execute(const Query &query, const Table &rows) {
+  if (query.Count)
+    return countRows(query, rows);
+  Table out{rows.Columns, {}};
+  for (const auto &row : rows.Rows)
+    if (matches(query, row))
+      out.Rows.push_back(row);
+  if (query.OrderBy)
+    sortRows(out, *query.OrderBy);
+  cut(out, query.Limit);
+  return out;
+}
+
+Table merge(const Query &query, const std::vector<Table> &parts) {
+  if (query.Count)
+    return mergeCounts(query, parts);
+  Table out{columnsOf(query.From), {}};
+  for (const Table &part : parts)
+    out.Rows.insert(out.Rows.end(), part.Rows.begin(), part.Rows.end());
+  if (query.OrderBy)
+    sortRows(out, *query.OrderBy);
+  cut(out, query.Limit);
+  return out;
+}
+
+} // namespace daisytack::query
