Place prompts by a consistent-hash ring instead of over the whole pool

Ejected servers and slow start now count in the ranking, and the expected reuse falls with the candidate's place. docs/ROUTING.md gives the ways weighed and the hazards.

--- a/src/decide/routing.h
+++ b/src/decide/routing.h
@@ -5,6 +5,8 @@
 
 #include "control/snapshot.h"
 #include "daisytack/types.h"
+#include "decide/ejection.h"
+#include "decide/hash_ring.h"
 #include "decide/load_view.h"
 
 #include <array>
@@ -46,6 +48,10 @@
 class RoutingTable {
 public:
   explicit RoutingTable(std::shared_ptr<const Snapshot> source);
+  /// Takes over the rings of pools that have not changed: most snapshots differ
+  /// by one server or by configuration alone.
+  RoutingTable(std::shared_ptr<const Snapshot> source,
+               const RoutingTable &previous);
 
   const Snapshot &snapshot() const { return *Source; }
 
@@ -56,11 +62,18 @@
   /// when nothing serves the name.
   CandidateList candidates(std::string_view serves, bool isService,
                            const RouteKey &key, std::string_view region) const;
+  /// Bytes of all rings.
+  size_t memory() const;
 
 private:
+  /// The servers of one pool in one region. Indices are those of the ring's
+  /// members.
   struct RegionServers {
     std::string Region;
     std::vector<ServerHandle> Servers;
+    std::vector<uint32_t> Domains; ///< Index into DomainNames.
+    std::vector<std::string> DomainNames;
+    std::shared_ptr<const HashRing> Ring;
   };
   struct PoolIndex {
     std::string Name;
@@ -68,17 +81,25 @@
     std::vector<RegionServers> Regions; ///< One per region, sorted by name.
   };
 
+  void build(const RoutingTable *previous);
+  PoolIndex indexOf(const Pool &pool) const;
   const PoolIndex *find(std::string_view serves, bool isService) const;
+  static const RegionServers *find(const PoolIndex *pool,
+                                   std::string_view region);
+  static void appendLocal(CandidateList &out, const RegionServers &part,
+                          const RouteKey &key);
+  static void appendNext(CandidateList &out, const RegionServers &part,
+                         uint64_t key, size_t upTo);
 
   std::shared_ptr<const Snapshot> Source;
   std::vector<PoolIndex> Pools;
 };
 
 struct RouterSettings {
-  double HomeReuse = 0.8; ///< Share of a prompt's prefill that its home is
-                          ///< expected to save over another server.
+  /// Share of a prompt's prefill that each candidate, in the order of the list,
+  /// is expected to save: a home's overflow meets at the second again.
+  std::array<double, MaxCandidates> Reuse{0.8, 0.4, 0.2, 0.0};
   Duration OtherRegion{50'000}; ///< Added for a server of another region.
-  Duration Unknown{0}; ///< Added for a server that nothing was heard of.
   bool operator==(const RouterSettings &) const = default;
 };
 
@@ -103,13 +124,15 @@
 };
 
 /// Orders the candidates by predicted first token: wait, plus the prefill of
-/// the tokens that the server is expected to lack. Servers that said that they
-/// leave are left out, unless all do. The prompt's tokens decide how much wait
-/// the home's reuse is worth.
+/// the tokens that the server is expected to lack. The prompt's tokens thus
+/// decide how much wait the home's reuse is worth. Servers that said that they
+/// leave, that are ejected, or whose slow start spares them this request, come
+/// after all others.
 RouteDecision rankCandidates(const CandidateList &candidates,
                              const Snapshot &snapshot, const LoadView &loads,
                              const RouterSettings &settings,
                              uint32_t promptTokens, const RouteKey &key,
-                             std::string_view region, TimePoint now);
+                             std::string_view region, TimePoint now,
+                             const Ejector *ejector = nullptr);
 
 } // namespace daisytack
