Let one number set the reuse expected of the candidates

The entry's settings name the home's reuse alone; the further candidates follow from it by a constant factor, as before (0.8, 0.4, 0.2, 0.1 in place of 0).

--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -212,12 +212,14 @@
                              std::string_view region, TimePoint now,
                              const Ejector *ejector) {
   std::array<ScoredCandidate, MaxCandidates> scored;
+  double reuse = settings.HomeReuse;
   RouteDecision out;
   for (; out.Count < candidates.Count; ++out.Count) {
     ServerHandle handle = candidates.Servers[out.Count];
     const Server &server = snapshot.Servers[handle.Index];
     LoadEstimate load = loads.estimate(server.NameHash, now);
-    double lacking = (1.0 - settings.Reuse[out.Count]) * promptTokens;
+    double lacking = (1.0 - reuse) * promptTokens;
+    reuse *= settings.NextReuse;
     ScoredCandidate &it = scored[out.Count];
     it.Candidate.Server = handle;
     it.Candidate.Wait = load.Wait;
--- a/src/decide/routing.h
+++ b/src/decide/routing.h
@@ -96,9 +96,10 @@
 };
 
 struct RouterSettings {
-  /// Share of a prompt's prefill that each candidate, in the order of the list,
-  /// is expected to save: a home's overflow meets at the second again.
-  std::array<double, MaxCandidates> Reuse{0.8, 0.4, 0.2, 0.0};
+  double HomeReuse = 0.8; ///< Share of a prompt's prefill that its home is
+                          ///< expected to save.
+  double NextReuse = 0.5; ///< The same of each further candidate, over the one
+                          ///< before it: a home's overflow meets there again.
   Duration OtherRegion{50'000}; ///< Added for a server of another region.
   bool operator==(const RouterSettings &) const = default;
 };
