Plan for engines that prefill one after another

The run queue planned as if each slot prefilled at full speed. An engine does its prefills one after another, so promises were too early, and what a run then waited inside the engine was learned as prefill time, which made every later prediction several times too long. RunQueueSettings::Prefills = 1 hands the engine one prefill at a time: the rest waits in the queue, in its order, plans count the prefills before, and a run that still waits for its context is passed over. The agent has to report prefilled(). 0, the default, keeps the earlier behaviour.

--- a/bench/policy_kept.h
+++ b/bench/policy_kept.h
@@ -99,8 +99,10 @@
   // Evicted or lost meanwhile: the verified read rejects it.
   if (Stores[link].contains(cargo.Piece))
     job.Imported.push_back(cargo.Piece);
-  if (--job.FetchesLeft == 0 && job.InSlot)
-    beginPrefill(job);
+  if (--job.FetchesLeft > 0)
+    return;
+  agent.Queue.setReady(job.Run.Id, job.Run.Try, Now);
+  pumpQueue(server);
 }
 
 inline void PolicyRun::exportPieces(const Job &job) {
--- a/bench/policy_steps.h
+++ b/bench/policy_steps.h
@@ -12,6 +12,7 @@
       Options(options), Chance(options.Seed), Stores(deployment.Stores),
       Jobs(stream.size()), KeptBytes(Organisations) {
   QueueSettings.Slots = EngineSlots;
+  QueueSettings.Prefills = 1;
   QueueSettings.MaxWait = std::chrono::seconds(60);
   for (uint32_t i = 0; i < What.Servers; ++i)
     Agents.push_back(std::make_unique<AgentModel>(options.Seed + i, What.Stores,
@@ -252,6 +253,8 @@
   agent.Jobs.insert(job.Index);
   startFetches(job, agent);
   agent.Queue.push(job.Run, Now);
+  if (job.FetchesLeft == 0)
+    agent.Queue.setReady(job.Run.Id, job.Run.Try, Now);
   pumpQueue(server);
 }
 
@@ -259,9 +262,7 @@
   AgentModel &agent = *Agents[server];
   while (auto run = agent.Queue.start(Now)) {
     Job &job = Jobs[run->Id.Lo - 1];
-    job.InSlot = true;
-    if (job.FetchesLeft == 0)
-      beginPrefill(job);
+    beginPrefill(job);
   }
 }
 
@@ -287,6 +288,8 @@
   agent.Predictor.observePrefill(job.Recomputed, Now - job.Started);
   agent.Engine.keep(job.What->Pieces);
   agent.View.confirm(job.What->Pieces);
+  agent.Queue.prefilled(job.Run.Id, job.Run.Try);
+  pumpQueue(job.Server);
   Record &record = Out.Records[index];
   record.Recomputed += job.Recomputed;
   if (!job.HasFirstToken)
--- a/src/decide/run_queue.cpp
+++ b/src/decide/run_queue.cpp
@@ -24,9 +24,11 @@
 } // namespace
 
 /// Times at which the slots become free, as a binary heap with the earliest
-/// first.
+/// first, and the time at which the engine has done the prefills before, when
+/// it does one after another.
 class RunQueue::SlotTimes {
 public:
+  SlotTimes(bool serial, TimePoint now) : Serial(serial), Prefilling(now) {}
   void add(TimePoint t) {
     Times[Count++] = t;
     std::push_heap(Times.begin(), Times.begin() + Count, std::greater<>());
@@ -34,6 +36,11 @@
   /// Runs a request on the earliest slot; its start is returned.
   TimePoint run(const RunRequest &request) {
     TimePoint start = std::max(Times[0], request.Ready);
+    if (Serial) {
+      start = std::max(start, Prefilling);
+      // Others are prefilled while this one waits for its context.
+      Prefilling += request.Prefill;
+    }
     std::pop_heap(Times.begin(), Times.begin() + Count, std::greater<>());
     Times[Count - 1] = start + request.service();
     std::push_heap(Times.begin(), Times.begin() + Count, std::greater<>());
@@ -42,11 +49,16 @@
   TimePoint latest() const {
     return *std::max_element(Times.begin(), Times.begin() + Count);
   }
-  TimePoint earliest() const { return Times[0]; }
+  TimePoint earliest() const {
+    return Serial ? std::max(Times[0], Prefilling) : Times[0];
+  }
+  void prefillUntil(TimePoint t) { Prefilling = std::max(Prefilling, t); }
 
 private:
   std::array<TimePoint, MaxRunSlots> Times{};
   size_t Count = 0;
+  bool Serial;
+  TimePoint Prefilling;
 };
 
 RunQueue::RunQueue(RunQueueSettings settings) : Settings(settings) {
@@ -55,9 +67,12 @@
 }
 
 RunQueue::SlotTimes RunQueue::slotTimes(TimePoint now) const {
-  SlotTimes out;
-  for (const ActiveRun &run : Running)
+  SlotTimes out(Settings.Prefills > 0, now);
+  for (const ActiveRun &run : Running) {
     out.add(expectedFinish(run.Request, run.Finish, now));
+    if (!run.Prefilled)
+      out.prefillUntil(run.Start + run.Request.Prefill);
+  }
   for (size_t i = Running.size(); i < Settings.Slots; ++i)
     out.add(now);
   return out;
@@ -172,11 +187,28 @@
   Waiting.insert(at, run);
 }
 
+std::vector<RunQueue::WaitingRun>::iterator
+RunQueue::firstStartable(TimePoint now) {
+  if (Settings.Prefills == 0)
+    return Waiting.begin();
+  auto prefills =
+      std::count_if(Running.begin(), Running.end(),
+                    [](const ActiveRun &it) { return !it.Prefilled; });
+  if (prefills >= static_cast<ptrdiff_t>(Settings.Prefills))
+    return Waiting.end();
+  return std::find_if(
+      Waiting.begin(), Waiting.end(),
+      [&](const WaitingRun &it) { return it.Request.Ready <= now; });
+}
+
 std::optional<RunRequest> RunQueue::start(TimePoint now) {
-  if (!hasFreeSlot() || Waiting.empty())
+  if (!hasFreeSlot())
+    return std::nullopt;
+  auto it = firstStartable(now);
+  if (it == Waiting.end())
     return std::nullopt;
-  WaitingRun run = Waiting.front();
-  Waiting.erase(Waiting.begin());
+  WaitingRun run = *it;
+  Waiting.erase(it);
   double &time = VirtualTime[run.Request.Priority];
   time = std::max(time, run.Tag);
   TimePoint begin = std::max(now, run.Request.Ready);
@@ -186,6 +218,12 @@
   return run.Request;
 }
 
+void RunQueue::prefilled(const RequestId &id, Attempt attempt) {
+  for (ActiveRun &it : Running)
+    if (matches(it.Request, id, attempt))
+      it.Prefilled = true;
+}
+
 void RunQueue::endBusyPeriod() {
   for (const auto &[key, tag] : FinishTags)
     VirtualTime[key.Priority] = std::max(VirtualTime[key.Priority], tag);
--- a/src/decide/run_queue.h
+++ b/src/decide/run_queue.h
@@ -38,7 +38,12 @@
 };
 
 struct RunQueueSettings {
-  uint32_t Slots = 8;           ///< Runs at once, at most MaxRunSlots.
+  uint32_t Slots = 8; ///< Runs at once, at most MaxRunSlots.
+  /// Runs handed to the engine whose first token is not there yet; 0 for as
+  /// many as there are slots. An engine prefills one after another, so 1 keeps
+  /// the order of what waits in this queue's hands; prefilled() has to be
+  /// called then, and a run that waits for its context is passed over.
+  uint32_t Prefills = 0;
   Duration MaxWait{30'000'000}; ///< Bound of the queue in predicted time.
   Duration Quantum{500'000};    ///< Work of an organisation of weight 1 in one
                                 ///< round of fair sharing.
@@ -90,6 +95,8 @@
   void push(const RunRequest &request, TimePoint now);
   /// Starts the first waiting request if a slot is free.
   std::optional<RunRequest> start(TimePoint now);
+  /// The first token of a running request is there.
+  void prefilled(const RequestId &id, Attempt attempt);
   /// Frees the slot of a running request; false when it is not running.
   bool finish(const RequestId &id, Attempt attempt);
   /// Removes a waiting request; false when it is not waiting.
@@ -117,6 +124,7 @@
     RunRequest Request;
     TimePoint Start;
     TimePoint Finish; ///< Predicted.
+    bool Prefilled = false;
   };
   struct ShareKey {
     uint8_t Priority = 0;
@@ -126,6 +134,7 @@
 
   class SlotTimes;
   SlotTimes slotTimes(TimePoint now) const;
+  std::vector<WaitingRun>::iterator firstStartable(TimePoint now);
   double startTag(const RunRequest &request) const;
   Place placeOf(const RunRequest &request) const;
   /// Nothing waits any more: what organisations got until now no longer counts.
