--- a/src/wire/archive.h
+++ b/src/wire/archive.h
@@ -113,6 +113,19 @@
   ar.loadBytes(data.data, static_cast<size_t>(data.size));
 }
 
+/// Names are not written: std::optional's own functions use them.
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(OutputArchive &ar,
+                               const cereal::NameValuePair<T> &pair) {
+  ar(pair.value);
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(InputArchive &ar,
+                               cereal::NameValuePair<T> &pair) {
+  ar(pair.value);
+}
+
 /// Grows with the elements that were read, never with the length alone: an
 /// element in memory may be many times its smallest encoding.
 template <class T, class A>
