Let peers carry control state, and report how far a change got

ControlRuntime read the platform in every process. It now joins the sockets to the gossip: small messages by authenticated datagrams, images and large deltas by pages over authenticated TCP, four at most served at once. A process asks its seeds first and the platform when they stay silent for 1.5 s; then only elected readers call the platform. A drain is said at once and renewed each minute; a new process whose predecessor's clock ran ahead raises its generation, so that it does not inherit the drain. The question how far a revision got asks every member of a small fleet and a random sample of 256 in a large one. A tree of processes that gather for one another was weighed: exact at any size, but a dead inner process hides all below it and every retry costs a timeout per level; the sample is stated as one. Allotments of organisations' limits travel on the same datagrams.

--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -73,9 +73,11 @@
   applyMember(instance);
 }
 
-void ControlState::expire(TimePoint now) {
-  for (const std::string &name : Board.expire(now))
+bool ControlState::expire(TimePoint now) {
+  std::vector<std::string> names = Board.expire(now);
+  for (const std::string &name : names)
     applyMember(name);
+  return !names.empty();
 }
 
 bool ControlState::acceptService(const edge::KvHeader &header, uint64_t atLeast,
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -28,13 +28,12 @@
 public:
   ControlState(ControlStateInit init, EventSink events);
 
-  /// Each returns whether anything changed that a snapshot shows or that peers
-  /// should hear.
+  /// Each returns whether anything changed.
   bool mergeConfig(const ReplicaDelta &delta);
   bool mergeMembers(const ReplicaDelta &delta);
   bool hear(const AgedSignal &signal, TimePoint now);
   void observeLeaving(const std::string &instance, TimePoint now);
-  void expire(TimePoint now);
+  bool expire(TimePoint now);
 
   /// Checks an answer of the key-value service: another cluster, or one whose
   /// revision went back behind what was known when it was asked, is not the
--- a/src/control/peer_messages.h
+++ b/src/control/peer_messages.h
@@ -5,6 +5,7 @@
 
 #include "control/replica.h"
 #include "control/signal_board.h"
+#include "decide/limit_messages.h"
 
 #include <cstdint>
 #include <optional>
@@ -99,6 +100,7 @@
 
 /// Every message. The order is part of the protocol: append only.
 using PeerMessage =
-    std::variant<Digest, Rumour, Pull, TooLarge, Page, ForceProbe, ForceAnswer>;
+    std::variant<Digest, Rumour, Pull, TooLarge, Page, ForceProbe, ForceAnswer,
+                 AllotmentRequest, AllotmentGrant>;
 
 } // namespace daisytack::control
--- /dev/null
+++ b/src/runtime/control_process.cpp
@@ -0,0 +1,396 @@
+#include "runtime/control_process.h"
+
+#include "base/clock.h"
+#include "wire/codec.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::runtime {
+
+namespace {
+
+constexpr Duration LeastPublishPause{5'000};
+constexpr Duration MostPublishPause{1'000'000};
+/// Building snapshots takes at most one part in this many of the time.
+constexpr int PublishShare = 10;
+constexpr Duration TickInterval{20'000};
+constexpr Duration CommandTimeout{10'000'000};
+/// With seeds, how long they may take before the platform is asked.
+constexpr Duration SeedPatience{1'500'000};
+/// Within the life of a signal, so that a long drain stays known.
+constexpr Duration RenewalInterval{60'000'000};
+
+Event makeEvent(EventKind kind, ErrorKind why, std::string subject) {
+  Event out;
+  out.Kind = kind;
+  out.Reason = why;
+  out.Subject = std::move(subject);
+  return out;
+}
+
+} // namespace
+
+ControlProcess::ControlProcess(boost::asio::io_context &io, ControlInit init,
+                               const edge::KvStore &kv,
+                               const edge::InstanceList &list, Metrics &metrics,
+                               EventSink events, RandomSource random)
+    : Init(std::move(init)), On(boost::asio::make_strand(io)), Numbers(metrics),
+      Budget(std::make_shared<edge::CallBudget>(Init.ServiceCallsPerSecond,
+                                                &monotonicNow, metrics)),
+      Kv(edge::withBudget(kv, Budget)), List(edge::withBudget(list, Budget)),
+      Events(std::move(events)), Random(std::move(random)), State({}, Events),
+      Talk(gossipInit(), State, Random),
+      Current(std::make_shared<const Snapshot>()), TickTimer(On),
+      PublishTimer(On) {
+  PeerLinkInit link{Init.Self.Peer, Init.Keys, Init.Process};
+  Peers = std::make_shared<PeerLink>(io, On, std::move(link), peerHooks());
+}
+
+control::GossipInit ControlProcess::gossipInit() const {
+  control::GossipInit out;
+  out.Self = Init.Self;
+  out.Seeds = Init.Seeds;
+  out.Lineage = Init.Lineage;
+  out.AntiEntropyInterval = Init.AntiEntropyInterval;
+  out.BytesPerSecond = Init.BytesPerSecond;
+  return out;
+}
+
+bool ControlProcess::start(Error &reason) {
+  if (!Peers->start(reason))
+    return false;
+  Started = monotonicNow();
+  Own.Generation = static_cast<uint64_t>(wallNow().time_since_epoch().count());
+  Own.Process = Init.Process;
+  ServiceReaderInit reader;
+  reader.Timeout = Init.ServiceTimeout;
+  reader.ListInterval = Init.ListInterval;
+  Reader = std::make_shared<ServiceReader>(On, reader, Kv, List, readerHooks(),
+                                           Random);
+  post([](ControlProcess &self) {
+    self.sayState(MemberState::Live);
+    if (!self.Init.Seeds.empty())
+      self.fetchFrom(self.Init.Seeds[self.Random() % self.Init.Seeds.size()]);
+    self.tick();
+  });
+  return true;
+}
+
+void ControlProcess::post(std::function<void(ControlProcess &)> step) {
+  boost::asio::post(
+      On, [self = shared_from_this(), step = std::move(step)] { step(*self); });
+}
+
+void ControlProcess::stop() {
+  Stopped = true;
+  if (Reader)
+    Reader->setActive(false);
+  Peers->stop();
+  TickTimer.cancel();
+  PublishTimer.cancel();
+}
+
+ServiceReaderHooks ControlProcess::readerHooks() {
+  // The reader belongs to this object and is silenced before it goes.
+  ServiceReaderHooks hooks;
+  hooks.ConfigWatermark = [this] { return State.config().watermark(); };
+  hooks.MemberWatermark = [this] { return State.members().watermark(); };
+  hooks.Accept = [this](const edge::KvHeader &header, uint64_t atLeast) {
+    return accept(header, atLeast);
+  };
+  hooks.Config = [this](const control::ReplicaDelta &delta) {
+    State.mergeConfig(delta);
+    act(Talk.onTick(monotonicNow()));
+    changed();
+  };
+  hooks.Members = [this](const control::ReplicaDelta &delta) {
+    State.mergeMembers(delta);
+    act(Talk.onTick(monotonicNow()));
+    changed();
+  };
+  hooks.Attempted = [this](const Error &reason) { onServiceAttempt(reason); };
+  return hooks;
+}
+
+PeerLinkHooks ControlProcess::peerHooks() {
+  // Called through the link, which stop() silences for good.
+  PeerLinkHooks hooks;
+  hooks.Message = [this](const Endpoint &from,
+                         const control::PeerMessage &message) {
+    onMessage(from, message);
+  };
+  hooks.Rejected = [this](ErrorKind kind) { onRejected(kind); };
+  hooks.Serve = [this](const control::Pull &pull) {
+    return Talk.pagesFor(pull, monotonicNow());
+  };
+  return hooks;
+}
+
+void ControlProcess::tick() {
+  TickTimer.expires_after(TickInterval);
+  TickTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code &ec) {
+        if (!ec && !self->Stopped)
+          self->tick();
+      });
+  TimePoint now = monotonicNow();
+  if (State.expire(now))
+    changed();
+  chooseReader(now);
+  keepOwnSignal(now);
+  askForForce(now);
+  act(Talk.onTick(now));
+}
+
+void ControlProcess::chooseReader(TimePoint now) {
+  if (!judgeReadiness().Ready) {
+    // Seeds come first; without them, or without their answer, the platform.
+    bool waitForSeeds = !Init.Seeds.empty() && now - Started < SeedPatience;
+    Reader->setActive(!waitForSeeds);
+    return;
+  }
+  TimePoint lastTry = std::max(Talk.lastTry(), Started);
+  Reader->setActive(Choice.shouldRead(lastTry, now));
+}
+
+void ControlProcess::keepOwnSignal(TimePoint now) {
+  std::optional<control::SignalContent> heard =
+      State.signals().find(Init.Self.Name);
+  bool shadowed = heard && heard->Process != Own.Process && *heard > Own &&
+                  heard->State > Own.State;
+  if (shadowed) {
+    // The last process of this name left, and its clock was ahead of ours.
+    Own.Generation = heard->Generation + 1;
+    Talk.say({Init.Self.Name, Own}, now);
+    changed();
+  }
+  if (Own.State == MemberState::Leaving && now >= NextRenewal) {
+    NextRenewal = now + RenewalInterval;
+    ++Own.Renewal;
+    Talk.say({Init.Self.Name, Own}, now);
+  }
+}
+
+void ControlProcess::onServiceAttempt(const Error &reason) {
+  bool reached = !reason;
+  Talk.noteTry(reached, monotonicNow());
+  ServiceProblem = reason.Detail;
+  if (reached != std::exchange(ServiceReached, reached))
+    Events(makeEvent(reached ? EventKind::ServiceBack : EventKind::ServiceLost,
+                     reason.Kind, Init.Self.Name));
+  refreshView();
+}
+
+bool ControlProcess::accept(const edge::KvHeader &header, uint64_t atLeast) {
+  Error reason;
+  if (State.acceptService(header, atLeast, reason))
+    return true;
+  onServiceAttempt(reason);
+  return false;
+}
+
+void ControlProcess::act(control::GossipActions actions) {
+  for (control::PeerSend &send : actions.Sends)
+    Peers->send(send.To, std::move(send.Payload));
+  if (actions.Fetch)
+    fetchFrom(*actions.Fetch);
+}
+
+void ControlProcess::fetchFrom(const Endpoint &peer) {
+  if (std::exchange(Fetching, true))
+    return;
+  Peers->fetch(
+      peer, Talk.pullMessage(monotonicNow()),
+      [self = shared_from_this()](const std::optional<control::Rumour> &whole,
+                                  const Error &error) {
+        self->Fetching = false;
+        self->PeerProblem = error.Detail;
+        if (self->Stopped)
+          return;
+        if (whole)
+          self->Talk.onFetched(*whole, monotonicNow());
+        self->changed();
+      });
+}
+
+void ControlProcess::onMessage(const Endpoint &from,
+                               const control::PeerMessage &message) {
+  if (Stopped)
+    return;
+  if (const auto *probe = std::get_if<control::ForceProbe>(&message)) {
+    control::ForceAnswer answer{probe->Nonce, Current.load()->ConfigRevision};
+    Peers->send(from, wire::encode(control::PeerMessage(answer)));
+  } else if (const auto *force = std::get_if<control::ForceAnswer>(&message)) {
+    for (auto &[number, gathering] : Gatherings)
+      gathering.State.onAnswer(*force);
+  } else if (const auto *asked = std::get_if<AllotmentRequest>(&message)) {
+    std::optional<AllotmentGrant> grant;
+    if (AllotmentAsked)
+      grant = AllotmentAsked(*asked);
+    if (grant)
+      Peers->send(from, wire::encode(control::PeerMessage(*grant)));
+  } else if (const auto *grant = std::get_if<AllotmentGrant>(&message)) {
+    if (Granted)
+      Granted(*grant);
+  } else {
+    act(Talk.onMessage(from, message, monotonicNow()));
+    changed();
+  }
+}
+
+void ControlProcess::onRejected(ErrorKind kind) {
+  Numbers
+      .counter("daisytack_peer_rejected_total",
+               "Messages of peers that were refused",
+               {{"reason", std::string(errorName(kind))}})
+      .add();
+  Events(makeEvent(EventKind::PeerRejected, kind, Init.Self.Name));
+}
+
+void ControlProcess::askForForce(TimePoint now) {
+  for (auto it = Gatherings.begin(); it != Gatherings.end();) {
+    Gathering &gathering = it->second;
+    if (gathering.State.isOver(now)) {
+      gathering.Done(gathering.State.report(Current.load()->ConfigRevision));
+      it = Gatherings.erase(it);
+      continue;
+    }
+    for (const control::ForceGather::Probe &probe : gathering.State.onTick(now))
+      Peers->send(probe.To, wire::encode(control::PeerMessage(probe.Message)));
+    ++it;
+  }
+}
+
+void ControlProcess::changed() {
+  if (PublishPending || Stopped)
+    return;
+  PublishPending = true;
+  Duration pause =
+      std::clamp(LastBuild * PublishShare, LeastPublishPause, MostPublishPause);
+  TimePoint now = monotonicNow();
+  PublishTimer.expires_after(std::max(LastPublish + pause, now) - now);
+  PublishTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code &ec) {
+        self->PublishPending = false;
+        if (!ec && !self->Stopped)
+          self->publish();
+      });
+}
+
+void ControlProcess::publish() {
+  TimePoint begin = monotonicNow();
+  std::shared_ptr<const Snapshot> next = State.takeSnapshot();
+  if (next) {
+    bool membersMoved = next->MemberVersion != Current.load()->MemberVersion;
+    if (membersMoved || Talk.peers() + 1 != State.memberTable().size())
+      Talk.refreshPeers();
+    Choice.setRank(control::readerRank(State.memberTable(), Init.Self));
+    Current.publish(next);
+    LastPublish = monotonicNow();
+    LastBuild = LastPublish - begin;
+  }
+  refreshView();
+  if (next && Published)
+    Published(next);
+}
+
+Readiness ControlProcess::judgeReadiness() const {
+  Readiness out;
+  if (State.config().watermark() == 0)
+    out.Reason = "no configuration yet";
+  else if (State.members().watermark() == 0)
+    out.Reason = "no list of instances yet";
+  out.Ready = out.Reason.empty();
+  if (out.Ready)
+    return out;
+  out.Reason += ": ";
+  out.Reason +=
+      ServiceProblem.empty() ? "platform not answered yet" : ServiceProblem;
+  if (!PeerProblem.empty())
+    out.Reason += "; seed peers: " + PeerProblem;
+  return out;
+}
+
+void ControlProcess::refreshView() {
+  std::lock_guard guard(ViewLock);
+  Ready = judgeReadiness();
+  View.ConfigRevision = Current.load()->ConfigRevision;
+  View.MemberVersion = Current.load()->MemberVersion;
+  View.Objects = State.config().size();
+  View.Members = State.memberTable().size();
+  View.Reader = Reader && Reader->isActive();
+  View.ServiceReached = ServiceReached;
+  View.Talk = Talk.stats();
+}
+
+void ControlProcess::sayState(MemberState state) {
+  Own.State = std::max(Own.State, state);
+  TimePoint now = monotonicNow();
+  NextRenewal = now + RenewalInterval;
+  Talk.say({Init.Self.Name, Own}, now);
+  act(Talk.onTick(now));
+  changed();
+}
+
+void ControlProcess::reportDraining(const std::string &instance) {
+  State.observeLeaving(instance, monotonicNow());
+  changed();
+}
+
+void ControlProcess::propose(control::Command command, CommandDone done) {
+  std::optional<control::ReplicaEntry> base;
+  if (const control::ReplicaEntry *entry =
+          State.config().find(toText(command.Key)))
+    base = *entry;
+  Events(makeEvent(EventKind::CommandProposed, ErrorKind::None,
+                   toText(command.Key)));
+  auto finish = [self = shared_from_this(), key = toText(command.Key),
+                 done = std::move(done)](control::CommandResult result) {
+    EventKind kind = EventKind::CommandApplied;
+    if (result.Outcome == control::CommandOutcome::Conflict)
+      kind = EventKind::CommandConflict;
+    else if (result.Outcome == control::CommandOutcome::Unknown)
+      kind = EventKind::CommandUnknown;
+    self->Events(makeEvent(kind, result.Reason.Kind, key));
+    done(std::move(result));
+  };
+  runCommand(On, Kv, std::move(command), std::move(base), Init.ServiceTimeout,
+             CommandTimeout, std::move(finish));
+}
+
+void ControlProcess::gatherInForce(
+    uint64_t revision, Duration timeout,
+    std::function<void(control::ForceReport)> done) {
+  control::ForceGather gather(State.memberTable(), Init.Self.Name, revision,
+                              monotonicNow() + timeout, Random);
+  Gatherings.emplace(++NextGathering,
+                     Gathering{std::move(gather), std::move(done)});
+}
+
+void ControlProcess::requestAllotment(const Endpoint &peer,
+                                      const AllotmentRequest &request) {
+  Peers->send(peer, wire::encode(control::PeerMessage(request)));
+}
+
+void ControlProcess::setKeys(net::PeerKeys keys) {
+  Peers->setKeys(std::move(keys));
+}
+
+Readiness ControlProcess::readiness() const {
+  std::lock_guard guard(ViewLock);
+  return Ready;
+}
+
+ControlStats ControlProcess::stats() const {
+  std::lock_guard guard(ViewLock);
+  ControlStats out = View;
+  out.ServiceCalls = Budget->calls();
+  out.BytesSent = Peers->bytesSent();
+  out.BytesReceived = Peers->bytesReceived();
+  return out;
+}
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/control_process.h
@@ -0,0 +1,113 @@
+/// What stands behind ControlRuntime: all state of one process's control part,
+/// on one strand.
+#pragma once
+
+#include "control/control_state.h"
+#include "control/gossip.h"
+#include "control/readers.h"
+#include "edge/kv_budget.h"
+#include "runtime/command_runner.h"
+#include "runtime/control_runtime.h"
+#include "runtime/peer_link.h"
+#include "runtime/service_reader.h"
+
+#include <map>
+#include <mutex>
+
+namespace daisytack::runtime {
+
+/// Functions must be called on the strand, but for those marked.
+class ControlProcess : public std::enable_shared_from_this<ControlProcess> {
+public:
+  ControlProcess(boost::asio::io_context &io, ControlInit init,
+                 const edge::KvStore &kv, const edge::InstanceList &list,
+                 Metrics &metrics, EventSink events, RandomSource random);
+
+  /// From any thread, before anything else runs.
+  bool start(Error &reason);
+  /// From any thread.
+  void post(std::function<void(ControlProcess &)> step);
+
+  void stop();
+  void sayState(MemberState state);
+  void reportDraining(const std::string &instance);
+  void propose(control::Command command, CommandDone done);
+  void gatherInForce(uint64_t revision, Duration timeout,
+                     std::function<void(control::ForceReport)> done);
+  void requestAllotment(const Endpoint &peer, const AllotmentRequest &request);
+  void setKeys(net::PeerKeys keys);
+
+  /// From any thread.
+  const Rcu<Snapshot> &snapshots() const { return Current; }
+  Readiness readiness() const;
+  ControlStats stats() const;
+  uint16_t peerPort() const { return Peers->port(); }
+
+  /// Set before start().
+  std::function<void(std::shared_ptr<const Snapshot>)> Published;
+  std::function<std::optional<AllotmentGrant>(const AllotmentRequest &)>
+      AllotmentAsked;
+  std::function<void(const AllotmentGrant &)> Granted;
+
+private:
+  /// A question how far a revision got.
+  struct Gathering {
+    control::ForceGather State;
+    std::function<void(control::ForceReport)> Done;
+  };
+
+  ServiceReaderHooks readerHooks();
+  PeerLinkHooks peerHooks();
+  control::GossipInit gossipInit() const;
+
+  void tick();
+  void chooseReader(TimePoint now);
+  void keepOwnSignal(TimePoint now);
+  void onServiceAttempt(const Error &reason);
+  bool accept(const edge::KvHeader &header, uint64_t atLeast);
+  void act(control::GossipActions actions);
+  void fetchFrom(const Endpoint &peer);
+  void onMessage(const Endpoint &from, const control::PeerMessage &message);
+  void onRejected(ErrorKind kind);
+  void askForForce(TimePoint now);
+  void changed();
+  void publish();
+  void refreshView();
+  Readiness judgeReadiness() const;
+
+  ControlInit Init;
+  Strand On;
+  Metrics &Numbers;
+  std::shared_ptr<edge::CallBudget> Budget;
+  edge::KvStore Kv;
+  edge::InstanceList List;
+  EventSink Events;
+  RandomSource Random;
+  control::ControlState State;
+  control::Gossip Talk;
+  control::ReaderChoice Choice;
+  Rcu<Snapshot> Current;
+  std::shared_ptr<ServiceReader> Reader;
+  std::shared_ptr<PeerLink> Peers;
+  boost::asio::steady_timer TickTimer;
+  boost::asio::steady_timer PublishTimer;
+  bool PublishPending = false;
+  Duration LastBuild{0};
+  TimePoint LastPublish;
+  TimePoint Started;
+  control::SignalContent Own;
+  TimePoint NextRenewal;
+  bool Fetching = false;
+  bool Stopped = false;
+  bool ServiceReached = true;
+  std::string ServiceProblem;
+  std::string PeerProblem;
+  std::map<uint64_t, Gathering> Gatherings; ///< By a number of their own.
+  uint64_t NextGathering = 0;
+
+  mutable std::mutex ViewLock; ///< Over View and Ready only.
+  ControlStats View;
+  Readiness Ready{false, "not started"};
+};
+
+} // namespace daisytack::runtime
--- a/src/runtime/control_runtime.h
+++ b/src/runtime/control_runtime.h
@@ -5,8 +5,11 @@
 #include "base/metrics.h"
 #include "base/rcu.h"
 #include "control/command.h"
+#include "control/force_gather.h"
+#include "control/gossip.h"
 #include "control/snapshot.h"
 #include "daisytack/event.h"
+#include "decide/limit_messages.h"
 #include "edge/instance_list.h"
 #include "edge/kv.h"
 #include "net/frame_link.h"
@@ -15,6 +18,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,14 +58,7 @@
   uint64_t ServiceCalls = 0;
   uint64_t BytesSent = 0;
   uint64_t BytesReceived = 0;
-};
-
-/// How far a revision got.
-struct ForceReport {
-  size_t Members = 0; ///< Live members known here.
-  size_t Asked = 0;   ///< All of them, or a random sample of a large fleet.
-  size_t InForce = 0; ///< Of those asked, have the revision in force.
-  std::vector<std::string> Missing; ///< A few that haven't, or don't answer.
+  control::GossipStats Talk;
 };
 
 /// Thread-safe. Hooks are called on I/O threads.
@@ -92,13 +89,27 @@
   /// Runs a command against the key-value service; done is called once.
   void propose(control::Command command,
                std::function<void(control::CommandResult)> done);
+  /// The peers' port, for port 0 in tests.
+  uint16_t peerPort() const;
+  /// The first key signs, all are accepted.
+  void setKeys(net::PeerKeys keys);
+
+  /// Asks the entry that allots an organisation's limits; onGrant receives the
+  /// answer, when one comes.
+  void requestAllotment(const Endpoint &peer, const AllotmentRequest &request);
+  /// Both are called on I/O threads, one at a time. Set before start(). Without
+  /// a grant the request stays unanswered.
+  void onAllotmentRequest(
+      std::function<std::optional<AllotmentGrant>(const AllotmentRequest &)>
+          hook);
+  void onGrant(std::function<void(const AllotmentGrant &)> hook);
+
   /// Asks live members which revision they have in force.
   void gatherInForce(uint64_t revision, Duration timeout,
-                     std::function<void(ForceReport)> done);
+                     std::function<void(control::ForceReport)> done);
 
 private:
-  struct Impl;
-  std::shared_ptr<Impl> Self;
+  std::shared_ptr<class ControlProcess> Self;
 };
 
 } // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/peer_link.h
@@ -0,0 +1,83 @@
+/// The peers' sockets of one process: datagrams for small messages, and TCP for
+/// what does not fit one. Both use the same port number.
+#pragma once
+
+#include "control/gossip.h"
+#include "net/datagram.h"
+#include "net/frame_link.h"
+#include "runtime/service_reader.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace daisytack::runtime {
+
+struct PeerLinkInit {
+  Endpoint Listen; ///< Port 0 in tests.
+  net::PeerKeys Keys;
+  Incarnation Process;
+};
+
+/// Called on the strand.
+struct PeerLinkHooks {
+  std::function<void(const Endpoint &from, const control::PeerMessage &)>
+      Message;
+  /// A message failed authentication, replay, length or decoding.
+  std::function<void(ErrorKind)> Rejected;
+  std::function<std::vector<control::Page>(const control::Pull &)> Serve;
+};
+
+/// Every function must be called on the strand, but for start and the counters.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+  /// Fetches that one process serves at once; others are sent elsewhere.
+  static constexpr size_t MaxServed = 4;
+
+  PeerLink(boost::asio::io_context &io, Strand strand, PeerLinkInit init,
+           PeerLinkHooks hooks);
+
+  bool start(Error &reason);
+  void stop();
+  uint16_t port() const { return Port; }
+  void setKeys(net::PeerKeys keys);
+
+  void send(const Endpoint &to, std::string payload);
+  /// Asks a peer for all above the watermarks; done is called once, on the
+  /// strand.
+  using Fetched =
+      std::function<void(std::optional<control::Rumour>, const Error &)>;
+  void fetch(const Endpoint &to, const control::Pull &pull, Fetched done);
+
+  /// Bytes with the overhead of the seal and of IP.
+  uint64_t bytesSent() const { return Sent.load(); }
+  uint64_t bytesReceived() const { return Received.load(); }
+
+private:
+  bool bind(Error &reason);
+  void onDatagram(const Endpoint &from, std::string_view payload);
+  net::FrameHooks serverHooks();
+  void onServed(const std::shared_ptr<net::FrameLink> &link,
+                std::string_view frame);
+  void serve(const std::shared_ptr<net::FrameLink> &link,
+             const control::Pull &pull);
+  void onOpened(const std::shared_ptr<net::FrameLink> &link);
+  void countReceived(size_t bytes, size_t overhead);
+  void reject(ErrorKind kind);
+
+  boost::asio::io_context &Io;
+  Strand On;
+  PeerLinkInit Init;
+  PeerLinkHooks Hooks;
+  std::unique_ptr<net::DatagramSocket> Datagrams;
+  std::unique_ptr<net::FrameServer> Frames;
+  uint16_t Port = 0;
+  std::set<std::shared_ptr<net::FrameLink>> Served; ///< On the strand only.
+  std::atomic<uint64_t> Sent{0};
+  std::atomic<uint64_t> Received{0};
+};
+
+} // namespace daisytack::runtime
