Accept at the agent only what is predicted to be in time

The first form queued in order of arrival and accepted everything. Offers are now judged against a queue with earliest deadline within priority and weighted fair share, with prefill and decode times learned from what runs took, unfinished ones included; a refusal carries the predicted wait and a time to come back. A request that fits only in place of a running one of lower priority suspends it, an accepted one that would miss its deadline is handed back as not_run while there is time to run it elsewhere. Calls that may run at most once go through the ticket ledger before any other check.

--- a/src/serve/agent_core.cpp
+++ b/src/serve/agent_core.cpp
@@ -1,5 +1,6 @@
 #include "serve/agent_core.h"
 
+#include "base/digest.h"
 #include "serve/agent_impl.h"
 
 #include <algorithm>
@@ -14,6 +15,18 @@
     out = when;
 }
 
+/// The secret signs tickets of this process, which it alone has to read.
+TicketLedgerInit ledgerInit(const AgentSettings &settings,
+                            const RandomSource &random) {
+  TicketLedgerInit out;
+  out.Instance = settings.Instance;
+  out.Process = settings.Process;
+  out.Secret = toHex(randomId(random)) + toHex(randomId(random));
+  out.TicketLife = settings.TicketLife;
+  out.MaxRecords = settings.MaxTickets;
+  return out;
+}
+
 RunView viewOf(const Run &run) {
   RunView out;
   out.Id = run.Token.Id;
@@ -35,6 +48,12 @@
 
 AgentCore::Impl::Impl(AgentSettings settings, RandomSource random)
     : Settings(std::move(settings)), Random(std::move(random)),
+      Queue(Settings.Queue), Predictor(Settings.Predictor),
+      Tickets(ledgerInit(Settings, Random), Random,
+              [this](Event event) {
+                if (Out)
+                  Out->push_back(RecordEvent{std::move(event)});
+              }),
       Picture(std::make_shared<const AgentSnapshot>()) {}
 
 AgentCore::AgentCore(AgentSettings settings, RandomSource random)
@@ -50,7 +69,9 @@
 
 void AgentCore::apply(AgentInput input, TimePoint now, AgentActions &out) {
   Step step{now, out};
+  Self->Out = &out;
   std::visit([&](const auto &in) { Self->on(in, step); }, input);
+  Self->Out = nullptr;
   Self->publish(now);
 }
 
@@ -79,17 +100,16 @@
   Event event;
   event.Kind = EventKind::ProcessDraining;
   event.Subject = Settings.Instance;
-  event.Scores = {static_cast<int64_t>(Running),
-                  static_cast<int64_t>(Queue.size())};
+  event.Scores = {static_cast<int64_t>(Queue.running()),
+                  static_cast<int64_t>(Queue.waiting())};
   step.Out.push_back(RecordEvent{event});
 }
 
 void AgentCore::Impl::on(const TimerFired & /*input*/, Step &step) {
   for (const RequestId &id : Runs.due(step.Now))
     wakeRun(id, step);
-  forgetCancelled(step.Now);
-  if (!Settings.IsService)
-    poll(step);
+  forgetClosed(step.Now);
+  tick(step);
 }
 
 void AgentCore::Impl::wakeRun(const RequestId &id, Step &step) {
@@ -115,27 +135,35 @@
   }
 }
 
-void AgentCore::Impl::poll(Step &step) {
-  if (NextStatus <= step.Now) {
-    NextStatus = step.Now + Settings.StatusPeriod;
-    step.Out.push_back(PollStatus{});
-  }
-  if (NextCacheEvents <= step.Now) {
+void AgentCore::Impl::tick(Step &step) {
+  if (!Settings.IsService && NextCacheEvents <= step.Now) {
     NextCacheEvents = step.Now + Settings.CacheEventPeriod;
     step.Out.push_back(PollCacheEvents{CacheNext});
   }
+  if (NextTick > step.Now)
+    return;
+  NextTick = step.Now + Settings.StatusPeriod;
+  if (!Settings.IsService)
+    step.Out.push_back(PollStatus{});
+  observeRunning(step.Now);
+  saveRunsAtRisk(step);
+}
+
+bool AgentCore::Impl::wantsTicks() const {
+  return !Settings.IsService || Queue.running() + Queue.waiting() > 0;
 }
 
 std::optional<TimePoint> AgentCore::Impl::nextTimer() const {
   std::optional<TimePoint> out = Runs.nextWake();
-  if (!Settings.IsService) {
-    earliest(out, NextStatus);
+  if (wantsTicks())
+    earliest(out, NextTick);
+  if (!Settings.IsService)
     earliest(out, NextCacheEvents);
-  }
   if (Dirty)
     earliest(out, NextPicture);
-  for (const auto &[id, cancelled] : CancelledEarly)
-    earliest(out, cancelled.Until);
+  if (!ClosedOrder.empty())
+    if (auto it = Closed.find(ClosedOrder.front()); it != Closed.end())
+      earliest(out, it->second.Until);
   return out;
 }
 
@@ -143,7 +171,7 @@
   if (!Draining)
     return false;
   return std::all_of(Runs.all().begin(), Runs.all().end(), [](const auto &it) {
-    return it.second->isFinished() && it.second->Delivered;
+    return it.second->isFinished() && !it.second->Answered.empty();
   });
 }
 
@@ -153,12 +181,12 @@
 
 bool AgentCore::Impl::isReady() const { return !isLeaving() && isReachable(); }
 
-wire::LoadReport AgentCore::Impl::loadReport(TimePoint /*now*/) const {
+wire::LoadReport AgentCore::Impl::loadReport(TimePoint now) const {
   wire::LoadReport out;
-  out.PrefillTokensPerSecond =
-      static_cast<uint32_t>(Engine.PrefillTokensPerSecond);
-  out.Running = Running;
-  out.Waiting = static_cast<uint32_t>(Queue.size());
+  out.WaitMicros = static_cast<uint64_t>(Queue.backlog(now).count());
+  out.PrefillTokensPerSecond = Predictor.prefillRate();
+  out.Running = static_cast<uint32_t>(Queue.running());
+  out.Waiting = static_cast<uint32_t>(Queue.waiting());
   out.Version = version();
   out.Leaving = isLeaving();
   return out;
--- a/src/serve/agent_core.h
+++ b/src/serve/agent_core.h
@@ -4,6 +4,10 @@
 #pragma once
 
 #include "base/rcu.h"
+#include "decide/acceptance.h"
+#include "decide/predictor.h"
+#include "decide/run_queue.h"
+#include "once/ticket_ledger.h"
 #include "serve/agent_messages.h"
 #include "serve/agent_snapshot.h"
 
@@ -18,13 +22,18 @@
   Incarnation Process;
   std::string Serves; ///< Model or plain service behind this agent.
   bool IsService = false;
-  uint32_t MaxRunning = 32;   ///< Runs at the backend server at once.
+  RunQueueSettings Queue; ///< Slots: runs at the backend server at once.
+  AcceptanceSettings Acceptance;
+  PredictorSettings Predictor;
   uint32_t MaxWaiting = 4096; ///< A bound on memory; time bounds the queue.
+  uint32_t DefaultMaxTokens = 256; ///< For offers that name none.
+  Duration TicketLife{10LL * 60 * 1'000'000};
+  size_t MaxTickets = 100'000;       ///< Records of non-idempotent calls.
   Duration ResumeWindow{10'000'000}; ///< How long an answer without a reader
                                      ///< is kept.
   size_t MaxAnswerBytes = 4U << 20;  ///< Held of one answer.
   size_t MaxHeldBytes = 256U << 20;  ///< Held of all answers.
-  Duration StatusPeriod{500'000};
+  Duration StatusPeriod{500'000};    ///< Also between looks for runs at risk.
   Duration CacheEventPeriod{200'000};
   Duration SilenceLimit{3'000'000}; ///< Engine counts as unreachable after.
   Duration SnapshotPeriod{20'000};  ///< Least time between two snapshots.
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -1,25 +1,21 @@
 /// The parts of AgentCore. Its functions stand in agent_core.cpp (dispatch,
-/// timers, pictures), agent_links.cpp (what entries say) and agent_runs.cpp
-/// (what the backend server says).
+/// timers, pictures), agent_offers.cpp (accept or refuse), agent_links.cpp
+/// (what else entries say), agent_queue.cpp (who runs next) and agent_runs.cpp
+/// (what the backend server says, and how runs end).
 #pragma once
 
 #include "serve/agent_core.h"
 #include "serve/agent_run.h"
+#include "serve/agent_step.h"
 
 #include <deque>
-#include <map>
+#include <unordered_map>
 
 namespace daisytack::serve {
 
-/// One application of an input: the present time and where actions go.
-struct Step {
-  TimePoint Now;
-  AgentActions &Out;
-};
-
-/// An attempt that was cancelled before it was offered, as far as this agent
-/// saw them: crossed messages.
-struct CancelledAttempt {
+/// An attempt that is over, so that an offer of it that comes late or twice is
+/// not taken for a new one.
+struct ClosedAttempt {
   Attempt Try = 0;
   TimePoint Until;
 };
@@ -51,21 +47,47 @@
   void onResume(LinkHandle link, const wire::Resume &resume, Step &step);
   void onTicketRequest(LinkHandle link, const wire::TicketRequest &request,
                        Step &step);
-  /// Why the offer can't be taken; Kind None when it can.
+  /// An offer that may run at most once.
+  void onTicketOffer(LinkHandle link, const wire::Offer &offer, Step &step);
+  /// Accepts it or refuses it; false when refused.
+  bool decideOffer(LinkHandle link, const wire::Offer &offer,
+                   std::optional<TicketKey> ticket, Step &step);
+  /// Why the offer can't be taken, whatever the load; Kind None when it can.
   Error judgeOffer(const wire::Offer &offer, Step &step) const;
   Error judgeRepeat(const Run &run, const wire::Offer &offer) const;
-  void accept(LinkHandle link, const wire::Offer &offer, Step &step);
+  /// Predicts, and preempts lower priority where only that makes it fit.
+  AcceptanceDecision judgeLoad(const RunRequest &request, Step &step);
+  void accept(LinkHandle link, std::unique_ptr<Run> run,
+              const RunRequest &request, const AcceptanceDecision &decision,
+              Step &step);
   void refuse(LinkHandle link, const wire::Offer &offer, const Error &why,
-              Outcome ran, Step &step);
+              Outcome ran, Step &step,
+              std::array<int64_t, Event::MaxScores> scores = {});
   void join(Run &run, LinkHandle link, const wire::Offer &offer, Step &step);
   void sendAccepted(const Run &run, const Reader &reader, Step &step);
   /// Chunks from the index on, and the final message when there is one.
   void replay(Run &run, const Reader &reader, uint32_t from, Step &step);
-  bool wasCancelled(const wire::Offer &offer, TimePoint now) const;
-  void forgetCancelled(TimePoint now);
+  void close(const RequestId &id, Attempt attempt, TimePoint now);
+  bool isClosed(const wire::Offer &offer, TimePoint now) const;
+  void forgetClosed(TimePoint now);
+  void forgetOldestClosed();
 
-  // Runs.
+  // Queue.
+  RunRequest queueRequest(const Run &run, TimePoint now) const;
+  uint32_t tokensToPrefill(const wire::Offer &offer) const;
   void startWaiting(Step &step);
+  /// The run has its slot: start it as soon as its context is there.
+  void useSlot(Run &run, Step &step);
+  void suspend(Run &run, Step &step);
+  void resume(Run &run, Step &step);
+  /// Moves accepted runs that would miss their deadline here.
+  void saveRunsAtRisk(Step &step);
+  bool saveRunAtRisk(const RunRequest &risk, Step &step);
+  /// Learns from runs that take longer than predicted.
+  void observeRunning(TimePoint now);
+  void observeFinished(const Run &run, const RunDone &done, TimePoint now);
+
+  // Runs.
   bool isOvertaken(const Run &run) const;
   void start(Run &run, Step &step);
   /// The unfinished run that an input of the backend server is for; nothing
@@ -84,11 +106,14 @@
   void leaveServer(Run &run);
   void keepForReaders(Run &run, TimePoint now);
   void handBackWaiting(const Error &why, Step &step);
+  void settleTicket(const Run &run, const wire::Finished &final, Step &step);
   void boundHeldBytes(Step &step);
 
   // Pictures and timers.
   void wakeRun(const RequestId &id, Step &step);
-  void poll(Step &step);
+  void tick(Step &step);
+  /// Sets or clears the time of the next tick.
+  bool wantsTicks() const;
   void publish(TimePoint now);
   std::optional<TimePoint> nextTimer() const;
   bool isDrained() const;
@@ -106,18 +131,22 @@
   AgentSettings Settings;
   RandomSource Random;
   RunTable Runs;
-  std::deque<RequestId> Queue;
-  uint32_t Running = 0;
+  RunQueue Queue;
+  ServerPredictor Predictor;
+  AgentActions *Out =
+      nullptr; ///< Of the present step, for the ledger's events.
+  TicketLedger Tickets;
   uint32_t Starts = 0;
   size_t HeldBytes = 0;
-  std::map<RequestId, CancelledAttempt> CancelledEarly;
+  std::unordered_map<RequestId, ClosedAttempt> Closed;
+  std::deque<RequestId> ClosedOrder; ///< Oldest first.
   std::deque<RefusalView> Refusals;
 
   AgentConfig Config;
   bool Draining = false;
   EngineStatus Engine;
   std::optional<TimePoint> EngineSeen;
-  TimePoint NextStatus;
+  TimePoint NextTick;
   TimePoint NextCacheEvents;
   uint64_t CacheNext = 0;
 
--- a/src/serve/agent_links.cpp
+++ b/src/serve/agent_links.cpp
@@ -8,21 +8,7 @@
 
 namespace {
 
-constexpr size_t MaxRefusalsShown = 256;
-constexpr size_t MaxCancelledEarly = 4096;
-constexpr Duration NotReadyRetry{1'000'000};
-
-/// Tells a repeat of a request from another one under the same id. Both come
-/// from one organisation, so that a forged collision would harm its maker only.
-uint64_t hashOfBody(const wire::Offer &offer) {
-  return hashName(offer.Body) ^ mix64(hashName(offer.Call.Target)) ^
-         mix64(hashName(offer.Call.Method) + 1);
-}
-
-Duration remaining(const wire::Offer &offer) {
-  constexpr uint64_t Longest = 365ULL * 24 * 3600 * 1'000'000;
-  return Duration(std::min(offer.RemainingMicros, Longest));
-}
+constexpr size_t MaxClosed = 4096;
 
 } // namespace
 
@@ -53,105 +39,10 @@
   Dirty = true;
 }
 
-void AgentCore::Impl::onOffer(LinkHandle link, const wire::Offer &offer,
-                              Step &step) {
-  Run *run = Runs.find(offer.Id);
-  if (run) {
-    Error why = judgeRepeat(*run, offer);
-    if (why)
-      return refuse(link, offer, why, Outcome::NotRun, step);
-    bool failed = run->Final && run->Final->Kind != ErrorKind::None;
-    if (!failed || !offer.Idempotent)
-      return join(*run, link, offer, step);
-    HeldBytes -= run->Answer.bytes();
-    Runs.erase(offer.Id);
-  }
-  Error why = judgeOffer(offer, step);
-  if (why)
-    return refuse(link, offer, why, Outcome::NotRun, step);
-  accept(link, offer, step);
-}
-
-Error AgentCore::Impl::judgeRepeat(const Run &run,
-                                   const wire::Offer &offer) const {
-  if (run.Organisation != offer.Organisation)
-    return {ErrorKind::Forbidden, "request id of another organisation"};
-  if (run.BodyHash != hashOfBody(offer))
-    return {ErrorKind::KeyReused, "same request id with another body"};
-  return {};
-}
-
-Error AgentCore::Impl::judgeOffer(const wire::Offer &offer, Step &step) const {
-  bool isCall = !offer.Call.Method.empty();
-  if (isCall != Settings.IsService ||
-      (!isCall && offer.Model != Settings.Serves))
-    return {isCall ? ErrorKind::UnknownService : ErrorKind::UnknownModel,
-            "this agent serves " + Settings.Serves};
-  if (isLeaving())
-    return {ErrorKind::Draining, "the server is leaving"};
-  if (!isReachable())
-    return {ErrorKind::NotReady, "the engine does not answer", NotReadyRetry};
-  if (!isCall && !offer.Version.empty() && offer.Version != version())
-    return {ErrorKind::NotReady,
-            "the server runs version " + version() + ", not " + offer.Version,
-            NotReadyRetry};
-  if (wasCancelled(offer, step.Now))
-    return {ErrorKind::Cancelled, "cancelled before it was offered"};
-  if (offer.RemainingMicros <= offer.ReserveMicros)
-    return {ErrorKind::DeadlineTooShort, "no time is left"};
-  if (Queue.size() >= Settings.MaxWaiting)
-    return {ErrorKind::Overloaded, "the queue is full", NotReadyRetry};
-  return {};
-}
-
-void AgentCore::Impl::accept(LinkHandle link, const wire::Offer &offer,
-                             Step &step) {
-  auto request = std::make_shared<const wire::Offer>(offer);
-  Run &run = Runs.insert(
-      std::make_unique<Run>(std::move(request), Settings.MaxAnswerBytes));
-  run.BodyHash = hashOfBody(offer);
-  run.Arrived = step.Now;
-  run.Deadline = step.Now + remaining(offer);
-  run.Version = version();
-  Reader reader{link, offer.Try};
-  Runs.addReader(run, reader);
-  Runs.schedule(run);
-  Queue.push_back(offer.Id);
-  Dirty = true;
-  record(step, EventKind::OfferAccepted, run);
-  sendAccepted(run, reader, step);
-  startWaiting(step);
-}
-
-void AgentCore::Impl::refuse(LinkHandle link, const wire::Offer &offer,
-                             const Error &why, Outcome ran, Step &step) {
-  wire::Refused out;
-  out.Id = offer.Id;
-  out.Try = offer.Try;
-  out.Kind = why.Kind;
-  out.Ran = ran;
-  out.RetryAfterMicros = static_cast<uint64_t>(why.RetryAfter.count());
-  out.Detail = why.Detail;
-  out.Load = loadReport(step.Now);
-  send(step, link, std::move(out));
-  Refusals.push_back({offer.Id, offer.Try, offer.Organisation, offer.Class,
-                      why.Kind, step.Now});
-  if (Refusals.size() > MaxRefusalsShown)
-    Refusals.pop_front();
-  Dirty = true;
-  Event event;
-  event.Kind = EventKind::OfferRefused;
-  event.Request = offer.Id;
-  event.Try = offer.Try;
-  event.Reason = why.Kind;
-  event.Subject = offer.Organisation;
-  step.Out.push_back(RecordEvent{std::move(event)});
-}
-
 void AgentCore::Impl::join(Run &run, LinkHandle link, const wire::Offer &offer,
                            Step &step) {
   Reader reader{link, offer.Try};
-  if (!Runs.addReader(run, reader))
+  if (run.wasAnswered(reader) || !Runs.addReader(run, reader))
     return;
   sendAccepted(run, reader, step);
   replay(run, reader, offer.GeneratedChunks, step);
@@ -162,6 +53,8 @@
   wire::Accepted out;
   out.Id = run.Token.Id;
   out.Try = reader.Try;
+  out.FirstTokenMicros = static_cast<uint64_t>(run.PredictedFirstToken.count());
+  out.CompletionMicros = static_cast<uint64_t>(run.PredictedCompletion.count());
   out.Load = loadReport(step.Now);
   send(step, reader.Link, std::move(out));
 }
@@ -197,12 +90,8 @@
 void AgentCore::Impl::onCancel(LinkHandle link, const wire::Cancel &cancel,
                                Step &step) {
   Run *run = Runs.find(cancel.Id);
-  if (!run) {
-    if (CancelledEarly.size() < MaxCancelledEarly)
-      CancelledEarly[cancel.Id] = {cancel.Try,
-                                   step.Now + Settings.ResumeWindow};
-    return;
-  }
+  if (!run)
+    return close(cancel.Id, cancel.Try, step.Now);
   Reader reader{link, cancel.Try};
   if (!Runs.removeReader(*run, reader) || run->isFinished())
     return;
@@ -237,20 +126,48 @@
 void AgentCore::Impl::onTicketRequest(LinkHandle link,
                                       const wire::TicketRequest &request,
                                       Step &step) {
-  send(step, link,
-       wire::TicketReply{request.Id, ErrorKind::NotReady, std::string(), 0});
+  wire::TicketReply out;
+  out.Id = request.Id;
+  Error reason;
+  if (request.Service != Settings.Serves)
+    reason.Kind = ErrorKind::UnknownService;
+  else if (isLeaving())
+    reason.Kind = ErrorKind::Draining;
+  else if (auto ticket =
+               Tickets.issue(request.Organisation, step.Now, reason)) {
+    out.Ticket = *ticket;
+    out.ValidMicros = static_cast<uint64_t>(Settings.TicketLife.count());
+  }
+  out.Kind = reason.Kind;
+  send(step, link, std::move(out));
+}
+
+void AgentCore::Impl::close(const RequestId &id, Attempt attempt,
+                            TimePoint now) {
+  Closed[id] = {attempt, now + Settings.ResumeWindow};
+  ClosedOrder.push_back(id);
+  if (ClosedOrder.size() > MaxClosed)
+    forgetOldestClosed();
 }
 
-bool AgentCore::Impl::wasCancelled(const wire::Offer &offer,
-                                   TimePoint now) const {
-  auto it = CancelledEarly.find(offer.Id);
-  return it != CancelledEarly.end() && it->second.Try >= offer.Try &&
+bool AgentCore::Impl::isClosed(const wire::Offer &offer, TimePoint now) const {
+  auto it = Closed.find(offer.Id);
+  return it != Closed.end() && it->second.Try >= offer.Try &&
          it->second.Until > now;
 }
 
-void AgentCore::Impl::forgetCancelled(TimePoint now) {
-  std::erase_if(CancelledEarly,
-                [&](const auto &it) { return it.second.Until <= now; });
+void AgentCore::Impl::forgetOldestClosed() {
+  Closed.erase(ClosedOrder.front());
+  ClosedOrder.pop_front();
+}
+
+void AgentCore::Impl::forgetClosed(TimePoint now) {
+  while (!ClosedOrder.empty()) {
+    auto it = Closed.find(ClosedOrder.front());
+    if (it != Closed.end() && it->second.Until > now)
+      return;
+    forgetOldestClosed();
+  }
 }
 
 } // namespace daisytack::serve
--- /dev/null
+++ b/src/serve/agent_offers.cpp
@@ -0,0 +1,204 @@
+/// AgentCore: accept or refuse.
+#include "base/digest.h"
+#include "base/settings.h"
+#include "serve/agent_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::serve {
+
+namespace {
+
+constexpr size_t MaxRefusalsShown = 256;
+constexpr Duration NotReadyRetry{1'000'000};
+
+/// Tells a repeat of a request from another one under the same id. Both come
+/// from one organisation, so that a forged collision would harm its maker only.
+uint64_t hashOfBody(const wire::Offer &offer) {
+  return hashName(offer.Body) ^ mix64(hashName(offer.Call.Target)) ^
+         mix64(hashName(offer.Call.Method) + 1);
+}
+
+std::string describe(const AcceptanceDecision &decision) {
+  return "predicted wait " + daisytack::toString(decision.Wait) +
+         ", completion " + daisytack::toString(decision.Completion) +
+         ", slack " + daisytack::toString(decision.Slack);
+}
+
+Duration remaining(const wire::Offer &offer) {
+  constexpr uint64_t Longest = 365ULL * 24 * 3600 * 1'000'000;
+  return Duration(std::min(offer.RemainingMicros, Longest));
+}
+
+} // namespace
+
+void AgentCore::Impl::onOffer(LinkHandle link, const wire::Offer &offer,
+                              Step &step) {
+  if (!offer.Idempotent)
+    return onTicketOffer(link, offer, step);
+  Run *run = Runs.find(offer.Id);
+  if (run) {
+    Error why = judgeRepeat(*run, offer);
+    if (why)
+      return refuse(link, offer, why, Outcome::NotRun, step);
+    if (!run->Final || run->Final->Kind == ErrorKind::None)
+      return join(*run, link, offer, step);
+    if (run->wasAnswered({link, offer.Try}))
+      return;
+    HeldBytes -= run->Answer.bytes();
+    Runs.erase(offer.Id);
+  }
+  decideOffer(link, offer, std::nullopt, step);
+}
+
+void AgentCore::Impl::onTicketOffer(LinkHandle link, const wire::Offer &offer,
+                                    Step &step) {
+  TicketVerdict verdict =
+      Tickets.present(presentationOf(offer, link.Index), step.Now);
+  switch (verdict.Do) {
+  case TicketVerdict::Action::Ignore:
+    return;
+  case TicketVerdict::Action::Refuse:
+    return refuse(link, offer, verdict.Reason, verdict.Ran, step);
+  case TicketVerdict::Action::Run:
+    if (!decideOffer(link, offer, verdict.Key, step))
+      Tickets.withdraw(verdict.Key, step.Now);
+    return;
+  case TicketVerdict::Action::Repeat:
+    wire::Accepted accepted;
+    accepted.Id = offer.Id;
+    accepted.Try = offer.Try;
+    accepted.Load = loadReport(step.Now);
+    send(step, link, std::move(accepted));
+    for (wire::Message &it : replayAnswer(*verdict.Answer, offer.Id, offer.Try))
+      send(step, link, std::move(it));
+    return;
+  }
+}
+
+bool AgentCore::Impl::decideOffer(LinkHandle link, const wire::Offer &offer,
+                                  std::optional<TicketKey> ticket, Step &step) {
+  Error why = judgeOffer(offer, step);
+  if (why) {
+    refuse(link, offer, why, Outcome::NotRun, step);
+    return false;
+  }
+  auto run = std::make_unique<Run>(std::make_shared<const wire::Offer>(offer),
+                                   Settings.MaxAnswerBytes);
+  run->Ticket = ticket;
+  run->BodyHash = hashOfBody(offer);
+  run->Arrived = step.Now;
+  run->Deadline = step.Now + remaining(offer);
+  run->Version = version();
+  run->ExpectedPrefill = tokensToPrefill(offer);
+  RunRequest request = queueRequest(*run, step.Now);
+  AcceptanceDecision decision = judgeLoad(request, step);
+  if (!decision.accepted()) {
+    decision.Reason.Detail = describe(decision);
+    refuse(link, offer, decision.Reason, Outcome::NotRun, step,
+           decision.scores());
+    return false;
+  }
+  accept(link, std::move(run), request, decision, step);
+  return true;
+}
+
+Error AgentCore::Impl::judgeRepeat(const Run &run,
+                                   const wire::Offer &offer) const {
+  if (run.Organisation != offer.Organisation)
+    return {ErrorKind::Forbidden, "request id of another organisation"};
+  if (run.BodyHash != hashOfBody(offer))
+    return {ErrorKind::KeyReused, "same request id with another body"};
+  return {};
+}
+
+Error AgentCore::Impl::judgeOffer(const wire::Offer &offer, Step &step) const {
+  if (Runs.find(offer.Id))
+    return {ErrorKind::KeyReused, "the request is known under another ticket"};
+  bool isCall = !offer.Call.Method.empty();
+  if (isCall != Settings.IsService ||
+      (!isCall && offer.Model != Settings.Serves))
+    return {isCall ? ErrorKind::UnknownService : ErrorKind::UnknownModel,
+            "this agent serves " + Settings.Serves};
+  if (isLeaving())
+    return {ErrorKind::Draining, "the server is leaving"};
+  if (!isReachable())
+    return {ErrorKind::NotReady, "the engine does not answer", NotReadyRetry};
+  if (!isCall && !offer.Version.empty() && offer.Version != version())
+    return {ErrorKind::NotReady,
+            "the server runs version " + version() + ", not " + offer.Version,
+            NotReadyRetry};
+  if (isClosed(offer, step.Now))
+    return {ErrorKind::Cancelled, "the attempt is over"};
+  if (offer.RemainingMicros <= offer.ReserveMicros)
+    return {ErrorKind::DeadlineTooShort, "no time is left"};
+  if (Queue.waiting() >= Settings.MaxWaiting)
+    return {ErrorKind::Overloaded, "the queue is full", NotReadyRetry};
+  return {};
+}
+
+AcceptanceDecision AgentCore::Impl::judgeLoad(const RunRequest &request,
+                                              Step &step) {
+  AcceptanceDecision out = decideAcceptance(
+      Queue, Settings.Queue, Settings.Acceptance, request, step.Now);
+  if (out.Reason.Kind != ErrorKind::Overloaded)
+    return out;
+  auto victim = Queue.preemptionVictim(request, step.Now);
+  if (!victim)
+    return out;
+  RunQueue without = Queue;
+  without.suspend(victim->Id, victim->Try, step.Now);
+  AcceptanceDecision better = decideAcceptance(
+      without, Settings.Queue, Settings.Acceptance, request, step.Now);
+  if (!better.accepted())
+    return out;
+  suspend(*Runs.find(victim->Id), step);
+  return better;
+}
+
+void AgentCore::Impl::accept(LinkHandle link, std::unique_ptr<Run> made,
+                             const RunRequest &request,
+                             const AcceptanceDecision &decision, Step &step) {
+  Run &run = Runs.insert(std::move(made));
+  run.PredictedFirstToken = decision.FirstToken;
+  run.PredictedCompletion = decision.Completion;
+  Reader reader{link, run.Token.Try};
+  Runs.addReader(run, reader);
+  Runs.schedule(run);
+  Queue.push(request, step.Now);
+  Dirty = true;
+  record(step, EventKind::OfferAccepted, run, ErrorKind::None,
+         decision.scores());
+  sendAccepted(run, reader, step);
+  startWaiting(step);
+}
+
+void AgentCore::Impl::refuse(LinkHandle link, const wire::Offer &offer,
+                             const Error &why, Outcome ran, Step &step,
+                             std::array<int64_t, Event::MaxScores> scores) {
+  wire::Refused out;
+  out.Id = offer.Id;
+  out.Try = offer.Try;
+  out.Kind = why.Kind;
+  out.Ran = ran;
+  out.RetryAfterMicros = static_cast<uint64_t>(why.RetryAfter.count());
+  out.Detail = why.Detail;
+  out.Load = loadReport(step.Now);
+  send(step, link, std::move(out));
+  Refusals.push_back({offer.Id, offer.Try, offer.Organisation, offer.Class,
+                      why.Kind, step.Now});
+  if (Refusals.size() > MaxRefusalsShown)
+    Refusals.pop_front();
+  Dirty = true;
+  Event event;
+  event.Kind = EventKind::OfferRefused;
+  event.Request = offer.Id;
+  event.Try = offer.Try;
+  event.Reason = why.Kind;
+  event.Scores = scores;
+  event.Subject = offer.Organisation;
+  step.Out.push_back(RecordEvent{std::move(event)});
+}
+
+} // namespace daisytack::serve
--- a/src/serve/agent_run.cpp
+++ b/src/serve/agent_run.cpp
@@ -18,6 +18,10 @@
   return "unknown";
 }
 
+bool Run::wasAnswered(const Reader &reader) const {
+  return std::find(Answered.begin(), Answered.end(), reader) != Answered.end();
+}
+
 Run *RunTable::find(const RequestId &id) {
   auto it = Runs.find(id);
   return it == Runs.end() ? nullptr : it->second.get();
--- a/src/serve/agent_run.h
+++ b/src/serve/agent_run.h
@@ -1,6 +1,7 @@
 /// One accepted request at its agent, and the table of all of them.
 #pragma once
 
+#include "once/ticket_ledger.h"
 #include "serve/agent_answer.h"
 #include "serve/agent_messages.h"
 #include "serve/agent_snapshot.h"
@@ -35,14 +36,22 @@
   std::string Version; ///< Weight version that it runs on.
   uint64_t BodyHash = 0;
   RunState State = RunState::Waiting;
+  /// Holds a slot of the queue; a run that does may still wait for its context.
+  bool HasSlot = false;
+  /// Record in the ledger of a call that may run at most once.
+  std::optional<TicketKey> Ticket;
+  Duration PredictedFirstToken{0};
+  Duration PredictedCompletion{0};
+  uint32_t ExpectedPrefill = 0; ///< Tokens that the engine has to prefill.
   /// Some start may have reached the backend server.
   bool MayHaveRun = false;
   bool RanEarlier = false; ///< MayHaveRun before the present start.
-  /// The final message went to at least one reader.
-  bool Delivered = false;
+  /// Readers that got the final message.
+  std::vector<Reader> Answered;
   TimePoint Arrived;
   TimePoint Deadline;
   TimePoint Started;
+  bool WasSuspended = false; ///< Its times teach nothing.
   std::optional<TimePoint> FirstToken;
   /// Until when it is kept without a reader.
   std::optional<TimePoint> KeptUntil;
@@ -54,6 +63,7 @@
   std::optional<wire::Finished> Final;
 
   bool isFinished() const { return State == RunState::Finished; }
+  bool wasAnswered(const Reader &reader) const;
 };
 
 /// All runs by request, with their timers and the connections that read them.
--- a/src/serve/agent_runs.cpp
+++ b/src/serve/agent_runs.cpp
@@ -12,20 +12,6 @@
 
 } // namespace
 
-void AgentCore::Impl::startWaiting(Step &step) {
-  while (Running < Settings.MaxRunning && !Queue.empty()) {
-    Run *run = Runs.find(Queue.front());
-    Queue.pop_front();
-    if (!run || run->State != RunState::Waiting)
-      continue;
-    if (isOvertaken(*run))
-      handBack(*run, {ErrorKind::NotReady, "the server changed its version"},
-               step);
-    else
-      start(*run, step);
-  }
-}
-
 /// A swap took place while the run waited: its pieces and its caller belong to
 /// the other version.
 bool AgentCore::Impl::isOvertaken(const Run &run) const {
@@ -40,8 +26,6 @@
   run.RanEarlier = run.MayHaveRun;
   run.MayHaveRun = true;
   run.NextSequence = 0;
-  run.Version = version();
-  ++Running;
   Dirty = true;
   StartRun out;
   out.Run = run.Token;
@@ -115,6 +99,7 @@
   out.RecomputedTokens =
       input.PromptTokens - std::min(input.PromptTokens, input.CachedTokens);
   out.GeneratedTokens = input.CompletionTokens;
+  observeFinished(*run, input, step.Now);
   out.ServiceStatus = input.ServiceStatus;
   out.ServiceHeaders = input.ServiceHeaders;
   finish(*run, std::move(out), step);
@@ -151,6 +136,7 @@
          {(step.Now - run.Arrived).count(), final.PromptTokens,
           final.RecomputedTokens, final.GeneratedTokens});
   run.State = RunState::Finished;
+  settleTicket(run, final, step);
   run.Final = std::move(final);
   run.Request.reset();
   for (const Reader &reader : run.Readers)
@@ -164,6 +150,8 @@
 
 void AgentCore::Impl::handBack(Run &run, const Error &why, Step &step) {
   leaveServer(run);
+  if (run.Ticket)
+    Tickets.withdraw(*run.Ticket, step.Now);
   for (const Reader &reader : run.Readers) {
     wire::Refused out;
     out.Id = run.Token.Id;
@@ -176,17 +164,28 @@
     send(step, reader.Link, std::move(out));
   }
   record(step, EventKind::OfferRefused, run, why.Kind);
+  close(run.Token.Id, run.Token.Try, step.Now);
   HeldBytes -= run.Answer.bytes();
   Runs.erase(RequestId(run.Token.Id));
   Dirty = true;
   startWaiting(step);
 }
 
+void AgentCore::Impl::settleTicket(const Run &run, const wire::Finished &final,
+                                   Step &step) {
+  if (!run.Ticket)
+    return;
+  wire::Finished end = final;
+  end.Try = run.Token.Try;
+  Tickets.finish(*run.Ticket, {std::move(end), run.Answer.text()}, step.Now);
+}
+
 void AgentCore::Impl::leaveServer(Run &run) {
-  if (run.State == RunState::Waiting)
-    std::erase(Queue, run.Token.Id);
-  else if (run.State == RunState::Running)
-    --Running;
+  if (run.HasSlot)
+    Queue.finish(run.Token.Id, run.Token.Try);
+  else if (!run.isFinished())
+    Queue.cancel(run.Token.Id, run.Token.Try);
+  run.HasSlot = false;
 }
 
 void AgentCore::Impl::stopAtServer(Run &run, Step &step) {
@@ -199,7 +198,7 @@
   out.Try = reader.Try;
   out.Load = loadReport(step.Now);
   send(step, reader.Link, std::move(out));
-  run.Delivered = true;
+  run.Answered.push_back(reader);
 }
 
 void AgentCore::Impl::keepForReaders(Run &run, TimePoint now) {
@@ -211,8 +210,10 @@
 }
 
 void AgentCore::Impl::handBackWaiting(const Error &why, Step &step) {
-  std::deque<RequestId> waiting;
-  waiting.swap(Queue);
+  std::vector<RequestId> waiting;
+  for (const auto &[id, run] : Runs.all())
+    if (run->State == RunState::Waiting)
+      waiting.push_back(id);
   for (const RequestId &id : waiting)
     if (Run *run = Runs.find(id))
       fail(*run, why, step);
--- a/tests/serve_agent/agent_core_test.cpp
+++ b/tests/serve_agent/agent_core_test.cpp
@@ -173,6 +173,28 @@
   EXPECT_EQ(rig.lastTo<wire::Finished>(LinkB).Try, 2U);
 }
 
+TEST(AgentCore, RepeatedOfferIsAnsweredOnce) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  rig.offer(offerOf(1));
+  rig.done(rig.Started[0].Run);
+  rig.offer(offerOf(1));
+  EXPECT_EQ(rig.Started.size(), 1U);
+  EXPECT_EQ(rig.sentTo<wire::Accepted>(LinkA).size(), 1U);
+  EXPECT_EQ(rig.sentTo<wire::Finished>(LinkA).size(), 1U);
+}
+
+TEST(AgentCore, RepeatOfAnOfferThatWasHandedBackIsRefused) {
+  AgentRig rig;
+  rig.offer(offerOf(1));
+  rig.apply(RunFailed{
+      rig.Started[0].Run, {ErrorKind::ServerLost, "refused"}, Outcome::NotRun});
+  rig.offer(offerOf(1));
+  EXPECT_EQ(rig.Started.size(), 1U);
+  rig.offer(offerOf(1, 2));
+  EXPECT_EQ(rig.Started.size(), 2U);
+}
+
 TEST(AgentCore, DrainFinishesWhatWasAccepted) {
   AgentRig rig;
   for (uint64_t i = 1; i <= 3; ++i)
--- a/tests/serve_agent/agent_rig.h
+++ b/tests/serve_agent/agent_rig.h
@@ -19,7 +19,7 @@
   AgentSettings out;
   out.Instance = "agent-1";
   out.Serves = Model;
-  out.MaxRunning = 2;
+  out.Queue.Slots = 2;
   return out;
 }
 
@@ -116,6 +116,8 @@
   std::vector<SendMessage> Sent;
   std::vector<StartRun> Started;
   std::vector<RunToken> Cancelled;
+  std::vector<RunToken> Suspended;
+  std::vector<RunToken> Resumed;
   std::vector<AgentAction> Others;
   std::map<EventKind, size_t> Events;
 
@@ -127,6 +129,10 @@
       Started.push_back(std::move(*start));
     else if (auto *cancel = std::get_if<CancelRun>(&action))
       Cancelled.push_back(cancel->Run);
+    else if (auto *suspend = std::get_if<SuspendRun>(&action))
+      Suspended.push_back(suspend->Run);
+    else if (auto *resume = std::get_if<ResumeRun>(&action))
+      Resumed.push_back(resume->Run);
     else if (auto *event = std::get_if<RecordEvent>(&action))
       ++Events[event->What.Kind];
     else
--- a/tools/agent/agent_options.cpp
+++ b/tools/agent/agent_options.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr int64_t MaxRunningAtMost = 64;
+constexpr int64_t MaxRunningAtMost = MaxRunSlots;
 constexpr int64_t MaxWaitingAtMost = 1'000'000;
 
 void readServer(Settings &settings, AgentOptions &out) {
@@ -16,7 +16,7 @@
   out.Core.IsService =
       settings.choice("agent.kind", "model", {"model", "service"}) == "service";
   out.Server = settings.endpoint("agent.server", std::nullopt);
-  out.Core.MaxRunning = static_cast<uint32_t>(
+  out.Core.Queue.Slots = static_cast<uint32_t>(
       settings.integer("agent.max_running", 32, 1, MaxRunningAtMost));
   out.Core.MaxWaiting = static_cast<uint32_t>(
       settings.integer("agent.max_waiting", 4096, 1, MaxWaitingAtMost));
--- a/tools/agent/agent_shell.cpp
+++ b/tools/agent/agent_shell.cpp
@@ -19,7 +19,7 @@
 
 net::HttpClientInit clientInit(const AgentOptions &options) {
   net::HttpClientInit out;
-  out.MaxIdlePerEndpoint = options.Core.MaxRunning + 8;
+  out.MaxIdlePerEndpoint = options.Core.Queue.Slots + 8;
   return out;
 }
 
