--- /dev/null
+++ b/tests/serve_entry/flow_harness.h
@@ -0,0 +1,236 @@
+// Drives a RequestFlow by a script and writes down what it does.
+#pragma once
+
+#include "serve/request_flow.h"
+
+#include <optional>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace daisytack::entry {
+
+// What kind of request a script is played for.
+struct FlowKind {
+  bool Idempotent = true;
+  bool Stream = true;
+  std::optional<uint32_t> ResumeFrom;
+  std::optional<Duration> ReleaseIn;
+};
+
+// Commands, one a line or separated by semicolons. S is a server, N an attempt:
+//   accept S N [MS]     predicted first token in MS
+//   refuse S N KIND [may]
+//   chunk S N INDEX     the text is "S:INDEX "
+//   finish S N CHUNKS
+//   fail S N KIND not|may
+//   lost N [unsent]     the link broke
+//   time MS             time passes, and timers fire when due
+//   gone                the caller left
+//   release MS|none     the class's release time is moved
+//   budget N            retries left
+//   servers S...        candidates, best first
+class FlowHarness {
+public:
+  explicit FlowHarness(const FlowKind &kind)
+      : Flow(specOf(kind), FlowSettings(), hooks()) {
+    RequestClass held;
+    held.Name = "default";
+    if (kind.ReleaseIn)
+      held.ReleaseAt = Wall + *kind.ReleaseIn;
+    Config.Classes = {held};
+    Config.finish();
+  }
+
+  // Plays the script and returns all actions as text, but for timers, events
+  // and notes.
+  std::string play(const std::string &script) {
+    feed(FlowStarted{});
+    std::istringstream lines(script);
+    for (std::string line; std::getline(lines, line, ';');)
+      command(line);
+    return Trace;
+  }
+
+  void feed(const FlowInput &input) {
+    for (const FlowAction &action : Flow.apply(input, {Config, Now, Wall}))
+      std::visit([this](const auto &it) { show(it); }, action);
+  }
+
+  void pass(Duration span) {
+    TimePoint until = Now + span;
+    while (Timer && *Timer <= until) {
+      Wall += std::max(*Timer - Now, Duration(0));
+      Now = std::max(Now, *Timer);
+      Timer.reset();
+      feed(TimerFired{});
+    }
+    Wall += until - Now;
+    Now = until;
+  }
+
+  static RequestId id() { return {1, 2}; }
+
+  Snapshot Config;
+  TimePoint Now{Duration(1'000'000)};
+  WallTime Wall{Duration(5'000'000'000)};
+  std::vector<Candidate> Servers{{"a", {}}, {"b", {}}, {"c", {}}};
+  int Budget = 100;
+  RequestFlow Flow;
+  std::string Trace;
+  std::string Shown;
+  std::optional<TimePoint> Timer;
+  std::vector<SendOffer> Offers;
+  std::vector<SendResume> Resumes;
+  std::vector<uint32_t> Parts; // Index of each part shown.
+  int Finals = 0;
+  bool Whole = false;
+  std::optional<AnswerError> Failure;
+  std::optional<AnswerSummary> Summary;
+
+private:
+  RequestSpec specOf(const FlowKind &kind) const {
+    RequestSpec out;
+    out.Offer.Id = id();
+    out.Offer.Organisation = "desk";
+    out.Offer.Class = "default";
+    out.Offer.Model = "m";
+    out.Offer.Idempotent = kind.Idempotent;
+    out.Stream = kind.Stream;
+    out.Arrived = Now;
+    out.Deadline = Now + Duration(10'000'000);
+    if (kind.ResumeFrom)
+      out.Resume = ResumePoint{"a", *kind.ResumeFrom};
+    return out;
+  }
+
+  FlowHooks hooks() {
+    FlowHooks out;
+    out.Rank = [this](const auto &, const auto &) { return Servers; };
+    out.TakeRetry = [this] { return Budget-- > 0; };
+    return out;
+  }
+
+  void say(const std::string &text) {
+    Trace += Trace.empty() ? text : "; " + text;
+  }
+  void show(const SendOffer &it) {
+    Offers.push_back(it);
+    say("offer " + it.Server + " " + std::to_string(it.Offer.Try) +
+        (it.Offer.GeneratedChunks > 0
+             ? " from " + std::to_string(it.Offer.GeneratedChunks)
+             : ""));
+  }
+  void show(const SendResume &it) {
+    Resumes.push_back(it);
+    say("resume " + it.Server + " " + std::to_string(it.Resume.Try) + " from " +
+        std::to_string(it.Resume.FromIndex));
+  }
+  void show(const SendCancel &it) {
+    say("cancel " + it.Server + " " + std::to_string(it.Cancel.Try));
+  }
+  void show(const AnswerPart &it) {
+    Shown += it.Text;
+    Parts.push_back(it.Index);
+    say("part " + std::to_string(it.Index));
+  }
+  void show(const AnswerEnd &it) { finish("end", it.Summary); }
+  void show(const AnswerWhole &it) {
+    Shown += it.Text;
+    finish("whole", it.Summary);
+  }
+  void show(const AnswerError &it) {
+    ++Finals;
+    Failure = it;
+    say("error " + std::string(errorName(it.Reason.Kind)) + " " +
+        std::string(outcomeName(it.Ran)));
+  }
+  void show(const ArmTimer &it) { Timer = it.At; }
+  void show(const NoteServer &) {}
+  void show(const RecordEvent &) {}
+  void show(const FlowEnded &) {}
+  void finish(const char *how, const AnswerSummary &summary) {
+    ++Finals;
+    Whole = true;
+    Summary = summary;
+    say(how);
+  }
+
+  template <class M> M message(std::istringstream &in, std::string &server) {
+    M out;
+    out.Id = id();
+    in >> server >> out.Try;
+    return out;
+  }
+
+  void command(const std::string &line) {
+    std::istringstream in(line);
+    std::string verb;
+    std::string server;
+    std::string word;
+    in >> verb;
+    if (verb == "accept") {
+      auto out = message<wire::Accepted>(in, server);
+      uint64_t millis = 0;
+      in >> millis;
+      out.FirstTokenMicros = millis * 1000;
+      out.CompletionMicros = out.FirstTokenMicros;
+      feed(ServerSaid{server, out});
+    } else if (verb == "refuse") {
+      auto out = message<wire::Refused>(in, server);
+      in >> word;
+      out.Kind = parseErrorKind(word);
+      if (in >> word)
+        out.Ran = Outcome::MayHaveRun;
+      feed(ServerSaid{server, out});
+    } else if (verb == "chunk") {
+      auto out = message<wire::Chunk>(in, server);
+      in >> out.Index;
+      out.Text = server + ":" + std::to_string(out.Index) + " ";
+      feed(ServerSaid{server, out});
+    } else if (verb == "finish") {
+      auto out = message<wire::Finished>(in, server);
+      in >> out.Chunks;
+      feed(ServerSaid{server, out});
+    } else if (verb == "fail") {
+      auto out = message<wire::Finished>(in, server);
+      in >> word;
+      out.Kind = parseErrorKind(word);
+      in >> word;
+      out.Ran = word == "not" ? Outcome::NotRun : Outcome::MayHaveRun;
+      feed(ServerSaid{server, out});
+    } else {
+      general(verb, in);
+    }
+  }
+
+  void general(const std::string &verb, std::istringstream &in) {
+    std::string word;
+    int number = 0;
+    if (verb == "lost") {
+      in >> number;
+      bool unsent = static_cast<bool>(in >> word);
+      feed(LinkLost{static_cast<Attempt>(number), !unsent});
+    } else if (verb == "time") {
+      in >> number;
+      pass(std::chrono::milliseconds(number));
+    } else if (verb == "gone") {
+      feed(CallerGone{});
+    } else if (verb == "release") {
+      in >> word;
+      Config.Classes[0].ReleaseAt.reset();
+      if (word != "none")
+        Config.Classes[0].ReleaseAt =
+            Wall + std::chrono::milliseconds(std::stoi(word));
+      feed(ConfigChanged{});
+    } else if (verb == "budget") {
+      in >> Budget;
+    } else if (verb == "servers") {
+      Servers.clear();
+      while (in >> word)
+        Servers.push_back({word, {}});
+    }
+  }
+};
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tests/serve_entry/request_flow_test.cpp
@@ -0,0 +1,269 @@
+// Every rule of a request's path, as a script of what happens and what must
+// follow.
+#include "flow_harness.h"
+
+#include <gtest/gtest.h>
+
+using namespace daisytack;
+using namespace daisytack::entry;
+
+namespace {
+
+constexpr FlowKind Streamed{};
+constexpr FlowKind AtOnce{true, false, {}, {}};
+constexpr FlowKind Once{false, true, {}, {}};
+constexpr FlowKind OnceAtOnce{false, false, {}, {}};
+constexpr FlowKind Resumed{true, true, 2, {}};
+constexpr FlowKind Released{true, false, {}, Duration(3'000'000)};
+constexpr FlowKind ReleasedStream{true, true, {}, Duration(3'000'000)};
+
+struct FlowCase {
+  const char *Name;
+  FlowKind Kind;
+  const char *Script;
+  const char *Expected;
+};
+
+std::ostream &operator<<(std::ostream &out, const FlowCase &it) {
+  return out << it.Name;
+}
+
+class RequestFlowTest : public testing::TestWithParam<FlowCase> {};
+
+const FlowCase Answers[] = {
+    {"Streamed", Streamed,
+     "accept a 1 10; chunk a 1 0; chunk a 1 1; finish a 1 2",
+     "offer a 1; part 0; part 1; end"},
+    {"Whole", AtOnce, "accept a 1; chunk a 1 0; chunk a 1 1; finish a 1 2",
+     "offer a 1; whole"},
+    {"EmptyAnswer", AtOnce, "accept a 1; finish a 1 0", "offer a 1; whole"},
+    {"DuplicateChunk", Streamed,
+     "chunk a 1 0; chunk a 1 0; chunk a 1 1; chunk a 1 0; finish a 1 2",
+     "offer a 1; part 0; part 1; end"},
+    {"NothingAfterTheEnd", Streamed,
+     "chunk a 1 0; finish a 1 1; chunk a 1 1; finish a 1 2; lost 1; gone; time "
+     "20000",
+     "offer a 1; part 0; end"},
+    {"OtherAttemptsAndServersAreNotHeard", Streamed,
+     "chunk b 1 0; chunk a 2 0; finish a 7 0; refuse b 1 overloaded; chunk a 1 "
+     "0; finish a 1 1",
+     "offer a 1; part 0; end"},
+    {"Offered", Streamed, "", "offer a 1"},
+};
+
+const FlowCase Refusals[] = {
+    {"RefusedGoesToTheNext", Streamed,
+     "refuse a 1 overloaded; chunk b 2 0; finish b 2 1",
+     "offer a 1; offer b 2; part 0; end"},
+    {"RefusedByAll", Streamed,
+     "refuse a 1 overloaded; refuse b 2 draining; refuse c 3 overloaded",
+     "offer a 1; offer b 2; offer c 3; error overloaded not_run"},
+    {"RefusedForGood", Streamed, "refuse a 1 key_reused",
+     "offer a 1; error key_reused not_run"},
+    {"BudgetSpent", Streamed, "budget 0; refuse a 1 overloaded",
+     "offer a 1; error overloaded not_run"},
+    {"MostAttempts", Streamed,
+     "servers a b c d e f; refuse a 1 overloaded; refuse b 2 overloaded; "
+     "refuse c 3 overloaded; refuse d 4 overloaded",
+     "offer a 1; offer b 2; offer c 3; offer d 4; error overloaded not_run"},
+    {"OnceRefusedMayGoOn", Once,
+     "refuse a 1 overloaded; chunk b 2 0; finish b 2 1",
+     "offer a 1; offer b 2; part 0; end"},
+    {"OnceNeverArrived", Once, "lost 1 unsent; chunk b 2 0; finish b 2 1",
+     "offer a 1; offer b 2; part 0; end"},
+    {"OncePerhapsRun", Once, "refuse a 1 server_lost may",
+     "offer a 1; error server_lost may_have_run"},
+    {"OnceTicketTooOld", OnceAtOnce, "refuse a 1 ticket_expired may",
+     "offer a 1; error ticket_expired may_have_run"},
+};
+
+const FlowCase Losses[] = {
+    {"LostBeforeTheFirstChunk", Streamed,
+     "accept a 1; lost 1; chunk b 2 0; finish b 2 1",
+     "offer a 1; offer b 2; part 0; end"},
+    {"LostMidStreamGoesOnElsewhere", Streamed,
+     "chunk a 1 0; chunk a 1 1; lost 1; accept b 2; chunk b 2 2; finish b 2 3",
+     "offer a 1; part 0; part 1; offer b 2 from 2; part 2; end"},
+    {"LateMessagesOfALostAttempt", Streamed,
+     "chunk a 1 0; lost 1; chunk a 1 1; finish a 1 2; chunk b 2 1; finish b 2 "
+     "2",
+     "offer a 1; part 0; offer b 2 from 1; part 1; end"},
+    {"ChunkMissing", Streamed,
+     "chunk a 1 0; chunk a 1 2; chunk b 2 1; finish b 2 2",
+     "offer a 1; part 0; cancel a 1; offer b 2 from 1; part 1; end"},
+    {"FinishedTooEarly", AtOnce,
+     "chunk a 1 0; finish a 1 2; chunk b 2 1; finish b 2 2",
+     "offer a 1; cancel a 1; offer b 2 from 1; whole"},
+    {"ServerFailed", AtOnce,
+     "chunk a 1 0; fail a 1 server_failed may; chunk b 2 1; finish b 2 2",
+     "offer a 1; offer b 2 from 1; whole"},
+    {"AcceptedWaitsForAServer", AtOnce,
+     "accept a 1; servers a b; refuse a 1 draining; refuse b 2 overloaded; "
+     "time 150; chunk a 3 0; finish a 3 1",
+     "offer a 1; offer b 2; offer a 3; whole"},
+    {"AcceptedWaitsForABudget", AtOnce,
+     "accept a 1; budget 0; lost 1; budget 1; time 150; chunk b 2 0; finish b "
+     "2 1",
+     "offer a 1; offer b 2; whole"},
+    {"StoppedByAnOperator", Streamed, "chunk a 1 0; fail a 1 cancelled may",
+     "offer a 1; part 0; error cancelled may_have_run"},
+    {"OnceLostIsReadAgain", Once,
+     "chunk a 1 0; lost 1; chunk a 1 1; finish a 1 2",
+     "offer a 1; part 0; resume a 1 from 1; part 1; end"},
+    {"OnceLostTwice", Once, "lost 1; lost 1",
+     "offer a 1; resume a 1 from 0; error server_lost may_have_run"},
+    {"OnceAnswerGone", Once, "lost 1; refuse a 1 answer_lost may",
+     "offer a 1; resume a 1 from 0; error server_lost may_have_run"},
+    {"OnceServerFailed", Once, "chunk a 1 0; fail a 1 server_failed may",
+     "offer a 1; part 0; error server_failed may_have_run"},
+    {"OnceChunkMissing", Once, "chunk a 1 1",
+     "offer a 1; cancel a 1; error protocol_error may_have_run"},
+};
+
+const FlowCase Times[] = {
+    {"DeadlineBeforeAnyWord", Once, "time 10000",
+     "offer a 1; cancel a 1; error deadline_passed may_have_run"},
+    {"DeadlineMidStream", Once, "chunk a 1 0; time 10000; finish a 1 1",
+     "offer a 1; part 0; cancel a 1; error deadline_passed may_have_run"},
+    {"SilentServerIsHelped", Streamed,
+     "time 600; chunk b 2 0; chunk a 1 0; finish b 2 1",
+     "offer a 1; offer b 2; cancel a 1; part 0; end"},
+    {"SlowFirstTokenIsHelped", Streamed,
+     "accept a 1 100; time 240; time 20; accept b 2 10; chunk a 1 0; finish a "
+     "1 1",
+     "offer a 1; offer b 2; cancel b 2; part 0; end"},
+    {"NoHelpWithoutBudget", Streamed,
+     "budget 0; accept a 1 100; time 2900; chunk a 1 0; finish a 1 1",
+     "offer a 1; part 0; end"},
+    {"NoHelpForOnce", Once, "time 5000; chunk a 1 0; finish a 1 1",
+     "offer a 1; part 0; end"},
+    {"StandingStreamIsTakenUpElsewhere", Streamed,
+     "chunk a 1 0; time 3100; chunk b 2 1; chunk a 1 1; finish b 2 2",
+     "offer a 1; part 0; offer b 2 from 1; cancel a 1; part 1; end"},
+    {"BothLost", Streamed,
+     "time 600; lost 1; lost 2; chunk c 3 0; finish c 3 1",
+     "offer a 1; offer b 2; offer c 3; part 0; end"},
+};
+
+const FlowCase Callers[] = {
+    {"GoneBeforeTheFirstPart", Streamed, "accept a 1; gone",
+     "offer a 1; cancel a 1"},
+    {"GoneFromAWholeAnswer", AtOnce, "chunk a 1 0; gone",
+     "offer a 1; cancel a 1"},
+    {"GoneFromAStreamHasAGrace", Streamed,
+     "chunk a 1 0; gone; chunk a 1 1; time 2900; time 200",
+     "offer a 1; part 0; cancel a 1"},
+    {"GoneStreamMayFinish", Streamed, "chunk a 1 0; gone; finish a 1 1",
+     "offer a 1; part 0"},
+    {"GoneStreamIsNotRunAgain", Streamed, "chunk a 1 0; gone; lost 1",
+     "offer a 1; part 0"},
+    {"Resumed", Resumed, "chunk a 1 2; chunk a 1 3; finish a 1 4",
+     "resume a 1 from 2; part 2; part 3; end"},
+    {"ResumedAtTheEnd", Resumed, "finish a 1 2", "resume a 1 from 2; end"},
+    {"ResumedTooLate", Resumed, "refuse a 1 answer_lost may",
+     "resume a 1 from 2; error answer_lost may_have_run"},
+    {"ResumedAndLost", Resumed,
+     "chunk a 1 2; lost 1; chunk a 1 3; finish a 1 4",
+     "resume a 1 from 2; part 2; resume a 1 from 3; part 3; end"},
+    {"ResumedFromADeadServer", Resumed, "lost 1 unsent; lost 1 unsent",
+     "resume a 1 from 2; resume a 1 from 2; error server_lost may_have_run"},
+};
+
+const FlowCase Releases[] = {
+    {"HeldUntilItsTime", Released,
+     "chunk a 1 0; finish a 1 1; time 2990; time 20", "offer a 1; whole"},
+    {"HeldStream", ReleasedStream,
+     "chunk a 1 0; chunk a 1 1; finish a 1 2; time 2990; time 20",
+     "offer a 1; part 1; end"},
+    {"StillHeld", Released, "chunk a 1 0; finish a 1 1; time 2990",
+     "offer a 1"},
+    {"MovedLater", Released,
+     "chunk a 1 0; finish a 1 1; release 5000; time 4900", "offer a 1"},
+    {"MovedEarlier", Released,
+     "chunk a 1 0; finish a 1 1; time 1000; release 100; time 110",
+     "offer a 1; whole"},
+    {"Cancelled", Released, "chunk a 1 0; finish a 1 1; release none",
+     "offer a 1; whole"},
+    {"LateIsSentAtOnce", Released,
+     "time 400; chunk a 1 0; time 2700; finish a "
+     "1 1",
+     "offer a 1; whole"},
+    {"CancelledMidStreamShowsAll", ReleasedStream,
+     "chunk a 1 0; chunk a 1 1; release none; chunk a 1 2; finish a 1 3",
+     "offer a 1; part 2; end"},
+    {"HeldPastTheDeadline", Released,
+     "chunk a 1 0; finish a 1 1; release 11000; time 10900; time 200",
+     "offer a 1; whole"},
+    {"GivenUpIsNotHeld", Released,
+     "refuse a 1 overloaded; refuse b 2 overloaded; refuse c 3 overloaded",
+     "offer a 1; offer b 2; offer c 3; error overloaded not_run"},
+    {"GoneWhileHeld", Released, "chunk a 1 0; finish a 1 1; gone; time 4000",
+     "offer a 1"},
+};
+
+TEST_P(RequestFlowTest, Follows) {
+  const FlowCase &it = GetParam();
+  FlowHarness harness(it.Kind);
+  EXPECT_EQ(harness.play(it.Script), it.Expected);
+}
+
+std::string caseName(const testing::TestParamInfo<FlowCase> &it) {
+  return it.param.Name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Answer, RequestFlowTest, testing::ValuesIn(Answers),
+                         caseName);
+INSTANTIATE_TEST_SUITE_P(Refusal, RequestFlowTest, testing::ValuesIn(Refusals),
+                         caseName);
+INSTANTIATE_TEST_SUITE_P(Loss, RequestFlowTest, testing::ValuesIn(Losses),
+                         caseName);
+INSTANTIATE_TEST_SUITE_P(Time, RequestFlowTest, testing::ValuesIn(Times),
+                         caseName);
+INSTANTIATE_TEST_SUITE_P(Caller, RequestFlowTest, testing::ValuesIn(Callers),
+                         caseName);
+INSTANTIATE_TEST_SUITE_P(Release, RequestFlowTest, testing::ValuesIn(Releases),
+                         caseName);
+
+} // namespace
+
+TEST(RequestFlow, OffersCarryTimeReserveAndText) {
+  FlowHarness harness(Streamed);
+  harness.play("chunk a 1 0; chunk a 1 1; time 1000; lost 1");
+  ASSERT_EQ(harness.Offers.size(), 2U);
+  const wire::Offer &first = harness.Offers[0].Offer;
+  EXPECT_EQ(first.RemainingMicros, 10'000'000U);
+  EXPECT_EQ(first.ReserveMicros, 5'000'000U);
+  const wire::Offer &second = harness.Offers[1].Offer;
+  EXPECT_EQ(second.RemainingMicros, 9'000'000U);
+  EXPECT_EQ(second.ReserveMicros, 0U);
+  EXPECT_EQ(second.Generated, "a:0 a:1 ");
+}
+
+TEST(RequestFlow, RefusalsSayWhenToComeBack) {
+  FlowHarness harness(Streamed);
+  harness.play("refuse a 1 overloaded; refuse b 2 overloaded; refuse c 3 "
+               "overloaded");
+  ASSERT_TRUE(harness.Failure);
+  EXPECT_GE(harness.Failure->Reason.RetryAfter, FlowSettings().LeastRetryAfter);
+}
+
+TEST(RequestFlow, MessagesOfOtherRequestsAreDropped) {
+  FlowHarness harness(Streamed);
+  harness.play("");
+  wire::Chunk chunk{RequestId{9, 9}, 1, 0, 1, "another caller's words"};
+  harness.feed(ServerSaid{"a", chunk});
+  EXPECT_TRUE(harness.Shown.empty());
+}
+
+TEST(RequestFlow, FirstTokenIsMeasuredFromArrival) {
+  FlowHarness harness(Streamed);
+  harness.play("accept a 1 400; time 250; chunk a 1 0; time 100; finish a 1 1");
+  ASSERT_TRUE(harness.Summary);
+  EXPECT_EQ(harness.Summary->FirstToken, Duration(250'000));
+}
+
+TEST(RequestFlow, EmptyPoolIsRefused) {
+  FlowHarness harness(Streamed);
+  harness.Servers.clear();
+  EXPECT_EQ(harness.play(""), "error no_server not_run");
+}
