Fetch kept context while a request queues, and keep it after its run

Runs were always prefilled whole. A waiting request now looks its pieces up in both of their stores, plans fetch or recompute by the cost formula, reads over the scheduled links with the generation checked again after the bytes, and imports whole pieces only; two prompts with the same piece share one fetch, and a fetch that takes longer than recomputing would have is given up. Whatever goes wrong, the run starts with what is there. After a run its pieces are exported on second sight or by class within the organisation's quota, under a new generation with one commit, and exports give way to fetches. The stores are read from [stores] in the settings. The run queue learns a shorter prefill by setPrefill.

--- a/src/decide/run_queue.cpp
+++ b/src/decide/run_queue.cpp
@@ -264,4 +264,14 @@
   return false;
 }
 
+bool RunQueue::setPrefill(const RequestId &id, Attempt attempt,
+                          Duration prefill) {
+  for (WaitingRun &it : Waiting)
+    if (matches(it.Request, id, attempt)) {
+      it.Request.Prefill = prefill;
+      return true;
+    }
+  return false;
+}
+
 } // namespace daisytack
--- a/src/decide/run_queue.h
+++ b/src/decide/run_queue.h
@@ -105,6 +105,8 @@
   bool suspend(const RequestId &id, Attempt attempt, TimePoint now);
   /// Its fetch will take until then.
   bool setReady(const RequestId &id, Attempt attempt, TimePoint ready);
+  /// Its prefill will take so long, now that it is known what can be reused.
+  bool setPrefill(const RequestId &id, Attempt attempt, Duration prefill);
 
 private:
   /// Waiting requests run in ascending order of this.
--- a/src/edge/engine_codec.cpp
+++ b/src/edge/engine_codec.cpp
@@ -82,13 +82,13 @@
   out.CompletionTokens = smallCountOf(usage, "completion_tokens");
 }
 
-std::optional<serve::CacheEventKind> cacheEventKind(std::string_view name) {
+std::optional<CacheEventKind> cacheEventKind(std::string_view name) {
   if (name == "stored")
-    return serve::CacheEventKind::Stored;
+    return CacheEventKind::Stored;
   if (name == "evicted")
-    return serve::CacheEventKind::Evicted;
+    return CacheEventKind::Evicted;
   if (name == "cleared")
-    return serve::CacheEventKind::Cleared;
+    return CacheEventKind::Cleared;
   return std::nullopt;
 }
 
@@ -191,7 +191,7 @@
     if (!kind)
       return std::nullopt;
     auto piece = parsePieceKey(textOf(*event, "piece"));
-    if (!piece && *kind != serve::CacheEventKind::Cleared)
+    if (!piece && *kind != CacheEventKind::Cleared)
       return std::nullopt;
     out.Events.push_back(
         {countOf(*event, "sequence"), *kind, piece.value_or(PieceKey())});
--- a/src/edge/store_codec.cpp
+++ b/src/edge/store_codec.cpp
@@ -127,6 +127,14 @@
   return out;
 }
 
+/// A digest is written like a piece key: 64 hexadecimal digits.
+std::optional<Digest256> parseDigest(std::string_view text) {
+  auto key = parsePieceKey(text);
+  if (!key)
+    return std::nullopt;
+  return key->Bytes;
+}
+
 serve::StoreResult readPieces(const net::HttpResponse &response,
                               std::string_view key) {
   auto object = parseObject(response.Body);
@@ -178,9 +186,12 @@
     serve::StoreBytes out;
     out.Generation = *generation;
     out.Length = *length;
-    out.Checksum = lookup.header("X-Checksum");
+    auto checksum = parseDigest(lookup.header("X-Checksum"));
+    if (!checksum)
+      return unreadable();
+    out.Checksum = *checksum;
     out.Meta = lookup.header("X-Meta");
-    out.Bytes = std::make_shared<const std::string>(std::move(Response.Body));
+    out.Bytes = std::move(Response.Body);
     return out;
   }
   serve::StoreResult operator()(const serve::AskUsage & /*ask*/) const {
--- /dev/null
+++ b/src/serve/agent_context.cpp
@@ -0,0 +1,130 @@
+/// AgentCore: the engine's state, its cache and the kept context.
+#include "serve/agent_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::serve {
+
+void AgentCore::Impl::on(const EngineStatus &input, Step &step) {
+  Dirty = Dirty || !EngineSeen || input != Engine;
+  if (Engine.Started != 0 && input.Started != Engine.Started)
+    View.reset(FirstCacheEvent, true);
+  Engine = input;
+  EngineSeen = step.Now;
+  startWaiting(step);
+}
+
+void AgentCore::Impl::on(const EngineSilent &input, Step &step) {
+  if (!EngineSeen || step.Now - *EngineSeen < Settings.SilenceLimit)
+    return;
+  EngineSeen.reset();
+  Dirty = true;
+  handBackWaiting({ErrorKind::ServerLost, input.Why.Detail}, step);
+}
+
+void AgentCore::Impl::on(const CacheEvents &input, Step &step) {
+  if (input.From != View.wanted() || View.apply(input.Events, input.Next))
+    return;
+  Event event;
+  event.Kind = EventKind::CacheGap;
+  event.Scores = {static_cast<int64_t>(View.gaps())};
+  event.Subject = Settings.Instance;
+  step.Out.push_back(RecordEvent{std::move(event)});
+}
+
+void AgentCore::Impl::on(StoreAnswer &input, Step &step) {
+  if (input.Store.Index >= Stores.size())
+    return;
+  if (!Fetch.onAnswer(input, step))
+    Exports.onAnswer(input, step);
+}
+
+void AgentCore::Impl::on(const PieceExport &input, Step &step) {
+  Exports.onExport(input, step);
+}
+
+void AgentCore::Impl::on(const PieceImport &input, Step &step) {
+  Fetch.onImport(input, step);
+}
+
+std::string AgentCore::Impl::trustedVersion() const {
+  return EngineSeen && !Engine.Loading ? Engine.Version : std::string();
+}
+
+void AgentCore::Impl::fetchContext(Run &run, const AcceptanceDecision &decision,
+                                   Step &step) {
+  const wire::Offer &offer = *run.Request;
+  if (Settings.IsService || offer.Pieces.empty() || Stores.size() == 0)
+    return;
+  FetchWish wish;
+  wish.Id = offer.Id;
+  wish.Try = offer.Try;
+  wish.Organisation = offer.Organisation;
+  wish.Pieces = offer.Pieces;
+  wish.Version = run.Version;
+  wish.PromptTokens = offer.PromptTokens;
+  wish.KeepFor = Duration(offer.KeepMicros);
+  wish.ExpectedStart = step.Now + decision.Wait;
+  wish.FirstTokenLimit =
+      run.Deadline - Duration(offer.ReserveMicros) - decision.Decode;
+  Fetch.begin(std::move(wish), step);
+}
+
+void AgentCore::Impl::keepContext(const Run &run, const RunDone &done,
+                                  Step &step) {
+  const wire::Offer &offer = *run.Request;
+  if (Settings.IsService || offer.Pieces.empty())
+    return;
+  size_t n =
+      std::min<size_t>(done.CachedTokens / PieceTokens, offer.Pieces.size());
+  View.confirm(std::span(offer.Pieces).first(n));
+  if (n < offer.Pieces.size() && done.CachedTokens < done.PromptTokens &&
+      Fetch.presentPieces(offer.Pieces) > n)
+    View.deny(offer.Pieces[n]);
+  ExportWish wish;
+  wish.Id = offer.Id;
+  wish.Organisation = offer.Organisation;
+  wish.Pieces = offer.Pieces;
+  wish.Rule = static_cast<KeepRule>(offer.Keep);
+  wish.KeepFor = Duration(offer.KeepMicros);
+  wish.Quota = offer.KeptQuota;
+  wish.Version = run.Version;
+  Exports.begin(std::move(wish), step);
+}
+
+void AgentCore::Impl::settleContext(Step &step) {
+  for (;;) {
+    std::vector<FetchNews> news = Fetch.takeNews();
+    for (const FetchNews &it : news)
+      onFetchNews(it, step);
+    startTransfers(step);
+    if (news.empty())
+      return;
+  }
+}
+
+void AgentCore::Impl::onFetchNews(const FetchNews &news, Step &step) {
+  Run *run = Runs.find(news.Id);
+  if (!run || run->State != RunState::Waiting)
+    return;
+  uint32_t tokens = run->Request->PromptTokens;
+  run->ExpectedPrefill = tokens - std::min(tokens, news.ReusedTokens);
+  Queue.setReady(news.Id, run->Token.Try, news.Ready);
+  Queue.setPrefill(news.Id, run->Token.Try,
+                   Predictor.prefill(run->ExpectedPrefill));
+  if (news.Settled && run->HasSlot)
+    useSlot(*run, step);
+}
+
+void AgentCore::Impl::startTransfers(Step &step) {
+  for (uint32_t i = 0; i < Stores.size(); ++i)
+    while (auto transfer = Stores.link({i}).next(step.Now)) {
+      if (transfer->Kind == TransferKind::Fetch)
+        Fetch.startTransfer({i}, transfer->Id, step);
+      else
+        Exports.startTransfer({i}, transfer->Id, step);
+    }
+}
+
+} // namespace daisytack::serve
--- a/src/serve/agent_core.cpp
+++ b/src/serve/agent_core.cpp
@@ -54,7 +54,15 @@
                 if (Out)
                   Out->push_back(RecordEvent{std::move(event)});
               }),
-      Picture(std::make_shared<const AgentSnapshot>()) {}
+      View(Settings.MaxCachedPieces), Stores(Settings.Stores),
+      Fetch(Settings.Fetch, Stores, View, Numbers,
+            {[this] { return std::max(1.0, double(Predictor.prefillRate())); },
+             [this] { return trustedVersion(); }}),
+      Exports(Settings.Export, Stores, Numbers,
+              [this] { return trustedVersion(); }),
+      Picture(std::make_shared<const AgentSnapshot>()) {
+  View.reset(FirstCacheEvent, true);
+}
 
 AgentCore::AgentCore(AgentSettings settings, RandomSource random)
     : Self(std::make_unique<Impl>(std::move(settings), std::move(random))) {}
@@ -68,9 +76,13 @@
 }
 
 void AgentCore::apply(AgentInput input, TimePoint now, AgentActions &out) {
-  Step step{now, out};
+  if (auto *timer = std::get_if<TimerFired>(&input))
+    Self->WallOffset = timer->Wall.time_since_epoch() - now.time_since_epoch();
+  Step step{now, WallTime(now.time_since_epoch() + Self->WallOffset), out};
+  Self->Latest = now;
   Self->Out = &out;
-  std::visit([&](const auto &in) { Self->on(in, step); }, input);
+  std::visit([&](auto &in) { Self->on(in, step); }, input);
+  Self->settleContext(step);
   Self->Out = nullptr;
   Self->publish(now);
 }
@@ -109,6 +121,7 @@
   for (const RequestId &id : Runs.due(step.Now))
     wakeRun(id, step);
   forgetClosed(step.Now);
+  Fetch.onTimer(step);
   tick(step);
 }
 
@@ -138,7 +151,7 @@
 void AgentCore::Impl::tick(Step &step) {
   if (!Settings.IsService && NextCacheEvents <= step.Now) {
     NextCacheEvents = step.Now + Settings.CacheEventPeriod;
-    step.Out.push_back(PollCacheEvents{CacheNext});
+    step.Out.push_back(PollCacheEvents{View.wanted()});
   }
   if (NextTick > step.Now)
     return;
@@ -159,6 +172,10 @@
     earliest(out, NextTick);
   if (!Settings.IsService)
     earliest(out, NextCacheEvents);
+  if (auto at = Fetch.nextTimer())
+    earliest(out, *at);
+  if (auto at = Stores.nextTransferAt(Latest))
+    earliest(out, *at);
   if (Dirty)
     earliest(out, NextPicture);
   if (!ClosedOrder.empty())
@@ -206,6 +223,8 @@
   std::sort(
       out->Runs.begin(), out->Runs.end(),
       [](const RunView &a, const RunView &b) { return a.Arrived < b.Arrived; });
+  for (const auto &[name, usage] : Exports.usage())
+    out->Kept.push_back({name, usage.Pieces, usage.Bytes});
   out->Refusals.assign(Refusals.begin(), Refusals.end());
   return out;
 }
--- a/src/serve/agent_core.h
+++ b/src/serve/agent_core.h
@@ -8,6 +8,8 @@
 #include "decide/predictor.h"
 #include "decide/run_queue.h"
 #include "once/ticket_ledger.h"
+#include "serve/agent_export.h"
+#include "serve/agent_fetch.h"
 #include "serve/agent_messages.h"
 #include "serve/agent_snapshot.h"
 
@@ -37,7 +39,10 @@
   Duration CacheEventPeriod{200'000};
   Duration SilenceLimit{3'000'000}; ///< Engine counts as unreachable after.
   Duration SnapshotPeriod{20'000};  ///< Least time between two snapshots.
-  uint32_t Stores = 0;
+  StoreSettings Stores;
+  FetchSettings Fetch;
+  ExportSettings Export;
+  size_t MaxCachedPieces = 1U << 16; ///< Believed of the engine's cache.
 };
 
 /// Not thread-safe: one thread at a time applies inputs. snapshot() and load()
--- /dev/null
+++ b/src/serve/agent_fetch.h
@@ -0,0 +1,142 @@
+/// Brings kept context from the stores into the engine while a request waits:
+/// lookup, plan, verified reads over scheduled links, import. Whatever goes
+/// wrong, the request is prefilled instead.
+#pragma once
+
+#include "context/engine_view.h"
+#include "context/verified_read.h"
+#include "serve/agent_stores.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace daisytack::serve {
+
+struct FetchSettings {
+  PlanWeights Weights = firstTokenWeights();
+};
+
+/// What a waiting request wants.
+struct FetchWish {
+  RequestId Id;
+  Attempt Try = 0;
+  std::string Organisation;
+  std::vector<PieceKey> Pieces; ///< Whole pieces of the prompt, in order.
+  std::string Version;          ///< Weight version that the keys are made for.
+  uint32_t PromptTokens = 0;
+  Duration KeepFor{0};     ///< Older pieces are not to be used.
+  TimePoint ExpectedStart; ///< Until then the request queues anyway.
+  TimePoint FirstTokenLimit;
+};
+
+/// Something that the core wants to know of a request's context.
+struct FetchNews {
+  RequestId Id;
+  bool Settled = false; ///< Nothing more will be imported for it.
+  TimePoint Ready;      ///< When not settled: the fetch is expected to be over.
+  uint32_t ReusedTokens = 0; ///< That the engine will not have to prefill.
+};
+
+/// What the flow asks the core for.
+struct FetchHooks {
+  /// The engine's prefill rate, tokens a second.
+  std::function<double()> PrefillRate;
+  /// Weight version that the engine surely runs; empty when that is unknown.
+  std::function<std::string()> EngineVersion;
+};
+
+/// Not thread-safe.
+class FetchFlow {
+public:
+  FetchFlow(FetchSettings settings, StoreTable &stores, const EngineView &view,
+            CallNumbers &numbers, FetchHooks hooks);
+
+  /// Leading pieces that the engine is believed to have.
+  uint32_t presentPieces(std::span<const PieceKey> pieces) const;
+
+  void begin(FetchWish wish, Step &step);
+  /// The request no longer waits.
+  void abandon(const RequestId &id, Step &step);
+  /// False when the request has no fetch, or it is over.
+  bool isPending(const RequestId &id) const { return Jobs.contains(id); }
+  /// A link gives way to a transfer of this flow.
+  void startTransfer(StoreHandle store, uint64_t transfer, Step &step);
+  /// False when the call is not of this flow.
+  bool onAnswer(StoreAnswer &answer, Step &step);
+  bool onImport(const PieceImport &answer, Step &step);
+  void onTimer(Step &step);
+  std::optional<TimePoint> nextTimer() const;
+  std::vector<FetchNews> takeNews();
+  /// Pieces on their way into the engine.
+  size_t importing() const { return Imports.size(); }
+
+private:
+  struct Hit {
+    StoreHandle Store;
+    LookupAnswer Found;
+    bool OnDisk = false;
+  };
+  struct Job {
+    FetchWish Wish;
+    uint32_t Present = 0;
+    std::vector<std::optional<Hit>> Hits;
+    uint32_t Lookups = 0;       ///< Not answered yet.
+    std::set<uint32_t> Missing; ///< Indices on their way.
+    uint32_t Reused = 0;        ///< Pieces, if all goes well.
+    bool IsFetching = false;
+    TimePoint GiveUp = TimePoint::max();
+  };
+  struct PieceFetch {
+    PieceFetch(VerifiedRead read, StoreHandle store)
+        : Read(std::move(read)), Store(store) {}
+
+    VerifiedRead Read;
+    StoreHandle Store;
+    uint64_t Transfer = 0;
+    bool InFlight = false; ///< The link counts it.
+    CallId Call = 0;
+    uint32_t Index = 0; ///< Within every prompt that has this key.
+    Duration KeepFor{0};
+    std::string Organisation;
+    std::vector<RequestId> Waiters;
+  };
+  using Fetches = std::unordered_map<PieceKey, PieceFetch>;
+
+  void lookUp(Job &job, Step &step);
+  void onLookup(const RequestId &id, const StoreAnswer &answer, Step &step);
+  void takeHit(Job &job, StoreHandle store, const FoundPiece &found);
+  void plan(Job &job, Step &step);
+  void startFetches(Job &job, const FetchPlan &plan, Step &step);
+  void joinFetch(Job &job, uint32_t index, Step &step);
+  void onRead(PieceFetch &fetch, StoreAnswer &answer, Step &step);
+  void next(PieceFetch &fetch, ReadStep read, Step &step);
+  void callStore(PieceFetch &fetch, StoreRequest request, Step &step);
+  bool mayUse(const PieceFetch &fetch, const StoreBytes &bytes,
+              const Step &step) const;
+  void leaveLink(PieceFetch &fetch, uint64_t bytes, TimePoint now);
+  void finishFetch(PieceKey key, bool imported, Step &step);
+  void loseTail(Job &job, uint32_t index, Step &step);
+  void dropWaiter(const RequestId &id, const PieceKey &key, Step &step);
+  void settle(const RequestId &id, Step &step);
+  void settleIfDone(const RequestId &id, Step &step);
+  void record(Step &step, EventKind kind, const FetchWish &wish,
+              std::array<int64_t, Event::MaxScores> scores = {}) const;
+
+  FetchSettings Settings;
+  StoreTable &Stores;
+  const EngineView &View;
+  CallNumbers &Numbers;
+  FetchHooks Hooks;
+  std::map<RequestId, Job> Jobs;
+  Fetches Pieces;
+  std::unordered_map<CallId, RequestId> LookupCalls;
+  std::unordered_map<CallId, PieceKey> ReadCalls;
+  std::unordered_map<CallId, PieceKey> Imports;
+  std::unordered_map<uint64_t, PieceKey> Transfers;
+  std::vector<FetchNews> News;
+};
+
+} // namespace daisytack::serve
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -20,6 +20,9 @@
   TimePoint Until;
 };
 
+/// Sequence of an engine's first cache event after its start.
+constexpr uint64_t FirstCacheEvent = 1;
+
 struct AgentCore::Impl {
   Impl(AgentSettings settings, RandomSource random);
 
@@ -36,7 +39,7 @@
   void on(const PieceExport &input, Step &step);
   void on(const PieceImport &input, Step &step);
   void on(const OrderAnswer &input, Step &step);
-  void on(const StoreAnswer &input, Step &step);
+  void on(StoreAnswer &input, Step &step);
   void on(const AgentConfig &input, Step &step);
   void on(const DrainRequested &input, Step &step);
   void on(const TimerFired &input, Step &step);
@@ -87,6 +90,16 @@
   void observeRunning(TimePoint now);
   void observeFinished(const Run &run, const RunDone &done, TimePoint now);
 
+  // Kept context.
+  void fetchContext(Run &run, const AcceptanceDecision &decision, Step &step);
+  void keepContext(const Run &run, const RunDone &done, Step &step);
+  /// Applies what fetches have come to, and starts what the links permit.
+  void settleContext(Step &step);
+  void onFetchNews(const FetchNews &news, Step &step);
+  void startTransfers(Step &step);
+  /// The version that the engine surely runs; empty when that is unknown.
+  std::string trustedVersion() const;
+
   // Runs.
   bool isOvertaken(const Run &run) const;
   void start(Run &run, Step &step);
@@ -103,7 +116,7 @@
   void fail(Run &run, const Error &why, Step &step);
   void stopAtServer(Run &run, Step &step);
   void sendFinal(Run &run, const Reader &reader, Step &step);
-  void leaveServer(Run &run);
+  void leaveServer(Run &run, Step &step);
   void keepForReaders(Run &run, TimePoint now);
   void handBackWaiting(const Error &why, Step &step);
   void settleTicket(const Run &run, const wire::Finished &final, Step &step);
@@ -137,6 +150,13 @@
       nullptr; ///< Of the present step, for the ledger's events.
   TicketLedger Tickets;
   uint32_t Starts = 0;
+  CallNumbers Numbers;
+  EngineView View;
+  StoreTable Stores;
+  FetchFlow Fetch;
+  ExportFlow Exports;
+  Duration WallOffset{0}; ///< Wall clock less monotonic clock.
+  TimePoint Latest;       ///< Of the present or last step.
   size_t HeldBytes = 0;
   std::unordered_map<RequestId, ClosedAttempt> Closed;
   std::deque<RequestId> ClosedOrder; ///< Oldest first.
@@ -148,7 +168,6 @@
   std::optional<TimePoint> EngineSeen;
   TimePoint NextTick;
   TimePoint NextCacheEvents;
-  uint64_t CacheNext = 0;
 
   bool Dirty = true;
   TimePoint NextPicture;
--- a/src/serve/agent_messages.h
+++ b/src/serve/agent_messages.h
@@ -3,6 +3,8 @@
 /// between them.
 #pragma once
 
+#include "base/digest.h"
+#include "context/engine_view.h"
 #include "daisytack/event.h"
 #include "daisytack/objects.h"
 #include "wire/messages.h"
@@ -110,15 +112,6 @@
   Error Why;
 };
 
-enum class CacheEventKind : uint8_t { Stored, Evicted, Cleared };
-
-struct CacheEvent {
-  uint64_t Sequence = 0;
-  CacheEventKind Kind = CacheEventKind::Stored;
-  PieceKey Piece;
-  auto operator<=>(const CacheEvent &) const = default;
-};
-
 /// One answer to PollCacheEvents.
 struct CacheEvents {
   uint64_t From = 0; ///< What was asked for.
@@ -149,24 +142,25 @@
 
 // Inputs from stores.
 
-struct StoredPiece {
+/// A committed piece as a store names it.
+struct FoundPiece {
   PieceKey Key;
   uint64_t Generation = 0;
   uint64_t Length = 0; ///< Bytes.
   bool OnDisk = false;
   std::string Meta; ///< Only in samples.
-  bool operator==(const StoredPiece &) const = default;
+  bool operator==(const FoundPiece &) const = default;
 };
 
 struct StoreFound {
-  std::vector<StoredPiece> Pieces;
+  std::vector<FoundPiece> Pieces;
 };
 struct StoreBytes {
   uint64_t Generation = 0;
   uint64_t Length = 0;
-  std::string Checksum; ///< SHA-256, 64 hexadecimal digits.
+  Digest256 Checksum{}; ///< SHA-256 of the bytes.
   std::string Meta;
-  std::shared_ptr<const std::string> Bytes;
+  std::string Bytes;
 };
 /// Answer to a question for the generation and to a begun write.
 struct StoreGeneration {
@@ -210,8 +204,11 @@
 /// The process was asked to end: refuse new work, finish what was accepted.
 struct DrainRequested {};
 
-/// The time that nextTimer() named has come.
-struct TimerFired {};
+/// The time that nextTimer() named has come. Wall sets the wall clock, which
+/// only ages kept context.
+struct TimerFired {
+  WallTime Wall;
+};
 
 using AgentInput =
     std::variant<LinkOpened, LinkMessage, LinkClosed, RunText, RunDone,
--- a/src/serve/agent_offers.cpp
+++ b/src/serve/agent_offers.cpp
@@ -171,6 +171,7 @@
   record(step, EventKind::OfferAccepted, run, ErrorKind::None,
          decision.scores());
   sendAccepted(run, reader, step);
+  fetchContext(run, decision, step);
   startWaiting(step);
 }
 
--- a/src/serve/agent_queue.cpp
+++ b/src/serve/agent_queue.cpp
@@ -34,7 +34,8 @@
 }
 
 uint32_t AgentCore::Impl::tokensToPrefill(const wire::Offer &offer) const {
-  return offer.PromptTokens;
+  uint32_t present = Fetch.presentPieces(offer.Pieces) * PieceTokens;
+  return offer.PromptTokens - std::min(offer.PromptTokens, present);
 }
 
 void AgentCore::Impl::startWaiting(Step &step) {
@@ -52,7 +53,7 @@
   if (isOvertaken(run))
     handBack(run, {ErrorKind::NotReady, "the server changed its version"},
              step);
-  else
+  else if (!Fetch.isPending(run.Token.Id))
     start(run, step);
 }
 
--- a/src/serve/agent_runs.cpp
+++ b/src/serve/agent_runs.cpp
@@ -100,6 +100,7 @@
       input.PromptTokens - std::min(input.PromptTokens, input.CachedTokens);
   out.GeneratedTokens = input.CompletionTokens;
   observeFinished(*run, input, step.Now);
+  keepContext(*run, input, step);
   out.ServiceStatus = input.ServiceStatus;
   out.ServiceHeaders = input.ServiceHeaders;
   finish(*run, std::move(out), step);
@@ -127,7 +128,7 @@
 }
 
 void AgentCore::Impl::finish(Run &run, wire::Finished final, Step &step) {
-  leaveServer(run);
+  leaveServer(run, step);
   final.Id = run.Token.Id;
   final.Chunks = run.Answer.nextIndex();
   if (run.FirstToken)
@@ -149,7 +150,7 @@
 }
 
 void AgentCore::Impl::handBack(Run &run, const Error &why, Step &step) {
-  leaveServer(run);
+  leaveServer(run, step);
   if (run.Ticket)
     Tickets.withdraw(*run.Ticket, step.Now);
   for (const Reader &reader : run.Readers) {
@@ -180,7 +181,8 @@
   Tickets.finish(*run.Ticket, {std::move(end), run.Answer.text()}, step.Now);
 }
 
-void AgentCore::Impl::leaveServer(Run &run) {
+void AgentCore::Impl::leaveServer(Run &run, Step &step) {
+  Fetch.abandon(run.Token.Id, step);
   if (run.HasSlot)
     Queue.finish(run.Token.Id, run.Token.Try);
   else if (!run.isFinished())
@@ -234,28 +236,6 @@
   }
 }
 
-void AgentCore::Impl::on(const EngineStatus &input, Step &step) {
-  Dirty = Dirty || !EngineSeen || input != Engine;
-  Engine = input;
-  EngineSeen = step.Now;
-  startWaiting(step);
-}
-
-void AgentCore::Impl::on(const EngineSilent &input, Step &step) {
-  if (!EngineSeen || step.Now - *EngineSeen < Settings.SilenceLimit)
-    return;
-  EngineSeen.reset();
-  Dirty = true;
-  handBackWaiting({ErrorKind::ServerLost, input.Why.Detail}, step);
-}
-
-void AgentCore::Impl::on(const CacheEvents &input, Step & /*step*/) {
-  CacheNext = input.Next;
-}
-
-void AgentCore::Impl::on(const PieceExport & /*input*/, Step & /*step*/) {}
-void AgentCore::Impl::on(const PieceImport & /*input*/, Step & /*step*/) {}
 void AgentCore::Impl::on(const OrderAnswer & /*input*/, Step & /*step*/) {}
-void AgentCore::Impl::on(const StoreAnswer & /*input*/, Step & /*step*/) {}
 
 } // namespace daisytack::serve
--- a/src/serve/agent_step.h
+++ b/src/serve/agent_step.h
@@ -5,9 +5,10 @@
 
 namespace daisytack::serve {
 
-/// The present time, and where actions go.
+/// The present time by both clocks, and where actions go.
 struct Step {
   TimePoint Now;
+  WallTime Wall;
   AgentActions &Out;
 };
 
--- a/tests/edge/store_test.cpp
+++ b/tests/edge/store_test.cpp
@@ -68,7 +68,7 @@
     net::HttpResponse out;
     out.Headers = {{"X-Generation", "9"},
                    {"X-Length", "5"},
-                   {"X-Checksum", "c"},
+                   {"X-Checksum", KeyText},
                    {"X-Meta", "m"}};
     out.Body = "bytes";
     exchange->respond(out);
@@ -79,7 +79,7 @@
   const auto &read =
       std::get<StoreBytes>(std::get<StoreAnswer>(inputs.at(0)).Result);
   EXPECT_EQ(read.Generation, 9U);
-  EXPECT_EQ(*read.Bytes, "bytes");
+  EXPECT_EQ(read.Bytes, "bytes");
   EXPECT_EQ(read.Meta, "m");
   stores.Call({2, {7}, ReadPiece{key()}, Duration(5'000'000)});
   inputs = rig.wait(2);
--- /dev/null
+++ b/tests/serve_agent/fake_platform.h
@@ -0,0 +1,187 @@
+/// Stores and an engine's cache in memory, with faults, for tests of the
+/// agent's core.
+#pragma once
+
+#include "serve_agent/agent_rig.h"
+
+#include "context/keep_policy.h"
+#include "context/piece_frame.h"
+
+#include <deque>
+#include <set>
+
+namespace daisytack::serve::test {
+
+inline PieceKey keyOf(uint8_t n) {
+  PieceKey out;
+  out.Bytes.fill(n);
+  return out;
+}
+
+inline std::string payloadOf(const PieceKey &key) {
+  return "context " + toHex(key);
+}
+
+/// What goes wrong with the pieces of a store.
+enum class StoreFault : uint8_t {
+  None,
+  Silent,        ///< Calls fail without an answer.
+  Torn,          ///< Bytes are cut.
+  Corrupt,       ///< One byte is flipped.
+  MisKeyed,      ///< Bytes of another piece.
+  FreedBetween,  ///< Freed after the bytes were read.
+  ReusedBetween, ///< Another generation was committed after the lookup.
+  Expired,       ///< Kept for longer than its policy allows.
+  Foreign,       ///< Kept by another organisation.
+  Full,
+};
+
+/// Answers the rig's calls to stores and engine.
+class FakePlatform {
+public:
+  struct Piece {
+    uint64_t Generation = 0;
+    std::string Frame;
+    std::string Meta;
+    bool Committed = false;
+  };
+
+  explicit FakePlatform(AgentRig &rig) : Rig(rig) {}
+
+  /// Puts a committed piece into the store.
+  void keep(StoreHandle store, const PieceKey &key) {
+    KeptMeta meta;
+    meta.Organisation =
+        Fault == StoreFault::Foreign ? "dakar-notices" : "riga-buyers";
+    meta.KeptAt = WallTime(Duration(0));
+    meta.ExpiresAt = Fault == StoreFault::Expired
+                         ? WallTime(Duration(0))
+                         : WallTime(std::chrono::hours(24));
+    Pieces[{store.Index, key}] = {5, encodePieceFrame(key, 5, payloadOf(key)),
+                                  encodeMeta(meta), true};
+  }
+
+  /// Answers calls until there are none left.
+  void answerAll() {
+    while (answerOne())
+      ;
+  }
+  bool answerOne() {
+    std::vector<AgentAction> actions = std::exchange(Rig.Others, {});
+    for (AgentAction &it : actions)
+      Calls.push_back(std::move(it));
+    if (Calls.empty())
+      return false;
+    AgentAction action = std::move(Calls.front());
+    Calls.pop_front();
+    answer(action);
+    return true;
+  }
+
+  StoreFault Fault = StoreFault::None;
+  std::map<std::pair<uint32_t, PieceKey>, Piece> Pieces;
+  std::map<PieceKey, std::string> Imported;
+  std::map<std::string, size_t> Asked;
+
+private:
+  void answer(const AgentAction &action) {
+    if (const auto *call = std::get_if<CallStore>(&action)) {
+      StoreResult result = std::visit(
+          [&](const auto &ask) { return on(call->Store.Index, ask); },
+          call->Request);
+      if (Fault == StoreFault::Silent)
+        result = Error{ErrorKind::ServerLost, "silent"};
+      Rig.apply(StoreAnswer{call->Call, call->Store, std::move(result)});
+    } else if (const auto *import = std::get_if<ImportPiece>(&action)) {
+      Imported[import->Key] = *import->Bytes;
+      Rig.apply(PieceImport{import->Call, {}});
+    } else if (const auto *ask = std::get_if<ExportPiece>(&action)) {
+      ++Asked["export"];
+      Rig.apply(
+          PieceExport{ask->Call,
+                      std::make_shared<const std::string>(payloadOf(ask->Key)),
+                      {}});
+    }
+  }
+
+  Piece *find(uint32_t store, const PieceKey &key) {
+    auto it = Pieces.find({store, key});
+    return it == Pieces.end() || !it->second.Committed ? nullptr : &it->second;
+  }
+
+  StoreResult on(uint32_t store, const LookupPieces &ask) {
+    ++Asked["lookup"];
+    StoreFound out;
+    for (const PieceKey &key : ask.Keys)
+      if (Piece *piece = find(store, key))
+        out.Pieces.push_back(
+            {key, piece->Generation, piece->Frame.size(), false, ""});
+    return out;
+  }
+  StoreResult on(uint32_t store, const ReadPiece &ask) {
+    ++Asked["read"];
+    Piece *piece = find(store, ask.Key);
+    if (!piece)
+      return Error{ErrorKind::NotFound, ""};
+    if (Fault == StoreFault::ReusedBetween)
+      piece->Generation = 6;
+    StoreBytes out{piece->Generation, piece->Frame.size(), sha256(piece->Frame),
+                   piece->Meta, piece->Frame};
+    if (Fault == StoreFault::Torn)
+      out.Bytes.pop_back();
+    if (Fault == StoreFault::Corrupt)
+      out.Bytes.back() ^= 1;
+    if (Fault == StoreFault::MisKeyed) {
+      out.Bytes =
+          encodePieceFrame(keyOf(99), piece->Generation, payloadOf(keyOf(99)));
+      out.Checksum = sha256(out.Bytes);
+    }
+    return out;
+  }
+  StoreResult on(uint32_t store, const ReadGeneration &ask) {
+    if (Fault == StoreFault::FreedBetween)
+      return StoreGeneration{0};
+    Piece *piece = find(store, ask.Key);
+    return StoreGeneration{piece ? piece->Generation : 0};
+  }
+  StoreResult on(uint32_t /*store*/, const BeginPiece & /*ask*/) {
+    return StoreGeneration{++LastGeneration};
+  }
+  StoreResult on(uint32_t store, const WritePiece &ask) {
+    if (Fault == StoreFault::Full)
+      return Error{ErrorKind::RecordFull, ""};
+    Pieces[{store, ask.Key}] = {ask.Generation, *ask.Bytes, "", false};
+    return StoreDone{};
+  }
+  StoreResult on(uint32_t store, const CommitPiece &ask) {
+    Piece &piece = Pieces[{store, ask.Key}];
+    if (hexDigest(sha256(piece.Frame)) != ask.Checksum)
+      return Error{ErrorKind::ServerFailed, "checksum"};
+    piece.Meta = ask.Meta;
+    piece.Committed = true;
+    return StoreDone{};
+  }
+  StoreResult on(uint32_t store, const FreePiece &ask) {
+    ++Asked["free"];
+    Pieces.erase({store, ask.Key});
+    return StoreDone{};
+  }
+  StoreResult on(uint32_t /*store*/, const SamplePieces & /*ask*/) {
+    return StoreFound{};
+  }
+  StoreResult on(uint32_t /*store*/, const AskUsage & /*ask*/) {
+    return StoreUsage{Used, 1};
+  }
+  StoreResult on(uint32_t /*store*/, const AskStatus & /*ask*/) {
+    return StoreStatus{0, 1000, 0, 1000, 0};
+  }
+
+  AgentRig &Rig;
+  std::deque<AgentAction> Calls;
+  uint64_t LastGeneration = 10;
+
+public:
+  uint64_t Used = 0;
+};
+
+} // namespace daisytack::serve::test
--- a/tools/agent/agent_options.cpp
+++ b/tools/agent/agent_options.cpp
@@ -1,5 +1,7 @@
 #include "agent_options.h"
 
+#include "base/digest.h"
+
 #include <chrono>
 
 namespace daisytack::agent {
@@ -40,6 +42,44 @@
       settings.duration("engine.silence_limit", 3s, 100ms, 10min);
 }
 
+/// "DOMAIN IP:PORT".
+StoreInstance readStore(Settings &settings, const std::string &name) {
+  std::string key = "stores." + name;
+  std::string text = settings.text(key, std::nullopt);
+  StoreInstance out;
+  out.Name = name;
+  out.NameHash = hashName(name);
+  size_t space = text.find(' ');
+  out.FailureDomain = text.substr(0, space);
+  auto address = space == std::string::npos
+                     ? std::nullopt
+                     : parseEndpoint(text.substr(space + 1));
+  if (address)
+    out.Address = *address;
+  else
+    settings.reject(key, "write FAILURE_DOMAIN IP:PORT");
+  return out;
+}
+
+void readStores(Settings &settings, AgentOptions &out) {
+  serve::StoreSettings &stores = out.Core.Stores;
+  for (const std::string &name : settings.keysOf("stores"))
+    stores.Instances.push_back(readStore(settings, name));
+  stores.Link.BytesPerSecond = static_cast<double>(settings.bytes(
+      "context.link_bytes_per_second", 100U << 20, 1024, 1ULL << 40));
+  stores.DiskBytesPerSecond = static_cast<double>(settings.bytes(
+      "context.disk_bytes_per_second", 50U << 20, 1024, 1ULL << 40));
+  stores.LookupTimeout =
+      settings.duration("context.lookup_timeout", 100ms, 1ms, 10s);
+  stores.ReadTimeout = settings.duration("context.read_timeout", 5s, 1ms, 1min);
+  stores.WriteTimeout =
+      settings.duration("context.write_timeout", 5s, 1ms, 1min);
+  std::string goal = settings.choice("context.goal", "first_token",
+                                     {"first_token", "recompute"});
+  out.Core.Fetch.Weights =
+      goal == "recompute" ? recomputeWeights() : firstTokenWeights();
+}
+
 } // namespace
 
 AgentOptions readAgentOptions(Settings &settings) {
@@ -49,12 +89,11 @@
   readAnswers(settings, out);
   readEngine(settings, out);
   out.Weights = settings.endpoint("platform.weights", Endpoint());
-  out.Stores = settings.endpoints("platform.stores");
+  readStores(settings, out);
   Member &self = out.Instance.Control.Self;
   self.Serves = out.Core.Serves;
   self.IsService = out.Core.IsService;
   out.Core.Instance = self.Name;
-  out.Core.Stores = static_cast<uint32_t>(out.Stores.size());
   return out;
 }
 
--- a/tools/agent/agent_options.h
+++ b/tools/agent/agent_options.h
@@ -14,7 +14,6 @@
   serve::AgentSettings Core;
   Endpoint Server; ///< The backend server: engine or plain service.
   Endpoint Weights;
-  std::vector<Endpoint> Stores;
 };
 
 /// Reads every setting; mistakes are collected in the settings.
--- a/tools/agent/agent_shell.cpp
+++ b/tools/agent/agent_shell.cpp
@@ -23,6 +23,13 @@
   return out;
 }
 
+std::vector<Endpoint> storeAddresses(const AgentOptions &options) {
+  std::vector<Endpoint> out;
+  for (const StoreInstance &it : options.Core.Stores.Instances)
+    out.push_back(it.Address);
+  return out;
+}
+
 } // namespace
 
 AgentShell::AgentShell(boost::asio::io_context &io, AgentOptions options,
@@ -38,7 +45,7 @@
   else
     Engine =
         edge::makeHttpEngine(Client, {Options.Server, Options.Weights}, sink);
-  Stores = edge::makeHttpStores(Client, Options.Stores, sink);
+  Stores = edge::makeHttpStores(Client, storeAddresses(Options), sink);
 }
 
 AgentShell::~AgentShell() = default;
@@ -46,7 +53,7 @@
 bool AgentShell::start(Error &reason) {
   if (!Server.start(reason))
     return false;
-  push(serve::TimerFired{});
+  push(serve::TimerFired{wallNow()});
   return true;
 }
 
@@ -126,7 +133,7 @@
     if (ec)
       return;
     TimerAt.reset();
-    push(serve::TimerFired{});
+    push(serve::TimerFired{wallNow()});
   });
 }
 
