--- a/src/runtime/control_process.cpp
+++ b/src/runtime/control_process.cpp
@@ -335,6 +335,11 @@
   changed();
 }
 
+void ControlProcess::hearSignal(const control::Signal &signal) {
+  Talk.say(signal, monotonicNow());
+  changed();
+}
+
 void ControlProcess::reportDraining(const std::string &instance) {
   State.observeLeaving(instance, monotonicNow());
   changed();
--- a/src/runtime/control_process.h
+++ b/src/runtime/control_process.h
@@ -30,6 +30,7 @@
 
   void stop();
   void sayState(MemberState state);
+  void hearSignal(const control::Signal &signal);
   void reportDraining(const std::string &instance);
   void propose(control::Command command, CommandDone done);
   void gatherInForce(uint64_t revision, Duration timeout,
--- a/src/runtime/control_runtime.cpp
+++ b/src/runtime/control_runtime.cpp
@@ -63,6 +63,10 @@
   Self->post([](ControlProcess &self) { self.sayState(MemberState::Leaving); });
 }
 
+void ControlRuntime::hearSignal(const control::Signal &signal) {
+  Self->post([signal](ControlProcess &self) { self.hearSignal(signal); });
+}
+
 void ControlRuntime::reportDraining(const std::string &instance) {
   Self->post(
       [instance](ControlProcess &self) { self.reportDraining(instance); });
--- a/src/runtime/control_runtime.h
+++ b/src/runtime/control_runtime.h
@@ -83,6 +83,8 @@
 
   /// This process takes no new work from now on: peers learn it at once.
   void leave();
+  /// What another way has shown of an instance's own word.
+  void hearSignal(const control::Signal &signal);
   /// A request was refused with Draining by this instance.
   void reportDraining(const std::string &instance);
 
--- a/tests/control/gossip_test.cpp
+++ b/tests/control/gossip_test.cpp
@@ -104,6 +104,24 @@
   EXPECT_EQ(fleet.reached(20), 30U);
 }
 
+TEST(Gossip, LostFailureDomainIsKnownOnceTheListShowsIt) {
+  StartedFleet fleet(80);
+  for (Fleet::Node &node : fleet.Nodes)
+    node.Down = node.Self.FailureDomain == "d1";
+  // The list lags by a minute; changes go on spreading meanwhile.
+  fleet.change(0, "m", 20, "v2");
+  fleet.run(seconds(5));
+  EXPECT_EQ(fleet.reached(20), 60U);
+  ReplicaDelta list{80, 100, {}};
+  for (const Fleet::Node &node : fleet.Nodes)
+    if (node.Down)
+      list.Entries.push_back({node.Self.Name, {}, 100, true});
+  fleet.Nodes[0].State->mergeMembers(list);
+  fleet.run(seconds(5));
+  for (const Fleet::Node &node : fleet.Nodes)
+    EXPECT_EQ(node.State->memberTable().size(), node.Down ? 80U : 60U);
+}
+
 TEST(Gossip, NewProcessStartsFromASeedAlone) {
   StartedFleet fleet(20);
   for (uint64_t i = 0; i < 200; ++i)
