--- /dev/null
+++ b/bench/spread_node.cpp
@@ -0,0 +1,138 @@
+/// One process that runs the control part alone, for scripts/bench-spread.
+///
+/// Every SIGUSR1 appends a line of JSON to the report: the clock, processor
+/// time, memory, counters, and the snapshots published since the last line.
+#include "base/clock.h"
+#include "base/digest.h"
+#include "edge/instance_list_http.h"
+#include "edge/kv_etcd.h"
+#include "runtime/control_runtime.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+#include <gflags/gflags.h>
+
+#include <sys/resource.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+
+DEFINE_string(name, "", "instance name");
+DEFINE_string(domain, "d", "failure domain");
+DEFINE_string(region, "r", "region");
+DEFINE_string(peer, "", "peers' address");
+DEFINE_string(kv, "", "key-value service");
+DEFINE_string(list, "", "instance list");
+DEFINE_string(seed, "", "a peer to start from");
+DEFINE_string(report, "", "file to append to");
+
+namespace {
+
+using namespace daisytack;
+namespace json = boost::json;
+
+int64_t microsOf(const timeval &time) {
+  return int64_t{time.tv_sec} * 1'000'000 + time.tv_usec;
+}
+
+int64_t monotonicMicros() { return monotonicNow().time_since_epoch().count(); }
+
+/// Collects published snapshots and writes the report.
+class Reporter {
+public:
+  void published(const Snapshot &snapshot) {
+    std::lock_guard guard(Lock);
+    Published.push_back(
+        json::array{snapshot.ConfigRevision, monotonicMicros()});
+  }
+
+  void write(const runtime::ControlRuntime &control) {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    runtime::ControlStats stats = control.stats();
+    json::object line{
+        {"at", monotonicMicros()},
+        {"ready", control.readiness().Ready},
+        {"cpu", microsOf(usage.ru_utime) + microsOf(usage.ru_stime)},
+        {"memory_kb", usage.ru_maxrss},
+        {"revision", stats.ConfigRevision},
+        {"members", stats.Members},
+        {"reader", stats.Reader},
+        {"calls", stats.ServiceCalls},
+        {"sent", stats.BytesSent},
+        {"received", stats.BytesReceived},
+        {"held", stats.Talk.Held}};
+    std::lock_guard guard(Lock);
+    line["published"] = std::exchange(Published, {});
+    std::ofstream(FLAGS_report, std::ios::app) << json::serialize(line) << "\n";
+  }
+
+private:
+  std::mutex Lock;
+  json::array Published;
+};
+
+std::optional<runtime::ControlInit> readInit() {
+  runtime::ControlInit init;
+  std::optional<Endpoint> peer = parseEndpoint(FLAGS_peer);
+  if (!peer)
+    return std::nullopt;
+  init.Self.Name = FLAGS_name;
+  init.Self.Region = FLAGS_region;
+  init.Self.FailureDomain = FLAGS_domain;
+  init.Self.Peer = *peer;
+  init.Process = randomId(&secureRandom);
+  init.Keys = {{"bench", "a secret for loopback only"}};
+  if (std::optional<Endpoint> seed = parseEndpoint(FLAGS_seed))
+    init.Seeds.push_back(*seed);
+  return init;
+}
+
+void reportOnSignal(boost::asio::signal_set &signals, Reporter &reporter,
+                    runtime::ControlRuntime &control,
+                    boost::asio::io_context &io) {
+  signals.async_wait([&](const boost::system::error_code &ec, int number) {
+    if (ec)
+      return;
+    reporter.write(control);
+    if (number == SIGTERM)
+      return io.stop();
+    reportOnSignal(signals, reporter, control, io);
+  });
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::optional<Endpoint> kv = parseEndpoint(FLAGS_kv);
+  std::optional<Endpoint> list = parseEndpoint(FLAGS_list);
+  std::optional<runtime::ControlInit> init = readInit();
+  if (!kv || !list || !init) {
+    // Run by itself, as by a check of all benchmarks, there is nothing to do.
+    std::cerr << "run by scripts/bench-spread\n";
+    return argc == 1 && FLAGS_name.empty() ? 0 : 2;
+  }
+  boost::asio::io_context io(1);
+  net::HttpClient client(io, {});
+  Metrics metrics;
+  Reporter reporter;
+  runtime::ControlRuntime control(
+      io, *init, edge::makeEtcdStore(client, {*kv}),
+      edge::makeHttpInstanceList(client, *list), metrics, [](const Event &) {},
+      &secureRandom);
+  control.onPublished([&](const std::shared_ptr<const Snapshot> &snapshot) {
+    reporter.published(*snapshot);
+  });
+  Error reason;
+  if (!control.start(reason)) {
+    std::cerr << reason.Detail << "\n";
+    return 1;
+  }
+  boost::asio::signal_set signals(io, SIGUSR1, SIGTERM);
+  reportOnSignal(signals, reporter, control, io);
+  io.run();
+  return 0;
+}
