Let the linter pass over what the tree holds so far

Cause: the linter's first run over the whole tree named 34 places. Ruled out as false by the style: constants inside functions, which follow the case of constants, and parameters of hooks, whose type fixes how they are passed.

--- a/src/context/plan.cpp
+++ b/src/context/plan.cpp
@@ -61,7 +61,8 @@
       bestFetches = Fetched.size();
     }
     best.RecomputeCost = recomputeCost;
-    best.Fetch.assign(Fetched.begin(), Fetched.begin() + bestFetches);
+    best.Fetch.assign(Fetched.begin(),
+                      Fetched.begin() + static_cast<ptrdiff_t>(bestFetches));
     return best;
   }
 
--- a/src/control/field_text.cpp
+++ b/src/control/field_text.cpp
@@ -30,9 +30,10 @@
 }
 
 template <class T> bool assign(std::optional<T> parsed, T &value) {
-  if (parsed)
-    value = *std::move(parsed);
-  return parsed.has_value();
+  if (!parsed)
+    return false;
+  value = *std::move(parsed);
+  return true;
 }
 
 /// Digits of fixed width at the position, or -1.
--- a/src/control/signal_board.cpp
+++ b/src/control/signal_board.cpp
@@ -28,7 +28,7 @@
       now + SignalLife - std::chrono::milliseconds(signal.AgeMillis);
   if (until <= now)
     return false;
-  auto [it, added] = Signals.try_emplace(instance, content, until);
+  auto [it, added] = Signals.try_emplace(instance, Heard{content, until});
   if (!added) {
     if (content <= it->second.Content)
       return false;
