--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,95 @@
+"""The demonstration behind scripts/demo: two entries, three agents with engines, a plain service, two stores."""
+
+import signal
+import sys
+
+from deployment import Deployment, answer_of, is_whole, problem_of, prompt_of, text_of
+from fleet import Failure, Fleet, Stream, check, request, set_faults, stats, wait_for
+
+TOKENS = 8
+PIECES = 8
+
+
+def show(title, answer, text):
+    """One line of an answer with its measures."""
+    first = int(answer.headers["X-Daisytack-First-Token-Us"]) / 1000
+    prompt = int(answer.headers["X-Daisytack-Prompt-Tokens"])
+    again = int(answer.headers["X-Daisytack-Recomputed-Tokens"])
+    print(f"{title:<42} first token {first:8.1f} ms, recomputed {again:5d} of {prompt:5d} tokens: {text[:30]}...")
+    return again / prompt
+
+
+def send(deployment, title, prompt, at=None):
+    """A prompt answered whole; the share of it that was recomputed."""
+    answer = deployment.complete(prompt, at=at, max_tokens=TOKENS)
+    check(answer.status == 200, f"{title}: {answer.status} {answer.body}")
+    text = answer.json()["choices"][0]["text"]
+    check(text == answer_of(prompt, TOKENS), f"{title}: another answer: {text}")
+    return show(title, answer, text)
+
+
+def show_returning_prompt(deployment):
+    """The same prompt again, from the engine's cache and after its eviction from there."""
+    prompt = prompt_of("notice desk", PIECES)
+    check(send(deployment, "prompt, the first time", prompt) == 1, "all of a new prompt is recomputed")
+    again = send(deployment, "again, through the other entry", prompt, at=deployment.entries[1])
+    check(again < 0.2, "the engine's cache is used")
+    wait_for("the context is kept in a store", lambda: sum(stats(s).get("commits", 0) for s in deployment.stores) >= PIECES)
+    for engine in deployment.engines():
+        set_faults(engine, clear_cache=True)
+    evicted = send(deployment, "again, evicted from the engine", prompt)
+    check(evicted < 0.2, "the context comes from the store")
+
+
+def show_stream(deployment):
+    """A streamed chat."""
+    body = {"model": "m", "messages": [{"role": "user", "content": "bulletin, please"}], "max_tokens": TOKENS,
+            "stream": True}
+    stream = Stream(deployment.entries[0].work, "/v1/chat/completions", body, deployment.headers())
+    events = stream.rest()
+    want = answer_of("user\nbulletin, please\n", TOKENS)
+    check(is_whole(events) and text_of(events) == want, f"stream: {events}")
+    print(f"{'streamed chat':<42} {len(events)} events: {text_of(events)[:30]}...")
+
+
+def show_refusal(deployment):
+    """A deadline that can't be met."""
+    answer = deployment.complete("too late", headers=deployment.headers(X_Daisytack_Deadline_Ms=1))
+    problem = problem_of(answer, "deadline_too_short", "not_run")
+    print(f"{'refused by its deadline':<42} {answer.status} {problem['kind']}, {problem['outcome']}: {problem['remedy']}")
+
+
+def show_service(deployment):
+    """One call to a plain service, sent twice with the same ticket and run once."""
+    entry = deployment.entries[0]
+    ticket = request(entry.work, "POST", "/v1/tickets", {"service": "registry"}, deployment.headers())
+    check(ticket.status in (200, 201), f"ticket: {ticket.status} {ticket.body}")
+    headers = deployment.headers(Idempotency_Key=ticket.json()["ticket"])
+    answers = [request(at.work, "POST", "/services/registry/burials", {"name": "Ndiaye"}, headers)
+               for at in deployment.entries]
+    check(all(a.status == 200 for a in answers), f"calls: {[(a.status, a.body) for a in answers]}")
+    service = next(a for a in deployment.agents if a.serves == "registry")
+    runs = stats(service.server)["runs"]
+    check(runs == 1, f"the call ran {runs} times")
+    print(f"{'plain service, the same ticket twice':<42} answered twice, run once")
+
+
+def main():
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    with Fleet() as fleet:
+        deployment = Deployment(fleet, engine_flags=("--prefill_rate=20000", "--decode_rate=500")).start()
+        print(f"started {len(fleet.processes)} processes on ports from {fleet.base}")
+        show_returning_prompt(deployment)
+        show_stream(deployment)
+        show_refusal(deployment)
+        show_service(deployment)
+        codes = {i.name: fleet.terminate(i.name) for i in deployment.entries + deployment.agents}
+        check(not any(codes.values()), f"exit codes: {codes}")
+        print("all ended with exit code 0")
+
+
+try:
+    main()
+except Failure as failure:
+    print(f"demo: {failure}")
+    sys.exit(1)
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -8,6 +8,7 @@
 OPERATOR_KEY = "operator-key-for-loopback-only"
 SECRET = "a-secret-for-loopback-only-0123456789abcdef"
 PIECE_BYTES = 4096
+WITH_OPERATORS = ()
 DOMAINS = ("kengarags", "imanta", "jugla")
 
 
@@ -105,7 +106,10 @@
         self.fleet.start(instance.name, f"daisytack-{instance.role}", f"--config={path}")
 
     def wait_ready(self, instance):
-        self.fleet.wait_up(instance.name, instance.operators, "/readyz")
+        if instance.role in WITH_OPERATORS:
+            self.fleet.wait_up(instance.name, instance.operators, "/readyz")
+        else:
+            self.fleet.wait_listens(instance.name, instance.work)
 
     def wait_routed(self):
         """Waits until every entry reaches a server of each kind."""
@@ -118,17 +122,19 @@
         sections = {
             "instance": {"name": instance.name, "region": "riga", "failure_domain": instance.domain,
                          "work": f"{HOST}:{instance.work}", "peer": f"{HOST}:{instance.peer}"},
-            "operators": {"listen": f"{HOST}:{instance.operators}"},
             "platform": {"key_value": f"{HOST}:{self.kv}", "instance_list": f"{HOST}:{self.list}"},
             "peer_keys": {"2026": "a-peer-secret-for-loopback-only-0123456789"},
         }
+        if instance.role in WITH_OPERATORS:
+            sections["operators"] = {"listen": f"{HOST}:{instance.operators}"}
         if instance.role == "entry":
             sections["context"] = {"secret": SECRET}
         if instance.role == "agent":
             sections["agent"] = {"serves": instance.serves, "server": f"{HOST}:{instance.server}",
                                  "kind": "service" if instance.serves == "registry" else "model"}
             sections["platform"]["weights"] = f"{HOST}:{self.weights}"
-            sections["platform"]["stores"] = ", ".join(f"{HOST}:{port}" for port in self.stores)
+            sections["stores"] = {f"store-{n}": f"{DOMAINS[n % len(DOMAINS)]} {HOST}:{port}"
+                                  for n, port in enumerate(self.stores)}
         for name, values in self.settings.get(instance.role, {}).items():
             sections.setdefault(name, {}).update(values)
         return "".join(f"[{name}]\n" + "".join(f"{k} = {v}\n" for k, v in values.items()) + "\n"
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -180,14 +180,26 @@
         self.wait_up(name, port, "/standin/stats")
         return port
 
+    def check_runs(self, name):
+        """Fails when the process has ended."""
+        code = self.processes[name].poll()
+        check(code is None, f"{name} ended with {code}")
+
     def wait_up(self, name, port, path):
         """Waits until the process answers the path with 200."""
         def probe():
-            code = self.processes[name].poll()
-            check(code is None, f"{name} ended with {code}")
+            self.check_runs(name)
             return request(port, "GET", path, timeout=5).status == 200
         wait_for(f"{name} answers {path}", probe)
 
+    def wait_listens(self, name, port):
+        """Waits until the process accepts connections."""
+        def probe():
+            self.check_runs(name)
+            socket.create_connection((HOST, port), timeout=5).close()
+            return True
+        wait_for(f"{name} listens", probe)
+
     def signal(self, name, number):
         """Sends a signal to one process."""
         self.processes[name].send_signal(number)
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -155,6 +155,8 @@
 }
 
 void HttpConnection::scheduleFlush() {
+  if (Shared->Closed)
+    return; // The I/O context may be going away with the server.
   asio::dispatch(Socket.get_executor(),
                  [self = shared_from_this()] { self->flush(); });
 }
