Simulate the queue once per offer instead of twice

Acceptance ran every waiting request through two heaps, with two sifts each. The queue also tells which running request has used up its time without the reserve.

--- a/src/decide/acceptance.cpp
+++ b/src/decide/acceptance.cpp
@@ -18,6 +18,15 @@
   return scaled(queue.MaxWait, settings.LowestPriorityBound + rise);
 }
 
+/// Work by which the organisation would exceed its part of the queue. Alone it
+/// may fill half of it; the more others have waiting, the less.
+Duration partExceeded(const RunQueue &queue, const RunQueueSettings &settings,
+                      const RunRequest &request) {
+  Duration capacity = settings.MaxWait * settings.Slots;
+  Duration free = capacity - queue.waitingWork();
+  return queue.waitingWork(request.Organisation) + request.service() - free;
+}
+
 } // namespace
 
 AcceptanceDecision decideAcceptance(const RunQueue &queue,
@@ -47,19 +56,17 @@
     out.Reason.RetryAfter = std::max({late, excess, Duration{1}});
     return out;
   }
-  // An organisation alone may fill half of the queue; the more others have
-  // waiting, the less.
-  Duration capacity = queueSettings.MaxWait * queueSettings.Slots;
-  Duration free = capacity - queue.waitingWork();
-  Duration own = queue.waitingWork(request.Organisation) + request.service();
-  if (plan.OverShare && own > free) {
-    out.Reason.Kind = ErrorKind::OrganisationLimit;
-    out.Reason.RetryAfter = (own - free) / queueSettings.Slots;
-    return out;
+  if (plan.OverShare) {
+    Duration excessWork = partExceeded(queue, queueSettings, request);
+    if (excessWork > Duration{0}) {
+      out.Reason.Kind = ErrorKind::OrganisationLimit;
+      out.Reason.RetryAfter = excessWork / queueSettings.Slots;
+      return out;
+    }
   }
   if (plan.BreaksAccepted) {
     out.Reason.Kind = ErrorKind::Overloaded;
-    out.Reason.RetryAfter = std::max(plan.Backlog, Duration{1});
+    out.Reason.RetryAfter = std::max(queue.backlog(now), Duration{1});
     out.Broken = plan.Broken;
   }
   return out;
--- a/src/decide/run_queue.cpp
+++ b/src/decide/run_queue.cpp
@@ -41,14 +41,20 @@
       // Others are prefilled while this one waits for its context.
       Prefilling += request.Prefill;
     }
-    std::pop_heap(Times.begin(), Times.begin() + Count, std::greater<>());
-    Times[Count - 1] = start + request.service();
-    std::push_heap(Times.begin(), Times.begin() + Count, std::greater<>());
+    TimePoint finish = start + request.service();
+    // One pass down the heap: the earliest is replaced.
+    size_t at = 0;
+    for (size_t child = 1; child < Count; child = 2 * at + 1) {
+      if (child + 1 < Count && Times[child + 1] < Times[child])
+        ++child;
+      if (finish <= Times[child])
+        break;
+      Times[at] = Times[child];
+      at = child;
+    }
+    Times[at] = finish;
     return start;
   }
-  TimePoint latest() const {
-    return *std::max_element(Times.begin(), Times.begin() + Count);
-  }
   TimePoint earliest() const {
     return Serial ? std::max(Times[0], Prefilling) : Times[0];
   }
@@ -97,30 +103,47 @@
 RunPlan RunQueue::plan(const RunRequest &request, TimePoint now) const {
   RunPlan out;
   Place place = placeOf(request);
-  SlotTimes with = slotTimes(now);
+  SlotTimes slots = slotTimes(now);
   auto it = Waiting.begin();
   for (; it != Waiting.end() && it->At < place; ++it)
-    with.run(it->Request);
-  SlotTimes without = with;
-  out.Start = with.run(request);
+    slots.run(it->Request);
+  SlotTimes without = slots;
+  out.Start = slots.run(request);
   out.FirstToken = out.Start + request.Prefill;
   out.Finish = out.Start + request.service();
-  auto round =
-      static_cast<uint64_t>(VirtualTime[request.Priority] /
-                            static_cast<double>(Settings.Quantum.count()));
-  out.OverShare = place.Round > round;
-  for (; it != Waiting.end(); ++it) {
-    TimePoint before = without.run(it->Request) + it->Request.service();
-    TimePoint after = with.run(it->Request) + it->Request.service();
-    if (out.BreaksAccepted || after <= it->Request.Deadline || after <= before)
+  out.OverShare = place.Round > presentRound(request.Priority);
+  for (auto behind = it; behind != Waiting.end(); ++behind) {
+    TimePoint finish = slots.run(behind->Request) + behind->Request.service();
+    if (finish <= behind->Request.Deadline)
       continue;
-    out.BreaksAccepted = true;
-    out.Broken = it->Request.Id;
+    // Late as it is, or because of this request? The rest is only then run
+    // through a second time.
+    size_t last = static_cast<size_t>(behind - it);
+    if (finish > finishWithout(without, it, last)) {
+      out.BreaksAccepted = true;
+      out.Broken = behind->Request.Id;
+      break;
+    }
   }
-  out.Backlog = without.latest() - now;
   return out;
 }
 
+/// Finish of the waiting request so many places after the first given one, with
+/// slots as they are before that.
+TimePoint RunQueue::finishWithout(SlotTimes slots,
+                                  std::vector<WaitingRun>::const_iterator first,
+                                  size_t last) {
+  TimePoint finish;
+  for (size_t i = 0; i <= last; ++i, ++first)
+    finish = slots.run(first->Request) + first->Request.service();
+  return finish;
+}
+
+uint64_t RunQueue::presentRound(uint8_t priority) const {
+  return static_cast<uint64_t>(VirtualTime[priority] /
+                               static_cast<double>(Settings.Quantum.count()));
+}
+
 Duration RunQueue::backlog(TimePoint now) const {
   SlotTimes slots = slotTimes(now);
   for (const WaitingRun &it : Waiting)
@@ -160,6 +183,13 @@
   return best->Request;
 }
 
+std::optional<RunRequest> RunQueue::firstOverdue(TimePoint now) const {
+  for (const ActiveRun &run : Running)
+    if (now >= run.Request.Deadline)
+      return run.Request;
+  return std::nullopt;
+}
+
 Duration RunQueue::waitingWork(uint64_t organisation) const {
   Duration out{0};
   for (const WaitingRun &it : Waiting)
--- a/src/decide/run_queue.h
+++ b/src/decide/run_queue.h
@@ -59,8 +59,6 @@
   bool BreaksAccepted = false; ///< An accepted request would finish after its
                                ///< deadline because of this one.
   RequestId Broken;            ///< The first such request.
-  Duration Backlog{0}; ///< Predicted time until all slots are free, this
-                       ///< request left out.
   bool operator==(const RunPlan &) const = default;
 };
 
@@ -79,6 +77,9 @@
   /// An accepted, waiting request that will miss its deadline as things stand:
   /// it should be run elsewhere.
   std::optional<RunRequest> firstAtRisk(TimePoint now) const;
+  /// A running request that has used up its time without the reserve: what is
+  /// left is enough for one run elsewhere, and no more.
+  std::optional<RunRequest> firstOverdue(TimePoint now) const;
   /// The running request to suspend so that this one can start now: of lower
   /// priority, preemptible, able to start over and still meet its deadline;
   /// among these the one of lowest priority, then of most time to spare.
@@ -137,6 +138,10 @@
   class SlotTimes;
   SlotTimes slotTimes(TimePoint now) const;
   std::vector<WaitingRun>::iterator firstStartable(TimePoint now);
+  static TimePoint finishWithout(SlotTimes slots,
+                                 std::vector<WaitingRun>::const_iterator first,
+                                 size_t last);
+  uint64_t presentRound(uint8_t priority) const;
   double startTag(const RunRequest &request) const;
   Place placeOf(const RunRequest &request) const;
   /// Nothing waits any more: what organisations got until now no longer counts.
