Keep room at a server for organisations within their share

A large organisation that floods one server took every gap up to the last moment of its deadlines, so that a small one's request, put before it by fair sharing, would have broken promises and was refused.

The queue now follows the recent demand of every organisation. A request of an organisation above its fair share must fit with room for what the others are expected to put before it while it waits, and three standard deviations.

--- a/src/decide/acceptance.cpp
+++ b/src/decide/acceptance.cpp
@@ -1,6 +1,7 @@
 #include "decide/acceptance.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisytack {
 
@@ -18,6 +19,22 @@
   return scaled(queue.MaxWait, settings.LowestPriorityBound + rise);
 }
 
+/// Time by which other organisations' requests are expected to delay this one
+/// beyond its predicted wait: the mean of what comes while it waits, and twice
+/// the deviation of a random stream.
+Duration shareHeadroom(const RunQueue &queue, uint32_t slots,
+                       const AcceptanceSettings &settings,
+                       const RunRequest &request, Duration wait,
+                       TimePoint now) {
+  double others = std::clamp(queue.demandOfOthers(request.Organisation, now),
+                             settings.LeastDemand, settings.MostDemand);
+  double stretched = static_cast<double>(wait.count()) / (1.0 - others);
+  double run = static_cast<double>(request.service().count()) / slots;
+  double mean = others * stretched;
+  double deviation = std::sqrt(mean * run);
+  return Duration(static_cast<int64_t>(mean + settings.Deviations * deviation));
+}
+
 /// Work by which the organisation would exceed its part of the queue. Alone it
 /// may fill half of it; the more others have waiting, the less.
 Duration partExceeded(const RunQueue &queue, const RunQueueSettings &settings,
@@ -47,7 +64,8 @@
   }
   Duration headroom{0};
   if (plan.OverShare)
-    headroom = scaled(out.Wait, settings.ShareHeadroom);
+    headroom = shareHeadroom(queue, queueSettings.Slots, settings, request,
+                             out.Wait, now);
   Duration bound = waitBound(queueSettings, settings, request.Priority);
   Duration late = headroom - out.Slack;
   Duration excess = out.Wait - bound;
--- a/src/decide/acceptance.h
+++ b/src/decide/acceptance.h
@@ -12,9 +12,12 @@
 namespace daisytack {
 
 struct AcceptanceSettings {
-  double ShareHeadroom = 0.5; ///< A request above its organisation's share must
-                              ///< fit with this share of its wait to spare, so
-                              ///< that others can still be put before it.
+  /// A request above its organisation's share must fit with room for what
+  /// others will put before it while it waits: their recent demand, taken as
+  /// between these shares of the server, and so many standard deviations.
+  double LeastDemand = 0.2;
+  double MostDemand = 0.8;
+  double Deviations = 3.0;
   double LowestPriorityBound = 0.5; ///< Of MaxWait, for priority 0; rises
                                     ///< evenly to the whole for priority 9.
   bool operator==(const AcceptanceSettings &) const = default;
--- a/src/decide/run_queue.cpp
+++ b/src/decide/run_queue.cpp
@@ -1,6 +1,7 @@
 #include "decide/run_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisytack {
 
@@ -9,6 +10,10 @@
 /// A run that is past its predicted end is believed to need this share of its
 /// service more.
 constexpr int64_t OverrunShare = 10;
+/// Time constant of the organisations' demand; those silent for longer are
+/// forgotten, at the latest when there are so many.
+constexpr Duration DemandWindow{10'000'000};
+constexpr size_t MostDemands = 8'192;
 
 bool matches(const RunRequest &request, const RequestId &id, Attempt attempt) {
   return request.Id == id && request.Try == attempt;
@@ -111,7 +116,9 @@
   out.Start = slots.run(request);
   out.FirstToken = out.Start + request.Prefill;
   out.Finish = out.Start + request.service();
-  out.OverShare = place.Round > presentRound(request.Priority);
+  out.OverShare = place.Round > presentRound(request.Priority) &&
+                  demandOf(request.Organisation, now) >
+                      fairShare(request.Organisation, request.Weight);
   for (auto behind = it; behind != Waiting.end(); ++behind) {
     TimePoint finish = slots.run(behind->Request) + behind->Request.service();
     if (finish <= behind->Request.Deadline)
@@ -205,7 +212,63 @@
   return out;
 }
 
-void RunQueue::push(const RunRequest &request, TimePoint /*now*/) {
+double RunQueue::Demand::decayed(TimePoint now) const {
+  double age = static_cast<double>((now - At).count());
+  return age <= 0
+             ? Micros
+             : Micros *
+                   std::exp(-age / static_cast<double>(DemandWindow.count()));
+}
+
+void RunQueue::Demand::add(Duration work, TimePoint now) {
+  Micros = decayed(now) + static_cast<double>(work.count());
+  At = std::max(At, now);
+}
+
+double RunQueue::demandOf(uint64_t organisation, TimePoint now) const {
+  auto it = DemandBy.find(organisation);
+  if (it == DemandBy.end())
+    return 0;
+  return it->second.decayed(now) / static_cast<double>(DemandWindow.count()) /
+         Settings.Slots;
+}
+
+double RunQueue::demandOfOthers(uint64_t organisation, TimePoint now) const {
+  double all = DemandOfAll.decayed(now) /
+               static_cast<double>(DemandWindow.count()) / Settings.Slots;
+  return std::max(all - demandOf(organisation, now), 0.0);
+}
+
+double RunQueue::fairShare(uint64_t organisation, uint32_t weight) const {
+  double all = ActiveWeight;
+  if (!DemandBy.contains(organisation))
+    all += weight;
+  return all > 0 ? std::min(weight / all, 1.0) : 1.0;
+}
+
+void RunQueue::noteDemand(const RunRequest &request, TimePoint now) {
+  DemandOfAll.add(request.service(), now);
+  Demand &own = DemandBy[request.Organisation];
+  own.add(request.service(), now);
+  ActiveWeight += static_cast<double>(request.Weight) - own.Weight;
+  own.Weight = request.Weight;
+  if (now < ForgotAt + DemandWindow && DemandBy.size() < MostDemands)
+    return;
+  ForgotAt = now;
+  std::erase_if(DemandBy, [&](const auto &it) {
+    if (now - it.second.At <= DemandWindow)
+      return false;
+    ActiveWeight -= it.second.Weight;
+    return true;
+  });
+}
+
+void RunQueue::noteRefused(const RunRequest &request, TimePoint now) {
+  noteDemand(request, now);
+}
+
+void RunQueue::push(const RunRequest &request, TimePoint now) {
+  noteDemand(request, now);
   WaitingRun run{placeOf(request), startTag(request), request};
   ++NextSequence;
   double cost = static_cast<double>(request.service().count()) /
--- a/src/decide/run_queue.h
+++ b/src/decide/run_queue.h
@@ -55,7 +55,8 @@
   TimePoint Start;      ///< Its slot is free and its context is there.
   TimePoint FirstToken; ///< Start and prefill.
   TimePoint Finish;
-  bool OverShare = false; ///< Its organisation has used its part of this round.
+  bool OverShare = false; ///< Its organisation has used its part of this round,
+                          ///< and asks for more than its fair share.
   bool BreaksAccepted = false; ///< An accepted request would finish after its
                                ///< deadline because of this one.
   RequestId Broken;            ///< The first such request.
@@ -91,9 +92,18 @@
   /// Predicted work that the organisation has waiting.
   Duration waitingWork(uint64_t organisation) const;
   Duration waitingWork() const;
+  /// Recent demand of an organisation, or of all others together, as a share of
+  /// what the slots can do; above 1 when it is more.
+  double demandOf(uint64_t organisation, TimePoint now) const;
+  double demandOfOthers(uint64_t organisation, TimePoint now) const;
+  /// Share of the slots that is due to an organisation of the weight among
+  /// those that asked for something recently.
+  double fairShare(uint64_t organisation, uint32_t weight) const;
 
   /// Commands. The caller has checked the plan.
   void push(const RunRequest &request, TimePoint now);
+  /// The request was refused; its work counts as its organisation's demand.
+  void noteRefused(const RunRequest &request, TimePoint now);
   /// Starts the first waiting request if a slot is free.
   std::optional<RunRequest> start(TimePoint now);
   /// The first token of a running request is there.
@@ -135,6 +145,15 @@
     auto operator<=>(const ShareKey &) const = default;
   };
 
+  /// Work asked for, decayed exponentially.
+  struct Demand {
+    double Micros = 0;
+    TimePoint At;
+    uint32_t Weight = 0;
+    double decayed(TimePoint now) const;
+    void add(Duration work, TimePoint now);
+  };
+
   class SlotTimes;
   SlotTimes slotTimes(TimePoint now) const;
   std::vector<WaitingRun>::iterator firstStartable(TimePoint now);
@@ -144,6 +163,7 @@
   uint64_t presentRound(uint8_t priority) const;
   double startTag(const RunRequest &request) const;
   Place placeOf(const RunRequest &request) const;
+  void noteDemand(const RunRequest &request, TimePoint now);
   /// Nothing waits any more: what organisations got until now no longer counts.
   void endBusyPeriod();
 
@@ -152,6 +172,10 @@
   std::vector<ActiveRun> Running;
   std::array<double, MaxPriority + 1> VirtualTime{};
   std::map<ShareKey, double> FinishTags;
+  std::map<uint64_t, Demand> DemandBy; ///< By organisation.
+  Demand DemandOfAll;
+  double ActiveWeight = 0; ///< Of all in DemandBy.
+  TimePoint ForgotAt;
   uint64_t NextSequence = 1;
 };
 
--- a/tests/decide/acceptance_test.cpp
+++ b/tests/decide/acceptance_test.cpp
@@ -126,6 +126,41 @@
           .accepted());
 }
 
+/// One organisation floods a server that has its hands full; others ask for
+/// half of it. Most of what they ask for must still be accepted, and nothing
+/// that was accepted may be late.
+TEST(Acceptance, AFloodLeavesRoomForOrganisationsWithinTheirShare) {
+  Fixture it(4);
+  std::map<uint64_t, uint64_t> refused;
+  std::map<uint64_t, uint64_t> offered;
+  std::map<RequestId, TimePoint> ends;
+  for (uint64_t i = 1; i <= 6'000; ++i) {
+    TimePoint now = at(static_cast<int64_t>(i) * 20);
+    std::erase_if(ends, [&](const auto &run) {
+      return run.second <= now && it.Queue.finish(run.first, 1);
+    });
+    // Fifty a second from organisation 9, five a second from five others; the
+    // server does ten.
+    uint64_t organisation = i % 10 == 0 ? 1 + i / 10 % 5 : 9;
+    RunRequest run =
+        makeRun(i, organisation, millis(100), millis(300), now + millis(5'000));
+    run.Ready = now;
+    ++offered[organisation];
+    if (!it.offer(run, now).accepted()) {
+      it.Queue.noteRefused(run, now);
+      ++refused[organisation];
+    }
+    while (auto next = it.Queue.start(now)) {
+      ends[next->Id] = now + next->service();
+      EXPECT_LE(ends[next->Id], next->Deadline + millis(20));
+    }
+  }
+  for (uint64_t organisation = 1; organisation <= 5; ++organisation)
+    EXPECT_LE(refused[organisation], offered[organisation] / 10)
+        << organisation;
+  EXPECT_GT(refused[9], offered[9] * 3 / 4);
+}
+
 TEST(Acceptance, ReserveIsHalfAtMostAndNoneWithoutRepeat) {
   EXPECT_EQ(rerunReserve(true, millis(1'000), millis(300)), millis(300));
   EXPECT_EQ(rerunReserve(true, millis(1'000), millis(700)), millis(500));
