Converge the engine on the configured weight version

Swaps were decided in src/swap but nothing drove them. The agent's core now gives the convergence its view (configuration, engine status, runs that are accepted), sends its orders and hands its calls for load slots to the key-value service. While a server drains or loads it refuses new work as not_run and its accepted runs finish; an offer that names another version than the loaded one is refused with the version in the load report; kept context is imported only under a version that the convergence trusts.

--- a/src/serve/agent_context.cpp
+++ b/src/serve/agent_context.cpp
@@ -48,10 +48,6 @@
   Fetch.onImport(input, step);
 }
 
-std::string AgentCore::Impl::trustedVersion() const {
-  return EngineSeen && !Engine.Loading ? Engine.Version : std::string();
-}
-
 void AgentCore::Impl::fetchContext(Run &run, const AcceptanceDecision &decision,
                                    Step &step) {
   const wire::Offer &offer = *run.Request;
--- a/src/serve/agent_core.cpp
+++ b/src/serve/agent_core.cpp
@@ -27,6 +27,14 @@
   return out;
 }
 
+swap::ConvergeInit convergeInit(const AgentSettings &settings) {
+  swap::ConvergeInit out = settings.Swap;
+  out.Slot.Model = settings.Serves;
+  out.Slot.Instance = settings.Instance;
+  out.Slot.Process = settings.Process;
+  return out;
+}
+
 RunView viewOf(const Run &run) {
   RunView out;
   out.Id = run.Token.Id;
@@ -49,21 +57,25 @@
 AgentCore::Impl::Impl(AgentSettings settings, RandomSource random)
     : Settings(std::move(settings)), Random(std::move(random)),
       Queue(Settings.Queue), Predictor(Settings.Predictor),
-      Tickets(ledgerInit(Settings, Random), Random,
-              [this](Event event) {
-                if (Out)
-                  Out->push_back(RecordEvent{std::move(event)});
-              }),
+      Tickets(ledgerInit(Settings, Random), Random, sink()),
       View(Settings.MaxCachedPieces), Stores(Settings.Stores),
       Fetch(Settings.Fetch, Stores, View, Numbers,
             {[this] { return std::max(1.0, double(Predictor.prefillRate())); },
              [this] { return trustedVersion(); }}),
       Exports(Settings.Export, Stores, Numbers,
               [this] { return trustedVersion(); }),
+      Swap(convergeInit(Settings), Random, sink()),
       Picture(std::make_shared<const AgentSnapshot>()) {
   View.reset(FirstCacheEvent, true);
 }
 
+EventSink AgentCore::Impl::sink() {
+  return [this](Event event) {
+    if (Out)
+      Out->push_back(RecordEvent{std::move(event)});
+  };
+}
+
 AgentCore::AgentCore(AgentSettings settings, RandomSource random)
     : Self(std::make_unique<Impl>(std::move(settings), std::move(random))) {}
 
@@ -83,6 +95,7 @@
   Self->Out = &out;
   std::visit([&](auto &in) { Self->on(in, step); }, input);
   Self->settleContext(step);
+  Self->converge(step);
   Self->Out = nullptr;
   Self->publish(now);
 }
@@ -97,13 +110,6 @@
 }
 const Rcu<AgentSnapshot> &AgentCore::snapshot() const { return Self->Picture; }
 
-void AgentCore::Impl::on(const AgentConfig &input, Step & /*step*/) {
-  if (input.Revision < Config.Revision)
-    return;
-  Config = input;
-  Dirty = true;
-}
-
 void AgentCore::Impl::on(const DrainRequested & /*input*/, Step &step) {
   if (Draining)
     return;
@@ -174,6 +180,8 @@
     earliest(out, NextCacheEvents);
   if (auto at = Fetch.nextTimer())
     earliest(out, *at);
+  if (auto at = Swap.nextTimer())
+    earliest(out, *at);
   if (auto at = Stores.nextTransferAt(Latest))
     earliest(out, *at);
   if (Dirty)
@@ -196,7 +204,9 @@
   return Settings.IsService || EngineSeen.has_value();
 }
 
-bool AgentCore::Impl::isReady() const { return !isLeaving() && isReachable(); }
+bool AgentCore::Impl::isReady() const {
+  return !isLeaving() && isReachable() && !Swap.holdsNewWork();
+}
 
 wire::LoadReport AgentCore::Impl::loadReport(TimePoint now) const {
   wire::LoadReport out;
@@ -217,6 +227,7 @@
   out->EngineReachable = isReachable();
   out->Load = loadReport(now);
   out->DesiredVersion = Config.Version;
+  out->Swap = Swap.state();
   for (const auto &[id, run] : Runs.all())
     if (!run->isFinished())
       out->Runs.push_back(viewOf(*run));
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -1,7 +1,8 @@
 /// The parts of AgentCore. Its functions stand in agent_core.cpp (dispatch,
 /// timers, pictures), agent_offers.cpp (accept or refuse), agent_links.cpp
-/// (what else entries say), agent_queue.cpp (who runs next) and agent_runs.cpp
-/// (what the backend server says, and how runs end).
+/// (what else entries say), agent_queue.cpp (who runs next), agent_runs.cpp
+/// (what the backend server says, and how runs end), agent_context.cpp (kept
+/// context) and agent_swap.cpp (weight versions).
 #pragma once
 
 #include "serve/agent_core.h"
@@ -25,6 +26,8 @@
 
 struct AgentCore::Impl {
   Impl(AgentSettings settings, RandomSource random);
+  /// Events of the parts become actions of the present step.
+  EventSink sink();
 
   // Dispatch: one function per input.
   void on(const LinkOpened &input, Step &step);
@@ -39,6 +42,7 @@
   void on(const PieceExport &input, Step &step);
   void on(const PieceImport &input, Step &step);
   void on(const OrderAnswer &input, Step &step);
+  void on(const SlotAnswer &input, Step &step);
   void on(StoreAnswer &input, Step &step);
   void on(const AgentConfig &input, Step &step);
   void on(const DrainRequested &input, Step &step);
@@ -97,6 +101,12 @@
   void settleContext(Step &step);
   void onFetchNews(const FetchNews &news, Step &step);
   void startTransfers(Step &step);
+
+  // Weight versions.
+  swap::SwapView swapView() const;
+  void converge(Step &step);
+  void perform(swap::SwapActions actions, Step &step);
+  void order(const swap::LoadOrder &load, Step &step);
   /// The version that the engine surely runs; empty when that is unknown.
   std::string trustedVersion() const;
 
@@ -155,8 +165,11 @@
   StoreTable Stores;
   FetchFlow Fetch;
   ExportFlow Exports;
-  Duration WallOffset{0}; ///< Wall clock less monotonic clock.
-  TimePoint Latest;       ///< Of the present or last step.
+  swap::Converge Swap;
+  swap::SwapView SwapSeen; ///< By Swap, last.
+  CallId OrderCall = 0;    ///< The one whose answer counts.
+  Duration WallOffset{0};  ///< Wall clock less monotonic clock.
+  TimePoint Latest;        ///< Of the present or last step.
   size_t HeldBytes = 0;
   std::unordered_map<RequestId, ClosedAttempt> Closed;
   std::deque<RequestId> ClosedOrder; ///< Oldest first.
--- a/src/serve/agent_messages.h
+++ b/src/serve/agent_messages.h
@@ -7,6 +7,7 @@
 #include "context/engine_view.h"
 #include "daisytack/event.h"
 #include "daisytack/objects.h"
+#include "swap/converge.h"
 #include "wire/messages.h"
 
 #include <memory>
@@ -140,6 +141,11 @@
   uint64_t Fence = 0;
 };
 
+/// Answer to CallSlot.
+struct SlotAnswer {
+  swap::SlotResult Result;
+};
+
 // Inputs from stores.
 
 /// A committed piece as a store names it.
@@ -198,7 +204,9 @@
                        ///< unknown: any is served.
   std::string Adapter;
   bool Drained = false;
-  bool ChecksFencing = false;
+  uint32_t MinServers = 1;
+  uint32_t ServersInService = 1; ///< Of the model.
+  uint32_t ServersOfModel = 1;   ///< In service or not.
 };
 
 /// The process was asked to end: refuse new work, finish what was accepted.
@@ -213,7 +221,7 @@
 using AgentInput =
     std::variant<LinkOpened, LinkMessage, LinkClosed, RunText, RunDone,
                  RunFailed, EngineStatus, EngineSilent, CacheEvents,
-                 PieceExport, PieceImport, OrderAnswer, StoreAnswer,
+                 PieceExport, PieceImport, OrderAnswer, SlotAnswer, StoreAnswer,
                  AgentConfig, DrainRequested, TimerFired>;
 
 // Actions.
@@ -266,6 +274,11 @@
   uint64_t Fence = 0;
 };
 
+/// A call to the key-value service for a load slot.
+struct CallSlot {
+  swap::SlotCall Call;
+};
+
 struct LookupPieces {
   std::vector<PieceKey> Keys;
 };
@@ -326,7 +339,7 @@
 using AgentAction =
     std::variant<SendMessage, StartRun, CancelRun, SuspendRun, ResumeRun,
                  PollStatus, PollCacheEvents, ExportPiece, ImportPiece,
-                 SendOrder, CallStore, StopStoreCall, RecordEvent>;
+                 SendOrder, CallSlot, CallStore, StopStoreCall, RecordEvent>;
 
 using AgentActions = std::vector<AgentAction>;
 
--- a/src/serve/agent_offers.cpp
+++ b/src/serve/agent_offers.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr size_t MaxRefusalsShown = 256;
+constexpr uint64_t LongestMicros = 365ULL * 24 * 3600 * 1'000'000;
 constexpr Duration NotReadyRetry{1'000'000};
 
 /// Tells a repeat of a request from another one under the same id. Both come
@@ -27,8 +28,7 @@
 }
 
 Duration remaining(const wire::Offer &offer) {
-  constexpr uint64_t Longest = 365ULL * 24 * 3600 * 1'000'000;
-  return Duration(std::min(offer.RemainingMicros, Longest));
+  return Duration(std::min(offer.RemainingMicros, LongestMicros));
 }
 
 } // namespace
@@ -125,6 +125,9 @@
     return {ErrorKind::Draining, "the server is leaving"};
   if (!isReachable())
     return {ErrorKind::NotReady, "the engine does not answer", NotReadyRetry};
+  if (Swap.holdsNewWork())
+    return {ErrorKind::NotReady, "the server changes its version",
+            NotReadyRetry};
   if (!isCall && !offer.Version.empty() && offer.Version != version())
     return {ErrorKind::NotReady,
             "the server runs version " + version() + ", not " + offer.Version,
--- a/src/serve/agent_runs.cpp
+++ b/src/serve/agent_runs.cpp
@@ -236,6 +236,4 @@
   }
 }
 
-void AgentCore::Impl::on(const OrderAnswer & /*input*/, Step & /*step*/) {}
-
 } // namespace daisytack::serve
--- a/src/serve/agent_snapshot.h
+++ b/src/serve/agent_snapshot.h
@@ -4,6 +4,7 @@
 
 #include "daisytack/error.h"
 #include "daisytack/types.h"
+#include "swap/converge.h"
 #include "wire/messages.h"
 
 #include <string>
@@ -60,6 +61,7 @@
   bool EngineReachable = false;
   wire::LoadReport Load;
   std::string DesiredVersion;
+  swap::SwapState Swap = swap::SwapState::Unreachable;
   std::vector<RunView> Runs;         ///< Waiting, running and suspended.
   std::vector<RefusalView> Refusals; ///< The latest, oldest first.
   std::vector<KeptView> Kept;
--- /dev/null
+++ b/src/serve/agent_swap.cpp
@@ -0,0 +1,82 @@
+/// AgentCore: the server's way to the weight version that configuration names.
+#include "serve/agent_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::serve {
+
+void AgentCore::Impl::on(const AgentConfig &input, Step & /*step*/) {
+  if (input.Revision < Config.Revision)
+    return;
+  Config = input;
+  Dirty = true;
+}
+
+void AgentCore::Impl::on(const SlotAnswer &input, Step &step) {
+  perform(Swap.on(input.Result, step.Now), step);
+}
+
+void AgentCore::Impl::on(const OrderAnswer &input, Step &step) {
+  if (input.Call != OrderCall || OrderCall == 0)
+    return;
+  OrderCall = 0;
+  perform(Swap.onOrder(input.Why, input.Fence, step.Now), step);
+}
+
+swap::SwapView AgentCore::Impl::swapView() const {
+  swap::SwapView out;
+  out.Desired = {Config.Version, Config.Adapter};
+  out.MinServers = Config.MinServers;
+  out.ServersInService = Config.ServersInService;
+  out.ServersOfModel = Config.ServersOfModel;
+  out.InService = !Config.Drained;
+  out.Leaving = Draining;
+  out.EngineReachable = isReachable();
+  out.Loaded = {Engine.Version, Engine.Adapter};
+  out.Loading = Engine.Loading;
+  out.EngineFence = Engine.Fence;
+  out.Running = static_cast<uint32_t>(Queue.running() + Queue.waiting() +
+                                      Fetch.importing());
+  return out;
+}
+
+void AgentCore::Impl::converge(Step &step) {
+  if (Settings.IsService)
+    return;
+  swap::SwapView view = swapView();
+  auto timer = Swap.nextTimer();
+  if (view == SwapSeen && (!timer || *timer > step.Now))
+    return;
+  SwapSeen = view;
+  swap::SwapState before = Swap.state();
+  perform(Swap.update(view, step.Now), step);
+  Dirty = Dirty || before != Swap.state();
+}
+
+void AgentCore::Impl::perform(swap::SwapActions actions, Step &step) {
+  for (swap::SwapAction &it : actions) {
+    if (auto *call = std::get_if<swap::SlotCall>(&it))
+      step.Out.push_back(CallSlot{std::move(*call)});
+    else
+      order(std::get<swap::LoadOrder>(it), step);
+  }
+}
+
+void AgentCore::Impl::order(const swap::LoadOrder &load, Step &step) {
+  SendOrder out;
+  out.Call = OrderCall = Numbers.next();
+  out.Kind = load.What.Version == Engine.Version ? OrderKind::LoadAdapter
+                                                 : OrderKind::LoadWeights;
+  out.Version = load.What.Version;
+  out.Adapter = load.What.Adapter;
+  out.Fence = load.Fence;
+  step.Out.push_back(std::move(out));
+}
+
+std::string AgentCore::Impl::trustedVersion() const {
+  auto trusted = Swap.trusted();
+  return trusted ? trusted->Version : std::string();
+}
+
+} // namespace daisytack::serve
--- a/tools/agent/agent_daemon.cpp
+++ b/tools/agent/agent_daemon.cpp
@@ -18,16 +18,24 @@
   return options;
 }
 
+uint32_t serversOfModel(const Snapshot &snapshot, const std::string &model) {
+  uint32_t out = 0;
+  for (const daisytack::Server &it : snapshot.Servers)
+    if (!it.IsService && it.Serves == model && it.State != MemberState::Gone)
+      ++out;
+  return out;
+}
+
 } // namespace
 
 AgentDaemon::AgentDaemon(boost::asio::io_context &io, AgentOptions options)
     : Options(withProcess(std::move(options))), Events(EventRingSize, wallNow),
       PlatformClient(io, net::HttpClientInit()),
-      Shell(io, Options,
+      KeyValue(edge::makeEtcdStore(PlatformClient, Options.Instance.KeyValue)),
+      Shell(io, Options, KeyValue,
             [this](Event event) { Events.record(std::move(event)); }),
       Control(
-          io, Options.Instance.Control,
-          edge::makeEtcdStore(PlatformClient, Options.Instance.KeyValue),
+          io, Options.Instance.Control, KeyValue,
           edge::makeHttpInstanceList(PlatformClient,
                                      Options.Instance.InstanceList),
           Series, [this](Event event) { Events.record(std::move(event)); },
@@ -53,11 +61,14 @@
   if (const Model *model = snapshot.model(Options.Core.Serves)) {
     out.Version = model->Version;
     out.Adapter = model->Adapter;
+    out.MinServers = model->MinServers;
   }
   if (const daisytack::Server *self = snapshot.server(Options.Core.Instance)) {
     out.Drained = self->Drained;
-    out.ChecksFencing = self->ChecksFencing;
   }
+  if (const Pool *pool = snapshot.pool(Options.Core.Serves, false))
+    out.ServersInService = static_cast<uint32_t>(pool->Servers.size());
+  out.ServersOfModel = serversOfModel(snapshot, Options.Core.Serves);
   Shell.push(out);
 }
 
--- a/tools/agent/agent_daemon.h
+++ b/tools/agent/agent_daemon.h
@@ -25,6 +25,7 @@
   Metrics Series;
   EventRing Events;
   net::HttpClient PlatformClient;
+  edge::KvStore KeyValue;
   AgentShell Shell;
   runtime::ControlRuntime Control;
 };
--- a/tools/agent/agent_shell.cpp
+++ b/tools/agent/agent_shell.cpp
@@ -30,12 +30,36 @@
   return out;
 }
 
+/// Hands a call for a load slot to the key-value service.
+struct SlotCaller {
+  const edge::KvStore &KeyValue;
+  Duration Timeout;
+  std::function<void(decltype(swap::SlotResult::What))> Done;
+
+  void operator()(const edge::KvRange &call) const {
+    KeyValue.Range(call, Timeout, Done);
+  }
+  void operator()(const edge::KvTransaction &call) const {
+    KeyValue.Commit(call, Timeout, Done);
+  }
+  void operator()(const swap::GrantLease &call) const {
+    KeyValue.GrantLease(call.TimeToLive, Timeout, Done);
+  }
+  void operator()(const swap::KeepLease &call) const {
+    KeyValue.KeepLease(call.Lease, Timeout, Done);
+  }
+  void operator()(const swap::RevokeLease &call) const {
+    KeyValue.RevokeLease(call.Lease, Timeout, Done);
+  }
+};
+
 } // namespace
 
 AgentShell::AgentShell(boost::asio::io_context &io, AgentOptions options,
-                       EventSink events)
+                       edge::KvStore keyValue, EventSink events)
     : Io(io), Strand(boost::asio::make_strand(io)), Options(std::move(options)),
-      Events(std::move(events)), Client(io, clientInit(Options)),
+      KeyValue(std::move(keyValue)), Events(std::move(events)),
+      Client(io, clientInit(Options)),
       Server(io, Options.Instance.Control.Self.Work,
              Options.Instance.Control.Keys, linkHooks()),
       Timer(Strand), FlushTimer(Strand), Core(Options.Core, secureRandom) {
@@ -193,6 +217,14 @@
 void AgentShell::perform(const serve::SendOrder &action) {
   Engine.Order(action);
 }
+void AgentShell::perform(const serve::CallSlot &action) {
+  auto answer = [this, number = action.Call.Number](
+                    decltype(swap::SlotResult::What) result) {
+    push(serve::SlotAnswer{{number, std::move(result)}});
+  };
+  Duration timeout = Options.Core.Swap.Slot.CallTimeout;
+  std::visit(SlotCaller{KeyValue, timeout, answer}, action.Call.What);
+}
 void AgentShell::perform(const serve::CallStore &action) {
   Stores.Call(action);
 }
--- a/tools/agent/agent_shell.h
+++ b/tools/agent/agent_shell.h
@@ -5,6 +5,7 @@
 #include "agent_options.h"
 #include "base/event_ring.h"
 #include "edge/engine.h"
+#include "edge/kv.h"
 #include "edge/service.h"
 #include "edge/store.h"
 #include "link_table.h"
@@ -22,7 +23,7 @@
 class AgentShell {
 public:
   AgentShell(boost::asio::io_context &io, AgentOptions options,
-             EventSink events);
+             edge::KvStore keyValue, EventSink events);
   ~AgentShell();
 
   bool start(Error &reason);
@@ -51,6 +52,7 @@
   void perform(const serve::ExportPiece &action);
   void perform(const serve::ImportPiece &action);
   void perform(const serve::SendOrder &action);
+  void perform(const serve::CallSlot &action);
   void perform(const serve::CallStore &action);
   void perform(const serve::StopStoreCall &action);
   void perform(serve::RecordEvent &action);
@@ -60,6 +62,7 @@
   boost::asio::io_context &Io;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand;
   AgentOptions Options;
+  edge::KvStore KeyValue;
   EventSink Events;
   LinkTable Links;
   net::HttpClient Client;
