Place every piece by its own key

Pieces of a prompt were placed in groups of eight, so that a lost store would break few prefixes. Groups begin with the style guide that an organisation shares, though, so its whole first group lay in one store and one link carried it.

--- a/bench/policy_kept.h
+++ b/bench/policy_kept.h
@@ -16,8 +16,7 @@
       state.InEngine = EverSeen.contains(piece);
     if (How.Reuse != Context::Planned && How.Reuse != Context::FetchAll)
       continue;
-    const PieceKey &placement = placementKey(request.Pieces, i);
-    for (uint32_t store : chooseStores(placement, StoreNames))
+    for (uint32_t store : chooseStores(piece, StoreNames))
       if (!state.Stored)
         state.Stored = Stores[store].lookup(piece, store);
   }
@@ -116,7 +115,7 @@
     if (job.States[i].Stored || agent.Exporting.contains(piece) ||
         !agent.Engine.holds(piece))
       continue;
-    auto stores = chooseStores(placementKey(request.Pieces, i), StoreNames);
+    auto stores = chooseStores(piece, StoreNames);
     ExportQuestion question;
     question.Rule = How.Reuse == Context::FetchAll
                         ? KeepRule::Always
--- a/src/context/store_choice.cpp
+++ b/src/context/store_choice.cpp
@@ -25,14 +25,10 @@
 
 } // namespace
 
-const PieceKey &placementKey(std::span<const PieceKey> pieces, size_t index) {
-  return pieces[index - index % PlacementGroup];
-}
-
-std::vector<uint32_t> chooseStores(const PieceKey &placement,
+std::vector<uint32_t> chooseStores(const PieceKey &piece,
                                    std::span<const StoreInstance> stores,
                                    size_t copies) {
-  uint64_t hash = std::hash<PieceKey>{}(placement);
+  uint64_t hash = std::hash<PieceKey>{}(piece);
   std::vector<uint32_t> out;
   copies = std::min(copies, stores.size());
   while (out.size() < copies) {
--- a/src/context/store_choice.h
+++ b/src/context/store_choice.h
@@ -24,16 +24,9 @@
 /// Copies of a piece at most.
 constexpr size_t MaxStoreCopies = 2;
 
-/// Consecutive pieces of a prompt that are placed together, so that losing a
-/// store breaks few prefixes.
-constexpr size_t PlacementGroup = 8;
-
-/// The piece whose key places the piece at that index.
-const PieceKey &placementKey(std::span<const PieceKey> pieces, size_t index);
-
 /// Indices of the stores for a piece, the first choice first; each further one
 /// lies in a failure domain of its own while there are enough domains.
-std::vector<uint32_t> chooseStores(const PieceKey &placement,
+std::vector<uint32_t> chooseStores(const PieceKey &piece,
                                    std::span<const StoreInstance> stores,
                                    size_t copies = MaxStoreCopies);
 
