Keep a chance of presence over gaps in the engine's events

One lost event made everything in the engine's cache unknown, and a plan fetched it all again: the organisation's guide above all, at each gap and server. A gap of k events leaves all but about k of the cached pieces where they were. presence() still says Unknown after a gap, never Present; chance() says how likely a piece is to be there, fading with each missed event, and a plan bets on 0.9 and more. A lost bet costs a recompute and is seen in the answer's cached tokens.

--- a/bench/policy_agent.h
+++ b/bench/policy_agent.h
@@ -17,6 +17,9 @@
 // Sightings that one agent remembers, at 16 bytes each.
 constexpr size_t SightedPieces = 16'384;
 
+// A piece that is present with this chance is not fetched.
+constexpr double LeastPresence = 0.9;
+
 /// One attempt at a request.
 struct Job {
   const Request *What = nullptr;
--- a/bench/policy_kept.h
+++ b/bench/policy_kept.h
@@ -11,7 +11,7 @@
   for (size_t i = 0; i < request.Pieces.size(); ++i) {
     const PieceKey &piece = request.Pieces[i];
     PieceState &state = job.States[i];
-    state.InEngine = agent.View.presence(piece) == Presence::Present;
+    state.InEngine = agent.View.chance(piece) >= LeastPresence;
     if (How.Reuse == Context::Oracle)
       state.InEngine = EverSeen.contains(piece);
     if (How.Reuse != Context::Planned && How.Reuse != Context::FetchAll)
--- a/src/context/engine_view.cpp
+++ b/src/context/engine_view.cpp
@@ -1,7 +1,18 @@
 #include "context/engine_view.h"
 
+#include <algorithm>
+
 namespace daisytack {
 
+namespace {
+
+/// Beliefs weaker than this are dropped.
+constexpr double LeastChance = 0.5;
+/// Below, the product is taken out of all beliefs, so that it stays in range.
+constexpr double LeastKept = 1e-100;
+
+} // namespace
+
 EngineView::EngineView(size_t maxPieces) : MaxPieces(maxPieces) {}
 
 bool EngineView::apply(std::span<const CacheEvent> events, uint64_t next) {
@@ -10,14 +21,14 @@
     if (it.Sequence < Next)
       continue;
     if (it.Sequence > Next) {
-      forget();
+      miss(it.Sequence - Next);
       whole = false;
     }
     applyOne(it);
     Next = it.Sequence + 1;
   }
   if (next > Next) { // The answer's tail is missing.
-    forget();
+    miss(next - Next);
     whole = false;
     Next = next;
   }
@@ -35,14 +46,14 @@
     Pieces.erase(event.Piece);
     break;
   case CacheEventKind::Cleared:
-    Pieces.clear();
-    Complete = true;
+    reset(event.Sequence, true);
     break;
   }
 }
 
 void EngineView::reset(uint64_t fromSequence, bool complete) {
   Pieces.clear();
+  Kept = 1;
   Next = fromSequence;
   Complete = complete;
 }
@@ -55,20 +66,39 @@
 void EngineView::deny(const PieceKey &piece) { Pieces.erase(piece); }
 
 Presence EngineView::presence(const PieceKey &piece) const {
-  if (Pieces.contains(piece))
+  auto it = Pieces.find(piece);
+  if (it != Pieces.end() && it->second == Kept)
     return Presence::Present;
-  return Complete ? Presence::Absent : Presence::Unknown;
+  if (it == Pieces.end() && Complete)
+    return Presence::Absent;
+  return Presence::Unknown;
 }
 
-void EngineView::forget() {
-  Pieces.clear();
+double EngineView::chance(const PieceKey &piece) const {
+  auto it = Pieces.find(piece);
+  return it == Pieces.end() ? 0 : Kept / it->second;
+}
+
+void EngineView::miss(uint64_t events) {
   Complete = false;
+  // Each missed event may be the eviction of any one piece.
+  auto pieces = static_cast<double>(std::max<size_t>(Pieces.size(), 1));
+  Kept *= std::max(0.0, 1 - static_cast<double>(events) / pieces);
+  std::erase_if(
+      Pieces, [&](const auto &it) { return Kept <= LeastChance * it.second; });
+  if (Kept >= LeastKept && !Pieces.empty())
+    return;
+  for (auto &it : Pieces)
+    it.second /= Kept;
+  Kept = 1;
 }
 
 void EngineView::insert(const PieceKey &piece) {
-  if (Pieces.size() >= MaxPieces && !Pieces.contains(piece))
-    forget();
-  Pieces.insert(piece);
+  if (Pieces.size() >= MaxPieces && !Pieces.contains(piece)) {
+    Pieces.clear();
+    Complete = false;
+  }
+  Pieces[piece] = Kept;
 }
 
 } // namespace daisytack
--- a/src/context/engine_view.h
+++ b/src/context/engine_view.h
@@ -7,7 +7,7 @@
 
 #include <cstdint>
 #include <span>
-#include <unordered_set>
+#include <unordered_map>
 #include <vector>
 
 namespace daisytack {
@@ -48,6 +48,11 @@
 
   Presence presence(const PieceKey &piece) const;
 
+  /// Chance that the engine holds the piece, 0..1. A gap of few events leaves
+  /// most of what was there before: a piece that was present is then unknown,
+  /// but likely. A plan may bet on it; the bet costs time when it is lost.
+  double chance(const PieceKey &piece) const;
+
   /// Sequence to ask the engine for next.
   uint64_t wanted() const { return Next; }
   uint64_t gaps() const { return Gaps; }
@@ -55,11 +60,15 @@
 
 private:
   void applyOne(const CacheEvent &event);
-  void forget();
+  /// So many events were missed: every belief fades.
+  void miss(uint64_t events);
   void insert(const PieceKey &piece);
 
+  /// Believed pieces, with the product of what was left of all beliefs after
+  /// each gap, as of when the piece was last known to be present.
+  std::unordered_map<PieceKey, double> Pieces;
   size_t MaxPieces;
-  std::unordered_set<PieceKey> Pieces;
+  double Kept = 1; ///< That product now.
   uint64_t Next = 0;
   uint64_t Gaps = 0;
   bool Complete = true; ///< Every event since an empty cache was seen.
--- a/tests/context/engine_view_test.cpp
+++ b/tests/context/engine_view_test.cpp
@@ -52,6 +52,32 @@
   EXPECT_EQ(view.presence(key(2)), Presence::Absent);
 }
 
+TEST(EngineView, AGapOfFewEventsLeavesMostLikely) {
+  EngineView view(1000);
+  std::vector<CacheEvent> events;
+  for (uint8_t n = 0; n < 100; ++n)
+    events.push_back(stored(n, n));
+  view.apply(events, 100);
+  EXPECT_EQ(view.chance(key(7)), 1);
+  view.apply({}, 102);
+  EXPECT_EQ(view.presence(key(7)), Presence::Unknown);
+  EXPECT_DOUBLE_EQ(view.chance(key(7)), 0.98);
+  PieceKey seen[] = {key(7)};
+  view.confirm(seen);
+  EXPECT_EQ(view.presence(key(7)), Presence::Present);
+  view.apply({}, 160);
+  EXPECT_EQ(view.chance(key(8)), 0) << "faded and dropped";
+  CacheEvent gone[] = {evicted(160, 7)};
+  view.confirm(seen);
+  view.apply(gone, 161);
+  EXPECT_EQ(view.chance(key(7)), 0);
+  for (uint64_t i = 0; i < 1'000'000; ++i) {
+    view.confirm(seen);
+    ASSERT_EQ(view.presence(key(7)), Presence::Present);
+    view.apply({}, 162 + i);
+  }
+}
+
 TEST(EngineView, RestartAndOverflowForget) {
   CacheEvent events[] = {stored(0, 1), stored(1, 2), stored(2, 3)};
   EngineView view(2);
