Decide again when a fetch is late

A run whose fetch was later than planned started with whatever had arrived, however little was missing, and its remaining fetches went on using the link for nothing. isWorthWaiting weighs the time that is left against recomputing what is at stake, by the deployment's weights; a fetch that is given up is taken off the link.

--- a/bench/policy_agent.h
+++ b/bench/policy_agent.h
@@ -34,6 +34,7 @@
   RunRequest Run;
   FetchPlan Plan;
   uint32_t FetchesLeft = 0;
+  TimePoint FetchDeadline;
   std::vector<PieceKey> Imported;
   std::vector<Sight> Before;      ///< Of each piece.
   std::vector<PieceState> States; ///< Of each piece, when it was planned.
@@ -46,6 +47,7 @@
 struct Cargo {
   uint32_t Job = UINT32_MAX; ///< Of a fetch.
   uint64_t JobEpoch = 0;
+  uint32_t Link = 0;
   PieceKey Piece;
   std::string Meta; ///< Of an export.
 };
--- a/bench/policy_kept.h
+++ b/bench/policy_kept.h
@@ -49,6 +49,7 @@
   job.Imported.clear();
   job.FetchesLeft = 0;
   TimePoint deadline = Now + agent.Queue.backlog(Now);
+  job.FetchDeadline = deadline;
   std::set<uint32_t> links;
   for (uint32_t it : job.Plan.Fetch) {
     Transfer transfer{++LastTransfer, TransferKind::Fetch, PieceSize, deadline};
@@ -57,7 +58,7 @@
     if (!agent.Links[link].add(transfer, Now, reason))
       break;
     agent.Cargoes[transfer.Id] = {
-        job.Index, job.Epoch, job.What->Pieces[it], {}};
+        job.Index, job.Epoch, link, job.What->Pieces[it], {}};
     ++job.FetchesLeft;
     links.insert(link);
   }
@@ -98,12 +99,50 @@
   // Evicted or lost meanwhile: the verified read rejects it.
   if (Stores[link].contains(cargo.Piece))
     job.Imported.push_back(cargo.Piece);
-  if (--job.FetchesLeft > 0)
-    return;
+  if (job.FetchesLeft == 0 || --job.FetchesLeft > 0)
+    return; // Given up, or more to come.
   agent.Queue.setReady(job.Run.Id, job.Run.Try, Now);
   pumpQueue(server);
 }
 
+inline void PolicyRun::onReadyDue(uint32_t index, uint64_t epoch) {
+  Job &job = Jobs[index];
+  if (job.Epoch != epoch || job.FetchesLeft == 0)
+    return;
+  AgentModel &agent = *Agents[job.Server];
+  const ClassShape &shape = What.Classes[job.What->Class];
+  LateFetch late;
+  late.TokensAtStake = job.FetchesLeft * PieceTokens;
+  late.PrefillTokensPerSecond = agent.Predictor.prefillRate();
+  late.Limit = job.Run.Deadline - Now - agent.Predictor.prefill(PieceTokens) -
+               agent.Predictor.decode(shape.AnswerTokens);
+  for (const LinkScheduler &it : agent.Links) {
+    double left = static_cast<double>(it.backlogBefore(job.FetchDeadline));
+    late.Remaining =
+        std::max(late.Remaining, fromSeconds(left / it.bytesPerSecond(Now)));
+  }
+  late.Remaining = std::max(late.Remaining, FetchRoundTrip);
+  bool patient = How.Reuse == Context::FetchAll;
+  if (!patient && !isWorthWaiting(late, What.Weights))
+    return giveUpFetches(job, agent);
+  agent.Queue.setReady(job.Run.Id, job.Run.Try, Now + late.Remaining);
+  at(Now + late.Remaining, Kind::ReadyDue, index, epoch);
+}
+
+inline void PolicyRun::giveUpFetches(Job &job, AgentModel &agent) {
+  for (auto it = agent.Cargoes.begin(); it != agent.Cargoes.end();) {
+    bool own = it->second.Job == job.Index && it->second.JobEpoch == job.Epoch;
+    if (own && agent.Links[it->second.Link].cancelWaiting(it->first))
+      it = agent.Cargoes.erase(it);
+    else
+      ++it;
+  }
+  Out.GivenUp += job.FetchesLeft;
+  job.FetchesLeft = 0;
+  agent.Queue.setReady(job.Run.Id, job.Run.Try, Now);
+  pumpQueue(job.Server);
+}
+
 inline void PolicyRun::exportPieces(const Job &job) {
   if (How.Reuse != Context::Planned && How.Reuse != Context::FetchAll)
     return;
@@ -140,7 +179,8 @@
       Error reason;
       if (!agent.Links[stores[copy]].add(transfer, Now, reason))
         continue;
-      agent.Cargoes[transfer.Id] = {UINT32_MAX, 0, piece, encodeMeta(meta)};
+      agent.Cargoes[transfer.Id] = {UINT32_MAX, 0, stores[copy], piece,
+                                    encodeMeta(meta)};
       agent.Exporting.insert(piece);
       pumpLink(job.Server, stores[copy]);
     }
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -76,6 +76,7 @@
     FirstToken,
     Finished,
     Transfer,
+    ReadyDue,
     LinkWake,
     Poll,
     Tick,
@@ -105,6 +106,8 @@
   void onFirstToken(uint32_t job, uint64_t epoch);
   void onFinished(uint32_t job, uint64_t epoch);
   void onTransfer(uint32_t server, uint32_t link, uint64_t id);
+  void onReadyDue(uint32_t job, uint64_t epoch);
+  void giveUpFetches(Job &job, AgentModel &agent);
   void onTick(uint32_t server);
   void onFault(bool on);
   void loseDomain();
--- a/bench/policy_steps.h
+++ b/bench/policy_steps.h
@@ -94,6 +94,8 @@
     return onFinished(event.A, event.B);
   case Kind::Transfer:
     return onTransfer(event.A, static_cast<uint32_t>(event.B), event.C);
+  case Kind::ReadyDue:
+    return onReadyDue(event.A, event.B);
   case Kind::LinkWake:
     return pumpLink(event.A, static_cast<uint32_t>(event.B));
   case Kind::Poll:
@@ -255,6 +257,8 @@
   agent.Queue.push(job.Run, Now);
   if (job.FetchesLeft == 0)
     agent.Queue.setReady(job.Run.Id, job.Run.Try, Now);
+  else
+    at(job.Run.Ready, Kind::ReadyDue, job.Index, job.Epoch);
   pumpQueue(server);
 }
 
--- a/src/context/link_scheduler.cpp
+++ b/src/context/link_scheduler.cpp
@@ -142,16 +142,20 @@
   LearnedAt = now;
 }
 
+bool LinkScheduler::cancelWaiting(uint64_t id) {
+  auto it = std::find_if(Waiting.begin(), Waiting.end(),
+                         [&](const Transfer &t) { return t.Id == id; });
+  if (it == Waiting.end())
+    return false;
+  if (it->Kind == TransferKind::Export)
+    ExportBacklog -= it->Bytes;
+  Waiting.erase(it);
+  return true;
+}
+
 void LinkScheduler::cancel(uint64_t id) {
-  auto waits = std::find_if(Waiting.begin(), Waiting.end(),
-                            [&](const Transfer &t) { return t.Id == id; });
-  if (waits != Waiting.end()) {
-    if (waits->Kind == TransferKind::Export)
-      ExportBacklog -= waits->Bytes;
-    Waiting.erase(waits);
-    return;
-  }
-  std::erase_if(Running, [&](const Flight &f) { return f.What.Id == id; });
+  if (!cancelWaiting(id))
+    std::erase_if(Running, [&](const Flight &f) { return f.What.Id == id; });
 }
 
 uint64_t LinkScheduler::bytesInFlight() const {
--- a/src/context/link_scheduler.h
+++ b/src/context/link_scheduler.h
@@ -51,6 +51,8 @@
   /// Forgets a transfer, whether waiting or in flight. What it has spent of
   /// the budget stays spent.
   void cancel(uint64_t id);
+  /// Forgets a transfer that has not been started; false when there is none.
+  bool cancelWaiting(uint64_t id);
 
   /// When next() can give something without a further call to add or finish;
   /// nothing when no waiting transfer could start.
--- a/src/context/plan.cpp
+++ b/src/context/plan.cpp
@@ -130,6 +130,18 @@
 
 PlanWeights recomputeWeights() { return {0.05, 1.0, 0.00001}; }
 
+bool isWorthWaiting(const LateFetch &fetch, const PlanWeights &weights) {
+  if (fetch.Remaining > fetch.Limit)
+    return false;
+  double waits =
+      toSeconds(std::max(Duration(0), fetch.Remaining - fetch.QueueWait));
+  double recompute =
+      fetch.TokensAtStake / std::max(1.0, fetch.PrefillTokensPerSecond);
+  double givenUp = weights.FirstToken * recompute +
+                   weights.Recompute * fetch.TokensAtStake / TokensPerUnit;
+  return weights.FirstToken * waits < givenUp;
+}
+
 FetchPlan planFetch(const PlanInput &input, const PlanWeights &weights) {
   return Planner(input, weights).run();
 }
--- a/src/context/plan.h
+++ b/src/context/plan.h
@@ -76,6 +76,19 @@
   bool operator==(const FetchPlan &) const = default;
 };
 
+/// A prompt whose fetch is not done when its plan said it would be.
+struct LateFetch {
+  Duration Remaining{0};      ///< Until all is there, as predicted now.
+  Duration QueueWait{0};      ///< Until the engine could start the prefill.
+  uint32_t TokensAtStake = 0; ///< Recomputed if the fetch is given up.
+  double PrefillTokensPerSecond = 1;
+  Duration Limit = Duration::max(); ///< Of Remaining.
+};
+
+/// Whether to wait on, by the same formula; otherwise the prompt runs with the
+/// prefix that has arrived.
+bool isWorthWaiting(const LateFetch &fetch, const PlanWeights &weights);
+
 /// The plan of least cost among those that keep the limit; when none keeps it,
 /// the one with the earliest first token. Linear in the number of pieces.
 FetchPlan planFetch(const PlanInput &input, const PlanWeights &weights);
--- a/tests/context/link_scheduler_test.cpp
+++ b/tests/context/link_scheduler_test.cpp
@@ -48,8 +48,14 @@
     EXPECT_TRUE(link.add(exportOf(i, 1'000'000), at(0), reason));
   EXPECT_FALSE(link.add(exportOf(9, 1), at(0), reason));
   EXPECT_EQ(reason.Kind, ErrorKind::BudgetSpent);
-  link.cancel(0);
+  EXPECT_TRUE(link.cancelWaiting(0));
+  EXPECT_FALSE(link.cancelWaiting(0));
   EXPECT_TRUE(link.add(exportOf(9, 1), at(0), reason));
+  link.next(at(0));
+  EXPECT_EQ(link.inFlight(), 1U);
+  EXPECT_FALSE(link.cancelWaiting(1)) << "in flight";
+  link.cancel(1);
+  EXPECT_EQ(link.inFlight(), 0U);
 }
 
 TEST(LinkScheduler, LearnsASlowLinkBeforeATransferHasEnded) {
--- a/tests/context/plan_test.cpp
+++ b/tests/context/plan_test.cpp
@@ -76,6 +76,23 @@
   EXPECT_EQ(plan.ReusedPieces, 1U);
 }
 
+TEST(LateFetch, IsGivenUpWhenRecomputingCostsLess) {
+  LateFetch late;
+  late.TokensAtStake = 4 * PieceTokens;
+  late.PrefillTokensPerSecond = 10'000;
+  late.Remaining = std::chrono::milliseconds(300);
+  EXPECT_TRUE(isWorthWaiting(late, firstTokenWeights()));
+  late.Remaining = std::chrono::seconds(1);
+  EXPECT_FALSE(isWorthWaiting(late, firstTokenWeights()));
+  late.QueueWait = std::chrono::milliseconds(700);
+  EXPECT_TRUE(isWorthWaiting(late, firstTokenWeights()))
+      << "hidden by the queue";
+  late.QueueWait = Duration(0);
+  EXPECT_TRUE(isWorthWaiting(late, recomputeWeights()));
+  late.Limit = std::chrono::milliseconds(900);
+  EXPECT_FALSE(isWorthWaiting(late, recomputeWeights())) << "past the deadline";
+}
+
 TEST(Plan, IsNoWorseThanAnyPrefix) {
   expectProperty([] {
     LinkState links[] = {Fast, Slow};
