Price the link for deployments that weigh the first token

Each fetch delays those of the other servers at the same store, which no agent sees before it has happened. With a price per byte the link goes to prompts that save most by it: drafts of eight pieces rather than quotes of two.

--- a/src/context/plan.cpp
+++ b/src/context/plan.cpp
@@ -126,7 +126,7 @@
 
 } // namespace
 
-PlanWeights firstTokenWeights() { return {1.0, 0.005, 0.00001}; }
+PlanWeights firstTokenWeights() { return {1.0, 0.005, 0.001}; }
 
 PlanWeights recomputeWeights() { return {0.05, 1.0, 0.00001}; }
 
