--- a/src/serve/agent_stores.cpp
+++ b/src/serve/agent_stores.cpp
@@ -13,8 +13,7 @@
                                               size_t index, size_t copies,
                                               TimePoint now) const {
   std::vector<StoreHandle> out;
-  for (uint32_t it :
-       chooseStores(placementKey(pieces, index), Settings.Instances, copies))
+  for (uint32_t it : chooseStores(pieces[index], Settings.Instances, copies))
     if (isUsable({it}, now))
       out.push_back({it});
   return out;
