--- a/bench/spread_node.cpp
+++ b/bench/spread_node.cpp
@@ -1,7 +1,8 @@
 /// One process that runs the control part alone, for scripts/bench-spread.
 ///
-/// Every SIGUSR1 appends a line of JSON to the report: the clock, processor
-/// time, memory, counters, and the snapshots published since the last line.
+/// The start and every SIGUSR1 append a line of JSON to the report: the clock,
+/// processor time, memory, counters, and the snapshots published since the last
+/// line.
 #include "base/clock.h"
 #include "base/digest.h"
 #include "edge/instance_list_http.h"
@@ -133,6 +134,8 @@
   }
   boost::asio::signal_set signals(io, SIGUSR1, SIGTERM);
   reportOnSignal(signals, reporter, control, io);
+  // The first line says that signals are handled from now on.
+  reporter.write(control);
   io.run();
   return 0;
 }
