Keep the codec of instances with the decision code

The control state decoded listed instances through a function that lived among the adapters, so the core library needed the one above it and linked only because the linker does not mind the order. The codec now lives in src/control and the adapters use it.

--- a/bench/slopes.cpp
+++ b/bench/slopes.cpp
@@ -69,7 +69,7 @@
 ReplicaEntry memberEntry(size_t i, uint64_t version, MemberState state) {
   Member member = memberNumbered(i);
   member.State = state;
-  return {member.Name, edge::encodeInstance({member, version}), version,
+  return {member.Name, encodeInstance({member, version}), version,
           state == MemberState::Gone};
 }
 
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -129,8 +129,7 @@
     return;
   }
   Error reason;
-  std::optional<edge::ListedMember> listed =
-      edge::decodeInstance(entry->Value, reason);
+  std::optional<ListedMember> listed = decodeInstance(entry->Value, reason);
   if (!listed)
     return;
   Member &member = listed->Instance;
@@ -171,12 +170,12 @@
   return out;
 }
 
-ReplicaDelta toDelta(uint64_t since, const edge::InstanceListResult &result) {
+ReplicaDelta toDelta(uint64_t since, const InstanceDelta &list) {
   ReplicaDelta out;
   out.From = since;
-  out.Through = result.Version;
-  for (const edge::ListedMember &listed : result.Members)
-    out.Entries.push_back({listed.Instance.Name, edge::encodeInstance(listed),
+  out.Through = list.Version;
+  for (const ListedMember &listed : list.Members)
+    out.Entries.push_back({listed.Instance.Name, encodeInstance(listed),
                            listed.Changed,
                            listed.Instance.State == MemberState::Gone});
   sortByRevision(out.Entries);
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -2,11 +2,11 @@
 /// made from it.
 #pragma once
 
+#include "control/instance_codec.h"
 #include "control/replica.h"
 #include "control/signal_board.h"
 #include "control/snapshot_builder.h"
 #include "daisytack/event.h"
-#include "edge/instance_list.h"
 #include "edge/kv.h"
 
 #include <map>
@@ -83,7 +83,7 @@
 /// What a watch reported.
 ReplicaDelta toDelta(uint64_t from, uint64_t through,
                      const std::vector<edge::KvChange> &changes);
-/// A delta of the instance list as a replica's.
-ReplicaDelta toDelta(uint64_t since, const edge::InstanceListResult &result);
+/// What the instance list answered.
+ReplicaDelta toDelta(uint64_t since, const InstanceDelta &list);
 
 } // namespace daisytack::control
--- a/src/edge/instance_list.cpp
+++ b/src/control/instance_codec.cpp
@@ -1,10 +1,10 @@
-#include "edge/instance_list.h"
+#include "control/instance_codec.h"
 
 #include <boost/json.hpp>
 
 #include <array>
 
-namespace daisytack::edge {
+namespace daisytack::control {
 
 namespace json = boost::json;
 
@@ -114,12 +114,12 @@
   return std::nullopt;
 }
 
-std::optional<InstanceListResult> decodeInstances(std::string_view text,
-                                                  Error &reason) {
+std::optional<InstanceDelta> decodeInstanceDelta(std::string_view text,
+                                                 Error &reason) {
   std::optional<json::value> value = parseText(text);
   const json::object *object = value ? value->if_object() : nullptr;
   const json::value *list = object ? object->if_contains("instances") : nullptr;
-  InstanceListResult out;
+  InstanceDelta out;
   bool ok =
       list && list->is_array() && readNumber(*object, "version", out.Version);
   for (size_t i = 0; ok && i < list->get_array().size(); ++i)
@@ -130,4 +130,4 @@
   return std::nullopt;
 }
 
-} // namespace daisytack::edge
+} // namespace daisytack::control
--- a/src/edge/instance_list_http.cpp
+++ b/src/edge/instance_list_http.cpp
@@ -21,9 +21,9 @@
                   "instance list: status " + std::to_string(response.Status)};
     return out;
   }
-  std::optional<InstanceListResult> parsed =
-      decodeInstances(response.Body, out.Reason);
-  return parsed ? std::move(*parsed) : out;
+  if (auto delta = control::decodeInstanceDelta(response.Body, out.Reason))
+    out.Delta = std::move(*delta);
+  return out;
 }
 
 } // namespace
--- a/src/runtime/service_reader.cpp
+++ b/src/runtime/service_reader.cpp
@@ -148,8 +148,8 @@
   }
   ListFailures = 0;
   // A copy of the list that lags further behind than ours says nothing new.
-  if (result.Version >= since)
-    Hooks.Members(control::toDelta(since, result));
+  if (result.Delta.Version >= since)
+    Hooks.Members(control::toDelta(since, result.Delta));
   after(ListTimer, jittered(Init.ListInterval), &ServiceReader::pollList);
 }
 
--- a/tests/control/fake_platform.h
+++ b/tests/control/fake_platform.h
@@ -140,7 +140,7 @@
   bool Down = false;
   uint64_t Version = 0;
   uint64_t Calls = 0;
-  std::map<std::string, edge::ListedMember> Members;
+  std::map<std::string, ListedMember> Members;
 
   void set(Member member) {
     ++Version;
@@ -153,12 +153,12 @@
     out.Poll = [this](uint64_t since, Duration, auto done) {
       ++Calls;
       edge::InstanceListResult result;
-      result.Version = Version;
+      result.Delta.Version = Version;
       if (Down)
         result.Reason = {ErrorKind::ServiceUnavailable, "fake list is down"};
       for (const auto &[name, listed] : Members)
         if (!Down && listed.Changed > since)
-          result.Members.push_back(listed);
+          result.Delta.Members.push_back(listed);
       done(std::move(result));
     };
     return out;
--- a/tests/control/fleet.h
+++ b/tests/control/fleet.h
@@ -76,8 +76,8 @@
     ReplicaDelta list{0, Nodes.size(), {}};
     for (size_t i = 0; i < Nodes.size(); ++i)
       list.Entries.push_back({Nodes[i].Self.Name,
-                              edge::encodeInstance({Nodes[i].Self, i + 1}),
-                              i + 1, false});
+                              encodeInstance({Nodes[i].Self, i + 1}), i + 1,
+                              false});
     for (Node &node : Nodes) {
       node.State->mergeMembers(list);
       node.Talk->refreshPeers();
--- a/tests/edge_kv/etcd_json_test.cpp
+++ b/tests/edge_kv/etcd_json_test.cpp
@@ -1,6 +1,6 @@
 #include "edge/kv_etcd_json.h"
 
-#include "edge/instance_list.h"
+#include "control/instance_codec.h"
 
 #include <gtest/gtest.h>
 
@@ -113,6 +113,12 @@
   }
 }
 
+using control::decodeInstance;
+using control::decodeInstanceDelta;
+using control::encodeInstance;
+using control::InstanceDelta;
+using control::ListedMember;
+
 TEST(InstanceList, RoundTripsAndRefuses) {
   ListedMember listed;
   listed.Instance.Name = "a";
@@ -125,14 +131,14 @@
   EXPECT_EQ(decodeInstance(encodeInstance(listed), reason), listed);
   std::string list =
       R"({"version": 9, "instances": [)" + encodeInstance(listed) + "]}";
-  std::optional<InstanceListResult> result = decodeInstances(list, reason);
+  std::optional<InstanceDelta> result = decodeInstanceDelta(list, reason);
   ASSERT_TRUE(result) << reason.Detail;
   EXPECT_EQ(result->Version, 9U);
   EXPECT_EQ(result->Members, std::vector<ListedMember>{listed});
   for (const char *text :
        {"", "{}", R"({"version": -1, "instances": []})",
         R"({"version": 1, "instances": [{}]})", R"({"instances": []})"})
-    EXPECT_FALSE(decodeInstances(text, reason)) << text;
+    EXPECT_FALSE(decodeInstanceDelta(text, reason)) << text;
 }
 
 } // namespace
--- a/tests/examples/deployments_test.cpp
+++ b/tests/examples/deployments_test.cpp
@@ -1,5 +1,5 @@
+#include "control/instance_codec.h"
 #include "control/object_codec.h"
-#include "edge/instance_list.h"
 
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
@@ -61,7 +61,7 @@
     Error reason;
     auto json = value.get_object();
     json["changed"] = 1;
-    auto listed = edge::decodeInstance(boost::json::serialize(json), reason);
+    auto listed = control::decodeInstance(boost::json::serialize(json), reason);
     ASSERT_TRUE(listed) << value << reason.Detail;
     const Member &member = listed->Instance;
     EXPECT_TRUE(names.insert(member.Name).second) << member.Name;
