Follow news with digests instead of a fourth copy

News told to four random peers misses about one in fifty, and these waited for anti-entropy: with 25 real processes on a busy machine the slowest of 300 deliveries took 1,253 ms at 0.4 changes a second. Now three peers are told and three digests follow within about half a second, each a fraction of the news.

--- a/src/control/gossip.cpp
+++ b/src/control/gossip.cpp
@@ -242,21 +242,31 @@
   for (const Endpoint &peer : to)
     out.Sends.push_back({peer, payload});
   ++Stats.Rounds;
+  FollowUpsDue = Init.FollowUps;
+  NextCompare = std::min(NextCompare, now + untilNextCompare());
   ToldConfig = State.config().content();
   ToldMembers = State.members().content();
   FreshSignals.erase(FreshSignals.begin(),
                      FreshSignals.begin() + static_cast<ptrdiff_t>(signals));
 }
 
+Duration Gossip::untilNextCompare() {
+  Duration around = Init.AntiEntropyInterval;
+  if (FollowUpsDue > 0) {
+    --FollowUpsDue;
+    around = std::min(around, Init.FollowUpInterval);
+  }
+  // Between half and one and a half of it, so that processes that started
+  // together fall out of step.
+  constexpr int64_t Steps = 1024;
+  auto draw = static_cast<int64_t>(Random() % Steps);
+  return around / 2 + around * draw / Steps;
+}
+
 void Gossip::compare(TimePoint now, GossipActions &out) {
   if (now < NextCompare)
     return;
-  // Between half and one and a half intervals, so that processes that started
-  // together fall out of step.
-  constexpr uint64_t Steps = 1024;
-  auto draw = static_cast<int64_t>(Random() % Steps);
-  NextCompare = now + Init.AntiEntropyInterval / 2 +
-                Init.AntiEntropyInterval * draw / static_cast<int64_t>(Steps);
+  NextCompare = now + untilNextCompare();
   for (const Endpoint &peer : Peers.choose(1, Random))
     if (send(peer, wire::encode(PeerMessage(Digest{header(now)})), now, out))
       ++Stats.Compared;
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -25,8 +25,12 @@
   uint32_t Lineage = 0;
   Duration AntiEntropyInterval{1'000'000};
   Duration RumourInterval{20'000}; ///< Least between two rounds of news.
-  size_t Fanout = 4;               ///< Peers told in a round.
-  size_t MaxPayload = 1200;        ///< Of a datagram, in bytes.
+  size_t Fanout = 3;               ///< Peers told in a round.
+  /// Digests sent soon after a round of news. Each costs a fraction of the news
+  /// and finds a peer that the news has missed.
+  int FollowUps = 3;
+  Duration FollowUpInterval{150'000};
+  size_t MaxPayload = 1200; ///< Of a datagram, in bytes.
   uint64_t BytesPerSecond = 64U << 10;
 };
 
@@ -91,6 +95,7 @@
   void takeRumour(const Rumour &rumour, TimePoint now);
   void takeSignal(const AgedSignal &signal, TimePoint now);
   void tellNews(TimePoint now, GossipActions &out);
+  Duration untilNextCompare();
   void compare(TimePoint now, GossipActions &out);
   void answer(const Endpoint &to, const PeerHeader &peer, TimePoint now,
               GossipActions &out);
@@ -127,6 +132,7 @@
   uint64_t ToldMembers = 0;
   std::vector<Signal> FreshSignals;
   TimePoint NextCompare;
+  int FollowUpsDue = 0;
   TimePoint NextRound;
   TimePoint NextPull;
   TimePoint LastTry = NeverTime;
