Take tickets, callers' own keys and bodies of any size at the entry

A non-idempotent call now carries the ticket that its Idempotency-Key is or is bound to, and goes to the ticket's own agent; a call without a key names the agent process it is for. POST /v1/tickets asks one agent after another, as an unused ticket harms nobody. A request with a ticket that no agent answered is reported may_have_run, since only its agent knows of earlier presentations.

Reading requests moved out of the callers' HTTP into a reader of its own.

--- a/src/serve/request_answer.cpp
+++ b/src/serve/request_answer.cpp
@@ -88,6 +88,11 @@
 
 void RequestFlow::giveUp(Error reason, Outcome ran, Step &step) {
   cancelAll(step);
+  // A ticket may have been presented before; only its own agent knows.
+  bool isKnown =
+      Spec.Offer.Ticket.empty() || (!Tries.empty() && Tries.back().Refused);
+  if (!isKnown && ran == Outcome::NotRun)
+    ran = Outcome::MayHaveRun;
   reason.RetryAfter = std::max(reason.RetryAfter, Settings.LeastRetryAfter);
   record(step, EventKind::RequestRefused, 0, reason.Kind,
          Spec.Offer.Organisation);
--- /dev/null
+++ b/tests/serve_entry/caller_request_test.cpp
@@ -0,0 +1,257 @@
+// What callers send, and what they hold: bodies, headers, identifiers.
+#include "serve/caller_answer.h"
+#include "serve/caller_ids.h"
+#include "serve/caller_prompt.h"
+#include "serve/caller_request.h"
+#include "serve/caller_ticket.h"
+
+#include "base/digest.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace daisytack;
+using namespace daisytack::entry;
+
+namespace {
+
+constexpr Duration Second{1'000'000};
+const std::string Secret(32, 's');
+
+Snapshot makeConfig() {
+  Snapshot out;
+  Organisation desk;
+  desk.Name = "desk";
+  desk.KeyHash = hexDigest(sha256("desk key"));
+  Organisation rival;
+  rival.Name = "rival";
+  out.Organisations = {desk, rival};
+  Model model;
+  model.Name = "m";
+  model.Version = "v1";
+  out.Models = {model};
+  RequestClass urgent;
+  urgent.Name = "urgent";
+  urgent.Priority = 9;
+  urgent.Deadline = 2 * Second;
+  RequestClass bulletin;
+  bulletin.Name = "bulletin";
+  bulletin.ReleaseAt = WallTime(100 * Second);
+  out.Classes = {urgent, bulletin};
+  PlainService portal;
+  portal.Name = "portal";
+  out.Services = {portal};
+  out.finish();
+  return out;
+}
+
+class CallerRequestTest : public testing::Test {
+protected:
+  std::optional<RequestSpec> prompt(const CallerInput &input,
+                                    bool chat = false) {
+    CallerContext context{Config, *Config.organisation("desk"), Limits, Now,
+                          Wall};
+    Reason = {};
+    return readPrompt(input, context, chat, Reason);
+  }
+
+  Snapshot Config = makeConfig();
+  CallerLimits Limits;
+  TimePoint Now{5 * Second};
+  WallTime Wall{50 * Second};
+  Error Reason;
+};
+
+CallerInput bodyOf(std::string_view body) {
+  CallerInput out;
+  out.Method = "POST";
+  out.Body = body;
+  return out;
+}
+
+} // namespace
+
+TEST_F(CallerRequestTest, ReadsAPrompt) {
+  CallerInput input = bodyOf(
+      R"({"model":"m","prompt":"abcdefgh","max_tokens":7,"stream":true})");
+  input.Class = "urgent";
+  input.DeadlineMs = "1500";
+  auto spec = prompt(input);
+  ASSERT_TRUE(spec) << Reason.Detail;
+  EXPECT_EQ(spec->Offer.Model, "m");
+  EXPECT_EQ(spec->Offer.Organisation, "desk");
+  EXPECT_EQ(spec->Offer.Priority, 9);
+  EXPECT_EQ(spec->Offer.MaxTokens, 7U);
+  EXPECT_EQ(spec->Offer.PromptTokens, 2U);
+  EXPECT_TRUE(spec->Stream);
+  EXPECT_EQ(spec->Deadline, Now + Duration(1'500'000));
+}
+
+TEST_F(CallerRequestTest, DeadlineIsAtMostTheClasss) {
+  CallerInput input = bodyOf(R"({"model":"m","prompt":"a"})");
+  input.Class = "urgent";
+  input.DeadlineMs = "60000";
+  EXPECT_EQ(prompt(input)->Deadline, Now + 2 * Second);
+}
+
+TEST_F(CallerRequestTest, RefusesWhatItCantKeep) {
+  struct Case {
+    const char *Body;
+    const char *Class;
+    const char *Deadline;
+    ErrorKind Kind;
+  };
+  const Case cases[] = {
+      {"", "", "", ErrorKind::BadRequest},
+      {"[]", "", "", ErrorKind::BadRequest},
+      {R"({"prompt":"a"})", "", "", ErrorKind::BadRequest},
+      {R"({"model":"m"})", "", "", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":""})", "", "", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":7})", "", "", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a","n":2})", "", "", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a","stream":1})", "", "",
+       ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a","max_tokens":-1})", "", "",
+       ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a","max_tokens":99999999})", "", "",
+       ErrorKind::BadRequest},
+      {R"({"model":"x","prompt":"a"})", "", "", ErrorKind::UnknownModel},
+      {R"({"model":"m","prompt":"a"})", "none", "", ErrorKind::UnknownClass},
+      {R"({"model":"m","prompt":"a"})", "", "soon", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a"})", "", "0", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a"})", "", "5x", ErrorKind::BadRequest},
+      {R"({"model":"m","prompt":"a"})", "bulletin", "20000",
+       ErrorKind::DeadlineTooShort},
+  };
+  for (const Case &it : cases) {
+    CallerInput input = bodyOf(it.Body);
+    input.Class = it.Class;
+    input.DeadlineMs = it.Deadline;
+    EXPECT_FALSE(prompt(input)) << it.Body;
+    EXPECT_EQ(Reason.Kind, it.Kind) << it.Body << " " << it.Deadline;
+  }
+}
+
+TEST_F(CallerRequestTest, ReadsChatsWithTextParts) {
+  auto spec = prompt(bodyOf(R"({"model":"m","messages":[
+      {"role":"system","content":"guide"},
+      {"role":"user","content":[{"type":"text","text":"a"},
+                                {"type":"text","text":"b"}]}]})"),
+                     true);
+  ASSERT_TRUE(spec) << Reason.Detail;
+  const ChatMessage messages[] = {{"system", "guide"}, {"user", "ab"}};
+  EXPECT_EQ(promptText(spec->Offer), canonicalText(messages));
+  EXPECT_FALSE(prompt(bodyOf(R"({"model":"m","messages":[]})"), true));
+  EXPECT_FALSE(
+      prompt(bodyOf(R"({"model":"m","messages":[{"role":"user"}]})"), true));
+}
+
+TEST_F(CallerRequestTest, ServiceCallsAreOnceUnlessConfigured) {
+  CallerContext context{Config, *Config.organisation("desk"), Limits, Now,
+                        Wall};
+  CallerInput input = bodyOf("body");
+  input.Target = "/quote?x=1";
+  auto spec = readServiceCall(input, context, "portal", {}, Reason);
+  ASSERT_TRUE(spec);
+  EXPECT_FALSE(spec->Offer.Idempotent);
+  EXPECT_EQ(spec->Offer.Call.Target, "/quote?x=1");
+  EXPECT_FALSE(readServiceCall(input, context, "other", {}, Reason));
+  EXPECT_EQ(Reason.Kind, ErrorKind::UnknownService);
+}
+
+TEST_F(CallerRequestTest, PiecesFollowTheConfiguration) {
+  std::string body =
+      R"({"model":"m","prompt":")" + std::string(PieceBytes * 2, 'x') + R"("})";
+  auto spec = prompt(bodyOf(body));
+  PieceKeyer keyer(Secret);
+  keyPieces(spec->Offer, spec->Scope, Config, keyer);
+  auto first = spec->Offer.Pieces;
+  EXPECT_EQ(first.size(), 2U);
+  EXPECT_EQ(spec->Offer.Version, "v1");
+  keyPieces(spec->Offer, spec->Scope, Config, keyer);
+  EXPECT_EQ(spec->Offer.Pieces, first);
+  Config.Models[0].Version = "v2";
+  keyPieces(spec->Offer, spec->Scope, Config, keyer);
+  EXPECT_EQ(spec->Offer.Version, "v2");
+  EXPECT_NE(spec->Offer.Pieces, first);
+  ReusePolicy none;
+  none.Organisation = "desk";
+  none.Reuse = false;
+  none.Epoch = 1;
+  Config.Policies = {none};
+  keyPieces(spec->Offer, spec->Scope, Config, keyer);
+  EXPECT_TRUE(spec->Offer.Pieces.empty());
+}
+
+TEST(CallerHeaders, KeysAndHeadersThatStayHere) {
+  EXPECT_EQ(bearerKey("Bearer abc"), "abc");
+  EXPECT_EQ(bearerKey("bearer abc"), "abc");
+  for (const char *it : {"", "Bearer", "Bearer ", "Basic abc"})
+    EXPECT_FALSE(bearerKey(it)) << it;
+  for (const char *it : {"Authorization", "X-Daisytack-Class", "Connection",
+                         "Idempotency-Key", "Transfer-Encoding"})
+    EXPECT_FALSE(isPassedOn(it)) << it;
+  EXPECT_TRUE(isPassedOn("Accept-Language"));
+}
+
+TEST(CallerIds, RequestIdsFollowOrganisationAndKey) {
+  CallerIds ids(Secret);
+  EXPECT_EQ(ids.requestId("desk", "k"),
+            CallerIds(Secret).requestId("desk", "k"));
+  EXPECT_NE(ids.requestId("desk", "k"), ids.requestId("rival", "k"));
+  EXPECT_NE(ids.requestId("desk", "k 1"), ids.requestId("desk k", "1"));
+  EXPECT_NE(ids.requestId("desk", "k"),
+            CallerIds(std::string(32, 't')).requestId("desk", "k"));
+}
+
+RC_GTEST_PROP(CallerIds, EventIdsRoundTripForTheirOrganisationAlone, ()) {
+  CallerIds ids(Secret);
+  EventId id{{*rc::gen::arbitrary<uint64_t>(), 7},
+             *rc::gen::element<std::string>("agent-1", "a.b.c", "x"),
+             *rc::gen::arbitrary<uint32_t>()};
+  std::string text = ids.eventId("desk", id);
+  RC_ASSERT(ids.parseEventId("desk", text) == id);
+  RC_ASSERT(!ids.parseEventId("rival", text));
+  auto at = *rc::gen::inRange<size_t>(0, text.size());
+  text[at] = text[at] == '1' ? '2' : '1';
+  RC_ASSERT(!ids.parseEventId("desk", text));
+  RC_ASSERT(!ids.parseEventId("desk", text.substr(0, at)));
+}
+
+TEST(CallerAnswer, WholeAnswersAndPartsAreOpenAiShaped) {
+  AnswerName name{{1, 2}, "m", true, 42};
+  AnswerWhole whole{"text \"quoted\"", {}};
+  whole.Summary.PromptTokens = 10;
+  whole.Summary.RecomputedTokens = 4;
+  whole.Summary.GeneratedTokens = 3;
+  whole.Summary.FirstToken = Duration(1234);
+  auto json = boost::json::parse(wholeAnswerJson(name, whole));
+  EXPECT_EQ(json.at("object"), "chat.completion");
+  const auto &choice = json.at("choices").at(0);
+  EXPECT_EQ(choice.at("message").at("content"), "text \"quoted\"");
+  EXPECT_EQ(json.at("usage").at("total_tokens"), 13);
+  EXPECT_EQ(json.at("usage").at("prompt_tokens_details").at("cached_tokens"),
+            6);
+  EXPECT_EQ(json.at("usage").at("first_token_us"), 1234);
+  auto part = boost::json::parse(answerPartJson(name, "hi", true));
+  EXPECT_EQ(part.at("choices").at(0).at("delta").at("role"), "assistant");
+  name.Chat = false;
+  part = boost::json::parse(answerPartJson(name, "hi", true));
+  EXPECT_EQ(part.at("choices").at(0).at("text"), "hi");
+  auto end = boost::json::parse(answerEndJson(name, whole.Summary));
+  EXPECT_EQ(end.at("choices").at(0).at("finish_reason"), "stop");
+}
+
+TEST(CallerTicket, ReadsWishes) {
+  Snapshot config = makeConfig();
+  Error reason;
+  auto wish = readTicketWish(R"({"service":"portal"})", config, "desk", reason);
+  ASSERT_TRUE(wish);
+  EXPECT_EQ(*wish, (TicketWish{"desk", "portal", true}));
+  EXPECT_TRUE(readTicketWish(R"({"model":"m"})", config, "desk", reason));
+  for (const char *it :
+       {"", "{}", R"({"service":1})", R"({"service":"no"})",
+        R"({"model":"no"})", R"({"service":"portal","model":"m"})"})
+    EXPECT_FALSE(readTicketWish(it, config, "desk", reason)) << it;
+}
--- a/tests/serve_entry/flow_harness.h
+++ b/tests/serve_entry/flow_harness.h
@@ -16,6 +16,7 @@
   bool Stream = true;
   std::optional<uint32_t> ResumeFrom;
   std::optional<Duration> ReleaseIn;
+  const char *Ticket = "";
 };
 
 // Commands, one a line or separated by semicolons. S is a server, N an attempt:
@@ -96,6 +97,7 @@
     out.Offer.Class = "default";
     out.Offer.Model = "m";
     out.Offer.Idempotent = kind.Idempotent;
+    out.Offer.Ticket = kind.Ticket;
     out.Stream = kind.Stream;
     out.Arrived = Now;
     out.Deadline = Now + Duration(10'000'000);
--- a/tests/serve_entry/request_flow_test.cpp
+++ b/tests/serve_entry/request_flow_test.cpp
@@ -13,6 +13,7 @@
 constexpr FlowKind AtOnce{true, false, {}, {}};
 constexpr FlowKind Once{false, true, {}, {}};
 constexpr FlowKind OnceAtOnce{false, false, {}, {}};
+constexpr FlowKind Ticketed{false, false, {}, {}, "ticket"};
 constexpr FlowKind Resumed{true, true, 2, {}};
 constexpr FlowKind Released{true, false, {}, Duration(3'000'000)};
 constexpr FlowKind ReleasedStream{true, true, {}, Duration(3'000'000)};
@@ -73,6 +74,14 @@
      "offer a 1; offer b 2; part 0; end"},
     {"OncePerhapsRun", Once, "refuse a 1 server_lost may",
      "offer a 1; error server_lost may_have_run"},
+    // A ticket may have been presented before, so that only its agent can say
+    // that the call did not run.
+    {"TicketOfAnAgentThatIsGone", Ticketed, "servers a; lost 1 unsent",
+     "offer a 1; error no_server may_have_run"},
+    {"TicketRefusedByItsAgent", Ticketed, "servers a; refuse a 1 record_full",
+     "offer a 1; error record_full not_run"},
+    {"TicketStillRunning", Ticketed, "refuse a 1 still_running may",
+     "offer a 1; error still_running may_have_run"},
     {"OnceTicketTooOld", OnceAtOnce, "refuse a 1 ticket_expired may",
      "offer a 1; error ticket_expired may_have_run"},
 };
--- a/tools/entry/active_request.cpp
+++ b/tools/entry/active_request.cpp
@@ -58,7 +58,7 @@
 FlowHooks ActiveRequest::hooks() {
   FlowHooks out;
   out.Rank = [this](const RequestSpec &spec, const FlowContext &context) {
-    return State.rank(spec, context);
+    return State.rank(spec, context.Now);
   };
   out.TakeRetry = [this] {
     bool taken = State.Retries.tryRetry();
@@ -104,7 +104,7 @@
 }
 
 void ActiveRequest::openAttempt(const std::string &server, Attempt number,
-                                const wire::Message &message) {
+                                wire::Message message) {
   AttemptKey key{Flow.spec().Offer.Id, number};
   std::shared_ptr<const RoutingTable> routes = State.table();
   const Server *to = routes->snapshot().server(server);
@@ -116,7 +116,7 @@
     it->second = shared_from_this();
   }
   Opened.emplace_back(server, key);
-  State.Links.open(*to, key, message);
+  State.Links.open(*to, key, std::move(message));
 }
 
 void ActiveRequest::perform(SendOffer &action) {
--- a/tools/entry/active_request.h
+++ b/tools/entry/active_request.h
@@ -57,7 +57,7 @@
   void perform(FlowEnded &action);
 
   void openAttempt(const std::string &server, Attempt number,
-                   const wire::Message &message);
+                   wire::Message message);
   void respondService(AnswerWhole &action);
   FlowHooks hooks();
 
--- a/tools/entry/agent_links.cpp
+++ b/tools/entry/agent_links.cpp
@@ -37,28 +37,21 @@
     watchIdle();
   }
 
-  /// False when the link has closed and the message was not taken.
-  bool open(const AttemptKey &attempt, std::string frame, TimePoint now) {
+  /// False when the link has closed and the message was left as it was.
+  bool open(const AttemptKey &attempt, wire::Message &message, TimePoint now) {
     std::lock_guard guard(Lock);
     if (Closed)
       return false;
     UsedAt = now;
     Open.insert(attempt);
-    if (Named)
-      Transport->send(std::move(frame));
-    else
-      Waiting.push_back(std::move(frame));
+    sendLocked(std::move(message));
     return true;
   }
 
-  void send(std::string frame) {
+  void send(const wire::Message &message) {
     std::lock_guard guard(Lock);
-    if (Closed)
-      return;
-    if (Named)
-      Transport->send(std::move(frame));
-    else
-      Waiting.push_back(std::move(frame));
+    if (!Closed)
+      sendLocked(message);
   }
 
   void close(const AttemptKey &attempt, TimePoint now) {
@@ -83,6 +76,17 @@
   }
 
 private:
+  /// Queues, which is no I/O.
+  void sendLocked(wire::Message message) {
+    if (!Process) {
+      Waiting.push_back(std::move(message));
+      return;
+    }
+    if (auto *offer = std::get_if<wire::Offer>(&message))
+      offer->Process = *Process;
+    Transport->send(wire::encode(message));
+  }
+
   void onFrame(const std::shared_ptr<net::FrameLink> &link,
                std::string_view frame) {
     Error reason;
@@ -106,9 +110,9 @@
       return false;
     std::lock_guard guard(Lock);
     Transport = link;
-    Named = true;
-    for (std::string &frame : Waiting)
-      Transport->send(std::move(frame));
+    Process = hello.Process;
+    for (wire::Message &message : Waiting)
+      sendLocked(std::move(message));
     Waiting.clear();
     return true;
   }
@@ -120,7 +124,7 @@
       std::lock_guard guard(Lock);
       Closed = true;
       open.swap(Open);
-      named = Named;
+      named = Process.has_value();
       Transport.reset();
       Waiting.clear();
     }
@@ -151,9 +155,9 @@
   const std::string Name;
   mutable std::mutex Lock;
   std::shared_ptr<net::FrameLink> Transport;
-  bool Named = false; ///< The agent's hello was the one expected.
+  std::optional<Incarnation> Process; ///< Of the agent, once it said hello.
   bool Closed = false;
-  std::vector<std::string> Waiting;
+  std::vector<wire::Message> Waiting;
   std::unordered_set<AttemptKey, AttemptKeyHash> Open;
   TimePoint UsedAt;
   boost::asio::steady_timer IdleTimer;
@@ -181,6 +185,11 @@
     link = std::make_shared<Link>(*this, server.Name);
     it->second = link;
   }
+  {
+    std::lock_guard guard(AllLock);
+    std::erase_if(All, [](const auto &it) { return it.expired(); });
+    All.push_back(link);
+  }
   link->connect(server.Work);
   return link;
 }
@@ -192,19 +201,18 @@
 }
 
 void AgentLinks::open(const Server &server, const AttemptKey &attempt,
-                      const wire::Message &message) {
-  std::string frame = wire::encode(message);
+                      wire::Message message) {
   // A link that closed in between is replaced once; its attempt is then lost
   // like any other.
   for (int i = 0; i < 2; ++i)
-    if (findOrConnect(server)->open(attempt, frame, monotonicNow()))
+    if (findOrConnect(server)->open(attempt, message, monotonicNow()))
       return;
   Hooks.Lost(attempt, false);
 }
 
 void AgentLinks::send(const std::string &server, const wire::Message &message) {
   if (std::shared_ptr<Link> link = find(server))
-    link->send(wire::encode(message));
+    link->send(message);
 }
 
 void AgentLinks::close(const std::string &server, const AttemptKey &attempt) {
@@ -213,8 +221,14 @@
 }
 
 void AgentLinks::stop() {
-  for (const auto &[name, link] : Links)
-    link->shut();
+  std::vector<std::weak_ptr<Link>> all;
+  {
+    std::lock_guard guard(AllLock);
+    all.swap(All);
+  }
+  for (const auto &it : all)
+    if (std::shared_ptr<Link> link = it.lock())
+      link->shut();
 }
 
 } // namespace daisytack::entry
--- a/tools/entry/agent_links.h
+++ b/tools/entry/agent_links.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -34,6 +35,11 @@
   static bool equal(const AttemptKey &a, const AttemptKey &b) { return a == b; }
 };
 
+struct Id128Hash {
+  static size_t hash(const Id128 &id) { return std::hash<Id128>()(id); }
+  static bool equal(const Id128 &a, const Id128 &b) { return a == b; }
+};
+
 /// Called on I/O threads, in order for one agent.
 struct AgentHooks {
   /// A message of the agent that the entry meant; any but Hello.
@@ -58,10 +64,11 @@
              AgentHooks hooks);
   ~AgentLinks();
 
-  /// Sends the first message of an attempt, connecting when needed. Lost is
-  /// called for it unless it is closed first.
+  /// Sends the first message of an attempt, connecting when needed; an offer is
+  /// addressed to the agent's present process. Lost is called for the attempt
+  /// unless it is closed first.
   void open(const Server &server, const AttemptKey &attempt,
-            const wire::Message &message);
+            wire::Message message);
   /// Sends to the agent if a connection stands; drops the message otherwise.
   void send(const std::string &server, const wire::Message &message);
   /// The attempt no longer waits for the agent.
@@ -82,6 +89,9 @@
   AgentLinksInit Init;
   AgentHooks Hooks;
   LinkMap Links;
+  /// The map can't be walked while links come and go.
+  std::mutex AllLock;
+  std::vector<std::weak_ptr<Link>> All;
 };
 
 } // namespace daisytack::entry
--- a/tools/entry/caller_http.h
+++ b/tools/entry/caller_http.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "active_request.h"
+#include "caller_reader.h"
 #include "entry_state.h"
 #include "net/http_server.h"
+#include "ticket_desk.h"
 
 #include <tbb/task_arena.h>
 
@@ -16,7 +18,8 @@
 /// Thread-safe.
 class CallerHttp {
 public:
-  CallerHttp(EntryState &state, std::function<runtime::Readiness()> ready);
+  CallerHttp(EntryState &state, TicketDesk &desk,
+             std::function<runtime::Readiness()> ready);
 
   bool start(Error &reason);
   uint16_t port() const { return Server.port(); }
@@ -33,22 +36,23 @@
     RequestId Id;
     TimePoint Arrived;
   };
+  using IncomingPtr = std::shared_ptr<Incoming>;
 
   void handle(net::HttpRequest request,
               const std::shared_ptr<net::HttpExchange> &exchange);
   Error admit(const Incoming &incoming) const;
-  void read(Incoming incoming);
-  std::optional<RequestSpec> understand(Incoming &incoming,
-                                        const Snapshot &config,
-                                        const Organisation &caller,
-                                        Error &reason);
-  std::optional<RequestSpec> understandResume(const Incoming &incoming,
-                                              const Snapshot &config,
-                                              const Organisation &caller,
-                                              Error &reason);
+  void read(const IncomingPtr &incoming);
+  /// Gives a non-idempotent request the ticket that its key stands for.
+  void findTicket(const IncomingPtr &incoming, RequestSpec spec);
+  void issueTicket(const IncomingPtr &incoming, const Snapshot &config,
+                   const Organisation &caller);
+  void launch(const Incoming &incoming, RequestSpec spec);
   void refuse(const Incoming &incoming, const Error &reason);
+  /// Refuses a request that was counted as running.
+  void refuseRunning(const Incoming &incoming, const Error &reason);
 
   EntryState &State;
+  TicketDesk &Desk;
   std::function<runtime::Readiness()> Ready;
   std::atomic<bool> Draining{false};
   tbb::task_arena Workers;
--- a/tools/entry/entry_options.cpp
+++ b/tools/entry/entry_options.cpp
@@ -44,6 +44,8 @@
       "requests.max_tokens", out.Limits.MaxTokens, 1, 1 << 24));
   out.Retries.Share =
       settings.number("requests.retry_share", out.Retries.Share, 0, 1);
+  out.BindingsPerSecond = settings.number("requests.bindings_per_second",
+                                          out.BindingsPerSecond, 0.1, 1000);
   out.Router.HomeReuse =
       settings.number("requests.home_reuse", out.Router.HomeReuse, 0, 1);
 }
--- a/tools/entry/entry_options.h
+++ b/tools/entry/entry_options.h
@@ -28,6 +28,8 @@
   RetryBudgetSettings Retries;
   EjectionSettings Ejection;
   LimitSettings Allotment;
+  double BindingsPerSecond = 5; ///< Of callers' own keys to tickets.
+  double BindingBurst = 20;
   const Member &self() const { return Instance.Control.Self; }
 
   Duration ConnectTimeout{500'000}; ///< To an agent.
--- a/tools/entry/entry_shell.cpp
+++ b/tools/entry/entry_shell.cpp
@@ -33,7 +33,9 @@
           secureRandom),
       State(io, Options, Counters,
             [this](Event event) { Ring.record(std::move(event)); }),
-      Callers(State, [this] { return Control.readiness(); }), DrainTimer(io) {}
+      Desk(State, edge::makeEtcdStore(Client, Options.Instance.KeyValue)),
+      Callers(State, Desk, [this] { return Control.readiness(); }),
+      DrainTimer(io) {}
 
 EntryShell::~EntryShell() = default;
 
--- a/tools/entry/entry_shell.h
+++ b/tools/entry/entry_shell.h
@@ -8,6 +8,7 @@
 #include "entry_state.h"
 #include "net/http_client.h"
 #include "runtime/control_runtime.h"
+#include "ticket_desk.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,6 +35,7 @@
   net::HttpClient Client;
   runtime::ControlRuntime Control;
   EntryState State;
+  TicketDesk Desk;
   CallerHttp Callers;
   boost::asio::steady_timer DrainTimer;
   TimePoint DrainSince;
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -3,6 +3,8 @@
 #include "active_request.h"
 #include "base/clock.h"
 #include "base/digest.h"
+#include "once/ticket.h"
+#include "ticket_fetch.h"
 
 #include <algorithm>
 
@@ -45,12 +47,17 @@
 }
 
 Attempt EntryState::freshTry() {
-  constexpr uint32_t Step = 2 * MaxAttempts;
-  return NextTry.fetch_add(Step, std::memory_order_relaxed);
+  return NextTry.fetch_add(2 * MaxAttempts, std::memory_order_relaxed);
 }
 
 std::vector<Candidate> EntryState::rank(const RequestSpec &spec,
-                                        const FlowContext &context) {
+                                        TimePoint now) {
+  if (!spec.Offer.Ticket.empty()) {
+    Error ignored;
+    std::optional<Ticket> ticket = parseTicket(spec.Offer.Ticket, ignored);
+    return ticket ? std::vector<Candidate>{{ticket->Instance, {}}}
+                  : std::vector<Candidate>();
+  }
   std::shared_ptr<const RoutingTable> routes = table();
   bool isService = !spec.Service.empty();
   std::string_view serves = poolName(spec);
@@ -59,9 +66,9 @@
                    std::hash<Id128>()(spec.Offer.Id));
   CandidateList list =
       routes->candidates(serves, isService, key, Options.self().Region);
-  RouteDecision decision = rankCandidates(
-      list, routes->snapshot(), Loads, Options.Router, spec.Offer.PromptTokens,
-      key, Options.self().Region, context.Now);
+  RouteDecision decision =
+      rankCandidates(list, routes->snapshot(), Loads, Options.Router,
+                     spec.Offer.PromptTokens, key, Options.self().Region, now);
   Event event;
   event.Kind = EventKind::RequestRouted;
   event.Request = spec.Offer.Id;
@@ -73,7 +80,7 @@
   std::vector<Candidate> ejected;
   for (const RankedCandidate &it : decision) {
     const Server &server = routes->snapshot().Servers[it.Server.Index];
-    bool isOut = Ejected.isEjected(server.NameHash, context.Now);
+    bool isOut = Ejected.isEjected(server.NameHash, now);
     (isOut ? ejected : out).push_back({server.Name, it.FirstToken});
   }
   // An ejected server is better than none.
@@ -114,8 +121,11 @@
   };
   out.Lost = [this](const AttemptKey &attempt, bool mayBeDelivered) {
     AttemptTable::const_accessor it;
-    if (!Attempts.find(it, attempt))
+    if (!Attempts.find(it, attempt)) {
+      if (std::shared_ptr<TicketFetch> fetch = ticketFetch(attempt.Id))
+        fetch->onLost(attempt.Try);
       return;
+    }
     std::shared_ptr<ActiveRequest> request = it->second;
     it.release();
     request->push(LinkLost{attempt.Try, mayBeDelivered});
@@ -124,8 +134,14 @@
   return out;
 }
 
+std::shared_ptr<TicketFetch>
+EntryState::ticketFetch(const RequestId &id) const {
+  TicketTable::const_accessor it;
+  return Tickets.find(it, id) ? it->second : nullptr;
+}
+
 void EntryState::onMessage(const std::string &server, wire::Message message) {
-  auto deliver = [&](auto &&body) {
+  auto deliver = [&]<class Body>(Body body) {
     AttemptTable::const_accessor it;
     if (!Attempts.find(it, AttemptKey{body.Id, body.Try}))
       return Counts.Stray.add();
@@ -147,6 +163,9 @@
   } else if (auto *finished = std::get_if<wire::Finished>(&message)) {
     learn(finished->Load);
     deliver(std::move(*finished));
+  } else if (auto *reply = std::get_if<wire::TicketReply>(&message)) {
+    if (std::shared_ptr<TicketFetch> fetch = ticketFetch(reply->Id))
+      fetch->onReply(*reply);
   }
 }
 
--- a/tools/entry/entry_state.h
+++ b/tools/entry/entry_state.h
@@ -24,12 +24,17 @@
 namespace daisytack::entry {
 
 class ActiveRequest;
+class TicketFetch;
 
 /// Requests in flight by each of their attempts.
 using AttemptTable =
     tbb::concurrent_hash_map<AttemptKey, std::shared_ptr<ActiveRequest>,
                              AttemptKeyHash>;
 
+/// Tickets being asked for.
+using TicketTable =
+    tbb::concurrent_hash_map<Id128, std::shared_ptr<TicketFetch>, Id128Hash>;
+
 /// Thread-safe in all members.
 class EntryState {
 public:
@@ -40,9 +45,8 @@
   std::shared_ptr<const RoutingTable> table();
   void publish(std::shared_ptr<const Snapshot> snapshot);
 
-  /// Candidates for a request, best first.
-  std::vector<Candidate> rank(const RequestSpec &spec,
-                              const FlowContext &context);
+  /// Candidates for a request, best first. A ticket has one, its issuer.
+  std::vector<Candidate> rank(const RequestSpec &spec, TimePoint now);
   void note(const NoteServer &note, const RequestSpec &spec);
   /// First attempt number of a flow whose request id is not its own.
   Attempt freshTry();
@@ -57,11 +61,13 @@
   RetryBudget Retries;
   Ejector Ejected;
   AttemptTable Attempts;
+  TicketTable Tickets;
   AgentLinks Links;
   std::atomic<size_t> Running{0};
 
 private:
   AgentHooks agentHooks();
+  std::shared_ptr<TicketFetch> ticketFetch(const RequestId &id) const;
   void onMessage(const std::string &server, wire::Message message);
 
   using Reader = Rcu<RoutingTable>::Reader;
--- /dev/null
+++ b/tools/entry/ticket_desk.cpp
@@ -0,0 +1,109 @@
+#include "ticket_desk.h"
+
+#include "base/clock.h"
+#include "base/digest.h"
+#include "ticket_fetch.h"
+
+#include <utility>
+
+namespace daisytack::entry {
+
+namespace {
+
+constexpr Duration KvTimeout{2'000'000};
+constexpr Duration KvRetryAfter{1'000'000};
+
+TicketResult refused(Error reason) {
+  if (reason.RetryAfter.count() == 0)
+    reason.RetryAfter = KvRetryAfter;
+  return {std::move(reason), {}, {}};
+}
+
+} // namespace
+
+/// One submission on its way to its ticket.
+struct TicketDesk::Binding {
+  BindRequest Request;
+  std::optional<KeyBinding> Steps;
+  TicketDone Done;
+};
+
+TicketDesk::TicketDesk(EntryState &state, edge::KvStore kv)
+    : State(state), Kv(std::move(kv)),
+      Budget({state.Options.BindingsPerSecond, state.Options.BindingBurst}),
+      Lease(BindingLeaseInit()) {}
+
+void TicketDesk::issue(const TicketWish &wish, TicketDone done) {
+  std::make_shared<TicketFetch>(State, wish, std::move(done))->start();
+}
+
+void TicketDesk::bind(const TicketWish &wish, const std::string &key,
+                      TicketDone done) {
+  Error reason;
+  {
+    std::lock_guard guard(Lock);
+    Budget.take(monotonicNow(), reason);
+  }
+  if (reason)
+    return done(refused(std::move(reason)));
+  auto binding = std::make_shared<Binding>();
+  binding->Request.Organisation = wish.Organisation;
+  binding->Request.IdempotencyKey = key;
+  binding->Request.Claimant = randomId(secureRandom);
+  binding->Done = std::move(done);
+  issue(wish, [this, binding](TicketResult issued) {
+    if (issued.Reason)
+      return binding->Done(std::move(issued));
+    binding->Request.Ticket = std::move(issued.Ticket);
+    withLease(binding);
+  });
+}
+
+void TicketDesk::withLease(const std::shared_ptr<Binding> &binding) {
+  TimePoint now = monotonicNow();
+  std::optional<uint64_t> lease;
+  Duration timeToLive;
+  {
+    std::lock_guard guard(Lock);
+    lease = Lease.current(now);
+    timeToLive = Lease.settings().TimeToLive;
+  }
+  if (lease) {
+    binding->Request.Lease = *lease;
+    binding->Steps.emplace(binding->Request);
+    return proceed(binding, binding->Steps->start());
+  }
+  Kv.GrantLease(timeToLive, KvTimeout,
+                [this, binding, now](const edge::KvLeaseResult &granted) {
+                  if (granted.Header.Status != edge::KvStatus::Ok)
+                    return binding->Done(refused(
+                        {ErrorKind::ServiceUnavailable,
+                         "the key can't be bound while the service is down"}));
+                  {
+                    std::lock_guard guard(Lock);
+                    Lease.granted(granted.Lease, now);
+                  }
+                  withLease(binding);
+                });
+}
+
+void TicketDesk::proceed(const std::shared_ptr<Binding> &binding,
+                         BindStep step) {
+  if (auto *write = std::get_if<edge::KvTransaction>(&step)) {
+    Kv.Commit(std::move(*write), KvTimeout,
+              [this, binding](const edge::KvTransactionResult &result) {
+                proceed(binding, binding->Steps->onCommit(result));
+              });
+  } else if (auto *read = std::get_if<edge::KvRange>(&step)) {
+    Kv.Range(std::move(*read), KvTimeout,
+             [this, binding](const edge::KvRangeResult &result) {
+               proceed(binding, binding->Steps->onRange(result));
+             });
+  } else if (auto *bound = std::get_if<KeyBound>(&step)) {
+    binding->Done({{}, std::move(bound->Ticket), {}});
+  } else if (auto *no = std::get_if<KeyRefused>(&step)) {
+    binding->Done(refused(std::move(no->Reason)));
+  }
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/ticket_fetch.cpp
@@ -0,0 +1,90 @@
+#include "ticket_fetch.h"
+
+#include "base/clock.h"
+#include "base/digest.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <utility>
+
+namespace daisytack::entry {
+
+namespace {
+
+constexpr Duration AskPatience{1'000'000};
+constexpr Duration RetryAfter{1'000'000};
+
+} // namespace
+
+TicketFetch::TicketFetch(EntryState &state, TicketWish wish, TicketDone done)
+    : State(state), Strand(state.Io.get_executor()), Timer(Strand),
+      Wish(std::move(wish)), Id(randomId(secureRandom)), Done(std::move(done)) {
+}
+
+void TicketFetch::start() {
+  State.Tickets.insert({Id, shared_from_this()});
+  boost::asio::dispatch(Strand, [self = shared_from_this()] {
+    RequestSpec spec;
+    spec.Offer.Id = self->Id;
+    spec.Offer.Organisation = self->Wish.Organisation;
+    spec.Offer.Model = self->Wish.Serves;
+    if (self->Wish.IsService)
+      spec.Service = self->Wish.Serves;
+    self->Candidates = self->State.rank(spec, monotonicNow());
+    self->ask();
+  });
+}
+
+void TicketFetch::ask() {
+  if (Asked >= Candidates.size())
+    return finish(
+        {{ErrorKind::NoServer, "no server issues a ticket now", RetryAfter},
+         {},
+         {}});
+  const Candidate &to = Candidates[Asked++];
+  std::shared_ptr<const RoutingTable> routes = State.table();
+  const Server *server = routes->snapshot().server(to.Server);
+  if (server == nullptr)
+    return ask();
+  Timer.expires_after(AskPatience);
+  Timer.async_wait([weak = weak_from_this(),
+                    number = Asked](const boost::system::error_code &ec) {
+    auto self = weak.lock();
+    if (self && !ec && self->Asked == number)
+      self->ask();
+  });
+  wire::TicketRequest request{Id, Wish.Organisation, Wish.Serves};
+  State.Links.open(*server, {Id, Asked}, wire::Message(std::move(request)));
+}
+
+void TicketFetch::onReply(const wire::TicketReply &reply) {
+  boost::asio::dispatch(Strand, [self = shared_from_this(), reply] {
+    if (!self->Done)
+      return;
+    if (reply.Kind == ErrorKind::None)
+      return self->finish({{},
+                           reply.Ticket,
+                           Duration(static_cast<int64_t>(reply.ValidMicros))});
+    self->ask();
+  });
+}
+
+void TicketFetch::onLost(Attempt attempt) {
+  boost::asio::dispatch(Strand, [self = shared_from_this(), attempt] {
+    if (self->Done && self->Asked == attempt)
+      self->ask();
+  });
+}
+
+void TicketFetch::finish(TicketResult result) {
+  if (!Done)
+    return;
+  Timer.cancel();
+  for (Attempt i = 1; i <= Asked; ++i)
+    State.Links.close(Candidates[i - 1].Server, {Id, i});
+  State.Tickets.erase(Id);
+  TicketDone done = std::exchange(Done, nullptr);
+  done(std::move(result));
+}
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/ticket_fetch.h
@@ -0,0 +1,38 @@
+/// One ticket asked of one agent after another. An unused ticket harms nobody,
+/// so an agent that is slow or lost is passed over.
+#pragma once
+
+#include "ticket_desk.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace daisytack::entry {
+
+class TicketFetch : public std::enable_shared_from_this<TicketFetch> {
+public:
+  TicketFetch(EntryState &state, TicketWish wish, TicketDone done);
+
+  void start();
+  /// From any thread.
+  void onReply(const wire::TicketReply &reply);
+  void onLost(Attempt attempt);
+
+private:
+  void ask();
+  void finish(TicketResult result);
+
+  EntryState &State;
+  boost::asio::strand<boost::asio::io_context::executor_type> Strand;
+  boost::asio::steady_timer Timer;
+  const TicketWish Wish;
+  const RequestId Id;
+  TicketDone Done;
+  std::vector<Candidate> Candidates;
+  Attempt Asked = 0; ///< Number of the agent asked last, from 1.
+};
+
+} // namespace daisytack::entry
