Answer operators over HTTP: queries over the fleet, commands, events, health

Every process now can serve the operators' routes through one class. Pages end after a whole instance, so that no row is lost between two pages; asking stops once a page is full. The caller's own key is passed on and every process checks it, so that no process is trusted more than the operator who asks. Overwritten events show as gaps.

Commands go to the control part one change after the other and answer their true outcome (200 applied or unchanged, 409 conflict with the other change, 503 not applied, 504 unknown); with a wait they tell how many processes have the change in force. stop asks the entry that took a request, or all entries for a class.

--- a/src/query/command_plan.cpp
+++ b/src/query/command_plan.cpp
@@ -146,6 +146,7 @@
       if (policy.Organisation == it.Organisation && policy.Class != AnyClass)
         classes.push_back(policy.Class);
     std::vector<control::Command> out;
+    out.reserve(classes.size());
     for (const std::string &name : classes)
       out.push_back(raiseEpoch(it.Organisation + ":" + name, epoch));
     return out;
--- a/src/query/query_parser.cpp
+++ b/src/query/query_parser.cpp
@@ -26,6 +26,7 @@
 
 std::string columnList(const std::vector<Column> &columns) {
   std::vector<std::string_view> names;
+  names.reserve(columns.size());
   for (const Column &column : columns)
     names.push_back(column.Name);
   return alternatives(names);
--- a/src/query/query_plan.cpp
+++ b/src/query/query_plan.cpp
@@ -67,10 +67,9 @@
 /// One request: its entry, and later the servers that the entry names.
 void narrowToRequest(const Query &query, const Snapshot &snapshot,
                      QueryPlan &plan) {
-  auto text = wanted(query, "request");
-  if (!text || wanted(query, "instance"))
+  if (!wanted(query, "request") || wanted(query, "instance"))
     return;
-  auto id = parseId128(*text);
+  std::optional<RequestId> id = requestOf(query);
   for (const Member &entry : snapshot.Entries)
     if (id && isMintedBy(*id, entry.Name))
       plan.RequestEntry = entry;
@@ -105,6 +104,11 @@
   }
 }
 
+std::optional<RequestId> requestOf(const Query &query) {
+  auto text = wanted(query, "request");
+  return text ? parseId128(*text) : std::nullopt;
+}
+
 Query eventsOfRequest(const RequestId &id) {
   Query out;
   out.From = TableName::Events;
--- a/src/query/query_plan.h
+++ b/src/query/query_plan.h
@@ -30,6 +30,8 @@
 /// and kept context, both know refusals and events.
 bool hasRows(TableName table, MemberRole role);
 
+/// The request that the query is about; nothing when it is about several.
+std::optional<RequestId> requestOf(const Query &query);
 /// The events of one request, to ask its entry for.
 Query eventsOfRequest(const RequestId &id);
 /// Agents that these events name.
--- /dev/null
+++ b/src/runtime/operator_command.cpp
@@ -0,0 +1,246 @@
+#include "runtime/operator_command.h"
+
+#include "base/clock.h"
+#include "base/request_id.h"
+#include "query/command_plan.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <atomic>
+
+namespace daisytack::runtime {
+
+namespace {
+
+namespace json = boost::json;
+using control::CommandOutcome;
+
+/// Between two questions how far a change got.
+constexpr Duration ForcePause{200'000};
+/// A single question to the fleet lasts at most this long.
+constexpr Duration ForceTimeout{1'000'000};
+constexpr unsigned HttpOk = 200;
+
+CommandAnswer refused(Error reason) {
+  CommandAnswer out;
+  out.Outcome = CommandOutcome::Refused;
+  out.Reason = std::move(reason);
+  return out;
+}
+
+bool hasTakenEffect(CommandOutcome outcome) {
+  return outcome == CommandOutcome::Applied ||
+         outcome == CommandOutcome::Unchanged;
+}
+
+json::object forceToJson(const ForceReport &report) {
+  json::array missing;
+  for (const std::string &name : report.Missing)
+    missing.emplace_back(name);
+  return {{"members", report.Members},
+          {"asked", report.Asked},
+          {"in_force", report.InForce},
+          {"missing", std::move(missing)}};
+}
+
+json::object otherToJson(const control::OtherChange &other) {
+  return {{"operator", other.Stamp.Operator},
+          {"command", toHex(other.Stamp.Command)},
+          {"revision", other.Revision},
+          {"value", other.Value}};
+}
+
+/// Entries that may hold what the target names.
+std::vector<Member> entriesFor(const query::StopTarget &target,
+                               const Snapshot &snapshot) {
+  std::vector<Member> out;
+  for (const Member &it : snapshot.Entries)
+    if (!target.Request || isMintedBy(*target.Request, it.Name))
+      out.push_back(it);
+  return out;
+}
+
+/// Requests stopped, as another entry reports them; nothing when it doesn't.
+std::optional<uint64_t> stoppedIn(const FleetReply &reply) {
+  if (reply.Failure || reply.Response.Status != HttpOk)
+    return std::nullopt;
+  boost::system::error_code ec;
+  json::value body = json::parse(reply.Response.Body, ec);
+  if (ec || !body.is_object())
+    return std::nullopt;
+  const json::value *count = body.get_object().if_contains("stopped");
+  uint64_t out = count ? count->to_number<uint64_t>(ec) : 0;
+  if (!count || ec)
+    return std::nullopt;
+  return out;
+}
+
+/// Sums what the entries report.
+struct StopSum {
+  uint64_t Stopped = 0;
+  size_t Silent = 0;
+};
+
+CommandAnswer answerOf(const StopSum &sum, size_t asked) {
+  CommandAnswer out;
+  out.Stopped = sum.Stopped;
+  out.Planned = asked;
+  out.Changes = asked - sum.Silent;
+  out.Outcome =
+      sum.Stopped > 0 ? CommandOutcome::Applied : CommandOutcome::Unchanged;
+  if (sum.Silent > 0) {
+    out.Outcome = CommandOutcome::Unknown;
+    out.Reason = {ErrorKind::ServerLost,
+                  std::to_string(sum.Silent) + " of " + std::to_string(asked) +
+                      " entries did not answer",
+                  {}};
+  }
+  return out;
+}
+
+} // namespace
+
+std::string toJson(const CommandAnswer &answer) {
+  json::object out{{"outcome", control::commandOutcomeName(answer.Outcome)},
+                   {"revision", answer.Revision},
+                   {"changes", answer.Changes},
+                   {"planned", answer.Planned}};
+  if (answer.Reason) {
+    out["kind"] = errorName(answer.Reason.Kind);
+    out["detail"] = answer.Reason.Detail;
+    out["remedy"] = errorRemedy(answer.Reason.Kind);
+  }
+  if (answer.Other)
+    out["other"] = otherToJson(*answer.Other);
+  if (answer.Stopped)
+    out["stopped"] = *answer.Stopped;
+  if (answer.InForce)
+    out["in_force"] = forceToJson(*answer.InForce);
+  return json::serialize(out);
+}
+
+unsigned commandStatus(const CommandAnswer &answer) {
+  switch (answer.Outcome) {
+  case CommandOutcome::Applied:
+  case CommandOutcome::Unchanged:
+    return HttpOk;
+  case CommandOutcome::Refused:
+    return errorStatus(answer.Reason ? answer.Reason.Kind
+                                     : ErrorKind::BadValue);
+  case CommandOutcome::Conflict:
+    return errorStatus(ErrorKind::Conflict);
+  case CommandOutcome::Unavailable:
+    return errorStatus(ErrorKind::ServiceUnavailable);
+  case CommandOutcome::Unknown:
+    return errorStatus(ErrorKind::ServiceUnknown);
+  }
+  return errorStatus(ErrorKind::Internal);
+}
+
+void OperatorCommands::run(const query::OperatorCommand &command,
+                           std::string_view text, const OperatorCaller &caller,
+                           Duration wait, DoneHook done) {
+  if (const auto *it = std::get_if<query::StopWork>(&command)) {
+    stop(it->Target, text, caller, std::move(done));
+    return;
+  }
+  Error reason;
+  query::CommandContext context{caller.Name, Init.Clock(), Init.Random};
+  auto snapshot = Init.Control.Snapshots();
+  auto changes = query::planCommand(command, *snapshot, context, reason);
+  if (!changes) {
+    done(refused(std::move(reason)));
+    return;
+  }
+  CommandAnswer answer;
+  answer.Outcome = CommandOutcome::Unchanged;
+  answer.Planned = changes->size();
+  auto shared =
+      std::make_shared<std::vector<control::Command>>(std::move(*changes));
+  proposeNext(std::move(shared), std::move(answer), wait, std::move(done));
+}
+
+void OperatorCommands::proposeNext(
+    std::shared_ptr<std::vector<control::Command>> changes, CommandAnswer soFar,
+    Duration wait, DoneHook done) {
+  if (soFar.Changes == changes->size()) {
+    if (wait > Duration::zero())
+      waitInForce(std::move(soFar), monotonicNow() + wait, std::move(done));
+    else
+      done(std::move(soFar));
+    return;
+  }
+  control::Command next = (*changes)[soFar.Changes];
+  Init.Control.Propose(std::move(next), [this, changes, soFar, wait,
+                                         done](control::CommandResult result) {
+    CommandAnswer answer = soFar;
+    answer.Reason = std::move(result.Reason);
+    answer.Other = std::move(result.Other);
+    if (!hasTakenEffect(result.Outcome)) {
+      answer.Outcome = result.Outcome;
+      done(std::move(answer));
+      return;
+    }
+    ++answer.Changes;
+    if (result.Outcome == CommandOutcome::Applied)
+      answer.Outcome = CommandOutcome::Applied;
+    answer.Revision = std::max(answer.Revision, result.Revision);
+    proposeNext(changes, std::move(answer), wait, done);
+  });
+}
+
+void OperatorCommands::waitInForce(CommandAnswer answer, TimePoint until,
+                                   DoneHook done) {
+  Duration left = until - monotonicNow();
+  auto timeout = std::clamp(left, Duration(1), ForceTimeout);
+  Init.Control.GatherInForce(
+      answer.Revision, timeout,
+      [this, answer, until, done](ForceReport report) {
+        CommandAnswer next = answer;
+        bool isEverywhere = report.InForce == report.Asked;
+        next.InForce = std::move(report);
+        if (isEverywhere || monotonicNow() >= until) {
+          done(std::move(next));
+          return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(Io);
+        timer->expires_after(ForcePause);
+        timer->async_wait(
+            [this, timer, next, until, done](boost::system::error_code) {
+              waitInForce(next, until, done);
+            });
+      });
+}
+
+void OperatorCommands::stop(const query::StopTarget &target,
+                            std::string_view text, const OperatorCaller &caller,
+                            DoneHook done) {
+  if (caller.IsLocal) {
+    StopSum own;
+    own.Stopped = Init.Hooks.Stop ? Init.Hooks.Stop(target) : 0;
+    done(answerOf(own, 1));
+    return;
+  }
+  auto entries = entriesFor(target, *Init.Control.Snapshots());
+  if (entries.empty()) {
+    done(refused({ErrorKind::NotFound,
+                  "the entry that took this request has gone",
+                  {}}));
+    return;
+  }
+  auto sum = std::make_shared<StopSum>();
+  FleetHooks hooks;
+  hooks.Replied = [sum](size_t, const FleetReply &reply) {
+    auto stopped = stoppedIn(reply);
+    sum->Stopped += stopped.value_or(0);
+    sum->Silent += stopped ? 0 : 1;
+    return true;
+  };
+  hooks.Done = [sum, done](size_t asked) { done(answerOf(*sum, asked)); };
+  askFleet(Client, std::move(entries),
+           fleetRequest(Init, Self, caller, "/v1/command", text),
+           std::move(hooks));
+}
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/operator_http.cpp
@@ -0,0 +1,333 @@
+#include "runtime/operator_http.h"
+
+#include "base/digest.h"
+#include "net/problem.h"
+#include "query/command_parser.h"
+#include "query/query_parser.h"
+#include "runtime/operator_command.h"
+#include "runtime/operator_query.h"
+#include "runtime/operator_view.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace daisytack::runtime {
+
+namespace {
+
+namespace json = boost::json;
+using Exchange = std::shared_ptr<net::HttpExchange>;
+
+constexpr size_t MaxBodyBytes = 16U << 10;
+constexpr size_t MaxEventsPerPage = 1000;
+constexpr int64_t MaxWaitMs = 60'000;
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpNotReady = 503;
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view BootstrapName = "bootstrap";
+
+net::HttpResponse plainResponse(unsigned status, std::string type,
+                                std::string body) {
+  return {status, {{"Content-Type", std::move(type)}}, std::move(body)};
+}
+
+net::HttpResponse jsonResponse(unsigned status, std::string body) {
+  return plainResponse(status, "application/json", std::move(body));
+}
+
+void refuse(const Exchange &exchange, const Error &error) {
+  exchange->respond(net::problemResponse(error, Outcome::NotRun, {}));
+}
+
+/// A statement as it was sent.
+struct Statement {
+  std::string Text;
+  bool IsLocal = false;
+  Duration Wait{0};
+};
+
+std::optional<Statement> statementOf(std::string_view body, Error &reason) {
+  boost::system::error_code ec;
+  json::value parsed = json::parse(body, ec);
+  const json::object *object = ec ? nullptr : parsed.if_object();
+  const json::value *text = object ? object->if_contains("text") : nullptr;
+  if (!text || !text->is_string()) {
+    reason = {ErrorKind::BadRequest, R"(the body must be {"text": "..."})", {}};
+    return std::nullopt;
+  }
+  Statement out;
+  out.Text = std::string_view(text->get_string());
+  if (const json::value *scope = object->if_contains("scope"))
+    out.IsLocal = *scope == "local";
+  if (const json::value *wait = object->if_contains("wait_ms")) {
+    auto ms = wait->to_number<int64_t>(ec);
+    if (ec || ms < 0 || ms > MaxWaitMs) {
+      reason = {ErrorKind::BadRequest,
+                "wait_ms must be from 0 to " + std::to_string(MaxWaitMs),
+                {}};
+      return std::nullopt;
+    }
+    out.Wait = std::chrono::milliseconds(ms);
+  }
+  return out;
+}
+
+/// A number in a URL's query; the fallback when it is absent or none.
+uint64_t parameter(std::string_view query, std::string_view name,
+                   uint64_t fallback) {
+  while (!query.empty()) {
+    std::string_view pair = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(pair.size() + 1, query.size()));
+    if (!pair.starts_with(name) || pair.substr(name.size(), 1) != "=")
+      continue;
+    pair.remove_prefix(name.size() + 1);
+    uint64_t out = 0;
+    auto [end, ec] = std::from_chars(pair.begin(), pair.end(), out);
+    return ec == std::errc() && end == pair.end() ? out : fallback;
+  }
+  return fallback;
+}
+
+json::object eventToJson(uint64_t sequence, const Event &event) {
+  json::array scores;
+  for (int64_t score : event.Scores)
+    scores.emplace_back(score);
+  json::object out{
+      {"sequence", sequence},        {"wall_us", event.At.Wall},
+      {"logical", event.At.Logical}, {"event", eventName(event.Kind)},
+      {"attempt", event.Try},        {"subject", event.Subject},
+      {"scores", std::move(scores)}};
+  if (event.Request.isValid())
+    out["request"] = toHex(event.Request);
+  if (event.Reason != ErrorKind::None)
+    out["reason"] = errorName(event.Reason);
+  return out;
+}
+
+Readiness readinessOf(const OperatorInit &init) {
+  Readiness control = init.Control.Ready();
+  if (!control.Ready || !init.Hooks.Ready)
+    return control;
+  return init.Hooks.Ready();
+}
+
+} // namespace
+
+OperatorSettings readOperatorSettings(Settings &settings,
+                                      const Endpoint &peer) {
+  OperatorSettings out;
+  out.PortOffset = static_cast<uint16_t>(
+      settings.integer("operators.port_offset", 1, 1, 1000));
+  Endpoint fallback{peer.Address,
+                    static_cast<uint16_t>(peer.Port + out.PortOffset)};
+  out.Listen = settings.endpoint("operators.listen", fallback);
+  out.BootstrapKeyHash =
+      settings.has("operators.bootstrap_key_sha256")
+          ? settings.secret("operators.bootstrap_key_sha256", std::nullopt)
+          : "";
+  if (!out.BootstrapKeyHash.empty() && !parsePieceKey(out.BootstrapKeyHash))
+    settings.reject("operators.bootstrap_key_sha256",
+                    "write the SHA-256 of the key as 64 lower-case hexadecimal "
+                    "digits, as 'daisytack key-hash' prints it");
+  out.QueryDeadline = settings.duration(
+      "operators.query_deadline", out.QueryDeadline,
+      std::chrono::milliseconds(100), std::chrono::minutes(1));
+  out.MaxAtOnce = static_cast<uint32_t>(
+      settings.integer("operators.max_at_once", out.MaxAtOnce, 1, 1024));
+  return out;
+}
+
+OperatorControl controlHooks(ControlRuntime &control) {
+  OperatorControl out;
+  out.Snapshots = [&control] { return control.snapshots().load(); };
+  out.Ready = [&control] { return control.readiness(); };
+  out.Propose = [&control](control::Command command, auto done) {
+    control.propose(std::move(command), std::move(done));
+  };
+  out.GatherInForce = [&control](uint64_t revision, Duration timeout,
+                                 auto done) {
+    control.gatherInForce(revision, timeout, std::move(done));
+  };
+  return out;
+}
+
+struct OperatorHttp::Impl {
+  Impl(boost::asio::io_context &io, OperatorInit init, Metrics &metrics,
+       EventRing &events, net::HttpClient &client)
+      : Init(std::move(init)), Counts(metrics), Ring(events),
+        View(Init, events), Queries(Init, View, client),
+        Commands(io, Init, client),
+        Server(io, serverInit(),
+               [this](net::HttpRequest request, Exchange exchange) {
+                 route(request, exchange);
+               }) {}
+
+  net::HttpServerInit serverInit() const {
+    net::HttpServerInit out;
+    out.Listen = Init.Settings.Listen;
+    out.MaxBodyBytes = MaxBodyBytes;
+    return out;
+  }
+
+  void route(const net::HttpRequest &request, const Exchange &exchange);
+  void routeOpen(const net::HttpRequest &request, const Exchange &exchange);
+  void routeOperator(const net::HttpRequest &request, const Exchange &exchange,
+                     OperatorCaller caller);
+  std::optional<OperatorCaller> authenticate(const net::HttpRequest &request);
+  void query(const Statement &statement, const OperatorCaller &caller,
+             const Exchange &exchange);
+  void command(const Statement &statement, const OperatorCaller &caller,
+               const Exchange &exchange);
+  std::string eventsJson(std::string_view query) const;
+
+  OperatorInit Init;
+  Metrics &Counts;
+  EventRing &Ring;
+  OperatorView View;
+  OperatorQueries Queries;
+  OperatorCommands Commands;
+  net::HttpServer Server;
+};
+
+void OperatorHttp::Impl::route(const net::HttpRequest &request,
+                               const Exchange &exchange) {
+  const std::string &path = request.Path;
+  bool isOpen = path == "/metrics" || path == "/healthz" || path == "/readyz";
+  bool isRead = isOpen || path == "/v1/events";
+  bool isStatement = path == "/v1/query" || path == "/v1/command";
+  if (!isRead && !isStatement)
+    return refuse(exchange, {ErrorKind::NotFound, "no such path", {}});
+  std::string method = isRead ? "GET" : "POST";
+  if (request.Method != method)
+    return refuse(exchange, {ErrorKind::MethodNotAllowed, "use " + method, {}});
+  if (isOpen)
+    return routeOpen(request, exchange);
+  auto caller = authenticate(request);
+  if (!caller)
+    return refuse(
+        exchange,
+        {ErrorKind::Unauthenticated, "no operator has this bearer key", {}});
+  routeOperator(request, exchange, std::move(*caller));
+}
+
+void OperatorHttp::Impl::routeOpen(const net::HttpRequest &request,
+                                   const Exchange &exchange) {
+  if (request.Path == "/metrics") {
+    exchange->respond(plainResponse(HttpOk, "text/plain; version=0.0.4",
+                                    Counts.prometheusText()));
+    return;
+  }
+  if (request.Path == "/healthz") {
+    exchange->respond(plainResponse(HttpOk, "text/plain", "ok\n"));
+    return;
+  }
+  Readiness it = readinessOf(Init);
+  json::object body{{"ready", it.Ready}, {"reason", it.Reason}};
+  exchange->respond(
+      jsonResponse(it.Ready ? HttpOk : HttpNotReady, json::serialize(body)));
+}
+
+std::optional<OperatorCaller>
+OperatorHttp::Impl::authenticate(const net::HttpRequest &request) {
+  std::string_view header = request.header("Authorization");
+  if (!header.starts_with(BearerPrefix))
+    return std::nullopt;
+  std::string key(header.substr(BearerPrefix.size()));
+  auto snapshot = Init.Control.Snapshots();
+  if (const OperatorAccount *account = snapshot->operatorByKey(key))
+    return OperatorCaller{account->Name, account->Role, key};
+  const std::string &bootstrap = Init.Settings.BootstrapKeyHash;
+  bool isBootstrap = !bootstrap.empty() &&
+                     equalConstantTime(hexDigest(sha256(key)), bootstrap);
+  if (!isBootstrap)
+    return std::nullopt;
+  return OperatorCaller{std::string(BootstrapName), OperatorRole::Administrator,
+                        key};
+}
+
+void OperatorHttp::Impl::routeOperator(const net::HttpRequest &request,
+                                       const Exchange &exchange,
+                                       OperatorCaller caller) {
+  if (request.Path == "/v1/events") {
+    exchange->respond(jsonResponse(HttpOk, eventsJson(request.Query)));
+    return;
+  }
+  Error reason;
+  auto statement = statementOf(request.Body, reason);
+  if (!statement)
+    return refuse(exchange, reason);
+  caller.IsLocal = statement->IsLocal;
+  if (request.Path == "/v1/query")
+    query(*statement, caller, exchange);
+  else
+    command(*statement, caller, exchange);
+}
+
+void OperatorHttp::Impl::query(const Statement &statement,
+                               const OperatorCaller &caller,
+                               const Exchange &exchange) {
+  query::ParseError wrong;
+  auto parsed = query::parseQuery(statement.Text, wrong);
+  if (!parsed)
+    return refuse(exchange, query::toError(wrong));
+  Queries.run(*parsed, caller, [exchange](const query::Answer &answer) {
+    exchange->respond(jsonResponse(HttpOk, query::toJson(answer)));
+  });
+}
+
+void OperatorHttp::Impl::command(const Statement &statement,
+                                 const OperatorCaller &caller,
+                                 const Exchange &exchange) {
+  query::ParseError wrong;
+  auto parsed = query::parseCommand(statement.Text, wrong);
+  if (!parsed)
+    return refuse(exchange, query::toError(wrong));
+  if (caller.Role < query::roleFor(*parsed))
+    return refuse(exchange, {ErrorKind::Forbidden,
+                             "the role of operator '" + caller.Name +
+                                 "' does not permit this command",
+                             {}});
+  Commands.run(*parsed, statement.Text, caller, statement.Wait,
+               [exchange](const CommandAnswer &answer) {
+                 exchange->respond(
+                     jsonResponse(commandStatus(answer), toJson(answer)));
+               });
+}
+
+std::string OperatorHttp::Impl::eventsJson(std::string_view query) const {
+  uint64_t from = parameter(query, "from", 0);
+  uint64_t limit = std::min<uint64_t>(
+      parameter(query, "limit", MaxEventsPerPage), MaxEventsPerPage);
+  EventRing::Page page = Ring.read(from, limit);
+  json::array events;
+  for (size_t i = 0; i < page.Events.size(); ++i)
+    events.push_back(eventToJson(page.FirstSequence + i, page.Events[i]));
+  return json::serialize(json::object{{"instance", Init.Instance},
+                                      {"first", page.FirstSequence},
+                                      {"next", page.NextSequence},
+                                      {"events", std::move(events)}});
+}
+
+OperatorHttp::OperatorHttp(boost::asio::io_context &io, OperatorInit init,
+                           Metrics &metrics, EventRing &events,
+                           net::HttpClient &client)
+    : Self(std::make_shared<Impl>(io, std::move(init), metrics, events,
+                                  client)) {}
+
+OperatorHttp::~OperatorHttp() = default;
+
+bool OperatorHttp::start(Error &reason) {
+  if (!Self->Server.start(reason))
+    return false;
+  Endpoint self{Self->Init.Settings.Listen.Address, Self->Server.port()};
+  Self->Queries.setSelf(self);
+  Self->Commands.setSelf(self);
+  return true;
+}
+
+uint16_t OperatorHttp::port() const { return Self->Server.port(); }
+
+void OperatorHttp::stopAccepting() { Self->Server.stopAccepting(); }
+
+} // namespace daisytack::runtime
--- /dev/null
+++ b/src/runtime/operator_query.cpp
@@ -0,0 +1,215 @@
+#include "runtime/operator_query.h"
+
+#include "query/query_executor.h"
+#include "query/query_parser.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <memory>
+
+namespace daisytack::runtime {
+
+namespace {
+
+constexpr unsigned HttpOk = 200;
+
+void addSilent(query::Answer &out, std::string name, std::string reason) {
+  if (out.Silent.size() < query::MaxSilentNames)
+    out.Silent.push_back({std::move(name), std::move(reason)});
+}
+
+/// The answer in a reply; nothing with the reason when there is none.
+std::optional<query::Answer> answerIn(const FleetReply &reply, Error &reason) {
+  reason = reply.Failure;
+  if (reason)
+    return std::nullopt;
+  if (reply.Response.Status != HttpOk) {
+    reason = {ErrorKind::ProtocolError,
+              "answered " + std::to_string(reply.Response.Status),
+              {}};
+    return std::nullopt;
+  }
+  return query::parseAnswer(reply.Response.Body, reason);
+}
+
+std::string reasonText(const Error &error) {
+  std::string out(errorName(error.Kind));
+  return error.Detail.empty() ? out : out + ": " + error.Detail;
+}
+
+/// Collects the answers of a round, and joins them in the order asked.
+class Gathering {
+public:
+  Gathering(query::Query query, const query::QueryPlan &plan)
+      : Query(std::move(query)), Plan(plan), Parts(plan.Instances.size()) {}
+
+  /// False once the rows fill a page.
+  bool take(size_t index, const FleetReply &reply) {
+    Part &part = Parts[index];
+    part.Answer = answerIn(reply, part.Reason);
+    RowCount += part.Answer ? part.Answer->Rows.Rows.size() : 0;
+    return Plan.All || RowCount < Query.Limit;
+  }
+
+  /// A page ends after the instance whose rows fill it, so that none shows in
+  /// part; the next page begins after that instance.
+  query::Answer finish(size_t asked) const {
+    query::Answer out;
+    std::vector<query::Table> tables;
+    size_t rows = 0;
+    size_t i = 0;
+    for (; i < asked && (Plan.All || rows < Query.Limit); ++i) {
+      addPart(out, tables, i);
+      rows += Parts[i].Answer ? Parts[i].Answer->Rows.Rows.size() : 0;
+    }
+    if (i > 0 && i < Parts.size())
+      out.Next = Plan.Instances[i - 1].Name;
+    query::Query whole = Query;
+    whole.Limit = Plan.All ? Query.Limit : rows;
+    out.Rows = query::merge(whole, tables);
+    return out;
+  }
+
+private:
+  /// What one member answered.
+  struct Part {
+    std::optional<query::Answer> Answer;
+    Error Reason;
+  };
+
+  void addPart(query::Answer &out, std::vector<query::Table> &tables,
+               size_t index) const {
+    const Part &part = Parts[index];
+    ++out.Asked;
+    if (!part.Answer) {
+      addSilent(out, Plan.Instances[index].Name, reasonText(part.Reason));
+      return;
+    }
+    ++out.Answered;
+    out.Truncated = out.Truncated || part.Answer->Truncated;
+    out.Gaps.insert(out.Gaps.end(), part.Answer->Gaps.begin(),
+                    part.Answer->Gaps.end());
+    tables.push_back(part.Answer->Rows);
+  }
+
+  query::Query Query;
+  query::QueryPlan Plan;
+  std::vector<Part> Parts; ///< As many as the plan's instances.
+  size_t RowCount = 0;
+};
+
+query::Answer nothingAsked(const query::Query &query) {
+  query::Answer out;
+  out.Rows = query::merge(query, {});
+  return out;
+}
+
+/// The entry that minted a request's identifier doesn't answer.
+query::Answer entryIsSilent(const query::Query &query, const Member &entry,
+                            const Error &reason) {
+  query::Answer out = nothingAsked(query);
+  out.Asked = 1;
+  addSilent(out, entry.Name, reasonText(reason));
+  return out;
+}
+
+} // namespace
+
+std::string localBody(std::string_view text) {
+  return boost::json::serialize(
+      boost::json::object{{"text", text}, {"scope", "local"}});
+}
+
+FleetRequest fleetRequest(const OperatorInit &init, const Endpoint &self,
+                          const OperatorCaller &caller, std::string path,
+                          std::string_view text) {
+  FleetRequest out;
+  out.Http.Method = "POST";
+  out.Http.Path = std::move(path);
+  out.Http.Headers = {{"Authorization", "Bearer " + caller.BearerKey},
+                      {"Content-Type", "application/json"}};
+  out.Http.Body = localBody(text);
+  out.AddressOf = [self, name = init.Instance,
+                   offset = init.Settings.PortOffset](const Member &it) {
+    if (it.Name == name)
+      return self;
+    return Endpoint{it.Peer.Address,
+                    static_cast<uint16_t>(it.Peer.Port + offset)};
+  };
+  out.MaxAtOnce = init.Settings.MaxAtOnce;
+  out.Deadline = init.Settings.QueryDeadline;
+  return out;
+}
+
+void OperatorQueries::run(const query::Query &query,
+                          const OperatorCaller &caller, DoneHook done) const {
+  auto snapshot = Init.Control.Snapshots();
+  query::QueryPlan plan = query::planQuery(query, *snapshot);
+  if (plan.Local || caller.IsLocal)
+    done(View.answer(query, caller.Role));
+  else if (plan.RequestEntry)
+    follow(query, caller, std::move(plan), std::move(done));
+  else
+    gather(query, caller, plan, done);
+}
+
+void OperatorQueries::follow(const query::Query &query,
+                             const OperatorCaller &caller,
+                             query::QueryPlan plan, DoneHook done) const {
+  Member entry = *plan.RequestEntry;
+  query::Query lookup =
+      query::eventsOfRequest(query::requestOf(query).value_or(RequestId{}));
+  FleetHooks hooks;
+  hooks.Replied = [this, query, caller, entry, plan = std::move(plan),
+                   done = std::move(done)](size_t, const FleetReply &reply) {
+    Error reason;
+    auto events = answerIn(reply, reason);
+    if (events)
+      gather(query, caller, withServers(plan, query, events->Rows), done);
+    else
+      done(entryIsSilent(query, entry, reason));
+    return false;
+  };
+  hooks.Done = [](size_t) {};
+  askFleet(
+      Client, {entry},
+      fleetRequest(Init, Self, caller, "/v1/query", query::toString(lookup)),
+      std::move(hooks));
+}
+
+query::QueryPlan
+OperatorQueries::withServers(query::QueryPlan plan, const query::Query &query,
+                             const query::Table &events) const {
+  if (!query::hasRows(query.From, MemberRole::Agent))
+    return plan;
+  auto snapshot = Init.Control.Snapshots();
+  for (Member &it : query::serversNamedBy(events, *snapshot))
+    plan.Instances.push_back(std::move(it));
+  return plan;
+}
+
+void OperatorQueries::gather(const query::Query &query,
+                             const OperatorCaller &caller,
+                             const query::QueryPlan &plan,
+                             const DoneHook &done) const {
+  if (plan.Instances.empty()) {
+    done(nothingAsked(query));
+    return;
+  }
+  query::Query part = query;
+  part.After.clear();
+  auto gathering = std::make_shared<Gathering>(query, plan);
+  FleetHooks hooks;
+  hooks.Replied = [gathering](size_t index, const FleetReply &reply) {
+    return gathering->take(index, reply);
+  };
+  hooks.Done = [gathering, done](size_t asked) {
+    done(gathering->finish(asked));
+  };
+  askFleet(Client, plan.Instances,
+           fleetRequest(Init, Self, caller, "/v1/query", query::toString(part)),
+           std::move(hooks));
+}
+
+} // namespace daisytack::runtime
