--- a/src/runtime/operator_command.cpp
+++ b/src/runtime/operator_command.cpp
@@ -34,7 +34,7 @@
          outcome == CommandOutcome::Unchanged;
 }
 
-json::object forceToJson(const ForceReport &report) {
+json::object forceToJson(const control::ForceReport &report) {
   json::array missing;
   for (const std::string &name : report.Missing)
     missing.emplace_back(name);
@@ -140,9 +140,9 @@
 
 void OperatorCommands::run(const query::OperatorCommand &command,
                            std::string_view text, const OperatorCaller &caller,
-                           Duration wait, DoneHook done) {
+                           Duration wait, const DoneHook &done) {
   if (const auto *it = std::get_if<query::StopWork>(&command)) {
-    stop(it->Target, text, caller, std::move(done));
+    stop(it->Target, text, caller, done);
     return;
   }
   Error reason;
@@ -156,17 +156,16 @@
   CommandAnswer answer;
   answer.Outcome = CommandOutcome::Unchanged;
   answer.Planned = changes->size();
-  auto shared =
-      std::make_shared<std::vector<control::Command>>(std::move(*changes));
-  proposeNext(std::move(shared), std::move(answer), wait, std::move(done));
+  auto shared = std::make_shared<const std::vector<control::Command>>(
+      std::move(*changes));
+  proposeNext(shared, std::move(answer), wait, done);
 }
 
-void OperatorCommands::proposeNext(
-    std::shared_ptr<std::vector<control::Command>> changes, CommandAnswer soFar,
-    Duration wait, DoneHook done) {
+void OperatorCommands::proposeNext(const Changes &changes, CommandAnswer soFar,
+                                   Duration wait, const DoneHook &done) {
   if (soFar.Changes == changes->size()) {
     if (wait > Duration::zero())
-      waitInForce(std::move(soFar), monotonicNow() + wait, std::move(done));
+      waitInForce(soFar, monotonicNow() + wait, done);
     else
       done(std::move(soFar));
     return;
@@ -190,13 +189,13 @@
   });
 }
 
-void OperatorCommands::waitInForce(CommandAnswer answer, TimePoint until,
-                                   DoneHook done) {
+void OperatorCommands::waitInForce(const CommandAnswer &answer, TimePoint until,
+                                   const DoneHook &done) {
   Duration left = until - monotonicNow();
   auto timeout = std::clamp(left, Duration(1), ForceTimeout);
   Init.Control.GatherInForce(
       answer.Revision, timeout,
-      [this, answer, until, done](ForceReport report) {
+      [this, answer, until, done](control::ForceReport report) {
         CommandAnswer next = answer;
         bool isEverywhere = report.InForce == report.Asked;
         next.InForce = std::move(report);
@@ -215,7 +214,7 @@
 
 void OperatorCommands::stop(const query::StopTarget &target,
                             std::string_view text, const OperatorCaller &caller,
-                            DoneHook done) {
+                            const DoneHook &done) {
   if (caller.IsLocal) {
     StopSum own;
     own.Stopped = Init.Hooks.Stop ? Init.Hooks.Stop(target) : 0;
--- a/src/runtime/operator_command.h
+++ b/src/runtime/operator_command.h
@@ -17,8 +17,9 @@
   std::optional<control::OtherChange> Other;
   size_t Changes = 0; ///< Applied, of a command that makes several.
   size_t Planned = 0;
-  std::optional<uint64_t> Stopped;    ///< Requests, by a stop command.
-  std::optional<ForceReport> InForce; ///< When the operator waits for it.
+  std::optional<uint64_t> Stopped; ///< Requests, by a stop command.
+  std::optional<control::ForceReport>
+      InForce; ///< When the operator waits for it.
 };
 
 /// JSON text; the HTTP status that carries it is commandStatus().
@@ -38,14 +39,17 @@
   /// Text is the command as it was written. A wait above zero asks how far the
   /// change got, until it is in force everywhere or the wait has passed.
   void run(const query::OperatorCommand &command, std::string_view text,
-           const OperatorCaller &caller, Duration wait, DoneHook done);
+           const OperatorCaller &caller, Duration wait, const DoneHook &done);
 
 private:
-  void proposeNext(std::shared_ptr<std::vector<control::Command>> changes,
-                   CommandAnswer soFar, Duration wait, DoneHook done);
+  using Changes = std::shared_ptr<const std::vector<control::Command>>;
+
+  void proposeNext(const Changes &changes, CommandAnswer soFar, Duration wait,
+                   const DoneHook &done);
   void stop(const query::StopTarget &target, std::string_view text,
-            const OperatorCaller &caller, DoneHook done);
-  void waitInForce(CommandAnswer answer, TimePoint until, DoneHook done);
+            const OperatorCaller &caller, const DoneHook &done);
+  void waitInForce(const CommandAnswer &answer, TimePoint until,
+                   const DoneHook &done);
 
   boost::asio::io_context &Io;
   const OperatorInit &Init;
--- a/src/runtime/operator_http.cpp
+++ b/src/runtime/operator_http.cpp
@@ -142,8 +142,8 @@
   OperatorControl out;
   out.Snapshots = [&control] { return control.snapshots().load(); };
   out.Ready = [&control] { return control.readiness(); };
-  out.Propose = [&control](control::Command command, auto done) {
-    control.propose(std::move(command), std::move(done));
+  out.Propose = [&control](const control::Command &command, auto done) {
+    control.propose(command, std::move(done));
   };
   out.GatherInForce = [&control](uint64_t revision, Duration timeout,
                                  auto done) {
@@ -159,9 +159,9 @@
         View(Init, events), Queries(Init, View, client),
         Commands(io, Init, client),
         Server(io, serverInit(),
-               [this](net::HttpRequest request, Exchange exchange) {
-                 route(request, exchange);
-               }) {}
+               [this](const net::HttpRequest &request,
+                      const Exchange &exchange) { route(request, exchange); }) {
+  }
 
   net::HttpServerInit serverInit() const {
     net::HttpServerInit out;
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -91,7 +91,7 @@
     };
     out.GatherInForce = [this](uint64_t, Duration, const auto &done) {
       ++ForceAsked;
-      ForceReport report{4, 4, ForceAsked < 3 ? 3U : 4U, {}};
+      control::ForceReport report{4, 4, ForceAsked < 3 ? 3U : 4U, {}};
       done(report);
     };
     return out;
