--- a/src/query/cell.cpp
+++ b/src/query/cell.cpp
@@ -163,15 +163,15 @@
 }
 
 std::optional<WallTime> parseTime(std::string_view text) {
-  constexpr size_t dateSize = 10;
-  constexpr size_t clockSize = 8;
-  constexpr size_t leastSize = dateSize + 1 + clockSize + 1;
-  if (text.size() < leastSize || text[dateSize] != 'T' || text.back() != 'Z')
+  constexpr size_t DateSize = 10;
+  constexpr size_t ClockSize = 8;
+  constexpr size_t LeastSize = DateSize + 1 + ClockSize + 1;
+  if (text.size() < LeastSize || text[DateSize] != 'T' || text.back() != 'Z')
     return std::nullopt;
-  auto date = dateOf(text.substr(0, dateSize));
-  auto clock = timeOfDay(text.substr(dateSize + 1, clockSize));
+  auto date = dateOf(text.substr(0, DateSize));
+  auto clock = timeOfDay(text.substr(DateSize + 1, ClockSize));
   text.remove_suffix(1);
-  auto micros = fractionMicros(text.substr(dateSize + 1 + clockSize));
+  auto micros = fractionMicros(text.substr(DateSize + 1 + ClockSize));
   if (!date || !clock || !micros)
     return std::nullopt;
   int64_t seconds = (date->time_since_epoch() + *clock).count();
--- a/src/query/command_parser.cpp
+++ b/src/query/command_parser.cpp
@@ -269,10 +269,10 @@
 }
 
 const std::vector<std::string_view> &commandVerbs() {
-  static const std::vector<std::string_view> verbs{
+  static const std::vector<std::string_view> Verbs{
       "admit", "drain",   "undrain", "swap",  "stop",
       "set",   "release", "purge",   "delete"};
-  return verbs;
+  return Verbs;
 }
 
 std::vector<std::string_view> objectKinds() {
--- a/src/query/rows.cpp
+++ b/src/query/rows.cpp
@@ -5,9 +5,9 @@
 namespace daisytack::query {
 
 std::string_view requestStateName(RequestState state) {
-  constexpr std::array<std::string_view, 4> names{"offered", "waiting",
+  constexpr std::array<std::string_view, 4> Names{"offered", "waiting",
                                                   "running", "held"};
-  return names[static_cast<size_t>(state)];
+  return Names[static_cast<size_t>(state)];
 }
 
 } // namespace daisytack::query
--- a/src/query/tables.cpp
+++ b/src/query/tables.cpp
@@ -43,14 +43,14 @@
 }
 
 std::string_view stateName(MemberState state) {
-  constexpr std::array<std::string_view, 3> names{"live", "leaving", "gone"};
-  return names[static_cast<size_t>(state)];
+  constexpr std::array<std::string_view, 3> Names{"live", "leaving", "gone"};
+  return Names[static_cast<size_t>(state)];
 }
 
 std::string_view keepName(KeepRule keep) {
-  constexpr std::array<std::string_view, 3> names{"never", "second_sight",
+  constexpr std::array<std::string_view, 3> Names{"never", "second_sight",
                                                   "always"};
-  return names[static_cast<size_t>(keep)];
+  return Names[static_cast<size_t>(keep)];
 }
 
 using HeardRows = std::unordered_map<std::string_view, const ServerRow *>;
@@ -65,9 +65,9 @@
 
 /// Defaults for a server that never answered here.
 const ServerRow &heardOf(const HeardRows &heard, std::string_view name) {
-  static const ServerRow silent;
+  static const ServerRow Silent;
   auto it = heard.find(name);
-  return it == heard.end() ? silent : *it->second;
+  return it == heard.end() ? Silent : *it->second;
 }
 
 bool isOfState(TableName which, const RequestRow &row) {
