Let common prefixes not decide the home, and learn what a home saves

A small sketch now counts prefixes; one that begins more than half of what a server gets is passed over for a longer one, and a prompt that is common throughout is spread. What the home and the further candidates save is learned from the tokens recomputed, and a reported wait now fades by half in its own length.

--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -4,6 +4,8 @@
 #include "policy_agent.h"
 
 #include "decide/limits.h"
+#include "decide/prefix_popularity.h"
+#include "decide/reuse_estimate.h"
 #include "decide/routing.h"
 
 #include <queue>
@@ -148,6 +150,8 @@
   std::vector<StoreInstance> StoreNames;
   std::vector<Organisation> Customers;
   std::vector<std::unique_ptr<LoadView>> Loads;
+  std::vector<std::unique_ptr<PrefixPopularity>> Popularity;
+  std::vector<std::unique_ptr<ReuseEstimate>> Reuse;
   std::vector<std::unique_ptr<OrganisationLimits>> Limits;
   std::vector<std::unique_ptr<AllotmentOwner>> Owners;
   std::shared_ptr<Snapshot> Members;
--- a/src/decide/load_view.cpp
+++ b/src/decide/load_view.cpp
@@ -59,8 +59,12 @@
       static_cast<double>(slot.WaitMicros.load(std::memory_order_relaxed));
   if (age <= 0 || wait <= 0)
     return Duration(static_cast<int64_t>(std::max(wait, 0.0)));
-  double halvings =
-      static_cast<double>(age) / static_cast<double>(Settings.HalfLife.count());
+  // A queue of so much work lasts for about as long: a short wait is soon
+  // gone, a long one tells for longer.
+  double halfLife =
+      std::clamp(wait, static_cast<double>(Settings.ShortestHalfLife.count()),
+                 static_cast<double>(Settings.LongestHalfLife.count()));
+  double halvings = static_cast<double>(age) / halfLife;
   return Duration(static_cast<int64_t>(wait * std::exp2(-halvings)));
 }
 
--- a/src/decide/load_view.h
+++ b/src/decide/load_view.h
@@ -15,7 +15,9 @@
 struct LoadViewSettings {
   size_t Capacity = 1U << 14; ///< Servers remembered; rounded up to a power of
                               ///< two. The oldest of a set is forgotten.
-  Duration HalfLife{2'000'000};   ///< A reported wait counts half after this.
+  /// A reported wait counts half after a time as long as itself, within these.
+  Duration ShortestHalfLife{100'000};
+  Duration LongestHalfLife{10'000'000};
   Duration SlowStart{10'000'000}; ///< Ramp of a new or returning server.
   double SlowStartFloor = 0.1; ///< Share of its requests that a new server gets
                                ///< at the start of the ramp.
--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -55,14 +55,15 @@
 } // namespace
 
 RouteKey makeRouteKey(uint64_t organisationHash, std::string_view serves,
-                      std::span<const PieceKey> pieces, uint64_t requestHash) {
+                      std::span<const PieceKey> pieces, uint64_t requestHash,
+                      std::optional<uint32_t> depth) {
   uint64_t base = mix64(organisationHash ^ hashName(serves));
   RouteKey out{base, mix64(requestHash ^ SpillSalt)};
-  if (pieces.empty()) {
+  if (pieces.empty() || !depth) {
     out.Home = mix64(base ^ requestHash);
     return out;
   }
-  size_t n = std::min<size_t>(pieces.size(), RoutingPieces);
+  size_t n = std::min<size_t>(pieces.size(), *depth);
   for (size_t i = 0; i < n; ++i)
     out.Home = mix64(out.Home ^ leadingBytes(pieces[i]));
   return out;
@@ -190,6 +191,12 @@
   return out;
 }
 
+size_t RoutingTable::servers(std::string_view serves, bool isService,
+                             std::string_view region) const {
+  const RegionServers *part = find(find(serves, isService), region);
+  return part == nullptr ? 0 : part->Servers.size();
+}
+
 size_t RoutingTable::memory() const {
   size_t out = 0;
   for (const PoolIndex &pool : Pools)
@@ -210,18 +217,22 @@
                              const RouterSettings &settings,
                              uint32_t promptTokens, const RouteKey &key,
                              std::string_view region, TimePoint now,
-                             const Ejector *ejector) {
+                             const Ejector *ejector,
+                             const ReuseEstimate *learned) {
   std::array<ScoredCandidate, MaxCandidates> scored;
-  double reuse = settings.HomeReuse;
+  std::array<double, MaxCandidates> reuse =
+      learned != nullptr
+          ? learned->shares()
+          : ReuseEstimate(settings.HomeReuse, settings.NextReuse).shares();
   RouteDecision out;
   for (; out.Count < candidates.Count; ++out.Count) {
     ServerHandle handle = candidates.Servers[out.Count];
     const Server &server = snapshot.Servers[handle.Index];
     LoadEstimate load = loads.estimate(server.NameHash, now);
-    double lacking = (1.0 - reuse) * promptTokens;
-    reuse *= settings.NextReuse;
+    double lacking = (1.0 - reuse[out.Count]) * promptTokens;
     ScoredCandidate &it = scored[out.Count];
     it.Candidate.Server = handle;
+    it.Candidate.Place = out.Count;
     it.Candidate.Wait = load.Wait;
     it.Candidate.FirstToken = load.Wait + prefillTime(lacking, load);
     if (server.Region != region)
--- a/src/decide/routing.h
+++ b/src/decide/routing.h
@@ -8,10 +8,12 @@
 #include "decide/ejection.h"
 #include "decide/hash_ring.h"
 #include "decide/load_view.h"
+#include "decide/reuse_estimate.h"
 
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -26,11 +28,13 @@
   auto operator<=>(const RouteKey &) const = default;
 };
 
-/// The key of a request. Only the first RoutingPieces piece keys count. A
-/// request without whole pieces (a short prompt, or a call to a plain service)
-/// has nothing to reuse and is spread over the pool by the request hash.
+/// The key of a request. Of the piece keys only the leading ones count, so many
+/// as PrefixPopularity says. A request without whole pieces (a short prompt, or
+/// a call to a plain service) or without a depth has nothing to gain from a
+/// home and is spread over the pool by the request hash.
 RouteKey makeRouteKey(uint64_t organisationHash, std::string_view serves,
-                      std::span<const PieceKey> pieces, uint64_t requestHash);
+                      std::span<const PieceKey> pieces, uint64_t requestHash,
+                      std::optional<uint32_t> depth = RoutingPieces);
 
 /// Distinct servers in the order in which they should be weighed.
 struct CandidateList {
@@ -64,6 +68,9 @@
                            const RouteKey &key, std::string_view region) const;
   /// Bytes of all rings.
   size_t memory() const;
+  /// Servers of the pool in the region.
+  size_t servers(std::string_view serves, bool isService,
+                 std::string_view region) const;
 
 private:
   /// The servers of one pool in one region. Indices are those of the ring's
@@ -109,6 +116,7 @@
   ServerHandle Server;
   Duration FirstToken{0}; ///< Predicted, from the offer on.
   Duration Wait{0};       ///< Part of FirstToken.
+  uint32_t Place = 0;     ///< In the list of candidates, for ReuseEstimate.
   bool operator==(const RankedCandidate &) const = default;
 };
 
@@ -128,12 +136,13 @@
 /// the tokens that the server is expected to lack. The prompt's tokens thus
 /// decide how much wait the home's reuse is worth. Servers that said that they
 /// leave, that are ejected, or whose slow start spares them this request, come
-/// after all others.
+/// after all others. Without a learned reuse, that of the settings counts.
 RouteDecision rankCandidates(const CandidateList &candidates,
                              const Snapshot &snapshot, const LoadView &loads,
                              const RouterSettings &settings,
                              uint32_t promptTokens, const RouteKey &key,
                              std::string_view region, TimePoint now,
-                             const Ejector *ejector = nullptr);
+                             const Ejector *ejector = nullptr,
+                             const ReuseEstimate *learned = nullptr);
 
 } // namespace daisytack
