Search random interleavings at the agent, and tell every attempt its end

A test draws schedules of offers, repeats, cancels, resumes, lost links, answers of the engine that are late, doubled, foreign or broken, store faults, version changes, silence, drains and stops, and watches the promises: one final message for every accepted attempt, consecutive chunks of its own request only, no unverified import, never more runs than slots. Operators can stop a request or a class.

--- a/src/serve/agent_context.cpp
+++ b/src/serve/agent_context.cpp
@@ -75,6 +75,8 @@
   size_t n =
       std::min<size_t>(done.CachedTokens / PieceTokens, offer.Pieces.size());
   View.confirm(std::span(offer.Pieces).first(n));
+  if (n > 0)
+    Hits[offer.Organisation] += n;
   if (n < offer.Pieces.size() && done.CachedTokens < done.PromptTokens &&
       Fetch.presentPieces(offer.Pieces) > n)
     View.deny(offer.Pieces[n]);
--- a/src/serve/agent_core.cpp
+++ b/src/serve/agent_core.cpp
@@ -110,6 +110,24 @@
 }
 const Rcu<AgentSnapshot> &AgentCore::snapshot() const { return Self->Picture; }
 
+void AgentCore::Impl::on(const StopRequested &input, Step &step) {
+  std::vector<RequestId> ids;
+  for (const auto &[id, run] : Runs.all())
+    if (!run->isFinished() &&
+        (input.Request ? id == *input.Request
+                       : run->Request->Class == input.Class))
+      ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  for (const RequestId &id : ids) {
+    Run *run = Runs.find(id);
+    if (!run || run->isFinished())
+      continue;
+    stopAtServer(*run, step);
+    record(step, EventKind::RunCancelled, *run, ErrorKind::Cancelled);
+    fail(*run, {ErrorKind::Cancelled, "stopped by an operator"}, step);
+  }
+}
+
 void AgentCore::Impl::on(const DrainRequested & /*input*/, Step &step) {
   if (Draining)
     return;
@@ -208,6 +226,11 @@
   return !isLeaving() && isReachable() && !Swap.holdsNewWork();
 }
 
+uint64_t AgentCore::Impl::hitsOf(const std::string &organisation) const {
+  auto it = Hits.find(organisation);
+  return it == Hits.end() ? 0 : it->second;
+}
+
 wire::LoadReport AgentCore::Impl::loadReport(TimePoint now) const {
   wire::LoadReport out;
   out.WaitMicros = static_cast<uint64_t>(Queue.backlog(now).count());
@@ -235,7 +258,7 @@
       out->Runs.begin(), out->Runs.end(),
       [](const RunView &a, const RunView &b) { return a.Arrived < b.Arrived; });
   for (const auto &[name, usage] : Exports.usage())
-    out->Kept.push_back({name, usage.Pieces, usage.Bytes});
+    out->Kept.push_back({name, usage.Pieces, usage.Bytes, hitsOf(name)});
   out->Refusals.assign(Refusals.begin(), Refusals.end());
   return out;
 }
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -45,12 +45,14 @@
   void on(const SlotAnswer &input, Step &step);
   void on(StoreAnswer &input, Step &step);
   void on(const AgentConfig &input, Step &step);
+  void on(const StopRequested &input, Step &step);
   void on(const DrainRequested &input, Step &step);
   void on(const TimerFired &input, Step &step);
 
   // What entries say.
   void onOffer(LinkHandle link, const wire::Offer &offer, Step &step);
   void onCancel(LinkHandle link, const wire::Cancel &cancel, Step &step);
+  void sendLeft(const Run &run, const Reader &reader, Step &step);
   void onResume(LinkHandle link, const wire::Resume &resume, Step &step);
   void onTicketRequest(LinkHandle link, const wire::TicketRequest &request,
                        Step &step);
@@ -145,6 +147,8 @@
   bool isReachable() const;
   const std::string &version() const { return Engine.Version; }
   wire::LoadReport loadReport(TimePoint now) const;
+  /// Pieces of the organisation that were reused.
+  uint64_t hitsOf(const std::string &organisation) const;
   std::shared_ptr<const AgentSnapshot> picture(TimePoint now) const;
   void record(Step &step, EventKind kind, const Run &run,
               ErrorKind reason = ErrorKind::None,
@@ -165,6 +169,7 @@
   StoreTable Stores;
   FetchFlow Fetch;
   ExportFlow Exports;
+  std::unordered_map<std::string, uint64_t> Hits; ///< By organisation.
   swap::Converge Swap;
   swap::SwapView SwapSeen; ///< By Swap, last.
   CallId OrderCall = 0;    ///< The one whose answer counts.
--- a/src/serve/agent_links.cpp
+++ b/src/serve/agent_links.cpp
@@ -96,13 +96,27 @@
   if (!Runs.removeReader(*run, reader) || run->isFinished())
     return;
   if (!run->Readers.empty())
-    return;
+    return sendLeft(*run, reader, step);
   stopAtServer(*run, step);
   record(step, EventKind::RunCancelled, *run, ErrorKind::Cancelled);
   Runs.addReader(*run, reader);
   fail(*run, {ErrorKind::Cancelled, "cancelled by the entry"}, step);
 }
 
+/// One of several readers left; the run goes on for the others.
+void AgentCore::Impl::sendLeft(const Run &run, const Reader &reader,
+                               Step &step) {
+  wire::Finished out;
+  out.Id = run.Token.Id;
+  out.Try = reader.Try;
+  out.Ran = Outcome::MayHaveRun;
+  out.Kind = ErrorKind::Cancelled;
+  out.Detail = "cancelled by the entry; it goes on for another";
+  out.Chunks = run.Answer.nextIndex();
+  out.Load = loadReport(step.Now);
+  send(step, reader.Link, std::move(out));
+}
+
 void AgentCore::Impl::onResume(LinkHandle link, const wire::Resume &resume,
                                Step &step) {
   Run *run = Runs.find(resume.Id);
--- a/src/serve/agent_messages.h
+++ b/src/serve/agent_messages.h
@@ -209,6 +209,12 @@
   uint32_t ServersOfModel = 1;   ///< In service or not.
 };
 
+/// An operator ends one request, or all of a class.
+struct StopRequested {
+  std::optional<RequestId> Request;
+  std::string Class; ///< Unless Request is set.
+};
+
 /// The process was asked to end: refuse new work, finish what was accepted.
 struct DrainRequested {};
 
@@ -222,7 +228,7 @@
     std::variant<LinkOpened, LinkMessage, LinkClosed, RunText, RunDone,
                  RunFailed, EngineStatus, EngineSilent, CacheEvents,
                  PieceExport, PieceImport, OrderAnswer, SlotAnswer, StoreAnswer,
-                 AgentConfig, DrainRequested, TimerFired>;
+                 AgentConfig, StopRequested, DrainRequested, TimerFired>;
 
 // Actions.
 
--- a/src/serve/agent_offers.cpp
+++ b/src/serve/agent_offers.cpp
@@ -191,7 +191,7 @@
   out.Load = loadReport(step.Now);
   send(step, link, std::move(out));
   Refusals.push_back({offer.Id, offer.Try, offer.Organisation, offer.Class,
-                      why.Kind, step.Now});
+                      why.Kind, ran, step.Now});
   if (Refusals.size() > MaxRefusalsShown)
     Refusals.pop_front();
   Dirty = true;
--- a/src/serve/agent_snapshot.h
+++ b/src/serve/agent_snapshot.h
@@ -43,6 +43,7 @@
   std::string Organisation;
   std::string Class;
   ErrorKind Kind = ErrorKind::None;
+  Outcome Ran = Outcome::NotRun;
   TimePoint At;
   bool operator==(const RefusalView &) const = default;
 };
@@ -52,6 +53,7 @@
   std::string Organisation;
   uint64_t Pieces = 0;
   uint64_t Bytes = 0;
+  uint64_t Hits = 0; ///< Pieces reused since the process started.
   bool operator==(const KeptView &) const = default;
 };
 
--- /dev/null
+++ b/tests/serve_agent/agent_schedules_test.cpp
@@ -0,0 +1,313 @@
+/// Random interleavings of everything that can happen to an agent.
+#include "serve_agent/fake_platform.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+#include <tuple>
+
+namespace daisytack::serve::test {
+namespace {
+
+constexpr uint64_t Ids = 6;
+constexpr uint32_t Slots = 2;
+
+AgentSettings settings() {
+  AgentSettings out = modelSettings();
+  out.Queue.Slots = Slots;
+  out.Stores.Instances = {
+      {"s1", "imanta", {"127.0.0.1", 1}, hashName("s1")},
+      {"s2", "jugla", {"127.0.0.1", 2}, hashName("s2")},
+  };
+  return out;
+}
+
+std::string markOf(const RequestId &id) {
+  return "<" + std::to_string(id.Lo) + ">";
+}
+
+/// Applies steps drawn at random and watches the promises.
+class Schedule {
+public:
+  Schedule() : Rig(settings()), Platform(Rig) {
+    for (uint8_t i = 1; i <= 3; ++i)
+      Platform.keep({i % 2U}, keyOf(i));
+    Links = {LinkA, LinkB};
+  }
+
+  void apply(uint32_t draw) {
+    uint32_t what = draw % 16;
+    Arg = draw / 16;
+    switch (what) {
+    case 0:
+    case 1:
+    case 2:
+      return offer();
+    case 3:
+      return cancel();
+    case 4:
+      return resume();
+    case 5:
+      return replaceLink();
+    case 6:
+    case 7:
+      return text();
+    case 8:
+      return done();
+    case 9:
+      return fail();
+    case 10:
+      return foreign();
+    case 11:
+      return answer();
+    case 12:
+      return status();
+    case 13:
+      return pass(Duration((Arg % 4000) * 1000));
+    case 14:
+      return stop();
+    default:
+      return Arg % 8 == 0 ? drain() : answer();
+    }
+  }
+
+  /// Lets everything come to its end.
+  void end() {
+    Platform.Fault = StoreFault::None;
+    for (int i = 0; i < 40; ++i) {
+      Platform.answerAll();
+      pass(Duration(2'000'000));
+      for (const RunToken &run : std::set<RunToken>(AtServer))
+        finishRun(run);
+    }
+    watch();
+  }
+
+  void check() {
+    for (const auto &[attempt, state] : Attempts) {
+      auto link = std::get<0>(attempt);
+      RC_ASSERT(state.Finals <= state.Asked);
+      if (state.Accepted > 0 && Links.contains(LinkHandle{link}))
+        RC_ASSERT(state.Finals > 0);
+    }
+    for (const auto &[key, bytes] : Platform.Imported)
+      RC_ASSERT(bytes == payloadOf(key));
+  }
+
+private:
+  struct AttemptState {
+    int Asked = 0; ///< Offers and resumes.
+    int Accepted = 0;
+    int Finals = 0;
+    std::optional<uint32_t> NextIndex;
+  };
+  using AttemptKey = std::tuple<uint32_t, RequestId, Attempt>;
+
+  AttemptState &attempt(LinkHandle link, const RequestId &id, Attempt n) {
+    return Attempts[{link.Index, id, n}];
+  }
+
+  LinkHandle link() const {
+    auto it = Links.begin();
+    std::advance(it, Arg % Links.size());
+    return *it;
+  }
+  uint64_t id() const { return 1 + (Arg / 2) % Ids; }
+  Attempt number() const { return 1 + (Arg / 16) % 3; }
+
+  void offer() {
+    wire::Offer out = offerOf(id(), number());
+    out.Priority = static_cast<uint8_t>(Arg / 64 % 10);
+    out.RemainingMicros = 1'000 * (500 + Arg / 7 % 20'000);
+    out.Pieces = {keyOf(1), keyOf(2), keyOf(3)};
+    out.PromptTokens = 3 * PieceTokens + 10;
+    out.KeepMicros = 3'600'000'000;
+    out.KeptQuota = 1 << 20;
+    out.Keep = static_cast<uint8_t>(KeepRule::Always);
+    if (Arg / 5 % 11 == 0)
+      out.Body = "{\"other\":1}";
+    if (Arg / 3 % 13 == 0)
+      out.Organisation = "dakar-notices";
+    ++attempt(link(), out.Id, out.Try).Asked;
+    Rig.offer(out, link());
+    watch();
+  }
+  void cancel() {
+    Rig.apply(LinkMessage{link(), wire::Cancel{{7, id()}, number()}});
+    watch();
+  }
+  void resume() {
+    ++attempt(link(), {7, id()}, number()).Asked;
+    attempt(link(), {7, id()}, number()).NextIndex.reset();
+    Rig.apply(LinkMessage{
+        link(), wire::Resume{{7, id()}, number(), "riga-buyers", Arg % 3}});
+    watch();
+  }
+  void replaceLink() {
+    LinkHandle old = link();
+    Links.erase(old);
+    Rig.apply(LinkClosed{old});
+    LinkHandle fresh{++LastLink};
+    Links.insert(fresh);
+    Rig.apply(LinkOpened{fresh});
+    watch();
+  }
+  std::optional<RunToken> running() const {
+    if (AtServer.empty())
+      return std::nullopt;
+    auto it = AtServer.begin();
+    std::advance(it, Arg % AtServer.size());
+    return *it;
+  }
+  /// Some start that has ended: its answers come late.
+  std::optional<RunToken> stale() const {
+    if (Rig.Started.empty())
+      return std::nullopt;
+    return Rig.Started[Arg % Rig.Started.size()].Run;
+  }
+  void text() {
+    auto run = Arg % 5 == 0 ? stale() : running();
+    if (!run)
+      return;
+    uint32_t &sequence = Sequences[*run];
+    bool repeat = sequence > 0 && Arg % 7 == 0;
+    uint32_t n = repeat ? sequence - 1 : sequence++;
+    Rig.apply(RunText{*run, *run, n, 1, markOf(run->Id)});
+    watch();
+  }
+  void done() {
+    if (auto run = Arg % 5 == 0 ? stale() : running())
+      finishRun(*run);
+  }
+  void finishRun(const RunToken &run) {
+    AtServer.erase(run);
+    RunDone out;
+    out.Run = run;
+    out.Answer = run;
+    out.PromptTokens = 100;
+    Rig.apply(out);
+    watch();
+  }
+  void fail() {
+    auto run = Arg % 5 == 0 ? stale() : running();
+    if (!run)
+      return;
+    AtServer.erase(*run);
+    bool nothing = Sequences[*run] == 0 && Arg % 2 == 0;
+    Rig.apply(RunFailed{*run,
+                        {ErrorKind::ServerLost, "broke"},
+                        nothing ? Outcome::NotRun : Outcome::MayHaveRun});
+    watch();
+  }
+  void foreign() {
+    auto run = running();
+    if (!run)
+      return;
+    RunToken other = *run;
+    other.Id.Lo += 100;
+    Rig.apply(RunText{*run, other, std::nullopt, 1, "<foreign>"});
+    watch();
+  }
+  void answer() {
+    constexpr std::array<StoreFault, 8> Faults{
+        StoreFault::None,         StoreFault::None,
+        StoreFault::Silent,       StoreFault::Torn,
+        StoreFault::FreedBetween, StoreFault::ReusedBetween,
+        StoreFault::MisKeyed,     StoreFault::Full};
+    Platform.Fault = Faults[Arg % Faults.size()];
+    for (uint32_t i = 0; i <= Arg / 8 % 4; ++i)
+      Platform.answerOne();
+    watch();
+  }
+  void status() {
+    EngineStatus out = engineStatus();
+    if (Arg % 6 == 0)
+      out.Version = "v2";
+    if (Arg % 5 == 0)
+      out.Started = Arg;
+    if (Arg % 7 == 0)
+      Rig.apply(EngineSilent{{ErrorKind::ServerLost, "silent"}});
+    else
+      Rig.apply(out);
+    watch();
+  }
+  void pass(Duration d) {
+    Rig.pass(d);
+    watch();
+  }
+  void stop() {
+    if (Arg % 4 == 0)
+      Rig.apply(StopRequested{RequestId{7, id()}, ""});
+    watch();
+  }
+  void drain() {
+    Rig.apply(DrainRequested{});
+    watch();
+  }
+
+  /// Looks at everything that came out since the last look.
+  void watch() {
+    for (; SeenStarted < Rig.Started.size(); ++SeenStarted)
+      RC_ASSERT(AtServer.insert(Rig.Started[SeenStarted].Run).second);
+    for (const RunToken &run : std::exchange(Rig.Cancelled, {}))
+      AtServer.erase(run);
+    std::set<RunToken> active = AtServer;
+    for (const RunToken &run : std::exchange(Rig.Suspended, {}))
+      Suspended.insert(run);
+    for (const RunToken &run : std::exchange(Rig.Resumed, {}))
+      Suspended.erase(run);
+    std::erase_if(active,
+                  [&](const RunToken &run) { return Suspended.contains(run); });
+    RC_ASSERT(active.size() <= Slots);
+    for (; SeenSent < Rig.Sent.size(); ++SeenSent)
+      see(Rig.Sent[SeenSent]);
+  }
+  void see(const SendMessage &sent) {
+    if (const auto *accepted = std::get_if<wire::Accepted>(&sent.Body)) {
+      AttemptState &state = attempt(sent.Link, accepted->Id, accepted->Try);
+      ++state.Accepted;
+      state.NextIndex.reset();
+    } else if (const auto *chunk = std::get_if<wire::Chunk>(&sent.Body)) {
+      AttemptState &state = attempt(sent.Link, chunk->Id, chunk->Try);
+      RC_ASSERT(chunk->Text == markOf(chunk->Id));
+      RC_ASSERT(!state.NextIndex || *state.NextIndex == chunk->Index);
+      state.NextIndex = chunk->Index + 1;
+    } else if (const auto *refused = std::get_if<wire::Refused>(&sent.Body)) {
+      ++attempt(sent.Link, refused->Id, refused->Try).Finals;
+    } else if (const auto *end = std::get_if<wire::Finished>(&sent.Body)) {
+      ++attempt(sent.Link, end->Id, end->Try).Finals;
+    }
+  }
+
+  AgentRig Rig;
+  FakePlatform Platform;
+  uint32_t Arg = 0;
+  std::set<LinkHandle> Links;
+  uint32_t LastLink = 10;
+  std::set<RunToken> AtServer;
+  std::set<RunToken> Suspended;
+  std::map<RunToken, uint32_t> Sequences;
+  std::map<AttemptKey, AttemptState> Attempts;
+  size_t SeenStarted = 0;
+  size_t SeenSent = 0;
+};
+
+void checkSchedules(size_t length) {
+  EXPECT_TRUE(rc::check("agent schedules", [length] {
+    auto draw = rc::gen::inRange<uint32_t>(0, 1U << 30);
+    auto draws = *rc::gen::container<std::vector<uint32_t>>(length, draw);
+    Schedule schedule;
+    for (uint32_t it : draws)
+      schedule.apply(it);
+    schedule.end();
+    schedule.check();
+  }));
+}
+
+TEST(AgentSchedules, ShortOnes) { checkSchedules(12); }
+TEST(AgentSchedules, MiddlingOnes) { checkSchedules(60); }
+TEST(AgentSchedules, LongOnes) { checkSchedules(400); }
+
+} // namespace
+} // namespace daisytack::serve::test
