Bet on likely cache content, and weigh a late fetch again

The agent took a gap in the engine's cache events for an empty cache, and gave a late fetch up after a fixed rule.

--- a/src/serve/agent_fetch.cpp
+++ b/src/serve/agent_fetch.cpp
@@ -17,9 +17,13 @@
     : Settings(settings), Stores(stores), View(view), Numbers(numbers),
       Hooks(std::move(hooks)) {}
 
+bool FetchFlow::isInEngine(const PieceKey &piece) const {
+  return View.chance(piece) >= Settings.Bet;
+}
+
 uint32_t FetchFlow::presentPieces(std::span<const PieceKey> pieces) const {
   uint32_t n = 0;
-  while (n < pieces.size() && View.presence(pieces[n]) == Presence::Present)
+  while (n < pieces.size() && isInEngine(pieces[n]))
     ++n;
   return n;
 }
@@ -101,7 +105,7 @@
   const FetchWish &wish = job.Wish;
   std::vector<PieceState> states(wish.Pieces.size());
   for (size_t i = 0; i < states.size(); ++i) {
-    states[i].InEngine = View.presence(wish.Pieces[i]) == Presence::Present;
+    states[i].InEngine = isInEngine(wish.Pieces[i]);
     if (const auto &hit = job.Hits[i])
       states[i].Stored = StoredPiece{
           hit->Found.Generation, hit->Found.Length,
@@ -129,11 +133,7 @@
   RequestId id = job.Wish.Id;
   job.Reused = plan.ReusedPieces;
   job.Missing.insert(plan.Fetch.begin(), plan.Fetch.end());
-  // A fetch that takes longer than recomputing would have is given up.
-  double tokens = static_cast<double>(plan.Fetch.size()) * PieceTokens;
-  Duration recompute(
-      static_cast<int64_t>(tokens / Hooks.PrefillRate() * Micros));
-  job.GiveUp = step.Now + plan.FetchTime + recompute;
+  job.LookAt = step.Now + std::max(plan.FetchTime, Settings.LeastWait);
   job.IsFetching = !plan.Fetch.empty();
   if (job.IsFetching) {
     record(step, EventKind::FetchStarted, job.Wish,
--- a/src/serve/agent_fetch.h
+++ b/src/serve/agent_fetch.h
@@ -17,6 +17,8 @@
 
 struct FetchSettings {
   PlanWeights Weights = firstTokenWeights();
+  double Bet = 0.9; ///< Chance of being in the engine that is relied on.
+  Duration LeastWait{10'000}; ///< Between two looks at a late fetch.
 };
 
 /// What a waiting request wants.
@@ -87,7 +89,7 @@
     std::set<uint32_t> Missing; ///< Indices on their way.
     uint32_t Reused = 0;        ///< Pieces, if all goes well.
     bool IsFetching = false;
-    TimePoint GiveUp = TimePoint::max();
+    TimePoint LookAt = TimePoint::max(); ///< When it counts as late.
   };
   struct PieceFetch {
     PieceFetch(VerifiedRead read, StoreHandle store)
@@ -105,6 +107,10 @@
   };
   using Fetches = std::unordered_map<PieceKey, PieceFetch>;
 
+  bool isInEngine(const PieceKey &piece) const;
+  /// A fetch is later than planned: wait on, or run with what is there.
+  void onLate(Job &job, Step &step);
+  Duration remainingTime(const Job &job, TimePoint now) const;
   void lookUp(Job &job, Step &step);
   void onLookup(const RequestId &id, const StoreAnswer &answer, Step &step);
   void takeHit(Job &job, StoreHandle store, const FoundPiece &found);
--- a/src/serve/agent_fetch_end.cpp
+++ b/src/serve/agent_fetch_end.cpp
@@ -3,10 +3,13 @@
 #include "serve/agent_fetch.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace daisytack::serve {
 
+using namespace std::chrono_literals;
+
 /// Of this organisation, and not older than its policy lets it be used. The
 /// store's note is only a hint; the key itself binds organisation and version.
 bool FetchFlow::mayUse(const PieceFetch &fetch, const StoreBytes &bytes,
@@ -84,19 +87,51 @@
 void FetchFlow::onTimer(Step &step) {
   std::vector<RequestId> late;
   for (const auto &[id, job] : Jobs)
-    if (job.GiveUp <= step.Now)
+    if (job.LookAt <= step.Now)
       late.push_back(id);
-  for (const RequestId &id : late) {
-    Job &job = Jobs.at(id);
-    loseTail(job, job.Missing.empty() ? 0 : *job.Missing.begin(), step);
-    settle(id, step);
+  for (const RequestId &id : late)
+    if (auto it = Jobs.find(id); it != Jobs.end())
+      onLate(it->second, step);
+}
+
+void FetchFlow::onLate(Job &job, Step &step) {
+  const FetchWish &wish = job.Wish;
+  uint32_t first = job.Missing.empty() ? job.Reused : *job.Missing.begin();
+  LateFetch late;
+  late.Remaining = remainingTime(job, step.Now);
+  late.QueueWait = std::max(Duration(0), wish.ExpectedStart - step.Now);
+  late.TokensAtStake = (job.Reused - first) * PieceTokens;
+  late.PrefillTokensPerSecond = Hooks.PrefillRate();
+  late.Limit = wish.FirstTokenLimit - step.Now;
+  if (isWorthWaiting(late, Settings.Weights)) {
+    job.LookAt = step.Now + std::max(late.Remaining, Settings.LeastWait);
+    return;
+  }
+  loseTail(job, first, step);
+  settle(RequestId(wish.Id), step);
+}
+
+/// By the rate that the links can expect now.
+Duration FetchFlow::remainingTime(const Job &job, TimePoint now) const {
+  Duration out{0};
+  for (uint32_t index : job.Missing) {
+    auto it = Pieces.find(job.Wish.Pieces[index]);
+    if (it == Pieces.end())
+      continue;
+    const LinkScheduler &link = Stores.link(it->second.Store);
+    double bytes =
+        static_cast<double>(link.backlogBefore(job.Wish.ExpectedStart));
+    double seconds = bytes / std::max(1.0, link.bytesPerSecond(now));
+    out = std::max(
+        out, Duration(static_cast<int64_t>(seconds * Duration(1s).count())));
   }
+  return out + Stores.settings().Link.RoundTrip;
 }
 
 std::optional<TimePoint> FetchFlow::nextTimer() const {
   TimePoint out = TimePoint::max();
   for (const auto &[id, job] : Jobs)
-    out = std::min(out, job.GiveUp);
+    out = std::min(out, job.LookAt);
   if (out == TimePoint::max())
     return std::nullopt;
   return out;
