Go through an agent's links without racing their removal

A concurrent map can't be iterated while elements are erased. The agent's count of unsent bytes, which its drain polls, had the same fault and now goes over a table under a lock.

HttpServer::unsentAnswers tells a draining process how many answers have not wholly reached their socket; a test holds that.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -216,6 +216,7 @@
 
 void HttpConnection::handleRequest() {
   Now = State::Answering;
+  Shared->Answering.fetch_add(1);
   Deadline = SteadyClock::time_point::max();
   uint64_t serial = 0;
   {
@@ -297,8 +298,11 @@
 }
 
 void HttpConnection::close() {
-  if (std::exchange(Now, State::Closed) == State::Closed)
+  State before = std::exchange(Now, State::Closed);
+  if (before == State::Closed)
     return;
+  if (before == State::Answering)
+    Shared->Answering.fetch_sub(1);
   std::function<void()> hook;
   {
     std::lock_guard guard(Lock);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -29,6 +29,7 @@
   const HttpServerInit Init;
   const HttpHandler Handler;
   std::atomic<size_t> Open{0};
+  std::atomic<size_t> Answering{0}; ///< Handed over and not wholly sent.
   std::atomic<bool> Stopping{false};
   std::atomic<bool> Closed{false}; ///< The handler may not be called any more.
 
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -229,6 +229,8 @@
     std::lock_guard guard(Lock);
     keep = KeepAlive;
   }
+  if (Now == State::Answering)
+    Shared->Answering.fetch_sub(1);
   if (keep && Now == State::Answering)
     return nextRequest();
   // Unread input would turn the close into a reset that can destroy the
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -125,4 +125,6 @@
 
 size_t HttpServer::openConnections() const { return Self->Shared->Open; }
 
+size_t HttpServer::unsentAnswers() const { return Self->Shared->Answering; }
+
 } // namespace daisytack::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -91,6 +91,9 @@
   /// exchanges go on, each the last of its connection.
   void stopAccepting();
   size_t openConnections() const;
+  /// Requests handed to the handler whose answer has not wholly been given to
+  /// the socket: a drained process waits until there are none.
+  size_t unsentAnswers() const;
 
 private:
   struct Impl;
--- a/tests/net_http/server_test.cpp
+++ b/tests/net_http/server_test.cpp
@@ -228,8 +228,10 @@
   raw.send("GET / HTTP/1.1\r\n\r\n");
   auto exchange = holder.Arrived.get_future().get();
   fixture.Server.stopAccepting();
+  EXPECT_EQ(fixture.Server.unsentAnswers(), 1U);
   exchange->respond({200, {}, "whole"});
   std::string answer = raw.readAll();
+  EXPECT_EQ(fixture.Server.unsentAnswers(), 0U);
   EXPECT_TRUE(answer.ends_with("whole")) << answer;
   EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
--- a/tools/agent/link_table.cpp
+++ b/tools/agent/link_table.cpp
@@ -7,6 +7,10 @@
 serve::LinkHandle LinkTable::add(std::shared_ptr<net::FrameLink> link) {
   uint32_t index = Next.fetch_add(1, std::memory_order_relaxed);
   ByLink.insert({link.get(), index});
+  {
+    std::lock_guard guard(AllLock);
+    All.emplace(index, link);
+  }
   ByHandle.insert({index, std::move(link)});
   return {index};
 }
@@ -33,12 +37,15 @@
     return std::nullopt;
   ByLink.erase(link);
   ByHandle.erase(handle->Index);
+  std::lock_guard guard(AllLock);
+  All.erase(handle->Index);
   return handle;
 }
 
 size_t LinkTable::pendingBytes() const {
+  std::lock_guard guard(AllLock);
   size_t out = 0;
-  for (const auto &[handle, link] : ByHandle)
+  for (const auto &[handle, link] : All)
     out += link->pendingBytes();
   return out;
 }
--- a/tools/agent/link_table.h
+++ b/tools/agent/link_table.h
@@ -7,7 +7,9 @@
 #include <tbb/concurrent_hash_map.h>
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 
 namespace daisytack::agent {
@@ -21,14 +23,17 @@
   std::shared_ptr<net::FrameLink> find(serve::LinkHandle handle) const;
   std::optional<serve::LinkHandle> remove(const net::FrameLink *link);
   size_t size() const { return ByHandle.size(); }
-  /// Bytes that the connections have yet to send. Not to be called while links
-  /// are added.
+  /// Bytes that the connections have yet to send.
   size_t pendingBytes() const;
 
 private:
   std::atomic<uint32_t> Next{0};
   tbb::concurrent_hash_map<const net::FrameLink *, uint32_t> ByLink;
   tbb::concurrent_hash_map<uint32_t, std::shared_ptr<net::FrameLink>> ByHandle;
+  /// To go through all of them, which the tables above can't bear beside an
+  /// erasure.
+  mutable std::mutex AllLock;
+  std::map<uint32_t, std::shared_ptr<net::FrameLink>> All;
 };
 
 } // namespace daisytack::agent
