--- a/tools/agent/agent_daemon.cpp
+++ b/tools/agent/agent_daemon.cpp
@@ -29,17 +29,22 @@
 } // namespace
 
 AgentDaemon::AgentDaemon(boost::asio::io_context &io, AgentOptions options)
-    : Options(withProcess(std::move(options))), Events(EventRingSize, wallNow),
-      PlatformClient(io, net::HttpClientInit()),
+    : Options(withProcess(std::move(options))), Figures(Series),
+      Events(EventRingSize, wallNow), PlatformClient(io, net::HttpClientInit()),
       KeyValue(edge::makeEtcdStore(PlatformClient, Options.Instance.KeyValue)),
       Shell(io, Options, KeyValue,
-            [this](Event event) { Events.record(std::move(event)); }),
+            [this](Event event) { record(std::move(event)); }),
       Control(
           io, Options.Instance.Control, KeyValue,
           edge::makeHttpInstanceList(PlatformClient,
                                      Options.Instance.InstanceList),
-          Series, [this](Event event) { Events.record(std::move(event)); },
-          secureRandom) {}
+          Series, [this](Event event) { record(std::move(event)); },
+          secureRandom),
+      Operators(io,
+                {Options.Core.Instance, Options.Operators,
+                 operatorHooks(Shell, Options), runtime::controlHooks(Control),
+                 wallNow, secureRandom},
+                Series, Events, PlatformClient) {}
 
 AgentDaemon::~AgentDaemon() = default;
 
@@ -47,7 +52,10 @@
   Control.onPublished([this](const std::shared_ptr<const Snapshot> &snapshot) {
     onSnapshot(*snapshot);
   });
-  return Shell.start(reason) && Control.start(reason);
+  Shell.onPublished(
+      [this](const serve::AgentSnapshot &snapshot) { Figures.show(snapshot); });
+  return Shell.start(reason) && Control.start(reason) &&
+         Operators.start(reason);
 }
 
 void AgentDaemon::drain(std::function<void()> done) {
@@ -55,6 +63,11 @@
   Shell.drain(std::move(done));
 }
 
+void AgentDaemon::record(Event event) {
+  Figures.count(event);
+  Events.record(std::move(event));
+}
+
 void AgentDaemon::onSnapshot(const Snapshot &snapshot) {
   serve::AgentConfig out;
   out.Revision = snapshot.ConfigRevision;
--- a/tools/agent/agent_daemon.h
+++ b/tools/agent/agent_daemon.h
@@ -1,6 +1,8 @@
 /// The parts of a running daisytack-agent and how they are tied together.
 #pragma once
 
+#include "agent_metrics.h"
+#include "agent_operators.h"
 #include "agent_shell.h"
 #include "base/metrics.h"
 #include "runtime/control_runtime.h"
@@ -19,15 +21,18 @@
   void drain(std::function<void()> done);
 
 private:
+  void record(Event event);
   void onSnapshot(const Snapshot &snapshot);
 
   AgentOptions Options;
   Metrics Series;
+  AgentMetrics Figures;
   EventRing Events;
   net::HttpClient PlatformClient;
   edge::KvStore KeyValue;
   AgentShell Shell;
   runtime::ControlRuntime Control;
+  runtime::OperatorHttp Operators;
 };
 
 } // namespace daisytack::agent
--- /dev/null
+++ b/tools/agent/agent_operators.h
@@ -0,0 +1,13 @@
+/// What an agent shows to operators, from its published snapshot.
+#pragma once
+
+#include "agent_shell.h"
+#include "runtime/operator_http.h"
+
+namespace daisytack::agent {
+
+/// Hooks over the shell, which must outlive them.
+runtime::OperatorHooks operatorHooks(AgentShell &shell,
+                                     const AgentOptions &options);
+
+} // namespace daisytack::agent
--- a/tools/agent/agent_options.cpp
+++ b/tools/agent/agent_options.cpp
@@ -85,6 +85,8 @@
 AgentOptions readAgentOptions(Settings &settings) {
   AgentOptions out;
   out.Instance = runtime::readInstanceSettings(settings, MemberRole::Agent);
+  out.Operators =
+      runtime::readOperatorSettings(settings, out.Instance.Control.Self.Peer);
   readServer(settings, out);
   readAnswers(settings, out);
   readEngine(settings, out);
--- a/tools/agent/agent_options.h
+++ b/tools/agent/agent_options.h
@@ -3,6 +3,7 @@
 
 #include "base/settings.h"
 #include "runtime/instance_settings.h"
+#include "runtime/operator_http.h"
 #include "serve/agent_core.h"
 
 #include <vector>
@@ -11,6 +12,7 @@
 
 struct AgentOptions {
   runtime::InstanceSettings Instance;
+  runtime::OperatorSettings Operators;
   serve::AgentSettings Core;
   Endpoint Server; ///< The backend server: engine or plain service.
   Endpoint Weights;
--- a/tools/agent/agent_shell.cpp
+++ b/tools/agent/agent_shell.cpp
@@ -62,7 +62,8 @@
       Client(io, clientInit(Options)),
       Server(io, Options.Instance.Control.Self.Work,
              Options.Instance.Control.Keys, linkHooks()),
-      Timer(Strand), FlushTimer(Strand), Core(Options.Core, secureRandom) {
+      Timer(Strand), FlushTimer(Strand), Core(Options.Core, secureRandom),
+      Reader(Core.snapshot()) {
   auto sink = [this](serve::AgentInput input) { push(std::move(input)); };
   if (Options.Core.IsService)
     Service = edge::makeHttpService(Client, Options.Server, sink);
@@ -140,9 +141,17 @@
     boost::asio::post(Strand, [this] { step(); });
   Ready.store(Core.isReady(), std::memory_order_relaxed);
   setTimer();
+  showSnapshot();
   checkDrained();
 }
 
+void AgentShell::showSnapshot() {
+  if (Reader.get() == Shown || !Published)
+    return;
+  Shown = Reader.get();
+  Published(*Shown);
+}
+
 void AgentShell::setTimer() {
   std::optional<TimePoint> next = Core.nextTimer();
   if (next == TimerAt)
--- a/tools/agent/agent_shell.h
+++ b/tools/agent/agent_shell.h
@@ -31,6 +31,10 @@
   /// sent.
   void drain(std::function<void()> done);
 
+  /// Called in the strand with every new snapshot. Set before start().
+  void onPublished(std::function<void(const serve::AgentSnapshot &)> hook) {
+    Published = std::move(hook);
+  }
   const Rcu<serve::AgentSnapshot> &snapshot() const { return Core.snapshot(); }
   bool isReady() const { return Ready.load(std::memory_order_relaxed); }
   /// Takes an input from any thread.
@@ -58,6 +62,7 @@
   void perform(serve::RecordEvent &action);
   void setTimer();
   void checkDrained();
+  void showSnapshot();
 
   boost::asio::io_context &Io;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand;
@@ -78,9 +83,12 @@
 
   // Touched in the strand only.
   serve::AgentCore Core;
+  Rcu<serve::AgentSnapshot>::Reader Reader;
+  std::shared_ptr<const serve::AgentSnapshot> Shown;
   serve::AgentActions Actions;
   std::optional<TimePoint> TimerAt;
   std::function<void()> Drained;
+  std::function<void(const serve::AgentSnapshot &)> Published;
 };
 
 } // namespace daisytack::agent
