Hold organisations to their limits over all entries, and let operators stop requests

A slot is given back when the request ends. An operator's stop ends a request wherever it is, held ones too. Requests in flight and the latest refusals are kept for operators' queries, in shards whose locks are held for one entry at a time.

--- a/src/serve/request_flow.cpp
+++ b/src/serve/request_flow.cpp
@@ -154,6 +154,11 @@
   end(step);
 }
 
+void RequestFlow::on(const StopWanted & /*input*/, Step &step) {
+  giveUp({ErrorKind::Cancelled, "stopped by an operator"},
+         mayHaveRun() ? Outcome::MayHaveRun : Outcome::NotRun, step);
+}
+
 void RequestFlow::on(const ConfigChanged & /*input*/, Step &step) {
   if (Phase == FlowPhase::Held)
     checkRelease(step);
--- a/src/serve/request_flow.h
+++ b/src/serve/request_flow.h
@@ -55,6 +55,9 @@
   bool isEnded() const { return Phase == FlowPhase::Ended; }
   /// True while the whole answer waits for its class's release time.
   bool isHeld() const { return Phase == FlowPhase::Held; }
+  /// True once a server has accepted it, or begun to answer.
+  bool isAccepted() const { return WasAccepted; }
+  uint32_t chunks() const { return Received; }
   /// Servers that may be working on it now.
   std::vector<std::string> servers() const;
   uint32_t attempts() const { return static_cast<uint32_t>(Tries.size()); }
@@ -89,6 +92,7 @@
   void on(const LinkLost &input, Step &step);
   void on(const TimerFired &input, Step &step);
   void on(const CallerGone &input, Step &step);
+  void on(const StopWanted &input, Step &step);
   void on(const ConfigChanged &input, Step &step);
 
   void onAccepted(Try &attempt, const wire::Accepted &message, Step &step);
--- a/src/serve/request_messages.h
+++ b/src/serve/request_messages.h
@@ -36,11 +36,13 @@
 
 struct TimerFired {};
 struct CallerGone {};
+/// An operator stopped the request.
+struct StopWanted {};
 /// Configuration or membership changed: a release time may have moved.
 struct ConfigChanged {};
 
 using FlowInput = std::variant<FlowStarted, ServerSaid, LinkLost, TimerFired,
-                               CallerGone, ConfigChanged>;
+                               CallerGone, StopWanted, ConfigChanged>;
 
 struct SendOffer {
   std::string Server;
--- a/tests/serve_entry/flow_harness.h
+++ b/tests/serve_entry/flow_harness.h
@@ -28,6 +28,7 @@
 //   lost N [unsent]     the link broke
 //   time MS             time passes, and timers fire when due
 //   gone                the caller left
+//   stop                an operator stopped it
 //   release MS|none     the class's release time is moved
 //   budget N            retries left
 //   servers S...        candidates, best first
@@ -218,6 +219,8 @@
       pass(std::chrono::milliseconds(number));
     } else if (verb == "gone") {
       feed(CallerGone{});
+    } else if (verb == "stop") {
+      feed(StopWanted{});
     } else if (verb == "release") {
       in >> word;
       Config.Classes[0].ReleaseAt.reset();
--- a/tools/entry/active_request.cpp
+++ b/tools/entry/active_request.cpp
@@ -50,8 +50,53 @@
   State.Counts.InFlight.add(1);
 }
 
+query::RequestRow ActiveRequest::row(TimePoint now) const {
+  const RequestSpec &spec = Flow.spec();
+  query::RequestRow out;
+  out.Request = spec.Offer.Id;
+  out.Organisation = spec.Offer.Organisation;
+  out.Class = spec.Offer.Class;
+  out.Model = spec.Service.empty() ? spec.Offer.Model : spec.Service;
+  out.Version = spec.Offer.Version;
+  out.Priority = spec.Offer.Priority;
+  out.PromptTokens = spec.Offer.PromptTokens;
+  out.Age = std::chrono::duration_cast<Duration>(now - spec.Arrived);
+  out.Remaining = std::chrono::duration_cast<Duration>(spec.Deadline - now);
+  std::lock_guard guard(RowLock);
+  out.State = Row.State;
+  out.Server = Row.Server;
+  out.Try = Row.Try;
+  out.GeneratedTokens = Row.Chunks;
+  return out;
+}
+
+bool ActiveRequest::isHeld() const {
+  std::lock_guard guard(RowLock);
+  return Row.State == query::RequestState::Held;
+}
+
+void ActiveRequest::noteProgress() {
+  Progress next;
+  next.Chunks = Flow.chunks();
+  if (Flow.isHeld())
+    next.State = query::RequestState::Held;
+  else if (next.Chunks > 0)
+    next.State = query::RequestState::Running;
+  else if (Flow.isAccepted())
+    next.State = query::RequestState::Waiting;
+  std::lock_guard guard(RowLock);
+  Row.State = next.State;
+  Row.Chunks = next.Chunks;
+  if (!Opened.empty()) {
+    Row.Try = Opened.back().second.Try;
+    Row.Server = Opened.back().first;
+  }
+}
+
 ActiveRequest::~ActiveRequest() {
   State.Counts.InFlight.add(-1);
+  State.Board.remove(this);
+  State.Limits.finished(Flow.spec().Offer.Organisation);
   State.Running.fetch_sub(1, std::memory_order_release);
 }
 
@@ -77,6 +122,7 @@
 }
 
 void ActiveRequest::start(CallerWatch &watch) {
+  State.Board.add(shared_from_this());
   watch.onGone([weak = weak_from_this()] {
     if (auto self = weak.lock())
       self->push(CallerGone{});
@@ -101,6 +147,7 @@
       Flow.apply(input, {routes->snapshot(), monotonicNow(), wallNow()});
   for (FlowAction &action : actions)
     std::visit([this](auto &it) { perform(it); }, action);
+  noteProgress();
 }
 
 void ActiveRequest::openAttempt(const std::string &server, Attempt number,
@@ -196,7 +243,20 @@
   Exchange->respond(std::move(out));
 }
 
+void ActiveRequest::noteRefusal(const AnswerError &action) {
+  const RequestSpec &spec = Flow.spec();
+  query::RefusalRow row;
+  row.Request = spec.Offer.Id;
+  row.Kind = action.Reason.Kind;
+  row.Ran = action.Ran;
+  row.Organisation = spec.Offer.Organisation;
+  row.Class = spec.Offer.Class;
+  row.Model = spec.Service.empty() ? spec.Offer.Model : spec.Service;
+  State.Board.refused(std::move(row), monotonicNow());
+}
+
 void ActiveRequest::perform(AnswerError &action) {
+  noteRefusal(action);
   State.Counts.answered(action.Reason.Kind);
   if (!StreamBegun)
     return Exchange->respond(
--- a/tools/entry/active_request.h
+++ b/tools/entry/active_request.h
@@ -40,6 +40,11 @@
   /// Applies an input on the strand; from any thread.
   void push(FlowInput input);
 
+  const RequestSpec &spec() const { return Flow.spec(); }
+  bool isHeld() const;
+  /// For operators; from any thread.
+  query::RequestRow row(TimePoint now) const;
+
 private:
   using ServerAttempt = std::pair<std::string, AttemptKey>;
 
@@ -58,6 +63,7 @@
 
   void openAttempt(const std::string &server, Attempt number,
                    wire::Message message);
+  void noteRefusal(const AnswerError &action);
   void respondService(AnswerWhole &action);
   FlowHooks hooks();
 
@@ -69,6 +75,17 @@
   std::shared_ptr<net::HttpExchange> Exchange;
   std::vector<ServerAttempt> Opened;
   bool StreamBegun = false;
+
+  /// What changes of the row; written on the strand.
+  struct Progress {
+    query::RequestState State = query::RequestState::Offered;
+    std::string Server;
+    Attempt Try = 0;
+    uint32_t Chunks = 0;
+  };
+  void noteProgress();
+  mutable std::mutex RowLock;
+  Progress Row;
 };
 
 } // namespace daisytack::entry
--- a/tools/entry/caller_http.cpp
+++ b/tools/entry/caller_http.cpp
@@ -61,7 +61,7 @@
     return {ErrorKind::NotFound, request.Path};
   if (route != CallerRoute::Service && request.Method != "POST")
     return {ErrorKind::MethodNotAllowed, request.Method};
-  if (Draining.load(std::memory_order_relaxed))
+  if (State.Draining.load(std::memory_order_relaxed))
     return {ErrorKind::Draining, "this entry is leaving", DrainRetryAfter};
   if (runtime::Readiness ready = Ready(); !ready.Ready)
     return {ErrorKind::NotReady, ready.Reason, DrainRetryAfter};
@@ -76,6 +76,10 @@
   State.Counts.answered(reason.Kind);
   incoming.Exchange->respond(
       net::problemResponse(reason, Outcome::NotRun, incoming.Id));
+  query::RefusalRow row;
+  row.Request = incoming.Id;
+  row.Kind = reason.Kind;
+  State.Board.refused(std::move(row), monotonicNow());
   Event event;
   event.Kind = EventKind::RequestRefused;
   event.Request = incoming.Id;
@@ -88,23 +92,44 @@
   refuse(incoming, reason);
 }
 
+void CallerHttp::refuseAdmitted(const Incoming &incoming,
+                                std::string_view organisation,
+                                const Error &reason) {
+  State.Limits.finished(organisation);
+  refuseRunning(incoming, reason);
+}
+
 void CallerHttp::read(const IncomingPtr &incoming) {
   std::shared_ptr<const RoutingTable> routes = State.table();
-  const Snapshot &config = routes->snapshot();
-  const net::HttpRequest &request = incoming->Request;
   std::optional<std::string_view> key =
-      bearerKey(request.header("Authorization"));
-  const Organisation *caller = key ? config.organisationByKey(*key) : nullptr;
+      bearerKey(incoming->Request.header("Authorization"));
+  const Organisation *caller =
+      key ? routes->snapshot().organisationByKey(*key) : nullptr;
   if (caller == nullptr)
     return refuseRunning(*incoming, {ErrorKind::Unauthenticated,
                                      "no organisation has this key"});
+  // The table keeps its snapshot, and so the caller, alive.
+  std::shared_ptr<const Snapshot> config(routes, &routes->snapshot());
+  State.Limits.admit(*caller, config,
+                     [this, incoming, routes, caller](const Error &reason) {
+                       if (reason)
+                         return refuseRunning(*incoming, reason);
+                       readAdmitted(incoming, routes, *caller);
+                     });
+}
+
+void CallerHttp::readAdmitted(const IncomingPtr &incoming,
+                              const std::shared_ptr<const RoutingTable> &routes,
+                              const Organisation &caller) {
+  const Snapshot &config = routes->snapshot();
+  const net::HttpRequest &request = incoming->Request;
   if (routeOf(request.Path) == CallerRoute::Tickets)
-    return issueTicket(incoming, config, *caller);
+    return issueTicket(incoming, config, caller);
   Error reason;
-  std::optional<RequestSpec> spec = CallerReader{State, config, *caller}.read(
+  std::optional<RequestSpec> spec = CallerReader{State, config, caller}.read(
       request, incoming->Id, incoming->Arrived, reason);
   if (!spec)
-    return refuseRunning(*incoming, reason);
+    return refuseAdmitted(*incoming, caller.Name, reason);
   if (!spec->Offer.Idempotent && !request.header("Idempotency-Key").empty())
     return findTicket(incoming, std::move(*spec));
   launch(*incoming, std::move(*spec));
@@ -115,7 +140,7 @@
   Error reason;
   if (looksLikeTicket(key)) {
     if (!parseTicket(key, reason))
-      return refuseRunning(*incoming, reason);
+      return refuseAdmitted(*incoming, spec.Offer.Organisation, reason);
     spec.Offer.Ticket = std::move(key);
     return launch(*incoming, std::move(spec));
   }
@@ -124,7 +149,7 @@
                   isService ? spec.Service : spec.Offer.Model, isService};
   Desk.bind(wish, key, [this, incoming, spec](TicketResult result) {
     if (result.Reason)
-      return refuseRunning(*incoming, result.Reason);
+      return refuseAdmitted(*incoming, spec.Offer.Organisation, result.Reason);
     RequestSpec ticketed = spec;
     ticketed.Offer.Ticket = std::move(result.Ticket);
     launch(*incoming, std::move(ticketed));
@@ -138,10 +163,12 @@
   std::optional<TicketWish> wish =
       readTicketWish(incoming->Request.Body, config, caller.Name, reason);
   if (!wish)
-    return refuseRunning(*incoming, reason);
-  Desk.issue(*wish, [this, incoming](const TicketResult &result) {
+    return refuseAdmitted(*incoming, caller.Name, reason);
+  std::string organisation = caller.Name;
+  Desk.issue(*wish, [this, incoming, organisation](const TicketResult &result) {
     if (result.Reason)
-      return refuseRunning(*incoming, result.Reason);
+      return refuseAdmitted(*incoming, organisation, result.Reason);
+    State.Limits.finished(organisation);
     State.Running.fetch_sub(1, std::memory_order_release);
     incoming->Exchange->respond(
         {200,
--- a/tools/entry/caller_http.h
+++ b/tools/entry/caller_http.h
@@ -23,8 +23,6 @@
 
   bool start(Error &reason);
   uint16_t port() const { return Server.port(); }
-  /// New requests are refused from now on; running ones go on.
-  void refuseNew() { Draining.store(true, std::memory_order_relaxed); }
   void stopAccepting() { Server.stopAccepting(); }
 
 private:
@@ -42,6 +40,10 @@
               const std::shared_ptr<net::HttpExchange> &exchange);
   Error admit(const Incoming &incoming) const;
   void read(const IncomingPtr &incoming);
+  /// Authenticated and within the organisation's limits.
+  void readAdmitted(const IncomingPtr &incoming,
+                    const std::shared_ptr<const RoutingTable> &routes,
+                    const Organisation &caller);
   /// Gives a non-idempotent request the ticket that its key stands for.
   void findTicket(const IncomingPtr &incoming, RequestSpec spec);
   void issueTicket(const IncomingPtr &incoming, const Snapshot &config,
@@ -50,11 +52,13 @@
   void refuse(const Incoming &incoming, const Error &reason);
   /// Refuses a request that was counted as running.
   void refuseRunning(const Incoming &incoming, const Error &reason);
+  /// Refuses a request that was admitted by its organisation's limits.
+  void refuseAdmitted(const Incoming &incoming, std::string_view organisation,
+                      const Error &reason);
 
   EntryState &State;
   TicketDesk &Desk;
   std::function<runtime::Readiness()> Ready;
-  std::atomic<bool> Draining{false};
   tbb::task_arena Workers;
   net::HttpServer Server;
 };
--- a/tools/entry/entry_shell.cpp
+++ b/tools/entry/entry_shell.cpp
@@ -31,8 +31,12 @@
           edge::makeHttpInstanceList(Client, Options.Instance.InstanceList),
           Counters, [this](Event event) { Ring.record(std::move(event)); },
           secureRandom),
-      State(io, Options, Counters,
-            [this](Event event) { Ring.record(std::move(event)); }),
+      State(
+          io, Options, Counters,
+          [this](Event event) { Ring.record(std::move(event)); },
+          [this](const Endpoint &peer, const AllotmentRequest &request) {
+            Control.requestAllotment(peer, request);
+          }),
       Desk(State, edge::makeEtcdStore(Client, Options.Instance.KeyValue)),
       Callers(State, Desk, [this] { return Control.readiness(); }),
       DrainTimer(io) {}
@@ -44,6 +48,11 @@
   Control.onPublished([this](std::shared_ptr<const Snapshot> snapshot) {
     State.publish(std::move(snapshot));
   });
+  Control.onAllotmentRequest([this](const AllotmentRequest &request) {
+    return State.Limits.grant(request, State.table()->snapshot());
+  });
+  Control.onGrant(
+      [this](const AllotmentGrant &grant) { State.Limits.apply(grant); });
   return Control.start(reason) && Callers.start(reason);
 }
 
@@ -51,7 +60,7 @@
   Ring.record(processEvent(EventKind::ProcessDraining, Options.self().Name));
   Drained = std::move(done);
   DrainSince = monotonicNow();
-  Callers.refuseNew();
+  State.Draining.store(true, std::memory_order_relaxed);
   Control.leave();
   watchDrain();
 }
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -30,10 +30,11 @@
 } // namespace
 
 EntryState::EntryState(boost::asio::io_context &io, const EntryOptions &options,
-                       Metrics &metrics, EventSink events)
+                       Metrics &metrics, EventSink events, AskPeer askPeer)
     : Io(io), Options(options), Events(std::move(events)), Counts(metrics),
       Keyer(options.Secret), Ids(options.Secret), Loads(options.Loads),
       Retries(options.Retries), Ejected(options.Ejection),
+      Limits(io, options.self().Name, options.Allotment, std::move(askPeer)),
       Links(io, linksInit(options), agentHooks()),
       Tables(makeTable(std::make_shared<const Snapshot>())),
       Readers([this] { return Reader(Tables); }) {}
@@ -44,6 +45,10 @@
 
 void EntryState::publish(std::shared_ptr<const Snapshot> snapshot) {
   Tables.publish(makeTable(std::move(snapshot)));
+  // Release times may have moved.
+  for (const auto &request : Board.all())
+    if (request->isHeld())
+      request->push(ConfigChanged{});
 }
 
 Attempt EntryState::freshTry() {
--- a/tools/entry/entry_state.h
+++ b/tools/entry/entry_state.h
@@ -11,6 +11,8 @@
 #include "decide/routing.h"
 #include "entry_metrics.h"
 #include "entry_options.h"
+#include "limit_desk.h"
+#include "request_board.h"
 #include "serve/caller_ids.h"
 #include "serve/request_flow.h"
 
@@ -39,7 +41,7 @@
 class EntryState {
 public:
   EntryState(boost::asio::io_context &io, const EntryOptions &options,
-             Metrics &metrics, EventSink events);
+             Metrics &metrics, EventSink events, AskPeer askPeer);
 
   /// Routing table with its snapshot; a pointer of this thread.
   std::shared_ptr<const RoutingTable> table();
@@ -60,10 +62,13 @@
   LoadView Loads;
   RetryBudget Retries;
   Ejector Ejected;
+  LimitDesk Limits;
+  RequestBoard Board;
   AttemptTable Attempts;
   TicketTable Tickets;
   AgentLinks Links;
   std::atomic<size_t> Running{0};
+  std::atomic<bool> Draining{false};
 
 private:
   AgentHooks agentHooks();
--- /dev/null
+++ b/tools/entry/limit_desk.h
@@ -0,0 +1,51 @@
+/// Organisations' limits at this entry: decides on each request, asks the entry
+/// that allots an organisation's limits, and answers when that is this one.
+#pragma once
+
+#include "control/snapshot.h"
+#include "decide/limits.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace daisytack::entry {
+
+/// How peers are asked; from ControlRuntime.
+using AskPeer =
+    std::function<void(const Endpoint &peer, const AllotmentRequest &request)>;
+
+/// Thread-safe.
+class LimitDesk {
+public:
+  LimitDesk(boost::asio::io_context &io, std::string self,
+            LimitSettings settings, AskPeer ask);
+
+  /// Calls done with None when the request is admitted; finished must follow
+  /// its end. May hold it for the time of a grant.
+  void admit(const Organisation &organisation,
+             const std::shared_ptr<const Snapshot> &config,
+             std::function<void(const Error &)> done);
+  void finished(std::string_view organisation);
+
+  /// From peers.
+  std::optional<AllotmentGrant> grant(const AllotmentRequest &request,
+                                      const Snapshot &config);
+  void apply(const AllotmentGrant &grant);
+
+private:
+  /// True when this process is the owner and has answered already.
+  bool ask(const Organisation &organisation, const Snapshot &config,
+           const AllotmentRequest &request);
+
+  boost::asio::io_context &Io;
+  const std::string Self;
+  const LimitSettings Settings;
+  const AskPeer Ask;
+  OrganisationLimits Limits;
+  AllotmentOwner Owner;
+};
+
+} // namespace daisytack::entry
--- /dev/null
+++ b/tools/entry/request_board.h
@@ -0,0 +1,52 @@
+/// What operators see of an entry's requests: those in flight, and the latest
+/// refusals.
+#pragma once
+
+#include "query/rows.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace daisytack::entry {
+
+class ActiveRequest;
+
+/// Thread-safe. The table is cut into shards, each with a lock that is held for
+/// one entry only, or for a copy of pointers.
+class RequestBoard {
+public:
+  void add(const std::shared_ptr<ActiveRequest> &request);
+  void remove(const ActiveRequest *request);
+  std::vector<std::shared_ptr<ActiveRequest>> all() const;
+
+  /// Keeps the latest refusals; Age is counted from the given time.
+  void refused(query::RefusalRow row, TimePoint at);
+  std::vector<query::RefusalRow> refusals(TimePoint now) const;
+
+private:
+  static constexpr size_t Shards = 16;
+  static constexpr size_t RefusalsKept = 256;
+
+  struct Shard {
+    mutable std::mutex Lock;
+    std::unordered_map<const ActiveRequest *, std::weak_ptr<ActiveRequest>>
+        Requests;
+  };
+  Shard &shardOf(const ActiveRequest *request);
+
+  struct KeptRefusal {
+    query::RefusalRow Row;
+    TimePoint At;
+  };
+
+  std::array<Shard, Shards> Table;
+  mutable std::mutex RefusalLock;
+  std::deque<KeptRefusal> Refusals;
+};
+
+} // namespace daisytack::entry
