Answer operators at the entry: queries, commands, events, metrics, readiness

The operators' HTTP is wired to the entry: requests in flight with state, server and progress, the latest refusals, what is believed of each server, stop, and readiness that turns false while draining.

--- a/tools/entry/entry_options.cpp
+++ b/tools/entry/entry_options.cpp
@@ -67,6 +67,8 @@
                                          out.ConnectTimeout, 1ms, 1min);
   out.LinkIdle =
       settings.duration("agents.idle_timeout", out.LinkIdle, 1s, 24h);
+  out.Operators =
+      runtime::readOperatorSettings(settings, out.Instance.Control.Self.Peer);
   readCallers(settings, out);
   readRequests(settings, out);
   return out;
--- a/tools/entry/entry_options.h
+++ b/tools/entry/entry_options.h
@@ -9,6 +9,7 @@
 #include "decide/routing.h"
 #include "net/http_server.h"
 #include "runtime/instance_settings.h"
+#include "runtime/operator_http.h"
 #include "serve/caller_request.h"
 #include "serve/request_spec.h"
 
@@ -21,6 +22,7 @@
   runtime::InstanceSettings Instance;
   net::HttpServerInit Callers; ///< Listens on the instance's work address.
   std::string Secret; ///< Shared by the deployment: names pieces and requests.
+  runtime::OperatorSettings Operators;
   FlowSettings Flow;
   CallerLimits Limits;
   LoadViewSettings Loads;
@@ -40,8 +42,7 @@
                                     ///< closing the listening socket.
 };
 
-/// Reads every setting but those of the operators' HTTP; mistakes are collected
-/// in the settings.
+/// Reads every setting; mistakes are collected in the settings.
 EntryOptions readEntryOptions(Settings &settings);
 
 } // namespace daisytack::entry
--- a/tools/entry/entry_shell.cpp
+++ b/tools/entry/entry_shell.cpp
@@ -5,6 +5,7 @@
 #include "daisytack/limits.h"
 #include "edge/instance_list_http.h"
 #include "edge/kv_etcd.h"
+#include "operator_rows.h"
 
 #include <utility>
 
@@ -39,7 +40,17 @@
           }),
       Desk(State, edge::makeEtcdStore(Client, Options.Instance.KeyValue)),
       Callers(State, Desk, [this] { return Control.readiness(); }),
-      DrainTimer(io) {}
+
+      Operators(io, operatorInit(), Counters, Ring, Client), DrainTimer(io) {}
+
+runtime::OperatorInit EntryShell::operatorInit() {
+  return {Options.self().Name,
+          Options.Operators,
+          operatorHooks(State),
+          runtime::controlHooks(Control),
+          wallNow,
+          secureRandom};
+}
 
 EntryShell::~EntryShell() = default;
 
@@ -53,7 +64,8 @@
   });
   Control.onGrant(
       [this](const AllotmentGrant &grant) { State.Limits.apply(grant); });
-  return Control.start(reason) && Callers.start(reason);
+  return Control.start(reason) && Operators.start(reason) &&
+         Callers.start(reason);
 }
 
 void EntryShell::drain(std::function<void()> done) {
@@ -71,6 +83,7 @@
   bool noticed = monotonicNow() - DrainSince >= Options.DrainNotice;
   if (noticed && State.Running.load(std::memory_order_acquire) == 0) {
     Callers.stopAccepting();
+    Operators.stopAccepting();
     State.Links.stop();
     Control.stop();
     return Drained();
--- a/tools/entry/entry_shell.h
+++ b/tools/entry/entry_shell.h
@@ -8,6 +8,7 @@
 #include "entry_state.h"
 #include "net/http_client.h"
 #include "runtime/control_runtime.h"
+#include "runtime/operator_http.h"
 #include "ticket_desk.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +28,7 @@
   void drain(std::function<void()> done);
 
 private:
+  runtime::OperatorInit operatorInit();
   void watchDrain();
 
   EntryOptions Options;
@@ -37,6 +39,7 @@
   EntryState State;
   TicketDesk Desk;
   CallerHttp Callers;
+  runtime::OperatorHttp Operators;
   boost::asio::steady_timer DrainTimer;
   TimePoint DrainSince;
   std::function<void()> Drained;
