Let the agent hand its engine one prefill at a time

The queue can plan for engines that prefill one after another, but the agent did not use it. For a model engine it now hands over one prefill at a time and reports the first token to the queue; a request whose fetch is under way is passed over instead of holding a slot (its context is due when the stores have answered, then when the fetch should be over). A plain service is driven as before.

--- a/src/serve/agent_context.cpp
+++ b/src/serve/agent_context.cpp
@@ -65,6 +65,10 @@
   wish.FirstTokenLimit =
       run.Deadline - Duration(offer.ReserveMicros) - decision.Decode;
   Fetch.begin(std::move(wish), step);
+  // Others go first until the stores have answered.
+  if (Fetch.isPending(offer.Id))
+    Queue.setReady(offer.Id, offer.Try,
+                   step.Now + Stores.settings().LookupTimeout);
 }
 
 void AgentCore::Impl::keepContext(const Run &run, const RunDone &done,
@@ -111,8 +115,12 @@
   Queue.setReady(news.Id, run->Token.Try, news.Ready);
   Queue.setPrefill(news.Id, run->Token.Try,
                    Predictor.prefill(run->ExpectedPrefill));
-  if (news.Settled && run->HasSlot)
+  if (!news.Settled)
+    return;
+  if (run->HasSlot)
     useSlot(*run, step);
+  else
+    startWaiting(step);
 }
 
 void AgentCore::Impl::startTransfers(Step &step) {
--- a/src/serve/agent_queue.cpp
+++ b/src/serve/agent_queue.cpp
@@ -71,6 +71,8 @@
 
 void AgentCore::Impl::resume(Run &run, Step &step) {
   run.State = RunState::Running;
+  if (run.FirstToken)
+    Queue.prefilled(run.Token.Id, run.Token.Try);
   step.Out.push_back(ResumeRun{run.Token});
   Dirty = true;
 }
--- a/tools/agent/agent_options.cpp
+++ b/tools/agent/agent_options.cpp
@@ -20,6 +20,8 @@
   out.Server = settings.endpoint("agent.server", std::nullopt);
   out.Core.Queue.Slots = static_cast<uint32_t>(
       settings.integer("agent.max_running", 32, 1, MaxRunningAtMost));
+  // An engine prefills one after another; a plain service has no prefill.
+  out.Core.Queue.Prefills = out.Core.IsService ? 0 : 1;
   out.Core.MaxWaiting = static_cast<uint32_t>(
       settings.integer("agent.max_waiting", 4096, 1, MaxWaitingAtMost));
 }
