--- /dev/null
+++ b/src/query/measures.cpp
@@ -0,0 +1,116 @@
+#include "query/measures.h"
+
+#include "base/setting_text.h"
+#include "base/standard_metrics.h"
+
+#include <cmath>
+#include <limits>
+
+namespace daisytack::query {
+
+namespace {
+
+/// One line of the Prometheus text format.
+struct Sample {
+  std::string Name;
+  std::map<std::string, std::string> Labels;
+  double Value = 0;
+};
+
+/// Reads NAME="VALUE" pairs; stops at what is none.
+std::map<std::string, std::string> labelsOf(std::string_view text) {
+  std::map<std::string, std::string> out;
+  while (true) {
+    size_t mark = text.find("=\"");
+    if (mark == std::string_view::npos)
+      return out;
+    std::string name(text.substr(0, mark));
+    text.remove_prefix(mark + 2);
+    std::string value;
+    while (!text.empty() && text.front() != '"') {
+      if (text.front() == '\\' && text.size() > 1)
+        text.remove_prefix(1);
+      value += text.front();
+      text.remove_prefix(1);
+    }
+    out[name] = value;
+    text.remove_prefix(std::min<size_t>(text.size(), 1));
+    if (!text.starts_with(','))
+      return out;
+    text.remove_prefix(1);
+  }
+}
+
+std::optional<Sample> sampleOf(std::string_view line) {
+  size_t space = line.rfind(' ');
+  if (line.starts_with('#') || space == std::string_view::npos)
+    return std::nullopt;
+  auto value = parseNumber(line.substr(space + 1));
+  if (!value)
+    return std::nullopt;
+  Sample out;
+  out.Value = *value;
+  std::string_view series = line.substr(0, space);
+  size_t brace = series.find('{');
+  out.Name = series.substr(0, brace);
+  if (brace != std::string_view::npos)
+    out.Labels = labelsOf(series.substr(brace + 1));
+  return out;
+}
+
+double edgeOf(const std::string &text) {
+  if (text == "+Inf")
+    return std::numeric_limits<double>::infinity();
+  return parseNumber(text).value_or(0);
+}
+
+uint64_t countOf(double value) {
+  return value > 0 ? static_cast<uint64_t>(value) : 0;
+}
+
+} // namespace
+
+double ServingMeasure::firstToken(double quantile) const {
+  uint64_t total = requests();
+  double rank = quantile * static_cast<double>(total);
+  for (const auto &[edge, count] : FirstToken)
+    if (total > 0 && static_cast<double>(count) >= rank)
+      return edge;
+  return 0;
+}
+
+uint64_t ServingMeasure::requests() const {
+  return FirstToken.empty() ? 0 : FirstToken.rbegin()->second;
+}
+
+double ServingMeasure::recomputedShare() const {
+  if (PromptTokens == 0)
+    return 0;
+  return static_cast<double>(RecomputedTokens) /
+         static_cast<double>(PromptTokens);
+}
+
+void Measures::add(std::string_view text) {
+  const std::string buckets = std::string(metric::FirstToken) + "_bucket";
+  ++Processes;
+  while (!text.empty()) {
+    std::string_view line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(line.size() + 1, text.size()));
+    auto sample = sampleOf(line);
+    if (!sample)
+      continue;
+    auto &labels = sample->Labels;
+    uint64_t count = countOf(sample->Value);
+    if (sample->Name == metric::LinkBytes)
+      LinkBytes[{labels["tier"], labels["direction"]}] += count;
+    std::pair pair{labels["model"], labels["class"]};
+    if (sample->Name == buckets)
+      Serving[pair].FirstToken[edgeOf(labels["le"])] += count;
+    if (sample->Name == metric::PromptTokens)
+      Serving[pair].PromptTokens += count;
+    if (sample->Name == metric::RecomputedTokens)
+      Serving[pair].RecomputedTokens += count;
+  }
+}
+
+} // namespace daisytack::query
--- /dev/null
+++ b/src/query/timeline.cpp
@@ -0,0 +1,154 @@
+#include "query/timeline.h"
+
+#include "query/schema.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace daisytack::query {
+
+namespace {
+
+/// An event that begins a span, and the events that end it.
+struct SpanRule {
+  std::string_view Name;
+  std::string_view Begin;
+  std::vector<std::string_view> Ends;
+};
+
+const std::vector<SpanRule> &spanRules() {
+  static const std::vector<SpanRule> Rules{
+      {"request", "request_received", {"request_answered", "request_refused"}},
+      {"wait", "run_queued", {"run_started", "run_cancelled"}},
+      {"fetch", "fetch_started", {"fetch_finished"}},
+      {"run", "run_started", {"run_finished", "run_cancelled"}},
+      {"load", "load_started", {"load_finished"}}};
+  return Rules;
+}
+
+/// Reads cells of one answer's rows by column name.
+class RowReader {
+public:
+  explicit RowReader(const Table &table) {
+    for (size_t i = 0; i < table.Columns.size(); ++i)
+      Indices[table.Columns[i].Name] = i;
+  }
+
+  template <class T>
+  T get(const std::vector<Cell> &row, const std::string &name) const {
+    auto it = Indices.find(name);
+    const T *value =
+        it == Indices.end() ? nullptr : std::get_if<T>(&row[it->second]);
+    return value ? *value : T{};
+  }
+
+private:
+  std::map<std::string, size_t> Indices;
+};
+
+TimelineEvent eventOf(const RowReader &reader, const std::vector<Cell> &row) {
+  TimelineEvent out;
+  out.At = reader.get<WallTime>(row, "at");
+  out.Logical = reader.get<int64_t>(row, "logical");
+  out.Instance = reader.get<std::string>(row, "instance");
+  out.Sequence = reader.get<int64_t>(row, "sequence");
+  out.Name = reader.get<std::string>(row, "event");
+  out.Request = reader.get<std::string>(row, "request");
+  out.Attempt = reader.get<int64_t>(row, "attempt");
+  out.Reason = reader.get<std::string>(row, "reason");
+  out.Subject = reader.get<std::string>(row, "subject");
+  for (size_t i = 0; i < out.Scores.size(); ++i)
+    out.Scores[i] = reader.get<int64_t>(row, "score" + std::to_string(i));
+  return out;
+}
+
+using SpanKey = std::tuple<std::string, std::string_view, std::string, int64_t>;
+
+/// An entry's request spans all of its attempts.
+SpanKey keyOf(const TimelineEvent &event, const SpanRule &rule) {
+  int64_t attempt = rule.Name == "request" ? 0 : event.Attempt;
+  return {event.Instance, rule.Name, event.Request, attempt};
+}
+
+/// Finds spans while events pass in order.
+class SpanFinder {
+public:
+  void take(const TimelineEvent &event) {
+    for (const SpanRule &rule : spanRules()) {
+      if (std::find(rule.Ends.begin(), rule.Ends.end(), event.Name) !=
+          rule.Ends.end())
+        end(event, rule);
+      if (event.Name == rule.Begin)
+        begin(event, rule);
+    }
+    Last = std::max(Last, event.At);
+  }
+
+  std::vector<Span> finish() {
+    for (auto &[key, span] : Open) {
+      span.End = Last;
+      span.IsOpen = true;
+      Out.push_back(span);
+    }
+    std::sort(Out.begin(), Out.end(), [](const Span &a, const Span &b) {
+      return std::tie(a.Start, a.Instance, a) <
+             std::tie(b.Start, b.Instance, b);
+    });
+    return std::move(Out);
+  }
+
+private:
+  void begin(const TimelineEvent &event, const SpanRule &rule) {
+    Span span;
+    span.Instance = event.Instance;
+    span.Name = rule.Name;
+    span.Request = event.Request;
+    span.Attempt = event.Attempt;
+    span.Start = event.At;
+    Open.insert_or_assign(keyOf(event, rule), span);
+  }
+
+  void end(const TimelineEvent &event, const SpanRule &rule) {
+    auto it = Open.find(keyOf(event, rule));
+    if (it == Open.end())
+      return;
+    it->second.End = event.At;
+    it->second.Reason = event.Reason;
+    Out.push_back(it->second);
+    Open.erase(it);
+  }
+
+  std::map<SpanKey, Span> Open;
+  std::vector<Span> Out;
+  WallTime Last;
+};
+
+} // namespace
+
+Timeline timelineOf(const std::vector<Answer> &pages, WallTime since) {
+  Timeline out;
+  for (const Answer &page : pages) {
+    RowReader reader(page.Rows);
+    for (const auto &row : page.Rows.Rows)
+      out.Events.push_back(eventOf(reader, row));
+    for (const EventGap &gap : page.Gaps)
+      if (gap.Until >= since)
+        out.Gaps.push_back(gap);
+    out.Silent.insert(out.Silent.end(), page.Silent.begin(), page.Silent.end());
+  }
+  std::sort(out.Events.begin(), out.Events.end());
+  std::sort(out.Gaps.begin(), out.Gaps.end(),
+            [](const auto &a, const auto &b) { return a.Until < b.Until; });
+  return out;
+}
+
+std::vector<Span> spansOf(const Timeline &timeline) {
+  SpanFinder finder;
+  for (const TimelineEvent &event : timeline.Events)
+    finder.take(event);
+  return finder.finish();
+}
+
+} // namespace daisytack::query
