Kill, pause and end processes in full flow, and prove at most once on them

tests/process/crash_test.py kills an agent and an entry in the middle of a stream, pauses an agent, forges a resume id, leaves as a caller, and ends an entry and an agent by SIGTERM while sixteen streams run. Answers must be whole and the caller's own, refusals not_run, exit codes 0. once_test.py sends one ticket and one caller's key through two entries, loses an answer, and kills the agent in the middle of a call: the service counts its runs.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -8,7 +8,7 @@
 OPERATOR_KEY = "operator-key-for-loopback-only"
 SECRET = "a-secret-for-loopback-only-0123456789abcdef"
 PIECE_BYTES = 4096
-WITH_OPERATORS = ()
+WITH_OPERATORS = ("agent",)
 DOMAINS = ("kengarags", "imanta", "jugla")
 
 
@@ -111,9 +111,9 @@
         else:
             self.fleet.wait_listens(instance.name, instance.work)
 
-    def wait_routed(self):
-        """Waits until every entry reaches a server of each kind."""
-        for entry in self.entries:
+    def wait_routed(self, *entries):
+        """Waits until the entries, or all of them, have prompts answered."""
+        for entry in entries or self.entries:
             wait_for(f"{entry.name} answers prompts",
                      lambda at=entry: self.complete("ready?", at=at, max_tokens=1).status == 200)
 
--- a/tests/process/cases.py
+++ b/tests/process/cases.py
@@ -43,6 +43,8 @@
     """Starts a killed instance again and waits until it serves."""
     deployment.start_instance(instance)
     deployment.wait_ready(instance)
+    if instance.role == "entry":
+        deployment.wait_routed(instance)
 
 
 def start_long_stream(deployment, prompt, events=3, **more):
