--- a/src/query/timeline_page.cpp
+++ b/src/query/timeline_page.cpp
@@ -284,8 +284,9 @@
   std::string out = "<h2>Three measures</h2>\n";
   if (measures.Serving.empty() && measures.LinkBytes.empty())
     return out + "<p>No process has counted a request yet.</p>\n";
-  out += "<p>Since the start of " + std::to_string(measures.Processes) +
-         " processes that answered.</p>\n<h3>First token and recomputed "
+  out += "<p>Since they started; processes that answered: " +
+         std::to_string(measures.Processes) +
+         ".</p>\n<h3>First token and recomputed "
          "share</h3>\n" +
          servingTable(measures);
   return out + "<h3>Link use between tiers</h3>\n" + linkTable(measures);
--- a/src/query/timeline_style.h
+++ b/src/query/timeline_style.h
@@ -28,7 +28,7 @@
 p { margin: 4px 0; color: var(--faint); }
 .note { color: var(--bad); }
 .scroll { overflow-x: auto; }
-.drawing { min-width: 720px; margin: 8px 0; }
+.drawing { min-width: 860px; margin: 8px 0; }
 svg { display: block; width: 100%; height: auto; }
 .grid, .edge { stroke: var(--line); stroke-width: 1; }
 .mark { fill: var(--faint); font-size: 10px; }
