--- a/src/serve/request_flow.cpp
+++ b/src/serve/request_flow.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr size_t UsualActions = 4;
+
 /// Refusals that no other server would answer otherwise.
 bool isFinalRefusal(ErrorKind kind) {
   switch (kind) {
@@ -47,6 +49,7 @@
   Step step{context, {}};
   if (Phase == FlowPhase::Ended)
     return {};
+  step.Out.reserve(UsualActions);
   std::visit([&](const auto &it) { on(it, step); }, input);
   if (Phase != FlowPhase::Ended)
     armTimer(step);
@@ -109,7 +112,9 @@
   Try &attempt = *it;
   Error reason{ErrorKind::ServerLost,
                "the connection to " + attempt.Server + " broke"};
-  if (input.MayBeDelivered || attempt.IsResume)
+  // A server that has spoken of the attempt has seen its offer.
+  bool wasHeard = attempt.Phase != TryPhase::Offered;
+  if (input.MayBeDelivered || attempt.IsResume || wasHeard)
     return lost(attempt, reason, step);
   attempt.Delivered = false;
   attempt.Phase = TryPhase::Closed;
--- a/tests/serve_entry/request_flow_test.cpp
+++ b/tests/serve_entry/request_flow_test.cpp
@@ -123,6 +123,8 @@
     {"OnceLostIsReadAgain", Once,
      "chunk a 1 0; lost 1; chunk a 1 1; finish a 1 2",
      "offer a 1; part 0; resume a 1 from 1; part 1; end"},
+    {"OnceHeardOfAndThenSaidUnsent", Once, "chunk a 1 0; lost 1 unsent",
+     "offer a 1; part 0; resume a 1 from 1"},
     {"OnceLostTwice", Once, "lost 1; lost 1",
      "offer a 1; resume a 1 from 0; error server_lost may_have_run"},
     {"OnceAnswerGone", Once, "lost 1; refuse a 1 answer_lost may",
