--- a/src/serve/caller_request.cpp
+++ b/src/serve/caller_request.cpp
@@ -81,9 +81,9 @@
   return authorization.substr(BearerPrefix.size());
 }
 
-std::optional<RequestSpec> readPrompt(const CallerInput &input,
-                                      const CallerContext &context, bool chat,
-                                      Error &reason) {
+std::optional<PromptRequest> readPrompt(const CallerInput &input,
+                                        const CallerContext &context, bool chat,
+                                        Error &reason) {
   std::optional<RequestSpec> out = readCommon(input, context, reason);
   if (!out)
     return std::nullopt;
@@ -117,7 +117,7 @@
   out->Offer.MaxTokens = maxTokens;
   out->Offer.Chat = chat;
   out->Offer.Body = input.Body;
-  return out;
+  return PromptRequest{std::move(*out), std::move(prompt->Text)};
 }
 
 std::optional<RequestSpec>
@@ -153,7 +153,7 @@
 }
 
 void keyPieces(wire::Offer &offer, PieceScope &scope, const Snapshot &config,
-               const PieceKeyer &keyer) {
+               const PieceKeyer &keyer, std::string_view text) {
   const Model *model = config.model(offer.Model);
   const Organisation *organisation = config.organisation(offer.Organisation);
   if (model == nullptr || organisation == nullptr)
@@ -161,14 +161,20 @@
   ReusePolicy policy = config.policy(offer.Organisation, offer.Class);
   offer.KeepMicros = static_cast<uint64_t>(policy.KeepFor.count());
   offer.KeptQuota = keptQuota(*organisation, policy);
-  PieceScope current = scopeOf(policy, *model);
-  if (current == scope)
-    return;
-  scope = current;
   offer.Version = model->Version;
   offer.Pieces.clear();
+  scope = scopeOf(policy, *model);
   if (mayReuse(policy))
-    offer.Pieces = keyer.keys(scope, promptText(offer));
+    offer.Pieces = keyer.keys(scope, text);
+}
+
+void refreshPieces(wire::Offer &offer, PieceScope scope, const Snapshot &config,
+                   const PieceKeyer &keyer) {
+  const Model *model = config.model(offer.Model);
+  ReusePolicy policy = config.policy(offer.Organisation, offer.Class);
+  if (model == nullptr || scopeOf(policy, *model) == scope)
+    return;
+  keyPieces(offer, scope, config, keyer, promptText(offer));
 }
 
 bool isPassedOn(std::string_view headerName) {
--- a/src/serve/caller_request.h
+++ b/src/serve/caller_request.h
@@ -46,11 +46,17 @@
 /// "Bearer KEY": the key; nothing for any other header.
 std::optional<std::string_view> bearerKey(std::string_view authorization);
 
+/// A prompt that was read, with its text for the piece keys.
+struct PromptRequest {
+  RequestSpec Spec;
+  std::string Text;
+};
+
 /// A prompt (POST /v1/completions or, with chat, /v1/chat/completions). Piece
 /// keys are left to keyPieces, as long prompts are hashed off the I/O threads.
-std::optional<RequestSpec> readPrompt(const CallerInput &input,
-                                      const CallerContext &context, bool chat,
-                                      Error &reason);
+std::optional<PromptRequest> readPrompt(const CallerInput &input,
+                                        const CallerContext &context, bool chat,
+                                        Error &reason);
 
 /// A call to a plain service; end-to-end headers are passed on.
 std::optional<RequestSpec>
@@ -61,10 +67,14 @@
 /// Text of an offer's prompt as the piece keys name it; empty for a service.
 std::string promptText(const wire::Offer &offer);
 
-/// Sets version, keep rule and piece keys by the configuration. Does nothing
-/// when they are up to date already.
+/// Sets version, keep rule and piece keys by the configuration, from the
+/// prompt's text.
 void keyPieces(wire::Offer &offer, PieceScope &scope, const Snapshot &config,
-               const PieceKeyer &keyer);
+               const PieceKeyer &keyer, std::string_view text);
+/// The same for a later attempt: reads the text again when the configuration
+/// has changed the keys, and does nothing otherwise.
+void refreshPieces(wire::Offer &offer, PieceScope scope, const Snapshot &config,
+                   const PieceKeyer &keyer);
 
 /// Headers that concern one connection, or daisytack, and are not passed on.
 bool isPassedOn(std::string_view headerName);
--- a/tests/serve_entry/caller_request_test.cpp
+++ b/tests/serve_entry/caller_request_test.cpp
@@ -48,8 +48,8 @@
 
 class CallerRequestTest : public testing::Test {
 protected:
-  std::optional<RequestSpec> prompt(const CallerInput &input,
-                                    bool chat = false) {
+  std::optional<PromptRequest> prompt(const CallerInput &input,
+                                      bool chat = false) {
     CallerContext context{Config, *Config.organisation("desk"), Limits, Now,
                           Wall};
     Reason = {};
@@ -79,20 +79,20 @@
   input.DeadlineMs = "1500";
   auto spec = prompt(input);
   ASSERT_TRUE(spec) << Reason.Detail;
-  EXPECT_EQ(spec->Offer.Model, "m");
-  EXPECT_EQ(spec->Offer.Organisation, "desk");
-  EXPECT_EQ(spec->Offer.Priority, 9);
-  EXPECT_EQ(spec->Offer.MaxTokens, 7U);
-  EXPECT_EQ(spec->Offer.PromptTokens, 2U);
-  EXPECT_TRUE(spec->Stream);
-  EXPECT_EQ(spec->Deadline, Now + Duration(1'500'000));
+  EXPECT_EQ(spec->Spec.Offer.Model, "m");
+  EXPECT_EQ(spec->Spec.Offer.Organisation, "desk");
+  EXPECT_EQ(spec->Spec.Offer.Priority, 9);
+  EXPECT_EQ(spec->Spec.Offer.MaxTokens, 7U);
+  EXPECT_EQ(spec->Spec.Offer.PromptTokens, 2U);
+  EXPECT_TRUE(spec->Spec.Stream);
+  EXPECT_EQ(spec->Spec.Deadline, Now + Duration(1'500'000));
 }
 
 TEST_F(CallerRequestTest, DeadlineIsAtMostTheClasss) {
   CallerInput input = bodyOf(R"({"model":"m","prompt":"a"})");
   input.Class = "urgent";
   input.DeadlineMs = "60000";
-  EXPECT_EQ(prompt(input)->Deadline, Now + 2 * Second);
+  EXPECT_EQ(prompt(input)->Spec.Deadline, Now + 2 * Second);
 }
 
 TEST_F(CallerRequestTest, RefusesWhatItCantKeep) {
@@ -141,7 +141,7 @@
                      true);
   ASSERT_TRUE(spec) << Reason.Detail;
   const ChatMessage messages[] = {{"system", "guide"}, {"user", "ab"}};
-  EXPECT_EQ(promptText(spec->Offer), canonicalText(messages));
+  EXPECT_EQ(promptText(spec->Spec.Offer), canonicalText(messages));
   EXPECT_FALSE(prompt(bodyOf(R"({"model":"m","messages":[]})"), true));
   EXPECT_FALSE(
       prompt(bodyOf(R"({"model":"m","messages":[{"role":"user"}]})"), true));
@@ -163,25 +163,26 @@
 TEST_F(CallerRequestTest, PiecesFollowTheConfiguration) {
   std::string body =
       R"({"model":"m","prompt":")" + std::string(PieceBytes * 2, 'x') + R"("})";
-  auto spec = prompt(bodyOf(body));
+  RequestSpec spec = prompt(bodyOf(body))->Spec;
   PieceKeyer keyer(Secret);
-  keyPieces(spec->Offer, spec->Scope, Config, keyer);
-  auto first = spec->Offer.Pieces;
-  EXPECT_EQ(first.size(), 2U);
-  EXPECT_EQ(spec->Offer.Version, "v1");
-  keyPieces(spec->Offer, spec->Scope, Config, keyer);
-  EXPECT_EQ(spec->Offer.Pieces, first);
+  keyPieces(spec.Offer, spec.Scope, Config, keyer, promptText(spec.Offer));
+  EXPECT_EQ(spec.Offer.Pieces.size(), 2U);
+  EXPECT_EQ(spec.Offer.Version, "v1");
+  wire::Offer later = spec.Offer;
+  refreshPieces(later, spec.Scope, Config, keyer);
+  EXPECT_EQ(later, spec.Offer);
   Config.Models[0].Version = "v2";
-  keyPieces(spec->Offer, spec->Scope, Config, keyer);
-  EXPECT_EQ(spec->Offer.Version, "v2");
-  EXPECT_NE(spec->Offer.Pieces, first);
+  refreshPieces(later, spec.Scope, Config, keyer);
+  EXPECT_EQ(later.Version, "v2");
+  EXPECT_EQ(later.Pieces.size(), 2U);
+  EXPECT_NE(later.Pieces, spec.Offer.Pieces);
   ReusePolicy none;
   none.Organisation = "desk";
   none.Reuse = false;
   none.Epoch = 1;
   Config.Policies = {none};
-  keyPieces(spec->Offer, spec->Scope, Config, keyer);
-  EXPECT_TRUE(spec->Offer.Pieces.empty());
+  refreshPieces(later, spec.Scope, Config, keyer);
+  EXPECT_TRUE(later.Pieces.empty());
 }
 
 TEST(CallerHeaders, KeysAndHeadersThatStayHere) {
--- a/tools/entry/active_request.cpp
+++ b/tools/entry/active_request.cpp
@@ -113,10 +113,8 @@
   };
   out.Refresh = [this](wire::Offer &offer, const RequestSpec &spec,
                        const FlowContext &context) {
-    if (!spec.Service.empty())
-      return;
-    PieceScope scope = spec.Scope;
-    keyPieces(offer, scope, context.Config, State.Keyer);
+    if (spec.Service.empty())
+      refreshPieces(offer, spec.Scope, context.Config, State.Keyer);
   };
   return out;
 }
--- a/tools/entry/caller_http.cpp
+++ b/tools/entry/caller_http.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "base/request_id.h"
 #include "net/problem.h"
 #include "once/ticket.h"
 
@@ -40,7 +41,8 @@
                         const std::shared_ptr<net::HttpExchange> &exchange) {
   auto incoming = std::make_shared<Incoming>();
   *incoming = {std::move(request), exchange, std::make_shared<CallerWatch>(),
-               randomId(secureRandom), monotonicNow()};
+               makeRequestId(State.Options.self().Name, secureRandom),
+               monotonicNow()};
   exchange->onClosed([this, watch = incoming->Watch] {
     State.Counts.CallersGone.add();
     watch->gone();
--- a/tools/entry/caller_reader.cpp
+++ b/tools/entry/caller_reader.cpp
@@ -75,9 +75,12 @@
   } else if (!input.LastEventId.empty()) {
     return readResume(request, arrived, reason);
   } else {
-    out = readPrompt(input, context, route == CallerRoute::Chat, reason);
-    if (out)
-      keyPieces(out->Offer, out->Scope, Config, State.Keyer);
+    std::optional<PromptRequest> prompt =
+        readPrompt(input, context, route == CallerRoute::Chat, reason);
+    if (!prompt)
+      return std::nullopt;
+    out = std::move(prompt->Spec);
+    keyPieces(out->Offer, out->Scope, Config, State.Keyer, prompt->Text);
   }
   if (!out)
     return std::nullopt;
