--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -8,7 +8,7 @@
 OPERATOR_KEY = "operator-key-for-loopback-only"
 SECRET = "a-secret-for-loopback-only-0123456789abcdef"
 PIECE_BYTES = 4096
-WITH_OPERATORS = ("agent",)
+WITH_OPERATORS = ("agent", "entry")
 DOMAINS = ("kengarags", "imanta", "jugla")
 
 
--- a/scripts/playground.py
+++ b/scripts/playground.py
@@ -24,6 +24,7 @@
         "OTHER_KEY": key_of("balta"),
         "OPERATOR_KEY": OPERATOR_KEY,
         "DAISYTACK_KEY": OPERATOR_KEY,
+        "DAISYTACK_ENTRIES": f"{HOST}:{entries[0].operators},{HOST}:{entries[1].operators}",
         "KEY_VALUE": f"{HOST}:{deployment.kv}",
         "ENGINE": f"{HOST}:{agents[0].server}",
         "ENGINES": " ".join(f"{HOST}:{port}" for port in deployment.engines()),
--- a/tests/process/input_test.py
+++ b/tests/process/input_test.py
@@ -71,7 +71,7 @@
 
 def peer_port_takes_no_garbage(d):
     """Bytes that are no frame close the connection and nothing else."""
-    for port in (d.agents[0].work,):
+    for port in (d.agents[0].work, d.agents[0].peer, d.entries[0].peer):
         with socket.create_connection((HOST, port), timeout=60) as connection:
             connection.sendall(b"\xff" * 4096)
             try:
