Mend three faults that the fault matrix found on the path of a request

Cause and change: - An answer held for its release looked at the wall clock alone: a clock that went back an hour held it past its deadline. The deadline now ends the hold. - An offer refused as not_run was forgotten, so that a late copy of its message ran after all. The agent closes refused attempts like others that are over. - An agent that was paused started a run by what it knew of its engine before; the engine had restarted on another version. A status older than the silence limit is no longer acted on: nothing is accepted, and a run that is ready is handed back as not run.

Before: cells 'read x clock steps', 'swap x watch gap + duplicated' and 'import x pauses past lease + server dies' broke their promises.

--- a/src/serve/agent_core.cpp
+++ b/src/serve/agent_core.cpp
@@ -222,6 +222,11 @@
   return Settings.IsService || EngineSeen.has_value();
 }
 
+bool AgentCore::Impl::isStatusFresh(TimePoint now) const {
+  return Settings.IsService ||
+         (EngineSeen && now - *EngineSeen < Settings.SilenceLimit);
+}
+
 bool AgentCore::Impl::isReady() const {
   return !isLeaving() && isReachable() && !Swap.holdsNewWork();
 }
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -145,6 +145,8 @@
   bool isReady() const;
   bool isLeaving() const { return Draining || Config.Drained; }
   bool isReachable() const;
+  /// Whether the engine's status may still be acted on.
+  bool isStatusFresh(TimePoint now) const;
   const std::string &version() const { return Engine.Version; }
   wire::LoadReport loadReport(TimePoint now) const;
   /// Pieces of the organisation that were reused.
--- a/src/serve/agent_offers.cpp
+++ b/src/serve/agent_offers.cpp
@@ -123,7 +123,7 @@
             "this agent serves " + Settings.Serves};
   if (isLeaving())
     return {ErrorKind::Draining, "the server is leaving"};
-  if (!isReachable())
+  if (!isStatusFresh(step.Now))
     return {ErrorKind::NotReady, "the engine does not answer", NotReadyRetry};
   if (Swap.holdsNewWork())
     return {ErrorKind::NotReady, "the server changes its version",
@@ -190,6 +190,9 @@
   out.Detail = why.Detail;
   out.Load = loadReport(step.Now);
   send(step, link, std::move(out));
+  // A copy of this offer that comes late must not run after all.
+  if (ran == Outcome::NotRun && !Runs.find(offer.Id))
+    close(offer.Id, offer.Try, step.Now);
   Refusals.push_back({offer.Id, offer.Try, offer.Organisation, offer.Class,
                       why.Kind, ran, step.Now});
   if (Refusals.size() > MaxRefusalsShown)
--- a/src/serve/agent_queue.cpp
+++ b/src/serve/agent_queue.cpp
@@ -50,7 +50,11 @@
 }
 
 void AgentCore::Impl::useSlot(Run &run, Step &step) {
-  if (isOvertaken(run))
+  // A process that was paused must not act on what it knew before.
+  if (!isStatusFresh(step.Now))
+    handBack(run, {ErrorKind::NotReady, "the engine's state is not known"},
+             step);
+  else if (isOvertaken(run))
     handBack(run, {ErrorKind::NotReady, "the server changed its version"},
              step);
   else if (!Fetch.isPending(run.Token.Id))
--- a/src/serve/request_answer.cpp
+++ b/src/serve/request_answer.cpp
@@ -64,11 +64,15 @@
 
 void RequestFlow::checkRelease(Step &step) {
   std::optional<WallTime> release = releaseTime(step.Context);
-  if (!release)
+  // The deadline holds though the wall clock stepped back or the release was
+  // moved beyond it.
+  TimePoint now = step.Context.Now;
+  if (!release || now >= Spec.Deadline)
     return deliver(step);
   auto left =
       std::chrono::duration_cast<Duration>(*release - step.Context.Wall);
-  ReleaseLook = step.Context.Now + std::min(left, Settings.ReleaseCheck);
+  ReleaseLook =
+      std::min(now + std::min(left, Settings.ReleaseCheck), Spec.Deadline);
 }
 
 void RequestFlow::deliver(Step &step) {
