Strike every step with every fault, and check the nine promises

Cause: the promises are to be proved by a fault matrix over the daemons' own decisions.

Change: tests/matrix plays one story in one process with time as an argument: entries, agents, control parts with the real state machines and codec, around small fakes of engines, stores, service and list. A fault strikes when a step is reached; pairs strike at later passages or one after the other.

--- /dev/null
+++ b/tests/matrix/agent_host.cpp
@@ -0,0 +1,315 @@
+#include "agent_host.h"
+
+#include <algorithm>
+
+namespace daisytack::matrix {
+
+using namespace serve;
+
+namespace {
+
+constexpr Duration EngineLatency{1'000};
+constexpr Duration Tick{100'000};
+
+AgentSettings makeSettings(const std::string &name, const Incarnation &process,
+                           const std::string &serves, bool isService) {
+  AgentSettings out;
+  out.Instance = name;
+  out.Process = process;
+  out.Serves = serves;
+  out.IsService = isService;
+  for (size_t i = 0; i < StoreCount; ++i) {
+    std::string store = "store-" + std::to_string(i);
+    out.Stores.Instances.push_back({store,
+                                    "domain-" + std::to_string(i),
+                                    {"127.0.0.1", 1},
+                                    hashName(store)});
+  }
+  return out;
+}
+
+swap::ConvergeInit makeSwap(const std::string &name, const Incarnation &process,
+                            const std::string &serves) {
+  swap::ConvergeInit out;
+  out.Slot.Model = serves;
+  out.Slot.Instance = name;
+  out.Slot.Process = process;
+  return out;
+}
+
+} // namespace
+
+AgentHost::AgentHost(std::string name, Incarnation process, std::string serves,
+                     bool isService, Engine &engine, Platform &platform,
+                     PromiseCheck &check, Hooks hooks)
+    : Name(std::move(name)), Serves(std::move(serves)), IsService(isService),
+      Server(engine), Outside(platform), Check(check), On(std::move(hooks)),
+      Core(makeSettings(Name, process, Serves, isService), On.Random),
+      Swap(makeSwap(Name, process, Serves), On.Random, nullptr) {}
+
+void AgentHost::start() {
+  apply(TimerFired{On.Wall()});
+  tick();
+}
+
+void AgentHost::apply(AgentInput input) {
+  for (AgentAction &action : Core.apply(std::move(input), On.Now()))
+    carryOut(std::move(action));
+  auto next = Core.nextTimer();
+  if (next && (!Armed || *next < *Armed)) {
+    Armed = next;
+    Duration delay = std::max(
+        Duration(0), std::chrono::duration_cast<Duration>(*next - On.Now()));
+    On.After(delay, [this, at = *next] {
+      if (Armed != at)
+        return;
+      Armed.reset();
+      apply(TimerFired{On.Wall()});
+    });
+  }
+  checkExit();
+}
+
+void AgentHost::onLinkOpened(uint32_t link) {
+  apply(LinkOpened{LinkHandle{link}});
+}
+
+void AgentHost::onLinkClosed(uint32_t link) {
+  std::erase_if(Accepted, [&](const auto &it) { return it.second == link; });
+  apply(LinkClosed{LinkHandle{link}});
+}
+
+void AgentHost::onMessage(uint32_t link, wire::Message message) {
+  apply(LinkMessage{LinkHandle{link}, std::move(message)});
+}
+
+void AgentHost::onConfig(const Snapshot &snapshot) {
+  AgentConfig config;
+  config.Revision = snapshot.ConfigRevision;
+  if (const Model *model = snapshot.model(Serves)) {
+    config.Version = model->Version;
+    config.Adapter = model->Adapter;
+    View.Desired = {model->Version, model->Adapter};
+    View.MinServers = model->MinServers;
+  }
+  if (const daisytack::Server *self = snapshot.server(Name)) {
+    config.Drained = self->Drained;
+    config.ChecksFencing = self->ChecksFencing;
+  }
+  View.InService = !config.Drained;
+  View.ServersOfModel = 0;
+  for (const daisytack::Server &it : snapshot.Servers)
+    View.ServersOfModel += it.Serves == Serves ? 1 : 0;
+  if (const Pool *pool = snapshot.pool(Serves, IsService))
+    View.ServersInService = static_cast<uint32_t>(pool->Servers.size());
+  apply(config);
+}
+
+void AgentHost::drain() {
+  if (Draining)
+    return;
+  Draining = true;
+  On.Reached(Step::Drain);
+  if (!IgnoresDrain)
+    apply(DrainRequested{});
+  if (ExitsAtOnce)
+    checkExit();
+}
+
+void AgentHost::checkExit() {
+  if (!Draining || Exited || (!Core.isDrained() && !ExitsAtOnce))
+    return;
+  Exited = true;
+  Check.exited(Name, Accepted.size());
+  On.After(Duration(0), [this] { On.Exit(); });
+}
+
+void AgentHost::carryOut(AgentAction action) {
+  std::visit(
+      [this](auto &it) {
+        if constexpr (requires { on(std::move(it)); })
+          on(std::move(it));
+      },
+      action);
+}
+
+void AgentHost::on(SendMessage action) {
+  uint32_t link = action.Link.Index;
+  if (const auto *accepted = std::get_if<wire::Accepted>(&action.Body)) {
+    Accepted.emplace(accepted->Id, link);
+    On.Reached(Step::Accept);
+  } else if (const auto *end = std::get_if<wire::Finished>(&action.Body)) {
+    Accepted.erase(end->Id);
+  } else if (const auto *refused = std::get_if<wire::Refused>(&action.Body)) {
+    auto it = Accepted.find(refused->Id);
+    if (it != Accepted.end() && it->second == link)
+      Accepted.erase(it);
+  } else if (std::holds_alternative<wire::Chunk>(action.Body)) {
+    On.Reached(Step::Stream);
+  }
+  On.Send(link, std::move(action.Body));
+}
+
+void AgentHost::on(const StartRun &action) {
+  On.Reached(Step::Run);
+  Check.acceptedNew(Name, On.OfferedAt(action.Run.Id));
+  if (ImportsUnverified)
+    for (const PieceKey &key : action.Offer->Pieces)
+      Server.importPiece({0, key, std::make_shared<const std::string>("torn")});
+  On.After(EngineLatency, [this, action] { Server.start(action); });
+}
+
+void AgentHost::on(const CancelRun &action) {
+  On.After(EngineLatency, [this, action] { Server.cancel(action.Run); });
+}
+
+void AgentHost::on(const SuspendRun & /*action*/) {}
+void AgentHost::on(const ResumeRun & /*action*/) {}
+
+void AgentHost::on(const PollStatus & /*action*/) {
+  // The status is of the moment it is asked for, and arrives late.
+  AgentInput status = Server.status();
+  On.After(EngineLatency, [this, status] {
+    apply(status);
+    if (const auto *known = std::get_if<EngineStatus>(&status)) {
+      View.EngineReachable = true;
+      View.Loaded = {known->Version, known->Adapter};
+      View.Loading = known->Loading;
+      View.EngineFence = known->Fence;
+      View.Running = known->Running;
+    } else {
+      View.EngineReachable = false;
+    }
+    updateSwap();
+  });
+}
+
+void AgentHost::on(const PollCacheEvents &action) {
+  AgentInput events = Server.cacheEvents(action.From);
+  On.After(EngineLatency, [this, events] { apply(events); });
+}
+
+void AgentHost::on(const ExportPiece &action) {
+  On.After(EngineLatency,
+           [this, action] { apply(Server.exportPiece(action)); });
+}
+
+void AgentHost::on(const ImportPiece &action) {
+  On.Reached(Step::Import);
+  On.After(EngineLatency,
+           [this, action] { apply(Server.importPiece(action)); });
+}
+
+void AgentHost::on(const SendOrder &action) {
+  On.Reached(Step::Load);
+  On.After(EngineLatency, [this, action] { apply(Server.order(action)); });
+}
+
+void AgentHost::on(const CallStore &action) {
+  if (std::holds_alternative<ReadPiece>(action.Request))
+    On.Reached(Step::Fetch);
+  StoreCalls[action.Call] = action.Store;
+  Duration latency = Outside.storeLatency();
+  if (action.Timeout.count() > 0 && latency > action.Timeout) {
+    On.After(action.Timeout, [this, call = action.Call] {
+      answerStore(call, Error{ErrorKind::ServerLost, "no answer in time"});
+    });
+    return;
+  }
+  On.After(latency, [this, action] {
+    if (StoreCalls.contains(action.Call))
+      answerStore(action.Call, Outside.callStore(action.Store, action.Request));
+  });
+}
+
+void AgentHost::on(const StopStoreCall &action) {
+  On.After(Duration(0), [this, call = action.Call] {
+    answerStore(call, Error{ErrorKind::Cancelled, "stopped"});
+  });
+}
+
+/// Each call is answered exactly once.
+void AgentHost::answerStore(CallId call, StoreResult result) {
+  auto it = StoreCalls.find(call);
+  if (it == StoreCalls.end())
+    return;
+  StoreHandle store = it->second;
+  StoreCalls.erase(it);
+  apply(StoreAnswer{call, store, std::move(result)});
+}
+
+void AgentHost::on(const RecordEvent &action) {
+  if (action.What.Kind == EventKind::TicketRecorded)
+    On.Reached(Step::Record);
+}
+
+void AgentHost::tick() {
+  updateSwap();
+  On.After(Tick, [this] { tick(); });
+}
+
+void AgentHost::updateSwap() {
+  if (IsService)
+    return;
+  View.Leaving = Draining;
+  carryOutSwap(Swap.update(View, On.Now()));
+}
+
+void AgentHost::carryOutSwap(const swap::SwapActions &actions) {
+  for (const swap::SwapAction &it : actions) {
+    if (const auto *call = std::get_if<swap::SlotCall>(&it)) {
+      callSlot(*call);
+      continue;
+    }
+    const auto &order = std::get<swap::LoadOrder>(it);
+    On.Reached(Step::Load);
+    SendOrder out{0,
+                  OrderKind::LoadWeights,
+                  order.What.Version,
+                  order.What.Adapter,
+                  "",
+                  order.Fence};
+    On.After(EngineLatency, [this, out] {
+      OrderAnswer answer = Server.order(out);
+      carryOutSwap(Swap.onOrder(answer.Why, answer.Fence, On.Now()));
+    });
+  }
+}
+
+void AgentHost::callSlot(const swap::SlotCall &call) {
+  auto tell = [this, number = call.Number](const auto &result) {
+    On.After(Duration(0), [this, number, result] {
+      carryOutSwap(Swap.on({number, result}, On.Now()));
+    });
+  };
+  auto onLease = [this, tell](auto act) {
+    Outside.call<edge::KvLeaseResult>(act, tell);
+  };
+  if (const auto *range = std::get_if<edge::KvRange>(&call.What))
+    Outside.call<edge::KvRangeResult>(
+        [range = *range](test::FakeKv &kv, TimePoint now) {
+          return kv.range(range, now);
+        },
+        tell);
+  else if (const auto *write = std::get_if<edge::KvTransaction>(&call.What)) {
+    On.Reached(Step::Lease);
+    Outside.call<edge::KvTransactionResult>(
+        [write = *write](test::FakeKv &kv, TimePoint now) {
+          return kv.commit(write, now);
+        },
+        tell);
+  } else if (const auto *grant = std::get_if<swap::GrantLease>(&call.What))
+    onLease([time = grant->TimeToLive](test::FakeKv &kv, TimePoint now) {
+      return kv.grant(time, now);
+    });
+  else if (const auto *keep = std::get_if<swap::KeepLease>(&call.What))
+    onLease([lease = keep->Lease](test::FakeKv &kv, TimePoint now) {
+      return kv.keep(lease, now);
+    });
+  else
+    onLease(
+        [lease = std::get<swap::RevokeLease>(call.What).Lease](
+            test::FakeKv &kv, TimePoint now) { return kv.revoke(lease, now); });
+}
+
+} // namespace daisytack::matrix
--- /dev/null
+++ b/tests/matrix/agent_host.h
@@ -0,0 +1,89 @@
+/// One agent process beside its backend server: the real core, and what the
+/// daemon's shell does around it.
+#pragma once
+
+#include "control_host.h"
+#include "engine.h"
+#include "serve/agent_core.h"
+#include "swap/converge.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace daisytack::matrix {
+
+class AgentHost {
+public:
+  struct Hooks {
+    std::function<TimePoint()> Now;
+    std::function<WallTime()> Wall;
+    std::function<void(Duration, std::function<void()>)> After;
+    std::function<void(uint32_t link, wire::Message message)> Send;
+    std::function<void(Step)> Reached;
+    /// When the request was first offered to this agent.
+    std::function<TimePoint(const RequestId &)> OfferedAt;
+    std::function<void()> Exit; ///< The drained process ends.
+    RandomSource Random;
+  };
+  AgentHost(std::string name, Incarnation process, std::string serves,
+            bool isService, Engine &engine, Platform &platform,
+            PromiseCheck &check, Hooks hooks);
+
+  void start();
+  void apply(serve::AgentInput input);
+  void onLinkOpened(uint32_t link);
+  void onLinkClosed(uint32_t link);
+  void onMessage(uint32_t link, wire::Message message);
+  void onConfig(const Snapshot &snapshot);
+  /// SIGTERM.
+  void drain();
+  bool isDraining() const { return Draining; }
+  const swap::Converge &converge() const { return Swap; }
+
+  // Seeded defects.
+  bool IgnoresDrain = false; ///< Goes on taking work while it leaves.
+  bool ExitsAtOnce = false;  ///< Ends without waiting for what it accepted.
+  bool ImportsUnverified = false; ///< Gives the engine half-read pieces.
+
+private:
+  void carryOut(serve::AgentAction action);
+  void on(serve::SendMessage action);
+  void on(const serve::StartRun &action);
+  void on(const serve::CancelRun &action);
+  void on(const serve::SuspendRun &action);
+  void on(const serve::ResumeRun &action);
+  void on(const serve::PollStatus &action);
+  void on(const serve::PollCacheEvents &action);
+  void on(const serve::ExportPiece &action);
+  void on(const serve::ImportPiece &action);
+  void on(const serve::SendOrder &action);
+  void on(const serve::CallStore &action);
+  void on(const serve::StopStoreCall &action);
+  void on(const serve::RecordEvent &action);
+  void answerStore(serve::CallId call, serve::StoreResult result);
+  void tick();
+  void updateSwap();
+  void carryOutSwap(const swap::SwapActions &actions);
+  void callSlot(const swap::SlotCall &call);
+  void checkExit();
+
+  std::string Name;
+  std::string Serves;
+  bool IsService;
+  Engine &Server;
+  Platform &Outside;
+  PromiseCheck &Check;
+  Hooks On;
+  serve::AgentCore Core;
+  swap::Converge Swap;
+  swap::SwapView View;
+  std::optional<TimePoint> Armed;
+  bool Draining = false;
+  bool Exited = false;
+  std::map<serve::CallId, serve::StoreHandle> StoreCalls; ///< Not answered yet.
+  std::map<RequestId, uint32_t> Accepted; ///< Not ended yet: link that reads.
+};
+
+} // namespace daisytack::matrix
--- /dev/null
+++ b/tests/matrix/engine.h
@@ -0,0 +1,99 @@
+/// A backend server in one process: a model engine with a cache of pieces, or a
+/// plain service. Its answers follow from the request alone, so that any mixed
+/// or cut answer shows; its cache holds the bytes that it was given, so that
+/// any wrong piece shows when it is used.
+#pragma once
+
+#include "event_queue.h"
+#include "promises.h"
+#include "serve/agent_messages.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace daisytack::matrix {
+
+/// What a caller's body says; bodies are written by callText().
+struct CallText {
+  uint64_t Number = 0;
+  std::string Organisation;
+  uint32_t Chunks = 0;
+};
+std::string callText(const CallText &call);
+/// Chunk i of the whole answer, and all of it.
+std::string answerChunk(const CallText &call, uint32_t i);
+std::string wholeAnswer(const CallText &call);
+CallText parseCallText(std::string_view body);
+
+/// Bytes that stand for a piece's content under one weight version.
+std::string pieceBytes(const PieceKey &key, const std::string &version);
+
+class Engine {
+public:
+  struct Hooks {
+    std::function<void(Duration, std::function<void()>)> After;
+    std::function<void(serve::AgentInput)> Tell;
+    /// The submission that a request id stands for.
+    std::function<uint64_t(const RequestId &)> SubmissionOf;
+    std::function<TimePoint()> Now;
+  };
+  Engine(std::string name, bool isService, PromiseCheck &check, Hooks hooks);
+
+  void start(const serve::StartRun &run);
+  void cancel(const serve::RunToken &run);
+  serve::AgentInput status() const;
+  serve::AgentInput cacheEvents(uint64_t from) const;
+  serve::OrderAnswer order(const serve::SendOrder &order);
+  serve::PieceExport exportPiece(const serve::ExportPiece &ask) const;
+  serve::PieceImport importPiece(const serve::ImportPiece &ask);
+  void clearCache();
+  void die();
+  void revive();
+  size_t running() const { return Runs.size(); }
+  const std::string &version() const { return Version; }
+
+  // Faults.
+  uint32_t SlowFactor = 1;
+  bool IgnoresFencing = false;
+  uint32_t CrossAnswers = 0; ///< So many next texts bear another's name.
+  uint32_t DoubleChunks = 0; ///< So many next texts are told twice.
+  /// A seeded defect: pieces of any version are taken for one's own.
+  bool MixesVersions = false;
+
+private:
+  struct Going {
+    std::shared_ptr<const wire::Offer> Offer;
+    CallText Call;
+    uint32_t Next = 0;
+    uint32_t Cached = 0;
+    uint32_t Sequence = 0;
+  };
+  struct CachedPiece {
+    std::string Bytes;
+    std::string Organisation; ///< That first computed or imported it.
+  };
+
+  uint32_t usePieces(const wire::Offer &offer);
+  void emit(const serve::RunToken &run);
+  void finish(const serve::RunToken &run);
+  void note(CacheEventKind kind, const PieceKey &piece);
+  void load(const std::string &version);
+
+  std::string Name;
+  bool IsService;
+  PromiseCheck &Check;
+  Hooks On;
+  bool Dead = false;
+  uint64_t Life = 1;
+  std::string Version = "v1";
+  bool Loading = false;
+  uint64_t Fence = 0;
+  uint64_t Loads = 0;
+  std::map<serve::RunToken, Going> Runs;
+  std::map<PieceKey, CachedPiece> Cache;
+  std::vector<CacheEvent> Events;
+};
+
+} // namespace daisytack::matrix
--- /dev/null
+++ b/tests/matrix/entry_host.h
@@ -0,0 +1,154 @@
+/// One entry process: the real flow of each request, routing, limits and key
+/// binding, and what the daemon's shell does around them.
+#pragma once
+
+#include "control_host.h"
+#include "decide/limits.h"
+#include "decide/retry_budget.h"
+#include "decide/routing.h"
+#include "engine.h"
+#include "once/key_binding.h"
+#include "serve/caller_request.h"
+#include "serve/request_flow.h"
+#include "steps.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace daisytack::matrix {
+
+/// How a caller names a call that may run once.
+enum class Naming : uint8_t { None, Ticket, OpaqueKey };
+
+/// One HTTP request of a caller.
+struct Submission {
+  uint64_t Number = 0;
+  RequestId Id;
+  CallerCall Call;
+  uint32_t Chunks = 4;
+  std::string Model; ///< Empty: a call to the plain service.
+  std::string Class;
+  bool Stream = false;
+  Naming Named = Naming::None;
+  std::string Key; ///< Ticket or opaque key; a ticket is fetched when empty.
+};
+
+class EntryHost {
+public:
+  struct Hooks {
+    std::function<TimePoint()> Now;
+    std::function<WallTime()> Wall;
+    std::function<void(Duration, std::function<void()>)> After;
+    /// Connects when there is no link; onHello or onLinkClosed follows.
+    std::function<void(const std::string &server)> Connect;
+    std::function<void(const std::string &server, wire::Message)> Send;
+    std::function<void(const std::string &peer, AllotmentRequest)> AskOwner;
+    std::function<void(Step)> Reached;
+    std::function<void()> Exit;
+    RandomSource Random;
+  };
+  EntryHost(std::string name, Platform &platform, PromiseCheck &check,
+            ControlHost &control, Hooks hooks);
+
+  void submit(const Submission &submission);
+  /// Takes a stream up again that broke off at another entry.
+  void resume(const Submission &submission, const std::string &server,
+              uint32_t fromIndex);
+  void onHello(const std::string &server, const Incarnation &process);
+  void onMessage(const std::string &server, wire::Message message);
+  void onLinkClosed(const std::string &server);
+  void onSnapshot(std::shared_ptr<const Snapshot> snapshot);
+  AllotmentGrant grant(const AllotmentRequest &ask);
+  void onGrant(const AllotmentGrant &grant);
+  void drain();
+
+  /// Submissions without a final answer, with the server and the number of
+  /// chunks that a caller needs to resume.
+  struct Open {
+    uint64_t Submission = 0;
+    std::string Server;
+    uint32_t Chunks = 0;
+  };
+  std::vector<Open> open() const;
+
+  // Seeded defects.
+  bool TellsNotRunAlways = false;
+  bool RepeatsCalls = false; ///< Offers a call again whatever became of it.
+  bool DropsChunks = false;
+  bool MixesCallers = false;     ///< Tells the answer to the next caller.
+  bool KeysByOldVersion = false; ///< Goes on with the first keys it made.
+  bool IgnoresLeaving = false;
+
+private:
+  struct Going {
+    Submission What;
+    std::unique_ptr<entry::RequestFlow> Flow;
+    std::set<std::pair<std::string, Attempt>> Attempts;
+    std::optional<TimePoint> Armed;
+    std::string LastServer;
+    uint32_t ShownChunks = 0;
+    bool Held = false;
+  };
+  struct Link {
+    bool Open = false;
+    Incarnation Process;
+    std::vector<wire::Message> Waiting;
+  };
+
+  void admit(const Submission &submission, bool mayAsk);
+  void begin(const Submission &submission);
+  void fetchTicket(const Submission &submission);
+  void bind(const Submission &submission, const std::string &ticket);
+  void onBindStep(const Submission &submission,
+                  const std::shared_ptr<KeyBinding> &binding, BindStep step);
+  void launch(const Submission &submission, const std::string &ticket);
+  std::optional<entry::RequestSpec> readSpec(const Submission &submission,
+                                             Error &reason) const;
+  entry::FlowHooks flowHooks(const std::string &ticket);
+  std::vector<entry::Candidate> rank(const entry::RequestSpec &spec,
+                                     const std::string &ticket);
+  void push(const RequestId &id, const entry::FlowInput &input);
+  void refuse(const Submission &submission, Error reason);
+  void post(const std::string &server, wire::Message message);
+
+  void on(Going &going, entry::SendOffer &action);
+  void on(Going &going, entry::SendResume &action);
+  void on(Going &going, entry::SendCancel &action);
+  void on(Going &going, entry::AnswerPart &action);
+  void on(Going &going, entry::AnswerEnd &action);
+  void on(Going &going, entry::AnswerWhole &action);
+  void on(Going &going, entry::AnswerError &action);
+  void on(Going &going, entry::ArmTimer &action);
+  void on(Going &going, entry::NoteServer &action);
+  void on(Going &going, entry::RecordEvent &action);
+  void on(Going &going, entry::FlowEnded &action);
+  uint64_t toldTo(const Going &going) const;
+  void checkExit();
+
+  std::string Name;
+  Platform &Outside;
+  PromiseCheck &Check;
+  ControlHost &Control;
+  Hooks On;
+  std::shared_ptr<const RoutingTable> Routes;
+  LoadView Loads;
+  OrganisationLimits Limits;
+  AllotmentOwner Owner;
+  RetryBudget Retries;
+  PieceKeyer Keyer;
+  BindingBudget Bindings;
+  std::map<RequestId, Going> Flows;
+  std::map<std::string, Link> Links;
+  std::map<RequestId, Submission> TicketAsks;
+  std::map<std::string, std::vector<PieceKey>> FirstKeys;
+  uint32_t NextTry = 1;
+  bool Draining = false;
+  bool Exited = false;
+  uint32_t BeingAdmitted = 0;
+};
+
+} // namespace daisytack::matrix
--- /dev/null
+++ b/tests/matrix/platform.h
@@ -0,0 +1,110 @@
+/// The platform's side besides the servers: key-value service, instance list
+/// and stores of kept context, with the faults that the matrix strikes with.
+#pragma once
+
+#include "context/fake_store.h"
+#include "control/object_codec.h"
+#include "edge/instance_list.h"
+#include "event_queue.h"
+#include "fakes/fake_kv.h"
+#include "serve/agent_messages.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisytack::matrix {
+
+constexpr Duration KvLatency{2'000};
+constexpr Duration KvTimeout{2'000'000};
+constexpr Duration KvSlowness{3'000'000};
+constexpr size_t StoreCount = 2;
+
+class Platform {
+public:
+  explicit Platform(EventQueue &queue) : Queue(queue) {}
+
+  // Key-value service.
+
+  /// Applies the call and tells its result, as the faults in force have it.
+  template <class R>
+  void call(std::function<R(test::FakeKv &, TimePoint)> apply,
+            std::function<void(R)> done) {
+    if (KvDown) {
+      R none;
+      none.Header = kvHeader(edge::KvStatus::Unavailable);
+      return Queue.after(KvLatency, [done, none] { done(none); });
+    }
+    bool lost = LoseKvAnswers > 0;
+    if (lost)
+      --LoseKvAnswers;
+    Duration latency = KvSlow ? KvSlowness : KvLatency;
+    bool isLate = lost || latency >= KvTimeout;
+    Queue.after(latency, [this, apply, done, isLate] {
+      R result = apply(Kv, Queue.now());
+      if (!isLate)
+        done(result);
+    });
+    if (!isLate)
+      return;
+    R unknown;
+    unknown.Header = kvHeader(edge::KvStatus::Unknown);
+    Queue.after(KvTimeout, [done, unknown] { done(unknown); });
+  }
+  /// Writes at once, as operators did before the start.
+  void preset(const ConfigObject &object);
+
+  // Instance list.
+
+  void list(const Member &member);
+  void setState(const std::string &name, MemberState state);
+  edge::InstanceListResult listed(uint64_t since) const;
+
+  // Stores.
+
+  serve::StoreResult callStore(serve::StoreHandle store,
+                               const serve::StoreRequest &ask);
+  Duration storeLatency() const {
+    return StoreSlow ? Duration(2'000'000) : Duration(1'000);
+  }
+  void tearStores();
+  void freeStores();
+  void fillStores();
+
+  test::FakeKv Kv;
+  bool KvDown = false;
+  bool KvSlow = false;
+  uint32_t LoseKvAnswers = 0;
+  bool ListLags = false;
+  bool StoreDead = false;
+  bool StoreSlow = false;
+  bool TearWrites = false;
+
+private:
+  edge::KvHeader kvHeader(edge::KvStatus status) const {
+    edge::KvHeader out = Kv.header(status);
+    out.Reason = {ErrorKind::ServiceUnavailable, "fault"};
+    return out;
+  }
+  serve::StoreResult answer(FakeStore &store, const serve::LookupPieces &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::ReadPiece &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::ReadGeneration &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::BeginPiece &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::WritePiece &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::CommitPiece &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::FreePiece &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::SamplePieces &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::AskUsage &ask);
+  serve::StoreResult answer(FakeStore &store, const serve::AskStatus &ask);
+
+  EventQueue &Queue;
+  uint64_t ListVersion = 0;
+  std::map<std::string, edge::ListedMember> Listed;
+  std::array<FakeStore, StoreCount> Stores;
+  std::set<PieceKey> Known;
+};
+
+} // namespace daisytack::matrix
--- /dev/null
+++ b/tests/matrix/world.h
@@ -0,0 +1,170 @@
+/// Two entries and five agents around one platform, stepped by one queue. A
+/// plan strikes with its faults when the plan's step is reached for the first
+/// time after the start, and heals them a while later.
+#pragma once
+
+#include "agent_host.h"
+#include "entry_host.h"
+#include "steps.h"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace daisytack::matrix {
+
+/// What is broken on purpose, one for each promise.
+enum class Defect : uint8_t {
+  None,
+  ImportsUnverified,
+  MixesCallers,
+  KeysByOldVersion,
+  DropsChunks,
+  TellsNotRunAlways,
+  RepeatsCalls,
+  IgnoresLeaving,
+  ExitsAtOnce,
+  LastImageWins,
+};
+
+struct Plan {
+  Step At = Step::Count; ///< Count: no fault.
+  uint32_t Skip = 0;     ///< The step is passed so many times before.
+  std::vector<Fault> Faults;
+  Duration Between{0}; ///< From one fault to the next.
+  Defect Seeded = Defect::None;
+};
+
+/// What became of a plan.
+struct Outcomes {
+  std::string Verdict; ///< Empty: all promises held.
+  std::array<bool, Promises> Broken{};
+  bool Struck = false; ///< The step was reached.
+  size_t Submissions = 0;
+  size_t Completed = 0;
+};
+
+class World {
+public:
+  explicit World(Plan plan);
+  Outcomes run();
+
+private:
+  struct Process {
+    std::string Name;
+    bool IsEntry = false;
+    std::string Serves;
+    Member Self;
+    uint64_t Life = 0;
+    bool Alive = false;
+    bool Leaving = false;
+    TimePoint PausedUntil;
+    TimePoint DisturbedUntil; ///< Too lately started or woken to be judged.
+    Duration WallOffset{0};
+    std::unique_ptr<ControlHost> Control;
+    std::unique_ptr<EntryHost> Entry;
+    std::unique_ptr<AgentHost> Agent;
+    std::unique_ptr<Engine> Server;
+  };
+  struct Link {
+    std::string Entry;
+    uint64_t EntryLife = 0;
+    std::string Agent;
+    uint64_t AgentLife = 0;
+    bool Open = true;
+  };
+  /// What happens to the next messages of a process.
+  struct MessageFault {
+    Fault Kind = Fault::Count;
+    uint32_t Left = 0;
+  };
+
+  // Set-up (world.cpp).
+  void configure();
+  void addProcess(const std::string &name, bool isEntry,
+                  const std::string &serves);
+  void startProcess(Process &process);
+  void startEntry(Process &process);
+  void startAgent(Process &process);
+  std::vector<Endpoint> seeds() const;
+  ControlHost::Hooks controlHooks(const std::string &name, uint64_t life);
+  Engine::Hooks engineHooks(const std::string &name);
+  void seed(Process &process);
+  RandomSource random();
+
+  // Processes and links (world_links.cpp).
+  void after(const std::string &name, uint64_t life, Duration delay,
+             EventQueue::Action action);
+  void kill(Process &process);
+  void connect(const std::string &entry, const std::string &agent);
+  uint32_t linkOf(const std::string &entry, const std::string &agent) const;
+  void sendToAgent(const std::string &entry, const std::string &agent,
+                   const wire::Message &message);
+  void sendToEntry(const std::string &agent, uint32_t link,
+                   const wire::Message &message);
+  void transmit(const std::string &from, uint32_t link,
+                EventQueue::Action deliver);
+  void closeLink(uint32_t link);
+  void sendPeer(const std::string &from, const std::string &to,
+                std::string bytes);
+  void fetch(const std::string &from, uint64_t life, const std::string &to,
+             const control::Pull &pull,
+             std::function<void(control::Rumour)> done);
+  std::optional<Fault> messageFate(const std::string &from);
+
+  // Faults (world_faults.cpp).
+  void reached(Step step, const std::string &actor);
+  void strike(Fault fault, const std::string &actor);
+  void strikeProcess(Fault fault, Process &process);
+  void strikeServer(Fault fault, Process &agent);
+  void heal();
+
+  // The story (world_story.cpp).
+  void schedule();
+  void at(double seconds, EventQueue::Action action);
+  uint64_t submit(Submission submission, const std::string &entry);
+  Submission prompt(const std::string &organisation, const std::string &kind);
+  Submission call(const std::string &organisation, Naming naming);
+  void propose(const std::string &entry, const control::ObjectKey &key,
+               control::ObjectEdit edit);
+  void watchCommand(const Id128 &id, const control::CommandResult &result);
+  void noteCommands();
+  void drain(const std::string &name);
+  void resumeStreams(Process &dying);
+  void checkSpread(uint64_t revision);
+  void finalChecks();
+
+  Plan What;
+  EventQueue Queue;
+  PromiseCheck Check;
+  Platform Outside;
+  std::mt19937_64 Random;
+  std::map<std::string, Process> Processes;
+  std::map<Endpoint, std::string> ByPeer;
+  std::vector<Link> Links; ///< Number 0 is never used.
+  std::map<std::string, MessageFault> MessageFaults;
+  std::vector<std::unique_ptr<ControlHost>> DeadControls;
+  std::vector<std::unique_ptr<EntryHost>> DeadEntries;
+  std::vector<std::unique_ptr<AgentHost>> DeadAgents;
+  std::map<RequestId, uint64_t> SubmissionOf;
+  std::map<std::pair<std::string, RequestId>, TimePoint> OfferedAt;
+  std::map<uint64_t, Submission> Submitted;
+  std::map<uint64_t, std::string> EntryOf; ///< By submission.
+  std::set<Id128> WrittenCommands;
+  std::vector<std::pair<Id128, control::CommandOutcome>> Commands;
+  uint64_t KvSeen = 0;
+  uint64_t NextCall = 0;
+  uint64_t NextSubmission = 0;
+  std::string LastAgent = "a0";
+  bool Started = false;
+  uint32_t Passed = 0; ///< Times that the plan's step was reached.
+  bool Struck = false;
+  bool WatchGap = false;
+  bool LoseNextCommand = false;
+  TimePoint ServiceTroubledUntil;
+};
+
+} // namespace daisytack::matrix
