Leave no timer of a swap in the past, and follow the agent's own wiring

Cause: with the swap wired into the agent's core the fault matrix never ended: a server that died under its order, or orders refused by a higher number, left a timer in the past, for which its owner would spin.

Change: an order's and a pause's end are seen whether or not the server can be reached, and while orders pause no try for a slot is awaited. The matrix drives the core's own swap instead of one beside it.

--- a/src/swap/converge.cpp
+++ b/src/swap/converge.cpp
@@ -83,6 +83,12 @@
 
 /// Learns from the server's status what became of the last order.
 void Converge::observe(TimePoint now) {
+  if (Ordered && now >= OrderedAt + Init.LoadTimeout)
+    Ordered.reset();
+  if (NotBefore && now >= *NotBefore) {
+    NotBefore.reset();
+    Orders = 0;
+  }
   if (!View.EngineReachable)
     return;
   Guard.observe(View.EngineFence);
@@ -92,15 +98,9 @@
     Orders = 0;
     note(EventKind::LoadFinished, ErrorKind::None, View.Loaded.Version);
   }
-  if (Ordered && now >= OrderedAt + Init.LoadTimeout)
-    Ordered.reset();
   // Whoever loaded it: what configuration asks for is what is expected.
   if (!Ordered && !View.Loading && View.Loaded == View.Desired)
     Guard.expect(View.Loaded.Version, View.Loaded.Adapter);
-  if (NotBefore && now >= *NotBefore) {
-    NotBefore.reset();
-    Orders = 0;
-  }
 }
 
 bool Converge::isConverged() const {
@@ -193,7 +193,8 @@
     if (time && (!out || *time < *out))
       out = time;
   };
-  if (Slot.isBusy() || Current == SwapState::WaitingForSlot)
+  bool mayTry = Current == SwapState::WaitingForSlot && !NotBefore;
+  if (Slot.isBusy() || mayTry)
     consider(Slot.nextTimer());
   if (Ordered)
     consider(OrderedAt + Init.LoadTimeout);
--- a/tests/matrix/agent_host.cpp
+++ b/tests/matrix/agent_host.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration EngineLatency{1'000};
-constexpr Duration Tick{100'000};
 
 AgentSettings makeSettings(const std::string &name, const Incarnation &process,
                            const std::string &serves, bool isService) {
@@ -28,15 +27,6 @@
   return out;
 }
 
-swap::ConvergeInit makeSwap(const std::string &name, const Incarnation &process,
-                            const std::string &serves) {
-  swap::ConvergeInit out;
-  out.Slot.Model = serves;
-  out.Slot.Instance = name;
-  out.Slot.Process = process;
-  return out;
-}
-
 } // namespace
 
 AgentHost::AgentHost(std::string name, Incarnation process, std::string serves,
@@ -44,13 +34,9 @@
                      PromiseCheck &check, Hooks hooks)
     : Name(std::move(name)), Serves(std::move(serves)), IsService(isService),
       Server(engine), Outside(platform), Check(check), On(std::move(hooks)),
-      Core(makeSettings(Name, process, Serves, isService), On.Random),
-      Swap(makeSwap(Name, process, Serves), On.Random, nullptr) {}
+      Core(makeSettings(Name, process, Serves, isService), On.Random) {}
 
-void AgentHost::start() {
-  apply(TimerFired{On.Wall()});
-  tick();
-}
+void AgentHost::start() { apply(TimerFired{On.Wall()}); }
 
 void AgentHost::apply(AgentInput input) {
   for (AgentAction &action : Core.apply(std::move(input), On.Now()))
@@ -89,19 +75,15 @@
   if (const Model *model = snapshot.model(Serves)) {
     config.Version = model->Version;
     config.Adapter = model->Adapter;
-    View.Desired = {model->Version, model->Adapter};
-    View.MinServers = model->MinServers;
+    config.MinServers = model->MinServers;
   }
-  if (const daisytack::Server *self = snapshot.server(Name)) {
+  if (const daisytack::Server *self = snapshot.server(Name))
     config.Drained = self->Drained;
-    config.ChecksFencing = self->ChecksFencing;
-  }
-  View.InService = !config.Drained;
-  View.ServersOfModel = 0;
+  config.ServersOfModel = 0;
   for (const daisytack::Server &it : snapshot.Servers)
-    View.ServersOfModel += it.Serves == Serves ? 1 : 0;
+    config.ServersOfModel += it.Serves == Serves ? 1 : 0;
   if (const Pool *pool = snapshot.pool(Serves, IsService))
-    View.ServersInService = static_cast<uint32_t>(pool->Servers.size());
+    config.ServersInService = static_cast<uint32_t>(pool->Servers.size());
   apply(config);
 }
 
@@ -169,19 +151,7 @@
 void AgentHost::on(const PollStatus & /*action*/) {
   // The status is of the moment it is asked for, and arrives late.
   AgentInput status = Server.status();
-  On.After(EngineLatency, [this, status] {
-    apply(status);
-    if (const auto *known = std::get_if<EngineStatus>(&status)) {
-      View.EngineReachable = true;
-      View.Loaded = {known->Version, known->Adapter};
-      View.Loading = known->Loading;
-      View.EngineFence = known->Fence;
-      View.Running = known->Running;
-    } else {
-      View.EngineReachable = false;
-    }
-    updateSwap();
-  });
+  On.After(EngineLatency, [this, status] { apply(status); });
 }
 
 void AgentHost::on(const PollCacheEvents &action) {
@@ -243,44 +213,17 @@
     On.Reached(Step::Record);
 }
 
-void AgentHost::tick() {
-  updateSwap();
-  On.After(Tick, [this] { tick(); });
-}
-
-void AgentHost::updateSwap() {
-  if (IsService)
-    return;
-  View.Leaving = Draining;
-  carryOutSwap(Swap.update(View, On.Now()));
-}
-
-void AgentHost::carryOutSwap(const swap::SwapActions &actions) {
-  for (const swap::SwapAction &it : actions) {
-    if (const auto *call = std::get_if<swap::SlotCall>(&it)) {
-      callSlot(*call);
-      continue;
-    }
-    const auto &order = std::get<swap::LoadOrder>(it);
-    On.Reached(Step::Load);
-    SendOrder out{0,
-                  OrderKind::LoadWeights,
-                  order.What.Version,
-                  order.What.Adapter,
-                  "",
-                  order.Fence};
-    On.After(EngineLatency, [this, out] {
-      OrderAnswer answer = Server.order(out);
-      carryOutSwap(Swap.onOrder(answer.Why, answer.Fence, On.Now()));
-    });
-  }
+void AgentHost::tellSlot(uint64_t number,
+                         decltype(swap::SlotResult::What) result) {
+  On.After(Duration(0), [this, number, result = std::move(result)] {
+    apply(SlotAnswer{{number, result}});
+  });
 }
 
-void AgentHost::callSlot(const swap::SlotCall &call) {
+void AgentHost::on(const CallSlot &action) {
+  const swap::SlotCall &call = action.Call;
   auto tell = [this, number = call.Number](const auto &result) {
-    On.After(Duration(0), [this, number, result] {
-      carryOutSwap(Swap.on({number, result}, On.Now()));
-    });
+    tellSlot(number, result);
   };
   auto onLease = [this, tell](auto act) {
     Outside.call<edge::KvLeaseResult>(act, tell);
--- a/tests/matrix/agent_host.h
+++ b/tests/matrix/agent_host.h
@@ -5,7 +5,6 @@
 #include "control_host.h"
 #include "engine.h"
 #include "serve/agent_core.h"
-#include "swap/converge.h"
 
 #include <functional>
 #include <map>
@@ -40,7 +39,6 @@
   /// SIGTERM.
   void drain();
   bool isDraining() const { return Draining; }
-  const swap::Converge &converge() const { return Swap; }
 
   // Seeded defects.
   bool IgnoresDrain = false; ///< Goes on taking work while it leaves.
@@ -59,14 +57,12 @@
   void on(const serve::ExportPiece &action);
   void on(const serve::ImportPiece &action);
   void on(const serve::SendOrder &action);
+  void on(const serve::CallSlot &action);
   void on(const serve::CallStore &action);
   void on(const serve::StopStoreCall &action);
   void on(const serve::RecordEvent &action);
   void answerStore(serve::CallId call, serve::StoreResult result);
-  void tick();
-  void updateSwap();
-  void carryOutSwap(const swap::SwapActions &actions);
-  void callSlot(const swap::SlotCall &call);
+  void tellSlot(uint64_t number, decltype(swap::SlotResult::What) result);
   void checkExit();
 
   std::string Name;
@@ -77,8 +73,6 @@
   PromiseCheck &Check;
   Hooks On;
   serve::AgentCore Core;
-  swap::Converge Swap;
-  swap::SwapView View;
   std::optional<TimePoint> Armed;
   bool Draining = false;
   bool Exited = false;
--- a/tests/matrix/entry_host.cpp
+++ b/tests/matrix/entry_host.cpp
@@ -176,7 +176,11 @@
     input.Target = "/quotes";
     out = readServiceCall(input, context, ServiceName, {}, reason);
   } else {
-    out = readPrompt(input, context, false, reason);
+    auto prompt = readPrompt(input, context, false, reason);
+    if (!prompt)
+      return std::nullopt;
+    out = std::move(prompt->Spec);
+    keyPieces(out->Offer, out->Scope, config, Keyer, prompt->Text);
   }
   if (out)
     out->Offer.Id = submission.Id;
@@ -194,7 +198,6 @@
   NextTry += 2 * MaxAttempts;
   if (RepeatsCalls)
     spec->Offer.Idempotent = true;
-  keyPieces(spec->Offer, spec->Scope, Routes->snapshot(), Keyer);
   RequestId id = spec->Offer.Id;
   Going going;
   going.What = submission;
@@ -230,10 +233,8 @@
   out.TakeRetry = [this] { return Retries.tryRetry(); };
   out.Refresh = [this](wire::Offer &offer, const RequestSpec &spec,
                        const FlowContext &context) {
-    if (!spec.Service.empty())
-      return;
-    PieceScope scope = spec.Scope;
-    keyPieces(offer, scope, context.Config, Keyer);
+    if (spec.Service.empty())
+      refreshPieces(offer, spec.Scope, context.Config, Keyer);
   };
   return out;
 }
--- a/tests/matrix/platform.cpp
+++ b/tests/matrix/platform.cpp
@@ -29,8 +29,8 @@
   });
 }
 
-edge::InstanceListResult Platform::listed(uint64_t since) const {
-  edge::InstanceListResult out;
+control::InstanceDelta Platform::listed(uint64_t since) const {
+  control::InstanceDelta out;
   out.Version = ListVersion;
   for (const auto &[name, member] : Listed)
     if (member.Changed > since)
--- a/tests/matrix/platform.h
+++ b/tests/matrix/platform.h
@@ -61,7 +61,7 @@
 
   void list(const Member &member);
   void setState(const std::string &name, MemberState state);
-  edge::InstanceListResult listed(uint64_t since) const;
+  control::InstanceDelta listed(uint64_t since) const;
 
   // Stores.
 
@@ -102,7 +102,7 @@
 
   EventQueue &Queue;
   uint64_t ListVersion = 0;
-  std::map<std::string, edge::ListedMember> Listed;
+  std::map<std::string, control::ListedMember> Listed;
   std::array<FakeStore, StoreCount> Stores;
   std::set<PieceKey> Known;
 };
--- a/tests/swap/converge_test.cpp
+++ b/tests/swap/converge_test.cpp
@@ -206,6 +206,33 @@
   EXPECT_EQ(core.state(), SwapState::WaitingForSlot);
 }
 
+TEST(Converge, AServerThatDiesUnderItsOrderLeavesNoTimerBehind) {
+  SwapFleet fleet(FleetInit{});
+  fleet.setDesired("v2");
+  fleet.run(3 * Second);
+  for (size_t i = 0; i < fleet.agents(); ++i)
+    fleet.setReachable(i, false);
+  fleet.run(40 * Second);
+  EXPECT_EQ(fleet.pastTimers(), 0U);
+  for (size_t i = 0; i < fleet.agents(); ++i)
+    fleet.setReachable(i, true);
+  EXPECT_TRUE(fleet.runUntilConverged(60 * Second));
+  EXPECT_EQ(fleet.pastTimers(), 0U);
+}
+
+TEST(Converge, AStrayOrderLeavesNoTimerBehind) {
+  FleetInit init;
+  init.Servers = 2;
+  SwapFleet fleet(init);
+  fleet.setDesired("v2");
+  fleet.run(Second);
+  // Another holder's higher number: every order of ours is refused.
+  fleet.strayOrder(0, "v1", 1'000'000);
+  fleet.strayOrder(1, "v1", 1'000'000);
+  fleet.run(60 * Second);
+  EXPECT_EQ(fleet.pastTimers(), 0U);
+}
+
 RC_GTEST_PROP(Converge, HoldsWithCallsLostAtAnyPoint, ()) {
   auto seed = *rc::gen::arbitrary<uint32_t>();
   auto fates = *rc::gen::container<std::vector<uint8_t>>(
@@ -225,6 +252,7 @@
   RC_ASSERT(fleet.runUntilConverged(180 * Second));
   RC_ASSERT(fleet.mostLoading() <= LoadSlots);
   RC_ASSERT(fleet.leastInService() >= 1U);
+  RC_ASSERT(fleet.pastTimers() == 0U);
 }
 
 } // namespace daisytack::test
--- a/tests/swap/swap_fleet.cpp
+++ b/tests/swap/swap_fleet.cpp
@@ -80,6 +80,8 @@
     view.Desired = {Desired, ""};
     view.Running = it.Running;
     carryOut(it, it.Core->update(view, Now));
+    auto timer = it.Core->nextTimer();
+    PastTimers += timer && *timer <= Now ? 1 : 0;
   }
   watch();
 }
@@ -89,7 +91,7 @@
   agent.Shown.MinServers = Init.MinServers;
   agent.Shown.ServersInService = static_cast<uint32_t>(Agents.size());
   agent.Shown.ServersOfModel = static_cast<uint32_t>(Agents.size());
-  agent.Shown.EngineReachable = true;
+  agent.Shown.EngineReachable = agent.Reachable;
   agent.Shown.Loaded = {agent.Loaded, ""};
   agent.Shown.Loading = !agent.LoadTarget.empty();
   agent.Shown.EngineFence = Init.ChecksFencing ? agent.Fence : 0;
--- a/tests/swap/swap_fleet.h
+++ b/tests/swap/swap_fleet.h
@@ -48,6 +48,12 @@
   uint64_t calls() const { return Calls; }
   uint64_t orders() const { return Orders; }
   uint64_t staleOrdersTaken() const { return StaleOrdersTaken; }
+  /// Updates after which a timer was wanted for a time that has passed: its
+  /// owner would spin.
+  uint64_t pastTimers() const { return PastTimers; }
+  void setReachable(size_t agent, bool reachable) {
+    Agents[agent].Reachable = reachable;
+  }
   /// Sends an order past the core, as a predecessor that woke up would.
   void strayOrder(size_t agent, const std::string &version, uint64_t fence) {
     order(Agents[agent], {{version, ""}, fence});
@@ -62,6 +68,7 @@
     uint64_t Fence = 0;
     uint32_t Running = 0;
     bool Paused = false;
+    bool Reachable = true;
     swap::SwapView Shown; ///< Lags behind the truth.
     TimePoint ShownAt;
     std::vector<swap::SlotResult> Answers;
@@ -83,6 +90,7 @@
   uint32_t MostLoading = 0;
   uint32_t LeastInService = UINT32_MAX;
   uint64_t Calls = 0;
+  uint64_t PastTimers = 0;
   uint64_t Orders = 0;
   uint64_t StaleOrdersTaken = 0;
 };
