--- a/src/base/standard_metrics.cpp
+++ b/src/base/standard_metrics.cpp
@@ -1,13 +1,15 @@
 #include "base/standard_metrics.h"
 
-#include <mutex>
-
 namespace daisytack {
 
 namespace {
 
 constexpr const char *OtherName = "other";
-constexpr const char *ControlBytesHelp = "Bytes of messages between peers.";
+
+// What control may take of a node at the deployment's full size.
+constexpr int64_t CpuMicrosPerSecondBudget = 48'000;
+constexpr int64_t MemoryBytesBudget = 128'000'000;
+constexpr int64_t BytesPerSecondBudget = 5'000;
 
 } // namespace
 
@@ -40,28 +42,31 @@
                         "Prompt tokens prefilled rather than reused.", labels)};
 }
 
-Counter &LinkMetrics::bytes(Metrics &metrics, const std::string &tier,
-                            const std::string &direction) {
+Counter &LinkMetrics::bytes(Metrics &metrics, const std::string &direction) {
   return metrics.counter(metric::LinkBytes,
-                         "Bytes of kept context over links to stores.",
-                         {{"direction", direction}, {"tier", tier}});
+                         "Bytes of kept context between engines and stores.",
+                         {{"direction", direction}});
+}
+
+ProcessMetrics::ProcessMetrics(Metrics &metrics)
+    : Cpu(metrics.counter(metric::ProcessCpu,
+                          "Processor time of the whole process.")),
+      Memory(metrics.gauge(metric::ProcessMemory,
+                           "Resident memory of the whole process.")) {
+  metrics.gauge(metric::CpuBudget, "Processor time that control may take.")
+      .set(CpuMicrosPerSecondBudget);
+  metrics.gauge(metric::MemoryBudget, "Memory that control may take.")
+      .set(MemoryBytesBudget);
+  metrics.gauge(metric::BytesBudget, "Bytes that control may send and receive.")
+      .set(BytesPerSecondBudget);
 }
 
-ControlMetrics::ControlMetrics(Metrics &metrics, int64_t bytesPerSecondBudget)
-    : BytesSent(metrics.counter(metric::ControlBytes, ControlBytesHelp,
-                                {{"direction", "sent"}})),
-      BytesReceived(metrics.counter(metric::ControlBytes, ControlBytesHelp,
-                                    {{"direction", "received"}})),
-      CpuMicros(
-          metrics.counter(metric::ControlCpu, "Processor time of control.")) {
-  metrics
-      .gauge(metric::ControlBytesBudget,
-             "Bytes of messages between peers that are allowed.")
-      .set(bytesPerSecondBudget);
-  metrics
-      .gauge(metric::ControlCpuBudget,
-             "Processor time of control that is allowed.")
-      .set(ControlCpuMicrosPerSecond);
+void ProcessMetrics::show(const ProcessUsage &usage) {
+  std::lock_guard guard(Lock);
+  uint64_t shown = Cpu.get();
+  if (usage.CpuMicros > shown)
+    Cpu.add(usage.CpuMicros - shown);
+  Memory.set(static_cast<int64_t>(usage.ResidentBytes));
 }
 
 } // namespace daisytack
--- a/src/base/standard_metrics.h
+++ b/src/base/standard_metrics.h
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 
 #include <map>
+#include <mutex>
 #include <shared_mutex>
 #include <string>
 #include <utility>
@@ -18,17 +19,14 @@
 constexpr const char *RecomputedTokens =
     "daisytack_prompt_tokens_recomputed_total";
 constexpr const char *LinkBytes = "daisytack_link_bytes_total";
-constexpr const char *ControlBytes = "daisytack_control_bytes_total";
-constexpr const char *ControlBytesBudget =
-    "daisytack_control_bytes_per_second_budget";
-constexpr const char *ControlCpu = "daisytack_control_cpu_microseconds_total";
-constexpr const char *ControlCpuBudget =
+constexpr const char *ProcessCpu = "daisytack_process_cpu_microseconds_total";
+constexpr const char *ProcessMemory = "daisytack_process_resident_bytes";
+constexpr const char *CpuBudget =
     "daisytack_control_cpu_microseconds_per_second_budget";
+constexpr const char *MemoryBudget = "daisytack_control_memory_bytes_budget";
+constexpr const char *BytesBudget = "daisytack_control_bytes_per_second_budget";
 } // namespace metric
 
-/// Processor time that control may take: 4.8% of a core.
-constexpr int64_t ControlCpuMicrosPerSecond = 48'000;
-
 /// Time to first token and share recomputed, for one model and class.
 struct ServingSeries {
   Distribution &FirstToken;
@@ -56,20 +54,30 @@
   std::map<Pair, ServingSeries> Known;
 };
 
-/// Bytes over the links between store tiers and engines.
+/// Bytes over the links between engines and stores.
 struct LinkMetrics {
-  /// Tier: "memory" or "disk". Direction: "fetch" or "export".
-  static Counter &bytes(Metrics &metrics, const std::string &tier,
-                        const std::string &direction);
+  /// Direction: "fetch" or "export".
+  static Counter &bytes(Metrics &metrics, const std::string &direction);
 };
 
-/// Control's use of bytes and processor, and the budgets beside them.
-struct ControlMetrics {
-  explicit ControlMetrics(Metrics &metrics, int64_t bytesPerSecondBudget);
+/// What the operating system says a process uses.
+struct ProcessUsage {
+  uint64_t CpuMicros = 0;
+  uint64_t ResidentBytes = 0;
+};
 
-  Counter &BytesSent;
-  Counter &BytesReceived;
-  Counter &CpuMicros;
+/// A process's use of processor and memory, and beside it what control may take
+/// of a node: 4.8% of a core, 128 MB and 5 KB/s.
+class ProcessMetrics {
+public:
+  explicit ProcessMetrics(Metrics &metrics);
+  /// Called before the metrics are written out. Thread-safe.
+  void show(const ProcessUsage &usage);
+
+private:
+  std::mutex Lock;
+  Counter &Cpu;
+  Gauge &Memory;
 };
 
 } // namespace daisytack
--- a/src/query/measures.cpp
+++ b/src/query/measures.cpp
@@ -102,7 +102,7 @@
     auto &labels = sample->Labels;
     uint64_t count = countOf(sample->Value);
     if (sample->Name == metric::LinkBytes)
-      LinkBytes[{labels["tier"], labels["direction"]}] += count;
+      LinkBytes[labels["direction"]] += count;
     std::pair pair{labels["model"], labels["class"]};
     if (sample->Name == buckets)
       Serving[pair].FirstToken[edgeOf(labels["le"])] += count;
--- a/src/query/timeline_page.cpp
+++ b/src/query/timeline_page.cpp
@@ -247,13 +247,13 @@
   uint64_t most = 1;
   for (const auto &[key, bytes] : measures.LinkBytes)
     most = std::max(most, bytes);
-  std::string out = "<div class=\"scroll\"><table><thead><tr><th>tier</th>"
+  std::string out = "<div class=\"scroll\"><table><thead><tr>"
                     "<th>direction</th><th colspan=\"2\">bytes</th></tr>"
                     "</thead><tbody>";
   for (const auto &[key, bytes] : measures.LinkBytes)
     out +=
-        "<tr><td>" + escaped(key.Tier) + "</td><td>" + escaped(key.Direction) +
-        "</td><td class=\"n\">" + std::to_string(bytes) + "</td><td>" +
+        "<tr><td>" + escaped(key) + "</td><td class=\"n\">" +
+        std::to_string(bytes) + "</td><td>" +
         bar(static_cast<double>(bytes) / static_cast<double>(most), "fetch") +
         "</td></tr>\n";
   return out + "</tbody></table></div>\n";
--- a/src/runtime/operator_http.cpp
+++ b/src/runtime/operator_http.cpp
@@ -1,6 +1,7 @@
 #include "runtime/operator_http.h"
 
 #include "base/digest.h"
+#include "base/standard_metrics.h"
 #include "net/problem.h"
 #include "query/command_parser.h"
 #include "query/query_parser.h"
@@ -11,6 +12,9 @@
 #include <boost/json.hpp>
 
 #include <charconv>
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace daisytack::runtime {
 
@@ -105,6 +109,23 @@
   return out;
 }
 
+uint64_t microsOf(const timeval &time) {
+  constexpr int64_t MicrosPerSecond = 1'000'000;
+  return static_cast<uint64_t>(time.tv_sec * MicrosPerSecond + time.tv_usec);
+}
+
+ProcessUsage processUsage() {
+  ProcessUsage out;
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) == 0)
+    out.CpuMicros = microsOf(usage.ru_utime) + microsOf(usage.ru_stime);
+  uint64_t pages = 0;
+  uint64_t resident = 0;
+  if (std::ifstream("/proc/self/statm") >> pages >> resident)
+    out.ResidentBytes = resident * static_cast<uint64_t>(getpagesize());
+  return out;
+}
+
 Readiness readinessOf(const OperatorInit &init) {
   Readiness control = init.Control.Ready();
   if (!control.Ready || !init.Hooks.Ready)
@@ -155,7 +176,7 @@
 struct OperatorHttp::Impl {
   Impl(boost::asio::io_context &io, OperatorInit init, Metrics &metrics,
        EventRing &events, net::HttpClient &client)
-      : Init(std::move(init)), Counts(metrics), Ring(events),
+      : Init(std::move(init)), Counts(metrics), Usage(metrics), Ring(events),
         View(Init, events), Queries(Init, View, client),
         Commands(io, Init, client),
         Server(io, serverInit(),
@@ -183,6 +204,7 @@
 
   OperatorInit Init;
   Metrics &Counts;
+  ProcessMetrics Usage;
   EventRing &Ring;
   OperatorView View;
   OperatorQueries Queries;
@@ -214,6 +236,7 @@
 void OperatorHttp::Impl::routeOpen(const net::HttpRequest &request,
                                    const Exchange &exchange) {
   if (request.Path == "/metrics") {
+    Usage.show(processUsage());
     exchange->respond(plainResponse(HttpOk, "text/plain; version=0.0.4",
                                     Counts.prometheusText()));
     return;
--- a/tools/agent/agent_metrics.cpp
+++ b/tools/agent/agent_metrics.cpp
@@ -1,5 +1,7 @@
 #include "agent_metrics.h"
 
+#include "base/standard_metrics.h"
+
 namespace daisytack::agent {
 
 namespace {
@@ -45,15 +47,13 @@
                                       "Tokens of answers")),
       PiecesFetched(metrics.counter("daisytack_agent_pieces_fetched_total",
                                     "Pieces whose fetch was started")),
-      FetchedBytes(metrics.counter("daisytack_agent_fetch_bytes_total",
-                                   "Bytes that fetches were planned for")),
+      FetchedBytes(LinkMetrics::bytes(metrics, "fetch")),
       PiecesRejected(
           metrics.counter("daisytack_agent_pieces_rejected_total",
                           "Pieces that were not used after a check")),
       PiecesExported(metrics.counter("daisytack_agent_pieces_exported_total",
                                      "Pieces committed to a store")),
-      ExportedBytes(metrics.counter("daisytack_agent_export_bytes_total",
-                                    "Bytes committed to stores")),
+      ExportedBytes(LinkMetrics::bytes(metrics, "export")),
       PiecesEvicted(metrics.counter("daisytack_agent_pieces_evicted_total",
                                     "Pieces freed in a full store")),
       CacheGaps(metrics.counter("daisytack_agent_cache_gaps_total",
--- a/tools/entry/active_request.cpp
+++ b/tools/entry/active_request.cpp
@@ -208,6 +208,7 @@
   Exchange->endStream();
   State.Counts.answered(ErrorKind::None);
   State.Counts.FirstToken.observe(action.Summary.FirstToken);
+  State.Counts.served(Flow.spec().Offer, action.Summary);
 }
 
 void ActiveRequest::respondService(AnswerWhole &action) {
@@ -227,6 +228,7 @@
   State.Counts.FirstToken.observe(action.Summary.FirstToken);
   if (!Flow.spec().Service.empty())
     return respondService(action);
+  State.Counts.served(Flow.spec().Offer, action.Summary);
   const AnswerSummary &summary = action.Summary;
   net::HttpResponse out;
   out.Headers = {
--- a/tools/entry/entry_metrics.cpp
+++ b/tools/entry/entry_metrics.cpp
@@ -25,7 +25,8 @@
                                Distribution::Unit::Seconds)),
       Whole(metrics.distribution("daisytack_entry_answer_seconds",
                                  "From arrival to the end of an answer.",
-                                 Distribution::Unit::Seconds)) {
+                                 Distribution::Unit::Seconds)),
+      Serving(metrics) {
   for (size_t i = 0; i < Kinds; ++i) {
     auto kind = static_cast<ErrorKind>(i);
     std::string name(kind == ErrorKind::None ? "whole" : errorName(kind));
@@ -34,4 +35,12 @@
   }
 }
 
+void EntryMetrics::served(const wire::Offer &offer,
+                          const AnswerSummary &summary) {
+  ServingSeries series = Serving.of(offer.Model, offer.Class);
+  series.FirstToken.observe(summary.FirstToken);
+  series.PromptTokens.add(summary.PromptTokens);
+  series.RecomputedTokens.add(summary.RecomputedTokens);
+}
+
 } // namespace daisytack::entry
