Hold exports back on a crowded link, and carry pieces larger than the burst

An agent's exports waited for its own fetches only; those of the other agents at the same store were delayed. Exports now wait while the learned rate is under half of the budget.

A piece larger than the link's burst was refused, so a deployment with large pieces would silently have fetched nothing; a frame was bounded at 64 MB, just under a piece of 64 KB a token. Such a piece now starts when the burst is whole and the link rests until it is earned; the bound, max(burst, largest transfer) + time x rate, is what the property test checks, with transfers of up to one and a half bursts. The frame's bound is 256 MB.

--- a/src/context/link_scheduler.cpp
+++ b/src/context/link_scheduler.cpp
@@ -13,6 +13,9 @@
 constexpr double ForgetHalfLifeSeconds = 20;
 /// A rate is never taken for less, so that predictions stay finite.
 constexpr double LeastBytesPerSecond = 1;
+/// Exports wait while the link gives less than this share of its budget: other
+/// agents' fetches are using it.
+constexpr double ExportRateShare = 0.5;
 /// An export leaves this share of the burst to fetches.
 constexpr double FetchReserve = 0.5;
 /// Measured times shorter than this say nothing about the rate.
@@ -43,10 +46,6 @@
 bool LinkScheduler::add(const Transfer &transfer, TimePoint now,
                         Error &reason) {
   (void)now;
-  if (transfer.Bytes > Limits.BurstBytes) {
-    reason = {ErrorKind::BodyTooLarge, "piece exceeds the link's burst", {}};
-    return false;
-  }
   if (transfer.Kind == TransferKind::Export) {
     if (ExportBacklog + transfer.Bytes > Limits.ExportBacklogBytes) {
       reason = {ErrorKind::BudgetSpent, "export backlog is full", {}};
@@ -60,12 +59,16 @@
   return true;
 }
 
-const Transfer *LinkScheduler::best() const {
+bool LinkScheduler::isCrowded(TimePoint now) const {
+  return learnedRate(now) < ExportRateShare * Limits.BytesPerSecond;
+}
+
+const Transfer *LinkScheduler::best(TimePoint now) const {
   if (Waiting.empty() || Running.size() >= Limits.MaxInFlight)
     return nullptr;
   const Transfer &out = Waiting.back();
   // An export starts alone, so that it delays a fetch by one piece at most.
-  if (out.Kind == TransferKind::Export && !Running.empty())
+  if (out.Kind == TransferKind::Export && (!Running.empty() || isCrowded(now)))
     return nullptr;
   return &out;
 }
@@ -81,11 +84,11 @@
   auto bytes = static_cast<double>(transfer.Bytes);
   if (transfer.Kind == TransferKind::Export)
     return std::min(burst, bytes + FetchReserve * burst);
-  return bytes;
+  return std::min(burst, bytes);
 }
 
 std::optional<Transfer> LinkScheduler::next(TimePoint now) {
-  const Transfer *head = best();
+  const Transfer *head = best(now);
   if (head == nullptr)
     return std::nullopt;
   double available = tokensAt(now);
@@ -106,13 +109,14 @@
 }
 
 std::optional<TimePoint> LinkScheduler::nextAt(TimePoint now) const {
-  const Transfer *head = best();
+  const Transfer *head = best(now);
   if (head == nullptr)
     return std::nullopt;
   double missing = tokensNeeded(*head) - tokensAt(now);
   if (missing <= TokenSlack)
     return now;
-  double micros = std::ceil(missing / Limits.BytesPerSecond * 1e6);
+  double micros =
+      std::ceil((missing - TokenSlack) / Limits.BytesPerSecond * 1e6);
   return now + Duration(static_cast<int64_t>(micros));
 }
 
--- a/src/context/link_scheduler.h
+++ b/src/context/link_scheduler.h
@@ -1,6 +1,8 @@
 /// Orders transfers over the link to one store instance: earliest deadline
-/// first, exports only when no fetch wants the link, and never more bytes than
-/// the budget. Learns the link's rate from what it measures.
+/// first, exports only when no fetch wants the link and the link is not
+/// crowded, and never more bytes than the budget: in any time t at most
+/// max(BurstBytes, largest transfer) + t * BytesPerSecond are started. Learns
+/// the link's rate from what it measures.
 #pragma once
 
 #include "daisytack/error.h"
@@ -37,8 +39,9 @@
 public:
   explicit LinkScheduler(const LinkLimits &limits);
 
-  /// Queues a transfer. False, with the reason, when it is larger than the
-  /// burst, or an export that the backlog has no room for.
+  /// Queues a transfer. False, with the reason, for an export that the backlog
+  /// has no room for. One that is larger than the burst starts when the burst
+  /// is whole, and the link then rests until it has been earned.
   bool add(const Transfer &transfer, TimePoint now, Error &reason);
 
   /// The transfer to start now, if any; it counts as in flight until finished
@@ -79,7 +82,8 @@
 
   double tokensAt(TimePoint now) const;
   double tokensNeeded(const Transfer &transfer) const;
-  const Transfer *best() const;
+  const Transfer *best(TimePoint now) const;
+  bool isCrowded(TimePoint now) const;
   void learn(const Flight &flight, uint64_t bytes, TimePoint now);
   uint64_t bytesInFlight() const;
   double learnedRate(TimePoint now) const;
--- a/src/context/piece_frame.h
+++ b/src/context/piece_frame.h
@@ -13,9 +13,9 @@
 
 namespace daisytack {
 
-/// Largest framed piece that is read or written, in bytes. Checked before any
-/// allocation.
-constexpr uint64_t MaxPieceFrameBytes = 64U << 20;
+/// Largest framed piece that is read or written, in bytes: 1,024 tokens at up
+/// to 256 KB of keys and values each. Checked before any allocation.
+constexpr uint64_t MaxPieceFrameBytes = 256U << 20;
 /// Magic, key, generation and payload length.
 constexpr size_t PieceFrameHeaderBytes = 8 + 32 + 8 + 8;
 
