Offer with a patience, so that true waits are known

An entry knows what a server said with its last answer, seconds ago, and a third of it with three entries. So it sent requests to queues while other servers idled. An offer now carries the wait from which on the next candidate promises the earlier first token; a server with a longer one refuses it, which costs one trip, is no retry, and tells the true wait. When all have refused, they are asked again without a limit, the shortest first.

--- /dev/null
+++ b/bench/limits.cpp
@@ -0,0 +1,126 @@
+/// What limits over all entries cost in messages and allow in excess: one of
+/// 1,300 entries with 7,900 organisations at their usual rate, against the
+/// share that is static and the depth of its bucket. Deterministic.
+#include "decide/limits.h"
+#include "base/digest.h"
+#include "wire/codec.h"
+
+#include <cmath>
+#include <cstdio>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisytack {
+
+namespace {
+
+constexpr size_t Entries = 1'300;
+constexpr size_t OrganisationCount = 7'900;
+constexpr double RequestsPerSecond = 138; // of one entry
+constexpr double SizePower = 1.0; // sizes fall with the rank to this power
+constexpr double LimitOverUsual = 2;
+constexpr double Seconds = 600;
+
+struct Row {
+  uint64_t Requests = 0;
+  uint64_t Asks = 0;
+  uint64_t Refused = 0;
+};
+
+class Stream {
+public:
+  Stream() {
+    double sum = 0;
+    for (size_t i = 1; i <= OrganisationCount; ++i)
+      Upper.push_back(sum += std::pow(i, -SizePower));
+    for (double &it : Upper)
+      it /= sum;
+  }
+  double share(size_t organisation) const {
+    return Upper[organisation] - (organisation ? Upper[organisation - 1] : 0);
+  }
+  double gap() { return -std::log(uniform()) / RequestsPerSecond; }
+  size_t organisation() {
+    auto it = std::lower_bound(Upper.begin(), Upper.end(), uniform());
+    return std::min<size_t>(it - Upper.begin(), OrganisationCount - 1);
+  }
+
+private:
+  double uniform() {
+    return (static_cast<double>(mix64(++Draws) >> 11U) + 1) * 0x1p-53;
+  }
+  std::vector<double> Upper;
+  uint64_t Draws = 0;
+};
+
+/// The owner has tokens for whoever stays below the limit, so asks are granted.
+Row run(const LimitSettings &settings) {
+  Stream stream;
+  std::vector<Organisation> all(OrganisationCount);
+  for (size_t i = 0; i < all.size(); ++i) {
+    all[i].Name = "organisation" + std::to_string(i);
+    all[i].RequestsPerSecond =
+        RequestsPerSecond * Entries * stream.share(i) * LimitOverUsual;
+    all[i].Burst =
+        static_cast<uint32_t>(std::ceil(all[i].RequestsPerSecond * 10));
+  }
+  OrganisationLimits limits(1, settings);
+  Row out;
+  for (double t = stream.gap(); t < Seconds; t += stream.gap()) {
+    const Organisation &organisation = all[stream.organisation()];
+    TimePoint now(Duration(static_cast<int64_t>((1'000 + t) * 1e6)));
+    LimitDecision decision = limits.admit(organisation, Entries, now);
+    ++out.Requests;
+    if (decision.Ask) {
+      ++out.Asks;
+      AllotmentGrant grant;
+      grant.Organisation = decision.Ask->Organisation;
+      grant.Sequence = decision.Ask->Sequence;
+      grant.Requests = decision.Ask->Requests;
+      grant.Rate = decision.Ask->Rate;
+      grant.Slots = decision.Ask->Slots;
+      grant.ValidMicros = static_cast<uint64_t>(settings.Valid.count());
+      limits.apply(grant, now);
+    }
+    if (decision.Verdict == LimitVerdict::AskOwner)
+      decision = limits.admit(organisation, Entries, now);
+    if (decision.Verdict == LimitVerdict::Admitted)
+      limits.finished(hashName(organisation.Name));
+    else
+      ++out.Refused;
+  }
+  return out;
+}
+
+void measure(double staticShare, double depth) {
+  LimitSettings settings;
+  settings.StaticShare = staticShare;
+  settings.LeastDepth = depth;
+  Row row = run(settings);
+  size_t bytes = wire::encode(std::variant<AllotmentRequest>()).size() +
+                 wire::encode(std::variant<AllotmentGrant>()).size();
+  Organisation usual;
+  usual.RequestsPerSecond = 46;
+  usual.Burst = 460;
+  double excess = admissionBound(usual, Entries, Duration{0}, settings);
+  std::printf("| %6.2f | %5.0f | %8.2f | %8.0f | %8.3f | %10.0f |\n",
+              staticShare, depth, static_cast<double>(row.Asks) / Seconds,
+              static_cast<double>(row.Asks * bytes) / Seconds,
+              100.0 * static_cast<double>(row.Refused) /
+                  static_cast<double>(row.Requests),
+              excess);
+}
+
+} // namespace
+
+} // namespace daisytack
+
+int main() {
+  std::printf("| static | depth | asks/s   | bytes/s  | refused%% | at once    "
+              "|\n|---|---|---|---|---|---|\n");
+  for (double share : {0.5, 0.75, 0.9})
+    for (double depth : {1.0, 2.0, 3.0, 4.0, 6.0})
+      daisytack::measure(share, depth);
+  return 0;
+}
--- a/bench/policy_steps.h
+++ b/bench/policy_steps.h
@@ -187,19 +187,27 @@
         Members->Servers[it.Server.Index].Name.back() - 'a');
     out.push_back(server);
     Jobs[index].Places[server] = it.Place;
+    Jobs[index].Patience[server] = it.Patience;
   }
   return out;
 }
 
 inline bool PolicyRun::place(Job &job, uint32_t entry,
                              std::optional<uint32_t> except) {
-  for (uint32_t server : route(*job.What, job.Index, entry)) {
-    if (server == except || !Agents[server]->Up)
+  // First for a limited wait, then, when all waits are known, for any.
+  bool hasPatience = How.Route == Routing::Ours;
+  for (bool patient : {true, false}) {
+    if (patient && !hasPatience)
       continue;
-    bool taken = offer(job, server);
-    report(server, entry);
-    if (taken)
-      return true;
+    for (uint32_t server : route(*job.What, job.Index, entry)) {
+      if (server == except || !Agents[server]->Up)
+        continue;
+      job.Run.Patience = patient ? job.Patience[server] : Duration{0};
+      bool taken = offer(job, server);
+      report(server, entry);
+      if (taken)
+        return true;
+    }
   }
   return false;
 }
--- a/src/decide/acceptance.cpp
+++ b/src/decide/acceptance.cpp
@@ -62,6 +62,11 @@
     out.Reason.Kind = ErrorKind::DeadlineTooShort;
     return out;
   }
+  if (request.Patience > Duration{0} && out.Wait > request.Patience) {
+    out.Reason.Kind = ErrorKind::Overloaded;
+    out.Reason.RetryAfter = out.Wait - request.Patience;
+    return out;
+  }
   Duration headroom{0};
   if (plan.OverShare)
     headroom = shareHeadroom(queue, settings, request, out.Wait, now);
--- a/src/decide/limits.h
+++ b/src/decide/limits.h
@@ -19,7 +19,7 @@
 struct LimitSettings {
   double StaticShare = 0.5; ///< Of rate, burst and concurrency; spread evenly
                             ///< over the entries.
-  double LeastDepth = 1; ///< Requests that an entry may admit at once from its
+  double LeastDepth = 2; ///< Requests that an entry may admit at once from its
                          ///< static share, however many entries there are.
   Duration AskInterval{250'000}; ///< Between asks for one organisation.
   Duration Valid{2'000'000};     ///< Of a grant, from the ask on.
--- a/src/decide/routing.cpp
+++ b/src/decide/routing.cpp
@@ -244,6 +244,13 @@
   insertionSort(std::span(scored).first(out.Count));
   for (uint32_t i = 0; i < out.Count; ++i)
     out.Ranked[i] = scored[i].Candidate;
+  for (uint32_t i = 0; i < out.Count; ++i) {
+    RankedCandidate &it = out.Ranked[i];
+    Duration more{0};
+    if (i + 1 < out.Count)
+      more = out.Ranked[i + 1].FirstToken - it.FirstToken;
+    it.Patience = std::max(it.Wait + more, settings.LeastPatience);
+  }
   return out;
 }
 
--- a/src/decide/routing.h
+++ b/src/decide/routing.h
@@ -107,7 +107,8 @@
                           ///< expected to save.
   double NextReuse = 0.5; ///< The same of each further candidate, over the one
                           ///< before it: a home's overflow meets there again.
-  Duration OtherRegion{50'000}; ///< Added for a server of another region.
+  Duration LeastPatience{100'000}; ///< Wait that is not worth another offer.
+  Duration OtherRegion{50'000};    ///< Added for a server of another region.
   bool operator==(const RouterSettings &) const = default;
 };
 
@@ -116,7 +117,13 @@
   ServerHandle Server;
   Duration FirstToken{0}; ///< Predicted, from the offer on.
   Duration Wait{0};       ///< Part of FirstToken.
-  uint32_t Place = 0;     ///< In the list of candidates, for ReuseEstimate.
+  /// Wait from which on the next candidate promises the earlier first token: a
+  /// server that predicts a longer one should refuse, so that its true wait is
+  /// known and the next is tried. Waits are known late or not at all, and a
+  /// refusal costs one trip. Offers that follow when all have refused carry
+  /// none.
+  Duration Patience{0};
+  uint32_t Place = 0; ///< In the list of candidates, for ReuseEstimate.
   bool operator==(const RankedCandidate &) const = default;
 };
 
--- a/src/decide/run_request.h
+++ b/src/decide/run_request.h
@@ -26,8 +26,10 @@
   bool Preemptible = false; ///< May be suspended and resumed while running.
   TimePoint Deadline;       ///< The whole answer must be there by then.
   TimePoint Ready;          ///< Its fetched context is there from then on.
-  Duration Prefill{0};      ///< Predicted, at a high percentile.
-  Duration Decode{0};       ///< Predicted, at a high percentile.
+  Duration Patience{0}; ///< Longest wait for which it should be accepted; zero
+                        ///< for any.
+  Duration Prefill{0};  ///< Predicted, at a high percentile.
+  Duration Decode{0};   ///< Predicted, at a high percentile.
 
   Duration service() const { return Prefill + Decode; }
   bool operator==(const RunRequest &) const = default;
--- a/src/serve/agent_queue.cpp
+++ b/src/serve/agent_queue.cpp
@@ -28,6 +28,8 @@
   out.Preemptible = offer.Idempotent && !Settings.IsService;
   out.Deadline = run.Deadline - Duration(offer.ReserveMicros);
   out.Ready = now;
+  out.Patience = Duration(static_cast<int64_t>(
+      std::min<uint64_t>(offer.PatienceMicros, INT64_MAX)));
   out.Prefill = Predictor.prefill(run.ExpectedPrefill);
   out.Decode = Settings.IsService ? Duration(0) : Predictor.decode(tokens);
   return out;
--- a/src/serve/request_answer.cpp
+++ b/src/serve/request_answer.cpp
@@ -120,7 +120,7 @@
     keepEarliest(out, *RetryAt);
   std::optional<TimePoint> late;
   bool canHelp = Spec.Offer.Idempotent && !Spec.Resume && !CallerLeft &&
-                 attempts() < Settings.Attempts;
+                 spentAttempts() < Settings.Attempts;
   for (const Try &attempt : Tries)
     if (canHelp && attempt.isOpen() && (!late || attempt.LateAt > *late))
       late = attempt.LateAt;
--- a/src/serve/request_attempts.cpp
+++ b/src/serve/request_attempts.cpp
@@ -27,7 +27,9 @@
   // A server that refused may take an accepted request after a wait.
   auto isOut = [&](const Candidate &it) {
     return std::any_of(Tries.begin(), Tries.end(), [&](const Try &attempt) {
-      return attempt.Server == it.Server && !(Waited && attempt.Refused);
+      bool mayAskAgain =
+          (Waited && attempt.Refused) || (!IsPatient && attempt.WasTooLong);
+      return attempt.Server == it.Server && !mayAskAgain;
     });
   };
   for (Candidate &it : Hooks.Rank(Spec, context))
@@ -44,13 +46,17 @@
   attempt.SentAt = now;
   attempt.LateAt = now + Settings.OfferPatience;
   attempt.FirstIndex = Received;
+  attempt.IsPatient =
+      IsPatient && Spec.Offer.Idempotent && candidate.Patience > Duration{0};
   auto left = std::chrono::duration_cast<Duration>(Spec.Deadline - now);
 
   wire::Offer out = Spec.Offer;
   out.Try = attempt.Number;
   out.RemainingMicros =
       static_cast<uint64_t>(std::max<int64_t>(left.count(), 0));
-  bool mayRunAgain = out.Idempotent && Tries.empty();
+  if (attempt.IsPatient)
+    out.PatienceMicros = static_cast<uint64_t>(candidate.Patience.count());
+  bool mayRunAgain = out.Idempotent && spentAttempts() == 0;
   out.ReserveMicros =
       mayRunAgain
           ? static_cast<uint64_t>(static_cast<double>(out.RemainingMicros) *
@@ -85,12 +91,18 @@
 
 /// Whether one more attempt is allowed now, but for the budget.
 bool RequestFlow::canRetry(const FlowContext &context) const {
-  if (attempts() >= Settings.Attempts || context.Now >= Spec.Deadline ||
+  if (spentAttempts() >= Settings.Attempts || context.Now >= Spec.Deadline ||
       Spec.Resume || CallerLeft)
     return false;
   return Spec.Offer.Idempotent || !mayHaveRun();
 }
 
+uint32_t RequestFlow::spentAttempts() const {
+  return static_cast<uint32_t>(
+      std::count_if(Tries.begin(), Tries.end(),
+                    [](const Try &it) { return !it.WasTooLong; }));
+}
+
 bool RequestFlow::takeRetry() const {
   return !Hooks.TakeRetry || Hooks.TakeRetry();
 }
@@ -108,7 +120,12 @@
   std::optional<Candidate> candidate;
   if (canRetry(step.Context))
     candidate = pick(step.Context);
-  if (candidate && takeRetry()) {
+  if (!candidate && IsPatient && canRetry(step.Context)) {
+    // All waits are known now, and the shortest has to do.
+    IsPatient = false;
+    candidate = pick(step.Context);
+  }
+  if (candidate && (Tries.back().WasTooLong || takeRetry())) {
     record(step, EventKind::RequestRetried, Tries.back().Number, reason.Kind,
            candidate->Server);
     return offer(*candidate, step);
--- a/src/serve/request_flow.cpp
+++ b/src/serve/request_flow.cpp
@@ -203,6 +203,8 @@
   }
   if (message.Ran == Outcome::NotRun && attempt.Phase != TryPhase::Streaming) {
     attempt.Refused = true;
+    attempt.WasTooLong =
+        attempt.IsPatient && message.Kind == ErrorKind::Overloaded;
     attempt.Phase = TryPhase::Closed;
     if (isFinalRefusal(message.Kind) && !hasOpenTry())
       return giveUp(reason, mayHaveRun() ? Outcome::MayHaveRun : message.Ran,
--- a/src/serve/request_flow.h
+++ b/src/serve/request_flow.h
@@ -24,6 +24,7 @@
 struct Candidate {
   std::string Server;
   Duration FirstToken{0}; ///< Predicted by the entry.
+  Duration Patience{0};   ///< Longest wait to ask it for while others are left.
   auto operator<=>(const Candidate &) const = default;
 };
 
@@ -71,9 +72,11 @@
     Attempt Number = 0;
     std::string Server;
     TryPhase Phase = TryPhase::Offered;
-    bool Refused = false;  ///< Surely not run.
-    bool Delivered = true; ///< False: it surely never arrived.
-    bool IsResume = false; ///< Reads an answer, never starts a run.
+    bool Refused = false;    ///< Surely not run.
+    bool Delivered = true;   ///< False: it surely never arrived.
+    bool IsPatient = false;  ///< Offered for a limited wait.
+    bool WasTooLong = false; ///< Refused for that.
+    bool IsResume = false;   ///< Reads an answer, never starts a run.
     TimePoint SentAt;
     TimePoint LateAt;        ///< Help is sought from then on.
     Duration Predicted{0};   ///< First token, by the agent's own word.
@@ -109,6 +112,9 @@
   std::optional<Candidate> pick(const FlowContext &context) const;
   bool canRetry(const FlowContext &context) const;
   bool takeRetry() const;
+  /// Attempts that count: those refused for a limited wait cost a trip, not a
+  /// retry.
+  uint32_t spentAttempts() const;
   bool hasOpenTry() const;
   bool mayHaveRun() const;
   Try *find(Attempt number, std::string_view server);
@@ -138,7 +144,8 @@
   FlowPhase Phase = FlowPhase::Waiting;
   std::vector<Try> Tries;
   bool WasAccepted = false;
-  bool Waited = false; ///< Servers that refused may be asked again.
+  bool IsPatient = true; ///< Servers are asked for a limited wait.
+  bool Waited = false;   ///< Servers that refused may be asked again.
   uint32_t Reconnected = 0;
   Error LastReason;
   std::optional<TimePoint>
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -92,12 +92,14 @@
   Incarnation Process; ///< Agent process that the offer is for, as its Hello
                        ///< says. A call that is not idempotent and has no
                        ///< ticket runs in no other one.
+  uint64_t PatienceMicros = 0; ///< To be refused as overloaded when the
+                               ///< predicted wait is longer; 0 for any wait.
   bool operator==(const Offer &) const = default;
   template <class Archive> void serialize(Archive &ar) {
     ar(Id, Try, Organisation, Weight, Model, Version, Class, Priority,
        Idempotent, Ticket, RemainingMicros, ReserveMicros, PromptTokens,
        MaxTokens, Chat, Keep, KeepMicros, KeptQuota, Pieces, Body, Generated,
-       GeneratedChunks, Call, Process);
+       GeneratedChunks, Call, Process, PatienceMicros);
   }
 };
 
--- a/tests/decide/acceptance_test.cpp
+++ b/tests/decide/acceptance_test.cpp
@@ -167,6 +167,21 @@
   EXPECT_EQ(full.Wait, millis(1'000));
 }
 
+TEST(Acceptance, ALongerWaitThanThePatienceIsRefused) {
+  Fixture it(1);
+  ASSERT_TRUE(
+      it.offer(makeRun(1, 1, millis(100), millis(900), at(9'000)), Epoch)
+          .accepted());
+  it.Queue.start(Epoch);
+  RunRequest run = makeRun(2, 2, millis(100), millis(100), at(9'000));
+  run.Patience = millis(600);
+  auto refused = it.offer(run, Epoch);
+  EXPECT_EQ(refused.Reason.Kind, ErrorKind::Overloaded);
+  EXPECT_EQ(refused.Reason.RetryAfter, millis(400));
+  run.Patience = millis(1'000);
+  EXPECT_TRUE(it.offer(run, Epoch).accepted());
+}
+
 TEST(Acceptance, DoesNotBreakAnEarlierPromise) {
   Fixture it(1);
   ASSERT_TRUE(
--- a/tests/decide/limits_test.cpp
+++ b/tests/decide/limits_test.cpp
@@ -120,7 +120,9 @@
 
 TEST(Limits, GrantsAreTakenOnceAndLateOnesAreWorthLess) {
   Organisation organisation = makeOrganisation(1, 2);
-  OrganisationLimits entry(1, {});
+  LimitSettings settings;
+  settings.LeastDepth = 1;
+  OrganisationLimits entry(1, settings);
   ASSERT_EQ(entry.admit(organisation, 2, Epoch).Verdict,
             LimitVerdict::Admitted);
   LimitDecision dry = entry.admit(organisation, 2, Epoch);
--- a/tests/decide/routing_test.cpp
+++ b/tests/decide/routing_test.cpp
@@ -104,6 +104,19 @@
   EXPECT_NE(rank(5'000), list.Servers[0]);
 }
 
+TEST(Routing, PatienceEndsWhereTheNextCandidateIsSooner) {
+  auto snapshot = makeSnapshot(12);
+  RoutingTable table(snapshot);
+  RouteKey key = keyOf(3);
+  CandidateList list = table.candidates("m", false, key, "r0");
+  RouteDecision out = rankCandidates(list, *snapshot, LoadView({}), {}, 20'000,
+                                     key, "r0", Epoch);
+  // 20,000 tokens take 2 s; the home is expected to save 0.8 of it, the next
+  // 0.4.
+  EXPECT_EQ(out.Ranked[0].Patience, millis(800));
+  EXPECT_EQ(out.Ranked[3].Patience, millis(100));
+}
+
 TEST(Routing, LeavingServersComeLast) {
   auto snapshot = makeSnapshot(12);
   RoutingTable table(snapshot);
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -60,7 +60,7 @@
   if (!spec.Offer.Ticket.empty()) {
     Error ignored;
     std::optional<Ticket> ticket = parseTicket(spec.Offer.Ticket, ignored);
-    return ticket ? std::vector<Candidate>{{ticket->Instance, {}}}
+    return ticket ? std::vector<Candidate>{{ticket->Instance, {}, {}}}
                   : std::vector<Candidate>();
   }
   std::shared_ptr<const RoutingTable> routes = table();
@@ -86,7 +86,8 @@
   for (const RankedCandidate &it : decision) {
     const Server &server = routes->snapshot().Servers[it.Server.Index];
     bool isOut = Ejected.isEjected(server.NameHash, now);
-    (isOut ? ejected : out).push_back({server.Name, it.FirstToken});
+    (isOut ? ejected : out)
+        .push_back({server.Name, it.FirstToken, it.Patience});
   }
   // An ejected server is better than none.
   out.insert(out.end(), ejected.begin(), ejected.end());
