Wire patience, common prefixes and demand into entry and agent

The agent suspends no running request for an offer that other servers may still take at once, and counts refused work as its organisation's demand. A test of the flow covers the two rounds.

--- a/src/serve/agent_offers.cpp
+++ b/src/serve/agent_offers.cpp
@@ -95,6 +95,7 @@
   RunRequest request = queueRequest(*run, step.Now);
   AcceptanceDecision decision = judgeLoad(request, step);
   if (!decision.accepted()) {
+    Queue.noteRefused(request, step.Now);
     decision.Reason.Detail = describe(decision);
     refuse(link, offer, decision.Reason, Outcome::NotRun, step,
            decision.scores());
@@ -145,7 +146,9 @@
                                               Step &step) {
   AcceptanceDecision out = decideAcceptance(
       Queue, Settings.Queue, Settings.Acceptance, request, step.Now);
-  if (out.Reason.Kind != ErrorKind::Overloaded)
+  // While other servers may still take it at once, nothing is suspended for it.
+  if (out.Reason.Kind != ErrorKind::Overloaded ||
+      request.Patience > Duration{0})
     return out;
   auto victim = Queue.preemptionVictim(request, step.Now);
   if (!victim)
--- a/tests/serve_entry/request_flow_test.cpp
+++ b/tests/serve_entry/request_flow_test.cpp
@@ -254,6 +254,22 @@
   EXPECT_EQ(second.Generated, "a:0 a:1 ");
 }
 
+// Servers with a longer wait refuse, which is no retry; when all have, they are
+// asked for any wait.
+TEST(RequestFlow, ServersAreAskedForALimitedWaitFirst) {
+  FlowHarness it(Streamed);
+  constexpr Duration Patience{100'000};
+  it.Servers = {{"a", {}, Patience}, {"b", {}, Patience}};
+  it.Budget = 0;
+  EXPECT_EQ(it.play("refuse a 1 overloaded; refuse b 2 overloaded; accept a 3; "
+                    "chunk a 3 0; finish a 3 1"),
+            "offer a 1; offer b 2; offer a 3; part 0; end");
+  EXPECT_EQ(it.Offers[0].Offer.PatienceMicros, 100'000U);
+  EXPECT_EQ(it.Offers[1].Offer.PatienceMicros, 100'000U);
+  EXPECT_EQ(it.Offers[2].Offer.PatienceMicros, 0U);
+  EXPECT_EQ(it.Offers[2].Offer.ReserveMicros, it.Offers[0].Offer.ReserveMicros);
+}
+
 TEST(RequestFlow, RefusalsSayWhenToComeBack) {
   FlowHarness harness(Streamed);
   harness.play("refuse a 1 overloaded; refuse b 2 overloaded; refuse c 3 "
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -17,6 +17,12 @@
   return std::make_shared<const RoutingTable>(std::move(snapshot));
 }
 
+std::shared_ptr<const RoutingTable>
+makeTable(std::shared_ptr<const Snapshot> snapshot,
+          const RoutingTable &previous) {
+  return std::make_shared<const RoutingTable>(std::move(snapshot), previous);
+}
+
 AgentLinksInit linksInit(const EntryOptions &options) {
   return {options.self().Name, options.Instance.Control.Process,
           options.Instance.Control.Keys, options.ConnectTimeout,
@@ -44,7 +50,7 @@
 }
 
 void EntryState::publish(std::shared_ptr<const Snapshot> snapshot) {
-  Tables.publish(makeTable(std::move(snapshot)));
+  Tables.publish(makeTable(std::move(snapshot), *Tables.load()));
   // Release times may have moved.
   for (const auto &request : Board.all())
     if (request->isHeld())
@@ -66,9 +72,13 @@
   std::shared_ptr<const RoutingTable> routes = table();
   bool isService = !spec.Service.empty();
   std::string_view serves = poolName(spec);
+  const std::string &region = Options.self().Region;
+  std::optional<uint32_t> depth =
+      Popularity.count(spec.Offer.Pieces, hashName(serves),
+                       routes->servers(serves, isService, region), now);
   RouteKey key =
       makeRouteKey(hashName(spec.Offer.Organisation), serves, spec.Offer.Pieces,
-                   std::hash<Id128>()(spec.Offer.Id));
+                   std::hash<Id128>()(spec.Offer.Id), depth);
   CandidateList list =
       routes->candidates(serves, isService, key, Options.self().Region);
   RouteDecision decision =
--- a/tools/entry/entry_state.h
+++ b/tools/entry/entry_state.h
@@ -7,6 +7,7 @@
 #include "base/rcu.h"
 #include "decide/ejection.h"
 #include "decide/load_view.h"
+#include "decide/prefix_popularity.h"
 #include "decide/retry_budget.h"
 #include "decide/routing.h"
 #include "entry_metrics.h"
@@ -60,6 +61,7 @@
   PieceKeyer Keyer;
   CallerIds Ids;
   LoadView Loads;
+  PrefixPopularity Popularity{{}};
   RetryBudget Retries;
   Ejector Ejected;
   LimitDesk Limits;
