--- a/tools/entry/caller_http.h
+++ b/tools/entry/caller_http.h
@@ -24,6 +24,8 @@
   bool start(Error &reason);
   uint16_t port() const { return Server.port(); }
   void stopAccepting() { Server.stopAccepting(); }
+  /// Answers that have not wholly been given to their sockets.
+  size_t unsentAnswers() const { return Server.unsentAnswers(); }
 
 private:
   /// One request on its way to a flow.
--- a/tools/entry/entry_shell.cpp
+++ b/tools/entry/entry_shell.cpp
@@ -81,7 +81,9 @@
 /// finished however long it takes.
 void EntryShell::watchDrain() {
   bool noticed = monotonicNow() - DrainSince >= Options.DrainNotice;
-  if (noticed && State.Running.load(std::memory_order_acquire) == 0) {
+  bool idle = State.Running.load(std::memory_order_acquire) == 0 &&
+              Callers.unsentAnswers() == 0;
+  if (noticed && idle) {
     Callers.stopAccepting();
     Operators.stopAccepting();
     State.Links.stop();
