Let recorders outlive the I/O thread in the tests of links

Cause: a test of frame links kept its recorders on the stack, while the I/O thread ran on until the fixture was torn down; a link that closed then reported to freed memory. Seen once as a hang under load; repeated 40 times in 12 processes at once, 11 of 12 aborted. Ruled out: the links themselves, which report to whom they were told. Change: the fixture owns the recorders. Conclusion: a fault of the test, the checks are unchanged.

--- a/tests/net_frame/frame_link_test.cpp
+++ b/tests/net_frame/frame_link_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <condition_variable>
+#include <list>
 #include <mutex>
 #include <thread>
 
@@ -82,11 +83,16 @@
                          recorder.hooks());
   }
 
+  /// A recorder that outlives the I/O thread, unlike a local one: a link may
+  /// report its end while the test is being torn down.
+  Recorder &another() { return Others.emplace_back(); }
+
   asio::io_context Io;
   asio::executor_work_guard<asio::io_context::executor_type> Guard{
       Io.get_executor()};
   Recorder Accepting;
   Recorder Connecting;
+  std::list<Recorder> Others;
   std::optional<FrameServer> Server;
   std::thread Thread{[this] { Io.run(); }};
 };
@@ -173,7 +179,7 @@
   const Case cases[] = {
       {{PeerKey{"old", "guessed"}}, "secret"}, {{NewKey}, "id"}, {{}, "none"}};
   for (const Case &it : cases) {
-    Recorder recorder;
+    Recorder &recorder = another();
     auto link = connect(port, it.Keys, recorder);
     link->send("secret prompt");
     ASSERT_TRUE(recorder.waitFor([&] { return recorder.Closed == 1; }))
@@ -186,20 +192,20 @@
 
 TEST_F(FrameLinkTest, AcceptsBothKeysDuringAChange) {
   uint16_t port = serve({OldKey, NewKey});
-  Recorder first;
+  Recorder &first = another();
   auto link = connect(port, {OldKey}, first);
   ASSERT_TRUE(first.waitFor([&] { return first.Opened == 1; }));
   Server->setKeys({NewKey, OldKey});
-  Recorder second;
+  Recorder &second = another();
   auto newer = connect(port, {NewKey, OldKey}, second);
   ASSERT_TRUE(second.waitFor([&] { return second.Opened == 1; }));
-  Recorder third;
+  Recorder &third = another();
   auto older = connect(port, {OldKey, NewKey}, third);
   ASSERT_TRUE(third.waitFor([&] { return third.Opened == 1; }));
   link->send("still open");
   EXPECT_TRUE(first.waitFor([&] { return first.Frames.size() == 1; }));
   Server->setKeys({NewKey});
-  Recorder late;
+  Recorder &late = another();
   auto refused = connect(port, {OldKey, NewKey}, late);
   ASSERT_TRUE(late.waitFor([&] { return late.Closed == 1; }));
   EXPECT_EQ(late.Opened, 0);
@@ -269,7 +275,7 @@
 TEST_F(FrameLinkTest, ReportsAFailedConnectOnce) {
   uint16_t port = serve({OldKey});
   Server.reset();
-  Recorder second;
+  Recorder &second = another();
   auto link = connect(port, {OldKey}, second);
   ASSERT_TRUE(second.waitFor([&] { return second.Closed == 1; }));
   EXPECT_EQ(second.Opened, 0);
