Show the control part in the metrics

Operators could not see from outside how fresh a process's configuration is. The gauges give the revision in force, objects, members, whether this process reads the platform, how long ago any reader was last answered and how many objects are not understood; counters give bytes to and from peers, messages held back, refused or of another lineage, and commands by outcome. Commands and questions to peers move to a file of their own.

--- a/src/runtime/control_process.cpp
+++ b/src/runtime/control_process.cpp
@@ -17,20 +17,13 @@
 /// Building snapshots takes at most one part in this many of the time.
 constexpr int PublishShare = 10;
 constexpr Duration TickInterval{20'000};
-constexpr Duration CommandTimeout{10'000'000};
 /// With seeds, how long they may take before the platform is asked.
 constexpr Duration SeedPatience{1'500'000};
+/// Between figures for operators.
+constexpr Duration ViewInterval{1'000'000};
 /// Within the life of a signal, so that a long drain stays known.
 constexpr Duration RenewalInterval{60'000'000};
 
-Event makeEvent(EventKind kind, ErrorKind why, std::string subject) {
-  Event out;
-  out.Kind = kind;
-  out.Reason = why;
-  out.Subject = std::move(subject);
-  return out;
-}
-
 } // namespace
 
 ControlProcess::ControlProcess(boost::asio::io_context &io, ControlInit init,
@@ -142,6 +135,10 @@
   keepOwnSignal(now);
   askForForce(now);
   act(Talk.onTick(now));
+  if (now < NextView)
+    return;
+  NextView = now + ViewInterval;
+  refreshView();
 }
 
 void ControlProcess::chooseReader(TimePoint now) {
@@ -179,8 +176,9 @@
   Talk.noteTry(reached, monotonicNow());
   ServiceProblem = reason.Detail;
   if (reached != std::exchange(ServiceReached, reached))
-    Events(makeEvent(reached ? EventKind::ServiceBack : EventKind::ServiceLost,
-                     reason.Kind, Init.Self.Name));
+    Events(makeControlEvent(reached ? EventKind::ServiceBack
+                                    : EventKind::ServiceLost,
+                            reason.Kind, Init.Self.Name));
   refreshView();
 }
 
@@ -242,26 +240,8 @@
 }
 
 void ControlProcess::onRejected(ErrorKind kind) {
-  Numbers
-      .counter("daisytack_peer_rejected_total",
-               "Messages of peers that were refused",
-               {{"reason", std::string(errorName(kind))}})
-      .add();
-  Events(makeEvent(EventKind::PeerRejected, kind, Init.Self.Name));
-}
-
-void ControlProcess::askForForce(TimePoint now) {
-  for (auto it = Gatherings.begin(); it != Gatherings.end();) {
-    Gathering &gathering = it->second;
-    if (gathering.State.isOver(now)) {
-      gathering.Done(gathering.State.report(Current.load()->ConfigRevision));
-      it = Gatherings.erase(it);
-      continue;
-    }
-    for (const control::ForceGather::Probe &probe : gathering.State.onTick(now))
-      Peers->send(probe.To, wire::encode(control::PeerMessage(probe.Message)));
-    ++it;
-  }
+  Numbers.countRejected(kind);
+  Events(makeControlEvent(EventKind::PeerRejected, kind, Init.Self.Name));
 }
 
 void ControlProcess::changed() {
@@ -323,7 +303,14 @@
   View.Members = State.memberTable().size();
   View.Reader = Reader && Reader->isActive();
   View.ServiceReached = ServiceReached;
+  View.SinceReached.reset();
+  if (Talk.lastReached() != control::NeverTime)
+    View.SinceReached = monotonicNow() - Talk.lastReached();
+  View.NotUnderstood = State.notUnderstood().size();
   View.Talk = Talk.stats();
+  View.BytesSent = Peers->bytesSent();
+  View.BytesReceived = Peers->bytesReceived();
+  Numbers.show(View);
 }
 
 void ControlProcess::sayState(MemberState state) {
@@ -345,41 +332,6 @@
   changed();
 }
 
-void ControlProcess::propose(control::Command command, CommandDone done) {
-  std::optional<control::ReplicaEntry> base;
-  if (const control::ReplicaEntry *entry =
-          State.config().find(toText(command.Key)))
-    base = *entry;
-  Events(makeEvent(EventKind::CommandProposed, ErrorKind::None,
-                   toText(command.Key)));
-  auto finish = [self = shared_from_this(), key = toText(command.Key),
-                 done = std::move(done)](control::CommandResult result) {
-    EventKind kind = EventKind::CommandApplied;
-    if (result.Outcome == control::CommandOutcome::Conflict)
-      kind = EventKind::CommandConflict;
-    else if (result.Outcome == control::CommandOutcome::Unknown)
-      kind = EventKind::CommandUnknown;
-    self->Events(makeEvent(kind, result.Reason.Kind, key));
-    done(std::move(result));
-  };
-  runCommand(On, Kv, std::move(command), std::move(base), Init.ServiceTimeout,
-             CommandTimeout, std::move(finish));
-}
-
-void ControlProcess::gatherInForce(
-    uint64_t revision, Duration timeout,
-    std::function<void(control::ForceReport)> done) {
-  control::ForceGather gather(State.memberTable(), Init.Self.Name, revision,
-                              monotonicNow() + timeout, Random);
-  Gatherings.emplace(++NextGathering,
-                     Gathering{std::move(gather), std::move(done)});
-}
-
-void ControlProcess::requestAllotment(const Endpoint &peer,
-                                      const AllotmentRequest &request) {
-  Peers->send(peer, wire::encode(control::PeerMessage(request)));
-}
-
 void ControlProcess::setKeys(net::PeerKeys keys) {
   Peers->setKeys(std::move(keys));
 }
--- a/src/runtime/control_process.h
+++ b/src/runtime/control_process.h
@@ -7,6 +7,7 @@
 #include "control/readers.h"
 #include "edge/kv_budget.h"
 #include "runtime/command_runner.h"
+#include "runtime/control_metrics.h"
 #include "runtime/control_runtime.h"
 #include "runtime/peer_link.h"
 #include "runtime/service_reader.h"
@@ -16,6 +17,9 @@
 
 namespace daisytack::runtime {
 
+/// An event of the control part.
+Event makeControlEvent(EventKind kind, ErrorKind why, std::string subject);
+
 /// Functions must be called on the strand, but for those marked.
 class ControlProcess : public std::enable_shared_from_this<ControlProcess> {
 public:
@@ -78,7 +82,7 @@
 
   ControlInit Init;
   Strand On;
-  Metrics &Numbers;
+  ControlMetrics Numbers;
   std::shared_ptr<edge::CallBudget> Budget;
   edge::KvStore Kv;
   edge::InstanceList List;
@@ -98,6 +102,7 @@
   TimePoint Started;
   control::SignalContent Own;
   TimePoint NextRenewal;
+  TimePoint NextView;
   bool Fetching = false;
   bool Stopped = false;
   bool ServiceReached = true;
--- /dev/null
+++ b/src/runtime/control_requests.cpp
@@ -0,0 +1,80 @@
+/// Commands, and questions to peers: the parts of ControlProcess that others
+/// wait for.
+#include "runtime/control_process.h"
+
+#include "base/clock.h"
+#include "wire/codec.h"
+
+#include <utility>
+
+namespace daisytack::runtime {
+
+namespace {
+
+constexpr Duration CommandTimeout{10'000'000};
+
+EventKind eventOf(control::CommandOutcome outcome) {
+  if (outcome == control::CommandOutcome::Conflict)
+    return EventKind::CommandConflict;
+  if (outcome == control::CommandOutcome::Unknown)
+    return EventKind::CommandUnknown;
+  return EventKind::CommandApplied;
+}
+
+} // namespace
+
+Event makeControlEvent(EventKind kind, ErrorKind why, std::string subject) {
+  Event out;
+  out.Kind = kind;
+  out.Reason = why;
+  out.Subject = std::move(subject);
+  return out;
+}
+
+void ControlProcess::propose(control::Command command, CommandDone done) {
+  std::optional<control::ReplicaEntry> base;
+  if (const control::ReplicaEntry *entry =
+          State.config().find(toText(command.Key)))
+    base = *entry;
+  Events(makeControlEvent(EventKind::CommandProposed, ErrorKind::None,
+                          toText(command.Key)));
+  auto finish = [self = shared_from_this(), key = toText(command.Key),
+                 done = std::move(done)](control::CommandResult result) {
+    self->Events(
+        makeControlEvent(eventOf(result.Outcome), result.Reason.Kind, key));
+    self->Numbers.countCommand(result.Outcome);
+    done(std::move(result));
+  };
+  runCommand(On, Kv, std::move(command), std::move(base), Init.ServiceTimeout,
+             CommandTimeout, std::move(finish));
+}
+
+void ControlProcess::gatherInForce(
+    uint64_t revision, Duration timeout,
+    std::function<void(control::ForceReport)> done) {
+  control::ForceGather gather(State.memberTable(), Init.Self.Name, revision,
+                              monotonicNow() + timeout, Random);
+  Gatherings.emplace(++NextGathering,
+                     Gathering{std::move(gather), std::move(done)});
+}
+
+void ControlProcess::askForForce(TimePoint now) {
+  for (auto it = Gatherings.begin(); it != Gatherings.end();) {
+    Gathering &gathering = it->second;
+    if (gathering.State.isOver(now)) {
+      gathering.Done(gathering.State.report(Current.load()->ConfigRevision));
+      it = Gatherings.erase(it);
+      continue;
+    }
+    for (const control::ForceGather::Probe &probe : gathering.State.onTick(now))
+      Peers->send(probe.To, wire::encode(control::PeerMessage(probe.Message)));
+    ++it;
+  }
+}
+
+void ControlProcess::requestAllotment(const Endpoint &peer,
+                                      const AllotmentRequest &request) {
+  Peers->send(peer, wire::encode(control::PeerMessage(request)));
+}
+
+} // namespace daisytack::runtime
--- a/src/runtime/control_runtime.h
+++ b/src/runtime/control_runtime.h
@@ -55,6 +55,10 @@
   size_t Members = 0;
   bool Reader = false;        ///< This process watches the platform's service.
   bool ServiceReached = true; ///< The last call to it was answered.
+  /// Since any reader was last answered, as far as known here: the
+  /// configuration in force was complete then. Nothing when never.
+  std::optional<Duration> SinceReached;
+  size_t NotUnderstood = 0; ///< Objects that keep their last understood value.
   uint64_t ServiceCalls = 0;
   uint64_t BytesSent = 0;
   uint64_t BytesReceived = 0;
