Tell refused commands apart in the time line

A command that was refused or could not reach the key-value service was recorded as applied with a reason. It now has an event kind of its own, appended to the list.

--- a/include/daisytack/event.h
+++ b/include/daisytack/event.h
@@ -76,6 +76,7 @@
   CacheGap,     ///< Cache events of the engine were missed; its state counts as
                 ///< unknown.
   PeerRejected, ///< A message failed authentication, replay or length checks.
+  CommandRefused, ///< Bad value, or the service can't be reached: not applied.
 };
 
 /// Stable lower-case name: "offer_accepted".
--- a/src/base/event.cpp
+++ b/src/base/event.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // In the order of EventKind.
-constexpr std::array<std::string_view, 51> Names{
+constexpr std::array<std::string_view, 52> Names{
     "process_started",  "process_ready",    "process_draining",
     "process_stopped",  "request_received", "request_refused",
     "request_routed",   "request_offered",  "offer_accepted",
@@ -26,9 +26,11 @@
     "service_back",     "lease_taken",      "lease_lost",
     "order_sent",       "order_refused",    "load_started",
     "load_finished",    "cache_gap",        "peer_rejected",
+    "command_refused",
 };
 
-static_assert(Names.size() == static_cast<size_t>(EventKind::PeerRejected) + 1);
+static_assert(Names.size() ==
+              static_cast<size_t>(EventKind::CommandRefused) + 1);
 
 } // namespace
 
--- a/src/runtime/control_requests.cpp
+++ b/src/runtime/control_requests.cpp
@@ -14,11 +14,19 @@
 constexpr Duration CommandTimeout{10'000'000};
 
 EventKind eventOf(control::CommandOutcome outcome) {
-  if (outcome == control::CommandOutcome::Conflict)
+  switch (outcome) {
+  case control::CommandOutcome::Applied:
+  case control::CommandOutcome::Unchanged:
+    return EventKind::CommandApplied;
+  case control::CommandOutcome::Conflict:
     return EventKind::CommandConflict;
-  if (outcome == control::CommandOutcome::Unknown)
+  case control::CommandOutcome::Unknown:
     return EventKind::CommandUnknown;
-  return EventKind::CommandApplied;
+  case control::CommandOutcome::Refused:
+  case control::CommandOutcome::Unavailable:
+    break;
+  }
+  return EventKind::CommandRefused;
 }
 
 } // namespace
