Carry hybrid time with every message between entry and agent

The time line was ordered by each process's own clock: the hybrid clock could merge a remote time, but nobody sent one, so with clocks that differ by more than a message's way an acceptance sorted before its offer. Each message between entry and agent now has the sender's hybrid time before it (12 bytes, beside a frame's HMAC and header), observed before the message is handled.

Weighed: a field in each message (six messages and their tests would have changed, and chunks would have been left out) and a message of its own before each (a second frame).

--- a/tools/agent/agent_daemon.cpp
+++ b/tools/agent/agent_daemon.cpp
@@ -33,7 +33,9 @@
       Events(EventRingSize, wallNow), PlatformClient(io, net::HttpClientInit()),
       KeyValue(edge::makeEtcdStore(PlatformClient, Options.Instance.KeyValue)),
       Shell(io, Options, KeyValue,
-            [this](Event event) { record(std::move(event)); }),
+            [this](Event event) { record(std::move(event)); },
+            {[this] { return Events.stamp(); },
+             [this](const HybridTime &at) { Events.observe(at); }}),
       Control(
           io, Options.Instance.Control, KeyValue,
           edge::makeHttpInstanceList(PlatformClient,
--- a/tools/agent/agent_shell.cpp
+++ b/tools/agent/agent_shell.cpp
@@ -56,10 +56,11 @@
 } // namespace
 
 AgentShell::AgentShell(boost::asio::io_context &io, AgentOptions options,
-                       edge::KvStore keyValue, EventSink events)
+                       edge::KvStore keyValue, EventSink events,
+                       wire::StampHooks stamps)
     : Io(io), Strand(boost::asio::make_strand(io)), Options(std::move(options)),
       KeyValue(std::move(keyValue)), Events(std::move(events)),
-      Client(io, clientInit(Options)),
+      Stamps(std::move(stamps)), Client(io, clientInit(Options)),
       Server(io, Options.Instance.Control.Self.Work,
              Options.Instance.Control.Keys, linkHooks()),
       Timer(Strand), FlushTimer(Strand), Core(Options.Core, secureRandom),
@@ -110,7 +111,9 @@
   if (!handle)
     return;
   Error reason;
-  auto message = wire::decode<wire::Message>(frame, reason);
+  auto bytes = wire::unstamped(Stamps, frame, reason);
+  auto message =
+      bytes ? wire::decode<wire::Message>(*bytes, reason) : std::nullopt;
   if (!message) {
     Event event;
     event.Kind = EventKind::PeerRejected;
@@ -191,7 +194,7 @@
 
 void AgentShell::perform(const serve::SendMessage &action) {
   if (auto link = Links.find(action.Link))
-    link->send(wire::encode(action.Body));
+    link->send(wire::stamped(Stamps, wire::encode(action.Body)));
 }
 void AgentShell::perform(const serve::StartRun &action) {
   if (Options.Core.IsService)
--- a/tools/agent/agent_shell.h
+++ b/tools/agent/agent_shell.h
@@ -9,6 +9,7 @@
 #include "edge/service.h"
 #include "edge/store.h"
 #include "link_table.h"
+#include "wire/stamped.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -23,7 +24,7 @@
 class AgentShell {
 public:
   AgentShell(boost::asio::io_context &io, AgentOptions options,
-             edge::KvStore keyValue, EventSink events);
+             edge::KvStore keyValue, EventSink events, wire::StampHooks stamps);
   ~AgentShell();
 
   bool start(Error &reason);
@@ -69,6 +70,7 @@
   AgentOptions Options;
   edge::KvStore KeyValue;
   EventSink Events;
+  wire::StampHooks Stamps;
   LinkTable Links;
   net::HttpClient Client;
   edge::Engine Engine;
--- a/tools/entry/agent_links.cpp
+++ b/tools/entry/agent_links.cpp
@@ -27,8 +27,8 @@
     std::shared_ptr<net::FrameLink> transport =
         net::connectFrames(Owner.Io, to, Owner.Init.Keys,
                            Owner.Init.ConnectTimeout, std::move(hooks));
-    transport->send(wire::encode(
-        wire::Message(wire::Hello{Owner.Init.Name, Owner.Init.Process})));
+    transport->send(
+        pack(wire::Message(wire::Hello{Owner.Init.Name, Owner.Init.Process})));
     {
       std::lock_guard guard(Lock);
       if (!Closed && !Transport)
@@ -84,14 +84,25 @@
     }
     if (auto *offer = std::get_if<wire::Offer>(&message))
       offer->Process = *Process;
-    Transport->send(wire::encode(message));
+    Transport->send(pack(message));
+  }
+
+  std::string pack(const wire::Message &message) const {
+    return wire::stamped(Owner.Hooks.Stamps, wire::encode(message));
+  }
+
+  std::optional<wire::Message> unpack(std::string_view frame,
+                                      Error &reason) const {
+    auto bytes = wire::unstamped(Owner.Hooks.Stamps, frame, reason);
+    if (!bytes)
+      return std::nullopt;
+    return wire::decode<wire::Message>(*bytes, reason);
   }
 
   void onFrame(const std::shared_ptr<net::FrameLink> &link,
                std::string_view frame) {
     Error reason;
-    std::optional<wire::Message> message =
-        wire::decode<wire::Message>(frame, reason);
+    std::optional<wire::Message> message = unpack(frame, reason);
     if (!message) {
       Owner.Hooks.Rejected(reason.Kind);
       return link->close();
--- a/tools/entry/agent_links.h
+++ b/tools/entry/agent_links.h
@@ -5,6 +5,7 @@
 #include "control/snapshot.h"
 #include "net/frame_link.h"
 #include "wire/messages.h"
+#include "wire/stamped.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -47,6 +48,7 @@
   /// The connection broke while the attempt was open on it.
   std::function<void(const AttemptKey &attempt, bool mayBeDelivered)> Lost;
   std::function<void(ErrorKind)> Rejected; ///< A peer's bytes were no message.
+  wire::StampHooks Stamps;
 };
 
 struct AgentLinksInit {
--- a/tools/entry/entry_shell.cpp
+++ b/tools/entry/entry_shell.cpp
@@ -37,7 +37,9 @@
           [this](Event event) { Ring.record(std::move(event)); },
           [this](const Endpoint &peer, const AllotmentRequest &request) {
             Control.requestAllotment(peer, request);
-          }),
+          },
+          {[this] { return Ring.stamp(); },
+           [this](const HybridTime &at) { Ring.observe(at); }}),
       Desk(State, edge::makeEtcdStore(Client, Options.Instance.KeyValue)),
       Callers(State, Desk, [this] { return Control.readiness(); }),
 
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -36,12 +36,13 @@
 } // namespace
 
 EntryState::EntryState(boost::asio::io_context &io, const EntryOptions &options,
-                       Metrics &metrics, EventSink events, AskPeer askPeer)
+                       Metrics &metrics, EventSink events, AskPeer askPeer,
+                       wire::StampHooks stamps)
     : Io(io), Options(options), Events(std::move(events)), Counts(metrics),
       Keyer(options.Secret), Ids(options.Secret), Loads(options.Loads),
       Retries(options.Retries), Ejected(options.Ejection),
       Limits(io, options.self().Name, options.Allotment, std::move(askPeer)),
-      Links(io, linksInit(options), agentHooks()),
+      Links(io, linksInit(options), agentHooks(std::move(stamps))),
       Tables(makeTable(std::make_shared<const Snapshot>())),
       Readers([this] { return Reader(Tables); }) {}
 
@@ -130,8 +131,9 @@
   Events(std::move(event));
 }
 
-AgentHooks EntryState::agentHooks() {
+AgentHooks EntryState::agentHooks(wire::StampHooks stamps) {
   AgentHooks out;
+  out.Stamps = std::move(stamps);
   out.Message = [this](const std::string &server, wire::Message message) {
     onMessage(server, std::move(message));
   };
--- a/tools/entry/entry_state.h
+++ b/tools/entry/entry_state.h
@@ -42,7 +42,8 @@
 class EntryState {
 public:
   EntryState(boost::asio::io_context &io, const EntryOptions &options,
-             Metrics &metrics, EventSink events, AskPeer askPeer);
+             Metrics &metrics, EventSink events, AskPeer askPeer,
+             wire::StampHooks stamps);
 
   /// Routing table with its snapshot; a pointer of this thread.
   std::shared_ptr<const RoutingTable> table();
@@ -73,7 +74,7 @@
   std::atomic<bool> Draining{false};
 
 private:
-  AgentHooks agentHooks();
+  AgentHooks agentHooks(wire::StampHooks stamps);
   std::shared_ptr<TicketFetch> ticketFetch(const RequestId &id) const;
   void onMessage(const std::string &server, wire::Message message);
 
