Fuzz every decoder of bytes from outside

Cause: messages of peers, bodies of callers, answers of the platform, settings and operators' texts come from outside, and were tested by example only.

--- /dev/null
+++ b/tests/fuzz/targets.cpp
@@ -0,0 +1,166 @@
+#include "targets.h"
+
+#include "base/settings.h"
+#include "control/instance_codec.h"
+#include "control/object_codec.h"
+#include "control/peer_messages.h"
+#include "edge/engine_codec.h"
+#include "edge/kv_etcd_json.h"
+#include "net/sse.h"
+#include "once/ticket.h"
+#include "query/command_parser.h"
+#include "query/query_parser.h"
+#include "serve/caller_prompt.h"
+#include "wire/codec.h"
+#include "wire/samples.h"
+
+#include <cstdlib>
+
+namespace daisytack::fuzz {
+
+namespace {
+
+/// Stops at once, so that the input which broke the rule is kept.
+void require(bool holds) {
+  if (!holds)
+    std::abort();
+}
+
+template <class Variant> void runMessage(std::string_view bytes) {
+  Error reason;
+  auto message = wire::decode<Variant>(bytes, reason);
+  require(message.has_value() == (reason.Kind == ErrorKind::None));
+  if (message)
+    require(wire::encode(*message) == bytes);
+}
+
+std::vector<std::string> wireSeeds() {
+  std::vector<std::string> out;
+  for (const wire::Message &it : test::sampleMessages())
+    out.push_back(wire::encode(it));
+  return out;
+}
+
+std::vector<std::string> peerSeeds() {
+  using namespace control;
+  PeerHeader header;
+  header.ConfigThrough = 7;
+  Rumour rumour;
+  rumour.Header = header;
+  rumour.Config = ReplicaDelta{3, 7, {{"key", "value", 5, false}}};
+  rumour.Signals.push_back({{"a0", {1, {2, 3}, MemberState::Leaving, 0}}, 9});
+  return {wire::encode(PeerMessage(Digest{header})),
+          wire::encode(PeerMessage(rumour)),
+          wire::encode(PeerMessage(Page{rumour, true})),
+          wire::encode(PeerMessage(ForceProbe{4}))};
+}
+
+void runPrompt(std::string_view body) {
+  Error reason;
+  for (bool chat : {false, true})
+    entry::parsePrompt(body, chat, reason);
+}
+
+void runKeyValue(std::string_view text) {
+  Error reason;
+  edge::etcd::parseRange(text, reason);
+  edge::etcd::parseTransaction(text, reason);
+  edge::etcd::parseLeaseGrant(text, reason);
+  edge::etcd::parseLeaseKeepalive(text, reason);
+  edge::etcd::parseLeaseRevoke(text, reason);
+  edge::etcd::parseWatch(text, reason);
+  edge::etcd::errorMessage(text);
+}
+
+void runSettings(std::string_view text) {
+  Settings settings("fuzzed.ini", text);
+  settings.text("instance.name", "");
+  settings.integer("entry.threads", 1, 1, 64);
+  settings.duration("control.interval", Duration(1), Duration(1),
+                    Duration(1'000'000));
+  settings.bytes("entry.body", 1, 1, 1U << 20);
+  settings.endpoints("control.seeds");
+  settings.number("limits.share", 0.5, 0, 1);
+  for (const SettingError &it : settings.finish())
+    toString(it);
+}
+
+void runLanguage(std::string_view text) {
+  query::ParseError error;
+  query::parseQuery(text, error);
+  query::parseCommand(text, error);
+}
+
+/// Events are the same however the stream is cut.
+void runSse(std::string_view text) {
+  auto parse = [&](size_t step) {
+    net::SseParser parser(4096);
+    std::vector<net::SseEvent> out;
+    for (size_t i = 0; i < text.size(); i += step)
+      parser.feed(text.substr(i, step),
+                  [&](net::SseEvent it) { out.push_back(std::move(it)); });
+    return out;
+  };
+  require(parse(1) == parse(7));
+}
+
+void runConfiguration(std::string_view text) {
+  Error reason;
+  for (size_t kind = 0; kind < control::ObjectKinds; ++kind) {
+    control::ObjectKey key{static_cast<control::ObjectKind>(kind), "name"};
+    auto stored = control::decodeStored(key, text, reason);
+    if (stored)
+      control::encodeStored(*stored);
+  }
+  control::parseObjectKey(text, reason);
+}
+
+void runInstances(std::string_view text) {
+  Error reason;
+  control::decodeInstanceDelta(text, reason);
+  control::decodeInstance(text, reason);
+}
+
+void runEngine(std::string_view text) {
+  edge::parseEnginePart(text);
+  edge::parseEngineStatus(text);
+  edge::parseCacheEvents(text, 0);
+  edge::parseFence(text);
+}
+
+/// Whoever doesn't know the secret can't make a ticket.
+void runTicket(std::string_view text) {
+  Error reason;
+  parseTicket(text, reason);
+  require(!verifyTicket(text, "a secret that the input can't know"));
+}
+
+std::vector<std::string> noSeeds() { return {}; }
+
+} // namespace
+
+const std::vector<Target> &targets() {
+  static const std::vector<Target> All{
+      {"wire", runMessage<wire::Message>, wireSeeds},
+      {"peer", runMessage<control::PeerMessage>, peerSeeds},
+      {"prompt", runPrompt, noSeeds},
+      {"key_value", runKeyValue, noSeeds},
+      {"settings", runSettings, noSeeds},
+      {"language", runLanguage, noSeeds},
+      {"sse", runSse, noSeeds},
+      {"configuration", runConfiguration, noSeeds},
+      {"instances", runInstances, noSeeds},
+      {"engine", runEngine, noSeeds},
+      {"ticket", runTicket, noSeeds},
+  };
+  return All;
+}
+
+const Target *findTarget(std::string_view name) {
+  for (const Target &it : targets())
+    if (it.Name == name)
+      return &it;
+  return nullptr;
+}
+
+} // namespace daisytack::fuzz
