Plan for many slots, keep quotas by value, and measure the agent's core

An organisation over its quota kept nothing new; it now keeps a piece in place of its own that are worth less, among a sample. Dropping held answers looked at every run for each chunk once the bound was reached; it follows the order in which they ended. The HTTP client held 16 KB for reads of every stream; it begins with 1 KB and doubles while reads fill it.

--- /dev/null
+++ b/bench/agent.cpp
@@ -0,0 +1,145 @@
+/// What an agent's core costs: time and allocations of an offer and of a chunk,
+/// and memory of a running stream, against the runs at once. No sockets; the
+/// times are this machine's.
+#include "serve/agent_core.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <new>
+#include <string>
+#include <vector>
+
+namespace {
+
+uint64_t Allocations = 0;
+size_t Held = 0;
+
+} // namespace
+
+void *operator new(size_t n) {
+  ++Allocations;
+  void *out = std::malloc(n);
+  if (!out)
+    throw std::bad_alloc();
+  Held += malloc_usable_size(out);
+  return out;
+}
+void operator delete(void *p) noexcept {
+  Held -= malloc_usable_size(p);
+  std::free(p);
+}
+void operator delete(void *p, size_t /*n*/) noexcept { operator delete(p); }
+
+namespace daisytack::serve {
+
+namespace {
+
+constexpr uint32_t ChunksEach = 64;
+constexpr size_t PromptBytes = 2048;
+constexpr LinkHandle Link{1};
+constexpr TimePoint Epoch{Duration{1'000'000'000}};
+
+AgentSettings settingsFor(uint32_t runs) {
+  AgentSettings out;
+  out.Instance = "agent-1";
+  out.Serves = "m";
+  out.Queue.Slots = runs;
+  return out;
+}
+
+EngineStatus engineStatus() {
+  EngineStatus out;
+  out.Model = "m";
+  out.Version = "v1";
+  return out;
+}
+
+wire::Offer offerOf(uint64_t n) {
+  wire::Offer out;
+  out.Id = {1, n + 1};
+  out.Try = 1;
+  out.Organisation = "organisation-" + std::to_string(n % 10);
+  out.Model = "m";
+  out.Version = "v1";
+  out.Class = "default";
+  out.Priority = 5;
+  out.RemainingMicros = 3'600'000'000;
+  out.PromptTokens = PromptBytes / BytesPerToken;
+  out.MaxTokens = ChunksEach;
+  out.Body = std::string(PromptBytes, 'x');
+  return out;
+}
+
+struct Cost {
+  double Nanos = 0;
+  double Allocations = 0;
+};
+
+/// Applies every input at the same time; starts are noted.
+class Bench {
+public:
+  explicit Bench(uint32_t runs) : Core(settingsFor(runs), [] { return 7; }) {
+    Core.apply(engineStatus(), Epoch, Actions);
+    Core.apply(LinkOpened{Link}, Epoch, Actions);
+    Actions.clear();
+  }
+
+  Cost apply(std::vector<AgentInput> inputs) {
+    using Clock = std::chrono::steady_clock;
+    uint64_t before = Allocations;
+    auto from = Clock::now();
+    for (AgentInput &it : inputs) {
+      Core.apply(std::move(it), Epoch, Actions);
+      for (const AgentAction &action : Actions)
+        if (const auto *start = std::get_if<StartRun>(&action))
+          Started.push_back(start->Run);
+      Actions.clear();
+    }
+    std::chrono::duration<double, std::nano> took = Clock::now() - from;
+    auto n = static_cast<double>(inputs.size());
+    return {took.count() / n, static_cast<double>(Allocations - before) / n};
+  }
+
+  AgentCore Core;
+  AgentActions Actions;
+  std::vector<RunToken> Started;
+};
+
+void measure(uint32_t runs) {
+  Bench bench(runs);
+  size_t before = Held;
+  std::vector<AgentInput> offers;
+  for (uint32_t i = 0; i < runs; ++i)
+    offers.push_back(LinkMessage{Link, offerOf(i)});
+  Cost offer = bench.apply(std::move(offers));
+  std::vector<AgentInput> chunks;
+  for (uint32_t n = 0; n < ChunksEach; ++n)
+    for (const RunToken &run : bench.Started)
+      chunks.push_back(RunText{run, run, n, 1, "a word or two"});
+  Cost chunk = bench.apply(std::move(chunks));
+  auto memory = static_cast<double>(Held - before) / runs;
+  std::vector<AgentInput> ends;
+  for (const RunToken &run : bench.Started)
+    ends.push_back(RunDone{run, run, "stop", 512, 0, ChunksEach, 0, {}});
+  Cost end = bench.apply(std::move(ends));
+  std::printf("| %6u | %8.0f | %6.1f | %8.0f | %6.2f | %8.0f | %6.1f | %8.0f "
+              "|\n",
+              runs, offer.Nanos, offer.Allocations, chunk.Nanos,
+              chunk.Allocations, end.Nanos, end.Allocations, memory);
+}
+
+} // namespace
+
+} // namespace daisytack::serve
+
+int main() {
+  std::printf("| runs   | offer ns | allocs | chunk ns | allocs |   end ns | "
+              "allocs | bytes a run |\n|---|---|---|---|---|---|---|---|\n");
+  for (uint32_t runs : {1U, 32U, 64U, 1'000U, 10'000U})
+    daisytack::serve::measure(runs);
+  return 0;
+}
--- a/src/decide/run_request.h
+++ b/src/decide/run_request.h
@@ -10,7 +10,7 @@
 
 /// Runs at once that a queue can plan for: 42 M tokens/s over 10,000 servers
 /// with 45 ms between tokens are 190 of them on each.
-constexpr size_t MaxRunSlots = 512;
+constexpr size_t MaxRunSlots = 16'384;
 
 /// Priorities of request classes: 0 is shed first, 9 last.
 constexpr uint8_t MaxPriority = 9;
--- a/src/decide/slot_times.h
+++ b/src/decide/slot_times.h
@@ -5,13 +5,17 @@
 #include "daisytack/types.h"
 #include "decide/run_request.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <algorithm>
-#include <array>
 #include <cstddef>
 #include <functional>
 
 namespace daisytack {
 
+/// Up to so many slots a plan allocates nothing.
+constexpr size_t UsualSlots = 64;
+
 /// Times at which the slots become free, as a binary heap with the earliest
 /// first, and, for an engine that prefills one run after another, the time at
 /// which it has done the prefills before. Runs go in the order given, also when
@@ -23,8 +27,8 @@
 
   /// One more slot, busy until then.
   void add(TimePoint t) {
-    Times[Count++] = t;
-    std::push_heap(Times.begin(), Times.begin() + Count, std::greater<>());
+    Times.push_back(t);
+    std::push_heap(Times.begin(), Times.end(), std::greater<>());
   }
   /// The engine prefills until then.
   void prefillUntil(TimePoint t) { Prefilling = std::max(Prefilling, t); }
@@ -45,8 +49,8 @@
   /// One pass down the heap.
   void replaceEarliest(TimePoint t) {
     size_t at = 0;
-    for (size_t child = 1; child < Count; child = 2 * at + 1) {
-      if (child + 1 < Count && Times[child + 1] < Times[child])
+    for (size_t child = 1; child < Times.size(); child = 2 * at + 1) {
+      if (child + 1 < Times.size() && Times[child + 1] < Times[child])
         ++child;
       if (t <= Times[child])
         break;
@@ -56,8 +60,7 @@
     Times[at] = t;
   }
 
-  std::array<TimePoint, MaxRunSlots> Times{};
-  size_t Count = 0;
+  boost::container::small_vector<TimePoint, UsualSlots> Times;
   bool Serial;
   TimePoint Prefilling;
 };
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -160,7 +160,7 @@
     return;
   if (Response->is_done())
     return complete();
-  ReadBuffer.resize(ReadBytes);
+  ReadBuffer.resize(FirstReadBytes);
   readBody();
 }
 
@@ -189,6 +189,8 @@
     return failed(ec, "response");
   if (Response->is_done())
     return complete();
+  if (n == ReadBuffer.size() && n < MostReadBytes)
+    ReadBuffer.resize(2 * n);
   readBody();
 }
 
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -68,7 +68,10 @@
 private:
   using Request = http::request<http::string_body>;
   using Parser = http::response_parser<http::buffer_body>;
-  static constexpr size_t ReadBytes = 16U << 10;
+  /// A body's reads start small, since a token's chunk is, and grow while they
+  /// are filled.
+  static constexpr size_t FirstReadBytes = 1U << 10;
+  static constexpr size_t MostReadBytes = 64U << 10;
 
   void begin();
   void connect();
--- a/src/serve/agent_core.cpp
+++ b/src/serve/agent_core.cpp
@@ -158,6 +158,7 @@
     if (abandoned) {
       HeldBytes -= run->Answer.bytes();
       Runs.erase(id);
+      forgetFinished();
     }
     return;
   }
--- a/src/serve/agent_export.cpp
+++ b/src/serve/agent_export.cpp
@@ -5,6 +5,15 @@
 
 namespace daisytack::serve {
 
+namespace {
+
+bool mayExport(const ExportDecision &decision) {
+  return decision.Verdict == ExportVerdict::Export ||
+         decision.Verdict == ExportVerdict::OverQuota;
+}
+
+} // namespace
+
 ExportFlow::ExportFlow(ExportSettings settings, StoreTable &stores,
                        CallNumbers &numbers,
                        std::function<std::string()> engineVersion)
@@ -98,9 +107,12 @@
   const auto *error = std::get_if<Error>(&answer.Result);
   if (error && isStoreFailure(*error))
     Stores.onFailed(answer.Store, step.Now);
-  if (asked == Asked::Write) {
-    if (Current && Current->Call == answer.Call)
+  bool isCurrent = Current && Current->Call == answer.Call;
+  if (asked == Asked::Write || asked == Asked::Replace) {
+    if (isCurrent && asked == Asked::Write)
       onWrite(answer, step);
+    else if (isCurrent)
+      replaceOwn(answer, step);
   } else if (asked != Asked::Nothing) {
     onInfo(asked, answer, step);
   }
@@ -171,7 +183,7 @@
       break;
     const Candidate &it = job.Candidates[job.At];
     ExportDecision decision = decide(it, 0);
-    if (decision.Verdict != ExportVerdict::Export)
+    if (!mayExport(decision))
       continue;
     Targets = targetsOf(it, decision.Copies, step.Now);
     if (Targets.empty())
@@ -193,8 +205,11 @@
   Job &job = Jobs.front();
   Bytes = answer.Bytes;
   bool isUsable = !answer.Why && Bytes && EngineVersion() == job.Wish.Version;
-  if (!isUsable || decide(job.Candidates[job.At], Bytes->size()).Verdict !=
-                       ExportVerdict::Export)
+  ExportDecision decision;
+  if (isUsable)
+    decision = decide(job.Candidates[job.At], Bytes->size());
+  IsOverQuota = decision.Verdict == ExportVerdict::OverQuota;
+  if (!mayExport(decision))
     Targets.clear();
   nextTarget(step);
   return true;
--- a/src/serve/agent_export.h
+++ b/src/serve/agent_export.h
@@ -70,7 +70,7 @@
     std::set<std::pair<StoreHandle, PieceKey>> Stored;
   };
   /// What an answer is for.
-  enum class Asked : uint8_t { Usage, Status, Lookup, Write, Nothing };
+  enum class Asked : uint8_t { Usage, Status, Lookup, Replace, Write, Nothing };
   struct Writing {
     CommittedWrite Write;
     StoreHandle Store;
@@ -94,6 +94,10 @@
   void nextTarget(Step &step);
   KeptMeta metaOf(const Candidate &candidate, uint8_t copy,
                   const Step &step) const;
+  /// Frees pieces of the organisation that are worth less than the new one;
+  /// without any the new one is not written.
+  void replaceOwn(const StoreAnswer &answer, Step &step);
+  void freeVictims(std::span<const SampledPiece> victims, Step &step);
   void onWrite(const StoreAnswer &answer, Step &step);
   void advance(WriteStep write, Step &step);
   void endWrite(Step &step);
@@ -118,6 +122,7 @@
   std::shared_ptr<const std::string> Bytes; ///< Of the piece on its way.
   std::vector<StoreHandle> Targets;         ///< It is still to be written to.
   uint8_t Copy = 0;
+  bool IsOverQuota = false; ///< Only in place of the organisation's own pieces.
   std::optional<Writing> Current;
 };
 
--- a/src/serve/agent_export_write.cpp
+++ b/src/serve/agent_export_write.cpp
@@ -30,6 +30,14 @@
   return answered ? CommitAnswer::Refused : CommitAnswer::Lost;
 }
 
+std::vector<SampledPiece> sampleOf(const StoreAnswer &answer) {
+  std::vector<SampledPiece> out;
+  if (const auto *found = std::get_if<StoreFound>(&answer.Result))
+    for (const FoundPiece &it : found->Pieces)
+      out.push_back({it.Key, it.Generation, it.Length, it.Meta});
+  return out;
+}
+
 } // namespace
 
 void ExportFlow::nextTarget(Step &step) {
@@ -78,9 +86,40 @@
   if (!Current || Current->Transfer != transfer)
     return Stores.link(store).cancel(transfer);
   Current->InFlight = true;
+  if (IsOverQuota)
+    Current->Call =
+        call(Asked::Replace, store, SamplePieces{Settings.SampleSize}, step);
+  else
+    advance(Current->Write.step(), step);
+}
+
+void ExportFlow::replaceOwn(const StoreAnswer &answer, Step &step) {
+  std::vector<SampledPiece> sample = sampleOf(answer);
+  std::vector<SampledPiece> victims =
+      Policy.chooseVictims(sample, Bytes->size(), Current->Meta, step.Wall,
+                           Current->Meta.Organisation);
+  if (victims.empty())
+    return endWrite(step);
+  freeVictims(victims, step);
+  KeptUsage &usage = Usage[Current->Meta.Organisation];
+  for (const SampledPiece &it : victims) {
+    usage.Bytes -= std::min(usage.Bytes, it.Length);
+    usage.Pieces -= std::min<uint64_t>(usage.Pieces, 1);
+  }
   advance(Current->Write.step(), step);
 }
 
+void ExportFlow::freeVictims(std::span<const SampledPiece> victims,
+                             Step &step) {
+  for (const SampledPiece &it : victims) {
+    call(Asked::Nothing, Current->Store, FreePiece{it.Key, it.Generation},
+         step);
+    auto meta = decodeMeta(it.Meta);
+    record(step, EventKind::PieceEvicted, meta ? meta->Organisation : "",
+           {static_cast<int64_t>(it.Length)});
+  }
+}
+
 void ExportFlow::onWrite(const StoreAnswer &answer, Step &step) {
   CommittedWrite &write = Current->Write;
   const auto *generation = std::get_if<StoreGeneration>(&answer.Result);
@@ -98,13 +137,8 @@
       visible = generation->Generation;
     return advance(write.onGeneration(visible), step);
   }
-  case WriteStep::Sample: {
-    std::vector<SampledPiece> sample;
-    if (const auto *found = std::get_if<StoreFound>(&answer.Result))
-      for (const FoundPiece &it : found->Pieces)
-        sample.push_back({it.Key, it.Generation, it.Length, it.Meta});
-    return advance(write.onSample(sample), step);
-  }
+  case WriteStep::Sample:
+    return advance(write.onSample(sampleOf(answer)), step);
   case WriteStep::Evict:
   case WriteStep::Free:
   case WriteStep::Done:
@@ -133,12 +167,7 @@
   case WriteStep::Sample:
     return ask(SamplePieces{Settings.SampleSize});
   case WriteStep::Evict:
-    for (const SampledPiece &it : write.victims()) {
-      call(Asked::Nothing, store, FreePiece{it.Key, it.Generation}, step);
-      auto meta = decodeMeta(it.Meta);
-      record(step, EventKind::PieceEvicted, meta ? meta->Organisation : "",
-             {static_cast<int64_t>(it.Length)});
-    }
+    freeVictims(write.victims(), step);
     return advance(write.onEvicted(), step);
   case WriteStep::Free:
     call(Asked::Nothing, store, FreePiece{write.key(), write.generation()},
--- a/src/serve/agent_impl.h
+++ b/src/serve/agent_impl.h
@@ -132,7 +132,8 @@
   void keepForReaders(Run &run, TimePoint now);
   void handBackWaiting(const Error &why, Step &step);
   void settleTicket(const Run &run, const wire::Finished &final, Step &step);
-  void boundHeldBytes(Step &step);
+  void boundHeldBytes();
+  void forgetFinished();
 
   // Pictures and timers.
   void wakeRun(const RequestId &id, Step &step);
@@ -178,6 +179,7 @@
   Duration WallOffset{0};  ///< Wall clock less monotonic clock.
   TimePoint Latest;        ///< Of the present or last step.
   size_t HeldBytes = 0;
+  std::deque<RequestId> FinishedOrder; ///< Oldest first; some are gone.
   std::unordered_map<RequestId, ClosedAttempt> Closed;
   std::deque<RequestId> ClosedOrder; ///< Oldest first.
   std::deque<RefusalView> Refusals;
--- a/src/serve/agent_runs.cpp
+++ b/src/serve/agent_runs.cpp
@@ -87,7 +87,7 @@
     send(step, reader.Link,
          wire::Chunk{run->Token.Id, reader.Try, index, input.Tokens,
                      input.Text});
-  boundHeldBytes(step);
+  boundHeldBytes();
 }
 
 void AgentCore::Impl::on(const RunDone &input, Step &step) {
@@ -145,6 +145,7 @@
   for (const Reader &reader : run.Readers)
     sendFinal(run, reader, step);
   Runs.clearReaders(run);
+  FinishedOrder.push_back(run.Token.Id);
   run.KeptUntil = step.Now + Settings.ResumeWindow;
   Runs.schedule(run);
   Dirty = true;
@@ -223,18 +224,22 @@
       fail(*run, why, step);
 }
 
-/// Finished answers go first, the oldest of them first.
-void AgentCore::Impl::boundHeldBytes(Step & /*step*/) {
-  while (HeldBytes > Settings.MaxHeldBytes) {
-    const Run *oldest = nullptr;
-    for (const auto &[id, run] : Runs.all())
-      if (run->isFinished() &&
-          (!oldest || *run->KeptUntil < *oldest->KeptUntil))
-        oldest = run.get();
-    if (!oldest)
-      return;
-    HeldBytes -= oldest->Answer.bytes();
-    Runs.erase(RequestId(oldest->Token.Id));
+/// Ids whose runs are gone need not be remembered.
+void AgentCore::Impl::forgetFinished() {
+  while (!FinishedOrder.empty() && !Runs.find(FinishedOrder.front()))
+    FinishedOrder.pop_front();
+}
+
+/// Only finished answers go, the oldest first: a running one may still be read.
+void AgentCore::Impl::boundHeldBytes() {
+  while (HeldBytes > Settings.MaxHeldBytes && !FinishedOrder.empty()) {
+    RequestId id = FinishedOrder.front();
+    FinishedOrder.pop_front();
+    Run *run = Runs.find(id);
+    if (!run || !run->isFinished())
+      continue;
+    HeldBytes -= run->Answer.bytes();
+    Runs.erase(id);
   }
 }
 
--- a/tests/serve_agent/agent_context_test.cpp
+++ b/tests/serve_agent/agent_context_test.cpp
@@ -188,6 +188,26 @@
   EXPECT_GE(full.Asked["free"], Pieces);
 }
 
+TEST(AgentContext, OverQuotaAPieceReplacesOnlyItsOrganisationsOwn) {
+  for (StoreFault fault : {StoreFault::Foreign, StoreFault::None}) {
+    AgentRig rig(withStores());
+    FakePlatform platform(rig);
+    platform.Used = 1 << 20;
+    platform.Fault = fault;
+    for (uint32_t store : {0U, 1U})
+      for (uint8_t i = 50; i < 54; ++i)
+        platform.keep({store}, keyOf(i), Duration(1));
+    rig.Now += Duration(10);
+    rig.offer(longOffer(1, KeepRule::Always));
+    platform.answerAll();
+    finish(rig, 0);
+    platform.answerAll();
+    bool own = fault == StoreFault::None;
+    EXPECT_EQ(platform.Asked["free"] > 0, own);
+    EXPECT_EQ(rig.events(EventKind::PieceExported) > 0, own);
+  }
+}
+
 TEST(AgentContext, EngineEventsSpareTheFetch) {
   AgentRig rig(withStores());
   FakePlatform platform(rig);
--- a/tests/serve_agent/fake_platform.h
+++ b/tests/serve_agent/fake_platform.h
@@ -49,14 +49,14 @@
   explicit FakePlatform(AgentRig &rig) : Rig(rig) {}
 
   /// Puts a committed piece into the store.
-  void keep(StoreHandle store, const PieceKey &key) {
+  void keep(StoreHandle store, const PieceKey &key,
+            Duration keepFor = std::chrono::hours(24)) {
     KeptMeta meta;
     meta.Organisation =
         Fault == StoreFault::Foreign ? "dakar-notices" : "riga-buyers";
     meta.KeptAt = WallTime(Duration(0));
-    meta.ExpiresAt = Fault == StoreFault::Expired
-                         ? WallTime(Duration(0))
-                         : WallTime(std::chrono::hours(24));
+    meta.ExpiresAt = Fault == StoreFault::Expired ? WallTime(Duration(0))
+                                                  : WallTime(keepFor);
     Pieces[{store.Index, key}] = {5, encodePieceFrame(key, 5, payloadOf(key)),
                                   encodeMeta(meta), true};
   }
@@ -166,8 +166,13 @@
     Pieces.erase({store, ask.Key});
     return StoreDone{};
   }
-  StoreResult on(uint32_t /*store*/, const SamplePieces & /*ask*/) {
-    return StoreFound{};
+  StoreResult on(uint32_t store, const SamplePieces & /*ask*/) {
+    StoreFound out;
+    for (const auto &[at, piece] : Pieces)
+      if (at.first == store && piece.Committed)
+        out.Pieces.push_back({at.second, piece.Generation, piece.Frame.size(),
+                              false, piece.Meta});
+    return out;
   }
   StoreResult on(uint32_t /*store*/, const AskUsage & /*ask*/) {
     return StoreUsage{Used, 1};
--- a/tools/agent/agent_options.cpp
+++ b/tools/agent/agent_options.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int64_t MaxRunningAtMost = MaxRunSlots;
+/// An engine prefills one after another; what waits in it is out of reach.
+constexpr int64_t DefaultPrefills = 1;
 constexpr int64_t MaxWaitingAtMost = 1'000'000;
 
 void readServer(Settings &settings, AgentOptions &out) {
@@ -21,9 +23,11 @@
   out.Core.Queue.Slots = static_cast<uint32_t>(
       settings.integer("agent.max_running", 32, 1, MaxRunningAtMost));
   // An engine prefills one after another; a plain service has no prefill.
-  out.Core.Queue.Prefills = out.Core.IsService ? 0 : 1;
   out.Core.MaxWaiting = static_cast<uint32_t>(
       settings.integer("agent.max_waiting", 4096, 1, MaxWaitingAtMost));
+  int64_t prefills = out.Core.IsService ? 0 : DefaultPrefills;
+  out.Core.Queue.Prefills = static_cast<uint32_t>(
+      settings.integer("agent.max_prefills", prefills, 0, MaxRunningAtMost));
 }
 
 void readAnswers(Settings &settings, AgentOptions &out) {
