Wait with full jitter before an accepted request is offered again

A request that was accepted, lost, and then found no server or no retry budget asked again every 100 ms, all of a failed domain's requests in step. The waits are now drawn by retryDelay: exponential, full jitter, after any Retry-After that a server named, and never past the deadline. A refusal because an agent is draining is passed on to the peers, so that other entries learn of it sooner than by the instance list.

--- a/src/serve/request_attempts.cpp
+++ b/src/serve/request_attempts.cpp
@@ -107,6 +107,21 @@
   return !Hooks.TakeRetry || Hooks.TakeRetry();
 }
 
+/// A request that was accepted once is not dropped while there is time.
+bool RequestFlow::waitForRetry(const FlowContext &context) {
+  if (!WasAccepted || !canRetry(context))
+    return false;
+  auto left = std::chrono::duration_cast<Duration>(Spec.Deadline - context.Now);
+  std::optional<Duration> pause =
+      retryDelay(attempts(), LastReason.RetryAfter, left, Settings.LeastPause,
+                 Settings.Backoff, Hooks.Random);
+  if (!pause)
+    return false;
+  Waited = true;
+  RetryAt = context.Now + std::max(*pause, Settings.LeastPause);
+  return true;
+}
+
 void RequestFlow::next(const Error &reason, Step &step) {
   // The soonest that any server would take it is the best time to come back.
   if (LastReason.RetryAfter.count() == 0 ||
@@ -130,13 +145,8 @@
            candidate->Server);
     return offer(*candidate, step);
   }
-  // A request that was accepted once is not dropped while there is time.
-  TimePoint again = step.Context.Now + Settings.RetryPause;
-  if (WasAccepted && canRetry(step.Context) && again < Spec.Deadline) {
-    Waited = true;
-    RetryAt = again;
+  if (waitForRetry(step.Context))
     return;
-  }
   giveUp(LastReason, mayHaveRun() ? Outcome::MayHaveRun : Outcome::NotRun,
          step);
 }
--- a/src/serve/request_flow.h
+++ b/src/serve/request_flow.h
@@ -38,6 +38,8 @@
   /// Takes one retry from the budget; false when it is spent. Empty: none is
   /// kept.
   std::function<bool()> TakeRetry;
+  /// For jitter.
+  RandomSource Random;
   /// Brings version, adapter and piece keys of an offer up to date with the
   /// configuration, for a new attempt.
   std::function<void(wire::Offer &, const RequestSpec &, const FlowContext &)>
@@ -115,6 +117,7 @@
   /// Attempts that count: those refused for a limited wait cost a trip, not a
   /// retry.
   uint32_t spentAttempts() const;
+  bool waitForRetry(const FlowContext &context);
   bool hasOpenTry() const;
   bool mayHaveRun() const;
   Try *find(Attempt number, std::string_view server);
--- a/src/serve/request_spec.h
+++ b/src/serve/request_spec.h
@@ -4,6 +4,7 @@
 
 #include "context/reuse_policy.h"
 #include "daisytack/types.h"
+#include "decide/backoff.h"
 #include "wire/messages.h"
 
 #include <optional>
@@ -52,13 +53,15 @@
   Duration ReleaseCheck{1'000'000};
   /// Share of the time left that a first offer leaves over for a re-run.
   double ReserveShare = 0.5;
-  /// Wait of an accepted request that no server takes or no retry is left for.
-  Duration RetryPause{100'000};
+  /// Waits of an accepted request that no server takes or no retry is left
+  /// for: full jitter above the least.
+  BackoffSettings Backoff{Duration(100'000), Duration(2'000'000)};
+  Duration LeastPause{10'000};
   /// Named in refusals that carry no better time to come back.
   Duration LeastRetryAfter{1'000'000};
   /// Connections to an agent tried for a broken non-idempotent answer.
   uint32_t Reconnects = 1;
-  auto operator<=>(const FlowSettings &) const = default;
+  bool operator==(const FlowSettings &) const = default;
 };
 
 } // namespace daisytack::entry
--- a/tests/serve_entry/flow_harness.h
+++ b/tests/serve_entry/flow_harness.h
@@ -111,6 +111,7 @@
     FlowHooks out;
     out.Rank = [this](const auto &, const auto &) { return Servers; };
     out.TakeRetry = [this] { return Budget-- > 0; };
+    out.Random = [] { return uint64_t{50'000}; };
     return out;
   }
 
--- a/tools/entry/active_request.cpp
+++ b/tools/entry/active_request.cpp
@@ -1,6 +1,7 @@
 #include "active_request.h"
 
 #include "base/clock.h"
+#include "base/digest.h"
 #include "net/problem.h"
 #include "net/sse.h"
 
@@ -111,6 +112,7 @@
       State.Counts.Retries.add();
     return taken;
   };
+  out.Random = secureRandom;
   out.Refresh = [this](wire::Offer &offer, const RequestSpec &spec,
                        const FlowContext &context) {
     if (spec.Service.empty())
--- a/tools/entry/entry_shell.cpp
+++ b/tools/entry/entry_shell.cpp
@@ -22,6 +22,17 @@
   return out;
 }
 
+EntryPeers peersOf(runtime::ControlRuntime &control) {
+  EntryPeers out;
+  out.Ask = [&control](const Endpoint &peer, const AllotmentRequest &request) {
+    control.requestAllotment(peer, request);
+  };
+  out.ReportDraining = [&control](const std::string &server) {
+    control.reportDraining(server);
+  };
+  return out;
+}
+
 } // namespace
 
 EntryShell::EntryShell(boost::asio::io_context &io, EntryOptions options)
@@ -32,14 +43,11 @@
           edge::makeHttpInstanceList(Client, Options.Instance.InstanceList),
           Counters, [this](Event event) { Ring.record(std::move(event)); },
           secureRandom),
-      State(
-          io, Options, Counters,
-          [this](Event event) { Ring.record(std::move(event)); },
-          [this](const Endpoint &peer, const AllotmentRequest &request) {
-            Control.requestAllotment(peer, request);
-          },
-          {[this] { return Ring.stamp(); },
-           [this](const HybridTime &at) { Ring.observe(at); }}),
+      State(io, Options, Counters,
+            [this](Event event) { Ring.record(std::move(event)); },
+            peersOf(Control),
+            {[this] { return Ring.stamp(); },
+             [this](const HybridTime &at) { Ring.observe(at); }}),
       Desk(State, edge::makeEtcdStore(Client, Options.Instance.KeyValue)),
       Callers(State, Desk, [this] { return Control.readiness(); }),
 
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -36,12 +36,13 @@
 } // namespace
 
 EntryState::EntryState(boost::asio::io_context &io, const EntryOptions &options,
-                       Metrics &metrics, EventSink events, AskPeer askPeer,
+                       Metrics &metrics, EventSink events, EntryPeers peers,
                        wire::StampHooks stamps)
-    : Io(io), Options(options), Events(std::move(events)), Counts(metrics),
-      Keyer(options.Secret), Ids(options.Secret), Loads(options.Loads),
-      Retries(options.Retries), Ejected(options.Ejection),
-      Limits(io, options.self().Name, options.Allotment, std::move(askPeer)),
+    : Io(io), Options(options), Events(std::move(events)),
+      Peers(std::move(peers)), Counts(metrics), Keyer(options.Secret),
+      Ids(options.Secret), Loads(options.Loads), Retries(options.Retries),
+      Ejected(options.Ejection),
+      Limits(io, options.self().Name, options.Allotment, Peers.Ask),
       Links(io, linksInit(options), agentHooks(std::move(stamps))),
       Tables(makeTable(std::make_shared<const Snapshot>())),
       Readers([this] { return Reader(Tables); }) {}
@@ -175,6 +176,8 @@
     deliver(std::move(*accepted));
   } else if (auto *refused = std::get_if<wire::Refused>(&message)) {
     learn(refused->Load);
+    if (refused->Kind == ErrorKind::Draining)
+      Peers.ReportDraining(server);
     deliver(std::move(*refused));
   } else if (auto *chunk = std::get_if<wire::Chunk>(&message)) {
     deliver(std::move(*chunk));
--- a/tools/entry/entry_state.h
+++ b/tools/entry/entry_state.h
@@ -38,11 +38,18 @@
 using TicketTable =
     tbb::concurrent_hash_map<Id128, std::shared_ptr<TicketFetch>, Id128Hash>;
 
+/// What the entry tells its peers; from ControlRuntime.
+struct EntryPeers {
+  AskPeer Ask;
+  /// An agent said that it is leaving.
+  std::function<void(const std::string &server)> ReportDraining;
+};
+
 /// Thread-safe in all members.
 class EntryState {
 public:
   EntryState(boost::asio::io_context &io, const EntryOptions &options,
-             Metrics &metrics, EventSink events, AskPeer askPeer,
+             Metrics &metrics, EventSink events, EntryPeers peers,
              wire::StampHooks stamps);
 
   /// Routing table with its snapshot; a pointer of this thread.
@@ -58,6 +65,7 @@
   boost::asio::io_context &Io;
   const EntryOptions &Options;
   const EventSink Events;
+  const EntryPeers Peers;
   EntryMetrics Counts;
   PieceKeyer Keyer;
   CallerIds Ids;
