Number the attempts of shared request ids by time

A request with an Idempotency-Key has the same id at every entry, and agents refuse an attempt whose number is not above one that is over. Each entry counted from the same small number, so that a repeat at another entry soon after its caller had left could be refused. The first number is now taken from the clock, and stays above this entry's earlier ones.

--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/// Numbers of attempts grow with time, so that a repeat at another entry has
+/// higher ones. In 32 bits of tenths of a second they last for 13 years.
+constexpr WallTime FirstTryEpoch{Duration(1'767'225'600'000'000)}; // 2026.
+constexpr Duration TryTick{100'000};
+
 std::shared_ptr<const RoutingTable>
 makeTable(std::shared_ptr<const Snapshot> snapshot) {
   return std::make_shared<const RoutingTable>(std::move(snapshot));
@@ -60,7 +65,14 @@
 }
 
 Attempt EntryState::freshTry() {
-  return NextTry.fetch_add(2 * MaxAttempts, std::memory_order_relaxed);
+  int64_t since = (wallNow() - FirstTryEpoch) / TryTick;
+  Attempt present = static_cast<Attempt>(std::max<int64_t>(since, 1));
+  Attempt last = LastTry.load(std::memory_order_relaxed);
+  Attempt next = 0;
+  do
+    next = std::max(last + 2 * MaxAttempts, present);
+  while (!LastTry.compare_exchange_weak(last, next, std::memory_order_relaxed));
+  return next;
 }
 
 std::vector<Candidate> EntryState::rank(const RequestSpec &spec,
--- a/tools/entry/entry_state.h
+++ b/tools/entry/entry_state.h
@@ -59,7 +59,8 @@
   /// Candidates for a request, best first. A ticket has one, its issuer.
   std::vector<Candidate> rank(const RequestSpec &spec, TimePoint now);
   void note(const NoteServer &note, const RequestSpec &spec);
-  /// First attempt number of a flow whose request id is not its own.
+  /// First attempt number of a flow whose request id other flows share, here or
+  /// at another entry: above those of all flows before it.
   Attempt freshTry();
 
   boost::asio::io_context &Io;
@@ -89,7 +90,7 @@
   using Reader = Rcu<RoutingTable>::Reader;
   Rcu<RoutingTable> Tables;
   tbb::enumerable_thread_specific<Reader> Readers;
-  std::atomic<uint32_t> NextTry{MaxAttempts + 1};
+  std::atomic<Attempt> LastTry{0};
 };
 
 } // namespace daisytack::entry
