--- a/src/serve/request_attempts.cpp
+++ b/src/serve/request_attempts.cpp
@@ -45,7 +45,6 @@
   attempt.Server = candidate.Server;
   attempt.SentAt = now;
   attempt.LateAt = now + Settings.OfferPatience;
-  attempt.FirstIndex = Received;
   attempt.IsPatient =
       IsPatient && Spec.Offer.Idempotent && candidate.Patience > Duration{0};
   auto left = std::chrono::duration_cast<Duration>(Spec.Deadline - now);
@@ -81,7 +80,6 @@
   attempt.IsResume = true;
   attempt.SentAt = step.Context.Now;
   attempt.LateAt = step.Context.Now + Settings.StallPatience;
-  attempt.FirstIndex = Received;
   record(step, EventKind::StreamResumed, number, ErrorKind::None, server,
          {Received});
   step.Out.emplace_back(SendResume{
--- a/src/serve/request_flow.cpp
+++ b/src/serve/request_flow.cpp
@@ -31,10 +31,6 @@
   return kind == ErrorKind::Cancelled || kind == ErrorKind::DeadlinePassed;
 }
 
-template <class M> bool names(const M &message, const RequestId &id) {
-  return message.Id == id;
-}
-
 } // namespace
 
 RequestFlow::RequestFlow(RequestSpec spec, FlowSettings settings,
@@ -85,7 +81,7 @@
 void RequestFlow::on(const ServerSaid &input, Step &step) {
   std::visit(
       [&](const auto &message) {
-        if (!names(message, Spec.Offer.Id))
+        if (message.Id != Spec.Offer.Id)
           return;
         Try *attempt = find(message.Try, input.Server);
         if (attempt == nullptr || !attempt->isOpen())
--- a/src/serve/request_flow.h
+++ b/src/serve/request_flow.h
@@ -14,7 +14,6 @@
 
 #include <functional>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -80,9 +79,8 @@
     bool WasTooLong = false; ///< Refused for that.
     bool IsResume = false;   ///< Reads an answer, never starts a run.
     TimePoint SentAt;
-    TimePoint LateAt;        ///< Help is sought from then on.
-    Duration Predicted{0};   ///< First token, by the agent's own word.
-    uint32_t FirstIndex = 0; ///< Of the first chunk it may send.
+    TimePoint LateAt;      ///< Help is sought from then on.
+    Duration Predicted{0}; ///< First token, by the agent's own word.
 
     bool isOpen() const { return Phase != TryPhase::Closed; }
   };
