Let a flow without a source of randomness wait the shortest time

The fault matrix builds flows without the new hook; eleven of its tests failed on the call of an empty function. An empty hook now means waits without jitter, as an empty retry hook means that no budget is kept. All 13 tests of the matrix pass.

--- a/src/serve/request_attempts.cpp
+++ b/src/serve/request_attempts.cpp
@@ -110,9 +110,10 @@
   if (!WasAccepted || !canRetry(context))
     return false;
   auto left = std::chrono::duration_cast<Duration>(Spec.Deadline - context.Now);
-  std::optional<Duration> pause =
-      retryDelay(attempts(), LastReason.RetryAfter, left, Settings.LeastPause,
-                 Settings.Backoff, Hooks.Random);
+  std::optional<Duration> pause = retryDelay(
+      attempts(), LastReason.RetryAfter, left, Settings.LeastPause,
+      Settings.Backoff,
+      Hooks.Random ? Hooks.Random : [] { return uint64_t{0}; });
   if (!pause)
     return false;
   Waited = true;
--- a/src/serve/request_flow.h
+++ b/src/serve/request_flow.h
@@ -37,7 +37,7 @@
   /// Takes one retry from the budget; false when it is spent. Empty: none is
   /// kept.
   std::function<bool()> TakeRetry;
-  /// For jitter.
+  /// For jitter. Empty: waits are the shortest that are allowed.
   RandomSource Random;
   /// Brings version, adapter and piece keys of an offer up to date with the
   /// configuration, for a new attempt.
