Make the right message late in the test of a seeded defect

The defect that takes over a peer's image whatever its age shows only when a datagram with configuration comes late. Which one that is was given by its number among all messages, and the signals' new exchange sends others before it: the sixth no longer carries configuration, so the defect was not shown. The thirteenth does; numbers 0 to 11 do not show it. The check is as strict as before: it holds without the defect and fails with it.

--- a/tests/matrix/matrix_test.cpp
+++ b/tests/matrix/matrix_test.cpp
@@ -94,7 +94,7 @@
         SeededDefect{Promise::LeavingGetsNothingNew, Defect::IgnoresLeaving},
         SeededDefect{Promise::ShutdownCutsNothingOff, Defect::ExitsAtOnce},
         SeededDefect{Promise::ConfigurationStands, Defect::LastImageWins,
-                     Step::Spread, Fault::MessageLate, 5}),
+                     Step::Spread, Fault::MessageLate, 12}),
     [](const auto &it) { return std::string(promiseName(it.param.Broken)); });
 
 } // namespace daisytack::matrix
