Let a purge cover policies written at the same time, and cut the operators' HTTP

A purge raises the epoch of each policy that the operator's process knows. A policy planned before the purge and written after it kept a lower epoch: where one of its name had existed before, older pieces could have been named again. A test has both orders.

Waiting on a change that was already in force asked who has revision 0, which everybody has; it now asks for the revision in force here.

--- a/src/control/snapshot.cpp
+++ b/src/control/snapshot.cpp
@@ -63,6 +63,20 @@
   return found ? &*it : nullptr;
 }
 
+/// Highest epoch of an organisation's policies. It holds for all of them, so
+/// that a purge also covers a policy that is written at the same time.
+uint32_t highestEpoch(const std::vector<ReusePolicy> &table,
+                      std::string_view organisation) {
+  auto before = [](const ReusePolicy &row, std::string_view name) {
+    return row.Organisation < name;
+  };
+  uint32_t out = 0;
+  auto it = std::lower_bound(table.begin(), table.end(), organisation, before);
+  for (; it != table.end() && it->Organisation == organisation; ++it)
+    out = std::max(out, it->Epoch);
+  return out;
+}
+
 bool poolBefore(const Pool &pool,
                 const std::tuple<bool, std::string_view> &key) {
   return std::tuple<bool, std::string_view>(pool.IsService, pool.Name) < key;
@@ -110,13 +124,12 @@
 
 ReusePolicy Snapshot::policy(std::string_view organisation,
                              std::string_view requestClass) const {
-  if (const ReusePolicy *exact =
-          findPolicy(Policies, organisation, requestClass))
-    return *exact;
-  if (const ReusePolicy *all = findPolicy(Policies, organisation, "*"))
-    return *all;
-  ReusePolicy out;
+  const ReusePolicy *found = findPolicy(Policies, organisation, requestClass);
+  if (!found)
+    found = findPolicy(Policies, organisation, "*");
+  ReusePolicy out = found ? *found : ReusePolicy{};
   out.Organisation = organisation;
+  out.Epoch = highestEpoch(Policies, organisation);
   return out;
 }
 
--- a/src/control/snapshot.h
+++ b/src/control/snapshot.h
@@ -62,7 +62,7 @@
   const RequestClass *requestClass(std::string_view name) const;
   const PlainService *service(std::string_view name) const;
   /// Most specific policy: (organisation, class), then (organisation, "*"),
-  /// then the defaults.
+  /// then the defaults. The epoch is the highest of the organisation's.
   ReusePolicy policy(std::string_view organisation,
                      std::string_view requestClass) const;
   const Pool *pool(std::string_view name, bool isService) const;
--- a/src/runtime/operator_command.cpp
+++ b/src/runtime/operator_command.cpp
@@ -193,8 +193,12 @@
                                    const DoneHook &done) {
   Duration left = until - monotonicNow();
   auto timeout = std::clamp(left, Duration(1), ForceTimeout);
+  // Without a revision of its own, what is in force here has the change.
+  uint64_t revision = answer.Revision != 0
+                          ? answer.Revision
+                          : Init.Control.Snapshots()->ConfigRevision;
   Init.Control.GatherInForce(
-      answer.Revision, timeout,
+      revision, timeout,
       [this, answer, until, done](control::ForceReport report) {
         CommandAnswer next = answer;
         bool isEverywhere = report.InForce == report.Asked;
--- a/src/runtime/operator_http.cpp
+++ b/src/runtime/operator_http.cpp
@@ -7,15 +7,12 @@
 #include "query/query_parser.h"
 #include "runtime/operator_command.h"
 #include "runtime/operator_query.h"
+#include "runtime/operator_statement.h"
 #include "runtime/operator_view.h"
+#include "runtime/process_usage.h"
 
 #include <boost/json.hpp>
 
-#include <charconv>
-#include <fstream>
-#include <sys/resource.h>
-#include <unistd.h>
-
 namespace daisytack::runtime {
 
 namespace {
@@ -24,8 +21,6 @@
 using Exchange = std::shared_ptr<net::HttpExchange>;
 
 constexpr size_t MaxBodyBytes = 16U << 10;
-constexpr size_t MaxEventsPerPage = 1000;
-constexpr int64_t MaxWaitMs = 60'000;
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNotReady = 503;
 constexpr std::string_view BearerPrefix = "Bearer ";
@@ -44,88 +39,6 @@
   exchange->respond(net::problemResponse(error, Outcome::NotRun, {}));
 }
 
-/// A statement as it was sent.
-struct Statement {
-  std::string Text;
-  bool IsLocal = false;
-  Duration Wait{0};
-};
-
-std::optional<Statement> statementOf(std::string_view body, Error &reason) {
-  boost::system::error_code ec;
-  json::value parsed = json::parse(body, ec);
-  const json::object *object = ec ? nullptr : parsed.if_object();
-  const json::value *text = object ? object->if_contains("text") : nullptr;
-  if (!text || !text->is_string()) {
-    reason = {ErrorKind::BadRequest, R"(the body must be {"text": "..."})", {}};
-    return std::nullopt;
-  }
-  Statement out;
-  out.Text = std::string_view(text->get_string());
-  if (const json::value *scope = object->if_contains("scope"))
-    out.IsLocal = *scope == "local";
-  if (const json::value *wait = object->if_contains("wait_ms")) {
-    auto ms = wait->to_number<int64_t>(ec);
-    if (ec || ms < 0 || ms > MaxWaitMs) {
-      reason = {ErrorKind::BadRequest,
-                "wait_ms must be from 0 to " + std::to_string(MaxWaitMs),
-                {}};
-      return std::nullopt;
-    }
-    out.Wait = std::chrono::milliseconds(ms);
-  }
-  return out;
-}
-
-/// A number in a URL's query; the fallback when it is absent or none.
-uint64_t parameter(std::string_view query, std::string_view name,
-                   uint64_t fallback) {
-  while (!query.empty()) {
-    std::string_view pair = query.substr(0, query.find('&'));
-    query.remove_prefix(std::min(pair.size() + 1, query.size()));
-    if (!pair.starts_with(name) || pair.substr(name.size(), 1) != "=")
-      continue;
-    pair.remove_prefix(name.size() + 1);
-    uint64_t out = 0;
-    auto [end, ec] = std::from_chars(pair.begin(), pair.end(), out);
-    return ec == std::errc() && end == pair.end() ? out : fallback;
-  }
-  return fallback;
-}
-
-json::object eventToJson(uint64_t sequence, const Event &event) {
-  json::array scores;
-  for (int64_t score : event.Scores)
-    scores.emplace_back(score);
-  json::object out{
-      {"sequence", sequence},        {"wall_us", event.At.Wall},
-      {"logical", event.At.Logical}, {"event", eventName(event.Kind)},
-      {"attempt", event.Try},        {"subject", event.Subject},
-      {"scores", std::move(scores)}};
-  if (event.Request.isValid())
-    out["request"] = toHex(event.Request);
-  if (event.Reason != ErrorKind::None)
-    out["reason"] = errorName(event.Reason);
-  return out;
-}
-
-uint64_t microsOf(const timeval &time) {
-  constexpr int64_t MicrosPerSecond = 1'000'000;
-  return static_cast<uint64_t>(time.tv_sec * MicrosPerSecond + time.tv_usec);
-}
-
-ProcessUsage processUsage() {
-  ProcessUsage out;
-  rusage usage{};
-  if (getrusage(RUSAGE_SELF, &usage) == 0)
-    out.CpuMicros = microsOf(usage.ru_utime) + microsOf(usage.ru_stime);
-  uint64_t pages = 0;
-  uint64_t resident = 0;
-  if (std::ifstream("/proc/self/statm") >> pages >> resident)
-    out.ResidentBytes = resident * static_cast<uint64_t>(getpagesize());
-  return out;
-}
-
 Readiness readinessOf(const OperatorInit &init) {
   Readiness control = init.Control.Ready();
   if (!control.Ready || !init.Hooks.Ready)
@@ -277,7 +190,7 @@
     return;
   }
   Error reason;
-  auto statement = statementOf(request.Body, reason);
+  auto statement = parseStatement(request.Body, reason);
   if (!statement)
     return refuse(exchange, reason);
   caller.IsLocal = statement->IsLocal;
@@ -319,17 +232,8 @@
 }
 
 std::string OperatorHttp::Impl::eventsJson(std::string_view query) const {
-  uint64_t from = parameter(query, "from", 0);
-  uint64_t limit = std::min<uint64_t>(
-      parameter(query, "limit", MaxEventsPerPage), MaxEventsPerPage);
-  EventRing::Page page = Ring.read(from, limit);
-  json::array events;
-  for (size_t i = 0; i < page.Events.size(); ++i)
-    events.push_back(eventToJson(page.FirstSequence + i, page.Events[i]));
-  return json::serialize(json::object{{"instance", Init.Instance},
-                                      {"first", page.FirstSequence},
-                                      {"next", page.NextSequence},
-                                      {"events", std::move(events)}});
+  EventRange range = parseEventRange(query);
+  return toJson(Init.Instance, Ring.read(range.From, range.Limit));
 }
 
 OperatorHttp::OperatorHttp(boost::asio::io_context &io, OperatorInit init,
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -89,8 +89,9 @@
       Proposed.push_back(command);
       done(Result);
     };
-    out.GatherInForce = [this](uint64_t, Duration, const auto &done) {
+    out.GatherInForce = [this](uint64_t revision, Duration, const auto &done) {
       ++ForceAsked;
+      ForceRevision = revision;
       control::ForceReport report{4, 4, ForceAsked < 3 ? 3U : 4U, {}};
       done(report);
     };
@@ -158,6 +159,7 @@
   control::CommandResult Result{
       control::CommandOutcome::Applied, 7, {}, std::nullopt};
   size_t ForceAsked = 0;
+  uint64_t ForceRevision = 0;
 };
 
 } // namespace
@@ -314,6 +316,15 @@
   EXPECT_EQ(ForceAsked, 3U);
 }
 
+TEST_F(OperatorRoutes, WaitingForWhatAlreadyWasSoAsksForTheRevisionInForce) {
+  Fleet.ConfigRevision = 42;
+  publish();
+  Result = {control::CommandOutcome::Unchanged, 0, {}, std::nullopt};
+  std::string body = R"({"text": "drain agent-1", "wait_ms": 5000})";
+  call("entry-1", "POST", "/v1/command", body, "otto");
+  EXPECT_EQ(ForceRevision, 42U);
+}
+
 TEST_F(OperatorRoutes, StopReachesTheEntriesConcerned) {
   Processes["entry-1"].Stopped = 2;
   Processes["entry-2"].Stopped = 3;
--- a/tests/query/command_test.cpp
+++ b/tests/query/command_test.cpp
@@ -208,4 +208,14 @@
   EXPECT_EQ(std::get<ReusePolicy>(*raced).Epoch, 10U);
 }
 
+TEST_F(Plan, APurgeCoversAPolicyThatIsWrittenAtTheSameTime) {
+  // The policy was planned before the purge and written after it.
+  View.Policies = {policy("*", 4), policy("bulletin", 3)};
+  View.finish();
+  EXPECT_EQ(View.policy("acme", "bulletin").Epoch, 4U);
+  EXPECT_EQ(View.policy("acme", "bulletin").Class, "bulletin");
+  EXPECT_EQ(View.policy("acme", "other").Epoch, 4U);
+  EXPECT_EQ(View.policy("nobody", "other").Epoch, 0U);
+}
+
 } // namespace daisytack::query
