--- a/src/query/query_plan.cpp
+++ b/src/query/query_plan.cpp
@@ -35,47 +35,58 @@
   return out;
 }
 
-/// Entries first: there are fewer, and they know every request.
-std::vector<Member> allMembers(const Snapshot &snapshot) {
-  std::vector<Member> out = snapshot.Entries;
-  for (const Server &server : snapshot.Servers)
-    if (server.State != MemberState::Gone)
-      out.push_back(memberOf(server));
-  return out;
-}
+/// What a query's conditions say of the processes that it concerns.
+class Filter {
+public:
+  explicit Filter(const Query &query)
+      : From(query.From), Instance(wanted(query, "instance")),
+        Agent(wanted(query, "server")), Serves(wanted(query, "model")),
+        IsAboutRequest(!Instance && wanted(query, "request")),
+        Request(requestOf(query)) {}
+
+  bool isAboutRequest() const { return IsAboutRequest; }
+
+  bool keeps(const Member &entry) const {
+    return hasRows(From, MemberRole::Entry) && isInstance(entry.Name) &&
+           (!IsAboutRequest || isMinter(entry));
+  }
 
-template <class Keep> void keepIf(std::vector<Member> &members, Keep keep) {
-  std::erase_if(members, [&](const Member &it) { return !keep(it); });
-}
+  bool keeps(const Server &agent) const {
+    return agent.State != MemberState::Gone && !IsAboutRequest &&
+           hasRows(From, MemberRole::Agent) && isInstance(agent.Name) &&
+           (!Agent || agent.Name == *Agent) &&
+           (!Serves || agent.Serves == *Serves);
+  }
 
-void narrow(const Query &query, QueryPlan &plan) {
-  auto &members = plan.Instances;
-  keepIf(members,
-         [&](const Member &it) { return hasRows(query.From, it.Role); });
-  if (auto instance = wanted(query, "instance"))
-    keepIf(members, [&](const Member &it) { return it.Name == *instance; });
-  if (auto server = wanted(query, "server"))
-    keepIf(members, [&](const Member &it) {
-      return it.Role == MemberRole::Entry || it.Name == *server;
-    });
-  if (auto model = wanted(query, "model"))
-    keepIf(members, [&](const Member &it) {
-      return it.Role == MemberRole::Entry || it.Serves == *model;
-    });
-}
+  /// The entry took the request that the query is about.
+  bool isMinter(const Member &entry) const {
+    return Request && isMintedBy(*Request, entry.Name);
+  }
 
-/// One request: its entry, and later the servers that the entry names.
-void narrowToRequest(const Query &query, const Snapshot &snapshot,
-                     QueryPlan &plan) {
-  if (!wanted(query, "request") || wanted(query, "instance"))
-    return;
-  std::optional<RequestId> id = requestOf(query);
+private:
+  bool isInstance(std::string_view name) const {
+    return !Instance || name == *Instance;
+  }
+
+  TableName From;
+  std::optional<std::string> Instance;
+  std::optional<std::string> Agent;
+  std::optional<std::string> Serves;
+  bool IsAboutRequest;
+  std::optional<RequestId> Request;
+};
+
+/// Entries first: there are fewer, and they know every request.
+std::vector<Member> membersKept(const Snapshot &snapshot,
+                                const Filter &filter) {
+  std::vector<Member> out;
   for (const Member &entry : snapshot.Entries)
-    if (id && isMintedBy(*id, entry.Name))
-      plan.RequestEntry = entry;
-  keepIf(plan.Instances, [&](const Member &it) {
-    return plan.RequestEntry && it.Name == plan.RequestEntry->Name;
-  });
+    if (filter.keeps(entry))
+      out.push_back(entry);
+  for (const Server &server : snapshot.Servers)
+    if (filter.keeps(server))
+      out.push_back(memberOf(server));
+  return out;
 }
 
 void skipToPage(const Query &query, std::vector<Member> &members) {
@@ -123,9 +134,11 @@
   if (out.Local)
     return out;
   out.All = query.Count || query.OrderBy.has_value();
-  out.Instances = allMembers(snapshot);
-  narrow(query, out);
-  narrowToRequest(query, snapshot, out);
+  Filter filter(query);
+  out.Instances = membersKept(snapshot, filter);
+  for (const Member &entry : snapshot.Entries)
+    if (filter.isAboutRequest() && filter.isMinter(entry))
+      out.RequestEntry = entry;
   skipToPage(query, out.Instances);
   return out;
 }
