Show what a request waited for though no event says it was queued

Agents record an acceptance and a start, but no queueing, so the time line had no waits (found by drawing a real deployment's events). A wait begins with the acceptance; it ends with the run's start, and at an entry, which sees no start, with the first token.

--- a/src/query/timeline.cpp
+++ b/src/query/timeline.cpp
@@ -11,20 +11,30 @@
 
 namespace {
 
-/// An event that begins a span, and the events that end it.
+/// Events that begin a span, and those that end it.
 struct SpanRule {
   std::string_view Name;
-  std::string_view Begin;
+  std::vector<std::string_view> Begins;
   std::vector<std::string_view> Ends;
 };
 
+bool isAmong(const std::vector<std::string_view> &names,
+             std::string_view name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 const std::vector<SpanRule> &spanRules() {
+  // An entry sees no start of a run; there a wait ends with the first token.
   static const std::vector<SpanRule> Rules{
-      {"request", "request_received", {"request_answered", "request_refused"}},
-      {"wait", "run_queued", {"run_started", "run_cancelled"}},
-      {"fetch", "fetch_started", {"fetch_finished"}},
-      {"run", "run_started", {"run_finished", "run_cancelled"}},
-      {"load", "load_started", {"load_finished"}}};
+      {"request",
+       {"request_received"},
+       {"request_answered", "request_refused"}},
+      {"wait",
+       {"offer_accepted", "run_queued"},
+       {"run_started", "first_token", "run_finished", "run_cancelled"}},
+      {"fetch", {"fetch_started"}, {"fetch_finished"}},
+      {"run", {"run_started"}, {"run_finished", "run_cancelled"}},
+      {"load", {"load_started"}, {"load_finished"}}};
   return Rules;
 }
 
@@ -77,10 +87,9 @@
 public:
   void take(const TimelineEvent &event) {
     for (const SpanRule &rule : spanRules()) {
-      if (std::find(rule.Ends.begin(), rule.Ends.end(), event.Name) !=
-          rule.Ends.end())
+      if (isAmong(rule.Ends, event.Name))
         end(event, rule);
-      if (event.Name == rule.Begin)
+      if (isAmong(rule.Begins, event.Name))
         begin(event, rule);
     }
     Last = std::max(Last, event.At);
@@ -107,7 +116,8 @@
     span.Request = event.Request;
     span.Attempt = event.Attempt;
     span.Start = event.At;
-    Open.insert_or_assign(keyOf(event, rule), span);
+    // The first event of several begins it.
+    Open.emplace(keyOf(event, rule), span);
   }
 
   void end(const TimelineEvent &event, const SpanRule &rule) {
--- a/tests/query/timeline_test.cpp
+++ b/tests/query/timeline_test.cpp
@@ -76,6 +76,17 @@
   EXPECT_TRUE(spansOf(it)[1].IsOpen);
 }
 
+TEST(Timeline, AnEntryWaitsForTheFirstToken) {
+  auto spans = spansOf(
+      timelineOf({page("entry-1", {at(100, 0, EventKind::OfferAccepted),
+                                   at(700, 0, EventKind::FirstToken),
+                                   at(900, 0, EventKind::RunFinished)})},
+                 WallTime()));
+  ASSERT_EQ(spans.size(), 1U);
+  EXPECT_EQ(spans[0].Name, "wait");
+  EXPECT_EQ(spans[0].End - spans[0].Start, Duration(600));
+}
+
 TEST(Timeline, LeavesOutGapsBeforeTheWindow) {
   Answer old;
   old.Gaps = {{"agent-1", 7, WallTime(Duration(10))}};
