Let an exchange go before the I/O that it belongs to, in a test

Cause: the address sanitizer's first run over all tests found one use after free: a test kept an exchange longer than the I/O context of its rig. Ruled out: the server, whose exchanges end before its context in the daemons.

--- a/tests/edge/engine_test.cpp
+++ b/tests/edge/engine_test.cpp
@@ -140,6 +140,7 @@
   auto inputs = rig.wait(2);
   EXPECT_EQ(std::get<RunFailed>(inputs.at(1)).Why.Kind, ErrorKind::Cancelled);
   EXPECT_EQ(cancelled.get_future().get(), "{\"request_id\":\"" + OwnId + "\"}");
+  running.reset(); // Before the rig: its connection is of the rig's I/O.
 }
 
 TEST(Engine, CacheEventsAndStatusAreRead) {
