--- a/tests/matrix/world.h
+++ b/tests/matrix/world.h
@@ -132,6 +132,8 @@
                control::ObjectEdit edit);
   void watchCommand(const Id128 &id, const control::CommandResult &result);
   void noteCommands();
+  /// Notes commands at each interval of the watch.
+  void watchCommands();
   void drain(const std::string &name);
   void resumeStreams(Process &dying);
   void checkSpread(uint64_t revision);
--- a/tests/matrix/world_story.cpp
+++ b/tests/matrix/world_story.cpp
@@ -68,14 +68,16 @@
   return submission.Number;
 }
 
+void World::watchCommands() {
+  Queue.after(KvWatchInterval, [this] {
+    noteCommands();
+    watchCommands();
+  });
+}
+
 void World::schedule() {
   at(1.0, [this] { Started = true; });
-  auto watch = std::make_shared<EventQueue::Action>();
-  *watch = [this, watch] {
-    noteCommands();
-    Queue.after(KvWatchInterval, *watch);
-  };
-  Queue.after(KvWatchInterval, *watch);
+  watchCommands();
   for (int i = 0; i < 60; ++i) {
     at(1.1 + 0.31 * i, [this, i] {
       submit(prompt(Organisations[i % 2], i % 7 == 3 ? "stream" : "whole"),
