Read JSON fields of engines and stores by one piece of code

Cause: the adapters of engines and stores each had the same readers of a JSON object, a text and a count. Change: both call src/edge/json_fields.h; behaviour is the same. Conclusion: one place to mend.

--- a/src/edge/engine_codec.cpp
+++ b/src/edge/engine_codec.cpp
@@ -1,5 +1,7 @@
 #include "edge/engine_codec.h"
 
+#include "edge/json_fields.h"
+
 #include <boost/json.hpp>
 
 #include <utility>
@@ -10,22 +12,6 @@
 
 namespace {
 
-std::optional<json::object> parseObject(std::string_view text,
-                                        json::storage_ptr memory = {}) {
-  boost::system::error_code ec;
-  json::value value = json::parse(text, ec, std::move(memory));
-  if (ec || !value.is_object())
-    return std::nullopt;
-  return std::move(value.get_object());
-}
-
-std::string textOf(const json::object &object, std::string_view key) {
-  const json::value *value = object.if_contains(key);
-  if (!value || !value->is_string())
-    return {};
-  return std::string(value->get_string());
-}
-
 double numberOf(const json::object &object, std::string_view key) {
   const json::value *value = object.if_contains(key);
   if (!value || !value->is_number())
@@ -35,15 +21,6 @@
   return ec ? 0 : out;
 }
 
-uint64_t countOf(const json::object &object, std::string_view key) {
-  const json::value *value = object.if_contains(key);
-  if (!value || !value->is_number())
-    return 0;
-  boost::system::error_code ec;
-  auto out = value->to_number<uint64_t>(ec);
-  return ec ? 0 : out;
-}
-
 uint32_t smallCountOf(const json::object &object, std::string_view key) {
   return static_cast<uint32_t>(
       std::min<uint64_t>(countOf(object, key), UINT32_MAX));
--- a/src/edge/store_codec.cpp
+++ b/src/edge/store_codec.cpp
@@ -1,5 +1,7 @@
 #include "edge/store_codec.h"
 
+#include "edge/json_fields.h"
+
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -95,30 +97,6 @@
   return {ErrorKind::ProtocolError, "store: unreadable answer"};
 }
 
-std::optional<json::object> parseObject(const std::string &text) {
-  boost::system::error_code ec;
-  json::value value = json::parse(text, ec);
-  if (ec || !value.is_object())
-    return std::nullopt;
-  return std::move(value.get_object());
-}
-
-uint64_t countOf(const json::object &object, std::string_view key) {
-  const json::value *value = object.if_contains(key);
-  if (!value || !value->is_number())
-    return 0;
-  boost::system::error_code ec;
-  auto out = value->to_number<uint64_t>(ec);
-  return ec ? 0 : out;
-}
-
-std::string textOf(const json::object &object, std::string_view key) {
-  const json::value *value = object.if_contains(key);
-  if (!value || !value->is_string())
-    return {};
-  return std::string(value->get_string());
-}
-
 std::optional<uint64_t> parseCount(std::string_view text) {
   uint64_t out = 0;
   auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
