--- /dev/null
+++ b/src/base/decision_log.cpp
@@ -0,0 +1,88 @@
+#include "base/decision_log.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace daisytack {
+
+namespace {
+
+constexpr Duration OneSecond{1'000'000};
+
+} // namespace
+
+DecisionLog::DecisionLog(DecisionLogSettings settings, std::string process,
+                         Sink sink, Metrics &metrics)
+    : Settings(settings), Process(std::move(process)), Write(std::move(sink)),
+      Written(metrics.counter("daisytack_log_lines_total",
+                              "Structured log lines written")),
+      LeftOut(metrics.counter("daisytack_log_lines_left_out_total",
+                              "Structured log lines over the bound")) {}
+
+bool DecisionLog::admitLocked(LogWeight weight, TimePoint now) {
+  if (now >= SecondStart + OneSecond) {
+    SecondStart = now;
+    InSecond = 0;
+    tellLossLocked(now);
+  }
+  auto bound = static_cast<double>(Settings.LinesPerSecond);
+  if (weight == LogWeight::Routine)
+    bound *= 1 - Settings.NotableReserve;
+  if (InSecond >= bound || Buffer.size() >= Settings.BufferBytes) {
+    LeftOut.add();
+    ++Untold;
+    return false;
+  }
+  ++InSecond;
+  return true;
+}
+
+void DecisionLog::tellLossLocked(TimePoint now) {
+  if (Untold == 0 || Buffer.size() >= Settings.BufferBytes)
+    return;
+  Fields fields{{"lines", Untold}};
+  Untold = 0;
+  appendLocked("log_lines_left_out", std::move(fields), now);
+}
+
+void DecisionLog::appendLocked(std::string_view event, Fields fields,
+                               TimePoint now) {
+  Fields line{{"at_us", now.time_since_epoch().count()},
+              {"process", Process},
+              {"event", event}};
+  for (auto &field : fields)
+    line[field.key()] = std::move(field.value());
+  Buffer += boost::json::serialize(line);
+  Buffer += '\n';
+  Written.add();
+}
+
+void DecisionLog::write(LogWeight weight, std::string_view event, Fields fields,
+                        TimePoint now) {
+  std::lock_guard guard(Lock);
+  if (admitLocked(weight, now))
+    appendLocked(event, std::move(fields), now);
+}
+
+void DecisionLog::flush(TimePoint now) {
+  std::lock_guard guard(Lock);
+  if (now >= SecondStart + OneSecond)
+    tellLossLocked(now);
+  if (Buffer.empty())
+    return;
+  Buffer.erase(0, Write(Buffer));
+}
+
+DecisionLog::Sink standardOutputSink() {
+  int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  return [](std::string_view block) -> size_t {
+    ssize_t n = ::write(STDOUT_FILENO, block.data(), block.size());
+    return n > 0 ? static_cast<size_t>(n) : 0;
+  };
+}
+
+} // namespace daisytack
--- /dev/null
+++ b/src/direct/catalog.cpp
@@ -0,0 +1,169 @@
+#include "direct/catalog.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::direct {
+
+const std::vector<BackendServer> &
+Catalog::serversOf(std::string_view service) const {
+  static const std::vector<BackendServer> none;
+  auto it = Servers.find(service);
+  return it == Servers.end() ? none : it->second;
+}
+
+CatalogKeeper::CatalogKeeper(CatalogSettings settings, CatalogHooks hooks)
+    : Settings(settings), Hooks(std::move(hooks)),
+      Published(std::make_shared<const Catalog>()) {}
+
+void CatalogKeeper::apply(const std::vector<StoreRecord> &records,
+                          TimePoint now) {
+  bool changed = false;
+  for (const StoreRecord &record : records)
+    changed |= merge(record, now);
+  if (changed)
+    publish(now);
+}
+
+void CatalogKeeper::applyAll(const std::vector<StoreRecord> &records,
+                             uint64_t revision, TimePoint now) {
+  std::map<std::string_view, const StoreRecord *> present;
+  for (const StoreRecord &record : records)
+    present[record.Key] = &record;
+  bool changed = false;
+  for (auto &[key, held] : Known) {
+    bool isOlder = held.Record.Revision <= revision;
+    if (!held.Record.IsDeleted && isOlder && !present.contains(key))
+      changed |= mergeDeletion(held, revision, now);
+  }
+  for (const StoreRecord &record : records)
+    changed |= merge(record, now);
+  Highest = std::max(Highest, revision);
+  if (changed)
+    publish(now);
+}
+
+bool CatalogKeeper::merge(const StoreRecord &record, TimePoint now) {
+  Highest = std::max(Highest, record.Revision);
+  auto it = Known.find(record.Key);
+  if (it != Known.end() && it->second.Record.Revision >= record.Revision)
+    return false;
+  FactSubject subject = Hooks.SubjectOf(record.Key);
+  if (subject.Kind == FactKind::Other)
+    return false;
+  if (record.IsDeleted) {
+    if (it == Known.end())
+      it = Known.emplace(record.Key, Held{record, subject, {}, {}}).first;
+    return mergeDeletion(it->second, record.Revision, now);
+  }
+  Error reason;
+  std::optional<FactValue> value = Hooks.Decode(record, reason);
+  if (!value) {
+    Hooks.Unreadable(record, reason, now);
+    return false;
+  }
+  if (const auto *wanted = std::get_if<DesiredWeights>(&*value))
+    noteWanted(wanted->Wanted, now);
+  if (auto *config = std::get_if<ServingConfig>(&*value)) {
+    Config = std::make_shared<const ConfigIndex>(std::move(*config));
+    ConfigRevision = record.Revision;
+    value = std::monostate();
+  }
+  Hooks.Changed(subject, it == Known.end() ? "new" : "changed", record.Revision,
+                now);
+  Known.insert_or_assign(record.Key,
+                         Held{record, subject, std::move(*value), {}});
+  return true;
+}
+
+bool CatalogKeeper::mergeDeletion(Held &held, uint64_t revision,
+                                  TimePoint now) {
+  held.Record.Revision = revision;
+  if (std::exchange(held.Record.IsDeleted, true))
+    return false;
+  held.Record.Value.clear();
+  // The configuration is never deleted; a store that says so is not believed.
+  if (held.Subject.Kind == FactKind::Config)
+    return false;
+  const auto *server = std::get_if<BackendServer>(&held.Value);
+  bool mayHaveLapsed = server && !server->IsDraining && isInGrace(now);
+  if (mayHaveLapsed)
+    held.KeptUntil =
+        StoreBackAt ? *StoreBackAt + Settings.LapseGrace : TimePoint::max();
+  Hooks.Changed(held.Subject, mayHaveLapsed ? "lapsed" : "gone", revision, now);
+  return true;
+}
+
+bool CatalogKeeper::isInGrace(TimePoint now) const {
+  return StoreIsLost ||
+         (StoreBackAt && now < *StoreBackAt + Settings.LapseGrace);
+}
+
+void CatalogKeeper::noteWanted(const ModelVersion &wanted, TimePoint now) {
+  WantedVersion &known = Wanted[wanted.Model];
+  if (wanted.Version > known.Version)
+    known = {wanted.Version, now};
+}
+
+void CatalogKeeper::onStoreLost() {
+  StoreIsLost = true;
+  StoreBackAt.reset();
+}
+
+void CatalogKeeper::onStoreBack(TimePoint now) {
+  if (!std::exchange(StoreIsLost, false))
+    return;
+  StoreBackAt = now;
+  for (auto &[key, held] : Known)
+    if (held.KeptUntil)
+      held.KeptUntil = now + Settings.LapseGrace;
+}
+
+void CatalogKeeper::onTimer(TimePoint now) {
+  bool changed = false;
+  for (auto &[key, held] : Known) {
+    if (!held.KeptUntil || now < *held.KeptUntil)
+      continue;
+    held.KeptUntil.reset();
+    Hooks.Changed(held.Subject, "gone", held.Record.Revision, now);
+    changed = true;
+  }
+  if (changed)
+    publish(now);
+}
+
+void CatalogKeeper::publish(TimePoint now) {
+  auto next = std::make_shared<Catalog>();
+  next->Config = Config;
+  next->ConfigRevision = ConfigRevision;
+  next->Wanted = Wanted;
+  for (const auto &[key, held] : Known) {
+    if (held.Record.IsDeleted && !(held.KeptUntil && now < *held.KeptUntil))
+      continue;
+    if (const auto *peer = std::get_if<EntryPeer>(&held.Value))
+      next->Entries.push_back(*peer);
+    const auto *server = std::get_if<BackendServer>(&held.Value);
+    if (!server)
+      continue;
+    next->AllServers.push_back(*server);
+    if (!server->IsDraining)
+      next->Servers[server->Service].push_back(*server);
+  }
+  auto byId = [](const BackendServer &a, const BackendServer &b) {
+    return a.Id < b.Id;
+  };
+  std::sort(next->AllServers.begin(), next->AllServers.end(), byId);
+  for (auto &[service, servers] : next->Servers)
+    std::sort(servers.begin(), servers.end(), byId);
+  Published.publish(std::move(next));
+}
+
+std::vector<StoreRecord> CatalogKeeper::recordsSince(uint64_t revision) const {
+  std::vector<StoreRecord> out;
+  for (const auto &[key, held] : Known)
+    if (held.Record.Revision > revision)
+      out.push_back(held.Record);
+  return out;
+}
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/catalog.h
@@ -0,0 +1,112 @@
+/// What an entry believes of configuration and backend servers at one moment,
+/// and the one place that changes it.
+#pragma once
+
+#include "base/rcu.h"
+#include "daisytack/error.h"
+#include "direct/facts.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daisytack::direct {
+
+/// A desired version, and when this process first heard of it.
+struct WantedVersion {
+  uint64_t Version = 0;
+  TimePoint Since;
+};
+
+/// Immutable; readers keep the one that they started with.
+struct Catalog {
+  std::shared_ptr<const ConfigIndex> Config; ///< Null until it is known.
+  uint64_t ConfigRevision = 0;
+  /// Servers that take new requests, sorted by id, by service.
+  std::map<std::string, std::vector<BackendServer>, std::less<>> Servers;
+  /// All servers that are known, draining ones too, sorted by id.
+  std::vector<BackendServer> AllServers;
+  std::map<std::string, WantedVersion, std::less<>> Wanted; ///< By model.
+  std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
+
+  const std::vector<BackendServer> &serversOf(std::string_view service) const;
+};
+
+struct CatalogSettings {
+  /// After the store's return, a server whose entry lapsed meanwhile is kept so
+  /// long: the platform promises living ones back in about two seconds.
+  Duration LapseGrace{2'000'000};
+  bool operator==(const CatalogSettings &) const = default;
+};
+
+/// Hooks to the store's format and to the log.
+struct CatalogHooks {
+  std::function<FactSubject(std::string_view key)> SubjectOf;
+  /// Nothing, with the reason, when the value can't be read.
+  std::function<std::optional<FactValue>(const StoreRecord &, Error &reason)>
+      Decode;
+  /// A belief changed: its subject, how, and the store's revision.
+  std::function<void(const FactSubject &, std::string_view change,
+                     uint64_t revision, TimePoint now)>
+      Changed;
+  std::function<void(const StoreRecord &, const Error &, TimePoint now)>
+      Unreadable;
+};
+
+/// Merges records into the catalog and publishes it. One thread at a time calls
+/// the commands; view() is thread-safe.
+class CatalogKeeper {
+public:
+  CatalogKeeper(CatalogSettings settings, CatalogHooks hooks);
+
+  /// Records from the store or from another entry. Older ones than those known
+  /// have no effect.
+  void apply(const std::vector<StoreRecord> &records, TimePoint now);
+  /// Everything that the store holds at the revision: keys that are not among
+  /// the records and not newer are gone.
+  void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
+                TimePoint now);
+  /// The store stopped answering, or answers again.
+  void onStoreLost();
+  void onStoreBack(TimePoint now);
+  /// Drops servers whose grace is over. Call a few times a second.
+  void onTimer(TimePoint now);
+
+  std::shared_ptr<const Catalog> view() const { return Published.load(); }
+  const Rcu<Catalog> &published() const { return Published; }
+  /// Highest revision merged so far.
+  uint64_t revision() const { return Highest; }
+  /// Records that are newer than the revision, for another entry.
+  std::vector<StoreRecord> recordsSince(uint64_t revision) const;
+
+private:
+  struct Held {
+    StoreRecord Record;
+    FactSubject Subject;
+    FactValue Value;
+    /// Deleted while the store was away: still counts until then.
+    std::optional<TimePoint> KeptUntil;
+  };
+
+  bool merge(const StoreRecord &record, TimePoint now);
+  bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
+  void publish(TimePoint now);
+  void noteWanted(const ModelVersion &wanted, TimePoint now);
+  bool isInGrace(TimePoint now) const;
+
+  CatalogSettings Settings;
+  CatalogHooks Hooks;
+  std::map<std::string, Held> Known; ///< By key; deleted ones too.
+  std::shared_ptr<const ConfigIndex> Config;
+  uint64_t ConfigRevision = 0;
+  std::map<std::string, WantedVersion, std::less<>> Wanted;
+  uint64_t Highest = 0;
+  bool StoreIsLost = false;
+  std::optional<TimePoint> StoreBackAt;
+  Rcu<Catalog> Published;
+};
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/exchange.h
@@ -0,0 +1,83 @@
+/// What one request, one attempt at it and the head of one answer say, once the
+/// adapter has decoded their headers.
+#pragma once
+
+#include "net/http_server.h"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace daisytack::direct {
+
+/// A part of a prompt. Requests that begin with the same parts share their kept
+/// context; the last part belongs to one request or session.
+struct PromptPart {
+  std::string Id;
+  uint32_t Tokens = 0;
+  auto operator<=>(const PromptPart &) const = default;
+};
+
+/// What the caller's headers ask for.
+struct CallerHead {
+  std::string RequestId; ///< The caller's name for this attempt of its own.
+  std::string Host;
+  std::string Method;
+  std::string Target; ///< Path and query as received.
+  std::string Path;
+  std::string ApiKey;
+  std::optional<Duration> Patience; ///< How long the caller will wait.
+  std::string Model;                ///< Empty without a prompt.
+  uint32_t PromptTokens = 0;
+  uint32_t MaxOutputTokens = 0;
+  std::vector<PromptPart> Parts;
+  /// The caller has the stream's events up to this id.
+  std::optional<std::string> SeenEvent;
+  /// To be forwarded as they are.
+  std::vector<net::HttpHeader> Passed;
+  auto operator<=>(const CallerHead &) const = default;
+};
+
+/// Where a server finds or leaves one part of a prompt.
+using PartAddress = std::optional<Endpoint>;
+
+/// What accompanies one attempt at a request.
+struct AttemptOrder {
+  std::string ServerId; ///< Any other server refuses the attempt.
+  Endpoint Address;
+  Duration TimeLeft{0};
+  std::string Organisation;         ///< Empty when the request needs no key.
+  std::optional<uint32_t> Priority; ///< 0 is the most urgent.
+  std::string CacheScope; ///< Kept context is found under the same text only.
+  uint64_t WeightVersion = 0;            ///< That the server must run; 0: any.
+  std::vector<PartAddress> Sources;      ///< By part; may be empty.
+  std::vector<PartAddress> Destinations; ///< By part; may be empty.
+  /// A fetch that ends later, by the servers' clock, is thrown away.
+  std::optional<int64_t> FetchUntilMs;
+  std::optional<std::string> SeenEvent; ///< Resume after this event.
+  auto operator<=>(const AttemptOrder &) const = default;
+};
+
+/// What a server's answer begins with.
+struct ServerHead {
+  unsigned Status = 0;
+  bool WasNotRun = false;     ///< The server says so itself.
+  bool IsMisdirected = false; ///< Another server, or other weights, than asked.
+  bool IsEventStream = false;
+  std::optional<Duration> RetryAfter;
+  std::vector<net::HttpHeader> Passed; ///< For the caller, as they are.
+  auto operator<=>(const ServerHead &) const = default;
+};
+
+/// Status codes that promise the caller that the request did not run.
+constexpr bool promisesNotRun(unsigned status) {
+  constexpr unsigned RequestTimeout = 408;
+  constexpr unsigned Misdirected = 421;
+  constexpr unsigned TooMany = 429;
+  constexpr unsigned Unavailable = 503;
+  return status == RequestTimeout || status == Misdirected ||
+         status == TooMany || status == Unavailable;
+}
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/facts.h
@@ -0,0 +1,79 @@
+/// What the platform's store says, decoded: typed facts, each with the revision
+/// at which the store holds it. The revision orders two facts of the same
+/// subject, whoever tells them and however often.
+#pragma once
+
+#include "direct/serving_config.h"
+
+#include <compare>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisytack::direct {
+
+struct ModelVersion {
+  std::string Model;
+  uint64_t Version = 0;
+  auto operator<=>(const ModelVersion &) const = default;
+};
+
+/// One start of a backend server; a restart is another one with another id.
+struct BackendServer {
+  std::string Id;
+  std::string Service;
+  Endpoint Address;
+  std::string FailureDomain;
+  uint32_t Slots = 1;
+  bool IsDraining = false;
+  std::vector<ModelVersion> Weights; ///< That it has loaded.
+  auto operator<=>(const BackendServer &) const = default;
+
+  /// 0 when the server does not have the model.
+  uint64_t versionOf(std::string_view model) const {
+    for (const ModelVersion &it : Weights)
+      if (it.Model == model)
+        return it.Version;
+    return 0;
+  }
+};
+
+/// An entry process of this system.
+struct EntryPeer {
+  std::string Name;
+  Endpoint Peer; ///< Where it answers other entries.
+  auto operator<=>(const EntryPeer &) const = default;
+};
+
+/// The operator wants the model's servers on this version of the weights.
+struct DesiredWeights {
+  ModelVersion Wanted;
+  auto operator<=>(const DesiredWeights &) const = default;
+};
+
+/// What a key of the store is about.
+enum class FactKind : uint8_t { Config, Server, Weights, Entry, Other };
+
+struct FactSubject {
+  FactKind Kind = FactKind::Other;
+  std::string Name; ///< Server id, model or entry; empty for Config.
+  auto operator<=>(const FactSubject &) const = default;
+};
+
+using FactValue = std::variant<std::monostate, ServingConfig, BackendServer,
+                               DesiredWeights, EntryPeer>;
+
+/// One key of the store as it was read: opaque to all but the decoder, so that
+/// entries can pass it on as it is.
+struct StoreRecord {
+  std::string Key;
+  std::string Value;
+  uint64_t Revision = 0;
+  bool IsDeleted = false;
+  auto operator<=>(const StoreRecord &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Key, Value, Revision, IsDeleted);
+  }
+};
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/forward_flow.cpp
@@ -0,0 +1,283 @@
+#include "direct/forward_flow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::direct {
+
+namespace {
+
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned FirstSuccess = 200;
+constexpr unsigned FirstRedirect = 300;
+
+bool isSuccess(unsigned status) {
+  return status >= FirstSuccess && status < FirstRedirect;
+}
+
+Duration scaled(Duration value, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+} // namespace
+
+std::string_view attemptResultName(AttemptResult result) {
+  switch (result) {
+  case AttemptResult::Answered:
+    return "answered";
+  case AttemptResult::Failed:
+    return "failed";
+  case AttemptResult::TurnedAway:
+    return "turned_away";
+  case AttemptResult::Unreached:
+    return "unreached";
+  case AttemptResult::Abandoned:
+    return "abandoned";
+  }
+  return "unknown";
+}
+
+ForwardFlow::ForwardFlow(ForwardRequest request, ForwardSettings settings,
+                         ForwardHooks hooks)
+    : Request(std::move(request)), Settings(settings), Hooks(std::move(hooks)),
+      LastEvent(Request.Head.SeenEvent) {}
+
+void ForwardFlow::start(TimePoint now) { next(now, {}, false); }
+
+void ForwardFlow::next(TimePoint now, const Error &reason, bool drawsBudget) {
+  if (IsEnded)
+    return;
+  if (now + Settings.LeastTime >= Request.Deadline)
+    return giveUp(
+        reason ? reason
+               : Error{ErrorKind::DeadlinePassed, "the request's time is over"},
+        now);
+  Error none;
+  std::optional<AttemptChoice> choice = Hooks.Choose(Tried, now, none);
+  if (!choice)
+    return giveUp(reason ? reason : none, now);
+  if (drawsBudget && !Hooks.TakeRetry())
+    return giveUp(reason, now);
+  send(std::move(choice->Order), now);
+}
+
+void ForwardFlow::send(AttemptOrder order, TimePoint now) {
+  ++Number;
+  Tried.push_back(order.ServerId);
+  order.TimeLeft = Request.Deadline - now;
+  order.SeenEvent = LastEvent;
+  Current.emplace();
+  Current->Order = std::move(order);
+  Current->SentAt = now;
+  arm(now);
+  Hooks.Send(Number, Current->Order);
+}
+
+void ForwardFlow::close(AttemptResult result, TimePoint now) {
+  Hooks.Note(Number, Current->Order, result, now);
+  Current.reset();
+}
+
+void ForwardFlow::onHead(uint32_t attempt, const ServerHead &head,
+                         TimePoint now) {
+  if (IsEnded || !Current || attempt != Number)
+    return;
+  Current->Head = head;
+  Current->HasHead = true;
+  arm(now);
+}
+
+void ForwardFlow::onData(uint32_t attempt, std::string_view data,
+                         TimePoint now) {
+  if (IsEnded || !Current || attempt != Number || !Current->HasHead)
+    return;
+  Try &current = *Current;
+  bool isStream =
+      Request.Via.Kind == RouteKind::Stream && isSuccess(current.Head.Status);
+  if (isStream)
+    return passEvents(current.Events.feed(data));
+  current.Held += data;
+  bool isTooLong = current.Held.size() > Settings.MaxHeldAnswer;
+  if (!isTooLong || !isSuccess(current.Head.Status))
+    return;
+  passEvents(std::exchange(current.Held, {}));
+  arm(now);
+}
+
+void ForwardFlow::passEvents(std::string events) {
+  if (events.empty())
+    return;
+  if (!std::exchange(HasBegun, true))
+    Hooks.BeginAnswer(Current->Head);
+  if (Current->Events.lastId())
+    LastEvent = Current->Events.lastId();
+  Hooks.WriteAnswer(std::move(events));
+}
+
+void ForwardFlow::onDone(uint32_t attempt, const Error &error, bool unsent,
+                         TimePoint now) {
+  if (IsEnded || !Current || attempt != Number)
+    return;
+  if (unsent) {
+    close(AttemptResult::Unreached, now);
+    return next(now, error, false);
+  }
+  if (error || !Current->HasHead) {
+    ++Runs;
+    return onFailed(error, now);
+  }
+  if (Current->Head.WasNotRun)
+    return onRejected(ServerHead(Current->Head), now);
+  ++Runs;
+  onWhole(now);
+}
+
+void ForwardFlow::onRejected(const ServerHead &head, TimePoint now) {
+  ++Rejections;
+  if (head.RetryAfter)
+    RetryAfter = head.RetryAfter;
+  close(AttemptResult::TurnedAway, now);
+  Error reason{ErrorKind::Overloaded,
+               "a server turned the request away with status " +
+                   std::to_string(head.Status)};
+  if (Rejections > Settings.MaxRejections)
+    return giveUp(reason, now);
+  next(now, reason, true);
+}
+
+void ForwardFlow::onFailed(const Error &error, TimePoint now) {
+  Error reason = error ? error
+                       : Error{ErrorKind::ServerLost,
+                               "the server ended without an answer"};
+  close(AttemptResult::Failed, now);
+  if (mayRunAgain())
+    return next(now, reason, true);
+  giveUp(reason, now);
+}
+
+bool ForwardFlow::isOwnFault(unsigned status) const {
+  return status < FirstServerError && !promisesNotRun(status);
+}
+
+void ForwardFlow::onWhole(TimePoint now) {
+  ServerHead head = std::move(Current->Head);
+  std::string body = std::move(Current->Held);
+  std::string rest = Current->Events.takeRest();
+  if (isSuccess(head.Status) || isOwnFault(head.Status)) {
+    close(AttemptResult::Answered, now);
+    if (!HasBegun)
+      return answerServer(head, body + rest);
+    if (!isSuccess(head.Status)) {
+      Hooks.BreakAnswer(); // A resumed stream whose second part failed.
+      return end();
+    }
+    if (!rest.empty())
+      Hooks.WriteAnswer(std::move(rest));
+    Hooks.EndAnswer();
+    return end();
+  }
+  close(AttemptResult::Failed, now);
+  Error reason{ErrorKind::ServerFailed,
+               "the server answered " + std::to_string(head.Status)};
+  FailedHead = std::move(head);
+  FailedBody = std::move(body);
+  if (mayRunAgain())
+    return next(now, reason, true);
+  giveUp(reason, now);
+}
+
+bool ForwardFlow::mayRunAgain() const {
+  bool canContinue = !HasBegun || (Request.Via.Kind == RouteKind::Stream &&
+                                   LastEvent.has_value());
+  return Request.Via.mayRepeat() && canContinue && Runs < Request.Via.Attempts;
+}
+
+void ForwardFlow::answerServer(const ServerHead &head, std::string body) {
+  Hooks.AnswerWhole(head, std::move(body));
+  end();
+}
+
+void ForwardFlow::giveUp(const Error &reason, TimePoint now) {
+  if (Current) {
+    uint32_t attempt = Number;
+    ++Runs;
+    close(AttemptResult::Abandoned, now);
+    Hooks.Cancel(attempt);
+  }
+  if (HasBegun) {
+    Hooks.BreakAnswer();
+    return end();
+  }
+  bool hasRun = Runs > 0;
+  if (FailedHead && !promisesNotRun(FailedHead->Status))
+    return answerServer(*FailedHead, std::move(FailedBody));
+  Error told = reason;
+  if (hasRun) {
+    bool isLate = reason.Kind == ErrorKind::DeadlinePassed;
+    Hooks.AnswerError(isLate ? StatusGatewayTimeout : StatusBadGateway, told);
+    return end();
+  }
+  told.RetryAfter = RetryAfter.value_or(Settings.RetryAfter);
+  Hooks.AnswerError(StatusUnavailable, told);
+  end();
+}
+
+void ForwardFlow::end() {
+  IsEnded = true;
+  Hooks.Ended();
+}
+
+void ForwardFlow::onTimer(TimePoint now) {
+  if (IsEnded)
+    return;
+  if (now >= Request.Deadline)
+    return giveUp({ErrorKind::DeadlinePassed, "the request's time is over"},
+                  now);
+  if (!Current)
+    return;
+  Duration silence = scaled(Request.Via.TargetLatency, Settings.SilenceFactor);
+  bool isSilent = !Current->HasHead && silence > Duration::zero() &&
+                  now >= Current->SentAt + silence;
+  // Another server is asked only while there is one left to ask.
+  bool canMove = Request.Via.mayRepeat() && Runs + 1 < Request.Via.Attempts;
+  if (!isSilent || !canMove)
+    return arm(now);
+  Error unused;
+  if (!Hooks.Choose(Tried, now, unused))
+    return arm(now);
+  ++Runs;
+  uint32_t attempt = Number;
+  close(AttemptResult::Failed, now);
+  Hooks.Cancel(attempt);
+  next(now, {ErrorKind::ServerLost, "the server was silent for too long"},
+       true);
+}
+
+void ForwardFlow::onCallerGone(TimePoint now) {
+  if (IsEnded)
+    return;
+  if (Current) {
+    uint32_t attempt = Number;
+    close(AttemptResult::Abandoned, now);
+    Hooks.Cancel(attempt);
+  }
+  end();
+}
+
+void ForwardFlow::arm(TimePoint now) {
+  TimePoint at = Request.Deadline;
+  Duration silence = scaled(Request.Via.TargetLatency, Settings.SilenceFactor);
+  bool mayMove = Request.Via.mayRepeat() && Runs + 1 < Request.Via.Attempts;
+  if (Current && !Current->HasHead && mayMove && silence > Duration::zero()) {
+    TimePoint late = Current->SentAt + silence;
+    if (late > now)
+      at = std::min(at, late);
+  }
+  Hooks.ArmTimer(at);
+}
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/kept_context.cpp
@@ -0,0 +1,192 @@
+#include "direct/kept_context.h"
+
+#include "direct/rendezvous.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <utility>
+
+namespace daisytack::direct {
+
+namespace {
+
+constexpr char KeySeparator = '\n'; ///< In no scope and no part id.
+
+} // namespace
+
+std::string KeptContext::keyOf(std::string_view scope, std::string_view part) {
+  std::string out(scope);
+  out += KeySeparator;
+  out += part;
+  return out;
+}
+
+void KeptContext::setStores(const std::vector<Service> &services) {
+  std::lock_guard guard(Lock);
+  std::set<std::string> listed;
+  for (const Service &service : services) {
+    if (!service.Store)
+      continue;
+    listed.insert(service.Name);
+    Stores[service.Name].Traits = *service.Store;
+  }
+  std::erase_if(Stores,
+                [&](const auto &it) { return !listed.contains(it.first); });
+}
+
+void KeptContext::reset(Store &store, uint64_t epoch) {
+  store.Epoch = epoch;
+  store.UsedTokens = 0;
+  store.Parts.clear();
+}
+
+void KeptContext::addPart(Store &store, const std::string &key,
+                          uint32_t tokens) {
+  uint32_t &held = store.Parts[key];
+  store.UsedTokens += tokens - held;
+  held = tokens;
+}
+
+void KeptContext::removePart(Store &store, const std::string &key) {
+  auto it = store.Parts.find(key);
+  if (it == store.Parts.end())
+    return;
+  store.UsedTokens -= it->second;
+  store.Parts.erase(it);
+}
+
+bool KeptContext::apply(const std::string &name, const PartChanges &changes) {
+  std::lock_guard guard(Lock);
+  auto it = Stores.find(name);
+  if (it == Stores.end())
+    return true;
+  Store &store = it->second;
+  store.IsReachable = true;
+  bool isRestarted = store.Epoch != changes.Epoch;
+  if (isRestarted)
+    reset(store, changes.Epoch);
+  for (const PartChange &change : changes.Changes) {
+    std::string key = keyOf(change.Scope, change.Part);
+    if (change.IsKept)
+      addPart(store, key, change.Tokens);
+    else
+      removePart(store, key);
+    Saves.erase(key);
+  }
+  store.Next = changes.Next;
+  return !isRestarted && !changes.HasGap;
+}
+
+void KeptContext::apply(const std::string &name, const PartList &list) {
+  std::lock_guard guard(Lock);
+  auto it = Stores.find(name);
+  if (it == Stores.end())
+    return;
+  reset(it->second, list.Epoch);
+  it->second.IsReachable = true;
+  it->second.Next = list.Next;
+  for (const PartChange &part : list.Kept)
+    addPart(it->second, keyOf(part.Scope, part.Part), part.Tokens);
+}
+
+void KeptContext::onUnreachable(const std::string &store) {
+  std::lock_guard guard(Lock);
+  auto it = Stores.find(store);
+  if (it != Stores.end())
+    it->second.IsReachable = false;
+}
+
+std::optional<ContextStoreTraits>
+KeptContext::find(std::string_view scope, const PromptPart &part,
+                  std::string_view failureDomain) const {
+  std::string key = keyOf(scope, part.Id);
+  std::lock_guard guard(Lock);
+  std::optional<ContextStoreTraits> out;
+  for (const auto &[name, store] : Stores) {
+    if (!store.IsReachable || !store.Parts.contains(key))
+      continue;
+    bool isNear = store.Traits.FailureDomain == failureDomain;
+    if (!out || isNear)
+      out = store.Traits;
+  }
+  return out;
+}
+
+uint64_t KeptContext::plannedTokens(const std::string &store) const {
+  uint64_t out = 0;
+  for (const auto &[key, save] : Saves)
+    if (save.Store == store)
+      out += save.Tokens;
+  return out;
+}
+
+void KeptContext::forgetOldSaves(TimePoint now) {
+  std::erase_if(Saves, [&](const auto &it) {
+    return now >= it.second.At + Settings.SaveMemory;
+  });
+}
+
+std::optional<ContextStoreTraits> KeptContext::planSave(std::string_view scope,
+                                                        const PromptPart &part,
+                                                        TimePoint now) {
+  std::string key = keyOf(scope, part.Id);
+  std::lock_guard guard(Lock);
+  forgetOldSaves(now);
+  if (Saves.contains(key))
+    return std::nullopt;
+  const Store *best = nullptr;
+  std::string bestName;
+  double bestScore = 0;
+  for (const auto &[name, store] : Stores) {
+    if (store.Parts.contains(key))
+      return std::nullopt;
+    auto capacity = static_cast<double>(store.Traits.CapacityTokens);
+    double wanted = static_cast<double>(store.UsedTokens + part.Tokens +
+                                        plannedTokens(name));
+    if (!store.IsReachable || wanted > capacity * Settings.FillShare)
+      continue;
+    double score = rendezvousScore(key, name, capacity);
+    if (best && score <= bestScore)
+      continue;
+    best = &store;
+    bestName = name;
+    bestScore = score;
+  }
+  if (!best)
+    return std::nullopt;
+  Saves[key] = {now, bestName, part.Tokens};
+  return best->Traits;
+}
+
+void KeptContext::forgetSave(std::string_view scope, const PromptPart &part) {
+  std::lock_guard guard(Lock);
+  Saves.erase(keyOf(scope, part.Id));
+}
+
+std::vector<BrokenPart> KeptContext::partsOutside(
+    const std::string &name,
+    const std::function<bool(std::string_view scope)> &isCurrent) const {
+  std::lock_guard guard(Lock);
+  std::vector<BrokenPart> out;
+  auto it = Stores.find(name);
+  if (it == Stores.end())
+    return out;
+  for (const auto &[key, tokens] : it->second.Parts) {
+    size_t at = key.find(KeySeparator);
+    std::string scope = key.substr(0, at);
+    if (!isCurrent(scope))
+      out.push_back({scope, key.substr(at + 1)});
+  }
+  return out;
+}
+
+size_t KeptContext::partsKnown() const {
+  std::lock_guard guard(Lock);
+  size_t out = 0;
+  for (const auto &[name, store] : Stores)
+    out += store.Parts.size();
+  return out;
+}
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/kept_context.h
@@ -0,0 +1,130 @@
+/// Which store of kept context holds which part of which prompts, as far as one
+/// entry knows, and which parts it has asked to be saved.
+///
+/// Stores report a part when it is whole, late, and a few reports are lost. A
+/// lost report of a new part costs one prefill. A part that was freed counts as
+/// kept until that is heard; naming it costs the server one failed lookup, so
+/// beliefs need not be exact, but a part that is being written must never be
+/// taken for whole: only reports make a part known.
+#pragma once
+
+#include "direct/exchange.h"
+#include "direct/facts.h"
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace daisytack::direct {
+
+/// One change in a store. Scope and part name the kept context.
+struct PartChange {
+  uint64_t Number = 0; ///< Consecutive within an epoch.
+  bool IsKept = false; ///< Whole from now on; false: gone.
+  std::string Scope;
+  std::string Part;
+  uint32_t Tokens = 0;
+  auto operator<=>(const PartChange &) const = default;
+};
+
+/// An answer to the question what has changed since a number.
+struct PartChanges {
+  uint64_t Epoch = 0;             ///< Differs after each restart of the store.
+  uint64_t Next = 0;              ///< To ask from next.
+  bool HasGap = false;            ///< Changes are missing.
+  std::optional<int64_t> ClockMs; ///< Of the servers, at the answer.
+  std::vector<PartChange> Changes;
+  auto operator<=>(const PartChanges &) const = default;
+};
+
+/// Space that was reserved for a part whose save broke off.
+struct BrokenPart {
+  std::string Scope;
+  std::string Part;
+  auto operator<=>(const BrokenPart &) const = default;
+};
+
+/// Everything that a store holds.
+struct PartList {
+  uint64_t Epoch = 0;
+  uint64_t Next = 0;
+  std::vector<PartChange> Kept; ///< Numbers are not used.
+  std::vector<BrokenPart> Broken;
+  auto operator<=>(const PartList &) const = default;
+};
+
+struct KeptContextSettings {
+  /// A save that was asked for is not asked for again for so long: a prompt's
+  /// prefill, its transfer and the report of it take about a second.
+  Duration SaveMemory{4'000'000};
+  /// Share of a store's capacity that saves may fill, as space is given out in
+  /// blocks and other entries' saves are heard of late.
+  double FillShare = 0.96;
+  bool operator==(const KeptContextSettings &) const = default;
+};
+
+/// Thread-safe.
+class KeptContext {
+public:
+  explicit KeptContext(KeptContextSettings settings) : Settings(settings) {}
+
+  /// Takes over the stores of a configuration; those that are new hold nothing.
+  void setStores(const std::vector<Service> &services);
+  /// False when the store was restarted or changes are missing: everything that
+  /// it holds should be listed anew.
+  bool apply(const std::string &store, const PartChanges &changes);
+  void apply(const std::string &store, const PartList &list);
+  /// The store does not answer: nothing of it is offered until it does.
+  void onUnreachable(const std::string &store);
+
+  /// A store that holds the whole part, the nearest first.
+  std::optional<ContextStoreTraits> find(std::string_view scope,
+                                         const PromptPart &part,
+                                         std::string_view failureDomain) const;
+  /// Chooses a store for the part and remembers that its save was asked for;
+  /// nothing when a store holds it, or it was asked for lately, or none has
+  /// room.
+  std::optional<ContextStoreTraits>
+  planSave(std::string_view scope, const PromptPart &part, TimePoint now);
+  /// The save was not carried out.
+  void forgetSave(std::string_view scope, const PromptPart &part);
+
+  /// Known parts of the store whose scope fails the test.
+  std::vector<BrokenPart> partsOutside(
+      const std::string &store,
+      const std::function<bool(std::string_view scope)> &isCurrent) const;
+  size_t partsKnown() const;
+
+private:
+  struct Store {
+    ContextStoreTraits Traits;
+    uint64_t Epoch = 0;
+    uint64_t Next = 0;
+    bool IsReachable = false;
+    uint64_t UsedTokens = 0;
+    std::unordered_map<std::string, uint32_t> Parts; ///< Tokens by key.
+  };
+  struct Save {
+    TimePoint At;
+    std::string Store;
+    uint32_t Tokens = 0;
+  };
+
+  static std::string keyOf(std::string_view scope, std::string_view part);
+  void addPart(Store &store, const std::string &key, uint32_t tokens);
+  void removePart(Store &store, const std::string &key);
+  void reset(Store &store, uint64_t epoch);
+  void forgetOldSaves(TimePoint now);
+  uint64_t plannedTokens(const std::string &store) const;
+
+  KeptContextSettings Settings;
+  mutable std::mutex Lock;
+  std::map<std::string, Store> Stores; ///< By the service's name.
+  std::unordered_map<std::string, Save> Saves;
+};
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/rendezvous.h
@@ -0,0 +1,18 @@
+/// Rendezvous hashing: every process ranks the same members for a key in the
+/// same order, and a member that comes or goes moves only its own keys.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace daisytack::direct {
+
+/// 64-bit hash, the same in every process (FNV-1a with a final mix).
+uint64_t stableHash(std::string_view text, uint64_t seed = 0);
+
+/// Score of the member for the key; the highest wins. A member's share of keys
+/// is proportional to its weight.
+double rendezvousScore(std::string_view key, std::string_view member,
+                       double weight = 1);
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,59 @@
+/// An entry on the direct path: builds its parts over one io_context and drains
+/// them.
+#pragma once
+
+#include "edge/kv.h"
+#include "gateway/entry_lease.h"
+#include "gateway/gateway_http.h"
+#include "gateway/gateway_options.h"
+#include "gateway/store_follower.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace daisytack::gateway {
+
+/// Makes the hooks of the key-value service over a client and its address.
+using MakeStore =
+    std::function<edge::KvStore(net::HttpClient &, const Endpoint &)>;
+
+class Gateway {
+public:
+  Gateway(boost::asio::io_context &io, GatewayOptions options,
+          direct::Protocol protocol, const MakeStore &makeStore);
+  ~Gateway();
+
+  bool start(Error &reason);
+  /// Not ready from now on; calls done once all requests were answered and the
+  /// balancer has noticed.
+  void drain(std::function<void()> done);
+
+private:
+  void answerReadiness(net::HttpExchange &exchange) const;
+  void answerMetrics(net::HttpExchange &exchange);
+  void onCatalog();
+  void tick();
+  void watchDrain();
+  void finish();
+
+  GatewayOptions Options;
+  Metrics Counters;
+  DecisionLog Log;
+  GatewayState State;
+  Strand Control;
+  edge::KvStore Store;
+  std::shared_ptr<StoreFollower> Follower;
+  std::shared_ptr<EntryLease> Announced;
+  GatewayHttp Callers;
+  net::HttpServer ReadinessServer;
+  net::HttpServer MetricsServer;
+  boost::asio::steady_timer Ticker;
+  boost::asio::steady_timer DrainTimer;
+  TimePoint DrainSince;
+  uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
+  std::function<void()> Drained;
+};
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_http.cpp
@@ -0,0 +1,143 @@
+#include "gateway/gateway_http.h"
+
+#include "base/clock.h"
+#include "direct/rendezvous.h"
+#include "gateway/gateway_request.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+namespace {
+
+/// When an entry without a configuration, or with one that may be out of date,
+/// asks callers to come back: one round of its calls to the service.
+constexpr Duration ComeBackSoon{300'000};
+/// For callers and routes that both name no time.
+constexpr Duration LongestRequest{60'000'000};
+
+net::HttpServerInit serverInit(const GatewayOptions &options) {
+  net::HttpServerInit out;
+  out.Listen = options.Callers;
+  out.MaxConnections = options.MaxConnections;
+  return out;
+}
+
+/// The service that the request falls to, by the weights of the route; repeats
+/// of a request id fall to the same.
+std::string serviceOf(const direct::Route &route, std::string_view requestId) {
+  uint64_t total = 0;
+  for (const direct::TrafficShare &share : route.Shares)
+    total += share.Weight;
+  if (total == 0)
+    return route.Shares.front().Service;
+  uint64_t draw = direct::stableHash(requestId) % total;
+  for (const direct::TrafficShare &share : route.Shares) {
+    if (draw < share.Weight)
+      return share.Service;
+    draw -= share.Weight;
+  }
+  return route.Shares.back().Service;
+}
+
+TimePoint deadlineOf(const direct::CallerHead &head, const direct::Route &route,
+                     TimePoint now) {
+  Duration limit = head.Patience.value_or(LongestRequest);
+  if (route.Timeout > Duration::zero())
+    limit = std::min(limit, route.Timeout);
+  return now + limit;
+}
+
+} // namespace
+
+GatewayHttp::GatewayHttp(GatewayState &state)
+    : State(state),
+      Server(state.Io, serverInit(state.Options),
+             [this](net::HttpRequest request,
+                    const std::shared_ptr<net::HttpExchange> &exchange) {
+               handle(std::move(request), exchange);
+             }) {}
+
+bool GatewayHttp::start(Error &reason) { return Server.start(reason); }
+
+void GatewayHttp::setLimits(const direct::CallerLimits &limits) {
+  Server.setLimits({limits.MaxHeaderBytes, limits.MaxBodyBytes,
+                    limits.HeaderTimeout, limits.IdleTimeout,
+                    limits.IdleTimeout});
+}
+
+Error GatewayHttp::unknown(ErrorKind kind, std::string detail,
+                           TimePoint now) const {
+  if (State.isConfirmed(now))
+    return {kind, std::move(detail)};
+  return {ErrorKind::NotReady,
+          detail + "; the configuration here may be out of date", ComeBackSoon};
+}
+
+void GatewayHttp::refuse(net::HttpExchange &exchange,
+                         const direct::CallerHead &head, const Error &reason,
+                         TimePoint now) {
+  unsigned status = errorStatus(reason.Kind);
+  State.Counts.Refused.add();
+  auto catalog = State.catalog();
+  State.Log.write(LogWeight::Notable, "request_refused",
+                  {{"request", head.RequestId},
+                   {"host", head.Host},
+                   {"path", head.Path},
+                   {"status", status},
+                   {"reason", errorName(reason.Kind)},
+                   {"detail", reason.Detail},
+                   {"config_revision", catalog->ConfigRevision},
+                   {"confirmed", State.isConfirmed(now)}},
+                  now);
+  exchange.respond(State.Speak.OwnAnswer(status, head.RequestId, reason));
+}
+
+void GatewayHttp::handle(net::HttpRequest request,
+                         const std::shared_ptr<net::HttpExchange> &exchange) {
+  TimePoint now = monotonicNow();
+  State.Counts.Requests.add();
+  Error reason;
+  std::optional<direct::CallerHead> head =
+      State.Speak.ReadCaller(request, reason);
+  if (!head)
+    return refuse(*exchange, {}, reason, now);
+  auto catalog = State.catalog();
+  if (!catalog->Config)
+    return refuse(
+        *exchange, *head,
+        {ErrorKind::NotReady, "no configuration is known yet", ComeBackSoon},
+        now);
+  const direct::ConfigIndex &config = *catalog->Config;
+  const direct::Route *route = config.findRoute(head->Host, head->Path);
+  if (!route)
+    return refuse(
+        *exchange, *head,
+        unknown(ErrorKind::NotFound, "no route for this host and path", now),
+        now);
+  const direct::Access *access = nullptr;
+  if (config.needsKeys() && !route->IsPublic) {
+    access = config.findKey(head->ApiKey);
+    if (!access)
+      return refuse(*exchange, *head,
+                    unknown(ErrorKind::Unauthenticated,
+                            "no organisation holds this key", now),
+                    now);
+  }
+  direct::ForwardRequest forward;
+  forward.Via = *route;
+  forward.Service = serviceOf(*route, head->RequestId);
+  forward.Organisation = access ? access->Organisation : std::string();
+  forward.IsIsolated = access && access->IsIsolated;
+  forward.Priority =
+      access ? access->Priority.value_or(route->Priority) : route->Priority;
+  forward.Arrived = now;
+  forward.Deadline = deadlineOf(*head, *route, now);
+  forward.Head = std::move(*head);
+  std::make_shared<GatewayRequest>(State, std::move(forward),
+                                   std::move(request.Body), exchange)
+      ->start();
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_options.cpp
@@ -0,0 +1,78 @@
+#include "gateway/gateway_options.h"
+
+#include <chrono>
+
+namespace daisytack::gateway {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int64_t MostConnections = 1'000'000;
+constexpr int64_t MostLoads = 1000;
+constexpr int64_t MostLogLines = 100'000;
+constexpr int64_t MostReserve = 1'000'000;
+constexpr double MostWeight = 1e6;
+
+void readLimits(Settings &settings, GatewayOptions &out) {
+  out.MaxConnections = static_cast<size_t>(settings.integer(
+      "callers.max_connections", static_cast<int64_t>(out.MaxConnections), 1,
+      MostConnections));
+  out.DrainNotice =
+      settings.duration("entry.drain_notice", out.DrainNotice, 0s, 1min);
+  out.ConfirmedFor =
+      settings.duration("store.confirmed_for", out.ConfirmedFor, 100ms, 1min);
+  out.LeaseTerm =
+      settings.duration("store.lease_term", out.LeaseTerm, 500ms, 10min);
+  out.WakePause =
+      settings.duration("store.wake_pause", out.WakePause, 0s, 1min);
+  out.Catalog.LapseGrace =
+      settings.duration("store.lapse_grace", out.Catalog.LapseGrace, 0s, 1min);
+  out.Retries.Share = settings.number("retries.share", out.Retries.Share, 0, 1);
+  out.Retries.Reserve = static_cast<uint32_t>(
+      settings.integer("retries.reserve", out.Retries.Reserve, 0, MostReserve));
+  out.ConcurrentLoads = static_cast<uint32_t>(settings.integer(
+      "weights.concurrent_loads", out.ConcurrentLoads, 1, MostLoads));
+  out.Log.LinesPerSecond = static_cast<uint32_t>(settings.integer(
+      "log.lines_per_second", out.Log.LinesPerSecond, 1, MostLogLines));
+}
+
+void readPlacement(Settings &settings, GatewayOptions &out) {
+  direct::PlacementSettings &place = out.Placement;
+  place.PrefillTokensPerMs =
+      settings.number("placement.prefill_tokens_per_ms",
+                      place.PrefillTokensPerMs, 0.001, MostWeight);
+  place.OtherDomainMs = settings.number("placement.other_domain_ms",
+                                        place.OtherDomainMs, 0, MostWeight);
+  place.OldWeightsMs = settings.number("placement.old_weights_ms",
+                                       place.OldWeightsMs, 0, MostWeight);
+  place.FetchLimit =
+      settings.duration("placement.fetch_limit", place.FetchLimit, 1ms, 1min);
+}
+
+} // namespace
+
+bool isGatewaySettings(const Settings &settings) {
+  return settings.has("store.address");
+}
+
+GatewayOptions readGatewayOptions(Settings &settings) {
+  GatewayOptions out;
+  // A request on its first server failing thrice in a row is rare even where
+  // one in seven calls fails by itself; a server is tried again soon.
+  out.Ejection = {4, 1e9, 2s, 20s, 10s, 600s, true};
+  out.Name = settings.text("instance.name", std::nullopt);
+  out.FailureDomain = settings.text("instance.failure_domain", std::nullopt);
+  out.Callers = settings.endpoint("callers.listen", std::nullopt);
+  out.Readiness = settings.endpoint("readiness.listen", std::nullopt);
+  out.ReadinessPath = settings.text("readiness.path", "/ready");
+  out.Metrics = settings.endpoint("metrics.listen", std::nullopt);
+  out.Peers = settings.endpoint("peers.listen", std::nullopt);
+  out.Seeds = settings.endpoints("peers.seeds");
+  out.Store = settings.endpoint("store.address", std::nullopt);
+  readLimits(settings, out);
+  readPlacement(settings, out);
+  return out;
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_options.h
@@ -0,0 +1,59 @@
+/// Settings of an entry on the direct path: callers on one side, backend
+/// servers themselves on the other.
+#pragma once
+
+#include "base/decision_log.h"
+#include "base/settings.h"
+#include "decide/ejection.h"
+#include "decide/retry_budget.h"
+#include "direct/catalog.h"
+#include "direct/forward_flow.h"
+#include "direct/kept_context.h"
+#include "direct/placement.h"
+#include "direct/server_loads.h"
+
+#include <string>
+#include <vector>
+
+namespace daisytack::gateway {
+
+struct GatewayOptions {
+  std::string Name;          ///< Of this process, unique in the deployment.
+  std::string FailureDomain; ///< That it runs in.
+  Endpoint Callers;
+  Endpoint Readiness;
+  std::string ReadinessPath;
+  Endpoint Metrics;
+  Endpoint Peers; ///< Where other entries ask for what this one knows.
+  Endpoint Store; ///< The key-value service.
+  std::vector<Endpoint> Seeds; ///< Peers to ask before any is known.
+  size_t MaxConnections = 2000;
+  /// After SIGTERM new connections are accepted for so long, until the balancer
+  /// has noticed: it asks once a second and believes the second miss.
+  Duration DrainNotice{2'500'000};
+  /// A configuration that was confirmed so long ago may be out of date: unknown
+  /// routes and keys are then refused for now, not for good.
+  Duration ConfirmedFor{2'500'000};
+  /// Lease under which an entry announces itself and holds the right to give
+  /// orders.
+  Duration LeaseTerm{3'000'000};
+  /// A paused holder that wakes waits so long before it acts again.
+  Duration WakePause{300'000};
+  /// Engines that load new weights at the same time: more of them load slower.
+  uint32_t ConcurrentLoads = 2;
+  RetryBudgetSettings Retries;
+  EjectionSettings Ejection;
+  direct::ForwardSettings Forward;
+  direct::PlacementSettings Placement;
+  direct::ServerLoadSettings Loads;
+  direct::KeptContextSettings Kept;
+  direct::CatalogSettings Catalog;
+  DecisionLogSettings Log;
+};
+
+/// Whether the settings are those of the direct path.
+bool isGatewaySettings(const Settings &settings);
+/// Mistakes are collected in the settings.
+GatewayOptions readGatewayOptions(Settings &settings);
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_request.cpp
@@ -0,0 +1,278 @@
+#include "gateway/gateway_request.h"
+
+#include "base/clock.h"
+#include "direct/rendezvous.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <utility>
+
+namespace daisytack::gateway {
+
+using direct::AttemptOrder;
+using direct::AttemptResult;
+
+namespace {
+
+/// The timer of a call runs out after the flow's own, which decides.
+constexpr Duration CallSlack{500'000};
+
+double millisecondsOf(Duration value) {
+  return static_cast<double>(value.count()) / 1000;
+}
+
+} // namespace
+
+GatewayRequest::GatewayRequest(GatewayState &state,
+                               direct::ForwardRequest request, std::string body,
+                               std::shared_ptr<net::HttpExchange> exchange)
+    : State(state), Strand(boost::asio::make_strand(state.Io)), Timer(Strand),
+      Body(std::move(body)), Exchange(std::move(exchange)),
+      PromptTokens(request.Head.PromptTokens),
+      Flow(std::move(request), state.Options.Forward, hooks()) {}
+
+template <class Step> void GatewayRequest::onStrand(Step step) {
+  boost::asio::dispatch(Strand, [self = shared_from_this(),
+                                 step = std::move(step)]() mutable { step(); });
+}
+
+void GatewayRequest::start() {
+  ++State.Running;
+  State.Counts.Running.add(1);
+  State.Retries.of(Flow.request().Service).onRequest();
+  Exchange->onClosed([weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->onStrand([raw = self.get()] {
+        if (raw->Flow.isEnded())
+          return;
+        raw->State.Counts.CallersGone.add();
+        raw->logEnd(0, "caller_gone", {});
+        raw->Flow.onCallerGone(monotonicNow());
+      });
+  });
+  onStrand([this] { Flow.start(monotonicNow()); });
+}
+
+direct::ForwardHooks GatewayRequest::hooks() {
+  direct::ForwardHooks out;
+  out.Choose = [this](const auto &tried, TimePoint now, Error &reason) {
+    return choose(tried, now, reason);
+  };
+  out.TakeRetry = [this] { return takeRetry(); };
+  out.Send = [this](uint32_t attempt, const AttemptOrder &order) {
+    send(attempt, order);
+  };
+  out.Cancel = [this](uint32_t) { std::exchange(Call, {}).cancel(); };
+  out.Note = [this](uint32_t attempt, const AttemptOrder &order,
+                    AttemptResult result,
+                    TimePoint now) { note(attempt, order, result, now); };
+  out.BeginAnswer = [this](const direct::ServerHead &head) {
+    IsAnswered = true;
+    State.Counts.FirstByte.observe(monotonicNow() - Flow.request().Arrived);
+    Exchange->beginStream(head.Status, head.Passed);
+  };
+  out.WriteAnswer = [this](std::string data) {
+    Exchange->write(std::move(data));
+  };
+  out.EndAnswer = [this] {
+    Exchange->endStream();
+    logEnd(200, "answered", {});
+  };
+  out.BreakAnswer = [this] {
+    State.Counts.Broken.add();
+    Exchange->abort();
+    logEnd(0, "broken_off", {});
+  };
+  out.AnswerWhole = [this](const direct::ServerHead &head, std::string body) {
+    State.Counts.FirstByte.observe(monotonicNow() - Flow.request().Arrived);
+    Exchange->respond({head.Status, head.Passed, std::move(body)});
+    logEnd(head.Status, "answered", {});
+  };
+  out.AnswerError = [this](unsigned status, const Error &reason) {
+    answerError(status, reason);
+  };
+  out.ArmTimer = [this](TimePoint at) { armTimer(at); };
+  out.Ended = [this] {
+    Timer.cancel();
+    --State.Running;
+    State.Counts.Running.add(-1);
+    State.Counts.Whole.observe(monotonicNow() - Flow.request().Arrived);
+  };
+  return out;
+}
+
+std::optional<direct::AttemptChoice>
+GatewayRequest::choose(const std::vector<std::string> &tried, TimePoint now,
+                       Error &reason) {
+  auto catalog = State.catalog();
+  return State.Place.choose(Flow.request(), *catalog, tried,
+                            State.Clock.at(now), now, reason);
+}
+
+bool GatewayRequest::takeRetry() {
+  bool out = State.Retries.of(Flow.request().Service).tryRetry();
+  (out ? State.Counts.Repeats : State.Counts.RepeatsDenied).add();
+  return out;
+}
+
+void GatewayRequest::send(uint32_t attempt, const AttemptOrder &order) {
+  const direct::ForwardRequest &request = Flow.request();
+  TimePoint now = monotonicNow();
+  Server = order.ServerId;
+  AnyByte = false;
+  State.Counts.Attempts.add();
+  State.Loads.onSent(Server, PromptTokens, now);
+  uint64_t saves = 0;
+  for (size_t i = 0; i < order.Sources.size(); ++i) {
+    if (i + 1 < request.Head.Parts.size())
+      State.Counts.SharedTokens.add(request.Head.Parts[i].Tokens);
+    if (order.Sources[i])
+      State.Counts.SourcedTokens.add(request.Head.Parts[i].Tokens);
+    saves += order.Destinations[i] ? 1 : 0;
+  }
+  State.Counts.SavesAsked.add(saves);
+  State.Log.write(
+      LogWeight::Routine, "attempt_sent",
+      {{"request", request.Head.RequestId},
+       {"attempt", attempt},
+       {"server", order.ServerId},
+       {"weights", order.WeightVersion},
+       {"saves", saves},
+       {"time_left_ms", millisecondsOf(order.TimeLeft)},
+       {"config_version", State.catalog()->Config->config().Version}},
+      now);
+  net::HttpHooks hooks;
+  hooks.IsOwn = [self = shared_from_this()](const auto &headers) {
+    return self->State.Speak.IsAnswerTo(self->Flow.request().Head, headers);
+  };
+  hooks.Head = [self = shared_from_this(), attempt](unsigned status,
+                                                    const auto &headers) {
+    self->onStrand([raw = self.get(), attempt, status, headers] {
+      raw->onHead(attempt, status, headers);
+    });
+  };
+  hooks.Data = [self = shared_from_this(), attempt](std::string_view data) {
+    self->onStrand([raw = self.get(), attempt, data = std::string(data)] {
+      raw->onData(attempt, data);
+    });
+  };
+  hooks.Done = [self = shared_from_this(), attempt](const Error &error) {
+    self->onStrand(
+        [raw = self.get(), attempt, error] { raw->onDone(attempt, error); });
+  };
+  Call = State.Backends.call(
+      order.Address, State.Speak.WriteAttempt(request.Head, order, Body),
+      order.TimeLeft + CallSlack, std::move(hooks));
+}
+
+void GatewayRequest::onHead(uint32_t attempt, unsigned status,
+                            const std::vector<net::HttpHeader> &headers) {
+  if (Flow.isEnded() || attempt != Flow.attempts())
+    return;
+  TimePoint now = monotonicNow();
+  AnyByte = true;
+  State.Loads.onFirstByte(Server, PromptTokens, now);
+  Flow.onHead(attempt, State.Speak.ReadServer(status, headers), now);
+}
+
+void GatewayRequest::onData(uint32_t attempt, std::string_view data) {
+  if (Flow.isEnded() || attempt != Flow.attempts())
+    return;
+  TimePoint now = monotonicNow();
+  State.Loads.onHeard(Server, now);
+  Flow.onData(attempt, data, now);
+}
+
+void GatewayRequest::onDone(uint32_t attempt, const Error &error) {
+  // The client reports ServiceUnavailable when nothing was sent.
+  bool unsent = error.Kind == ErrorKind::ServiceUnavailable;
+  Flow.onDone(attempt, error, unsent, monotonicNow());
+}
+
+void GatewayRequest::note(uint32_t attempt, const AttemptOrder &order,
+                          AttemptResult result, TimePoint now) {
+  State.Loads.onEnded(order.ServerId, AnyByte ? 0 : PromptTokens, now);
+  bool isGood = result == AttemptResult::Answered;
+  if (result == AttemptResult::TurnedAway) {
+    State.Counts.TurnedAway.add();
+    State.Loads.onTurnedAway(order.ServerId, now);
+  }
+  noteEjection(order, result, now);
+  if (!isGood) {
+    const direct::CallerHead &head = Flow.request().Head;
+    for (size_t i = 0; i < order.Destinations.size(); ++i)
+      if (order.Destinations[i])
+        State.Kept.forgetSave(order.CacheScope, head.Parts[i]);
+  }
+  State.Log.write(isGood ? LogWeight::Routine : LogWeight::Notable,
+                  "attempt_ended",
+                  {{"request", Flow.request().Head.RequestId},
+                   {"attempt", attempt},
+                   {"server", order.ServerId},
+                   {"result", direct::attemptResultName(result)}},
+                  now);
+}
+
+void GatewayRequest::noteEjection(const AttemptOrder &order,
+                                  AttemptResult result, TimePoint now) {
+  uint64_t pool = direct::stableHash(Flow.request().Service);
+  uint64_t server = direct::stableHash(order.ServerId);
+  size_t size = State.catalog()->serversOf(Flow.request().Service).size();
+  bool isBad =
+      result == AttemptResult::Failed || result == AttemptResult::Unreached;
+  if (result == AttemptResult::Answered)
+    State.Ejected.onAnswer(pool, size, server, Duration(1), Duration(0), now);
+  if (!isBad)
+    return;
+  if (State.Ejected.onFailure(pool, size, server, now) !=
+      EjectionVerdict::Ejected)
+    return;
+  State.Counts.Ejections.add();
+  State.Log.write(LogWeight::Notable, "server_ejected",
+                  {{"server", order.ServerId},
+                   {"service", Flow.request().Service},
+                   {"request", Flow.request().Head.RequestId}},
+                  now);
+}
+
+void GatewayRequest::answerError(unsigned status, const Error &reason) {
+  bool isRefusal = direct::promisesNotRun(status);
+  (isRefusal ? State.Counts.Refused : State.Counts.Failed).add();
+  Exchange->respond(
+      State.Speak.OwnAnswer(status, Flow.request().Head.RequestId, reason));
+  logEnd(status, isRefusal ? "refused" : "failed", reason);
+}
+
+void GatewayRequest::armTimer(TimePoint at) {
+  Duration wait = std::max(at - monotonicNow(), Duration::zero());
+  Timer.expires_after(wait);
+  Timer.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code &ec) {
+        auto self = weak.lock();
+        if (self && !ec)
+          self->Flow.onTimer(monotonicNow());
+      });
+}
+
+void GatewayRequest::logEnd(unsigned status, std::string_view outcome,
+                            const Error &reason) {
+  const direct::ForwardRequest &request = Flow.request();
+  TimePoint now = monotonicNow();
+  bool isGood = outcome == "answered" && status < 500;
+  DecisionLog::Fields fields{
+      {"request", request.Head.RequestId},
+      {"route", request.Via.Name},
+      {"organisation", request.Organisation},
+      {"outcome", outcome},
+      {"status", status},
+      {"attempts", Flow.attempts()},
+      {"took_ms", millisecondsOf(now - request.Arrived)}};
+  if (reason) {
+    fields["reason"] = errorName(reason.Kind);
+    fields["detail"] = reason.Detail;
+  }
+  State.Log.write(isGood ? LogWeight::Routine : LogWeight::Notable,
+                  "request_ended", std::move(fields), now);
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_request.h
@@ -0,0 +1,58 @@
+/// One request in flight on the direct path: its flow, its caller, its attempt
+/// and its timer, on one strand.
+#pragma once
+
+#include "direct/forward_flow.h"
+#include "gateway/gateway_state.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <memory>
+#include <string>
+
+namespace daisytack::gateway {
+
+class GatewayRequest : public std::enable_shared_from_this<GatewayRequest> {
+public:
+  GatewayRequest(GatewayState &state, direct::ForwardRequest request,
+                 std::string body, std::shared_ptr<net::HttpExchange> exchange);
+
+  /// Once, before anything else.
+  void start();
+
+private:
+  direct::ForwardHooks hooks();
+  /// Runs the step on the strand, with the request kept alive.
+  template <class Step> void onStrand(Step step);
+
+  std::optional<direct::AttemptChoice>
+  choose(const std::vector<std::string> &tried, TimePoint now, Error &reason);
+  bool takeRetry();
+  void send(uint32_t attempt, const direct::AttemptOrder &order);
+  void onHead(uint32_t attempt, unsigned status,
+              const std::vector<net::HttpHeader> &headers);
+  void onData(uint32_t attempt, std::string_view data);
+  void onDone(uint32_t attempt, const Error &error);
+  void note(uint32_t attempt, const direct::AttemptOrder &order,
+            direct::AttemptResult result, TimePoint now);
+  void noteEjection(const direct::AttemptOrder &order,
+                    direct::AttemptResult result, TimePoint now);
+  void answerError(unsigned status, const Error &reason);
+  void armTimer(TimePoint at);
+  void logEnd(unsigned status, std::string_view outcome, const Error &reason);
+
+  GatewayState &State;
+  boost::asio::strand<boost::asio::io_context::executor_type> Strand;
+  boost::asio::steady_timer Timer;
+  const std::string Body;
+  const std::shared_ptr<net::HttpExchange> Exchange;
+  const uint64_t PromptTokens; ///< What a server would read without reuse.
+  direct::ForwardFlow Flow;
+  net::HttpCall Call;
+  std::string Server;      ///< Of the attempt under way.
+  bool AnyByte = false;    ///< Of its answer.
+  bool IsAnswered = false; ///< The caller got a first byte.
+};
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.cpp
@@ -0,0 +1,150 @@
+#include "gateway/gateway_state.h"
+
+#include <utility>
+
+namespace daisytack::gateway {
+
+namespace {
+
+/// A server of the same deployment answers a connect within a few milliseconds;
+/// one that does not is not waited for.
+constexpr Duration BackendConnect{300'000};
+constexpr Duration ControlConnect{500'000};
+/// Idle connections kept to one server: more than run at once from one entry
+/// in all but bursts, and a share of a server's limit that leaves room for the
+/// other entries.
+constexpr size_t IdlePerBackend = 24;
+constexpr size_t IdlePerControl = 4;
+
+net::HttpClientInit clientInit(size_t idle, Duration connect) {
+  net::HttpClientInit out;
+  out.MaxIdlePerEndpoint = idle;
+  out.ConnectTimeout = connect;
+  return out;
+}
+
+std::string_view factName(direct::FactKind kind) {
+  switch (kind) {
+  case direct::FactKind::Config:
+    return "configuration";
+  case direct::FactKind::Server:
+    return "backend_server";
+  case direct::FactKind::Weights:
+    return "desired_weights";
+  case direct::FactKind::Entry:
+    return "entry";
+  case direct::FactKind::Other:
+    break;
+  }
+  return "other";
+}
+
+direct::CatalogHooks catalogHooks(const direct::Protocol &speak,
+                                  DecisionLog &log) {
+  direct::CatalogHooks out;
+  out.SubjectOf = speak.SubjectOf;
+  out.Decode = speak.DecodeFact;
+  out.Changed = [&log](const direct::FactSubject &subject,
+                       std::string_view change, uint64_t revision,
+                       TimePoint now) {
+    log.write(LogWeight::Notable, "belief_changed",
+              {{"subject", factName(subject.Kind)},
+               {"name", subject.Name},
+               {"change", change},
+               {"revision", revision}},
+              now);
+  };
+  out.Unreadable = [&log](const direct::StoreRecord &record,
+                          const Error &reason, TimePoint now) {
+    log.write(LogWeight::Notable, "record_unreadable",
+              {{"key", record.Key},
+               {"revision", record.Revision},
+               {"reason", reason.Detail}},
+              now);
+  };
+  return out;
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics(Metrics &metrics)
+    : Requests(metrics.counter("daisytack_requests_total",
+                               "Requests received from callers")),
+      Refused(metrics.counter("daisytack_requests_refused_total",
+                              "Requests answered as surely not run")),
+      Failed(metrics.counter("daisytack_requests_failed_total",
+                             "Requests that ended without a server's answer")),
+      Broken(metrics.counter("daisytack_answers_broken_total",
+                             "Answers that were broken off midway")),
+      CallersGone(metrics.counter("daisytack_callers_gone_total",
+                                  "Callers that left before their answer")),
+      Attempts(metrics.counter("daisytack_attempts_total",
+                               "Attempts sent to backend servers")),
+      Repeats(metrics.counter("daisytack_retries_total",
+                              "Attempts beyond the first of a request")),
+      RepeatsDenied(metrics.counter("daisytack_retries_denied_total",
+                                    "Attempts that the budget did not allow")),
+      TurnedAway(metrics.counter("daisytack_attempts_turned_away_total",
+                                 "Attempts that a server refused unrun")),
+      Ejections(metrics.counter("daisytack_ejections_total",
+                                "Times a server was left alone as failing")),
+      SharedTokens(metrics.counter("daisytack_shared_tokens_total",
+                                   "Prompt tokens in parts that are shared")),
+      SourcedTokens(metrics.counter(
+          "daisytack_sourced_tokens_total",
+          "Shared prompt tokens for which a store was named as source")),
+      SavesAsked(metrics.counter("daisytack_saves_asked_total",
+                                 "Parts that servers were asked to save")),
+      Running(metrics.gauge("daisytack_requests_running",
+                            "Requests without a final answer")),
+      PartsKnown(metrics.gauge("daisytack_parts_known",
+                               "Parts of prompts known to be in a store")),
+      ServersKnown(metrics.gauge("daisytack_servers_known",
+                                 "Backend servers in the catalog")),
+      StoreReachable(metrics.gauge("daisytack_service_reachable",
+                                   "1 while the key-value service answers")),
+      FirstByte(metrics.distribution("daisytack_first_byte_seconds",
+                                     "From arrival to the answer's first byte",
+                                     Distribution::Unit::Seconds)),
+      Whole(metrics.distribution("daisytack_request_seconds",
+                                 "From arrival to the end of the answer",
+                                 Distribution::Unit::Seconds)) {}
+
+void ServersClock::observe(int64_t clockMs, TimePoint now) {
+  OffsetMs = clockMs - now.time_since_epoch().count() / 1000;
+}
+
+std::optional<int64_t> ServersClock::at(TimePoint now) const {
+  int64_t offset = OffsetMs;
+  if (offset == Unknown)
+    return std::nullopt;
+  return offset + now.time_since_epoch().count() / 1000;
+}
+
+RetryBudget &RetryBudgets::of(const std::string &service) {
+  std::lock_guard guard(Lock);
+  auto &budget = Budgets[service];
+  if (!budget)
+    budget = std::make_unique<RetryBudget>(Settings);
+  return *budget;
+}
+
+GatewayState::GatewayState(boost::asio::io_context &io,
+                           const GatewayOptions &options,
+                           direct::Protocol protocol, Metrics &metrics,
+                           DecisionLog &log)
+    : Io(io), Options(options), Speak(std::move(protocol)), Log(log),
+      Counts(metrics), Loads(options.Loads), Ejected(options.Ejection),
+      Kept(options.Kept),
+      Place(options.Placement, options.FailureDomain, Loads, Ejected, Kept),
+      Retries(options.Retries),
+      Backends(io, clientInit(IdlePerBackend, BackendConnect)),
+      Control(io, clientInit(IdlePerControl, ControlConnect)),
+      Catalog(options.Catalog, catalogHooks(Speak, log)) {}
+
+bool GatewayState::isConfirmed(TimePoint now) const {
+  return now.time_since_epoch().count() - ConfirmedAt.load() <
+         Options.ConfirmedFor.count();
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.h
@@ -0,0 +1,100 @@
+/// What all requests of one entry on the direct path share.
+#pragma once
+
+#include "base/decision_log.h"
+#include "base/metrics.h"
+#include "direct/placement.h"
+#include "direct/protocol.h"
+#include "gateway/gateway_options.h"
+#include "net/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace daisytack::gateway {
+
+/// Series of the direct path; see docs/METRICS.md.
+struct GatewayMetrics {
+  explicit GatewayMetrics(Metrics &metrics);
+
+  Counter &Requests;
+  Counter &Refused;
+  Counter &Failed;
+  Counter &Broken;
+  Counter &CallersGone;
+  Counter &Attempts;
+  Counter &Repeats;
+  Counter &RepeatsDenied;
+  Counter &TurnedAway;
+  Counter &Ejections;
+  Counter &SharedTokens;
+  Counter &SourcedTokens;
+  Counter &SavesAsked;
+  Gauge &Running;
+  Gauge &PartsKnown;
+  Gauge &ServersKnown;
+  Gauge &StoreReachable;
+  Distribution &FirstByte;
+  Distribution &Whole;
+};
+
+/// The servers' clock, learned from stores of kept context. Thread-safe.
+class ServersClock {
+public:
+  void observe(int64_t clockMs, TimePoint now);
+  std::optional<int64_t> at(TimePoint now) const;
+
+private:
+  static constexpr int64_t Unknown = INT64_MIN;
+  std::atomic<int64_t> OffsetMs{Unknown}; ///< To monotonic milliseconds.
+};
+
+/// One retry budget for each service. Thread-safe.
+class RetryBudgets {
+public:
+  explicit RetryBudgets(RetryBudgetSettings settings) : Settings(settings) {}
+  RetryBudget &of(const std::string &service);
+
+private:
+  RetryBudgetSettings Settings;
+  std::mutex Lock;
+  std::map<std::string, std::unique_ptr<RetryBudget>> Budgets;
+};
+
+/// Thread-safe in all members.
+struct GatewayState {
+  GatewayState(boost::asio::io_context &io, const GatewayOptions &options,
+               direct::Protocol protocol, Metrics &metrics, DecisionLog &log);
+
+  boost::asio::io_context &Io;
+  const GatewayOptions &Options;
+  const direct::Protocol Speak;
+  DecisionLog &Log;
+  GatewayMetrics Counts;
+  direct::ServerLoads Loads;
+  Ejector Ejected;
+  direct::KeptContext Kept;
+  direct::Placement Place;
+  RetryBudgets Retries;
+  ServersClock Clock;
+  net::HttpClient Backends;
+  net::HttpClient Control; ///< Key-value service, stores, orders and peers.
+  direct::CatalogKeeper Catalog;
+  /// When the key-value service last confirmed the catalog, as microseconds.
+  std::atomic<int64_t> ConfirmedAt{INT64_MIN / 2};
+  std::atomic<bool> Draining{false};
+  std::atomic<size_t> Running{0};
+
+  std::shared_ptr<const direct::Catalog> catalog() const {
+    return Catalog.view();
+  }
+  bool isConfirmed(TimePoint now) const;
+};
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/store_follower.cpp
@@ -0,0 +1,176 @@
+#include "gateway/store_follower.h"
+
+#include "base/clock.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+namespace {
+
+constexpr uint32_t MostDoublings = 8;
+
+direct::StoreRecord recordOf(const edge::KvEntry &entry, bool isDeleted) {
+  return {entry.Key, entry.Value, entry.ModRevision, isDeleted};
+}
+
+} // namespace
+
+StoreFollower::StoreFollower(GatewayState &state, Strand strand,
+                             edge::KvStore store,
+                             StoreFollowerSettings settings,
+                             RandomSource random, std::function<void()> changed)
+    : State(state), On(std::move(strand)), Store(std::move(store)),
+      Settings(settings), Random(std::move(random)),
+      Changed(std::move(changed)), Timer(On) {}
+
+void StoreFollower::start() {
+  boost::asio::post(On, [self = shared_from_this()] { self->readAll(); });
+}
+
+void StoreFollower::stop() {
+  boost::asio::dispatch(On, [self = shared_from_this()] {
+    self->IsStopped = true;
+    ++self->Epoch;
+    self->Timer.cancel();
+    if (self->StopWatch)
+      std::exchange(self->StopWatch, nullptr)();
+  });
+}
+
+void StoreFollower::readAll() {
+  if (IsStopped)
+    return;
+  uint64_t epoch = ++Epoch;
+  // Every key: the configuration, the servers, the weights and the entries lie
+  // under several prefixes, and one watch costs one call.
+  Store.Range({"", edge::prefixEnd(""), 0, 0}, Settings.CallTimeout,
+              [self = shared_from_this(), epoch](edge::KvRangeResult result) {
+                boost::asio::dispatch(
+                    self->On, [self, epoch, result = std::move(result)] {
+                      if (epoch == self->Epoch)
+                        self->onAll(result);
+                    });
+              });
+}
+
+void StoreFollower::onAll(const edge::KvRangeResult &result) {
+  if (result.Header.Status != edge::KvStatus::Ok)
+    return fail(result.Header.Reason);
+  std::vector<direct::StoreRecord> records;
+  for (const edge::KvEntry &entry : result.Entries)
+    records.push_back(recordOf(entry, false));
+  TimePoint now = monotonicNow();
+  confirm(now);
+  State.Catalog.applyAll(records, result.Header.Revision, now);
+  HasAll = true;
+  WatchedTo = result.Header.Revision;
+  Changed();
+  watch();
+}
+
+void StoreFollower::watch() {
+  uint64_t epoch = ++Epoch;
+  auto on = [self = shared_from_this(), epoch](auto step) {
+    boost::asio::dispatch(self->On, [self, epoch, step = std::move(step)] {
+      if (epoch == self->Epoch)
+        step(*self);
+    });
+  };
+  edge::KvWatchHooks hooks;
+  hooks.Changed = [on](const edge::KvHeader &header,
+                       std::vector<edge::KvChange> changes) {
+    on([header, changes = std::move(changes)](StoreFollower &self) {
+      self.onChanged(header, changes);
+    });
+  };
+  hooks.Ended = [on](const edge::KvHeader &header, uint64_t compactRevision) {
+    on([header, compactRevision](StoreFollower &self) {
+      self.onEnded(header, compactRevision);
+    });
+  };
+  StopWatch =
+      Store.Watch("", edge::prefixEnd(""), WatchedTo + 1, std::move(hooks));
+}
+
+void StoreFollower::onChanged(const edge::KvHeader &header,
+                              const std::vector<edge::KvChange> &changes) {
+  std::vector<direct::StoreRecord> records;
+  for (const edge::KvChange &change : changes)
+    records.push_back(recordOf(change.Entry, change.Deleted));
+  TimePoint now = monotonicNow();
+  confirm(now);
+  WatchedTo = std::max(WatchedTo, header.Revision);
+  if (records.empty())
+    return;
+  State.Catalog.apply(records, now);
+  Changed();
+}
+
+void StoreFollower::onEnded(const edge::KvHeader &header,
+                            uint64_t compactRevision) {
+  StopWatch = nullptr;
+  // Lost history is no failure of the service: everything is read anew.
+  if (compactRevision > 0) {
+    State.Log.write(LogWeight::Notable, "service_history_lost",
+                    {{"watched_to", WatchedTo}}, monotonicNow());
+    HasAll = false;
+    return readAll();
+  }
+  fail(header.Reason);
+}
+
+void StoreFollower::confirm(TimePoint now) {
+  State.ConfirmedAt = now.time_since_epoch().count();
+  Failures = 0;
+  if (std::exchange(IsReachable, true))
+    return;
+  State.Counts.StoreReachable.set(1);
+  State.Catalog.onStoreBack(now);
+  State.Log.write(LogWeight::Notable,
+                  WasReachable ? "service_regained" : "service_reached",
+                  {{"revision", State.Catalog.revision()}}, now);
+  WasReachable = true;
+}
+
+void StoreFollower::fail(const Error &reason) {
+  ++Failures;
+  TimePoint now = monotonicNow();
+  if (std::exchange(IsReachable, false)) {
+    State.Counts.StoreReachable.set(0);
+    State.Catalog.onStoreLost();
+    State.Log.write(LogWeight::Notable, "service_lost",
+                    {{"reason", reason.Detail}, {"watched_to", WatchedTo}},
+                    now);
+  }
+  retryLater();
+}
+
+void StoreFollower::retryLater() {
+  uint32_t doublings = std::min(Failures, MostDoublings);
+  Duration most =
+      std::min<Duration>(Settings.LeastPause * (1LL << doublings), Settings.LongestPause);
+  auto jitter = static_cast<int64_t>(
+      Random() % static_cast<uint64_t>(std::max<int64_t>(most.count() / 2, 1)));
+  Timer.expires_after(most / 2 + Duration(jitter));
+  Timer.async_wait([weak = weak_from_this()](auto ec) {
+    auto self = weak.lock();
+    if (!self || ec || self->IsStopped)
+      return;
+    if (self->HasAll)
+      self->watch();
+    else
+      self->readAll();
+  });
+}
+
+void StoreFollower::merge(const std::vector<direct::StoreRecord> &records) {
+  State.Catalog.apply(records, monotonicNow());
+  Changed();
+}
+
+} // namespace daisytack::gateway
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -7,7 +7,7 @@
 namespace daisytack::net {
 
 bool HttpClientConnection::isFresh(SteadyClock::time_point now) {
-  return now - Since < MaxIdleAge && probePeer(Socket) == PeerState::Quiet;
+  return now < UsableUntil && probePeer(Socket) == PeerState::Quiet;
 }
 
 std::shared_ptr<HttpClientConnection>
@@ -32,7 +32,6 @@
 
 void HttpConnectionPool::put(const Endpoint &to,
                              std::shared_ptr<HttpClientConnection> connection) {
-  connection->Since = SteadyClock::now();
   std::shared_ptr<HttpClientConnection> oldest; // Closed outside the lock.
   std::lock_guard guard(Lock);
   if (Closed)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -8,6 +8,9 @@
 
 /// Called on an I/O thread, in order, and never after done.
 struct HttpHooks {
+  /// Whether a response belongs to this request. One that does not is read and
+  /// dropped, and the next one on the connection counts. Empty: every one does.
+  std::function<bool(const std::vector<HttpHeader> &headers)> IsOwn;
   std::function<void(unsigned status, const std::vector<HttpHeader> &headers)>
       Head;
   std::function<void(std::string_view data)> Data;
@@ -36,6 +39,9 @@
 struct HttpClientInit {
   size_t MaxIdlePerEndpoint = 16;
   Duration ConnectTimeout{1'000'000};
+  /// A kept connection is given up so long before its peer would close it, as
+  /// the peer's Keep-Alive says; covers a trip and a late timer on both sides.
+  Duration KeepAliveMargin{300'000};
   size_t MaxResponseHeaderBytes = 64U << 10;
   size_t MaxResponseBodyBytes = 64U << 20; ///< Of fetch; call() is unbounded.
 };
@@ -45,7 +51,8 @@
 public:
   HttpClient(boost::asio::io_context &io, HttpClientInit init);
   ~HttpClient();
-  /// Sends the request. A timeout of zero means none but the connect timeout.
+  /// Sends the request, with a Host header of its own if it names none. A
+  /// timeout of zero means none but the connect timeout.
   /// A kept-alive connection that turns out stale is replaced once, if nothing
   /// was sent over it or the method is GET or HEAD.
   HttpCall call(const Endpoint &to, HttpRequest request, Duration timeout,
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -2,10 +2,12 @@
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace daisytack::net {
@@ -22,10 +24,11 @@
   std::string target = request.Path.empty() ? "/" : request.Path;
   if (!request.Query.empty())
     target += "?" + request.Query;
-  out.target(target);
-  out.set(http::field::host, toString(to));
+  out.target(request.Target.empty() ? target : request.Target);
   for (const HttpHeader &header : request.Headers)
     out.insert(header.Name, header.Value);
+  if (out.count(http::field::host) == 0)
+    out.set(http::field::host, toString(to));
   out.body() = std::move(request.Body);
   bool mayHaveBody =
       out.method() != http::verb::get && out.method() != http::verb::head;
@@ -38,6 +41,17 @@
   return method == http::verb::get || method == http::verb::head;
 }
 
+/// Whether the response's length can be read in one way only (RFC 9112, 6.3).
+bool isFramingSound(const http::response<http::buffer_body> &message) {
+  size_t lengths = message.count(http::field::content_length);
+  size_t codings = message.count(http::field::transfer_encoding);
+  if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1))
+    return false;
+  return codings == 0 ||
+         boost::beast::iequals(message[http::field::transfer_encoding],
+                               "chunked");
+}
+
 std::vector<HttpHeader> headersOf(const http::fields &fields) {
   std::vector<HttpHeader> out;
   for (const auto &field : fields)
@@ -110,6 +124,9 @@
 
 void HttpClientCall::send() {
   MaySend = true;
+  IsSent = false;
+  if (Message.body().size() > MostBytesBeforeRead)
+    readHead();
   http::async_write(Connection->Socket, Message,
                     asio::bind_executor(Order, [self = shared_from_this()](
                                                    ErrorCode ec, size_t n) {
@@ -120,17 +137,20 @@
 void HttpClientCall::onSent(ErrorCode ec, size_t n) {
   if (Finished)
     return;
-  if (ec && n == 0) {
+  IsSent = !ec;
+  if (ec && n == 0 && !IsReading) {
     MaySend = false;
     if (startAgain())
       return;
     return failed(ec, "send");
   }
   // A server may answer before it has read everything, and then close.
-  readHead();
+  if (!IsReading)
+    readHead();
 }
 
 void HttpClientCall::readHead() {
+  IsReading = true;
   Response.emplace();
   Response->header_limit(static_cast<uint32_t>(Init.MaxResponseHeaderBytes));
   Response->body_limit(boost::none);
@@ -154,12 +174,17 @@
   }
   if (Response->get().result() == http::status::continue_)
     return readHead();
-  if (Hooks.Head)
-    Hooks.Head(Response->get().result_int(), headersOf(Response->get().base()));
+  if (!isFramingSound(Response->get()))
+    return finish({ErrorKind::ProtocolError,
+                   toString(To) + ": a response of ambiguous length"});
+  std::vector<HttpHeader> headers = headersOf(Response->get().base());
+  IsForeign = Hooks.IsOwn && !Hooks.IsOwn(headers);
+  if (!IsForeign && Hooks.Head)
+    Hooks.Head(Response->get().result_int(), headers);
   if (Finished)
     return;
   if (Response->is_done())
-    return complete();
+    return onWhole();
   ReadBuffer.resize(FirstReadBytes);
   readBody();
 }
@@ -179,7 +204,7 @@
   if (Finished)
     return;
   size_t n = ReadBuffer.size() - Response->get().body().size;
-  if (n > 0 && Hooks.Data)
+  if (n > 0 && Hooks.Data && !IsForeign)
     Hooks.Data(std::string_view(ReadBuffer.data(), n));
   if (Finished)
     return;
@@ -188,7 +213,7 @@
   if (ec)
     return failed(ec, "response");
   if (Response->is_done())
-    return complete();
+    return onWhole();
   if (n == ReadBuffer.size() && n < MostReadBytes)
     ReadBuffer.resize(2 * n);
   readBody();
@@ -200,14 +225,42 @@
   ErrorCode ignored;
   Connection->Socket.close(ignored);
   MaySend = false;
+  IsReading = false;
   connect();
   return true;
 }
 
+void HttpClientCall::onWhole() {
+  if (!IsForeign)
+    return complete();
+  if (!Response->keep_alive())
+    return failed(asio::error::eof, "response");
+  readHead();
+}
+
+Duration HttpClientCall::idleTime() const {
+  Duration longest = HttpClientConnection::MaxIdleAge;
+  std::string_view text = Response->get()[http::field::keep_alive];
+  constexpr std::string_view Name = "timeout=";
+  size_t at = text.find(Name);
+  if (at == std::string_view::npos)
+    return longest;
+  int64_t seconds = 0;
+  std::string_view digits = text.substr(at + Name.size());
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds)
+          .ec != std::errc())
+    return longest;
+  return std::min<Duration>(longest, std::chrono::seconds(seconds)) -
+         Init.KeepAliveMargin;
+}
+
 void HttpClientCall::complete() {
-  bool whole = Response->keep_alive() && Connection->Buffer.size() == 0;
-  if (whole)
+  bool mayReuse = IsSent && Response->keep_alive() && !Response->need_eof() &&
+                  Connection->Buffer.size() == 0;
+  if (mayReuse) {
+    Connection->UsableUntil = SteadyClock::now() + idleTime();
     Pool->put(To, std::exchange(Connection, nullptr));
+  }
   finish({});
 }
 
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -26,6 +26,7 @@
   explicit HttpClientConnection(asio::io_context &io)
       : Socket(asio::make_strand(io)) {}
 
+  /// Idle time when the peer names none.
   static constexpr std::chrono::seconds MaxIdleAge{20};
   /// False when the peer has closed it, sent something unasked, or it has been
   /// idle for so long that the peer may be about to.
@@ -33,7 +34,8 @@
 
   StrandSocket Socket;
   boost::beast::flat_buffer Buffer;
-  SteadyClock::time_point Since; ///< When it became idle.
+  /// Not to be used again from then on.
+  SteadyClock::time_point UsableUntil;
 };
 
 /// Idle connections by endpoint. Thread-safe.
@@ -72,6 +74,9 @@
   /// are filled.
   static constexpr size_t FirstReadBytes = 1U << 10;
   static constexpr size_t MostReadBytes = 64U << 10;
+  /// A longer request is sent while its response is awaited, as a server may
+  /// answer before it has read everything.
+  static constexpr size_t MostBytesBeforeRead = 16U << 10;
 
   void begin();
   void connect();
@@ -82,6 +87,11 @@
   void onHead(ErrorCode ec);
   void readBody();
   void onBody(ErrorCode ec);
+  /// The response is whole: ends the call, or reads on after one that belongs
+  /// to another request.
+  void onWhole();
+  /// How long the connection may stay idle, by the response's Keep-Alive.
+  Duration idleTime() const;
   /// Takes a new connection after a stale one; false when that isn't allowed.
   bool startAgain();
   void complete();
@@ -105,6 +115,9 @@
   bool Reused = false;
   bool MaySend = false; ///< Some byte of the request may have been sent.
   bool AnyReceived = false;
+  bool IsSent = false; ///< The whole request was given to the socket.
+  bool IsReading = false;
+  bool IsForeign = false; ///< The response read now is another request's.
   bool Finished = false;
 };
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -16,6 +16,41 @@
 constexpr size_t KeptBufferBytes = 4096; ///< More is freed between requests.
 /// A request that was on its way when the server stopped accepting is met.
 constexpr Duration LastIdleTime{250'000};
+constexpr std::string_view HeaderEnd = "\r\n\r\n";
+constexpr size_t HeaderReadBytes = 4096; ///< Read at once.
+constexpr unsigned HttpVersion11 = 11;
+
+/// Continuation lines are obsolete (RFC 9112, 5.2) and read differently by
+/// different programs.
+bool hasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
+bool isDigits(std::string_view text) {
+  return !text.empty() &&
+         text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+/// Whether the message's length can be read in one way only (RFC 9112, 6.3),
+/// and its target host is named once (3.2): anything else could hide a second
+/// request from one of two readers.
+bool isFramingSound(const http::request<http::string_body> &message) {
+  size_t lengths = message.count(http::field::content_length);
+  size_t codings = message.count(http::field::transfer_encoding);
+  size_t hosts = message.count(http::field::host);
+  bool isModern = message.version() >= HttpVersion11;
+  if (hosts > 1 || (isModern && hosts == 0))
+    return false;
+  if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1))
+    return false;
+  if (lengths == 1)
+    return isDigits(message[http::field::content_length]);
+  if (codings == 0)
+    return true;
+  return isModern && boost::beast::iequals(
+                         message[http::field::transfer_encoding], "chunked");
+}
 
 class Exchange : public HttpExchange {
 public:
@@ -50,6 +85,7 @@
   HttpRequest out;
   out.Method = std::string(message.method_string());
   std::string_view target = message.target();
+  out.Target = std::string(target);
   size_t mark = target.find('?');
   out.Path = std::string(target.substr(0, mark));
   if (mark != std::string_view::npos)
@@ -104,7 +140,8 @@
   }
   tuneSocket(Socket);
   asio::dispatch(Socket.get_executor(), [self = shared_from_this()] {
-    self->setDeadline(self->Shared->Init.IdleTimeout);
+    self->IdleSince = SteadyClock::now();
+    self->setDeadline(self->Shared->limits()->IdleTimeout);
     self->waitReadable();
   });
 }
@@ -136,7 +173,7 @@
   if (ec)
     return close();
   if (Now == State::Idle)
-    return readHeader();
+    return startRequest();
   if (Now != State::Answering)
     return;
   switch (probePeer(Socket)) {
@@ -150,18 +187,47 @@
   }
 }
 
-void HttpConnection::readHeader() {
+void HttpConnection::startRequest() {
   Now = State::Reading;
   TimedOut = false;
   Pipelined = false;
-  setDeadline(Shared->Init.ReadTimeout);
+  auto limits = Shared->limits();
+  setDeadline(limits->HeaderTimeout);
   Input = std::make_unique<Parser>();
-  Input->header_limit(static_cast<uint32_t>(Shared->Init.MaxHeaderBytes));
-  Input->body_limit(Shared->Init.MaxBodyBytes);
-  http::async_read_header(Socket, Buffer, *Input,
-                          [self = shared_from_this()](ErrorCode ec, size_t) {
-                            self->onHeader(ec);
-                          });
+  Input->header_limit(static_cast<uint32_t>(limits->MaxHeaderBytes));
+  Input->body_limit(limits->MaxBodyBytes);
+  takeHeader();
+}
+
+void HttpConnection::takeHeader() {
+  std::string_view received(static_cast<const char *>(Buffer.data().data()),
+                            Buffer.size());
+  size_t limit = Shared->limits()->MaxHeaderBytes;
+  size_t end = received.find(HeaderEnd);
+  if (end != std::string_view::npos) {
+    if (hasFoldedLine(received.substr(0, end)))
+      return onHeader(http::error::bad_value);
+    ErrorCode ec;
+    Buffer.consume(Input->put(Buffer.data(), ec));
+    if (ec == http::error::need_more)
+      ec = {};
+    return onHeader(ec);
+  }
+  if (received.size() >= limit)
+    return onHeader(http::error::header_limit);
+  Socket.async_read_some(Buffer.prepare(HeaderReadBytes),
+                         [self = shared_from_this()](ErrorCode ec, size_t n) {
+                           self->Buffer.commit(n);
+                           if (self->Now != State::Reading)
+                             return;
+                           if (!ec && !self->TimedOut)
+                             return self->takeHeader();
+                           bool atStart = self->Buffer.size() == 0;
+                           if (ec == asio::error::eof)
+                             ec = atStart ? http::error::end_of_stream
+                                          : http::error::partial_message;
+                           self->onHeader(ec);
+                         });
 }
 
 void HttpConnection::onHeader(ErrorCode ec) {
@@ -171,6 +237,9 @@
     return close();
   if (ec || TimedOut)
     return rejectInput(ec);
+  if (!isFramingSound(Input->get()))
+    return rejectInput(http::error::bad_transfer_encoding);
+  setDeadline(Shared->limits()->BodyTimeout);
   std::string_view expect = Input->get()[http::field::expect];
   if (!Input->is_done() && boost::beast::iequals(expect, "100-continue")) {
     {
@@ -223,7 +292,7 @@
     std::lock_guard guard(Lock);
     serial = ++Serial;
     Ended = HeadSent = false;
-    KeepAlive = Input->keep_alive() && !Shared->Stopping;
+    KeepAlive = Input->keep_alive() && !isLastAnswer();
     IsHead = Input->get().method() == http::verb::head;
     IsOld = Input->get().version() < 11;
   }
@@ -246,11 +315,12 @@
     // Not at once, so that answered requests can't build up the stack.
     asio::post(Socket.get_executor(), [self = shared_from_this()] {
       if (self->Now == State::Idle)
-        self->readHeader();
+        self->startRequest();
     });
     return;
   }
-  setDeadline(Shared->Stopping ? LastIdleTime : Shared->Init.IdleTimeout);
+  IdleSince = SteadyClock::now();
+  setDeadline(Shared->Stopping ? LastIdleTime : Shared->limits()->IdleTimeout);
   waitReadable();
 }
 
@@ -343,6 +413,12 @@
 }
 
 void HttpConnection::onDeadline() {
+  if (Now == State::Idle && !Shared->Stopping) {
+    // The limit may have been raised meanwhile.
+    Deadline = IdleSince + Shared->limits()->IdleTimeout;
+    if (SteadyClock::now() < Deadline)
+      return armTimer();
+  }
   if (Now != State::Reading || TimedOut)
     return close();
   // Ends the pending read, whose handler then answers 408.
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -24,10 +24,18 @@
 /// What the connections of one server share.
 struct HttpServerShared {
   HttpServerShared(HttpServerInit init, HttpHandler handler)
-      : Init(std::move(init)), Handler(std::move(handler)) {}
+      : Init(std::move(init)), Handler(std::move(handler)),
+        Limits(std::make_shared<const HttpLimits>(
+            HttpLimits{Init.MaxHeaderBytes, Init.MaxBodyBytes, Init.ReadTimeout,
+                       Init.ReadTimeout, Init.IdleTimeout})) {}
+
+  std::shared_ptr<const HttpLimits> limits() const { return Limits.load(); }
 
   const HttpServerInit Init;
   const HttpHandler Handler;
+  std::atomic<std::shared_ptr<const HttpLimits>> Limits;
+  /// Every answer is the last of its connection.
+  std::atomic<bool> LastAnswers{false};
   std::atomic<size_t> Open{0};
   std::atomic<size_t> Answering{0}; ///< Handed over and not wholly sent.
   std::atomic<bool> Stopping{false};
@@ -76,7 +84,10 @@
   // Input.
   void waitReadable();
   void onReadable(ErrorCode ec);
-  void readHeader();
+  void startRequest();
+  /// Parses what was received of the header section and reads on until it is
+  /// whole.
+  void takeHeader();
   void onHeader(ErrorCode ec);
   void readBody();
   void onBody(ErrorCode ec);
@@ -87,6 +98,7 @@
 
   // Output. Lock is held where the name says so.
   bool isOpenLocked(uint64_t serial) const;
+  bool isLastAnswer() const { return Shared->Stopping || Shared->LastAnswers; }
   void queueLocked(std::string data);
   void scheduleFlush();
   void flush();
@@ -108,6 +120,7 @@
   std::shared_ptr<HttpServerShared> Shared;
   boost::beast::flat_buffer Buffer;
   std::unique_ptr<Parser> Input;
+  SteadyClock::time_point IdleSince;
   SteadyClock::time_point Deadline = SteadyClock::time_point::max();
   SteadyClock::time_point TimerAt = SteadyClock::time_point::max();
   State Now = State::Idle;
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -71,7 +71,7 @@
     std::lock_guard guard(Lock);
     if (!isOpenLocked(serial) || HeadSent)
       return;
-    KeepAlive = KeepAlive && !Shared->Stopping;
+    KeepAlive = KeepAlive && !isLastAnswer();
     std::string out =
         headOf(response.Status, response.Headers, false, response.Body.size());
     if (!IsHead)
@@ -89,7 +89,7 @@
     if (!isOpenLocked(serial) || HeadSent)
       return;
     Chunked = !IsOld;
-    KeepAlive = KeepAlive && Chunked && !Shared->Stopping;
+    KeepAlive = KeepAlive && Chunked && !isLastAnswer();
     queueLocked(headOf(status, headers, true, 0));
     HeadSent = true;
   }
@@ -189,7 +189,7 @@
 
 void HttpConnection::sendSome() {
   if (Now == State::Answering)
-    setDeadline(Shared->Init.IdleTimeout);
+    setDeadline(Shared->limits()->IdleTimeout);
   std::array<asio::const_buffer, BuffersAtOnce> buffers;
   size_t n = 0;
   for (size_t i = SendIndex; i < Sending.size() && n < buffers.size(); ++i) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -108,6 +108,14 @@
 
 uint16_t HttpServer::port() const { return Self->Port; }
 
+void HttpServer::setLimits(const HttpLimits &limits) {
+  Self->Shared->Limits.store(std::make_shared<const HttpLimits>(limits));
+}
+
+void HttpServer::endConnectionsAfterAnswers() {
+  Self->Shared->LastAnswers = true;
+}
+
 void HttpServer::stopAccepting() {
   if (Self->Shared->Stopping.exchange(true))
     return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -27,6 +27,9 @@
   std::string Query; ///< Without the question mark.
   std::vector<HttpHeader> Headers;
   std::string Body;
+  /// Path and query exactly as received. In a request to be sent it replaces
+  /// Path and Query unless it is empty.
+  std::string Target = {};
 
   /// Value of the first header of that name, whatever its case; empty when
   /// there is none.
@@ -65,14 +68,25 @@
 using HttpHandler =
     std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
 
+/// Bounds on what a caller may send and how long it may take; they may change
+/// while the server runs.
+struct HttpLimits {
+  size_t MaxHeaderBytes = MaxHttpHeaderBytes;
+  size_t MaxBodyBytes = MaxHttpBodyBytes;
+  Duration HeaderTimeout{10'000'000}; ///< From a request's first byte on.
+  Duration BodyTimeout{10'000'000};   ///< From the end of its headers on.
+  Duration IdleTimeout{60'000'000};   ///< Between requests, and for a write
+                                      ///< without progress.
+  auto operator<=>(const HttpLimits &) const = default;
+};
+
 struct HttpServerInit {
   Endpoint Listen;
   size_t MaxHeaderBytes = MaxHttpHeaderBytes;
   size_t MaxBodyBytes = MaxHttpBodyBytes;
   size_t MaxPendingBytes = 1U << 20; ///< A slower reader is cut off.
   size_t MaxConnections = 20'000;    ///< Further ones are closed at once.
-  Duration ReadTimeout{
-      10'000'000}; ///< For a whole request, from its first byte.
+  Duration ReadTimeout{10'000'000};  ///< For the headers, and for the body.
   Duration IdleTimeout{
       60'000'000}; ///< Between requests, and for a write without progress.
 };
@@ -86,6 +100,12 @@
   bool start(Error &reason);
   /// Port in use, for Listen.Port 0 in tests.
   uint16_t port() const;
+  /// In force for every request and idle wait that begins afterwards, and for
+  /// idle waits that would otherwise end sooner.
+  void setLimits(const HttpLimits &limits);
+  /// Every answer from now on is the last of its connection; new connections
+  /// are still accepted.
+  void endConnectionsAfterAnswers();
   /// Accepts no further connection and closes idle ones after a moment, in
   /// which a request that was on its way still reaches the handler; running
   /// exchanges go on, each the last of its connection.
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -7,10 +7,11 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <thread>
 
-DEFINE_string(config, "", "settings file (INI)");
+DEFINE_string(config, "", "settings file (INI); else that of DAISYTACK_CONFIG");
 DEFINE_bool(check, false, "check the settings and exit");
 DECLARE_bool(help);
 DECLARE_bool(helpshort);
@@ -142,7 +143,8 @@
 std::string processUsage(const ProcessInit &init) {
   return init.Summary + "\n\nusage: " + init.Name +
          " --config=FILE [--check]\n\n"
-         "  --config=FILE  settings file (INI)\n"
+         "  --config=FILE  settings file (INI); by default the one that the\n"
+         "                 variable DAISYTACK_CONFIG names\n"
          "  --check        check the settings, print every mistake and exit\n"
          "  --version      print the version and exit\n"
          "  --help         print this and exit\n\n"
@@ -164,6 +166,9 @@
     std::cout << init.Name << " " << DAISYTACK_VERSION << "\n";
     return asInt(ExitCode::Done);
   }
+  const char *fromEnvironment = std::getenv("DAISYTACK_CONFIG");
+  if (FLAGS_config.empty() && fromEnvironment)
+    FLAGS_config = fromEnvironment;
   if (argc > 1 || FLAGS_config.empty()) {
     std::cerr << (argc > 1
                       ? "unexpected argument '" + std::string(argv[1]) + "'"
--- a/tests/net_http/server_test.cpp
+++ b/tests/net_http/server_test.cpp
@@ -52,10 +52,12 @@
     testing::Values(
         BadInput{"Garbage", "this is not HTTP\r\n\r\n", false, "400",
                  "bad_request"},
-        BadInput{"BadLength", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+        BadInput{"BadLength",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
                  false, "400", "bad_request"},
         BadInput{"BadChunk",
-                 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                 "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                 "chunked\r\n\r\nzz\r\n",
                  false, "400", "bad_request"},
         BadInput{"LongHeader",
                  "GET / HTTP/1.1\r\nX: " +
@@ -65,21 +67,75 @@
                  "GET / HTTP/1.1\r\nX: " +
                      std::string(2 * SmallHeaderLimit, 'h'),
                  false, "431", "header_too_large"},
-        BadInput{"AnnouncedBody",
-                 "POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\nabc",
-                 false, "413", "body_too_large"},
         BadInput{
-            "ChunkedBody",
-            "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2000\r\n" +
-                std::string(0x2000, 'b') + "\r\n0\r\n\r\n",
+            "AnnouncedBody",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\nabc",
             false, "413", "body_too_large"},
+        BadInput{"ChunkedBody",
+                 "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                 "chunked\r\n\r\n2000\r\n" +
+                     std::string(0x2000, 'b') + "\r\n0\r\n\r\n",
+                 false, "413", "body_too_large"},
+        BadInput{"NoHost", "GET / HTTP/1.1\r\n\r\n", false, "400",
+                 "bad_request"},
+        BadInput{"TwoHosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+                 false, "400", "bad_request"},
+        BadInput{"FoldedLine",
+                 "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n", false,
+                 "400", "bad_request"},
+        BadInput{
+            "FoldedLength",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length:\r\n\t3\r\n\r\nabc",
+            false, "400", "bad_request"},
+        BadInput{"SignedLength",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc",
+                 false, "400", "bad_request"},
+        BadInput{"TwoLengths",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                 "Content-Length: 4\r\n\r\nabcd",
+                 false, "400", "bad_request"},
+        BadInput{
+            "ListOfLengths",
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc",
+            false, "400", "bad_request"},
+        BadInput{"LengthAndChunks",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 false, "400", "bad_request"},
+        BadInput{
+            "IdentityCoding",
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity\r\n\r\n"
+            "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n",
+            false, "400", "bad_request"},
+        BadInput{
+            "UnknownCoding",
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n"
+            "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n",
+            false, "400", "bad_request"},
+        BadInput{"ChunkedNotLast",
+                 "POST / HTTP/1.1\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+                 false, "400", "bad_request"},
+        BadInput{"TwoCodings",
+                 "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 false, "400", "bad_request"},
+        BadInput{"OldVersionChunked",
+                 "POST / HTTP/1.0\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 false, "400", "bad_request"},
+        BadInput{"SpaceBeforeColon",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc",
+                 false, "400", "bad_request"},
         BadInput{"SlowHeader", "GET / HTTP/1.1\r\nHo", false, "408",
                  "request_timeout"},
-        BadInput{"SlowBody", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+        BadInput{"SlowBody",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
                  false, "408", "request_timeout"},
         BadInput{"HalfHeader", "GET / HTTP/1.1\r\nHo", true, "400",
                  "bad_request"},
-        BadInput{"HalfBody", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
+        BadInput{"HalfBody",
+                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
                  true, "400", "bad_request"}),
     [](const auto &row) { return row.param.Name; });
 
@@ -88,9 +144,9 @@
   RawClient raw(fixture.Server.port());
   std::string many;
   for (int i = 0; i < 50; ++i)
-    many += "POST /p HTTP/1.1\r\nContent-Length: 2\r\n\r\n" +
+    many += "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n" +
             std::to_string(10 + i);
-  many += "GET /last?q=1 HTTP/1.1\r\nConnection: close\r\n\r\n";
+  many += "GET /last?q=1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
   raw.send(many);
   std::string answer = raw.readAll();
   size_t at = 0;
@@ -104,8 +160,9 @@
 TEST(HttpServer, ContinuesWhenExpected) {
   HttpFixture fixture(echo);
   RawClient raw(fixture.Server.port());
-  raw.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: "
-           "2\r\nConnection: close\r\n\r\n");
+  raw.send(
+      "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: "
+      "2\r\nConnection: close\r\n\r\n");
   EXPECT_NE(raw.readUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
   raw.send("ab");
   EXPECT_NE(raw.readAll().find("POST  ab"), std::string::npos);
@@ -133,7 +190,7 @@
   Holder holder;
   HttpFixture fixture(holder.handler());
   RawClient raw(fixture.Server.port());
-  raw.send("GET / HTTP/1.1\r\n\r\n");
+  raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   auto exchange = holder.Arrived.get_future().get();
   raw.close();
   EXPECT_EQ(holder.Closed.get_future().wait_for(WaitLimit),
@@ -146,7 +203,7 @@
   Holder holder;
   HttpFixture fixture(holder.handler());
   RawClient raw(fixture.Server.port());
-  raw.send("GET / HTTP/1.1\r\n\r\n");
+  raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   auto exchange = holder.Arrived.get_future().get();
   raw.endSending();
   std::string answer = raw.readAll();
@@ -191,7 +248,7 @@
   EXPECT_EQ(fixture.fetch({"GET", "/", "", {}, ""}).Reason.Kind,
             ErrorKind::ServerLost);
   RawClient raw(fixture.Server.port());
-  raw.send("GET / HTTP/1.1\r\n\r\n");
+  raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   EXPECT_TRUE(raw.readAll().ends_with("\r\n\r\n4\r\npart\r\n"));
 }
 
@@ -201,7 +258,7 @@
   Holder holder;
   HttpFixture fixture(holder.handler(), init);
   RawClient raw(fixture.Server.port());
-  raw.send("GET / HTTP/1.1\r\n\r\n");
+  raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   auto exchange = holder.Arrived.get_future().get();
   auto closed = holder.Closed.get_future();
   exchange->beginStream(200, {});
@@ -225,7 +282,7 @@
   Holder holder;
   HttpFixture fixture(holder.handler());
   RawClient raw(fixture.Server.port());
-  raw.send("GET / HTTP/1.1\r\n\r\n");
+  raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
   auto exchange = holder.Arrived.get_future().get();
   fixture.Server.stopAccepting();
   EXPECT_EQ(fixture.Server.unsentAnswers(), 1U);
--- a/tests/process/drain_test.py
+++ b/tests/process/drain_test.py
@@ -21,7 +21,7 @@
     caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
     caller.settimeout(60)
     caller.connect((HOST, entry.work))
-    caller.sendall((f"POST /v1/completions HTTP/1.1\r\nAuthorization: {d.headers()['Authorization']}\r\n"
+    caller.sendall((f"POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: {d.headers()['Authorization']}\r\n"
                     f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
     wait_for("the engine has finished", lambda: d.engine_stats("finished") > finished)
     got = caller.recv(1)
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -1,25 +1,47 @@
-// daisytack-entry: callers' HTTP on one side, agents on the other.
+// daisytack-entry: callers' HTTP on one side; agents, or backend servers
+// themselves, on the other.
 #include "entry_shell.h"
+#include "gateway/gateway.h"
+#include "platform/kv_store.h"
+#include "platform/protocol.h"
 #include "runtime/process.h"
 
+#include <optional>
+
 using namespace daisytack;
 
 int main(int argc, char **argv) {
   entry::EntryOptions options;
+  std::optional<gateway::GatewayOptions> direct;
   std::unique_ptr<entry::EntryShell> shell;
+  std::unique_ptr<gateway::Gateway> gateway;
   runtime::ProcessInit init;
   init.Name = "daisytack-entry";
   init.Summary = "Takes callers' requests and has them run by backend servers.";
   init.ReadSettings = [&](Settings &settings) {
-    options = entry::readEntryOptions(settings);
+    if (gateway::isGatewaySettings(settings))
+      direct = gateway::readGatewayOptions(settings);
+    else
+      options = entry::readEntryOptions(settings);
   };
   init.Start = [&](boost::asio::io_context &io, Error &reason) {
+    if (direct) {
+      gateway = std::make_unique<gateway::Gateway>(
+          io, *direct, platform::makeProtocol(), platform::makeKvStore);
+      return gateway->start(reason);
+    }
     shell = std::make_unique<entry::EntryShell>(io, options);
     return shell->start(reason);
   };
   init.Drain = [&](std::function<void()> done) {
-    shell->drain(std::move(done));
+    if (gateway)
+      gateway->drain(std::move(done));
+    else
+      shell->drain(std::move(done));
+  };
+  init.Stop = [&] {
+    gateway.reset();
+    shell.reset();
   };
-  init.Stop = [&] { shell.reset(); };
   return runtime::runProcess(argc, argv, init);
 }
