Follow kept context, order new weights under a fenced lease, ask peers for news

One entry holds a leased key whose creation revision is the fencing token, orders new weights two at a time, and frees what no weights in use can read. Entries ask one another for records while the key-value service does not answer them.

Conclusion: loads end seconds before anybody hears of it, and fetches queue at a slow store; both next.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -142,6 +142,8 @@
       continue;
     if (const auto *peer = std::get_if<EntryPeer>(&held.Value))
       next->Entries.push_back(*peer);
+    if (const auto *holder = std::get_if<OrderHolder>(&held.Value))
+      next->Holder = holder->Entry;
     const auto *server = std::get_if<BackendServer>(&held.Value);
     if (!server)
       continue;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -31,6 +31,7 @@
   std::vector<BackendServer> AllServers;
   std::map<std::string, WantedVersion, std::less<>> Wanted; ///< By model.
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
+  std::string Holder; ///< Entry that may give orders; empty when none may.
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
 };
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -51,8 +51,21 @@
   auto operator<=>(const DesiredWeights &) const = default;
 };
 
+/// The one entry that may give orders to servers and free kept context.
+struct OrderHolder {
+  std::string Entry;
+  auto operator<=>(const OrderHolder &) const = default;
+};
+
 /// What a key of the store is about.
-enum class FactKind : uint8_t { Config, Server, Weights, Entry, Other };
+enum class FactKind : uint8_t {
+  Config,
+  Server,
+  Weights,
+  Entry,
+  Holder, ///< Of the right to give orders.
+  Other
+};
 
 struct FactSubject {
   FactKind Kind = FactKind::Other;
@@ -61,7 +74,7 @@
 };
 
 using FactValue = std::variant<std::monostate, ServingConfig, BackendServer,
-                               DesiredWeights, EntryPeer>;
+                               DesiredWeights, EntryPeer, OrderHolder>;
 
 /// One key of the store as it was read: opaque to all but the decoder, so that
 /// entries can pass it on as it is.
--- /dev/null
+++ b/src/direct/peer_messages.h
@@ -0,0 +1,46 @@
+/// What entries on the direct path tell one another.
+#pragma once
+
+#include "direct/facts.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisytack::direct {
+
+/// An entry that the key-value service does not answer asks another for what is
+/// newer than it knows.
+struct RecordsWanted {
+  uint64_t Revision = 0;
+  bool operator==(const RecordsWanted &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(Revision); }
+};
+
+struct RecordsFound {
+  std::vector<StoreRecord> Records;
+  /// Microseconds since the service confirmed them to the sender.
+  int64_t ConfirmedAgo = 0;
+  bool operator==(const RecordsFound &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Records, ConfirmedAgo);
+  }
+};
+
+/// Servers that are taking new weights, or about to, and turn requests away
+/// until they have them.
+struct ServersLoading {
+  std::vector<std::string> Servers;
+  bool operator==(const ServersLoading &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(Servers); }
+};
+
+struct Received {
+  bool operator==(const Received &) const = default;
+  template <class Archive> void serialize(Archive &) {}
+};
+
+using PeerMessage =
+    std::variant<RecordsWanted, RecordsFound, ServersLoading, Received>;
+
+} // namespace daisytack::direct
--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -39,6 +39,7 @@
   std::function<std::string(std::string_view entry)> EntryKey;
   std::function<std::string(const EntryPeer &)> EncodeEntry;
   std::string HolderKey; ///< Held by the one entry that gives orders.
+  std::function<std::string(const OrderHolder &)> EncodeHolder;
 
   // Stores of kept context and engines.
   std::function<net::HttpRequest(uint64_t since, Duration wait)> ChangesRequest;
--- a/src/direct/server_loads.cpp
+++ b/src/direct/server_loads.cpp
@@ -46,6 +46,13 @@
   state.AvoidUntil = std::max(state.AvoidUntil, until);
 }
 
+void ServerLoads::onLoaded(const std::string &server) {
+  std::lock_guard guard(Lock);
+  auto it = Servers.find(server);
+  if (it != Servers.end())
+    it->second.AvoidUntil = TimePoint();
+}
+
 ServerLoadView ServerLoads::view(const std::string &server,
                                  TimePoint now) const {
   std::lock_guard guard(Lock);
--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -44,6 +44,8 @@
   void onTurnedAway(const std::string &server, TimePoint now);
   /// The server is taking new weights and turns requests away until then.
   void avoidUntil(const std::string &server, TimePoint until);
+  /// It has taken them.
+  void onLoaded(const std::string &server);
 
   ServerLoadView view(const std::string &server, TimePoint now) const;
   /// Forgets servers without running requests that were not used since.
--- /dev/null
+++ b/src/direct/weight_plan.cpp
@@ -0,0 +1,134 @@
+#include "direct/weight_plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::direct {
+
+std::vector<WeightPlan::Behind>
+WeightPlan::serversBehind(const Catalog &catalog) const {
+  std::vector<Behind> out;
+  for (const BackendServer &server : catalog.AllServers) {
+    if (server.IsDraining)
+      continue;
+    for (const ModelVersion &has : server.Weights) {
+      auto wanted = catalog.Wanted.find(has.Model);
+      if (wanted != catalog.Wanted.end() &&
+          has.Version < wanted->second.Version)
+        out.push_back({&server, {has.Model, wanted->second.Version}});
+    }
+  }
+  return out;
+}
+
+void WeightPlan::forgetDone(const Catalog &catalog, TimePoint now) {
+  std::erase_if(Loads, [&](const auto &it) {
+    const auto &servers = catalog.AllServers;
+    auto server =
+        std::find_if(servers.begin(), servers.end(),
+                     [&](const BackendServer &s) { return s.Id == it.first; });
+    bool isGone = server == servers.end() || server->IsDraining;
+    bool isDone = !isGone && server->versionOf(it.second.Wanted.Model) >=
+                                 it.second.Wanted.Version;
+    return isGone || isDone || now >= it.second.Since + Settings.LoadPatience;
+  });
+}
+
+const WeightPlan::Behind *WeightPlan::pick(const std::vector<Behind> &behind,
+                                           const Catalog &catalog) const {
+  std::map<std::string_view, uint32_t> loading; ///< By failure domain.
+  for (const BackendServer &server : catalog.AllServers)
+    loading[server.FailureDomain] += Loads.contains(server.Id) ? 1 : 0;
+  const Behind *out = nullptr;
+  for (const Behind &it : behind) {
+    if (Loads.contains(it.Server->Id))
+      continue;
+    if (!out ||
+        loading[it.Server->FailureDomain] < loading[out->Server->FailureDomain])
+      out = &it;
+  }
+  return out;
+}
+
+std::vector<WeightAction> WeightPlan::next(const Catalog &catalog,
+                                           TimePoint now) {
+  forgetDone(catalog, now);
+  std::vector<WeightAction> out;
+  for (auto &[id, load] : Loads) {
+    if (now < load.LookAt)
+      continue;
+    load.At = Phase::Asking;
+    load.LookAt = now + Settings.CallPatience;
+    out.push_back(AskReport{id, load.Address});
+  }
+  std::vector<Behind> behind = serversBehind(catalog);
+  while (Loads.size() < Settings.ConcurrentLoads) {
+    const Behind *it = pick(behind, catalog);
+    if (!it)
+      break;
+    Loads[it->Server->Id] = {it->Server->Address, it->Wanted, Phase::Asking,
+                             now, now + Settings.CallPatience};
+    out.push_back(AskReport{it->Server->Id, it->Server->Address});
+  }
+  return out;
+}
+
+std::vector<WeightAction>
+WeightPlan::onReport(const std::string &server,
+                     const std::optional<EngineReport> &report, TimePoint now) {
+  auto it = Loads.find(server);
+  if (it == Loads.end() || it->second.At != Phase::Asking)
+    return {};
+  Load &load = it->second;
+  if (!report) {
+    load.LookAt = now + Settings.RefusalPause;
+    return {};
+  }
+  uint64_t version = 0;
+  for (const ModelVersion &has : report->Weights)
+    if (has.Model == load.Wanted.Model)
+      version = has.Version;
+  if (report->IsBusy || version >= load.Wanted.Version) {
+    // The server's own entry ends the load; it follows the report.
+    load.At = Phase::Loading;
+    load.LookAt = now + Settings.LookInterval;
+    return {};
+  }
+  load.At = Phase::Ordering;
+  load.LookAt = now + Settings.CallPatience;
+  return {GiveOrder{server, load.Address, load.Wanted, report->OrdersTaken}};
+}
+
+void WeightPlan::onAnswer(const std::string &server, OrderAnswer answer,
+                          TimePoint now) {
+  auto it = Loads.find(server);
+  if (it == Loads.end())
+    return;
+  Load &load = it->second;
+  load.At = Phase::Loading;
+  switch (answer) {
+  case OrderAnswer::Accepted:
+    load.LookAt = now + 2 * Settings.LookInterval;
+    return;
+  case OrderAnswer::Conflict:
+  case OrderAnswer::Impossible:
+  case OrderAnswer::Unknown:
+    load.LookAt = now + Settings.RefusalPause;
+    return;
+  case OrderAnswer::OtherServer:
+    Loads.erase(it);
+    return;
+  case OrderAnswer::Fenced:
+    Loads.clear();
+    return;
+  }
+}
+
+std::vector<std::string> WeightPlan::busy() const {
+  std::vector<std::string> out;
+  for (const auto &[id, load] : Loads)
+    out.push_back(id);
+  return out;
+}
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/weight_plan.h
@@ -0,0 +1,102 @@
+/// Which engines are to load which version of their weights, and how far each
+/// has come. Without a socket, clock or thread.
+///
+/// An engine that is asked to load first finishes its runs and turns new
+/// requests away, so few load at a time, and they are spread over the failure
+/// domains. An order names the number of orders that the engine has accepted,
+/// so that one which arrives late, after a newer one, has no effect.
+#pragma once
+
+#include "direct/catalog.h"
+#include "direct/weight_order.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace daisytack::direct {
+
+struct WeightPlanSettings {
+  /// Engines of one model that load at a time.
+  uint32_t ConcurrentLoads = 2;
+  /// A report or an order without an answer is given up after this.
+  Duration CallPatience{700'000};
+  /// Between looks at an engine that should be loading; its reports are some
+  /// hundred milliseconds old.
+  Duration LookInterval{500'000};
+  /// A load that takes longer is begun again: several times the usual one.
+  Duration LoadPatience{6'000'000};
+  /// After an engine refused, before it is asked again.
+  Duration RefusalPause{300'000};
+  bool operator==(const WeightPlanSettings &) const = default;
+};
+
+struct AskReport {
+  std::string ServerId;
+  Endpoint Address;
+  bool operator==(const AskReport &) const = default;
+};
+struct GiveOrder {
+  std::string ServerId;
+  Endpoint Address;
+  ModelVersion Wanted;
+  uint64_t OrdersTaken = 0;
+  bool operator==(const GiveOrder &) const = default;
+};
+using WeightAction = std::variant<AskReport, GiveOrder>;
+
+/// What an engine answered to an order.
+enum class OrderAnswer : uint8_t {
+  Accepted,    ///< Being carried out, or it holds already.
+  Conflict,    ///< Another order is under way, or the count differs.
+  Fenced,      ///< Another holder has given orders since: this one must stop.
+  Impossible,  ///< The engine can't carry it out now.
+  OtherServer, ///< The address belongs to another server.
+  Unknown,     ///< No answer: it may be carried out later.
+};
+
+/// Not thread-safe.
+class WeightPlan {
+public:
+  explicit WeightPlan(WeightPlanSettings settings) : Settings(settings) {}
+
+  /// What to do now: begins loads while there is room, and looks after those
+  /// under way.
+  std::vector<WeightAction> next(const Catalog &catalog, TimePoint now);
+  std::vector<WeightAction> onReport(const std::string &server,
+                                     const std::optional<EngineReport> &report,
+                                     TimePoint now);
+  void onAnswer(const std::string &server, OrderAnswer answer, TimePoint now);
+  /// This process may not give orders any more.
+  void clear() { Loads.clear(); }
+
+  /// Servers that are loading, or about to.
+  std::vector<std::string> busy() const;
+  bool isIdle() const { return Loads.empty(); }
+
+private:
+  enum class Phase : uint8_t { Asking, Ordering, Loading };
+  struct Load {
+    Endpoint Address;
+    ModelVersion Wanted;
+    Phase At = Phase::Asking;
+    TimePoint Since;  ///< Of the first order.
+    TimePoint LookAt; ///< Next look, unless an answer comes before.
+  };
+  struct Behind {
+    const BackendServer *Server = nullptr;
+    ModelVersion Wanted;
+  };
+
+  std::vector<Behind> serversBehind(const Catalog &catalog) const;
+  void forgetDone(const Catalog &catalog, TimePoint now);
+  const Behind *pick(const std::vector<Behind> &behind,
+                     const Catalog &catalog) const;
+
+  WeightPlanSettings Settings;
+  std::map<std::string, Load> Loads;
+};
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/gateway/context_follower.cpp
@@ -0,0 +1,218 @@
+#include "gateway/context_follower.h"
+
+#include "base/clock.h"
+#include "direct/placement.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+
+} // namespace
+
+ContextFollower::ContextFollower(GatewayState &state, Strand strand,
+                                 ContextFollowerSettings settings)
+    : State(state), On(std::move(strand)), Settings(settings) {}
+
+void ContextFollower::onCatalog() {
+  auto catalog = State.catalog();
+  if (!catalog->Config)
+    return;
+  for (const direct::Service &service : catalog->Config->config().Services) {
+    if (!service.Store)
+      continue;
+    auto [it, isNew] = Stores.try_emplace(service.Name);
+    it->second.Address = service.Store->Address;
+    if (!isNew)
+      continue;
+    it->second.Timer = std::make_unique<boost::asio::steady_timer>(On);
+    next(service.Name);
+  }
+}
+
+void ContextFollower::next(const std::string &store) {
+  if (IsStopped)
+    return;
+  Followed &followed = Stores[store];
+  TimePoint now = monotonicNow();
+  bool mayList =
+      !followed.ListedAt || now >= *followed.ListedAt + Settings.ListInterval;
+  if (followed.WantsList && mayList)
+    return list(store);
+  poll(store);
+}
+
+void ContextFollower::later(const std::string &store, Duration pause) {
+  boost::asio::steady_timer &timer = *Stores[store].Timer;
+  timer.expires_after(pause);
+  timer.async_wait([weak = weak_from_this(), store](auto ec) {
+    auto self = weak.lock();
+    if (self && !ec)
+      self->next(store);
+  });
+}
+
+void ContextFollower::list(const std::string &store) {
+  State.Control.fetch(
+      Stores[store].Address, State.Speak.ListRequest(),
+      Settings.Wait + Settings.CallSlack,
+      [self = shared_from_this(), store](const Error &error,
+                                         const net::HttpResponse &answer) {
+        std::optional<direct::PartList> list;
+        if (!error && answer.Status == StatusOk)
+          list = self->State.Speak.ReadList(answer.Body);
+        boost::asio::dispatch(self->On, [self, store, list = std::move(list)] {
+          self->onList(store, list);
+        });
+      });
+}
+
+void ContextFollower::onList(const std::string &store,
+                             const std::optional<direct::PartList> &list) {
+  if (!list)
+    return onFailure(store);
+  Followed &followed = Stores[store];
+  TimePoint now = monotonicNow();
+  followed.WantsList = false;
+  followed.ListedAt = now;
+  followed.Epoch = list->Epoch;
+  followed.Next = list->Next;
+  std::map<direct::BrokenPart, TimePoint> broken;
+  for (const direct::BrokenPart &part : list->Broken) {
+    auto known = followed.Broken.find(part);
+    broken[part] = known == followed.Broken.end() ? now : known->second;
+  }
+  followed.Broken = std::move(broken);
+  State.Kept.apply(store, *list);
+  State.Log.write(LogWeight::Notable, "store_listed",
+                  {{"store", store},
+                   {"epoch", list->Epoch},
+                   {"parts", list->Kept.size()},
+                   {"broken", list->Broken.size()}},
+                  now);
+  later(store, Settings.Pause);
+}
+
+void ContextFollower::poll(const std::string &store) {
+  uint64_t since = Stores[store].Next;
+  State.Control.fetch(
+      Stores[store].Address, State.Speak.ChangesRequest(since, Settings.Wait),
+      Settings.Wait + Settings.CallSlack,
+      [self = shared_from_this(), store,
+       since](const Error &error, const net::HttpResponse &answer) {
+        std::optional<direct::PartChanges> changes;
+        if (!error && answer.Status == StatusOk)
+          changes = self->State.Speak.ReadChanges(answer.Body, since);
+        boost::asio::dispatch(self->On,
+                              [self, store, changes = std::move(changes)] {
+                                self->onChanges(store, changes);
+                              });
+      });
+}
+
+void ContextFollower::onChanges(
+    const std::string &store,
+    const std::optional<direct::PartChanges> &changes) {
+  if (!changes)
+    return onFailure(store);
+  Followed &followed = Stores[store];
+  TimePoint now = monotonicNow();
+  if (changes->ClockMs)
+    State.Clock.observe(*changes->ClockMs, now);
+  if (followed.Epoch != changes->Epoch)
+    State.Log.write(LogWeight::Notable, "store_restarted",
+                    {{"store", store},
+                     {"epoch", changes->Epoch},
+                     {"epoch_before", followed.Epoch}},
+                    now);
+  followed.Epoch = changes->Epoch;
+  followed.Next = changes->Next;
+  bool isWhole = State.Kept.apply(store, *changes);
+  followed.WantsList |= !isWhole;
+  later(store, Settings.Pause);
+}
+
+void ContextFollower::onFailure(const std::string &store) {
+  State.Kept.onUnreachable(store);
+  State.Log.write(LogWeight::Notable, "store_silent", {{"store", store}},
+                  monotonicNow());
+  later(store, Settings.FailurePause);
+}
+
+std::optional<uint64_t> ContextFollower::oldestInUse(TimePoint now) {
+  auto catalog = State.catalog();
+  std::optional<uint64_t> oldest;
+  for (const direct::BackendServer &server : catalog->AllServers)
+    for (const direct::ModelVersion &weights : server.Weights)
+      oldest = std::min(oldest.value_or(weights.Version), weights.Version);
+  if (!oldest)
+    return std::nullopt;
+  if (*oldest != OldestSeen) {
+    OldestSeen = *oldest;
+    OldestSince = now;
+  }
+  if (now < OldestSince + Settings.FreeDelay)
+    return std::nullopt;
+  return oldest;
+}
+
+std::vector<direct::BrokenPart>
+ContextFollower::unused(const std::string &store, const Followed &followed,
+                        TimePoint now) const {
+  std::vector<direct::BrokenPart> out =
+      State.Kept.partsOutside(store, [this](std::string_view scope) {
+        std::optional<uint64_t> version = direct::versionOfScope(scope);
+        return version && *version >= OldestSeen;
+      });
+  for (const auto &[part, since] : followed.Broken)
+    if (now >= since + Settings.BrokenAfter)
+      out.push_back(part);
+  if (out.size() > Settings.PartsPerFree)
+    out.resize(Settings.PartsPerFree);
+  return out;
+}
+
+void ContextFollower::freeUnused(TimePoint now) {
+  if (!oldestInUse(now) || !State.isConfirmed(now))
+    return;
+  for (auto &[store, followed] : Stores) {
+    if (followed.IsFreeing || now < followed.FreedAt + Settings.Pause)
+      continue;
+    std::vector<direct::BrokenPart> parts = unused(store, followed, now);
+    if (parts.empty())
+      continue;
+    followed.IsFreeing = true;
+    std::optional<int64_t> until = State.Clock.at(now);
+    if (until)
+      *until += Settings.FreePatience.count() / 1000;
+    State.Log.write(LogWeight::Notable, "parts_freed",
+                    {{"store", store},
+                     {"parts", parts.size()},
+                     {"oldest_version_in_use", OldestSeen}},
+                    now);
+    State.Control.fetch(
+        followed.Address, State.Speak.FreeRequest(parts, followed.Epoch, until),
+        Settings.FreePatience,
+        [self = shared_from_this(), name = store,
+         parts](const Error &error, const net::HttpResponse &answer) {
+          bool isDone = !error && answer.Status == StatusOk;
+          boost::asio::dispatch(self->On, [self, name, parts, isDone] {
+            Followed &it = self->Stores[name];
+            it.IsFreeing = false;
+            it.FreedAt = monotonicNow();
+            it.WantsList |= !isDone;
+            for (const direct::BrokenPart &part : parts)
+              if (isDone)
+                it.Broken.erase(part);
+          });
+        });
+  }
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/context_follower.h
@@ -0,0 +1,89 @@
+/// Follows the stores of kept context: which parts each holds, and the servers'
+/// clock. The holder of the right to give orders also frees what nobody can use
+/// any more.
+#pragma once
+
+#include "gateway/store_follower.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace daisytack::gateway {
+
+struct ContextFollowerSettings {
+  /// A store keeps a call waiting so long when nothing changes.
+  Duration Wait{1'000'000};
+  Duration CallSlack{700'000};
+  /// Between calls to one store: changes are taken in batches, as each call
+  /// costs processor time here and is priced by the store's owner.
+  Duration Pause{400'000};
+  Duration FailurePause{500'000};
+  /// A list of everything is asked for at most so often after changes were
+  /// missed; a missed change costs one prefill.
+  Duration ListInterval{10'000'000};
+  /// Kept context of old weights is freed once no server has had them for so
+  /// long: the longest fetch, and a server's report of its weights.
+  Duration FreeDelay{4'000'000};
+  /// The order to free must reach the store within this.
+  Duration FreePatience{1'000'000};
+  /// Space whose save does not progress for so long was broken off.
+  Duration BrokenAfter{5'000'000};
+  size_t PartsPerFree = 200;
+  bool operator==(const ContextFollowerSettings &) const = default;
+};
+
+/// Runs on its strand.
+class ContextFollower : public std::enable_shared_from_this<ContextFollower> {
+public:
+  ContextFollower(GatewayState &state, Strand strand,
+                  ContextFollowerSettings settings);
+
+  /// Begins to follow stores that are new in the catalog.
+  void onCatalog();
+  /// Frees what can be freed; only while this process may give orders.
+  void freeUnused(TimePoint now);
+  void stop() { IsStopped = true; }
+
+private:
+  struct Followed {
+    Endpoint Address;
+    uint64_t Epoch = 0;
+    uint64_t Next = 0;
+    bool WantsList = true;
+    std::optional<TimePoint> ListedAt;
+    std::map<direct::BrokenPart, TimePoint> Broken; ///< First seen.
+    bool IsFreeing = false;
+    TimePoint FreedAt;
+    std::unique_ptr<boost::asio::steady_timer> Timer;
+  };
+
+  void next(const std::string &store);
+  void list(const std::string &store);
+  void poll(const std::string &store);
+  void onList(const std::string &store,
+              const std::optional<direct::PartList> &list);
+  void onChanges(const std::string &store,
+                 const std::optional<direct::PartChanges> &changes);
+  void onFailure(const std::string &store);
+  void later(const std::string &store, Duration pause);
+  std::vector<direct::BrokenPart> unused(const std::string &store,
+                                         const Followed &followed,
+                                         TimePoint now) const;
+  /// Oldest version of any weights that a server has or may come back with.
+  std::optional<uint64_t> oldestInUse(TimePoint now);
+
+  GatewayState &State;
+  Strand On;
+  ContextFollowerSettings Settings;
+  std::map<std::string, Followed> Stores;
+  uint64_t OldestSeen = 0;
+  TimePoint OldestSince;
+  bool IsStopped = false;
+};
+
+} // namespace daisytack::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,6 +14,9 @@
 constexpr Duration DrainCheck{20'000};
 /// Loads of servers that were not used for so long are forgotten.
 constexpr Duration LoadMemory{60'000'000};
+/// A server that takes new weights is left alone for at most so long: its runs
+/// end, and the load itself takes a second or two.
+constexpr Duration LoadAvoidance{3'000'000};
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
@@ -40,6 +43,16 @@
           Control, Store, State.Speak.EntryKey(Options.Name),
           State.Speak.EncodeEntry({Options.Name, Options.Peers}),
           Options.LeaseTerm, Log)),
+      Peers(std::make_shared<PeerExchange>(State, Control, peerHooks(),
+                                           secureRandom)),
+      Contexts(std::make_shared<ContextFollower>(State, Control,
+                                                 ContextFollowerSettings{})),
+      Orders(std::make_shared<OrderDriver>(
+          State, Control, Store, orderSettings(), secureRandom,
+          [this](const std::vector<std::string> &servers) {
+            onLoading(servers);
+            Peers->tellLoading(servers);
+          })),
       Callers(State),
       ReadinessServer(io, listenOn(Options.Readiness),
                       [this](const net::HttpRequest &request,
@@ -58,6 +71,31 @@
 
 Gateway::~Gateway() = default;
 
+PeerHooks Gateway::peerHooks() {
+  PeerHooks out;
+  out.Records = [this](const std::vector<direct::StoreRecord> &records,
+                       Duration confirmedAgo) {
+    TimePoint now = monotonicNow();
+    int64_t confirmed = (now - confirmedAgo).time_since_epoch().count();
+    if (confirmed > State.ConfirmedAt.load())
+      State.ConfirmedAt = confirmed;
+    if (!records.empty())
+      Follower->merge(records);
+  };
+  out.Loading = [this](const std::vector<std::string> &servers) {
+    onLoading(servers);
+  };
+  return out;
+}
+
+OrderDriverSettings Gateway::orderSettings() const {
+  OrderDriverSettings out;
+  out.Weights.ConcurrentLoads = Options.ConcurrentLoads;
+  out.Holder.Term = Options.LeaseTerm;
+  out.WakePause = Options.WakePause;
+  return out;
+}
+
 bool Gateway::start(Error &reason) {
   Log.write(LogWeight::Notable, "started",
             {{"failure_domain", Options.FailureDomain},
@@ -65,7 +103,7 @@
              {"service", toString(Options.Store)}},
             monotonicNow());
   bool isUp = Callers.start(reason) && ReadinessServer.start(reason) &&
-              MetricsServer.start(reason);
+              MetricsServer.start(reason) && Peers->start(reason);
   if (!isUp)
     return false;
   Follower->start();
@@ -88,8 +126,31 @@
                     Counters.prometheusText()});
 }
 
+void Gateway::onLoading(const std::vector<std::string> &servers) {
+  TimePoint until = monotonicNow() + LoadAvoidance;
+  auto catalog = State.catalog();
+  for (const direct::BackendServer &server : catalog->AllServers) {
+    bool isLoading =
+        std::find(servers.begin(), servers.end(), server.Id) != servers.end();
+    if (!isLoading || server.Weights.empty())
+      continue;
+    State.Loads.avoidUntil(server.Id, until);
+    LoadingFrom[server.Id] = server.Weights.front().Version;
+  }
+}
+
 void Gateway::onCatalog() {
   auto catalog = State.catalog();
+  for (const direct::BackendServer &server : catalog->AllServers) {
+    auto it = LoadingFrom.find(server.Id);
+    if (it == LoadingFrom.end() || server.Weights.empty() ||
+        server.Weights.front().Version == it->second)
+      continue;
+    State.Loads.onLoaded(server.Id);
+    LoadingFrom.erase(it);
+  }
+  Contexts->onCatalog();
+  Orders->onTimer(monotonicNow());
   if (!catalog->Config || catalog->ConfigRevision == AppliedConfig)
     return;
   AppliedConfig = catalog->ConfigRevision;
@@ -108,6 +169,10 @@
   TimePoint now = monotonicNow();
   State.Catalog.onTimer(now);
   State.Loads.forgetIdle(now - LoadMemory);
+  Peers->onTimer(Follower->isReachable(), now);
+  Orders->onTimer(now);
+  if (Orders->token(now))
+    Contexts->freeUnused(now);
   Log.flush(now);
   Ticker.expires_after(TickInterval);
   Ticker.async_wait([this](auto ec) {
@@ -117,6 +182,7 @@
 }
 
 void Gateway::drain(std::function<void()> done) {
+  Orders->stop();
   Drained = std::move(done);
   DrainSince = monotonicNow();
   State.Draining = true;
@@ -141,6 +207,8 @@
 
 void Gateway::finish() {
   Announced->stop();
+  Contexts->stop();
+  Peers->stop();
   Follower->stop();
   TimePoint now = monotonicNow();
   Log.write(LogWeight::Notable, "stopped",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,9 +3,12 @@
 #pragma once
 
 #include "edge/kv.h"
+#include "gateway/context_follower.h"
 #include "gateway/entry_lease.h"
 #include "gateway/gateway_http.h"
 #include "gateway/gateway_options.h"
+#include "gateway/order_driver.h"
+#include "gateway/peer_exchange.h"
 #include "gateway/store_follower.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +37,10 @@
   void answerReadiness(net::HttpExchange &exchange) const;
   void answerMetrics(net::HttpExchange &exchange);
   void onCatalog();
+  /// Servers that take new weights are left alone until they have them.
+  void onLoading(const std::vector<std::string> &servers);
+  PeerHooks peerHooks();
+  OrderDriverSettings orderSettings() const;
   void tick();
   void watchDrain();
   void finish();
@@ -46,6 +53,9 @@
   edge::KvStore Store;
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<EntryLease> Announced;
+  std::shared_ptr<PeerExchange> Peers;
+  std::shared_ptr<ContextFollower> Contexts;
+  std::shared_ptr<OrderDriver> Orders;
   GatewayHttp Callers;
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
@@ -53,6 +63,7 @@
   boost::asio::steady_timer DrainTimer;
   TimePoint DrainSince;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
+  std::map<std::string, uint64_t> LoadingFrom; ///< Servers and their version.
   std::function<void()> Drained;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -33,6 +33,8 @@
     return "desired_weights";
   case direct::FactKind::Entry:
     return "entry";
+  case direct::FactKind::Holder:
+    return "order_holder";
   case direct::FactKind::Other:
     break;
   }
--- /dev/null
+++ b/src/gateway/holder_lease.cpp
@@ -0,0 +1,139 @@
+#include "gateway/holder_lease.h"
+
+#include "base/clock.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+HolderLease::HolderLease(Strand strand, edge::KvStore store, std::string key,
+                         std::string value, HolderLeaseSettings settings,
+                         DecisionLog &log)
+    : On(std::move(strand)), Store(std::move(store)), Key(std::move(key)),
+      Value(std::move(value)), Settings(settings), Log(log),
+      Term(swap::LeaseInit{settings.Term, 0.05, settings.PauseMargin}) {}
+
+void HolderLease::acquire() {
+  if (IsStopped || IsTrying || Token != 0)
+    return;
+  IsTrying = true;
+  TimePoint askedAt = monotonicNow();
+  Store.GrantLease(
+      Settings.Term, Settings.CallTimeout,
+      [self = shared_from_this(), askedAt](const edge::KvLeaseResult &result) {
+        boost::asio::dispatch(self->On, [self, result, askedAt] {
+          self->onGranted(result, askedAt);
+        });
+      });
+}
+
+void HolderLease::onGranted(const edge::KvLeaseResult &result,
+                            TimePoint askedAt) {
+  if (result.Header.Status != edge::KvStatus::Ok || result.Lease == 0) {
+    IsTrying = false;
+    return;
+  }
+  Term.granted(result.Lease, result.TimeLeft, askedAt);
+  claim();
+}
+
+void HolderLease::claim() {
+  edge::KvTransaction create;
+  create.If.push_back({Key, edge::KvCompare::Target::ModRevision, 0});
+  create.Then.push_back({Key, Value, Term.id(), false});
+  Store.Commit(
+      std::move(create), Settings.CallTimeout,
+      [self = shared_from_this()](const edge::KvTransactionResult &result) {
+        boost::asio::dispatch(self->On,
+                              [self, result] { self->onClaimed(result); });
+      });
+}
+
+void HolderLease::onClaimed(const edge::KvTransactionResult &result) {
+  switch (result.Header.Status) {
+  case edge::KvStatus::Ok:
+    return hold(result.Header.Revision);
+  case edge::KvStatus::Unknown:
+    return readBack();
+  case edge::KvStatus::CompareFailed:
+  case edge::KvStatus::Unavailable:
+    return drop();
+  }
+}
+
+/// The answer was lost: the key's own lease tells who holds it. A claim that is
+/// applied later finds its lease ended.
+void HolderLease::readBack() {
+  Store.Range({Key, edge::prefixEnd(Key), 0, 0}, Settings.CallTimeout,
+              [self = shared_from_this()](const edge::KvRangeResult &result) {
+                boost::asio::dispatch(self->On, [self, result] {
+                  for (const edge::KvEntry &entry : result.Entries)
+                    if (entry.Key == self->Key &&
+                        entry.Lease == self->Term.id())
+                      return self->hold(entry.CreateRevision);
+                  self->drop();
+                });
+              });
+}
+
+void HolderLease::hold(uint64_t token) {
+  IsTrying = false;
+  TimePoint now = monotonicNow();
+  if (Term.hasLapsed(now))
+    return drop();
+  Token = token;
+  ActsFrom = now + Settings.Term - Settings.PauseMargin;
+  Log.write(LogWeight::Notable, "order_right_taken",
+            {{"token", Token}, {"lease", Term.id()}}, now);
+}
+
+void HolderLease::drop() {
+  IsTrying = false;
+  Token = 0;
+  if (Term.id() != 0)
+    Store.RevokeLease(Term.id(), Settings.CallTimeout,
+                      [](const edge::KvLeaseResult &) {});
+  Term.lost();
+}
+
+void HolderLease::giveUp(TimePoint now) {
+  if (Token == 0)
+    return;
+  Log.write(LogWeight::Notable, "order_right_given_up", {{"token", Token}},
+            now);
+  drop();
+}
+
+void HolderLease::onTimer(TimePoint now) {
+  if (Token == 0 || IsStopped)
+    return;
+  if (Term.hasLapsed(now)) {
+    Log.write(LogWeight::Notable, "order_right_lapsed", {{"token", Token}},
+              now);
+    return drop();
+  }
+  std::optional<TimePoint> due = Term.renewAt();
+  if (IsRenewing || !due || now < *due)
+    return;
+  IsRenewing = true;
+  Store.KeepLease(
+      Term.id(), Settings.CallTimeout,
+      [self = shared_from_this(), now](const edge::KvLeaseResult &result) {
+        boost::asio::dispatch(self->On, [self, result, now] {
+          self->IsRenewing = false;
+          if (self->Token == 0 || result.Header.Status != edge::KvStatus::Ok)
+            return;
+          self->Term.renewed(result.Lease, result.TimeLeft, now);
+        });
+      });
+}
+
+std::optional<uint64_t> HolderLease::token(TimePoint now) const {
+  bool mayAct = !IsStopped && Token != 0 && now >= ActsFrom && Term.mayAct(now);
+  return mayAct ? std::optional<uint64_t>(Token) : std::nullopt;
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/order_driver.cpp
@@ -0,0 +1,165 @@
+#include "gateway/order_driver.h"
+
+#include "base/clock.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+using direct::OrderAnswer;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusAccepted = 202;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusFenced = 412;
+constexpr unsigned StatusOtherServer = 421;
+
+OrderAnswer answerOf(const Error &error, unsigned status) {
+  if (error)
+    return OrderAnswer::Unknown;
+  switch (status) {
+  case StatusOk:
+  case StatusAccepted:
+    return OrderAnswer::Accepted;
+  case StatusConflict:
+    return OrderAnswer::Conflict;
+  case StatusFenced:
+    return OrderAnswer::Fenced;
+  case StatusOtherServer:
+    return OrderAnswer::OtherServer;
+  default:
+    return OrderAnswer::Impossible;
+  }
+}
+
+} // namespace
+
+OrderDriver::OrderDriver(GatewayState &state, Strand strand,
+                         edge::KvStore store, OrderDriverSettings settings,
+                         RandomSource random, Loading loading)
+    : State(state), On(std::move(strand)), Settings(settings),
+      Random(std::move(random)), TellLoading(std::move(loading)),
+      Holder(std::make_shared<HolderLease>(
+          On, std::move(store), State.Speak.HolderKey,
+          State.Speak.EncodeHolder({State.Options.Name}), settings.Holder,
+          State.Log)),
+      Plan(settings.Weights) {}
+
+void OrderDriver::onTimer(TimePoint now) {
+  if (now - LastTimer > Settings.PauseNoticed)
+    AwakeFrom = now + Settings.WakePause;
+  LastTimer = now;
+  auto catalog = State.catalog();
+  Holder->onTimer(now);
+  seekHolder(*catalog, now);
+  if (!token(now)) {
+    Plan.clear();
+    return;
+  }
+  perform(Plan.next(*catalog, now));
+}
+
+void OrderDriver::stop() { Holder->stop(); }
+
+std::optional<uint64_t> OrderDriver::token(TimePoint now) const {
+  return now < AwakeFrom ? std::nullopt : Holder->token(now);
+}
+
+void OrderDriver::seekHolder(const direct::Catalog &catalog, TimePoint now) {
+  bool isNeeded = catalog.Config && catalog.Holder.empty() &&
+                  !Holder->isHeld() && !Holder->isTrying() &&
+                  State.isConfirmed(now) && !State.Draining;
+  if (!isNeeded) {
+    SeekAt.reset();
+    return;
+  }
+  if (!SeekAt) {
+    auto entries = static_cast<int64_t>(catalog.Entries.size()) + 1;
+    int64_t spread = Settings.TakeoverSpread.count() * entries;
+    SeekAt =
+        now +
+        Duration(static_cast<int64_t>(
+            Random() % static_cast<uint64_t>(std::max<int64_t>(spread, 1))));
+  }
+  if (now < *SeekAt)
+    return;
+  SeekAt.reset();
+  Holder->acquire();
+}
+
+void OrderDriver::perform(const std::vector<direct::WeightAction> &actions) {
+  if (actions.empty())
+    return;
+  TellLoading(Plan.busy());
+  for (const direct::WeightAction &action : actions) {
+    if (const auto *report = std::get_if<direct::AskReport>(&action))
+      ask(*report);
+    else
+      order(std::get<direct::GiveOrder>(action));
+  }
+}
+
+void OrderDriver::ask(const direct::AskReport &action) {
+  State.Control.fetch(action.Address, State.Speak.ReportRequest(),
+                      Settings.Weights.CallPatience,
+                      [self = shared_from_this(), id = action.ServerId](
+                          const Error &error, const net::HttpResponse &answer) {
+                        std::optional<direct::EngineReport> report;
+                        if (!error && answer.Status == StatusOk)
+                          report = self->State.Speak.ReadReport(answer.Body);
+                        boost::asio::dispatch(self->On, [self, id, report] {
+                          TimePoint now = monotonicNow();
+                          auto actions = self->Plan.onReport(id, report, now);
+                          if (self->token(now))
+                            self->perform(actions);
+                        });
+                      });
+}
+
+void OrderDriver::order(const direct::GiveOrder &action) {
+  TimePoint now = monotonicNow();
+  std::optional<uint64_t> token = this->token(now);
+  if (!token)
+    return;
+  State.Log.write(LogWeight::Notable, "order_given",
+                  {{"server", action.ServerId},
+                   {"model", action.Wanted.Model},
+                   {"version", action.Wanted.Version},
+                   {"orders_taken", action.OrdersTaken},
+                   {"token", *token}},
+                  now);
+  State.Control.fetch(
+      action.Address,
+      State.Speak.OrderRequest({action.ServerId, action.Address, action.Wanted,
+                                State.Options.Name, *token,
+                                action.OrdersTaken}),
+      Settings.Weights.CallPatience,
+      [self = shared_from_this(), id = action.ServerId](
+          const Error &error, const net::HttpResponse &answer) {
+        boost::asio::dispatch(self->On,
+                              [self, id, error, status = answer.Status] {
+                                self->onOrderAnswer(id, error, status);
+                              });
+      });
+}
+
+void OrderDriver::onOrderAnswer(const std::string &server, const Error &error,
+                                unsigned status) {
+  TimePoint now = monotonicNow();
+  OrderAnswer answer = answerOf(error, status);
+  State.Log.write(LogWeight::Notable, "order_answered",
+                  {{"server", server},
+                   {"status", error ? 0 : status},
+                   {"detail", error.Detail}},
+                  now);
+  Plan.onAnswer(server, answer, now);
+  if (answer == OrderAnswer::Fenced)
+    Holder->giveUp(now);
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/order_driver.h
@@ -0,0 +1,64 @@
+/// Gives the orders that one entry at a time may give: new weights for engines,
+/// and the freeing of kept context that nobody can use any more.
+#pragma once
+
+#include "direct/weight_plan.h"
+#include "gateway/holder_lease.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace daisytack::gateway {
+
+struct OrderDriverSettings {
+  direct::WeightPlanSettings Weights;
+  HolderLeaseSettings Holder;
+  /// A process that finds itself paused so long waits for WakePause before it
+  /// gives an order: its view is as old.
+  Duration PauseNoticed{250'000};
+  Duration WakePause{300'000};
+  /// An absent holder is replaced after a random time up to this for each
+  /// entry, so that few of them try at once.
+  Duration TakeoverSpread{60'000};
+  bool operator==(const OrderDriverSettings &) const = default;
+};
+
+/// Runs on its strand.
+class OrderDriver : public std::enable_shared_from_this<OrderDriver> {
+public:
+  /// Told of servers that are about to load, so that requests go elsewhere.
+  using Loading = std::function<void(const std::vector<std::string> &)>;
+
+  OrderDriver(GatewayState &state, Strand strand, edge::KvStore store,
+              OrderDriverSettings settings, RandomSource random,
+              Loading loading);
+
+  /// Call several times a second, and whenever the catalog has changed.
+  void onTimer(TimePoint now);
+  void stop();
+  /// The token while this entry may give orders.
+  std::optional<uint64_t> token(TimePoint now) const;
+
+private:
+  void seekHolder(const direct::Catalog &catalog, TimePoint now);
+  void perform(const std::vector<direct::WeightAction> &actions);
+  void ask(const direct::AskReport &action);
+  void order(const direct::GiveOrder &action);
+  void onOrderAnswer(const std::string &server, const Error &error,
+                     unsigned status);
+
+  GatewayState &State;
+  Strand On;
+  OrderDriverSettings Settings;
+  RandomSource Random;
+  Loading TellLoading;
+  std::shared_ptr<HolderLease> Holder;
+  direct::WeightPlan Plan;
+  std::optional<TimePoint> SeekAt; ///< When to try to become the holder.
+  TimePoint LastTimer;
+  TimePoint AwakeFrom;
+};
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/peer_exchange.cpp
@@ -0,0 +1,130 @@
+#include "gateway/peer_exchange.h"
+
+#include "base/clock.h"
+#include "wire/codec.h"
+
+#include <boost/asio/dispatch.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr Duration CallTimeout{700'000};
+/// While the service is away: three peers each time make it likely that one of
+/// them has news within two rounds, though a third of all may be cut off too.
+constexpr Duration AskInterval{400'000};
+constexpr size_t PeersAsked = 3;
+constexpr const char *PeerPath = "/peer";
+
+net::HttpServerInit listenOn(const Endpoint &endpoint) {
+  net::HttpServerInit out;
+  out.Listen = endpoint;
+  out.MaxBodyBytes = MaxFrameBytes;
+  return out;
+}
+
+} // namespace
+
+PeerExchange::PeerExchange(GatewayState &state, Strand strand, PeerHooks hooks,
+                           RandomSource random)
+    : State(state), On(std::move(strand)), Hooks(std::move(hooks)),
+      Random(std::move(random)),
+      Server(state.Io, listenOn(state.Options.Peers),
+             [this](const net::HttpRequest &request,
+                    const std::shared_ptr<net::HttpExchange> &exchange) {
+               boost::asio::dispatch(
+                   On, [self = shared_from_this(), body = request.Body,
+                        exchange] { self->answer(body, *exchange); });
+             }) {}
+
+bool PeerExchange::start(Error &reason) { return Server.start(reason); }
+
+void PeerExchange::stop() { Server.stopAccepting(); }
+
+void PeerExchange::answer(std::string_view body, net::HttpExchange &exchange) {
+  Error reason;
+  auto message = wire::decode<direct::PeerMessage>(body, reason);
+  if (!message)
+    return exchange.respond({StatusBadRequest, {}, reason.Detail});
+  exchange.respond({StatusOk, {}, wire::encode(reply(*message))});
+}
+
+direct::PeerMessage PeerExchange::reply(const direct::PeerMessage &message) {
+  if (const auto *loading = std::get_if<direct::ServersLoading>(&message)) {
+    Hooks.Loading(loading->Servers);
+    return direct::Received{};
+  }
+  const auto *wanted = std::get_if<direct::RecordsWanted>(&message);
+  if (!wanted)
+    return direct::Received{};
+  int64_t now = monotonicNow().time_since_epoch().count();
+  return direct::RecordsFound{State.Catalog.recordsSince(wanted->Revision),
+                              now - State.ConfirmedAt.load()};
+}
+
+std::vector<Endpoint> PeerExchange::others() const {
+  std::vector<Endpoint> out;
+  for (const direct::EntryPeer &peer : State.catalog()->Entries)
+    if (peer.Peer != State.Options.Peers)
+      out.push_back(peer.Peer);
+  if (!out.empty())
+    return out;
+  for (const Endpoint &seed : State.Options.Seeds)
+    if (seed != State.Options.Peers)
+      out.push_back(seed);
+  return out;
+}
+
+void PeerExchange::post(const Endpoint &peer,
+                        const direct::PeerMessage &message,
+                        std::function<void(const direct::PeerMessage &)> done) {
+  net::HttpRequest request;
+  request.Method = "POST";
+  request.Path = PeerPath;
+  request.Body = wire::encode(message);
+  State.Control.fetch(
+      peer, std::move(request), CallTimeout,
+      [self = shared_from_this(), done = std::move(done)](
+          const Error &error, const net::HttpResponse &answer) {
+        if (error || answer.Status != StatusOk)
+          return; // Another peer is asked soon.
+        Error reason;
+        auto reply = wire::decode<direct::PeerMessage>(answer.Body, reason);
+        if (reply)
+          boost::asio::dispatch(self->On,
+                                [self, done, reply = *reply] { done(reply); });
+      });
+}
+
+void PeerExchange::ask(const Endpoint &peer) {
+  post(peer, direct::RecordsWanted{State.Catalog.revision()},
+       [this](const direct::PeerMessage &reply) {
+         if (const auto *found = std::get_if<direct::RecordsFound>(&reply))
+           Hooks.Records(found->Records, Duration(found->ConfirmedAgo));
+       });
+}
+
+void PeerExchange::onTimer(bool serviceIsReachable, TimePoint now) {
+  if (serviceIsReachable || now < NextAsk)
+    return;
+  NextAsk = now + AskInterval;
+  std::vector<Endpoint> peers = others();
+  for (size_t i = 0; i < PeersAsked && !peers.empty(); ++i) {
+    size_t at = Random() % peers.size();
+    ask(peers[at]);
+    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+}
+
+void PeerExchange::tellLoading(const std::vector<std::string> &servers) {
+  for (const Endpoint &peer : others())
+    post(peer, direct::ServersLoading{servers},
+         [](const direct::PeerMessage &) {});
+}
+
+} // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/peer_exchange.h
@@ -0,0 +1,55 @@
+/// Messages between the entries of a deployment: cereal over HTTP. An entry
+/// that can't reach the key-value service learns here what others know.
+#pragma once
+
+#include "direct/peer_messages.h"
+#include "gateway/gateway_state.h"
+#include "gateway/store_follower.h"
+#include "net/http_server.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace daisytack::gateway {
+
+/// Called on the strand.
+struct PeerHooks {
+  /// Records from another entry, confirmed by the service so long ago.
+  std::function<void(const std::vector<direct::StoreRecord> &,
+                     Duration confirmedAgo)>
+      Records;
+  std::function<void(const std::vector<std::string> &servers)> Loading;
+};
+
+/// Runs on its strand.
+class PeerExchange : public std::enable_shared_from_this<PeerExchange> {
+public:
+  PeerExchange(GatewayState &state, Strand strand, PeerHooks hooks,
+               RandomSource random);
+
+  bool start(Error &reason);
+  void stop();
+  /// Asks a few entries for news while the service is away. Call several times
+  /// a second.
+  void onTimer(bool serviceIsReachable, TimePoint now);
+  /// Tells every entry.
+  void tellLoading(const std::vector<std::string> &servers);
+
+private:
+  void answer(std::string_view body, net::HttpExchange &exchange);
+  direct::PeerMessage reply(const direct::PeerMessage &message);
+  void ask(const Endpoint &peer);
+  std::vector<Endpoint> others() const;
+  void post(const Endpoint &peer, const direct::PeerMessage &message,
+            std::function<void(const direct::PeerMessage &)> done);
+
+  GatewayState &State;
+  Strand On;
+  PeerHooks Hooks;
+  RandomSource Random;
+  net::HttpServer Server;
+  TimePoint NextAsk;
+};
+
+} // namespace daisytack::gateway
