Reload settings on SIGHUP, tell entries when weights are loaded, keep broken saves

Ruled out for the last: a free of old weights (all servers were on version 1). Change: settings are read again on SIGHUP and when the file changes; a load ends with the server's own report and all entries are told; space of broken saves is freed only once no weights in use can be saved under its scope.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -105,6 +105,26 @@
     known = {wanted.Version, now};
 }
 
+void CatalogKeeper::noteLoaded(const std::string &server,
+                               const ModelVersion &has, TimePoint now) {
+  ModelVersion &known = Loaded[server];
+  if (known.Model == has.Model && known.Version >= has.Version)
+    return;
+  known = has;
+  publish(now);
+}
+
+BackendServer CatalogKeeper::withLoaded(const BackendServer &server) const {
+  BackendServer out = server;
+  auto it = Loaded.find(server.Id);
+  if (it == Loaded.end())
+    return out;
+  for (ModelVersion &has : out.Weights)
+    if (has.Model == it->second.Model)
+      has.Version = std::max(has.Version, it->second.Version);
+  return out;
+}
+
 void CatalogKeeper::onStoreLost() {
   StoreIsLost = true;
   StoreBackAt.reset();
@@ -144,12 +164,13 @@
       next->Entries.push_back(*peer);
     if (const auto *holder = std::get_if<OrderHolder>(&held.Value))
       next->Holder = holder->Entry;
-    const auto *server = std::get_if<BackendServer>(&held.Value);
-    if (!server)
+    const auto *record = std::get_if<BackendServer>(&held.Value);
+    if (!record)
       continue;
-    next->AllServers.push_back(*server);
-    if (!server->IsDraining)
-      next->Servers[server->Service].push_back(*server);
+    BackendServer server = withLoaded(*record);
+    if (!server.IsDraining)
+      next->Servers[server.Service].push_back(server);
+    next->AllServers.push_back(std::move(server));
   }
   auto byId = [](const BackendServer &a, const BackendServer &b) {
     return a.Id < b.Id;
@@ -157,6 +178,11 @@
   std::sort(next->AllServers.begin(), next->AllServers.end(), byId);
   for (auto &[service, servers] : next->Servers)
     std::sort(servers.begin(), servers.end(), byId);
+  std::erase_if(Loaded, [&](const auto &it) {
+    return std::none_of(
+        next->AllServers.begin(), next->AllServers.end(),
+        [&](const BackendServer &server) { return server.Id == it.first; });
+  });
   Published.publish(std::move(next));
 }
 
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -70,6 +70,9 @@
   /// the records and not newer are gone.
   void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
                 TimePoint now);
+  /// A server has a newer version of its weights than its record says.
+  void noteLoaded(const std::string &server, const ModelVersion &has,
+                  TimePoint now);
   /// The store stopped answering, or answers again.
   void onStoreLost();
   void onStoreBack(TimePoint now);
@@ -96,6 +99,8 @@
   bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
   void publish(TimePoint now);
   void noteWanted(const ModelVersion &wanted, TimePoint now);
+  /// The server with the versions that were noted ahead of its record.
+  BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
 
   CatalogSettings Settings;
@@ -104,6 +109,8 @@
   std::shared_ptr<const ConfigIndex> Config;
   uint64_t ConfigRevision = 0;
   std::map<std::string, WantedVersion, std::less<>> Wanted;
+  /// Noted ahead of records, by server.
+  std::map<std::string, ModelVersion, std::less<>> Loaded;
   uint64_t Highest = 0;
   bool StoreIsLost = false;
   std::optional<TimePoint> StoreBackAt;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -35,12 +35,23 @@
   template <class Archive> void serialize(Archive &ar) { ar(Servers); }
 };
 
+/// A server has taken new weights, by its own report; its entry in the
+/// key-value service says so up to a heartbeat later.
+struct ServerLoaded {
+  std::string Server;
+  ModelVersion Has;
+  bool operator==(const ServerLoaded &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Server, Has.Model, Has.Version);
+  }
+};
+
 struct Received {
   bool operator==(const Received &) const = default;
   template <class Archive> void serialize(Archive &) {}
 };
 
-using PeerMessage =
-    std::variant<RecordsWanted, RecordsFound, ServersLoading, Received>;
+using PeerMessage = std::variant<RecordsWanted, RecordsFound, ServersLoading,
+                                 ServerLoaded, Received>;
 
 } // namespace daisytack::direct
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -88,8 +88,12 @@
   for (const ModelVersion &has : report->Weights)
     if (has.Model == load.Wanted.Model)
       version = has.Version;
-  if (report->IsBusy || version >= load.Wanted.Version) {
-    // The server's own entry ends the load; it follows the report.
+  if (version >= load.Wanted.Version) {
+    ModelVersion has{load.Wanted.Model, version};
+    Loads.erase(it);
+    return {NoteLoaded{server, std::move(has)}};
+  }
+  if (report->IsBusy) {
     load.At = Phase::Loading;
     load.LookAt = now + Settings.LookInterval;
     return {};
@@ -108,7 +112,7 @@
   load.At = Phase::Loading;
   switch (answer) {
   case OrderAnswer::Accepted:
-    load.LookAt = now + 2 * Settings.LookInterval;
+    load.LookAt = now + Settings.FirstLook;
     return;
   case OrderAnswer::Conflict:
   case OrderAnswer::Impossible:
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -25,7 +25,9 @@
   Duration CallPatience{700'000};
   /// Between looks at an engine that should be loading; its reports are some
   /// hundred milliseconds old.
-  Duration LookInterval{500'000};
+  Duration LookInterval{250'000};
+  /// Before the first look after an order: no load takes less.
+  Duration FirstLook{900'000};
   /// A load that takes longer is begun again: several times the usual one.
   Duration LoadPatience{6'000'000};
   /// After an engine refused, before it is asked again.
@@ -45,7 +47,13 @@
   uint64_t OrdersTaken = 0;
   bool operator==(const GiveOrder &) const = default;
 };
-using WeightAction = std::variant<AskReport, GiveOrder>;
+/// The server has taken the version.
+struct NoteLoaded {
+  std::string ServerId;
+  ModelVersion Has;
+  bool operator==(const NoteLoaded &) const = default;
+};
+using WeightAction = std::variant<AskReport, GiveOrder, NoteLoaded>;
 
 /// What an engine answered to an order.
 enum class OrderAnswer : uint8_t {
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -83,12 +83,7 @@
   followed.ListedAt = now;
   followed.Epoch = list->Epoch;
   followed.Next = list->Next;
-  std::map<direct::BrokenPart, TimePoint> broken;
-  for (const direct::BrokenPart &part : list->Broken) {
-    auto known = followed.Broken.find(part);
-    broken[part] = known == followed.Broken.end() ? now : known->second;
-  }
-  followed.Broken = std::move(broken);
+  followed.Broken = {list->Broken.begin(), list->Broken.end()};
   State.Kept.apply(store, *list);
   State.Log.write(LogWeight::Notable, "store_listed",
                   {{"store", store},
@@ -163,15 +158,19 @@
 }
 
 std::vector<direct::BrokenPart>
-ContextFollower::unused(const std::string &store, const Followed &followed,
-                        TimePoint now) const {
+ContextFollower::unused(const std::string &store,
+                        const Followed &followed) const {
+  auto isCurrent = [this](std::string_view scope) {
+    std::optional<uint64_t> version = direct::versionOfScope(scope);
+    return version && *version >= OldestSeen;
+  };
   std::vector<direct::BrokenPart> out =
-      State.Kept.partsOutside(store, [this](std::string_view scope) {
-        std::optional<uint64_t> version = direct::versionOfScope(scope);
-        return version && *version >= OldestSeen;
-      });
-  for (const auto &[part, since] : followed.Broken)
-    if (now >= since + Settings.BrokenAfter)
+      State.Kept.partsOutside(store, isCurrent);
+  // Space of a save that broke off looks like that of one which goes on slowly,
+  // and what is freed under a save is reported as whole all the same. So it is
+  // freed only once no server can be saving under its scope.
+  for (const direct::BrokenPart &part : followed.Broken)
+    if (!isCurrent(part.Scope))
       out.push_back(part);
   if (out.size() > Settings.PartsPerFree)
     out.resize(Settings.PartsPerFree);
@@ -184,7 +183,7 @@
   for (auto &[store, followed] : Stores) {
     if (followed.IsFreeing || now < followed.FreedAt + Settings.Pause)
       continue;
-    std::vector<direct::BrokenPart> parts = unused(store, followed, now);
+    std::vector<direct::BrokenPart> parts = unused(store, followed);
     if (parts.empty())
       continue;
     followed.IsFreeing = true;
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace daisytack::gateway {
@@ -31,8 +32,6 @@
   Duration FreeDelay{4'000'000};
   /// The order to free must reach the store within this.
   Duration FreePatience{1'000'000};
-  /// Space whose save does not progress for so long was broken off.
-  Duration BrokenAfter{5'000'000};
   size_t PartsPerFree = 200;
   bool operator==(const ContextFollowerSettings &) const = default;
 };
@@ -56,7 +55,7 @@
     uint64_t Next = 0;
     bool WantsList = true;
     std::optional<TimePoint> ListedAt;
-    std::map<direct::BrokenPart, TimePoint> Broken; ///< First seen.
+    std::set<direct::BrokenPart> Broken; ///< By the last list.
     bool IsFreeing = false;
     TimePoint FreedAt;
     std::unique_ptr<boost::asio::steady_timer> Timer;
@@ -72,8 +71,7 @@
   void onFailure(const std::string &store);
   void later(const std::string &store, Duration pause);
   std::vector<direct::BrokenPart> unused(const std::string &store,
-                                         const Followed &followed,
-                                         TimePoint now) const;
+                                         const Followed &followed) const;
   /// Oldest version of any weights that a server has or may come back with.
   std::optional<uint64_t> oldestInUse(TimePoint now);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,9 +49,9 @@
                                                  ContextFollowerSettings{})),
       Orders(std::make_shared<OrderDriver>(
           State, Control, Store, orderSettings(), secureRandom,
-          [this](const std::vector<std::string> &servers) {
-            onLoading(servers);
-            Peers->tellLoading(servers);
+          [this](const direct::PeerMessage &message) {
+            onWeights(message);
+            Peers->tell(message);
           })),
       Callers(State),
       ReadinessServer(io, listenOn(Options.Readiness),
@@ -82,8 +82,8 @@
     if (!records.empty())
       Follower->merge(records);
   };
-  out.Loading = [this](const std::vector<std::string> &servers) {
-    onLoading(servers);
+  out.Weights = [this](const direct::PeerMessage &message) {
+    onWeights(message);
   };
   return out;
 }
@@ -112,6 +112,18 @@
   return true;
 }
 
+void Gateway::reload(const GatewayOptions &options) {
+  bool needsRestart =
+      options.Callers != Options.Callers ||
+      options.Readiness != Options.Readiness ||
+      options.Peers != Options.Peers || options.Store != Options.Store ||
+      options.Name != Options.Name || !(options.Placement == Options.Placement);
+  Peers->setSeeds(options.Seeds);
+  Log.write(LogWeight::Notable, "settings_reloaded",
+            {{"seeds", options.Seeds.size()}, {"needs_restart", needsRestart}},
+            monotonicNow());
+}
+
 void Gateway::answerReadiness(net::HttpExchange &exchange) const {
   bool isReady = State.catalog()->Config != nullptr && !State.Draining;
   exchange.respond({isReady ? StatusOk : StatusUnavailable, {}, {}});
@@ -126,6 +138,16 @@
                     Counters.prometheusText()});
 }
 
+void Gateway::onWeights(const direct::PeerMessage &message) {
+  if (const auto *loading = std::get_if<direct::ServersLoading>(&message))
+    onLoading(loading->Servers);
+  const auto *loaded = std::get_if<direct::ServerLoaded>(&message);
+  if (!loaded)
+    return;
+  State.Catalog.noteLoaded(loaded->Server, loaded->Has, monotonicNow());
+  onCatalog();
+}
+
 void Gateway::onLoading(const std::vector<std::string> &servers) {
   TimePoint until = monotonicNow() + LoadAvoidance;
   auto catalog = State.catalog();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,9 @@
   ~Gateway();
 
   bool start(Error &reason);
+  /// Takes over what may change while the process runs, and logs what needs a
+  /// restart.
+  void reload(const GatewayOptions &options);
   /// Not ready from now on; calls done once all requests were answered and the
   /// balancer has noticed.
   void drain(std::function<void()> done);
@@ -37,6 +40,8 @@
   void answerReadiness(net::HttpExchange &exchange) const;
   void answerMetrics(net::HttpExchange &exchange);
   void onCatalog();
+  /// Another entry, or this one, gives orders for new weights.
+  void onWeights(const direct::PeerMessage &message);
   /// Servers that take new weights are left alone until they have them.
   void onLoading(const std::vector<std::string> &servers);
   PeerHooks peerHooks();
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -41,9 +41,9 @@
 
 OrderDriver::OrderDriver(GatewayState &state, Strand strand,
                          edge::KvStore store, OrderDriverSettings settings,
-                         RandomSource random, Loading loading)
+                         RandomSource random, Tell tell)
     : State(state), On(std::move(strand)), Settings(settings),
-      Random(std::move(random)), TellLoading(std::move(loading)),
+      Random(std::move(random)), TellEntries(std::move(tell)),
       Holder(std::make_shared<HolderLease>(
           On, std::move(store), State.Speak.HolderKey,
           State.Speak.EncodeHolder({State.Options.Name}), settings.Holder,
@@ -95,15 +95,29 @@
 void OrderDriver::perform(const std::vector<direct::WeightAction> &actions) {
   if (actions.empty())
     return;
-  TellLoading(Plan.busy());
+  if (std::vector<std::string> busy = Plan.busy(); !busy.empty())
+    TellEntries(direct::ServersLoading{std::move(busy)});
   for (const direct::WeightAction &action : actions) {
     if (const auto *report = std::get_if<direct::AskReport>(&action))
       ask(*report);
+    else if (const auto *order = std::get_if<direct::GiveOrder>(&action))
+      give(*order);
     else
-      order(std::get<direct::GiveOrder>(action));
+      noteLoaded(std::get<direct::NoteLoaded>(action));
   }
 }
 
+void OrderDriver::noteLoaded(const direct::NoteLoaded &action) {
+  TimePoint now = monotonicNow();
+  State.Log.write(LogWeight::Notable, "server_loaded",
+                  {{"server", action.ServerId},
+                   {"model", action.Has.Model},
+                   {"version", action.Has.Version}},
+                  now);
+  TellEntries(direct::ServerLoaded{action.ServerId, action.Has});
+  perform(Plan.next(*State.catalog(), now));
+}
+
 void OrderDriver::ask(const direct::AskReport &action) {
   State.Control.fetch(action.Address, State.Speak.ReportRequest(),
                       Settings.Weights.CallPatience,
@@ -121,7 +135,7 @@
                       });
 }
 
-void OrderDriver::order(const direct::GiveOrder &action) {
+void OrderDriver::give(const direct::GiveOrder &action) {
   TimePoint now = monotonicNow();
   std::optional<uint64_t> token = this->token(now);
   if (!token)
--- a/src/gateway/order_driver.h
+++ b/src/gateway/order_driver.h
@@ -2,6 +2,7 @@
 /// and the freeing of kept context that nobody can use any more.
 #pragma once
 
+#include "direct/peer_messages.h"
 #include "direct/weight_plan.h"
 #include "gateway/holder_lease.h"
 
@@ -28,12 +29,12 @@
 /// Runs on its strand.
 class OrderDriver : public std::enable_shared_from_this<OrderDriver> {
 public:
-  /// Told of servers that are about to load, so that requests go elsewhere.
-  using Loading = std::function<void(const std::vector<std::string> &)>;
+  /// Told of servers that are about to load, so that requests go elsewhere, and
+  /// of those that have loaded.
+  using Tell = std::function<void(const direct::PeerMessage &)>;
 
   OrderDriver(GatewayState &state, Strand strand, edge::KvStore store,
-              OrderDriverSettings settings, RandomSource random,
-              Loading loading);
+              OrderDriverSettings settings, RandomSource random, Tell tell);
 
   /// Call several times a second, and whenever the catalog has changed.
   void onTimer(TimePoint now);
@@ -45,7 +46,8 @@
   void seekHolder(const direct::Catalog &catalog, TimePoint now);
   void perform(const std::vector<direct::WeightAction> &actions);
   void ask(const direct::AskReport &action);
-  void order(const direct::GiveOrder &action);
+  void give(const direct::GiveOrder &action);
+  void noteLoaded(const direct::NoteLoaded &action);
   void onOrderAnswer(const std::string &server, const Error &error,
                      unsigned status);
 
@@ -53,7 +55,7 @@
   Strand On;
   OrderDriverSettings Settings;
   RandomSource Random;
-  Loading TellLoading;
+  Tell TellEntries;
   std::shared_ptr<HolderLease> Holder;
   direct::WeightPlan Plan;
   std::optional<TimePoint> SeekAt; ///< When to try to become the holder.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -40,7 +40,15 @@
                boost::asio::dispatch(
                    On, [self = shared_from_this(), body = request.Body,
                         exchange] { self->answer(body, *exchange); });
-             }) {}
+             }),
+      Seeds(state.Options.Seeds) {}
+
+void PeerExchange::setSeeds(std::vector<Endpoint> seeds) {
+  boost::asio::dispatch(
+      On, [self = shared_from_this(), seeds = std::move(seeds)]() mutable {
+        self->Seeds = std::move(seeds);
+      });
+}
 
 bool PeerExchange::start(Error &reason) { return Server.start(reason); }
 
@@ -55,8 +63,11 @@
 }
 
 direct::PeerMessage PeerExchange::reply(const direct::PeerMessage &message) {
-  if (const auto *loading = std::get_if<direct::ServersLoading>(&message)) {
-    Hooks.Loading(loading->Servers);
+  bool isAboutWeights =
+      std::holds_alternative<direct::ServersLoading>(message) ||
+      std::holds_alternative<direct::ServerLoaded>(message);
+  if (isAboutWeights) {
+    Hooks.Weights(message);
     return direct::Received{};
   }
   const auto *wanted = std::get_if<direct::RecordsWanted>(&message);
@@ -74,7 +85,7 @@
       out.push_back(peer.Peer);
   if (!out.empty())
     return out;
-  for (const Endpoint &seed : State.Options.Seeds)
+  for (const Endpoint &seed : Seeds)
     if (seed != State.Options.Peers)
       out.push_back(seed);
   return out;
@@ -121,10 +132,9 @@
   }
 }
 
-void PeerExchange::tellLoading(const std::vector<std::string> &servers) {
+void PeerExchange::tell(const direct::PeerMessage &message) {
   for (const Endpoint &peer : others())
-    post(peer, direct::ServersLoading{servers},
-         [](const direct::PeerMessage &) {});
+    post(peer, message, [](const direct::PeerMessage &) {});
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -19,7 +19,8 @@
   std::function<void(const std::vector<direct::StoreRecord> &,
                      Duration confirmedAgo)>
       Records;
-  std::function<void(const std::vector<std::string> &servers)> Loading;
+  /// ServersLoading or ServerLoaded.
+  std::function<void(const direct::PeerMessage &)> Weights;
 };
 
 /// Runs on its strand.
@@ -33,8 +34,10 @@
   /// Asks a few entries for news while the service is away. Call several times
   /// a second.
   void onTimer(bool serviceIsReachable, TimePoint now);
+  /// Asked while no entry is known.
+  void setSeeds(std::vector<Endpoint> seeds);
   /// Tells every entry.
-  void tellLoading(const std::vector<std::string> &servers);
+  void tell(const direct::PeerMessage &message);
 
 private:
   void answer(std::string_view body, net::HttpExchange &exchange);
@@ -49,6 +52,7 @@
   PeerHooks Hooks;
   RandomSource Random;
   net::HttpServer Server;
+  std::vector<Endpoint> Seeds;
   TimePoint NextAsk;
 };
 
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -6,9 +6,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <sys/stat.h>
 #include <thread>
 
 DEFINE_string(config, "", "settings file (INI); else that of DAISYTACK_CONFIG");
@@ -23,6 +25,8 @@
 namespace {
 
 constexpr int64_t MaxThreads = 256;
+/// Between looks at the settings file.
+constexpr std::chrono::seconds FileCheck{1};
 
 /// Settings of the frame itself.
 struct FrameSettings {
@@ -48,10 +52,13 @@
 public:
   Frame(const ProcessInit &init, const FrameSettings &settings)
       : Init(init), Config(settings), Io(static_cast<int>(settings.Threads)),
-        Signals(Io, SIGTERM, SIGINT), Timer(Io) {}
+        Signals(Io, SIGTERM, SIGINT), Hangups(Io, SIGHUP), Timer(Io),
+        FileTimer(Io), FileSeen(fileState()) {}
 
   ExitCode run() {
     waitForSignal();
+    waitForHangup();
+    watchFile();
     Error reason;
     if (!Init.Start(Io, reason)) {
       logError("can't start: " + std::string(errorName(reason.Kind)) + ": " +
@@ -74,6 +81,56 @@
     });
   }
 
+  void waitForHangup() {
+    Hangups.async_wait([this](boost::system::error_code ec, int) {
+      if (ec)
+        return;
+      reload();
+      waitForHangup();
+    });
+  }
+
+  /// Size and time of the settings file, as one number that changes with it.
+  static uint64_t fileState() {
+    struct stat info {};
+    if (::stat(FLAGS_config.c_str(), &info) != 0)
+      return 0;
+    constexpr uint64_t NanosPerSecond = 1'000'000'000;
+    return static_cast<uint64_t>(info.st_mtim.tv_sec) * NanosPerSecond +
+           static_cast<uint64_t>(info.st_mtim.tv_nsec) +
+           static_cast<uint64_t>(info.st_size);
+  }
+
+  /// The file may also change without a signal.
+  void watchFile() {
+    if (!Init.Reload)
+      return;
+    FileTimer.expires_after(FileCheck);
+    FileTimer.async_wait([this](boost::system::error_code ec) {
+      if (ec)
+        return;
+      if (fileState() != FileSeen)
+        reload();
+      watchFile();
+    });
+  }
+
+  void reload() {
+    if (!Init.Reload || IsDraining)
+      return;
+    FileSeen = fileState();
+    Settings settings = Settings::fromFile(FLAGS_config);
+    readFrameSettings(settings);
+    Init.ReadSettings(settings);
+    std::vector<SettingError> errors = settings.finish();
+    for (const SettingError &error : errors)
+      logError("settings not reloaded: " + toString(error));
+    if (!errors.empty())
+      return;
+    logInfo("settings reloaded");
+    Init.Reload();
+  }
+
   void onSignal() {
     if (IsDraining) {
       stop(ExitCode::Interrupted);
@@ -108,7 +165,10 @@
   FrameSettings Config;
   boost::asio::io_context Io;
   boost::asio::signal_set Signals;
+  boost::asio::signal_set Hangups;
   boost::asio::steady_timer Timer;
+  boost::asio::steady_timer FileTimer;
+  uint64_t FileSeen; ///< State of the settings file when it was last read.
   bool IsDraining = false; ///< Touched by the signal's handlers only.
   std::atomic<bool> IsStopped{false};
   ExitCode Result = ExitCode::Done;
@@ -148,6 +208,7 @@
          "  --check        check the settings, print every mistake and exit\n"
          "  --version      print the version and exit\n"
          "  --help         print this and exit\n\n"
+         "SIGHUP, and a change of the file, reads the settings again.\n"
          "SIGTERM or SIGINT drains: no new work, what was accepted "
          "finishes.\n\n"
          "exit codes: 0 done, 1 command line, 2 settings, 3 can't start,\n"
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -39,6 +39,10 @@
     else
       shell->drain(std::move(done));
   };
+  init.Reload = [&] {
+    if (gateway && direct)
+      gateway->reload(*direct);
+  };
   init.Stop = [&] {
     gateway.reset();
     shell.reset();
