--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -15,9 +15,9 @@
 
 const std::vector<BackendServer> &
 Catalog::serversOf(std::string_view service) const {
-  static const std::vector<BackendServer> none;
+  static const std::vector<BackendServer> None;
   auto it = Servers.find(service);
-  return it == Servers.end() ? none : it->second;
+  return it == Servers.end() ? None : it->second;
 }
 
 uint64_t Catalog::wantedVersion(std::string_view model) const {
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -70,7 +70,7 @@
   Tried.push_back(order.ServerId);
   order.TimeLeft = Request.Deadline - now;
   order.SeenEvent = LastEvent;
-  Current.emplace();
+  Current.emplace(Try{});
   Current->Order = std::move(order);
   Current->SentAt = now;
   arm(now);
@@ -101,9 +101,14 @@
   if (isStream)
     return passEvents(current.Events.feed(data));
   current.Held += data;
-  bool isTooLong = current.Held.size() > Settings.MaxHeldAnswer;
-  if (!isTooLong || !isSuccess(current.Head.Status))
+  if (current.Held.size() <= Settings.MaxHeldAnswer)
     return;
+  if (!isSuccess(current.Head.Status)) {
+    ++Runs;
+    Hooks.Cancel(attempt);
+    return onFailed({ErrorKind::ServerFailed, "a failure too long to pass on"},
+                    now);
+  }
   passEvents(std::exchange(current.Held, {}));
   arm(now);
 }
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -179,16 +179,17 @@
   }
   const BackendServer *home =
       request.Head.Parts.empty() ? nullptr : homeOf(request, servers);
-  const BackendServer *best = nullptr;
-  double least = 0;
-  for (const BackendServer &server : servers) {
-    double cost = this->cost(request, catalog, server, home, now);
-    if (best && cost >= least)
+  size_t best = 0;
+  double least = cost(request, catalog, servers[0], home, now);
+  for (size_t i = 1; i < servers.size(); ++i) {
+    double cost = this->cost(request, catalog, servers[i], home, now);
+    if (cost >= least)
       continue;
-    best = &server;
+    best = i;
     least = cost;
   }
-  return AttemptChoice{orderFor(request, catalog, *best, serversClockMs, now)};
+  return AttemptChoice{
+      orderFor(request, catalog, servers[best], serversClockMs, now)};
 }
 
 AttemptOrder Placement::orderFor(const ForwardRequest &request,
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -152,8 +152,8 @@
 
 void StoreFollower::retryLater() {
   uint32_t doublings = std::min(Failures, MostDoublings);
-  Duration most =
-      std::min<Duration>(Settings.LeastPause * (1LL << doublings), Settings.LongestPause);
+  Duration most = std::min<Duration>(Settings.LeastPause * (1LL << doublings),
+                                     Settings.LongestPause);
   auto jitter = static_cast<int64_t>(
       Random() % static_cast<uint64_t>(std::max<int64_t>(most.count() / 2, 1)));
   Timer.expires_after(most / 2 + Duration(jitter));
--- /dev/null
+++ b/tests/direct/catalog_test.cpp
@@ -0,0 +1,230 @@
+#include "direct/catalog.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace daisytack::direct {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{Duration(1'000'000'000)};
+
+/// "server:NAME=VERSION", with "!" at the end for one that drains;
+/// "weights:MODEL=VERSION"; "config=VERSION"; "entry:NAME".
+CatalogHooks textHooks(std::vector<std::string> *log = nullptr) {
+  CatalogHooks out;
+  out.SubjectOf = [](std::string_view key) -> FactSubject {
+    size_t colon = key.find(':');
+    std::string name(colon == std::string_view::npos ? ""
+                                                     : key.substr(colon + 1));
+    if (key.starts_with("server:"))
+      return {FactKind::Server, name};
+    if (key.starts_with("weights:"))
+      return {FactKind::Weights, name};
+    if (key.starts_with("entry:"))
+      return {FactKind::Entry, name};
+    return {key == "config" ? FactKind::Config : FactKind::Other, ""};
+  };
+  out.Decode = [hooks =
+                    out.SubjectOf](const StoreRecord &record,
+                                   Error &reason) -> std::optional<FactValue> {
+    FactSubject subject = hooks(record.Key);
+    if (record.Value == "bad") {
+      reason = {ErrorKind::BadValue, "bad"};
+      return std::nullopt;
+    }
+    if (subject.Kind == FactKind::Entry)
+      return EntryPeer{subject.Name, {"10.0.0.1", 1}};
+    bool isDraining = record.Value.ends_with('!');
+    uint64_t version = std::stoull(record.Value);
+    if (subject.Kind == FactKind::Weights)
+      return DesiredWeights{{subject.Name, version}};
+    if (subject.Kind == FactKind::Config) {
+      ServingConfig config;
+      config.Version = version;
+      return config;
+    }
+    BackendServer server;
+    server.Id = subject.Name;
+    server.Service = "service";
+    server.IsDraining = isDraining;
+    server.Weights = {{"model", version}};
+    return server;
+  };
+  out.Changed = [log](const FactSubject &subject, std::string_view change,
+                      uint64_t, TimePoint) {
+    if (log)
+      log->push_back(subject.Name + " " + std::string(change));
+  };
+  out.Unreadable = [log](const StoreRecord &record, const Error &, TimePoint) {
+    if (log)
+      log->push_back(record.Key + " unreadable");
+  };
+  return out;
+}
+
+StoreRecord put(std::string key, std::string value, uint64_t revision) {
+  return {std::move(key), std::move(value), revision, false};
+}
+StoreRecord gone(std::string key, uint64_t revision) {
+  return {std::move(key), "", revision, true};
+}
+
+std::vector<std::string> idsOf(const CatalogKeeper &keeper) {
+  std::vector<std::string> out;
+  for (const BackendServer &it : keeper.view()->serversOf("service"))
+    out.push_back(it.Id);
+  return out;
+}
+
+using Ids = std::vector<std::string>;
+
+TEST(CatalogKeeper, NeverGoesBackToAnOlderRecord) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("config", "7", 20)}, Start);
+  keeper.apply({put("config", "5", 10)}, Start);
+  EXPECT_EQ(keeper.view()->Config->config().Version, 7);
+  EXPECT_EQ(keeper.view()->ConfigRevision, 20);
+  keeper.apply({put("config", "8", 21)}, Start);
+  EXPECT_EQ(keeper.view()->Config->config().Version, 8);
+}
+
+TEST(CatalogKeeper, KeepsTheConfigurationThatAStoreNoLongerShows) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("config", "7", 20)}, Start);
+  keeper.apply({gone("config", 30)}, Start);
+  keeper.applyAll({}, 40, Start);
+  ASSERT_NE(keeper.view()->Config, nullptr);
+  EXPECT_EQ(keeper.view()->Config->config().Version, 7);
+}
+
+TEST(CatalogKeeper, KeepsWhatItHadWhenANewValueCannotBeRead) {
+  std::vector<std::string> log;
+  CatalogKeeper keeper({}, textHooks(&log));
+  keeper.apply({put("config", "7", 20), put("config", "bad", 21)}, Start);
+  EXPECT_EQ(keeper.view()->Config->config().Version, 7);
+  EXPECT_EQ(log.back(), "config unreadable");
+}
+
+TEST(CatalogKeeper, GivesNothingNewToDrainingServers) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("server:a", "1", 1), put("server:b", "1!", 2)}, Start);
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  EXPECT_EQ(keeper.view()->AllServers.size(), 2);
+}
+
+TEST(CatalogKeeper, DropsAServerThatIsGoneAtOnce) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("server:a", "1", 1), gone("server:a", 2)}, Start);
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
+TEST(CatalogKeeper, KeepsServersWhoseEntriesLapsedWithTheStore) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.apply({put("server:a", "1", 1), put("server:b", "1", 2)}, Start);
+  keeper.onStoreLost();
+  keeper.onStoreBack(Start + 10s);
+  keeper.applyAll({}, 9, Start + 10s);
+  EXPECT_EQ(idsOf(keeper), (Ids{"a", "b"}));
+  keeper.apply({put("server:b", "1", 10)}, Start + 11s);
+  keeper.onTimer(Start + 11'900ms);
+  EXPECT_EQ(idsOf(keeper), (Ids{"a", "b"}));
+  keeper.onTimer(Start + 12s);
+  EXPECT_EQ(idsOf(keeper), Ids{"b"});
+}
+
+TEST(CatalogKeeper, HearsOfALapseWhileTheStoreIsAwayAndCountsFromItsReturn) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.apply({put("server:a", "1", 1)}, Start);
+  keeper.onStoreLost();
+  keeper.apply({gone("server:a", 5)}, Start + 1s); // From another entry.
+  keeper.onTimer(Start + 60s);
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  keeper.onStoreBack(Start + 60s);
+  keeper.onTimer(Start + 61s);
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  keeper.onTimer(Start + 62s);
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
+TEST(CatalogKeeper, GivesNoGraceToAServerThatWasDraining) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.apply({put("server:a", "1!", 1)}, Start);
+  keeper.onStoreLost();
+  keeper.onStoreBack(Start);
+  keeper.applyAll({}, 9, Start);
+  EXPECT_TRUE(keeper.view()->AllServers.empty());
+}
+
+TEST(CatalogKeeper, ReadingEverythingSparesWhatIsNewerThanTheReading) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("server:a", "1", 1), put("server:b", "1", 12)}, Start);
+  keeper.applyAll({}, 10, Start);
+  EXPECT_EQ(idsOf(keeper), Ids{"b"});
+}
+
+TEST(CatalogKeeper, KeepsTheTimeOfEachWantedVersion) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("weights:model", "2", 5)}, Start);
+  keeper.apply({put("weights:model", "3", 6)}, Start + 4s);
+  keeper.apply({put("weights:model", "2", 5)}, Start + 5s);
+  auto view = keeper.view();
+  EXPECT_EQ(view->wantedVersion("model"), 3);
+  EXPECT_EQ(view->behindSince("model", 1), Start);
+  EXPECT_EQ(view->behindSince("model", 2), Start + 4s);
+  EXPECT_EQ(view->behindSince("model", 3), std::nullopt);
+  EXPECT_EQ(view->behindSince("other", 1), std::nullopt);
+}
+
+TEST(CatalogKeeper, BelievesAReportOfNewWeightsAheadOfTheRecord) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("server:a", "1", 1)}, Start);
+  keeper.noteLoaded("a", {"model", 2}, Start);
+  EXPECT_EQ(keeper.view()->serversOf("service")[0].versionOf("model"), 2);
+  keeper.apply({put("server:a", "1", 2)}, Start); // A record that lags behind.
+  EXPECT_EQ(keeper.view()->serversOf("service")[0].versionOf("model"), 2);
+  keeper.apply({put("server:a", "3", 3)}, Start);
+  EXPECT_EQ(keeper.view()->serversOf("service")[0].versionOf("model"), 3);
+}
+
+TEST(CatalogKeeper, PassesOnWhatIsNewerDeletionsToo) {
+  CatalogKeeper first({}, textHooks());
+  CatalogKeeper second({}, textHooks());
+  first.apply({put("config", "1", 1), put("server:a", "1", 2)}, Start);
+  second.apply(first.recordsSince(0), Start);
+  first.apply({gone("server:a", 3), put("server:b", "1", 4)}, Start);
+  second.apply(first.recordsSince(second.revision()), Start);
+  EXPECT_EQ(idsOf(second), Ids{"b"});
+  EXPECT_EQ(second.revision(), first.revision());
+}
+
+/// Records may come in any order, repeated, from anywhere: what is believed in
+/// the end depends on the newest record of each key alone.
+RC_GTEST_PROP(CatalogKeeper, ConvergesWhateverTheOrder, ()) {
+  std::vector<StoreRecord> history;
+  auto n = *rc::gen::inRange<uint64_t>(1, 30);
+  for (uint64_t revision = 1; revision <= n; ++revision) {
+    std::string key = "server:" + std::string(1, *rc::gen::inRange('a', 'e'));
+    bool isDeleted = *rc::gen::arbitrary<bool>();
+    history.push_back(isDeleted ? gone(key, revision)
+                                : put(key, std::to_string(revision), revision));
+  }
+  std::vector<StoreRecord> shuffled = history;
+  for (size_t i = 0; i < history.size(); ++i)
+    shuffled.push_back(*rc::gen::elementOf(history));
+  for (size_t i = shuffled.size() - 1; i > 0; --i)
+    std::swap(shuffled[i], shuffled[*rc::gen::inRange<size_t>(0, i + 1)]);
+  CatalogKeeper inOrder({}, textHooks());
+  CatalogKeeper mixed({}, textHooks());
+  for (const StoreRecord &record : history)
+    inOrder.apply({record}, Start);
+  for (const StoreRecord &record : shuffled)
+    mixed.apply({record}, Start);
+  RC_ASSERT(inOrder.view()->AllServers == mixed.view()->AllServers);
+}
+
+} // namespace
+} // namespace daisytack::direct
--- /dev/null
+++ b/tests/direct/kept_context_test.cpp
@@ -0,0 +1,192 @@
+#include "direct/kept_context.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace daisytack::direct {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{Duration(1'000'000'000)};
+const PromptPart PartA{"a", 100};
+const PromptPart PartB{"b", 100};
+
+Service storeOf(std::string name, std::string domain,
+                uint64_t capacity = 1000) {
+  Service out;
+  out.Name = name;
+  out.Store = ContextStoreTraits{};
+  out.Store->Address = {"10.0.0." + std::to_string(name.size()), 80};
+  out.Store->FailureDomain = std::move(domain);
+  out.Store->CapacityTokens = capacity;
+  return out;
+}
+
+/// Two stores, "x" in d1 and "yy" in d2, both reachable.
+struct TwoStores : KeptContext {
+  TwoStores() : KeptContext({}) {
+    setStores({storeOf("x", "d1"), storeOf("yy", "d2")});
+    apply("x", PartChanges{1, 0, false, {}, {}});
+    apply("yy", PartChanges{1, 0, false, {}, {}});
+  }
+};
+
+PartChanges change(bool kept, const PromptPart &part, uint64_t epoch = 1,
+                   std::string scope = "s") {
+  return {
+      epoch, 1, false, {}, {{1, kept, std::move(scope), part.Id, part.Tokens}}};
+}
+
+TEST(KeptContext, OffersAPartOnceAStoreReportsItWhole) {
+  TwoStores kept;
+  EXPECT_FALSE(kept.find("s", PartA, "d1"));
+  EXPECT_TRUE(kept.planSave("s", PartA, Start));
+  EXPECT_FALSE(kept.find("s", PartA, "d1")); // Asked for is not whole.
+  kept.apply("x", change(true, PartA));
+  EXPECT_EQ(kept.find("s", PartA, "d2")->FailureDomain, "d1");
+  kept.apply("yy", change(true, PartA));
+  EXPECT_EQ(kept.find("s", PartA, "d2")->FailureDomain, "d2");
+  kept.apply("yy", change(false, PartA));
+  EXPECT_EQ(kept.find("s", PartA, "d2")->FailureDomain, "d1");
+}
+
+TEST(KeptContext, KeepsScopesApart) {
+  TwoStores kept;
+  kept.apply("x", change(true, PartA, 1, "s"));
+  EXPECT_FALSE(kept.find("t", PartA, "d1"));
+  EXPECT_FALSE(kept.find("s", PartB, "d1"));
+}
+
+TEST(KeptContext, ForgetsWhatARestartedStoreHeld) {
+  TwoStores kept;
+  kept.apply("x", change(true, PartA));
+  EXPECT_FALSE(kept.apply("x", PartChanges{2, 0, false, {}, {}}));
+  EXPECT_FALSE(kept.find("s", PartA, "d1"));
+}
+
+TEST(KeptContext, AsksForAListAfterAGap) {
+  TwoStores kept;
+  EXPECT_TRUE(kept.apply("x", PartChanges{1, 5, false, {}, {}}));
+  EXPECT_FALSE(kept.apply("x", PartChanges{1, 9, true, {}, {}}));
+  PartList list{1, 9, {{0, true, "s", "b", 100}}, {}};
+  kept.apply("x", change(true, PartA));
+  kept.apply("x", list);
+  EXPECT_FALSE(kept.find("s", PartA, "d1"));
+  EXPECT_TRUE(kept.find("s", PartB, "d1"));
+}
+
+TEST(KeptContext, OffersNothingOfAStoreThatDoesNotAnswer) {
+  TwoStores kept;
+  kept.apply("x", change(true, PartA));
+  kept.onUnreachable("x");
+  EXPECT_FALSE(kept.find("s", PartA, "d1"));
+  EXPECT_EQ(kept.planSave("s", PartB, Start)->FailureDomain, "d2");
+  kept.apply("x", PartChanges{1, 1, false, {}, {}});
+  EXPECT_TRUE(kept.find("s", PartA, "d1"));
+}
+
+TEST(KeptContext, AsksForEachSaveOnce) {
+  TwoStores kept;
+  EXPECT_TRUE(kept.planSave("s", PartA, Start));
+  EXPECT_FALSE(kept.planSave("s", PartA, Start + 1s));
+  EXPECT_TRUE(kept.planSave("s", PartA, Start + 10s)); // It was lost.
+  kept.forgetSave("s", PartA);
+  EXPECT_TRUE(kept.planSave("s", PartA, Start + 10s)); // It was not tried.
+  kept.apply("x", change(true, PartA));
+  EXPECT_FALSE(kept.planSave("s", PartA, Start + 60s));
+}
+
+TEST(KeptContext, SavesNoMoreThanFits) {
+  KeptContext kept({});
+  kept.setStores({storeOf("x", "d1", 250)});
+  kept.apply("x", PartChanges{1, 0, false, {}, {}});
+  EXPECT_TRUE(kept.planSave("s", PartA, Start));
+  EXPECT_TRUE(kept.planSave("s", PartB, Start));
+  EXPECT_FALSE(kept.planSave("s", {"c", 100}, Start));
+  kept.apply("x", change(true, PartA));
+  kept.apply("x", change(true, PartB));
+  EXPECT_FALSE(kept.planSave("s", {"c", 100}, Start));
+  kept.apply("x", change(false, PartA));
+  EXPECT_TRUE(kept.planSave("s", {"c", 100}, Start));
+}
+
+TEST(KeptContext, DropsAStoreThatTheConfigurationNoLongerNames) {
+  TwoStores kept;
+  kept.apply("x", change(true, PartA));
+  kept.setStores({storeOf("yy", "d2")});
+  EXPECT_FALSE(kept.find("s", PartA, "d1"));
+}
+
+TEST(KeptContext, ListsWhatNobodyCanUse) {
+  TwoStores kept;
+  kept.apply("x", change(true, PartA, 1, "old"));
+  kept.apply("x", change(true, PartB, 1, "new"));
+  auto unused = kept.partsOutside(
+      "x", [](std::string_view scope) { return scope == "new"; });
+  EXPECT_EQ(unused, (std::vector<BrokenPart>{{"old", "a"}}));
+}
+
+/// Against a model of one store: saves, completions, frees, restarts and late
+/// reports in any order. A part is never offered that the store did not hold
+/// whole, under that scope, at the time of its last report.
+RC_GTEST_PROP(KeptContext, NeverOffersWhatTheStoreDidNotReportWhole, ()) {
+  struct Model {
+    uint64_t Epoch = 1;
+    std::set<std::pair<std::string, std::string>> Whole;
+  };
+  KeptContext kept({});
+  kept.setStores({storeOf("x", "d1", 100'000)});
+  Model model;
+  std::vector<PartChange> unreported;
+  uint64_t number = 0;
+  kept.apply("x", PartChanges{1, 0, false, {}, {}});
+  std::set<std::pair<std::string, std::string>> reported;
+  uint64_t reportedEpoch = 1;
+  auto n = *rc::gen::inRange(1, 60);
+  for (int step = 0; step < n; ++step) {
+    std::string scope = *rc::gen::element<std::string>("s@1", "s@2", "t@1");
+    std::string part(1, *rc::gen::inRange('a', 'd'));
+    switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+      kept.planSave(scope, {part, 10}, Start + Duration(step));
+      break;
+    case 1:
+      model.Whole.insert({scope, part});
+      unreported.push_back({++number, true, scope, part, 10});
+      break;
+    case 2:
+      model.Whole.erase({scope, part});
+      unreported.push_back({++number, false, scope, part, 10});
+      break;
+    case 3:
+      ++model.Epoch;
+      model.Whole.clear();
+      unreported.clear();
+      number = 0;
+      break;
+    default:
+      kept.apply("x", PartChanges{model.Epoch, number, false, {}, unreported});
+      if (reportedEpoch != model.Epoch)
+        reported.clear();
+      reportedEpoch = model.Epoch;
+      for (const PartChange &it : unreported) {
+        if (it.IsKept)
+          reported.insert({it.Scope, it.Part});
+        else
+          reported.erase({it.Scope, it.Part});
+      }
+      unreported.clear();
+      RC_ASSERT(reported == model.Whole);
+    }
+    for (const char *s : {"s@1", "s@2", "t@1"})
+      for (const char *p : {"a", "b", "c"})
+        RC_ASSERT(kept.find(s, {p, 10}, "d1").has_value() ==
+                  reported.contains({s, p}));
+  }
+}
+
+} // namespace
+} // namespace daisytack::direct
--- /dev/null
+++ b/tests/direct/placement_test.cpp
@@ -0,0 +1,314 @@
+#include "direct/placement.h"
+#include "direct/rendezvous.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace daisytack::direct {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{Duration(1'000'000'000)};
+constexpr int64_t ClockMs = 5'000'000;
+
+/// Six engines in two failure domains, one store, and what an entry in d1
+/// believes.
+class PlacementTest : public testing::Test {
+protected:
+  PlacementTest() {
+    Service engines;
+    engines.Name = "engines";
+    engines.Engine = EngineTraits{};
+    engines.Engine->HasManagedContext = true;
+    engines.Engine->TokenBytes = 1000;
+    Service store;
+    store.Name = "store";
+    store.Store = ContextStoreTraits{
+        {"10.9.0.1", 80}, "d1", 100'000, 100'000, 0ms, true, 4};
+    Service plain;
+    plain.Name = "plain";
+    ServingConfig config;
+    config.Services = {engines, store, plain};
+    Catalog.Config = std::make_shared<const ConfigIndex>(config);
+    Kept.setStores(config.Services);
+    Kept.apply("store", PartChanges{1, 0, false, {}, {}});
+    for (int i = 0; i < 6; ++i)
+      addServer("engines", "e" + std::to_string(i), i < 3 ? "d1" : "d2");
+    for (int i = 0; i < 2; ++i)
+      addServer("plain", "p" + std::to_string(i), i == 0 ? "d1" : "d2");
+  }
+
+  void addServer(const std::string &service, const std::string &id,
+                 const std::string &domain) {
+    BackendServer server;
+    server.Id = id;
+    server.Service = service;
+    server.Address = {"10.1.0.1", 80};
+    server.FailureDomain = domain;
+    if (service == "engines")
+      server.Weights = {{"model", 1}};
+    Catalog.Servers[service].push_back(server);
+    Catalog.AllServers.push_back(server);
+  }
+
+  BackendServer &server(const std::string &id) {
+    for (auto &[service, servers] : Catalog.Servers)
+      for (BackendServer &it : servers)
+        if (it.Id == id)
+          return it;
+    throw std::out_of_range(id);
+  }
+
+  static ForwardRequest prompt(const std::string &session) {
+    ForwardRequest out;
+    out.Head.RequestId = "r" + session;
+    out.Head.Model = "model";
+    out.Head.PromptTokens = 3000;
+    out.Head.Parts = {{"system", 500}, {session, 2000}, {"own", 500}};
+    out.Service = "engines";
+    out.Organisation = "org";
+    out.Via.Kind = RouteKind::Stream;
+    out.Via.TargetLatency = 800ms;
+    out.Arrived = Start;
+    out.Deadline = Start + 15s;
+    return out;
+  }
+
+  AttemptOrder choose(const ForwardRequest &request,
+                      const std::vector<std::string> &tried = {},
+                      TimePoint now = Start) {
+    Error reason;
+    auto choice = Place.choose(request, Catalog, tried, ClockMs, now, reason);
+    if (!choice)
+      return {};
+    return choice->Order;
+  }
+
+  ServerLoads Loads{{}};
+  StoreLinks Links{{}};
+  Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
+  KeptContext Kept{{}};
+  direct::Catalog Catalog;
+  Placement Place{{}, "d1", {Loads, Links, Ejected, Kept}};
+};
+
+TEST_F(PlacementTest, SessionsMeetAtTheirHomeInTheirFailureDomain) {
+  std::map<std::string, int> homes;
+  for (int i = 0; i < 60; ++i) {
+    ForwardRequest request = prompt("session" + std::to_string(i));
+    std::string home = choose(request).ServerId;
+    EXPECT_EQ(choose(request).ServerId, home);
+    EXPECT_EQ(server(home).FailureDomain, "d1");
+    ++homes[home];
+  }
+  EXPECT_EQ(homes.size(), 3);
+  for (const auto &[home, n] : homes)
+    EXPECT_GT(n, 8) << home;
+}
+
+TEST_F(PlacementTest, GoesElsewhereWhenTheHomeHasALongQueue) {
+  ForwardRequest request = prompt("s");
+  std::string home = choose(request).ServerId;
+  Loads.onSent(home, 50'000, Start);
+  EXPECT_NE(choose(request).ServerId, home);
+}
+
+TEST_F(PlacementTest, CountsWhatOtherEntriesHaveUnderWay) {
+  ForwardRequest request = prompt("s");
+  std::string home = choose(request).ServerId;
+  Loads.onPeer("other", {{stableHash(home), 5, 50'000}}, Start);
+  EXPECT_NE(choose(request).ServerId, home);
+  EXPECT_EQ(choose(request, {}, Start + 2s).ServerId, home); // Old news.
+}
+
+TEST_F(PlacementTest, LeavesOutServersThatWereTriedFailOrAreSilent) {
+  ForwardRequest request = prompt("s");
+  std::string first = choose(request).ServerId;
+  std::string second = choose(request, {first}).ServerId;
+  EXPECT_NE(second, first);
+  Ejected.onFailure(1, 6, stableHash(first), Start);
+  EXPECT_EQ(choose(request).ServerId, second);
+  Loads.onSent(second, 0, Start);
+  EXPECT_NE(choose(request, {}, Start + 2s).ServerId, second);
+}
+
+TEST_F(PlacementTest, PrefersAnAvoidedServerToNone) {
+  for (const BackendServer &it : Catalog.Servers["plain"])
+    Loads.avoidUntil(it.Id, Start + 10s);
+  ForwardRequest request = prompt("s");
+  request.Service = "plain";
+  request.Head.Model.clear();
+  request.Head.Parts.clear();
+  EXPECT_NE(choose(request).ServerId, "");
+  EXPECT_EQ(choose(request, {"p0", "p1"}).ServerId, "");
+}
+
+TEST_F(PlacementTest, KeepsCallsNearUntilServersThereAreBusier) {
+  ForwardRequest request = prompt("s");
+  request.Service = "plain";
+  request.Head.Model.clear();
+  request.Head.Parts.clear();
+  EXPECT_EQ(choose(request).ServerId, "p0");
+  for (int i = 0; i < 6; ++i)
+    Loads.onSent("p0", 0, Start);
+  EXPECT_EQ(choose(request).ServerId, "p1");
+}
+
+TEST_F(PlacementTest, PrefersNewWeightsAndNeverUsesTooOldOnes) {
+  Catalog.Wanted["model"] = {{2, Start}};
+  ForwardRequest request = prompt("s");
+  std::string home = choose(request).ServerId;
+  for (auto &it : Catalog.Servers["engines"])
+    if (it.Id != home && it.FailureDomain == "d1")
+      it.Weights = {{"model", 2}};
+  EXPECT_EQ(choose(request).ServerId, home); // Within the grace.
+  EXPECT_NE(choose(request, {}, Start + 5s).ServerId, home);
+  for (auto &it : Catalog.Servers["engines"])
+    it.Weights = {{"model", it.Id == "e5" ? 2U : 1U}};
+  Loads.onSent("e5", 100'000, Start + 20s);
+  EXPECT_EQ(choose(request, {}, Start + 20s).ServerId, "e5");
+}
+
+TEST_F(PlacementTest, CountsTheAgeOfWeightsFromTheFirstNewerWish) {
+  Catalog.Wanted["model"] = {{2, Start}, {3, Start + 11s}};
+  for (auto &it : Catalog.Servers["engines"])
+    it.Weights = {{"model", it.Id == "e5" ? 2U : 1U}};
+  Loads.onSent("e5", 100'000, Start + 12s);
+  EXPECT_EQ(choose(prompt("s"), {}, Start + 12s).ServerId, "e5");
+}
+
+TEST_F(PlacementTest, AsksTheServerForItsVersionAndScope) {
+  AttemptOrder order = choose(prompt("s"));
+  EXPECT_EQ(order.WeightVersion, 1);
+  EXPECT_EQ(order.CacheScope, "shared@1");
+  ForwardRequest isolated = prompt("s");
+  isolated.IsIsolated = true;
+  EXPECT_EQ(choose(isolated).CacheScope, "org@1");
+}
+
+TEST_F(PlacementTest, ReadsTheVersionOfAScope) {
+  EXPECT_EQ(versionOfScope(cacheScope("org@9", true, 12)), 12);
+  EXPECT_EQ(versionOfScope("none"), std::nullopt);
+  EXPECT_EQ(versionOfScope("org@x"), std::nullopt);
+  EXPECT_EQ(versionOfScope("org@"), std::nullopt);
+}
+
+TEST_F(PlacementTest, SavesSharedPartsOnceAndNeverTheRequestsOwn) {
+  AttemptOrder first = choose(prompt("s"));
+  ASSERT_EQ(first.Destinations.size(), 3);
+  EXPECT_TRUE(first.Destinations[0]);
+  EXPECT_TRUE(first.Destinations[1]);
+  EXPECT_FALSE(first.Destinations[2]);
+  AttemptOrder second = choose(prompt("s"));
+  EXPECT_FALSE(second.Destinations[0]);
+  EXPECT_FALSE(second.Destinations[1]);
+}
+
+TEST_F(PlacementTest, NamesSourcesForWhatStoresHoldAndBoundsTheFetch) {
+  PartChanges changes{1, 2, false, {}, {}};
+  changes.Changes = {{1, true, "shared@1", "system", 500},
+                     {2, true, "shared@1", "s", 2000}};
+  Kept.apply("store", changes);
+  AttemptOrder order = choose(prompt("s"));
+  EXPECT_TRUE(order.Sources[0]);
+  EXPECT_TRUE(order.Sources[1]);
+  EXPECT_FALSE(order.Sources[2]);
+  ASSERT_TRUE(order.FetchUntilMs);
+  EXPECT_GT(*order.FetchUntilMs, ClockMs);
+  EXPECT_LT(*order.FetchUntilMs, ClockMs + 800);
+  ForwardRequest isolated = prompt("s");
+  isolated.IsIsolated = true;
+  EXPECT_FALSE(choose(isolated).Sources[1]);
+}
+
+TEST_F(PlacementTest, ShedsFetchesFromACongestedLinkButNotAll) {
+  PartChanges changes{1, 1, false, {}, {}};
+  changes.Changes = {{1, true, "shared@1", "system", 500}};
+  Kept.apply("store", changes);
+  for (int i = 0; i < 60; ++i) {
+    Links.observe(Endpoint{"10.9.0.1", 80}, 2000, Start);
+    Links.observe(std::nullopt, 20, Start);
+  }
+  int fetched = 0;
+  constexpr int N = 300;
+  for (int i = 0; i < N; ++i)
+    fetched += choose(prompt(std::to_string(i))).Sources[0] ? 1 : 0;
+  EXPECT_GT(fetched, N / 30);
+  EXPECT_LT(fetched, N / 5);
+}
+
+TEST(Rendezvous, MovesOnlyTheKeysOfAMemberThatLeaves) {
+  std::vector<std::string> members{"a", "b", "c", "d"};
+  auto best = [&](const std::string &key, size_t n) {
+    size_t out = 0;
+    for (size_t i = 1; i < n; ++i)
+      if (rendezvousScore(key, members[i]) > rendezvousScore(key, members[out]))
+        out = i;
+    return out;
+  };
+  int moved = 0;
+  for (int i = 0; i < 1000; ++i) {
+    std::string key = std::to_string(i);
+    size_t before = best(key, 4);
+    size_t after = best(key, 3);
+    if (before != 3)
+      EXPECT_EQ(before, after);
+    else
+      ++moved;
+  }
+  EXPECT_NEAR(moved, 250, 60);
+}
+
+TEST(Rendezvous, FollowsWeights) {
+  int large = 0;
+  for (int i = 0; i < 2000; ++i) {
+    std::string key = std::to_string(i);
+    large +=
+        rendezvousScore(key, "large", 3) > rendezvousScore(key, "small", 1);
+  }
+  EXPECT_NEAR(large, 1500, 120);
+}
+
+TEST(StoreLinks, BlamesOnlyWhatOthersDoNotShare) {
+  StoreLinks links{{}};
+  Endpoint slow{"10.0.0.1", 1};
+  Endpoint sound{"10.0.0.2", 1};
+  for (int i = 0; i < 50; ++i) {
+    links.observe(slow, 500, Start);
+    links.observe(sound, 480, Start);
+  }
+  EXPECT_LT(links.excessMs(slow, Start), 50);
+  for (int i = 0; i < 50; ++i)
+    links.observe(sound, 20, Start);
+  EXPECT_GT(links.excessMs(slow, Start), 400);
+  EXPECT_EQ(links.excessMs(sound, Start), 0);
+  EXPECT_LT(links.excessMs(slow, Start + 10s), 5); // It is tried again.
+}
+
+TEST(ServerLoads, NoticesASilentServerOnlyWhileAnAnswerIsDue) {
+  ServerLoads loads{{}};
+  loads.onSent("a", 100, Start);
+  EXPECT_FALSE(loads.view("a", Start + 1s).IsAvoided);
+  EXPECT_TRUE(loads.view("a", Start + 2s).IsAvoided);
+  loads.onHeard("a", Start + 2s);
+  EXPECT_FALSE(loads.view("a", Start + 3s).IsAvoided);
+  loads.onEnded("a", 100, Start + 3s);
+  EXPECT_EQ(loads.view("a", Start + 60s), ServerLoadView{});
+  loads.forgetIdle(Start + 60s);
+  EXPECT_TRUE(loads.own().empty());
+}
+
+TEST(ServerLoads, AvoidsAServerThatTurnsRequestsAwayForAMoment) {
+  ServerLoads loads{{}};
+  loads.onTurnedAway("a", Start);
+  EXPECT_TRUE(loads.view("a", Start + 100ms).IsAvoided);
+  EXPECT_FALSE(loads.view("a", Start + 300ms).IsAvoided);
+  loads.avoidUntil("a", Start + 10s);
+  loads.onLoaded("a");
+  EXPECT_FALSE(loads.view("a", Start + 1s).IsAvoided);
+}
+
+} // namespace
+} // namespace daisytack::direct
--- /dev/null
+++ b/tests/direct/weight_plan_test.cpp
@@ -0,0 +1,137 @@
+#include "direct/weight_plan.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace daisytack::direct {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{Duration(1'000'000'000)};
+
+class WeightPlanTest : public testing::Test {
+protected:
+  WeightPlanTest() {
+    for (int i = 0; i < 6; ++i) {
+      BackendServer server;
+      server.Id = "e" + std::to_string(i);
+      server.Service = "engines";
+      server.FailureDomain = "d" + std::to_string(i / 2);
+      server.Weights = {{"model", 1}};
+      Catalog.AllServers.push_back(server);
+    }
+    Catalog.Wanted["model"] = {{2, Start}};
+  }
+
+  static std::set<std::string> asked(const std::vector<WeightAction> &actions) {
+    std::set<std::string> out;
+    for (const WeightAction &it : actions)
+      if (const auto *ask = std::get_if<AskReport>(&it))
+        out.insert(ask->ServerId);
+    return out;
+  }
+  static EngineReport report(uint64_t version, uint64_t orders,
+                             bool busy = false) {
+    return {{{"model", version}}, busy, orders};
+  }
+
+  direct::Catalog Catalog;
+  WeightPlan Plan{{}};
+};
+
+TEST_F(WeightPlanTest, LoadsTwoAtATimeInDifferentFailureDomains) {
+  EXPECT_EQ(asked(Plan.next(Catalog, Start)),
+            (std::set<std::string>{"e0", "e2"}));
+  EXPECT_TRUE(Plan.next(Catalog, Start).empty());
+}
+
+TEST_F(WeightPlanTest, HasNothingToDoWhenAllAreUpToDate) {
+  Catalog.Wanted.clear();
+  EXPECT_TRUE(Plan.next(Catalog, Start).empty());
+}
+
+TEST_F(WeightPlanTest, OrdersWithTheNumberOfOrdersThatTheEngineTook) {
+  Plan.next(Catalog, Start);
+  auto actions = Plan.onReport("e0", report(1, 7), Start);
+  ASSERT_EQ(actions.size(), 1);
+  const auto &order = std::get<GiveOrder>(actions[0]);
+  EXPECT_EQ(order.OrdersTaken, 7);
+  EXPECT_EQ(order.Wanted, (ModelVersion{"model", 2}));
+}
+
+TEST_F(WeightPlanTest, GivesNoSecondOrderWhileOneIsCarriedOut) {
+  Plan.next(Catalog, Start);
+  EXPECT_TRUE(Plan.onReport("e0", report(1, 7, true), Start).empty());
+  Plan.next(Catalog, Start + 2s);
+  EXPECT_EQ(Plan.onReport("e0", report(1, 8), Start + 2s).size(), 1);
+}
+
+TEST_F(WeightPlanTest, GoesOnToTheNextWhenAnEngineReportsItsNewWeights) {
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", report(1, 0), Start);
+  Plan.onAnswer("e0", OrderAnswer::Accepted, Start);
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start + 500ms)).empty());
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start + 1s)).contains("e0"));
+  auto actions = Plan.onReport("e0", report(2, 1), Start + 1s);
+  ASSERT_EQ(actions.size(), 1);
+  EXPECT_EQ(std::get<NoteLoaded>(actions[0]), (NoteLoaded{"e0", {"model", 2}}));
+  Catalog.AllServers[0].Weights = {{"model", 2}};
+  // Of those left, the first in a failure domain where nothing loads.
+  EXPECT_EQ(asked(Plan.next(Catalog, Start + 1s)).count("e1"), 1);
+}
+
+TEST_F(WeightPlanTest, LooksAgainAfterAnOrderWithoutAnAnswer) {
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", report(1, 0), Start);
+  Plan.onAnswer("e0", OrderAnswer::Unknown, Start);
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start + 400ms)).contains("e0"));
+  // It was not carried out yet: the next order names the same count, so that
+  // only one of the two can be accepted.
+  auto actions = Plan.onReport("e0", report(1, 0), Start + 400ms);
+  EXPECT_EQ(std::get<GiveOrder>(actions[0]).OrdersTaken, 0);
+}
+
+TEST_F(WeightPlanTest, OrdersTheNewerVersionWhenTwoAreNamedInARow) {
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", report(1, 0), Start);
+  Plan.onAnswer("e0", OrderAnswer::Accepted, Start);
+  Catalog.Wanted["model"].push_back({3, Start + 1s});
+  Plan.next(Catalog, Start + 1s);
+  Plan.onReport("e0", report(2, 1), Start + 1s);
+  Catalog.AllServers[0].Weights = {{"model", 2}};
+  bool wants3 = false;
+  for (int i = 0; i < 20; ++i)
+    for (const WeightAction &it : Plan.next(Catalog, Start + 2s + i * 1s)) {
+      const auto &ask = std::get<AskReport>(it);
+      for (const WeightAction &next :
+           Plan.onReport(ask.ServerId, report(1, 0), Start + 2s + i * 1s))
+        wants3 |= std::get<GiveOrder>(next).Wanted.Version == 3;
+    }
+  EXPECT_TRUE(wants3);
+}
+
+TEST_F(WeightPlanTest, StopsAtOnceWhenItIsFenced) {
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", report(1, 0), Start);
+  Plan.onAnswer("e0", OrderAnswer::Fenced, Start);
+  EXPECT_TRUE(Plan.isIdle());
+}
+
+TEST_F(WeightPlanTest, ForgetsServersThatLeave) {
+  Plan.next(Catalog, Start);
+  Catalog.AllServers.erase(Catalog.AllServers.begin());
+  Plan.next(Catalog, Start);
+  auto busy = Plan.busy();
+  EXPECT_EQ(std::count(busy.begin(), busy.end(), "e0"), 0);
+}
+
+TEST_F(WeightPlanTest, LoadsMoreAtATimeWhenTimeIsShort) {
+  size_t n = asked(Plan.next(Catalog, Start + 9s)).size();
+  EXPECT_EQ(n, 3); // Half of those that are behind keep serving.
+}
+
+} // namespace
+} // namespace daisytack::direct
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,325 @@
+/// An entry on the direct path, whole, against stand-ins on loopback.
+#include "gateway/gateway.h"
+
+#include "gateway/stand_in.h"
+#include "platform/kv_store.h"
+#include "platform/protocol.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+
+namespace daisytack::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+using net::HttpRequest;
+using net::HttpResponse;
+using test::ExchangePtr;
+using test::signedAnswer;
+
+constexpr auto Patience = 20s;
+
+/// Waits for something that other threads bring about.
+template <class Condition> bool eventually(Condition condition) {
+  auto end = std::chrono::steady_clock::now() + Patience;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition())
+      return true;
+    std::this_thread::sleep_for(5ms);
+  }
+  return false;
+}
+
+std::string configText(const std::string &keys, int version = 1) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+    {"name":"call","host":"a.example","path-prefix":"/call/","kind":"unsafe",
+     "timeout-ms":3000,"target-latency-ms":300,"service":"plain","attempts":1},
+    {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
+     "timeout-ms":3000,"target-latency-ms":300,"service":"plain","attempts":2}],
+    "services":[{"name":"plain","connection-limit":100},
+     {"name":"engines","engine":{"slots":4,"models":[{"name":"m"}]}}],
+    "limits":{"max-header-bytes":16384,"max-body-bytes":100000,
+     "header-timeout-ms":3000,"idle-timeout-ms":15000},
+    "tenants":[{"name":"org","api-keys":[)" +
+         keys + "]}]}";
+}
+
+/// One entry with its addresses; runs until destroyed.
+class Entry {
+public:
+  Entry(net::asio::io_context &io, std::string name, const Endpoint &store,
+        std::vector<Endpoint> seeds = {})
+      : Options(optionsFor(std::move(name), store, std::move(seeds))),
+        Daemon(io, Options, platform::makeProtocol(), platform::makeKvStore) {
+    Error reason;
+    EXPECT_TRUE(Daemon.start(reason)) << reason.Detail;
+  }
+
+  static GatewayOptions optionsFor(std::string name, const Endpoint &store,
+                                   std::vector<Endpoint> seeds) {
+    GatewayOptions out;
+    out.Name = std::move(name);
+    out.FailureDomain = "d1";
+    out.Callers = test::freeEndpoint();
+    out.Readiness = test::freeEndpoint();
+    out.ReadinessPath = "/readiness";
+    out.Metrics = test::freeEndpoint();
+    out.Peers = test::freeEndpoint();
+    out.Store = store;
+    out.Seeds = std::move(seeds);
+    out.DrainNotice = 300ms;
+    out.ConfirmedFor = 1500ms;
+    out.ServersCheckFence = true;
+    out.Log.LinesPerSecond = 1;
+    return out;
+  }
+
+  GatewayOptions Options;
+  Gateway Daemon;
+};
+
+class GatewayTest : public testing::Test {
+protected:
+  GatewayTest() : Store(Threads.Io), Caller(Threads.Io, {}) {}
+  ~GatewayTest() override { Threads.Io.stop(); }
+
+  void serve(const std::string &id, test::StandInServer &server,
+             const std::string &service = "plain", int version = 1) {
+    Store.put("servers/" + id,
+              R"({"service":")" + service + R"(","address":")" +
+                  toString(server.address()) +
+                  R"(","zone":"d1","slots":4,"state":"ready","models":[{)"
+                  R"("name":"m","version":)" +
+                  std::to_string(version) + "}]}");
+  }
+
+  struct Fetched {
+    Error Reason;
+    HttpResponse Response;
+  };
+  Fetched fetch(const Endpoint &to, HttpRequest request) {
+    auto promise = std::make_shared<std::promise<Fetched>>();
+    auto future = promise->get_future();
+    Caller.fetch(to, std::move(request), 10s,
+                 [promise](const Error &error, HttpResponse response) {
+                   promise->set_value({error, std::move(response)});
+                 });
+    EXPECT_EQ(future.wait_for(Patience), std::future_status::ready);
+    return future.get();
+  }
+  unsigned ready(const Entry &entry) {
+    HttpRequest request;
+    request.Method = "GET";
+    request.Path = "/readiness";
+    return fetch(entry.Options.Readiness, request).Response.Status;
+  }
+  bool waitReady(const Entry &entry) {
+    return eventually([&] { return ready(entry) == 200; });
+  }
+  static HttpRequest request(std::string target, std::string id = "r1",
+                             std::string key = "k1") {
+    HttpRequest out;
+    out.Method = "POST";
+    out.Target = std::move(target);
+    out.Headers = {{"Host", "a.example"},
+                   {"X-Daisytack-Request-Id", std::move(id)},
+                   {"X-Daisytack-Deadline-Milliseconds", "2500"},
+                   {"X-Api-Key", std::move(key)}};
+    out.Body = "body";
+    return out;
+  }
+  unsigned statusOf(const Entry &entry, const HttpRequest &what) {
+    return fetch(entry.Options.Callers, what).Response.Status;
+  }
+  static void answer(const HttpRequest &what, const ExchangePtr &to) {
+    to->respond(signedAnswer(what));
+  }
+
+  net::IoThreads Threads;
+  test::StandInStore Store;
+  net::HttpClient Caller;
+};
+
+TEST_F(GatewayTest, IsNotReadyAndRefusesForNowWithoutAConfiguration) {
+  Entry entry(Threads.Io, "e1", Store.address());
+  EXPECT_EQ(ready(entry), 503);
+  Fetched got = fetch(entry.Options.Callers, request("/call/x"));
+  EXPECT_EQ(got.Response.Status, 503);
+  EXPECT_FALSE(got.Response.Headers.empty());
+  Store.put("op/config", configText("\"k1\""));
+  EXPECT_TRUE(waitReady(entry));
+}
+
+TEST_F(GatewayTest, ForwardsARequestAndItsAnswerUnchanged) {
+  test::StandInServer server(Threads.Io, answer);
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry entry(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  Fetched got = fetch(entry.Options.Callers, request("/call/x?y=1"));
+  EXPECT_EQ(got.Response.Status, 200);
+  EXPECT_EQ(got.Response.Body, "answer");
+  ASSERT_EQ(server.requests().size(), 1);
+  HttpRequest seen = server.requests()[0];
+  EXPECT_EQ(seen.Target, "/call/x?y=1");
+  EXPECT_EQ(seen.Body, "body");
+  EXPECT_EQ(seen.header("Host"), "a.example");
+  EXPECT_EQ(seen.header("X-Daisytack-Expected-Instance"), "i-1");
+  EXPECT_EQ(seen.header("X-Daisytack-Tenant"), "org");
+  EXPECT_EQ(seen.header("X-Api-Key"), "");
+}
+
+TEST_F(GatewayTest, RefusesUnknownKeysAndRoutesForGoodOnlyWhileItIsUpToDate) {
+  test::StandInServer server(Threads.Io, answer);
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry entry(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  EXPECT_EQ(statusOf(entry, request("/call/x", "r", "other")), 401);
+  EXPECT_EQ(statusOf(entry, request("/none/x")), 404);
+  Store.Refuses = 503;
+  EXPECT_TRUE(eventually([&] {
+    return statusOf(entry, request("/call/x", "r", "other")) == 503;
+  }));
+  EXPECT_EQ(statusOf(entry, request("/none/x")), 503);
+  EXPECT_EQ(statusOf(entry, request("/call/x")), 200);
+  EXPECT_EQ(ready(entry), 200);
+}
+
+TEST_F(GatewayTest, PutsANewConfigurationInForce) {
+  test::StandInServer server(Threads.Io, answer);
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry entry(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  Store.put("op/config", configText("\"k2\"", 2));
+  EXPECT_TRUE(eventually(
+      [&] { return statusOf(entry, request("/call/x", "r", "k1")) == 401; }));
+  EXPECT_EQ(statusOf(entry, request("/call/x", "r", "k2")), 200);
+}
+
+TEST_F(GatewayTest, HearsOfARevokedKeyFromAnotherEntryWhenTheStoreIsAway) {
+  test::StandInServer server(Threads.Io, answer);
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\",\"k2\""));
+  Entry connected(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(connected));
+  test::StandInServer refusing(Threads.Io,
+                               [](const HttpRequest &, const ExchangePtr &to) {
+                                 to->respond({503, {}, {}});
+                               });
+  Entry cut(Threads.Io, "e2", refusing.address(), {connected.Options.Peers});
+  ASSERT_TRUE(waitReady(cut));
+  EXPECT_EQ(statusOf(cut, request("/call/x", "r", "k1")), 200);
+  Store.put("op/config", configText("\"k2\"", 2));
+  EXPECT_TRUE(eventually(
+      [&] { return statusOf(cut, request("/call/x", "r", "k1")) == 401; }));
+}
+
+TEST_F(GatewayTest, ClosesTheServersConnectionWhenTheCallerLeaves) {
+  std::vector<ExchangePtr> held;
+  std::mutex lock;
+  std::atomic<bool> gone{false};
+  test::StandInServer server(Threads.Io,
+                             [&](const HttpRequest &, const ExchangePtr &to) {
+                               to->onClosed([&gone] { gone = true; });
+                               std::lock_guard guard(lock);
+                               held.push_back(to);
+                             });
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry entry(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  net::RawClient raw(entry.Options.Callers.Port);
+  raw.send("POST /call/x HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\n"
+           "X-Daisytack-Request-Id: r\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  raw.close();
+  EXPECT_TRUE(eventually([&] { return gone.load(); }));
+}
+
+TEST_F(GatewayTest, AnswersADeadServersRequestAsPerhapsRun) {
+  test::StandInServer server(
+      Threads.Io,
+      [](const HttpRequest &, const ExchangePtr &to) { to->abort(); });
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry entry(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  EXPECT_EQ(statusOf(entry, request("/call/x")), 502);
+}
+
+TEST_F(GatewayTest, DrainsWithoutCuttingAnyRequestOff) {
+  std::atomic<bool> release{false};
+  test::StandInServer server(
+      Threads.Io, [&](const HttpRequest &what, const ExchangePtr &to) {
+        std::thread([&release, what, to] {
+          eventually([&] { return release.load(); });
+          to->respond(signedAnswer(what));
+        }).detach();
+      });
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry entry(Threads.Io, "e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  auto running = std::async(std::launch::async, [&] {
+    return fetch(entry.Options.Callers, request("/call/x")).Response.Status;
+  });
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
+  std::atomic<bool> drained{false};
+  entry.Daemon.drain([&] { drained = true; });
+  EXPECT_EQ(ready(entry), 503);
+  // Until the balancer has noticed, new connections are still served.
+  auto late = std::async(std::launch::async, [&] {
+    return fetch(entry.Options.Callers, request("/call/x", "r2"))
+        .Response.Status;
+  });
+  ASSERT_TRUE(eventually([&] { return server.requests().size() == 2; }));
+  std::this_thread::sleep_for(500ms);
+  EXPECT_FALSE(drained);
+  release = true;
+  EXPECT_EQ(running.get(), 200);
+  EXPECT_EQ(late.get(), 200);
+  EXPECT_TRUE(eventually([&] { return drained.load(); }));
+}
+
+TEST_F(GatewayTest, OrdersNewWeightsOnceUnderAFencingToken) {
+  std::atomic<int> version{1};
+  test::StandInServer engine(
+      Threads.Io, [&](const HttpRequest &what, const ExchangePtr &to) {
+        if (what.Path == "/order") {
+          version = 2;
+          return to->respond({202, {}, {}});
+        }
+        to->respond({200,
+                     {},
+                     R"({"models":[{"name":"m","version":)" +
+                         std::to_string(version) +
+                         R"(}],"busy":false,"sequence":4})"});
+      });
+  serve("i-1", engine, "engines");
+  Store.put("op/config", configText("\"k1\""));
+  Store.put("op/version/m", R"({"model":"m","version":2})");
+  Entry first(Threads.Io, "e1", Store.address());
+  Entry second(Threads.Io, "e2", Store.address());
+  auto orders = [&] {
+    std::vector<std::string> out;
+    for (const HttpRequest &it : engine.requests())
+      if (it.Path == "/order")
+        out.push_back(it.Body);
+    return out;
+  };
+  ASSERT_TRUE(eventually([&] { return !orders().empty(); }));
+  std::this_thread::sleep_for(1s);
+  ASSERT_EQ(orders().size(), 1);
+  EXPECT_NE(orders()[0].find("\"expected\":4"), std::string::npos);
+  EXPECT_NE(
+      orders()[0].find("\"fencing-token\":" +
+                       std::to_string(Store.revisionOf("daisytack/holder"))),
+      std::string::npos)
+      << orders()[0];
+}
+
+} // namespace
+} // namespace daisytack::gateway
--- /dev/null
+++ b/tests/gateway/stand_in.h
@@ -0,0 +1,224 @@
+/// Stand-ins on loopback for what an entry on the direct path meets: the
+/// key-value service and a backend server, with the faults that tests need.
+#pragma once
+
+#include "net_http/http_fixture.h"
+#include "platform/json_text.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace daisytack::test {
+
+namespace json = boost::json;
+using net::HttpExchange;
+using net::HttpRequest;
+using net::HttpResponse;
+using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+/// A loopback port that was free a moment ago.
+inline Endpoint freeEndpoint() {
+  boost::asio::io_context io;
+  net::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+/// Keys with revisions, watches and leases that do not lapse by themselves.
+class StandInStore {
+public:
+  explicit StandInStore(net::asio::io_context &io)
+      : Server(io, net::HttpFixture::withLoopback({}),
+               [this](const HttpRequest &request, const ExchangePtr &to) {
+                 handle(request, to);
+               }) {
+    Error reason;
+    EXPECT_TRUE(Server.start(reason)) << reason.Detail;
+  }
+
+  Endpoint address() const { return {"127.0.0.1", Server.port()}; }
+
+  void put(const std::string &key, const std::string &value,
+           uint64_t lease = 0) {
+    std::lock_guard guard(Lock);
+    putLocked(key, value, lease);
+    wakeLocked();
+  }
+  void remove(const std::string &key) {
+    std::lock_guard guard(Lock);
+    removeLocked(key);
+    wakeLocked();
+  }
+  /// 0: answers; otherwise every call gets this status at once.
+  std::atomic<unsigned> Refuses{0};
+  uint64_t revisionOf(const std::string &key) {
+    std::lock_guard guard(Lock);
+    auto it = Items.find(key);
+    return it == Items.end() ? 0 : it->second.Revision;
+  }
+
+private:
+  struct Item {
+    std::string Value;
+    uint64_t Revision = 0;
+    uint64_t Created = 0;
+    uint64_t Lease = 0;
+    bool IsDeleted = false;
+  };
+  struct Waiting {
+    uint64_t After = 0;
+    ExchangePtr To;
+  };
+
+  void putLocked(const std::string &key, const std::string &value,
+                 uint64_t lease) {
+    Item &item = Items[key];
+    ++Revision;
+    if (item.Created == 0 || item.IsDeleted)
+      item.Created = Revision;
+    item = {value, Revision, item.Created, lease, false};
+  }
+  void removeLocked(const std::string &key) {
+    auto it = Items.find(key);
+    if (it == Items.end())
+      return;
+    it->second.IsDeleted = true;
+    it->second.Revision = ++Revision;
+  }
+
+  static json::object entryOf(const std::string &key, const Item &item) {
+    if (item.IsDeleted)
+      return {{"key", key}, {"revision", item.Revision}, {"tombstone", true}};
+    return {{"key", key},
+            {"value", platform::encodeBase64(item.Value)},
+            {"revision", item.Revision},
+            {"created", item.Created},
+            {"lease", item.Lease}};
+  }
+
+  static void respond(HttpExchange &to, const json::object &body) {
+    to.respond({200, {}, json::serialize(body)});
+  }
+
+  void handle(const HttpRequest &request, const ExchangePtr &to) {
+    if (unsigned status = Refuses)
+      return to->respond({status, {}, {}});
+    std::lock_guard guard(Lock);
+    if (request.Path == "/kv-range")
+      return rangeLocked(*to);
+    if (request.Path == "/kv-watch")
+      return watchLocked(request, to);
+    if (request.Path == "/kv-txn")
+      return commitLocked(request, *to);
+    if (request.Path == "/kv-lease")
+      return respond(*to, {{"lease", ++Leases}, {"ttl-ms", 60'000}});
+    respond(*to, {{"ttl-ms", 60'000}});
+  }
+
+  void rangeLocked(HttpExchange &to) {
+    json::array items;
+    for (const auto &[key, item] : Items)
+      if (!item.IsDeleted)
+        items.push_back(entryOf(key, item));
+    respond(to, {{"items", std::move(items)},
+                 {"truncated", false},
+                 {"store-revision", Revision}});
+  }
+
+  void watchLocked(const HttpRequest &request, const ExchangePtr &to) {
+    size_t at = request.Query.find("after=") + 6;
+    Waits.push_back({std::stoull(request.Query.substr(at)), to});
+    wakeLocked();
+  }
+
+  void wakeLocked() {
+    std::erase_if(Waits, [this](const Waiting &wait) {
+      if (wait.After >= Revision)
+        return false;
+      json::array events;
+      for (const auto &[key, item] : Items)
+        if (item.Revision > wait.After)
+          events.push_back(entryOf(key, item));
+      respond(*wait.To,
+              {{"events", std::move(events)}, {"store-revision", Revision}});
+      return true;
+    });
+  }
+
+  void commitLocked(const HttpRequest &request, HttpExchange &to) {
+    json::object body = json::parse(request.Body).as_object();
+    for (const json::value &row : body["expected"].as_array()) {
+      std::string key(row.as_object().at("key").as_string());
+      auto it = Items.find(key);
+      bool exists = it != Items.end() && !it->second.IsDeleted;
+      uint64_t revision = exists ? it->second.Revision : 0;
+      if (revision != row.as_object().at("revision").to_number<uint64_t>())
+        return to.respond({412, {}, R"({"items":[]})"});
+    }
+    for (const json::value &row : body["writes"].as_array()) {
+      const json::object &write = row.as_object();
+      putLocked(std::string(write.at("key").as_string()),
+                *platform::decodeBase64(write.at("value").as_string()),
+                write.at("lease").to_number<uint64_t>());
+    }
+    respond(to, {{"revision", Revision}});
+    wakeLocked();
+  }
+
+  std::mutex Lock;
+  std::map<std::string, Item> Items;
+  std::vector<Waiting> Waits;
+  uint64_t Revision = 1;
+  uint64_t Leases = 100;
+  net::HttpServer Server;
+};
+
+/// A backend server that answers by a function and keeps what it was sent.
+class StandInServer {
+public:
+  using Answer = std::function<void(const HttpRequest &, const ExchangePtr &)>;
+
+  StandInServer(net::asio::io_context &io, Answer answer)
+      : Reply(std::move(answer)),
+        Server(io, net::HttpFixture::withLoopback({}),
+               [this](const HttpRequest &request, const ExchangePtr &to) {
+                 {
+                   std::lock_guard guard(Lock);
+                   Requests.push_back(request);
+                 }
+                 Reply(request, to);
+               }) {
+    Error reason;
+    EXPECT_TRUE(Server.start(reason)) << reason.Detail;
+  }
+
+  Endpoint address() const { return {"127.0.0.1", Server.port()}; }
+  std::vector<HttpRequest> requests() {
+    std::lock_guard guard(Lock);
+    return Requests;
+  }
+  size_t openConnections() const { return Server.openConnections(); }
+
+private:
+  Answer Reply;
+  std::mutex Lock;
+  std::vector<HttpRequest> Requests;
+  net::HttpServer Server;
+};
+
+/// Echoes the request's id, and signs.
+inline HttpResponse signedAnswer(const HttpRequest &request,
+                                 std::string body = "answer") {
+  return {200,
+          {{"X-Daisytack-Request-Id",
+            std::string(request.header("X-Daisytack-Request-Id"))},
+           {"X-Daisytack-Server-Signature", "sig"}},
+          std::move(body)};
+}
+
+} // namespace daisytack::test
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <future>
+
 #include <atomic>
 
 namespace daisytack::net {
@@ -142,6 +145,124 @@
   EXPECT_EQ(got.Response.Body, "all");
 }
 
+/// Fetches with a filter that takes responses marked "own" only.
+HttpFixture::Fetched fetchOwn(HttpFixture &fixture, const Endpoint &to,
+                              const HttpRequest &request) {
+  auto promise = std::make_shared<std::promise<HttpFixture::Fetched>>();
+  auto future = promise->get_future();
+  auto got = std::make_shared<HttpFixture::Fetched>();
+  HttpHooks hooks;
+  hooks.IsOwn = [](const std::vector<HttpHeader> &headers) {
+    return std::any_of(headers.begin(), headers.end(), [](const auto &it) {
+      return it.Name == "X-Mark" && it.Value == "own";
+    });
+  };
+  hooks.Head = [got](unsigned status, const auto &) {
+    got->Response.Status = status;
+  };
+  hooks.Data = [got](std::string_view data) { got->Response.Body += data; };
+  hooks.Done = [got, promise](const Error &error) {
+    got->Reason = error;
+    promise->set_value(*got);
+  };
+  fixture.Client.call(to, request, Duration(5'000'000), std::move(hooks));
+  EXPECT_EQ(future.wait_for(WaitLimit), std::future_status::ready);
+  return future.get();
+}
+
+std::string marked(const std::string &mark, const std::string &body) {
+  return "HTTP/1.1 200 OK\r\nX-Mark: " + mark +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+TEST(HttpClient, DropsAResponseOfAnotherRequestAndTakesTheNext) {
+  ScriptedServer server({[](tcp::socket &s) {
+    readRequest(s);
+    asio::write(s, asio::buffer(marked("own", "first")));
+    readRequest(s);
+    // Late and unasked, where the next response is due.
+    asio::write(s, asio::buffer(marked("foreign", "extra")));
+    asio::write(s, asio::buffer(marked("own", "second")));
+  }});
+  HttpFixture fixture(echo);
+  HttpRequest get{"GET", "/", "", {}, ""};
+  EXPECT_EQ(fetchOwn(fixture, server.endpoint(), get).Response.Body, "first");
+  EXPECT_EQ(fetchOwn(fixture, server.endpoint(), get).Response.Body, "second");
+}
+
+TEST(HttpClient, UsesNoConnectionOnWhichAnExtraResponseWaits) {
+  ScriptedServer server({[](tcp::socket &s) {
+                           readRequest(s);
+                           asio::write(s, asio::buffer(marked("own", "first") +
+                                                       marked("own", "extra")));
+                         },
+                         [](tcp::socket &s) {
+                           readRequest(s);
+                           asio::write(s,
+                                       asio::buffer(marked("own", "second")));
+                         }});
+  HttpFixture fixture(echo);
+  HttpRequest get{"GET", "/", "", {}, ""};
+  EXPECT_EQ(fetchOwn(fixture, server.endpoint(), get).Response.Body, "first");
+  EXPECT_EQ(fetchOwn(fixture, server.endpoint(), get).Response.Body, "second");
+  EXPECT_EQ(server.Accepted, 2);
+}
+
+TEST(HttpClient, LeavesAConnectionBeforeItsPeerClosesIt) {
+  ScriptedServer server(
+      {[](tcp::socket &s) {
+         readRequest(s);
+         asio::write(s, asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\n"
+                            "Content-Length: 5\r\n\r\nfirst")));
+         readRequest(s);
+       },
+       [](tcp::socket &s) { answer(s, "second"); }});
+  HttpFixture fixture(echo);
+  HttpRequest post{"POST", "/", "", {}, ""};
+  EXPECT_EQ(fixture.fetch(server.endpoint(), post, Duration(0)).Response.Body,
+            "first");
+  EXPECT_EQ(fixture.fetch(server.endpoint(), post, Duration(0)).Response.Body,
+            "second");
+}
+
+TEST(HttpClient, TakesAnAnswerThatComesBeforeALongBodyIsRead) {
+  ScriptedServer server({[](tcp::socket &s) {
+    readRequest(s);
+    asio::write(s, asio::buffer(std::string(
+                       "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\n"
+                       "no")));
+    std::string rest(1 << 16, 0);
+    ErrorCode ec;
+    while (s.read_some(asio::buffer(rest), ec) > 0 && !ec) {
+    }
+  }});
+  HttpFixture fixture(echo);
+  HttpRequest post{"POST", "/", "", {}, std::string(8U << 20, 'x')};
+  auto got = fixture.fetch(server.endpoint(), post, Duration(5'000'000));
+  EXPECT_EQ(got.Response.Status, 413U);
+}
+
+/// Responses whose length can be read in two ways (RFC 9112, 6.3).
+TEST(HttpClient, RefusesResponsesOfAmbiguousLength) {
+  for (const char *framing :
+       {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: chunked, identity\r\n"}) {
+    ScriptedServer server({[framing](tcp::socket &s) {
+      readRequest(s);
+      asio::write(s, asio::buffer(std::string("HTTP/1.1 200 OK\r\n") + framing +
+                                  "\r\n3\r\nabc\r\n0\r\n\r\n"));
+    }});
+    HttpFixture fixture(echo);
+    auto got =
+        fixture.fetch(server.endpoint(), {"GET", "/", "", {}, ""}, Duration(0));
+    EXPECT_EQ(got.Reason.Kind, ErrorKind::ProtocolError) << framing;
+  }
+}
+
 TEST(HttpClient, CutResponseIsServerLost) {
   ScriptedServer server({[](tcp::socket &s) {
     readRequest(s);
--- /dev/null
+++ b/tests/platform/format_test.cpp
@@ -0,0 +1,186 @@
+#include "platform/engine_calls.h"
+#include "platform/fact_format.h"
+#include "platform/json_text.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace daisytack::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using direct::FactKind;
+
+constexpr const char *ConfigText = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming",
+  "timeout-ms":3000,"target-latency-ms":400,"priority":1,"service":"s1",
+  "attempts":2,"public":false,"sticky":true,"resumable":true,
+  "target-gap-ms":250,"unknown":{"a":1}},
+ {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"safe",
+  "traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "public":true}],
+ "services":[{"name":"s1","connection-limit":620,
+   "engine":{"slots":128,"kv-capacity-tokens":142125,"kv-token-bytes":35136,
+    "link-mbps":1100000.0,"managed":true,"models":[{"name":"m"}]}},
+  {"name":"st","kv-store-address":"172.20.0.6:8746","zone":"z",
+   "kv-capacity-tokens":278289,"link-mbps":310000.0,"max-concurrent":12,
+   "managed":true,"first_ms":0.5}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,
+   "header-timeout-ms":3000,"idle-timeout-ms":15000},
+ "tenants":[{"name":"t","api-keys":["k1","k2"],"priority":1,"isolated":true}]})";
+
+direct::StoreRecord record(std::string key, std::string value) {
+  return {std::move(key), std::move(value), 5, false};
+}
+
+template <class T>
+T decodeAs(const std::string &key, const std::string &value) {
+  Error reason;
+  auto fact = decodeFact(record(key, value), reason);
+  EXPECT_TRUE(fact) << reason.Detail;
+  return fact ? std::get<T>(*fact) : T{};
+}
+
+TEST(DecodeFact, ReadsTheConfiguration) {
+  auto config = decodeAs<direct::ServingConfig>("op/config", ConfigText);
+  EXPECT_EQ(config.Version, 7);
+  ASSERT_EQ(config.Routes.size(), 2);
+  const direct::Route &stream = config.Routes[0];
+  EXPECT_EQ(stream.Kind, direct::RouteKind::Stream);
+  EXPECT_EQ(stream.Timeout, 3s);
+  EXPECT_EQ(stream.TargetLatency, 400ms);
+  EXPECT_TRUE(stream.IsResumable && stream.HasPrompt && !stream.IsPublic);
+  EXPECT_EQ(stream.Shares, (std::vector<direct::TrafficShare>{{"s1", 1}}));
+  EXPECT_EQ(config.Routes[1].Shares,
+            (std::vector<direct::TrafficShare>{{"s1", 90}, {"s2", 10}}));
+  EXPECT_EQ(config.Routes[1].Timeout, Duration::zero());
+  ASSERT_EQ(config.Services.size(), 2);
+  EXPECT_EQ(config.Services[0].Engine->TokenBytes, 35136);
+  EXPECT_EQ(config.Services[1].Store->Address, (Endpoint{"172.20.0.6", 8746}));
+  EXPECT_EQ(config.Services[1].Store->FirstByte, 500us);
+  EXPECT_EQ(config.Limits.IdleTimeout, 15s);
+  ASSERT_EQ(config.Organisations.size(), 1);
+  EXPECT_EQ(config.Organisations[0].Priority, 1);
+  EXPECT_TRUE(config.Organisations[0].IsIsolated);
+}
+
+TEST(DecodeFact, ReadsAServer) {
+  auto server = decodeAs<direct::BackendServer>(
+      "servers/i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+      "version":"v1","slots":128,"state":"ready","cold-remaining-ms":0,
+      "models":[{"name":"m","version":3,"adapters":[]}],"sequence":4})");
+  EXPECT_EQ(server.Id, "i-1");
+  EXPECT_EQ(server.FailureDomain, "z");
+  EXPECT_EQ(server.versionOf("m"), 3);
+  EXPECT_FALSE(server.IsDraining);
+}
+
+TEST(DecodeFact, TakesAnyOtherStateForDraining) {
+  auto server = decodeAs<direct::BackendServer>(
+      "servers/i-1",
+      R"({"service":"s","address":"10.0.0.1:80","state":"draining"})");
+  EXPECT_TRUE(server.IsDraining);
+}
+
+TEST(DecodeFact, NamesWhatItCannotRead) {
+  struct Case {
+    const char *Key;
+    const char *Value;
+    const char *Named;
+  };
+  for (const Case &it :
+       {Case{"op/config", "[]", "not a JSON object"},
+        Case{"op/config", R"({"version":"x"})", "'version'"},
+        Case{"op/config", R"({"routes":[1]})", "'routes'"},
+        Case{"op/config", R"({"routes":[{"kind":"odd"}]})", "'kind'"},
+        Case{"servers/i", R"({"address":"nowhere"})", "'address'"},
+        Case{"servers/i", "{", "not a JSON object"}}) {
+    Error reason;
+    EXPECT_FALSE(decodeFact(record(it.Key, it.Value), reason)) << it.Value;
+    EXPECT_NE(reason.Detail.find(it.Named), std::string::npos) << reason.Detail;
+  }
+}
+
+TEST(SubjectOf, KnowsEveryKey) {
+  EXPECT_EQ(subjectOf("op/config").Kind, FactKind::Config);
+  EXPECT_EQ(subjectOf("op/version/m"),
+            (direct::FactSubject{FactKind::Weights, "m"}));
+  EXPECT_EQ(subjectOf("servers/i"),
+            (direct::FactSubject{FactKind::Server, "i"}));
+  EXPECT_EQ(subjectOf(entryKey("e")),
+            (direct::FactSubject{FactKind::Entry, "e"}));
+  EXPECT_EQ(subjectOf(holderKey()).Kind, FactKind::Holder);
+  EXPECT_EQ(subjectOf("op/other").Kind, FactKind::Other);
+}
+
+TEST(DecodeFact, ReadsBackWhatEntriesWrite) {
+  direct::EntryPeer peer{"e", {"10.0.0.1", 7580}};
+  EXPECT_EQ(decodeAs<direct::EntryPeer>(entryKey("e"), encodeEntry(peer)),
+            peer);
+  EXPECT_EQ(decodeAs<direct::OrderHolder>(holderKey(), encodeHolder({"e"})),
+            direct::OrderHolder{"e"});
+}
+
+TEST(ReadChanges, NoticesMissingNumbers) {
+  auto read = [](const char *body, uint64_t since) {
+    return readChanges(body, since);
+  };
+  auto whole = read(R"({"epoch":7,"next":120,"lost":false,"clock_ms":5,
+    "events":[[119,"+","s","a",800,"m"],[120,"-","s","b",128,"m"]]})",
+                    118);
+  ASSERT_TRUE(whole);
+  EXPECT_FALSE(whole->HasGap);
+  EXPECT_EQ(whole->ClockMs, 5);
+  EXPECT_EQ(whole->Changes[0], (direct::PartChange{119, true, "s", "a", 800}));
+  EXPECT_FALSE(whole->Changes[1].IsKept);
+  EXPECT_TRUE(read(R"({"epoch":7,"next":121,"lost":false,
+    "events":[[119,"+","s","a",800,"m"],[121,"+","s","b",1,"m"]]})",
+                   118)
+                  ->HasGap);
+  EXPECT_TRUE(
+      read(R"({"epoch":7,"next":9,"lost":true,"events":[]})", 3)->HasGap);
+  EXPECT_FALSE(read(R"({"epoch":7,"events":[[1,"+"]]})", 0));
+  EXPECT_FALSE(read("junk", 0));
+}
+
+TEST(ReadList, ReadsWholeAndBrokenParts) {
+  auto list = readList(R"({"epoch":7,"next":120,"held":[["s","a",800,"m"]],
+    "incomplete-parts":[["s","b",10,20]]})");
+  ASSERT_TRUE(list);
+  EXPECT_EQ(list->Kept.size(), 1);
+  EXPECT_EQ(list->Broken, (std::vector<direct::BrokenPart>{{"s", "b"}}));
+}
+
+TEST(Requests, CarryTheirFields) {
+  net::HttpRequest order =
+      orderRequest({"i-1", {"10.0.0.1", 80}, {"m", 2}, "e", 41, 6});
+  EXPECT_EQ(order.header("X-Daisytack-Expected-Instance"), "i-1");
+  EXPECT_EQ(order.Body,
+            R"({"operation":"version","model":"m","version":2,"mode":"wait",)"
+            R"("holder":"e","fencing-token":41,"expected":6})");
+  EXPECT_EQ(freeRequest({{"s", "a"}}, 7, 99).Body,
+            R"({"parts":[["s","a"]],"epoch":7,"until_ms":99})");
+  EXPECT_EQ(changesRequest(5, 800ms).Target, "/kv-events?since=5");
+  EXPECT_EQ(changesRequest(5, 800ms).header("Wait-Ms"), "800");
+}
+
+TEST(ReadReport, ReadsWeightsAndOrders) {
+  auto report = readReport(R"({"stage":"combined","models":[{"name":"m",
+    "version":2,"adapters":[]}],"busy":true,"sequence":3})");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(*report, (direct::EngineReport{{{"m", 2}}, true, 3}));
+}
+
+RC_GTEST_PROP(Base64, ReadsBackWhatItWrites, ()) {
+  auto bytes = *rc::gen::arbitrary<std::string>();
+  RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes);
+}
+
+TEST(Base64, RefusesWhatIsNone) {
+  EXPECT_EQ(encodeBase64("node-1"), "bm9kZS0x");
+  EXPECT_FALSE(decodeBase64("abc"));
+  EXPECT_FALSE(decodeBase64("****"));
+}
+
+} // namespace
+} // namespace daisytack::platform
--- /dev/null
+++ b/tests/platform/kv_store_test.cpp
@@ -0,0 +1,249 @@
+/// The adapter to the key-value service against a scripted server.
+#include "platform/kv_store.h"
+
+#include "net_http/http_fixture.h"
+#include "platform/json_text.h"
+
+#include <gtest/gtest.h>
+
+#include <mutex>
+
+namespace daisytack::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using edge::KvStatus;
+using net::HttpRequest;
+using net::HttpResponse;
+
+constexpr Duration CallTime{2'000'000};
+
+/// Answers requests from a script, and keeps their targets and bodies.
+class ScriptedService {
+public:
+  using Answer = std::function<HttpResponse(const HttpRequest &)>;
+
+  explicit ScriptedService(Answer answer)
+      : Fixture([this, answer = std::move(answer)](
+                    const HttpRequest &request,
+                    const std::shared_ptr<net::HttpExchange> &exchange) {
+          {
+            std::lock_guard guard(Lock);
+            Requests.push_back(request);
+          }
+          HttpResponse response = answer(request);
+          if (response.Status == 0)
+            return exchange->abort();
+          exchange->respond(std::move(response));
+        }),
+        Store(makeKvStore(Fixture.Client, Fixture.endpoint())) {}
+
+  std::vector<HttpRequest> requests() {
+    std::lock_guard guard(Lock);
+    return Requests;
+  }
+
+private:
+  std::mutex Lock;
+  std::vector<HttpRequest> Requests;
+  net::HttpFixture Fixture;
+
+public:
+  edge::KvStore Store;
+};
+
+template <class Result, class Call> Result await(Call call) {
+  auto promise = std::make_shared<std::promise<Result>>();
+  auto future = promise->get_future();
+  call([promise](Result result) { promise->set_value(std::move(result)); });
+  EXPECT_EQ(future.wait_for(net::WaitLimit), std::future_status::ready);
+  return future.get();
+}
+
+HttpResponse ok(std::string body) { return {200, {}, std::move(body)}; }
+HttpResponse lostConnection() { return {0, {}, {}}; }
+
+std::string item(const std::string &key, int revision) {
+  return R"({"key":")" + key + R"(","value":")" + encodeBase64("v" + key) +
+         R"(","revision":)" + std::to_string(revision) +
+         R"(,"created":1,"lease":0})";
+}
+
+edge::KvTransactionResult commit(ScriptedService &service) {
+  edge::KvTransaction create;
+  create.If.push_back({"k", edge::KvCompare::Target::ModRevision, 0});
+  create.Then.push_back({"k", "value", 9, false});
+  return await<edge::KvTransactionResult>([&](auto done) {
+    service.Store.Commit(create, CallTime, std::move(done));
+  });
+}
+
+TEST(KvStore, ReadsARangePageByPage) {
+  ScriptedService service([](const HttpRequest &request) {
+    if (request.Query.find("after=") == std::string::npos)
+      return ok(R"({"items":[)" + item("a", 3) +
+                R"(],"truncated":true,"store-revision":10})");
+    return ok(R"({"items":[)" + item("b c", 4) +
+              R"(],"truncated":false,"store-revision":12})");
+  });
+  auto result = await<edge::KvRangeResult>([&](auto done) {
+    service.Store.Range({"", edge::prefixEnd(""), 0, 0}, CallTime,
+                        std::move(done));
+  });
+  ASSERT_EQ(result.Header.Status, KvStatus::Ok);
+  // Changes after the first page was read may be missing from it.
+  EXPECT_EQ(result.Header.Revision, 10);
+  ASSERT_EQ(result.Entries.size(), 2);
+  EXPECT_EQ(result.Entries[1].Key, "b c");
+  EXPECT_EQ(result.Entries[1].Value, "vb c");
+  EXPECT_EQ(service.requests()[1].Query, "path-prefix=&after=a");
+}
+
+TEST(KvStore, ReportsAnUnavailableServiceForReads) {
+  for (const HttpResponse &response :
+       {HttpResponse{503, {}, {}}, HttpResponse{429, {}, {}}, ok("junk"),
+        lostConnection()}) {
+    ScriptedService service([&](const HttpRequest &) { return response; });
+    auto result = await<edge::KvRangeResult>([&](auto done) {
+      service.Store.Range({"p/", edge::prefixEnd("p/"), 0, 0}, CallTime,
+                          std::move(done));
+    });
+    EXPECT_EQ(result.Header.Status, KvStatus::Unavailable);
+  }
+}
+
+TEST(KvStore, WritesUnderACondition) {
+  ScriptedService service(
+      [](const HttpRequest &) { return ok(R"({"revision":412})"); });
+  auto result = commit(service);
+  EXPECT_EQ(result.Header.Status, KvStatus::Ok);
+  EXPECT_EQ(result.Header.Revision, 412);
+  EXPECT_EQ(service.requests()[0].Body,
+            R"({"expected":[{"key":"k","revision":0}],"writes":[{"key":"k",)"
+            R"("value":"dmFsdWU=","lease":9}],"remove":[]})");
+}
+
+/// Which answers of a write leave open whether it was carried out.
+TEST(KvStore, TellsSurelyNotWrittenFromPerhapsWritten) {
+  struct Case {
+    HttpResponse Response;
+    KvStatus Status;
+  };
+  for (const Case &it :
+       {Case{{412, {}, R"({"items":[]})"}, KvStatus::CompareFailed},
+        Case{{404, {}, {}}, KvStatus::Unavailable},
+        Case{{429, {}, {}}, KvStatus::Unavailable},
+        Case{{503, {}, {}}, KvStatus::Unavailable},
+        Case{{500, {}, {}}, KvStatus::Unknown},
+        Case{{504, {}, {}}, KvStatus::Unknown},
+        Case{ok("junk"), KvStatus::Unknown},
+        Case{lostConnection(), KvStatus::Unknown}}) {
+    ScriptedService service([&](const HttpRequest &) { return it.Response; });
+    EXPECT_EQ(commit(service).Header.Status, it.Status)
+        << it.Response.Status << " " << it.Response.Body;
+  }
+}
+
+TEST(KvStore, SurelyWritesNothingWithoutAConnection) {
+  net::IoThreads threads;
+  net::HttpClient client(threads.Io, {});
+  // A port on which nothing listens.
+  edge::KvStore store = makeKvStore(client, {"127.0.0.1", 1});
+  auto result = await<edge::KvTransactionResult>(
+      [&](auto done) { store.Commit({}, CallTime, std::move(done)); });
+  EXPECT_EQ(result.Header.Status, KvStatus::Unavailable);
+}
+
+TEST(KvStore, GrantsAndKeepsLeases) {
+  ScriptedService service([](const HttpRequest &request) {
+    if (request.Path == "/kv-lease")
+      return ok(R"({"lease":77,"ttl-ms":3000})");
+    if (request.Path == "/kv-keep/77")
+      return ok(R"({"ttl-ms":2500})");
+    return HttpResponse{404, {}, {}};
+  });
+  auto granted = await<edge::KvLeaseResult>([&](auto done) {
+    service.Store.GrantLease(3s, CallTime, std::move(done));
+  });
+  EXPECT_EQ(granted.Lease, 77);
+  auto kept = await<edge::KvLeaseResult>([&](auto done) {
+    service.Store.KeepLease(77, CallTime, std::move(done));
+  });
+  EXPECT_EQ(kept.Lease, 77);
+  EXPECT_EQ(kept.TimeLeft, 2500ms);
+  auto lapsed = await<edge::KvLeaseResult>([&](auto done) {
+    service.Store.KeepLease(78, CallTime, std::move(done));
+  });
+  EXPECT_EQ(lapsed.Header.Status, KvStatus::Ok);
+  EXPECT_EQ(lapsed.Lease, 0);
+}
+
+/// What a watch reports, until it has ended.
+struct Watched {
+  std::vector<edge::KvChange> Changes;
+  uint64_t Revision = 0;
+  uint64_t CompactRevision = 0;
+  KvStatus Status = KvStatus::Ok;
+};
+
+Watched watch(ScriptedService &service) {
+  auto seen = std::make_shared<Watched>();
+  auto ended = std::make_shared<std::promise<void>>();
+  auto future = ended->get_future();
+  edge::KvWatchHooks hooks;
+  hooks.Changed = [seen](const edge::KvHeader &header,
+                         std::vector<edge::KvChange> changes) {
+    seen->Revision = header.Revision;
+    for (auto &it : changes)
+      seen->Changes.push_back(std::move(it));
+  };
+  hooks.Ended = [seen, ended](const edge::KvHeader &header, uint64_t compact) {
+    seen->Status = header.Status;
+    seen->CompactRevision = compact;
+    ended->set_value();
+  };
+  service.Store.Watch("", edge::prefixEnd(""), 11, std::move(hooks));
+  EXPECT_EQ(future.wait_for(net::WaitLimit), std::future_status::ready);
+  return *seen;
+}
+
+TEST(KvStore, WatchesFromRevisionToRevision) {
+  std::atomic<int> calls{0};
+  ScriptedService service([&](const HttpRequest &) {
+    if (calls++ == 0)
+      return ok(R"({"events":[)" + item("a", 12) +
+                R"(,{"key":"b","revision":13,"tombstone":true}],)"
+                R"("store-revision":13})");
+    if (calls == 2)
+      return ok(R"({"events":[],"store-revision":20})");
+    return HttpResponse{503, {}, {}};
+  });
+  Watched seen = watch(service);
+  ASSERT_EQ(seen.Changes.size(), 2);
+  EXPECT_FALSE(seen.Changes[0].Deleted);
+  EXPECT_TRUE(seen.Changes[1].Deleted);
+  EXPECT_EQ(seen.Revision, 20);
+  EXPECT_EQ(seen.Status, KvStatus::Unavailable);
+  EXPECT_EQ(seen.CompactRevision, 0);
+  auto requests = service.requests();
+  EXPECT_NE(requests[0].Query.find("after=10&"), std::string::npos);
+  EXPECT_NE(requests[1].Query.find("after=13&"), std::string::npos);
+  EXPECT_NE(requests[2].Query.find("after=20&"), std::string::npos);
+}
+
+TEST(KvStore, ReportsLostHistory) {
+  ScriptedService service([](const HttpRequest &) {
+    return HttpResponse{410, {}, {}};
+  });
+  EXPECT_GT(watch(service).CompactRevision, 0);
+}
+
+TEST(KvStore, EndsAWatchThatIsCut) {
+  ScriptedService service([](const HttpRequest &) { return lostConnection(); });
+  Watched seen = watch(service);
+  EXPECT_EQ(seen.Status, KvStatus::Unavailable);
+  EXPECT_EQ(seen.CompactRevision, 0);
+}
+
+} // namespace
+} // namespace daisytack::platform
--- /dev/null
+++ b/tests/platform/request_head_test.cpp
@@ -0,0 +1,201 @@
+#include "platform/request_head.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace daisytack::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using net::HttpHeader;
+
+net::HttpRequest sample() {
+  net::HttpRequest out;
+  out.Method = "POST";
+  out.Target = "/a/b?c=1";
+  out.Path = "/a/b";
+  out.Query = "c=1";
+  out.Headers = {{"Host", "a.example"},
+                 {"X-Daisytack-Request-Id", "abc"},
+                 {"X-Daisytack-Deadline-Milliseconds", "1500"},
+                 {"X-Daisytack-Model", "m"},
+                 {"X-Daisytack-Token-Counts", "1460,80"},
+                 {"X-Daisytack-Prompt-Prefix", "5c:800, 91:410,e4:250"},
+                 {"X-Api-Key", " secret "},
+                 {"X-Other", "kept"}};
+  return out;
+}
+
+std::string valueOf(const std::vector<HttpHeader> &headers,
+                    std::string_view name) {
+  std::string out;
+  for (const HttpHeader &it : headers)
+    if (it.Name == name)
+      out += (out.empty() ? "" : "|") + it.Value;
+  return out;
+}
+
+direct::CallerHead readSample(const net::HttpRequest &request) {
+  Error reason;
+  auto out = readCaller(request, reason);
+  EXPECT_TRUE(out) << reason.Detail;
+  return out.value_or(direct::CallerHead{});
+}
+
+direct::AttemptOrder orderSample() {
+  direct::AttemptOrder out;
+  out.ServerId = "i-1";
+  out.TimeLeft = 1234567us;
+  out.Organisation = "org";
+  return out;
+}
+
+TEST(ReadCaller, DecodesThePrompt) {
+  direct::CallerHead head = readSample(sample());
+  EXPECT_EQ(head.RequestId, "abc");
+  EXPECT_EQ(head.Patience, 1500ms);
+  EXPECT_EQ(head.ApiKey, "secret");
+  EXPECT_EQ(head.PromptTokens, 1460);
+  EXPECT_EQ(head.MaxOutputTokens, 80);
+  EXPECT_EQ(head.Parts, (std::vector<direct::PromptPart>{
+                            {"5c", 800}, {"91", 410}, {"e4", 250}}));
+}
+
+TEST(ReadCaller, RefusesADeadlineThatIsNoNumber) {
+  for (const char *text :
+       {"soon", "-1", "1.5", "99999999999999999999", "1 2"}) {
+    net::HttpRequest request = sample();
+    request.Headers[2].Value = text;
+    Error reason;
+    EXPECT_FALSE(readCaller(request, reason)) << text;
+    EXPECT_EQ(reason.Kind, ErrorKind::BadRequest);
+  }
+}
+
+TEST(ReadCaller, GoesOnWithoutReuseWhenThePromptCannotBeRead) {
+  for (const char *text : {"5c", "5c:", ":5", "5c:x", "5c:800,,x:y"}) {
+    net::HttpRequest request = sample();
+    request.Headers[5].Value = text;
+    EXPECT_TRUE(readSample(request).Parts.empty()) << text;
+  }
+}
+
+/// Headers that only this system may set, whatever their case, and the key.
+TEST(WriteAttempt, DropsWhatACallerMayNotSet) {
+  for (const char *name :
+       {"X-Daisytack-Cache-Salt", "x-daisytack-kv-source",
+        "X-Daisytack-Kv-Destination", "X-Daisytack-Kv-Until",
+        "X-Daisytack-Request-Priority", "X-Daisytack-Expected-Version",
+        "X-Daisytack-Hold", "X-DAISYTACK-PIN-MILLISECONDS",
+        "X-Daisytack-Kv-Backup", "Kv-From", "X-Api-Key"}) {
+    net::HttpRequest request = sample();
+    request.Headers.push_back({name, "forged"});
+    net::HttpRequest out =
+        writeAttempt(readSample(request), orderSample(), "body");
+    for (const HttpHeader &it : out.Headers)
+      EXPECT_NE(it.Value, "forged") << name;
+  }
+}
+
+TEST(WriteAttempt, ReplacesWhatACallerClaims) {
+  net::HttpRequest request = sample();
+  request.Headers.push_back({"X-Daisytack-Tenant", "other"});
+  request.Headers.push_back({"X-Daisytack-Expected-Instance", "i-9"});
+  net::HttpRequest out =
+      writeAttempt(readSample(request), orderSample(), "body");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Tenant"), "org");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Expected-Instance"), "i-1");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Deadline-Milliseconds"), "1234");
+}
+
+TEST(WriteAttempt, ForwardsTheRestUnchanged) {
+  net::HttpRequest out =
+      writeAttempt(readSample(sample()), orderSample(), "body");
+  EXPECT_EQ(out.Target, "/a/b?c=1");
+  EXPECT_EQ(out.Body, "body");
+  for (const char *name :
+       {"Host", "X-Daisytack-Request-Id", "X-Daisytack-Model",
+        "X-Daisytack-Token-Counts", "X-Daisytack-Prompt-Prefix", "X-Other"})
+    EXPECT_EQ(valueOf(out.Headers, name), sample().header(name)) << name;
+}
+
+TEST(WriteAttempt, DropsWhatConcernsOneConnection) {
+  net::HttpRequest request = sample();
+  request.Headers.push_back({"Connection", "keep-alive, X-Hop"});
+  request.Headers.push_back({"X-Hop", "1"});
+  request.Headers.push_back({"Transfer-Encoding", "chunked"});
+  request.Headers.push_back({"Expect", "100-continue"});
+  net::HttpRequest out =
+      writeAttempt(readSample(request), orderSample(), "body");
+  for (const char *name :
+       {"Connection", "X-Hop", "Transfer-Encoding", "Expect"})
+    EXPECT_EQ(valueOf(out.Headers, name), "") << name;
+}
+
+TEST(WriteAttempt, NamesSourcesAndDestinationsPartByPart) {
+  direct::AttemptOrder order = orderSample();
+  order.Sources = {Endpoint{"10.0.0.1", 80}, std::nullopt, std::nullopt};
+  order.Destinations = {std::nullopt, Endpoint{"10.0.0.2", 81}, std::nullopt};
+  order.CacheScope = "shared@2";
+  order.WeightVersion = 2;
+  order.Priority = 3;
+  order.FetchUntilMs = 99;
+  net::HttpRequest out = writeAttempt(readSample(sample()), order, "");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Source"), "10.0.0.1:80,-,-");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Destination"),
+            "-,10.0.0.2:81,-");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Cache-Salt"), "shared@2");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Expected-Version"), "2");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Request-Priority"), "3");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Until"), "99");
+}
+
+TEST(WriteAttempt, NamesNoAddressesWhenThereAreNone) {
+  direct::AttemptOrder order = orderSample();
+  order.Sources = {std::nullopt, std::nullopt};
+  net::HttpRequest out = writeAttempt(readSample(sample()), order, "");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Source"), "");
+}
+
+TEST(ReadServer, BelievesOnlyWhatTheServerSays) {
+  EXPECT_FALSE(readServer(503, {}).WasNotRun);
+  EXPECT_TRUE(readServer(503, {{"X-Daisytack-Not-Executed", "1"}}).WasNotRun);
+  EXPECT_TRUE(readServer(421, {}).WasNotRun);
+  EXPECT_FALSE(readServer(500, {}).WasNotRun);
+  EXPECT_EQ(readServer(503, {{"Retry-After", "1.5"}}).RetryAfter, 1500ms);
+}
+
+TEST(ReadServer, PassesTheSignatureOnAndNothingOfTheConnection) {
+  direct::ServerHead head =
+      readServer(200, {{"X-Daisytack-Server-Signature", "s"},
+                       {"Connection", "close"},
+                       {"Keep-Alive", "timeout=5"},
+                       {"Content-Length", "3"},
+                       {"Content-Type", "text/event-stream; charset=utf-8"}});
+  EXPECT_TRUE(head.IsEventStream);
+  EXPECT_EQ(head.Passed.size(), 2);
+  EXPECT_EQ(valueOf(head.Passed, "X-Daisytack-Server-Signature"), "s");
+}
+
+TEST(IsAnswerTo, TellsACrossedAnswerByItsId) {
+  direct::CallerHead head;
+  head.RequestId = "abc";
+  EXPECT_TRUE(isAnswerTo(head, {{"x-daisytack-request-id", "abc"}}));
+  EXPECT_FALSE(isAnswerTo(head, {{"X-Daisytack-Request-Id", "abd"}}));
+  EXPECT_TRUE(isAnswerTo(head, {}));
+}
+
+TEST(OwnAnswer, TellsWhenToComeBack) {
+  net::HttpResponse out =
+      ownAnswer(503, "abc", {ErrorKind::Overloaded, "full", 300ms});
+  EXPECT_EQ(valueOf(out.Headers, "Retry-After"), "0.300");
+  EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Request-Id"), "abc");
+  EXPECT_NE(out.Body.find("\"kind\":\"overloaded\""), std::string::npos);
+  EXPECT_EQ(valueOf(ownAnswer(502, "", {ErrorKind::ServerLost, ""}).Headers,
+                    "Retry-After"),
+            "");
+}
+
+} // namespace
+} // namespace daisytack::platform
