--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -34,12 +34,12 @@
   /// Called once on an I/O thread, after SIGTERM or SIGINT: refuses new work,
   /// finishes what was accepted, then calls done.
   std::function<void(std::function<void()> done)> Drain;
+  /// Called with no I/O thread left running; frees what Start built.
+  std::function<void()> Stop;
   /// Called on an I/O thread after SIGHUP, and when the file has changed, with
   /// settings that hold no mistake. ReadSettings was called with them before.
   /// Empty: SIGHUP is ignored.
-  std::function<void()> Reload;
-  /// Called with no I/O thread left running; frees what Start built.
-  std::function<void()> Stop;
+  std::function<void()> Reload = {};
 };
 
 /// Runs the daemon to its end. Flags: --config, --check, --version, --help.
--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -60,6 +60,65 @@
   EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 5);
 }
 
+TEST_F(Process, ReadsItsSettingsAgainOnHangup) {
+  int64_t n = 0;
+  Init.ReadSettings = [&](Settings &it) { n = it.integer("trial.n", 1, 0, 9); };
+  Init.Reload = [&] {
+    Calls.push_back("reload " + std::to_string(n));
+    std::raise(SIGTERM);
+  };
+  Init.Start = [this](boost::asio::io_context &io, Error &) {
+    boost::asio::post(io, [this] {
+      fileWith("[process]\nlog_level = error\n[trial]\nn = 7\n");
+      std::raise(SIGHUP);
+    });
+    return true;
+  };
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
+  EXPECT_EQ(Calls, (std::vector<std::string>{"reload 7", "drain", "stop"}));
+}
+
+TEST_F(Process, NoticesAChangedFileWithoutASignal) {
+  Init.Reload = [&] {
+    Calls.emplace_back("reload");
+    std::raise(SIGTERM);
+  };
+  Init.Start = [this](boost::asio::io_context &io, Error &) {
+    boost::asio::post(io, [this] {
+      fileWith("[process]\nlog_level = error\n[trial]\nn = 2\n");
+    });
+    return true;
+  };
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
+  EXPECT_EQ(Calls, (std::vector<std::string>{"reload", "drain", "stop"}));
+}
+
+TEST_F(Process, KeepsItsSettingsWhenTheNewOnesHoldAMistake) {
+  Init.Reload = [&] { Calls.emplace_back("reload"); };
+  Init.Start = [this](boost::asio::io_context &io, Error &) {
+    boost::asio::post(io, [this, &io] {
+      fileWith("[process]\nlog_level = error\n[trial]\nn = 99\n");
+      std::raise(SIGHUP);
+      boost::asio::post(io, [] { std::raise(SIGTERM); });
+    });
+    return true;
+  };
+  testing::internal::CaptureStderr();
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
+  std::string text = testing::internal::GetCapturedStderr();
+  EXPECT_EQ(Calls, (std::vector<std::string>{"drain", "stop"}));
+  EXPECT_NE(text.find("trial.n = 99"), std::string::npos) << text;
+}
+
+TEST_F(Process, IgnoresAHangupWithoutAReload) {
+  Init.Start = [](boost::asio::io_context &io, Error &) {
+    std::raise(SIGHUP);
+    boost::asio::post(io, [] { std::raise(SIGTERM); });
+    return true;
+  };
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
+}
+
 TEST_F(Process, ADrainIsBoundedInTime) {
   Init.Drain = [](const std::function<void()> &) {};
   EXPECT_EQ(run({fileWith("[process]\ndrain_timeout = 0s\n"
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -4,10 +4,15 @@
 #include "control/instance_codec.h"
 #include "control/object_codec.h"
 #include "control/peer_messages.h"
+#include "direct/event_splitter.h"
+#include "direct/peer_messages.h"
 #include "edge/engine_codec.h"
 #include "edge/kv_etcd_json.h"
 #include "net/sse.h"
 #include "once/ticket.h"
+#include "platform/engine_calls.h"
+#include "platform/fact_format.h"
+#include "platform/request_head.h"
 #include "query/command_parser.h"
 #include "query/query_parser.h"
 #include "serve/caller_prompt.h"
@@ -55,6 +60,66 @@
           wire::encode(PeerMessage(ForceProbe{4}))};
 }
 
+std::vector<std::string> entrySeeds() {
+  using namespace direct;
+  return {wire::encode(PeerMessage(RecordsWanted{7})),
+          wire::encode(PeerMessage(RecordsFound{
+              {{"key", "value", 5, false}, {"k", "", 6, true}}, 9})),
+          wire::encode(PeerMessage(ServersLoading{{"a", "b"}})),
+          wire::encode(PeerMessage(ServerLoaded{"a", {"model", 2}})),
+          wire::encode(PeerMessage(EntryLoads{"e", {{1, 2, 3}}})),
+          wire::encode(PeerMessage(Received{}))};
+}
+
+/// A value under each kind of key of the platform's store.
+void runFacts(std::string_view text) {
+  for (const char *key : {"op/config", "op/version/m", "servers/i"}) {
+    Error reason;
+    auto fact =
+        platform::decodeFact({key, std::string(text), 1, false}, reason);
+    require(fact.has_value() == (reason.Kind == ErrorKind::None));
+  }
+}
+
+void runContext(std::string_view text) {
+  platform::readChanges(text, 1);
+  platform::readList(text);
+  platform::readReport(text);
+}
+
+/// Headers of a caller, one a line; whatever they say, the key is not passed
+/// on.
+void runCaller(std::string_view text) {
+  net::HttpRequest request;
+  request.Target = "/";
+  while (!text.empty()) {
+    size_t end = text.find('\n');
+    std::string_view line = text.substr(0, end);
+    text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+    size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+      continue;
+    request.Headers.push_back({std::string(line.substr(0, colon)),
+                               std::string(line.substr(colon + 1))});
+  }
+  Error reason;
+  auto head = platform::readCaller(request, reason);
+  if (!head)
+    return;
+  for (const net::HttpHeader &it :
+       platform::writeAttempt(*head, {}, "").Headers)
+    require(it.Name != "X-Api-Key");
+}
+
+/// No byte is lost however the stream is cut.
+void runEvents(std::string_view text) {
+  direct::EventSplitter splitter;
+  std::string out;
+  for (size_t i = 0; i < text.size(); i += 3)
+    out += splitter.feed(text.substr(i, 3));
+  require(out + splitter.takeRest() == text);
+}
+
 void runPrompt(std::string_view body) {
   Error reason;
   for (bool chat : {false, true})
@@ -143,6 +208,11 @@
   static const std::vector<Target> All{
       {"wire", runMessage<wire::Message>, wireSeeds},
       {"peer", runMessage<control::PeerMessage>, peerSeeds},
+      {"entry", runMessage<direct::PeerMessage>, entrySeeds},
+      {"facts", runFacts, noSeeds},
+      {"context", runContext, noSeeds},
+      {"caller", runCaller, noSeeds},
+      {"events", runEvents, noSeeds},
       {"prompt", runPrompt, noSeeds},
       {"key_value", runKeyValue, noSeeds},
       {"settings", runSettings, noSeeds},
