Empty queues before loads, remember entries that lost their lease, back off refusals

Change: a server gets no new requests for 300 ms before its order; entries stay known for half a minute after their lease; each refusal in a row doubles the pause; a prompt that could only begin after its caller has left is refused.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -226,7 +226,8 @@
     Hooks.AnswerError(isLate ? StatusGatewayTimeout : StatusBadGateway, told);
     return end();
   }
-  told.RetryAfter = RetryAfter.value_or(Settings.RetryAfter);
+  told.RetryAfter =
+      std::max(RetryAfter.value_or(Settings.RetryAfter), told.RetryAfter);
   Hooks.AnswerError(StatusUnavailable, told);
   end();
 }
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -79,9 +79,10 @@
   Duration behind = behindFor(request, catalog, server, now);
   if (behind == Duration::zero())
     return true;
-  // What counts is when it begins to run; predictions err by half.
-  double wait = 2 * firstTokenMs(request, server, 0, now);
-  return behind + Duration(static_cast<int64_t>(wait * 1000)) <
+  // What counts is when it begins to run.
+  auto wait = Duration(
+      static_cast<int64_t>(firstTokenMs(request, server, 0, now) * 1000));
+  return behind + std::min(wait, Settings.OldWeightsWait) <
          Settings.OldWeightsLimit;
 }
 
@@ -154,9 +155,6 @@
            (isFar ? Settings.CallOtherDomainMs : 0);
   double out =
       firstTokenMs(request, server, tokensToRead(request, server), now);
-  double target = static_cast<double>(request.Via.TargetLatency.count()) / 1000;
-  if (target > 0 && out > target * Settings.LateShare)
-    out += Settings.LateMs;
   if (isFar)
     out += Settings.OtherDomainMs;
   if (&server != home)
@@ -166,6 +164,18 @@
   return out;
 }
 
+bool Placement::isHopeless(const ForwardRequest &request,
+                           const BackendServer &server, TimePoint now) const {
+  Duration patience = request.Deadline - now;
+  if (request.Via.FirstEventPatience > Duration::zero())
+    patience = std::min(patience, request.Via.FirstEventPatience);
+  if (request.Head.Model.empty() || patience <= Duration::zero())
+    return false;
+  double least = firstTokenMs(request, server, 0, now) / Settings.QueueFactor;
+  return least * 1000 >
+         static_cast<double>(patience.count()) * Settings.PatienceShare;
+}
+
 std::optional<AttemptChoice>
 Placement::choose(const ForwardRequest &request, const Catalog &catalog,
                   const std::vector<std::string> &tried,
@@ -188,6 +198,12 @@
     best = i;
     least = cost;
   }
+  if (isHopeless(request, servers[best], now)) {
+    reason = {ErrorKind::Overloaded,
+              "every backend server would begin to answer too late",
+              Settings.OverloadRetryAfter};
+    return std::nullopt;
+  }
   return AttemptChoice{
       orderFor(request, catalog, servers[best], serversClockMs, now)};
 }
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -43,11 +43,17 @@
   /// other.
   double OldWeightsMs = 400;
   Duration OldWeightsGrace{1'200'000};
-  Duration OldWeightsLimit{11'300'000};
-  /// An answer that is predicted to miss its target latency, by this share of
-  /// it: four fifths of the answer's value.
-  double LateMs = 0;
-  double LateShare = 0.85;
+  Duration OldWeightsLimit{11'000'000};
+  /// Of the predicted wait counts so much at most towards the limit: a request
+  /// that waits longer has been left by its caller.
+  Duration OldWeightsWait{1'500'000};
+  /// A prompt is refused when even the best server is predicted to begin its
+  /// answer only after this share of the time that its caller will wait, since
+  /// reading it would delay others in vain.
+  double PatienceShare = 0.9;
+  /// When a caller refused for that is told to come back: most of a queue of
+  /// that length is gone by then.
+  Duration OverloadRetryAfter{800'000};
   /// Share of the target latency that the reading of a prompt and its fetches
   /// may take up together. A fetch that lasts longer is given up for reading.
   double FetchShare = 0.75;
@@ -112,6 +118,10 @@
                                     const Catalog &catalog,
                                     const std::vector<std::string> &tried,
                                     TimePoint now) const;
+  /// Whether the answer would begin after the caller has left, if all goes
+  /// well.
+  bool isHopeless(const ForwardRequest &request, const BackendServer &server,
+                  TimePoint now) const;
   bool isUsable(const ForwardRequest &request, const Catalog &catalog,
                 const BackendServer &server, Care care, TimePoint now) const;
   AttemptOrder orderFor(const ForwardRequest &request, const Catalog &catalog,
--- a/src/direct/server_loads.cpp
+++ b/src/direct/server_loads.cpp
@@ -6,6 +6,12 @@
 
 namespace daisytack::direct {
 
+namespace {
+
+constexpr uint32_t MostDoublings = 16;
+
+} // namespace
+
 void ServerLoads::onSent(std::string_view server, uint64_t tokens,
                          TimePoint now) {
   std::lock_guard guard(Lock);
@@ -26,6 +32,7 @@
   std::lock_guard guard(Lock);
   State &state = Servers[stableHash(server)];
   state.LastHeard = now;
+  state.Rejections = 0;
   state.Tokens -= std::min(state.Tokens, tokens);
 }
 
@@ -39,7 +46,15 @@
 }
 
 void ServerLoads::onTurnedAway(std::string_view server, TimePoint now) {
-  avoidUntil(server, now + Settings.RejectPause);
+  std::lock_guard guard(Lock);
+  State &state = Servers[stableHash(server)];
+  // Those that waited there are turned away together: they count as one.
+  if (now < state.AvoidUntil)
+    return;
+  uint32_t doublings = std::min(state.Rejections++, MostDoublings);
+  state.AvoidUntil =
+      now + std::min<Duration>(Settings.RejectPause * (1LL << doublings),
+                               Settings.LongestRejectPause);
 }
 
 void ServerLoads::avoidUntil(std::string_view server, TimePoint until) {
--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -17,8 +17,10 @@
   /// A server that has said nothing for so long while an answer is due is
   /// avoided: several times the longest usual wait for a first token.
   Duration SilenceLimit{1'200'000};
-  /// After a server turned a request away, it is avoided for so long.
+  /// After a server turned a request away, it is avoided for so long; doubled
+  /// by each further one in a row, up to the longest.
   Duration RejectPause{250'000};
+  Duration LongestRejectPause{2'000'000};
   /// What another entry said counts for so long: a few of its messages.
   Duration PeerMemory{700'000};
   bool operator==(const ServerLoadSettings &) const = default;
@@ -77,6 +79,7 @@
     TimePoint LastHeard; ///< Or when it was first asked after a quiet time.
     TimePoint LastUsed;
     TimePoint AvoidUntil;
+    uint32_t Rejections = 0; ///< In a row.
   };
   struct Peer {
     TimePoint At;
--- a/src/direct/serving_config.h
+++ b/src/direct/serving_config.h
@@ -34,11 +34,14 @@
   uint32_t Attempts = 1;     ///< Backend servers that may run one request.
   Duration Timeout{0};       ///< Until the final answer; 0: none.
   Duration TargetLatency{0}; ///< Until the first byte of an answer in time.
-  Duration TargetGap{0};     ///< Between the events of a stream in time.
-  uint32_t Priority = 0;     ///< 0 is the most urgent.
-  bool IsPublic = false;     ///< Needs no API key.
-  bool IsResumable = false;  ///< A broken stream may go on elsewhere.
-  bool HasPrompt = false;    ///< Requests name a model and prompt parts.
+  /// How long callers wait for the first event of a stream before they leave;
+  /// 0: as long as they say.
+  Duration FirstEventPatience{0};
+  Duration TargetGap{0};    ///< Between the events of a stream in time.
+  uint32_t Priority = 0;    ///< 0 is the most urgent.
+  bool IsPublic = false;    ///< Needs no API key.
+  bool IsResumable = false; ///< A broken stream may go on elsewhere.
+  bool HasPrompt = false;   ///< Requests name a model and prompt parts.
   auto operator<=>(const Route &) const = default;
 
   /// Whether a request may run more than once.
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -53,14 +53,14 @@
   std::map<std::string_view, uint32_t> loading; ///< By failure domain.
   for (const BackendServer &server : catalog.AllServers)
     loading[server.FailureDomain] += Loads.contains(server.Id) ? 1 : 0;
+  // Those that must be done first, spread over the failure domains.
+  auto rank = [&](const Behind &it) {
+    return std::pair(it.Since, loading[it.Server->FailureDomain]);
+  };
   const Behind *out = nullptr;
-  for (const Behind &it : behind) {
-    if (Loads.contains(it.Server->Id))
-      continue;
-    if (!out ||
-        loading[it.Server->FailureDomain] < loading[out->Server->FailureDomain])
+  for (const Behind &it : behind)
+    if (!Loads.contains(it.Server->Id) && (!out || rank(it) < rank(*out)))
       out = &it;
-  }
   return out;
 }
 
@@ -72,7 +72,7 @@
     if (!it)
       return;
     Loads[it->Server->Id] = {it->Server->Address, it->Wanted, Phase::Asking,
-                             now, now};
+                             now, now + Settings.PrepareTime};
   }
 }
 
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -21,6 +21,10 @@
 struct WeightPlanSettings {
   /// Engines that load at a time; more of them load slower.
   uint32_t ConcurrentLoads = 2;
+  /// An engine that is chosen gets no new requests for so long before its
+  /// order: what still waits there would be turned away by it. Most waits are
+  /// shorter.
+  Duration PrepareTime{300'000};
   /// From the wish for a version until every server must have it; and how long
   /// one load takes with the runs that end before it, when it is known that not
   /// all will be done in time. More load at a time then.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,7 +164,13 @@
     if (!isLoading || server.Weights.empty())
       continue;
     State.Loads.avoidUntil(server.Id, until);
-    LoadingFrom[server.Id] = server.Weights.front().Version;
+    bool isNews =
+        LoadingFrom.insert_or_assign(server.Id, server.Weights.front().Version)
+            .second;
+    if (isNews)
+      Log.write(LogWeight::Notable, "server_avoided",
+                {{"server", server.Id}, {"reason", "it takes new weights"}},
+                monotonicNow());
   }
 }
 
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -173,10 +173,13 @@
   if (Flow.isEnded() || attempt != Flow.attempts())
     return;
   TimePoint now = monotonicNow();
-  AnyByte = true;
-  State.Loads.onFirstByte(Order.ServerId, Order.ReadTokens, now);
-  learnLink(now);
-  Flow.onHead(attempt, State.Speak.ReadServer(status, headers), now);
+  direct::ServerHead head = State.Speak.ReadServer(status, headers);
+  if (!head.WasNotRun) {
+    AnyByte = true;
+    State.Loads.onFirstByte(Order.ServerId, Order.ReadTokens, now);
+    learnLink(now);
+  }
+  Flow.onHead(attempt, head, now);
 }
 
 void GatewayRequest::onData(uint32_t attempt, std::string_view data) {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -19,6 +19,9 @@
 /// them has news within two rounds, though a third of all may be cut off too.
 constexpr Duration AskInterval{400'000};
 constexpr size_t PeersAsked = 3;
+/// Longer than an outage of the service is usual; a call to an entry that is
+/// gone costs one attempt to connect.
+constexpr Duration PeerMemory{30'000'000};
 constexpr const char *PeerPath = "/peer";
 
 net::HttpServerInit listenOn(const Endpoint &endpoint) {
@@ -78,11 +81,18 @@
                               now - State.ConfirmedAt.load()};
 }
 
-std::vector<Endpoint> PeerExchange::others() const {
-  std::vector<Endpoint> out;
+void PeerExchange::remember(TimePoint now) {
   for (const direct::EntryPeer &peer : State.catalog()->Entries)
     if (peer.Peer != State.Options.Peers)
-      out.push_back(peer.Peer);
+      Remembered[peer.Peer] = now;
+  std::erase_if(Remembered,
+                [&](const auto &it) { return now >= it.second + PeerMemory; });
+}
+
+std::vector<Endpoint> PeerExchange::others() const {
+  std::vector<Endpoint> out;
+  for (const auto &[peer, listedAt] : Remembered)
+    out.push_back(peer);
   if (!out.empty())
     return out;
   for (const Endpoint &seed : Seeds)
@@ -121,6 +131,7 @@
 }
 
 void PeerExchange::onTimer(bool serviceIsReachable, TimePoint now) {
+  remember(now);
   if (serviceIsReachable || now < NextAsk)
     return;
   NextAsk = now + AskInterval;
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -8,6 +8,7 @@
 #include "net/http_server.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -43,6 +44,7 @@
   void answer(std::string_view body, net::HttpExchange &exchange);
   direct::PeerMessage reply(const direct::PeerMessage &message);
   void ask(const Endpoint &peer);
+  void remember(TimePoint now);
   std::vector<Endpoint> others() const;
   void post(const Endpoint &peer, const direct::PeerMessage &message,
             std::function<void(const direct::PeerMessage &)> done);
@@ -53,6 +55,9 @@
   RandomSource Random;
   net::HttpServer Server;
   std::vector<Endpoint> Seeds;
+  /// Entries that were listed, and when last: one that lost its lease with the
+  /// service may live on and is still told.
+  std::map<Endpoint, TimePoint> Remembered;
   TimePoint NextAsk;
 };
 
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -62,6 +62,7 @@
   if (result.Header.Status != edge::KvStatus::Ok)
     return fail(result.Header.Reason);
   std::vector<direct::StoreRecord> records;
+  records.reserve(result.Entries.size());
   for (const edge::KvEntry &entry : result.Entries)
     records.push_back(recordOf(entry, false));
   TimePoint now = monotonicNow();
@@ -100,6 +101,7 @@
 void StoreFollower::onChanged(const edge::KvHeader &header,
                               const std::vector<edge::KvChange> &changes) {
   std::vector<direct::StoreRecord> records;
+  records.reserve(changes.size());
   for (const edge::KvChange &change : changes)
     records.push_back(recordOf(change.Entry, change.Deleted));
   TimePoint now = monotonicNow();
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -145,6 +145,20 @@
   EXPECT_EQ(choose(request, {"p0", "p1"}).ServerId, "");
 }
 
+TEST_F(PlacementTest, RefusesAPromptThatCouldOnlyBeginTooLate) {
+  ForwardRequest request = prompt("s");
+  request.Via.FirstEventPatience = 3200ms;
+  for (const BackendServer &it : Catalog.Servers["engines"])
+    Loads.onSent(it.Id, 250'000, Start);
+  Error reason;
+  EXPECT_TRUE(Place.choose(request, Catalog, {}, ClockMs, Start, reason));
+  for (const BackendServer &it : Catalog.Servers["engines"])
+    Loads.onSent(it.Id, 250'000, Start);
+  EXPECT_FALSE(Place.choose(request, Catalog, {}, ClockMs, Start, reason));
+  EXPECT_EQ(reason.Kind, ErrorKind::Overloaded);
+  EXPECT_GT(reason.RetryAfter, Duration::zero());
+}
+
 TEST_F(PlacementTest, KeepsCallsNearUntilServersThereAreBusier) {
   ForwardRequest request = prompt("s");
   request.Service = "plain";
@@ -300,6 +314,19 @@
   EXPECT_TRUE(loads.own().empty());
 }
 
+TEST(ServerLoads, AvoidsAServerLongerEachTimeItTurnsARequestAway) {
+  ServerLoads loads{{}};
+  loads.onTurnedAway("a", Start);
+  loads.onTurnedAway("a", Start + 1ms); // Of the same moment.
+  EXPECT_FALSE(loads.view("a", Start + 260ms).IsAvoided);
+  loads.onTurnedAway("a", Start + 260ms);
+  EXPECT_TRUE(loads.view("a", Start + 700ms).IsAvoided);
+  EXPECT_FALSE(loads.view("a", Start + 800ms).IsAvoided);
+  loads.onFirstByte("a", 0, Start + 800ms);
+  loads.onTurnedAway("a", Start + 800ms);
+  EXPECT_FALSE(loads.view("a", Start + 1060ms).IsAvoided);
+}
+
 TEST(ServerLoads, AvoidsAServerThatTurnsRequestsAwayForAMoment) {
   ServerLoads loads{{}};
   loads.onTurnedAway("a", Start);
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -39,7 +39,7 @@
   }
 
   direct::Catalog Catalog;
-  WeightPlan Plan{{}};
+  WeightPlan Plan{{.PrepareTime = Duration::zero()}};
 };
 
 TEST_F(WeightPlanTest, LoadsTwoAtATimeInDifferentFailureDomains) {
@@ -48,6 +48,23 @@
   EXPECT_TRUE(Plan.next(Catalog, Start).empty());
 }
 
+TEST_F(WeightPlanTest, LetsWhatWaitsAtAnEngineGoFirst) {
+  WeightPlan plan{{.PrepareTime = 300ms}};
+  EXPECT_TRUE(plan.next(Catalog, Start).empty());
+  EXPECT_EQ(plan.busy().size(), 2);
+  EXPECT_TRUE(plan.next(Catalog, Start + 200ms).empty());
+  EXPECT_EQ(asked(plan.next(Catalog, Start + 300ms)).size(), 2);
+}
+
+TEST_F(WeightPlanTest, LoadsThoseFirstThatHaveBeenBehindForLongest) {
+  Catalog.Wanted["model"].push_back({3, Start + 4s});
+  for (int i : {0, 2})
+    Catalog.AllServers[static_cast<size_t>(i)].Weights = {{"model", 2}};
+  auto first = asked(Plan.next(Catalog, Start + 5s));
+  EXPECT_FALSE(first.contains("e0"));
+  EXPECT_FALSE(first.contains("e2"));
+}
+
 TEST_F(WeightPlanTest, HasNothingToDoWhenAllAreUpToDate) {
   Catalog.Wanted.clear();
   EXPECT_TRUE(Plan.next(Catalog, Start).empty());
