Free old kept context ahead of the servers that move to new weights

Change: the holder of the right to give orders proposes to retire a share of the old parts, a quarter ahead of the servers that have moved; every known entry agrees not to name them; 2.5 s later, longer than any fetch, they are freed. Context for weights that are about to go is not saved any more.

--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -3,6 +3,7 @@
 #include "direct/rendezvous.h"
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 #include <set>
 #include <utility>
@@ -12,9 +13,35 @@
 namespace {
 
 constexpr char KeySeparator = '\n'; ///< In no scope and no part id.
+constexpr std::string_view SharedScope = "shared";
+constexpr char VersionMark = '@';
 
 } // namespace
 
+std::string cacheScope(std::string_view organisation, bool isIsolated,
+                       uint64_t version) {
+  std::string out(isIsolated ? organisation : SharedScope);
+  out += VersionMark;
+  return out + std::to_string(version);
+}
+
+std::optional<uint64_t> versionOfScope(std::string_view scope) {
+  size_t at = scope.rfind(VersionMark);
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  uint64_t out = 0;
+  const char *end = scope.data() + scope.size();
+  auto result = std::from_chars(scope.data() + at + 1, end, out);
+  if (result.ec != std::errc() || result.ptr != end)
+    return std::nullopt;
+  return out;
+}
+
+bool Retirement::covers(std::string_view scope, std::string_view part) const {
+  std::optional<uint64_t> version = versionOfScope(scope);
+  return version && *version < BelowVersion && unitHash(part) < Share;
+}
+
 std::string KeptContext::keyOf(std::string_view scope, std::string_view part) {
   std::string out(scope);
   out += KeySeparator;
@@ -102,6 +129,9 @@
                   std::string_view failureDomain) const {
   std::string key = keyOf(scope, part.Id);
   std::lock_guard guard(Lock);
+  for (const Retirement &retired : Retired)
+    if (retired.covers(scope, part.Id))
+      return std::nullopt;
   std::optional<ContextStoreTraits> out;
   for (const auto &[name, store] : Stores) {
     if (!store.IsReachable || !store.Parts.contains(key))
@@ -164,9 +194,20 @@
   Saves.erase(keyOf(scope, part.Id));
 }
 
-std::vector<BrokenPart> KeptContext::partsOutside(
+void KeptContext::retire(const Retirement &retirement) {
+  std::lock_guard guard(Lock);
+  for (Retirement &known : Retired) {
+    if (known.BelowVersion != retirement.BelowVersion)
+      continue;
+    known.Share = std::max(known.Share, retirement.Share);
+    return;
+  }
+  Retired.push_back(retirement);
+}
+
+std::vector<BrokenPart> KeptContext::partsWhere(
     const std::string &name,
-    const std::function<bool(std::string_view scope)> &isCurrent) const {
+    const std::function<bool(const BrokenPart &)> &test) const {
   std::lock_guard guard(Lock);
   std::vector<BrokenPart> out;
   auto it = Stores.find(name);
@@ -174,9 +215,9 @@
     return out;
   for (const auto &[key, tokens] : it->second.Parts) {
     size_t at = key.find(KeySeparator);
-    std::string scope = key.substr(0, at);
-    if (!isCurrent(scope))
-      out.push_back({scope, key.substr(at + 1)});
+    BrokenPart part{key.substr(0, at), key.substr(at + 1)};
+    if (test(part))
+      out.push_back(std::move(part));
   }
   return out;
 }
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -57,6 +57,25 @@
   auto operator<=>(const PartList &) const = default;
 };
 
+/// Kept context of weights before a version that nobody uses any more.
+struct Retirement {
+  uint64_t BelowVersion = 0;
+  double Share = 0; ///< Of the parts, the same ones in every process.
+  auto operator<=>(const Retirement &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(BelowVersion, Share);
+  }
+
+  bool covers(std::string_view scope, std::string_view part) const;
+};
+
+/// Text under which kept context is found: apart by weight version, and by
+/// organisation where that is isolated.
+std::string cacheScope(std::string_view organisation, bool isIsolated,
+                       uint64_t version);
+/// The version in such a text; nothing when it is another text.
+std::optional<uint64_t> versionOfScope(std::string_view scope);
+
 struct KeptContextSettings {
   /// A save that was asked for is not asked for again for so long: a prompt's
   /// prefill, its transfer and the report of it take about a second.
@@ -93,10 +112,13 @@
   /// The save was not carried out.
   void forgetSave(std::string_view scope, const PromptPart &part);
 
-  /// Known parts of the store whose scope fails the test.
-  std::vector<BrokenPart> partsOutside(
-      const std::string &store,
-      const std::function<bool(std::string_view scope)> &isCurrent) const;
+  /// Parts of a share of sessions, made for weights before the version, are not
+  /// offered any more, so that they can be freed for those of newer weights.
+  void retire(const Retirement &retirement);
+  /// Known parts of the store that pass the test.
+  std::vector<BrokenPart>
+  partsWhere(const std::string &store,
+             const std::function<bool(const BrokenPart &)> &test) const;
   size_t partsKnown() const;
 
 private:
@@ -125,6 +147,7 @@
   mutable std::mutex Lock;
   std::map<std::string, Store> Stores; ///< By the service's name.
   std::unordered_map<std::string, Save> Saves;
+  std::vector<Retirement> Retired;
 };
 
 } // namespace daisytack::direct
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "direct/facts.h"
+#include "direct/kept_context.h"
 #include "direct/server_loads.h"
 
 #include <string>
@@ -47,6 +48,14 @@
   }
 };
 
+/// Kept context of old weights is not to be named as a source any more. The
+/// answer is the promise not to.
+struct ContextRetired {
+  Retirement What;
+  bool operator==(const ContextRetired &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(What); }
+};
+
 /// What an entry has under way; by datagram, several times a second.
 struct EntryLoads {
   std::string Entry;
@@ -60,7 +69,8 @@
   template <class Archive> void serialize(Archive &) {}
 };
 
-using PeerMessage = std::variant<RecordsWanted, RecordsFound, ServersLoading,
-                                 ServerLoaded, EntryLoads, Received>;
+using PeerMessage =
+    std::variant<RecordsWanted, RecordsFound, ServersLoading, ServerLoaded,
+                 EntryLoads, ContextRetired, Received>;
 
 } // namespace daisytack::direct
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -3,15 +3,12 @@
 #include "direct/rendezvous.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace daisytack::direct {
 
 namespace {
 
-constexpr std::string_view SharedScope = "shared";
-constexpr char VersionMark = '@';
 constexpr uint32_t LeastUrgent = 9;
 
 /// The part that prompts of one session or subject have in common: all but the
@@ -32,25 +29,6 @@
 
 } // namespace
 
-std::string cacheScope(std::string_view organisation, bool isIsolated,
-                       uint64_t version) {
-  std::string out(isIsolated ? organisation : SharedScope);
-  out += VersionMark;
-  return out + std::to_string(version);
-}
-
-std::optional<uint64_t> versionOfScope(std::string_view scope) {
-  size_t at = scope.rfind(VersionMark);
-  if (at == std::string_view::npos)
-    return std::nullopt;
-  uint64_t out = 0;
-  const char *end = scope.data() + scope.size();
-  auto result = std::from_chars(scope.data() + at + 1, end, out);
-  if (result.ec != std::errc() || result.ptr != end)
-    return std::nullopt;
-  return out;
-}
-
 Placement::Placement(PlacementSettings settings, std::string failureDomain,
                      PlacementView view)
     : Settings(settings), FailureDomain(std::move(failureDomain)), View(view) {}
@@ -227,7 +205,7 @@
       cacheScope(request.Organisation, request.IsIsolated, out.WeightVersion);
   out.ReadTokens = head.PromptTokens;
   if (service->Engine->HasManagedContext && head.Parts.size() >= 2)
-    planContext(request, server, serversClockMs, now, out);
+    planContext(request, catalog, server, serversClockMs, now, out);
   out.FirstTokenMs = firstTokenMs(request, server, out.ReadTokens, now);
   return out;
 }
@@ -242,7 +220,7 @@
 }
 
 void Placement::planContext(const ForwardRequest &request,
-                            const BackendServer &server,
+                            const Catalog &catalog, const BackendServer &server,
                             std::optional<int64_t> serversClockMs,
                             TimePoint now, AttemptOrder &order) {
   const CallerHead &head = request.Head;
@@ -255,6 +233,7 @@
                   head.PromptTokens / Settings.PrefillTokensPerMs;
   budget = std::max(budget, sharedTokens(head) * Settings.FetchMsPerToken);
   bool anySource = false;
+  bool isOld = behindFor(request, catalog, server, now) > Duration::zero();
   for (size_t i = 0; i + 1 < head.Parts.size(); ++i) {
     const PromptPart &part = head.Parts[i];
     if (auto store =
@@ -265,14 +244,16 @@
       order.Sources[i] = store->Address;
       order.FetchExcessMs = std::max(order.FetchExcessMs, excess);
       anySource = true;
-    } else if (part.Tokens < Settings.LeastPartTokens) {
-      continue;
+    } else if (part.Tokens < Settings.LeastPartTokens || isOld) {
+      continue; // Context of weights that are about to go is not worth room.
     } else if (auto place = View.Kept.planSave(order.CacheScope, part, now)) {
       order.Destinations[i] = place->Address;
     }
   }
   if (anySource && serversClockMs)
-    order.FetchUntilMs = *serversClockMs + static_cast<int64_t>(budget);
+    order.FetchUntilMs =
+        *serversClockMs +
+        std::min(static_cast<int64_t>(budget), LongestFetch.count() / 1000);
 }
 
 } // namespace daisytack::direct
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -19,6 +19,11 @@
 
 namespace daisytack::direct {
 
+/// No fetch that an entry asks for lasts longer; the platform starts none that
+/// would wait for two seconds. Kept context is freed only once that has passed
+/// since the last entry stopped naming it.
+constexpr Duration LongestFetch{2'000'000};
+
 struct PlacementSettings {
   /// What a server reads of a prompt in a millisecond, and the least time until
   /// a first token; of the engines in use, by their data sheet.
@@ -68,13 +73,6 @@
   bool operator==(const PlacementSettings &) const = default;
 };
 
-/// Text under which kept context is found: apart by weight version, and by
-/// organisation where that is isolated.
-std::string cacheScope(std::string_view organisation, bool isIsolated,
-                       uint64_t version);
-/// The version in such a text; nothing when it is another text.
-std::optional<uint64_t> versionOfScope(std::string_view scope);
-
 /// What a choice is made on; all thread-safe.
 struct PlacementView {
   const ServerLoads &Loads; ///< Of backend servers.
@@ -129,7 +127,8 @@
                         std::optional<int64_t> serversClockMs, TimePoint now);
   /// Names sources for the parts that are better fetched than read, and
   /// destinations for those that no store has.
-  void planContext(const ForwardRequest &request, const BackendServer &server,
+  void planContext(const ForwardRequest &request, const Catalog &catalog,
+                   const BackendServer &server,
                    std::optional<int64_t> serversClockMs, TimePoint now,
                    AttemptOrder &order);
   /// Whether the request leaves the congested link alone and reads instead.
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/dispatch.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -17,8 +18,10 @@
 } // namespace
 
 ContextFollower::ContextFollower(GatewayState &state, Strand strand,
-                                 ContextFollowerSettings settings)
-    : State(state), On(std::move(strand)), Settings(settings) {}
+                                 ContextFollowerSettings settings,
+                                 TellAll tellAll)
+    : State(state), On(std::move(strand)), Settings(settings),
+      Tell(std::move(tellAll)) {}
 
 void ContextFollower::onCatalog() {
   auto catalog = State.catalog();
@@ -140,6 +143,57 @@
   later(store, Settings.FailurePause);
 }
 
+void ContextFollower::retireOld(TimePoint now) {
+  if (AgreedAt && now >= *AgreedAt + Settings.RetireDelay) {
+    AgreedAt.reset();
+    Freeable.push_back(Asked);
+  }
+  auto catalog = State.catalog();
+  uint64_t newest = 0;
+  for (const auto &[model, wanted] : catalog->Wanted)
+    newest = std::max(newest, wanted.back().Version);
+  double moved = 0;
+  double all = 0;
+  for (const direct::BackendServer &server : catalog->AllServers) {
+    if (server.Weights.empty())
+      continue;
+    all += 1;
+    moved += server.Weights.front().Version >= newest ? 1 : 0;
+  }
+  if (all == 0 || newest < 2)
+    return;
+  // In quarters, so that entries are told few times.
+  constexpr double Steps = 4;
+  double share = std::min(
+      1.0, std::floor((moved / all + Settings.RetireAhead) * Steps) / Steps);
+  direct::Retirement wanted{newest, share};
+  bool isNews =
+      wanted.BelowVersion != Asked.BelowVersion || wanted.Share > Asked.Share;
+  if (IsAsking || AgreedAt || !isNews || now < AskAgainAt)
+    return;
+  IsAsking = true;
+  State.Kept.retire(wanted);
+  Tell(wanted, [self = shared_from_this(), wanted](bool allAgreed) {
+    self->onRetireAnswered(wanted, allAgreed);
+  });
+}
+
+void ContextFollower::onRetireAnswered(const direct::Retirement &wanted,
+                                       bool allAgreed) {
+  TimePoint now = monotonicNow();
+  IsAsking = false;
+  AskAgainAt = now + Settings.RetireRetry;
+  State.Log.write(LogWeight::Notable, "context_retired",
+                  {{"below_version", wanted.BelowVersion},
+                   {"share", wanted.Share},
+                   {"all_agreed", allAgreed}},
+                  now);
+  if (!allAgreed)
+    return;
+  Asked = wanted;
+  AgreedAt = now;
+}
+
 std::optional<uint64_t> ContextFollower::oldestInUse(TimePoint now) {
   auto catalog = State.catalog();
   std::optional<uint64_t> oldest;
@@ -160,17 +214,21 @@
 std::vector<direct::BrokenPart>
 ContextFollower::unused(const std::string &store,
                         const Followed &followed) const {
-  auto isCurrent = [this](std::string_view scope) {
-    std::optional<uint64_t> version = direct::versionOfScope(scope);
-    return version && *version >= OldestSeen;
+  auto isUnused = [this](const direct::BrokenPart &part) {
+    std::optional<uint64_t> version = direct::versionOfScope(part.Scope);
+    if (!version || *version < OldestSeen)
+      return true;
+    return std::any_of(Freeable.begin(), Freeable.end(),
+                       [&](const direct::Retirement &it) {
+                         return it.covers(part.Scope, part.Part);
+                       });
   };
-  std::vector<direct::BrokenPart> out =
-      State.Kept.partsOutside(store, isCurrent);
+  std::vector<direct::BrokenPart> out = State.Kept.partsWhere(store, isUnused);
   // Space of a save that broke off looks like that of one which goes on slowly,
   // and what is freed under a save is reported as whole all the same. So it is
   // freed only once no server can be saving under its scope.
   for (const direct::BrokenPart &part : followed.Broken)
-    if (!isCurrent(part.Scope))
+    if (direct::versionOfScope(part.Scope).value_or(0) < OldestSeen)
       out.push_back(part);
   if (out.size() > Settings.PartsPerFree)
     out.resize(Settings.PartsPerFree);
@@ -178,7 +236,8 @@
 }
 
 void ContextFollower::freeUnused(TimePoint now) {
-  if (!oldestInUse(now) || !State.isConfirmed(now))
+  bool mayFree = oldestInUse(now).has_value() || !Freeable.empty();
+  if (!mayFree || !State.isConfirmed(now))
     return;
   for (auto &[store, followed] : Stores) {
     if (followed.IsFreeing || now < followed.FreedAt + Settings.Pause)
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -3,6 +3,7 @@
 /// any more.
 #pragma once
 
+#include "direct/placement.h"
 #include "gateway/store_follower.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -33,18 +34,31 @@
   /// The order to free must reach the store within this.
   Duration FreePatience{1'000'000};
   size_t PartsPerFree = 200;
+  /// While servers move to new weights, the context of the old makes room ahead
+  /// of them: the share of servers that have moved, and this much more.
+  double RetireAhead = 0.25;
+  /// Between tries to tell all entries.
+  Duration RetireRetry{500'000};
+  /// After all entries have agreed: the longest fetch, and its way.
+  Duration RetireDelay{direct::LongestFetch + Duration(500'000)};
   bool operator==(const ContextFollowerSettings &) const = default;
 };
 
 /// Runs on its strand.
 class ContextFollower : public std::enable_shared_from_this<ContextFollower> {
 public:
+  /// Tells all entries of a retirement; learns whether all have agreed.
+  using TellAll = std::function<void(const direct::Retirement &,
+                                     const std::function<void(bool)> &)>;
+
   ContextFollower(GatewayState &state, Strand strand,
-                  ContextFollowerSettings settings);
+                  ContextFollowerSettings settings, TellAll tellAll);
 
   /// Begins to follow stores that are new in the catalog.
   void onCatalog();
-  /// Frees what can be freed; only while this process may give orders.
+  /// Both only while this process may give orders: agrees with all entries on
+  /// what is not used any more, and frees it.
+  void retireOld(TimePoint now);
   void freeUnused(TimePoint now);
   void stop() { IsStopped = true; }
 
@@ -72,6 +86,7 @@
   void later(const std::string &store, Duration pause);
   std::vector<direct::BrokenPart> unused(const std::string &store,
                                          const Followed &followed) const;
+  void onRetireAnswered(const direct::Retirement &wanted, bool allAgreed);
   /// Oldest version of any weights that a server has or may come back with.
   std::optional<uint64_t> oldestInUse(TimePoint now);
 
@@ -79,6 +94,12 @@
   Strand On;
   ContextFollowerSettings Settings;
   std::map<std::string, Followed> Stores;
+  TellAll Tell;
+  direct::Retirement Asked; ///< Last told to all entries.
+  bool IsAsking = false;
+  TimePoint AskAgainAt;
+  std::optional<TimePoint> AgreedAt; ///< When all had agreed to Asked.
+  std::vector<direct::Retirement> Freeable;
   uint64_t OldestSeen = 0;
   TimePoint OldestSince;
   bool IsStopped = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,8 +47,12 @@
                                            secureRandom)),
       PeerLoads(std::make_shared<LoadExchange>(State, Control,
                                                LoadExchangeSettings{})),
-      Contexts(std::make_shared<ContextFollower>(State, Control,
-                                                 ContextFollowerSettings{})),
+      Contexts(std::make_shared<ContextFollower>(
+          State, Control, ContextFollowerSettings{},
+          [this](const direct::Retirement &what,
+                 const std::function<void(bool)> &done) {
+            Peers->tellAll(direct::ContextRetired{what}, done);
+          })),
       Orders(std::make_shared<OrderDriver>(
           State, Control, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -207,8 +211,10 @@
   PeerLoads->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
   Orders->onTimer(now);
-  if (Orders->token(now))
+  if (Orders->token(now)) {
+    Contexts->retireOld(now);
     Contexts->freeUnused(now);
+  }
   Log.flush(now);
   Ticker.expires_after(TickInterval);
   Ticker.async_wait([this](auto ec) {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -73,6 +73,10 @@
     Hooks.Weights(message);
     return direct::Received{};
   }
+  if (const auto *retired = std::get_if<direct::ContextRetired>(&message)) {
+    State.Kept.retire(retired->What);
+    return direct::Received{};
+  }
   const auto *wanted = std::get_if<direct::RecordsWanted>(&message);
   if (!wanted)
     return direct::Received{};
@@ -103,25 +107,56 @@
 
 void PeerExchange::post(const Endpoint &peer,
                         const direct::PeerMessage &message,
-                        std::function<void(const direct::PeerMessage &)> done) {
+                        std::function<void(const direct::PeerMessage &)> done,
+                        std::function<void()> failed) {
   net::HttpRequest request;
   request.Method = "POST";
   request.Path = PeerPath;
   request.Body = wire::encode(message);
   State.Control.fetch(
       peer, std::move(request), CallTimeout,
-      [self = shared_from_this(), done = std::move(done)](
-          const Error &error, const net::HttpResponse &answer) {
-        if (error || answer.Status != StatusOk)
-          return; // Another peer is asked soon.
+      [self = shared_from_this(), done = std::move(done),
+       failed = std::move(failed)](const Error &error,
+                                   const net::HttpResponse &answer) {
         Error reason;
-        auto reply = wire::decode<direct::PeerMessage>(answer.Body, reason);
-        if (reply)
-          boost::asio::dispatch(self->On,
-                                [self, done, reply = *reply] { done(reply); });
+        std::optional<direct::PeerMessage> reply;
+        if (!error && answer.Status == StatusOk)
+          reply = wire::decode<direct::PeerMessage>(answer.Body, reason);
+        // Most messages are repeated soon, so that a lost one needs no more.
+        boost::asio::dispatch(self->On, [self, done, failed, reply] {
+          if (reply)
+            done(*reply);
+          else if (failed)
+            failed();
+        });
       });
 }
 
+void PeerExchange::tellAll(const direct::PeerMessage &message,
+                           const std::function<void(bool)> &done) {
+  struct Tally {
+    size_t Open = 0;
+    bool AllAnswered = true;
+  };
+  auto tally = std::make_shared<Tally>();
+  auto closeOne = [tally, done](bool answered) {
+    tally->AllAnswered &= answered;
+    if (--tally->Open == 0)
+      done(tally->AllAnswered);
+  };
+  std::vector<Endpoint> peers;
+  for (const auto &[peer, listedAt] : Remembered)
+    peers.push_back(peer);
+  if (peers.empty())
+    return done(true);
+  tally->Open = peers.size();
+  for (const Endpoint &peer : peers)
+    post(
+        peer, message,
+        [closeOne](const direct::PeerMessage &) { closeOne(true); },
+        [closeOne] { closeOne(false); });
+}
+
 void PeerExchange::ask(const Endpoint &peer) {
   post(peer, direct::RecordsWanted{State.Catalog.revision()},
        [this](const direct::PeerMessage &reply) {
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -39,6 +39,10 @@
   void setSeeds(std::vector<Endpoint> seeds);
   /// Tells every entry.
   void tell(const direct::PeerMessage &message);
+  /// Tells every entry that is remembered; done learns whether all of them have
+  /// answered.
+  void tellAll(const direct::PeerMessage &message,
+               const std::function<void(bool)> &done);
 
 private:
   void answer(std::string_view body, net::HttpExchange &exchange);
@@ -47,7 +51,8 @@
   void remember(TimePoint now);
   std::vector<Endpoint> others() const;
   void post(const Endpoint &peer, const direct::PeerMessage &message,
-            std::function<void(const direct::PeerMessage &)> done);
+            std::function<void(const direct::PeerMessage &)> done,
+            std::function<void()> failed = {});
 
   GatewayState &State;
   Strand On;
--- a/tests/direct/kept_context_test.cpp
+++ b/tests/direct/kept_context_test.cpp
@@ -120,12 +120,38 @@
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
 }
 
+TEST(KeptContext, OffersNothingThatIsRetired) {
+  TwoStores kept;
+  kept.apply("x", change(true, PartA, 1, "s@1"));
+  kept.apply("yy", change(true, PartA, 1, "s@2"));
+  kept.retire({2, 1});
+  EXPECT_FALSE(kept.find("s@1", PartA, "d1"));
+  EXPECT_TRUE(kept.find("s@2", PartA, "d1"));
+  kept.retire({3, 0});
+  EXPECT_FALSE(kept.find("s@1", PartA, "d1"));
+  EXPECT_TRUE(kept.find("s@2", PartA, "d1"));
+  kept.retire({3, 1});
+  EXPECT_FALSE(kept.find("s@2", PartA, "d1"));
+}
+
+TEST(Retirement, CoversTheSameShareOfPartsEverywhere) {
+  int covered = 0;
+  for (int i = 0; i < 1000; ++i) {
+    std::string part = std::to_string(i);
+    bool quarter = Retirement{2, 0.25}.covers("s@1", part);
+    EXPECT_TRUE(!quarter || (Retirement{2, 0.5}.covers("s@1", part)));
+    EXPECT_FALSE((Retirement{2, 1}.covers("s@2", part)));
+    covered += quarter ? 1 : 0;
+  }
+  EXPECT_NEAR(covered, 250, 50);
+}
+
 TEST(KeptContext, ListsWhatNobodyCanUse) {
   TwoStores kept;
   kept.apply("x", change(true, PartA, 1, "old"));
   kept.apply("x", change(true, PartB, 1, "new"));
-  auto unused = kept.partsOutside(
-      "x", [](std::string_view scope) { return scope == "new"; });
+  auto unused = kept.partsWhere(
+      "x", [](const BrokenPart &it) { return it.Scope != "new"; });
   EXPECT_EQ(unused, (std::vector<BrokenPart>{{"old", "a"}}));
 }
 
