--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -82,6 +82,7 @@
     return onFailure(store);
   Followed &followed = Stores[store];
   TimePoint now = monotonicNow();
+  noteAnswered(store, now);
   followed.WantsList = false;
   followed.ListedAt = now;
   followed.Epoch = list->Epoch;
@@ -121,6 +122,7 @@
     return onFailure(store);
   Followed &followed = Stores[store];
   TimePoint now = monotonicNow();
+  noteAnswered(store, now);
   if (changes->ClockMs)
     State.Clock.observe(*changes->ClockMs, now);
   if (followed.Epoch != changes->Epoch)
@@ -138,11 +140,18 @@
 
 void ContextFollower::onFailure(const std::string &store) {
   State.Kept.onUnreachable(store);
-  State.Log.write(LogWeight::Notable, "store_silent", {{"store", store}},
-                  monotonicNow());
+  if (!std::exchange(Stores[store].IsSilent, true))
+    State.Log.write(LogWeight::Notable, "store_lost", {{"store", store}},
+                    monotonicNow());
   later(store, Settings.FailurePause);
 }
 
+void ContextFollower::noteAnswered(const std::string &store, TimePoint now) {
+  if (std::exchange(Stores[store].IsSilent, false))
+    State.Log.write(LogWeight::Notable, "store_regained", {{"store", store}},
+                    now);
+}
+
 void ContextFollower::retireOld(TimePoint now) {
   if (AgreedAt && now >= *AgreedAt + Settings.RetireDelay) {
     AgreedAt.reset();
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -68,6 +68,7 @@
     uint64_t Epoch = 0;
     uint64_t Next = 0;
     bool WantsList = true;
+    bool IsSilent = false; ///< The last call was not answered.
     std::optional<TimePoint> ListedAt;
     std::set<direct::BrokenPart> Broken; ///< By the last list.
     bool IsFreeing = false;
@@ -83,6 +84,7 @@
   void onChanges(const std::string &store,
                  const std::optional<direct::PartChanges> &changes);
   void onFailure(const std::string &store);
+  void noteAnswered(const std::string &store, TimePoint now);
   void later(const std::string &store, Duration pause);
   std::vector<direct::BrokenPart> unused(const std::string &store,
                                          const Followed &followed) const;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -66,6 +66,8 @@
 
 HttpClient::~HttpClient() { Self->Pool->close(); }
 
+boost::asio::io_context &HttpClient::context() const { return Self->Io; }
+
 HttpCall HttpClient::call(const Endpoint &to, HttpRequest request,
                           Duration timeout, HttpHooks hooks) {
   auto running =
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -51,6 +51,8 @@
 public:
   HttpClient(boost::asio::io_context &io, HttpClientInit init);
   ~HttpClient();
+  /// That its calls run on; for timers around them.
+  boost::asio::io_context &context() const;
   /// Sends the request, with a Host header of its own if it names none. A
   /// timeout of zero means none but the connect timeout.
   /// A kept-alive connection that turns out stale is replaced once, if nothing
--- /dev/null
+++ b/tests/base/decision_log_test.cpp
@@ -0,0 +1,101 @@
+#include "base/decision_log.h"
+
+#include <boost/json/parse.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace daisytack {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{Duration(1'000'000'000)};
+
+/// A pipe that takes so many bytes and no more.
+struct Pipe {
+  std::string Text;
+  size_t Room = SIZE_MAX;
+
+  DecisionLog::Sink sink() {
+    return [this](std::string_view block) {
+      size_t n = std::min(block.size(), Room);
+      Room -= n;
+      Text += block.substr(0, n);
+      return n;
+    };
+  }
+  size_t lines() const {
+    return static_cast<size_t>(std::count(Text.begin(), Text.end(), '\n'));
+  }
+};
+
+DecisionLogSettings smallLog() {
+  DecisionLogSettings out;
+  out.LinesPerSecond = 10;
+  out.NotableReserve = 0.5;
+  return out;
+}
+
+TEST(DecisionLog, WritesOneObjectALine) {
+  Pipe pipe;
+  Metrics metrics;
+  DecisionLog log(smallLog(), "e1", pipe.sink(), metrics);
+  log.write(LogWeight::Notable, "started", {{"text", "two\nlines"}}, Start);
+  EXPECT_EQ(pipe.Text, "");
+  log.flush(Start);
+  ASSERT_EQ(pipe.lines(), 1);
+  auto object = boost::json::parse(pipe.Text).as_object();
+  EXPECT_EQ(object["event"], "started");
+  EXPECT_EQ(object["process"], "e1");
+  EXPECT_EQ(object["at_us"], 1'000'000'000);
+  EXPECT_EQ(object["text"], "two\nlines");
+}
+
+TEST(DecisionLog, KeepsRoomForNotableLinesAndTellsWhatItLeftOut) {
+  Pipe pipe;
+  Metrics metrics;
+  DecisionLog log(smallLog(), "e1", pipe.sink(), metrics);
+  for (int i = 0; i < 100; ++i)
+    log.write(LogWeight::Routine, "routine", {}, Start);
+  for (int i = 0; i < 100; ++i)
+    log.write(LogWeight::Notable, "notable", {}, Start);
+  log.flush(Start);
+  EXPECT_EQ(pipe.lines(), 10);
+  log.flush(Start + 1s);
+  EXPECT_NE(pipe.Text.find("\"event\":\"log_lines_left_out\",\"lines\":190"),
+            std::string::npos)
+      << pipe.Text;
+}
+
+TEST(DecisionLog, LosesLinesButNothingElseWhenThePipeIsFull) {
+  Pipe pipe;
+  pipe.Room = 100;
+  Metrics metrics;
+  DecisionLogSettings settings;
+  settings.LinesPerSecond = 1'000'000;
+  settings.BufferBytes = 4096;
+  DecisionLog log(settings, "e1", pipe.sink(), metrics);
+  for (int i = 0; i < 1000; ++i) {
+    log.write(LogWeight::Notable, "event", {{"n", i}}, Start);
+    log.flush(Start);
+  }
+  EXPECT_EQ(pipe.Text.size(), 100);
+  pipe.Room = SIZE_MAX;
+  log.flush(Start + 2s);
+  log.flush(Start + 2s);
+  // What waited comes out whole, from where the pipe had stopped.
+  size_t begin = 0;
+  for (size_t end = pipe.Text.find('\n'); end != std::string::npos;
+       end = pipe.Text.find('\n', begin)) {
+    boost::system::error_code ec;
+    boost::json::parse(pipe.Text.substr(begin, end - begin), ec);
+    EXPECT_FALSE(ec) << pipe.Text.substr(begin, end - begin);
+    begin = end + 1;
+  }
+  EXPECT_LE(pipe.Text.size(), 100 + settings.BufferBytes + 300);
+  EXPECT_NE(pipe.Text.find("log_lines_left_out"), std::string::npos);
+}
+
+} // namespace
+} // namespace daisytack
