Name status codes once, and stop I/O before a test's parts go

Cause: a test of the whole entry crashed at its end, eight of eight times on a busy machine and never before: its I/O threads ran on while the entry and the stand-ins were destroyed. Ruled out: a fault of the daemon, which stops its threads before it frees its parts (runtime/process.cpp).

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "net/http_server.h"
+#include "net/http_status.h"
 
 #include <compare>
 #include <optional>
@@ -76,12 +77,10 @@
 
 /// Status codes that promise the caller that the request did not run.
 constexpr bool promisesNotRun(unsigned status) {
-  constexpr unsigned RequestTimeout = 408;
-  constexpr unsigned Misdirected = 421;
-  constexpr unsigned TooMany = 429;
-  constexpr unsigned Unavailable = 503;
-  return status == RequestTimeout || status == Misdirected ||
-         status == TooMany || status == Unavailable;
+  return status == net::StatusRequestTimeout ||
+         status == net::StatusMisdirected ||
+         status == net::StatusTooManyRequests ||
+         status == net::StatusUnavailable;
 }
 
 } // namespace daisytack::direct
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -1,4 +1,5 @@
 #include "direct/forward_flow.h"
+#include "net/http_status.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,16 +8,7 @@
 
 namespace {
 
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
-constexpr unsigned FirstServerError = 500;
-constexpr unsigned FirstSuccess = 200;
-constexpr unsigned FirstRedirect = 300;
-
-bool isSuccess(unsigned status) {
-  return status >= FirstSuccess && status < FirstRedirect;
-}
+using net::isSuccess;
 
 Duration scaled(Duration value, double factor) {
   return Duration(
@@ -165,7 +157,7 @@
 }
 
 bool ForwardFlow::isOwnFault(unsigned status) const {
-  return status < FirstServerError && !promisesNotRun(status);
+  return !net::isServerError(status) && !promisesNotRun(status);
 }
 
 void ForwardFlow::onWhole(TimePoint now) {
@@ -223,12 +215,13 @@
   Error told = reason;
   if (hasRun) {
     bool isLate = reason.Kind == ErrorKind::DeadlinePassed;
-    Hooks.AnswerError(isLate ? StatusGatewayTimeout : StatusBadGateway, told);
+    Hooks.AnswerError(
+        isLate ? net::StatusGatewayTimeout : net::StatusBadGateway, told);
     return end();
   }
   told.RetryAfter =
       std::max(RetryAfter.value_or(Settings.RetryAfter), told.RetryAfter);
-  Hooks.AnswerError(StatusUnavailable, told);
+  Hooks.AnswerError(net::StatusUnavailable, told);
   end();
 }
 
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "direct/placement.h"
+#include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -11,11 +12,7 @@
 
 namespace daisytack::gateway {
 
-namespace {
-
-constexpr unsigned StatusOk = 200;
-
-} // namespace
+namespace {} // namespace
 
 ContextFollower::ContextFollower(GatewayState &state, Strand strand,
                                  ContextFollowerSettings settings,
@@ -68,7 +65,7 @@
       [self = shared_from_this(), store](const Error &error,
                                          const net::HttpResponse &answer) {
         std::optional<direct::PartList> list;
-        if (!error && answer.Status == StatusOk)
+        if (!error && answer.Status == net::StatusOk)
           list = self->State.Speak.ReadList(answer.Body);
         boost::asio::dispatch(self->On, [self, store, list = std::move(list)] {
           self->onList(store, list);
@@ -106,7 +103,7 @@
       [self = shared_from_this(), store,
        since](const Error &error, const net::HttpResponse &answer) {
         std::optional<direct::PartChanges> changes;
-        if (!error && answer.Status == StatusOk)
+        if (!error && answer.Status == net::StatusOk)
           changes = self->State.Speak.ReadChanges(answer.Body, since);
         boost::asio::dispatch(self->On,
                               [self, store, changes = std::move(changes)] {
@@ -268,7 +265,7 @@
         Settings.FreePatience,
         [self = shared_from_this(), name = store,
          parts](const Error &error, const net::HttpResponse &answer) {
-          bool isDone = !error && answer.Status == StatusOk;
+          bool isDone = !error && answer.Status == net::StatusOk;
           boost::asio::dispatch(self->On, [self, name, parts, isDone] {
             Followed &it = self->Stores[name];
             it.IsFreeing = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "net/http_status.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,9 +18,6 @@
 /// A server that takes new weights is left alone for at most so long: its runs
 /// end, and the load itself takes a second or two.
 constexpr Duration LoadAvoidance{3'000'000};
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusUnavailable = 503;
 
 net::HttpServerInit listenOn(const Endpoint &endpoint) {
   net::HttpServerInit out;
@@ -66,7 +64,7 @@
                         if (request.Path == Options.ReadinessPath)
                           answerReadiness(*to);
                         else
-                          to->respond({StatusNotFound, {}, {}});
+                          to->respond({net::StatusNotFound, {}, {}});
                       }),
       MetricsServer(io, listenOn(Options.Metrics),
                     [this](const net::HttpRequest &,
@@ -137,14 +135,14 @@
 
 void Gateway::answerReadiness(net::HttpExchange &exchange) const {
   bool isReady = State.catalog()->Config != nullptr && !State.Draining;
-  exchange.respond({isReady ? StatusOk : StatusUnavailable, {}, {}});
+  exchange.respond({isReady ? net::StatusOk : net::StatusUnavailable, {}, {}});
 }
 
 void Gateway::answerMetrics(net::HttpExchange &exchange) {
   State.Counts.PartsKnown.set(static_cast<int64_t>(State.Kept.partsKnown()));
   State.Counts.ServersKnown.set(
       static_cast<int64_t>(State.catalog()->AllServers.size()));
-  exchange.respond({StatusOk,
+  exchange.respond({net::StatusOk,
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     Counters.prometheusText()});
 }
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/order_driver.h"
 
 #include "base/clock.h"
+#include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -13,24 +14,18 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusAccepted = 202;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusFenced = 412;
-constexpr unsigned StatusOtherServer = 421;
-
 OrderAnswer answerOf(const Error &error, unsigned status) {
   if (error)
     return OrderAnswer::Unknown;
   switch (status) {
-  case StatusOk:
-  case StatusAccepted:
+  case net::StatusOk:
+  case net::StatusAccepted:
     return OrderAnswer::Accepted;
-  case StatusConflict:
+  case net::StatusConflict:
     return OrderAnswer::Conflict;
-  case StatusFenced:
+  case net::StatusPreconditionFailed:
     return OrderAnswer::Fenced;
-  case StatusOtherServer:
+  case net::StatusMisdirected:
     return OrderAnswer::OtherServer;
   default:
     return OrderAnswer::Impossible;
@@ -133,7 +128,7 @@
                       [self = shared_from_this(), id = action.ServerId](
                           const Error &error, const net::HttpResponse &answer) {
                         std::optional<direct::EngineReport> report;
-                        if (!error && answer.Status == StatusOk)
+                        if (!error && answer.Status == net::StatusOk)
                           report = self->State.Speak.ReadReport(answer.Body);
                         boost::asio::dispatch(self->On, [self, id, report] {
                           TimePoint now = monotonicNow();
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peer_exchange.h"
 
 #include "base/clock.h"
+#include "net/http_status.h"
 #include "wire/codec.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -12,8 +13,6 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusBadRequest = 400;
 constexpr Duration CallTimeout{700'000};
 /// While the service is away: three peers each time make it likely that one of
 /// them has news within two rounds, though a third of all may be cut off too.
@@ -61,8 +60,8 @@
   Error reason;
   auto message = wire::decode<direct::PeerMessage>(body, reason);
   if (!message)
-    return exchange.respond({StatusBadRequest, {}, reason.Detail});
-  exchange.respond({StatusOk, {}, wire::encode(reply(*message))});
+    return exchange.respond({net::StatusBadRequest, {}, reason.Detail});
+  exchange.respond({net::StatusOk, {}, wire::encode(reply(*message))});
 }
 
 direct::PeerMessage PeerExchange::reply(const direct::PeerMessage &message) {
@@ -120,7 +119,7 @@
                                    const net::HttpResponse &answer) {
         Error reason;
         std::optional<direct::PeerMessage> reply;
-        if (!error && answer.Status == StatusOk)
+        if (!error && answer.Status == net::StatusOk)
           reply = wire::decode<direct::PeerMessage>(answer.Body, reason);
         // Most messages are repeated soon, so that a lost one needs no more.
         boost::asio::dispatch(self->On, [self, done, failed, reply] {
--- /dev/null
+++ b/src/net/http_status.h
@@ -0,0 +1,25 @@
+/// Status codes of HTTP that this code names (RFC 9110, RFC 6585).
+#pragma once
+
+namespace daisytack::net {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusAccepted = 202;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusGone = 410;
+constexpr unsigned StatusPreconditionFailed = 412;
+constexpr unsigned StatusMisdirected = 421;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+constexpr bool isSuccess(unsigned status) {
+  return status >= 200 && status < 300;
+}
+constexpr bool isServerError(unsigned status) { return status >= 500; }
+
+} // namespace daisytack::net
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -82,7 +82,20 @@
 class GatewayTest : public testing::Test {
 protected:
   GatewayTest() : Store(Threads.Io), Caller(Threads.Io, {}) {}
-  ~GatewayTest() override { Threads.Io.stop(); }
+  /// What the I/O threads use goes only once they have ended.
+  ~GatewayTest() override { Threads.stop(); }
+
+  Entry &start(const std::string &name, const Endpoint &store,
+               std::vector<Endpoint> seeds = {}) {
+    Entries.push_back(
+        std::make_unique<Entry>(Threads.Io, name, store, std::move(seeds)));
+    return *Entries.back();
+  }
+  test::StandInServer &standIn(test::StandInServer::Answer reply) {
+    Servers.push_back(
+        std::make_unique<test::StandInServer>(Threads.Io, std::move(reply)));
+    return *Servers.back();
+  }
 
   void serve(const std::string &id, test::StandInServer &server,
              const std::string &service = "plain", int version = 1) {
@@ -139,10 +152,12 @@
   net::IoThreads Threads;
   test::StandInStore Store;
   net::HttpClient Caller;
+  std::vector<std::unique_ptr<test::StandInServer>> Servers;
+  std::vector<std::unique_ptr<Entry>> Entries;
 };
 
 TEST_F(GatewayTest, IsNotReadyAndRefusesForNowWithoutAConfiguration) {
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   EXPECT_EQ(ready(entry), 503);
   Fetched got = fetch(entry.Options.Callers, request("/call/x"));
   EXPECT_EQ(got.Response.Status, 503);
@@ -152,10 +167,10 @@
 }
 
 TEST_F(GatewayTest, ForwardsARequestAndItsAnswerUnchanged) {
-  test::StandInServer server(Threads.Io, answer);
+  test::StandInServer &server = standIn(answer);
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\""));
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
   Fetched got = fetch(entry.Options.Callers, request("/call/x?y=1"));
   EXPECT_EQ(got.Response.Status, 200);
@@ -171,10 +186,10 @@
 }
 
 TEST_F(GatewayTest, RefusesUnknownKeysAndRoutesForGoodOnlyWhileItIsUpToDate) {
-  test::StandInServer server(Threads.Io, answer);
+  test::StandInServer &server = standIn(answer);
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\""));
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
   EXPECT_EQ(statusOf(entry, request("/call/x", "r", "other")), 401);
   EXPECT_EQ(statusOf(entry, request("/none/x")), 404);
@@ -188,10 +203,10 @@
 }
 
 TEST_F(GatewayTest, PutsANewConfigurationInForce) {
-  test::StandInServer server(Threads.Io, answer);
+  test::StandInServer &server = standIn(answer);
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\""));
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
   Store.put("op/config", configText("\"k2\"", 2));
   EXPECT_TRUE(eventually(
@@ -200,16 +215,16 @@
 }
 
 TEST_F(GatewayTest, HearsOfARevokedKeyFromAnotherEntryWhenTheStoreIsAway) {
-  test::StandInServer server(Threads.Io, answer);
+  test::StandInServer &server = standIn(answer);
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\",\"k2\""));
-  Entry connected(Threads.Io, "e1", Store.address());
+  Entry &connected = start("e1", Store.address());
   ASSERT_TRUE(waitReady(connected));
-  test::StandInServer refusing(Threads.Io,
-                               [](const HttpRequest &, const ExchangePtr &to) {
-                                 to->respond({503, {}, {}});
-                               });
-  Entry cut(Threads.Io, "e2", refusing.address(), {connected.Options.Peers});
+  test::StandInServer &refusing =
+      standIn([](const HttpRequest &, const ExchangePtr &to) {
+        to->respond({503, {}, {}});
+      });
+  Entry &cut = start("e2", refusing.address(), {connected.Options.Peers});
   ASSERT_TRUE(waitReady(cut));
   EXPECT_EQ(statusOf(cut, request("/call/x", "r", "k1")), 200);
   Store.put("op/config", configText("\"k2\"", 2));
@@ -221,15 +236,15 @@
   std::vector<ExchangePtr> held;
   std::mutex lock;
   std::atomic<bool> gone{false};
-  test::StandInServer server(Threads.Io,
-                             [&](const HttpRequest &, const ExchangePtr &to) {
-                               to->onClosed([&gone] { gone = true; });
-                               std::lock_guard guard(lock);
-                               held.push_back(to);
-                             });
+  test::StandInServer &server =
+      standIn([&](const HttpRequest &, const ExchangePtr &to) {
+        to->onClosed([&gone] { gone = true; });
+        std::lock_guard guard(lock);
+        held.push_back(to);
+      });
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\""));
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
   net::RawClient raw(entry.Options.Callers.Port);
   raw.send("POST /call/x HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\n"
@@ -237,31 +252,34 @@
   ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
   raw.close();
   EXPECT_TRUE(eventually([&] { return gone.load(); }));
+  Threads.stop(); // Handlers use what ends here.
 }
 
 TEST_F(GatewayTest, AnswersADeadServersRequestAsPerhapsRun) {
-  test::StandInServer server(
-      Threads.Io,
-      [](const HttpRequest &, const ExchangePtr &to) { to->abort(); });
+  test::StandInServer &server =
+      standIn([](const HttpRequest &, const ExchangePtr &to) { to->abort(); });
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\""));
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
   EXPECT_EQ(statusOf(entry, request("/call/x")), 502);
 }
 
 TEST_F(GatewayTest, DrainsWithoutCuttingAnyRequestOff) {
   std::atomic<bool> release{false};
-  test::StandInServer server(
-      Threads.Io, [&](const HttpRequest &what, const ExchangePtr &to) {
-        std::thread([&release, what, to] {
+  std::mutex lock;
+  std::vector<std::jthread> waiting; ///< Joined before what they use goes.
+  test::StandInServer &server =
+      standIn([&](const HttpRequest &what, const ExchangePtr &to) {
+        std::lock_guard guard(lock);
+        waiting.emplace_back([&release, what, to] {
           eventually([&] { return release.load(); });
           to->respond(signedAnswer(what));
-        }).detach();
+        });
       });
   serve("i-1", server);
   Store.put("op/config", configText("\"k1\""));
-  Entry entry(Threads.Io, "e1", Store.address());
+  Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
   auto running = std::async(std::launch::async, [&] {
     return fetch(entry.Options.Callers, request("/call/x")).Response.Status;
@@ -282,12 +300,13 @@
   EXPECT_EQ(running.get(), 200);
   EXPECT_EQ(late.get(), 200);
   EXPECT_TRUE(eventually([&] { return drained.load(); }));
+  Threads.stop(); // Handlers use what ends here.
 }
 
 TEST_F(GatewayTest, OrdersNewWeightsOnceUnderAFencingToken) {
   std::atomic<int> version{1};
-  test::StandInServer engine(
-      Threads.Io, [&](const HttpRequest &what, const ExchangePtr &to) {
+  test::StandInServer &engine =
+      standIn([&](const HttpRequest &what, const ExchangePtr &to) {
         if (what.Path == "/order") {
           version = 2;
           return to->respond({202, {}, {}});
@@ -301,8 +320,8 @@
   serve("i-1", engine, "engines");
   Store.put("op/config", configText("\"k1\""));
   Store.put("op/version/m", R"({"model":"m","version":2})");
-  Entry first(Threads.Io, "e1", Store.address());
-  Entry second(Threads.Io, "e2", Store.address());
+  start("e1", Store.address());
+  start("e2", Store.address());
   auto orders = [&] {
     std::vector<std::string> out;
     for (const HttpRequest &it : engine.requests())
@@ -319,6 +338,7 @@
                        std::to_string(Store.revisionOf("daisytack/holder"))),
       std::string::npos)
       << orders()[0];
+  Threads.stop(); // Handlers use what ends here.
 }
 
 } // namespace
--- a/tests/net_http/http_fixture.h
+++ b/tests/net_http/http_fixture.h
@@ -25,10 +25,13 @@
     for (size_t i = 0; i < n; ++i)
       Threads.emplace_back([this] { Io.run(); });
   }
-  ~IoThreads() {
+  ~IoThreads() { stop(); }
+  /// No handler runs any more when it returns.
+  void stop() {
     Io.stop();
     for (auto &t : Threads)
       t.join();
+    Threads.clear();
   }
   asio::io_context Io;
 
