Choose a server without copying any, and look kept parts up once per version

Cause: a choice copied every server's record and looked each part up for each server; at the size planned for that is milliseconds. Also the log told the queue's weight of a prompt as what is to be read. Change: references, one look-up per weight version; the log tells prompt and sourced tokens. Decisions are the same.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -58,7 +58,9 @@
   std::optional<int64_t> FetchUntilMs;
   std::optional<std::string> SeenEvent; ///< Resume after this event.
   // What the choice was made on, for the view of loads and the log.
-  uint64_t ReadTokens = 0;  ///< That the server should have to read.
+  /// That it counts for in the server's queue: the whole prompt, as one that is
+  /// fetched in part keeps others waiting too.
+  uint64_t QueuedTokens = 0;
   double FirstTokenMs = 0;  ///< Predicted, without the fetch.
   double FetchExcessMs = 0; ///< Believed of the links that are used.
   auto operator<=>(const AttemptOrder &) const = default;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -64,16 +64,17 @@
          Settings.OldWeightsLimit;
 }
 
-std::vector<BackendServer>
-Placement::usable(const ForwardRequest &request, const Catalog &catalog,
-                  const std::vector<std::string> &tried, TimePoint now) const {
-  std::vector<BackendServer> out;
+Placement::ServerRefs Placement::usable(const ForwardRequest &request,
+                                        const Catalog &catalog,
+                                        const std::vector<std::string> &tried,
+                                        TimePoint now) const {
+  ServerRefs out;
   for (Care care : {Care::Full, Care::AnyVersion, Care::Any}) {
     for (const BackendServer &server : catalog.serversOf(request.Service)) {
       bool wasTried =
           std::find(tried.begin(), tried.end(), server.Id) != tried.end();
       if (!wasTried && isUsable(request, catalog, server, care, now))
-        out.push_back(server);
+        out.push_back(&server);
     }
     if (!out.empty())
       break;
@@ -81,19 +82,18 @@
   return out;
 }
 
-const BackendServer *
-Placement::homeOf(const ForwardRequest &request,
-                  const std::vector<BackendServer> &servers) const {
+const BackendServer *Placement::homeOf(const ForwardRequest &request,
+                                       const ServerRefs &servers) const {
   const BackendServer *out = nullptr;
   double best = 0;
   bool isNear = false;
   std::string_view key = homeKey(request.Head);
-  for (const BackendServer &server : servers) {
-    bool near = server.FailureDomain == FailureDomain;
-    double score = rendezvousScore(key, server.Id);
+  for (const BackendServer *server : servers) {
+    bool near = server->FailureDomain == FailureDomain;
+    double score = rendezvousScore(key, server->Id);
     if (out && (isNear != near ? isNear : score <= best))
       continue;
-    out = &server;
+    out = server;
     best = score;
     isNear = near;
   }
@@ -126,13 +126,16 @@
 
 double Placement::cost(const ForwardRequest &request, const Catalog &catalog,
                        const BackendServer &server, const BackendServer *home,
-                       TimePoint now) const {
+                       UnkeptTokens &unkept, TimePoint now) const {
   bool isFar = server.FailureDomain != FailureDomain;
   if (request.Head.Model.empty())
     return View.Loads.view(server.Id, now).Running * Settings.CallRunningMs +
            (isFar ? Settings.CallOtherDomainMs : 0);
-  double out =
-      firstTokenMs(request, server, tokensToRead(request, server), now);
+  auto [toRead, isNew] =
+      unkept.try_emplace(server.versionOf(request.Head.Model));
+  if (isNew)
+    toRead->second = tokensToRead(request, server);
+  double out = firstTokenMs(request, server, toRead->second, now);
   if (isFar)
     out += Settings.OtherDomainMs;
   if (&server != home)
@@ -159,7 +162,7 @@
                   const std::vector<std::string> &tried,
                   std::optional<int64_t> serversClockMs, TimePoint now,
                   Error &reason) {
-  std::vector<BackendServer> servers = usable(request, catalog, tried, now);
+  ServerRefs servers = usable(request, catalog, tried, now);
   if (servers.empty()) {
     reason = {ErrorKind::NoServer,
               "no backend server of " + request.Service + " is left to ask"};
@@ -167,23 +170,23 @@
   }
   const BackendServer *home =
       request.Head.Parts.empty() ? nullptr : homeOf(request, servers);
-  size_t best = 0;
-  double least = cost(request, catalog, servers[0], home, now);
-  for (size_t i = 1; i < servers.size(); ++i) {
-    double cost = this->cost(request, catalog, servers[i], home, now);
+  UnkeptTokens unkept;
+  const BackendServer *best = servers[0];
+  double least = cost(request, catalog, *best, home, unkept, now);
+  for (const BackendServer *server : servers) {
+    double cost = this->cost(request, catalog, *server, home, unkept, now);
     if (cost >= least)
       continue;
-    best = i;
+    best = server;
     least = cost;
   }
-  if (isHopeless(request, servers[best], now)) {
+  if (isHopeless(request, *best, now)) {
     reason = {ErrorKind::Overloaded,
               "every backend server would begin to answer too late",
               Settings.OverloadRetryAfter};
     return std::nullopt;
   }
-  return AttemptChoice{
-      orderFor(request, catalog, servers[best], serversClockMs, now)};
+  return AttemptChoice{orderFor(request, catalog, *best, serversClockMs, now)};
 }
 
 AttemptOrder Placement::orderFor(const ForwardRequest &request,
@@ -203,10 +206,10 @@
   out.WeightVersion = server.versionOf(head.Model);
   out.CacheScope =
       cacheScope(request.Organisation, request.IsIsolated, out.WeightVersion);
-  out.ReadTokens = head.PromptTokens;
+  out.QueuedTokens = head.PromptTokens;
   if (service->Engine->HasManagedContext && head.Parts.size() >= 2)
     planContext(request, catalog, server, serversClockMs, now, out);
-  out.FirstTokenMs = firstTokenMs(request, server, out.ReadTokens, now);
+  out.FirstTokenMs = firstTokenMs(request, server, out.QueuedTokens, now);
   return out;
 }
 
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -13,6 +13,7 @@
 #include "direct/server_loads.h"
 #include "direct/store_links.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -95,12 +96,16 @@
                                       TimePoint now, Error &reason);
 
 private:
+  using ServerRefs = std::vector<const BackendServer *>;
+  /// Tokens that no store holds, by weight version; one choice's own.
+  using UnkeptTokens = std::map<uint64_t, uint64_t>;
+
   /// How picky a choice is; each level is tried before the next.
   enum class Care : uint8_t { Full, AnyVersion, Any };
 
   double cost(const ForwardRequest &request, const Catalog &catalog,
               const BackendServer &server, const BackendServer *home,
-              TimePoint now) const;
+              UnkeptTokens &unkept, TimePoint now) const;
   /// Of the prompt, what no store holds for the server's weights.
   uint64_t tokensToRead(const ForwardRequest &request,
                         const BackendServer &server) const;
@@ -108,14 +113,12 @@
                       const BackendServer &server, uint64_t readTokens,
                       TimePoint now) const;
   const BackendServer *homeOf(const ForwardRequest &request,
-                              const std::vector<BackendServer> &servers) const;
+                              const ServerRefs &servers) const;
   /// How long the server's weights have been older than wanted.
   Duration behindFor(const ForwardRequest &request, const Catalog &catalog,
                      const BackendServer &server, TimePoint now) const;
-  std::vector<BackendServer> usable(const ForwardRequest &request,
-                                    const Catalog &catalog,
-                                    const std::vector<std::string> &tried,
-                                    TimePoint now) const;
+  ServerRefs usable(const ForwardRequest &request, const Catalog &catalog,
+                    const std::vector<std::string> &tried, TimePoint now) const;
   /// Whether the answer would begin after the caller has left, if all goes
   /// well.
   bool isHopeless(const ForwardRequest &request, const BackendServer &server,
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -121,15 +121,17 @@
   SentAt = now;
   AnyByte = false;
   State.Counts.Attempts.add();
-  State.Loads.onSent(order.ServerId, order.ReadTokens, now);
+  State.Loads.onSent(order.ServerId, order.QueuedTokens, now);
   uint64_t saves = 0;
+  uint64_t sourced = 0;
   for (size_t i = 0; i < order.Sources.size(); ++i) {
     if (i + 1 < request.Head.Parts.size())
       State.Counts.SharedTokens.add(request.Head.Parts[i].Tokens);
     if (order.Sources[i])
-      State.Counts.SourcedTokens.add(request.Head.Parts[i].Tokens);
+      sourced += request.Head.Parts[i].Tokens;
     saves += order.Destinations[i] ? 1 : 0;
   }
+  State.Counts.SourcedTokens.add(sourced);
   State.Counts.SavesAsked.add(saves);
   State.Log.write(
       LogWeight::Routine, "attempt_sent",
@@ -138,7 +140,8 @@
        {"server", order.ServerId},
        {"weights", order.WeightVersion},
        {"saves", saves},
-       {"read_tokens", order.ReadTokens},
+       {"prompt_tokens", request.Head.PromptTokens},
+       {"sourced_tokens", sourced},
        {"first_token_ms", order.FirstTokenMs},
        {"fetch_excess_ms", order.FetchExcessMs},
        {"time_left_ms", millisecondsOf(order.TimeLeft)},
@@ -176,7 +179,7 @@
   direct::ServerHead head = State.Speak.ReadServer(status, headers);
   if (!head.WasNotRun) {
     AnyByte = true;
-    State.Loads.onFirstByte(Order.ServerId, Order.ReadTokens, now);
+    State.Loads.onFirstByte(Order.ServerId, Order.QueuedTokens, now);
     learnLink(now);
   }
   Flow.onHead(attempt, head, now);
@@ -198,7 +201,7 @@
 
 void GatewayRequest::note(uint32_t attempt, const AttemptOrder &order,
                           AttemptResult result, TimePoint now) {
-  State.Loads.onEnded(order.ServerId, AnyByte ? 0 : order.ReadTokens, now);
+  State.Loads.onEnded(order.ServerId, AnyByte ? 0 : order.QueuedTokens, now);
   bool isGood = result == AttemptResult::Answered;
   if (result == AttemptResult::TurnedAway) {
     State.Counts.TurnedAway.add();
