Share the budget for repeats among the entries that there are, bound remembered deletions

Change: the deployment's ratio and slack are settings, of which each entry takes its part with a fifth to spare; at most some 4,000 deletions are remembered. Test: a long history of deletions.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -11,6 +11,10 @@
 /// behind by, when each is in force everywhere within seconds.
 constexpr size_t VersionsRemembered = 16;
 
+/// Deleted keys that are remembered: those of an outage of the service in a
+/// large deployment, at one server a second.
+constexpr size_t DeletionsRemembered = 2000;
+
 } // namespace
 
 const std::vector<BackendServer> &
@@ -179,7 +183,24 @@
     publish(now);
 }
 
+void CatalogKeeper::dropOldDeletions() {
+  std::vector<uint64_t> revisions;
+  for (const auto &[key, held] : Known)
+    if (held.Record.IsDeleted && !held.KeptUntil)
+      revisions.push_back(held.Record.Revision);
+  if (revisions.size() <= 2 * DeletionsRemembered)
+    return;
+  auto oldest = revisions.end() - DeletionsRemembered;
+  std::nth_element(revisions.begin(), oldest, revisions.end());
+  std::erase_if(Known, [&](const auto &it) {
+    const Held &held = it.second;
+    return held.Record.IsDeleted && !held.KeptUntil &&
+           held.Record.Revision < *oldest;
+  });
+}
+
 void CatalogKeeper::publish(TimePoint now) {
+  dropOldDeletions();
   auto next = std::make_shared<Catalog>();
   next->Config = Config;
   next->ConfigRevision = ConfigRevision;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -108,6 +108,8 @@
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
+  /// Deletions are kept only so that entries can pass them on.
+  void dropOldDeletions();
 
   CatalogSettings Settings;
   CatalogHooks Hooks;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -11,7 +11,7 @@
 constexpr int64_t MostConnections = 1'000'000;
 constexpr int64_t MostLoads = 1000;
 constexpr int64_t MostLogLines = 100'000;
-constexpr int64_t MostReserve = 1'000'000;
+constexpr int64_t MostSlack = 1'000'000;
 constexpr double MostWeight = 1e6;
 /// Between the choice of a server and the start of a run, beyond what the
 /// server's queue takes.
@@ -32,8 +32,8 @@
   out.Catalog.LapseGrace =
       settings.duration("store.lapse_grace", out.Catalog.LapseGrace, 0s, 1min);
   out.Retries.Share = settings.number("retries.share", out.Retries.Share, 0, 1);
-  out.Retries.Reserve = static_cast<uint32_t>(
-      settings.integer("retries.reserve", out.Retries.Reserve, 0, MostReserve));
+  out.Retries.Slack = static_cast<uint32_t>(
+      settings.integer("retries.slack", out.Retries.Slack, 0, MostSlack));
   out.ConcurrentLoads = static_cast<uint32_t>(settings.integer(
       "weights.concurrent_loads", out.ConcurrentLoads, 1, MostLoads));
   out.ServersCheckFence =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -17,6 +17,15 @@
 
 namespace daisytack::gateway {
 
+/// The deployment's budget for repeats, which all entries share.
+struct RetryShareSettings {
+  double Share = 0.2;  ///< Repeats per request.
+  uint32_t Slack = 20; ///< Repeats on top, over all entries.
+  /// Of both this much is used, as entries come and go and count by themselves.
+  double Caution = 0.8;
+  bool operator==(const RetryShareSettings &) const = default;
+};
+
 struct GatewayOptions {
   std::string Name;          ///< Of this process, unique in the deployment.
   std::string FailureDomain; ///< That it runs in.
@@ -45,7 +54,7 @@
   bool ServersCheckFence = false;
   /// Engines that load new weights at the same time: more of them load slower.
   uint32_t ConcurrentLoads = 2;
-  RetryBudgetSettings Retries;
+  RetryShareSettings Retries;
   EjectionSettings Ejection;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -38,7 +38,7 @@
 void GatewayRequest::start() {
   ++State.Running;
   State.Counts.Running.add(1);
-  State.Retries.of(Flow.request().Service).onRequest();
+  budget().onRequest();
   Exchange->onClosed([weak = weak_from_this()] {
     if (auto self = weak.lock())
       self->onStrand([raw = self.get()] {
@@ -108,8 +108,13 @@
                             State.Clock.at(now), now, reason);
 }
 
+RetryBudget &GatewayRequest::budget() {
+  return State.Retries.of(Flow.request().Service,
+                          State.catalog()->Entries.size());
+}
+
 bool GatewayRequest::takeRetry() {
-  bool out = State.Retries.of(Flow.request().Service).tryRetry();
+  bool out = budget().tryRetry();
   (out ? State.Counts.Repeats : State.Counts.RepeatsDenied).add();
   return out;
 }
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -28,6 +28,7 @@
 
   std::optional<direct::AttemptChoice>
   choose(const std::vector<std::string> &tried, TimePoint now, Error &reason);
+  RetryBudget &budget();
   bool takeRetry();
   void send(uint32_t attempt, const direct::AttemptOrder &order);
   void onHead(uint32_t attempt, unsigned status,
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -125,11 +126,15 @@
   return offset + now.time_since_epoch().count() / 1000;
 }
 
-RetryBudget &RetryBudgets::of(const std::string &service) {
+RetryBudget &RetryBudgets::of(const std::string &service, size_t entries) {
   std::lock_guard guard(Lock);
   auto &budget = Budgets[service];
-  if (!budget)
-    budget = std::make_unique<RetryBudget>(Settings);
+  if (budget)
+    return *budget;
+  double slack = Settings.Slack * Settings.Caution /
+                 static_cast<double>(std::max<size_t>(entries, 1));
+  budget = std::make_unique<RetryBudget>(RetryBudgetSettings{
+      Settings.Share * Settings.Caution, static_cast<uint32_t>(slack)});
   return *budget;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -59,11 +59,12 @@
 /// One retry budget for each service. Thread-safe.
 class RetryBudgets {
 public:
-  explicit RetryBudgets(RetryBudgetSettings settings) : Settings(settings) {}
-  RetryBudget &of(const std::string &service);
+  explicit RetryBudgets(RetryShareSettings settings) : Settings(settings) {}
+  /// Made when it is first asked for, as this entry's share among so many.
+  RetryBudget &of(const std::string &service, size_t entries);
 
 private:
-  RetryBudgetSettings Settings;
+  RetryShareSettings Settings;
   std::mutex Lock;
   std::map<std::string, std::unique_ptr<RetryBudget>> Budgets;
 };
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -190,6 +190,20 @@
   EXPECT_EQ(keeper.view()->serversOf("service")[0].versionOf("model"), 3);
 }
 
+TEST(CatalogKeeper, RemembersABoundedNumberOfDeletions) {
+  CatalogKeeper keeper({}, textHooks());
+  uint64_t revision = 0;
+  for (int i = 0; i < 5000; ++i) {
+    std::string key = "server:" + std::to_string(i);
+    keeper.apply({put(key, "1", ++revision)}, Start);
+    keeper.apply({gone(key, ++revision)}, Start);
+  }
+  size_t kept = keeper.recordsSince(0).size();
+  EXPECT_LE(kept, 4100);
+  EXPECT_GE(kept, 2000);
+  EXPECT_EQ(keeper.recordsSince(revision - 1).size(), 1);
+}
+
 TEST(CatalogKeeper, PassesOnWhatIsNewerDeletionsToo) {
   CatalogKeeper first({}, textHooks());
   CatalogKeeper second({}, textHooks());
