--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -50,9 +50,9 @@
   double OldWeightsMs = 400;
   Duration OldWeightsGrace{1'200'000};
   Duration OldWeightsLimit{11'000'000};
-  /// Of the predicted wait counts so much at most towards the limit: a request
-  /// that waits longer has been left by its caller.
-  Duration OldWeightsWait{1'500'000};
+  /// Of the predicted wait counts so much at most towards the limit: a caller
+  /// that waits longer has left, and its request never begins.
+  Duration OldWeightsWait{3'200'000};
   /// A prompt is refused when even the best server is predicted to begin its
   /// answer only after this share of the time that its caller will wait, since
   /// reading it would delay others in vain.
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -185,6 +185,18 @@
   EXPECT_EQ(choose(request, {}, Start + 20s).ServerId, "e5");
 }
 
+/// A request counts by when it begins to run, which a long queue puts off past
+/// the limit though it was sent in time.
+TEST_F(PlacementTest, SendsNothingToOldWeightsThatWouldBeginTooLate) {
+  Catalog.Wanted["model"] = {{2, Start}};
+  for (auto &it : Catalog.Servers["engines"]) {
+    it.Weights = {{"model", it.Id == "e5" ? 2U : 1U}};
+    Loads.onSent(it.Id, it.Id == "e5" ? 300'000 : 120'000, Start + 9400ms);
+  }
+  EXPECT_NE(choose(prompt("s"), {}, Start + 6s).ServerId, "e5");
+  EXPECT_EQ(choose(prompt("s"), {}, Start + 9400ms).ServerId, "e5");
+}
+
 TEST_F(PlacementTest, CountsTheAgeOfWeightsFromTheFirstNewerWish) {
   Catalog.Wanted["model"] = {{2, Start}, {3, Start + 11s}};
   for (auto &it : Catalog.Servers["engines"])
