Wait out the delay before old kept context is freed, also after an agreement

Cause: found by reading. Once all entries had agreed on any retirement, every part of weights that no server had any more was freed at once, without the 4 s that a fetch still under way may need. Ruled out: the agreed parts themselves, whose own delay was kept. Change: one function tells what can be freed, given the version up to which the delay is over (none until then) and what was agreed; the test of it states both. Figures: none taken; less is freed, and later.

--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -42,6 +42,15 @@
   return version && *version < BelowVersion && unitHash(part) < Share;
 }
 
+bool isUnused(const BrokenPart &part, uint64_t freeBelow,
+              const std::vector<Retirement> &agreed) {
+  if (versionOfScope(part.Scope).value_or(0) < freeBelow)
+    return true;
+  return std::any_of(agreed.begin(), agreed.end(), [&](const Retirement &it) {
+    return it.covers(part.Scope, part.Part);
+  });
+}
+
 std::string KeptContext::keyOf(std::string_view scope, std::string_view part) {
   std::string out(scope);
   out += KeySeparator;
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -69,6 +69,11 @@
   bool covers(std::string_view scope, std::string_view part) const;
 };
 
+/// Whether a part can be freed: it was made for weights before the version that
+/// nobody has had for long enough, or all entries have agreed not to use it.
+bool isUnused(const BrokenPart &part, uint64_t freeBelow,
+              const std::vector<Retirement> &agreed);
+
 /// Text under which kept context is found: apart by weight version, and by
 /// organisation where that is isolated.
 std::string cacheScope(std::string_view organisation, bool isIsolated,
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -218,23 +218,17 @@
 }
 
 std::vector<direct::BrokenPart>
-ContextFollower::unused(const std::string &store,
-                        const Followed &followed) const {
-  auto isUnused = [this](const direct::BrokenPart &part) {
-    std::optional<uint64_t> version = direct::versionOfScope(part.Scope);
-    if (!version || *version < OldestSeen)
-      return true;
-    return std::any_of(Freeable.begin(), Freeable.end(),
-                       [&](const direct::Retirement &it) {
-                         return it.covers(part.Scope, part.Part);
-                       });
-  };
-  std::vector<direct::BrokenPart> out = State.Kept.partsWhere(store, isUnused);
+ContextFollower::unused(const std::string &store, const Followed &followed,
+                        uint64_t freeBelow) const {
+  std::vector<direct::BrokenPart> out = State.Kept.partsWhere(
+      store, [this, freeBelow](const direct::BrokenPart &part) {
+        return direct::isUnused(part, freeBelow, Freeable);
+      });
   // Space of a save that broke off looks like that of one which goes on slowly,
   // and what is freed under a save is reported as whole all the same. So it is
   // freed only once no server can be saving under its scope.
   for (const direct::BrokenPart &part : followed.Broken)
-    if (direct::versionOfScope(part.Scope).value_or(0) < OldestSeen)
+    if (direct::isUnused(part, freeBelow, {}))
       out.push_back(part);
   if (out.size() > Settings.PartsPerFree)
     out.resize(Settings.PartsPerFree);
@@ -242,13 +236,15 @@
 }
 
 void ContextFollower::freeUnused(TimePoint now) {
-  bool mayFree = oldestInUse(now).has_value() || !Freeable.empty();
+  // 0 until the delay is over: then only what was agreed on can go.
+  uint64_t freeBelow = oldestInUse(now).value_or(0);
+  bool mayFree = freeBelow > 0 || !Freeable.empty();
   if (!mayFree || !State.isConfirmed(now))
     return;
   for (auto &[store, followed] : Stores) {
     if (followed.IsFreeing || now < followed.FreedAt + Settings.Pause)
       continue;
-    std::vector<direct::BrokenPart> parts = unused(store, followed);
+    std::vector<direct::BrokenPart> parts = unused(store, followed, freeBelow);
     if (parts.empty())
       continue;
     followed.IsFreeing = true;
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -87,7 +87,8 @@
   void noteAnswered(const std::string &store, TimePoint now);
   void later(const std::string &store, Duration pause);
   std::vector<direct::BrokenPart> unused(const std::string &store,
-                                         const Followed &followed) const;
+                                         const Followed &followed,
+                                         uint64_t freeBelow) const;
   void onRetireAnswered(const direct::Retirement &wanted, bool allAgreed);
   /// Oldest version of any weights that a server has or may come back with.
   std::optional<uint64_t> oldestInUse(TimePoint now);
--- a/tests/direct/kept_context_test.cpp
+++ b/tests/direct/kept_context_test.cpp
@@ -146,6 +146,17 @@
   EXPECT_NEAR(covered, 250, 50);
 }
 
+/// Agreement on some parts must not let go of others before their time.
+TEST(IsUnused, FreesByAgreementOnlyWhatWasAgreedOn) {
+  std::vector<Retirement> agreed{{2, 1}};
+  EXPECT_TRUE(isUnused({"s@1", "a"}, 0, agreed));
+  EXPECT_FALSE(isUnused({"s@2", "a"}, 0, agreed));
+  EXPECT_FALSE(isUnused({"unknown", "a"}, 0, agreed));
+  EXPECT_FALSE(isUnused({"s@1", "a"}, 0, {{2, 0}}));
+  EXPECT_TRUE(isUnused({"s@2", "a"}, 3, {}));
+  EXPECT_FALSE(isUnused({"s@3", "a"}, 3, {}));
+}
+
 TEST(KeptContext, ListsWhatNobodyCanUse) {
   TwoStores kept;
   kept.apply("x", change(true, PartA, 1, "old"));
