Drop members and a setting that nothing reads, and weigh the first server once

Cause: found by reading the whole change. The first server's cost was worked out twice. Behaviour is the same; tests of the decisions, formats and the whole entry pass.

--- a/src/direct/event_splitter.cpp
+++ b/src/direct/event_splitter.cpp
@@ -31,7 +31,6 @@
   std::string out = Held.substr(0, end);
   Held.erase(0, end);
   noteIds(out);
-  Passed = true;
   return out;
 }
 
@@ -52,9 +51,6 @@
   }
 }
 
-std::string EventSplitter::takeRest() {
-  Passed |= !Held.empty();
-  return std::exchange(Held, {});
-}
+std::string EventSplitter::takeRest() { return std::exchange(Held, {}); }
 
 } // namespace daisytack::direct
--- a/src/direct/event_splitter.h
+++ b/src/direct/event_splitter.h
@@ -18,17 +18,14 @@
   std::string feed(std::string_view data);
   /// What is left of an event whose end has not come.
   std::string takeRest();
-  void dropRest() { Held.clear(); }
   /// Id of the last event that was passed on.
   const std::optional<std::string> &lastId() const { return LastId; }
-  bool anyPassed() const { return Passed; }
 
 private:
   void noteIds(std::string_view events);
 
   std::string Held;
   std::optional<std::string> LastId;
-  bool Passed = false;
 };
 
 } // namespace daisytack::direct
--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -69,8 +69,7 @@
 /// What a server's answer begins with.
 struct ServerHead {
   unsigned Status = 0;
-  bool WasNotRun = false;     ///< The server says so itself.
-  bool IsMisdirected = false; ///< Another server, or other weights, than asked.
+  bool WasNotRun = false; ///< The server says so itself.
   bool IsEventStream = false;
   std::optional<Duration> RetryAfter;
   std::vector<net::HttpHeader> Passed; ///< For the caller, as they are.
--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -110,7 +110,6 @@
       removePart(store, key);
     Saves.erase(key);
   }
-  store.Next = changes.Next;
   return !isRestarted && !changes.HasGap;
 }
 
@@ -121,7 +120,6 @@
     return;
   reset(it->second, list.Epoch);
   it->second.IsReachable = true;
-  it->second.Next = list.Next;
   for (const PartChange &part : list.Kept)
     addPart(it->second, keyOf(part.Scope, part.Part), part.Tokens);
 }
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -130,7 +130,6 @@
   struct Store {
     ContextStoreTraits Traits;
     uint64_t Epoch = 0;
-    uint64_t Next = 0;
     bool IsReachable = false;
     uint64_t UsedTokens = 0;
     std::unordered_map<std::string, uint32_t> Parts; ///< Tokens by key.
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -3,6 +3,7 @@
 #include "direct/rendezvous.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace daisytack::direct {
@@ -138,7 +139,7 @@
   double out = firstTokenMs(request, server, toRead->second, now);
   if (isFar)
     out += Settings.OtherDomainMs;
-  if (&server != home)
+  if (&server != home) // What the home may still have is read or fetched.
     out += sharedTokens(request.Head) / Settings.PrefillTokensPerMs;
   if (behindFor(request, catalog, server, now) > Settings.OldWeightsGrace)
     out += Settings.OldWeightsMs;
@@ -173,7 +174,7 @@
   UnkeptTokens unkept;
   const BackendServer *best = servers[0];
   double least = cost(request, catalog, *best, home, unkept, now);
-  for (const BackendServer *server : servers) {
+  for (const BackendServer *server : std::span(servers).subspan(1)) {
     double cost = this->cost(request, catalog, *server, home, unkept, now);
     if (cost >= least)
       continue;
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -39,8 +39,6 @@
   /// A server of another failure domain costs so much more: what bytes between
   /// domains cost, as time.
   double OtherDomainMs = 150;
-  /// A server that is not the home has to fetch what the home still has.
-  double AwayMs = 40;
   /// The same for calls without a prompt, which are small and short.
   double CallOtherDomainMs = 40;
   double CallRunningMs = 15;
--- a/src/gateway/entry_lease.h
+++ b/src/gateway/entry_lease.h
@@ -21,8 +21,6 @@
   void start();
   /// Ends the lease, so that others need not wait for it to lapse.
   void stop();
-  /// 0 while there is none.
-  uint64_t lease() const { return Lease; }
 
 private:
   void grant();
