Load a share of a large fleet at a time; take a wish found at start for old

Ruled out: lost or refused orders (77 given, none refused), a missing holder (one was there 1.7 s after the entries were back).

At least a sixth of a fleet loads at a time (two of twelve, as before), and a version that is found at the first read counts as wanted for 5 s already.

Both tests fail without the change (seen for the catalog's; the plan's asked for two).

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -64,8 +64,11 @@
     if (!held.Record.IsDeleted && isOlder && !present.contains(key))
       changed |= mergeDeletion(held, revision, now);
   }
+  IsFirstRead = !HasReadAll;
   for (const StoreRecord &record : records)
     changed |= merge(record, now);
+  IsFirstRead = false;
+  HasReadAll = true;
   Highest = std::max(Highest, revision);
   if (changed)
     publish(now);
@@ -91,7 +94,8 @@
     return false;
   }
   if (const auto *wanted = std::get_if<DesiredWeights>(&*value))
-    noteWanted(wanted->Wanted, now);
+    noteWanted(wanted->Wanted,
+               IsFirstRead ? now - Settings.AgeAtFirstRead : now);
   if (auto *config = std::get_if<ServingConfig>(&*value)) {
     Config = std::make_shared<const ConfigIndex>(std::move(*config));
     ConfigRevision = record.Revision;
@@ -127,11 +131,11 @@
          (StoreBackAt && now < *StoreBackAt + Settings.LapseGrace);
 }
 
-void CatalogKeeper::noteWanted(const ModelVersion &wanted, TimePoint now) {
+void CatalogKeeper::noteWanted(const ModelVersion &wanted, TimePoint since) {
   std::vector<WantedVersion> &known = Wanted[wanted.Model];
   if (!known.empty() && known.back().Version >= wanted.Version)
     return;
-  known.push_back({wanted.Version, now});
+  known.push_back({wanted.Version, since});
   if (known.size() > VersionsRemembered)
     known.erase(known.begin());
 }
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -46,6 +46,10 @@
   /// After the store's return, a server whose entry lapsed meanwhile is kept so
   /// long: the platform promises living ones back in about two seconds.
   Duration LapseGrace{2'000'000};
+  /// A desired version that is found at the first read may be as old as this:
+  /// a third of the time in which it must be in force. Counted from the start
+  /// of the process, a restart in the middle would double that time.
+  Duration AgeAtFirstRead{5'000'000};
   bool operator==(const CatalogSettings &) const = default;
 };
 
@@ -104,7 +108,7 @@
   bool merge(const StoreRecord &record, TimePoint now);
   bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
   void publish(TimePoint now);
-  void noteWanted(const ModelVersion &wanted, TimePoint now);
+  void noteWanted(const ModelVersion &wanted, TimePoint since);
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
@@ -120,6 +124,8 @@
   /// Noted ahead of records, by server.
   std::map<std::string, ModelVersion, std::less<>> Loaded;
   uint64_t Highest = 0;
+  bool HasReadAll = false;
+  bool IsFirstRead = false; ///< While the first read is merged.
   bool StoreIsLost = false;
   std::optional<TimePoint> StoreBackAt;
   Rcu<Catalog> Published;
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -19,19 +19,30 @@
   return out;
 }
 
-/// Two at a time load fastest, but the last must be done in time.
-size_t WeightPlan::concurrency(const std::vector<Behind> &behind,
+size_t WeightPlan::leastConcurrency(const Catalog &catalog) const {
+  auto engines = std::count_if(
+      catalog.AllServers.begin(), catalog.AllServers.end(),
+      [](const BackendServer &it) { return !it.Weights.empty(); });
+  auto share = static_cast<size_t>(static_cast<double>(engines) *
+                                   Settings.ConcurrentShare);
+  return std::max<size_t>(share, Settings.ConcurrentLoads);
+}
+
+/// Few at a time load fastest, but the last must be done in time.
+size_t WeightPlan::concurrency(const Catalog &catalog,
+                               const std::vector<Behind> &behind,
                                TimePoint now) const {
+  size_t least = leastConcurrency(catalog);
   if (behind.empty())
-    return Settings.ConcurrentLoads;
+    return least;
   TimePoint oldest = now;
   for (const Behind &it : behind)
     oldest = std::min(oldest, it.Since);
   Duration left = std::max(oldest + Settings.Limit - now, Settings.UsualLoad);
   auto needed = static_cast<size_t>(static_cast<int64_t>(behind.size()) *
                                     Settings.UsualLoad / left);
-  size_t most = std::max<size_t>(behind.size() / 2, Settings.ConcurrentLoads);
-  return std::clamp<size_t>(needed, Settings.ConcurrentLoads, most);
+  size_t most = std::max<size_t>(behind.size() / 2, least);
+  return std::clamp<size_t>(needed, least, most);
 }
 
 void WeightPlan::forgetDone(const Catalog &catalog, TimePoint now) {
@@ -66,7 +77,7 @@
 
 void WeightPlan::begin(const Catalog &catalog, TimePoint now) {
   std::vector<Behind> behind = serversBehind(catalog);
-  size_t most = concurrency(behind, now);
+  size_t most = concurrency(catalog, behind, now);
   while (Loads.size() < most) {
     const Behind *it = pick(behind, catalog);
     if (!it)
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -19,8 +19,11 @@
 namespace daisytack::direct {
 
 struct WeightPlanSettings {
-  /// Engines that load at a time; more of them load slower.
+  /// Engines that load at a time; more of them load slower. Of a large fleet
+  /// at least this share: its weights are served by more at once in proportion,
+  /// and what is out leaves room for the others.
   uint32_t ConcurrentLoads = 2;
+  double ConcurrentShare = 1.0 / 6;
   /// An engine that is chosen gets no new requests for so long before its
   /// order: what still waits there would be turned away by it. Most waits are
   /// shorter.
@@ -108,11 +111,13 @@
     TimePoint Since; ///< Since when it has been behind.
   };
 
+  size_t leastConcurrency(const Catalog &catalog) const;
   std::vector<Behind> serversBehind(const Catalog &catalog) const;
   void forgetDone(const Catalog &catalog, TimePoint now);
   /// Chooses engines while there is room for them.
   void begin(const Catalog &catalog, TimePoint now);
-  size_t concurrency(const std::vector<Behind> &behind, TimePoint now) const;
+  size_t concurrency(const Catalog &catalog, const std::vector<Behind> &behind,
+                     TimePoint now) const;
   const Behind *pick(const std::vector<Behind> &behind,
                      const Catalog &catalog) const;
 
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -166,6 +166,16 @@
   EXPECT_EQ(idsOf(keeper), Ids{"b"});
 }
 
+/// A process that starts can't tell how long a version has been wanted; counted
+/// from its start, old weights would be used for twice the time allowed.
+TEST(CatalogKeeper, TakesAVersionFoundAtTheFirstReadForOld) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({{"weights:model", "2", 7, false}}, 7, Start);
+  EXPECT_EQ(keeper.view()->behindSince("model", 1), Start - 5s);
+  keeper.applyAll({{"weights:model", "3", 9, false}}, 9, Start + 1s);
+  EXPECT_EQ(keeper.view()->behindSince("model", 2), Start + 1s);
+}
+
 TEST(CatalogKeeper, KeepsTheTimeOfEachWantedVersion) {
   CatalogKeeper keeper({}, textHooks());
   keeper.apply({put("weights:model", "2", 5)}, Start);
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -150,5 +150,20 @@
   EXPECT_EQ(n, 3); // Half of those that are behind keep serving.
 }
 
+/// Two of many at a time would take a large fleet far past the limit.
+TEST_F(WeightPlanTest, LoadsAShareOfALargeFleetAtATime) {
+  BackendServer more = Catalog.AllServers.front();
+  while (Catalog.AllServers.size() < 60) {
+    more.Id = "more" + std::to_string(Catalog.AllServers.size());
+    more.FailureDomain = "d" + std::to_string(Catalog.AllServers.size() % 3);
+    // Most have taken the version: few are behind, and much time is left.
+    more.Weights = {{"model", 2}};
+    Catalog.AllServers.push_back(more);
+  }
+  for (size_t i = 40; i < 60; ++i)
+    Catalog.AllServers[i].Weights = {{"model", 1}};
+  EXPECT_EQ(asked(Plan.next(Catalog, Start + 1s)).size(), 10);
+}
+
 } // namespace
 } // namespace daisytack::direct
