Do not send a GET to a backend server twice behind the flow's back

Ruled out: a late answer (the entry's lines show one attempt, 20 ms, misdirected).

The client for backend servers never repeats what was sent; the flow tries an idempotent request elsewhere, within its attempts and the budget, and says 502 or 504 when none succeeds.

Tests: the client where its sender decides; an entry whose server loses the answer and is replaced (503 before, 502 with the change, seen).

--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -24,6 +24,14 @@
   return out;
 }
 
+/// Every send of a request is the flow's own decision, so that what is said to
+/// have not run has not.
+net::HttpClientInit backendInit() {
+  net::HttpClientInit out = clientInit(IdlePerBackend, BackendConnect);
+  out.RepeatsSafeMethods = false;
+  return out;
+}
+
 std::string_view factName(direct::FactKind kind) {
   switch (kind) {
   case direct::FactKind::Config:
@@ -150,8 +158,7 @@
       Ejected(options.Ejection), Kept(options.Kept),
       Place(options.Placement, options.FailureDomain,
             {Loads, Links, Ejected, Kept}),
-      Retries(options.Retries),
-      Backends(io, clientInit(IdlePerBackend, BackendConnect)),
+      Retries(options.Retries), Backends(io, backendInit()),
       Control(io, clientInit(IdlePerControl, ControlConnect)),
       Catalog(options.Catalog, catalogHooks(Speak, log)) {}
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -44,6 +44,10 @@
   Duration KeepAliveMargin{300'000};
   size_t MaxResponseHeaderBytes = 64U << 10;
   size_t MaxResponseBodyBytes = 64U << 20; ///< Of fetch; call() is unbounded.
+  /// Whether a GET or HEAD that was sent over a stale connection is sent once
+  /// more by itself. Not where its sender must know that it may have run: the
+  /// second answer says nothing of the first.
+  bool RepeatsSafeMethods = true;
 };
 
 /// Thread-safe.
@@ -56,7 +60,7 @@
   /// Sends the request, with a Host header of its own if it names none. A
   /// timeout of zero means none but the connect timeout.
   /// A kept-alive connection that turns out stale is replaced once, if nothing
-  /// was sent over it or the method is GET or HEAD.
+  /// was sent over it or the method is GET or HEAD and those are repeated.
   HttpCall call(const Endpoint &to, HttpRequest request, Duration timeout,
                 HttpHooks hooks);
   /// The same with the whole response at once.
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -168,7 +168,8 @@
   if (Finished)
     return;
   if (ec) {
-    if (!AnyReceived && isSafe(Message.method()) && startAgain())
+    bool mayRepeat = Init.RepeatsSafeMethods && isSafe(Message.method());
+    if (!AnyReceived && mayRepeat && startAgain())
       return;
     return failed(ec, "response");
   }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -281,6 +281,31 @@
   EXPECT_EQ(statusOf(entry, request("/call/x")), 502);
 }
 
+/// A server ran a request and lost its connection; the instance that came in
+/// its place then says that it did not run it. The first run still counts.
+TEST_F(GatewayTest, DoesNotPromiseThatARequestHasNotRunAfterALostAnswer) {
+  std::atomic<int> seen{0};
+  test::StandInServer &server =
+      standIn([&](const HttpRequest &what, const ExchangePtr &to) {
+        if (what.header("X-Daisytack-Request-Id") == "first")
+          return to->respond(signedAnswer(what));
+        if (++seen == 1)
+          return to->abort();
+        to->respond({421, {{"X-Daisytack-Not-Executed", "1"}}, {}});
+      });
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  HttpRequest get = request("/safe/", "first");
+  get.Method = "GET";
+  get.Body.clear();
+  ASSERT_EQ(statusOf(entry, get), 200); // Leaves a kept connection.
+  get.Headers[1].Value = "second";
+  EXPECT_EQ(statusOf(entry, get), 502);
+  Threads.stop(); // Handlers use what ends here.
+}
+
 TEST_F(GatewayTest, DrainsWithoutCuttingAnyRequestOff) {
   std::atomic<bool> release{false};
   std::mutex lock;
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -122,6 +122,20 @@
             "second");
 }
 
+/// The first may have run: its sender has to know.
+TEST(HttpClient, GetOverStaleConnectionIsNotRepeatedWhereItsSenderDecides) {
+  ScriptedServer server({answerThenDrop});
+  HttpClientInit init;
+  init.RepeatsSafeMethods = false;
+  HttpFixture fixture(echo, {}, init);
+  HttpRequest get{"GET", "/", "", {}, ""};
+  EXPECT_EQ(fixture.fetch(server.endpoint(), get, Duration(0)).Response.Body,
+            "first");
+  auto got = fixture.fetch(server.endpoint(), get, Duration(0));
+  EXPECT_EQ(got.Reason.Kind, ErrorKind::ServerLost);
+  EXPECT_EQ(server.Accepted, 1);
+}
+
 TEST(HttpClient, PostOverStaleConnectionIsNotRepeated) {
   ScriptedServer server({answerThenDrop});
   HttpFixture fixture(echo);
