Soak real entries under randomized faults from outside; hold signals back at start

Three real entries run as processes against stand-ins written here, through proxies that delay, reset, silence or lose one direction, while entries are killed, paused, stopped and started, servers replaced, the key-value service spoilt and operators change configuration, keys and weights. Ten checks of promises and one of recovery read only what callers and servers have seen; each is shown to find a planted defect.

The signals are now held back from the begin of main until their handlers stand.

--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -47,6 +47,17 @@
   return out;
 }
 
+/// Signals that the frame handles. Held back from the start of the process
+/// until its handlers stand: by default each would end a process that is
+/// starting.
+void holdSignals(int how) {
+  sigset_t handled;
+  sigemptyset(&handled);
+  for (int number : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&handled, number);
+  pthread_sigmask(how, &handled, nullptr);
+}
+
 /// Runs the context until the daemon has drained.
 class Frame {
 public:
@@ -58,6 +69,7 @@
   ExitCode run() {
     waitForSignal();
     waitForHangup();
+    holdSignals(SIG_UNBLOCK);
     watchFile();
     Error reason;
     if (!Init.Start(Io, reason)) {
@@ -216,6 +228,7 @@
 }
 
 int runProcess(int argc, char **argv, const ProcessInit &init) {
+  holdSignals(SIG_BLOCK);
   gflags::SetUsageMessage(processUsage(init));
   gflags::SetVersionString(DAISYTACK_VERSION);
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,120 @@
+"""Callers of the soak, and what each of their requests came to."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+
+import http11
+
+KINDS = {"call": ("POST", "/call/"), "safe": ("GET", "/safe/"), "ask": ("POST", "/ask/")}
+DEADLINE_MS = 2500
+PARTS = "aa11:500,{session}:700,{own}:200"
+
+
+@dataclasses.dataclass
+class Sent:
+    """One request of a caller. Times are the soak's clock; at: read by the entry at the earliest."""
+
+    id: str
+    kind: str
+    key: str
+    entry: str
+    at: float
+    path: str
+    body: bytes = b""
+    status: int = 0
+    signature: str = ""
+    answer: bytes = b""
+    ended: float = 0.0
+    left: bool = False     # The caller gave up.
+    broken: str = ""       # Why there is no whole answer.
+    wrong_id: bool = False
+    retry_after: str = ""
+
+
+class Caller:
+    """Keeps connections open and goes on using them until their entry is gone."""
+
+    def __init__(self, number, rng, world):
+        self.name, self.rng, self.world = f"c{number}", rng, world
+        self.count = 0
+        self.connections = {}
+
+    async def run(self):
+        while not self.world.is_over:
+            entry = self.rng.choice(self.world.entries)
+            try:
+                await self._one(entry)
+            except (http11.Broken, OSError):
+                self._drop(entry)
+            await asyncio.sleep(self.rng.random() * 0.04)
+
+    def _drop(self, entry):
+        connection = self.connections.pop(entry.name, None)
+        if connection:
+            http11.close(connection[1])
+
+    async def _connection(self, entry):
+        known = self.connections.get(entry.name)
+        if known and not known[1].is_closing() and not known[0].at_eof():
+            return known
+        self._drop(entry)
+        self.connections[entry.name] = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", entry.ports["callers"]), 1)
+        return self.connections[entry.name]
+
+    def _next(self, entry):
+        self.count += 1
+        kind = self.rng.choice(list(KINDS))
+        request_id = hashlib.sha256(f"{self.world.seed}/{self.name}/{self.count}".encode()).hexdigest()[:16]
+        path = KINDS[kind][1] + request_id
+        body = request_id.encode() * self.rng.randint(1, 40) if kind != "safe" else b""
+        return Sent(request_id, kind, self.rng.choice(self.world.all_keys), entry.name, self.world.now(), path, body)
+
+    def _head(self, sent):
+        headers = {"Host": "a.example", "X-Daisytack-Request-Id": sent.id, "X-Api-Key": sent.key,
+                   "X-Daisytack-Deadline-Milliseconds": str(DEADLINE_MS), "Content-Length": str(len(sent.body)),
+                   "X-Daisytack-Tenant": "forged", "X-Daisytack-Hold": "forged"}
+        if sent.kind == "ask":
+            headers["X-Daisytack-Model"] = "m"
+            headers["X-Daisytack-Token-Counts"] = "1400,20"
+            headers["X-Daisytack-Prompt-Prefix"] = PARTS.format(session=self.rng.randrange(16, 64), own=sent.id)
+        return http11.head_of(f"{KINDS[sent.kind][0]} {sent.path} HTTP/1.1", headers)
+
+    async def _one(self, entry):
+        reader, writer = await self._connection(entry)
+        sent = self._next(entry)
+        patience = self.rng.random() * 0.2 if self.rng.random() < 0.05 else DEADLINE_MS / 1000 + 3
+        self.world.sent.append(sent)
+        try:
+            writer.write(self._head(sent) + sent.body)
+            await writer.drain()
+            await asyncio.wait_for(self._answer(sent, reader), patience)
+        except asyncio.TimeoutError:
+            sent.left = patience < 1
+            sent.broken = "" if sent.left else "no final answer"
+            raise http11.Broken("given up") from None
+        except (http11.Broken, OSError) as error:
+            sent.broken = f"{type(error).__name__} {error}"
+            raise
+        finally:
+            sent.ended = self.world.now()
+
+    async def _answer(self, sent, reader):
+        first, headers = await http11.read_head(reader)
+        sent.status = int(first[1])
+        sent.signature = headers.get("x-daisytack-server-signature", "")
+        sent.wrong_id = headers.get("x-daisytack-request-id", sent.id) != sent.id
+        sent.retry_after = headers.get("retry-after", "")
+        if headers.get("transfer-encoding") == "chunked":
+            while chunk := await http11.read_chunk(reader):
+                sent.answer += chunk
+        else:
+            sent.answer = await http11.read_exactly(reader, int(headers.get("content-length", "0")))
+        if headers.get("connection", "").lower() == "close":
+            raise http11.Broken("the entry closes")
+
+
+def callers(world, count):
+    return [Caller(n, random.Random(f"{world.seed}/{n}"), world) for n in range(count)]
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,131 @@
+"""The promises, checked on what callers and backend servers have seen. Each check gives texts of what broke it."""
+
+from callers import KINDS
+from platform_side import events_of
+
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+REVOKED_SECONDS = 5.0   # A revoked key is refused after this, as the deployment's bounds have it.
+DRAIN_SECONDS = 2.0     # A leaving server gets nothing new after this.
+
+
+def runs_by_id(world):
+    out = {}
+    for server in world.all_servers:
+        for run in server.runs:
+            out.setdefault(run.request.header("x-daisytack-request-id"), []).append(run)
+    return out
+
+
+def at_most_once(world, runs):
+    for sent in world.sent:
+        if sent.kind == "call" and len(runs.get(sent.id, [])) > 1:
+            yield f"{sent.id} ran {len(runs[sent.id])} times at {[it.server for it in runs[sent.id]]}"
+
+
+def honest_refusals(world, runs):
+    for sent in world.sent:
+        if sent.status in PROMISES_NOT_RUN and not sent.signature and sent.id in runs:
+            yield f"{sent.id} ({sent.kind}) was answered {sent.status} and ran at {runs[sent.id][0].server}"
+        if sent.status == 503 and not sent.signature and not sent.retry_after:
+            yield f"{sent.id} was refused without a time to come back"
+
+
+def whole_and_own_answers(world, runs):
+    for sent in world.sent:
+        if sent.wrong_id:
+            yield f"{sent.id} got another request's answer"
+        if not sent.signature:
+            if sent.status == 200:
+                yield f"{sent.id} got a success of no server"
+            continue
+        run = next((it for it in runs.get(sent.id, []) if it.signature == sent.signature), None)
+        if not run:
+            yield f"{sent.id} got a signature that no run of it gave"
+        elif sent.status == 200 and not was_cut(sent):
+            expected = stream_text(sent.id) if sent.kind == "ask" else run.body
+            if sent.answer != expected:
+                yield f"{sent.id} ({sent.kind}) got {sent.answer[:60]!r}, not {expected[:60]!r}"
+
+
+def was_cut(sent):
+    """Whether the caller could see that its answer is not whole."""
+    return sent.left or bool(sent.broken and "the entry closes" not in sent.broken)
+
+
+def stream_text(request_id):
+    return b"".join(f"id: {n}\ndata: {request_id}/{n}\n\n".encode() for n in range(1, events_of(request_id) + 1))
+
+
+def events_in_order(world, _runs):
+    for sent in world.sent:
+        if sent.kind == "ask" and sent.status == 200 and not stream_text(sent.id).startswith(sent.answer):
+            yield f"{sent.id} got events out of order: {sent.answer[-80:]!r}"
+
+
+def requests_as_sent(world, runs):
+    known = {it.id: it for it in world.sent}
+    for request_id, all_runs in runs.items():
+        sent = known.get(request_id)
+        if not sent:
+            yield f"{request_id} ran though no caller sent it"
+            continue
+        for run in all_runs:
+            method, path, _ = run.request.first
+            if (method, path, run.request.body) != (KINDS[sent.kind][0], sent.path, sent.body):
+                yield f"{request_id} ran as {method} {path} with {len(run.request.body)} bytes"
+            if run.request.header("x-daisytack-tenant") != world.organisation_of.get(sent.key):
+                yield f"{request_id} ran for {run.request.header('x-daisytack-tenant')!r}"
+            if run.request.header("x-api-key") or run.request.header("x-daisytack-hold"):
+                yield f"{request_id} ran with a header that is not the caller's to set"
+            wanted = "engines" if sent.kind == "ask" else "plain"
+            if not run.server.startswith(wanted):
+                yield f"{request_id} ({sent.kind}) ran at {run.server}"
+
+
+def final_answers(world, _runs):
+    for sent in world.sent:
+        if sent.broken == "no final answer" and world.was_calm(sent.at - 3, sent.ended, sent.entry):
+            yield f"{sent.id} at {sent.entry} had no final answer"
+
+
+def revoked_keys(world, runs):
+    for sent in world.sent:
+        since = world.revoked.get(sent.key)
+        late = since and sent.at > since + REVOKED_SECONDS
+        if late and sent.id in runs and world.was_calm(since, sent.ended, sent.entry):
+            yield f"{sent.id} ran {sent.at - since:.1f} s after its key was revoked"
+
+
+def draining_servers(world, _runs):
+    for server in world.all_servers:
+        since = world.leaving.get(server.id)
+        for at, request_id in server.arrivals:
+            if since and at > since + DRAIN_SECONDS and world.was_calm(since - 3, at):
+                yield f"{request_id} reached {server.id} {at - since:.1f} s after it was draining"
+
+
+def planned_restarts_cut_nothing(world, _runs):
+    """Around a SIGTERM alone no request that the entry has read ends without an answer."""
+    for sent in world.sent:
+        if not sent.broken or sent.status or sent.left or sent.kind == "ask":
+            continue
+        term = world.planned_stop(sent.entry, sent.ended)
+        if term and sent.at < term and world.was_calm(sent.at - 3, sent.ended, sent.entry, planned=True):
+            yield f"{sent.id} was cut off by the planned stop of {sent.entry}: {sent.broken}"
+
+
+def one_giver_of_orders(world, _runs):
+    for server in world.all_servers:
+        holders = {}
+        for _, token, holder in server.tokens:
+            if holders.setdefault(token, holder) != holder:
+                yield f"{server.id} got token {token} from {holder} and {holders[token]}"
+
+
+ALL = (at_most_once, honest_refusals, whole_and_own_answers, events_in_order, requests_as_sent, final_answers,
+       revoked_keys, draining_servers, planned_restarts_cut_nothing, one_giver_of_orders)
+
+
+def broken_promises(world):
+    runs = runs_by_id(world)
+    return [f"{check.__name__}: {text}" for check in ALL for text in check(world, runs)]
--- /dev/null
+++ b/tests/soak/checks_test.py
@@ -0,0 +1,138 @@
+"""Each check of the soak fails on the defect it is for, and only there."""
+
+import dataclasses
+import sys
+
+import checks
+from callers import Sent
+from http11 import Message
+from platform_side import BackendServer, Run
+
+ID = "00112233"
+
+
+class FakeWorld:
+    """A world in which one request was served well, and nothing failed."""
+
+    def __init__(self, kind="call"):
+        self.server = BackendServer("engines0" if kind == "ask" else "plain0", "service")
+        self.all_servers = [self.server]
+        self.organisation_of = {"k1": "one"}
+        self.revoked, self.leaving, self.stops = {}, {}, []
+        path = checks.KINDS[kind][1] + ID
+        self.request = Message([checks.KINDS[kind][0], path, "HTTP/1.1"],
+                               {"x-daisytack-request-id": ID, "x-daisytack-tenant": "one"}, b"b")
+        self.sent = [Sent(ID, kind, "k1", "entry-0", 100.0, path, b"b", ended=100.1)]
+        run = self.run()
+        answer = checks.stream_text(ID) if kind == "ask" else run.body
+        self.sent[0] = dataclasses.replace(self.sent[0], status=200, signature=run.signature, answer=answer)
+
+    def run(self):
+        run = Run.__new__(Run)
+        run.server, run.at, run.request = self.server.id, 100.0, self.request
+        run.signature, run.body = f"s{len(self.server.runs)}", b"whole"
+        self.server.runs.append(run)
+        return run
+
+    def was_calm(self, *_, **__):
+        return True
+
+    def planned_stop(self, _entry, _at):
+        return self.stops[0] if self.stops else None
+
+    def change(self, **values):
+        self.sent[0] = dataclasses.replace(self.sent[0], **values)
+
+
+def second_run(world):
+    world.run()
+
+
+def refused_though_it_ran(world):
+    world.change(status=503, signature="", retry_after="1")
+
+
+def refused_without_a_time(world):
+    world.server.runs.clear()
+    world.change(status=503, signature="")
+
+
+def cut_answer(world):
+    world.change(answer=world.sent[0].answer[:-2])
+
+
+def other_answer(world):
+    world.change(wrong_id=True)
+
+
+def forged_signature(world):
+    world.change(signature="forged")
+
+
+def missing_event(world):
+    world.change(answer=world.sent[0].answer.replace(b"id: 2\n", b"id: 4\n"), broken="gone")
+
+
+def changed_body(world):
+    world.request.body = b"other"
+
+
+def forwarded_key(world):
+    world.request.headers["x-api-key"] = "k1"
+
+
+def wrong_organisation(world):
+    world.request.headers["x-daisytack-tenant"] = "two"
+
+
+def unasked(world):
+    world.sent.clear()
+
+
+def never_answered(world):
+    world.server.runs.clear()
+    world.change(status=0, signature="", broken="no final answer", ended=110.0)
+
+
+def revoked_key(world):
+    world.revoked["k1"] = 90.0
+
+
+def left_server(world):
+    world.leaving[world.server.id] = 90.0
+    world.server.arrivals.append((100.0, ID))
+
+
+def cut_by_a_planned_stop(world):
+    world.stops.append(100.05)
+    world.change(status=0, signature="", broken="gone")
+
+
+def two_holders(world):
+    world.server.tokens += [(1, 7, "entry-0"), (2, 7, "entry-1")]
+
+
+DEFECTS = {
+    second_run: "at_most_once", refused_though_it_ran: "honest_refusals", refused_without_a_time: "honest_refusals",
+    cut_answer: "whole_and_own_answers", other_answer: "whole_and_own_answers",
+    forged_signature: "whole_and_own_answers", missing_event: "events_in_order", changed_body: "requests_as_sent",
+    forwarded_key: "requests_as_sent", wrong_organisation: "requests_as_sent", unasked: "requests_as_sent",
+    never_answered: "final_answers", revoked_key: "revoked_keys", left_server: "draining_servers",
+    cut_by_a_planned_stop: "planned_restarts_cut_nothing", two_holders: "one_giver_of_orders"}
+
+
+def main():
+    for kind in checks.KINDS:
+        assert checks.broken_promises(FakeWorld(kind)) == [], checks.broken_promises(FakeWorld(kind))
+    for defect, check in DEFECTS.items():
+        world = FakeWorld("ask" if defect is missing_event else "call")
+        defect(world)
+        found = {it.partition(":")[0] for it in checks.broken_promises(world)}
+        assert found == {check}, (defect.__name__, found)
+    missed = {it.__name__ for it in checks.ALL} - set(DEFECTS.values())
+    assert not missed, missed
+    print(f"{len(DEFECTS)} defects shown by {len(checks.ALL)} checks")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/http11.py
@@ -0,0 +1,103 @@
+"""As much of HTTP/1.1 over asyncio as the soak's stand-ins and callers need."""
+
+import asyncio
+
+MAX_HEAD = 64 * 1024
+
+
+class Broken(Exception):
+    """The peer closed, reset, or sent what is no HTTP."""
+
+
+class Message:
+    """One request or response: its first line's words, lower-case header names, and the body."""
+
+    def __init__(self, first, headers, body=b""):
+        self.first = first
+        self.headers = headers
+        self.body = body
+
+    def header(self, name, default=""):
+        return self.headers.get(name.lower(), default)
+
+
+async def read_head(reader):
+    """The first line's words and the headers."""
+    try:
+        raw = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError) as error:
+        raise Broken(str(error)) from error
+    lines = raw.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    return lines[0].split(" ", 2), headers
+
+
+async def read_exactly(reader, size):
+    try:
+        return await reader.readexactly(size)
+    except (asyncio.IncompleteReadError, OSError) as error:
+        raise Broken(str(error)) from error
+
+
+async def read_chunk(reader):
+    """The next chunk of a body; empty at its end."""
+    try:
+        line = await reader.readuntil(b"\r\n")
+    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError) as error:
+        raise Broken(str(error)) from error
+    try:
+        size = int(line.strip() or b"x", 16)
+    except ValueError as error:
+        raise Broken(f"chunk {line!r}") from error
+    data = await read_exactly(reader, size + 2)
+    return data[:-2]
+
+
+async def read_body(reader, headers):
+    """The whole body of a message that has a length or comes in chunks."""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        out = b""
+        while chunk := await read_chunk(reader):
+            out += chunk
+        return out
+    return await read_exactly(reader, int(headers.get("content-length", "0")))
+
+
+async def read_message(reader):
+    first, headers = await read_head(reader)
+    return Message(first, headers, await read_body(reader, headers))
+
+
+def head_of(first, headers):
+    return (first + "\r\n" + "".join(f"{name}: {value}\r\n" for name, value in headers.items()) + "\r\n").encode()
+
+
+def response(status, headers, body=b""):
+    return head_of(f"HTTP/1.1 {status} X", {**headers, "Content-Length": str(len(body))}) + body
+
+
+def close(writer):
+    """Closes at once, whatever is unsent."""
+    try:
+        writer.transport.abort()
+    except (OSError, RuntimeError):
+        pass
+
+
+async def serve(handle, port=0):
+    """Serves each connection with handle(request, writer) until it raises Broken or closes."""
+
+    async def connection(reader, writer):
+        try:
+            while not writer.is_closing():
+                await handle(await read_message(reader), writer)
+        except (Broken, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            close(writer)
+
+    return await asyncio.start_server(connection, "127.0.0.1", port, limit=MAX_HEAD)
--- /dev/null
+++ b/tests/soak/platform_side.py
@@ -0,0 +1,256 @@
+"""What the entries meet on the platform, as stand-ins: the key-value service and backend servers.
+
+Each keeps what it has seen, with the soak's clock, for the checks.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+import urllib.parse
+
+import http11
+
+HISTORY = 400  # Changes that a watch can go back.
+JSON = {"Content-Type": "application/json"}
+
+
+def now():
+    return asyncio.get_event_loop().time()
+
+
+class KeyValueService:
+    """Keys with revisions, watches and leases. Fault switches: status answered to all, delay, answers lost."""
+
+    def __init__(self):
+        self.items, self.history, self.leases = {}, [], {}
+        self.revision, self.compacted, self.next_lease = 1, 0, 1000
+        self.status, self.delay, self.lose = 0, 0.0, False
+        self.changed = asyncio.Event()
+        self.server = None
+
+    async def start(self):
+        self.server = await http11.serve(self._handle)
+        asyncio.ensure_future(self._lapse())
+        return self
+
+    @property
+    def port(self):
+        return self.server.sockets[0].getsockname()[1]
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        created = self.items[key]["created"] if key in self.items else self.revision
+        text = value if isinstance(value, str) else json.dumps(value)
+        self.items[key] = {"key": key, "value": base64.b64encode(text.encode()).decode(), "revision": self.revision,
+                           "created": created, "lease": lease}
+        self._note(self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None):
+            self.revision += 1
+            self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def compact(self):
+        self.compacted = self.revision
+        self.history.clear()
+        self._wake()
+
+    def _note(self, event):
+        self.history.append(event)
+        del self.history[:-HISTORY]
+        self._wake()
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _lapse(self):
+        while True:
+            await asyncio.sleep(0.05)
+            for lease in [it for it, (_, end) in self.leases.items() if end < now()]:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [it["key"] for it in self.items.values() if it["lease"] == lease]:
+            self.remove(key)
+
+    async def _handle(self, request, writer):
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        if self.status:
+            writer.write(http11.response(self.status, {}))
+            return
+        method, target, _ = request.first
+        path, _, query = target.partition("?")
+        status, body = await self._answer(method, path, dict(urllib.parse.parse_qsl(query)), request.body)
+        if self.lose and method == "POST":
+            raise http11.Broken("the answer is lost")
+        writer.write(http11.response(status, JSON, json.dumps(body).encode()))
+        await writer.drain()
+
+    async def _answer(self, method, path, query, body):
+        if path == "/kv-range":
+            items = [it for key, it in sorted(self.items.items()) if key.startswith(query.get("path-prefix", ""))]
+            return 200, {"items": items, "truncated": False, "store-revision": self.revision}
+        if path == "/kv-watch":
+            return await self._watch(query)
+        if path == "/kv-txn":
+            return self._commit(json.loads(body))
+        if path == "/kv-lease":
+            self.next_lease += 1
+            seconds = json.loads(body)["ttl-ms"] / 1000
+            self.leases[self.next_lease] = (seconds, now() + seconds)
+            return 200, {"lease": self.next_lease, "ttl-ms": int(seconds * 1000)}
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return 404, {}
+        seconds = self.leases[lease][0]
+        if method == "DELETE":
+            self._end_lease(lease)
+            return 200, {}
+        self.leases[lease] = (seconds, now() + seconds)
+        return 200, {"lease": lease, "ttl-ms": int(seconds * 1000)}
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        end = now() + int(query.get("wait-ms", 1000)) / 1000
+        while True:
+            oldest = self.history[0]["revision"] if self.history else self.revision + 1
+            if after < self.compacted or (after < self.revision and after + 1 < oldest):
+                return 410, {}
+            events = [it for it in self.history if it["revision"] > after]
+            if events or now() >= end:
+                return 200, {"events": events, "store-revision": self.revision}
+            try:
+                await asyncio.wait_for(asyncio.shield(self.changed.wait()), max(end - now(), 0.01))
+            except asyncio.TimeoutError:
+                pass
+
+    def _commit(self, body):
+        current = lambda key: self.items[key]["revision"] if key in self.items else 0  # noqa: E731
+        if any(current(row["key"]) != row["revision"] for row in body.get("expected", [])):
+            return 412, {"items": [self.items[row["key"]] for row in body["expected"] if row["key"] in self.items]}
+        if any(row.get("lease") and row["lease"] not in self.leases for row in body.get("writes", [])):
+            return 404, {}
+        for row in body.get("writes", []):
+            self.put(row["key"], base64.b64decode(row["value"]).decode("latin-1"), row.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        return 200, {"revision": self.revision}
+
+
+class Run:
+    """A server began to work on a request."""
+
+    def __init__(self, server, request):
+        self.server, self.at, self.request = server.id, now(), request
+        self.signature = f"{server.id}.{len(server.runs)}"
+        self.body = hashlib.sha256(self.signature.encode()).hexdigest().encode()
+
+
+def events_of(request_id):
+    """How many events the stream of a request has."""
+    return 3 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % 12
+
+
+class BackendServer:
+    """A plain service's server or an engine. Fault switches: see FAULTS."""
+
+    FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
+
+    def __init__(self, name, service, incarnation=1, version=1):
+        self.name, self.service = name, service
+        self.id = f"{name}-{incarnation}"
+        self.incarnation, self.version = incarnation, version
+        self.runs, self.arrivals, self.orders, self.token = [], [], 0, 0
+        self.tokens = []
+        self.faults, self.share, self.work = set(), 0.3, 0.02
+        self.counter = 0
+        self.server = None
+
+    async def start(self, port=0):
+        self.server = await http11.serve(self._handle, port)
+        return self
+
+    @property
+    def port(self):
+        return self.server.sockets[0].getsockname()[1]
+
+    def _strikes(self, fault):
+        self.counter += 1
+        return fault in self.faults and (self.counter * 7919) % 100 < self.share * 100
+
+    async def _handle(self, request, writer):
+        path = request.first[1]
+        expected = request.header("x-daisytack-expected-instance")
+        if expected and expected != self.id:
+            writer.write(http11.response(421, {"X-Daisytack-Not-Executed": "1"}))
+        elif path == "/report":
+            body = {"models": [{"name": "m", "version": self.version}], "busy": False, "sequence": self.orders}
+            writer.write(http11.response(200, JSON, json.dumps(body).encode()))
+        elif path == "/order":
+            writer.write(http11.response(self._order(json.loads(request.body)), {}))
+        else:
+            await self._serve(request, writer)
+
+    def _order(self, order):
+        self.tokens.append((now(), order["fencing-token"], order["holder"]))
+        if order["fencing-token"] < self.token:
+            return 412
+        self.token = order["fencing-token"]
+        if order.get("expected", self.orders) != self.orders:
+            return 409
+        if order["version"] > self.version:
+            self.version, self.orders = order["version"], self.orders + 1
+            return 202
+        return 200
+
+    async def _serve(self, request, writer):
+        request_id = request.header("x-daisytack-request-id")
+        self.arrivals.append((now(), request_id))
+        echo = {"X-Daisytack-Request-Id": request_id}
+        wanted = request.header("x-daisytack-expected-version")
+        if wanted and int(wanted) != self.version:
+            writer.write(http11.response(421, {**echo, "X-Daisytack-Not-Executed": "1"}))
+            return
+        if self._strikes("full"):
+            writer.write(http11.response(503, {**echo, "X-Daisytack-Not-Executed": "1", "Retry-After": "0.2"}))
+            return
+        run = Run(self, request)
+        self.runs.append(run)
+        await asyncio.sleep(self.work)
+        if self._strikes("hang"):
+            await asyncio.sleep(4)
+        if self._strikes("lose"):
+            raise http11.Broken("the answer is lost")
+        echo["X-Daisytack-Server-Signature"] = run.signature
+        if self._strikes("error"):
+            writer.write(http11.response(500, echo, b"failed"))
+        elif request.first[1].startswith("/ask/"):
+            await self._stream(request, run, echo, writer)
+        else:
+            answer = http11.response(200, echo, run.body)
+            if self._strikes("cut"):
+                writer.write(answer[:-10])
+                await writer.drain()
+                raise http11.Broken("the answer is cut")
+            writer.write(answer + (answer if self._strikes("extra") else b""))
+        await writer.drain()
+
+    async def _stream(self, request, run, echo, writer):
+        request_id = request.header("x-daisytack-request-id")
+        first = int(request.header("last-event-id", "0")) + 1
+        writer.write(http11.head_of("HTTP/1.1 200 OK", {**echo, "Content-Type": "text/event-stream",
+                                                        "Transfer-Encoding": "chunked"}))
+        for n in range(first, events_of(request_id) + 1):
+            event = f"id: {n}\ndata: {request_id}/{n}\n\n".encode()
+            if self._strikes("cut"):
+                writer.write(f"{len(event):x}\r\n".encode() + event[:7])
+                await writer.drain()
+                raise http11.Broken("the stream is cut")
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(self.work)
+        writer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,68 @@
+"""A TCP proxy on loopback that spoils what passes through it.
+
+A link is sound, slow, silent (both ways, connections stay open), deaf (what the caller sends is lost) or mute (what the
+server sends is lost). reset() ends its open connections.
+"""
+
+import asyncio
+
+import http11
+
+SOUND, SLOW, SILENT, DEAF, MUTE = "sound", "slow", "silent", "deaf", "mute"
+FAULTS = (SLOW, SILENT, DEAF, MUTE)
+SLOW_SECONDS = 0.15
+BLOCK = 64 * 1024
+
+
+class Proxy:
+    def __init__(self, target):
+        self.target = target
+        self.state = SOUND
+        self.writers = set()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        return self
+
+    @property
+    def port(self):
+        return self.server.sockets[0].getsockname()[1]
+
+    def reset(self):
+        for writer in list(self.writers):
+            http11.close(writer)
+
+    def stop(self):
+        self.server.close()
+        self.reset()
+
+    async def _connection(self, reader, writer):
+        self.writers.add(writer)
+        out = None
+        try:
+            from_server, out = await asyncio.open_connection("127.0.0.1", self.target)
+            self.writers.add(out)
+            ways = [asyncio.ensure_future(self._pass(reader, out, DEAF)),
+                    asyncio.ensure_future(self._pass(from_server, writer, MUTE))]
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            for way in ways:
+                way.cancel()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for it in (writer, out):
+                if it:
+                    self.writers.discard(it)
+                    http11.close(it)
+
+    async def _pass(self, reader, writer, lost_in):
+        while block := await reader.read(BLOCK):
+            while self.state in (SILENT, lost_in):
+                await asyncio.sleep(0.02)
+            if self.state == SLOW:
+                await asyncio.sleep(SLOW_SECONDS)
+            writer.write(block)
+            await writer.drain()
+        # What was sent last must arrive before the other side closes.
+        await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,435 @@
+"""A randomized soak of real entries against stand-ins, with faults from outside. See docs/SOAK.md.
+
+    soak.py --seeds 1,2,3 --seconds 12 [--logs DIRECTORY]
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
+import checks  # noqa: E402
+import http11  # noqa: E402
+from callers import callers  # noqa: E402
+from fleet import Fleet  # noqa: E402
+from platform_side import BackendServer, KeyValueService  # noqa: E402
+from proxy import FAULTS, SOUND, Proxy  # noqa: E402
+
+ENTRIES = 3
+CALLERS = 8
+ORGANISATIONS = {"one": ["k1", "k2"], "two": ["k3", "k4"]}
+SETTLE_SECONDS = 5      # After the last fault: leases lapse within 3 s.
+RECOVERY_SECONDS = 12   # Then every entry serves every kind of request.
+CALM_AFTER = 4.0        # A fault's effects are over so long after its end.
+HEARTBEAT = 0.4
+LOADING_SECONDS = 0.1   # Until a program's main has begun.
+
+SETTINGS = """[process]
+threads = 1
+[instance]
+name = {name}
+failure_domain = d{domain}
+[callers]
+listen = 127.0.0.1:{callers}
+[readiness]
+listen = 127.0.0.1:{readiness}
+path = /readiness
+[metrics]
+listen = 127.0.0.1:{metrics}
+[peers]
+listen = 127.0.0.1:{peers}
+seeds = {seeds}
+[retries]
+share = 0.2
+slack = 54
+[placement]
+old_weights_limit = 12000ms
+[store]
+address = 127.0.0.1:{store}
+lease_term = 3000ms
+wake_pause = 300ms
+[weights]
+servers_check_fence = true
+"""
+
+
+class Entry:
+    """A real entry process with a link of its own to the key-value service."""
+
+    def __init__(self, fleet, number, link):
+        self.name, self.fleet, self.link, self.number = f"entry-{number}", fleet, link, number
+        self.ports = {it: fleet.port() for it in ("callers", "readiness", "metrics", "peers")}
+        self.seeds = ""
+        self.stops = []  # When it was asked to end, as planned.
+        self.started = 0.0
+
+    def start(self):
+        text = SETTINGS.format(name=self.name, domain=self.number % 2, store=self.link.port, seeds=self.seeds,
+                               **self.ports)
+        self.started = time.monotonic()
+        self.fleet.start(self.name, "daisytack-entry", "--config=" + self.fleet.write(f"{self.name}.ini", text))
+
+    def signal(self, number):
+        self.fleet.signal(self.name, number)
+
+    async def loaded(self):
+        """Before a program's main begins no signal can be held back."""
+        await asyncio.sleep(max(self.started + LOADING_SECONDS - time.monotonic(), 0))
+
+    def kill(self):
+        self.fleet.kill(self.name)
+
+    def ended(self):
+        """Its exit code once it has ended by itself or as it was asked to."""
+        return self.fleet.processes[self.name].poll()
+
+    async def is_ready(self):
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection("127.0.0.1", self.ports["readiness"]), 1)
+            writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            first, _ = await asyncio.wait_for(http11.read_head(reader), 1)
+            http11.close(writer)
+            return first[1] == "200"
+        except (OSError, asyncio.TimeoutError, http11.Broken):
+            return False
+
+
+class World:
+    """One run: processes, stand-ins, the faults so far, and what was seen."""
+
+    def __init__(self, fleet, seed):
+        self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
+        self.kv = KeyValueService()
+        self.entries, self.servers, self.all_servers, self.links = [], [], [], {}
+        self.sent, self.problems, self.faults = [], [], []
+        self.revoked, self.leaving = {}, {}
+        self.organisation_of = {key: name for name, keys in ORGANISATIONS.items() for key in keys}
+        self.all_keys = list(self.organisation_of)
+        self.config_version, self.weights = 0, 1
+        self.is_over = False
+        self.begin = time.monotonic()
+
+    def now(self):
+        return asyncio.get_event_loop().time()
+
+    def say(self, text):
+        print(f"  {self.now() - self.began:7.2f} {text}", flush=True)
+
+    async def start(self):
+        self.began = self.now()
+        await self.kv.start()
+        self._configure()
+        for n, service in enumerate(["plain", "plain", "engines", "engines", "engines"]):
+            await self.add_server(f"{service}{n}", service)
+        for n in range(ENTRIES):
+            self.entries.append(Entry(self.fleet, n, await Proxy(self.kv.port).start()))
+        seeds = ",".join(f"127.0.0.1:{it.ports['peers']}" for it in self.entries)
+        for entry in self.entries:
+            entry.seeds = seeds
+            entry.start()
+        asyncio.ensure_future(self._heartbeats())
+        await self.wait_ready("at the start")
+
+    async def wait_ready(self, when):
+        end = self.now() + RECOVERY_SECONDS
+        while not all([await it.is_ready() for it in self.entries]):
+            if self.now() > end:
+                self.problems.append(f"not every entry was ready {when}")
+                return
+            await asyncio.sleep(0.05)
+
+    def _configure(self):
+        self.config_version += 1
+        keys = {name: [it for it in all_keys if it not in self.revoked] for name, all_keys in ORGANISATIONS.items()}
+        route = {"host": "a.example", "timeout-ms": 3000, "attempts": 2, "public": False}
+        self.kv.put("op/config", {
+            "version": self.config_version,
+            "routes": [
+                {**route, "name": "call", "path-prefix": "/call/", "kind": "unsafe", "service": "plain",
+                 "target-latency-ms": 300, "attempts": 1},
+                {**route, "name": "safe", "path-prefix": "/safe/", "kind": "safe", "service": "plain",
+                 "target-latency-ms": 300},
+                {**route, "name": "ask", "path-prefix": "/ask/", "kind": "streaming", "service": "engines",
+                 "target-latency-ms": 400, "sticky": True, "resumable": True}],
+            "services": [{"name": "plain", "connection-limit": 200},
+                         {"name": "engines", "connection-limit": 200,
+                          "engine": {"slots": 64, "kv-capacity-tokens": 140000, "models": [{"name": "m"}]}}],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000,
+                       "idle-timeout-ms": 15000},
+            "tenants": [{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()]})
+
+    async def add_server(self, name, service, incarnation=1, port=0):
+        server = BackendServer(name, service, incarnation, self.weights)
+        await server.start(port)
+        if name not in self.links:
+            self.links[name] = await Proxy(server.port).start()
+        self.links[name].target = server.port
+        self.servers.append(server)
+        self.all_servers.append(server)
+        self.record(server)
+        return server
+
+    def record(self, server, state="ready"):
+        value = {"service": server.service, "address": f"127.0.0.1:{self.links[server.name].port}",
+                 "zone": f"d{len(server.name) % 2}", "slots": 64, "state": state}
+        if server.service == "engines":
+            value["models"] = [{"name": "m", "version": server.version}]
+        self.kv.put(f"servers/{server.id}", value)
+
+    async def _heartbeats(self):
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            for server in self.servers:
+                if server.id not in self.leaving:
+                    self.record(server)
+
+    async def retire_server(self, server, drains):
+        """It leaves, and an instance of another id comes in its place."""
+        if drains:
+            self.record(server, "draining")
+            self.leaving[server.id] = self.now()
+            await asyncio.sleep(3)
+        self.leaving.setdefault(server.id, self.now())
+        self.servers.remove(server)
+        server.server.close()
+        self.links[server.name].reset()
+        self.kv.remove(f"servers/{server.id}")
+        await self.add_server(server.name, server.service, server.incarnation + 1)
+
+    def was_calm(self, begin, end, entry=None, planned=False):
+        """Whether no fault that touches the entry was under way or had just ended."""
+        for fault in self.faults:
+            touches = entry is None or fault["entry"] in (None, entry)
+            over = (fault["end"] or end) + CALM_AFTER
+            if touches and fault["begin"] <= end and over >= begin and not (planned and fault["planned"]):
+                return False
+        return True
+
+    def planned_stop(self, entry, at):
+        """When the entry was asked to end, if that was shortly before."""
+        stops = next(it for it in self.entries if it.name == entry).stops
+        return next((it for it in stops if it <= at <= it + 8), None)
+
+
+def fault(entry=None, planned=False):
+    return {"begin": 0.0, "end": None, "entry": entry, "planned": planned}
+
+
+async def kill_entries(world, rng):
+    some = rng.sample(world.entries, rng.randint(1, ENTRIES))
+    world.say(f"kills {[it.name for it in some]}")
+    for entry in some:
+        entry.kill()
+    await asyncio.sleep(rng.random() * 0.5)
+    for entry in some:
+        entry.start()
+
+
+async def stop_entry(world, rng):
+    entry = rng.choice(world.entries)
+    await entry.loaded()
+    world.say(f"stops {entry.name} as planned")
+    entry.stops.append(world.now())
+    entry.signal(signal.SIGTERM)
+    end = world.now() + 10
+    while entry.ended() is None and world.now() < end:
+        await asyncio.sleep(0.02)
+    if entry.ended() != 0:
+        world.problems.append(f"{entry.name} ended with {entry.ended()} after SIGTERM")
+    if entry.ended() is None:
+        entry.kill()
+    entry.start()
+
+
+async def pause_entry(world, rng):
+    entry = rng.choice(world.entries)
+    world.say(f"pauses {entry.name}")
+    entry.signal(signal.SIGSTOP)
+    await asyncio.sleep(0.2 + rng.random() * 4)
+    entry.signal(signal.SIGCONT)
+
+
+async def reload_entry(world, rng):
+    entry = rng.choice(world.entries)
+    await entry.loaded()
+    world.say(f"SIGHUP to {entry.name}")
+    entry.signal(signal.SIGHUP)
+
+
+async def spoil_link(world, rng):
+    """To the key-value service of one entry, or to one server of all."""
+    links = [it.link for it in world.entries] + list(world.links.values())
+    link, state = rng.choice(links), rng.choice(FAULTS + ("reset",))
+    world.say(f"link {links.index(link)} is {state}")
+    if state == "reset":
+        link.reset()
+        return
+    link.state = state
+    await asyncio.sleep(0.5 + rng.random() * 3)
+    link.state = SOUND
+    if rng.random() < 0.5:
+        link.reset()
+
+
+async def spoil_service(world, rng):
+    kind = rng.choice(["down", "slow", "busy", "lost", "compact"])
+    world.say(f"key-value service: {kind}")
+    world.kv.status = {"down": 503, "busy": 429}.get(kind, 0)
+    world.kv.delay = 0.4 if kind == "slow" else 0.0
+    world.kv.lose = kind == "lost"
+    if kind == "compact":
+        world.kv.compact()
+    await asyncio.sleep(0.5 + rng.random() * 4)
+    world.kv.status, world.kv.delay, world.kv.lose = 0, 0.0, False
+
+
+async def spoil_server(world, rng):
+    server, kind = rng.choice(world.servers), rng.choice(BackendServer.FAULTS)
+    world.say(f"{server.id}: {kind}")
+    server.faults.add(kind)
+    await asyncio.sleep(0.5 + rng.random() * 3)
+    server.faults.discard(kind)
+
+
+async def replace_server(world, rng):
+    staying = [it for it in world.servers if it.id not in world.leaving]
+    if len(staying) < 4:
+        return
+    server, drains = rng.choice(staying), rng.random() < 0.5
+    world.say(f"{server.id} {'drains' if drains else 'crashes'}")
+    await world.retire_server(server, drains)
+
+
+async def change_config(world, rng):
+    left = [it for it in world.all_keys if it not in world.revoked]
+    if rng.random() < 0.4 and len(left) > 2:
+        key = rng.choice(left)
+        world.revoked[key] = world.now()
+        world.say(f"revokes {key}")
+    world._configure()
+
+
+async def name_weights(world, _rng):
+    world.weights += 1
+    world.say(f"names version {world.weights}")
+    world.kv.put("op/version/m", {"model": "m", "version": world.weights})
+
+
+PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server)
+FAULT_KINDS = (kill_entries, stop_entry, pause_entry, reload_entry, spoil_link, spoil_service, spoil_server,
+               replace_server, change_config, name_weights)
+
+
+async def inject(world, kind, busy):
+    """One fault from its begin to its end. One at a time meddles with processes."""
+    meddles = kind in (kill_entries, stop_entry, pause_entry, reload_entry)
+    note = fault(planned=kind in PLANNED)
+    note["begin"] = world.now()
+    world.faults.append(note)
+    if meddles:
+        async with busy:
+            await kind(world, world.rng)
+    else:
+        await kind(world, world.rng)
+    note["end"] = world.now()
+
+
+async def end_everything(world):
+    """The entries first, so that nobody connects to what closes."""
+    world.fleet.stop()
+    for link in [it.link for it in world.entries] + list(world.links.values()):
+        link.stop()
+    for server in [world.kv] + world.all_servers:
+        server.server.close()
+    rest = [it for it in asyncio.all_tasks() if it is not asyncio.current_task()]
+    for task in rest:
+        task.cancel()
+    await asyncio.gather(*rest, return_exceptions=True)
+
+
+async def one_seed(seed, seconds, fleet):
+    world = World(fleet, seed)
+    try:
+        return await soak(world, seconds)
+    finally:
+        await end_everything(world)
+
+
+async def soak(world, seconds):
+    await world.start()
+    tasks = [asyncio.ensure_future(it.run()) for it in callers(world, CALLERS)]
+    faults, busy = [], asyncio.Lock()
+    end = world.now() + seconds
+    # Some seeds are planned work alone, so that what planned work may not do is seen.
+    kinds = PLANNED if world.seed % 4 == 0 else FAULT_KINDS
+    while world.now() < end:
+        await asyncio.sleep(world.rng.random() * 1.2)
+        faults.append(asyncio.ensure_future(inject(world, world.rng.choice(kinds), busy)))
+    await asyncio.gather(*faults)
+    await world.wait_ready("after the last fault")
+    await asyncio.sleep(SETTLE_SECONDS)
+    recovered = world.now()
+    await asyncio.sleep(2)
+    world.is_over = True
+    await asyncio.gather(*tasks)
+    check_recovery(world, recovered)
+    for entry in world.entries:
+        if entry.ended() is not None:
+            world.problems.append(f"{entry.name} ended by itself with {entry.ended()}")
+    world.problems += checks.broken_promises(world)
+    answered = sum(it.status == 200 for it in world.sent)
+    print(f"seed {world.seed}: {len(world.sent)} requests, {answered} answered, {len(world.faults)} faults, "
+          f"{len(world.problems)} problems", flush=True)
+    return world.problems
+
+
+def check_recovery(world, since):
+    for entry in world.entries:
+        for kind in ("call", "safe", "ask"):
+            good = [it for it in world.sent if it.at > since and it.entry == entry.name and it.kind == kind
+                    and it.key not in world.revoked]
+            served = sum(it.status == 200 for it in good)
+            if len(good) >= 4 and served * 2 < len(good):
+                statuses = sorted({it.status or it.broken for it in good if it.status != 200}, key=str)
+                world.problems.append(f"{entry.name} serves {served} of {len(good)} {kind} after recovery: {statuses}")
+    behind = [it.id for it in world.servers if it.service == "engines" and it.version < world.weights]
+    if behind and world.was_calm(since - 1, since):
+        world.problems.append(f"old weights after recovery: {behind}")
+
+
+def seeds_of(options):
+    out = []
+    for part in options.seeds.split(","):
+        first, _, last = part.partition("-")
+        out += range(int(first), int(last or first) + 1)
+    if options.failed_seeds:
+        lines = pathlib.Path(options.failed_seeds).read_text().splitlines()
+        out += [int(it.partition(":")[0]) for it in lines if it and not it.startswith("#")]
+    return out
+
+
+def main():
+    arguments = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    arguments.add_argument("--seeds", default="1", help="numbers and ranges: 1,5-9")
+    arguments.add_argument("--failed-seeds", help="file of seeds that once failed, one a line: SEED: CAUSE")
+    arguments.add_argument("--seconds", type=float, default=12, help="time with faults, a seed")
+    options = arguments.parse_args()
+    failed = []
+    for seed in seeds_of(options):
+        with Fleet() as fleet:
+            problems = asyncio.run(one_seed(seed, options.seconds, fleet))
+            if problems:
+                failed.append(seed)
+                print(*[f"  PROBLEM {it}" for it in problems[:20]], sep="\n", flush=True)
+                fleet.show_logs()
+    print("all promises kept" if not failed else f"broken with seeds {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
