Name the soak's tests as the process tests that they are

The sanitizers' run leaves process tests out, as it builds no daemons; under their old names the soak's tests would have been run there without an entry to start and failed.

--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -35,9 +35,9 @@
 
 # The fault soak: that its checks show defects, and a short run of fixed seeds (the first ones, and every one that ever
 # failed, tests/soak/failed_seeds.txt).
-add_test(NAME soak.checks COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/checks_test.py)
-add_test(NAME soak.short COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
+add_test(NAME process.soak_checks COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/checks_test.py)
+add_test(NAME process.soak_short COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=1,4 --failed-seeds=${CMAKE_SOURCE_DIR}/tests/soak/failed_seeds.txt --seconds=6)
-set_tests_properties(soak.checks soak.short PROPERTIES TIMEOUT 600
+set_tests_properties(process.soak_checks process.soak_short PROPERTIES TIMEOUT 600
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
-set_tests_properties(soak.short PROPERTIES RESOURCE_LOCK deployment)
+set_tests_properties(process.soak_short PROPERTIES RESOURCE_LOCK deployment)
