Log when the first byte of an answer came, and the target it had

Cause: the lines of a request did not tell whether it was late, nor by how much the prediction of its first byte missed. attempt_ended and request_ended now carry first_byte_ms, request_ended target_ms; first_token_ms of attempt_sent is named predicted_first_byte_ms, as that is what it is.

--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -125,6 +125,7 @@
   Order = order;
   SentAt = now;
   AnyByte = false;
+  FirstByteAt.reset();
   State.Counts.Attempts.add();
   State.Loads.onSent(order.ServerId, order.QueuedTokens, now);
   uint64_t saves = 0;
@@ -147,7 +148,7 @@
        {"saves", saves},
        {"prompt_tokens", request.Head.PromptTokens},
        {"sourced_tokens", sourced},
-       {"first_token_ms", order.FirstTokenMs},
+       {"predicted_first_byte_ms", order.FirstTokenMs},
        {"fetch_excess_ms", order.FetchExcessMs},
        {"time_left_ms", millisecondsOf(order.TimeLeft)},
        {"config_version", State.catalog()->Config->config().Version}},
@@ -184,6 +185,7 @@
   direct::ServerHead head = State.Speak.ReadServer(status, headers);
   if (!head.WasNotRun) {
     AnyByte = true;
+    FirstByteAt = now;
     State.Loads.onFirstByte(Order.ServerId, Order.QueuedTokens, now);
     learnLink(now);
   }
@@ -222,13 +224,14 @@
       if (order.Destinations[i])
         State.Kept.forgetSave(order.CacheScope, head.Parts[i]);
   }
+  DecisionLog::Fields fields{{"request", Flow.request().Head.RequestId},
+                             {"attempt", attempt},
+                             {"server", order.ServerId},
+                             {"result", direct::attemptResultName(result)}};
+  if (FirstByteAt)
+    fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
   State.Log.write(isGood ? LogWeight::Routine : LogWeight::Notable,
-                  "attempt_ended",
-                  {{"request", Flow.request().Head.RequestId},
-                   {"attempt", attempt},
-                   {"server", order.ServerId},
-                   {"result", direct::attemptResultName(result)}},
-                  now);
+                  "attempt_ended", std::move(fields), now);
 }
 
 void GatewayRequest::noteMisdirected(const AttemptOrder &order, TimePoint now) {
@@ -313,7 +316,10 @@
       {"outcome", outcome},
       {"status", status},
       {"attempts", Flow.attempts()},
-      {"took_ms", millisecondsOf(now - request.Arrived)}};
+      {"took_ms", millisecondsOf(now - request.Arrived)},
+      {"target_ms", millisecondsOf(request.Via.TargetLatency)}};
+  if (FirstByteAt)
+    fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - request.Arrived);
   if (reason) {
     fields["reason"] = errorName(reason.Kind);
     fields["detail"] = reason.Detail;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -37,9 +37,9 @@
   void onDone(uint32_t attempt, const Error &error);
   void note(uint32_t attempt, const direct::AttemptOrder &order,
             direct::AttemptResult result, TimePoint now);
-  /// The first byte of an answer tells how congested the link to its store is.
   /// Another instance answered at the server's address.
   void noteMisdirected(const direct::AttemptOrder &order, TimePoint now);
+  /// The first byte of an answer tells how congested the link to its store is.
   void learnLink(TimePoint now);
   void noteEjection(const direct::AttemptOrder &order,
                     direct::AttemptResult result, TimePoint now);
@@ -57,6 +57,7 @@
   direct::AttemptOrder Order; ///< Of the attempt under way.
   TimePoint SentAt;
   bool AnyByte = false;    ///< Of its answer.
+  std::optional<TimePoint> FirstByteAt; ///< Of an answer that says it ran.
   bool IsAnswered = false; ///< The caller got a first byte.
 };
 
