Learn how fast engines read, and bound queues by the tightest target

Cause: the bound on what waits at a server was 300 ms at twice 112 tokens a millisecond, the data sheet of the first engines; here engines read 55, so that queues of 300 ms stood before targets of 500 ms and a prompt's own 220 ms.

The rate is now learned for each service from prompts that certainly had to be read (no store has their parts, none was asked to keep them). What may wait is a share, 0.4, of the tightest target of the service's routes, in reading time; what waits counts once in the predicted first byte, and twice only towards the limit of old weights, where being wrong breaks a promise.

New tests: queues that fit engines of 112 tokens are too long for those of 50; the estimate under late answers, a wrong prior, short prompts and queues.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -61,6 +61,10 @@
   /// That it counts for in the server's queue: the whole prompt, as one that is
   /// fetched in part keeps others waiting too.
   uint64_t QueuedTokens = 0;
+  uint64_t TokensBefore = 0; ///< Believed to wait at the server already.
+  /// That no server has read yet as far as is known; 0 when parts may be in the
+  /// server's memory.
+  uint64_t UnreadTokens = 0;
   double FirstTokenMs = 0;  ///< Predicted, without the fetch.
   double FetchExcessMs = 0; ///< Believed of the links that are used.
   auto operator<=>(const AttemptOrder &) const = default;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -60,8 +60,9 @@
   if (behind == Duration::zero())
     return true;
   // What counts is when it begins to run.
-  auto wait = Duration(
-      static_cast<int64_t>(firstTokenMs(request, server, 0, now) * 1000));
+  double waitMs =
+      firstTokenMs(request, server, 0, now) * Settings.OldWeightsWaitFactor;
+  auto wait = Duration(static_cast<int64_t>(waitMs * 1000));
   return behind + std::min(wait, Settings.OldWeightsWait) <
          Settings.OldWeightsLimit;
 }
@@ -124,16 +125,18 @@
   return out;
 }
 
+double Placement::readMs(const ForwardRequest &request, double tokens) const {
+  return tokens / View.Rates.of(request.Service);
+}
+
 double Placement::firstTokenMs(const ForwardRequest &request,
                                const BackendServer &server, uint64_t readTokens,
                                TimePoint now) const {
   ServerLoadView load = View.Loads.view(server.Id, now);
-  double queued = static_cast<double>(load.Tokens) * Settings.QueueFactor +
-                  static_cast<double>(readTokens);
+  auto queued = static_cast<double>(load.Tokens + readTokens);
   bool hasPrompt = !request.Head.Model.empty();
   return (hasPrompt ? Settings.LeastFirstTokenMs : 0) +
-         queued / Settings.PrefillTokensPerMs +
-         load.Running * Settings.RunningMs;
+         readMs(request, queued) + load.Running * Settings.RunningMs;
 }
 
 double Placement::memoryMs(const ForwardRequest &request,
@@ -178,30 +181,37 @@
   if (isFar)
     out += Settings.OtherDomainMs;
   if (&server != home) // What the home may still have is read or fetched.
-    out += sharedTokens(request.Head) / Settings.PrefillTokensPerMs;
+    out += readMs(request, sharedTokens(request.Head));
   if (behindFor(request, catalog, server, now) > Settings.OldWeightsGrace)
     out += Settings.OldWeightsMs;
   return out;
 }
 
+std::optional<double> Placement::mostQueueMs(const ForwardRequest &request,
+                                             const Catalog &catalog) const {
+  Duration target = catalog.Config->tightestTarget(request.Service);
+  if (Settings.QueueShare <= 0 || target <= Duration::zero())
+    return std::nullopt;
+  double out = static_cast<double>(target.count()) / 1000 * Settings.QueueShare;
+  return request.Priority == 0 ? out * Settings.UrgentQueueFactor : out;
+}
+
 bool Placement::wouldBeginTooLate(const ForwardRequest &request,
+                                  const Catalog &catalog,
                                   const BackendServer &server,
                                   TimePoint now) const {
   if (request.Head.Model.empty())
     return false;
   auto queued = static_cast<double>(View.Loads.view(server.Id, now).Tokens);
-  double queueMs = queued * Settings.QueueFactor / Settings.PrefillTokensPerMs;
-  double most = Settings.MostQueueMs;
-  if (request.Priority == 0)
-    most *= Settings.UrgentQueueFactor;
-  if (most > 0 && queueMs > most)
+  std::optional<double> most = mostQueueMs(request, catalog);
+  if (most && readMs(request, queued) > *most)
     return true;
   Duration patience = request.Deadline - now;
   if (request.Via.FirstEventPatience > Duration::zero())
     patience = std::min(patience, request.Via.FirstEventPatience);
   if (patience <= Duration::zero())
     return false;
-  double least = firstTokenMs(request, server, 0, now) / Settings.QueueFactor;
+  double least = firstTokenMs(request, server, 0, now);
   return least * 1000 >
          static_cast<double>(patience.count()) * Settings.PatienceShare;
 }
@@ -239,9 +249,9 @@
   const BackendServer *home =
       request.Head.Parts.empty() ? nullptr : few.front();
   const BackendServer *best = cheapest(request, catalog, few, home, now);
-  if (wouldBeginTooLate(request, *best, now))
+  if (wouldBeginTooLate(request, catalog, *best, now))
     best = cheapest(request, catalog, spares(request, servers), home, now);
-  if (wouldBeginTooLate(request, *best, now)) {
+  if (wouldBeginTooLate(request, catalog, *best, now)) {
     reason = {ErrorKind::Overloaded,
               "every backend server would begin to answer too late",
               Settings.OverloadRetryAfter};
@@ -268,6 +278,7 @@
   out.CacheScope =
       cacheScope(request.Organisation, request.IsIsolated, out.WeightVersion);
   out.QueuedTokens = head.PromptTokens;
+  out.TokensBefore = View.Loads.view(server.Id, now).Tokens;
   if (service->Engine->HasManagedContext && head.Parts.size() >= 2)
     planContext(request, catalog, server, serversClockMs, now, out);
   out.FirstTokenMs = firstTokenMs(request, server, out.QueuedTokens, now);
@@ -294,10 +305,11 @@
   // The queue's wait is left out: reading what could be fetched would only
   // lengthen it.
   double budget = target * Settings.FetchShare - Settings.LeastFirstTokenMs -
-                  head.PromptTokens / Settings.PrefillTokensPerMs;
+                  readMs(request, head.PromptTokens);
   budget = std::max(budget, sharedTokens(head) * Settings.FetchMsPerToken);
   bool anySource = false;
   uint64_t sourced = 0;
+  uint64_t unread = 0;
   bool isOld = behindFor(request, catalog, server, now) > Duration::zero();
   for (size_t i = 0; i + 1 < head.Parts.size(); ++i) {
     const PromptPart &part = head.Parts[i];
@@ -314,8 +326,11 @@
       continue; // Context of weights that are about to go is not worth room.
     } else if (auto place = View.Kept.planSave(order.CacheScope, part, now)) {
       order.Destinations[i] = place->Address;
+      unread += part.Tokens;
     }
   }
+  if (unread > 0)
+    order.UnreadTokens = unread + head.Parts.back().Tokens;
   order.QueuedTokens -= static_cast<uint64_t>(static_cast<double>(sourced) *
                                               (1 - Settings.FetchedWeight));
   if (anySource && serversClockMs)
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -10,6 +10,7 @@
 #include "direct/catalog.h"
 #include "direct/forward_flow.h"
 #include "direct/kept_context.h"
+#include "direct/reading_rate.h"
 #include "direct/server_loads.h"
 #include "direct/store_links.h"
 
@@ -27,14 +28,8 @@
 constexpr Duration LongestFetch{2'000'000};
 
 struct PlacementSettings {
-  /// What a server reads of a prompt in a millisecond, and the least time until
-  /// a first token; of the engines in use, by their data sheet.
-  double PrefillTokensPerMs = 112;
+  /// Least time until a first token, without reading and queues.
   double LeastFirstTokenMs = 50;
-  /// How much longer a prompt keeps the requests behind it waiting than it
-  /// takes to read, as it is read in pieces between the tokens of running
-  /// requests.
-  double QueueFactor = 2;
   /// Servers that one session's prompts may go to, the first by rendezvous over
   /// all failure domains, and so many with the wanted weights. The same ones
   /// for every entry: a home in each entry's own domain held each session's
@@ -76,6 +71,10 @@
   double OldWeightsMs = 400;
   Duration OldWeightsGrace{1'200'000};
   Duration OldWeightsLimit{11'000'000};
+  /// The predicted wait counts so many times towards the limit: where a quarter
+  /// of the engines was lost, half of the first bytes took twice as long as was
+  /// predicted (408 ms for 248 ms).
+  double OldWeightsWaitFactor = 2;
   /// Of the predicted wait counts so much at most towards the limit: a caller
   /// that waits longer has left, and its request never begins.
   Duration OldWeightsWait{3'200'000};
@@ -84,13 +83,15 @@
   /// reading it would delay others in vain.
   double PatienceShare = 0.9;
   /// A prompt is also refused when what waits at the best server takes longer
-  /// to read than this, longer by a factor for the most urgent, who overtake
-  /// it; 0: no limit. Beyond it queues feed themselves: fetches come too late,
-  /// memory runs out, and both have prompts read again. On a busy day without
-  /// any trouble the mean worth was 0.08 without, 0.18 with 500 ms, 0.34 with
-  /// 300 ms (26 entries, 47 servers); 150 ms refuses more than it helps on
-  /// quiet days (0.02 of the mean).
-  double MostQueueMs = 300;
+  /// to read than this share of the tightest target of the service's routes,
+  /// longer by a factor for the most urgent, who overtake it; 0: no limit.
+  /// Beyond it queues feed themselves: fetches come too late, memory runs out,
+  /// and both have prompts read again. On a busy day without any trouble the
+  /// mean worth was 0.08 without, 0.18 with 0.6, 0.34 with 0.37 (26 entries, 47
+  /// servers); 0.19 refuses more than it helps on quiet days (0.02 of the
+  /// mean). With engines of half the rate and targets of 500 ms, a quarter of
+  /// them lost: 0.63 with 0.6, 0.67 with 0.41 (four seeds).
+  double QueueShare = 0.4;
   double UrgentQueueFactor = 1.5;
   /// When a caller refused for that is told to come back. With 800 ms
   /// what was refused again was worth 8% more while a quarter of the servers
@@ -119,6 +120,7 @@
   const ServerLoads &Loads; ///< Of backend servers.
   const StoreLinks &Links;  ///< To the stores.
   const Ejector &Ejected;
+  const ReadingRate &Rates;
   KeptContext &Kept;
 };
 
@@ -150,6 +152,11 @@
   /// Of the prompt, what no store holds for the server's weights.
   uint64_t tokensToRead(const ForwardRequest &request,
                         const BackendServer &server) const;
+  /// What so many tokens take to read, alone.
+  double readMs(const ForwardRequest &request, double tokens) const;
+  /// How long what waits at a server may take to read; nothing without a limit.
+  std::optional<double> mostQueueMs(const ForwardRequest &request,
+                                    const Catalog &catalog) const;
   double firstTokenMs(const ForwardRequest &request,
                       const BackendServer &server, uint64_t readTokens,
                       TimePoint now) const;
@@ -175,7 +182,7 @@
                     const std::vector<std::string> &tried, TimePoint now) const;
   /// Whether the server's queue is too long, or the answer would begin after
   /// the caller has left even if all goes well.
-  bool wouldBeginTooLate(const ForwardRequest &request,
+  bool wouldBeginTooLate(const ForwardRequest &request, const Catalog &catalog,
                          const BackendServer &server, TimePoint now) const;
   bool isUsable(const ForwardRequest &request, const Catalog &catalog,
                 const BackendServer &server, Care care, TimePoint now) const;
--- a/src/direct/serving_config.cpp
+++ b/src/direct/serving_config.cpp
@@ -23,6 +23,13 @@
   for (size_t i = 0; i < Config.Routes.size(); ++i) {
     const Route &route = Config.Routes[i];
     RoutesByHost[hostName(route.Host)].emplace(route.PathPrefix, i);
+    if (!route.HasPrompt || route.TargetLatency <= Duration::zero())
+      continue;
+    for (const TrafficShare &share : route.Shares) {
+      auto [it, isNew] =
+          TightestTargets.emplace(share.Service, route.TargetLatency);
+      it->second = std::min(it->second, route.TargetLatency);
+    }
   }
   for (size_t i = 0; i < Config.Organisations.size(); ++i)
     for (const std::string &key : Config.Organisations[i].Keys)
@@ -50,6 +57,11 @@
   return it == Keys.end() ? nullptr : &Config.Organisations[it->second];
 }
 
+Duration ConfigIndex::tightestTarget(std::string_view service) const {
+  auto it = TightestTargets.find(service);
+  return it == TightestTargets.end() ? Duration::zero() : it->second;
+}
+
 const Service *ConfigIndex::findService(std::string_view name) const {
   auto it = Services.find(name);
   return it == Services.end() ? nullptr : &Config.Services[it->second];
--- a/src/direct/serving_config.h
+++ b/src/direct/serving_config.h
@@ -122,6 +122,9 @@
   /// Null when no organisation holds the key.
   const Access *findKey(std::string_view key) const;
   const Service *findService(std::string_view name) const;
+  /// The least target latency of the routes with prompts that lead to the
+  /// service; zero when none has one.
+  Duration tightestTarget(std::string_view service) const;
   /// Without organisations no request needs a key.
   bool needsKeys() const { return !Config.Organisations.empty(); }
 
@@ -140,6 +143,8 @@
       RoutesByHost; ///< Host, then prefix.
   Positions Keys;
   Positions Services;
+  std::unordered_map<std::string, Duration, TextHash, std::equal_to<>>
+      TightestTargets; ///< By service.
 };
 
 } // namespace daisytack::direct
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -51,9 +51,9 @@
 
 void readPlacement(Settings &settings, GatewayOptions &out) {
   direct::PlacementSettings &place = out.Placement;
-  place.PrefillTokensPerMs =
+  out.Reading.PriorTokensPerMs =
       settings.number("placement.prefill_tokens_per_ms",
-                      place.PrefillTokensPerMs, 0.001, MostWeight);
+                      out.Reading.PriorTokensPerMs, 0.001, MostWeight);
   place.OtherDomainMs = settings.number("placement.other_domain_ms",
                                         place.OtherDomainMs, 0, MostWeight);
   place.SessionCandidates = static_cast<size_t>(settings.integer(
@@ -63,14 +63,12 @@
                                         place.PatienceShare, 0, MostWeight);
   place.FetchedWeight = settings.number("placement.fetched_weight",
                                         place.FetchedWeight, 0, MostWeight);
-  place.MostQueueMs = settings.number("placement.most_queue_ms",
-                                      place.MostQueueMs, 0, MostWeight);
+  place.QueueShare =
+      settings.number("placement.queue_share", place.QueueShare, 0, MostWeight);
   place.UrgentQueueFactor = settings.number(
       "placement.urgent_queue_factor", place.UrgentQueueFactor, 0, MostWeight);
   place.OverloadRetryAfter = settings.duration(
       "placement.overload_retry_after", place.OverloadRetryAfter, 0s, 1min);
-  place.QueueFactor = settings.number("placement.queue_factor",
-                                      place.QueueFactor, 0, MostWeight);
   place.MemoryShare = settings.number("placement.memory_share",
                                       place.MemoryShare, 0, MostWeight);
   place.MemoryMsPerToken = settings.number(
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -10,6 +10,7 @@
 #include "direct/forward_flow.h"
 #include "direct/kept_context.h"
 #include "direct/placement.h"
+#include "direct/reading_rate.h"
 #include "direct/server_loads.h"
 
 #include <string>
@@ -72,6 +73,7 @@
   direct::PlacementSettings Placement;
   direct::ServerLoadSettings Loads;
   direct::StoreLinkSettings Links;
+  direct::ReadingRateSettings Reading;
   direct::KeptContextSettings Kept;
   direct::CatalogSettings Catalog;
   DecisionLogSettings Log;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -148,6 +148,8 @@
        {"saves", saves},
        {"prompt_tokens", request.Head.PromptTokens},
        {"sourced_tokens", sourced},
+       {"tokens_before", order.TokensBefore},
+       {"tokens_per_ms", State.Rates.of(request.Service)},
        {"predicted_first_byte_ms", order.FirstTokenMs},
        {"fetch_excess_ms", order.FetchExcessMs},
        {"time_left_ms", millisecondsOf(order.TimeLeft)},
@@ -188,6 +190,8 @@
     FirstByteAt = now;
     State.Loads.onFirstByte(Order.ServerId, Order.QueuedTokens, now);
     learnLink(now);
+    State.Rates.observe(Flow.request().Service, Order.UnreadTokens,
+                        Order.TokensBefore, now - SentAt);
   }
   Flow.onHead(attempt, head, now);
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -155,9 +155,9 @@
                            DecisionLog &log)
     : Io(io), Options(options), Speak(std::move(protocol)), Log(log),
       Counts(metrics), Loads(options.Loads), Links(options.Links),
-      Ejected(options.Ejection), Kept(options.Kept),
+      Rates(options.Reading), Ejected(options.Ejection), Kept(options.Kept),
       Place(options.Placement, options.FailureDomain,
-            {Loads, Links, Ejected, Kept}),
+            {Loads, Links, Ejected, Rates, Kept}),
       Retries(options.Retries), Backends(io, backendInit()),
       Control(io, clientInit(IdlePerControl, ControlConnect)),
       Catalog(options.Catalog, catalogHooks(Speak, log)) {}
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -82,6 +82,7 @@
   GatewayMetrics Counts;
   direct::ServerLoads Loads;
   direct::StoreLinks Links;
+  direct::ReadingRate Rates;
   Ejector Ejected;
   direct::KeptContext Kept;
   direct::Placement Place;
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -32,6 +32,11 @@
     plain.Name = "plain";
     ServingConfig config;
     config.Services = {engines, store, plain};
+    Route route;
+    route.Shares = {{"engines", 1}};
+    route.HasPrompt = true;
+    route.TargetLatency = 400ms;
+    config.Routes = {route};
     Catalog.Config = std::make_shared<const ConfigIndex>(config);
     Kept.setStores(config.Services);
     Kept.apply("store", PartChanges{1, 0, false, {}, {}});
@@ -89,18 +94,20 @@
 
   ServerLoads Loads{{}};
   StoreLinks Links{{}};
+  ReadingRate Rates{{}};
   Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
   KeptContext Kept{{}};
   direct::Catalog Catalog;
   /// Without a bound on queues, so that each test sees the weight it is about.
   static PlacementSettings unboundedQueues() {
     PlacementSettings out;
-    out.MostQueueMs = 0;
+    out.QueueShare = 0;
     return out;
   }
 
-  Placement Place{unboundedQueues(), "d1", {Loads, Links, Ejected, Kept}};
-  Placement Bounded{{}, "d1", {Loads, Links, Ejected, Kept}};
+  Placement Place{
+      unboundedQueues(), "d1", {Loads, Links, Ejected, Rates, Kept}};
+  Placement Bounded{{}, "d1", {Loads, Links, Ejected, Rates, Kept}};
 };
 
 /// Many entries that sought the least loaded of all servers on old news would
@@ -147,6 +154,28 @@
   EXPECT_TRUE(refuses(0));
 }
 
+/// The same queue is too long for engines that read it at half the rate: what a
+/// deployment's queues may hold follows from its engines and targets.
+TEST_F(PlacementTest, AllowsSlowerEnginesShorterQueues) {
+  for (const BackendServer &it : Catalog.Servers["engines"])
+    Loads.onSent(it.Id, 12'000, Start); // 107 ms at the prior's rate.
+  ForwardRequest request = prompt("s");
+  request.Priority = 1;
+  Error reason;
+  EXPECT_TRUE(Bounded.choose(request, Catalog, {}, ClockMs, Start, reason));
+  for (int i = 0; i < 100; ++i)
+    Rates.observe("engines", 12'000, 0, 290ms); // 50 tokens a millisecond.
+  EXPECT_FALSE(Bounded.choose(request, Catalog, {}, ClockMs, Start, reason));
+}
+
+TEST_F(PlacementTest, KnowsWhatCertainlyHasToBeRead) {
+  Loads.onPeer("other", {}, 100ms, Start);
+  AttemptOrder first = choose(prompt("s"));
+  EXPECT_EQ(first.UnreadTokens, 3000);
+  // Asked to be saved just now: the server's memory may have the shared parts.
+  EXPECT_EQ(choose(prompt("s")).UnreadTokens, 0);
+}
+
 TEST_F(PlacementTest, AsksSpareServersBeforeItRefuses) {
   for (int i = 6; i < 40; ++i)
     addServer("engines", "e" + std::to_string(i), i % 2 ? "d1" : "d2");
@@ -194,7 +223,7 @@
 /// server's memory; with a home in each failure domain it was in several, and
 /// each server remembered fewer sessions.
 TEST_F(PlacementTest, LongPromptsOfASessionMeetAtOneHomeFromEveryDomain) {
-  Placement elsewhere{{}, "d2", {Loads, Links, Ejected, Kept}};
+  Placement elsewhere{{}, "d2", {Loads, Links, Ejected, Rates, Kept}};
   std::map<std::string, int> homes;
   for (int i = 0; i < 60; ++i) {
     ForwardRequest request = prompt("session" + std::to_string(i));
@@ -417,6 +446,37 @@
   EXPECT_NEAR(large, 1500, 120);
 }
 
+TEST(ReadingRate, FollowsTheQuickerOfWhatItSees) {
+  ReadingRate rates{{}};
+  EXPECT_EQ(rates.of("engines"), 112);
+  // Engines of 55 tokens a millisecond; every second prompt waits for something
+  // else besides, up to a second.
+  for (int i = 0; i < 60; ++i) {
+    auto late = i % 2 ? 0ms : std::chrono::milliseconds(17 * i);
+    rates.observe("engines", 11'000, 0, 250ms + late);
+  }
+  EXPECT_NEAR(rates.of("engines"), 55, 6);
+  EXPECT_EQ(rates.of("others"), 112);
+}
+
+TEST(ReadingRate, CorrectsAWrongPriorWithinAFewPrompts) {
+  ReadingRate rates{{}};
+  for (int i = 0; i < 14; ++i)
+    rates.observe("engines", 11'000, 0, 250ms);
+  EXPECT_NEAR(rates.of("engines"), 55, 8);
+}
+
+TEST(ReadingRate, CountsWhatWaitedBeforeAndLeavesShortPromptsOut) {
+  ReadingRate rates{{}};
+  for (int i = 0; i < 100; ++i) {
+    rates.observe("engines", 11'000, 11'000, 450ms);
+    rates.observe("engines", 500, 0, 450ms);
+    rates.observe("engines", 0, 0, 450ms);
+    rates.observe("engines", 11'000, 0, 10ms); // Less than any answer takes.
+  }
+  EXPECT_NEAR(rates.of("engines"), 55, 3);
+}
+
 TEST(StoreLinks, BlamesOnlyWhatOthersDoNotShare) {
   StoreLinks links{{}};
   Endpoint slow{"10.0.0.1", 1};
