--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -34,7 +34,7 @@
   /// all failure domains, and so many with the wanted weights. The same ones
   /// for every entry: a home in each entry's own domain held each session's
   /// context in three servers' memory and had links to stores carry the rest
-  /// (mean worth 0.697 with three near and two far, 0.724 with these; twelve
+  /// (mean worth 0.697 with three near and two far, 0.721 with these; twelve
   /// engines, five days, four seeds).
   /// Many entries that all sought the least loaded of all servers on loads some
   /// hundred milliseconds old would meet there: in half seconds, 26 entries
@@ -96,9 +96,10 @@
   /// and both have prompts read again. On a busy day without any trouble the
   /// mean worth was 0.08 without, 0.18 with 0.6, 0.34 with 0.37 (26 entries, 47
   /// servers); 0.19 refuses more than it helps on quiet days (0.02 of the
-  /// mean). With the bound on memory, which ends the same loop where it starts,
-  /// 0.6 does better than 0.4 (0.677 for 0.667, nine
-  /// engines, five days, four seeds) and 0.8 no better.
+  /// mean). All that without the bound on memory, which ends the same loop
+  /// where it starts. With it, 0.6 does better than 0.4 (0.677 for 0.667, nine
+  /// engines, five days, four seeds), and no limit does as well on two
+  /// deployments; not yet measured on large ones.
   double QueueShare = 0.6;
   double UrgentQueueFactor = 1.5;
   /// When a caller refused for that is told to come back. With 800 ms
