Look at a server's load once per decision, and keep no state twice

- Whether a server is too busy asked its load up to three times through a lock, and the choice of an order twice; each takes one view and passes it on.
- Whether any byte came and when it came were two members of a request that always changed together; the time says both.
- Milliseconds of a duration were worked out in three files: one function beside scaled().
- attempt_sent tells the reading rate that the choice was made on, not one read afterwards.

--- a/src/base/duration.h
+++ b/src/base/duration.h
@@ -11,4 +11,9 @@
       static_cast<Duration::rep>(static_cast<double>(value.count()) * factor));
 }
 
+/// The duration in milliseconds, with fractions.
+inline double millisecondsOf(Duration value) {
+  return static_cast<double>(value.count()) / 1000;
+}
+
 } // namespace daisytack
--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -58,14 +58,15 @@
   std::optional<int64_t> FetchUntilMs;
   std::optional<std::string> SeenEvent; ///< Resume after this event.
   // What the choice was made on, for the view of loads and the log.
-  /// That it counts for in the server's queue: the whole prompt, as one that is
-  /// fetched in part keeps others waiting too.
+  /// That it counts for in the server's queue and memory: the whole prompt, but
+  /// for a share of what is fetched.
   uint64_t QueuedTokens = 0;
   uint64_t TokensBefore = 0; ///< Believed to wait at the server already.
   uint64_t HeldBefore = 0; ///< Believed to fill its memory, of running prompts.
   /// That no server has read yet as far as is known; 0 when parts may be in the
   /// server's memory.
   uint64_t UnreadTokens = 0;
+  double TokensPerMs = 0;   ///< Believed of the server's reading.
   double FirstTokenMs = 0;  ///< Predicted, without the fetch.
   double FetchExcessMs = 0; ///< Believed of the links that are used.
   auto operator<=>(const AttemptOrder &) const = default;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -1,5 +1,6 @@
 #include "direct/placement.h"
 
+#include "base/duration.h"
 #include "direct/rendezvous.h"
 
 #include <algorithm>
@@ -51,8 +52,8 @@
                          TimePoint now) const {
   if (care == Care::Any)
     return true;
-  if (View.Loads.view(server.Id, now).IsAvoided ||
-      View.Ejected.isEjected(stableHash(server.Id), now))
+  ServerLoadView load = View.Loads.view(server.Id, now);
+  if (load.IsAvoided || View.Ejected.isEjected(stableHash(server.Id), now))
     return false;
   if (care == Care::AnyVersion)
     return true;
@@ -61,7 +62,7 @@
     return true;
   // What counts is when it begins to run.
   double waitMs =
-      firstTokenMs(request, server, 0, now) * Settings.OldWeightsWaitFactor;
+      firstTokenMs(request, load, 0) * Settings.OldWeightsWaitFactor;
   auto wait = Duration(static_cast<int64_t>(waitMs * 1000));
   return behind + std::min(wait, Settings.OldWeightsWait) <
          Settings.OldWeightsLimit;
@@ -130,9 +131,8 @@
 }
 
 double Placement::firstTokenMs(const ForwardRequest &request,
-                               const BackendServer &server, uint64_t readTokens,
-                               TimePoint now) const {
-  ServerLoadView load = View.Loads.view(server.Id, now);
+                               const ServerLoadView &load,
+                               uint64_t readTokens) const {
   auto queued = static_cast<double>(load.Tokens + readTokens);
   bool hasPrompt = !request.Head.Model.empty();
   return (hasPrompt ? Settings.LeastFirstTokenMs : 0) +
@@ -140,16 +140,15 @@
 }
 
 bool Placement::hasMemory(const ForwardRequest &request, const Catalog &catalog,
-                          const BackendServer &server, TimePoint now) const {
+                          const ServerLoadView &load) const {
   const Service *service = catalog.Config->findService(request.Service);
   if (!service || !service->Engine || service->Engine->ContextTokens == 0)
     return true;
   double room = static_cast<double>(service->Engine->ContextTokens) *
                 Settings.MemoryShare;
-  uint64_t held = View.Loads.view(server.Id, now).HeldTokens;
-  uint64_t wanted = held + request.Head.PromptTokens;
+  uint64_t wanted = load.HeldTokens + request.Head.PromptTokens;
   // The longest prompts fit only where nothing else runs.
-  return held == 0 || static_cast<double>(wanted) <= room;
+  return load.HeldTokens == 0 || static_cast<double>(wanted) <= room;
 }
 
 uint64_t Placement::tokensToRead(const ForwardRequest &request,
@@ -168,14 +167,15 @@
                        const BackendServer &server, const BackendServer *home,
                        UnkeptTokens &unkept, TimePoint now) const {
   bool isFar = server.FailureDomain != FailureDomain;
+  ServerLoadView load = View.Loads.view(server.Id, now);
   if (request.Head.Model.empty())
-    return View.Loads.view(server.Id, now).Running * Settings.CallRunningMs +
+    return load.Running * Settings.CallRunningMs +
            (isFar ? Settings.CallOtherDomainMs : 0);
   auto [toRead, isNew] =
       unkept.try_emplace(server.versionOf(request.Head.Model));
   if (isNew)
     toRead->second = tokensToRead(request, server);
-  double out = firstTokenMs(request, server, toRead->second, now);
+  double out = firstTokenMs(request, load, toRead->second);
   if (isFar)
     out += Settings.OtherDomainMs;
   if (&server != home) // What the home may still have is read or fetched.
@@ -190,7 +190,7 @@
   Duration target = catalog.Config->tightestTarget(request.Service);
   if (Settings.QueueShare <= 0 || target <= Duration::zero())
     return std::nullopt;
-  double out = static_cast<double>(target.count()) / 1000 * Settings.QueueShare;
+  double out = millisecondsOf(target) * Settings.QueueShare;
   return request.Priority == 0 ? out * Settings.UrgentQueueFactor : out;
 }
 
@@ -198,18 +198,18 @@
                           const BackendServer &server, TimePoint now) const {
   if (request.Head.Model.empty())
     return false;
-  if (!hasMemory(request, catalog, server, now))
+  ServerLoadView load = View.Loads.view(server.Id, now);
+  if (!hasMemory(request, catalog, load))
     return true;
-  auto queued = static_cast<double>(View.Loads.view(server.Id, now).Tokens);
   std::optional<double> most = mostQueueMs(request, catalog);
-  if (most && readMs(request, queued) > *most)
+  if (most && readMs(request, static_cast<double>(load.Tokens)) > *most)
     return true;
   Duration patience = request.Deadline - now;
   if (request.Via.FirstEventPatience > Duration::zero())
     patience = std::min(patience, request.Via.FirstEventPatience);
   if (patience <= Duration::zero())
     return false;
-  double least = firstTokenMs(request, server, 0, now);
+  double least = firstTokenMs(request, load, 0);
   return least * 1000 >
          static_cast<double>(patience.count()) * Settings.PatienceShare;
 }
@@ -279,9 +279,10 @@
   ServerLoadView load = View.Loads.view(server.Id, now);
   out.TokensBefore = load.Tokens;
   out.HeldBefore = load.HeldTokens;
+  out.TokensPerMs = View.Rates.of(request.Service);
   if (service->Engine->HasManagedContext && head.Parts.size() >= 2)
     planContext(request, catalog, server, serversClockMs, now, out);
-  out.FirstTokenMs = firstTokenMs(request, server, out.QueuedTokens, now);
+  out.FirstTokenMs = firstTokenMs(request, load, out.QueuedTokens);
   return out;
 }
 
@@ -301,7 +302,7 @@
   const CallerHead &head = request.Head;
   order.Sources.resize(head.Parts.size());
   order.Destinations.resize(head.Parts.size());
-  double target = static_cast<double>(request.Via.TargetLatency.count()) / 1000;
+  double target = millisecondsOf(request.Via.TargetLatency);
   // The queue's wait is left out: reading what could be fetched would only
   // lengthen it.
   double budget = target * Settings.FetchShare - Settings.LeastFirstTokenMs -
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -166,12 +166,11 @@
   /// How long what waits at a server may take to read; nothing without a limit.
   std::optional<double> mostQueueMs(const ForwardRequest &request,
                                     const Catalog &catalog) const;
-  double firstTokenMs(const ForwardRequest &request,
-                      const BackendServer &server, uint64_t readTokens,
-                      TimePoint now) const;
+  double firstTokenMs(const ForwardRequest &request, const ServerLoadView &load,
+                      uint64_t readTokens) const;
   /// Whether the server's memory holds the prompt beside those that run.
   bool hasMemory(const ForwardRequest &request, const Catalog &catalog,
-                 const BackendServer &server, TimePoint now) const;
+                 const ServerLoadView &load) const;
   /// Servers for the request's session, its home first; all of them for a
   /// request without a prompt.
   ServerRefs candidates(const ForwardRequest &request, const Catalog &catalog,
--- a/src/direct/reading_rate.cpp
+++ b/src/direct/reading_rate.cpp
@@ -1,5 +1,7 @@
 #include "direct/reading_rate.h"
 
+#include "base/duration.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,8 +9,7 @@
 
 void ReadingRate::observe(std::string_view service, uint64_t unread,
                           uint64_t before, Duration firstByte) {
-  double readMs =
-      static_cast<double>(firstByte.count()) / 1000 - Settings.BaseMs;
+  double readMs = millisecondsOf(firstByte) - Settings.BaseMs;
   if (unread < Settings.LeastTokens || readMs <= 0)
     return;
   double seen = readMs / static_cast<double>(unread + before);
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_request.h"
 
 #include "base/clock.h"
+#include "base/duration.h"
 #include "direct/rendezvous.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -17,10 +18,6 @@
 /// The timer of a call runs out after the flow's own, which decides.
 constexpr Duration CallSlack{500'000};
 
-double millisecondsOf(Duration value) {
-  return static_cast<double>(value.count()) / 1000;
-}
-
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayState &state,
@@ -124,7 +121,6 @@
   TimePoint now = monotonicNow();
   Order = order;
   SentAt = now;
-  AnyByte = false;
   FirstByteAt.reset();
   State.Counts.Attempts.add();
   State.Loads.onSent(order.ServerId, order.QueuedTokens, now);
@@ -150,7 +146,7 @@
        {"sourced_tokens", sourced},
        {"tokens_before", order.TokensBefore},
        {"held_before", order.HeldBefore},
-       {"tokens_per_ms", State.Rates.of(request.Service)},
+       {"tokens_per_ms", order.TokensPerMs},
        {"predicted_first_byte_ms", order.FirstTokenMs},
        {"fetch_excess_ms", order.FetchExcessMs},
        {"time_left_ms", millisecondsOf(order.TimeLeft)},
@@ -187,7 +183,6 @@
   TimePoint now = monotonicNow();
   direct::ServerHead head = State.Speak.ReadServer(status, headers);
   if (!head.WasNotRun) {
-    AnyByte = true;
     FirstByteAt = now;
     State.Loads.onFirstByte(Order.ServerId, Order.QueuedTokens, now);
     learnLink(now);
@@ -213,7 +208,8 @@
 
 void GatewayRequest::note(uint32_t attempt, const AttemptOrder &order,
                           AttemptResult result, TimePoint now) {
-  State.Loads.onEnded(order.ServerId, order.QueuedTokens, AnyByte, now);
+  State.Loads.onEnded(order.ServerId, order.QueuedTokens,
+                      FirstByteAt.has_value(), now);
   bool isGood = result == AttemptResult::Answered;
   if (result == AttemptResult::TurnedAway ||
       result == AttemptResult::Misdirected) {
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -56,9 +56,9 @@
   net::HttpCall Call;
   direct::AttemptOrder Order; ///< Of the attempt under way.
   TimePoint SentAt;
-  bool AnyByte = false;                 ///< Of its answer.
-  std::optional<TimePoint> FirstByteAt; ///< Of an answer that says it ran.
-  bool IsAnswered = false;              ///< The caller got a first byte.
+  /// Of its answer, unless that says that it was not run.
+  std::optional<TimePoint> FirstByteAt;
+  bool IsAnswered = false; ///< The caller got a first byte.
 };
 
 } // namespace daisytack::gateway
