Take tests' ports from below the range that the kernel gives away

Cause: the last run of the checks ended with 719 of 720 tests; an entry of GatewayTest.DoesNotPromiseThatARequestHasNotRunAfterALostAnswer could not listen ("Address already in use"). Its ports were asked of the kernel and closed again; until the entry listens on them the kernel may give the same number to any outgoing connection, of which eight test processes open thousands. Ruled out: two tests with the same fixed port (none has one).

--- a/tests/gateway/stand_in.h
+++ b/tests/gateway/stand_in.h
@@ -2,6 +2,7 @@
 /// key-value service and a backend server, with the faults that tests need.
 #pragma once
 
+#include "gateway/test_ports.h"
 #include "net_http/http_fixture.h"
 #include "platform/json_text.h"
 
@@ -22,13 +23,6 @@
 using net::HttpResponse;
 using ExchangePtr = std::shared_ptr<HttpExchange>;
 
-/// A loopback port that was free a moment ago.
-inline Endpoint freeEndpoint() {
-  boost::asio::io_context io;
-  net::tcp::acceptor probe(io, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", probe.local_endpoint().port()};
-}
-
 /// Keys with revisions, watches and leases that do not lapse by themselves.
 class StandInStore {
 public:
