Tell the other entries how late fetches from each store were

Cause: while one large store's link is slow, long answers wait two seconds although fetches are shed: an entry of five sees 2.3 fetches a second from a store, an entry of 26 less than one, and what it believes halves in 0.7 s, so it believed 100 to 280 ms of 1,800.

Each load datagram now carries what its sender observed since the last one, 32 delays at most; they count like own ones, bounded like them.

Found on the way: a load message of 70 servers is 1,400 bytes of shares alone since shares name what is held, over the bound of a datagram, and was not sent at all. Messages are now cut to what fits, busiest first. Tests fail without: 50 to 10,000 servers; a link that 25 other entries found slow; bounds on what a peer tells.

--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -4,6 +4,7 @@
 #include "direct/facts.h"
 #include "direct/kept_context.h"
 #include "direct/server_loads.h"
+#include "direct/store_links.h"
 
 #include <string>
 #include <variant>
@@ -63,9 +64,10 @@
   /// entries.
   int64_t Period = 0;
   std::vector<LoadShare> Servers;
+  std::vector<LinkDelay> Links; ///< Observed since the last message.
   bool operator==(const EntryLoads &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(Entry, Period, Servers);
+    ar(Entry, Period, Servers, Links);
   }
 };
 
--- a/src/direct/store_links.cpp
+++ b/src/direct/store_links.cpp
@@ -1,7 +1,10 @@
 #include "direct/store_links.h"
 
+#include "direct/rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace daisytack::direct {
 
@@ -11,10 +14,32 @@
   return delay.Ms * std::exp2(-std::max(halvings, 0.0));
 }
 
+uint64_t StoreLinks::nameOf(const std::optional<Endpoint> &store) {
+  return store ? stableHash(toString(*store)) : 0;
+}
+
 void StoreLinks::observe(const std::optional<Endpoint> &store, double lateMs,
                          TimePoint now) {
   double seen = std::clamp(lateMs, 0.0, Settings.MostMs);
   std::lock_guard guard(Lock);
+  learn(nameOf(store), seen, now);
+  if (News.size() >= Settings.MostNews)
+    News.erase(News.begin());
+  News.push_back({nameOf(store), static_cast<uint32_t>(seen)});
+}
+
+void StoreLinks::onPeer(const std::vector<LinkDelay> &delays, TimePoint now) {
+  std::lock_guard guard(Lock);
+  for (const LinkDelay &it : delays)
+    learn(it.Store, std::min<double>(it.LateMs, Settings.MostMs), now);
+}
+
+std::vector<LinkDelay> StoreLinks::takeNews() {
+  std::lock_guard guard(Lock);
+  return std::exchange(News, {});
+}
+
+void StoreLinks::learn(uint64_t store, double seen, TimePoint now) {
   Delay &delay = Delays[store];
   delay.Ms = faded(delay, now) * (1 - Settings.Weight) + seen * Settings.Weight;
   delay.At = now;
@@ -22,7 +47,7 @@
 
 double StoreLinks::excessMs(const Endpoint &store, TimePoint now) const {
   std::lock_guard guard(Lock);
-  auto it = Delays.find(store);
+  auto it = Delays.find(nameOf(store));
   if (it == Delays.end())
     return 0;
   double own = faded(it->second, now);
--- a/src/direct/store_links.h
+++ b/src/direct/store_links.h
@@ -8,9 +8,12 @@
 
 #include "daisytack/types.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <vector>
 
 namespace daisytack::direct {
 
@@ -24,9 +27,20 @@
   /// An observation counts for at most this; a lost server says nothing of the
   /// link.
   double MostMs = 2500;
+  /// Observations that are kept for the other entries; a datagram holds them
+  /// beside the loads of 40 servers.
+  size_t MostNews = 32;
   bool operator==(const StoreLinkSettings &) const = default;
 };
 
+/// One delay that an entry observed, as entries tell one another.
+struct LinkDelay {
+  uint64_t Store = 0; ///< stableHash of its address; 0: there was no fetch.
+  uint32_t LateMs = 0;
+  auto operator<=>(const LinkDelay &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(Store, LateMs); }
+};
+
 /// Thread-safe.
 class StoreLinks {
 public:
@@ -36,6 +50,11 @@
   /// a fetch. No store: there was no fetch.
   void observe(const std::optional<Endpoint> &store, double lateMs,
                TimePoint now);
+  /// What another entry observed counts like an own observation: a single
+  /// entry of many sees too few fetches to notice a slow link while it is slow.
+  void onPeer(const std::vector<LinkDelay> &delays, TimePoint now);
+  /// Own observations since the last call, the latest ones, for the others.
+  std::vector<LinkDelay> takeNews();
   /// What a fetch from the store waits beyond one from the best of the others.
   double excessMs(const Endpoint &store, TimePoint now) const;
 
@@ -44,12 +63,15 @@
     double Ms = 0;
     TimePoint At;
   };
+  static uint64_t nameOf(const std::optional<Endpoint> &store);
   double faded(const Delay &delay, TimePoint now) const;
+  void learn(uint64_t store, double seen, TimePoint now);
 
   StoreLinkSettings Settings;
   mutable std::mutex Lock;
-  /// By store; the entry without an endpoint is of requests without a fetch.
-  std::map<std::optional<Endpoint>, Delay> Delays;
+  /// By name; 0 is of requests without a fetch.
+  std::map<uint64_t, Delay> Delays;
+  std::vector<LinkDelay> News;
 };
 
 } // namespace daisytack::direct
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/load_exchange.h"
 
 #include "base/clock.h"
+#include "gateway/load_datagram.h"
 #include "net/http_socket.h"
 #include "wire/codec.h"
 
@@ -10,23 +11,6 @@
 
 using boost::asio::ip::udp;
 
-namespace {
-
-/// Of the largest deployment planned for, so that a datagram holds the busiest.
-constexpr size_t MostShares = 70;
-
-void keepBusiest(std::vector<direct::LoadShare> &shares, size_t most) {
-  if (shares.size() <= most)
-    return;
-  std::partial_sort(
-      shares.begin(), shares.begin() + static_cast<std::ptrdiff_t>(most),
-      shares.end(),
-      [](const auto &a, const auto &b) { return a.Tokens > b.Tokens; });
-  shares.resize(most);
-}
-
-} // namespace
-
 LoadExchange::LoadExchange(GatewayState &state, Strand strand,
                            LoadExchangeSettings settings)
     : State(state), On(std::move(strand)), Settings(settings), Socket(On) {}
@@ -85,6 +69,7 @@
   TimePoint now = monotonicNow();
   State.Loads.onPeer(loads->Entry, loads->Servers, Duration(loads->Period),
                      now);
+  State.Links.onPeer(loads->Links, now);
 }
 
 void LoadExchange::send(const Endpoint &peer, const std::string &bytes) {
@@ -106,12 +91,9 @@
     return;
   size_t rounds = (n + Settings.MostAtOnce - 1) / Settings.MostAtOnce;
   Duration period = Settings.Interval * static_cast<int64_t>(rounds);
-  direct::EntryLoads loads{State.Options.Name, period.count(),
-                           State.Loads.own()};
-  keepBusiest(loads.Servers, MostShares);
-  std::string bytes = wire::encode(direct::PeerMessage(std::move(loads)));
-  if (bytes.size() > MaxDatagramBytes)
-    return;
+  std::string bytes = encodeLoads({State.Options.Name, period.count(),
+                                   State.Loads.own(), State.Links.takeNews()},
+                                  MaxDatagramBytes);
   for (size_t i = 0; i < std::min(n, Settings.MostAtOnce); ++i) {
     const direct::EntryPeer &peer = catalog->Entries[NextPeer++ % n];
     if (peer.Peer != State.Options.Peers)
--- a/tests/direct/store_links_test.cpp
+++ b/tests/direct/store_links_test.cpp
@@ -25,5 +25,49 @@
   EXPECT_LT(links.excessMs(slow, Start + 10s), 5); // It is tried again.
 }
 
+/// One entry of 26 sees a fetch from a store every few seconds, a slow link
+/// lasts for five; together they see it at once.
+TEST(StoreLinks, KnowsOfASlowLinkFromWhatOtherEntriesSaw) {
+  Endpoint slow{"10.0.0.1", 1};
+  Endpoint sound{"10.0.0.2", 1};
+  StoreLinks here{{}};
+  here.observe(sound, 20, Start);
+  here.takeNews();
+  for (int entry = 0; entry < 25; ++entry) {
+    StoreLinks there{{}};
+    there.observe(slow, 1500, Start);
+    here.onPeer(there.takeNews(), Start);
+    EXPECT_TRUE(there.takeNews().empty()); // Each is told once.
+  }
+  EXPECT_GT(here.excessMs(slow, Start), 1000);
+  EXPECT_EQ(here.excessMs(sound, Start), 0);
+  EXPECT_TRUE(here.takeNews().empty()); // And not passed on.
+}
+
+TEST(StoreLinks, TellsTheLatestOfManyObservations) {
+  StoreLinkSettings settings;
+  StoreLinks links{settings};
+  for (size_t i = 0; i < settings.MostNews + 5; ++i)
+    links.observe(std::nullopt, static_cast<double>(i), Start);
+  std::vector<LinkDelay> news = links.takeNews();
+  ASSERT_EQ(news.size(), settings.MostNews);
+  EXPECT_EQ(news.front(), (LinkDelay{0, 5}));
+}
+
+/// A delay from outside counts for no more than an own one.
+TEST(StoreLinks, BoundsWhatAnotherEntryTells) {
+  StoreLinks links{{}};
+  Endpoint store{"10.0.0.1", 1};
+  links.observe(std::nullopt, 0, Start);
+  links.observe(store, 0, Start);
+  StoreLinks other{{}};
+  other.observe(store, 1, Start);
+  LinkDelay told = other.takeNews().front();
+  told.LateMs = UINT32_MAX;
+  for (int i = 0; i < 100; ++i)
+    links.onPeer({told}, Start);
+  EXPECT_LE(links.excessMs(store, Start), StoreLinkSettings{}.MostMs);
+}
+
 } // namespace
 } // namespace daisytack::direct
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -62,13 +62,14 @@
 
 std::vector<std::string> entrySeeds() {
   using namespace direct;
-  return {wire::encode(PeerMessage(RecordsWanted{7})),
-          wire::encode(PeerMessage(RecordsFound{
-              {{"key", "value", 5, false}, {"k", "", 6, true}}, 9})),
-          wire::encode(PeerMessage(ServersLoading{{"a", "b"}})),
-          wire::encode(PeerMessage(ServerLoaded{"a", {"model", 2}})),
-          wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}})),
-          wire::encode(PeerMessage(Received{}))};
+  return {
+      wire::encode(PeerMessage(RecordsWanted{7})),
+      wire::encode(PeerMessage(
+          RecordsFound{{{"key", "value", 5, false}, {"k", "", 6, true}}, 9})),
+      wire::encode(PeerMessage(ServersLoading{{"a", "b"}})),
+      wire::encode(PeerMessage(ServerLoaded{"a", {"model", 2}})),
+      wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}, {{5, 6}}})),
+      wire::encode(PeerMessage(Received{}))};
 }
 
 /// A value under each kind of key of the platform's store.
--- /dev/null
+++ b/tests/gateway/load_datagram_test.cpp
@@ -0,0 +1,54 @@
+/// Loads of many servers are cut to one datagram, not left out.
+#include "gateway/load_datagram.h"
+
+#include "daisytack/limits.h"
+#include "wire/codec.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace daisytack::gateway {
+namespace {
+
+using direct::EntryLoads;
+using direct::PeerMessage;
+
+EntryLoads loadsOf(uint32_t servers, uint32_t delays) {
+  EntryLoads out{"entry", 100'000, {}, {}};
+  for (uint32_t i = 0; i < servers; ++i)
+    out.Servers.push_back({i + 1, 3, 1000 + i, 5000});
+  for (uint32_t i = 0; i < delays; ++i)
+    out.Links.push_back({i, i});
+  return out;
+}
+
+EntryLoads sent(const EntryLoads &loads) {
+  std::string bytes = encodeLoads(loads, MaxDatagramBytes);
+  EXPECT_LE(bytes.size(), MaxDatagramBytes);
+  Error reason;
+  auto message = wire::decode<PeerMessage>(bytes, reason);
+  EXPECT_TRUE(message) << reason.Detail;
+  return std::get<EntryLoads>(*message);
+}
+
+TEST(LoadDatagram, HoldsASmallFleetWhole) {
+  EntryLoads loads = loadsOf(30, 32);
+  EXPECT_EQ(sent(loads), loads);
+}
+
+/// An entry with requests at 70 servers or more once told nobody of any.
+TEST(LoadDatagram, KeepsTheBusiestServersOfALargeFleet) {
+  for (uint32_t servers : {50U, 70U, 76U, 500U, 10'000U}) {
+    EntryLoads told = sent(loadsOf(servers, 32));
+    EXPECT_GE(told.Servers.size(), 40U) << servers;
+    EXPECT_EQ(told.Links.size(), 32U);
+    auto least = std::min_element(
+        told.Servers.begin(), told.Servers.end(),
+        [](const auto &a, const auto &b) { return a.Tokens < b.Tokens; });
+    EXPECT_EQ(least->Tokens, 1000 + servers - told.Servers.size());
+  }
+}
+
+} // namespace
+} // namespace daisytack::gateway
