--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -135,23 +135,24 @@
   }
   State.Counts.SourcedTokens.add(sourced);
   State.Counts.SavesAsked.add(saves);
-  State.Log.write(
-      LogWeight::Routine, "attempt_sent",
-      {{"request", request.Head.RequestId},
-       {"attempt", attempt},
-       {"server", order.ServerId},
-       {"weights", order.WeightVersion},
-       {"saves", saves},
-       {"prompt_tokens", request.Head.PromptTokens},
-       {"sourced_tokens", sourced},
-       {"tokens_before", order.TokensBefore},
-       {"held_before", order.HeldBefore},
-       {"tokens_per_ms", order.TokensPerMs},
-       {"predicted_first_byte_ms", order.FirstTokenMs},
-       {"fetch_excess_ms", order.FetchExcessMs},
-       {"time_left_ms", millisecondsOf(order.TimeLeft)},
-       {"config_version", State.catalog()->Config->config().Version}},
-      now);
+  DecisionLog::Fields fields{
+      {"request", request.Head.RequestId},
+      {"attempt", attempt},
+      {"server", order.ServerId},
+      {"weights", order.WeightVersion},
+      {"saves", saves},
+      {"prompt_tokens", request.Head.PromptTokens},
+      {"sourced_tokens", sourced},
+      {"tokens_before", order.TokensBefore},
+      {"held_before", order.HeldBefore},
+      {"tokens_per_ms", order.TokensPerMs},
+      {"predicted_first_byte_ms", order.FirstTokenMs},
+      {"fetch_excess_ms", order.FetchExcessMs},
+      {"time_left_ms", millisecondsOf(order.TimeLeft)},
+      {"config_version", State.catalog()->Config->config().Version}};
+  if (order.SlowestSource)
+    fields["slowest_source"] = toString(*order.SlowestSource);
+  State.Log.write(LogWeight::Routine, "attempt_sent", std::move(fields), now);
   net::HttpHooks hooks;
   hooks.IsOwn = [self = shared_from_this()](const auto &headers) {
     return self->State.Speak.IsAnswerTo(self->Flow.request().Head, headers);
@@ -317,6 +318,8 @@
     fields["reason"] = errorName(reason.Kind);
     fields["detail"] = reason.Detail;
   }
+  if (outcome == "refused")
+    fields["retry_after_ms"] = millisecondsOf(reason.RetryAfter);
   State.Log.write(isGood ? LogWeight::Routine : LogWeight::Notable,
                   "request_ended", std::move(fields), now);
 }
