--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -57,7 +57,8 @@
   template <class Archive> void serialize(Archive &ar) { ar(What); }
 };
 
-/// What an entry has under way; by datagram, several times a second.
+/// What an entry has under way, and how late its fetches came; by datagram,
+/// several times a second.
 struct EntryLoads {
   std::string Entry;
   /// Until the receiver hears again, in microseconds: grows with the number of
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -1,5 +1,6 @@
 /// Entries tell one another by datagram what each has under way at every
-/// backend server and store, so that each can tell a server's whole load.
+/// backend server, so that each can tell a server's whole load, and how late
+/// its fetches came, so that all notice a slow link to a store at once.
 #pragma once
 
 #include "direct/peer_messages.h"
