Send the soak's signals only to entries that hold them back

The entry had been started 0.1 s before; the soak waited just that long, as no signal can be held back before a program's main.

The soak now asks the kernel whether the process blocks or catches SIGHUP and SIGTERM.

Left open: the window itself. A process that gets SIGHUP while it is loaded ends and is started again by the platform.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -1,12 +1,16 @@
 """Each check of the soak fails on the defect it is for, and only there."""
 
+import asyncio
 import dataclasses
+import subprocess
 import sys
+import types
 
 import checks
 from callers import Sent
 from http11 import Message
 from platform_side import BackendServer, Run
+from soak import Entry
 
 ID = "00112233"
 
@@ -121,7 +125,31 @@
     cut_by_a_planned_stop: "planned_restarts_cut_nothing", two_holders: "one_giver_of_orders"}
 
 
+PROGRAM = """import os, signal, sys, time
+if sys.argv[1] == "holds":
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGTERM})
+print("begun", flush=True)
+time.sleep(60)
+"""
+
+
+async def signal_guard():
+    """A process is sent signals only once it holds them, however long it takes to begin."""
+    fleet = types.SimpleNamespace(port=lambda: 1, processes={})
+    entry = Entry(fleet, 0, None)
+    for how in ("holds", "starts"):
+        process = subprocess.Popen([sys.executable, "-c", PROGRAM, how], stdout=subprocess.PIPE)
+        fleet.processes[entry.name] = process
+        process.stdout.readline()
+        assert entry.holds_signals() == (how == "holds"), how
+        process.kill()
+        process.wait()
+        assert entry.holds_signals()  # Nothing is left that a signal could end.
+    await entry.loaded()
+
+
 def main():
+    asyncio.run(signal_guard())
     for kind in checks.KINDS:
         assert checks.broken_promises(FakeWorld(kind)) == [], checks.broken_promises(FakeWorld(kind))
     for defect, check in DEFECTS.items():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,7 +26,6 @@
 RECOVERY_SECONDS = 12   # Then every entry serves every kind of request.
 CALM_AFTER = 4.0        # A fault's effects are over so long after its end.
 HEARTBEAT = 0.4
-LOADING_SECONDS = 0.1   # Until a program's main has begun.
 
 SETTINGS = """[process]
 threads = 1
@@ -65,20 +64,33 @@
         self.ports = {it: fleet.port() for it in ("callers", "readiness", "metrics", "peers")}
         self.seeds = ""
         self.stops = []  # When it was asked to end, as planned.
-        self.started = 0.0
 
     def start(self):
         text = SETTINGS.format(name=self.name, domain=self.number % 2, store=self.link.port, seeds=self.seeds,
                                **self.ports)
-        self.started = time.monotonic()
         self.fleet.start(self.name, "daisytack-entry", "--config=" + self.fleet.write(f"{self.name}.ini", text))
 
     def signal(self, number):
         self.fleet.signal(self.name, number)
 
     async def loaded(self):
-        """Before a program's main begins no signal can be held back."""
-        await asyncio.sleep(max(self.started + LOADING_SECONDS - time.monotonic(), 0))
+        """Before a program's main begins no signal can be held back. Gives way to nobody after the last look, since
+        another fault may start the entry anew meanwhile."""
+        while not self.holds_signals():
+            await asyncio.sleep(0.01)
+
+    def holds_signals(self):
+        """Whether SIGHUP and SIGTERM are blocked or caught, or there is no process that they could end: on a busy
+        machine it takes more than 0.1 s from the start of a process to its main."""
+        try:
+            status = pathlib.Path(f"/proc/{self.fleet.processes[self.name].pid}/status").read_text()
+        except OSError:
+            return True
+        lines = dict(line.split(":", 1) for line in status.splitlines())
+        if lines["State"].split()[0] in "ZX":
+            return True
+        held = int(lines["SigBlk"], 16) | int(lines["SigCgt"], 16)
+        return all(held >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM))
 
     def kill(self):
         self.fleet.kill(self.name)
