--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -2,16 +2,13 @@
 #include "gateway/gateway.h"
 
 #include "gateway/stand_in.h"
+#include "gateway/stdout_text.h"
 #include "platform/kv_store.h"
 #include "platform/protocol.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <condition_variable>
-#include <cstdio>
-#include <sstream>
-#include <unistd.h>
 
 namespace daisytack::gateway {
 namespace {
@@ -65,48 +62,6 @@
     "tenants":[{"name":"org","api-keys":["k1"]}]})";
 }
 
-/// What the process writes to standard output while this lives.
-class StdoutText {
-public:
-  StdoutText() : File(std::tmpfile()), Before(::dup(STDOUT_FILENO)) {
-    std::fflush(stdout);
-    ::dup2(::fileno(File), STDOUT_FILENO);
-  }
-  ~StdoutText() {
-    std::fflush(stdout);
-    ::dup2(Before, STDOUT_FILENO);
-    ::close(Before);
-    std::fclose(File);
-  }
-  StdoutText(const StdoutText &) = delete;
-  StdoutText &operator=(const StdoutText &) = delete;
-
-  /// The line with all of the texts; empty while there is none.
-  std::string lineWith(const std::vector<std::string> &texts) const {
-    std::istringstream lines(text());
-    for (std::string line; std::getline(lines, line);)
-      if (std::all_of(texts.begin(), texts.end(), [&](const auto &it) {
-            return line.find(it) != std::string::npos;
-          }))
-        return line;
-    return {};
-  }
-
-private:
-  std::string text() const {
-    std::string out;
-    char buf[4096];
-    off_t at = 0;
-    for (ssize_t n = 0; (n = ::pread(::fileno(File), buf, sizeof(buf), at)) > 0;
-         at += n)
-      out.append(buf, static_cast<size_t>(n));
-    return out;
-  }
-
-  std::FILE *File;
-  int Before;
-};
-
 /// One entry with its addresses; runs until destroyed.
 class Entry {
 public:
@@ -354,7 +309,7 @@
 
 /// What the caller was told can be found afterwards by the request's id.
 TEST_F(GatewayTest, LogsWhenARefusedCallerIsToComeBack) {
-  StdoutText lines;
+  test::StdoutText lines;
   Store.put("op/config", configText("\"k1\""));
   Entry &entry = start("e1", Store.address());
   ASSERT_TRUE(waitReady(entry));
