--- a/src/direct/store_links.cpp
+++ b/src/direct/store_links.cpp
@@ -21,11 +21,12 @@
 void StoreLinks::observe(const std::optional<Endpoint> &store, double lateMs,
                          TimePoint now) {
   double seen = std::clamp(lateMs, 0.0, Settings.MostMs);
+  uint64_t name = nameOf(store);
   std::lock_guard guard(Lock);
-  learn(nameOf(store), seen, now);
+  learn(name, seen, now);
   if (News.size() >= Settings.MostNews)
     News.erase(News.begin());
-  News.push_back({nameOf(store), static_cast<uint32_t>(seen)});
+  News.push_back({name, static_cast<uint32_t>(seen)});
 }
 
 void StoreLinks::onPeer(const std::vector<LinkDelay> &delays, TimePoint now) {
@@ -49,8 +50,9 @@
 }
 
 double StoreLinks::excessMs(const Endpoint &store, TimePoint now) const {
+  uint64_t name = nameOf(store);
   std::lock_guard guard(Lock);
-  auto it = Delays.find(nameOf(store));
+  auto it = Delays.find(name);
   if (it == Delays.end())
     return 0;
   double own = faded(it->second, now);
--- a/tests/gateway/test_ports.h
+++ b/tests/gateway/test_ports.h
@@ -1,16 +1,15 @@
 /// Loopback ports that nothing else takes before a test listens on them.
 ///
 /// A port that the kernel named a moment ago is free for any outgoing
-/// connection of any process until somebody listens on it: with eight test
-/// processes at once, one listener in some thousand found its port taken. These
-/// come from below the range of which the kernel gives ports away by itself,
-/// in blocks that a file lock reserves until the process ends.
+/// connection of any process until somebody listens on it; with eight test
+/// processes at once a listener found its port taken. These come from below the
+/// range of which the kernel gives ports away by itself, in blocks that a file
+/// lock reserves until the process ends.
 #pragma once
 
 #include "net/http_socket.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <gtest/gtest.h>
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -21,6 +20,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
--- a/tests/gateway/test_ports_test.cpp
+++ b/tests/gateway/test_ports_test.cpp
@@ -1,6 +1,8 @@
 /// Ports for tests stay free until the test listens on them.
 #include "gateway/test_ports.h"
 
+#include <gtest/gtest.h>
+
 #include <fstream>
 #include <set>
 
