Log what tells how a stopping entry still comes by a request

An entry took a request 5.5 s after SIGTERM and was ended with the answer under way. Four explanations fit what was recorded (docs/incidents), and no line tells them apart. New: the lines listener_closed and request_while_draining (time since the signal, number of the request on its connection), and in draining the open connections and how long the process may have stood still. No decision changes. The fixture of the entry's tests moves into a header of its own so that a second file can use it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -204,6 +204,7 @@
 
 void Gateway::tick() {
   TimePoint now = monotonicNow();
+  TickedAt = now;
   State.Catalog.onTimer(now);
   State.Loads.forgetIdle(now - LoadMemory);
   PeerLoads->onTimer(now);
@@ -225,17 +226,26 @@
   Orders->stop();
   Drained = std::move(done);
   DrainSince = monotonicNow();
+  State.DrainSince = DrainSince.time_since_epoch().count();
   State.Draining = true;
   Callers.endConnections();
-  Log.write(LogWeight::Notable, "draining", {{"running", State.Running.load()}},
+  Log.write(LogWeight::Notable, "draining",
+            {{"running", State.Running.load()},
+             {"connections", Callers.openConnections()},
+             {"since_last_tick_ms", (DrainSince - TickedAt).count() / 1000}},
             DrainSince);
   watchDrain();
 }
 
 void Gateway::watchDrain() {
   bool isNoticed = monotonicNow() - DrainSince >= Options.DrainNotice;
-  if (isNoticed)
+  if (isNoticed && !std::exchange(IsListenerClosed, true)) {
     Callers.stopAccepting();
+    Log.write(LogWeight::Notable, "listener_closed",
+              {{"running", State.Running.load()},
+               {"connections", Callers.openConnections()}},
+              monotonicNow());
+  }
   if (isNoticed && State.Running == 0 && Callers.unsentAnswers() == 0)
     return finish();
   DrainTimer.expires_after(DrainCheck);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,6 +69,9 @@
   boost::asio::steady_timer Ticker;
   boost::asio::steady_timer DrainTimer;
   TimePoint DrainSince;
+  /// Last time that the process was known to run.
+  TimePoint TickedAt;
+  bool IsListenerClosed = false;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
   std::map<std::string, uint64_t> LoadingFrom; ///< Servers and their version.
   std::function<void()> Drained;
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -94,6 +94,19 @@
   exchange.respond(State.Speak.OwnAnswer(status, head.RequestId, reason));
 }
 
+void GatewayHttp::noteWhileDraining(const net::HttpRequest &request,
+                                    const std::string &requestId,
+                                    TimePoint now) {
+  if (!State.Draining)
+    return;
+  Duration drained = now.time_since_epoch() - Duration(State.DrainSince);
+  State.Log.write(LogWeight::Notable, "request_while_draining",
+                  {{"request", requestId},
+                   {"drained_ms", drained.count() / 1000},
+                   {"on_connection", request.OnConnection}},
+                  now);
+}
+
 void GatewayHttp::handle(net::HttpRequest request,
                          const std::shared_ptr<net::HttpExchange> &exchange) {
   TimePoint now = monotonicNow();
@@ -103,6 +116,7 @@
       State.Speak.ReadCaller(request, reason);
   if (!head)
     return refuse(*exchange, {}, reason, now);
+  noteWhileDraining(request, head->RequestId, now);
   auto catalog = State.catalog();
   if (!catalog->Config)
     return refuse(
--- a/src/gateway/gateway_http.h
+++ b/src/gateway/gateway_http.h
@@ -22,10 +22,14 @@
   void endConnections() { Server.endConnectionsAfterAnswers(); }
   void stopAccepting() { Server.stopAccepting(); }
   size_t unsentAnswers() const { return Server.unsentAnswers(); }
+  size_t openConnections() const { return Server.openConnections(); }
 
 private:
   void handle(net::HttpRequest request,
               const std::shared_ptr<net::HttpExchange> &exchange);
+  /// Tells how a request still came in while the entry stops.
+  void noteWhileDraining(const net::HttpRequest &request,
+                         const std::string &requestId, TimePoint now);
   /// Refuses with a status of this entry's own.
   void refuse(net::HttpExchange &exchange, const direct::CallerHead &head,
               const Error &reason, TimePoint now);
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -94,6 +94,8 @@
   /// When the key-value service last confirmed the catalog, as microseconds.
   std::atomic<int64_t> ConfirmedAt{INT64_MIN / 2};
   std::atomic<bool> Draining{false};
+  /// When that began, as microseconds.
+  std::atomic<int64_t> DrainSince{0};
   std::atomic<size_t> Running{0};
 
   std::shared_ptr<const direct::Catalog> catalog() const {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -297,6 +297,7 @@
     IsOld = Input->get().version() < 11;
   }
   HttpRequest request = toRequest(Input->release());
+  request.OnConnection = ++Handled;
   Input.reset();
   if (Buffer.size() == 0 && Buffer.capacity() > KeptBufferBytes)
     Buffer = {};
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -121,6 +121,7 @@
   boost::beast::flat_buffer Buffer;
   std::unique_ptr<Parser> Input;
   SteadyClock::time_point IdleSince;
+  uint32_t Handled = 0; ///< Requests so far.
   SteadyClock::time_point Deadline = SteadyClock::time_point::max();
   SteadyClock::time_point TimerAt = SteadyClock::time_point::max();
   State Now = State::Idle;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -30,6 +30,8 @@
   /// Path and query exactly as received. In a request to be sent it replaces
   /// Path and Query unless it is empty.
   std::string Target = {};
+  /// Which request of its connection it is, from 1 on; 0 in one to be sent.
+  uint32_t OnConnection = 0;
 
   /// Value of the first header of that name, whatever its case; empty when
   /// there is none.
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,176 @@
+/// An entry on the direct path, whole, against stand-ins on loopback.
+#pragma once
+
+#include "gateway/gateway.h"
+
+#include "gateway/stand_in.h"
+#include "platform/kv_store.h"
+#include "platform/protocol.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+
+namespace daisytack::gateway {
+
+using namespace std::chrono_literals;
+using net::HttpRequest;
+using net::HttpResponse;
+using test::ExchangePtr;
+using test::signedAnswer;
+
+constexpr auto Patience = 20s;
+
+/// Waits for something that other threads bring about.
+template <class Condition> bool eventually(Condition condition) {
+  auto end = std::chrono::steady_clock::now() + Patience;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition())
+      return true;
+    std::this_thread::sleep_for(5ms);
+  }
+  return false;
+}
+
+inline std::string configText(const std::string &keys, int version = 1) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+    {"name":"call","host":"a.example","path-prefix":"/call/","kind":"unsafe",
+     "timeout-ms":3000,"target-latency-ms":300,"service":"plain","attempts":1},
+    {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
+     "timeout-ms":3000,"target-latency-ms":300,"service":"plain","attempts":2}],
+    "services":[{"name":"plain","connection-limit":100},
+     {"name":"engines","engine":{"slots":4,"models":[{"name":"m"}]}}],
+    "limits":{"max-header-bytes":16384,"max-body-bytes":100000,
+     "header-timeout-ms":3000,"idle-timeout-ms":15000},
+    "tenants":[{"name":"org","api-keys":[)" +
+         keys + "]}]}";
+}
+
+/// An engine service with a store of kept context, and a route to it.
+inline std::string promptConfigText(const Endpoint &store) {
+  return R"({"version":1,"routes":[
+    {"name":"ask","host":"a.example","path-prefix":"/ask/","kind":"streaming",
+     "timeout-ms":3000,"target-latency-ms":800,"service":"engines",
+     "attempts":1,"sticky":true,"priority":1}],
+    "services":[{"name":"engines","engine":{"slots":4,"managed":true,
+      "kv-capacity-tokens":100000,"kv-token-bytes":1000,
+      "models":[{"name":"m"}]}},
+     {"name":"store","kv-store-address":")" +
+         toString(store) +
+         R"(","zone":"d1","kv-capacity-tokens":100000,"managed":true,
+      "max-concurrent":4}],
+    "tenants":[{"name":"org","api-keys":["k1"]}]})";
+}
+
+/// One entry with its addresses; runs until destroyed.
+class Entry {
+public:
+  Entry(net::asio::io_context &io, std::string name, const Endpoint &store,
+        std::vector<Endpoint> seeds = {})
+      : Options(optionsFor(std::move(name), store, std::move(seeds))),
+        Daemon(io, Options, platform::makeProtocol(), platform::makeKvStore) {
+    Error reason;
+    EXPECT_TRUE(Daemon.start(reason)) << reason.Detail;
+  }
+
+  static GatewayOptions optionsFor(std::string name, const Endpoint &store,
+                                   std::vector<Endpoint> seeds) {
+    GatewayOptions out;
+    out.Name = std::move(name);
+    out.FailureDomain = "d1";
+    out.Callers = test::freeEndpoint();
+    out.Readiness = test::freeEndpoint();
+    out.ReadinessPath = "/readiness";
+    out.Metrics = test::freeEndpoint();
+    out.Peers = test::freeEndpoint();
+    out.Store = store;
+    out.Seeds = std::move(seeds);
+    out.DrainNotice = 300ms;
+    out.ConfirmedFor = 1500ms;
+    out.ServersCheckFence = true;
+    out.Log.LinesPerSecond = 100;
+    return out;
+  }
+
+  GatewayOptions Options;
+  Gateway Daemon;
+};
+
+class GatewayTest : public testing::Test {
+protected:
+  GatewayTest() : Store(Threads.Io), Caller(Threads.Io, {}) {}
+  /// What the I/O threads use goes only once they have ended.
+  ~GatewayTest() override { Threads.stop(); }
+
+  Entry &start(const std::string &name, const Endpoint &store,
+               std::vector<Endpoint> seeds = {}) {
+    Entries.push_back(
+        std::make_unique<Entry>(Threads.Io, name, store, std::move(seeds)));
+    return *Entries.back();
+  }
+  test::StandInServer &standIn(test::StandInServer::Answer reply) {
+    Servers.push_back(
+        std::make_unique<test::StandInServer>(Threads.Io, std::move(reply)));
+    return *Servers.back();
+  }
+
+  void serve(const std::string &id, test::StandInServer &server,
+             const std::string &service = "plain", int version = 1) {
+    Store.put("servers/" + id,
+              R"({"service":")" + service + R"(","address":")" +
+                  toString(server.address()) +
+                  R"(","zone":"d1","slots":4,"state":"ready","models":[{)"
+                  R"("name":"m","version":)" +
+                  std::to_string(version) + "}]}");
+  }
+
+  struct Fetched {
+    Error Reason;
+    HttpResponse Response;
+  };
+  Fetched fetch(const Endpoint &to, HttpRequest request) {
+    auto promise = std::make_shared<std::promise<Fetched>>();
+    auto future = promise->get_future();
+    Caller.fetch(to, std::move(request), 10s,
+                 [promise](const Error &error, HttpResponse response) {
+                   promise->set_value({error, std::move(response)});
+                 });
+    EXPECT_EQ(future.wait_for(Patience), std::future_status::ready);
+    return future.get();
+  }
+  unsigned ready(const Entry &entry) {
+    HttpRequest request;
+    request.Method = "GET";
+    request.Path = "/readiness";
+    return fetch(entry.Options.Readiness, request).Response.Status;
+  }
+  bool waitReady(const Entry &entry) {
+    return eventually([&] { return ready(entry) == 200; });
+  }
+  static HttpRequest request(std::string target, std::string id = "r1",
+                             std::string key = "k1") {
+    HttpRequest out;
+    out.Method = "POST";
+    out.Target = std::move(target);
+    out.Headers = {{"Host", "a.example"},
+                   {"X-Daisytack-Request-Id", std::move(id)},
+                   {"X-Daisytack-Deadline-Milliseconds", "2500"},
+                   {"X-Api-Key", std::move(key)}};
+    out.Body = "body";
+    return out;
+  }
+  unsigned statusOf(const Entry &entry, const HttpRequest &what) {
+    return fetch(entry.Options.Callers, what).Response.Status;
+  }
+  static void answer(const HttpRequest &what, const ExchangePtr &to) {
+    to->respond(signedAnswer(what));
+  }
+
+  net::IoThreads Threads;
+  test::StandInStore Store;
+  net::HttpClient Caller;
+  std::vector<std::unique_ptr<test::StandInServer>> Servers;
+  std::vector<std::unique_ptr<Entry>> Entries;
+};
+
+} // namespace daisytack::gateway
