Take no request late in a stop, and answer what is left before the end

Cause: that a stopping entry takes nothing new was an effect of closing what was idle at one moment. A streamed answer whose head had promised to keep the connection ended later, the connection was idle again for 250 ms, and the next request on it was taken and passed on, up to 7.5 s after the signal. Requests half read at that moment, and pipelined ones, came in the same way. And the entry did not know when the platform would end it, so that what it held then was cut without a word.

Change: the HTTP server asks at each request whether its time is over, whatever the connection was doing, and refuses it as not run (503, come back in 10 ms, which leads to another entry). A connection that the kernel had taken just before the listener closed is served; it was dropped. A drain has an end: [process] kill_after, from the platform's grace period; 500 ms before it, requests without the beginning of an answer get a final one, and streams go on. Time in which the process stood still, or held the signal back while starting, counts. A repeated SIGTERM changes nothing any more; it cut answers off.

The test of the second signal now sends SIGINT's repetition under its name and stands as strict as it was; a repeated SIGTERM has a test of its own.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -269,6 +269,12 @@
   end();
 }
 
+void ForwardFlow::onProcessEnd(TimePoint now) {
+  if (IsEnded || HasBegun)
+    return;
+  giveUp({ErrorKind::Draining, "the entry ends before the answer"}, now);
+}
+
 void ForwardFlow::arm(TimePoint now) {
   TimePoint at = Request.Deadline;
   Duration silence = scaled(Request.Via.TargetLatency, Settings.SilenceFactor);
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -110,6 +110,9 @@
   void onDone(uint32_t attempt, const Error &error, bool unsent, TimePoint now);
   void onTimer(TimePoint now);
   void onCallerGone(TimePoint now);
+  /// The process is about to end: without an answer that has begun there will
+  /// be none, and the caller is told what is known. One that has begun goes on.
+  void onProcessEnd(TimePoint now);
 
   const ForwardRequest &request() const { return Request; }
   bool isEnded() const { return IsEnded; }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "gateway/gateway_request.h"
 #include "net/http_status.h"
 
 #include <algorithm>
@@ -13,6 +14,10 @@
 
 constexpr Duration TickInterval{100'000};
 constexpr Duration DrainCheck{20'000};
+/// After the listener was closed, connections that are still open keep the
+/// process for at most so long when nothing runs on them: a caller closes its
+/// side one trip after it has read that the connection ends.
+constexpr Duration Farewell{500'000};
 /// Loads of servers that were not used for so long are forgotten.
 constexpr Duration LoadMemory{60'000'000};
 /// A server that takes new weights is left alone for at most so long: its runs
@@ -134,7 +139,7 @@
 }
 
 void Gateway::answerReadiness(net::HttpExchange &exchange) const {
-  bool isReady = State.catalog()->Config != nullptr && !State.Draining;
+  bool isReady = State.catalog()->Config != nullptr && !State.Drain.load();
   exchange.respond({isReady ? net::StatusOk : net::StatusUnavailable, {}, {}});
 }
 
@@ -222,31 +227,31 @@
   });
 }
 
-void Gateway::drain(std::function<void()> done) {
+void Gateway::drain(TimePoint end, std::function<void()> done) {
   Orders->stop();
   Drained = std::move(done);
-  DrainSince = monotonicNow();
-  State.DrainSince = DrainSince.time_since_epoch().count();
-  State.Draining = true;
+  TimePoint now = monotonicNow();
+  // A process that stood still saw the signal late.
+  TimePoint sent = std::min(TickedAt + 2 * TickInterval, now);
+  State.Drain =
+      std::make_shared<const direct::DrainPlan>(Options.Drain, sent, now, end);
   Callers.endConnections();
   Log.write(LogWeight::Notable, "draining",
-            {{"running", State.Running.load()},
+            {{"running", State.Running.size()},
              {"connections", Callers.openConnections()},
-             {"since_last_tick_ms", (DrainSince - TickedAt).count() / 1000}},
-            DrainSince);
+             {"since_last_tick_ms", (now - TickedAt).count() / 1000}},
+            now);
   watchDrain();
 }
 
 void Gateway::watchDrain() {
-  bool isNoticed = monotonicNow() - DrainSince >= Options.DrainNotice;
-  if (isNoticed && !std::exchange(IsListenerClosed, true)) {
-    Callers.stopAccepting();
-    Log.write(LogWeight::Notable, "listener_closed",
-              {{"running", State.Running.load()},
-               {"connections", Callers.openConnections()}},
-              monotonicNow());
-  }
-  if (isNoticed && State.Running == 0 && Callers.unsentAnswers() == 0)
+  TimePoint now = monotonicNow();
+  std::shared_ptr<const direct::DrainPlan> plan = State.Drain.load();
+  if (!plan->isListening(now))
+    closeListener(now);
+  if (plan->isLastWord(now))
+    sayLastWord(now);
+  if (isDrained(now))
     return finish();
   DrainTimer.expires_after(DrainCheck);
   DrainTimer.async_wait([this](auto ec) {
@@ -255,6 +260,36 @@
   });
 }
 
+void Gateway::closeListener(TimePoint now) {
+  if (ListenerClosedAt)
+    return;
+  ListenerClosedAt = now;
+  Callers.stopAccepting();
+  Log.write(LogWeight::Notable, "listener_closed",
+            {{"running", State.Running.size()},
+             {"connections", Callers.openConnections()}},
+            now);
+}
+
+void Gateway::sayLastWord(TimePoint now) {
+  if (std::exchange(IsLastWordSaid, true))
+    return;
+  std::vector<std::shared_ptr<GatewayRequest>> running = State.Running.all();
+  for (const auto &request : running)
+    request->giveUpUnanswered();
+  Log.write(LogWeight::Notable, "last_word", {{"running", running.size()}},
+            now);
+}
+
+bool Gateway::isDrained(TimePoint now) const {
+  if (!ListenerClosedAt || State.Running.size() > 0 ||
+      Callers.unsentAnswers() > 0)
+    return false;
+  // A request that was on its way when the listener closed is still met, and
+  // the last answers reach callers that have yet to read them.
+  return Callers.openConnections() == 0 || now >= *ListenerClosedAt + Farewell;
+}
+
 void Gateway::finish() {
   Announced->stop();
   Contexts->stop();
@@ -262,8 +297,9 @@
   PeerLoads->stop();
   Follower->stop();
   TimePoint now = monotonicNow();
+  Duration drained = State.Drain.load()->age(now);
   Log.write(LogWeight::Notable, "stopped",
-            {{"drained_ms", (now - DrainSince).count() / 1000}}, now);
+            {{"drained_ms", drained.count() / 1000}}, now);
   Log.flush(now);
   std::exchange(Drained, nullptr)();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisytack::gateway {
 
@@ -34,8 +35,9 @@
   /// restart.
   void reload(const GatewayOptions &options);
   /// Not ready from now on; calls done once all requests were answered and the
-  /// balancer has noticed.
-  void drain(std::function<void()> done);
+  /// balancer has noticed. What has no answer shortly before the process ends
+  /// gets a final one.
+  void drain(TimePoint end, std::function<void()> done);
 
 private:
   void answerReadiness(net::HttpExchange &exchange) const;
@@ -49,6 +51,10 @@
   OrderDriverSettings orderSettings() const;
   void tick();
   void watchDrain();
+  void closeListener(TimePoint now);
+  void sayLastWord(TimePoint now);
+  /// Whether nothing is left that a caller waits for.
+  bool isDrained(TimePoint now) const;
   void finish();
 
   GatewayOptions Options;
@@ -68,10 +74,10 @@
   net::HttpServer MetricsServer;
   boost::asio::steady_timer Ticker;
   boost::asio::steady_timer DrainTimer;
-  TimePoint DrainSince;
   /// Last time that the process was known to run.
   TimePoint TickedAt;
-  bool IsListenerClosed = false;
+  std::optional<TimePoint> ListenerClosedAt;
+  bool IsLastWordSaid = false;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
   std::map<std::string, uint64_t> LoadingFrom; ///< Servers and their version.
   std::function<void()> Drained;
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -14,16 +14,12 @@
 /// When an entry without a configuration, or with one that may be out of date,
 /// asks callers to come back: one round of its calls to the service.
 constexpr Duration ComeBackSoon{300'000};
+/// When a caller that came to a stopping entry is to come back: at once, as its
+/// new connection leads to another entry.
+constexpr Duration ComeBackElsewhere{10'000};
 /// For callers and routes that both name no time.
 constexpr Duration LongestRequest{60'000'000};
 
-net::HttpServerInit serverInit(const GatewayOptions &options) {
-  net::HttpServerInit out;
-  out.Listen = options.Callers;
-  out.MaxConnections = options.MaxConnections;
-  return out;
-}
-
 /// The service that the request falls to, by the weights of the route; repeats
 /// of a request id fall to the same.
 std::string serviceOf(const direct::Route &route, std::string_view requestId) {
@@ -53,12 +49,22 @@
 
 GatewayHttp::GatewayHttp(GatewayState &state)
     : State(state),
-      Server(state.Io, serverInit(state.Options),
+      Server(state.Io, serverInit(),
              [this](net::HttpRequest request,
                     const std::shared_ptr<net::HttpExchange> &exchange) {
                handle(std::move(request), exchange);
              }) {}
 
+net::HttpServerInit GatewayHttp::serverInit() {
+  net::HttpServerInit out;
+  out.Listen = State.Options.Callers;
+  out.MaxConnections = State.Options.MaxConnections;
+  out.RefuseLate = [this](const net::HttpRequest &request) {
+    return refuseLate(request, monotonicNow());
+  };
+  return out;
+}
+
 bool GatewayHttp::start(Error &reason) { return Server.start(reason); }
 
 void GatewayHttp::setLimits(const direct::CallerLimits &limits) {
@@ -75,9 +81,26 @@
           detail + "; the configuration here may be out of date", ComeBackSoon};
 }
 
+net::HttpResponse GatewayHttp::refuseLate(const net::HttpRequest &request,
+                                          TimePoint now) {
+  State.Counts.Requests.add();
+  Error unread;
+  direct::CallerHead head =
+      State.Speak.ReadCaller(request, unread).value_or(direct::CallerHead{});
+  noteWhileDraining(request, head.RequestId, now);
+  return refusal(
+      head, {ErrorKind::Draining, "this entry is stopping", ComeBackElsewhere},
+      now);
+}
+
 void GatewayHttp::refuse(net::HttpExchange &exchange,
                          const direct::CallerHead &head, const Error &reason,
                          TimePoint now) {
+  exchange.respond(refusal(head, reason, now));
+}
+
+net::HttpResponse GatewayHttp::refusal(const direct::CallerHead &head,
+                                       const Error &reason, TimePoint now) {
   unsigned status = errorStatus(reason.Kind);
   State.Counts.Refused.add();
   auto catalog = State.catalog();
@@ -91,18 +114,18 @@
                    {"config_revision", catalog->ConfigRevision},
                    {"confirmed", State.isConfirmed(now)}},
                   now);
-  exchange.respond(State.Speak.OwnAnswer(status, head.RequestId, reason));
+  return State.Speak.OwnAnswer(status, head.RequestId, reason);
 }
 
 void GatewayHttp::noteWhileDraining(const net::HttpRequest &request,
                                     const std::string &requestId,
                                     TimePoint now) {
-  if (!State.Draining)
+  std::shared_ptr<const direct::DrainPlan> drain = State.Drain.load();
+  if (!drain)
     return;
-  Duration drained = now.time_since_epoch() - Duration(State.DrainSince);
   State.Log.write(LogWeight::Notable, "request_while_draining",
                   {{"request", requestId},
-                   {"drained_ms", drained.count() / 1000},
+                   {"drained_ms", drain->age(now).count() / 1000},
                    {"on_connection", request.OnConnection}},
                   now);
 }
--- a/src/gateway/gateway_http.h
+++ b/src/gateway/gateway_http.h
@@ -25,12 +25,18 @@
   size_t openConnections() const { return Server.openConnections(); }
 
 private:
+  net::HttpServerInit serverInit();
   void handle(net::HttpRequest request,
               const std::shared_ptr<net::HttpExchange> &exchange);
   /// Tells how a request still came in while the entry stops.
   void noteWhileDraining(const net::HttpRequest &request,
                          const std::string &requestId, TimePoint now);
-  /// Refuses with a status of this entry's own.
+  /// For a request that came after the last ones were taken.
+  net::HttpResponse refuseLate(const net::HttpRequest &request, TimePoint now);
+  /// Logs and counts the refusal, and makes its answer with a status of this
+  /// entry's own.
+  net::HttpResponse refusal(const direct::CallerHead &head, const Error &reason,
+                            TimePoint now);
   void refuse(net::HttpExchange &exchange, const direct::CallerHead &head,
               const Error &reason, TimePoint now);
   /// An unknown route or key: for good only when the configuration is known to
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -23,8 +23,10 @@
   out.MaxConnections = static_cast<size_t>(settings.integer(
       "callers.max_connections", static_cast<int64_t>(out.MaxConnections), 1,
       MostConnections));
-  out.DrainNotice =
-      settings.duration("entry.drain_notice", out.DrainNotice, 0s, 1min);
+  out.Drain.Notice =
+      settings.duration("entry.drain_notice", out.Drain.Notice, 0s, 1min);
+  out.Drain.LastWord =
+      settings.duration("entry.drain_last_word", out.Drain.LastWord, 0s, 1min);
   out.ConfirmedFor =
       settings.duration("store.confirmed_for", out.ConfirmedFor, 100ms, 1min);
   out.LeaseTerm =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -7,6 +7,7 @@
 #include "decide/ejection.h"
 #include "decide/retry_budget.h"
 #include "direct/catalog.h"
+#include "direct/drain_plan.h"
 #include "direct/forward_flow.h"
 #include "direct/kept_context.h"
 #include "direct/placement.h"
@@ -49,9 +50,7 @@
   Endpoint Store; ///< The key-value service.
   std::vector<Endpoint> Seeds; ///< Peers to ask before any is known.
   size_t MaxConnections = 2000;
-  /// After SIGTERM new connections are accepted for so long, until the balancer
-  /// has noticed: it asks once a second and believes the second miss.
-  Duration DrainNotice{2'500'000};
+  direct::DrainSettings Drain;
   /// A configuration that was confirmed so long ago may be out of date: unknown
   /// routes and keys are then refused for now, not for good.
   Duration ConfirmedFor{2'500'000};
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -33,7 +33,7 @@
 }
 
 void GatewayRequest::start() {
-  ++State.Running;
+  State.Running.add(shared_from_this());
   State.Counts.Running.add(1);
   budget().onRequest();
   Exchange->onClosed([weak = weak_from_this()] {
@@ -90,7 +90,7 @@
   out.ArmTimer = [this](TimePoint at) { armTimer(at); };
   out.Ended = [this] {
     Timer.cancel();
-    --State.Running;
+    State.Running.remove(this);
     State.Counts.Running.add(-1);
     State.Counts.Whole.observe(monotonicNow() - Flow.request().Arrived);
   };
@@ -287,6 +287,10 @@
   logEnd(status, isRefusal ? "refused" : "failed", reason);
 }
 
+void GatewayRequest::giveUpUnanswered() {
+  onStrand([this] { Flow.onProcessEnd(monotonicNow()); });
+}
+
 void GatewayRequest::armTimer(TimePoint at) {
   Duration wait = std::max(at - monotonicNow(), Duration::zero());
   Timer.expires_after(wait);
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -20,6 +20,9 @@
 
   /// Once, before anything else.
   void start();
+  /// The process is about to end: a request whose answer has not begun gets its
+  /// final one now. Thread-safe.
+  void giveUpUnanswered();
 
 private:
   direct::ForwardHooks hooks();
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -162,6 +162,30 @@
       Control(io, clientInit(IdlePerControl, ControlConnect)),
       Catalog(options.Catalog, catalogHooks(Speak, log)) {}
 
+void RunningRequests::add(const std::shared_ptr<GatewayRequest> &request) {
+  std::lock_guard guard(Lock);
+  Requests[request.get()] = request;
+}
+
+void RunningRequests::remove(const GatewayRequest *request) {
+  std::lock_guard guard(Lock);
+  Requests.erase(request);
+}
+
+std::vector<std::shared_ptr<GatewayRequest>> RunningRequests::all() const {
+  std::vector<std::shared_ptr<GatewayRequest>> out;
+  std::lock_guard guard(Lock);
+  for (const auto &[raw, weak] : Requests)
+    if (auto request = weak.lock())
+      out.push_back(std::move(request));
+  return out;
+}
+
+size_t RunningRequests::size() const {
+  std::lock_guard guard(Lock);
+  return Requests.size();
+}
+
 bool GatewayState::isConfirmed(TimePoint now) const {
   return now.time_since_epoch().count() - ConfirmedAt.load() <
          Options.ConfirmedFor.count();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include "base/decision_log.h"
 #include "base/metrics.h"
+#include "direct/drain_plan.h"
 #include "direct/placement.h"
 #include "direct/protocol.h"
 #include "gateway/gateway_options.h"
@@ -16,6 +17,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace daisytack::gateway {
 
@@ -70,6 +72,21 @@
   std::map<std::string, std::unique_ptr<RetryBudget>> Budgets;
 };
 
+class GatewayRequest;
+
+/// The requests without a final answer. Thread-safe.
+class RunningRequests {
+public:
+  void add(const std::shared_ptr<GatewayRequest> &request);
+  void remove(const GatewayRequest *request);
+  std::vector<std::shared_ptr<GatewayRequest>> all() const;
+  size_t size() const;
+
+private:
+  mutable std::mutex Lock;
+  std::map<const GatewayRequest *, std::weak_ptr<GatewayRequest>> Requests;
+};
+
 /// Thread-safe in all members.
 struct GatewayState {
   GatewayState(boost::asio::io_context &io, const GatewayOptions &options,
@@ -93,10 +110,9 @@
   direct::CatalogKeeper Catalog;
   /// When the key-value service last confirmed the catalog, as microseconds.
   std::atomic<int64_t> ConfirmedAt{INT64_MIN / 2};
-  std::atomic<bool> Draining{false};
-  /// When that began, as microseconds.
-  std::atomic<int64_t> DrainSince{0};
-  std::atomic<size_t> Running{0};
+  /// Null until the process was told to stop.
+  std::atomic<std::shared_ptr<const direct::DrainPlan>> Drain;
+  RunningRequests Running;
 
   std::shared_ptr<const direct::Catalog> catalog() const {
     return Catalog.view();
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -79,7 +79,7 @@
 void OrderDriver::seekHolder(const direct::Catalog &catalog, TimePoint now) {
   bool isNeeded = catalog.Config && catalog.Holder.empty() &&
                   !Holder->isHeld() && !Holder->isTrying() &&
-                  State.isConfirmed(now) && !State.Draining;
+                  State.isConfirmed(now) && !State.Drain.load();
   if (!isNeeded) {
     SeekAt.reset();
     return;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -14,8 +14,6 @@
 namespace {
 
 constexpr size_t KeptBufferBytes = 4096; ///< More is freed between requests.
-/// A request that was on its way when the server stopped accepting is met.
-constexpr Duration LastIdleTime{250'000};
 constexpr std::string_view HeaderEnd = "\r\n\r\n";
 constexpr size_t HeaderReadBytes = 4096; ///< Read at once.
 constexpr unsigned HttpVersion11 = 11;
@@ -111,6 +109,24 @@
 
 } // namespace
 
+bool HttpServerShared::stop(SteadyClock::time_point now) {
+  if (Stopping.exchange(true))
+    return false;
+  HandlesUntil = now + Init.LastRequests;
+  return true;
+}
+
+HttpResponse HttpServerShared::refuseLate(const HttpRequest &request) const {
+  if (Init.RefuseLate)
+    return Init.RefuseLate(request);
+  return problemResponse({ErrorKind::Draining, "this process is stopping"},
+                         Outcome::NotRun, RequestId{});
+}
+
+Duration HttpServerShared::idleTime() const {
+  return Stopping ? Init.LastRequests : limits()->IdleTimeout;
+}
+
 std::vector<std::shared_ptr<HttpConnection>> HttpServerShared::connections() {
   std::vector<std::shared_ptr<HttpConnection>> out;
   std::lock_guard guard(Lock);
@@ -141,7 +157,7 @@
   tuneSocket(Socket);
   asio::dispatch(Socket.get_executor(), [self = shared_from_this()] {
     self->IdleSince = SteadyClock::now();
-    self->setDeadline(self->Shared->limits()->IdleTimeout);
+    self->setDeadline(self->Shared->idleTime());
     self->waitReadable();
   });
 }
@@ -149,7 +165,7 @@
 void HttpConnection::closeWhenIdle() {
   asio::post(Socket.get_executor(), [self = shared_from_this()] {
     if (self->Now == State::Idle)
-      self->setDeadline(LastIdleTime);
+      self->setDeadline(self->Shared->idleTime());
   });
 }
 
@@ -306,7 +322,11 @@
   else
     Pipelined = true;
   auto exchange = std::make_shared<Exchange>(shared_from_this(), serial);
-  if (!Shared->Closed)
+  // Asked of each request: a connection may become idle, and take another
+  // request, long after the idle ones were closed.
+  if (SteadyClock::now() > Shared->HandlesUntil.load())
+    exchange->respond(Shared->refuseLate(request));
+  else if (!Shared->Closed)
     Shared->Handler(std::move(request), std::move(exchange));
 }
 
@@ -321,7 +341,7 @@
     return;
   }
   IdleSince = SteadyClock::now();
-  setDeadline(Shared->Stopping ? LastIdleTime : Shared->limits()->IdleTimeout);
+  setDeadline(Shared->idleTime());
   waitReadable();
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -30,6 +30,12 @@
                        Init.ReadTimeout, Init.IdleTimeout})) {}
 
   std::shared_ptr<const HttpLimits> limits() const { return Limits.load(); }
+  /// From now on connections end and, a moment later, requests are refused.
+  /// False when that was so before.
+  bool stop(SteadyClock::time_point now);
+  HttpResponse refuseLate(const HttpRequest &request) const;
+  /// How long a connection may wait for a request.
+  Duration idleTime() const;
 
   const HttpServerInit Init;
   const HttpHandler Handler;
@@ -39,6 +45,9 @@
   std::atomic<size_t> Open{0};
   std::atomic<size_t> Answering{0}; ///< Handed over and not wholly sent.
   std::atomic<bool> Stopping{false};
+  /// Requests that are whole later reach no handler.
+  std::atomic<SteadyClock::time_point> HandlesUntil{
+      SteadyClock::time_point::max()};
   std::atomic<bool> Closed{false}; ///< The handler may not be called any more.
 
   std::mutex Lock; ///< Guards Connections only.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -61,12 +61,14 @@
 }
 
 void HttpServer::Impl::onAccepted(ErrorCode ec, StrandSocket socket) {
+  // A connection that came just before the listener was closed is served: to
+  // its caller it was open.
+  if (!ec)
+    admit(std::move(socket));
   if (!Acceptor.is_open())
     return;
-  if (!ec) {
-    admit(std::move(socket));
+  if (!ec)
     return accept();
-  }
   Pause.expires_after(AcceptPause);
   Pause.async_wait([self = shared_from_this()](ErrorCode failed) {
     if (!failed && self->Acceptor.is_open())
@@ -75,7 +77,7 @@
 }
 
 void HttpServer::Impl::admit(StrandSocket socket) {
-  if (Shared->Open >= Shared->Init.MaxConnections)
+  if (Shared->Closed || Shared->Open >= Shared->Init.MaxConnections)
     return; // Closed by its destructor.
   std::make_shared<HttpConnection>(std::move(socket), Shared)->start();
 }
@@ -117,7 +119,7 @@
 }
 
 void HttpServer::stopAccepting() {
-  if (Self->Shared->Stopping.exchange(true))
+  if (!Self->Shared->stop(SteadyClock::now()))
     return;
   asio::dispatch(Self->Acceptor.get_executor(), [self = Self] {
     if (!self->Acceptor.is_open())
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -91,6 +91,12 @@
   Duration ReadTimeout{10'000'000};  ///< For the headers, and for the body.
   Duration IdleTimeout{
       60'000'000}; ///< Between requests, and for a write without progress.
+  /// After stopAccepting, requests that were on their way are still handled for
+  /// so long.
+  Duration LastRequests{250'000};
+  /// Makes the refusal of a request that came later still; by default a problem
+  /// that names the remedy.
+  std::function<HttpResponse(const HttpRequest &)> RefuseLate = {};
 };
 
 class HttpServer {
@@ -110,7 +116,9 @@
   void endConnectionsAfterAnswers();
   /// Accepts no further connection and closes idle ones after a moment, in
   /// which a request that was on its way still reaches the handler; running
-  /// exchanges go on, each the last of its connection.
+  /// exchanges go on, each the last of its connection. Whatever its connection
+  /// was doing, a request that is whole only after that moment is refused, and
+  /// reaches no handler.
   void stopAccepting();
   size_t openConnections() const;
   /// Requests handed to the handler whose answer has not wholly been given to
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -1,11 +1,13 @@
 #include "runtime/process.h"
 
+#include "base/clock.h"
 #include "runtime/process_log.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -27,12 +29,17 @@
 constexpr int64_t MaxThreads = 256;
 /// Between looks at the settings file.
 constexpr std::chrono::seconds FileCheck{1};
+/// Before the platform kills the process it ends by itself: its last bytes get
+/// out, and its exit code is its own.
+constexpr Duration KillMargin{200'000};
 
 /// Settings of the frame itself.
 struct FrameSettings {
   unsigned Threads = 1;
   std::string LogLevel;
   Duration DrainTimeout{0};
+  /// The platform kills the process so long after its signal; zero: never.
+  Duration KillAfter{0};
 };
 
 FrameSettings readFrameSettings(Settings &settings) {
@@ -44,6 +51,8 @@
   out.DrainTimeout =
       settings.duration("process.drain_timeout", std::chrono::minutes(2),
                         Duration(0), std::chrono::hours(24));
+  out.KillAfter = settings.duration("process.kill_after", Duration(0),
+                                    Duration(0), std::chrono::hours(24));
   return out;
 }
 
@@ -58,15 +67,26 @@
   pthread_sigmask(how, &handled, nullptr);
 }
 
+/// Whether the signal was sent and is held back.
+bool isPending(int number) {
+  sigset_t pending;
+  sigemptyset(&pending);
+  sigpending(&pending);
+  return sigismember(&pending, number) == 1;
+}
+
 /// Runs the context until the daemon has drained.
 class Frame {
 public:
-  Frame(const ProcessInit &init, const FrameSettings &settings)
-      : Init(init), Config(settings), Io(static_cast<int>(settings.Threads)),
-        Signals(Io, SIGTERM, SIGINT), Hangups(Io, SIGHUP), Timer(Io),
-        FileTimer(Io), FileSeen(fileState()) {}
+  /// Built for a process that began at that time.
+  Frame(const ProcessInit &init, const FrameSettings &settings,
+        TimePoint begunAt)
+      : Init(init), Config(settings), BegunAt(begunAt),
+        Io(static_cast<int>(settings.Threads)), Signals(Io, SIGTERM, SIGINT),
+        Hangups(Io, SIGHUP), Timer(Io), FileTimer(Io), FileSeen(fileState()) {}
 
   ExitCode run() {
+    WasHeldBack = isPending(SIGTERM) || isPending(SIGINT);
     waitForSignal();
     waitForHangup();
     holdSignals(SIG_UNBLOCK);
@@ -87,9 +107,9 @@
 
 private:
   void waitForSignal() {
-    Signals.async_wait([this](boost::system::error_code ec, int) {
+    Signals.async_wait([this](boost::system::error_code ec, int number) {
       if (!ec)
-        onSignal();
+        onSignal(number);
     });
   }
 
@@ -143,20 +163,38 @@
     Init.Reload();
   }
 
-  void onSignal() {
-    if (IsDraining) {
-      stop(ExitCode::Interrupted);
-      return;
-    }
-    IsDraining = true;
+  /// When a drain that begins now ends, whatever is left.
+  TimePoint drainEnd(TimePoint now) const {
+    TimePoint end = now + Config.DrainTimeout;
+    if (Config.KillAfter == Duration::zero())
+      return end;
+    // A signal that was held back may have been sent when the process began.
+    TimePoint sent = WasHeldBack ? BegunAt : now;
+    return std::clamp(sent + Config.KillAfter - KillMargin, now, end);
+  }
+
+  void onSignal(int number) {
     waitForSignal();
-    logInfo("draining, for at most " + toString(Config.DrainTimeout));
-    Timer.expires_after(Config.DrainTimeout);
+    if (IsDraining)
+      return onSignalAgain(number);
+    IsDraining = true;
+    TimePoint now = monotonicNow();
+    TimePoint end = drainEnd(now);
+    logInfo("draining, for at most " + toString(end - now));
+    Timer.expires_after(end - now);
     Timer.async_wait([this](boost::system::error_code ec) {
       if (!ec)
         stop(ExitCode::DrainTimeout);
     });
-    Init.Drain([this] { stop(ExitCode::Done); });
+    Init.Drain(end, [this] { stop(ExitCode::Done); });
+  }
+
+  /// A platform may repeat its signal, and that must cut nothing off; a person
+  /// at a terminal who interrupts twice wants the process gone.
+  void onSignalAgain(int number) {
+    if (number == SIGINT)
+      return stop(ExitCode::Interrupted);
+    logInfo("draining already");
   }
 
   void stop(ExitCode code) {
@@ -175,6 +213,8 @@
 
   const ProcessInit &Init;
   FrameSettings Config;
+  TimePoint BegunAt;
+  bool WasHeldBack = false; ///< A signal to stop came before its handler.
   boost::asio::io_context Io;
   boost::asio::signal_set Signals;
   boost::asio::signal_set Hangups;
@@ -193,7 +233,7 @@
     std::cerr << toString(error) << "\n";
 }
 
-int runConfigured(const ProcessInit &init) {
+int runConfigured(const ProcessInit &init, TimePoint begunAt) {
   Settings settings = Settings::fromFile(FLAGS_config);
   FrameSettings frame = readFrameSettings(settings);
   init.ReadSettings(settings);
@@ -207,7 +247,7 @@
     return asInt(ExitCode::Done);
   }
   openLog(init.Name, frame.LogLevel);
-  return asInt(Frame(init, frame).run());
+  return asInt(Frame(init, frame, begunAt).run());
 }
 
 } // namespace
@@ -224,11 +264,12 @@
          "SIGTERM or SIGINT drains: no new work, what was accepted "
          "finishes.\n\n"
          "exit codes: 0 done, 1 command line, 2 settings, 3 can't start,\n"
-         "            4 drain timeout, 5 second signal while draining\n";
+         "            4 drain timeout, 5 SIGINT while draining\n";
 }
 
 int runProcess(int argc, char **argv, const ProcessInit &init) {
   holdSignals(SIG_BLOCK);
+  TimePoint begunAt = monotonicNow();
   gflags::SetUsageMessage(processUsage(init));
   gflags::SetVersionString(DAISYTACK_VERSION);
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
@@ -250,7 +291,7 @@
               << "; see --help\n";
     return asInt(ExitCode::CommandLine);
   }
-  return runConfigured(init);
+  return runConfigured(init, begunAt);
 }
 
 } // namespace daisytack::runtime
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -20,7 +20,7 @@
   Start = 3,       ///< An address can't be had, or a like cause.
   DrainTimeout =
       4,           ///< Accepted work was cut off after [process] drain_timeout.
-  Interrupted = 5, ///< A second signal came while draining.
+  Interrupted = 5, ///< SIGINT came while draining.
 };
 
 /// What one daemon adds to the frame.
@@ -32,8 +32,9 @@
   /// Builds the daemon over the context; false with the reason when it can't.
   std::function<bool(boost::asio::io_context &, Error &reason)> Start;
   /// Called once on an I/O thread, after SIGTERM or SIGINT: refuses new work,
-  /// finishes what was accepted, then calls done.
-  std::function<void(std::function<void()> done)> Drain;
+  /// finishes what was accepted, then calls done. The process ends at the given
+  /// time whatever is left.
+  std::function<void(TimePoint end, std::function<void()> done)> Drain;
   /// Called with no I/O thread left running; frees what Start built.
   std::function<void()> Stop;
   /// Called on an I/O thread after SIGHUP, and when the file has changed, with
@@ -43,7 +44,7 @@
 };
 
 /// Runs the daemon to its end. Flags: --config, --check, --version, --help.
-/// Settings: [process] threads, log_level and drain_timeout.
+/// Settings: [process] threads, log_level, drain_timeout and kill_after.
 int runProcess(int argc, char **argv, const ProcessInit &init);
 
 /// The text that --help prints.
--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -1,11 +1,16 @@
 #include "runtime/process.h"
 
+#include "base/clock.h"
+
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 #include <gtest/gtest.h>
 
 #include <csignal>
 #include <fstream>
+#include <memory>
+#include <thread>
 
 namespace daisytack::runtime {
 
@@ -41,7 +46,7 @@
                      boost::asio::post(io, [] { std::raise(SIGTERM); });
                      return true;
                    },
-                   [this](const std::function<void()> &done) {
+                   [this](TimePoint, const std::function<void()> &done) {
                      Calls.emplace_back("drain");
                      done();
                    },
@@ -55,11 +60,65 @@
   EXPECT_EQ(Calls, (std::vector<std::string>{"start", "drain", "stop"}));
 }
 
-TEST_F(Process, ASecondSignalEndsADrainThatHangs) {
-  Init.Drain = [](const std::function<void()> &) { std::raise(SIGINT); };
+TEST_F(Process, AnInterruptEndsADrainThatHangs) {
+  Init.Drain = [](TimePoint, const std::function<void()> &) {
+    std::raise(SIGINT);
+  };
   EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 5);
 }
 
+TEST_F(Process, ARepeatedSignalCutsNothingOff) {
+  boost::asio::io_context *context = nullptr;
+  Init.Start = [&](boost::asio::io_context &io, Error &) {
+    context = &io;
+    boost::asio::post(io, [] { std::raise(SIGTERM); });
+    return true;
+  };
+  Init.Drain = [&](TimePoint, std::function<void()> done) {
+    std::raise(SIGTERM);
+    auto later = std::make_shared<boost::asio::steady_timer>(*context);
+    later->expires_after(std::chrono::milliseconds(50));
+    later->async_wait([later, done = std::move(done)](auto) { done(); });
+  };
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
+}
+
+TEST_F(Process, EndsByItselfBeforeThePlatformKillsIt) {
+  TimePoint drainedAt;
+  TimePoint told;
+  Init.Drain = [&](TimePoint end, const std::function<void()> &) {
+    drainedAt = monotonicNow();
+    told = end;
+  };
+  EXPECT_EQ(run({fileWith("[process]\nkill_after = 500ms\n"
+                          "log_level = error\n")}),
+            4);
+  EXPECT_GE(told, drainedAt);
+  EXPECT_LT(told, drainedAt + std::chrono::milliseconds(500));
+}
+
+TEST_F(Process, CountsASignalThatWasHeldBackFromTheProcessStart) {
+  TimePoint began = monotonicNow();
+  TimePoint told;
+  sigset_t toStop;
+  sigemptyset(&toStop);
+  sigaddset(&toStop, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &toStop, nullptr);
+  std::raise(SIGTERM);
+  Init.Start = [](boost::asio::io_context &, Error &) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    return true;
+  };
+  Init.Drain = [&](TimePoint end, const std::function<void()> &done) {
+    told = end;
+    done();
+  };
+  EXPECT_EQ(run({fileWith("[process]\nkill_after = 10s\n"
+                          "log_level = error\n")}),
+            0);
+  EXPECT_LT(told, began + std::chrono::seconds(10));
+}
+
 TEST_F(Process, ReadsItsSettingsAgainOnHangup) {
   int64_t n = 0;
   Init.ReadSettings = [&](Settings &it) { n = it.integer("trial.n", 1, 0, 9); };
@@ -120,7 +179,7 @@
 }
 
 TEST_F(Process, ADrainIsBoundedInTime) {
-  Init.Drain = [](const std::function<void()> &) {};
+  Init.Drain = [](TimePoint, const std::function<void()> &) {};
   EXPECT_EQ(run({fileWith("[process]\ndrain_timeout = 0s\n"
                           "log_level = error\n")}),
             4);
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -232,6 +232,28 @@
   EXPECT_EQ(it.Results, std::vector{AttemptResult::Abandoned});
 }
 
+TEST(ForwardFlow, IsAnsweredBeforeTheProcessEnds) {
+  FlowHarness it(routeFor(RouteKind::NonIdempotent, 1));
+  it.Flow.start(FlowStart);
+  it.Flow.onProcessEnd(FlowStart + 1s);
+  EXPECT_TRUE(it.did("cancel 1"));
+  EXPECT_EQ(it.FinalStatus, 502U); // It may have run.
+  EXPECT_EQ(it.Finals, 1U);
+  it.Flow.onProcessEnd(FlowStart + 2s);
+  EXPECT_EQ(it.Finals, 1U);
+}
+
+TEST(ForwardFlow, GoesOnWithAnAnswerThatHasBegunWhenTheProcessEndsSoon) {
+  FlowHarness it(routeFor(RouteKind::Stream, 1));
+  it.Flow.start(FlowStart);
+  it.Flow.onHead(1, headOf(200), FlowStart);
+  it.Flow.onData(1, "id: 1\ndata: a\n\n", FlowStart);
+  it.Flow.onProcessEnd(FlowStart + 1s);
+  EXPECT_FALSE(it.did("break"));
+  it.Flow.onDone(1, {}, false, FlowStart + 1s);
+  EXPECT_TRUE(it.did("end"));
+}
+
 TEST(ForwardFlow, IgnoresWhatComesFromAnEarlierAttempt) {
   FlowHarness it(routeFor(RouteKind::Idempotent, 2));
   it.Flow.start(FlowStart);
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -11,6 +11,8 @@
 /// server.
 #include "gateway/gateway_fixture.h"
 
+#include "base/clock.h"
+
 namespace daisytack::gateway {
 namespace {
 
@@ -27,14 +29,17 @@
          id + "\r\nX-Daisytack-Deadline-Milliseconds: 30000\r\n\r\n";
 }
 
-/// Answers of a backend server that begin at once and end when told to.
+/// Answers of a backend server that begin at once, unless it is silent, and end
+/// when told to.
 class OpenStreams {
 public:
   void begin(const HttpRequest &request, const ExchangePtr &to) {
     HttpResponse head = signedAnswer(request);
     head.Headers.push_back({"Content-Type", "text/event-stream"});
-    to->beginStream(head.Status, head.Headers);
-    to->write("id: 1\ndata: a\n\n");
+    if (!IsSilent) {
+      to->beginStream(head.Status, head.Headers);
+      to->write("id: 1\ndata: a\n\n");
+    }
     std::lock_guard guard(Lock);
     Open.push_back(to);
   }
@@ -46,6 +51,7 @@
     }
     Open.clear();
   }
+  std::atomic<bool> IsSilent{false};
 
 private:
   std::mutex Lock;
@@ -73,7 +79,7 @@
     net::RawClient idle(port());
     idle.send("GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n");
     idle.readUntil("\r\n\r\n");
-    Stopping.Daemon.drain([this] { Drained = true; });
+    Stopping.Daemon.drain(TimePoint::max(), [this] { Drained = true; });
     idle.readAll();
   }
 
@@ -102,5 +108,17 @@
   EXPECT_TRUE(eventually([&] { return Drained.load(); }));
 }
 
+TEST_F(DrainTest, AnswersWhatHasNoAnswerBeforeTheProcessEnds) {
+  ASSERT_TRUE(waitReady(Stopping));
+  Streams.IsSilent = true;
+  net::RawClient caller(port());
+  caller.send(streamRequest("r1"));
+  ASSERT_TRUE(eventually([&] { return !Backend.requests().empty(); }));
+  Stopping.Daemon.drain(monotonicNow() + 1500ms, [this] { Drained = true; });
+  std::string got = caller.readAll();
+  EXPECT_NE(got.find("HTTP/1.1 502"), std::string::npos) << got;
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -85,7 +85,7 @@
     out.Peers = test::freeEndpoint();
     out.Store = store;
     out.Seeds = std::move(seeds);
-    out.DrainNotice = 300ms;
+    out.Drain.Notice = 300ms;
     out.ConfirmedFor = 1500ms;
     out.ServersCheckFence = true;
     out.Log.LinesPerSecond = 100;
--- /dev/null
+++ b/tests/net_http/drain_test.cpp
@@ -0,0 +1,125 @@
+/// Every way in which a request can still come to a server that has stopped
+/// accepting: by the state in which its connection was at that moment. None may
+/// reach the handler once the time for requests on their way is over.
+#include "net_http/http_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <vector>
+
+namespace daisytack::net {
+namespace {
+
+constexpr const char *Late = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Streams on /stream until told to end, holds /hold until told to answer,
+/// counts /late, answers /now.
+class Answers {
+public:
+  HttpHandler handler() {
+    return [this](const HttpRequest &request,
+                  const std::shared_ptr<HttpExchange> &exchange) {
+      if (request.Path == "/late") {
+        ++LateOnes;
+        return exchange->respond({200, {}, "served late"});
+      }
+      if (request.Path == "/now")
+        return exchange->respond({200, {}, "now"});
+      if (request.Path == "/stream") {
+        exchange->beginStream(200, {});
+        exchange->write("first");
+      }
+      std::lock_guard guard(Lock);
+      Open.push_back(exchange);
+    };
+  }
+  void endAll() {
+    std::lock_guard guard(Lock);
+    for (const auto &exchange : Open) {
+      exchange->respond({200, {}, "whole"}); // Ignored by a begun stream.
+      exchange->endStream();
+    }
+    Open.clear();
+  }
+  std::atomic<int> LateOnes{0};
+
+private:
+  std::mutex Lock;
+  std::vector<std::shared_ptr<HttpExchange>> Open;
+};
+
+/// What a caller has sent before the server stops, and what it sends later.
+struct LateWay {
+  const char *Name;
+  const char *Before;
+  const char *Whole; ///< Read by the caller before the server stops.
+  const char *After; ///< Sent when the time for requests on their way is over.
+  bool IsAnswered;   ///< Surely with a refusal, not perhaps with a close.
+};
+
+class LateRequest : public testing::TestWithParam<LateWay> {};
+
+TEST_P(LateRequest, IsNotHandled) {
+  Answers answers;
+  HttpFixture fixture(answers.handler());
+  const LateWay &way = GetParam();
+  RawClient caller(fixture.Server.port());
+  caller.send(way.Before);
+  if (*way.Whole != '\0')
+    caller.readUntil(way.Whole);
+  RawClient idle(fixture.Server.port());
+  idle.send("GET /now HTTP/1.1\r\nHost: a\r\n\r\n");
+  idle.readUntil("now");
+  fixture.Server.endConnectionsAfterAnswers();
+  fixture.Server.stopAccepting();
+  idle.readAll(); // Closed when the time is over.
+  caller.send(way.After);
+  answers.endAll();
+  std::string got = caller.readAll();
+  EXPECT_EQ(answers.LateOnes, 0) << got;
+  bool isRefused = got.find("HTTP/1.1 503") != std::string::npos &&
+                   got.find("\"kind\":\"draining\"") != std::string::npos;
+  EXPECT_TRUE(isRefused || !way.IsAnswered) << got;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Ways, LateRequest,
+    testing::Values(
+        LateWay{"BehindAStreamThatPromisedToKeepTheConnection",
+                "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n", "first", Late, true},
+        LateWay{"PipelinedBehindAStreamBeforeTheStop",
+                "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n"
+                "GET /late HTTP/1.1\r\nHost: a\r\n\r\n",
+                "first", "", true},
+        LateWay{"WithHalfOfItsHeaderBeforeTheStop", "GET /late HTTP/1.1\r\nHo",
+                "", "st: a\r\n\r\n", true},
+        LateWay{"WithItsBodyAfterTheStop",
+                "POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n",
+                "", "ab", true},
+        LateWay{"BehindAnAnswerThatHadNotBegun",
+                "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n", "", Late, false},
+        LateWay{"OnAConnectionThatWasIdle", "", "", Late, false}),
+    [](const auto &row) { return row.param.Name; });
+
+/// To its caller a connection is open once the kernel has taken it, perhaps
+/// just before the listener was closed.
+TEST(HttpServer, ServesConnectionsThatCameJustBeforeItStoppedAccepting) {
+  constexpr int Rounds = 20;
+  for (int i = 0; i < Rounds; ++i) {
+    HttpServerInit init;
+    init.LastRequests = WaitLimit;
+    HttpFixture fixture(echo, init);
+    RawClient first(fixture.Server.port());
+    RawClient second(fixture.Server.port());
+    fixture.Server.stopAccepting();
+    for (RawClient *it : {&first, &second}) {
+      it->send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+      EXPECT_TRUE(it->readAll().starts_with("HTTP/1.1 200")) << i;
+    }
+  }
+}
+
+} // namespace
+} // namespace daisytack::net
--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -20,7 +20,7 @@
     daemon = std::make_unique<agent::AgentDaemon>(io, options);
     return daemon->start(reason);
   };
-  init.Drain = [&](std::function<void()> done) {
+  init.Drain = [&](TimePoint, std::function<void()> done) {
     daemon->drain(std::move(done));
   };
   init.Stop = [&] { daemon.reset(); };
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -33,9 +33,9 @@
     shell = std::make_unique<entry::EntryShell>(io, options);
     return shell->start(reason);
   };
-  init.Drain = [&](std::function<void()> done) {
+  init.Drain = [&](TimePoint end, std::function<void()> done) {
     if (gateway)
-      gateway->drain(std::move(done));
+      gateway->drain(end, std::move(done));
     else
       shell->drain(std::move(done));
   };
