Fix the moments of a drain when the signal is seen, and ask them of each step

Change: the plan fixes all moments at the signal. Requests are refused after one of them, whoever is late; no attempt, first or repeated, begins with less than 200 ms before the last word, and a caller whose request has not run is told so (503 in place of 502); the plan's order is a property test. The drain begins on the control strand; a repeated signal on another thread can't begin it twice; an entry that reaches its end says so (cut_off, exit code 4). A holder that is stopped while its claim is under way gives the key back. Settings take fractions of a unit (7.5s), as the grace period may be one; the test of durations lists "1.5s" no more among the bad ones, and eight bad fractions in its place.

Tests: a request after the last word, a request while the timer is late, and a signal held back (whose test passed without its repair: its Start now takes longer than the margin).

--- a/src/base/setting_text.cpp
+++ b/src/base/setting_text.cpp
@@ -51,6 +51,22 @@
   return std::nullopt;
 }
 
+/// The digits behind a decimal point as a part of the unit; nothing when that
+/// is not a whole number.
+std::optional<uint64_t> parseFraction(std::string_view digits, uint64_t unit) {
+  if (digits.empty())
+    return std::nullopt;
+  uint64_t out = 0;
+  for (char c : digits) {
+    bool isWhole = unit % 10 == 0;
+    if (c < '0' || c > '9' || (!isWhole && c != '0'))
+      return std::nullopt;
+    unit /= 10;
+    out += static_cast<uint64_t>(c - '0') * unit;
+  }
+  return out;
+}
+
 template <size_t N>
 std::string unitsText(uint64_t value, const std::array<Unit, N> &units) {
   for (const Unit &unit : units)
@@ -113,11 +129,22 @@
 }
 
 std::optional<Duration> parseDuration(std::string_view text) {
-  auto micros =
-      parseUnits(text, DurationUnits, std::numeric_limits<int64_t>::max());
+  constexpr uint64_t Most = std::numeric_limits<int64_t>::max();
+  size_t point = text.find('.');
+  size_t unit = std::min(text.find_first_not_of("0123456789."), text.size());
+  std::string whole(text.substr(0, std::min(point, unit)));
+  whole += text.substr(unit);
+  auto micros = parseUnits(whole, DurationUnits, Most);
   if (!micros)
     return std::nullopt;
-  return Duration(static_cast<int64_t>(*micros));
+  if (point == std::string_view::npos)
+    return Duration(static_cast<int64_t>(*micros));
+  auto fraction = parseFraction(
+      text.substr(point + 1, unit - point - 1),
+      *parseUnits("1" + std::string(text.substr(unit)), DurationUnits, Most));
+  if (!fraction || *micros > Most - *fraction)
+    return std::nullopt;
+  return Duration(static_cast<int64_t>(*micros + *fraction));
 }
 
 std::string toString(Duration value) {
--- a/src/direct/drain_plan.cpp
+++ b/src/direct/drain_plan.cpp
@@ -6,22 +6,26 @@
 
 namespace {
 
+/// The time so long before; a limit that is never reached stays so.
+TimePoint before(TimePoint limit, Duration lead) {
+  return limit == TimePoint::max() ? limit : limit - lead;
+}
+
 /// The process stood still until it saw the signal: of its time to end, that
 /// much is gone.
 TimePoint endOf(TimePoint sent, TimePoint seen, TimePoint end) {
-  if (end == TimePoint::max())
-    return end;
-  return end - std::max(seen - sent, Duration::zero());
+  return std::max(before(end, std::max(seen - sent, Duration::zero())), seen);
 }
 
 } // namespace
 
 DrainPlan::DrainPlan(DrainSettings settings, TimePoint sent, TimePoint seen,
                      TimePoint end)
-    : Seen(seen), End(std::max(endOf(sent, seen, end), seen)),
-      LastWordAt(End == TimePoint::max()
-                     ? End
-                     : std::max(End - settings.LastWord, seen)),
-      CloseAt(std::min(seen + settings.Notice, LastWordAt)) {}
+    : Seen(seen), End(endOf(sent, seen, end)),
+      LastWordAt(std::max(before(End, settings.LastWord), seen)),
+      AttemptsUntil(std::max(before(LastWordAt, settings.LeastAttempt), seen)),
+      TakesUntil(std::min(seen + settings.Notice + settings.LastRequests,
+                          AttemptsUntil)),
+      CloseAt(std::max(TakesUntil - settings.LastRequests, seen)) {}
 
 } // namespace daisytack::direct
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include "gateway/gateway_request.h"
 #include "net/http_status.h"
 
+#include <boost/asio/dispatch.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -14,8 +16,8 @@
 
 constexpr Duration TickInterval{100'000};
 constexpr Duration DrainCheck{20'000};
-/// After the listener was closed, connections that are still open keep the
-/// process for at most so long when nothing runs on them: a caller closes its
+/// After the last answer, and after the listener was closed, connections that
+/// are still open keep the process for at most so long: a caller closes its
 /// side one trip after it has read that the connection ends.
 constexpr Duration Farewell{500'000};
 /// Loads of servers that were not used for so long are forgotten.
@@ -227,15 +229,21 @@
   });
 }
 
-void Gateway::drain(TimePoint end, std::function<void()> done) {
-  Orders->stop();
+void Gateway::drain(TimePoint end, std::function<void(bool isWhole)> done) {
   Drained = std::move(done);
+  boost::asio::dispatch(Control, [this, end] { beginDrain(end); });
+}
+
+void Gateway::beginDrain(TimePoint end) {
+  Orders->stop();
   TimePoint now = monotonicNow();
   // A process that stood still saw the signal late.
-  TimePoint sent = std::min(TickedAt + 2 * TickInterval, now);
-  State.Drain =
-      std::make_shared<const direct::DrainPlan>(Options.Drain, sent, now, end);
+  auto plan = std::make_shared<const direct::DrainPlan>(
+      Options.Drain, std::min(TickedAt, now), now, end);
+  State.Drain = plan;
+  BusyAt = now;
   Callers.endConnections();
+  Callers.refuseAfter(plan->takesUntil() - now);
   Log.write(LogWeight::Notable, "draining",
             {{"running", State.Running.size()},
              {"connections", Callers.openConnections()},
@@ -251,8 +259,12 @@
     closeListener(now);
   if (plan->isLastWord(now))
     sayLastWord(now);
+  if (isBusy())
+    BusyAt = now;
   if (isDrained(now))
-    return finish();
+    return finish(true);
+  if (plan->isOver(now))
+    return finish(false);
   DrainTimer.expires_after(DrainCheck);
   DrainTimer.async_wait([this](auto ec) {
     if (!ec)
@@ -261,9 +273,9 @@
 }
 
 void Gateway::closeListener(TimePoint now) {
-  if (ListenerClosedAt)
+  if (std::exchange(IsListenerClosed, true))
     return;
-  ListenerClosedAt = now;
+  BusyAt = now;
   Callers.stopAccepting();
   Log.write(LogWeight::Notable, "listener_closed",
             {{"running", State.Running.size()},
@@ -281,16 +293,19 @@
             now);
 }
 
+bool Gateway::isBusy() const {
+  return State.Running.size() > 0 || Callers.unsentAnswers() > 0;
+}
+
 bool Gateway::isDrained(TimePoint now) const {
-  if (!ListenerClosedAt || State.Running.size() > 0 ||
-      Callers.unsentAnswers() > 0)
+  if (!IsListenerClosed || isBusy())
     return false;
-  // A request that was on its way when the listener closed is still met, and
+  // Requests that were on their way when the listener closed are still met, and
   // the last answers reach callers that have yet to read them.
-  return Callers.openConnections() == 0 || now >= *ListenerClosedAt + Farewell;
+  return Callers.openConnections() == 0 || now >= BusyAt + Farewell;
 }
 
-void Gateway::finish() {
+void Gateway::finish(bool isWhole) {
   Announced->stop();
   Contexts->stop();
   Peers->stop();
@@ -299,9 +314,11 @@
   TimePoint now = monotonicNow();
   Duration drained = State.Drain.load()->age(now);
   Log.write(LogWeight::Notable, "stopped",
-            {{"drained_ms", drained.count() / 1000}}, now);
+            {{"drained_ms", drained.count() / 1000},
+             {"cut_off", State.Running.size()}},
+            now);
   Log.flush(now);
-  std::exchange(Drained, nullptr)();
+  std::exchange(Drained, nullptr)(isWhole);
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,7 +16,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 
 namespace daisytack::gateway {
 
@@ -35,9 +34,9 @@
   /// restart.
   void reload(const GatewayOptions &options);
   /// Not ready from now on; calls done once all requests were answered and the
-  /// balancer has noticed. What has no answer shortly before the process ends
-  /// gets a final one.
-  void drain(TimePoint end, std::function<void()> done);
+  /// balancer has noticed, or the end has come. What has no answer shortly
+  /// before gets a final one. Once, from any thread.
+  void drain(TimePoint end, std::function<void(bool isWhole)> done);
 
 private:
   void answerReadiness(net::HttpExchange &exchange) const;
@@ -50,12 +49,14 @@
   PeerHooks peerHooks();
   OrderDriverSettings orderSettings() const;
   void tick();
+  void beginDrain(TimePoint end);
   void watchDrain();
   void closeListener(TimePoint now);
   void sayLastWord(TimePoint now);
+  bool isBusy() const;
   /// Whether nothing is left that a caller waits for.
   bool isDrained(TimePoint now) const;
-  void finish();
+  void finish(bool isWhole);
 
   GatewayOptions Options;
   Metrics Counters;
@@ -76,11 +77,12 @@
   boost::asio::steady_timer DrainTimer;
   /// Last time that the process was known to run.
   TimePoint TickedAt;
-  std::optional<TimePoint> ListenerClosedAt;
+  bool IsListenerClosed = false;
+  TimePoint BusyAt; ///< While it drains: last time that a caller waited.
   bool IsLastWordSaid = false;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
   std::map<std::string, uint64_t> LoadingFrom; ///< Servers and their version.
-  std::function<void()> Drained;
+  std::function<void(bool isWhole)> Drained;
 };
 
 } // namespace daisytack::gateway
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -14,9 +14,6 @@
 /// When an entry without a configuration, or with one that may be out of date,
 /// asks callers to come back: one round of its calls to the service.
 constexpr Duration ComeBackSoon{300'000};
-/// When a caller that came to a stopping entry is to come back: at once, as its
-/// new connection leads to another entry.
-constexpr Duration ComeBackElsewhere{10'000};
 /// For callers and routes that both name no time.
 constexpr Duration LongestRequest{60'000'000};
 
@@ -59,6 +56,7 @@
   net::HttpServerInit out;
   out.Listen = State.Options.Callers;
   out.MaxConnections = State.Options.MaxConnections;
+  out.LastRequests = State.Options.Drain.LastRequests;
   out.RefuseLate = [this](const net::HttpRequest &request) {
     return refuseLate(request, monotonicNow());
   };
@@ -85,12 +83,12 @@
                                           TimePoint now) {
   State.Counts.Requests.add();
   Error unread;
-  direct::CallerHead head =
-      State.Speak.ReadCaller(request, unread).value_or(direct::CallerHead{});
-  noteWhileDraining(request, head.RequestId, now);
-  return refusal(
-      head, {ErrorKind::Draining, "this entry is stopping", ComeBackElsewhere},
-      now);
+  std::optional<direct::CallerHead> head =
+      State.Speak.ReadCaller(request, unread);
+  if (!head)
+    return refusal({}, unread, now);
+  noteWhileDraining(request, head->RequestId, now);
+  return refusal(*head, stoppingReason(), now);
 }
 
 void GatewayHttp::refuse(net::HttpExchange &exchange,
@@ -126,7 +124,8 @@
   State.Log.write(LogWeight::Notable, "request_while_draining",
                   {{"request", requestId},
                    {"drained_ms", drain->age(now).count() / 1000},
-                   {"on_connection", request.OnConnection}},
+                   {"on_connection", request.OnConnection},
+                   {"read_ms", request.ReadTime.count() / 1000}},
                   now);
 }
 
--- a/src/gateway/gateway_http.h
+++ b/src/gateway/gateway_http.h
@@ -20,6 +20,7 @@
   void setLimits(const direct::CallerLimits &limits);
   /// Connections end with the answer that is under way on them.
   void endConnections() { Server.endConnectionsAfterAnswers(); }
+  void refuseAfter(Duration fromNow) { Server.refuseAfter(fromNow); }
   void stopAccepting() { Server.stopAccepting(); }
   size_t unsentAnswers() const { return Server.unsentAnswers(); }
   size_t openConnections() const { return Server.openConnections(); }
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -25,8 +25,6 @@
       MostConnections));
   out.Drain.Notice =
       settings.duration("entry.drain_notice", out.Drain.Notice, 0s, 1min);
-  out.Drain.LastWord =
-      settings.duration("entry.drain_last_word", out.Drain.LastWord, 0s, 1min);
   out.ConfirmedFor =
       settings.duration("store.confirmed_for", out.ConfirmedFor, 100ms, 1min);
   out.LeaseTerm =
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -100,6 +100,11 @@
 std::optional<direct::AttemptChoice>
 GatewayRequest::choose(const std::vector<std::string> &tried, TimePoint now,
                        Error &reason) {
+  std::shared_ptr<const direct::DrainPlan> drain = State.Drain.load();
+  if (drain && !drain->mayAttempt(now)) {
+    reason = stoppingReason();
+    return std::nullopt;
+  }
   auto catalog = State.catalog();
   return State.Place.choose(Flow.request(), *catalog, tried,
                             State.Clock.at(now), now, reason);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -162,6 +162,12 @@
       Control(io, clientInit(IdlePerControl, ControlConnect)),
       Catalog(options.Catalog, catalogHooks(Speak, log)) {}
 
+Error stoppingReason() {
+  // At once, as a new connection leads to another entry.
+  constexpr Duration ComeBackElsewhere{10'000};
+  return {ErrorKind::Draining, "this entry is stopping", ComeBackElsewhere};
+}
+
 void RunningRequests::add(const std::shared_ptr<GatewayRequest> &request) {
   std::lock_guard guard(Lock);
   Requests[request.get()] = request;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -72,6 +72,9 @@
   std::map<std::string, std::unique_ptr<RetryBudget>> Budgets;
 };
 
+/// What a caller is told whose request this entry takes no more.
+Error stoppingReason();
+
 class GatewayRequest;
 
 /// The requests without a final answer. Thread-safe.
--- a/src/gateway/holder_lease.cpp
+++ b/src/gateway/holder_lease.cpp
@@ -82,7 +82,9 @@
 void HolderLease::hold(uint64_t token) {
   IsTrying = false;
   TimePoint now = monotonicNow();
-  if (Term.hasLapsed(now))
+  // Stopped while the claim was under way: nobody has to wait for a holder that
+  // never acted.
+  if (IsStopped || Term.hasLapsed(now))
     return drop();
   Token = token;
   ActsFrom = now + Settings.SettleTime;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -109,11 +109,10 @@
 
 } // namespace
 
-bool HttpServerShared::stop(SteadyClock::time_point now) {
-  if (Stopping.exchange(true))
-    return false;
-  HandlesUntil = now + Init.LastRequests;
-  return true;
+void HttpServerShared::refuseAfter(SteadyClock::time_point time) {
+  SteadyClock::time_point known = HandlesUntil.load();
+  while (time < known && !HandlesUntil.compare_exchange_weak(known, time)) {
+  }
 }
 
 HttpResponse HttpServerShared::refuseLate(const HttpRequest &request) const {
@@ -205,6 +204,7 @@
 
 void HttpConnection::startRequest() {
   Now = State::Reading;
+  ReadingSince = SteadyClock::now();
   TimedOut = false;
   Pipelined = false;
   auto limits = Shared->limits();
@@ -314,6 +314,8 @@
   }
   HttpRequest request = toRequest(Input->release());
   request.OnConnection = ++Handled;
+  request.ReadTime =
+      std::chrono::duration_cast<Duration>(SteadyClock::now() - ReadingSince);
   Input.reset();
   if (Buffer.size() == 0 && Buffer.capacity() > KeptBufferBytes)
     Buffer = {};
@@ -324,9 +326,11 @@
   auto exchange = std::make_shared<Exchange>(shared_from_this(), serial);
   // Asked of each request: a connection may become idle, and take another
   // request, long after the idle ones were closed.
+  if (Shared->Closed)
+    return;
   if (SteadyClock::now() > Shared->HandlesUntil.load())
     exchange->respond(Shared->refuseLate(request));
-  else if (!Shared->Closed)
+  else
     Shared->Handler(std::move(request), std::move(exchange));
 }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -30,9 +30,8 @@
                        Init.ReadTimeout, Init.IdleTimeout})) {}
 
   std::shared_ptr<const HttpLimits> limits() const { return Limits.load(); }
-  /// From now on connections end and, a moment later, requests are refused.
-  /// False when that was so before.
-  bool stop(SteadyClock::time_point now);
+  /// The earliest of the times that were set holds.
+  void refuseAfter(SteadyClock::time_point time);
   HttpResponse refuseLate(const HttpRequest &request) const;
   /// How long a connection may wait for a request.
   Duration idleTime() const;
@@ -131,6 +130,7 @@
   std::unique_ptr<Parser> Input;
   SteadyClock::time_point IdleSince;
   uint32_t Handled = 0; ///< Requests so far.
+  SteadyClock::time_point ReadingSince;
   SteadyClock::time_point Deadline = SteadyClock::time_point::max();
   SteadyClock::time_point TimerAt = SteadyClock::time_point::max();
   State Now = State::Idle;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -118,9 +118,14 @@
   Self->Shared->LastAnswers = true;
 }
 
+void HttpServer::refuseAfter(Duration fromNow) {
+  Self->Shared->refuseAfter(SteadyClock::now() + fromNow);
+}
+
 void HttpServer::stopAccepting() {
-  if (!Self->Shared->stop(SteadyClock::now()))
+  if (Self->Shared->Stopping.exchange(true))
     return;
+  refuseAfter(Self->Shared->Init.LastRequests);
   asio::dispatch(Self->Acceptor.get_executor(), [self = Self] {
     if (!self->Acceptor.is_open())
       return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -32,6 +32,7 @@
   std::string Target = {};
   /// Which request of its connection it is, from 1 on; 0 in one to be sent.
   uint32_t OnConnection = 0;
+  Duration ReadTime{0}; ///< From its first byte until it was whole.
 
   /// Value of the first header of that name, whatever its case; empty when
   /// there is none.
@@ -114,11 +115,13 @@
   /// Every answer from now on is the last of its connection; new connections
   /// are still accepted.
   void endConnectionsAfterAnswers();
+  /// Whatever its connection is doing, a request that is whole only after that
+  /// time is refused and reaches no handler.
+  void refuseAfter(Duration fromNow);
   /// Accepts no further connection and closes idle ones after a moment, in
   /// which a request that was on its way still reaches the handler; running
-  /// exchanges go on, each the last of its connection. Whatever its connection
-  /// was doing, a request that is whole only after that moment is refused, and
-  /// reaches no handler.
+  /// exchanges go on, each the last of its connection. After that moment
+  /// requests are refused.
   void stopAccepting();
   size_t openConnections() const;
   /// Requests handed to the handler whose answer has not wholly been given to
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -174,10 +174,10 @@
   }
 
   void onSignal(int number) {
+    bool isRepeated = IsDraining.exchange(true);
     waitForSignal();
-    if (IsDraining)
+    if (isRepeated)
       return onSignalAgain(number);
-    IsDraining = true;
     TimePoint now = monotonicNow();
     TimePoint end = drainEnd(now);
     logInfo("draining, for at most " + toString(end - now));
@@ -186,7 +186,9 @@
       if (!ec)
         stop(ExitCode::DrainTimeout);
     });
-    Init.Drain(end, [this] { stop(ExitCode::Done); });
+    Init.Drain(end, [this](bool isWhole) {
+      stop(isWhole ? ExitCode::Done : ExitCode::DrainTimeout);
+    });
   }
 
   /// A platform may repeat its signal, and that must cut nothing off; a person
@@ -221,7 +223,7 @@
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer FileTimer;
   uint64_t FileSeen; ///< State of the settings file when it was last read.
-  bool IsDraining = false; ///< Touched by the signal's handlers only.
+  std::atomic<bool> IsDraining{false};
   std::atomic<bool> IsStopped{false};
   ExitCode Result = ExitCode::Done;
 };
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -32,9 +32,10 @@
   /// Builds the daemon over the context; false with the reason when it can't.
   std::function<bool(boost::asio::io_context &, Error &reason)> Start;
   /// Called once on an I/O thread, after SIGTERM or SIGINT: refuses new work,
-  /// finishes what was accepted, then calls done. The process ends at the given
-  /// time whatever is left.
-  std::function<void(TimePoint end, std::function<void()> done)> Drain;
+  /// finishes what was accepted, then calls done, and tells whether accepted
+  /// work was cut off. The process ends at the given time whatever is left.
+  std::function<void(TimePoint end, std::function<void(bool isWhole)> done)>
+      Drain;
   /// Called with no I/O thread left running; frees what Start built.
   std::function<void()> Stop;
   /// Called on an I/O thread after SIGHUP, and when the file has changed, with
--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -46,9 +46,9 @@
                      boost::asio::post(io, [] { std::raise(SIGTERM); });
                      return true;
                    },
-                   [this](TimePoint, const std::function<void()> &done) {
+                   [this](TimePoint, const std::function<void(bool)> &done) {
                      Calls.emplace_back("drain");
-                     done();
+                     done(true);
                    },
                    [this] { Calls.emplace_back("stop"); }};
 };
@@ -61,7 +61,7 @@
 }
 
 TEST_F(Process, AnInterruptEndsADrainThatHangs) {
-  Init.Drain = [](TimePoint, const std::function<void()> &) {
+  Init.Drain = [](TimePoint, const std::function<void(bool)> &) {
     std::raise(SIGINT);
   };
   EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 5);
@@ -74,49 +74,57 @@
     boost::asio::post(io, [] { std::raise(SIGTERM); });
     return true;
   };
-  Init.Drain = [&](TimePoint, std::function<void()> done) {
+  Init.Drain = [&](TimePoint, std::function<void(bool)> done) {
     std::raise(SIGTERM);
     auto later = std::make_shared<boost::asio::steady_timer>(*context);
     later->expires_after(std::chrono::milliseconds(50));
-    later->async_wait([later, done = std::move(done)](auto) { done(); });
+    later->async_wait([later, done = std::move(done)](auto) { done(true); });
   };
   EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
 }
 
+TEST_F(Process, TellsByItsCodeThatWorkWasCutOff) {
+  Init.Drain = [](TimePoint, const std::function<void(bool)> &done) {
+    done(false);
+  };
+  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 4);
+}
+
 TEST_F(Process, EndsByItselfBeforeThePlatformKillsIt) {
   TimePoint drainedAt;
   TimePoint told;
-  Init.Drain = [&](TimePoint end, const std::function<void()> &) {
+  Init.Drain = [&](TimePoint end, const std::function<void(bool)> &) {
     drainedAt = monotonicNow();
     told = end;
   };
   EXPECT_EQ(run({fileWith("[process]\nkill_after = 500ms\n"
                           "log_level = error\n")}),
             4);
-  EXPECT_GE(told, drainedAt);
   EXPECT_LT(told, drainedAt + std::chrono::milliseconds(500));
 }
 
 TEST_F(Process, CountsASignalThatWasHeldBackFromTheProcessStart) {
-  TimePoint began = monotonicNow();
+  TimePoint startedAt;
   TimePoint told;
   sigset_t toStop;
   sigemptyset(&toStop);
   sigaddset(&toStop, SIGTERM);
   pthread_sigmask(SIG_BLOCK, &toStop, nullptr);
   std::raise(SIGTERM);
-  Init.Start = [](boost::asio::io_context &, Error &) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  Init.Start = [&](boost::asio::io_context &, Error &) {
+    startedAt = monotonicNow();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
     return true;
   };
-  Init.Drain = [&](TimePoint end, const std::function<void()> &done) {
+  Init.Drain = [&](TimePoint end, const std::function<void(bool)> &done) {
     told = end;
-    done();
+    done(true);
   };
   EXPECT_EQ(run({fileWith("[process]\nkill_after = 10s\n"
                           "log_level = error\n")}),
             0);
-  EXPECT_LT(told, began + std::chrono::seconds(10));
+  // Counted from when it was handled, it would be 300 ms later.
+  EXPECT_LE(told, startedAt + std::chrono::milliseconds(9800));
 }
 
 TEST_F(Process, ReadsItsSettingsAgainOnHangup) {
@@ -179,7 +187,7 @@
 }
 
 TEST_F(Process, ADrainIsBoundedInTime) {
-  Init.Drain = [](TimePoint, const std::function<void()> &) {};
+  Init.Drain = [](TimePoint, const std::function<void(bool)> &) {};
   EXPECT_EQ(run({fileWith("[process]\ndrain_timeout = 0s\n"
                           "log_level = error\n")}),
             4);
--- a/tests/base/settings_test.cpp
+++ b/tests/base/settings_test.cpp
@@ -65,7 +65,8 @@
   for (const char *text : {"250us", "10ms", "3s", "5m", "2h", "7d", "0us"})
     EXPECT_EQ(toString(*parseDuration(text)), text);
   for (const char *bad :
-       {"", "3", "s", "3 s", "-3s", "3S", "99999999999999999d", "1.5s"})
+       {"", "3", "s", "3 s", "-3s", "3S", "99999999999999999d", "1.s", ".5s",
+        "1.5", "1..5s", "1.5.s", "1.5us", "0.0000001s", "1.-5s"})
     EXPECT_FALSE(parseDuration(bad)) << bad;
 }
 
--- a/tests/direct/drain_plan_test.cpp
+++ b/tests/direct/drain_plan_test.cpp
@@ -1,6 +1,7 @@
 #include "direct/drain_plan.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace daisytack::direct {
 namespace {
@@ -13,6 +14,8 @@
   DrainSettings out;
   out.Notice = 2500ms;
   out.LastWord = 500ms;
+  out.LastRequests = 250ms;
+  out.LeastAttempt = 200ms;
   return out;
 }
 
@@ -29,18 +32,48 @@
   EXPECT_TRUE(plan.isLastWord(Seen + 7500ms));
 }
 
+TEST(DrainPlan, BeginsNoAttemptThatHasNoTime) {
+  DrainPlan plan(settings(), Seen, Seen, Seen + 8s);
+  EXPECT_TRUE(plan.mayAttempt(Seen + 7299ms));
+  EXPECT_FALSE(plan.mayAttempt(Seen + 7300ms));
+}
+
 TEST(DrainPlan, CountsTheTimeInWhichTheProcessStoodStill) {
-  DrainPlan plan(settings(), Seen - 5s, Seen, Seen + 8s);
-  EXPECT_EQ(plan.end(), Seen + 3s);
-  EXPECT_TRUE(plan.isListening(Seen + 2499ms));
-  EXPECT_FALSE(plan.isListening(Seen + 2500ms));
-  EXPECT_TRUE(plan.isLastWord(Seen + 2500ms));
+  DrainPlan plan(settings(), Seen - 2s, Seen, Seen + 8s);
+  EXPECT_EQ(plan.end(), Seen + 6s);
+  EXPECT_EQ(plan.takesUntil(), Seen + 2750ms);
+  EXPECT_TRUE(plan.isLastWord(Seen + 5500ms));
+}
+
+TEST(DrainPlan, TakesNothingThatItCannotPassOnAnyMore) {
+  DrainPlan plan(settings(), Seen - 6s, Seen, Seen + 8s);
+  EXPECT_EQ(plan.takesUntil(), Seen + 1300ms);
+  EXPECT_FALSE(plan.mayAttempt(Seen + 1300ms));
+  EXPECT_TRUE(plan.isListening(Seen + 1049ms));
+  EXPECT_FALSE(plan.isListening(Seen + 1050ms));
 }
 
-TEST(DrainPlan, TakesNothingThatItCannotAnswerAnyMore) {
-  DrainPlan plan(settings(), Seen - 7s, Seen, Seen + 8s);
-  EXPECT_FALSE(plan.isListening(Seen + 500ms));
-  EXPECT_TRUE(plan.isListening(Seen + 499ms));
+/// Whatever the times are, what is taken may be passed on, what is passed on
+/// meets the last word, and the last word comes before the end.
+RC_GTEST_PROP(DrainPlan, KeepsItsMomentsInOrder, ()) {
+  auto some = [](int most) { return Duration(*rc::gen::inRange(0, most)); };
+  DrainSettings it;
+  it.Notice = some(5'000'000);
+  it.LastWord = some(2'000'000);
+  it.LastRequests = some(1'000'000);
+  it.LeastAttempt = some(1'000'000);
+  DrainPlan plan(it, Seen - some(10'000'000), Seen, Seen + some(12'000'000));
+  TimePoint taken = plan.takesUntil();
+  RC_ASSERT(taken >= Seen);
+  RC_ASSERT(!plan.isListening(taken) || taken == Seen);
+  RC_ASSERT(plan.end() >= Seen);
+  TimePoint now = Seen + some(12'000'000);
+  if (plan.isListening(now))
+    RC_ASSERT(now < taken);
+  if (plan.mayAttempt(now))
+    RC_ASSERT(!plan.isLastWord(now));
+  if (plan.isOver(now))
+    RC_ASSERT(plan.isLastWord(now));
 }
 
 TEST(DrainPlan, NeverEndsBeforeItBegan) {
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -79,7 +79,7 @@
     net::RawClient idle(port());
     idle.send("GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n");
     idle.readUntil("\r\n\r\n");
-    Stopping.Daemon.drain(TimePoint::max(), [this] { Drained = true; });
+    Stopping.Daemon.drain(TimePoint::max(), [this](bool) { Drained = true; });
     idle.readAll();
   }
 
@@ -114,11 +114,51 @@
   net::RawClient caller(port());
   caller.send(streamRequest("r1"));
   ASSERT_TRUE(eventually([&] { return !Backend.requests().empty(); }));
-  Stopping.Daemon.drain(monotonicNow() + 1500ms, [this] { Drained = true; });
+  Stopping.Daemon.drain(monotonicNow() + 1500ms,
+                        [this](bool) { Drained = true; });
   std::string got = caller.readAll();
   EXPECT_NE(got.find("HTTP/1.1 502"), std::string::npos) << got;
   EXPECT_TRUE(eventually([&] { return Drained.load(); }));
 }
 
+/// The last word is said once: what comes after it must not be passed on, or it
+/// would never be answered.
+TEST_F(DrainTest, PassesNothingOnAfterTheLastWord) {
+  ASSERT_TRUE(waitReady(Stopping));
+  Streams.IsSilent = true;
+  net::RawClient caller(port());
+  caller.send("GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  caller.readUntil("\r\n\r\n");
+  Stopping.Daemon.drain(monotonicNow() + Stopping.Options.Drain.LastWord,
+                        [this](bool) { Drained = true; });
+  caller.send(streamRequest("r1"));
+  std::string got = caller.readAll();
+  EXPECT_EQ(Backend.requests().size(), 0U) << got;
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+}
+
+/// The time for requests is over when the plan says so, also while the timer
+/// that closes the listener is late.
+TEST_F(DrainTest, TakesNothingLateThoughItsTimerIsLate) {
+  ASSERT_TRUE(waitReady(Stopping));
+  net::RawClient caller(port());
+  caller.send("GET /none HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  caller.readUntil("\r\n\r\n");
+  Stopping.Daemon.drain(TimePoint::max(), [this](bool) { Drained = true; });
+  ASSERT_TRUE(eventually([&] { return ready(Stopping) == 503; }));
+  const direct::DrainSettings &plan = Stopping.Options.Drain;
+  TimePoint over = monotonicNow() + plan.Notice + plan.LastRequests;
+  std::atomic<bool> release{false};
+  for (size_t i = 0; i < net::IoThreads::Most; ++i)
+    net::asio::post(Threads.Io,
+                    [&] { eventually([&] { return release.load(); }); });
+  caller.send(streamRequest("r1"));
+  ASSERT_TRUE(eventually([&] { return monotonicNow() > over; }));
+  release = true;
+  std::string got = caller.readAll();
+  EXPECT_EQ(Backend.requests().size(), 0U) << got;
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -179,7 +179,7 @@
   });
   ASSERT_TRUE(eventually([&] { return server.requests().size() == 1; }));
   std::atomic<bool> drained{false};
-  entry.Daemon.drain(TimePoint::max(), [&] { drained = true; });
+  entry.Daemon.drain(TimePoint::max(), [&](bool) { drained = true; });
   EXPECT_EQ(ready(entry), 503);
   // Until the balancer has noticed, new connections are still served.
   auto late = std::async(std::launch::async, [&] {
--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -20,8 +20,8 @@
     daemon = std::make_unique<agent::AgentDaemon>(io, options);
     return daemon->start(reason);
   };
-  init.Drain = [&](TimePoint, std::function<void()> done) {
-    daemon->drain(std::move(done));
+  init.Drain = [&](TimePoint, std::function<void(bool)> done) {
+    daemon->drain([done = std::move(done)] { done(true); });
   };
   init.Stop = [&] { daemon.reset(); };
   return runtime::runProcess(argc, argv, init);
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -33,11 +33,11 @@
     shell = std::make_unique<entry::EntryShell>(io, options);
     return shell->start(reason);
   };
-  init.Drain = [&](TimePoint end, std::function<void()> done) {
+  init.Drain = [&](TimePoint end, std::function<void(bool)> done) {
     if (gateway)
       gateway->drain(end, std::move(done));
     else
-      shell->drain(std::move(done));
+      shell->drain([done = std::move(done)] { done(true); });
   };
   init.Reload = [&] {
     if (gateway && direct)
