Keep what is retired in the key-value service; name sources only on news of it

Cause: entries agreed on what is not named any more by promises that live in processes. One that starts again has promised nothing, lists the stores and names parts that the holder is about to free.

Ruled out: fetches of a killed entry that outlast the wait. Each has an end on the servers' clock, two seconds at most; in both cases seen the attempt was sent 0.4 to 0.7 s after a restart and ran well within it. That an entry which doesn't know the servers' clock names sources without an end was found by reading, and is mended too: no clock, no source.

Change: what is retired is a record in the key-value service, without a lease, written on the condition that the holder's key and the record are unchanged; each record covers those before it, and it is refused for good. An entry names sources only if it has read the whole service itself, finds itself listed, and knows all that the service held at a moment not longer than 14 s ago, counted from before the call that told so. A record is safe once it has stood for that time and the longest fetch; or the longest fetch after all entries that were listed within that time have said that they refuse it, provided that the holder itself has followed the service for as long. Weights that no server has go the same way.

GoesOnUsingAStoreWithoutAPlaceForItsCall asked for a source without a known clock, which is the fault above; the store now tells its clock once. Its entries trust their knowledge for 3 s only, so that the test of freeing need not wait 17.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -216,6 +216,10 @@
       next->Entries.push_back(*peer);
     if (const auto *holder = std::get_if<OrderHolder>(&held.Value))
       next->Holder = holder->Entry;
+    if (const auto *retired = std::get_if<RetiredContext>(&held.Value)) {
+      next->Retired = retired->What;
+      next->RetiredRevision = held.Record.Revision;
+    }
     const auto *record = std::get_if<BackendServer>(&held.Value);
     if (!record)
       continue;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -33,6 +33,8 @@
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
   std::string Holder; ///< Entry that may give orders; empty when none may.
+  std::vector<Retirement> Retired;
+  uint64_t RetiredRevision = 0; ///< Of that record; 0: there is none.
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
   /// The newest version that is wanted of the model; 0 when none was named.
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -57,6 +57,25 @@
   auto operator<=>(const OrderHolder &) const = default;
 };
 
+/// Kept context that is not named as a source any more: of weights before a
+/// version.
+struct Retirement {
+  uint64_t BelowVersion = 0;
+  double Share = 0; ///< Of the parts, the same ones in every process.
+  auto operator<=>(const Retirement &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(BelowVersion, Share);
+  }
+
+  bool covers(std::string_view scope, std::string_view part) const;
+};
+
+/// All that is retired, for good: each record covers those before it.
+struct RetiredContext {
+  std::vector<Retirement> What;
+  auto operator<=>(const RetiredContext &) const = default;
+};
+
 /// What a key of the store is about.
 enum class FactKind : uint8_t {
   Config,
@@ -64,17 +83,19 @@
   Weights,
   Entry,
   Holder, ///< Of the right to give orders.
+  Retired,
   Other
 };
 
 struct FactSubject {
   FactKind Kind = FactKind::Other;
-  std::string Name; ///< Server id, model or entry; empty for Config.
+  std::string Name; ///< Server id, model or entry; else empty.
   auto operator<=>(const FactSubject &) const = default;
 };
 
-using FactValue = std::variant<std::monostate, ServingConfig, BackendServer,
-                               DesiredWeights, EntryPeer, OrderHolder>;
+using FactValue =
+    std::variant<std::monostate, ServingConfig, BackendServer, DesiredWeights,
+                 EntryPeer, OrderHolder, RetiredContext>;
 
 /// One key of the store as it was read: opaque to all but the decoder, so that
 /// entries can pass it on as it is.
--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -136,9 +136,8 @@
                   std::string_view failureDomain) const {
   std::string key = keyOf(scope, part.Id);
   std::lock_guard guard(Lock);
-  for (const Retirement &retired : Retired)
-    if (retired.covers(scope, part.Id))
-      return std::nullopt;
+  if (isRetired(scope, part.Id))
+    return std::nullopt;
   std::optional<ContextStoreTraits> out;
   for (const auto &[name, store] : Stores) {
     if (!store.IsReachable || !store.Parts.contains(key))
@@ -150,6 +149,13 @@
   return out;
 }
 
+bool KeptContext::isRetired(std::string_view scope,
+                            std::string_view part) const {
+  return std::any_of(Retired.begin(), Retired.end(), [&](const Retirement &it) {
+    return it.covers(scope, part);
+  });
+}
+
 uint64_t KeptContext::plannedTokens(const std::string &store) const {
   uint64_t out = 0;
   for (const auto &[key, save] : Saves)
@@ -170,7 +176,7 @@
   std::string key = keyOf(scope, part.Id);
   std::lock_guard guard(Lock);
   forgetOldSaves(now);
-  if (Saves.contains(key))
+  if (Saves.contains(key) || isRetired(scope, part.Id))
     return std::nullopt;
   for (const auto &[name, store] : Stores)
     if (store.Parts.contains(key))
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -58,20 +58,8 @@
   auto operator<=>(const PartList &) const = default;
 };
 
-/// Kept context of weights before a version that nobody uses any more.
-struct Retirement {
-  uint64_t BelowVersion = 0;
-  double Share = 0; ///< Of the parts, the same ones in every process.
-  auto operator<=>(const Retirement &) const = default;
-  template <class Archive> void serialize(Archive &ar) {
-    ar(BelowVersion, Share);
-  }
-
-  bool covers(std::string_view scope, std::string_view part) const;
-};
-
 /// Whether a part can be freed: it was made for weights before the version that
-/// nobody has had for long enough, or all entries have agreed not to use it.
+/// nobody has had for long enough, or is retired and not read any more.
 bool isUnused(const BrokenPart &part, uint64_t freeBelow,
               const std::vector<Retirement> &agreed);
 
@@ -141,7 +129,8 @@
   void forgetSave(std::string_view scope, const PromptPart &part);
 
   /// Parts of a share of sessions, made for weights before the version, are not
-  /// offered any more, so that they can be freed for those of newer weights.
+  /// offered any more, for good, so that they can be freed for those of newer
+  /// weights.
   void retire(const Retirement &retirement);
   /// Known parts of the store that pass the test.
   std::vector<BrokenPart>
@@ -170,6 +159,7 @@
   void removePart(Store &store, const std::string &key);
   void reset(Store &store, uint64_t epoch);
   void forgetOldSaves(TimePoint now);
+  bool isRetired(std::string_view scope, std::string_view part) const;
   uint64_t plannedTokens(const std::string &store) const;
   /// Speed of the links of the stores that parts of the size belong to; nothing
   /// without a store.
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -24,9 +24,12 @@
   std::vector<StoreRecord> Records;
   /// Microseconds since the service confirmed them to the sender.
   int64_t ConfirmedAgo = 0;
+  /// Microseconds since a moment of which the sender knows all that the service
+  /// held.
+  int64_t KnownAgo = 0;
   bool operator==(const RecordsFound &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(Records, ConfirmedAgo);
+    ar(Records, ConfirmedAgo, KnownAgo);
   }
 };
 
@@ -49,8 +52,9 @@
   }
 };
 
-/// Kept context of old weights is not to be named as a source any more. The
-/// answer is the promise not to.
+/// Kept context of old weights that is not to be named as a source any more, as
+/// the key-value service holds it. The answer says that the process names none
+/// of it.
 struct ContextRetired {
   std::vector<Retirement> What;
   bool operator==(const ContextRetired &) const = default;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -335,8 +335,11 @@
   size_t ofSession = head.Parts.size() - 2;
   for (size_t i = 0; i + 1 < head.Parts.size(); ++i) {
     const PromptPart &part = head.Parts[i];
-    if (auto store =
-            View.Kept.find(order.CacheScope, part, server.FailureDomain)) {
+    // A fetch without an end may outlast the wait before its part is freed.
+    std::optional<ContextStoreTraits> store;
+    if (serversClockMs)
+      store = View.Kept.find(order.CacheScope, part, server.FailureDomain);
+    if (store) {
       double excess = View.Links.excessMs(store->Address, now);
       if (shedsFetch(request, excess, budget))
         break; // What follows a part that is missing can't be used.
--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -40,6 +40,8 @@
   std::function<std::string(const EntryPeer &)> EncodeEntry;
   std::string HolderKey; ///< Held by the one entry that gives orders.
   std::function<std::string(const OrderHolder &)> EncodeHolder;
+  std::string RetiredKey; ///< Of all kept context that is retired.
+  std::function<std::string(const RetiredContext &)> EncodeRetired;
 
   // Stores of kept context and engines.
   std::function<net::HttpRequest(uint64_t since, Duration wait)> ChangesRequest;
--- a/src/direct/retirement.cpp
+++ b/src/direct/retirement.cpp
@@ -5,17 +5,64 @@
 
 namespace daisytack::direct {
 
+namespace {
+
+bool isWithin(const Retirement &inner, const Retirement &outer) {
+  return inner.BelowVersion <= outer.BelowVersion && inner.Share <= outer.Share;
+}
+
+} // namespace
+
+bool mayNameSources(const SourceStanding &standing, Duration trust,
+                    TimePoint now) {
+  return standing.HasReadAll && standing.IsListed &&
+         now < standing.KnownAt + trust;
+}
+
+std::vector<Retirement> mergeRetired(std::vector<Retirement> a,
+                                     const std::vector<Retirement> &b) {
+  a.insert(a.end(), b.begin(), b.end());
+  std::sort(a.begin(), a.end());
+  std::vector<Retirement> out;
+  for (size_t i = 0; i < a.size(); ++i) {
+    // Sorted: what covers another, or equals it, stands behind it or at a
+    // higher version.
+    bool isCovered =
+        std::any_of(a.begin() + static_cast<std::ptrdiff_t>(i) + 1, a.end(),
+                    [&](const Retirement &it) { return isWithin(a[i], it); });
+    if (!isCovered)
+      out.push_back(a[i]);
+  }
+  return out;
+}
+
+void RetirementAgreement::onWatched(uint64_t revision) {
+  WatchedTo = std::max(WatchedTo, revision);
+}
+
+void RetirementAgreement::onListed(const Endpoint &peer, TimePoint now) {
+  if (peer != Own)
+    Peers[peer].ListedAt = now;
+}
+
 void RetirementAgreement::onCatalog(const Catalog &catalog, TimePoint now) {
   for (const EntryPeer &peer : catalog.Entries)
-    if (peer.Peer != Own)
-      Remembered[peer.Peer] = now;
-  std::erase_if(Remembered, [&](const auto &it) {
-    return now >= it.second + Settings.Memory;
+    onListed(peer.Peer, now);
+  // One that has not been listed for so long names nothing.
+  std::erase_if(Peers, [&](const auto &it) {
+    return now >= it.second.ListedAt + Settings.Trust;
   });
+  uint64_t known = Stages.empty() ? 0 : Stages.back().Revision;
+  if (catalog.RetiredRevision > known)
+    Stages.push_back(
+        {catalog.RetiredRevision, catalog.Retired, now, {}, std::nullopt});
 }
 
-std::optional<Retirement>
-RetirementAgreement::retirementFor(const Catalog &catalog) const {
+std::vector<Retirement> RetirementAgreement::retiredFor(const Catalog &catalog,
+                                                        TimePoint now) {
+  std::vector<Retirement> out;
+  if (uint64_t below = unusedBelow(catalog, now); below > 1)
+    out.push_back({below, 1});
   uint64_t newest = 0;
   for (const auto &[model, wanted] : catalog.Wanted)
     newest = std::max(newest, wanted.back().Version);
@@ -28,55 +75,95 @@
     moved += server.Weights.front().Version >= newest ? 1 : 0;
   }
   if (all == 0 || newest < 2)
-    return std::nullopt;
+    return out;
   // In quarters, so that entries are told few times.
   constexpr double Steps = 4;
   double share =
       std::min(1.0, std::floor((moved / all + Settings.Ahead) * Steps) / Steps);
-  return Retirement{newest, share};
+  if (share > 0)
+    out.push_back({newest, share});
+  return out;
 }
 
-std::vector<TellEntry> RetirementAgreement::next(const Catalog &catalog,
-                                                 TimePoint now) {
+std::vector<RetirementAction> RetirementAgreement::next(const Catalog &catalog,
+                                                        TimePoint now) {
   onCatalog(catalog, now);
-  if (AgreedAt && now >= *AgreedAt + Settings.FetchTime) {
-    AgreedAt.reset();
-    Agreed.push_back(Asked);
+  std::vector<RetirementAction> out;
+  std::vector<Retirement> wanted =
+      mergeRetired(catalog.Retired, retiredFor(catalog, now));
+  if (wanted != catalog.Retired && !IsWriting && now >= WriteAgainAt) {
+    IsWriting = true;
+    out.push_back(WriteRetired{std::move(wanted), catalog.RetiredRevision});
   }
-  std::optional<Retirement> wanted = retirementFor(catalog);
-  if (!wanted || Open > 0 || AgreedAt || now < AskAgainAt)
-    return {};
-  bool isNews =
-      wanted->BelowVersion != Asked.BelowVersion || wanted->Share > Asked.Share;
-  if (!isNews)
-    return {};
-  Wanted = wanted;
-  AskAgainAt = now + Settings.AskPause;
-  ++Round;
-  AllAgreed = true;
-  std::vector<TellEntry> out;
-  for (const auto &[peer, listedAt] : Remembered)
-    out.push_back({peer, {*wanted}, Round});
-  Open = out.size();
-  if (out.empty()) {
-    Asked = *wanted;
-    AgreedAt = now;
+  noteAgreements(now);
+  if (Stages.empty() || Stages.back().AgreedAt)
+    return out;
+  const Stage &newest = Stages.back();
+  for (auto &[endpoint, peer] : Peers) {
+    bool isDue = !peer.IsAsked && now >= peer.AskAgainAt;
+    if (!isDue || newest.Agreed.contains(endpoint))
+      continue;
+    peer.IsAsked = true;
+    out.push_back(TellEntry{endpoint, newest.What, newest.Revision});
   }
   return out;
 }
 
+void RetirementAgreement::onWritten(TimePoint now) {
+  // Whether it was carried out, the service itself will tell.
+  IsWriting = false;
+  WriteAgainAt = now + Settings.AskPause;
+}
+
 void RetirementAgreement::onTold(const TellEntry &told, bool hasAgreed,
                                  TimePoint now) {
-  if (told.Round != Round || Open == 0)
-    return;
-  AllAgreed &= hasAgreed;
-  if (--Open > 0)
-    return;
-  AskAgainAt = now + Settings.AskPause;
-  if (!AllAgreed)
+  if (auto it = Peers.find(told.Peer); it != Peers.end()) {
+    it->second.IsAsked = false;
+    it->second.AskAgainAt = hasAgreed ? now : now + Settings.AskPause;
+  }
+  if (!hasAgreed)
     return;
-  Asked = *Wanted;
-  AgreedAt = now;
+  for (Stage &stage : Stages)
+    if (stage.Revision <= told.Revision)
+      stage.Agreed.insert(told.Peer);
+  noteAgreements(now);
+}
+
+void RetirementAgreement::noteAgreements(TimePoint now) {
+  for (Stage &stage : Stages) {
+    // Of entries that were listed before the record, all have been told of by
+    // the service itself only then.
+    if (stage.AgreedAt || WatchedTo < stage.Revision)
+      continue;
+    bool allAgreed =
+        std::all_of(Peers.begin(), Peers.end(), [&](const auto &it) {
+          return stage.Agreed.contains(it.first);
+        });
+    if (allAgreed)
+      stage.AgreedAt = now;
+  }
+}
+
+bool RetirementAgreement::isSafe(const Stage &stage, TimePoint now) const {
+  // By now every entry knows it or names nothing.
+  if (now >= stage.SeenAt + Settings.Trust + Settings.FetchTime)
+    return true;
+  // Entries that this process has never heard of were listed before it read
+  // the service, and their trust in what they knew then has ended.
+  return stage.AgreedAt && now >= *stage.AgreedAt + Settings.FetchTime &&
+         ReadAt && now >= *ReadAt + Settings.Trust + Settings.FetchTime;
+}
+
+std::vector<Retirement> RetirementAgreement::freeable(TimePoint now) {
+  auto safe =
+      std::find_if(Stages.rbegin(), Stages.rend(),
+                   [&](const Stage &stage) { return isSafe(stage, now); });
+  if (safe == Stages.rend())
+    return Safe;
+  Safe = safe->What;
+  // It stays until a later one is safe, so that it is not taken for news.
+  Stages.erase(Stages.begin(), safe.base() - 1);
+  return Safe;
 }
 
 uint64_t RetirementAgreement::unusedBelow(const Catalog &catalog,
@@ -94,12 +181,4 @@
   return now < OldestSince + Settings.FreeDelay ? 0 : *oldest;
 }
 
-std::vector<Retirement> RetirementAgreement::freeable(const Catalog &catalog,
-                                                      TimePoint now) {
-  std::vector<Retirement> out = Agreed;
-  if (uint64_t below = unusedBelow(catalog, now))
-    out.push_back({below, 1});
-  return out;
-}
-
 } // namespace daisytack::direct
--- a/src/direct/retirement.h
+++ b/src/direct/retirement.h
@@ -1,5 +1,14 @@
-/// Agreement of the entries on kept context that is not named as a source any
-/// more, so that it can be freed without being read meanwhile.
+/// Which kept context is not named as a source any more, and when it can be
+/// freed without being read meanwhile.
+///
+/// What is retired stands in the key-value service, for good, and only grows: a
+/// process that starts reads it before it names anything. An entry names
+/// sources only on knowledge of the service that is complete up to a moment not
+/// long past, so that once a record has stood for as long, every process
+/// either knows it or names nothing. As that takes long, all entries that may
+/// name sources without knowing it are asked, and their answers count as soon
+/// as all have come. Each fetch has an end on the servers' clock, which is
+/// waited for in both cases.
 #pragma once
 
 #include "direct/catalog.h"
@@ -8,68 +17,127 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
+#include <variant>
 #include <vector>
 
 namespace daisytack::direct {
 
+/// How long an entry goes on naming sources on what it knows of the service,
+/// and so how long what is retired may take to be in force at an entry that is
+/// cut off. Longer than outages of the service, nine seconds at most, and two
+/// waits of a watch and its repeats, four seconds.
+constexpr Duration SourceTrust{14'000'000};
+
+/// What an entry's right to name sources rests on.
+struct SourceStanding {
+  /// This process has read the whole service itself, so that it knows all that
+  /// was agreed with a process before it at its address.
+  bool HasReadAll = false;
+  /// By its own catalog it is listed at its address, so that it is asked.
+  bool IsListed = false;
+  /// All that the service held at this moment is known to it. Never later than
+  /// the call that told so, as a process may stand still with the answer.
+  TimePoint KnownAt;
+  auto operator<=>(const SourceStanding &) const = default;
+};
+
+bool mayNameSources(const SourceStanding &standing, Duration trust,
+                    TimePoint now);
+
+/// Everything that either covers, without what another covers as well.
+std::vector<Retirement> mergeRetired(std::vector<Retirement> a,
+                                     const std::vector<Retirement> &b);
+
 struct RetirementSettings {
-  /// Kept context of old weights is freed once no server has had them for so
-  /// long: the longest fetch, and a server's report of its weights.
+  /// Context of weights that no server has had for so long is retired: a
+  /// server's report of its weights.
   Duration FreeDelay{4'000'000};
   /// While servers move to new weights, the context of the old makes room ahead
   /// of them: the share of servers that have moved, and this much more.
   double Ahead = 0.25;
-  /// Between tries to tell all entries.
+  /// Between tries to write, and to ask one entry.
   Duration AskPause{500'000};
-  /// After all entries have agreed: the longest fetch, and its way.
+  /// After the last entry stopped naming: the longest fetch, and its way.
   Duration FetchTime{LongestFetch + Duration(500'000)};
-  /// Entries that were listed so long ago are still asked. Longer than an
-  /// outage of the service is usual.
-  Duration Memory{30'000'000};
+  Duration Trust = SourceTrust;
   bool operator==(const RetirementSettings &) const = default;
 };
 
-/// An entry is to be told not to name this context; its answer agrees.
+/// To be written to the service over the record of that revision (0: none),
+/// provided that this process is still the holder.
+struct WriteRetired {
+  std::vector<Retirement> What;
+  uint64_t Over = 0;
+  bool operator==(const WriteRetired &) const = default;
+};
+
+/// An entry is to be told; its answer says that it names nothing of it.
 struct TellEntry {
   Endpoint Peer;
   std::vector<Retirement> What;
-  uint64_t Round = 0;
+  uint64_t Revision = 0; ///< Of the record.
   bool operator==(const TellEntry &) const = default;
 };
 
-/// One thread at a time.
+using RetirementAction = std::variant<WriteRetired, TellEntry>;
+
+/// Every entry follows the records; the holder of the right to give orders
+/// also writes, asks and frees. One thread at a time.
 class RetirementAgreement {
 public:
   RetirementAgreement(RetirementSettings settings, Endpoint own)
       : Settings(settings), Own(std::move(own)) {}
 
+  /// The service was read in full, at the start or after history was lost:
+  /// entries that came and went before are unknown.
+  void onReadAll(TimePoint now) { ReadAt = now; }
+  /// The service itself has told of every change up to the revision.
+  void onWatched(uint64_t revision);
+  /// An entry is, or was for a moment, listed in the service.
+  void onListed(const Endpoint &peer, TimePoint now);
   void onCatalog(const Catalog &catalog, TimePoint now);
+
   /// Only while this process may give orders. Call several times a second.
-  std::vector<TellEntry> next(const Catalog &catalog, TimePoint now);
+  std::vector<RetirementAction> next(const Catalog &catalog, TimePoint now);
+  void onWritten(TimePoint now);
   void onTold(const TellEntry &told, bool hasAgreed, TimePoint now);
 
-  /// What this process itself is not to name.
-  const std::optional<Retirement> &wanted() const { return Wanted; }
   /// What no server can be reading.
-  std::vector<Retirement> freeable(const Catalog &catalog, TimePoint now);
+  std::vector<Retirement> freeable(TimePoint now);
   /// The version below which no server has had weights for long enough; 0 when
   /// there is none.
   uint64_t unusedBelow(const Catalog &catalog, TimePoint now);
 
 private:
-  std::optional<Retirement> retirementFor(const Catalog &catalog) const;
+  /// A record that this process has seen in the service.
+  struct Stage {
+    uint64_t Revision = 0;
+    std::vector<Retirement> What;
+    TimePoint SeenAt;
+    std::set<Endpoint> Agreed;
+    std::optional<TimePoint> AgreedAt; ///< When the last of them had.
+  };
+  struct Peer {
+    TimePoint ListedAt; ///< Last.
+    bool IsAsked = false;
+    TimePoint AskAgainAt;
+  };
+
+  std::vector<Retirement> retiredFor(const Catalog &catalog, TimePoint now);
+  void noteAgreements(TimePoint now);
+  bool isSafe(const Stage &stage, TimePoint now) const;
 
   RetirementSettings Settings;
   Endpoint Own;
-  std::map<Endpoint, TimePoint> Remembered; ///< And when last listed.
-  std::optional<Retirement> Wanted;
-  Retirement Asked; ///< Last agreed on.
-  uint64_t Round = 0;
-  size_t Open = 0;
-  bool AllAgreed = true;
-  TimePoint AskAgainAt;
-  std::optional<TimePoint> AgreedAt; ///< When all had agreed to Asked.
-  std::vector<Retirement> Agreed;
+  std::map<Endpoint, Peer> Peers;
+  std::optional<TimePoint> ReadAt;
+  uint64_t WatchedTo = 0;
+  std::vector<Stage> Stages; ///< By revision; each covers those before it.
+  std::vector<Retirement> Safe;
+  bool IsWriting = false;
+  TimePoint WriteAgainAt;
   uint64_t OldestSeen = 0;
   TimePoint OldestSince;
 };
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -12,14 +12,17 @@
 
 ContextFollower::ContextFollower(GatewayState &state, Strand strand,
                                  ContextFollowerSettings settings,
-                                 RandomSource random, Tell tell)
+                                 RandomSource random, RetirementHooks hooks)
     : State(state), On(std::move(strand)), Settings(settings),
       Random(std::move(random)), Pacing(settings.Pacing),
-      TellOne(std::move(tell)),
+      Hooks(std::move(hooks)),
       Agreement(settings.Retirement, state.Options.Peers) {}
 
 void ContextFollower::onCatalog() {
   auto catalog = State.catalog();
+  for (const direct::Retirement &it : catalog->Retired)
+    State.Kept.retire(it);
+  Agreement.onCatalog(*catalog, monotonicNow());
   if (!catalog->Config)
     return;
   for (const direct::Service &service : catalog->Config->config().Services) {
@@ -169,22 +172,45 @@
                     now);
 }
 
+void ContextFollower::onReadAll() { Agreement.onReadAll(monotonicNow()); }
+
+void ContextFollower::onTold(const std::vector<direct::StoreRecord> &records,
+                             uint64_t revision) {
+  TimePoint now = monotonicNow();
+  // One by one: an entry may have come and gone between two answers.
+  for (const direct::StoreRecord &record : records) {
+    bool isEntry =
+        State.Speak.SubjectOf(record.Key).Kind == direct::FactKind::Entry;
+    if (!isEntry || record.IsDeleted)
+      continue;
+    Error reason; // The catalog logs what can't be read.
+    auto fact = State.Speak.DecodeFact(record, reason);
+    if (const auto *peer =
+            fact ? std::get_if<direct::EntryPeer>(&*fact) : nullptr)
+      Agreement.onListed(peer->Peer, now);
+  }
+  Agreement.onWatched(revision);
+}
+
 void ContextFollower::retireOld(TimePoint now) {
-  std::vector<direct::TellEntry> tells = Agreement.next(*State.catalog(), now);
-  if (Agreement.wanted())
-    State.Kept.retire(*Agreement.wanted());
-  for (const direct::TellEntry &tell : tells)
-    TellOne(tell, [self = shared_from_this(), tell](bool hasAgreed) {
-      self->onTold(tell, hasAgreed);
-    });
+  for (const auto &action : Agreement.next(*State.catalog(), now)) {
+    if (const auto *tell = std::get_if<direct::TellEntry>(&action))
+      Hooks.Tell(*tell, [self = shared_from_this(), tell = *tell](bool agreed) {
+        self->onAnswered(tell, agreed);
+      });
+    if (const auto *write = std::get_if<direct::WriteRetired>(&action))
+      Hooks.Write(*write, [self = shared_from_this()] {
+        self->Agreement.onWritten(monotonicNow());
+      });
+  }
 }
 
-void ContextFollower::onTold(const direct::TellEntry &tell, bool hasAgreed) {
+void ContextFollower::onAnswered(const direct::TellEntry &tell,
+                                 bool hasAgreed) {
   TimePoint now = monotonicNow();
   State.Log.write(LogWeight::Notable, "context_retirement_told",
                   {{"peer", toString(tell.Peer)},
-                   {"below_version", tell.What.back().BelowVersion},
-                   {"share", tell.What.back().Share},
+                   {"revision", tell.Revision},
                    {"agreed", hasAgreed}},
                   now);
   Agreement.onTold(tell, hasAgreed, now);
@@ -202,7 +228,8 @@
   // and what is freed under a save is reported as whole all the same. So it is
   // freed only once no server can be saving under its scope.
   for (const direct::BrokenPart &part : followed.Broken)
-    if (direct::isUnused(part, unusedBelow, {}))
+    if (direct::isUnused(part, unusedBelow, {}) &&
+        direct::isUnused(part, 0, freeable))
       out.push_back(part);
   if (out.size() > Settings.PartsPerFree)
     out.resize(Settings.PartsPerFree);
@@ -211,7 +238,7 @@
 
 void ContextFollower::freeUnused(TimePoint now) {
   auto catalog = State.catalog();
-  std::vector<direct::Retirement> freeable = Agreement.freeable(*catalog, now);
+  std::vector<direct::Retirement> freeable = Agreement.freeable(now);
   uint64_t unusedBelow = Agreement.unusedBelow(*catalog, now);
   if (freeable.empty() || !State.isConfirmed(now))
     return;
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -38,19 +38,30 @@
   bool operator==(const ContextFollowerSettings &) const = default;
 };
 
+struct RetirementHooks {
+  /// Tells one entry; learns whether it has agreed.
+  std::function<void(const direct::TellEntry &,
+                     const std::function<void(bool)> &)>
+      Tell;
+  /// Done is called whatever came of it, as the service itself will tell.
+  std::function<void(const direct::WriteRetired &,
+                     const std::function<void()> &)>
+      Write;
+};
+
 /// Runs on its strand.
 class ContextFollower : public std::enable_shared_from_this<ContextFollower> {
 public:
-  /// Tells one entry of a retirement; learns whether it has agreed.
-  using Tell = std::function<void(const direct::TellEntry &,
-                                  const std::function<void(bool)> &)>;
-
   ContextFollower(GatewayState &state, Strand strand,
                   ContextFollowerSettings settings, RandomSource random,
-                  Tell tell);
+                  RetirementHooks hooks);
 
   /// Begins to follow stores that are new in the catalog.
   void onCatalog();
+  /// By the service itself, see FollowerHooks.
+  void onReadAll();
+  void onTold(const std::vector<direct::StoreRecord> &records,
+              uint64_t revision);
   /// Both only while this process may give orders: agrees with all entries on
   /// what is not used any more, and frees it.
   void retireOld(TimePoint now);
@@ -90,7 +101,7 @@
   unused(const std::string &store, const Followed &followed,
          uint64_t unusedBelow,
          const std::vector<direct::Retirement> &freeable) const;
-  void onTold(const direct::TellEntry &tell, bool hasAgreed);
+  void onAnswered(const direct::TellEntry &tell, bool hasAgreed);
 
   GatewayState &State;
   Strand On;
@@ -98,7 +109,7 @@
   RandomSource Random;
   direct::CallPacing Pacing;
   std::map<std::string, Followed> Stores;
-  Tell TellOne;
+  RetirementHooks Hooks;
   direct::RetirementAgreement Agreement;
   bool IsStopped = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,6 +4,8 @@
 #include "base/digest.h"
 #include "net/http_status.h"
 
+#include <boost/asio/dispatch.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -13,6 +15,7 @@
 
 constexpr Duration TickInterval{100'000};
 constexpr Duration DrainCheck{20'000};
+constexpr Duration RetireTimeout{1'200'000};
 /// Loads of servers that were not used for so long are forgotten.
 constexpr Duration LoadMemory{60'000'000};
 /// A server that takes new weights is left alone for at most so long: its runs
@@ -34,9 +37,9 @@
       State(io, Options, std::move(protocol), Counters, Log),
       Control(boost::asio::make_strand(io)),
       Store(makeStore(State.Control, Options.Store)),
-      Follower(std::make_shared<StoreFollower>(
-          State, Control, Store, StoreFollowerSettings{}, secureRandom,
-          [this] { onCatalog(); })),
+      Follower(std::make_shared<StoreFollower>(State, Control, Store,
+                                               StoreFollowerSettings{},
+                                               secureRandom, followerHooks())),
       Announced(std::make_shared<EntryLease>(
           Control, Store, State.Speak.EntryKey(Options.Name),
           State.Speak.EncodeEntry({Options.Name, Options.Peers}),
@@ -46,11 +49,7 @@
       PeerLoads(
           std::make_shared<LoadExchange>(State, Control, Options.LoadExchange)),
       Contexts(std::make_shared<ContextFollower>(
-          State, Control, ContextFollowerSettings{}, secureRandom,
-          [this](const direct::TellEntry &tell,
-                 const std::function<void(bool)> &done) {
-            Peers->tellOne(tell.Peer, direct::ContextRetired{tell.What}, done);
-          })),
+          State, Control, contextSettings(), secureRandom, retirementHooks())),
       Orders(std::make_shared<OrderDriver>(
           State, Control, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -77,14 +76,14 @@
 
 PeerHooks Gateway::peerHooks() {
   PeerHooks out;
-  out.Records = [this](const std::vector<direct::StoreRecord> &records,
-                       Duration confirmedAgo) {
-    TimePoint now = monotonicNow();
-    int64_t confirmed = (now - confirmedAgo).time_since_epoch().count();
+  out.Records = [this](const direct::RecordsFound &found, TimePoint askedAt) {
+    int64_t confirmed =
+        (askedAt - Duration(found.ConfirmedAgo)).time_since_epoch().count();
     if (confirmed > State.ConfirmedAt.load())
       State.ConfirmedAt = confirmed;
-    if (!records.empty())
-      Follower->merge(records);
+    if (!found.Records.empty())
+      Follower->merge(found.Records);
+    State.knowAllUpTo(askedAt - Duration(found.KnownAgo));
   };
   out.Weights = [this](const direct::PeerMessage &message) {
     onWeights(message);
@@ -92,6 +91,55 @@
   return out;
 }
 
+FollowerHooks Gateway::followerHooks() {
+  FollowerHooks out;
+  out.Changed = [this] { onCatalog(); };
+  out.ReadAll = [this] { Contexts->onReadAll(); };
+  out.Told = [this](const std::vector<direct::StoreRecord> &records,
+                    uint64_t revision) { Contexts->onTold(records, revision); };
+  return out;
+}
+
+RetirementHooks Gateway::retirementHooks() {
+  RetirementHooks out;
+  out.Tell = [this](const direct::TellEntry &tell,
+                    const std::function<void(bool)> &done) {
+    Peers->tellOne(tell.Peer, direct::ContextRetired{tell.What}, done);
+  };
+  out.Write = [this](const direct::WriteRetired &write,
+                     const std::function<void()> &done) {
+    std::optional<uint64_t> token = Orders->token(monotonicNow());
+    if (!token)
+      return done();
+    const std::string &key = State.Speak.RetiredKey;
+    edge::KvTransaction change;
+    change.If.push_back(
+        {State.Speak.HolderKey, edge::KvCompare::Target::ModRevision, *token});
+    change.If.push_back(
+        {key, edge::KvCompare::Target::ModRevision, write.Over});
+    change.Then.push_back(
+        {key, State.Speak.EncodeRetired({write.What}), 0, false});
+    Store.Commit(std::move(change), RetireTimeout,
+                 [this, done](const edge::KvTransactionResult &result) {
+                   boost::asio::dispatch(Control, [this, done, result] {
+                     Log.write(
+                         LogWeight::Notable, "context_retired",
+                         {{"status", edge::kvStatusName(result.Header.Status)},
+                          {"revision", result.Header.Revision}},
+                         monotonicNow());
+                     done();
+                   });
+                 });
+  };
+  return out;
+}
+
+ContextFollowerSettings Gateway::contextSettings() const {
+  ContextFollowerSettings out;
+  out.Retirement.Trust = Options.SourceTrust;
+  return out;
+}
+
 OrderDriverSettings Gateway::orderSettings() const {
   OrderDriverSettings out;
   out.Weights.ConcurrentLoads = Options.ConcurrentLoads;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,9 @@
   /// Servers that take new weights are left alone until they have them.
   void onLoading(const std::vector<std::string> &servers);
   PeerHooks peerHooks();
+  FollowerHooks followerHooks();
+  RetirementHooks retirementHooks();
+  ContextFollowerSettings contextSettings() const;
   OrderDriverSettings orderSettings() const;
   void tick();
   void watchDrain();
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -11,6 +11,7 @@
 #include "direct/kept_context.h"
 #include "direct/placement.h"
 #include "direct/reading_rate.h"
+#include "direct/retirement.h"
 #include "direct/server_loads.h"
 
 #include <string>
@@ -57,6 +58,8 @@
   Duration ConfirmedFor{2'500'000};
   /// Lease under which an entry announces itself and holds the right to give
   /// orders.
+  /// The same in all entries, so no setting; tests shorten it.
+  Duration SourceTrust = direct::SourceTrust;
   Duration LeaseTerm{3'000'000};
   /// A paused holder that wakes waits so long before it acts again.
   Duration WakePause{300'000};
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -102,7 +102,7 @@
                        Error &reason) {
   auto catalog = State.catalog();
   return State.Place.choose(Flow.request(), *catalog, tried,
-                            State.Clock.at(now), now, reason);
+                            State.fetchClock(now), now, reason);
 }
 
 RetryBudget &GatewayRequest::budget() {
@@ -150,6 +150,8 @@
       {"fetch_excess_ms", order.FetchExcessMs},
       {"time_left_ms", millisecondsOf(order.TimeLeft)},
       {"config_version", State.catalog()->Config->config().Version}};
+  if (order.FetchUntilMs)
+    fields["fetch_until_ms"] = *order.FetchUntilMs;
   if (order.SlowestSource)
     fields["slowest_source"] = toString(*order.SlowestSource);
   State.Log.write(LogWeight::Routine, "attempt_sent", std::move(fields), now);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -44,6 +44,8 @@
     return "entry";
   case direct::FactKind::Holder:
     return "order_holder";
+  case direct::FactKind::Retired:
+    return "retired_context";
   case direct::FactKind::Other:
     break;
   }
@@ -162,6 +164,32 @@
       Control(io, clientInit(IdlePerControl, ControlConnect)),
       Catalog(options.Catalog, catalogHooks(Speak, log)) {}
 
+void GatewayState::knowAllUpTo(TimePoint at) {
+  int64_t known = at.time_since_epoch().count();
+  if (known > KnownAt.load())
+    KnownAt = known;
+}
+
+direct::SourceStanding GatewayState::standing() const {
+  direct::SourceStanding out;
+  // Before the catalog, which so is no older than this.
+  out.KnownAt = TimePoint(Duration(KnownAt.load()));
+  out.HasReadAll = HasReadAll;
+  auto catalog = this->catalog();
+  out.IsListed =
+      std::any_of(catalog->Entries.begin(), catalog->Entries.end(),
+                  [&](const direct::EntryPeer &it) {
+                    return it.Name == Options.Name && it.Peer == Options.Peers;
+                  });
+  return out;
+}
+
+std::optional<int64_t> GatewayState::fetchClock(TimePoint now) const {
+  if (!direct::mayNameSources(standing(), Options.SourceTrust, now))
+    return std::nullopt;
+  return Clock.at(now);
+}
+
 bool GatewayState::isConfirmed(TimePoint now) const {
   return now.time_since_epoch().count() - ConfirmedAt.load() <
          Options.ConfirmedFor.count();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "direct/placement.h"
 #include "direct/protocol.h"
+#include "direct/retirement.h"
 #include "gateway/gateway_options.h"
 #include "net/http_client.h"
 
@@ -93,6 +94,11 @@
   direct::CatalogKeeper Catalog;
   /// When the key-value service last confirmed the catalog, as microseconds.
   std::atomic<int64_t> ConfirmedAt{INT64_MIN / 2};
+  /// All that the service held at this moment is known, as microseconds.
+  /// Written on the strand of the follower.
+  std::atomic<int64_t> KnownAt{INT64_MIN / 2};
+  /// This process has read the whole service itself.
+  std::atomic<bool> HasReadAll{false};
   std::atomic<bool> Draining{false};
   std::atomic<size_t> Running{0};
 
@@ -100,6 +106,11 @@
     return Catalog.view();
   }
   bool isConfirmed(TimePoint now) const;
+  void knowAllUpTo(TimePoint at);
+  direct::SourceStanding standing() const;
+  /// The servers' clock, by which each fetch must end; nothing while this entry
+  /// is to name no sources.
+  std::optional<int64_t> fetchClock(TimePoint now) const;
 };
 
 } // namespace daisytack::gateway
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -82,7 +82,8 @@
     return direct::Received{};
   int64_t now = monotonicNow().time_since_epoch().count();
   return direct::RecordsFound{State.Catalog.recordsSince(wanted->Revision),
-                              now - State.ConfirmedAt.load()};
+                              now - State.ConfirmedAt.load(),
+                              now - State.KnownAt.load()};
 }
 
 void PeerExchange::remember(TimePoint now) {
@@ -142,9 +143,9 @@
 
 void PeerExchange::ask(const Endpoint &peer) {
   post(peer, direct::RecordsWanted{State.Catalog.revision()},
-       [this](const direct::PeerMessage &reply) {
+       [this, askedAt = monotonicNow()](const direct::PeerMessage &reply) {
          if (const auto *found = std::get_if<direct::RecordsFound>(&reply))
-           Hooks.Records(found->Records, Duration(found->ConfirmedAgo));
+           Hooks.Records(*found, askedAt);
        });
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -16,10 +16,8 @@
 
 /// Called on the strand.
 struct PeerHooks {
-  /// Records from another entry, confirmed by the service so long ago.
-  std::function<void(const std::vector<direct::StoreRecord> &,
-                     Duration confirmedAgo)>
-      Records;
+  /// What another entry knows; its times count from when it was asked.
+  std::function<void(const direct::RecordsFound &, TimePoint askedAt)> Records;
   /// ServersLoading or ServerLoaded.
   std::function<void(const direct::PeerMessage &)> Weights;
 };
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -23,10 +24,10 @@
 StoreFollower::StoreFollower(GatewayState &state, Strand strand,
                              edge::KvStore store,
                              StoreFollowerSettings settings,
-                             RandomSource random, std::function<void()> changed)
+                             RandomSource random, FollowerHooks hooks)
     : State(state), On(std::move(strand)), Store(std::move(store)),
-      Settings(settings), Random(std::move(random)),
-      Changed(std::move(changed)), Timer(On) {}
+      Settings(settings), Random(std::move(random)), Hooks(std::move(hooks)),
+      Timer(On) {}
 
 void StoreFollower::start() {
   boost::asio::post(On, [self = shared_from_this()] { self->readAll(); });
@@ -49,16 +50,18 @@
   // Every key: the configuration, the servers, the weights and the entries lie
   // under several prefixes, and one watch costs one call.
   Store.Range({"", edge::prefixEnd(""), 0, 0}, Settings.CallTimeout,
-              [self = shared_from_this(), epoch](edge::KvRangeResult result) {
-                boost::asio::dispatch(
-                    self->On, [self, epoch, result = std::move(result)] {
-                      if (epoch == self->Epoch)
-                        self->onAll(result);
-                    });
+              [self = shared_from_this(), epoch,
+               askedAt = monotonicNow()](edge::KvRangeResult result) {
+                boost::asio::dispatch(self->On, [self, epoch, askedAt,
+                                                 result = std::move(result)] {
+                  if (epoch == self->Epoch)
+                    self->onAll(result, askedAt);
+                });
               });
 }
 
-void StoreFollower::onAll(const edge::KvRangeResult &result) {
+void StoreFollower::onAll(const edge::KvRangeResult &result,
+                          TimePoint askedAt) {
   if (result.Header.Status != edge::KvStatus::Ok)
     return fail(result.Header.Reason);
   std::vector<direct::StoreRecord> records;
@@ -70,7 +73,11 @@
   State.Catalog.applyAll(records, result.Header.Revision, now);
   HasAll = true;
   WatchedTo = result.Header.Revision;
-  Changed();
+  Hooks.ReadAll();
+  Hooks.Told(records, WatchedTo);
+  Hooks.Changed();
+  State.knowAllUpTo(askedAt);
+  State.HasReadAll = true;
   watch();
 }
 
@@ -83,10 +90,17 @@
     });
   };
   edge::KvWatchHooks hooks;
-  hooks.Changed = [on](const edge::KvHeader &header,
-                       std::vector<edge::KvChange> changes) {
-    on([header, changes = std::move(changes)](StoreFollower &self) {
-      self.onChanged(header, changes);
+  // A call is sent only after the answer to the one before has come, so that
+  // this is a moment before the service can have answered it. The time at which
+  // an answer is handled is none: a process may stand still before it.
+  auto askedAfter = std::make_shared<std::atomic<int64_t>>(
+      monotonicNow().time_since_epoch().count());
+  hooks.Changed = [on, askedAfter](const edge::KvHeader &header,
+                                   std::vector<edge::KvChange> changes) {
+    TimePoint asked{Duration(
+        askedAfter->exchange(monotonicNow().time_since_epoch().count()))};
+    on([header, changes = std::move(changes), asked](StoreFollower &self) {
+      self.onChanged(header, changes, asked);
     });
   };
   hooks.Ended = [on](const edge::KvHeader &header, uint64_t compactRevision) {
@@ -99,7 +113,8 @@
 }
 
 void StoreFollower::onChanged(const edge::KvHeader &header,
-                              const std::vector<edge::KvChange> &changes) {
+                              const std::vector<edge::KvChange> &changes,
+                              TimePoint askedAfter) {
   std::vector<direct::StoreRecord> records;
   records.reserve(changes.size());
   for (const edge::KvChange &change : changes)
@@ -107,10 +122,12 @@
   TimePoint now = monotonicNow();
   confirm(now);
   WatchedTo = std::max(WatchedTo, header.Revision);
-  if (records.empty())
-    return;
-  State.Catalog.apply(records, now);
-  Changed();
+  Hooks.Told(records, WatchedTo);
+  if (!records.empty()) {
+    State.Catalog.apply(records, now);
+    Hooks.Changed();
+  }
+  State.knowAllUpTo(askedAfter);
 }
 
 void StoreFollower::onEnded(const edge::KvHeader &header,
@@ -172,7 +189,7 @@
 
 void StoreFollower::merge(const std::vector<direct::StoreRecord> &records) {
   State.Catalog.apply(records, monotonicNow());
-  Changed();
+  Hooks.Changed();
 }
 
 } // namespace daisytack::gateway
--- a/tests/direct/retirement_test.cpp
+++ b/tests/direct/retirement_test.cpp
@@ -46,7 +46,7 @@
 void disturb(RetirementWorld &world, size_t entries) {
   auto entry = *rc::gen::inRange<size_t>(0, entries);
   Duration time = 100ms * *rc::gen::inRange(1, 80);
-  switch (*rc::gen::inRange(0, 14)) {
+  switch (*rc::gen::inRange(0, 15)) {
   case 0:
     return world.kill(entry, 500ms, false);
   case 1:
@@ -66,8 +66,10 @@
   case 9:
     return world.slowService(10ms * *rc::gen::inRange(1, 80));
   case 10:
-    return world.slowPeers(10ms * *rc::gen::inRange(1, 60));
+    return world.loseHistory();
   case 11:
+    return world.slowPeers(10ms * *rc::gen::inRange(1, 60));
+  case 12:
     return world.nameWeights();
   default:
     return world.killFollower(500ms);
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -1,6 +1,7 @@
 #include "direct/retirement_world.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace daisytack::direct::test {
@@ -25,6 +26,23 @@
   return parseEndpoint(std::string(text)).value_or(Endpoint{});
 }
 
+std::string textOf(const std::vector<Retirement> &retired) {
+  std::string out;
+  for (const Retirement &it : retired)
+    out +=
+        std::to_string(it.BelowVersion) + " " + std::to_string(it.Share) + " ";
+  return out;
+}
+
+RetiredContext readRetired(const std::string &text) {
+  RetiredContext out;
+  std::istringstream in(text);
+  Retirement it;
+  while (in >> it.BelowVersion >> it.Share)
+    out.What.push_back(it);
+  return out;
+}
+
 direct::Service storeService() {
   direct::Service out;
   out.Name = StoreName;
@@ -49,6 +67,8 @@
       return {FactKind::Entry, name};
     if (key == "holder")
       return {FactKind::Holder, {}};
+    if (key == "retired")
+      return {FactKind::Retired, {}};
     return {};
   };
   out.SubjectOf = subjectOf;
@@ -59,6 +79,8 @@
       return EntryPeer{subject.Name, endpointOf(record.Value)};
     if (subject.Kind == FactKind::Holder)
       return OrderHolder{record.Value};
+    if (subject.Kind == FactKind::Retired)
+      return readRetired(record.Value);
     uint64_t version = std::stoull(record.Value);
     if (subject.Kind == FactKind::Weights)
       return DesiredWeights{{subject.Name, version}};
@@ -229,6 +251,8 @@
 }
 
 void RetirementWorld::onCatalog(ModelEntry &entry) {
+  for (const Retirement &it : entry.Catalog.view()->Retired)
+    entry.Kept.retire(it);
   entry.Agreement.onCatalog(*entry.Catalog.view(), Now);
 }
 
@@ -255,8 +279,15 @@
               self.Catalog.apply(answer.Records, Now);
             self.HasAll = true;
             self.WatchedTo = answer.Revision;
-            (void)askedAt;
+            if (isFirst)
+              self.Agreement.onReadAll(Now);
+            for (const StoreRecord &it : answer.Records)
+              if (it.Key.starts_with("entry:") && !it.IsDeleted)
+                self.Agreement.onListed(endpointOf(it.Value), Now);
+            self.Agreement.onWatched(answer.Revision);
             onCatalog(self);
+            self.KnownAt = std::max(self.KnownAt, askedAt);
+            self.HasReadAll = true;
           });
 }
 
@@ -296,11 +327,14 @@
   if (!peer || peer == entry || entry->IsCutFromPeers || peer->IsCutFromPeers)
     return;
   uint64_t revision = entry->Catalog.revision();
-  deliver(peer, Now + PeerDelay, [this, entry, revision](ModelEntry &other) {
+  TimePoint askedAt = Now;
+  deliver(peer, Now + PeerDelay, [=, this](ModelEntry &other) {
     auto records = other.Catalog.recordsSince(revision);
-    deliver(entry, Now + PeerDelay, [this, records](ModelEntry &self) {
+    Duration knownAgo = Now - other.KnownAt;
+    deliver(entry, Now + PeerDelay, [=, this](ModelEntry &self) {
       self.Catalog.apply(records, Now);
       onCatalog(self);
+      self.KnownAt = std::max(self.KnownAt, askedAt - knownAgo);
     });
   });
 }
@@ -308,14 +342,39 @@
 void RetirementWorld::giveOrders(const EntryPtr &entry) {
   if (entry->Token == 0 || Now >= entry->RenewedAt + ActTerm)
     return;
-  for (const TellEntry &what :
-       entry->Agreement.next(*entry->Catalog.view(), Now))
-    tell(entry, what);
-  if (entry->Agreement.wanted())
-    entry->Kept.retire(*entry->Agreement.wanted());
+  for (const RetirementAction &action :
+       entry->Agreement.next(*entry->Catalog.view(), Now)) {
+    if (const auto *it = std::get_if<TellEntry>(&action))
+      tell(entry, *it);
+    if (const auto *it = std::get_if<WriteRetired>(&action))
+      write(entry, *it);
+  }
   free(entry);
 }
 
+void RetirementWorld::write(const EntryPtr &entry, const WriteRetired &what) {
+  deliver(entry, Now + CallTimeout,
+          [this](ModelEntry &self) { self.Agreement.onWritten(Now); });
+  if (entry->IsCutFromService)
+    return;
+  // It may be carried out long after its sender has given it up.
+  Duration way = pick(4) == 0 ? Duration(4'000'000) : ServiceDelay;
+  at(Now + way, [this, what, token = entry->Token] {
+    if (Service.revisionOf("holder") == token &&
+        Service.revisionOf("retired") == what.Over)
+      Service.put("retired", textOf(what.What));
+  });
+}
+
+bool RetirementWorld::mayName(const ModelEntry &entry) const {
+  SourceStanding standing;
+  standing.HasReadAll = entry.HasReadAll;
+  for (const EntryPeer &it : entry.Catalog.view()->Entries)
+    standing.IsListed |= it == EntryPeer{entry.Name, entry.Address};
+  standing.KnownAt = entry.KnownAt;
+  return mayNameSources(standing, SourceTrust, Now);
+}
+
 void RetirementWorld::tell(const EntryPtr &entry, const TellEntry &what) {
   auto isDone = std::make_shared<bool>(false);
   auto end = [this, isDone, what](bool hasAgreed) {
@@ -340,7 +399,7 @@
   if (Now < entry->NextFree)
     return;
   entry->NextFree = Now + FreePause;
-  auto freeable = entry->Agreement.freeable(*entry->Catalog.view(), Now);
+  auto freeable = entry->Agreement.freeable(Now);
   auto parts = entry->Kept.partsWhere(StoreName, [&](const BrokenPart &it) {
     return isUnused(it, 0, freeable);
   });
@@ -360,6 +419,8 @@
 }
 
 void RetirementWorld::nameSources(ModelEntry &entry) {
+  if (!mayName(entry))
+    return;
   std::set<uint64_t> versions;
   for (const BackendServer &server : entry.Catalog.view()->AllServers) {
     const Server &truth = Servers[server.Id];
@@ -443,6 +504,12 @@
     Entries[entry]->IsCutFromPeers = isCut;
 }
 
+void RetirementWorld::loseHistory() {
+  for (const EntryPtr &entry : Entries)
+    if (entry)
+      entry->HasAll = false;
+}
+
 void RetirementWorld::crashServer(size_t server, Duration pause) {
   auto it = std::next(Servers.begin(),
                       static_cast<std::ptrdiff_t>(server % Servers.size()));
--- a/tests/direct/retirement_world.h
+++ b/tests/direct/retirement_world.h
@@ -19,7 +19,8 @@
 
 constexpr Duration Tick{100'000};
 
-/// Keys "config", "entry:NAME", "holder", "server:ID", "weights:MODEL".
+/// Keys "config", "entry:NAME", "holder", "retired", "server:ID",
+/// "weights:MODEL".
 CatalogHooks worldHooks();
 
 /// Linearizable; keys under a lease go when it lapses.
@@ -64,7 +65,9 @@
   CatalogKeeper Catalog;
   KeptContext Kept;
   RetirementAgreement Agreement;
-  bool HasAll = false;
+  bool HasAll = false;     ///< Of what it follows.
+  bool HasReadAll = false; ///< Ever.
+  TimePoint KnownAt{Duration(INT64_MIN / 2)};
   uint64_t WatchedTo = 0;
   bool IsAsking = false;
   uint64_t Announced = 0; ///< Creation revision of its key; 0: none.
@@ -90,6 +93,8 @@
   void freeze(size_t entry, Duration time);
   void cutFromService(size_t entry, bool isCut);
   void cutFromPeers(size_t entry, bool isCut);
+  /// Watches can't go on: every entry reads the whole service anew.
+  void loseHistory();
   void crashServer(size_t server, Duration pause);
   /// All answers of the service take so long.
   void slowService(Duration delay) { ServiceDelay = delay; }
@@ -125,6 +130,8 @@
   void askPeer(const EntryPtr &entry);
   void giveOrders(const EntryPtr &entry);
   void tell(const EntryPtr &entry, const TellEntry &what);
+  void write(const EntryPtr &entry, const WriteRetired &what);
+  bool mayName(const ModelEntry &entry) const;
   void free(const EntryPtr &entry);
   void nameSources(ModelEntry &entry);
   void onCatalog(ModelEntry &entry);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -87,6 +87,7 @@
     out.Seeds = std::move(seeds);
     out.DrainNotice = 300ms;
     out.ConfirmedFor = 1500ms;
+    out.SourceTrust = 3s;
     out.ServersCheckFence = true;
     out.Log.LinesPerSecond = 100;
     return out;
@@ -439,16 +440,22 @@
 /// this entry's says nothing about what it holds.
 TEST_F(GatewayTest, GoesOnUsingAStoreWithoutAPlaceForItsCall) {
   std::atomic<int> turnedAway{0};
-  test::StandInServer &kept =
-      standIn([&](const HttpRequest &what, const ExchangePtr &to) {
-        if (what.Path == "/kv-list")
-          return to->respond(
-              {200,
-               {},
-               R"({"epoch":1,"next":5,"held":[["shared@1","aa",500,"m"]]})"});
-        ++turnedAway;
-        to->respond({429, {}, {}});
-      });
+  std::atomic<bool> hasTold{false};
+  test::StandInServer &kept = standIn([&](const HttpRequest &what,
+                                          const ExchangePtr &to) {
+    if (what.Path == "/kv-list")
+      return to->respond(
+          {200,
+           {},
+           R"({"epoch":1,"next":5,"held":[["shared@1","aa",500,"m"]]})"});
+    if (!hasTold.exchange(true))
+      return to->respond(
+          {200,
+           {},
+           R"({"epoch":1,"next":5,"lost":false,"events":[],"clock_ms":9})"});
+    ++turnedAway;
+    to->respond({429, {}, {}});
+  });
   test::StandInServer &engine = standIn(answer);
   serve("i-1", engine, "engines");
   Store.put("op/config", promptConfigText(kept.address()));
