Register an entry's address for as long as it may name sources

Cause: a new holder did not know which entries had been listed before it read the service, and so freed by agreement only after it had followed the service for 16.5 s.

Change: an entry registers its address, under no lease, in the transaction that announces it, and names sources only while it finds itself registered. The holder asks exactly the addresses that are registered; it removes one only when nothing has been announced there, at the same revision of the registration, for as long as knowledge is trusted and fetches last. The agreement needs the catalog alone: the hooks of the follower for each record are gone again.

The model passes with 3,000 cases.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -216,6 +216,8 @@
       next->Entries.push_back(*peer);
     if (const auto *holder = std::get_if<OrderHolder>(&held.Value))
       next->Holder = holder->Entry;
+    if (const auto *it = std::get_if<EntryRegistration>(&held.Value))
+      next->Registered[it->Peer] = held.Record.Revision;
     if (const auto *retired = std::get_if<RetiredContext>(&held.Value)) {
       next->Retired = retired->What;
       next->RetiredRevision = held.Record.Revision;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -32,6 +32,8 @@
   /// By model, in the order in which they were named; each keeps its own time.
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
+  /// Addresses that are registered, with the revision of each record.
+  std::map<Endpoint, uint64_t> Registered;
   std::string Holder; ///< Entry that may give orders; empty when none may.
   std::vector<Retirement> Retired;
   uint64_t RetiredRevision = 0; ///< Of that record; 0: there is none.
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -45,6 +45,13 @@
   auto operator<=>(const EntryPeer &) const = default;
 };
 
+/// An address at which a process may name stores as sources. Written with each
+/// announcement of an entry, it outlasts the lease of that.
+struct EntryRegistration {
+  Endpoint Peer;
+  auto operator<=>(const EntryRegistration &) const = default;
+};
+
 /// The operator wants the model's servers on this version of the weights.
 struct DesiredWeights {
   ModelVersion Wanted;
@@ -82,7 +89,8 @@
   Server,
   Weights,
   Entry,
-  Holder, ///< Of the right to give orders.
+  Registration, ///< Of an entry's address.
+  Holder,       ///< Of the right to give orders.
   Retired,
   Other
 };
@@ -95,7 +103,7 @@
 
 using FactValue =
     std::variant<std::monostate, ServingConfig, BackendServer, DesiredWeights,
-                 EntryPeer, OrderHolder, RetiredContext>;
+                 EntryPeer, OrderHolder, RetiredContext, EntryRegistration>;
 
 /// One key of the store as it was read: opaque to all but the decoder, so that
 /// entries can pass it on as it is.
--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -38,6 +38,8 @@
       DecodeFact;
   std::function<std::string(std::string_view entry)> EntryKey;
   std::function<std::string(const EntryPeer &)> EncodeEntry;
+  std::function<std::string(const Endpoint &peer)> RegistrationKey;
+  std::function<std::string(const EntryRegistration &)> EncodeRegistration;
   std::string HolderKey; ///< Held by the one entry that gives orders.
   std::function<std::string(const OrderHolder &)> EncodeHolder;
   std::string RetiredKey; ///< Of all kept context that is retired.
--- a/src/direct/retirement.cpp
+++ b/src/direct/retirement.cpp
@@ -15,7 +15,7 @@
 
 bool mayNameSources(const SourceStanding &standing, Duration trust,
                     TimePoint now) {
-  return standing.HasReadAll && standing.IsListed &&
+  return standing.HasReadAll && standing.IsRegistered && standing.IsListed &&
          now < standing.KnownAt + trust;
 }
 
@@ -36,22 +36,27 @@
   return out;
 }
 
-void RetirementAgreement::onWatched(uint64_t revision) {
-  WatchedTo = std::max(WatchedTo, revision);
-}
-
-void RetirementAgreement::onListed(const Endpoint &peer, TimePoint now) {
-  if (peer != Own)
-    Peers[peer].ListedAt = now;
+void RetirementAgreement::notePeers(const Catalog &catalog, TimePoint now) {
+  std::erase_if(Peers, [&](const auto &it) {
+    return !catalog.Registered.contains(it.first);
+  });
+  std::set<Endpoint> listed;
+  for (const EntryPeer &entry : catalog.Entries)
+    listed.insert(entry.Peer);
+  for (const auto &[endpoint, revision] : catalog.Registered) {
+    if (endpoint == Own)
+      continue;
+    Peer &peer = Peers[endpoint];
+    if (listed.contains(endpoint) || peer.Revision != revision)
+      peer.AbsentSince.reset();
+    peer.Revision = revision;
+    if (!listed.contains(endpoint) && !peer.AbsentSince)
+      peer.AbsentSince = now;
+  }
 }
 
 void RetirementAgreement::onCatalog(const Catalog &catalog, TimePoint now) {
-  for (const EntryPeer &peer : catalog.Entries)
-    onListed(peer.Peer, now);
-  // One that has not been listed for so long names nothing.
-  std::erase_if(Peers, [&](const auto &it) {
-    return now >= it.second.ListedAt + Settings.Trust;
-  });
+  notePeers(catalog, now);
   uint64_t known = Stages.empty() ? 0 : Stages.back().Revision;
   if (catalog.RetiredRevision > known)
     Stages.push_back(
@@ -95,7 +100,33 @@
     IsWriting = true;
     out.push_back(WriteRetired{std::move(wanted), catalog.RetiredRevision});
   }
+  if (std::optional<RemoveRegistration> gone = removal(now))
+    out.push_back(*gone);
   noteAgreements(now);
+  for (TellEntry &tell : tells(now))
+    out.push_back(std::move(tell));
+  return out;
+}
+
+std::optional<RemoveRegistration> RetirementAgreement::removal(TimePoint now) {
+  if (IsWriting || now < WriteAgainAt)
+    return std::nullopt;
+  for (const auto &[endpoint, peer] : Peers) {
+    // What was last announced there trusts its knowledge no more, and its
+    // fetches have ended.
+    bool isGone =
+        peer.AbsentSince &&
+        now >= *peer.AbsentSince + Settings.Trust + Settings.FetchTime;
+    if (!isGone)
+      continue;
+    IsWriting = true;
+    return RemoveRegistration{endpoint, peer.Revision};
+  }
+  return std::nullopt;
+}
+
+std::vector<TellEntry> RetirementAgreement::tells(TimePoint now) {
+  std::vector<TellEntry> out;
   if (Stages.empty() || Stages.back().AgreedAt)
     return out;
   const Stage &newest = Stages.back();
@@ -104,7 +135,7 @@
     if (!isDue || newest.Agreed.contains(endpoint))
       continue;
     peer.IsAsked = true;
-    out.push_back(TellEntry{endpoint, newest.What, newest.Revision});
+    out.push_back({endpoint, newest.What, newest.Revision});
   }
   return out;
 }
@@ -131,9 +162,7 @@
 
 void RetirementAgreement::noteAgreements(TimePoint now) {
   for (Stage &stage : Stages) {
-    // Of entries that were listed before the record, all have been told of by
-    // the service itself only then.
-    if (stage.AgreedAt || WatchedTo < stage.Revision)
+    if (stage.AgreedAt)
       continue;
     bool allAgreed =
         std::all_of(Peers.begin(), Peers.end(), [&](const auto &it) {
@@ -148,10 +177,7 @@
   // By now every entry knows it or names nothing.
   if (now >= stage.SeenAt + Settings.Trust + Settings.FetchTime)
     return true;
-  // Entries that this process has never heard of were listed before it read
-  // the service, and their trust in what they knew then has ended.
-  return stage.AgreedAt && now >= *stage.AgreedAt + Settings.FetchTime &&
-         ReadAt && now >= *ReadAt + Settings.Trust + Settings.FetchTime;
+  return stage.AgreedAt && now >= *stage.AgreedAt + Settings.FetchTime;
 }
 
 std::vector<Retirement> RetirementAgreement::freeable(TimePoint now) {
--- a/src/direct/retirement.h
+++ b/src/direct/retirement.h
@@ -5,10 +5,11 @@
 /// process that starts reads it before it names anything. An entry names
 /// sources only on knowledge of the service that is complete up to a moment not
 /// long past, so that once a record has stood for as long, every process
-/// either knows it or names nothing. As that takes long, all entries that may
+/// either knows it or names nothing. As that takes long, all processes that may
 /// name sources without knowing it are asked, and their answers count as soon
-/// as all have come. Each fetch has an end on the servers' clock, which is
-/// waited for in both cases.
+/// as all have come: an address is registered before anything is named from it,
+/// and stays so until nothing is. Each fetch has an end on the servers' clock,
+/// which is waited for in both cases.
 #pragma once
 
 #include "direct/catalog.h"
@@ -35,7 +36,9 @@
   /// This process has read the whole service itself, so that it knows all that
   /// was agreed with a process before it at its address.
   bool HasReadAll = false;
-  /// By its own catalog it is listed at its address, so that it is asked.
+  /// Its address is registered, so that it is asked.
+  bool IsRegistered = false;
+  /// It is announced. While it is not, its registration may be about to go.
   bool IsListed = false;
   /// All that the service held at this moment is known to it. Never later than
   /// the call that told so, as a process may stand still with the answer.
@@ -81,7 +84,17 @@
   bool operator==(const TellEntry &) const = default;
 };
 
-using RetirementAction = std::variant<WriteRetired, TellEntry>;
+/// The registration of an address from which nothing is named any more is to be
+/// removed, provided that its record still has the revision and that this
+/// process is still the holder.
+struct RemoveRegistration {
+  Endpoint Peer;
+  uint64_t Revision = 0;
+  bool operator==(const RemoveRegistration &) const = default;
+};
+
+using RetirementAction =
+    std::variant<WriteRetired, TellEntry, RemoveRegistration>;
 
 /// Every entry follows the records; the holder of the right to give orders
 /// also writes, asks and frees. One thread at a time.
@@ -90,17 +103,11 @@
   RetirementAgreement(RetirementSettings settings, Endpoint own)
       : Settings(settings), Own(std::move(own)) {}
 
-  /// The service was read in full, at the start or after history was lost:
-  /// entries that came and went before are unknown.
-  void onReadAll(TimePoint now) { ReadAt = now; }
-  /// The service itself has told of every change up to the revision.
-  void onWatched(uint64_t revision);
-  /// An entry is, or was for a moment, listed in the service.
-  void onListed(const Endpoint &peer, TimePoint now);
   void onCatalog(const Catalog &catalog, TimePoint now);
 
   /// Only while this process may give orders. Call several times a second.
   std::vector<RetirementAction> next(const Catalog &catalog, TimePoint now);
+  /// Whatever came of a write, as the service itself tells that.
   void onWritten(TimePoint now);
   void onTold(const TellEntry &told, bool hasAgreed, TimePoint now);
 
@@ -119,21 +126,25 @@
     std::set<Endpoint> Agreed;
     std::optional<TimePoint> AgreedAt; ///< When the last of them had.
   };
+  /// An address that is registered.
   struct Peer {
-    TimePoint ListedAt; ///< Last.
+    uint64_t Revision = 0;
+    /// Since when no entry has been announced there, at this revision.
+    std::optional<TimePoint> AbsentSince;
     bool IsAsked = false;
     TimePoint AskAgainAt;
   };
 
+  void notePeers(const Catalog &catalog, TimePoint now);
   std::vector<Retirement> retiredFor(const Catalog &catalog, TimePoint now);
   void noteAgreements(TimePoint now);
+  std::optional<RemoveRegistration> removal(TimePoint now);
+  std::vector<TellEntry> tells(TimePoint now);
   bool isSafe(const Stage &stage, TimePoint now) const;
 
   RetirementSettings Settings;
   Endpoint Own;
   std::map<Endpoint, Peer> Peers;
-  std::optional<TimePoint> ReadAt;
-  uint64_t WatchedTo = 0;
   std::vector<Stage> Stages; ///< By revision; each covers those before it.
   std::vector<Retirement> Safe;
   bool IsWriting = false;
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -172,36 +172,19 @@
                     now);
 }
 
-void ContextFollower::onReadAll() { Agreement.onReadAll(monotonicNow()); }
-
-void ContextFollower::onTold(const std::vector<direct::StoreRecord> &records,
-                             uint64_t revision) {
-  TimePoint now = monotonicNow();
-  // One by one: an entry may have come and gone between two answers.
-  for (const direct::StoreRecord &record : records) {
-    bool isEntry =
-        State.Speak.SubjectOf(record.Key).Kind == direct::FactKind::Entry;
-    if (!isEntry || record.IsDeleted)
-      continue;
-    Error reason; // The catalog logs what can't be read.
-    auto fact = State.Speak.DecodeFact(record, reason);
-    if (const auto *peer =
-            fact ? std::get_if<direct::EntryPeer>(&*fact) : nullptr)
-      Agreement.onListed(peer->Peer, now);
-  }
-  Agreement.onWatched(revision);
-}
-
 void ContextFollower::retireOld(TimePoint now) {
+  auto onWritten = [self = shared_from_this()] {
+    self->Agreement.onWritten(monotonicNow());
+  };
   for (const auto &action : Agreement.next(*State.catalog(), now)) {
     if (const auto *tell = std::get_if<direct::TellEntry>(&action))
       Hooks.Tell(*tell, [self = shared_from_this(), tell = *tell](bool agreed) {
         self->onAnswered(tell, agreed);
       });
     if (const auto *write = std::get_if<direct::WriteRetired>(&action))
-      Hooks.Write(*write, [self = shared_from_this()] {
-        self->Agreement.onWritten(monotonicNow());
-      });
+      Hooks.Write(*write, onWritten);
+    if (const auto *remove = std::get_if<direct::RemoveRegistration>(&action))
+      Hooks.Remove(*remove, onWritten);
   }
 }
 
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -47,6 +47,9 @@
   std::function<void(const direct::WriteRetired &,
                      const std::function<void()> &)>
       Write;
+  std::function<void(const direct::RemoveRegistration &,
+                     const std::function<void()> &)>
+      Remove;
 };
 
 /// Runs on its strand.
@@ -58,10 +61,6 @@
 
   /// Begins to follow stores that are new in the catalog.
   void onCatalog();
-  /// By the service itself, see FollowerHooks.
-  void onReadAll();
-  void onTold(const std::vector<direct::StoreRecord> &records,
-              uint64_t revision);
   /// Both only while this process may give orders: agrees with all entries on
   /// what is not used any more, and frees it.
   void retireOld(TimePoint now);
--- a/src/gateway/entry_lease.cpp
+++ b/src/gateway/entry_lease.cpp
@@ -19,10 +19,12 @@
 
 } // namespace
 
-EntryLease::EntryLease(Strand strand, edge::KvStore store, std::string key,
-                       std::string value, Duration term, DecisionLog &log)
-    : On(std::move(strand)), Store(std::move(store)), Key(std::move(key)),
-      Value(std::move(value)), Term(term), Log(log), Timer(On) {}
+EntryLease::EntryLease(Strand strand, edge::KvStore store,
+                       EntryRecord announcement, EntryRecord registration,
+                       Duration term, DecisionLog &log)
+    : On(std::move(strand)), Store(std::move(store)),
+      Announcement(std::move(announcement)),
+      Registration(std::move(registration)), Term(term), Log(log), Timer(On) {}
 
 void EntryLease::start() {
   boost::asio::post(On, [self = shared_from_this()] { self->grant(); });
@@ -36,9 +38,22 @@
       self->Store.RevokeLease(self->Lease, CallTimeout,
                               [](const edge::KvLeaseResult &) {});
     self->Lease = 0;
+    self->unregister();
   });
 }
 
+void EntryLease::unregister() {
+  if (Registered == 0)
+    return;
+  // Carried out late, it must not end that of a process after this one.
+  edge::KvTransaction change;
+  change.If.push_back(
+      {Registration.Key, edge::KvCompare::Target::ModRevision, Registered});
+  change.Then.push_back({Registration.Key, {}, 0, true});
+  Store.Commit(std::move(change), CallTimeout,
+               [](const edge::KvTransactionResult &) {});
+}
+
 void EntryLease::later(Duration pause, void (EntryLease::*step)()) {
   Timer.expires_after(pause);
   Timer.async_wait([weak = weak_from_this(), step](auto ec) {
@@ -65,15 +80,19 @@
 
 void EntryLease::announce() {
   edge::KvTransaction write;
-  write.Then.push_back({Key, Value, Lease, false});
+  write.Then.push_back({Announcement.Key, Announcement.Value, Lease, false});
+  // Anew each time: its revision tells that the entry was listed once more.
+  write.Then.push_back({Registration.Key, Registration.Value, 0, false});
+  Registered = 0;
   Store.Commit(
       std::move(write), CallTimeout,
       [self = shared_from_this()](const edge::KvTransactionResult &result) {
-        boost::asio::dispatch(self->On, [self, status = result.Header.Status] {
+        boost::asio::dispatch(self->On, [self, header = result.Header] {
           if (self->IsStopped)
             return;
-          if (status != edge::KvStatus::Ok)
+          if (header.Status != edge::KvStatus::Ok)
             return self->later(RetryPause, &EntryLease::grant);
+          self->Registered = header.Revision;
           self->Log.write(LogWeight::Notable, "entry_announced",
                           {{"lease", self->Lease}}, monotonicNow());
           self->later(self->Term / RenewalsPerTerm, &EntryLease::keep);
--- a/src/gateway/entry_lease.h
+++ b/src/gateway/entry_lease.h
@@ -1,5 +1,6 @@
 /// Announces this entry in the key-value service under a lease, so that entries
-/// find one another.
+/// find one another, and registers its address for as long as it may name
+/// sources.
 #pragma once
 
 #include "edge/kv.h"
@@ -12,30 +13,39 @@
 
 namespace daisytack::gateway {
 
+/// A key and what is written to it.
+struct EntryRecord {
+  std::string Key;
+  std::string Value;
+};
+
 /// Runs on its strand.
 class EntryLease : public std::enable_shared_from_this<EntryLease> {
 public:
-  EntryLease(Strand strand, edge::KvStore store, std::string key,
-             std::string value, Duration term, DecisionLog &log);
+  EntryLease(Strand strand, edge::KvStore store, EntryRecord announcement,
+             EntryRecord registration, Duration term, DecisionLog &log);
 
   void start();
-  /// Ends the lease, so that others need not wait for it to lapse.
+  /// Ends the lease and the registration, so that others need not wait for
+  /// either. Call when this process names no sources any more.
   void stop();
 
 private:
   void grant();
   void announce();
   void keep();
+  void unregister();
   void later(Duration pause, void (EntryLease::*step)());
 
   Strand On;
   edge::KvStore Store;
-  std::string Key;
-  std::string Value;
+  EntryRecord Announcement;
+  EntryRecord Registration;
   Duration Term;
   DecisionLog &Log;
   boost::asio::steady_timer Timer;
   uint64_t Lease = 0;
+  uint64_t Registered = 0; ///< Revision of the registration; 0: not known.
   bool IsStopped = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration TickInterval{100'000};
 constexpr Duration DrainCheck{20'000};
-constexpr Duration RetireTimeout{1'200'000};
+constexpr Duration HolderWriteTimeout{1'200'000};
 /// Loads of servers that were not used for so long are forgotten.
 constexpr Duration LoadMemory{60'000'000};
 /// A server that takes new weights is left alone for at most so long: its runs
@@ -37,12 +37,15 @@
       State(io, Options, std::move(protocol), Counters, Log),
       Control(boost::asio::make_strand(io)),
       Store(makeStore(State.Control, Options.Store)),
-      Follower(std::make_shared<StoreFollower>(State, Control, Store,
-                                               StoreFollowerSettings{},
-                                               secureRandom, followerHooks())),
+      Follower(std::make_shared<StoreFollower>(
+          State, Control, Store, StoreFollowerSettings{}, secureRandom,
+          [this] { onCatalog(); })),
       Announced(std::make_shared<EntryLease>(
-          Control, Store, State.Speak.EntryKey(Options.Name),
-          State.Speak.EncodeEntry({Options.Name, Options.Peers}),
+          Control, Store,
+          EntryRecord{State.Speak.EntryKey(Options.Name),
+                      State.Speak.EncodeEntry({Options.Name, Options.Peers})},
+          EntryRecord{State.Speak.RegistrationKey(Options.Peers),
+                      State.Speak.EncodeRegistration({Options.Peers})},
           Options.LeaseTerm, Log)),
       Peers(std::make_shared<PeerExchange>(State, Control, peerHooks(),
                                            secureRandom)),
@@ -91,15 +94,6 @@
   return out;
 }
 
-FollowerHooks Gateway::followerHooks() {
-  FollowerHooks out;
-  out.Changed = [this] { onCatalog(); };
-  out.ReadAll = [this] { Contexts->onReadAll(); };
-  out.Told = [this](const std::vector<direct::StoreRecord> &records,
-                    uint64_t revision) { Contexts->onTold(records, revision); };
-  return out;
-}
-
 RetirementHooks Gateway::retirementHooks() {
   RetirementHooks out;
   out.Tell = [this](const direct::TellEntry &tell,
@@ -108,32 +102,42 @@
   };
   out.Write = [this](const direct::WriteRetired &write,
                      const std::function<void()> &done) {
-    std::optional<uint64_t> token = Orders->token(monotonicNow());
-    if (!token)
-      return done();
     const std::string &key = State.Speak.RetiredKey;
-    edge::KvTransaction change;
-    change.If.push_back(
-        {State.Speak.HolderKey, edge::KvCompare::Target::ModRevision, *token});
-    change.If.push_back(
-        {key, edge::KvCompare::Target::ModRevision, write.Over});
-    change.Then.push_back(
-        {key, State.Speak.EncodeRetired({write.What}), 0, false});
-    Store.Commit(std::move(change), RetireTimeout,
-                 [this, done](const edge::KvTransactionResult &result) {
-                   boost::asio::dispatch(Control, [this, done, result] {
-                     Log.write(
-                         LogWeight::Notable, "context_retired",
-                         {{"status", edge::kvStatusName(result.Header.Status)},
-                          {"revision", result.Header.Revision}},
-                         monotonicNow());
-                     done();
-                   });
-                 });
+    commitAsHolder({key, State.Speak.EncodeRetired({write.What}), 0, false},
+                   write.Over, "context_retired", done);
+  };
+  out.Remove = [this](const direct::RemoveRegistration &remove,
+                      const std::function<void()> &done) {
+    commitAsHolder({State.Speak.RegistrationKey(remove.Peer), {}, 0, true},
+                   remove.Revision, "registration_removed", done);
   };
   return out;
 }
 
+void Gateway::commitAsHolder(edge::KvWrite write, uint64_t over,
+                             std::string_view event,
+                             const std::function<void()> &done) {
+  std::optional<uint64_t> token = Orders->token(monotonicNow());
+  if (!token)
+    return done();
+  constexpr auto Revision = edge::KvCompare::Target::ModRevision;
+  edge::KvTransaction change;
+  change.If.push_back({State.Speak.HolderKey, Revision, *token});
+  change.If.push_back({write.Key, Revision, over});
+  change.Then.push_back(std::move(write));
+  Store.Commit(std::move(change), HolderWriteTimeout,
+               [this, event, done](const edge::KvTransactionResult &result) {
+                 boost::asio::dispatch(
+                     Control, [this, event, done, header = result.Header] {
+                       Log.write(LogWeight::Notable, event,
+                                 {{"status", edge::kvStatusName(header.Status)},
+                                  {"revision", header.Revision}},
+                                 monotonicNow());
+                       done();
+                     });
+               });
+}
+
 ContextFollowerSettings Gateway::contextSettings() const {
   ContextFollowerSettings out;
   out.Retirement.Trust = Options.SourceTrust;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,8 +46,12 @@
   /// Servers that take new weights are left alone until they have them.
   void onLoading(const std::vector<std::string> &servers);
   PeerHooks peerHooks();
-  FollowerHooks followerHooks();
   RetirementHooks retirementHooks();
+  /// Writes provided that this process is still the holder, and that the key
+  /// has the revision.
+  void commitAsHolder(edge::KvWrite write, uint64_t over,
+                      std::string_view event,
+                      const std::function<void()> &done);
   ContextFollowerSettings contextSettings() const;
   OrderDriverSettings orderSettings() const;
   void tick();
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -42,6 +42,8 @@
     return "desired_weights";
   case direct::FactKind::Entry:
     return "entry";
+  case direct::FactKind::Registration:
+    return "entry_registration";
   case direct::FactKind::Holder:
     return "order_holder";
   case direct::FactKind::Retired:
@@ -176,6 +178,7 @@
   out.KnownAt = TimePoint(Duration(KnownAt.load()));
   out.HasReadAll = HasReadAll;
   auto catalog = this->catalog();
+  out.IsRegistered = catalog->Registered.contains(Options.Peers);
   out.IsListed =
       std::any_of(catalog->Entries.begin(), catalog->Entries.end(),
                   [&](const direct::EntryPeer &it) {
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -24,10 +24,10 @@
 StoreFollower::StoreFollower(GatewayState &state, Strand strand,
                              edge::KvStore store,
                              StoreFollowerSettings settings,
-                             RandomSource random, FollowerHooks hooks)
+                             RandomSource random, std::function<void()> changed)
     : State(state), On(std::move(strand)), Store(std::move(store)),
-      Settings(settings), Random(std::move(random)), Hooks(std::move(hooks)),
-      Timer(On) {}
+      Settings(settings), Random(std::move(random)),
+      Changed(std::move(changed)), Timer(On) {}
 
 void StoreFollower::start() {
   boost::asio::post(On, [self = shared_from_this()] { self->readAll(); });
@@ -73,9 +73,7 @@
   State.Catalog.applyAll(records, result.Header.Revision, now);
   HasAll = true;
   WatchedTo = result.Header.Revision;
-  Hooks.ReadAll();
-  Hooks.Told(records, WatchedTo);
-  Hooks.Changed();
+  Changed();
   State.knowAllUpTo(askedAt);
   State.HasReadAll = true;
   watch();
@@ -122,10 +120,9 @@
   TimePoint now = monotonicNow();
   confirm(now);
   WatchedTo = std::max(WatchedTo, header.Revision);
-  Hooks.Told(records, WatchedTo);
   if (!records.empty()) {
     State.Catalog.apply(records, now);
-    Hooks.Changed();
+    Changed();
   }
   State.knowAllUpTo(askedAfter);
 }
@@ -189,7 +186,7 @@
 
 void StoreFollower::merge(const std::vector<direct::StoreRecord> &records) {
   State.Catalog.apply(records, monotonicNow());
-  Hooks.Changed();
+  Changed();
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -24,25 +24,12 @@
   bool operator==(const StoreFollowerSettings &) const = default;
 };
 
-/// Called on the strand.
-struct FollowerHooks {
-  /// The catalog may have changed.
-  std::function<void()> Changed;
-  /// The whole service was read, at the start or after history was lost.
-  std::function<void()> ReadAll;
-  /// Records as the service itself told them, each one of them, and the
-  /// revision up to which it has told of everything.
-  std::function<void(const std::vector<direct::StoreRecord> &,
-                     uint64_t revision)>
-      Told;
-};
-
 /// Runs on its strand.
 class StoreFollower : public std::enable_shared_from_this<StoreFollower> {
 public:
   StoreFollower(GatewayState &state, Strand strand, edge::KvStore store,
                 StoreFollowerSettings settings, RandomSource random,
-                FollowerHooks hooks);
+                std::function<void()> changed);
 
   void start();
   void stop();
@@ -67,7 +54,7 @@
   edge::KvStore Store;
   StoreFollowerSettings Settings;
   RandomSource Random;
-  FollowerHooks Hooks;
+  std::function<void()> Changed; ///< The catalog may have changed.
   boost::asio::steady_timer Timer;
   edge::KvCancel StopWatch;
   uint64_t Epoch = 0; ///< Answers to calls of an earlier one are dropped.
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -67,6 +67,8 @@
       return {FactKind::Entry, name};
     if (key == "holder")
       return {FactKind::Holder, {}};
+    if (key.starts_with("registered:"))
+      return {FactKind::Registration, name};
     if (key == "retired")
       return {FactKind::Retired, {}};
     return {};
@@ -79,6 +81,8 @@
       return EntryPeer{subject.Name, endpointOf(record.Value)};
     if (subject.Kind == FactKind::Holder)
       return OrderHolder{record.Value};
+    if (subject.Kind == FactKind::Registration)
+      return EntryRegistration{endpointOf(record.Value)};
     if (subject.Kind == FactKind::Retired)
       return readRetired(record.Value);
     uint64_t version = std::stoull(record.Value);
@@ -279,12 +283,6 @@
               self.Catalog.apply(answer.Records, Now);
             self.HasAll = true;
             self.WatchedTo = answer.Revision;
-            if (isFirst)
-              self.Agreement.onReadAll(Now);
-            for (const StoreRecord &it : answer.Records)
-              if (it.Key.starts_with("entry:") && !it.IsDeleted)
-                self.Agreement.onListed(endpointOf(it.Value), Now);
-            self.Agreement.onWatched(answer.Revision);
             onCatalog(self);
             self.KnownAt = std::max(self.KnownAt, askedAt);
             self.HasReadAll = true;
@@ -300,6 +298,8 @@
   if (entry->Announced == 0 || !Service.keep(key, entry->Announced, until)) {
     Service.put(key, toString(entry->Address), until);
     entry->Announced = Service.createdOf(key);
+    std::string address = toString(entry->Address);
+    Service.put("registered:" + address, address);
   }
   if (entry->Token == 0)
     return;
@@ -347,22 +347,29 @@
     if (const auto *it = std::get_if<TellEntry>(&action))
       tell(entry, *it);
     if (const auto *it = std::get_if<WriteRetired>(&action))
-      write(entry, *it);
+      write(entry, "retired", textOf(it->What), it->Over);
+    if (const auto *it = std::get_if<RemoveRegistration>(&action))
+      write(entry, "registered:" + toString(it->Peer), "", it->Revision);
   }
   free(entry);
 }
 
-void RetirementWorld::write(const EntryPtr &entry, const WriteRetired &what) {
+void RetirementWorld::write(const EntryPtr &entry, const std::string &key,
+                            const std::string &value, uint64_t over) {
   deliver(entry, Now + CallTimeout,
           [this](ModelEntry &self) { self.Agreement.onWritten(Now); });
   if (entry->IsCutFromService)
     return;
   // It may be carried out long after its sender has given it up.
   Duration way = pick(4) == 0 ? Duration(4'000'000) : ServiceDelay;
-  at(Now + way, [this, what, token = entry->Token] {
-    if (Service.revisionOf("holder") == token &&
-        Service.revisionOf("retired") == what.Over)
-      Service.put("retired", textOf(what.What));
+  at(Now + way, [this, key, value, over, token = entry->Token] {
+    if (Service.revisionOf("holder") != token ||
+        Service.revisionOf(key) != over)
+      return;
+    if (value.empty())
+      Service.remove(key);
+    else
+      Service.put(key, value);
   });
 }
 
@@ -371,6 +378,8 @@
   standing.HasReadAll = entry.HasReadAll;
   for (const EntryPeer &it : entry.Catalog.view()->Entries)
     standing.IsListed |= it == EntryPeer{entry.Name, entry.Address};
+  standing.IsRegistered =
+      entry.Catalog.view()->Registered.contains(entry.Address);
   standing.KnownAt = entry.KnownAt;
   return mayNameSources(standing, SourceTrust, Now);
 }
--- a/tests/direct/retirement_world.h
+++ b/tests/direct/retirement_world.h
@@ -19,7 +19,8 @@
 
 constexpr Duration Tick{100'000};
 
-/// Keys "config", "entry:NAME", "holder", "retired", "server:ID",
+/// Keys "config", "entry:NAME", "registered:ADDRESS", "holder", "retired",
+/// "server:ID",
 /// "weights:MODEL".
 CatalogHooks worldHooks();
 
@@ -130,7 +131,9 @@
   void askPeer(const EntryPtr &entry);
   void giveOrders(const EntryPtr &entry);
   void tell(const EntryPtr &entry, const TellEntry &what);
-  void write(const EntryPtr &entry, const WriteRetired &what);
+  /// Without a value: removes the key.
+  void write(const EntryPtr &entry, const std::string &key,
+             const std::string &value, uint64_t over);
   bool mayName(const ModelEntry &entry) const;
   void free(const EntryPtr &entry);
   void nameSources(ModelEntry &entry);
