--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -38,8 +38,12 @@
       DecodeFact;
   std::function<std::string(std::string_view entry)> EntryKey;
   std::function<std::string(const EntryPeer &)> EncodeEntry;
+  std::function<std::string(const Endpoint &peer)> RegistrationKey;
+  std::function<std::string(const EntryRegistration &)> EncodeRegistration;
   std::string HolderKey; ///< Held by the one entry that gives orders.
   std::function<std::string(const OrderHolder &)> EncodeHolder;
+  std::string RetiredKey; ///< Of all kept context that is retired.
+  std::function<std::string(const RetiredContext &)> EncodeRetired;
 
   // Stores of kept context and engines.
   std::function<net::HttpRequest(uint64_t since, Duration wait)> ChangesRequest;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -20,6 +20,7 @@
 /// are still open keep the process for at most so long: a caller closes its
 /// side one trip after it has read that the connection ends.
 constexpr Duration Farewell{500'000};
+constexpr Duration HolderWriteTimeout{1'200'000};
 /// Loads of servers that were not used for so long are forgotten.
 constexpr Duration LoadMemory{60'000'000};
 /// A server that takes new weights is left alone for at most so long: its runs
@@ -45,19 +46,18 @@
           State, Control, Store, StoreFollowerSettings{}, secureRandom,
           [this] { onCatalog(); })),
       Announced(std::make_shared<EntryLease>(
-          Control, Store, State.Speak.EntryKey(Options.Name),
-          State.Speak.EncodeEntry({Options.Name, Options.Peers}),
+          Control, Store,
+          EntryRecord{State.Speak.EntryKey(Options.Name),
+                      State.Speak.EncodeEntry({Options.Name, Options.Peers})},
+          EntryRecord{State.Speak.RegistrationKey(Options.Peers),
+                      State.Speak.EncodeRegistration({Options.Peers})},
           Options.LeaseTerm, Log)),
       Peers(std::make_shared<PeerExchange>(State, Control, peerHooks(),
                                            secureRandom)),
       PeerLoads(
           std::make_shared<LoadExchange>(State, Control, Options.LoadExchange)),
       Contexts(std::make_shared<ContextFollower>(
-          State, Control, ContextFollowerSettings{}, secureRandom,
-          [this](const direct::Retirement &what,
-                 const std::function<void(bool)> &done) {
-            Peers->tellAll(direct::ContextRetired{what}, done);
-          })),
+          State, Control, contextSettings(), secureRandom, retirementHooks())),
       Orders(std::make_shared<OrderDriver>(
           State, Control, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -84,14 +84,14 @@
 
 PeerHooks Gateway::peerHooks() {
   PeerHooks out;
-  out.Records = [this](const std::vector<direct::StoreRecord> &records,
-                       Duration confirmedAgo) {
-    TimePoint now = monotonicNow();
-    int64_t confirmed = (now - confirmedAgo).time_since_epoch().count();
+  out.Records = [this](const direct::RecordsFound &found, TimePoint askedAt) {
+    int64_t confirmed =
+        (askedAt - Duration(found.ConfirmedAgo)).time_since_epoch().count();
     if (confirmed > State.ConfirmedAt.load())
       State.ConfirmedAt = confirmed;
-    if (!records.empty())
-      Follower->merge(records);
+    if (!found.Records.empty())
+      Follower->merge(found.Records);
+    State.knowAllUpTo(askedAt - Duration(found.KnownAgo));
   };
   out.Weights = [this](const direct::PeerMessage &message) {
     onWeights(message);
@@ -99,6 +99,56 @@
   return out;
 }
 
+RetirementHooks Gateway::retirementHooks() {
+  RetirementHooks out;
+  out.Tell = [this](const direct::TellEntry &tell,
+                    const std::function<void(bool)> &done) {
+    Peers->tellOne(tell.Peer, direct::ContextRetired{tell.What}, done);
+  };
+  out.Write = [this](const direct::WriteRetired &write,
+                     const std::function<void()> &done) {
+    const std::string &key = State.Speak.RetiredKey;
+    commitAsHolder({key, State.Speak.EncodeRetired({write.What}), 0, false},
+                   write.Over, "context_retired", done);
+  };
+  out.Remove = [this](const direct::RemoveRegistration &remove,
+                      const std::function<void()> &done) {
+    commitAsHolder({State.Speak.RegistrationKey(remove.Peer), {}, 0, true},
+                   remove.Revision, "registration_removed", done);
+  };
+  return out;
+}
+
+void Gateway::commitAsHolder(edge::KvWrite write, uint64_t over,
+                             std::string_view event,
+                             const std::function<void()> &done) {
+  std::optional<uint64_t> token = Orders->token(monotonicNow());
+  if (!token)
+    return done();
+  constexpr auto Revision = edge::KvCompare::Target::ModRevision;
+  edge::KvTransaction change;
+  change.If.push_back({State.Speak.HolderKey, Revision, *token});
+  change.If.push_back({write.Key, Revision, over});
+  change.Then.push_back(std::move(write));
+  Store.Commit(std::move(change), HolderWriteTimeout,
+               [this, event, done](const edge::KvTransactionResult &result) {
+                 boost::asio::dispatch(
+                     Control, [this, event, done, header = result.Header] {
+                       Log.write(LogWeight::Notable, event,
+                                 {{"status", edge::kvStatusName(header.Status)},
+                                  {"revision", header.Revision}},
+                                 monotonicNow());
+                       done();
+                     });
+               });
+}
+
+ContextFollowerSettings Gateway::contextSettings() const {
+  ContextFollowerSettings out;
+  out.Retirement.Trust = Options.SourceTrust;
+  return out;
+}
+
 OrderDriverSettings Gateway::orderSettings() const {
   OrderDriverSettings out;
   out.Weights.ConcurrentLoads = Options.ConcurrentLoads;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "direct/drain_plan.h"
 #include "direct/placement.h"
 #include "direct/protocol.h"
+#include "direct/retirement.h"
 #include "gateway/gateway_options.h"
 #include "net/http_client.h"
 
@@ -116,11 +117,21 @@
   /// Null until the process was told to stop.
   std::atomic<std::shared_ptr<const direct::DrainPlan>> Drain;
   RunningRequests Running;
+  /// All that the service held at this moment is known, as microseconds.
+  /// Written on the strand of the follower.
+  std::atomic<int64_t> KnownAt{INT64_MIN / 2};
+  /// This process has read the whole service itself.
+  std::atomic<bool> HasReadAll{false};
 
   std::shared_ptr<const direct::Catalog> catalog() const {
     return Catalog.view();
   }
   bool isConfirmed(TimePoint now) const;
+  void knowAllUpTo(TimePoint at);
+  direct::SourceStanding standing() const;
+  /// The servers' clock, by which each fetch must end; nothing while this entry
+  /// is to name no sources.
+  std::optional<int64_t> fetchClock(TimePoint now) const;
 };
 
 } // namespace daisytack::gateway
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -16,10 +16,8 @@
 
 /// Called on the strand.
 struct PeerHooks {
-  /// Records from another entry, confirmed by the service so long ago.
-  std::function<void(const std::vector<direct::StoreRecord> &,
-                     Duration confirmedAgo)>
-      Records;
+  /// What another entry knows; its times count from when it was asked.
+  std::function<void(const direct::RecordsFound &, TimePoint askedAt)> Records;
   /// ServersLoading or ServerLoaded.
   std::function<void(const direct::PeerMessage &)> Weights;
 };
@@ -39,9 +37,8 @@
   void setSeeds(std::vector<Endpoint> seeds);
   /// Tells every entry.
   void tell(const direct::PeerMessage &message);
-  /// Tells every entry that is remembered; done learns whether all of them have
-  /// answered.
-  void tellAll(const direct::PeerMessage &message,
+  /// Tells one entry; done learns whether it has answered.
+  void tellOne(const Endpoint &peer, const direct::PeerMessage &message,
                const std::function<void(bool)> &done);
 
 private:
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -49,16 +50,18 @@
   // Every key: the configuration, the servers, the weights and the entries lie
   // under several prefixes, and one watch costs one call.
   Store.Range({"", edge::prefixEnd(""), 0, 0}, Settings.CallTimeout,
-              [self = shared_from_this(), epoch](edge::KvRangeResult result) {
-                boost::asio::dispatch(
-                    self->On, [self, epoch, result = std::move(result)] {
-                      if (epoch == self->Epoch)
-                        self->onAll(result);
-                    });
+              [self = shared_from_this(), epoch,
+               askedAt = monotonicNow()](edge::KvRangeResult result) {
+                boost::asio::dispatch(self->On, [self, epoch, askedAt,
+                                                 result = std::move(result)] {
+                  if (epoch == self->Epoch)
+                    self->onAll(result, askedAt);
+                });
               });
 }
 
-void StoreFollower::onAll(const edge::KvRangeResult &result) {
+void StoreFollower::onAll(const edge::KvRangeResult &result,
+                          TimePoint askedAt) {
   if (result.Header.Status != edge::KvStatus::Ok)
     return fail(result.Header.Reason);
   std::vector<direct::StoreRecord> records;
@@ -71,6 +74,8 @@
   HasAll = true;
   WatchedTo = result.Header.Revision;
   Changed();
+  State.knowAllUpTo(askedAt);
+  State.HasReadAll = true;
   watch();
 }
 
@@ -83,10 +88,17 @@
     });
   };
   edge::KvWatchHooks hooks;
-  hooks.Changed = [on](const edge::KvHeader &header,
-                       std::vector<edge::KvChange> changes) {
-    on([header, changes = std::move(changes)](StoreFollower &self) {
-      self.onChanged(header, changes);
+  // A call is sent only after the answer to the one before has come, so that
+  // this is a moment before the service can have answered it. The time at which
+  // an answer is handled is none: a process may stand still before it.
+  auto askedAfter = std::make_shared<std::atomic<int64_t>>(
+      monotonicNow().time_since_epoch().count());
+  hooks.Changed = [on, askedAfter](const edge::KvHeader &header,
+                                   std::vector<edge::KvChange> changes) {
+    TimePoint asked{Duration(
+        askedAfter->exchange(monotonicNow().time_since_epoch().count()))};
+    on([header, changes = std::move(changes), asked](StoreFollower &self) {
+      self.onChanged(header, changes, asked);
     });
   };
   hooks.Ended = [on](const edge::KvHeader &header, uint64_t compactRevision) {
@@ -99,7 +111,8 @@
 }
 
 void StoreFollower::onChanged(const edge::KvHeader &header,
-                              const std::vector<edge::KvChange> &changes) {
+                              const std::vector<edge::KvChange> &changes,
+                              TimePoint askedAfter) {
   std::vector<direct::StoreRecord> records;
   records.reserve(changes.size());
   for (const edge::KvChange &change : changes)
@@ -107,10 +120,11 @@
   TimePoint now = monotonicNow();
   confirm(now);
   WatchedTo = std::max(WatchedTo, header.Revision);
-  if (records.empty())
-    return;
-  State.Catalog.apply(records, now);
-  Changed();
+  if (!records.empty()) {
+    State.Catalog.apply(records, now);
+    Changed();
+  }
+  State.knowAllUpTo(askedAfter);
 }
 
 void StoreFollower::onEnded(const edge::KvHeader &header,
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -39,10 +39,11 @@
 
 private:
   void readAll();
-  void onAll(const edge::KvRangeResult &result);
+  void onAll(const edge::KvRangeResult &result, TimePoint askedAt);
   void watch();
   void onChanged(const edge::KvHeader &header,
-                 const std::vector<edge::KvChange> &changes);
+                 const std::vector<edge::KvChange> &changes,
+                 TimePoint askedAfter);
   void onEnded(const edge::KvHeader &header, uint64_t compactRevision);
   void confirm(TimePoint now);
   void fail(const Error &reason);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -87,6 +87,7 @@
     out.Seeds = std::move(seeds);
     out.Drain.Notice = 300ms;
     out.ConfirmedFor = 1500ms;
+    out.SourceTrust = 3s;
     out.ServersCheckFence = true;
     out.Log.LinesPerSecond = 100;
     return out;
