Let a record that isn't a server's own name no server

Cause: the decoder had fallbacks for missing fields and took any other state for draining; the catalog left out what it could not decode, so that the record before stayed in force, and published servers whose service or weights the configuration doesn't know; the reader of ranges skipped values that it could not read and went on from the last key that it could, and the watch skipped them.

Ruled out: to refuse whole pages or watches for one such value (the others must hold); to tell other writers' records by their address or a time of their own (a record that is whole can't be told).

Change: a server's record must hold all fields that servers write, each of its kind, a state that is known, one address that can be connected to and an id that a header can carry. Any other names no server: the one before is out of use until the next good record, with one log line for each revision. A server counts only while the configuration names its service, and for an engine its models. An unreadable record of the holder leaves the right taken, as its key is; one of an entry names none; configuration and wanted versions stay. Counts must be whole; numbers beyond what a count or a time holds are mistakes (they were undefined behaviour).

The record of KnowsADrainingServer (was TakesAnyOtherStateForDraining) and those of the stand-ins gain the fields that servers write; a state that is unknown is now refused, which the table checks.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -89,10 +89,8 @@
   }
   Error reason;
   std::optional<FactValue> value = Hooks.Decode(record, reason);
-  if (!value) {
-    Hooks.Unreadable(record, reason, now);
-    return false;
-  }
+  if (!value)
+    return mergeUnreadable(record, subject, reason, now);
   if (const auto *wanted = std::get_if<DesiredWeights>(&*value))
     noteWanted(wanted->Wanted,
                IsFirstRead ? now - Settings.AgeAtFirstRead : now);
@@ -103,11 +101,38 @@
   }
   Hooks.Changed(subject, it == Known.end() ? "new" : "changed", record.Revision,
                 now);
+  const auto *server = std::get_if<BackendServer>(&*value);
+  if (server && !isConfigured(*server))
+    Hooks.Unreadable(record,
+                     {ErrorKind::BadValue, "its service or its weights are not "
+                                           "those of the configuration"},
+                     now);
   Known.insert_or_assign(record.Key,
                          Held{record, subject, std::move(*value), {}});
   return true;
 }
 
+bool CatalogKeeper::mergeUnreadable(const StoreRecord &record,
+                                    const FactSubject &subject,
+                                    const Error &reason, TimePoint now) {
+  Hooks.Unreadable(record, reason, now);
+  Known.insert_or_assign(record.Key, Held{record, subject, {}, {}});
+  return true;
+}
+
+bool CatalogKeeper::isConfigured(const BackendServer &server) const {
+  if (!Config)
+    return true;
+  const Service *service = Config->findService(server.Service);
+  if (!service || !service->Engine)
+    return service != nullptr;
+  const std::vector<std::string> &models = service->Engine->Models;
+  return !server.Weights.empty() &&
+         std::all_of(models.begin(), models.end(), [&](const auto &model) {
+           return server.versionOf(model) > 0;
+         });
+}
+
 bool CatalogKeeper::mergeDeletion(Held &held, uint64_t revision,
                                   TimePoint now) {
   held.Record.Revision = revision;
@@ -214,10 +239,12 @@
       continue;
     if (const auto *peer = std::get_if<EntryPeer>(&held.Value))
       next->Entries.push_back(*peer);
-    if (const auto *holder = std::get_if<OrderHolder>(&held.Value))
-      next->Holder = holder->Entry;
+    if (held.Subject.Kind == FactKind::Holder) {
+      const auto *holder = std::get_if<OrderHolder>(&held.Value);
+      next->Holder = holder ? holder->Entry : UnknownHolder;
+    }
     const auto *record = std::get_if<BackendServer>(&held.Value);
-    if (!record)
+    if (!record || !isConfigured(*record))
       continue;
     BackendServer server = withLoaded(*record);
     if (!server.IsDraining)
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -15,6 +15,10 @@
 
 namespace daisytack::direct {
 
+/// Stands for whoever has the right to give orders under a record that can't be
+/// read: its key is taken all the same.
+constexpr std::string_view UnknownHolder = "(unknown)";
+
 /// A desired version, and when this process first heard of it.
 struct WantedVersion {
   uint64_t Version = 0;
@@ -25,14 +29,17 @@
 struct Catalog {
   std::shared_ptr<const ConfigIndex> Config; ///< Null until it is known.
   uint64_t ConfigRevision = 0;
-  /// Servers that take new requests, sorted by id, by service.
+  /// Servers that take new requests, sorted by id, by service. Only those of
+  /// services that the configuration names.
   std::map<std::string, std::vector<BackendServer>, std::less<>> Servers;
   /// All servers that are known, draining ones too, sorted by id.
   std::vector<BackendServer> AllServers;
   /// By model, in the order in which they were named; each keeps its own time.
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
-  std::string Holder; ///< Entry that may give orders; empty when none may.
+  /// Entry that may give orders; empty when none may, UnknownHolder when the
+  /// record can't be read.
+  std::string Holder;
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
   /// The newest version that is wanted of the model; 0 when none was named.
@@ -63,6 +70,8 @@
   std::function<void(const FactSubject &, std::string_view change,
                      uint64_t revision, TimePoint now)>
       Changed;
+  /// A record that can't be read, or names a service that isn't configured;
+  /// once for each revision.
   std::function<void(const StoreRecord &, const Error &, TimePoint now)>
       Unreadable;
 };
@@ -100,15 +109,22 @@
   struct Held {
     StoreRecord Record;
     FactSubject Subject;
-    FactValue Value;
+    FactValue Value; ///< Nothing when the record can't be read.
     /// Deleted while the store was away: still counts until then.
     std::optional<TimePoint> KeptUntil;
   };
 
   bool merge(const StoreRecord &record, TimePoint now);
+  /// It names nothing to use: what its key named before is over. Configuration
+  /// and wanted versions stay, which only their writer can take back.
+  bool mergeUnreadable(const StoreRecord &record, const FactSubject &subject,
+                       const Error &reason, TimePoint now);
   bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
   void publish(TimePoint now);
   void noteWanted(const ModelVersion &wanted, TimePoint since);
+  /// Whether the configuration names its service, and an engine its weights.
+  /// Without a configuration every server counts.
+  bool isConfigured(const BackendServer &server) const;
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -74,7 +74,8 @@
 
 /// A value under each kind of key of the platform's store.
 void runFacts(std::string_view text) {
-  for (const char *key : {"op/config", "op/version/m", "servers/i"}) {
+  for (const char *key : {"op/config", "op/version/m", "servers/i",
+                          "daisytack/entries/e", "daisytack/holder"}) {
     Error reason;
     auto fact =
         platform::decodeFact({key, std::string(text), 1, false}, reason);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -119,7 +119,8 @@
     Store.put("servers/" + id,
               R"({"service":")" + service + R"(","address":")" +
                   toString(server.address()) +
-                  R"(","zone":"d1","slots":4,"state":"ready","models":[{)"
+                  R"(","zone":"d1","version":"v1","slots":4,"state":"ready",)"
+                  R"("cold-remaining-ms":0,"sequence":1,"models":[{)"
                   R"("name":"m","version":)" +
                   std::to_string(version) + "}]}");
   }
@@ -362,6 +363,30 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// What another writer put under a server's key names no server; the next
+/// record of the server itself does again.
+TEST_F(GatewayTest, LeavesAServerAloneWhileItsRecordCannotBeRead) {
+  test::StdoutText lines;
+  test::StandInServer &server = standIn(answer);
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Store.put("servers/i-0", "\xff\xfe");
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  EXPECT_EQ(statusOf(entry, request("/safe/", "before")), 200);
+  Store.put("servers/i-1", R"({"service":"plain","state":7})");
+  EXPECT_TRUE(eventually(
+      [&] { return statusOf(entry, request("/safe/", "meanwhile")) == 503; }));
+  serve("i-1", server);
+  EXPECT_TRUE(eventually(
+      [&] { return statusOf(entry, request("/safe/", "after")) == 200; }));
+  EXPECT_TRUE(eventually([&] {
+    return !lines.lineWith({"record_unreadable", "servers/i-1"}).empty();
+  }));
+  EXPECT_FALSE(lines.lineWith({"record_unreadable", "servers/i-0"}).empty());
+  Threads.stop(); // Handlers use what ends here.
+}
+
 TEST_F(GatewayTest, OrdersNewWeightsOnceUnderAFencingToken) {
   std::atomic<int> version{1};
   test::StandInServer &engine =
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -75,10 +75,11 @@
   EXPECT_FALSE(server.IsDraining);
 }
 
-TEST(DecodeFact, TakesAnyOtherStateForDraining) {
+TEST(DecodeFact, KnowsADrainingServer) {
   auto server = decodeAs<direct::BackendServer>(
-      "servers/i-1",
-      R"({"service":"s","address":"10.0.0.1:80","state":"draining"})");
+      "servers/i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+      "version":"v1","slots":4,"state":"draining","cold-remaining-ms":0.5,
+      "sequence":0})");
   EXPECT_TRUE(server.IsDraining);
 }
 
@@ -93,7 +94,8 @@
         Case{"op/config", R"({"version":"x"})", "'version'"},
         Case{"op/config", R"({"routes":[1]})", "'routes'"},
         Case{"op/config", R"({"routes":[{"kind":"odd"}]})", "'kind'"},
-        Case{"servers/i", R"({"address":"nowhere"})", "'address'"},
+        Case{"servers/i", R"({"service":"s","address":"nowhere"})",
+             "'address'"},
         Case{"servers/i", "{", "not a JSON object"}}) {
     Error reason;
     EXPECT_FALSE(decodeFact(record(it.Key, it.Value), reason)) << it.Value;
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -110,7 +110,7 @@
       return ok(R"({"items":[{"key":"a","value":"%%%","revision":3},)"
                 R"({"key":"b","value":7,"revision":4,"lease":"x"},5,)"
                 R"({"revision":9}],"truncated":true,"store-revision":10})");
-    if (request.Query.find("after=b") != std::string::npos)
+    if (request.Query.ends_with("after=b"))
       return ok("{\"items\":[{\"key\":\"b\xff\",\"value\":\"dg==\","
                 "\"revision\":5}],\"truncated\":true,"
                 "\"store-revision\":12}");
--- a/tests/platform/server_record_test.cpp
+++ b/tests/platform/server_record_test.cpp
@@ -52,7 +52,8 @@
 }
 
 TEST(ServerRecord, NamesNoServerWithoutOneOfItsFields) {
-  for (const char *field : {"service", "address", "zone", "slots", "state"}) {
+  for (const char *field : {"service", "address", "zone", "version", "slots",
+                            "state", "cold-remaining-ms", "sequence"}) {
     json::object record = wholeRecord();
     record.erase(field);
     EXPECT_FALSE(namesServer(json::serialize(record))) << field;
@@ -90,6 +91,11 @@
                          Case{"state", R"("")"},
                          Case{"state", "1"},
                          Case{"models", R"({"name":"m","version":1})"},
+                         Case{"version", "1"},
+                         Case{"cold-remaining-ms", R"("0")"},
+                         Case{"sequence", R"("4")"},
+                         Case{"sequence", "-4"},
+                         Case{"sequence", "4.5"},
                          Case{"models", "[1]"},
                          Case{"models", R"([{"version":1}])"},
                          Case{"models", R"([{"name":"","version":1}])"},
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -188,7 +188,8 @@
 
     def record(self, server, state="ready"):
         value = {"service": server.service, "address": f"127.0.0.1:{self.links[server.name].port}",
-                 "zone": f"d{len(server.name) % 2}", "slots": 64, "state": state}
+                 "zone": f"d{len(server.name) % 2}", "version": "v1", "slots": 64, "state": state,
+                 "cold-remaining-ms": 0, "sequence": server.orders}
         if server.service == "engines":
             value["models"] = [{"name": "m", "version": server.version}]
         self.kv.put(f"servers/{server.id}", value)
