--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -165,9 +165,9 @@
     known.erase(known.begin());
 }
 
-void CatalogKeeper::noteLoaded(const std::string &server,
+void CatalogKeeper::noteLoaded(const ServerStart &server,
                                const ModelVersion &has, TimePoint now) {
-  ModelVersion &known = Loaded[server];
+  ModelVersion &known = Loaded[{server.Id}];
   if (known.Model == has.Model && known.Version >= has.Version)
     return;
   known = has;
@@ -176,7 +176,7 @@
 
 BackendServer CatalogKeeper::withLoaded(const BackendServer &server) const {
   BackendServer out = server;
-  auto it = Loaded.find(server.Id);
+  auto it = Loaded.find({server.Id});
   if (it == Loaded.end())
     return out;
   for (ModelVersion &has : out.Weights)
@@ -260,7 +260,7 @@
   std::erase_if(Loaded, [&](const auto &it) {
     return std::none_of(
         next->AllServers.begin(), next->AllServers.end(),
-        [&](const BackendServer &server) { return server.Id == it.first; });
+        [&](const BackendServer &server) { return server.Id == it.first.Id; });
   });
   Published.publish(std::move(next));
 }
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -89,8 +89,9 @@
   /// the records and not newer are gone.
   void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
                 TimePoint now);
-  /// A server has a newer version of its weights than its record says.
-  void noteLoaded(const std::string &server, const ModelVersion &has,
+  /// A start of a server has a newer version of its weights than its record
+  /// says.
+  void noteLoaded(const ServerStart &server, const ModelVersion &has,
                   TimePoint now);
   /// The store stopped answering, or answers again.
   void onStoreLost();
@@ -137,8 +138,8 @@
   std::shared_ptr<const ConfigIndex> Config;
   uint64_t ConfigRevision = 0;
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
-  /// Noted ahead of records, by server.
-  std::map<std::string, ModelVersion, std::less<>> Loaded;
+  /// Noted ahead of records.
+  std::map<ServerStart, ModelVersion> Loaded;
   uint64_t Highest = 0;
   bool HasReadAll = false;
   bool IsFirstRead = false; ///< While the first read is merged.
--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -2,6 +2,7 @@
 /// adapter has decoded their headers.
 #pragma once
 
+#include "direct/server_start.h"
 #include "net/http_server.h"
 #include "net/http_status.h"
 
@@ -46,6 +47,9 @@
 /// What accompanies one attempt at a request.
 struct AttemptOrder {
   std::string ServerId; ///< Any other server refuses the attempt.
+  /// Of the server, as it was known: another start of the id takes the attempt
+  /// all the same.
+  uint64_t StartedMs = 0;
   Endpoint Address;
   Duration TimeLeft{0};
   std::string Organisation;         ///< Empty when the request needs no key.
@@ -72,6 +76,8 @@
   double TokensPerMs = 0;   ///< Believed of the server's reading.
   double FirstTokenMs = 0;  ///< Predicted, without the fetch.
   double FetchExcessMs = 0; ///< Believed of the links that are used.
+
+  ServerRef server() const { return {ServerId, StartedMs}; }
   auto operator<=>(const AttemptOrder &) const = default;
 };
 
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -3,6 +3,7 @@
 /// subject, whoever tells them and however often.
 #pragma once
 
+#include "direct/server_start.h"
 #include "direct/serving_config.h"
 
 #include <compare>
@@ -18,7 +19,8 @@
   auto operator<=>(const ModelVersion &) const = default;
 };
 
-/// One start of a backend server; a restart is another one with another id.
+/// One start of a backend server, as its record describes it. A restart is
+/// another one, under the same id or another.
 struct BackendServer {
   std::string Id;
   std::string Service;
@@ -27,8 +29,11 @@
   uint32_t Slots = 1;
   bool IsDraining = false;
   std::vector<ModelVersion> Weights; ///< That it has loaded.
+  uint64_t StartedMs = 0;            ///< See ServerStart.
   auto operator<=>(const BackendServer &) const = default;
 
+  ServerRef ref() const { return {Id, StartedMs}; }
+
   /// 0 when the server does not have the model.
   uint64_t versionOf(std::string_view model) const {
     for (const ModelVersion &it : Weights)
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -33,7 +33,7 @@
 /// Servers that are taking new weights, or about to, and turn requests away
 /// until they have them.
 struct ServersLoading {
-  std::vector<std::string> Servers;
+  std::vector<ServerStart> Servers;
   bool operator==(const ServersLoading &) const = default;
   template <class Archive> void serialize(Archive &ar) { ar(Servers); }
 };
@@ -41,7 +41,7 @@
 /// A server has taken new weights, by its own report; its entry in the
 /// key-value service says so up to a heartbeat later.
 struct ServerLoaded {
-  std::string Server;
+  ServerStart Server;
   ModelVersion Has;
   bool operator==(const ServerLoaded &) const = default;
   template <class Archive> void serialize(Archive &ar) {
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -52,8 +52,8 @@
                          TimePoint now) const {
   if (care == Care::Any)
     return true;
-  ServerLoadView load = View.Loads.view(server.Id, now);
-  if (load.IsAvoided || View.Ejected.isEjected(stableHash(server.Id), now))
+  ServerLoadView load = View.Loads.view(server.ref(), now);
+  if (load.IsAvoided || View.Ejected.isEjected(server.ref().key(), now))
     return false;
   if (care == Care::AnyVersion)
     return true;
@@ -167,7 +167,7 @@
                        const BackendServer &server, const BackendServer *home,
                        UnkeptTokens &unkept, TimePoint now) const {
   bool isFar = server.FailureDomain != FailureDomain;
-  ServerLoadView load = View.Loads.view(server.Id, now);
+  ServerLoadView load = View.Loads.view(server.ref(), now);
   if (request.Head.Model.empty())
     return load.Running * Settings.CallRunningMs +
            (isFar ? Settings.CallOtherDomainMs : 0);
@@ -198,7 +198,7 @@
                           const BackendServer &server, TimePoint now) const {
   if (request.Head.Model.empty())
     return false;
-  ServerLoadView load = View.Loads.view(server.Id, now);
+  ServerLoadView load = View.Loads.view(server.ref(), now);
   if (!hasMemory(request, catalog, load))
     return true;
   std::optional<double> most = mostQueueMs(request, catalog);
@@ -223,7 +223,7 @@
   std::optional<double> most = mostQueueMs(request, catalog);
   if (!most)
     return soon;
-  ServerLoadView load = View.Loads.view(server.Id, now);
+  ServerLoadView load = View.Loads.view(server.ref(), now);
   double excessMs = readMs(request, static_cast<double>(load.Tokens)) - *most;
   return std::max(soon, Duration(static_cast<int64_t>(excessMs * 1000)));
 }
@@ -279,6 +279,7 @@
                     std::optional<int64_t> serversClockMs, TimePoint now) {
   AttemptOrder out;
   out.ServerId = server.Id;
+  out.StartedMs = server.StartedMs;
   out.Address = server.Address;
   out.Organisation = request.Organisation;
   const Service *service = catalog.Config->findService(request.Service);
@@ -290,7 +291,7 @@
   out.CacheScope =
       cacheScope(request.Organisation, request.IsIsolated, out.WeightVersion);
   out.QueuedTokens = head.PromptTokens;
-  ServerLoadView load = View.Loads.view(server.Id, now);
+  ServerLoadView load = View.Loads.view(server.ref(), now);
   out.TokensBefore = load.Tokens;
   out.HeldBefore = load.HeldTokens;
   out.TokensPerMs = View.Rates.of(request.Service);
--- a/src/direct/server_loads.cpp
+++ b/src/direct/server_loads.cpp
@@ -1,7 +1,5 @@
 #include "direct/server_loads.h"
 
-#include "direct/rendezvous.h"
-
 #include <algorithm>
 
 namespace daisytack::direct {
@@ -16,10 +14,9 @@
 
 } // namespace
 
-void ServerLoads::onSent(std::string_view server, uint64_t tokens,
-                         TimePoint now) {
+void ServerLoads::onSent(ServerRef server, uint64_t tokens, TimePoint now) {
   std::lock_guard guard(Lock);
-  State &state = Servers[stableHash(server)];
+  State &state = Servers[server.key()];
   if (state.Running++ == 0)
     state.LastHeard = now;
   state.Tokens += tokens;
@@ -27,24 +24,24 @@
   state.LastUsed = now;
 }
 
-void ServerLoads::onHeard(std::string_view server, TimePoint now) {
+void ServerLoads::onHeard(ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
-  Servers[stableHash(server)].LastHeard = now;
+  Servers[server.key()].LastHeard = now;
 }
 
-void ServerLoads::onFirstByte(std::string_view server, uint64_t tokens,
+void ServerLoads::onFirstByte(ServerRef server, uint64_t tokens,
                               TimePoint now) {
   std::lock_guard guard(Lock);
-  State &state = Servers[stableHash(server)];
+  State &state = Servers[server.key()];
   state.LastHeard = now;
   state.Rejections = 0;
   state.Tokens -= std::min(state.Tokens, tokens);
 }
 
-void ServerLoads::onEnded(std::string_view server, uint64_t tokens,
-                          bool wasRead, TimePoint now) {
+void ServerLoads::onEnded(ServerRef server, uint64_t tokens, bool wasRead,
+                          TimePoint now) {
   std::lock_guard guard(Lock);
-  State &state = Servers[stableHash(server)];
+  State &state = Servers[server.key()];
   state.Running -= std::min(state.Running, 1U);
   state.HeldTokens -= std::min(state.HeldTokens, tokens);
   if (!wasRead)
@@ -52,9 +49,9 @@
   state.LastUsed = now;
 }
 
-void ServerLoads::onTurnedAway(std::string_view server, TimePoint now) {
+void ServerLoads::onTurnedAway(ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
-  State &state = Servers[stableHash(server)];
+  State &state = Servers[server.key()];
   // Those that waited there are turned away together: they count as one.
   if (now < state.AvoidUntil)
     return;
@@ -64,19 +61,19 @@
                                Settings.LongestRejectPause);
 }
 
-void ServerLoads::onReplaced(std::string_view server, TimePoint now) {
+void ServerLoads::onReplaced(ServerRef server, TimePoint now) {
   avoidUntil(server, now + Settings.ReplacedPause);
 }
 
-void ServerLoads::avoidUntil(std::string_view server, TimePoint until) {
+void ServerLoads::avoidUntil(ServerRef server, TimePoint until) {
   std::lock_guard guard(Lock);
-  State &state = Servers[stableHash(server)];
+  State &state = Servers[server.key()];
   state.AvoidUntil = std::max(state.AvoidUntil, until);
 }
 
-void ServerLoads::onLoaded(std::string_view server) {
+void ServerLoads::onLoaded(ServerRef server) {
   std::lock_guard guard(Lock);
-  auto it = Servers.find(stableHash(server));
+  auto it = Servers.find(server.key());
   if (it != Servers.end())
     it->second.AvoidUntil = TimePoint();
 }
@@ -96,8 +93,8 @@
     peer.Shares[share.Name] = share;
 }
 
-ServerLoadView ServerLoads::view(std::string_view server, TimePoint now) const {
-  uint64_t name = stableHash(server);
+ServerLoadView ServerLoads::view(ServerRef server, TimePoint now) const {
+  uint64_t name = server.key();
   ServerLoadView out;
   std::lock_guard guard(Lock);
   auto it = Servers.find(name);
--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -1,8 +1,10 @@
 /// How much work is under way at each backend server: this entry's own, and
-/// what the other entries last said of theirs.
+/// what the other entries last said of theirs. Kept apart by start: a server
+/// that starts again under its id is idle, and not avoided for what was before.
 #pragma once
 
 #include "daisytack/types.h"
+#include "direct/server_start.h"
 
 #include <cstdint>
 #include <mutex>
@@ -42,7 +44,7 @@
 
 /// One server's load from one entry, as entries tell one another.
 struct LoadShare {
-  uint64_t Name = 0; ///< stableHash of the server's id.
+  uint64_t Name = 0; ///< ServerRef::key of one start of a server.
   uint32_t Running = 0;
   uint32_t Tokens = 0;
   uint32_t HeldTokens = 0;
@@ -57,27 +59,26 @@
 public:
   explicit ServerLoads(ServerLoadSettings settings) : Settings(settings) {}
 
-  void onSent(std::string_view server, uint64_t tokens, TimePoint now);
+  void onSent(ServerRef server, uint64_t tokens, TimePoint now);
   /// Any byte came from the server.
-  void onHeard(std::string_view server, TimePoint now);
+  void onHeard(ServerRef server, TimePoint now);
   /// The tokens of a request that still runs are read.
-  void onFirstByte(std::string_view server, uint64_t tokens, TimePoint now);
+  void onFirstByte(ServerRef server, uint64_t tokens, TimePoint now);
   /// The request is over; whether its prompt was read.
-  void onEnded(std::string_view server, uint64_t tokens, bool wasRead,
-               TimePoint now);
-  void onTurnedAway(std::string_view server, TimePoint now);
+  void onEnded(ServerRef server, uint64_t tokens, bool wasRead, TimePoint now);
+  void onTurnedAway(ServerRef server, TimePoint now);
   /// Another instance answered at its address: it is gone.
-  void onReplaced(std::string_view server, TimePoint now);
+  void onReplaced(ServerRef server, TimePoint now);
   /// The server is taking new weights and turns requests away until then.
-  void avoidUntil(std::string_view server, TimePoint until);
+  void avoidUntil(ServerRef server, TimePoint until);
   /// It has taken them.
-  void onLoaded(std::string_view server);
+  void onLoaded(ServerRef server);
   /// What another entry has under way; replaces what it said before. It speaks
   /// again after the period.
   void onPeer(const std::string &entry, const std::vector<LoadShare> &shares,
               Duration period, TimePoint now);
 
-  ServerLoadView view(std::string_view server, TimePoint now) const;
+  ServerLoadView view(ServerRef server, TimePoint now) const;
   /// This entry's own, for the others.
   std::vector<LoadShare> own() const;
   /// Forgets servers without running requests that were not used since.
--- a/src/direct/weight_order.h
+++ b/src/direct/weight_order.h
@@ -26,8 +26,9 @@
 /// Some hundred milliseconds old when it arrives.
 struct EngineReport {
   std::vector<ModelVersion> Weights;
-  bool IsBusy = false; ///< An order is being carried out.
-  uint64_t OrdersTaken = 0;
+  bool IsBusy = false;      ///< An order is being carried out.
+  uint64_t OrdersTaken = 0; ///< Since its start.
+  uint64_t StartedMs = 0;   ///< See ServerStart.
   auto operator<=>(const EngineReport &) const = default;
 };
 
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -82,8 +82,12 @@
     const Behind *it = pick(behind, catalog);
     if (!it)
       return;
-    Loads[it->Server->Id] = {it->Server->Address, it->Wanted, Phase::Asking,
-                             now, now + Settings.PrepareTime};
+    Loads[it->Server->Id] = {it->Server->StartedMs,
+                             it->Server->Address,
+                             it->Wanted,
+                             Phase::Asking,
+                             now,
+                             now + Settings.PrepareTime};
   }
 }
 
@@ -120,7 +124,7 @@
   if (version >= load.Wanted.Version) {
     ModelVersion has{load.Wanted.Model, version};
     Loads.erase(it);
-    return {NoteLoaded{server, std::move(has)}};
+    return {NoteLoaded{server, std::move(has), report->StartedMs}};
   }
   if (report->IsBusy) {
     load.At = Phase::Loading;
@@ -129,12 +133,12 @@
   }
   load.At = Phase::Ordering;
   load.LookAt = now + Settings.CallPatience;
-  return {GiveOrder{server, load.Address, load.Wanted, report->OrdersTaken}};
+  return {GiveOrder{server, load.Address, load.Wanted, report->OrdersTaken,
+                    report->StartedMs}};
 }
 
-void WeightPlan::onAnswer(const std::string &server, OrderAnswer answer,
-                          TimePoint now) {
-  auto it = Loads.find(server);
+void WeightPlan::onAnswer(ServerRef server, OrderAnswer answer, TimePoint now) {
+  auto it = Loads.find(std::string(server.Id));
   if (it == Loads.end())
     return;
   Load &load = it->second;
@@ -157,10 +161,10 @@
   }
 }
 
-std::vector<std::string> WeightPlan::busy() const {
-  std::vector<std::string> out;
+std::vector<ServerStart> WeightPlan::busy() const {
+  std::vector<ServerStart> out;
   for (const auto &[id, load] : Loads)
-    out.push_back(id);
+    out.push_back({id, load.StartedMs});
   return out;
 }
 
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -4,7 +4,9 @@
 /// An engine that is asked to load first finishes its runs and turns new
 /// requests away, so few load at a time, and they are spread over the failure
 /// domains. An order names the number of orders that the engine has accepted,
-/// so that one which arrives late, after a newer one, has no effect.
+/// so that one which arrives late, after a newer one, has no effect. That
+/// number begins anew when the engine starts anew, so what is known of a load
+/// holds for one start of the engine.
 #pragma once
 
 #include "direct/catalog.h"
@@ -57,12 +59,14 @@
   Endpoint Address;
   ModelVersion Wanted;
   uint64_t OrdersTaken = 0;
+  uint64_t StartedMs = 0; ///< Of the start whose report asked for the order.
   bool operator==(const GiveOrder &) const = default;
 };
-/// The server has taken the version.
+/// The server has taken the version since this start.
 struct NoteLoaded {
   std::string ServerId;
   ModelVersion Has;
+  uint64_t StartedMs = 0;
   bool operator==(const NoteLoaded &) const = default;
 };
 using WeightAction = std::variant<AskReport, GiveOrder, NoteLoaded>;
@@ -88,17 +92,19 @@
   std::vector<WeightAction> onReport(const std::string &server,
                                      const std::optional<EngineReport> &report,
                                      TimePoint now);
-  void onAnswer(const std::string &server, OrderAnswer answer, TimePoint now);
+  /// The answer to an order that was given to this start of the server.
+  void onAnswer(ServerRef server, OrderAnswer answer, TimePoint now);
   /// This process may not give orders any more.
   void clear() { Loads.clear(); }
 
   /// Servers that are loading, or about to.
-  std::vector<std::string> busy() const;
+  std::vector<ServerStart> busy() const;
   bool isIdle() const { return Loads.empty(); }
 
 private:
   enum class Phase : uint8_t { Asking, Ordering, Loading };
   struct Load {
+    uint64_t StartedMs = 0;
     Endpoint Address;
     ModelVersion Wanted;
     Phase At = Phase::Asking;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -157,17 +157,18 @@
   onCatalog();
 }
 
-void Gateway::onLoading(const std::vector<std::string> &servers) {
+void Gateway::onLoading(const std::vector<direct::ServerStart> &servers) {
   TimePoint until = monotonicNow() + LoadAvoidance;
   auto catalog = State.catalog();
   for (const direct::BackendServer &server : catalog->AllServers) {
+    direct::ServerStart start = server.ref().start();
     bool isLoading =
-        std::find(servers.begin(), servers.end(), server.Id) != servers.end();
+        std::find(servers.begin(), servers.end(), start) != servers.end();
     if (!isLoading || server.Weights.empty())
       continue;
-    State.Loads.avoidUntil(server.Id, until);
+    State.Loads.avoidUntil(start, until);
     bool isNews =
-        LoadingFrom.insert_or_assign(server.Id, server.Weights.front().Version)
+        LoadingFrom.insert_or_assign(start, server.Weights.front().Version)
             .second;
     if (isNews)
       Log.write(LogWeight::Notable, "server_avoided",
@@ -179,11 +180,11 @@
 void Gateway::onCatalog() {
   auto catalog = State.catalog();
   for (const direct::BackendServer &server : catalog->AllServers) {
-    auto it = LoadingFrom.find(server.Id);
+    auto it = LoadingFrom.find(server.ref().start());
     if (it == LoadingFrom.end() || server.Weights.empty() ||
         server.Weights.front().Version == it->second)
       continue;
-    State.Loads.onLoaded(server.Id);
+    State.Loads.onLoaded(server.ref());
     LoadingFrom.erase(it);
   }
   Contexts->onCatalog();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,7 +44,7 @@
   /// Another entry, or this one, gives orders for new weights.
   void onWeights(const direct::PeerMessage &message);
   /// Servers that take new weights are left alone until they have them.
-  void onLoading(const std::vector<std::string> &servers);
+  void onLoading(const std::vector<direct::ServerStart> &servers);
   PeerHooks peerHooks();
   OrderDriverSettings orderSettings() const;
   void tick();
@@ -70,7 +70,8 @@
   boost::asio::steady_timer DrainTimer;
   TimePoint DrainSince;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
-  std::map<std::string, uint64_t> LoadingFrom; ///< Servers and their version.
+  /// Servers that load, and the version that they had.
+  std::map<direct::ServerStart, uint64_t> LoadingFrom;
   std::function<void()> Drained;
 };
 
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -123,7 +123,7 @@
   SentAt = now;
   FirstByteAt.reset();
   State.Counts.Attempts.add();
-  State.Loads.onSent(order.ServerId, order.QueuedTokens, now);
+  State.Loads.onSent(order.server(), order.QueuedTokens, now);
   uint64_t saves = 0;
   uint64_t sourced = 0;
   for (size_t i = 0; i < order.Sources.size(); ++i) {
@@ -185,7 +185,7 @@
   direct::ServerHead head = State.Speak.ReadServer(status, headers);
   if (!head.WasNotRun) {
     FirstByteAt = now;
-    State.Loads.onFirstByte(Order.ServerId, Order.QueuedTokens, now);
+    State.Loads.onFirstByte(Order.server(), Order.QueuedTokens, now);
     learnLink(now);
     State.Rates.observe(Flow.request().Service, Order.UnreadTokens,
                         Order.TokensBefore, now - SentAt);
@@ -197,7 +197,7 @@
   if (Flow.isEnded() || attempt != Flow.attempts())
     return;
   TimePoint now = monotonicNow();
-  State.Loads.onHeard(Order.ServerId, now);
+  State.Loads.onHeard(Order.server(), now);
   Flow.onData(attempt, data, now);
 }
 
@@ -209,13 +209,13 @@
 
 void GatewayRequest::note(uint32_t attempt, const AttemptOrder &order,
                           AttemptResult result, TimePoint now) {
-  State.Loads.onEnded(order.ServerId, order.QueuedTokens,
+  State.Loads.onEnded(order.server(), order.QueuedTokens,
                       FirstByteAt.has_value(), now);
   bool isGood = result == AttemptResult::Answered;
   if (result == AttemptResult::TurnedAway ||
       result == AttemptResult::Misdirected) {
     State.Counts.TurnedAway.add();
-    State.Loads.onTurnedAway(order.ServerId, now);
+    State.Loads.onTurnedAway(order.server(), now);
   }
   if (result == AttemptResult::Misdirected)
     noteMisdirected(order, now);
@@ -243,7 +243,7 @@
       State.catalog()->behindSince(model, order.WeightVersion).has_value();
   if (mayBeWeights)
     return;
-  State.Loads.onReplaced(order.ServerId, now);
+  State.Loads.onReplaced(order.server(), now);
   State.Log.write(LogWeight::Notable, "server_avoided",
                   {{"server", order.ServerId},
                    {"reason", "its address belongs to another instance"}},
@@ -260,7 +260,7 @@
 void GatewayRequest::noteEjection(const AttemptOrder &order,
                                   AttemptResult result, TimePoint now) {
   uint64_t pool = direct::stableHash(Flow.request().Service);
-  uint64_t server = direct::stableHash(order.ServerId);
+  uint64_t server = order.server().key();
   size_t size = State.catalog()->serversOf(Flow.request().Service).size();
   bool isBad =
       result == AttemptResult::Failed || result == AttemptResult::Unreached;
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -61,7 +61,7 @@
 }
 
 void OrderDriver::tellLoading(TimePoint now) {
-  std::vector<std::string> busy = Plan.busy();
+  std::vector<direct::ServerStart> busy = Plan.busy();
   bool isDue = busy != Told || now >= ToldAt + Settings.TellInterval;
   if (busy.empty() || !isDue)
     return;
@@ -118,7 +118,8 @@
                    {"model", action.Has.Model},
                    {"version", action.Has.Version}},
                   now);
-  TellEntries(direct::ServerLoaded{action.ServerId, action.Has});
+  TellEntries(
+      direct::ServerLoaded{{action.ServerId, action.StartedMs}, action.Has});
   perform(Plan.next(*State.catalog(), now));
 }
 
@@ -149,6 +150,7 @@
                    {"model", action.Wanted.Model},
                    {"version", action.Wanted.Version},
                    {"orders_taken", action.OrdersTaken},
+                   {"started_ms", action.StartedMs},
                    {"token", *token}},
                   now);
   State.Control.fetch(
@@ -157,21 +159,23 @@
                                 State.Options.Name, *token,
                                 action.OrdersTaken}),
       Settings.Weights.CallPatience,
-      [self = shared_from_this(), id = action.ServerId](
+      [self = shared_from_this(),
+       to = direct::ServerStart{action.ServerId, action.StartedMs}](
           const Error &error, const net::HttpResponse &answer) {
         boost::asio::dispatch(self->On,
-                              [self, id, error, status = answer.Status] {
-                                self->onOrderAnswer(id, error, status);
+                              [self, to, error, status = answer.Status] {
+                                self->onOrderAnswer(to, error, status);
                               });
       });
 }
 
-void OrderDriver::onOrderAnswer(const std::string &server, const Error &error,
-                                unsigned status) {
+void OrderDriver::onOrderAnswer(const direct::ServerStart &server,
+                                const Error &error, unsigned status) {
   TimePoint now = monotonicNow();
   OrderAnswer answer = answerOf(error, status);
   State.Log.write(LogWeight::Notable, "order_answered",
-                  {{"server", server},
+                  {{"server", server.Id},
+                   {"started_ms", server.StartedMs},
                    {"status", error ? 0 : status},
                    {"detail", error.Detail}},
                   now);
--- a/src/gateway/order_driver.h
+++ b/src/gateway/order_driver.h
@@ -51,7 +51,7 @@
   void ask(const direct::AskReport &action);
   void give(const direct::GiveOrder &action);
   void noteLoaded(const direct::NoteLoaded &action);
-  void onOrderAnswer(const std::string &server, const Error &error,
+  void onOrderAnswer(const direct::ServerStart &server, const Error &error,
                      unsigned status);
 
   GatewayState &State;
@@ -64,7 +64,8 @@
   std::optional<TimePoint> SeekAt; ///< When to try to become the holder.
   TimePoint LastTimer;
   TimePoint AwakeFrom;
-  std::vector<std::string> Told; ///< Servers that entries were last told of.
+  std::vector<direct::ServerStart>
+      Told; ///< Servers that entries were last told of.
   TimePoint ToldAt;
 };
 
--- a/tests/direct/catalog_fixture.h
+++ b/tests/direct/catalog_fixture.h
@@ -13,7 +13,8 @@
 inline const TimePoint CatalogStart{Duration(1'000'000'000)};
 
 /// "server:NAME=VERSION", with "!" at the end for one that drains, and "@OTHER"
-/// for one of the service OTHER; version 0 for one without weights.
+/// for one of the service OTHER; version 0 for one without weights; "#TIME" for
+/// one that started then.
 /// "weights:MODEL=VERSION"; "config=VERSION" names the service "service" and
 /// the service of engines "engines", "config=VERSION@OTHER" a third one;
 /// "entry:NAME"; "holder". Any value may be "bad".
@@ -66,6 +67,8 @@
     server.Id = subject.Name;
     server.Service = other.empty() ? "service" : other;
     server.IsDraining = isDraining;
+    if (size_t started = record.Value.find('#'); started != std::string::npos)
+      server.StartedMs = std::stoull(record.Value.substr(started + 1));
     if (version > 0)
       server.Weights = {{"model", version}};
     return server;
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -120,7 +120,7 @@
 TEST(CatalogKeeper, BelievesAReportOfNewWeightsAheadOfTheRecord) {
   CatalogKeeper keeper({}, textHooks());
   keeper.apply({put("server:a", "1", 1)}, Start);
-  keeper.noteLoaded("a", {"model", 2}, Start);
+  keeper.noteLoaded({"a", 0}, {"model", 2}, Start);
   EXPECT_EQ(keeper.view()->serversOf("service")[0].versionOf("model"), 2);
   keeper.apply({put("server:a", "1", 2)}, Start); // A record that lags behind.
   EXPECT_EQ(keeper.view()->serversOf("service")[0].versionOf("model"), 2);
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -142,7 +142,7 @@
   Catalog.AllServers.erase(Catalog.AllServers.begin());
   Plan.next(Catalog, Start);
   auto busy = Plan.busy();
-  EXPECT_EQ(std::count(busy.begin(), busy.end(), "e0"), 0);
+  EXPECT_EQ(std::count(busy.begin(), busy.end(), ServerStart{"e0"}), 0);
 }
 
 TEST_F(WeightPlanTest, LoadsMoreAtATimeWhenTimeIsShort) {
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -66,8 +66,8 @@
       wire::encode(PeerMessage(RecordsWanted{7})),
       wire::encode(PeerMessage(
           RecordsFound{{{"key", "value", 5, false}, {"k", "", 6, true}}, 9})),
-      wire::encode(PeerMessage(ServersLoading{{"a", "b"}})),
-      wire::encode(PeerMessage(ServerLoaded{"a", {"model", 2}})),
+      wire::encode(PeerMessage(ServersLoading{{{"a", 5}, {"b", 6}}})),
+      wire::encode(PeerMessage(ServerLoaded{{"a", 5}, {"model", 2}})),
       wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}, {{5, 6}}})),
       wire::encode(PeerMessage(Received{}))};
 }
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -168,9 +168,12 @@
 
 TEST(ReadReport, ReadsWeightsAndOrders) {
   auto report = readReport(R"({"stage":"combined","models":[{"name":"m",
-    "version":2,"adapters":[]}],"busy":true,"sequence":3})");
+    "version":2,"adapters":[]}],"busy":true,"sequence":3,
+    "born":1700000000123})");
   ASSERT_TRUE(report);
-  EXPECT_EQ(*report, (direct::EngineReport{{{"m", 2}}, true, 3}));
+  EXPECT_EQ(*report,
+            (direct::EngineReport{{{"m", 2}}, true, 3, 1'700'000'000'123}));
+  EXPECT_FALSE(readReport(R"({"models":[],"born":"1700000000123"})"));
 }
 
 RC_GTEST_PROP(Base64, ReadsBackWhatItWrites, ()) {
--- a/tests/platform/server_record_test.cpp
+++ b/tests/platform/server_record_test.cpp
@@ -51,6 +51,20 @@
   EXPECT_TRUE(namesServer(json::serialize(plain)));
 }
 
+TEST(ServerRecord, TellsWhenItsServerStarted) {
+  auto startOf = [](const std::string &record) {
+    Error reason;
+    auto fact = decode("servers/i", record, reason);
+    return fact ? std::get<direct::BackendServer>(*fact).StartedMs : UINT64_MAX;
+  };
+  EXPECT_EQ(startOf(WholeRecord), 1'700'000'000'123);
+  json::object record = wholeRecord();
+  record["born"] = 1.7e12; // Whole, however it is written.
+  EXPECT_EQ(startOf(json::serialize(record)), 1'700'000'000'000);
+  record.erase("born"); // Not every deployment's servers say so.
+  EXPECT_EQ(startOf(json::serialize(record)), 0);
+}
+
 TEST(ServerRecord, NamesNoServerWithoutOneOfItsFields) {
   for (const char *field : {"service", "address", "zone", "version", "slots",
                             "state", "cold-remaining-ms", "sequence"}) {
@@ -91,6 +105,11 @@
                          Case{"state", R"("")"},
                          Case{"state", "1"},
                          Case{"models", R"({"name":"m","version":1})"},
+                         Case{"born", R"("1700000000123")"},
+                         Case{"born", "null"},
+                         Case{"born", "1700000000123.5"},
+                         Case{"born", "-1"},
+                         Case{"born", "1e300"},
                          Case{"version", "1"},
                          Case{"cold-remaining-ms", R"("0")"},
                          Case{"sequence", R"("4")"},
