Hold what is believed of a server for one of its starts

Cause: loads, pauses after refusals, ejections, versions noted ahead of records, loads of weights under way and the answers to their orders were kept by the server's id. A server that starts again under the id that it had was thus avoided for up to four seconds, counted as busy with what waited at its earlier start, and taken for having weights, or for loading, that it did not know of.

Ruled out: dropping each belief when a record with another start comes. What is heard late of the earlier start (an attempt that ends, another entry's loads, a note, an answer to an order) would bring it back. Also ruled out: taking the greater time of start for the later one; a clock that was set back would keep a server out of use for good, and a record that names a time far ahead would do so for any server. The order of the service's records alone decides which start is in force; a record that the earlier start wrote late holds until the next one, a heartbeat, and what was believed of the later start is there again then.

Change: beliefs are keyed by id and time of start. A load of weights is begun anew when the record's start changes, a report of another start is asked for again, an answer to an order counts for the start that it was given to, but for one that says that another process gives the orders. Servers that don't tell their start have 0, as one start for each id.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -15,6 +15,11 @@
 /// large deployment, at one server a second.
 constexpr size_t DeletionsRemembered = 2000;
 
+bool isOtherStart(const FactValue &before, const BackendServer &server) {
+  const auto *known = std::get_if<BackendServer>(&before);
+  return known && known->StartedMs != server.StartedMs;
+}
+
 } // namespace
 
 const std::vector<BackendServer> &
@@ -99,9 +104,16 @@
     ConfigRevision = record.Revision;
     value = std::monostate();
   }
-  Hooks.Changed(subject, it == Known.end() ? "new" : "changed", record.Revision,
-                now);
   const auto *server = std::get_if<BackendServer>(&*value);
+  bool isRestart =
+      server && it != Known.end() && isOtherStart(it->second.Value, *server);
+  if (isRestart)
+    forgetLoaded(*server);
+  Hooks.Changed(subject,
+                it == Known.end() ? "new"
+                : isRestart       ? "restarted"
+                                  : "changed",
+                record.Revision, now);
   if (server && !isConfigured(*server))
     Hooks.Unreadable(record,
                      {ErrorKind::BadValue, "its service or its weights are not "
@@ -165,9 +177,16 @@
     known.erase(known.begin());
 }
 
+void CatalogKeeper::forgetLoaded(const BackendServer &restarted) {
+  std::erase_if(Loaded, [&](const auto &it) {
+    return it.first.Id == restarted.Id &&
+           it.first.StartedMs != restarted.StartedMs;
+  });
+}
+
 void CatalogKeeper::noteLoaded(const ServerStart &server,
                                const ModelVersion &has, TimePoint now) {
-  ModelVersion &known = Loaded[{server.Id}];
+  ModelVersion &known = Loaded[server];
   if (known.Model == has.Model && known.Version >= has.Version)
     return;
   known = has;
@@ -176,7 +195,7 @@
 
 BackendServer CatalogKeeper::withLoaded(const BackendServer &server) const {
   BackendServer out = server;
-  auto it = Loaded.find({server.Id});
+  auto it = Loaded.find(server.ref().start());
   if (it == Loaded.end())
     return out;
   for (ModelVersion &has : out.Weights)
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -90,7 +90,7 @@
   void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
                 TimePoint now);
   /// A start of a server has a newer version of its weights than its record
-  /// says.
+  /// says. Has no effect on any other start, which has what its record says.
   void noteLoaded(const ServerStart &server, const ModelVersion &has,
                   TimePoint now);
   /// The store stopped answering, or answers again.
@@ -126,6 +126,8 @@
   /// Whether the configuration names its service, and an engine its weights.
   /// Without a configuration every server counts.
   bool isConfigured(const BackendServer &server) const;
+  /// Versions that were noted of other starts of the server.
+  void forgetLoaded(const BackendServer &restarted);
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
--- a/src/direct/server_start.h
+++ b/src/direct/server_start.h
@@ -40,7 +40,7 @@
       : Id(start.Id), StartedMs(start.StartedMs) {}
 
   /// The same in every process; differs between two starts.
-  uint64_t key() const { return stableHash(Id); }
+  uint64_t key() const { return stableHash(Id, StartedMs); }
   ServerStart start() const { return {std::string(Id), StartedMs}; }
 };
 
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -54,8 +54,9 @@
     bool isGone = server == servers.end() || server->IsDraining;
     bool isDone = !isGone && server->versionOf(it.second.Wanted.Model) >=
                                  it.second.Wanted.Version;
+    bool isRestarted = !isGone && server->StartedMs != it.second.StartedMs;
     bool isStuck = now >= it.second.Since + Settings.LoadPatience;
-    return isGone || isDone || isStuck;
+    return isGone || isDone || isRestarted || isStuck;
   });
 }
 
@@ -113,7 +114,10 @@
   if (it == Loads.end() || it->second.At != Phase::Asking)
     return {};
   Load &load = it->second;
-  if (!report) {
+  // Of another start: it came late, or the record of the new start will come.
+  bool isOther = report && report->StartedMs != 0 && load.StartedMs != 0 &&
+                 report->StartedMs != load.StartedMs;
+  if (!report || isOther) {
     load.LookAt = now + Settings.RefusalPause;
     return {};
   }
@@ -123,8 +127,9 @@
       version = has.Version;
   if (version >= load.Wanted.Version) {
     ModelVersion has{load.Wanted.Model, version};
+    uint64_t startedMs = load.StartedMs;
     Loads.erase(it);
-    return {NoteLoaded{server, std::move(has), report->StartedMs}};
+    return {NoteLoaded{server, std::move(has), startedMs}};
   }
   if (report->IsBusy) {
     load.At = Phase::Loading;
@@ -134,12 +139,15 @@
   load.At = Phase::Ordering;
   load.LookAt = now + Settings.CallPatience;
   return {GiveOrder{server, load.Address, load.Wanted, report->OrdersTaken,
-                    report->StartedMs}};
+                    load.StartedMs}};
 }
 
 void WeightPlan::onAnswer(ServerRef server, OrderAnswer answer, TimePoint now) {
   auto it = Loads.find(std::string(server.Id));
-  if (it == Loads.end())
+  // A refusal for the token says something of this process, not of the server.
+  if (answer == OrderAnswer::Fenced)
+    return Loads.clear();
+  if (it == Loads.end() || it->second.StartedMs != server.StartedMs)
     return;
   Load &load = it->second;
   load.At = Phase::Loading;
@@ -156,7 +164,6 @@
     Loads.erase(it);
     return;
   case OrderAnswer::Fenced:
-    Loads.clear();
     return;
   }
 }
