Keep no connection to the earlier start of a server

Cause: connections that are kept to an address outlived the server's start. One that crashed behind a cut, or lost its power, has reset none of them, and the next request on one is lost after it was sent, which a non-idempotent one can't make good.

Ruled out: ending the attempts under way too, when the record of the new start comes. Which start carries such an attempt is not known (it may have been sent before the record came), and what the new start works on would be cut off.

Change: when a start is seen that was not there before, the idle connections to its address are closed, those for requests and those for control. Servers that don't tell when they started change nothing.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -45,6 +45,24 @@
   return std::nullopt;
 }
 
+std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
+                                           const Catalog &after) {
+  std::vector<Endpoint> out;
+  auto byId = [](const BackendServer &it, const std::string &id) {
+    return it.Id < id;
+  };
+  auto known = before.AllServers.begin();
+  for (const BackendServer &server : after.AllServers) {
+    known = std::lower_bound(known, before.AllServers.end(), server.Id, byId);
+    bool wasThere = known != before.AllServers.end() &&
+                    known->Id == server.Id &&
+                    known->StartedMs == server.StartedMs;
+    if (server.StartedMs != 0 && !wasThere)
+      out.push_back(server.Address);
+  }
+  return out;
+}
+
 CatalogKeeper::CatalogKeeper(CatalogSettings settings, CatalogHooks hooks)
     : Settings(settings), Hooks(std::move(hooks)),
       Published(std::make_shared<const Catalog>()) {}
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -49,6 +49,12 @@
                                        uint64_t version) const;
 };
 
+/// Where servers have started that the earlier catalog did not know of, as far
+/// as they tell when they started. Connections that were kept to these
+/// addresses are to whatever was there before.
+std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
+                                           const Catalog &after);
+
 struct CatalogSettings {
   /// After the store's return, a server whose entry lapsed meanwhile is kept so
   /// long: the platform promises living ones back in about two seconds.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -177,8 +177,26 @@
   }
 }
 
+void Gateway::forgetEarlierStarts(const direct::Catalog &before,
+                                  const direct::Catalog &after) {
+  std::erase_if(LoadingFrom, [&](const auto &it) {
+    return std::none_of(after.AllServers.begin(), after.AllServers.end(),
+                        [&](const direct::BackendServer &server) {
+                          return server.Id == it.first.Id &&
+                                 server.StartedMs == it.first.StartedMs;
+                        });
+  });
+  // A server that lost its power, or crashed behind a cut, has reset none of
+  // its connections; a request sent on one would be lost.
+  for (const Endpoint &address : direct::addressesOfNewStarts(before, after)) {
+    State.Backends.dropIdle(address);
+    State.Control.dropIdle(address);
+  }
+}
+
 void Gateway::onCatalog() {
   auto catalog = State.catalog();
+  auto before = Seen;
   for (const direct::BackendServer &server : catalog->AllServers) {
     auto it = LoadingFrom.find(server.ref().start());
     if (it == LoadingFrom.end() || server.Weights.empty() ||
@@ -187,6 +205,8 @@
     State.Loads.onLoaded(server.ref());
     LoadingFrom.erase(it);
   }
+  if (std::exchange(Seen, catalog) != catalog)
+    forgetEarlierStarts(*before, *catalog);
   Contexts->onCatalog();
   Orders->onTimer(monotonicNow());
   if (!catalog->Config || catalog->ConfigRevision == AppliedConfig)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,8 @@
   /// Another entry, or this one, gives orders for new weights.
   void onWeights(const direct::PeerMessage &message);
   /// Servers that take new weights are left alone until they have them.
+  void forgetEarlierStarts(const direct::Catalog &before,
+                           const direct::Catalog &after);
   void onLoading(const std::vector<direct::ServerStart> &servers);
   PeerHooks peerHooks();
   OrderDriverSettings orderSettings() const;
@@ -70,6 +72,9 @@
   boost::asio::steady_timer DrainTimer;
   TimePoint DrainSince;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
+  /// At the last change.
+  std::shared_ptr<const direct::Catalog> Seen =
+      std::make_shared<const direct::Catalog>();
   /// Servers that load, and the version that they had.
   std::map<direct::ServerStart, uint64_t> LoadingFrom;
   std::function<void()> Drained;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -44,6 +44,13 @@
   idle.erase(idle.begin());
 }
 
+void HttpConnectionPool::drop(const Endpoint &to) {
+  std::vector<std::shared_ptr<HttpClientConnection>> dropped; // As above.
+  std::lock_guard guard(Lock);
+  if (auto it = Idle.find(to); it != Idle.end())
+    dropped.swap(it->second);
+}
+
 void HttpConnectionPool::close() {
   std::map<Endpoint, std::vector<std::shared_ptr<HttpClientConnection>>> all;
   std::lock_guard guard(Lock);
@@ -68,6 +75,8 @@
 
 boost::asio::io_context &HttpClient::context() const { return Self->Io; }
 
+void HttpClient::dropIdle(const Endpoint &to) { Self->Pool->drop(to); }
+
 HttpCall HttpClient::call(const Endpoint &to, HttpRequest request,
                           Duration timeout, HttpHooks hooks) {
   auto running =
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -67,6 +67,9 @@
   HttpCall fetch(const Endpoint &to, HttpRequest request, Duration timeout,
                  std::function<void(const Error &, HttpResponse)> done);
 
+  /// Closes the connections that are kept to the peer and carry no call.
+  void dropIdle(const Endpoint &to);
+
 private:
   struct Impl;
   std::shared_ptr<Impl> Self;
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -46,6 +46,8 @@
   std::shared_ptr<HttpClientConnection> take(const Endpoint &to);
   void put(const Endpoint &to,
            std::shared_ptr<HttpClientConnection> connection);
+  /// Those to one endpoint.
+  void drop(const Endpoint &to);
   void close();
 
 private:
--- a/tests/direct/restart_test.cpp
+++ b/tests/direct/restart_test.cpp
@@ -121,6 +121,23 @@
   EXPECT_EQ(log.back(), "a restarted");
 }
 
+TEST(RestartedServer, HasNoConnectionsOfWhatWasAtItsAddress) {
+  auto at = [](std::string id, uint64_t startedMs, std::string address) {
+    BackendServer out;
+    out.Id = std::move(id);
+    out.StartedMs = startedMs;
+    out.Address = {std::move(address), 80};
+    return out;
+  };
+  Catalog before;
+  before.AllServers = {at("a", 5, "1"), at("b", 5, "2"), at("c", 0, "3")};
+  Catalog after;
+  after.AllServers = {at("a", 5, "1"), at("b", 9, "2"), at("c", 0, "3"),
+                      at("d", 7, "4"), at("e", 0, "5")};
+  EXPECT_EQ(addressesOfNewStarts(before, after),
+            (std::vector<Endpoint>{{"2", 80}, {"4", 80}}));
+}
+
 /// One engine that is behind, and its loads.
 class RestartedEngine : public testing::Test {
 protected:
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -66,6 +66,23 @@
   EXPECT_EQ(fixture.Server.openConnections(), 1U);
 }
 
+/// What listens at the address has started anew: a kept connection on which no
+/// reset was seen yet would lose the next request.
+TEST(HttpClient, UsesNoKeptConnectionThatWasDropped) {
+  HttpFixture fixture(echo);
+  HttpRequest request{"POST", "/", "", {}, "b"};
+  EXPECT_EQ(fixture.fetch(request).Response.Body, "POST  b");
+  fixture.Client.dropIdle({"127.0.0.1", 1}); // Another address.
+  EXPECT_EQ(fixture.Server.openConnections(), 1U);
+  fixture.Client.dropIdle(fixture.endpoint());
+  auto end = std::chrono::steady_clock::now() + WaitLimit;
+  while (fixture.Server.openConnections() > 0 &&
+         std::chrono::steady_clock::now() < end)
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  EXPECT_EQ(fixture.Server.openConnections(), 0U);
+  EXPECT_EQ(fixture.fetch(request).Response.Body, "POST  b");
+}
+
 TEST(HttpClient, UnreachableMeansNothingWasSent) {
   HttpFixture fixture(echo);
   Endpoint nobody{"127.0.0.1", 1};
