Count weights as in use while the record of their server names none

A server whose record another writer overwrote runs on, and entries that have not heard of it still send it requests with sources under its weights. The catalog therefore remembers the weights that it had until its key is deleted or names a server again, and tells the oldest version that may be in use. A record that never named a server in use counts for nothing.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -29,6 +29,18 @@
   return it == Servers.end() ? None : it->second;
 }
 
+std::optional<uint64_t> Catalog::oldestVersion() const {
+  std::optional<uint64_t> out;
+  auto add = [&out](const std::vector<ModelVersion> &weights) {
+    for (const ModelVersion &it : weights)
+      out = std::min(out.value_or(it.Version), it.Version);
+  };
+  for (const BackendServer &server : AllServers)
+    add(server.Weights);
+  add(HiddenWeights);
+  return out;
+}
+
 uint64_t Catalog::wantedVersion(std::string_view model) const {
   auto it = Wanted.find(model);
   return it == Wanted.end() ? 0 : it->second.back().Version;
@@ -107,7 +119,7 @@
     return false;
   if (record.IsDeleted) {
     if (it == Known.end())
-      it = Known.emplace(record.Key, Held{record, subject, {}, {}}).first;
+      it = Known.emplace(record.Key, Held{record, subject, {}, {}, {}}).first;
     return mergeDeletion(it->second, record.Revision, now);
   }
   Error reason;
@@ -137,8 +149,7 @@
                      {ErrorKind::BadValue, "its service or its weights are not "
                                            "those of the configuration"},
                      now);
-  Known.insert_or_assign(record.Key,
-                         Held{record, subject, std::move(*value), {}});
+  hold(record, subject, std::move(*value));
   return true;
 }
 
@@ -146,10 +157,24 @@
                                     const FactSubject &subject,
                                     const Error &reason, TimePoint now) {
   Hooks.Unreadable(record, reason, now);
-  Known.insert_or_assign(record.Key, Held{record, subject, {}, {}});
+  hold(record, subject, {});
   return true;
 }
 
+void CatalogKeeper::hold(const StoreRecord &record, const FactSubject &subject,
+                         FactValue value) {
+  std::vector<ModelVersion> weights;
+  auto before = Known.find(record.Key);
+  const auto *server = std::get_if<BackendServer>(&value);
+  if (server && isConfigured(*server))
+    weights = server->Weights;
+  else if (before != Known.end() && !before->second.Record.IsDeleted)
+    weights = std::move(before->second.LastWeights);
+  Known.insert_or_assign(
+      record.Key,
+      Held{record, subject, std::move(value), std::move(weights), {}});
+}
+
 bool CatalogKeeper::isConfigured(const BackendServer &server) const {
   if (!Config)
     return true;
@@ -281,8 +306,12 @@
       next->Holder = holder ? holder->Entry : UnknownHolder;
     }
     const auto *record = std::get_if<BackendServer>(&held.Value);
-    if (!record || !isConfigured(*record))
+    if (!record || !isConfigured(*record)) {
+      next->HiddenWeights.insert(next->HiddenWeights.end(),
+                                 held.LastWeights.begin(),
+                                 held.LastWeights.end());
       continue;
+    }
     BackendServer server = withLoaded(*record);
     if (!server.IsDraining)
       next->Servers[server.Service].push_back(server);
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -34,6 +34,9 @@
   std::map<std::string, std::vector<BackendServer>, std::less<>> Servers;
   /// All servers that are known, draining ones too, sorted by id.
   std::vector<BackendServer> AllServers;
+  /// Weights of servers that were in use until their record was overwritten by
+  /// one that names none: they may run on, and other entries not know it yet.
+  std::vector<ModelVersion> HiddenWeights;
   /// By model, in the order in which they were named; each keeps its own time.
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
@@ -42,6 +45,9 @@
   std::string Holder;
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
+  /// The oldest version of weights that a server may still run on; nothing when
+  /// no server has any.
+  std::optional<uint64_t> oldestVersion() const;
   /// The newest version that is wanted of the model; 0 when none was named.
   uint64_t wantedVersion(std::string_view model) const;
   /// Since when a newer version than this one has been wanted.
@@ -117,11 +123,16 @@
     StoreRecord Record;
     FactSubject Subject;
     FactValue Value; ///< Nothing when the record can't be read.
+    /// Of the newest record that named a server in use, until it is deleted.
+    std::vector<ModelVersion> LastWeights;
     /// Deleted while the store was away: still counts until then.
     std::optional<TimePoint> KeptUntil;
   };
 
   bool merge(const StoreRecord &record, TimePoint now);
+  /// Holds the record, in place of the one before.
+  void hold(const StoreRecord &record, const FactSubject &subject,
+            FactValue value);
   /// It names nothing to use: what its key named before is over. Configuration
   /// and wanted versions stay, which only their writer can take back.
   bool mergeUnreadable(const StoreRecord &record, const FactSubject &subject,
--- a/tests/direct/catalog_unreadable_test.cpp
+++ b/tests/direct/catalog_unreadable_test.cpp
@@ -57,6 +57,27 @@
   EXPECT_EQ(std::count(log.begin(), log.end(), "server:a unreadable"), 2);
 }
 
+/// The server runs on, and other entries may still send it requests: kept
+/// context of its weights must not go before it is gone.
+TEST(UnreadableRecord, LeavesTheWeightsOfItsServerInUse) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("config", "1", 1), put("server:a", "1", 2),
+                put("server:b", "2", 3), put("server:c", "bad", 4)},
+               Start);
+  keeper.apply({put("server:a", "bad", 5)}, Start);
+  keeper.apply({put("server:a", "bad", 6)}, Start);
+  EXPECT_EQ(keeper.view()->oldestVersion(), 1);
+  keeper.apply({put("server:a", "1@other", 7)}, Start);
+  EXPECT_EQ(keeper.view()->oldestVersion(), 1);
+  keeper.apply({gone("server:a", 8)}, Start);
+  EXPECT_EQ(keeper.view()->oldestVersion(), 2);
+  // It never was one in use.
+  keeper.apply({put("server:a", "1@other", 9)}, Start);
+  EXPECT_EQ(keeper.view()->oldestVersion(), 2);
+  keeper.apply({put("server:a", "3", 10), put("server:b", "3", 11)}, Start);
+  EXPECT_EQ(keeper.view()->oldestVersion(), 3);
+}
+
 TEST(UnreadableRecord, IsPassedOnAsItIs) {
   CatalogKeeper first({}, textHooks());
   CatalogKeeper second({}, textHooks());
