Play the plan of loads against an engine that starts again at random

A model of one engine whose counts begin anew, with its clock set back or not, records and reports that lag, and orders that are lost or carried out up to 12 s later.

--- /dev/null
+++ b/tests/direct/restart_model_test.cpp
@@ -0,0 +1,140 @@
+/// The plan of loads against an engine that starts again under its id, with
+/// records, reports, answers and orders that come late or not at all.
+#include "direct/weight_plan.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <utility>
+
+namespace daisytack::direct {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration LoadTime = 1300ms;
+constexpr uint64_t Wanted = 3;
+
+/// What an engine does with orders; it counts them anew after each start.
+struct ModelEngine {
+  uint64_t StartedMs = 1000;
+  uint64_t Version = 1;
+  uint64_t OrdersTaken = 0;
+  std::optional<std::pair<uint64_t, TimePoint>> Loading; ///< Version, and when.
+
+  void run(TimePoint now) {
+    if (!Loading || now < Loading->second)
+      return;
+    Version = Loading->first;
+    Loading.reset();
+  }
+  /// Its clock may have been set back.
+  void restart(uint64_t startedMs) {
+    *this = {startedMs, Version, 0, std::nullopt};
+  }
+  OrderAnswer take(const GiveOrder &order, TimePoint now) {
+    if (Loading || order.OrdersTaken != OrdersTaken)
+      return OrderAnswer::Conflict;
+    if (order.Wanted.Version == Version)
+      return OrderAnswer::Accepted;
+    ++OrdersTaken;
+    Loading = {order.Wanted.Version, now + LoadTime};
+    return OrderAnswer::Accepted;
+  }
+  EngineReport report() const {
+    return {{{"model", Version}}, Loading.has_value(), OrdersTaken, StartedMs};
+  }
+};
+
+/// One engine, its record, and the plan, on a clock of its own.
+class RestartModel {
+public:
+  RestartModel() { Known.Wanted["model"] = {{Wanted, Now}}; }
+
+  /// A tenth of a second; while there are faults, each step may have one.
+  void step(bool hasFaults) {
+    Now += 100ms;
+    Engine.run(Now);
+    if (hasFaults && *rc::gen::inRange(0, 12) == 0)
+      Engine.restart(*rc::gen::inRange<uint64_t>(1, 5000));
+    bool writes = !hasFaults || *rc::gen::inRange(0, 4) == 0;
+    if (writes)
+      writeRecord();
+    deliverLate(hasFaults);
+    perform(Plan.next(Known, Now), hasFaults);
+  }
+
+  bool isDone() const {
+    return Engine.Version == Wanted && !Engine.Loading && Plan.isIdle() &&
+           Late.empty();
+  }
+
+private:
+  void writeRecord() {
+    BackendServer server;
+    server.Id = "a";
+    server.Service = "engines";
+    server.StartedMs = Engine.StartedMs;
+    server.Weights = {{"model", Engine.Version}};
+    Known.AllServers = {server};
+  }
+
+  void perform(const std::vector<WeightAction> &actions, bool hasFaults) {
+    for (const WeightAction &action : actions) {
+      if (std::holds_alternative<AskReport>(action)) {
+        EngineReport report = Engine.report();
+        if (hasFaults && *rc::gen::inRange(0, 3) == 0)
+          LateReports.push_back(report);
+        else
+          perform(Plan.onReport("a", report, Now), hasFaults);
+      } else if (const auto *order = std::get_if<GiveOrder>(&action)) {
+        give(*order, hasFaults);
+      }
+    }
+  }
+
+  void give(const GiveOrder &order, bool hasFaults) {
+    int fate = hasFaults ? *rc::gen::inRange(0, 4) : 0;
+    ServerStart to{order.ServerId, order.StartedMs};
+    if (fate == 1) // Carried out late, without an answer.
+      Late.push_back({order, Now + *rc::gen::inRange(2, 12) * 1s});
+    if (fate == 0)
+      Plan.onAnswer(to, Engine.take(order, Now), Now);
+    else
+      Plan.onAnswer(to, OrderAnswer::Unknown, Now);
+  }
+
+  void deliverLate(bool hasFaults) {
+    for (const EngineReport &report : std::exchange(LateReports, {}))
+      perform(Plan.onReport("a", report, Now), hasFaults);
+    std::erase_if(Late, [this](const auto &it) {
+      if (Now < it.second)
+        return false;
+      Engine.take(it.first, Now);
+      return true;
+    });
+  }
+
+  TimePoint Now{Duration(1'000'000'000)};
+  ModelEngine Engine;
+  Catalog Known;
+  WeightPlan Plan{{}};
+  std::vector<EngineReport> LateReports;
+  std::vector<std::pair<GiveOrder, TimePoint>> Late;
+};
+
+/// However often it starts again: once that ends, it gets the wanted weights.
+RC_GTEST_PROP(RestartedEngineModel, GetsItsWeightsOnceTheFaultsEnd, ()) {
+  RestartModel model;
+  for (int i = 0; i < 80; ++i)
+    model.step(true);
+  int steps = 0; // The latest order comes after 12 s; a stuck load takes 6 s.
+  while (!model.isDone() && steps < 250) {
+    model.step(false);
+    ++steps;
+  }
+  RC_ASSERT(model.isDone());
+}
+
+} // namespace
+} // namespace daisytack::direct
