Merge what is believed of a server's one start, and records of other writers

Joined with the agreement on retired context: the weights of servers whose record was overwritten count as in use there too, and a record of what is retired that can't be read is not taken for an empty one: nothing is named and nothing is written over it until it is good again (test_direct).

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -15,6 +15,11 @@
 /// large deployment, at one server a second.
 constexpr size_t DeletionsRemembered = 2000;
 
+bool isOtherStart(const FactValue &before, const BackendServer &server) {
+  const auto *known = std::get_if<BackendServer>(&before);
+  return known && known->StartedMs != server.StartedMs;
+}
+
 } // namespace
 
 const std::vector<BackendServer> &
@@ -24,6 +29,18 @@
   return it == Servers.end() ? None : it->second;
 }
 
+std::optional<uint64_t> Catalog::oldestVersion() const {
+  std::optional<uint64_t> out;
+  auto add = [&out](const std::vector<ModelVersion> &weights) {
+    for (const ModelVersion &it : weights)
+      out = std::min(out.value_or(it.Version), it.Version);
+  };
+  for (const BackendServer &server : AllServers)
+    add(server.Weights);
+  add(HiddenWeights);
+  return out;
+}
+
 uint64_t Catalog::wantedVersion(std::string_view model) const {
   auto it = Wanted.find(model);
   return it == Wanted.end() ? 0 : it->second.back().Version;
@@ -40,6 +57,24 @@
   return std::nullopt;
 }
 
+std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
+                                           const Catalog &after) {
+  std::vector<Endpoint> out;
+  auto byId = [](const BackendServer &it, const std::string &id) {
+    return it.Id < id;
+  };
+  auto known = before.AllServers.begin();
+  for (const BackendServer &server : after.AllServers) {
+    known = std::lower_bound(known, before.AllServers.end(), server.Id, byId);
+    bool wasThere = known != before.AllServers.end() &&
+                    known->Id == server.Id &&
+                    known->StartedMs == server.StartedMs;
+    if (server.StartedMs != 0 && !wasThere)
+      out.push_back(server.Address);
+  }
+  return out;
+}
+
 CatalogKeeper::CatalogKeeper(CatalogSettings settings, CatalogHooks hooks)
     : Settings(settings), Hooks(std::move(hooks)),
       Published(std::make_shared<const Catalog>()) {}
@@ -84,15 +119,13 @@
     return false;
   if (record.IsDeleted) {
     if (it == Known.end())
-      it = Known.emplace(record.Key, Held{record, subject, {}, {}}).first;
+      it = Known.emplace(record.Key, Held{record, subject, {}, {}, {}}).first;
     return mergeDeletion(it->second, record.Revision, now);
   }
   Error reason;
   std::optional<FactValue> value = Hooks.Decode(record, reason);
-  if (!value) {
-    Hooks.Unreadable(record, reason, now);
-    return false;
-  }
+  if (!value)
+    return mergeUnreadable(record, subject, reason, now);
   if (const auto *wanted = std::get_if<DesiredWeights>(&*value))
     noteWanted(wanted->Wanted,
                IsFirstRead ? now - Settings.AgeAtFirstRead : now);
@@ -101,13 +134,60 @@
     ConfigRevision = record.Revision;
     value = std::monostate();
   }
-  Hooks.Changed(subject, it == Known.end() ? "new" : "changed", record.Revision,
-                now);
-  Known.insert_or_assign(record.Key,
-                         Held{record, subject, std::move(*value), {}});
+  const auto *server = std::get_if<BackendServer>(&*value);
+  bool isRestart =
+      server && it != Known.end() && isOtherStart(it->second.Value, *server);
+  if (isRestart)
+    forgetLoaded(*server);
+  Hooks.Changed(subject,
+                it == Known.end() ? "new"
+                : isRestart       ? "restarted"
+                                  : "changed",
+                record.Revision, now);
+  if (server && !isConfigured(*server))
+    Hooks.Unreadable(record,
+                     {ErrorKind::BadValue, "its service or its weights are not "
+                                           "those of the configuration"},
+                     now);
+  hold(record, subject, std::move(*value));
   return true;
 }
 
+bool CatalogKeeper::mergeUnreadable(const StoreRecord &record,
+                                    const FactSubject &subject,
+                                    const Error &reason, TimePoint now) {
+  Hooks.Unreadable(record, reason, now);
+  hold(record, subject, {});
+  return true;
+}
+
+void CatalogKeeper::hold(const StoreRecord &record, const FactSubject &subject,
+                         FactValue value) {
+  std::vector<ModelVersion> weights;
+  auto before = Known.find(record.Key);
+  const auto *server = std::get_if<BackendServer>(&value);
+  if (server && isConfigured(*server))
+    weights = server->Weights;
+  else if (before != Known.end() && !before->second.Record.IsDeleted)
+    weights = std::move(before->second.LastWeights);
+  Known.insert_or_assign(
+      record.Key,
+      Held{record, subject, std::move(value), std::move(weights), {}});
+}
+
+bool CatalogKeeper::isConfigured(const BackendServer &server) const {
+  if (!Config)
+    return true;
+  const Service *service = Config->findService(server.Service);
+  if (!service || !service->Engine)
+    return service != nullptr;
+  const std::vector<std::string> &models = service->Engine->Models;
+  return !server.Weights.empty() &&
+         std::all_of(models.begin(), models.end(), [&](const auto &model) {
+           return server.versionOf(model) > 0;
+         });
+}
+
 bool CatalogKeeper::mergeDeletion(Held &held, uint64_t revision,
                                   TimePoint now) {
   held.Record.Revision = revision;
@@ -140,7 +220,14 @@
     known.erase(known.begin());
 }
 
-void CatalogKeeper::noteLoaded(const std::string &server,
+void CatalogKeeper::forgetLoaded(const BackendServer &restarted) {
+  std::erase_if(Loaded, [&](const auto &it) {
+    return it.first.Id == restarted.Id &&
+           it.first.StartedMs != restarted.StartedMs;
+  });
+}
+
+void CatalogKeeper::noteLoaded(const ServerStart &server,
                                const ModelVersion &has, TimePoint now) {
   ModelVersion &known = Loaded[server];
   if (known.Model == has.Model && known.Version >= has.Version)
@@ -151,7 +238,7 @@
 
 BackendServer CatalogKeeper::withLoaded(const BackendServer &server) const {
   BackendServer out = server;
-  auto it = Loaded.find(server.Id);
+  auto it = Loaded.find(server.ref().start());
   if (it == Loaded.end())
     return out;
   for (ModelVersion &has : out.Weights)
@@ -214,17 +301,25 @@
       continue;
     if (const auto *peer = std::get_if<EntryPeer>(&held.Value))
       next->Entries.push_back(*peer);
-    if (const auto *holder = std::get_if<OrderHolder>(&held.Value))
-      next->Holder = holder->Entry;
+    if (held.Subject.Kind == FactKind::Holder) {
+      const auto *holder = std::get_if<OrderHolder>(&held.Value);
+      next->Holder = holder ? holder->Entry : UnknownHolder;
+    }
     if (const auto *it = std::get_if<EntryRegistration>(&held.Value))
       next->Registered[it->Peer] = held.Record.Revision;
-    if (const auto *retired = std::get_if<RetiredContext>(&held.Value)) {
-      next->Retired = retired->What;
+    if (held.Subject.Kind == FactKind::Retired) {
+      const auto *retired = std::get_if<RetiredContext>(&held.Value);
+      next->IsRetiredReadable = retired != nullptr;
+      next->Retired = retired ? retired->What : std::vector<Retirement>();
       next->RetiredRevision = held.Record.Revision;
     }
     const auto *record = std::get_if<BackendServer>(&held.Value);
-    if (!record)
+    if (!record || !isConfigured(*record)) {
+      next->HiddenWeights.insert(next->HiddenWeights.end(),
+                                 held.LastWeights.begin(),
+                                 held.LastWeights.end());
       continue;
+    }
     BackendServer server = withLoaded(*record);
     if (!server.IsDraining)
       next->Servers[server.Service].push_back(server);
@@ -239,7 +334,7 @@
   std::erase_if(Loaded, [&](const auto &it) {
     return std::none_of(
         next->AllServers.begin(), next->AllServers.end(),
-        [&](const BackendServer &server) { return server.Id == it.first; });
+        [&](const BackendServer &server) { return server.Id == it.first.Id; });
   });
   Published.publish(std::move(next));
 }
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -15,6 +15,10 @@
 
 namespace daisytack::direct {
 
+/// Stands for whoever has the right to give orders under a record that can't be
+/// read: its key is taken all the same.
+constexpr std::string_view UnknownHolder = "(unknown)";
+
 /// A desired version, and when this process first heard of it.
 struct WantedVersion {
   uint64_t Version = 0;
@@ -25,20 +29,30 @@
 struct Catalog {
   std::shared_ptr<const ConfigIndex> Config; ///< Null until it is known.
   uint64_t ConfigRevision = 0;
-  /// Servers that take new requests, sorted by id, by service.
+  /// Servers that take new requests, sorted by id, by service. Only those of
+  /// services that the configuration names.
   std::map<std::string, std::vector<BackendServer>, std::less<>> Servers;
   /// All servers that are known, draining ones too, sorted by id.
   std::vector<BackendServer> AllServers;
+  /// Weights of servers that were in use until their record was overwritten by
+  /// one that names none: they may run on, and other entries not know it yet.
+  std::vector<ModelVersion> HiddenWeights;
   /// By model, in the order in which they were named; each keeps its own time.
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
   /// Addresses that are registered, with the revision of each record.
   std::map<Endpoint, uint64_t> Registered;
-  std::string Holder; ///< Entry that may give orders; empty when none may.
+  /// Entry that may give orders; empty when none may, UnknownHolder when the
+  /// record can't be read.
+  std::string Holder;
   std::vector<Retirement> Retired;
   uint64_t RetiredRevision = 0; ///< Of that record; 0: there is none.
+  bool IsRetiredReadable = true;
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
+  /// The oldest version of weights that a server may still run on; nothing when
+  /// no server has any.
+  std::optional<uint64_t> oldestVersion() const;
   /// The newest version that is wanted of the model; 0 when none was named.
   uint64_t wantedVersion(std::string_view model) const;
   /// Since when a newer version than this one has been wanted.
@@ -46,6 +60,12 @@
                                        uint64_t version) const;
 };
 
+/// Where servers have started that the earlier catalog did not know of, as far
+/// as they tell when they started. Connections that were kept to these
+/// addresses are to whatever was there before.
+std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
+                                           const Catalog &after);
+
 struct CatalogSettings {
   /// After the store's return, a server whose entry lapsed meanwhile is kept so
   /// long: the platform promises living ones back in about two seconds.
@@ -67,6 +87,8 @@
   std::function<void(const FactSubject &, std::string_view change,
                      uint64_t revision, TimePoint now)>
       Changed;
+  /// A record that can't be read, or names a service that isn't configured;
+  /// once for each revision.
   std::function<void(const StoreRecord &, const Error &, TimePoint now)>
       Unreadable;
 };
@@ -84,8 +106,9 @@
   /// the records and not newer are gone.
   void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
                 TimePoint now);
-  /// A server has a newer version of its weights than its record says.
-  void noteLoaded(const std::string &server, const ModelVersion &has,
+  /// A start of a server has a newer version of its weights than its record
+  /// says. Has no effect on any other start, which has what its record says.
+  void noteLoaded(const ServerStart &server, const ModelVersion &has,
                   TimePoint now);
   /// The store stopped answering, or answers again.
   void onStoreLost();
@@ -104,15 +127,29 @@
   struct Held {
     StoreRecord Record;
     FactSubject Subject;
-    FactValue Value;
+    FactValue Value; ///< Nothing when the record can't be read.
+    /// Of the newest record that named a server in use, until it is deleted.
+    std::vector<ModelVersion> LastWeights;
     /// Deleted while the store was away: still counts until then.
     std::optional<TimePoint> KeptUntil;
   };
 
   bool merge(const StoreRecord &record, TimePoint now);
+  /// Holds the record, in place of the one before.
+  void hold(const StoreRecord &record, const FactSubject &subject,
+            FactValue value);
+  /// It names nothing to use: what its key named before is over. Configuration
+  /// and wanted versions stay, which only their writer can take back.
+  bool mergeUnreadable(const StoreRecord &record, const FactSubject &subject,
+                       const Error &reason, TimePoint now);
   bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
   void publish(TimePoint now);
   void noteWanted(const ModelVersion &wanted, TimePoint since);
+  /// Whether the configuration names its service, and an engine its weights.
+  /// Without a configuration every server counts.
+  bool isConfigured(const BackendServer &server) const;
+  /// Versions that were noted of other starts of the server.
+  void forgetLoaded(const BackendServer &restarted);
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
@@ -125,8 +162,8 @@
   std::shared_ptr<const ConfigIndex> Config;
   uint64_t ConfigRevision = 0;
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
-  /// Noted ahead of records, by server.
-  std::map<std::string, ModelVersion, std::less<>> Loaded;
+  /// Noted ahead of records.
+  std::map<ServerStart, ModelVersion> Loaded;
   uint64_t Highest = 0;
   bool HasReadAll = false;
   bool IsFirstRead = false; ///< While the first read is merged.
--- a/src/direct/retirement.cpp
+++ b/src/direct/retirement.cpp
@@ -15,7 +15,8 @@
 
 bool mayNameSources(const SourceStanding &standing, Duration trust,
                     TimePoint now) {
-  return standing.HasReadAll && standing.IsRegistered && standing.IsListed &&
+  return standing.HasReadAll && standing.KnowsRetired &&
+         standing.IsRegistered && standing.IsListed &&
          now < standing.KnownAt + trust;
 }
 
@@ -94,6 +95,10 @@
                                                         TimePoint now) {
   onCatalog(catalog, now);
   std::vector<RetirementAction> out;
+  // What another writer put over the record can't be added to, only replaced by
+  // less.
+  if (!catalog.IsRetiredReadable)
+    return out;
   std::vector<Retirement> wanted =
       mergeRetired(catalog.Retired, retiredFor(catalog, now));
   if (wanted != catalog.Retired && !IsWriting && now >= WriteAgainAt) {
@@ -194,10 +199,7 @@
 
 uint64_t RetirementAgreement::unusedBelow(const Catalog &catalog,
                                           TimePoint now) {
-  std::optional<uint64_t> oldest;
-  for (const BackendServer &server : catalog.AllServers)
-    for (const ModelVersion &weights : server.Weights)
-      oldest = std::min(oldest.value_or(weights.Version), weights.Version);
+  std::optional<uint64_t> oldest = catalog.oldestVersion();
   if (!oldest)
     return 0;
   if (*oldest != OldestSeen) {
--- a/src/direct/retirement.h
+++ b/src/direct/retirement.h
@@ -36,6 +36,8 @@
   /// This process has read the whole service itself, so that it knows all that
   /// was agreed with a process before it at its address.
   bool HasReadAll = false;
+  /// What is retired could be read.
+  bool KnowsRetired = true;
   /// Its address is registered, so that it is asked.
   bool IsRegistered = false;
   /// It is announced. While it is not, its registration may be about to go.
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -54,8 +54,9 @@
     bool isGone = server == servers.end() || server->IsDraining;
     bool isDone = !isGone && server->versionOf(it.second.Wanted.Model) >=
                                  it.second.Wanted.Version;
+    bool isRestarted = !isGone && server->StartedMs != it.second.StartedMs;
     bool isStuck = now >= it.second.Since + Settings.LoadPatience;
-    return isGone || isDone || isStuck;
+    return isGone || isDone || isRestarted || isStuck;
   });
 }
 
@@ -82,8 +83,12 @@
     const Behind *it = pick(behind, catalog);
     if (!it)
       return;
-    Loads[it->Server->Id] = {it->Server->Address, it->Wanted, Phase::Asking,
-                             now, now + Settings.PrepareTime};
+    Loads[it->Server->Id] = {it->Server->StartedMs,
+                             it->Server->Address,
+                             it->Wanted,
+                             Phase::Asking,
+                             now,
+                             now + Settings.PrepareTime};
   }
 }
 
@@ -109,7 +114,10 @@
   if (it == Loads.end() || it->second.At != Phase::Asking)
     return {};
   Load &load = it->second;
-  if (!report) {
+  // Of another start: it came late, or the record of the new start will come.
+  bool isOther = report && report->StartedMs != 0 && load.StartedMs != 0 &&
+                 report->StartedMs != load.StartedMs;
+  if (!report || isOther) {
     load.LookAt = now + Settings.RefusalPause;
     return {};
   }
@@ -119,8 +127,9 @@
       version = has.Version;
   if (version >= load.Wanted.Version) {
     ModelVersion has{load.Wanted.Model, version};
+    uint64_t startedMs = load.StartedMs;
     Loads.erase(it);
-    return {NoteLoaded{server, std::move(has)}};
+    return {NoteLoaded{server, std::move(has), startedMs}};
   }
   if (report->IsBusy) {
     load.At = Phase::Loading;
@@ -129,13 +138,16 @@
   }
   load.At = Phase::Ordering;
   load.LookAt = now + Settings.CallPatience;
-  return {GiveOrder{server, load.Address, load.Wanted, report->OrdersTaken}};
+  return {GiveOrder{server, load.Address, load.Wanted, report->OrdersTaken,
+                    load.StartedMs}};
 }
 
-void WeightPlan::onAnswer(const std::string &server, OrderAnswer answer,
-                          TimePoint now) {
-  auto it = Loads.find(server);
-  if (it == Loads.end())
+void WeightPlan::onAnswer(ServerRef server, OrderAnswer answer, TimePoint now) {
+  auto it = Loads.find(std::string(server.Id));
+  // A refusal for the token says something of this process, not of the server.
+  if (answer == OrderAnswer::Fenced)
+    return Loads.clear();
+  if (it == Loads.end() || it->second.StartedMs != server.StartedMs)
     return;
   Load &load = it->second;
   load.At = Phase::Loading;
@@ -152,15 +164,14 @@
     Loads.erase(it);
     return;
   case OrderAnswer::Fenced:
-    Loads.clear();
     return;
   }
 }
 
-std::vector<std::string> WeightPlan::busy() const {
-  std::vector<std::string> out;
+std::vector<ServerStart> WeightPlan::busy() const {
+  std::vector<ServerStart> out;
   for (const auto &[id, load] : Loads)
-    out.push_back(id);
+    out.push_back({id, load.StartedMs});
   return out;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,7 +45,9 @@
   /// Another entry, or this one, gives orders for new weights.
   void onWeights(const direct::PeerMessage &message);
   /// Servers that take new weights are left alone until they have them.
-  void onLoading(const std::vector<std::string> &servers);
+  void forgetEarlierStarts(const direct::Catalog &before,
+                           const direct::Catalog &after);
+  void onLoading(const std::vector<direct::ServerStart> &servers);
   PeerHooks peerHooks();
   RetirementHooks retirementHooks();
   /// Writes provided that this process is still the holder, and that the key
@@ -88,7 +90,11 @@
   TimePoint BusyAt; ///< While it drains: last time that a caller waited.
   bool IsLastWordSaid = false;
   uint64_t AppliedConfig = 0; ///< Revision whose limits are in force.
-  std::map<std::string, uint64_t> LoadingFrom; ///< Servers and their version.
+  /// At the last change.
+  std::shared_ptr<const direct::Catalog> Seen =
+      std::make_shared<const direct::Catalog>();
+  /// Servers that load, and the version that they had.
+  std::map<direct::ServerStart, uint64_t> LoadingFrom;
   std::function<void(bool isWhole)> Drained;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -208,6 +208,7 @@
   out.KnownAt = TimePoint(Duration(KnownAt.load()));
   out.HasReadAll = HasReadAll;
   auto catalog = this->catalog();
+  out.KnowsRetired = catalog->IsRetiredReadable;
   out.IsRegistered = catalog->Registered.contains(Options.Peers);
   out.IsListed =
       std::any_of(catalog->Entries.begin(), catalog->Entries.end(),
--- a/tests/direct/retirement_rules_test.cpp
+++ b/tests/direct/retirement_rules_test.cpp
@@ -49,7 +49,7 @@
 };
 
 TEST(SourceRight, NeedsAllOfItsGrounds) {
-  SourceStanding whole{true, true, true, Start};
+  SourceStanding whole{true, true, true, true, Start};
   EXPECT_TRUE(mayNameSources(whole, SourceTrust, Start + SourceTrust - 1us));
   EXPECT_FALSE(mayNameSources(whole, SourceTrust, Start + SourceTrust));
   SourceStanding part = whole;
@@ -57,6 +57,9 @@
   part.HasReadAll = false;
   EXPECT_FALSE(mayNameSources(part, SourceTrust, Start));
   part = whole;
+  part.KnowsRetired = false;
+  EXPECT_FALSE(mayNameSources(part, SourceTrust, Start));
+  part = whole;
   part.IsRegistered = false;
   EXPECT_FALSE(mayNameSources(part, SourceTrust, Start));
   part = whole;
@@ -74,6 +77,13 @@
   EXPECT_TRUE(mergeRetired({}, {}).empty());
 }
 
+TEST_F(RetirementRules, DoesNotReplaceARecordThatItCannotRead) {
+  Now.Retired.clear();
+  Now.IsRetiredReadable = false;
+  RetirementAgreement it(Settings, Own);
+  EXPECT_TRUE(it.next(Now, Start).empty());
+}
+
 TEST_F(RetirementRules, AsksEveryRegisteredAddressUntilItHasAgreed) {
   unlist(PeerB); // Its lease lapsed; it may live.
   auto asked = tells(Start);
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -66,15 +66,16 @@
       wire::encode(PeerMessage(RecordsWanted{7})),
       wire::encode(PeerMessage(
           RecordsFound{{{"key", "value", 5, false}, {"k", "", 6, true}}, 9})),
-      wire::encode(PeerMessage(ServersLoading{{"a", "b"}})),
-      wire::encode(PeerMessage(ServerLoaded{"a", {"model", 2}})),
+      wire::encode(PeerMessage(ServersLoading{{{"a", 5}, {"b", 6}}})),
+      wire::encode(PeerMessage(ServerLoaded{{"a", 5}, {"model", 2}})),
       wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}, {{5, 6}}})),
       wire::encode(PeerMessage(Received{}))};
 }
 
 /// A value under each kind of key of the platform's store.
 void runFacts(std::string_view text) {
-  for (const char *key : {"op/config", "op/version/m", "servers/i"}) {
+  for (const char *key : {"op/config", "op/version/m", "servers/i",
+                          "daisytack/entries/e", "daisytack/holder"}) {
     Error reason;
     auto fact =
         platform::decodeFact({key, std::string(text), 1, false}, reason);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -116,11 +116,15 @@
   }
 
   void serve(const std::string &id, test::StandInServer &server,
-             const std::string &service = "plain", int version = 1) {
+             const std::string &service = "plain", int version = 1,
+             uint64_t startedMs = 1) {
     Store.put("servers/" + id,
               R"({"service":")" + service + R"(","address":")" +
                   toString(server.address()) +
-                  R"(","zone":"d1","slots":4,"state":"ready","models":[{)"
+                  R"(","zone":"d1","version":"v1","slots":4,"state":"ready",)"
+                  R"("cold-remaining-ms":0,"sequence":1,"born":)" +
+                  std::to_string(startedMs) +
+                  R"(,"models":[{)"
                   R"("name":"m","version":)" +
                   std::to_string(version) + "}]}");
   }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -196,6 +196,31 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// What another writer put under a server's key names no server; the next
+/// record of the server itself does again. A later start has no connections.
+TEST_F(GatewayTest, UsesAServerAsItsNewestRecordNamesIt) {
+  test::StdoutText lines;
+  test::StandInServer &server = standIn(answer);
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  auto is = [&](unsigned n) { return statusOf(entry, request("/safe/")) == n; };
+  auto becomes = [&](unsigned n) { return eventually([&] { return is(n); }); };
+  EXPECT_TRUE(becomes(200));
+  Store.put("servers/i-1", "\xff\xfe");
+  EXPECT_TRUE(becomes(503));
+  EXPECT_TRUE(eventually([&] {
+    return !lines.lineWith({"record_unreadable", "servers/i-1"}).empty();
+  }));
+  serve("i-1", server);
+  EXPECT_TRUE(becomes(200));
+  EXPECT_EQ(server.openConnections(), 1);
+  serve("i-1", server, "plain", 1, 2);
+  EXPECT_TRUE(eventually([&] { return server.openConnections() == 0; }));
+  Threads.stop(); // Handlers use what ends here.
+}
+
 TEST_F(GatewayTest, OrdersNewWeightsOnceUnderAFencingToken) {
   std::atomic<int> version{1};
   test::StandInServer &engine =
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -75,10 +75,11 @@
   EXPECT_FALSE(server.IsDraining);
 }
 
-TEST(DecodeFact, TakesAnyOtherStateForDraining) {
+TEST(DecodeFact, KnowsADrainingServer) {
   auto server = decodeAs<direct::BackendServer>(
-      "servers/i-1",
-      R"({"service":"s","address":"10.0.0.1:80","state":"draining"})");
+      "servers/i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+      "version":"v1","slots":4,"state":"draining","cold-remaining-ms":0.5,
+      "sequence":0})");
   EXPECT_TRUE(server.IsDraining);
 }
 
@@ -93,7 +94,8 @@
         Case{"op/config", R"({"version":"x"})", "'version'"},
         Case{"op/config", R"({"routes":[1]})", "'routes'"},
         Case{"op/config", R"({"routes":[{"kind":"odd"}]})", "'kind'"},
-        Case{"servers/i", R"({"address":"nowhere"})", "'address'"},
+        Case{"servers/i", R"({"service":"s","address":"nowhere"})",
+             "'address'"},
         Case{"servers/i", "{", "not a JSON object"}}) {
     Error reason;
     EXPECT_FALSE(decodeFact(record(it.Key, it.Value), reason)) << it.Value;
@@ -174,9 +176,12 @@
 
 TEST(ReadReport, ReadsWeightsAndOrders) {
   auto report = readReport(R"({"stage":"combined","models":[{"name":"m",
-    "version":2,"adapters":[]}],"busy":true,"sequence":3})");
+    "version":2,"adapters":[]}],"busy":true,"sequence":3,
+    "born":1700000000123})");
   ASSERT_TRUE(report);
-  EXPECT_EQ(*report, (direct::EngineReport{{{"m", 2}}, true, 3}));
+  EXPECT_EQ(*report,
+            (direct::EngineReport{{{"m", 2}}, true, 3, 1'700'000'000'123}));
+  EXPECT_FALSE(readReport(R"({"models":[],"born":"1700000000123"})"));
 }
 
 RC_GTEST_PROP(Base64, ReadsBackWhatItWrites, ()) {
