--- a/tests/base/decision_log_test.cpp
+++ b/tests/base/decision_log_test.cpp
@@ -68,6 +68,16 @@
       << pipe.Text;
 }
 
+TEST(DecisionLog, GivesTheSinkWhatWaitsAtItsEnd) {
+  Pipe pipe;
+  Metrics metrics;
+  {
+    DecisionLog log(smallLog(), "e1", pipe.sink(), metrics);
+    log.write(LogWeight::Notable, "draining", {}, Start);
+  }
+  EXPECT_EQ(pipe.lines(), 1) << pipe.Text;
+}
+
 TEST(DecisionLog, LosesLinesButNothingElseWhenThePipeIsFull) {
   Pipe pipe;
   pipe.Room = 100;
--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -41,3 +41,7 @@
 set_tests_properties(process.soak_checks process.soak_short PROPERTIES TIMEOUT 600
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
 set_tests_properties(process.soak_short PROPERTIES RESOURCE_LOCK deployment)
+
+# What process.stop_test preloads into an entry.
+add_library(stuck_threads SHARED ${CMAKE_SOURCE_DIR}/tests/process/preload/stuck_threads.cpp)
+target_link_libraries(stuck_threads PRIVATE ${CMAKE_DL_LIBS})
--- /dev/null
+++ b/tests/process/stop_test.py
@@ -0,0 +1,139 @@
+"""A stopped entry ends in time, with the right code, its last log lines and without an announcement, whatever it meets.
+
+Seen: entries that were asked to end logged that they had stopped and stayed until they were killed at the end of the
+grace period. The last step reached was the destructor of the log library's static object. That library starts four
+threads while the program is being loaded, and its destructor waits for each to end; on a platform that takes over the
+waits of a process after its libraries were loaded, nothing wakes them. The threads' stacks and the steps written with
+plain write(2) showed that. Here they never run at all (preload/stuck_threads.cpp).
+
+Seen beside it: the key of a stopped entry stayed until its lease lapsed, since the call that ends the lease was queued
+and the process ended before it was sent; and a second signal lost the log lines of the last tenth of a second.
+"""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+import http11  # noqa: E402
+import soak  # noqa: E402
+from fleet import BUILD, Fleet, check  # noqa: E402
+from platform_side import events_of  # noqa: E402
+from proxy import SILENT, SOUND  # noqa: E402
+
+END_SECONDS = 5  # Below the grace period of 8 s; the drain itself takes less than a second here.
+EVENTS = 8
+LONG_WORK = 60
+soak.SETTINGS += "[entry]\ndrain_notice = 300ms\n"
+
+
+async def until(what, probe, seconds=30):
+    end = asyncio.get_event_loop().time() + seconds
+    while not probe():
+        check(asyncio.get_event_loop().time() < end, f"not within {seconds} s: {what}")
+        await asyncio.sleep(0.01)
+
+
+async def send(entry, path, request_id):
+    """Sends a request; the connection's reader and writer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.ports["callers"])
+    headers = {"Host": "a.example", "X-Daisytack-Request-Id": request_id, "X-Api-Key": "k1", "Content-Length": "0",
+               "X-Daisytack-Deadline-Milliseconds": "2900"}
+    if path.startswith("/ask/"):
+        headers |= {"X-Daisytack-Model": "m", "X-Daisytack-Token-Counts": "100,10"}
+    writer.write(http11.head_of(f"POST {path} HTTP/1.1", headers))
+    return reader, writer
+
+
+def log_of(world, entry):
+    return (world.fleet.directory / f"{entry.name}.log").read_text()
+
+
+def announcements(world, entry):
+    """Keys under a lease that name the entry's address for its peers."""
+    return [key for key, it in world.kv.items.items() if it["lease"] and entry.name in key]
+
+
+async def check_ends(world, entry, code, case):
+    """The entry ends with the code in time, and its log with the line that says so."""
+    await until(f"{entry.name} ends, {case}", lambda: entry.ended() is not None, END_SECONDS)
+    check(entry.ended() == code, f"{case}: exit code {entry.ended()} instead of {code}")
+    lines = log_of(world, entry)
+    check("daisytack-entry stopped" in lines, f"{case}: the last line is missing")
+    return lines
+
+
+async def idle(world, entry):
+    await until("it is announced", lambda: announcements(world, entry))
+    entry.signal(signal.SIGTERM)
+    lines = await check_ends(world, entry, 0, "idle")
+    check('"event":"stopped"' in lines, "the last decision line is missing")
+    check(not announcements(world, entry), f"it is still announced: {announcements(world, entry)}")
+
+
+async def streaming(world, entry):
+    for server in world.servers:
+        server.work = 0.1
+    request_id = next(f"stream-{n}" for n in range(1000) if events_of(f"stream-{n}") == EVENTS)
+    reader, _ = await send(entry, f"/ask/{request_id}", request_id)
+    first, headers = await http11.read_head(reader)
+    check(first[1] == "200", f"the stream began with {first}")
+    entry.signal(signal.SIGTERM)
+    body = (await http11.read_body(reader, headers)).decode()
+    for n in range(1, EVENTS + 1):
+        check(f"{request_id}/{n}\n" in body, f"event {n} is missing in {body!r}")
+    await check_ends(world, entry, 0, "streaming")
+
+
+async def service_silent(world, entry):
+    entry.link.state = SILENT
+    entry.signal(signal.SIGTERM)
+    await check_ends(world, entry, 0, "key-value service silent")
+    entry.link.state = SOUND
+    entry.link.reset()
+
+
+async def peers_gone(world, entry):
+    others = [it for it in world.entries if it is not entry]
+    for other in others:
+        other.kill()
+    entry.signal(signal.SIGTERM)
+    await check_ends(world, entry, 0, "peers gone")
+    for other in others:
+        other.start()
+
+
+async def second_signal(world, entry):
+    """Two signals at once while a server is at work: the lines of the last moment are out as well."""
+    for server in world.servers:
+        server.work = LONG_WORK
+    runs = sum(len(it.runs) for it in world.servers)
+    connection = await send(entry, "/call/long", "long")
+    await until("a server is at work", lambda: sum(len(it.runs) for it in world.servers) > runs)
+    entry.signal(signal.SIGTERM)
+    entry.signal(signal.SIGINT)
+    lines = await check_ends(world, entry, 5, "second signal")
+    check('"event":"draining"' in lines, "the decision lines of the last moment are missing")
+    http11.close(connection[1])
+
+
+async def run(fleet):
+    world = soak.World(fleet, 1)
+    try:
+        await world.start()
+        entry = world.entries[0]
+        for case in (idle, streaming, service_silent, peers_gone, second_signal):
+            check(not world.problems, f"{world.problems}")
+            await case(world, entry)
+            print(f"{case.__name__} ok", flush=True)
+            entry.start()
+            await world.wait_ready(f"after {case.__name__}")
+    finally:
+        await soak.end_everything(world)
+
+
+os.environ["LD_PRELOAD"] = str(BUILD / "libstuck_threads.so")
+with Fleet() as it:
+    asyncio.run(run(it))
