End a stopped entry without waiting for the log library's threads

Cause: the log library starts four threads in its load-time initialiser, before main, and its static destructor waits until they have ended. Steps written with plain write(2) showed that destructor as the last one reached; the threads sat in the kernel's futex while the main thread's waits went through the platform, which passes no wake-up on to threads older than main. Ruled out by runs: the join of the I/O threads, the I/O context's destruction, flushes, threads in general (one started in main wakes and joins), and threads that block every signal, as the library's do (they wake and join too).

Change: main ends through endProcess, which flushes and runs no static destructors; what the daemon built was freed before. The decision log writes what waits when it is destroyed, as a second signal lost the last tenth of a second. An entry ends its lease and waits for the answer, 200 ms at most: the call was queued and never sent, so it stayed announced until the lease lapsed.

--- a/src/base/decision_log.cpp
+++ b/src/base/decision_log.cpp
@@ -21,6 +21,11 @@
       LeftOut(metrics.counter("daisytack_log_lines_left_out_total",
                               "Structured log lines over the bound")) {}
 
+DecisionLog::~DecisionLog() {
+  if (!Buffer.empty())
+    Write(Buffer);
+}
+
 bool DecisionLog::admitLocked(LogWeight weight, TimePoint now) {
   if (now >= SecondStart + OneSecond) {
     SecondStart = now;
--- a/src/base/decision_log.h
+++ b/src/base/decision_log.h
@@ -43,6 +43,11 @@
 
   DecisionLog(DecisionLogSettings settings, std::string process, Sink sink,
               Metrics &metrics);
+  /// Gives the sink what still waits: a process that ends before the next
+  /// flush is told of by its last lines.
+  ~DecisionLog();
+  DecisionLog(const DecisionLog &) = delete;
+  DecisionLog &operator=(const DecisionLog &) = delete;
 
   /// Adds "at_us" (monotonic), "process" and "event" to the fields.
   void write(LogWeight weight, std::string_view event, Fields fields,
--- a/src/gateway/entry_lease.cpp
+++ b/src/gateway/entry_lease.cpp
@@ -16,6 +16,9 @@
 constexpr Duration RetryPause{700'000};
 /// Renewals in one term: two may be lost.
 constexpr int RenewalsPerTerm = 3;
+/// For the answer that the lease has ended. The service answers in
+/// milliseconds; a process that ends waits for no service that doesn't.
+constexpr Duration EndTimeout{200'000};
 
 } // namespace
 
@@ -28,15 +31,35 @@
   boost::asio::post(On, [self = shared_from_this()] { self->grant(); });
 }
 
-void EntryLease::stop() {
-  boost::asio::dispatch(On, [self = shared_from_this()] {
-    self->IsStopped = true;
-    self->Timer.cancel();
-    if (self->Lease != 0)
-      self->Store.RevokeLease(self->Lease, CallTimeout,
-                              [](const edge::KvLeaseResult &) {});
-    self->Lease = 0;
-  });
+void EntryLease::stop(std::function<void()> done) {
+  boost::asio::dispatch(
+      On, [self = shared_from_this(), done = std::move(done)]() mutable {
+        self->IsStopped = true;
+        self->Timer.cancel();
+        self->end(std::move(done));
+      });
+}
+
+void EntryLease::end(std::function<void()> done) {
+  if (Lease == 0)
+    return done();
+  // The call is only queued here: a process that ended now would not send it,
+  // and stay announced until the lease lapses.
+  Store.RevokeLease(std::exchange(Lease, 0), EndTimeout,
+                    [self = shared_from_this(), done = std::move(done)](
+                        const edge::KvLeaseResult &result) {
+                      boost::asio::dispatch(self->On, [self, done, result] {
+                        self->onEnded(result.Header);
+                        done();
+                      });
+                    });
+}
+
+void EntryLease::onEnded(const edge::KvHeader &answer) {
+  if (answer.Status == edge::KvStatus::Ok)
+    return;
+  Log.write(LogWeight::Notable, "entry_lease_left",
+            {{"reason", answer.Reason.Detail}}, monotonicNow());
 }
 
 void EntryLease::later(Duration pause, void (EntryLease::*step)()) {
--- a/src/gateway/entry_lease.h
+++ b/src/gateway/entry_lease.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -19,13 +20,18 @@
              std::string value, Duration term, DecisionLog &log);
 
   void start();
-  /// Ends the lease, so that others need not wait for it to lapse.
-  void stop();
+  /// Ends the lease, so that others need not wait for it to lapse, and calls
+  /// done on the strand once the key-value service has answered or has not in
+  /// time. Call it when no request is left: until then the entry needs what the
+  /// others tell it.
+  void stop(std::function<void()> done);
 
 private:
   void grant();
   void announce();
   void keep();
+  void end(std::function<void()> done);
+  void onEnded(const edge::KvHeader &answer);
   void later(Duration pause, void (EntryLease::*step)());
 
   Strand On;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -246,7 +246,11 @@
 }
 
 void Gateway::finish() {
-  Announced->stop();
+  // First, as a call needs the I/O that ends with the process.
+  Announced->stop([this] { endParts(); });
+}
+
+void Gateway::endParts() {
   Contexts->stop();
   Peers->stop();
   PeerLoads->stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,7 +49,9 @@
   OrderDriverSettings orderSettings() const;
   void tick();
   void watchDrain();
+  /// Ends the announcement, then the parts.
   void finish();
+  void endParts();
 
   GatewayOptions Options;
   Metrics Counters;
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -8,10 +8,12 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 #include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 
 DEFINE_string(config, "", "settings file (INI); else that of DAISYTACK_CONFIG");
 DEFINE_bool(check, false, "check the settings and exit");
@@ -227,6 +229,17 @@
          "            4 drain timeout, 5 second signal while draining\n";
 }
 
+void endProcess(int code) {
+  std::cout.flush();
+  std::cerr.flush();
+  std::fflush(nullptr);
+  // The log library's destructor waits until its four threads have ended, and
+  // they never do where the platform doesn't pass our wake-up on to threads
+  // that are older than main: entries were killed at the end of the grace
+  // period, 6 s after they had stopped in the middle.
+  ::_exit(code);
+}
+
 int runProcess(int argc, char **argv, const ProcessInit &init) {
   holdSignals(SIG_BLOCK);
   gflags::SetUsageMessage(processUsage(init));
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -1,5 +1,11 @@
 /// The frame of a daemon's main(): command line, settings, log, threads,
 /// signals and exit code.
+///
+/// Threads of a daemon: [process] threads run the I/O context, the main thread
+/// among them; nothing else of ours starts one. Four more, of the log library,
+/// start while the program is loaded, before main, and idle for ever: we log
+/// through no queue. The library offers no way to run without them, so nothing
+/// may wait for them; see endProcess.
 #pragma once
 
 #include "base/settings.h"
@@ -46,6 +52,12 @@
 /// Settings: [process] threads, log_level and drain_timeout.
 int runProcess(int argc, char **argv, const ProcessInit &init);
 
+/// Ends the process with runProcess' result. Everything that the daemon built
+/// was freed and every log line was written before; destructors of static
+/// objects and handlers of atexit don't run, as those of a library may wait for
+/// threads that nothing can wake any more.
+[[noreturn]] void endProcess(int code);
+
 /// The text that --help prints.
 std::string processUsage(const ProcessInit &init);
 
--- a/tools/agent/main.cpp
+++ b/tools/agent/main.cpp
@@ -24,5 +24,5 @@
     daemon->drain(std::move(done));
   };
   init.Stop = [&] { daemon.reset(); };
-  return runtime::runProcess(argc, argv, init);
+  runtime::endProcess(runtime::runProcess(argc, argv, init));
 }
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -47,5 +47,5 @@
     gateway.reset();
     shell.reset();
   };
-  return runtime::runProcess(argc, argv, init);
+  runtime::endProcess(runtime::runProcess(argc, argv, init));
 }
