Test how long an entry is announced, and that its end waits for no handler

A draining entry is not ready and closes each connection after its answer, but still asks servers and names kept context, so it must go on hearing what the others tell announced entries: its key stays until its last answer is out and ends then. The test fails when the lease's end is not waited for.

The stand-in of the key-value service now removes the keys of a lease that is ended, as the service does.

--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -5,7 +5,9 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
+#include <unistd.h>
 
 namespace daisytack::runtime {
 
@@ -119,6 +121,17 @@
   EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
 }
 
+// Libraries wait in such handlers for threads of theirs, which may never end.
+TEST_F(Process, EndsWithoutTheHandlersOfLibraries) {
+  testing::GTEST_FLAG(death_test_style) = "threadsafe";
+  EXPECT_EXIT(
+      {
+        std::atexit([] { ::_exit(1); });
+        endProcess(4);
+      },
+      testing::ExitedWithCode(4), "");
+}
+
 TEST_F(Process, ADrainIsBoundedInTime) {
   Init.Drain = [](const std::function<void()> &) {};
   EXPECT_EQ(run({fileWith("[process]\ndrain_timeout = 0s\n"
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -362,6 +362,45 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+// Others tell an announced entry which servers and which kept context to leave
+// alone, and until its last answer is out it needs that. A key that outlived
+// the entry made others call an address at which nobody answered.
+TEST_F(GatewayTest, IsAnnouncedUntilItsLastAnswerIsOutAndNoLonger) {
+  std::mutex lock;
+  std::vector<std::function<void()>> answers;
+  test::StandInServer &server =
+      standIn([&](const HttpRequest &what, const ExchangePtr &to) {
+        std::lock_guard guard(lock);
+        answers.emplace_back([what, to] { to->respond(signedAnswer(what)); });
+      });
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
+  auto running = std::async(std::launch::async, [&] {
+    return fetch(entry.Options.Callers, request("/call/x")).Response.Status;
+  });
+  ASSERT_TRUE(eventually([&] {
+    std::lock_guard guard(lock);
+    return answers.size() == 1;
+  }));
+  std::promise<bool> announcedAtEnd;
+  entry.Daemon.drain(
+      [&] { announcedAtEnd.set_value(Store.has("daisytack/entries/e1")); });
+  EXPECT_EQ(ready(entry), 503);
+  EXPECT_TRUE(Store.has("daisytack/entries/e1"));
+  {
+    std::lock_guard guard(lock);
+    answers.at(0)();
+  }
+  EXPECT_EQ(running.get(), 200);
+  auto ended = announcedAtEnd.get_future();
+  ASSERT_EQ(ended.wait_for(Patience), std::future_status::ready);
+  EXPECT_FALSE(ended.get());
+  Threads.stop(); // Handlers use what ends here.
+}
+
 TEST_F(GatewayTest, OrdersNewWeightsOnceUnderAFencingToken) {
   std::atomic<int> version{1};
   test::StandInServer &engine =
--- a/tests/gateway/stand_in.h
+++ b/tests/gateway/stand_in.h
@@ -50,6 +50,11 @@
   }
   /// 0: answers; otherwise every call gets this status at once.
   std::atomic<unsigned> Refuses{0};
+  bool has(const std::string &key) {
+    std::lock_guard guard(Lock);
+    auto it = Items.find(key);
+    return it != Items.end() && !it->second.IsDeleted;
+  }
   uint64_t revisionOf(const std::string &key) {
     std::lock_guard guard(Lock);
     auto it = Items.find(key);
@@ -111,9 +116,19 @@
       return commitLocked(request, *to);
     if (request.Path == "/kv-lease")
       return respond(*to, {{"lease", ++Leases}, {"ttl-ms", 60'000}});
+    if (request.Path.starts_with("/kv-lease-end/"))
+      endLeaseLocked(
+          std::stoull(request.Path.substr(request.Path.rfind('/') + 1)));
     respond(*to, {{"ttl-ms", 60'000}});
   }
 
+  void endLeaseLocked(uint64_t lease) {
+    for (auto &[key, item] : Items)
+      if (item.Lease == lease && !item.IsDeleted)
+        removeLocked(key);
+    wakeLocked();
+  }
+
   void rangeLocked(HttpExchange &to) {
     json::array items;
     for (const auto &[key, item] : Items)
