--- a/src/gateway/entry_lease.cpp
+++ b/src/gateway/entry_lease.cpp
@@ -16,6 +16,9 @@
 constexpr Duration RetryPause{700'000};
 /// Renewals in one term: two may be lost.
 constexpr int RenewalsPerTerm = 3;
+/// For the answer that the lease has ended. The service answers in
+/// milliseconds; a process that ends waits for no service that doesn't.
+constexpr Duration EndTimeout{200'000};
 
 } // namespace
 
@@ -30,28 +33,60 @@
   boost::asio::post(On, [self = shared_from_this()] { self->grant(); });
 }
 
-void EntryLease::stop() {
-  boost::asio::dispatch(On, [self = shared_from_this()] {
-    self->IsStopped = true;
-    self->Timer.cancel();
-    if (self->Lease != 0)
-      self->Store.RevokeLease(self->Lease, CallTimeout,
-                              [](const edge::KvLeaseResult &) {});
-    self->Lease = 0;
-    self->unregister();
-  });
+void EntryLease::stop(std::function<void()> done) {
+  boost::asio::dispatch(On,
+                        [self = shared_from_this(), done = std::move(done)] {
+                          self->IsStopped = true;
+                          self->Timer.cancel();
+                          // Calls are only queued here: a process that ended
+                          // now would not send them, and stay announced until
+                          // the lease lapses.
+                          auto open = std::make_shared<size_t>(2);
+                          std::function<void()> doneOnce = [open, done] {
+                            if (--*open == 0)
+                              done();
+                          };
+                          self->endLease(doneOnce);
+                          self->unregister(doneOnce);
+                        });
 }
 
-void EntryLease::unregister() {
-  if (Registered == 0)
+void EntryLease::endLease(const std::function<void()> &done) {
+  if (Lease == 0)
+    return done();
+  Store.RevokeLease(
+      std::exchange(Lease, 0), EndTimeout,
+      [self = shared_from_this(), done](const edge::KvLeaseResult &result) {
+        boost::asio::dispatch(self->On, [self, done, result] {
+          self->noteEnded(result.Header);
+          done();
+        });
+      });
+}
+
+void EntryLease::noteEnded(const edge::KvHeader &answer) {
+  if (answer.Status == edge::KvStatus::Ok)
     return;
+  Log.write(LogWeight::Notable, "entry_lease_left",
+            {{"reason", answer.Reason.Detail}}, monotonicNow());
+}
+
+void EntryLease::unregister(const std::function<void()> &done) {
+  if (Registered == 0)
+    return done();
   // Carried out late, it must not end that of a process after this one.
   edge::KvTransaction change;
   change.If.push_back(
       {Registration.Key, edge::KvCompare::Target::ModRevision, Registered});
   change.Then.push_back({Registration.Key, {}, 0, true});
-  Store.Commit(std::move(change), CallTimeout,
-               [](const edge::KvTransactionResult &) {});
+  Store.Commit(std::move(change), EndTimeout,
+               [self = shared_from_this(),
+                done](const edge::KvTransactionResult &result) {
+                 boost::asio::dispatch(self->On, [self, done, result] {
+                   self->noteEnded(result.Header);
+                   done();
+                 });
+               });
 }
 
 void EntryLease::later(Duration pause, void (EntryLease::*step)()) {
--- a/src/gateway/entry_lease.h
+++ b/src/gateway/entry_lease.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,14 +28,18 @@
 
   void start();
   /// Ends the lease and the registration, so that others need not wait for
-  /// either. Call when this process names no sources any more.
-  void stop();
+  /// either, and calls done on the strand once the key-value service has
+  /// answered or has not in time. Call it when no request is left: until then
+  /// the entry needs what the others tell it, and may name sources.
+  void stop(std::function<void()> done);
 
 private:
   void grant();
   void announce();
   void keep();
-  void unregister();
+  void endLease(const std::function<void()> &done);
+  void unregister(const std::function<void()> &done);
+  void noteEnded(const edge::KvHeader &answer);
   void later(Duration pause, void (EntryLease::*step)());
 
   Strand On;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -377,7 +377,11 @@
 }
 
 void Gateway::finish(bool isWhole) {
-  Announced->stop();
+  // First, as a call needs the I/O that ends with the process.
+  Announced->stop([this, isWhole] { endParts(isWhole); });
+}
+
+void Gateway::endParts(bool isWhole) {
   Contexts->stop();
   Peers->stop();
   PeerLoads->stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,7 +65,9 @@
   bool isBusy() const;
   /// Whether nothing is left that a caller waits for.
   bool isDrained(TimePoint now) const;
+  /// Ends the announcement, then the parts.
   void finish(bool isWhole);
+  void endParts(bool isWhole);
 
   GatewayOptions Options;
   Metrics Counters;
