--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -104,37 +104,45 @@
                      const std::function<void()> &done) {
     const std::string &key = State.Speak.RetiredKey;
     commitAsHolder({key, State.Speak.EncodeRetired({write.What}), 0, false},
-                   write.Over, "context_retired", done);
+                   write.Over, [this, done](const edge::KvHeader &header) {
+                     Log.write(LogWeight::Notable, "context_retired",
+                               {{"status", edge::kvStatusName(header.Status)},
+                                {"revision", header.Revision}},
+                               monotonicNow());
+                     done();
+                   });
   };
   out.Remove = [this](const direct::RemoveRegistration &remove,
                       const std::function<void()> &done) {
-    commitAsHolder({State.Speak.RegistrationKey(remove.Peer), {}, 0, true},
-                   remove.Revision, "registration_removed", done);
+    std::string key = State.Speak.RegistrationKey(remove.Peer);
+    commitAsHolder({key, {}, 0, true}, remove.Revision,
+                   [this, done, remove](const edge::KvHeader &header) {
+                     Log.write(LogWeight::Notable, "registration_removed",
+                               {{"peer", toString(remove.Peer)},
+                                {"status", edge::kvStatusName(header.Status)},
+                                {"revision", header.Revision}},
+                               monotonicNow());
+                     done();
+                   });
   };
   return out;
 }
 
-void Gateway::commitAsHolder(edge::KvWrite write, uint64_t over,
-                             std::string_view event,
-                             const std::function<void()> &done) {
+void Gateway::commitAsHolder(
+    edge::KvWrite write, uint64_t over,
+    const std::function<void(const edge::KvHeader &)> &done) {
   std::optional<uint64_t> token = Orders->token(monotonicNow());
   if (!token)
-    return done();
+    return done({});
   constexpr auto Revision = edge::KvCompare::Target::ModRevision;
   edge::KvTransaction change;
   change.If.push_back({State.Speak.HolderKey, Revision, *token});
   change.If.push_back({write.Key, Revision, over});
   change.Then.push_back(std::move(write));
   Store.Commit(std::move(change), HolderWriteTimeout,
-               [this, event, done](const edge::KvTransactionResult &result) {
+               [this, done](const edge::KvTransactionResult &result) {
                  boost::asio::dispatch(
-                     Control, [this, event, done, header = result.Header] {
-                       Log.write(LogWeight::Notable, event,
-                                 {{"status", edge::kvStatusName(header.Status)},
-                                  {"revision", header.Revision}},
-                                 monotonicNow());
-                       done();
-                     });
+                     Control, [done, header = result.Header] { done(header); });
                });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,8 +50,7 @@
   /// Writes provided that this process is still the holder, and that the key
   /// has the revision.
   void commitAsHolder(edge::KvWrite write, uint64_t over,
-                      std::string_view event,
-                      const std::function<void()> &done);
+                      const std::function<void(const edge::KvHeader &)> &done);
   ContextFollowerSettings contextSettings() const;
   OrderDriverSettings orderSettings() const;
   void tick();
