Let records that are no server's stay in force until they are written anew

An unreadable record of an entry took the entry off the list, so that it was neither told of loads nor asked before context is freed, though it lives on. The same will hold for whatever else the entries agree on under keys of their own: forgetting it is the unsafe side. Only a server's record names nothing when it can't be read.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -157,7 +157,10 @@
                                     const FactSubject &subject,
                                     const Error &reason, TimePoint now) {
   Hooks.Unreadable(record, reason, now);
-  hold(record, subject, {});
+  auto before = Known.find(record.Key);
+  bool staysInForce = subject.Kind != FactKind::Server &&
+                      before != Known.end() && !before->second.Record.IsDeleted;
+  hold(record, subject, staysInForce ? before->second.Value : FactValue());
   return true;
 }
 
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -133,8 +133,9 @@
   /// Holds the record, in place of the one before.
   void hold(const StoreRecord &record, const FactSubject &subject,
             FactValue value);
-  /// It names nothing to use: what its key named before is over. Configuration
-  /// and wanted versions stay, which only their writer can take back.
+  /// It names no server: the one that its key named before is out of use. All
+  /// else stays in force, as only its writer, or its end, can take it back: an
+  /// entry that is not listed would not be asked before context is freed.
   bool mergeUnreadable(const StoreRecord &record, const FactSubject &subject,
                        const Error &reason, TimePoint now);
   bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
--- a/tests/direct/catalog_unreadable_test.cpp
+++ b/tests/direct/catalog_unreadable_test.cpp
@@ -114,15 +114,20 @@
   keeper.apply({gone("holder", 2)}, Start);
   EXPECT_TRUE(keeper.view()->Holder.empty());
   keeper.apply({put("holder", "e1", 3)}, Start);
-  EXPECT_FALSE(keeper.view()->Holder.empty());
+  keeper.apply({put("holder", "bad", 4)}, Start);
+  EXPECT_EQ(keeper.view()->Holder, "e1");
 }
 
-TEST(UnreadableRecord, OfAnEntryNamesNone) {
+/// It lives on, and has still to be told and asked.
+TEST(UnreadableRecord, OfAnEntryLeavesItListedUntilItIsGone) {
   CatalogKeeper keeper({}, textHooks());
-  keeper.apply({put("entry:e", "1", 1), put("entry:f", "1", 2)}, Start);
+  keeper.apply({put("entry:e", "1", 1), put("entry:f", "bad", 2)}, Start);
   keeper.apply({put("entry:e", "bad", 3)}, Start);
+  keeper.apply({put("entry:e", "bad", 4)}, Start);
   ASSERT_EQ(keeper.view()->Entries.size(), 1);
-  EXPECT_EQ(keeper.view()->Entries[0].Name, "f");
+  EXPECT_EQ(keeper.view()->Entries[0].Name, "e");
+  keeper.apply({gone("entry:e", 5), put("entry:e", "bad", 6)}, Start);
+  EXPECT_TRUE(keeper.view()->Entries.empty());
 }
 
 TEST(ServerOfAnUnknownService, IsNotUsed) {
