--- a/tests/direct/restart_test.cpp
+++ b/tests/direct/restart_test.cpp
@@ -89,6 +89,20 @@
   EXPECT_EQ(versionOfA(keeper), 2);
 }
 
+/// An order that was given to the earlier start may be carried out late, as the
+/// later one counts anew: it then has older weights than it had.
+TEST(RestartedServer, HasTheWeightsThatALateOrderLeftIt) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("server:a", "2#200", 1)}, Start);
+  keeper.noteLoaded({"a", 200}, {"model", 3}, Start);
+  keeper.apply({put("server:a", "2#200", 2)}, Start); // Lags behind.
+  EXPECT_EQ(versionOfA(keeper), 3);
+  keeper.apply({put("server:a", "3#200", 3)}, Start);
+  EXPECT_EQ(versionOfA(keeper), 3);
+  keeper.apply({put("server:a", "2#200", 4)}, Start);
+  EXPECT_EQ(versionOfA(keeper), 2);
+}
+
 TEST(RestartedServer, HasWeightsThatWereNotedAheadOfItsFirstRecord) {
   CatalogKeeper keeper({}, textHooks());
   keeper.apply({put("server:a", "1#100", 1)}, Start);
