Believe a record with older weights once it has said the newer ones

Cause: the greater of the noted and the recorded version counted for as long as the server was known. An order to the earlier start that a later one carries out late can take it back to older weights; it then counted as having the newer ones for good, was ordered nothing and refused every prompt.

Change: a note is over once the record has said as much. Until then a record that lags behind changes nothing, as before.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -137,8 +137,8 @@
   const auto *server = std::get_if<BackendServer>(&*value);
   bool isRestart =
       server && it != Known.end() && isOtherStart(it->second.Value, *server);
-  if (isRestart)
-    forgetLoaded(*server);
+  if (server)
+    dropSpentNotes(*server, isRestart);
   Hooks.Changed(subject,
                 it == Known.end() ? "new"
                 : isRestart       ? "restarted"
@@ -223,10 +223,15 @@
     known.erase(known.begin());
 }
 
-void CatalogKeeper::forgetLoaded(const BackendServer &restarted) {
+void CatalogKeeper::dropSpentNotes(const BackendServer &server,
+                                   bool isRestart) {
   std::erase_if(Loaded, [&](const auto &it) {
-    return it.first.Id == restarted.Id &&
-           it.first.StartedMs != restarted.StartedMs;
+    const auto &[start, has] = it;
+    if (start.Id != server.Id)
+      return false;
+    bool isSame = start.StartedMs == server.StartedMs;
+    bool isSaid = isSame && server.versionOf(has.Model) >= has.Version;
+    return isSaid || (isRestart && !isSame);
   });
 }
 
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -144,8 +144,9 @@
   /// Whether the configuration names its service, and an engine its weights.
   /// Without a configuration every server counts.
   bool isConfigured(const BackendServer &server) const;
-  /// Versions that were noted of other starts of the server.
-  void forgetLoaded(const BackendServer &restarted);
+  /// Drops notes of versions that the server's record now says itself, so that
+  /// a later record with older weights is believed, and those of other starts.
+  void dropSpentNotes(const BackendServer &server, bool isRestart);
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
