--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -138,8 +138,9 @@
   /// Holds the record, in place of the one before.
   void hold(const StoreRecord &record, const FactSubject &subject,
             FactValue value);
-  /// It names nothing to use: what its key named before is over. Configuration
-  /// and wanted versions stay, which only their writer can take back.
+  /// It names no server: the one that its key named before is out of use. All
+  /// else stays in force, as only its writer, or its end, can take it back: an
+  /// entry that is not listed would not be asked before context is freed.
   bool mergeUnreadable(const StoreRecord &record, const FactSubject &subject,
                        const Error &reason, TimePoint now);
   bool mergeDeletion(Held &held, uint64_t revision, TimePoint now);
@@ -148,8 +149,9 @@
   /// Whether the configuration names its service, and an engine its weights.
   /// Without a configuration every server counts.
   bool isConfigured(const BackendServer &server) const;
-  /// Versions that were noted of other starts of the server.
-  void forgetLoaded(const BackendServer &restarted);
+  /// Drops notes of versions that the server's record now says itself, so that
+  /// a later record with older weights is believed, and those of other starts.
+  void dropSpentNotes(const BackendServer &server, bool isRestart);
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
   bool isInGrace(TimePoint now) const;
