--- a/tests/process/stop_test.py
+++ b/tests/process/stop_test.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
@@ -105,6 +106,41 @@
         other.start()
 
 
+def start_with_pipes(world, entry):
+    """Starts the entry with its outputs in pipes; the ends of each, the reader's first."""
+    settings = world.fleet.directory / f"{entry.name}.ini"
+    out, err = os.pipe(), os.pipe()
+    world.fleet.processes[entry.name] = subprocess.Popen([str(BUILD / "daisytack-entry"), f"--config={settings}"],
+                                                         stdout=out[1], stderr=err[1], stdin=subprocess.DEVNULL)
+    return out, err
+
+
+def fill(pipe):
+    """Writes until the pipe takes no more, and leaves it as blocking or not as it was."""
+    before = os.get_blocking(pipe)
+    os.set_blocking(pipe, False)
+    try:
+        while os.write(pipe, b"x" * 4096):
+            pass
+    except BlockingIOError:
+        pass
+    os.set_blocking(pipe, before)
+
+
+async def log_unread(world, entry):
+    """Whoever reads its outputs has stopped to."""
+    entry.kill()
+    out, err = start_with_pipes(world, entry)
+    await world.wait_ready("with its outputs in pipes")
+    fill(out[1])
+    fill(err[1])
+    entry.signal(signal.SIGTERM)
+    await until("it ends, log unread", lambda: entry.ended() is not None, END_SECONDS)
+    check(entry.ended() == 0, f"log unread: exit code {entry.ended()}")
+    for pipe in (*out, *err):
+        os.close(pipe)
+
+
 async def second_signal(world, entry):
     """Two signals at once while a server is at work: the lines of the last moment are out as well."""
     for server in world.servers:
@@ -124,7 +160,7 @@
     try:
         await world.start()
         entry = world.entries[0]
-        for case in (idle, streaming, service_silent, peers_gone, second_signal):
+        for case in (idle, streaming, service_silent, peers_gone, log_unread, second_signal):
             check(not world.problems, f"{world.problems}")
             await case(world, entry)
             print(f"{case.__name__} ok", flush=True)
