Lose a plain log line rather than wait for a reader that has stopped

Cause: the log library's console appender writes to standard error, which blocked on a full pipe; the line that an entry drains held up its I/O thread. The test that failed, an entry stopped while nobody reads its outputs, passes.

--- a/src/runtime/process_log.cpp
+++ b/src/runtime/process_log.cpp
@@ -3,7 +3,12 @@
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/logger.h>
+
+#include <fcntl.h>
+#include <iostream>
+#include <mutex>
+#include <unistd.h>
 
 namespace daisytack::runtime {
 
@@ -21,6 +26,22 @@
   return log4cplus::Logger::getInstance(loggerName());
 }
 
+/// A reader of the log that has stopped must hold up nobody: the line that says
+/// that a daemon drains would otherwise keep it from draining.
+void dropLinesWhenFull() {
+  int flags = ::fcntl(STDERR_FILENO, F_GETFL);
+  if (flags >= 0)
+    ::fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+/// After a line that the pipe did not take, the stream would take no other.
+void writeLine(log4cplus::LogLevel level, const std::string &line) {
+  static std::mutex lock;
+  std::lock_guard guard(lock);
+  std::cerr.clear();
+  logger().log(level, line);
+}
+
 std::string oneLine(std::string_view message) {
   std::string out(message);
   for (char &c : out)
@@ -44,6 +65,7 @@
   // The library can't be initialised twice in one program.
   static log4cplus::Initializer library;
   loggerName() = name;
+  dropLinesWhenFull();
   log4cplus::SharedAppenderPtr console(
       new log4cplus::ConsoleAppender(true, true));
   console->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
@@ -54,13 +76,13 @@
 }
 
 void logInfo(std::string_view message) {
-  LOG4CPLUS_INFO(logger(), oneLine(message));
+  writeLine(log4cplus::INFO_LOG_LEVEL, oneLine(message));
 }
 void logWarning(std::string_view message) {
-  LOG4CPLUS_WARN(logger(), oneLine(message));
+  writeLine(log4cplus::WARN_LOG_LEVEL, oneLine(message));
 }
 void logError(std::string_view message) {
-  LOG4CPLUS_ERROR(logger(), oneLine(message));
+  writeLine(log4cplus::ERROR_LOG_LEVEL, oneLine(message));
 }
 
 } // namespace daisytack::runtime
--- a/src/runtime/process_log.h
+++ b/src/runtime/process_log.h
@@ -1,5 +1,6 @@
 /// Log lines of a daemon: log4cplus to standard error in one format,
-/// "TIME LEVEL NAME MESSAGE" with the time in UTC.
+/// "TIME LEVEL NAME MESSAGE" with the time in UTC. A full pipe loses lines and
+/// holds up nobody.
 #pragma once
 
 #include <string>
