Let the soak play late requests around stops, and kept context around new weights

Cause: the soak did not show two faults that were seen on the product. A request that reached a stopped entry on a connection from before was passed on and cut off when the grace period ended; and an engine read kept context that another entry had freed, after entries had been killed and started again in series while weights changed. No stand-in had streams of seconds, no caller sent the next request as an answer ended or a body in pieces across a stop, a stop had no kill at its end, and there were no stores of kept context and no engine that fetches.

Change: all of these, each with a check and its planted defects. Faults moved to a file of their own.

Ruled out: a store that serves 2 to 10 parts a second shows nothing, as its queue is full and fetches are not started; small prompts show nothing, as all go to the first engines with new weights.

--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -38,6 +38,9 @@
 add_test(NAME process.soak_checks COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/checks_test.py)
 add_test(NAME process.soak_short COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=1,4 --failed-seeds=${CMAKE_SOURCE_DIR}/tests/soak/failed_seeds.txt --seconds=6)
-set_tests_properties(process.soak_checks process.soak_short PROPERTIES TIMEOUT 600
+# Kept context around new weights.
+add_test(NAME process.soak_context COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
+  --seeds=2 --seconds=10)
+set_tests_properties(process.soak_checks process.soak_short process.soak_context PROPERTIES TIMEOUT 600
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
-set_tests_properties(process.soak_short PROPERTIES RESOURCE_LOCK deployment)
+set_tests_properties(process.soak_short process.soak_context PROPERTIES RESOURCE_LOCK deployment)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,20 +1,23 @@
 """Callers of the soak, and what each of their requests came to."""
 
 import asyncio
+import contextlib
 import dataclasses
 import hashlib
 import random
 
 import http11
 
-KINDS = {"call": ("POST", "/call/"), "safe": ("GET", "/safe/"), "ask": ("POST", "/ask/")}
-DEADLINE_MS = 2500
+KINDS = {"call": ("POST", "/call/"), "safe": ("GET", "/safe/"), "ask": ("POST", "/ask/"), "long": ("POST", "/long/")}
+USUAL = ("call", "safe", "ask")
 PARTS = "aa11:500,{session}:700,{own}:200"
+LONG_PARTS = "aa11:3000,{session}:6000,{own}:3000"
 
 
 @dataclasses.dataclass
 class Sent:
-    """One request of a caller. Times are the soak's clock; at: read by the entry at the earliest."""
+    """One request of a caller. Times are the soak's clock; at: read by the entry at the earliest; whole: when its last
+    byte was sent, 0 if never; patience: seconds that the entry is told."""
 
     id: str
     kind: str
@@ -23,6 +26,8 @@
     at: float
     path: str
     body: bytes = b""
+    whole: float = 0.0
+    patience: float = 2.5
     status: int = 0
     signature: str = ""
     answer: bytes = b""
@@ -64,39 +69,54 @@
             asyncio.open_connection("127.0.0.1", entry.ports["callers"]), 1)
         return self.connections[entry.name]
 
-    def _next(self, entry):
+    def _next(self, entry, kind, keys):
         self.count += 1
-        kind = self.rng.choice(list(KINDS))
         request_id = hashlib.sha256(f"{self.world.seed}/{self.name}/{self.count}".encode()).hexdigest()[:16]
         path = KINDS[kind][1] + request_id
         body = request_id.encode() * self.rng.randint(1, 40) if kind != "safe" else b""
-        return Sent(request_id, kind, self.rng.choice(self.world.all_keys), entry.name, self.world.now(), path, body)
+        return Sent(request_id, kind, self.rng.choice(keys), entry.name, self.world.now(), path, body,
+                    patience=self.world.patience(kind))
 
     def _head(self, sent):
         headers = {"Host": "a.example", "X-Daisytack-Request-Id": sent.id, "X-Api-Key": sent.key,
-                   "X-Daisytack-Deadline-Milliseconds": str(DEADLINE_MS), "Content-Length": str(len(sent.body)),
+                   "X-Daisytack-Deadline-Milliseconds": str(round(sent.patience * 1000)),
+                   "Content-Length": str(len(sent.body)),
                    "X-Daisytack-Tenant": "forged", "X-Daisytack-Hold": "forged"}
         if sent.kind == "ask":
             headers["X-Daisytack-Model"] = "m"
-            headers["X-Daisytack-Token-Counts"] = "1400,20"
-            headers["X-Daisytack-Prompt-Prefix"] = PARTS.format(session=self.rng.randrange(16, 64), own=sent.id)
+            is_long = self.world.has_kept_context
+            headers["X-Daisytack-Token-Counts"] = "12000,20" if is_long else "1400,20"
+            headers["X-Daisytack-Prompt-Prefix"] = (LONG_PARTS if is_long else PARTS).format(session=self.rng.randrange(16, 64), own=sent.id)
         return http11.head_of(f"{KINDS[sent.kind][0]} {sent.path} HTTP/1.1", headers)
 
     async def _one(self, entry):
         reader, writer = await self._connection(entry)
-        sent = self._next(entry)
-        patience = self.rng.random() * 0.2 if self.rng.random() < 0.05 else DEADLINE_MS / 1000 + 3
+        sent = self._next(entry, self.rng.choice(USUAL), self.world.all_keys)
+        patience = self.rng.random() * 0.2 if self.rng.random() < 0.05 else sent.patience + 3
         self.world.sent.append(sent)
-        try:
+        with self._ending(sent):
             writer.write(self._head(sent) + sent.body)
             await writer.drain()
-            await asyncio.wait_for(self._answer(sent, reader), patience)
+            sent.whole = self.world.now()
+            await self._await(sent, self._answer(sent, reader), patience)
+
+    @staticmethod
+    async def _await(sent, answer, patience):
+        try:
+            await asyncio.wait_for(answer, patience)
         except asyncio.TimeoutError:
             sent.left = patience < 1
             sent.broken = "" if sent.left else "no final answer"
             raise http11.Broken("given up") from None
+
+    @contextlib.contextmanager
+    def _ending(self, sent):
+        """Notes how and when the request ended."""
+        try:
+            yield
         except (http11.Broken, OSError) as error:
-            sent.broken = f"{type(error).__name__} {error}"
+            if not sent.left and not sent.broken:
+                sent.broken = f"{type(error).__name__} {error}"
             raise
         finally:
             sent.ended = self.world.now()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,6 +5,7 @@
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 REVOKED_SECONDS = 5.0   # A revoked key is refused after this, as the deployment's bounds have it.
+CROSSING_SECONDS = 0.5  # A request that meets the close of its connection is sent at most so long before.
 DRAIN_SECONDS = 2.0     # A leaving server gets nothing new after this.
 
 
@@ -18,7 +19,7 @@
 
 def at_most_once(world, runs):
     for sent in world.sent:
-        if sent.kind == "call" and len(runs.get(sent.id, [])) > 1:
+        if sent.kind in ("call", "long") and len(runs.get(sent.id, [])) > 1:
             yield f"{sent.id} ran {len(runs[sent.id])} times at {[it.server for it in runs[sent.id]]}"
 
 
@@ -42,7 +43,7 @@
         if not run:
             yield f"{sent.id} got a signature that no run of it gave"
         elif sent.status == 200 and not was_cut(sent):
-            expected = stream_text(sent.id) if sent.kind == "ask" else run.body
+            expected = run.body if sent.kind in ("call", "safe") else stream_text(sent.id, sent.kind)
             if sent.answer != expected:
                 yield f"{sent.id} ({sent.kind}) got {sent.answer[:60]!r}, not {expected[:60]!r}"
 
@@ -52,13 +53,15 @@
     return sent.left or bool(sent.broken and "the entry closes" not in sent.broken)
 
 
-def stream_text(request_id):
-    return b"".join(f"id: {n}\ndata: {request_id}/{n}\n\n".encode() for n in range(1, events_of(request_id) + 1))
+def stream_text(request_id, kind):
+    count = events_of(request_id, kind)
+    return b"".join(f"id: {n}\ndata: {request_id}/{n}\n\n".encode() for n in range(1, count + 1))
 
 
 def events_in_order(world, _runs):
     for sent in world.sent:
-        if sent.kind == "ask" and sent.status == 200 and not stream_text(sent.id).startswith(sent.answer):
+        is_stream = sent.kind in ("ask", "long") and sent.status == 200
+        if is_stream and not stream_text(sent.id, sent.kind).startswith(sent.answer):
             yield f"{sent.id} got events out of order: {sent.answer[-80:]!r}"
 
 
@@ -114,6 +117,37 @@
             yield f"{sent.id} was cut off by the planned stop of {sent.entry}: {sent.broken}"
 
 
+def stops_lose_no_request(world, runs):
+    """From SIGTERM to the end of the process, or its kill at the end of the grace period, what was read whole is answered
+    whole, whenever it came; what is not answered was neither passed on nor left lying."""
+    for sent in world.sent:
+        if not sent.whole or not was_cut(sent) or sent.left or sent.ended > sent.whole + sent.patience - 0.3:
+            continue
+        stop = world.stop_during(sent.entry, sent.whole, sent.ended)
+        if not stop or not world.was_calm(sent.at - 3, sent.ended, sent.entry, planned=True):
+            continue
+        mine = runs.get(sent.id, [])
+        when = f"{sent.id} ({sent.kind}), whole {sent.whole - stop.begin:.1f} s after SIGTERM of {sent.entry},"
+        if mine and not any(it.broke for it in mine):
+            yield f"{when} was passed on to {mine[-1].server} and cut off at {sent.ended - stop.begin:.1f} s"
+        elif not mine and sent.ended > sent.whole + CROSSING_SECONDS:
+            yield f"{when} had no answer when its connection closed at {sent.ended - stop.begin:.1f} s"
+
+
+def freed_while_read(world, _runs):
+    """No engine uses a part that was freed, or was not whole, while it fetched it."""
+    for store in world.stores:
+        for fetch in store.fetches:
+            if fetch.discarded:
+                continue
+            if not fetch.was_whole:
+                yield f"{fetch.request} read {fetch.key} of {store.name} before it was whole"
+            for at, key in store.freed:
+                if key == fetch.key and fetch.begin <= at < fetch.end:
+                    yield (f"{fetch.request} read {key} of {store.name} for {fetch.end - fetch.begin:.2f} s, and it was "
+                           f"freed {at - fetch.begin:.2f} s after its begin")
+
+
 def one_giver_of_orders(world, _runs):
     for server in world.all_servers:
         holders = {}
@@ -123,7 +157,8 @@
 
 
 ALL = (at_most_once, honest_refusals, whole_and_own_answers, events_in_order, requests_as_sent, final_answers,
-       revoked_keys, draining_servers, planned_restarts_cut_nothing, one_giver_of_orders)
+       revoked_keys, draining_servers, planned_restarts_cut_nothing,
+       stops_lose_no_request, freed_while_read, one_giver_of_orders)
 
 
 def broken_promises(world):
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -9,8 +9,9 @@
 import checks
 from callers import Sent
 from http11 import Message
+from kept_context import Fetch
 from platform_side import BackendServer, Run
-from soak import Entry
+from soak import Entry, Stop
 
 ID = "00112233"
 
@@ -23,12 +24,15 @@
         self.all_servers = [self.server]
         self.organisation_of = {"k1": "one"}
         self.revoked, self.leaving, self.stops = {}, {}, []
+        self.fetch = Fetch(ID, ("shared@1", "aa11"), 100.0, 100.5, discarded=False, was_whole=True)
+        self.store = types.SimpleNamespace(name="kept0", fetches=[self.fetch], freed=[])
+        self.stores = [self.store]
         path = checks.KINDS[kind][1] + ID
         self.request = Message([checks.KINDS[kind][0], path, "HTTP/1.1"],
                                {"x-daisytack-request-id": ID, "x-daisytack-tenant": "one"}, b"b")
         self.sent = [Sent(ID, kind, "k1", "entry-0", 100.0, path, b"b", ended=100.1)]
         run = self.run()
-        answer = checks.stream_text(ID) if kind == "ask" else run.body
+        answer = run.body if kind in ("call", "safe") else checks.stream_text(ID, kind)
         self.sent[0] = dataclasses.replace(self.sent[0], status=200, signature=run.signature, answer=answer)
 
     def run(self):
@@ -42,7 +46,10 @@
         return True
 
     def planned_stop(self, _entry, _at):
-        return self.stops[0] if self.stops else None
+        return self.stops[0].begin if self.stops else None
+
+    def stop_during(self, _entry, begin, end):
+        return next((it for it in self.stops if it.begin <= end and begin <= it.end), None)
 
     def change(self, **values):
         self.sent[0] = dataclasses.replace(self.sent[0], **values)
@@ -108,7 +115,7 @@
 
 
 def cut_by_a_planned_stop(world):
-    world.stops.append(100.05)
+    world.stops.append(Stop(100.05))
     world.change(status=0, signature="", broken="gone")
 
 
@@ -116,13 +123,78 @@
     world.server.tokens += [(1, 7, "entry-0"), (2, 7, "entry-1")]
 
 
+def passed_on_late_and_cut(world):
+    """The caller's next request, on a connection that was open at the stop; killed at the end of the grace period."""
+    world.stops.append(Stop(95.0, 103.0))
+    world.change(whole=100.0, patience=4.8, ended=103.0, broken="gone", answer=world.sent[0].answer[:-2])
+
+
+def read_late_and_dropped(world):
+    world.server.runs.clear()
+    world.stops.append(Stop(95.0, 101.0))
+    world.change(whole=100.0, ended=101.0, status=0, signature="", broken="gone")
+
+
+def refused_late_without_a_time(world):
+    read_late_and_dropped(world)
+    world.change(status=503, broken="Broken the entry closes")
+
+
+def freed_under_a_fetch(world):
+    world.store.freed.append((100.3, world.fetch.key))
+
+
+def fetched_while_written(world):
+    world.fetch.was_whole = False
+
+
+def refused_late(world):
+    refused_late_without_a_time(world)
+    world.change(retry_after="1")
+
+
+def crossed_the_close(world):
+    read_late_and_dropped(world)
+    world.change(ended=100.1)
+
+
+def cut_by_the_server(world):
+    passed_on_late_and_cut(world)
+    world.server.runs[0].broke = True
+
+
+def left_at_its_deadline(world):
+    passed_on_late_and_cut(world)
+    world.change(patience=3.0)
+
+
+def sent_to_the_next_process(world):
+    passed_on_late_and_cut(world)
+    world.stops[0].end = 99.0
+
+
+def freed_under_a_discarded_fetch(world):
+    freed_under_a_fetch(world)
+    world.fetch.discarded = True
+
+
+def freed_after_the_fetch(world):
+    world.store.freed += [(99.9, world.fetch.key), (100.5, world.fetch.key), (100.3, ("shared@2", "aa11"))]
+
+
+ALLOWED = (refused_late, crossed_the_close, cut_by_the_server, left_at_its_deadline, sent_to_the_next_process,
+           freed_under_a_discarded_fetch, freed_after_the_fetch)
 DEFECTS = {
     second_run: "at_most_once", refused_though_it_ran: "honest_refusals", refused_without_a_time: "honest_refusals",
     cut_answer: "whole_and_own_answers", other_answer: "whole_and_own_answers",
     forged_signature: "whole_and_own_answers", missing_event: "events_in_order", changed_body: "requests_as_sent",
     forwarded_key: "requests_as_sent", wrong_organisation: "requests_as_sent", unasked: "requests_as_sent",
     never_answered: "final_answers", revoked_key: "revoked_keys", left_server: "draining_servers",
-    cut_by_a_planned_stop: "planned_restarts_cut_nothing", two_holders: "one_giver_of_orders"}
+    cut_by_a_planned_stop: "planned_restarts_cut_nothing", two_holders: "one_giver_of_orders",
+    passed_on_late_and_cut: "stops_lose_no_request", read_late_and_dropped: "stops_lose_no_request",
+    refused_late_without_a_time: "honest_refusals", freed_under_a_fetch: "freed_while_read",
+    fetched_while_written: "freed_while_read"}
+KINDS = {missing_event: "ask", passed_on_late_and_cut: "long"}
 
 
 PROGRAM = """import os, signal, sys, time
@@ -153,10 +225,14 @@
     for kind in checks.KINDS:
         assert checks.broken_promises(FakeWorld(kind)) == [], checks.broken_promises(FakeWorld(kind))
     for defect, check in DEFECTS.items():
-        world = FakeWorld("ask" if defect is missing_event else "call")
+        world = FakeWorld(KINDS.get(defect, "call"))
         defect(world)
         found = {it.partition(":")[0] for it in checks.broken_promises(world)}
         assert found == {check}, (defect.__name__, found)
+    for event in ALLOWED:
+        world = FakeWorld("long")
+        event(world)
+        assert checks.broken_promises(world) == [], (event.__name__, checks.broken_promises(world))
     missed = {it.__name__ for it in checks.ALL} - set(DEFECTS.values())
     assert not missed, missed
     print(f"{len(DEFECTS)} defects shown by {len(checks.ALL)} checks")
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,197 @@
+"""The faults of the soak, and its planned work: one at a time, and the series around new weights."""
+
+import asyncio
+import signal
+
+from kept_context import SOUND_TRANSFER
+from platform_side import BackendServer
+from proxy import FAULTS, SOUND
+
+GRACE_SECONDS = 8.0  # From SIGTERM until the platform kills, as the deployments have it.
+
+
+def fault(entry=None, planned=False):
+    return {"begin": 0.0, "end": None, "entry": entry, "planned": planned}
+
+
+async def kill_entries(world, rng):
+    some = rng.sample(world.entries, rng.randint(1, len(world.entries)))
+    world.say(f"kills {[it.name for it in some]}")
+    for entry in some:
+        entry.kill()
+    await asyncio.sleep(rng.random() * 0.5)
+    for entry in some:
+        entry.start()
+
+
+async def stop_entry(world, rng):
+    entry = rng.choice(world.entries)
+    await entry.loaded()
+    world.say(f"stops {entry.name} as planned")
+    stop = entry.stop(world.now())
+    while entry.ended() is None and world.now() < stop.begin + GRACE_SECONDS:
+        await asyncio.sleep(0.02)
+    stop.end = world.now()
+    if entry.ended() is None:
+        world.problems.append(f"{entry.name} was still there {GRACE_SECONDS:.0f} s after SIGTERM")
+        entry.kill()
+    elif entry.ended() != 0:
+        world.problems.append(f"{entry.name} ended with {entry.ended()} after SIGTERM")
+    entry.start()
+
+
+async def pause_entry(world, rng):
+    entry = rng.choice(world.entries)
+    world.say(f"pauses {entry.name}")
+    entry.signal(signal.SIGSTOP)
+    await asyncio.sleep(0.2 + rng.random() * 4)
+    entry.signal(signal.SIGCONT)
+
+
+async def reload_entry(world, rng):
+    entry = rng.choice(world.entries)
+    await entry.loaded()
+    world.say(f"SIGHUP to {entry.name}")
+    entry.signal(signal.SIGHUP)
+
+
+async def spoil_link(world, rng):
+    """To the key-value service of one entry, or to one server of all."""
+    links = [it.link for it in world.entries] + list(world.links.values())
+    link, state = rng.choice(links), rng.choice(FAULTS + ("reset",))
+    world.say(f"link {links.index(link)} is {state}")
+    if state == "reset":
+        link.reset()
+        return
+    link.state = state
+    await asyncio.sleep(0.5 + rng.random() * 3)
+    link.state = SOUND
+    if rng.random() < 0.5:
+        link.reset()
+
+
+async def spoil_service(world, rng):
+    kind = rng.choice(["down", "slow", "busy", "lost", "compact"])
+    world.say(f"key-value service: {kind}")
+    world.kv.status = {"down": 503, "busy": 429}.get(kind, 0)
+    world.kv.delay = 0.4 if kind == "slow" else 0.0
+    world.kv.lose = kind == "lost"
+    if kind == "compact":
+        world.kv.compact()
+    await asyncio.sleep(0.5 + rng.random() * 4)
+    world.kv.status, world.kv.delay, world.kv.lose = 0, 0.0, False
+
+
+async def spoil_server(world, rng):
+    server, kind = rng.choice(world.servers), rng.choice(BackendServer.FAULTS)
+    world.say(f"{server.id}: {kind}")
+    server.faults.add(kind)
+    await asyncio.sleep(0.5 + rng.random() * 3)
+    server.faults.discard(kind)
+
+
+async def replace_server(world, rng):
+    staying = [it for it in world.servers if it.id not in world.leaving]
+    if len(staying) < 4:
+        return
+    server, drains = rng.choice(staying), rng.random() < 0.5
+    world.say(f"{server.id} {'drains' if drains else 'crashes'}")
+    await world.retire_server(server, drains)
+
+
+async def change_config(world, rng):
+    left = [it for it in world.all_keys if it not in world.revoked]
+    if rng.random() < 0.4 and len(left) > 2:
+        key = rng.choice(left)
+        world.revoked[key] = world.now()
+        world.say(f"revokes {key}")
+    world._configure()
+
+
+async def name_weights(world, _rng):
+    world.weights += 1
+    world.say(f"names version {world.weights}")
+    world.kv.put("op/version/m", {"model": "m", "version": world.weights})
+
+
+PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server)
+FAULT_KINDS = (kill_entries, stop_entry, pause_entry, reload_entry, spoil_link, spoil_service, spoil_server,
+               replace_server, change_config, name_weights)
+
+
+async def inject(world, kind, busy):
+    """One fault from its begin to its end. One at a time meddles with processes."""
+    meddles = kind in (kill_entries, kill_pair, stop_entry, pause_entry, reload_entry)
+    note = fault(planned=kind in PLANNED)
+    note["begin"] = world.now()
+    world.faults.append(note)
+    if meddles:
+        async with busy:
+            await kind(world, world.rng)
+    else:
+        await kind(world, world.rng)
+    note["end"] = world.now()
+
+
+async def kill_pair(world, rng):
+    some = rng.sample(world.entries, 2)
+    world.say(f"kills {[it.name for it in some]}")
+    for entry in some:
+        entry.kill()
+    await asyncio.sleep(0.3 + rng.random() * 0.3)
+    for entry in some:
+        entry.start()
+
+
+async def slow_stores(world, rng):
+    """Each part takes so long over their links that fetches wait for one another."""
+    world.say("the stores are slow")
+    for store in world.stores:
+        store.transfer = 0.03 + rng.random() * 0.04
+    await asyncio.sleep(3 + rng.random() * 3)
+    for store in world.stores:
+        store.transfer = SOUND_TRANSFER
+
+
+async def restart_store(world, rng):
+    store = rng.choice(world.stores)
+    world.say(f"{store.name} restarts empty")
+    store.restart()
+    store.is_down = True
+    await asyncio.sleep(rng.random())
+    store.is_down = False
+
+
+async def around_new_weights(world, seconds):
+    """Entries are killed two at a time, again and again, while engines take new weights, context of the old ones is
+    freed and fetches are slow."""
+    rng, busy, faults = world.rng, asyncio.Lock(), []
+
+    def begin(kind):
+        faults.append(asyncio.ensure_future(inject(world, kind, busy)))
+        return faults[-1]
+
+    end = world.now() + seconds
+    await asyncio.sleep(min(3, seconds / 4))  # Context of the first weights is kept by then.
+    name_at, slow = 0.0, None
+    while world.now() < end:
+        if not slow or slow.done():
+            slow = begin(slow_stores)
+        if world.now() >= name_at:
+            name_at = world.now() + 7 + rng.random() * 4
+            begin(name_weights)
+        if rng.random() < 0.05:
+            begin(restart_store)
+        await asyncio.sleep(0.5 + rng.random())
+        begin(kill_pair)
+        await asyncio.sleep(1.2 + rng.random() * 0.5)
+    await asyncio.gather(*faults)
+
+
+async def one_by_one(world, seconds, kinds):
+    faults, busy = [], asyncio.Lock()
+    end = world.now() + seconds
+    while world.now() < end:
+        await asyncio.sleep(world.rng.random() * 1.2)
+        faults.append(asyncio.ensure_future(inject(world, world.rng.choice(kinds), busy)))
+    await asyncio.gather(*faults)
--- /dev/null
+++ b/tests/soak/late_callers.py
@@ -0,0 +1,97 @@
+"""Callers whose requests reach an entry late in a planned stop: on connections that were open before it."""
+
+import asyncio
+import random
+
+import http11
+from callers import Caller
+
+CHAINERS, SLOW_SENDERS = 2, 2  # For each entry.
+PIECE_SECONDS = 0.2
+SLOW_HEAD_SECONDS = 2.5        # Below the limit of the configuration for a head.
+SLOW_BODY_SECONDS = 6.0
+
+
+class LateCaller(Caller):
+    """Stays with one entry, and asks for long streams most of the time."""
+
+    def __init__(self, name, rng, world, entry):
+        super().__init__(name, rng, world)
+        self.entry = entry
+
+    async def run(self):
+        while not self.world.is_over:
+            try:
+                await self._one(self.entry)
+            except (http11.Broken, OSError, asyncio.TimeoutError):
+                self._drop(self.entry)
+                await asyncio.sleep(0.05)
+
+    def _draw(self):
+        keys = [it for it in self.world.all_keys if it not in self.world.revoked]
+        return self._next(self.entry, "long" if self.rng.random() < 0.8 else "call", keys)
+
+
+class Chainer(LateCaller):
+    """Sends the next request as soon as an answer ends, or ahead of that."""
+
+    async def _one(self, entry):
+        reader, writer = await self._connection(entry)
+        requests = [self._draw() for _ in range(2 if self.rng.random() < 0.3 else 1)]
+        writer.write(b"".join(self._head(it) + it.body for it in requests))
+        await writer.drain()
+        for sent in requests:
+            # The entry reads one that is pipelined once the answer before it has ended.
+            sent.at = sent.whole = self.world.now()
+            self.world.sent.append(sent)
+            with self._ending(sent):
+                await self._await(sent, self._answer(sent, reader), sent.patience + 3)
+        if requests[-1].status != 200:
+            await asyncio.sleep(0.1)
+
+
+class SlowSender(LateCaller):
+    """Sends a request's head or body in pieces, for some seconds, before its last byte."""
+
+    async def _one(self, entry):
+        reader, writer = await self._connection(entry)
+        sent = self._draw()
+        answer = asyncio.ensure_future(self._answer(sent, reader))
+        try:
+            with self._ending(sent):
+                await self._trickle(writer, sent, answer)
+                await self._await(sent, answer, sent.patience + 3)
+        finally:
+            answer.cancel()
+            # One that was never whole and got no answer is none.
+            if sent.whole or sent.status:
+                self.world.sent.append(sent)
+
+    async def _trickle(self, writer, sent, answer):
+        head = self._head(sent)
+        in_head = self.rng.random() < 0.3
+        first = len(head) // 2 if in_head else len(head)
+        pieces = int(self.rng.random() * (SLOW_HEAD_SECONDS if in_head else SLOW_BODY_SECONDS) / PIECE_SECONDS)
+        data = head + sent.body
+        pieces = min(pieces, len(data) - first - 1)
+        writer.write(data[:first])
+        for n in range(first, first + pieces):
+            await asyncio.wait([answer], timeout=PIECE_SECONDS)
+            if answer.done():
+                answer.result()
+            if answer.done() or self.world.is_over:
+                raise http11.Broken("ended before it was whole")
+            writer.write(data[n:n + 1])
+        writer.write(data[first + pieces:])
+        await writer.drain()
+        sent.at = sent.whole = self.world.now()
+
+
+def late_callers(world):
+    out = []
+    for entry in world.entries:
+        for kind, count in ((Chainer, CHAINERS), (SlowSender, SLOW_SENDERS)):
+            for n in range(count):
+                name = f"{kind.__name__}/{entry.name}/{n}"
+                out.append(kind(name, random.Random(f"{world.seed}/{name}"), world, entry))
+    return out
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -12,6 +12,7 @@
 import http11
 
 HISTORY = 400  # Changes that a watch can go back.
+LONG_PACE = 0.25  # Between the events of a long stream.
 JSON = {"Content-Type": "application/json"}
 
 
@@ -142,7 +143,9 @@
 
 
 class Run:
-    """A server began to work on a request."""
+    """A server began to work on a request; broke: it or its server ended without its answer, by itself."""
+
+    ended, broke = 0.0, False
 
     def __init__(self, server, request):
         self.server, self.at, self.request = server.id, now(), request
@@ -150,15 +153,19 @@
         self.body = hashlib.sha256(self.signature.encode()).hexdigest().encode()
 
 
-def events_of(request_id):
-    """How many events the stream of a request has."""
-    return 3 + int(hashlib.sha256(request_id.encode()).hexdigest(), 16) % 12
+def events_of(request_id, kind="ask"):
+    """How many events the stream of a request has. Three in five long ones last for 4.5 s, others from 1.5 s on."""
+    number = int(hashlib.sha256(request_id.encode()).hexdigest(), 16)
+    if kind == "long":
+        return 18 if number % 5 < 3 else 6 + number % 12
+    return 3 + number % 12
 
 
 class BackendServer:
     """A plain service's server or an engine. Fault switches: see FAULTS."""
 
     FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
+    is_loading = False  # New weights; at once here.
 
     def __init__(self, name, service, incarnation=1, version=1):
         self.name, self.service = name, service
@@ -188,25 +195,31 @@
         if expected and expected != self.id:
             writer.write(http11.response(421, {"X-Daisytack-Not-Executed": "1"}))
         elif path == "/report":
-            body = {"models": [{"name": "m", "version": self.version}], "busy": False, "sequence": self.orders}
-            writer.write(http11.response(200, JSON, json.dumps(body).encode()))
+            writer.write(http11.response(200, JSON, json.dumps(self.report()).encode()))
         elif path == "/order":
             writer.write(http11.response(self._order(json.loads(request.body)), {}))
         else:
             await self._serve(request, writer)
 
+    def report(self):
+        return {"models": [{"name": "m", "version": self.version}], "busy": False, "sequence": self.orders}
+
     def _order(self, order):
         self.tokens.append((now(), order["fencing-token"], order["holder"]))
         if order["fencing-token"] < self.token:
             return 412
         self.token = order["fencing-token"]
-        if order.get("expected", self.orders) != self.orders:
+        if self.is_loading or order.get("expected", self.orders) != self.orders:
             return 409
         if order["version"] > self.version:
-            self.version, self.orders = order["version"], self.orders + 1
+            self.orders += 1
+            self._load(order["version"])
             return 202
         return 200
 
+    def _load(self, version):
+        self.version = version
+
     async def _serve(self, request, writer):
         request_id = request.header("x-daisytack-request-id")
         self.arrivals.append((now(), request_id))
@@ -220,37 +233,58 @@
             return
         run = Run(self, request)
         self.runs.append(run)
+        try:
+            await self._run(request, run, echo, writer)
+        finally:
+            run.ended = now()
+
+    def end_runs(self):
+        """The server goes: what it works on ends without an answer."""
+        for run in self.runs:
+            run.broke |= not run.ended
+
+    async def _read_prompt(self, _request):
         await asyncio.sleep(self.work)
+
+    async def _run(self, request, run, echo, writer):
+        await self._read_prompt(request)
         if self._strikes("hang"):
             await asyncio.sleep(4)
         if self._strikes("lose"):
-            raise http11.Broken("the answer is lost")
+            self._break_off(run, "the answer is lost")
         echo["X-Daisytack-Server-Signature"] = run.signature
         if self._strikes("error"):
             writer.write(http11.response(500, echo, b"failed"))
         elif request.first[1].startswith("/ask/"):
-            await self._stream(request, run, echo, writer)
+            await self._stream(request, run, echo, writer, "ask", self.work)
+        elif request.first[1].startswith("/long/"):
+            await self._stream(request, run, echo, writer, "long", LONG_PACE)
         else:
             answer = http11.response(200, echo, run.body)
             if self._strikes("cut"):
                 writer.write(answer[:-10])
                 await writer.drain()
-                raise http11.Broken("the answer is cut")
+                self._break_off(run, "the answer is cut")
             writer.write(answer + (answer if self._strikes("extra") else b""))
         await writer.drain()
 
-    async def _stream(self, request, run, echo, writer):
+    @staticmethod
+    def _break_off(run, how):
+        run.broke = True
+        raise http11.Broken(how)
+
+    async def _stream(self, request, run, echo, writer, kind, pace):
         request_id = request.header("x-daisytack-request-id")
         first = int(request.header("last-event-id", "0")) + 1
         writer.write(http11.head_of("HTTP/1.1 200 OK", {**echo, "Content-Type": "text/event-stream",
                                                         "Transfer-Encoding": "chunked"}))
-        for n in range(first, events_of(request_id) + 1):
+        for n in range(first, events_of(request_id, kind) + 1):
             event = f"id: {n}\ndata: {request_id}/{n}\n\n".encode()
             if self._strikes("cut"):
                 writer.write(f"{len(event):x}\r\n".encode() + event[:7])
                 await writer.drain()
-                raise http11.Broken("the stream is cut")
+                self._break_off(run, "the stream is cut")
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(self.work)
+            await asyncio.sleep(pace)
         writer.write(b"0\r\n\r\n")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import dataclasses
 import pathlib
 import random
 import signal
@@ -15,17 +16,26 @@
 import checks  # noqa: E402
 import http11  # noqa: E402
 from callers import callers  # noqa: E402
+from faults import FAULT_KINDS, PLANNED, around_new_weights, one_by_one  # noqa: E402
 from fleet import Fleet  # noqa: E402
+from kept_context import ContextStore, Engine  # noqa: E402
+from late_callers import late_callers  # noqa: E402
 from platform_side import BackendServer, KeyValueService  # noqa: E402
-from proxy import FAULTS, SOUND, Proxy  # noqa: E402
+from proxy import Proxy  # noqa: E402
 
 ENTRIES = 3
 CALLERS = 8
+KEPT_ENTRIES, KEPT_CALLERS, KEPT_ENGINES, STORES = 5, 48, 8, 2
+STORE_TOKENS = 400_000
 ORGANISATIONS = {"one": ["k1", "k2"], "two": ["k3", "k4"]}
 SETTLE_SECONDS = 5      # After the last fault: leases lapse within 3 s.
 RECOVERY_SECONDS = 12   # Then every entry serves every kind of request.
 CALM_AFTER = 4.0        # A fault's effects are over so long after its end.
 HEARTBEAT = 0.4
+WEIGHTS_SECONDS = 20    # After the last fault, for all engines to have the newest weights.
+PATIENCE = 2.5
+LONG_PATIENCE = 4.8     # What an entry reads until 3 s after SIGTERM ends within its grace period.
+KEPT_PATIENCE = 6.0     # Slow fetches take some seconds.
 
 SETTINGS = """[process]
 threads = 1
@@ -56,6 +66,14 @@
 """
 
 
+@dataclasses.dataclass
+class Stop:
+    """From SIGTERM to the end of the process."""
+
+    begin: float
+    end: float = float("inf")
+
+
 class Entry:
     """A real entry process with a link of its own to the key-value service."""
 
@@ -63,13 +81,19 @@
         self.name, self.fleet, self.link, self.number = f"entry-{number}", fleet, link, number
         self.ports = {it: fleet.port() for it in ("callers", "readiness", "metrics", "peers")}
         self.seeds = ""
-        self.stops = []  # When it was asked to end, as planned.
+        self.stops = []
 
     def start(self):
         text = SETTINGS.format(name=self.name, domain=self.number % 2, store=self.link.port, seeds=self.seeds,
                                **self.ports)
         self.fleet.start(self.name, "daisytack-entry", "--config=" + self.fleet.write(f"{self.name}.ini", text))
 
+    def stop(self, now):
+        """As planned."""
+        self.signal(signal.SIGTERM)
+        self.stops.append(Stop(now))
+        return self.stops[-1]
+
     def signal(self, number):
         self.fleet.signal(self.name, number)
 
@@ -117,7 +141,9 @@
     def __init__(self, fleet, seed):
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
         self.kv = KeyValueService()
+        self.has_kept_context = seed % 4 == 2
         self.entries, self.servers, self.all_servers, self.links = [], [], [], {}
+        self.stores = []
         self.sent, self.problems, self.faults = [], [], []
         self.revoked, self.leaving = {}, {}
         self.organisation_of = {key: name for name, keys in ORGANISATIONS.items() for key in keys}
@@ -135,10 +161,14 @@
     async def start(self):
         self.began = self.now()
         await self.kv.start()
+        for n in range(STORES if self.has_kept_context else 0):
+            rng = random.Random(f"{self.seed}/store/{n}")
+            self.stores.append(await ContextStore(f"kept{n}", f"d{n}", STORE_TOKENS, rng).start())
         self._configure()
-        for n, service in enumerate(["plain", "plain", "engines", "engines", "engines"]):
+        engines = KEPT_ENGINES if self.has_kept_context else 3
+        for n, service in enumerate(["plain", "plain"] + ["engines"] * engines):
             await self.add_server(f"{service}{n}", service)
-        for n in range(ENTRIES):
+        for n in range(KEPT_ENTRIES if self.has_kept_context else ENTRIES):
             self.entries.append(Entry(self.fleet, n, await Proxy(self.kv.port).start()))
         seeds = ",".join(f"127.0.0.1:{it.ports['peers']}" for it in self.entries)
         for entry in self.entries:
@@ -155,9 +185,21 @@
                 return
             await asyncio.sleep(0.05)
 
+    async def wait_loaded(self):
+        end = self.now() + WEIGHTS_SECONDS
+        while any(it.version < self.weights for it in self.servers if it.service == "engines"):
+            if self.now() > end:
+                return  # Recovery names them.
+            await asyncio.sleep(0.1)
+
     def _configure(self):
         self.config_version += 1
         keys = {name: [it for it in all_keys if it not in self.revoked] for name, all_keys in ORGANISATIONS.items()}
+        engine = {"slots": 64, "kv-capacity-tokens": 140000, "models": [{"name": "m"}], "kv-token-bytes": 35136,
+                  "link-mbps": 1100000, "managed": self.has_kept_context}
+        # So late a target that slow fetches go on.
+        kept_route = {"target-latency-ms": 6000, "timeout-ms": 8000} if self.has_kept_context else {
+            "target-latency-ms": 400}
         route = {"host": "a.example", "timeout-ms": 3000, "attempts": 2, "public": False}
         self.kv.put("op/config", {
             "version": self.config_version,
@@ -166,17 +208,21 @@
                  "target-latency-ms": 300, "attempts": 1},
                 {**route, "name": "safe", "path-prefix": "/safe/", "kind": "safe", "service": "plain",
                  "target-latency-ms": 300},
+                {**route, "name": "long", "path-prefix": "/long/", "kind": "streaming", "service": "plain",
+                 "target-latency-ms": 500, "target-gap-ms": 500, "timeout-ms": 6000, "attempts": 1},
                 {**route, "name": "ask", "path-prefix": "/ask/", "kind": "streaming", "service": "engines",
-                 "target-latency-ms": 400, "sticky": True, "resumable": True}],
+                 "sticky": True, "resumable": True, **kept_route}],
             "services": [{"name": "plain", "connection-limit": 200},
-                         {"name": "engines", "connection-limit": 200,
-                          "engine": {"slots": 64, "kv-capacity-tokens": 140000, "models": [{"name": "m"}]}}],
+                         {"name": "engines", "connection-limit": 200, "engine": engine},
+                         *[it.service() for it in self.stores]],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
             "tenants": [{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()]})
 
     async def add_server(self, name, service, incarnation=1, port=0):
         server = BackendServer(name, service, incarnation, self.weights)
+        if self.has_kept_context and service == "engines":
+            server = Engine(name, incarnation, self.weights, {it.address: it for it in self.stores})
         await server.start(port)
         if name not in self.links:
             self.links[name] = await Proxy(server.port).start()
@@ -188,7 +234,7 @@
 
     def record(self, server, state="ready"):
         value = {"service": server.service, "address": f"127.0.0.1:{self.links[server.name].port}",
-                 "zone": f"d{len(server.name) % 2}", "slots": 64, "state": state}
+                 "zone": f"d{int(server.name[-1]) % 2}", "slots": 64, "state": state}
         if server.service == "engines":
             value["models"] = [{"name": "m", "version": server.version}]
         self.kv.put(f"servers/{server.id}", value)
@@ -209,6 +255,7 @@
         self.leaving.setdefault(server.id, self.now())
         self.servers.remove(server)
         server.server.close()
+        server.end_runs()
         self.links[server.name].reset()
         self.kv.remove(f"servers/{server.id}")
         await self.add_server(server.name, server.service, server.incarnation + 1)
@@ -222,133 +269,21 @@
                 return False
         return True
 
+    def patience(self, kind):
+        """Seconds that a caller tells."""
+        if kind == "ask" and self.has_kept_context:
+            return KEPT_PATIENCE
+        return LONG_PATIENCE if kind == "long" else PATIENCE
+
     def planned_stop(self, entry, at):
         """When the entry was asked to end, if that was shortly before."""
         stops = next(it for it in self.entries if it.name == entry).stops
-        return next((it for it in stops if it <= at <= it + 8), None)
-
-
-def fault(entry=None, planned=False):
-    return {"begin": 0.0, "end": None, "entry": entry, "planned": planned}
-
-
-async def kill_entries(world, rng):
-    some = rng.sample(world.entries, rng.randint(1, ENTRIES))
-    world.say(f"kills {[it.name for it in some]}")
-    for entry in some:
-        entry.kill()
-    await asyncio.sleep(rng.random() * 0.5)
-    for entry in some:
-        entry.start()
-
-
-async def stop_entry(world, rng):
-    entry = rng.choice(world.entries)
-    await entry.loaded()
-    world.say(f"stops {entry.name} as planned")
-    entry.stops.append(world.now())
-    entry.signal(signal.SIGTERM)
-    end = world.now() + 10
-    while entry.ended() is None and world.now() < end:
-        await asyncio.sleep(0.02)
-    if entry.ended() != 0:
-        world.problems.append(f"{entry.name} ended with {entry.ended()} after SIGTERM")
-    if entry.ended() is None:
-        entry.kill()
-    entry.start()
-
-
-async def pause_entry(world, rng):
-    entry = rng.choice(world.entries)
-    world.say(f"pauses {entry.name}")
-    entry.signal(signal.SIGSTOP)
-    await asyncio.sleep(0.2 + rng.random() * 4)
-    entry.signal(signal.SIGCONT)
-
-
-async def reload_entry(world, rng):
-    entry = rng.choice(world.entries)
-    await entry.loaded()
-    world.say(f"SIGHUP to {entry.name}")
-    entry.signal(signal.SIGHUP)
-
-
-async def spoil_link(world, rng):
-    """To the key-value service of one entry, or to one server of all."""
-    links = [it.link for it in world.entries] + list(world.links.values())
-    link, state = rng.choice(links), rng.choice(FAULTS + ("reset",))
-    world.say(f"link {links.index(link)} is {state}")
-    if state == "reset":
-        link.reset()
-        return
-    link.state = state
-    await asyncio.sleep(0.5 + rng.random() * 3)
-    link.state = SOUND
-    if rng.random() < 0.5:
-        link.reset()
-
-
-async def spoil_service(world, rng):
-    kind = rng.choice(["down", "slow", "busy", "lost", "compact"])
-    world.say(f"key-value service: {kind}")
-    world.kv.status = {"down": 503, "busy": 429}.get(kind, 0)
-    world.kv.delay = 0.4 if kind == "slow" else 0.0
-    world.kv.lose = kind == "lost"
-    if kind == "compact":
-        world.kv.compact()
-    await asyncio.sleep(0.5 + rng.random() * 4)
-    world.kv.status, world.kv.delay, world.kv.lose = 0, 0.0, False
-
-
-async def spoil_server(world, rng):
-    server, kind = rng.choice(world.servers), rng.choice(BackendServer.FAULTS)
-    world.say(f"{server.id}: {kind}")
-    server.faults.add(kind)
-    await asyncio.sleep(0.5 + rng.random() * 3)
-    server.faults.discard(kind)
-
-
-async def replace_server(world, rng):
-    staying = [it for it in world.servers if it.id not in world.leaving]
-    if len(staying) < 4:
-        return
-    server, drains = rng.choice(staying), rng.random() < 0.5
-    world.say(f"{server.id} {'drains' if drains else 'crashes'}")
-    await world.retire_server(server, drains)
-
-
-async def change_config(world, rng):
-    left = [it for it in world.all_keys if it not in world.revoked]
-    if rng.random() < 0.4 and len(left) > 2:
-        key = rng.choice(left)
-        world.revoked[key] = world.now()
-        world.say(f"revokes {key}")
-    world._configure()
-
-
-async def name_weights(world, _rng):
-    world.weights += 1
-    world.say(f"names version {world.weights}")
-    world.kv.put("op/version/m", {"model": "m", "version": world.weights})
-
-
-PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server)
-FAULT_KINDS = (kill_entries, stop_entry, pause_entry, reload_entry, spoil_link, spoil_service, spoil_server,
-               replace_server, change_config, name_weights)
-
-
-async def inject(world, kind, busy):
-    """One fault from its begin to its end. One at a time meddles with processes."""
-    meddles = kind in (kill_entries, stop_entry, pause_entry, reload_entry)
-    note = fault(planned=kind in PLANNED)
-    note["begin"] = world.now()
-    world.faults.append(note)
-    if meddles:
-        async with busy:
-            await kind(world, world.rng)
-    else:
-        await kind(world, world.rng)
-    note["end"] = world.now()
+        return next((it.begin for it in stops if it.begin <= at <= it.begin + 8), None)
+
+    def stop_during(self, entry, begin, end):
+        """The planned stop of the process that a request from begin to end was sent to."""
+        stops = next(it for it in self.entries if it.name == entry).stops
+        return next((it for it in stops if it.begin <= end and begin <= it.end), None)
 
 
 async def end_everything(world):
@@ -356,7 +291,7 @@
     world.fleet.stop()
     for link in [it.link for it in world.entries] + list(world.links.values()):
         link.stop()
-    for server in [world.kv] + world.all_servers:
+    for server in [world.kv] + world.stores + world.all_servers:
         server.server.close()
     rest = [it for it in asyncio.all_tasks() if it is not asyncio.current_task()]
     for task in rest:
@@ -374,16 +309,16 @@
 
 async def soak(world, seconds):
     await world.start()
-    tasks = [asyncio.ensure_future(it.run()) for it in callers(world, CALLERS)]
-    faults, busy = [], asyncio.Lock()
-    end = world.now() + seconds
-    # Some seeds are planned work alone, so that what planned work may not do is seen.
-    kinds = PLANNED if world.seed % 4 == 0 else FAULT_KINDS
-    while world.now() < end:
-        await asyncio.sleep(world.rng.random() * 1.2)
-        faults.append(asyncio.ensure_future(inject(world, world.rng.choice(kinds), busy)))
-    await asyncio.gather(*faults)
+    some = callers(world, KEPT_CALLERS) if world.has_kept_context else callers(world, CALLERS) + late_callers(world)
+    tasks = [asyncio.ensure_future(it.run()) for it in some]
+    if world.has_kept_context:
+        await around_new_weights(world, seconds)
+    else:
+        # Some seeds are planned work alone, so that what planned work may not do is seen.
+        await one_by_one(world, seconds, PLANNED if world.seed % 4 == 0 else FAULT_KINDS)
     await world.wait_ready("after the last fault")
+    if world.has_kept_context:
+        await world.wait_loaded()
     await asyncio.sleep(SETTLE_SECONDS)
     recovered = world.now()
     await asyncio.sleep(2)
@@ -396,7 +331,7 @@
     world.problems += checks.broken_promises(world)
     answered = sum(it.status == 200 for it in world.sent)
     print(f"seed {world.seed}: {len(world.sent)} requests, {answered} answered, {len(world.faults)} faults, "
-          f"{len(world.problems)} problems", flush=True)
+          f"{sum(len(it.fetches) for it in world.stores)} fetches, {len(world.problems)} problems", flush=True)
     return world.problems
 
 
