--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -29,6 +29,7 @@
     body: bytes = b""
     whole: float = 0.0
     patience: float = 2.5
+    caller: str = ""
     status: int = 0
     signature: str = ""
     answer: bytes = b""
@@ -76,7 +77,7 @@
         path = KINDS[kind][1] + request_id
         body = request_id.encode() * self.rng.randint(1, 40) if kind != "safe" else b""
         return Sent(request_id, kind, self.rng.choice(keys), entry.name, self.world.now(), path, body,
-                    patience=self.world.patience(kind))
+                    patience=self.world.patience(kind), caller=self.name)
 
     def _head(self, sent):
         headers = {"Host": "a.example", "X-Daisytack-Request-Id": sent.id, "X-Api-Key": sent.key,
@@ -87,7 +88,8 @@
             headers["X-Daisytack-Model"] = "m"
             is_long = self.world.has_kept_context
             headers["X-Daisytack-Token-Counts"] = "12000,20" if is_long else "1400,20"
-            headers["X-Daisytack-Prompt-Prefix"] = (LONG_PARTS if is_long else PARTS).format(session=self.rng.randrange(16, 64), own=sent.id)
+            parts = LONG_PARTS if is_long else PARTS
+            headers["X-Daisytack-Prompt-Prefix"] = parts.format(session=self.rng.randrange(16, 64), own=sent.id)
         return http11.head_of(f"{KINDS[sent.kind][0]} {sent.path} HTTP/1.1", headers)
 
     async def _one(self, entry):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -118,8 +118,8 @@
 
 
 def stops_lose_no_request(world, runs):
-    """From SIGTERM to the end of the process, or its kill at the end of the grace period, what was read whole is answered
-    whole, whenever it came; what is not answered was neither passed on nor left lying."""
+    """From SIGTERM to the end of the process, or its kill at the end of the grace period, what was read whole is
+    answered whole, whenever it came; what is not answered was neither passed on nor left lying."""
     for sent in world.sent:
         if not sent.whole or not was_cut(sent) or sent.left or sent.ended > sent.whole + sent.patience - 0.3:
             continue
@@ -127,7 +127,8 @@
         if not stop or not world.was_calm(sent.at - 3, sent.ended, sent.entry, planned=True):
             continue
         mine = runs.get(sent.id, [])
-        when = f"{sent.id} ({sent.kind}), whole {sent.whole - stop.begin:.1f} s after SIGTERM of {sent.entry},"
+        when = (f"{sent.id} ({sent.kind} of {sent.caller}), whole {sent.whole - stop.begin:.1f} s after SIGTERM of "
+                f"{sent.entry},")
         if mine and not any(it.broke for it in mine):
             yield f"{when} was passed on to {mine[-1].server} and cut off at {sent.ended - stop.begin:.1f} s"
         elif not mine and sent.ended > sent.whole + CROSSING_SECONDS:
@@ -144,8 +145,8 @@
                 yield f"{fetch.request} read {fetch.key} of {store.name} before it was whole"
             for at, key in store.freed:
                 if key == fetch.key and fetch.begin <= at < fetch.end:
-                    yield (f"{fetch.request} read {key} of {store.name} for {fetch.end - fetch.begin:.2f} s, and it was "
-                           f"freed {at - fetch.begin:.2f} s after its begin")
+                    yield (f"{fetch.request} read {key} of {store.name} for {fetch.end - fetch.begin:.2f} s, and it "
+                           f"was freed {at - fetch.begin:.2f} s after its begin")
 
 
 def one_giver_of_orders(world, _runs):
--- a/tests/soak/late_callers.py
+++ b/tests/soak/late_callers.py
@@ -60,11 +60,12 @@
         try:
             with self._ending(sent):
                 await self._trickle(writer, sent, answer)
+                self.world.sent.append(sent)
                 await self._await(sent, answer, sent.patience + 3)
         finally:
             answer.cancel()
-            # One that was never whole and got no answer is none.
-            if sent.whole or sent.status:
+            # One that was never whole is a request only if it was answered.
+            if sent.status and not sent.whole:
                 self.world.sent.append(sent)
 
     async def _trickle(self, writer, sent, answer):
