--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -100,67 +100,6 @@
   return out;
 }
 
-uint64_t ModelService::put(const std::string &key, const std::string &value,
-                           std::optional<TimePoint> leaseUntil) {
-  Item &item = Items[key];
-  ++Revision;
-  if (item.Created == 0)
-    item.Created = Revision;
-  item.Record = {key, value, Revision, false};
-  item.LeaseUntil = leaseUntil;
-  History.push_back(item.Record);
-  return Revision;
-}
-
-void ModelService::remove(const std::string &key) {
-  if (Items.erase(key) == 0)
-    return;
-  History.push_back({key, "", ++Revision, true});
-}
-
-bool ModelService::keep(const std::string &key, uint64_t created,
-                        TimePoint until) {
-  auto it = Items.find(key);
-  if (it == Items.end() || it->second.Created != created)
-    return false;
-  it->second.LeaseUntil = until;
-  return true;
-}
-
-void ModelService::lapse(TimePoint now) {
-  std::vector<std::string> gone;
-  for (const auto &[key, item] : Items)
-    if (item.LeaseUntil && now >= *item.LeaseUntil)
-      gone.push_back(key);
-  for (const std::string &key : gone)
-    remove(key);
-}
-
-uint64_t ModelService::revisionOf(const std::string &key) const {
-  auto it = Items.find(key);
-  return it == Items.end() ? 0 : it->second.Record.Revision;
-}
-
-uint64_t ModelService::createdOf(const std::string &key) const {
-  auto it = Items.find(key);
-  return it == Items.end() ? 0 : it->second.Created;
-}
-
-ModelService::Answer ModelService::readAll() const {
-  Answer out{{}, Revision};
-  for (const auto &[key, item] : Items)
-    out.Records.push_back(item.Record);
-  return out;
-}
-
-ModelService::Answer ModelService::since(uint64_t revision) const {
-  Answer out{{}, Revision};
-  for (const StoreRecord &record : History)
-    if (record.Revision > revision)
-      out.Records.push_back(record);
-  return out;
-}
-
 ModelEntry::ModelEntry(std::string name, Endpoint address, TimePoint now)
     : Name(std::move(name)), Address(std::move(address)),
       Catalog({}, worldHooks()), Kept({}), Agreement({}, Address),
