Release the right to give orders that a killed process of one's name left

Change: a process that finds its own name on the key, and doesn't hold the right, deletes the key on condition of its revision; whoever is first claims it anew, under a higher token. A process of the same name can't live beside it, as both would listen at the same address. The test fails without the change.

--- a/src/gateway/holder_lease.cpp
+++ b/src/gateway/holder_lease.cpp
@@ -30,6 +30,27 @@
       });
 }
 
+void HolderLease::release(uint64_t revision) {
+  if (IsStopped || IsTrying || Token != 0)
+    return;
+  IsTrying = true;
+  edge::KvTransaction change;
+  change.If.push_back({Key, edge::KvCompare::Target::ModRevision, revision});
+  change.Then.push_back({Key, {}, 0, true});
+  Store.Commit(std::move(change), Settings.CallTimeout,
+               [self = shared_from_this(),
+                revision](const edge::KvTransactionResult &result) {
+                 boost::asio::dispatch(self->On, [self, revision, result] {
+                   self->IsTrying = false;
+                   self->Log.write(
+                       LogWeight::Notable, "order_right_released",
+                       {{"token", revision},
+                        {"status", edge::kvStatusName(result.Header.Status)}},
+                       monotonicNow());
+                 });
+               });
+}
+
 void HolderLease::onGranted(const edge::KvLeaseResult &result,
                             TimePoint askedAt) {
   if (result.Header.Status != edge::KvStatus::Ok || result.Lease == 0) {
--- a/src/gateway/holder_lease.h
+++ b/src/gateway/holder_lease.h
@@ -34,6 +34,9 @@
 
   /// Tries to become the holder, unless a try is under way or it is.
   void acquire();
+  /// Gives up the right that a process of this name left behind, if its record
+  /// still has the revision.
+  void release(uint64_t revision);
   /// Renews when it is due. Call several times a second.
   void onTimer(TimePoint now);
   /// A server has seen a higher token: this one is never used again.
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -77,10 +77,13 @@
 }
 
 void OrderDriver::seekHolder(const direct::Catalog &catalog, TimePoint now) {
-  bool isNeeded = catalog.Config && catalog.Holder.empty() &&
-                  !Holder->isHeld() && !Holder->isTrying() &&
-                  State.isConfirmed(now) && !State.Drain.load();
-  if (!isNeeded) {
+  bool maySeek = catalog.Config && !Holder->isHeld() && !Holder->isTrying() &&
+                 State.isConfirmed(now) && !State.Drain.load();
+  // A process of this name that was killed left the right behind. Its lease
+  // needs not lapse first, as it can't live beside this one.
+  if (maySeek && catalog.Holder == State.Options.Name)
+    Holder->release(catalog.HolderRevision);
+  if (!maySeek || !catalog.Holder.empty()) {
     SeekAt.reset();
     return;
   }
--- /dev/null
+++ b/tests/gateway/holder_test.cpp
@@ -0,0 +1,37 @@
+/// What was seen: new weights stayed away from servers too long while entries
+/// were killed and started again, among them the one that gives orders.
+/// How it came about: nobody could give orders until the killed process's lease
+/// had lapsed, though a process of its name ran again after half a second.
+#include "gateway/gateway_fixture.h"
+
+namespace daisytack::gateway {
+namespace {
+
+/// The stand-in's leases do not lapse by themselves, so that only a release
+/// ends the killed process's right.
+TEST_F(GatewayTest, TakesUpTheRightOfAKilledProcessOfItsName) {
+  Store.put("daisytack/holder", R"({"entry":"e1"})", 77);
+  uint64_t before = Store.revisionOf("daisytack/holder");
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  EXPECT_TRUE(eventually([&] {
+    return Store.has("daisytack/holder") &&
+           Store.revisionOf("daisytack/holder") > before;
+  }));
+  Threads.stop(); // Handlers use what ends here.
+}
+
+TEST_F(GatewayTest, LeavesTheRightOfAnotherEntryAlone) {
+  Store.put("daisytack/holder", R"({"entry":"e2"})", 77);
+  uint64_t before = Store.revisionOf("daisytack/holder");
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
+  EXPECT_EQ(Store.revisionOf("daisytack/holder"), before);
+  Threads.stop(); // Handlers use what ends here.
+}
+
+} // namespace
+} // namespace daisytack::gateway
--- a/tests/gateway/stand_in.h
+++ b/tests/gateway/stand_in.h
@@ -175,6 +175,9 @@
                 *platform::decodeBase64(write.at("value").as_string()),
                 write.at("lease").to_number<uint64_t>());
     }
+    if (const json::value *keys = body.if_contains("remove"))
+      for (const json::value &key : keys->as_array())
+        removeLocked(std::string(key.as_string()));
     respond(to, {{"revision", Revision}});
     wakeLocked();
   }
