Let an entry that is cut off go on naming kept context until its trust is over

Cause: an entry named no sources once its lease had lapsed in what it heard, three seconds after a cut, though its registration stays for 16.5 s after that and nothing can be freed without it.

Ruled out: naming while registered only. Planted in the model, it reads freed context (the property fails within 3,000 cases) and names without an end.

Change: the right counts from the last complete knowledge in which the entry was announced. The walk over all entries for each attempt, to see whether this one is listed, is gone: it is made when knowledge comes in.

Tests: the model world counts what unlisted entries name; with the rule as it was the new test fails (0 sources), with naming without a bound the other new one and the property do. 3,000 cases of the property pass.

--- a/src/direct/retirement.cpp
+++ b/src/direct/retirement.cpp
@@ -16,8 +16,7 @@
 bool mayNameSources(const SourceStanding &standing, Duration trust,
                     TimePoint now) {
   return standing.HasReadAll && standing.KnowsRetired &&
-         standing.IsRegistered && standing.IsListed &&
-         now < standing.KnownAt + trust;
+         standing.IsRegistered && now < standing.ListedAt + trust;
 }
 
 std::vector<Retirement> mergeRetired(std::vector<Retirement> a,
--- a/src/direct/retirement.h
+++ b/src/direct/retirement.h
@@ -40,11 +40,13 @@
   bool KnowsRetired = true;
   /// Its address is registered, so that it is asked.
   bool IsRegistered = false;
-  /// It is announced. While it is not, its registration may be about to go.
-  bool IsListed = false;
-  /// All that the service held at this moment is known to it. Never later than
-  /// the call that told so, as a process may stand still with the answer.
-  TimePoint KnownAt;
+  /// All that the service held at this moment is known to it, and in that it
+  /// was announced. Never later than the call that told so, as a process may
+  /// stand still with the answer. An announcement that ends does so after this
+  /// moment, and the registration goes only when the announcement has been
+  /// absent for as long as the trust and a fetch last: until the trust is over
+  /// this entry is asked, though it is cut off and its lease has lapsed.
+  TimePoint ListedAt;
   auto operator<=>(const SourceStanding &) const = default;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -196,25 +196,32 @@
   return Requests.size();
 }
 
+bool GatewayState::isListed() const {
+  auto catalog = this->catalog();
+  return std::any_of(catalog->Entries.begin(), catalog->Entries.end(),
+                     [&](const direct::EntryPeer &it) {
+                       return it.Name == Options.Name &&
+                              it.Peer == Options.Peers;
+                     });
+}
+
 void GatewayState::knowAllUpTo(TimePoint at) {
   int64_t known = at.time_since_epoch().count();
-  if (known > KnownAt.load())
-    KnownAt = known;
+  if (known <= KnownAt.load())
+    return;
+  KnownAt = known;
+  if (isListed())
+    ListedAt = known;
 }
 
 direct::SourceStanding GatewayState::standing() const {
   direct::SourceStanding out;
   // Before the catalog, which so is no older than this.
-  out.KnownAt = TimePoint(Duration(KnownAt.load()));
+  out.ListedAt = TimePoint(Duration(ListedAt.load()));
   out.HasReadAll = HasReadAll;
   auto catalog = this->catalog();
   out.KnowsRetired = catalog->IsRetiredReadable;
   out.IsRegistered = catalog->Registered.contains(Options.Peers);
-  out.IsListed =
-      std::any_of(catalog->Entries.begin(), catalog->Entries.end(),
-                  [&](const direct::EntryPeer &it) {
-                    return it.Name == Options.Name && it.Peer == Options.Peers;
-                  });
   return out;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -117,9 +117,11 @@
   /// Null until the process was told to stop.
   std::atomic<std::shared_ptr<const direct::DrainPlan>> Drain;
   RunningRequests Running;
-  /// All that the service held at this moment is known, as microseconds.
-  /// Written on the strand of the follower.
+  /// All that the service held at this moment is known, as microseconds; and
+  /// the last such moment whose knowledge had this entry announced. Written on
+  /// the strand of the follower.
   std::atomic<int64_t> KnownAt{INT64_MIN / 2};
+  std::atomic<int64_t> ListedAt{INT64_MIN / 2};
   /// This process has read the whole service itself.
   std::atomic<bool> HasReadAll{false};
 
@@ -127,7 +129,10 @@
     return Catalog.view();
   }
   bool isConfirmed(TimePoint now) const;
+  /// Call it after what the service held then is in the catalog.
   void knowAllUpTo(TimePoint at);
+  /// This entry is announced, as far as the catalog knows.
+  bool isListed() const;
   direct::SourceStanding standing() const;
   /// The servers' clock, by which each fetch must end; nothing while this entry
   /// is to name no sources.
--- a/tests/direct/retirement_test.cpp
+++ b/tests/direct/retirement_test.cpp
@@ -42,6 +42,37 @@
   }
 }
 
+/// The load: a third of the entries is cut off from the service for twelve
+/// seconds, four times as long as their leases last, and hears what it holds
+/// from the others. Callers of these entries would have every shared part of
+/// their prompts read anew for nine of the twelve seconds.
+TEST(RetirementAgreement, AnEntryThatIsCutOffFromTheServiceGoesOnNaming) {
+  RetirementWorld world(6, randomFrom(7));
+  world.pass(20s);
+  for (size_t machine : {1, 3})
+    world.cutFromService(machine, true);
+  world.pass(4s); // Their leases have lapsed.
+  size_t before = world.unlistedFetches();
+  world.pass(8s);
+  EXPECT_GT(world.unlistedFetches(), before);
+  for (size_t machine : {1, 3})
+    world.cutFromService(machine, false);
+  world.pass(10s);
+  EXPECT_EQ(firstOf(world.broken()), "");
+}
+
+/// An entry that is out of the service's sight for longer than its trust names
+/// nothing, whatever the others tell it.
+TEST(RetirementAgreement, AnEntryThatIsNotListedForLongNamesNothing) {
+  RetirementWorld world(6, randomFrom(8));
+  world.pass(20s);
+  world.cutFromService(1, true);
+  world.pass(SourceTrust + 4s);
+  size_t before = world.unlistedFetches();
+  world.pass(10s);
+  EXPECT_EQ(world.unlistedFetches(), before);
+}
+
 /// One disturbance of the world.
 void disturb(RetirementWorld &world, size_t entries) {
   auto entry = *rc::gen::inRange<size_t>(0, entries);
--- a/tests/direct/retirement_world.h
+++ b/tests/direct/retirement_world.h
@@ -68,6 +68,7 @@
   bool HasAll = false;     ///< Of what it follows.
   bool HasReadAll = false; ///< Ever.
   TimePoint KnownAt{Duration(INT64_MIN / 2)};
+  TimePoint ListedAt{Duration(INT64_MIN / 2)};
   uint64_t WatchedTo = 0;
   bool IsAsking = false;
   uint64_t Announced = 0; ///< Creation revision of its key; 0: none.
@@ -110,6 +111,8 @@
   const std::vector<std::string> &broken() const { return Broken; }
   size_t freed() const { return Freed; }
   size_t fetches() const { return Fetches; }
+  /// Of these, by entries that are not announced any more.
+  size_t unlistedFetches() const { return UnlistedFetches; }
   TimePoint now() const { return Now; }
 
 private:
@@ -144,6 +147,8 @@
   /// Without a value: removes the key.
   void write(const EntryPtr &entry, const std::string &key,
              const std::string &value, uint64_t over);
+  void know(ModelEntry &entry, TimePoint at);
+  bool isListed(const ModelEntry &entry) const;
   bool mayName(const ModelEntry &entry) const;
   void free(const EntryPtr &entry);
   void nameSources(ModelEntry &entry);
@@ -184,6 +189,7 @@
   std::vector<std::string> Broken;
   size_t Freed = 0;
   size_t Fetches = 0;
+  size_t UnlistedFetches = 0;
 };
 
 } // namespace daisytack::direct::test
