Count the wait of a new holder of the right to give orders once

Cause: where servers check no fencing token, each new holder waited 2 s before its first order, so that its predecessor's orders lie a term back.

Ruled out: a wait by the name of the last holder alone. In the model, a name that comes back on another instance then gives orders half a second after the lost one. No wait at all: two instances act 2.9 s apart, the term is 3 s.

Change: the wait is part of the lease. The holder's record outlives its last order by a term, and whoever finds it gone acts at once. The next process of the same instance (name and address stand in the record) takes the record over under a higher token, in one write, where it used to delete it and compete for it with all others; that left 2.6 s between two instances' orders, by reading. A holder that hears of a newer record gives up. Decided in direct/order_right.h.

The stand-in's test of a killed process's right names the instance now, a new one the other instance. A record without the instance, of an earlier version, is waited for. While entries of both versions run, a new one may act 1 s sooner after an old holder's last order than the term.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -312,6 +312,7 @@
     if (held.Subject.Kind == FactKind::Holder) {
       const auto *holder = std::get_if<OrderHolder>(&held.Value);
       next->Holder = holder ? holder->Entry : UnknownHolder;
+      next->HolderPeer = holder ? holder->Peer : Endpoint{};
       next->HolderRevision = held.Record.Revision;
     }
     if (const auto *it = std::get_if<EntryRegistration>(&held.Value))
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -45,6 +45,7 @@
   /// Entry that may give orders; empty when none may, UnknownHolder when the
   /// record can't be read.
   std::string Holder;
+  Endpoint HolderPeer;         ///< Port 0: not known.
   uint64_t HolderRevision = 0; ///< Of that record; 0: there is none.
   std::vector<Retirement> Retired;
   uint64_t RetiredRevision = 0; ///< Of that record; 0: there is none.
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -63,9 +63,11 @@
   auto operator<=>(const DesiredWeights &) const = default;
 };
 
-/// The one entry that may give orders to servers and free kept context.
+/// The one entry that may give orders to servers and free kept context, and
+/// its instance: another one may bear its name later.
 struct OrderHolder {
   std::string Entry;
+  Endpoint Peer{}; ///< Port 0 in records that don't name it.
   auto operator<=>(const OrderHolder &) const = default;
 };
 
--- /dev/null
+++ b/src/direct/order_right.cpp
@@ -0,0 +1,31 @@
+#include "direct/order_right.h"
+
+namespace daisytack::direct {
+
+swap::LeaseInit orderLease(const OrderRightSettings &settings) {
+  swap::LeaseInit out;
+  out.TimeToLive = settings.Term;
+  out.PauseMargin = settings.PauseMargin;
+  if (settings.ServersCheckFence)
+    return out;
+  // The holder acts as long as under a lease of one term, and the record stays
+  // for one term after its last act.
+  out.TimeToLive = 2 * settings.Term - settings.PauseMargin;
+  out.PauseMargin = settings.Term;
+  return out;
+}
+
+std::optional<uint64_t> claimOver(const Catalog &catalog,
+                                  const OrderHolder &own) {
+  if (catalog.Holder.empty())
+    return 0;
+  if (OrderHolder{catalog.Holder, catalog.HolderPeer} != own)
+    return std::nullopt;
+  return catalog.HolderRevision;
+}
+
+bool isReplaced(const Catalog &catalog, uint64_t token) {
+  return !catalog.Holder.empty() && catalog.HolderRevision > token;
+}
+
+} // namespace daisytack::direct
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -161,10 +161,8 @@
   OrderDriverSettings out;
   out.Weights.ConcurrentLoads = Options.ConcurrentLoads;
   out.Weights.Limit = Options.Placement.OldWeightsLimit;
-  out.Holder.Term = Options.LeaseTerm;
-  out.Holder.SettleTime = Options.ServersCheckFence
-                              ? Duration::zero()
-                              : Options.LeaseTerm - out.Holder.PauseMargin;
+  out.Holder.Right.Term = Options.LeaseTerm;
+  out.Holder.Right.ServersCheckFence = Options.ServersCheckFence;
   out.WakePause = Options.WakePause;
   return out;
 }
--- a/src/gateway/holder_lease.cpp
+++ b/src/gateway/holder_lease.cpp
@@ -14,59 +14,39 @@
                          DecisionLog &log)
     : On(std::move(strand)), Store(std::move(store)), Key(std::move(key)),
       Value(std::move(value)), Settings(settings), Log(log),
-      Term(swap::LeaseInit{settings.Term, 0.05, settings.PauseMargin}) {}
+      Term(direct::orderLease(settings.Right)) {}
 
-void HolderLease::acquire() {
+void HolderLease::acquire(uint64_t over) {
   if (IsStopped || IsTrying || Token != 0)
     return;
   IsTrying = true;
   TimePoint askedAt = monotonicNow();
-  Store.GrantLease(
-      Settings.Term, Settings.CallTimeout,
-      [self = shared_from_this(), askedAt](const edge::KvLeaseResult &result) {
-        boost::asio::dispatch(self->On, [self, result, askedAt] {
-          self->onGranted(result, askedAt);
-        });
-      });
-}
-
-void HolderLease::release(uint64_t revision) {
-  if (IsStopped || IsTrying || Token != 0)
-    return;
-  IsTrying = true;
-  edge::KvTransaction change;
-  change.If.push_back({Key, edge::KvCompare::Target::ModRevision, revision});
-  change.Then.push_back({Key, {}, 0, true});
-  Store.Commit(std::move(change), Settings.CallTimeout,
-               [self = shared_from_this(),
-                revision](const edge::KvTransactionResult &result) {
-                 boost::asio::dispatch(self->On, [self, revision, result] {
-                   self->IsTrying = false;
-                   self->Log.write(
-                       LogWeight::Notable, "order_right_released",
-                       {{"token", revision},
-                        {"status", edge::kvStatusName(result.Header.Status)}},
-                       monotonicNow());
-                 });
-               });
+  Store.GrantLease(Term.settings().TimeToLive, Settings.CallTimeout,
+                   [self = shared_from_this(), over,
+                    askedAt](const edge::KvLeaseResult &result) {
+                     boost::asio::dispatch(
+                         self->On, [self, result, over, askedAt] {
+                           self->onGranted(result, over, askedAt);
+                         });
+                   });
 }
 
-void HolderLease::onGranted(const edge::KvLeaseResult &result,
+void HolderLease::onGranted(const edge::KvLeaseResult &result, uint64_t over,
                             TimePoint askedAt) {
   if (result.Header.Status != edge::KvStatus::Ok || result.Lease == 0) {
     IsTrying = false;
     return;
   }
   Term.granted(result.Lease, result.TimeLeft, askedAt);
-  claim();
+  claim(over);
 }
 
-void HolderLease::claim() {
-  edge::KvTransaction create;
-  create.If.push_back({Key, edge::KvCompare::Target::ModRevision, 0});
-  create.Then.push_back({Key, Value, Term.id(), false});
+void HolderLease::claim(uint64_t over) {
+  edge::KvTransaction write;
+  write.If.push_back({Key, edge::KvCompare::Target::ModRevision, over});
+  write.Then.push_back({Key, Value, Term.id(), false});
   Store.Commit(
-      std::move(create), Settings.CallTimeout,
+      std::move(write), Settings.CallTimeout,
       [self = shared_from_this()](const edge::KvTransactionResult &result) {
         boost::asio::dispatch(self->On,
                               [self, result] { self->onClaimed(result); });
@@ -94,7 +74,7 @@
                   for (const edge::KvEntry &entry : result.Entries)
                     if (entry.Key == self->Key &&
                         entry.Lease == self->Term.id())
-                      return self->hold(entry.CreateRevision);
+                      return self->hold(entry.ModRevision);
                   self->drop();
                 });
               });
@@ -108,7 +88,6 @@
   if (IsStopped || Term.hasLapsed(now))
     return drop();
   Token = token;
-  ActsFrom = now + Settings.SettleTime;
   Log.write(LogWeight::Notable, "order_right_taken",
             {{"token", Token}, {"lease", Term.id()}}, now);
 }
@@ -155,7 +134,7 @@
 }
 
 std::optional<uint64_t> HolderLease::token(TimePoint now) const {
-  bool mayAct = !IsStopped && Token != 0 && now >= ActsFrom && Term.mayAct(now);
+  bool mayAct = !IsStopped && Token != 0 && Term.mayAct(now);
   return mayAct ? std::optional<uint64_t>(Token) : std::nullopt;
 }
 
--- a/src/gateway/holder_lease.h
+++ b/src/gateway/holder_lease.h
@@ -1,7 +1,8 @@
 /// The right of one entry to give orders: a key in the key-value service,
-/// created under a lease. The revision of its creation is the fencing token.
+/// written under a lease. The revision at which it was is the fencing token.
 #pragma once
 
+#include "direct/order_right.h"
 #include "edge/kv.h"
 #include "gateway/store_follower.h"
 #include "swap/lease.h"
@@ -14,14 +15,8 @@
 namespace daisytack::gateway {
 
 struct HolderLeaseSettings {
-  Duration Term{3'000'000};
-  /// Before the lease could have lapsed, this process stops to act: an order
-  /// takes so long at most from the check until it reaches a server.
-  Duration PauseMargin{1'000'000};
+  direct::OrderRightSettings Right;
   Duration CallTimeout{1'200'000};
-  /// A new holder waits so long before it acts, where nobody else refuses what
-  /// its predecessor may still send.
-  Duration SettleTime{2'000'000};
   bool operator==(const HolderLeaseSettings &) const = default;
 };
 
@@ -32,28 +27,28 @@
               std::string value, HolderLeaseSettings settings,
               DecisionLog &log);
 
-  /// Tries to become the holder, unless a try is under way or it is.
-  void acquire();
-  /// Gives up the right that a process of this name left behind, if its record
-  /// still has the revision.
-  void release(uint64_t revision);
+  /// Tries to become the holder over the record of that revision (0: none),
+  /// unless a try is under way or it is.
+  void acquire(uint64_t over);
   /// Renews when it is due. Call several times a second.
   void onTimer(TimePoint now);
-  /// A server has seen a higher token: this one is never used again.
+  /// Another holder has a higher token: this one is never used again.
   void giveUp(TimePoint now);
   /// Acts no more and lets the lease lapse, so that a successor waits as long
   /// as after a crash.
   void stop() { IsStopped = true; }
 
-  /// The token while an act that follows at once is covered. A new holder's is
-  /// covered only once every act of its predecessor lies a term back.
+  /// The token while an act that follows at once is covered.
   std::optional<uint64_t> token(TimePoint now) const;
   bool isHeld() const { return Token != 0; }
+  /// 0 when it is not held.
+  uint64_t heldToken() const { return Token; }
   bool isTrying() const { return IsTrying; }
 
 private:
-  void onGranted(const edge::KvLeaseResult &result, TimePoint askedAt);
-  void claim();
+  void onGranted(const edge::KvLeaseResult &result, uint64_t over,
+                 TimePoint askedAt);
+  void claim(uint64_t over);
   void onClaimed(const edge::KvTransactionResult &result);
   void readBack();
   void hold(uint64_t token);
@@ -67,7 +62,6 @@
   DecisionLog &Log;
   swap::Lease Term;
   uint64_t Token = 0;
-  TimePoint ActsFrom;
   bool IsTrying = false;
   bool IsRenewing = false;
   bool IsStopped = false;
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -41,8 +41,8 @@
       Random(std::move(random)), TellEntries(std::move(tell)),
       Holder(std::make_shared<HolderLease>(
           On, std::move(store), State.Speak.HolderKey,
-          State.Speak.EncodeHolder({State.Options.Name}), settings.Holder,
-          State.Log)),
+          State.Speak.EncodeHolder({State.Options.Name, State.Options.Peers}),
+          settings.Holder, State.Log)),
       Plan(settings.Weights) {}
 
 void OrderDriver::onTimer(TimePoint now) {
@@ -51,6 +51,8 @@
   LastTimer = now;
   auto catalog = State.catalog();
   Holder->onTimer(now);
+  if (Holder->isHeld() && direct::isReplaced(*catalog, Holder->heldToken()))
+    Holder->giveUp(now);
   seekHolder(*catalog, now);
   if (!token(now)) {
     Plan.clear();
@@ -79,14 +81,15 @@
 void OrderDriver::seekHolder(const direct::Catalog &catalog, TimePoint now) {
   bool maySeek = catalog.Config && !Holder->isHeld() && !Holder->isTrying() &&
                  State.isConfirmed(now) && !State.Drain.load();
-  // A process of this name that was killed left the right behind. Its lease
-  // needs not lapse first, as it can't live beside this one.
-  if (maySeek && catalog.Holder == State.Options.Name)
-    Holder->release(catalog.HolderRevision);
-  if (!maySeek || !catalog.Holder.empty()) {
+  std::optional<uint64_t> over =
+      direct::claimOver(catalog, {State.Options.Name, State.Options.Peers});
+  if (!maySeek || !over) {
     SeekAt.reset();
     return;
   }
+  // Left by the process before this one: nobody else seeks it.
+  if (*over != 0)
+    return Holder->acquire(*over);
   if (!SeekAt) {
     auto entries = static_cast<int64_t>(catalog.Entries.size()) + 1;
     int64_t spread = Settings.TakeoverSpread.count() * entries;
@@ -98,7 +101,7 @@
   if (now < *SeekAt)
     return;
   SeekAt.reset();
-  Holder->acquire();
+  Holder->acquire(*over);
 }
 
 void OrderDriver::perform(const std::vector<direct::WeightAction> &actions) {
--- a/src/swap/lease.cpp
+++ b/src/swap/lease.cpp
@@ -29,7 +29,9 @@
                                             Init.DriftShare));
   EndsAt = askedAt + term - drift;
   ActUntil = EndsAt - Init.PauseMargin;
-  RenewAt = askedAt + term / RenewalsPerTerm;
+  // Twice at least while it may act, so that one answer may be lost.
+  Duration acting = std::max(ActUntil - askedAt, Duration(0));
+  RenewAt = askedAt + std::min(term / RenewalsPerTerm, acting / 2);
 }
 
 std::optional<TimePoint> Lease::renewAt() const {
--- a/src/swap/lease.h
+++ b/src/swap/lease.h
@@ -41,7 +41,8 @@
   bool mayAct(TimePoint now) const { return Id != 0 && now < ActUntil; }
   /// Whether the service may have given it to another by now.
   bool hasLapsed(TimePoint now) const { return Id == 0 || now >= EndsAt; }
-  /// When to ask for the next renewal: after a third of its time.
+  /// When to ask for the next renewal: after a third of its time, or half of
+  /// that in which the holder may act.
   std::optional<TimePoint> renewAt() const;
   /// When the service may have given it to another; nothing without a lease.
   std::optional<TimePoint> endsAt() const;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -62,13 +62,15 @@
     "tenants":[{"name":"org","api-keys":["k1"]}]})";
 }
 
-/// One entry with its addresses; runs until destroyed.
+/// One entry with its addresses; runs from its start until destroyed.
 class Entry {
 public:
   Entry(net::asio::io_context &io, std::string name, const Endpoint &store,
         std::vector<Endpoint> seeds = {})
       : Options(optionsFor(std::move(name), store, std::move(seeds))),
-        Daemon(io, Options, platform::makeProtocol(), platform::makeKvStore) {
+        Daemon(io, Options, platform::makeProtocol(), platform::makeKvStore) {}
+
+  void start() {
     Error reason;
     EXPECT_TRUE(Daemon.start(reason)) << reason.Detail;
   }
@@ -103,12 +105,19 @@
   /// What the I/O threads use goes only once they have ended.
   ~GatewayTest() override { Threads.stop(); }
 
-  Entry &start(const std::string &name, const Endpoint &store,
-               std::vector<Endpoint> seeds = {}) {
+  /// Not started yet.
+  Entry &prepare(const std::string &name, const Endpoint &store,
+                 std::vector<Endpoint> seeds = {}) {
     Entries.push_back(
         std::make_unique<Entry>(Threads.Io, name, store, std::move(seeds)));
     return *Entries.back();
   }
+  Entry &start(const std::string &name, const Endpoint &store,
+               std::vector<Endpoint> seeds = {}) {
+    Entry &out = prepare(name, store, std::move(seeds));
+    out.start();
+    return out;
+  }
   test::StandInServer &standIn(test::StandInServer::Answer reply) {
     Servers.push_back(
         std::make_unique<test::StandInServer>(Threads.Io, std::move(reply)));
--- a/tests/gateway/holder_test.cpp
+++ b/tests/gateway/holder_test.cpp
@@ -7,13 +7,18 @@
 namespace daisytack::gateway {
 namespace {
 
-/// The stand-in's leases do not lapse by themselves, so that only a release
+std::string holderText(const std::string &name, const Endpoint &peer) {
+  return R"({"entry":")" + name + R"(","peer":")" + toString(peer) + R"("})";
+}
+
+/// The stand-in's leases do not lapse by themselves, so that only a takeover
 /// ends the killed process's right.
-TEST_F(GatewayTest, TakesUpTheRightOfAKilledProcessOfItsName) {
-  Store.put("daisytack/holder", R"({"entry":"e1"})", 77);
+TEST_F(GatewayTest, TakesUpTheRightOfAKilledProcessOfItsInstance) {
+  Entry &entry = prepare("e1", Store.address());
+  Store.put("daisytack/holder", holderText("e1", entry.Options.Peers), 77);
   uint64_t before = Store.revisionOf("daisytack/holder");
   Store.put("op/config", configText("\"k1\""));
-  Entry &entry = start("e1", Store.address());
+  entry.start();
   ASSERT_TRUE(waitReady(entry));
   EXPECT_TRUE(eventually([&] {
     return Store.has("daisytack/holder") &&
@@ -22,8 +27,21 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// Its name may be that of an instance that was lost, and whose orders are
+/// still under way.
+TEST_F(GatewayTest, LeavesTheRightOfItsNameOnAnotherInstanceAlone) {
+  Store.put("daisytack/holder", holderText("e1", {"127.0.0.1", 9}), 77);
+  uint64_t before = Store.revisionOf("daisytack/holder");
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
+  EXPECT_EQ(Store.revisionOf("daisytack/holder"), before);
+  Threads.stop(); // Handlers use what ends here.
+}
+
 TEST_F(GatewayTest, LeavesTheRightOfAnotherEntryAlone) {
-  Store.put("daisytack/holder", R"({"entry":"e2"})", 77);
+  Store.put("daisytack/holder", holderText("e2", {"127.0.0.1", 9}), 77);
   uint64_t before = Store.revisionOf("daisytack/holder");
   Store.put("op/config", configText("\"k1\""));
   Entry &entry = start("e1", Store.address());
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -127,7 +127,11 @@
   EXPECT_EQ(decodeAs<direct::EntryRegistration>(registrationKey(entry.Peer),
                                                 encodeRegistration(entry)),
             entry);
-  EXPECT_EQ(decodeAs<direct::OrderHolder>(holderKey(), encodeHolder({"e"})),
+  direct::OrderHolder holder{"e", {"10.0.0.1", 7580}};
+  EXPECT_EQ(decodeAs<direct::OrderHolder>(holderKey(), encodeHolder(holder)),
+            holder);
+  // Of a version that named no instance.
+  EXPECT_EQ(decodeAs<direct::OrderHolder>(holderKey(), R"({"entry":"e"})"),
             direct::OrderHolder{"e"});
 }
 
