Let a few entries of each failure domain read the key-value service for the others

Ruled out: that watches come too thick; they pause 300 ms after news already.

Change: readers are chosen by rendezvous over the announced entries of a failure domain, two at least, one for each sixteen. The others ask one of them every 300 ms for what is newer than they know, and watch the service themselves when none has answered for a second or what they hear was confirmed over 2.3 s ago, so that every bound that rests on the age of knowledge (401 and 404, sources, weights) stays as it was. The holder of the right to give orders, and who is not announced, watch. Announcements name the failure domain. `store.entries_per_reader`, 0 for every entry by itself. Log lines and a gauge tell who watches.

Found by the model: an entry that asked one which had just started took over its claim to know all, though that one never heard of what had been deleted before its first reading; so it believed in a deleted announcement for good, and freed context was read. The code before had it too.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -105,6 +105,9 @@
   IsFirstRead = false;
   HasReadAll = true;
   Highest = std::max(Highest, revision);
+  // Of a key that was deleted before, and that this process never knew, it
+  // can't tell one that did.
+  ForgottenTo = std::max(ForgottenTo, revision);
   if (changed)
     publish(now);
 }
@@ -269,6 +272,22 @@
       held.KeptUntil = now + Settings.LapseGrace;
 }
 
+Duration CatalogKeeper::graceLeft(TimePoint now) const {
+  if (StoreIsLost)
+    return Settings.LapseGrace;
+  if (!isInGrace(now))
+    return Duration(0);
+  return *StoreBackAt + Settings.LapseGrace - now;
+}
+
+void CatalogKeeper::onGraceTold(Duration left, TimePoint now) {
+  if (StoreIsLost || left <= Duration(0))
+    return;
+  Duration most = std::min(left, Settings.LapseGrace);
+  TimePoint back = now + most - Settings.LapseGrace;
+  StoreBackAt = std::max(StoreBackAt.value_or(back), back);
+}
+
 void CatalogKeeper::onTimer(TimePoint now) {
   bool changed = false;
   for (auto &[key, held] : Known) {
@@ -291,6 +310,7 @@
     return;
   auto oldest = revisions.end() - DeletionsRemembered;
   std::nth_element(revisions.begin(), oldest, revisions.end());
+  ForgottenTo = std::max(ForgottenTo, *oldest - 1);
   std::erase_if(Known, [&](const auto &it) {
     const Held &held = it.second;
     return held.Record.IsDeleted && !held.KeptUntil &&
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -115,6 +115,12 @@
   /// The store stopped answering, or answers again.
   void onStoreLost();
   void onStoreBack(TimePoint now);
+  /// How much longer servers that lapse with an outage are kept; 0 when none
+  /// do.
+  Duration graceLeft(TimePoint now) const;
+  /// Another entry, which saw an outage that this one may not have seen, keeps
+  /// them for so much longer.
+  void onGraceTold(Duration left, TimePoint now);
   /// Drops servers whose grace is over. Call a few times a second.
   void onTimer(TimePoint now);
 
@@ -124,6 +130,8 @@
   uint64_t revision() const { return Highest; }
   /// Records that are newer than the revision, for another entry.
   std::vector<StoreRecord> recordsSince(uint64_t revision) const;
+  /// Deletions up to this revision may be missing among them.
+  uint64_t forgottenTo() const { return ForgottenTo; }
 
 private:
   struct Held {
@@ -169,6 +177,7 @@
   /// Noted ahead of records.
   std::map<ServerStart, ModelVersion> Loaded;
   uint64_t Highest = 0;
+  uint64_t ForgottenTo = 0;
   bool HasReadAll = false;
   bool IsFirstRead = false; ///< While the first read is merged.
   bool StoreIsLost = false;
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -46,7 +46,8 @@
 /// An entry process of this system.
 struct EntryPeer {
   std::string Name;
-  Endpoint Peer; ///< Where it answers other entries.
+  Endpoint Peer;               ///< Where it answers other entries.
+  std::string FailureDomain{}; ///< Empty in records that don't name it.
   auto operator<=>(const EntryPeer &) const = default;
 };
 
--- /dev/null
+++ b/src/direct/follow_plan.cpp
@@ -0,0 +1,70 @@
+#include "direct/follow_plan.h"
+
+#include "direct/rendezvous.h"
+
+#include <algorithm>
+
+namespace daisytack::direct {
+
+std::vector<Endpoint> readersOf(const Catalog &catalog, std::string_view domain,
+                                const FollowSettings &settings) {
+  constexpr std::string_view Key = "readers";
+  std::vector<std::pair<double, Endpoint>> ranked;
+  for (const EntryPeer &it : catalog.Entries)
+    if (it.FailureDomain == domain)
+      ranked.emplace_back(rendezvousScore(Key, it.Name), it.Peer);
+  size_t wanted = ranked.size();
+  if (settings.EntriesPerReader > 0)
+    wanted = std::max(settings.LeastReaders,
+                      (ranked.size() + settings.EntriesPerReader - 1) /
+                          settings.EntriesPerReader);
+  std::sort(ranked.rbegin(), ranked.rend());
+  ranked.resize(std::min(wanted, ranked.size()));
+  std::vector<Endpoint> out;
+  out.reserve(ranked.size());
+  for (auto &[score, peer] : ranked)
+    out.push_back(std::move(peer));
+  return out;
+}
+
+FollowStep FollowPlan::next(const Catalog &catalog, TimePoint now) {
+  // The others must find this entry announced too, and what the holder of the
+  // right to give orders plans on is not to be later than it need be.
+  bool isAnnounced = std::find(catalog.Entries.begin(), catalog.Entries.end(),
+                               Own) != catalog.Entries.end();
+  if (!isAnnounced || catalog.Holder == Own.Name)
+    return {};
+  std::vector<Endpoint> readers =
+      readersOf(catalog, Own.FailureDomain, Settings);
+  if (std::find(readers.begin(), readers.end(), Own.Peer) != readers.end())
+    return {};
+  FollowStep out;
+  out.WatchesService = !isServed(now);
+  if (now < NextAsk)
+    return out;
+  NextAsk = now + Settings.AskInterval;
+  // By turns, each entry beginning elsewhere, so that one that is dead, or lies
+  // behind, is soon made up for.
+  size_t turn = stableHash(Own.Name) + Asked++;
+  out.Ask = readers[turn % readers.size()];
+  return out;
+}
+
+void FollowPlan::onAnswer(TimePoint confirmedAt, TimePoint now) {
+  AnsweredAt = now;
+  ConfirmedAt = std::max(ConfirmedAt, confirmedAt);
+}
+
+bool FollowPlan::isServed(TimePoint now) {
+  bool isInTime = AnsweredAt && now < *AnsweredAt + Settings.SilentAfter &&
+                  now < ConfirmedAt + Settings.OldAfter;
+  if (!isInTime) {
+    ServedSince.reset();
+    return false;
+  }
+  if (!ServedSince)
+    ServedSince = now;
+  return now >= *ServedSince + Settings.SettleTime;
+}
+
+} // namespace daisytack::direct
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -27,9 +27,17 @@
   /// Microseconds since a moment of which the sender knows all that the service
   /// held.
   int64_t KnownAgo = 0;
+  /// All that the service held up to this revision is known to the sender.
+  uint64_t CompleteTo = 0;
+  /// Deletions up to this revision may be missing: whoever asked for what is
+  /// newer than less does not know all that the sender knows.
+  uint64_t ForgottenTo = 0;
+  /// For so many microseconds more the sender keeps servers whose records lapse
+  /// with an outage of the service.
+  int64_t GraceLeft = 0;
   bool operator==(const RecordsFound &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(Records, ConfirmedAgo, KnownAgo);
+    ar(Records, ConfirmedAgo, KnownAgo, CompleteTo, ForgottenTo, GraceLeft);
   }
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,10 @@
   return out;
 }
 
+direct::EntryPeer ownPeer(const GatewayOptions &options) {
+  return {options.Name, options.Peers, options.FailureDomain};
+}
+
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &io, GatewayOptions options,
@@ -48,10 +52,11 @@
       Announced(std::make_shared<EntryLease>(
           Control, Store,
           EntryRecord{State.Speak.EntryKey(Options.Name),
-                      State.Speak.EncodeEntry({Options.Name, Options.Peers})},
+                      State.Speak.EncodeEntry(ownPeer(Options))},
           EntryRecord{State.Speak.RegistrationKey(Options.Peers),
                       State.Speak.EncodeRegistration({Options.Peers})},
           Options.LeaseTerm, Log)),
+      Following(Options.Follow, ownPeer(Options)),
       Peers(std::make_shared<PeerExchange>(State, Control, peerHooks(),
                                            secureRandom)),
       PeerLoads(
@@ -84,14 +89,9 @@
 
 PeerHooks Gateway::peerHooks() {
   PeerHooks out;
-  out.Records = [this](const direct::RecordsFound &found, TimePoint askedAt) {
-    int64_t confirmed =
-        (askedAt - Duration(found.ConfirmedAgo)).time_since_epoch().count();
-    if (confirmed > State.ConfirmedAt.load())
-      State.ConfirmedAt = confirmed;
-    if (!found.Records.empty())
-      Follower->merge(found.Records);
-    State.knowAllUpTo(askedAt - Duration(found.KnownAgo));
+  out.Records = [this](const direct::RecordsFound &found, uint64_t newerThan,
+                       TimePoint askedAt) {
+    onRecords(found, newerThan, askedAt);
   };
   out.Weights = [this](const direct::PeerMessage &message) {
     onWeights(message);
@@ -99,6 +99,24 @@
   return out;
 }
 
+void Gateway::onRecords(const direct::RecordsFound &found, uint64_t newerThan,
+                        TimePoint askedAt) {
+  TimePoint now = monotonicNow();
+  TimePoint confirmedAt = askedAt - Duration(found.ConfirmedAgo);
+  int64_t confirmed = confirmedAt.time_since_epoch().count();
+  if (confirmed > State.ConfirmedAt.load())
+    State.ConfirmedAt = confirmed;
+  State.Catalog.onGraceTold(Duration(found.GraceLeft), now);
+  if (!found.Records.empty())
+    Follower->merge(found.Records);
+  // Without what was deleted meanwhile, or before, it is not all.
+  if (State.CompleteTo == 0 || newerThan < found.ForgottenTo)
+    return;
+  State.completeTo(found.CompleteTo);
+  State.knowAllUpTo(askedAt - Duration(found.KnownAgo));
+  Following.onAnswer(confirmedAt, now);
+}
+
 RetirementHooks Gateway::retirementHooks() {
   RetirementHooks out;
   out.Tell = [this](const direct::TellEntry &tell,
@@ -286,6 +304,14 @@
             monotonicNow());
 }
 
+void Gateway::follow(TimePoint now) {
+  direct::FollowStep step = Following.next(*State.catalog(), now);
+  Follower->setWatching(step.WatchesService);
+  // While the service is away, more entries are asked anyway.
+  if (step.Ask && Follower->isReachable())
+    Peers->ask(*step.Ask);
+}
+
 void Gateway::tick() {
   TimePoint now = monotonicNow();
   TickedAt = now;
@@ -293,6 +319,7 @@
   State.Loads.forgetIdle(now - LoadMemory);
   PeerLoads->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
+  follow(now);
   Orders->onTimer(now);
   if (Orders->token(now)) {
     Contexts->retireOld(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 /// them.
 #pragma once
 
+#include "direct/follow_plan.h"
 #include "edge/kv.h"
 #include "gateway/context_follower.h"
 #include "gateway/entry_lease.h"
@@ -50,6 +51,10 @@
                            const direct::Catalog &after);
   void onLoading(const std::vector<direct::ServerStart> &servers);
   PeerHooks peerHooks();
+  void onRecords(const direct::RecordsFound &found, uint64_t newerThan,
+                 TimePoint askedAt);
+  /// Watches the service, or asks an entry that does.
+  void follow(TimePoint now);
   RetirementHooks retirementHooks();
   /// Writes provided that this process is still the holder, and that the key
   /// has the revision.
@@ -77,6 +82,7 @@
   edge::KvStore Store;
   std::shared_ptr<StoreFollower> Follower;
   std::shared_ptr<EntryLease> Announced;
+  direct::FollowPlan Following;
   std::shared_ptr<PeerExchange> Peers;
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ContextFollower> Contexts;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -41,6 +41,9 @@
       1, MostPeersAtOnce));
   out.LoadExchange.Interval = settings.duration(
       "peers.load_interval", out.LoadExchange.Interval, 10ms, 1min);
+  out.Follow.EntriesPerReader = static_cast<size_t>(settings.integer(
+      "store.entries_per_reader",
+      static_cast<int64_t>(out.Follow.EntriesPerReader), 0, MostPeersAtOnce));
   out.ConcurrentLoads = static_cast<uint32_t>(settings.integer(
       "weights.concurrent_loads", out.ConcurrentLoads, 1, MostLoads));
   out.ServersCheckFence =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -8,6 +8,7 @@
 #include "decide/retry_budget.h"
 #include "direct/catalog.h"
 #include "direct/drain_plan.h"
+#include "direct/follow_plan.h"
 #include "direct/forward_flow.h"
 #include "direct/kept_context.h"
 #include "direct/placement.h"
@@ -69,6 +70,7 @@
   /// Engines that load new weights at the same time: more of them load slower.
   uint32_t ConcurrentLoads = 2;
   LoadExchangeSettings LoadExchange;
+  direct::FollowSettings Follow;
   RetryShareSettings Retries;
   EjectionSettings Ejection;
   direct::ForwardSettings Forward;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -123,6 +123,9 @@
                                  "Backend servers in the catalog")),
       StoreReachable(metrics.gauge("daisytack_service_reachable",
                                    "1 while the key-value service answers")),
+      StoreWatched(metrics.gauge(
+          "daisytack_service_watched",
+          "1 while this entry watches the key-value service itself")),
       FirstByte(metrics.distribution("daisytack_first_byte_seconds",
                                      "From arrival to the answer's first byte",
                                      Distribution::Unit::Seconds)),
@@ -214,6 +217,10 @@
     ListedAt = known;
 }
 
+void GatewayState::completeTo(uint64_t revision) {
+  CompleteTo = std::max(CompleteTo.load(), revision);
+}
+
 direct::SourceStanding GatewayState::standing() const {
   direct::SourceStanding out;
   // Before the catalog, which so is no older than this.
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -45,6 +45,7 @@
   Gauge &PartsKnown;
   Gauge &ServersKnown;
   Gauge &StoreReachable;
+  Gauge &StoreWatched;
   Distribution &FirstByte;
   Distribution &Whole;
 };
@@ -122,6 +123,9 @@
   /// the strand of the follower.
   std::atomic<int64_t> KnownAt{INT64_MIN / 2};
   std::atomic<int64_t> ListedAt{INT64_MIN / 2};
+  /// All that the service held up to this revision is known. Written on the
+  /// strand of the follower.
+  std::atomic<uint64_t> CompleteTo{0};
   /// This process has read the whole service itself.
   std::atomic<bool> HasReadAll{false};
 
@@ -131,6 +135,7 @@
   bool isConfirmed(TimePoint now) const;
   /// Call it after what the service held then is in the catalog.
   void knowAllUpTo(TimePoint at);
+  void completeTo(uint64_t revision);
   /// This entry is announced, as far as the catalog knows.
   bool isListed() const;
   direct::SourceStanding standing() const;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -80,10 +80,16 @@
   const auto *wanted = std::get_if<direct::RecordsWanted>(&message);
   if (!wanted)
     return direct::Received{};
-  int64_t now = monotonicNow().time_since_epoch().count();
-  return direct::RecordsFound{State.Catalog.recordsSince(wanted->Revision),
-                              now - State.ConfirmedAt.load(),
-                              now - State.KnownAt.load()};
+  TimePoint now = monotonicNow();
+  int64_t nowUs = now.time_since_epoch().count();
+  direct::RecordsFound out;
+  out.Records = State.Catalog.recordsSince(wanted->Revision);
+  out.ConfirmedAgo = nowUs - State.ConfirmedAt.load();
+  out.KnownAgo = nowUs - State.KnownAt.load();
+  out.CompleteTo = State.CompleteTo;
+  out.ForgottenTo = State.Catalog.forgottenTo();
+  out.GraceLeft = State.Catalog.graceLeft(now).count();
+  return out;
 }
 
 void PeerExchange::remember(TimePoint now) {
@@ -142,10 +148,16 @@
 }
 
 void PeerExchange::ask(const Endpoint &peer) {
-  post(peer, direct::RecordsWanted{State.Catalog.revision()},
-       [this, askedAt = monotonicNow()](const direct::PeerMessage &reply) {
+  // A process that has not read the service itself can't claim to know all of
+  // it, whatever it is told, and asks for news alone.
+  uint64_t newerThan = State.CompleteTo;
+  if (newerThan == 0)
+    newerThan = State.Catalog.revision();
+  post(peer, direct::RecordsWanted{newerThan},
+       [this, newerThan,
+        askedAt = monotonicNow()](const direct::PeerMessage &reply) {
          if (const auto *found = std::get_if<direct::RecordsFound>(&reply))
-           Hooks.Records(*found, askedAt);
+           Hooks.Records(*found, newerThan, askedAt);
        });
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -16,8 +16,11 @@
 
 /// Called on the strand.
 struct PeerHooks {
-  /// What another entry knows; its times count from when it was asked.
-  std::function<void(const direct::RecordsFound &, TimePoint askedAt)> Records;
+  /// What another entry knows that is newer than the revision; its times count
+  /// from when it was asked.
+  std::function<void(const direct::RecordsFound &, uint64_t newerThan,
+                     TimePoint askedAt)>
+      Records;
   /// ServersLoading or ServerLoaded.
   std::function<void(const direct::PeerMessage &)> Weights;
 };
@@ -33,6 +36,8 @@
   /// Asks a few entries for news while the service is away. Call several times
   /// a second.
   void onTimer(bool serviceIsReachable, TimePoint now);
+  /// Asks one entry for what is newer than this one knows.
+  void ask(const Endpoint &peer);
   /// Asked while no entry is known.
   void setSeeds(std::vector<Endpoint> seeds);
   /// Tells every entry.
@@ -44,7 +49,6 @@
 private:
   void answer(std::string_view body, net::HttpExchange &exchange);
   direct::PeerMessage reply(const direct::PeerMessage &message);
-  void ask(const Endpoint &peer);
   void remember(TimePoint now);
   std::vector<Endpoint> others() const;
   void post(const Endpoint &peer, const direct::PeerMessage &message,
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -30,6 +30,7 @@
       Changed(std::move(changed)), Timer(On) {}
 
 void StoreFollower::start() {
+  State.Counts.StoreWatched.set(1);
   boost::asio::post(On, [self = shared_from_this()] { self->readAll(); });
 }
 
@@ -72,7 +73,7 @@
   confirm(now);
   State.Catalog.applyAll(records, result.Header.Revision, now);
   HasAll = true;
-  WatchedTo = result.Header.Revision;
+  State.completeTo(result.Header.Revision);
   Changed();
   State.knowAllUpTo(askedAt);
   State.HasReadAll = true;
@@ -106,8 +107,8 @@
       self.onEnded(header, compactRevision);
     });
   };
-  StopWatch =
-      Store.Watch("", edge::prefixEnd(""), WatchedTo + 1, std::move(hooks));
+  StopWatch = Store.Watch("", edge::prefixEnd(""), State.CompleteTo + 1,
+                          std::move(hooks));
 }
 
 void StoreFollower::onChanged(const edge::KvHeader &header,
@@ -119,11 +120,11 @@
     records.push_back(recordOf(change.Entry, change.Deleted));
   TimePoint now = monotonicNow();
   confirm(now);
-  WatchedTo = std::max(WatchedTo, header.Revision);
   if (!records.empty()) {
     State.Catalog.apply(records, now);
     Changed();
   }
+  State.completeTo(header.Revision);
   State.knowAllUpTo(askedAfter);
 }
 
@@ -133,7 +134,7 @@
   // Lost history is no failure of the service: everything is read anew.
   if (compactRevision > 0) {
     State.Log.write(LogWeight::Notable, "service_history_lost",
-                    {{"watched_to", WatchedTo}}, monotonicNow());
+                    {{"complete_to", State.CompleteTo.load()}}, monotonicNow());
     HasAll = false;
     return readAll();
   }
@@ -159,9 +160,10 @@
   if (std::exchange(IsReachable, false)) {
     State.Counts.StoreReachable.set(0);
     State.Catalog.onStoreLost();
-    State.Log.write(LogWeight::Notable, "service_lost",
-                    {{"reason", reason.Detail}, {"watched_to", WatchedTo}},
-                    now);
+    State.Log.write(
+        LogWeight::Notable, "service_lost",
+        {{"reason", reason.Detail}, {"complete_to", State.CompleteTo.load()}},
+        now);
   }
   retryLater();
 }
@@ -184,6 +186,26 @@
   });
 }
 
+void StoreFollower::setWatching(bool isWatching) {
+  if (isWatching == !IsResting || IsStopped)
+    return;
+  if (isWatching) {
+    IsResting = false;
+    State.Counts.StoreWatched.set(1);
+    State.Log.write(LogWeight::Notable, "service_watched",
+                    {{"complete_to", State.CompleteTo.load()}}, monotonicNow());
+    return watch();
+  }
+  if (!IsReachable || !StopWatch)
+    return;
+  IsResting = true;
+  State.Counts.StoreWatched.set(0);
+  ++Epoch;
+  std::exchange(StopWatch, nullptr)();
+  State.Log.write(LogWeight::Notable, "service_left_to_readers",
+                  {{"complete_to", State.CompleteTo.load()}}, monotonicNow());
+}
+
 void StoreFollower::merge(const std::vector<direct::StoreRecord> &records) {
   State.Catalog.apply(records, monotonicNow());
   Changed();
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -35,6 +35,9 @@
   void stop();
   /// Records from another entry; on the strand.
   void merge(const std::vector<direct::StoreRecord> &records);
+  /// Whether this entry is to watch the service itself, or others tell it; on
+  /// the strand. Without effect until the service has answered.
+  void setWatching(bool isWatching);
   bool isReachable() const { return IsReachable; }
 
 private:
@@ -58,11 +61,11 @@
   boost::asio::steady_timer Timer;
   edge::KvCancel StopWatch;
   uint64_t Epoch = 0; ///< Answers to calls of an earlier one are dropped.
-  uint64_t WatchedTo = 0;
   bool HasAll = false;
   bool IsReachable = false;
   bool WasReachable = false;
   bool IsStopped = false;
+  bool IsResting = false; ///< Others tell what the service holds.
   uint32_t Failures = 0;
 };
 
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -153,6 +153,47 @@
   EXPECT_EQ(second.revision(), first.revision());
 }
 
+/// An entry that was cut off heard from one that had just started: of a server
+/// that had gone in between it never heard.
+TEST(CatalogKeeper, TellsUpToWhereDeletionsMayBeMissing) {
+  CatalogKeeper keeper({}, textHooks());
+  EXPECT_EQ(keeper.forgottenTo(), 0);
+  keeper.applyAll({put("server:a", "1", 5)}, 20, Start);
+  EXPECT_EQ(keeper.forgottenTo(), 20) << "what went before was not read";
+  keeper.apply({gone("server:a", 25)}, Start);
+  EXPECT_EQ(keeper.forgottenTo(), 20);
+  std::vector<StoreRecord> many;
+  for (uint64_t i = 0; i < 5000; ++i) {
+    many.push_back(put("server:" + std::to_string(i), "1", 30));
+    many.push_back(gone("server:" + std::to_string(i), 100 + i));
+  }
+  keeper.apply(many, Start);
+  EXPECT_GT(keeper.forgottenTo(), 25);
+  EXPECT_LT(keeper.forgottenTo(), 5099);
+}
+
+/// An entry that others tell what the service holds may miss an outage that
+/// they saw; the records that lapsed in it are told to it as gone.
+TEST(CatalogKeeper, KeepsServersThatLapsedInAnOutageThatOthersSaw) {
+  CatalogSettings settings;
+  CatalogKeeper reader(settings, textHooks());
+  reader.apply({put("server:a", "1", 5)}, Start);
+  CatalogKeeper keeper(settings, textHooks());
+  keeper.apply(reader.recordsSince(0), Start);
+  EXPECT_EQ(reader.graceLeft(Start), Duration(0));
+  reader.onStoreLost();
+  EXPECT_EQ(reader.graceLeft(Start + 1s), settings.LapseGrace);
+  reader.onStoreBack(Start + 3s);
+  EXPECT_EQ(reader.graceLeft(Start + 4s), settings.LapseGrace - 1s);
+  keeper.onGraceTold(reader.graceLeft(Start + 4s), Start + 4s);
+  keeper.apply({gone("server:a", 9)}, Start + 4s);
+  EXPECT_EQ(keeper.view()->AllServers.size(), 1);
+  keeper.onTimer(Start + 3s + settings.LapseGrace);
+  EXPECT_TRUE(keeper.view()->AllServers.empty());
+  keeper.onGraceTold(Duration(0), Start + 9s);
+  EXPECT_EQ(keeper.graceLeft(Start + 9s), Duration(0));
+}
+
 /// Records may come in any order, repeated, from anywhere: what is believed in
 /// the end depends on the newest record of each key alone.
 RC_GTEST_PROP(CatalogKeeper, ConvergesWhateverTheOrder, ()) {
--- /dev/null
+++ b/tests/direct/follow_plan_test.cpp
@@ -0,0 +1,135 @@
+/// The load: every entry of a large fleet watched the key-value service, so
+/// that each change of a server or an entry cost as many calls as there are
+/// entries; calls were among the dearest parts of a day. Here the choice of the
+/// few that read, and when an entry leaves the service to them; what an entry
+/// then knows is tested in a world of entries in retirement_test.cpp.
+#include "direct/follow_plan.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace daisytack::direct {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint Start{Duration(1'000'000'000)};
+
+EntryPeer entry(int i, const std::string &domain) {
+  return {"e" + std::to_string(i), {"10.0.0." + std::to_string(i), 80}, domain};
+}
+
+Catalog fleet(int entries, int domains) {
+  Catalog out;
+  for (int i = 0; i < entries; ++i)
+    out.Entries.push_back(entry(i, "d" + std::to_string(i % domains)));
+  return out;
+}
+
+TEST(Readers, AreTwoAtLeastAndOneForEachSoMany) {
+  FollowSettings settings;
+  EXPECT_EQ(readersOf(fleet(1, 1), "d0", settings).size(), 1);
+  EXPECT_EQ(readersOf(fleet(3, 1), "d0", settings).size(), 2);
+  EXPECT_EQ(readersOf(fleet(64, 1), "d0", settings).size(), 4);
+  EXPECT_EQ(readersOf(fleet(65, 1), "d0", settings).size(), 5);
+  EXPECT_EQ(readersOf(fleet(30, 3), "d1", settings).size(), 2);
+  EXPECT_TRUE(readersOf(fleet(30, 3), "other", settings).empty());
+  settings.EntriesPerReader = 0;
+  EXPECT_EQ(readersOf(fleet(30, 3), "d1", settings).size(), 10);
+}
+
+RC_GTEST_PROP(Readers, OneThatLeavesChangesFewOthers, ()) {
+  FollowSettings settings;
+  Catalog all = fleet(*rc::gen::inRange(3, 60), 1);
+  std::vector<Endpoint> before = readersOf(all, "d0", settings);
+  auto gone = *rc::gen::inRange<size_t>(0, all.Entries.size());
+  Endpoint left = all.Entries[gone].Peer;
+  all.Entries.erase(all.Entries.begin() + static_cast<std::ptrdiff_t>(gone));
+  std::vector<Endpoint> after = readersOf(all, "d0", settings);
+  for (const Endpoint &it : before)
+    if (it != left && after.size() == before.size())
+      RC_ASSERT(std::find(after.begin(), after.end(), it) != after.end());
+}
+
+/// One follower among twenty entries of its failure domain, asked every 100 ms.
+class FollowPlanTest : public testing::Test {
+protected:
+  FollowPlanTest() : Fleet(fleet(20, 1)) {
+    std::vector<Endpoint> readers = readersOf(Fleet, "d0", Settings);
+    for (const EntryPeer &it : Fleet.Entries)
+      if (std::find(readers.begin(), readers.end(), it.Peer) == readers.end())
+        Own = it;
+    Readers = readers;
+  }
+  /// Whether it watches the service at the end; its readers answer from
+  /// knowledge of that age.
+  bool pass(FollowPlan &plan, Duration time, std::optional<Duration> age) {
+    bool out = true;
+    for (TimePoint end = Now + time; Now < end; Now += 100ms) {
+      FollowStep step = plan.next(Fleet, Now);
+      out = step.WatchesService;
+      if (!step.Ask)
+        continue;
+      Asked.push_back(*step.Ask);
+      if (age)
+        plan.onAnswer(Now - *age, Now);
+    }
+    return out;
+  }
+
+  FollowSettings Settings;
+  Catalog Fleet;
+  std::vector<Endpoint> Readers;
+  EntryPeer Own;
+  TimePoint Now = Start;
+  std::vector<Endpoint> Asked;
+};
+
+TEST_F(FollowPlanTest, LeavesTheServiceToReadersThatAnswerInTime) {
+  FollowPlan plan(Settings, Own);
+  EXPECT_TRUE(pass(plan, Settings.SettleTime, 1s)) << "too soon";
+  EXPECT_FALSE(pass(plan, 1s, 1s));
+  for (const Endpoint &it : Readers)
+    EXPECT_NE(std::find(Asked.begin(), Asked.end(), it), Asked.end());
+  EXPECT_EQ(Asked.size(), 7) << "in two seconds, 300 ms apart";
+}
+
+TEST_F(FollowPlanTest, WatchesAgainWhenNoReaderAnswers) {
+  FollowPlan plan(Settings, Own);
+  ASSERT_FALSE(pass(plan, 3s, 1s));
+  EXPECT_FALSE(pass(plan, 500ms, std::nullopt)) << "one answer is late";
+  EXPECT_TRUE(pass(plan, Settings.SilentAfter, std::nullopt));
+  EXPECT_FALSE(pass(plan, 2s, 1s));
+}
+
+TEST_F(FollowPlanTest, WatchesAgainWhenReadersLieBehind) {
+  FollowPlan plan(Settings, Own);
+  ASSERT_FALSE(pass(plan, 3s, 1s));
+  EXPECT_TRUE(pass(plan, 2s, Settings.OldAfter + 100ms));
+}
+
+TEST_F(FollowPlanTest, AReaderTheHolderAndWhoIsNotAnnouncedWatch) {
+  FollowPlan plan(Settings, Own);
+  ASSERT_FALSE(pass(plan, 3s, 1s));
+  Fleet.Holder = Own.Name;
+  EXPECT_EQ(plan.next(Fleet, Now), FollowStep{});
+  Fleet.Holder.clear();
+  std::erase(Fleet.Entries, Own);
+  EXPECT_EQ(plan.next(Fleet, Now), FollowStep{});
+  auto reader =
+      std::find_if(Fleet.Entries.begin(), Fleet.Entries.end(),
+                   [&](const EntryPeer &it) { return it.Peer == Readers[0]; });
+  ASSERT_NE(reader, Fleet.Entries.end());
+  EXPECT_EQ(FollowPlan(Settings, *reader).next(Fleet, Now), FollowStep{});
+}
+
+TEST_F(FollowPlanTest, WithoutASecondEntryEachReadsForItself) {
+  Fleet = fleet(2, 2);
+  FollowPlan plan(Settings, Fleet.Entries[0]);
+  EXPECT_EQ(plan.next(Fleet, Now), FollowStep{});
+}
+
+} // namespace
+} // namespace daisytack::direct
--- a/tests/direct/retirement_service.cpp
+++ b/tests/direct/retirement_service.cpp
@@ -3,6 +3,18 @@
 
 namespace daisytack::direct::test {
 
+void ModelService::note(const StoreRecord &record) {
+  History.push_back(record);
+  ChangedAt.push_back(Now);
+}
+
+std::optional<TimePoint> ModelService::changedAfter(uint64_t revision) const {
+  for (size_t i = 0; i < History.size(); ++i)
+    if (History[i].Revision > revision)
+      return ChangedAt[i];
+  return std::nullopt;
+}
+
 uint64_t ModelService::put(const std::string &key, const std::string &value,
                            std::optional<TimePoint> leaseUntil) {
   Item &item = Items[key];
@@ -11,14 +23,14 @@
     item.Created = Revision;
   item.Record = {key, value, Revision, false};
   item.LeaseUntil = leaseUntil;
-  History.push_back(item.Record);
+  note(item.Record);
   return Revision;
 }
 
 void ModelService::remove(const std::string &key) {
   if (Items.erase(key) == 0)
     return;
-  History.push_back({key, "", ++Revision, true});
+  note({key, "", ++Revision, true});
 }
 
 bool ModelService::keep(const std::string &key, uint64_t created,
@@ -64,4 +76,17 @@
   return out;
 }
 
+std::map<std::string, uint64_t> ModelService::keysAt(uint64_t revision) const {
+  std::map<std::string, uint64_t> out;
+  for (const StoreRecord &record : History) {
+    if (record.Revision > revision)
+      break;
+    if (record.IsDeleted)
+      out.erase(record.Key);
+    else
+      out[record.Key] = record.Revision;
+  }
+  return out;
+}
+
 } // namespace daisytack::direct::test
--- a/tests/direct/retirement_test.cpp
+++ b/tests/direct/retirement_test.cpp
@@ -130,5 +130,54 @@
   RC_ASSERT(firstOf(world.broken()) == "");
 }
 
+/// The load: every entry of a fleet watched the service, so that each change
+/// cost a call of each entry. A few of them read for the others now.
+TEST(Followers, AFewEntriesReadTheServiceForAll) {
+  constexpr size_t Entries = 16;
+  RetirementWorld world(Entries, randomFrom(3));
+  world.pass(10s);
+  world.takeCallers();
+  world.nameWeights();
+  world.pass(20s);
+  EXPECT_LE(world.takeCallers(), 2) << "a reader, and the holder";
+  EXPECT_EQ(world.upToDate(), Entries);
+}
+
+/// Readers are killed one after the other; nobody is late for longer than the
+/// bound on a configuration.
+TEST(Followers, LearnAChangeInTimeThoughReadersAreKilled) {
+  constexpr size_t Entries = 8;
+  constexpr Duration Bound = 4s;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    RetirementWorld world(Entries, randomFrom(seed));
+    world.pass(10s);
+    for (size_t i = 0; i < Entries; ++i) {
+      world.kill(i, 60s, false);
+      world.nameWeights();
+      world.pass(Bound);
+      EXPECT_LE(world.longestBehind(), Bound) << "seed " << seed;
+    }
+  }
+}
+
+/// What an entry may refuse for good, name, or give orders on rests on its
+/// claim to know all that the service held up to a revision.
+RC_GTEST_PROP(Followers, NeverClaimToKnowWhatTheyDoNot, ()) {
+  constexpr size_t Entries = 6;
+  RetirementWorld world(Entries, randomFrom(*rc::gen::arbitrary<uint64_t>()));
+  world.pass(100ms * *rc::gen::inRange(1, 100));
+  auto n = *rc::gen::inRange(1, 30);
+  for (int i = 0; i < n; ++i) {
+    disturb(world, Entries);
+    world.pass(100ms * *rc::gen::inRange(0, 40));
+    RC_ASSERT(world.wrongClaim() == "");
+  }
+  world.nameWeights();
+  world.heal();
+  world.pass(15s);
+  RC_ASSERT(world.wrongClaim() == "");
+  RC_ASSERT(world.longestBehind() <= 4s);
+}
+
 } // namespace
 } // namespace daisytack::direct::test
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -53,6 +53,13 @@
 
 } // namespace
 
+/// One reader, so that even three entries have followers.
+FollowSettings worldReaders() {
+  FollowSettings out;
+  out.LeastReaders = 1;
+  return out;
+}
+
 CatalogHooks worldHooks() {
   CatalogHooks out;
   auto subjectOf = [](std::string_view key) -> FactSubject {
@@ -103,7 +110,8 @@
 ModelEntry::ModelEntry(std::string name, Endpoint address, TimePoint now)
     : Name(std::move(name)), Address(std::move(address)),
       Catalog({}, worldHooks()), Kept({}), Agreement({}, Address),
-      NextRenewal(now), NextAsk(now), NextFree(now), NextPeer(now) {}
+      Following(worldReaders(), {Name, Address}), NextRenewal(now),
+      NextAsk(now), NextFree(now), NextPeer(now) {}
 
 RetirementWorld::RetirementWorld(size_t entries,
                                  std::function<uint64_t()> random)
@@ -169,6 +177,7 @@
   TimePoint end = Now + time;
   while (Now < end) {
     Now = Now + Tick;
+    Service.setNow(Now);
     Service.lapse(Now);
     while (!Events.empty() && Events.begin()->first <= Now) {
       auto what = std::move(Events.begin()->second);
@@ -184,7 +193,9 @@
 
 void RetirementWorld::step(const EntryPtr &entry) {
   entry->Catalog.onTimer(Now);
-  follow(entry);
+  FollowStep following = entry->Following.next(*entry->Catalog.view(), Now);
+  follow(entry, following);
+  watch(entry);
   renew(entry);
   askPeer(entry);
   if (!entry->HasAll && entry->Catalog.revision() == 0)
@@ -201,10 +212,20 @@
   entry.Agreement.onCatalog(*entry.Catalog.view(), Now);
 }
 
-void RetirementWorld::follow(const EntryPtr &entry) {
-  if (entry->IsAsking || Now < entry->NextAsk)
+void RetirementWorld::follow(const EntryPtr &entry, const FollowStep &step) {
+  entry->IsResting = !step.WatchesService && entry->HasAll;
+  if (!step.Ask)
+    return;
+  if (EntryPtr peer = byAddress(*step.Ask))
+    ask(entry, peer);
+}
+
+void RetirementWorld::watch(const EntryPtr &entry) {
+  if (entry->IsAsking || entry->IsResting || Now < entry->NextAsk)
     return;
   entry->IsAsking = true;
+  ++ReadCalls;
+  Callers.insert(entry->Name);
   TimePoint askedAt = Now;
   if (isCutFromService(entry))
     return deliver(entry, Now + WatchWait, [this](ModelEntry &self) {
@@ -213,7 +234,7 @@
     });
   bool isFirst = !entry->HasAll;
   ModelService::Answer answer =
-      isFirst ? Service.readAll() : Service.since(entry->WatchedTo);
+      isFirst ? Service.readAll() : Service.since(entry->CompleteTo);
   deliver(entry, Now + ServiceDelay,
           [this, answer, isFirst, askedAt](ModelEntry &self) {
             self.IsAsking = false;
@@ -223,7 +244,8 @@
             else
               self.Catalog.apply(answer.Records, Now);
             self.HasAll = true;
-            self.WatchedTo = answer.Revision;
+            self.CompleteTo = std::max(self.CompleteTo, answer.Revision);
+            self.ConfirmedAt = Now;
             onCatalog(self);
             know(self, askedAt);
             self.HasReadAll = true;
@@ -263,18 +285,30 @@
   if (!isCutFromService(entry) || Now < entry->NextPeer)
     return;
   entry->NextPeer = Now + Duration(400'000);
-  EntryPtr peer = Entries[pick(Entries.size())];
-  if (!peer || peer == entry || isCutFromPeers(entry) || isCutFromPeers(peer))
+  if (EntryPtr peer = Entries[pick(Entries.size())])
+    ask(entry, peer);
+}
+
+void RetirementWorld::ask(const EntryPtr &entry, const EntryPtr &peer) {
+  if (peer == entry || isCutFromPeers(entry) || isCutFromPeers(peer))
     return;
-  uint64_t revision = entry->Catalog.revision();
+  uint64_t revision = entry->CompleteTo;
   TimePoint askedAt = Now;
   deliver(peer, Now + PeerDelay, [=, this](ModelEntry &other) {
     auto records = other.Catalog.recordsSince(revision);
+    uint64_t completeTo = other.CompleteTo;
+    uint64_t forgottenTo = other.Catalog.forgottenTo();
     Duration knownAgo = Now - other.KnownAt;
+    Duration confirmedAgo = Now - other.ConfirmedAt;
     deliver(entry, Now + PeerDelay, [=, this](ModelEntry &self) {
       self.Catalog.apply(records, Now);
       onCatalog(self);
+      if (revision < forgottenTo)
+        return;
+      self.CompleteTo = std::max(self.CompleteTo, completeTo);
       know(self, askedAt - knownAgo);
+      self.ConfirmedAt = std::max(self.ConfirmedAt, askedAt - confirmedAgo);
+      self.Following.onAnswer(askedAt - confirmedAgo, Now);
     });
   });
 }
@@ -313,6 +347,56 @@
   });
 }
 
+std::string RetirementWorld::wrongClaim() const {
+  for (const EntryPtr &entry : Entries) {
+    if (!entry)
+      continue;
+    std::map<std::string, StoreRecord> known;
+    for (const StoreRecord &it : entry->Catalog.recordsSince(0))
+      known[it.Key] = it;
+    std::map<std::string, uint64_t> truth = Service.keysAt(entry->CompleteTo);
+    for (const auto &[key, revision] : truth)
+      if (known[key].Revision < revision)
+        return entry->Name + " lacks " + key;
+    for (const auto &[key, record] : known) {
+      bool isClaimed =
+          !record.IsDeleted && record.Revision <= entry->CompleteTo;
+      if (isClaimed && !truth.contains(key))
+        return entry->Name + " still has " + key;
+    }
+  }
+  return {};
+}
+
+size_t RetirementWorld::upToDate() const {
+  return static_cast<size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [&](const EntryPtr &it) {
+        return it && it->CompleteTo == Service.revision();
+      }));
+}
+
+Duration RetirementWorld::longestBehind() const {
+  Duration out{0};
+  for (const EntryPtr &it : Entries) {
+    if (!it)
+      continue;
+    auto since = Service.changedAfter(it->CompleteTo);
+    if (since)
+      out = std::max<Duration>(out, Now - *since);
+  }
+  return out;
+}
+
+void RetirementWorld::heal() {
+  for (Machine &it : Machines)
+    it = {};
+  for (const EntryPtr &it : Entries)
+    if (it)
+      it->FrozenUntil = Now;
+  ServiceDelay = Duration(10'000);
+  PeerDelay = Duration(5'000);
+}
+
 void RetirementWorld::know(ModelEntry &entry, TimePoint at) {
   if (at <= entry.KnownAt)
     return;
--- a/tests/direct/retirement_world.h
+++ b/tests/direct/retirement_world.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "direct/catalog.h"
+#include "direct/follow_plan.h"
 #include "direct/kept_context.h"
 #include "direct/retirement.h"
 
@@ -42,6 +43,13 @@
   uint64_t createdOf(const std::string &key) const;
   Answer readAll() const;
   Answer since(uint64_t revision) const;
+  /// All keys as they were at the revision.
+  std::map<std::string, uint64_t> keysAt(uint64_t revision) const;
+  uint64_t revision() const { return Revision; }
+  /// When the first change after the revision was made.
+  std::optional<TimePoint> changedAfter(uint64_t revision) const;
+  /// For the times of changes.
+  void setNow(TimePoint now) { Now = now; }
 
 private:
   struct Item {
@@ -50,7 +58,10 @@
     std::optional<TimePoint> LeaseUntil;
   };
   std::map<std::string, Item> Items;
+  void note(const StoreRecord &record);
   std::vector<StoreRecord> History;
+  std::vector<TimePoint> ChangedAt; ///< Of each of them.
+  TimePoint Now;
   uint64_t Revision = 0;
 };
 
@@ -65,11 +76,14 @@
   CatalogKeeper Catalog;
   KeptContext Kept;
   RetirementAgreement Agreement;
+  FollowPlan Following;
+  bool IsResting = false; ///< Readers tell it what the service holds.
+  TimePoint ConfirmedAt{Duration(INT64_MIN / 2)};
   bool HasAll = false;     ///< Of what it follows.
   bool HasReadAll = false; ///< Ever.
   TimePoint KnownAt{Duration(INT64_MIN / 2)};
   TimePoint ListedAt{Duration(INT64_MIN / 2)};
-  uint64_t WatchedTo = 0;
+  uint64_t CompleteTo = 0;
   bool IsAsking = false;
   uint64_t Announced = 0; ///< Creation revision of its key; 0: none.
   uint64_t Token = 0;     ///< As the holder.
@@ -111,6 +125,19 @@
   const std::vector<std::string> &broken() const { return Broken; }
   size_t freed() const { return Freed; }
   size_t fetches() const { return Fetches; }
+  /// Calls to the service for what it holds, and how many entries have made
+  /// any since the last look.
+  size_t readCalls() const { return ReadCalls; }
+  size_t takeCallers() { return std::exchange(Callers, {}).size(); }
+  /// Where an entry claims to know all up to a revision and does not; empty
+  /// when all is well.
+  std::string wrongClaim() const;
+  /// Entries that know all that the service holds.
+  size_t upToDate() const;
+  /// How old the oldest change is that an entry which runs does not know.
+  Duration longestBehind() const;
+  /// Ends every cut, freeze and delay.
+  void heal();
   /// Of these, by entries that are not announced any more.
   size_t unlistedFetches() const { return UnlistedFetches; }
   TimePoint now() const { return Now; }
@@ -138,10 +165,13 @@
                std::function<void(ModelEntry &)> what);
   void start(size_t index, const std::string &name, Endpoint address);
   void step(const EntryPtr &entry);
-  void follow(const EntryPtr &entry);
+  void watch(const EntryPtr &entry);
   void renew(const EntryPtr &entry);
   void seekHolder(const EntryPtr &entry);
   void askPeer(const EntryPtr &entry);
+  /// Leaves the service to readers, or asks one of them.
+  void follow(const EntryPtr &entry, const FollowStep &step);
+  void ask(const EntryPtr &entry, const EntryPtr &peer);
   void giveOrders(const EntryPtr &entry);
   void tell(const EntryPtr &entry, const TellEntry &what);
   /// Without a value: removes the key.
@@ -190,6 +220,8 @@
   size_t Freed = 0;
   size_t Fetches = 0;
   size_t UnlistedFetches = 0;
+  size_t ReadCalls = 0;
+  std::set<std::string> Callers;
 };
 
 } // namespace daisytack::direct::test
--- /dev/null
+++ b/tests/gateway/follow_test.cpp
@@ -0,0 +1,85 @@
+/// Entries of one failure domain that leave the key-value service to a few of
+/// them: what callers are answered must not depend on who reads it.
+#include "gateway/gateway_fixture.h"
+
+#include "direct/follow_plan.h"
+
+#include <algorithm>
+
+namespace daisytack::gateway {
+namespace {
+
+class FollowTest : public GatewayTest {
+protected:
+  static constexpr size_t Fleet = 5;
+
+  void startFleet() {
+    Store.put("op/config", configText("\"k1\",\"k2\""));
+    for (size_t i = 0; i < Fleet; ++i)
+      start("e" + std::to_string(i), Store.address());
+    for (auto &entry : Entries)
+      ASSERT_TRUE(waitReady(*entry));
+  }
+  bool isWatching(const Entry &entry) {
+    std::string text =
+        fetch(entry.Options.Metrics, request("/metrics")).Response.Body;
+    return text.find("daisytack_service_watched 0") == std::string::npos;
+  }
+  /// All but two readers, and the holder of the right to give orders.
+  bool isLeftToReaders() {
+    Store.passTime();
+    return std::count_if(Entries.begin(), Entries.end(),
+                         [&](auto &entry) { return isWatching(*entry); }) <= 3;
+  }
+  std::vector<Endpoint> readers() {
+    direct::Catalog catalog;
+    for (auto &entry : Entries)
+      catalog.Entries.push_back(
+          {entry->Options.Name, entry->Options.Peers, "d1"});
+    return direct::readersOf(catalog, "d1", {});
+  }
+  bool allAnswer(const std::string &key, unsigned status) {
+    Store.passTime();
+    return std::all_of(Entries.begin(), Entries.end(), [&](auto &entry) {
+      return statusOf(*entry, request("/call/x", "r", key)) == status;
+    });
+  }
+};
+
+TEST_F(FollowTest, EntriesThatDoNotWatchHearOfARevokedKey) {
+  test::StandInServer &server =
+      standIn([](const HttpRequest &what, const ExchangePtr &to) {
+        to->respond(test::signedAnswer(what));
+      });
+  serve("i-1", server);
+  startFleet();
+  ASSERT_TRUE(eventually([&] { return isLeftToReaders(); }));
+  Store.put("op/config", configText("\"k2\"", 2));
+  EXPECT_TRUE(eventually([&] { return allAnswer("k1", 401); }));
+  EXPECT_TRUE(allAnswer("k2", 200));
+  Threads.stop(); // Handlers use what ends here.
+}
+
+TEST_F(FollowTest, EntriesWatchAgainWhenTheirReadersStop) {
+  startFleet();
+  ASSERT_TRUE(eventually([&] { return isLeftToReaders(); }));
+  std::vector<Endpoint> stopped = readers();
+  for (auto &entry : Entries)
+    if (std::find(stopped.begin(), stopped.end(), entry->Options.Peers) !=
+        stopped.end())
+      entry->Daemon.drain(TimePoint::max(), [](bool) {});
+  Store.put("op/config", configText("\"k2\"", 2));
+  EXPECT_TRUE(eventually([&] {
+    Store.passTime();
+    return std::all_of(Entries.begin(), Entries.end(), [&](auto &entry) {
+      bool isStopped = std::find(stopped.begin(), stopped.end(),
+                                 entry->Options.Peers) != stopped.end();
+      return isStopped ||
+             statusOf(*entry, request("/call/x", "r", "k1")) == 401;
+    });
+  }));
+  Threads.stop(); // Handlers use what ends here.
+}
+
+} // namespace
+} // namespace daisytack::gateway
--- a/tests/gateway/stand_in.h
+++ b/tests/gateway/stand_in.h
@@ -48,6 +48,15 @@
     removeLocked(key);
     wakeLocked();
   }
+  /// Answers all calls that wait for news without any, as a service does from
+  /// time to time; returns how many waited.
+  size_t passTime() {
+    std::lock_guard guard(Lock);
+    for (const Waiting &wait : Waits)
+      respond(*wait.To,
+              {{"events", json::array()}, {"store-revision", Revision}});
+    return std::exchange(Waits, {}).size();
+  }
   /// 0: answers; otherwise every call gets this status at once.
   std::atomic<unsigned> Refuses{0};
   bool has(const std::string &key) {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -78,14 +78,14 @@
 class Entry:
     """A real entry process with a link of its own to the key-value service."""
 
-    def __init__(self, fleet, number, link):
-        self.name, self.fleet, self.link, self.number = f"entry-{number}", fleet, link, number
+    def __init__(self, fleet, number, domain, link):
+        self.name, self.fleet, self.link, self.domain = f"entry-{number}", fleet, link, domain
         self.ports = {it: fleet.port() for it in ("callers", "readiness", "metrics", "peers")}
         self.seeds = ""
         self.stops = []
 
     def start(self):
-        text = SETTINGS.format(name=self.name, domain=self.number % 2, store=self.link.port, seeds=self.seeds,
+        text = SETTINGS.format(name=self.name, domain=self.domain, store=self.link.port, seeds=self.seeds,
                                **self.ports)
         self.fleet.start(self.name, "daisytack-entry", "--config=" + self.fleet.write(f"{self.name}.ini", text))
 
@@ -148,6 +148,8 @@
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
         self.kv = KeyValueService()
         self.has_kept_context = seed % 4 == 2
+        # In one failure domain two entries read the key-value service for the others.
+        self.domains = 1 if seed % 5 == 0 else 2
         self.entries, self.servers, self.all_servers, self.links = [], [], [], {}
         self.stores = []
         self.sent, self.problems, self.faults = [], [], []
@@ -175,7 +177,7 @@
         for n, service in enumerate(["plain", "plain"] + ["engines"] * engines):
             await self.add_server(f"{service}{n}", service)
         for n in range(KEPT_ENTRIES if self.has_kept_context else ENTRIES):
-            self.entries.append(Entry(self.fleet, n, await Proxy(self.kv.port).start()))
+            self.entries.append(Entry(self.fleet, n, n % self.domains, await Proxy(self.kv.port).start()))
         seeds = ",".join(f"127.0.0.1:{it.ports['peers']}" for it in self.entries)
         for entry in self.entries:
             entry.seeds = seeds
