Keep what other entries have under way as one sum a server

Cause: a choice looks at every server of its service, and each look walked the last messages of all entries under a lock.

Ruled out: nothing else; the walk is the whole growth of a look with entries.

Change: a message takes its entry's earlier shares off the sums and adds the new ones; what lapses is taken off by whoever looks next, by the order of lapses. What a look says is the same: a property compares it with adding up anew, over messages that are repeated, empty, replaced and lapsed.

Still open of the aim: a choice goes through all servers, and looks through a lock.

--- /dev/null
+++ b/bench/server_loads.cpp
@@ -0,0 +1,64 @@
+/// Cost of one look at a server's load, which a choice takes once for each
+/// server of a service, and of one message of another entry, by the size of the
+/// fleet.
+#include "direct/server_loads.h"
+#include "base/clock.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace daisytack::direct {
+namespace {
+
+struct Fleet {
+  int Servers;
+  int Entries;
+};
+
+/// Busy servers that one entry tells of: what fits into a datagram.
+constexpr int SharesTold = 60;
+constexpr int Looks = 200'000;
+
+double micros(TimePoint from, int n) {
+  return static_cast<double>((monotonicNow() - from).count()) / n;
+}
+
+void measure(const Fleet &fleet) {
+  ServerLoads loads{{}};
+  TimePoint now = monotonicNow();
+  std::vector<std::string> ids;
+  for (int i = 0; i < fleet.Servers; ++i)
+    ids.push_back("server-" + std::to_string(i));
+  TimePoint start = monotonicNow();
+  for (int entry = 0; entry < fleet.Entries; ++entry) {
+    std::vector<LoadShare> shares;
+    for (int i = 0; i < std::min(SharesTold, fleet.Servers); ++i) {
+      auto at = static_cast<size_t>((entry * 31 + i) % fleet.Servers);
+      shares.push_back({ServerRef{ids[at], 0}.key(), 1, 100, 200});
+    }
+    loads.onPeer("entry-" + std::to_string(entry), shares, Duration(2'000'000),
+                 now);
+  }
+  double message = micros(start, fleet.Entries);
+  start = monotonicNow();
+  uint64_t sum = 0;
+  for (int i = 0; i < Looks; ++i)
+    sum += loads.view({ids[static_cast<size_t>(i % fleet.Servers)], 0}, now)
+               .Tokens;
+  std::printf("%6d servers %5d entries: look %.3f us, message %.1f us (%llu)\n",
+              fleet.Servers, fleet.Entries, micros(start, Looks), message,
+              static_cast<unsigned long long>(sum));
+}
+
+} // namespace
+} // namespace daisytack::direct
+
+int main() {
+  using daisytack::direct::Fleet;
+  for (const Fleet &fleet :
+       {Fleet{12, 5}, Fleet{47, 26}, Fleet{76, 68}, Fleet{300, 68},
+        Fleet{1000, 300}, Fleet{10'000, 1300}})
+    daisytack::direct::measure(fleet);
+}
--- a/src/direct/server_loads.cpp
+++ b/src/direct/server_loads.cpp
@@ -78,25 +78,59 @@
     it->second.AvoidUntil = TimePoint();
 }
 
+void ServerLoads::add(const Peer &peer) {
+  for (const LoadShare &share : peer.Shares) {
+    Sum &sum = Sums[share.Name];
+    sum.Running += share.Running;
+    sum.Tokens += share.Tokens;
+    sum.HeldTokens += share.HeldTokens;
+    ++sum.Entries;
+  }
+}
+
+void ServerLoads::remove(const std::string &entry) const {
+  auto peer = Peers.find(entry);
+  if (peer == Peers.end())
+    return;
+  for (const LoadShare &share : peer->second.Shares) {
+    auto sum = Sums.find(share.Name);
+    sum->second.Running -= share.Running;
+    sum->second.Tokens -= share.Tokens;
+    sum->second.HeldTokens -= share.HeldTokens;
+    if (--sum->second.Entries == 0)
+      Sums.erase(sum);
+  }
+  Lapses.erase({peer->second.Until, entry});
+  Peers.erase(peer);
+}
+
+void ServerLoads::dropLapsed(TimePoint now) const {
+  while (!Lapses.empty() && now >= Lapses.begin()->first) {
+    std::string entry = Lapses.begin()->second;
+    remove(entry);
+  }
+}
+
 void ServerLoads::onPeer(const std::string &entry,
                          const std::vector<LoadShare> &shares, Duration period,
                          TimePoint now) {
   std::lock_guard guard(Lock);
-  Peer &peer = Peers[entry];
-  peer.At = now;
+  remove(entry);
   Duration told =
       std::clamp(period, Duration::zero(), Settings.LongestPeerMemory);
-  peer.Until =
+  TimePoint until =
       now + std::min(told * Settings.PeerPeriods, Settings.LongestPeerMemory);
-  peer.Shares.clear();
-  for (const LoadShare &share : shares)
-    peer.Shares[share.Name] = share;
+  Peer &peer = Peers[entry];
+  peer = {until, shares};
+  Lapses.emplace(until, entry);
+  add(peer);
 }
 
 ServerLoadView ServerLoads::view(ServerRef server, TimePoint now) const {
   uint64_t name = server.key();
   ServerLoadView out;
   std::lock_guard guard(Lock);
+  dropLapsed(now);
   auto it = Servers.find(name);
   if (it != Servers.end()) {
     const State &state = it->second;
@@ -105,14 +139,12 @@
     out = {state.Running, state.Tokens, state.HeldTokens,
            isSilent || now < state.AvoidUntil};
   }
-  for (const auto &[entry, peer] : Peers) {
-    auto share = peer.Shares.find(name);
-    if (share == peer.Shares.end() || now >= peer.Until)
-      continue;
-    out.Running += share->second.Running;
-    out.Tokens += share->second.Tokens;
-    out.HeldTokens += share->second.HeldTokens;
-  }
+  auto sum = Sums.find(name);
+  if (sum == Sums.end())
+    return out;
+  out.Running += sum->second.Running;
+  out.Tokens += sum->second.Tokens;
+  out.HeldTokens += sum->second.HeldTokens;
   return out;
 }
 
@@ -131,8 +163,7 @@
   std::erase_if(Servers, [&](const auto &it) {
     return it.second.Running == 0 && it.second.LastUsed < usedBefore;
   });
-  std::erase_if(Peers,
-                [&](const auto &it) { return it.second.At < usedBefore; });
+  dropLapsed(usedBefore);
 }
 
 } // namespace daisytack::direct
--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -1,6 +1,10 @@
 /// How much work is under way at each backend server: this entry's own, and
 /// what the other entries last said of theirs. Kept apart by start: a server
 /// that starts again under its id is idle, and not avoided for what was before.
+///
+/// A choice looks at every server of a service, so what the others said is kept
+/// as one sum a server: one look costs the same whether five entries speak or a
+/// thousand.
 #pragma once
 
 #include "daisytack/types.h"
@@ -8,6 +12,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -95,15 +100,29 @@
     uint32_t Rejections = 0; ///< In a row.
   };
   struct Peer {
-    TimePoint At;
     TimePoint Until; ///< It counts.
-    std::unordered_map<uint64_t, LoadShare> Shares;
+    std::vector<LoadShare> Shares;
   };
+  /// Of all other entries that count.
+  struct Sum {
+    uint32_t Running = 0;
+    uint64_t Tokens = 0;
+    uint64_t HeldTokens = 0;
+    uint32_t Entries = 0;
+  };
+
+  void add(const Peer &peer);
+  /// Takes it off the sums.
+  void remove(const std::string &entry) const;
+  void dropLapsed(TimePoint now) const;
 
   ServerLoadSettings Settings;
   mutable std::mutex Lock;
   std::unordered_map<uint64_t, State> Servers;
-  std::unordered_map<std::string, Peer> Peers;
+  // Whoever looks first drops what has lapsed.
+  mutable std::unordered_map<std::string, Peer> Peers;
+  mutable std::unordered_map<uint64_t, Sum> Sums;
+  mutable std::set<std::pair<TimePoint, std::string>> Lapses; ///< Of peers.
 };
 
 } // namespace daisytack::direct
--- a/tests/direct/server_loads_test.cpp
+++ b/tests/direct/server_loads_test.cpp
@@ -2,6 +2,9 @@
 #include "direct/server_loads.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
 
 #include <vector>
 
@@ -38,6 +41,56 @@
   EXPECT_EQ(loads.view("a", Start + 11s).Running, 0);
 }
 
+/// What entries said last, each until it lapses, added up at each look.
+class AddedAnew {
+public:
+  void onPeer(const std::string &entry, std::vector<LoadShare> shares,
+              TimePoint until) {
+    Said[entry] = {until, std::move(shares)};
+  }
+  ServerLoadView view(uint64_t name, TimePoint now) const {
+    ServerLoadView out;
+    for (const auto &[entry, said] : Said)
+      for (const LoadShare &it : said.second)
+        if (it.Name == name && now < said.first)
+          out = {out.Running + it.Running, out.Tokens + it.Tokens,
+                 out.HeldTokens + it.HeldTokens, false};
+    return out;
+  }
+
+private:
+  std::map<std::string, std::pair<TimePoint, std::vector<LoadShare>>> Said;
+};
+
+/// The load: a thousand entries tell of thousands of servers, and each choice
+/// looks at all of these. The sums that are kept must be what adding up anew
+/// gives, whatever came in which order, was repeated or has lapsed.
+RC_GTEST_PROP(ServerLoads, SumsAreWhatAddingUpAnewGives, ()) {
+  constexpr int Servers = 4;
+  ServerLoads loads{{}};
+  AddedAnew anew;
+  TimePoint now = Start;
+  auto n = *rc::gen::inRange(1, 60);
+  for (int i = 0; i < n; ++i) {
+    now += 100ms * *rc::gen::inRange(0, 20);
+    std::string entry(1, *rc::gen::inRange('a', 'e'));
+    Duration period = 100ms * *rc::gen::inRange(0, 30);
+    std::vector<LoadShare> shares;
+    for (uint32_t server = 0; server < Servers; ++server)
+      if (*rc::gen::arbitrary<bool>())
+        shares.push_back({stableHash(std::to_string(server)),
+                          *rc::gen::inRange(0U, 9U), *rc::gen::inRange(0U, 99U),
+                          *rc::gen::inRange(0U, 99U)});
+    loads.onPeer(entry, shares, period, now);
+    Duration counts = std::min<Duration>(5 * period, 10s);
+    anew.onPeer(entry, std::move(shares), now + counts);
+    for (int server = 0; server < Servers; ++server) {
+      std::string name = std::to_string(server);
+      RC_ASSERT(loads.view({name, 0}, now) == anew.view(stableHash(name), now));
+    }
+  }
+}
+
 TEST(ServerLoads, AvoidsAServerLongerEachTimeItTurnsARequestAway) {
   ServerLoads loads{{}};
   loads.onTurnedAway("a", Start);
