Bound what a follower trusts by the setting, and keep a lease for the shortest term

An entry that others tell watched the service again after 2.3 s whatever `store.confirmed_for` says; with a shorter one it would refuse unknown keys for now only. The lease of the right to give orders came to nothing with a term of twice less than its margin.

Ruled out: nothing, these are by reading.

Change: the age is the setting less the time that a watch takes, 2.3 s at most; the lease is one term at least.

Test: the lease outlasts the last order by a term and is renewed before the holder must stop; a term of half the margin still has a lease.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -105,8 +105,8 @@
   IsFirstRead = false;
   HasReadAll = true;
   Highest = std::max(Highest, revision);
-  // Of a key that was deleted before, and that this process never knew, it
-  // can't tell one that did.
+  // Keys that were deleted before, and that this process never knew, are not
+  // among what it passes on.
   ForgottenTo = std::max(ForgottenTo, revision);
   if (changed)
     publish(now);
--- a/src/direct/follow_plan.h
+++ b/src/direct/follow_plan.h
@@ -22,8 +22,8 @@
 struct FollowSettings {
   /// One of them may fail without a call more to the service.
   size_t LeastReaders = 2;
-  /// What one reader is asked then takes a hundredth of a core. 0: every entry
-  /// reads the service itself.
+  /// A reader answers about fifty questions a second then. 0: every entry reads
+  /// the service itself.
   size_t EntriesPerReader = 16;
   /// Between two questions to readers: news is later by half of it on average.
   Duration AskInterval{300'000};
--- a/src/direct/order_right.cpp
+++ b/src/direct/order_right.cpp
@@ -1,5 +1,7 @@
 #include "direct/order_right.h"
 
+#include <algorithm>
+
 namespace daisytack::direct {
 
 swap::LeaseInit orderLease(const OrderRightSettings &settings) {
@@ -10,7 +12,8 @@
     return out;
   // The holder acts as long as under a lease of one term, and the record stays
   // for one term after its last act.
-  out.TimeToLive = 2 * settings.Term - settings.PauseMargin;
+  Duration acting = std::max(settings.Term - settings.PauseMargin, Duration(0));
+  out.TimeToLive = acting + settings.Term;
   out.PauseMargin = settings.Term;
   return out;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,6 +33,16 @@
   return out;
 }
 
+/// An entry that others tell watches the service before it could not refuse an
+/// unknown key for good any more.
+direct::FollowSettings followSettings(const GatewayOptions &options) {
+  constexpr Duration TimeToWatch{200'000};
+  direct::FollowSettings out = options.Follow;
+  out.OldAfter =
+      std::min<Duration>(out.OldAfter, options.ConfirmedFor - TimeToWatch);
+  return out;
+}
+
 direct::EntryPeer ownPeer(const GatewayOptions &options) {
   return {options.Name, options.Peers, options.FailureDomain};
 }
@@ -56,7 +66,7 @@
           EntryRecord{State.Speak.RegistrationKey(Options.Peers),
                       State.Speak.EncodeRegistration({Options.Peers})},
           Options.LeaseTerm, Log)),
-      Following(Options.Follow, ownPeer(Options)),
+      Following(followSettings(Options), ownPeer(Options)),
       Peers(std::make_shared<PeerExchange>(State, Control, peerHooks(),
                                            secureRandom)),
       PeerLoads(
--- a/tests/direct/order_right_test.cpp
+++ b/tests/direct/order_right_test.cpp
@@ -233,6 +233,22 @@
   EXPECT_LT(world.closestTurn(), 20s);
 }
 
+TEST(OrderRight, TheLeaseOutlastsTheLastOrderByATerm) {
+  OrderRightSettings settings;
+  settings.ServersCheckFence = false;
+  swap::Lease lease(orderLease(settings));
+  lease.granted(1, lease.settings().TimeToLive, TimePoint());
+  TimePoint last;
+  while (lease.mayAct(last + 10ms))
+    last += 10ms;
+  EXPECT_GT(last, TimePoint() + 1s);
+  EXPECT_GE(TimePoint() + lease.settings().TimeToLive, last + settings.Term);
+  EXPECT_LT(*lease.renewAt(), last) << "before it must stop to act";
+  settings.Term = settings.PauseMargin / 2;
+  EXPECT_EQ(orderLease(settings).TimeToLive, settings.Term)
+      << "too short to act in, but a lease";
+}
+
 TEST(OrderRight, ARecordThatNamesNoInstanceIsNotTakenOver) {
   Catalog catalog;
   catalog.Holder = "e1";
