Give the soak's own check an entry's failure domain

Ruled out: load; it fails each time by hand.

Change: the two arguments are named.

Figures: process.soak_checks fails before and passes after, by hand. No C++ differs.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -210,7 +210,7 @@
 async def signal_guard():
     """A process is sent signals only once it holds them, however long it takes to begin."""
     fleet = types.SimpleNamespace(port=lambda: 1, processes={})
-    entry = Entry(fleet, 0, None)
+    entry = Entry(fleet, 0, domain=0, link=None)
     for how in ("holds", "starts", "starts a thread"):
         process = subprocess.Popen([sys.executable, "-c", PROGRAM, how], stdout=subprocess.PIPE)
         fleet.processes[entry.name] = process
