Give reasons in comments of placement in terms of callers

Change: comments only; what first bytes took stays.

Build and the tests of the direct path, the gateway and the platform pass.

--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -32,10 +32,8 @@
   double LeastFirstTokenMs = 50;
   /// Servers that one session's prompts may go to, the first by rendezvous over
   /// all failure domains, and so many with the wanted weights. The same ones
-  /// for every entry: a home in each entry's own domain held each session's
-  /// context in three servers' memory and had links to stores carry the rest
-  /// (mean worth 0.697 with three near and two far, 0.721 with these; twelve
-  /// engines, five days, four seeds).
+  /// for every entry: a home in each entry's own domain holds each session's
+  /// context in three servers' memory, and less of all sessions' fits.
   /// Many entries that all sought the least loaded of all servers on loads some
   /// hundred milliseconds old would meet there: in half seconds, 26 entries
   /// sent single ones of 47 up to nine times the mean, and less than five
@@ -47,17 +45,14 @@
   /// busy in 15 of 16 cases, by arithmetic.
   size_t SpareCandidates = 4;
   /// What a token that is fetched counts in a queue, against one that is read.
-  /// Weighed in full it has prompts refused that would only wait for a link:
-  /// 0.02 of the mean worth of a day, of scores on two deployments.
+  /// Weighed in full it has prompts refused that would only wait for a link.
   double FetchedWeight = 0.5;
   /// Share of a server's memory that the prompts of its running requests may
   /// fill; a prompt beyond it goes to a spare server or is refused. Kept
   /// context gives way to running prompts, and what was evicted is fetched or
   /// read again, so that prompts run longer and fill more: with a quarter of
   /// twelve engines lost, first bytes took 65 ms where less than half of the
-  /// memory was held and 310 ms from 0.85 on. Mean worth with it 0.770, without
-  /// 0.750 (that day 0.76 and 0.66); 0.767 at 0.9, 0.762 at 0.75, 0.736 at 0.6
-  /// (five days, four seeds).
+  /// memory was held and 310 ms from 0.85 on.
   double MemoryShare = 0.85;
   /// Of one running request on a server, as the pace of all slows down.
   double RunningMs = 0.5;
@@ -70,11 +65,9 @@
   double CallRunningMs = 15;
   /// A server on weights that are older than wanted costs so much more, from
   /// the grace on: a fifth of the answer's value. With 400 ms the first servers
-  /// with new weights, which have all context to read anew, were asked for more
-  /// than they could read in time: days with new weights are worth 0.02 to 0.03
-  /// more with 150, and 0.01 more to 0.01 less when much else fails at the same
-  /// time (four deployments, two to four seeds). Past the limit it is used only
-  /// if there is no other.
+  /// with new weights, which have all context to read anew, are asked for more
+  /// than they can read in time. Past the limit it is used only if there is no
+  /// other.
   double OldWeightsMs = 150;
   Duration OldWeightsGrace{1'200'000};
   Duration OldWeightsLimit{11'000'000};
