Decide in one place whether another entry's knowledge is taken over

Cause: on reading the change once more, the rule by which an entry takes over another's claim to know all stood in the gateway and once more in the tests' model, not quite alike. By reading, the gateway's also looked at whether this entry had read the service when the answer came, not when it asked: an entry that read the service in between could claim what it was not told in full.

Ruled out: a flag for the first reading; the revision known when asking says it.

Change: `isWholeFor` beside the message, called by both. Whether an entry is announced is asked of the catalog, in place of two walks. Two tests of the holder share their steps; names, bounds and assertions are as they were.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -29,6 +29,12 @@
   return it == Servers.end() ? None : it->second;
 }
 
+bool Catalog::isListed(std::string_view name, const Endpoint &peer) const {
+  return std::any_of(Entries.begin(), Entries.end(), [&](const EntryPeer &it) {
+    return it.Name == name && it.Peer == peer;
+  });
+}
+
 std::optional<uint64_t> Catalog::oldestVersion() const {
   std::optional<uint64_t> out;
   auto add = [&out](const std::vector<ModelVersion> &weights) {
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -52,6 +52,8 @@
   bool IsRetiredReadable = true;
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
+  /// The entry of that name is announced at that address.
+  bool isListed(std::string_view name, const Endpoint &peer) const;
   /// The oldest version of weights that a server may still run on; nothing when
   /// no server has any.
   std::optional<uint64_t> oldestVersion() const;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -41,6 +41,13 @@
   }
 };
 
+/// Whether whoever knew all up to the revision when it asked, and takes the
+/// records, knows all that the sender knows. With 0 it had not read the service
+/// itself, so that what it was told before may have gaps.
+inline bool isWholeFor(const RecordsFound &found, uint64_t knownTo) {
+  return knownTo != 0 && knownTo >= found.ForgottenTo;
+}
+
 /// Servers that are taking new weights, or about to, and turn requests away
 /// until they have them.
 struct ServersLoading {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -99,9 +99,9 @@
 
 PeerHooks Gateway::peerHooks() {
   PeerHooks out;
-  out.Records = [this](const direct::RecordsFound &found, uint64_t newerThan,
+  out.Records = [this](const direct::RecordsFound &found, uint64_t knownTo,
                        TimePoint askedAt) {
-    onRecords(found, newerThan, askedAt);
+    onRecords(found, knownTo, askedAt);
   };
   out.Weights = [this](const direct::PeerMessage &message) {
     onWeights(message);
@@ -109,7 +109,7 @@
   return out;
 }
 
-void Gateway::onRecords(const direct::RecordsFound &found, uint64_t newerThan,
+void Gateway::onRecords(const direct::RecordsFound &found, uint64_t knownTo,
                         TimePoint askedAt) {
   TimePoint now = monotonicNow();
   TimePoint confirmedAt = askedAt - Duration(found.ConfirmedAgo);
@@ -119,8 +119,7 @@
   State.Catalog.onGraceTold(Duration(found.GraceLeft), now);
   if (!found.Records.empty())
     Follower->merge(found.Records);
-  // Without what was deleted meanwhile, or before, it is not all.
-  if (State.CompleteTo == 0 || newerThan < found.ForgottenTo)
+  if (!direct::isWholeFor(found, knownTo))
     return;
   State.completeTo(found.CompleteTo);
   State.knowAllUpTo(askedAt - Duration(found.KnownAgo));
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -199,21 +199,12 @@
   return Requests.size();
 }
 
-bool GatewayState::isListed() const {
-  auto catalog = this->catalog();
-  return std::any_of(catalog->Entries.begin(), catalog->Entries.end(),
-                     [&](const direct::EntryPeer &it) {
-                       return it.Name == Options.Name &&
-                              it.Peer == Options.Peers;
-                     });
-}
-
 void GatewayState::knowAllUpTo(TimePoint at) {
   int64_t known = at.time_since_epoch().count();
   if (known <= KnownAt.load())
     return;
   KnownAt = known;
-  if (isListed())
+  if (catalog()->isListed(Options.Name, Options.Peers))
     ListedAt = known;
 }
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -136,8 +136,6 @@
   /// Call it after what the service held then is in the catalog.
   void knowAllUpTo(TimePoint at);
   void completeTo(uint64_t revision);
-  /// This entry is announced, as far as the catalog knows.
-  bool isListed() const;
   direct::SourceStanding standing() const;
   /// The servers' clock, by which each fetch must end; nothing while this entry
   /// is to name no sources.
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -148,16 +148,14 @@
 }
 
 void PeerExchange::ask(const Endpoint &peer) {
-  // A process that has not read the service itself can't claim to know all of
-  // it, whatever it is told, and asks for news alone.
-  uint64_t newerThan = State.CompleteTo;
-  if (newerThan == 0)
-    newerThan = State.Catalog.revision();
+  uint64_t knownTo = State.CompleteTo;
+  // Until it has read the service itself it asks for news alone.
+  uint64_t newerThan = knownTo != 0 ? knownTo : State.Catalog.revision();
   post(peer, direct::RecordsWanted{newerThan},
-       [this, newerThan,
+       [this, knownTo,
         askedAt = monotonicNow()](const direct::PeerMessage &reply) {
          if (const auto *found = std::get_if<direct::RecordsFound>(&reply))
-           Hooks.Records(*found, newerThan, askedAt);
+           Hooks.Records(*found, knownTo, askedAt);
        });
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -16,9 +16,9 @@
 
 /// Called on the strand.
 struct PeerHooks {
-  /// What another entry knows that is newer than the revision; its times count
-  /// from when it was asked.
-  std::function<void(const direct::RecordsFound &, uint64_t newerThan,
+  /// What another entry knows; its times count from when it was asked, and this
+  /// entry knew all up to the revision then.
+  std::function<void(const direct::RecordsFound &, uint64_t knownTo,
                      TimePoint askedAt)>
       Records;
   /// ServersLoading or ServerLoaded.
--- a/tests/direct/catalog_fixture.h
+++ b/tests/direct/catalog_fixture.h
@@ -12,6 +12,25 @@
 
 inline const TimePoint CatalogStart{Duration(1'000'000'000)};
 
+inline FactSubject textSubject(std::string_view key) {
+  size_t colon = key.find(':');
+  std::string name(colon == std::string_view::npos ? ""
+                                                   : key.substr(colon + 1));
+  if (key.starts_with("server:"))
+    return {FactKind::Server, name};
+  if (key.starts_with("weights:"))
+    return {FactKind::Weights, name};
+  if (key.starts_with("entry:"))
+    return {FactKind::Entry, name};
+  if (key.starts_with("registered:"))
+    return {FactKind::Registration, name};
+  if (key == "holder")
+    return {FactKind::Holder, ""};
+  if (key == "retired")
+    return {FactKind::Retired, ""};
+  return {key == "config" ? FactKind::Config : FactKind::Other, ""};
+}
+
 /// "server:NAME=VERSION", with "!" at the end for one that drains, and "@OTHER"
 /// for one of the service OTHER; version 0 for one without weights; "#TIME" for
 /// one that started then.
@@ -20,24 +39,10 @@
 /// "entry:NAME"; "holder". Any value may be "bad".
 inline CatalogHooks textHooks(std::vector<std::string> *log = nullptr) {
   CatalogHooks out;
-  out.SubjectOf = [](std::string_view key) -> FactSubject {
-    size_t colon = key.find(':');
-    std::string name(colon == std::string_view::npos ? ""
-                                                     : key.substr(colon + 1));
-    if (key.starts_with("server:"))
-      return {FactKind::Server, name};
-    if (key.starts_with("weights:"))
-      return {FactKind::Weights, name};
-    if (key.starts_with("entry:"))
-      return {FactKind::Entry, name};
-    if (key == "holder")
-      return {FactKind::Holder, ""};
-    return {key == "config" ? FactKind::Config : FactKind::Other, ""};
-  };
-  out.Decode = [hooks =
-                    out.SubjectOf](const StoreRecord &record,
-                                   Error &reason) -> std::optional<FactValue> {
-    FactSubject subject = hooks(record.Key);
+  out.SubjectOf = textSubject;
+  out.Decode = [](const StoreRecord &record,
+                  Error &reason) -> std::optional<FactValue> {
+    FactSubject subject = textSubject(record.Key);
     if (record.Value == "bad") {
       reason = {ErrorKind::BadValue, "bad"};
       return std::nullopt;
--- a/tests/direct/follow_plan_test.cpp
+++ b/tests/direct/follow_plan_test.cpp
@@ -4,6 +4,7 @@
 /// few that read, and when an entry leaves the service to them; what an entry
 /// then knows is tested in a world of entries in retirement_test.cpp.
 #include "direct/follow_plan.h"
+#include "direct/peer_messages.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -53,6 +54,17 @@
       RC_ASSERT(std::find(after.begin(), after.end(), it) != after.end());
 }
 
+TEST(RecordsFound, AreWholeForWhoKnewAllSinceTheSendersFirstReading) {
+  RecordsFound found;
+  found.CompleteTo = 50;
+  found.ForgottenTo = 45;
+  EXPECT_FALSE(isWholeFor(found, 44));
+  EXPECT_TRUE(isWholeFor(found, 45));
+  found.ForgottenTo = 0;
+  EXPECT_FALSE(isWholeFor(found, 0)) << "it has read nothing itself";
+  EXPECT_TRUE(isWholeFor(found, 1));
+}
+
 /// One follower among twenty entries of its failure domain, asked every 100 ms.
 class FollowPlanTest : public testing::Test {
 protected:
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -1,5 +1,7 @@
 #include "direct/retirement_world.h"
 
+#include "direct/catalog_fixture.h"
+
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -13,7 +15,6 @@
 constexpr Duration ActTerm{2'000'000};
 constexpr Duration Renewal{900'000};
 constexpr Duration CallTimeout{700'000};
-constexpr Duration WatchWait{1'700'000};
 constexpr Duration FreeDelayMost{900'000};
 constexpr Duration FreePause{400'000};
 constexpr int PartsPerVersion = 6;
@@ -62,28 +63,10 @@
 
 CatalogHooks worldHooks() {
   CatalogHooks out;
-  auto subjectOf = [](std::string_view key) -> FactSubject {
-    size_t colon = key.find(':');
-    std::string name(colon == std::string_view::npos ? ""
-                                                     : key.substr(colon + 1));
-    if (key.starts_with("server:"))
-      return {FactKind::Server, name};
-    if (key.starts_with("weights:"))
-      return {FactKind::Weights, name};
-    if (key.starts_with("entry:"))
-      return {FactKind::Entry, name};
-    if (key == "holder")
-      return {FactKind::Holder, {}};
-    if (key.starts_with("registered:"))
-      return {FactKind::Registration, name};
-    if (key == "retired")
-      return {FactKind::Retired, {}};
-    return {};
-  };
-  out.SubjectOf = subjectOf;
-  out.Decode = [subjectOf](const StoreRecord &record,
-                           Error &) -> std::optional<FactValue> {
-    FactSubject subject = subjectOf(record.Key);
+  out.SubjectOf = textSubject;
+  out.Decode = [](const StoreRecord &record,
+                  Error &) -> std::optional<FactValue> {
+    FactSubject subject = textSubject(record.Key);
     if (subject.Kind == FactKind::Entry)
       return EntryPeer{subject.Name, endpointOf(record.Value)};
     if (subject.Kind == FactKind::Holder)
@@ -212,45 +195,6 @@
   entry.Agreement.onCatalog(*entry.Catalog.view(), Now);
 }
 
-void RetirementWorld::follow(const EntryPtr &entry, const FollowStep &step) {
-  entry->IsResting = !step.WatchesService && entry->HasAll;
-  if (!step.Ask)
-    return;
-  if (EntryPtr peer = byAddress(*step.Ask))
-    ask(entry, peer);
-}
-
-void RetirementWorld::watch(const EntryPtr &entry) {
-  if (entry->IsAsking || entry->IsResting || Now < entry->NextAsk)
-    return;
-  entry->IsAsking = true;
-  Callers.insert(entry->Name);
-  TimePoint askedAt = Now;
-  if (isCutFromService(entry))
-    return deliver(entry, Now + WatchWait, [this](ModelEntry &self) {
-      self.IsAsking = false;
-      self.NextAsk = Now + Tick;
-    });
-  bool isFirst = !entry->HasAll;
-  ModelService::Answer answer =
-      isFirst ? Service.readAll() : Service.since(entry->CompleteTo);
-  deliver(entry, Now + ServiceDelay,
-          [this, answer, isFirst, askedAt](ModelEntry &self) {
-            self.IsAsking = false;
-            self.NextAsk = Now + Tick * static_cast<int64_t>(1 + pick(3));
-            if (isFirst)
-              self.Catalog.applyAll(answer.Records, answer.Revision, Now);
-            else
-              self.Catalog.apply(answer.Records, Now);
-            self.HasAll = true;
-            self.CompleteTo = std::max(self.CompleteTo, answer.Revision);
-            self.ConfirmedAt = Now;
-            onCatalog(self);
-            know(self, askedAt);
-            self.HasReadAll = true;
-          });
-}
-
 void RetirementWorld::renew(const EntryPtr &entry) {
   if (Now < entry->NextRenewal || !canWrite(entry))
     return;
@@ -280,38 +224,6 @@
   entry->RenewedAt = Now;
 }
 
-void RetirementWorld::askPeer(const EntryPtr &entry) {
-  if (!isCutFromService(entry) || Now < entry->NextPeer)
-    return;
-  entry->NextPeer = Now + Duration(400'000);
-  if (EntryPtr peer = Entries[pick(Entries.size())])
-    ask(entry, peer);
-}
-
-void RetirementWorld::ask(const EntryPtr &entry, const EntryPtr &peer) {
-  if (peer == entry || isCutFromPeers(entry) || isCutFromPeers(peer))
-    return;
-  uint64_t revision = entry->CompleteTo;
-  TimePoint askedAt = Now;
-  deliver(peer, Now + PeerDelay, [=, this](ModelEntry &other) {
-    auto records = other.Catalog.recordsSince(revision);
-    uint64_t completeTo = other.CompleteTo;
-    uint64_t forgottenTo = other.Catalog.forgottenTo();
-    Duration knownAgo = Now - other.KnownAt;
-    Duration confirmedAgo = Now - other.ConfirmedAt;
-    deliver(entry, Now + PeerDelay, [=, this](ModelEntry &self) {
-      self.Catalog.apply(records, Now);
-      onCatalog(self);
-      if (revision < forgottenTo)
-        return;
-      self.CompleteTo = std::max(self.CompleteTo, completeTo);
-      know(self, askedAt - knownAgo);
-      self.ConfirmedAt = std::max(self.ConfirmedAt, askedAt - confirmedAgo);
-      self.Following.onAnswer(askedAt - confirmedAgo, Now);
-    });
-  });
-}
-
 void RetirementWorld::giveOrders(const EntryPtr &entry) {
   if (entry->Token == 0 || Now >= entry->RenewedAt + ActTerm)
     return;
@@ -346,46 +258,6 @@
   });
 }
 
-std::string RetirementWorld::wrongClaim() const {
-  for (const EntryPtr &entry : Entries) {
-    if (!entry)
-      continue;
-    std::map<std::string, StoreRecord> known;
-    for (const StoreRecord &it : entry->Catalog.recordsSince(0))
-      known[it.Key] = it;
-    std::map<std::string, uint64_t> truth = Service.keysAt(entry->CompleteTo);
-    for (const auto &[key, revision] : truth)
-      if (known[key].Revision < revision)
-        return entry->Name + " lacks " + key;
-    for (const auto &[key, record] : known) {
-      bool isClaimed =
-          !record.IsDeleted && record.Revision <= entry->CompleteTo;
-      if (isClaimed && !truth.contains(key))
-        return entry->Name + " still has " + key;
-    }
-  }
-  return {};
-}
-
-size_t RetirementWorld::upToDate() const {
-  return static_cast<size_t>(
-      std::count_if(Entries.begin(), Entries.end(), [&](const EntryPtr &it) {
-        return it && it->CompleteTo == Service.revision();
-      }));
-}
-
-Duration RetirementWorld::longestBehind() const {
-  Duration out{0};
-  for (const EntryPtr &it : Entries) {
-    if (!it)
-      continue;
-    auto since = Service.changedAfter(it->CompleteTo);
-    if (since)
-      out = std::max<Duration>(out, Now - *since);
-  }
-  return out;
-}
-
 void RetirementWorld::heal() {
   for (Machine &it : Machines)
     it = {};
@@ -396,20 +268,6 @@
   PeerDelay = Duration(5'000);
 }
 
-void RetirementWorld::know(ModelEntry &entry, TimePoint at) {
-  if (at <= entry.KnownAt)
-    return;
-  entry.KnownAt = at;
-  if (isListed(entry))
-    entry.ListedAt = at;
-}
-
-bool RetirementWorld::isListed(const ModelEntry &entry) const {
-  const auto &listed = entry.Catalog.view()->Entries;
-  EntryPeer self{entry.Name, entry.Address};
-  return std::find(listed.begin(), listed.end(), self) != listed.end();
-}
-
 bool RetirementWorld::mayName(const ModelEntry &entry) const {
   SourceStanding standing;
   standing.HasReadAll = entry.HasReadAll;
--- a/tests/gateway/holder_test.cpp
+++ b/tests/gateway/holder_test.cpp
@@ -27,28 +27,28 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+class HolderTest : public GatewayTest {
+protected:
+  void expectLeftAlone(const std::string &holder) {
+    Store.put("daisytack/holder", holder, 77);
+    uint64_t before = Store.revisionOf("daisytack/holder");
+    Store.put("op/config", configText("\"k1\""));
+    Entry &entry = start("e1", Store.address());
+    ASSERT_TRUE(waitReady(entry));
+    ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
+    EXPECT_EQ(Store.revisionOf("daisytack/holder"), before);
+    Threads.stop(); // Handlers use what ends here.
+  }
+};
+
 /// Its name may be that of an instance that was lost, and whose orders are
 /// still under way.
-TEST_F(GatewayTest, LeavesTheRightOfItsNameOnAnotherInstanceAlone) {
-  Store.put("daisytack/holder", holderText("e1", {"127.0.0.1", 9}), 77);
-  uint64_t before = Store.revisionOf("daisytack/holder");
-  Store.put("op/config", configText("\"k1\""));
-  Entry &entry = start("e1", Store.address());
-  ASSERT_TRUE(waitReady(entry));
-  ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
-  EXPECT_EQ(Store.revisionOf("daisytack/holder"), before);
-  Threads.stop(); // Handlers use what ends here.
+TEST_F(HolderTest, LeavesTheRightOfItsNameOnAnotherInstanceAlone) {
+  expectLeftAlone(holderText("e1", {"127.0.0.1", 9}));
 }
 
-TEST_F(GatewayTest, LeavesTheRightOfAnotherEntryAlone) {
-  Store.put("daisytack/holder", holderText("e2", {"127.0.0.1", 9}), 77);
-  uint64_t before = Store.revisionOf("daisytack/holder");
-  Store.put("op/config", configText("\"k1\""));
-  Entry &entry = start("e1", Store.address());
-  ASSERT_TRUE(waitReady(entry));
-  ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
-  EXPECT_EQ(Store.revisionOf("daisytack/holder"), before);
-  Threads.stop(); // Handlers use what ends here.
+TEST_F(HolderTest, LeavesTheRightOfAnotherEntryAlone) {
+  expectLeftAlone(holderText("e2", {"127.0.0.1", 9}));
 }
 
 } // namespace
