Log what a failed request has in common with its repeats

Cause: the lines of an entry name a request by its id, which differs each time its caller sends it. From them alone it could not be told whether servers ended under one request or under many, which the hypotheses of the incident differ in.

Ruled out: logging host and path, which many requests share, and bodies, which are the callers' own.

Change: a digest of organisation, method, host, path with query and body is written with each failed attempt and each request that ends without a server's answer. It is computed for those alone.

Conclusion: sight for the incident; no decision changed.

--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/duration.h"
 #include "direct/rendezvous.h"
+#include "direct/request_identity.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -115,6 +116,12 @@
                           State.catalog()->Entries.size());
 }
 
+const Id128 &GatewayRequest::identity() {
+  if (!Identity)
+    Identity = direct::requestIdentity(Flow.request(), Body);
+  return *Identity;
+}
+
 bool GatewayRequest::takeRetry() {
   bool out = budget().tryRetry();
   (out ? State.Counts.Repeats : State.Counts.RepeatsDenied).add();
@@ -237,6 +244,9 @@
                              {"attempt", attempt},
                              {"server", order.ServerId},
                              {"result", direct::attemptResultName(result)}};
+  // Tells whether the same request failed before, under another request id.
+  if (result == AttemptResult::Failed)
+    fields["identity"] = toHex(identity());
   if (FirstByteAt)
     fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
   State.Log.write(isGood ? LogWeight::Routine : LogWeight::Notable,
@@ -328,6 +338,7 @@
   if (reason) {
     fields["reason"] = errorName(reason.Kind);
     fields["detail"] = reason.Detail;
+    fields["identity"] = toHex(identity());
   }
   if (outcome == "refused")
     fields["retry_after_ms"] = millisecondsOf(reason.RetryAfter);
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -32,6 +32,8 @@
   std::optional<direct::AttemptChoice>
   choose(const std::vector<std::string> &tried, TimePoint now, Error &reason);
   RetryBudget &budget();
+  /// Computed when it is first asked for.
+  const Id128 &identity();
   bool takeRetry();
   void send(uint32_t attempt, const direct::AttemptOrder &order);
   void onHead(uint32_t attempt, unsigned status,
@@ -56,6 +58,7 @@
   const std::string Body;
   const std::shared_ptr<net::HttpExchange> Exchange;
   direct::ForwardFlow Flow;
+  std::optional<Id128> Identity;
   net::HttpCall Call;
   direct::AttemptOrder Order; ///< Of the attempt under way.
   TimePoint SentAt;
--- /dev/null
+++ b/tests/direct/request_identity_test.cpp
@@ -0,0 +1,51 @@
+#include "direct/request_identity.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace daisytack::direct {
+namespace {
+
+ForwardRequest sample() {
+  ForwardRequest out;
+  out.Organisation = "org";
+  out.Head.Method = "POST";
+  out.Head.Target = "/a/b?c=d";
+  out.Head.RequestId = "r1";
+  out.Via.Host = "h.example";
+  return out;
+}
+
+TEST(RequestIdentity, IsTheSameUnderAnotherRequestId) {
+  ForwardRequest again = sample();
+  again.Head.RequestId = "r2";
+  again.Head.Patience = Duration(1);
+  EXPECT_EQ(requestIdentity(sample(), "body"), requestIdentity(again, "body"));
+}
+
+TEST(RequestIdentity, DiffersByOrganisationMethodHostTargetAndBody) {
+  std::set<Id128> all{requestIdentity(sample(), "body"),
+                      requestIdentity(sample(), "bodY")};
+  auto add = [&](auto change) {
+    ForwardRequest it = sample();
+    change(it);
+    all.insert(requestIdentity(it, "body"));
+  };
+  add([](ForwardRequest &it) { it.Organisation = "other"; });
+  add([](ForwardRequest &it) { it.Head.Method = "PUT"; });
+  add([](ForwardRequest &it) { it.Via.Host = "i.example"; });
+  add([](ForwardRequest &it) { it.Head.Target = "/a/b"; });
+  EXPECT_EQ(all.size(), 6);
+}
+
+/// The same letters, cut into fields in another way.
+TEST(RequestIdentity, TellsWhereOneFieldEnds) {
+  ForwardRequest one = sample();
+  one.Head.Method = "POS";
+  one.Via.Host = "Th.example";
+  EXPECT_NE(requestIdentity(sample(), "body"), requestIdentity(one, "body"));
+}
+
+} // namespace
+} // namespace daisytack::direct
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -158,6 +158,31 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// Operators see that two failed requests are the same one, though each has an
+/// id of its own.
+TEST_F(GatewayTest, LogsWhatAFailedRequestHasInCommonWithItsRepeats) {
+  test::StdoutText lines;
+  test::StandInServer &server =
+      standIn([](const HttpRequest &, const ExchangePtr &to) { to->abort(); });
+  serve("i-1", server);
+  Store.put("op/config", configText("\"k1\""));
+  Entry &entry = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(entry));
+  auto identityOf = [&](const std::string &target, const std::string &id) {
+    EXPECT_EQ(statusOf(entry, request(target, id)), 502);
+    std::string line;
+    EXPECT_TRUE(eventually([&] {
+      line = lines.lineWith({"attempt_ended", "\"" + id + "\"", "identity"});
+      return !line.empty();
+    }));
+    return line.substr(std::min(line.find("\"identity\""), line.size()));
+  };
+  std::string first = identityOf("/call/a", "one");
+  EXPECT_EQ(identityOf("/call/a", "two"), first);
+  EXPECT_NE(identityOf("/call/b", "three"), first);
+  Threads.stop(); // Handlers use what ends here.
+}
+
 TEST_F(GatewayTest, DrainsWithoutCuttingAnyRequestOff) {
   std::atomic<bool> release{false};
   std::mutex lock;
