Reproduce an entry that doesn't count the time of a suspension

Symptom: after its machine was suspended for ten seconds an entry lets requests run on whose time is over, and believes for good what was confirmed to it before. Found by reading; no caller has reported it.

Ruled out: nothing in this commit; no logic changes.

--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -45,6 +45,8 @@
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
 set_tests_properties(process.soak_short process.soak_context PROPERTIES RESOURCE_LOCK deployment)
 
-# What process.stop_test preloads into an entry.
-add_library(stuck_threads SHARED ${CMAKE_SOURCE_DIR}/tests/process/preload/stuck_threads.cpp)
-target_link_libraries(stuck_threads PRIVATE ${CMAKE_DL_LIBS})
+# What process.stop_test and process.suspend_test preload into an entry.
+foreach(name stuck_threads suspended)
+  add_library(${name} SHARED ${CMAKE_SOURCE_DIR}/tests/process/preload/${name}.cpp)
+  target_link_libraries(${name} PRIVATE ${CMAKE_DL_LIBS})
+endforeach()
--- /dev/null
+++ b/tests/process/preload/suspended.cpp
@@ -0,0 +1,34 @@
+// Preloaded into an entry by suspend_test.py: on SIGUSR1 the machine seems to
+// have been suspended for ten seconds. The steady clock has not counted them,
+// the clock that counts suspension and the time of day have.
+#include <csignal>
+#include <ctime>
+#include <dlfcn.h>
+
+#include <atomic>
+
+namespace {
+
+constexpr time_t SuspendedSeconds = 10;
+std::atomic<time_t> Suspended{0};
+
+void onSignal(int) { Suspended += SuspendedSeconds; }
+
+__attribute__((constructor)) void listen() {
+  struct sigaction action = {};
+  action.sa_handler = onSignal;
+  action.sa_flags = SA_RESTART;
+  sigaction(SIGUSR1, &action, nullptr);
+}
+
+} // namespace
+
+extern "C" int clock_gettime(clockid_t clock, timespec *out) noexcept {
+  using Read = int(clockid_t, timespec *);
+  static auto *read =
+      reinterpret_cast<Read *>(dlsym(RTLD_NEXT, "clock_gettime"));
+  int result = read(clock, out);
+  if (result == 0 && (clock == CLOCK_BOOTTIME || clock == CLOCK_REALTIME))
+    out->tv_sec += Suspended;
+  return result;
+}
