Count the time for which a machine was suspended

What callers would see: an entry whose machine was suspended for ten seconds let their requests run on past their time, and refused keys for good by a configuration that it had heard of before. Found by reading; none has reported it.

Cause: the one clock of all decisions was the standard library's steady clock, which stands still while a machine is suspended; so did the timers of requests, connections and leases. Class: a bound that others count by their own clocks, kept by one that stops.

Ruled out: poking every bound at a wake-up that is noticed otherwise: what is missed would be found out one by one. The time of day, which may be set.

Change: `BootClock` (CLOCK_BOOTTIME) in `base/clock.h` is the clock of decisions, and of every timer, by `net::Timer`.

Every bound takes its time as an argument and has tests of its own by that; the clock is the one place where they meet.

Why it holds: nothing in the entry reads another monotonic clock (searched for).

--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -33,7 +33,7 @@
     it->second.Places = service.Store->MaxWatchCalls;
     if (!isNew)
       continue;
-    it->second.Timer = std::make_unique<boost::asio::steady_timer>(On);
+    it->second.Timer = std::make_unique<net::Timer>(On);
     next(service.Name);
   }
 }
@@ -51,7 +51,7 @@
 }
 
 void ContextFollower::later(const std::string &store, Duration pause) {
-  boost::asio::steady_timer &timer = *Stores[store].Timer;
+  net::Timer &timer = *Stores[store].Timer;
   timer.expires_after(pause);
   timer.async_wait([weak = weak_from_this(), store](auto ec) {
     auto self = weak.lock();
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -6,8 +6,7 @@
 #include "direct/call_pacing.h"
 #include "direct/retirement.h"
 #include "gateway/store_follower.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "net/timer.h"
 
 #include <functional>
 #include <map>
@@ -80,7 +79,7 @@
     std::set<direct::BrokenPart> Broken; ///< By the last list.
     bool IsFreeing = false;
     TimePoint FreedAt;
-    std::unique_ptr<boost::asio::steady_timer> Timer;
+    std::unique_ptr<net::Timer> Timer;
   };
 
   void next(const std::string &store);
--- a/src/gateway/entry_lease.h
+++ b/src/gateway/entry_lease.h
@@ -5,8 +5,7 @@
 
 #include "edge/kv.h"
 #include "gateway/store_follower.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "net/timer.h"
 
 #include <functional>
 #include <memory>
@@ -48,7 +47,7 @@
   EntryRecord Registration;
   Duration Term;
   DecisionLog &Log;
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
   uint64_t Lease = 0;
   uint64_t Registered = 0; ///< Revision of the registration; 0: not known.
   bool IsStopped = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,8 +13,7 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine.h"
 #include "gateway/store_follower.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "net/timer.h"
 
 #include <atomic>
 #include <functional>
@@ -92,8 +91,8 @@
   GatewayHttp Callers;
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
-  boost::asio::steady_timer Ticker;
-  boost::asio::steady_timer DrainTimer;
+  net::Timer Ticker;
+  net::Timer DrainTimer;
   /// Last time that the process was known to run.
   std::atomic<TimePoint> TickedAt{TimePoint{}};
   bool IsListenerClosed = false;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -4,8 +4,8 @@
 
 #include "direct/forward_flow.h"
 #include "gateway/gateway_state.h"
+#include "net/timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <memory>
@@ -61,7 +61,7 @@
 
   GatewayState &State;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand;
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
   const std::string Body;
   const std::shared_ptr<net::HttpExchange> Exchange;
   direct::ForwardFlow Flow;
--- a/src/gateway/holder_lease.h
+++ b/src/gateway/holder_lease.h
@@ -5,10 +5,9 @@
 #include "direct/order_right.h"
 #include "edge/kv.h"
 #include "gateway/store_follower.h"
+#include "net/timer.h"
 #include "swap/lease.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <memory>
 #include <optional>
 
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -5,8 +5,8 @@
 
 #include "edge/kv.h"
 #include "gateway/gateway_state.h"
+#include "net/timer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <functional>
@@ -58,7 +58,7 @@
   StoreFollowerSettings Settings;
   RandomSource Random;
   std::function<void()> Changed; ///< The catalog may have changed.
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
   edge::KvCancel StopWatch;
   uint64_t Epoch = 0; ///< Answers to calls of an earlier one are dropped.
   bool HasAll = false;
--- a/src/net/frame_link.cpp
+++ b/src/net/frame_link.cpp
@@ -117,7 +117,7 @@
   asio::io_context &Io;
   asio::strand<asio::io_context::executor_type> Strand;
   asio::ip::tcp::acceptor Acceptor;
-  asio::steady_timer Retry;
+  net::Timer Retry;
   const Endpoint Listen;
   uint16_t Port = 0;
   std::mutex Lock;
--- a/src/net/frame_session.h
+++ b/src/net/frame_session.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "net/frame_crypto.h"
+#include "net/timer.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <atomic>
@@ -54,7 +54,7 @@
 
   boost::asio::strand<boost::asio::io_context::executor_type> Strand;
   Socket Stream;
-  boost::asio::steady_timer Deadline;
+  net::Timer Deadline;
   const FrameRole Role;
   const PeerKeys Keys;
   FrameHooks Hooks;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -6,13 +6,13 @@
 
 namespace daisytack::net {
 
-bool HttpClientConnection::isFresh(SteadyClock::time_point now) {
+bool HttpClientConnection::isFresh(BootClock::time_point now) {
   return now < UsableUntil && probePeer(Socket) == PeerState::Quiet;
 }
 
 std::shared_ptr<HttpClientConnection>
 HttpConnectionPool::take(const Endpoint &to) {
-  auto now = SteadyClock::now();
+  auto now = BootClock::now();
   while (auto connection = takeLast(to))
     if (connection->isFresh(now))
       return connection;
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -72,7 +72,7 @@
 
 void HttpClientCall::start(Duration timeout) {
   if (timeout > Duration::zero())
-    Deadline = SteadyClock::now() + timeout;
+    Deadline = BootClock::now() + timeout;
   asio::post(Order, [self = shared_from_this()] { self->begin(); });
 }
 
@@ -259,7 +259,7 @@
   bool mayReuse = IsSent && Response->keep_alive() && !Response->need_eof() &&
                   Connection->Buffer.size() == 0;
   if (mayReuse) {
-    Connection->UsableUntil = SteadyClock::now() + idleTime();
+    Connection->UsableUntil = BootClock::now() + idleTime();
     Pool->put(To, std::exchange(Connection, nullptr));
   }
   finish({});
@@ -298,13 +298,13 @@
 }
 
 void HttpClientCall::armTimer(Duration after) {
-  auto at = Deadline.value_or(SteadyClock::time_point::max());
+  auto at = Deadline.value_or(BootClock::time_point::max());
   if (after != Duration::max())
-    at = std::min(at, SteadyClock::now() + after);
+    at = std::min(at, BootClock::now() + after);
   Timer.expires_at(at);
   Timer.async_wait([weak = weak_from_this()](ErrorCode ec) {
     auto self = weak.lock();
-    if (self && !ec && SteadyClock::now() >= self->Timer.expiry())
+    if (self && !ec && BootClock::now() >= self->Timer.expiry())
       self->expired();
   });
 }
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -30,12 +30,12 @@
   static constexpr std::chrono::seconds MaxIdleAge{20};
   /// False when the peer has closed it, sent something unasked, or it has been
   /// idle for so long that the peer may be about to.
-  bool isFresh(SteadyClock::time_point now);
+  bool isFresh(BootClock::time_point now);
 
   StrandSocket Socket;
   boost::beast::flat_buffer Buffer;
   /// Not to be used again from then on.
-  SteadyClock::time_point UsableUntil;
+  BootClock::time_point UsableUntil;
 };
 
 /// Idle connections by endpoint. Thread-safe.
@@ -110,7 +110,7 @@
   HttpHooks Hooks;
   Strand Order; ///< Runs begin, cancel and the timer, and all I/O handlers.
   StrandTimer Timer;
-  std::optional<SteadyClock::time_point> Deadline;
+  std::optional<BootClock::time_point> Deadline;
   std::shared_ptr<HttpClientConnection> Connection;
   std::optional<Parser> Response;
   std::vector<char> ReadBuffer;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -109,8 +109,8 @@
 
 } // namespace
 
-void HttpServerShared::refuseAfter(SteadyClock::time_point time) {
-  SteadyClock::time_point known = HandlesUntil.load();
+void HttpServerShared::refuseAfter(BootClock::time_point time) {
+  BootClock::time_point known = HandlesUntil.load();
   while (time < known && !HandlesUntil.compare_exchange_weak(known, time)) {
   }
 }
@@ -155,7 +155,7 @@
   }
   tuneSocket(Socket);
   asio::dispatch(Socket.get_executor(), [self = shared_from_this()] {
-    self->IdleSince = SteadyClock::now();
+    self->IdleSince = BootClock::now();
     self->setDeadline(self->Shared->idleTime());
     self->waitReadable();
   });
@@ -204,7 +204,7 @@
 
 void HttpConnection::startRequest() {
   Now = State::Reading;
-  ReadingSince = SteadyClock::now();
+  ReadingSince = BootClock::now();
   TimedOut = false;
   Pipelined = false;
   auto limits = Shared->limits();
@@ -302,7 +302,7 @@
 void HttpConnection::handleRequest() {
   Now = State::Answering;
   Shared->Answering.fetch_add(1);
-  Deadline = SteadyClock::time_point::max();
+  Deadline = BootClock::time_point::max();
   uint64_t serial = 0;
   {
     std::lock_guard guard(Lock);
@@ -315,7 +315,7 @@
   HttpRequest request = toRequest(Input->release());
   request.OnConnection = ++Handled;
   request.ReadTime =
-      std::chrono::duration_cast<Duration>(SteadyClock::now() - ReadingSince);
+      std::chrono::duration_cast<Duration>(BootClock::now() - ReadingSince);
   Input.reset();
   if (Buffer.size() == 0 && Buffer.capacity() > KeptBufferBytes)
     Buffer = {};
@@ -328,7 +328,7 @@
   // request, long after the idle ones were closed.
   if (Shared->Closed)
     return;
-  if (SteadyClock::now() > Shared->HandlesUntil.load())
+  if (BootClock::now() > Shared->HandlesUntil.load())
     exchange->respond(Shared->refuseLate(request));
   else
     Shared->Handler(std::move(request), std::move(exchange));
@@ -344,7 +344,7 @@
     });
     return;
   }
-  IdleSince = SteadyClock::now();
+  IdleSince = BootClock::now();
   setDeadline(Shared->idleTime());
   waitReadable();
 }
@@ -416,7 +416,7 @@
 }
 
 void HttpConnection::setDeadline(Duration fromNow) {
-  Deadline = SteadyClock::now() + fromNow;
+  Deadline = BootClock::now() + fromNow;
   if (Deadline < TimerAt)
     armTimer();
 }
@@ -428,10 +428,10 @@
     auto self = weak.lock();
     if (!self || ec)
       return;
-    self->TimerAt = SteadyClock::time_point::max();
-    if (self->Deadline == SteadyClock::time_point::max())
+    self->TimerAt = BootClock::time_point::max();
+    if (self->Deadline == BootClock::time_point::max())
       return;
-    if (SteadyClock::now() < self->Deadline)
+    if (BootClock::now() < self->Deadline)
       return self->armTimer();
     self->onDeadline();
   });
@@ -441,7 +441,7 @@
   if (Now == State::Idle && !Shared->Stopping) {
     // The limit may have been raised meanwhile.
     Deadline = IdleSince + Shared->limits()->IdleTimeout;
-    if (SteadyClock::now() < Deadline)
+    if (BootClock::now() < Deadline)
       return armTimer();
   }
   if (Now != State::Reading || TimedOut)
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -31,7 +31,7 @@
 
   std::shared_ptr<const HttpLimits> limits() const { return Limits.load(); }
   /// The earliest of the times that were set holds.
-  void refuseAfter(SteadyClock::time_point time);
+  void refuseAfter(BootClock::time_point time);
   HttpResponse refuseLate(const HttpRequest &request) const;
   /// How long a connection may wait for a request.
   Duration idleTime() const;
@@ -45,8 +45,7 @@
   std::atomic<size_t> Answering{0}; ///< Handed over and not wholly sent.
   std::atomic<bool> Stopping{false};
   /// Requests that are whole later reach no handler.
-  std::atomic<SteadyClock::time_point> HandlesUntil{
-      SteadyClock::time_point::max()};
+  std::atomic<BootClock::time_point> HandlesUntil{BootClock::time_point::max()};
   std::atomic<bool> Closed{false}; ///< The handler may not be called any more.
 
   std::mutex Lock; ///< Guards Connections only.
@@ -128,11 +127,11 @@
   std::shared_ptr<HttpServerShared> Shared;
   boost::beast::flat_buffer Buffer;
   std::unique_ptr<Parser> Input;
-  SteadyClock::time_point IdleSince;
+  BootClock::time_point IdleSince;
   uint32_t Handled = 0; ///< Requests so far.
-  SteadyClock::time_point ReadingSince;
-  SteadyClock::time_point Deadline = SteadyClock::time_point::max();
-  SteadyClock::time_point TimerAt = SteadyClock::time_point::max();
+  BootClock::time_point ReadingSince;
+  BootClock::time_point Deadline = BootClock::time_point::max();
+  BootClock::time_point TimerAt = BootClock::time_point::max();
   State Now = State::Idle;
   bool Waiting = false;   ///< A wait for readability is outstanding.
   bool Pipelined = false; ///< The next request came before the answer ended.
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -219,7 +219,7 @@
   Sending.clear();
   Writing = false;
   if (Now == State::Answering)
-    Deadline = SteadyClock::time_point::max();
+    Deadline = BootClock::time_point::max();
   flush();
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -119,7 +119,7 @@
 }
 
 void HttpServer::refuseAfter(Duration fromNow) {
-  Self->Shared->refuseAfter(SteadyClock::now() + fromNow);
+  Self->Shared->refuseAfter(BootClock::now() + fromNow);
 }
 
 void HttpServer::stopAccepting() {
--- a/src/net/http_socket.h
+++ b/src/net/http_socket.h
@@ -1,6 +1,7 @@
 /// What the HTTP server and client share about TCP sockets.
 #pragma once
 
+#include "base/clock.h"
 #include "daisytack/types.h"
 
 #include <boost/asio/basic_stream_socket.hpp>
@@ -19,10 +20,8 @@
 
 using Strand = asio::strand<asio::io_context::executor_type>;
 using StrandSocket = asio::basic_stream_socket<tcp, Strand>;
-using SteadyClock = std::chrono::steady_clock;
 using StrandTimer =
-    asio::basic_waitable_timer<SteadyClock, asio::wait_traits<SteadyClock>,
-                               Strand>;
+    asio::basic_waitable_timer<BootClock, asio::wait_traits<BootClock>, Strand>;
 
 /// No delay for small writes, and TCP keepalive so that a vanished host is
 /// noticed within about half a minute.
--- a/src/runtime/command_runner.cpp
+++ b/src/runtime/command_runner.cpp
@@ -67,7 +67,7 @@
   control::CommandRun Run;
   Duration Timeout;
   CommandDone Done;
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
 };
 
 } // namespace
--- a/src/runtime/control_process.h
+++ b/src/runtime/control_process.h
@@ -94,8 +94,8 @@
   Rcu<Snapshot> Current;
   std::shared_ptr<ServiceReader> Reader;
   std::shared_ptr<PeerLink> Peers;
-  boost::asio::steady_timer TickTimer;
-  boost::asio::steady_timer PublishTimer;
+  net::Timer TickTimer;
+  net::Timer PublishTimer;
   bool PublishPending = false;
   Duration LastBuild{0};
   TimePoint LastPublish;
--- a/src/runtime/operator_command.cpp
+++ b/src/runtime/operator_command.cpp
@@ -2,9 +2,9 @@
 
 #include "base/clock.h"
 #include "base/request_id.h"
+#include "net/timer.h"
 #include "query/command_plan.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include <atomic>
@@ -207,7 +207,7 @@
           done(std::move(next));
           return;
         }
-        auto timer = std::make_shared<boost::asio::steady_timer>(Io);
+        auto timer = std::make_shared<net::Timer>(Io);
         timer->expires_after(ForcePause);
         timer->async_wait(
             [this, timer, next, until, done](boost::system::error_code) {
--- a/src/runtime/peer_link.cpp
+++ b/src/runtime/peer_link.cpp
@@ -78,7 +78,7 @@
 
   Strand On;
   PeerLink::Fetched Done;
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
   std::function<void(size_t)> Count;
   std::shared_ptr<net::FrameLink> Link;
   Rumour Whole;
@@ -185,7 +185,7 @@
 
 void PeerLink::onOpened(const std::shared_ptr<net::FrameLink> &link) {
   // A peer closes as soon as it has all; one that doesn't is cut off.
-  auto timer = std::make_shared<boost::asio::steady_timer>(On, FetchTimeout);
+  auto timer = std::make_shared<net::Timer>(On, FetchTimeout);
   timer->async_wait(
       [timer, link](const boost::system::error_code &) { link->close(); });
 }
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -1,10 +1,10 @@
 #include "runtime/process.h"
 
 #include "base/clock.h"
+#include "net/timer.h"
 #include "runtime/process_log.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -222,8 +222,8 @@
   boost::asio::io_context Io;
   boost::asio::signal_set Signals;
   boost::asio::signal_set Hangups;
-  boost::asio::steady_timer Timer;
-  boost::asio::steady_timer FileTimer;
+  net::Timer Timer;
+  net::Timer FileTimer;
   uint64_t FileSeen; ///< State of the settings file when it was last read.
   std::atomic<bool> IsDraining{false};
   std::atomic<bool> IsStopped{false};
--- a/src/runtime/service_reader.h
+++ b/src/runtime/service_reader.h
@@ -5,9 +5,9 @@
 #include "control/control_state.h"
 #include "edge/instance_list.h"
 #include "edge/kv.h"
+#include "net/timer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <functional>
@@ -48,7 +48,7 @@
   bool isActive() const { return Active; }
 
 private:
-  using Timer = boost::asio::steady_timer;
+  using Timer = net::Timer;
 
   void checkConfig();
   void onConfig(uint64_t asked, edge::KvRangeResult result);
--- a/tests/process/suspend_test.py
+++ b/tests/process/suspend_test.py
@@ -1,6 +1,6 @@
 """An entry whose machine was suspended believes nothing longer than it may.
 
-Seen: nothing yet; by reading, every decision took its time from the steady clock, which stands still while a machine is
+Seen: nothing by callers; by reading, every decision took its time from the steady clock, which stands still while a machine is
 suspended. What was confirmed before a suspension of ten seconds counted as confirmed just now: an entry cut off from the
 key-value service refused, for good, keys that may have been added meanwhile, held its lease for too long, and let requests
 run on past their time. Here the clocks behave as after a suspension (preload/suspended.cpp).
--- a/tools/agent/agent_shell.h
+++ b/tools/agent/agent_shell.h
@@ -9,9 +9,9 @@
 #include "edge/service.h"
 #include "edge/store.h"
 #include "link_table.h"
+#include "net/timer.h"
 #include "wire/stamped.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <tbb/concurrent_queue.h>
 
@@ -77,8 +77,8 @@
   edge::Service Service;
   edge::Stores Stores;
   net::FrameServer Server;
-  boost::asio::steady_timer Timer;
-  boost::asio::steady_timer FlushTimer;
+  net::Timer Timer;
+  net::Timer FlushTimer;
   tbb::concurrent_queue<serve::AgentInput> Inputs;
   std::atomic<bool> IsScheduled{false};
   std::atomic<bool> Ready{false};
--- a/tools/entry/active_request.h
+++ b/tools/entry/active_request.h
@@ -3,10 +3,10 @@
 
 #include "entry_state.h"
 #include "net/http_server.h"
+#include "net/timer.h"
 #include "serve/caller_answer.h"
 #include "serve/request_flow.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <memory>
@@ -69,7 +69,7 @@
 
   EntryState &State;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand;
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
   RequestFlow Flow;
   const AnswerName Name;
   std::shared_ptr<net::HttpExchange> Exchange;
--- a/tools/entry/agent_links.cpp
+++ b/tools/entry/agent_links.cpp
@@ -171,7 +171,7 @@
   std::vector<wire::Message> Waiting;
   std::unordered_set<AttemptKey, AttemptKeyHash> Open;
   TimePoint UsedAt;
-  boost::asio::steady_timer IdleTimer;
+  net::Timer IdleTimer;
 };
 
 AgentLinks::AgentLinks(boost::asio::io_context &io, AgentLinksInit init,
--- a/tools/entry/agent_links.h
+++ b/tools/entry/agent_links.h
@@ -4,11 +4,11 @@
 
 #include "control/snapshot.h"
 #include "net/frame_link.h"
+#include "net/timer.h"
 #include "wire/messages.h"
 #include "wire/stamped.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <tbb/concurrent_hash_map.h>
 
 #include <functional>
--- a/tools/entry/entry_shell.h
+++ b/tools/entry/entry_shell.h
@@ -7,12 +7,11 @@
 #include "entry_options.h"
 #include "entry_state.h"
 #include "net/http_client.h"
+#include "net/timer.h"
 #include "runtime/control_runtime.h"
 #include "runtime/operator_http.h"
 #include "ticket_desk.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <memory>
 
@@ -40,7 +39,7 @@
   TicketDesk Desk;
   CallerHttp Callers;
   runtime::OperatorHttp Operators;
-  boost::asio::steady_timer DrainTimer;
+  net::Timer DrainTimer;
   TimePoint DrainSince;
   std::function<void()> Drained;
 };
--- a/tools/entry/limit_desk.cpp
+++ b/tools/entry/limit_desk.cpp
@@ -2,8 +2,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "net/timer.h"
 
 #include <utility>
 
@@ -41,7 +40,7 @@
   };
   if (isAnswered)
     return again();
-  auto timer = std::make_shared<boost::asio::steady_timer>(Io);
+  auto timer = std::make_shared<net::Timer>(Io);
   timer->expires_after(Settings.GrantWait);
   timer->async_wait(
       [timer, again = std::move(again)](const auto & /*ec*/) { again(); });
--- a/tools/entry/ticket_fetch.h
+++ b/tools/entry/ticket_fetch.h
@@ -2,9 +2,9 @@
 /// so an agent that is slow or lost is passed over.
 #pragma once
 
+#include "net/timer.h"
 #include "ticket_desk.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <memory>
@@ -27,7 +27,7 @@
 
   EntryState &State;
   boost::asio::strand<boost::asio::io_context::executor_type> Strand;
-  boost::asio::steady_timer Timer;
+  net::Timer Timer;
   const TicketWish Wish;
   const RequestId Id;
   TicketDone Done;
--- a/tools/standin/host.cpp
+++ b/tools/standin/host.cpp
@@ -1,7 +1,7 @@
 #include "host.h"
+#include "net/timer.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -68,7 +68,7 @@
 }
 
 void Host::after(Duration delay, std::function<void()> what) {
-  auto timer = std::make_shared<asio::steady_timer>(Io, delay);
+  auto timer = std::make_shared<net::Timer>(Io, delay);
   timer->async_wait([timer, what = std::move(what)](auto ec) {
     if (!ec)
       what();
