Believe what a server's answers say of it

By the users' watch, a server that was leaving got new requests 2.3 to 4.3 s after it had said so; had it ended as it said, those would have been cut off. One that turned requests away and named a time was asked again at once where no other was left, and callers were told its time though others were open.

Cause: whether a server leaves was learned from its record alone, which can't be written while the key-value service is away, and the head of an answer was read for the caller only. Class: a belief that comes by one way only, though another tells it sooner.

Ruled out: news of the service that takes the knowledge back, and a head that is read late: it was not read at all.

Change: the head of each answer but a 421 (which may be another instance's) tells whether the server leaves, and with 503 or 429 for how long it wants nothing. Both are kept by start of the server, and placement sends nothing there at any level of care. That a server leaves is told to the other entries with the loads. When no server is left, callers are told at once when the first one opens; a server's own time is named only where no other is left.

Reports and orders for new weights go on while a server wants no requests: they are what it needs to serve the wanted version.

Why it holds: what is believed is keyed by id and time of start, nothing but time takes it back, and it is asked at every choice.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -86,6 +86,7 @@
   unsigned Status = 0;
   bool WasNotRun = false; ///< The server says so itself.
   bool IsEventStream = false;
+  bool IsLeaving = false; ///< The server wants no new requests ever more.
   std::optional<Duration> RetryAfter;
   std::vector<net::HttpHeader> Passed; ///< For the caller, as they are.
   auto operator<=>(const ServerHead &) const = default;
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -48,8 +48,15 @@
         now);
   Error none;
   std::optional<AttemptChoice> choice = Hooks.Choose(Tried, now, none);
-  if (!choice)
-    return giveUp(reason ? reason : none, now);
+  if (!choice) {
+    Error told = reason ? reason : none;
+    // When a server may be asked again is known best by who chooses; else by
+    // those that turned the request away.
+    told.RetryAfter = std::max(told.RetryAfter, none.RetryAfter);
+    if (told.RetryAfter <= Duration::zero())
+      told.RetryAfter = RetryAfter.value_or(Duration::zero());
+    return giveUp(told, now);
+  }
   if (drawsBudget && !Hooks.TakeRetry())
     return giveUp(reason, now);
   send(std::move(choice->Order), now);
@@ -134,7 +141,8 @@
 void ForwardFlow::onRejected(const ServerHead &head, TimePoint now) {
   ++Rejections;
   if (head.RetryAfter)
-    RetryAfter = head.RetryAfter;
+    RetryAfter =
+        std::min(RetryAfter.value_or(*head.RetryAfter), *head.RetryAfter);
   close(head.Status == net::StatusMisdirected ? AttemptResult::Misdirected
                                               : AttemptResult::TurnedAway,
         now);
@@ -221,8 +229,6 @@
   }
   if (told.RetryAfter <= Duration::zero())
     told.RetryAfter = Settings.RetryAfter;
-  if (RetryAfter) // A server knows its own queue best.
-    told.RetryAfter = std::max(*RetryAfter, told.RetryAfter);
   Hooks.AnswerError(net::StatusUnavailable, told);
   end();
 }
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -160,7 +160,7 @@
   std::optional<std::string> LastEvent; ///< That the caller has.
   std::optional<ServerHead> FailedHead; ///< A server's failure, as the answer
   std::string FailedBody;               ///< if no attempt does better.
-  std::optional<Duration> RetryAfter;   ///< By a server's word.
+  std::optional<Duration> RetryAfter;   ///< The soonest by a server's word.
   bool IsEnded = false;
 };
 
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -86,9 +86,11 @@
   int64_t Period = 0;
   std::vector<LoadShare> Servers;
   std::vector<LinkDelay> Links; ///< Observed since the last message.
+  /// Servers (ServerRef::key) that said lately that they leave.
+  std::vector<uint64_t> Leaving{};
   bool operator==(const EntryLoads &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(Entry, Period, Servers, Links);
+    ar(Entry, Period, Servers, Links, Leaving);
   }
 };
 
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -50,9 +50,11 @@
 bool Placement::isUsable(const ForwardRequest &request, const Catalog &catalog,
                          const BackendServer &server, Care care,
                          TimePoint now) const {
+  ServerLoadView load = View.Loads.view(server.ref(), now);
+  if (load.IsLeaving || now < load.ClosedUntil)
+    return false;
   if (care == Care::Any)
     return true;
-  ServerLoadView load = View.Loads.view(server.ref(), now);
   if (load.IsAvoided || View.Ejected.isEjected(server.ref().key(), now))
     return false;
   if (care == Care::AnyVersion)
@@ -86,6 +88,21 @@
   return out;
 }
 
+Error Placement::noneLeft(const ForwardRequest &request, const Catalog &catalog,
+                          TimePoint now) const {
+  std::optional<TimePoint> soonest;
+  for (const BackendServer &server : catalog.serversOf(request.Service)) {
+    ServerLoadView load = View.Loads.view(server.ref(), now);
+    if (!load.IsLeaving && now < load.ClosedUntil)
+      soonest = std::min(soonest.value_or(load.ClosedUntil), load.ClosedUntil);
+  }
+  Error out{ErrorKind::NoServer,
+            "no backend server of " + request.Service + " is left to ask"};
+  if (soonest)
+    out.RetryAfter = *soonest - now;
+  return out;
+}
+
 Placement::RankedServers Placement::ranked(std::string_view key,
                                            const ServerRefs &servers) const {
   RankedServers out;
@@ -253,8 +270,7 @@
                   Error &reason) {
   ServerRefs servers = usable(request, catalog, tried, now);
   if (servers.empty()) {
-    reason = {ErrorKind::NoServer,
-              "no backend server of " + request.Service + " is left to ask"};
+    reason = noneLeft(request, catalog, now);
     return std::nullopt;
   }
   ServerRefs few = candidates(request, catalog, servers, now);
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -153,7 +153,8 @@
   /// Tokens that no store holds, by weight version; one choice's own.
   using UnkeptTokens = std::map<uint64_t, uint64_t>;
 
-  /// How picky a choice is; each level is tried before the next.
+  /// How picky a choice is; each level is tried before the next. None of them
+  /// takes a server that wants nothing new by its own word.
   enum class Care : uint8_t { Full, AnyVersion, Any };
 
   double cost(const ForwardRequest &request, const Catalog &catalog,
@@ -196,6 +197,9 @@
   /// When a caller that the server is too busy for should come back.
   Duration retryAfter(const ForwardRequest &request, const Catalog &catalog,
                       const BackendServer &server, TimePoint now) const;
+  /// Why no server is left, and when one may be.
+  Error noneLeft(const ForwardRequest &request, const Catalog &catalog,
+                 TimePoint now) const;
   bool isUsable(const ForwardRequest &request, const Catalog &catalog,
                 const BackendServer &server, Care care, TimePoint now) const;
   AttemptOrder orderFor(const ForwardRequest &request, const Catalog &catalog,
--- a/src/direct/server_loads.cpp
+++ b/src/direct/server_loads.cpp
@@ -61,6 +61,27 @@
                                Settings.LongestRejectPause);
 }
 
+void ServerLoads::onClosed(ServerRef server, Duration time, TimePoint now) {
+  std::lock_guard guard(Lock);
+  State &state = Servers[server.key()];
+  state.ClosedUntil = now + std::min(time, Settings.LongestClosing);
+  state.LastUsed = std::max(state.LastUsed, state.ClosedUntil);
+}
+
+bool ServerLoads::onLeaving(uint64_t server, TimePoint now) {
+  std::lock_guard guard(Lock);
+  return Leaving.try_emplace(server, now).second;
+}
+
+std::vector<uint64_t> ServerLoads::leavingNews(TimePoint now) const {
+  std::vector<uint64_t> out;
+  std::lock_guard guard(Lock);
+  for (const auto &[server, since] : Leaving)
+    if (now < since + Settings.LeavingNews)
+      out.push_back(server);
+  return out;
+}
+
 void ServerLoads::onReplaced(ServerRef server, TimePoint now) {
   avoidUntil(server, now + Settings.ReplacedPause);
 }
@@ -136,9 +157,14 @@
     const State &state = it->second;
     bool isSilent =
         state.Running > 0 && now >= state.LastHeard + Settings.SilenceLimit;
-    out = {state.Running, state.Tokens, state.HeldTokens,
-           isSilent || now < state.AvoidUntil};
+    out = {state.Running,
+           state.Tokens,
+           state.HeldTokens,
+           isSilent || now < state.AvoidUntil,
+           false,
+           state.ClosedUntil};
   }
+  out.IsLeaving = Leaving.contains(name);
   auto sum = Sums.find(name);
   if (sum == Sums.end())
     return out;
@@ -163,6 +189,9 @@
   std::erase_if(Servers, [&](const auto &it) {
     return it.second.Running == 0 && it.second.LastUsed < usedBefore;
   });
+  std::erase_if(Leaving, [&](const auto &it) {
+    return it.second + Settings.LeavingMemory < usedBefore;
+  });
   dropLapsed(usedBefore);
 }
 
--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -35,6 +35,13 @@
   /// are lost now and then, and at most for so long.
   int64_t PeerPeriods = 5;
   Duration LongestPeerMemory{10'000'000};
+  /// A server may close itself to this entry for so long at most: one that asks
+  /// for more is asked once more by then, in case that it erred.
+  Duration LongestClosing{3'600'000'000};
+  /// That a server leaves is remembered for so long; it is gone by then.
+  Duration LeavingMemory{3'600'000'000};
+  /// The others are told for so long that a server leaves: some datagrams.
+  Duration LeavingNews{3'000'000};
   bool operator==(const ServerLoadSettings &) const = default;
 };
 
@@ -44,6 +51,9 @@
   uint64_t Tokens = 0;     ///< Of prompts without a first byte.
   uint64_t HeldTokens = 0; ///< Of the prompts of all running requests.
   bool IsAvoided = false;  ///< Silent, or turned a request away just now.
+  bool IsLeaving = false;  ///< By its own word: nothing new is sent to it.
+  /// The same until then, where it is in the future.
+  TimePoint ClosedUntil{};
   auto operator<=>(const ServerLoadView &) const = default;
 };
 
@@ -72,6 +82,11 @@
   /// The request is over; whether its prompt was read.
   void onEnded(ServerRef server, uint64_t tokens, bool wasRead, TimePoint now);
   void onTurnedAway(ServerRef server, TimePoint now);
+  /// The server said that it wants nothing from this entry for so long.
+  void onClosed(ServerRef server, Duration time, TimePoint now);
+  /// The server said, or another entry heard, that it leaves; whether that is
+  /// news.
+  bool onLeaving(uint64_t server, TimePoint now);
   /// Another instance answered at its address: it is gone.
   void onReplaced(ServerRef server, TimePoint now);
   /// The server is taking new weights and turns requests away until then.
@@ -86,6 +101,8 @@
   ServerLoadView view(ServerRef server, TimePoint now) const;
   /// This entry's own, for the others.
   std::vector<LoadShare> own() const;
+  /// Servers of which this entry heard lately that they leave, for the others.
+  std::vector<uint64_t> leavingNews(TimePoint now) const;
   /// Forgets servers without running requests that were not used since.
   void forgetIdle(TimePoint usedBefore);
 
@@ -97,6 +114,7 @@
     TimePoint LastHeard; ///< Or when it was first asked after a quiet time.
     TimePoint LastUsed;
     TimePoint AvoidUntil;
+    TimePoint ClosedUntil;
     uint32_t Rejections = 0; ///< In a row.
   };
   struct Peer {
@@ -119,6 +137,7 @@
   ServerLoadSettings Settings;
   mutable std::mutex Lock;
   std::unordered_map<uint64_t, State> Servers;
+  std::unordered_map<uint64_t, TimePoint> Leaving; ///< Since when.
   // Whoever looks first drops what has lapsed.
   mutable std::unordered_map<std::string, Peer> Peers;
   mutable std::unordered_map<uint64_t, Sum> Sums;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -5,6 +5,7 @@
 #include "direct/rendezvous.h"
 #include "direct/request_identity.h"
 #include "gateway/quarantine.h"
+#include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -226,6 +227,7 @@
   TimePoint now = monotonicNow();
   direct::ServerHead head = State.Speak.ReadServer(status, headers);
   State.Suspects.onHeardFrom(Order.server().key(), now);
+  noteServerWord(head, now);
   if (!head.WasNotRun) {
     FirstByteAt = now;
     State.Loads.onFirstByte(Order.server(), Order.QueuedTokens, now);
@@ -236,6 +238,26 @@
   Flow.onHead(attempt, head, now);
 }
 
+void GatewayRequest::noteServerWord(const direct::ServerHead &head,
+                                    TimePoint now) {
+  // Another instance may have answered.
+  if (head.Status == net::StatusMisdirected)
+    return;
+  bool turnsAway = head.Status == net::StatusUnavailable ||
+                   head.Status == net::StatusTooManyRequests;
+  if (turnsAway && head.RetryAfter)
+    State.Loads.onClosed(Order.server(), *head.RetryAfter, now);
+  // Its record says so too, but can't be written while the key-value service
+  // is away.
+  bool isNews =
+      head.IsLeaving && State.Loads.onLeaving(Order.server().key(), now);
+  if (isNews)
+    State.Log.write(LogWeight::Notable, "server_avoided",
+                    {{"server", Order.ServerId},
+                     {"reason", "its answers say that it leaves"}},
+                    now);
+}
+
 void GatewayRequest::onData(uint32_t attempt, std::string_view data) {
   if (Flow.isEnded() || attempt != Flow.attempts())
     return;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -45,6 +45,8 @@
   void send(uint32_t attempt, const direct::AttemptOrder &order);
   void onHead(uint32_t attempt, unsigned status,
               const std::vector<net::HttpHeader> &headers);
+  /// What the server says of itself.
+  void noteServerWord(const direct::ServerHead &head, TimePoint now);
   void onData(uint32_t attempt, std::string_view data);
   void onDone(uint32_t attempt, const Error &error);
   void note(uint32_t attempt, const direct::AttemptOrder &order,
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -73,6 +73,8 @@
   State.Loads.onPeer(loads->Entry, loads->Servers, Duration(loads->Period),
                      now);
   State.Links.onPeer(loads->Links, now);
+  for (uint64_t server : loads->Leaving)
+    State.Loads.onLeaving(server, now);
 }
 
 void LoadExchange::send(const Endpoint &peer, const std::string &bytes) {
@@ -94,9 +96,10 @@
     return;
   size_t rounds = (n + Settings.MostAtOnce - 1) / Settings.MostAtOnce;
   Duration period = Settings.Interval * static_cast<int64_t>(rounds);
-  std::string bytes = encodeLoads({State.Options.Name, period.count(),
-                                   State.Loads.own(), State.Links.takeNews()},
-                                  MaxDatagramBytes);
+  std::string bytes =
+      encodeLoads({State.Options.Name, period.count(), State.Loads.own(),
+                   State.Links.takeNews(), State.Loads.leavingNews(now)},
+                  MaxDatagramBytes);
   direct::CrashReports reports =
       State.Suspects.takeNews(1.0 / static_cast<double>(rounds), now);
   std::string reported;
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -84,6 +84,29 @@
   EXPECT_EQ(it.LastError.RetryAfter, 2s);
 }
 
+/// One server wants nothing for long; others may be asked again sooner.
+TEST(ForwardFlow, NamesTheSoonestTimeOfTheServersThatTurnedItAway) {
+  FlowHarness it(routeFor(RouteKind::NonIdempotent, 1), 2);
+  it.Flow.start(FlowStart);
+  for (Duration after : {Duration(1s), Duration(60s)}) {
+    ServerHead full = headOf(503, true);
+    full.RetryAfter = after;
+    it.answer(it.Flow.attempts(), full);
+  }
+  EXPECT_EQ(it.LastError.RetryAfter, 1s);
+}
+
+TEST(ForwardFlow, NamesNoServersTimeWhereOthersAreLeft) {
+  ForwardSettings settings;
+  FlowHarness it(routeFor(RouteKind::NonIdempotent, 1), 9, settings);
+  it.Flow.start(FlowStart);
+  ServerHead full = headOf(503, true);
+  full.RetryAfter = 60s;
+  for (uint32_t i = 0; i <= settings.MaxRejections; ++i)
+    it.answer(it.Flow.attempts(), full);
+  EXPECT_EQ(it.LastError.RetryAfter, settings.RetryAfter);
+}
+
 TEST(ForwardFlow, RefusesAtOnceWithoutAServer) {
   FlowHarness it(routeFor(RouteKind::Stream, 1), 0);
   it.Flow.start(FlowStart);
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -318,5 +318,30 @@
   EXPECT_FALSE(choose(isolated).Sources[1]);
 }
 
+/// Not even where no other one is left: it ends with what it gets, or gets what
+/// it can't serve.
+TEST_F(PlacementTest, SendsNothingToServersThatWantNothingByTheirOwnWord) {
+  ForwardRequest call;
+  call.Service = "plain";
+  Loads.onLeaving(server("p0").ref().key(), Start);
+  EXPECT_EQ(choose(call).ServerId, "p1");
+  Loads.onClosed(server("p1").ref(), 5s, Start);
+  Error reason;
+  EXPECT_FALSE(Place.choose(call, Catalog, {}, ClockMs, Start + 1s, reason));
+  EXPECT_EQ(reason.Kind, ErrorKind::NoServer);
+  EXPECT_EQ(reason.RetryAfter, 4s); // Then one is open again.
+  EXPECT_EQ(choose(call, {}, Start + 5s).ServerId, "p1");
+}
+
+TEST_F(PlacementTest, NamesNoTimeWhereAllServersLeave) {
+  ForwardRequest call;
+  call.Service = "plain";
+  for (const char *id : {"p0", "p1"})
+    Loads.onLeaving(server(id).ref().key(), Start);
+  Error reason;
+  EXPECT_FALSE(Place.choose(call, Catalog, {}, ClockMs, Start, reason));
+  EXPECT_EQ(reason.RetryAfter, Duration::zero());
+}
+
 } // namespace
 } // namespace daisytack::direct
--- a/tests/direct/server_loads_test.cpp
+++ b/tests/direct/server_loads_test.cpp
@@ -104,6 +104,30 @@
   EXPECT_FALSE(loads.view("a", Start + 1060ms).IsAvoided);
 }
 
+/// Its own word, of one of its starts; the next one may want requests.
+TEST(ServerLoads, KeepsAServerClosedForAsLongAsItSaid) {
+  ServerLoads loads{{}};
+  ServerRef first{"a", 1};
+  loads.onClosed(first, 90s, Start);
+  loads.forgetIdle(Start + 80s); // Nothing was sent to it meanwhile.
+  EXPECT_EQ(loads.view(first, Start + 80s).ClosedUntil, Start + 90s);
+  EXPECT_EQ(loads.view({"a", 2}, Start).ClosedUntil, TimePoint());
+  loads.onClosed(first, 1s, Start + 2s); // The newest word counts.
+  EXPECT_EQ(loads.view(first, Start + 2s).ClosedUntil, Start + 3s);
+}
+
+TEST(ServerLoads, RemembersThatAServerLeavesAndTellsItForAWhile) {
+  ServerLoads loads{{}};
+  ServerRef first{"a", 1};
+  EXPECT_TRUE(loads.onLeaving(first.key(), Start));
+  EXPECT_FALSE(loads.onLeaving(first.key(), Start + 1s));
+  EXPECT_EQ(loads.leavingNews(Start + 2s), std::vector{first.key()});
+  EXPECT_TRUE(loads.leavingNews(Start + 3s).empty());
+  loads.forgetIdle(Start + 30min);
+  EXPECT_TRUE(loads.view(first, Start + 30min).IsLeaving);
+  EXPECT_FALSE(loads.view({"a", 2}, Start).IsLeaving);
+}
+
 /// The record of an instance that was replaced lapses after three heartbeats;
 /// until then every request sent there would be turned away.
 TEST(ServerLoads, AvoidsAReplacedServerUntilItsRecordHasLapsed) {
--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -166,6 +166,24 @@
   EXPECT_EQ(readServer(503, {{"Retry-After", "1.5"}}).RetryAfter, 1500ms);
 }
 
+TEST(ReadServer, TakesNoTimeForOneThatNoCallerCouldWaitFor) {
+  auto after = [](const std::string &text) {
+    return readServer(503, {{"Retry-After", text}}).RetryAfter;
+  };
+  EXPECT_EQ(after("0"), 0s);
+  EXPECT_EQ(after("1e300"), 24h);
+  EXPECT_EQ(after("inf"), 24h);
+  EXPECT_EQ(after("-1"), std::nullopt);
+  EXPECT_EQ(after("nan"), std::nullopt);
+  EXPECT_EQ(after("Wed, 21 Oct 2015 07:28:00 GMT"), std::nullopt);
+}
+
+TEST(ReadServer, HearsThatAServerLeaves) {
+  EXPECT_TRUE(readServer(200, {{"server-leaving", " 1 "}}).IsLeaving);
+  EXPECT_FALSE(readServer(200, {{"Server-Leaving", "0"}}).IsLeaving);
+  EXPECT_FALSE(readServer(200, {}).IsLeaving);
+}
+
 TEST(ReadServer, PassesTheSignatureOnAndNothingOfTheConnection) {
   direct::ServerHead head =
       readServer(200, {{"X-Daisytack-Server-Signature", "s"},
