Take no answer of the next instance for a sign that a server lives

What callers saw: nothing outside of tests yet; a request that ends servers would have gone on ending them wherever records of ended servers lag behind, which is everywhere for some seconds.

Cause: any head of an answer counted as a word of the server that was asked. A server that ended is replaced at its address by another instance, which answers 421 to what is meant for the first; that refuted the end of the first, and with it the suspicion.

Ruled out: late bytes of the server itself (they come within milliseconds of its end; a tenth of a second is allowed for them).

Change: a 421 says nothing of the server that was asked, as it already said nothing of its leaving.

Why it holds: whoever answers anything else has accepted the id under which it was asked.

--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -226,7 +226,6 @@
     return;
   TimePoint now = monotonicNow();
   direct::ServerHead head = State.Speak.ReadServer(status, headers);
-  State.Suspects.onHeardFrom(Order.server().key(), now);
   noteServerWord(head, now);
   if (!head.WasNotRun) {
     FirstByteAt = now;
@@ -240,9 +239,10 @@
 
 void GatewayRequest::noteServerWord(const direct::ServerHead &head,
                                     TimePoint now) {
-  // Another instance may have answered.
+  // Another instance may have answered, one that started after this one ended.
   if (head.Status == net::StatusMisdirected)
     return;
+  State.Suspects.onHeardFrom(Order.server().key(), now);
   bool turnsAway = head.Status == net::StatusUnavailable ||
                    head.Status == net::StatusTooManyRequests;
   if (turnsAway && head.RetryAfter)
--- a/tests/gateway/quarantine_test.cpp
+++ b/tests/gateway/quarantine_test.cpp
@@ -49,7 +49,8 @@
             return answer(what, to);
           to->abort();
           ++Ended;
-          Store.remove("servers/" + at->Id);
+          if (!KeepsRecords)
+            Store.remove("servers/" + at->Id);
           at->Id = nextId();
           serve(at->Id, *at->Server);
         });
@@ -86,6 +87,8 @@
     ASSERT_GE(Ended, ServersToEnd);
   }
 
+  /// The record of a server that ended stays, as it lapses only later.
+  std::atomic<bool> KeepsRecords{false};
   std::atomic<size_t> Ended{0};
   std::atomic<size_t> Starts{0};
   size_t Requests = 0;
@@ -110,6 +113,22 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// The next instance at the address turns away what is meant for the one that
+/// ended: that is no sign that it lives.
+TEST_F(QuarantineTest, TakesNoWordOfTheNextInstanceForASignOfLife) {
+  KeepsRecords = true;
+  Entry &one = start("e1", Store.address());
+  ASSERT_TRUE(waitReady(one));
+  for (int i = 0; i < 20; ++i) {
+    send(one, "another");
+    send(one);
+    std::this_thread::sleep_for(150ms);
+  }
+  EXPECT_LE(Ended, ServersToEnd + SendsBeyond);
+  EXPECT_EQ(send(one).Response.Status, 503);
+  Threads.stop(); // Handlers use what ends here.
+}
+
 /// What must last lies in the key-value service: an entry that starts when no
 /// other one lives knows of it.
 TEST_F(QuarantineTest, IsKnownToAnEntryThatStartsLater) {
