Soak requests that end servers, and what servers say of themselves

Ruled out: a process test of its own; the patterns matter beside restarts, replaced servers and changes.

Four checks with a planted defect each, and two patterns that are allowed. Bounds are those of the promises.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,7 @@
 import random
 
 import http11
+from platform_side import FATAL
 
 KINDS = {"call": ("POST", "/call/"), "safe": ("GET", "/safe/"), "ask": ("POST", "/ask/"), "long": ("POST", "/long/")}
 USUAL = ("call", "safe", "ask")
@@ -140,5 +141,27 @@
             raise http11.Broken("the entry closes")
 
 
+class FatalCaller(Caller):
+    """Sends the one request that ends every server that runs it, again and again, at any entry."""
+
+    def __init__(self, world):
+        super().__init__("fatal", random.Random(f"{world.seed}/fatal"), world)
+
+    def _next(self, entry, kind, keys):
+        sent = super()._next(entry, "ask", keys[:1])
+        sent.path, sent.body = KINDS["ask"][1] + "fatal", FATAL
+        return sent
+
+    async def run(self):
+        while not self.world.is_over:
+            entry = self.rng.choice(self.world.entries)
+            try:
+                await self._one(entry)
+            except (http11.Broken, OSError):
+                pass
+            self._drop(entry)
+            await asyncio.sleep(0.1 + self.rng.random() * 0.4)
+
+
 def callers(world, count):
     return [Caller(n, random.Random(f"{world.seed}/{n}"), world) for n in range(count)]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,12 +1,17 @@
 """The promises, checked on what callers and backend servers have seen. Each check gives texts of what broke it."""
 
 from callers import KINDS
-from platform_side import events_of
+from platform_side import CLOSED_SECONDS, FATAL, events_of
 
 PROMISES_NOT_RUN = (408, 421, 429, 503)
 REVOKED_SECONDS = 5.0   # A revoked key is refused after this, as the deployment's bounds have it.
 CROSSING_SECONDS = 0.5  # A request that meets the close of its connection is sent at most so long before.
 DRAIN_SECONDS = 2.0     # A leaving server gets nothing new after this.
+STABLE_SECONDS = 3.0    # After which entries know what others saw, and an entry that starts what it must.
+FATAL_SERVERS = 3       # That end under a request before it is passed on no more,
+SENDS_BEYOND = 3        # but for so many sends.
+CLOSED_SLACK = 0.5      # After a server's word it gets what was on its way,
+SENDS_TO_CLOSED = 2     # and then so much of one entry at most.
 
 
 def runs_by_id(world):
@@ -107,6 +112,49 @@
                 yield f"{request_id} reached {server.id} {at - since:.1f} s after it was draining"
 
 
+def leaving_by_answer(world, _runs):
+    """Whoever passed an answer on that says that its server leaves sends nothing new there."""
+    for server in world.all_servers:
+        heard = {}
+        for at, request_id in server.said_leaving:
+            heard.setdefault(world.entry_of(request_id), at)
+        for at, request_id in server.arrivals:
+            entry = world.entry_of(request_id)
+            since = heard.get(entry)
+            if since and at > since + DRAIN_SECONDS and world.in_touch(entry, since, at):
+                yield f"{request_id} reached {server.id} from {entry} {at - since:.1f} s after its answer"
+
+
+def closed_servers(world, _runs):
+    """A server that turned a request away and named a time gets next to nothing of that entry until then."""
+    for server in world.all_servers:
+        for said, turned in server.said_closed:
+            entry = world.entry_of(turned)
+            begin, end = said + CLOSED_SLACK, said + CLOSED_SECONDS
+            late = [it for at, it in server.arrivals if begin < at < end and world.entry_of(it) == entry]
+            if len(late) > SENDS_TO_CLOSED and world.in_touch(entry, said, end):
+                yield f"{server.id} got {late} from {entry} after it had closed itself to it"
+
+
+def fatal_requests(world, _runs):
+    """A request under which servers ended is not sent to many more."""
+    if len(world.fatal_ends) < FATAL_SERVERS:
+        return
+    known = sorted(world.fatal_ends)[FATAL_SERVERS - 1] + STABLE_SECONDS
+    fatal = {it.id: it.entry for it in world.sent if it.body == FATAL}
+    late = [(at, it) for server in world.all_servers for at, it in server.arrivals if at > known and it in fatal]
+    late = [it for at, it in late if world.in_touch(fatal[it], at - STABLE_SECONDS, at)]
+    if len(late) > SENDS_BEYOND:
+        yield f"{late} reached servers though {FATAL_SERVERS} had ended under what they repeat"
+
+
+def harmless_requests(world, _runs):
+    """No other request is taken for it."""
+    for sent in world.sent:
+        if sent.body != FATAL and b"request_quarantined" in sent.answer:
+            yield f"{sent.id} ({sent.kind}) at {sent.entry} was quarantined"
+
+
 def planned_restarts_cut_nothing(world, _runs):
     """Around a SIGTERM alone no request that the entry has read ends without an answer."""
     for sent in world.sent:
@@ -158,7 +206,8 @@
 
 
 ALL = (at_most_once, honest_refusals, whole_and_own_answers, events_in_order, requests_as_sent, final_answers,
-       revoked_keys, draining_servers, planned_restarts_cut_nothing,
+       revoked_keys, draining_servers, leaving_by_answer, closed_servers, fatal_requests, harmless_requests,
+       planned_restarts_cut_nothing,
        stops_lose_no_request, freed_while_read, one_giver_of_orders)
 
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -27,6 +27,7 @@
         self.fetch = Fetch(ID, ("shared@1", "aa11"), 100.0, 100.5, discarded=False, was_whole=True)
         self.store = types.SimpleNamespace(name="kept0", fetches=[self.fetch], freed=[])
         self.stores = [self.store]
+        self.fatal_ends = []
         path = checks.KINDS[kind][1] + ID
         self.request = Message([checks.KINDS[kind][0], path, "HTTP/1.1"],
                                {"x-daisytack-request-id": ID, "x-daisytack-tenant": "one"}, b"b")
@@ -51,6 +52,12 @@
     def stop_during(self, _entry, begin, end):
         return next((it for it in self.stops if it.begin <= end and begin <= it.end), None)
 
+    def entry_of(self, _request_id):
+        return "entry-0"
+
+    def in_touch(self, *_):
+        return True
+
     def change(self, **values):
         self.sent[0] = dataclasses.replace(self.sent[0], **values)
 
@@ -114,6 +121,38 @@
     world.server.arrivals.append((100.0, ID))
 
 
+def asked_after_its_answer(world):
+    world.server.said_leaving.append((90.0, ID))
+    world.server.arrivals += [(91.0, ID), (93.0, ID)]
+
+
+def asked_while_closed(world):
+    world.server.said_closed.append((90.0, ID))
+    world.server.arrivals += [(90.6, ID), (90.7, ID), (90.8, ID), (92.1, ID)]
+
+
+def asked_shortly_after_it_closed(world):
+    asked_while_closed(world)
+    world.server.arrivals = [(90.3, ID), (90.4, ID), (90.6, ID), (90.7, ID), (92.1, ID)]
+
+
+def fatal_sent_on(world):
+    world.fatal_ends += [80.0, 80.1, 80.2]
+    world.change(body=checks.FATAL)
+    world.request.body = checks.FATAL
+    world.server.arrivals += [(84.0 + n, ID) for n in range(4)]
+
+
+def fatal_sent_a_little(world):
+    fatal_sent_on(world)
+    world.server.arrivals = [(82.0, ID), (84.0, ID), (85.0, ID), (86.0, ID)]
+
+
+def harmless_quarantined(world):
+    world.server.runs.clear()
+    world.change(status=503, signature="", retry_after="600", answer=b'{"kind":"request_quarantined"}')
+
+
 def cut_by_a_planned_stop(world):
     world.stops.append(Stop(100.05))
     world.change(status=0, signature="", broken="gone")
@@ -183,7 +222,7 @@
 
 
 ALLOWED = (refused_late, crossed_the_close, cut_by_the_server, left_at_its_deadline, sent_to_the_next_process,
-           freed_under_a_discarded_fetch, freed_after_the_fetch)
+           freed_under_a_discarded_fetch, freed_after_the_fetch, asked_shortly_after_it_closed, fatal_sent_a_little)
 DEFECTS = {
     second_run: "at_most_once", refused_though_it_ran: "honest_refusals", refused_without_a_time: "honest_refusals",
     cut_answer: "whole_and_own_answers", other_answer: "whole_and_own_answers",
@@ -193,8 +232,10 @@
     cut_by_a_planned_stop: "planned_restarts_cut_nothing", two_holders: "one_giver_of_orders",
     passed_on_late_and_cut: "stops_lose_no_request", read_late_and_dropped: "stops_lose_no_request",
     refused_late_without_a_time: "honest_refusals", freed_under_a_fetch: "freed_while_read",
-    fetched_while_written: "freed_while_read"}
-KINDS = {missing_event: "ask", passed_on_late_and_cut: "long"}
+    fetched_while_written: "freed_while_read", asked_after_its_answer: "leaving_by_answer",
+    asked_while_closed: "closed_servers", fatal_sent_on: "fatal_requests",
+    harmless_quarantined: "harmless_requests"}
+KINDS = {missing_event: "ask", fatal_sent_on: "ask", passed_on_late_and_cut: "long"}
 
 
 PROGRAM = """import os, signal, sys, time
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -100,6 +100,15 @@
     await world.retire_server(server, drains)
 
 
+async def close_server(world, rng):
+    """It turns everything away and wants nothing for a while."""
+    server = rng.choice(world.servers)
+    world.say(f"{server.id} is closed")
+    server.is_closed = True
+    await asyncio.sleep(0.5 + rng.random() * 3)
+    server.is_closed = False
+
+
 async def change_config(world, rng):
     left = [it for it in world.all_keys if it not in world.revoked]
     if rng.random() < 0.4 and len(left) > 2:
@@ -115,9 +124,9 @@
     world.kv.put("op/version/m", {"model": "m", "version": world.weights})
 
 
-PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server)
+PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server, close_server)
 FAULT_KINDS = (kill_entries, stop_entry, pause_entry, reload_entry, spoil_link, spoil_service, spoil_server,
-               replace_server, change_config, name_weights)
+               replace_server, close_server, change_config, name_weights)
 
 
 async def inject(world, kind, busy):
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -13,6 +13,8 @@
 
 HISTORY = 400  # Changes that a watch can go back.
 LONG_PACE = 0.25  # Between the events of a long stream.
+FATAL = b"ends every server that runs it"
+CLOSED_SECONDS = 2  # For which a server that is closed wants nothing of whoever asks.
 JSON = {"Content-Type": "application/json"}
 
 
@@ -162,10 +164,16 @@
 
 
 class BackendServer:
-    """A plain service's server or an engine. Fault switches: see FAULTS."""
+    """A plain service's server or an engine. Fault switches: see FAULTS. Ends as it runs a request with the body FATAL;
+    says in its answers that it leaves, and for how long it wants nothing."""
 
     FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
     is_loading = False  # New weights; at once here.
+    is_leaving, is_closed = False, False
+
+    @staticmethod
+    def crash():
+        """Set by whoever can end it."""
 
     def __init__(self, name, service, incarnation=1, version=1):
         self.name, self.service = name, service
@@ -173,6 +181,7 @@
         self.incarnation, self.version = incarnation, version
         self.runs, self.arrivals, self.orders, self.token = [], [], 0, 0
         self.tokens = []
+        self.said_leaving, self.said_closed = [], []  # When, and in the answer to which request.
         self.faults, self.share, self.work = set(), 0.3, 0.02
         self.counter = 0
         self.server = None
@@ -224,6 +233,14 @@
         request_id = request.header("x-daisytack-request-id")
         self.arrivals.append((now(), request_id))
         echo = {"X-Daisytack-Request-Id": request_id}
+        if self.is_leaving:
+            echo["Server-Leaving"] = "1"
+            self.said_leaving.append((now(), request_id))
+        if self.is_closed:
+            self.said_closed.append((now(), request_id))
+            writer.write(http11.response(503, {**echo, "X-Daisytack-Not-Executed": "1",
+                                               "Retry-After": str(CLOSED_SECONDS)}))
+            return
         wanted = request.header("x-daisytack-expected-version")
         if wanted and int(wanted) != self.version:
             writer.write(http11.response(421, {**echo, "X-Daisytack-Not-Executed": "1"}))
@@ -248,6 +265,9 @@
 
     async def _run(self, request, run, echo, writer):
         await self._read_prompt(request)
+        if request.body == FATAL:
+            self.crash()
+            self._break_off(run, "the server crashes")
         if self._strikes("hang"):
             await asyncio.sleep(4)
         if self._strikes("lose"):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 import checks  # noqa: E402
 import http11  # noqa: E402
-from callers import callers  # noqa: E402
+from callers import FatalCaller, callers  # noqa: E402
 from faults import FAULT_KINDS, PLANNED, around_new_weights, one_by_one  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from kept_context import ContextStore, Engine  # noqa: E402
@@ -154,6 +154,7 @@
         self.stores = []
         self.sent, self.problems, self.faults = [], [], []
         self.revoked, self.leaving = {}, {}
+        self.fatal_ends = []  # When servers ended under the fatal request.
         self.organisation_of = {key: name for name, keys in ORGANISATIONS.items() for key in keys}
         self.all_keys = list(self.organisation_of)
         self.config_version, self.weights = 0, 1
@@ -232,6 +233,7 @@
         if self.has_kept_context and service == "engines":
             server = Engine(name, incarnation, self.weights, {it.address: it for it in self.stores})
         await server.start(port)
+        server.crash = lambda: asyncio.ensure_future(self.crash_server(server))
         if name not in self.links:
             self.links[name] = await Proxy(server.port).start()
         self.links[name].target = server.port
@@ -260,8 +262,11 @@
         if drains:
             self.record(server, "draining")
             self.leaving[server.id] = self.now()
+            server.is_leaving = True
             await asyncio.sleep(3)
         self.leaving.setdefault(server.id, self.now())
+        if server not in self.servers:
+            return  # It has crashed.
         self.servers.remove(server)
         server.server.close()
         server.end_runs()
@@ -269,6 +274,27 @@
         self.kv.remove(f"servers/{server.id}")
         await self.add_server(server.name, server.service, server.incarnation + 1)
 
+    async def crash_server(self, server):
+        """Under the fatal request; an instance of another id comes a moment later."""
+        if server not in self.servers:
+            return
+        self.fatal_ends.append(self.now())
+        self.servers.remove(server)
+        server.server.close()
+        server.end_runs()
+        self.links[server.name].reset()
+        await asyncio.sleep(0.4)
+        self.kv.remove(f"servers/{server.id}")
+        await self.add_server(server.name, server.service, server.incarnation + 1)
+
+    def entry_of(self, request_id):
+        return next((it.entry for it in self.sent if it.id == request_id), None)
+
+    def in_touch(self, entry, begin, end):
+        """Whether the entry ran all the while, and nothing but planned work went on."""
+        stops = next(it for it in self.entries if it.name == entry).stops
+        return not any(it.begin <= end and begin <= it.end for it in stops) and self.was_calm(begin, end, entry, True)
+
     def was_calm(self, begin, end, entry=None, planned=False):
         """Whether no fault that touches the entry was under way or had just ended."""
         for fault in self.faults:
@@ -322,6 +348,8 @@
 async def soak(world, seconds):
     await world.start()
     some = callers(world, KEPT_CALLERS) if world.has_kept_context else callers(world, CALLERS) + late_callers(world)
+    if world.seed % 8 in (0, 1):
+        some.append(FatalCaller(world))
     tasks = [asyncio.ensure_future(it.run()) for it in some]
     if world.has_kept_context:
         await around_new_weights(world, seconds)
