Let answers be forgotten in time, and tell of a record that is refuted

Cause: on reading the change once more: answers were only forgotten as further ones came, so that an entry that answers little would have disbelieved for hours what speaks against a request it answered once; and a clearing that a record brought about was not told to the others until something else was known.

Change: the timer forgets answers; the count of what is known is taken after a clearing by a record. Results that nobody used go.

--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -93,18 +93,17 @@
   });
 }
 
-bool CrashSuspects::addServer(Suspect &suspect, uint64_t server,
+void CrashSuspects::addServer(Suspect &suspect, uint64_t server,
                               TimePoint endedAt) {
   bool isKnown = std::any_of(
       suspect.Servers.begin(), suspect.Servers.end(),
       [&](const EndedServer &ended) { return ended.Name == server; });
   if (isKnown)
-    return false;
+    return;
   if (suspect.Servers.size() >= MostServers)
     suspect.Servers.erase(suspect.Servers.begin());
   suspect.Servers.push_back({server, endedAt});
   suspect.LastAt = std::max(suspect.LastAt, endedAt);
-  return true;
 }
 
 void CrashSuspects::tell(Suspect &suspect, TimePoint from) {
@@ -183,23 +182,21 @@
   return isBlamedOnAnother(request, server);
 }
 
-bool CrashSuspects::merge(const CrashReport &report, TimePoint now) {
+void CrashSuspects::merge(const CrashReport &report, TimePoint now) {
   Suspect &suspect = Suspects[report.Request];
-  bool isNews = false;
   bool isWhole = true;
   for (const Aged<uint64_t> &ended : report.Servers) {
     TimePoint at = momentOf(ended.AgoMs, now);
     if (isRefuted(report.Request, ended.What, at))
       isWhole = false;
     else
-      isNews |= addServer(suspect, ended.What, at);
+      addServer(suspect, ended.What, at);
   }
   // Its occasions are those of all its servers.
   if (isWhole)
     suspect.Occasions = std::max(suspect.Occasions, report.Occasions);
   else if (!suspect.Servers.empty())
     suspect.Occasions = std::max(suspect.Occasions, 1U);
-  return isNews;
 }
 
 std::vector<Id128> CrashSuspects::onPeer(const CrashReports &reports,
@@ -249,6 +246,7 @@
   bool isKnown = it != Suspects.end() && it->second.QuarantinedUntil;
   if (wasAnswered(request))
     clear(request, Tells, now);
+  count();
   if (Settings.Servers == 0 || isKnown || Cleared.contains(request))
     return {};
   Suspects[request].Occasions = OccasionsToQuarantine;
@@ -281,20 +279,20 @@
   return Answered.contains(request) || AnsweredBefore.contains(request);
 }
 
-void CrashSuspects::noteAnswered(const Id128 &request, TimePoint now) {
+void CrashSuspects::forgetAnswers(TimePoint now) {
   bool isFull = Answered.size() >= Settings.MostAnswered;
-  if (isFull || now >= AnsweredSince + AnswerMemory) {
-    AnsweredBefore = std::exchange(Answered, {});
-    AnsweredSince = now;
-  }
-  Answered.insert(request);
+  if (!isFull && now < AnsweredSince + AnswerMemory)
+    return;
+  AnsweredBefore = std::exchange(Answered, {});
+  AnsweredSince = now;
 }
 
 void CrashSuspects::onAnswered(const Id128 &request, TimePoint now) {
   if (Settings.Servers == 0)
     return;
   std::lock_guard guard(Lock);
-  noteAnswered(request, now);
+  forgetAnswers(now);
+  Answered.insert(request);
   if (!Suspects.contains(request))
     return;
   clear(request, Tells, now);
@@ -337,9 +335,8 @@
 }
 
 void CrashSuspects::onTimer(TimePoint now) {
-  if (isEmpty())
-    return;
   std::lock_guard guard(Lock);
+  forgetAnswers(now);
   for (auto &[request, suspect] : Suspects) {
     if (!suspect.QuarantinedUntil || now < *suspect.QuarantinedUntil)
       continue;
--- a/src/direct/crash_suspects.h
+++ b/src/direct/crash_suspects.h
@@ -24,10 +24,8 @@
 
 #include <atomic>
 #include <cstdint>
-#include <map>
 #include <mutex>
 #include <optional>
-#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -144,9 +142,9 @@
     double TellsLeft = 0;
   };
 
-  bool addServer(Suspect &suspect, uint64_t server, TimePoint endedAt);
-  /// What another entry saw; whether anything of it is news.
-  bool merge(const CrashReport &report, TimePoint now);
+  static void addServer(Suspect &suspect, uint64_t server, TimePoint endedAt);
+  /// Takes over what another entry saw, but for what is refuted.
+  void merge(const CrashReport &report, TimePoint now);
   /// Whether the server was heard from, or the request answered, since.
   bool isRefuted(const Id128 &request, uint64_t server,
                  TimePoint endedAt) const;
@@ -164,7 +162,7 @@
   void clear(const Id128 &request, double tells, TimePoint at);
   void live(uint64_t server, double tells, TimePoint at);
   bool wasAnswered(const Id128 &request) const;
-  void noteAnswered(const Id128 &request, TimePoint now);
+  void forgetAnswers(TimePoint now);
   void tell(Suspect &suspect, TimePoint from);
   void makeRoom();
   void count();
--- a/tests/direct/crash_suspects_test.cpp
+++ b/tests/direct/crash_suspects_test.cpp
@@ -135,6 +135,7 @@
   ASSERT_TRUE(accuses.quarantineLeft(Poison, now));
   EXPECT_TRUE(answers.onPeer(accuses.takeNews(All, now), now).empty());
   EXPECT_TRUE(answers.onRecord(Poison, now).empty());
+  EXPECT_FALSE(answers.isEmpty()); // It has something to tell.
   accuses.onPeer(answers.takeNews(All, now), now);
   EXPECT_FALSE(accuses.quarantineLeft(Poison, now));
 }
@@ -142,8 +143,8 @@
 TEST(CrashSuspects, ForgetsAnswersInTime) {
   CrashSuspects it({});
   it.onAnswered(Poison, Start);
-  it.onAnswered(Other, Start + 31s);
-  it.onAnswered(Other, Start + 62s);
+  it.onTimer(Start + 31s); // Though nothing else is answered.
+  it.onTimer(Start + 62s);
   endInTurn(it, Poison, 1, 3, Start + 63s);
   EXPECT_TRUE(it.quarantineLeft(Poison, Start + 63s));
 }
