Name each event of quarantine records where it is logged

It fails each time by hand.

Ruled out: load, and the test: a name that stands at its call is what lets an operator find the line.

Change: each event is written by its own function. No decision differs.

Conclusion: mended.

--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -11,6 +11,17 @@
 
 namespace daisytack::gateway {
 
+namespace {
+
+DecisionLog::Fields fieldsOf(const Id128 &request,
+                             const edge::KvHeader &answer) {
+  return {{"identity", toHex(request)},
+          {"status", edge::kvStatusName(answer.Status)},
+          {"revision", answer.Revision}};
+}
+
+} // namespace
+
 void enforceQuarantine(GatewayState &state, const std::vector<Id128> &requests,
                        TimePoint now) {
   if (requests.empty())
@@ -98,7 +109,7 @@
               result.Header.Status == edge::KvStatus::Ok && result.Lease != 0;
           if (isGranted)
             return self->commit(request, result.Lease);
-          self->noteWritten(request, "quarantine_recorded", result.Header);
+          self->onRecorded(request, result.Header);
         });
       });
 }
@@ -108,21 +119,21 @@
   edge::KvTransaction change;
   change.If.push_back({key, edge::KvCompare::Target::ModRevision, 0});
   change.Then.push_back({key, State.Speak.EncodeQuarantined(), lease, false});
-  Store.Commit(
-      std::move(change), Settings.CallTimeout,
-      [self = shared_from_this(), request,
-       lease](const edge::KvTransactionResult &result) {
-        boost::asio::dispatch(
-            self->On, [self, request, lease, header = result.Header] {
-              // Where the answer was lost the record may stand: its lease ends
-              // it.
-              if (header.Status == edge::KvStatus::CompareFailed ||
-                  header.Status == edge::KvStatus::Unavailable)
-                self->Store.RevokeLease(lease, self->Settings.CallTimeout,
-                                        [](const edge::KvLeaseResult &) {});
-              self->noteWritten(request, "quarantine_recorded", header);
-            });
-      });
+  Store.Commit(std::move(change), Settings.CallTimeout,
+               [self = shared_from_this(), request,
+                lease](const edge::KvTransactionResult &result) {
+                 boost::asio::dispatch(
+                     self->On, [self, request, lease, header = result.Header] {
+                       // Where the answer was lost the record may stand: its
+                       // lease ends it.
+                       if (header.Status == edge::KvStatus::CompareFailed ||
+                           header.Status == edge::KvStatus::Unavailable)
+                         self->Store.RevokeLease(
+                             lease, self->Settings.CallTimeout,
+                             [](const edge::KvLeaseResult &) {});
+                       self->onRecorded(request, header);
+                     });
+               });
 }
 
 void QuarantineRecords::remove(const Id128 &request, uint64_t revision) {
@@ -134,25 +145,34 @@
   Store.Commit(std::move(change), Settings.CallTimeout,
                [self = shared_from_this(),
                 request](const edge::KvTransactionResult &result) {
-                 boost::asio::dispatch(
-                     self->On, [self, request, header = result.Header] {
-                       self->noteWritten(request, "quarantine_lifted", header);
-                     });
+                 boost::asio::dispatch(self->On,
+                                       [self, request, header = result.Header] {
+                                         self->onLifted(request, header);
+                                       });
                });
 }
 
-void QuarantineRecords::noteWritten(const Id128 &request, std::string_view what,
-                                    const edge::KvHeader &answer) {
+void QuarantineRecords::endCall(const Id128 &request, TimePoint now) {
   IsWriting = false;
-  TimePoint now = monotonicNow();
   // Until the catalog shows it, or once more after a step.
   if (auto it = MissingSince.find(request); it != MissingSince.end())
     it->second = now + Settings.WriteStep;
-  State.Log.write(LogWeight::Notable, what,
-                  {{"identity", toHex(request)},
-                   {"status", edge::kvStatusName(answer.Status)},
-                   {"revision", answer.Revision}},
-                  now);
+}
+
+void QuarantineRecords::onRecorded(const Id128 &request,
+                                   const edge::KvHeader &answer) {
+  TimePoint now = monotonicNow();
+  endCall(request, now);
+  State.Log.write(LogWeight::Notable, "quarantine_recorded",
+                  fieldsOf(request, answer), now);
+}
+
+void QuarantineRecords::onLifted(const Id128 &request,
+                                 const edge::KvHeader &answer) {
+  TimePoint now = monotonicNow();
+  endCall(request, now);
+  State.Log.write(LogWeight::Notable, "quarantine_lifted",
+                  fieldsOf(request, answer), now);
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -50,8 +50,10 @@
   void write(const Id128 &request);
   void commit(const Id128 &request, uint64_t lease);
   void remove(const Id128 &request, uint64_t revision);
-  void noteWritten(const Id128 &request, std::string_view what,
-                   const edge::KvHeader &answer);
+  /// The call about the request's record is over.
+  void endCall(const Id128 &request, TimePoint now);
+  void onRecorded(const Id128 &request, const edge::KvHeader &answer);
+  void onLifted(const Id128 &request, const edge::KvHeader &answer);
 
   GatewayState &State;
   Strand On;
