--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -79,16 +79,11 @@
   double FillShare = 0.96;
   /// A part of more than this share of a store's capacity is not kept there
   /// for the sake of its link: a few of them would fill it, and nothing is
-  /// freed while its weights are in use. Without this, on the ranks of few
-  /// parts alone, 20 of 230 long parts took half of the fast stores (mean
-  /// worth 0.728 for 0.743).
+  /// freed while its weights are in use.
   double SmallPartShare = 1.0 / 64;
   /// A store in the failure domain of the server that will fetch the part is
   /// chosen so many times as often as another, so nearly always while it has
-  /// room: transfers between domains keep its link busy twice as long. About
-  /// 15% of all transfer time goes away (two deployments, two plays each). Mean
-  /// worth 0.785, 0.691, 0.793 with it and 0.785, 0.685, 0.789 without (three
-  /// deployments, five days, four seeds).
+  /// room: transfers between domains keep its link busy twice as long.
   double NearWeight = 100;
   bool operator==(const KeptContextSettings &) const = default;
 };
@@ -119,8 +114,7 @@
   /// The smallest parts go to the stores with the fastest links, as many as
   /// their share of all capacity holds, so that short prompts never wait behind
   /// the long transfers of others: a part of 8,600 tokens keeps a slow link
-  /// busy for 40 to 80 ms. Mean worth 0.721 without, 0.741 with (twelve
-  /// engines, three fast and two slow stores, five days, four seeds).
+  /// busy for 40 to 80 ms.
   std::optional<ContextStoreTraits> planSave(std::string_view scope,
                                              const PromptPart &part,
                                              std::string_view failureDomain,
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -32,12 +32,9 @@
   double LeastFirstTokenMs = 50;
   /// Servers that one session's prompts may go to, the first by rendezvous over
   /// all failure domains, and so many with the wanted weights. The same ones
-  /// for every entry: a home in each entry's own domain holds each session's
-  /// context in three servers' memory, and less of all sessions' fits.
-  /// Many entries that all sought the least loaded of all servers on loads some
-  /// hundred milliseconds old would meet there: in half seconds, 26 entries
-  /// sent single ones of 47 up to nine times the mean, and less than five
-  /// times with five servers a session (trials, one busy day).
+  /// for every entry: a home in each entry's own domain would hold each
+  /// session's context in several servers' memory. Few, as many entries that
+  /// all sought the least loaded server on old loads would meet there.
   size_t SessionCandidates = 3;
   size_t CurrentCandidates = 3;
   /// Further servers, other ones for each request, that are asked when the
@@ -50,9 +47,7 @@
   /// Share of a server's memory that the prompts of its running requests may
   /// fill; a prompt beyond it goes to a spare server or is refused. Kept
   /// context gives way to running prompts, and what was evicted is fetched or
-  /// read again, so that prompts run longer and fill more: with a quarter of
-  /// twelve engines lost, first bytes took 65 ms where less than half of the
-  /// memory was held and 310 ms from 0.85 on.
+  /// read again, so that prompts run longer and fill more.
   double MemoryShare = 0.85;
   /// Of one running request on a server, as the pace of all slows down.
   double RunningMs = 0.5;
@@ -64,16 +59,14 @@
   double CallOtherDomainMs = 40;
   double CallRunningMs = 15;
   /// A server on weights that are older than wanted costs so much more, from
-  /// the grace on: a fifth of the answer's value. With 400 ms the first servers
-  /// with new weights, which have all context to read anew, are asked for more
-  /// than they can read in time. Past the limit it is used only if there is no
-  /// other.
+  /// the grace on. Not so much that the first servers with new weights, which
+  /// have all context to read anew, are asked for more than they can read in
+  /// time. Past the limit it is used only if there is no other.
   double OldWeightsMs = 150;
   Duration OldWeightsGrace{1'200'000};
   Duration OldWeightsLimit{11'000'000};
-  /// The predicted wait counts so many times towards the limit: where a quarter
-  /// of the engines was lost, half of the first bytes took twice as long as was
-  /// predicted (408 ms for 248 ms).
+  /// The predicted wait counts so many times towards the limit: first bytes
+  /// come later than predicted where servers were lost.
   double OldWeightsWaitFactor = 2;
   /// Of the predicted wait counts so much at most towards the limit: a caller
   /// that waits longer has left, and its request never begins.
@@ -86,36 +79,22 @@
   /// to read than this share of the tightest target of the service's routes,
   /// longer by a factor for the most urgent, who overtake it; 0: no limit.
   /// Beyond it queues feed themselves: fetches come too late, memory runs out,
-  /// and both have prompts read again. On a busy day without any trouble the
-  /// mean worth was 0.08 without, 0.18 with 0.6, 0.34 with 0.37 (26 entries, 47
-  /// servers); 0.19 refuses more than it helps on quiet days (0.02 of the
-  /// mean). All that without the bound on memory, which ends the same loop
-  /// where it starts. With it, 0.6 does better than 0.4 (0.677 for 0.667, nine
-  /// engines, five days, four seeds), and no limit does as well on two
-  /// deployments; not yet measured on large ones.
+  /// and both have prompts read again.
   double QueueShare = 0.6;
   double UrgentQueueFactor = 1.5;
   /// When a caller refused for that, or for memory, is told to come back: this
   /// share of its target after now, so that it can still be answered within it,
   /// and later only where the queue is known to last longer. Room comes free
   /// with each prompt that ends, some ten times a second at each server.
-  /// Mean worth over five days with trouble (three deployments, four seeds):
-  /// 0.770, 0.668, 0.781 with two seconds for everybody; 0.782, 0.679, 0.783
-  /// with this; without the longer time 0.781, 0.681, 0.786, and with a share
-  /// of 0.15 0.781, 0.676, 0.783, of 0.5 0.780, 0.674, 0.783.
   double OverloadRetryShare = 0.3;
   /// Share of the target latency that the reading of a prompt and its fetches
   /// may take up together. From half of what reading leaves on, but never
   /// before reading the parts would take as long, fetches from a congested link
   /// are given up for reading, so that its queue shrinks and the answer is in
-  /// time. Mean worth (three deployments, five days, four seeds) 0.794, 0.697,
-  /// 0.798 with it and 0.786, 0.678, 0.788 without. 0.5 does as well, 0.35 cost
-  /// 0.03, as it takes usual waits for congestion (before entries told one
-  /// another of delays).
+  /// time. A much smaller share takes usual waits for congestion.
   double FetchShare = 0.75;
   /// A fetch is given up after this at the soonest, however it delays its own
-  /// request: on a busy day 2,950 fetches that were cut at a share of the
-  /// target came too late (one play), and none with this.
+  /// request: one that is cut short has kept its link busy in vain.
   double LeastFetchMs = 2000;
   /// Requests that go on fetching from the most congested link, so that its
   /// recovery is seen.
--- a/src/direct/store_links.h
+++ b/src/direct/store_links.h
@@ -5,9 +5,7 @@
 /// told. A slow engine delays the requests of all stores alike, so only what a
 /// store's requests wait beyond those of the others is put down to its link.
 /// Entries tell one another of each delay: a slow link lasts for seconds, in
-/// which one entry of many sees a fetch or two. Mean worth 0.794, 0.697, 0.798
-/// with it and 0.785, 0.691, 0.793 without (three deployments, five days, four
-/// seeds), 0.743 and 0.729 on one with 26 entries (two seeds).
+/// which one entry of many sees a fetch or two.
 #pragma once
 
 #include "daisytack/types.h"
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -33,8 +33,8 @@
 
 /// How entries tell one another of the load that each puts on servers.
 struct LoadExchangeSettings {
-  /// Between messages to all entries of a small deployment. On loads 390 ms
-  /// old, 26 entries sent ten times the mean to some of 47 servers.
+  /// Between messages to all entries of a small deployment. On older loads
+  /// entries meet at the same servers.
   Duration Interval{100'000};
   /// With more entries than this each hears less often, so that what one entry
   /// sends stays the same: 360 datagrams a second.
