Bound what all entries together send to a cold server

What callers saw: a server that had just started, or was cold again, got up to 32 requests in a second where 30.5 are allowed, and may crash under them. Cause: "cold-remaining-ms" was checked for and dropped; the service's rate and the deployment's overshoot and slack were not read. Change: direct/slow_start. What a second allows is shared out among registered entries in whole requests, the remainder by rendezvous for the server, so that the shares add up to the bound without a message. A server is cold for as long as its record said, counted from when it was read, and after an evacuation until a later record says otherwise. A new process waits a window, as the one before it may have used its share. Who finds no share goes to another server; with none left the caller is told at once when one opens. Placement is taken apart where this adds to it: eligibility (who may be asked), placement_cost (who is preferred), admission (what is refused), context_planner (sources and destinations). A choice looks at each server once, not up to five times.

--- /dev/null
+++ b/src/direct/candidate.h
@@ -0,0 +1,24 @@
+/// A backend server and what is believed of it at the moment of one choice.
+/// Looked up once, so that all parts of a choice decide on the same belief.
+#pragma once
+
+#include "direct/facts.h"
+#include "direct/server_loads.h"
+
+#include <vector>
+
+namespace daisytack::direct {
+
+struct Candidate {
+  const BackendServer *Server = nullptr; ///< Of the catalog; never null.
+  ServerLoadView Load;
+  /// How long its weights have been older than wanted.
+  Duration Behind{0};
+  /// It has just started, or is cold again: it takes few requests.
+  bool IsCold = false;
+  auto operator<=>(const Candidate &) const = default;
+};
+
+using Candidates = std::vector<Candidate>;
+
+} // namespace daisytack::direct
--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -128,7 +128,8 @@
     return false;
   if (record.IsDeleted) {
     if (it == Known.end())
-      it = Known.emplace(record.Key, Held{record, subject, {}, {}, {}}).first;
+      it = Known.emplace(record.Key, Held{record, subject, {}, {}, {}, now})
+               .first;
     return mergeDeletion(it->second, record.Revision, now);
   }
   Error reason;
@@ -158,7 +159,7 @@
                      {ErrorKind::BadValue, "its service or its weights are not "
                                            "those of the configuration"},
                      now);
-  hold(record, subject, std::move(*value));
+  hold(record, subject, std::move(*value), now);
   return true;
 }
 
@@ -169,12 +170,12 @@
   auto before = Known.find(record.Key);
   bool staysInForce = subject.Kind != FactKind::Server &&
                       before != Known.end() && !before->second.Record.IsDeleted;
-  hold(record, subject, staysInForce ? before->second.Value : FactValue());
+  hold(record, subject, staysInForce ? before->second.Value : FactValue(), now);
   return true;
 }
 
 void CatalogKeeper::hold(const StoreRecord &record, const FactSubject &subject,
-                         FactValue value) {
+                         FactValue value, TimePoint now) {
   std::vector<ModelVersion> weights;
   auto before = Known.find(record.Key);
   const auto *server = std::get_if<BackendServer>(&value);
@@ -184,7 +185,7 @@
     weights = std::move(before->second.LastWeights);
   Known.insert_or_assign(
       record.Key,
-      Held{record, subject, std::move(value), std::move(weights), {}});
+      Held{record, subject, std::move(value), std::move(weights), {}, now});
 }
 
 bool CatalogKeeper::isConfigured(const BackendServer &server) const {
@@ -209,6 +210,8 @@
   // The configuration is never deleted; a store that says so is not believed.
   if (held.Subject.Kind == FactKind::Config)
     return false;
+  if (held.Subject.Kind == FactKind::Evacuation)
+    Lifted[held.Subject.Name] = {now, revision};
   const auto *server = std::get_if<BackendServer>(&held.Value);
   bool mayHaveLapsed = server && !server->IsDraining && isInGrace(now);
   if (mayHaveLapsed)
@@ -264,6 +267,18 @@
   return out;
 }
 
+TimePoint CatalogKeeper::coldUntil(const Held &held,
+                                   const BackendServer &server) const {
+  TimePoint out = held.ReadAt + server.ColdFor;
+  auto lift = Lifted.find(server.FailureDomain);
+  const Service *service =
+      Config ? Config->findService(server.Service) : nullptr;
+  if (lift == Lifted.end() || !service ||
+      held.Record.Revision > lift->second.Revision)
+    return out;
+  return std::max(out, lift->second.At + service->ColdStart);
+}
+
 void CatalogKeeper::list(BackendServer server, Catalog &to) const {
   bool takesRequests =
       !server.IsDraining && !to.Evacuated.contains(server.FailureDomain);
@@ -370,9 +385,16 @@
       continue;
     }
     servers.push_back(withLoaded(*record));
+    servers.back().ColdUntil = coldUntil(held, *record);
   }
   for (BackendServer &server : servers)
     list(std::move(server), *next);
+  auto isSame = [](const auto &a, const auto &b) { return a.first == b.first; };
+  auto before = view();
+  bool areSame =
+      std::equal(next->Registered.begin(), next->Registered.end(),
+                 before->Registered.begin(), before->Registered.end(), isSame);
+  next->RegisteredVersion = before->RegisteredVersion + (areSame ? 0 : 1);
   auto byId = [](const BackendServer &a, const BackendServer &b) {
     return a.Id < b.Id;
   };
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -43,6 +43,8 @@
   std::vector<EntryPeer> Entries; ///< This process too, once it is listed.
   /// Addresses that are registered, with the revision of each record.
   std::map<Endpoint, uint64_t> Registered;
+  /// Differs from that of the catalog before when other addresses are.
+  uint64_t RegisteredVersion = 0;
   /// Entry that may give orders; empty when none may, UnknownHolder when the
   /// record can't be read.
   std::string Holder;
@@ -149,12 +151,18 @@
     std::vector<ModelVersion> LastWeights;
     /// Deleted while the store was away: still counts until then.
     std::optional<TimePoint> KeptUntil;
+    TimePoint ReadAt; ///< When this process read the record.
+  };
+  /// The last end of a domain's evacuation.
+  struct Lift {
+    TimePoint At;
+    uint64_t Revision = 0;
   };
 
   bool merge(const StoreRecord &record, TimePoint now);
   /// Holds the record, in place of the one before.
   void hold(const StoreRecord &record, const FactSubject &subject,
-            FactValue value);
+            FactValue value, TimePoint now);
   /// It names no server: the one that its key named before is out of use. All
   /// else stays in force, as only its writer, or its end, can take it back: an
   /// entry that is not listed would not be asked before context is freed.
@@ -171,6 +179,10 @@
   void dropSpentNotes(const BackendServer &server, bool isRestart);
   /// The server with the versions that were noted ahead of its record.
   BackendServer withLoaded(const BackendServer &server) const;
+  /// Until when the server counts as cold: for as long as its record said, from
+  /// when it was read, as the time on its way is not known. After an evacuation
+  /// servers are cold, and a record says so up to a heartbeat later.
+  TimePoint coldUntil(const Held &held, const BackendServer &server) const;
   /// Adds the server to the lists that it belongs to.
   void list(BackendServer server, Catalog &to) const;
   bool isInGrace(TimePoint now) const;
@@ -185,6 +197,7 @@
   std::map<std::string, std::vector<WantedVersion>, std::less<>> Wanted;
   /// Noted ahead of records.
   std::map<ServerStart, ModelVersion> Loaded;
+  std::map<std::string, Lift, std::less<>> Lifted; ///< By failure domain.
   uint64_t Highest = 0;
   uint64_t ForgottenTo = 0;
   bool HasReadAll = false;
--- /dev/null
+++ b/src/direct/eligibility.cpp
@@ -0,0 +1,115 @@
+#include "direct/eligibility.h"
+
+#include <algorithm>
+
+namespace daisytack::direct {
+
+namespace {
+
+double coldRateOf(const Catalog &catalog, const BackendServer &server) {
+  const Service *service =
+      catalog.Config ? catalog.Config->findService(server.Service) : nullptr;
+  return service ? service->ColdRequestsPerSecond : 0;
+}
+
+} // namespace
+
+Eligibility::Eligibility(PlacementSettings settings, const Locality &where,
+                         ServerBeliefs beliefs, const PlacementCost &cost)
+    : Settings(settings), Where(where), Beliefs(beliefs), Cost(cost) {}
+
+Candidate Eligibility::look(const ForwardRequest &request,
+                            const Catalog &catalog, const BackendServer &server,
+                            TimePoint now) const {
+  Candidate out{&server, Beliefs.Loads.view(server.ref(), now), {}, false};
+  const std::string &model = request.Head.Model;
+  if (!model.empty())
+    if (auto since = catalog.behindSince(model, server.versionOf(model)))
+      out.Behind = now - *since;
+  out.IsCold = now < server.ColdUntil && coldRateOf(catalog, server) > 0;
+  return out;
+}
+
+std::optional<TimePoint> Eligibility::opensAt(const Candidate &candidate,
+                                              const Catalog &catalog,
+                                              TimePoint now) const {
+  if (candidate.Load.IsLeaving)
+    return std::nullopt;
+  TimePoint out = std::max(now, candidate.Load.ClosedUntil);
+  const BackendServer &server = *candidate.Server;
+  if (!candidate.IsCold)
+    return out;
+  std::optional<TimePoint> share =
+      Beliefs.ColdServers.opensAt(server, coldRateOf(catalog, server), catalog);
+  // It takes as much as before once it is warm.
+  return std::max(out,
+                  std::min(share.value_or(server.ColdUntil), server.ColdUntil));
+}
+
+Eligibility::Care Eligibility::careFor(const ForwardRequest &request,
+                                       const Candidate &candidate,
+                                       TimePoint now) const {
+  const ServerLoadView &load = candidate.Load;
+  uint64_t key = candidate.Server->ref().key();
+  if (load.IsAvoided || Beliefs.Ejected.isEjected(key, now))
+    return Care::Any;
+  if (candidate.Behind == Duration::zero())
+    return Care::Full;
+  // What counts is when it begins to run.
+  double waitMs =
+      Cost.firstTokenMs(request, load, 0) * Settings.OldWeightsWaitFactor;
+  auto wait = Duration(static_cast<int64_t>(waitMs * 1000));
+  bool isInTime = candidate.Behind + std::min(wait, Settings.OldWeightsWait) <
+                  Settings.OldWeightsLimit;
+  return isInTime ? Care::Full : Care::AnyVersion;
+}
+
+Candidates Eligibility::servers(const ForwardRequest &request,
+                                const Catalog &catalog,
+                                const std::vector<std::string> &tried,
+                                TimePoint now, Error &reason) const {
+  Candidates out;
+  Care least = Care::Any;
+  std::optional<TimePoint> soonest;
+  for (const BackendServer &server : catalog.serversOf(request.Service)) {
+    bool wasTried =
+        std::find(tried.begin(), tried.end(), server.Id) != tried.end();
+    if (!Where.allows(request.Regions, server.FailureDomain))
+      continue;
+    Candidate candidate = look(request, catalog, server, now);
+    std::optional<TimePoint> opens = opensAt(candidate, catalog, now);
+    if (!opens)
+      continue;
+    if (now < *opens) {
+      soonest = std::min(soonest.value_or(*opens), *opens);
+      continue;
+    }
+    if (wasTried)
+      continue;
+    Care care = careFor(request, candidate, now);
+    if (care > least)
+      continue;
+    if (care < least)
+      out.clear();
+    least = care;
+    out.push_back(candidate);
+  }
+  if (!out.empty())
+    return out;
+  reason = {ErrorKind::NoServer,
+            "no backend server of " + request.Service + " is left to ask"};
+  if (soonest)
+    reason.RetryAfter = *soonest - now;
+  return out;
+}
+
+bool Eligibility::take(const Candidate &candidate, const Catalog &catalog,
+                       TimePoint now) const {
+  if (!candidate.IsCold)
+    return true;
+  const BackendServer &server = *candidate.Server;
+  return Beliefs.ColdServers.take(server, coldRateOf(catalog, server), catalog,
+                                  now);
+}
+
+} // namespace daisytack::direct
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -30,6 +30,10 @@
   bool IsDraining = false;
   std::vector<ModelVersion> Weights; ///< That it has loaded.
   uint64_t StartedMs = 0;            ///< See ServerStart.
+  /// How much longer it was cold when it wrote the record.
+  Duration ColdFor{0};
+  /// Until when it counts as cold; the catalog sets it.
+  TimePoint ColdUntil{};
   auto operator<=>(const BackendServer &) const = default;
 
   ServerRef ref() const { return {Id, StartedMs}; }
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -47,6 +47,7 @@
   std::string Service; ///< The route's share that the request fell to.
   std::string Organisation;
   bool IsIsolated = false;
+  AllowedRegions Regions{}; ///< Of the route and of the organisation.
   uint32_t Priority = 0;
   TimePoint Arrived;
   TimePoint Deadline; ///< Of the final answer.
--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -133,7 +133,8 @@
 
 std::optional<ContextStoreTraits>
 KeptContext::find(std::string_view scope, const PromptPart &part,
-                  std::string_view failureDomain) const {
+                  std::string_view failureDomain,
+                  const StoreTest &mayUse) const {
   std::string key = keyOf(scope, part.Id);
   std::lock_guard guard(Lock);
   if (isRetired(scope, part.Id))
@@ -142,6 +143,8 @@
   for (const auto &[name, store] : Stores) {
     if (!store.IsReachable || !store.Parts.contains(key))
       continue;
+    if (mayUse && !mayUse(store.Traits))
+      continue;
     bool isNear = store.Traits.FailureDomain == failureDomain;
     if (!out || isNear)
       out = store.Traits;
@@ -172,19 +175,20 @@
 
 std::optional<ContextStoreTraits>
 KeptContext::planSave(std::string_view scope, const PromptPart &part,
-                      std::string_view failureDomain, TimePoint now) {
+                      std::string_view failureDomain, TimePoint now,
+                      const StoreTest &mayUse) {
   std::string key = keyOf(scope, part.Id);
   std::lock_guard guard(Lock);
   forgetOldSaves(now);
   if (Saves.contains(key) || isRetired(scope, part.Id))
     return std::nullopt;
   for (const auto &[name, store] : Stores)
-    if (store.Parts.contains(key))
+    if (store.Parts.contains(key) && (!mayUse || mayUse(store.Traits)))
       return std::nullopt;
   const std::string *name =
-      bestStore(key, part.Tokens, failureDomain, linkFor(part.Tokens));
+      bestStore(key, part.Tokens, failureDomain, linkFor(part.Tokens), mayUse);
   if (!name)
-    name = bestStore(key, part.Tokens, failureDomain, std::nullopt);
+    name = bestStore(key, part.Tokens, failureDomain, std::nullopt, mayUse);
   if (!name)
     return std::nullopt;
   Sizes.observe(part.Tokens);
@@ -222,15 +226,18 @@
   return groups.rbegin()->first;
 }
 
-const std::string *
-KeptContext::bestStore(const std::string &key, uint32_t tokens,
-                       std::string_view failureDomain,
-                       std::optional<double> linkMbps) const {
+const std::string *KeptContext::bestStore(const std::string &key,
+                                          uint32_t tokens,
+                                          std::string_view failureDomain,
+                                          std::optional<double> linkMbps,
+                                          const StoreTest &mayUse) const {
   const std::string *best = nullptr;
   double bestScore = 0;
   for (const auto &[name, store] : Stores) {
     if (linkMbps && store.Traits.LinkMbps != *linkMbps)
       continue;
+    if (mayUse && !mayUse(store.Traits))
+      continue;
     auto capacity = static_cast<double>(store.Traits.CapacityTokens);
     auto wanted =
         static_cast<double>(store.UsedTokens + tokens + plannedTokens(name));
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -91,6 +91,8 @@
 /// Thread-safe.
 class KeptContext {
 public:
+  using StoreTest = std::function<bool(const ContextStoreTraits &)>;
+
   explicit KeptContext(KeptContextSettings settings) : Settings(settings) {}
 
   /// Takes over the stores of a configuration; those that are new hold nothing.
@@ -102,10 +104,12 @@
   /// The store does not answer: nothing of it is offered until it does.
   void onUnreachable(const std::string &store);
 
-  /// A store that holds the whole part, the nearest first.
+  /// A store that holds the whole part, the nearest first, of those that may be
+  /// used; without a test all may.
   std::optional<ContextStoreTraits> find(std::string_view scope,
                                          const PromptPart &part,
-                                         std::string_view failureDomain) const;
+                                         std::string_view failureDomain,
+                                         const StoreTest &mayUse = {}) const;
   /// Chooses a store for the part, in the failure domain of the server that
   /// will fetch it if that is known, and remembers that its save was asked for;
   /// nothing when a store holds it, or it was asked for lately, or none has
@@ -118,7 +122,8 @@
   std::optional<ContextStoreTraits> planSave(std::string_view scope,
                                              const PromptPart &part,
                                              std::string_view failureDomain,
-                                             TimePoint now);
+                                             TimePoint now,
+                                             const StoreTest &mayUse = {});
   /// The save was not carried out.
   void forgetSave(std::string_view scope, const PromptPart &part);
 
@@ -162,7 +167,8 @@
   /// none. With a speed: only among stores with such a link.
   const std::string *bestStore(const std::string &key, uint32_t tokens,
                                std::string_view failureDomain,
-                               std::optional<double> linkMbps) const;
+                               std::optional<double> linkMbps,
+                               const StoreTest &mayUse) const;
 
   KeptContextSettings Settings;
   mutable std::mutex Lock;
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -6,104 +6,17 @@
 /// token, decides when another server is better.
 #pragma once
 
-#include "decide/ejection.h"
-#include "direct/catalog.h"
-#include "direct/forward_flow.h"
-#include "direct/kept_context.h"
-#include "direct/reading_rate.h"
-#include "direct/server_loads.h"
-#include "direct/store_links.h"
+#include "direct/admission.h"
+#include "direct/context_planner.h"
+#include "direct/eligibility.h"
 
-#include <map>
 #include <optional>
 #include <string>
-#include <utility>
+#include <string_view>
 #include <vector>
 
 namespace daisytack::direct {
 
-/// No fetch that an entry asks for lasts longer; the platform starts none that
-/// would wait for two seconds. Kept context is freed only once that has passed
-/// since the last entry stopped naming it.
-constexpr Duration LongestFetch{2'000'000};
-
-struct PlacementSettings {
-  /// Least time until a first token, without reading and queues.
-  double LeastFirstTokenMs = 50;
-  /// Servers that one session's prompts may go to, the first by rendezvous over
-  /// all failure domains, and so many with the wanted weights. The same ones
-  /// for every entry: a home in each entry's own domain would hold each
-  /// session's context in several servers' memory. Few, as many entries that
-  /// all sought the least loaded server on old loads would meet there.
-  size_t SessionCandidates = 3;
-  size_t CurrentCandidates = 3;
-  /// Further servers, other ones for each request, that are asked when the
-  /// session's own are too busy; four find a free one of a fleet that is half
-  /// busy in 15 of 16 cases, by arithmetic.
-  size_t SpareCandidates = 4;
-  /// What a token that is fetched counts in a queue, against one that is read.
-  /// Weighed in full it has prompts refused that would only wait for a link.
-  double FetchedWeight = 0.5;
-  /// Share of a server's memory that the prompts of its running requests may
-  /// fill; a prompt beyond it goes to a spare server or is refused. Kept
-  /// context gives way to running prompts, and what was evicted is fetched or
-  /// read again, so that prompts run longer and fill more.
-  double MemoryShare = 0.85;
-  /// Of one running request on a server, as the pace of all slows down.
-  double RunningMs = 0.5;
-  /// A server of another failure domain costs so much more: what bytes between
-  /// domains cost, as time. Small beside the reading of a long prompt, so that
-  /// its session has one home; enough to keep short ones near.
-  double OtherDomainMs = 30;
-  /// The same for calls without a prompt, which are small and short.
-  double CallOtherDomainMs = 40;
-  double CallRunningMs = 15;
-  /// A server on weights that are older than wanted costs so much more, from
-  /// the grace on. Not so much that the first servers with new weights, which
-  /// have all context to read anew, are asked for more than they can read in
-  /// time. Past the limit it is used only if there is no other.
-  double OldWeightsMs = 150;
-  Duration OldWeightsGrace{1'200'000};
-  Duration OldWeightsLimit{11'000'000};
-  /// The predicted wait counts so many times towards the limit: first bytes
-  /// come later than predicted where servers were lost.
-  double OldWeightsWaitFactor = 2;
-  /// Of the predicted wait counts so much at most towards the limit: a caller
-  /// that waits longer has left, and its request never begins.
-  Duration OldWeightsWait{3'200'000};
-  /// A prompt is refused when even the best server is predicted to begin its
-  /// answer only after this share of the time that its caller will wait, since
-  /// reading it would delay others in vain.
-  double PatienceShare = 0.9;
-  /// A prompt is also refused when what waits at the best server takes longer
-  /// to read than this share of the tightest target of the service's routes,
-  /// longer by a factor for the most urgent, who overtake it; 0: no limit.
-  /// Beyond it queues feed themselves: fetches come too late, memory runs out,
-  /// and both have prompts read again.
-  double QueueShare = 0.6;
-  double UrgentQueueFactor = 1.5;
-  /// When a caller refused for that, or for memory, is told to come back: this
-  /// share of its target after now, so that it can still be answered within it,
-  /// and later only where the queue is known to last longer. Room comes free
-  /// with each prompt that ends, some ten times a second at each server.
-  double OverloadRetryShare = 0.3;
-  /// Share of the target latency that the reading of a prompt and its fetches
-  /// may take up together. From half of what reading leaves on, but never
-  /// before reading the parts would take as long, fetches from a congested link
-  /// are given up for reading, so that its queue shrinks and the answer is in
-  /// time. A much smaller share takes usual waits for congestion.
-  double FetchShare = 0.75;
-  /// A fetch is given up after this at the soonest, however it delays its own
-  /// request: one that is cut short has kept its link busy in vain.
-  double LeastFetchMs = 2000;
-  /// Requests that go on fetching from the most congested link, so that its
-  /// recovery is seen.
-  double ProbeShare = 0.1;
-  /// Parts with fewer tokens are not worth a transfer of their own.
-  uint32_t LeastPartTokens = 64;
-  bool operator==(const PlacementSettings &) const = default;
-};
-
 /// What a choice is made on; all thread-safe.
 struct PlacementView {
   const ServerLoads &Loads; ///< Of backend servers.
@@ -111,15 +24,19 @@
   const Ejector &Ejected;
   const ReadingRate &Rates;
   KeptContext &Kept;
+  SlowStart &ColdServers;
 };
 
 /// Thread-safe.
 class Placement {
 public:
-  Placement(PlacementSettings settings, std::string failureDomain,
-            PlacementView view);
+  Placement(PlacementSettings settings, Locality where, PlacementView view);
+  // Its parts refer to one another.
+  Placement(const Placement &) = delete;
+  Placement &operator=(const Placement &) = delete;
 
-  /// Servers that were tried are left out. Plans saves as a side effect.
+  /// Servers that were tried are left out. Plans saves, and takes from the
+  /// share of a cold server, as side effects.
   std::optional<AttemptChoice> choose(const ForwardRequest &request,
                                       const Catalog &catalog,
                                       const std::vector<std::string> &tried,
@@ -127,78 +44,40 @@
                                       TimePoint now, Error &reason);
 
 private:
-  using ServerRefs = std::vector<const BackendServer *>;
-  using RankedServers = std::vector<std::pair<double, const BackendServer *>>;
-  /// Tokens that no store holds, by weight version; one choice's own.
-  using UnkeptTokens = std::map<uint64_t, uint64_t>;
+  using Ranked = std::vector<std::pair<double, const Candidate *>>;
 
-  /// How picky a choice is; each level is tried before the next. None of them
-  /// takes a server that wants nothing new by its own word.
-  enum class Care : uint8_t { Full, AnyVersion, Any };
+  struct Choice {
+    Candidate Server;
+    /// That may hold the session's context in its memory; null for a request
+    /// without a prompt.
+    const BackendServer *Home = nullptr;
+  };
 
-  double cost(const ForwardRequest &request, const Catalog &catalog,
-              const BackendServer &server, const BackendServer *home,
-              UnkeptTokens &unkept, TimePoint now) const;
-  /// Of the prompt, what no store holds for the server's weights.
-  uint64_t tokensToRead(const ForwardRequest &request,
-                        const BackendServer &server) const;
-  /// What so many tokens take to read, alone.
-  double readMs(const ForwardRequest &request, double tokens) const;
-  /// How long what waits at a server may take to read; nothing without a limit.
-  std::optional<double> mostQueueMs(const ForwardRequest &request,
-                                    const Catalog &catalog) const;
-  double firstTokenMs(const ForwardRequest &request, const ServerLoadView &load,
-                      uint64_t readTokens) const;
-  /// Whether the server's memory holds the prompt beside those that run.
-  bool hasMemory(const ForwardRequest &request, const Catalog &catalog,
-                 const ServerLoadView &load) const;
-  /// Servers for the request's session, its home first; all of them for a
-  /// request without a prompt.
-  ServerRefs candidates(const ForwardRequest &request, const Catalog &catalog,
-                        const ServerRefs &servers, TimePoint now) const;
-  ServerRefs spares(const ForwardRequest &request,
-                    const ServerRefs &servers) const;
+  /// The best of the servers; nothing, with the reason, when it is too busy.
+  std::optional<Choice> best(const ForwardRequest &request,
+                             const Catalog &catalog, const Candidates &servers,
+                             TimePoint now, Error &reason) const;
+  /// Servers for the request's session, its home first.
+  Candidates ofSession(const ForwardRequest &request,
+                       const Candidates &servers) const;
+  Candidates spares(const ForwardRequest &request,
+                    const Candidates &servers) const;
   /// By rendezvous for the key, the first one first.
-  RankedServers ranked(std::string_view key, const ServerRefs &servers) const;
-  const BackendServer *cheapest(const ForwardRequest &request,
-                                const Catalog &catalog,
-                                const ServerRefs &servers,
-                                const BackendServer *home, TimePoint now) const;
-  /// How long the server's weights have been older than wanted.
-  Duration behindFor(const ForwardRequest &request, const Catalog &catalog,
-                     const BackendServer &server, TimePoint now) const;
-  ServerRefs usable(const ForwardRequest &request, const Catalog &catalog,
-                    const std::vector<std::string> &tried, TimePoint now) const;
-  /// Whether the server's memory is full or its queue too long, or the answer
-  /// would begin after the caller has left even if all goes well.
-  bool isTooBusy(const ForwardRequest &request, const Catalog &catalog,
-                 const BackendServer &server, TimePoint now) const;
-  /// When a caller that the server is too busy for should come back.
-  Duration retryAfter(const ForwardRequest &request, const Catalog &catalog,
-                      const BackendServer &server, TimePoint now) const;
-  /// Why no server is left, and when one may be.
-  Error noneLeft(const ForwardRequest &request, const Catalog &catalog,
-                 TimePoint now) const;
-  bool isUsable(const ForwardRequest &request, const Catalog &catalog,
-                const BackendServer &server, Care care, TimePoint now) const;
+  Ranked ranked(std::string_view key, const Candidates &servers) const;
+  const Candidate &cheapest(const ForwardRequest &request,
+                            const Candidates &servers,
+                            const BackendServer *home) const;
   AttemptOrder orderFor(const ForwardRequest &request, const Catalog &catalog,
-                        const BackendServer &server, const BackendServer *home,
+                        const Candidate &server, const BackendServer *home,
                         std::optional<int64_t> serversClockMs, TimePoint now);
-  /// What a fetch may wait before reading the parts instead is better.
-  double fetchBudgetMs(const ForwardRequest &request) const;
-  /// Names sources for the parts that are better fetched than read, and
-  /// destinations for those that no store has.
-  void planContext(const ForwardRequest &request, const Catalog &catalog,
-                   const BackendServer &server, const BackendServer &home,
-                   std::optional<int64_t> serversClockMs, TimePoint now,
-                   AttemptOrder &order);
-  /// Whether the request leaves the congested link alone and reads instead.
-  bool shedsFetch(const ForwardRequest &request, double excessMs,
-                  double budgetMs) const;
 
   PlacementSettings Settings;
-  std::string FailureDomain;
-  PlacementView View;
+  Locality Where;
+  const ReadingRate &Rates;
+  PlacementCost Cost;
+  Eligibility Eligible;
+  Admission Admit;
+  ContextPlanner Contexts;
 };
 
 } // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/placement_cost.cpp
@@ -0,0 +1,70 @@
+#include "direct/placement_cost.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::direct {
+
+uint32_t sharedTokens(const CallerHead &head) {
+  uint32_t out = 0;
+  for (size_t i = 0; i + 1 < head.Parts.size(); ++i)
+    out += head.Parts[i].Tokens;
+  return out;
+}
+
+PlacementCost::PlacementCost(PlacementSettings settings,
+                             std::string failureDomain,
+                             const ReadingRate &rates, const KeptContext &kept)
+    : Settings(settings), FailureDomain(std::move(failureDomain)), Rates(rates),
+      Kept(kept) {}
+
+double PlacementCost::readMs(const ForwardRequest &request,
+                             double tokens) const {
+  return tokens / Rates.of(request.Service);
+}
+
+double PlacementCost::firstTokenMs(const ForwardRequest &request,
+                                   const ServerLoadView &load,
+                                   uint64_t readTokens) const {
+  auto queued = static_cast<double>(load.Tokens + readTokens);
+  bool hasPrompt = !request.Head.Model.empty();
+  return (hasPrompt ? Settings.LeastFirstTokenMs : 0) +
+         readMs(request, queued) + load.Running * Settings.RunningMs;
+}
+
+uint64_t PlacementCost::tokensToRead(const ForwardRequest &request,
+                                     const BackendServer &server) const {
+  const CallerHead &head = request.Head;
+  std::string scope = cacheScope(request.Organisation, request.IsIsolated,
+                                 server.versionOf(head.Model));
+  uint64_t out = head.PromptTokens;
+  for (size_t i = 0; i + 1 < head.Parts.size(); ++i)
+    if (Kept.find(scope, head.Parts[i], server.FailureDomain))
+      out -= std::min<uint64_t>(out, head.Parts[i].Tokens);
+  return out;
+}
+
+double PlacementCost::of(const ForwardRequest &request,
+                         const Candidate &candidate, const BackendServer *home,
+                         UnkeptTokens &unkept) const {
+  const BackendServer &server = *candidate.Server;
+  const ServerLoadView &load = candidate.Load;
+  bool isFar = server.FailureDomain != FailureDomain;
+  if (request.Head.Model.empty())
+    return load.Running * Settings.CallRunningMs +
+           (isFar ? Settings.CallOtherDomainMs : 0);
+  auto [toRead, isNew] =
+      unkept.try_emplace(server.versionOf(request.Head.Model));
+  if (isNew)
+    toRead->second = tokensToRead(request, server);
+  double out = firstTokenMs(request, load, toRead->second);
+  if (isFar)
+    out += Settings.OtherDomainMs;
+  if (&server != home) // What the home may still have is read or fetched.
+    out += readMs(request, sharedTokens(request.Head));
+  if (candidate.Behind > Settings.OldWeightsGrace)
+    out += Settings.OldWeightsMs;
+  return out;
+}
+
+} // namespace daisytack::direct
--- a/src/direct/serving_config.h
+++ b/src/direct/serving_config.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "daisytack/types.h"
+#include "direct/locality.h"
 
 #include <compare>
 #include <optional>
@@ -42,6 +43,7 @@
   bool IsPublic = false;    ///< Needs no API key.
   bool IsResumable = false; ///< A broken stream may go on elsewhere.
   bool HasPrompt = false;   ///< Requests name a model and prompt parts.
+  AllowedRegions Regions{}; ///< Of servers and stores that requests may reach.
   auto operator<=>(const Route &) const = default;
 
   /// Whether a request may run more than once.
@@ -57,6 +59,7 @@
   std::vector<std::string> Keys;
   std::optional<uint32_t> Priority; ///< Replaces that of the route.
   bool IsIsolated = false;          ///< Shares no kept context with others.
+  AllowedRegions Regions{}; ///< Of servers and stores that requests may reach.
   auto operator<=>(const Access &) const = default;
 };
 
@@ -86,6 +89,9 @@
 struct Service {
   std::string Name;
   uint32_t ConnectionLimit = 0; ///< Of one server, over all callers; 0: none.
+  Duration ColdStart{0};        ///< How long its servers are cold.
+  /// That a cold server bears; 0: servers are as good as warm at once.
+  double ColdRequestsPerSecond = 0;
   std::optional<EngineTraits> Engine;
   std::optional<ContextStoreTraits> Store;
   auto operator<=>(const Service &) const = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -331,6 +331,7 @@
   TickedAt = now;
   State.Catalog.onTimer(now);
   State.Loads.forgetIdle(now - LoadMemory);
+  State.ColdServers.forgetIdle(now - LoadMemory);
   State.Suspects.onTimer(now);
   PeerLoads->onTimer(now);
   Quarantines->onTimer(now);
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -21,6 +21,15 @@
 /// server's queue takes.
 constexpr Duration OldWeightsMargin{1'000'000};
 
+constexpr double MostOvershoot = 1000;
+
+void readSlowStart(Settings &settings, GatewayOptions &out) {
+  direct::SlowStartSettings &start = out.SlowStart;
+  start.Overshoot = settings.number("slow_start.overshoot", start.Overshoot, 0,
+                                    MostOvershoot);
+  start.Slack = settings.number("slow_start.slack", start.Slack, 0, MostWeight);
+}
+
 void readLimits(Settings &settings, GatewayOptions &out) {
   out.MaxConnections = static_cast<size_t>(settings.integer(
       "callers.max_connections", static_cast<int64_t>(out.MaxConnections), 1,
@@ -116,6 +125,7 @@
   out.Peers = settings.endpoint("peers.listen", std::nullopt);
   out.Seeds = settings.endpoints("peers.seeds");
   out.Store = settings.endpoint("store.address", std::nullopt);
+  readSlowStart(settings, out);
   readLimits(settings, out);
   readPlacement(settings, out);
   return out;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -17,6 +17,8 @@
 #include "direct/retirement.h"
 #include "direct/server_loads.h"
 
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -45,6 +47,8 @@
 struct GatewayOptions {
   std::string Name;          ///< Of this process, unique in the deployment.
   std::string FailureDomain; ///< That it runs in.
+  /// Of each failure domain.
+  std::map<std::string, std::string, std::less<>> Regions;
   Endpoint Callers;
   Endpoint Readiness;
   std::string ReadinessPath;
@@ -77,6 +81,7 @@
   direct::CrashSuspectSettings Suspects;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
+  direct::SlowStartSettings SlowStart;
   direct::ServerLoadSettings Loads;
   direct::StoreLinkSettings Links;
   direct::ReadingRateSettings Reading;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_state.h"
 
+#include "base/clock.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -171,8 +173,9 @@
       Counts(metrics), Loads(options.Loads), Links(options.Links),
       Rates(options.Reading), Ejected(options.Ejection),
       Suspects(options.Suspects), Kept(options.Kept),
-      Place(options.Placement, options.FailureDomain,
-            {Loads, Links, Ejected, Rates, Kept}),
+      ColdServers(options.SlowStart, options.Peers, monotonicNow()),
+      Place(options.Placement, {options.FailureDomain, options.Regions},
+            {Loads, Links, Ejected, Rates, Kept, ColdServers}),
       Retries(options.Retries), Backends(io, backendInit()),
       Control(io, clientInit(IdlePerControl, ControlConnect)),
       Catalog(options.Catalog, catalogHooks(Speak, log)) {}
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -110,6 +110,7 @@
   Ejector Ejected;
   direct::CrashSuspects Suspects;
   direct::KeptContext Kept;
+  direct::SlowStart ColdServers;
   direct::Placement Place;
   RetryBudgets Retries;
   ServersClock Clock;
--- a/tests/direct/placement_fixture.h
+++ b/tests/direct/placement_fixture.h
@@ -100,6 +100,7 @@
   ReadingRate Rates{{}};
   Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
   KeptContext Kept{{}};
+  SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
   direct::Catalog Catalog;
   /// Without a bound on queues, so that each test sees the weight it is about.
   static PlacementSettings unboundedQueues() {
@@ -108,9 +109,11 @@
     return out;
   }
 
-  Placement Place{
-      unboundedQueues(), "d1", {Loads, Links, Ejected, Rates, Kept}};
-  Placement Bounded{{}, "d1", {Loads, Links, Ejected, Rates, Kept}};
+  Placement Place{unboundedQueues(),
+                  {"d1"},
+                  {Loads, Links, Ejected, Rates, Kept, ColdServers}};
+  Placement Bounded{
+      {}, {"d1"}, {Loads, Links, Ejected, Rates, Kept, ColdServers}};
 };
 
 } // namespace daisytack::direct
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -143,7 +143,8 @@
 /// server's memory; with a home in each failure domain it was in several, and
 /// each server remembered fewer sessions.
 TEST_F(PlacementTest, LongPromptsOfASessionMeetAtOneHomeFromEveryDomain) {
-  Placement elsewhere{{}, "d2", {Loads, Links, Ejected, Rates, Kept}};
+  Placement elsewhere{
+      {}, {"d2"}, {Loads, Links, Ejected, Rates, Kept, ColdServers}};
   std::map<std::string, int> homes;
   for (int i = 0; i < 60; ++i) {
     ForwardRequest request = prompt("session" + std::to_string(i));
--- a/tests/platform/entry_fixture.h
+++ b/tests/platform/entry_fixture.h
@@ -66,9 +66,21 @@
 class Entry {
 public:
   explicit Entry(int number = 0)
-      : Number(number),
-        Place(direct::PlacementSettings{}, "a",
-              direct::PlacementView{Loads, Links, Ejected, Rates, Kept}) {}
+      : ColdServers(slowStart(), addressOf(number), Start - 10s),
+        Place(direct::PlacementSettings{}, direct::Locality{"a"},
+              direct::PlacementView{Loads, Links, Ejected, Rates, Kept,
+                                    ColdServers}) {}
+
+  static Endpoint addressOf(int number) {
+    return {"10.0.0." + std::to_string(number + 1), 7000};
+  }
+
+  static direct::SlowStartSettings slowStart() {
+    direct::SlowStartSettings out;
+    out.Overshoot = 1.5;
+    out.Slack = 5;
+    return out;
+  }
 
   static direct::CatalogHooks hooks() {
     direct::CatalogHooks out;
@@ -112,13 +124,13 @@
     return choice ? choice->Order.ServerId : std::string();
   }
 
-  int Number;
   direct::ServerLoads Loads{{}};
   direct::StoreLinks Links{{}};
   direct::ReadingRate Rates{{}};
   Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
   direct::KeptContext Kept{{}};
   direct::CatalogKeeper Known{{}, hooks()};
+  direct::SlowStart ColdServers;
   direct::Placement Place;
   Error Reason;
 };
