Keep requests and kept context in the regions that they are confined to

Cause: "allowed-regions" of routes and organisations was not read; with more than one region a confined request could run anywhere. Ruled out: a region in each server's record, since records name the failure domain alone; the settings say which region a domain is in. A domain that they don't name is in no region that anything is confined to. Change: decoded in platform/, intersected where both route and organisation are confined, and used by eligibility (servers, retries, spares) and by the planner of kept context (sources and destinations). Nothing is computed for a request that is confined to none. Settings: instance.regions.

--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -166,6 +166,8 @@
   forward.Service = serviceOf(*route, head->RequestId);
   forward.Organisation = access ? access->Organisation : std::string();
   forward.IsIsolated = access && access->IsIsolated;
+  forward.Regions = direct::intersect(
+      route->Regions, access ? access->Regions : direct::AllowedRegions());
   forward.Priority =
       access ? access->Priority.value_or(route->Priority) : route->Priority;
   forward.Arrived = now;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -23,6 +23,19 @@
 
 constexpr double MostOvershoot = 1000;
 
+/// "DOMAIN:REGION" each.
+void readRegions(Settings &settings, GatewayOptions &out) {
+  constexpr std::string_view Key = "instance.regions";
+  for (const std::string &it : settings.list(Key)) {
+    size_t colon = it.find(':');
+    if (colon == 0 || colon == std::string::npos || colon + 1 == it.size()) {
+      settings.reject(Key, "write each failure domain as DOMAIN:REGION");
+      continue;
+    }
+    out.Regions[it.substr(0, colon)] = it.substr(colon + 1);
+  }
+}
+
 void readSlowStart(Settings &settings, GatewayOptions &out) {
   direct::SlowStartSettings &start = out.SlowStart;
   start.Overshoot = settings.number("slow_start.overshoot", start.Overshoot, 0,
@@ -125,6 +138,7 @@
   out.Peers = settings.endpoint("peers.listen", std::nullopt);
   out.Seeds = settings.endpoints("peers.seeds");
   out.Store = settings.endpoint("store.address", std::nullopt);
+  readRegions(settings, out);
   readSlowStart(settings, out);
   readLimits(settings, out);
   readPlacement(settings, out);
--- a/tests/platform/entry_fixture.h
+++ b/tests/platform/entry_fixture.h
@@ -65,9 +65,9 @@
 
 class Entry {
 public:
-  explicit Entry(int number = 0)
+  explicit Entry(int number = 0, direct::Locality where = {"a"})
       : ColdServers(slowStart(), addressOf(number), Start - 10s),
-        Place(direct::PlacementSettings{}, direct::Locality{"a"},
+        Place(direct::PlacementSettings{}, std::move(where),
               direct::PlacementView{Loads, Links, Ejected, Rates, Kept,
                                     ColdServers}) {}
 
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -75,6 +75,28 @@
   EXPECT_FALSE(server.IsDraining);
 }
 
+/// The key says it all: no value takes the operator's word back.
+TEST(DecodeFact, ReadsAnEvacuationWhateverItsValue) {
+  for (const char *value : {"{}", R"({"since":1})", "[]", "", "{"})
+    EXPECT_EQ(
+        decodeAs<direct::EvacuatedDomain>("op/evacuate/z", value).FailureDomain,
+        "z");
+}
+
+TEST(DecodeFact, ReadsHowLongAServerIsCold) {
+  auto server = decodeAs<direct::BackendServer>(
+      "servers/i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+      "version":"v1","slots":4,"state":"ready","cold-remaining-ms":1250.5,
+      "sequence":0})");
+  EXPECT_EQ(server.ColdFor, Duration(1'250'500));
+  auto config =
+      decodeAs<direct::ServingConfig>("op/config", R"({"version":1,"services":[
+      {"name":"s","cold-start-s":3.0,"cold-per-s":17.0},{"name":"t"}]})");
+  EXPECT_EQ(config.Services[0].ColdStart, 3s);
+  EXPECT_EQ(config.Services[0].ColdRequestsPerSecond, 17);
+  EXPECT_EQ(config.Services[1].ColdRequestsPerSecond, 0);
+}
+
 TEST(DecodeFact, KnowsADrainingServer) {
   auto server = decodeAs<direct::BackendServer>(
       "servers/i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z",
@@ -112,6 +134,8 @@
   EXPECT_EQ(subjectOf(entryKey("e")),
             (direct::FactSubject{FactKind::Entry, "e"}));
   EXPECT_EQ(subjectOf(holderKey()).Kind, FactKind::Holder);
+  EXPECT_EQ(subjectOf("op/evacuate/z"),
+            (direct::FactSubject{FactKind::Evacuation, "z"}));
   EXPECT_EQ(subjectOf("op/other").Kind, FactKind::Other);
 }
 
--- /dev/null
+++ b/tests/platform/regions_test.cpp
@@ -0,0 +1,159 @@
+/// Routes and organisations that are confined to regions: where a request may
+/// run, and where the kept context of its prompt may lie.
+#include "platform/entry_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace daisytack::platform {
+namespace {
+
+/// Domains a and b are in north, c in south, d in west.
+const direct::Locality Where{
+    "a", {{"a", "north"}, {"b", "north"}, {"c", "south"}, {"d", "west"}}};
+
+direct::StoreRecord confinedConfiguration(const std::string &route,
+                                          const std::string &organisation) {
+  auto store = [](const std::string &domain) {
+    return R"({"name":"store-)" + domain +
+           R"(","kv-store-address":"10.9.0.1:)" +
+           std::to_string(8000 + domain[0]) + R"(","zone":")" + domain +
+           R"(","kv-capacity-tokens":1000000,"link-mbps":1000.0,)" +
+           R"("managed":true})";
+  };
+  return record("op/config",
+                R"({"version":1,"routes":[
+      {"name":"draft","host":"h","path-prefix":"/d/","kind":"streaming",
+       "service":"engines","target-latency-ms":800,"sticky":true)" +
+                    route + R"(}],"services":[{"name":"engines",
+       "engine":{"slots":128,"kv-capacity-tokens":142129,"kv-token-bytes":1,
+                 "link-mbps":1000.0,"managed":true,"models":[{"name":"m"}]}},)" +
+                    store("a") + "," + store("c") + "," + store("d") +
+                    R"(],"tenants":[{"name":"org","api-keys":["k"])" +
+                    organisation + "}]}",
+                1);
+}
+
+class Confined {
+public:
+  Confined(const std::string &route, const std::string &organisation)
+      : Asked(0, Where) {
+    std::vector<direct::StoreRecord> all{
+        confinedConfiguration(route, organisation)};
+    uint64_t revision = 1;
+    for (const char *domain : {"a", "b", "c", "d", "unknown"})
+      for (int i = 0; i < 3; ++i)
+        all.push_back(server(domain + std::to_string(i), "engines", domain, 0,
+                             ++revision));
+    Asked.Known.applyAll(all, revision, Start);
+    const direct::ServingConfig &config = Asked.Known.view()->Config->config();
+    Asked.Kept.setStores(config.Services);
+    for (const direct::Service &service : config.Services)
+      if (service.Store)
+        Asked.Kept.apply(service.Name,
+                         direct::PartChanges{1, 0, false, {}, {}});
+    Regions = direct::intersect(config.Routes[0].Regions,
+                                config.Organisations[0].Regions);
+  }
+
+  struct Used {
+    std::set<std::string> Domains;      ///< Of servers.
+    std::set<std::string> Destinations; ///< Domains of stores.
+  };
+
+  Used send() {
+    Used out;
+    for (int i = 0; i < 200; ++i) {
+      direct::ForwardRequest request = Entry::prompt(std::to_string(i));
+      request.Regions = Regions;
+      request.Arrived = Start;
+      request.Deadline = Start + 12s;
+      request.Head.Parts = {
+          {"system", 100}, {std::to_string(i), 100}, {"own", 100}};
+      Error reason;
+      auto choice = Asked.Place.choose(request, *Asked.Known.view(), {}, 1000,
+                                       Start + Duration(i), reason);
+      if (!choice)
+        continue;
+      out.Domains.insert(
+          choice->Order.ServerId.substr(0, choice->Order.ServerId.size() - 1));
+      for (const direct::PartAddress &it : choice->Order.Destinations)
+        if (it)
+          out.Destinations.insert(
+              std::string(1, static_cast<char>(it->Port - 8000)));
+    }
+    return out;
+  }
+
+  Entry Asked;
+  direct::AllowedRegions Regions;
+};
+
+using Names = std::set<std::string>;
+
+TEST(Regions, ConfineNothingThatNamesNone) {
+  auto used = Confined("", "").send();
+  EXPECT_EQ(used.Domains, (Names{"a", "b", "c", "d", "unknown"}));
+  EXPECT_EQ(used.Destinations, (Names{"a", "c", "d"}));
+}
+
+TEST(Regions, ConfineRequestsAndKeptContextOfARoute) {
+  auto used = Confined(R"(,"allowed-regions":["north"])", "").send();
+  EXPECT_EQ(used.Domains, (Names{"a", "b"}));
+  EXPECT_EQ(used.Destinations, Names{"a"});
+}
+
+TEST(Regions, ConfineThoseOfAnOrganisation) {
+  auto used = Confined("", R"(,"allowed-regions":["south","west"])").send();
+  EXPECT_EQ(used.Domains, (Names{"c", "d"}));
+  EXPECT_EQ(used.Destinations, (Names{"c", "d"}));
+}
+
+TEST(Regions, BothBindWhereBothAre) {
+  auto used = Confined(R"(,"allowed-regions":["north","south"])",
+                       R"(,"allowed-regions":["south","west"])")
+                  .send();
+  EXPECT_EQ(used.Domains, Names{"c"});
+  EXPECT_EQ(used.Destinations, Names{"c"});
+}
+
+TEST(Regions, RefuseWhatMayRunNowhere) {
+  Confined nowhere(R"(,"allowed-regions":["north"])",
+                   R"(,"allowed-regions":["west"])");
+  EXPECT_EQ(nowhere.send().Domains, Names{});
+  direct::ForwardRequest request = Entry::prompt("s");
+  request.Regions = nowhere.Regions;
+  EXPECT_EQ(nowhere.Asked.send(request, Start), "");
+  EXPECT_EQ(nowhere.Asked.Reason.Kind, ErrorKind::NoServer);
+}
+
+/// What another request left in a store of a foreign region is not fetched for
+/// a confined one.
+TEST(Regions, BoundSourcesOfKeptContext) {
+  Confined confined(R"(,"allowed-regions":["north"])", "");
+  std::string scope = direct::cacheScope("", false, 1);
+  auto keep = [&](const std::string &store) {
+    confined.Asked.Kept.apply(
+        store, direct::PartChanges{
+                   1, 2, false, {}, {{1, true, scope, "session", 100}}});
+  };
+  auto source = [&](const direct::AllowedRegions &regions) {
+    direct::ForwardRequest request = Entry::prompt("session");
+    request.Regions = regions;
+    request.Arrived = Start;
+    request.Deadline = Start + 12s;
+    Error reason;
+    auto choice = confined.Asked.Place.choose(
+        request, *confined.Asked.Known.view(), {}, 1000, Start, reason);
+    return choice->Order.Sources[1].has_value();
+  };
+  keep("store-c");
+  EXPECT_TRUE(source(std::nullopt));
+  EXPECT_FALSE(source(confined.Regions));
+  keep("store-a");
+  EXPECT_TRUE(source(confined.Regions));
+}
+
+} // namespace
+} // namespace daisytack::platform
