Soak evacuations and cold servers, and let operators see both

Cause: the two new promises were shown by unit tests and the model alone, and an operator could not see an evacuation or a cold server but in beliefs. Change: the soak evacuates failure domains, one or both, whose servers are cold afterwards; servers that replace others start cold; some become cold again. Two checks, evacuated_domains and cold_servers, with three planted defects and two allowed cases. Ruled out: a time bound on servers that become cold again before they say so; a record tells it up to a heartbeat later, so the check counts from 1.5 s on.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -189,6 +189,7 @@
 OrderDriverSettings Gateway::orderSettings() const {
   OrderDriverSettings out;
   out.Weights.ConcurrentLoads = Options.ConcurrentLoads;
+  out.Weights.ConcurrentShare = Options.ConcurrentLoadShare;
   out.Weights.Limit = Options.Placement.OldWeightsLimit;
   out.Holder.Right.Term = Options.LeaseTerm;
   out.Holder.Right.ServersCheckFence = Options.ServersCheckFence;
@@ -234,8 +235,14 @@
   State.Counts.PartsKnown.set(static_cast<int64_t>(State.Kept.partsKnown()));
   State.Counts.Quarantined.set(
       static_cast<int64_t>(State.Suspects.quarantined(monotonicNow()).size()));
-  State.Counts.ServersKnown.set(
-      static_cast<int64_t>(State.catalog()->AllServers.size()));
+  auto catalog = State.catalog();
+  const auto &servers = catalog->AllServers;
+  State.Counts.ServersKnown.set(static_cast<int64_t>(servers.size()));
+  State.Counts.ServersCold.set(std::count_if(
+      servers.begin(), servers.end(),
+      [now = monotonicNow()](const auto &it) { return now < it.ColdUntil; }));
+  State.Counts.DomainsEvacuated.set(
+      static_cast<int64_t>(catalog->Evacuated.size()));
   exchange.respond({net::StatusOk,
                     {{"Content-Type", "text/plain; version=0.0.4"}},
                     Counters.prometheusText()});
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -75,6 +75,8 @@
       static_cast<int64_t>(out.Follow.EntriesPerReader), 0, MostPeersAtOnce));
   out.ConcurrentLoads = static_cast<uint32_t>(settings.integer(
       "weights.concurrent_loads", out.ConcurrentLoads, 1, MostLoads));
+  out.ConcurrentLoadShare = settings.number("weights.concurrent_share",
+                                            out.ConcurrentLoadShare, 0, 1);
   out.ServersCheckFence =
       settings.flag("weights.servers_check_fence", out.ServersCheckFence);
   out.Log.LinesPerSecond = static_cast<uint32_t>(settings.integer(
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -74,6 +74,8 @@
   bool ServersCheckFence = false;
   /// Engines that load new weights at the same time: more of them load slower.
   uint32_t ConcurrentLoads = 2;
+  /// Of a large fleet at least this share of its engines.
+  double ConcurrentLoadShare = 1.0 / 6;
   LoadExchangeSettings LoadExchange;
   direct::FollowSettings Follow;
   RetryShareSettings Retries;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -130,6 +130,12 @@
                                "Parts of prompts known to be in a store")),
       ServersKnown(metrics.gauge("daisytack_servers_known",
                                  "Backend servers in the catalog")),
+      ServersCold(metrics.gauge(
+          "daisytack_servers_cold",
+          "Backend servers that count as cold, and get few requests")),
+      DomainsEvacuated(metrics.gauge(
+          "daisytack_failure_domains_evacuated",
+          "Failure domains whose servers get nothing, by the operator's word")),
       StoreReachable(metrics.gauge("daisytack_service_reachable",
                                    "1 while the key-value service answers")),
       StoreWatched(metrics.gauge(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -46,6 +46,8 @@
   Gauge &Quarantined;
   Gauge &PartsKnown;
   Gauge &ServersKnown;
+  Gauge &ServersCold;
+  Gauge &DomainsEvacuated;
   Gauge &StoreReachable;
   Gauge &StoreWatched;
   Distribution &FirstByte;
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,6 +12,9 @@
 SENDS_BEYOND = 3        # but for so many sends.
 CLOSED_SLACK = 0.5      # After a server's word it gets what was on its way,
 SENDS_TO_CLOSED = 2     # and then so much of one entry at most.
+EVACUATION_SECONDS = 3.0  # Nothing reaches servers of an evacuated domain after this.
+COLD_RATE = 4.0         # Requests a second that a cold server bears;
+COLD_BOUND = 4.0 * 1.5 + 3  # what all entries together may send it in one second.
 
 
 def runs_by_id(world):
@@ -136,6 +139,31 @@
                 yield f"{server.id} got {late} from {entry} after it had closed itself to it"
 
 
+def evacuated_domains(world, _runs):
+    for server in world.all_servers:
+        for since, until in world.evacuated.get(world.domain_of(server), []):
+            for at, request_id in server.arrivals:
+                is_late = at > since + EVACUATION_SECONDS and (until is None or at < until)
+                if is_late and world.was_calm(since - 3, at, planned=True):
+                    yield f"{request_id} reached {server.id} {at - since:.1f} s after its domain was evacuated"
+
+
+def cold_servers(world, _runs):
+    """Summed over all entries. Those that start cold say so before anybody knows of them; others are believed once what
+    they say has come round."""
+    for server in world.all_servers:
+        for begin, end, is_start in server.cold_times:
+            known = begin if is_start else begin + STABLE_SECONDS / 2
+            if not is_start and not world.was_calm(begin - 3, end, planned=True):
+                continue
+            arrivals = sorted(at for at, _ in server.arrivals if known <= at < end)
+            for first in arrivals:
+                together = [at for at in arrivals if first <= at < first + 1]
+                if len(together) > COLD_BOUND and world.links_were_sound(first - 1, first + 1):
+                    yield f"{server.id} got {len(together)} requests in a second, cold for {first - begin:.1f} s"
+                    break
+
+
 def fatal_requests(world, _runs):
     """A request under which servers ended is not sent to many more."""
     if len(world.fatal_ends) < FATAL_SERVERS:
@@ -206,7 +234,7 @@
 
 
 ALL = (at_most_once, honest_refusals, whole_and_own_answers, events_in_order, requests_as_sent, final_answers,
-       revoked_keys, draining_servers, leaving_by_answer, closed_servers, fatal_requests, harmless_requests,
+       revoked_keys, draining_servers, leaving_by_answer, closed_servers, evacuated_domains, cold_servers, fatal_requests, harmless_requests,
        planned_restarts_cut_nothing,
        stops_lose_no_request, freed_while_read, one_giver_of_orders)
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -28,6 +28,7 @@
         self.store = types.SimpleNamespace(name="kept0", fetches=[self.fetch], freed=[])
         self.stores = [self.store]
         self.fatal_ends = []
+        self.evacuated = {}
         path = checks.KINDS[kind][1] + ID
         self.request = Message([checks.KINDS[kind][0], path, "HTTP/1.1"],
                                {"x-daisytack-request-id": ID, "x-daisytack-tenant": "one"}, b"b")
@@ -46,6 +47,13 @@
     def was_calm(self, *_, **__):
         return True
 
+    @staticmethod
+    def domain_of(_server):
+        return "d0"
+
+    def links_were_sound(self, *_):
+        return True
+
     def planned_stop(self, _entry, _at):
         return self.stops[0].begin if self.stops else None
 
@@ -136,6 +144,34 @@
     world.server.arrivals = [(90.3, ID), (90.4, ID), (90.6, ID), (90.7, ID), (92.1, ID)]
 
 
+def asked_while_evacuated(world):
+    world.evacuated["d0"] = [(80.0, 85.0), (90.0, 96.0)]
+    world.server.arrivals += [(87.0, ID), (92.0, ID), (95.0, ID)]
+
+
+def asked_around_evacuations(world):
+    world.evacuated["d0"] = [(80.0, 85.0), (90.0, None)]
+    world.evacuated["d1"] = [(80.0, None)]
+    world.server.arrivals += [(82.0, ID), (87.0, ID), (92.0, ID)]
+
+
+def flooded_while_cold(world):
+    world.server.cold_times.append((90.0, 92.0, True))
+    world.server.arrivals += [(90.5 + n * 0.09, ID) for n in range(10)]
+
+
+def flooded_long_after_it_said_so(world):
+    world.server.cold_times.append((90.0, 93.0, False))
+    world.server.arrivals += [(91.6 + n * 0.05, ID) for n in range(10)]
+
+
+def asked_gently_while_cold(world):
+    world.server.cold_times += [(90.0, 92.0, True), (95.0, 98.0, False)]
+    world.server.arrivals += [(90.5 + n * 0.12, ID) for n in range(12)]
+    world.server.arrivals += [(95.1 + n * 0.05, ID) for n in range(20)]  # Not heard of yet.
+    world.server.arrivals += [(98.1 + n * 0.01, ID) for n in range(20)]  # Warm.
+
+
 def fatal_sent_on(world):
     world.fatal_ends += [80.0, 80.1, 80.2]
     world.change(body=checks.FATAL)
@@ -222,7 +258,8 @@
 
 
 ALLOWED = (refused_late, crossed_the_close, cut_by_the_server, left_at_its_deadline, sent_to_the_next_process,
-           freed_under_a_discarded_fetch, freed_after_the_fetch, asked_shortly_after_it_closed, fatal_sent_a_little)
+           freed_under_a_discarded_fetch, freed_after_the_fetch, asked_shortly_after_it_closed, fatal_sent_a_little,
+           asked_around_evacuations, asked_gently_while_cold)
 DEFECTS = {
     second_run: "at_most_once", refused_though_it_ran: "honest_refusals", refused_without_a_time: "honest_refusals",
     cut_answer: "whole_and_own_answers", other_answer: "whole_and_own_answers",
@@ -234,7 +271,8 @@
     refused_late_without_a_time: "honest_refusals", freed_under_a_fetch: "freed_while_read",
     fetched_while_written: "freed_while_read", asked_after_its_answer: "leaving_by_answer",
     asked_while_closed: "closed_servers", fatal_sent_on: "fatal_requests",
-    harmless_quarantined: "harmless_requests"}
+    harmless_quarantined: "harmless_requests", asked_while_evacuated: "evacuated_domains",
+    flooded_while_cold: "cold_servers", flooded_long_after_it_said_so: "cold_servers"}
 KINDS = {missing_event: "ask", fatal_sent_on: "ask", passed_on_late_and_cut: "long"}
 
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,11 +7,12 @@
 from platform_side import BackendServer
 from proxy import FAULTS, SOUND
 
+COLD_AGAIN_SECONDS = 3.0  # For which a server is cold that was warm.
 GRACE_SECONDS = 8.0  # From SIGTERM until the platform kills, as the deployments have it.
 
 
-def fault(entry=None, planned=False):
-    return {"begin": 0.0, "end": None, "entry": entry, "planned": planned}
+def fault(entry=None, planned=False, kind=""):
+    return {"begin": 0.0, "end": None, "entry": entry, "planned": planned, "kind": kind}
 
 
 async def kill_entries(world, rng):
@@ -109,6 +110,30 @@
     server.is_closed = False
 
 
+async def evacuate_domain(world, rng):
+    """Now and then taken back as another one begins. Its servers are cold at the end."""
+    domain = f"d{rng.randint(0, 1)}"
+    if world.evacuated.get(domain, [(0, 0)])[-1][1] is None:
+        return
+    world.say(f"evacuates {domain}")
+    world.kv.put(f"op/evacuate/{domain}", {})
+    world.evacuated.setdefault(domain, []).append((world.now(), None))
+    await asyncio.sleep(3 + rng.random() * 4)
+    for server in world.servers:
+        if world.domain_of(server) == domain:
+            server.cool(COLD_AGAIN_SECONDS, is_start=False)
+    world.kv.remove(f"op/evacuate/{domain}")
+    world.evacuated[domain][-1] = (world.evacuated[domain][-1][0], world.now())
+    world.say(f"takes the evacuation of {domain} back")
+
+
+async def cool_server(world, rng):
+    """It is cold again, and says so a heartbeat later."""
+    server = rng.choice(world.servers)
+    world.say(f"{server.id} is cold again")
+    server.cool(COLD_AGAIN_SECONDS, is_start=False)
+
+
 async def change_config(world, rng):
     left = [it for it in world.all_keys if it not in world.revoked]
     if rng.random() < 0.4 and len(left) > 2:
@@ -124,15 +149,16 @@
     world.kv.put("op/version/m", {"model": "m", "version": world.weights})
 
 
-PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server, close_server)
+PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server, close_server, evacuate_domain,
+           cool_server)
 FAULT_KINDS = (kill_entries, stop_entry, pause_entry, reload_entry, spoil_link, spoil_service, spoil_server,
-               replace_server, close_server, change_config, name_weights)
+               replace_server, close_server, change_config, name_weights, evacuate_domain, cool_server)
 
 
 async def inject(world, kind, busy):
     """One fault from its begin to its end. One at a time meddles with processes."""
     meddles = kind in (kill_entries, kill_pair, stop_entry, pause_entry, reload_entry)
-    note = fault(planned=kind in PLANNED)
+    note = fault(planned=kind in PLANNED, kind=kind.__name__)
     note["begin"] = world.now()
     world.faults.append(note)
     if meddles:
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -170,6 +170,7 @@
     FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
     is_loading = False  # New weights; at once here.
     is_leaving, is_closed = False, False
+    cold_until = 0.0
 
     @staticmethod
     def crash():
@@ -182,6 +183,7 @@
         self.runs, self.arrivals, self.orders, self.token = [], [], 0, 0
         self.tokens = []
         self.said_leaving, self.said_closed = [], []  # When, and in the answer to which request.
+        self.cold_times = []  # From when and until when it is cold, and whether its first record said so.
         self.faults, self.share, self.work = set(), 0.3, 0.02
         self.counter = 0
         self.server = None
@@ -190,6 +192,13 @@
         self.server = await http11.serve(self._handle, port)
         return self
 
+    def cool(self, seconds, is_start):
+        self.cold_until = now() + seconds
+        self.cold_times.append((now(), self.cold_until, is_start))
+
+    def cold_ms(self):
+        return max(0, int((self.cold_until - now()) * 1000))
+
     @property
     def port(self):
         return self.server.sockets[0].getsockname()[1]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,7 @@
 RECOVERY_SECONDS = 12   # Then every entry serves every kind of request.
 CALM_AFTER = 4.0        # A fault's effects are over so long after its end.
 HEARTBEAT = 0.4
+COLD_SECONDS = 2.0      # For which a server is cold after its start, and after an evacuation.
 LOG_LINES = 40
 WEIGHTS_SECONDS = 20    # After the last fault, for all engines to have the newest weights.
 PATIENCE = 2.5
@@ -64,6 +65,9 @@
 wake_pause = 300ms
 [weights]
 servers_check_fence = true
+[slow_start]
+overshoot = 1.5
+slack = 3
 """
 
 
@@ -154,6 +158,7 @@
         self.stores = []
         self.sent, self.problems, self.faults = [], [], []
         self.revoked, self.leaving = {}, {}
+        self.evacuated = {}  # By failure domain: when it was evacuated and taken back, the latest last.
         self.fatal_ends = []  # When servers ended under the fatal request.
         self.organisation_of = {key: name for name, keys in ORGANISATIONS.items() for key in keys}
         self.all_keys = list(self.organisation_of)
@@ -210,6 +215,7 @@
         kept_route = {"target-latency-ms": 6000, "timeout-ms": 8000} if self.has_kept_context else {
             "target-latency-ms": 400}
         route = {"host": "a.example", "timeout-ms": 3000, "attempts": 2, "public": False}
+        cold = {"cold-start-s": COLD_SECONDS, "cold-per-s": checks.COLD_RATE}
         self.kv.put("op/config", {
             "version": self.config_version,
             "routes": [
@@ -221,8 +227,8 @@
                  "target-latency-ms": 500, "target-gap-ms": 500, "timeout-ms": 6000, "attempts": 1},
                 {**route, "name": "ask", "path-prefix": "/ask/", "kind": "streaming", "service": "engines",
                  "sticky": True, "resumable": True, **kept_route}],
-            "services": [{"name": "plain", "connection-limit": 200},
-                         {"name": "engines", "connection-limit": 200, "engine": engine},
+            "services": [{"name": "plain", "connection-limit": 200, **cold},
+                         {"name": "engines", "connection-limit": 200, **cold, "engine": engine},
                          *[it.service() for it in self.stores]],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
@@ -237,15 +243,21 @@
         if name not in self.links:
             self.links[name] = await Proxy(server.port).start()
         self.links[name].target = server.port
+        if incarnation > 1:
+            server.cool(COLD_SECONDS, is_start=True)
         self.servers.append(server)
         self.all_servers.append(server)
         self.record(server)
         return server
 
+    @staticmethod
+    def domain_of(server):
+        return f"d{int(server.name[-1]) % 2}"
+
     def record(self, server, state="ready"):
         value = {"service": server.service, "address": f"127.0.0.1:{self.links[server.name].port}",
-                 "zone": f"d{int(server.name[-1]) % 2}", "version": "v1", "slots": 64, "state": state,
-                 "cold-remaining-ms": 0, "sequence": server.orders}
+                 "zone": self.domain_of(server), "version": "v1", "slots": 64, "state": state,
+                 "cold-remaining-ms": server.cold_ms(), "sequence": server.orders}
         if server.service == "engines":
             value["models"] = [{"name": "m", "version": server.version}]
         self.kv.put(f"servers/{server.id}", value)
@@ -304,6 +316,11 @@
                 return False
         return True
 
+    def links_were_sound(self, begin, end):
+        """Whether no link held up what was sent, so that it arrived together."""
+        over = [it for it in self.faults if it["kind"] == "spoil_link"]
+        return not any(it["begin"] <= end and (it["end"] or end) + CALM_AFTER >= begin for it in over)
+
     def patience(self, kind):
         """Seconds that a caller tells."""
         if kind == "ask" and self.has_kept_context:
