Order the newest weights from engines that were chosen for older ones

Cause: an engine was ordered the version that it was chosen for, also when a newer one was named while what waited there was let go first; one that was still loading took its turn once more for the newer version, with runs to end again. Ruled out: interrupting a load; a server refuses an order while one is under way. Change: what is ordered is what is wanted when the engine is looked at: before its order, and after a load that has been superseded meanwhile. Figures: two tests fail before and pass after.

--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -102,6 +102,9 @@
       continue;
     load.At = Phase::Asking;
     load.LookAt = now + Settings.CallPatience;
+    // The one that it was chosen for may have been superseded since.
+    load.Wanted.Version = std::max(load.Wanted.Version,
+                                   catalog.wantedVersion(load.Wanted.Model));
     out.push_back(AskReport{id, load.Address});
   }
   return out;
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -56,6 +56,30 @@
   EXPECT_EQ(asked(plan.next(Catalog, Start + 300ms)).size(), 2);
 }
 
+/// Two versions named in quick succession: an engine that was chosen for the
+/// first would load it only to turn requests away once more.
+TEST_F(WeightPlanTest, OrdersTheNewestOfTwoVersions) {
+  WeightPlan plan{{.PrepareTime = 300ms}};
+  plan.next(Catalog, Start);
+  Catalog.Wanted["model"].push_back({3, Start + 100ms});
+  plan.next(Catalog, Start + 300ms);
+  auto actions = plan.onReport("e0", report(1, 0), Start + 310ms);
+  ASSERT_EQ(actions.size(), 1);
+  EXPECT_EQ(std::get<GiveOrder>(actions[0]).Wanted.Version, 3);
+}
+
+/// It has no runs left at that moment, so that the next load costs least.
+TEST_F(WeightPlanTest, LoadsTheNewestRightAfterASupersededOne) {
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", report(1, 0), Start);
+  Plan.onAnswer({"e0"}, OrderAnswer::Accepted, Start);
+  Catalog.Wanted["model"].push_back({3, Start + 500ms});
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start + 1s)).contains("e0"));
+  auto actions = Plan.onReport("e0", report(2, 1), Start + 1200ms);
+  ASSERT_EQ(actions.size(), 1);
+  EXPECT_EQ(std::get<GiveOrder>(actions[0]).Wanted.Version, 3);
+}
+
 TEST_F(WeightPlanTest, LoadsThoseFirstThatHaveBeenBehindForLongest) {
   Catalog.Wanted["model"].push_back({3, Start + 4s});
   for (int i : {0, 2})
