Retire kept context of old weights only as room is needed

Cause: while engines moved to new weights, a quarter more of the old context was retired than engines had moved, so that those which had yet to move read it again, also where the stores had room for the new beside it. Change: the share of engines that have moved is retired, less the room that the stores have, which the holder knows. The settings for a share ahead are gone. Tests: a rule expected a quarter retired before anybody had moved; its world has an engine that has moved now, so that it asks for the same. A new one names the load: two versions in series while stores have room.

--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -297,6 +297,22 @@
     removePart(it->second, keyOf(part.Scope, part.Part));
 }
 
+double KeptContext::spareShare() const {
+  std::lock_guard guard(Lock);
+  double held = 0;
+  double room = 0;
+  for (const auto &[name, store] : Stores) {
+    if (!store.IsReachable)
+      continue;
+    auto used = static_cast<double>(store.UsedTokens);
+    held += used;
+    room += std::max(0.0, static_cast<double>(store.Traits.CapacityTokens) *
+                                  Settings.FillShare -
+                              used);
+  }
+  return held > 0 ? room / held : 0;
+}
+
 size_t KeptContext::partsKnown() const {
   std::lock_guard guard(Lock);
   size_t out = 0;
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -138,6 +138,9 @@
   /// The store has freed the parts, by its own answer; its report may be lost.
   void onFreed(const std::string &store, const std::vector<BrokenPart> &parts);
   size_t partsKnown() const;
+  /// Room for further parts, as a share of what is held; over all stores. No
+  /// room while none is known.
+  double spareShare() const;
 
 private:
   struct Store {
--- a/src/direct/retirement.cpp
+++ b/src/direct/retirement.cpp
@@ -64,6 +64,7 @@
 }
 
 std::vector<Retirement> RetirementAgreement::retiredFor(const Catalog &catalog,
+                                                        double spareShare,
                                                         TimePoint now) {
   std::vector<Retirement> out;
   if (uint64_t below = unusedBelow(catalog, now); below > 1)
@@ -83,14 +84,15 @@
     return out;
   // In quarters, so that entries are told few times.
   constexpr double Steps = 4;
-  double share =
-      std::min(1.0, std::floor((moved / all + Settings.Ahead) * Steps) / Steps);
+  double needed = moved / all - spareShare;
+  double share = std::min(1.0, std::floor(needed * Steps) / Steps);
   if (share > 0)
     out.push_back({newest, share});
   return out;
 }
 
 std::vector<RetirementAction> RetirementAgreement::next(const Catalog &catalog,
+                                                        double spareShare,
                                                         TimePoint now) {
   onCatalog(catalog, now);
   std::vector<RetirementAction> out;
@@ -99,7 +101,7 @@
   if (!catalog.IsRetiredReadable)
     return out;
   std::vector<Retirement> wanted =
-      mergeRetired(catalog.Retired, retiredFor(catalog, now));
+      mergeRetired(catalog.Retired, retiredFor(catalog, spareShare, now));
   if (wanted != catalog.Retired && !IsWriting && now >= WriteAgainAt) {
     IsWriting = true;
     out.push_back(WriteRetired{std::move(wanted), catalog.RetiredRevision});
--- a/src/direct/retirement.h
+++ b/src/direct/retirement.h
@@ -61,9 +61,6 @@
   /// Context of weights that no server has had for so long is retired: a
   /// server's report of its weights.
   Duration FreeDelay{4'000'000};
-  /// While servers move to new weights, the context of the old makes room ahead
-  /// of them: the share of servers that have moved, and this much more.
-  double Ahead = 0.25;
   /// Between tries to write, and to ask one entry.
   Duration AskPause{500'000};
   /// After the last entry stopped naming: the longest fetch, and its way.
@@ -110,7 +107,11 @@
   void onCatalog(const Catalog &catalog, TimePoint now);
 
   /// Only while this process may give orders. Call several times a second.
-  std::vector<RetirementAction> next(const Catalog &catalog, TimePoint now);
+  /// While servers move to new weights, the context of the old makes room for
+  /// that of the new: in the share of servers that have moved, less what is
+  /// spare.
+  std::vector<RetirementAction> next(const Catalog &catalog, double spareShare,
+                                     TimePoint now);
   /// Whatever came of a write, as the service itself tells that.
   void onWritten(TimePoint now);
   void onTold(const TellEntry &told, bool hasAgreed, TimePoint now);
@@ -140,7 +141,8 @@
   };
 
   void notePeers(const Catalog &catalog, TimePoint now);
-  std::vector<Retirement> retiredFor(const Catalog &catalog, TimePoint now);
+  std::vector<Retirement> retiredFor(const Catalog &catalog, double spareShare,
+                                     TimePoint now);
   void noteAgreements(TimePoint now);
   std::optional<RemoveRegistration> removal(TimePoint now);
   std::vector<TellEntry> tells(TimePoint now);
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -176,7 +176,8 @@
   auto onWritten = [self = shared_from_this()] {
     self->Agreement.onWritten(monotonicNow());
   };
-  for (const auto &action : Agreement.next(*State.catalog(), now)) {
+  for (const auto &action :
+       Agreement.next(*State.catalog(), State.Kept.spareShare(), now)) {
     if (const auto *tell = std::get_if<direct::TellEntry>(&action))
       Hooks.Tell(*tell, [self = shared_from_this(), tell = *tell](bool agreed) {
         self->onAnswered(tell, agreed);
--- a/tests/direct/retirement_rules_test.cpp
+++ b/tests/direct/retirement_rules_test.cpp
@@ -41,7 +41,7 @@
                   [&](const EntryPeer &it) { return it.Peer == peer; });
   }
   std::vector<TellEntry> tells(TimePoint now) {
-    return of<TellEntry>(Agreement.next(Now, now));
+    return of<TellEntry>(Agreement.next(Now, 0, now));
   }
 
   Catalog Now;
@@ -78,7 +78,7 @@
   Now.Retired.clear();
   Now.IsRetiredReadable = false;
   RetirementAgreement it(Settings, Own);
-  EXPECT_TRUE(it.next(Now, Start).empty());
+  EXPECT_TRUE(it.next(Now, 0, Start).empty());
 }
 
 TEST_F(RetirementRules, AsksEveryRegisteredAddressUntilItHasAgreed) {
@@ -128,7 +128,7 @@
 
 TEST_F(RetirementRules, RemovesTheAddressOfAnEntryThatNamesNothingAnyMore) {
   auto removals = [&](TimePoint now) {
-    return of<RemoveRegistration>(Agreement.next(Now, now));
+    return of<RemoveRegistration>(Agreement.next(Now, 0, now));
   };
   unlist(PeerB);
   EXPECT_TRUE(removals(Start).empty());
@@ -145,17 +145,41 @@
   Now.Wanted["m"] = {{3, Start}};
   BackendServer old;
   old.Weights = {{"m", 2}};
-  Now.AllServers = {old, old};
-  auto writes = of<WriteRetired>(Agreement.next(Now, Start));
+  BackendServer current;
+  current.Weights = {{"m", 3}};
+  Now.AllServers = {old, old, old, current};
+  auto writes = of<WriteRetired>(Agreement.next(Now, 0, Start));
   ASSERT_EQ(writes.size(), 1);
   EXPECT_EQ(writes[0], (WriteRetired{{{2, 0.5}, {3, 0.25}}, 10}));
-  EXPECT_TRUE(of<WriteRetired>(Agreement.next(Now, Start + 1s)).empty());
+  EXPECT_TRUE(of<WriteRetired>(Agreement.next(Now, 0, Start + 1s)).empty());
   Agreement.onWritten(Start + 1s);
   // Nobody has had version 1 for long enough.
-  writes = of<WriteRetired>(Agreement.next(Now, Start + Settings.FreeDelay));
+  writes = of<WriteRetired>(Agreement.next(Now, 0, Start + Settings.FreeDelay));
   ASSERT_EQ(writes.size(), 1);
   EXPECT_EQ(writes[0].What, (std::vector<Retirement>{{2, 1}, {3, 0.25}}));
 }
 
+/// Two versions named in series while stores have room: what is retired too
+/// early is read again by the servers that have yet to move.
+TEST_F(RetirementRules, RetiresNoMoreThanMakesRoomForServersThatHaveMoved) {
+  Now.Retired.clear();
+  Now.Wanted["m"] = {{3, Start}};
+  BackendServer old;
+  old.Weights = {{"m", 2}};
+  BackendServer current;
+  current.Weights = {{"m", 3}};
+  Now.AllServers = {old, old, old, old};
+  auto retired = [&](double spareShare) {
+    RetirementAgreement it({}, PeerA);
+    auto writes = of<WriteRetired>(it.next(Now, spareShare, Start));
+    return writes.empty() ? 0 : writes[0].What.back().Share;
+  };
+  EXPECT_EQ(retired(0), 0); // Nobody has moved.
+  Now.AllServers = {old, current, current, current};
+  EXPECT_EQ(retired(0), 0.75);
+  EXPECT_EQ(retired(0.3), 0.25);
+  EXPECT_EQ(retired(1), 0);
+}
+
 } // namespace
 } // namespace daisytack::direct
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -228,7 +228,7 @@
   if (entry->Token == 0 || Now >= entry->RenewedAt + ActTerm)
     return;
   for (const RetirementAction &action :
-       entry->Agreement.next(*entry->Catalog.view(), Now)) {
+       entry->Agreement.next(*entry->Catalog.view(), 0, Now)) {
     if (const auto *it = std::get_if<TellEntry>(&action))
       tell(entry, *it);
     if (const auto *it = std::get_if<WriteRetired>(&action))
