Digest a body only for log lines that name it, and say things once

Cause: GatewayRequest::logEnd digested the whole body of each refused request, under overload too, for a field that is used for failed and quarantined ones alone; onRecorded and onLifted of quarantine differed in an event's name, and FatalCaller.run of the soak repeated Caller.run. Change: the field stands where docs/OPERATIONS.md needs it; one function each. Ruled out: a digest of the head alone, as requests are told apart by body.

--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -410,8 +410,10 @@
   if (reason) {
     fields["reason"] = errorName(reason.Kind);
     fields["detail"] = reason.Detail;
-    fields["identity"] = toHex(identity());
   }
+  // A digest of the body: under overload, refusals go without.
+  if (outcome == "failed" || reason.Kind == ErrorKind::RequestQuarantined)
+    fields["identity"] = toHex(identity());
   if (outcome == "refused")
     fields["retry_after_ms"] = millisecondsOf(reason.RetryAfter);
   State.Log.write(isGood ? LogWeight::Routine : LogWeight::Notable,
--- a/src/gateway/quarantine.cpp
+++ b/src/gateway/quarantine.cpp
@@ -109,7 +109,7 @@
               result.Header.Status == edge::KvStatus::Ok && result.Lease != 0;
           if (isGranted)
             return self->commit(request, result.Lease);
-          self->onRecorded(request, result.Header);
+          self->onWritten(request, result.Header, false);
         });
       });
 }
@@ -131,7 +131,7 @@
                          self->Store.RevokeLease(
                              lease, self->Settings.CallTimeout,
                              [](const edge::KvLeaseResult &) {});
-                       self->onRecorded(request, header);
+                       self->onWritten(request, header, false);
                      });
                });
 }
@@ -147,7 +147,7 @@
                 request](const edge::KvTransactionResult &result) {
                  boost::asio::dispatch(self->On,
                                        [self, request, header = result.Header] {
-                                         self->onLifted(request, header);
+                                         self->onWritten(request, header, true);
                                        });
                });
 }
@@ -159,19 +159,12 @@
     it->second = now + Settings.WriteStep;
 }
 
-void QuarantineRecords::onRecorded(const Id128 &request,
-                                   const edge::KvHeader &answer) {
+void QuarantineRecords::onWritten(const Id128 &request,
+                                  const edge::KvHeader &answer, bool isLifted) {
   TimePoint now = monotonicNow();
   endCall(request, now);
-  State.Log.write(LogWeight::Notable, "quarantine_recorded",
-                  fieldsOf(request, answer), now);
-}
-
-void QuarantineRecords::onLifted(const Id128 &request,
-                                 const edge::KvHeader &answer) {
-  TimePoint now = monotonicNow();
-  endCall(request, now);
-  State.Log.write(LogWeight::Notable, "quarantine_lifted",
+  State.Log.write(LogWeight::Notable,
+                  isLifted ? "quarantine_lifted" : "quarantine_recorded",
                   fieldsOf(request, answer), now);
 }
 
--- a/src/gateway/quarantine.h
+++ b/src/gateway/quarantine.h
@@ -52,8 +52,9 @@
   void remove(const Id128 &request, uint64_t revision);
   /// The call about the request's record is over.
   void endCall(const Id128 &request, TimePoint now);
-  void onRecorded(const Id128 &request, const edge::KvHeader &answer);
-  void onLifted(const Id128 &request, const edge::KvHeader &answer);
+  /// The service answered to a change of the request's record.
+  void onWritten(const Id128 &request, const edge::KvHeader &answer,
+                 bool isLifted);
 
   GatewayState &State;
   Strand On;
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -44,6 +44,9 @@
 class Caller:
     """Keeps connections open and goes on using them until their entry is gone."""
 
+    keeps_connections = True
+    least_pause, pause_spread = 0.0, 0.04  # Seconds between two requests.
+
     def __init__(self, number, rng, world):
         self.name, self.rng, self.world = f"c{number}", rng, world
         self.count = 0
@@ -54,9 +57,12 @@
             entry = self.rng.choice(self.world.entries)
             try:
                 await self._one(entry)
+                is_usable = self.keeps_connections
             except (http11.Broken, OSError):
+                is_usable = False
+            if not is_usable:
                 self._drop(entry)
-            await asyncio.sleep(self.rng.random() * 0.04)
+            await asyncio.sleep(self.least_pause + self.rng.random() * self.pause_spread)
 
     def _drop(self, entry):
         connection = self.connections.pop(entry.name, None)
@@ -144,6 +150,9 @@
 class FatalCaller(Caller):
     """Sends the one request that ends every server that runs it, again and again, at any entry."""
 
+    keeps_connections = False
+    least_pause, pause_spread = 0.1, 0.4
+
     def __init__(self, world):
         super().__init__("fatal", random.Random(f"{world.seed}/fatal"), world)
 
@@ -152,16 +161,6 @@
         sent.path, sent.body = KINDS["ask"][1] + "fatal", FATAL
         return sent
 
-    async def run(self):
-        while not self.world.is_over:
-            entry = self.rng.choice(self.world.entries)
-            try:
-                await self._one(entry)
-            except (http11.Broken, OSError):
-                pass
-            self._drop(entry)
-            await asyncio.sleep(0.1 + self.rng.random() * 0.4)
-
 
 def callers(world, count):
     return [Caller(n, random.Random(f"{world.seed}/{n}"), world) for n in range(count)]
