Rank servers without sorting them all

Cause: a choice computed a logarithm and the key's hash for every server, and sorted them all, for the few that it looks at. Ruled out: a cache by session, as the servers that may be asked change with every load; ranks kept by the catalog, which know no session. Change: ranks compare the hashes that scores are made of, so that their order is the same as before, and a heap gives the first ones. bench_placement measures a choice.

--- /dev/null
+++ b/bench/placement.cpp
@@ -0,0 +1,131 @@
+/// Time of one choice of a backend server, against the number of servers and of
+/// other entries that told their loads. Inputs are deterministic; the times are
+/// this machine's.
+#include "direct/placement.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <string>
+
+namespace daisytack::direct {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int Rounds = 5;
+constexpr int Calls = 2'000;
+constexpr int Sessions = 500;
+const TimePoint Start{Duration(1'000'000'000)};
+
+ServingConfig config() {
+  Service engines;
+  engines.Name = "engines";
+  engines.Engine = EngineTraits{};
+  engines.Engine->HasManagedContext = true;
+  Service plain;
+  plain.Name = "plain";
+  Route route;
+  route.Shares = {{"engines", 1}};
+  route.HasPrompt = true;
+  route.TargetLatency = 400ms;
+  ServingConfig out;
+  out.Services = {engines, plain};
+  out.Routes = {route};
+  return out;
+}
+
+Catalog catalogOf(int servers) {
+  Catalog out;
+  out.Config = std::make_shared<const ConfigIndex>(config());
+  for (int i = 0; i < servers; ++i) {
+    BackendServer server;
+    server.Id = "i-" + std::to_string(100'000 + i);
+    server.Service = i % 16 == 0 ? "plain" : "engines";
+    server.Address = {"10.1.0.1", 80};
+    server.FailureDomain = "d" + std::to_string(i % 3);
+    if (server.Service == "engines")
+      server.Weights = {{"model", 1}};
+    out.Servers[server.Service].push_back(server);
+    out.AllServers.push_back(server);
+  }
+  return out;
+}
+
+ForwardRequest request(int number, bool hasPrompt) {
+  ForwardRequest out;
+  out.Head.RequestId = "r" + std::to_string(number);
+  out.Service = hasPrompt ? "engines" : "plain";
+  out.Via.Kind = RouteKind::Stream;
+  out.Via.TargetLatency = 800ms;
+  out.Arrived = Start;
+  out.Deadline = Start + 15s;
+  if (!hasPrompt)
+    return out;
+  out.Head.Model = "model";
+  out.Head.PromptTokens = 12'000;
+  out.Head.Parts = {{"system", 512},
+                    {"s" + std::to_string(number % Sessions), 8610},
+                    {"own" + std::to_string(number), 2878}};
+  return out;
+}
+
+struct World {
+  explicit World(int servers) : Known(catalogOf(servers)) {}
+
+  ServerLoads Loads{{}};
+  StoreLinks Links{{}};
+  ReadingRate Rates{{}};
+  Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
+  KeptContext Kept{{}};
+  Catalog Known;
+  SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
+  Placement Place{
+      {}, {"d0"}, {Loads, Links, Ejected, Rates, Kept, ColdServers}};
+};
+
+void measure(int servers, int entries, bool hasPrompt) {
+  World world(servers);
+  for (int i = 0; i < entries; ++i) {
+    std::vector<LoadShare> shares;
+    for (int n = 0; n < 40; ++n) {
+      size_t at =
+          static_cast<size_t>(i * 40 + n) % world.Known.AllServers.size();
+      shares.push_back({world.Known.AllServers[at].ref().key(), 1, 100, 100});
+    }
+    world.Loads.onPeer("e" + std::to_string(i), shares, 10s, Start);
+  }
+  std::vector<ForwardRequest> requests;
+  for (int i = 0; i < Calls; ++i)
+    requests.push_back(request(i, hasPrompt));
+  double best = 1e18;
+  for (int round = 0; round < Rounds; ++round) {
+    using Clock = std::chrono::steady_clock;
+    auto from = Clock::now();
+    Error reason;
+    int calls = servers > 1000 ? Calls / 20 : Calls;
+    for (int i = 0; i < calls; ++i)
+      world.Place.choose(requests[static_cast<size_t>(i)], world.Known, {},
+                         1000, Start, reason);
+    std::chrono::duration<double, std::micro> took = Clock::now() - from;
+    best = std::min(best, took.count() / calls);
+  }
+  std::printf("| %8d | %8d | %-6s | %10.1f |\n", servers, entries,
+              hasPrompt ? "prompt" : "call", best);
+}
+
+} // namespace
+
+} // namespace daisytack::direct
+
+int main() {
+  std::puts("| servers  | entries  | of     | us a choice |");
+  std::puts("|---:|---:|---|---:|");
+  for (bool hasPrompt : {true, false}) {
+    daisytack::direct::measure(50, 26, hasPrompt);
+    daisytack::direct::measure(850, 297, hasPrompt);
+    daisytack::direct::measure(10'000, 1300, hasPrompt);
+  }
+  return 0;
+}
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -3,7 +3,6 @@
 #include "direct/rendezvous.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace daisytack::direct {
@@ -21,6 +20,32 @@
                             : std::string_view(head.Parts.front().Id);
 }
 
+/// Servers by rendezvous for a key, the first one first. Few of many are
+/// wanted, so that they are not sorted.
+class RankedServers {
+public:
+  RankedServers(std::string_view key, const Candidates &servers) {
+    uint64_t hash = stableHash(key);
+    Rest.reserve(servers.size());
+    for (const Candidate &it : servers)
+      Rest.emplace_back(rendezvousRank(hash, it.Server->Id), &it);
+    std::make_heap(Rest.begin(), Rest.end());
+  }
+
+  /// Null when there is none left.
+  const Candidate *next() {
+    if (Rest.empty())
+      return nullptr;
+    std::pop_heap(Rest.begin(), Rest.end());
+    const Candidate *out = Rest.back().second;
+    Rest.pop_back();
+    return out;
+  }
+
+private:
+  std::vector<std::pair<uint64_t, const Candidate *>> Rest; ///< A heap.
+};
+
 } // namespace
 
 Placement::Placement(PlacementSettings settings, Locality where,
@@ -32,25 +57,17 @@
       Admit(settings, Cost),
       Contexts(settings, Where, view.Links, view.Kept, Cost) {}
 
-Placement::Ranked Placement::ranked(std::string_view key,
-                                    const Candidates &servers) const {
-  Ranked out;
-  out.reserve(servers.size());
-  for (const Candidate &it : servers)
-    out.emplace_back(rendezvousScore(key, it.Server->Id), &it);
-  std::sort(out.begin(), out.end(), std::greater<>());
-  return out;
-}
-
 Candidates Placement::ofSession(const ForwardRequest &request,
                                 const Candidates &servers) const {
   Candidates out;
   size_t current = 0;
-  for (const auto &[score, it] : ranked(homeKey(request.Head), servers)) {
+  RankedServers ranked(homeKey(request.Head), servers);
+  while (const Candidate *it = ranked.next()) {
     bool isCurrent = it->Behind == Duration::zero();
-    bool isWanted = out.size() < Settings.SessionCandidates ||
-                    (isCurrent && current < Settings.CurrentCandidates);
-    if (!isWanted)
+    bool hasAll = out.size() >= Settings.SessionCandidates;
+    if (hasAll && current >= Settings.CurrentCandidates)
+      break;
+    if (hasAll && !isCurrent)
       continue;
     current += isCurrent ? 1 : 0;
     out.push_back(*it);
@@ -61,9 +78,13 @@
 Candidates Placement::spares(const ForwardRequest &request,
                              const Candidates &servers) const {
   Candidates out;
-  for (const auto &[score, it] : ranked(request.Head.RequestId, servers))
-    if (out.size() < Settings.SpareCandidates)
-      out.push_back(*it);
+  RankedServers ranked(request.Head.RequestId, servers);
+  while (out.size() < Settings.SpareCandidates) {
+    const Candidate *it = ranked.next();
+    if (!it)
+      break;
+    out.push_back(*it);
+  }
   return out;
 }
 
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -44,8 +44,6 @@
                                       TimePoint now, Error &reason);
 
 private:
-  using Ranked = std::vector<std::pair<double, const Candidate *>>;
-
   struct Choice {
     Candidate Server;
     /// That may hold the session's context in its memory; null for a request
@@ -62,8 +60,6 @@
                        const Candidates &servers) const;
   Candidates spares(const ForwardRequest &request,
                     const Candidates &servers) const;
-  /// By rendezvous for the key, the first one first.
-  Ranked ranked(std::string_view key, const Candidates &servers) const;
   const Candidate &cheapest(const ForwardRequest &request,
                             const Candidates &servers,
                             const BackendServer *home) const;
--- a/src/direct/rendezvous.h
+++ b/src/direct/rendezvous.h
@@ -13,6 +13,12 @@
 /// The hash as a number in (0, 1).
 double unitHash(std::string_view text, uint64_t seed = 0);
 
+/// Orders members of equal weight for a key as their scores do, without a
+/// logarithm. The key is given as stableHash(key), taken once for all members.
+inline uint64_t rendezvousRank(uint64_t keyHash, std::string_view member) {
+  return stableHash(member, keyHash);
+}
+
 /// Score of the member for the key; the highest wins. A member's share of keys
 /// is proportional to its weight.
 double rendezvousScore(std::string_view key, std::string_view member,
--- a/tests/direct/rendezvous_test.cpp
+++ b/tests/direct/rendezvous_test.cpp
@@ -30,6 +30,18 @@
   EXPECT_NEAR(moved, 250, 60);
 }
 
+/// Processes that compare ranks and others that compare scores agree.
+TEST(Rendezvous, RanksMembersOfEqualWeightAsTheirScoresDo) {
+  for (int i = 0; i < 500; ++i) {
+    std::string key = std::to_string(i);
+    std::string a = "a" + std::to_string(i * 7);
+    std::string b = "b" + std::to_string(i * 3);
+    EXPECT_EQ(rendezvousRank(stableHash(key), a) >
+                  rendezvousRank(stableHash(key), b),
+              rendezvousScore(key, a) > rendezvousScore(key, b));
+  }
+}
+
 TEST(Rendezvous, FollowsWeights) {
   int large = 0;
   for (int i = 0; i < 2000; ++i) {
