Take the end of an evacuation for news also where its begin was not heard

Cause: an entry that was cut off through an evacuation heard of its end alone and dropped that, so that it took the domain's servers for warm. Ruled out: waiting for the servers' records, which say that they are cold up to a heartbeat later. Change: any removal of the operator's key starts the time for which servers of the domain count as cold.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -204,14 +204,16 @@
 bool CatalogKeeper::mergeDeletion(Held &held, uint64_t revision,
                                   TimePoint now) {
   held.Record.Revision = revision;
+  // Also of an evacuation that this process never knew.
+  bool isLift = held.Subject.Kind == FactKind::Evacuation;
+  if (isLift)
+    Lifted[held.Subject.Name] = {now, revision};
   if (std::exchange(held.Record.IsDeleted, true))
-    return false;
+    return isLift;
   held.Record.Value.clear();
   // The configuration is never deleted; a store that says so is not believed.
   if (held.Subject.Kind == FactKind::Config)
     return false;
-  if (held.Subject.Kind == FactKind::Evacuation)
-    Lifted[held.Subject.Name] = {now, revision};
   const auto *server = std::get_if<BackendServer>(&held.Value);
   bool mayHaveLapsed = server && !server->IsDraining && isInGrace(now);
   if (mayHaveLapsed)
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -3,6 +3,7 @@
 #include "direct/rendezvous.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace daisytack::direct {
@@ -92,16 +93,16 @@
                                      const Candidates &servers,
                                      const BackendServer *home) const {
   PlacementCost::UnkeptTokens unkept;
-  const Candidate *out = nullptr;
-  double least = 0;
-  for (const Candidate &it : servers) {
-    double cost = Cost.of(request, it, home, unkept);
-    if (out && cost >= least)
+  size_t best = 0;
+  double least = std::numeric_limits<double>::infinity();
+  for (size_t i = 0; i < servers.size(); ++i) {
+    double cost = Cost.of(request, servers[i], home, unkept);
+    if (cost >= least)
       continue;
-    out = &it;
+    best = i;
     least = cost;
   }
-  return *out;
+  return servers[best];
 }
 
 std::optional<Placement::Choice>
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -60,6 +60,7 @@
                        const Candidates &servers) const;
   Candidates spares(const ForwardRequest &request,
                     const Candidates &servers) const;
+  /// Of one server at least.
   const Candidate &cheapest(const ForwardRequest &request,
                             const Candidates &servers,
                             const BackendServer *home) const;
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -103,8 +103,8 @@
     load.At = Phase::Asking;
     load.LookAt = now + Settings.CallPatience;
     // The one that it was chosen for may have been superseded since.
-    load.Wanted.Version = std::max(load.Wanted.Version,
-                                   catalog.wantedVersion(load.Wanted.Model));
+    load.Wanted.Version =
+        std::max(load.Wanted.Version, catalog.wantedVersion(load.Wanted.Model));
     out.push_back(AskReport{id, load.Address});
   }
   return out;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -219,7 +219,9 @@
       options.Callers != Options.Callers ||
       options.Readiness != Options.Readiness ||
       options.Peers != Options.Peers || options.Store != Options.Store ||
-      options.Name != Options.Name || !(options.Placement == Options.Placement);
+      options.Name != Options.Name || options.Regions != Options.Regions ||
+      !(options.SlowStart == Options.SlowStart) ||
+      !(options.Placement == Options.Placement);
   Peers->setSeeds(options.Seeds);
   Log.write(LogWeight::Notable, "settings_reloaded",
             {{"seeds", options.Seeds.size()}, {"needs_restart", needsRestart}},
--- a/tests/platform/slow_start_test.cpp
+++ b/tests/platform/slow_start_test.cpp
@@ -50,5 +50,30 @@
   EXPECT_EQ(served[""], 0);
 }
 
+/// After an evacuation servers are cold, and say so up to a heartbeat later.
+TEST(SlowStart, CountsServersAsColdAfterAnEvacuation) {
+  auto coldUntil = [](const Entry &entry) {
+    return entry.Known.view()->serversOf("engines").at(0).ColdUntil;
+  };
+  Entry entry;
+  entry.Known.applyAll({configuration(1), registration(0, 2),
+                        server("e", "engines", "a", 0, 3),
+                        record("op/evacuate/a", "{}", 4)},
+                       4, Start);
+  entry.Known.apply({removed("op/evacuate/a", 5)}, Start + 8s);
+  EXPECT_EQ(coldUntil(entry), Start + 11s);
+  // Its own later word goes first.
+  entry.Known.apply({server("e", "engines", "a", 0, 6)}, Start + 9s);
+  EXPECT_EQ(coldUntil(entry), Start + 9s);
+  entry.Known.apply({server("e", "engines", "a", 2500, 7)}, Start + 10s);
+  EXPECT_EQ(coldUntil(entry), Start + 12500ms);
+  // An entry that was cut off hears of the end alone.
+  Entry late;
+  late.Known.applyAll({configuration(1), server("e", "engines", "a", 0, 3)}, 3,
+                      Start);
+  late.Known.apply({removed("op/evacuate/a", 5)}, Start + 8s);
+  EXPECT_EQ(coldUntil(late), Start + 11s);
+}
+
 } // namespace
 } // namespace daisytack::platform
