Reproduce a flood of servers that became cold unheard

Cause: the servers became cold at 28.9 s, 3.8 s into a silence of the key-value service, and the evacuation before it was not written either. Records are the only word of it that is read. Ruled out: shares that don't add up, as the servers did not count as cold at any entry; an evacuation that was missed, as none was acknowledged by then.

--- a/tests/platform/slow_start_test.cpp
+++ b/tests/platform/slow_start_test.cpp
@@ -16,38 +16,62 @@
 /// cold-per-s x cold-overshoot + cold-slack of the deployment.
 constexpr size_t MostInASecond = 30;
 
-TEST(SlowStart, BoundsWhatAllEntriesTogetherSendToAColdServer) {
-  std::vector<direct::StoreRecord> all{configuration(1)};
-  uint64_t revision = 1;
-  for (int i = 0; i < Entries; ++i)
-    all.push_back(registration(i, ++revision));
-  all.push_back(server("cold", "engines", "a", 3000, ++revision));
-  all.push_back(server("warm", "engines", "b", 0, ++revision));
-  std::vector<std::unique_ptr<Entry>> entries;
-  for (int i = 0; i < Entries; ++i) {
-    entries.push_back(std::make_unique<Entry>(i));
-    entries.back()->Known.applyAll(all, revision, Start);
+/// Entries that know the same records, and what they send to two servers.
+class TwoServers {
+public:
+  explicit TwoServers(int coldMs) {
+    std::vector<direct::StoreRecord> all{configuration(1)};
+    uint64_t revision = 1;
+    for (int i = 0; i < Entries; ++i)
+      all.push_back(registration(i, ++revision));
+    all.push_back(server("one", "engines", "a", coldMs, ++revision));
+    all.push_back(server("other", "engines", "b", 0, ++revision));
+    for (int i = 0; i < Entries; ++i) {
+      All.push_back(std::make_unique<Entry>(i));
+      All.back()->Known.applyAll(all, revision, Start);
+    }
   }
-  std::deque<TimePoint> sent; ///< To the cold server in the last second.
-  std::map<std::string, int> served;
-  size_t most = 0;
-  // Fifty requests a second for each server, of many sessions.
-  for (int i = 0; i < 250; ++i) {
-    TimePoint now = Start + i * Duration(10'000);
-    std::string to = entries[static_cast<size_t>(i * 7 % Entries)]->send(
-        Entry::prompt(std::to_string(i % 61)), now);
-    ++served[to];
-    if (to != "cold")
-      continue;
-    sent.push_back(now);
-    while (sent.front() <= now - 1s)
-      sent.pop_front();
-    most = std::max(most, sent.size());
+
+  /// Fifty requests a second for each server, of many sessions. The most that
+  /// the first one gets in a second.
+  size_t load(TimePoint from) {
+    std::deque<TimePoint> sent; ///< To the first server in the last second.
+    size_t most = 0;
+    for (int i = 0; i < 250; ++i) {
+      TimePoint now = from + i * Duration(10'000);
+      std::string to = All[static_cast<size_t>(i * 7 % Entries)]->send(
+          Entry::prompt(std::to_string(i % 61)), now);
+      ++Served[to];
+      if (to != "one")
+        continue;
+      sent.push_back(now);
+      while (sent.front() <= now - 1s)
+        sent.pop_front();
+      most = std::max(most, sent.size());
+    }
+    return most;
   }
-  EXPECT_LE(most, MostInASecond);
-  EXPECT_GT(served["cold"], 0);
+
+  std::vector<std::unique_ptr<Entry>> All;
+  std::map<std::string, int> Served; ///< Empty name: refused.
+};
+
+TEST(SlowStart, BoundsWhatAllEntriesTogetherSendToAColdServer) {
+  TwoServers world(3000);
+  EXPECT_LE(world.load(Start), MostInASecond);
+  EXPECT_GT(world.Served["one"], 0);
   // The others are served elsewhere.
-  EXPECT_EQ(served[""], 0);
+  EXPECT_EQ(world.Served[""], 0);
+}
+
+/// Seen: a domain's servers became cold while the key-value service was silent,
+/// so that no record could say so, and got 32 and 37 requests in a second. The
+/// bound holds for entries in touch or not.
+TEST(SlowStart, BoundsServersThatMayBeColdUnheard) {
+  TwoServers world(0);
+  for (auto &it : world.All)
+    it->Known.onStoreLost();
+  EXPECT_LE(world.load(Start + 4s), MostInASecond);
 }
 
 /// After an evacuation servers are cold, and say so up to a heartbeat later.
