Say once which results leave a server alone, and look for tried ones last

Cause: two branches after one another called onTurnedAway, one for refused attempts and one for those without a connection; whether a server was tried was looked up also for servers that may not be asked anyway. Ruled out: counting unreached attempts as turned away; the metric is for refusals. Change: one condition each; what is decided and counted stays as it was.

--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -72,8 +72,6 @@
   Care least = Care::Any;
   std::optional<TimePoint> soonest;
   for (const BackendServer &server : catalog.serversOf(request.Service)) {
-    bool wasTried =
-        std::find(tried.begin(), tried.end(), server.Id) != tried.end();
     if (!Where.allows(request.Regions, server.FailureDomain))
       continue;
     Candidate candidate = look(request, catalog, server, now);
@@ -84,7 +82,7 @@
       soonest = std::min(soonest.value_or(*opens), *opens);
       continue;
     }
-    if (wasTried)
+    if (std::find(tried.begin(), tried.end(), server.Id) != tried.end())
       continue;
     Care care = careFor(request, candidate, now);
     if (care > least)
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -282,13 +282,12 @@
   State.Loads.onEnded(order.server(), order.QueuedTokens,
                       FirstByteAt.has_value(), now);
   bool isGood = result == AttemptResult::Answered;
-  if (result == AttemptResult::TurnedAway ||
-      result == AttemptResult::Misdirected) {
+  bool wasRefused = result == AttemptResult::TurnedAway ||
+                    result == AttemptResult::Misdirected;
+  if (wasRefused)
     State.Counts.TurnedAway.add();
-    State.Loads.onTurnedAway(order.server(), now);
-  }
   // Otherwise each request finds out by itself, and waits for a connection.
-  if (result == AttemptResult::Unreached)
+  if (wasRefused || result == AttemptResult::Unreached)
     State.Loads.onTurnedAway(order.server(), now);
   if (result == AttemptResult::Misdirected)
     noteMisdirected(order, now);
