Read the request limits that backend servers name, and log them

Cause: no line and no figure of an entry told that a server had named a limit on requests in its answers, so that the logs could not distinguish whether the limit was unread, read by each entry alone, or passed by on some paths. Ruled out: nothing yet; no decision reads the belief. Change: the answer's header is decoded (a number of requests a second; named twice, negative or no number: unreadable, and the belief stays), one belief for each start of a server, the lines server_limited, server_limit_lifted and server_limit_unreadable, and daisytack_servers_limited. Checked: test_platform but for the known red one.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -88,6 +88,11 @@
   bool IsEventStream = false;
   bool IsLeaving = false; ///< The server wants no new requests ever more.
   std::optional<Duration> RetryAfter;
+  /// Requests a second that the server takes from all entries together;
+  /// nothing when the answer names no limit that can be read.
+  std::optional<double> RequestLimit;
+  /// The answer names a limit that can't be read.
+  bool IsLimitUnreadable = false;
   std::vector<net::HttpHeader> Passed; ///< For the caller, as they are.
   auto operator<=>(const ServerHead &) const = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,9 @@
 constexpr Duration HolderWriteTimeout{1'200'000};
 /// Loads of servers that were not used for so long are forgotten.
 constexpr Duration LoadMemory{60'000'000};
+/// That a server named a limit is remembered for so long without a further word
+/// of it.
+constexpr Duration LimitMemory{600'000'000};
 /// A server that takes new weights is left alone for at most so long: its runs
 /// end, and the load itself takes a second or two.
 constexpr Duration LoadAvoidance{3'000'000};
@@ -243,6 +246,7 @@
   State.Counts.ServersCold.set(std::count_if(
       servers.begin(), servers.end(),
       [now = monotonicNow()](const auto &it) { return now < it.ColdUntil; }));
+  State.Counts.ServersLimited.set(static_cast<int64_t>(State.Limits.limited()));
   State.Counts.DomainsEvacuated.set(
       static_cast<int64_t>(catalog->Evacuated.size()));
   exchange.respond({net::StatusOk,
@@ -341,6 +345,7 @@
   State.Catalog.onTimer(now);
   State.Loads.forgetIdle(now - LoadMemory);
   State.ColdServers.forgetIdle(now - LoadMemory);
+  State.Limits.forgetIdle(now - LimitMemory);
   State.Suspects.onTimer(now);
   PeerLoads->onTimer(now);
   Quarantines->onTimer(now);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -133,6 +133,9 @@
       ServersCold(metrics.gauge(
           "daisytack_servers_cold",
           "Backend servers that count as cold, and get few requests")),
+      ServersLimited(metrics.gauge(
+          "daisytack_servers_limited",
+          "Backend servers that named a limit on requests in their answers")),
       DomainsEvacuated(metrics.gauge(
           "daisytack_failure_domains_evacuated",
           "Failure domains whose servers get nothing, by the operator's word")),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -7,6 +7,7 @@
 #include "direct/drain_plan.h"
 #include "direct/placement.h"
 #include "direct/protocol.h"
+#include "direct/request_limits.h"
 #include "direct/retirement.h"
 #include "gateway/gateway_options.h"
 #include "net/http_client.h"
@@ -47,6 +48,7 @@
   Gauge &PartsKnown;
   Gauge &ServersKnown;
   Gauge &ServersCold;
+  Gauge &ServersLimited;
   Gauge &DomainsEvacuated;
   Gauge &StoreReachable;
   Gauge &StoreWatched;
@@ -113,6 +115,7 @@
   direct::CrashSuspects Suspects;
   direct::KeptContext Kept;
   direct::SlowStart ColdServers;
+  direct::RequestLimits Limits;
   direct::Placement Place;
   RetryBudgets Retries;
   ServersClock Clock;
--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -184,6 +184,24 @@
   EXPECT_FALSE(readServer(200, {}).IsLeaving);
 }
 
+TEST(ReadServer, ReadsTheLimitThatAServerNames) {
+  auto limit = [](const std::string &text) {
+    return readServer(200, {{"server-limit", text}}).RequestLimit;
+  };
+  EXPECT_EQ(limit(" 2.3 "), 2.3);
+  EXPECT_EQ(limit("0"), 0);
+  EXPECT_EQ(limit("1e9"), 1e9);
+  EXPECT_FALSE(readServer(200, {}).IsLimitUnreadable);
+  for (const char *text : {"", "nan", "inf", "-1", "-0", "2.3,2.4", "2 a"}) {
+    EXPECT_FALSE(limit(text)) << text;
+    EXPECT_TRUE(readServer(200, {{"Server-Limit", text}}).IsLimitUnreadable);
+  }
+  direct::ServerHead twice =
+      readServer(200, {{"Server-Limit", "2"}, {"Server-Limit", "2"}});
+  EXPECT_FALSE(twice.RequestLimit);
+  EXPECT_TRUE(twice.IsLimitUnreadable);
+}
+
 TEST(ReadServer, PassesTheSignatureOnAndNothingOfTheConnection) {
   direct::ServerHead head =
       readServer(200, {{"X-Daisytack-Server-Signature", "s"},
