Reproduce requests beyond the limit that a server named

Symptom: a server that names a limit on requests in its answers goes on getting all of them from the entries that passed on these answers. Hypothesis 3 (repeats alone) is ruled out by them: every request is a first attempt.

--- /dev/null
+++ b/tests/gateway/server_limit_test.cpp
@@ -0,0 +1,95 @@
+/// Guards against: a server that had named a limit on requests in its answers
+/// got more than that from the entries that had passed on these answers.
+///
+/// Seen: engines that asked for 2.3 and 2.1 requests a second from all entries
+/// together got 25 and 35 in four seconds from five of them.
+#include "gateway/gateway_fixture.h"
+
+namespace daisytack::gateway {
+namespace {
+
+constexpr double Limit = 1;
+/// Of what a server may get in so many seconds: the deployment's bound.
+constexpr double BoundSeconds = 4;
+constexpr double BoundFactor = 1.5;
+constexpr double BoundSlack = 5;
+
+class ServerLimitTest : public GatewayTest {
+protected:
+  ServerLimitTest() { Store.put("op/config", configText("\"k1\"")); }
+
+  Entry &startReady(const std::string &name) {
+    Entry &out = start(name, Store.address());
+    EXPECT_TRUE(waitReady(out));
+    return out;
+  }
+  test::StandInServer &limited() {
+    return standIn([this](const HttpRequest &what, const ExchangePtr &to) {
+      HttpResponse out = signedAnswer(what);
+      if (IsInNeed)
+        out.Headers.push_back({"Server-Limit", std::to_string(Limit)});
+      to->respond(std::move(out));
+    });
+  }
+  HttpResponse send(const Entry &entry) {
+    return fetch(entry.Options.Callers,
+                 request("/safe/x", "r" + std::to_string(++Requests)))
+        .Response;
+  }
+  /// The most that the server may get while the entries send for so long.
+  static double bound(std::chrono::steady_clock::duration time) {
+    double seconds = std::chrono::duration<double>(time).count();
+    return BoundFactor * Limit * std::max(BoundSeconds, seconds) + BoundSlack;
+  }
+
+  size_t Requests = 0;
+  std::atomic<bool> IsInNeed{true};
+};
+
+TEST_F(ServerLimitTest, GetsNoMoreThanItNamedFromAllEntriesTogether) {
+  test::StandInServer &needy = limited();
+  test::StandInServer &sound = standIn(answer);
+  serve("i-1", needy);
+  serve("i-2", sound);
+  std::vector<Entry *> entries{&startReady("e1"), &startReady("e2"),
+                               &startReady("e3")};
+  // Every entry passes on one of its answers first.
+  for (Entry *entry : entries) {
+    size_t before = needy.requests().size();
+    ASSERT_TRUE(eventually([&] {
+      send(*entry);
+      return needy.requests().size() > before || before > 0;
+    }));
+  }
+  size_t before = needy.requests().size();
+  auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < 90; ++i)
+    EXPECT_EQ(send(*entries[static_cast<size_t>(i) % entries.size()]).Status,
+              200);
+  size_t got = needy.requests().size() - before;
+  EXPECT_LE(static_cast<double>(got),
+            bound(std::chrono::steady_clock::now() - begin));
+  Threads.stop(); // Handlers use what ends here.
+}
+
+/// It is told at once, with a time, where no other server is left.
+TEST_F(ServerLimitTest, RefusesAtOnceWhatNoServerTakes) {
+  test::StandInServer &needy = limited();
+  serve("i-1", needy);
+  Entry &entry = startReady("e1");
+  ASSERT_TRUE(eventually([&] {
+    send(entry);
+    return !needy.requests().empty();
+  }));
+  auto begin = std::chrono::steady_clock::now();
+  size_t refused = 0;
+  for (int i = 0; i < 40; ++i)
+    refused += send(entry).Status == 503 ? 1 : 0;
+  EXPECT_LE(static_cast<double>(needy.requests().size()),
+            1 + bound(std::chrono::steady_clock::now() - begin));
+  EXPECT_GT(refused, 0);
+  Threads.stop(); // Handlers use what ends here.
+}
+
+} // namespace
+} // namespace daisytack::gateway
