Share a limit that a server names out among all entries

What callers saw: two engines in need asked, in their answers, for 2.3 and 2.1 requests a second and got six to fifteen; what they were slow with, callers waited for. Cause: no entry read the limit. A limit below one request in ten seconds still lets one entry ask, since only an answer tells that a limit has ended; when nothing is heard for two windows the turn goes to other entries. The entry that heard the latest answer tells the others. Answers to reports and orders may name a limit too. Why this holds: in any window no entry sends more than its share, and shares add up to the quota whatever entries know of one another; lists of entries that differ are covered by the factor and the allowance of the deployment's bound.

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -81,8 +81,9 @@
   KeptContext Kept{{}};
   Catalog Known;
   SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
+  RequestLimits Limits{{}, {"10.0.0.1", 7000}, TimePoint()};
   Placement Place{
-      {}, {"d0"}, {Loads, Links, Ejected, Rates, Kept, ColdServers}};
+      {}, {"d0"}, {Loads, Links, Ejected, Rates, Kept, ColdServers, Limits}};
 };
 
 void measure(int servers, int entries, bool hasPrompt) {
--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -35,8 +35,12 @@
                                               TimePoint now) const {
   if (candidate.Load.IsLeaving)
     return std::nullopt;
-  TimePoint out = std::max(now, candidate.Load.ClosedUntil);
   const BackendServer &server = *candidate.Server;
+  std::optional<TimePoint> limited =
+      Beliefs.Limits.opensAt(server, catalog, now);
+  if (!limited)
+    return std::nullopt;
+  TimePoint out = std::max({now, candidate.Load.ClosedUntil, *limited});
   if (!candidate.IsCold)
     return out;
   std::optional<TimePoint> share =
@@ -103,11 +107,11 @@
 
 bool Eligibility::take(const Candidate &candidate, const Catalog &catalog,
                        TimePoint now) const {
-  if (!candidate.IsCold)
-    return true;
   const BackendServer &server = *candidate.Server;
-  return Beliefs.ColdServers.take(server, coldRateOf(catalog, server), catalog,
-                                  now);
+  bool isTaken = !candidate.IsCold ||
+                 Beliefs.ColdServers.take(server, coldRateOf(catalog, server),
+                                          catalog, now);
+  return isTaken && Beliefs.Limits.take(server, catalog, now);
 }
 
 } // namespace daisytack::direct
--- a/src/direct/eligibility.h
+++ b/src/direct/eligibility.h
@@ -2,9 +2,9 @@
 ///
 /// Never sent to: servers of an evacuated failure domain (the catalog leaves
 /// them out), those that want nothing new by their own word, those outside of
-/// the regions that the request is confined to, and cold ones beyond this
-/// entry's share of their slow start. Silent, ejected and outdated servers are
-/// used only where no better one is left.
+/// the regions that the request is confined to, and cold ones and those that
+/// named a limit beyond this entry's share of what they take. Silent, ejected
+/// and outdated servers are used only where no better one is left.
 #pragma once
 
 #include "decide/ejection.h"
@@ -13,6 +13,7 @@
 #include "direct/forward_flow.h"
 #include "direct/locality.h"
 #include "direct/placement_cost.h"
+#include "direct/request_limits.h"
 #include "direct/slow_start.h"
 
 #include <string>
@@ -25,6 +26,7 @@
   const ServerLoads &Loads;
   const Ejector &Ejected;
   SlowStart &ColdServers;
+  RequestLimits &Limits;
 };
 
 /// Thread-safe.
@@ -38,8 +40,8 @@
   Candidates servers(const ForwardRequest &request, const Catalog &catalog,
                      const std::vector<std::string> &tried, TimePoint now,
                      Error &reason) const;
-  /// Counts a request that is about to be sent against the share of a cold
-  /// server; false when that is used up.
+  /// Counts a request that is about to be sent against this entry's share of
+  /// what the server takes; false when that is used up.
   bool take(const Candidate &server, const Catalog &catalog,
             TimePoint now) const;
 
@@ -49,8 +51,8 @@
 
   Candidate look(const ForwardRequest &request, const Catalog &catalog,
                  const BackendServer &server, TimePoint now) const;
-  /// When the server may be asked by its own word and its slow start: now or
-  /// earlier for at once, nothing when that is not known.
+  /// When the server may be asked by its own word, its limit and its slow
+  /// start: now or earlier for at once, nothing when that is not known.
   std::optional<TimePoint> opensAt(const Candidate &server,
                                    const Catalog &catalog, TimePoint now) const;
   /// The pickiest level at which the server is used.
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -4,6 +4,7 @@
 #include "direct/crash_suspects.h"
 #include "direct/facts.h"
 #include "direct/kept_context.h"
+#include "direct/request_limits.h"
 #include "direct/server_loads.h"
 #include "direct/store_links.h"
 
@@ -94,13 +95,21 @@
   }
 };
 
+/// What servers said of their limits on requests, as the sender heard it; by
+/// datagram.
+struct RequestLimitNews {
+  std::vector<LimitWord> Words;
+  bool operator==(const RequestLimitNews &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(Words); }
+};
+
 struct Received {
   bool operator==(const Received &) const = default;
   template <class Archive> void serialize(Archive &) {}
 };
 
-using PeerMessage =
-    std::variant<RecordsWanted, RecordsFound, ServersLoading, ServerLoaded,
-                 EntryLoads, ContextRetired, Received, CrashReports>;
+using PeerMessage = std::variant<RecordsWanted, RecordsFound, ServersLoading,
+                                 ServerLoaded, EntryLoads, ContextRetired,
+                                 Received, CrashReports, RequestLimitNews>;
 
 } // namespace daisytack::direct
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -53,8 +53,8 @@
                      PlacementView view)
     : Settings(settings), Where(std::move(where)), Rates(view.Rates),
       Cost(settings, Where.FailureDomain, view.Rates, view.Kept),
-      Eligible(settings, Where, {view.Loads, view.Ejected, view.ColdServers},
-               Cost),
+      Eligible(settings, Where,
+               {view.Loads, view.Ejected, view.ColdServers, view.Limits}, Cost),
       Admit(settings, Cost),
       Contexts(settings, Where, view.Links, view.Kept, Cost) {}
 
@@ -131,8 +131,8 @@
                   const std::vector<std::string> &tried,
                   std::optional<int64_t> serversClockMs, TimePoint now,
                   Error &reason) {
-  // Another thread may take the last request of a cold server's share
-  // meanwhile; then the others are looked at anew.
+  // Another thread may take the last request of a server's share meanwhile;
+  // then the others are looked at anew.
   for (;;) {
     Candidates servers = Eligible.servers(request, catalog, tried, now, reason);
     if (servers.empty())
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -25,6 +25,7 @@
   const ReadingRate &Rates;
   KeptContext &Kept;
   SlowStart &ColdServers;
+  RequestLimits &Limits;
 };
 
 /// Thread-safe.
@@ -36,7 +37,7 @@
   Placement &operator=(const Placement &) = delete;
 
   /// Servers that were tried are left out. Plans saves, and takes from the
-  /// share of a cold server, as side effects.
+  /// share of a cold or limited server, as side effects.
   std::optional<AttemptChoice> choose(const ForwardRequest &request,
                                       const Catalog &catalog,
                                       const std::vector<std::string> &tried,
--- a/src/direct/slow_start.h
+++ b/src/direct/slow_start.h
@@ -2,22 +2,11 @@
 /// server that is cold.
 ///
 /// A cold server crashes under a rate that a warm one bears, so a bound holds
-/// for the sum over all entries, whatever they know of one another. What the
-/// bound allows in a second is shared out among the registered entries: so many
-/// whole requests to each, and what is left to those that rank first by
-/// rendezvous for the server. Every entry computes the same shares from the
-/// same registrations, so that no request needs a message; an entry that dies
-/// or is cut off leaves its share unused, and one that is not registered has
-/// none. A registration outlasts its entry, so that the shares of the living
-/// never grow before the dead are surely silent.
+/// for the sum over all entries, whatever they know of one another
+/// (direct/shared_quota.h).
 #pragma once
 
-#include "direct/catalog.h"
-
-#include <cstdint>
-#include <deque>
-#include <mutex>
-#include <unordered_map>
+#include "direct/shared_quota.h"
 
 namespace daisytack::direct {
 
@@ -39,12 +28,6 @@
 uint32_t slowStartQuota(const SlowStartSettings &settings,
                         double requestsPerSecond);
 
-/// What the entry at that address may send of it. The server's id ranks the
-/// entries.
-uint32_t slowStartShare(uint32_t quota, std::string_view server,
-                        const std::map<Endpoint, uint64_t> &registered,
-                        const Endpoint &own);
-
 /// Thread-safe.
 class SlowStart {
 public:
@@ -61,25 +44,13 @@
   bool take(const BackendServer &server, double requestsPerSecond,
             const Catalog &catalog, TimePoint now);
   /// Forgets servers to which nothing was sent since.
-  void forgetIdle(TimePoint usedBefore);
+  void forgetIdle(TimePoint usedBefore) { Shares.forgetIdle(usedBefore); }
 
 private:
-  struct State {
-    uint64_t RegisteredVersion = 0; ///< For which the share was computed.
-    double RequestsPerSecond = 0;
-    uint32_t Share = 0;
-    std::deque<TimePoint> Sent; ///< The latest, as many as the share.
-  };
-
-  State &stateOf(const BackendServer &server, double requestsPerSecond,
-                 const Catalog &catalog);
-  std::optional<TimePoint> opening(const State &state) const;
+  QuotaBound boundOf(double requestsPerSecond) const;
 
   SlowStartSettings Settings;
-  Endpoint Own;
-  TimePoint StartedAt;
-  std::mutex Lock;
-  std::unordered_map<uint64_t, State> Servers; ///< By ServerRef::key.
+  SharedQuota Shares;
 };
 
 } // namespace daisytack::direct
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -5,6 +5,7 @@
 #include "direct/rendezvous.h"
 #include "direct/request_identity.h"
 #include "gateway/quarantine.h"
+#include "gateway/server_word.h"
 #include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -247,7 +248,7 @@
                    head.Status == net::StatusTooManyRequests;
   if (turnsAway && head.RetryAfter)
     State.Loads.onClosed(Order.server(), *head.RetryAfter, now);
-  noteRequestLimit(head, now);
+  noteRequestLimit(State, Order.server(), head, AnswerTo::Request, now);
   // Its record says so too, but can't be written while the key-value service
   // is away.
   bool isNews =
@@ -259,26 +260,6 @@
                     now);
 }
 
-void GatewayRequest::noteRequestLimit(const direct::ServerHead &head,
-                                      TimePoint now) {
-  if (head.IsLimitUnreadable)
-    return State.Log.write(LogWeight::Notable, "server_limit_unreadable",
-                           {{"server", Order.ServerId}}, now);
-  // A failure may come from something in front of the server, which names none.
-  bool saysAll = net::isSuccess(head.Status);
-  if (!head.RequestLimit && !saysAll)
-    return;
-  direct::LimitChange change =
-      State.Limits.onAnswer(Order.server(), head.RequestLimit, now);
-  if (change == direct::LimitChange::Named)
-    State.Log.write(
-        LogWeight::Notable, "server_limited",
-        {{"server", Order.ServerId}, {"per_second", *head.RequestLimit}}, now);
-  if (change == direct::LimitChange::Lifted)
-    State.Log.write(LogWeight::Notable, "server_limit_lifted",
-                    {{"server", Order.ServerId}}, now);
-}
-
 void GatewayRequest::onData(uint32_t attempt, std::string_view data) {
   if (Flow.isEnded() || attempt != Flow.attempts())
     return;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -47,8 +47,6 @@
               const std::vector<net::HttpHeader> &headers);
   /// What the server says of itself.
   void noteServerWord(const direct::ServerHead &head, TimePoint now);
-  /// A limit on requests that it names, or names no more.
-  void noteRequestLimit(const direct::ServerHead &head, TimePoint now);
   void onData(uint32_t attempt, std::string_view data);
   void onDone(uint32_t attempt, const Error &error);
   void note(uint32_t attempt, const direct::AttemptOrder &order,
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -67,6 +67,8 @@
   TimePoint now = monotonicNow();
   if (const auto *reports = std::get_if<direct::CrashReports>(&*message))
     return enforceQuarantine(State, State.Suspects.onPeer(*reports, now), now);
+  if (const auto *limits = std::get_if<direct::RequestLimitNews>(&*message))
+    return State.Limits.onPeer(limits->Words, now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
   if (!loads || loads->Entry == State.Options.Name)
     return;
@@ -96,22 +98,23 @@
     return;
   size_t rounds = (n + Settings.MostAtOnce - 1) / Settings.MostAtOnce;
   Duration period = Settings.Interval * static_cast<int64_t>(rounds);
-  std::string bytes =
+  std::vector<std::string> messages{
       encodeLoads({State.Options.Name, period.count(), State.Loads.own(),
                    State.Links.takeNews(), State.Loads.leavingNews(now)},
-                  MaxDatagramBytes);
+                  MaxDatagramBytes)};
   direct::CrashReports reports =
       State.Suspects.takeNews(1.0 / static_cast<double>(rounds), now);
-  std::string reported;
   if (!reports.isEmpty())
-    reported = wire::encode(direct::PeerMessage(std::move(reports)));
+    messages.push_back(wire::encode(direct::PeerMessage(std::move(reports))));
+  direct::RequestLimitNews limits{State.Limits.takeNews(now)};
+  if (!limits.Words.empty())
+    messages.push_back(wire::encode(direct::PeerMessage(std::move(limits))));
   for (size_t i = 0; i < std::min(n, Settings.MostAtOnce); ++i) {
     const direct::EntryPeer &peer = catalog->Entries[NextPeer++ % n];
     if (peer.Peer == State.Options.Peers)
       continue;
-    send(peer.Peer, bytes);
-    if (!reported.empty())
-      send(peer.Peer, reported);
+    for (const std::string &message : messages)
+      send(peer.Peer, message);
   }
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -1,7 +1,8 @@
 /// Entries tell one another by datagram what each has under way at every
 /// backend server, so that each can tell a server's whole load, and how late
-/// its fetches came, so that all notice a slow link to a store at once; and
-/// under which requests servers ended, so that none of them passes those on.
+/// its fetches came, so that all notice a slow link to a store at once; under
+/// which requests servers ended, so that none of them passes those on; and
+/// which limits servers named, so that all of them keep to these.
 #pragma once
 
 #include "direct/peer_messages.h"
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -1,6 +1,7 @@
 #include "gateway/order_driver.h"
 
 #include "base/clock.h"
+#include "gateway/server_word.h"
 #include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -137,6 +138,8 @@
                         std::optional<direct::EngineReport> report;
                         if (!error && answer.Status == net::StatusOk)
                           report = self->State.Speak.ReadReport(answer.Body);
+                        if (report)
+                          self->noteWord({id, report->StartedMs}, answer);
                         boost::asio::dispatch(self->On, [self, id, report] {
                           TimePoint now = monotonicNow();
                           auto actions = self->Plan.onReport(id, report, now);
@@ -168,6 +171,8 @@
       [self = shared_from_this(),
        to = direct::ServerStart{action.ServerId, action.StartedMs}](
           const Error &error, const net::HttpResponse &answer) {
+        if (!error)
+          self->noteWord(to, answer);
         boost::asio::dispatch(self->On,
                               [self, to, error, status = answer.Status] {
                                 self->onOrderAnswer(to, error, status);
@@ -175,6 +180,13 @@
       });
 }
 
+void OrderDriver::noteWord(direct::ServerRef server,
+                           const net::HttpResponse &answer) {
+  noteRequestLimit(State, server,
+                   State.Speak.ReadServer(answer.Status, answer.Headers),
+                   AnswerTo::Control, monotonicNow());
+}
+
 void OrderDriver::onOrderAnswer(const direct::ServerStart &server,
                                 const Error &error, unsigned status) {
   TimePoint now = monotonicNow();
--- a/src/gateway/order_driver.h
+++ b/src/gateway/order_driver.h
@@ -51,6 +51,8 @@
   void ask(const direct::AskReport &action);
   void give(const direct::GiveOrder &action);
   void noteLoaded(const direct::NoteLoaded &action);
+  /// What the head of a report or of an order's answer says.
+  void noteWord(direct::ServerRef server, const net::HttpResponse &answer);
   void onOrderAnswer(const direct::ServerStart &server, const Error &error,
                      unsigned status);
 
--- a/tests/direct/placement_fixture.h
+++ b/tests/direct/placement_fixture.h
@@ -101,6 +101,7 @@
   Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
   KeptContext Kept{{}};
   SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
+  RequestLimits Limits{{}, {"10.0.0.1", 7000}, TimePoint()};
   direct::Catalog Catalog;
   /// Without a bound on queues, so that each test sees the weight it is about.
   static PlacementSettings unboundedQueues() {
@@ -111,9 +112,9 @@
 
   Placement Place{unboundedQueues(),
                   {"d1"},
-                  {Loads, Links, Ejected, Rates, Kept, ColdServers}};
+                  {Loads, Links, Ejected, Rates, Kept, ColdServers, Limits}};
   Placement Bounded{
-      {}, {"d1"}, {Loads, Links, Ejected, Rates, Kept, ColdServers}};
+      {}, {"d1"}, {Loads, Links, Ejected, Rates, Kept, ColdServers, Limits}};
 };
 
 } // namespace daisytack::direct
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -144,7 +144,7 @@
 /// each server remembered fewer sessions.
 TEST_F(PlacementTest, LongPromptsOfASessionMeetAtOneHomeFromEveryDomain) {
   Placement elsewhere{
-      {}, {"d2"}, {Loads, Links, Ejected, Rates, Kept, ColdServers}};
+      {}, {"d2"}, {Loads, Links, Ejected, Rates, Kept, ColdServers, Limits}};
   std::map<std::string, int> homes;
   for (int i = 0; i < 60; ++i) {
     ForwardRequest request = prompt("session" + std::to_string(i));
--- a/tests/platform/entry_fixture.h
+++ b/tests/platform/entry_fixture.h
@@ -67,9 +67,10 @@
 public:
   explicit Entry(int number = 0, direct::Locality where = {"a"})
       : ColdServers(slowStart(), addressOf(number), Start - 10s),
+        Limits({}, addressOf(number), Start - 10s),
         Place(direct::PlacementSettings{}, std::move(where),
               direct::PlacementView{Loads, Links, Ejected, Rates, Kept,
-                                    ColdServers}) {}
+                                    ColdServers, Limits}) {}
 
   static Endpoint addressOf(int number) {
     return {"10.0.0." + std::to_string(number + 1), 7000};
@@ -131,6 +132,7 @@
   direct::KeptContext Kept{{}};
   direct::CatalogKeeper Known{{}, hooks()};
   direct::SlowStart ColdServers;
+  direct::RequestLimits Limits;
   direct::Placement Place;
   Error Reason;
 };
