Choose a server once when a request moves away from a silent one

What callers saw: nothing by itself; while a server is cold or limited, a request that moved to it used up two requests of this entry's share, so that one caller more was sent elsewhere or refused. Cause: the timer asked for a server to see whether there is one, and asked again to send; a choice counts against the share of the server chosen. Found in the search for the cause of requests beyond a limit elsewhere. Change: the first choice is the one that is sent. Figures: the new test saw three choices for two attempts before, two now. Checked: ForwardFlow tests.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -254,14 +254,17 @@
   if (!isSilent || !canMove)
     return arm(now);
   Error unused;
-  if (!Hooks.Choose(Tried, now, unused))
+  std::optional<AttemptChoice> choice = Hooks.Choose(Tried, now, unused);
+  if (!choice)
     return arm(now);
   ++Runs;
   uint32_t attempt = Number;
   close(AttemptResult::Failed, now);
   Hooks.Cancel(attempt);
-  next(now, {ErrorKind::ServerLost, "the server was silent for too long"},
-       true);
+  if (!Hooks.TakeRetry())
+    return giveUp({ErrorKind::ServerLost, "the server was silent for too long"},
+                  now);
+  send(std::move(choice->Order), now);
 }
 
 void ForwardFlow::onCallerGone(TimePoint now) {
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -75,7 +75,8 @@
 /// Effects and decisions of its owner. Called during the flow's commands.
 struct ForwardHooks {
   /// A server for the next attempt; nothing, with the reason, when there is
-  /// none. Servers that were tried are not to be named again.
+  /// none. Servers that were tried are not to be named again. The attempt may
+  /// count against what the server takes, whether it is sent or not.
   std::function<std::optional<AttemptChoice>(
       const std::vector<std::string> &tried, TimePoint now, Error &reason)>
       Choose;
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -75,6 +75,7 @@
   std::vector<AttemptResult> Results;
   Error LastError;
   unsigned FinalStatus = 0;
+  size_t Choices = 0; ///< Times that a server was asked for.
   size_t Finals = 0; ///< Final answers given to the caller.
   TimePoint TimerAt;
   ForwardFlow Flow;
@@ -86,6 +87,7 @@
     ForwardHooks out;
     out.Choose = [this](const std::vector<std::string> &tried, TimePoint,
                         Error &reason) -> std::optional<AttemptChoice> {
+      ++Choices;
       for (size_t i = 1; i <= Servers; ++i) {
         std::string name = "s" + std::to_string(i);
         if (std::find(tried.begin(), tried.end(), name) != tried.end())
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -238,6 +238,16 @@
   EXPECT_EQ(it.TimerAt, FlowStart + 3s); // No attempt is left after this one.
 }
 
+/// Guards against: a request that moved away from a silent server used up two
+/// requests of a cold or limited server's share.
+TEST(ForwardFlow, ChoosesAServerOnceForEachAttempt) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.Flow.start(FlowStart);
+  it.Flow.onTimer(FlowStart + 2s);
+  EXPECT_EQ(it.Sent.size(), 2);
+  EXPECT_EQ(it.Choices, 2);
+}
+
 TEST(ForwardFlow, WaitsForASilentServerWhenThereIsNoOther) {
   FlowHarness it(routeFor(RouteKind::Idempotent, 2), 1);
   it.Flow.start(FlowStart);
