Tell when the key-value service has come back from an older copy

Cause: no line or figure of an entry told the service's era, nor that an answer counted below what the entry knew, so that the logs could not distinguish revisions that are given out twice from reads that come too late. Ruled out: nothing yet; no decision reads the era. Checked: KvStore tests 12 of 12.

--- a/src/edge/kv.h
+++ b/src/edge/kv.h
@@ -42,6 +42,9 @@
   Error Reason;           ///< Unless Ok or CompareFailed.
   uint64_t ClusterId = 0; ///< Differs when the service was set up anew.
   uint64_t Revision = 0;  ///< Of the whole store, when it answered.
+  /// Rises by one when the service comes back from an older copy of itself; 0
+  /// where it does not tell.
+  uint64_t Era = 0;
 };
 
 /// Keys in [Begin, End), or the one key Begin when End is empty.
@@ -137,6 +140,8 @@
   std::function<KvCancel(std::string begin, std::string end,
                          uint64_t fromRevision, KvWatchHooks)>
       Watch;
+  /// The latest era that any answer told. May be null: 0.
+  std::function<uint64_t()> LatestEra;
 };
 
 /// First key after all keys that start with the prefix.
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -144,6 +144,9 @@
       StoreWatched(metrics.gauge(
           "daisytack_service_watched",
           "1 while this entry watches the key-value service itself")),
+      StoreEra(metrics.gauge("daisytack_service_era",
+                             "Times that the key-value service has come back "
+                             "from an older copy, as it counts them")),
       FirstByte(metrics.distribution("daisytack_first_byte_seconds",
                                      "From arrival to the answer's first byte",
                                      Distribution::Unit::Seconds)),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -52,6 +52,7 @@
   Gauge &DomainsEvacuated;
   Gauge &StoreReachable;
   Gauge &StoreWatched;
+  Gauge &StoreEra;
   Distribution &FirstByte;
   Distribution &Whole;
 };
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -70,6 +70,7 @@
   for (const edge::KvEntry &entry : result.Entries)
     records.push_back(recordOf(entry, false));
   TimePoint now = monotonicNow();
+  noteEra(result.Header, now);
   confirm(now);
   State.Catalog.applyAll(records, result.Header.Revision, now);
   HasAll = true;
@@ -119,6 +120,7 @@
   for (const edge::KvChange &change : changes)
     records.push_back(recordOf(change.Entry, change.Deleted));
   TimePoint now = monotonicNow();
+  noteEra(header, now);
   confirm(now);
   if (!records.empty()) {
     State.Catalog.apply(records, now);
@@ -141,6 +143,19 @@
   fail(header.Reason);
 }
 
+void StoreFollower::noteEra(const edge::KvHeader &header, TimePoint now) {
+  uint64_t before = std::exchange(Era, std::max(Era, header.Era));
+  State.Counts.StoreEra.set(static_cast<int64_t>(Era));
+  if (!WasReachable || Era == before)
+    return;
+  State.Log.write(LogWeight::Notable, "service_restored",
+                  {{"era", Era},
+                   {"era_before", before},
+                   {"revision", header.Revision},
+                   {"complete_to", State.CompleteTo.load()}},
+                  now);
+}
+
 void StoreFollower::confirm(TimePoint now) {
   State.ConfirmedAt = now.time_since_epoch().count();
   Failures = 0;
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -48,6 +48,7 @@
                  const std::vector<edge::KvChange> &changes,
                  TimePoint askedAfter);
   void onEnded(const edge::KvHeader &header, uint64_t compactRevision);
+  void noteEra(const edge::KvHeader &header, TimePoint now);
   void confirm(TimePoint now);
   void fail(const Error &reason);
   void retryLater();
@@ -60,6 +61,7 @@
   std::function<void()> Changed; ///< The catalog may have changed.
   net::Timer Timer;
   edge::KvCancel StopWatch;
+  uint64_t Era = 0;   ///< Of the service, as its answers last told.
   uint64_t Epoch = 0; ///< Answers to calls of an earlier one are dropped.
   bool HasAll = false;
   bool IsReachable = false;
