Order what the key-value service says by its era and its revision

What callers saw: a key that was revoked after the key-value service had come back from an older copy still opened its routes, 2.1 and 2.6 s after the revocation was acknowledged; two seconds are allowed. In the worst case nothing that was written between was ever read. Cause: a revision was taken for a global order of all that the service ever said. After a restore it gives revisions out again: entries took the new configurations, at 64 to 67, for older than the one they had at 67. The class is a counter of somebody else's that is compared across that party's restarts. Ruled out: the loop of reads as the cause (one read too many is no miss; the second test reads once and is wrong for good), entries that are behind others. Change: the adapter gives out lasting revisions, the service's era above its count, so that comparisons, watches, exchanges between entries and fencing tokens rise for good without knowing of eras. A watch, a read of several pages and a condition of an earlier era fail. Any answer's era makes an entry read anew, also one that leaves the service to readers. The copy itself is older than what was in force: configurations and named weights never go below their own version; servers by their own sequence, draining and weights, and evacuations hold against the copy for 3 s, in which their writers write anew; then all is read once more and believed. What is retired only grows; the record is written again. What the service lost of the system's own: nobody claims the right to give orders until a holder before would have stopped, agreements on kept context begin anew and count only when all trust from before is over, an entry whose announcement is lost announces itself again. Why this holds: no belief compares counts of two eras; what is known is given up only for something newer by its writer's own version, or for the service's word once its writers have had their time.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -1,6 +1,10 @@
 #include "direct/catalog.h"
 
+#include "direct/retirement.h"
+#include "direct/revision.h"
+
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace daisytack::direct {
@@ -96,13 +100,16 @@
 
 void CatalogKeeper::applyAll(const std::vector<StoreRecord> &records,
                              uint64_t revision, TimePoint now) {
+  bool changed = eraOf(revision) > Era;
+  IsSettled = IsSettled || wantsSettling(now);
+  onRestored(revision, now);
   std::map<std::string_view, const StoreRecord *> present;
   for (const StoreRecord &record : records)
     present[record.Key] = &record;
-  bool changed = false;
   for (auto &[key, held] : Known) {
     bool isOlder = held.Record.Revision <= revision;
-    if (!held.Record.IsDeleted && isOlder && !present.contains(key))
+    bool isGone = !held.Record.IsDeleted && isOlder && !present.contains(key);
+    if (isGone && !outlastsRestore(held))
       changed |= mergeDeletion(held, revision, now);
   }
   IsFirstRead = !HasReadAll;
@@ -118,10 +125,84 @@
     publish(now);
 }
 
+void CatalogKeeper::onRestored(uint64_t upTo, TimePoint now) {
+  if (eraOf(upTo) <= Era)
+    return;
+  Era = eraOf(upTo);
+  EraSince = now;
+  if (Known.empty())
+    return;
+  RestoredTo = upTo;
+  RestoredAt = now;
+  IsSettled = false;
+  // Servers that registered since the copy are absent from it like those that
+  // lapse with an outage.
+  StoreIsLost = true;
+  onStoreBack(now);
+}
+
+bool CatalogKeeper::wantsSettling(TimePoint now) const {
+  return !IsSettled && now >= *RestoredAt + Settings.RestoreGrace;
+}
+
+bool CatalogKeeper::outlastsRestore(const Held &held) const {
+  if (eraOf(held.Record.Revision) == Era)
+    return false;
+  FactKind kind = held.Subject.Kind;
+  // These are only ever replaced.
+  bool isReplaced = kind == FactKind::Config || kind == FactKind::Weights;
+  return isReplaced || (!IsSettled && kind == FactKind::Evacuation);
+}
+
+std::partial_ordering
+CatalogKeeper::compareContent(const Held &held, const FactValue &value) const {
+  const auto *config = std::get_if<ServingConfig>(&value);
+  if (config && Config)
+    return config->Version <=> Config->config().Version;
+  const auto *wanted = std::get_if<DesiredWeights>(&value);
+  const auto *known = std::get_if<DesiredWeights>(&held.Value);
+  if (wanted && known)
+    return wanted->Wanted.Version <=> known->Wanted.Version;
+  const auto *server = std::get_if<BackendServer>(&value);
+  const auto *before = std::get_if<BackendServer>(&held.Value);
+  if (!server || !before || server->StartedMs != before->StartedMs)
+    return std::partial_ordering::unordered;
+  // One start neither comes back from draining nor goes back to older weights.
+  auto content = [](const BackendServer &it) {
+    return std::tie(it.Sequence, it.IsDraining, it.Weights);
+  };
+  return content(*server) <=> content(*before);
+}
+
+bool CatalogKeeper::isOutdated(const StoreRecord &record, const Held &held,
+                               TimePoint now) const {
+  uint64_t known = held.Record.Revision;
+  bool isBefore = record.Revision <= known;
+  if (eraOf(record.Revision) == eraOf(known) || record.IsDeleted)
+    return isBefore;
+  Error unused;
+  std::optional<FactValue> value = Hooks.Decode(record, unused);
+  if (!value)
+    return isBefore;
+  FactKind kind = held.Subject.Kind;
+  bool isVersioned = kind == FactKind::Config || kind == FactKind::Weights;
+  bool mayBeCopy = isBefore || (!IsSettled && !wantsSettling(now) &&
+                                record.Revision <= RestoredTo);
+  std::partial_ordering order = compareContent(held, *value);
+  if (order < 0)
+    return isVersioned || mayBeCopy;
+  if (order > 0)
+    return false;
+  // Nothing tells the two apart. What the system wrote itself is taken as the
+  // service has it, as conditions on it name its revision.
+  bool isOthers = kind == FactKind::Server || kind == FactKind::Evacuation;
+  return isBefore || (mayBeCopy && isOthers);
+}
+
 bool CatalogKeeper::merge(const StoreRecord &record, TimePoint now) {
   Highest = std::max(Highest, record.Revision);
   auto it = Known.find(record.Key);
-  if (it != Known.end() && it->second.Record.Revision >= record.Revision)
+  if (it != Known.end() && isOutdated(record, it->second, now))
     return false;
   FactSubject subject = Hooks.SubjectOf(record.Key);
   if (subject.Kind == FactKind::Other)
@@ -144,6 +225,8 @@
     ConfigRevision = record.Revision;
     value = std::monostate();
   }
+  if (const auto *retired = std::get_if<RetiredContext>(&*value))
+    EverRetired = mergeRetired(std::move(EverRetired), retired->What);
   const auto *server = std::get_if<BackendServer>(&*value);
   bool isRestart =
       server && it != Known.end() && isOtherStart(it->second.Value, *server);
@@ -355,6 +438,10 @@
   next->Config = Config;
   next->ConfigRevision = ConfigRevision;
   next->Wanted = Wanted;
+  next->Retired = EverRetired;
+  next->Era = Era;
+  next->EraSince = EraSince;
+  next->RestoredAt = RestoredAt;
   std::vector<BackendServer> servers;
   for (const auto &[key, held] : Known) {
     if (held.Record.IsDeleted && !(held.KeptUntil && now < *held.KeptUntil))
@@ -376,7 +463,8 @@
     if (held.Subject.Kind == FactKind::Retired) {
       const auto *retired = std::get_if<RetiredContext>(&held.Value);
       next->IsRetiredReadable = retired != nullptr;
-      next->Retired = retired ? retired->What : std::vector<Retirement>();
+      if (retired)
+        next->RetiredRecorded = retired->What;
       next->RetiredRevision = held.Record.Revision;
     }
     const auto *record = std::get_if<BackendServer>(&held.Value);
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -6,6 +6,7 @@
 #include "daisytack/error.h"
 #include "direct/facts.h"
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,13 +51,23 @@
   std::string Holder;
   Endpoint HolderPeer;         ///< Port 0: not known.
   uint64_t HolderRevision = 0; ///< Of that record; 0: there is none.
+  /// All that is retired: for good, also where the service came back from a
+  /// copy that says less.
   std::vector<Retirement> Retired;
-  uint64_t RetiredRevision = 0; ///< Of that record; 0: there is none.
+  std::vector<Retirement> RetiredRecorded; ///< What the record says.
+  uint64_t RetiredRevision = 0;            ///< Of it; 0: there is none.
   bool IsRetiredReadable = true;
   /// Requests that are quarantined, with the revision of each record.
   std::map<Id128, uint64_t> Quarantined;
   /// Failure domains whose servers get nothing.
   std::set<std::string, std::less<>> Evacuated;
+  /// Of the service (direct/revision.h), and since when this process has known
+  /// of it.
+  uint64_t Era = 0;
+  TimePoint EraSince;
+  /// When this process learned that the service came back from an older copy;
+  /// nothing where it has not seen that.
+  std::optional<TimePoint> RestoredAt;
 
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
   /// The entry of that name is announced at that address.
@@ -85,6 +96,10 @@
   /// a third of the time in which it must be in force. Counted from the start
   /// of the process, a restart in the middle would double that time.
   Duration AgeAtFirstRead{5'000'000};
+  /// After the service came back from an older copy, what was known before
+  /// holds against the copy for so long: the operator and the servers write
+  /// anew what they wrote since. Then the service is believed.
+  Duration RestoreGrace{3'000'000};
   bool operator==(const CatalogSettings &) const = default;
 };
 
@@ -117,6 +132,13 @@
   /// the records and not newer are gone.
   void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
                 TimePoint now);
+  /// The service has come back from an older copy, and what it holds up to the
+  /// revision may be the copy's. No news for an era that is known.
+  void onRestored(uint64_t upTo, TimePoint now);
+  /// Up to where what the service holds may be of a copy; 0 where nothing is.
+  uint64_t restoredTo() const { return RestoredTo; }
+  /// The grace after a restore is over, and all is to be read once more.
+  bool wantsSettling(TimePoint now) const;
   /// A start of a server has a newer version of its weights than its record
   /// says. Has no effect on any other start, which has what its record says.
   void noteLoaded(const ServerStart &server, const ModelVersion &has,
@@ -160,6 +182,16 @@
   };
 
   bool merge(const StoreRecord &record, TimePoint now);
+  /// Whether what is known of the key is newer than the record.
+  bool isOutdated(const StoreRecord &record, const Held &held,
+                  TimePoint now) const;
+  /// How the value compares by its own count of versions with what is known of
+  /// the key, whatever their revisions; unordered where it has none.
+  std::partial_ordering compareContent(const Held &held,
+                                       const FactValue &value) const;
+  /// What is known of the key holds though the service, back from an older
+  /// copy, does not have it.
+  bool outlastsRestore(const Held &held) const;
   /// Holds the record, in place of the one before.
   void hold(const StoreRecord &record, const FactSubject &subject,
             FactValue value, TimePoint now);
@@ -202,6 +234,13 @@
   uint64_t ForgottenTo = 0;
   bool HasReadAll = false;
   bool IsFirstRead = false; ///< While the first read is merged.
+  /// Everything that was retired in what this process has read.
+  std::vector<Retirement> EverRetired;
+  uint64_t Era = 0;
+  TimePoint EraSince;
+  uint64_t RestoredTo = 0;
+  std::optional<TimePoint> RestoredAt;
+  bool IsSettled = true; ///< Nothing is held against a copy.
   bool StoreIsLost = false;
   std::optional<TimePoint> StoreBackAt;
   Rcu<Catalog> Published;
--- a/src/direct/facts.h
+++ b/src/direct/facts.h
@@ -30,6 +30,8 @@
   bool IsDraining = false;
   std::vector<ModelVersion> Weights; ///< That it has loaded.
   uint64_t StartedMs = 0;            ///< See ServerStart.
+  /// Rises with what this start writes of itself; may stay the same.
+  uint64_t Sequence = 0;
   /// How much longer it was cold when it wrote the record.
   Duration ColdFor{0};
   /// Until when it counts as cold; the catalog sets it.
--- a/src/direct/order_right.cpp
+++ b/src/direct/order_right.cpp
@@ -27,6 +27,12 @@
   return catalog.HolderRevision;
 }
 
+bool isClaimSafe(const Catalog &catalog, const OrderRightSettings &settings,
+                 TimePoint now) {
+  return !catalog.RestoredAt ||
+         now >= *catalog.RestoredAt + orderLease(settings).TimeToLive;
+}
+
 bool isReplaced(const Catalog &catalog, uint64_t token) {
   return !catalog.Holder.empty() && catalog.HolderRevision > token;
 }
--- a/src/direct/order_right.h
+++ b/src/direct/order_right.h
@@ -38,6 +38,12 @@
 std::optional<uint64_t> claimOver(const Catalog &catalog,
                                   const OrderHolder &own);
 
+/// Whether a claim is safe of a holder whose record and lease are lost, as the
+/// service came back from an older copy: it acts until its lease would have
+/// ended.
+bool isClaimSafe(const Catalog &catalog, const OrderRightSettings &settings,
+                 TimePoint now);
+
 /// The service has taken a record that is newer than the holder's own.
 bool isReplaced(const Catalog &catalog, uint64_t token);
 
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -37,9 +37,13 @@
   /// For so many microseconds more the sender keeps servers whose records lapse
   /// with an outage of the service.
   int64_t GraceLeft = 0;
+  /// Up to where what the sender read of the service may be of an older copy;
+  /// 0 where the service has not come back from one.
+  uint64_t RestoredTo = 0;
   bool operator==(const RecordsFound &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(Records, ConfirmedAgo, KnownAgo, CompleteTo, ForgottenTo, GraceLeft);
+    ar(Records, ConfirmedAgo, KnownAgo, CompleteTo, ForgottenTo, GraceLeft,
+       RestoredTo);
   }
 };
 
--- a/src/direct/retirement.cpp
+++ b/src/direct/retirement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace daisytack::direct {
 
@@ -56,11 +57,17 @@
 }
 
 void RetirementAgreement::onCatalog(const Catalog &catalog, TimePoint now) {
+  if (std::exchange(Era, catalog.Era) != catalog.Era) {
+    // Whoever reads the copy alone may name what was agreed on since.
+    Stages.clear();
+    Safe.clear();
+  }
+  EraSince = catalog.EraSince;
   notePeers(catalog, now);
   uint64_t known = Stages.empty() ? 0 : Stages.back().Revision;
   if (catalog.RetiredRevision > known)
     Stages.push_back(
-        {catalog.RetiredRevision, catalog.Retired, now, {}, std::nullopt});
+        {catalog.RetiredRevision, catalog.RetiredRecorded, now, {}, {}});
 }
 
 std::vector<Retirement> RetirementAgreement::retiredFor(const Catalog &catalog,
@@ -102,7 +109,7 @@
     return out;
   std::vector<Retirement> wanted =
       mergeRetired(catalog.Retired, retiredFor(catalog, spareShare, now));
-  if (wanted != catalog.Retired && !IsWriting && now >= WriteAgainAt) {
+  if (wanted != catalog.RetiredRecorded && !IsWriting && now >= WriteAgainAt) {
     IsWriting = true;
     out.push_back(WriteRetired{std::move(wanted), catalog.RetiredRevision});
   }
@@ -183,7 +190,12 @@
   // By now every entry knows it or names nothing.
   if (now >= stage.SeenAt + Settings.Trust + Settings.FetchTime)
     return true;
-  return stage.AgreedAt && now >= *stage.AgreedAt + Settings.FetchTime;
+  // An entry whose registration is not in the copy is not asked, and may name
+  // sources until its trust in what it knew before is over.
+  bool areAllAsked =
+      Era == 0 || now >= EraSince + Settings.Trust + Settings.FetchTime;
+  return areAllAsked && stage.AgreedAt &&
+         now >= *stage.AgreedAt + Settings.FetchTime;
 }
 
 std::vector<Retirement> RetirementAgreement::freeable(TimePoint now) {
--- a/src/direct/retirement.h
+++ b/src/direct/retirement.h
@@ -150,6 +150,8 @@
 
   RetirementSettings Settings;
   Endpoint Own;
+  uint64_t Era = 0; ///< Of the service; what was agreed is of this one.
+  TimePoint EraSince;
   std::map<Endpoint, Peer> Peers;
   std::vector<Stage> Stages; ///< By revision; each covers those before it.
   std::vector<Retirement> Safe;
--- a/src/edge/kv.h
+++ b/src/edge/kv.h
@@ -1,6 +1,9 @@
 /// The platform's key-value service, as hooks. One adapter implements them for
 /// one protocol (src/edge/kv_etcd.h); tests pass in-process fakes.
 ///
+/// Revisions only rise, also when the service comes back from an older copy of
+/// itself (direct/revision.h).
+///
 /// Every result tells apart what the caller must tell apart: done, the compare
 /// failed, surely not done, and perhaps done.
 #pragma once
--- a/src/gateway/entry_lease.cpp
+++ b/src/gateway/entry_lease.cpp
@@ -33,6 +33,15 @@
   boost::asio::post(On, [self = shared_from_this()] { self->grant(); });
 }
 
+void EntryLease::announceAgain() {
+  if (IsStopped || !std::exchange(IsAnnounced, false))
+    return;
+  Log.write(LogWeight::Notable, "entry_announcement_lost", {{"lease", Lease}},
+            monotonicNow());
+  Timer.cancel();
+  announce();
+}
+
 void EntryLease::stop(std::function<void()> done) {
   boost::asio::dispatch(On,
                         [self = shared_from_this(), done = std::move(done)] {
@@ -128,6 +137,7 @@
           if (header.Status != edge::KvStatus::Ok)
             return self->later(RetryPause, &EntryLease::grant);
           self->Registered = header.Revision;
+          self->IsAnnounced = true;
           self->Log.write(LogWeight::Notable, "entry_announced",
                           {{"lease", self->Lease}}, monotonicNow());
           self->later(self->Term / RenewalsPerTerm, &EntryLease::keep);
@@ -149,6 +159,7 @@
             return self->later(RetryPause, &EntryLease::keep);
           self->Log.write(LogWeight::Notable, "entry_lease_lapsed",
                           {{"lease", self->Lease}}, monotonicNow());
+          self->IsAnnounced = false;
           self->grant();
         });
       });
--- a/src/gateway/entry_lease.h
+++ b/src/gateway/entry_lease.h
@@ -26,6 +26,9 @@
              EntryRecord registration, Duration term, DecisionLog &log);
 
   void start();
+  /// The service has lost the announcement, though not the lease. Without
+  /// effect while one is under way; on the strand.
+  void announceAgain();
   /// Ends the lease and the registration, so that others need not wait for
   /// either, and calls done on the strand once the key-value service has
   /// answered or has not in time. Call it when no request is left: until then
@@ -49,7 +52,8 @@
   DecisionLog &Log;
   net::Timer Timer;
   uint64_t Lease = 0;
-  uint64_t Registered = 0; ///< Revision of the registration; 0: not known.
+  uint64_t Registered = 0;  ///< Revision of the registration; 0: not known.
+  bool IsAnnounced = false; ///< As far as the service has said.
   bool IsStopped = false;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "direct/revision.h"
 #include "gateway/gateway_request.h"
 #include "net/http_status.h"
 
@@ -121,9 +122,12 @@
   int64_t confirmed = confirmedAt.time_since_epoch().count();
   if (confirmed > State.ConfirmedAt.load())
     State.ConfirmedAt = confirmed;
+  State.Catalog.onRestored(found.RestoredTo, now);
   State.Catalog.onGraceTold(Duration(found.GraceLeft), now);
   if (!found.Records.empty())
     Follower->merge(found.Records);
+  if (direct::eraOf(found.CompleteTo) > direct::eraOf(State.CompleteTo))
+    Follower->readAnew();
   if (!direct::isWholeFor(found, knownTo))
     return;
   State.completeTo(found.CompleteTo);
@@ -301,6 +305,15 @@
   }
 }
 
+void Gateway::seekOwnAnnouncement(const direct::Catalog &catalog) {
+  // By then the lease has told whether it was lost as well.
+  bool isSettled =
+      catalog.RestoredAt &&
+      monotonicNow() >= *catalog.RestoredAt + Options.Catalog.RestoreGrace;
+  if (isSettled && !catalog.isListed(Options.Name, Options.Peers))
+    Announced->announceAgain();
+}
+
 void Gateway::onCatalog() {
   auto catalog = State.catalog();
   auto before = Seen;
@@ -314,6 +327,7 @@
   }
   if (std::exchange(Seen, catalog) != catalog)
     forgetEarlierStarts(*before, *catalog);
+  seekOwnAnnouncement(*catalog);
   Contexts->onCatalog();
   Quarantines->onCatalog(monotonicNow());
   Orders->onTimer(monotonicNow());
@@ -350,6 +364,7 @@
   PeerLoads->onTimer(now);
   Quarantines->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
+  Follower->onTimer(now);
   follow(now);
   Orders->onTimer(now);
   if (Orders->token(now)) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,8 @@
   void answerReadiness(net::HttpExchange &exchange) const;
   void answerMetrics(net::HttpExchange &exchange);
   void onCatalog();
+  /// After a restore of the service from an older copy.
+  void seekOwnAnnouncement(const direct::Catalog &catalog);
   /// Another entry, or this one, gives orders for new weights.
   void onWeights(const direct::PeerMessage &message);
   /// Servers that take new weights are left alone until they have them.
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -81,7 +81,8 @@
 
 void OrderDriver::seekHolder(const direct::Catalog &catalog, TimePoint now) {
   bool maySeek = catalog.Config && !Holder->isHeld() && !Holder->isTrying() &&
-                 State.isConfirmed(now) && !State.Drain.load();
+                 State.isConfirmed(now) && !State.Drain.load() &&
+                 direct::isClaimSafe(catalog, Settings.Holder.Right, now);
   std::optional<uint64_t> over =
       direct::claimOver(catalog, {State.Options.Name, State.Options.Peers});
   if (!maySeek || !over) {
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -89,6 +89,7 @@
   out.CompleteTo = State.CompleteTo;
   out.ForgottenTo = State.Catalog.forgottenTo();
   out.GraceLeft = State.Catalog.graceLeft(now).count();
+  out.RestoredTo = State.Catalog.restoredTo();
   return out;
 }
 
--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_follower.h"
 
 #include "base/clock.h"
+#include "direct/revision.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -61,6 +62,24 @@
               });
 }
 
+void StoreFollower::onTimer(TimePoint now) {
+  // Any call's answer tells the era, also while others tell what it holds.
+  bool isBehind = Store.LatestEra &&
+                  Store.LatestEra() > direct::eraOf(State.CompleteTo.load());
+  if (isBehind || State.Catalog.wantsSettling(now))
+    readAnew();
+}
+
+void StoreFollower::readAnew() {
+  if (!std::exchange(HasAll, false))
+    return;
+  if (StopWatch)
+    std::exchange(StopWatch, nullptr)();
+  IsResting = false;
+  State.Counts.StoreWatched.set(1);
+  readAll();
+}
+
 void StoreFollower::onAll(const edge::KvRangeResult &result,
                           TimePoint askedAt) {
   if (result.Header.Status != edge::KvStatus::Ok)
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -33,6 +33,11 @@
 
   void start();
   void stop();
+  /// Reads everything anew where the service has come back from an older copy.
+  /// Call several times a second; on the strand.
+  void onTimer(TimePoint now);
+  /// Reads everything, unless it is about to; on the strand.
+  void readAnew();
   /// Records from another entry; on the strand.
   void merge(const std::vector<direct::StoreRecord> &records);
   /// Whether this entry is to watch the service itself, or others tell it; on
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -76,7 +76,7 @@
   Error LastError;
   unsigned FinalStatus = 0;
   size_t Choices = 0; ///< Times that a server was asked for.
-  size_t Finals = 0; ///< Final answers given to the caller.
+  size_t Finals = 0;  ///< Final answers given to the caller.
   TimePoint TimerAt;
   ForwardFlow Flow;
 
--- a/tests/direct/retirement_following.cpp
+++ b/tests/direct/retirement_following.cpp
@@ -32,12 +32,19 @@
       self.IsAsking = false;
       self.NextAsk = Now + Tick;
     });
+  // The adapter tells a watch of an earlier era that its history is gone.
+  noteEra(*entry, Service.era());
+  if (entry->Catalog.wantsSettling(Now))
+    entry->HasAll = false;
   bool isFirst = !entry->HasAll;
   ModelService::Answer answer =
       isFirst ? Service.readAll() : Service.since(entry->CompleteTo);
   deliver(entry, Now + ServiceDelay,
           [this, answer, isFirst, askedAt](ModelEntry &self) {
             self.IsAsking = false;
+            // As the adapter drops answers of an era before the latest.
+            if (eraOf(answer.Revision) < eraOf(self.CompleteTo))
+              return;
             self.NextAsk = Now + Tick * static_cast<int64_t>(1 + pick(3));
             if (isFirst)
               self.Catalog.applyAll(answer.Records, answer.Revision, Now);
@@ -70,10 +77,13 @@
     found.Records = other.Catalog.recordsSince(revision);
     found.CompleteTo = other.CompleteTo;
     found.ForgottenTo = other.Catalog.forgottenTo();
+    found.RestoredTo = other.Catalog.restoredTo();
     Duration knownAgo = Now - other.KnownAt;
     Duration confirmedAgo = Now - other.ConfirmedAt;
     deliver(entry, Now + PeerDelay, [=, this](ModelEntry &self) {
+      self.Catalog.onRestored(found.RestoredTo, Now);
       self.Catalog.apply(found.Records, Now);
+      noteEra(self, eraOf(found.CompleteTo));
       onCatalog(self);
       if (!isWholeFor(found, revision))
         return;
--- a/tests/direct/retirement_rules_test.cpp
+++ b/tests/direct/retirement_rules_test.cpp
@@ -29,7 +29,7 @@
   RetirementRules() {
     for (const Endpoint &peer : {Own, PeerA, PeerB})
       list(peer, 5);
-    Now.Retired = {{2, 0.5}};
+    Now.Retired = Now.RetiredRecorded = {{2, 0.5}};
     Now.RetiredRevision = 10;
   }
   void list(const Endpoint &peer, uint64_t revision) {
@@ -76,6 +76,7 @@
 
 TEST_F(RetirementRules, DoesNotReplaceARecordThatItCannotRead) {
   Now.Retired.clear();
+  Now.RetiredRecorded.clear();
   Now.IsRetiredReadable = false;
   RetirementAgreement it(Settings, Own);
   EXPECT_TRUE(it.next(Now, 0, Start).empty());
@@ -114,7 +115,7 @@
 
 TEST_F(RetirementRules, AnAnswerToAnEarlierRecordAgreesToThatOnly) {
   auto first = tells(Start);
-  Now.Retired = {{2, 1}};
+  Now.Retired = Now.RetiredRecorded = {{2, 1}};
   Now.RetiredRevision = 20;
   tells(Start + 1s);
   for (const TellEntry &it : first)
@@ -163,6 +164,7 @@
 /// early is read again by the servers that have yet to move.
 TEST_F(RetirementRules, RetiresNoMoreThanMakesRoomForServersThatHaveMoved) {
   Now.Retired.clear();
+  Now.RetiredRecorded.clear();
   Now.Wanted["m"] = {{3, Start}};
   BackendServer old;
   old.Weights = {{"m", 2}};
--- a/tests/direct/retirement_service.cpp
+++ b/tests/direct/retirement_service.cpp
@@ -20,7 +20,7 @@
   Item &item = Items[key];
   ++Revision;
   if (item.Created == 0)
-    item.Created = Revision;
+    item.Created = ++LastCreated;
   item.Record = {key, value, Revision, false};
   item.LeaseUntil = leaseUntil;
   note(item.Record);
@@ -33,6 +33,29 @@
   note({key, "", ++Revision, true});
 }
 
+void ModelService::setNow(TimePoint now) {
+  Now = now;
+  if (Copies.empty() || now >= Copies.back().At + Duration(1'000'000))
+    Copies.push_back({now, Items, Revision});
+}
+
+void ModelService::restore(TimePoint then) {
+  while (Copies.size() > 1 && Copies.back().At > then)
+    Copies.pop_back();
+  uint64_t later = era() + 1;
+  for (const auto &[key, item] : Items)
+    if (!Copies.back().Items.contains(key))
+      note({key, "", later << RevisionBits, true});
+  Items = Copies.back().Items;
+  Revision = lastingRevision(later, countOf(Copies.back().Revision));
+  for (auto &[key, item] : Items) {
+    item.Record.Revision =
+        lastingRevision(later, countOf(item.Record.Revision));
+    note(item.Record);
+  }
+  Copies = {{Now, Items, Revision}};
+}
+
 bool ModelService::keep(const std::string &key, uint64_t created,
                         TimePoint until) {
   auto it = Items.find(key);
--- a/tests/direct/retirement_test.cpp
+++ b/tests/direct/retirement_test.cpp
@@ -130,6 +130,46 @@
   RC_ASSERT(firstOf(world.broken()) == "");
 }
 
+/// The same while the key-value service comes back from older copies: the
+/// record of what is retired, registrations, announcements and the holder's
+/// right go back with it, and revisions are given out again.
+RC_GTEST_PROP(RetirementAgreement, NeverFreesWhatAServerMayReadAfterRestores,
+              ()) {
+  constexpr size_t Entries = 4;
+  RetirementWorld world(Entries, randomFrom(*rc::gen::arbitrary<uint64_t>()));
+  world.slowServers(100ms * *rc::gen::inRange(1, 200));
+  world.pass(100ms * *rc::gen::inRange(1, 250));
+  auto n = *rc::gen::inRange(1, 30);
+  auto named = *rc::gen::inRange(0, n);
+  for (int i = 0; i < n; ++i) {
+    if (i == named)
+      world.nameWeights();
+    if (*rc::gen::weightedElement<bool>({{1, true}, {3, false}}))
+      world.restoreService(100ms * *rc::gen::inRange(1, 100));
+    else
+      disturb(world, Entries);
+    world.pass(100ms * *rc::gen::inRange(0, 40));
+  }
+  world.nameWeights();
+  world.pass(25s);
+  RC_ASSERT(firstOf(world.broken()) == "");
+}
+
+/// Context of replaced weights is freed all the same.
+TEST(RetirementAgreement, FreesAfterTheServiceCameBackOlder) {
+  for (uint64_t seed = 0; seed < 10; ++seed) {
+    RetirementWorld world(4, randomFrom(seed));
+    world.pass(20s);
+    world.restoreService(3s);
+    world.pass(5s);
+    world.nameWeights();
+    world.pass(60s);
+    EXPECT_EQ(firstOf(world.broken()), "") << "seed " << seed;
+    EXPECT_GT(world.freed(), 0) << "seed " << seed;
+    EXPECT_EQ(world.upToDate(), 4) << "seed " << seed;
+  }
+}
+
 /// The load: every entry of a fleet watched the service, so that each change
 /// cost a call of each entry. A few of them read for the others now.
 TEST(Followers, AFewEntriesReadTheServiceForAll) {
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -1,6 +1,7 @@
 #include "direct/retirement_world.h"
 
 #include "direct/catalog_fixture.h"
+#include "direct/order_right.h"
 
 #include <algorithm>
 #include <sstream>
@@ -207,24 +208,31 @@
     std::string address = toString(entry->Address);
     Service.put("registered:" + address, address);
   }
+  noteEra(*entry, Service.era());
   if (entry->Token == 0)
     return;
-  if (Service.keep("holder", entry->Token, until))
+  if (Service.keep("holder", entry->HolderKey, until))
     entry->RenewedAt = Now;
   else
     entry->Token = 0;
 }
 
 void RetirementWorld::seekHolder(const EntryPtr &entry) {
+  OrderRightSettings right;
+  right.Term = LeaseTerm;
   bool isSought = entry->Token == 0 && entry->HasAll &&
-                  entry->Catalog.view()->Holder.empty() && canWrite(entry);
+                  entry->Catalog.view()->Holder.empty() && canWrite(entry) &&
+                  isClaimSafe(*entry->Catalog.view(), right, Now);
   if (!isSought || Service.revisionOf("holder") != 0)
     return;
   entry->Token = Service.put("holder", entry->Name, Now + LeaseTerm);
+  entry->HolderKey = Service.createdOf("holder");
   entry->RenewedAt = Now;
 }
 
 void RetirementWorld::giveOrders(const EntryPtr &entry) {
+  if (isReplaced(*entry->Catalog.view(), entry->Token))
+    entry->Token = 0;
   if (entry->Token == 0 || Now >= entry->RenewedAt + ActTerm)
     return;
   for (const RetirementAction &action :
@@ -248,8 +256,9 @@
   // It may be carried out long after its sender has given it up.
   Duration way = pick(4) == 0 ? Duration(4'000'000) : ServiceDelay;
   at(Now + way, [this, key, value, over, token = entry->Token] {
-    if (Service.revisionOf("holder") != token ||
-        Service.revisionOf(key) != over)
+    // The service compares its own counts, of whatever era they were.
+    if (countOf(Service.revisionOf("holder")) != countOf(token) ||
+        countOf(Service.revisionOf(key)) != countOf(over))
       return;
     if (value.empty())
       Service.remove(key);
@@ -258,6 +267,22 @@
   });
 }
 
+void RetirementWorld::restoreService(Duration age) {
+  Service.restore(Now - age);
+  Duration pause(static_cast<int64_t>(pick(500'000)));
+  at(Now + pause, [this] {
+    Service.put("weights:m", std::to_string(Wanted));
+    for (const auto &[id, server] : Servers)
+      if (server.IsUp)
+        Service.put("server:" + id, std::to_string(server.Version));
+  });
+}
+
+void RetirementWorld::noteEra(ModelEntry &entry, uint64_t era) {
+  if (era > eraOf(entry.CompleteTo))
+    entry.HasAll = false;
+}
+
 void RetirementWorld::heal() {
   for (Machine &it : Machines)
     it = {};
--- a/tests/direct/retirement_world.h
+++ b/tests/direct/retirement_world.h
@@ -8,6 +8,7 @@
 #include "direct/follow_plan.h"
 #include "direct/kept_context.h"
 #include "direct/retirement.h"
+#include "direct/revision.h"
 
 #include <functional>
 #include <map>
@@ -36,7 +37,10 @@
   uint64_t put(const std::string &key, const std::string &value,
                std::optional<TimePoint> leaseUntil = std::nullopt);
   void remove(const std::string &key);
-  /// False when the key has gone.
+  /// Comes back as it was then or a little before; revisions are given out
+  /// again, in a later era.
+  void restore(TimePoint then);
+  /// False when the key has gone, or was created anew.
   bool keep(const std::string &key, uint64_t created, TimePoint until);
   void lapse(TimePoint now);
   uint64_t revisionOf(const std::string &key) const;
@@ -46,18 +50,26 @@
   /// All keys as they were at the revision.
   std::map<std::string, uint64_t> keysAt(uint64_t revision) const;
   uint64_t revision() const { return Revision; }
+  uint64_t era() const { return eraOf(Revision); }
   /// When the first change after the revision was made.
   std::optional<TimePoint> changedAfter(uint64_t revision) const;
   /// For the times of changes.
-  void setNow(TimePoint now) { Now = now; }
+  void setNow(TimePoint now);
 
 private:
   struct Item {
     StoreRecord Record;
-    uint64_t Created = 0;
+    uint64_t Created = 0; ///< Never given out twice.
     std::optional<TimePoint> LeaseUntil;
   };
+  struct Copy {
+    TimePoint At;
+    std::map<std::string, Item> Items;
+    uint64_t Revision = 0;
+  };
   std::map<std::string, Item> Items;
+  std::vector<Copy> Copies; ///< One each second.
+  uint64_t LastCreated = 0;
   void note(const StoreRecord &record);
   std::vector<StoreRecord> History;
   std::vector<TimePoint> ChangedAt; ///< Of each of them.
@@ -87,6 +99,7 @@
   bool IsAsking = false;
   uint64_t Announced = 0; ///< Creation revision of its key; 0: none.
   uint64_t Token = 0;     ///< As the holder.
+  uint64_t HolderKey = 0; ///< As that was created.
   TimePoint RenewedAt;
   TimePoint NextRenewal;
   TimePoint NextAsk;
@@ -114,6 +127,9 @@
   void refuseWrites(size_t machine, bool isRefused);
   /// Watches can't go on: every entry reads the whole service anew.
   void loseHistory();
+  /// The service comes back from a copy that is so old. The operator and the
+  /// servers write anew what they wrote since.
+  void restoreService(Duration age);
   void crashServer(size_t server, Duration pause);
   /// Between two servers that take new weights.
   void slowServers(Duration pause) { MovePause = pause; }
@@ -175,6 +191,8 @@
   /// Without a value: removes the key.
   void write(const EntryPtr &entry, const std::string &key,
              const std::string &value, uint64_t over);
+  /// Reads everything anew where the service's era is a later one.
+  void noteEra(ModelEntry &entry, uint64_t era);
   void know(ModelEntry &entry, TimePoint at);
   bool isListed(const ModelEntry &entry) const;
   bool mayName(const ModelEntry &entry) const;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -2,6 +2,8 @@
 /// loopback.
 #include "gateway/gateway_fixture.h"
 
+#include "direct/revision.h"
+
 #include "gateway/stdout_text.h"
 
 namespace daisytack::gateway {
@@ -316,10 +318,10 @@
   std::this_thread::sleep_for(1s);
   ASSERT_EQ(orders().size(), 1);
   EXPECT_NE(orders()[0].find("\"expected\":4"), std::string::npos);
-  EXPECT_NE(
-      orders()[0].find("\"fencing-token\":" +
-                       std::to_string(Store.revisionOf("daisytack/holder"))),
-      std::string::npos)
+  EXPECT_NE(orders()[0].find("\"fencing-token\":" +
+                             std::to_string(direct::lastingRevision(
+                                 1, Store.revisionOf("daisytack/holder")))),
+            std::string::npos)
       << orders()[0];
   Threads.stop(); // Handlers use what ends here.
 }
--- a/tests/gateway/restore_test.cpp
+++ b/tests/gateway/restore_test.cpp
@@ -26,6 +26,12 @@
       Store.put("op/version/m" + std::to_string(i),
                 R"({"model":"m)" + std::to_string(i) + R"(","version":1})");
   }
+  bool isInEra(const Entry &entry, int era) {
+    std::string text =
+        fetch(entry.Options.Metrics, request("/metrics")).Response.Body;
+    return text.find("daisytack_service_era " + std::to_string(era)) !=
+           std::string::npos;
+  }
   unsigned statusWith(const Entry &entry, const std::string &key) {
     return statusOf(entry, request("/call/x", "r", key));
   }
@@ -54,6 +60,62 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// The copy still has the key; nobody may be let in by it.
+TEST_F(RestoreTest, KeepsARevocationThatTheCopyDoesNotHave) {
+  configure("\"k1\",\"k2\"", 1);
+  Entry &entry = startReady("e1");
+  test::StandInStore::Copy copy = Store.copy();
+  writeBeyondCopy(5);
+  configure("\"k2\"", 2);
+  ASSERT_TRUE(eventually([&] { return statusWith(entry, "k1") == 401; }));
+  Store.restore(copy);
+  writeBeyondCopy(1);
+  ASSERT_TRUE(eventually([&] { return isInEra(entry, 2); }));
+  for (int i = 0; i < 40; ++i) {
+    unsigned status = statusWith(entry, "k1");
+    EXPECT_TRUE(status == 401 || status == 503) << status;
+    EXPECT_NE(statusWith(entry, "k2"), 401);
+    std::this_thread::sleep_for(100ms);
+  }
+  Threads.stop(); // Handlers use what ends here.
+}
+
+/// One that has left the service to readers learns of the restore too.
+TEST_F(RestoreTest, EntriesThatDoNotWatchTakeWhatIsWrittenAfterIt) {
+  configure("\"k1\"", 1);
+  std::vector<Entry *> fleet;
+  for (int i = 0; i < 5; ++i)
+    fleet.push_back(&startReady("e" + std::to_string(i)));
+  test::StandInStore::Copy copy = Store.copy();
+  writeBeyondCopy(20);
+  configure("\"k1\",\"k2\"", 2);
+  auto allAnswer = [&](const std::string &key, unsigned status) {
+    Store.passTime();
+    return std::all_of(fleet.begin(), fleet.end(), [&](const Entry *it) {
+      return statusWith(*it, key) == status;
+    });
+  };
+  ASSERT_TRUE(eventually([&] { return allAnswer("k2", 200); }));
+  Store.restore(copy);
+  configure("\"k2\"", 3);
+  EXPECT_TRUE(eventually([&] { return allAnswer("k1", 401); }));
+  EXPECT_TRUE(eventually([&] { return allAnswer("k2", 200); }));
+  Threads.stop(); // Handlers use what ends here.
+}
+
+/// What the system wrote since the copy is gone: an entry announces itself
+/// anew, though its lease is older than the copy.
+TEST_F(RestoreTest, AnnouncesItselfAnew) {
+  configure("\"k1\"", 1);
+  startReady("e1");
+  ASSERT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
+  test::StandInStore::Copy copy = Store.copy();
+  copy.Items.erase("daisytack/entries/e1");
+  Store.restore(copy);
+  EXPECT_TRUE(eventually([&] { return Store.has("daisytack/entries/e1"); }));
+  Threads.stop(); // Handlers use what ends here.
+}
+
 /// Once revisions have passed those that were known, no watch is told that its
 /// history is gone.
 TEST_F(RestoreTest, NoticesARestoreWhoseRevisionsHavePassedThoseKnown) {
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -1,6 +1,8 @@
 /// The adapter to the key-value service against a scripted server.
 #include "platform/kv_store.h"
 
+#include "direct/revision.h"
+
 #include "net_http/http_fixture.h"
 #include "platform/json_text.h"
 
@@ -293,6 +295,85 @@
   EXPECT_EQ(seen.Revision, 13);
 }
 
+HttpResponse okIn(int era, std::string body) {
+  return {200, {{"store-era", std::to_string(era)}}, std::move(body)};
+}
+
+TEST(KvStore, RevisionsRiseFromEraToEra) {
+  std::atomic<int> era{1};
+  ScriptedService service([&](const HttpRequest &) {
+    return okIn(era, R"({"items":[)" + item("a", 60 - era) +
+                         R"(],"truncated":false,"store-revision":67})");
+  });
+  auto read = [&] {
+    return await<edge::KvRangeResult>([&](auto done) {
+      service.Store.Range({"", edge::prefixEnd("")}, CallTime, std::move(done));
+    });
+  };
+  edge::KvRangeResult before = read();
+  EXPECT_EQ(before.Header.Era, 1);
+  EXPECT_EQ(before.Header.Revision, direct::lastingRevision(1, 67));
+  era = 2;
+  edge::KvRangeResult after = read();
+  EXPECT_EQ(service.Store.LatestEra(), 2);
+  EXPECT_GT(after.Entries[0].ModRevision, before.Entries[0].ModRevision);
+  // Sent before the restore, answered after one.
+  era = 1;
+  EXPECT_EQ(read().Header.Status, KvStatus::Unavailable);
+}
+
+TEST(KvStore, FailsARangeWhosePagesAreOfTwoEras) {
+  std::atomic<int> calls{0};
+  ScriptedService service([&](const HttpRequest &) {
+    int call = ++calls;
+    return okIn(call, R"({"items":[)" + item("k" + std::to_string(call), 5) +
+                          R"(],"truncated":)" + (call == 1 ? "true" : "false") +
+                          R"(,"store-revision":9})");
+  });
+  auto result = await<edge::KvRangeResult>([&](auto done) {
+    service.Store.Range({"", edge::prefixEnd("")}, CallTime, std::move(done));
+  });
+  EXPECT_EQ(result.Header.Status, KvStatus::Unavailable);
+}
+
+/// Its revisions have passed the one that the watch asks from, so that the
+/// service itself does not notice.
+TEST(KvStore, AWatchLosesItsHistoryWithTheEra) {
+  ScriptedService service([&](const HttpRequest &) {
+    return okIn(3,
+                R"({"events":[)" + item("a", 90) + R"(],"store-revision":90})");
+  });
+  Watched seen = watch(service);
+  EXPECT_TRUE(seen.Changes.empty());
+  EXPECT_GT(seen.CompactRevision, 0);
+}
+
+/// A condition on a revision of an earlier era may hold by chance, as revisions
+/// are given out again.
+TEST(KvStore, ConditionsOfAnEarlierEraDoNotHold) {
+  std::atomic<int> era{1};
+  ScriptedService service(
+      [&](const HttpRequest &) { return okIn(era, R"({"revision":70})"); });
+  auto commitOver = [&](uint64_t revision) {
+    edge::KvTransaction change;
+    change.If.push_back({"k", edge::KvCompare::Target::ModRevision, revision});
+    return await<edge::KvTransactionResult>([&](auto done) {
+      service.Store.Commit(change, CallTime, std::move(done));
+    });
+  };
+  uint64_t known = direct::lastingRevision(1, 62);
+  EXPECT_EQ(commitOver(known).Header.Revision, direct::lastingRevision(1, 70));
+  EXPECT_NE(service.requests()[0].Body.find(R"("revision":62)"),
+            std::string::npos);
+  // The restore is found out by the answer, and was carried out or not.
+  era = 2;
+  EXPECT_EQ(commitOver(known).Header.Status, KvStatus::Unknown);
+  // From then on nothing is sent.
+  EXPECT_EQ(commitOver(known).Header.Status, KvStatus::CompareFailed);
+  EXPECT_EQ(service.requests().size(), 2);
+  EXPECT_EQ(commitOver(0).Header.Status, KvStatus::Ok);
+}
+
 TEST(KvStore, ReportsLostHistory) {
   ScriptedService service([](const HttpRequest &) {
     return HttpResponse{410, {}, {}};
