Pause between reads of the key-value service when its history is lost in a row

Cause: a watch whose history is gone is followed by a whole read at once, whatever came of the one before. Change: the first loss is still read at once, those after it without news in between wait like failures do, 150 to 600 ms.

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -145,6 +145,7 @@
     State.Catalog.apply(records, now);
     Changed();
   }
+  HistoryLosses = 0;
   State.completeTo(header.Revision);
   State.knowAllUpTo(askedAfter);
 }
@@ -157,7 +158,11 @@
     State.Log.write(LogWeight::Notable, "service_history_lost",
                     {{"complete_to", State.CompleteTo.load()}}, monotonicNow());
     HasAll = false;
-    return readAll();
+    if (++HistoryLosses == 1)
+      return readAll();
+    // Reading did not help: the service is not to be asked without a pause.
+    Failures = HistoryLosses;
+    return retryLater();
   }
   fail(header.Reason);
 }
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -74,6 +74,7 @@
   bool IsStopped = false;
   bool IsResting = false; ///< Others tell what the service holds.
   uint32_t Failures = 0;
+  uint32_t HistoryLosses = 0; ///< In a row.
 };
 
 } // namespace daisytack::gateway
--- a/tests/gateway/restore_test.cpp
+++ b/tests/gateway/restore_test.cpp
@@ -116,6 +116,28 @@
   Threads.stop(); // Handlers use what ends here.
 }
 
+/// Guards against: an entry whose every watch found its history gone read the
+/// whole service again and again, up to 67 times a second.
+TEST_F(RestoreTest, ReadsWithPausesWhileHistoryIsLostAgainAndAgain) {
+  constexpr size_t MostInASecond = 10;
+  configure("\"k1\"", 1);
+  startReady("e1");
+  auto begin = std::chrono::steady_clock::now();
+  Store.HasNoHistory = true;
+  Store.put("op/version/m", R"({"model":"m","version":1})");
+  std::this_thread::sleep_for(2s);
+  auto seconds =
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - begin);
+  EXPECT_LE(static_cast<double>(Store.lostWatches()),
+            MostInASecond * (1 + seconds.count()));
+  Store.HasNoHistory = false;
+  Store.put("op/version/m", R"({"model":"m","version":2})");
+  configure("\"k2\"", 2);
+  EXPECT_TRUE(
+      eventually([&] { return statusWith(*Entries.front(), "k1") == 401; }));
+  Threads.stop(); // Handlers use what ends here.
+}
+
 /// Once revisions have passed those that were known, no watch is told that its
 /// history is gone.
 TEST_F(RestoreTest, NoticesARestoreWhoseRevisionsHavePassedThoseKnown) {
--- a/tests/gateway/stand_in.h
+++ b/tests/gateway/stand_in.h
@@ -96,6 +96,8 @@
     std::lock_guard guard(Lock);
     return LostWatches;
   }
+  /// No watch can go on from where its caller was.
+  std::atomic<bool> HasNoHistory{false};
   /// 0: answers; otherwise every call gets this status at once.
   std::atomic<unsigned> Refuses{0};
   bool has(const std::string &key) {
@@ -197,9 +199,9 @@
 
   void wakeLocked() {
     std::erase_if(Waits, [this](const Waiting &wait) {
-      if (wait.After == Revision)
+      if (wait.After == Revision && !HasNoHistory)
         return false;
-      if (wait.After > Revision) {
+      if (wait.After > Revision || HasNoHistory) {
         ++LostWatches;
         respond(*wait.To, 410, {});
         return true;
