Soak limits that servers name, and returns of the service from older copies

What this is: two faults of the soak, in a series of their own so that those of known seeds stay the same, and two checks: what a limited server gets from the entries that it told, and that a process which refused a key for good lets nobody in by it later.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,9 @@
 CLOSED_SLACK = 0.5      # After a server's word it gets what was on its way,
 SENDS_TO_CLOSED = 2     # and then so much of one entry at most.
 EVACUATION_SECONDS = 3.0  # Nothing reaches servers of an evacuated domain after this.
+LIMIT_WINDOW, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5  # In so many seconds a limited server gets so much of its limit,
+LIMIT_TELLING = 0.5     # of entries that passed on an answer with it so long before.
+REGRESS_SECONDS = 0.25  # A process that knew a revocation still knows it after this.
 COLD_RATE = 4.0         # Requests a second that a cold server bears;
 COLD_BOUND = 4.0 * 1.5 + 3  # what all entries together may send it in one second.
 
@@ -164,6 +167,37 @@
                     break
 
 
+def limited_servers(world, _runs):
+    """Summed over the entries that passed on an answer with the limit, once it has stood for a while."""
+    for server in world.all_servers:
+        for begin, end, limit in server.limit_times:
+            told = {}
+            for at, request_id in server.said_limit:
+                if begin <= at <= end:
+                    told.setdefault(world.entry_of(request_id), at)
+            arrivals = [(at, world.entry_of(it)) for at, it in server.arrivals if begin <= at <= end]
+            arrivals = [(at, it) for at, it in arrivals if it in told and at >= told[it] + LIMIT_TELLING]
+            for last, _ in arrivals:
+                first = last - LIMIT_WINDOW
+                some = [it for at, it in arrivals if first < at <= last and world.in_touch(it, first, last)]
+                if last >= begin + STABLE_SECONDS and len(some) > LIMIT_FACTOR * limit * LIMIT_WINDOW + LIMIT_SLACK:
+                    yield (f"{server.id} got {len(some)} requests in {LIMIT_WINDOW:.0f} s, {last - begin:.1f} s after it "
+                           f"had named a limit of {limit} a second")
+                    break
+
+
+def revocations_stay(world, runs):
+    """A process that has refused a key for good lets nobody in by it later, whatever the key-value service says."""
+    refused = {}
+    for sent in sorted(world.sent, key=lambda it: it.ended):
+        if sent.status == 401:
+            refused.setdefault((sent.entry, sent.key), sent.ended)
+    for sent in world.sent:
+        since = refused.get((sent.entry, sent.key))
+        if since and sent.at > since + REGRESS_SECONDS and sent.id in runs and world.ran_through(since, sent.at, sent.entry):
+            yield f"{sent.id} ran {sent.at - since:.1f} s after {sent.entry} had refused its key"
+
+
 def fatal_requests(world, _runs):
     """A request under which servers ended is not sent to many more."""
     if len(world.fatal_ends) < FATAL_SERVERS:
@@ -234,7 +268,8 @@
 
 
 ALL = (at_most_once, honest_refusals, whole_and_own_answers, events_in_order, requests_as_sent, final_answers,
-       revoked_keys, draining_servers, leaving_by_answer, closed_servers, evacuated_domains, cold_servers, fatal_requests, harmless_requests,
+       revoked_keys, draining_servers, leaving_by_answer, closed_servers, evacuated_domains, cold_servers,
+       limited_servers, revocations_stay, fatal_requests, harmless_requests,
        planned_restarts_cut_nothing,
        stops_lose_no_request, freed_while_read, one_giver_of_orders)
 
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -54,6 +54,9 @@
     def links_were_sound(self, *_):
         return True
 
+    def ran_through(self, *_):
+        return True
+
     def planned_stop(self, _entry, _at):
         return self.stops[0].begin if self.stops else None
 
@@ -172,6 +175,25 @@
     world.server.arrivals += [(98.1 + n * 0.01, ID) for n in range(20)]  # Warm.
 
 
+def flooded_beyond_its_limit(world):
+    world.server.limit_times.append((90.0, 98.0, 1.0))
+    world.server.said_limit.append((90.1, ID))
+    world.server.arrivals += [(91.0 + n * 0.25, ID) for n in range(20)]
+
+
+def asked_within_its_limit(world):
+    world.server.limit_times.append((90.0, 98.0, 1.0))
+    world.server.said_limit.append((90.1, ID))
+    world.server.arrivals += [(90.2 + n * 0.01, ID) for n in range(30)]  # Not told yet.
+    world.server.arrivals += [(91.0 + n, ID) for n in range(7)]
+    world.server.arrivals += [(98.1 + n * 0.01, ID) for n in range(30)]  # It names none any more.
+
+
+def let_in_again(world):
+    refused = dataclasses.replace(world.sent[0], id="ffff", status=401, signature="", at=90.0, ended=90.1)
+    world.sent.append(refused)
+
+
 def fatal_sent_on(world):
     world.fatal_ends += [80.0, 80.1, 80.2]
     world.change(body=checks.FATAL)
@@ -259,7 +281,7 @@
 
 ALLOWED = (refused_late, crossed_the_close, cut_by_the_server, left_at_its_deadline, sent_to_the_next_process,
            freed_under_a_discarded_fetch, freed_after_the_fetch, asked_shortly_after_it_closed, fatal_sent_a_little,
-           asked_around_evacuations, asked_gently_while_cold)
+           asked_around_evacuations, asked_gently_while_cold, asked_within_its_limit)
 DEFECTS = {
     second_run: "at_most_once", refused_though_it_ran: "honest_refusals", refused_without_a_time: "honest_refusals",
     cut_answer: "whole_and_own_answers", other_answer: "whole_and_own_answers",
@@ -272,6 +294,7 @@
     fetched_while_written: "freed_while_read", asked_after_its_answer: "leaving_by_answer",
     asked_while_closed: "closed_servers", fatal_sent_on: "fatal_requests",
     harmless_quarantined: "harmless_requests", asked_while_evacuated: "evacuated_domains",
+    flooded_beyond_its_limit: "limited_servers", let_in_again: "revocations_stay",
     flooded_while_cold: "cold_servers", flooded_long_after_it_said_so: "cold_servers"}
 KINDS = {missing_event: "ask", fatal_sent_on: "ask", passed_on_late_and_cut: "long"}
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -134,6 +134,34 @@
     server.cool(COLD_AGAIN_SECONDS, is_start=False)
 
 
+async def limit_server(world, rng):
+    """It names a limit on requests in its answers for a while."""
+    server = rng.choice(world.servers)
+    if server.limit is not None:
+        return
+    server.limit = rng.choice([0.5, 1.0, 2.1])
+    world.say(f"{server.id} takes {server.limit} a second")
+    begin = world.now()
+    await asyncio.sleep(5 + rng.random() * 4)
+    server.limit_times.append((begin, world.now(), server.limit))
+    server.limit = None
+
+
+async def restore_service(world, rng):
+    """The key-value service is away for a moment and comes back from a copy; the operator and the servers write anew
+    what they wrote since."""
+    age = 0.5 + rng.random() * 4
+    world.kv.status = 503
+    await asyncio.sleep(0.1 + rng.random() * 2)
+    world.kv.restore(age)
+    world.say(f"the key-value service is back as it was {age:.1f} s ago")
+    if rng.random() < 0.5:
+        world.kv.status = 0
+        await asyncio.sleep(rng.random() * 0.5)
+    world.write_again()
+    world.kv.status = 0
+
+
 async def change_config(world, rng):
     left = [it for it in world.all_keys if it not in world.revoked]
     if rng.random() < 0.4 and len(left) > 2:
@@ -151,21 +179,23 @@
 
 PLANNED = (stop_entry, reload_entry, change_config, name_weights, replace_server, close_server, evacuate_domain,
            cool_server)
+EXTRA_PAUSE = 2.0  # At most, between two of these.
 FAULT_KINDS = (kill_entries, stop_entry, pause_entry, reload_entry, spoil_link, spoil_service, spoil_server,
                replace_server, close_server, change_config, name_weights, evacuate_domain, cool_server)
 
 
-async def inject(world, kind, busy):
+async def inject(world, kind, busy, rng=None):
     """One fault from its begin to its end. One at a time meddles with processes."""
+    rng = rng or world.rng
     meddles = kind in (kill_entries, kill_pair, stop_entry, pause_entry, reload_entry)
-    note = fault(planned=kind in PLANNED, kind=kind.__name__)
+    note = fault(planned=kind in PLANNED + (limit_server,), kind=kind.__name__)
     note["begin"] = world.now()
     world.faults.append(note)
     if meddles:
         async with busy:
-            await kind(world, world.rng)
+            await kind(world, rng)
     else:
-        await kind(world, world.rng)
+        await kind(world, rng)
     note["end"] = world.now()
 
 
@@ -224,6 +254,16 @@
     await asyncio.gather(*faults)
 
 
+async def beside(world, seconds, kinds):
+    """Faults beside the others, by a series of their own, so that those of a seed stay the same."""
+    rng, faults, busy = world.extra_rng, [], asyncio.Lock()
+    end = world.now() + seconds
+    while world.now() < end:
+        await asyncio.sleep(rng.random() * EXTRA_PAUSE)
+        faults.append(asyncio.ensure_future(inject(world, rng.choice(kinds), busy, rng)))
+    await asyncio.gather(*faults)
+
+
 async def one_by_one(world, seconds, kinds):
     faults, busy = [], asyncio.Lock()
     end = world.now() + seconds
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -12,6 +12,7 @@
 import http11
 
 HISTORY = 400  # Changes that a watch can go back.
+COPY_SECONDS, COPIES = 0.25, 24  # Between copies that the key-value service may come back from, and how many are kept.
 LONG_PACE = 0.25  # Between the events of a long stream.
 FATAL = b"ends every server that runs it"
 CLOSED_SECONDS = 2  # For which a server that is closed wants nothing of whoever asks.
@@ -29,6 +30,7 @@
         self.items, self.history, self.leases = {}, [], {}
         self.revision, self.compacted, self.next_lease = 1, 0, 1000
         self.status, self.delay, self.lose = 0, 0.0, False
+        self.era, self.copies = 1, []
         self.changed = asyncio.Event()
         self.server = None
 
@@ -59,6 +61,15 @@
         self.history.clear()
         self._wake()
 
+    def restore(self, age):
+        """Comes back from a copy of so many seconds ago: what was written since is gone, leases too, and revisions are
+        given out again."""
+        earlier = [it for it in self.copies if it[0] <= now() - age] or self.copies[:1]
+        _, self.items, self.revision, self.leases = earlier[-1]
+        self.copies.clear()
+        self.era += 1
+        self.compact()
+
     def _note(self, event):
         self.history.append(event)
         del self.history[:-HISTORY]
@@ -71,6 +82,9 @@
     async def _lapse(self):
         while True:
             await asyncio.sleep(0.05)
+            if not self.copies or now() >= self.copies[-1][0] + COPY_SECONDS:
+                self.copies.append((now(), dict(self.items), self.revision, dict(self.leases)))
+                del self.copies[:-COPIES]
             for lease in [it for it, (_, end) in self.leases.items() if end < now()]:
                 self._end_lease(lease)
 
@@ -83,16 +97,19 @@
         if self.delay:
             await asyncio.sleep(self.delay)
         if self.status:
-            writer.write(http11.response(self.status, {}))
+            writer.write(http11.response(self.status, self._era()))
             return
         method, target, _ = request.first
         path, _, query = target.partition("?")
         status, body = await self._answer(method, path, dict(urllib.parse.parse_qsl(query)), request.body)
         if self.lose and method == "POST":
             raise http11.Broken("the answer is lost")
-        writer.write(http11.response(status, JSON, json.dumps(body).encode()))
+        writer.write(http11.response(status, {**JSON, **self._era()}, json.dumps(body).encode()))
         await writer.drain()
 
+    def _era(self):
+        return {"Store-Era": str(self.era)}
+
     async def _answer(self, method, path, query, body):
         if path == "/kv-range":
             items = [it for key, it in sorted(self.items.items()) if key.startswith(query.get("path-prefix", ""))]
@@ -121,7 +138,7 @@
         end = now() + int(query.get("wait-ms", 1000)) / 1000
         while True:
             oldest = self.history[0]["revision"] if self.history else self.revision + 1
-            if after < self.compacted or (after < self.revision and after + 1 < oldest):
+            if after > self.revision or after < self.compacted or (after < self.revision and after + 1 < oldest):
                 return 410, {}
             events = [it for it in self.history if it["revision"] > after]
             if events or now() >= end:
@@ -170,6 +187,7 @@
     FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
     is_loading = False  # New weights; at once here.
     is_leaving, is_closed = False, False
+    limit = None  # Requests a second that it takes from all entries together.
     cold_until = 0.0
 
     @staticmethod
@@ -183,6 +201,7 @@
         self.runs, self.arrivals, self.orders, self.token = [], [], 0, 0
         self.tokens = []
         self.said_leaving, self.said_closed = [], []  # When, and in the answer to which request.
+        self.said_limit, self.limit_times = [], []  # The same; and from when and until when it named which limit.
         self.cold_times = []  # From when and until when it is cold, and whether its first record said so.
         self.faults, self.share, self.work = set(), 0.3, 0.02
         self.counter = 0
@@ -282,6 +301,9 @@
         if self._strikes("lose"):
             self._break_off(run, "the answer is lost")
         echo["X-Daisytack-Server-Signature"] = run.signature
+        if self.limit is not None:
+            echo["Server-Limit"] = str(self.limit)
+            self.said_limit.append((now(), request.header("x-daisytack-request-id")))
         if self._strikes("error"):
             writer.write(http11.response(500, echo, b"failed"))
         elif request.first[1].startswith("/ask/"):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,7 +16,8 @@
 import checks  # noqa: E402
 import http11  # noqa: E402
 from callers import FatalCaller, callers  # noqa: E402
-from faults import FAULT_KINDS, PLANNED, around_new_weights, one_by_one  # noqa: E402
+from faults import (FAULT_KINDS, PLANNED, around_new_weights, beside, limit_server, one_by_one,  # noqa: E402
+                    restore_service)
 from fleet import Fleet  # noqa: E402
 from kept_context import ContextStore, Engine  # noqa: E402
 from late_callers import late_callers  # noqa: E402
@@ -150,6 +151,7 @@
 
     def __init__(self, fleet, seed):
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
+        self.extra_rng = random.Random(f"{seed}/beside")
         self.kv = KeyValueService()
         self.has_kept_context = seed % 4 == 2
         # In one failure domain two entries read the key-value service for the others.
@@ -216,7 +218,7 @@
             "target-latency-ms": 400}
         route = {"host": "a.example", "timeout-ms": 3000, "attempts": 2, "public": False}
         cold = {"cold-start-s": COLD_SECONDS, "cold-per-s": checks.COLD_RATE}
-        self.kv.put("op/config", {
+        self.config = {
             "version": self.config_version,
             "routes": [
                 {**route, "name": "call", "path-prefix": "/call/", "kind": "unsafe", "service": "plain",
@@ -232,7 +234,24 @@
                          *[it.service() for it in self.stores]],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
-            "tenants": [{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()]})
+            "tenants": [{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()]}
+        self.kv.put("op/config", self.config)
+
+    def write_again(self):
+        """What the operator and the servers wrote, as far as the key-value service has lost it."""
+        self.kv.put("op/config", self.config)
+        if self.weights > 1:
+            self.kv.put("op/version/m", {"model": "m", "version": self.weights})
+        for domain, times in self.evacuated.items():
+            if times[-1][1] is None:
+                self.kv.put(f"op/evacuate/{domain}", {})
+            else:
+                self.kv.remove(f"op/evacuate/{domain}")
+        living = {f"servers/{it.id}" for it in self.servers}
+        for key in [it for it in self.kv.items if it.startswith("servers/") and it not in living]:
+            self.kv.remove(key)
+        for server in self.servers:
+            self.record(server, "draining" if server.id in self.leaving else "ready")
 
     async def add_server(self, name, service, incarnation=1, port=0):
         server = BackendServer(name, service, incarnation, self.weights)
@@ -316,6 +335,13 @@
                 return False
         return True
 
+    def ran_through(self, begin, end, entry):
+        """Whether one process of the entry ran all the while."""
+        stops = next(it for it in self.entries if it.name == entry).stops
+        kills = [it for it in self.faults if it["kind"] in ("kill_entries", "kill_pair")]
+        times = [(it.begin, it.end) for it in stops] + [(it["begin"], it["end"] or end) for it in kills]
+        return not any(first <= end and begin <= last for first, last in times)
+
     def links_were_sound(self, begin, end):
         """Whether no link held up what was sent, so that it arrived together."""
         over = [it for it in self.faults if it["kind"] == "spoil_link"]
@@ -368,11 +394,15 @@
     if world.seed % 8 in (0, 1):
         some.append(FatalCaller(world))
     tasks = [asyncio.ensure_future(it.run()) for it in some]
+    # Some seeds are planned work alone, so that what planned work may not do is seen.
+    is_planned = world.seed % 4 == 0
+    extra = asyncio.ensure_future(
+        beside(world, seconds, (limit_server,) if is_planned else (limit_server, restore_service)))
     if world.has_kept_context:
         await around_new_weights(world, seconds)
     else:
-        # Some seeds are planned work alone, so that what planned work may not do is seen.
-        await one_by_one(world, seconds, PLANNED if world.seed % 4 == 0 else FAULT_KINDS)
+        await one_by_one(world, seconds, PLANNED if is_planned else FAULT_KINDS)
+    await extra
     await world.wait_ready("after the last fault")
     if world.has_kept_context:
         await world.wait_loaded()
