Count servers as cold while nothing is heard of the key-value service

Cause: that a server is cold is known from its record alone, which nobody can write while the service is silent. Ruled out: counting from the moment at which the service did not answer the entry itself. Change: an entry that has heard nothing of the service for the time for which a configuration counts as confirmed, 2.5 s, neither itself nor through others, counts each server of a service with a cold rate as cold, until it hears again. The soak's copies of the service: one that comes back twice at once has one.

--- a/src/direct/candidate.h
+++ b/src/direct/candidate.h
@@ -14,7 +14,7 @@
   ServerLoadView Load;
   /// How long its weights have been older than wanted.
   Duration Behind{0};
-  /// It has just started, or is cold again: it takes few requests.
+  /// It has just started, or is cold again, or may be: it takes few requests.
   bool IsCold = false;
   auto operator<=>(const Candidate &) const = default;
 };
--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -375,6 +375,15 @@
 void CatalogKeeper::onStoreLost() {
   StoreIsLost = true;
   StoreBackAt.reset();
+  setSilent(true);
+}
+
+void CatalogKeeper::setSilent(bool isSilent) {
+  if (std::exchange(IsSilent, isSilent) == isSilent)
+    return;
+  auto next = std::make_shared<Catalog>(*view());
+  next->IsServiceSilent = isSilent;
+  Published.publish(std::move(next));
 }
 
 void CatalogKeeper::onStoreBack(TimePoint now) {
@@ -384,6 +393,7 @@
   for (auto &[key, held] : Known)
     if (held.KeptUntil)
       held.KeptUntil = now + Settings.LapseGrace;
+  setSilent(false);
 }
 
 Duration CatalogKeeper::graceLeft(TimePoint now) const {
@@ -439,6 +449,7 @@
   next->ConfigRevision = ConfigRevision;
   next->Wanted = Wanted;
   next->Retired = EverRetired;
+  next->IsServiceSilent = IsSilent;
   next->Era = Era;
   next->EraSince = EraSince;
   next->RestoredAt = RestoredAt;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -61,6 +61,9 @@
   std::map<Id128, uint64_t> Quarantined;
   /// Failure domains whose servers get nothing.
   std::set<std::string, std::less<>> Evacuated;
+  /// Neither the service nor another entry tells what servers write: any of
+  /// them may have become cold.
+  bool IsServiceSilent = false;
   /// Of the service (direct/revision.h), and since when this process has known
   /// of it.
   uint64_t Era = 0;
@@ -146,6 +149,9 @@
   /// The store stopped answering, or answers again.
   void onStoreLost();
   void onStoreBack(TimePoint now);
+  /// Whether neither the store nor another entry tells what servers write.
+  /// Lost, the store counts as silent until this says otherwise.
+  void setSilent(bool isSilent);
   /// How much longer servers that lapse with an outage are kept; 0 when none
   /// do.
   Duration graceLeft(TimePoint now) const;
@@ -242,6 +248,7 @@
   std::optional<TimePoint> RestoredAt;
   bool IsSettled = true; ///< Nothing is held against a copy.
   bool StoreIsLost = false;
+  bool IsSilent = false;
   std::optional<TimePoint> StoreBackAt;
   Rcu<Catalog> Published;
 };
--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -26,7 +26,9 @@
   if (!model.empty())
     if (auto since = catalog.behindSince(model, server.versionOf(model)))
       out.Behind = now - *since;
-  out.IsCold = now < server.ColdUntil && coldRateOf(catalog, server) > 0;
+  // One that becomes cold while nobody can say so is not to be flooded.
+  out.IsCold = (now < server.ColdUntil || catalog.IsServiceSilent) &&
+               coldRateOf(catalog, server) > 0;
   return out;
 }
 
@@ -45,7 +47,9 @@
     return out;
   std::optional<TimePoint> share =
       Beliefs.ColdServers.opensAt(server, coldRateOf(catalog, server), catalog);
-  // It takes as much as before once it is warm.
+  // It takes as much as before once it is known to be warm.
+  if (catalog.IsServiceSilent)
+    return share ? std::optional(std::max(out, *share)) : std::nullopt;
   return std::max(out,
                   std::min(share.value_or(server.ColdUntil), server.ColdUntil));
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -364,6 +364,8 @@
   PeerLoads->onTimer(now);
   Quarantines->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
+  if (State.HasReadAll)
+    State.Catalog.setSilent(!State.isConfirmed(now));
   Follower->onTimer(now);
   follow(now);
   Orders->onTimer(now);
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -64,12 +64,15 @@
     def restore(self, age):
         """Comes back from a copy of so many seconds ago: what was written since is gone, leases too, and revisions are
         given out again."""
-        earlier = [it for it in self.copies if it[0] <= now() - age] or self.copies[:1]
+        earlier = [it for it in self.copies if it[0] <= now() - age] or self.copies[:1] or [self._copy()]
         _, self.items, self.revision, self.leases = earlier[-1]
         self.copies.clear()
         self.era += 1
         self.compact()
 
+    def _copy(self):
+        return now(), dict(self.items), self.revision, dict(self.leases)
+
     def _note(self, event):
         self.history.append(event)
         del self.history[:-HISTORY]
@@ -83,7 +86,7 @@
         while True:
             await asyncio.sleep(0.05)
             if not self.copies or now() >= self.copies[-1][0] + COPY_SECONDS:
-                self.copies.append((now(), dict(self.items), self.revision, dict(self.leases)))
+                self.copies.append(self._copy())
                 del self.copies[:-COPIES]
             for lease in [it for it, (_, end) in self.leases.items() if end < now()]:
                 self._end_lease(lease)
