Say what of a copy may be taken for news in plainer names

Change: names and order of the conditions; what is decided stays as it was. Checked: Restore and Retirement tests.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -185,18 +185,20 @@
   if (!value)
     return isBefore;
   FactKind kind = held.Subject.Kind;
-  bool isVersioned = kind == FactKind::Config || kind == FactKind::Weights;
-  bool mayBeCopy = isBefore || (!IsSettled && !wantsSettling(now) &&
-                                record.Revision <= RestoredTo);
+  bool isAfterRestore = !IsSettled && !wantsSettling(now);
+  bool mayBeCopy =
+      isBefore || (isAfterRestore && record.Revision <= RestoredTo);
   std::partial_ordering order = compareContent(held, *value);
-  if (order < 0)
-    return isVersioned || mayBeCopy;
   if (order > 0)
     return false;
+  if (order < 0) {
+    bool neverGoesBack = kind == FactKind::Config || kind == FactKind::Weights;
+    return neverGoesBack || mayBeCopy;
+  }
   // Nothing tells the two apart. What the system wrote itself is taken as the
   // service has it, as conditions on it name its revision.
-  bool isOthers = kind == FactKind::Server || kind == FactKind::Evacuation;
-  return isBefore || (mayBeCopy && isOthers);
+  bool isOfOthers = kind == FactKind::Server || kind == FactKind::Evacuation;
+  return isBefore || (mayBeCopy && isOfOthers);
 }
 
 bool CatalogKeeper::merge(const StoreRecord &record, TimePoint now) {
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -136,9 +136,10 @@
   void applyAll(const std::vector<StoreRecord> &records, uint64_t revision,
                 TimePoint now);
   /// The service has come back from an older copy, and what it holds up to the
-  /// revision may be the copy's. No news for an era that is known.
+  /// revision may be the copy's. Has no effect for an era that is known.
   void onRestored(uint64_t upTo, TimePoint now);
-  /// Up to where what the service holds may be of a copy; 0 where nothing is.
+  /// What the service holds up to this revision may be a copy's; 0 where it has
+  /// not come back from one.
   uint64_t restoredTo() const { return RestoredTo; }
   /// The grace after a restore is over, and all is to be read once more.
   bool wantsSettling(TimePoint now) const;
