Look for another server without effect before a silent one is given up

The one choice was made before the silent attempt had ended, so that the new attempt planned no save of what the old one was still to save, and that context was kept nowhere. Cause: the choice has effects, a share and saves, and stood where only a question belongs. Change: the question is a hook of its own without effect; the choice is made once, after the silent attempt has ended. Figures: the extended test saw two choices by the time the first attempt ended, one now; two choices for two attempts, as before.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -253,18 +253,15 @@
   bool canMove = Request.Via.mayRepeat() && Runs + 1 < Request.Via.Attempts;
   if (!isSilent || !canMove)
     return arm(now);
-  Error unused;
-  std::optional<AttemptChoice> choice = Hooks.Choose(Tried, now, unused);
-  if (!choice)
+  if (!Hooks.CanChoose(Tried, now))
     return arm(now);
   ++Runs;
   uint32_t attempt = Number;
+  // First, so that the next attempt may save what this one was to save.
   close(AttemptResult::Failed, now);
   Hooks.Cancel(attempt);
-  if (!Hooks.TakeRetry())
-    return giveUp({ErrorKind::ServerLost, "the server was silent for too long"},
-                  now);
-  send(std::move(choice->Order), now);
+  next(now, {ErrorKind::ServerLost, "the server was silent for too long"},
+       true);
 }
 
 void ForwardFlow::onCallerGone(TimePoint now) {
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -75,11 +75,14 @@
 /// Effects and decisions of its owner. Called during the flow's commands.
 struct ForwardHooks {
   /// A server for the next attempt; nothing, with the reason, when there is
-  /// none. Servers that were tried are not to be named again. The attempt may
-  /// count against what the server takes, whether it is sent or not.
+  /// none. Servers that were tried are not to be named again. The choice counts
+  /// against what the server takes, and plans what the attempt saves.
   std::function<std::optional<AttemptChoice>(
       const std::vector<std::string> &tried, TimePoint now, Error &reason)>
       Choose;
+  /// Whether there is such a server; without effect.
+  std::function<bool(const std::vector<std::string> &tried, TimePoint now)>
+      CanChoose;
   /// Draws one repeat from the budget that all entries share.
   std::function<bool()> TakeRetry;
   std::function<void(uint32_t attempt, const AttemptOrder &)> Send;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -126,6 +126,14 @@
   return std::nullopt;
 }
 
+bool Placement::canChoose(const ForwardRequest &request, const Catalog &catalog,
+                          const std::vector<std::string> &tried,
+                          TimePoint now) const {
+  Error unused;
+  Candidates servers = Eligible.servers(request, catalog, tried, now, unused);
+  return !servers.empty() && best(request, catalog, servers, now, unused);
+}
+
 std::optional<AttemptChoice>
 Placement::choose(const ForwardRequest &request, const Catalog &catalog,
                   const std::vector<std::string> &tried,
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -44,6 +44,10 @@
                                       std::optional<int64_t> serversClockMs,
                                       TimePoint now, Error &reason);
 
+  /// Whether choose would find a server; without effect.
+  bool canChoose(const ForwardRequest &request, const Catalog &catalog,
+                 const std::vector<std::string> &tried, TimePoint now) const;
+
 private:
   struct Choice {
     Candidate Server;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -61,6 +61,11 @@
   out.Choose = [this](const auto &tried, TimePoint now, Error &reason) {
     return choose(tried, now, reason);
   };
+  out.CanChoose = [this](const auto &tried, TimePoint now) {
+    Error unused;
+    return !mustNotAttempt(now, unused) &&
+           State.Place.canChoose(Flow.request(), *State.catalog(), tried, now);
+  };
   out.TakeRetry = [this] { return takeRetry(); };
   out.Send = [this](uint32_t attempt, const AttemptOrder &order) {
     send(attempt, order);
@@ -104,18 +109,23 @@
   return out;
 }
 
-std::optional<direct::AttemptChoice>
-GatewayRequest::choose(const std::vector<std::string> &tried, TimePoint now,
-                       Error &reason) {
+bool GatewayRequest::mustNotAttempt(TimePoint now, Error &reason) {
   std::shared_ptr<const direct::DrainPlan> drain = State.Drain.load();
   if (drain && !drain->mayAttempt(now)) {
     reason = stoppingReason();
-    return std::nullopt;
+    return true;
   }
-  if (std::optional<Error> barred = barredBy(now)) {
+  std::optional<Error> barred = barredBy(now);
+  if (barred)
     reason = std::move(*barred);
+  return barred.has_value();
+}
+
+std::optional<direct::AttemptChoice>
+GatewayRequest::choose(const std::vector<std::string> &tried, TimePoint now,
+                       Error &reason) {
+  if (mustNotAttempt(now, reason))
     return std::nullopt;
-  }
   auto catalog = State.catalog();
   return State.Place.choose(Flow.request(), *catalog, tried,
                             State.fetchClock(now), now, reason);
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -32,6 +32,8 @@
   /// Runs the step on the strand, with the request kept alive.
   template <class Step> void onStrand(Step step);
 
+  /// Whether the request is to be sent nowhere any more, with the reason.
+  bool mustNotAttempt(TimePoint now, Error &reason);
   std::optional<direct::AttemptChoice>
   choose(const std::vector<std::string> &tried, TimePoint now, Error &reason);
   RetryBudget &budget();
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -75,8 +75,9 @@
   std::vector<AttemptResult> Results;
   Error LastError;
   unsigned FinalStatus = 0;
-  size_t Choices = 0; ///< Times that a server was asked for.
-  size_t Finals = 0;  ///< Final answers given to the caller.
+  size_t Choices = 0;                   ///< Times that a server was asked for.
+  std::vector<size_t> ChoicesWhenEnded; ///< As each attempt ended.
+  size_t Finals = 0;                    ///< Final answers given to the caller.
   TimePoint TimerAt;
   ForwardFlow Flow;
 
@@ -99,6 +100,9 @@
       reason = NoneLeft;
       return std::nullopt;
     };
+    out.CanChoose = [this](const std::vector<std::string> &tried, TimePoint) {
+      return tried.size() < Servers;
+    };
     out.TakeRetry = [this] { return HasBudget; };
     out.Send = [this](uint32_t, const AttemptOrder &order) {
       Sent.push_back(order);
@@ -106,7 +110,10 @@
     };
     out.Cancel = [this](uint32_t n) { add("cancel " + std::to_string(n)); };
     out.Note = [this](uint32_t, const AttemptOrder &, AttemptResult result,
-                      TimePoint) { Results.push_back(result); };
+                      TimePoint) {
+      Results.push_back(result);
+      ChoicesWhenEnded.push_back(Choices);
+    };
     out.BeginAnswer = [this](const ServerHead &head) {
       add("begin " + std::to_string(head.Status));
     };
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -246,6 +246,8 @@
   it.Flow.onTimer(FlowStart + 2s);
   EXPECT_EQ(it.Sent.size(), 2);
   EXPECT_EQ(it.Choices, 2);
+  // What the first attempt was to save is free to be planned by then.
+  EXPECT_EQ(it.ChoicesWhenEnded, std::vector<size_t>{1});
 }
 
 TEST(ForwardFlow, WaitsForASilentServerWhenThereIsNoOther) {
