Derive the service's era from what is known of it

Cause: the follower kept an era of its own, though the revision up to which all is known holds it, and looked at it with each watch answer, which ends when the era differs. Change: compared with the known revision, at a whole read alone. Checked: Restore and Follow tests, 8 of 8, format.

--- a/src/gateway/store_follower.cpp
+++ b/src/gateway/store_follower.cpp
@@ -139,7 +139,6 @@
   for (const edge::KvChange &change : changes)
     records.push_back(recordOf(change.Entry, change.Deleted));
   TimePoint now = monotonicNow();
-  noteEra(header, now);
   confirm(now);
   if (!records.empty()) {
     State.Catalog.apply(records, now);
@@ -168,12 +167,12 @@
 }
 
 void StoreFollower::noteEra(const edge::KvHeader &header, TimePoint now) {
-  uint64_t before = std::exchange(Era, std::max(Era, header.Era));
-  State.Counts.StoreEra.set(static_cast<int64_t>(Era));
-  if (!WasReachable || Era == before)
+  uint64_t before = direct::eraOf(State.CompleteTo);
+  State.Counts.StoreEra.set(static_cast<int64_t>(header.Era));
+  if (!WasReachable || header.Era <= before)
     return;
   State.Log.write(LogWeight::Notable, "service_restored",
-                  {{"era", Era},
+                  {{"era", header.Era},
                    {"era_before", before},
                    {"revision", header.Revision},
                    {"complete_to", State.CompleteTo.load()}},
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -66,7 +66,6 @@
   std::function<void()> Changed; ///< The catalog may have changed.
   net::Timer Timer;
   edge::KvCancel StopWatch;
-  uint64_t Era = 0;   ///< Of the service, as its answers last told.
   uint64_t Epoch = 0; ///< Answers to calls of an earlier one are dropped.
   bool HasAll = false;
   bool IsReachable = false;
