Bound the wait of a request that is sent to outdated weights

Cause: eligibility took the queue for the whole wait. The planner then ordered a fetch that could last 2 s more, and a fetch that ends at its deadline is discarded, after which the whole prompt is prefilled. Tests: PlacementTest.EndsFetchesToOldWeightsInTimeForThePrefill and PlacementTest.AvoidsOldWeightsForAPromptWithALongPrefill failed before.

--- a/src/direct/context_planner.cpp
+++ b/src/direct/context_planner.cpp
@@ -34,6 +34,15 @@
                   Cost.prefillMs(request, sharedTokens(request.Head)));
 }
 
+double ContextPlanner::maxFetchMs(const ForwardRequest &request,
+                                  const Candidate &server,
+                                  double budgetMs) const {
+  double out = std::min(std::max(budgetMs, Settings.MinFetchMs),
+                        millisecondsOf(MaxFetchTime));
+  std::optional<Duration> slack = Cost.outdatedSlack(request, server);
+  return slack ? std::min(out, millisecondsOf(*slack)) : out;
+}
+
 void ContextPlanner::plan(const ForwardRequest &request,
                           const Candidate &candidate, const BackendServer &home,
                           std::optional<int64_t> serversClockMs, TimePoint now,
@@ -46,6 +55,8 @@
   order.Sources.resize(head.Parts.size());
   order.Destinations.resize(head.Parts.size());
   double budget = fetchBudgetMs(request);
+  double maxFetch = maxFetchMs(request, candidate, budget);
+  bool mayFetch = serversClockMs && maxFetch > 0;
   double longestTransfer = -1;
   uint64_t fetchedTokens = 0;
   uint64_t unreadTokens = 0;
@@ -56,12 +67,12 @@
   for (size_t i = 0; i + 1 < head.Parts.size(); ++i) {
     const PromptPart &part = head.Parts[i];
     std::optional<ContextStoreTraits> store;
-    if (serversClockMs)
+    if (mayFetch)
       store =
           Kept.find(order.CacheScope, part, server.FailureDomain, isAllowed);
     if (store) {
       double excess = Links.excessMs(store->Address, now);
-      if (shedsFetch(request, excess, budget))
+      if (shedsFetch(request, excess, std::min(budget, maxFetch)))
         break; // Parts after a missing part can't be used.
       order.Sources[i] = store->Address;
       order.FetchExcessMs = std::max(order.FetchExcessMs, excess);
@@ -85,11 +96,8 @@
     order.PrefillTokens = unreadTokens + head.Parts.back().Tokens;
   order.QueuedTokens -= static_cast<uint64_t>(
       static_cast<double>(fetchedTokens) * (1 - Settings.FetchedWeight));
-  if (order.SlowestSource && serversClockMs)
-    order.FetchUntilMs =
-        *serversClockMs +
-        std::min(static_cast<int64_t>(std::max(budget, Settings.MinFetchMs)),
-                 MaxFetchTime.count() / 1000);
+  if (order.SlowestSource)
+    order.FetchUntilMs = *serversClockMs + static_cast<int64_t>(maxFetch);
 }
 
 } // namespace daisytack::direct
--- a/src/direct/context_planner.h
+++ b/src/direct/context_planner.h
@@ -39,6 +39,11 @@
   /// How long, in milliseconds, a fetch may take before computing the parts
   /// instead is better.
   double fetchBudgetMs(const ForwardRequest &request) const;
+  /// Time, in milliseconds, after which the server aborts a fetch; zero or less
+  /// if nothing may be fetched. Never so long that the request would begin on
+  /// weights that are too old by then.
+  double maxFetchMs(const ForwardRequest &request, const Candidate &server,
+                    double budgetMs) const;
   /// Whether the request avoids a congested link and computes the parts
   /// instead.
   bool shedsFetch(const ForwardRequest &request, double excessMs,
--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -67,15 +67,9 @@
   uint64_t key = candidate.Server->ref().key();
   if (load.IsAvoided || Trackers.Ejected.isEjected(key, now))
     return Tier::Unhealthy;
-  if (candidate.OutdatedFor == Duration::zero())
-    return Tier::Preferred;
   // The weights must still be recent enough when the request begins to run.
-  double waitMs =
-      Cost.firstTokenMs(request, load, 0) * Settings.OldWeightsWaitFactor;
-  auto wait = Duration(static_cast<int64_t>(waitMs * 1000));
-  bool isInTime =
-      candidate.OutdatedFor + std::min(wait, Settings.OldWeightsMaxWait) <
-      Settings.OldWeightsLimit;
+  std::optional<Duration> slack = Cost.outdatedSlack(request, candidate);
+  bool isInTime = !slack || *slack > Duration::zero();
   return isInTime ? Tier::Preferred : Tier::OutdatedWeights;
 }
 
--- a/src/direct/placement_cost.cpp
+++ b/src/direct/placement_cost.cpp
@@ -32,6 +32,19 @@
          prefillMs(request, waitingTokens) + load.Running * Settings.RunningMs;
 }
 
+std::optional<Duration>
+PlacementCost::outdatedSlack(const ForwardRequest &request,
+                             const Candidate &candidate) const {
+  if (candidate.OutdatedFor == Duration::zero())
+    return std::nullopt;
+  double waitMs =
+      firstTokenMs(request, candidate.Load, request.Head.PromptTokens) *
+      Settings.OldWeightsWaitFactor;
+  auto wait = Duration(static_cast<int64_t>(waitMs * 1000));
+  return Settings.OldWeightsLimit - candidate.OutdatedFor -
+         std::min(wait, Settings.OldWeightsMaxWait);
+}
+
 uint64_t PlacementCost::tokensToPrefill(const ForwardRequest &request,
                                         const BackendServer &server) const {
   const CallerHead &head = request.Head;
--- a/src/direct/placement_cost.h
+++ b/src/direct/placement_cost.h
@@ -9,6 +9,7 @@
 #include "direct/prefill_rate.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace daisytack::direct {
@@ -33,6 +34,13 @@
   /// `prefillTokens` of the request's own tokens have to be computed.
   double firstTokenMs(const ForwardRequest &request, const ServerLoadView &load,
                       uint64_t prefillTokens) const;
+  /// Time that is left for fetches if the request is to begin on the server's
+  /// outdated weights in time: what remains of OldWeightsLimit after the queue
+  /// and the prefill of the whole prompt, as a fetch that ends at its deadline
+  /// has fetched nothing. Zero or less: the request would begin too late even
+  /// without a fetch. nullopt: the server's weights are current.
+  std::optional<Duration> outdatedSlack(const ForwardRequest &request,
+                                        const Candidate &server) const;
 
 private:
   /// Tokens of the prompt that no store holds for the server's weights.
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -281,6 +281,43 @@
   EXPECT_EQ(choose(prompt("s"), {}, Start + 9400ms).ServerId, "e5");
 }
 
+/// Unless a server holds the prompt's context, the prompt is prefilled before
+/// the request begins.
+TEST_F(PlacementTest, AvoidsOldWeightsForAPromptWithALongPrefill) {
+  Catalog.DesiredVersions["model"] = {{2, Start}};
+  for (auto &it : Catalog.Servers["engines"])
+    it.Weights = {{"model", it.Id == "e5" ? 2U : 1U}};
+  Loads.onSent("e5", 100'000, Start + 9400ms);
+  ForwardRequest request = prompt("s");
+  EXPECT_NE(choose(request, {}, Start + 9400ms).ServerId, "e5");
+  request.Head.PromptTokens = 100'000; // 893 ms at the initial rate.
+  request.Head.Parts.back().Tokens = 97'500;
+  EXPECT_EQ(choose(request, {}, Start + 9400ms).ServerId, "e5");
+}
+
+/// A fetch over a slow link takes until its deadline; its context is discarded
+/// then and the whole prompt is prefilled. The request must begin before the
+/// server's weights are too old all the same.
+TEST_F(PlacementTest, EndsFetchesToOldWeightsInTimeForThePrefill) {
+  Catalog.DesiredVersions["model"] = {{2, Start}};
+  PartChanges changes{1, 2, false, {}, {}};
+  changes.Changes = {{1, true, "shared@1", "system", 500},
+                     {2, true, "shared@1", "s", 2000}};
+  Kept.apply("store", changes);
+  ForwardRequest request = prompt("s");
+  Duration limit = PlacementSettings().OldWeightsLimit;
+  Duration prefill(static_cast<int64_t>(1000 * request.Head.PromptTokens /
+                                        Rates.tokensPerMs("engines")));
+  for (Duration age = 100ms; age < limit; age += 100ms) {
+    AttemptOrder order = choose(request, {}, Start + age);
+    Duration fetch = std::chrono::milliseconds(
+        order.FetchUntilMs ? *order.FetchUntilMs - ClockMs : 0);
+    EXPECT_LE(age + fetch + prefill, limit) << age.count() << " us";
+    EXPECT_EQ(order.FetchUntilMs.has_value(), order.Sources[1].has_value());
+    EXPECT_TRUE(age > 8s || fetch == MaxFetchTime) << age.count() << " us";
+  }
+}
+
 TEST_F(PlacementTest, CountsTheAgeOfWeightsFromTheFirstNewerVersion) {
   Catalog.DesiredVersions["model"] = {{2, Start}, {3, Start + 11s}};
   for (auto &it : Catalog.Servers["engines"])
