Tell starting entries for how long new weights have been desired

Cause: the key-value service doesn't say when a version was named. An entry that finds it at its first read takes it to be 5 s old; one that was cut off counts from when it heard of it. The older weights stay in use for that much longer. Why it works: entries that know the age tell it with their loads while servers have yet to load the version; an assumed age is replaced and never told. Tests: RolloutAgeTest failed with the message sent and not heeded; five tests of CatalogKeeper cover what is told and believed. Left: if all entries stop at once, nobody knows the age.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -14,6 +14,8 @@
 /// Desired versions that are kept per model. More than servers can lag behind,
 /// because each version is in force everywhere within seconds.
 constexpr size_t VersionsRemembered = 16;
+/// Larger ages are not credible.
+constexpr Duration MaxVersionAge = std::chrono::hours(24 * 365);
 
 /// Deleted keys that are kept. Covers an outage of the store in a large
 /// deployment where one server a second is replaced.
@@ -68,6 +70,24 @@
   return std::nullopt;
 }
 
+std::vector<DesiredVersionAge> Catalog::rolloutAges(TimePoint now) const {
+  std::vector<DesiredVersionAge> out;
+  for (const auto &[model, versions] : DesiredVersions) {
+    for (const DesiredVersion &it : versions) {
+      auto lacksVersion = [&](const BackendServer &server) {
+        uint64_t loaded = server.versionOf(model);
+        return loaded != 0 && loaded < it.Version;
+      };
+      bool isLoadedByAll =
+          std::none_of(AllServers.begin(), AllServers.end(), lacksVersion);
+      if (isLoadedByAll || it.IsSinceAssumed || out.size() >= MaxVersionAges)
+        continue;
+      out.push_back({{model, it.Version}, (now - it.Since).count()});
+    }
+  }
+  return out;
+}
+
 std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
                                            const Catalog &after) {
   std::vector<Endpoint> out;
@@ -227,8 +247,7 @@
   if (!value)
     return mergeUnreadable(record, subject, reason, now);
   if (const auto *desired = std::get_if<DesiredWeights>(&*value))
-    noteDesiredVersion(desired->Desired,
-                       IsFirstRead ? now - Settings.AgeAtFirstRead : now);
+    noteDesiredVersion(desired->Desired, now);
   if (auto *config = std::get_if<ServingConfig>(&*value)) {
     Config = std::make_shared<const ConfigIndex>(std::move(*config));
     ConfigRevision = record.Revision;
@@ -327,15 +346,47 @@
 }
 
 void CatalogKeeper::noteDesiredVersion(const ModelVersion &desired,
-                                       TimePoint since) {
+                                       TimePoint now) {
   std::vector<DesiredVersion> &known = DesiredVersions[desired.Model];
   if (!known.empty() && known.back().Version >= desired.Version)
     return;
-  known.push_back({desired.Version, since});
+  TimePoint since = IsFirstRead ? now - Settings.AgeAtFirstRead : now;
+  known.push_back({desired.Version, since, IsFirstRead});
   if (known.size() > VersionsRemembered)
     known.erase(known.begin());
 }
 
+DesiredVersion *CatalogKeeper::findDesired(const ModelVersion &desired) {
+  auto known = DesiredVersions.find(desired.Model);
+  if (known == DesiredVersions.end())
+    return nullptr;
+  for (DesiredVersion &it : known->second)
+    if (it.Version == desired.Version)
+      return &it;
+  return nullptr;
+}
+
+std::vector<DesiredVersionAge>
+CatalogKeeper::onPeerAges(const std::vector<DesiredVersionAge> &ages,
+                          TimePoint now) {
+  std::vector<DesiredVersionAge> out;
+  for (const DesiredVersionAge &it : ages) {
+    DesiredVersion *known = findDesired(it.Desired);
+    if (!known || it.Age < 0 || it.Age > MaxVersionAge.count())
+      continue;
+    TimePoint since = now - Duration(it.Age);
+    bool isEarlier = since + Settings.VersionAgeTolerance < known->Since;
+    if (!isEarlier && !known->IsSinceAssumed)
+      continue;
+    known->Since = since;
+    known->IsSinceAssumed = false;
+    out.push_back(it);
+  }
+  if (!out.empty())
+    publish(now);
+  return out;
+}
+
 void CatalogKeeper::dropOutdatedNotes(const BackendServer &server,
                                       bool isRestart) {
   std::erase_if(NotedVersions, [&](const auto &it) {
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -22,10 +22,24 @@
 /// decoded: the lease is taken, by an unknown entry.
 constexpr std::string_view UnknownHolder = "(unknown)";
 
-/// A desired version of a model's weights, and when this process learned of it.
+/// A desired version of a model's weights.
 struct DesiredVersion {
   uint64_t Version = 0;
+  /// When it became desired, as far as this process knows.
   TimePoint Since;
+  /// The version was found at the first read, so that Since is an assumption.
+  bool IsSinceAssumed = false;
+};
+
+/// How long a version of a model's weights has been desired, as passed on
+/// between entries.
+struct DesiredVersionAge {
+  ModelVersion Desired;
+  int64_t Age = 0; ///< In microseconds.
+  bool operator==(const DesiredVersionAge &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Desired.Model, Desired.Version, Age);
+  }
 };
 
 /// One immutable snapshot.
@@ -89,8 +103,15 @@
   /// version is up to date.
   std::optional<TimePoint> outdatedSince(std::string_view model,
                                          uint64_t version) const;
+  /// Ages of the desired versions that servers have yet to load, without those
+  /// that this process only assumes; MaxVersionAges at most.
+  std::vector<DesiredVersionAge> rolloutAges(TimePoint now) const;
 };
 
+/// Maximum number of ages that an entry tells the others. They fit into one
+/// datagram if names of models are shorter than 70 bytes.
+constexpr size_t MaxVersionAges = 16;
+
 /// Addresses of server starts that are in the second catalog but not in the
 /// first. Connections that are kept open to these addresses belong to an
 /// earlier process. Servers that report no start time are left out.
@@ -103,10 +124,14 @@
   /// kept after the store's recovery. The platform promises that running
   /// servers register again within about two seconds.
   Duration ExpiryGrace{2'000'000};
-  /// Assumed age of a desired version that is found at the first read: a third
-  /// of the time within which it must be in force. Counting from the start of
-  /// the process instead would let a restart double that time.
+  /// Assumed age of a desired version that is found at the first read, until
+  /// another entry tells its age: a third of the time within which it must be
+  /// in force. Counting from the start of the process instead would let a
+  /// restart double that time.
   Duration AgeAtFirstRead{5'000'000};
+  /// Other entries' times of a version are taken over if they are earlier by
+  /// more than this; a datagram's delay alone is shorter.
+  Duration VersionAgeTolerance{200'000};
   /// After a restore of the store, how long the state known before takes
   /// precedence over the restored copy, while the operator and the servers
   /// write again what the copy lacks. After that the store is authoritative.
@@ -158,6 +183,12 @@
   /// start of the server only.
   void noteLoaded(const ServerStart &server, const ModelVersion &loaded,
                   TimePoint now);
+  /// Another entry has known these desired versions for longer than this one,
+  /// or this one doesn't know for how long they have been desired: it started
+  /// after they became desired, or heard of them late. Returns what was taken
+  /// over.
+  std::vector<DesiredVersionAge>
+  onPeerAges(const std::vector<DesiredVersionAge> &ages, TimePoint now);
   /// The store stopped answering.
   void onStoreLost();
   /// The store answers again.
@@ -231,7 +262,9 @@
   /// Marks the key as deleted and returns whether the catalog changed.
   bool mergeDeletion(KeyState &state, uint64_t revision, TimePoint now);
   void publish(TimePoint now);
-  void noteDesiredVersion(const ModelVersion &desired, TimePoint since);
+  void noteDesiredVersion(const ModelVersion &desired, TimePoint now);
+  /// The known desired version; null if it is not known.
+  DesiredVersion *findDesired(const ModelVersion &desired);
   /// Whether the configuration has the server's service and, for an engine, the
   /// server has weights of all configured models. True while no configuration
   /// is known.
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -1,6 +1,7 @@
 /// Messages between entries on the direct path.
 #pragma once
 
+#include "direct/catalog.h"
 #include "direct/crash_suspects.h"
 #include "direct/kept_context.h"
 #include "direct/records.h"
@@ -108,6 +109,15 @@
   template <class Archive> void serialize(Archive &ar) { ar(ServerLimits); }
 };
 
+/// Ages of desired versions of weights, sent as a datagram while servers load
+/// them. An entry that starts in the meantime, or that heard of a version late,
+/// can't know for how long it may still use servers with older weights.
+struct RolloutAges {
+  std::vector<DesiredVersionAge> Versions;
+  bool operator==(const RolloutAges &) const = default;
+  template <class Archive> void serialize(Archive &ar) { ar(Versions); }
+};
+
 /// Response to messages that need no data in return.
 struct Acknowledgement {
   bool operator==(const Acknowledgement &) const = default;
@@ -117,6 +127,6 @@
 using PeerMessage =
     std::variant<RecordsRequest, RecordsResponse, ServersLoading, ServerLoaded,
                  EntryLoads, ContextRetired, Acknowledgement, CrashReports,
-                 RequestLimitUpdate>;
+                 RequestLimitUpdate, RolloutAges>;
 
 } // namespace daisytack::direct
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -72,6 +72,8 @@
                              now);
   if (const auto *limits = std::get_if<direct::RequestLimitUpdate>(&*message))
     return State.Limits.onPeerReports(limits->ServerLimits, now);
+  if (const auto *ages = std::get_if<direct::RolloutAges>(&*message))
+    return onRolloutAges(*ages, now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
   if (!loads || loads->Entry == State.Options.Name)
     return;
@@ -82,6 +84,17 @@
     State.Loads.onLeaving(server, now);
 }
 
+void LoadExchange::onRolloutAges(const direct::RolloutAges &ages,
+                                 TimePoint now) {
+  for (const direct::DesiredVersionAge &it :
+       State.Catalog.onPeerAges(ages.Versions, now))
+    State.Log.write(LogPriority::Notable, "version_age_learned",
+                    {{"model", it.Desired.Model},
+                     {"version", it.Desired.Version},
+                     {"age_ms", it.Age / 1000}},
+                    now);
+}
+
 void LoadExchange::send(const Endpoint &peer, const std::string &bytes) {
   boost::asio::ip::tcp::endpoint address;
   if (!net::toTcp(peer, address))
@@ -113,6 +126,9 @@
   direct::RequestLimitUpdate limits{State.Limits.takeGossip(now)};
   if (!limits.ServerLimits.empty())
     messages.push_back(wire::encode(direct::PeerMessage(std::move(limits))));
+  direct::RolloutAges ages{catalog->rolloutAges(now)};
+  if (!ages.Versions.empty())
+    messages.push_back(wire::encode(direct::PeerMessage(std::move(ages))));
   for (size_t i = 0; i < std::min(n, Settings.MaxPeersPerInterval); ++i) {
     const direct::EntryPeer &peer = catalog->Entries[NextPeer++ % n];
     if (peer.Peer == State.Options.Peers)
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,7 +2,8 @@
 /// each puts on every backend server, so that all know a server's total load;
 /// how late fetches came, so that all notice a slow link to a store at once;
 /// which servers are leaving; which requests crashed servers, so that no entry
-/// forwards them; and which request limits servers reported.
+/// forwards them; which request limits servers reported; and for how long
+/// weights that servers are loading have been desired.
 #pragma once
 
 #include "direct/peer_messages.h"
@@ -31,6 +32,7 @@
 private:
   void receive();
   void onDatagram(std::string_view bytes);
+  void onRolloutAges(const direct::RolloutAges &ages, TimePoint now);
   void send(const Endpoint &peer, const std::string &bytes);
 
   GatewayState &State;
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace daisytack::direct {
 namespace {
@@ -105,6 +106,66 @@
   EXPECT_EQ(keeper.view()->outdatedSince("model", 2), Start + 1s);
 }
 
+/// An entry that had started 7.7 s after a version was named took it to be 5 s
+/// old, and sent requests to servers with older weights for too long.
+TEST(CatalogKeeper, TakesTheAgeOfAVersionFromAnEntryThatKnowsIt) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("weights:model", "2", 7), put("server:a", "1", 8)}, 8,
+                  Start);
+  EXPECT_TRUE(keeper.view()->rolloutAges(Start).empty()); // Only assumed.
+  std::vector<DesiredVersionAge> ages{{{"model", 2}, 7'700'000}};
+  EXPECT_EQ(keeper.onPeerAges(ages, Start), ages);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start - 7700ms);
+  EXPECT_EQ(keeper.view()->rolloutAges(Start), ages);
+  EXPECT_TRUE(keeper.onPeerAges({{{"model", 2}, 7'600'000}}, Start).empty());
+}
+
+TEST(CatalogKeeper, ReplacesAnAssumedAgeByASmallerOneThatIsKnown) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("weights:model", "2", 7)}, 7, Start);
+  keeper.onPeerAges({{{"model", 2}, 1'000'000}}, Start + 100ms);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start - 900ms);
+}
+
+/// An entry that was cut off when a version was named hears of it late.
+TEST(CatalogKeeper, CorrectsTheAgeOfAVersionThatItHeardOfLate) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("server:a", "1", 6)}, 6, Start);
+  keeper.apply({put("weights:model", "2", 7)}, Start + 10s);
+  keeper.onPeerAges({{{"model", 2}, 150'000}}, Start + 10s);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start + 10s);
+  keeper.onPeerAges({{{"model", 2}, 5'000'000}}, Start + 10s);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start + 5s);
+}
+
+TEST(CatalogKeeper, IgnoresAgesThatCannotBe) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("weights:model", "2", 7)}, 7, Start);
+  constexpr int64_t Huge = std::numeric_limits<int64_t>::max();
+  EXPECT_TRUE(keeper
+                  .onPeerAges({{{"model", 2}, -1},
+                               {{"model", 2}, Huge},
+                               {{"model", 3}, 1000},
+                               {{"other", 2}, 1000}},
+                              Start)
+                  .empty());
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start - 5s);
+}
+
+/// Ages are of use only while a server can still be sent requests that begin on
+/// older weights.
+TEST(CatalogKeeper, TellsAgesUntilEveryServerHasTheVersion) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("server:a", "1", 5), put("server:b", "1", 6)}, 6, Start);
+  keeper.apply({put("weights:model", "2", 7)}, Start + 1s);
+  std::vector<DesiredVersionAge> ages{{{"model", 2}, 2'000'000}};
+  EXPECT_EQ(keeper.view()->rolloutAges(Start + 3s), ages);
+  keeper.apply({put("server:a", "2", 8)}, Start + 3s);
+  EXPECT_EQ(keeper.view()->rolloutAges(Start + 3s), ages);
+  keeper.apply({put("server:b", "2", 9)}, Start + 3s);
+  EXPECT_TRUE(keeper.view()->rolloutAges(Start + 3s).empty());
+}
+
 TEST(CatalogKeeper, KeepsTheTimeOfEachDesiredVersion) {
   CatalogKeeper keeper({}, textHooks());
   keeper.apply({put("weights:model", "2", 5)}, Start);
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -70,6 +70,7 @@
       wire::encode(PeerMessage(ServersLoading{{{"a", 5}, {"b", 6}}})),
       wire::encode(PeerMessage(ServerLoaded{{"a", 5}, {"model", 2}})),
       wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}, {{5, 6}}})),
+      wire::encode(PeerMessage(RolloutAges{{{{"model", 2}, 5000}}})),
       wire::encode(PeerMessage(Acknowledgement{}))};
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -67,7 +67,9 @@
 public:
   Entry(net::asio::io_context &io, std::string name, const Endpoint &store,
         std::vector<Endpoint> seeds = {})
-      : Options(optionsFor(std::move(name), store, std::move(seeds))),
+      : Entry(io, optionsFor(std::move(name), store, std::move(seeds))) {}
+  Entry(net::asio::io_context &io, GatewayOptions options)
+      : Options(std::move(options)),
         Daemon(io, Options, platform::makeProtocol(), platform::makeKvStore) {}
 
   void start() {
--- /dev/null
+++ b/tests/gateway/rollout_age_test.cpp
@@ -0,0 +1,87 @@
+/// Guards against entries that use servers with older weights for too long
+/// because they don't know for how long newer ones have been desired.
+///
+/// Entries that had started while engines loaded new weights assumed that these
+/// had been desired for 5 s. They sent requests to engines with the older
+/// weights up to 10.8 s after newer ones had been named, of 10 s allowed.
+#include "gateway/gateway_fixture.h"
+
+#include "wire/codec.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <algorithm>
+
+namespace daisytack::gateway {
+namespace {
+
+class RolloutAgeTest : public GatewayTest {
+protected:
+  /// Starts an entry that accepts older weights for an hour and would rather
+  /// use a session's own server than one with newer weights.
+  Entry &startPatientEntry() {
+    GatewayOptions options = Entry::optionsFor("e1", KvService.address(), {});
+    options.Placement.OldWeightsLimit = 1h;
+    options.Placement.OldWeightsMs = 0;
+    Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+    Entries.back()->start();
+    EXPECT_TRUE(waitReady(*Entries.back()));
+    return *Entries.back();
+  }
+  /// Tells the entry for how long version 2 has been desired, as another entry
+  /// does.
+  void tellAge(const Entry &entry, std::chrono::microseconds age) {
+    using boost::asio::ip::udp;
+    direct::RolloutAges ages{{{{"m", 2}, age.count()}}};
+    std::string bytes = wire::encode(direct::PeerMessage(ages));
+    udp::socket socket(Threads.Io, udp::v4());
+    socket.send_to(boost::asio::buffer(bytes),
+                   udp::endpoint(boost::asio::ip::make_address(
+                                     entry.Options.Peers.Address),
+                                 entry.Options.Peers.Port));
+  }
+  static size_t promptsAt(test::FakeServer &server) {
+    auto requests = server.requests();
+    return static_cast<size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [](const auto &it) { return it.Path == "/ask/"; }));
+  }
+  /// Sends prompts of 20 sessions and returns how many reached the server.
+  size_t sendPrompts(const Entry &entry, test::FakeServer &server) {
+    size_t before = promptsAt(server);
+    for (int i = 0; i < 20; ++i) {
+      HttpRequest prompt = request("/ask/", "r" + std::to_string(++Requests));
+      std::string session = "a" + std::to_string(i);
+      prompt.Headers.push_back({"X-Daisytack-Model", "m"});
+      prompt.Headers.push_back({"X-Daisytack-Token-Counts", "700,10"});
+      prompt.Headers.push_back(
+          {"X-Daisytack-Prompt-Prefix", session + ":500,bb:200"});
+      EXPECT_EQ(statusOf(entry, prompt), 200);
+    }
+    return promptsAt(server) - before;
+  }
+
+  size_t Requests = 0;
+};
+
+TEST_F(RolloutAgeTest, AStartingEntryTakesItFromAnotherEntry) {
+  test::FakeServer &contextStore = startBackend(answer);
+  test::FakeServer &outdated = startBackend(answer);
+  test::FakeServer &current = startBackend(answer);
+  registerServer("i-1", outdated, "engines", 1);
+  registerServer("i-2", current, "engines", 2);
+  KvService.put("op/config", promptConfigText(contextStore.address()));
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  // Another entry orders the loads, which would keep requests away as well.
+  KvService.put("daisytack/holder", "{}", 77);
+  Entry &entry = startPatientEntry();
+  EXPECT_TRUE(eventually([&] { return sendPrompts(entry, outdated) > 0; }));
+  EXPECT_TRUE(eventually([&] {
+    tellAge(entry, 2h);
+    return sendPrompts(entry, outdated) == 0;
+  }));
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
+} // namespace
+} // namespace daisytack::gateway
