Limit the wait on old weights by the route instead of a constant

Callers of routes with a target latency of 2 s wait up to 8 s for the first event. Their requests could begin on weights that had been replaced for too long, as a wait of more than 3.2 s was never counted. Cause: the upper bound on the wait was a constant that fits targets of 800 ms. Evidence: PlacementTest.AvoidsOldWeightsForACallerThatWaitsLong failed before: a request with a predicted wait of 7.2 s was sent to weights 7.5 s old, of 11 s allowed. Why it works: the configuration says for each route after which wait its callers give up; a request without such a route counts its whole wait.

--- a/src/direct/placement_cost.cpp
+++ b/src/direct/placement_cost.cpp
@@ -41,8 +41,11 @@
       firstTokenMs(request, candidate.Load, request.Head.PromptTokens) *
       Settings.OldWeightsWaitFactor;
   auto wait = Duration(static_cast<int64_t>(waitMs * 1000));
-  return Settings.OldWeightsLimit - candidate.OutdatedFor -
-         std::min(wait, Settings.OldWeightsMaxWait);
+  // After that the caller gives up, and the request never begins to run.
+  Duration maxWait = request.MatchedRoute.MaxFirstEventWait;
+  if (maxWait > Duration::zero())
+    wait = std::min(wait, maxWait);
+  return Settings.OldWeightsLimit - candidate.OutdatedFor - wait;
 }
 
 uint64_t PlacementCost::tokensToPrefill(const ForwardRequest &request,
--- a/src/direct/placement_settings.h
+++ b/src/direct/placement_settings.h
@@ -58,9 +58,6 @@
   /// OldWeightsLimit: where servers were lost, first bytes arrive later than
   /// predicted.
   double OldWeightsWaitFactor = 2;
-  /// Upper bound on the wait that counts towards OldWeightsLimit: a caller that
-  /// would wait longer gives up, and its request never begins to run.
-  Duration OldWeightsMaxWait{3'200'000};
   /// A prompt is refused when even the best server is predicted to begin its
   /// answer only after this share of the time that the caller will wait:
   /// prefilling it would delay other requests for nothing.
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -281,6 +281,21 @@
   EXPECT_EQ(choose(prompt("s"), {}, Start + 9400ms).ServerId, "e5");
 }
 
+/// A caller gives up after its route's own wait, which may be several times as
+/// long as that of another route.
+TEST_F(PlacementTest, AvoidsOldWeightsForACallerThatWaitsLong) {
+  Catalog.DesiredVersions["model"] = {{2, Start}};
+  for (auto &it : Catalog.Servers["engines"]) {
+    it.Weights = {{"model", it.Id == "e5" ? 2U : 1U}};
+    Loads.onSent(it.Id, it.Id == "e5" ? 600'000 : 400'000, Start + 7500ms);
+  }
+  ForwardRequest request = prompt("s");
+  request.MatchedRoute.MaxFirstEventWait = 3200ms;
+  EXPECT_NE(choose(request, {}, Start + 7500ms).ServerId, "e5");
+  request.MatchedRoute.MaxFirstEventWait = 8s;
+  EXPECT_EQ(choose(request, {}, Start + 7500ms).ServerId, "e5");
+}
+
 /// Unless a server holds the prompt's context, the prompt is prefilled before
 /// the request begins.
 TEST_F(PlacementTest, AvoidsOldWeightsForAPromptWithALongPrefill) {
