Reload settings on one thread at a time

Nobody has seen it: a hangup and the check of the settings file could reload at once in a process with several threads, and write the same values. Cause: their handlers ran on the I/O context instead of a strand. Evidence: Process.ReloadsOnOneThreadAtATime, with two threads, failed before: the second reload began before the end of the first. Why it works: both handlers run on one strand.

--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -5,6 +5,7 @@
 #include "runtime/process_log.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/strand.hpp>
 #include <gflags/gflags.h>
 
 #include <algorithm>
@@ -86,7 +87,8 @@
                 TimePoint startedAt)
       : Init(init), Config(settings), StartedAt(startedAt),
         Io(static_cast<int>(settings.Threads)), Signals(Io, SIGTERM, SIGINT),
-        Hangups(Io, SIGHUP), Timer(Io), FileTimer(Io),
+        Timer(Io), ReloadStrand(boost::asio::make_strand(Io)),
+        Hangups(ReloadStrand, SIGHUP), FileTimer(ReloadStrand),
         LastFileState(fileState()) {}
 
   ExitCode run() {
@@ -228,8 +230,10 @@
   bool WasSignalPending = false; ///< A stop signal came before its handler.
   boost::asio::io_context Io;
   boost::asio::signal_set Signals;
-  boost::asio::signal_set Hangups;
   net::Timer Timer;
+  /// A hangup and the check of the file reload one after the other.
+  boost::asio::strand<boost::asio::io_context::executor_type> ReloadStrand;
+  boost::asio::signal_set Hangups;
   net::Timer FileTimer;
   uint64_t LastFileState; ///< State of the settings file when it was last read.
   std::atomic<bool> IsDraining{false};
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -47,7 +47,8 @@
   /// Called after all I/O threads have ended. Frees what Start has built.
   std::function<void()> Stop;
   /// Called on an I/O thread after SIGHUP or a change of the settings file, if
-  /// the settings are valid. ReadSettings has been called with them before.
+  /// the settings are valid. ReadSettings has been called with them before. A
+  /// reload begins only after the one before it has ended.
   /// Empty: SIGHUP and changes of the file are ignored.
   std::function<void()> Reload = {};
 };
--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -7,6 +7,7 @@
 #include <gflags/gflags.h>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -163,6 +164,33 @@
   EXPECT_EQ(Calls, (std::vector<std::string>{"reload", "drain", "stop"}));
 }
 
+/// The check of the file ran on a second thread while a hangup was reloading.
+TEST_F(Process, ReloadsOnOneThreadAtATime) {
+  std::atomic<int> running{0};
+  std::atomic<int> reloads{0};
+  std::atomic<bool> hasOverlapped{false};
+  Init.Reload = [&] {
+    if (++running > 1)
+      hasOverlapped = true;
+    if (++reloads == 1) {
+      fileWith("[process]\nthreads = 2\nlog_level = error\n[trial]\nn = 3\n");
+      // Longer than the interval between two checks of the file.
+      for (int i = 0; i < 25 && !hasOverlapped; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    } else {
+      std::raise(SIGTERM);
+    }
+    --running;
+  };
+  Init.Start = [](boost::asio::io_context &io, Error &) {
+    boost::asio::post(io, [] { std::raise(SIGHUP); });
+    return true;
+  };
+  EXPECT_EQ(run({fileWith("[process]\nthreads = 2\nlog_level = error\n")}), 0);
+  EXPECT_FALSE(hasOverlapped);
+  EXPECT_EQ(reloads, 2);
+}
+
 TEST_F(Process, KeepsItsSettingsWhenTheNewOnesHoldAMistake) {
   Init.Reload = [&] { Calls.emplace_back("reload"); };
   Init.Start = [this](boost::asio::io_context &io, Error &) {
