Drop reports of rejected datagrams after a peer link has stopped

Nobody has seen it: a process that stops could call the destroyed owner of its peer link. Cause: the report is posted to the strand, and stop() may run before it. Evidence: PeerLink.ReportsNoRejectedDatagramAfterItWasStopped failed before: one report came after stop(). Why it works: the posted call checks, on the strand, whether the link still has its socket, as that of a message does.

--- a/src/runtime/peer_link.cpp
+++ b/src/runtime/peer_link.cpp
@@ -230,7 +230,8 @@
 
 void PeerLink::reject(ErrorKind kind) {
   boost::asio::post(Executor, [self = shared_from_this(), kind] {
-    self->Hooks.Rejected(kind);
+    if (self->Datagrams)
+      self->Hooks.Rejected(kind);
   });
 }
 
--- a/src/runtime/peer_link.h
+++ b/src/runtime/peer_link.h
@@ -22,7 +22,7 @@
   Incarnation Process;
 };
 
-/// Hooks, called on the strand.
+/// Hooks, called on the strand and not after stop().
 struct PeerLinkHooks {
   std::function<void(const Endpoint &from, const control::PeerMessage &)>
       Message;
