Pass on the era of a key-value store behind a call budget

Nobody has seen it: no store with an era has a budget today. An entry behind one would have missed that the service came back from an older copy. Cause: withBudget copies the hooks one by one and left out LatestEra. Evidence: CallBudget.KeepsTheEraOfTheService failed before: the hook was empty. Why it works: the hook is passed on; it makes no call, so the budget is not concerned.

--- a/src/edge/kv_budget.cpp
+++ b/src/edge/kv_budget.cpp
@@ -85,6 +85,8 @@
     hooks.Ended(header, 0);
     return [] {};
   };
+  // No call: the store remembers the era of its last answer.
+  out.LatestEra = std::move(store.LatestEra);
   return out;
 }
 
--- a/tests/edge_kv/budget_test.cpp
+++ b/tests/edge_kv/budget_test.cpp
@@ -51,5 +51,18 @@
   EXPECT_EQ(why, ErrorKind::BudgetSpent);
 }
 
+/// An entry learns from the era that the service was restored from a copy.
+TEST(CallBudget, KeepsTheEraOfTheService) {
+  Metrics metrics;
+  auto budget = std::make_shared<CallBudget>(
+      1, [] { return TimePoint{}; }, metrics);
+  KvStore store;
+  EXPECT_FALSE(withBudget(store, budget).LatestEra);
+  store.LatestEra = [] { return uint64_t{7}; };
+  KvStore limited = withBudget(store, budget);
+  ASSERT_TRUE(limited.LatestEra);
+  EXPECT_EQ(limited.LatestEra(), 7);
+}
+
 } // namespace
 } // namespace daisytack::edge
