--- a/tests/base/observe_test.cpp
+++ b/tests/base/observe_test.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 TEST(Events, EveryKindHasAName) {
-  for (int i = 0; i <= static_cast<int>(EventKind::PeerRejected); ++i) {
+  for (int i = 0; i <= static_cast<int>(EventKind::CommandRefused); ++i) {
     auto kind = static_cast<EventKind>(i);
     EXPECT_EQ(parseEventKind(eventName(kind)), kind);
   }
