--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,6 @@
 """A randomized soak of real entries against stand-ins, with faults from outside. See docs/SOAK.md.
 
-    soak.py --seeds 1,2,3 --seconds 12 [--logs DIRECTORY]
+    soak.py --seeds 1,2,3 --seconds 12 [--failed-seeds FILE]
 """
 
 import argparse
