Keep the oldest version of weights with the catalog

Whether servers have yet to load a version was looked up over all servers ten times a second; at 10,000 servers that is a pass of each model over all of them per datagram. The catalog now holds the oldest version of each model, which is computed when it is published. The age of a version moves to the records, so that the messages between entries don't include the catalog.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -73,13 +73,11 @@
 std::vector<DesiredVersionAge> Catalog::rolloutAges(TimePoint now) const {
   std::vector<DesiredVersionAge> out;
   for (const auto &[model, versions] : DesiredVersions) {
+    auto oldest = OldestVersions.find(model);
+    if (oldest == OldestVersions.end())
+      continue;
     for (const DesiredVersion &it : versions) {
-      auto lacksVersion = [&](const BackendServer &server) {
-        uint64_t loaded = server.versionOf(model);
-        return loaded != 0 && loaded < it.Version;
-      };
-      bool isLoadedByAll =
-          std::none_of(AllServers.begin(), AllServers.end(), lacksVersion);
+      bool isLoadedByAll = it.Version <= oldest->second;
       if (isLoadedByAll || it.IsSinceAssumed || out.size() >= MaxVersionAges)
         continue;
       out.push_back({{model, it.Version}, (now - it.Since).count()});
@@ -434,6 +432,10 @@
 }
 
 void CatalogKeeper::addToLists(BackendServer server, Catalog &to) const {
+  for (const ModelVersion &it : server.Weights) {
+    auto oldest = to.OldestVersions.try_emplace(it.Model, it.Version).first;
+    oldest->second = std::min(oldest->second, it.Version);
+  }
   bool takesRequests =
       !server.IsDraining && !to.Evacuated.contains(server.FailureDomain);
   if (takesRequests)
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -31,17 +31,6 @@
   bool IsSinceAssumed = false;
 };
 
-/// How long a version of a model's weights has been desired, as passed on
-/// between entries.
-struct DesiredVersionAge {
-  ModelVersion Desired;
-  int64_t Age = 0; ///< In microseconds.
-  bool operator==(const DesiredVersionAge &) const = default;
-  template <class Archive> void serialize(Archive &ar) {
-    ar(Desired.Model, Desired.Version, Age);
-  }
-};
-
 /// One immutable snapshot.
 struct Catalog {
   std::shared_ptr<const ConfigIndex> Config; ///< Null until it is known.
@@ -49,6 +38,8 @@
   /// By service name: the servers that take new requests, sorted by id. Only
   /// servers of configured services, in failure domains that are not evacuated.
   std::map<std::string, std::vector<BackendServer>, std::less<>> Servers;
+  /// By model: the oldest version of its weights that a usable server has.
+  std::map<std::string, uint64_t, std::less<>> OldestVersions;
   /// All usable servers, including draining ones and those in evacuated
   /// domains, sorted by id.
   std::vector<BackendServer> AllServers;
@@ -103,8 +94,8 @@
   /// version is up to date.
   std::optional<TimePoint> outdatedSince(std::string_view model,
                                          uint64_t version) const;
-  /// Ages of the desired versions that servers have yet to load, without those
-  /// that this process only assumes; MaxVersionAges at most.
+  /// Ages of the desired versions that servers have yet to load, except for
+  /// ages that this process only assumes; MaxVersionAges at most.
   std::vector<DesiredVersionAge> rolloutAges(TimePoint now) const;
 };
 
@@ -183,10 +174,9 @@
   /// start of the server only.
   void noteLoaded(const ServerStart &server, const ModelVersion &loaded,
                   TimePoint now);
-  /// Another entry has known these desired versions for longer than this one,
-  /// or this one doesn't know for how long they have been desired: it started
-  /// after they became desired, or heard of them late. Returns what was taken
-  /// over.
+  /// Another entry tells for how long versions have been desired. The ages that
+  /// this process only assumes, or that it takes to be smaller since it heard
+  /// of the version late, are replaced. Returns those that were.
   std::vector<DesiredVersionAge>
   onPeerAges(const std::vector<DesiredVersionAge> &ages, TimePoint now);
   /// The store stopped answering.
@@ -280,7 +270,8 @@
   /// is unknown. Servers are also cold after an evacuation, which their records
   /// reflect only up to one heartbeat later.
   TimePoint coldUntil(const KeyState &state, const BackendServer &server) const;
-  /// Adds the server to AllServers and, if it takes requests, to Servers.
+  /// Adds the server to AllServers, its weights to OldestVersions and, if it
+  /// takes requests, the server to Servers.
   void addToLists(BackendServer server, Catalog &to) const;
   /// Whether servers whose records expire now are kept for ExpiryGrace.
   bool isInGrace(TimePoint now) const;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -1,7 +1,6 @@
 /// Messages between entries on the direct path.
 #pragma once
 
-#include "direct/catalog.h"
 #include "direct/crash_suspects.h"
 #include "direct/kept_context.h"
 #include "direct/records.h"
--- a/src/direct/records.h
+++ b/src/direct/records.h
@@ -73,6 +73,17 @@
   auto operator<=>(const DesiredWeights &) const = default;
 };
 
+/// How long a version of a model's weights has been desired, as passed on
+/// between entries.
+struct DesiredVersionAge {
+  ModelVersion Desired;
+  int64_t Age = 0; ///< In microseconds.
+  auto operator<=>(const DesiredVersionAge &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Desired.Model, Desired.Version, Age);
+  }
+};
+
 /// The holder of the order lease: the one entry that may send orders to backend
 /// servers and free kept context. The address identifies its instance, because
 /// the same name may later be used on another instance.
