Don't tell the age of a version heard of before the first read

Nobody has seen it: an entry that heard of a version from another one before its own first read of the key-value service told the moment of hearing as a known time. Cause: only a version found at the first read itself was marked as assumed. Evidence: CatalogKeeper.TellsNoAgeOfAVersionHeardOfBeforeTheFirstRead failed before in both of its checks. Why it works: everything learned before the end of the first read is marked. The time that counts for the entry's own choices is as it was.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -349,7 +349,7 @@
   if (!known.empty() && known.back().Version >= desired.Version)
     return;
   TimePoint since = IsFirstRead ? now - Settings.AgeAtFirstRead : now;
-  known.push_back({desired.Version, since, IsFirstRead});
+  known.push_back({desired.Version, since, !HasReadAll});
   if (known.size() > VersionsRemembered)
     known.erase(known.begin());
 }
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -27,7 +27,7 @@
   uint64_t Version = 0;
   /// When it became desired, as far as this process knows.
   TimePoint Since;
-  /// The version was found at the first read, so that Since is an assumption.
+  /// Learned before the end of the first read, so that Since is an assumption.
   bool IsSinceAssumed = false;
 };
 
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -120,6 +120,17 @@
   EXPECT_TRUE(keeper.onPeerAges({{{"model", 2}, 7'600'000}}, Start).empty());
 }
 
+/// An entry that hears of a version from another one before its first read must
+/// not tell that it was named just then.
+TEST(CatalogKeeper, TellsNoAgeOfAVersionHeardOfBeforeTheFirstRead) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("weights:model", "2", 7), put("server:a", "1", 8)}, Start);
+  EXPECT_TRUE(keeper.view()->rolloutAges(Start + 1s).empty());
+  keeper.applyAll({put("weights:model", "2", 7), put("server:a", "1", 8)}, 8,
+                  Start + 1s);
+  EXPECT_TRUE(keeper.view()->rolloutAges(Start + 1s).empty());
+}
+
 TEST(CatalogKeeper, ReplacesAnAssumedAgeByASmallerOneThatIsKnown) {
   CatalogKeeper keeper({}, textHooks());
   keeper.applyAll({put("weights:model", "2", 7)}, 7, Start);
