Log the age of weights of every attempt close to the rollout limit

Callers got answers of replaced weights after the rollout limit. None of the lines told how old the weights were, nor whether the entry had a better server, so that the hypotheses of the incident couldn't be told apart.

Audit lines have a rate of their own, 150 a second, which other lines can't use up. Attempts at servers whose weights have been outdated for more than half of the rollout limit are audited. The lines of prompts have the age of the server's weights, the number of eligible servers and how many of these have current weights.

Tests: DecisionLog.KeepsAuditLinesWhenOthersUseUpTheRate and LeavesTheRateToOthersWhenAuditLinesUseUpTheirOwn, PlacementTest.TellsTheAgeOfTheWeightsAndTheServersToChooseFrom.

--- a/src/base/decision_log.cpp
+++ b/src/base/decision_log.cpp
@@ -26,21 +26,36 @@
     Write(Buffer);
 }
 
+double DecisionLog::maxLines(LogPriority priority) const {
+  switch (priority) {
+  case LogPriority::Routine:
+    return Settings.LinesPerSecond * (1 - Settings.NotableReserve);
+  case LogPriority::Notable:
+    return Settings.LinesPerSecond;
+  case LogPriority::Audit:
+    return Settings.AuditLinesPerSecond;
+  }
+  return 0;
+}
+
+uint32_t &DecisionLog::linesInSecond(LogPriority priority) {
+  return priority == LogPriority::Audit ? AuditLinesInSecond : LinesInSecond;
+}
+
 bool DecisionLog::admitLocked(LogPriority priority, TimePoint now) {
   if (now >= SecondStart + OneSecond) {
     SecondStart = now;
     LinesInSecond = 0;
+    AuditLinesInSecond = 0;
     reportDroppedLocked(now);
   }
-  auto bound = static_cast<double>(Settings.LinesPerSecond);
-  if (priority == LogPriority::Routine)
-    bound *= 1 - Settings.NotableReserve;
-  if (LinesInSecond >= bound || Buffer.size() >= Settings.BufferBytes) {
+  uint32_t &lines = linesInSecond(priority);
+  if (lines >= maxLines(priority) || Buffer.size() >= Settings.BufferBytes) {
     Dropped.add();
     ++UnreportedDrops;
     return false;
   }
-  ++LinesInSecond;
+  ++lines;
   return true;
 }
 
--- a/src/base/decision_log.h
+++ b/src/base/decision_log.h
@@ -5,7 +5,8 @@
 /// Writing never blocks and memory is bounded: lines are queued in a bounded
 /// buffer, lines over a maximum per second are dropped, and drops of either
 /// kind are counted and reported. Notable lines, such as those about failures,
-/// have a reserved share of the rate that routine lines cannot use.
+/// have a reserved share of the rate that routine lines cannot use. Audit
+/// lines, which show whether a promise was kept, have a rate of their own.
 #pragma once
 
 #include "base/metrics.h"
@@ -22,14 +23,16 @@
 
 namespace daisytack {
 
-/// Routine lines are dropped first.
-enum class LogPriority : uint8_t { Routine, Notable };
+/// Routine lines are dropped first, and never because of audit lines.
+enum class LogPriority : uint8_t { Routine, Notable, Audit };
 
 struct DecisionLogSettings {
   /// Maximum lines per second, of which a share is reserved for notable lines.
   /// At about 250 bytes per line this bounds the output to 50 kB/s.
   uint32_t LinesPerSecond = 200;
   double NotableReserve = 0.5;
+  /// Maximum audit lines per second, which LinesPerSecond doesn't include.
+  uint32_t AuditLinesPerSecond = 150;
   /// Bytes of lines buffered for the pipe: about five seconds of output.
   size_t BufferBytes = 256U << 10;
   bool operator==(const DecisionLogSettings &) const = default;
@@ -59,6 +62,10 @@
 
 private:
   bool admitLocked(LogPriority priority, TimePoint now);
+  /// Maximum lines per second of the priority.
+  double maxLines(LogPriority priority) const;
+  /// Lines of the current second that count towards that maximum.
+  uint32_t &linesInSecond(LogPriority priority);
   void appendLocked(std::string_view event, Fields fields, TimePoint now);
   void reportDroppedLocked(TimePoint now);
 
@@ -70,7 +77,8 @@
   std::mutex Lock;
   std::string Buffer;
   TimePoint SecondStart;
-  uint32_t LinesInSecond = 0;
+  uint32_t LinesInSecond = 0; ///< Without audit lines.
+  uint32_t AuditLinesInSecond = 0;
   uint64_t UnreportedDrops = 0; ///< Dropped since the last report.
 };
 
--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -72,6 +72,12 @@
   /// stream begins with its first event.
   std::optional<std::string> LastEventId;
   // Inputs of the choice of the server, for load accounting and the log.
+  /// How long a newer version than the server's weights has been desired; zero
+  /// when the weights are current.
+  Duration OutdatedFor{0};
+  uint32_t EligibleServers = 0; ///< Servers that the choice was made from.
+  /// Those of them whose weights are current.
+  uint32_t CurrentServers = 0;
   /// Tokens that the attempt adds to the server's queue and memory: the whole
   /// prompt, less a share of the tokens that are fetched.
   uint64_t QueuedTokens = 0;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -158,21 +158,29 @@
       return std::nullopt;
     if (!Eligible.tryAcquire(choice->Server, catalog, now))
       continue;
-    return AttemptChoice{orderFor(request, catalog, choice->Server,
-                                  choice->Home, serversClockMs, now)};
+    return AttemptChoice{
+        orderFor(request, catalog, *choice, servers, serversClockMs, now)};
   }
 }
 
-AttemptOrder
-Placement::orderFor(const ForwardRequest &request, const Catalog &catalog,
-                    const Candidate &candidate, const BackendServer *home,
-                    std::optional<int64_t> serversClockMs, TimePoint now) {
+AttemptOrder Placement::orderFor(const ForwardRequest &request,
+                                 const Catalog &catalog, const Choice &choice,
+                                 const Candidates &eligible,
+                                 std::optional<int64_t> serversClockMs,
+                                 TimePoint now) {
+  const Candidate &candidate = choice.Server;
   const BackendServer &server = *candidate.Server;
   AttemptOrder out;
   out.ServerId = server.Id;
   out.StartedMs = server.StartedMs;
   out.Address = server.Address;
   out.Organisation = request.Organisation;
+  out.OutdatedFor = candidate.OutdatedFor;
+  out.EligibleServers = static_cast<uint32_t>(eligible.size());
+  out.CurrentServers = static_cast<uint32_t>(
+      std::count_if(eligible.begin(), eligible.end(), [](const Candidate &it) {
+        return it.OutdatedFor == Duration::zero();
+      }));
   const Service *service = catalog.Config->findService(request.Service);
   const CallerHead &head = request.Head;
   if (!service || !service->Engine || head.Model.empty())
@@ -186,7 +194,7 @@
   out.RunningTokens = candidate.Load.HeldTokens;
   out.PrefillTokensPerMs = Rates.tokensPerMs(request.Service);
   if (service->Engine->HasManagedContext && head.Parts.size() >= 2)
-    Planner.plan(request, candidate, *home, serversClockMs, now, out);
+    Planner.plan(request, candidate, *choice.Home, serversClockMs, now, out);
   out.PredictedFirstTokenMs =
       Cost.firstTokenMs(request, candidate.Load, out.QueuedTokens);
   return out;
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -77,7 +77,7 @@
                             const Candidates &servers,
                             const BackendServer *home) const;
   AttemptOrder orderFor(const ForwardRequest &request, const Catalog &catalog,
-                        const Candidate &server, const BackendServer *home,
+                        const Choice &choice, const Candidates &eligible,
                         std::optional<int64_t> serversClockMs, TimePoint now);
 
   PlacementSettings Settings;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -170,6 +170,14 @@
   return out;
 }
 
+LogPriority GatewayRequest::logPriority(const AttemptOrder &order,
+                                        LogPriority usual) const {
+  constexpr int64_t AuditedPart = 2; // The second half of the rollout.
+  bool isAudited = order.OutdatedFor >=
+                   State.Options.Placement.OldWeightsLimit / AuditedPart;
+  return isAudited ? LogPriority::Audit : usual;
+}
+
 void GatewayRequest::send(uint32_t attempt, const AttemptOrder &order) {
   const direct::ForwardRequest &request = Flow.request();
   TimePoint now = monotonicNow();
@@ -206,11 +214,17 @@
       {"fetch_excess_ms", order.FetchExcessMs},
       {"time_left_ms", millisecondsOf(order.TimeLeft)},
       {"config_version", State.catalog()->Config->config().Version}};
+  if (!request.Head.Model.empty()) {
+    fields["outdated_ms"] = millisecondsOf(order.OutdatedFor);
+    fields["eligible"] = order.EligibleServers;
+    fields["eligible_current"] = order.CurrentServers;
+  }
   if (order.FetchUntilMs)
     fields["fetch_until_ms"] = *order.FetchUntilMs;
   if (order.SlowestSource)
     fields["slowest_source"] = toString(*order.SlowestSource);
-  State.Log.write(LogPriority::Routine, "attempt_sent", std::move(fields), now);
+  State.Log.write(logPriority(order, LogPriority::Routine), "attempt_sent",
+                  std::move(fields), now);
   net::HttpHooks hooks;
   hooks.MatchesRequest = [self = shared_from_this()](const auto &headers) {
     return self->State.WireProtocol.IsAnswerTo(self->Flow.request().Head,
@@ -332,8 +346,10 @@
     fields["identity"] = toHex(identity());
   if (FirstByteAt)
     fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
-  State.Log.write(isSuccess ? LogPriority::Routine : LogPriority::Notable,
-                  "attempt_ended", std::move(fields), now);
+  LogPriority priority =
+      isSuccess ? LogPriority::Routine : LogPriority::Notable;
+  State.Log.write(logPriority(order, priority), "attempt_ended",
+                  std::move(fields), now);
 }
 
 void GatewayRequest::avoidReplacedServer(const AttemptOrder &order,
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -64,6 +64,10 @@
   void observeLink(TimePoint now);
   void updateEjection(const direct::AttemptOrder &order,
                       direct::AttemptResult result, TimePoint now);
+  /// Priority of lines about an attempt. Attempts at servers whose weights come
+  /// close to the rollout limit are audited.
+  LogPriority logPriority(const direct::AttemptOrder &order,
+                          LogPriority usual) const;
   void answerError(unsigned status, const Error &reason);
   void armTimer(TimePoint at);
   void logEnd(unsigned status, std::string_view outcome, const Error &reason);
--- a/tests/base/decision_log_test.cpp
+++ b/tests/base/decision_log_test.cpp
@@ -68,6 +68,39 @@
       << pipe.Text;
 }
 
+/// Guards against incidents without an explanation: half of the requests that
+/// began on weights past the rollout limit had no line, as failures had used up
+/// the rate.
+TEST(DecisionLog, KeepsAuditLinesWhenOthersUseUpTheRate) {
+  Pipe pipe;
+  Metrics metrics;
+  DecisionLogSettings settings = smallLog();
+  settings.AuditLinesPerSecond = 4;
+  DecisionLog log(settings, "e1", pipe.sink(), metrics);
+  for (int i = 0; i < 100; ++i)
+    log.write(LogPriority::Notable, "notable", {}, Start);
+  for (int i = 0; i < 5; ++i)
+    log.write(LogPriority::Audit, "audit", {{"n", i}}, Start);
+  log.flush(Start);
+  EXPECT_EQ(pipe.lines(), 14);
+  EXPECT_NE(pipe.Text.find("\"n\":3"), std::string::npos) << pipe.Text;
+  EXPECT_EQ(pipe.Text.find("\"n\":4"), std::string::npos) << pipe.Text;
+}
+
+TEST(DecisionLog, LeavesTheRateToOthersWhenAuditLinesUseUpTheirOwn) {
+  Pipe pipe;
+  Metrics metrics;
+  DecisionLogSettings settings = smallLog();
+  settings.AuditLinesPerSecond = 4;
+  DecisionLog log(settings, "e1", pipe.sink(), metrics);
+  for (int i = 0; i < 100; ++i)
+    log.write(LogPriority::Audit, "audit", {}, Start);
+  for (int i = 0; i < 100; ++i)
+    log.write(LogPriority::Routine, "routine", {}, Start);
+  log.flush(Start);
+  EXPECT_EQ(pipe.lines(), 9);
+}
+
 TEST(DecisionLog, FlushesBufferedLinesOnDestruction) {
   Pipe pipe;
   Metrics metrics;
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -341,6 +341,23 @@
   EXPECT_EQ(choose(prompt("s"), {}, Start + 12s).ServerId, "e5");
 }
 
+/// The log of an attempt has to show whether its server's weights were too old,
+/// and whether there was a better server.
+TEST_F(PlacementTest, TellsTheAgeOfTheWeightsAndTheServersToChooseFrom) {
+  Catalog.DesiredVersions["model"] = {{2, Start}};
+  for (const char *id : {"e4", "e5"})
+    server(id).Weights = {{"model", 2}};
+  AttemptOrder outdated = choose(prompt("s"), {"e4", "e5"}, Start + 3s);
+  EXPECT_EQ(outdated.OutdatedFor, 3s);
+  EXPECT_EQ(outdated.EligibleServers, 4);
+  EXPECT_EQ(outdated.CurrentServers, 0);
+  AttemptOrder current =
+      choose(prompt("s"), {"e0", "e1", "e2", "e3"}, Start + 3s);
+  EXPECT_EQ(current.OutdatedFor, Duration::zero());
+  EXPECT_EQ(current.EligibleServers, 2);
+  EXPECT_EQ(current.CurrentServers, 2);
+}
+
 TEST_F(PlacementTest, OrdersTheServersVersionAndScope) {
   AttemptOrder order = choose(prompt("s"));
   EXPECT_EQ(order.WeightVersion, 1);
