Show requests past the rollout limit and rollouts that stall

- PlacementTest.RefusesWhenOnlyWeightsPastTheRolloutLimitAreLeft: a prompt is sent to outdated weights past the limit when no other server is left, has not been tried or is available.

--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -268,6 +268,25 @@
   EXPECT_EQ(choose(request, {}, Start + 20s).ServerId, "e5");
 }
 
+/// Guards against requests that begin on weights past the rollout limit because
+/// every server with newer weights was tried, avoided or not available yet.
+TEST_F(PlacementTest, RefusesWhenOnlyWeightsPastTheRolloutLimitAreLeft) {
+  Catalog.DesiredVersions["model"] = {{2, Start}};
+  TimePoint past = Start + PlacementSettings().OldWeightsLimit;
+  Error reason;
+  auto refuses = [&](const std::vector<std::string> &tried) {
+    reason = {};
+    return !Place.choose(prompt("s"), Catalog, tried, ClockMs, past, reason) &&
+           reason.RetryAfter > Duration::zero();
+  };
+  EXPECT_TRUE(refuses({}));
+  server("e5").Weights = {{"model", 2}};
+  EXPECT_FALSE(refuses({}));
+  EXPECT_TRUE(refuses({"e5"}));
+  Loads.onRetryAfter("e5", 1500ms, past);
+  EXPECT_TRUE(refuses({}));
+}
+
 /// The age of weights counts at the time when the request begins to run. A long
 /// queue may put that off beyond the limit although the request was sent in
 /// time.
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace daisytack::direct {
@@ -135,6 +136,22 @@
   EXPECT_EQ(std::get<SendWeightOrder>(actions[0]).OrdersTaken, 0);
 }
 
+/// Guards against a rollout that stalls behind engines whose orders get no
+/// answer, while other engines with weights as old get no order.
+TEST_F(WeightPlanTest, OrdersEveryEngineOnceBeforeItOrdersOneAgain) {
+  std::map<std::string, int> orders;
+  TimePoint now = Start;
+  for (; now < Start + 10s && orders.size() < 6; now += 100ms)
+    for (const std::string &id : asked(Plan.next(Catalog, now)))
+      for (const WeightAction &it : Plan.onReport(id, report(1, 0), now)) {
+        ++orders[std::get<SendWeightOrder>(it).ServerId];
+        Plan.onAnswer(ServerRef(id), OrderAnswer::Unknown, now);
+      }
+  EXPECT_EQ(orders.size(), 6);
+  for (const auto &[id, n] : orders)
+    EXPECT_EQ(n, 1) << id;
+}
+
 TEST_F(WeightPlanTest, OrdersTheNewerVersionAfterALoadOfTheOlder) {
   Plan.next(Catalog, Start);
   Plan.onReport("e0", report(1, 0), Start);
