End attempts that have not begun at the rollout limit

Callers got answers that began on replaced weights too late although the request had been sent in time: the limit was checked by a prediction when the server was chosen, and nothing held the attempt to it afterwards.

Each attempt now has the time at which it must have begun, taken from the catalog as long as it waits. When it passes, the attempt is cancelled, which closes its connection, and counts neither for nor against the server. A request that may be repeated moves to another server; any other gets 502, as the server may have begun it at that moment. Running requests look at the limit again when versions or their ages change.

Tests: four of ForwardFlow, PlacementTest.LimitsWhenAnAttemptOnOutdated- WeightsMustHaveBegun, and RolloutAgeTest.AWaitingAttemptEndsOnceItsWeights- AreTooOld through a whole entry, which waited for the deadline (504) without the review.

--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -29,8 +29,14 @@
   TimePoint Since;
   /// Learned before the end of the first read, so that Since is an assumption.
   bool IsSinceAssumed = false;
+  auto operator<=>(const DesiredVersion &) const = default;
 };
 
+/// By model: the desired versions in increasing order, the newest last. Each
+/// keeps the time at which it became known.
+using DesiredVersionMap =
+    std::map<std::string, std::vector<DesiredVersion>, std::less<>>;
+
 /// One immutable snapshot.
 struct Catalog {
   std::shared_ptr<const ConfigIndex> Config; ///< Null until it is known.
@@ -47,10 +53,7 @@
   /// doesn't match the configuration. Such a server may still be running, and
   /// other entries may still send requests to it.
   std::vector<ModelVersion> LastKnownWeights;
-  /// By model: the desired versions in increasing order, the newest last. Each
-  /// keeps the time at which it became known.
-  std::map<std::string, std::vector<DesiredVersion>, std::less<>>
-      DesiredVersions;
+  DesiredVersionMap DesiredVersions;
   /// Announced entries, including this process once its record is known.
   std::vector<EntryPeer> Entries;
   /// Registered entry addresses, with the revision of each record.
@@ -284,8 +287,7 @@
   std::map<std::string, KeyState> States; ///< By key, including deleted keys.
   std::shared_ptr<const ConfigIndex> Config;
   uint64_t ConfigRevision = 0;
-  std::map<std::string, std::vector<DesiredVersion>, std::less<>>
-      DesiredVersions;
+  DesiredVersionMap DesiredVersions;
   /// Versions that servers have loaded ahead of their records; see
   /// noteLoaded().
   std::map<ServerStart, ModelVersion> NotedVersions;
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -25,6 +25,8 @@
     return "misdirected";
   case AttemptResult::Unreached:
     return "unreached";
+  case AttemptResult::Expired:
+    return "expired";
   case AttemptResult::Abandoned:
     return "abandoned";
   }
@@ -253,6 +255,9 @@
                   now);
   if (!Current)
     return;
+  std::optional<TimePoint> limit = beginLimit();
+  if (limit && now >= *limit)
+    return expireAttempt(now);
   Duration silenceLimit = scaled(Request.MatchedRoute.TargetLatency,
                                  Settings.ResponseTimeoutFactor);
   bool isSilent = !Current->HasHead && silenceLimit > Duration::zero() &&
@@ -275,6 +280,29 @@
       now, {ErrorKind::ServerLost, "the server was silent for too long"}, true);
 }
 
+void ForwardFlow::onBeginLimitsChanged(TimePoint now) {
+  if (!IsEnded && Current)
+    armTimer(now);
+}
+
+std::optional<TimePoint> ForwardFlow::beginLimit() const {
+  bool isWaiting = Current && !Current->HasHead;
+  return isWaiting ? Hooks.BeginLimit(Current->Order) : std::nullopt;
+}
+
+void ForwardFlow::expireAttempt(TimePoint now) {
+  ++PossibleRuns;
+  uint32_t attempt = AttemptNumber;
+  closeAttempt(AttemptResult::Expired, now);
+  Hooks.CancelAttempt(attempt);
+  Error reason{ErrorKind::WeightsOutdated,
+               "the request did not begin before the server's weights had been "
+               "outdated for too long"};
+  if (mayRunAgain())
+    return startNextAttempt(now, reason, true);
+  giveUp(reason, now);
+}
+
 void ForwardFlow::onCallerGone(TimePoint now) {
   if (IsEnded)
     return;
@@ -308,6 +336,8 @@
     if (silentAt > now)
       at = std::min(at, silentAt);
   }
+  if (std::optional<TimePoint> limit = beginLimit())
+    at = std::min(at, *limit);
   Hooks.ArmTimer(at);
 }
 
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -9,6 +9,8 @@
 /// - The caller gets a single answer, which is either complete or visibly
 ///   aborted.
 /// - A request that is given up is answered at once.
+/// - No attempt goes on waiting for its server once the request must have begun
+///   there.
 #pragma once
 
 #include "daisytack/error.h"
@@ -69,6 +71,7 @@
   TurnedAway,  ///< The server states that it did not run the request.
   Misdirected, ///< Not run: another instance answered, or other weights run.
   Unreached,   ///< Nothing was sent.
+  Expired,     ///< Cancelled: it had not begun when it must have.
   Abandoned,   ///< Cancelled: the caller left, or the request was given up.
 };
 
@@ -87,6 +90,9 @@
   /// Whether ChooseServer would find a server; has no side effects.
   std::function<bool(const std::vector<std::string> &tried, TimePoint now)>
       CanChooseServer;
+  /// When the answer of the attempt must have begun; nullopt: no limit. May get
+  /// earlier while the attempt waits, see ForwardFlow::onBeginLimitsChanged().
+  std::function<std::optional<TimePoint>(const AttemptOrder &)> BeginLimit;
   /// Takes one retry from the budget that all entries share; false if it is
   /// spent.
   std::function<bool()> TakeRetry;
@@ -129,6 +135,8 @@
   /// means that no byte of the request can have reached the server.
   void onDone(uint32_t attempt, const Error &error, bool unsent, TimePoint now);
   void onTimer(TimePoint now);
+  /// The hook BeginLimit may return other times from now on.
+  void onBeginLimitsChanged(TimePoint now);
   void onCallerGone(TimePoint now);
   /// The process is about to end. A request whose answer has not begun gets its
   /// final answer now; an answer that has begun continues.
@@ -166,6 +174,11 @@
   /// Forwards part of the current attempt's answer to the caller, after the
   /// head if that was not sent yet.
   void forwardData(std::string bytes);
+  /// When the current attempt must have begun; nullopt if it has or there is no
+  /// limit.
+  std::optional<TimePoint> beginLimit() const;
+  /// Cancels the current attempt, which has not begun in time.
+  void expireAttempt(TimePoint now);
   /// Whether the request may be sent again although a server may have run it.
   bool mayRunAgain() const;
   /// Whether the request itself caused the error status.
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -141,6 +141,18 @@
          selectServer(request, catalog, servers, now, unused);
 }
 
+std::optional<TimePoint>
+Placement::beginLimit(const ForwardRequest &request, const Catalog &catalog,
+                      const AttemptOrder &order) const {
+  const std::string &model = request.Head.Model;
+  if (model.empty())
+    return std::nullopt;
+  std::optional<TimePoint> since =
+      catalog.outdatedSince(model, order.WeightVersion);
+  return since ? std::optional(*since + Settings.OldWeightsLimit)
+               : std::nullopt;
+}
+
 std::optional<AttemptChoice>
 Placement::choose(const ForwardRequest &request, const Catalog &catalog,
                   const std::vector<std::string> &tried,
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -52,6 +52,13 @@
   bool canChoose(const ForwardRequest &request, const Catalog &catalog,
                  const std::vector<std::string> &tried, TimePoint now) const;
 
+  /// When the answer of an attempt must have begun, as the server's weights
+  /// will then have been outdated for the rollout limit; nullopt while they are
+  /// current.
+  std::optional<TimePoint> beginLimit(const ForwardRequest &request,
+                                      const Catalog &catalog,
+                                      const AttemptOrder &order) const;
+
 private:
   struct Choice {
     Candidate Server;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -363,6 +363,15 @@
     Peers->requestRecords(*step.PollTarget);
 }
 
+void Gateway::reviewBeginLimits() {
+  const direct::DesiredVersionMap &versions = State.catalog()->DesiredVersions;
+  if (versions == ReviewedVersions)
+    return;
+  ReviewedVersions = versions;
+  for (const auto &request : State.Running.all())
+    request->onVersionsChanged();
+}
+
 void Gateway::tick() {
   TimePoint now = monotonicNow();
   LastTickAt = now;
@@ -379,6 +388,7 @@
   Follower->onTimer(now);
   applyWatchPlan(now);
   Orders->onTimer(now);
+  reviewBeginLimits();
   if (Orders->token(now)) {
     Contexts->retireUnused(now);
     Contexts->freeUnused(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,9 @@
   ContextFollowerSettings contextSettings() const;
   OrderDriverSettings orderSettings() const;
   void tick();
+  /// Lets running requests know when versions of weights or their ages have
+  /// changed.
+  void reviewBeginLimits();
   void beginDrain(TimePoint now);
   void checkDrain();
   void closeListener(TimePoint now);
@@ -114,6 +117,8 @@
   /// The catalog at its last change.
   std::shared_ptr<const direct::Catalog> LastCatalog =
       std::make_shared<const direct::Catalog>();
+  /// Versions that running requests know of, see reviewBeginLimits().
+  direct::DesiredVersionMap ReviewedVersions;
   /// Servers that load weights, with the version that each had before.
   std::map<direct::ServerStart, uint64_t> VersionBeforeLoad;
   std::function<void(bool isComplete)> OnDrained;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -69,6 +69,9 @@
     return !mustNotAttempt(now, unused) &&
            State.Placer.canChoose(Flow.request(), *State.catalog(), tried, now);
   };
+  out.BeginLimit = [this](const AttemptOrder &order) {
+    return State.Placer.beginLimit(Flow.request(), *State.catalog(), order);
+  };
   out.TakeRetry = [this] { return takeRetry(); };
   out.SendAttempt = [this](uint32_t attempt, const AttemptOrder &order) {
     send(attempt, order);
@@ -415,6 +418,10 @@
   onStrand([this] { Flow.onProcessEnd(monotonicNow()); });
 }
 
+void GatewayRequest::onVersionsChanged() {
+  onStrand([this] { Flow.onBeginLimitsChanged(monotonicNow()); });
+}
+
 void GatewayRequest::failIfQuarantined() {
   boost::asio::post(Executor, [self = shared_from_this()] {
     TimePoint now = monotonicNow();
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -23,6 +23,9 @@
   /// Answers the request with an error if its answer has not begun, because the
   /// process is about to end. Thread-safe.
   void failIfUnanswered();
+  /// Other versions of weights are desired, or their ages have changed.
+  /// Thread-safe.
+  void onVersionsChanged();
   /// Answers the request with an error if it is quarantined and its answer has
   /// not begun. Thread-safe; runs after the handler that calls it.
   void failIfQuarantined();
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -82,6 +82,7 @@
   std::vector<size_t> ChoicesAtAttemptEnd;
   size_t FinalAnswers = 0; ///< Number of final answers to the caller.
   TimePoint TimerAt;
+  std::optional<TimePoint> BeginLimit; ///< Of every attempt.
   ForwardFlow Flow;
 
 private:
@@ -107,6 +108,7 @@
                                  TimePoint) {
       return tried.size() < ServerCount;
     };
+    out.BeginLimit = [this](const AttemptOrder &) { return BeginLimit; };
     out.TakeRetry = [this] { return HasRetryBudget; };
     out.SendAttempt = [this](uint32_t, const AttemptOrder &order) {
       SentOrders.push_back(order);
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -26,6 +26,61 @@
   EXPECT_EQ(it.SentOrders[1].TimeLeft, 2s);
 }
 
+/// Guards against attempts that begin on weights past the rollout limit because
+/// they waited for longer than predicted.
+TEST(ForwardFlow, MovesAnAttemptThatHasNotBegunInTime) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.BeginLimit = FlowStart + 200ms;
+  it.Flow.start(FlowStart);
+  EXPECT_EQ(it.TimerAt, FlowStart + 200ms);
+  it.Flow.onTimer(FlowStart + 199ms);
+  EXPECT_EQ(it.Log, (Lines{"send s1"}));
+  it.BeginLimit = std::nullopt;
+  it.Flow.onTimer(FlowStart + 200ms);
+  EXPECT_EQ(it.Log, (Lines{"send s1"}));
+  it.BeginLimit = FlowStart + 200ms;
+  it.Flow.onTimer(FlowStart + 200ms);
+  EXPECT_EQ(it.takeLog(), (Lines{"send s1", "cancel 1", "send s2"}));
+  EXPECT_EQ(it.Results, (std::vector{AttemptResult::Expired}));
+  it.Flow.onDone(1, {}, false, FlowStart + 210ms); // Late.
+  it.BeginLimit = std::nullopt;
+  it.answer(2, headOf(200), "body", FlowStart + 220ms);
+  EXPECT_EQ(it.Log, (Lines{"answer 200 body", "ended"}));
+}
+
+TEST(ForwardFlow, EndsANonIdempotentAttemptThatHasNotBegunInTime) {
+  FlowHarness it(routeFor(RouteKind::NonIdempotent, 3));
+  it.BeginLimit = FlowStart + 200ms;
+  it.Flow.start(FlowStart);
+  it.Flow.onTimer(FlowStart + 200ms);
+  // The server may have begun it at that moment.
+  EXPECT_EQ(it.Log, (Lines{"send s1", "cancel 1", "error 502", "ended"}));
+  EXPECT_EQ(it.LastError.Kind, ErrorKind::WeightsOutdated);
+}
+
+/// The limit concerns the beginning only: what has begun in time goes on.
+TEST(ForwardFlow, LetsAnAttemptThatHasBegunGoOnPastTheLimit) {
+  FlowHarness it(routeFor(RouteKind::Stream, 1));
+  it.BeginLimit = FlowStart + 200ms;
+  it.Flow.start(FlowStart);
+  it.Flow.onHead(1, headOf(200), FlowStart + 150ms);
+  EXPECT_EQ(it.TimerAt, FlowStart + 3s);
+  it.Flow.onTimer(FlowStart + 200ms);
+  it.Flow.onDone(1, {}, false, FlowStart + 900ms);
+  EXPECT_EQ(it.FinalAnswers, 1);
+  EXPECT_EQ(it.Results, (std::vector{AttemptResult::Answered}));
+}
+
+/// An attempt on current weights becomes one on outdated weights when a newer
+/// version is named while it waits.
+TEST(ForwardFlow, HeedsALimitThatArisesWhileTheAttemptWaits) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.Flow.start(FlowStart);
+  it.BeginLimit = FlowStart + 200ms;
+  it.Flow.onBeginLimitsChanged(FlowStart + 100ms);
+  EXPECT_EQ(it.TimerAt, FlowStart + 200ms);
+}
+
 TEST(ForwardFlow, NeverRetriesANonIdempotentRequestThatMayHaveRun) {
   FlowHarness it(routeFor(RouteKind::NonIdempotent, 3));
   it.Flow.start(FlowStart);
@@ -204,6 +259,7 @@
   hooks.SendAttempt = [&](uint32_t, const AttemptOrder &order) {
     seen = order.LastEventId;
   };
+  hooks.BeginLimit = [](const AttemptOrder &) { return std::nullopt; };
   hooks.ArmTimer = [](TimePoint) {};
   ForwardFlow flow(request, {}, hooks);
   flow.start(FlowStart);
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -376,6 +376,19 @@
   }
 }
 
+TEST_F(PlacementTest, LimitsWhenAnAttemptOnOutdatedWeightsMustHaveBegun) {
+  ForwardRequest request = prompt("s");
+  AttemptOrder order = choose(request);
+  EXPECT_EQ(Place.beginLimit(request, Catalog, order), std::nullopt);
+  Catalog.DesiredVersions["model"] = {{2, Start}, {3, Start + 4s}};
+  TimePoint limit = Start + PlacementSettings().OldWeightsLimit;
+  EXPECT_EQ(Place.beginLimit(request, Catalog, order), limit);
+  order.WeightVersion = 2;
+  EXPECT_EQ(Place.beginLimit(request, Catalog, order), limit + 4s);
+  order.WeightVersion = 3;
+  EXPECT_EQ(Place.beginLimit(request, Catalog, order), std::nullopt);
+}
+
 TEST_F(PlacementTest, CountsTheAgeOfWeightsFromTheFirstNewerVersion) {
   Catalog.DesiredVersions["model"] = {{2, Start}, {3, Start + 11s}};
   for (auto &it : Catalog.Servers["engines"])
--- a/tests/gateway/rollout_age_test.cpp
+++ b/tests/gateway/rollout_age_test.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <algorithm>
+#include <future>
+#include <mutex>
 
 namespace daisytack::gateway {
 namespace {
@@ -46,18 +48,19 @@
         std::count_if(requests.begin(), requests.end(),
                       [](const auto &it) { return it.Path == "/ask/"; }));
   }
+  HttpRequest prompt(const std::string &session) {
+    HttpRequest out = request("/ask/", "r" + std::to_string(++Requests));
+    out.Headers.push_back({"X-Daisytack-Model", "m"});
+    out.Headers.push_back({"X-Daisytack-Token-Counts", "700,10"});
+    out.Headers.push_back(
+        {"X-Daisytack-Prompt-Prefix", session + ":500,bb:200"});
+    return out;
+  }
   /// Sends prompts of 20 sessions and returns how many reached the server.
   size_t sendPrompts(const Entry &entry, test::FakeServer &server) {
     size_t before = promptsAt(server);
-    for (int i = 0; i < 20; ++i) {
-      HttpRequest prompt = request("/ask/", "r" + std::to_string(++Requests));
-      std::string session = "a" + std::to_string(i);
-      prompt.Headers.push_back({"X-Daisytack-Model", "m"});
-      prompt.Headers.push_back({"X-Daisytack-Token-Counts", "700,10"});
-      prompt.Headers.push_back(
-          {"X-Daisytack-Prompt-Prefix", session + ":500,bb:200"});
-      EXPECT_EQ(statusOf(entry, prompt), 200);
-    }
+    for (int i = 0; i < 20; ++i)
+      EXPECT_EQ(statusOf(entry, prompt("a" + std::to_string(i))), 200);
     return promptsAt(server) - before;
   }
 
@@ -83,5 +86,43 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// Guards against attempts that begin on weights past the rollout limit: here
+/// the age of the weights becomes known while the attempt waits for its server.
+TEST_F(RolloutAgeTest, AWaitingAttemptEndsOnceItsWeightsAreTooOld) {
+  test::FakeServer &contextStore = startBackend(answer);
+  std::vector<ExchangePtr> held; // Keeps the prompts waiting.
+  std::mutex lock;
+  test::FakeServer &outdated =
+      startBackend([&](const HttpRequest &what, const ExchangePtr &to) {
+        if (what.Path != "/ask/")
+          return answer(what, to);
+        std::lock_guard guard(lock);
+        held.push_back(to);
+      });
+  registerServer("i-1", outdated, "engines", 1);
+  std::string config = promptConfigText(contextStore.address());
+  std::string timeout = R"("timeout-ms":3000)";
+  config.replace(config.find(timeout), timeout.size(), R"("timeout-ms":9000)");
+  KvService.put("op/config", config);
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  KvService.put("daisytack/holder", "{}", 77);
+  Entry &entry = startPatientEntry();
+  HttpRequest waiting = prompt("a");
+  for (auto &[name, value] : waiting.Headers)
+    if (name == "X-Daisytack-Deadline-Milliseconds")
+      value = "9000";
+  auto status =
+      std::async(std::launch::async, [&] { return statusOf(entry, waiting); });
+  EXPECT_TRUE(eventually([&] { return promptsAt(outdated) > 0; }));
+  EXPECT_TRUE(eventually([&] {
+    tellAge(entry, 2h);
+    return status.wait_for(10ms) == std::future_status::ready;
+  }));
+  // Not 504, the answer at the deadline.
+  EXPECT_EQ(status.get(), 502);
+  EXPECT_EQ(promptsAt(outdated), 1);
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 } // namespace
 } // namespace daisytack::gateway
