Order other engines while one takes no order for new weights

It was ordered again and again, up to 34 times in 10 s in the test, and after 6 s chosen anew as one of the longest outdated, while engines as old got no order at all.

Such an engine is postponed now (load_postponed): its place goes to another one. Each failure puts it behind engines that became outdated a usual load's time later, so that engines which never answer can't hold up the others, and counts as one more load to do when the number of loads at a time is chosen. After an order without an answer the engine is checked once, and keeps its place if it is carrying it out.

ChecksAgainAfterAnOrder- WithoutAnAnswer and OrdersTheNewerVersionAfterALoadOfTheOlder get one more action from the plan; in the former the engine is the only one now, as others would come first, and its checks are the same.

--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -5,6 +5,25 @@
 
 namespace daisytack::direct {
 
+std::string_view postponeReasonName(PostponeReason reason) {
+  switch (reason) {
+  case PostponeReason::NoReport:
+    return "no_report";
+  case PostponeReason::NoAnswer:
+    return "no_answer";
+  case PostponeReason::Refused:
+    return "refused";
+  case PostponeReason::TooSlow:
+    return "too_slow";
+  }
+  return "unknown";
+}
+
+void WeightPlan::clear() {
+  Loads.clear();
+  Failures.clear();
+}
+
 std::vector<WeightPlan::OutdatedServer>
 WeightPlan::outdatedServers(const Catalog &catalog) const {
   std::vector<OutdatedServer> out;
@@ -30,7 +49,8 @@
 }
 
 /// As few as possible at a time, because concurrent loads slow each other down,
-/// but enough to finish the rollout within the limit.
+/// but enough to finish the rollout within the limit. Each failure counts as
+/// one more load to do, as the next orders may fail as well.
 size_t WeightPlan::concurrency(const Catalog &catalog,
                                const std::vector<OutdatedServer> &outdated,
                                TimePoint now) const {
@@ -42,13 +62,15 @@
     oldest = std::min(oldest, it.Since);
   Duration left =
       std::max(oldest + Settings.RolloutLimit - now, Settings.UsualLoadTime);
-  auto needed = static_cast<size_t>(static_cast<int64_t>(outdated.size()) *
-                                    Settings.UsualLoadTime / left);
+  auto loadsToDo = static_cast<int64_t>(outdated.size());
+  for (const OutdatedServer &it : outdated)
+    loadsToDo += failuresOf(*it.Server);
+  auto needed = static_cast<size_t>(loadsToDo * Settings.UsualLoadTime / left);
   size_t maxLoads = std::max<size_t>(outdated.size() / 2, minLoads);
   return std::clamp<size_t>(needed, minLoads, maxLoads);
 }
 
-void WeightPlan::dropFinishedLoads(const Catalog &catalog, TimePoint now) {
+void WeightPlan::dropFinishedLoads(const Catalog &catalog) {
   std::erase_if(Loads, [&](const auto &it) {
     const auto &servers = catalog.AllServers;
     auto server =
@@ -58,20 +80,56 @@
     bool isDone = !isGone && server->versionOf(it.second.Desired.Model) >=
                                  it.second.Desired.Version;
     bool isRestarted = !isGone && server->StartedMs != it.second.StartedMs;
-    bool isStuck = now >= it.second.Since + Settings.LoadTimeout;
-    return isGone || isDone || isRestarted || isStuck;
+    return isGone || isDone || isRestarted;
   });
 }
 
+std::vector<WeightAction> WeightPlan::postponeSlowLoads(TimePoint now) {
+  std::vector<WeightAction> out;
+  for (auto it = Loads.begin(); it != Loads.end();) {
+    auto load = it++;
+    if (now >= load->second.Since + Settings.LoadTimeout)
+      out.push_back(postpone(load, PostponeReason::TooSlow));
+  }
+  return out;
+}
+
+NotePostponed WeightPlan::postpone(LoadMap::iterator load,
+                                   PostponeReason reason) {
+  ServerStart start{load->first, load->second.StartedMs};
+  uint32_t failures = ++Failures[start];
+  NotePostponed out{start.Id, start.StartedMs, load->second.Desired, reason,
+                    failures};
+  Loads.erase(load);
+  return out;
+}
+
+void WeightPlan::forgetFailures(const std::vector<OutdatedServer> &outdated) {
+  std::erase_if(Failures, [&](const auto &failure) {
+    return std::none_of(outdated.begin(), outdated.end(),
+                        [&](const OutdatedServer &it) {
+                          return it.Server->ref().start() == failure.first;
+                        });
+  });
+}
+
+uint32_t WeightPlan::failuresOf(const BackendServer &server) const {
+  auto it = Failures.find(server.ref().start());
+  return it == Failures.end() ? 0 : it->second;
+}
+
 const WeightPlan::OutdatedServer *
 WeightPlan::pickNext(const std::vector<OutdatedServer> &outdated,
                      const Catalog &catalog) const {
   std::map<std::string_view, uint32_t> loading; ///< By failure domain.
   for (const BackendServer &server : catalog.AllServers)
     loading[server.FailureDomain] += Loads.contains(server.Id) ? 1 : 0;
-  // Longest outdated first, then from the domain with the fewest loads.
+  // Longest outdated first, then from the domain with the fewest loads. Each
+  // failure puts an engine behind those that became outdated a load's time
+  // later.
   auto rank = [&](const OutdatedServer &it) {
-    return std::pair(it.Since, loading[it.Server->FailureDomain]);
+    Duration delay = Settings.UsualLoadTime * failuresOf(*it.Server);
+    return std::pair(it.Since + delay, loading[it.Server->FailureDomain]);
   };
   const OutdatedServer *out = nullptr;
   for (const OutdatedServer &it : outdated)
@@ -82,6 +140,7 @@
 
 void WeightPlan::startLoads(const Catalog &catalog, TimePoint now) {
   std::vector<OutdatedServer> outdated = outdatedServers(catalog);
+  forgetFailures(outdated);
   size_t maxLoads = concurrency(catalog, outdated, now);
   while (Loads.size() < maxLoads) {
     const OutdatedServer *it = pickNext(outdated, catalog);
@@ -98,9 +157,9 @@
 
 std::vector<WeightAction> WeightPlan::next(const Catalog &catalog,
                                            TimePoint now) {
-  dropFinishedLoads(catalog, now);
+  dropFinishedLoads(catalog);
+  std::vector<WeightAction> out = postponeSlowLoads(now);
   startLoads(catalog, now);
-  std::vector<WeightAction> out;
   for (auto &[id, load] : Loads) {
     if (now < load.NextCheckAt)
       continue;
@@ -125,7 +184,9 @@
   // newer start has not arrived yet.
   bool isOtherStart = report && report->StartedMs != 0 && load.StartedMs != 0 &&
                       report->StartedMs != load.StartedMs;
-  if (!report || isOtherStart) {
+  if (!report)
+    return {postpone(it, PostponeReason::NoReport)};
+  if (isOtherStart) {
     load.NextCheckAt = now + Settings.RefusalRetryDelay;
     return {};
   }
@@ -142,39 +203,50 @@
   if (report->IsBusy) {
     load.CurrentPhase = Phase::Loading;
     load.NextCheckAt = now + Settings.CheckInterval;
+    load.IsOrderUnanswered = false;
     return {};
   }
+  if (load.IsOrderUnanswered)
+    return {postpone(it, PostponeReason::NoAnswer)};
   load.CurrentPhase = Phase::Ordering;
   load.NextCheckAt = now + Settings.CallTimeout;
   return {SendWeightOrder{server, load.Address, load.Desired,
                           report->OrdersTaken, load.StartedMs}};
 }
 
-void WeightPlan::onAnswer(ServerRef server, OrderAnswer answer, TimePoint now) {
+std::vector<WeightAction>
+WeightPlan::onAnswer(ServerRef server, OrderAnswer answer, TimePoint now) {
   auto it = Loads.find(std::string(server.Id));
   // A rejected fencing token concerns this process, so it counts whichever
   // start of the server sent it.
-  if (answer == OrderAnswer::Fenced)
-    return Loads.clear();
+  if (answer == OrderAnswer::Fenced) {
+    clear();
+    return {};
+  }
   if (it == Loads.end() || it->second.StartedMs != server.StartedMs)
-    return;
+    return {};
   Load &load = it->second;
   load.CurrentPhase = Phase::Loading;
   switch (answer) {
   case OrderAnswer::Accepted:
     load.NextCheckAt = now + Settings.FirstCheckDelay;
-    return;
-  case OrderAnswer::Conflict:
-  case OrderAnswer::Impossible:
+    break;
   case OrderAnswer::Unknown:
+    load.IsOrderUnanswered = true;
     load.NextCheckAt = now + Settings.RefusalRetryDelay;
-    return;
+    break;
+  case OrderAnswer::Conflict:
+    load.NextCheckAt = now + Settings.RefusalRetryDelay;
+    break;
+  case OrderAnswer::Impossible:
+    return {postpone(it, PostponeReason::Refused)};
   case OrderAnswer::OtherServer:
     Loads.erase(it);
-    return;
+    break;
   case OrderAnswer::Fenced:
-    return;
+    break;
   }
+  return {};
 }
 
 std::vector<ServerStart> WeightPlan::loadingServers() const {
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -7,6 +7,9 @@
 /// accepted so far, so an order that arrives after a newer one has no effect.
 /// The engine resets this number when it restarts, so a load is tracked for one
 /// start of the engine.
+///
+/// An engine that doesn't report, answer or accept its order is postponed: its
+/// place goes to another one. The order may still be carried out later.
 #pragma once
 
 #include "direct/catalog.h"
@@ -44,10 +47,11 @@
   Duration CheckInterval{250'000};
   /// Time from an order to the first check; no load is faster.
   Duration FirstCheckDelay{900'000};
-  /// A load that takes longer is started again. Several times the usual
+  /// An engine whose load takes longer is postponed. Several times the usual
   /// duration.
   Duration LoadTimeout{6'000'000};
-  /// Time until the next order to an engine that refused one.
+  /// Time until the next check of an engine whose order got no answer or met
+  /// another one, or whose report is of another start.
   Duration RefusalRetryDelay{300'000};
   bool operator==(const WeightPlanSettings &) const = default;
 };
@@ -74,7 +78,28 @@
   uint64_t StartedMs = 0;
   bool operator==(const NoteLoaded &) const = default;
 };
-using WeightAction = std::variant<RequestReport, SendWeightOrder, NoteLoaded>;
+/// Why an engine was postponed.
+enum class PostponeReason : uint8_t {
+  NoReport, ///< No response to the request for a report.
+  NoAnswer, ///< No response to the order, which is not being carried out.
+  Refused,  ///< The engine can't carry out the order now.
+  TooSlow,  ///< The load exceeded LoadTimeout.
+};
+
+/// Stable lower-case name of the reason, such as "no_answer".
+std::string_view postponeReasonName(PostponeReason reason);
+
+/// Note that this start of the server was postponed.
+struct NotePostponed {
+  std::string ServerId;
+  uint64_t StartedMs = 0;
+  ModelVersion Desired;
+  PostponeReason Reason = PostponeReason::NoAnswer;
+  uint32_t Failures = 0; ///< Times that this start was postponed.
+  bool operator==(const NotePostponed &) const = default;
+};
+using WeightAction =
+    std::variant<RequestReport, SendWeightOrder, NoteLoaded, NotePostponed>;
 
 /// An engine's response to an order.
 enum class OrderAnswer : uint8_t {
@@ -100,9 +125,11 @@
                                      const std::optional<EngineReport> &report,
                                      TimePoint now);
   /// The response to an order that was sent to this start of the server.
-  void onAnswer(ServerRef server, OrderAnswer answer, TimePoint now);
+  /// Returns what to do next.
+  std::vector<WeightAction> onAnswer(ServerRef server, OrderAnswer answer,
+                                     TimePoint now);
   /// Forgets all loads, because this process no longer holds the order lease.
-  void clear() { Loads.clear(); }
+  void clear();
 
   /// Servers that are loading or are about to.
   std::vector<ServerStart> loadingServers() const;
@@ -120,7 +147,9 @@
     Phase CurrentPhase = Phase::Asking;
     TimePoint Since;       ///< When the engine was selected.
     TimePoint NextCheckAt; ///< Next check, unless a response arrives earlier.
+    bool IsOrderUnanswered = false; ///< The latest order got no response.
   };
+  using LoadMap = std::map<std::string, Load>;
   /// A server with older weights than desired.
   struct OutdatedServer {
     const BackendServer *Server = nullptr;
@@ -131,9 +160,15 @@
   /// Engines that may load at a time in any case.
   size_t minConcurrency(const Catalog &catalog) const;
   std::vector<OutdatedServer> outdatedServers(const Catalog &catalog) const;
-  /// Drops loads that have finished or timed out, or whose server has left or
-  /// restarted.
-  void dropFinishedLoads(const Catalog &catalog, TimePoint now);
+  /// Drops loads that have finished, or whose server has left or restarted.
+  void dropFinishedLoads(const Catalog &catalog);
+  /// Postpones engines whose loads take too long.
+  std::vector<WeightAction> postponeSlowLoads(TimePoint now);
+  /// Frees the place of a load that gets nowhere.
+  NotePostponed postpone(LoadMap::iterator load, PostponeReason reason);
+  /// Forgets the failures of servers that are not outdated any more.
+  void forgetFailures(const std::vector<OutdatedServer> &outdated);
+  uint32_t failuresOf(const BackendServer &server) const;
   /// Selects outdated servers until concurrency() loads are under way.
   void startLoads(const Catalog &catalog, TimePoint now);
   /// Engines that may load at a time now.
@@ -145,7 +180,9 @@
                                  const Catalog &catalog) const;
 
   WeightPlanSettings Settings;
-  std::map<std::string, Load> Loads; ///< By server id.
+  LoadMap Loads; ///< By server id.
+  /// How often outdated servers were postponed.
+  std::map<ServerStart, uint32_t> Failures;
 };
 
 } // namespace daisytack::direct
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -120,8 +120,10 @@
       requestReport(*report);
     else if (const auto *order = std::get_if<direct::SendWeightOrder>(&action))
       sendOrder(*order);
+    else if (const auto *loaded = std::get_if<direct::NoteLoaded>(&action))
+      reportLoaded(*loaded);
     else
-      reportLoaded(std::get<direct::NoteLoaded>(action));
+      logPostponed(std::get<direct::NotePostponed>(action));
   }
 }
 
@@ -137,6 +139,17 @@
   perform(Plan.next(*State.catalog(), now));
 }
 
+void OrderDriver::logPostponed(const direct::NotePostponed &action) {
+  State.Log.write(LogPriority::Notable, "load_postponed",
+                  {{"server", action.ServerId},
+                   {"started_ms", action.StartedMs},
+                   {"model", action.Desired.Model},
+                   {"version", action.Desired.Version},
+                   {"reason", direct::postponeReasonName(action.Reason)},
+                   {"failures", action.Failures}},
+                  monotonicNow());
+}
+
 void OrderDriver::requestReport(const direct::RequestReport &action) {
   State.ControlClient.fetch(
       action.Address, State.WireProtocol.ReportRequest(),
@@ -206,7 +219,7 @@
                    {"status", error ? 0 : status},
                    {"detail", error.Detail}},
                   now);
-  Plan.onAnswer(server, answer, now);
+  perform(Plan.onAnswer(server, answer, now));
   if (answer == OrderAnswer::Fenced)
     Holder->abandon(now);
 }
--- a/src/gateway/order_driver.h
+++ b/src/gateway/order_driver.h
@@ -55,6 +55,7 @@
   void requestReport(const direct::RequestReport &action);
   void sendOrder(const direct::SendWeightOrder &action);
   void reportLoaded(const direct::NoteLoaded &action);
+  void logPostponed(const direct::NotePostponed &action);
   /// Applies the request limit in the head of a server's answer to a call for a
   /// report or to an order.
   void applyLimit(direct::ServerRef server, const net::HttpResponse &answer);
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -126,16 +126,82 @@
 }
 
 TEST_F(WeightPlanTest, ChecksAgainAfterAnOrderWithoutAnAnswer) {
+  Catalog.AllServers.resize(1);
   Plan.next(Catalog, Start);
   Plan.onReport("e0", report(1, 0), Start);
   Plan.onAnswer("e0", OrderAnswer::Unknown, Start);
   EXPECT_TRUE(asked(Plan.next(Catalog, Start + 400ms)).contains("e0"));
   // The order has not been carried out yet. The next one carries the same
   // number of orders, so that only one of the two can be accepted.
+  auto postponed = Plan.onReport("e0", report(1, 0), Start + 400ms);
+  ASSERT_EQ(postponed.size(), 1);
+  EXPECT_EQ(
+      std::get<NotePostponed>(postponed[0]),
+      (NotePostponed{"e0", 0, {"model", 2}, PostponeReason::NoAnswer, 1}));
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start + 400ms)).contains("e0"));
   auto actions = Plan.onReport("e0", report(1, 0), Start + 400ms);
   EXPECT_EQ(std::get<SendWeightOrder>(actions[0]).OrdersTaken, 0);
 }
 
+/// An order without an answer may be under way all the same.
+TEST_F(WeightPlanTest, KeepsThePlaceOfAnEngineThatCarriesOutAnUnansweredOrder) {
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", report(1, 0), Start);
+  Plan.onAnswer("e0", OrderAnswer::Unknown, Start);
+  Plan.next(Catalog, Start + 400ms);
+  EXPECT_TRUE(Plan.onReport("e0", report(1, 1, true), Start + 400ms).empty());
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start + 1s)).contains("e0"));
+  auto actions = Plan.onReport("e0", report(2, 1), Start + 1s);
+  EXPECT_EQ(std::get<NoteLoaded>(actions[0]), (NoteLoaded{"e0", {"model", 2}}));
+}
+
+/// Guards against a rollout that stalls behind engines that don't report or
+/// refuse their orders.
+TEST_F(WeightPlanTest, FreesThePlacesOfEnginesThatTakeNoOrder) {
+  Plan.next(Catalog, Start);
+  auto unreported = Plan.onReport("e0", std::nullopt, Start);
+  EXPECT_EQ(std::get<NotePostponed>(unreported[0]).Reason,
+            PostponeReason::NoReport);
+  Plan.onReport("e2", report(1, 0), Start);
+  auto refused = Plan.onAnswer("e2", OrderAnswer::Impossible, Start);
+  EXPECT_EQ(std::get<NotePostponed>(refused[0]).Reason,
+            PostponeReason::Refused);
+  auto next = asked(Plan.next(Catalog, Start));
+  EXPECT_EQ(next, (std::set<std::string>{"e1", "e3"}));
+  auto slow = Plan.next(Catalog, Start + WeightPlanSettings().LoadTimeout);
+  EXPECT_EQ(std::count_if(slow.begin(), slow.end(),
+                          [](const WeightAction &it) {
+                            const auto *note = std::get_if<NotePostponed>(&it);
+                            return note &&
+                                   note->Reason == PostponeReason::TooSlow;
+                          }),
+            2);
+}
+
+/// Of two versions named in a row, engines that still have the oldest weights
+/// come first, but not for ever.
+TEST_F(WeightPlanTest, LetsNewerEnginesPassOldOnesThatFailAgainAndAgain) {
+  Catalog.DesiredVersions["model"].push_back({3, Start + 4s});
+  for (size_t i = 2; i < 6; ++i)
+    Catalog.AllServers[i].Weights = {{"model", 2}};
+  std::set<std::string> oldest{"e0", "e1"};
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(asked(Plan.next(Catalog, Start + 5s)), oldest);
+    for (const std::string &id : oldest)
+      Plan.onReport(id, std::nullopt, Start + 5s);
+  }
+  for (const std::string &id : asked(Plan.next(Catalog, Start + 5s)))
+    EXPECT_FALSE(oldest.contains(id)) << id;
+}
+
+/// Failures show that more orders are needed than there are engines.
+TEST_F(WeightPlanTest, LoadsMoreAtATimeAfterFailures) {
+  for (int i = 0; i < 6; ++i)
+    for (const std::string &id : asked(Plan.next(Catalog, Start)))
+      Plan.onReport(id, std::nullopt, Start);
+  EXPECT_EQ(asked(Plan.next(Catalog, Start)).size(), 3);
+}
+
 /// Guards against a rollout that stalls behind engines whose orders get no
 /// answer, while other engines with weights as old get no order.
 TEST_F(WeightPlanTest, OrdersEveryEngineOnceBeforeItOrdersOneAgain) {
@@ -144,7 +210,10 @@
   for (; now < Start + 10s && orders.size() < 6; now += 100ms)
     for (const std::string &id : asked(Plan.next(Catalog, now)))
       for (const WeightAction &it : Plan.onReport(id, report(1, 0), now)) {
-        ++orders[std::get<SendWeightOrder>(it).ServerId];
+        const auto *order = std::get_if<SendWeightOrder>(&it);
+        if (!order)
+          continue;
+        ++orders[order->ServerId];
         Plan.onAnswer(ServerRef(id), OrderAnswer::Unknown, now);
       }
   EXPECT_EQ(orders.size(), 6);
@@ -163,9 +232,11 @@
   bool wants3 = false;
   for (int i = 0; i < 20; ++i)
     for (const WeightAction &it : Plan.next(Catalog, Start + 2s + i * 1s)) {
-      const auto &ask = std::get<RequestReport>(it);
+      const auto *ask = std::get_if<RequestReport>(&it);
+      if (!ask)
+        continue;
       for (const WeightAction &next :
-           Plan.onReport(ask.ServerId, report(1, 0), Start + 2s + i * 1s))
+           Plan.onReport(ask->ServerId, report(1, 0), Start + 2s + i * 1s))
         wants3 |= std::get<SendWeightOrder>(next).Desired.Version == 3;
     }
   EXPECT_TRUE(wants3);
