Don't take servers without a model's weights for outdated

Callers of a route to a service whose servers have no weights of the model that they name would have been refused for ever with weights_outdated, once any version of that model had been named: version 0 counted as older than every desired one. Before such servers became ineligible, the last resort served these requests.

A server without weights of the model has no outdated ones, and an attempt there has no begin limit.

PlacementTest.HasNoRolloutLimitWhereServersLackTheModelsWeights failed before.

--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -25,8 +25,10 @@
                                      TimePoint now) const {
   Candidate out{&server, Trackers.Loads.view(server.ref(), now), {}, false};
   const std::string &model = request.Head.Model;
-  if (!model.empty())
-    if (auto since = catalog.outdatedSince(model, server.versionOf(model)))
+  uint64_t version = server.versionOf(model);
+  // A server without weights of the model can't have outdated ones.
+  if (version > 0)
+    if (auto since = catalog.outdatedSince(model, version))
       out.OutdatedFor = now - *since;
   // While no source reports what servers write, any server may have become
   // cold, and must not be flooded.
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -144,11 +144,10 @@
 std::optional<TimePoint>
 Placement::beginLimit(const ForwardRequest &request, const Catalog &catalog,
                       const AttemptOrder &order) const {
-  const std::string &model = request.Head.Model;
-  if (model.empty())
+  if (order.WeightVersion == 0)
     return std::nullopt;
   std::optional<TimePoint> since =
-      catalog.outdatedSince(model, order.WeightVersion);
+      catalog.outdatedSince(request.Head.Model, order.WeightVersion);
   return since ? std::optional(*since + Settings.OldWeightsLimit)
                : std::nullopt;
 }
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -376,6 +376,22 @@
   }
 }
 
+/// Guards against refusals of requests that name a model at a service without
+/// its weights: version 0 counted as outdated for ever.
+TEST_F(PlacementTest, HasNoRolloutLimitWhereServersLackTheModelsWeights) {
+  Catalog.DesiredVersions["model"] = {{2, Start}};
+  Catalog.DesiredVersions["other"] = {{2, Start}};
+  ForwardRequest toPlain = prompt("s");
+  toPlain.Service = "plain";
+  ForwardRequest toEngine = prompt("s");
+  toEngine.Head.Model = "other";
+  for (const ForwardRequest &request : {toPlain, toEngine}) {
+    AttemptOrder order = choose(request, {}, Start + 20s);
+    EXPECT_FALSE(order.ServerId.empty()) << request.Service;
+    EXPECT_EQ(Place.beginLimit(request, Catalog, order), std::nullopt);
+  }
+}
+
 TEST_F(PlacementTest, LimitsWhenAnAttemptOnOutdatedWeightsMustHaveBegun) {
   ForwardRequest request = prompt("s");
   AttemptOrder order = choose(request);
