Postpone only engines without an order under way

Three faults of the postponing, found by the review of the change, which ran each: - An engine that had accepted its order lost its slot with one lost report, so that more engines loaded at a time than there are slots, and entries sent requests to it while it loaded. - While the holder reached no engine, each postponed one added a load to do: six of twelve engines were selected at a time instead of two, and within 3 s entries avoided all of them. Only engines that left an order unanswered count now, once each. - An answer to an order of a dropped load postponed the engine's next load before it had got an order.

--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -49,8 +49,8 @@
 }
 
 /// As few as possible at a time, because concurrent loads slow each other down,
-/// but enough to finish the rollout within the limit. Each failure counts as
-/// one more load to do, as the next orders may fail as well.
+/// but enough to finish the rollout within the limit. An engine that left an
+/// order unanswered counts twice, as the next orders may get no answer either.
 size_t WeightPlan::concurrency(const Catalog &catalog,
                                const std::vector<OutdatedServer> &outdated,
                                TimePoint now) const {
@@ -64,7 +64,7 @@
       std::max(oldest + Settings.RolloutLimit - now, Settings.UsualLoadTime);
   auto loadsToDo = static_cast<int64_t>(outdated.size());
   for (const OutdatedServer &it : outdated)
-    loadsToDo += failuresOf(*it.Server);
+    loadsToDo += isUnanswered(*it.Server) ? 1 : 0;
   auto needed = static_cast<size_t>(loadsToDo * Settings.UsualLoadTime / left);
   size_t maxLoads = std::max<size_t>(outdated.size() / 2, minLoads);
   return std::clamp<size_t>(needed, minLoads, maxLoads);
@@ -97,9 +97,11 @@
 NotePostponed WeightPlan::postpone(LoadMap::iterator load,
                                    PostponeReason reason) {
   ServerStart start{load->first, load->second.StartedMs};
-  uint32_t failures = ++Failures[start];
+  FailureHistory &history = Failures[start];
+  ++history.Count;
+  history.HasUnansweredOrder |= reason == PostponeReason::NoAnswer;
   NotePostponed out{start.Id, start.StartedMs, load->second.Desired, reason,
-                    failures};
+                    history.Count};
   Loads.erase(load);
   return out;
 }
@@ -115,7 +117,12 @@
 
 uint32_t WeightPlan::failuresOf(const BackendServer &server) const {
   auto it = Failures.find(server.ref().start());
-  return it == Failures.end() ? 0 : it->second;
+  return it == Failures.end() ? 0 : it->second.Count;
+}
+
+bool WeightPlan::isUnanswered(const BackendServer &server) const {
+  auto it = Failures.find(server.ref().start());
+  return it != Failures.end() && it->second.HasUnansweredOrder;
 }
 
 const WeightPlan::OutdatedServer *
@@ -184,9 +191,9 @@
   // newer start has not arrived yet.
   bool isOtherStart = report && report->StartedMs != 0 && load.StartedMs != 0 &&
                       report->StartedMs != load.StartedMs;
-  if (!report)
+  if (!report && !load.IsOrderAccepted)
     return {postpone(it, PostponeReason::NoReport)};
-  if (isOtherStart) {
+  if (!report || isOtherStart) {
     load.NextCheckAt = now + Settings.RefusalRetryDelay;
     return {};
   }
@@ -204,12 +211,15 @@
     load.CurrentPhase = Phase::Loading;
     load.NextCheckAt = now + Settings.CheckInterval;
     load.IsOrderUnanswered = false;
+    load.IsOrderAccepted = true;
     return {};
   }
   if (load.IsOrderUnanswered)
     return {postpone(it, PostponeReason::NoAnswer)};
   load.CurrentPhase = Phase::Ordering;
-  load.NextCheckAt = now + Settings.CallTimeout;
+  load.IsOrderAccepted = false;
+  // The answer comes first, as the call has ended by then.
+  load.NextCheckAt = now + Settings.CallTimeout + Settings.RefusalRetryDelay;
   return {SendWeightOrder{server, load.Address, load.Desired,
                           report->OrdersTaken, load.StartedMs}};
 }
@@ -223,12 +233,16 @@
     clear();
     return {};
   }
-  if (it == Loads.end() || it->second.StartedMs != server.StartedMs)
-    return {};
+  bool isExpected = it != Loads.end() &&
+                    it->second.StartedMs == server.StartedMs &&
+                    it->second.CurrentPhase == Phase::Ordering;
+  if (!isExpected)
+    return {}; // The order belongs to a load that was dropped.
   Load &load = it->second;
   load.CurrentPhase = Phase::Loading;
   switch (answer) {
   case OrderAnswer::Accepted:
+    load.IsOrderAccepted = true;
     load.NextCheckAt = now + Settings.FirstCheckDelay;
     break;
   case OrderAnswer::Unknown:
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -9,7 +9,7 @@
 /// start of the engine.
 ///
 /// An engine that doesn't report, answer or accept its order is postponed: its
-/// place goes to another one. The order may still be carried out later.
+/// load slot goes to another one. The order may still be carried out later.
 #pragma once
 
 #include "direct/catalog.h"
@@ -80,8 +80,8 @@
 };
 /// Why an engine was postponed.
 enum class PostponeReason : uint8_t {
-  NoReport, ///< No response to the request for a report.
-  NoAnswer, ///< No response to the order, which is not being carried out.
+  NoReport, ///< No response to the request for a report before the order.
+  NoAnswer, ///< No response to the order, and no sign that it is carried out.
   Refused,  ///< The engine can't carry out the order now.
   TooSlow,  ///< The load exceeded LoadTimeout.
 };
@@ -148,6 +148,8 @@
     TimePoint Since;       ///< When the engine was selected.
     TimePoint NextCheckAt; ///< Next check, unless a response arrives earlier.
     bool IsOrderUnanswered = false; ///< The latest order got no response.
+    /// The engine accepted an order or reported that it carries one out.
+    bool IsOrderAccepted = false;
   };
   using LoadMap = std::map<std::string, Load>;
   /// A server with older weights than desired.
@@ -164,11 +166,13 @@
   void dropFinishedLoads(const Catalog &catalog);
   /// Postpones engines whose loads take too long.
   std::vector<WeightAction> postponeSlowLoads(TimePoint now);
-  /// Frees the place of a load that gets nowhere.
+  /// Frees the slot of a load that makes no progress.
   NotePostponed postpone(LoadMap::iterator load, PostponeReason reason);
   /// Forgets the failures of servers that are not outdated any more.
   void forgetFailures(const std::vector<OutdatedServer> &outdated);
   uint32_t failuresOf(const BackendServer &server) const;
+  /// Whether an order to this start of the server got no answer.
+  bool isUnanswered(const BackendServer &server) const;
   /// Selects outdated servers until concurrency() loads are under way.
   void startLoads(const Catalog &catalog, TimePoint now);
   /// Engines that may load at a time now.
@@ -181,8 +185,13 @@
 
   WeightPlanSettings Settings;
   LoadMap Loads; ///< By server id.
-  /// How often outdated servers were postponed.
-  std::map<ServerStart, uint32_t> Failures;
+  /// How often outdated servers were postponed, and whether one of their orders
+  /// got no answer.
+  struct FailureHistory {
+    uint32_t Count = 0;
+    bool HasUnansweredOrder = false;
+  };
+  std::map<ServerStart, FailureHistory> Failures;
 };
 
 } // namespace daisytack::direct
