Stop avoiding a server once its load of weights is postponed

Entries avoid a server for 3 s after each announcement that it loads weights. Since engines without an answer are postponed, these were avoided for that time although nothing kept them from serving, and the time of the announced load served as Retry-After of refusals even for a later load of the server.

An announcement names all loads; a server that it doesn't name has finished or was postponed, and is not avoided any more. The holder announces the end of the last load too.

--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -123,8 +123,9 @@
             "no backend server of " + request.Service + " is left to ask"};
   if (outdated > 0)
     reason = {ErrorKind::WeightsOutdated,
-              reason.Detail + "; the weights of " + std::to_string(outdated) +
-                  " have been outdated for too long"};
+              reason.Detail + "; " + std::to_string(outdated) + " of " +
+                  std::to_string(catalog.serversOf(request.Service).size()) +
+                  " have weights past the rollout limit"};
   if (earliest)
     reason.RetryAfter = *earliest - now;
   return out;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -56,8 +56,9 @@
   return knownTo != 0 && knownTo >= response.DeletionsMissingTo;
 }
 
-/// Servers that are loading new weights or are about to. They reject requests
-/// until they have finished.
+/// All servers that are loading new weights or are about to. They reject
+/// requests until they have finished. A server that the next message doesn't
+/// name has finished, or its load was postponed.
 struct ServersLoading {
   std::vector<ServerStart> Servers;
   bool operator==(const ServersLoading &) const = default;
--- a/src/direct/server_loads.cpp
+++ b/src/direct/server_loads.cpp
@@ -101,7 +101,7 @@
   state.AvoidUntil = std::max(state.AvoidUntil, until);
 }
 
-void ServerLoads::onWeightsLoaded(ServerRef server) {
+void ServerLoads::onLoadEnded(ServerRef server) {
   std::lock_guard guard(Lock);
   auto it = Servers.find(server.key());
   if (it == Servers.end())
--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -109,11 +109,11 @@
   /// No requests are to be sent to the server until then, if others are left.
   void avoidUntil(ServerRef server, TimePoint until);
   /// The server is loading new weights, or is about to, and rejects requests.
-  /// It is avoided until the given time, unless onWeightsLoaded() is called
+  /// It is avoided until the given time, unless onLoadEnded() is called
   /// first.
   void onLoading(ServerRef server, TimePoint until, TimePoint now);
-  /// The server has loaded its new weights.
-  void onWeightsLoaded(ServerRef server);
+  /// The server has loaded its new weights, or its load was postponed.
+  void onLoadEnded(ServerRef server);
   /// Replaces the earlier report of another entry. That entry sends its next
   /// report after the period.
   void onPeerReport(const std::string &entry,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -277,6 +277,14 @@
 
 void Gateway::onLoading(const std::vector<direct::ServerStart> &servers) {
   TimePoint now = monotonicNow();
+  // Loads that are not named any more have ended or were postponed.
+  std::erase_if(VersionBeforeLoad, [&](const auto &it) {
+    bool isNamed =
+        std::find(servers.begin(), servers.end(), it.first) != servers.end();
+    if (!isNamed)
+      State.Loads.onLoadEnded(it.first);
+    return !isNamed;
+  });
   auto catalog = State.catalog();
   for (const direct::BackendServer &server : catalog->AllServers) {
     direct::ServerStart start = server.ref().start();
@@ -331,7 +339,7 @@
     if (it == VersionBeforeLoad.end() || server.Weights.empty() ||
         server.Weights.front().Version == it->second)
       continue;
-    State.Loads.onWeightsLoaded(server.ref());
+    State.Loads.onLoadEnded(server.ref());
     VersionBeforeLoad.erase(it);
   }
   if (std::exchange(LastCatalog, catalog) != catalog)
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -353,6 +353,8 @@
     fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
   LogPriority priority =
       isSuccess ? LogPriority::Routine : LogPriority::Notable;
+  if (result == AttemptResult::Expired)
+    priority = LogPriority::Audit;
   State.Log.write(logPriority(order, priority), "attempt_ended",
                   std::move(fields), now);
 }
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -67,9 +67,10 @@
 
 void OrderDriver::announceLoading(TimePoint now) {
   std::vector<direct::ServerStart> busy = Plan.loadingServers();
-  bool isDue = busy != AnnouncedServers ||
-               now >= AnnouncedAt + Settings.AnnounceInterval;
-  if (busy.empty() || !isDue)
+  bool hasChanged = busy != AnnouncedServers;
+  bool isRepetition =
+      !busy.empty() && now >= AnnouncedAt + Settings.AnnounceInterval;
+  if (!hasChanged && !isRepetition)
     return;
   AnnouncedServers = busy;
   AnnouncedAt = now;
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -302,8 +302,10 @@
   Loads.onLoading("e3", past + 4s, past + 1s); // Heard of it again.
   EXPECT_EQ(retryAfter(past + 1s), settings.UsualLoadTime - 1s);
   EXPECT_EQ(retryAfter(past + 3s), settings.OverdueLoadRetry);
-  Loads.onWeightsLoaded("e3");
+  Loads.onLoadEnded("e3");
   EXPECT_EQ(retryAfter(past + 3s), settings.UsualLoadTime);
+  Loads.onLoading("e3", past + 6s, past + 3s); // Selected anew.
+  EXPECT_EQ(retryAfter(past + 3500ms), settings.UsualLoadTime - 500ms);
 }
 
 /// The age of weights counts at the time when the request begins to run. A long
@@ -361,7 +363,7 @@
   Duration limit = PlacementSettings().OldWeightsLimit;
   Duration prefill(static_cast<int64_t>(1000 * request.Head.PromptTokens /
                                         Rates.tokensPerMs("engines")));
-  Duration twiceTheWait = 2 * (50ms + prefill);
+  Duration twiceTheWait = 2 * (50ms + prefill); // OldWeightsWaitFactor.
   for (Duration age = 100ms; age < limit; age += 100ms) {
     AttemptOrder order = choose(request, {}, Start + age);
     bool isInTime = age + twiceTheWait < limit;
--- a/tests/direct/restart_test.cpp
+++ b/tests/direct/restart_test.cpp
@@ -61,7 +61,7 @@
   uint64_t pool = stableHash("engines");
   ASSERT_EQ(Ejected.onFailure(pool, 6, ServerRef("e0").key(), Start),
             EjectionVerdict::Ejected);
-  Loads.onWeightsLoaded("e1"); // Usable again, so e0 is not the only choice.
+  Loads.onLoadEnded("e1"); // Usable again, so e0 is not the only choice.
   EXPECT_EQ(choose(prompt("s")).ServerId, "e1");
   server("e0").StartedMs = Second.StartedMs;
   Loads.avoidUntil("e1", Start + 60s);
--- a/tests/direct/server_loads_test.cpp
+++ b/tests/direct/server_loads_test.cpp
@@ -154,7 +154,7 @@
   EXPECT_TRUE(loads.view("a", Start + 100ms).IsAvoided);
   EXPECT_FALSE(loads.view("a", Start + 300ms).IsAvoided);
   loads.avoidUntil("a", Start + 10s);
-  loads.onWeightsLoaded("a");
+  loads.onLoadEnded("a");
   EXPECT_FALSE(loads.view("a", Start + 1s).IsAvoided);
 }
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -330,6 +330,38 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// Guards against servers that get no requests although their load of weights
+/// was postponed: entries avoid a server only while its load is announced.
+TEST_F(GatewayTest, AvoidsAPostponedServerNoLongerThanItsLoadIsAnnounced) {
+  std::mutex lock;
+  std::vector<ExchangePtr> unanswered;
+  test::FakeServer &engine =
+      startBackend([&](const HttpRequest &what, const ExchangePtr &to) {
+        std::lock_guard guard(lock);
+        if (what.Path == "/order")
+          return unanswered.push_back(to);
+        to->respond({200,
+                     {},
+                     R"({"models":[{"name":"m","version":1}],)"
+                     R"("busy":false,"sequence":4})"});
+      });
+  // One more than load at a time.
+  for (const char *id : {"i-1", "i-2", "i-3"})
+    registerServer(id, engine, "engines");
+  KvService.put("op/config", configText("\"k1\""));
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  test::StdoutCapture log;
+  start("e1", KvService.address());
+  EXPECT_TRUE(eventually([&] {
+    return log.countLines({"load_postponed", "i-1", "no_answer"}) > 0;
+  }));
+  // It is avoided once more when it is selected anew.
+  EXPECT_TRUE(eventually([&] {
+    return log.countLines({"server_avoided", "i-1", "new weights"}) > 1;
+  }));
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 /// A store's report that a part is gone can be lost, but its answer to the
 /// order to free says so too.
 TEST_F(GatewayTest, FreesAPartOnlyOnceIfTheChangeReportIsLost) {
--- a/tests/gateway/stdout_capture.h
+++ b/tests/gateway/stdout_capture.h
@@ -38,6 +38,17 @@
     return {};
   }
 
+  /// Number of lines that contain all of the texts.
+  size_t countLines(const std::vector<std::string> &texts) const {
+    std::istringstream lines(text());
+    size_t out = 0;
+    for (std::string line; std::getline(lines, line);)
+      out += std::all_of(texts.begin(), texts.end(), [&](const auto &it) {
+        return line.find(it) != std::string::npos;
+      });
+    return out;
+  }
+
 private:
   std::string text() const {
     std::string out;
