Move desired versions out of the catalog, and test that entries tell ages

The catalog held both records and what is known of the time of each desired version. The latter is a module of its own now, direct/desired_versions, in preparation of ages that outlast all processes. No behaviour changes; the catalog keeps its functions for callers.

RolloutAgeTest sent the ages itself, and nothing showed that an entry does. AnEntryTellsItWhileAServerHasOlderWeights receives them on a socket.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-/// Desired versions that are kept per model. More than servers can lag behind,
-/// because each version is in force everywhere within seconds.
-constexpr size_t VersionsRemembered = 16;
-/// Larger ages are not credible.
-constexpr Duration MaxVersionAge = std::chrono::hours(24 * 365);
-
 /// Deleted keys that are kept. Covers an outage of the store in a large
 /// deployment where one server a second is replaced.
 constexpr size_t DeletionsRemembered = 2000;
@@ -55,35 +49,16 @@
 }
 
 uint64_t Catalog::desiredVersion(std::string_view model) const {
-  auto it = DesiredVersions.find(model);
-  return it == DesiredVersions.end() ? 0 : it->second.back().Version;
+  return newestVersion(DesiredVersions, model);
 }
 
 std::optional<TimePoint> Catalog::outdatedSince(std::string_view model,
                                                 uint64_t version) const {
-  auto it = DesiredVersions.find(model);
-  if (it == DesiredVersions.end())
-    return std::nullopt;
-  for (const DesiredVersion &desired : it->second)
-    if (desired.Version > version)
-      return desired.Since;
-  return std::nullopt;
+  return direct::outdatedSince(DesiredVersions, model, version);
 }
 
 std::vector<DesiredVersionAge> Catalog::rolloutAges(TimePoint now) const {
-  std::vector<DesiredVersionAge> out;
-  for (const auto &[model, versions] : DesiredVersions) {
-    auto oldest = OldestVersions.find(model);
-    if (oldest == OldestVersions.end())
-      continue;
-    for (const DesiredVersion &it : versions) {
-      bool isLoadedByAll = it.Version <= oldest->second;
-      if (isLoadedByAll || it.IsSinceAssumed || out.size() >= MaxVersionAges)
-        continue;
-      out.push_back({{model, it.Version}, (now - it.Since).count()});
-    }
-  }
-  return out;
+  return direct::rolloutAges(DesiredVersions, OldestVersions, now);
 }
 
 std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
@@ -345,41 +320,15 @@
 
 void CatalogKeeper::noteDesiredVersion(const ModelVersion &desired,
                                        TimePoint now) {
-  std::vector<DesiredVersion> &known = DesiredVersions[desired.Model];
-  if (!known.empty() && known.back().Version >= desired.Version)
-    return;
   TimePoint since = IsFirstRead ? now - Settings.AgeAtFirstRead : now;
-  known.push_back({desired.Version, since, !HasReadAll});
-  if (known.size() > VersionsRemembered)
-    known.erase(known.begin());
-}
-
-DesiredVersion *CatalogKeeper::findDesired(const ModelVersion &desired) {
-  auto known = DesiredVersions.find(desired.Model);
-  if (known == DesiredVersions.end())
-    return nullptr;
-  for (DesiredVersion &it : known->second)
-    if (it.Version == desired.Version)
-      return &it;
-  return nullptr;
+  Versions.note(desired, since, !HasReadAll);
 }
 
 std::vector<DesiredVersionAge>
 CatalogKeeper::onPeerAges(const std::vector<DesiredVersionAge> &ages,
                           TimePoint now) {
-  std::vector<DesiredVersionAge> out;
-  for (const DesiredVersionAge &it : ages) {
-    DesiredVersion *known = findDesired(it.Desired);
-    if (!known || it.Age < 0 || it.Age > MaxVersionAge.count())
-      continue;
-    TimePoint since = now - Duration(it.Age);
-    bool isEarlier = since + Settings.VersionAgeTolerance < known->Since;
-    if (!isEarlier && !known->IsSinceAssumed)
-      continue;
-    known->Since = since;
-    known->IsSinceAssumed = false;
-    out.push_back(it);
-  }
+  std::vector<DesiredVersionAge> out =
+      Versions.correct(ages, Settings.VersionAgeTolerance, now);
   if (!out.empty())
     publish(now);
   return out;
@@ -519,7 +468,7 @@
   auto next = std::make_shared<Catalog>();
   next->Config = Config;
   next->ConfigRevision = ConfigRevision;
-  next->DesiredVersions = DesiredVersions;
+  next->DesiredVersions = Versions.byModel();
   next->Retired = EverRetired;
   next->AreRecordsStale = IsStale;
   next->Era = Era;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -5,6 +5,7 @@
 
 #include "base/rcu.h"
 #include "daisytack/error.h"
+#include "direct/desired_versions.h"
 #include "direct/records.h"
 
 #include <compare>
@@ -22,21 +23,6 @@
 /// decoded: the lease is taken, by an unknown entry.
 constexpr std::string_view UnknownHolder = "(unknown)";
 
-/// A desired version of a model's weights.
-struct DesiredVersion {
-  uint64_t Version = 0;
-  /// When it became desired, as far as this process knows.
-  TimePoint Since;
-  /// Learned before the end of the first read, so that Since is an assumption.
-  bool IsSinceAssumed = false;
-  auto operator<=>(const DesiredVersion &) const = default;
-};
-
-/// By model: the desired versions in increasing order, the newest last. Each
-/// keeps the time at which it became known.
-using DesiredVersionMap =
-    std::map<std::string, std::vector<DesiredVersion>, std::less<>>;
-
 /// One immutable snapshot.
 struct Catalog {
   std::shared_ptr<const ConfigIndex> Config; ///< Null until it is known.
@@ -44,8 +30,7 @@
   /// By service name: the servers that take new requests, sorted by id. Only
   /// servers of configured services, in failure domains that are not evacuated.
   std::map<std::string, std::vector<BackendServer>, std::less<>> Servers;
-  /// By model: the oldest version of its weights that a usable server has.
-  std::map<std::string, uint64_t, std::less<>> OldestVersions;
+  OldestVersionMap OldestVersions;
   /// All usable servers, including draining ones and those in evacuated
   /// domains, sorted by id.
   std::vector<BackendServer> AllServers;
@@ -102,10 +87,6 @@
   std::vector<DesiredVersionAge> rolloutAges(TimePoint now) const;
 };
 
-/// Maximum number of ages that an entry tells the others. They fit into one
-/// datagram if names of models are shorter than 70 bytes.
-constexpr size_t MaxVersionAges = 16;
-
 /// Addresses of server starts that are in the second catalog but not in the
 /// first. Connections that are kept open to these addresses belong to an
 /// earlier process. Servers that report no start time are left out.
@@ -256,8 +237,6 @@
   bool mergeDeletion(KeyState &state, uint64_t revision, TimePoint now);
   void publish(TimePoint now);
   void noteDesiredVersion(const ModelVersion &desired, TimePoint now);
-  /// The known desired version; null if it is not known.
-  DesiredVersion *findDesired(const ModelVersion &desired);
   /// Whether the configuration has the server's service and, for an engine, the
   /// server has weights of all configured models. True while no configuration
   /// is known.
@@ -287,7 +266,7 @@
   std::map<std::string, KeyState> States; ///< By key, including deleted keys.
   std::shared_ptr<const ConfigIndex> Config;
   uint64_t ConfigRevision = 0;
-  DesiredVersionMap DesiredVersions;
+  DesiredVersions Versions;
   /// Versions that servers have loaded ahead of their records; see
   /// noteLoaded().
   std::map<ServerStart, ModelVersion> NotedVersions;
--- a/tests/gateway/rollout_age_test.cpp
+++ b/tests/gateway/rollout_age_test.cpp
@@ -86,6 +86,42 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// The ages that the other tests send by themselves: an entry tells them while
+/// a server has yet to load the version.
+TEST_F(RolloutAgeTest, AnEntryTellsItWhileAServerHasOlderWeights) {
+  using boost::asio::ip::udp;
+  Endpoint peer = test::freeEndpoint();
+  udp::socket socket(Threads.Io,
+                     {boost::asio::ip::make_address(peer.Address), peer.Port});
+  test::FakeServer &contextStore = startBackend(answer);
+  registerServer("i-1", startBackend(answer), "engines", 1);
+  KvService.put("op/config", promptConfigText(contextStore.address()));
+  KvService.put("daisytack/holder", "{}", 77);
+  KvService.put("daisytack/entries/e2",
+                R"({"peer":")" + toString(peer) + R"("})");
+  startPatientEntry();
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  std::vector<direct::DesiredVersionAge> told;
+  EXPECT_TRUE(eventually([&] {
+    std::string bytes(65536, '\0');
+    while (told.empty() && socket.available() > 0) {
+      size_t size = socket.receive(boost::asio::buffer(bytes));
+      Error reason;
+      auto message =
+          wire::decode<direct::PeerMessage>(bytes.substr(0, size), reason);
+      EXPECT_TRUE(message) << reason.Detail;
+      if (const auto *ages =
+              message ? std::get_if<direct::RolloutAges>(&*message) : nullptr)
+        told = ages->Versions;
+    }
+    return !told.empty();
+  }));
+  ASSERT_EQ(told.size(), 1);
+  EXPECT_EQ(told[0].Desired, (direct::ModelVersion{"m", 2}));
+  EXPECT_GE(told[0].Age, 0);
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 /// Guards against attempts that begin on weights past the rollout limit: here
 /// the age of the weights becomes known while the attempt waits for its server.
 TEST_F(RolloutAgeTest, AWaitingAttemptEndsOnceItsWeightsAreTooOld) {
