Keep the ages of desired versions in the key-value service

Callers got answers that began on replaced weights up to 11.1 s after the newer ones had been named, of 10 s allowed, when all entries restarted during a rollout: no process was left that knew the age of the version, and each assumed 5 s. Since requests past the rollout limit are refused, too large an age would also refuse too early.

The holder of the order lease now writes since when each version that servers have yet to load has been desired, by the servers' clock (daisytack/rollout- times). It writes known times only, once for each named version, on failure again after 1 s at the earliest. An entry that reads the record takes each time once, as soon as it knows that clock, like an age told by another entry: it replaces only an assumed or a smaller one. So an older copy of the record does no harm. Times in the future or over a year old are logged and not used. version_age_learned names its source.

With the record neither read nor written, the three of RolloutAgeTest (AStartingEntryTakesItFromTheService, TimesThat- CannotBeDoNotCount, TheHolderOfTheOrderLeaseRecordsItOnce) failed.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -499,6 +499,11 @@
         next->RetiredInRecord = retired->Retirements;
       next->RetiredRecordRevision = state.Record.Revision;
     }
+    if (state.Subject.Kind == RecordKind::RolloutTimes) {
+      if (const auto *it = std::get_if<RolloutTimesRecord>(&state.Value))
+        next->RolloutTimes = it->Versions;
+      next->RolloutTimesRevision = state.Record.Revision;
+    }
     const auto *record = std::get_if<BackendServer>(&state.Value);
     if (!record || !isConfigured(*record)) {
       next->LastKnownWeights.insert(next->LastKnownWeights.end(),
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -56,6 +56,9 @@
   std::vector<Retirement> RetiredInRecord; ///< Contents of the store's record.
   uint64_t RetiredRecordRevision = 0;      ///< Its revision; 0: no record.
   bool IsRetiredRecordReadable = true;     ///< Whether the record was decoded.
+  /// Recorded times of desired versions, see timesToRecord().
+  std::vector<DesiredVersionTime> RolloutTimes;
+  uint64_t RolloutTimesRevision = 0; ///< Revision of the record; 0: none.
   /// Quarantined requests, with the revision of each record.
   std::map<Id128, uint64_t> Quarantined;
   /// Failure domains whose servers get no requests.
@@ -158,7 +161,8 @@
   /// start of the server only.
   void noteLoaded(const ServerStart &server, const ModelVersion &loaded,
                   TimePoint now);
-  /// Another entry tells for how long versions have been desired. The ages that
+  /// Another entry or the store's record tells for how long versions have been
+  /// desired. The ages that
   /// this process only assumes, or that it takes to be smaller since it heard
   /// of the version late, are replaced. Returns those that were.
   std::vector<DesiredVersionAge>
--- a/src/direct/desired_versions.cpp
+++ b/src/direct/desired_versions.cpp
@@ -1,5 +1,7 @@
 #include "direct/desired_versions.h"
 
+#include <algorithm>
+
 namespace daisytack::direct {
 
 namespace {
@@ -7,6 +9,10 @@
 /// Desired versions that are kept per model. More than servers can lag behind,
 /// because each version is in force everywhere within seconds.
 constexpr size_t VersionsRemembered = 16;
+constexpr int64_t MicrosPerMs = 1000;
+/// Each process learns the servers' clock late by the delay of a store's
+/// answer, so that a time just recorded may appear to be in the future.
+constexpr int64_t ClockToleranceMs = 1000;
 
 } // namespace
 
@@ -46,6 +52,51 @@
   return out;
 }
 
+bool contains(const DesiredVersionMap &versions, const ModelVersion &desired) {
+  auto known = versions.find(desired.Model);
+  return known != versions.end() &&
+         std::any_of(known->second.begin(), known->second.end(),
+                     [&](const DesiredVersion &it) {
+                       return it.Version == desired.Version;
+                     });
+}
+
+std::optional<int64_t> ageOf(const DesiredVersionTime &recorded,
+                             int64_t clockMs) {
+  constexpr int64_t MaxAgeMs = MaxVersionAge.count() / MicrosPerMs;
+  // Compared without subtracting from the recorded time, which may be any
+  // number.
+  bool isCredible = recorded.SinceMs >= 0 &&
+                    recorded.SinceMs <= clockMs + ClockToleranceMs &&
+                    recorded.SinceMs >= clockMs - MaxAgeMs;
+  if (!isCredible)
+    return std::nullopt;
+  return std::max<int64_t>(clockMs - recorded.SinceMs, 0) * MicrosPerMs;
+}
+
+std::vector<DesiredVersionTime>
+timesToRecord(const std::vector<DesiredVersionAge> &ages,
+              const std::vector<DesiredVersionTime> &recorded,
+              int64_t clockMs) {
+  std::vector<DesiredVersionTime> out;
+  bool isMissing = false;
+  for (const DesiredVersionAge &it : ages) {
+    if (out.size() >= MaxVersionAges)
+      break;
+    int64_t since = std::max<int64_t>(clockMs - it.Age / MicrosPerMs, 0);
+    auto known = std::find_if(
+        recorded.begin(), recorded.end(), [&](const DesiredVersionTime &time) {
+          return time.Desired == it.Desired && ageOf(time, clockMs);
+        });
+    if (known == recorded.end())
+      isMissing = true;
+    else
+      since = std::min(since, known->SinceMs);
+    out.push_back({it.Desired, since});
+  }
+  return isMissing ? out : std::vector<DesiredVersionTime>();
+}
+
 void DesiredVersions::note(const ModelVersion &desired, TimePoint since,
                            bool isSinceAssumed) {
   std::vector<DesiredVersion> &known = ByModel[desired.Model];
--- a/src/direct/desired_versions.h
+++ b/src/direct/desired_versions.h
@@ -52,6 +52,21 @@
                                            const OldestVersionMap &oldest,
                                            TimePoint now);
 
+/// Whether the version is a known desired version.
+bool contains(const DesiredVersionMap &versions, const ModelVersion &desired);
+
+/// The age of the version in microseconds when the servers' clock shows
+/// `clockMs`; empty if the recorded time is not credible: in the future, or
+/// more than MaxVersionAge ago.
+std::optional<int64_t> ageOf(const DesiredVersionTime &recorded,
+                             int64_t clockMs);
+/// The times to record, MaxVersionAges at most; empty if the record already has
+/// a credible time of every version with a known age. A time that was recorded
+/// is kept if it is the earlier one.
+std::vector<DesiredVersionTime>
+timesToRecord(const std::vector<DesiredVersionAge> &ages,
+              const std::vector<DesiredVersionTime> &recorded, int64_t clockMs);
+
 /// Notes desired versions and corrects their ages. Not thread-safe.
 class DesiredVersions {
 public:
--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -53,6 +53,8 @@
   std::function<std::string(const OrderLeaseHolder &)> EncodeHolder;
   std::string RetiredKey; ///< Key of the list of all retired context.
   std::function<std::string(const RetiredContext &)> EncodeRetired;
+  std::string RolloutTimesKey; ///< Key of the times of desired versions.
+  std::function<std::string(const RolloutTimesRecord &)> EncodeRolloutTimes;
   std::function<std::string(const Id128 &request)> QuarantineKey;
   std::function<std::string()> EncodeQuarantined;
 
--- a/src/direct/records.h
+++ b/src/direct/records.h
@@ -84,6 +84,21 @@
   }
 };
 
+/// Since when a version of a model's weights has been desired, as recorded for
+/// later processes.
+struct DesiredVersionTime {
+  ModelVersion Desired;
+  int64_t SinceMs = 0; ///< By the servers' clock, in milliseconds.
+  auto operator<=>(const DesiredVersionTime &) const = default;
+};
+
+/// The times of the desired versions that servers had yet to load when the
+/// holder of the order lease wrote the record.
+struct RolloutTimesRecord {
+  std::vector<DesiredVersionTime> Versions;
+  auto operator<=>(const RolloutTimesRecord &) const = default;
+};
+
 /// The holder of the order lease: the one entry that may send orders to backend
 /// servers and free kept context. The address identifies its instance, because
 /// the same name may later be used on another instance.
@@ -138,6 +153,7 @@
   Registration, ///< Registration of an entry's address.
   Holder,       ///< Holder of the order lease.
   Retired,      ///< Retired context.
+  RolloutTimes, ///< Since when versions of weights have been desired.
   Quarantine,   ///< Quarantine of a request.
   Evacuation,   ///< Evacuation of a failure domain.
   Other         ///< Anything else, which the catalog ignores.
@@ -156,7 +172,7 @@
 using RecordValue =
     std::variant<std::monostate, ServingConfig, BackendServer, DesiredWeights,
                  EntryPeer, OrderLeaseHolder, RetiredContext, EntryRegistration,
-                 QuarantinedRequest, EvacuatedDomain>;
+                 QuarantinedRequest, EvacuatedDomain, RolloutTimesRecord>;
 
 /// One key of the store with its raw value. Only the decoder interprets the
 /// value, so entries can pass records on unchanged.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,6 +85,8 @@
           })),
       Quarantines(std::make_shared<QuarantineRecords>(
           State, ControlStrand, Store, QuarantineRecordSettings{})),
+      Rollouts(std::make_shared<RolloutTimes>(State, RolloutTimesSettings{},
+                                              rolloutTimesHooks())),
       CallerServer(State),
       ReadinessServer(io, listenOn(Options.Readiness),
                       [this](const net::HttpRequest &request,
@@ -171,6 +173,18 @@
   return out;
 }
 
+RolloutTimesHooks Gateway::rolloutTimesHooks() {
+  RolloutTimesHooks out;
+  out.IsHolder = [this](TimePoint now) {
+    return Orders->token(now).has_value();
+  };
+  out.Write = [this](edge::KvWrite write, uint64_t replacedRevision,
+                     const std::function<void(const edge::KvHeader &)> &done) {
+    commitAsHolder(std::move(write), replacedRevision, done);
+  };
+  return out;
+}
+
 void Gateway::commitAsHolder(
     edge::KvWrite write, uint64_t replacedRevision,
     const std::function<void(const edge::KvHeader &)> &done) {
@@ -324,6 +338,7 @@
 }
 
 void Gateway::onCatalog() {
+  Rollouts->onCatalog(monotonicNow());
   auto catalog = State.catalog();
   auto before = LastCatalog;
   for (const direct::BackendServer &server : catalog->AllServers) {
@@ -388,6 +403,7 @@
   Follower->onTimer(now);
   applyWatchPlan(now);
   Orders->onTimer(now);
+  Rollouts->onTimer(now);
   reviewBeginLimits();
   if (Orders->token(now)) {
     Contexts->retireUnused(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/order_driver.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine.h"
+#include "gateway/rollout_times.h"
 #include "net/timer.h"
 
 #include <atomic>
@@ -65,6 +66,7 @@
   /// decides.
   void applyWatchPlan(TimePoint now);
   RetirementHooks retirementHooks();
+  RolloutTimesHooks rolloutTimesHooks();
   /// Commits the write if this process still holds the order lease and the key
   /// is still at `replacedRevision` (0: it does not exist). `done` gets an
   /// empty header if the order lease is not held.
@@ -101,6 +103,7 @@
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
+  std::shared_ptr<RolloutTimes> Rollouts;
   GatewayHttp CallerServer;
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -51,6 +51,8 @@
     return "order_holder";
   case direct::RecordKind::Retired:
     return "retired_context";
+  case direct::RecordKind::RolloutTimes:
+    return "rollout_times";
   case direct::RecordKind::Quarantine:
     return "quarantined_request";
   case direct::RecordKind::Evacuation:
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "gateway/load_datagram.h"
 #include "gateway/quarantine.h"
+#include "gateway/rollout_times.h"
 #include "net/http_socket.h"
 #include "wire/codec.h"
 
@@ -73,7 +74,7 @@
   if (const auto *limits = std::get_if<direct::RequestLimitUpdate>(&*message))
     return State.Limits.onPeerReports(limits->ServerLimits, now);
   if (const auto *ages = std::get_if<direct::RolloutAges>(&*message))
-    return onRolloutAges(*ages, now);
+    return learnVersionAges(State, ages->Versions, "entry", now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
   if (!loads || loads->Entry == State.Options.Name)
     return;
@@ -84,17 +85,6 @@
     State.Loads.onLeaving(server, now);
 }
 
-void LoadExchange::onRolloutAges(const direct::RolloutAges &ages,
-                                 TimePoint now) {
-  for (const direct::DesiredVersionAge &it :
-       State.Catalog.onPeerAges(ages.Versions, now))
-    State.Log.write(LogPriority::Notable, "version_age_learned",
-                    {{"model", it.Desired.Model},
-                     {"version", it.Desired.Version},
-                     {"age_ms", it.Age / 1000}},
-                    now);
-}
-
 void LoadExchange::send(const Endpoint &peer, const std::string &bytes) {
   boost::asio::ip::tcp::endpoint address;
   if (!net::toTcp(peer, address))
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -32,7 +32,6 @@
 private:
   void receive();
   void onDatagram(std::string_view bytes);
-  void onRolloutAges(const direct::RolloutAges &ages, TimePoint now);
   void send(const Endpoint &peer, const std::string &bytes);
 
   GatewayState &State;
--- a/tests/direct/catalog_fixture.h
+++ b/tests/direct/catalog_fixture.h
@@ -26,6 +26,8 @@
     return {RecordKind::Registration, name};
   if (key == "holder")
     return {RecordKind::Holder, ""};
+  if (key == "rollout-times")
+    return {RecordKind::RolloutTimes, ""};
   if (key == "retired")
     return {RecordKind::Retired, ""};
   return {key == "config" ? RecordKind::Config : RecordKind::Other, ""};
@@ -40,6 +42,7 @@
 /// - "config=VERSION": a configuration with the services "service" and
 ///   "engines"; the latter has engines. The suffix "@SERVICE" adds a third
 ///   service.
+/// - "rollout-times=TIME": since when version 2 of "model" has been desired.
 /// - "entry:NAME" with any value, "holder=NAME".
 ///
 /// The value "bad" can't be decoded under any key.
@@ -57,6 +60,8 @@
       return EntryPeer{subject.Name, {"10.0.0.1", 1}};
     if (subject.Kind == RecordKind::Holder)
       return OrderLeaseHolder{record.Value};
+    if (subject.Kind == RecordKind::RolloutTimes)
+      return RolloutTimesRecord{{{{"model", 2}, std::stoll(record.Value)}}};
     bool isDraining = record.Value.ends_with('!');
     uint64_t version = std::stoull(record.Value);
     size_t at = record.Value.find('@');
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -1,4 +1,5 @@
 #include "direct/catalog_fixture.h"
+#include "direct/revision.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -177,6 +178,32 @@
   EXPECT_TRUE(keeper.view()->rolloutAges(Start + 3s).empty());
 }
 
+TEST(CatalogKeeper, PublishesTheRecordedTimesOfDesiredVersions) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("rollout-times", "5", 7)}, Start);
+  EXPECT_EQ(keeper.view()->RolloutTimes,
+            (std::vector<DesiredVersionTime>{{{"model", 2}, 5}}));
+  EXPECT_EQ(keeper.view()->RolloutTimesRevision, 7);
+  // An unreadable record must be replaced by its own revision.
+  keeper.apply({put("rollout-times", "bad", 8)}, Start);
+  EXPECT_EQ(keeper.view()->RolloutTimes.size(), 1);
+  EXPECT_EQ(keeper.view()->RolloutTimesRevision, 8);
+  keeper.apply({deletion("rollout-times", 9)}, Start);
+  EXPECT_TRUE(keeper.view()->RolloutTimes.empty());
+  EXPECT_EQ(keeper.view()->RolloutTimesRevision, 0);
+}
+
+/// A restore takes the record back, and with it only hints.
+TEST(CatalogKeeper, TakesRolloutTimesAsARestoredStoreHasThem) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("weights:model", "2", 7), put("rollout-times", "5", 8)},
+                  8, Start);
+  uint64_t restored = monotonicRevision(1, 9);
+  keeper.applyAll({put("weights:model", "2", restored)}, restored, Start + 1s);
+  EXPECT_TRUE(keeper.view()->RolloutTimes.empty());
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start - 5s);
+}
+
 TEST(CatalogKeeper, KeepsTheTimeOfEachDesiredVersion) {
   CatalogKeeper keeper({}, textHooks());
   keeper.apply({put("weights:model", "2", 5)}, Start);
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -76,8 +76,9 @@
 
 /// Decodes the input as the value of each kind of key in the platform's store.
 void runRecords(std::string_view text) {
-  for (const char *key : {"op/config", "op/version/m", "servers/i",
-                          "daisytack/entries/e", "daisytack/holder"}) {
+  for (const char *key :
+       {"op/config", "op/version/m", "servers/i", "daisytack/entries/e",
+        "daisytack/holder", "daisytack/rollout-times"}) {
     Error reason;
     auto record =
         platform::decodeRecord({key, std::string(text), 1, false}, reason);
--- a/tests/gateway/rollout_age_test.cpp
+++ b/tests/gateway/rollout_age_test.cpp
@@ -4,7 +4,10 @@
 /// Entries that had started while engines loaded new weights assumed that these
 /// had been desired for 5 s. They sent requests to engines with the older
 /// weights up to 10.8 s after newer ones had been named, of 10 s allowed.
+#include "base/clock.h"
 #include "gateway/gateway_fixture.h"
+#include "gateway/stdout_capture.h"
+#include "platform/record_format.h"
 
 #include "wire/codec.h"
 
@@ -64,6 +67,32 @@
     return promptsAt(server) - before;
   }
 
+  /// A context store that reports the servers' clock, which begins at ClockMs.
+  test::FakeServer &startStoreWithClock() {
+    return startBackend([begin = monotonicNow()](const HttpRequest &what,
+                                                 const ExchangePtr &to) {
+      if (what.Path == "/kv-list")
+        return to->respond({200, {}, R"({"epoch":1,"next":5,"held":[]})"});
+      to->respond(
+          {200,
+           {},
+           R"({"epoch":1,"next":5,"lost":false,"events":[],)"
+           R"("clock_ms":)" +
+               std::to_string(ClockMs + (monotonicNow() - begin) / 1ms) + "}"});
+    });
+  }
+  std::vector<direct::DesiredVersionTime> recordedTimes() {
+    auto held = KvService.snapshot();
+    Error reason;
+    auto value = platform::decodeRecord(
+        {RecordKey, held.Items.at(RecordKey).Value, 1, false}, reason);
+    EXPECT_TRUE(value) << reason.Detail;
+    return value ? std::get<direct::RolloutTimesRecord>(*value).Versions
+                 : std::vector<direct::DesiredVersionTime>();
+  }
+
+  static constexpr int64_t ClockMs = 1'796'000'000'000;
+  const std::string RecordKey = platform::rolloutTimesKey();
   size_t Requests = 0;
 };
 
@@ -86,6 +115,64 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// No other entry is left when all of them start at once.
+TEST_F(RolloutAgeTest, AStartingEntryTakesItFromTheService) {
+  test::FakeServer &contextStore = startStoreWithClock();
+  test::FakeServer &outdated = startBackend(answer);
+  registerServer("i-1", outdated, "engines", 1);
+  registerServer("i-2", startBackend(answer), "engines", 2);
+  KvService.put("op/config", promptConfigText(contextStore.address()));
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  KvService.put("daisytack/holder", "{}", 77);
+  KvService.put(RecordKey, platform::encodeRolloutTimes(
+                               {{{{"m", 2}, ClockMs - 7'200'000}}}));
+  Entry &entry = startPatientEntry();
+  EXPECT_TRUE(eventually([&] { return sendPrompts(entry, outdated) == 0; }));
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
+TEST_F(RolloutAgeTest, TimesThatCannotBeDoNotCount) {
+  test::FakeServer &contextStore = startStoreWithClock();
+  test::FakeServer &outdated = startBackend(answer);
+  registerServer("i-1", outdated, "engines", 1);
+  registerServer("i-2", startBackend(answer), "engines", 2);
+  KvService.put("op/config", promptConfigText(contextStore.address()));
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  KvService.put("daisytack/holder", "{}", 77);
+  KvService.put(RecordKey, platform::encodeRolloutTimes({{{{"m", 2}, 0}}}));
+  test::StdoutCapture log;
+  Entry &entry = startPatientEntry();
+  EXPECT_TRUE(eventually(
+      [&] { return !log.findLine({"version_time_ignored"}).empty(); }));
+  EXPECT_GT(sendPrompts(entry, outdated), 0);
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
+TEST_F(RolloutAgeTest, TheHolderOfTheOrderLeaseRecordsItOnce) {
+  test::FakeServer &contextStore = startStoreWithClock();
+  registerServer("i-1", startBackend(answer), "engines", 1);
+  KvService.put("op/config", promptConfigText(contextStore.address()));
+  startPatientEntry();
+  EXPECT_TRUE(eventually([&] { return KvService.has("daisytack/holder"); }));
+  KvService.put("op/version/m", R"({"model":"m","version":2})");
+  ASSERT_TRUE(eventually([&] { return KvService.has(RecordKey); }));
+  std::vector<direct::DesiredVersionTime> second = recordedTimes();
+  ASSERT_EQ(second.size(), 1);
+  EXPECT_EQ(second[0].Desired, (direct::ModelVersion{"m", 2}));
+  EXPECT_GT(second[0].SinceMs, ClockMs - 3'600'000);
+  uint64_t revision = KvService.revisionOf(RecordKey);
+  KvService.put("op/version/m", R"({"model":"m","version":3})");
+  ASSERT_TRUE(
+      eventually([&] { return KvService.revisionOf(RecordKey) > revision; }));
+  std::vector<direct::DesiredVersionTime> both = recordedTimes();
+  ASSERT_EQ(both.size(), 2);
+  EXPECT_EQ(both[0].Desired, second[0].Desired);
+  EXPECT_LE(both[0].SinceMs, second[0].SinceMs);
+  EXPECT_GT(both[0].SinceMs, ClockMs - 3'600'000);
+  EXPECT_EQ(both[1].Desired, (direct::ModelVersion{"m", 3}));
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 /// The ages that the other tests send by themselves: an entry tells them while
 /// a server has yet to load the version.
 TEST_F(RolloutAgeTest, AnEntryTellsItWhileAServerHasOlderWeights) {
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -135,6 +135,8 @@
   EXPECT_EQ(subjectOf(entryKey("e")),
             (direct::RecordSubject{RecordKind::Entry, "e"}));
   EXPECT_EQ(subjectOf(holderKey()).Kind, RecordKind::Holder);
+  EXPECT_EQ(subjectOf(rolloutTimesKey()),
+            (direct::RecordSubject{RecordKind::RolloutTimes, ""}));
   EXPECT_EQ(subjectOf("op/evacuate/z"),
             (direct::RecordSubject{RecordKind::Evacuation, "z"}));
   EXPECT_EQ(subjectOf("op/other").Kind, RecordKind::Other);
@@ -161,6 +163,40 @@
             direct::OrderLeaseHolder{"e"});
 }
 
+TEST(DecodeRecord, ReadsTimesOfDesiredVersions) {
+  direct::RolloutTimesRecord times{
+      {{{"m", 2}, 1'796'000'000'123}, {{"n", 7}, 0}}};
+  EXPECT_EQ(decodeAs<direct::RolloutTimesRecord>(rolloutTimesKey(),
+                                                 encodeRolloutTimes(times)),
+            times);
+}
+
+TEST(DecodeRecord, RejectsTimesOfDesiredVersionsThatCannotBe) {
+  auto isReadable = [](const std::string &rows) {
+    Error reason;
+    auto decoded = decodeRecord(
+        record(rolloutTimesKey(), R"({"versions":[)" + rows + "]}"), reason);
+    EXPECT_EQ(decoded.has_value(), reason.Kind == ErrorKind::None);
+    return decoded.has_value();
+  };
+  std::string row = R"({"model":"m","version":2,"since-ms":5})";
+  EXPECT_TRUE(isReadable(row));
+  EXPECT_FALSE(isReadable(R"({"model":"","version":2,"since-ms":5})"));
+  EXPECT_FALSE(isReadable(R"({"model":"m","version":0,"since-ms":5})"));
+  EXPECT_FALSE(isReadable(R"({"model":"m","version":2})"));
+  EXPECT_FALSE(isReadable(R"({"model":"m","version":2,"since-ms":-5})"));
+  EXPECT_FALSE(isReadable(R"({"model":"m","version":2,"since-ms":"x"})"));
+  EXPECT_FALSE(isReadable(
+      R"({"model":"m","version":2,"since-ms":9223372036854775808})"));
+  EXPECT_FALSE(isReadable("5"));
+  std::string many = row;
+  for (int i = 0; i < 16; ++i)
+    many += "," + row;
+  EXPECT_FALSE(isReadable(many));
+  Error reason;
+  EXPECT_FALSE(decodeRecord(record(rolloutTimesKey(), "{}"), reason));
+}
+
 TEST(ReadChanges, DetectsMissingNumbers) {
   auto read = [](const char *body, uint64_t since) {
     return readChanges(body, since);
