Bound the Keep-Alive time that a server announces

Calls to a server whose responses announced a very long Keep-Alive time opened a new connection each, and negative times could do the opposite: a connection that the server was about to close was reused, so that a call could be lost on it. The number of seconds became a duration before it was compared with the maximum idle time, and overflowed there or when the current time was added (undefined behaviour). Numbers of more than 64 bits were ignored, with their sign.

A header without a number is ignored, as before.

Tests: HttpClient.ReusesConnectionsWithAnyLongKeepAliveTimeout and DoesNotReuseConnectionsWithoutAKeepAliveTime failed before; IgnoresAKeepAliveHeaderWithoutATimeout passed before and after.

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -251,10 +251,15 @@
     return timeout;
   int64_t seconds = 0;
   std::string_view digits = text.substr(at + Name.size());
-  if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds)
-          .ec != std::errc())
+  std::errc error =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec;
+  if (error == std::errc::invalid_argument)
     return timeout;
-  return std::min<Duration>(timeout, std::chrono::seconds(seconds)) -
+  // The number is bounded before it becomes a duration, which would overflow.
+  int64_t max = HttpClientConnection::MaxIdleTime.count();
+  if (error == std::errc::result_out_of_range)
+    seconds = digits.starts_with('-') ? 0 : max;
+  return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, max)) -
          Init.KeepAliveMargin;
 }
 
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -83,6 +83,43 @@
   EXPECT_EQ(fixture.fetch(request).Response.Body, "POST  b");
 }
 
+/// Responds with the Keep-Alive header and returns the number that the second
+/// of two requests has on its connection: 2 if the connection was reused.
+std::string secondRequestNumber(const std::string &keepAlive) {
+  HttpFixture fixture([&](const HttpRequest &request,
+                          const std::shared_ptr<HttpExchange> &exchange) {
+    exchange->respond({200,
+                       {{"Keep-Alive", keepAlive}},
+                       std::to_string(request.ConnectionRequestNumber)});
+  });
+  HttpRequest request{"POST", "/", "", {}, "b"};
+  EXPECT_EQ(fixture.fetch(request).Response.Body, "1");
+  return fixture.fetch(request).Response.Body;
+}
+
+TEST(HttpClient, ReusesConnectionsWithAnyLongKeepAliveTimeout) {
+  for (const char *seconds :
+       {"60", "9223372036", "9223372036854", "9223372036855", "13835058055282",
+        "9223372036854775807", "9223372036854775808", "18446744073709551615",
+        "99999999999999999999999999"})
+    EXPECT_EQ(secondRequestNumber(std::string("timeout=") + seconds), "2")
+        << seconds;
+}
+
+TEST(HttpClient, IgnoresAKeepAliveHeaderWithoutATimeout) {
+  for (const char *value : {"", "timeout", "timeout=", "timeout=x", "timeout=-",
+                            "timeout=+5", "timeout= 5", "max=100"})
+    EXPECT_EQ(secondRequestNumber(value), "2") << value;
+}
+
+TEST(HttpClient, DoesNotReuseConnectionsWithoutAKeepAliveTime) {
+  for (const char *seconds :
+       {"0", "-1", "-9223372036854", "-9223372036855", "-9223372036854775808",
+        "-99999999999999999999999999"})
+    EXPECT_EQ(secondRequestNumber(std::string("timeout=") + seconds), "1")
+        << seconds;
+}
+
 TEST(HttpClient, UnreachableMeansNothingWasSent) {
   HttpFixture fixture(echo);
   Endpoint unreachable{"127.0.0.1", 1};
