End the process if OpenSSL has no random numbers

A process whose generator failed went on with zeros: its incarnation, request ids, ticket serials and frame nonces would have been the same as those of any other such process, and at-most-once calls and frames rely on their being unique. Nothing was logged, since secureRandom ignored the result of RAND_bytes.

secureRandom now writes OpenSSL's reason to standard error and aborts. No caller can go on without random numbers, and an exception could be hidden by a handler further up. Backoff and the spread of leases share the source, and end too: a process that can't draw an id does no useful work.

A failing generator was not seen in operation.

--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -1,12 +1,31 @@
 #include "base/digest.h"
 
 #include <openssl/crypto.h>
+#include <openssl/err.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <array>
+#include <cstdlib>
+#include <iostream>
+
 namespace daisytack {
 
+namespace {
+
+/// Ends the process because no caller can go on: identifiers would no longer be
+/// unique, and nonces would repeat. Doesn't throw, since a handler further up
+/// could hide the failure.
+[[noreturn]] void endWithoutRandomNumbers() {
+  std::array<char, 256> reason{};
+  ERR_error_string_n(ERR_get_error(), reason.data(), reason.size());
+  std::cerr << "no random numbers: " << reason.data() << std::endl;
+  std::abort();
+}
+
+} // namespace
+
 Digest256 sha256(std::string_view data) {
   Digest256 out{};
   unsigned n = 0;
@@ -34,7 +53,8 @@
 
 uint64_t secureRandom() {
   uint64_t out = 0;
-  RAND_bytes(reinterpret_cast<uint8_t *>(&out), sizeof(out));
+  if (RAND_bytes(reinterpret_cast<uint8_t *>(&out), sizeof(out)) != 1)
+    endWithoutRandomNumbers();
   return out;
 }
 
--- a/src/base/digest.h
+++ b/src/base/digest.h
@@ -19,7 +19,7 @@
 std::string hexDigest(const Digest256 &digest);
 /// True when both are equal. The time taken depends only on the lengths.
 bool equalConstantTime(std::string_view a, std::string_view b);
-/// 64 random bits from OpenSSL's cryptographic generator.
+/// 64 random bits of OpenSSL's generator. Ends the process if it fails.
 uint64_t secureRandom();
 Id128 randomId(const RandomSource &random);
 /// Fast non-cryptographic 64-bit mix, for rendezvous hashing.
