Ignore refusals of tickets by agents that are no longer asked

Callers of POST /v1/tickets got no_server, or waited longer, although an agent was about to issue the ticket: an agent's refusal that came after its attempt had timed out was taken for the refusal of the current attempt, and the entry moved on to the next agent or gave up. A TicketReply names its request only.

A refusal now counts only if it comes from the agent of the current attempt. This identifies the attempt, since the candidates of a request are distinct. A late ticket is still used.

The new test binary test_entry_links builds the entry's components and runs them with agents on loopback ports.

--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -50,3 +50,8 @@
   add_library(${name} SHARED ${CMAKE_SOURCE_DIR}/tests/process/preload/${name}.cpp)
   target_link_libraries(${name} PRIVATE ${CMAKE_DL_LIBS})
 endforeach()
+
+# Components of the entry's program.
+file(GLOB EntrySources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tools/entry/*.cpp)
+list(FILTER EntrySources EXCLUDE REGEX "/main\\.cpp$")
+target_sources(test_entry_links PRIVATE ${EntrySources})
--- a/tools/entry/entry_state.cpp
+++ b/tools/entry/entry_state.cpp
@@ -205,7 +205,7 @@
     deliver(std::move(*finished));
   } else if (auto *reply = std::get_if<wire::TicketReply>(&message)) {
     if (std::shared_ptr<TicketFetch> fetch = ticketFetch(reply->Id))
-      fetch->onReply(*reply);
+      fetch->onReply(server, *reply);
   }
 }
 
--- a/tools/entry/ticket_fetch.cpp
+++ b/tools/entry/ticket_fetch.cpp
@@ -59,15 +59,18 @@
                    wire::Message(std::move(request)));
 }
 
-void TicketFetch::onReply(const wire::TicketReply &reply) {
-  boost::asio::dispatch(Strand, [self = shared_from_this(), reply] {
+void TicketFetch::onReply(const std::string &server,
+                          const wire::TicketReply &reply) {
+  boost::asio::dispatch(Strand, [self = shared_from_this(), server, reply] {
     if (!self->Done)
       return;
     if (reply.Kind == ErrorKind::None)
       return self->finish({{},
                            reply.Ticket,
                            Duration(static_cast<int64_t>(reply.ValidMicros))});
-    self->requestNext();
+    // A refusal may come after its attempt timed out. Candidates are distinct.
+    if (self->Candidates[self->CurrentAttempt - 1].Server == server)
+      self->requestNext();
   });
 }
 
--- a/tools/entry/ticket_fetch.h
+++ b/tools/entry/ticket_fetch.h
@@ -9,6 +9,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace daisytack::entry {
@@ -19,7 +20,7 @@
 
   void start();
   /// onReply() and onLost() may be called from any thread.
-  void onReply(const wire::TicketReply &reply);
+  void onReply(const std::string &server, const wire::TicketReply &reply);
   void onLost(Attempt attempt);
 
 private:
