Pass on no messages of an agent before its Hello

Messages that a peer sent before its Hello, or after a Hello that named another instance, were handled as messages of the expected agent: an instance that reuses the address could have changed the load report, the answer or the ticket of another. Agents send their Hello first and answer only what they were sent, so that callers of a sound fleet saw nothing. The link checked the Hello only for what it sent, and frames that had been received in the same read came in after close().

Such a message now closes the link and counts as rejected, and a link that was rejected ignores the frames that still come in. The attempts on it are reported as not delivered, since nothing but the entry's Hello was sent.

--- a/tools/entry/agent_links.cpp
+++ b/tools/entry/agent_links.cpp
@@ -103,20 +103,36 @@
 
   void onFrame(const std::shared_ptr<net::FrameLink> &link,
                std::string_view frame) {
+    // Frames that were already received come in after close().
+    if (IsRejected)
+      return;
     Error reason;
     std::optional<wire::Message> message = unpack(frame, reason);
-    if (!message) {
-      Owner.Hooks.MessageRejected(reason.Kind);
-      return link->close();
-    }
+    if (!message)
+      return reject(link, reason.Kind);
     if (const auto *hello = std::get_if<wire::Hello>(&*message)) {
-      if (!onHello(link, *hello))
+      if (!onHello(link, *hello)) {
+        IsRejected = true;
         link->close();
+      }
       return;
     }
+    if (!isIdentified())
+      return reject(link, ErrorKind::ProtocolError);
     Owner.Hooks.Message(Name, std::move(*message));
   }
 
+  void reject(const std::shared_ptr<net::FrameLink> &link, ErrorKind reason) {
+    IsRejected = true;
+    Owner.Hooks.MessageRejected(reason);
+    link->close();
+  }
+
+  bool isIdentified() const {
+    std::lock_guard guard(Lock);
+    return Process.has_value();
+  }
+
   bool onHello(const std::shared_ptr<net::FrameLink> &link,
                const wire::Hello &hello) {
     if (hello.Instance != Name)
@@ -132,18 +148,18 @@
 
   void onClosed() {
     std::unordered_set<AttemptKey, AttemptKeyHash> open;
-    bool isIdentified = false;
+    bool mayBeDelivered = false;
     {
       std::lock_guard guard(Lock);
       Closed = true;
       open.swap(OpenAttempts);
-      isIdentified = Process.has_value();
+      mayBeDelivered = Process.has_value();
       Transport.reset();
       PendingMessages.clear();
     }
     Owner.drop(Name, this);
     for (const AttemptKey &attempt : open)
-      Owner.Hooks.AttemptLost(attempt, isIdentified);
+      Owner.Hooks.AttemptLost(attempt, mayBeDelivered);
   }
 
   void watchIdle() {
@@ -171,6 +187,7 @@
   std::shared_ptr<net::FrameLink> Transport;
   std::optional<Incarnation> Process; ///< Of the agent; empty before its Hello.
   bool Closed = false;
+  bool IsRejected = false; ///< By onFrame(), which alone uses it.
   std::vector<wire::Message> PendingMessages;
   std::unordered_set<AttemptKey, AttemptKeyHash> OpenAttempts;
   TimePoint LastUsed;
--- a/tools/entry/agent_links.h
+++ b/tools/entry/agent_links.h
@@ -43,13 +43,13 @@
 
 /// Called on I/O threads; the calls for one agent are made in order.
 struct AgentHooks {
-  /// The agent sent a message other than Hello.
+  /// The agent sent a message other than Hello, after its Hello.
   std::function<void(const std::string &server, wire::Message message)> Message;
   /// The connection closed while the attempt was open on it.
   /// `mayBeDelivered` is false if the attempt's message can't have been sent.
   std::function<void(const AttemptKey &attempt, bool mayBeDelivered)>
       AttemptLost;
-  /// A frame of the peer couldn't be decoded.
+  /// A frame of the peer couldn't be decoded, or came before its Hello.
   std::function<void(ErrorKind)> MessageRejected;
   wire::HybridClockHooks ClockHooks;
 };
