Apply the limit of counts that one process answers

Operators saw more rows than the limit of "count by" on servers, organisations, classes, versions, members and config. Cause: counts are limited when the answers of processes are merged, and a process that has all rows itself merged nothing. Evidence: OperatorRoutes.CountsOfOneProcessObeyTheLimit failed before with 2 rows for limit 1. Why it works: such an answer passes through merge() as its only part.

--- a/src/runtime/operator_query.cpp
+++ b/src/runtime/operator_query.cpp
@@ -107,6 +107,12 @@
   return out;
 }
 
+/// Completes the answer of a process that alone has all rows of the query.
+query::Answer wholeAnswer(const query::Query &query, query::Answer answer) {
+  answer.Rows = query::merge(query, {std::move(answer.Rows)});
+  return answer;
+}
+
 /// Answer for the case that the entry that issued the request identifier does
 /// not reply.
 query::Answer unresponsiveEntryAnswer(const query::Query &query,
@@ -150,7 +156,9 @@
                           const OperatorCaller &caller, DoneHook done) const {
   auto snapshot = Init.Control.Snapshots();
   query::QueryPlan plan = query::planQuery(query, *snapshot);
-  if (plan.AnsweredLocally || caller.IsLocal)
+  if (plan.AnsweredLocally)
+    done(wholeAnswer(query, View.answer(query, caller.Role)));
+  else if (caller.IsLocal)
     done(View.answer(query, caller.Role));
   else if (plan.RequestEntry)
     gatherForRequest(query, caller, std::move(plan), std::move(done));
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -221,6 +221,13 @@
             query::Cell(int64_t{1}));
 }
 
+TEST_F(OperatorRoutes, CountsOfOneProcessObeyTheLimit) {
+  EXPECT_EQ(runQuery("show servers count by server").Rows.Rows.size(), 2U);
+  query::Answer first = runQuery("show servers count by server limit 1");
+  EXPECT_EQ(first.Rows.Rows.size(), 1U);
+  EXPECT_EQ(first.Answered, 1U);
+}
+
 TEST_F(OperatorRoutes, PagesEndAtInstanceBoundaries) {
   for (const char *name : {"entry-1", "entry-2"})
     Processes[name].Rows.assign(2, row(query::RequestState::Offered));
