Continue pages after an instance that has left

Operators who went on "after" an instance that no longer existed got the first page again. Pages of one request that named a backend server began again too, without an end. Cause: the token was looked up in the list of instances, and a name that was not found skipped nothing. Entries came before agents, so a name alone had no position; the servers of a request were added after the look-up. Evidence: QueryPlan.PageGoesOnAfterAVanishedInstance failed before with all six agents, OperatorRoutes.PagesOfARequestShowEachInstanceOnce with each instance twice in four pages and a fifth announced. Why it works: instances are sorted by name, and a page takes the names after its token, with the servers of a request.

--- a/src/query/query_plan.cpp
+++ b/src/query/query_plan.cpp
@@ -79,8 +79,6 @@
   std::optional<RequestId> Request;
 };
 
-/// Returns entries before agents: there are fewer of them, and together they
-/// know every request.
 std::vector<Member> includedMembers(const Snapshot &snapshot,
                                     const Filter &filter) {
   std::vector<Member> out;
@@ -93,19 +91,15 @@
   return out;
 }
 
-void skipToPage(const Query &query, std::vector<Member> &members) {
-  if (query.After.empty())
-    return;
-  auto it = std::find_if(members.begin(), members.end(), [&](const Member &m) {
-    return m.Name == query.After;
-  });
-  // If the instance no longer exists, the answer restarts at the first page.
-  if (it != members.end())
-    members.erase(members.begin(), it + 1);
-}
-
 } // namespace
 
+void selectPage(const Query &query, std::vector<Member> &instances) {
+  std::sort(instances.begin(), instances.end(),
+            [](const Member &a, const Member &b) { return a.Name < b.Name; });
+  std::erase_if(instances,
+                [&](const Member &it) { return it.Name <= query.After; });
+}
+
 bool hasRows(TableName table, MemberRole role) {
   switch (table) {
   case TableName::Requests:
@@ -143,7 +137,7 @@
   for (const Member &entry : snapshot.Entries)
     if (filter.selectsRequest() && filter.issuedRequestId(entry))
       out.RequestEntry = entry;
-  skipToPage(query, out.Instances);
+  selectPage(query, out.Instances);
   return out;
 }
 
--- a/src/query/query_plan.h
+++ b/src/query/query_plan.h
@@ -15,9 +15,8 @@
   /// The process that received the query answers it without querying others,
   /// because its snapshot contains all rows.
   bool AnsweredLocally = false;
-  /// Otherwise, the instances to query in this order, starting after the
-  /// query's page token. Querying ends early when the limit is reached, unless
-  /// NeedsAllInstances is set.
+  /// Otherwise, the instances to query, as ordered by selectPage(). Querying
+  /// ends early when the limit is reached, unless NeedsAllInstances is set.
   std::vector<Member> Instances;
   /// All instances must be queried, because the result is ordered or counted.
   bool NeedsAllInstances = false;
@@ -31,6 +30,11 @@
 /// reduce the number of instances.
 QueryPlan planQuery(const Query &query, const Snapshot &snapshot);
 
+/// Sorts instances by name and removes those up to the query's page token. The
+/// order depends on the names alone, so that a page also continues after an
+/// instance that no longer exists.
+void selectPage(const Query &query, std::vector<Member> &instances);
+
 /// Returns true if processes of the role have rows of a table: entries have
 /// requests, agents have queues and kept context, both have refusals and
 /// events.
--- a/src/runtime/operator_query.cpp
+++ b/src/runtime/operator_query.cpp
@@ -199,6 +199,7 @@
   auto snapshot = Init.Control.Snapshots();
   for (Member &it : query::serversInEvents(events, *snapshot))
     plan.Instances.push_back(std::move(it));
+  query::selectPage(query, plan.Instances);
   return plan;
 }
 
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -259,6 +259,33 @@
   EXPECT_EQ(events.Rows.Rows.size(), 1U);
 }
 
+TEST_F(OperatorRoutes, PagesOfARequestShowEachInstanceOnce) {
+  RequestId id = makeRequestId("entry-2", [] { return uint64_t{9}; });
+  Event offered;
+  offered.Kind = EventKind::RequestOffered;
+  offered.Request = id;
+  for (const char *server : {"agent-1", "agent-2"}) {
+    offered.Subject = server;
+    Processes["entry-2"].Ring->record(offered);
+  }
+  Processes["agent-1"].Ring->record(offered);
+  std::string text = "show events where request = " + toHex(id) + " limit 1";
+  constexpr size_t MaxPages = 4;
+  std::vector<query::Cell> instances;
+  std::string next;
+  size_t pages = 0;
+  do {
+    query::Answer page =
+        runQuery(next.empty() ? text : text + " after " + next);
+    for (const auto &row : page.Rows.Rows)
+      instances.push_back(row.front());
+    next = page.Next;
+  } while (!next.empty() && ++pages < MaxPages);
+  EXPECT_EQ(next, "");
+  EXPECT_EQ(instances, (std::vector<query::Cell>{std::string("agent-1"),
+                                                 std::string("entry-2")}));
+}
+
 TEST_F(OperatorRoutes, OverwrittenEventsAreReportedAsGaps) {
   for (int i = 0; i < 10; ++i)
     Processes["entry-2"].Ring->record({});
--- a/tests/query/query_test.cpp
+++ b/tests/query/query_test.cpp
@@ -213,6 +213,18 @@
                   .NeedsAllInstances);
 }
 
+TEST(QueryPlan, PageGoesOnAfterAVanishedInstance) {
+  EXPECT_EQ(plannedInstances("show waiting after agent-3x"),
+            (std::vector<std::string>{"agent-4", "agent-5"}));
+  EXPECT_EQ(plannedInstances("show requests after entry-1x"),
+            (std::vector<std::string>{"entry-2"}));
+  EXPECT_EQ(plannedInstances("show events after agent-4x"),
+            (std::vector<std::string>{"agent-5", "entry-1", "entry-2"}));
+  EXPECT_EQ(plannedInstances("show events after entry-1x"),
+            (std::vector<std::string>{"entry-2"}));
+  EXPECT_TRUE(plannedInstances("show events after entry-3").empty());
+}
+
 TEST(QueryPlan, LooksUpRequestAtIssuingEntry) {
   RequestId id = makeRequestId("entry-2", [] { return uint64_t{5}; });
   std::string text = "where request = " + toHex(id);
