Report more rows only if the limit left some out

Operators read "some instances have more rows" below answers that had all rows. Cause: an answer was called truncated when it had exactly as many rows as its limit. Evidence: OperatorRoutes.AnswerIsTruncatedOnlyIfRowsAreLeftOut failed before for two servers with limit 2, as did the new check of PagesEndAtInstanceBoundaries. Why it works: the executor reports whether it dropped rows at the limit.

--- a/src/query/query_executor.cpp
+++ b/src/query/query_executor.cpp
@@ -54,9 +54,12 @@
                    });
 }
 
-void applyLimit(Table &table, uint64_t limit) {
-  if (table.Rows.size() > limit)
-    table.Rows.resize(limit);
+/// Returns true if rows were left out.
+bool applyLimit(Table &table, uint64_t limit) {
+  if (table.Rows.size() <= limit)
+    return false;
+  table.Rows.resize(limit);
+  return true;
 }
 
 /// Builds the table of counts in descending order.
@@ -123,7 +126,7 @@
       });
 }
 
-Table execute(const Query &query, const Table &rows) {
+Table execute(const Query &query, const Table &rows, bool *truncated) {
   if (query.Count)
     return countRows(query, rows);
   Table out{rows.Columns, {}};
@@ -132,7 +135,8 @@
       out.Rows.push_back(row);
   if (query.OrderBy)
     sortRows(out, *query.OrderBy);
-  applyLimit(out, query.Limit);
+  if (applyLimit(out, query.Limit) && truncated)
+    *truncated = true;
   return out;
 }
 
--- a/src/query/query_executor.h
+++ b/src/query/query_executor.h
@@ -10,8 +10,8 @@
 bool matches(const Query &query, const std::vector<Cell> &row);
 
 /// Filters, orders, counts and limits the rows of one process. Counts are
-/// limited by merge() only.
-Table execute(const Query &query, const Table &rows);
+/// limited by merge() only. Sets truncated if the limit left out rows.
+Table execute(const Query &query, const Table &rows, bool *truncated = nullptr);
 
 /// Merges the results of execute() for the same query on several processes, as
 /// if one process had all rows. Without "order by", parts and their rows keep
--- a/src/runtime/operator_view.cpp
+++ b/src/runtime/operator_view.cpp
@@ -19,10 +19,9 @@
 query::Answer OperatorView::answer(const query::Query &query,
                                    OperatorRole role) const {
   query::Answer out;
-  out.Rows = query::execute(query, rows(query, role));
+  out.Rows = query::execute(query, rows(query, role), &out.Truncated);
   out.Queried = 1;
   out.Answered = 1;
-  out.Truncated = !query.Count && out.Rows.Rows.size() == query.Limit;
   if (query.From == TableName::Events)
     out.Gaps = gaps();
   return out;
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -237,11 +237,21 @@
   query::Answer all = runQuery("show requests limit 2");
   EXPECT_EQ(all.Rows.Rows.size(), 2U);
   EXPECT_EQ(all.Next, "entry-1");
+  EXPECT_FALSE(all.Truncated);
   query::Answer last = runQuery("show requests limit 2 after entry-1");
   EXPECT_EQ(last.Rows.Rows.size(), 2U);
   EXPECT_EQ(last.Next, "");
 }
 
+TEST_F(OperatorRoutes, AnswerIsTruncatedOnlyIfRowsAreLeftOut) {
+  for (const char *name : {"entry-1", "entry-2"})
+    Processes[name].Rows.assign(2, row(query::RequestState::Offered));
+  EXPECT_TRUE(runQuery("show servers limit 1").Truncated);
+  EXPECT_FALSE(runQuery("show servers limit 2").Truncated);
+  EXPECT_TRUE(runQuery("show requests order by age limit 1").Truncated);
+  EXPECT_FALSE(runQuery("show requests order by age limit 4").Truncated);
+}
+
 TEST_F(OperatorRoutes, RequestQueryContactsOnlyItsEntryAndServers) {
   RequestId id = makeRequestId("entry-2", [] { return uint64_t{9}; });
   Event offered;
