Report rows that a merged answer leaves out

Operators were not told that the limit of a query with "order by" or "count by" left out rows, if no single process had more rows than the limit. Cause: only the parts of an answer said so, and counts never did. Evidence: OperatorRoutes.RowsLeftOutOfAMergedAnswerAreReported failed before in three of its four checks. Why it works: merge() reports whether it dropped rows at the limit. The note of the client speaks of rows instead of instances.

--- a/src/query/answer.h
+++ b/src/query/answer.h
@@ -38,7 +38,7 @@
   uint64_t Answered = 0; ///< Number of processes that returned an answer.
   std::vector<QueryFailure> Failures; ///< At most MaxListedFailures.
   std::vector<EventGap> Gaps;
-  /// Some process has more rows than the limit.
+  /// The limit left out rows of some process or of the merged answer.
   bool Truncated = false;
   /// Page token: the next page is the same query with "after NEXT". Empty on
   /// the last page.
--- a/src/query/query_executor.cpp
+++ b/src/query/query_executor.cpp
@@ -54,12 +54,13 @@
                    });
 }
 
-/// Returns true if rows were left out.
-bool applyLimit(Table &table, uint64_t limit) {
+/// Sets truncated if rows were left out.
+void applyLimit(Table &table, uint64_t limit, bool *truncated) {
   if (table.Rows.size() <= limit)
-    return false;
+    return;
   table.Rows.resize(limit);
-  return true;
+  if (truncated)
+    *truncated = true;
 }
 
 /// Builds the table of counts in descending order.
@@ -105,14 +106,15 @@
   return countsTable(countedBy(query), counts);
 }
 
-Table mergeCounts(const Query &query, const std::vector<Table> &parts) {
+Table mergeCounts(const Query &query, const std::vector<Table> &parts,
+                  bool *truncated) {
   std::map<Cell, int64_t> counts = emptyCounts(query);
   for (const Table &part : parts)
     for (const auto &row : part.Rows)
       counts[query.CountBy ? row.front() : Cell()] +=
           std::get<int64_t>(row.back());
   Table out = countsTable(countedBy(query), counts);
-  applyLimit(out, query.Limit);
+  applyLimit(out, query.Limit, truncated);
   return out;
 }
 
@@ -135,20 +137,20 @@
       out.Rows.push_back(row);
   if (query.OrderBy)
     sortRows(out, *query.OrderBy);
-  if (applyLimit(out, query.Limit) && truncated)
-    *truncated = true;
+  applyLimit(out, query.Limit, truncated);
   return out;
 }
 
-Table merge(const Query &query, const std::vector<Table> &parts) {
+Table merge(const Query &query, const std::vector<Table> &parts,
+            bool *truncated) {
   if (query.Count)
-    return mergeCounts(query, parts);
+    return mergeCounts(query, parts, truncated);
   Table out{columnsOf(query.From), {}};
   for (const Table &part : parts)
     out.Rows.insert(out.Rows.end(), part.Rows.begin(), part.Rows.end());
   if (query.OrderBy)
     sortRows(out, *query.OrderBy);
-  applyLimit(out, query.Limit);
+  applyLimit(out, query.Limit, truncated);
   return out;
 }
 
--- a/src/query/query_executor.h
+++ b/src/query/query_executor.h
@@ -15,7 +15,8 @@
 
 /// Merges the results of execute() for the same query on several processes, as
 /// if one process had all rows. Without "order by", parts and their rows keep
-/// their order.
-Table merge(const Query &query, const std::vector<Table> &parts);
+/// their order. Sets truncated if the limit left out rows.
+Table merge(const Query &query, const std::vector<Table> &parts,
+            bool *truncated = nullptr);
 
 } // namespace daisytack::query
--- a/src/query/table_text.cpp
+++ b/src/query/table_text.cpp
@@ -61,7 +61,7 @@
     note("gap: " + printable(it.Instance) + " lost " + std::to_string(it.Lost) +
          " events before " + timeText(it.Until));
   if (answer.Truncated)
-    note("some instances have more rows; raise the limit or narrow the query");
+    note("there are more rows; raise the limit or narrow the query");
   if (!answer.Next.empty())
     note("more instances: add 'after " + printable(answer.Next) + "'");
   if (answer.Answered < answer.Queried)
--- a/src/runtime/operator_query.cpp
+++ b/src/runtime/operator_query.cpp
@@ -69,7 +69,7 @@
       out.Next = Plan.Instances[i - 1].Name;
     query::Query whole = Query;
     whole.Limit = Plan.NeedsAllInstances ? Query.Limit : rows;
-    out.Rows = query::merge(whole, tables);
+    out.Rows = query::merge(whole, tables, &out.Truncated);
     return out;
   }
 
@@ -109,7 +109,8 @@
 
 /// Completes the answer of a process that alone has all rows of the query.
 query::Answer wholeAnswer(const query::Query &query, query::Answer answer) {
-  answer.Rows = query::merge(query, {std::move(answer.Rows)});
+  answer.Rows =
+      query::merge(query, {std::move(answer.Rows)}, &answer.Truncated);
   return answer;
 }
 
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -252,6 +252,15 @@
   EXPECT_FALSE(runQuery("show requests order by age limit 4").Truncated);
 }
 
+TEST_F(OperatorRoutes, RowsLeftOutOfAMergedAnswerAreReported) {
+  for (const char *name : {"entry-1", "entry-2"})
+    Processes[name].Rows.assign(2, row(query::RequestState::Offered));
+  EXPECT_TRUE(runQuery("show requests order by age limit 3").Truncated);
+  EXPECT_TRUE(runQuery("show requests count by instance limit 1").Truncated);
+  EXPECT_FALSE(runQuery("show requests count by instance limit 2").Truncated);
+  EXPECT_TRUE(runQuery("show servers count by server limit 1").Truncated);
+}
+
 TEST_F(OperatorRoutes, RequestQueryContactsOnlyItsEntryAndServers) {
   RequestId id = makeRequestId("entry-2", [] { return uint64_t{9}; });
   Event offered;
