Count a repeated upload to the stand-in store once

Callers that repeated the upload of a generation were answered 507 though the store had room for it. Cause: the check of the capacity counted the bytes of the earlier upload, which the new one replaces. Evidence: the check of a repeated upload in tests/process/standin_test.py failed before; the second upload of the last 8 bytes was refused. Why it works: the bytes that are replaced are subtracted before the check.

--- a/tests/process/standin_test.py
+++ b/tests/process/standin_test.py
@@ -148,6 +148,16 @@
     request(port, "DELETE", f"/pieces/a/{number}")
     check(keep("a", "12345678") == 200 and keep("b", "12345678") == 200, "two pieces fit")
     check(keep("c", "1") == 507, "the third finds no room")
+    request(port, "DELETE", f"/pieces/b/{request(port, 'GET', '/pieces/b/generation').json()['generation']}")
+    number = request(port, "POST", "/pieces/b").json()["generation"]
+    upload = lambda content: request(port, "PUT", f"/pieces/b/{number}", content).status
+    check([upload("12345678"), upload("12345678")] == [204, 204], "a repeated upload takes the room of the first")
+    check(upload("123456789") == 507, "a repeated upload finds no more room than the first")
+    checksum = hashlib.sha256(b"12345678").hexdigest()
+    check(request(port, "POST", f"/pieces/b/{number}/commit",
+                  {"length": 8, "checksum": checksum, "meta": "m"}).status == 200, "the refused bytes replace nothing")
+    status = request(port, "GET", "/status").json()
+    check(status["memory_used"] + status["disk_used"] == 16, f"used: {status}")
     tiers = {p["key"]: p["tier"] for p in call(port, "/lookup", {"keys": ["a", "b", "c"]})["found"]}
     check(tiers == {"a": "disk", "b": "memory"}, f"tiers: {tiers}")
     set_faults(port, torn=True)
--- a/tools/standin/store.cpp
+++ b/tools/standin/store.cpp
@@ -160,9 +160,11 @@
     if (it == Uncommitted.end())
       return respondError(exchange, 404, "no such generation");
     uint64_t total = FLAGS_memory_bytes + FLAGS_disk_bytes;
-    if (Server.isFaultOn("full") || Used + request.Body.size() > total)
+    // The upload replaces the bytes of an earlier one.
+    uint64_t used = Used - it->second.size() + request.Body.size();
+    if (Server.isFaultOn("full") || used > total)
       return respondError(exchange, 507, "full");
-    Used += request.Body.size() - it->second.size();
+    Used = used;
     it->second = request.Body;
     Server.after(reserveLink(request.Body.size()), [exchange] {
       exchange->respond({204, {}, ""});
