Let operators set the expected revision of a command

Operators could not ask for a change only if nobody else had changed the object: Command::ExpectedRevision was set by tests alone. The revision is that of an earlier change, as its answer names it; 0 means that the object must not exist. Commands that do not change exactly one object are refused with it. Evidence: OperatorRoutes.CommandCarriesItsExpectedRevision failed before, as the field was ignored; tests/process/operator_test.py gets applied and conflict from a deployment.

--- a/src/runtime/operator_command.cpp
+++ b/src/runtime/operator_command.cpp
@@ -29,6 +29,12 @@
   return out;
 }
 
+CommandAnswer notOneObject() {
+  return refused({ErrorKind::BadRequest,
+                  "expected_revision needs a command that changes one object",
+                  {}});
+}
+
 bool hasTakenEffect(CommandOutcome outcome) {
   return outcome == CommandOutcome::Applied ||
          outcome == CommandOutcome::Unchanged;
@@ -140,10 +146,13 @@
 }
 
 void OperatorCommands::run(const query::OperatorCommand &command,
-                           std::string_view text, const OperatorCaller &caller,
-                           Duration wait, const DoneHook &done) {
+                           const Statement &statement,
+                           const OperatorCaller &caller, const DoneHook &done) {
   if (const auto *it = std::get_if<query::StopRequests>(&command)) {
-    stop(it->Target, text, caller, done);
+    if (statement.ExpectedRevision)
+      done(notOneObject());
+    else
+      stop(it->Target, statement.Text, caller, done);
     return;
   }
   Error reason;
@@ -154,12 +163,19 @@
     done(refused(std::move(reason)));
     return;
   }
+  if (statement.ExpectedRevision) {
+    if (changes->size() != 1) {
+      done(notOneObject());
+      return;
+    }
+    changes->front().ExpectedRevision = statement.ExpectedRevision;
+  }
   CommandAnswer answer;
   answer.Outcome = CommandOutcome::Unchanged;
   answer.Planned = changes->size();
   auto shared = std::make_shared<const std::vector<control::Command>>(
       std::move(*changes));
-  proposeNext(shared, std::move(answer), wait, done);
+  proposeNext(shared, std::move(answer), statement.Wait, done);
 }
 
 void OperatorCommands::proposeNext(const Changes &changes, CommandAnswer soFar,
--- a/src/runtime/operator_command.h
+++ b/src/runtime/operator_command.h
@@ -4,6 +4,7 @@
 
 #include "query/command_ast.h"
 #include "runtime/operator_query.h"
+#include "runtime/operator_statement.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -40,11 +41,12 @@
       : Io(io), Init(init), Client(client) {}
 
   void setSelf(Endpoint self) { Self = std::move(self); }
-  /// Runs a command and calls done once. Text is the command as the operator
-  /// wrote it. With a wait above zero, done is called when the change is in
-  /// force on all queried members or the wait has passed.
-  void run(const query::OperatorCommand &command, std::string_view text,
-           const OperatorCaller &caller, Duration wait, const DoneHook &done);
+  /// Runs a command and calls done once. The statement is the one that the
+  /// command was parsed from. With a wait above zero, done is called when the
+  /// change is in force on all queried members or the wait has passed. An
+  /// expected revision is refused unless the command changes one object.
+  void run(const query::OperatorCommand &command, const Statement &statement,
+           const OperatorCaller &caller, const DoneHook &done);
 
 private:
   using Changes = std::shared_ptr<const std::vector<control::Command>>;
--- a/src/runtime/operator_http.cpp
+++ b/src/runtime/operator_http.cpp
@@ -224,11 +224,10 @@
                              "the role of operator '" + caller.Name +
                                  "' does not permit this command",
                              {}});
-  Commands.run(*parsed, statement.Text, caller, statement.Wait,
-               [exchange](const CommandAnswer &answer) {
-                 exchange->respond(
-                     jsonResponse(commandStatus(answer), toJson(answer)));
-               });
+  Commands.run(
+      *parsed, statement, caller, [exchange](const CommandAnswer &answer) {
+        exchange->respond(jsonResponse(commandStatus(answer), toJson(answer)));
+      });
 }
 
 std::string OperatorHttp::Impl::eventsJson(std::string_view query) const {
--- a/src/runtime/operator_statement.cpp
+++ b/src/runtime/operator_statement.cpp
@@ -71,6 +71,15 @@
     }
     out.Wait = std::chrono::milliseconds(ms);
   }
+  if (const json::value *it = object->if_contains("expected_revision")) {
+    out.ExpectedRevision = it->to_number<uint64_t>(ec);
+    if (ec) {
+      reason = {ErrorKind::BadRequest,
+                "expected_revision must be a whole number from 0",
+                {}};
+      return std::nullopt;
+    }
+  }
   return out;
 }
 
--- a/src/runtime/operator_statement.h
+++ b/src/runtime/operator_statement.h
@@ -15,6 +15,8 @@
   std::string Text;
   bool IsLocal = false; ///< True if it concerns this process only.
   Duration Wait{0}; ///< Maximum wait for a change to be in force everywhere.
+  /// Revision that the object of a command must have; 0: it must not exist.
+  std::optional<uint64_t> ExpectedRevision;
 };
 
 /// Returns nothing and sets the reason if the body is not valid.
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -349,6 +349,28 @@
   EXPECT_EQ(body.at("other").at("revision").to_number<int>(), 9);
 }
 
+TEST_F(OperatorRoutes, CommandCarriesItsExpectedRevision) {
+  Fleet.Policies.push_back({"acme", "bulletin"});
+  publish();
+  auto send = [&](const std::string &text, const std::string &revision) {
+    std::string body =
+        R"({"text": ")" + text + R"(", "expected_revision": )" + revision + "}";
+    return call("entry-1", "POST", "/v1/command", body, "anna").Status;
+  };
+  EXPECT_EQ(send("drain agent-1", "7"), 200U);
+  ASSERT_EQ(Proposed.size(), 1U);
+  EXPECT_EQ(Proposed.back().ExpectedRevision, 7U);
+  EXPECT_EQ(send("drain agent-1", "0"), 200U);
+  EXPECT_EQ(Proposed.back().ExpectedRevision, 0U);
+  EXPECT_EQ(sendCommand("drain agent-1").Status, 200U);
+  EXPECT_EQ(Proposed.back().ExpectedRevision, std::nullopt);
+  for (const char *revision : {"-1", "1.5", "\"7\"", "null"})
+    EXPECT_EQ(send("drain agent-1", revision), 400U) << revision;
+  EXPECT_EQ(send("purge acme", "7"), 400U);
+  EXPECT_EQ(send("stop class bulletin", "7"), 400U);
+  EXPECT_EQ(Proposed.size(), 3U);
+}
+
 TEST_F(OperatorRoutes, FailedPurgeReportsItsProgress) {
   ReusePolicy policy;
   policy.Organisation = "acme";
--- a/tests/process/operator_test.py
+++ b/tests/process/operator_test.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import re
 import subprocess
 
 from cases import check, check_whole, run_cases, start_long_stream, wait_engines_idle, wait_for
@@ -124,6 +125,12 @@
     """Configuration objects are created, changed and deleted, bad changes are refused, and key hashes are hidden."""
     expect(d, 0, "--wait=30s", "admit", "class", "quotes", "priority=9", "deadline=2s", has="in force")
     expect(d, 2, "admit", "class", "quotes", has="exists")
+    expect(d, 3, "--expected_revision=0", "set", "class", "quotes", "deadline=4s", has="conflict")
+    changed = expect(d, 0, "--wait=30s", "set", "class", "quotes", "deadline=5s", has="revision ")
+    revision = re.search(r"revision (\d+)", changed)[1]
+    expect(d, 0, f"--expected_revision={revision}", "set", "class", "quotes", "deadline=6s", has="applied")
+    expect(d, 3, f"--expected_revision={revision}", "set", "class", "quotes", "deadline=7s", has="conflict")
+    expect(d, 1, "--expected_revision=x", "set", "class", "quotes", "deadline=7s", has="whole number")
     expect(d, 0, "--wait=30s", "set", "class", "quotes", "deadline=3s")
     check(rows_of(d, "show classes where class = quotes")[0]["deadline"] == 3_000_000, "the new deadline")
     expect(d, 2, "set", "class", "quotes", "priority=77", has="bad_value")
--- a/tools/client/client_options.cpp
+++ b/tools/client/client_options.cpp
@@ -5,6 +5,7 @@
 
 #include <gflags/gflags.h>
 
+#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <unistd.h>
@@ -15,6 +16,7 @@
 DEFINE_string(format, "text", "text, chrome or html");
 DEFINE_string(timeout, "5s", "for one call");
 DEFINE_string(wait, "", "until a change is in force everywhere");
+DEFINE_string(expected_revision, "", "that a command's object must have");
 DEFINE_string(watch, "", "repeat a query");
 DEFINE_string(color, "auto", "auto, always or never");
 DEFINE_string(request, "", "timeline of one request");
@@ -84,6 +86,21 @@
   return true;
 }
 
+bool readExpectedRevision(Options &out, std::string &reason) {
+  const std::string &text = FLAGS_expected_revision;
+  if (text.empty())
+    return true;
+  uint64_t revision = 0;
+  const char *end = text.data() + text.size();
+  auto [rest, ec] = std::from_chars(text.data(), end, revision);
+  if (ec != std::errc() || rest != end) {
+    reason = "--expected_revision takes a whole number from 0";
+    return false;
+  }
+  out.ExpectedRevision = revision;
+  return true;
+}
+
 bool readFormat(Options &out, std::string &reason) {
   if (FLAGS_json)
     out.Output = Format::Json;
@@ -131,6 +148,7 @@
                  readPortOffset(out, reason) &&
                  readDuration("timeout", FLAGS_timeout, out.Timeout, reason) &&
                  readDuration("wait", FLAGS_wait, out.Wait, reason) &&
+                 readExpectedRevision(out, reason) &&
                  readDuration("watch", FLAGS_watch, out.Watch, reason) &&
                  readDuration("since", FLAGS_since, out.Since, reason);
   if (!isValid)
@@ -160,6 +178,8 @@
   --json                   print the answer as JSON
   --wait=DURATION          command: wait until it is in force everywhere, at
                            most this long, and tell how far it got
+  --expected_revision=N    command: only if its object still has this revision;
+                           0: only if it does not exist
   --watch=DURATION         query: repeat it in this interval
   --timeout=DURATION       for one call (5s)
   --format=FORMAT          timeline: text, chrome (trace viewer) or html
--- a/tools/client/client_options.h
+++ b/tools/client/client_options.h
@@ -31,6 +31,8 @@
   /// Maximum time that a command waits until its change is in force on all
   /// processes; zero: it doesn't wait.
   Duration Wait{0};
+  /// Revision that the object of a command must have; 0: it must not exist.
+  std::optional<uint64_t> ExpectedRevision;
   Duration Watch{0}; ///< Interval between repeats of a query; zero: once.
   bool Colours = false;
   /// Request id whose timeline is shown; empty: all events of the last Since.
--- a/tools/client/completion.cpp
+++ b/tools/client/completion.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::string_view Flags =
-    "--entries= --key_file= --json --wait= --watch= --timeout= --format= "
+    "--entries= --key_file= --json --wait= --expected_revision= --watch= "
+    "--timeout= --format= "
     "--request= --since= --port_offset= --color= --version --help";
 
 std::string tables() {
--- a/tools/client/statements.cpp
+++ b/tools/client/statements.cpp
@@ -20,11 +20,18 @@
 constexpr unsigned HttpOk = 200;
 constexpr std::string_view ClearScreen = "\033[H\033[2J";
 
-std::string requestBody(const std::string &text, Duration wait) {
+std::string queryBody(const std::string &text) {
+  return json::serialize(json::object{{"text", text}});
+}
+
+std::string commandBody(const std::string &text, const Options &options) {
   json::object out{{"text", text}};
-  if (wait > Duration::zero())
+  if (options.Wait > Duration::zero())
     out["wait_ms"] =
-        std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+        std::chrono::duration_cast<std::chrono::milliseconds>(options.Wait)
+            .count();
+  if (options.ExpectedRevision)
+    out["expected_revision"] = *options.ExpectedRevision;
   return json::serialize(out);
 }
 
@@ -80,8 +87,7 @@
 ExitCode queryOnce(const std::string &text, const Options &options,
                    Connection &connection) {
   Error reason;
-  auto response = connection.post("/v1/query", requestBody(text, Duration(0)),
-                                  false, reason);
+  auto response = connection.post("/v1/query", queryBody(text), false, reason);
   if (!response)
     return reportUnreachable(reason);
   if (response->Status == HttpOk)
@@ -191,8 +197,8 @@
   if (!query::parseCommand(text, parseError))
     return reportSyntaxError(text, parseError);
   Error reason;
-  auto response = connection.post(
-      "/v1/command", requestBody(text, options.Wait), true, reason);
+  auto response =
+      connection.post("/v1/command", commandBody(text, options), true, reason);
   if (response)
     return printOutcome(*response, options);
   if (reason.Kind == ErrorKind::ServiceUnavailable)
