Remove members that nothing uses

EngineRuns::rates(), Connection::extendTimeout() and FakeKv::IgnoreCompares had no callers. net::HttpHooks stays: gateway and service calls use all of its callbacks.

--- a/tests/fakes/fake_kv.h
+++ b/tests/fakes/fake_kv.h
@@ -32,10 +32,9 @@
                                    TimePoint now) {
     expire(now);
     edge::KvTransactionResult out;
-    bool succeeded = std::all_of(transaction.If.begin(), transaction.If.end(),
-                                 [&](const edge::KvCompare &it) {
-                                   return IgnoreCompares || compareSucceeds(it);
-                                 });
+    bool succeeded = std::all_of(
+        transaction.If.begin(), transaction.If.end(),
+        [&](const edge::KvCompare &it) { return compareSucceeds(it); });
     if (!succeeded) {
       out.Header = header(edge::KvStatus::CompareFailed);
       for (const auto &key : transaction.ReadOnFailure)
@@ -103,9 +102,6 @@
     return Entries;
   }
 
-  /// Deliberate defect for tests: commits also when the compares fail.
-  bool IgnoreCompares = false;
-
 private:
   struct Lease {
     Duration TimeToLive{0};
--- a/tools/client/connection.h
+++ b/tools/client/connection.h
@@ -25,8 +25,6 @@
   /// reason when there is no answer.
   std::optional<net::HttpResponse> get(const Endpoint &to,
                                        const std::string &path, Error &reason);
-  /// Lengthens the timeout of later calls.
-  void extendTimeout(Duration extension) { Timeout += extension; }
 
 private:
   std::optional<net::HttpResponse>
--- a/tools/standin/engine_runs.h
+++ b/tools/standin/engine_runs.h
@@ -63,7 +63,6 @@
   void abandon(const net::HttpExchange *exchange);
   size_t running() const;
   size_t waiting() const { return Runs.size() - running(); }
-  const EngineRates &rates() const { return Rates; }
 
 private:
   void admit();
