Test the hangup without a reload on one thread

The test passed though runProcess() called an empty Reload hook, in some runs. Cause: on two threads the drain could begin before the hangup was handled, and a process that drains reads no settings. Why it works: one thread handles the two signals in their order. The test also requires that the process drained and stopped.

--- a/tests/base/process_test.cpp
+++ b/tests/base/process_test.cpp
@@ -216,7 +216,9 @@
     boost::asio::post(io, [] { std::raise(SIGTERM); });
     return true;
   };
-  EXPECT_EQ(run({fileWith("[process]\nlog_level = error\n")}), 0);
+  // One thread handles the hangup before the drain, which would ignore it.
+  EXPECT_EQ(run({fileWith("[process]\nthreads = 1\nlog_level = error\n")}), 0);
+  EXPECT_EQ(Calls, (std::vector<std::string>{"drain", "stop"}));
 }
 
 // Libraries register atexit handlers that wait for their threads, which may
