Let the replica itself take older state in the fault matrix

The defect AcceptsOlderState told the checker of older revisions and left the replica as it was, so its test passed even if nothing observed replicas. Cause: the defect called onConfigApplied() with the entries of each update. Evidence: with the reports of published state and the comparison at the end removed, the test passed before and fails now. Why it works: the defect replaces the state of the process by one with the older entries, and the checker sees it where it sees every published state.

--- a/tests/matrix/control_host.cpp
+++ b/tests/matrix/control_host.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/codec.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace daisytack::matrix {
@@ -167,15 +168,35 @@
   if (!message)
     return;
   auto *update = std::get_if<StateUpdate>(&*message);
-  if (AcceptsOlderState && update && update->Config) {
-    // Simulates a replica that applies updates in order of arrival.
-    for (const ReplicaEntry &it : update->Config->Entries)
-      Checker.onConfigApplied(Self.Name, it.Key, it.Revision);
-  }
+  if (AcceptsOlderState && update && update->Config)
+    takeOlderConfig(*update->Config);
   performActions(PeerGossip.onMessage(from, *message, Callbacks.Now()));
   publishChanges();
 }
 
+/// Replaces the state by one whose configuration has the older entries of the
+/// update. Signals are lost with it; peers send them again.
+void ControlHost::takeOlderConfig(const ReplicaDelta &update) {
+  ReplicaDelta image = State.config().deltaAfter(0);
+  bool changed = false;
+  for (ReplicaEntry &it : image.Entries)
+    for (const ReplicaEntry &older : update.Entries)
+      if (older.Key == it.Key && older.Revision < it.Revision) {
+        it = older;
+        changed = true;
+      }
+  if (!changed)
+    return;
+  std::sort(image.Entries.begin(), image.Entries.end(),
+            [](const ReplicaEntry &a, const ReplicaEntry &b) {
+              return a.Revision < b.Revision;
+            });
+  ControlState replaced({}, [](const Event &) {});
+  replaced.mergeConfig(image);
+  replaced.mergeMembers(State.members().deltaAfter(0));
+  State = std::move(replaced);
+}
+
 StateUpdate ControlHost::answerPull(const Pull &pull) const {
   StateUpdate update;
   for (const Page &it : PeerGossip.pagesFor(pull, Callbacks.Now()))
--- a/tests/matrix/control_host.h
+++ b/tests/matrix/control_host.h
@@ -51,8 +51,8 @@
   std::shared_ptr<const Snapshot> snapshot() const { return Current; }
   bool isReady() const;
   const control::ControlState &state() const { return State; }
-  /// Defect that a test can switch on: counts the configuration of any update
-  /// from a peer as applied, also if it is older than the replica's.
+  /// Defect that a test can switch on: takes the configuration of an update
+  /// from a peer also if it is older than the replica's.
   bool AcceptsOlderState = false;
 
 private:
@@ -61,6 +61,7 @@
   void readConfig(uint64_t epoch);
   void readList(uint64_t epoch);
   void performActions(control::GossipActions actions);
+  void takeOlderConfig(const control::ReplicaDelta &update);
   void mergeFullState(const control::StateUpdate &update);
   void publishChanges();
   void run(std::shared_ptr<control::CommandRun> command,
