List names that come back as live in the fault matrix

A process that was restarted after its drain stayed leaving in the list of instances and in the checker, so the matrix tested no returned name. Cause: the list only raised the state of a member, and nothing called onReturned(). Evidence: the new check that every process lists the running ones as live failed before in a cell of EveryFaultAtEveryStep, "a0 does not list a2 as live". Why it works: a start after the first one lists the name as live again, drops changes of its earlier process, and ends its leaving in the checker.

--- a/tests/matrix/cluster.cpp
+++ b/tests/matrix/cluster.cpp
@@ -122,6 +122,10 @@
 }
 
 void SimulatedCluster::startProcess(Process &process) {
+  if (process.Generation > 0) {
+    Platform.returnMember(process.Name);
+    Checker.onReturned(process.Name);
+  }
   ++process.Generation;
   process.Alive = true;
   process.Leaving = false;
--- a/tests/matrix/cluster.h
+++ b/tests/matrix/cluster.h
@@ -139,6 +139,7 @@
   void drain(const std::string &name);
   void resumeStreams(Process &dying);
   void checkPropagation(uint64_t revision);
+  void checkMembers();
   void finalChecks();
 
   FaultPlan Plan;
--- a/tests/matrix/cluster_workload.cpp
+++ b/tests/matrix/cluster_workload.cpp
@@ -277,7 +277,27 @@
                                   std::to_string(revision) + " after 8 s");
 }
 
+/// Checks that every process lists the running ones as live, also those whose
+/// name had left before.
+void SimulatedCluster::checkMembers() {
+  constexpr Duration SettleTime{15'000'000};
+  auto isSettled = [&](const Process &it) {
+    return it.Alive && Queue.now() >= it.UnstableUntil + SettleTime;
+  };
+  for (const auto &[name, process] : Processes)
+    for (const auto &[other, member] : Processes) {
+      if (!isSettled(process) || !isSettled(member) || member.Leaving)
+        continue;
+      const auto &table = process.Control->state().memberTable();
+      auto it = table.find(other);
+      if (it == table.end() || it->second.State != MemberState::Live)
+        Checker.recordViolation(Invariant::ConfigurationStands,
+                                name + " does not list " + other + " as live");
+    }
+}
+
 void SimulatedCluster::finalChecks() {
+  checkMembers();
   Checker.checkAllAnswered(Queue.now());
   recordConfigWrites();
   for (const auto &[id, outcome] : Commands) {
--- a/tests/matrix/platform.cpp
+++ b/tests/matrix/platform.cpp
@@ -18,17 +18,27 @@
 }
 
 void FakePlatform::setMemberState(const std::string &name, MemberState state) {
-  constexpr Duration Lag{1'000'000};
-  constexpr Duration LongLag{10'000'000};
-  Queue.schedule(ListLags ? LongLag : Lag, [this, name, state] {
+  Queue.schedule(listLag(), [this, name, state, returns = Returns[name]] {
     auto it = Members.find(name);
-    if (it == Members.end() || it->second.Instance.State >= state)
+    if (it == Members.end() || it->second.Instance.State >= state ||
+        returns != Returns[name])
       return;
     it->second.Instance.State = state;
     it->second.Changed = ++ListVersion;
   });
 }
 
+void FakePlatform::returnMember(const std::string &name) {
+  Queue.schedule(listLag(), [this, name, returns = ++Returns[name]] {
+    auto it = Members.find(name);
+    if (it == Members.end() || returns != Returns[name] ||
+        it->second.Instance.State == MemberState::Live)
+      return;
+    it->second.Instance.State = MemberState::Live;
+    it->second.Changed = ++ListVersion;
+  });
+}
+
 control::InstanceDelta FakePlatform::membersSince(uint64_t since) const {
   control::InstanceDelta out;
   out.Version = ListVersion;
--- a/tests/matrix/platform.h
+++ b/tests/matrix/platform.h
@@ -63,6 +63,9 @@
 
   void addMember(const Member &member);
   void setMemberState(const std::string &name, MemberState state);
+  /// Lists the name as live again. Changes of its state that are not listed yet
+  /// are dropped, because they concern its earlier process.
+  void returnMember(const std::string &name);
   control::InstanceDelta membersSince(uint64_t since) const;
 
   // Stores.
@@ -107,7 +110,13 @@
   serve::StoreResult answer(FakeStore &store, const serve::ReadStatus &request);
 
   EventQueue &Queue;
+  /// Lag of the list behind a change.
+  Duration listLag() const {
+    return ListLags ? Duration(10'000'000) : Duration(1'000'000);
+  }
+
   uint64_t ListVersion = 0;
+  std::map<std::string, uint64_t> Returns; ///< Number of returns of each name.
   std::map<std::string, control::ListedMember> Members;
   std::array<FakeStore, StoreCount> Stores;
   std::set<PieceKey> KnownPieces;
