--- a/src/query/query_executor.cpp
+++ b/src/query/query_executor.cpp
@@ -54,9 +54,13 @@
                    });
 }
 
-void applyLimit(Table &table, uint64_t limit) {
-  if (table.Rows.size() > limit)
-    table.Rows.resize(limit);
+/// Sets truncated if rows were left out.
+void applyLimit(Table &table, uint64_t limit, bool *truncated) {
+  if (table.Rows.size() <= limit)
+    return;
+  table.Rows.resize(limit);
+  if (truncated)
+    *truncated = true;
 }
 
 /// Builds the table of counts in descending order.
@@ -102,14 +106,15 @@
   return countsTable(countedBy(query), counts);
 }
 
-Table mergeCounts(const Query &query, const std::vector<Table> &parts) {
+Table mergeCounts(const Query &query, const std::vector<Table> &parts,
+                  bool *truncated) {
   std::map<Cell, int64_t> counts = emptyCounts(query);
   for (const Table &part : parts)
     for (const auto &row : part.Rows)
       counts[query.CountBy ? row.front() : Cell()] +=
           std::get<int64_t>(row.back());
   Table out = countsTable(countedBy(query), counts);
-  applyLimit(out, query.Limit);
+  applyLimit(out, query.Limit, truncated);
   return out;
 }
 
@@ -123,7 +128,7 @@
       });
 }
 
-Table execute(const Query &query, const Table &rows) {
+Table execute(const Query &query, const Table &rows, bool *truncated) {
   if (query.Count)
     return countRows(query, rows);
   Table out{rows.Columns, {}};
@@ -132,19 +137,20 @@
       out.Rows.push_back(row);
   if (query.OrderBy)
     sortRows(out, *query.OrderBy);
-  applyLimit(out, query.Limit);
+  applyLimit(out, query.Limit, truncated);
   return out;
 }
 
-Table merge(const Query &query, const std::vector<Table> &parts) {
+Table merge(const Query &query, const std::vector<Table> &parts,
+            bool *truncated) {
   if (query.Count)
-    return mergeCounts(query, parts);
+    return mergeCounts(query, parts, truncated);
   Table out{columnsOf(query.From), {}};
   for (const Table &part : parts)
     out.Rows.insert(out.Rows.end(), part.Rows.begin(), part.Rows.end());
   if (query.OrderBy)
     sortRows(out, *query.OrderBy);
-  applyLimit(out, query.Limit);
+  applyLimit(out, query.Limit, truncated);
   return out;
 }
 
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -221,6 +221,13 @@
             query::Cell(int64_t{1}));
 }
 
+TEST_F(OperatorRoutes, CountsOfOneProcessObeyTheLimit) {
+  EXPECT_EQ(runQuery("show servers count by server").Rows.Rows.size(), 2U);
+  query::Answer first = runQuery("show servers count by server limit 1");
+  EXPECT_EQ(first.Rows.Rows.size(), 1U);
+  EXPECT_EQ(first.Answered, 1U);
+}
+
 TEST_F(OperatorRoutes, PagesEndAtInstanceBoundaries) {
   for (const char *name : {"entry-1", "entry-2"})
     Processes[name].Rows.assign(2, row(query::RequestState::Offered));
@@ -230,11 +237,30 @@
   query::Answer all = runQuery("show requests limit 2");
   EXPECT_EQ(all.Rows.Rows.size(), 2U);
   EXPECT_EQ(all.Next, "entry-1");
+  EXPECT_FALSE(all.Truncated);
   query::Answer last = runQuery("show requests limit 2 after entry-1");
   EXPECT_EQ(last.Rows.Rows.size(), 2U);
   EXPECT_EQ(last.Next, "");
 }
 
+TEST_F(OperatorRoutes, AnswerIsTruncatedOnlyIfRowsAreLeftOut) {
+  for (const char *name : {"entry-1", "entry-2"})
+    Processes[name].Rows.assign(2, row(query::RequestState::Offered));
+  EXPECT_TRUE(runQuery("show servers limit 1").Truncated);
+  EXPECT_FALSE(runQuery("show servers limit 2").Truncated);
+  EXPECT_TRUE(runQuery("show requests order by age limit 1").Truncated);
+  EXPECT_FALSE(runQuery("show requests order by age limit 4").Truncated);
+}
+
+TEST_F(OperatorRoutes, RowsLeftOutOfAMergedAnswerAreReported) {
+  for (const char *name : {"entry-1", "entry-2"})
+    Processes[name].Rows.assign(2, row(query::RequestState::Offered));
+  EXPECT_TRUE(runQuery("show requests order by age limit 3").Truncated);
+  EXPECT_TRUE(runQuery("show requests count by instance limit 1").Truncated);
+  EXPECT_FALSE(runQuery("show requests count by instance limit 2").Truncated);
+  EXPECT_TRUE(runQuery("show servers count by server limit 1").Truncated);
+}
+
 TEST_F(OperatorRoutes, RequestQueryContactsOnlyItsEntryAndServers) {
   RequestId id = makeRequestId("entry-2", [] { return uint64_t{9}; });
   Event offered;
@@ -252,6 +278,33 @@
   EXPECT_EQ(events.Rows.Rows.size(), 1U);
 }
 
+TEST_F(OperatorRoutes, PagesOfARequestShowEachInstanceOnce) {
+  RequestId id = makeRequestId("entry-2", [] { return uint64_t{9}; });
+  Event offered;
+  offered.Kind = EventKind::RequestOffered;
+  offered.Request = id;
+  for (const char *server : {"agent-1", "agent-2"}) {
+    offered.Subject = server;
+    Processes["entry-2"].Ring->record(offered);
+  }
+  Processes["agent-1"].Ring->record(offered);
+  std::string text = "show events where request = " + toHex(id) + " limit 1";
+  constexpr size_t MaxPages = 4;
+  std::vector<query::Cell> instances;
+  std::string next;
+  size_t pages = 0;
+  do {
+    query::Answer page =
+        runQuery(next.empty() ? text : text + " after " + next);
+    for (const auto &row : page.Rows.Rows)
+      instances.push_back(row.front());
+    next = page.Next;
+  } while (!next.empty() && ++pages < MaxPages);
+  EXPECT_EQ(next, "");
+  EXPECT_EQ(instances, (std::vector<query::Cell>{std::string("agent-1"),
+                                                 std::string("entry-2")}));
+}
+
 TEST_F(OperatorRoutes, OverwrittenEventsAreReportedAsGaps) {
   for (int i = 0; i < 10; ++i)
     Processes["entry-2"].Ring->record({});
@@ -296,6 +349,28 @@
   EXPECT_EQ(body.at("other").at("revision").to_number<int>(), 9);
 }
 
+TEST_F(OperatorRoutes, CommandCarriesItsExpectedRevision) {
+  Fleet.Policies.push_back({"acme", "bulletin"});
+  publish();
+  auto send = [&](const std::string &text, const std::string &revision) {
+    std::string body =
+        R"({"text": ")" + text + R"(", "expected_revision": )" + revision + "}";
+    return call("entry-1", "POST", "/v1/command", body, "anna").Status;
+  };
+  EXPECT_EQ(send("drain agent-1", "7"), 200U);
+  ASSERT_EQ(Proposed.size(), 1U);
+  EXPECT_EQ(Proposed.back().ExpectedRevision, 7U);
+  EXPECT_EQ(send("drain agent-1", "0"), 200U);
+  EXPECT_EQ(Proposed.back().ExpectedRevision, 0U);
+  EXPECT_EQ(sendCommand("drain agent-1").Status, 200U);
+  EXPECT_EQ(Proposed.back().ExpectedRevision, std::nullopt);
+  for (const char *revision : {"-1", "1.5", "\"7\"", "null"})
+    EXPECT_EQ(send("drain agent-1", revision), 400U) << revision;
+  EXPECT_EQ(send("purge acme", "7"), 400U);
+  EXPECT_EQ(send("stop class bulletin", "7"), 400U);
+  EXPECT_EQ(Proposed.size(), 3U);
+}
+
 TEST_F(OperatorRoutes, FailedPurgeReportsItsProgress) {
   ReusePolicy policy;
   policy.Organisation = "acme";
