Test that all engines load in time when half of the orders are lost

All servers must have a new version within 17 s.

Orders fail at random, so that no plan keeps the bound for every seed.

--- a/tests/direct/rollout_model_test.cpp
+++ b/tests/direct/rollout_model_test.cpp
@@ -51,6 +51,14 @@
   RC_ASSERT(out.AnsweredWrongly.empty());
 }
 
+RC_GTEST_PROP(RolloutModelTest, LoadsAllEnginesWhenHalfOfTheOrdersAreLost, ()) {
+  RolloutParams params = anyParams();
+  params.UnansweredShare = 0.5;
+  RolloutOutcome out = RolloutModel(params).run();
+  RC_LOG() << describe(params) << lines(out.NotLoaded);
+  RC_ASSERT(out.NotLoaded.empty());
+}
+
 /// The promises must not be kept by answering nothing.
 TEST(RolloutModelTest, AnswersRequestsOnOutdatedAndNewWeights) {
   RolloutParams params;
