Count failures to load by version

Failures count for the version only.

WeightPlanTest.ForgetsFailuresToLoadAnEarlierVersion failed before.

--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -63,8 +63,10 @@
   Duration left =
       std::max(oldest + Settings.RolloutLimit - now, Settings.UsualLoadTime);
   auto loadsToDo = static_cast<int64_t>(outdated.size());
-  for (const OutdatedServer &it : outdated)
-    loadsToDo += isUnanswered(*it.Server) ? 1 : 0;
+  for (const OutdatedServer &it : outdated) {
+    const FailureHistory *failures = failuresOf(it);
+    loadsToDo += failures && failures->HasUnansweredOrder ? 1 : 0;
+  }
   auto needed = static_cast<size_t>(loadsToDo * Settings.UsualLoadTime / left);
   size_t maxLoads = std::max<size_t>(outdated.size() / 2, minLoads);
   return std::clamp<size_t>(needed, minLoads, maxLoads);
@@ -98,6 +100,8 @@
                                    PostponeReason reason) {
   ServerStart start{load->first, load->second.StartedMs};
   FailureHistory &history = Failures[start];
+  if (history.Version != load->second.Desired.Version)
+    history = {load->second.Desired.Version};
   ++history.Count;
   history.HasUnansweredOrder |= reason == PostponeReason::NoAnswer;
   NotePostponed out{start.Id, start.StartedMs, load->second.Desired, reason,
@@ -115,14 +119,12 @@
   });
 }
 
-uint32_t WeightPlan::failuresOf(const BackendServer &server) const {
-  auto it = Failures.find(server.ref().start());
-  return it == Failures.end() ? 0 : it->second.Count;
-}
-
-bool WeightPlan::isUnanswered(const BackendServer &server) const {
-  auto it = Failures.find(server.ref().start());
-  return it != Failures.end() && it->second.HasUnansweredOrder;
+const WeightPlan::FailureHistory *
+WeightPlan::failuresOf(const OutdatedServer &server) const {
+  auto it = Failures.find(server.Server->ref().start());
+  bool isOfVersion =
+      it != Failures.end() && it->second.Version == server.Desired.Version;
+  return isOfVersion ? &it->second : nullptr;
 }
 
 const WeightPlan::OutdatedServer *
@@ -135,7 +137,8 @@
   // failure puts an engine behind those that became outdated a load's time
   // later.
   auto rank = [&](const OutdatedServer &it) {
-    Duration delay = Settings.UsualLoadTime * failuresOf(*it.Server);
+    const FailureHistory *failures = failuresOf(it);
+    Duration delay = Settings.UsualLoadTime * (failures ? failures->Count : 0);
     return std::pair(it.Since + delay, loading[it.Server->FailureDomain]);
   };
   const OutdatedServer *out = nullptr;
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -159,6 +159,13 @@
     TimePoint Since; ///< Since when its weights have been outdated.
   };
 
+  /// How often a server was postponed while it was to load a version.
+  struct FailureHistory {
+    uint64_t Version = 0;
+    uint32_t Count = 0;
+    bool HasUnansweredOrder = false; ///< One of its orders got no answer.
+  };
+
   /// Engines that may load at a time in any case.
   size_t minConcurrency(const Catalog &catalog) const;
   std::vector<OutdatedServer> outdatedServers(const Catalog &catalog) const;
@@ -170,9 +177,9 @@
   NotePostponed postpone(LoadMap::iterator load, PostponeReason reason);
   /// Forgets the failures of servers that are not outdated any more.
   void forgetFailures(const std::vector<OutdatedServer> &outdated);
-  uint32_t failuresOf(const BackendServer &server) const;
-  /// Whether an order to this start of the server got no answer.
-  bool isUnanswered(const BackendServer &server) const;
+  /// Failures of this start of the server to load its desired version; null if
+  /// there were none.
+  const FailureHistory *failuresOf(const OutdatedServer &server) const;
   /// Selects outdated servers until concurrency() loads are under way.
   void startLoads(const Catalog &catalog, TimePoint now);
   /// Engines that may load at a time now.
@@ -185,12 +192,7 @@
 
   WeightPlanSettings Settings;
   LoadMap Loads; ///< By server id.
-  /// How often outdated servers were postponed, and whether one of their orders
-  /// got no answer.
-  struct FailureHistory {
-    uint32_t Count = 0;
-    bool HasUnansweredOrder = false;
-  };
+  /// Of outdated servers that were postponed.
   std::map<ServerStart, FailureHistory> Failures;
 };
 
--- a/tests/direct/rollout_model.h
+++ b/tests/direct/rollout_model.h
@@ -313,7 +313,7 @@
       if (it == entry.VersionBeforeLoad.end() ||
           server.versionOf("model") == it->second)
         continue;
-      entry.Loads.onWeightsLoaded(server.ref());
+      entry.Loads.onLoadEnded(server.ref());
       entry.VersionBeforeLoad.erase(it);
     }
     if (catalog->DesiredVersions == entry.ReviewedVersions)
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -219,6 +219,17 @@
   EXPECT_TRUE(asked(Plan.next(Catalog, Start)).contains("e0"));
 }
 
+/// A late order may have been carried out before the next version is named.
+TEST_F(WeightPlanTest, ForgetsFailuresToLoadAnEarlierVersion) {
+  Catalog.AllServers.resize(3);
+  Plan.next(Catalog, Start);
+  Plan.onReport("e0", std::nullopt, Start);
+  for (BackendServer &it : Catalog.AllServers)
+    it.Weights = {{"model", 2}};
+  Catalog.DesiredVersions["model"].push_back({3, Start});
+  EXPECT_TRUE(asked(Plan.next(Catalog, Start)).contains("e0"));
+}
+
 /// Guards against a fleet that is avoided as a whole, as every engine is
 /// selected in turn while the holder can't reach any.
 TEST_F(WeightPlanTest, LoadsNoMoreAtATimeWhenNoEngineReports) {
