Keep the age of weights older than all remembered versions

Sixteen desired versions of a model are remembered. When the seventeenth was named, the first was forgotten, and weights older than it counted as outdated only since the second: an entry would have used them for longer than the rollout limit. The oldest remembered version now takes over the earlier time.

DesiredVersions.KeepsTheAgeOfWeightsOlderThanAllRememberedVersions failed before.

--- a/src/direct/desired_versions.cpp
+++ b/src/direct/desired_versions.cpp
@@ -103,8 +103,11 @@
   if (!known.empty() && known.back().Version >= desired.Version)
     return;
   known.push_back({desired.Version, since, isSinceAssumed});
-  if (known.size() > VersionsRemembered)
-    known.erase(known.begin());
+  if (known.size() <= VersionsRemembered)
+    return;
+  // Weights that are older than all remembered versions keep their age.
+  known[1].Since = std::min(known[0].Since, known[1].Since);
+  known.erase(known.begin());
 }
 
 std::vector<DesiredVersionAge>
--- a/tests/direct/desired_versions_test.cpp
+++ b/tests/direct/desired_versions_test.cpp
@@ -27,6 +27,18 @@
   EXPECT_FALSE(ageOf({Second, INT64_MIN}, Clock));
 }
 
+/// Guards against weights that pass for younger than they are once more
+/// versions have been named than are remembered.
+TEST(DesiredVersions, KeepsTheAgeOfWeightsOlderThanAllRememberedVersions) {
+  DesiredVersions versions;
+  TimePoint start{Duration(1'000'000)};
+  for (uint64_t i = 0; i < 40; ++i)
+    versions.note({"m", i + 2}, start + Duration(i), false);
+  EXPECT_LT(versions.byModel().at("m").size(), 40);
+  EXPECT_EQ(outdatedSince(versions.byModel(), "m", 1), start);
+  EXPECT_EQ(outdatedSince(versions.byModel(), "m", 40), start + Duration(39));
+}
+
 TEST(TimesToRecord, HoldsEveryKnownAgeOnceAVersionIsMissing) {
   std::vector<DesiredVersionAge> ages{{Second, 4'000'000}, {Third, 1'000'000}};
   std::vector<DesiredVersionTime> both{{Second, Clock - 4000},
