Log which answers end with their connection

Cause: the log of an attempt does not tell how its answer was framed, so that an answer taken for complete and one whose break was seen differ only in the result. Change: the head of an answer tells whether it is close-delimited, and attempt_ended has the field framing for such answers. Result: builds; no decision depends on the field yet.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -106,6 +106,9 @@
   /// The server states that it did not run the request.
   bool WasNotRun = false;
   bool IsEventStream = false;
+  /// The answer has neither a length nor chunks: it ends with its connection,
+  /// so that only its content can show that it was broken off.
+  bool IsCloseDelimited = false;
   bool IsLeaving = false; ///< The server shuts down and takes no new requests.
   std::optional<Duration> RetryAfter;
   /// Limit on the requests per second that the server accepts from all entries
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -187,6 +187,7 @@
   Order = order;
   SentAt = now;
   FirstByteAt.reset();
+  IsCloseDelimited = false;
   IncidentsAtSend =
       State.Suspects.isEmpty() ? 0 : State.Suspects.incidents(identity());
   State.Stats.Attempts.add();
@@ -262,6 +263,7 @@
   TimePoint now = monotonicNow();
   direct::ServerHead head = State.WireProtocol.ReadServerHead(status, headers);
   applyServerSignals(head, now);
+  IsCloseDelimited = head.IsCloseDelimited;
   if (!head.WasNotRun) {
     FirstByteAt = now;
     State.Loads.onFirstByte(Order.server(), Order.QueuedTokens, now);
@@ -351,6 +353,8 @@
     fields["identity"] = toHex(identity());
   if (FirstByteAt)
     fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
+  if (IsCloseDelimited)
+    fields["framing"] = "close";
   LogPriority priority =
       isSuccess ? LogPriority::Routine : LogPriority::Notable;
   if (result == AttemptResult::Expired)
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -91,6 +91,8 @@
   /// When the answer to the current attempt began; nothing if it has not, or if
   /// it says that the request was not run.
   std::optional<TimePoint> FirstByteAt;
+  /// Whether the answer to the current attempt ends with its connection.
+  bool IsCloseDelimited = false;
   /// Whether the caller got a first byte.
   bool HasAnswerStarted = false;
 };
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -2,11 +2,22 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include <algorithm>
+
 namespace daisytack::net {
 
+using boost::beast::iequals;
+
+bool isCloseDelimited(const std::vector<HttpHeader> &headers) {
+  return std::none_of(headers.begin(), headers.end(), [](const auto &it) {
+    return iequals(it.Name, "Content-Length") ||
+           iequals(it.Name, "Transfer-Encoding");
+  });
+}
+
 std::string_view HttpRequest::header(std::string_view name) const {
   for (const HttpHeader &h : Headers)
-    if (boost::beast::iequals(h.Name, name))
+    if (iequals(h.Name, name))
       return h.Value;
   return {};
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,6 +21,11 @@
   auto operator<=>(const HttpHeader &) const = default;
 };
 
+/// Whether a response with these headers has neither a length nor chunks. It
+/// ends with its connection (RFC 9112, 6.3), and a peer that ends in the middle
+/// of it may close the connection in the same way.
+bool isCloseDelimited(const std::vector<HttpHeader> &headers);
+
 struct HttpRequest {
   std::string Method;
   std::string Path;  ///< Without the query.
