Judge in one place whether an answer is complete

Cause: an answer with neither a length nor chunks ends with its connection, so the HTTP client reports its end without an error. The flow took that for the end of the answer, wrote what it held of the unfinished event and ended its own answer, which is framed, in order. The attempt counted as answered: no resumption, no failure of the server, no suspicion against the request. Change: ForwardFlow::incompleteReason() alone decides whether an attempt that has ended has a complete answer. A stream is complete only between two events; one without a length that ends before its first byte isn't. An incomplete one is BrokenOff: it is resumed, or ends visibly, and counts as a lost connection for ejection and quarantine. Where lines and events end is defined once, in net::SseScanner, for LF, CRLF and CR, mixed as well; both readers of event streams use it. An event that was forwarded in pieces isn't resumed, as that would repeat its pieces, and its id counts only once it is complete. Why it works: whatever frames an answer, its bytes tell whether the last event is whole. A stream that ends between two events, before its last one, can't be told from a whole one.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -105,7 +105,8 @@
   unsigned Status = 0;
   /// The server states that it did not run the request.
   bool WasNotRun = false;
-  bool IsEventStream = false;
+  /// False if the answer names another content type than that of event streams.
+  bool IsEventStream = true;
   /// The answer has neither a length nor chunks: it ends with its connection,
   /// so that only its content can show that it was broken off.
   bool IsCloseDelimited = false;
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -19,6 +19,8 @@
     return "answered";
   case AttemptResult::Failed:
     return "failed";
+  case AttemptResult::BrokenOff:
+    return "broken_off";
   case AttemptResult::TurnedAway:
     return "turned_away";
   case AttemptResult::Misdirected:
@@ -98,9 +100,7 @@
   if (IsEnded || !Current || attempt != AttemptNumber || !Current->HasHead)
     return;
   Attempt &current = *Current;
-  bool isStream = Request.MatchedRoute.Kind == RouteKind::Stream &&
-                  isSuccess(current.Head.Status);
-  if (isStream)
+  if (isStream())
     return forwardData(current.Events.feed(data));
   current.Buffered += data;
   if (current.Buffered.size() <= Settings.MaxBufferedAnswerBytes)
@@ -122,9 +122,30 @@
     Hooks.BeginAnswer(Current->Head);
   if (Current->Events.lastId())
     DeliveredEventId = Current->Events.lastId();
+  HasPartOfEvent = Current->Events.hasReturnedPart();
   Hooks.WriteAnswer(std::move(bytes));
 }
 
+bool ForwardFlow::isStream() const {
+  return Request.MatchedRoute.Kind == RouteKind::Stream &&
+         Current->Head.IsEventStream && isSuccess(Current->Head.Status);
+}
+
+Error ForwardFlow::incompleteReason(const Error &error) const {
+  if (error)
+    return error;
+  if (!Current->HasHead)
+    return {ErrorKind::ServerLost, "the server ended without an answer"};
+  if (!isStream())
+    return {};
+  if (Current->Events.isInsideEvent())
+    return {ErrorKind::ServerLost, "the stream ended inside an event"};
+  if (Current->Head.IsCloseDelimited && Current->Events.isEmpty())
+    return {ErrorKind::ServerLost,
+            "the connection ended before the first event"};
+  return {};
+}
+
 void ForwardFlow::onDone(uint32_t attempt, const Error &error, bool unsent,
                          TimePoint now) {
   if (IsEnded || !Current || attempt != AttemptNumber)
@@ -133,9 +154,9 @@
     closeAttempt(AttemptResult::Unreached, now);
     return startNextAttempt(now, error, false);
   }
-  if (error || !Current->HasHead) {
+  if (Error incomplete = incompleteReason(error)) {
     ++PossibleRuns;
-    return onFailed(error, now);
+    return onFailed(incomplete, now);
   }
   if (Current->Head.WasNotRun)
     return onRejected(ServerHead(Current->Head), now);
@@ -161,13 +182,12 @@
 }
 
 void ForwardFlow::onFailed(const Error &error, TimePoint now) {
-  Error reason = error ? error
-                       : Error{ErrorKind::ServerLost,
-                               "the server ended without an answer"};
-  closeAttempt(AttemptResult::Failed, now);
+  closeAttempt(error.Kind == ErrorKind::ServerLost ? AttemptResult::BrokenOff
+                                                   : AttemptResult::Failed,
+               now);
   if (mayRunAgain())
-    return startNextAttempt(now, reason, true);
-  giveUp(reason, now);
+    return startNextAttempt(now, error, true);
+  giveUp(error, now);
 }
 
 bool ForwardFlow::isCallerError(unsigned status) const {
@@ -177,17 +197,14 @@
 void ForwardFlow::onAnswerComplete(TimePoint now) {
   ServerHead head = std::move(Current->Head);
   std::string body = std::move(Current->Buffered);
-  std::string rest = Current->Events.takeRest();
   if (isSuccess(head.Status) || isCallerError(head.Status)) {
     closeAttempt(AttemptResult::Answered, now);
     if (!HasAnswerBegun)
-      return forwardAnswer(head, body + rest);
+      return forwardAnswer(head, std::move(body));
     if (!isSuccess(head.Status)) {
       Hooks.AbortAnswer(); // The attempt to resume the stream failed.
       return finish();
     }
-    if (!rest.empty())
-      Hooks.WriteAnswer(std::move(rest));
     Hooks.EndAnswer();
     return finish();
   }
@@ -204,7 +221,7 @@
 bool ForwardFlow::mayRunAgain() const {
   bool canContinue =
       !HasAnswerBegun || (Request.MatchedRoute.Kind == RouteKind::Stream &&
-                          DeliveredEventId.has_value());
+                          DeliveredEventId.has_value() && !HasPartOfEvent);
   return Request.MatchedRoute.mayRepeat() && canContinue &&
          PossibleRuns < Request.MatchedRoute.Attempts;
 }
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -67,7 +67,8 @@
 /// How an attempt ended, as evidence about the state of its server.
 enum class AttemptResult : uint8_t {
   Answered,    ///< With success, or with an error that the request caused.
-  Failed,      ///< With a server error, a broken answer or timeout.
+  Failed,      ///< With a server error or a timeout.
+  BrokenOff,   ///< The connection ended before the answer was complete.
   TurnedAway,  ///< The server states that it did not run the request.
   Misdirected, ///< Not run: another instance answered, or other weights run.
   Unreached,   ///< Nothing was sent.
@@ -131,8 +132,9 @@
   void onHead(uint32_t attempt, const ServerHead &head, TimePoint now);
   /// Part of the body of an attempt's answer arrived.
   void onData(uint32_t attempt, std::string_view data, TimePoint now);
-  /// The attempt ended: its answer is complete (no error) or broke off. unsent
-  /// means that no byte of the request can have reached the server.
+  /// The attempt's connection ended or completed the framing of its answer (no
+  /// error), or it failed. unsent means that no byte of the request can have
+  /// reached the server.
   void onDone(uint32_t attempt, const Error &error, bool unsent, TimePoint now);
   void onTimer(TimePoint now);
   /// The hook BeginLimit may return other times from now on.
@@ -162,6 +164,12 @@
     EventSplitter Events;
   };
 
+  /// Whether the current attempt's answer is a stream of events.
+  bool isStream() const;
+  /// Why the current attempt, which has ended, has no complete answer; no error
+  /// if it has. The only place that decides on this.
+  Error incompleteReason(const Error &error) const;
+
   /// Starts another attempt, or gives up with the reason if none is possible.
   void startNextAttempt(TimePoint now, const Error &reason,
                         bool usesRetryBudget);
@@ -199,6 +207,7 @@
   uint32_t Rejections = 0;
   std::vector<std::string> TriedServers;
   bool HasAnswerBegun = false; ///< The caller has the head of an answer.
+  bool HasPartOfEvent = false; ///< The caller has part of the latest event.
   std::optional<std::string> DeliveredEventId; ///< Last event the caller has.
   /// Head of the latest server error. The caller gets it if all attempts fail.
   std::optional<ServerHead> FailedHead;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -308,12 +308,7 @@
 void GatewayRequest::onDone(uint32_t attempt, const Error &error) {
   // The client reports ServiceUnavailable if nothing was sent.
   bool wasNotSent = error.Kind == ErrorKind::ServiceUnavailable;
-  TimePoint now = monotonicNow();
-  bool isCurrent = !Flow.isEnded() && attempt == Flow.attempts();
-  // Must precede Flow.onDone(), which looks for another server.
-  if (isCurrent && error.Kind == ErrorKind::ServerLost)
-    recordConnectionLoss(now);
-  Flow.onDone(attempt, error, wasNotSent, now);
+  Flow.onDone(attempt, error, wasNotSent, monotonicNow());
 }
 
 void GatewayRequest::recordResult(uint32_t attempt, const AttemptOrder &order,
@@ -332,6 +327,8 @@
   if (result == AttemptResult::Misdirected)
     avoidReplacedServer(order, now);
   updateEjection(order, result, now);
+  if (result == AttemptResult::BrokenOff)
+    recordConnectionLoss(now);
   // Identical requests of many callers are short, so that only short ones are
   // hashed without a suspect.
   if (isSuccess &&
@@ -349,7 +346,7 @@
                              {"result", direct::attemptResultName(result)}};
   // The identity shows whether the same request failed before under another
   // request id.
-  if (result == AttemptResult::Failed)
+  if (result == AttemptResult::Failed || result == AttemptResult::BrokenOff)
     fields["identity"] = toHex(identity());
   if (FirstByteAt)
     fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
@@ -392,8 +389,9 @@
   uint64_t pool = direct::stableHash(Flow.request().Service);
   uint64_t server = order.server().key();
   size_t size = State.catalog()->serversOf(Flow.request().Service).size();
-  bool isFailure =
-      result == AttemptResult::Failed || result == AttemptResult::Unreached;
+  bool isFailure = result == AttemptResult::Failed ||
+                   result == AttemptResult::BrokenOff ||
+                   result == AttemptResult::Unreached;
   if (result == AttemptResult::Answered)
     State.OutlierEjector.onAnswer(pool, size, server, Duration(1), Duration(0),
                                   now);
--- a/src/net/sse.cpp
+++ b/src/net/sse.cpp
@@ -4,34 +4,72 @@
 
 namespace daisytack::net {
 
+SseMark SseScanner::endLine() {
+  if (std::exchange(HasLineBytes, false))
+    return SseMark::LineEnd;
+  HasEventBytes = false;
+  return SseMark::EventEnd;
+}
+
+SseScanner::Step SseScanner::next(char c) {
+  Step out;
+  if (std::exchange(IsCarriageReturnHeld, false)) {
+    SseMark mark = endLine();
+    if (c == '\n') {
+      out.Mark = mark;
+      return out;
+    }
+    out.HasEventEndedBefore = true;
+    HasLineEndedWithCrLf = false;
+  }
+  bool isTail = std::exchange(AfterCarriageReturn, false) && c == '\n';
+  if (isTail) {
+    HasLineEndedWithCrLf = true;
+    out.Mark = SseMark::Tail;
+    return out;
+  }
+  if (c == '\r' && !HasLineBytes && HasLineEndedWithCrLf) {
+    IsCarriageReturnHeld = true;
+    out.Mark = SseMark::Held;
+    return out;
+  }
+  if (c == '\r' || c == '\n') {
+    AfterCarriageReturn = c == '\r';
+    HasLineEndedWithCrLf = false;
+    out.Mark = endLine();
+    return out;
+  }
+  HasLineBytes = HasEventBytes = true;
+  return out;
+}
+
 bool SseParser::feed(std::string_view data, const Sink &sink) {
   for (char c : data) {
     if (Failed)
       return false;
-    bool skip = c == '\n' && AfterCarriageReturn;
-    AfterCarriageReturn = c == '\r';
-    if (skip)
-      continue;
-    if (c == '\n' || c == '\r') {
-      processLine(sink);
+    SseScanner::Step step = Scanner.next(c);
+    if (step.HasEventEndedBefore || step.Mark == SseMark::EventEnd)
+      endEvent(sink);
+    if (step.Mark == SseMark::LineEnd)
+      processLine();
+    if (step.Mark != SseMark::Byte)
       continue;
-    }
     Line.push_back(c);
     Failed = ++EventBytes > MaxEventBytes;
   }
   return !Failed;
 }
 
-void SseParser::processLine(const Sink &sink) {
+void SseParser::endEvent(const Sink &sink) {
+  SseEvent event = std::exchange(Current, {});
+  bool complete = std::exchange(HasData, false);
+  EventBytes = 0;
+  if (complete)
+    sink(std::move(event));
+}
+
+void SseParser::processLine() {
   std::string line = std::exchange(Line, {});
-  if (line.empty()) {
-    SseEvent event = std::exchange(Current, {});
-    bool complete = std::exchange(HasData, false);
-    EventBytes = 0;
-    if (complete)
-      sink(std::move(event));
-    return;
-  }
   size_t colon = line.find(':');
   if (colon == 0)
     return; // A comment.
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -179,8 +179,10 @@
   unsigned statusOf(const Entry &entry, const HttpRequest &what) {
     return fetch(entry.Options.Callers, what).Response.Status;
   }
+  /// Answers prompts with a stream of one event.
   static void answer(const HttpRequest &what, const ExchangePtr &to) {
-    to->respond(signedAnswer(what));
+    bool isStream = what.Path.starts_with("/ask/");
+    to->respond(signedAnswer(what, isStream ? "data: answer\n\n" : "answer"));
   }
 
   net::IoThreads Threads;
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -214,6 +214,24 @@
   EXPECT_EQ(got.Response.Body, "all");
 }
 
+/// Guards against a response that was reset on the way being taken for one that
+/// ends with its connection, also when its last bytes are still to be read.
+TEST(HttpClient, CloseDelimitedBodyEndedByResetIsServerLost) {
+  for (size_t size : {size_t(0), size_t(3), size_t(200'000)}) {
+    ScriptedServer server({[size](tcp::socket &s) {
+      readRequest(s);
+      asio::write(
+          s, asio::buffer("HTTP/1.1 200 OK\r\n\r\n" + std::string(size, 'x')));
+      s.set_option(asio::socket_base::linger(true, 0));
+      s.close(); // The destructor would not reset it.
+    }});
+    HttpFixture fixture(echo);
+    auto got =
+        fixture.fetch(server.endpoint(), {"GET", "/", "", {}, ""}, Duration(0));
+    EXPECT_EQ(got.Reason.Kind, ErrorKind::ServerLost) << size;
+  }
+}
+
 /// Fetches with a MatchesRequest hook that accepts responses marked "own" only.
 HttpFixture::Fetched fetchMatching(HttpFixture &fixture, const Endpoint &to,
                                    const HttpRequest &request) {
--- a/tests/net_http/sse_test.cpp
+++ b/tests/net_http/sse_test.cpp
@@ -24,6 +24,26 @@
     EXPECT_EQ(parse(text, step), expected) << step;
 }
 
+/// Guards against a stream that was cut inside an event counting as whole, and
+/// against events of some line ends being noticed only with the next one.
+TEST(Sse, ScannerTellsWhereEventsEnd) {
+  for (const char *whole :
+       {"", "a\n\n", "a\r\n\r\n", "a\r\r", "a\n\r", "a\n\r\n", "a\r\n\n", "\n",
+        "\r\n", "a\n\n\n", "a\r\r\n"}) {
+    SseScanner scanner;
+    for (char c : std::string_view(whole))
+      scanner.next(c);
+    EXPECT_FALSE(scanner.isInsideEvent()) << whole;
+  }
+  for (const char *cut : {"a", "a\n", "a\r", "a\r\n", "a\r\n\r", "a\n\nb",
+                          "a\r\rb\r", ": comment\n"}) {
+    SseScanner scanner;
+    for (char c : std::string_view(cut))
+      scanner.next(c);
+    EXPECT_TRUE(scanner.isInsideEvent()) << cut;
+  }
+}
+
 TEST(Sse, TooLargeEventFails) {
   SseParser parser(16);
   EXPECT_TRUE(parser.feed("data: short\n\n", [](const SseEvent &) {}));
--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -218,6 +218,20 @@
             "s");
 }
 
+/// Guards against an answer of another kind on a route of streams being judged
+/// by the events that it doesn't have.
+TEST(ReadServerHead, ReadsHowTheAnswerIsFramedAndWhetherItIsAStream) {
+  direct::ServerHead bare = readServerHead(200, {});
+  EXPECT_TRUE(bare.IsCloseDelimited);
+  EXPECT_TRUE(bare.IsEventStream);
+  direct::ServerHead json = readServerHead(
+      200, {{"content-type", "application/json"}, {"content-length", "2"}});
+  EXPECT_FALSE(json.IsCloseDelimited);
+  EXPECT_FALSE(json.IsEventStream);
+  EXPECT_FALSE(
+      readServerHead(200, {{"Transfer-Encoding", "chunked"}}).IsCloseDelimited);
+}
+
 TEST(IsAnswerTo, DetectsAnAnswerToAnotherRequest) {
   direct::CallerHead head;
   head.RequestId = "abc";
