Reset aborted streams to HTTP/1.0 callers

A streamed response to an HTTP/1.0 caller ends with its connection; an aborted one, or one whose caller reads too slowly, was closed in the same way and looked complete. Change: until such a response has ended in order, closing its socket resets the connection, which the kernel does as well if the process ends.

--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -120,6 +120,9 @@
   void queueLocked(std::string data);
   void scheduleFlush();
   void flush();
+  /// Sets whether closing the socket resets the connection. The kernel closes
+  /// it too, if the process ends.
+  void setResetOnClose(bool resets);
   void sendSome();
   void onSent(ErrorCode ec, size_t n);
   void onResponseSent();
@@ -149,6 +152,7 @@
   bool Pipelined = false;       ///< Input arrived before the response ended.
   bool TimedOut = false;
   bool Writing = false;
+  bool ResetsOnClose = false;
   std::vector<std::string> Sending;
   size_t SendIndex = 0;
   size_t SendOffset = 0;
@@ -162,6 +166,9 @@
   bool Aborted = false; ///< Close after the queued data was sent.
   bool HeadSent = false;
   bool Chunked = false;
+  /// The end of the connection is the end of the response, so that a response
+  /// that is broken off must end with a reset.
+  bool IsCloseDelimited = false;
   bool KeepAlive = false;
   bool IsHead = false;
   bool IsHttp10 = false; ///< No chunked transfer encoding.
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -89,6 +89,7 @@
     if (!isOpenLocked(serial) || HeadSent)
       return;
     Chunked = !IsHttp10;
+    IsCloseDelimited = !Chunked;
     KeepAlive = KeepAlive && Chunked && !closesAfterResponse();
     queueLocked(encodeHead(status, headers, true, 0));
     HeadSent = true;
@@ -166,6 +167,7 @@
     return;
   bool ended = false;
   bool aborted = false;
+  bool resets = false;
   // Destroyed after the lock is released.
   std::function<void()> finishedHook;
   {
@@ -173,9 +175,11 @@
     Sending.swap(Queued);
     ended = Ended;
     aborted = Aborted;
+    resets = IsCloseDelimited && (!ended || aborted);
     if (ended)
       finishedHook = std::exchange(ClosedHook, nullptr);
   }
+  setResetOnClose(resets);
   if (Sending.empty()) {
     if (aborted)
       return close();
@@ -189,6 +193,13 @@
   sendSome();
 }
 
+void HttpConnection::setResetOnClose(bool resets) {
+  if (std::exchange(ResetsOnClose, resets) == resets)
+    return;
+  ErrorCode ignored; // The socket may be closed already.
+  Socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 void HttpConnection::sendSome() {
   if (CurrentState == State::Responding)
     setDeadline(Shared->limits()->IdleTimeout);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -65,7 +65,8 @@
   virtual void write(std::string data) = 0;
   virtual void endStream() = 0;
   /// Sends the data written so far and closes the connection without ending the
-  /// stream, so that the caller can detect that the response is incomplete.
+  /// stream, so that the caller can detect that the response is incomplete. In
+  /// HTTP/1.0 the connection is reset, which may lose data already sent.
   virtual void abort() = 0;
   /// Bytes of the response queued and not yet written to the socket.
   virtual size_t pendingBytes() const = 0;
--- a/tests/net_http/http_fixture.h
+++ b/tests/net_http/http_fixture.h
@@ -63,6 +63,14 @@
     }
     return out;
   }
+  /// Reads until the connection ends and returns how it ended.
+  ErrorCode readToEnd() {
+    char buf[4096];
+    ErrorCode ec;
+    while (!ec)
+      Socket.read_some(asio::buffer(buf), ec);
+    return ec;
+  }
   /// Reads until the text was received or the connection ends.
   std::string readUntil(const std::string &mark) {
     std::string out;
--- a/tests/net_http/server_test.cpp
+++ b/tests/net_http/server_test.cpp
@@ -252,6 +252,36 @@
   EXPECT_TRUE(raw.readAll().ends_with("\r\n\r\n4\r\npart\r\n"));
 }
 
+/// Guards against an aborted stream that looks complete to a caller of
+/// HTTP/1.0, for which the end of the connection ends the stream.
+TEST(HttpServer, AbortedStreamForHttp10ClientIsReset) {
+  HttpFixture fixture(
+      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, {});
+        exchange->write("part");
+        exchange->abort();
+      });
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.0\r\n\r\n");
+  EXPECT_EQ(raw.readToEnd(), asio::error::connection_reset);
+}
+
+/// Guards against a stream for a caller of HTTP/1.0 that the server closes
+/// without an end, as the caller reads too slowly, looking complete.
+TEST(HttpServer, ClosedStreamForHttp10ClientIsReset) {
+  HttpServerInit init;
+  init.MaxPendingBytes = 1U << 16;
+  Holder holder;
+  HttpFixture fixture(holder.handler(), init);
+  RawClient raw(fixture.Server.port());
+  raw.send("GET / HTTP/1.0\r\n\r\n");
+  auto exchange = holder.Arrived.get_future().get();
+  exchange->beginStream(200, {});
+  for (int i = 0; i < 2000; ++i)
+    exchange->write(std::string(1U << 14, 'x'));
+  EXPECT_EQ(raw.readToEnd(), asio::error::connection_reset);
+}
+
 TEST(HttpServer, ClosesConnectionOfSlowReader) {
   HttpServerInit init;
   init.MaxPendingBytes = 1U << 16;
