Fail runs whose event stream or piece may have been cut

The stream of a plain service that ended inside an event counted as a complete run, and a piece of kept context without a length was taken as whole wherever it ended. Engines' streams end with [DONE] and were not affected. Change: a run whose stream ends inside an event fails; a piece without a length is refused.

--- a/src/edge/engine_http.cpp
+++ b/src/edge/engine_http.cpp
@@ -191,6 +191,10 @@
           Init.PieceTimeout,
           [call = command.Call](
               Error error, net::HttpResponse response) -> serve::AgentInput {
+            // Nothing in a piece shows that it was cut at its end.
+            if (!error && net::isCloseDelimited(response.Headers))
+              error = {ErrorKind::ProtocolError,
+                       "the engine sent a piece without a length"};
             if (error)
               return serve::PieceExport{call, nullptr, error};
             return serve::PieceExport{
--- a/src/edge/service_http.cpp
+++ b/src/edge/service_http.cpp
@@ -2,6 +2,12 @@
 #include "edge/run_calls.h"
 #include "edge/service.h"
 
+#include "net/http_status.h"
+#include "net/sse.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -41,32 +47,49 @@
   return out;
 }
 
+bool isEventStream(unsigned status,
+                   const std::vector<net::HttpHeader> &headers) {
+  bool hasType =
+      std::any_of(headers.begin(), headers.end(), [](const auto &it) {
+        return boost::beast::iequals(it.Name, "Content-Type") &&
+               it.Value.starts_with("text/event-stream");
+      });
+  return hasType && net::isSuccess(status);
+}
+
+/// The answer to one run. Used by one I/O thread at a time.
+struct ServiceAnswer {
+  serve::RunDone Final;
+  bool IsEventStream = false;
+  net::SseScanner Scanner; ///< Of a stream of events.
+};
+
 class HttpService : public std::enable_shared_from_this<HttpService> {
 public:
   HttpService(net::HttpClient &client, Endpoint address, InputSink sink)
       : Client(client), Address(std::move(address)), Sink(std::move(sink)) {}
 
   void start(const serve::StartRun &start) {
-    auto final = std::make_shared<serve::RunDone>();
-    final->Run = start.Run;
-    final->Answer = start.Run;
+    auto answer = std::make_shared<ServiceAnswer>();
+    answer->Final.Run = start.Run;
+    answer->Final.Answer = start.Run;
     net::HttpHooks hooks;
-    hooks.Head = [final](unsigned status, const auto &headers) {
-      final->ServiceStatus = static_cast<uint16_t>(status);
+    hooks.Head = [answer](unsigned status, const auto &headers) {
+      answer->IsEventStream = isEventStream(status, headers);
+      answer->Final.ServiceStatus = static_cast<uint16_t>(status);
       for (const net::HttpHeader &it : headers)
         if (!isHopByHopHeader(it.Name))
-          final->ServiceHeaders.push_back({it.Name, it.Value});
+          answer->Final.ServiceHeaders.push_back({it.Name, it.Value});
     };
-    hooks.Data = [self = shared_from_this(),
+    hooks.Data = [self = shared_from_this(), answer,
                   run = start.Run](std::string_view data) {
+      if (answer->IsEventStream)
+        for (char c : data)
+          answer->Scanner.next(c);
       self->Sink(serve::RunText{run, run, std::nullopt, 0, std::string(data)});
     };
-    hooks.Done = [self = shared_from_this(), final](const Error &error) {
-      self->Calls.remove(final->Run);
-      if (error)
-        self->Sink(failureOf(final->Run, error));
-      else
-        self->Sink(std::move(*final));
+    hooks.Done = [self = shared_from_this(), answer](const Error &error) {
+      self->onDone(*answer, error);
     };
     Calls.begin(start.Run);
     Calls.set(start.Run, Client.call(Address, requestOf(*start.Offer),
@@ -76,6 +99,15 @@
   void cancel(const serve::RunToken &run) { Calls.cancel(run); }
 
 private:
+  void onDone(ServiceAnswer &answer, Error error) {
+    Calls.remove(answer.Final.Run);
+    if (!error && answer.Scanner.isInsideEvent())
+      error = {ErrorKind::ServerLost, "the stream ended inside an event"};
+    if (error)
+      return Sink(failureOf(answer.Final.Run, error));
+    Sink(std::move(answer.Final));
+  }
+
   net::HttpClient &Client;
   Endpoint Address;
   InputSink Sink;
