Resume streams only at the software version that began them

Cause: the version of a server's record was checked and dropped, and the version that began a stream was no part of the stream's state. After a stream had broken off, the same entry went on at any server, and so would any entry at which the caller resumed it; Resumes was not read. The test of the commit that reproduces it failed before. Change: a backend server has a SoftwareVersion. ForwardFlow binds a stream to that of the server that wrote its first event. Without an answer the stream goes on only if a single version can have begun it, and is refused otherwise with stream_version_unknown; stream_version_gone if no server of it is left. Log lines stream_resumed and resumption_refused, field software, two counters. Why it works: every further attempt goes through the same criteria of the choice of a server, and the version is never guessed.

--- a/include/daisytack/error.h
+++ b/include/daisytack/error.h
@@ -60,6 +60,9 @@
   RequestQuarantined, ///< Backend servers ended while they ran this request.
   WeightsOutdated,    ///< Only servers with weights past the rollout limit are
                       ///< left.
+  StreamVersionUnknown, ///< No entry knows which software version began the
+                        ///< stream to resume.
+  StreamVersionGone,    ///< No server of that version is left.
 };
 
 /// An error value: its kind, a detail for the log and, if known, the delay
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -89,6 +89,12 @@
         "taken again after Retry-After."},
     Row{ErrorKind::WeightsOutdated, "weights_outdated", 503,
         "Come back after Retry-After: servers are loading newer weights."},
+    Row{ErrorKind::StreamVersionUnknown, "stream_version_unknown", 503,
+        "Name in Resumes the request that brought the stream's first event, "
+        "or begin the stream anew."},
+    Row{ErrorKind::StreamVersionGone, "stream_version_gone", 503,
+        "Begin the stream anew: no server of the software version that began "
+        "it is left."},
 };
 
 const Row &rowOf(ErrorKind kind) {
--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// Retry delay when no server of a software version is left: a server that has
+/// crashed may be back by then.
+constexpr Duration VersionReturnDelay{1'000'000};
+
 double coldRateOf(const Catalog &catalog, const BackendServer &server) {
   const Service *service =
       catalog.Config ? catalog.Config->findService(server.Service) : nullptr;
@@ -85,15 +89,21 @@
 
 Candidates Eligibility::servers(const ForwardRequest &request,
                                 const Catalog &catalog,
-                                const std::vector<std::string> &tried,
-                                TimePoint now, Error &reason) const {
+                                const ServerCriteria &criteria, TimePoint now,
+                                Error &reason) const {
   Candidates out;
   Tier best = Tier::Unhealthy;
   std::optional<TimePoint> earliest;
   size_t outdated = 0; // Servers with weights past the rollout limit.
+  size_t matching = 0; // Servers of the required software version.
   for (const BackendServer &server : catalog.serversOf(request.Service)) {
     if (!EntryLocality.allows(request.Regions, server.FailureDomain))
       continue;
+    bool isOtherVersion = criteria.SoftwareVersion &&
+                          *criteria.SoftwareVersion != server.SoftwareVersion;
+    if (isOtherVersion)
+      continue;
+    ++matching;
     Candidate candidate = makeCandidate(request, catalog, server, now);
     std::optional<TimePoint> availableFrom =
         availableAt(candidate, catalog, now);
@@ -107,7 +117,8 @@
       earliest = std::min(earliest.value_or(*availableFrom), *availableFrom);
       continue;
     }
-    if (std::find(tried.begin(), tried.end(), server.Id) != tried.end())
+    if (std::find(criteria.Tried.begin(), criteria.Tried.end(), server.Id) !=
+        criteria.Tried.end())
       continue;
     Tier tier = tierOf(candidate, now);
     if (tier > best)
@@ -126,6 +137,12 @@
               reason.Detail + "; " + std::to_string(outdated) + " of " +
                   std::to_string(catalog.serversOf(request.Service).size()) +
                   " have weights past the rollout limit"};
+  if (criteria.SoftwareVersion && matching == 0)
+    reason = {ErrorKind::StreamVersionGone,
+              "no backend server of " + request.Service +
+                  " has software version " + *criteria.SoftwareVersion +
+                  ", which began the stream",
+              VersionReturnDelay};
   if (earliest)
     reason.RetryAfter = *earliest - now;
   return out;
--- a/src/direct/eligibility.h
+++ b/src/direct/eligibility.h
@@ -3,10 +3,11 @@
 /// Never eligible are servers of an evacuated failure domain (the catalog
 /// leaves them out), servers that are leaving or whose Retry-After has not
 /// passed, servers outside the regions that the request is confined to, servers
-/// on which the request would begin on weights past the rollout limit, and
-/// servers for which this entry has used up its share of the slow start or of
-/// the server's request limit. Unresponsive and ejected servers are used only
-/// when no better server is left.
+/// on which the request would begin on weights past the rollout limit, servers
+/// of another software version than the stream to resume, and servers for which
+/// this entry has used up its share of the slow start or of the server's
+/// request limit. Unresponsive and ejected servers are used only when no better
+/// server is left.
 #pragma once
 
 #include "decide/ejection.h"
@@ -37,11 +38,11 @@
   Eligibility(PlacementSettings settings, const Locality &locality,
               ServerTrackers trackers, const PlacementCost &cost);
 
-  /// The eligible servers of the best tier, without those already tried. When
+  /// The eligible servers of the best tier that meet the criteria. When
   /// none is left, returns an empty list and sets the reason, with the delay
   /// until a server becomes available if that is known.
   Candidates servers(const ForwardRequest &request, const Catalog &catalog,
-                     const std::vector<std::string> &tried, TimePoint now,
+                     const ServerCriteria &criteria, TimePoint now,
                      Error &reason) const;
   /// Counts a request that is about to be sent against this entry's shares of
   /// the server's slow start and request limit. False when a share is used up.
--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -38,6 +38,9 @@
   /// Id of the last event that the caller has received of the stream; the
   /// answer is to continue after it.
   std::optional<std::string> LastEventId;
+  /// Id of the request that brought the first event of the stream that the
+  /// caller resumes.
+  std::optional<std::string> ResumedRequestId;
   /// Headers to forward to the server unchanged.
   std::vector<net::HttpHeader> ForwardedHeaders;
   auto operator<=>(const CallerHead &) const = default;
@@ -60,6 +63,7 @@
   std::optional<uint32_t> Priority; ///< 0 is the most urgent.
   std::string CacheScope;     ///< Kept context is only shared within one scope.
   uint64_t WeightVersion = 0; ///< Weights the server must run; 0: any.
+  std::string SoftwareVersion;           ///< Of the server, not sent to it.
   std::vector<PartAddress> Sources;      ///< One per prompt part, or empty.
   std::vector<PartAddress> Destinations; ///< One per prompt part, or empty.
   /// The source whose transfer takes longest, so that the first byte of the
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -40,6 +40,11 @@
     : Request(std::move(request)), Settings(settings), Hooks(std::move(hooks)),
       DeliveredEventId(Request.Head.LastEventId) {}
 
+void ForwardFlow::resumeFrom(const StreamOrigin &origin) {
+  Request.Service = origin.Service;
+  Criteria.SoftwareVersion = origin.SoftwareVersion;
+}
+
 void ForwardFlow::start(TimePoint now) { startNextAttempt(now, {}, false); }
 
 void ForwardFlow::startNextAttempt(TimePoint now, const Error &reason,
@@ -53,7 +58,7 @@
         now);
   Error noServer;
   std::optional<AttemptChoice> choice =
-      Hooks.ChooseServer(TriedServers, now, noServer);
+      Hooks.ChooseServer(Criteria, now, noServer);
   if (!choice) {
     Error finalError = reason ? reason : noServer;
     // The hook that chooses servers knows best when one becomes available; next
@@ -71,7 +76,7 @@
 
 void ForwardFlow::sendAttempt(AttemptOrder order, TimePoint now) {
   ++AttemptNumber;
-  TriedServers.push_back(order.ServerId);
+  Criteria.Tried.push_back(order.ServerId);
   order.TimeLeft = Request.Deadline - now;
   order.LastEventId = DeliveredEventId;
   Current.emplace(Attempt{});
@@ -118,8 +123,11 @@
 void ForwardFlow::forwardData(std::string bytes) {
   if (bytes.empty())
     return;
-  if (!std::exchange(HasAnswerBegun, true))
+  if (!std::exchange(HasAnswerBegun, true)) {
+    if (isStream())
+      Criteria.SoftwareVersion = Hooks.BeginStream(Current->Order);
     Hooks.BeginAnswer(Current->Head);
+  }
   if (Current->Events.lastId())
     DeliveredEventId = Current->Events.lastId();
   HasPartOfEvent = Current->Events.hasReturnedPart();
@@ -221,7 +229,8 @@
 bool ForwardFlow::mayRunAgain() const {
   bool canContinue =
       !HasAnswerBegun || (Request.MatchedRoute.Kind == RouteKind::Stream &&
-                          DeliveredEventId.has_value() && !HasPartOfEvent);
+                          DeliveredEventId.has_value() && !HasPartOfEvent &&
+                          Criteria.SoftwareVersion.has_value());
   return Request.MatchedRoute.mayRepeat() && canContinue &&
          PossibleRuns < Request.MatchedRoute.Attempts;
 }
@@ -285,7 +294,7 @@
                   PossibleRuns + 1 < Request.MatchedRoute.Attempts;
   if (!isSilent || !canRetry)
     return armTimer(now);
-  if (!Hooks.CanChooseServer(TriedServers, now))
+  if (!Hooks.CanChooseServer(Criteria, now))
     return armTimer(now);
   ++PossibleRuns;
   uint32_t attempt = AttemptNumber;
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -8,6 +8,8 @@
 /// - The caller gets a status that promises "not run" only when this is known.
 /// - The caller gets a single answer, which is either complete or visibly
 ///   aborted.
+/// - After its first event, a stream goes on only on servers of the software
+///   version that wrote it.
 /// - A request that is given up is answered at once.
 /// - No attempt goes on waiting for its server once the request must have begun
 ///   there.
@@ -17,6 +19,7 @@
 #include "direct/event_splitter.h"
 #include "direct/exchange.h"
 #include "direct/serving_config.h"
+#include "direct/stream_origins.h"
 
 #include <functional>
 #include <optional>
@@ -58,6 +61,15 @@
   TimePoint Deadline; ///< For the final answer.
 };
 
+/// Which servers an attempt may be sent to, beyond what the request itself
+/// requires.
+struct ServerCriteria {
+  std::vector<std::string> Tried; ///< Ids of servers to leave out.
+  /// Software version that began the stream to resume; empty: any.
+  std::optional<std::string> SoftwareVersion{};
+  bool operator==(const ServerCriteria &) const = default;
+};
+
 /// The server chosen for an attempt, and the order that is sent to it.
 struct AttemptChoice {
   AttemptOrder Order;
@@ -82,15 +94,18 @@
 /// Side effects and decisions that the flow's owner provides. The flow calls
 /// them from within its own member functions.
 struct ForwardHooks {
-  /// Chooses a server for the next attempt that is not among those already
-  /// tried; empty, with the reason, if there is none. The choice consumes
-  /// request quota of the server and plans which context the attempt saves.
-  std::function<std::optional<AttemptChoice>(
-      const std::vector<std::string> &tried, TimePoint now, Error &reason)>
+  /// Chooses a server for the next attempt; empty, with the reason, if there is
+  /// none. The choice consumes request quota of the server and plans which
+  /// context the attempt saves.
+  std::function<std::optional<AttemptChoice>(const ServerCriteria &,
+                                             TimePoint now, Error &reason)>
       ChooseServer;
   /// Whether ChooseServer would find a server; has no side effects.
-  std::function<bool(const std::vector<std::string> &tried, TimePoint now)>
-      CanChooseServer;
+  std::function<bool(const ServerCriteria &, TimePoint now)> CanChooseServer;
+  /// The caller gets the first event of a stream, from the server of the
+  /// attempt. Returns the software version that wrote it; nullopt if that is
+  /// not certain, so that the stream can't go on elsewhere.
+  std::function<std::optional<std::string>(const AttemptOrder &)> BeginStream;
   /// When the answer of the attempt must have begun; nullopt: no limit. May get
   /// earlier while the attempt waits, see ForwardFlow::onBeginLimitsChanged().
   std::function<std::optional<TimePoint>(const AttemptOrder &)> BeginLimit;
@@ -126,6 +141,8 @@
   ForwardFlow(ForwardRequest request, ForwardSettings settings,
               ForwardHooks hooks);
 
+  /// The request resumes a stream of this origin. Call before start().
+  void resumeFrom(const StreamOrigin &origin);
   void start(TimePoint now);
   /// The head of an attempt's answer arrived. Calls for any attempt but the
   /// latest are ignored.
@@ -197,7 +214,7 @@
   void finish();
   void armTimer(TimePoint now);
 
-  const ForwardRequest Request;
+  ForwardRequest Request;
   const ForwardSettings Settings;
   const ForwardHooks Hooks;
 
@@ -205,7 +222,9 @@
   uint32_t AttemptNumber = 0; ///< Number of the latest attempt.
   uint32_t PossibleRuns = 0;  ///< Attempts that a server may have run.
   uint32_t Rejections = 0;
-  std::vector<std::string> TriedServers;
+  /// Excludes the servers that were tried. Bound to a software version once a
+  /// stream has begun.
+  ServerCriteria Criteria;
   bool HasAnswerBegun = false; ///< The caller has the head of an answer.
   bool HasPartOfEvent = false; ///< The caller has part of the latest event.
   std::optional<std::string> DeliveredEventId; ///< Last event the caller has.
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -7,6 +7,7 @@
 #include "direct/request_limits.h"
 #include "direct/server_loads.h"
 #include "direct/store_links.h"
+#include "direct/stream_origins.h"
 
 #include <string>
 #include <variant>
@@ -127,6 +128,7 @@
 using PeerMessage =
     std::variant<RecordsRequest, RecordsResponse, ServersLoading, ServerLoaded,
                  EntryLoads, ContextRetired, Acknowledgement, CrashReports,
-                 RequestLimitUpdate, RolloutAges>;
+                 RequestLimitUpdate, RolloutAges, StreamsBegan,
+                 StreamOriginRequest, StreamOriginResponse>;
 
 } // namespace daisytack::direct
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -133,10 +133,10 @@
 }
 
 bool Placement::canChoose(const ForwardRequest &request, const Catalog &catalog,
-                          const std::vector<std::string> &tried,
-                          TimePoint now) const {
+                          const ServerCriteria &criteria, TimePoint now) const {
   Error unused;
-  Candidates servers = Eligible.servers(request, catalog, tried, now, unused);
+  Candidates servers =
+      Eligible.servers(request, catalog, criteria, now, unused);
   return !servers.empty() &&
          selectServer(request, catalog, servers, now, unused);
 }
@@ -154,13 +154,14 @@
 
 std::optional<AttemptChoice>
 Placement::choose(const ForwardRequest &request, const Catalog &catalog,
-                  const std::vector<std::string> &tried,
+                  const ServerCriteria &criteria,
                   std::optional<int64_t> serversClockMs, TimePoint now,
                   Error &reason) {
   // Another thread may use up this entry's quota for the chosen server in the
   // meantime. Then the remaining servers are considered again.
   for (;;) {
-    Candidates servers = Eligible.servers(request, catalog, tried, now, reason);
+    Candidates servers =
+        Eligible.servers(request, catalog, criteria, now, reason);
     if (servers.empty())
       return std::nullopt;
     std::optional<Choice> choice =
@@ -184,6 +185,7 @@
   AttemptOrder out;
   out.ServerId = server.Id;
   out.StartedMs = server.StartedMs;
+  out.SoftwareVersion = server.SoftwareVersion;
   out.Address = server.Address;
   out.Organisation = request.Organisation;
   out.OutdatedFor = candidate.OutdatedFor;
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -39,18 +39,18 @@
   Placement(const Placement &) = delete;
   Placement &operator=(const Placement &) = delete;
 
-  /// Chooses a server that was not tried yet; nullopt, with the reason, when
+  /// Chooses a server that meets the criteria; nullopt, with the reason, when
   /// there is none. As side effects, records the saves that it plans and counts
   /// the request against the quota of a cold or rate-limited server.
   std::optional<AttemptChoice> choose(const ForwardRequest &request,
                                       const Catalog &catalog,
-                                      const std::vector<std::string> &tried,
+                                      const ServerCriteria &criteria,
                                       std::optional<int64_t> serversClockMs,
                                       TimePoint now, Error &reason);
 
   /// Whether choose() would find a server. Has no side effects.
   bool canChoose(const ForwardRequest &request, const Catalog &catalog,
-                 const std::vector<std::string> &tried, TimePoint now) const;
+                 const ServerCriteria &criteria, TimePoint now) const;
 
   /// When the answer of an attempt must have begun, as the server's weights
   /// will then have been outdated for the rollout limit; nullopt while they are
--- a/src/direct/records.h
+++ b/src/direct/records.h
@@ -28,6 +28,9 @@
   Endpoint Address;
   std::string FailureDomain;
   uint32_t Slots = 1; ///< Requests that run at once.
+  /// Version of the server's software, not of its weights. Has no order. What
+  /// servers of two versions write does not fit together in one stream.
+  std::string SoftwareVersion{};
   bool IsDraining = false;
   std::vector<ModelVersion> Weights; ///< Loaded weights; empty: none.
   uint64_t StartedMs = 0;            ///< See ServerStart; 0: not reported.
--- /dev/null
+++ b/src/direct/software_versions.cpp
@@ -0,0 +1,42 @@
+#include "direct/software_versions.h"
+
+namespace daisytack::direct {
+
+void SoftwareVersions::onCatalog(const Catalog &catalog, bool isConfirmed,
+                                 TimePoint now) {
+  std::lock_guard guard(Lock);
+  if (!isConfirmed)
+    ConfirmedSince.reset();
+  else if (!ConfirmedSince)
+    ConfirmedSince = now;
+  const BackendServer *last = nullptr;
+  for (const BackendServer &it : catalog.AllServers) {
+    bool isSame = last && last->Service == it.Service &&
+                  last->SoftwareVersion == it.SoftwareVersion;
+    if (!isSame)
+      Seen[it.Service][it.SoftwareVersion] = now;
+    last = &it;
+  }
+  for (auto &[service, versions] : Seen)
+    std::erase_if(versions, [&](const auto &it) {
+      return now >= it.second + Settings.Retention;
+    });
+  std::erase_if(Seen, [](const auto &it) { return it.second.empty(); });
+}
+
+SeenVersions SoftwareVersions::seen(std::string_view service,
+                                    TimePoint now) const {
+  SeenVersions out;
+  std::lock_guard guard(Lock);
+  if (ConfirmedSince)
+    out.HistoryUs = (now - *ConfirmedSince).count();
+  auto found = Seen.find(service);
+  if (found == Seen.end())
+    return out;
+  for (const auto &[version, at] : found->second)
+    if (now < at + Settings.Retention)
+      out.Versions.push_back(version);
+  return out;
+}
+
+} // namespace daisytack::direct
--- /dev/null
+++ b/src/direct/software_versions.h
@@ -0,0 +1,57 @@
+/// The software versions of backend servers that an entry has seen recently. A
+/// stream whose origin nobody knows may only be resumed if no other version can
+/// have begun it.
+#pragma once
+
+#include "direct/catalog.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace daisytack::direct {
+
+struct SoftwareVersionSettings {
+  /// How long a version is remembered after its last server has left: longer
+  /// than callers go on resuming a stream.
+  Duration Retention{60'000'000};
+  bool operator==(const SoftwareVersionSettings &) const = default;
+};
+
+/// The software versions of a service's servers as one entry has seen them.
+struct SeenVersions {
+  /// Including versions whose last server has left recently; sorted.
+  std::vector<std::string> Versions;
+  /// For how long the entry has known of all servers without interruption, in
+  /// microseconds.
+  int64_t HistoryUs = 0;
+  bool operator==(const SeenVersions &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Versions, HistoryUs);
+  }
+};
+
+/// Thread-safe.
+class SoftwareVersions {
+public:
+  explicit SoftwareVersions(SoftwareVersionSettings settings)
+      : Settings(settings) {}
+
+  /// Records the versions of all servers in the catalog. `isConfirmed` tells
+  /// whether the key-value service has confirmed the catalog recently. Call
+  /// whenever the catalog has changed, and several times a second.
+  void onCatalog(const Catalog &catalog, bool isConfirmed, TimePoint now);
+  SeenVersions seen(std::string_view service, TimePoint now) const;
+
+private:
+  const SoftwareVersionSettings Settings;
+  mutable std::mutex Lock;
+  /// By service and version: when a server was last listed.
+  std::map<std::string, std::map<std::string, TimePoint>, std::less<>> Seen;
+  std::optional<TimePoint> ConfirmedSince; ///< Empty while it is not confirmed.
+};
+
+} // namespace daisytack::direct
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,8 +72,11 @@
       WatchPlan(followSettings(Options), ownPeer(Options)),
       Peers(std::make_shared<PeerExchange>(State, ControlStrand, peerHooks(),
                                            secureRandom)),
-      PeerLoads(std::make_shared<LoadExchange>(State, ControlStrand,
-                                               Options.LoadExchange)),
+      PeerLoads(std::make_shared<LoadExchange>(
+          State, ControlStrand, Options.LoadExchange,
+          [this](const Endpoint &sender, const direct::PeerMessage &message) {
+            State.OriginExchange->onMessage(sender, message);
+          })),
       Contexts(std::make_shared<ContextFollower>(
           State, ControlStrand, contextSettings(), secureRandom,
           retirementHooks())),
@@ -101,7 +104,14 @@
                            const std::shared_ptr<net::HttpExchange> &to) {
                       answerMetrics(*to);
                     }),
-      Ticker(ControlStrand), DrainTimer(ControlStrand) {}
+      Ticker(ControlStrand), DrainTimer(ControlStrand) {
+  State.OriginExchange = std::make_shared<StreamOriginExchange>(
+      State, ControlStrand,
+      [this](const Endpoint &to, const direct::PeerMessage &message) {
+        PeerLoads->sendTo(to, message);
+      },
+      StreamOriginExchangeSettings{});
+}
 
 Gateway::~Gateway() = default;
 
@@ -360,6 +370,7 @@
   if (std::exchange(LastCatalog, catalog) != catalog)
     forgetReplacedServers(*before, *catalog);
   reannounceAfterRestore(*catalog);
+  State.OriginExchange->onCatalog();
   Contexts->onCatalog();
   Quarantines->onCatalog(monotonicNow());
   Orders->onTimer(monotonicNow());
@@ -404,6 +415,7 @@
   State.Limits.forgetIdle(now - LimitRetention);
   State.Suspects.onTimer(now);
   PeerLoads->onTimer(now);
+  State.OriginExchange->onTimer(now);
   Quarantines->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
   if (State.HasReadAll)
@@ -514,6 +526,7 @@
 void Gateway::stopComponents(bool isComplete) {
   Contexts->stop();
   Peers->stop();
+  State.OriginExchange->stop();
   PeerLoads->stop();
   Follower->stop();
   TimePoint now = monotonicNow();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine.h"
 #include "gateway/rollout_times.h"
+#include "gateway/stream_origin_exchange.h"
 #include "net/timer.h"
 
 #include <atomic>
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -19,7 +19,7 @@
 constexpr Duration DefaultRequestTimeout{60'000'000};
 
 /// Chooses a service of the route by weight. Retries with the same request id
-/// get the same service.
+/// get the same service, and so do requests that resume that one's stream.
 std::string pickService(const direct::Route &route,
                         std::string_view requestId) {
   uint64_t total = 0;
@@ -167,7 +167,8 @@
   }
   direct::ForwardRequest forward;
   forward.MatchedRoute = *route;
-  forward.Service = pickService(*route, head->RequestId);
+  forward.Service =
+      pickService(*route, head->ResumedRequestId.value_or(head->RequestId));
   forward.Organisation = access ? access->Organisation : std::string();
   forward.IsIsolated = access && access->IsIsolated;
   forward.Regions = direct::intersect(
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -6,11 +6,13 @@
 #include "direct/request_identity.h"
 #include "gateway/quarantine.h"
 #include "gateway/server_limit.h"
+#include "gateway/stream_origin_exchange.h"
 #include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -26,6 +28,9 @@
 /// Largest body in bytes that is hashed although there are no suspects; this
 /// takes about a microsecond.
 constexpr size_t MaxCommonBodyBytes = 1024;
+/// Longest time for which callers go on resuming a stream of a route without a
+/// timeout.
+constexpr Duration DefaultStreamMaxAge{60'000'000};
 
 } // namespace
 
@@ -56,18 +61,115 @@
         raw->Flow.onCallerGone(monotonicNow());
       });
   });
-  onStrand([this] { Flow.start(monotonicNow()); });
+  onStrand([this] {
+    if (isResumption())
+      resumeStream();
+    else
+      Flow.start(monotonicNow());
+  });
+}
+
+bool GatewayRequest::isResumption() const {
+  const direct::ForwardRequest &request = Flow.request();
+  return request.MatchedRoute.Kind == direct::RouteKind::Stream &&
+         request.Head.LastEventId.has_value();
+}
+
+void GatewayRequest::resumeStream() {
+  const direct::ForwardRequest &request = Flow.request();
+  StreamResumption resumption;
+  if (request.Head.ResumedRequestId)
+    resumption.Stream =
+        direct::streamKey(request.Organisation, *request.Head.ResumedRequestId);
+  resumption.Service = request.Service;
+  resumption.MaxAge = request.MatchedRoute.Timeout > Duration::zero()
+                          ? request.MatchedRoute.Timeout
+                          : DefaultStreamMaxAge;
+  State.OriginExchange->find(
+      resumption,
+      [self = shared_from_this()](const auto &origin, const Error &reason) {
+        self->onStrand([raw = self.get(), origin, reason] {
+          raw->onOrigin(origin, reason);
+        });
+      });
+}
+
+void GatewayRequest::onOrigin(const std::optional<direct::OriginAnswer> &origin,
+                              const Error &reason) {
+  TimePoint now = monotonicNow();
+  if (Flow.isEnded())
+    return;
+  if (!origin)
+    return refuseResumption(reason, now);
+  const std::vector<direct::TrafficShare> &shares =
+      Flow.request().MatchedRoute.Shares;
+  bool isRouted =
+      std::any_of(shares.begin(), shares.end(), [&](const auto &it) {
+        return it.Service == origin->Origin.Service;
+      });
+  if (!isRouted)
+    return refuseResumption(
+        {ErrorKind::StreamVersionGone,
+         "the route no longer leads to " + origin->Origin.Service},
+        now);
+  State.Stats.StreamsResumed.add();
+  State.Log.write(
+      LogPriority::Notable, "stream_resumed",
+      {{"request", Flow.request().Head.RequestId},
+       {"resumes", Flow.request().Head.ResumedRequestId.value_or("")},
+       {"service", origin->Origin.Service},
+       {"software", origin->Origin.SoftwareVersion},
+       {"source", direct::originSourceName(origin->From)},
+       {"age_ms", millisecondsOf(origin->Age)}},
+      now);
+  Flow.resumeFrom(origin->Origin);
+  Flow.start(now);
+}
+
+void GatewayRequest::refuseResumption(const Error &reason, TimePoint now) {
+  State.Stats.StreamsRefused.add();
+  State.Log.write(
+      LogPriority::Notable, "resumption_refused",
+      {{"request", Flow.request().Head.RequestId},
+       {"resumes", Flow.request().Head.ResumedRequestId.value_or("")},
+       {"reason", errorName(reason.Kind)},
+       {"detail", reason.Detail}},
+      now);
+  Flow.onBlocked(reason, now);
+}
+
+std::optional<std::string>
+GatewayRequest::beginStream(const AttemptOrder &order) {
+  auto catalog = State.catalog();
+  bool mayBeReplaced = std::any_of(
+      catalog->AllServers.begin(), catalog->AllServers.end(),
+      [&](const direct::BackendServer &it) {
+        return it.Id == order.ServerId && it.StartedMs != order.StartedMs;
+      });
+  if (mayBeReplaced)
+    return std::nullopt;
+  const direct::ForwardRequest &request = Flow.request();
+  if (request.MatchedRoute.mayRepeat())
+    State.OriginExchange->began(
+        direct::streamKey(request.Organisation, request.Head.RequestId),
+        {request.Service, order.SoftwareVersion});
+  return order.SoftwareVersion;
 }
 
 direct::ForwardHooks GatewayRequest::hooks() {
   direct::ForwardHooks out;
-  out.ChooseServer = [this](const auto &tried, TimePoint now, Error &reason) {
-    return choose(tried, now, reason);
+  out.ChooseServer = [this](const auto &criteria, TimePoint now,
+                            Error &reason) {
+    return choose(criteria, now, reason);
   };
-  out.CanChooseServer = [this](const auto &tried, TimePoint now) {
+  out.CanChooseServer = [this](const auto &criteria, TimePoint now) {
     Error unused;
     return !mustNotAttempt(now, unused) &&
-           State.Placer.canChoose(Flow.request(), *State.catalog(), tried, now);
+           State.Placer.canChoose(Flow.request(), *State.catalog(), criteria,
+                                  now);
+  };
+  out.BeginStream = [this](const AttemptOrder &order) {
+    return beginStream(order);
   };
   out.BeginLimit = [this](const AttemptOrder &order) {
     return State.Placer.beginLimit(Flow.request(), *State.catalog(), order);
@@ -95,6 +197,7 @@
   };
   out.AbortAnswer = [this] {
     State.Stats.AnswersBroken.add();
+    State.OriginExchange->flush();
     Exchange->abort();
     logEnd(0, "broken_off", {});
   };
@@ -129,12 +232,12 @@
 }
 
 std::optional<direct::AttemptChoice>
-GatewayRequest::choose(const std::vector<std::string> &tried, TimePoint now,
+GatewayRequest::choose(const direct::ServerCriteria &criteria, TimePoint now,
                        Error &reason) {
   if (mustNotAttempt(now, reason))
     return std::nullopt;
   auto catalog = State.catalog();
-  return State.Placer.choose(Flow.request(), *catalog, tried,
+  return State.Placer.choose(Flow.request(), *catalog, criteria,
                              State.serverTimeForFetches(now), now, reason);
 }
 
@@ -210,6 +313,7 @@
       {"attempt", attempt},
       {"server", order.ServerId},
       {"weights", order.WeightVersion},
+      {"software", order.SoftwareVersion},
       {"saves", saves},
       {"prompt_tokens", request.Head.PromptTokens},
       {"sourced_tokens", sourced},
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct/forward_flow.h"
+#include "direct/origin_lookup.h"
 #include "gateway/gateway_state.h"
 #include "net/timer.h"
 
@@ -32,13 +33,24 @@
 
 private:
   direct::ForwardHooks hooks();
+  /// Whether the caller resumes a stream that another request began.
+  bool isResumption() const;
+  /// Finds out which software version began the stream, then starts the
+  /// forwarding or refuses the request.
+  void resumeStream();
+  void onOrigin(const std::optional<direct::OriginAnswer> &origin,
+                const Error &reason);
+  void refuseResumption(const Error &reason, TimePoint now);
+  /// Records the origin of the stream that the attempt's server begins.
+  /// Nothing if another process may serve under the server's id by now.
+  std::optional<std::string> beginStream(const direct::AttemptOrder &order);
   /// Runs the step on the strand and keeps the request alive until then.
   template <class Step> void onStrand(Step step);
 
   /// Whether the request must not be sent to any server; sets the reason.
   bool mustNotAttempt(TimePoint now, Error &reason);
   std::optional<direct::AttemptChoice>
-  choose(const std::vector<std::string> &tried, TimePoint now, Error &reason);
+  choose(const direct::ServerCriteria &criteria, TimePoint now, Error &reason);
   RetryBudget &budget();
   /// Digest that identifies the request across request ids and entries;
   /// computed on first use.
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -118,6 +118,14 @@
                                        "Attempts that a server refused unrun")),
       Ejections(metrics.counter("daisytack_ejections_total",
                                 "Times a server was left alone as failing")),
+      StreamsResumed(metrics.counter(
+          "daisytack_streams_resumed_total",
+          "Streams that callers resumed at a server of the version that began "
+          "them")),
+      StreamsRefused(metrics.counter(
+          "daisytack_streams_resumption_refused_total",
+          "Streams not resumed as the version that began them is unknown or "
+          "gone")),
       SharedTokens(metrics.counter("daisytack_shared_tokens_total",
                                    "Prompt tokens in parts that are shared")),
       SourcedTokens(metrics.counter(
@@ -195,7 +203,8 @@
     : Io(io), Options(options), WireProtocol(std::move(protocol)), Log(log),
       Stats(metrics), Loads(options.Loads), Links(options.Links),
       PrefillRates(options.PrefillRate), OutlierEjector(options.Ejection),
-      Suspects(options.Suspects), StoredParts(options.StoredParts),
+      Suspects(options.Suspects), Origins({}), Software({}),
+      StoredParts(options.StoredParts),
       ColdServers(options.SlowStart, options.Peers, monotonicNow()),
       Limits({}, options.Peers, monotonicNow()),
       Placer(options.Placement, {options.FailureDomain, options.Regions},
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -9,6 +9,8 @@
 #include "direct/protocol.h"
 #include "direct/request_limits.h"
 #include "direct/retirement.h"
+#include "direct/software_versions.h"
+#include "direct/stream_origins.h"
 #include "gateway/gateway_options.h"
 #include "net/http_client.h"
 
@@ -40,6 +42,8 @@
   Counter &RetriesDenied;
   Counter &AttemptsRejected;
   Counter &Ejections;
+  Counter &StreamsResumed;
+  Counter &StreamsRefused;
   Counter &SharedTokens;
   Counter &SourcedTokens;
   Counter &SavesRequested;
@@ -91,6 +95,7 @@
 Error drainingError();
 
 class GatewayRequest;
+class StreamOriginExchange;
 
 /// The requests without a final answer. Thread-safe.
 class RunningRequests {
@@ -120,6 +125,10 @@
   direct::PrefillRate PrefillRates;
   Ejector OutlierEjector;
   direct::CrashSuspects Suspects;
+  direct::StreamOrigins Origins;
+  direct::SoftwareVersions Software;
+  /// Set before the first request; see gateway/stream_origin_exchange.h.
+  std::shared_ptr<StreamOriginExchange> OriginExchange;
   direct::KeptContext StoredParts;
   direct::SlowStart ColdServers;
   direct::RequestLimits Limits;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -14,9 +14,10 @@
 using boost::asio::ip::udp;
 
 LoadExchange::LoadExchange(GatewayState &state, Strand strand,
-                           LoadExchangeSettings settings)
+                           LoadExchangeSettings settings,
+                           OtherMessageHook onOther)
     : State(state), Executor(std::move(strand)), Settings(settings),
-      Socket(Executor) {}
+      OnOther(std::move(onOther)), Socket(Executor) {}
 
 bool LoadExchange::start(Error &reason) {
   boost::asio::ip::tcp::endpoint address;
@@ -76,7 +77,9 @@
   if (const auto *ages = std::get_if<direct::RolloutAges>(&*message))
     return learnVersionAges(State, ages->Versions, "entry", now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
-  if (!loads || loads->Entry == State.Options.Name)
+  if (!loads)
+    return OnOther({Sender.address().to_string(), Sender.port()}, *message);
+  if (loads->Entry == State.Options.Name)
     return;
   State.Loads.onPeerReport(loads->Entry, loads->Servers,
                            Duration(loads->Period), now);
@@ -94,6 +97,12 @@
                  udp::endpoint(address.address(), address.port()), 0, ignored);
 }
 
+void LoadExchange::sendTo(const Endpoint &peer,
+                          const direct::PeerMessage &message) {
+  if (Socket.is_open())
+    send(peer, wire::encode(message));
+}
+
 void LoadExchange::onTimer(TimePoint now) {
   if (now < NextSendAt || !Socket.is_open())
     return;
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -13,21 +13,28 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 
 namespace daisytack::gateway {
 
+/// Called with each message that is not about servers and requests.
+using OtherMessageHook =
+    std::function<void(const Endpoint &sender, const direct::PeerMessage &)>;
+
 /// Does all its work on the strand passed to the constructor.
 class LoadExchange : public std::enable_shared_from_this<LoadExchange> {
 public:
   LoadExchange(GatewayState &state, Strand strand,
-               LoadExchangeSettings settings);
+               LoadExchangeSettings settings, OtherMessageHook onOther);
 
   bool start(Error &reason);
   void stop();
   /// Sends datagrams when they are due. Call several times a second.
   void onTimer(TimePoint now);
+  /// Sends a datagram to one entry.
+  void sendTo(const Endpoint &peer, const direct::PeerMessage &message);
 
 private:
   void receive();
@@ -37,6 +44,7 @@
   GatewayState &State;
   Strand Executor;
   LoadExchangeSettings Settings;
+  OtherMessageHook OnOther;
   boost::asio::ip::udp::socket Socket;
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, MaxDatagramBytes> Buffer{};
--- a/tests/base/types_test.cpp
+++ b/tests/base/types_test.cpp
@@ -24,7 +24,7 @@
 }
 
 TEST(Errors, EveryKindHasNameStatusAndRemedy) {
-  for (int i = 0; i <= static_cast<int>(ErrorKind::WeightsOutdated); ++i) {
+  for (int i = 0; i <= static_cast<int>(ErrorKind::StreamVersionGone); ++i) {
     auto kind = static_cast<ErrorKind>(i);
     EXPECT_EQ(parseErrorKind(errorName(kind)), kind);
     EXPECT_FALSE(errorRemedy(kind).empty());
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -5,6 +5,7 @@
 #include "direct/forward_flow.h"
 
 #include <algorithm>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -83,30 +84,45 @@
   size_t FinalAnswers = 0; ///< Number of final answers to the caller.
   TimePoint TimerAt;
   std::optional<TimePoint> BeginLimit; ///< Of every attempt.
+  /// Software versions by server; others have version "v1".
+  std::map<std::string, std::string> Versions;
+  bool IsVersionCertain = true; ///< What BeginStream returns.
   ForwardFlow Flow;
 
 private:
+  std::string versionOf(const std::string &server) const {
+    auto it = Versions.find(server);
+    return it == Versions.end() ? "v1" : it->second;
+  }
   void log(std::string what) { Log.push_back(std::move(what)); }
 
   ForwardHooks hooks() {
     ForwardHooks out;
-    out.ChooseServer = [this](const std::vector<std::string> &tried, TimePoint,
+    out.ChooseServer = [this](const ServerCriteria &criteria, TimePoint,
                               Error &reason) -> std::optional<AttemptChoice> {
       ++ChoiceCount;
+      const std::vector<std::string> &tried = criteria.Tried;
       for (size_t i = 1; i <= ServerCount; ++i) {
         std::string name = "s" + std::to_string(i);
         if (std::find(tried.begin(), tried.end(), name) != tried.end())
           continue;
+        std::string version = versionOf(name);
+        if (criteria.SoftwareVersion.value_or(version) != version)
+          continue;
         AttemptChoice choice;
         choice.Order.ServerId = name;
+        choice.Order.SoftwareVersion = version;
         return choice;
       }
       reason = NoServerError;
       return std::nullopt;
     };
-    out.CanChooseServer = [this](const std::vector<std::string> &tried,
-                                 TimePoint) {
-      return tried.size() < ServerCount;
+    out.CanChooseServer = [this](const ServerCriteria &criteria, TimePoint) {
+      return criteria.Tried.size() < ServerCount;
+    };
+    out.BeginStream = [this](const AttemptOrder &order) {
+      return IsVersionCertain ? std::optional(order.SoftwareVersion)
+                              : std::nullopt;
     };
     out.BeginLimit = [this](const AttemptOrder &) { return BeginLimit; };
     out.TakeRetry = [this] { return HasRetryBudget; };
--- a/tests/direct/placement_fixture.h
+++ b/tests/direct/placement_fixture.h
@@ -89,7 +89,7 @@
                       const std::vector<std::string> &tried = {},
                       TimePoint now = Start) {
     Error reason;
-    auto choice = Place.choose(request, Catalog, tried, ClockMs, now, reason);
+    auto choice = Place.choose(request, Catalog, {tried}, ClockMs, now, reason);
     if (!choice)
       return {};
     return choice->Order;
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -276,7 +276,8 @@
   Error reason;
   auto refuses = [&](const std::vector<std::string> &tried) {
     reason = {};
-    return !Place.choose(prompt("s"), Catalog, tried, ClockMs, past, reason) &&
+    return !Place.choose(prompt("s"), Catalog, {tried}, ClockMs, past,
+                         reason) &&
            reason.Kind == ErrorKind::WeightsOutdated &&
            reason.RetryAfter > Duration::zero();
   };
--- a/tests/direct/rollout_model.h
+++ b/tests/direct/rollout_model.h
@@ -757,11 +757,10 @@
   ForwardHooks hooks(Call &call) {
     ForwardHooks out;
     Entry &entry = *call.Owner;
-    out.ChooseServer = [this, &call,
-                        &entry](const std::vector<std::string> &tried,
-                                TimePoint now, Error &reason) {
+    out.ChooseServer = [this, &call, &entry](const ServerCriteria &criteria,
+                                             TimePoint now, Error &reason) {
       auto catalog = entry.Keeper.view();
-      auto choice = entry.Place.choose(call.Flow->request(), *catalog, tried,
+      auto choice = entry.Place.choose(call.Flow->request(), *catalog, criteria,
                                        std::nullopt, now, reason);
       call.HasNoServer = !choice;
       if (choice &&
@@ -771,10 +770,13 @@
              seconds(choice->Order.OutdatedFor), " s");
       return choice;
     };
-    out.CanChooseServer = [&call, &entry](const std::vector<std::string> &tried,
+    out.CanChooseServer = [&call, &entry](const ServerCriteria &criteria,
                                           TimePoint now) {
       return entry.Place.canChoose(call.Flow->request(), *entry.Keeper.view(),
-                                   tried, now);
+                                   criteria, now);
+    };
+    out.BeginStream = [](const AttemptOrder &order) {
+      return std::optional(order.SoftwareVersion);
     };
     out.BeginLimit = [&call, &entry](const AttemptOrder &order) {
       return entry.Place.beginLimit(call.Flow->request(), *entry.Keeper.view(),
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -80,5 +80,90 @@
   EXPECT_TRUE(resumedAt(recent).empty());
 }
 
+/// Guards against a caller's resumption at another entry going to a server of
+/// another software version than the one that began the stream.
+TEST_F(StreamVersionTest, CallerGoesOnAtTheVersionThatBeganTheStream) {
+  test::FakeServer &old = startServer("i-1", "v1");
+  test::FakeServer &recent = startServer("i-2", "v2");
+  KvService.put("op/config", streamConfigText());
+  Entry &first = start("e1", KvService.address());
+  Entry &second = start("e2", KvService.address());
+  ASSERT_TRUE(waitReady(first));
+  ASSERT_TRUE(waitReady(second));
+  ASSERT_TRUE(eventually([&] {
+    return KvService.has("daisytack/entries/e1") &&
+           KvService.has("daisytack/entries/e2");
+  }));
+  std::this_thread::sleep_for(300ms); // Until each entry knows the other.
+  size_t wentOn = 0;
+  for (int i = 0; i < 8; ++i) {
+    std::string id = "r" + std::to_string(i);
+    fetch(first.Options.Callers, ask(id));
+    unsigned status = statusOf(second, resume("again-" + id, id));
+    wentOn += status == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(wentOn, 8U);
+  std::set<std::string> atOld = resumedAt(old);
+  std::set<std::string> atRecent = resumedAt(recent);
+  EXPECT_EQ(atOld.size() + atRecent.size(), 8U);
+  for (const HttpRequest &it : old.requests())
+    EXPECT_FALSE(atRecent.contains(
+        "again-" + std::string(it.header("X-Daisytack-Request-Id"))));
+  for (const HttpRequest &it : recent.requests())
+    EXPECT_FALSE(atOld.contains(
+        "again-" + std::string(it.header("X-Daisytack-Request-Id"))));
+}
+
+/// Guards against guessing the version of a stream that no entry knows.
+TEST_F(StreamVersionTest, RefusesToResumeAnUnknownStreamWhileTwoVersionsServe) {
+  test::FakeServer &old = startServer("i-1", "v1");
+  test::FakeServer &recent = startServer("i-2", "v2");
+  KvService.put("op/config", streamConfigText());
+  Entry &entry = start("e1", KvService.address());
+  ASSERT_TRUE(waitReady(entry));
+  Fetched got = fetch(entry.Options.Callers, resume("again", "never-seen"));
+  EXPECT_EQ(got.Response.Status, 503);
+  EXPECT_NE(got.Response.Body.find("stream_version_unknown"),
+            std::string::npos);
+  HttpRequest unnamed = ask("unnamed");
+  unnamed.Headers.push_back({"Last-Event-Id", "1"});
+  EXPECT_EQ(statusOf(entry, unnamed), 503);
+  EXPECT_TRUE(resumedAt(old).empty());
+  EXPECT_TRUE(resumedAt(recent).empty());
+}
+
+/// Guards against a stream going on at the only version left when that is not
+/// the one that began it.
+TEST_F(StreamVersionTest, RefusesToResumeAStreamWhoseVersionIsGone) {
+  startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  Entry &entry = start("e1", KvService.address());
+  ASSERT_TRUE(waitReady(entry));
+  fetch(entry.Options.Callers, ask("r1"));
+  test::FakeServer &recent = startServer("i-2", "v2");
+  KvService.remove("servers/i-1");
+  EXPECT_TRUE(eventually([&] {
+    std::string body =
+        fetch(entry.Options.Callers, resume("again", "r1")).Response.Body;
+    return body.find("stream_version_gone") != std::string::npos;
+  }));
+  EXPECT_TRUE(resumedAt(recent).empty());
+}
+
+/// Guards against refusing all streams that nobody knows although only one
+/// version has served since before they can have begun.
+TEST_F(StreamVersionTest,
+       ResumesAnUnknownStreamOnceOnlyOneVersionCanHaveBegunIt) {
+  test::FakeServer &server = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  Entry &entry = start("e1", KvService.address());
+  ASSERT_TRUE(waitReady(entry));
+  EXPECT_TRUE(eventually([&] {
+    KvService.completeWatches(); // Confirms what the entry knows.
+    return statusOf(entry, resume("again", "before-the-start")) == 200;
+  }));
+  EXPECT_TRUE(resumedAt(server).contains("again"));
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/platform/entry_fixture.h
+++ b/tests/platform/entry_fixture.h
@@ -121,7 +121,7 @@
     request.Arrived = now;
     request.Deadline = now + 12s;
     Reason = {};
-    auto choice = Placer.choose(request, *Catalog.view(), tried, std::nullopt,
+    auto choice = Placer.choose(request, *Catalog.view(), {tried}, std::nullopt,
                                 now, Reason);
     return choice ? choice->Order.ServerId : std::string();
   }
--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -205,6 +205,21 @@
   EXPECT_TRUE(twice.IsLimitUnreadable);
 }
 
+/// Guards against a resumption whose stream the entry can't find, and against
+/// the server not getting the name of the stream.
+TEST(ReadCallerHead, ReadsTheRequestThatBeganTheResumedStream) {
+  net::HttpRequest request;
+  request.Headers = {{"last-event-id", "7"}, {"resumes", " abc "}};
+  Error reason;
+  auto head = readCallerHead(request, reason);
+  ASSERT_TRUE(head);
+  EXPECT_EQ(head->LastEventId, "7");
+  EXPECT_EQ(head->ResumedRequestId, "abc");
+  EXPECT_EQ(valueOf(head->ForwardedHeaders, "resumes"), " abc ");
+  request.Headers = {{"Resumes", ""}};
+  EXPECT_FALSE(readCallerHead(request, reason)->ResumedRequestId);
+}
+
 TEST(ReadServerHead, PassesTheSignatureAndDropsHopByHopHeaders) {
   direct::ServerHead head = readServerHead(
       200, {{"X-Daisytack-Server-Signature", "s"},
--- a/tests/platform/server_record_test.cpp
+++ b/tests/platform/server_record_test.cpp
@@ -54,6 +54,15 @@
   EXPECT_TRUE(isAccepted(json::serialize(plain)));
 }
 
+/// Guards against a server without its software version, which decides on which
+/// servers a stream may go on.
+TEST(ServerRecord, HoldsTheSoftwareVersion) {
+  Error reason;
+  auto decoded = decode("servers/i", CompleteRecord, reason);
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(std::get<direct::BackendServer>(*decoded).SoftwareVersion, "v1");
+}
+
 TEST(ServerRecord, HoldsTheStartTime) {
   auto startOf = [](const std::string &record) {
     Error reason;
