Soak unframed answers, two software versions and resumptions

Change: one answer in four of the soak's servers ends with its connection, and a cut falls on any byte of a stream; servers have one of two software versions, which their events name; callers resume broken streams at any entry. Checks: streams_of_one_version and resumptions_go_on, each with seeded defects. The proxy passes a reset on as a reset: it made every reset look like the end of an answer.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 KIND_MIX = ("call", "safe", "ask")
 KEPT_CONTEXT_KIND_MIX = ("call", "safe", "ask", "ask", "ask", "ask")
 PROMPT_PARTS = "aa11:500,{session}:700,{own}:200"
+MAX_RESUMPTIONS, RESUMPTION_DELAY_SECONDS = 3, 0.3
 LONG_PROMPT_PARTS = "aa11:3000,{session}:6000,{own}:3000"
 
 
@@ -42,6 +43,10 @@
     failure: str = ""        # Why there is no complete answer.
     wrong_id: bool = False
     retry_after: str = ""
+    resumes: str = ""        # Id of the request that began the stream, if this one resumes it.
+    last_event: int = 0      # Number of the last event that the caller had of it.
+    software: str = ""       # Version that began it, and
+    servers_left: int = 0    # the number of its servers when the stream was resumed.
 
 
 class Caller:
@@ -54,6 +59,7 @@
         self.name, self.rng, self.world = f"c{number}", rng, world
         self.count = 0
         self.connections = {}
+        self.resumptions = []  # Tasks.
 
     async def run(self):
         while not self.world.is_over:
@@ -66,6 +72,7 @@
             if not is_usable:
                 self._close_connection(entry)
             await asyncio.sleep(self.min_pause + self.rng.random() * self.pause_spread)
+        await asyncio.gather(*self.resumptions)
 
     def _close_connection(self, entry):
         connection = self.connections.pop(entry.name, None)
@@ -89,11 +96,56 @@
         return SentRequest(request_id, kind, self.rng.choice(keys), entry.name, self.world.now(), path, body,
                            timeout=self.world.request_timeout(kind), caller=self.name)
 
+    def _resumption(self, broken, entry):
+        """Returns the request that resumes a stream that broke off, or None if it has no whole event."""
+        events = broken.answer.split(b"\n\n")[:-1]
+        last = int(events[-1].split(b"\n")[0][4:]) if events else broken.last_event
+        if not last:
+            return None
+        sent = self._next_request(entry, "ask", [broken.key])
+        sent.path, sent.body = broken.path, broken.body
+        sent.resumes, sent.last_event = broken.resumes or broken.id, last
+        sent.software = broken.software or events[0].rpartition(b"/")[2].decode()
+        sent.servers_left = sum(it.software == sent.software and it.service == "engines" and not it.is_leaving
+                                for it in self.world.servers)
+        return sent
+
+    async def _resume(self, broken):
+        """Resumes a stream that broke off at any entry, on a new connection, a few times."""
+        for _ in range(MAX_RESUMPTIONS):
+            await asyncio.sleep(self.rng.random() * RESUMPTION_DELAY_SECONDS)
+            entry = self.rng.choice(self.world.entries)
+            sent = self._resumption(broken, entry)
+            if not sent:
+                return
+            try:
+                reader, writer = await asyncio.wait_for(
+                    asyncio.open_connection("127.0.0.1", entry.ports["callers"]), 1)
+            except (OSError, asyncio.TimeoutError):
+                continue
+            self.world.sent.append(sent)
+            try:
+                with self._recording_end(sent):
+                    writer.write(self._request_head(sent) + sent.body)
+                    await writer.drain()
+                    sent.fully_sent_at = self.world.now()
+                    await self._await_answer(sent, self._answer(sent, reader), sent.timeout + 3)
+            except (http11.Broken, OSError):
+                pass
+            finally:
+                http11.close(writer)
+            if sent.status == 200:
+                if is_whole(sent):
+                    return
+                broken = sent
+
     def _request_head(self, sent):
         headers = {"Host": "a.example", "X-Daisytack-Request-Id": sent.id, "X-Api-Key": sent.key,
                    "X-Daisytack-Deadline-Milliseconds": str(round(sent.timeout * 1000)),
                    "Content-Length": str(len(sent.body)),
                    "X-Daisytack-Tenant": "forged", "X-Daisytack-Hold": "forged"}
+        if sent.resumes:
+            headers["Last-Event-Id"], headers["Resumes"] = str(sent.last_event), sent.resumes
         if sent.kind == "ask":
             headers["X-Daisytack-Model"] = "m"
             is_long = self.world.has_kept_context
@@ -112,7 +164,12 @@
             writer.write(self._request_head(sent) + sent.body)
             await writer.drain()
             sent.fully_sent_at = self.world.now()
-            await self._await_answer(sent, self._answer(sent, reader), timeout)
+            try:
+                await self._await_answer(sent, self._answer(sent, reader), timeout)
+            except (http11.Broken, OSError):
+                if sent.kind == "ask" and sent.status == 200 and not sent.abandoned and not is_whole(sent):
+                    self.resumptions.append(asyncio.ensure_future(self._resume(sent)))
+                raise
 
     @staticmethod
     async def _await_answer(sent, answer, timeout):
@@ -165,5 +222,10 @@
         return sent
 
 
+def is_whole(sent):
+    """Returns whether the caller got the whole stream."""
+    return sent.failure in ("", "Broken the entry closes")
+
+
 def callers(world, count):
     return [Caller(n, random.Random(f"{world.seed}/{n}"), world) for n in range(count)]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,9 +1,12 @@
 """Checks of the guarantees, on what callers and backend servers recorded. Each check yields a text per violation."""
 
+import re
+
 from callers import KINDS
 from platform_side import RETRY_AFTER_SECONDS, FATAL_BODY, event_count
 
 STATUSES_NOT_EXECUTED = (408, 421, 429, 503)
+MIN_RESUMPTIONS = 12  # Fewer resumed streams tell nothing about their share.
 REVOKED_SECONDS = 5.0  # Entries refuse a revoked key after this delay; the bound of the deployments.
 CROSSING_SECONDS = 0.5  # A request may cross the close of its connection if it was sent at most this long before.
 DRAIN_SECONDS = 2.0  # A leaving server gets no new requests after this delay.
@@ -55,8 +58,8 @@
         if not run:
             yield f"{sent.id} got a server signature of none of its runs"
         elif sent.status == 200 and not was_cut(sent):
-            expected = run.body if sent.kind in ("call", "safe") else stream_text(sent.id, sent.kind)
-            if sent.answer != expected:
+            expected = run.body if sent.kind in ("call", "safe") else expected_stream(sent)
+            if without_versions(sent.answer) != expected:
                 yield f"{sent.id} ({sent.kind}) got {sent.answer[:60]!r}, not {expected[:60]!r}"
 
 
@@ -65,18 +68,62 @@
     return sent.abandoned or bool(sent.failure and "the entry closes" not in sent.failure)
 
 
-def stream_text(request_id, kind):
+def stream_text(request_id, kind, after=0):
+    """Returns the events of a stream after one of them, without the versions of the servers that wrote them."""
     count = event_count(request_id, kind)
-    return b"".join(f"id: {n}\ndata: {request_id}/{n}\n\n".encode() for n in range(1, count + 1))
+    return b"".join(f"id: {n}\ndata: {request_id}/{n}\n\n".encode() for n in range(after + 1, count + 1))
+
+
+def expected_stream(sent):
+    return stream_text(sent.resumes or sent.id, sent.kind, sent.last_event)
+
+
+def without_versions(answer):
+    return re.sub(rb"/v\d+\n", b"\n", answer)
+
+
+def is_beginning(sent, version):
+    """Returns whether the answer is the begin of its stream, if a server of the version wrote its last, cut event."""
+    whole, end, cut = sent.answer.rpartition(b"\n\n")
+    expected = expected_stream(sent)
+    begin = without_versions(whole + end)
+    next_event = expected[len(begin):].partition(b"\n\n")[0] + version + b"\n\n"
+    return expected.startswith(begin) and next_event.startswith(cut)
 
 
 def events_in_order(world, _runs):
     for sent in world.sent:
         is_stream = sent.kind in ("ask", "long") and sent.status == 200
-        if is_stream and not stream_text(sent.id, sent.kind).startswith(sent.answer):
+        if is_stream and not any(is_beginning(sent, version) for version in (b"/v1", b"/v2")):
             yield f"{sent.id} got events out of order: {sent.answer[-80:]!r}"
 
 
+def streams_of_one_version(world, _runs):
+    """A stream holds events of servers of one software version, in one answer and over all tries of its caller."""
+    versions = {}
+    for sent in world.sent:
+        if sent.kind in ("ask", "long") and sent.status == 200:
+            found = set(re.findall(rb"/(v\d+)\n\n", sent.answer))
+            versions.setdefault(sent.resumes or sent.id, set()).update(found)
+    for stream, found in versions.items():
+        if len(found) > 1:
+            yield f"stream {stream} holds events of the software versions {sorted(found)}"
+
+
+def resumptions_go_on(world, _runs):
+    """At entries that ran undisturbed, at least half as many resumed streams as new ones go on, as long as two servers
+    of their version serve."""
+    def share(some):
+        return sum(it.status == 200 for it in some) / len(some)
+
+    asks = [it for it in world.sent if it.kind == "ask" and it.ended and it.key not in world.revoked
+            and it.body != FATAL_BODY and world.ran_without_restart(it.at - PROPAGATION_SECONDS, it.ended, it.entry)]
+    resumed = [it for it in asks if it.resumes and it.servers_left >= 2]
+    new = [it for it in asks if not it.resumes]
+    if len(resumed) >= MIN_RESUMPTIONS and new and share(resumed) * 2 < share(new):
+        yield f"{share(resumed):.2f} of {len(resumed)} resumed streams went on, {share(new):.2f} of {len(new)} new ones"
+
+
 def requests_as_sent(world, runs):
     known = {it.id: it for it in world.sent}
     for request_id, all_runs in runs.items():
@@ -275,7 +322,8 @@
                 yield f"{server.id} got token {token} from {holder} and {holders[token]}"
 
 
-ALL_CHECKS = (at_most_once, refusals_not_executed, answers_match_runs, events_in_order, requests_as_sent,
+ALL_CHECKS = (at_most_once, refusals_not_executed, answers_match_runs, events_in_order, streams_of_one_version,
+              resumptions_go_on, requests_as_sent,
               requests_end_with_answer, revoked_keys, draining_servers, servers_leaving_by_answer, rejecting_servers,
               evacuated_domains, cold_servers, limited_servers, revocations_stay, fatal_requests, no_false_quarantine,
               planned_restarts_cut_nothing, stops_lose_no_request, parts_freed_while_read,
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -102,6 +102,44 @@
     world.change(answer=world.sent[0].answer.replace(b"id: 2\n", b"id: 4\n"), failure="gone")
 
 
+def stream_of_two_versions(world):
+    world.change(answer=world.sent[0].answer.replace(b"/1\n", b"/1/v1\n").replace(b"/2\n", b"/2/v2\n"))
+
+
+def resumed_at_another_version(world):
+    """The caller resumes its stream, and the rest comes from a server of another version."""
+    text = world.sent[0].answer
+    first, rest = text.split(b"\n\n", 1)
+    world.change(answer=first + b"/v1\n\n", failure="gone")
+    resume(world, answer=rest.replace(b"/2\n", b"/2/v2\n"))
+
+
+def resume(world, **values):
+    """Adds a request that resumes the stream after its first event."""
+    request = Message(world.request.first, {**world.request.headers, "x-daisytack-request-id": "ffff"}, b"b")
+    world.request = request
+    run = world.run()
+    values = {"answer": checks.stream_text(ID, "ask", 1), "status": 200, "signature": run.signature, **values}
+    world.sent.append(dataclasses.replace(world.sent[0], id="ffff", failure="", resumes=ID, last_event=1,
+                                          software="v1", servers_left=2, **values))
+
+
+def resumptions_refused(world):
+    for n in range(checks.MIN_RESUMPTIONS):
+        world.sent.append(dataclasses.replace(world.sent[0], id=f"f{n}", resumes=ID, last_event=1, servers_left=2,
+                                              status=503, signature="", answer=b"", retry_after="1"))
+
+
+def resumptions_refused_without_servers(world):
+    resumptions_refused(world)
+    world.sent = [dataclasses.replace(it, servers_left=min(it.servers_left, 1)) for it in world.sent]
+
+
+def resumed_at_the_same_version(world):
+    resumed_at_another_version(world)
+    world.sent[1] = dataclasses.replace(world.sent[1], answer=world.sent[1].answer.replace(b"/v2", b"/v1"))
+
+
 def changed_body(world):
     world.request.body = b"other"
 
@@ -281,12 +319,14 @@
 
 ALLOWED = (refused_late, sent_as_connection_closed, cut_by_the_server, abandoned_at_deadline, sent_to_the_next_process,
            freed_under_a_discarded_fetch, freed_after_the_fetch, sent_shortly_after_rejection, fatal_sent_within_limit,
-           sent_around_evacuations, sent_within_cold_limit, sent_within_limit)
+           sent_around_evacuations, sent_within_cold_limit, sent_within_limit, resumptions_refused_without_servers,
+           resumed_at_the_same_version)
 DEFECTS = {
     second_run: "at_most_once", refused_though_it_ran: "refusals_not_executed",
     refused_without_a_time: "refusals_not_executed", cut_answer: "answers_match_runs",
     other_answer: "answers_match_runs", forged_signature: "answers_match_runs", missing_event: "events_in_order",
-    changed_body: "requests_as_sent", forwarded_key: "requests_as_sent", wrong_organisation: "requests_as_sent",
+    stream_of_two_versions: "streams_of_one_version", resumed_at_another_version: "streams_of_one_version",
+    resumptions_refused: "resumptions_go_on", changed_body: "requests_as_sent", forwarded_key: "requests_as_sent", wrong_organisation: "requests_as_sent",
     run_without_request: "requests_as_sent", never_answered: "requests_end_with_answer", revoked_key: "revoked_keys",
     sent_to_draining_server: "draining_servers", cut_by_a_planned_stop: "planned_restarts_cut_nothing",
     two_holders: "one_holder_per_fencing_token", passed_on_late_and_cut: "stops_lose_no_request",
@@ -297,7 +337,9 @@
     sent_while_evacuated: "evacuated_domains", sent_beyond_limit: "limited_servers",
     accepted_revoked_key: "revocations_stay", overloaded_while_cold: "cold_servers",
     overloaded_after_cold_record: "cold_servers"}
-KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", passed_on_late_and_cut: "long"}
+KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", passed_on_late_and_cut: "long",
+         stream_of_two_versions: "ask", resumed_at_another_version: "ask", resumptions_refused: "ask",
+         resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask"}
 
 
 PROGRAM = """import os, signal, sys, time
@@ -335,7 +377,7 @@
         found = {it.partition(":")[0] for it in checks.failed_checks(world)}
         assert found == {check}, (defect.__name__, found)
     for event in ALLOWED:
-        world = FakeWorld("long")
+        world = FakeWorld(KINDS.get(event, "long"))
         event(world)
         assert checks.failed_checks(world) == [], (event.__name__, checks.failed_checks(world))
     missed = {it.__name__ for it in checks.ALL_CHECKS} - set(DEFECTS.values())
--- a/tests/soak/http11.py
+++ b/tests/soak/http11.py
@@ -1,6 +1,8 @@
 """The subset of HTTP/1.1 over asyncio that the soak's stand-ins and callers need."""
 
 import asyncio
+import socket
+import struct
 
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -80,6 +82,21 @@
     return head_of(f"HTTP/1.1 {status} X", {**headers, "Content-Length": str(len(body))}) + body
 
 
+def reset(writer):
+    """Makes the close of the connection a reset."""
+    connection = writer.get_extra_info("socket")
+    if connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+async def end_connection(writer):
+    """Ends the connection after the data written so far, so that its peer reads the end of the data."""
+    await writer.drain()
+    if writer.can_write_eof():
+        writer.write_eof()
+    raise Broken("the connection ends")
+
+
 def close(writer):
     """Aborts the connection; unsent data is dropped."""
     try:
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -14,6 +14,7 @@
 MAX_HISTORY_EVENTS = 400  # Number of past changes that a watch can start from.
 COPY_INTERVAL_SECONDS, MAX_COPIES = 0.25, 24  # Copies that the key-value service may be restored from.
 LONG_STREAM_INTERVAL_SECONDS = 0.25  # Interval between the events of a long stream.
+UNFRAMED_INTERVAL = 4  # One answer in so many has neither a length nor chunks.
 FATAL_BODY = b"ends every server that runs it"
 RETRY_AFTER_SECONDS = 2  # Retry-After of a server that rejects all requests.
 JSON = {"Content-Type": "application/json"}
@@ -172,10 +173,16 @@
 
     def __init__(self, server, request):
         self.server, self.at, self.request = server.id, now(), request
+        self.software = server.software
         self.signature = f"{server.id}.{len(server.runs)}"
         self.body = hashlib.sha256(self.signature.encode()).hexdigest().encode()
 
 
+def stream_id_of(request):
+    """Returns the id of the request that began the stream: the one that a resumption names, or the request's own."""
+    return request.header("resumes") or request.header("x-daisytack-request-id")
+
+
 def event_count(request_id, kind="ask"):
     """Returns the number of events in the stream of a request. Three in five long streams last 4.5 s, others at least
     1.5 s."""
@@ -187,7 +194,8 @@
 
 class BackendServer:
     """A server of a plain service, or an engine. Fault switches: see FAULTS. Crashes when it runs a request with
-    FATAL_BODY. Its answers say whether it is leaving, name its rate limit, and carry Retry-After while it rejects
+    FATAL_BODY. The events of its streams name the version of its software, and some of its answers end with their
+    connection. Its answers say whether it is leaving, name its rate limit, and carry Retry-After while it rejects
     requests."""
 
     FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
@@ -204,13 +212,15 @@
         self.name, self.service = name, service
         self.id = f"{name}-{incarnation}"
         self.incarnation, self.version = incarnation, version
+        # Replaced servers have the other of two versions, so that versions come and go.
+        self.software = f"v{1 + (int(name[-1]) // 2 + incarnation) % 2}"
         self.runs, self.arrivals, self.orders, self.token = [], [], 0, 0
         self.tokens = []
         self.leaving_answers, self.rejections = [], []  # Each: (time, id of the answered request).
         self.limit_answers, self.limit_times = [], []  # (time, request id); (begin, end, limit).
         self.cold_times = []  # (begin, end, whether cold since its first record).
         self.faults, self.share, self.work = set(), 0.3, 0.02
-        self.counter = 0
+        self.counter, self.answers = 0, 0
         self.server = None
 
     async def start(self, port=0):
@@ -228,6 +238,11 @@
     def port(self):
         return self.server.sockets[0].getsockname()[1]
 
+    def _is_unframed(self):
+        """Returns whether the next answer has neither a length nor chunks."""
+        self.answers += 1
+        return self.answers % UNFRAMED_INTERVAL == 0
+
     def _should_inject(self, fault):
         self.counter += 1
         return fault in self.faults and (self.counter * 7919) % 100 < self.share * 100
@@ -318,6 +333,8 @@
             await self._stream(request, run, echo, writer, "long", LONG_STREAM_INTERVAL_SECONDS)
         else:
             answer = http11.response(200, echo, run.body)
+            if self._is_unframed():
+                return await self._answer_unframed(run, echo, run.body, writer)
             if self._should_inject("cut"):
                 writer.write(answer[:-10])
                 await writer.drain()
@@ -330,13 +347,47 @@
         run.aborted = True
         raise http11.Broken(how)
 
-    async def _stream(self, request, run, echo, writer, kind, interval):
-        request_id = request.header("x-daisytack-request-id")
+    async def _answer_unframed(self, run, echo, body, writer):
+        """Sends an answer that ends with its connection. One that is cut is reset: nothing else shows that."""
+        writer.write(http11.head_of("HTTP/1.1 200 OK", echo))
+        if self._should_inject("cut"):
+            writer.write(body[:-10])
+            await writer.drain()
+            http11.reset(writer)
+            self._abort(run, "the answer is cut")
+        writer.write(body)
+        await http11.end_connection(writer)
+
+    async def _stream_unframed(self, run, events, writer, interval):
+        """Sends events and ends the connection. A cut may fall on any byte. It looks like the end of the stream inside
+        an event, where its bytes show it, and is a reset elsewhere."""
+        for event in events:
+            if self._should_inject("cut"):
+                size = self.answers * 31 % len(event)
+                writer.write(event[:size])
+                await writer.drain()
+                run.aborted = True
+                if size == 0:
+                    http11.reset(writer)
+                await http11.end_connection(writer)
+            writer.write(event)
+            await writer.drain()
+            await asyncio.sleep(interval)
+        await http11.end_connection(writer)
+
+    def _events(self, request, kind):
+        stream_id = stream_id_of(request)
         first = int(request.header("last-event-id", "0")) + 1
-        writer.write(http11.head_of("HTTP/1.1 200 OK", {**echo, "Content-Type": "text/event-stream",
-                                                        "Transfer-Encoding": "chunked"}))
-        for n in range(first, event_count(request_id, kind) + 1):
-            event = f"id: {n}\ndata: {request_id}/{n}\n\n".encode()
+        for n in range(first, event_count(stream_id, kind) + 1):
+            yield f"id: {n}\ndata: {stream_id}/{n}/{self.software}\n\n".encode()
+
+    async def _stream(self, request, run, echo, writer, kind, interval):
+        is_unframed = self._is_unframed()
+        framing = {} if is_unframed else {"Transfer-Encoding": "chunked"}
+        writer.write(http11.head_of("HTTP/1.1 200 OK", {**echo, "Content-Type": "text/event-stream", **framing}))
+        if is_unframed:
+            return await self._stream_unframed(run, self._events(request, kind), writer, interval)
+        for event in self._events(request, kind):
             if self._should_inject("cut"):
                 writer.write(f"{len(event):x}\r\n".encode() + event[:7])
                 await writer.drain()
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,7 +2,8 @@
 
 A link is sound, slow, silent (no data in either direction, connections stay open), deaf (no data from the client to the
 server) or mute (no data from the server to the client). Data is held back meanwhile and passed on if the connection is
-still open when the state ends. reset() closes the open connections of the link.
+still open when the state ends. reset() resets the open connections of the link. The end of a connection is passed on as what
+it is, an end or a reset: an answer without a length is complete only at an end.
 """
 
 import asyncio
@@ -32,6 +33,7 @@
 
     def reset(self):
         for writer in list(self.writers):
+            http11.reset(writer)
             http11.close(writer)
 
     def stop(self):
@@ -46,7 +48,10 @@
             self.writers.add(out)
             ways = [asyncio.ensure_future(self._pass(reader, out, DEAF)),
                     asyncio.ensure_future(self._pass(from_server, writer, MUTE))]
-            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            done, _ = await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            if any(it.exception() for it in done):
+                http11.reset(writer)
+                http11.reset(out)
             for way in ways:
                 way.cancel()
         except (OSError, asyncio.CancelledError):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -275,7 +275,7 @@
 
     def record(self, server, state="ready"):
         value = {"service": server.service, "address": f"127.0.0.1:{self.links[server.name].port}",
-                 "zone": self.domain_of(server), "version": "v1", "slots": 64, "state": state,
+                 "zone": self.domain_of(server), "version": server.software, "slots": 64, "state": state,
                  "cold-remaining-ms": server.cold_ms(), "sequence": server.orders}
         if server.service == "engines":
             value["models"] = [{"name": "m", "version": server.version}]
