--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -15,6 +15,7 @@
 COPY_INTERVAL_SECONDS, MAX_COPIES = 0.25, 24  # Copies that the key-value service may be restored from.
 LONG_STREAM_INTERVAL_SECONDS = 0.25  # Interval between the events of a long stream.
 UNFRAMED_INTERVAL = 4  # One answer in so many has neither a length nor chunks.
+UNFRAMED_CUT_INTERVAL = 5  # One stream in so many of those is cut, in seeds with faults.
 FATAL_BODY = b"ends every server that runs it"
 RETRY_AFTER_SECONDS = 2  # Retry-After of a server that rejects all requests.
 JSON = {"Content-Type": "application/json"}
@@ -203,6 +204,7 @@
     is_leaving, is_rejecting = False, False
     limit = None  # Maximum requests per second from all entries together; None for no limit.
     cold_until = 0.0
+    cuts_streams = False  # Whether one in UNFRAMED_CUT_INTERVAL streams without a length is cut, also without a fault.
 
     @staticmethod
     def crash():
@@ -361,14 +363,17 @@
     async def _stream_unframed(self, run, events, writer, interval):
         """Sends events and ends the connection. A cut may fall on any byte. It looks like the end of the stream inside
         an event, where its bytes show it, and is a reset elsewhere."""
-        for event in events:
-            if self._should_inject("cut"):
+        number = self.answers // UNFRAMED_INTERVAL
+        is_cut = self.cuts_streams and number % UNFRAMED_CUT_INTERVAL == 0
+        for n, event in enumerate(events):
+            if self._should_inject("cut") or (is_cut and n == number % 3 + 1):
                 size = self.answers * 31 % len(event)
                 writer.write(event[:size])
                 await writer.drain()
                 run.aborted = True
                 if size == 0:
                     http11.reset(writer)
+                    self._abort(run, "the stream is cut")
                 await http11.end_connection(writer)
             writer.write(event)
             await writer.drain()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -258,6 +258,7 @@
         if self.has_kept_context and service == "engines":
             server = Engine(name, incarnation, self.weights, {it.address: it for it in self.stores})
         await server.start(port)
+        server.cuts_streams = self.seed % 4 != 0
         server.crash = lambda: asyncio.ensure_future(self.crash_server(server))
         if name not in self.links:
             self.links[name] = await Proxy(server.port).start()
