--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -421,7 +421,9 @@
             world.problems.append(f"{entry.name} ended by itself with {entry.ended()}")
     world.problems += checks.failed_checks(world)
     answered = sum(it.status == 200 for it in world.sent)
+    resumed = [it for it in world.sent if it.resumes]
     print(f"seed {world.seed}: {len(world.sent)} requests, {answered} answered, {len(world.faults)} faults, "
+          f"{len(resumed)} resumed streams, {sum(it.status == 200 for it in resumed)} of them answered, "
           f"{sum(len(it.fetches) for it in world.stores)} fetches, {len(world.problems)} problems", flush=True)
     return world.problems
 
