Let the soak's callers resume the streams that break off

The callers took every stream that broke off for a whole one, as the failure was recorded later: no stream was resumed, and two checks had nothing to check.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 KIND_MIX = ("call", "safe", "ask")
 KEPT_CONTEXT_KIND_MIX = ("call", "safe", "ask", "ask", "ask", "ask")
 PROMPT_PARTS = "aa11:500,{session}:700,{own}:200"
+ENTRY_CLOSES = "the entry closes"
 MAX_RESUMPTIONS, RESUMPTION_DELAY_SECONDS = 3, 0.3
 LONG_PROMPT_PARTS = "aa11:3000,{session}:6000,{own}:3000"
 
@@ -166,8 +167,9 @@
             sent.fully_sent_at = self.world.now()
             try:
                 await self._await_answer(sent, self._answer(sent, reader), timeout)
-            except (http11.Broken, OSError):
-                if sent.kind == "ask" and sent.status == 200 and not sent.abandoned and not is_whole(sent):
+            except (http11.Broken, OSError) as error:
+                is_broken = sent.status == 200 and not sent.abandoned and str(error) != ENTRY_CLOSES
+                if sent.kind == "ask" and is_broken:
                     self.resumptions.append(asyncio.ensure_future(self._resume(sent)))
                 raise
 
@@ -204,7 +206,7 @@
         else:
             sent.answer = await http11.read_exactly(reader, int(headers.get("content-length", "0")))
         if headers.get("connection", "").lower() == "close":
-            raise http11.Broken("the entry closes")
+            raise http11.Broken(ENTRY_CLOSES)
 
 
 class FatalCaller(Caller):
@@ -224,7 +226,7 @@
 
 def is_whole(sent):
     """Returns whether the caller got the whole stream."""
-    return sent.failure in ("", "Broken the entry closes")
+    return sent.failure in ("", f"Broken {ENTRY_CLOSES}")
 
 
 def callers(world, count):
