Revert "Don't count an earlier reset of a crashed server against a request"

Cause, by reading: a proxy, or whatever else accepts connections in front of a server that has ended, breaks an attempt that was sent after the crash. That break was taken for a sign of life and erased the crash. Only connections that were open before the earlier break could show it.

--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -125,11 +125,6 @@
   if (Settings.ServersToQuarantine == 0)
     return {};
   std::lock_guard guard(Lock);
-  // A crash breaks all connections of a server at once.
-  if (removeCrashesOf(server, now)) {
-    markAlive(server, SendsPerEntry, now);
-    updateItemCount();
-  }
   if (wasAnswered(request) || isBlamedOnAnother(request, server))
     return {};
   Suspect &suspect = Suspects[request];
--- a/src/direct/crash_suspects.h
+++ b/src/direct/crash_suspects.h
@@ -13,8 +13,6 @@
 /// - A broken connection counts against a request only while nothing more is
 ///   received from the same start of the server. Servers that return errors,
 ///   send malformed answers or reject connections still answer other requests.
-///   A connection that breaks later shows as well that the server was running
-///   until then, as a crash breaks all of them at once.
 /// - Servers that crash together, as in the outage of a failure domain, count
 ///   as one incident. A quarantine needs two incidents, the second of which
 ///   began after the first was known.
