Bound a stream's age by all tries of its caller

What callers would see: a stream that nobody knows goes on at the only version that an entry has seen for as long as one try may last, although another version had begun it before that. A caller resumes a stream try after try, and the age of a stream can't be seen. Cause: the route's timeout, which bounds one request, was taken for the longest age of a stream. Change: only versions seen without interruption for a minute exclude all others. An entry that has just started would refuse all callers that don't name their stream for that long: it asks four entries for them, too. A test no longer waits 300 ms for entries to know each other, but until they do. Evidence: found by reading the change again. Both new tests fail with their half of the change undone. Result: StreamVersionTest passes.

--- a/src/direct/software_versions.h
+++ b/src/direct/software_versions.h
@@ -14,10 +14,12 @@
 
 namespace daisytack::direct {
 
+/// Longest time after its beginning at which a caller resumes a stream.
+constexpr Duration StreamMaxAge{60'000'000};
+
 struct SoftwareVersionSettings {
-  /// How long a version is remembered after its last server has left: longer
-  /// than callers go on resuming a stream.
-  Duration Retention{60'000'000};
+  /// How long a version is remembered after its last server has left.
+  Duration Retention = StreamMaxAge;
   bool operator==(const SoftwareVersionSettings &) const = default;
 };
 
--- a/src/direct/stream_origins.h
+++ b/src/direct/stream_origins.h
@@ -82,9 +82,8 @@
 };
 
 struct StreamOriginSettings {
-  /// How long an origin is kept: longer than callers go on resuming a stream.
-  /// It is kept up to twice as long.
-  Duration Retention{60'000'000};
+  /// How long an origin is kept; up to twice as long.
+  Duration Retention = StreamMaxAge;
   /// Maximum number of origins in each of two generations; about 100 bytes
   /// each.
   size_t MaxStreams = 60'000;
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -16,6 +16,7 @@
 #include "direct/prefill_rate.h"
 #include "direct/retirement.h"
 #include "direct/server_loads.h"
+#include "direct/software_versions.h"
 
 #include <functional>
 #include <map>
@@ -74,6 +75,10 @@
   /// context stores as sources. All entries must use the same value, so it is
   /// not a setting; tests shorten it.
   Duration MaxSourceStaleness = direct::MaxSourceStaleness;
+  /// Longest time after its beginning at which a caller resumes a stream, over
+  /// all its tries. How old a stream is can't be seen. All entries must use the
+  /// same value, so it is not a setting; tests shorten it.
+  Duration StreamMaxAge = direct::StreamMaxAge;
   /// Term of the order lease, and of the lease under which an entry announces
   /// itself.
   Duration LeaseTerm{3'000'000};
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -28,9 +28,6 @@
 /// Largest body in bytes that is hashed although there are no suspects; this
 /// takes about a microsecond.
 constexpr size_t MaxCommonBodyBytes = 1024;
-/// Longest time for which callers go on resuming a stream of a route without a
-/// timeout.
-constexpr Duration DefaultStreamMaxAge{60'000'000};
 
 } // namespace
 
@@ -82,9 +79,6 @@
     resumption.Stream =
         direct::streamKey(request.Organisation, *request.Head.ResumedRequestId);
   resumption.Service = request.Service;
-  resumption.MaxAge = request.MatchedRoute.Timeout > Duration::zero()
-                          ? request.MatchedRoute.Timeout
-                          : DefaultStreamMaxAge;
   State.OriginExchange->find(
       resumption,
       [self = shared_from_this()](const auto &origin, const Error &reason) {
--- a/src/gateway/stream_origin_exchange.cpp
+++ b/src/gateway/stream_origin_exchange.cpp
@@ -87,13 +87,12 @@
 void StreamOriginExchange::startLookup(const StreamResumption &resumption,
                                        OriginDone done) {
   TimePoint now = monotonicNow();
-  std::vector<Endpoint> owners;
-  if (resumption.Stream)
-    owners = Owners.ownersOf(*resumption.Stream, State.Options.Peers);
-  direct::OriginLookup steps(
-      {resumption.Stream.value_or(Id128{}), resumption.Service},
-      std::move(owners), State.Software.seen(resumption.Service, now),
-      resumption.MaxAge, Settings.Lookup, now);
+  // Without a name, any entries tell which versions they have seen.
+  Id128 stream = resumption.Stream.value_or(Id128{});
+  direct::OriginLookup steps({stream, resumption.Service},
+                             Owners.ownersOf(stream, State.Options.Peers),
+                             State.Software.seen(resumption.Service, now),
+                             State.Options.StreamMaxAge, Settings.Lookup, now);
   Lookups.push_back({std::move(steps), std::move(done)});
   advance();
 }
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -26,7 +26,6 @@
   /// Empty if the caller does not name the request that began the stream.
   std::optional<Id128> Stream;
   std::string Service; ///< Of the route.
-  Duration MaxAge{0};  ///< The stream began no longer ago than this.
 };
 
 struct StreamOriginExchangeSettings {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -92,6 +92,7 @@
     out.Drain.NoticePeriod = 300ms;
     out.ConfirmedFor = 1500ms;
     out.MaxSourceStaleness = 3s;
+    out.StreamMaxAge = 2s;
     out.ServersCheckFence = true;
     out.Log.LinesPerSecond = 100;
     return out;
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -8,10 +8,11 @@
 namespace daisytack::gateway {
 namespace {
 
-std::string streamConfigText() {
+std::string streamConfigText(int timeoutMs = 3000) {
   return R"({"version":1,"routes":[
     {"name":"ask","host":"a.example","path-prefix":"/ask/","kind":"streaming",
-     "resumable":true,"timeout-ms":3000,"target-latency-ms":800,
+     "resumable":true,"timeout-ms":)" +
+         std::to_string(timeoutMs) + R"(,"target-latency-ms":800,
      "service":"plain","attempts":3}],
     "services":[{"name":"plain","connection-limit":100}],
     "tenants":[{"name":"org","api-keys":["k1"]}]})";
@@ -90,11 +91,12 @@
   Entry &second = start("e2", KvService.address());
   ASSERT_TRUE(waitReady(first));
   ASSERT_TRUE(waitReady(second));
-  ASSERT_TRUE(eventually([&] {
-    return KvService.has("daisytack/entries/e1") &&
-           KvService.has("daisytack/entries/e2");
+  int probes = 0;
+  ASSERT_TRUE(eventually([&] { // Until the entries know each other.
+    std::string id = "probe-" + std::to_string(++probes);
+    fetch(first.Options.Callers, ask(id));
+    return statusOf(second, resume("again-" + id, id)) == 200;
   }));
-  std::this_thread::sleep_for(300ms); // Until each entry knows the other.
   size_t wentOn = 0;
   for (int i = 0; i < 8; ++i) {
     std::string id = "r" + std::to_string(i);
@@ -105,7 +107,7 @@
   EXPECT_EQ(wentOn, 8U);
   std::set<std::string> atOld = resumedAt(old);
   std::set<std::string> atRecent = resumedAt(recent);
-  EXPECT_EQ(atOld.size() + atRecent.size(), 8U);
+  EXPECT_EQ(atOld.size() + atRecent.size(), 8U + 1); // The last probe as well.
   for (const HttpRequest &it : old.requests())
     EXPECT_FALSE(atRecent.contains(
         "again-" + std::string(it.header("X-Daisytack-Request-Id"))));
@@ -150,6 +152,48 @@
   EXPECT_TRUE(resumedAt(recent).empty());
 }
 
+/// Guards against taking the only version that has been seen for as long as one
+/// try may last: callers resume a stream that is older, try after try.
+TEST_F(StreamVersionTest, RefusesAnUnknownStreamThatMayBeOlderThanOneTry) {
+  startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText(200));
+  GatewayOptions options = Entry::optionsFor("e1", KvService.address(), {});
+  options.StreamMaxAge = 60s;
+  Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+  Entry &entry = *Entries.back();
+  entry.start();
+  ASSERT_TRUE(waitReady(entry));
+  auto end = std::chrono::steady_clock::now() + 1s;
+  while (std::chrono::steady_clock::now() < end) {
+    KvService.completeWatches(); // Confirms what the entry knows.
+    EXPECT_EQ(statusOf(entry, resume("again", "before-the-start")), 503U);
+    std::this_thread::sleep_for(50ms);
+  }
+}
+
+/// Guards against an entry that has just started refusing every caller that
+/// does not name its stream, although others know of no other version.
+TEST_F(StreamVersionTest, AsksOthersForVersionsWhenTheStreamIsNotNamed) {
+  test::FakeServer &server = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  HttpRequest unnamed = ask("unnamed");
+  unnamed.Headers.push_back({"Last-Event-Id", "1"});
+  Entry &first = start("e1", KvService.address());
+  ASSERT_TRUE(waitReady(first));
+  ASSERT_TRUE(eventually([&] {
+    KvService.completeWatches();
+    return statusOf(first, unnamed) == 200;
+  }));
+  // Its own history would have to be longer than the test waits.
+  GatewayOptions options = Entry::optionsFor("e2", KvService.address(), {});
+  Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+  Entry &second = *Entries.back();
+  second.start();
+  ASSERT_TRUE(waitReady(second));
+  EXPECT_EQ(statusOf(second, unnamed), 200U);
+  EXPECT_EQ(resumedAt(server), std::set<std::string>{"unnamed"});
+}
+
 /// Guards against refusing all streams that nobody knows although only one
 /// version has served since before they can have begun.
 TEST_F(StreamVersionTest,
