Count unsent datagrams and log streams of uncertain version

Cause: datagrams that could not be sent, or were larger than a receiver takes, were dropped without a trace. For loads the next one follows; for the origin of a stream none does. A service with many software versions could make each response too large. That a stream can't be resumed, as its server's id may have another process, was decided without a log line. Change: the counter daisytack_peer_datagrams_unsent_total; at most four versions are told, as two already show that nothing can be inferred; the line stream_version_uncertain. In the soak, comments that needed one another stand alone now. Evidence: found by reading the change again; no run has shown a lost datagram to matter. The test of the bound on versions is new and had nothing to fail on.

--- a/src/direct/software_versions.cpp
+++ b/src/direct/software_versions.cpp
@@ -34,7 +34,7 @@
   if (found == Seen.end())
     return out;
   for (const auto &[version, at] : found->second)
-    if (now < at + Settings.Retention)
+    if (now < at + Settings.Retention && out.Versions.size() < MaxSeenVersions)
       out.Versions.push_back(version);
   return out;
 }
--- a/src/direct/software_versions.h
+++ b/src/direct/software_versions.h
@@ -17,6 +17,10 @@
 /// Longest time after its beginning at which a caller resumes a stream.
 constexpr Duration StreamMaxAge{60'000'000};
 
+/// Maximum number of versions that one entry tells of, so that the message fits
+/// into a datagram.
+constexpr size_t MaxSeenVersions = 4;
+
 struct SoftwareVersionSettings {
   /// How long a version is remembered after its last server has left.
   Duration Retention = StreamMaxAge;
@@ -25,7 +29,8 @@
 
 /// The software versions of a service's servers as one entry has seen them.
 struct SeenVersions {
-  /// Including versions whose last server has left recently; sorted.
+  /// Including versions whose last server has left recently; sorted. The first
+  /// MaxSeenVersions, which is enough to show that there are several.
   std::vector<std::string> Versions;
   /// For how long the entry has known of all servers without interruption, in
   /// microseconds.
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -140,9 +140,15 @@
       [&](const direct::BackendServer &it) {
         return it.Id == order.ServerId && it.StartedMs != order.StartedMs;
       });
-  if (mayBeReplaced)
-    return std::nullopt;
   const direct::ForwardRequest &request = Flow.request();
+  if (mayBeReplaced) {
+    State.Log.write(LogPriority::Notable, "stream_version_uncertain",
+                    {{"request", request.Head.RequestId},
+                     {"server", order.ServerId},
+                     {"software", order.SoftwareVersion}},
+                    monotonicNow());
+    return std::nullopt;
+  }
   if (request.MatchedRoute.mayRepeat())
     State.OriginExchange->began(
         direct::streamKey(request.Organisation, request.Head.RequestId),
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -135,6 +135,9 @@
                                      "Parts that servers were asked to save")),
       BadDatagrams(metrics.counter("daisytack_peer_datagrams_bad_total",
                                    "Datagrams that could not be read")),
+      UnsentDatagrams(metrics.counter(
+          "daisytack_peer_datagrams_unsent_total",
+          "Datagrams to other entries that were too large or not sent")),
       BusyFeedCalls(metrics.counter(
           "daisytack_store_feeds_busy_total",
           "Calls for a store's changes that it had no place for")),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -48,6 +48,7 @@
   Counter &SourcedTokens;
   Counter &SavesRequested;
   Counter &BadDatagrams;
+  Counter &UnsentDatagrams;
   Counter &BusyFeedCalls;
   Gauge &Running;
   Gauge &Quarantined;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -92,9 +92,14 @@
   boost::asio::ip::tcp::endpoint address;
   if (!net::toTcp(peer, address))
     return;
-  net::ErrorCode ignored; // The next datagram replaces a lost one.
-  Socket.send_to(boost::asio::buffer(bytes),
-                 udp::endpoint(address.address(), address.port()), 0, ignored);
+  // The receiver drops what is larger. A lost datagram is replaced by the next
+  // one, or by another entry's.
+  net::ErrorCode ec;
+  if (bytes.size() <= MaxDatagramBytes)
+    Socket.send_to(boost::asio::buffer(bytes),
+                   udp::endpoint(address.address(), address.port()), 0, ec);
+  if (bytes.size() > MaxDatagramBytes || ec)
+    State.Stats.UnsentDatagrams.add();
 }
 
 void LoadExchange::sendTo(const Endpoint &peer,
--- a/tests/direct/stream_version_test.cpp
+++ b/tests/direct/stream_version_test.cpp
@@ -207,6 +207,20 @@
   EXPECT_TRUE(versions.seen("other", FlowStart).Versions.empty());
 }
 
+/// Guards against a message about versions that doesn't fit into a datagram.
+TEST(SoftwareVersions, TellsOnlyOfAsManyVersionsAsFitIntoADatagram) {
+  SoftwareVersions versions({});
+  Catalog catalog;
+  catalog.AllServers.resize(20);
+  for (size_t i = 0; i < 20; ++i) {
+    catalog.AllServers[i].Service = "service";
+    catalog.AllServers[i].SoftwareVersion = "v" + std::to_string(i);
+  }
+  versions.onCatalog(catalog, true, FlowStart);
+  EXPECT_EQ(versions.seen("service", FlowStart).Versions.size(),
+            MaxSeenVersions);
+}
+
 TEST(StreamOrigins, KeepsOriginsForTheRetentionAndWithinItsBound) {
   StreamOrigins origins({10s, 100});
   const StreamOrigin v1{"service", "v1"};
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,9 +13,9 @@
 KIND_MIX = ("call", "safe", "ask")
 KEPT_CONTEXT_KIND_MIX = ("call", "safe", "ask", "ask", "ask", "ask")
 PROMPT_PARTS = "aa11:500,{session}:700,{own}:200"
-ENTRY_CLOSES = "the entry closes"
-MAX_RESUMPTIONS, RESUMPTION_DELAY_SECONDS = 3, 0.3
 LONG_PROMPT_PARTS = "aa11:3000,{session}:6000,{own}:3000"
+ENTRY_CLOSES = "the entry closes"  # Failure of a request whose whole answer says that its connection ends.
+MAX_RESUMPTIONS, RESUMPTION_DELAY_SECONDS = 3, 0.3
 
 
 @dataclasses.dataclass
@@ -46,8 +46,8 @@
     retry_after: str = ""
     resumes: str = ""        # Id of the request that began the stream, if this one resumes it.
     last_event: int = 0      # Number of the last event that the caller had of it.
-    software: str = ""       # Version that began it, and
-    servers_left: int = 0    # the number of its servers when the stream was resumed.
+    software: str = ""       # Software version that began the resumed stream.
+    servers_left: int = 0    # Number of servers with that version when the stream was resumed.
 
 
 class Caller:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,7 +2,7 @@
 
 import re
 
-from callers import KINDS
+from callers import ENTRY_CLOSES, KINDS
 from platform_side import RETRY_AFTER_SECONDS, FATAL_BODY, event_count
 
 STATUSES_NOT_EXECUTED = (408, 421, 429, 503)
@@ -65,7 +65,7 @@
 
 def was_cut(sent):
     """Returns whether the caller could see that its answer is incomplete."""
-    return sent.abandoned or bool(sent.failure and "the entry closes" not in sent.failure)
+    return sent.abandoned or bool(sent.failure and ENTRY_CLOSES not in sent.failure)
 
 
 def stream_text(request_id, kind, after=0):
@@ -83,7 +83,8 @@
 
 
 def is_beginning(sent, version):
-    """Returns whether the answer is the begin of its stream, if a server of the version wrote its last, cut event."""
+    """Returns whether the answer is a beginning of its stream. Its last event may be cut; version is that of the server
+    that wrote this event."""
     whole, end, cut = sent.answer.rpartition(b"\n\n")
     expected = expected_stream(sent)
     begin = without_versions(whole + end)
