Reserve fields for server observations in load messages

Entries know of one another's servers only the number of requests and tokens. Four one-byte fields (share of urgent tokens, time without an answer, pace and its samples) are added to LoadShare; 0 means unknown, and nothing sets them yet. The encoded share grows from 20 to 24 bytes, so that 40 servers beside 32 link delays still fit into a datagram (LoadDatagram tests).

--- a/src/direct/server_loads.h
+++ b/src/direct/server_loads.h
@@ -67,16 +67,30 @@
   auto operator<=>(const ServerLoadView &) const = default;
 };
 
-/// Load that one entry puts on one server, as passed on between entries. The
-/// counts are those of ServerLoadView, for that entry alone.
+/// Load that one entry puts on one server, and what the entry has observed of
+/// the server, as passed on between entries. The counts are those of
+/// ServerLoadView, for that entry alone.
 struct LoadShare {
   uint64_t ServerKey = 0; ///< ServerRef::key() of one start of a server.
   uint32_t Running = 0;
   uint32_t WaitingTokens = 0;
   uint32_t HeldTokens = 0;
+  // One byte each, so that the loads of 40 servers fit into a datagram beside
+  // the delays of 32 links.
+  /// Part of WaitingTokens that belongs to requests of priority 0, in units of
+  /// 1/255.
+  uint8_t UrgentPart = 0;
+  /// Time since the server last sent something to this entry while requests
+  /// were in flight, in units of 10 ms, at least 1; 0: unknown.
+  uint8_t SilentTime = 0;
+  /// Duration of recent answers relative to the predicted one, in units of 2%;
+  /// 0: unknown.
+  uint8_t Pace = 0;
+  uint8_t PaceSamples = 0; ///< Number of answers behind Pace.
   auto operator<=>(const LoadShare &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(ServerKey, Running, WaitingTokens, HeldTokens);
+    ar(ServerKey, Running, WaitingTokens, HeldTokens, UrgentPart, SilentTime,
+       Pace, PaceSamples);
   }
 };
 
