Move decisions under load into src/admission and src/balancing

Admission is now in src/admission; loads of servers, the prefill rate, shared quotas, request limits and slow start are in src/balancing, with namespaces and test folders to match.

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -74,14 +74,14 @@
 struct Fixture {
   explicit Fixture(int servers) : CurrentCatalog(makeCatalog(servers)) {}
 
-  ServerLoads Loads{{}};
+  balancing::ServerLoads Loads{{}};
   StoreLinks Links{{}};
-  PrefillRate Rates{{}};
+  balancing::PrefillRate Rates{{}};
   Ejector ServerEjector{{1, 4, 5s, 300s, 60s, 600s, true}};
   KeptContext StoredContext{{}};
   Catalog CurrentCatalog;
-  SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
-  RequestLimits Limits{{}, {"10.0.0.1", 7000}, TimePoint()};
+  balancing::SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
+  balancing::RequestLimits Limits{{}, {"10.0.0.1", 7000}, TimePoint()};
   Placement Placer{
       {},
       {"d0"},
@@ -91,7 +91,7 @@
 void measure(int servers, int entries, bool hasPrompt) {
   Fixture fixture(servers);
   for (int i = 0; i < entries; ++i) {
-    std::vector<LoadShare> shares;
+    std::vector<balancing::LoadShare> shares;
     for (int n = 0; n < 40; ++n) {
       size_t at = static_cast<size_t>(i * 40 + n) %
                   fixture.CurrentCatalog.AllServers.size();
--- a/bench/server_loads.cpp
+++ b/bench/server_loads.cpp
@@ -1,7 +1,7 @@
 /// Cost of reading the load of a server and of handling a load report of
 /// another entry, for several fleet sizes. Choosing a server reads the load of
 /// each server of the service.
-#include "direct/server_loads.h"
+#include "balancing/server_loads.h"
 #include "base/clock.h"
 
 #include <algorithm>
@@ -27,14 +27,14 @@
 }
 
 void measure(const Fleet &fleet) {
-  ServerLoads loads{{}};
+  balancing::ServerLoads loads{{}};
   TimePoint now = monotonicNow();
   std::vector<std::string> ids;
   for (int i = 0; i < fleet.Servers; ++i)
     ids.push_back("server-" + std::to_string(i));
   TimePoint start = monotonicNow();
   for (int entry = 0; entry < fleet.Entries; ++entry) {
-    std::vector<LoadShare> shares;
+    std::vector<balancing::LoadShare> shares;
     for (int i = 0; i < std::min(SharesPerReport, fleet.Servers); ++i) {
       auto at = static_cast<size_t>((entry * 31 + i) % fleet.Servers);
       shares.push_back({ServerRef{ids[at], 0}.key(), 1, 100, 200});
--- a/src/direct/admission.cpp
+++ b/src/admission/admission.cpp
@@ -1,17 +1,19 @@
-#include "direct/admission.h"
+#include "admission/admission.h"
 
 #include "base/duration.h"
 
 #include <algorithm>
 
-namespace daisytack::direct {
+namespace daisytack::admission {
 
-Admission::Admission(PlacementSettings settings, const PlacementCost &cost)
+Admission::Admission(direct::PlacementSettings settings,
+                     const direct::PlacementCost &cost)
     : Settings(settings), Cost(cost) {}
 
-bool Admission::hasMemory(const ForwardRequest &request, const Catalog &catalog,
-                          const ServerLoadView &load) const {
-  const Service *service = catalog.Config->findService(request.Service);
+bool Admission::hasMemory(const direct::ForwardRequest &request,
+                          const direct::Catalog &catalog,
+                          const balancing::ServerLoadView &load) const {
+  const direct::Service *service = catalog.Config->findService(request.Service);
   if (!service || !service->Engine || service->Engine->ContextTokens == 0)
     return true;
   double capacity = static_cast<double>(service->Engine->ContextTokens) *
@@ -22,8 +24,9 @@
   return load.HeldTokens == 0 || static_cast<double>(needed) <= capacity;
 }
 
-std::optional<double> Admission::maxQueueMs(const ForwardRequest &request,
-                                            const Catalog &catalog) const {
+std::optional<double>
+Admission::maxQueueMs(const direct::ForwardRequest &request,
+                      const direct::Catalog &catalog) const {
   Duration target = catalog.Config->minTargetLatency(request.Service);
   if (Settings.QueueShare <= 0 || target <= Duration::zero())
     return std::nullopt;
@@ -31,8 +34,10 @@
   return request.Priority == 0 ? out * Settings.UrgentQueueFactor : out;
 }
 
-bool Admission::isTooBusy(const ForwardRequest &request, const Catalog &catalog,
-                          const ServerLoadView &load, TimePoint now) const {
+bool Admission::isTooBusy(const direct::ForwardRequest &request,
+                          const direct::Catalog &catalog,
+                          const balancing::ServerLoadView &load,
+                          TimePoint now) const {
   if (request.Head.Model.empty())
     return false;
   if (!hasMemory(request, catalog, load))
@@ -51,9 +56,9 @@
          static_cast<double>(waitLimit.count()) * Settings.PatienceShare;
 }
 
-Duration Admission::retryAfter(const ForwardRequest &request,
-                               const Catalog &catalog,
-                               const ServerLoadView &load) const {
+Duration Admission::retryAfter(const direct::ForwardRequest &request,
+                               const direct::Catalog &catalog,
+                               const balancing::ServerLoadView &load) const {
   Duration minDelay =
       scaled(request.MatchedRoute.TargetLatency, Settings.OverloadRetryShare);
   std::optional<double> maxMs = maxQueueMs(request, catalog);
@@ -64,4 +69,4 @@
   return std::max(minDelay, Duration(static_cast<int64_t>(excessMs * 1000)));
 }
 
-} // namespace daisytack::direct
+} // namespace daisytack::admission
--- a/src/direct/prefill_rate.cpp
+++ b/src/balancing/prefill_rate.cpp
@@ -1,11 +1,11 @@
-#include "direct/prefill_rate.h"
+#include "balancing/prefill_rate.h"
 
 #include "base/duration.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 void PrefillRate::observe(std::string_view service, uint64_t unreadTokens,
                           uint64_t tokensBefore, Duration firstByte) {
@@ -40,4 +40,4 @@
                                : 1 / it->second.MsPerToken;
 }
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/prefill_rate.h
+++ b/src/balancing/prefill_rate.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <string_view>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 struct PrefillRateSettings {
   /// Initial estimate, used until prompts were observed.
@@ -64,4 +64,4 @@
   std::map<std::string, Estimate, std::less<>> Estimates; ///< By service.
 };
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/request_limits.cpp
+++ b/src/balancing/request_limits.cpp
@@ -1,10 +1,10 @@
-#include "direct/request_limits.h"
+#include "balancing/request_limits.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 namespace {
 
@@ -39,7 +39,7 @@
                              TimePoint startedAt)
     : Settings(settings), Quota(std::move(own), startedAt) {}
 
-LimitChange RequestLimits::onAnswer(ServerRef server,
+LimitChange RequestLimits::onAnswer(direct::ServerRef server,
                                     std::optional<double> perSecond,
                                     TimePoint now) {
   std::lock_guard guard(Lock);
@@ -104,8 +104,9 @@
   return out;
 }
 
-std::optional<QuotaBound> RequestLimits::boundOf(const BackendServer &server,
-                                                 TimePoint now) const {
+std::optional<QuotaBound>
+RequestLimits::boundOf(const direct::BackendServer &server,
+                       TimePoint now) const {
   std::lock_guard guard(Lock);
   auto it = Servers.find(server.ref().key());
   if (it == Servers.end() || !it->second.PerSecond)
@@ -120,15 +121,15 @@
   return out;
 }
 
-std::optional<TimePoint> RequestLimits::availableAt(const BackendServer &server,
-                                                    const Catalog &catalog,
-                                                    TimePoint now) {
+std::optional<TimePoint>
+RequestLimits::availableAt(const direct::BackendServer &server,
+                           const direct::Catalog &catalog, TimePoint now) {
   std::optional<QuotaBound> bound = boundOf(server, now);
   return bound ? Quota.availableAt(server, *bound, catalog) : now;
 }
 
-bool RequestLimits::tryAcquire(const BackendServer &server,
-                               const Catalog &catalog, TimePoint now) {
+bool RequestLimits::tryAcquire(const direct::BackendServer &server,
+                               const direct::Catalog &catalog, TimePoint now) {
   std::optional<QuotaBound> bound = boundOf(server, now);
   return !bound || Quota.tryAcquire(server, *bound, catalog, now);
 }
@@ -151,4 +152,4 @@
   Quota.forgetIdle(answeredBefore);
 }
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/request_limits.h
+++ b/src/balancing/request_limits.h
@@ -7,7 +7,7 @@
 /// server never applies to another start.
 #pragma once
 
-#include "direct/shared_quota.h"
+#include "balancing/shared_quota.h"
 
 #include <cstdint>
 #include <mutex>
@@ -15,7 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 struct RequestLimitSettings {
   /// Window of a limit's quota: the four seconds over which servers count
@@ -60,8 +60,8 @@
 
   /// The server answered a request. `perSecond` is the limit that its answer
   /// announced, in requests per second; nullopt when it announced none.
-  LimitChange onAnswer(ServerRef server, std::optional<double> perSecond,
-                       TimePoint now);
+  LimitChange onAnswer(direct::ServerRef server,
+                       std::optional<double> perSecond, TimePoint now);
   /// Merges reports from another entry. A report that is not newer than the
   /// latest known answer of its server does not change the server's limit.
   void onPeerReports(const std::vector<LimitReport> &reports, TimePoint now);
@@ -73,12 +73,13 @@
   /// When this entry may send its next request to the server. A time that is
   /// not after `now` means at once; nullopt means that the entry has no share
   /// of the limit.
-  std::optional<TimePoint> availableAt(const BackendServer &server,
-                                       const Catalog &catalog, TimePoint now);
+  std::optional<TimePoint> availableAt(const direct::BackendServer &server,
+                                       const direct::Catalog &catalog,
+                                       TimePoint now);
   /// Uses one request of this entry's share; false when the share is used up.
   /// Always true for a server without a limit.
-  bool tryAcquire(const BackendServer &server, const Catalog &catalog,
-                  TimePoint now);
+  bool tryAcquire(const direct::BackendServer &server,
+                  const direct::Catalog &catalog, TimePoint now);
 
   /// Number of servers with a limit in force.
   size_t limitedCount() const;
@@ -96,7 +97,7 @@
   };
 
   /// Nullopt when the server has no limit.
-  std::optional<QuotaBound> boundOf(const BackendServer &server,
+  std::optional<QuotaBound> boundOf(const direct::BackendServer &server,
                                     TimePoint now) const;
 
   RequestLimitSettings Settings;
@@ -105,4 +106,4 @@
   std::unordered_map<uint64_t, State> Servers; ///< By ServerRef::key().
 };
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/server_loads.cpp
+++ b/src/balancing/server_loads.cpp
@@ -1,8 +1,8 @@
-#include "direct/server_loads.h"
+#include "balancing/server_loads.h"
 
 #include <algorithm>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 namespace {
 
@@ -14,7 +14,8 @@
 
 } // namespace
 
-void ServerLoads::onSent(ServerRef server, uint64_t tokens, TimePoint now) {
+void ServerLoads::onSent(direct::ServerRef server, uint64_t tokens,
+                         TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   if (state.Running++ == 0)
@@ -24,12 +25,12 @@
   state.LastUsed = now;
 }
 
-void ServerLoads::onActivity(ServerRef server, TimePoint now) {
+void ServerLoads::onActivity(direct::ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
   Servers[server.key()].LastActivity = now;
 }
 
-void ServerLoads::onFirstByte(ServerRef server, uint64_t tokens,
+void ServerLoads::onFirstByte(direct::ServerRef server, uint64_t tokens,
                               TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
@@ -38,8 +39,8 @@
   state.WaitingTokens -= std::min(state.WaitingTokens, tokens);
 }
 
-void ServerLoads::onEnded(ServerRef server, uint64_t tokens, bool hadFirstByte,
-                          TimePoint now) {
+void ServerLoads::onEnded(direct::ServerRef server, uint64_t tokens,
+                          bool hadFirstByte, TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   state.Running -= std::min(state.Running, 1U);
@@ -49,7 +50,7 @@
   state.LastUsed = now;
 }
 
-void ServerLoads::onRejected(ServerRef server, TimePoint now) {
+void ServerLoads::onRejected(direct::ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   // Requests that were waiting at the server are rejected together, and count
@@ -62,7 +63,8 @@
                                Settings.MaxRejectBackoff);
 }
 
-void ServerLoads::onRetryAfter(ServerRef server, Duration time, TimePoint now) {
+void ServerLoads::onRetryAfter(direct::ServerRef server, Duration time,
+                               TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   state.RetryAt = now + std::min(time, Settings.MaxRetryAfter);
@@ -83,17 +85,18 @@
   return out;
 }
 
-void ServerLoads::onReplaced(ServerRef server, TimePoint now) {
+void ServerLoads::onReplaced(direct::ServerRef server, TimePoint now) {
   avoidUntil(server, now + Settings.ReplacedBackoff);
 }
 
-void ServerLoads::avoidUntil(ServerRef server, TimePoint until) {
+void ServerLoads::avoidUntil(direct::ServerRef server, TimePoint until) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   state.AvoidUntil = std::max(state.AvoidUntil, until);
 }
 
-void ServerLoads::onLoading(ServerRef server, TimePoint until, TimePoint now) {
+void ServerLoads::onLoading(direct::ServerRef server, TimePoint until,
+                            TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   if (!state.LoadingSince || now >= state.AvoidUntil)
@@ -101,7 +104,7 @@
   state.AvoidUntil = std::max(state.AvoidUntil, until);
 }
 
-void ServerLoads::onLoadEnded(ServerRef server) {
+void ServerLoads::onLoadEnded(direct::ServerRef server) {
   std::lock_guard guard(Lock);
   auto it = Servers.find(server.key());
   if (it == Servers.end())
@@ -158,7 +161,8 @@
   addToSums(report);
 }
 
-ServerLoadView ServerLoads::view(ServerRef server, TimePoint now) const {
+ServerLoadView ServerLoads::view(direct::ServerRef server,
+                                 TimePoint now) const {
   uint64_t serverKey = server.key();
   ServerLoadView out;
   std::lock_guard guard(Lock);
@@ -208,4 +212,4 @@
   dropExpired(usedBefore);
 }
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -20,7 +20,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 struct ServerLoadSettings {
   /// A server with requests in flight that has sent nothing for this time is
@@ -99,42 +99,42 @@
 public:
   explicit ServerLoads(ServerLoadSettings settings) : Settings(settings) {}
 
-  void onSent(ServerRef server, uint64_t tokens, TimePoint now);
+  void onSent(direct::ServerRef server, uint64_t tokens, TimePoint now);
   /// The server sent at least one byte.
-  void onActivity(ServerRef server, TimePoint now);
+  void onActivity(direct::ServerRef server, TimePoint now);
   /// The prompt was prefilled: its tokens are no longer waiting. The request is
   /// still running.
-  void onFirstByte(ServerRef server, uint64_t tokens, TimePoint now);
+  void onFirstByte(direct::ServerRef server, uint64_t tokens, TimePoint now);
   /// The request has ended. `hadFirstByte` is true if onFirstByte() was called
   /// for it.
-  void onEnded(ServerRef server, uint64_t tokens, bool hadFirstByte,
+  void onEnded(direct::ServerRef server, uint64_t tokens, bool hadFirstByte,
                TimePoint now);
   /// The server rejected a request or refused a connection for it.
-  void onRejected(ServerRef server, TimePoint now);
+  void onRejected(direct::ServerRef server, TimePoint now);
   /// The server's answer requires this entry to send it no requests for this
   /// time.
-  void onRetryAfter(ServerRef server, Duration time, TimePoint now);
+  void onRetryAfter(direct::ServerRef server, Duration time, TimePoint now);
   /// The server, given by its ServerRef::key(), announced that it is leaving,
   /// or another entry reported so. Returns whether this was not known before.
   bool onLeaving(uint64_t server, TimePoint now);
   /// Another instance answered at the server's address: the server no longer
   /// exists.
-  void onReplaced(ServerRef server, TimePoint now);
+  void onReplaced(direct::ServerRef server, TimePoint now);
   /// No requests are to be sent to the server until then, if others are left.
-  void avoidUntil(ServerRef server, TimePoint until);
+  void avoidUntil(direct::ServerRef server, TimePoint until);
   /// The server is loading new weights, or is about to, and rejects requests.
   /// It is avoided until the given time, unless onLoadEnded() is called
   /// first.
-  void onLoading(ServerRef server, TimePoint until, TimePoint now);
+  void onLoading(direct::ServerRef server, TimePoint until, TimePoint now);
   /// The server has loaded its new weights, or its load was postponed.
-  void onLoadEnded(ServerRef server);
+  void onLoadEnded(direct::ServerRef server);
   /// Replaces the earlier report of another entry. That entry sends its next
   /// report after the period.
   void onPeerReport(const std::string &entry,
                     const std::vector<LoadShare> &shares, Duration period,
                     TimePoint now);
 
-  ServerLoadView view(ServerRef server, TimePoint now) const;
+  ServerLoadView view(direct::ServerRef server, TimePoint now) const;
   /// This entry's own load on each server, for the other entries.
   std::vector<LoadShare> ownLoads() const;
   /// Keys of the servers that became known as leaving within
@@ -188,4 +188,4 @@
   mutable std::set<std::pair<TimePoint, std::string>> Expiries;
 };
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/shared_quota.cpp
+++ b/src/balancing/shared_quota.cpp
@@ -1,11 +1,11 @@
-#include "direct/shared_quota.h"
+#include "balancing/shared_quota.h"
 
 #include "direct/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 uint32_t quotaShare(uint32_t quota, std::string_view server, uint64_t rotation,
                     const std::map<Endpoint, uint64_t> &registered,
@@ -16,11 +16,11 @@
   uint32_t remainder = quota % entries;
   if (remainder == 0)
     return quota / entries;
-  uint64_t key = stableHash(server, rotation);
-  uint64_t ownRank = rendezvousRank(key, toString(own));
+  uint64_t key = direct::stableHash(server, rotation);
+  uint64_t ownRank = direct::rendezvousRank(key, toString(own));
   auto higherRanked =
       std::count_if(registered.begin(), registered.end(), [&](const auto &it) {
-        return rendezvousRank(key, toString(it.first)) > ownRank;
+        return direct::rendezvousRank(key, toString(it.first)) > ownRank;
       });
   bool getsOneMore = static_cast<uint32_t>(higherRanked) < remainder;
   return quota / entries + (getsOneMore ? 1 : 0);
@@ -29,9 +29,9 @@
 SharedQuota::SharedQuota(Endpoint own, TimePoint startedAt)
     : Own(std::move(own)), StartedAt(startedAt) {}
 
-SharedQuota::State &SharedQuota::stateOf(const BackendServer &server,
+SharedQuota::State &SharedQuota::stateOf(const direct::BackendServer &server,
                                          const QuotaBound &bound,
-                                         const Catalog &catalog) {
+                                         const direct::Catalog &catalog) {
   auto [it, isNew] = Servers.try_emplace(server.ref().key());
   State &state = it->second;
   bool isCurrent = state.RegisteredVersion == catalog.RegisteredVersion &&
@@ -58,16 +58,17 @@
   return out;
 }
 
-std::optional<TimePoint> SharedQuota::availableAt(const BackendServer &server,
-                                                  const QuotaBound &bound,
-                                                  const Catalog &catalog) {
+std::optional<TimePoint>
+SharedQuota::availableAt(const direct::BackendServer &server,
+                         const QuotaBound &bound,
+                         const direct::Catalog &catalog) {
   std::lock_guard guard(Lock);
   return nextSendAt(stateOf(server, bound, catalog));
 }
 
-bool SharedQuota::tryAcquire(const BackendServer &server,
-                             const QuotaBound &bound, const Catalog &catalog,
-                             TimePoint now) {
+bool SharedQuota::tryAcquire(const direct::BackendServer &server,
+                             const QuotaBound &bound,
+                             const direct::Catalog &catalog, TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = stateOf(server, bound, catalog);
   std::optional<TimePoint> availableFrom = nextSendAt(state);
@@ -86,4 +87,4 @@
   });
 }
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/shared_quota.h
+++ b/src/balancing/shared_quota.h
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <unordered_map>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 struct QuotaBound {
   uint32_t Requests = 0; ///< Limit for all entries together in one window.
@@ -49,12 +49,12 @@
   /// When this entry may send its next request to the server. A time that is
   /// not in the future means at once; nullopt means that the entry has no
   /// share.
-  std::optional<TimePoint> availableAt(const BackendServer &server,
+  std::optional<TimePoint> availableAt(const direct::BackendServer &server,
                                        const QuotaBound &bound,
-                                       const Catalog &catalog);
+                                       const direct::Catalog &catalog);
   /// Uses one request of this entry's share; false when the share is used up.
-  bool tryAcquire(const BackendServer &server, const QuotaBound &bound,
-                  const Catalog &catalog, TimePoint now);
+  bool tryAcquire(const direct::BackendServer &server, const QuotaBound &bound,
+                  const direct::Catalog &catalog, TimePoint now);
   /// Drops servers to which nothing has been sent since `usedBefore`.
   void forgetIdle(TimePoint usedBefore);
 
@@ -67,8 +67,8 @@
     std::deque<TimePoint> Sent; ///< Send times within the last window.
   };
 
-  State &stateOf(const BackendServer &server, const QuotaBound &bound,
-                 const Catalog &catalog);
+  State &stateOf(const direct::BackendServer &server, const QuotaBound &bound,
+                 const direct::Catalog &catalog);
   std::optional<TimePoint> nextSendAt(const State &state) const;
 
   Endpoint Own;
@@ -77,4 +77,4 @@
   std::unordered_map<uint64_t, State> Servers; ///< By ServerRef::key().
 };
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/slow_start.cpp
+++ b/src/balancing/slow_start.cpp
@@ -1,9 +1,9 @@
-#include "direct/slow_start.h"
+#include "balancing/slow_start.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 uint32_t slowStartQuota(const SlowStartSettings &settings,
                         double requestsPerSecond) {
@@ -24,16 +24,17 @@
   return out;
 }
 
-std::optional<TimePoint> SlowStart::availableAt(const BackendServer &server,
-                                                double requestsPerSecond,
-                                                const Catalog &catalog) {
+std::optional<TimePoint>
+SlowStart::availableAt(const direct::BackendServer &server,
+                       double requestsPerSecond,
+                       const direct::Catalog &catalog) {
   return Quota.availableAt(server, boundOf(requestsPerSecond), catalog);
 }
 
-bool SlowStart::tryAcquire(const BackendServer &server,
-                           double requestsPerSecond, const Catalog &catalog,
-                           TimePoint now) {
+bool SlowStart::tryAcquire(const direct::BackendServer &server,
+                           double requestsPerSecond,
+                           const direct::Catalog &catalog, TimePoint now) {
   return Quota.tryAcquire(server, boundOf(requestsPerSecond), catalog, now);
 }
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/slow_start.h
+++ b/src/balancing/slow_start.h
@@ -3,12 +3,12 @@
 ///
 /// A cold server crashes under a rate that a warm server can handle, so the sum
 /// over all entries is bounded at all times, even while entries know different
-/// things or nothing of one another (direct/shared_quota.h).
+/// things or nothing of one another (balancing/shared_quota.h).
 #pragma once
 
-#include "direct/shared_quota.h"
+#include "balancing/shared_quota.h"
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 
 struct SlowStartSettings {
   /// All entries together send a cold server at most the rate of its service
@@ -41,12 +41,12 @@
   /// When this entry may send its next request to the server. A time that is
   /// not in the future means at once; nullopt means that the entry has no
   /// share.
-  std::optional<TimePoint> availableAt(const BackendServer &server,
+  std::optional<TimePoint> availableAt(const direct::BackendServer &server,
                                        double requestsPerSecond,
-                                       const Catalog &catalog);
+                                       const direct::Catalog &catalog);
   /// Uses one request of this entry's share; false when the share is used up.
-  bool tryAcquire(const BackendServer &server, double requestsPerSecond,
-                  const Catalog &catalog, TimePoint now);
+  bool tryAcquire(const direct::BackendServer &server, double requestsPerSecond,
+                  const direct::Catalog &catalog, TimePoint now);
   /// Drops servers to which nothing has been sent since `usedBefore`.
   void forgetIdle(TimePoint usedBefore) { Quota.forgetIdle(usedBefore); }
 
@@ -57,4 +57,4 @@
   SharedQuota Quota;
 };
 
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/src/direct/candidate.h
+++ b/src/direct/candidate.h
@@ -2,8 +2,8 @@
 /// is looked up once, so that all steps of a placement use the same values.
 #pragma once
 
+#include "balancing/server_loads.h"
 #include "direct/records.h"
-#include "direct/server_loads.h"
 
 #include <vector>
 
@@ -11,7 +11,7 @@
 
 struct Candidate {
   const BackendServer *Server = nullptr; ///< Points into the catalog.
-  ServerLoadView Load;
+  balancing::ServerLoadView Load;
   /// How long a newer version than the server's weights has been desired; zero
   /// when the weights are current.
   Duration OutdatedFor{0};
--- a/src/direct/eligibility.h
+++ b/src/direct/eligibility.h
@@ -10,14 +10,14 @@
 /// server is left.
 #pragma once
 
+#include "balancing/request_limits.h"
+#include "balancing/slow_start.h"
 #include "decide/ejection.h"
 #include "direct/candidate.h"
 #include "direct/catalog.h"
 #include "direct/forward_flow.h"
 #include "direct/locality.h"
 #include "direct/placement_cost.h"
-#include "direct/request_limits.h"
-#include "direct/slow_start.h"
 
 #include <string>
 #include <vector>
@@ -26,10 +26,10 @@
 
 /// Sources of the servers' state; all thread-safe.
 struct ServerTrackers {
-  const ServerLoads &Loads;
+  const balancing::ServerLoads &Loads;
   const Ejector &Ejected;
-  SlowStart &ColdServers;
-  RequestLimits &Limits;
+  balancing::SlowStart &ColdServers;
+  balancing::RequestLimits &Limits;
 };
 
 /// Thread-safe.
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -1,11 +1,11 @@
 /// Messages between entries on the direct path.
 #pragma once
 
+#include "balancing/request_limits.h"
+#include "balancing/server_loads.h"
 #include "direct/crash_reports.h"
 #include "direct/kept_context.h"
 #include "direct/records.h"
-#include "direct/request_limits.h"
-#include "direct/server_loads.h"
 #include "direct/store_links.h"
 #include "direct/stream_origins.h"
 
@@ -93,7 +93,7 @@
   /// Microseconds until the next message to the same receiver. Grows with the
   /// number of entries.
   int64_t Period = 0;
-  std::vector<LoadShare> Servers;
+  std::vector<balancing::LoadShare> Servers;
   std::vector<LinkDelay> Links; ///< Observed since the last message.
   /// Servers (ServerRef::key) that recently reported that they are leaving.
   std::vector<uint64_t> Leaving{};
@@ -105,7 +105,7 @@
 
 /// Request limits that servers have reported to the sender. Sent as a datagram.
 struct RequestLimitUpdate {
-  std::vector<LimitReport> ServerLimits;
+  std::vector<balancing::LimitReport> ServerLimits;
   bool operator==(const RequestLimitUpdate &) const = default;
   template <class Archive> void serialize(Archive &ar) { ar(ServerLimits); }
 };
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -8,7 +8,7 @@
 /// milliseconds until the first token, decides when another server is better.
 #pragma once
 
-#include "direct/admission.h"
+#include "admission/admission.h"
 #include "direct/context_planner.h"
 #include "direct/eligibility.h"
 
@@ -21,13 +21,13 @@
 
 /// State that placements are based on; all thread-safe.
 struct PlacementInputs {
-  const ServerLoads &Loads; ///< Loads of backend servers.
-  const StoreLinks &Links;  ///< Links of the context stores.
+  const balancing::ServerLoads &Loads; ///< Loads of backend servers.
+  const StoreLinks &Links;             ///< Links of the context stores.
   const Ejector &Ejected;
-  const PrefillRate &Rates;
+  const balancing::PrefillRate &Rates;
   KeptContext &Kept;
-  SlowStart &ColdServers;
-  RequestLimits &Limits;
+  balancing::SlowStart &ColdServers;
+  balancing::RequestLimits &Limits;
 };
 
 /// Thread-safe.
@@ -89,10 +89,10 @@
 
   PlacementSettings Settings;
   Locality EntryLocality;
-  const PrefillRate &Rates;
+  const balancing::PrefillRate &Rates;
   PlacementCost Cost;
   Eligibility Eligible;
-  Admission AdmissionControl;
+  admission::Admission AdmissionControl;
   ContextPlanner Planner;
 };
 
--- a/src/direct/placement_cost.cpp
+++ b/src/direct/placement_cost.cpp
@@ -14,7 +14,8 @@
 
 PlacementCost::PlacementCost(PlacementSettings settings,
                              std::string failureDomain,
-                             const PrefillRate &rates, const KeptContext &kept)
+                             const balancing::PrefillRate &rates,
+                             const KeptContext &kept)
     : Settings(settings), FailureDomain(std::move(failureDomain)), Rates(rates),
       Kept(kept) {}
 
@@ -24,7 +25,7 @@
 }
 
 double PlacementCost::firstTokenMs(const ForwardRequest &request,
-                                   const ServerLoadView &load,
+                                   const balancing::ServerLoadView &load,
                                    uint64_t prefillTokens) const {
   auto waitingTokens = static_cast<double>(load.WaitingTokens + prefillTokens);
   bool hasPrompt = !request.Head.Model.empty();
@@ -65,7 +66,7 @@
                              const BackendServer *home,
                              UnsavedTokens &unsaved) const {
   const BackendServer &server = *candidate.Server;
-  const ServerLoadView &load = candidate.Load;
+  const balancing::ServerLoadView &load = candidate.Load;
   bool isOtherDomain = server.FailureDomain != FailureDomain;
   if (request.Head.Model.empty())
     return load.Running * Settings.CallRunningMs +
--- a/src/direct/placement_cost.h
+++ b/src/direct/placement_cost.h
@@ -2,11 +2,11 @@
 /// first token, in milliseconds, plus penalties in the same unit.
 #pragma once
 
+#include "balancing/prefill_rate.h"
 #include "direct/candidate.h"
 #include "direct/forward_flow.h"
 #include "direct/kept_context.h"
 #include "direct/placement_settings.h"
-#include "direct/prefill_rate.h"
 
 #include <map>
 #include <optional>
@@ -22,7 +22,7 @@
   using UnsavedTokens = std::map<uint64_t, uint64_t>;
 
   PlacementCost(PlacementSettings settings, std::string failureDomain,
-                const PrefillRate &rates, const KeptContext &kept);
+                const balancing::PrefillRate &rates, const KeptContext &kept);
 
   /// Cost in milliseconds. `home` is the home server of the request's session
   /// (direct/placement.h); null for a request without a prompt.
@@ -32,7 +32,8 @@
   double prefillMs(const ForwardRequest &request, double tokens) const;
   /// Predicted time until the first token, in milliseconds, when
   /// `prefillTokens` of the request's own tokens have to be computed.
-  double firstTokenMs(const ForwardRequest &request, const ServerLoadView &load,
+  double firstTokenMs(const ForwardRequest &request,
+                      const balancing::ServerLoadView &load,
                       uint64_t prefillTokens) const;
   /// Time that is left for fetches if the request is to begin on the server's
   /// outdated weights in time: what remains of the rollout limit after the
@@ -49,7 +50,7 @@
 
   PlacementSettings Settings;
   std::string FailureDomain;
-  const PrefillRate &Rates;
+  const balancing::PrefillRate &Rates;
   const KeptContext &Kept;
 };
 
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -37,7 +37,7 @@
 }
 
 void readSlowStart(Settings &settings, GatewayOptions &out) {
-  direct::SlowStartSettings &start = out.SlowStart;
+  balancing::SlowStartSettings &start = out.SlowStart;
   start.Overshoot = settings.number("slow_start.overshoot", start.Overshoot, 0,
                                     OvershootUpperBound);
   start.Slack =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -2,6 +2,8 @@
 /// servers.
 #pragma once
 
+#include "balancing/prefill_rate.h"
+#include "balancing/server_loads.h"
 #include "base/decision_log.h"
 #include "base/settings.h"
 #include "decide/ejection.h"
@@ -13,9 +15,7 @@
 #include "direct/forward_flow.h"
 #include "direct/kept_context.h"
 #include "direct/placement.h"
-#include "direct/prefill_rate.h"
 #include "direct/retirement.h"
-#include "direct/server_loads.h"
 #include "direct/software_versions.h"
 
 #include <functional>
@@ -100,10 +100,10 @@
   direct::CrashSuspectSettings Suspects;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
-  direct::SlowStartSettings SlowStart;
-  direct::ServerLoadSettings Loads;
+  balancing::SlowStartSettings SlowStart;
+  balancing::ServerLoadSettings Loads;
   direct::StoreLinkSettings Links;
-  direct::PrefillRateSettings PrefillRate;
+  balancing::PrefillRateSettings PrefillRate;
   direct::KeptContextSettings StoredParts;
   direct::CatalogSettings Catalog;
   DecisionLogSettings Log;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -1,13 +1,13 @@
 /// State that all requests of one entry share.
 #pragma once
 
+#include "balancing/request_limits.h"
 #include "base/decision_log.h"
 #include "base/metrics.h"
 #include "direct/crash_suspects.h"
 #include "direct/drain_plan.h"
 #include "direct/placement.h"
 #include "direct/protocol.h"
-#include "direct/request_limits.h"
 #include "direct/retirement.h"
 #include "direct/software_versions.h"
 #include "direct/stream_origins.h"
@@ -121,9 +121,9 @@
   const direct::Protocol WireProtocol;
   DecisionLog &Log;
   GatewayMetrics Stats;
-  direct::ServerLoads Loads;
+  balancing::ServerLoads Loads;
   direct::StoreLinks Links;
-  direct::PrefillRate PrefillRates;
+  balancing::PrefillRate PrefillRates;
   Ejector OutlierEjector;
   direct::CrashSuspects Suspects;
   direct::StreamOrigins Origins;
@@ -131,8 +131,8 @@
   /// Set before the first request; see gateway/stream_origin_exchange.h.
   std::shared_ptr<StreamOriginExchange> OriginExchange;
   direct::KeptContext StoredParts;
-  direct::SlowStart ColdServers;
-  direct::RequestLimits Limits;
+  balancing::SlowStart ColdServers;
+  balancing::RequestLimits Limits;
   direct::Placement Placer;
   RetryBudgets Retries;
   ServerClock Clock;
--- a/src/gateway/server_limit.cpp
+++ b/src/gateway/server_limit.cpp
@@ -20,13 +20,13 @@
       kind == ResponseKind::Request && net::isSuccess(head.Status);
   if (!head.RequestLimit && !isAuthoritative)
     return;
-  direct::LimitChange change =
+  balancing::LimitChange change =
       state.Limits.onAnswer(server, head.RequestLimit, now);
-  if (change == direct::LimitChange::Imposed)
+  if (change == balancing::LimitChange::Imposed)
     state.Log.write(LogPriority::Notable, "server_limited",
                     {{"server", server.Id}, {"per_second", *head.RequestLimit}},
                     now);
-  if (change == direct::LimitChange::Lifted)
+  if (change == balancing::LimitChange::Lifted)
     state.Log.write(LogPriority::Notable, "server_limit_lifted",
                     {{"server", server.Id}}, now);
 }
--- a/tests/direct/prefill_rate_test.cpp
+++ b/tests/balancing/prefill_rate_test.cpp
@@ -1,8 +1,8 @@
-#include "direct/prefill_rate.h"
+#include "balancing/prefill_rate.h"
 
 #include <gtest/gtest.h>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -39,4 +39,4 @@
 }
 
 } // namespace
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/tests/direct/request_limits_test.cpp
+++ b/tests/balancing/request_limits_test.cpp
@@ -1,7 +1,7 @@
 /// The limits that entries assume for servers, and a simulation of the requests
 /// that all entries send under faults: entries crash, restart without state,
 /// are partitioned from one another, and learn of registrations late.
-#include "direct/request_limits.h"
+#include "balancing/request_limits.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -25,12 +25,12 @@
           7000};
 }
 
-BackendServer makeLimitedServer() {
-  BackendServer out;
+direct::BackendServer makeLimitedServer() {
+  direct::BackendServer out;
   out.Id = "needy";
   return out;
 }
-const BackendServer LimitedServer = makeLimitedServer();
+const direct::BackendServer LimitedServer = makeLimitedServer();
 
 class RequestLimitsTest : public testing::Test {
 protected:
@@ -55,7 +55,7 @@
     return out;
   }
 
-  Catalog Known;
+  direct::Catalog Known;
   RequestLimits First{{}, addressOf(0), Begin - 20s};
   RequestLimits Second{{}, addressOf(1), Begin - 20s};
 };
@@ -101,8 +101,8 @@
 }
 
 TEST_F(RequestLimitsTest, AppliesToOneStartOfTheServerOnly) {
-  First.onAnswer(ServerRef("needy", 1), 2, Begin);
-  BackendServer restarted = LimitedServer;
+  First.onAnswer(direct::ServerRef("needy", 1), 2, Begin);
+  direct::BackendServer restarted = LimitedServer;
   restarted.StartedMs = 2;
   std::optional<TimePoint> available =
       First.availableAt(restarted, Known, Begin);
@@ -112,7 +112,8 @@
 
 TEST_F(RequestLimitsTest, IgnoresInvalidReports) {
   for (double invalid : {-1.0, std::nan(""), HUGE_VAL})
-    First.onPeerReports({{ServerRef("needy").key(), true, invalid, 0}}, Begin);
+    First.onPeerReports({{direct::ServerRef("needy").key(), true, invalid, 0}},
+                        Begin);
   EXPECT_EQ(First.limitedCount(), 0);
 }
 
@@ -249,7 +250,7 @@
   struct Entry {
     Endpoint Address;
     std::unique_ptr<RequestLimits> Limits;
-    Catalog CatalogView;
+    direct::Catalog CatalogView;
     /// When this process first passed on an answer with the limit.
     std::optional<TimePoint> PassedOnAt;
     TimePoint DownUntil{};
@@ -388,7 +389,7 @@
 
   std::mt19937_64 Random;
   double PerSecond;
-  Catalog Service; ///< Contents of the key-value service.
+  direct::Catalog Service; ///< Contents of the key-value service.
   std::vector<Entry> Entries;
   std::vector<Sent> History;
   std::vector<Answer> Answers;
@@ -426,4 +427,4 @@
 }
 
 } // namespace
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/tests/direct/server_loads_test.cpp
+++ b/tests/balancing/server_loads_test.cpp
@@ -1,5 +1,5 @@
+#include "balancing/server_loads.h"
 #include "direct/rendezvous.h"
-#include "direct/server_loads.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -8,7 +8,7 @@
 
 #include <vector>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -32,7 +32,7 @@
 /// report.
 TEST(ServerLoads, ExpiresReportsByTheirPeriod) {
   ServerLoads loads{{}};
-  std::vector<LoadShare> shares{{stableHash("a"), 2, 700, 900}};
+  std::vector<LoadShare> shares{{direct::stableHash("a"), 2, 700, 900}};
   loads.onPeerReport("often", shares, 100ms, Start);
   loads.onPeerReport("seldom", shares, 1s, Start);
   loads.onPeerReport("absurd", shares, Duration::max(), Start);
@@ -86,7 +86,7 @@
     std::vector<LoadShare> shares;
     for (uint32_t server = 0; server < Servers; ++server)
       if (*rc::gen::arbitrary<bool>())
-        shares.push_back({stableHash(std::to_string(server)),
+        shares.push_back({direct::stableHash(std::to_string(server)),
                           *rc::gen::inRange(0U, 9U), *rc::gen::inRange(0U, 99U),
                           *rc::gen::inRange(0U, 99U)});
     loads.onPeerReport(entry, shares, period, now);
@@ -95,7 +95,7 @@
     for (int server = 0; server < Servers; ++server) {
       std::string name = std::to_string(server);
       RC_ASSERT(loads.view({name, 0}, now) ==
-                recomputed.view(stableHash(name), now));
+                recomputed.view(direct::stableHash(name), now));
     }
   }
 }
@@ -117,7 +117,7 @@
 /// requests.
 TEST(ServerLoads, HonoursTheRetryAfterOfAServer) {
   ServerLoads loads{{}};
-  ServerRef first{"a", 1};
+  direct::ServerRef first{"a", 1};
   loads.onRetryAfter(first, 90s, Start);
   loads.forgetIdle(Start + 80s); // Kept though nothing was sent.
   EXPECT_EQ(loads.view(first, Start + 80s).RetryAt, Start + 90s);
@@ -128,7 +128,7 @@
 
 TEST(ServerLoads, RemembersLeavingServersAndPassesThemOnBriefly) {
   ServerLoads loads{{}};
-  ServerRef first{"a", 1};
+  direct::ServerRef first{"a", 1};
   EXPECT_TRUE(loads.onLeaving(first.key(), Start));
   EXPECT_FALSE(loads.onLeaving(first.key(), Start + 1s));
   EXPECT_EQ(loads.recentlyLeaving(Start + 2s), std::vector{first.key()});
@@ -159,4 +159,4 @@
 }
 
 } // namespace
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/tests/direct/slow_start_model_test.cpp
+++ b/tests/balancing/slow_start_model_test.cpp
@@ -4,7 +4,7 @@
 ///
 /// Two other strategies run in the same simulation, to show how they fail:
 /// counts gossiped by datagram, and an equal rate for each entry.
-#include "direct/slow_start.h"
+#include "balancing/slow_start.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace daisytack::direct {
+namespace daisytack::balancing {
 namespace {
 
 using namespace std::chrono_literals;
@@ -26,12 +26,12 @@
 constexpr Duration Length{12'000'000};
 const TimePoint Begin{Duration(1'000'000'000)};
 
-BackendServer coldServer() {
-  BackendServer out;
+direct::BackendServer coldServer() {
+  direct::BackendServer out;
   out.Id = "cold";
   return out;
 }
-const BackendServer Cold = coldServer();
+const direct::BackendServer Cold = coldServer();
 
 SlowStartSettings settings() {
   SlowStartSettings out;
@@ -50,7 +50,7 @@
 class Strategy {
 public:
   virtual ~Strategy() = default;
-  virtual bool tryAcquire(const Catalog &catalog, TimePoint now) = 0;
+  virtual bool tryAcquire(const direct::Catalog &catalog, TimePoint now) = 0;
   /// Number of requests that the other entries reported for the last second.
   virtual void onGossip(uint32_t) {}
   /// Number of requests that this entry reports for the last second.
@@ -61,7 +61,7 @@
 public:
   RendezvousShares(Endpoint own, TimePoint now)
       : Start(settings(), std::move(own), now) {}
-  bool tryAcquire(const Catalog &catalog, TimePoint now) override {
+  bool tryAcquire(const direct::Catalog &catalog, TimePoint now) override {
     return Start.tryAcquire(Cold, Rate, catalog, now);
   }
 
@@ -72,7 +72,7 @@
 /// Each registered entry sends at an equal share of the rate.
 class EqualRates : public Strategy {
 public:
-  bool tryAcquire(const Catalog &catalog, TimePoint now) override {
+  bool tryAcquire(const direct::Catalog &catalog, TimePoint now) override {
     auto entries =
         static_cast<double>(std::max<size_t>(catalog.Registered.size(), 1));
     auto pause = Duration(static_cast<int64_t>(1e6 * entries / (Rate * 1.5)));
@@ -90,7 +90,7 @@
 /// datagram. The limit is below Bound, as a margin.
 class GossipedCounts : public Strategy {
 public:
-  bool tryAcquire(const Catalog &, TimePoint now) override {
+  bool tryAcquire(const direct::Catalog &, TimePoint now) override {
     if (OthersSent + gossiped(now) + 1 > Rate * 1.5)
       return false;
     Sent.push_back(now);
@@ -155,7 +155,7 @@
   struct Entry {
     Endpoint Address;
     std::unique_ptr<Strategy> Decider;
-    Catalog CatalogView;
+    direct::Catalog CatalogView;
     TimePoint DownUntil{};
     TimePoint PartitionedUntil{};
     TimePoint PausedUntil{};
@@ -271,7 +271,7 @@
 
   Kind StrategyKind;
   std::mt19937_64 Random;
-  Catalog Service; ///< Contents of the key-value service.
+  direct::Catalog Service; ///< Contents of the key-value service.
   std::vector<Entry> Entries;
   std::vector<Sent> History; ///< Ordered by send time.
   size_t Replaced = 0;
@@ -308,4 +308,4 @@
 }
 
 } // namespace
-} // namespace daisytack::direct
+} // namespace daisytack::balancing
--- a/tests/direct/placement_fixture.h
+++ b/tests/direct/placement_fixture.h
@@ -95,13 +95,13 @@
     return choice->Order;
   }
 
-  ServerLoads Loads{{}};
+  balancing::ServerLoads Loads{{}};
   StoreLinks Links{{}};
-  PrefillRate Rates{{}};
+  balancing::PrefillRate Rates{{}};
   Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
   KeptContext Kept{{}};
-  SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
-  RequestLimits Limits{{}, {"10.0.0.1", 7000}, TimePoint()};
+  balancing::SlowStart ColdServers{{}, {"10.0.0.1", 7000}, TimePoint()};
+  balancing::RequestLimits Limits{{}, {"10.0.0.1", 7000}, TimePoint()};
   direct::Catalog Catalog;
   /// Settings without a queue limit, so that each test sees only the cost that
   /// it is about.
--- a/tests/direct/restart_test.cpp
+++ b/tests/direct/restart_test.cpp
@@ -19,24 +19,24 @@
 const ServerStart Second{"a", 1'700'000'009'000};
 
 TEST(RestartedServer, IsIdleAndNotAvoidedBecauseOfItsEarlierStart) {
-  ServerLoads loads{{}};
+  balancing::ServerLoads loads{{}};
   loads.onSent(First, 700, Start);
   loads.onRejected(First, Start);
   loads.onReplaced(First, Start);
   loads.onPeerReport("entry", {{ServerRef(First).key(), 2, 900, 900}}, 1s,
                      Start);
   EXPECT_EQ(loads.view(First, Start).WaitingTokens, 1600);
-  EXPECT_EQ(loads.view(Second, Start), ServerLoadView{});
+  EXPECT_EQ(loads.view(Second, Start), balancing::ServerLoadView{});
   EXPECT_FALSE(loads.view(Second, Start + 2s).IsAvoided); // Nor unresponsive.
 }
 
 TEST(RestartedServer, KeepsItsLoadWhenAnEarlierAttemptEndsLate) {
-  ServerLoads loads{{}};
+  balancing::ServerLoads loads{{}};
   loads.onSent(First, 700, Start);
   loads.onSent(Second, 300, Start + 1s);
   loads.onEnded(First, 700, false, Start + 2s);
   loads.avoidUntil(First, Start + 9s);
-  ServerLoadView view = loads.view(Second, Start + 2s);
+  balancing::ServerLoadView view = loads.view(Second, Start + 2s);
   EXPECT_EQ(view.Running, 1);
   EXPECT_EQ(view.WaitingTokens, 300);
   EXPECT_FALSE(loads.view(Second, Start + 2s).IsAvoided);
@@ -44,7 +44,7 @@
 
 /// Entries learn of a restart at different times.
 TEST(RestartedServer, CountsOnlyRequestsThatEntriesSentToItsOwnStart) {
-  ServerLoads loads{{}};
+  balancing::ServerLoads loads{{}};
   loads.onPeerReport("late", {{ServerRef(First).key(), 1, 500, 500}}, 1s,
                      Start);
   loads.onPeerReport("soon", {{ServerRef(Second).key(), 1, 200, 200}}, 1s,
--- a/tests/direct/rollout_model.h
+++ b/tests/direct/rollout_model.h
@@ -141,13 +141,13 @@
                 {Loads, Links, Ejected, Rates, Kept, ColdServers, Limits}) {}
 
     CatalogKeeper Keeper;
-    ServerLoads Loads{{}};
+    balancing::ServerLoads Loads{{}};
     StoreLinks Links{{}};
-    PrefillRate Rates{{}};
+    balancing::PrefillRate Rates{{}};
     Ejector Ejected{{1, 4, 5s, 300s, 60s, 600s, true}};
     KeptContext Kept{{}};
-    SlowStart ColdServers;
-    RequestLimits Limits;
+    balancing::SlowStart ColdServers;
+    balancing::RequestLimits Limits;
     Placement Place;
     DesiredVersionMap ReviewedVersions;
     std::map<std::string, uint64_t> VersionBeforeLoad;
--- a/tests/platform/entry_fixture.h
+++ b/tests/platform/entry_fixture.h
@@ -77,8 +77,8 @@
     return {"10.0.0." + std::to_string(number + 1), 7000};
   }
 
-  static direct::SlowStartSettings slowStart() {
-    direct::SlowStartSettings out;
+  static balancing::SlowStartSettings slowStart() {
+    balancing::SlowStartSettings out;
     out.Overshoot = 1.5;
     out.Slack = 5;
     return out;
@@ -126,14 +126,14 @@
     return choice ? choice->Order.ServerId : std::string();
   }
 
-  direct::ServerLoads Loads{{}};
+  balancing::ServerLoads Loads{{}};
   direct::StoreLinks Links{{}};
-  direct::PrefillRate Rates{{}};
+  balancing::PrefillRate Rates{{}};
   Ejector Ejections{{1, 4, 5s, 300s, 60s, 600s, true}};
   direct::KeptContext Kept{{}};
   direct::CatalogKeeper Catalog{{}, hooks()};
-  direct::SlowStart ColdServers;
-  direct::RequestLimits Limits;
+  balancing::SlowStart ColdServers;
+  balancing::RequestLimits Limits;
   direct::Placement Placer;
   Error Reason;
 };
