Limit the queue before a request by its own target and priority

A service with routes of 500 ms and 2 s refused prompts of the slower route for 300 ms of queued prefill, 0.6 of the lowest target of the service, and counted the whole queue for urgent prompts, which engines serve first.

The limit now is a share of the request's own target. Load messages carry the urgent part of the waiting tokens. admission.queue_by_target = off restores the earlier limit.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -27,11 +27,16 @@
 std::optional<double>
 Admission::maxQueueMs(const direct::ForwardRequest &request,
                       const direct::Catalog &catalog) const {
-  Duration target = catalog.Config->minTargetLatency(request.Service);
-  if (Settings.QueueShare <= 0 || target <= Duration::zero())
-    return std::nullopt;
-  double out = millisecondsOf(target) * Settings.QueueShare;
-  return request.Priority == 0 ? out * Settings.UrgentQueueFactor : out;
+  return queueLimitMs(Settings.Queue,
+                      {request.MatchedRoute.TargetLatency,
+                       catalog.Config->minTargetLatency(request.Service)},
+                      request.Priority);
+}
+
+double Admission::queueMs(const direct::ForwardRequest &request,
+                          const balancing::ServerLoadView &load) const {
+  return Cost.prefillMs(request, static_cast<double>(tokensAhead(
+                                     Settings.Queue, load, request.Priority)));
 }
 
 bool Admission::isTooBusy(const direct::ForwardRequest &request,
@@ -43,8 +48,7 @@
   if (!hasMemory(request, catalog, load))
     return true;
   std::optional<double> maxMs = maxQueueMs(request, catalog);
-  if (maxMs &&
-      Cost.prefillMs(request, static_cast<double>(load.WaitingTokens)) > *maxMs)
+  if (maxMs && queueMs(request, load) > *maxMs)
     return true;
   Duration waitLimit = request.Deadline - now;
   if (request.MatchedRoute.MaxFirstEventWait > Duration::zero())
@@ -64,8 +68,7 @@
   std::optional<double> maxMs = maxQueueMs(request, catalog);
   if (!maxMs)
     return minDelay;
-  double excessMs =
-      Cost.prefillMs(request, static_cast<double>(load.WaitingTokens)) - *maxMs;
+  double excessMs = queueMs(request, load) - *maxMs;
   return std::max(minDelay, Duration(static_cast<int64_t>(excessMs * 1000)));
 }
 
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -31,6 +31,10 @@
   /// nullopt when queues are not limited.
   std::optional<double> maxQueueMs(const direct::ForwardRequest &request,
                                    const direct::Catalog &catalog) const;
+  /// Prefill time, in milliseconds, of the prompts that the server prefills
+  /// before the request's.
+  double queueMs(const direct::ForwardRequest &request,
+                 const balancing::ServerLoadView &load) const;
   /// Whether the prompt fits into the server's memory next to the prompts of
   /// the requests that are running there.
   bool hasMemory(const direct::ForwardRequest &request,
--- a/src/balancing/server_loads.cpp
+++ b/src/balancing/server_loads.cpp
@@ -7,46 +7,68 @@
 namespace {
 
 constexpr uint32_t MaxDoublings = 16;
+constexpr uint64_t MaxPart = 255; ///< LoadShare::UrgentPart of the whole.
 
 uint32_t saturate(uint64_t value) {
   return static_cast<uint32_t>(std::min<uint64_t>(value, UINT32_MAX));
 }
 
+/// Subtracts without passing zero.
+void reduce(uint64_t &value, uint64_t by) { value -= std::min(value, by); }
+
+/// The part of the whole in units of 1/MaxPart, for a load message.
+uint8_t partOf(uint64_t part, uint64_t whole) {
+  return whole == 0
+             ? 0
+             : static_cast<uint8_t>(std::min(part, whole) * MaxPart / whole);
+}
+
+uint64_t urgentTokens(const LoadShare &share) {
+  return uint64_t{share.WaitingTokens} * share.UrgentPart / MaxPart;
+}
+
 } // namespace
 
-void ServerLoads::onSent(direct::ServerRef server, uint64_t tokens,
+void ServerLoads::onSent(direct::ServerRef server, RequestLoad request,
                          TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   if (state.Running++ == 0)
     state.LastActivity = now;
-  state.WaitingTokens += tokens;
-  state.HeldTokens += tokens;
+  state.WaitingTokens += request.Tokens;
+  state.UrgentTokens += request.IsUrgent ? request.Tokens : 0;
+  state.HeldTokens += request.Tokens;
   state.LastUsed = now;
 }
 
+void ServerLoads::removeWaiting(State &state, RequestLoad request) {
+  reduce(state.WaitingTokens, request.Tokens);
+  if (request.IsUrgent)
+    reduce(state.UrgentTokens, request.Tokens);
+}
+
 void ServerLoads::onActivity(direct::ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
   Servers[server.key()].LastActivity = now;
 }
 
-void ServerLoads::onFirstByte(direct::ServerRef server, uint64_t tokens,
+void ServerLoads::onFirstByte(direct::ServerRef server, RequestLoad request,
                               TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   state.LastActivity = now;
   state.Rejections = 0;
-  state.WaitingTokens -= std::min(state.WaitingTokens, tokens);
+  removeWaiting(state, request);
 }
 
-void ServerLoads::onEnded(direct::ServerRef server, uint64_t tokens,
+void ServerLoads::onEnded(direct::ServerRef server, RequestLoad request,
                           bool hadFirstByte, TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   state.Running -= std::min(state.Running, 1U);
-  state.HeldTokens -= std::min(state.HeldTokens, tokens);
+  reduce(state.HeldTokens, request.Tokens);
   if (!hadFirstByte)
-    state.WaitingTokens -= std::min(state.WaitingTokens, tokens);
+    removeWaiting(state, request);
   state.LastUsed = now;
 }
 
@@ -118,6 +140,7 @@
     PeerSum &sum = Sums[share.ServerKey];
     sum.Running += share.Running;
     sum.WaitingTokens += share.WaitingTokens;
+    sum.UrgentTokens += urgentTokens(share);
     sum.HeldTokens += share.HeldTokens;
     ++sum.Entries;
   }
@@ -131,6 +154,7 @@
     auto sum = Sums.find(share.ServerKey);
     sum->second.Running -= share.Running;
     sum->second.WaitingTokens -= share.WaitingTokens;
+    sum->second.UrgentTokens -= urgentTokens(share);
     sum->second.HeldTokens -= share.HeldTokens;
     if (--sum->second.Entries == 0)
       Sums.erase(sum);
@@ -175,6 +199,7 @@
         now >= state.LastActivity + Settings.InactivityTimeout;
     out = {state.Running,
            state.WaitingTokens,
+           state.UrgentTokens,
            state.HeldTokens,
            isUnresponsive || now < state.AvoidUntil,
            false,
@@ -187,6 +212,7 @@
     return out;
   out.Running += sum->second.Running;
   out.WaitingTokens += sum->second.WaitingTokens;
+  out.UrgentTokens += sum->second.UrgentTokens;
   out.HeldTokens += sum->second.HeldTokens;
   return out;
 }
@@ -197,7 +223,8 @@
   for (const auto &[serverKey, state] : Servers)
     if (state.Running > 0)
       out.push_back({serverKey, state.Running, saturate(state.WaitingTokens),
-                     saturate(state.HeldTokens)});
+                     saturate(state.HeldTokens),
+                     partOf(state.UrgentTokens, state.WaitingTokens)});
   return out;
 }
 
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -55,6 +55,8 @@
   uint32_t Running = 0; ///< Requests in flight from all entries.
   /// Prompt tokens of requests that have not got their first byte yet.
   uint64_t WaitingTokens = 0;
+  /// Part of WaitingTokens that belongs to requests of priority 0.
+  uint64_t UrgentTokens = 0;
   uint64_t HeldTokens = 0; ///< Prompt tokens of all requests in flight.
   bool IsAvoided = false;  ///< Unresponsive, or rejected a request recently.
   bool IsLeaving = false;  ///< The server announced that it will shut down.
@@ -67,6 +69,17 @@
   auto operator<=>(const ServerLoadView &) const = default;
 };
 
+/// Load that one request puts on a server.
+struct RequestLoad {
+  /// Implicit, as most requests that are not urgent are given by their tokens.
+  RequestLoad(uint64_t tokens, bool isUrgent = false)
+      : Tokens(tokens), IsUrgent(isUrgent) {}
+
+  uint64_t Tokens;       ///< Of the prompt.
+  bool IsUrgent = false; ///< The request has priority 0.
+  auto operator<=>(const RequestLoad &) const = default;
+};
+
 /// Load that one entry puts on one server, and what the entry has observed of
 /// the server, as passed on between entries. The counts are those of
 /// ServerLoadView, for that entry alone.
@@ -99,15 +112,16 @@
 public:
   explicit ServerLoads(ServerLoadSettings settings) : Settings(settings) {}
 
-  void onSent(direct::ServerRef server, uint64_t tokens, TimePoint now);
+  void onSent(direct::ServerRef server, RequestLoad request, TimePoint now);
   /// The server sent at least one byte.
   void onActivity(direct::ServerRef server, TimePoint now);
   /// The prompt was prefilled: its tokens are no longer waiting. The request is
   /// still running.
-  void onFirstByte(direct::ServerRef server, uint64_t tokens, TimePoint now);
+  void onFirstByte(direct::ServerRef server, RequestLoad request,
+                   TimePoint now);
   /// The request has ended. `hadFirstByte` is true if onFirstByte() was called
   /// for it.
-  void onEnded(direct::ServerRef server, uint64_t tokens, bool hadFirstByte,
+  void onEnded(direct::ServerRef server, RequestLoad request, bool hadFirstByte,
                TimePoint now);
   /// The server rejected a request or refused a connection for it.
   void onRejected(direct::ServerRef server, TimePoint now);
@@ -148,6 +162,7 @@
   struct State {
     uint32_t Running = 0;
     uint64_t WaitingTokens = 0;
+    uint64_t UrgentTokens = 0;
     uint64_t HeldTokens = 0;
     /// When the server last sent something, or when a request was sent to it
     /// while no other was in flight, whichever is later.
@@ -167,10 +182,13 @@
   struct PeerSum {
     uint32_t Running = 0;
     uint64_t WaitingTokens = 0;
+    uint64_t UrgentTokens = 0;
     uint64_t HeldTokens = 0;
     uint32_t Entries = 0; ///< Number of reports in the sum.
   };
 
+  /// The request's prompt no longer waits for its prefill.
+  static void removeWaiting(State &state, RequestLoad request);
   void addToSums(const PeerReport &report);
   /// Drops the entry's report, and subtracts it from the sums.
   void removeReport(const std::string &entry) const;
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -203,7 +203,8 @@
   out.CacheScope =
       cacheScope(request.Organisation, request.IsIsolated, out.WeightVersion);
   out.QueuedTokens = head.PromptTokens;
-  out.TokensAhead = candidate.Load.WaitingTokens;
+  out.TokensAhead =
+      admission::tokensAhead(Settings.Queue, candidate.Load, request.Priority);
   out.RunningTokens = candidate.Load.HeldTokens;
   out.PrefillTokensPerMs = Rates.tokensPerMs(request.Service);
   if (service->Engine->HasManagedContext && head.Parts.size() >= 2)
--- a/src/direct/placement_cost.cpp
+++ b/src/direct/placement_cost.cpp
@@ -27,7 +27,9 @@
 double PlacementCost::firstTokenMs(const ForwardRequest &request,
                                    const balancing::ServerLoadView &load,
                                    uint64_t prefillTokens) const {
-  auto waitingTokens = static_cast<double>(load.WaitingTokens + prefillTokens);
+  auto waitingTokens = static_cast<double>(
+      admission::tokensAhead(Settings.Queue, load, request.Priority) +
+      prefillTokens);
   bool hasPrompt = !request.Head.Model.empty();
   return (hasPrompt ? Settings.MinFirstTokenMs : 0) +
          prefillMs(request, waitingTokens) + load.Running * Settings.RunningMs;
--- a/src/direct/placement_settings.h
+++ b/src/direct/placement_settings.h
@@ -1,6 +1,7 @@
 /// Settings of placement, shared by all its modules.
 #pragma once
 
+#include "admission/queue_limit.h"
 #include "daisytack/types.h"
 
 #include <cstddef>
@@ -67,14 +68,8 @@
   /// answer only after this share of the time that the caller will wait:
   /// prefilling it would delay other requests for nothing.
   double PatienceShare = 0.9;
-  /// A prompt is also refused when the tokens queued at the best server take
-  /// longer to prefill than this share of the tightest latency target of the
-  /// service's routes; 0: no limit. For requests of the most urgent priority,
-  /// which overtake the queue, the limit is multiplied by UrgentQueueFactor.
-  /// Longer queues reinforce themselves: fetches are late and memory is
-  /// exhausted, and both cause prompts to be prefilled again.
-  double QueueShare = 0.6;
-  double UrgentQueueFactor = 1.5;
+  /// Limit on the queue at the best server; a prompt beyond it is refused.
+  admission::QueueLimitSettings Queue;
   /// Retry-After, as a share of the target latency, for callers refused because
   /// of a queue or of memory. A retry after this time can still be answered
   /// within the target. The delay is longer only if the queue is known to last
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -100,11 +100,13 @@
       "placement.patience_share", place.PatienceShare, 0, NumberUpperBound);
   place.FetchedWeight = settings.number(
       "placement.fetched_weight", place.FetchedWeight, 0, NumberUpperBound);
-  place.QueueShare = settings.number("placement.queue_share", place.QueueShare,
-                                     0, NumberUpperBound);
-  place.UrgentQueueFactor =
-      settings.number("placement.urgent_queue_factor", place.UrgentQueueFactor,
+  place.Queue.QueueShare = settings.number(
+      "placement.queue_share", place.Queue.QueueShare, 0, NumberUpperBound);
+  place.Queue.UrgentFactor =
+      settings.number("placement.urgent_queue_factor", place.Queue.UrgentFactor,
                       0, NumberUpperBound);
+  place.Queue.IsByTarget =
+      settings.flag("admission.queue_by_target", place.Queue.IsByTarget);
   place.OverloadRetryShare =
       settings.number("placement.overload_retry_share",
                       place.OverloadRetryShare, 0, NumberUpperBound);
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -29,6 +29,10 @@
 /// takes about a microsecond.
 constexpr size_t MaxCommonBodyBytes = 1024;
 
+balancing::RequestLoad loadOf(const AttemptOrder &order) {
+  return {order.QueuedTokens, order.Priority == 0};
+}
+
 /// Ids of the prompt parts that other requests may share, for the log.
 std::string sharedPartsText(const direct::CallerHead &head) {
   std::string out;
@@ -358,7 +362,7 @@
   State.Stats.Attempts.add();
   if (order.OutdatedFor > Duration::zero())
     State.Stats.OutdatedAttempts.add();
-  State.Loads.onSent(order.server(), order.QueuedTokens, now);
+  State.Loads.onSent(order.server(), loadOf(order), now);
   uint64_t saves = 0;
   uint64_t sourced = 0;
   for (size_t i = 0; i < order.Sources.size(); ++i) {
@@ -433,7 +437,7 @@
   AnswerStatus = head.Status;
   if (!head.WasNotRun) {
     FirstByteAt = now;
-    State.Loads.onFirstByte(Order.server(), Order.QueuedTokens, now);
+    State.Loads.onFirstByte(Order.server(), loadOf(Order), now);
     observeLink(now);
     State.PrefillRates.observe(Flow.request().Service, Order.PrefillTokens,
                                Order.TokensAhead, now - SentAt);
@@ -480,8 +484,8 @@
 
 void GatewayRequest::recordResult(uint32_t attempt, const AttemptOrder &order,
                                   AttemptResult result, TimePoint now) {
-  State.Loads.onEnded(order.server(), order.QueuedTokens,
-                      FirstByteAt.has_value(), now);
+  State.Loads.onEnded(order.server(), loadOf(order), FirstByteAt.has_value(),
+                      now);
   bool isSuccess = result == AttemptResult::Answered;
   bool wasRefused = result == AttemptResult::TurnedAway ||
                     result == AttemptResult::Misdirected;
--- a/tests/balancing/server_loads_test.cpp
+++ b/tests/balancing/server_loads_test.cpp
@@ -15,6 +15,26 @@
 
 const TimePoint Start{Duration(1'000'000'000)};
 
+/// Guards against urgent requests that wait, by the entry's own count, for
+/// prompts which engines prefill after theirs.
+TEST(ServerLoads, CountsWaitingTokensOfUrgentRequests) {
+  ServerLoads loads{{}};
+  loads.onSent("a", 3000, Start);
+  loads.onSent("a", {1000, true}, Start);
+  EXPECT_EQ(loads.view("a", Start).UrgentTokens, 1000);
+  ServerLoads other{{}};
+  other.onPeerReport("entry", loads.ownLoads(), 100ms, Start);
+  EXPECT_NEAR(other.view("a", Start).UrgentTokens, 1000, 4000 / 255.0);
+  loads.onFirstByte("a", {1000, true}, Start);
+  EXPECT_EQ(loads.view("a", Start).UrgentTokens, 0);
+  EXPECT_EQ(loads.view("a", Start).WaitingTokens, 3000);
+  loads.onSent("a", {500, true}, Start);
+  loads.onEnded("a", {500, true}, false, Start);
+  EXPECT_EQ(loads.view("a", Start).UrgentTokens, 0);
+  other.onPeerReport("entry", loads.ownLoads(), 100ms, Start);
+  EXPECT_EQ(other.view("a", Start).UrgentTokens, 0);
+}
+
 TEST(ServerLoads, AvoidsASilentServerOnlyWhileARequestIsInFlight) {
   ServerLoads loads{{}};
   loads.onSent("a", 100, Start);
@@ -57,6 +77,7 @@
         if (it.ServerKey == name && now < report.first)
           out = {out.Running + it.Running,
                  out.WaitingTokens + it.WaitingTokens,
+                 out.UrgentTokens + it.WaitingTokens * it.UrgentPart / 255,
                  out.HeldTokens + it.HeldTokens,
                  false,
                  false,
@@ -88,7 +109,8 @@
       if (*rc::gen::arbitrary<bool>())
         shares.push_back({direct::stableHash(std::to_string(server)),
                           *rc::gen::inRange(0U, 9U), *rc::gen::inRange(0U, 99U),
-                          *rc::gen::inRange(0U, 99U)});
+                          *rc::gen::inRange(0U, 99U),
+                          *rc::gen::arbitrary<uint8_t>()});
     loads.onPeerReport(entry, shares, period, now);
     Duration lifetime = std::min<Duration>(5 * period, 10s);
     recomputed.onPeerReport(entry, std::move(shares), now + lifetime);
