Serve organisations in proportion in a shortage

One organisation of 24 that sent a third of all requests had 8 to 13% of them refused, as had the 23 others: nothing compared what organisations use.

While a service refuses requests for load, entries estimate from their own requests and from each other's reports what each organisation requests. One that requests more than 1.5 times its max-min share is accepted behind shorter queues and less memory only (factor 0.5 at least); all others have factor 1. Refusals say their cause, queue, limit and share, and are counted by cause.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -6,18 +6,35 @@
 
 namespace daisytack::admission {
 
+std::string_view busyReasonName(BusyReason reason) {
+  switch (reason) {
+  case BusyReason::None:
+    return "none";
+  case BusyReason::Memory:
+    return "memory";
+  case BusyReason::Queue:
+    return "queue";
+  case BusyReason::Patience:
+    return "patience";
+  case BusyReason::Share:
+    return "share";
+  }
+  return "unknown";
+}
+
 Admission::Admission(direct::PlacementSettings settings,
                      const direct::PlacementCost &cost)
     : Settings(settings), Cost(cost) {}
 
 bool Admission::hasMemory(const direct::ForwardRequest &request,
                           const direct::Catalog &catalog,
-                          const balancing::ServerLoadView &load) const {
+                          const balancing::ServerLoadView &load,
+                          double limitFactor) const {
   const direct::Service *service = catalog.Config->findService(request.Service);
   if (!service || !service->Engine || service->Engine->ContextTokens == 0)
     return true;
   double capacity = static_cast<double>(service->Engine->ContextTokens) *
-                    Settings.MemoryShare;
+                    Settings.MemoryShare * limitFactor;
   uint64_t needed = load.HeldTokens + request.Head.PromptTokens;
   // A server without running requests accepts prompts of any length: the
   // longest would fit nowhere else.
@@ -26,11 +43,14 @@
 
 std::optional<double>
 Admission::maxQueueMs(const direct::ForwardRequest &request,
-                      const direct::Catalog &catalog) const {
-  return queueLimitMs(Settings.Queue,
-                      {request.MatchedRoute.TargetLatency,
-                       catalog.Config->minTargetLatency(request.Service)},
-                      request.Priority);
+                      const direct::Catalog &catalog,
+                      double limitFactor) const {
+  std::optional<double> out =
+      queueLimitMs(Settings.Queue,
+                   {request.MatchedRoute.TargetLatency,
+                    catalog.Config->minTargetLatency(request.Service)},
+                   request.Priority);
+  return out ? std::optional(*out * limitFactor) : std::nullopt;
 }
 
 double Admission::queueMs(const direct::ForwardRequest &request,
@@ -39,33 +59,47 @@
                                      Settings.Queue, load, request.Priority)));
 }
 
-bool Admission::isTooBusy(const direct::ForwardRequest &request,
-                          const direct::Catalog &catalog,
-                          const balancing::ServerLoadView &load,
-                          TimePoint now) const {
+BusyState Admission::busyStateWithin(const direct::ForwardRequest &request,
+                                     const direct::Catalog &catalog,
+                                     const balancing::ServerLoadView &load,
+                                     double limitFactor, TimePoint now) const {
+  BusyState out;
   if (request.Head.Model.empty())
-    return false;
-  if (!hasMemory(request, catalog, load))
-    return true;
-  std::optional<double> maxMs = maxQueueMs(request, catalog);
-  if (maxMs && queueMs(request, load) > *maxMs)
-    return true;
+    return out;
+  out.QueueMs = queueMs(request, load);
+  out.QueueLimitMs = maxQueueMs(request, catalog, limitFactor);
   Duration waitLimit = request.Deadline - now;
   if (request.MatchedRoute.MaxFirstEventWait > Duration::zero())
     waitLimit = std::min(waitLimit, request.MatchedRoute.MaxFirstEventWait);
-  if (waitLimit <= Duration::zero())
-    return false;
-  double earliestMs = Cost.firstTokenMs(request, load, 0);
-  return earliestMs * 1000 >
-         static_cast<double>(waitLimit.count()) * Settings.PatienceShare;
+  double maxFirstTokenMs = millisecondsOf(waitLimit) * Settings.PatienceShare;
+  if (!hasMemory(request, catalog, load, limitFactor))
+    out.Reason = BusyReason::Memory;
+  else if (out.QueueLimitMs && out.QueueMs > *out.QueueLimitMs)
+    out.Reason = BusyReason::Queue;
+  else if (waitLimit > Duration::zero() &&
+           Cost.firstTokenMs(request, load, 0) > maxFirstTokenMs)
+    out.Reason = BusyReason::Patience;
+  return out;
+}
+
+BusyState Admission::busyState(const direct::ForwardRequest &request,
+                               const direct::Catalog &catalog,
+                               const balancing::ServerLoadView &load,
+                               double limitFactor, TimePoint now) const {
+  BusyState out = busyStateWithin(request, catalog, load, limitFactor, now);
+  if (out.isBusy() && limitFactor < 1 &&
+      !busyStateWithin(request, catalog, load, 1, now).isBusy())
+    out.Reason = BusyReason::Share;
+  return out;
 }
 
 Duration Admission::retryAfter(const direct::ForwardRequest &request,
                                const direct::Catalog &catalog,
-                               const balancing::ServerLoadView &load) const {
+                               const balancing::ServerLoadView &load,
+                               double limitFactor) const {
   Duration minDelay =
       scaled(request.MatchedRoute.TargetLatency, Settings.OverloadRetryShare);
-  std::optional<double> maxMs = maxQueueMs(request, catalog);
+  std::optional<double> maxMs = maxQueueMs(request, catalog, limitFactor);
   if (!maxMs)
     return minDelay;
   double excessMs = queueMs(request, load) - *maxMs;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -1,6 +1,7 @@
 /// Messages between entries on the direct path.
 #pragma once
 
+#include "admission/organisation_shares.h"
 #include "balancing/request_limits.h"
 #include "balancing/server_loads.h"
 #include "direct/crash_reports.h"
@@ -129,6 +130,7 @@
     std::variant<RecordsRequest, RecordsResponse, ServersLoading, ServerLoaded,
                  EntryLoads, ContextRetired, Acknowledgement, CrashReports,
                  RequestLimitUpdate, RolloutAges, StreamsBegan,
-                 StreamOriginRequest, StreamOriginResponse>;
+                 StreamOriginRequest, StreamOriginResponse,
+                 admission::OrganisationUse>;
 
 } // namespace daisytack::direct
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -112,8 +112,8 @@
 
 std::optional<Placement::Choice>
 Placement::selectServer(const ForwardRequest &request, const Catalog &catalog,
-                        const Candidates &servers, TimePoint now,
-                        Error &reason) const {
+                        const Candidates &servers, double limitFactor,
+                        TimePoint now, Refusal &refusal) const {
   Choice out;
   if (request.Head.Parts.empty()) {
     out.Server = cheapest(request, servers, nullptr);
@@ -122,23 +122,32 @@
     out.Home = candidates.front().Server;
     out.Server = cheapest(request, candidates, out.Home);
   }
-  if (AdmissionControl.isTooBusy(request, catalog, out.Server.Load, now))
+  auto busyState = [&] {
+    return AdmissionControl.busyState(request, catalog, out.Server.Load,
+                                      limitFactor, now);
+  };
+  admission::BusyState busy = busyState();
+  if (busy.isBusy()) {
     out.Server = cheapest(request, spareCandidates(request, servers), out.Home);
-  if (!AdmissionControl.isTooBusy(request, catalog, out.Server.Load, now))
+    busy = busyState();
+  }
+  if (!busy.isBusy())
     return out;
-  reason = {ErrorKind::Overloaded,
-            "every backend server that may be asked is too busy",
-            AdmissionControl.retryAfter(request, catalog, out.Server.Load)};
+  refusal.Busy = busy;
+  refusal.Reason = {ErrorKind::Overloaded,
+                    "every backend server that may be asked is too busy",
+                    AdmissionControl.retryAfter(request, catalog,
+                                                out.Server.Load, limitFactor)};
   return std::nullopt;
 }
 
 bool Placement::canChoose(const ForwardRequest &request, const Catalog &catalog,
                           const ServerCriteria &criteria, TimePoint now) const {
-  Error unused;
+  Refusal unused;
   Candidates servers =
-      Eligible.servers(request, catalog, criteria, now, unused);
-  return !servers.empty() &&
-         selectServer(request, catalog, servers, now, unused);
+      Eligible.servers(request, catalog, criteria, now, unused.Reason);
+  return !servers.empty() && selectServer(request, catalog, servers,
+                                          criteria.LimitFactor, now, unused);
 }
 
 std::optional<TimePoint>
@@ -157,15 +166,28 @@
                   const ServerCriteria &criteria,
                   std::optional<int64_t> serversClockMs, TimePoint now,
                   Error &reason) {
+  Refusal refusal;
+  std::optional<AttemptChoice> out =
+      choose(request, catalog, criteria, serversClockMs, now, refusal);
+  if (!out)
+    reason = std::move(refusal.Reason);
+  return out;
+}
+
+std::optional<AttemptChoice>
+Placement::choose(const ForwardRequest &request, const Catalog &catalog,
+                  const ServerCriteria &criteria,
+                  std::optional<int64_t> serversClockMs, TimePoint now,
+                  Refusal &refusal) {
   // Another thread may use up this entry's quota for the chosen server in the
   // meantime. Then the remaining servers are considered again.
   for (;;) {
     Candidates servers =
-        Eligible.servers(request, catalog, criteria, now, reason);
+        Eligible.servers(request, catalog, criteria, now, refusal.Reason);
     if (servers.empty())
       return std::nullopt;
-    std::optional<Choice> choice =
-        selectServer(request, catalog, servers, now, reason);
+    std::optional<Choice> choice = selectServer(
+        request, catalog, servers, criteria.LimitFactor, now, refusal);
     if (!choice)
       return std::nullopt;
     if (!Eligible.tryAcquire(choice->Server, catalog, now))
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -30,6 +30,14 @@
   balancing::RequestLimits &Limits;
 };
 
+/// Why no server was chosen.
+struct Refusal {
+  Error Reason;
+  /// Of the best server, if it is too busy.
+  std::optional<admission::BusyState> Busy;
+  bool operator==(const Refusal &) const = default;
+};
+
 /// Thread-safe.
 class Placement {
 public:
@@ -42,6 +50,12 @@
   /// Chooses a server that meets the criteria; nullopt, with the reason, when
   /// there is none. As side effects, records the saves that it plans and counts
   /// the request against the quota of a cold or rate-limited server.
+  std::optional<AttemptChoice> choose(const ForwardRequest &request,
+                                      const Catalog &catalog,
+                                      const ServerCriteria &criteria,
+                                      std::optional<int64_t> serversClockMs,
+                                      TimePoint now, Refusal &refusal);
+  /// As above, for callers that need no more than the error.
   std::optional<AttemptChoice> choose(const ForwardRequest &request,
                                       const Catalog &catalog,
                                       const ServerCriteria &criteria,
@@ -70,8 +84,9 @@
   /// The best of the servers; nullopt, with the reason, when it is too busy.
   std::optional<Choice> selectServer(const ForwardRequest &request,
                                      const Catalog &catalog,
-                                     const Candidates &servers, TimePoint now,
-                                     Error &reason) const;
+                                     const Candidates &servers,
+                                     double limitFactor, TimePoint now,
+                                     Refusal &refusal) const;
   /// Servers for the request's session, the home server first.
   Candidates sessionCandidates(const ForwardRequest &request,
                                const Candidates &servers) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -282,6 +282,8 @@
       [now = monotonicNow()](const auto &it) { return now < it.ColdUntil; }));
   State.Stats.ServersLimited.set(
       static_cast<int64_t>(State.Limits.limitedCount()));
+  State.Stats.ServicesShort.set(
+      static_cast<int64_t>(State.Shares.shortCount(monotonicNow())));
   State.Stats.DomainsEvacuated.set(
       static_cast<int64_t>(catalog->Evacuated.size()));
   exchange.respond({net::StatusOk,
@@ -414,6 +416,7 @@
   State.Loads.forgetIdle(now - LoadRetention);
   State.ColdServers.forgetIdle(now - LoadRetention);
   State.Limits.forgetIdle(now - LimitRetention);
+  State.Shares.forgetIdle(now - LoadRetention);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   State.OriginExchange->onTimer(now);
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -107,6 +107,10 @@
                       0, NumberUpperBound);
   place.Queue.IsByTarget =
       settings.flag("admission.queue_by_target", place.Queue.IsByTarget);
+  out.Shares.IsEnabled =
+      settings.flag("admission.fair_shares", out.Shares.IsEnabled);
+  out.Shares.MinFactor =
+      settings.number("admission.min_share_factor", out.Shares.MinFactor, 0, 1);
   place.OverloadRetryShare =
       settings.number("placement.overload_retry_share",
                       place.OverloadRetryShare, 0, NumberUpperBound);
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -2,6 +2,7 @@
 /// servers.
 #pragma once
 
+#include "admission/organisation_shares.h"
 #include "balancing/prefill_rate.h"
 #include "balancing/server_loads.h"
 #include "base/decision_log.h"
@@ -98,6 +99,7 @@
   RetryShareSettings Retries;
   EjectionSettings Ejection;
   direct::CrashSuspectSettings Suspects;
+  admission::OrganisationShareSettings Shares;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
   balancing::SlowStartSettings SlowStart;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -5,6 +5,7 @@
 #include "direct/rendezvous.h"
 #include "direct/request_signatures.h"
 #include "gateway/quarantine.h"
+#include "gateway/request_admission.h"
 #include "gateway/server_limit.h"
 #include "gateway/stream_origin_exchange.h"
 #include "net/http_status.h"
@@ -177,8 +178,9 @@
   out.CanChooseServer = [this](const auto &criteria, TimePoint now) {
     Error unused;
     return !mustNotAttempt(now, unused) &&
-           State.Placer.canChoose(Flow.request(), *State.catalog(), criteria,
-                                  now);
+           State.Placer.canChoose(
+               Flow.request(), *State.catalog(),
+               withLimitFactor(State, Flow.request(), criteria, now), now);
   };
   out.BeginStream = [this](const AttemptOrder &order) {
     return beginStream(order);
@@ -259,8 +261,19 @@
     return std::nullopt;
   }
   auto catalog = State.catalog();
-  return State.Placer.choose(Flow.request(), *catalog, criteria,
-                             State.serverTimeForFetches(now), now, reason);
+  direct::ServerCriteria limited =
+      withLimitFactor(State, Flow.request(), criteria, now);
+  direct::Refusal refused;
+  std::optional<direct::AttemptChoice> out =
+      State.Placer.choose(Flow.request(), *catalog, limited,
+                          State.serverTimeForFetches(now), now, refused);
+  if (Flow.attempts() == 0)
+    recordAdmission(State, Flow.request(), out.has_value(), refused, now);
+  if (!out) {
+    reason = std::move(refused.Reason);
+    reason.Detail += loadDetail(refused, limited.LimitFactor);
+  }
+  return out;
 }
 
 RetryBudget &GatewayRequest::budget() {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -7,6 +7,8 @@
 
 namespace daisytack::gateway {
 
+using admission::BusyReason;
+
 namespace {
 
 /// A server of the same deployment accepts a connection within a few
@@ -89,6 +91,13 @@
   return out;
 }
 
+Counter &refusedForLoad(Metrics &metrics, BusyReason reason) {
+  return metrics.counter(
+      "daisytack_requests_refused_for_load_total",
+      "Requests refused as every backend server was too busy, by cause",
+      {{"cause", std::string(admission::busyReasonName(reason))}});
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics(Metrics &metrics)
@@ -99,6 +108,10 @@
       RefusedForWeights(metrics.counter(
           "daisytack_requests_refused_for_weights_total",
           "Requests refused as only weights past the rollout limit were left")),
+      RefusedForMemory(refusedForLoad(metrics, BusyReason::Memory)),
+      RefusedForQueue(refusedForLoad(metrics, BusyReason::Queue)),
+      RefusedForPatience(refusedForLoad(metrics, BusyReason::Patience)),
+      RefusedForShare(refusedForLoad(metrics, BusyReason::Share)),
       Failed(metrics.counter("daisytack_requests_failed_total",
                              "Requests that ended without a server's answer")),
       AnswersBroken(metrics.counter("daisytack_answers_broken_total",
@@ -153,6 +166,9 @@
       ServersCold(metrics.gauge(
           "daisytack_servers_cold",
           "Backend servers that count as cold, and get few requests")),
+      ServicesShort(metrics.gauge(
+          "daisytack_services_short",
+          "Services that refused requests for load within the last second")),
       ServersLimited(metrics.gauge(
           "daisytack_servers_limited",
           "Backend servers that named a limit on requests in their answers")),
@@ -209,7 +225,7 @@
       Suspects(options.Suspects), Origins({}), Software({}),
       StoredParts(options.StoredParts),
       ColdServers(options.SlowStart, options.Peers, monotonicNow()),
-      Limits({}, options.Peers, monotonicNow()),
+      Limits({}, options.Peers, monotonicNow()), Shares(options.Shares),
       Placer(options.Placement, {options.FailureDomain, options.Regions},
              {Loads, Links, OutlierEjector, PrefillRates, StoredParts,
               ColdServers, Limits}),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -1,6 +1,7 @@
 /// State that all requests of one entry share.
 #pragma once
 
+#include "admission/organisation_shares.h"
 #include "balancing/request_limits.h"
 #include "base/decision_log.h"
 #include "base/metrics.h"
@@ -33,6 +34,10 @@
   Counter &Requests;
   Counter &Refused;
   Counter &RefusedForWeights;
+  Counter &RefusedForMemory;
+  Counter &RefusedForQueue;
+  Counter &RefusedForPatience;
+  Counter &RefusedForShare;
   Counter &Failed;
   Counter &AnswersBroken;
   Counter &CallersGone;
@@ -55,6 +60,7 @@
   Gauge &PartsKnown;
   Gauge &ServersKnown;
   Gauge &ServersCold;
+  Gauge &ServicesShort;
   Gauge &ServersLimited;
   Gauge &DomainsEvacuated;
   Gauge &ServiceReachable;
@@ -133,6 +139,7 @@
   direct::KeptContext StoredParts;
   balancing::SlowStart ColdServers;
   balancing::RequestLimits Limits;
+  admission::OrganisationShares Shares;
   direct::Placement Placer;
   RetryBudgets Retries;
   ServerClock Clock;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -13,6 +13,14 @@
 
 using boost::asio::ip::udp;
 
+namespace {
+
+/// Maximum number of intervals over which messages to all entries are spread,
+/// up to which entries report what organisations request.
+constexpr size_t MaxUseRounds = 3;
+
+} // namespace
+
 LoadExchange::LoadExchange(GatewayState &state, Strand strand,
                            LoadExchangeSettings settings,
                            OtherMessageHook onOther)
@@ -76,6 +84,8 @@
     return State.Limits.onPeerReports(limits->ServerLimits, now);
   if (const auto *ages = std::get_if<direct::RolloutAges>(&*message))
     return learnVersionAges(State, ages->Versions, "entry", now);
+  if (const auto *use = std::get_if<admission::OrganisationUse>(&*message))
+    return State.Shares.onPeerReport(*use, now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
   if (!loads)
     return OnOther({Sender.address().to_string(), Sender.port()}, *message);
@@ -133,6 +143,12 @@
   direct::RolloutAges ages{catalog->rolloutAges(now)};
   if (!ages.Versions.empty())
     messages.push_back(wire::encode(direct::PeerMessage(std::move(ages))));
+  // In a larger deployment each entry gets enough requests to judge by itself,
+  // and reports to all entries would exceed the budget for messages.
+  if (rounds <= MaxUseRounds)
+    for (admission::OrganisationUse &use :
+         State.Shares.takeReports(State.Options.Name, period, now))
+      messages.push_back(wire::encode(direct::PeerMessage(std::move(use))));
   for (size_t i = 0; i < std::min(n, Settings.MaxPeersPerInterval); ++i) {
     const direct::EntryPeer &peer = catalog->Entries[NextPeer++ % n];
     if (peer.Peer == State.Options.Peers)
