Spread returns of refused callers and honour their tickets

Retry-After was 0.3 of the target for nearly all refusals, so callers that were refused together returned together, and were refused again beside new ones.

The time of return is now spread by a hash of the request, over a range that grows with the shortage, within what the caller can wait and, if possible, within the target. A refused request leaves a ticket, which entries pass on while requests are refused; a return that is due finds the whole limit, and others the limit less what is due, at most a quarter. A ticket that is not used expires after 500 ms; an early return drops its ticket.

--- a/src/admission/organisation_shares.cpp
+++ b/src/admission/organisation_shares.cpp
@@ -46,6 +46,8 @@
 }
 
 void OrganisationShares::beginShortage(ServiceState &state, TimePoint now) {
+  if (now >= state.ShortUntil)
+    state.ShortSince = now;
   state.ShortUntil = std::max(state.ShortUntil, now + Settings.ShortageTime);
   int64_t until = microsecondsOf(state.ShortUntil);
   if (ShortUntil.load(std::memory_order_relaxed) < until)
@@ -56,8 +58,6 @@
                                     std::string_view organisation,
                                     uint64_t tokens, bool wasAdmitted,
                                     TimePoint now) {
-  if (!Settings.IsEnabled)
-    return;
   uint32_t key = organisationKey(organisation);
   std::lock_guard guard(Lock);
   ServiceState &state = Services[direct::stableHash(service)];
@@ -78,8 +78,6 @@
 
 void OrganisationShares::onPeerReport(const OrganisationUse &report,
                                       TimePoint now) {
-  if (!Settings.IsEnabled)
-    return;
   Duration period = std::clamp(Duration(report.Period), Duration::zero(),
                                Duration(10'000'000));
   std::lock_guard guard(Lock);
@@ -124,7 +122,8 @@
 double OrganisationShares::factor(std::string_view service,
                                   std::string_view organisation,
                                   TimePoint now) {
-  if (microsecondsOf(now) >= ShortUntil.load(std::memory_order_relaxed))
+  if (!Settings.IsEnabled ||
+      microsecondsOf(now) >= ShortUntil.load(std::memory_order_relaxed))
     return 1;
   std::lock_guard guard(Lock);
   auto found = Services.find(direct::stableHash(service));
@@ -137,11 +136,13 @@
   return it == state.Factors.end() ? 1 : it->second;
 }
 
-bool OrganisationShares::isShort(std::string_view service,
-                                 TimePoint now) const {
+Duration OrganisationShares::shortageAge(std::string_view service,
+                                         TimePoint now) const {
   std::lock_guard guard(Lock);
   auto it = Services.find(direct::stableHash(service));
-  return it != Services.end() && now < it->second.ShortUntil;
+  if (it == Services.end() || now >= it->second.ShortUntil)
+    return Duration::zero();
+  return now - it->second.ShortSince;
 }
 
 size_t OrganisationShares::shortCount(TimePoint now) const {
--- a/src/admission/organisation_shares.h
+++ b/src/admission/organisation_shares.h
@@ -26,7 +26,7 @@
 namespace daisytack::admission {
 
 struct OrganisationShareSettings {
-  bool IsEnabled = true;
+  bool IsEnabled = true; ///< If not, all factors are 1.
   /// Lowest factor on the limits of an organisation. Lower values would leave
   /// engines idle between two of its prompts.
   double MinFactor = 0.5;
@@ -102,7 +102,8 @@
   /// MinFactor to 1.
   double factor(std::string_view service, std::string_view organisation,
                 TimePoint now);
-  bool isShort(std::string_view service, TimePoint now) const;
+  /// How long the service has been in shortage; zero if it is not.
+  Duration shortageAge(std::string_view service, TimePoint now) const;
   /// Number of services in shortage.
   size_t shortCount(TimePoint now) const;
   /// Reports that are due, for other entries; one per service in shortage.
@@ -121,6 +122,7 @@
     TimePoint ExpiresAt;
   };
   struct ServiceState {
+    TimePoint ShortSince;   ///< Of the latest shortage.
     TimePoint ShortUntil;   ///< By refusals of all entries.
     TimePoint RefusedUntil; ///< By refusals of this entry.
     Rate Admitted;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/organisation_shares.h"
+#include "admission/return_schedule.h"
 #include "balancing/request_limits.h"
 #include "balancing/server_loads.h"
 #include "direct/crash_reports.h"
@@ -131,6 +132,6 @@
                  EntryLoads, ContextRetired, Acknowledgement, CrashReports,
                  RequestLimitUpdate, RolloutAges, StreamsBegan,
                  StreamOriginRequest, StreamOriginResponse,
-                 admission::OrganisationUse>;
+                 admission::OrganisationUse, admission::ReturnTickets>;
 
 } // namespace daisytack::direct
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -284,6 +284,11 @@
       static_cast<int64_t>(State.Limits.limitedCount()));
   State.Stats.ServicesShort.set(
       static_cast<int64_t>(State.Shares.shortCount(monotonicNow())));
+  admission::ReturnCounts returns = State.Returns.counts();
+  State.Stats.ReturnsIssued.set(static_cast<int64_t>(returns.Issued));
+  State.Stats.ReturnsUsed.set(static_cast<int64_t>(returns.Used));
+  State.Stats.ReturnsEarly.set(static_cast<int64_t>(returns.Early));
+  State.Stats.ReturnsExpired.set(static_cast<int64_t>(returns.Expired));
   State.Stats.DomainsEvacuated.set(
       static_cast<int64_t>(catalog->Evacuated.size()));
   exchange.respond({net::StatusOk,
@@ -417,6 +422,7 @@
   State.ColdServers.forgetIdle(now - LoadRetention);
   State.Limits.forgetIdle(now - LimitRetention);
   State.Shares.forgetIdle(now - LoadRetention);
+  State.Returns.onTimer(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   State.OriginExchange->onTimer(now);
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -107,6 +107,10 @@
                       0, NumberUpperBound);
   place.Queue.IsByTarget =
       settings.flag("admission.queue_by_target", place.Queue.IsByTarget);
+  out.Returns.Spread = settings.number("admission.return_spread",
+                                       out.Returns.Spread, 0, NumberUpperBound);
+  out.Returns.HasPriority =
+      settings.flag("admission.return_priority", out.Returns.HasPriority);
   out.Shares.IsEnabled =
       settings.flag("admission.fair_shares", out.Shares.IsEnabled);
   out.Shares.MinFactor =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/organisation_shares.h"
+#include "admission/return_schedule.h"
 #include "balancing/prefill_rate.h"
 #include "balancing/server_loads.h"
 #include "base/decision_log.h"
@@ -100,6 +101,7 @@
   EjectionSettings Ejection;
   direct::CrashSuspectSettings Suspects;
   admission::OrganisationShareSettings Shares;
+  admission::ReturnSettings Returns;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
   balancing::SlowStartSettings SlowStart;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -180,7 +180,8 @@
     return !mustNotAttempt(now, unused) &&
            State.Placer.canChoose(
                Flow.request(), *State.catalog(),
-               withLimitFactor(State, Flow.request(), criteria, now), now);
+               withLimitFactor(State, Flow.request(), criteria, IsReturn, now),
+               now);
   };
   out.BeginStream = [this](const AttemptOrder &order) {
     return beginStream(order);
@@ -261,15 +262,23 @@
     return std::nullopt;
   }
   auto catalog = State.catalog();
+  bool isFirst = Flow.attempts() == 0;
+  if (isFirst)
+    IsReturn = takeReturn(State, Flow.request(),
+                          contentHash(Flow.request(), Body.size()), now);
   direct::ServerCriteria limited =
-      withLimitFactor(State, Flow.request(), criteria, now);
+      withLimitFactor(State, Flow.request(), criteria, IsReturn, now);
   direct::Refusal refused;
   std::optional<direct::AttemptChoice> out =
       State.Placer.choose(Flow.request(), *catalog, limited,
                           State.serverTimeForFetches(now), now, refused);
-  if (Flow.attempts() == 0)
+  if (isFirst)
     recordAdmission(State, Flow.request(), out.has_value(), refused, now);
   if (!out) {
+    if (isFirst && refused.Busy)
+      refused.Reason.RetryAfter =
+          scheduleReturn(State, Flow.request(), refused,
+                         contentHash(Flow.request(), Body.size()), now);
     reason = std::move(refused.Reason);
     reason.Detail += loadDetail(refused, limited.LimitFactor);
   }
@@ -656,6 +665,8 @@
     fields["identity"] = toHex(identity());
     fields["shared_parts"] = sharedPartsText(request.Head);
   }
+  if (IsReturn)
+    fields["returned"] = true;
   if (outcome == "refused")
     fields["retry_after_ms"] = millisecondsOf(reason.RetryAfter);
   State.Log.write(isSuccess ? LogPriority::Routine : LogPriority::Notable,
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -107,6 +107,8 @@
   direct::ForwardFlow Flow;
   std::optional<Id128> Identity;
   std::optional<std::vector<Id128>> PartSignatures;
+  /// Whether a refused request returned when it was told to.
+  bool IsReturn = false;
   /// Whether the request was sent although it is quarantined.
   bool IsProbe = false;
   net::HttpCall Call;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -98,6 +98,13 @@
       {{"cause", std::string(admission::busyReasonName(reason))}});
 }
 
+Gauge &returnTickets(Metrics &metrics, const char *outcome) {
+  return metrics.gauge(
+      "daisytack_return_tickets",
+      "Refused requests that were told when to return, and whether they did",
+      {{"outcome", outcome}});
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics(Metrics &metrics)
@@ -169,6 +176,10 @@
       ServicesShort(metrics.gauge(
           "daisytack_services_short",
           "Services that refused requests for load within the last second")),
+      ReturnsIssued(returnTickets(metrics, "issued")),
+      ReturnsUsed(returnTickets(metrics, "used")),
+      ReturnsEarly(returnTickets(metrics, "early")),
+      ReturnsExpired(returnTickets(metrics, "expired")),
       ServersLimited(metrics.gauge(
           "daisytack_servers_limited",
           "Backend servers that named a limit on requests in their answers")),
@@ -226,6 +237,7 @@
       StoredParts(options.StoredParts),
       ColdServers(options.SlowStart, options.Peers, monotonicNow()),
       Limits({}, options.Peers, monotonicNow()), Shares(options.Shares),
+      Returns(options.Returns),
       Placer(options.Placement, {options.FailureDomain, options.Regions},
              {Loads, Links, OutlierEjector, PrefillRates, StoredParts,
               ColdServers, Limits}),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/organisation_shares.h"
+#include "admission/return_schedule.h"
 #include "balancing/request_limits.h"
 #include "base/decision_log.h"
 #include "base/metrics.h"
@@ -61,6 +62,10 @@
   Gauge &ServersKnown;
   Gauge &ServersCold;
   Gauge &ServicesShort;
+  Gauge &ReturnsIssued;
+  Gauge &ReturnsUsed;
+  Gauge &ReturnsEarly;
+  Gauge &ReturnsExpired;
   Gauge &ServersLimited;
   Gauge &DomainsEvacuated;
   Gauge &ServiceReachable;
@@ -140,6 +145,7 @@
   balancing::SlowStart ColdServers;
   balancing::RequestLimits Limits;
   admission::OrganisationShares Shares;
+  admission::ReturnSchedule Returns;
   direct::Placement Placer;
   RetryBudgets Retries;
   ServerClock Clock;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -16,8 +16,8 @@
 namespace {
 
 /// Maximum number of intervals over which messages to all entries are spread,
-/// up to which entries report what organisations request.
-constexpr size_t MaxUseRounds = 3;
+/// up to which entries send messages about a shortage.
+constexpr size_t MaxShortageRounds = 3;
 
 } // namespace
 
@@ -86,6 +86,8 @@
     return learnVersionAges(State, ages->Versions, "entry", now);
   if (const auto *use = std::get_if<admission::OrganisationUse>(&*message))
     return State.Shares.onPeerReport(*use, now);
+  if (const auto *tickets = std::get_if<admission::ReturnTickets>(&*message))
+    return State.Returns.onPeerTickets(*tickets, now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
   if (!loads)
     return OnOther({Sender.address().to_string(), Sender.port()}, *message);
@@ -145,10 +147,14 @@
     messages.push_back(wire::encode(direct::PeerMessage(std::move(ages))));
   // In a larger deployment each entry gets enough requests to judge by itself,
   // and reports to all entries would exceed the budget for messages.
-  if (rounds <= MaxUseRounds)
+  if (rounds <= MaxShortageRounds) {
     for (admission::OrganisationUse &use :
          State.Shares.takeReports(State.Options.Name, period, now))
       messages.push_back(wire::encode(direct::PeerMessage(std::move(use))));
+    admission::ReturnTickets tickets = State.Returns.takeReport(rounds, now);
+    if (!tickets.Tickets.empty())
+      messages.push_back(wire::encode(direct::PeerMessage(std::move(tickets))));
+  }
   for (size_t i = 0; i < std::min(n, Settings.MaxPeersPerInterval); ++i) {
     const direct::EntryPeer &peer = catalog->Entries[NextPeer++ % n];
     if (peer.Peer == State.Options.Peers)
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -1,6 +1,10 @@
 #include "gateway/request_admission.h"
 
+#include "direct/rendezvous.h"
+
+#include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -25,18 +29,74 @@
   return nullptr;
 }
 
+/// Share of the queue limit that is kept for refused callers who are to return
+/// now.
+double reservedShare(GatewayState &state, const direct::ForwardRequest &request,
+                     TimePoint now) {
+  if (state.Returns.isEmpty())
+    return 0;
+  uint64_t tokens = state.Returns.dueTokens(request.Service, now);
+  auto catalog = state.catalog();
+  std::optional<double> limitMs = admission::queueLimitMs(
+      state.Options.Placement.Queue,
+      {request.MatchedRoute.TargetLatency,
+       catalog->Config->minTargetLatency(request.Service)},
+      request.Priority);
+  size_t servers = catalog->serversOf(request.Service).size();
+  if (tokens == 0 || !limitMs || *limitMs <= 0 || servers == 0)
+    return 0;
+  double queuedMs = static_cast<double>(tokens) /
+                    state.PrefillRates.tokensPerMs(request.Service) /
+                    static_cast<double>(servers);
+  return std::min(queuedMs / *limitMs,
+                  state.Returns.settings().MaxReservedShare);
+}
+
 } // namespace
 
+uint32_t contentHash(const direct::ForwardRequest &request, size_t bodyBytes) {
+  uint64_t out = direct::stableHash(request.Organisation, bodyBytes);
+  out = direct::stableHash(request.MatchedRoute.Name, out);
+  for (const auto &it : request.Head.Parts)
+    out = direct::stableHash(it.Id, out);
+  return static_cast<uint32_t>(out);
+}
+
 direct::ServerCriteria withLimitFactor(GatewayState &state,
                                        const direct::ForwardRequest &request,
                                        direct::ServerCriteria criteria,
-                                       TimePoint now) {
-  if (!request.Head.Model.empty())
-    criteria.LimitFactor =
-        state.Shares.factor(request.Service, request.Organisation, now);
+                                       bool isReturn, TimePoint now) {
+  if (request.Head.Model.empty())
+    return criteria;
+  criteria.LimitFactor =
+      state.Shares.factor(request.Service, request.Organisation, now);
+  if (!isReturn)
+    criteria.LimitFactor *= 1 - reservedShare(state, request, now);
   return criteria;
 }
 
+bool takeReturn(GatewayState &state, const direct::ForwardRequest &request,
+                uint32_t content, TimePoint now) {
+  if (request.Head.Model.empty() || state.Returns.isEmpty())
+    return false;
+  return state.Returns.takeReturn(request.Service, content, now);
+}
+
+Duration scheduleReturn(GatewayState &state,
+                        const direct::ForwardRequest &request,
+                        const direct::Refusal &refusal, uint32_t content,
+                        TimePoint now) {
+  Duration out =
+      admission::returnDelay(state.Returns.settings(),
+                             {request.MatchedRoute.TargetLatency,
+                              request.Deadline - now, refusal.Reason.RetryAfter,
+                              state.Shares.shortageAge(request.Service, now),
+                              direct::unitHash(request.Head.RequestId)});
+  state.Returns.onRefused(request.Service, content, request.Head.PromptTokens,
+                          out, now);
+  return out;
+}
+
 void recordAdmission(GatewayState &state, const direct::ForwardRequest &request,
                      bool wasAdmitted, const direct::Refusal &refusal,
                      TimePoint now) {
