Give up servers that are silent and establish no connections

A request on an engine that had vanished waited for its own deadline, one for 8 s, and new requests went to such engines for 1.2 s whatever their target.

A server is now silent when nothing was received from it, by this entry or by report, for 0.6 of a request's target beyond the predicted time to its first token. It is avoided, and probed with two connections of 200 ms. If neither is established, its requests end at once: elsewhere where they may run again, else with 502. Silence alone ends no request. If most servers are silent, the entry blames itself.

--- a/src/balancing/server_loads.cpp
+++ b/src/balancing/server_loads.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr uint32_t MaxDoublings = 16;
-constexpr uint64_t MaxPart = 255; ///< LoadShare::UrgentPart of the whole.
+constexpr Duration SilentUnit{10'000}; ///< Of LoadShare::SilentTime.
+constexpr uint64_t MaxPart = 255;      ///< LoadShare::UrgentPart of the whole.
 
 uint32_t saturate(uint64_t value) {
   return static_cast<uint32_t>(std::min<uint64_t>(value, UINT32_MAX));
@@ -23,6 +24,15 @@
              : static_cast<uint8_t>(std::min(part, whole) * MaxPart / whole);
 }
 
+/// For a load message: in units of SilentUnit, at least 1; 0 if nothing was
+/// heard.
+uint8_t silentTime(TimePoint heardAt, TimePoint now) {
+  if (heardAt == TimePoint())
+    return 0;
+  return static_cast<uint8_t>(
+      std::clamp<int64_t>((now - heardAt) / SilentUnit, 1, UINT8_MAX));
+}
+
 uint64_t urgentTokens(const LoadShare &share) {
   return uint64_t{share.WaitingTokens} * share.UrgentPart / MaxPart;
 }
@@ -38,6 +48,8 @@
   state.WaitingTokens += request.Tokens;
   state.UrgentTokens += request.IsUrgent ? request.Tokens : 0;
   state.HeldTokens += request.Tokens;
+  if (request.MaxSilence > Duration::zero())
+    state.MaxSilences.insert(request.MaxSilence);
   state.LastUsed = now;
 }
 
@@ -49,7 +61,9 @@
 
 void ServerLoads::onActivity(direct::ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
-  Servers[server.key()].LastActivity = now;
+  State &state = Servers[server.key()];
+  state.LastActivity = now;
+  state.HeardAt = now;
 }
 
 void ServerLoads::onFirstByte(direct::ServerRef server, RequestLoad request,
@@ -57,6 +71,7 @@
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
   state.LastActivity = now;
+  state.HeardAt = now;
   state.Rejections = 0;
   removeWaiting(state, request);
 }
@@ -67,6 +82,9 @@
   State &state = Servers[server.key()];
   state.Running -= std::min(state.Running, 1U);
   reduce(state.HeldTokens, request.Tokens);
+  if (auto it = state.MaxSilences.find(request.MaxSilence);
+      it != state.MaxSilences.end())
+    state.MaxSilences.erase(it);
   if (!hadFirstByte)
     removeWaiting(state, request);
   state.LastUsed = now;
@@ -111,6 +129,12 @@
   avoidUntil(server, now + Settings.ReplacedBackoff);
 }
 
+void ServerLoads::onLost(uint64_t server, TimePoint now) {
+  std::lock_guard guard(Lock);
+  State &state = Servers[server];
+  state.AvoidUntil = std::max(state.AvoidUntil, now + Settings.LostBackoff);
+}
+
 void ServerLoads::avoidUntil(direct::ServerRef server, TimePoint until) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
@@ -181,10 +205,35 @@
                                        Settings.MaxPeerTtl);
   PeerReport &report = Reports[entry];
   report = {expiresAt, shares};
+  for (const LoadShare &share : shares) {
+    auto it = Servers.find(share.ServerKey);
+    if (it == Servers.end() || share.SilentTime == 0)
+      continue;
+    TimePoint heardAt = now - SilentUnit * int64_t{share.SilentTime};
+    it->second.PeerHeardAt = std::max(it->second.PeerHeardAt, heardAt);
+  }
   Expiries.emplace(expiresAt, entry);
   addToSums(report);
 }
 
+bool ServerLoads::isSilent(const State &state, TimePoint now) const {
+  if (state.Running == 0 || state.MaxSilences.empty())
+    return false;
+  TimePoint heardAt = std::max(state.LastActivity, state.PeerHeardAt);
+  return now >= heardAt + *state.MaxSilences.begin();
+}
+
+BusyServers ServerLoads::busyServers(TimePoint now) const {
+  BusyServers out;
+  std::lock_guard guard(Lock);
+  for (const auto &[key, state] : Servers) {
+    out.Busy += state.Running > 0 ? 1 : 0;
+    if (isSilent(state, now))
+      out.Silent.push_back(key);
+  }
+  return out;
+}
+
 ServerLoadView ServerLoads::view(direct::ServerRef server,
                                  TimePoint now) const {
   uint64_t serverKey = server.key();
@@ -196,7 +245,8 @@
     const State &state = it->second;
     bool isUnresponsive =
         state.Running > 0 &&
-        now >= state.LastActivity + Settings.InactivityTimeout;
+        (now >= state.LastActivity + Settings.InactivityTimeout ||
+         isSilent(state, now));
     out = {state.Running,
            state.WaitingTokens,
            state.UrgentTokens,
@@ -217,14 +267,15 @@
   return out;
 }
 
-std::vector<LoadShare> ServerLoads::ownLoads() const {
+std::vector<LoadShare> ServerLoads::ownLoads(TimePoint now) const {
   std::lock_guard guard(Lock);
   std::vector<LoadShare> out;
   for (const auto &[serverKey, state] : Servers)
     if (state.Running > 0)
       out.push_back({serverKey, state.Running, saturate(state.WaitingTokens),
                      saturate(state.HeldTokens),
-                     partOf(state.UrgentTokens, state.WaitingTokens)});
+                     partOf(state.UrgentTokens, state.WaitingTokens),
+                     silentTime(state.HeardAt, now)});
   return out;
 }
 
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -8,6 +8,7 @@
 /// not depend on the number of entries.
 #pragma once
 
+#include "balancing/server_silence.h"
 #include "daisytack/types.h"
 #include "direct/server_start.h"
 
@@ -47,6 +48,9 @@
   /// How long this entry reports to other entries that a server is leaving;
   /// long enough for several datagrams.
   Duration LeavingGossipTime{3'000'000};
+  /// How long a lost server is avoided. A connection to it takes as long to
+  /// fail as one to any other that is down.
+  Duration LostBackoff{2'000'000};
   bool operator==(const ServerLoadSettings &) const = default;
 };
 
@@ -72,11 +76,15 @@
 /// Load that one request puts on a server.
 struct RequestLoad {
   /// Implicit, as most requests that are not urgent are given by their tokens.
-  RequestLoad(uint64_t tokens, bool isUrgent = false)
-      : Tokens(tokens), IsUrgent(isUrgent) {}
+  RequestLoad(uint64_t tokens, bool isUrgent = false,
+              Duration maxSilence = Duration::zero())
+      : Tokens(tokens), IsUrgent(isUrgent), MaxSilence(maxSilence) {}
 
   uint64_t Tokens;       ///< Of the prompt.
   bool IsUrgent = false; ///< The request has priority 0.
+  /// How long its server may send nothing (balancing/server_silence.h); zero:
+  /// ServerLoadSettings::InactivityTimeout applies alone.
+  Duration MaxSilence;
   auto operator<=>(const RequestLoad &) const = default;
 };
 
@@ -134,6 +142,9 @@
   /// Another instance answered at the server's address: the server no longer
   /// exists.
   void onReplaced(direct::ServerRef server, TimePoint now);
+  /// The server, given by its ServerRef::key(), sends nothing and establishes
+  /// no connections.
+  void onLost(uint64_t server, TimePoint now);
   /// No requests are to be sent to the server until then, if others are left.
   void avoidUntil(direct::ServerRef server, TimePoint until);
   /// The server is loading new weights, or is about to, and rejects requests.
@@ -150,7 +161,9 @@
 
   ServerLoadView view(direct::ServerRef server, TimePoint now) const;
   /// This entry's own load on each server, for the other entries.
-  std::vector<LoadShare> ownLoads() const;
+  std::vector<LoadShare> ownLoads(TimePoint now) const;
+  /// Servers with requests of this entry in flight, and which are silent.
+  BusyServers busyServers(TimePoint now) const;
   /// Keys of the servers that became known as leaving within
   /// LeavingGossipTime, for the other entries.
   std::vector<uint64_t> recentlyLeaving(TimePoint now) const;
@@ -167,6 +180,12 @@
     /// When the server last sent something, or when a request was sent to it
     /// while no other was in flight, whichever is later.
     TimePoint LastActivity;
+    /// When this entry last received something from the server.
+    TimePoint HeardAt;
+    /// When another entry did, as far as it has reported.
+    TimePoint PeerHeardAt;
+    /// RequestLoad::MaxSilence of the requests in flight that have one.
+    std::multiset<Duration> MaxSilences;
     TimePoint LastUsed;
     TimePoint AvoidUntil;
     TimePoint RetryAt;
@@ -187,6 +206,8 @@
     uint32_t Entries = 0; ///< Number of reports in the sum.
   };
 
+  /// Whether the server has sent nothing for longer than its requests allow.
+  bool isSilent(const State &state, TimePoint now) const;
   /// The request's prompt no longer waits for its prefill.
   static void removeWaiting(State &state, RequestLoad request);
   void addToSums(const PeerReport &report);
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -24,6 +24,8 @@
     return "answered";
   case AttemptResult::Failed:
     return "failed";
+  case AttemptResult::ServerLost:
+    return "server_lost";
   case AttemptResult::BrokenOff:
     return "broken_off";
   case AttemptResult::TurnedAway:
@@ -346,6 +348,20 @@
   giveUp(reason, now);
 }
 
+void ForwardFlow::onServerLost(TimePoint now) {
+  if (IsEnded || !Current)
+    return;
+  ++PossibleRuns;
+  uint32_t attempt = AttemptNumber;
+  closeAttempt(AttemptResult::ServerLost, now);
+  Hooks.CancelAttempt(attempt);
+  Error reason{ErrorKind::ServerLost,
+               "the server sends nothing and establishes no connections"};
+  if (mayRunAgain())
+    return startNextAttempt(now, reason, true);
+  giveUp(reason, now);
+}
+
 void ForwardFlow::onCallerGone(TimePoint now) {
   if (IsEnded)
     return;
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -83,6 +83,7 @@
 enum class AttemptResult : uint8_t {
   Answered,    ///< With success, or with an error that the request caused.
   Failed,      ///< With a server error or a timeout.
+  ServerLost,  ///< Cancelled: the server establishes no connections.
   BrokenOff,   ///< The connection ended before the answer was complete.
   TurnedAway,  ///< The server states that it did not run the request.
   Misdirected, ///< Not run: another instance answered, or other weights run.
@@ -159,6 +160,9 @@
   void onTimer(TimePoint now);
   /// The hook BeginLimit may return other times from now on.
   void onBeginLimitsChanged(TimePoint now);
+  /// The server of the current attempt sends nothing and establishes no
+  /// connections: the attempt is given up.
+  void onServerLost(TimePoint now);
   void onCallerGone(TimePoint now);
   /// The process is about to end. A request whose answer has not begun gets its
   /// final answer now; an answer that has begun continues.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,6 +77,7 @@
           [this](const Endpoint &sender, const direct::PeerMessage &message) {
             State.OriginExchange->onMessage(sender, message);
           })),
+      Probes(std::make_shared<ServerProbes>(State, ControlStrand)),
       Contexts(std::make_shared<ContextFollower>(
           State, ControlStrand, contextSettings(), secureRandom,
           retirementHooks())),
@@ -425,6 +426,7 @@
   State.Returns.onTimer(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
+  Probes->onTimer(now);
   State.OriginExchange->onTimer(now);
   Quarantines->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
@@ -538,6 +540,7 @@
   Peers->stop();
   State.OriginExchange->stop();
   PeerLoads->stop();
+  Probes->stop();
   Follower->stop();
   TimePoint now = monotonicNow();
   Duration drained = State.Drain.load()->elapsed(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine.h"
 #include "gateway/rollout_times.h"
+#include "gateway/server_probes.h"
 #include "gateway/stream_origin_exchange.h"
 #include "net/timer.h"
 
@@ -101,6 +102,7 @@
   direct::FollowPlan WatchPlan;
   std::shared_ptr<PeerExchange> Peers;
   std::shared_ptr<LoadExchange> PeerLoads;
+  std::shared_ptr<ServerProbes> Probes;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -107,6 +107,10 @@
                       0, NumberUpperBound);
   place.Queue.IsByTarget =
       settings.flag("admission.queue_by_target", place.Queue.IsByTarget);
+  out.Silence.Share =
+      settings.number("balancing.silence_share", out.Silence.Share, 0, 1);
+  out.Silence.ProbeTimeout = settings.duration(
+      "balancing.probe_timeout", out.Silence.ProbeTimeout, 10ms, 10s);
   out.Returns.Spread = settings.number("admission.return_spread",
                                        out.Returns.Spread, 0, NumberUpperBound);
   out.Returns.HasPriority =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -102,6 +102,7 @@
   direct::CrashSuspectSettings Suspects;
   admission::OrganisationShareSettings Shares;
   admission::ReturnSettings Returns;
+  balancing::SilenceSettings Silence;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
   balancing::SlowStartSettings SlowStart;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -30,10 +30,6 @@
 /// takes about a microsecond.
 constexpr size_t MaxCommonBodyBytes = 1024;
 
-balancing::RequestLoad loadOf(const AttemptOrder &order) {
-  return {order.QueuedTokens, order.Priority == 0};
-}
-
 /// Ids of the prompt parts that other requests may share, for the log.
 std::string sharedPartsText(const direct::CallerHead &head) {
   std::string out;
@@ -360,6 +356,18 @@
     State.Suspects.onAnswered({&identity(), 1}, now);
 }
 
+balancing::RequestLoad GatewayRequest::loadOf(const AttemptOrder &order) const {
+  // How long a call without a prompt takes can't be predicted.
+  if (Flow.request().Head.Model.empty())
+    return {order.QueuedTokens, order.Priority == 0};
+  auto predicted =
+      Duration(static_cast<int64_t>(order.PredictedFirstTokenMs * 1000));
+  return {order.QueuedTokens, order.Priority == 0,
+          balancing::maxSilence(State.Options.Silence,
+                                Flow.request().MatchedRoute.TargetLatency,
+                                predicted)};
+}
+
 bool GatewayRequest::takeRetry() {
   bool out = budget().tryRetry();
   (out ? State.Stats.RetryAttempts : State.Stats.RetriesDenied).add();
@@ -581,9 +589,9 @@
   uint64_t pool = direct::stableHash(Flow.request().Service);
   uint64_t server = order.server().key();
   size_t size = State.catalog()->serversOf(Flow.request().Service).size();
-  bool isFailure = result == AttemptResult::Failed ||
-                   result == AttemptResult::BrokenOff ||
-                   result == AttemptResult::Unreached;
+  bool isFailure =
+      result == AttemptResult::Failed || result == AttemptResult::BrokenOff ||
+      result == AttemptResult::ServerLost || result == AttemptResult::Unreached;
   if (result == AttemptResult::Answered)
     State.OutlierEjector.onAnswer(pool, size, server, Duration(1), Duration(0),
                                   now);
@@ -618,6 +626,16 @@
   onStrand([this] { Flow.onBeginLimitsChanged(monotonicNow()); });
 }
 
+void GatewayRequest::onServerLost(uint64_t server) {
+  onStrand([this, server] {
+    if (Flow.isEnded() || Flow.attempts() == 0 ||
+        Order.server().key() != server)
+      return;
+    State.Stats.AttemptsLost.add();
+    Flow.onServerLost(monotonicNow());
+  });
+}
+
 void GatewayRequest::failIfQuarantined() {
   boost::asio::post(Executor, [self = shared_from_this()] {
     TimePoint now = monotonicNow();
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -27,6 +27,9 @@
   /// Other versions of weights are desired, or their ages have changed.
   /// Thread-safe.
   void onVersionsChanged();
+  /// Gives up the attempt if it is at this server (ServerRef::key()).
+  /// Thread-safe.
+  void onServerLost(uint64_t server);
   /// Answers the request with an error if it is quarantined and its answer has
   /// not begun. Thread-safe; runs after the handler that calls it.
   void failIfQuarantined();
@@ -67,6 +70,8 @@
   /// Whether the entry drains and the request must not be sent any more; sets
   /// the reason.
   bool isDraining(TimePoint now, Error &reason) const;
+  /// Load of an attempt on its server.
+  balancing::RequestLoad loadOf(const direct::AttemptOrder &order) const;
   /// Records that the attempt's connection broke before its answer was
   /// complete.
   void recordConnectionLoss(TimePoint now);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -136,6 +136,15 @@
                                     "Attempts that the budget did not allow")),
       AttemptsRejected(metrics.counter("daisytack_attempts_turned_away_total",
                                        "Attempts that a server refused unrun")),
+      AttemptsLost(
+          metrics.counter("daisytack_attempts_lost_total",
+                          "Attempts given up as their server was lost")),
+      ServersLost(metrics.counter(
+          "daisytack_servers_lost_total",
+          "Servers that sent nothing and established no connection")),
+      ServerProbes(
+          metrics.counter("daisytack_server_probes_total",
+                          "Connections opened to probe silent servers")),
       Ejections(metrics.counter("daisytack_ejections_total",
                                 "Times a server was left alone as failing")),
       StreamsResumed(metrics.counter(
@@ -176,6 +185,9 @@
       ServicesShort(metrics.gauge(
           "daisytack_services_short",
           "Services that refused requests for load within the last second")),
+      ServersSilent(metrics.gauge(
+          "daisytack_servers_silent",
+          "Servers that have sent nothing for longer than expected")),
       ReturnsIssued(returnTickets(metrics, "issued")),
       ReturnsUsed(returnTickets(metrics, "used")),
       ReturnsEarly(returnTickets(metrics, "early")),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -47,6 +47,9 @@
   Counter &RetryAttempts;
   Counter &RetriesDenied;
   Counter &AttemptsRejected;
+  Counter &AttemptsLost;
+  Counter &ServersLost;
+  Counter &ServerProbes;
   Counter &Ejections;
   Counter &StreamsResumed;
   Counter &StreamsRefused;
@@ -62,6 +65,7 @@
   Gauge &ServersKnown;
   Gauge &ServersCold;
   Gauge &ServicesShort;
+  Gauge &ServersSilent;
   Gauge &ReturnsIssued;
   Gauge &ReturnsUsed;
   Gauge &ReturnsEarly;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -131,10 +131,10 @@
   size_t rounds =
       (n + Settings.MaxPeersPerInterval - 1) / Settings.MaxPeersPerInterval;
   Duration period = Settings.Interval * static_cast<int64_t>(rounds);
-  std::vector<std::string> messages{
-      encodeLoads({State.Options.Name, period.count(), State.Loads.ownLoads(),
-                   State.Links.takeGossip(), State.Loads.recentlyLeaving(now)},
-                  MaxDatagramBytes)};
+  std::vector<std::string> messages{encodeLoads(
+      {State.Options.Name, period.count(), State.Loads.ownLoads(now),
+       State.Links.takeGossip(), State.Loads.recentlyLeaving(now)},
+      MaxDatagramBytes)};
   direct::CrashReports reports =
       State.Suspects.takeReports(1.0 / static_cast<double>(rounds), now);
   if (!reports.isEmpty())
--- /dev/null
+++ b/src/gateway/server_probes.cpp
@@ -0,0 +1,98 @@
+#include "gateway/server_probes.h"
+
+#include "base/clock.h"
+#include "gateway/gateway_request.h"
+#include "net/http_socket.h"
+#include "net/timer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisytack::gateway {
+
+using balancing::ProbeResult;
+
+/// One connection attempt; ends with the first of its two events.
+struct ServerProbes::Attempt {
+  explicit Attempt(const Strand &strand) : Socket(strand), Timer(strand) {}
+  boost::asio::ip::tcp::socket Socket;
+  net::Timer Timer;
+  bool HasEnded = false;
+};
+
+ServerProbes::ServerProbes(GatewayState &state, Strand strand)
+    : State(state), Executor(std::move(strand)),
+      Probing(state.Options.Silence) {}
+
+void ServerProbes::stop() { IsStopped = true; }
+
+void ServerProbes::onTimer(TimePoint now) {
+  if (IsStopped)
+    return;
+  balancing::BusyServers servers = State.Loads.busyServers(now);
+  State.Stats.ServersSilent.set(static_cast<int64_t>(servers.Silent.size()));
+  for (uint64_t server : Probing.onTimer(servers, now))
+    probe(server);
+}
+
+void ServerProbes::probe(uint64_t server) {
+  auto catalog = State.catalog();
+  auto found =
+      std::find_if(catalog->AllServers.begin(), catalog->AllServers.end(),
+                   [&](const auto &it) { return it.ref().key() == server; });
+  boost::asio::ip::tcp::endpoint address;
+  if (found == catalog->AllServers.end() ||
+      !net::toTcp(found->Address, address))
+    return onProbed(server, ProbeResult::Refused);
+  State.Stats.ServerProbes.add();
+  auto attempt = std::make_shared<Attempt>(Executor);
+  auto end = [weak = weak_from_this(), attempt, server](ProbeResult result) {
+    if (std::exchange(attempt->HasEnded, true))
+      return;
+    net::ErrorCode ignored;
+    attempt->Socket.close(ignored);
+    attempt->Timer.cancel();
+    auto self = weak.lock();
+    if (self && !self->IsStopped)
+      self->onProbed(server, result);
+  };
+  attempt->Timer.expires_after(State.Options.Silence.ProbeTimeout);
+  attempt->Timer.async_wait([end, attempt](const net::ErrorCode &ec) {
+    if (ec)
+      return;
+    // A busy entry may handle the timer before a connection that was
+    // established in time.
+    net::ErrorCode notConnected;
+    attempt->Socket.remote_endpoint(notConnected);
+    end(notConnected ? ProbeResult::TimedOut : ProbeResult::Established);
+  });
+  attempt->Socket.async_connect(address, [end](const net::ErrorCode &ec) {
+    end(ec ? ProbeResult::Refused : ProbeResult::Established);
+  });
+}
+
+void ServerProbes::onProbed(uint64_t server, ProbeResult result) {
+  if (Probing.onProbed(server, result))
+    return probe(server);
+  TimePoint now = monotonicNow();
+  if (Probing.takeLost(server, State.Loads.busyServers(now)))
+    onLost(server, now);
+}
+
+void ServerProbes::onLost(uint64_t server, TimePoint now) {
+  State.Loads.onLost(server, now);
+  State.Stats.ServersLost.add();
+  std::string id;
+  for (const auto &it : State.catalog()->AllServers)
+    if (it.ref().key() == server)
+      id = it.Id;
+  State.Log.write(
+      LogPriority::Notable, "server_lost",
+      {{"server", id},
+       {"reason", "it sends nothing and establishes no connection"}},
+      now);
+  for (const auto &request : State.Running.all())
+    request->onServerLost(server);
+}
+
+} // namespace daisytack::gateway
--- a/tests/balancing/server_loads_test.cpp
+++ b/tests/balancing/server_loads_test.cpp
@@ -23,7 +23,7 @@
   loads.onSent("a", {1000, true}, Start);
   EXPECT_EQ(loads.view("a", Start).UrgentTokens, 1000);
   ServerLoads other{{}};
-  other.onPeerReport("entry", loads.ownLoads(), 100ms, Start);
+  other.onPeerReport("entry", loads.ownLoads(Start), 100ms, Start);
   EXPECT_NEAR(other.view("a", Start).UrgentTokens, 1000, 4000 / 255.0);
   loads.onFirstByte("a", {1000, true}, Start);
   EXPECT_EQ(loads.view("a", Start).UrgentTokens, 0);
@@ -31,7 +31,7 @@
   loads.onSent("a", {500, true}, Start);
   loads.onEnded("a", {500, true}, false, Start);
   EXPECT_EQ(loads.view("a", Start).UrgentTokens, 0);
-  other.onPeerReport("entry", loads.ownLoads(), 100ms, Start);
+  other.onPeerReport("entry", loads.ownLoads(Start), 100ms, Start);
   EXPECT_EQ(other.view("a", Start).UrgentTokens, 0);
 }
 
@@ -45,7 +45,7 @@
   loads.onEnded("a", 100, false, Start + 3s);
   EXPECT_EQ(loads.view("a", Start + 60s), ServerLoadView{});
   loads.forgetIdle(Start + 60s);
-  EXPECT_TRUE(loads.ownLoads().empty());
+  EXPECT_TRUE(loads.ownLoads(Start).empty());
 }
 
 /// With many entries each one reports rarely, and must count until its next
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -317,6 +317,52 @@
   EXPECT_TRUE(it.hasLogged("answer 200 late"));
 }
 
+/// Guards against requests that wait for a vanished server until their
+/// deadline.
+TEST(ForwardFlow, MovesARepeatableRequestFromALostServer) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.Flow.start(FlowStart);
+  it.Flow.onServerLost(FlowStart + 600ms);
+  EXPECT_EQ(it.takeLog(), (Lines{"send s1", "cancel 1", "send s2"}));
+  EXPECT_EQ(it.Results, (std::vector{AttemptResult::ServerLost}));
+  it.Flow.onServerLost(FlowStart + 1s);
+  EXPECT_EQ(it.Log, (Lines{"cancel 2", "error 502", "ended"}));
+  it.Flow.onServerLost(FlowStart + 1s);
+  EXPECT_EQ(it.FinalAnswers, 1);
+}
+
+/// The server may have run the request before it vanished.
+TEST(ForwardFlow, NeverRepeatsANonIdempotentRequestOfALostServer) {
+  FlowHarness it(routeFor(RouteKind::NonIdempotent, 3));
+  it.Flow.start(FlowStart);
+  it.Flow.onServerLost(FlowStart + 600ms);
+  EXPECT_EQ(it.Log, (Lines{"send s1", "cancel 1", "error 502", "ended"}));
+}
+
+TEST(ForwardFlow, MovesFromALostServerWithinTheRetryBudget) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.HasRetryBudget = false;
+  it.Flow.start(FlowStart);
+  it.Flow.onServerLost(FlowStart + 600ms);
+  EXPECT_EQ(it.Log, (Lines{"send s1", "cancel 1", "error 502", "ended"}));
+}
+
+TEST(ForwardFlow, ResumesTheStreamOfALostServerOrAbortsIt) {
+  for (bool isResumable : {true, false}) {
+    Route route = routeFor(RouteKind::Stream, 2);
+    route.IsResumable = isResumable;
+    FlowHarness it(route);
+    it.Flow.start(FlowStart);
+    ServerHead head = headOf(200);
+    head.IsEventStream = true;
+    it.Flow.onHead(1, head, FlowStart);
+    it.Flow.onData(1, "id: 1\ndata: a\n\n", FlowStart);
+    it.Flow.onServerLost(FlowStart + 600ms);
+    EXPECT_EQ(it.hasLogged("send s2"), isResumable);
+    EXPECT_EQ(it.hasLogged("break"), !isResumable);
+  }
+}
+
 TEST(ForwardFlow, CancelsTheAttemptWhenTheCallerLeaves) {
   FlowHarness it(routeFor(RouteKind::Stream, 1));
   it.Flow.start(FlowStart);
--- a/tests/direct/rollout_entries.cpp
+++ b/tests/direct/rollout_entries.cpp
@@ -25,7 +25,7 @@
     for (auto &to : Entries) {
       if (to == Entries[i] || chance(0.05))
         continue;
-      auto loads = Entries[i]->Loads.ownLoads();
+      auto loads = Entries[i]->Loads.ownLoads(Now);
       auto ages = Entries[i]->Keeper.view()->rolloutAges(Now);
       in(transit(), [this, i, loads, ages, &it = *to] {
         it.Loads.onPeerReport(std::to_string(i), loads, 200ms, Now);
