Mend what the review of admission, returns and silence found

The factor no longer concerns memory. Organisations that reports leave out count as served like the average.

A repeated message no longer brings a used ticket back; capacity is reserved for 150 ms of the 500 in which a ticket is honoured; the spread keeps a least range. A request's silence counts from its sending. Losses are found although most busy servers are silent, as long as something is received from others. Addresses are kept beyond the record's expiry, unreachable hosts count as timed out, idle connections to a lost server are closed, and a request is ended only if nothing was received since the probe.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -16,8 +16,8 @@
     return "queue";
   case BusyReason::Patience:
     return "patience";
-  case BusyReason::Share:
-    return "share";
+  case BusyReason::Withheld:
+    return "withheld";
   }
   return "unknown";
 }
@@ -28,13 +28,12 @@
 
 bool Admission::hasMemory(const direct::ForwardRequest &request,
                           const direct::Catalog &catalog,
-                          const balancing::ServerLoadView &load,
-                          double limitFactor) const {
+                          const balancing::ServerLoadView &load) const {
   const direct::Service *service = catalog.Config->findService(request.Service);
   if (!service || !service->Engine || service->Engine->ContextTokens == 0)
     return true;
   double capacity = static_cast<double>(service->Engine->ContextTokens) *
-                    Settings.MemoryShare * limitFactor;
+                    Settings.MemoryShare;
   uint64_t needed = load.HeldTokens + request.Head.PromptTokens;
   // A server without running requests accepts prompts of any length: the
   // longest would fit nowhere else.
@@ -72,7 +71,7 @@
   if (request.MatchedRoute.MaxFirstEventWait > Duration::zero())
     waitLimit = std::min(waitLimit, request.MatchedRoute.MaxFirstEventWait);
   double maxFirstTokenMs = millisecondsOf(waitLimit) * Settings.PatienceShare;
-  if (!hasMemory(request, catalog, load, limitFactor))
+  if (!hasMemory(request, catalog, load))
     out.Reason = BusyReason::Memory;
   else if (out.QueueLimitMs && out.QueueMs > *out.QueueLimitMs)
     out.Reason = BusyReason::Queue;
@@ -89,7 +88,7 @@
   BusyState out = busyStateWithin(request, catalog, load, limitFactor, now);
   if (out.isBusy() && limitFactor < 1 &&
       !busyStateWithin(request, catalog, load, 1, now).isBusy())
-    out.Reason = BusyReason::Share;
+    out.Reason = BusyReason::Withheld;
   return out;
 }
 
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -17,7 +17,7 @@
   Memory,   ///< The prompt does not fit beside those that run.
   Queue,    ///< The queue is too long.
   Patience, ///< The answer would begin after the caller's wait is over.
-  Share,    ///< Memory or queue, but only with a limit factor below 1.
+  Withheld, ///< As Queue, but only with a limit factor below 1.
 };
 
 /// Stable lower-case name of the reason, such as "queue".
@@ -41,8 +41,8 @@
 
   /// Whether the server's memory is full, its queue is too long, or the answer
   /// would begin after the caller's wait is over even in the best case. Never
-  /// for a request without a prompt. The limits on queue and memory are
-  /// multiplied by `limitFactor`, from 0 to 1.
+  /// for a request without a prompt. The limit on the queue is multiplied by
+  /// `limitFactor`, from 0 to 1.
   BusyState busyState(const direct::ForwardRequest &request,
                       const direct::Catalog &catalog,
                       const balancing::ServerLoadView &load, double limitFactor,
@@ -67,8 +67,7 @@
   /// the requests that are running there.
   bool hasMemory(const direct::ForwardRequest &request,
                  const direct::Catalog &catalog,
-                 const balancing::ServerLoadView &load,
-                 double limitFactor) const;
+                 const balancing::ServerLoadView &load) const;
   /// As busyState(), but does not tell whether the factor is the reason.
   BusyState busyStateWithin(const direct::ForwardRequest &request,
                             const direct::Catalog &catalog,
--- a/src/admission/organisation_shares.cpp
+++ b/src/admission/organisation_shares.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 namespace daisytack::admission {
 
@@ -56,7 +57,7 @@
 
 void OrganisationShares::onDecision(std::string_view service,
                                     std::string_view organisation,
-                                    uint64_t tokens, bool wasAdmitted,
+                                    uint64_t tokens, AdmissionOutcome outcome,
                                     TimePoint now) {
   uint32_t key = organisationKey(organisation);
   std::lock_guard guard(Lock);
@@ -68,10 +69,8 @@
   }
   if (it != state.Requested.end())
     add(it->second, static_cast<double>(tokens), now);
-  if (wasAdmitted)
-    add(state.Admitted, static_cast<double>(tokens), now);
-  if (wasAdmitted)
-    return;
+  if (outcome != AdmissionOutcome::Refused)
+    return add(state.Admitted, static_cast<double>(tokens), now);
   state.RefusedUntil = now + Settings.ShortageTime;
   beginShortage(state, now);
 }
@@ -109,10 +108,12 @@
   rates.reserve(requested.size());
   for (const auto &[key, rate] : requested)
     rates.push_back(rate);
-  // Organisations that reports leave out request less than those listed, so
-  // they count as served in full.
-  double share =
-      maxMinShare(std::move(rates), std::max(0.0, admitted - others));
+  // Organisations that reports leave out request less than those listed. They
+  // count as served like the average.
+  double total = std::accumulate(rates.begin(), rates.end(), others);
+  double servedOthers =
+      total > 0 ? others * std::min(1.0, admitted / total) : 0;
+  double share = maxMinShare(std::move(rates), admitted - servedOthers);
   for (const auto &[key, rate] : requested)
     if (rate > share * Settings.Tolerance)
       state.Factors[key] =
@@ -154,19 +155,26 @@
 }
 
 std::vector<OrganisationUse>
-OrganisationShares::takeReports(const std::string &entry, Duration period,
+OrganisationShares::takeReports(const std::string &entry, size_t rounds,
                                 TimePoint now) {
   std::vector<OrganisationUse> out;
-  if (microsecondsOf(now) >= ShortUntil.load(std::memory_order_relaxed))
+  if (!Settings.IsEnabled ||
+      microsecondsOf(now) >= ShortUntil.load(std::memory_order_relaxed))
     return out;
   std::lock_guard guard(Lock);
   for (auto &[service, state] : Services) {
-    if (now >= state.ShortUntil || now < state.NextReportAt)
+    if (now >= state.ShortUntil)
+      continue;
+    if (now >= state.NextReportAt) {
+      state.NextReportAt = now + Settings.ReportInterval;
+      state.ReportsLeft = std::max<size_t>(rounds, 1);
+    }
+    if (state.ReportsLeft == 0)
       continue;
-    state.NextReportAt = now + Settings.ReportInterval;
+    --state.ReportsLeft;
     OrganisationUse use;
     use.Entry = entry;
-    use.Period = std::max(period, Settings.ReportInterval).count();
+    use.Period = Settings.ReportInterval.count();
     use.Service = service;
     use.HasRefused = now < state.RefusedUntil;
     use.AdmittedPerSecond = static_cast<float>(at(state.Admitted, now));
--- a/src/admission/organisation_shares.h
+++ b/src/admission/organisation_shares.h
@@ -7,6 +7,8 @@
 /// used up. An organisation that requests more is accepted behind shorter
 /// queues only, so that the others find room first, and it uses what they
 /// leave.
+/// Requests that were refused by the factor alone count as capacity, so that
+/// the factor does not lower the share that it follows from.
 ///
 /// Without a shortage the factor is 1 and costs one atomic read. Decisions need
 /// no message: an entry that hears from no other judges by what it gets itself.
@@ -71,7 +73,8 @@
   /// Whether the sender itself refused a request recently. Entries that only
   /// heard of a shortage report too, but don't prolong it.
   bool HasRefused = false;
-  float AdmittedPerSecond = 0; ///< Prompt tokens of admitted requests.
+  /// Prompt tokens of requests that servers had room for.
+  float AdmittedPerSecond = 0;
   /// Prompt tokens requested by organisations that are not listed.
   float OtherPerSecond = 0;
   std::vector<OrganisationRate> Rates;
@@ -87,6 +90,15 @@
 /// capacity covers all rates.
 double maxMinShare(std::vector<double> rates, double capacity);
 
+/// What became of a request, as evidence of demand and capacity.
+enum class AdmissionOutcome : uint8_t {
+  Admitted,
+  /// Refused by its organisation's factor or for reserved capacity only: the
+  /// servers had room for it.
+  Withheld,
+  Refused, ///< No server had room.
+};
+
 /// Thread-safe.
 class OrganisationShares {
 public:
@@ -94,8 +106,9 @@
       : Settings(settings) {}
 
   /// A request for this many prompt tokens was admitted or refused for load.
+  /// Only AdmissionOutcome::Refused begins or prolongs a shortage.
   void onDecision(std::string_view service, std::string_view organisation,
-                  uint64_t tokens, bool wasAdmitted, TimePoint now);
+                  uint64_t tokens, AdmissionOutcome outcome, TimePoint now);
   void onPeerReport(const OrganisationUse &report, TimePoint now);
 
   /// Factor on the queue and memory limits of the organisation's requests, from
@@ -106,9 +119,10 @@
   Duration shortageAge(std::string_view service, TimePoint now) const;
   /// Number of services in shortage.
   size_t shortCount(TimePoint now) const;
-  /// Reports that are due, for other entries; one per service in shortage.
+  /// Reports that are due, for other entries; one per service in shortage. Each
+  /// is due in `rounds` calls in a row, as a message reaches only some entries.
   std::vector<OrganisationUse> takeReports(const std::string &entry,
-                                           Duration period, TimePoint now);
+                                           size_t rounds, TimePoint now);
   void forgetIdle(TimePoint usedBefore);
 
 private:
@@ -132,6 +146,7 @@
     std::unordered_map<uint32_t, double> Factors;
     TimePoint FactorsAt;
     TimePoint NextReportAt;
+    size_t ReportsLeft = 0; ///< Messages that the current report is due in.
   };
 
   void add(Rate &rate, double tokens, TimePoint now) const;
--- a/src/admission/return_schedule.cpp
+++ b/src/admission/return_schedule.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace daisytack::admission {
 
@@ -26,25 +27,30 @@
 Duration returnDelay(const ReturnSettings &settings,
                      const RefusedCaller &caller) {
   Duration least = scaled(caller.Target, settings.MinDelayShare);
-  Duration earliest = std::max(least, caller.Earliest);
+  Duration start = std::max(least, caller.Earliest);
   Duration latest = scaled(caller.TimeLeft, settings.MaxWaitShare);
   Duration inTarget = scaled(caller.Target, settings.MaxDelayShare);
-  if (earliest < inTarget)
+  // Only if that leaves callers room to spread.
+  if (start + least / 2 <= inTarget)
     latest = std::min(latest, inTarget);
-  Duration range = std::min(caller.Target, least + caller.Shortage);
-  range = std::min(scaled(range, settings.Spread), latest - earliest);
-  Duration out =
-      earliest + scaled(std::max(range, Duration::zero()), caller.Position);
+  Duration range =
+      scaled(std::min(caller.Target, least + caller.Shortage), settings.Spread);
+  if (start + range > latest) {
+    range = std::min(range, std::max(latest - start, latest / 4));
+    start = latest - range;
+  }
   // A caller without time left is told the least delay: it may have more
   // patience than its deadline says.
-  return std::max(std::min(out, latest), std::min(least, earliest));
+  return std::max(start + scaled(range, caller.Position),
+                  std::min(least, latest > Duration::zero() ? latest : least));
 }
 
-void ReturnSchedule::add(uint64_t key, const Ticket &ticket) {
-  if (Pending.size() >= Settings.MaxTickets)
-    return;
+bool ReturnSchedule::add(uint64_t key, const Ticket &ticket) {
+  if (Pending.size() >= Settings.MaxTickets && !Pending.contains(key))
+    return false;
   Pending[key] = ticket;
   Count.store(Pending.size(), std::memory_order_relaxed);
+  return true;
 }
 
 ReturnSchedule::Tickets::iterator ReturnSchedule::remove(Tickets::iterator it) {
@@ -61,8 +67,10 @@
   for (auto it = Pending.begin(); it != Pending.end();) {
     const Ticket &ticket = it->second;
     bool hasExpired = now >= ticket.DueAt + Settings.Grace;
-    Totals.Expired += hasExpired && ticket.IsOwn ? 1 : 0;
-    if (!hasExpired && now >= ticket.DueAt)
+    bool isOpen = !ticket.IsUsed;
+    Totals.Expired += hasExpired && isOpen && ticket.IsOwn ? 1 : 0;
+    if (isOpen && now >= ticket.DueAt &&
+        now < ticket.DueAt + Settings.ReservedTime)
       DueTokens[ticket.Service] += ticket.Tokens;
     it = hasExpired ? remove(it) : std::next(it);
   }
@@ -70,37 +78,39 @@
 
 void ReturnSchedule::onRefused(std::string_view service, uint32_t content,
                                uint64_t tokens, Duration delay, TimePoint now) {
-  if (!Settings.HasPriority)
+  if (!Settings.UsesTickets)
     return;
   auto shortTokens = static_cast<uint32_t>(
       std::min<uint64_t>(tokens, std::numeric_limits<uint32_t>::max()));
   uint32_t key = serviceKey(service);
   std::lock_guard guard(Lock);
   refresh(now);
-  add(ticketKey(key, content), {key, shortTokens, now + delay, true, 0});
-  ++Totals.Issued;
+  if (add(ticketKey(key, content),
+          {key, shortTokens, now + delay, true, false, 0}))
+    ++Totals.Issued;
 }
 
 void ReturnSchedule::onPeerTickets(const ReturnTickets &tickets,
                                    TimePoint now) {
-  if (!Settings.HasPriority)
+  if (!Settings.UsesTickets)
     return;
   std::lock_guard guard(Lock);
   refresh(now);
-  for (const ReturnTicket &it : tickets.Tickets)
-    add(ticketKey(it.Service, it.Content),
-        {it.Service, it.Tokens, now + Duration(int64_t{it.DueMs} * 1000), false,
-         0});
+  for (const ReturnTicket &it : tickets.Tickets) {
+    uint64_t key = ticketKey(it.Service, it.Content);
+    if (!Pending.contains(key))
+      add(key, {it.Service, it.Tokens, now + Duration(int64_t{it.DueMs} * 1000),
+                false, false, 0});
+  }
 }
 
 bool ReturnSchedule::takeReturn(std::string_view service, uint32_t content,
                                 TimePoint now) {
   std::lock_guard guard(Lock);
   auto it = Pending.find(ticketKey(serviceKey(service), content));
-  if (it == Pending.end())
+  if (it == Pending.end() || std::exchange(it->second.IsUsed, true))
     return false;
   TimePoint dueAt = it->second.DueAt;
-  remove(it);
   bool isEarly = now + Settings.EarlyTolerance < dueAt;
   bool isDue = !isEarly && now < dueAt + Settings.Grace;
   Totals.Early += isEarly ? 1 : 0;
@@ -124,7 +134,8 @@
   for (auto &[key, it] : Pending) {
     if (out.Tickets.size() >= Settings.MaxReported)
       break;
-    if (!it.IsOwn || it.Reports >= rounds || now >= it.DueAt + Settings.Grace)
+    if (!it.IsOwn || it.IsUsed || it.Reports >= rounds ||
+        now >= it.DueAt + Settings.Grace)
       continue;
     ++it.Reports;
     int64_t dueMs = std::max<int64_t>(0, (it.DueAt - now).count() / 1000);
--- a/src/admission/return_schedule.h
+++ b/src/admission/return_schedule.h
@@ -26,7 +26,7 @@
   /// Multiplies the range over which the times of return are spread; 0: none.
   double Spread = 1;
   /// Whether tickets are issued and honoured.
-  bool HasPriority = true;
+  bool UsesTickets = true;
   /// Earliest time of return, as a share of the target latency.
   double MinDelayShare = 0.3;
   /// Latest time of return, as a share of the target latency, after which an
@@ -37,8 +37,12 @@
   double MaxWaitShare = 1.0 / 3;
   /// How early a return counts as due: clocks and links differ.
   Duration EarlyTolerance{20'000};
-  /// How long capacity is kept for a ticket that is due.
+  /// How long a ticket that is due is honoured.
   Duration Grace{500'000};
+  /// How long capacity is reserved for it. Shorter, as other entries don't
+  /// learn that it was used, and most callers return within some ten
+  /// milliseconds.
+  Duration ReservedTime{150'000};
   /// Largest share of a limit that is kept for tickets.
   double MaxReservedShare = 0.25;
   /// Maximum number of tickets; further refusals get none.
@@ -106,7 +110,7 @@
                  Duration delay, TimePoint now);
   /// Adds tickets that another entry issued.
   void onPeerTickets(const ReturnTickets &tickets, TimePoint now);
-  /// Whether a new request is a return that is due. Its ticket is removed, also
+  /// Whether a new request is a return that is due. Its ticket is used up, also
   /// when it is early.
   bool takeReturn(std::string_view service, uint32_t content, TimePoint now);
   /// Prompt tokens of the service's tickets that are due.
@@ -124,11 +128,15 @@
     uint32_t Tokens = 0;
     TimePoint DueAt;
     bool IsOwn = false;
+    /// The caller has returned. Kept until it expires, as messages may repeat
+    /// the ticket.
+    bool IsUsed = false;
     size_t Reports = 0; ///< Messages that it was passed on in.
   };
   using Tickets = std::unordered_map<uint64_t, Ticket>;
 
-  void add(uint64_t key, const Ticket &ticket);
+  /// Whether there was room for the ticket.
+  bool add(uint64_t key, const Ticket &ticket);
   Tickets::iterator remove(Tickets::iterator it);
   /// Drops expired tickets and sums up those that are due.
   void refresh(TimePoint now);
--- a/src/balancing/server_loads.cpp
+++ b/src/balancing/server_loads.cpp
@@ -7,8 +7,11 @@
 namespace {
 
 constexpr uint32_t MaxDoublings = 16;
-constexpr Duration SilentUnit{10'000}; ///< Of LoadShare::SilentTime.
-constexpr uint64_t MaxPart = 255;      ///< LoadShare::UrgentPart of the whole.
+/// How long a server that has answered is reported as heard.
+constexpr Duration HeardReportTime{200'000};
+constexpr Duration SilentUnit{10'000};           ///< Of LoadShare::SilentTime.
+constexpr uint8_t UnknownSilentTime = UINT8_MAX; ///< That long or longer.
+constexpr uint64_t MaxPart = 255; ///< LoadShare::UrgentPart of the whole.
 
 uint32_t saturate(uint64_t value) {
   return static_cast<uint32_t>(std::min<uint64_t>(value, UINT32_MAX));
@@ -30,7 +33,7 @@
   if (heardAt == TimePoint())
     return 0;
   return static_cast<uint8_t>(
-      std::clamp<int64_t>((now - heardAt) / SilentUnit, 1, UINT8_MAX));
+      std::clamp<int64_t>((now - heardAt) / SilentUnit, 1, UnknownSilentTime));
 }
 
 uint64_t urgentTokens(const LoadShare &share) {
@@ -49,10 +52,22 @@
   state.UrgentTokens += request.IsUrgent ? request.Tokens : 0;
   state.HeldTokens += request.Tokens;
   if (request.MaxSilence > Duration::zero())
-    state.MaxSilences.insert(request.MaxSilence);
+    state.Waits.emplace(request.MaxSilence, request.SentAt);
   state.LastUsed = now;
 }
 
+void ServerLoads::noteHeard(State &state, TimePoint now) {
+  state.LastActivity = now;
+  state.HeardAt = now;
+  HeardAt = now;
+}
+
+void ServerLoads::removeWait(State &state, Duration wait, TimePoint sentAt) {
+  auto it = state.Waits.find({wait, sentAt});
+  if (it != state.Waits.end())
+    state.Waits.erase(it);
+}
+
 void ServerLoads::removeWaiting(State &state, RequestLoad request) {
   reduce(state.WaitingTokens, request.Tokens);
   if (request.IsUrgent)
@@ -62,17 +77,19 @@
 void ServerLoads::onActivity(direct::ServerRef server, TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
-  state.LastActivity = now;
-  state.HeardAt = now;
+  noteHeard(state, now);
 }
 
 void ServerLoads::onFirstByte(direct::ServerRef server, RequestLoad request,
                               TimePoint now) {
   std::lock_guard guard(Lock);
   State &state = Servers[server.key()];
-  state.LastActivity = now;
-  state.HeardAt = now;
+  noteHeard(state, now);
   state.Rejections = 0;
+  if (request.MaxSilence > Duration::zero()) {
+    removeWait(state, request.MaxSilence, request.SentAt);
+    state.Waits.emplace(Settings.InactivityTimeout, request.SentAt);
+  }
   removeWaiting(state, request);
 }
 
@@ -82,9 +99,9 @@
   State &state = Servers[server.key()];
   state.Running -= std::min(state.Running, 1U);
   reduce(state.HeldTokens, request.Tokens);
-  if (auto it = state.MaxSilences.find(request.MaxSilence);
-      it != state.MaxSilences.end())
-    state.MaxSilences.erase(it);
+  removeWait(state,
+             hadFirstByte ? Settings.InactivityTimeout : request.MaxSilence,
+             request.SentAt);
   if (!hadFirstByte)
     removeWaiting(state, request);
   state.LastUsed = now;
@@ -207,7 +224,8 @@
   report = {expiresAt, shares};
   for (const LoadShare &share : shares) {
     auto it = Servers.find(share.ServerKey);
-    if (it == Servers.end() || share.SilentTime == 0)
+    bool isKnown = share.SilentTime > 0 && share.SilentTime < UnknownSilentTime;
+    if (it == Servers.end() || !isKnown)
       continue;
     TimePoint heardAt = now - SilentUnit * int64_t{share.SilentTime};
     it->second.PeerHeardAt = std::max(it->second.PeerHeardAt, heardAt);
@@ -216,16 +234,24 @@
   addToSums(report);
 }
 
-bool ServerLoads::isSilent(const State &state, TimePoint now) const {
-  if (state.Running == 0 || state.MaxSilences.empty())
-    return false;
-  TimePoint heardAt = std::max(state.LastActivity, state.PeerHeardAt);
-  return now >= heardAt + *state.MaxSilences.begin();
+bool ServerLoads::isSilent(const State &state, TimePoint now) {
+  TimePoint heardAt = std::max(state.HeardAt, state.PeerHeardAt);
+  return std::any_of(state.Waits.begin(), state.Waits.end(),
+                     [&](const auto &it) {
+                       return now >= std::max(heardAt, it.second) + it.first;
+                     });
+}
+
+bool ServerLoads::hasHeardSince(uint64_t server, TimePoint since) const {
+  std::lock_guard guard(Lock);
+  auto it = Servers.find(server);
+  return it != Servers.end() && it->second.HeardAt > since;
 }
 
 BusyServers ServerLoads::busyServers(TimePoint now) const {
   BusyServers out;
   std::lock_guard guard(Lock);
+  out.HeardAt = HeardAt;
   for (const auto &[key, state] : Servers) {
     out.Busy += state.Running > 0 ? 1 : 0;
     if (isSilent(state, now))
@@ -271,7 +297,7 @@
   std::lock_guard guard(Lock);
   std::vector<LoadShare> out;
   for (const auto &[serverKey, state] : Servers)
-    if (state.Running > 0)
+    if (state.Running > 0 || now < state.HeardAt + HeardReportTime)
       out.push_back({serverKey, state.Running, saturate(state.WaitingTokens),
                      saturate(state.HeldTokens),
                      partOf(state.UrgentTokens, state.WaitingTokens),
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -77,14 +77,16 @@
 struct RequestLoad {
   /// Implicit, as most requests that are not urgent are given by their tokens.
   RequestLoad(uint64_t tokens, bool isUrgent = false,
-              Duration maxSilence = Duration::zero())
-      : Tokens(tokens), IsUrgent(isUrgent), MaxSilence(maxSilence) {}
+              Duration maxSilence = Duration::zero(), TimePoint sentAt = {})
+      : Tokens(tokens), IsUrgent(isUrgent), MaxSilence(maxSilence),
+        SentAt(sentAt) {}
 
   uint64_t Tokens;       ///< Of the prompt.
   bool IsUrgent = false; ///< The request has priority 0.
   /// How long its server may send nothing (balancing/server_silence.h); zero:
   /// ServerLoadSettings::InactivityTimeout applies alone.
   Duration MaxSilence;
+  TimePoint SentAt; ///< Set if MaxSilence is.
   auto operator<=>(const RequestLoad &) const = default;
 };
 
@@ -101,8 +103,8 @@
   /// Part of WaitingTokens that belongs to requests of priority 0, in units of
   /// 1/255.
   uint8_t UrgentPart = 0;
-  /// Time since the server last sent something to this entry while requests
-  /// were in flight, in units of 10 ms, at least 1; 0: unknown.
+  /// Time since the server last sent something to this entry, in units of
+  /// 10 ms, at least 1; 0 and 255: unknown.
   uint8_t SilentTime = 0;
   /// Duration of recent answers relative to the predicted one, in units of 2%;
   /// 0: unknown.
@@ -162,6 +164,9 @@
   ServerLoadView view(direct::ServerRef server, TimePoint now) const;
   /// This entry's own load on each server, for the other entries.
   std::vector<LoadShare> ownLoads(TimePoint now) const;
+  /// Whether this entry received something from the server, given by its
+  /// ServerRef::key(), since that time.
+  bool hasHeardSince(uint64_t server, TimePoint since) const;
   /// Servers with requests of this entry in flight, and which are silent.
   BusyServers busyServers(TimePoint now) const;
   /// Keys of the servers that became known as leaving within
@@ -184,8 +189,9 @@
     TimePoint HeardAt;
     /// When another entry did, as far as it has reported.
     TimePoint PeerHeardAt;
-    /// RequestLoad::MaxSilence of the requests in flight that have one.
-    std::multiset<Duration> MaxSilences;
+    /// MaxSilence and SentAt of the requests in flight that have them;
+    /// InactivityTimeout in place of MaxSilence after the first byte.
+    std::multiset<std::pair<Duration, TimePoint>> Waits;
     TimePoint LastUsed;
     TimePoint AvoidUntil;
     TimePoint RetryAt;
@@ -207,7 +213,9 @@
   };
 
   /// Whether the server has sent nothing for longer than its requests allow.
-  bool isSilent(const State &state, TimePoint now) const;
+  static bool isSilent(const State &state, TimePoint now);
+  static void removeWait(State &state, Duration wait, TimePoint sentAt);
+  void noteHeard(State &state, TimePoint now);
   /// The request's prompt no longer waits for its prefill.
   static void removeWaiting(State &state, RequestLoad request);
   void addToSums(const PeerReport &report);
@@ -223,6 +231,7 @@
   // Mutable, since view() drops expired reports.
   mutable std::unordered_map<std::string, PeerReport> Reports; ///< By entry.
   mutable std::unordered_map<uint64_t, PeerSum> Sums; ///< By ServerKey.
+  TimePoint HeardAt; ///< When something was last received from any server.
   /// Expiry times of the reports, with their entries.
   mutable std::set<std::pair<TimePoint, std::string>> Expiries;
 };
--- a/src/balancing/server_silence.cpp
+++ b/src/balancing/server_silence.cpp
@@ -14,9 +14,11 @@
                                 settings.MinWait, settings.MaxWait);
 }
 
-bool ServerProbing::isOwnFault(const BusyServers &servers) const {
+bool ServerProbing::isOwnFault(const BusyServers &servers,
+                               TimePoint now) const {
   return servers.Silent.size() >= Settings.MinOwnFault &&
-         servers.Silent.size() * 2 > servers.Busy;
+         servers.Silent.size() * 2 > servers.Busy &&
+         now >= servers.HeardAt + Settings.OwnFaultTime;
 }
 
 std::vector<uint64_t> ServerProbing::onTimer(const BusyServers &servers,
@@ -26,7 +28,7 @@
     return !it.second.IsRunning &&
            now >= it.second.StartedAt + Settings.ProbeInterval;
   });
-  if (Settings.Share <= 0 || isOwnFault(servers))
+  if (Settings.Share <= 0 || isOwnFault(servers, now))
     return out;
   for (uint64_t server : servers.Silent)
     if (Probes.try_emplace(server, Probe{now, 0, true}).second)
@@ -45,13 +47,14 @@
   return probe.IsRunning;
 }
 
-bool ServerProbing::takeLost(uint64_t server, const BusyServers &servers) {
+bool ServerProbing::takeLost(uint64_t server, const BusyServers &servers,
+                             TimePoint now) {
   auto it = Probes.find(server);
   if (it == Probes.end() || it->second.IsRunning ||
       it->second.TimedOut < Settings.ProbeAttempts)
     return false;
   it->second.TimedOut = 0;
-  return !isOwnFault(servers) &&
+  return !isOwnFault(servers, now) &&
          std::find(servers.Silent.begin(), servers.Silent.end(), server) !=
              servers.Silent.end();
 }
--- a/src/balancing/server_silence.h
+++ b/src/balancing/server_silence.h
@@ -1,5 +1,6 @@
-/// Servers that have become unreachable without a word: how long an entry waits
-/// for a server that sends nothing, and when it gives up the requests there.
+/// Servers that have become unreachable without closing their connections: how
+/// long an entry waits for a server that sends nothing, and when it gives up
+/// the requests there.
 ///
 /// Silence alone ends no request, as an engine that prefills a long prompt
 /// sends nothing either. A server is lost only if it is silent and establishes
@@ -30,9 +31,11 @@
   uint32_t ProbeAttempts = 2;
   /// Time between the starts of two probes of one server.
   Duration ProbeInterval{1'000'000};
-  /// If at least this number of servers is silent, and more than half of those
-  /// with requests, the fault is assumed to be this entry's own.
+  /// The fault is assumed to be this entry's own, as after a suspension, if at
+  /// least this number of servers is silent, more than half of those with
+  /// requests, and nothing was received from any server for OwnFaultTime.
   size_t MinOwnFault = 3;
+  Duration OwnFaultTime{300'000};
   bool operator==(const SilenceSettings &) const = default;
 };
 
@@ -46,13 +49,15 @@
 struct BusyServers {
   size_t Busy = 0;              ///< Number of servers.
   std::vector<uint64_t> Silent; ///< ServerRef::key() of those that are silent.
+  TimePoint HeardAt; ///< When something was last received from any server.
   bool operator==(const BusyServers &) const = default;
 };
 
 /// What a probe of a server's address showed.
 enum class ProbeResult : uint8_t {
   Established, ///< The server accepts connections.
-  Refused, ///< Nothing listens there; the end of a server is seen otherwise.
+  /// Nothing listens there, but the server may still finish what it runs.
+  Refused,
   TimedOut,
 };
 
@@ -69,7 +74,7 @@
   bool onProbed(uint64_t server, ProbeResult result);
   /// Whether the server is lost: its probes timed out, and it is still silent.
   /// Call after onProbed() and onTimer(). True once for each probe.
-  bool takeLost(uint64_t server, const BusyServers &servers);
+  bool takeLost(uint64_t server, const BusyServers &servers, TimePoint now);
 
 private:
   struct Probe {
@@ -78,7 +83,7 @@
     bool IsRunning = false;
   };
 
-  bool isOwnFault(const BusyServers &servers) const;
+  bool isOwnFault(const BusyServers &servers, TimePoint now) const;
 
   SilenceSettings Settings;
   std::unordered_map<uint64_t, Probe> Probes; ///< By ServerRef::key().
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -67,8 +67,8 @@
   std::vector<std::string> Tried; ///< Ids of servers to leave out.
   /// Software version that began the stream to resume; empty: any.
   std::optional<std::string> SoftwareVersion{};
-  /// Share of the queue and memory limits of servers that is open to the
-  /// request; see admission/organisation_shares.h.
+  /// Share of the queue limit of servers that is open to the request; see
+  /// admission/organisation_shares.h.
   double LimitFactor = 1;
   bool operator==(const ServerCriteria &) const = default;
 };
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -113,8 +113,8 @@
       "balancing.probe_timeout", out.Silence.ProbeTimeout, 10ms, 10s);
   out.Returns.Spread = settings.number("admission.return_spread",
                                        out.Returns.Spread, 0, NumberUpperBound);
-  out.Returns.HasPriority =
-      settings.flag("admission.return_priority", out.Returns.HasPriority);
+  out.Returns.UsesTickets =
+      settings.flag("admission.return_priority", out.Returns.UsesTickets);
   out.Shares.IsEnabled =
       settings.flag("admission.fair_shares", out.Shares.IsEnabled);
   out.Shares.MinFactor =
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -260,8 +260,7 @@
   auto catalog = State.catalog();
   bool isFirst = Flow.attempts() == 0;
   if (isFirst)
-    IsReturn = takeReturn(State, Flow.request(),
-                          contentHash(Flow.request(), Body.size()), now);
+    IsReturn = takeReturn(State, Flow.request(), Body.size(), now);
   direct::ServerCriteria limited =
       withLimitFactor(State, Flow.request(), criteria, IsReturn, now);
   direct::Refusal refused;
@@ -273,8 +272,7 @@
   if (!out) {
     if (isFirst && refused.Busy)
       refused.Reason.RetryAfter =
-          scheduleReturn(State, Flow.request(), refused,
-                         contentHash(Flow.request(), Body.size()), now);
+          scheduleReturn(State, Flow.request(), refused, Body.size(), now);
     reason = std::move(refused.Reason);
     reason.Detail += loadDetail(refused, limited.LimitFactor);
   }
@@ -365,7 +363,8 @@
   return {order.QueuedTokens, order.Priority == 0,
           balancing::maxSilence(State.Options.Silence,
                                 Flow.request().MatchedRoute.TargetLatency,
-                                predicted)};
+                                predicted),
+          SentAt};
 }
 
 bool GatewayRequest::takeRetry() {
@@ -465,6 +464,7 @@
   applyServerSignals(head, now);
   IsCloseDelimited = head.IsCloseDelimited;
   AnswerStatus = head.Status;
+  State.Loads.onActivity(Order.server(), now);
   if (!head.WasNotRun) {
     FirstByteAt = now;
     State.Loads.onFirstByte(Order.server(), loadOf(Order), now);
@@ -626,13 +626,18 @@
   onStrand([this] { Flow.onBeginLimitsChanged(monotonicNow()); });
 }
 
-void GatewayRequest::onServerLost(uint64_t server) {
-  onStrand([this, server] {
-    if (Flow.isEnded() || Flow.attempts() == 0 ||
-        Order.server().key() != server)
+void GatewayRequest::onServerLost(uint64_t server, TimePoint probedAt) {
+  // Posted, so that answers which have arrived are handled first.
+  boost::asio::post(Executor, [self = shared_from_this(), server, probedAt] {
+    bool isThere = !self->Flow.isEnded() && self->Flow.attempts() > 0 &&
+                   self->Order.server().key() == server;
+    // A request that was sent after the probe began may still wait for its
+    // connection, and then goes elsewhere as one that was not sent.
+    if (!isThere || self->SentAt > probedAt ||
+        self->State.Loads.hasHeardSince(server, probedAt))
       return;
-    State.Stats.AttemptsLost.add();
-    Flow.onServerLost(monotonicNow());
+    self->State.Stats.AttemptsLost.add();
+    self->Flow.onServerLost(monotonicNow());
   });
 }
 
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -27,9 +27,9 @@
   /// Other versions of weights are desired, or their ages have changed.
   /// Thread-safe.
   void onVersionsChanged();
-  /// Gives up the attempt if it is at this server (ServerRef::key()).
-  /// Thread-safe.
-  void onServerLost(uint64_t server);
+  /// Gives up the attempt if it is at this server (ServerRef::key()), which has
+  /// sent nothing since the time at which it was probed. Thread-safe.
+  void onServerLost(uint64_t server, TimePoint probedAt);
   /// Answers the request with an error if it is quarantined and its answer has
   /// not begun. Thread-safe; runs after the handler that calls it.
   void failIfQuarantined();
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -118,7 +118,7 @@
       RefusedForMemory(refusedForLoad(metrics, BusyReason::Memory)),
       RefusedForQueue(refusedForLoad(metrics, BusyReason::Queue)),
       RefusedForPatience(refusedForLoad(metrics, BusyReason::Patience)),
-      RefusedForShare(refusedForLoad(metrics, BusyReason::Share)),
+      RefusedWithheld(refusedForLoad(metrics, BusyReason::Withheld)),
       Failed(metrics.counter("daisytack_requests_failed_total",
                              "Requests that ended without a server's answer")),
       AnswersBroken(metrics.counter("daisytack_answers_broken_total",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -38,7 +38,7 @@
   Counter &RefusedForMemory;
   Counter &RefusedForQueue;
   Counter &RefusedForPatience;
-  Counter &RefusedForShare;
+  Counter &RefusedWithheld;
   Counter &Failed;
   Counter &AnswersBroken;
   Counter &CallersGone;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -84,8 +84,11 @@
     return State.Limits.onPeerReports(limits->ServerLimits, now);
   if (const auto *ages = std::get_if<direct::RolloutAges>(&*message))
     return learnVersionAges(State, ages->Versions, "entry", now);
-  if (const auto *use = std::get_if<admission::OrganisationUse>(&*message))
-    return State.Shares.onPeerReport(*use, now);
+  if (const auto *use = std::get_if<admission::OrganisationUse>(&*message)) {
+    if (use->Entry != State.Options.Name)
+      State.Shares.onPeerReport(*use, now);
+    return;
+  }
   if (const auto *tickets = std::get_if<admission::ReturnTickets>(&*message))
     return State.Returns.onPeerTickets(*tickets, now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
@@ -149,7 +152,7 @@
   // and reports to all entries would exceed the budget for messages.
   if (rounds <= MaxShortageRounds) {
     for (admission::OrganisationUse &use :
-         State.Shares.takeReports(State.Options.Name, period, now))
+         State.Shares.takeReports(State.Options.Name, rounds, now))
       messages.push_back(wire::encode(direct::PeerMessage(std::move(use))));
     admission::ReturnTickets tickets = State.Returns.takeReport(rounds, now);
     if (!tickets.Tickets.empty())
--- a/src/gateway/request_admission.cpp
+++ b/src/gateway/request_admission.cpp
@@ -23,8 +23,8 @@
     return &stats.RefusedForQueue;
   case BusyReason::Patience:
     return &stats.RefusedForPatience;
-  case BusyReason::Share:
-    return &stats.RefusedForShare;
+  case BusyReason::Withheld:
+    return &stats.RefusedWithheld;
   }
   return nullptr;
 }
@@ -76,15 +76,16 @@
 }
 
 bool takeReturn(GatewayState &state, const direct::ForwardRequest &request,
-                uint32_t content, TimePoint now) {
-  if (request.Head.Model.empty() || state.Returns.isEmpty())
+                size_t bodyBytes, TimePoint now) {
+  if (request.Head.Parts.empty() || state.Returns.isEmpty())
     return false;
-  return state.Returns.takeReturn(request.Service, content, now);
+  return state.Returns.takeReturn(request.Service,
+                                  contentHash(request, bodyBytes), now);
 }
 
 Duration scheduleReturn(GatewayState &state,
                         const direct::ForwardRequest &request,
-                        const direct::Refusal &refusal, uint32_t content,
+                        const direct::Refusal &refusal, size_t bodyBytes,
                         TimePoint now) {
   Duration out =
       admission::returnDelay(state.Returns.settings(),
@@ -92,8 +93,12 @@
                               request.Deadline - now, refusal.Reason.RetryAfter,
                               state.Shares.shortageAge(request.Service, now),
                               direct::unitHash(request.Head.RequestId)});
-  state.Returns.onRefused(request.Service, content, request.Head.PromptTokens,
-                          out, now);
+  // Without parts, the content of a request isn't known.
+  bool hasTicket = !request.Head.Parts.empty() &&
+                   refusal.Busy->Reason != BusyReason::Patience;
+  if (hasTicket)
+    state.Returns.onRefused(request.Service, contentHash(request, bodyBytes),
+                            request.Head.PromptTokens, out, now);
   return out;
 }
 
@@ -102,8 +107,16 @@
                      TimePoint now) {
   if (request.Head.Model.empty() || (!wasAdmitted && !refusal.Busy))
     return;
+  // A caller with too little patience is no sign of a shortage.
+  if (!wasAdmitted && refusal.Busy->Reason == BusyReason::Patience)
+    return state.Stats.RefusedForPatience.add();
+  admission::AdmissionOutcome outcome = admission::AdmissionOutcome::Admitted;
+  if (!wasAdmitted)
+    outcome = refusal.Busy->Reason == BusyReason::Withheld
+                  ? admission::AdmissionOutcome::Withheld
+                  : admission::AdmissionOutcome::Refused;
   state.Shares.onDecision(request.Service, request.Organisation,
-                          request.Head.PromptTokens, wasAdmitted, now);
+                          request.Head.PromptTokens, outcome, now);
   if (wasAdmitted)
     return;
   if (Counter *counter = refusalCounter(state.Stats, refusal.Busy->Reason))
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -25,13 +25,13 @@
 
 /// Whether a new request is a return that is due.
 bool takeReturn(GatewayState &state, const direct::ForwardRequest &request,
-                uint32_t content, TimePoint now);
+                size_t bodyBytes, TimePoint now);
 
-/// Delay after which the caller of a request that was refused for load should
-/// return. Issues a ticket for the return.
+/// Delay after which the caller of a request that was refused for load
+/// (refusal.Busy is set) should return. Issues a ticket for the return.
 Duration scheduleReturn(GatewayState &state,
                         const direct::ForwardRequest &request,
-                        const direct::Refusal &refusal, uint32_t content,
+                        const direct::Refusal &refusal, size_t bodyBytes,
                         TimePoint now);
 
 /// Records that the first attempt of a request was admitted, or why it was not.
--- a/src/gateway/server_probes.cpp
+++ b/src/gateway/server_probes.cpp
@@ -26,23 +26,38 @@
 
 void ServerProbes::stop() { IsStopped = true; }
 
+void ServerProbes::learnAddresses(const std::vector<uint64_t> &servers) {
+  std::erase_if(Targets, [&](const auto &it) {
+    return std::find(servers.begin(), servers.end(), it.first) == servers.end();
+  });
+  if (Targets.size() == servers.size())
+    return;
+  auto catalog = State.catalog();
+  for (const direct::BackendServer &it : catalog->AllServers) {
+    uint64_t key = it.ref().key();
+    if (std::find(servers.begin(), servers.end(), key) != servers.end())
+      Targets.try_emplace(key, Target{it.Id, it.Address});
+  }
+}
+
 void ServerProbes::onTimer(TimePoint now) {
   if (IsStopped)
     return;
   balancing::BusyServers servers = State.Loads.busyServers(now);
   State.Stats.ServersSilent.set(static_cast<int64_t>(servers.Silent.size()));
-  for (uint64_t server : Probing.onTimer(servers, now))
+  learnAddresses(servers.Silent);
+  for (uint64_t server : Probing.onTimer(servers, now)) {
+    State.Log.write(LogPriority::Notable, "server_silent",
+                    {{"server", Targets[server].Id}}, now);
     probe(server);
+  }
 }
 
 void ServerProbes::probe(uint64_t server) {
-  auto catalog = State.catalog();
-  auto found =
-      std::find_if(catalog->AllServers.begin(), catalog->AllServers.end(),
-                   [&](const auto &it) { return it.ref().key() == server; });
   boost::asio::ip::tcp::endpoint address;
-  if (found == catalog->AllServers.end() ||
-      !net::toTcp(found->Address, address))
+  auto target = Targets.find(server);
+  // Without an address nothing is known about the server.
+  if (target == Targets.end() || !net::toTcp(target->second.Address, address))
     return onProbed(server, ProbeResult::Refused);
   State.Stats.ServerProbes.add();
   auto attempt = std::make_shared<Attempt>(Executor);
@@ -67,6 +82,11 @@
     end(notConnected ? ProbeResult::TimedOut : ProbeResult::Established);
   });
   attempt->Socket.async_connect(address, [end](const net::ErrorCode &ec) {
+    bool isUnreachable = ec == boost::asio::error::host_unreachable ||
+                         ec == boost::asio::error::network_unreachable ||
+                         ec == boost::asio::error::timed_out;
+    if (isUnreachable)
+      return end(ProbeResult::TimedOut);
     end(ec ? ProbeResult::Refused : ProbeResult::Established);
   });
 }
@@ -75,24 +95,25 @@
   if (Probing.onProbed(server, result))
     return probe(server);
   TimePoint now = monotonicNow();
-  if (Probing.takeLost(server, State.Loads.busyServers(now)))
+  if (Probing.takeLost(server, State.Loads.busyServers(now), now))
     onLost(server, now);
 }
 
 void ServerProbes::onLost(uint64_t server, TimePoint now) {
   State.Loads.onLost(server, now);
   State.Stats.ServersLost.add();
-  std::string id;
-  for (const auto &it : State.catalog()->AllServers)
-    if (it.ref().key() == server)
-      id = it.Id;
+  const Target &target = Targets[server];
   State.Log.write(
       LogPriority::Notable, "server_lost",
-      {{"server", id},
+      {{"server", target.Id},
        {"reason", "it sends nothing and establishes no connection"}},
       now);
+  // A request on an open connection counts as sent.
+  State.BackendClient.dropIdle(target.Address);
+  TimePoint probedAt = now - State.Options.Silence.ProbeTimeout *
+                                 int64_t{State.Options.Silence.ProbeAttempts};
   for (const auto &request : State.Running.all())
-    request->onServerLost(server);
+    request->onServerLost(server, probedAt);
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/server_probes.h
+++ b/src/gateway/server_probes.h
@@ -8,7 +8,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace daisytack::gateway {
 
@@ -26,12 +29,20 @@
 
   void probe(uint64_t server);
   void onProbed(uint64_t server, balancing::ProbeResult result);
+  /// Remembers the addresses of silent servers: their records may expire before
+  /// they are probed.
+  void learnAddresses(const std::vector<uint64_t> &servers);
   /// Gives up the requests on the server.
   void onLost(uint64_t server, TimePoint now);
 
   GatewayState &State;
   Strand Executor;
   balancing::ServerProbing Probing;
+  struct Target {
+    std::string Id;
+    Endpoint Address;
+  };
+  std::map<uint64_t, Target> Targets; ///< By ServerRef::key().
   bool IsStopped = false;
 };
 
