--- a/src/admission/organisation_shares.cpp
+++ b/src/admission/organisation_shares.cpp
@@ -62,6 +62,8 @@
   uint32_t key = organisationKey(organisation);
   std::lock_guard guard(Lock);
   ServiceState &state = Services[direct::stableHash(service)];
+  if (state.Name.empty())
+    state.Name = service;
   auto it = state.Requested.find(key);
   if (it == state.Requested.end() && Tracked < Settings.MaxTracked) {
     it = state.Requested.emplace(key, Rate{0, now}).first;
@@ -146,12 +148,17 @@
   return now - it->second.ShortSince;
 }
 
-size_t OrganisationShares::shortCount(TimePoint now) const {
+std::vector<std::string>
+OrganisationShares::servicesInShortage(TimePoint now) const {
+  std::vector<std::string> out;
+  if (microsecondsOf(now) >= ShortUntil.load(std::memory_order_relaxed))
+    return out;
   std::lock_guard guard(Lock);
-  return static_cast<size_t>(
-      std::count_if(Services.begin(), Services.end(), [&](const auto &it) {
-        return now < it.second.ShortUntil;
-      }));
+  for (const auto &[key, state] : Services)
+    if (now < state.ShortUntil && !state.Name.empty())
+      out.push_back(state.Name);
+  std::sort(out.begin(), out.end());
+  return out;
 }
 
 std::vector<OrganisationUse>
--- a/src/admission/organisation_shares.h
+++ b/src/admission/organisation_shares.h
@@ -117,8 +117,8 @@
                 TimePoint now);
   /// How long the service has been in shortage; zero if it is not.
   Duration shortageAge(std::string_view service, TimePoint now) const;
-  /// Number of services in shortage.
-  size_t shortCount(TimePoint now) const;
+  /// Names of the services in shortage that this entry got requests for.
+  std::vector<std::string> servicesInShortage(TimePoint now) const;
   /// Reports that are due, for other entries; one per service in shortage. Each
   /// is due in `rounds` calls in a row, as a message reaches only some entries.
   std::vector<OrganisationUse> takeReports(const std::string &entry,
@@ -136,6 +136,7 @@
     TimePoint ExpiresAt;
   };
   struct ServiceState {
+    std::string Name;       ///< Empty until a request for it was decided on.
     TimePoint ShortSince;   ///< Of the latest shortage.
     TimePoint ShortUntil;   ///< By refusals of all entries.
     TimePoint RefusedUntil; ///< By refusals of this entry.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -283,8 +283,8 @@
       [now = monotonicNow()](const auto &it) { return now < it.ColdUntil; }));
   State.Stats.ServersLimited.set(
       static_cast<int64_t>(State.Limits.limitedCount()));
-  State.Stats.ServicesShort.set(
-      static_cast<int64_t>(State.Shares.shortCount(monotonicNow())));
+  State.Stats.ServicesShort.set(static_cast<int64_t>(
+      State.Shares.servicesInShortage(monotonicNow()).size()));
   admission::ReturnCounts returns = State.Returns.counts();
   State.Stats.ReturnsIssued.set(static_cast<int64_t>(returns.Issued));
   State.Stats.ReturnsUsed.set(static_cast<int64_t>(returns.Used));
@@ -415,6 +415,20 @@
     request->onVersionsChanged();
 }
 
+void Gateway::logShortages(TimePoint now) {
+  std::vector<std::string> services = State.Shares.servicesInShortage(now);
+  if (services == LoggedShortages)
+    return;
+  auto log = [&](std::string_view event, const auto &from, const auto &than) {
+    for (const std::string &it : from)
+      if (!std::binary_search(than.begin(), than.end(), it))
+        State.Log.write(LogPriority::Notable, event, {{"service", it}}, now);
+  };
+  log("shortage_began", services, LoggedShortages);
+  log("shortage_ended", LoggedShortages, services);
+  LoggedShortages = std::move(services);
+}
+
 void Gateway::tick() {
   TimePoint now = monotonicNow();
   LastTickAt = now;
@@ -424,6 +438,7 @@
   State.Limits.forgetIdle(now - LimitRetention);
   State.Shares.forgetIdle(now - LoadRetention);
   State.Returns.onTimer(now);
+  logShortages(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   Probes->onTimer(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,6 +76,8 @@
                       const std::function<void(const edge::KvHeader &)> &done);
   ContextFollowerSettings contextSettings() const;
   OrderDriverSettings orderSettings() const;
+  /// Logs which services have come into a shortage, and which are out of it.
+  void logShortages(TimePoint now);
   void tick();
   /// Lets running requests know when versions of weights or their ages have
   /// changed.
@@ -103,6 +105,7 @@
   std::shared_ptr<PeerExchange> Peers;
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
+  std::vector<std::string> LoggedShortages;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
--- a/tests/admission/organisation_shares_test.cpp
+++ b/tests/admission/organisation_shares_test.cpp
@@ -36,7 +36,7 @@
   shares.onDecision("engines", "small", 1000, AdmissionOutcome::Admitted,
                     Start);
   EXPECT_EQ(shares.factor("engines", "large", Start), 1);
-  EXPECT_EQ(shares.shortCount(Start), 0U);
+  EXPECT_EQ(shares.servicesInShortage(Start).size(), 0U);
   EXPECT_TRUE(shares.takeReports("entry", 1, Start).empty());
 }
 
@@ -70,8 +70,8 @@
     for (const OrganisationUse &it : other.takeReports("b", 1, now))
       refusing.onPeerReport(it, now);
   }
-  EXPECT_EQ(refusing.shortCount(Start + 10s), 0U);
-  EXPECT_EQ(other.shortCount(Start + 10s), 0U);
+  EXPECT_EQ(refusing.servicesInShortage(Start + 10s).size(), 0U);
+  EXPECT_EQ(other.servicesInShortage(Start + 10s).size(), 0U);
 }
 
 TEST(OrganisationShares, ReportsTheLargestAndSumsUpTheRest) {
@@ -100,7 +100,7 @@
   for (int i = 0; i < 100; ++i)
     shares.onDecision("engines", "large", 1000, AdmissionOutcome::Withheld,
                       Start);
-  EXPECT_EQ(shares.shortCount(Start), 0U);
+  EXPECT_EQ(shares.servicesInShortage(Start).size(), 0U);
   shares.onDecision("engines", "large", 1000, AdmissionOutcome::Refused, Start);
   EXPECT_EQ(shares.factor("engines", "large", Start), 1); // 1% is refused.
 }
@@ -119,7 +119,7 @@
                       Start);
   for (const OrganisationUse &it : sender.takeReports("sender", 1, Start))
     receiver.onPeerReport(it, Start);
-  EXPECT_EQ(receiver.shortCount(Start), 1U);
+  EXPECT_EQ(receiver.servicesInShortage(Start).size(), 1U);
   EXPECT_EQ(receiver.factor("engines", "small", Start), 1);
 }
 
