Let entries lend one another unused shares of quotas

Quotas that all entries share were divided into equal shares whatever load each entry got, so an entry that got all the load refused requests that the server could bear: of 400 requests, 263 were sent.

An entry whose share is used up now borrows from entries that have sent less than half of theirs in the last window (src/balancing/quota_loans). A lender deducts a loan until its grant + two windows + 100 ms; the borrower uses it until its request + one window, each by its own clock. At most half of a share is lent, because a process that has just started must assume that its predecessor lent it: it now sends at most half of its share until two windows and 100 ms after its start, also with balancing.quota_loans off. A share of 1 is not lent. The exchange sends at most 60 datagrams of 30 bytes a second.

--- a/src/balancing/request_limits.cpp
+++ b/src/balancing/request_limits.cpp
@@ -37,7 +37,7 @@
 
 RequestLimits::RequestLimits(RequestLimitSettings settings, Endpoint own,
                              TimePoint startedAt)
-    : Settings(settings), Quota(std::move(own), startedAt) {}
+    : Settings(settings), Quota(std::move(own), startedAt, settings.HasLoans) {}
 
 LimitChange RequestLimits::onAnswer(direct::ServerRef server,
                                     std::optional<double> perSecond,
@@ -125,7 +125,7 @@
 RequestLimits::availableAt(const direct::BackendServer &server,
                            const direct::Catalog &catalog, TimePoint now) {
   std::optional<QuotaBound> bound = boundOf(server, now);
-  return bound ? Quota.availableAt(server, *bound, catalog) : now;
+  return bound ? Quota.availableAt(server, *bound, catalog, now) : now;
 }
 
 bool RequestLimits::tryAcquire(const direct::BackendServer &server,
@@ -134,6 +134,17 @@
   return !bound || Quota.tryAcquire(server, *bound, catalog, now);
 }
 
+std::optional<QuotaLoan>
+RequestLimits::onLoanRequest(const QuotaLoanRequest &request,
+                             const Endpoint &borrower,
+                             const direct::BackendServer &server,
+                             const direct::Catalog &catalog, TimePoint now) {
+  std::optional<QuotaBound> bound = boundOf(server, now);
+  if (!bound)
+    return std::nullopt;
+  return Quota.onLoanRequest(request, borrower, server, *bound, catalog, now);
+}
+
 size_t RequestLimits::limitedCount() const {
   std::lock_guard guard(Lock);
   return static_cast<size_t>(
--- a/src/balancing/request_limits.h
+++ b/src/balancing/request_limits.h
@@ -29,6 +29,8 @@
   Duration LiftGossipTime{10'000'000};
   /// Maximum number of limits in one message, so that it fits into a datagram.
   size_t MaxGossipReports = 64;
+  /// Whether entries lend one another requests of their shares.
+  bool HasLoans = true;
   bool operator==(const RequestLimitSettings &) const = default;
 };
 
@@ -81,6 +83,21 @@
   bool tryAcquire(const direct::BackendServer &server,
                   const direct::Catalog &catalog, TimePoint now);
 
+  /// See SharedQuota. The server is that of the request's key.
+  std::vector<OutgoingLoanRequest>
+  takeLoanRequests(const direct::Catalog &catalog, size_t max, TimePoint now) {
+    return Quota.takeLoanRequests(catalog, max, now);
+  }
+  std::optional<QuotaLoan> onLoanRequest(const QuotaLoanRequest &request,
+                                         const Endpoint &borrower,
+                                         const direct::BackendServer &server,
+                                         const direct::Catalog &catalog,
+                                         TimePoint now);
+  uint32_t onLoan(const QuotaLoan &loan, TimePoint now) {
+    return Quota.onLoan(loan, now);
+  }
+  QuotaLoanCounts loanCounts() const { return Quota.loanCounts(); }
+
   /// Number of servers with a limit in force.
   size_t limitedCount() const;
   /// Drops the state of servers whose latest known answer is older than
--- a/src/balancing/slow_start.cpp
+++ b/src/balancing/slow_start.cpp
@@ -15,7 +15,7 @@
 
 SlowStart::SlowStart(SlowStartSettings settings, Endpoint own,
                      TimePoint startedAt)
-    : Settings(settings), Quota(std::move(own), startedAt) {}
+    : Settings(settings), Quota(std::move(own), startedAt, settings.HasLoans) {}
 
 QuotaBound SlowStart::boundOf(double requestsPerSecond) const {
   QuotaBound out;
@@ -26,9 +26,9 @@
 
 std::optional<TimePoint>
 SlowStart::availableAt(const direct::BackendServer &server,
-                       double requestsPerSecond,
-                       const direct::Catalog &catalog) {
-  return Quota.availableAt(server, boundOf(requestsPerSecond), catalog);
+                       double requestsPerSecond, const direct::Catalog &catalog,
+                       TimePoint now) {
+  return Quota.availableAt(server, boundOf(requestsPerSecond), catalog, now);
 }
 
 bool SlowStart::tryAcquire(const direct::BackendServer &server,
@@ -37,4 +37,12 @@
   return Quota.tryAcquire(server, boundOf(requestsPerSecond), catalog, now);
 }
 
+std::optional<QuotaLoan> SlowStart::onLoanRequest(
+    const QuotaLoanRequest &request, const Endpoint &borrower,
+    const direct::BackendServer &server, double requestsPerSecond,
+    const direct::Catalog &catalog, TimePoint now) {
+  return Quota.onLoanRequest(request, borrower, server,
+                             boundOf(requestsPerSecond), catalog, now);
+}
+
 } // namespace daisytack::balancing
--- a/src/balancing/slow_start.h
+++ b/src/balancing/slow_start.h
@@ -23,6 +23,8 @@
   /// because requests that are delayed in transit arrive closer together than
   /// they were sent.
   Duration Window{1'100'000};
+  /// Whether entries lend one another requests of their shares.
+  bool HasLoans = true;
   bool operator==(const SlowStartSettings &) const = default;
 };
 
@@ -43,13 +45,28 @@
   /// share.
   std::optional<TimePoint> availableAt(const direct::BackendServer &server,
                                        double requestsPerSecond,
-                                       const direct::Catalog &catalog);
+                                       const direct::Catalog &catalog,
+                                       TimePoint now);
   /// Uses one request of this entry's share; false when the share is used up.
   bool tryAcquire(const direct::BackendServer &server, double requestsPerSecond,
                   const direct::Catalog &catalog, TimePoint now);
   /// Drops servers to which nothing has been sent since `usedBefore`.
   void forgetIdle(TimePoint usedBefore) { Quota.forgetIdle(usedBefore); }
 
+  /// See SharedQuota. The server is that of the request's key.
+  std::vector<OutgoingLoanRequest>
+  takeLoanRequests(const direct::Catalog &catalog, size_t max, TimePoint now) {
+    return Quota.takeLoanRequests(catalog, max, now);
+  }
+  std::optional<QuotaLoan>
+  onLoanRequest(const QuotaLoanRequest &request, const Endpoint &borrower,
+                const direct::BackendServer &server, double requestsPerSecond,
+                const direct::Catalog &catalog, TimePoint now);
+  uint32_t onLoan(const QuotaLoan &loan, TimePoint now) {
+    return Quota.onLoan(loan, now);
+  }
+  QuotaLoanCounts loanCounts() const { return Quota.loanCounts(); }
+
 private:
   QuotaBound boundOf(double requestsPerSecond) const;
 
--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -10,14 +10,14 @@
 /// crashed may be back by then.
 constexpr Duration VersionReturnDelay{1'000'000};
 
+} // namespace
+
 double coldRateOf(const Catalog &catalog, const BackendServer &server) {
   const Service *service =
       catalog.Config ? catalog.Config->findService(server.Service) : nullptr;
   return service ? service->ColdRequestsPerSecond : 0;
 }
 
-} // namespace
-
 Eligibility::Eligibility(PlacementSettings settings, const Locality &locality,
                          ServerTrackers trackers, const PlacementCost &cost)
     : Settings(settings), EntryLocality(locality), Trackers(trackers),
@@ -55,7 +55,7 @@
   if (!candidate.IsCold)
     return out;
   std::optional<TimePoint> slowStartAt = Trackers.ColdServers.availableAt(
-      server, coldRateOf(catalog, server), catalog);
+      server, coldRateOf(catalog, server), catalog, now);
   // Slow start ends at ColdUntil. While no source reports what servers write,
   // the server may have become cold again, so that its slow start has no known
   // end.
--- a/src/direct/eligibility.h
+++ b/src/direct/eligibility.h
@@ -24,6 +24,9 @@
 
 namespace daisytack::direct {
 
+/// Requests per second that a cold server of the service may get; 0: no limit.
+double coldRateOf(const Catalog &catalog, const BackendServer &server);
+
 /// Sources of the servers' state; all thread-safe.
 struct ServerTrackers {
   const balancing::ServerLoads &Loads;
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -3,6 +3,7 @@
 
 #include "admission/organisation_shares.h"
 #include "admission/return_schedule.h"
+#include "balancing/quota_loans.h"
 #include "balancing/request_limits.h"
 #include "balancing/server_loads.h"
 #include "direct/crash_reports.h"
@@ -132,6 +133,7 @@
                  EntryLoads, ContextRetired, Acknowledgement, CrashReports,
                  RequestLimitUpdate, RolloutAges, StreamsBegan,
                  StreamOriginRequest, StreamOriginResponse,
-                 admission::OrganisationUse, admission::ReturnTickets>;
+                 admission::OrganisationUse, admission::ReturnTickets,
+                 balancing::QuotaLoanRequest, balancing::QuotaLoan>;
 
 } // namespace daisytack::direct
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -258,6 +258,7 @@
       options.Peers != Options.Peers || options.Store != Options.Store ||
       options.Name != Options.Name || options.Regions != Options.Regions ||
       !(options.SlowStart == Options.SlowStart) ||
+      !(options.Limits == Options.Limits) ||
       !(options.Placement == Options.Placement);
   Peers->setSeeds(options.Seeds);
   Log.write(LogPriority::Notable, "settings_reloaded",
@@ -285,6 +286,16 @@
       static_cast<int64_t>(State.Limits.limitedCount()));
   State.Stats.ServicesShort.set(
       static_cast<int64_t>(State.Shares.shortCount(monotonicNow())));
+  balancing::QuotaLoanCounts limitLoans = State.Limits.loanCounts();
+  balancing::QuotaLoanCounts startLoans = State.ColdServers.loanCounts();
+  State.Stats.LoansRequested.set(
+      static_cast<int64_t>(limitLoans.Requested + startLoans.Requested));
+  State.Stats.LoansGranted.set(
+      static_cast<int64_t>(limitLoans.Granted + startLoans.Granted));
+  State.Stats.LoansReceived.set(
+      static_cast<int64_t>(limitLoans.Received + startLoans.Received));
+  State.Stats.LoanRequestsSent.set(
+      static_cast<int64_t>(limitLoans.Used + startLoans.Used));
   admission::ReturnCounts returns = State.Returns.counts();
   State.Stats.ReturnsIssued.set(static_cast<int64_t>(returns.Issued));
   State.Stats.ReturnsUsed.set(static_cast<int64_t>(returns.Used));
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -111,6 +111,9 @@
       settings.number("balancing.silence_share", out.Silence.Share, 0, 1);
   out.Silence.ProbeTimeout = settings.duration(
       "balancing.probe_timeout", out.Silence.ProbeTimeout, 10ms, 10s);
+  out.Limits.HasLoans =
+      settings.flag("balancing.quota_loans", out.Limits.HasLoans);
+  out.SlowStart.HasLoans = out.Limits.HasLoans;
   out.Returns.Spread = settings.number("admission.return_spread",
                                        out.Returns.Spread, 0, NumberUpperBound);
   out.Returns.HasPriority =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -5,6 +5,7 @@
 #include "admission/organisation_shares.h"
 #include "admission/return_schedule.h"
 #include "balancing/prefill_rate.h"
+#include "balancing/request_limits.h"
 #include "balancing/server_loads.h"
 #include "base/decision_log.h"
 #include "base/settings.h"
@@ -106,6 +107,7 @@
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
   balancing::SlowStartSettings SlowStart;
+  balancing::RequestLimitSettings Limits;
   balancing::ServerLoadSettings Loads;
   direct::StoreLinkSettings Links;
   balancing::PrefillRateSettings PrefillRate;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -105,6 +105,12 @@
       {{"outcome", outcome}});
 }
 
+Gauge &quotaLoans(Metrics &metrics, const char *step) {
+  return metrics.gauge("daisytack_quota_loans",
+                       "Loans of requests from the shares of other entries",
+                       {{"step", step}});
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics(Metrics &metrics)
@@ -192,6 +198,12 @@
       ReturnsUsed(returnTickets(metrics, "used")),
       ReturnsEarly(returnTickets(metrics, "early")),
       ReturnsExpired(returnTickets(metrics, "expired")),
+      LoansRequested(quotaLoans(metrics, "requested")),
+      LoansGranted(quotaLoans(metrics, "granted")),
+      LoansReceived(quotaLoans(metrics, "received")),
+      LoanRequestsSent(metrics.gauge(
+          "daisytack_quota_loan_requests_used",
+          "Requests sent to servers on loan from another entry's share")),
       ServersLimited(metrics.gauge(
           "daisytack_servers_limited",
           "Backend servers that named a limit on requests in their answers")),
@@ -248,8 +260,8 @@
       Suspects(options.Suspects), Origins({}), Software({}),
       StoredParts(options.StoredParts),
       ColdServers(options.SlowStart, options.Peers, monotonicNow()),
-      Limits({}, options.Peers, monotonicNow()), Shares(options.Shares),
-      Returns(options.Returns),
+      Limits(options.Limits, options.Peers, monotonicNow()),
+      Shares(options.Shares), Returns(options.Returns),
       Placer(options.Placement, {options.FailureDomain, options.Regions},
              {Loads, Links, OutlierEjector, PrefillRates, StoredParts,
               ColdServers, Limits}),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -70,6 +70,10 @@
   Gauge &ReturnsUsed;
   Gauge &ReturnsEarly;
   Gauge &ReturnsExpired;
+  Gauge &LoansRequested;
+  Gauge &LoansGranted;
+  Gauge &LoansReceived;
+  Gauge &LoanRequestsSent;
   Gauge &ServersLimited;
   Gauge &DomainsEvacuated;
   Gauge &ServiceReachable;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -25,7 +25,13 @@
                            LoadExchangeSettings settings,
                            OtherMessageHook onOther)
     : State(state), Executor(std::move(strand)), Settings(settings),
-      OnOther(std::move(onOther)), Socket(Executor) {}
+      OnOther(std::move(onOther)),
+      Loans(state,
+            [this](const Endpoint &peer, const direct::PeerMessage &message) {
+              sendTo(peer, message);
+            },
+            {}),
+      Socket(Executor) {}
 
 bool LoadExchange::start(Error &reason) {
   boost::asio::ip::tcp::endpoint address;
@@ -88,9 +94,14 @@
     return State.Shares.onPeerReport(*use, now);
   if (const auto *tickets = std::get_if<admission::ReturnTickets>(&*message))
     return State.Returns.onPeerTickets(*tickets, now);
+  if (const auto *loan = std::get_if<balancing::QuotaLoan>(&*message))
+    return Loans.onLoan(*loan, now);
+  Endpoint sender{Sender.address().to_string(), Sender.port()};
+  if (const auto *wish = std::get_if<balancing::QuotaLoanRequest>(&*message))
+    return Loans.onRequest(*wish, sender, now);
   const auto *loads = std::get_if<direct::EntryLoads>(&*message);
   if (!loads)
-    return OnOther({Sender.address().to_string(), Sender.port()}, *message);
+    return OnOther(sender, *message);
   if (loads->Entry == State.Options.Name)
     return;
   State.Loads.onPeerReport(loads->Entry, loads->Servers,
@@ -124,6 +135,7 @@
   if (now < NextSendAt || !Socket.is_open())
     return;
   NextSendAt = now + Settings.Interval;
+  Loans.onTimer(now);
   auto catalog = State.catalog();
   size_t n = catalog->Entries.size();
   if (n < 2)
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,13 +2,15 @@
 /// each puts on every backend server, so that all know a server's total load;
 /// how late fetches came, so that all notice a slow link to a store at once;
 /// which servers are leaving; which requests crashed servers, so that no entry
-/// forwards them; which request limits servers reported; and for how long
-/// weights that servers are loading have been desired.
+/// forwards them; which request limits servers reported; for how long
+/// weights that servers are loading have been desired; and loans of requests
+/// from shared quotas.
 #pragma once
 
 #include "direct/peer_messages.h"
 #include "gateway/gateway_state.h"
 #include "gateway/kv_service_follower.h"
+#include "gateway/quota_loan_exchange.h"
 
 #include <boost/asio/ip/udp.hpp>
 
@@ -45,6 +47,7 @@
   Strand Executor;
   LoadExchangeSettings Settings;
   OtherMessageHook OnOther;
+  QuotaLoanExchange Loans;
   boost::asio::ip::udp::socket Socket;
   boost::asio::ip::udp::endpoint Sender;
   std::array<char, MaxDatagramBytes> Buffer{};
--- a/tests/balancing/request_limits_test.cpp
+++ b/tests/balancing/request_limits_test.cpp
@@ -55,6 +55,23 @@
     return out;
   }
 
+  /// Passes the messages of both entries on, as their exchange does ten times a
+  /// second.
+  void exchange(TimePoint now) {
+    lend(First, addressOf(0), Second, now);
+    lend(Second, addressOf(1), First, now);
+    Second.onPeerReports(First.takeGossip(now), now);
+    First.onPeerReports(Second.takeGossip(now), now);
+  }
+  void lend(RequestLimits &borrower, const Endpoint &address,
+            RequestLimits &lender, TimePoint now) {
+    for (const OutgoingLoanRequest &it :
+         borrower.takeLoanRequests(Known, 3, now))
+      if (auto loan = lender.onLoanRequest(it.Message, address, LimitedServer,
+                                           Known, now))
+        borrower.onLoan(*loan, now);
+  }
+
   direct::Catalog Known;
   RequestLimits First{{}, addressOf(0), Begin - 20s};
   RequestLimits Second{{}, addressOf(1), Begin - 20s};
@@ -156,6 +173,8 @@
     TimePoint end = now + LoadTime;
     for (size_t n = 0; now < end; now += LoadInterval, ++n) {
       RequestLimits &entry = entryOf(n);
+      if (n % 4 == 0)
+        exchange(now);
       if (n % 100 == 0) // The server goes on to name its limit.
         entry.onAnswer("needy", Limit, now);
       out += entry.tryAcquire(LimitedServer, Known, now) ? 1 : 0;
--- a/tests/gateway/options_test.cpp
+++ b/tests/gateway/options_test.cpp
@@ -61,5 +61,23 @@
   EXPECT_EQ(bad.finish().size(), 1);
 }
 
+/// Both quotas that entries share are switched by one setting.
+TEST(GatewayOptions, ReadWhetherEntriesLendQuota) {
+  Settings defaults = settingsWith("");
+  GatewayOptions options = readGatewayOptions(defaults);
+  EXPECT_TRUE(options.Limits.HasLoans);
+  EXPECT_TRUE(options.SlowStart.HasLoans);
+  Settings off = settingsWith("", "[balancing]\nquota_loans = false");
+  options = readGatewayOptions(off);
+  EXPECT_TRUE(off.finish().empty());
+  EXPECT_FALSE(options.Limits.HasLoans);
+  EXPECT_FALSE(options.SlowStart.HasLoans);
+  Settings bad = settingsWith("", "[balancing]\nquota_loans = 2");
+  readGatewayOptions(bad);
+  auto mistakes = bad.finish();
+  ASSERT_EQ(mistakes.size(), 1);
+  EXPECT_EQ(mistakes[0].Key, "balancing.quota_loans");
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/gateway/server_limit_test.cpp
+++ b/tests/gateway/server_limit_test.cpp
@@ -92,5 +92,44 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// Guards against refusals at the entry that all callers use while the share of
+/// another one is idle: messages about loans pass between real entries.
+TEST_F(ServerLimitTest, BorrowsTheShareOfAnIdleEntry) {
+  test::FakeServer &server =
+      startBackend([](const HttpRequest &what, const ExchangePtr &to) {
+        HttpResponse out = signedAnswer(what);
+        out.Headers.push_back({"Server-Limit", "100"});
+        to->respond(std::move(out));
+      });
+  registerServer("i-1", server);
+  for (const char *name : {"e1", "e2"}) {
+    GatewayOptions options = Entry::optionsFor(name, KvService.address(), {});
+    options.Limits.Window = 500ms;
+    Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+    Entries.back()->start();
+  }
+  for (const auto &it : Entries)
+    ASSERT_TRUE(waitReady(*it));
+  auto count = [&](const Entry &entry, const std::string &series) {
+    HttpRequest scrape;
+    scrape.Method = "GET";
+    scrape.Path = "/metrics";
+    std::string text = fetch(entry.Options.Metrics, scrape).Response.Body;
+    size_t at = text.find("\n" + series + " ");
+    return at == std::string::npos
+               ? -1.0
+               : std::stod(text.substr(at + series.size() + 2));
+  };
+  EXPECT_TRUE(eventually([&] {
+    for (int i = 0; i < 20; ++i)
+      send(*Entries[0]);
+    return count(*Entries[0], "daisytack_quota_loan_requests_used") > 0;
+  }));
+  EXPECT_GT(count(*Entries[0], "daisytack_quota_loans{step=\"requested\"}"), 0);
+  EXPECT_GT(count(*Entries[0], "daisytack_quota_loans{step=\"received\"}"), 0);
+  EXPECT_GT(count(*Entries[1], "daisytack_quota_loans{step=\"granted\"}"), 0);
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 } // namespace
 } // namespace daisytack::gateway
