Check the times that the soak's refused callers are told

Cause: the soak accepted any text as Retry-After, and a 503 with a server's signature was not compared with later runs of its request.

Change: check callers_return: a Retry-After of a 429 or 503 is a number above 0, and no request begins to run after its caller got a 503, whoever wrote it. Three defects in checks_test.py: a time of 0.000, one that is no number, a run after a server's 503. The message holds the answer's text.

Likely cause, from the code: eligibility.cpp sets RetryAfter to the time until the earliest server may be asked again, and writeErrorAnswer rounds less than 0.5 ms to 0.000.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks of the guarantees, on what callers and backend servers recorded. Each check yields a text per violation."""
 
+import math
 import re
 
 from callers import ENTRY_CLOSES, KINDS
@@ -47,6 +48,26 @@
             yield f"{sent.id} was refused with 503 and without Retry-After"
 
 
+def callers_return(world, runs):
+    """A refused caller can rely on its answer: the time after which it should return is above 0, and the request does
+    not begin to run after a 503, whoever wrote it."""
+    for sent in world.sent:
+        if sent.status in (429, 503) and sent.retry_after and seconds_of(sent.retry_after) <= 0:
+            yield (f"{sent.id} ({sent.kind}) at {sent.entry} was refused with {sent.status} and Retry-After "
+                   f"{sent.retry_after!r}: {sent.answer.decode(errors='replace')}")
+        if sent.status == 503 and any(it.at > sent.ended for it in runs.get(sent.id, [])):
+            yield f"{sent.id} ran after it was answered 503"
+
+
+def seconds_of(text):
+    """Returns the seconds of a Retry-After, 0 if it is no finite number."""
+    try:
+        value = float(text)
+    except ValueError:
+        return 0.0
+    return value if math.isfinite(value) else 0.0
+
+
 def answers_match_runs(world, runs):
     for sent in world.sent:
         if sent.wrong_id:
@@ -336,8 +357,8 @@
                 yield f"{server.id} got token {token} from {holder} and {holders[token]}"
 
 
-ALL_CHECKS = (at_most_once, refusals_not_executed, answers_match_runs, events_in_order, streams_of_one_version,
-              resumptions_go_on, requests_as_sent,
+ALL_CHECKS = (at_most_once, refusals_not_executed, callers_return, answers_match_runs, events_in_order,
+              streams_of_one_version, resumptions_go_on, requests_as_sent,
               requests_end_with_answer, revoked_keys, draining_servers, servers_leaving_by_answer, rejecting_servers,
               evacuated_domains, cold_servers, limited_servers, revocations_stay, fatal_requests, fatal_parts,
               no_false_quarantine,
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -87,6 +87,22 @@
     world.change(status=503, signature="")
 
 
+def refused_with_a_time_of_zero(world):
+    world.server.runs.clear()
+    world.change(status=503, signature="", retry_after="0.000")
+
+
+def limited_without_a_number(world):
+    world.server.runs.clear()
+    world.change(status=429, signature="", retry_after="soon")
+
+
+def run_after_a_servers_refusal(world):
+    """An entry passes on the 503 of a server and sends the request to another one nevertheless."""
+    world.change(status=503, retry_after="1")
+    world.run().at = world.sent[0].ended + 0.1
+
+
 def cut_answer(world):
     world.change(answer=world.sent[0].answer[:-2])
 
@@ -336,7 +352,9 @@
            resumed_at_the_same_version)
 DEFECTS = {
     second_run: "at_most_once", refused_though_it_ran: "refusals_not_executed",
-    refused_without_a_time: "refusals_not_executed", cut_answer: "answers_match_runs",
+    refused_without_a_time: "refusals_not_executed", refused_with_a_time_of_zero: "callers_return",
+    limited_without_a_number: "callers_return", run_after_a_servers_refusal: "callers_return",
+    cut_answer: "answers_match_runs",
     other_answer: "answers_match_runs", forged_signature: "answers_match_runs", missing_event: "events_in_order",
     stream_of_two_versions: "streams_of_one_version", resumed_at_another_version: "streams_of_one_version",
     resumptions_refused: "resumptions_go_on", changed_body: "requests_as_sent", forwarded_key: "requests_as_sent", wrong_organisation: "requests_as_sent",
@@ -352,7 +370,8 @@
     overloaded_after_cold_record: "cold_servers"}
 KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", fatal_part_sent_too_often: "ask", passed_on_late_and_cut: "long",
          stream_of_two_versions: "ask", resumed_at_another_version: "ask", resumptions_refused: "ask",
-         resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask"}
+         resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask",
+         run_after_a_servers_refusal: "safe"}
 
 
 PROGRAM = """import os, signal, sys, time
