Place prompts by the speeds of servers

Entries that see the same outdated loads choose the same server.

Change: each entry learns a long-term and a short-term pace of each start of a server, relative to the median of its service, from its own first bytes and from LoadShare::Pace and PaceSamples of other entries. Predicted prefill and queue times, also those of the queue limit, are multiplied by the pace. Among servers of nearly equal cost the request id decides. Gauges: servers above 150%, and the smallest and largest pace. Log events: server_slow, server_not_slow.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -55,8 +55,10 @@
 
 double Admission::queueMs(const direct::ForwardRequest &request,
                           const balancing::ServerLoadView &load) const {
-  return Cost.prefillMs(request, static_cast<double>(tokensAhead(
-                                     Settings.Queue, load, request.Priority)));
+  return Cost.prefillMs(
+      request,
+      static_cast<double>(tokensAhead(Settings.Queue, load, request.Priority)),
+      load.PacePercent);
 }
 
 BusyState Admission::busyStateWithin(const direct::ForwardRequest &request,
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -70,6 +70,8 @@
   /// When this entry heard that the server loads new weights; nullopt if it
   /// does not.
   std::optional<TimePoint> LoadingSince;
+  /// See balancing/server_speeds.h. ServerLoads leaves it at the usual 100.
+  uint32_t PacePercent = 100;
   auto operator<=>(const ServerLoadView &) const = default;
 };
 
@@ -104,8 +106,9 @@
   /// Time since the server last sent something to this entry while requests
   /// were in flight, in units of 10 ms, at least 1; 0: unknown.
   uint8_t SilentTime = 0;
-  /// Duration of recent answers relative to the predicted one, in units of 2%;
-  /// 0: unknown.
+  /// Mean time to first byte of the answers since the sender's last report,
+  /// relative to the one predicted from the configured prefill rate, in units
+  /// of 2%; 0: unknown.
   uint8_t Pace = 0;
   uint8_t PaceSamples = 0; ///< Number of answers behind Pace.
   auto operator<=>(const LoadShare &) const = default;
--- a/src/direct/eligibility.h
+++ b/src/direct/eligibility.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "balancing/request_limits.h"
+#include "balancing/server_speeds.h"
 #include "balancing/slow_start.h"
 #include "decide/ejection.h"
 #include "direct/candidate.h"
@@ -30,6 +31,8 @@
   const Ejector &Ejected;
   balancing::SlowStart &ColdServers;
   balancing::RequestLimits &Limits;
+  /// Null: every pace is 100.
+  const balancing::ServerSpeeds *Speeds = nullptr;
 };
 
 /// Thread-safe.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "gateway/quarantine.h"
 #include "gateway/rollout_times.h"
 #include "gateway/server_probes.h"
+#include "gateway/server_speed_follower.h"
 #include "gateway/stream_origin_exchange.h"
 #include "net/timer.h"
 
@@ -103,6 +104,7 @@
   std::shared_ptr<PeerExchange> Peers;
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
+  ServerSpeedFollower SpeedFollower;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -111,6 +111,10 @@
       settings.number("balancing.silence_share", out.Silence.Share, 0, 1);
   out.Silence.ProbeTimeout = settings.duration(
       "balancing.probe_timeout", out.Silence.ProbeTimeout, 10ms, 10s);
+  out.Speeds.IsEnabled =
+      settings.flag("balancing.speeds", out.Speeds.IsEnabled);
+  if (!out.Speeds.IsEnabled)
+    place.NearlyEqualTokens = 0;
   out.Returns.Spread = settings.number("admission.return_spread",
                                        out.Returns.Spread, 0, NumberUpperBound);
   out.Returns.HasPriority =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -6,6 +6,7 @@
 #include "admission/return_schedule.h"
 #include "balancing/prefill_rate.h"
 #include "balancing/server_loads.h"
+#include "balancing/server_speeds.h"
 #include "base/decision_log.h"
 #include "base/settings.h"
 #include "decide/ejection.h"
@@ -103,6 +104,7 @@
   admission::OrganisationShareSettings Shares;
   admission::ReturnSettings Returns;
   balancing::SilenceSettings Silence;
+  balancing::ServerSpeedSettings Speeds;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
   balancing::SlowStartSettings SlowStart;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -66,6 +66,9 @@
   Gauge &ServersCold;
   Gauge &ServicesShort;
   Gauge &ServersSilent;
+  Gauge &ServersSlow;
+  Gauge &MinPace;
+  Gauge &MaxPace;
   Gauge &ReturnsIssued;
   Gauge &ReturnsUsed;
   Gauge &ReturnsEarly;
@@ -139,6 +142,7 @@
   balancing::ServerLoads Loads;
   direct::StoreLinks Links;
   balancing::PrefillRate PrefillRates;
+  balancing::ServerSpeeds Speeds;
   Ejector OutlierEjector;
   direct::CrashSuspects Suspects;
   direct::StreamOrigins Origins;
