Merge the speeds of servers

Each start of a server has a pace that all entries learn together; placement multiplies predicted times by it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,9 +78,9 @@
             State.OriginExchange->onMessage(sender, message);
           })),
       Probes(std::make_shared<ServerProbes>(State, ControlStrand)),
-      Contexts(std::make_shared<ContextFollower>(
-          State, ControlStrand, contextSettings(), secureRandom,
-          retirementHooks())),
+      SpeedFollower(State), Contexts(std::make_shared<ContextFollower>(
+                                State, ControlStrand, contextSettings(),
+                                secureRandom, retirementHooks())),
       Orders(std::make_shared<OrderDriver>(
           State, ControlStrand, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -259,6 +259,9 @@
       options.Name != Options.Name || options.Regions != Options.Regions ||
       !(options.SlowStart == Options.SlowStart) ||
       !(options.Limits == Options.Limits) ||
+      !(options.Shares == Options.Shares) ||
+      !(options.Returns == Options.Returns) ||
+      !(options.Silence == Options.Silence) ||
       !(options.Placement == Options.Placement);
   Peers->setSeeds(options.Seeds);
   Log.write(LogPriority::Notable, "settings_reloaded",
@@ -301,6 +304,10 @@
   State.Stats.ReturnsUsed.set(static_cast<int64_t>(returns.Used));
   State.Stats.ReturnsEarly.set(static_cast<int64_t>(returns.Early));
   State.Stats.ReturnsExpired.set(static_cast<int64_t>(returns.Expired));
+  balancing::SpeedSummary speeds = State.Speeds.summary(monotonicNow());
+  State.Stats.ServersSlow.set(speeds.SlowServers);
+  State.Stats.MinPace.set(speeds.MinPace);
+  State.Stats.MaxPace.set(speeds.MaxPace);
   State.Stats.DomainsEvacuated.set(
       static_cast<int64_t>(catalog->Evacuated.size()));
   exchange.respond({net::StatusOk,
@@ -450,6 +457,7 @@
   State.Shares.forgetIdle(now - LoadRetention);
   State.Returns.onTimer(now);
   logShortages(now);
+  SpeedFollower.onTimer(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   Probes->onTimer(now);
