--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -267,5 +267,18 @@
       "");
 }
 
+/// Guards against a refusal that tells its caller to return at once because the
+/// time is below half a millisecond.
+TEST(WriteErrorAnswer, RoundsRetryAfterUp) {
+  for (auto [after, text] :
+       {std::pair(Duration(1), "0.001"), std::pair(Duration(1000), "0.001"),
+        std::pair(Duration(1001), "0.002")})
+    EXPECT_EQ(
+        valueOf(
+            writeErrorAnswer(503, "", {ErrorKind::NoServer, "", after}).Headers,
+            "Retry-After"),
+        text);
+}
+
 } // namespace
 } // namespace daisytack::platform
