Name no server in the line of a loss whose address is unknown

The look-up in the log line of a loss added an empty entry to the addresses of silent servers, and idle connections to an empty address were closed. Found by reading; no run showed it.

--- a/src/gateway/server_probes.cpp
+++ b/src/gateway/server_probes.cpp
@@ -48,7 +48,9 @@
   learnAddresses(servers.Silent);
   for (uint64_t server : Probing.onTimer(servers, now)) {
     State.Log.write(LogPriority::Notable, "server_silent",
-                    {{"server", Targets[server].Id}}, now);
+                    {{"server", Targets.contains(server) ? Targets.at(server).Id
+                                                         : std::string()}},
+                    now);
     probe(server);
   }
 }
@@ -102,14 +104,15 @@
 void ServerProbes::onLost(uint64_t server, TimePoint now) {
   State.Loads.onLost(server, now);
   State.Stats.ServersLost.add();
-  const Target &target = Targets[server];
+  auto target = Targets.find(server);
   State.Log.write(
       LogPriority::Notable, "server_lost",
-      {{"server", target.Id},
+      {{"server", target == Targets.end() ? "" : target->second.Id},
        {"reason", "it sends nothing and establishes no connection"}},
       now);
   // A request on an open connection counts as sent.
-  State.BackendClient.dropIdle(target.Address);
+  if (target != Targets.end())
+    State.BackendClient.dropIdle(target->second.Address);
   TimePoint probedAt = now - State.Options.Silence.ProbeTimeout *
                                  int64_t{State.Options.Silence.ProbeAttempts};
   for (const auto &request : State.Running.all())
