--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -54,10 +54,8 @@
 
 double Admission::queueMs(const direct::ForwardRequest &request,
                           const balancing::ServerLoadView &load) const {
-  return Cost.prefillMs(
-      request,
-      static_cast<double>(tokensAhead(Settings.Queue, load, request.Priority)),
-      load.PacePercent);
+  return Cost.prefillMs(request, static_cast<double>(tokensAhead(
+                                     Settings.Queue, load, request.Priority)));
 }
 
 BusyState Admission::busyStateWithin(const direct::ForwardRequest &request,
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -70,8 +70,6 @@
   /// When this entry heard that the server loads new weights; nullopt if it
   /// does not.
   std::optional<TimePoint> LoadingSince;
-  /// See balancing/server_speeds.h. ServerLoads leaves it at the usual 100.
-  uint32_t PacePercent = 100;
   auto operator<=>(const ServerLoadView &) const = default;
 };
 
@@ -108,15 +106,9 @@
   /// Time since the server last sent something to this entry, in units of
   /// 10 ms, at least 1; 0 and 255: unknown.
   uint8_t SilentTime = 0;
-  /// Mean time to first byte of the answers since the sender's last report,
-  /// relative to the one predicted from the configured prefill rate, in units
-  /// of 2%; 0: unknown.
-  uint8_t Pace = 0;
-  uint8_t PaceSamples = 0; ///< Number of answers behind Pace.
   auto operator<=>(const LoadShare &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(ServerKey, Running, WaitingTokens, HeldTokens, UrgentPart, SilentTime,
-       Pace, PaceSamples);
+    ar(ServerKey, Running, WaitingTokens, HeldTokens, UrgentPart, SilentTime);
   }
 };
 
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -174,12 +174,7 @@
 }
 
 bool Settings::flag(std::string_view key, std::optional<bool> fallback) {
-  return Self->read<bool>(key, fallback, "true, false, on or off",
-                          [](std::string_view text) -> std::optional<bool> {
-                            if (text == "on" || text == "off")
-                              return text == "on";
-                            return parseFlag(text);
-                          });
+  return Self->read<bool>(key, fallback, "true or false", parseFlag);
 }
 
 int64_t Settings::integer(std::string_view key, std::optional<int64_t> fallback,
--- a/src/direct/eligibility.cpp
+++ b/src/direct/eligibility.cpp
@@ -29,8 +29,6 @@
                                      TimePoint now) const {
   Candidate out{&server, Trackers.Loads.view(server.ref(), now), {}, false};
   const std::string &model = request.Head.Model;
-  if (Trackers.Speeds && !model.empty())
-    out.Load.PacePercent = Trackers.Speeds->pace(server.ref().key(), now);
   uint64_t version = server.versionOf(model);
   // A server without weights of the model can't have outdated ones.
   if (version > 0)
--- a/src/direct/eligibility.h
+++ b/src/direct/eligibility.h
@@ -11,7 +11,6 @@
 #pragma once
 
 #include "balancing/request_limits.h"
-#include "balancing/server_speeds.h"
 #include "balancing/slow_start.h"
 #include "decide/ejection.h"
 #include "direct/candidate.h"
@@ -34,8 +33,6 @@
   const Ejector &Ejected;
   balancing::SlowStart &ColdServers;
   balancing::RequestLimits &Limits;
-  /// Null: every pace is 100.
-  const balancing::ServerSpeeds *Speeds = nullptr;
 };
 
 /// Thread-safe.
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -56,10 +56,10 @@
     : Settings(settings), EntryLocality(std::move(locality)),
       Rates(inputs.Rates),
       Cost(settings, EntryLocality.FailureDomain, inputs.Rates, inputs.Kept),
-      Eligible(settings, EntryLocality,
-               {inputs.Loads, inputs.Ejected, inputs.ColdServers, inputs.Limits,
-                inputs.Speeds},
-               Cost),
+      Eligible(
+          settings, EntryLocality,
+          {inputs.Loads, inputs.Ejected, inputs.ColdServers, inputs.Limits},
+          Cost),
       AdmissionControl(settings, Cost),
       Planner(settings, EntryLocality, inputs.Links, inputs.Kept, Cost) {}
 
@@ -100,33 +100,12 @@
   PlacementCost::UnsavedTokens unsaved;
   size_t bestIndex = 0;
   double leastCost = std::numeric_limits<double>::infinity();
-  std::vector<double> costs;
-  costs.reserve(servers.size());
   for (size_t i = 0; i < servers.size(); ++i) {
-    costs.push_back(Cost.costMs(request, servers[i], home, unsaved));
-    if (costs[i] >= leastCost)
+    double cost = Cost.costMs(request, servers[i], home, unsaved);
+    if (cost >= leastCost)
       continue;
     bestIndex = i;
-    leastCost = costs[i];
-  }
-  uint32_t tokens =
-      std::min(Settings.NearlyEqualTokens, request.Head.PromptTokens);
-  // The home server may have more of the session's context in its memory than
-  // the cost assumes.
-  if (tokens == 0 || servers[bestIndex].Server == home)
-    return servers[bestIndex];
-  const std::string &domain = servers[bestIndex].Server->FailureDomain;
-  double maxCost = leastCost + Cost.prefillMs(request, tokens);
-  uint64_t hash = stableHash(request.Head.RequestId);
-  uint64_t highestRank = 0;
-  for (size_t i = 0; i < servers.size(); ++i) {
-    const BackendServer &server = *servers[i].Server;
-    uint64_t rank = rendezvousRank(hash, server.Id);
-    if (costs[i] >= maxCost || rank < highestRank ||
-        server.FailureDomain != domain)
-      continue;
-    bestIndex = i;
-    highestRank = rank;
+    leastCost = cost;
   }
   return servers[bestIndex];
 }
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -28,8 +28,6 @@
   KeptContext &Kept;
   balancing::SlowStart &ColdServers;
   balancing::RequestLimits &Limits;
-  /// Null: every pace is 100.
-  const balancing::ServerSpeeds *Speeds = nullptr;
 };
 
 /// Why no server was chosen.
@@ -96,8 +94,7 @@
   /// each request.
   Candidates spareCandidates(const ForwardRequest &request,
                              const Candidates &servers) const;
-  /// The server with the lowest cost, or another whose cost is nearly equal,
-  /// chosen by the request id. `servers` must not be empty.
+  /// The server with the lowest cost. `servers` must not be empty.
   const Candidate &cheapest(const ForwardRequest &request,
                             const Candidates &servers,
                             const BackendServer *home) const;
--- a/src/direct/placement_cost.cpp
+++ b/src/direct/placement_cost.cpp
@@ -19,9 +19,9 @@
     : Settings(settings), FailureDomain(std::move(failureDomain)), Rates(rates),
       Kept(kept) {}
 
-double PlacementCost::prefillMs(const ForwardRequest &request, double tokens,
-                                uint32_t pacePercent) const {
-  return tokens / Rates.tokensPerMs(request.Service) * (pacePercent / 100.0);
+double PlacementCost::prefillMs(const ForwardRequest &request,
+                                double tokens) const {
+  return tokens / Rates.tokensPerMs(request.Service);
 }
 
 double PlacementCost::firstTokenMs(const ForwardRequest &request,
@@ -32,8 +32,7 @@
       prefillTokens);
   bool hasPrompt = !request.Head.Model.empty();
   return (hasPrompt ? Settings.MinFirstTokenMs : 0) +
-         prefillMs(request, waitingTokens, load.PacePercent) +
-         load.Running * Settings.RunningMs;
+         prefillMs(request, waitingTokens) + load.Running * Settings.RunningMs;
 }
 
 std::optional<Duration>
@@ -84,7 +83,7 @@
   // Any other server fetches or prefills what the home server may still have in
   // its memory.
   if (&server != home)
-    out += prefillMs(request, sharedTokens(request.Head), load.PacePercent);
+    out += prefillMs(request, sharedTokens(request.Head));
   if (candidate.OutdatedFor > Settings.OldWeightsGrace)
     out += Settings.OldWeightsMs;
   return out;
--- a/src/direct/placement_cost.h
+++ b/src/direct/placement_cost.h
@@ -29,9 +29,7 @@
   double costMs(const ForwardRequest &request, const Candidate &server,
                 const BackendServer *home, UnsavedTokens &unsaved) const;
   /// Prefill time of this many tokens on an idle server, in milliseconds.
-  /// `pacePercent` is the pace of the server (balancing/server_speeds.h).
-  double prefillMs(const ForwardRequest &request, double tokens,
-                   uint32_t pacePercent = 100) const;
+  double prefillMs(const ForwardRequest &request, double tokens) const;
   /// Predicted time until the first token, in milliseconds, when
   /// `prefillTokens` of the request's own tokens have to be computed.
   double firstTokenMs(const ForwardRequest &request,
--- a/src/direct/placement_settings.h
+++ b/src/direct/placement_settings.h
@@ -22,12 +22,6 @@
   /// by outdated loads would overload that server.
   size_t SessionCandidates = 3;
   size_t CurrentCandidates = 3;
-  /// Servers of a failure domain whose costs differ by less than the prefill of
-  /// this number of tokens, or of the request's own prompt if it is shorter,
-  /// count as equal, and the request id decides. Otherwise entries with the
-  /// same outdated loads would all choose the same server. About one short
-  /// prompt; 0: always the cheapest server.
-  uint32_t NearlyEqualTokens = 2400;
   /// Number of further servers, different for each request, that are considered
   /// when the session's servers are too busy. If half of a fleet is busy, four
   /// servers include a free one in 15 of 16 cases.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,9 +78,9 @@
             State.OriginExchange->onMessage(sender, message);
           })),
       Probes(std::make_shared<ServerProbes>(State, ControlStrand)),
-      SpeedFollower(State), Contexts(std::make_shared<ContextFollower>(
-                                State, ControlStrand, contextSettings(),
-                                secureRandom, retirementHooks())),
+      Contexts(std::make_shared<ContextFollower>(
+          State, ControlStrand, contextSettings(), secureRandom,
+          retirementHooks())),
       Orders(std::make_shared<OrderDriver>(
           State, ControlStrand, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -287,7 +287,7 @@
       [now = monotonicNow()](const auto &it) { return now < it.ColdUntil; }));
   State.Stats.ServersLimited.set(
       static_cast<int64_t>(State.Limits.limitedCount()));
-  State.Stats.ServicesShort.set(static_cast<int64_t>(
+  State.Stats.ServicesInShortage.set(static_cast<int64_t>(
       State.Shares.servicesInShortage(monotonicNow()).size()));
   balancing::QuotaLoanCounts limitLoans = State.Limits.loanCounts();
   balancing::QuotaLoanCounts startLoans = State.ColdServers.loanCounts();
@@ -304,10 +304,6 @@
   State.Stats.ReturnsUsed.set(static_cast<int64_t>(returns.Used));
   State.Stats.ReturnsEarly.set(static_cast<int64_t>(returns.Early));
   State.Stats.ReturnsExpired.set(static_cast<int64_t>(returns.Expired));
-  balancing::SpeedSummary speeds = State.Speeds.summary(monotonicNow());
-  State.Stats.ServersSlow.set(speeds.SlowServers);
-  State.Stats.MinPace.set(speeds.MinPace);
-  State.Stats.MaxPace.set(speeds.MaxPace);
   State.Stats.DomainsEvacuated.set(
       static_cast<int64_t>(catalog->Evacuated.size()));
   exchange.respond({net::StatusOk,
@@ -457,7 +453,6 @@
   State.Shares.forgetIdle(now - LoadRetention);
   State.Returns.onTimer(now);
   logShortages(now);
-  SpeedFollower.onTimer(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   Probes->onTimer(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,7 +15,6 @@
 #include "gateway/quarantine.h"
 #include "gateway/rollout_times.h"
 #include "gateway/server_probes.h"
-#include "gateway/server_speed_follower.h"
 #include "gateway/stream_origin_exchange.h"
 #include "net/timer.h"
 
@@ -107,7 +106,6 @@
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
   std::vector<std::string> LoggedShortages;
-  ServerSpeedFollower SpeedFollower;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -114,10 +114,6 @@
   out.Limits.HasLoans =
       settings.flag("balancing.quota_loans", out.Limits.HasLoans);
   out.SlowStart.HasLoans = out.Limits.HasLoans;
-  out.Speeds.IsEnabled =
-      settings.flag("balancing.speeds", out.Speeds.IsEnabled);
-  if (!out.Speeds.IsEnabled)
-    place.NearlyEqualTokens = 0;
   out.Returns.Spread = settings.number("admission.return_spread",
                                        out.Returns.Spread, 0, NumberUpperBound);
   out.Returns.UsesTickets =
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -7,7 +7,6 @@
 #include "balancing/prefill_rate.h"
 #include "balancing/request_limits.h"
 #include "balancing/server_loads.h"
-#include "balancing/server_speeds.h"
 #include "base/decision_log.h"
 #include "base/settings.h"
 #include "decide/ejection.h"
@@ -105,7 +104,6 @@
   admission::OrganisationShareSettings Shares;
   admission::ReturnSettings Returns;
   balancing::SilenceSettings Silence;
-  balancing::ServerSpeedSettings Speeds;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
   balancing::SlowStartSettings SlowStart;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -469,9 +469,6 @@
     FirstByteAt = now;
     State.Loads.onFirstByte(Order.server(), loadOf(Order), now);
     observeLink(now);
-    State.Speeds.observe(
-        Order.server().key(), Order.PrefillTokens, Order.TokensAhead,
-        State.Options.PrefillRate.InitialTokensPerMs, now - SentAt, now);
     State.PrefillRates.observe(Flow.request().Service, Order.PrefillTokens,
                                Order.TokensAhead, now - SentAt);
   }
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -64,11 +64,8 @@
   Gauge &PartsKnown;
   Gauge &ServersKnown;
   Gauge &ServersCold;
-  Gauge &ServicesShort;
+  Gauge &ServicesInShortage;
   Gauge &ServersSilent;
-  Gauge &ServersSlow;
-  Gauge &MinPace;
-  Gauge &MaxPace;
   Gauge &ReturnsIssued;
   Gauge &ReturnsUsed;
   Gauge &ReturnsEarly;
@@ -146,7 +143,6 @@
   balancing::ServerLoads Loads;
   direct::StoreLinks Links;
   balancing::PrefillRate PrefillRates;
-  balancing::ServerSpeeds Speeds;
   Ejector OutlierEjector;
   direct::CrashSuspects Suspects;
   direct::StreamOrigins Origins;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -8,7 +8,6 @@
 #include "wire/codec.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace daisytack::gateway {
 
@@ -110,7 +109,6 @@
     return;
   State.Loads.onPeerReport(loads->Entry, loads->Servers,
                            Duration(loads->Period), now);
-  State.Speeds.onPeerReport(loads->Servers, now);
   State.Links.onPeerDelays(loads->Links, now);
   for (uint64_t server : loads->Leaving)
     State.Loads.onLeaving(server, now);
@@ -148,12 +146,10 @@
   size_t rounds =
       (n + Settings.MaxPeersPerInterval - 1) / Settings.MaxPeersPerInterval;
   Duration period = Settings.Interval * static_cast<int64_t>(rounds);
-  std::vector<balancing::LoadShare> shares = State.Loads.ownLoads(now);
-  State.Speeds.addTo(shares);
-  std::vector<std::string> messages{
-      encodeLoads({State.Options.Name, period.count(), std::move(shares),
-                   State.Links.takeGossip(), State.Loads.recentlyLeaving(now)},
-                  MaxDatagramBytes)};
+  std::vector<std::string> messages{encodeLoads(
+      {State.Options.Name, period.count(), State.Loads.ownLoads(now),
+       State.Links.takeGossip(), State.Loads.recentlyLeaving(now)},
+      MaxDatagramBytes)};
   direct::CrashReports reports =
       State.Suspects.takeReports(1.0 / static_cast<double>(rounds), now);
   if (!reports.isEmpty())
