Follow the renamed cause of refusals in its test

ShortageTest.MetricsCountRefusalsByCause, written before the review, asked for the cause 'share', which is called 'withheld' now; it failed once, as the series no longer exists. The expectation of no such refusal stays.

--- a/tests/gateway/shortage_test.cpp
+++ b/tests/gateway/shortage_test.cpp
@@ -215,7 +215,7 @@
   EXPECT_EQ(refusals(*One, "memory"), RefusedPrompts);
   EXPECT_EQ(refusals(*One, "queue"), before + RefusedPrompts);
   EXPECT_EQ(refusals(*One, "patience"), 0);
-  EXPECT_EQ(refusals(*One, "share"), 0);
+  EXPECT_EQ(refusals(*One, "withheld"), 0);
 }
 
 /// Guards against an entry that does not know what another one told a caller,
