--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -433,13 +433,17 @@
   std::vector<std::string> services = State.Shares.servicesInShortage(now);
   if (services == LoggedShortages)
     return;
-  auto log = [&](std::string_view event, const auto &from, const auto &than) {
-    for (const std::string &it : from)
-      if (!std::binary_search(than.begin(), than.end(), it))
-        State.Log.write(LogPriority::Notable, event, {{"service", it}}, now);
+  auto has = [](const std::vector<std::string> &in, const std::string &name) {
+    return std::binary_search(in.begin(), in.end(), name);
   };
-  log("shortage_began", services, LoggedShortages);
-  log("shortage_ended", LoggedShortages, services);
+  for (const std::string &it : services)
+    if (!has(LoggedShortages, it))
+      State.Log.write(LogPriority::Notable, "shortage_began", {{"service", it}},
+                      now);
+  for (const std::string &it : LoggedShortages)
+    if (!has(services, it))
+      State.Log.write(LogPriority::Notable, "shortage_ended", {{"service", it}},
+                      now);
   LoggedShortages = std::move(services);
 }
 
