Test that a return ticket gives precedence

The review suspected that the test of callers who wait would pass without precedence for their returns. No test compared returns with and without tickets, though, nor told which requests gain. Two comments still said that the share factor concerns memory.

--- a/src/admission/organisation_shares.h
+++ b/src/admission/organisation_shares.h
@@ -29,8 +29,8 @@
 
 struct OrganisationShareSettings {
   bool IsEnabled = true; ///< If not, all factors are 1.
-  /// Lowest factor on the limits of an organisation. Lower values would leave
-  /// engines idle between two of its prompts.
+  /// Lowest factor on the queue limit of an organisation. Lower values would
+  /// leave engines idle between two of its prompts.
   double MinFactor = 0.5;
   /// An organisation is limited above this multiple of the fair share.
   /// Organisations of nearly equal rates would otherwise be served in the order
@@ -111,8 +111,8 @@
                   uint64_t tokens, AdmissionOutcome outcome, TimePoint now);
   void onPeerReport(const OrganisationUse &report, TimePoint now);
 
-  /// Factor on the queue and memory limits of the organisation's requests, from
-  /// MinFactor to 1.
+  /// Factor on the queue limit of the organisation's requests, from MinFactor
+  /// to 1.
   double factor(std::string_view service, std::string_view organisation,
                 TimePoint now);
   /// How long the service has been in shortage; zero if it is not.
--- a/tests/admission/return_schedule_test.cpp
+++ b/tests/admission/return_schedule_test.cpp
@@ -165,6 +165,7 @@
 
   Result Waiting;
   Result Repeating;
+  Result Returns; ///< Of callers who wait, when they were told to.
   /// Most returns in a tenth of a second.
   size_t mostReturns() const {
     size_t out = 0;
@@ -207,9 +208,12 @@
       limitMs -= std::min(LimitMs / 4,
                           static_cast<double>(entry.dueTokens("engines", Now)) /
                               TokensPerMs);
+    bool isReturn = !caller.Repeats && caller.TriesLeft < 3;
+    Returns.Callers += isReturn ? 1 : 0;
     if (QueueMs <= limitMs) {
       QueueMs += static_cast<double>(Tokens) / TokensPerMs;
       ++result.Served;
+      Returns.Served += isReturn ? 1 : 0;
       return;
     }
     auto earliest = Duration(static_cast<int64_t>((QueueMs - limitMs) * 1000));
@@ -247,5 +251,18 @@
   }
 }
 
+/// Guards against tickets that are recognised but give no precedence.
+TEST(ReturnSchedule, ServesReturnsMoreOftenThanWithoutTickets) {
+  ReturnSettings withoutTickets;
+  withoutTickets.UsesTickets = false;
+  for (size_t entries : {1U, 4U, 20U}) {
+    Herd herd(entries);
+    Herd plain(entries, withoutTickets);
+    herd.run();
+    plain.run();
+    EXPECT_GT(herd.Returns.share(), plain.Returns.share()) << entries;
+  }
+}
+
 } // namespace
 } // namespace daisytack::admission
