End calls whose response has no end

A server in trouble may send bytes that are no answer until the caller closes: in a head, in a body, or without any framing. A call skipped interim responses and responses to other requests without bound, a call for a whole response went on receiving what it had already found too long until its timeout, and an answer was passed on for as long as its request lasted.

A call now ends with a protocol error after 1 MB that is not its response, a collected response at its limit, and a backend server's answer at 16 MB. The caller gets 502 or a visible break. A call may also be given more time while its response comes at a rate (HttpTimeout), which a slow trickle does not meet; nothing uses that yet.

The fault matrix of streams has the end by a limit.

--- a/src/edge/service_http.cpp
+++ b/src/edge/service_http.cpp
@@ -92,8 +92,9 @@
       self->onDone(*answer, error);
     };
     Calls.begin(start.Run);
-    Calls.set(start.Run, Client.call(Address, requestOf(*start.Offer),
-                                     start.Timeout, std::move(hooks)));
+    Calls.set(start.Run,
+              Client.call(Address, requestOf(*start.Offer), start.Timeout,
+                          std::move(hooks), net::MaxServerAnswerBytes));
   }
 
   void cancel(const serve::RunToken &run) { Calls.cancel(run); }
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -452,7 +452,8 @@
   };
   Call = State.BackendClient.call(
       order.Address, State.WireProtocol.WriteAttempt(request.Head, order, Body),
-      order.TimeLeft + CallTimeoutMargin, std::move(hooks));
+      order.TimeLeft + CallTimeoutMargin, std::move(hooks),
+      net::MaxServerAnswerBytes);
 }
 
 void GatewayRequest::onHead(uint32_t attempt, unsigned status,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -80,11 +80,12 @@
 void HttpClient::dropIdle(const Endpoint &to) { Self->Pool->drop(to); }
 
 HttpCall HttpClient::call(const Endpoint &to, HttpRequest request,
-                          Duration timeout, HttpHooks hooks) {
+                          HttpTimeout timeout, HttpHooks hooks,
+                          size_t maxBodyBytes) {
   auto running =
       std::make_shared<HttpClientCall>(Self->Io, Self->Init, Self->Pool, to,
                                        std::move(request), std::move(hooks));
-  running->start(timeout);
+  running->start(timeout, maxBodyBytes);
   return HttpCall([weak = std::weak_ptr(running)] {
     if (auto self = weak.lock())
       self->cancel();
@@ -92,32 +93,23 @@
 }
 
 HttpCall
-HttpClient::fetch(const Endpoint &to, HttpRequest request, Duration timeout,
+HttpClient::fetch(const Endpoint &to, HttpRequest request, HttpTimeout timeout,
                   std::function<void(const Error &, HttpResponse)> done) {
-  struct Collector {
-    HttpResponse Response;
-    bool TooLarge = false;
-  };
-  auto collector = std::make_shared<Collector>();
+  auto response = std::make_shared<HttpResponse>();
   HttpHooks hooks;
-  hooks.Head = [collector](unsigned status,
-                           const std::vector<HttpHeader> &headers) {
-    collector->Response.Status = status;
-    collector->Response.Headers = headers;
+  hooks.Head = [response](unsigned status,
+                          const std::vector<HttpHeader> &headers) {
+    response->Status = status;
+    response->Headers = headers;
   };
-  size_t maxBytes = Self->Init.MaxResponseBodyBytes;
-  hooks.Data = [collector, maxBytes](std::string_view data) {
-    collector->TooLarge |=
-        collector->Response.Body.size() + data.size() > maxBytes;
-    if (!collector->TooLarge)
-      collector->Response.Body.append(data);
+  hooks.Data = [response](std::string_view data) {
+    response->Body.append(data);
   };
-  hooks.Done = [collector, done = std::move(done)](const Error &error) {
-    if (collector->TooLarge)
-      return done({ErrorKind::ProtocolError, "the response is too large"}, {});
-    done(error, error ? HttpResponse{} : std::move(collector->Response));
+  hooks.Done = [response, done = std::move(done)](const Error &error) {
+    done(error, error ? HttpResponse{} : std::move(*response));
   };
-  return call(to, std::move(request), timeout, std::move(hooks));
+  return call(to, std::move(request), timeout, std::move(hooks),
+              Self->Init.MaxResponseBodyBytes);
 }
 
 } // namespace daisytack::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -44,6 +44,28 @@
   std::function<void()> Stop;
 };
 
+/// How long a call may take.
+struct HttpTimeout {
+  template <class Rep, class Period>
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  HttpTimeout(std::chrono::duration<Rep, Period> total, Duration progress = {})
+      : Total(total), Progress(progress) {}
+  /// Until the whole response; zero: only the connect timeout applies.
+  Duration Total;
+  /// If this is set, a call whose response is being received goes on after
+  /// Total: each HttpProgressBytes of it allow this time for the next ones.
+  /// A response that comes more slowly is given up.
+  Duration Progress{0};
+  bool operator==(const HttpTimeout &) const = default;
+};
+
+/// See HttpTimeout::Progress.
+constexpr size_t HttpProgressBytes = 16U << 10;
+
+/// Longest body of a backend server's answer, in bytes. A longer one, such as
+/// one without end, is broken off.
+constexpr size_t MaxServerAnswerBytes = 16U << 20;
+
 struct HttpClientInit {
   size_t MaxIdlePerEndpoint = 16;
   Duration ConnectTimeout{1'000'000};
@@ -52,8 +74,11 @@
   /// sides.
   Duration KeepAliveMargin{300'000};
   size_t MaxResponseHeaderBytes = 64U << 10;
-  /// Applies to fetch(); call() has no limit.
+  /// Applies to fetch(); call() takes the limit as an argument.
   size_t MaxResponseBodyBytes = 64U << 20;
+  /// Bytes of interim responses, and of responses to other requests, that a
+  /// call skips before it ends with ProtocolError.
+  size_t MaxSkippedBytes = 1U << 20;
   /// Whether a GET or HEAD request that was sent over a stale connection is
   /// retried once automatically. Disable it if the caller must know that the
   /// request may have run: the response to the retry does not show whether the
@@ -68,15 +93,16 @@
   ~HttpClient();
   /// I/O context that runs the calls; callers may run their timers on it.
   boost::asio::io_context &context() const;
-  /// Sends the request; adds a Host header if it has none. If timeout is zero,
-  /// only the connect timeout applies.
+  /// Sends the request; adds a Host header if it has none.
   /// If a reused connection turns out to be stale, the request is sent once
   /// more on a new connection, provided that nothing was sent before or that
   /// the method is GET or HEAD and RetriesSafeMethods is set.
-  HttpCall call(const Endpoint &to, HttpRequest request, Duration timeout,
-                HttpHooks hooks);
+  /// A response with a body longer than `maxBodyBytes` ends the call with
+  /// ProtocolError.
+  HttpCall call(const Endpoint &to, HttpRequest request, HttpTimeout timeout,
+                HttpHooks hooks, size_t maxBodyBytes = SIZE_MAX);
   /// Like call(), but passes the complete response to done.
-  HttpCall fetch(const Endpoint &to, HttpRequest request, Duration timeout,
+  HttpCall fetch(const Endpoint &to, HttpRequest request, HttpTimeout timeout,
                  std::function<void(const Error &, HttpResponse)> done);
 
   /// Closes the idle connections to the endpoint.
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -70,9 +70,11 @@
       Message(toMessage(To, std::move(request))), Hooks(std::move(hooks)),
       CallStrand(asio::make_strand(io)), Timer(CallStrand) {}
 
-void HttpClientCall::start(Duration timeout) {
-  if (timeout > Duration::zero())
-    Deadline = BootClock::now() + timeout;
+void HttpClientCall::start(HttpTimeout timeout, size_t maxBodyBytes) {
+  MaxBodyBytes = maxBodyBytes;
+  if (timeout.Total > Duration::zero())
+    Deadline = BootClock::now() + timeout.Total;
+  ProgressTimeout = timeout.Progress;
   asio::post(CallStrand, [self = shared_from_this()] { self->begin(); });
 }
 
@@ -162,11 +164,11 @@
       asio::bind_executor(CallStrand,
                           [self = shared_from_this()](ErrorCode ec, size_t n) {
                             self->AnyReceived |= n > 0;
-                            self->onHead(ec);
+                            self->onHead(ec, n);
                           }));
 }
 
-void HttpClientCall::onHead(ErrorCode ec) {
+void HttpClientCall::onHead(ErrorCode ec, size_t n) {
   if (Finished)
     return;
   if (ec) {
@@ -175,13 +177,17 @@
       return;
     return fail(ec, "response");
   }
-  if (Response->get().result() == http::status::continue_)
-    return readHead();
+  if (Response->get().result() == http::status::continue_) {
+    if (!skipsTooMuch(n))
+      readHead();
+    return;
+  }
   if (!isFramingValid(Response->get()))
-    return finish({ErrorKind::ProtocolError,
-                   toString(To) + ": a response of ambiguous length"});
+    return failProtocol("a response of ambiguous length");
   std::vector<HttpHeader> headers = headersOf(Response->get().base());
   IgnoresResponse = Hooks.MatchesRequest && !Hooks.MatchesRequest(headers);
+  if (IgnoresResponse && skipsTooMuch(n))
+    return;
   if (!IgnoresResponse && Hooks.Head)
     Hooks.Head(Response->get().result_int(), headers);
   if (Finished)
@@ -208,6 +214,11 @@
   if (Finished)
     return;
   size_t n = ReadBuffer.size() - Response->get().body().size;
+  if (IgnoresResponse && skipsTooMuch(n))
+    return;
+  BodyBytes += IgnoresResponse ? 0 : n;
+  if (BodyBytes > MaxBodyBytes)
+    return failProtocol("the response is too large");
   if (n > 0 && Hooks.Data && !IgnoresResponse)
     Hooks.Data(std::string_view(ReadBuffer.data(), n));
   if (Finished)
@@ -218,6 +229,7 @@
     return fail(ec, "response");
   if (Response->is_done())
     return onResponseComplete();
+  extendDeadline(n);
   if (n == ReadBuffer.size() && n < MaxReadBytes)
     ReadBuffer.resize(2 * n);
   readBody();
@@ -285,6 +297,18 @@
           std::move(detail)});
 }
 
+void HttpClientCall::failProtocol(const char *what) {
+  finish({ErrorKind::ProtocolError, toString(To) + ": " + what});
+}
+
+bool HttpClientCall::skipsTooMuch(size_t n) {
+  SkippedBytes += n;
+  if (SkippedBytes <= Init.MaxSkippedBytes)
+    return false;
+  failProtocol("too many bytes that are not the response");
+  return true;
+}
+
 void HttpClientCall::onTimeout() {
   if (!MayHaveSent)
     return finish(
@@ -305,6 +329,20 @@
     hooks.Done(error);
 }
 
+void HttpClientCall::extendDeadline(size_t received) {
+  if (!Deadline || ProgressTimeout <= Duration::zero())
+    return;
+  BytesSinceExtension += received;
+  if (BytesSinceExtension < HttpProgressBytes)
+    return;
+  BytesSinceExtension = 0;
+  auto extended = BootClock::now() + ProgressTimeout;
+  if (extended <= *Deadline)
+    return;
+  Deadline = extended;
+  armTimer(Duration::max());
+}
+
 void HttpClientCall::armTimer(Duration after) {
   auto at = Deadline.value_or(BootClock::time_point::max());
   if (after != Duration::max())
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -68,7 +68,7 @@
   HttpClientCall(asio::io_context &io, const HttpClientInit &init,
                  std::shared_ptr<HttpConnectionPool> pool, Endpoint to,
                  HttpRequest request, HttpHooks hooks);
-  void start(Duration timeout);
+  void start(HttpTimeout timeout, size_t maxBodyBytes);
   void cancel();
 
 private:
@@ -88,7 +88,7 @@
   void send();
   void onSent(ErrorCode ec, size_t n);
   void readHead();
-  void onHead(ErrorCode ec);
+  void onHead(ErrorCode ec, size_t n);
   void readBody();
   void onBody(ErrorCode ec);
   /// Ends the call after a complete response, or reads the next response if
@@ -104,7 +104,13 @@
   void fail(ErrorCode ec, const char *what);
   void onTimeout();
   void finish(const Error &error);
+  /// Counts received bytes that are not this request's response. Ends the call
+  /// and returns true when there are too many.
+  bool skipsTooMuch(size_t n);
+  void failProtocol(const char *what);
   void armTimer(Duration after);
+  /// Sets a later deadline once enough of the body has arrived.
+  void extendDeadline(size_t received);
 
   asio::io_context &Io;
   const HttpClientInit Init;
@@ -116,6 +122,8 @@
   Strand CallStrand;
   StrandTimer Timer;
   std::optional<BootClock::time_point> Deadline;
+  Duration ProgressTimeout{0};    ///< See HttpTimeout.
+  size_t BytesSinceExtension = 0; ///< Received since the deadline was set.
   std::shared_ptr<HttpClientConnection> Connection;
   std::optional<Parser> Response;
   std::vector<char> ReadBuffer;
@@ -126,6 +134,9 @@
   bool IsReading = false;
   /// The current response is for another request.
   bool IgnoresResponse = false;
+  size_t MaxBodyBytes = SIZE_MAX;
+  size_t BodyBytes = 0;    ///< Of the response, received so far.
+  size_t SkippedBytes = 0; ///< See HttpClientInit::MaxSkippedBytes.
   bool Finished = false;
 };
 
--- a/tests/matrix/stream_matrix_test.cpp
+++ b/tests/matrix/stream_matrix_test.cpp
@@ -43,7 +43,8 @@
           {"framed, reset", false, lost},
           {"unframed, closed", true, {}},
           {"unframed, reset", true, lost},
-          {"timeout", true, {ErrorKind::DeadlinePassed, "late"}}};
+          {"timeout", true, {ErrorKind::DeadlinePassed, "late"}},
+          {"without end", false, {ErrorKind::ProtocolError, "too large"}}};
 }
 
 /// What the caller has at the end.
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 from platform_side import RETRY_AFTER_SECONDS, FATAL_BODY, event_count
 
 STATUSES_NOT_EXECUTED = (408, 421, 429, 503)
+ENDLESS_SECONDS = 8.0 + 1.5  # The longest timeout of a route, and until its server sees that the connection ends.
 MIN_RESUMPTIONS = 12  # Fewer resumed streams tell nothing about their share.
 REVOKED_SECONDS = 5.0  # Entries refuse a revoked key after this delay; the bound of the deployments.
 CROSSING_SECONDS = 0.5  # A request may cross the close of its connection if it was sent at most this long before.
@@ -357,13 +358,21 @@
                 yield f"{server.id} got token {token} from {holder} and {holders[token]}"
 
 
+def endless_answers_closed(world, _runs):
+    """An answer without end is broken off when the time of its request is over, whatever else goes on."""
+    for server in world.all_servers:
+        for begin, end, request_id in server.endless_times:
+            if end - begin > ENDLESS_SECONDS and world.had_no_faults(begin, end, world.entry_of(request_id)):
+                yield f"{server.id} sent the answer to {request_id} for {end - begin:.1f} s"
+
+
 ALL_CHECKS = (at_most_once, refusals_not_executed, callers_return, answers_match_runs, events_in_order,
               streams_of_one_version, resumptions_go_on, requests_as_sent,
               requests_end_with_answer, revoked_keys, draining_servers, servers_leaving_by_answer, rejecting_servers,
               evacuated_domains, cold_servers, limited_servers, revocations_stay, fatal_requests, fatal_parts,
               no_false_quarantine,
               planned_restarts_cut_nothing, stops_lose_no_request, parts_freed_while_read,
-              one_holder_per_fencing_token)
+              one_holder_per_fencing_token, endless_answers_closed)
 
 
 def failed_checks(world):
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -74,6 +74,10 @@
         self.sent[0] = dataclasses.replace(self.sent[0], **values)
 
 
+def endless_answer_received(world):
+    world.server.endless_times = [(100.0, 130.0, ID)]
+
+
 def second_run(world):
     world.run()
 
@@ -367,7 +371,7 @@
     fatal_sent_too_often: "fatal_requests", fatal_part_sent_too_often: "fatal_parts", harmless_quarantined: "no_false_quarantine",
     sent_while_evacuated: "evacuated_domains", sent_beyond_limit: "limited_servers",
     accepted_revoked_key: "revocations_stay", overloaded_while_cold: "cold_servers",
-    overloaded_after_cold_record: "cold_servers"}
+    overloaded_after_cold_record: "cold_servers", endless_answer_received: "endless_answers_closed"}
 KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", fatal_part_sent_too_often: "ask", passed_on_late_and_cut: "long",
          stream_of_two_versions: "ask", resumed_at_another_version: "ask", resumptions_refused: "ask",
          resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask",
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 
+import endless_answers
 from kept_context import NORMAL_TRANSFER_SECONDS
 from platform_side import BackendServer
 from proxy import FAULTS, SOUND
@@ -151,6 +152,25 @@
     server.limit = None
 
 
+async def answer_without_end(world, rng):
+    """Makes some answers of a server go on without end for a while."""
+    server = rng.choice(world.servers)
+    if server.endless:
+        return
+    server.endless = (rng.choice(endless_answers.KINDS), rng.random() < 0.5)
+    world.log(f"{server.id}: answers without end, {server.endless[0]}{', slow' if server.endless[1] else ''}")
+    await asyncio.sleep(0.5 + rng.random() * 3)
+    server.endless = None
+
+
+async def resize_config(world, rng):
+    """Adds many routes to the configuration, or removes them."""
+    world.idle_routes = rng.choice([0, 1400, 2800])
+    world.log(f"the configuration has {world.idle_routes} idle routes")
+    world.write_config()
+    await asyncio.sleep(0.5 + rng.random())
+
+
 async def restore_service(world, rng):
     """Stops the key-value service for a moment and restores it from an older copy. The operator and the servers then
     rewrite what was lost."""
@@ -270,6 +290,15 @@
     await asyncio.gather(*faults)
 
 
+async def run_harmless_faults(world, seconds, kinds, rng):
+    """Runs faults that must not affect other requests, and so excuse nothing, beside the main series."""
+    faults, end = [], world.now() + seconds
+    while world.now() < end:
+        await asyncio.sleep(rng.random() * MAX_EXTRA_PAUSE_SECONDS)
+        faults.append(asyncio.ensure_future(rng.choice(kinds)(world, rng)))
+    await asyncio.gather(*faults)
+
+
 async def run_faults(world, seconds, kinds):
     faults, busy = [], asyncio.Lock()
     end = world.now() + seconds
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -9,6 +9,7 @@
 import json
 import urllib.parse
 
+import endless_answers
 import http11
 
 MAX_HISTORY_EVENTS = 400  # Number of past changes that a watch can start from.
@@ -209,6 +210,7 @@
     FAULTS = ("lose", "cut", "extra", "error", "full", "hang")
     is_loading = False  # True while new weights load; without Engine they load at once.
     is_leaving, is_rejecting = False, False
+    endless = None  # (kind, whether slow) of answers that don't end; see endless_answers.py.
     limit = None  # Maximum requests per second from all entries together; None for no limit.
     cold_until = 0.0
     cuts_streams = False  # Whether one in UNFRAMED_CUT_INTERVAL streams without a length is cut, also without a fault.
@@ -227,6 +229,7 @@
         self.tokens = []
         self.leaving_answers, self.rejections = [], []  # Each: (time, id of the answered request).
         self.limit_answers, self.limit_times = [], []  # (time, request id); (begin, end, limit).
+        self.endless_times = []  # (begin, end, request id) of each answer without end.
         self.cold_times = []  # (begin, end, whether cold since its first record).
         self.faults, self.share, self.work = set(), 0.3, 0.02
         self.counter, self.answers = 0, 0
@@ -334,6 +337,13 @@
         if self.limit is not None:
             echo["Server-Limit"] = str(self.limit)
             self.limit_answers.append((now(), request.header("x-daisytack-request-id")))
+        if self.endless and len(self.runs) % endless_answers.INTERVAL == 0:
+            begin = now()
+            try:
+                await endless_answers.send(writer, echo, *self.endless)
+            finally:
+                self.endless_times.append((begin, now(), request.header("x-daisytack-request-id")))
+            self._abort(run, "the answer has no end")
         if self._should_inject("error"):
             writer.write(http11.response(500, echo, b"failed"))
         elif request.first[1].startswith("/ask/"):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,8 +16,8 @@
 import checks  # noqa: E402
 import http11  # noqa: E402
 from callers import FatalCaller, FatalPartCaller, callers  # noqa: E402
-from faults import (FAULT_KINDS, PLANNED_KINDS, run_weights_faults, run_extra_faults, limit_server,  # noqa: E402
-                    run_faults, restore_service)
+from faults import (FAULT_KINDS, PLANNED_KINDS, answer_without_end, limit_server, resize_config,  # noqa: E402
+                    restore_service, run_extra_faults, run_faults, run_harmless_faults, run_weights_faults)
 from fleet import Fleet  # noqa: E402
 from kept_context import ContextStore, Engine  # noqa: E402
 from late_callers import late_callers  # noqa: E402
@@ -35,6 +35,7 @@
 HEARTBEAT_SECONDS = 0.4
 COLD_SECONDS = 2.0  # How long a server is cold after its start or an evacuation (setting cold-start-s).
 LOG_LINES = 40
+MAX_MEMORY_MB = 110  # Memory of the smallest instances.
 WEIGHTS_TIMEOUT_SECONDS = 20  # Timeout for all engines to load the newest weights after the last fault.
 TIMEOUT_SECONDS = 2.5
 LONG_TIMEOUT_SECONDS = 4.8  # A request read until 3 s after SIGTERM ends within the grace period of 8 s.
@@ -134,6 +135,10 @@
         """Returns the exit code of the process, or None while it runs."""
         return self.fleet.processes[self.name].poll()
 
+    def peak_memory_mb(self):
+        status = pathlib.Path(f"/proc/{self.fleet.processes[self.name].pid}/status").read_text()
+        return int(status.split("VmHWM:")[1].split()[0]) // 1024
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.wait_for(
@@ -152,6 +157,8 @@
     def __init__(self, fleet, seed):
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
         self.extra_rng = random.Random(f"{seed}/beside")
+        self.large_rng = random.Random(f"{seed}/large")
+        self.idle_routes = 0  # Routes of the configuration that no caller uses.
         self.kv = KeyValueService()
         self.has_kept_context = seed % 4 == 2
         # If there is only one failure domain, two entries read the key-value service for the others.
@@ -230,7 +237,9 @@
                 {**route, "name": "long", "path-prefix": "/long/", "kind": "streaming", "service": "plain",
                  "target-latency-ms": 500, "target-gap-ms": 500, "timeout-ms": 6000, "attempts": 1},
                 {**route, "name": "ask", "path-prefix": "/ask/", "kind": "streaming", "service": "engines",
-                 "sticky": True, "resumable": True, **kept_route}],
+                 "sticky": True, "resumable": True, **kept_route},
+                *[{**route, "name": f"idle{n * 7919}", "host": f"h{n * 104729}.example", "path-prefix": f"/p{n}/",
+                   "kind": "safe", "service": "plain", "target-latency-ms": 300} for n in range(self.idle_routes)]],
             "services": [{"name": "plain", "connection-limit": 200, **cold},
                          {"name": "engines", "connection-limit": 200, **cold, "engine": engine},
                          *[it.service() for it in self.stores]],
@@ -407,11 +416,15 @@
     is_planned = world.seed % 4 == 0
     extra = asyncio.ensure_future(
         run_extra_faults(world, seconds, (limit_server,) if is_planned else (limit_server, restore_service)))
+    large = asyncio.ensure_future(
+        run_harmless_faults(world, seconds, (resize_config,) if is_planned else (resize_config, answer_without_end),
+                            world.large_rng))
     if world.has_kept_context:
         await run_weights_faults(world, seconds)
     else:
         await run_faults(world, seconds, PLANNED_KINDS if is_planned else FAULT_KINDS)
     await extra
+    await large
     await world.wait_ready("after the last fault")
     if world.has_kept_context:
         await world.wait_loaded()
@@ -424,6 +437,8 @@
     for entry in world.entries:
         if entry.ended() is not None:
             world.problems.append(f"{entry.name} ended by itself with {entry.ended()}")
+        elif (peak := entry.peak_memory_mb()) > MAX_MEMORY_MB:
+            world.problems.append(f"{entry.name} took {peak} MB")
     world.problems += checks.failed_checks(world)
     answered = sum(it.status == 200 for it in world.sent)
     resumed = [it for it in world.sent if it.resumes]
--- a/tools/standin/engine.cpp
+++ b/tools/standin/engine.cpp
@@ -45,7 +45,7 @@
                              "drop_cache_events", "clear_cache"})
       Server.Faults[flag] = false;
     for (const char *number :
-         {"slow_factor", "cross_answers", "fail_after_chunks"})
+         {"slow_factor", "cross_answers", "fail_after_chunks", "endless_body"})
       Server.Faults[number] = 0;
     Cache.ShouldDropEvent = [this] {
       return Server.isFaultOn("drop_cache_events") ||
@@ -117,6 +117,8 @@
   }
 
   void complete(const HttpRequest &request, const Exchange &exchange) {
+    if (Server.answersWithoutEnd(exchange))
+      return;
     auto body = parseJsonBody(request, exchange);
     if (!body)
       return;
--- a/tools/standin/service.cpp
+++ b/tools/standin/service.cpp
@@ -14,6 +14,7 @@
 public:
   explicit PlainServiceStandin(StandinServer &server) : Server(server) {
     Server.Faults["lose_answers"] = 0;
+    Server.Faults["endless_body"] = 0;
     Server.Faults["work_ms"] = FLAGS_work_ms;
     Server.OnRequest = [this](const auto &request, const auto &exchange) {
       onRequest(request, exchange);
@@ -31,6 +32,8 @@
   }
 
   void onRequest(const HttpRequest &request, const Exchange &exchange) {
+    if (Server.answersWithoutEnd(exchange))
+      return;
     std::string key = idempotencyKey(request);
     int64_t run = numberField(RunCounts, key) + 1;
     RunCounts[key] = run;
--- a/tools/standin/standin_server.cpp
+++ b/tools/standin/standin_server.cpp
@@ -63,6 +63,29 @@
   return true;
 }
 
+bool StandinServer::answersWithoutEnd(const Exchange &exchange) {
+  int64_t n = faultNumber("endless_body");
+  if (n <= 0)
+    return false;
+  auto isClosed = std::make_shared<bool>(false);
+  exchange->onClosed([isClosed] { *isClosed = true; });
+  exchange->beginStream(200, {{"Content-Type", "application/json"}});
+  writeWithoutEnd(exchange, static_cast<size_t>(n), isClosed);
+  return true;
+}
+
+void StandinServer::writeWithoutEnd(const Exchange &exchange, size_t n,
+                                    std::shared_ptr<bool> isClosed) {
+  if (*isClosed)
+    return;
+  // A client that reads slowly must not fill this process's memory.
+  if (exchange->pendingBytes() < n)
+    exchange->write(std::string(n, 'x'));
+  after(std::chrono::milliseconds(10), [this, exchange, n, isClosed] {
+    writeWithoutEnd(exchange, n, isClosed);
+  });
+}
+
 void StandinServer::count(std::string_view counter, int64_t n) {
   Counters[counter] = numberField(Counters, counter) + n;
 }
--- a/tools/standin/standin_server.h
+++ b/tools/standin/standin_server.h
@@ -56,6 +56,10 @@
   /// Decrements a numeric switch and returns true while it is above zero;
   /// always true when the switch is the Boolean true.
   bool consumeFault(std::string_view fault);
+  /// While the switch endless_body is above zero: begins an answer that goes on
+  /// with that many bytes every 10 ms until the client closes the connection,
+  /// and returns true.
+  bool answersWithoutEnd(const Exchange &exchange);
   void count(std::string_view counter, int64_t n = 1);
   void after(Duration delay, std::function<void()> callback);
   void every(Duration period, std::function<void()> callback);
@@ -69,6 +73,8 @@
   void onRequest(HttpRequest request, Exchange exchange);
   void onControl(const HttpRequest &request, const Exchange &exchange);
   void serve(const HttpRequest &request, const Exchange &exchange);
+  void writeWithoutEnd(const Exchange &exchange, size_t n,
+                       std::shared_ptr<bool> isClosed);
 
   json::object Counters;
 };
