Offer large records between entries and fetch them in parts

Callers were served by a configuration that had been replaced seconds before.

Cause: an entry polled its readers every 300 ms, also while an answer was arriving, and gave up each answer after 700 ms; every answer held the whole record. Beside that it watched the key-value service once readers were late, over the same link, and each such answer was given up as a whole too. Every path repeated a transfer that had not ended.

Answers to polls are now bounded: small records in pages of 64 KB, large ones as offers. An entry requests an offered record in parts of 32 KB, one at a time, from one entry; what has come counts when another one goes on. The value is compressed as the difference from the receiver's one (Zstandard) and encoded once for each pair of versions. While parts arrive, the entry doesn't watch the service as well. Entries announce the bandwidth of their links, and those with the fastest read for the others.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -270,6 +270,8 @@
     weights = server->Weights;
   else if (before != States.end() && !before->second.Record.IsDeleted)
     weights = std::move(before->second.LastUsableWeights);
+  if (before != States.end())
+    Replaced.add(std::move(before->second.Record));
   States.insert_or_assign(
       record.Key,
       KeyState{record, subject, std::move(value), std::move(weights), {}, now});
@@ -537,11 +539,58 @@
   Published.publish(std::move(next));
 }
 
-std::vector<StoreRecord> CatalogKeeper::recordsSince(uint64_t revision) const {
-  std::vector<StoreRecord> out;
+RecordPage CatalogKeeper::recordsSince(uint64_t revision,
+                                       size_t maxBytes) const {
+  std::vector<const StoreRecord *> newer;
   for (const auto &[key, state] : States)
     if (state.Record.Revision > revision)
-      out.push_back(state.Record);
+      newer.push_back(&state.Record);
+  std::sort(newer.begin(), newer.end(), [](const auto *a, const auto *b) {
+    return a->Revision < b->Revision;
+  });
+  RecordPage out;
+  size_t bytes = 0;
+  for (const StoreRecord *it : newer) {
+    // One transaction writes several keys at one revision.
+    bool isFull = bytes >= maxBytes && it->Revision > out.UpTo;
+    if (isFull) {
+      out.HasMore = true;
+      return out;
+    }
+    out.UpTo = it->Revision;
+    if (it->Value.size() >= LargeValueBytes) {
+      out.Offers.push_back({it->Key, it->Revision});
+      continue;
+    }
+    bytes += it->Key.size() + it->Value.size();
+    out.Records.push_back(*it);
+  }
+  out.UpTo = HighestRevision;
+  return out;
+}
+
+uint64_t CatalogKeeper::revisionOf(std::string_view key) const {
+  auto it = States.find(key);
+  return it == States.end() ? 0 : it->second.Record.Revision;
+}
+
+const std::string *CatalogKeeper::valueAt(std::string_view key,
+                                          uint64_t revision) const {
+  auto it = States.find(key);
+  bool isCurrent = it != States.end() &&
+                   it->second.Record.Revision == revision &&
+                   !it->second.Record.IsDeleted;
+  return isCurrent ? &it->second.Record.Value : Replaced.find(key, revision);
+}
+
+RecordLookup lookupIn(const CatalogKeeper &keeper) {
+  RecordLookup out;
+  out.ValueAt = [&keeper](std::string_view key, uint64_t revision) {
+    return keeper.valueAt(key, revision);
+  };
+  out.RevisionOf = [&keeper](std::string_view key) {
+    return keeper.revisionOf(key);
+  };
   return out;
 }
 
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -6,6 +6,8 @@
 #include "base/rcu.h"
 #include "daisytack/error.h"
 #include "direct/desired_versions.h"
+#include "direct/record_history.h"
+#include "direct/record_transfer.h"
 #include "direct/records.h"
 
 #include <compare>
@@ -103,6 +105,18 @@
 std::vector<Endpoint> addressesOfNewStarts(const Catalog &before,
                                            const Catalog &after);
 
+/// Size in bytes of the values in one answer to another entry.
+constexpr size_t MaxPageBytes = 64U << 10;
+
+/// Records for another entry, by ascending revision.
+struct RecordPage {
+  std::vector<StoreRecord> Records;
+  std::vector<RecordOffer> Offers; ///< Large records, in place of their values.
+  /// The page holds all that is newer than what was asked for up to here.
+  uint64_t UpTo = 0;
+  bool HasMore = false;
+};
+
 /// Timing of CatalogKeeper.
 struct CatalogSettings {
   /// How long a server whose record expired during an outage of the store is
@@ -194,8 +208,14 @@
   const Rcu<Catalog> &published() const { return Published; }
   /// Highest revision merged so far.
   uint64_t revision() const { return HighestRevision; }
-  /// Records newer than the revision, including deletions, for another entry.
-  std::vector<StoreRecord> recordsSince(uint64_t revision) const;
+  /// Records newer than the revision, including deletions, for another entry:
+  /// the oldest ones whose values have this size in bytes together.
+  RecordPage recordsSince(uint64_t revision,
+                          size_t maxBytes = MaxPageBytes) const;
+  /// The newest known revision of the key; 0: the key is not known.
+  uint64_t revisionOf(std::string_view key) const;
+  /// The value of the key at the revision; null if it is not held.
+  const std::string *valueAt(std::string_view key, uint64_t revision) const;
   /// Deletions up to this revision may be missing from recordsSince().
   uint64_t deletionsMissingTo() const { return DeletionsMissingTo; }
 
@@ -274,7 +294,9 @@
 
   CatalogSettings Settings;
   CatalogHooks Hooks;
-  std::map<std::string, KeyState> States; ///< By key, including deleted keys.
+  /// By key, including deleted keys.
+  std::map<std::string, KeyState, std::less<>> States;
+  RecordHistory Replaced;
   std::shared_ptr<const ConfigIndex> Config;
   uint64_t ConfigRevision = 0;
   DesiredVersions Versions;
@@ -302,4 +324,7 @@
   Rcu<Catalog> Published;
 };
 
+/// Access to the keeper's records, which must outlive the result.
+RecordLookup lookupIn(const CatalogKeeper &keeper);
+
 } // namespace daisytack::direct
--- a/src/direct/follow_plan.cpp
+++ b/src/direct/follow_plan.cpp
@@ -9,10 +9,16 @@
 std::vector<Endpoint> readersOf(const Catalog &catalog, std::string_view domain,
                                 const FollowSettings &settings) {
   constexpr std::string_view Key = "readers";
-  std::vector<std::pair<double, Endpoint>> ranked;
+  struct Rank {
+    uint32_t LinkMbps;
+    double Score;
+    Endpoint Peer;
+    auto operator<=>(const Rank &) const = default;
+  };
+  std::vector<Rank> ranked;
   for (const EntryPeer &it : catalog.Entries)
     if (it.FailureDomain == domain)
-      ranked.emplace_back(rendezvousScore(Key, it.Name), it.Peer);
+      ranked.push_back({it.LinkMbps, rendezvousScore(Key, it.Name), it.Peer});
   size_t readerCount = ranked.size();
   if (settings.EntriesPerReader > 0)
     readerCount = std::max(settings.MinReaders,
@@ -22,8 +28,8 @@
   ranked.resize(std::min(readerCount, ranked.size()));
   std::vector<Endpoint> out;
   out.reserve(ranked.size());
-  for (auto &[score, peer] : ranked)
-    out.push_back(std::move(peer));
+  for (Rank &it : ranked)
+    out.push_back(std::move(it.Peer));
   return out;
 }
 
--- a/src/direct/follow_plan.h
+++ b/src/direct/follow_plan.h
@@ -4,12 +4,13 @@
 /// Each watch costs the service one call per change and per long poll. If every
 /// entry had a watch, the number of calls would grow with entries times
 /// changes. Instead a few entries of each failure domain, the readers, watch
-/// the service; rendezvous hashing over the announced entries selects them. The
-/// other entries poll a reader several times a second for newer records. An
-/// entry whose readers don't answer, or answer with stale state, watches the
-/// service itself at once. What an entry may do with its state (permanently
-/// reject an unknown key, name sources) depends only on the age of that state,
-/// not on where it came from.
+/// the service: those with the fastest links, which pass the records on, and
+/// among equal ones as rendezvous hashing selects them. The other entries poll
+/// a reader several times a second for newer records. An entry whose readers
+/// don't answer, or answer with stale state, watches the service itself at
+/// once. What an entry may do with its state (permanently reject an unknown
+/// key, name sources) depends only on the age of that state, not on where it
+/// came from.
 #pragma once
 
 #include "direct/catalog.h"
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -8,6 +8,7 @@
 #include "balancing/server_loads.h"
 #include "direct/crash_reports.h"
 #include "direct/kept_context.h"
+#include "direct/record_transfer.h"
 #include "direct/records.h"
 #include "direct/store_links.h"
 #include "direct/stream_origins.h"
@@ -26,9 +27,15 @@
   template <class Archive> void serialize(Archive &ar) { ar(Revision); }
 };
 
-/// Response to RecordsRequest.
+/// Response to RecordsRequest. Bounded in size: large records are only offered,
+/// and what does not fit follows on the next request.
 struct RecordsResponse {
   std::vector<StoreRecord> Records;
+  std::vector<RecordOffer> Offers;
+  /// Holds all of the sender's records newer than the requested revision up to
+  /// this one.
+  uint64_t UpTo = 0;
+  bool HasMore = false; ///< The sender has records beyond UpTo.
   /// Microseconds since the service last confirmed the sender's state.
   int64_t ConfirmationAge = 0;
   /// Age of the sender's state in microseconds: it includes everything that the
@@ -48,8 +55,8 @@
   uint64_t RestoredTo = 0;
   bool operator==(const RecordsResponse &) const = default;
   template <class Archive> void serialize(Archive &ar) {
-    ar(Records, ConfirmationAge, CompleteStateAge, CompleteTo,
-       DeletionsMissingTo, GraceLeft, RestoredTo);
+    ar(Records, Offers, UpTo, HasMore, ConfirmationAge, CompleteStateAge,
+       CompleteTo, DeletionsMissingTo, GraceLeft, RestoredTo);
   }
 };
 
@@ -134,6 +141,7 @@
                  RequestLimitUpdate, RolloutAges, StreamsBegan,
                  StreamOriginRequest, StreamOriginResponse,
                  admission::OrganisationUse, admission::ReturnTickets,
-                 balancing::QuotaLoanRequest, balancing::QuotaLoan>;
+                 balancing::QuotaLoanRequest, balancing::QuotaLoan,
+                 RecordPartRequest, RecordPart>;
 
 } // namespace daisytack::direct
--- a/src/direct/records.h
+++ b/src/direct/records.h
@@ -59,6 +59,7 @@
   std::string Name;
   Endpoint Peer;               ///< Address for messages from other entries.
   std::string FailureDomain{}; ///< Empty if the record doesn't name it.
+  uint32_t LinkMbps = 0;       ///< Bandwidth of its link; 0: not known.
   auto operator<=>(const EntryPeer &) const = default;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -47,7 +47,7 @@
 }
 
 direct::EntryPeer ownPeer(const GatewayOptions &options) {
-  return {options.Name, options.Peers, options.FailureDomain};
+  return {options.Name, options.Peers, options.FailureDomain, options.LinkMbps};
 }
 
 } // namespace
@@ -72,6 +72,8 @@
       WatchPlan(followSettings(Options), ownPeer(Options)),
       Peers(std::make_shared<PeerExchange>(State, ControlStrand, peerHooks(),
                                            secureRandom)),
+      Fetcher(std::make_shared<RecordFetcher>(
+          State, direct::RecordFetchSettings{}, fetcherHooks())),
       PeerLoads(std::make_shared<LoadExchange>(
           State, ControlStrand, Options.LoadExchange,
           [this](const Endpoint &sender, const direct::PeerMessage &message) {
@@ -119,8 +121,8 @@
 PeerHooks Gateway::peerHooks() {
   PeerHooks out;
   out.OnRecords = [this](const direct::RecordsResponse &response,
-                         uint64_t syncedRevision, TimePoint askedAt) {
-    onRecords(response, syncedRevision, askedAt);
+                         const RecordsCall &call) {
+    onRecords(response, call);
   };
   out.OnWeightMessage = [this](const direct::PeerMessage &message) {
     onWeightMessage(message);
@@ -128,23 +130,56 @@
   return out;
 }
 
+RecordFetcherHooks Gateway::fetcherHooks() {
+  RecordFetcherHooks out;
+  out.RequestPart = [this](const direct::RecordPartCall &call,
+                           const auto &done) {
+    Peers->requestPart(call, done);
+  };
+  out.OnRecord = [this](const direct::StoreRecord &record,
+                        const Endpoint &source) {
+    Follower->merge({record});
+    // Only the answer to a poll shows what this entry's state now includes.
+    Peers->requestRecords(source);
+  };
+  return out;
+}
+
+bool Gateway::fetchOffered(const direct::RecordsResponse &response,
+                           const Endpoint &peer, TimePoint now) {
+  bool out = false;
+  for (const direct::RecordOffer &offer : response.Offers)
+    out |= Fetcher->onOffer(offer, peer, now);
+  return out;
+}
+
 void Gateway::onRecords(const direct::RecordsResponse &response,
-                        uint64_t syncedRevision, TimePoint askedAt) {
+                        const RecordsCall &call) {
   TimePoint now = monotonicNow();
-  TimePoint confirmedAt = askedAt - Duration(response.ConfirmationAge);
+  TimePoint confirmedAt = call.SentAt - Duration(response.ConfirmationAge);
   int64_t confirmed = confirmedAt.time_since_epoch().count();
-  if (confirmed > State.ConfirmedAt.load())
-    State.ConfirmedAt = confirmed;
   State.Catalog.onRestored(response.RestoredTo, now);
   State.Catalog.onPeerGrace(Duration(response.GraceLeft), now);
   if (!response.Records.empty())
     Follower->merge(response.Records);
   if (direct::eraOf(response.CompleteTo) > direct::eraOf(State.SyncedRevision))
     Follower->resync();
-  if (!direct::isCompleteFor(response, syncedRevision))
+  bool isComplete = direct::isCompleteFor(response, call.SyncedRevision);
+  if (fetchOffered(response, call.Peer, now)) {
+    // Reading the service as well would only compete for the same link.
+    if (isComplete && Fetcher->isProgressing(now))
+      WatchPlan.onAnswer(confirmedAt, now);
+    return;
+  }
+  Peers->noteReceived(response.UpTo);
+  if (response.HasMore)
+    return Peers->requestMore(call, response.UpTo);
+  if (confirmed > State.ConfirmedAt.load())
+    State.ConfirmedAt = confirmed;
+  if (!isComplete)
     return;
   State.advanceSyncedRevision(response.CompleteTo);
-  State.advanceSyncTime(askedAt - Duration(response.CompleteStateAge));
+  State.advanceSyncTime(call.SentAt - Duration(response.CompleteStateAge));
   WatchPlan.onAnswer(confirmedAt, now);
 }
 
@@ -256,7 +291,8 @@
       options.Callers != Options.Callers ||
       options.Readiness != Options.Readiness ||
       options.Peers != Options.Peers || options.Store != Options.Store ||
-      options.Name != Options.Name || options.Regions != Options.Regions ||
+      options.Name != Options.Name || options.LinkMbps != Options.LinkMbps ||
+      options.Regions != Options.Regions ||
       !(options.SlowStart == Options.SlowStart) ||
       !(options.Limits == Options.Limits) ||
       !(options.Shares == Options.Shares) ||
@@ -400,6 +436,8 @@
   if (!catalog->Config || catalog->ConfigRevision == AppliedConfigRevision)
     return;
   AppliedConfigRevision = catalog->ConfigRevision;
+  State.Stats.ConfigVersion.set(
+      static_cast<int64_t>(catalog->Config->config().Version));
   const direct::ServingConfig &config = catalog->Config->config();
   CallerServer.setLimits(config.Limits);
   State.StoredParts.setStores(config.Services);
@@ -463,6 +501,7 @@
   State.OriginExchange->onTimer(now);
   Quarantines->onTimer(now);
   Peers->onTimer(Follower->isReachable(), now);
+  Fetcher->onTimer(now);
   if (State.HasReadAll)
     State.Catalog.setStale(!State.isConfirmed(now));
   Follower->onTimer(now);
@@ -571,6 +610,7 @@
 void Gateway::stopComponents(bool isComplete) {
   Contexts->stop();
   Peers->stop();
+  Fetcher->stop();
   State.OriginExchange->stop();
   PeerLoads->stop();
   Probes->stop();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/order_driver.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine.h"
+#include "gateway/record_fetcher.h"
 #include "gateway/rollout_times.h"
 #include "gateway/server_probes.h"
 #include "gateway/stream_origin_exchange.h"
@@ -62,8 +63,13 @@
   /// Avoids servers that take new weights until they have them.
   void onLoading(const std::vector<direct::ServerStart> &servers);
   PeerHooks peerHooks();
-  void onRecords(const direct::RecordsResponse &found, uint64_t syncedRevision,
-                 TimePoint askedAt);
+  void onRecords(const direct::RecordsResponse &response,
+                 const RecordsCall &call);
+  /// Requests the records that another entry offers. Returns whether this entry
+  /// lacks any of them.
+  bool fetchOffered(const direct::RecordsResponse &response,
+                    const Endpoint &peer, TimePoint now);
+  RecordFetcherHooks fetcherHooks();
   /// Watches the key-value service or polls an entry that does, as WatchPlan
   /// decides.
   void applyWatchPlan(TimePoint now);
@@ -103,6 +109,7 @@
   std::shared_ptr<EntryLease> Announcement;
   direct::FollowPlan WatchPlan;
   std::shared_ptr<PeerExchange> Peers;
+  std::shared_ptr<RecordFetcher> Fetcher;
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
   std::vector<std::string> LoggedShortages;
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -156,6 +156,8 @@
   out.Ejection = {4, 1e9, 2s, 20s, 10s, 600s, true};
   out.Name = settings.text("instance.name", std::nullopt);
   out.FailureDomain = settings.text("instance.failure_domain", std::nullopt);
+  out.LinkMbps = static_cast<uint32_t>(
+      settings.number("instance.link_mbps", 0, 0, NumberUpperBound));
   out.Callers = settings.endpoint("callers.listen", std::nullopt);
   out.Readiness = settings.endpoint("readiness.listen", std::nullopt);
   out.ReadinessPath = settings.text("readiness.path", "/ready");
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -54,6 +54,8 @@
 struct GatewayOptions {
   std::string Name; ///< Name of this process, unique in the deployment.
   std::string FailureDomain; ///< Failure domain in which this process runs.
+  /// Bandwidth of this instance's link; 0: not known.
+  uint32_t LinkMbps = 0;
   /// Region of each failure domain.
   std::map<std::string, std::string, std::less<>> Regions;
   /// Address for requests from callers.
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -20,9 +20,13 @@
 /// entries within the server's connection limit.
 constexpr size_t MaxIdlePerBackend = 24;
 constexpr size_t MaxIdlePerControlServer = 4;
+/// Longest answer to an entry's own calls, in bytes: several values of the
+/// largest size in one answer of the key-value service.
+constexpr size_t MaxControlAnswerBytes = 16U << 20;
 
 net::HttpClientInit clientInit(size_t idle, Duration connect) {
   net::HttpClientInit out;
+  out.MaxResponseBodyBytes = MaxControlAnswerBytes;
   out.MaxIdlePerEndpoint = idle;
   out.ConnectTimeout = connect;
   return out;
@@ -176,6 +180,15 @@
       BusyFeedCalls(metrics.counter(
           "daisytack_store_feeds_busy_total",
           "Calls for a store's changes that it had no place for")),
+      RecordBytesSent(metrics.counter(
+          "daisytack_record_bytes_sent_total",
+          "Bytes of large records sent to other entries, encoded")),
+      RecordBytesReceived(metrics.counter(
+          "daisytack_record_bytes_received_total",
+          "Bytes of large records received from other entries, encoded")),
+      RecordPartsFailed(metrics.counter(
+          "daisytack_record_parts_failed_total",
+          "Parts of large records that did not arrive or were of no use")),
       Running(metrics.gauge("daisytack_requests_running",
                             "Requests without a final answer")),
       Quarantined(metrics.gauge(
@@ -210,6 +223,11 @@
       DomainsEvacuated(metrics.gauge(
           "daisytack_failure_domains_evacuated",
           "Failure domains whose servers get nothing, by the operator's word")),
+      ConfigVersion(metrics.gauge("daisytack_configuration_version",
+                                  "Version of the configuration in force")),
+      RecordsBehindMs(metrics.gauge(
+          "daisytack_records_behind_milliseconds",
+          "For how long this entry has known of a large record that it lacks")),
       ServiceReachable(metrics.gauge("daisytack_service_reachable",
                                      "1 while the key-value service answers")),
       ServiceWatched(metrics.gauge(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -59,6 +59,9 @@
   Counter &BadDatagrams;
   Counter &UnsentDatagrams;
   Counter &BusyFeedCalls;
+  Counter &RecordBytesSent;
+  Counter &RecordBytesReceived;
+  Counter &RecordPartsFailed;
   Gauge &Running;
   Gauge &Quarantined;
   Gauge &PartsKnown;
@@ -76,6 +79,8 @@
   Gauge &LoanRequestsSent;
   Gauge &ServersLimited;
   Gauge &DomainsEvacuated;
+  Gauge &ConfigVersion;
+  Gauge &RecordsBehindMs;
   Gauge &ServiceReachable;
   Gauge &ServiceWatched;
   Gauge &ServiceEra;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -39,7 +39,7 @@
 PeerExchange::PeerExchange(GatewayState &state, Strand strand, PeerHooks hooks,
                            RandomSource random)
     : State(state), Executor(std::move(strand)), Hooks(std::move(hooks)),
-      Random(std::move(random)),
+      Random(std::move(random)), Source(lookupIn(state.Catalog)),
       Server(state.Io, listenOn(state.Options.Peers),
              [this](const net::HttpRequest &request,
                     const std::shared_ptr<net::HttpExchange> &exchange) {
@@ -81,13 +81,26 @@
       State.StoredParts.retire(it);
     return direct::Acknowledgement{};
   }
-  const auto *request = std::get_if<direct::RecordsRequest>(&message);
-  if (!request)
-    return direct::Acknowledgement{};
+  if (const auto *request = std::get_if<direct::RecordsRequest>(&message))
+    return recordsFor(*request);
+  if (const auto *request = std::get_if<direct::RecordPartRequest>(&message)) {
+    direct::RecordPart out = Source.answer(*request);
+    State.Stats.RecordBytesSent.add(out.Bytes.size());
+    return out;
+  }
+  return direct::Acknowledgement{};
+}
+
+direct::RecordsResponse
+PeerExchange::recordsFor(const direct::RecordsRequest &request) {
   TimePoint now = monotonicNow();
   int64_t nowUs = now.time_since_epoch().count();
+  direct::RecordPage page = State.Catalog.recordsSince(request.Revision);
   direct::RecordsResponse out;
-  out.Records = State.Catalog.recordsSince(request->Revision);
+  out.Records = std::move(page.Records);
+  out.Offers = std::move(page.Offers);
+  out.UpTo = page.UpTo;
+  out.HasMore = page.HasMore;
   out.ConfirmationAge = nowUs - State.ConfirmedAt.load();
   out.CompleteStateAge = nowUs - State.SyncedAt.load();
   out.CompleteTo = State.SyncedRevision;
@@ -118,53 +131,79 @@
   return out;
 }
 
-void PeerExchange::post(const Endpoint &peer,
-                        const direct::PeerMessage &message,
-                        std::function<void(const direct::PeerMessage &)> done,
-                        std::function<void()> failed) {
+void PeerExchange::post(
+    const Endpoint &peer, const direct::PeerMessage &message, Duration timeout,
+    std::function<void(std::optional<direct::PeerMessage>)> done) {
   net::HttpRequest request;
   request.Method = "POST";
   request.Path = PeerPath;
   request.Body = wire::encode(message);
   State.ControlClient.fetch(
-      peer, std::move(request), CallTimeout,
-      [self = shared_from_this(), done = std::move(done),
-       failed = std::move(failed)](const Error &error,
-                                   const net::HttpResponse &answer) {
+      peer, std::move(request), timeout,
+      [self = shared_from_this(), done = std::move(done)](
+          const Error &error, const net::HttpResponse &answer) {
         Error reason;
         std::optional<direct::PeerMessage> reply;
         if (!error && answer.Status == net::StatusOk)
           reply = wire::decode<direct::PeerMessage>(answer.Body, reason);
         // Most messages are repeated soon, so that a lost one needs no retry.
-        boost::asio::dispatch(self->Executor, [self, done, failed, reply] {
-          if (reply)
-            done(*reply);
-          else if (failed)
-            failed();
-        });
+        boost::asio::dispatch(self->Executor,
+                              [self, done, reply = std::move(reply)]() mutable {
+                                done(std::move(reply));
+                              });
       });
 }
 
 void PeerExchange::sendTo(const Endpoint &peer,
                           const direct::PeerMessage &message,
                           const std::function<void(bool)> &done) {
-  post(
-      peer, message, [done](const direct::PeerMessage &) { done(true); },
-      [done] { done(false); });
+  post(peer, message, CallTimeout,
+       [done](const auto &reply) { done(reply.has_value()); });
 }
 
 void PeerExchange::requestRecords(const Endpoint &peer) {
   uint64_t syncedRevision = State.SyncedRevision;
   // Until it has read a snapshot itself, this entry only requests records newer
-  // than its own.
-  uint64_t newerThan =
-      syncedRevision != 0 ? syncedRevision : State.Catalog.revision();
-  post(peer, direct::RecordsRequest{newerThan},
-       [this, syncedRevision,
-        askedAt = monotonicNow()](const direct::PeerMessage &reply) {
+  // than those it got from others.
+  requestPage(peer, syncedRevision,
+              syncedRevision != 0 ? syncedRevision : ReceivedTo);
+}
+
+void PeerExchange::requestMore(const RecordsCall &call, uint64_t newerThan) {
+  requestPage(call.Peer, call.SyncedRevision, newerThan);
+}
+
+void PeerExchange::requestPage(const Endpoint &peer, uint64_t syncedRevision,
+                               uint64_t newerThan) {
+  if (!Asked.insert(peer).second)
+    return;
+  RecordsCall call{peer, syncedRevision, monotonicNow()};
+  post(peer, direct::RecordsRequest{newerThan}, CallTimeout,
+       [this, call](const std::optional<direct::PeerMessage> &reply) {
+         Asked.erase(call.Peer);
+         if (!reply)
+           return;
          if (const auto *response =
-                 std::get_if<direct::RecordsResponse>(&reply))
-           Hooks.OnRecords(*response, syncedRevision, askedAt);
+                 std::get_if<direct::RecordsResponse>(&*reply))
+           Hooks.OnRecords(*response, call);
+       });
+}
+
+void PeerExchange::noteReceived(uint64_t upTo) {
+  ReceivedTo = std::max(ReceivedTo, upTo);
+}
+
+void PeerExchange::requestPart(
+    const direct::RecordPartCall &call,
+    const std::function<void(std::optional<direct::RecordPart>)> &done) {
+  post(call.Source, call.Request, call.Timeout,
+       [this, done](std::optional<direct::PeerMessage> reply) {
+         auto *part =
+             reply ? std::get_if<direct::RecordPart>(&*reply) : nullptr;
+         if (!part)
+           return done(std::nullopt);
+         State.Stats.RecordBytesReceived.add(part->Bytes.size());
+         done(std::move(*part));
        });
 }
 
@@ -183,7 +222,7 @@
 
 void PeerExchange::broadcast(const direct::PeerMessage &message) {
   for (const Endpoint &peer : knownPeers())
-    post(peer, message, [](const direct::PeerMessage &) {});
+    post(peer, message, CallTimeout, [](const auto &) {});
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -11,17 +11,26 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace daisytack::gateway {
 
+/// A request for records that was answered. Durations in the answer count from
+/// `SentAt`. Before the first of the requests that led to the answer, this
+/// entry had everything up to `SyncedRevision`.
+struct RecordsCall {
+  Endpoint Peer;
+  uint64_t SyncedRevision = 0;
+  TimePoint SentAt;
+  bool operator==(const RecordsCall &) const = default;
+};
+
 /// Called on the strand.
 struct PeerHooks {
-  /// Called with the records of another entry. Durations in the message count
-  /// from `askedAt`, when this entry sent the request and had everything up to
-  /// `syncedRevision`.
-  std::function<void(const direct::RecordsResponse &, uint64_t syncedRevision,
-                     TimePoint askedAt)>
+  /// Called with the records of another entry.
+  std::function<void(const direct::RecordsResponse &, const RecordsCall &)>
       OnRecords;
   /// Called with a ServersLoading or ServerLoaded message.
   std::function<void(const direct::PeerMessage &)> OnWeightMessage;
@@ -38,8 +47,18 @@
   /// Polls a few entries for newer records while the key-value service is
   /// unreachable. Call several times a second.
   void onTimer(bool serviceIsReachable, TimePoint now);
-  /// Requests records newer than those of this entry from one other entry.
+  /// Requests records newer than those of this entry from one other entry. Has
+  /// no effect while that entry owes an answer to such a request.
   void requestRecords(const Endpoint &peer);
+  /// Requests the records that follow those of an answer with more to come.
+  void requestMore(const RecordsCall &call, uint64_t newerThan);
+  /// This entry has all records of another entry up to the revision. Further
+  /// requests are for newer ones, even if that entry's state is incomplete.
+  void noteReceived(uint64_t upTo);
+  /// Requests a part of a large record; `done` gets nothing without an answer.
+  void requestPart(
+      const direct::RecordPartCall &call,
+      const std::function<void(std::optional<direct::RecordPart>)> &done);
   /// Sets the peers to request records from while no other entry is known.
   void setSeeds(std::vector<Endpoint> seeds);
   /// Sends the message to every known entry.
@@ -53,14 +72,19 @@
   direct::PeerMessage reply(const direct::PeerMessage &message);
   void updateRemembered(TimePoint now);
   std::vector<Endpoint> knownPeers() const;
+  void requestPage(const Endpoint &peer, uint64_t syncedRevision,
+                   uint64_t newerThan);
+  direct::RecordsResponse recordsFor(const direct::RecordsRequest &request);
+  /// Calls `done` with the answer, or nothing without a valid one.
   void post(const Endpoint &peer, const direct::PeerMessage &message,
-            std::function<void(const direct::PeerMessage &)> done,
-            std::function<void()> failed = {});
+            Duration timeout,
+            std::function<void(std::optional<direct::PeerMessage>)> done);
 
   GatewayState &State;
   Strand Executor;
   PeerHooks Hooks;
   RandomSource Random;
+  direct::RecordSource Source;
   net::HttpServer Server;
   std::vector<Endpoint> Seeds;
   /// Known entries, with the time at which each was last listed. An entry that
@@ -68,6 +92,8 @@
   /// getting messages.
   std::map<Endpoint, TimePoint> Remembered;
   TimePoint NextRequestAt;
+  std::set<Endpoint> Asked; ///< Entries that owe records.
+  uint64_t ReceivedTo = 0;  ///< See noteReceived().
 };
 
 } // namespace daisytack::gateway
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -236,19 +236,19 @@
     keeper.apply({put(key, "1", ++revision)}, Start);
     keeper.apply({deletion(key, ++revision)}, Start);
   }
-  size_t kept = keeper.recordsSince(0).size();
+  size_t kept = keeper.recordsSince(0, SIZE_MAX).Records.size();
   EXPECT_LE(kept, 4100);
   EXPECT_GE(kept, 2000);
-  EXPECT_EQ(keeper.recordsSince(revision - 1).size(), 1);
+  EXPECT_EQ(keeper.recordsSince(revision - 1).Records.size(), 1);
 }
 
 TEST(CatalogKeeper, PassesOnNewerRecordsIncludingDeletions) {
   CatalogKeeper first({}, textHooks());
   CatalogKeeper second({}, textHooks());
   first.apply({put("config", "1", 1), put("server:a", "1", 2)}, Start);
-  second.apply(first.recordsSince(0), Start);
+  second.apply(first.recordsSince(0).Records, Start);
   first.apply({deletion("server:a", 3), put("server:b", "1", 4)}, Start);
-  second.apply(first.recordsSince(second.revision()), Start);
+  second.apply(first.recordsSince(second.revision()).Records, Start);
   EXPECT_EQ(idsOf(second), Ids{"b"});
   EXPECT_EQ(second.revision(), first.revision());
 }
@@ -280,7 +280,7 @@
   CatalogKeeper reader(settings, textHooks());
   reader.apply({put("server:a", "1", 5)}, Start);
   CatalogKeeper keeper(settings, textHooks());
-  keeper.apply(reader.recordsSince(0), Start);
+  keeper.apply(reader.recordsSince(0).Records, Start);
   EXPECT_EQ(reader.graceLeft(Start), Duration(0));
   reader.onStoreLost();
   EXPECT_EQ(reader.graceLeft(Start + 1s), settings.ExpiryGrace);
--- a/tests/direct/catalog_unreadable_test.cpp
+++ b/tests/direct/catalog_unreadable_test.cpp
@@ -106,9 +106,9 @@
   CatalogKeeper first({}, textHooks());
   CatalogKeeper second({}, textHooks());
   first.apply({put("server:a", "1", 1)}, Start);
-  second.apply(first.recordsSince(0), Start);
+  second.apply(first.recordsSince(0).Records, Start);
   first.apply({put("server:a", "bad", 2)}, Start);
-  second.apply(first.recordsSince(1), Start);
+  second.apply(first.recordsSince(1).Records, Start);
   EXPECT_EQ(allIdsOf(second), Ids{});
 }
 
--- a/tests/direct/restore_test.cpp
+++ b/tests/direct/restore_test.cpp
@@ -265,7 +265,7 @@
   }
   void receiveRecords(Entry &to, const Entry &from) const {
     to.Keeper->onRestored(from.Keeper->restoredTo(), Now);
-    to.Keeper->apply(from.Keeper->recordsSince(to.CompleteTo), Now);
+    to.Keeper->apply(from.Keeper->recordsSince(to.CompleteTo).Records, Now);
   }
   std::string check(Entry &entry) const {
     auto catalog = entry.Keeper->view();
--- a/tests/direct/retirement_following.cpp
+++ b/tests/direct/retirement_following.cpp
@@ -78,7 +78,7 @@
   TimePoint askedAt = Now;
   deliver(peer, Now + PeerDelay, [=, this](ModelEntry &other) {
     RecordsResponse found;
-    found.Records = other.Catalog.recordsSince(revision);
+    found.Records = other.Catalog.recordsSince(revision, SIZE_MAX).Records;
     found.CompleteTo = other.CompleteTo;
     found.DeletionsMissingTo = other.Catalog.deletionsMissingTo();
     found.RestoredTo = other.Catalog.restoredTo();
@@ -104,7 +104,8 @@
     if (!entry)
       continue;
     std::map<std::string, StoreRecord> known;
-    for (const StoreRecord &it : entry->Catalog.recordsSince(0))
+    for (const StoreRecord &it :
+         entry->Catalog.recordsSince(0, SIZE_MAX).Records)
       known[it.Key] = it;
     std::map<std::string, uint64_t> truth = Service.keysAt(entry->CompleteTo);
     for (const auto &[key, revision] : truth)
--- a/tests/gateway/large_config_test.cpp
+++ b/tests/gateway/large_config_test.cpp
@@ -125,5 +125,20 @@
   EXPECT_LT(static_cast<double>(Link.carried() - before), MaxBytes);
 }
 
+TEST_F(LargeConfigTest, ASmallChangeOfItCrossesTheLinkAsOne) {
+  ASSERT_NO_FATAL_FAILURE(startAll());
+  KvService.put("op/config", largeConfigText(2, false));
+  ASSERT_TRUE(eventually([&] {
+    auto text =
+        fetch(Follower->Options.Metrics, request("/metrics")).Response.Body;
+    return text.find("daisytack_configuration_version 2") != std::string::npos;
+  }));
+  uint64_t before = Link.carried();
+  std::string config = largeConfigText(3, true);
+  KvService.put("op/config", config);
+  EXPECT_TRUE(eventually([&] { return hasNewConfig(*Follower); }));
+  EXPECT_LT(Link.carried() - before, config.size() / 2);
+}
+
 } // namespace
 } // namespace daisytack::gateway
