Split the request, the gateway and the catalog by task

Code is moved only; sharedPartsText() became a member, and onStrand(), a template, stands in the header.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,11 +16,6 @@
 namespace {
 
 constexpr Duration TickInterval{100'000};
-constexpr Duration DrainCheckInterval{20'000};
-/// Longest time that open connections delay the end of the process after the
-/// last answer and the closing of the listener: a caller closes its side one
-/// network trip after it has read that the connection ends.
-constexpr Duration ConnectionCloseGrace{500'000};
 constexpr Duration HolderWriteTimeout{1'200'000};
 /// How long the load of an unused server is remembered.
 constexpr Duration LoadRetention{60'000'000};
@@ -305,48 +300,6 @@
             monotonicNow());
 }
 
-void Gateway::answerReadiness(net::HttpExchange &exchange) const {
-  bool isReady = State.catalog()->Config != nullptr && !State.Drain.load();
-  exchange.respond({isReady ? net::StatusOk : net::StatusUnavailable, {}, {}});
-}
-
-void Gateway::answerMetrics(net::HttpExchange &exchange) {
-  State.Stats.PartsKnown.set(
-      static_cast<int64_t>(State.StoredParts.partsKnown()));
-  State.Stats.Quarantined.set(
-      static_cast<int64_t>(State.Suspects.quarantined(monotonicNow()).size()));
-  auto catalog = State.catalog();
-  const auto &servers = catalog->AllServers;
-  State.Stats.ServersKnown.set(static_cast<int64_t>(servers.size()));
-  State.Stats.ServersCold.set(std::count_if(
-      servers.begin(), servers.end(),
-      [now = monotonicNow()](const auto &it) { return now < it.ColdUntil; }));
-  State.Stats.ServersLimited.set(
-      static_cast<int64_t>(State.Limits.limitedCount()));
-  State.Stats.ServicesInShortage.set(static_cast<int64_t>(
-      State.Shares.servicesInShortage(monotonicNow()).size()));
-  balancing::QuotaLoanCounts limitLoans = State.Limits.loanCounts();
-  balancing::QuotaLoanCounts startLoans = State.ColdServers.loanCounts();
-  State.Stats.LoansRequested.set(
-      static_cast<int64_t>(limitLoans.Requested + startLoans.Requested));
-  State.Stats.LoansGranted.set(
-      static_cast<int64_t>(limitLoans.Granted + startLoans.Granted));
-  State.Stats.LoansReceived.set(
-      static_cast<int64_t>(limitLoans.Received + startLoans.Received));
-  State.Stats.LoanRequestsSent.set(
-      static_cast<int64_t>(limitLoans.Used + startLoans.Used));
-  admission::ReturnCounts returns = State.Returns.counts();
-  State.Stats.ReturnsIssued.set(static_cast<int64_t>(returns.Issued));
-  State.Stats.ReturnsUsed.set(static_cast<int64_t>(returns.Used));
-  State.Stats.ReturnsEarly.set(static_cast<int64_t>(returns.Early));
-  State.Stats.ReturnsExpired.set(static_cast<int64_t>(returns.Expired));
-  State.Stats.DomainsEvacuated.set(
-      static_cast<int64_t>(catalog->Evacuated.size()));
-  exchange.respond({net::StatusOk,
-                    {{"Content-Type", "text/plain; version=0.0.4"}},
-                    Counters.prometheusText()});
-}
-
 void Gateway::onWeightMessage(const direct::PeerMessage &message) {
   if (const auto *loading = std::get_if<direct::ServersLoading>(&message))
     onLoading(loading->Servers);
@@ -521,108 +474,4 @@
   });
 }
 
-void Gateway::drain(TimePoint end, std::function<void(bool isComplete)> done) {
-  TimePoint now = monotonicNow();
-  // A process that was paused handles the signal late, so the plan takes the
-  // last tick for the time at which the signal was sent.
-  auto plan = std::make_shared<const direct::DrainPlan>(
-      Options.Drain, std::min(LastTickAt.load(), now), now, end);
-  // Takes effect at once, even if the strand is busy: the entry is not ready
-  // from here on.
-  State.Drain = plan;
-  CallerServer.endConnections();
-  CallerServer.refuseAfter(plan->acceptsRequestsUntil() - now);
-  OnDrained = std::move(done);
-  boost::asio::dispatch(ControlStrand, [this, now] { beginDrain(now); });
-}
-
-void Gateway::beginDrain(TimePoint now) {
-  Orders->stop();
-  LastBusyAt = now;
-  Log.write(LogPriority::Notable, "draining",
-            {{"running", State.Running.size()},
-             {"connections", CallerServer.openConnections()},
-             {"since_last_tick_ms", (now - LastTickAt.load()).count() / 1000}},
-            now);
-  checkDrain();
-}
-
-void Gateway::checkDrain() {
-  TimePoint now = monotonicNow();
-  std::shared_ptr<const direct::DrainPlan> plan = State.Drain.load();
-  if (!plan->isListening(now))
-    closeListener(now);
-  if (plan->isFinalAnswerDue(now))
-    failUnanswered(now);
-  if (isBusy())
-    LastBusyAt = now;
-  if (isDrained(now))
-    return finish(true);
-  if (plan->isOver(now))
-    return finish(false);
-  DrainTimer.expires_after(DrainCheckInterval);
-  DrainTimer.async_wait([this](auto ec) {
-    if (!ec)
-      checkDrain();
-  });
-}
-
-void Gateway::closeListener(TimePoint now) {
-  if (std::exchange(IsListenerClosed, true))
-    return;
-  LastBusyAt = now;
-  CallerServer.stopAccepting();
-  Log.write(LogPriority::Notable, "listener_closed",
-            {{"running", State.Running.size()},
-             {"connections", CallerServer.openConnections()}},
-            now);
-}
-
-void Gateway::failUnanswered(TimePoint now) {
-  if (std::exchange(HasFailedUnanswered, true))
-    return;
-  std::vector<std::shared_ptr<GatewayRequest>> running = State.Running.all();
-  for (const auto &request : running)
-    request->failIfUnanswered();
-  Log.write(LogPriority::Notable, "last_word", {{"running", running.size()}},
-            now);
-}
-
-bool Gateway::isBusy() const {
-  return State.Running.size() > 0 || CallerServer.unsentAnswers() > 0;
-}
-
-bool Gateway::isDrained(TimePoint now) const {
-  if (!IsListenerClosed || isBusy())
-    return false;
-  // Requests that were in transit when the listener closed are still served,
-  // and callers get time to read the last answers.
-  return CallerServer.openConnections() == 0 ||
-         now >= LastBusyAt + ConnectionCloseGrace;
-}
-
-void Gateway::finish(bool isComplete) {
-  // The announcement ends first because its call needs I/O, which stops with
-  // the process.
-  Announcement->stop([this, isComplete] { stopComponents(isComplete); });
-}
-
-void Gateway::stopComponents(bool isComplete) {
-  Contexts->stop();
-  Peers->stop();
-  Fetcher->stop();
-  State.OriginExchange->stop();
-  PeerLoads->stop();
-  Probes->stop();
-  Follower->stop();
-  TimePoint now = monotonicNow();
-  Duration drained = State.Drain.load()->elapsed(now);
-  Log.write(LogPriority::Notable, "stopped",
-            {{"drained_ms", drained.count() / 1000},
-             {"cut_off", State.Running.size()}},
-            now);
-  Log.flush(now);
-  std::exchange(OnDrained, nullptr)(isComplete);
-}
-
 } // namespace daisytack::gateway
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -3,8 +3,6 @@
 #include "base/clock.h"
 #include "base/duration.h"
 #include "direct/rendezvous.h"
-#include "direct/request_signatures.h"
-#include "gateway/quarantine.h"
 #include "gateway/request_admission.h"
 #include "gateway/server_limit.h"
 #include "gateway/stream_origin_exchange.h"
@@ -26,17 +24,6 @@
 /// Added to the timeout of a call to a server, so that the timer of the
 /// ForwardFlow fires first and decides how the attempt ends.
 constexpr Duration CallTimeoutMargin{500'000};
-/// Largest body in bytes that is hashed although there are no suspects; this
-/// takes about a microsecond.
-constexpr size_t MaxCommonBodyBytes = 1024;
-
-/// Ids of the prompt parts that other requests may share, for the log.
-std::string sharedPartsText(const direct::CallerHead &head) {
-  std::string out;
-  for (size_t i = 0; i + 1 < head.Parts.size(); ++i)
-    out += (i == 0 ? "" : ",") + head.Parts[i].Id;
-  return out;
-}
 
 } // namespace
 
@@ -47,12 +34,6 @@
       Timer(Executor), Body(std::move(body)), Exchange(std::move(exchange)),
       Flow(std::move(request), state.Options.Forward, hooks()) {}
 
-template <class Step> void GatewayRequest::onStrand(Step step) {
-  boost::asio::dispatch(Executor,
-                        [self = shared_from_this(),
-                         step = std::move(step)]() mutable { step(); });
-}
-
 void GatewayRequest::start() {
   State.Running.add(shared_from_this());
   State.Stats.Running.add(1);
@@ -75,96 +56,6 @@
   });
 }
 
-bool GatewayRequest::isResumption() const {
-  const direct::ForwardRequest &request = Flow.request();
-  return request.MatchedRoute.Kind == direct::RouteKind::Stream &&
-         request.Head.LastEventId.has_value();
-}
-
-void GatewayRequest::resumeStream() {
-  const direct::ForwardRequest &request = Flow.request();
-  StreamResumption resumption;
-  if (request.Head.ResumedRequestId)
-    resumption.Stream =
-        direct::streamKey(request.Organisation, *request.Head.ResumedRequestId);
-  resumption.Service = request.Service;
-  State.OriginExchange->find(
-      resumption,
-      [self = shared_from_this()](const auto &origin, const Error &reason) {
-        self->onStrand([raw = self.get(), origin, reason] {
-          raw->onOrigin(origin, reason);
-        });
-      });
-}
-
-void GatewayRequest::onOrigin(const std::optional<direct::OriginAnswer> &origin,
-                              const Error &reason) {
-  TimePoint now = monotonicNow();
-  if (Flow.isEnded())
-    return;
-  if (!origin)
-    return refuseResumption(reason, now);
-  const std::vector<direct::TrafficShare> &shares =
-      Flow.request().MatchedRoute.Shares;
-  bool isRouted =
-      std::any_of(shares.begin(), shares.end(), [&](const auto &it) {
-        return it.Service == origin->Origin.Service;
-      });
-  if (!isRouted)
-    return refuseResumption(
-        {ErrorKind::StreamVersionGone,
-         "the route no longer leads to " + origin->Origin.Service},
-        now);
-  State.Stats.StreamsResumed.add();
-  State.Log.write(
-      LogPriority::Notable, "stream_resumed",
-      {{"request", Flow.request().Head.RequestId},
-       {"resumes", Flow.request().Head.ResumedRequestId.value_or("")},
-       {"service", origin->Origin.Service},
-       {"software", origin->Origin.SoftwareVersion},
-       {"source", direct::originSourceName(origin->From)},
-       {"age_ms", millisecondsOf(origin->Age)}},
-      now);
-  Flow.resumeFrom(origin->Origin);
-  Flow.start(now);
-}
-
-void GatewayRequest::refuseResumption(const Error &reason, TimePoint now) {
-  State.Stats.StreamsRefused.add();
-  State.Log.write(
-      LogPriority::Notable, "resumption_refused",
-      {{"request", Flow.request().Head.RequestId},
-       {"resumes", Flow.request().Head.ResumedRequestId.value_or("")},
-       {"reason", errorName(reason.Kind)},
-       {"detail", reason.Detail}},
-      now);
-  Flow.onBlocked(reason, now);
-}
-
-std::optional<std::string>
-GatewayRequest::beginStream(const AttemptOrder &order) {
-  auto catalog = State.catalog();
-  bool mayBeReplaced = std::any_of(
-      catalog->AllServers.begin(), catalog->AllServers.end(),
-      [&](const direct::BackendServer &it) {
-        return it.Id == order.ServerId && it.StartedMs != order.StartedMs;
-      });
-  const direct::ForwardRequest &request = Flow.request();
-  if (mayBeReplaced) {
-    State.Log.write(LogPriority::Notable, "stream_version_uncertain",
-                    {{"request", request.Head.RequestId},
-                     {"server", order.ServerId},
-                     {"software", order.SoftwareVersion}},
-                    monotonicNow());
-    return std::nullopt;
-  }
-  if (request.MatchedRoute.mayRepeat())
-    State.OriginExchange->began(
-        direct::streamKey(request.Organisation, request.Head.RequestId),
-        {request.Service, order.SoftwareVersion});
-  return order.SoftwareVersion;
-}
-
 direct::ForwardHooks GatewayRequest::hooks() {
   direct::ForwardHooks out;
   out.ChooseServer = [this](const auto &criteria, TimePoint now,
@@ -284,76 +175,6 @@
                                  State.catalog()->Entries.size());
 }
 
-const Id128 &GatewayRequest::identity() {
-  if (!Identity)
-    Identity = direct::wholeSignature(Flow.request(), Body);
-  return *Identity;
-}
-
-const std::vector<Id128> &GatewayRequest::partSignatures() {
-  if (!PartSignatures)
-    PartSignatures = direct::partSignatures(Flow.request());
-  return *PartSignatures;
-}
-
-std::vector<Id128> GatewayRequest::signatures() {
-  std::vector<Id128> out = partSignatures();
-  out.push_back(identity());
-  return out;
-}
-
-std::optional<Error> GatewayRequest::quarantineError(TimePoint now) {
-  // Without suspects the body need not be hashed.
-  if (State.Suspects.isEmpty())
-    return std::nullopt;
-  std::optional<Duration> left =
-      State.Suspects.quarantineLeft(signatures(), now);
-  if (!left)
-    return std::nullopt;
-  std::string detail = "backend servers ended as they ran this request";
-  for (size_t i = 0; i < partSignatures().size(); ++i)
-    if (State.Suspects.quarantineLeft({&partSignatures()[i], 1}, now))
-      detail = "backend servers ended as they ran requests with the prompt "
-               "part " +
-               Flow.request().Head.Parts[i].Id;
-  return Error{ErrorKind::RequestQuarantined, std::move(detail), *left};
-}
-
-bool GatewayRequest::takeProbe(TimePoint now) {
-  for (const Id128 &signature : signatures())
-    if (State.Suspects.quarantineLeft({&signature, 1}, now) &&
-        entriesBefore(State, signature) > 0)
-      return false;
-  if (!State.Suspects.takeProbe(signatures(), now))
-    return false;
-  IsProbe = true;
-  State.Log.write(LogPriority::Notable, "quarantine_probed",
-                  {{"request", Flow.request().Head.RequestId},
-                   {"identity", toHex(identity())},
-                   {"shared_parts", sharedPartsText(Flow.request().Head)}},
-                  now);
-  return true;
-}
-
-void GatewayRequest::recordConnectionLoss(TimePoint now) {
-  enforceQuarantine(State,
-                    State.Suspects.onConnectionBroken(
-                        signatures(), Order.server().key(), SentAt, now),
-                    now);
-}
-
-void GatewayRequest::recordAnswer(TimePoint now) {
-  // A server's end looks like the end of an answer that ends with its
-  // connection.
-  if (!net::isSuccess(AnswerStatus) || IsCloseDelimited)
-    return;
-  State.Suspects.onAnswered(partSignatures(), now);
-  // Identical requests of many callers are short, so that only short ones are
-  // hashed without a suspect.
-  if (!State.Suspects.isEmpty() || Body.size() <= MaxCommonBodyBytes)
-    State.Suspects.onAnswered({&identity(), 1}, now);
-}
-
 balancing::RequestLoad GatewayRequest::loadOf(const AttemptOrder &order) const {
   // How long a call without a prompt takes can't be predicted.
   if (Flow.request().Head.Model.empty())
@@ -373,14 +194,6 @@
   return out;
 }
 
-LogPriority GatewayRequest::logPriority(const AttemptOrder &order,
-                                        LogPriority usual) const {
-  constexpr int64_t AuditedPart = 2; // The second half of the rollout.
-  bool isAudited = order.OutdatedFor >=
-                   State.Options.Placement.OldWeightsLimit / AuditedPart;
-  return isAudited ? LogPriority::Audit : usual;
-}
-
 void GatewayRequest::send(uint32_t attempt, const AttemptOrder &order) {
   const direct::ForwardRequest &request = Flow.request();
   TimePoint now = monotonicNow();
@@ -513,54 +326,6 @@
   Flow.onDone(attempt, error, wasNotSent, monotonicNow());
 }
 
-void GatewayRequest::recordResult(uint32_t attempt, const AttemptOrder &order,
-                                  AttemptResult result, TimePoint now) {
-  State.Loads.onEnded(order.server(), loadOf(order), FirstByteAt.has_value(),
-                      now);
-  bool isSuccess = result == AttemptResult::Answered;
-  bool wasRefused = result == AttemptResult::TurnedAway ||
-                    result == AttemptResult::Misdirected;
-  if (wasRefused)
-    State.Stats.AttemptsRejected.add();
-  // Otherwise each request would have to try this server itself, and might wait
-  // for a connection to it.
-  if (wasRefused || result == AttemptResult::Unreached)
-    State.Loads.onRejected(order.server(), now);
-  if (result == AttemptResult::Misdirected)
-    avoidReplacedServer(order, now);
-  updateEjection(order, result, now);
-  if (result == AttemptResult::BrokenOff)
-    recordConnectionLoss(now);
-  if (isSuccess)
-    recordAnswer(now);
-  if (!isSuccess) {
-    const direct::CallerHead &head = Flow.request().Head;
-    for (size_t i = 0; i < order.Destinations.size(); ++i)
-      if (order.Destinations[i])
-        State.StoredParts.cancelSave(order.CacheScope, head.Parts[i]);
-  }
-  DecisionLog::Fields fields{{"request", Flow.request().Head.RequestId},
-                             {"attempt", attempt},
-                             {"server", order.ServerId},
-                             {"result", direct::attemptResultName(result)}};
-  // The identity shows whether the same request failed before under another
-  // request id, the parts whether another request that shares them did.
-  if (result == AttemptResult::Failed || result == AttemptResult::BrokenOff) {
-    fields["identity"] = toHex(identity());
-    fields["shared_parts"] = sharedPartsText(Flow.request().Head);
-  }
-  if (FirstByteAt)
-    fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
-  if (IsCloseDelimited)
-    fields["framing"] = "close";
-  LogPriority priority =
-      isSuccess ? LogPriority::Routine : LogPriority::Notable;
-  if (result == AttemptResult::Expired)
-    priority = LogPriority::Audit;
-  State.Log.write(logPriority(order, priority), "attempt_ended",
-                  std::move(fields), now);
-}
-
 void GatewayRequest::avoidReplacedServer(const AttemptOrder &order,
                                          TimePoint now) {
   // While a newer version is desired, the server may refuse the expected
@@ -663,38 +428,4 @@
       });
 }
 
-void GatewayRequest::logEnd(unsigned status, std::string_view outcome,
-                            const Error &reason) {
-  const direct::ForwardRequest &request = Flow.request();
-  TimePoint now = monotonicNow();
-  bool isSuccess = outcome == "answered" && status < 500;
-  DecisionLog::Fields fields{
-      {"request", request.Head.RequestId},
-      {"route", request.MatchedRoute.Name},
-      {"organisation", request.Organisation},
-      {"outcome", outcome},
-      {"status", status},
-      {"attempts", Flow.attempts()},
-      {"took_ms", millisecondsOf(now - request.Arrived)},
-      {"target_ms", millisecondsOf(request.MatchedRoute.TargetLatency)}};
-  if (FirstByteAt)
-    fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - request.Arrived);
-  if (reason) {
-    fields["reason"] = errorName(reason.Kind);
-    fields["detail"] = reason.Detail;
-  }
-  // The identity needs a hash of the body, which refusals under overload do
-  // without.
-  if (outcome == "failed" || reason.Kind == ErrorKind::RequestQuarantined) {
-    fields["identity"] = toHex(identity());
-    fields["shared_parts"] = sharedPartsText(request.Head);
-  }
-  if (IsReturn)
-    fields["returned"] = true;
-  if (outcome == "refused")
-    fields["retry_after_ms"] = millisecondsOf(reason.RetryAfter);
-  State.Log.write(isSuccess ? LogPriority::Routine : LogPriority::Notable,
-                  "request_ended", std::move(fields), now);
-}
-
 } // namespace daisytack::gateway
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_state.h"
 #include "net/timer.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <memory>
@@ -59,6 +60,8 @@
   const Id128 &identity();
   /// Signatures of the prompt's shared parts; computed on first use.
   const std::vector<Id128> &partSignatures();
+  /// Ids of the prompt parts that other requests may share, for the log.
+  std::string sharedParts() const;
   /// All signatures of the request.
   std::vector<Id128> signatures();
   /// The error of a quarantined request; nothing if the request may be
@@ -129,4 +132,10 @@
   bool HasAnswerStarted = false;
 };
 
+template <class Step> void GatewayRequest::onStrand(Step step) {
+  boost::asio::dispatch(Executor,
+                        [self = shared_from_this(),
+                         step = std::move(step)]() mutable { step(); });
+}
+
 } // namespace daisytack::gateway
--- /dev/null
+++ b/src/gateway/gateway_request_log.cpp
@@ -0,0 +1,112 @@
+/// The part of GatewayRequest that records and logs results.
+#include "gateway/gateway_request.h"
+
+#include "base/clock.h"
+#include "base/duration.h"
+
+#include <utility>
+
+namespace daisytack::gateway {
+
+using direct::AttemptOrder;
+using direct::AttemptResult;
+
+std::string GatewayRequest::sharedParts() const {
+  const std::vector<direct::PromptPart> &parts = Flow.request().Head.Parts;
+  std::string out;
+  for (size_t i = 0; i + 1 < parts.size(); ++i)
+    out += (i == 0 ? "" : ",") + parts[i].Id;
+  return out;
+}
+
+LogPriority GatewayRequest::logPriority(const AttemptOrder &order,
+                                        LogPriority usual) const {
+  constexpr int64_t AuditedPart = 2; // The second half of the rollout.
+  bool isAudited = order.OutdatedFor >=
+                   State.Options.Placement.OldWeightsLimit / AuditedPart;
+  return isAudited ? LogPriority::Audit : usual;
+}
+
+void GatewayRequest::recordResult(uint32_t attempt, const AttemptOrder &order,
+                                  AttemptResult result, TimePoint now) {
+  State.Loads.onEnded(order.server(), loadOf(order), FirstByteAt.has_value(),
+                      now);
+  bool isSuccess = result == AttemptResult::Answered;
+  bool wasRefused = result == AttemptResult::TurnedAway ||
+                    result == AttemptResult::Misdirected;
+  if (wasRefused)
+    State.Stats.AttemptsRejected.add();
+  // Otherwise each request would have to try this server itself, and might wait
+  // for a connection to it.
+  if (wasRefused || result == AttemptResult::Unreached)
+    State.Loads.onRejected(order.server(), now);
+  if (result == AttemptResult::Misdirected)
+    avoidReplacedServer(order, now);
+  updateEjection(order, result, now);
+  if (result == AttemptResult::BrokenOff)
+    recordConnectionLoss(now);
+  if (isSuccess)
+    recordAnswer(now);
+  if (!isSuccess) {
+    const direct::CallerHead &head = Flow.request().Head;
+    for (size_t i = 0; i < order.Destinations.size(); ++i)
+      if (order.Destinations[i])
+        State.StoredParts.cancelSave(order.CacheScope, head.Parts[i]);
+  }
+  DecisionLog::Fields fields{{"request", Flow.request().Head.RequestId},
+                             {"attempt", attempt},
+                             {"server", order.ServerId},
+                             {"result", direct::attemptResultName(result)}};
+  // The identity shows whether the same request failed before under another
+  // request id, the parts whether another request that shares them did.
+  if (result == AttemptResult::Failed || result == AttemptResult::BrokenOff) {
+    fields["identity"] = toHex(identity());
+    fields["shared_parts"] = sharedParts();
+  }
+  if (FirstByteAt)
+    fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - SentAt);
+  if (IsCloseDelimited)
+    fields["framing"] = "close";
+  LogPriority priority =
+      isSuccess ? LogPriority::Routine : LogPriority::Notable;
+  if (result == AttemptResult::Expired)
+    priority = LogPriority::Audit;
+  State.Log.write(logPriority(order, priority), "attempt_ended",
+                  std::move(fields), now);
+}
+
+void GatewayRequest::logEnd(unsigned status, std::string_view outcome,
+                            const Error &reason) {
+  const direct::ForwardRequest &request = Flow.request();
+  TimePoint now = monotonicNow();
+  bool isSuccess = outcome == "answered" && status < 500;
+  DecisionLog::Fields fields{
+      {"request", request.Head.RequestId},
+      {"route", request.MatchedRoute.Name},
+      {"organisation", request.Organisation},
+      {"outcome", outcome},
+      {"status", status},
+      {"attempts", Flow.attempts()},
+      {"took_ms", millisecondsOf(now - request.Arrived)},
+      {"target_ms", millisecondsOf(request.MatchedRoute.TargetLatency)}};
+  if (FirstByteAt)
+    fields["first_byte_ms"] = millisecondsOf(*FirstByteAt - request.Arrived);
+  if (reason) {
+    fields["reason"] = errorName(reason.Kind);
+    fields["detail"] = reason.Detail;
+  }
+  // The identity needs a hash of the body, which refusals under overload do
+  // without.
+  if (outcome == "failed" || reason.Kind == ErrorKind::RequestQuarantined) {
+    fields["identity"] = toHex(identity());
+    fields["shared_parts"] = sharedParts();
+  }
+  if (IsReturn)
+    fields["returned"] = true;
+  if (outcome == "refused")
+    fields["retry_after_ms"] = millisecondsOf(reason.RetryAfter);
+  State.Log.write(isSuccess ? LogPriority::Routine : LogPriority::Notable,
+                  "request_ended", std::move(fields), now);
+}
+
+} // namespace daisytack::gateway
