--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -253,6 +253,43 @@
   EXPECT_EQ(second.revision(), first.revision());
 }
 
+/// Guards against answers between entries that grow with the records' number.
+TEST(CatalogKeeper, PassesOnManyRecordsInPages) {
+  CatalogKeeper first({}, textHooks());
+  CatalogKeeper second({}, textHooks());
+  for (uint64_t i = 1; i <= 100; ++i)
+    first.apply({put("server:" + std::to_string(i), "1", i)}, Start);
+  size_t pages = 0;
+  for (uint64_t upTo = 0; ++pages < 100;) {
+    RecordPage page = first.recordsSince(upTo, 100);
+    EXPECT_LE(page.Records.size(), 11U);
+    second.apply(page.Records, Start);
+    upTo = page.UpTo;
+    if (!page.HasMore)
+      break;
+  }
+  EXPECT_GT(pages, 9U);
+  EXPECT_EQ(idsOf(second), idsOf(first));
+}
+
+TEST(CatalogKeeper, OffersLargeRecordsAndKeepsEarlierValues) {
+  CatalogKeeper keeper({}, textHooks());
+  // Decoded as the number before the blanks.
+  std::string padding(LargeValueBytes, ' ');
+  keeper.apply({put("config", "1" + padding, 1)}, Start);
+  keeper.apply({put("config", "2" + padding, 2), put("server:a", "1", 3)},
+               Start);
+  RecordPage page = keeper.recordsSince(0);
+  EXPECT_EQ(page.Offers, (std::vector<RecordOffer>{{"config", 2}}));
+  EXPECT_EQ(page.Records, (std::vector<StoreRecord>{put("server:a", "1", 3)}));
+  EXPECT_EQ(page.UpTo, 3U);
+  ASSERT_NE(keeper.valueAt("config", 1), nullptr);
+  EXPECT_EQ(*keeper.valueAt("config", 1), "1" + padding);
+  EXPECT_EQ(*keeper.valueAt("config", 2), "2" + padding);
+  EXPECT_EQ(keeper.valueAt("config", 9), nullptr);
+  EXPECT_EQ(keeper.revisionOf("config"), 2U);
+}
+
 /// Guards against: an entry that was cut off from the store asked an entry that
 /// had just started, and never learned that a server had left in between.
 TEST(CatalogKeeper, ReportsUpToWhereDeletionsMayBeMissing) {
--- a/tests/direct/follow_plan_test.cpp
+++ b/tests/direct/follow_plan_test.cpp
@@ -54,6 +54,19 @@
       RC_ASSERT(std::find(after.begin(), after.end(), it) != after.end());
 }
 
+/// Guards against readers whose links carry the records for others slowly.
+TEST(Readers, AreThoseWithTheFastestLinks) {
+  Catalog all = fleet(20, 1);
+  all.Entries[3].LinkMbps = 200;
+  all.Entries[7].LinkMbps = 200;
+  for (int i : {1, 4, 9})
+    all.Entries[static_cast<size_t>(i)].LinkMbps = 10;
+  std::vector<Endpoint> readers = readersOf(all, "d0", {});
+  std::sort(readers.begin(), readers.end());
+  EXPECT_EQ(readers,
+            (std::vector<Endpoint>{all.Entries[3].Peer, all.Entries[7].Peer}));
+}
+
 TEST(RecordsResponse, IsCompleteForAReceiverThatKnewAllAtTheSendersFirstRead) {
   RecordsResponse found;
   found.CompleteTo = 50;
--- a/tests/gateway/options_test.cpp
+++ b/tests/gateway/options_test.cpp
@@ -29,6 +29,17 @@
   return {"entry.ini", text};
 }
 
+TEST(GatewayOptions, ReadTheBandwidthOfTheLink) {
+  Settings settings = settingsWith("link_mbps = 10.0");
+  EXPECT_EQ(readGatewayOptions(settings).LinkMbps, 10U);
+  EXPECT_TRUE(settings.finish().empty());
+  Settings without = settingsWith("");
+  EXPECT_EQ(readGatewayOptions(without).LinkMbps, 0U);
+  Settings negative = settingsWith("link_mbps = -1");
+  readGatewayOptions(negative);
+  EXPECT_FALSE(negative.finish().empty());
+}
+
 TEST(GatewayOptions, ReadRegionsOfFailureDomains) {
   Settings settings = settingsWith("regions = a:north,b:north,c:south");
   GatewayOptions options = readGatewayOptions(settings);
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -144,6 +144,9 @@
 
 TEST(DecodeRecord, ReadsRecordsThatEntriesWrite) {
   direct::EntryPeer peer{"e", {"10.0.0.1", 7580}};
+  EXPECT_EQ(decodeAs<direct::EntryPeer>(entryKey("e"), encodeEntry(peer)),
+            peer);
+  peer.LinkMbps = 200;
   EXPECT_EQ(decodeAs<direct::EntryPeer>(entryKey("e"), encodeEntry(peer)),
             peer);
   direct::RetiredContext retired{{{2, 1}, {3, 0.25}}};
