--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -65,8 +65,15 @@
   using namespace direct;
   return {
       wire::encode(PeerMessage(RecordsRequest{7})),
-      wire::encode(PeerMessage(RecordsResponse{
-          {{"key", "value", 5, false}, {"k", "", 6, true}}, 9})),
+      wire::encode(PeerMessage(
+          RecordsResponse{{{"key", "value", 5, false}, {"k", "", 6, true}},
+                          {{"large", 4}},
+                          7,
+                          true,
+                          9})),
+      wire::encode(PeerMessage(direct::RecordPartRequest{"large", 4, 3, 2})),
+      wire::encode(
+          PeerMessage(direct::RecordPart{"large", 4, 3, 2, 1, 7, "b"})),
       wire::encode(PeerMessage(ServersLoading{{{"a", 5}, {"b", 6}}})),
       wire::encode(PeerMessage(ServerLoaded{{"a", 5}, {"model", 2}})),
       wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}, {{5, 6}}})),
