Allow long streams of engines again, and judge broken endless answers

An engine's answer is a stream of tokens that may be long: process.drain_test has one of 45 MB, which the limit of 16 MB broke off. The engine's edge bounds each event instead, as before; the direct path passes on up to 64 MB.

--- a/src/edge/engine_http.cpp
+++ b/src/edge/engine_http.cpp
@@ -155,9 +155,9 @@
     };
     Calls.begin(start.Run);
     Calls.set(start.Run,
-              Client.call(
-                  Init.Address, jsonRequest("POST", path, std::move(*body)),
-                  start.Timeout, std::move(hooks), net::MaxServerAnswerBytes));
+              Client.call(Init.Address,
+                          jsonRequest("POST", path, std::move(*body)),
+                          start.Timeout, std::move(hooks)));
   }
 
   /// Also closes the connection, because an engine may stop answering a
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -24,6 +24,9 @@
 /// Added to the timeout of a call to a server, so that the timer of the
 /// ForwardFlow fires first and decides how the attempt ends.
 constexpr Duration CallTimeoutMargin{500'000};
+/// Longest answer that is passed on, in bytes. Ends one without end on a fast
+/// link before its request's time is over.
+constexpr size_t MaxAnswerBytes = 64U << 20;
 
 } // namespace
 
@@ -265,8 +268,7 @@
   };
   Call = State.BackendClient.call(
       order.Address, State.WireProtocol.WriteAttempt(request.Head, order, Body),
-      order.TimeLeft + CallTimeoutMargin, std::move(hooks),
-      net::MaxServerAnswerBytes);
+      order.TimeLeft + CallTimeoutMargin, std::move(hooks), MaxAnswerBytes);
 }
 
 void GatewayRequest::onHead(uint32_t attempt, unsigned status,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -115,8 +115,16 @@
     return expected.startswith(begin) and next_event.startswith(cut)
 
 
+def is_broken_endless_answer(world, sent):
+    """Returns whether the caller got the start of an answer without end, which isn't a stream, and saw it break off."""
+    is_endless = any(sent.id == it[2] for server in world.all_servers for it in server.endless_times)
+    return is_endless and was_cut(sent) and not sent.answer.strip(b"x")
+
+
 def events_in_order(world, _runs):
     for sent in world.sent:
+        if is_broken_endless_answer(world, sent):
+            continue
         is_stream = sent.kind in ("ask", "long") and sent.status == 200
         if is_stream and not any(is_beginning(sent, version) for version in (b"/v1", b"/v2")):
             yield f"{sent.id} got events out of order: {sent.answer[-80:]!r}"
