--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -13,7 +13,7 @@
 
 Error unfitAnswerError() {
   return {ErrorKind::ServerFailed,
-          "the server resumed the stream with another content type"};
+          "the server resumed the stream with something else"};
 }
 
 } // namespace
@@ -112,8 +112,16 @@
   if (IsEnded || !Current || attempt != AttemptNumber || !Current->HasHead)
     return;
   Attempt &current = *Current;
-  if (isStream())
-    return forwardData(current.Events.feed(data));
+  if (isStream()) {
+    std::string events = current.Events.feed(data);
+    // Bytes that are no events must not follow those of another server.
+    if (isResumed() && current.Events.hasReturnedPart()) {
+      ++PossibleRuns;
+      Hooks.CancelAttempt(attempt);
+      return onFailed(unfitAnswerError(), now);
+    }
+    return forwardData(std::move(events));
+  }
   current.Buffered += data;
   if (current.Buffered.size() <= Settings.MaxBufferedAnswerBytes)
     return;
@@ -151,9 +159,12 @@
          Current->Head.IsEventStream && isSuccess(Current->Head.Status);
 }
 
+bool ForwardFlow::isResumed() const {
+  return HasAnswerBegun && Current->Order.LastEventId;
+}
+
 bool ForwardFlow::isUnfitToResume() const {
-  bool isResumed = HasAnswerBegun && Current->Order.LastEventId;
-  return isResumed && isSuccess(Current->Head.Status) && !isStream();
+  return isResumed() && isSuccess(Current->Head.Status) && !isStream();
 }
 
 Error ForwardFlow::incompleteReason(const Error &error) const {
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -190,6 +190,9 @@
 
   /// Whether the current attempt's answer is a stream of events.
   bool isStream() const;
+  /// Whether the attempt goes on with a stream that the caller has begun to
+  /// get.
+  bool isResumed() const;
   /// Whether the current attempt was to resume a stream of which the caller has
   /// events, and its answer is a success, but no stream.
   bool isUnfitToResume() const;
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -245,6 +245,23 @@
                            "send s2", "write id: 3\n\n", "end", "ended"}));
 }
 
+/// Guards against a stream that goes on with bytes without end which are no
+/// events, from a server that answers without a content type.
+TEST(ForwardFlow, PassesOnNoEndlessBytesAfterTheEventsOfAnotherServer) {
+  Route route = routeFor(RouteKind::Stream, 2);
+  route.IsResumable = true;
+  FlowHarness it(route);
+  it.Flow.start(FlowStart);
+  it.Flow.onHead(1, headOf(200), FlowStart);
+  it.Flow.onData(1, "id: 1\n\n", FlowStart);
+  it.failAttempt(1);
+  it.Flow.onHead(2, headOf(200), FlowStart);
+  for (int i = 0; i < 100 && !it.Flow.isEnded(); ++i)
+    it.Flow.onData(2, std::string(10'000, 'x'), FlowStart);
+  EXPECT_EQ(it.Log, (Lines{"send s1", "begin 200", "write id: 1\n\n", "send s2",
+                           "cancel 2", "break", "ended"}));
+}
+
 TEST(ForwardFlow, ForwardsTheLastEventIdOfTheCaller) {
   Route route = routeFor(RouteKind::Stream, 2);
   route.IsResumable = true;
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -127,7 +127,8 @@
             continue
         is_stream = sent.kind in ("ask", "long") and sent.status == 200
         if is_stream and not any(is_beginning(sent, version) for version in (b"/v1", b"/v2")):
-            yield f"{sent.id} got events out of order: {sent.answer[-80:]!r}"
+            yield (f"{sent.id} got events out of order: {sent.answer[:40]!r}, then {sent.answer[-80:]!r}, "
+                   f"failure {sent.failure!r}, abandoned {sent.abandoned}")
 
 
 def streams_of_one_version(world, _runs):
