Keep the follower of the slow link from becoming the holder

LargeConfigTest failed once under the address sanitizer and in one of three plain runs: the log shows that the follower had taken the order lease, whose holder always watches the service, so that it never relied on readers. The reader holds the lease before the follower starts now.

--- a/tests/gateway/large_config_test.cpp
+++ b/tests/gateway/large_config_test.cpp
@@ -63,6 +63,9 @@
     options.FailureDomain = "d2";
     Reader = &add(std::move(options));
     announceReaders();
+    // The holder of the order lease watches the service itself, so the follower
+    // must not become it.
+    ASSERT_TRUE(eventually([&] { return KvService.has("daisytack/holder"); }));
     Follower =
         &add(Entry::optionsFor("follower", Link.to(KvService.address()), {}));
     ASSERT_TRUE(waitReady(*Reader));
