--- a/review/standins/plain_server.py
+++ b/review/standins/plain_server.py
@@ -61,4 +61,5 @@
         self.deployment.record(f"{self.id} runs request {request_id}")
         self.runs.append(request_id)
         signature = f"{self.id}.{len(self.runs)}"
-        return http11.response(200, {**echo, "X-Daisytack-Server-Signature": signature}, b"done " + signature.encode()), False
+        head = {**echo, "X-Daisytack-Server-Signature": signature}
+        return http11.response(200, head, b"done " + signature.encode()), False
