--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 import tempfile
 import time
 
+sys.dont_write_bytecode = True
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tests" / "soak"))
 import http11  # noqa: E402
@@ -160,6 +162,7 @@
                 entry.process.send_signal(signal.SIGCONT)
                 entry.process.kill()
                 entry.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.record_file.close()
 
 
@@ -185,10 +188,11 @@
 
     async def main():
         deployment = Deployment(record)
+        asyncio.get_event_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await deployment.kv.start()
             return await asyncio.wait_for(play(deployment, with_trouble), 110)
-        except (CouldNotRun, asyncio.TimeoutError, OSError) as error:
+        except (CouldNotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
             deployment.record(f"could not run: {type(error).__name__} {error}")
             return COULD_NOT_RUN
         finally:
