Bound fetches of kept context by the store's last answer, and delay saves after a restart

Cause: what an entry knew of a store had no end. After a store had restarted empty, one entry had its parts saved there again while another, which had not noticed the restart, still named the store as their source. In the traced case two entries had logged the new epoch 0.1 s before the request was sent, and its own entry had not.

Change: sources are named only for fetches that end within FetchLease of the servers' clock in the store's last answer, and an entry requests no save to a store for SaveDelay after it has seen an epoch for the first time. Every fetch that an answer of the earlier epoch allows ends within FetchLease of the restart, and a save begins later than that.

--- a/src/direct/call_pacing.cpp
+++ b/src/direct/call_pacing.cpp
@@ -26,14 +26,23 @@
                     Settings.MinWait, Settings.MaxWait);
 }
 
+Duration CallPacing::meanPause(Duration call, size_t processes,
+                               uint32_t slots) const {
+  double share = timeShare(processes, slots);
+  return std::max(Settings.MinPause, scaled(call, (1 - share) / share));
+}
+
 Duration CallPacing::pauseAfter(Duration call, size_t processes, uint32_t slots,
                                 uint64_t random) const {
-  double share = timeShare(processes, slots);
-  Duration pause =
-      std::max(Settings.MinPause, scaled(call, (1 - share) / share));
+  Duration pause = meanPause(call, processes, slots);
   double unit = static_cast<double>(random % RandomSteps) /
                 static_cast<double>(RandomSteps - 1);
   return scaled(pause, 1 + Settings.Jitter * (2 * unit - 1));
 }
 
+Duration CallPacing::maxInterval(size_t processes, uint32_t slots) const {
+  Duration call = wait(processes, slots);
+  return call + scaled(meanPause(call, processes, slots), 1 + Settings.Jitter);
+}
+
 } // namespace daisytack::direct
--- a/src/direct/call_pacing.h
+++ b/src/direct/call_pacing.h
@@ -43,8 +43,13 @@
   /// random number determines the jitter.
   Duration pauseAfter(Duration call, size_t processes, uint32_t slots,
                       uint64_t random) const;
+  /// Longest time between the answers of two calls that the server holds open
+  /// for as long as requested.
+  Duration maxInterval(size_t processes, uint32_t slots) const;
 
 private:
+  /// Pause after a call of that duration, without jitter.
+  Duration meanPause(Duration call, size_t processes, uint32_t slots) const;
   /// Share of its time that one process may spend in calls.
   double timeShare(size_t processes, uint32_t slots) const;
 
--- a/src/direct/context_planner.cpp
+++ b/src/direct/context_planner.cpp
@@ -57,6 +57,14 @@
   double budget = fetchBudgetMs(request);
   double maxFetch = maxFetchMs(request, candidate, budget);
   bool mayFetch = serversClockMs && maxFetch > 0;
+  int64_t fetchUntil = 0;
+  int64_t minFetchUntil = 0;
+  if (mayFetch) {
+    fetchUntil = *serversClockMs + static_cast<int64_t>(maxFetch);
+    minFetchUntil =
+        *serversClockMs +
+        static_cast<int64_t>(std::min(maxFetch, Settings.MinFetchLeaseMs));
+  }
   double longestTransfer = -1;
   uint64_t fetchedTokens = 0;
   uint64_t unreadTokens = 0;
@@ -66,21 +74,23 @@
   size_t sessionPart = head.Parts.size() - 2;
   for (size_t i = 0; i + 1 < head.Parts.size(); ++i) {
     const PromptPart &part = head.Parts[i];
-    std::optional<ContextStoreTraits> store;
+    std::optional<KeptSource> source;
     if (mayFetch)
-      store =
-          Kept.find(order.CacheScope, part, server.FailureDomain, isAllowed);
-    if (store) {
-      double excess = Links.excessMs(store->Address, now);
+      source = Kept.find(order.CacheScope, part, server.FailureDomain,
+                         isAllowed, minFetchUntil);
+    if (source) {
+      const ContextStoreTraits &store = source->Store;
+      double excess = Links.excessMs(store.Address, now);
       if (shedsFetch(request, excess, std::min(budget, maxFetch)))
         break; // Parts after a missing part can't be used.
-      order.Sources[i] = store->Address;
+      order.Sources[i] = store.Address;
       order.FetchExcessMs = std::max(order.FetchExcessMs, excess);
+      fetchUntil = std::min(fetchUntil, *source->FetchUntilMs);
       fetchedTokens += part.Tokens;
-      double transfer = part.Tokens / std::max(store->LinkMbps, 1.0);
+      double transfer = part.Tokens / std::max(store.LinkMbps, 1.0);
       if (transfer > longestTransfer) {
         longestTransfer = transfer;
-        order.SlowestSource = store->Address;
+        order.SlowestSource = store.Address;
       }
     } else if (part.Tokens < Settings.MinPartTokens || isOutdated) {
       continue; // Context of outdated weights is not worth storing.
@@ -97,7 +107,7 @@
   order.QueuedTokens -= static_cast<uint64_t>(
       static_cast<double>(fetchedTokens) * (1 - Settings.FetchedWeight));
   if (order.SlowestSource)
-    order.FetchUntilMs = *serversClockMs + static_cast<int64_t>(maxFetch);
+    order.FetchUntilMs = fetchUntil;
 }
 
 } // namespace daisytack::direct
--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -71,8 +71,20 @@
                 [&](const auto &it) { return !configured.contains(it.first); });
 }
 
-void KeptContext::reset(Store &store, uint64_t epoch) {
+bool KeptContext::adoptEpoch(Store &store, uint64_t epoch,
+                             const StoreTiming &timing, TimePoint now) {
+  if (store.Epoch == epoch)
+    return false;
   store.Epoch = epoch;
+  store.FetchUntilMs.reset();
+  // Also the first epoch that this process sees: the store may just have
+  // restarted, and other entries may not know it yet.
+  store.SaveFrom = now + timing.SaveDelay;
+  clearParts(store);
+  return true;
+}
+
+void KeptContext::clearParts(Store &store) {
   store.UsedTokens = 0;
   store.Parts.clear();
 }
@@ -92,16 +104,17 @@
   store.Parts.erase(it);
 }
 
-bool KeptContext::apply(const std::string &name, const PartChanges &changes) {
+bool KeptContext::apply(const std::string &name, const PartChanges &changes,
+                        const StoreTiming &timing, TimePoint now) {
   std::lock_guard guard(Lock);
   auto it = Stores.find(name);
   if (it == Stores.end())
     return true;
   Store &store = it->second;
   store.IsReachable = true;
-  bool isRestarted = store.Epoch != changes.Epoch;
-  if (isRestarted)
-    reset(store, changes.Epoch);
+  bool isRestarted = adoptEpoch(store, changes.Epoch, timing, now);
+  if (changes.ClockMs)
+    store.FetchUntilMs = *changes.ClockMs + timing.FetchLease.count() / 1000;
   for (const PartChange &change : changes.Changes) {
     std::string key = keyOf(change.Scope, change.Part);
     if (change.IsKept)
@@ -113,15 +126,18 @@
   return !isRestarted && !changes.HasGap;
 }
 
-void KeptContext::apply(const std::string &name, const PartList &list) {
+void KeptContext::apply(const std::string &name, const PartList &list,
+                        const StoreTiming &timing, TimePoint now) {
   std::lock_guard guard(Lock);
   auto it = Stores.find(name);
   if (it == Stores.end())
     return;
-  reset(it->second, list.Epoch);
-  it->second.IsReachable = true;
+  Store &store = it->second;
+  adoptEpoch(store, list.Epoch, timing, now);
+  clearParts(store);
+  store.IsReachable = true;
   for (const PartChange &part : list.Kept)
-    addPart(it->second, keyOf(part.Scope, part.Part), part.Tokens);
+    addPart(store, keyOf(part.Scope, part.Part), part.Tokens);
 }
 
 void KeptContext::onUnreachable(const std::string &store) {
@@ -131,23 +147,25 @@
     it->second.IsReachable = false;
 }
 
-std::optional<ContextStoreTraits>
+std::optional<KeptSource>
 KeptContext::find(std::string_view scope, const PromptPart &part,
-                  std::string_view failureDomain,
-                  const StoreFilter &isAllowed) const {
+                  std::string_view failureDomain, const StoreFilter &isAllowed,
+                  std::optional<int64_t> fetchUntilMs) const {
   std::string key = keyOf(scope, part.Id);
   std::lock_guard guard(Lock);
   if (isRetired(scope, part.Id))
     return std::nullopt;
-  std::optional<ContextStoreTraits> out;
+  std::optional<KeptSource> out;
   for (const auto &[name, store] : Stores) {
     if (!store.IsReachable || !store.Parts.contains(key))
       continue;
     if (isAllowed && !isAllowed(store.Traits))
       continue;
+    if (fetchUntilMs && store.FetchUntilMs < *fetchUntilMs)
+      continue; // Also if the store has not reported the servers' clock.
     bool isSameDomain = store.Traits.FailureDomain == failureDomain;
     if (!out || isSameDomain)
-      out = store.Traits;
+      out = KeptSource{store.Traits, store.FetchUntilMs};
   }
   return out;
 }
@@ -187,9 +205,10 @@
       return std::nullopt;
   const std::string *name =
       bestStore(key, part.Tokens, failureDomain, preferredLinkMbps(part.Tokens),
-                isAllowed);
+                isAllowed, now);
   if (!name)
-    name = bestStore(key, part.Tokens, failureDomain, std::nullopt, isAllowed);
+    name = bestStore(key, part.Tokens, failureDomain, std::nullopt, isAllowed,
+                     now);
   if (!name)
     return std::nullopt;
   Sizes.observe(part.Tokens);
@@ -231,7 +250,8 @@
                                           uint32_t tokens,
                                           std::string_view failureDomain,
                                           std::optional<double> linkMbps,
-                                          const StoreFilter &isAllowed) const {
+                                          const StoreFilter &isAllowed,
+                                          TimePoint now) const {
   const std::string *best = nullptr;
   double bestScore = 0;
   for (const auto &[name, store] : Stores) {
@@ -242,7 +262,8 @@
     auto capacity = static_cast<double>(store.Traits.CapacityTokens);
     auto neededTokens =
         static_cast<double>(store.UsedTokens + tokens + pendingTokens(name));
-    if (!store.IsReachable || neededTokens > capacity * Settings.MaxFillShare)
+    if (!store.IsReachable || now < store.SaveFrom ||
+        neededTokens > capacity * Settings.MaxFillShare)
       continue;
     bool isSameDomain = store.Traits.FailureDomain == failureDomain;
     double weight =
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -8,6 +8,13 @@
 /// counts as kept until the report of it arrives; naming it as a source costs
 /// the server one failed lookup. So the index may be out of date, but it must
 /// never list a part that is still being written: only reports add parts to it.
+///
+/// A store that restarts loses all parts. Entries learn of it at different
+/// times, and a server that fetches a part while it is saved again would read
+/// an incomplete one. Parts are therefore fetched only up to a time counted
+/// from the answer that they are known from, and an entry that learns of a
+/// restart requests no save to the store before that time has passed for all
+/// earlier answers (StoreTiming).
 #pragma once
 
 #include "direct/exchange.h"
@@ -77,6 +84,28 @@
 /// The weight version in a scope; nullopt when the text is not a scope.
 std::optional<uint64_t> versionOfScope(std::string_view scope);
 
+/// Timing of the fetches from a store and of the saves to it. It depends on how
+/// often entries call the store. SaveDelay must not be shorter than the
+/// FetchLease of any entry.
+struct StoreTiming {
+  /// Time, after an answer of the store, within which fetches of the parts that
+  /// are known from it must end.
+  Duration FetchLease{4'000'000};
+  /// Time, after the first answer that shows a new epoch, during which no save
+  /// to the store is requested.
+  Duration SaveDelay{4'000'000};
+  auto operator<=>(const StoreTiming &) const = default;
+};
+
+/// A store from which a server can fetch a part.
+struct KeptSource {
+  ContextStoreTraits Store;
+  /// Deadline of the fetch in Unix milliseconds by the servers' clock; empty if
+  /// the store has not reported that clock in this epoch.
+  std::optional<int64_t> FetchUntilMs;
+  bool operator==(const KeptSource &) const = default;
+};
+
 struct KeptContextSettings {
   /// Time during which the save of a part is not requested again. The prompt's
   /// prefill, the transfer and the store's report together take about a second.
@@ -108,21 +137,26 @@
   void setStores(const std::vector<Service> &services);
   /// Applies reported changes. Returns false when the store was restarted or
   /// changes are missing; the caller should then request a full listing.
-  bool apply(const std::string &store, const PartChanges &changes);
-  void apply(const std::string &store, const PartList &list);
+  bool apply(const std::string &store, const PartChanges &changes,
+             const StoreTiming &timing, TimePoint now);
+  void apply(const std::string &store, const PartList &list,
+             const StoreTiming &timing, TimePoint now);
   /// The store does not respond: its parts are not offered until it does.
   void onUnreachable(const std::string &store);
 
   /// A store that holds the complete part and passes the filter, preferably one
   /// in the given failure domain; nullopt when there is none. An empty filter
-  /// accepts all stores.
-  std::optional<ContextStoreTraits>
+  /// accepts all stores. With a time, in Unix milliseconds by the servers'
+  /// clock, leaves out stores from which a fetch can't last until then.
+  std::optional<KeptSource>
   find(std::string_view scope, const PromptPart &part,
-       std::string_view failureDomain, const StoreFilter &isAllowed = {}) const;
+       std::string_view failureDomain, const StoreFilter &isAllowed = {},
+       std::optional<int64_t> fetchUntilMs = std::nullopt) const;
   /// Chooses a store that the part is to be saved to, and records the request.
   /// Prefers the failure domain of the server that will fetch the part; an
   /// empty one means that it is not known. Returns nullopt when a store already
   /// holds the part, its save was requested recently, or no store has space.
+  /// Leaves out stores whose restart became known within SaveDelay.
   ///
   /// The smallest parts go to the stores with the fastest links, up to these
   /// stores' share of the total capacity. So short prompts do not wait behind
@@ -154,7 +188,9 @@
 private:
   struct Store {
     ContextStoreTraits Traits;
-    uint64_t Epoch = 0;
+    std::optional<uint64_t> Epoch; ///< Empty until the store has answered.
+    std::optional<int64_t> FetchUntilMs; ///< See KeptSource.
+    TimePoint SaveFrom; ///< No save is requested before this time.
     bool IsReachable = false;
     uint64_t UsedTokens = 0;
     std::unordered_map<std::string, uint32_t> Parts; ///< Tokens by keyOf().
@@ -168,7 +204,11 @@
   static std::string keyOf(std::string_view scope, std::string_view part);
   void addPart(Store &store, const std::string &key, uint32_t tokens);
   void removePart(Store &store, const std::string &key);
-  void reset(Store &store, uint64_t epoch);
+  /// Adopts the epoch of an answer; returns whether it is a new one, in which
+  /// nothing is known to be kept.
+  bool adoptEpoch(Store &store, uint64_t epoch, const StoreTiming &timing,
+                  TimePoint now);
+  void clearParts(Store &store);
   void dropExpiredSaves(TimePoint now);
   bool isRetired(std::string_view scope, std::string_view part) const;
   /// Tokens of all pending saves to the store.
@@ -176,13 +216,15 @@
   /// Link speed, in Mbit/s, of the stores that parts of this size belong to;
   /// nullopt when there are no stores.
   std::optional<double> preferredLinkMbps(uint32_t tokens) const;
-  /// Name of the reachable store with space that rendezvous hashing selects;
+  /// Name of the store, open to saves and with space, that rendezvous hashing
+  /// selects;
   /// null when there is none. With a link speed, considers only the stores that
   /// have exactly that speed.
   const std::string *bestStore(const std::string &key, uint32_t tokens,
                                std::string_view failureDomain,
                                std::optional<double> linkMbps,
-                               const StoreFilter &isAllowed) const;
+                               const StoreFilter &isAllowed,
+                               TimePoint now) const;
 
   KeptContextSettings Settings;
   mutable std::mutex Lock;
--- a/src/direct/placement_settings.h
+++ b/src/direct/placement_settings.h
@@ -87,6 +87,10 @@
   /// Minimum time, in milliseconds, before a fetch is aborted, even if it
   /// delays its own request: an aborted fetch has used its link for nothing.
   double MinFetchMs = 2000;
+  /// Minimum time, in milliseconds, for which a store's parts must remain
+  /// readable when a fetch from it is ordered. A fetch that ends later has used
+  /// its link for nothing.
+  double MinFetchLeaseMs = 500;
   /// Share of requests that keep fetching over even the most congested link, so
   /// that its recovery is noticed.
   double ProbeShare = 0.1;
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -1,6 +1,8 @@
 #include "gateway/context_follower.h"
 
 #include "base/clock.h"
+#include "base/duration.h"
+#include "direct/context_planner.h"
 #include "net/http_status.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -89,7 +91,7 @@
   followed.Epoch = list->Epoch;
   followed.Next = list->Next;
   followed.IncompleteParts = {list->Incomplete.begin(), list->Incomplete.end()};
-  State.StoredParts.apply(store, *list);
+  State.StoredParts.apply(store, *list, timingOf(followed), now);
   State.Log.write(LogPriority::Notable, "store_listed",
                   {{"store", store},
                    {"epoch", list->Epoch},
@@ -148,18 +150,32 @@
   if (changes->ClockMs)
     State.Clock.observe(*changes->ClockMs, now);
   if (followed.Epoch != changes->Epoch)
-    State.Log.write(LogPriority::Notable, "store_restarted",
-                    {{"store", store},
-                     {"epoch", changes->Epoch},
-                     {"epoch_before", followed.Epoch}},
-                    now);
+    State.Log.write(
+        LogPriority::Notable, "store_restarted",
+        {{"store", store},
+         {"epoch", changes->Epoch},
+         {"epoch_before", followed.Epoch},
+         {"saves_in_ms", millisecondsOf(timingOf(followed).SaveDelay)}},
+        now);
   followed.Epoch = changes->Epoch;
   followed.Next = changes->Next;
-  bool isComplete = State.StoredParts.apply(store, *changes);
+  bool isComplete =
+      State.StoredParts.apply(store, *changes, timingOf(followed), now);
   followed.NeedsList |= !isComplete;
   scheduleNextPaced(store);
 }
 
+direct::StoreTiming
+ContextFollower::timingOf(const FollowedStore &followed) const {
+  size_t entries = State.catalog()->Entries.size();
+  auto lease = [&](size_t callers) {
+    return direct::MaxFetchTime + Settings.CallTimeoutMargin +
+           Pacing.maxInterval(callers, followed.WatchCallLimit);
+  };
+  // Entries may count one another differently, as some start or are cut off.
+  return {lease(entries), lease(2 * entries)};
+}
+
 void ContextFollower::onCallFailed(const std::string &store) {
   State.StoredParts.onUnreachable(store);
   if (!std::exchange(Stores[store].IsUnreachable, true))
--- a/tests/direct/call_pacing_test.cpp
+++ b/tests/direct/call_pacing_test.cpp
@@ -41,6 +41,18 @@
   EXPECT_GT(pacing.pauseAfter(Duration(1), 0, 0, 7), Duration::zero());
 }
 
+/// Fetches of kept context must stay possible from one answer to the next.
+RC_GTEST_PROP(CallPacing, NoIntervalExceedsTheMaximum, ()) {
+  auto processes = *rc::gen::inRange<size_t>(0, 2000);
+  auto slots = *rc::gen::inRange<uint32_t>(0, 64);
+  CallPacing pacing({});
+  Duration wait = pacing.wait(processes, slots);
+  Duration call(*rc::gen::inRange<int64_t>(0, wait.count() + 1));
+  auto random = *rc::gen::arbitrary<uint64_t>();
+  RC_ASSERT(call + pacing.pauseAfter(call, processes, slots, random) <=
+            pacing.maxInterval(processes, slots));
+}
+
 /// The average number of open calls stays below the number of slots, whatever
 /// the number of processes, even when no call ends early.
 RC_GTEST_PROP(CallPacing, OpenCallsStayBelowSlots, ()) {
--- a/tests/direct/kept_context_test.cpp
+++ b/tests/direct/kept_context_test.cpp
@@ -11,6 +11,7 @@
 using namespace std::chrono_literals;
 
 const TimePoint Start{Duration(1'000'000'000)};
+const TimePoint Earlier = Start - 1h; ///< No save is delayed any more at Start.
 const PromptPart PartA{"a", 100};
 const PromptPart PartB{"b", 100};
 
@@ -29,8 +30,8 @@
 struct TwoStores : KeptContext {
   TwoStores() : KeptContext({}) {
     setStores({storeOf("x", "d1"), storeOf("yy", "d2")});
-    apply("x", PartChanges{1, 0, false, {}, {}});
-    apply("yy", PartChanges{1, 0, false, {}, {}});
+    apply("x", PartChanges{1, 0, false, {}, {}}, {}, Earlier);
+    apply("yy", PartChanges{1, 0, false, {}, {}}, {}, Earlier);
   }
 };
 
@@ -43,12 +44,12 @@
 /// A store's confirmation that it freed parts takes effect without its report.
 TEST(KeptContext, DropsPartsThatTheStoreConfirmedAsFreed) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA));
+  kept.apply("x", change(true, PartA), {}, Earlier);
   kept.onFreed("x", {{"s", "a"}, {"s", "unknown"}});
   kept.onFreed("none", {{"s", "a"}});
   EXPECT_EQ(kept.partsKnown(), 0);
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
-  kept.apply("x", change(false, PartA)); // The late report.
+  kept.apply("x", change(false, PartA), {}, Earlier); // The late report.
   EXPECT_TRUE(
       kept.planSave("s", {"all", 950}, "d1", Start)); // Space is free again.
 }
@@ -73,46 +74,89 @@
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
   EXPECT_TRUE(kept.planSave("s", PartA, "", Start));
   EXPECT_FALSE(kept.find("s", PartA, "d1")); // Requested, but not complete.
-  kept.apply("x", change(true, PartA));
-  EXPECT_EQ(kept.find("s", PartA, "d2")->FailureDomain, "d1");
-  kept.apply("yy", change(true, PartA));
-  EXPECT_EQ(kept.find("s", PartA, "d2")->FailureDomain, "d2");
-  kept.apply("yy", change(false, PartA));
-  EXPECT_EQ(kept.find("s", PartA, "d2")->FailureDomain, "d1");
+  kept.apply("x", change(true, PartA), {}, Earlier);
+  EXPECT_EQ(kept.find("s", PartA, "d2")->Store.FailureDomain, "d1");
+  kept.apply("yy", change(true, PartA), {}, Earlier);
+  EXPECT_EQ(kept.find("s", PartA, "d2")->Store.FailureDomain, "d2");
+  kept.apply("yy", change(false, PartA), {}, Earlier);
+  EXPECT_EQ(kept.find("s", PartA, "d2")->Store.FailureDomain, "d1");
 }
 
 TEST(KeptContext, KeepsScopesApart) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA, 1, "s"));
+  kept.apply("x", change(true, PartA, 1, "s"), {}, Earlier);
   EXPECT_FALSE(kept.find("t", PartA, "d1"));
   EXPECT_FALSE(kept.find("s", PartB, "d1"));
 }
 
 TEST(KeptContext, DropsThePartsOfARestartedStore) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA));
-  EXPECT_FALSE(kept.apply("x", PartChanges{2, 0, false, {}, {}}));
+  kept.apply("x", change(true, PartA), {}, Earlier);
+  EXPECT_FALSE(kept.apply("x", PartChanges{2, 0, false, {}, {}}, {}, Earlier));
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
 }
 
+/// Guards against servers that fetch a part while it is saved again: another
+/// entry, which has not noticed the restart, may still name the store.
+TEST(KeptContext, SavesNothingSoonAfterAStoreRestarts) {
+  TwoStores kept;
+  StoreTiming timing{3s, 4s};
+  kept.apply("x", PartChanges{2, 0, false, {}, {}}, timing, Start);
+  EXPECT_EQ(kept.planSave("s", PartA, "d1", Start + 1s)->FailureDomain, "d2");
+  kept.apply("x", PartList{2, 0, {}, {}}, timing, Start + 1s);
+  kept.apply("x", PartChanges{2, 0, false, {}, {}}, timing, Start + 2s);
+  EXPECT_EQ(kept.planSave("s", PartB, "d1", Start + 3999ms)->FailureDomain,
+            "d2");
+  EXPECT_EQ(kept.planSave("s", {"c", 100}, "d1", Start + 4s)->FailureDomain,
+            "d1");
+}
+
+/// The same at an entry that starts while the store has just restarted.
+TEST(KeptContext, SavesNothingSoonAfterTheFirstAnswerOfAStore) {
+  KeptContext kept({});
+  kept.setStores({storeOf("x", "d1")});
+  kept.apply("x", PartList{7, 0, {}, {}}, {3s, 4s}, Start);
+  EXPECT_FALSE(kept.planSave("s", PartA, "d1", Start + 3999ms));
+  EXPECT_TRUE(kept.planSave("s", PartA, "d1", Start + 4s));
+}
+
+/// The bound counts from the store's own answer, not from its arrival.
+TEST(KeptContext, BoundsFetchesByTheTimeOfTheLastAnswer) {
+  TwoStores kept;
+  StoreTiming timing{3s, 4s};
+  kept.apply("x", change(true, PartA), timing, Start);
+  EXPECT_TRUE(kept.find("s", PartA, "d1"));
+  EXPECT_FALSE(kept.find("s", PartA, "d1", {}, 0)); // The clock is unknown.
+  kept.apply("x", PartChanges{1, 1, false, 5000, {}}, timing, Start);
+  EXPECT_EQ(kept.find("s", PartA, "d1", {}, 8000)->FetchUntilMs, 8000);
+  EXPECT_FALSE(kept.find("s", PartA, "d1", {}, 8001));
+  kept.apply("x", PartList{1, 1, {{0, true, "s", "a", 100}}, {}}, timing,
+             Start);
+  EXPECT_EQ(kept.find("s", PartA, "d1", {}, 8000)->FetchUntilMs, 8000);
+  // The list of a new epoch has no clock; the earlier one must not count.
+  kept.apply("x", PartList{2, 1, {{0, true, "s", "a", 100}}, {}}, timing,
+             Start);
+  EXPECT_FALSE(kept.find("s", PartA, "d1", {}, 8000));
+}
+
 TEST(KeptContext, RequestsAListingAfterAGap) {
   TwoStores kept;
-  EXPECT_TRUE(kept.apply("x", PartChanges{1, 5, false, {}, {}}));
-  EXPECT_FALSE(kept.apply("x", PartChanges{1, 9, true, {}, {}}));
+  EXPECT_TRUE(kept.apply("x", PartChanges{1, 5, false, {}, {}}, {}, Earlier));
+  EXPECT_FALSE(kept.apply("x", PartChanges{1, 9, true, {}, {}}, {}, Earlier));
   PartList list{1, 9, {{0, true, "s", "b", 100}}, {}};
-  kept.apply("x", change(true, PartA));
-  kept.apply("x", list);
+  kept.apply("x", change(true, PartA), {}, Earlier);
+  kept.apply("x", list, {}, Earlier);
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
   EXPECT_TRUE(kept.find("s", PartB, "d1"));
 }
 
 TEST(KeptContext, OffersNothingFromAnUnreachableStore) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA));
+  kept.apply("x", change(true, PartA), {}, Earlier);
   kept.onUnreachable("x");
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
   EXPECT_EQ(kept.planSave("s", PartB, "", Start)->FailureDomain, "d2");
-  kept.apply("x", PartChanges{1, 1, false, {}, {}});
+  kept.apply("x", PartChanges{1, 1, false, {}, {}}, {}, Earlier);
   EXPECT_TRUE(kept.find("s", PartA, "d1"));
 }
 
@@ -123,21 +167,21 @@
   EXPECT_TRUE(kept.planSave("s", PartA, "", Start + 10s)); // The save was lost.
   kept.cancelSave("s", PartA);
   EXPECT_TRUE(kept.planSave("s", PartA, "", Start + 10s)); // It was cancelled.
-  kept.apply("x", change(true, PartA));
+  kept.apply("x", change(true, PartA), {}, Earlier);
   EXPECT_FALSE(kept.planSave("s", PartA, "", Start + 60s));
 }
 
 TEST(KeptContext, PlansNoMoreSavesThanFit) {
   KeptContext kept({});
   kept.setStores({storeOf("x", "d1", 250)});
-  kept.apply("x", PartChanges{1, 0, false, {}, {}});
+  kept.apply("x", PartChanges{1, 0, false, {}, {}}, {}, Earlier);
   EXPECT_TRUE(kept.planSave("s", PartA, "", Start));
   EXPECT_TRUE(kept.planSave("s", PartB, "", Start));
   EXPECT_FALSE(kept.planSave("s", {"c", 100}, "", Start));
-  kept.apply("x", change(true, PartA));
-  kept.apply("x", change(true, PartB));
+  kept.apply("x", change(true, PartA), {}, Earlier);
+  kept.apply("x", change(true, PartB), {}, Earlier);
   EXPECT_FALSE(kept.planSave("s", {"c", 100}, "", Start));
-  kept.apply("x", change(false, PartA));
+  kept.apply("x", change(false, PartA), {}, Earlier);
   EXPECT_TRUE(kept.planSave("s", {"c", 100}, "", Start));
 }
 
@@ -153,8 +197,8 @@
     fast.Store->LinkMbps = 80'000;
     slow.Store->LinkMbps = 32'000;
     Kept.setStores({fast, slow});
-    Kept.apply("x", PartChanges{1, 0, false, {}, {}});
-    Kept.apply("yy", PartChanges{1, 0, false, {}, {}});
+    Kept.apply("x", PartChanges{1, 0, false, {}, {}}, {}, Earlier);
+    Kept.apply("yy", PartChanges{1, 0, false, {}, {}}, {}, Earlier);
   }
 
   /// Plans a save of the part; true if it goes to the store with the fast link.
@@ -193,7 +237,7 @@
   for (int i = 0; i < 16; ++i)
     isSavedToFastStore("first" + std::to_string(i), 8600);
   EXPECT_TRUE(isSavedToFastStore("early", 500));
-  Kept.apply("x", change(true, {"whatever", 95'600}));
+  Kept.apply("x", change(true, {"whatever", 95'600}), {}, Earlier);
   EXPECT_FALSE(isSavedToFastStore("late", 500));
   EXPECT_TRUE(Kept.planSave("s", {"later", 500}, "", Start));
 }
@@ -215,15 +259,15 @@
 
 TEST(KeptContext, DropsStoresThatLeaveTheConfiguration) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA));
+  kept.apply("x", change(true, PartA), {}, Earlier);
   kept.setStores({storeOf("yy", "d2")});
   EXPECT_FALSE(kept.find("s", PartA, "d1"));
 }
 
 TEST(KeptContext, OffersNoRetiredParts) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA, 1, "s@1"));
-  kept.apply("yy", change(true, PartA, 1, "s@2"));
+  kept.apply("x", change(true, PartA, 1, "s@1"), {}, Earlier);
+  kept.apply("yy", change(true, PartA, 1, "s@2"), {}, Earlier);
   kept.retire({2, 1});
   EXPECT_FALSE(kept.find("s@1", PartA, "d1"));
   EXPECT_TRUE(kept.find("s@2", PartA, "d1"));
@@ -259,8 +303,8 @@
 
 TEST(KeptContext, ListsPartsThatMatchThePredicate) {
   TwoStores kept;
-  kept.apply("x", change(true, PartA, 1, "old"));
-  kept.apply("x", change(true, PartB, 1, "new"));
+  kept.apply("x", change(true, PartA, 1, "old"), {}, Earlier);
+  kept.apply("x", change(true, PartB, 1, "new"), {}, Earlier);
   auto matching =
       kept.partsWhere("x", [](const PartRef &it) { return it.Scope != "new"; });
   EXPECT_EQ(matching, (std::vector<PartRef>{{"old", "a"}}));
@@ -279,7 +323,7 @@
   Model model;
   std::vector<PartChange> unreported;
   uint64_t number = 0;
-  kept.apply("x", PartChanges{1, 0, false, {}, {}});
+  kept.apply("x", PartChanges{1, 0, false, {}, {}}, {}, Earlier);
   std::set<std::pair<std::string, std::string>> reported;
   uint64_t reportedEpoch = 1;
   auto n = *rc::gen::inRange(1, 60);
@@ -305,7 +349,8 @@
       number = 0;
       break;
     default:
-      kept.apply("x", PartChanges{model.Epoch, number, false, {}, unreported});
+      kept.apply("x", PartChanges{model.Epoch, number, false, {}, unreported},
+                 {}, Earlier);
       if (reportedEpoch != model.Epoch)
         reported.clear();
       reportedEpoch = model.Epoch;
--- a/tests/direct/placement_fixture.h
+++ b/tests/direct/placement_fixture.h
@@ -42,7 +42,7 @@
     config.Routes = {route};
     Catalog.Config = std::make_shared<const ConfigIndex>(config);
     Kept.setStores(config.Services);
-    Kept.apply("store", PartChanges{1, 0, false, {}, {}});
+    Kept.apply("store", PartChanges{1, 0, false, ClockMs, {}}, {}, Start - 1h);
     for (int i = 0; i < 6; ++i)
       addServer("engines", "e" + std::to_string(i), i < 3 ? "d1" : "d2");
     for (int i = 0; i < 2; ++i)
--- a/tests/direct/placement_load_test.cpp
+++ b/tests/direct/placement_load_test.cpp
@@ -108,7 +108,7 @@
     Catalog.Config = std::make_shared<const ConfigIndex>(config);
     Kept.setStores(config.Services);
     for (const std::string name : {"large1", "large2"})
-      Kept.apply(name, PartChanges{1, 0, false, {}, {}});
+      Kept.apply(name, PartChanges{1, 0, false, ClockMs, {}}, {}, Start - 1h);
     addKeptPart("store", "system", 500);
   }
 
@@ -116,7 +116,7 @@
                    uint32_t n) {
     PartChanges changes{1, ++NextNumber[store], false, {}, {}};
     changes.Changes = {{NextNumber[store], true, "shared@1", part, n}};
-    Kept.apply(store, changes);
+    Kept.apply(store, changes, {}, Start - 1h);
   }
 
   /// Records the delay of the request's first byte, which is late if the
@@ -188,7 +188,7 @@
 TEST_F(PlacementTest, ShedsFetchesFromACongestedLinkButNotAll) {
   PartChanges changes{1, 1, false, {}, {}};
   changes.Changes = {{1, true, "shared@1", "system", 500}};
-  Kept.apply("store", changes);
+  Kept.apply("store", changes, {}, Start - 1h);
   for (int i = 0; i < 60; ++i) {
     Links.observe(Endpoint{"10.9.0.1", 80}, 2000, Start);
     Links.observe(std::nullopt, 20, Start);
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -123,7 +123,7 @@
   uint64_t read = choose(prompt("s")).QueuedTokens;
   PartChanges changes{1, 1, false, {}, {}};
   changes.Changes = {{1, true, "shared@1", "system", 500}};
-  Kept.apply("store", changes);
+  Kept.apply("store", changes, {}, Start - 1h);
   uint64_t withFetch = choose(prompt("s")).QueuedTokens;
   EXPECT_EQ(read, 3000);
   EXPECT_LT(withFetch, read);
@@ -135,7 +135,7 @@
 TEST_F(PlacementTest, NamesNoSourceWithoutTheServersClock) {
   PartChanges changes{1, 1, false, {}, {}};
   changes.Changes = {{1, true, "shared@1", "system", 500}};
-  Kept.apply("store", changes);
+  Kept.apply("store", changes, {}, Start - 1h);
   Error reason;
   auto choice =
       Place.choose(prompt("s"), Catalog, {}, std::nullopt, Start, reason);
@@ -361,7 +361,7 @@
   PartChanges changes{1, 2, false, {}, {}};
   changes.Changes = {{1, true, "shared@1", "system", 500},
                      {2, true, "shared@1", "s", 2000}};
-  Kept.apply("store", changes);
+  Kept.apply("store", changes, {}, Start - 1h);
   ForwardRequest request = prompt("s");
   Duration limit = PlacementSettings().OldWeightsLimit;
   Duration prefill(static_cast<int64_t>(1000 * request.Head.PromptTokens /
@@ -466,7 +466,7 @@
   PartChanges changes{1, 2, false, {}, {}};
   changes.Changes = {{1, true, "shared@1", "system", 500},
                      {2, true, "shared@1", "s", 2000}};
-  Kept.apply("store", changes);
+  Kept.apply("store", changes, {}, Start - 1h);
   AttemptOrder order = choose(prompt("s"));
   EXPECT_TRUE(order.Sources[0]);
   EXPECT_TRUE(order.Sources[1]);
@@ -479,6 +479,27 @@
   EXPECT_FALSE(choose(isolated).Sources[1]);
 }
 
+/// Guards against fetches from a store that has restarted unnoticed and to
+/// which another entry saves the parts again.
+TEST_F(PlacementTest, EndsFetchesInTimeForSavesAfterARestart) {
+  PartChanges changes{1, 2, false, ClockMs, {}};
+  changes.Changes = {{1, true, "shared@1", "system", 500},
+                     {2, true, "shared@1", "s", 2000}};
+  Kept.apply("store", changes, {3s, 4s}, Start - 1h);
+  for (int64_t age = 0; age < 5000; age += 100) {
+    Error reason;
+    auto choice =
+        Place.choose(prompt("s"), Catalog, {}, ClockMs + age, Start, reason);
+    ASSERT_TRUE(choice);
+    const AttemptOrder &order = choice->Order;
+    EXPECT_EQ(order.Sources[1].has_value(), age <= 2500) << age << " ms";
+    EXPECT_FALSE(order.Destinations[1]);
+    if (order.FetchUntilMs) {
+      EXPECT_LE(*order.FetchUntilMs, ClockMs + 3000);
+    }
+  }
+}
+
 /// Not even when no other server is left: a leaving server would end under the
 /// request, and a server that set Retry-After could not serve it.
 TEST_F(PlacementTest, SendsNothingToLeavingServersOrBeforeTheirRetryAfter) {
--- a/tests/platform/regions_test.cpp
+++ b/tests/platform/regions_test.cpp
@@ -55,7 +55,8 @@
     for (const direct::Service &service : config.Services)
       if (service.Store)
         TestEntry.Kept.apply(service.Name,
-                             direct::PartChanges{1, 0, false, {}, {}});
+                             direct::PartChanges{1, 0, false, {}, {}}, {},
+                             Start - 1h);
     Regions = direct::intersect(config.Routes[0].Regions,
                                 config.Organisations[0].Regions);
   }
@@ -141,8 +142,10 @@
   std::string scope = direct::cacheScope("", false, 1);
   auto keep = [&](const std::string &store) {
     confined.TestEntry.Kept.apply(
-        store, direct::PartChanges{
-                   1, 2, false, {}, {{1, true, scope, "session", 100}}});
+        store,
+        direct::PartChanges{
+            1, 2, false, 1000, {{1, true, scope, "session", 100}}},
+        {}, Start - 1h);
   };
   auto source = [&](const direct::AllowedRegions &regions) {
     direct::ForwardRequest request = Entry::promptRequest("session");
