Keep context under groups that follow from which organisations are isolated

Cause: the scope of an isolated organisation was its bare name and that of all others the word "shared", so that an organisation of that name lay in the common scope; and the common scope outlived a change of configuration, so that others went on using what an organisation had made before it was isolated.

Change: scopes are made of the name of a context group. An isolated organisation is alone in its group; the name of the common group is a digest of the set of isolated organisations. Whoever wrote under a common name was not in its set, so nobody who is isolated now wrote under the one in force. The group is taken from the configuration in force at each attempt.

--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -54,7 +54,6 @@
   Route MatchedRoute;
   std::string Service; ///< One of the route's services, chosen by weight.
   std::string Organisation;
-  bool IsIsolated = false; ///< Shares no kept context with other organisations.
   AllowedRegions Regions{}; ///< Allowed by both the route and the organisation.
   uint32_t Priority = 0;    ///< 0 is the most urgent.
   TimePoint Arrived;
--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -13,14 +13,12 @@
 namespace {
 
 constexpr char KeySeparator = '\n'; ///< Occurs in no scope or part id.
-constexpr std::string_view SharedScope = "shared";
 constexpr char VersionSeparator = '@';
 
 } // namespace
 
-std::string cacheScope(std::string_view organisation, bool isIsolated,
-                       uint64_t version) {
-  std::string out(isIsolated ? organisation : SharedScope);
+std::string cacheScope(std::string_view group, uint64_t version) {
+  std::string out(group);
   out += VersionSeparator;
   return out + std::to_string(version);
 }
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -77,10 +77,9 @@
 bool isUnused(const PartRef &part, uint64_t freeBelow,
               const std::vector<Retirement> &agreed);
 
-/// Scope that kept context is stored under. It differs by weight version, and
-/// by organisation for organisations that are isolated.
-std::string cacheScope(std::string_view organisation, bool isIsolated,
-                       uint64_t version);
+/// Scope that kept context is stored under, for the organisations of a group
+/// (direct/context_group.h) and the weight version that computes it.
+std::string cacheScope(std::string_view group, uint64_t version);
 /// The weight version in a scope; nullopt when the text is not a scope.
 std::optional<uint64_t> versionOfScope(std::string_view scope);
 
--- a/src/direct/placement.cpp
+++ b/src/direct/placement.cpp
@@ -96,12 +96,12 @@
 
 const Candidate &Placement::cheapest(const ForwardRequest &request,
                                      const Candidates &servers,
-                                     const BackendServer *home) const {
-  PlacementCost::UnsavedTokens unsaved;
+                                     const BackendServer *home,
+                                     ReusableContext &context) const {
   size_t bestIndex = 0;
   double leastCost = std::numeric_limits<double>::infinity();
   for (size_t i = 0; i < servers.size(); ++i) {
-    double cost = Cost.costMs(request, servers[i], home, unsaved);
+    double cost = Cost.costMs(request, servers[i], home, context);
     if (cost >= leastCost)
       continue;
     bestIndex = i;
@@ -115,12 +115,14 @@
                         const Candidates &servers, double limitFactor,
                         TimePoint now, Refusal &refusal) const {
   Choice out;
+  ReusableContext context{catalog.Config->contextGroup(request.Organisation),
+                          {}};
   if (request.Head.Parts.empty()) {
-    out.Server = cheapest(request, servers, nullptr);
+    out.Server = cheapest(request, servers, nullptr, context);
   } else {
     Candidates candidates = sessionCandidates(request, servers);
     out.Home = candidates.front().Server;
-    out.Server = cheapest(request, candidates, out.Home);
+    out.Server = cheapest(request, candidates, out.Home, context);
   }
   auto busyState = [&] {
     return AdmissionControl.busyState(request, catalog, out.Server.Load,
@@ -128,7 +130,8 @@
   };
   admission::BusyState busy = busyState();
   if (busy.isBusy()) {
-    out.Server = cheapest(request, spareCandidates(request, servers), out.Home);
+    out.Server =
+        cheapest(request, spareCandidates(request, servers), out.Home, context);
     busy = busyState();
   }
   if (!busy.isBusy())
@@ -222,8 +225,10 @@
     return out;
   out.Priority = std::min(request.Priority, LowestPriority);
   out.WeightVersion = server.versionOf(head.Model);
-  out.CacheScope =
-      cacheScope(request.Organisation, request.IsIsolated, out.WeightVersion);
+  // Taken from the configuration in force now, which may be newer than the one
+  // that the request arrived under.
+  out.CacheScope = cacheScope(
+      catalog.Config->contextGroup(request.Organisation), out.WeightVersion);
   out.QueuedTokens = head.PromptTokens;
   out.TokensAhead =
       admission::tokensAhead(Settings.Queue, candidate.Load, request.Priority);
--- a/src/direct/placement.h
+++ b/src/direct/placement.h
@@ -97,7 +97,8 @@
   /// The server with the lowest cost. `servers` must not be empty.
   const Candidate &cheapest(const ForwardRequest &request,
                             const Candidates &servers,
-                            const BackendServer *home) const;
+                            const BackendServer *home,
+                            ReusableContext &context) const;
   AttemptOrder orderFor(const ForwardRequest &request, const Catalog &catalog,
                         const Choice &choice, const Candidates &eligible,
                         std::optional<int64_t> serversClockMs, TimePoint now);
--- a/src/direct/placement_cost.cpp
+++ b/src/direct/placement_cost.cpp
@@ -52,10 +52,10 @@
 }
 
 uint64_t PlacementCost::tokensToPrefill(const ForwardRequest &request,
-                                        const BackendServer &server) const {
+                                        const BackendServer &server,
+                                        const std::string &group) const {
   const CallerHead &head = request.Head;
-  std::string scope = cacheScope(request.Organisation, request.IsIsolated,
-                                 server.versionOf(head.Model));
+  std::string scope = cacheScope(group, server.versionOf(head.Model));
   uint64_t out = head.PromptTokens;
   for (size_t i = 0; i + 1 < head.Parts.size(); ++i)
     if (Kept.find(scope, head.Parts[i], server.FailureDomain))
@@ -66,7 +66,7 @@
 double PlacementCost::costMs(const ForwardRequest &request,
                              const Candidate &candidate,
                              const BackendServer *home,
-                             UnsavedTokens &unsaved) const {
+                             ReusableContext &context) const {
   const BackendServer &server = *candidate.Server;
   const balancing::ServerLoadView &load = candidate.Load;
   bool isOtherDomain = server.FailureDomain != FailureDomain;
@@ -74,9 +74,9 @@
     return load.Running * Settings.CallRunningMs +
            (isOtherDomain ? Settings.CallOtherDomainMs : 0);
   auto [toPrefill, isNew] =
-      unsaved.try_emplace(server.versionOf(request.Head.Model));
+      context.UnsavedTokens.try_emplace(server.versionOf(request.Head.Model));
   if (isNew)
-    toPrefill->second = tokensToPrefill(request, server);
+    toPrefill->second = tokensToPrefill(request, server, context.Group);
   double out = firstTokenMs(request, load, toPrefill->second);
   if (isOtherDomain)
     out += Settings.OtherDomainMs;
--- a/src/direct/placement_cost.h
+++ b/src/direct/placement_cost.h
@@ -14,20 +14,24 @@
 
 namespace daisytack::direct {
 
+/// The kept context that one request may use, during one placement.
+struct ReusableContext {
+  std::string Group; ///< See direct/context_group.h.
+  /// Tokens of the prompt that no store holds, by weight version, as far as
+  /// they have been counted.
+  std::map<uint64_t, uint64_t> UnsavedTokens;
+};
+
 /// Thread-safe.
 class PlacementCost {
 public:
-  /// Tokens of the request's prompt that no store holds, by weight version. A
-  /// cache for one placement.
-  using UnsavedTokens = std::map<uint64_t, uint64_t>;
-
   PlacementCost(PlacementSettings settings, std::string failureDomain,
                 const balancing::PrefillRate &rates, const KeptContext &kept);
 
   /// Cost in milliseconds. `home` is the home server of the request's session
   /// (direct/placement.h); null for a request without a prompt.
   double costMs(const ForwardRequest &request, const Candidate &server,
-                const BackendServer *home, UnsavedTokens &unsaved) const;
+                const BackendServer *home, ReusableContext &context) const;
   /// Prefill time of this many tokens on an idle server, in milliseconds.
   double prefillMs(const ForwardRequest &request, double tokens) const;
   /// Predicted time until the first token, in milliseconds, when
@@ -46,7 +50,8 @@
 private:
   /// Tokens of the prompt that no store holds for the server's weights.
   uint64_t tokensToPrefill(const ForwardRequest &request,
-                           const BackendServer &server) const;
+                           const BackendServer &server,
+                           const std::string &group) const;
 
   PlacementSettings Settings;
   std::string FailureDomain;
--- a/src/direct/serving_config.cpp
+++ b/src/direct/serving_config.cpp
@@ -1,5 +1,7 @@
 #include "direct/serving_config.h"
 
+#include "direct/context_group.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -31,9 +33,17 @@
       it->second = std::min(it->second, route.TargetLatency);
     }
   }
-  for (size_t i = 0; i < Config.Organisations.size(); ++i)
-    for (const std::string &key : Config.Organisations[i].Keys)
+  for (size_t i = 0; i < Config.Organisations.size(); ++i) {
+    const OrganisationAccess &access = Config.Organisations[i];
+    for (const std::string &key : access.Keys)
       Keys.emplace(key, i);
+    Isolation[access.Organisation] |= access.IsIsolated;
+  }
+  std::vector<std::string> isolated;
+  for (const auto &[organisation, isIsolated] : Isolation)
+    if (isIsolated)
+      isolated.push_back(organisation);
+  CommonGroup = commonContextGroup(std::move(isolated));
   for (size_t i = 0; i < Config.Services.size(); ++i)
     Services.emplace(Config.Services[i].Name, i);
 }
@@ -57,6 +67,14 @@
   return it == Keys.end() ? nullptr : &Config.Organisations[it->second];
 }
 
+std::string ConfigIndex::contextGroup(std::string_view organisation) const {
+  if (organisation.empty())
+    return CommonGroup;
+  auto it = Isolation.find(organisation);
+  bool isAlone = it == Isolation.end() || it->second;
+  return isAlone ? isolatedContextGroup(organisation) : CommonGroup;
+}
+
 Duration ConfigIndex::minTargetLatency(std::string_view service) const {
   auto it = MinTargetLatencies.find(service);
   return it == MinTargetLatencies.end() ? Duration::zero() : it->second;
--- a/src/direct/serving_config.h
+++ b/src/direct/serving_config.h
@@ -140,6 +140,10 @@
   /// The lowest target latency among the service's routes with prompts; zero if
   /// none of them has a target.
   Duration minTargetLatency(std::string_view service) const;
+  /// Group of organisations whose kept context requests of this one may use;
+  /// see direct/context_group.h. Requests without an organisation have an empty
+  /// name. An organisation that has left the configuration shares nothing.
+  std::string contextGroup(std::string_view organisation) const;
   /// Whether requests need an API key: not if no organisations are configured.
   bool needsKeys() const { return !Config.Organisations.empty(); }
 
@@ -159,6 +163,9 @@
       RoutesByHost; ///< By host, then by path prefix.
   Positions Keys;
   Positions Services;
+  /// Whether each organisation is isolated, by name.
+  std::unordered_map<std::string, bool, TextHash, std::equal_to<>> Isolation;
+  std::string CommonGroup; ///< Of all organisations that are not isolated.
   std::unordered_map<std::string, Duration, TextHash, std::equal_to<>>
       MinTargetLatencies; ///< By service.
 };
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -170,7 +170,6 @@
   forward.Service =
       pickService(*route, head->ResumedRequestId.value_or(head->RequestId));
   forward.Organisation = access ? access->Organisation : std::string();
-  forward.IsIsolated = access && access->IsIsolated;
   forward.Regions = direct::intersect(
       route->Regions, access ? access->Regions : direct::AllowedRegions());
   forward.Priority =
--- a/tests/direct/placement_fixture.h
+++ b/tests/direct/placement_fixture.h
@@ -40,6 +40,7 @@
     route.HasPrompt = true;
     route.TargetLatency = 400ms;
     config.Routes = {route};
+    config.Organisations = {{"org", {"key"}, std::nullopt, false}};
     Catalog.Config = std::make_shared<const ConfigIndex>(config);
     Kept.setStores(config.Services);
     Kept.apply("store", PartChanges{1, 0, false, ClockMs, {}}, {}, Start - 1h);
@@ -49,6 +50,12 @@
       addServer("plain", "p" + std::to_string(i), i == 0 ? "d1" : "d2");
   }
 
+  void setIsolated(bool isIsolated) {
+    ServingConfig config = Catalog.Config->config();
+    config.Organisations[0].IsIsolated = isIsolated;
+    Catalog.Config = std::make_shared<const ConfigIndex>(config);
+  }
+
   void addServer(const std::string &service, const std::string &id,
                  const std::string &domain) {
     BackendServer server;
--- a/tests/direct/placement_test.cpp
+++ b/tests/direct/placement_test.cpp
@@ -1,3 +1,4 @@
+#include "direct/context_group.h"
 #include "direct/placement_fixture.h"
 #include "direct/rendezvous.h"
 
@@ -439,13 +440,22 @@
   AttemptOrder order = choose(prompt("s"));
   EXPECT_EQ(order.WeightVersion, 1);
   EXPECT_EQ(order.CacheScope, "shared@1");
-  ForwardRequest isolated = prompt("s");
-  isolated.IsIsolated = true;
-  EXPECT_EQ(choose(isolated).CacheScope, "org@1");
+  setIsolated(true);
+  EXPECT_EQ(choose(prompt("s")).CacheScope, isolatedContextGroup("org") + "@1");
+}
+
+/// A request may have waited since before its organisation, or another one, was
+/// isolated.
+TEST_F(PlacementTest, TakesTheScopeFromTheConfigurationInForce) {
+  ForwardRequest request = prompt("s");
+  request.Organisation = "";
+  EXPECT_EQ(choose(request).CacheScope, "shared@1");
+  setIsolated(true);
+  EXPECT_EQ(choose(request).CacheScope, commonContextGroup({"org"}) + "@1");
 }
 
 TEST_F(PlacementTest, ParsesTheVersionOfAScope) {
-  EXPECT_EQ(versionOfScope(cacheScope("org@9", true, 12)), 12);
+  EXPECT_EQ(versionOfScope(cacheScope("org@9", 12)), 12);
   EXPECT_EQ(versionOfScope("none"), std::nullopt);
   EXPECT_EQ(versionOfScope("org@x"), std::nullopt);
   EXPECT_EQ(versionOfScope("org@"), std::nullopt);
@@ -474,9 +484,8 @@
   ASSERT_TRUE(order.FetchUntilMs);
   EXPECT_GT(*order.FetchUntilMs, ClockMs);
   EXPECT_LE(*order.FetchUntilMs, ClockMs + MaxFetchTime.count() / 1000);
-  ForwardRequest isolated = prompt("s");
-  isolated.IsIsolated = true;
-  EXPECT_FALSE(choose(isolated).Sources[1]);
+  setIsolated(true);
+  EXPECT_FALSE(choose(prompt("s")).Sources[1]);
 }
 
 /// Guards against fetches from a store that has restarted unnoticed and to
--- a/tests/direct/retirement_world.cpp
+++ b/tests/direct/retirement_world.cpp
@@ -22,7 +22,7 @@
 constexpr uint64_t MaxVersion = 3;
 const std::string StoreName = "store";
 
-std::string scopeOf(uint64_t version) { return cacheScope("", false, version); }
+std::string scopeOf(uint64_t version) { return cacheScope("shared", version); }
 
 Endpoint endpointOf(std::string_view text) {
   return parseEndpoint(std::string(text)).value_or(Endpoint{});
--- a/tests/platform/regions_test.cpp
+++ b/tests/platform/regions_test.cpp
@@ -139,7 +139,7 @@
 /// restricted request.
 TEST(Regions, RestrictSourcesOfKeptContext) {
   ConfinedSetup confined(R"(,"allowed-regions":["north"])", "");
-  std::string scope = direct::cacheScope("", false, 1);
+  std::string scope = direct::cacheScope("shared", 1);
   auto keep = [&](const std::string &store) {
     confined.TestEntry.Kept.apply(
         store,
