Take no answer without an id for a request's own on a connection that was used before

Cause: an answer without an id counted as the answer to any request. A server that sends an earlier answer once more, where the one to the next request is due, thus seemed to reject that request.

Change: an answer without an id counts only as the first one on a connection that has carried no other request, or if the request has no id. Any other one is discarded and logged, and the call reads on. A unit test had asserted the opposite; its replacement asks for both cases, and for the ids as before.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -125,6 +125,19 @@
   auto operator<=>(const ServerHead &) const = default;
 };
 
+/// Whether an answer that names the request id, or none, belongs to the
+/// request. Servers name the id of each request that has one; a faulty server
+/// may send an answer once more, where that of the next request is expected.
+/// An answer without an id therefore counts only if its connection has carried
+/// nothing else, `isFirst`, or if the request has no id either.
+inline bool isAnswerTo(const CallerHead &head,
+                       const std::optional<std::string> &answeredId,
+                       bool isFirst) {
+  if (answeredId)
+    return *answeredId == head.RequestId;
+  return isFirst || head.RequestId.empty();
+}
+
 /// Whether the status code means to the caller that its request was not run.
 constexpr bool promisesNotRun(unsigned status) {
   return status == net::StatusRequestTimeout ||
--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -30,9 +30,11 @@
   std::function<ServerHead(unsigned status,
                            const std::vector<net::HttpHeader> &)>
       ReadServerHead;
-  /// Whether an answer with these headers belongs to the request.
-  std::function<bool(const CallerHead &, const std::vector<net::HttpHeader> &)>
-      IsAnswerTo;
+  /// Id of the request that an answer with these headers names; nullopt if it
+  /// names none.
+  std::function<std::optional<std::string>(
+      const std::vector<net::HttpHeader> &)>
+      ReadAnsweredId;
   /// Encodes an error answer that the entry itself gives to a caller.
   std::function<net::HttpResponse(unsigned status, const std::string &requestId,
                                   const Error &)>
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -247,9 +247,9 @@
   State.Log.write(logPriority(order, LogPriority::Routine), "attempt_sent",
                   std::move(fields), now);
   net::HttpHooks hooks;
-  hooks.MatchesRequest = [self = shared_from_this()](const auto &headers) {
-    return self->State.WireProtocol.IsAnswerTo(self->Flow.request().Head,
-                                               headers);
+  hooks.MatchesRequest = [self = shared_from_this(), server = order.ServerId](
+                             const auto &headers, bool isFirst) {
+    return self->isOwnAnswer(server, headers, isFirst);
   };
   hooks.Head = [self = shared_from_this(), attempt](unsigned status,
                                                     const auto &headers) {
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -83,6 +83,11 @@
   void recordAnswer(TimePoint now);
   bool takeRetry();
   void send(uint32_t attempt, const direct::AttemptOrder &order);
+  /// Whether an answer belongs to this request; logs it if it doesn't. See
+  /// direct::isAnswerTo().
+  bool isOwnAnswer(const std::string &server,
+                   const std::vector<net::HttpHeader> &headers,
+                   bool isFirst) const;
   void onHead(uint32_t attempt, unsigned status,
               const std::vector<net::HttpHeader> &headers);
   /// Applies what the head of an answer states about the server: that it is
--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -109,4 +109,19 @@
                   "request_ended", std::move(fields), now);
 }
 
+bool GatewayRequest::isOwnAnswer(const std::string &server,
+                                 const std::vector<net::HttpHeader> &headers,
+                                 bool isFirst) const {
+  const direct::CallerHead &head = Flow.request().Head;
+  std::optional<std::string> id = State.WireProtocol.ReadAnsweredId(headers);
+  bool out = direct::isAnswerTo(head, id, isFirst);
+  if (!out)
+    State.Log.write(LogPriority::Notable, "answer_discarded",
+                    {{"request", head.RequestId},
+                     {"server", server},
+                     {"answered_request", id.value_or("")}},
+                    monotonicNow());
+  return out;
+}
+
 } // namespace daisytack::gateway
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,8 +11,10 @@
 struct HttpHooks {
   /// Returns whether a response belongs to this request. A response that does
   /// not is read and discarded, and the next one on the connection is checked.
-  /// If empty, every response is accepted.
-  std::function<bool(const std::vector<HttpHeader> &headers)> MatchesRequest;
+  /// If empty, every response is accepted. `isFirst` tells that the connection
+  /// has carried no other request and no other response.
+  std::function<bool(const std::vector<HttpHeader> &headers, bool isFirst)>
+      MatchesRequest;
   std::function<void(unsigned status, const std::vector<HttpHeader> &headers)>
       Head;
   std::function<void(std::string_view data)> Data;
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -185,7 +185,9 @@
   if (!isFramingValid(Response->get()))
     return failProtocol("a response of ambiguous length");
   std::vector<HttpHeader> headers = headersOf(Response->get().base());
-  IgnoresResponse = Hooks.MatchesRequest && !Hooks.MatchesRequest(headers);
+  bool isFirst = !Reused && SkippedBytes == 0;
+  IgnoresResponse =
+      Hooks.MatchesRequest && !Hooks.MatchesRequest(headers, isFirst);
   if (IgnoresResponse && skipsTooMuch(n))
     return;
   if (!IgnoresResponse && Hooks.Head)
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -1,4 +1,5 @@
 #include "net_http/http_fixture.h"
+#include "net_http/scripted_server.h"
 
 #include <gtest/gtest.h>
 
@@ -10,41 +11,6 @@
 namespace daisytack::net {
 namespace {
 
-/// Accepts connections one after another and runs one step on each.
-class ScriptedServer {
-public:
-  using Step = std::function<void(tcp::socket &)>;
-  explicit ScriptedServer(std::vector<Step> steps)
-      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this, steps = std::move(steps)] {
-          for (const Step &step : steps) {
-            tcp::socket socket(Io);
-            Acceptor.accept(socket);
-            ++Accepted;
-            step(socket);
-          }
-        }) {}
-  ~ScriptedServer() { Thread.join(); }
-  Endpoint endpoint() const {
-    return {"127.0.0.1", Acceptor.local_endpoint().port()};
-  }
-  std::atomic<int> Accepted{0};
-
-private:
-  asio::io_context Io;
-  tcp::acceptor Acceptor;
-  std::thread Thread;
-};
-
-void readRequest(tcp::socket &socket) {
-  std::string seen;
-  char c = 0;
-  ErrorCode ec;
-  while (!seen.ends_with("\r\n\r\n") &&
-         socket.read_some(asio::buffer(&c, 1), ec) == 1)
-    seen.push_back(c);
-}
-
 void answer(tcp::socket &socket, const std::string &text) {
   readRequest(socket);
   asio::write(socket,
@@ -232,16 +198,19 @@
   }
 }
 
-/// Fetches with a MatchesRequest hook that accepts responses marked "own" only.
+/// Fetches with a MatchesRequest hook that accepts responses marked "own", and
+/// those marked "first" if they are the first ones on their connection.
 HttpFixture::Fetched fetchMatching(HttpFixture &fixture, const Endpoint &to,
                                    const HttpRequest &request) {
   auto promise = std::make_shared<std::promise<HttpFixture::Fetched>>();
   auto future = promise->get_future();
   auto got = std::make_shared<HttpFixture::Fetched>();
   HttpHooks hooks;
-  hooks.MatchesRequest = [](const std::vector<HttpHeader> &headers) {
-    return std::any_of(headers.begin(), headers.end(), [](const auto &it) {
-      return it.Name == "X-Mark" && it.Value == "own";
+  hooks.MatchesRequest = [](const std::vector<HttpHeader> &headers,
+                            bool isFirst) {
+    return std::any_of(headers.begin(), headers.end(), [&](const auto &it) {
+      return it.Name == "X-Mark" &&
+             (it.Value == "own" || (it.Value == "first" && isFirst));
     });
   };
   hooks.Head = [got](unsigned status, const auto &) {
@@ -280,6 +249,28 @@
             "second");
 }
 
+TEST(HttpClient, TellsWhetherAResponseIsTheFirstOnItsConnection) {
+  ScriptedServer server({[](tcp::socket &s) {
+                           readRequest(s);
+                           asio::write(s, asio::buffer(marked("first", "1")));
+                           readRequest(s);
+                           asio::write(s, asio::buffer(marked("first", "2")));
+                           asio::write(s, asio::buffer(marked("own", "3")));
+                         },
+                         [](tcp::socket &s) {
+                           readRequest(s);
+                           asio::write(s, asio::buffer(marked("other", "4")));
+                           asio::write(s, asio::buffer(marked("first", "5")));
+                           asio::write(s, asio::buffer(marked("own", "6")));
+                         }});
+  HttpFixture fixture(echo);
+  HttpRequest get{"GET", "/", "", {}, ""};
+  EXPECT_EQ(fetchMatching(fixture, server.endpoint(), get).Response.Body, "1");
+  EXPECT_EQ(fetchMatching(fixture, server.endpoint(), get).Response.Body, "3");
+  fixture.Client.dropIdle(server.endpoint());
+  EXPECT_EQ(fetchMatching(fixture, server.endpoint(), get).Response.Body, "6");
+}
+
 TEST(HttpClient, DoesNotReuseAConnectionWithAnExtraResponse) {
   ScriptedServer server({[](tcp::socket &s) {
                            readRequest(s);
--- a/tests/net_http/endless_response_test.cpp
+++ b/tests/net_http/endless_response_test.cpp
@@ -63,7 +63,7 @@
     HttpClient client(Threads.Io, {});
     std::promise<Error> ended;
     HttpHooks hooks;
-    hooks.MatchesRequest = [](const auto &) { return false; };
+    hooks.MatchesRequest = [](const auto &, bool) { return false; };
     hooks.Done = [&](const Error &error) { ended.set_value(error); };
     client.call(server.address(), {"GET", "/", {}, {}, {}}, 20s, hooks);
     auto future = ended.get_future();
--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -247,12 +247,32 @@
       readServerHead(200, {{"Transfer-Encoding", "chunked"}}).IsCloseDelimited);
 }
 
+TEST(ReadAnsweredId, ReadsTheIdThatAnAnswerNames) {
+  EXPECT_EQ(readAnsweredId({{"x-daisytack-request-id", "abc"}}), "abc");
+  EXPECT_EQ(readAnsweredId({{"X-Daisytack-Request-Id", ""}}), "");
+  EXPECT_EQ(readAnsweredId({{"Content-Length", "0"}}), std::nullopt);
+}
+
 TEST(IsAnswerTo, DetectsAnAnswerToAnotherRequest) {
   direct::CallerHead head;
   head.RequestId = "abc";
-  EXPECT_TRUE(isAnswerTo(head, {{"x-daisytack-request-id", "abc"}}));
-  EXPECT_FALSE(isAnswerTo(head, {{"X-Daisytack-Request-Id", "abd"}}));
-  EXPECT_TRUE(isAnswerTo(head, {}));
+  for (bool isFirst : {false, true}) {
+    EXPECT_TRUE(direct::isAnswerTo(head, "abc", isFirst));
+    EXPECT_FALSE(direct::isAnswerTo(head, "abd", isFirst));
+    EXPECT_FALSE(direct::isAnswerTo(head, "", isFirst));
+  }
+}
+
+/// Guards against an answer without an id that is sent once more and taken for
+/// the next request's.
+TEST(IsAnswerTo, RequiresAnIdOnAConnectionThatHasCarriedAnotherRequest) {
+  direct::CallerHead head;
+  head.RequestId = "abc";
+  EXPECT_TRUE(direct::isAnswerTo(head, std::nullopt, true));
+  EXPECT_FALSE(direct::isAnswerTo(head, std::nullopt, false));
+  head.RequestId.clear(); // No server runs a request without an id.
+  EXPECT_TRUE(direct::isAnswerTo(head, std::nullopt, false));
+  EXPECT_FALSE(direct::isAnswerTo(head, "abc", false));
 }
 
 TEST(WriteErrorAnswer, CarriesRetryAfter) {
