Let no history of software versions count on across a suspension

What callers can see: a stream that nobody knows any more goes on at the only version that an entry has seen, though another version came while the entry was suspended and began it.

Cause: the history of an entry, which must cover the longest time after which a stream is resumed, counted on until the next check of the catalog; a lookup that is handled before it, right after the process resumes, took it as whole. Found by reading, for the users' report of joined streams.

Change: without an update for a second the history begins anew.

Evidence: SoftwareVersions.HaveNoHistoryAcrossASuspension fails without the change.

--- a/src/direct/software_versions.cpp
+++ b/src/direct/software_versions.cpp
@@ -5,10 +5,11 @@
 void SoftwareVersions::onCatalog(const Catalog &catalog, bool isConfirmed,
                                  TimePoint now) {
   std::lock_guard guard(Lock);
-  if (!isConfirmed)
+  if (!isConfirmed || isInterruptedLocked(now))
     ConfirmedSince.reset();
-  else if (!ConfirmedSince)
+  if (isConfirmed && !ConfirmedSince)
     ConfirmedSince = now;
+  UpdatedAt = now;
   const BackendServer *last = nullptr;
   for (const BackendServer &it : catalog.AllServers) {
     bool isSame = last && last->Service == it.Service &&
@@ -24,11 +25,15 @@
   std::erase_if(Seen, [](const auto &it) { return it.second.empty(); });
 }
 
+bool SoftwareVersions::isInterruptedLocked(TimePoint now) const {
+  return now > UpdatedAt + Settings.MaxUpdateInterval;
+}
+
 SeenVersions SoftwareVersions::seen(std::string_view service,
                                     TimePoint now) const {
   SeenVersions out;
   std::lock_guard guard(Lock);
-  if (ConfirmedSince)
+  if (ConfirmedSince && !isInterruptedLocked(now))
     out.HistoryUs = (now - *ConfirmedSince).count();
   auto found = Seen.find(service);
   if (found == Seen.end())
--- a/src/direct/software_versions.h
+++ b/src/direct/software_versions.h
@@ -24,6 +24,9 @@
 struct SoftwareVersionSettings {
   /// How long a version is remembered after its last server has left.
   Duration Retention = StreamMaxAge;
+  /// Maximum time between two calls of onCatalog(). After a longer one the
+  /// process was suspended, and its history begins anew.
+  Duration MaxUpdateInterval{1'000'000};
   bool operator==(const SoftwareVersionSettings &) const = default;
 };
 
@@ -58,7 +61,11 @@
   mutable std::mutex Lock;
   /// By service and version: when a server was last listed.
   std::map<std::string, std::map<std::string, TimePoint>, std::less<>> Seen;
+  /// Whether the history is interrupted at this time.
+  bool isInterruptedLocked(TimePoint now) const;
+
   std::optional<TimePoint> ConfirmedSince; ///< Empty while it is not confirmed.
+  TimePoint UpdatedAt; ///< Of the latest call of onCatalog().
 };
 
 } // namespace daisytack::direct
--- a/tests/direct/stream_version_test.cpp
+++ b/tests/direct/stream_version_test.cpp
@@ -189,7 +189,7 @@
 }
 
 TEST(SoftwareVersions, RemembersVersionsWhoseServersHaveLeft) {
-  SoftwareVersions versions({10s});
+  SoftwareVersions versions({10s, 10s});
   Catalog catalog;
   catalog.AllServers.resize(2);
   for (size_t i = 0; i < 2; ++i) {
@@ -207,6 +207,24 @@
   EXPECT_TRUE(versions.seen("other", FlowStart).Versions.empty());
 }
 
+/// Guards against a suspended entry that answers before it notices how old its
+/// knowledge is: another version may have come and begun streams meanwhile.
+TEST(SoftwareVersions, HaveNoHistoryAcrossASuspension) {
+  SoftwareVersions versions({60s});
+  Catalog catalog;
+  catalog.AllServers.resize(1);
+  catalog.AllServers[0].Service = "service";
+  catalog.AllServers[0].SoftwareVersion = "v1";
+  TimePoint now = FlowStart;
+  for (; now < FlowStart + 70s; now += 100ms)
+    versions.onCatalog(catalog, true, now);
+  EXPECT_GE(Duration(versions.seen("service", now).HistoryUs), 60s);
+  now += 3s;
+  EXPECT_EQ(versions.seen("service", now).HistoryUs, 0);
+  versions.onCatalog(catalog, true, now);
+  EXPECT_EQ(versions.seen("service", now).HistoryUs, 0);
+}
+
 /// Guards against a message about versions that doesn't fit into a datagram.
 TEST(SoftwareVersions, TellsOnlyOfAsManyVersionsAsFitIntoADatagram) {
   SoftwareVersions versions({});
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -171,6 +171,37 @@
   }
 }
 
+/// Guards against a stream that is joined from two versions after all entries
+/// were killed at once: the servers of the version that began it have left, so
+/// that the entries that start find only one.
+TEST_F(StreamVersionTest, RefusesStreamsOfAReplacedVersionAfterAllEntriesEnded) {
+  startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  auto startBoth = [&] {
+    for (const char *name : {"e1", "e2"}) {
+      GatewayOptions options = Entry::optionsFor(name, KvService.address(), {});
+      options.StreamMaxAge = 60s;
+      Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+      Entries.back()->start();
+    }
+    for (const auto &it : Entries)
+      ASSERT_TRUE(waitReady(*it));
+  };
+  startBoth();
+  for (const char *id : {"r1", "r2", "r3"})
+    fetch(Entries[0]->Options.Callers, ask(id));
+  Entries.clear();
+  test::FakeServer &recent = startServer("i-2", "v2");
+  KvService.remove("servers/i-1");
+  startBoth();
+  for (const auto &entry : Entries)
+    for (const char *id : {"r1", "r2", "r3"}) {
+      KvService.completeWatches(); // Confirms what the entry knows.
+      EXPECT_EQ(statusOf(*entry, resume("again", id)), 503U);
+    }
+  EXPECT_TRUE(resumedAt(recent).empty());
+}
+
 /// Guards against an entry that has just started refusing every caller that
 /// does not name its stream, although others know of no other version.
 TEST_F(StreamVersionTest, AsksOthersForVersionsWhenTheStreamIsNotNamed) {
