Learn of weight versions before the newest one, and load the oldest weights first

Cause: a process that starts reads only the newest version. Ages of earlier ones, as other entries and the record of times tell them, were ignored, so that all outdated servers seemed to be outdated since the same time; a new holder of the order lease then loaded them in any order.

Change: versions before the newest are taken over with their ages, and among servers that seem outdated for equally long those with the oldest weights come first.

--- a/src/direct/desired_versions.cpp
+++ b/src/direct/desired_versions.cpp
@@ -52,13 +52,9 @@
   return out;
 }
 
-bool contains(const DesiredVersionMap &versions, const ModelVersion &desired) {
-  auto known = versions.find(desired.Model);
-  return known != versions.end() &&
-         std::any_of(known->second.begin(), known->second.end(),
-                     [&](const DesiredVersion &it) {
-                       return it.Version == desired.Version;
-                     });
+bool isNamed(const DesiredVersionMap &versions, const ModelVersion &desired) {
+  return desired.Version > 0 &&
+         desired.Version <= newestVersion(versions, desired.Model);
 }
 
 std::optional<int64_t> ageOf(const DesiredVersionTime &recorded,
@@ -103,6 +99,10 @@
   if (!known.empty() && known.back().Version >= desired.Version)
     return;
   known.push_back({desired.Version, since, isSinceAssumed});
+  dropOldest(known);
+}
+
+void DesiredVersions::dropOldest(std::vector<DesiredVersion> &known) {
   if (known.size() <= VersionsRemembered)
     return;
   // Weights that are older than all remembered versions keep their age.
@@ -115,10 +115,16 @@
                          Duration tolerance, TimePoint now) {
   std::vector<DesiredVersionAge> out;
   for (const DesiredVersionAge &it : ages) {
-    DesiredVersion *known = find(it.Desired);
-    if (!known || it.Age < 0 || it.Age > MaxVersionAge.count())
+    bool isCredible = it.Age >= 0 && it.Age <= MaxVersionAge.count();
+    if (!isCredible || !isNamed(ByModel, it.Desired))
       continue;
     TimePoint since = now - Duration(it.Age);
+    DesiredVersion *known = find(it.Desired);
+    if (!known) {
+      addEarlier(it.Desired, since);
+      out.push_back(it);
+      continue;
+    }
     bool isEarlier = since + tolerance < known->Since;
     if (!isEarlier && !known->IsSinceAssumed)
       continue;
@@ -129,6 +135,16 @@
   return out;
 }
 
+void DesiredVersions::addEarlier(const ModelVersion &desired, TimePoint since) {
+  std::vector<DesiredVersion> &known = ByModel[desired.Model];
+  auto next =
+      std::find_if(known.begin(), known.end(), [&](const DesiredVersion &it) {
+        return it.Version > desired.Version;
+      });
+  known.insert(next, {desired.Version, since, false});
+  dropOldest(known);
+}
+
 DesiredVersion *DesiredVersions::find(const ModelVersion &desired) {
   auto known = ByModel.find(desired.Model);
   if (known == ByModel.end())
--- a/src/direct/desired_versions.h
+++ b/src/direct/desired_versions.h
@@ -52,8 +52,9 @@
                                            const OldestVersionMap &oldest,
                                            TimePoint now);
 
-/// Whether the version is a known desired version.
-bool contains(const DesiredVersionMap &versions, const ModelVersion &desired);
+/// Whether the version is the newest desired one, or may have been desired
+/// before it.
+bool isNamed(const DesiredVersionMap &versions, const ModelVersion &desired);
 
 /// The age of the version in microseconds when the servers' clock shows
 /// `clockMs`; empty if the recorded time is not credible: in the future, or
@@ -73,7 +74,9 @@
   /// Notes the version unless the same or a newer one is known.
   void note(const ModelVersion &desired, TimePoint since, bool isSinceAssumed);
   /// Replaces ages that are only assumed, and those that are smaller by more
-  /// than the tolerance. Returns the ages that were taken over.
+  /// than the tolerance. Adds versions that were desired before the newest one,
+  /// which a process that has just started can't read any more. Returns the
+  /// ages that were taken over.
   std::vector<DesiredVersionAge>
   correct(const std::vector<DesiredVersionAge> &ages, Duration tolerance,
           TimePoint now);
@@ -83,6 +86,9 @@
 private:
   /// The known desired version; null if it is not known.
   DesiredVersion *find(const ModelVersion &desired);
+  void addEarlier(const ModelVersion &desired, TimePoint since);
+  /// Drops the oldest version beyond the number that is remembered.
+  static void dropOldest(std::vector<DesiredVersion> &known);
 
   DesiredVersionMap ByModel;
 };
--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -1,6 +1,7 @@
 #include "direct/weight_plan.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace daisytack::direct {
@@ -33,6 +34,7 @@
     for (const ModelVersion &loaded : server.Weights)
       if (auto since = catalog.outdatedSince(loaded.Model, loaded.Version))
         out.push_back({&server,
+                       loaded.Version,
                        {loaded.Model, catalog.desiredVersion(loaded.Model)},
                        *since});
   }
@@ -133,13 +135,14 @@
   std::map<std::string_view, uint32_t> loading; ///< By failure domain.
   for (const BackendServer &server : catalog.AllServers)
     loading[server.FailureDomain] += Loads.contains(server.Id) ? 1 : 0;
-  // Longest outdated first, then from the domain with the fewest loads. Each
-  // failure puts an engine behind those that became outdated a load's time
-  // later.
+  // Longest outdated first, then the oldest weights, as times may only be
+  // assumed, then from the domain with the fewest loads. Each failure puts an
+  // engine behind those that became outdated a load's time later.
   auto rank = [&](const OutdatedServer &it) {
     const FailureHistory *failures = failuresOf(it);
     Duration delay = Settings.UsualLoadTime * (failures ? failures->Count : 0);
-    return std::pair(it.Since + delay, loading[it.Server->FailureDomain]);
+    return std::tuple(it.Since + delay, it.LoadedVersion,
+                      loading[it.Server->FailureDomain]);
   };
   const OutdatedServer *out = nullptr;
   for (const OutdatedServer &it : outdated)
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -155,6 +155,7 @@
   /// A server with older weights than desired.
   struct OutdatedServer {
     const BackendServer *Server = nullptr;
+    uint64_t LoadedVersion = 0;
     ModelVersion Desired;
     TimePoint Since; ///< Since when its weights have been outdated.
   };
--- a/src/gateway/rollout_times.cpp
+++ b/src/gateway/rollout_times.cpp
@@ -40,8 +40,8 @@
     Judged.clear();
   std::vector<direct::DesiredVersionAge> ages;
   for (const direct::DesiredVersionTime &it : catalog->RolloutTimes) {
-    bool isKnown = direct::contains(catalog->DesiredVersions, it.Desired);
-    if (!isKnown || !Judged.insert(it.Desired).second)
+    bool isNamed = direct::isNamed(catalog->DesiredVersions, it.Desired);
+    if (!isNamed || !Judged.insert(it.Desired).second)
       continue;
     if (std::optional<int64_t> age = direct::ageOf(it, *clock))
       ages.push_back({it.Desired, *age});
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -121,6 +121,24 @@
   EXPECT_TRUE(keeper.onPeerAges({{{"model", 2}, 7'600'000}}, Start).empty());
 }
 
+/// A process that starts reads only the newest version. Guards against weights
+/// that pass for younger than they are because earlier versions were missed.
+TEST(CatalogKeeper, LearnsOfEarlierVersionsFromAnEntryThatKnowsThem) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("weights:model", "5", 7), put("server:a", "1", 8)}, 8,
+                  Start);
+  std::vector<DesiredVersionAge> ages{{{"model", 3}, 9'000'000},
+                                      {{"model", 2}, 12'000'000},
+                                      {{"model", 5}, 1'000'000}};
+  EXPECT_EQ(keeper.onPeerAges(ages, Start), ages);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 1), Start - 12s);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 2), Start - 9s);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 3), Start - 1s);
+  EXPECT_EQ(keeper.view()->outdatedSince("model", 4), Start - 1s);
+  EXPECT_TRUE(keeper.onPeerAges(ages, Start).empty()); // Known by now.
+  EXPECT_EQ(keeper.view()->rolloutAges(Start).size(), 3U);
+}
+
 /// An entry that hears of a version from another one before its first read must
 /// not tell that it was named just then.
 TEST(CatalogKeeper, TellsNoAgeOfAVersionHeardOfBeforeTheFirstRead) {
--- a/tests/direct/weight_plan_test.cpp
+++ b/tests/direct/weight_plan_test.cpp
@@ -90,6 +90,17 @@
   EXPECT_FALSE(first.contains("e2"));
 }
 
+/// Guards against a new holder that loads servers with newer weights first, as
+/// it has read only the newest version: the others were left on weights that
+/// had been outdated for four versions.
+TEST_F(WeightPlanTest, LoadsTheOldestWeightsFirstIfOnlyOneVersionIsKnown) {
+  Catalog.DesiredVersions["model"] = {{5, Start, true}};
+  for (size_t i : {0, 2})
+    Catalog.AllServers[i].Weights = {{"model", 4}};
+  auto first = asked(Plan.next(Catalog, Start));
+  EXPECT_EQ(first, (std::set<std::string>{"e1", "e3"}));
+}
+
 TEST_F(WeightPlanTest, HasNothingToDoWhenAllAreUpToDate) {
   Catalog.DesiredVersions.clear();
   EXPECT_TRUE(Plan.next(Catalog, Start).empty());
