Send no prompts while an entry learns an age, in the tests of rollout ages

A prompt that waits at the outdated server when the age becomes known ends with 502, as its server may have run it: the tests asked for 200 until no prompt reached that server any more.

--- a/tests/gateway/rollout_age_test.cpp
+++ b/tests/gateway/rollout_age_test.cpp
@@ -106,12 +106,15 @@
   KvService.put("op/version/m", R"({"model":"m","version":2})");
   // Another entry orders the loads, which would keep requests away as well.
   KvService.put("daisytack/holder", "{}", 77);
+  test::StdoutCapture log;
   Entry &entry = startPatientEntry();
   EXPECT_TRUE(eventually([&] { return sendPrompts(entry, outdated) > 0; }));
+  // A prompt that waited at the server meanwhile would end with 502.
   EXPECT_TRUE(eventually([&] {
     tellAge(entry, 2h);
-    return sendPrompts(entry, outdated) == 0;
+    return !log.findLine({"version_age_learned"}).empty();
   }));
+  EXPECT_EQ(sendPrompts(entry, outdated), 0);
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
@@ -126,8 +129,11 @@
   KvService.put("daisytack/holder", "{}", 77);
   KvService.put(RecordKey, platform::encodeRolloutTimes(
                                {{{{"m", 2}, ClockMs - 7'200'000}}}));
+  test::StdoutCapture log;
   Entry &entry = startPatientEntry();
-  EXPECT_TRUE(eventually([&] { return sendPrompts(entry, outdated) == 0; }));
+  EXPECT_TRUE(eventually(
+      [&] { return !log.findLine({"version_age_learned"}).empty(); }));
+  EXPECT_EQ(sendPrompts(entry, outdated), 0);
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
