Record settled epochs of context stores, so that starting entries save at once

What callers see: after all entries were killed, context is not saved for four seconds, as a starting entry can't know whether a store has just restarted.

Change: an epoch that an entry has known for SaveDelay is settled. The holder of the order lease records settled epochs in the key-value service, once for each restart of a store, and entries that find a store's epoch there save at once. The code that writes such a record is shared with the times of versions.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -451,6 +451,11 @@
         next->RolloutTimes = it->Versions;
       next->RolloutTimesRevision = state.Record.Revision;
     }
+    if (state.Subject.Kind == RecordKind::SettledEpochs) {
+      if (const auto *it = std::get_if<SettledEpochsRecord>(&state.Value))
+        next->SettledEpochs = it->Epochs;
+      next->SettledEpochsRevision = state.Record.Revision;
+    }
     const auto *record = std::get_if<BackendServer>(&state.Value);
     if (!record || !isConfigured(*record)) {
       next->LastKnownWeights.insert(next->LastKnownWeights.end(),
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -67,7 +67,9 @@
   bool IsRetiredRecordReadable = true;     ///< Whether the record was decoded.
   /// Recorded times of desired versions, see timesToRecord().
   std::vector<DesiredVersionTime> RolloutTimes;
-  uint64_t RolloutTimesRevision = 0; ///< Revision of the record; 0: none.
+  uint64_t RolloutTimesRevision = 0;       ///< Revision of the record; 0: none.
+  std::vector<SettledEpoch> SettledEpochs; ///< As recorded.
+  uint64_t SettledEpochsRevision = 0;      ///< Revision of the record; 0: none.
   /// Quarantined signatures, with the revision of each record.
   std::map<Id128, RecordedQuarantine> Quarantined;
   /// Failure domains whose servers get no requests.
--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -69,19 +69,42 @@
                 [&](const auto &it) { return !configured.contains(it.first); });
 }
 
-bool KeptContext::adoptEpoch(Store &store, uint64_t epoch,
-                             const StoreTiming &timing, TimePoint now) {
+bool KeptContext::adoptEpoch(const std::string &name, Store &store,
+                             uint64_t epoch, const StoreTiming &timing,
+                             TimePoint now) {
   if (store.Epoch == epoch)
     return false;
   store.Epoch = epoch;
   store.FetchUntilMs.reset();
   // Also the first epoch that this process sees: the store may just have
   // restarted, and other entries may not know it yet.
-  store.SaveFrom = now + timing.SaveDelay;
+  auto recorded = RecordedEpochs.find(name);
+  bool isSettled =
+      recorded != RecordedEpochs.end() && recorded->second == epoch;
+  store.SaveFrom = isSettled ? now : now + timing.SaveDelay;
   clearParts(store);
   return true;
 }
 
+void KeptContext::onSettled(const std::vector<SettledEpoch> &epochs) {
+  std::lock_guard guard(Lock);
+  for (const SettledEpoch &it : epochs) {
+    RecordedEpochs[it.Store] = it.Epoch;
+    auto store = Stores.find(it.Store);
+    if (store != Stores.end() && store->second.Epoch == it.Epoch)
+      store->second.SaveFrom = TimePoint::min();
+  }
+}
+
+std::vector<SettledEpoch> KeptContext::settledEpochs(TimePoint now) const {
+  std::lock_guard guard(Lock);
+  std::vector<SettledEpoch> out;
+  for (const auto &[name, store] : Stores)
+    if (store.Epoch && now >= store.SaveFrom)
+      out.push_back({name, *store.Epoch});
+  return out;
+}
+
 void KeptContext::clearParts(Store &store) {
   store.UsedTokens = 0;
   store.Parts.clear();
@@ -110,7 +133,7 @@
     return true;
   Store &store = it->second;
   store.IsReachable = true;
-  bool isRestarted = adoptEpoch(store, changes.Epoch, timing, now);
+  bool isRestarted = adoptEpoch(name, store, changes.Epoch, timing, now);
   if (changes.ClockMs)
     store.FetchUntilMs = *changes.ClockMs + timing.FetchLease.count() / 1000;
   for (const PartChange &change : changes.Changes) {
@@ -131,7 +154,7 @@
   if (it == Stores.end())
     return;
   Store &store = it->second;
-  adoptEpoch(store, list.Epoch, timing, now);
+  adoptEpoch(name, store, list.Epoch, timing, now);
   clearParts(store);
   store.IsReachable = true;
   for (const PartChange &part : list.Kept)
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -14,7 +14,8 @@
 /// an incomplete one. Parts are therefore fetched only up to a time counted
 /// from the answer that they are known from, and an entry that learns of a
 /// restart requests no save to the store before that time has passed for all
-/// earlier answers (StoreTiming).
+/// earlier answers (StoreTiming). Then the epoch is settled. Settled epochs are
+/// recorded, so that an entry that starts doesn't have to wait again.
 #pragma once
 
 #include "direct/exchange.h"
@@ -140,6 +141,10 @@
              const StoreTiming &timing, TimePoint now);
   void apply(const std::string &store, const PartList &list,
              const StoreTiming &timing, TimePoint now);
+  /// Adopts epochs that another entry found to be settled.
+  void onSettled(const std::vector<SettledEpoch> &epochs);
+  /// The current epochs that are settled, by store.
+  std::vector<SettledEpoch> settledEpochs(TimePoint now) const;
   /// The store does not respond: its parts are not offered until it does.
   void onUnreachable(const std::string &store);
 
@@ -205,8 +210,8 @@
   void removePart(Store &store, const std::string &key);
   /// Adopts the epoch of an answer; returns whether it is a new one, in which
   /// nothing is known to be kept.
-  bool adoptEpoch(Store &store, uint64_t epoch, const StoreTiming &timing,
-                  TimePoint now);
+  bool adoptEpoch(const std::string &name, Store &store, uint64_t epoch,
+                  const StoreTiming &timing, TimePoint now);
   void clearParts(Store &store);
   void dropExpiredSaves(TimePoint now);
   bool isRetired(std::string_view scope, std::string_view part) const;
@@ -228,6 +233,8 @@
   KeptContextSettings Settings;
   mutable std::mutex Lock;
   std::map<std::string, Store> Stores; ///< By service name.
+  /// Settled epochs by service name, as recorded; a store may have restarted.
+  std::map<std::string, uint64_t> RecordedEpochs;
   std::unordered_map<std::string, PendingSave> PendingSaves; ///< By keyOf().
   PartSizes Sizes; ///< Sizes of the parts whose save was planned.
   std::vector<Retirement> Retired;
--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -57,6 +57,8 @@
   std::function<std::string(const RetiredContext &)> EncodeRetired;
   std::string RolloutTimesKey; ///< Key of the times of desired versions.
   std::function<std::string(const RolloutTimesRecord &)> EncodeRolloutTimes;
+  std::string SettledEpochsKey; ///< Key of the epochs of context stores.
+  std::function<std::string(const SettledEpochsRecord &)> EncodeSettledEpochs;
   std::function<std::string(const Id128 &signature)> QuarantineKey;
   std::function<std::string(const QuarantineRecord &)> EncodeQuarantine;
 
--- a/src/direct/records.h
+++ b/src/direct/records.h
@@ -151,19 +151,35 @@
   auto operator<=>(const EvacuatedDomain &) const = default;
 };
 
+/// An epoch of a context store, which began long enough ago that no fetch
+/// ordered by knowledge of an earlier epoch can run any more.
+struct SettledEpoch {
+  std::string Store; ///< Name of its service.
+  uint64_t Epoch = 0;
+  auto operator<=>(const SettledEpoch &) const = default;
+};
+
+/// Settled epochs, so that a process that starts can have context saved at
+/// once, see direct/kept_context.h.
+struct SettledEpochsRecord {
+  std::vector<SettledEpoch> Epochs;
+  auto operator<=>(const SettledEpochsRecord &) const = default;
+};
+
 /// What a key of the store is about.
 enum class RecordKind : uint8_t {
   Config,
   Server,
-  Weights,      ///< Desired weights of a model.
-  Entry,        ///< Announcement of an entry.
-  Registration, ///< Registration of an entry's address.
-  Holder,       ///< Holder of the order lease.
-  Retired,      ///< Retired context.
-  RolloutTimes, ///< Since when versions of weights have been desired.
-  Quarantine,   ///< Quarantine of requests with a signature.
-  Evacuation,   ///< Evacuation of a failure domain.
-  Other         ///< Anything else, which the catalog ignores.
+  Weights,       ///< Desired weights of a model.
+  Entry,         ///< Announcement of an entry.
+  Registration,  ///< Registration of an entry's address.
+  Holder,        ///< Holder of the order lease.
+  Retired,       ///< Retired context.
+  RolloutTimes,  ///< Since when versions of weights have been desired.
+  SettledEpochs, ///< Epochs of context stores.
+  Quarantine,    ///< Quarantine of requests with a signature.
+  Evacuation,    ///< Evacuation of a failure domain.
+  Other          ///< Anything else, which the catalog ignores.
 };
 
 /// What a key of the store is about.
@@ -179,7 +195,8 @@
 using RecordValue =
     std::variant<std::monostate, ServingConfig, BackendServer, DesiredWeights,
                  EntryPeer, OrderLeaseHolder, RetiredContext, EntryRegistration,
-                 QuarantineRecord, EvacuatedDomain, RolloutTimesRecord>;
+                 QuarantineRecord, EvacuatedDomain, RolloutTimesRecord,
+                 SettledEpochsRecord>;
 
 /// One key of the store with its raw value. Only the decoder interprets the
 /// value, so entries can pass records on unchanged.
--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -14,10 +14,11 @@
 
 ContextFollower::ContextFollower(GatewayState &state, Strand strand,
                                  ContextFollowerSettings settings,
-                                 RandomSource random, RetirementHooks hooks)
+                                 RandomSource random, RetirementHooks hooks,
+                                 std::shared_ptr<HolderRecord> epochRecord)
     : State(state), Executor(std::move(strand)), Settings(settings),
       Random(std::move(random)), Pacing(settings.Pacing),
-      Hooks(std::move(hooks)),
+      Hooks(std::move(hooks)), EpochRecord(std::move(epochRecord)),
       Agreement(settings.Retirement, state.Options.Peers) {}
 
 void ContextFollower::onCatalog() {
@@ -25,6 +26,7 @@
   for (const direct::Retirement &it : catalog->Retired)
     State.StoredParts.retire(it);
   Agreement.onCatalog(*catalog, monotonicNow());
+  State.StoredParts.onSettled(catalog->SettledEpochs);
   if (!catalog->Config)
     return;
   for (const direct::Service &service : catalog->Config->config().Services) {
@@ -208,6 +210,26 @@
   }
 }
 
+void ContextFollower::recordSettledEpochs(TimePoint now) {
+  if (!EpochRecord->mayWrite(now))
+    return;
+  auto catalog = State.catalog();
+  std::vector<direct::SettledEpoch> settled =
+      State.StoredParts.settledEpochs(now);
+  const auto &recorded = catalog->SettledEpochs;
+  bool isMissing =
+      std::any_of(settled.begin(), settled.end(), [&](const auto &it) {
+        return std::find(recorded.begin(), recorded.end(), it) ==
+               recorded.end();
+      });
+  if (!isMissing)
+    return;
+  size_t stores = settled.size();
+  EpochRecord->write(
+      State.WireProtocol.EncodeSettledEpochs({std::move(settled)}),
+      catalog->SettledEpochsRevision, stores, now);
+}
+
 void ContextFollower::onEntryAnswered(const direct::NotifyEntry &notification,
                                       bool hasAgreed) {
   TimePoint now = monotonicNow();
--- a/src/gateway/context_follower.h
+++ b/src/gateway/context_follower.h
@@ -5,6 +5,7 @@
 
 #include "direct/call_pacing.h"
 #include "direct/retirement.h"
+#include "gateway/holder_record.h"
 #include "gateway/kv_service_follower.h"
 #include "net/timer.h"
 
@@ -61,7 +62,8 @@
 public:
   ContextFollower(GatewayState &state, Strand strand,
                   ContextFollowerSettings settings, RandomSource random,
-                  RetirementHooks hooks);
+                  RetirementHooks hooks,
+                  std::shared_ptr<HolderRecord> epochRecord);
 
   /// Starts to follow stores that are new in the catalog.
   void onCatalog();
@@ -71,6 +73,9 @@
   /// Frees context that all entries agreed is unused. Call it only while this
   /// process holds the order lease.
   void freeUnused(TimePoint now);
+  /// Records epochs of stores that are settled. Call it only while this process
+  /// holds the order lease.
+  void recordSettledEpochs(TimePoint now);
   void stop() { IsStopped = true; }
 
 private:
@@ -124,6 +129,7 @@
   direct::CallPacing Pacing;
   std::map<std::string, FollowedStore> Stores;
   RetirementHooks Hooks;
+  std::shared_ptr<HolderRecord> EpochRecord;
   direct::RetirementAgreement Agreement;
   bool IsStopped = false;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,7 +77,11 @@
       Probes(std::make_shared<ServerProbes>(State, ControlStrand)),
       Contexts(std::make_shared<ContextFollower>(
           State, ControlStrand, contextSettings(), secureRandom,
-          retirementHooks())),
+          retirementHooks(),
+          std::make_shared<HolderRecord>(
+              State, State.WireProtocol.SettledEpochsKey,
+              "store_epochs_recorded", "stores", HolderRecordSettings{},
+              holderRecordHooks()))),
       Orders(std::make_shared<OrderDriver>(
           State, ControlStrand, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -86,8 +90,10 @@
           })),
       Quarantines(std::make_shared<QuarantineRecords>(
           State, ControlStrand, Store, QuarantineRecordSettings{})),
-      Rollouts(std::make_shared<RolloutTimes>(State, RolloutTimesSettings{},
-                                              rolloutTimesHooks())),
+      Rollouts(State, std::make_shared<HolderRecord>(
+                          State, State.WireProtocol.RolloutTimesKey,
+                          "rollout_times_recorded", "versions",
+                          HolderRecordSettings{}, holderRecordHooks())),
       CallerServer(State),
       ReadinessServer(io, listenOn(Options.Readiness),
                       [this](const net::HttpRequest &request,
@@ -214,8 +220,8 @@
   return out;
 }
 
-RolloutTimesHooks Gateway::rolloutTimesHooks() {
-  RolloutTimesHooks out;
+HolderRecordHooks Gateway::holderRecordHooks() {
+  HolderRecordHooks out;
   out.IsHolder = [this](TimePoint now) {
     return Orders->token(now).has_value();
   };
@@ -368,7 +374,7 @@
 }
 
 void Gateway::onCatalog() {
-  Rollouts->onCatalog(monotonicNow());
+  Rollouts.onCatalog(monotonicNow());
   auto catalog = State.catalog();
   auto before = LastCatalog;
   for (const direct::BackendServer &server : catalog->AllServers) {
@@ -460,11 +466,12 @@
   Follower->onTimer(now);
   applyWatchPlan(now);
   Orders->onTimer(now);
-  Rollouts->onTimer(now);
+  Rollouts.onTimer(now);
   reviewBeginLimits();
   if (Orders->token(now)) {
     Contexts->retireUnused(now);
     Contexts->freeUnused(now);
+    Contexts->recordSettledEpochs(now);
   }
   Log.flush(now);
   Ticker.expires_after(TickInterval);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -74,7 +74,7 @@
   /// decides.
   void applyWatchPlan(TimePoint now);
   RetirementHooks retirementHooks();
-  RolloutTimesHooks rolloutTimesHooks();
+  HolderRecordHooks holderRecordHooks();
   /// Commits the write if this process still holds the order lease and the key
   /// is still at `replacedRevision` (0: it does not exist). `done` gets an
   /// empty header if the order lease is not held.
@@ -116,7 +116,7 @@
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
-  std::shared_ptr<RolloutTimes> Rollouts;
+  RolloutTimes Rollouts;
   GatewayHttp CallerServer;
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -59,6 +59,8 @@
     return "retired_context";
   case direct::RecordKind::RolloutTimes:
     return "rollout_times";
+  case direct::RecordKind::SettledEpochs:
+    return "settled_epochs";
   case direct::RecordKind::Quarantine:
     return "quarantined_request";
   case direct::RecordKind::Evacuation:
--- a/src/gateway/rollout_times.cpp
+++ b/src/gateway/rollout_times.cpp
@@ -19,9 +19,9 @@
                     now);
 }
 
-RolloutTimes::RolloutTimes(GatewayState &state, RolloutTimesSettings settings,
-                           RolloutTimesHooks hooks)
-    : State(state), Settings(settings), Hooks(std::move(hooks)) {}
+RolloutTimes::RolloutTimes(GatewayState &state,
+                           std::shared_ptr<HolderRecord> record)
+    : State(state), Record(std::move(record)) {}
 
 void RolloutTimes::onCatalog(TimePoint now) { learn(now); }
 
@@ -59,28 +59,16 @@
 
 void RolloutTimes::writeMissing(TimePoint now) {
   std::optional<int64_t> clock = State.Clock.at(now);
-  if (IsWritePending || now < NextWriteAt || !clock || !Hooks.IsHolder(now))
+  if (!clock || !Record->mayWrite(now))
     return;
   auto catalog = State.catalog();
   std::vector<direct::DesiredVersionTime> times = direct::timesToRecord(
       catalog->rolloutAges(now), catalog->RolloutTimes, *clock);
   if (times.empty())
     return;
-  IsWritePending = true;
-  NextWriteAt = now + Settings.WriteInterval;
   size_t versions = times.size();
-  Hooks.Write(
-      {State.WireProtocol.RolloutTimesKey,
-       State.WireProtocol.EncodeRolloutTimes({std::move(times)}), 0, false},
-      catalog->RolloutTimesRevision,
-      [self = shared_from_this(), versions](const edge::KvHeader &header) {
-        self->IsWritePending = false;
-        self->State.Log.write(LogPriority::Notable, "rollout_times_recorded",
-                              {{"versions", versions},
-                               {"status", edge::kvStatusName(header.Status)},
-                               {"revision", header.Revision}},
-                              monotonicNow());
-      });
+  Record->write(State.WireProtocol.EncodeRolloutTimes({std::move(times)}),
+                catalog->RolloutTimesRevision, versions, now);
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/rollout_times.h
+++ b/src/gateway/rollout_times.h
@@ -3,10 +3,8 @@
 /// them.
 #pragma once
 
-#include "edge/kv.h"
-#include "gateway/gateway_state.h"
+#include "gateway/holder_record.h"
 
-#include <functional>
 #include <memory>
 #include <set>
 #include <string_view>
@@ -19,27 +17,10 @@
                       const std::vector<direct::DesiredVersionAge> &ages,
                       std::string_view source, TimePoint now);
 
-struct RolloutTimesSettings {
-  /// Shortest time between two writes, also after a failure.
-  Duration WriteInterval{1'000'000};
-  bool operator==(const RolloutTimesSettings &) const = default;
-};
-
-struct RolloutTimesHooks {
-  /// Whether this entry holds the order lease.
-  std::function<bool(TimePoint now)> IsHolder;
-  /// Writes the record as the holder of the order lease if the record is still
-  /// at `replacedRevision` (0: it does not exist).
-  std::function<void(edge::KvWrite, uint64_t replacedRevision,
-                     std::function<void(const edge::KvHeader &)> done)>
-      Write;
-};
-
 /// All members are called on one strand, which the hooks use too.
-class RolloutTimes : public std::enable_shared_from_this<RolloutTimes> {
+class RolloutTimes {
 public:
-  RolloutTimes(GatewayState &state, RolloutTimesSettings settings,
-               RolloutTimesHooks hooks);
+  RolloutTimes(GatewayState &state, std::shared_ptr<HolderRecord> record);
 
   /// Call when the catalog may have changed.
   void onCatalog(TimePoint now);
@@ -52,15 +33,12 @@
   void writeMissing(TimePoint now);
 
   GatewayState &State;
-  RolloutTimesSettings Settings;
-  RolloutTimesHooks Hooks;
+  std::shared_ptr<HolderRecord> Record;
   /// Versions whose times in the record of this revision were used or rejected.
   /// Each time is used once: later, one in the future could pass for the time
   /// of a new version.
   std::set<direct::ModelVersion> Judged;
   uint64_t JudgedRevision = 0;
-  bool IsWritePending = false;
-  TimePoint NextWriteAt;
 };
 
 } // namespace daisytack::gateway
--- a/tests/direct/kept_context_test.cpp
+++ b/tests/direct/kept_context_test.cpp
@@ -120,6 +120,27 @@
   EXPECT_TRUE(kept.planSave("s", PartA, "d1", Start + 4s));
 }
 
+/// Guards against context that is not saved for seconds after all entries have
+/// started again, though no store has restarted.
+TEST(KeptContext, SavesAtOnceInAnEpochThatIsRecordedAsSettled) {
+  StoreTiming timing{3s, 4s};
+  for (bool isRecordReadFirst : {false, true}) {
+    KeptContext kept({});
+    kept.setStores({storeOf("x", "d1"), storeOf("yy", "d2")});
+    if (isRecordReadFirst)
+      kept.onSettled({{"x", 7}, {"yy", 7}, {"gone", 7}});
+    kept.apply("x", PartList{7, 0, {}, {}}, timing, Start);
+    kept.apply("yy", PartList{8, 0, {}, {}}, timing, Start); // Restarted.
+    kept.onSettled({{"x", 7}, {"yy", 7}});
+    EXPECT_EQ(kept.planSave("s", PartA, "d2", Start)->FailureDomain, "d1");
+    EXPECT_EQ(kept.settledEpochs(Start), (std::vector<SettledEpoch>{{"x", 7}}));
+    EXPECT_EQ(kept.settledEpochs(Start + 4s),
+              (std::vector<SettledEpoch>{{"x", 7}, {"yy", 8}}));
+    kept.apply("x", PartChanges{9, 0, false, {}, {}}, timing, Start + 5s);
+    EXPECT_EQ(kept.planSave("s", PartB, "d1", Start + 5s)->FailureDomain, "d2");
+  }
+}
+
 /// The bound counts from the store's own answer, not from its arrival.
 TEST(KeptContext, BoundsFetchesByTheTimeOfTheLastAnswer) {
   TwoStores kept;
--- a/tests/direct/store_restart_model_test.cpp
+++ b/tests/direct/store_restart_model_test.cpp
@@ -45,6 +45,7 @@
     store.Store->CapacityTokens = 100'000;
     entry = std::make_unique<Entry>();
     entry->Kept.setStores({store});
+    entry->Kept.onSettled(Recorded);
     entry->NextCall = Now;
   }
 
@@ -100,6 +101,15 @@
       Writing.try_emplace(id, Now + SaveTime);
   }
 
+  /// Any entry may be the one that records settled epochs.
+  void exchangeRecord(Entry &entry) {
+    if (Now < entry.FrozenUntil)
+      return;
+    if (auto settled = entry.Kept.settledEpochs(Now); !settled.empty())
+      Recorded = settled;
+    entry.Kept.onSettled(Recorded);
+  }
+
   bool isAnyFetchedPartIncomplete() const {
     return std::any_of(Fetches.begin(), Fetches.end(), [&](const auto &it) {
       return Writing.contains(it.first);
@@ -115,6 +125,7 @@
   }
 
   uint64_t Epoch = 1;
+  std::vector<SettledEpoch> Recorded;
   std::set<std::string> Complete;
   std::map<std::string, TimePoint> Writing; ///< By part: when it is complete.
   std::vector<std::pair<std::string, int64_t>> Fetches; ///< With deadlines.
@@ -144,6 +155,7 @@
     for (auto &it : world.Entries)
       world.request(*it, std::string(1, *rc::gen::inRange('a', 'd')));
     RC_ASSERT(!world.isAnyFetchedPartIncomplete());
+    world.exchangeRecord(*entry);
     // Last, as an entry that resumes may send requests before it calls.
     for (auto &it : world.Entries)
       world.call(*it);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -436,5 +436,26 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// Guards against entries that wait before they have context saved although no
+/// store has restarted: processes that start learn it from the record alone.
+TEST_F(GatewayTest, RecordsTheEpochOfAStoreOnceItIsSettled) {
+  test::FakeServer &contextStore = startBackend([](const HttpRequest &,
+                                                   const ExchangePtr &to) {
+    to->respond(
+        {200,
+         {},
+         R"({"epoch":7,"next":5,"lost":false,"events":[],"held":[],"clock_ms":9})"});
+  });
+  KvService.put("op/config", promptConfigText(contextStore.address()));
+  Entry &entry = start("e1", KvService.address());
+  ASSERT_TRUE(waitReady(entry));
+  int changes = 0;
+  EXPECT_TRUE(eventually([&] {
+    KvService.put("other/key", std::to_string(++changes)); // Confirms watches.
+    return KvService.has("daisytack/store-epochs");
+  }));
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -192,6 +192,22 @@
             times);
 }
 
+TEST(DecodeRecord, ReadsSettledEpochs) {
+  direct::SettledEpochsRecord epochs{{{"x", UINT64_MAX}, {"y", 0}}};
+  EXPECT_EQ(decodeAs<direct::SettledEpochsRecord>(settledEpochsKey(),
+                                                  encodeSettledEpochs(epochs)),
+            epochs);
+  for (const char *broken :
+       {"5", "{}", R"({"stores":5})", R"({"stores":[{"name":"x"}]})",
+        R"({"stores":[{"name":"","epoch":1}]})",
+        R"({"stores":[{"name":"x","epoch":-1}]})"}) {
+    Error reason;
+    EXPECT_FALSE(decodeRecord(record(settledEpochsKey(), broken), reason))
+        << broken;
+    EXPECT_TRUE(reason);
+  }
+}
+
 TEST(DecodeRecord, RejectsTimesOfDesiredVersionsThatCannotBe) {
   auto isReadable = [](const std::string &rows) {
     Error reason;
