Take over no weight version that can't be remembered

Found on reading the change again: an age of a version older than all that are remembered would have been taken over, and logged, with each message. Its age passes to the oldest one instead. A comment returns to its function. TakesOverNoVersionThatItCannotRemember; 380 tests of direct pass.

--- a/src/direct/desired_versions.cpp
+++ b/src/direct/desired_versions.cpp
@@ -121,8 +121,8 @@
     TimePoint since = now - Duration(it.Age);
     DesiredVersion *known = find(it.Desired);
     if (!known) {
-      addEarlier(it.Desired, since);
-      out.push_back(it);
+      if (addEarlier(it.Desired, since))
+        out.push_back(it);
       continue;
     }
     bool isEarlier = since + tolerance < known->Since;
@@ -135,14 +135,20 @@
   return out;
 }
 
-void DesiredVersions::addEarlier(const ModelVersion &desired, TimePoint since) {
+bool DesiredVersions::addEarlier(const ModelVersion &desired, TimePoint since) {
   std::vector<DesiredVersion> &known = ByModel[desired.Model];
+  DesiredVersion &oldest = known.front();
+  if (known.size() >= VersionsRemembered && desired.Version < oldest.Version) {
+    oldest.Since = std::min(oldest.Since, since);
+    return false;
+  }
   auto next =
       std::find_if(known.begin(), known.end(), [&](const DesiredVersion &it) {
         return it.Version > desired.Version;
       });
   known.insert(next, {desired.Version, since, false});
   dropOldest(known);
+  return true;
 }
 
 DesiredVersion *DesiredVersions::find(const ModelVersion &desired) {
--- a/src/direct/desired_versions.h
+++ b/src/direct/desired_versions.h
@@ -86,7 +86,10 @@
 private:
   /// The known desired version; null if it is not known.
   DesiredVersion *find(const ModelVersion &desired);
-  void addEarlier(const ModelVersion &desired, TimePoint since);
+  /// Adds a version that was desired before the newest one. Returns false if it
+  /// is older than all versions that can be remembered; their oldest one then
+  /// takes over its age.
+  bool addEarlier(const ModelVersion &desired, TimePoint since);
   /// Drops the oldest version beyond the number that is remembered.
   static void dropOldest(std::vector<DesiredVersion> &known);
 
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -220,10 +220,9 @@
   /// Link speed, in Mbit/s, of the stores that parts of this size belong to;
   /// nullopt when there are no stores.
   std::optional<double> preferredLinkMbps(uint32_t tokens) const;
-  /// Name of the store, open to saves and with space, that rendezvous hashing
-  /// selects;
-  /// null when there is none. With a link speed, considers only the stores that
-  /// have exactly that speed.
+  /// Name of the store that rendezvous hashing selects among those that are
+  /// reachable, open to saves and have space; null when there is none. With a
+  /// link speed, considers only the stores that have exactly that speed.
   const std::string *bestStore(const std::string &key, uint32_t tokens,
                                std::string_view failureDomain,
                                std::optional<double> linkMbps,
--- a/tests/direct/desired_versions_test.cpp
+++ b/tests/direct/desired_versions_test.cpp
@@ -39,6 +39,18 @@
   EXPECT_EQ(outdatedSince(versions.byModel(), "m", 40), start + Duration(39));
 }
 
+TEST(DesiredVersions, TakesOverNoVersionThatItCannotRemember) {
+  DesiredVersions versions;
+  TimePoint start{Duration(100'000'000)};
+  for (uint64_t i = 20; i < 40; ++i)
+    versions.note({"m", i}, start, false);
+  size_t n = versions.byModel().at("m").size();
+  EXPECT_TRUE(versions.correct({{{"m", 5}, 9'000'000}}, {}, start).empty());
+  EXPECT_EQ(versions.byModel().at("m").size(), n);
+  EXPECT_EQ(outdatedSince(versions.byModel(), "m", 4),
+            start - Duration(9'000'000));
+}
+
 TEST(TimesToRecord, HoldsEveryKnownAgeOnceAVersionIsMissing) {
   std::vector<DesiredVersionAge> ages{{Second, 4'000'000}, {Third, 1'000'000}};
   std::vector<DesiredVersionTime> both{{Second, Clock - 4000},
