--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -174,7 +174,8 @@
 /// Guards against a stream that is joined from two versions after all entries
 /// were killed at once: the servers of the version that began it have left, so
 /// that the entries that start find only one.
-TEST_F(StreamVersionTest, RefusesStreamsOfAReplacedVersionAfterAllEntriesEnded) {
+TEST_F(StreamVersionTest,
+       RefusesStreamsOfAReplacedVersionAfterAllEntriesEnded) {
   startServer("i-1", "v1");
   KvService.put("op/config", streamConfigText());
   auto startBoth = [&] {
