Name the events of holder's records where they are written

process.operations_page_test failed: it looks for the names of events in the calls that log them, and the shared writer of such records took them as arguments. Each caller logs its own line again.

--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -227,7 +227,14 @@
   size_t stores = settled.size();
   EpochRecord->write(
       State.WireProtocol.EncodeSettledEpochs({std::move(settled)}),
-      catalog->SettledEpochsRevision, stores, now);
+      catalog->SettledEpochsRevision, now,
+      [&state = State, stores](const edge::KvHeader &header) {
+        state.Log.write(LogPriority::Notable, "store_epochs_recorded",
+                        {{"stores", stores},
+                         {"status", edge::kvStatusName(header.Status)},
+                         {"revision", header.Revision}},
+                        monotonicNow());
+      });
 }
 
 void ContextFollower::onEntryAnswered(const direct::NotifyEntry &notification,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,10 +78,9 @@
       Contexts(std::make_shared<ContextFollower>(
           State, ControlStrand, contextSettings(), secureRandom,
           retirementHooks(),
-          std::make_shared<HolderRecord>(
-              State, State.WireProtocol.SettledEpochsKey,
-              "store_epochs_recorded", "stores", HolderRecordSettings{},
-              holderRecordHooks()))),
+          std::make_shared<HolderRecord>(State.WireProtocol.SettledEpochsKey,
+                                         HolderRecordSettings{},
+                                         holderRecordHooks()))),
       Orders(std::make_shared<OrderDriver>(
           State, ControlStrand, Store, orderSettings(), secureRandom,
           [this](const direct::PeerMessage &message) {
@@ -91,8 +90,7 @@
       Quarantines(std::make_shared<QuarantineRecords>(
           State, ControlStrand, Store, QuarantineRecordSettings{})),
       Rollouts(State, std::make_shared<HolderRecord>(
-                          State, State.WireProtocol.RolloutTimesKey,
-                          "rollout_times_recorded", "versions",
+                          State.WireProtocol.RolloutTimesKey,
                           HolderRecordSettings{}, holderRecordHooks())),
       CallerServer(State),
       ReadinessServer(io, listenOn(Options.Readiness),
--- a/src/gateway/holder_record.h
+++ b/src/gateway/holder_record.h
@@ -30,24 +30,18 @@
 /// All members are called on one strand, which the hooks use too.
 class HolderRecord : public std::enable_shared_from_this<HolderRecord> {
 public:
-  /// After each write, a line with this event is logged, which tells the number
-  /// of items in a field of this name.
-  HolderRecord(GatewayState &state, std::string key, std::string event,
-               std::string itemsField, HolderRecordSettings settings,
+  HolderRecord(std::string key, HolderRecordSettings settings,
                HolderRecordHooks hooks);
 
   /// Whether this entry may write the record now.
   bool mayWrite(TimePoint now) const;
-  /// Writes the value, which has this number of items, if the record is still
-  /// at the revision.
-  void write(std::string value, uint64_t replacedRevision, size_t items,
-             TimePoint now);
+  /// Writes the value if the record is still at the revision; `log` writes the
+  /// line that tells of the result.
+  void write(std::string value, uint64_t replacedRevision, TimePoint now,
+             std::function<void(const edge::KvHeader &)> log);
 
 private:
-  GatewayState &State;
   const std::string Key;
-  const std::string Event;
-  const std::string ItemsField;
   const HolderRecordSettings Settings;
   const HolderRecordHooks Hooks;
   bool IsWritePending = false;
--- a/src/gateway/rollout_times.cpp
+++ b/src/gateway/rollout_times.cpp
@@ -68,7 +68,15 @@
     return;
   size_t versions = times.size();
   Record->write(State.WireProtocol.EncodeRolloutTimes({std::move(times)}),
-                catalog->RolloutTimesRevision, versions, now);
+                catalog->RolloutTimesRevision, now,
+                [&state = State, versions](const edge::KvHeader &header) {
+                  state.Log.write(
+                      LogPriority::Notable, "rollout_times_recorded",
+                      {{"versions", versions},
+                       {"status", edge::kvStatusName(header.Status)},
+                       {"revision", header.Revision}},
+                      monotonicNow());
+                });
 }
 
 } // namespace daisytack::gateway
