Log which connection carried an attempt, and when its answer's head came

Two hypotheses could not be told apart by the log: a rejection that arrives twice is believed twice, which needs two attempts on one connection, and a call that says nothing was sent although bytes have left.

Cause of the gap: attempt_ended names the server's id, which changes when a server starts again at its address, and neither address nor connection; a rejection has no time; and rejections are notable lines, which go first when a second has too many lines.

Change: attempt_ended has address, connection, local_port, earlier_calls and head_ms. Rejected attempts at requests that must not be repeated, and all lines of their later attempts, are audit lines, as is answer_discarded, which also has a counter now, daisytack_answers_discarded_total.

--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -203,6 +203,8 @@
   Order = order;
   SentAt = now;
   FirstByteAt.reset();
+  Connection.reset();
+  HeadAt.reset();
   IsCloseDelimited = false;
   State.Stats.Attempts.add();
   if (order.OutdatedFor > Duration::zero())
@@ -251,6 +253,11 @@
                              const auto &headers, bool isFirst) {
     return self->isOwnAnswer(server, headers, isFirst);
   };
+  hooks.Sending = [self = shared_from_this(), attempt](const auto &connection) {
+    self->onStrand([raw = self.get(), attempt, connection] {
+      raw->onSending(attempt, connection);
+    });
+  };
   hooks.Head = [self = shared_from_this(), attempt](unsigned status,
                                                     const auto &headers) {
     self->onStrand([raw = self.get(), attempt, status, headers] {
@@ -271,11 +278,18 @@
       order.TimeLeft + CallTimeoutMargin, std::move(hooks), MaxAnswerBytes);
 }
 
+void GatewayRequest::onSending(uint32_t attempt,
+                               const net::HttpConnectionInfo &connection) {
+  if (!Flow.isEnded() && attempt == Flow.attempts())
+    Connection = connection;
+}
+
 void GatewayRequest::onHead(uint32_t attempt, unsigned status,
                             const std::vector<net::HttpHeader> &headers) {
   if (Flow.isEnded() || attempt != Flow.attempts())
     return;
   TimePoint now = monotonicNow();
+  HeadAt = now;
   direct::ServerHead head = State.WireProtocol.ReadServerHead(status, headers);
   applyServerSignals(head, now);
   IsCloseDelimited = head.IsCloseDelimited;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -88,6 +88,7 @@
   bool isOwnAnswer(const std::string &server,
                    const std::vector<net::HttpHeader> &headers,
                    bool isFirst) const;
+  void onSending(uint32_t attempt, const net::HttpConnectionInfo &connection);
   void onHead(uint32_t attempt, unsigned status,
               const std::vector<net::HttpHeader> &headers);
   /// Applies what the head of an answer states about the server: that it is
@@ -104,8 +105,9 @@
   void observeLink(TimePoint now);
   void updateEjection(const direct::AttemptOrder &order,
                       direct::AttemptResult result, TimePoint now);
-  /// Priority of lines about an attempt. Attempts at servers whose weights come
-  /// close to the rollout limit are audited.
+  /// Priority of lines about an attempt. Audited are attempts at servers whose
+  /// weights come close to the rollout limit, and attempts that show whether a
+  /// request which must not be repeated ran twice.
   LogPriority logPriority(const direct::AttemptOrder &order,
                           LogPriority usual) const;
   void answerError(unsigned status, const Error &reason);
@@ -127,6 +129,10 @@
   net::HttpCall Call;
   direct::AttemptOrder Order; ///< Parameters of the current attempt.
   TimePoint SentAt;
+  /// Carries the current attempt; nothing until it is sent.
+  std::optional<net::HttpConnectionInfo> Connection;
+  /// When the head of the answer to the current attempt arrived.
+  std::optional<TimePoint> HeadAt;
   /// When the answer to the current attempt began; nothing if it has not, or if
   /// it says that the request was not run.
   std::optional<TimePoint> FirstByteAt;
--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -22,9 +22,11 @@
 LogPriority GatewayRequest::logPriority(const AttemptOrder &order,
                                         LogPriority usual) const {
   constexpr int64_t AuditedPart = 2; // The second half of the rollout.
-  bool isAudited = order.OutdatedFor >=
-                   State.Options.Placement.OldWeightsLimit / AuditedPart;
-  return isAudited ? LogPriority::Audit : usual;
+  bool isOutdated = order.OutdatedFor >=
+                    State.Options.Placement.OldWeightsLimit / AuditedPart;
+  bool isRepeated =
+      Flow.attempts() > 1 && !Flow.request().MatchedRoute.mayRepeat();
+  return isOutdated || isRepeated ? LogPriority::Audit : usual;
 }
 
 void GatewayRequest::recordResult(uint32_t attempt, const AttemptOrder &order,
@@ -57,6 +59,14 @@
                              {"attempt", attempt},
                              {"server", order.ServerId},
                              {"result", direct::attemptResultName(result)}};
+  if (HeadAt)
+    fields["head_ms"] = millisecondsOf(*HeadAt - SentAt);
+  if (Connection) {
+    fields["address"] = toString(order.Address);
+    fields["connection"] = Connection->Number;
+    fields["local_port"] = Connection->LocalPort;
+    fields["earlier_calls"] = Connection->EarlierCalls;
+  }
   // The identity shows whether the same request failed before under another
   // request id, the parts whether another request that shares them did.
   if (result == AttemptResult::Failed || result == AttemptResult::BrokenOff) {
@@ -69,7 +79,10 @@
     fields["framing"] = "close";
   LogPriority priority =
       isSuccess ? LogPriority::Routine : LogPriority::Notable;
-  if (result == AttemptResult::Expired)
+  // A rejected attempt at such a request is followed by another one, or by an
+  // answer that promises that it never runs.
+  bool isRejectedCall = wasRefused && !Flow.request().MatchedRoute.mayRepeat();
+  if (result == AttemptResult::Expired || isRejectedCall)
     priority = LogPriority::Audit;
   State.Log.write(logPriority(order, priority), "attempt_ended",
                   std::move(fields), now);
@@ -115,13 +128,15 @@
   const direct::CallerHead &head = Flow.request().Head;
   std::optional<std::string> id = State.WireProtocol.ReadAnsweredId(headers);
   bool out = direct::isAnswerTo(head, id, isFirst);
-  if (!out)
-    State.Log.write(LogPriority::Notable, "answer_discarded",
-                    {{"request", head.RequestId},
-                     {"server", server},
-                     {"answered_request", id.value_or("")}},
-                    monotonicNow());
-  return out;
+  if (out)
+    return true;
+  State.Stats.AnswersDiscarded.add();
+  State.Log.write(LogPriority::Audit, "answer_discarded",
+                  {{"request", head.RequestId},
+                   {"server", server},
+                   {"answered_request", id.value_or("")}},
+                  monotonicNow());
+  return false;
 }
 
 } // namespace daisytack::gateway
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -151,6 +151,9 @@
       AttemptsLost(
           metrics.counter("daisytack_attempts_lost_total",
                           "Attempts given up as their server was lost")),
+      AnswersDiscarded(metrics.counter(
+          "daisytack_answers_discarded_total",
+          "Answers of servers that belonged to another request")),
       ServersLost(metrics.counter(
           "daisytack_servers_lost_total",
           "Servers that sent nothing and established no connection")),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -48,6 +48,7 @@
   Counter &RetriesDenied;
   Counter &AttemptsRejected;
   Counter &AttemptsLost;
+  Counter &AnswersDiscarded;
   Counter &ServersLost;
   Counter &ServerProbes;
   Counter &Ejections;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,12 @@
   return now < UsableUntil && probePeer(Socket) == PeerState::NoData;
 }
 
+HttpConnectionInfo HttpClientConnection::info() const {
+  ErrorCode ec;
+  uint16_t port = Socket.local_endpoint(ec).port();
+  return {Number, ec ? uint16_t{0} : port, Calls};
+}
+
 std::shared_ptr<HttpClientConnection>
 HttpConnectionPool::take(const Endpoint &to) {
   auto now = BootClock::now();
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -4,11 +4,24 @@
 
 #include "net/http_server.h"
 
+#include <compare>
+
 namespace daisytack::net {
 
+/// The connection that carries a call.
+struct HttpConnectionInfo {
+  uint64_t Number = 0;       ///< Unique among the connections of its client.
+  uint16_t LocalPort = 0;    ///< 0 if the connection has failed already.
+  uint64_t EarlierCalls = 0; ///< Calls that were sent on it before this one.
+  auto operator<=>(const HttpConnectionInfo &) const = default;
+};
+
 /// Callbacks of a call, called in order on an I/O thread. None is called after
 /// Done.
 struct HttpHooks {
+  /// The request is about to be sent on this connection. Called once more if
+  /// the connection turns out to be stale and another one is used.
+  std::function<void(const HttpConnectionInfo &connection)> Sending;
   /// Returns whether a response belongs to this request. A response that does
   /// not is read and discarded, and the next one on the connection is checked.
   /// If empty, every response is accepted. `isFirst` tells that the connection
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -99,7 +99,7 @@
 
 void HttpClientCall::connect() {
   Reused = false;
-  Connection = std::make_shared<HttpClientConnection>(Io);
+  Connection = std::make_shared<HttpClientConnection>(Io, Pool->nextNumber());
   tcp::endpoint address;
   if (!toTcp(To, address))
     return fail(asio::error::invalid_argument, "address");
@@ -125,6 +125,9 @@
 }
 
 void HttpClientCall::send() {
+  if (Hooks.Sending)
+    Hooks.Sending(Connection->info());
+  ++Connection->Calls;
   MayHaveSent = true;
   IsSent = false;
   if (Message.body().size() > MaxBytesBeforeRead)
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -24,8 +25,8 @@
 /// A connection with its read buffer, which may hold bytes received after the
 /// last response.
 struct HttpClientConnection {
-  explicit HttpClientConnection(asio::io_context &io)
-      : Socket(asio::make_strand(io)) {}
+  HttpClientConnection(asio::io_context &io, uint64_t number)
+      : Socket(asio::make_strand(io)), Number(number) {}
 
   /// Maximum idle time before reuse; a shorter timeout in the peer's Keep-Alive
   /// header takes precedence.
@@ -34,7 +35,12 @@
   /// the peer's idle timeout may be about to expire.
   bool isReusable(BootClock::time_point now);
 
+  /// Description for the call that is to be sent next.
+  HttpConnectionInfo info() const;
+
   StrandSocket Socket;
+  const uint64_t Number;
+  uint64_t Calls = 0; ///< Sent on this connection.
   boost::beast::flat_buffer Buffer;
   /// The connection is not reused from this time on.
   BootClock::time_point UsableUntil;
@@ -44,6 +50,8 @@
 class HttpConnectionPool {
 public:
   explicit HttpConnectionPool(size_t maxIdle) : MaxIdle(maxIdle) {}
+  /// Number for a new connection.
+  uint64_t nextNumber() { return ++LastNumber; }
   /// Removes and returns a connection that appears usable, or returns null.
   std::shared_ptr<HttpClientConnection> take(const Endpoint &to);
   void put(const Endpoint &to,
@@ -57,6 +65,7 @@
   std::shared_ptr<HttpClientConnection> takeLast(const Endpoint &to);
 
   size_t MaxIdle;
+  std::atomic<uint64_t> LastNumber{0};
   std::mutex Lock;
   bool Closed = false;
   std::map<Endpoint, std::vector<std::shared_ptr<HttpClientConnection>>> Idle;
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -32,6 +32,31 @@
   EXPECT_EQ(fixture.Server.openConnections(), 1U);
 }
 
+/// Logs of calls could not show whether two of them shared a connection.
+TEST(HttpClient, TellsWhichConnectionCarriesACall) {
+  HttpFixture fixture(echo);
+  auto connectionOf = [&] {
+    auto out = std::make_shared<std::promise<HttpConnectionInfo>>();
+    auto future = out->get_future();
+    auto used = std::make_shared<HttpConnectionInfo>();
+    HttpHooks hooks;
+    hooks.Sending = [used](const HttpConnectionInfo &it) { *used = it; };
+    hooks.Done = [used, out](const Error &) { out->set_value(*used); };
+    fixture.Client.call(fixture.endpoint(), {"POST", "/", "", {}, "b"},
+                        WaitLimit, std::move(hooks));
+    return future.get();
+  };
+  HttpConnectionInfo first = connectionOf();
+  HttpConnectionInfo second = connectionOf();
+  fixture.Client.dropIdle(fixture.endpoint());
+  HttpConnectionInfo third = connectionOf();
+  EXPECT_EQ(first.EarlierCalls, 0U);
+  EXPECT_NE(first.LocalPort, 0);
+  EXPECT_EQ(second, (HttpConnectionInfo{first.Number, first.LocalPort, 1}));
+  EXPECT_NE(third.Number, first.Number);
+  EXPECT_EQ(third.EarlierCalls, 0U);
+}
+
 /// If the server at an address has restarted, the next request would be lost on
 /// an idle connection whose reset has not arrived yet.
 TEST(HttpClient, DoesNotReuseDroppedIdleConnections) {
