Send no two attempts at a request over one connection

What callers saw: a request that is not idempotent ran on two servers (TWICE), or was answered 503, which promises that it never runs, while a server ran it (REFUSED).

Cause: the answer on a kept connection was matched to the request, by its id, where it must be matched to the attempt. A server that starts again at its address under another id rejects the attempt that names the id before with 421. The next attempt names the new id, goes to the same address, and took the same connection, the last one that had become idle. A second copy of the 421 that arrives there names the request as well, so it passed for the rejection of the second attempt while the server ran it.

Class: an identifier of the request used where one of the attempt is needed.

Change: a call may have a response key, a hash of what its response names. Calls with equal keys never share a connection: the pool passes over the connections that have carried the key. A connection is closed after 1,024 keyed calls, which bounds what it remembers to 8 KB. The rule rests on no status, on no change of the list of servers and on no pause, so it covers all second attempts at an address, and callers that use one id twice.

With the change the second attempt takes a new connection. StrayAnswerTest.OfAnEarlierAttemptIsNotTakenForTheNextAttempts fails before this change and passes with it.

--- a/src/direct/exchange.h
+++ b/src/direct/exchange.h
@@ -129,7 +129,8 @@
 /// request. Servers name the id of each request that has one; a faulty server
 /// may send an answer once more, where that of the next request is expected.
 /// An answer without an id therefore counts only if its connection has carried
-/// nothing else, `isFirst`, or if the request has no id either.
+/// nothing else, `isFirst`, or if the request has no id either. The id doesn't
+/// tell the attempts at a request apart: no connection carries two of them.
 inline bool isAnswerTo(const CallerHead &head,
                        const std::optional<std::string> &answeredId,
                        bool isFirst) {
--- a/src/edge/service_http.cpp
+++ b/src/edge/service_http.cpp
@@ -94,7 +94,8 @@
     Calls.begin(start.Run);
     Calls.set(start.Run,
               Client.call(Address, requestOf(*start.Offer), start.Timeout,
-                          std::move(hooks), net::MaxServerAnswerBytes));
+                          std::move(hooks),
+                          {net::MaxServerAnswerBytes, std::nullopt}));
   }
 
   void cancel(const serve::RunToken &run) { Calls.cancel(run); }
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -273,9 +273,12 @@
     self->onStrand(
         [raw = self.get(), attempt, error] { raw->onDone(attempt, error); });
   };
+  net::HttpCallOptions options;
+  options.MaxBodyBytes = MaxAnswerBytes;
+  options.ResponseKey = direct::stableHash(request.Head.RequestId);
   Call = State.BackendClient.call(
       order.Address, State.WireProtocol.WriteAttempt(request.Head, order, Body),
-      order.TimeLeft + CallTimeoutMargin, std::move(hooks), MaxAnswerBytes);
+      order.TimeLeft + CallTimeoutMargin, std::move(hooks), options);
 }
 
 void GatewayRequest::onSending(uint32_t attempt,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,8 @@
 
 #include "net/http_client_call.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace daisytack::net {
@@ -16,23 +18,37 @@
   return {Number, ec ? uint16_t{0} : port, Calls};
 }
 
+bool HttpClientConnection::hasKey(
+    const std::optional<uint64_t> &responseKey) const {
+  return responseKey && std::find(ResponseKeys.begin(), ResponseKeys.end(),
+                                  *responseKey) != ResponseKeys.end();
+}
+
 std::shared_ptr<HttpClientConnection>
-HttpConnectionPool::take(const Endpoint &to) {
+HttpConnectionPool::take(const Endpoint &to,
+                         const std::optional<uint64_t> &responseKey) {
   auto now = BootClock::now();
-  while (auto connection = takeLast(to))
+  while (auto connection = takeLast(to, responseKey))
     if (connection->isReusable(now))
       return connection;
   return nullptr;
 }
 
 std::shared_ptr<HttpClientConnection>
-HttpConnectionPool::takeLast(const Endpoint &to) {
+HttpConnectionPool::takeLast(const Endpoint &to,
+                             const std::optional<uint64_t> &responseKey) {
   std::lock_guard guard(Lock);
-  auto it = Idle.find(to);
-  if (it == Idle.end() || it->second.empty())
+  auto known = Idle.find(to);
+  if (known == Idle.end())
+    return nullptr;
+  auto &idle = known->second;
+  auto last = std::find_if(idle.rbegin(), idle.rend(), [&](const auto &it) {
+    return !it->hasKey(responseKey);
+  });
+  if (last == idle.rend())
     return nullptr;
-  auto out = std::move(it->second.back());
-  it->second.pop_back();
+  auto out = std::move(*last);
+  idle.erase(std::next(last).base());
   return out;
 }
 
@@ -87,11 +103,11 @@
 
 HttpCall HttpClient::call(const Endpoint &to, HttpRequest request,
                           HttpTimeout timeout, HttpHooks hooks,
-                          size_t maxBodyBytes) {
+                          HttpCallOptions options) {
   auto running =
       std::make_shared<HttpClientCall>(Self->Io, Self->Init, Self->Pool, to,
                                        std::move(request), std::move(hooks));
-  running->start(timeout, maxBodyBytes);
+  running->start(timeout, options);
   return HttpCall([weak = std::weak_ptr(running)] {
     if (auto self = weak.lock())
       self->cancel();
@@ -114,8 +130,9 @@
   hooks.Done = [response, done = std::move(done)](const Error &error) {
     done(error, error ? HttpResponse{} : std::move(*response));
   };
-  return call(to, std::move(request), timeout, std::move(hooks),
-              Self->Init.MaxResponseBodyBytes);
+  HttpCallOptions options;
+  options.MaxBodyBytes = Self->Init.MaxResponseBodyBytes;
+  return call(to, std::move(request), timeout, std::move(hooks), options);
 }
 
 } // namespace daisytack::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -5,6 +5,7 @@
 #include "net/http_server.h"
 
 #include <compare>
+#include <optional>
 
 namespace daisytack::net {
 
@@ -74,6 +75,17 @@
   bool operator==(const HttpTimeout &) const = default;
 };
 
+struct HttpCallOptions {
+  /// A longer body ends the call with ProtocolError.
+  size_t MaxBodyBytes = SIZE_MAX;
+  /// What the response names to show which request it belongs to, as a hash;
+  /// for example, of the request's id. Calls with equal keys never share a
+  /// connection: on it, a second copy of the response to one of them would be
+  /// taken for the response to another.
+  std::optional<uint64_t> ResponseKey;
+  bool operator==(const HttpCallOptions &) const = default;
+};
+
 /// See HttpTimeout::Progress.
 constexpr size_t HttpProgressBytes = 16U << 10;
 
@@ -112,10 +124,8 @@
   /// If a reused connection turns out to be stale, the request is sent once
   /// more on a new connection, provided that nothing was sent before or that
   /// the method is GET or HEAD and RetriesSafeMethods is set.
-  /// A response with a body longer than `maxBodyBytes` ends the call with
-  /// ProtocolError.
   HttpCall call(const Endpoint &to, HttpRequest request, HttpTimeout timeout,
-                HttpHooks hooks, size_t maxBodyBytes = SIZE_MAX);
+                HttpHooks hooks, HttpCallOptions options = {});
   /// Like call(), but passes the complete response to done.
   HttpCall fetch(const Endpoint &to, HttpRequest request, HttpTimeout timeout,
                  std::function<void(const Error &, HttpResponse)> done);
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -70,8 +70,8 @@
       Message(toMessage(To, std::move(request))), Hooks(std::move(hooks)),
       CallStrand(asio::make_strand(io)), Timer(CallStrand) {}
 
-void HttpClientCall::start(HttpTimeout timeout, size_t maxBodyBytes) {
-  MaxBodyBytes = maxBodyBytes;
+void HttpClientCall::start(HttpTimeout timeout, HttpCallOptions options) {
+  Options = options;
   if (timeout.Total > Duration::zero())
     Deadline = BootClock::now() + timeout.Total;
   ProgressTimeout = timeout.Progress;
@@ -88,7 +88,7 @@
 void HttpClientCall::begin() {
   if (Finished)
     return;
-  Connection = Pool->take(To);
+  Connection = Pool->take(To, Options.ResponseKey);
   Reused = Connection != nullptr;
   if (!Reused)
     return connect();
@@ -128,6 +128,8 @@
   if (Hooks.Sending)
     Hooks.Sending(Connection->info());
   ++Connection->Calls;
+  if (Options.ResponseKey)
+    Connection->ResponseKeys.push_back(*Options.ResponseKey);
   MayHaveSent = true;
   IsSent = false;
   if (Message.body().size() > MaxBytesBeforeRead)
@@ -222,7 +224,7 @@
   if (IgnoresResponse && skipsTooMuch(n))
     return;
   BodyBytes += IgnoresResponse ? 0 : n;
-  if (BodyBytes > MaxBodyBytes)
+  if (BodyBytes > Options.MaxBodyBytes)
     return failProtocol("the response is too large");
   if (n > 0 && Hooks.Data && !IgnoresResponse)
     Hooks.Data(std::string_view(ReadBuffer.data(), n));
@@ -281,8 +283,10 @@
 }
 
 void HttpClientCall::complete() {
-  bool mayReuse = IsSent && Response->keep_alive() && !Response->need_eof() &&
-                  Connection->Buffer.size() == 0;
+  bool mayReuse =
+      IsSent && Response->keep_alive() && !Response->need_eof() &&
+      Connection->Buffer.size() == 0 &&
+      Connection->ResponseKeys.size() < HttpClientConnection::MaxResponseKeys;
   if (mayReuse) {
     Connection->UsableUntil = BootClock::now() + idleTimeout();
     Pool->put(To, std::exchange(Connection, nullptr));
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -31,6 +31,9 @@
   /// Maximum idle time before reuse; a shorter timeout in the peer's Keep-Alive
   /// header takes precedence.
   static constexpr std::chrono::seconds MaxIdleTime{20};
+  /// A connection with this many keys is not reused, to bound its memory.
+  static constexpr size_t MaxResponseKeys = 1024;
+  bool hasKey(const std::optional<uint64_t> &responseKey) const;
   /// False if the peer closed the connection or sent unsolicited data, or if
   /// the peer's idle timeout may be about to expire.
   bool isReusable(BootClock::time_point now);
@@ -44,6 +47,8 @@
   boost::beast::flat_buffer Buffer;
   /// The connection is not reused from this time on.
   BootClock::time_point UsableUntil;
+  /// Keys of the responses to the calls sent so far; see HttpCallOptions.
+  std::vector<uint64_t> ResponseKeys;
 };
 
 /// Idle connections by endpoint. Thread-safe.
@@ -52,8 +57,10 @@
   explicit HttpConnectionPool(size_t maxIdle) : MaxIdle(maxIdle) {}
   /// Number for a new connection.
   uint64_t nextNumber() { return ++LastNumber; }
-  /// Removes and returns a connection that appears usable, or returns null.
-  std::shared_ptr<HttpClientConnection> take(const Endpoint &to);
+  /// Removes and returns a connection that appears usable and has carried no
+  /// call with the key, or returns null.
+  std::shared_ptr<HttpClientConnection>
+  take(const Endpoint &to, const std::optional<uint64_t> &responseKey);
   void put(const Endpoint &to,
            std::shared_ptr<HttpClientConnection> connection);
   /// Closes the idle connections to one endpoint.
@@ -62,7 +69,8 @@
   void close();
 
 private:
-  std::shared_ptr<HttpClientConnection> takeLast(const Endpoint &to);
+  std::shared_ptr<HttpClientConnection>
+  takeLast(const Endpoint &to, const std::optional<uint64_t> &responseKey);
 
   size_t MaxIdle;
   std::atomic<uint64_t> LastNumber{0};
@@ -77,7 +85,7 @@
   HttpClientCall(asio::io_context &io, const HttpClientInit &init,
                  std::shared_ptr<HttpConnectionPool> pool, Endpoint to,
                  HttpRequest request, HttpHooks hooks);
-  void start(HttpTimeout timeout, size_t maxBodyBytes);
+  void start(HttpTimeout timeout, HttpCallOptions options);
   void cancel();
 
 private:
@@ -143,7 +151,7 @@
   bool IsReading = false;
   /// The current response is for another request.
   bool IgnoresResponse = false;
-  size_t MaxBodyBytes = SIZE_MAX;
+  HttpCallOptions Options;
   size_t BodyBytes = 0;    ///< Of the response, received so far.
   size_t SkippedBytes = 0; ///< See HttpClientInit::MaxSkippedBytes.
   bool Finished = false;
--- a/tests/gateway/stray_answer_test.cpp
+++ b/tests/gateway/stray_answer_test.cpp
@@ -6,11 +6,14 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <string>
+#include <vector>
 
 namespace daisytack::gateway {
 namespace {
 
+using net::ConnectionServer;
 using net::ScriptedServer;
 using net::tcp;
 
@@ -37,15 +40,34 @@
          "Content-Length: 5\r\n\r\nwhole";
 }
 
+/// A rejection that names the request.
+std::string rejectionOf(const std::string &id, const std::string &status) {
+  return "HTTP/1.1 " + status + " X\r\nX-Daisytack-Not-Executed: 1\r\n" +
+         "X-Daisytack-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// Whether the peer sends another request, which is read, before it closes the
+/// connection.
+bool readsAnother(tcp::socket &socket) {
+  std::array<char, 1> first{};
+  net::ErrorCode ec;
+  socket.read_some(net::asio::buffer(first), ec);
+  if (!ec)
+    readWhole(socket);
+  return !ec;
+}
+
 class StrayAnswerTest : public GatewayTest {
 protected:
-  Entry &startBefore(const ScriptedServer &server) {
-    KvService.put("servers/i-1",
-                  R"({"service":"plain","address":")" +
-                      toString(server.endpoint()) +
-                      R"(","zone":"d1","version":"v1","slots":4,)"
-                      R"("state":"ready","cold-remaining-ms":0,)"
-                      R"("sequence":1,"born":1,"models":[]})");
+  /// Starts an entry that knows the server under each of the ids.
+  Entry &startBefore(const Endpoint &server,
+                     const std::vector<std::string> &ids = {"i-1"}) {
+    for (const std::string &id : ids)
+      KvService.put("servers/" + id,
+                    R"({"service":"plain","address":")" + toString(server) +
+                        R"(","zone":"d1","version":"v1","slots":4,)"
+                        R"("state":"ready","cold-remaining-ms":0,)"
+                        R"("sequence":1,"born":1,"models":[]})");
     KvService.put("op/config", configText("\"k1\""));
     Entry &out = start("e1", KvService.address());
     EXPECT_TRUE(waitReady(out));
@@ -68,7 +90,7 @@
       write(s, answerWithoutId(head));
       write(s, answerTo("second"));
     }});
-    Entry &entry = startBefore(server);
+    Entry &entry = startBefore(server.endpoint());
     ASSERT_EQ(statusOf(entry, request("/call/x", "first")), 200);
     Fetched got = fetch(entry.Options.Callers, request("/call/x", "second"));
     EXPECT_EQ(got.Response.Status, 200) << head;
@@ -83,9 +105,33 @@
     readWhole(s);
     write(s, answerWithoutId("503 X\r\nX-Daisytack-Not-Executed: 1\r\n"));
   }});
-  Entry &entry = startBefore(server);
+  Entry &entry = startBefore(server.endpoint());
   EXPECT_EQ(statusOf(entry, request("/call/x", "first")), 503);
 }
 
+/// Guards against requests that run twice: a server starts again at its address
+/// under another id, and rejects the attempt for the one before. It sends that
+/// rejection once more while it runs the next attempt, for its own id.
+TEST_F(StrayAnswerTest, OfAnEarlierAttemptIsNotTakenForTheNextAttempts) {
+  for (const std::string status : {"400", "421", "429", "503"}) {
+    std::atomic<int> requests = 0;
+    ConnectionServer server([&](tcp::socket &s) {
+      std::string strays;
+      while (readsAnother(s)) {
+        if (++requests == 1) {
+          strays = rejectionOf("first", status);
+          write(s, strays);
+        } else {
+          write(s, strays + answerTo("first"));
+        }
+      }
+    });
+    Entry &entry = startBefore(server.endpoint(), {"i-1", "i-2", "i-3"});
+    Fetched got = fetch(entry.Options.Callers, request("/call/x", "first"));
+    EXPECT_EQ(got.Response.Status, 200) << status;
+    EXPECT_EQ(requests, 2) << status << ": rejected once, then run once";
+  }
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -32,24 +32,28 @@
   EXPECT_EQ(fixture.Server.openConnections(), 1U);
 }
 
+/// Returns the connection that carried a call with these options.
+HttpConnectionInfo connectionOf(HttpFixture &fixture,
+                                HttpCallOptions options = {}) {
+  auto done = std::make_shared<std::promise<void>>();
+  auto future = done->get_future();
+  auto out = std::make_shared<HttpConnectionInfo>();
+  HttpHooks hooks;
+  hooks.Sending = [out](const HttpConnectionInfo &it) { *out = it; };
+  hooks.Done = [done](const Error &) { done->set_value(); };
+  fixture.Client.call(fixture.endpoint(), {"POST", "/", "", {}, "b"}, WaitLimit,
+                      std::move(hooks), options);
+  future.get();
+  return *out;
+}
+
 /// Logs of calls could not show whether two of them shared a connection.
 TEST(HttpClient, TellsWhichConnectionCarriesACall) {
   HttpFixture fixture(echo);
-  auto connectionOf = [&] {
-    auto out = std::make_shared<std::promise<HttpConnectionInfo>>();
-    auto future = out->get_future();
-    auto used = std::make_shared<HttpConnectionInfo>();
-    HttpHooks hooks;
-    hooks.Sending = [used](const HttpConnectionInfo &it) { *used = it; };
-    hooks.Done = [used, out](const Error &) { out->set_value(*used); };
-    fixture.Client.call(fixture.endpoint(), {"POST", "/", "", {}, "b"},
-                        WaitLimit, std::move(hooks));
-    return future.get();
-  };
-  HttpConnectionInfo first = connectionOf();
-  HttpConnectionInfo second = connectionOf();
+  HttpConnectionInfo first = connectionOf(fixture);
+  HttpConnectionInfo second = connectionOf(fixture);
   fixture.Client.dropIdle(fixture.endpoint());
-  HttpConnectionInfo third = connectionOf();
+  HttpConnectionInfo third = connectionOf(fixture);
   EXPECT_EQ(first.EarlierCalls, 0U);
   EXPECT_NE(first.LocalPort, 0);
   EXPECT_EQ(second, (HttpConnectionInfo{first.Number, first.LocalPort, 1}));
@@ -57,6 +61,30 @@
   EXPECT_EQ(third.EarlierCalls, 0U);
 }
 
+HttpCallOptions withKey(uint64_t key) { return {SIZE_MAX, key}; }
+
+/// Guards against a second copy of a response that is taken for the response to
+/// another call with the same key.
+TEST(HttpClient, CallsWithTheSameResponseKeyShareNoConnection) {
+  HttpFixture fixture(echo);
+  HttpConnectionInfo first = connectionOf(fixture, withKey(1));
+  EXPECT_EQ(connectionOf(fixture, withKey(2)).Number, first.Number);
+  HttpConnectionInfo again = connectionOf(fixture, withKey(1));
+  EXPECT_NE(again.Number, first.Number);
+  // Both connections have carried the key; one of them alone the other key.
+  EXPECT_NE(connectionOf(fixture, withKey(1)).EarlierCalls, 1U);
+  EXPECT_EQ(connectionOf(fixture, withKey(3)).EarlierCalls, 1U);
+}
+
+TEST(HttpClient, ReplacesAConnectionThatHasCarriedManyKeys) {
+  HttpFixture fixture(echo);
+  uint64_t earlier = 0;
+  for (uint64_t key = 0; key < 1024; ++key)
+    earlier = connectionOf(fixture, withKey(key)).EarlierCalls;
+  EXPECT_EQ(earlier, 1023U);
+  EXPECT_EQ(connectionOf(fixture, withKey(1024)).EarlierCalls, 0U);
+}
+
 /// If the server at an address has restarted, the next request would be lost on
 /// an idle connection whose reset has not arrived yet.
 TEST(HttpClient, DoesNotReuseDroppedIdleConnections) {
--- a/tests/net_http/scripted_server.h
+++ b/tests/net_http/scripted_server.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <string>
 #include <thread>
 #include <utility>
@@ -38,6 +39,48 @@
   std::thread Thread;
 };
 
+/// Accepts connections until it is destroyed, and runs the step on each in a
+/// thread of its own.
+class ConnectionServer {
+public:
+  using Step = std::function<void(tcp::socket &)>;
+  explicit ConnectionServer(Step step)
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this, step = std::move(step)] { accept(step); }) {}
+  ~ConnectionServer() {
+    IsClosing = true;
+    ErrorCode ignored;
+    tcp::socket last(Io);
+    last.connect(Acceptor.local_endpoint(), ignored); // Ends accept().
+    Thread.join();
+    for (tcp::socket &socket : Sockets)
+      socket.shutdown(tcp::socket::shutdown_both, ignored);
+    for (std::thread &it : Connections)
+      it.join();
+  }
+  Endpoint endpoint() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+private:
+  void accept(const Step &step) {
+    while (true) {
+      tcp::socket &socket = Sockets.emplace_back(Io);
+      Acceptor.accept(socket);
+      if (IsClosing)
+        return;
+      Connections.emplace_back([&socket, step] { step(socket); });
+    }
+  }
+
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  std::atomic<bool> IsClosing{false};
+  std::list<tcp::socket> Sockets;
+  std::vector<std::thread> Connections;
+  std::thread Thread;
+};
+
 /// Reads up to the end of a header section.
 inline void readRequest(tcp::socket &socket) {
   std::string seen;
