Soak servers that start again in place, and look at runs that overlap

A new check, runs_do_not_overlap, covers the second part of the rule: a request or stream goes on elsewhere only if the server before stops within 0.4 s. For it the stand-ins end a run as soon as they see that its connection is closed. Checks of streams and of single runs know the new kind.

--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -44,9 +44,13 @@
 # The soak of kept context while engines load new weights (seed 2).
 add_test(NAME process.soak_context COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=2 --seconds=10)
-set_tests_properties(process.soak_checks process.soak_short process.soak_parts process.soak_context PROPERTIES TIMEOUT 600
+# The soak of servers that start again at their addresses and send answers twice.
+add_test(NAME process.soak_restarts COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
+  --seeds=11,43 --restarts=plain --seconds=6)
+set_tests_properties(process.soak_checks process.soak_short process.soak_parts process.soak_context
+  process.soak_restarts PROPERTIES TIMEOUT 600
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
-set_tests_properties(process.soak_short process.soak_parts process.soak_context PROPERTIES RESOURCE_LOCK deployment)
+set_tests_properties(process.soak_short process.soak_parts process.soak_context process.soak_restarts PROPERTIES RESOURCE_LOCK deployment)
 
 # Libraries that process.stop_test and process.suspend_test preload into an entry.
 foreach(name stuck_threads suspended)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,8 +9,13 @@
 import http11
 from platform_side import FATAL_BODY, FATAL_PART
 
-KINDS = {"call": ("POST", "/call/"), "safe": ("GET", "/safe/"), "ask": ("POST", "/ask/"), "long": ("POST", "/long/")}
+KINDS = {"call": ("POST", "/call/"), "safe": ("GET", "/safe/"), "ask": ("POST", "/ask/"), "long": ("POST", "/long/"),
+         "draft": ("POST", "/draft/")}
+UNREPEATABLE_KINDS = ("call", "long", "draft")  # Requests of these kinds run at most once.
+STREAM_KINDS = ("ask", "long", "draft")
+PROMPT_KINDS = ("ask", "draft")  # Answered by engines.
 KIND_MIX = ("call", "safe", "ask")
+RESTART_KIND_MIX = ("call", "call", "safe", "ask", "draft")
 KEPT_CONTEXT_KIND_MIX = ("call", "safe", "ask", "ask", "ask", "ask")
 PROMPT_PARTS = "aa11:500,{session}:700,{own}:200"
 # Prompts with the part that crashes servers; they share nothing else, but for what sound prompts share with them.
@@ -151,7 +156,7 @@
                    "X-Daisytack-Tenant": "forged", "X-Daisytack-Hold": "forged"}
         if sent.resumes:
             headers["Last-Event-Id"], headers["Resumes"] = str(sent.last_event), sent.resumes
-        if sent.kind == "ask":
+        if sent.kind in PROMPT_KINDS:
             headers["X-Daisytack-Model"] = "m"
             is_long = self.world.has_kept_context
             headers["X-Daisytack-Token-Counts"] = "12000,20" if is_long else "1400,20"
@@ -160,10 +165,14 @@
                                                                 fatal=FATAL_PART)
         return http11.head_of(f"{KINDS[sent.kind][0]} {sent.path} HTTP/1.1", headers)
 
+    def _kind_mix(self):
+        if self.world.restarts_in_place:
+            return RESTART_KIND_MIX
+        return KEPT_CONTEXT_KIND_MIX if self.world.has_kept_context else KIND_MIX
+
     async def _send_request(self, entry):
         reader, writer = await self._connection(entry)
-        kinds = KEPT_CONTEXT_KIND_MIX if self.world.has_kept_context else KIND_MIX
-        sent = self._next_request(entry, self.rng.choice(kinds), self.world.all_keys)
+        sent = self._next_request(entry, self.rng.choice(self._kind_mix()), self.world.all_keys)
         timeout = self.rng.random() * 0.2 if self.rng.random() < 0.05 else sent.timeout + 3
         self.world.sent.append(sent)
         with self._recording_end(sent):
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,12 +3,13 @@
 import math
 import re
 
-from callers import ENTRY_CLOSES, KINDS
-from platform_side import RETRY_AFTER_SECONDS, FATAL_BODY, event_count
+from callers import ENTRY_CLOSES, KINDS, PROMPT_KINDS, STREAM_KINDS, UNREPEATABLE_KINDS
+from platform_side import RETRY_AFTER_SECONDS, FATAL_BODY, event_count, stream_id_of
 
 STATUSES_NOT_EXECUTED = (408, 421, 429, 503)
 ENDLESS_SECONDS = 8.0 + 1.5  # The longest timeout of a route, and until its server sees that the connection ends.
 MIN_RESUMPTIONS = 12  # Fewer resumed streams tell nothing about their share.
+OVERLAP_SECONDS = 0.4  # A server may work on a request this long after another one begins to; the users' bound.
 REVOKED_SECONDS = 5.0  # Entries refuse a revoked key after this delay; the bound of the deployments.
 CROSSING_SECONDS = 0.5  # A request may cross the close of its connection if it was sent at most this long before.
 DRAIN_SECONDS = 2.0  # A leaving server gets no new requests after this delay.
@@ -37,10 +38,27 @@
 
 def at_most_once(world, runs):
     for sent in world.sent:
-        if sent.kind in ("call", "long") and len(runs.get(sent.id, [])) > 1:
+        if sent.kind in UNREPEATABLE_KINDS and len(runs.get(sent.id, [])) > 1:
             yield f"{sent.id} ran {len(runs[sent.id])} times at {[it.server for it in runs[sent.id]]}"
 
 
+def runs_do_not_overlap(world, runs):
+    """A stream goes on at another server only after the server before has stopped, or has been told to for a time in
+    which the close of its connection reaches it. Both the system and the caller may move it."""
+    streams = {}
+    for some in runs.values():
+        for run in some:
+            streams.setdefault(stream_id_of(run.request), []).append(run)
+    for stream, some in streams.items():
+        some.sort(key=lambda it: it.at)
+        for before, after in zip(some, some[1:]):
+            overlap = (before.ended or math.inf) - after.at
+            entry = world.entry_of(before.request.header("x-daisytack-request-id"))
+            if overlap > OVERLAP_SECONDS and world.reaches_servers(entry, before.at, after.at + OVERLAP_SECONDS):
+                yield (f"{stream} went on at {after.server} while {before.server} worked on it for {overlap:.2f} s "
+                       f"more, sent by {entry}")
+
+
 def refusals_not_executed(world, runs):
     for sent in world.sent:
         if sent.status in STATUSES_NOT_EXECUTED and not sent.signature and sent.id in runs:
@@ -125,7 +143,7 @@
     for sent in world.sent:
         if is_broken_endless_answer(world, sent):
             continue
-        is_stream = sent.kind in ("ask", "long") and sent.status == 200
+        is_stream = sent.kind in STREAM_KINDS and sent.status == 200
         if is_stream and not any(is_beginning(sent, version) for version in (b"/v1", b"/v2")):
             yield (f"{sent.id} got events out of order: {sent.answer[:40]!r}, then {sent.answer[-80:]!r}, "
                    f"failure {sent.failure!r}, abandoned {sent.abandoned}")
@@ -135,7 +153,7 @@
     """A stream holds events of servers of one software version, in one answer and over all tries of its caller."""
     versions = {}
     for sent in world.sent:
-        if sent.kind in ("ask", "long") and sent.status == 200:
+        if sent.kind in STREAM_KINDS and sent.status == 200:
             found = set(re.findall(rb"/(v\d+)\n\n", sent.answer))
             versions.setdefault(sent.resumes or sent.id, set()).update(found)
     for stream, found in versions.items():
@@ -172,7 +190,7 @@
                 yield f"{request_id} ran for {run.request.header('x-daisytack-tenant')!r}"
             if run.request.header("x-api-key") or run.request.header("x-daisytack-hold"):
                 yield f"{request_id} ran with a header that callers may not set"
-            wanted = "engines" if sent.kind == "ask" else "plain"
+            wanted = "engines" if sent.kind in PROMPT_KINDS else "plain"
             if not run.server.startswith(wanted):
                 yield f"{request_id} ({sent.kind}) ran at {run.server}"
 
@@ -375,7 +393,7 @@
                 yield f"{server.id} sent the answer to {request_id} for {end - begin:.1f} s"
 
 
-ALL_CHECKS = (at_most_once, refusals_not_executed, callers_return, answers_match_runs, events_in_order,
+ALL_CHECKS = (at_most_once, runs_do_not_overlap, refusals_not_executed, callers_return, answers_match_runs, events_in_order,
               streams_of_one_version, resumptions_go_on, requests_as_sent,
               requests_end_with_answer, revoked_keys, draining_servers, servers_leaving_by_answer, rejecting_servers,
               evacuated_domains, cold_servers, limited_servers, revocations_stay, fatal_requests, fatal_parts,
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -7,7 +7,7 @@
 import types
 
 import checks
-from callers import SentRequest
+from callers import PROMPT_KINDS, SentRequest
 from http11 import Message
 from kept_context import Fetch
 from platform_side import BackendServer, Run
@@ -20,7 +20,7 @@
     """A world with one request that was answered correctly, and no faults."""
 
     def __init__(self, kind="call"):
-        self.server = BackendServer("engines0" if kind == "ask" else "plain0", "service")
+        self.server = BackendServer("engines0" if kind in PROMPT_KINDS else "plain0", "service")
         self.all_servers = [self.server]
         self.organisation_of = {"k1": "one"}
         self.revoked, self.leaving, self.stops = {}, {}, []
@@ -41,6 +41,7 @@
     def run(self):
         run = Run.__new__(Run)
         run.server, run.at, run.request = self.server.id, 100.0, self.request
+        run.ended = run.at + 0.1
         run.signature, run.body = f"s{len(self.server.runs)}", b"whole"
         self.server.runs.append(run)
         return run
@@ -55,6 +56,9 @@
     def had_sound_links(self, *_):
         return True
 
+    def reaches_servers(self, *_):
+        return True
+
     def ran_without_restart(self, *_):
         return True
 
@@ -82,6 +86,31 @@
     world.run()
 
 
+def second_run_of_a_draft(world):
+    """A stream that can't be resumed runs again after its first run has ended."""
+    world.run().at = world.sent[0].ended + 1
+
+
+def gone_on_beside_the_first_run(world):
+    """The entry gives up a server that is silent, and the server works on."""
+    world.server.runs[0].ended = 102.5
+    world.run().at = 102.0
+
+
+def gone_on_at_another_entry_beside_the_first_run(world):
+    """The caller's stream breaks off, and the caller resumes it while the first server works on."""
+    resume(world, answer=world.sent[0].answer.split(b"\n\n", 1)[1])
+    world.change(answer=world.sent[0].answer.split(b"\n\n", 1)[0] + b"\n\n", failure="gone")
+    world.server.runs[0].ended = 0.0
+    world.server.runs[1].at = 102.0
+
+
+def gone_on_after_the_first_run(world):
+    """The first server stops shortly after another one has begun, as its connection was closed."""
+    world.server.runs[0].ended = 102.3
+    world.run().at = 102.0
+
+
 def refused_though_it_ran(world):
     world.change(status=503, signature="", retry_after="1")
 
@@ -137,7 +166,7 @@
 
 def resume(world, **values):
     """Adds a request that resumes the stream after its first event."""
-    request = Message(world.request.first, {**world.request.headers, "x-daisytack-request-id": "ffff"}, b"b")
+    request = Message(world.request.first, {**world.request.headers, "x-daisytack-request-id": "ffff", "resumes": ID}, b"b")
     world.request = request
     run = world.run()
     values = {"answer": checks.stream_text(ID, "ask", 1), "status": 200, "signature": run.signature, **values}
@@ -353,9 +382,11 @@
            freed_under_a_discarded_fetch, freed_after_the_fetch, sent_shortly_after_rejection, fatal_sent_within_limit,
            fatal_part_sent_within_limit,
            sent_around_evacuations, sent_within_cold_limit, sent_within_limit, resumptions_refused_without_servers,
-           resumed_at_the_same_version)
+           resumed_at_the_same_version, gone_on_after_the_first_run)
 DEFECTS = {
-    second_run: "at_most_once", refused_though_it_ran: "refusals_not_executed",
+    second_run: "at_most_once", second_run_of_a_draft: "at_most_once",
+    gone_on_beside_the_first_run: "runs_do_not_overlap",
+    gone_on_at_another_entry_beside_the_first_run: "runs_do_not_overlap", refused_though_it_ran: "refusals_not_executed",
     refused_without_a_time: "refusals_not_executed", refused_with_a_time_of_zero: "callers_return",
     limited_without_a_number: "callers_return", run_after_a_servers_refusal: "callers_return",
     cut_answer: "answers_match_runs",
@@ -375,7 +406,8 @@
 KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", fatal_part_sent_too_often: "ask", passed_on_late_and_cut: "long",
          stream_of_two_versions: "ask", resumed_at_another_version: "ask", resumptions_refused: "ask",
          resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask",
-         run_after_a_servers_refusal: "safe"}
+         run_after_a_servers_refusal: "safe", second_run_of_a_draft: "draft", gone_on_beside_the_first_run: "ask",
+         gone_on_at_another_entry_beside_the_first_run: "ask", gone_on_after_the_first_run: "ask"}
 
 
 PROGRAM = """import os, signal, sys, time
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -103,6 +103,18 @@
     await world.retire_server(server, drains)
 
 
+async def restart_in_place(world, rng):
+    """Ends a server and starts it again at once at its address, under another id. The record of the one before stays
+    until its heartbeats have been missing for some time."""
+    some = [it for it in world.servers
+            if it.id not in world.leaving and (world.restarts_in_place == "all" or it.service == "plain")]
+    if not some:
+        return
+    server = rng.choice(some)
+    world.log(f"{server.id} restarts in place")
+    await world.restart_in_place(server, listed_after=rng.random() * 0.5)
+
+
 async def reject_at_server(world, rng):
     """Makes a server reject all requests, with a Retry-After, for a while."""
     server = rng.choice(world.servers)
@@ -290,11 +302,11 @@
     await asyncio.gather(*faults)
 
 
-async def run_harmless_faults(world, seconds, kinds, rng):
+async def run_harmless_faults(world, seconds, kinds, rng, max_pause=MAX_EXTRA_PAUSE_SECONDS):
     """Runs faults that must not affect other requests, and so excuse nothing, beside the main series."""
     faults, end = [], world.now() + seconds
     while world.now() < end:
-        await asyncio.sleep(rng.random() * MAX_EXTRA_PAUSE_SECONDS)
+        await asyncio.sleep(rng.random() * max_pause)
         faults.append(asyncio.ensure_future(rng.choice(kinds)(world, rng)))
     await asyncio.gather(*faults)
 
--- a/tests/soak/http11.py
+++ b/tests/soak/http11.py
@@ -5,6 +5,7 @@
 import struct
 
 MAX_HEAD_BYTES = 64 * 1024
+CLOSE_POLL_SECONDS = 0.02
 
 
 class Broken(Exception):
@@ -105,13 +106,28 @@
         pass
 
 
+async def run_until_closed(step, reader):
+    """Runs the coroutine, and cancels it when the peer closes the connection."""
+    task = asyncio.ensure_future(step)
+    try:
+        while not task.done():
+            await asyncio.wait({task}, timeout=CLOSE_POLL_SECONDS)
+            if not task.done() and (reader.at_eof() or reader.exception()):
+                raise Broken("the peer closed the connection")
+        task.result()
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def serve(handle, port=0):
-    """Calls handle(request, writer) for each request, until it raises Broken or closes the connection."""
+    """Calls handle(request, writer) for each request, until it raises Broken or either side closes the connection."""
 
     async def connection(reader, writer):
         try:
             while not writer.is_closing():
-                await handle(await read_message(reader), writer)
+                request = await read_message(reader)
+                await run_until_closed(handle(request, writer), reader)
         except (Broken, OSError, asyncio.CancelledError):
             pass
         finally:
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -8,6 +8,7 @@
 import hashlib
 import json
 import urllib.parse
+import weakref
 
 import endless_answers
 import http11
@@ -17,6 +18,7 @@
 LONG_STREAM_INTERVAL_SECONDS = 0.25  # Interval between the events of a long stream.
 UNFRAMED_INTERVAL = 4  # One answer in so many has neither a length nor chunks.
 UNFRAMED_CUT_INTERVAL = 5  # One stream in so many of those is cut, in seeds with faults.
+DOUBLED_INTERVAL = 3  # One answer in so many is sent a second time, while a server doubles answers.
 FATAL_BODY = b"ends every server that runs it"
 FATAL_PART = "dead"  # Prompt part that ends every server that runs a request with it.
 RETRY_AFTER_SECONDS = 2  # Retry-After of a server that rejects all requests.
@@ -213,6 +215,7 @@
     endless = None  # (kind, whether slow) of answers that don't end; see endless_answers.py.
     limit = None  # Maximum requests per second from all entries together; None for no limit.
     cold_until = 0.0
+    doubles = False  # Whether one in DOUBLED_INTERVAL answers arrives once more, where the next one is expected.
     cuts_streams = False  # Whether one in UNFRAMED_CUT_INTERVAL streams without a length is cut, also without a fault.
 
     @staticmethod
@@ -233,6 +236,8 @@
         self.cold_times = []  # (begin, end, whether cold since its first record).
         self.faults, self.share, self.work = set(), 0.3, 0.02
         self.counter, self.answers = 0, 0
+        self.doubled = {False: 0, True: 0}  # Answers that could be doubled, by whether they are rejections.
+        self.second_copies = weakref.WeakKeyDictionary()  # By connection: an answer to be sent once more.
         self.server = None
 
     async def start(self, port=0):
@@ -262,8 +267,10 @@
     async def _handle(self, request, writer):
         path = request.first[1]
         expected = request.header("x-daisytack-expected-instance")
+        writer.write(self.second_copies.pop(writer, b""))
         if expected and expected != self.id:
-            writer.write(http11.response(421, {"X-Daisytack-Not-Executed": "1"}))
+            request_id = request.header("x-daisytack-request-id")
+            self._reject(writer, 421, {"X-Daisytack-Request-Id": request_id} if request_id else {})
         elif path == "/report":
             writer.write(http11.response(200, JSON, json.dumps(self.report()).encode()))
         elif path == "/order":
@@ -271,6 +278,16 @@
         else:
             await self._serve(request, writer)
 
+    def _write(self, writer, answer, is_rejection=False):
+        """Sends an answer. Some arrive once more, where the next answer on the connection is expected."""
+        writer.write(answer)
+        self.doubled[is_rejection] += 1
+        if self.doubles and self.doubled[is_rejection] % DOUBLED_INTERVAL == 0:
+            self.second_copies[writer] = answer
+
+    def _reject(self, writer, status, headers):
+        self._write(writer, http11.response(status, {**headers, "X-Daisytack-Not-Executed": "1"}), is_rejection=True)
+
     def report(self):
         return {"models": [{"name": "m", "version": self.version}], "busy": False, "sequence": self.orders}
 
@@ -299,16 +316,12 @@
             self.leaving_answers.append((now(), request_id))
         if self.is_rejecting:
             self.rejections.append((now(), request_id))
-            writer.write(http11.response(503, {**echo, "X-Daisytack-Not-Executed": "1",
-                                               "Retry-After": str(RETRY_AFTER_SECONDS)}))
-            return
+            return self._reject(writer, 503, {**echo, "Retry-After": str(RETRY_AFTER_SECONDS)})
         wanted = request.header("x-daisytack-expected-version")
         if wanted and int(wanted) != self.version:
-            writer.write(http11.response(421, {**echo, "X-Daisytack-Not-Executed": "1"}))
-            return
+            return self._reject(writer, 421, echo)
         if self._should_inject("full"):
-            writer.write(http11.response(503, {**echo, "X-Daisytack-Not-Executed": "1", "Retry-After": "0.2"}))
-            return
+            return self._reject(writer, 503, {**echo, "Retry-After": "0.2"})
         run = Run(self, request)
         self.runs.append(run)
         try:
@@ -348,6 +361,8 @@
             writer.write(http11.response(500, echo, b"failed"))
         elif request.first[1].startswith("/ask/"):
             await self._stream(request, run, echo, writer, "ask", self.work)
+        elif request.first[1].startswith("/draft/"):
+            await self._stream(request, run, echo, writer, "draft", self.work)
         elif request.first[1].startswith("/long/"):
             await self._stream(request, run, echo, writer, "long", LONG_STREAM_INTERVAL_SECONDS)
         else:
@@ -358,7 +373,7 @@
                 writer.write(answer[:-10])
                 await writer.drain()
                 self._abort(run, "the answer is cut")
-            writer.write(answer + (answer if self._should_inject("extra") else b""))
+            self._write(writer, answer + (answer if self._should_inject("extra") else b""))
         await writer.drain()
 
     @staticmethod
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,7 @@
 import http11  # noqa: E402
 from callers import FatalCaller, FatalPartCaller, callers  # noqa: E402
 from faults import (FAULT_KINDS, PLANNED_KINDS, answer_without_end, limit_server, resize_config,  # noqa: E402
-                    restore_service, run_extra_faults, run_faults, run_harmless_faults, run_weights_faults)
+                    restart_in_place, restore_service, run_extra_faults, run_faults, run_harmless_faults, run_weights_faults)
 from fleet import Fleet  # noqa: E402
 from kept_context import ContextStore, Engine  # noqa: E402
 from late_callers import late_callers  # noqa: E402
@@ -26,6 +26,7 @@
 
 ENTRIES = 3
 CALLERS = 8
+RESTART_ENTRIES, RESTART_CALLERS, RESTART_PLAIN_SERVERS = 5, 24, 4
 KEPT_CONTEXT_ENTRIES, KEPT_CONTEXT_CALLERS, KEPT_CONTEXT_ENGINES, STORES = 5, 48, 10, 2
 STORE_TOKENS = 400_000
 ORGANISATIONS = {"one": ["k1", "k2"], "two": ["k3", "k4"]}
@@ -33,11 +34,14 @@
 RECOVERY_SECONDS = 12  # Timeout for all entries to become ready, at the start and after the last fault.
 FAULT_EFFECT_SECONDS = 4.0  # Effects of a fault are over this long after its end.
 HEARTBEAT_SECONDS = 0.4
+MISSED_HEARTBEATS = 3  # After so many the record of a server is removed.
 COLD_SECONDS = 2.0  # How long a server is cold after its start or an evacuation (setting cold-start-s).
 LOG_LINES = 40
 MAX_MEMORY_MB = 110  # Memory of the smallest instances.
 WEIGHTS_TIMEOUT_SECONDS = 20  # Timeout for all engines to load the newest weights after the last fault.
 TIMEOUT_SECONDS = 2.5
+SHORT_TIMEOUT_SECONDS = 0.6
+MAX_RESTART_PAUSE_SECONDS = 1.0  # Maximum pause between two restarts of servers in place.
 LONG_TIMEOUT_SECONDS = 4.8  # A request read until 3 s after SIGTERM ends within the grace period of 8 s.
 KEPT_CONTEXT_TIMEOUT_SECONDS = 6.0  # Slow fetches take some seconds.
 
@@ -154,13 +158,17 @@
 class World:
     """One run: processes, stand-ins, the faults so far, and the recorded requests and problems."""
 
-    def __init__(self, fleet, seed):
+    def __init__(self, fleet, seed, restarts=""):
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
         self.extra_rng = random.Random(f"{seed}/beside")
         self.large_rng = random.Random(f"{seed}/large")
+        self.restart_rng = random.Random(f"{seed}/restarts")
         self.idle_routes = 0  # Routes of the configuration that no caller uses.
         self.kv = KeyValueService()
         self.has_kept_context = seed % 4 == 2
+        # Which servers start again at their addresses, all or plain ones; then all servers send answers twice, also
+        # rejections. Empty: none.
+        self.restarts_in_place = restarts or {11: "plain", 13: "all"}.get(seed % 16, "")
         # If there is only one failure domain, two entries read the key-value service for the others.
         self.domains = 1 if seed % 5 == 0 else 2
         self.entries, self.servers, self.all_servers, self.links = [], [], [], {}
@@ -191,9 +199,10 @@
             self.stores.append(await ContextStore(f"kept{n}", f"d{n}", STORE_TOKENS, rng).start())
         self.write_config()
         engines = KEPT_CONTEXT_ENGINES if self.has_kept_context else 3
-        for n, service in enumerate(["plain", "plain"] + ["engines"] * engines):
+        plain = RESTART_PLAIN_SERVERS if self.restarts_in_place else 2
+        for n, service in enumerate(["plain"] * plain + ["engines"] * engines):
             await self.add_server(f"{service}{n}", service)
-        for n in range(KEPT_CONTEXT_ENTRIES if self.has_kept_context else ENTRIES):
+        for n in range(self.entry_count()):
             self.entries.append(Entry(self.fleet, n, n % self.domains, await Proxy(self.kv.port).start()))
         seeds = ",".join(f"127.0.0.1:{it.ports['peers']}" for it in self.entries)
         for entry in self.entries:
@@ -202,6 +211,11 @@
         asyncio.ensure_future(self._heartbeats())
         await self.wait_ready("at the start")
 
+    def entry_count(self):
+        if self.restarts_in_place:
+            return RESTART_ENTRIES
+        return KEPT_CONTEXT_ENTRIES if self.has_kept_context else ENTRIES
+
     async def wait_ready(self, when):
         end = self.now() + RECOVERY_SECONDS
         while not all([await it.is_ready() for it in self.entries]):
@@ -223,6 +237,7 @@
         engine = {"slots": 64, "kv-capacity-tokens": 140000, "models": [{"name": "m"}], "kv-token-bytes": 35136,
                   "link-mbps": 1100000, "managed": self.has_kept_context}
         # The latency target is late enough that slow fetches are not given up.
+        short_target = {"target-latency-ms": 100 if self.restarts_in_place else 300}
         kept_route = {"target-latency-ms": 6000, "timeout-ms": 8000} if self.has_kept_context else {
             "target-latency-ms": 400}
         route = {"host": "a.example", "timeout-ms": 3000, "attempts": 2, "public": False}
@@ -231,13 +246,15 @@
             "version": self.config_version,
             "routes": [
                 {**route, "name": "call", "path-prefix": "/call/", "kind": "unsafe", "service": "plain",
-                 "target-latency-ms": 300, "attempts": 1},
+                 **short_target, "attempts": 1},
                 {**route, "name": "safe", "path-prefix": "/safe/", "kind": "safe", "service": "plain",
-                 "target-latency-ms": 300},
+                 **short_target},
                 {**route, "name": "long", "path-prefix": "/long/", "kind": "streaming", "service": "plain",
                  "target-latency-ms": 500, "target-gap-ms": 500, "timeout-ms": 6000, "attempts": 1},
                 {**route, "name": "ask", "path-prefix": "/ask/", "kind": "streaming", "service": "engines",
                  "sticky": True, "resumable": True, **kept_route},
+                {**route, "name": "draft", "path-prefix": "/draft/", "kind": "streaming", "service": "engines",
+                 "sticky": True, "attempts": 1, **kept_route},
                 *[{**route, "name": f"idle{n * 7919}", "host": f"h{n * 104729}.example", "path-prefix": f"/p{n}/",
                    "kind": "safe", "service": "plain", "target-latency-ms": 300} for n in range(self.idle_routes)]],
             "services": [{"name": "plain", "connection-limit": 200, **cold},
@@ -265,10 +282,20 @@
             self.record(server, "draining" if server.id in self.leaving else "ready")
 
     async def add_server(self, name, service, incarnation=1, port=0):
+        return self.list_server(await self.start_server(name, service, incarnation, port))
+
+    def list_server(self, server):
+        self.servers.append(server)
+        self.record(server)
+        return server
+
+    async def start_server(self, name, service, incarnation=1, port=0):
+        """Starts a server, which is not listed yet."""
         server = BackendServer(name, service, incarnation, self.weights)
         if self.has_kept_context and service == "engines":
             server = Engine(name, incarnation, self.weights, {it.address: it for it in self.stores})
         await server.start(port)
+        server.doubles = self.restarts_in_place
         server.cuts_streams = self.seed % 4 != 0
         server.crash = lambda request: asyncio.ensure_future(self.crash_server(server, request))
         if name not in self.links:
@@ -276,9 +303,7 @@
         self.links[name].target = server.port
         if incarnation > 1:
             server.mark_cold(COLD_SECONDS, is_start=True)
-        self.servers.append(server)
         self.all_servers.append(server)
-        self.record(server)
         return server
 
     @staticmethod
@@ -317,6 +342,18 @@
         self.kv.remove(f"servers/{server.id}")
         await self.add_server(server.name, server.service, server.incarnation + 1)
 
+    async def restart_in_place(self, server, listed_after):
+        self.leaving.setdefault(server.id, self.now())
+        self.servers.remove(server)
+        server.server.close()
+        server.end_runs()
+        self.links[server.name].reset()
+        started = await self.start_server(server.name, server.service, server.incarnation + 1)
+        await asyncio.sleep(listed_after)
+        self.list_server(started)
+        await asyncio.sleep(MISSED_HEARTBEATS * HEARTBEAT_SECONDS)
+        self.kv.remove(f"servers/{server.id}")
+
     async def crash_server(self, server, request):
         """Ends a server that ran a fatal request and starts one with a new id a moment later."""
         if server not in self.servers:
@@ -361,8 +398,16 @@
         over = [it for it in self.faults if it["kind"] == "degrade_link"]
         return not any(it["begin"] <= end and (it["end"] or end) + FAULT_EFFECT_SECONDS >= begin for it in over)
 
+    def reaches_servers(self, entry, begin, end):
+        """Returns whether the entry ran without a pause all the time and its links to servers were sound."""
+        pauses = [it for it in self.faults if it["kind"] == "pause_entry"]
+        return (self.ran_without_restart(begin, end, entry) and self.had_sound_links(begin, end)
+                and not any(it["begin"] <= end and begin <= (it["end"] or end) for it in pauses))
+
     def request_timeout(self, kind):
         """Returns the deadline of a request in seconds."""
+        if self.restarts_in_place and kind in ("call", "safe"):
+            return SHORT_TIMEOUT_SECONDS
         if kind == "ask" and self.has_kept_context:
             return KEPT_CONTEXT_TIMEOUT_SECONDS
         return LONG_TIMEOUT_SECONDS if kind == "long" else TIMEOUT_SECONDS
@@ -394,8 +439,8 @@
     await asyncio.gather(*rest, return_exceptions=True)
 
 
-async def run_seed(seed, seconds, fleet, has_fatal_part):
-    world = World(fleet, seed)
+async def run_seed(seed, seconds, fleet, has_fatal_part, restarts):
+    world = World(fleet, seed, restarts)
     world.has_fatal_part = has_fatal_part
     try:
         return await soak(world, seconds)
@@ -406,7 +451,7 @@
 async def soak(world, seconds):
     await world.start()
     some = (callers(world, KEPT_CONTEXT_CALLERS) if world.has_kept_context
-            else callers(world, CALLERS) + late_callers(world))
+            else callers(world, RESTART_CALLERS if world.restarts_in_place else CALLERS) + late_callers(world))
     if world.seed % 8 in (0, 1):
         some.append(FatalCaller(world))
     if world.has_fatal_part or world.seed % 8 == 7:
@@ -416,6 +461,9 @@
     is_planned = world.seed % 4 == 0
     extra = asyncio.ensure_future(
         run_extra_faults(world, seconds, (limit_server,) if is_planned else (limit_server, restore_service)))
+    restarts = asyncio.ensure_future(
+        run_harmless_faults(world, seconds if world.restarts_in_place else 0, (restart_in_place,), world.restart_rng,
+                            MAX_RESTART_PAUSE_SECONDS))
     large = asyncio.ensure_future(
         run_harmless_faults(world, seconds, (resize_config,) if is_planned else (resize_config, answer_without_end),
                             world.large_rng))
@@ -425,6 +473,7 @@
         await run_faults(world, seconds, PLANNED_KINDS if is_planned else FAULT_KINDS)
     await extra
     await large
+    await restarts
     await world.wait_ready("after the last fault")
     if world.has_kept_context:
         await world.wait_loaded()
@@ -486,11 +535,13 @@
     arguments.add_argument("--failed-seeds", help="file of seeds that once failed, one a line: SEED: CAUSE")
     arguments.add_argument("--seconds", type=float, default=12, help="time with faults, a seed")
     arguments.add_argument("--fatal-part", action="store_true", help="a prompt part crashes servers with every seed")
+    arguments.add_argument("--restarts", default="", choices=("plain", "all"),
+                           help="servers start again in place, and send answers twice, with every seed")
     options = arguments.parse_args()
     failed = []
     for seed in seeds_of(options):
         with Fleet() as fleet:
-            problems = asyncio.run(run_seed(seed, options.seconds, fleet, options.fatal_part))
+            problems = asyncio.run(run_seed(seed, options.seconds, fleet, options.fatal_part, options.restarts))
             if problems:
                 failed.append(seed)
                 print(*[f"  PROBLEM {it}" for it in problems[:20]], sep="\n", flush=True)
