Notice that a caller has left behind input that it sent ahead

Cause: a connection waits for input to notice its end. Input that arrived during a response ended that wait, as it was left unread until the response was over, and the end of the connection lies behind it.

Change: such input is read, up to 16 KB, and the wait goes on. The pending wait is ignored while a request is read.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -17,6 +17,8 @@
 constexpr size_t MaxRetainedBufferBytes = 4096;
 constexpr std::string_view HeaderEnd = "\r\n\r\n";
 constexpr size_t HeaderReadBytes = 4096; ///< Per read.
+/// Input that is read before the response to the earlier request has ended.
+constexpr size_t MaxReadAheadBytes = 16U << 10;
 constexpr unsigned HttpVersion11 = 11;
 
 /// Whether the header section has a continuation line. These are obsolete (RFC
@@ -186,25 +188,32 @@
 
 void HttpConnection::onReadable(ErrorCode ec) {
   WaitingReadable = false;
-  if (CurrentState == State::Closed)
+  // In the other states, the connection is read without waiting first.
+  if (CurrentState != State::Idle && CurrentState != State::Responding)
     return;
   if (ec)
     return close();
   if (CurrentState == State::Idle)
     return startRequest();
-  if (CurrentState != State::Responding)
-    return;
   switch (probePeer(Socket)) {
   case PeerState::NoData:
     return waitReadable();
   case PeerState::HasData:
-    Pipelined = true;
-    return;
+    return readAhead();
   case PeerState::Closed:
     return onPeerHalfClosed();
   }
 }
 
+void HttpConnection::readAhead() {
+  Pipelined = true;
+  if (Buffer.size() >= MaxReadAheadBytes)
+    return;
+  ErrorCode ec;
+  Buffer.commit(Socket.read_some(Buffer.prepare(HeaderReadBytes), ec));
+  waitReadable();
+}
+
 void HttpConnection::startRequest() {
   CurrentState = State::Reading;
   ReadingSince = BootClock::now();
@@ -322,10 +331,8 @@
   Input.reset();
   if (Buffer.size() == 0 && Buffer.capacity() > MaxRetainedBufferBytes)
     Buffer = {};
-  if (Buffer.size() == 0)
-    waitReadable();
-  else
-    Pipelined = true;
+  Pipelined = Buffer.size() > 0;
+  waitReadable();
   auto exchange = std::make_shared<Exchange>(shared_from_this(), serial);
   // Checked for each request: a busy connection may become idle and receive
   // another request long after the idle connections were closed.
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -100,6 +100,9 @@
   // Input.
   void waitReadable();
   void onReadable(ErrorCode ec);
+  /// Reads input that arrived during the response, since the end of the
+  /// connection can't be noticed before it.
+  void readAhead();
   void startRequest();
   /// Parses the header section once it was received completely; reads more
   /// input until then.
--- a/tests/net_http/server_test.cpp
+++ b/tests/net_http/server_test.cpp
@@ -199,6 +199,26 @@
   EXPECT_EQ(holder.ClosedCalls, 1);
 }
 
+/// Guards against servers that work on for callers who have left: the end of
+/// the connection was not noticed behind input that was sent ahead.
+TEST(HttpServer, NoticesTheEndOfAConnectionBehindInputSentAhead) {
+  for (size_t ahead : {1, 5000, 16000}) {
+    Holder holder;
+    HttpFixture fixture(holder.handler());
+    std::shared_ptr<HttpExchange> exchange;
+    {
+      RawClient raw(fixture.Server.port());
+      raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+      exchange = holder.Arrived.get_future().get();
+      raw.send(std::string(ahead, 'x'));
+    }
+    auto end = std::chrono::steady_clock::now() + WaitLimit;
+    while (holder.ClosedCalls == 0 && std::chrono::steady_clock::now() < end)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    EXPECT_EQ(holder.ClosedCalls, 1) << ahead;
+  }
+}
+
 TEST(HttpServer, SendsHalfClosedCallerACancelledProblem) {
   Holder holder;
   HttpFixture fixture(holder.handler());
