--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -88,6 +88,7 @@
   bool isOwnAnswer(const std::string &server,
                    const std::vector<net::HttpHeader> &headers,
                    bool isFirst) const;
+  /// The attempt is sent on this connection.
   void onSending(uint32_t attempt, const net::HttpConnectionInfo &connection);
   void onHead(uint32_t attempt, unsigned status,
               const std::vector<net::HttpHeader> &headers);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -75,6 +75,7 @@
   bool operator==(const HttpTimeout &) const = default;
 };
 
+/// Limits of one call, and which connections it may use.
 struct HttpCallOptions {
   /// A longer body ends the call with ProtocolError.
   size_t MaxBodyBytes = SIZE_MAX;
