Give runs and pieces at engines and services a connection of their own

What callers saw, on the agents' own edge: a call that must run at most once ran twice, or brought another call's answer; context could be kept under the key of another piece.

Calls to an engine or a plain service shared kept connections, and nothing in their answers names the call. There, neither an answer nor the end of the connection tells which call it is about: - an engine's refusal that arrives once more counted for the next run, which was reported as not run, so that the ledger withdrew its record and the next presentation of the ticket ran it again; - a service's answer that arrives once more was passed on as the next call's; - a GET without an answer on a kept connection was taken for one that met a stale connection and sent again, although its class, not its method, says whether it may be repeated; - an engine's piece that arrives once more was taken for the next export.

Change: runs, exports, imports and orders use a connection of their own, which is closed after them. Polls of an engine's state and changes stay on shared ones: an earlier answer is only older, or unreadable. The cost is a loopback connection for each run, as an agent stands beside its server.

--- a/src/edge/engine_http.cpp
+++ b/src/edge/engine_http.cpp
@@ -19,6 +19,14 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr size_t MaxErrorBytes = 512;
 
+/// For calls whose answer must not be that of another call: an engine's answers
+/// don't name the call.
+net::HttpCallOptions onOwnConnection() {
+  net::HttpCallOptions out;
+  out.UsesOwnConnection = true;
+  return out;
+}
+
 net::HttpRequest jsonRequest(std::string method, std::string path,
                              std::string body) {
   net::HttpRequest out;
@@ -157,7 +165,7 @@
     Calls.set(start.Run,
               Client.call(Init.Address,
                           jsonRequest("POST", path, std::move(*body)),
-                          start.Timeout, std::move(hooks)));
+                          start.Timeout, std::move(hooks), onOwnConnection()));
   }
 
   /// Also closes the connection, because an engine may stop answering a
@@ -187,21 +195,22 @@
   }
 
   void exportPiece(const serve::ExportPiece &command) {
-    fetch(getRequest("/control/pieces/" + toHex(command.Key)),
-          Init.PieceTimeout,
-          [call = command.Call](
-              Error error, net::HttpResponse response) -> serve::AgentInput {
-            // Nothing in a piece shows that it was cut at its end.
-            if (!error && net::isCloseDelimited(response.Headers))
-              error = {ErrorKind::ProtocolError,
-                       "the engine sent a piece without a length"};
-            if (error)
-              return serve::PieceExport{call, nullptr, error};
-            return serve::PieceExport{
-                call,
-                std::make_shared<const std::string>(std::move(response.Body)),
-                {}};
-          });
+    fetch(
+        getRequest("/control/pieces/" + toHex(command.Key)), Init.PieceTimeout,
+        [call = command.Call](Error error,
+                              net::HttpResponse response) -> serve::AgentInput {
+          // Nothing in a piece shows that it was cut at its end.
+          if (!error && net::isCloseDelimited(response.Headers))
+            error = {ErrorKind::ProtocolError,
+                     "the engine sent a piece without a length"};
+          if (error)
+            return serve::PieceExport{call, nullptr, error};
+          return serve::PieceExport{
+              call,
+              std::make_shared<const std::string>(std::move(response.Body)),
+              {}};
+        },
+        onOwnConnection());
   }
 
   void importPiece(const serve::ImportPiece &command) {
@@ -209,11 +218,13 @@
     request.Method = "PUT";
     request.Path = "/control/pieces/" + toHex(command.Key);
     request.Body = *command.Bytes;
-    fetch(std::move(request), Init.PieceTimeout,
-          [call = command.Call](
-              Error error, const net::HttpResponse &) -> serve::AgentInput {
-            return serve::PieceImport{call, error};
-          });
+    fetch(
+        std::move(request), Init.PieceTimeout,
+        [call = command.Call](Error error,
+                              const net::HttpResponse &) -> serve::AgentInput {
+          return serve::PieceImport{call, error};
+        },
+        onOwnConnection());
   }
 
   void order(const serve::SendOrder &order) {
@@ -223,21 +234,25 @@
         [call = order.Call](Error error, const net::HttpResponse &response)
             -> serve::AgentInput {
           return serve::OrderAnswer{call, error, parseFence(response.Body)};
-        });
+        },
+        onOwnConnection());
   }
 
 private:
   /// Sends the request, converts a status other than 2xx to an error, and
   /// passes the result of the reader to the sink.
   template <class Reader>
-  void fetch(net::HttpRequest request, Duration timeout, Reader read) {
-    Client.fetch(Init.Address, std::move(request), timeout,
-                 [self = shared_from_this(), read](Error error,
-                                                   net::HttpResponse response) {
-                   if (!error)
-                     error = errorOf(response);
-                   self->Sink(read(std::move(error), std::move(response)));
-                 });
+  void fetch(net::HttpRequest request, Duration timeout, Reader read,
+             net::HttpCallOptions options = {}) {
+    Client.fetch(
+        Init.Address, std::move(request), timeout,
+        [self = shared_from_this(), read](Error error,
+                                          net::HttpResponse response) {
+          if (!error)
+            error = errorOf(response);
+          self->Sink(read(std::move(error), std::move(response)));
+        },
+        options);
   }
 
   template <class Parser> void get(const std::string &target, Parser parse) {
--- a/src/edge/service_http.cpp
+++ b/src/edge/service_http.cpp
@@ -93,6 +93,7 @@
     };
     net::HttpCallOptions options;
     options.MaxBodyBytes = net::MaxServerAnswerBytes;
+    options.UsesOwnConnection = true;
     Calls.begin(start.Run);
     Calls.set(start.Run, Client.call(Address, requestOf(*start.Offer),
                                      start.Timeout, std::move(hooks), options));
--- a/tests/gateway/stray_answer_test.cpp
+++ b/tests/gateway/stray_answer_test.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -60,23 +59,6 @@
   return !ec;
 }
 
-/// Reads a call with its body, if it has a Content-Length; empty at the end.
-std::string readCall(tcp::socket &socket) {
-  std::string out;
-  net::ErrorCode ec;
-  net::asio::read_until(socket, net::asio::dynamic_buffer(out), "\r\n\r\n", ec);
-  constexpr std::string_view Length = "Content-Length: ";
-  size_t at = out.find(Length);
-  if (ec || at == std::string::npos)
-    return ec ? "" : out;
-  size_t whole =
-      out.find("\r\n\r\n") + 4 + std::stoul(out.substr(at + Length.size()));
-  if (out.size() < whole)
-    net::asio::read(socket, net::asio::dynamic_buffer(out),
-                    net::asio::transfer_exactly(whole - out.size()), ec);
-  return out;
-}
-
 class StrayAnswerTest : public GatewayTest {
 protected:
   /// Starts an entry that knows the server under each of the ids.
@@ -164,7 +146,7 @@
       "\r\n\r\n" + body;
   ConnectionServer engine([&](tcp::socket &s) {
     std::string strays;
-    for (std::string call; !(call = readCall(s)).empty(); strays = report)
+    for (std::string call; !(call = net::readCall(s)).empty(); strays = report)
       write(s, call.starts_with("POST /order")
                    ? strays + "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n"
                    : report);
--- a/tests/net_http/scripted_server.h
+++ b/tests/net_http/scripted_server.h
@@ -3,10 +3,15 @@
 
 #include "net/http_socket.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+
 #include <atomic>
 #include <functional>
 #include <list>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -91,4 +96,21 @@
     seen.push_back(c);
 }
 
+/// Reads a call with its body, if it has a Content-Length; empty at the end.
+inline std::string readCall(tcp::socket &socket) {
+  std::string out;
+  ErrorCode ec;
+  asio::read_until(socket, asio::dynamic_buffer(out), "\r\n\r\n", ec);
+  constexpr std::string_view Length = "Content-Length: ";
+  size_t at = out.find(Length);
+  if (ec || at == std::string::npos)
+    return ec ? "" : out;
+  size_t whole =
+      out.find("\r\n\r\n") + 4 + std::stoul(out.substr(at + Length.size()));
+  if (out.size() < whole)
+    asio::read(socket, asio::dynamic_buffer(out),
+               asio::transfer_exactly(whole - out.size()), ec);
+  return out;
+}
+
 } // namespace daisytack::net
