Count a server error of an engine as a run that may have begun

What callers saw, on the agents' own edge: a call that must run at most once could run twice.

Cause: any error status of an engine counted as its word that it had not run the request. A 500 or 504 comes from a run that failed on its way. Reported as not run, it made the ledger withdraw the record of the call, so that the next presentation of its ticket ran it again.

Change: 4xx and 503 refuse; every other server error is a run that may have begun.

Evidence: Engine.FailuresReportWhetherTheRunMayHaveStarted, extended by 500 and 504, fails before (not run) and passes with the change.

--- a/src/edge/engine_http.cpp
+++ b/src/edge/engine_http.cpp
@@ -3,6 +3,7 @@
 #include "edge/engine_codec.h"
 #include "edge/run_calls.h"
 
+#include "net/http_status.h"
 #include "net/sse.h"
 
 #include <utility>
@@ -44,9 +45,11 @@
   return out;
 }
 
-/// An engine that answers with an error status has not run the request.
-serve::RunFailed refusalOf(const serve::RunToken &run, unsigned status,
-                           const std::string &body) {
+/// The result of a run that the engine answered with an error status. A client
+/// error, 503 or 429 says that it was not run; another server error may have
+/// occurred while it ran.
+serve::RunFailed failureOfStatus(const serve::RunToken &run, unsigned status,
+                                 const std::string &body) {
   ErrorKind kind = ErrorKind::ServerFailed;
   if (status == StatusBadRequest)
     kind = ErrorKind::BadRequest;
@@ -54,7 +57,9 @@
     kind = ErrorKind::Overloaded;
   Error why{kind, "engine answered " + std::to_string(status) + ": " +
                       body.substr(0, MaxErrorBytes)};
-  return {run, std::move(why), Outcome::NotRun};
+  bool mayHaveRun = net::isServerError(status) && status != StatusUnavailable;
+  return {run, std::move(why),
+          mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun};
 }
 
 /// Response stream of one run. Used by one I/O thread at a time.
@@ -69,8 +74,8 @@
     if (Ended)
       return;
     if (Status != StatusOk) {
-      if (Refusal.size() < MaxErrorBytes)
-        Refusal.append(data);
+      if (Failure.size() < MaxErrorBytes)
+        Failure.append(data);
       return;
     }
     if (!Parser.feed(data, [this](net::SseEvent event) { onEvent(event); }))
@@ -84,7 +89,7 @@
     if (error)
       return Sink(failureOf(Run, error));
     if (Status != StatusOk)
-      return Sink(refusalOf(Run, Status, Refusal));
+      return Sink(failureOfStatus(Run, Status, Failure));
     if (!SawEnd)
       return Sink(serve::RunFailed{
           Run, {ErrorKind::ServerFailed, "the engine broke its answer off"}});
@@ -131,7 +136,7 @@
   const InputSink &Sink;
   net::SseParser Parser;
   serve::RunDone Final;
-  std::string Refusal;
+  std::string Failure; ///< Beginning of the body with an error status.
   unsigned Status = 0;
   bool SawEnd = false;
   bool Ended = false;
--- a/tests/edge/engine_test.cpp
+++ b/tests/edge/engine_test.cpp
@@ -92,6 +92,8 @@
        ErrorKind::ServerFailed, Outcome::MayHaveRun},
       {"bad request", 400, "no", ErrorKind::BadRequest, Outcome::NotRun},
       {"overloaded", 503, "no", ErrorKind::Overloaded, Outcome::NotRun},
+      {"failed", 500, "no", ErrorKind::ServerFailed, Outcome::MayHaveRun},
+      {"timed out", 504, "no", ErrorKind::ServerFailed, Outcome::MayHaveRun},
   };
   for (const Case &it : cases) {
     auto inputs = runAgainst(it.Status, it.Body, 1);
