--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,6 +115,27 @@
     await world.restart_in_place(server, listed_after=rng.random() * 0.5)
 
 
+async def suspend_server(world, rng):
+    """Suspends a server, as by SIGSTOP. It sends no heartbeats, so that its record goes for a while if that is long."""
+    some = [it for it in world.servers if it.id not in world.leaving and not it.connections.is_suspended()]
+    if not some:
+        return
+    server = rng.choice(some)
+    world.log(f"suspends {server.id}")
+    server.connections.suspend()
+    await asyncio.sleep(0.2 + rng.random() * 2.8)
+    server.connections.resume()
+
+
+async def limit_connections(world, rng):
+    """Makes a server reset connections beyond a few for a while."""
+    server = rng.choice(world.servers)
+    server.connections.max_open = rng.randint(1, 4)
+    world.log(f"{server.id} takes {server.connections.max_open} connections")
+    await asyncio.sleep(0.5 + rng.random() * 2.5)
+    server.connections.max_open = None
+
+
 async def reject_at_server(world, rng):
     """Makes a server reject all requests, with a Retry-After, for a while."""
     server = rng.choice(world.servers)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -54,6 +54,7 @@
                 http11.reset(out)
             for way in ways:
                 way.cancel()
+            await asyncio.gather(*ways, return_exceptions=True)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
