--- a/tests/process/stop_test.py
+++ b/tests/process/stop_test.py
@@ -18,6 +18,7 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "soak"))
+import entry as soak_entry  # noqa: E402
 import http11  # noqa: E402
 import soak  # noqa: E402
 from fleet import BUILD, Fleet, check  # noqa: E402
@@ -27,7 +28,7 @@
 END_SECONDS = 5  # Below the grace period of 8 s; the drain itself takes less than a second here.
 EVENTS = 8
 LONG_WORK_SECONDS = 60
-soak.SETTINGS += "[entry]\ndrain_notice = 300ms\n"
+soak_entry.SETTINGS += "[entry]\ndrain_notice = 300ms\n"
 
 
 async def until(what, probe, seconds=30):
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -8,10 +8,10 @@
 
 import checks
 from callers import PROMPT_KINDS, SentRequest
+from entry import Entry, Stop
 from http11 import Message
 from kept_context import Fetch
 from platform_side import BackendServer, Run
-from soak import Entry, Stop
 
 ID = "00112233"
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,17 +5,15 @@
 
 import argparse
 import asyncio
-import dataclasses
 import pathlib
 import random
-import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 import checks  # noqa: E402
-import http11  # noqa: E402
 from callers import FatalCaller, FatalPartCaller, callers  # noqa: E402
+from entry import Entry  # noqa: E402
 from faults import (FAULT_KINDS, PLANNED_KINDS, answer_without_end, limit_connections, limit_server,  # noqa: E402
                     resize_config, restart_in_place, restore_service, run_extra_faults, run_faults, run_harmless_faults,
                     run_weights_faults, suspend_server)
@@ -47,115 +45,6 @@
 LONG_TIMEOUT_SECONDS = 4.8  # A request read until 3 s after SIGTERM ends within the grace period of 8 s.
 KEPT_CONTEXT_TIMEOUT_SECONDS = 6.0  # Slow fetches take some seconds.
 
-SETTINGS = """[process]
-threads = 1
-[instance]
-name = {name}
-failure_domain = d{domain}
-[callers]
-listen = 127.0.0.1:{callers}
-[readiness]
-listen = 127.0.0.1:{readiness}
-path = /readiness
-[metrics]
-listen = 127.0.0.1:{metrics}
-[peers]
-listen = 127.0.0.1:{peers}
-seeds = {seeds}
-[retries]
-share = 0.2
-slack = 54
-[placement]
-old_weights_limit = 12000ms
-[store]
-address = 127.0.0.1:{store}
-lease_term = 3000ms
-wake_pause = 300ms
-[weights]
-servers_check_fence = true
-[slow_start]
-overshoot = 1.5
-slack = 3
-"""
-
-
-@dataclasses.dataclass
-class Stop:
-    """A planned stop: the time from SIGTERM to the end of the process."""
-
-    begin: float
-    end: float = float("inf")
-
-
-class Entry:
-    """A real entry process with its own link to the key-value service."""
-
-    def __init__(self, fleet, number, domain, link):
-        self.name, self.fleet, self.link, self.domain = f"entry-{number}", fleet, link, domain
-        self.ports = {it: fleet.port() for it in ("callers", "readiness", "metrics", "peers")}
-        self.seeds = ""
-        self.stops = []
-
-    def start(self):
-        text = SETTINGS.format(name=self.name, domain=self.domain, store=self.link.port, seeds=self.seeds,
-                               **self.ports)
-        self.fleet.start(self.name, "daisytack-entry", "--config=" + self.fleet.write(f"{self.name}.ini", text))
-
-    def stop(self, now):
-        """Begins a planned stop with SIGTERM."""
-        self.signal(signal.SIGTERM)
-        self.stops.append(Stop(now))
-        return self.stops[-1]
-
-    def signal(self, number):
-        self.fleet.signal(self.name, number)
-
-    async def wait_signals_handled(self):
-        """Waits until the process blocks or catches signals: before main() a signal would end it. Doesn't yield to
-        other tasks after the last check, since another fault might restart the entry."""
-        while not self.handles_signals():
-            await asyncio.sleep(0.01)
-
-    def handles_signals(self):
-        """Returns whether SIGHUP and SIGTERM are blocked or caught, or there is no process that they could end. On a
-        busy machine a process takes more than 0.1 s from its start to main()."""
-        try:
-            status = pathlib.Path(f"/proc/{self.fleet.processes[self.name].pid}/status").read_text()
-        except OSError:
-            return True
-        lines = dict(line.split(":", 1) for line in status.splitlines())
-        if lines["State"].split()[0] in "ZX":
-            return True
-        blocked, caught = int(lines["SigBlk"], 16), int(lines["SigCgt"], 16)
-        # Before main() the log library creates threads, and all signals are blocked for a moment while one is created.
-        # Only a mask that leaves other signals unblocked is set by the program itself.
-        if blocked >> (signal.SIGUSR1 - 1) & 1:
-            blocked = 0
-        held = blocked | caught
-        return all(held >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM))
-
-    def kill(self):
-        self.fleet.kill(self.name)
-
-    def ended(self):
-        """Returns the exit code of the process, or None while it runs."""
-        return self.fleet.processes[self.name].poll()
-
-    def peak_memory_mb(self):
-        status = pathlib.Path(f"/proc/{self.fleet.processes[self.name].pid}/status").read_text()
-        return int(status.split("VmHWM:")[1].split()[0]) // 1024
-
-    async def is_ready(self):
-        try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection("127.0.0.1", self.ports["readiness"]), 1)
-            writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-            first, _ = await asyncio.wait_for(http11.read_head(reader), 1)
-            http11.close(writer)
-            return first[1] == "200"
-        except (OSError, asyncio.TimeoutError, http11.Broken):
-            return False
-
 
 class World:
     """One run: processes, stand-ins, the faults so far, and the recorded requests and problems."""
