Skip all interim responses of servers

The connection counted as idle, with the final answer to come where the next one was due.

Cause: the client knew only 100 as interim. RFC 9110, 15.2: any 1xx but 101 is followed by the final response; 101 can't come, as no call asks for another protocol, and is an error now.

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -1,5 +1,7 @@
 #include "net/http_client_call.h"
 
+#include "net/http_status.h"
+
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
@@ -183,7 +185,10 @@
       return;
     return fail(ec, "response");
   }
-  if (Response->get().result() == http::status::continue_) {
+  unsigned status = Response->get().result_int();
+  if (status == StatusSwitchingProtocols)
+    return failProtocol("a switch to another protocol");
+  if (isInterim(status)) {
     if (!skipsTooMuch(n))
       readHead();
     return;
@@ -197,7 +202,7 @@
   if (IgnoresResponse && skipsTooMuch(n))
     return;
   if (!IgnoresResponse && Hooks.Head)
-    Hooks.Head(Response->get().result_int(), headers);
+    Hooks.Head(status, headers);
   if (Finished)
     return;
   if (Response->is_done())
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -3,6 +3,7 @@
 
 namespace daisytack::net {
 
+constexpr unsigned StatusSwitchingProtocols = 101;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusAccepted = 202;
 constexpr unsigned StatusBadRequest = 400;
@@ -17,6 +18,10 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
+/// Whether the final response follows on the connection.
+constexpr bool isInterim(unsigned status) {
+  return status >= 100 && status < 200 && status != StatusSwitchingProtocols;
+}
 constexpr bool isSuccess(unsigned status) {
   return status >= 200 && status < 300;
 }
