--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -183,7 +183,8 @@
     for request_id, all_runs in runs.items():
         sent = known.get(request_id)
         if not sent:
-            yield f"{request_id} ran though no caller sent it"
+            first = all_runs[0]
+            yield f"{request_id} ran though no caller sent it: {' '.join(first.request.first)} at {first.server}"
             continue
         for run in all_runs:
             method, path, _ = run.request.first
