--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -148,8 +148,9 @@
   Pipelined = true;
   if (Buffer.size() >= MaxReadAheadBytes)
     return;
-  ErrorCode ec;
-  Buffer.commit(Socket.read_some(Buffer.prepare(HeaderReadBytes), ec));
+  // After an error nothing is read, and the wait ends with the connection.
+  ErrorCode ignored;
+  Buffer.commit(Socket.read_some(Buffer.prepare(HeaderReadBytes), ignored));
   waitReadable();
 }
 
--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -44,17 +44,17 @@
 # The soak of kept context while engines load new weights.
 add_test(NAME process.soak_context COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=402 --seconds=10)
-# The same, with many streams that are resumed after two entries ended at once.
-add_test(NAME process.soak_context_resumed COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
+# A seed of the same that fails now and then, see KNOWN-RED.txt.
+add_test(NAME process.soak_context_seed_2 COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=2 --seconds=10)
 # The soak of servers that start again at their addresses and send answers twice.
 add_test(NAME process.soak_restarts COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=11,59 --restarts=plain --seconds=6)
-# The same, with many restores of the key-value service while servers are cold.
-add_test(NAME process.soak_restarts_restored COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
+# A seed of the same that fails now and then, see KNOWN-RED.txt.
+add_test(NAME process.soak_restarts_seed_43 COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=43 --restarts=plain --seconds=6)
-set(SoakTests process.soak_short process.soak_parts process.soak_context process.soak_context_resumed
-  process.soak_restarts process.soak_restarts_restored)
+set(SoakTests process.soak_short process.soak_parts process.soak_context process.soak_context_seed_2
+  process.soak_restarts process.soak_restarts_seed_43)
 set_tests_properties(process.soak_checks ${SoakTests} PROPERTIES TIMEOUT 600
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
 set_tests_properties(${SoakTests} PROPERTIES RESOURCE_LOCK deployment)
