--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -10,6 +10,8 @@
 
 constexpr int64_t ConnectionsUpperBound = 1'000'000;
 constexpr int64_t LoadsUpperBound = 1000;
+constexpr double MemoryMbLowerBound = 16;
+constexpr double BytesPerMb = 1e6;
 constexpr int64_t LogLinesUpperBound = 100'000;
 constexpr int64_t SlackUpperBound = 1'000'000;
 constexpr double NumberUpperBound = 1e6;
@@ -158,6 +160,11 @@
   out.FailureDomain = settings.text("instance.failure_domain", std::nullopt);
   out.LinkMbps = static_cast<uint32_t>(
       settings.number("instance.link_mbps", 0, 0, NumberUpperBound));
+  out.MemoryBytes = static_cast<size_t>(
+      settings.number("instance.memory_mb",
+                      static_cast<double>(out.MemoryBytes) / BytesPerMb,
+                      MemoryMbLowerBound, NumberUpperBound) *
+      BytesPerMb);
   out.Callers = settings.endpoint("callers.listen", std::nullopt);
   out.Readiness = settings.endpoint("readiness.listen", std::nullopt);
   out.ReadinessPath = settings.text("readiness.path", "/ready");
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -56,6 +56,9 @@
   std::string FailureDomain; ///< Failure domain in which this process runs.
   /// Bandwidth of this instance's link; 0: not known.
   uint32_t LinkMbps = 0;
+  /// Memory of this instance in bytes; the platform ends a process that takes
+  /// more.
+  size_t MemoryBytes = 512'000'000;
   /// Region of each failure domain.
   std::map<std::string, std::string, std::less<>> Regions;
   /// Address for requests from callers.
--- a/tests/gateway/options_test.cpp
+++ b/tests/gateway/options_test.cpp
@@ -40,6 +40,15 @@
   EXPECT_FALSE(negative.finish().empty());
 }
 
+TEST(GatewayOptions, ReadTheMemoryOfTheInstance) {
+  Settings settings = settingsWith("memory_mb = 110");
+  EXPECT_EQ(readGatewayOptions(settings).MemoryBytes, 110'000'000U);
+  EXPECT_TRUE(settings.finish().empty());
+  Settings none = settingsWith("memory_mb = 0");
+  readGatewayOptions(none);
+  EXPECT_FALSE(none.finish().empty());
+}
+
 TEST(GatewayOptions, ReadRegionsOfFailureDomains) {
   Settings settings = settingsWith("regions = a:north,b:north,c:south");
   GatewayOptions options = readGatewayOptions(settings);
