Bound the incidents and times that crash reports of other entries claim

What callers saw: a datagram of 60 bytes that claims 2^32 - 1 incidents for a request ended the entry, with all its requests: it allocated 34 GB. A quarantine with a negative time left quarantined the request for a moment, and its time left overflowed in the next report.

Cause: the number of incidents in a report became the size of a vector, and only a time of exactly 0 counted as "not quarantined".

Change: at most 64 incidents are kept for a suspect, of which a verdict needs two; a time that is not positive means "not quarantined".

Measured: OddPeerMessage.ClaimedIncidentsTakeNoMemory failed with std::bad_alloc under a limit of 6 GB, and OddPeerMessage.NegativeTimeQuarantinesNothing with a quarantined signature; both pass, also with the address and undefined behaviour sanitizers.

--- a/src/direct/crash_evidence.cpp
+++ b/src/direct/crash_evidence.cpp
@@ -29,6 +29,9 @@
 /// Crashed servers kept per suspect. They explain the crashes of requests that
 /// ran beside it, so that more are kept than a quarantine needs.
 constexpr size_t MaxCrashedServers = 64;
+/// Incidents kept per suspect. A verdict needs two, and a report of another
+/// entry may claim any number.
+constexpr size_t MaxIncidents = 64;
 /// Crashed servers per report.
 constexpr size_t MaxReportedServers = 8;
 /// Bytes of all reports in a datagram, and the encoded sizes of their fields.
@@ -48,8 +51,10 @@
       std::clamp<int64_t>(since.count(), 0, UINT32_MAX));
 }
 
-/// Sets the number of incidents if it is higher than before.
+/// Sets the number of incidents, at most MaxIncidents, if it is higher than
+/// before.
 void raiseIncidents(CrashSuspect &suspect, size_t incidents, TimePoint now) {
+  incidents = std::min(incidents, MaxIncidents);
   if (suspect.IncidentsKnownAt.size() < incidents)
     suspect.IncidentsKnownAt.resize(incidents, now);
 }
--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -194,11 +194,11 @@
     announceAnswer(signature, *answered);
   if (wasQuarantined) {
     // The reporting entry started recently and doesn't know the quarantine.
-    if (report.QuarantineLeftUs == 0)
+    if (report.QuarantineLeftUs <= 0)
       Evidence.repeatReport(signature, now);
     return;
   }
-  if (report.QuarantineLeftUs == 0)
+  if (report.QuarantineLeftUs <= 0)
     return;
   if (wasAnsweredLately(signature)) {
     Contested.insert(signature);
