Ignore reports of organisations' rates that are no rates

What callers saw: one entry's datagram with a rate that is not a number, infinite or negative gave organisations below their fair share the factor of those above it (0.5 for 1), or lifted the limit of those above it (1 for 0.75).

Cause: the rates were added up as they came; rates that are not numbers also break the order that sorting needs.

Change: a report with such a rate is ignored as a whole.

Measured: OddPeerMessage.RatesThatAreNoRatesChangeNoShare failed for all five reports it sends, and passes, also with the sanitizers.

--- a/src/admission/organisation_shares.cpp
+++ b/src/admission/organisation_shares.cpp
@@ -19,6 +19,16 @@
   return std::chrono::duration<double>(time).count();
 }
 
+/// Whether all rates of the report are numbers that a rate can be.
+bool hasValidRates(const OrganisationUse &report) {
+  auto isRate = [](float it) { return std::isfinite(it) && it >= 0; };
+  return isRate(report.AdmittedPerSecond) && isRate(report.OtherPerSecond) &&
+         std::all_of(report.Rates.begin(), report.Rates.end(),
+                     [&](const OrganisationRate &it) {
+                       return isRate(it.TokensPerSecond);
+                     });
+}
+
 int64_t microsecondsOf(TimePoint at) { return at.time_since_epoch().count(); }
 
 } // namespace
@@ -79,6 +89,8 @@
 
 void OrganisationShares::onPeerReport(const OrganisationUse &report,
                                       TimePoint now) {
+  if (!hasValidRates(report))
+    return;
   Duration period = std::clamp(Duration(report.Period), Duration::zero(),
                                Duration(10'000'000));
   std::lock_guard guard(Lock);
--- a/src/admission/organisation_shares.h
+++ b/src/admission/organisation_shares.h
@@ -109,6 +109,7 @@
   /// Only AdmissionOutcome::Refused begins or prolongs a shortage.
   void onDecision(std::string_view service, std::string_view organisation,
                   uint64_t tokens, AdmissionOutcome outcome, TimePoint now);
+  /// Ignores a report with a rate that is negative or no finite number.
   void onPeerReport(const OrganisationUse &report, TimePoint now);
 
   /// Factor on the queue limit of the organisation's requests, from MinFactor
--- a/tests/input/peer_messages_test.cpp
+++ b/tests/input/peer_messages_test.cpp
@@ -1,5 +1,6 @@
 /// Guards against entries that end, take memory without bound or stop following
 /// because of odd numbers in other entries' messages.
+#include "admission/organisation_shares.h"
 #include "direct/crash_suspects.h"
 
 #include <gtest/gtest.h>
@@ -38,5 +39,36 @@
   }
 }
 
+/// Guards against a rate that is no number, or is negative, in one entry's
+/// report, by which all organisations count as above their fair share.
+TEST(OddPeerMessage, RatesThatAreNoRatesChangeNoShare) {
+  constexpr float NoNumber = std::numeric_limits<float>::quiet_NaN();
+  constexpr float Infinite = std::numeric_limits<float>::infinity();
+  using admission::AdmissionOutcome;
+  using admission::OrganisationUse;
+  for (const OrganisationUse &odd :
+       {OrganisationUse{"odd", 500'000, 0, true, -1e30F, 0, {}},
+        OrganisationUse{"odd", 500'000, 0, true, NoNumber, 0, {}},
+        OrganisationUse{"odd", 500'000, 0, true, 0, -Infinite, {}},
+        OrganisationUse{
+            "odd", 500'000, 0, true, 0, 0, {{1, NoNumber}, {2, Infinite}}},
+        OrganisationUse{"odd", 500'000, 0, true, 0, 0, {{1, -1e30F}}}}) {
+    admission::OrganisationShares shares({});
+    for (int i = 0; i < 100; ++i)
+      shares.onDecision("engines", "large", 1000,
+                        i % 2 == 0 ? AdmissionOutcome::Admitted
+                                   : AdmissionOutcome::Refused,
+                        Now);
+    for (int i = 0; i < 10; ++i)
+      shares.onDecision("engines", "small", 1000, AdmissionOutcome::Admitted,
+                        Now);
+    OrganisationUse report = odd;
+    report.Service = shares.takeReports("e", 1, Now).front().Service;
+    shares.onPeerReport(report, Now);
+    EXPECT_DOUBLE_EQ(shares.factor("engines", "large", Now), 0.75);
+    EXPECT_EQ(shares.factor("engines", "small", Now), 1);
+  }
+}
+
 } // namespace
 } // namespace daisytack
