Take no larger loan than was asked for

What callers saw: an entry that is lent 2^31 requests sends as many as it likes to a server with a limit. By the code, not by a run: a loan of 2^31 requests less its own share makes it divide by zero when it spaces its requests.

Cause: the number in the answer was taken as it came.

Change: a request for a loan remembers how many requests it asked for, and the loan counts for no more.

--- a/src/balancing/quota_loans.cpp
+++ b/src/balancing/quota_loans.cpp
@@ -58,13 +58,14 @@
   return std::min(Denied, std::max(share, 1U));
 }
 
-void QuotaLoans::onRequested(uint64_t nonce, Duration term, TimePoint now) {
+void QuotaLoans::onRequested(const QuotaLoanRequest &request, Duration term,
+                             TimePoint now) {
   Denied = 0;
   std::erase_if(Requested,
                 [&](const Pending &it) { return it.UsableUntil <= now; });
   if (Requested.size() >= MaxRequested)
     Requested.erase(Requested.begin());
-  Requested.push_back({nonce, now, now + term});
+  Requested.push_back({request.Nonce, request.Wanted, now, now + term});
 }
 
 uint32_t QuotaLoans::receive(const QuotaLoan &loan, TimePoint now) {
@@ -74,12 +75,13 @@
   if (it == Requested.end())
     return 0;
   TimePoint until = it->UsableUntil;
+  uint32_t requests = std::min(loan.Requests, it->Wanted);
   Requested.erase(it);
   if (until <= now)
     return 0;
   std::erase_if(Loans, [&](const Loan &l) { return l.UsableUntil <= now; });
-  Loans.push_back({until, loan.Requests, loan.Requests});
-  return loan.Requests;
+  Loans.push_back({until, requests, requests});
+  return requests;
 }
 
 uint32_t QuotaLoans::available(TimePoint now) const {
--- a/src/balancing/quota_loans.h
+++ b/src/balancing/quota_loans.h
@@ -90,9 +90,11 @@
   /// for loans are in flight.
   uint32_t wanted(uint32_t share, TimePoint now) const;
   /// A request for a loan is being sent. The loan ends at now + term.
-  void onRequested(uint64_t nonce, Duration term, TimePoint now);
-  /// Number of requests of the loan that begins; 0 if the loan was not
-  /// requested by this process, came twice or has ended already.
+  void onRequested(const QuotaLoanRequest &request, Duration term,
+                   TimePoint now);
+  /// Number of requests of the loan that begins, at most as many as were
+  /// wanted; 0 if the loan was not requested by this process, came twice or has
+  /// ended already.
   uint32_t receive(const QuotaLoan &loan, TimePoint now);
   /// Number of requests that may be sent on loan.
   uint32_t available(TimePoint now) const;
@@ -109,6 +111,7 @@
 private:
   struct Pending {
     uint64_t Nonce = 0;
+    uint32_t Wanted = 0;
     TimePoint SentAt;
     TimePoint UsableUntil;
   };
--- a/src/balancing/shared_quota.cpp
+++ b/src/balancing/shared_quota.cpp
@@ -202,8 +202,9 @@
                    ? catalog.Registered.begin()
                    : std::next(peer);
       uint64_t nonce = direct::stableHash("quota loan", ownHash + LoanRequests);
-      state.Loans.onRequested(nonce, state.Bound.Window, now);
-      out.push_back({peer->first, {*server, state.BoundId, wanted, nonce}});
+      QuotaLoanRequest request{*server, state.BoundId, wanted, nonce};
+      state.Loans.onRequested(request, state.Bound.Window, now);
+      out.push_back({peer->first, request});
       ++Counts.Requested;
     }
     bool isWaiting = isCurrent && wanted == 0;
--- a/tests/input/peer_messages_test.cpp
+++ b/tests/input/peer_messages_test.cpp
@@ -1,6 +1,7 @@
 /// Guards against entries that end, take memory without bound or stop following
 /// because of odd numbers in other entries' messages.
 #include "admission/organisation_shares.h"
+#include "balancing/shared_quota.h"
 #include "direct/crash_suspects.h"
 
 #include <gtest/gtest.h>
@@ -70,5 +71,31 @@
   }
 }
 
+/// Guards against a loan of more requests than were asked for, by which the
+/// time between two requests is divided by zero.
+TEST(OddPeerMessage, LoansCountOnlyForWhatWasAskedFor) {
+  const Endpoint own{"10.0.0.1", 7000};
+  direct::Catalog catalog;
+  catalog.Registered[own] = 1;
+  catalog.Registered[{"10.0.0.2", 7000}] = 1;
+  direct::BackendServer server;
+  server.Id = "s";
+  balancing::QuotaBound bound;
+  bound.Requests = 20;
+  bound.Window = 1s;
+  bound.IsPaced = true;
+  balancing::SharedQuota quota(own, Now - 10s, true);
+  TimePoint now = Now;
+  for (int i = 0; i < 20; ++i, now += 30ms)
+    quota.tryAcquire(server, bound, catalog, now);
+  auto requests = quota.takeLoanRequests(catalog, 3, now);
+  ASSERT_EQ(requests.size(), 1U);
+  const balancing::QuotaLoanRequest &wish = requests[0].Message;
+  EXPECT_LE(
+      quota.onLoan({wish.ServerKey, wish.BoundId, 0x80000000, wish.Nonce}, now),
+      wish.Wanted);
+  EXPECT_TRUE(quota.availableAt(server, bound, catalog, now));
+}
+
 } // namespace
 } // namespace daisytack
