Give up offered records that nobody has

What callers saw: after one entry had offered a revision of the configuration that nobody has, an entry that relies on readers asked all others for that revision, and never received the real one. Every key ever offered stayed, and the entry counted as behind for good.

Cause: the newest revision that was offered held until the catalog had it, and transfers ended only when they were complete.

Change: once all calls for a record have failed, the next offer counts, whatever revision it names; without one for a minute the record is given up. At most 64 records are received at a time, and 1,024 received revisions are remembered.

--- a/src/direct/record_transfer.cpp
+++ b/src/direct/record_transfer.cpp
@@ -16,6 +16,8 @@
 constexpr size_t PartBytes = 32U << 10;
 /// Sources that are remembered for one record.
 constexpr size_t MaxSources = 8;
+/// Keys whose received revisions are remembered.
+constexpr size_t MaxSettled = 1024;
 
 } // namespace
 
@@ -73,14 +75,18 @@
                 offer.Revision <= settledRevision(offer.Key);
   if (isHeld)
     return false;
+  if (Pending.size() >= Settings.MaxTransfers && !Pending.contains(offer.Key))
+    return true;
   auto [it, isNew] = Pending.try_emplace(offer.Key);
   Transfer &transfer = it->second;
+  transfer.OfferedAt = now;
   if (isNew) {
     transfer.Since = now;
     transfer.ProgressAt = now;
   }
-  // What earlier sources offered may be older than this.
-  if (offer.Revision > transfer.NewestRevision) {
+  // What earlier sources offered may be older than this. Nobody has what they
+  // offered if none of them is left.
+  if (offer.Revision > transfer.NewestRevision || transfer.Sources.empty()) {
     transfer.NewestRevision = offer.Revision;
     transfer.IsDamaged = false;
     transfer.Sources.clear();
@@ -107,7 +113,10 @@
   if (CalledKey)
     return std::nullopt;
   std::erase_if(Pending, [&](const auto &it) {
-    return it.second.NewestRevision <= Held.RevisionOf(it.first);
+    const Transfer &transfer = it.second;
+    bool isGivenUp = transfer.Sources.empty() &&
+                     now >= transfer.OfferedAt + Settings.OfferRetention;
+    return isGivenUp || transfer.NewestRevision <= Held.RevisionOf(it.first);
   });
   for (auto &[key, transfer] : Pending) {
     if (transfer.Sources.empty() || now < transfer.NextCallAt)
@@ -203,8 +212,10 @@
   out.BaseRevision = transfer.BaseRevision;
   out.Bytes = encoded.size();
   out.Took = now - transfer.Since;
+  if (Settled.size() >= MaxSettled)
+    Settled.clear(); // A record that comes twice does no harm.
   Settled[it->first] = transfer.Revision;
-  if (transfer.NewestRevision == transfer.Revision)
+  if (transfer.NewestRevision <= transfer.Revision)
     Pending.erase(it);
   return out;
 }
--- a/src/direct/record_transfer.h
+++ b/src/direct/record_transfer.h
@@ -110,6 +110,12 @@
   /// Calls in a row that may fail at each source before the transfer waits for
   /// new offers.
   size_t MaxFailuresPerSource = 2;
+  /// A record that no entry has offered again for this time, after all calls
+  /// for it have failed, is given up.
+  Duration OfferRetention{60'000'000};
+  /// Records that are received at a time. There are a few large ones; one that
+  /// is left out is offered again.
+  size_t MaxTransfers = 64;
   bool operator==(const RecordFetchSettings &) const = default;
 };
 
@@ -151,6 +157,8 @@
   void onFailure(TimePoint now);
   /// Whether records are being received and parts still arrive.
   bool isProgressing(TimePoint now) const;
+  /// Number of records that are to be received.
+  size_t pendingCount() const { return Pending.size(); }
   /// Since when this entry has known of a record that it lacks.
   std::optional<TimePoint> behindSince() const;
 
@@ -173,6 +181,7 @@
     std::deque<Endpoint> Sources;
     TimePoint Since;
     TimePoint ProgressAt;
+    TimePoint OfferedAt; ///< Last.
     TimePoint NextCallAt;
     size_t Failures = 0; ///< In a row.
   };
--- a/tests/input/peer_messages_test.cpp
+++ b/tests/input/peer_messages_test.cpp
@@ -3,6 +3,7 @@
 #include "admission/organisation_shares.h"
 #include "balancing/shared_quota.h"
 #include "direct/crash_suspects.h"
+#include "direct/record_transfer.h"
 
 #include <gtest/gtest.h>
 
@@ -97,5 +98,47 @@
   EXPECT_TRUE(quota.availableAt(server, bound, catalog, now));
 }
 
+class OddOfferTest : public testing::Test {
+protected:
+  /// Makes the calls that are due, which get no part, for some time.
+  void failCalls() {
+    for (int i = 0; i < 40; ++i, At += 100ms)
+      while (std::optional<direct::RecordPartCall> call = Fetch.next(At)) {
+        Error reason;
+        Fetch.onPart({call->Request.Key, 0, 0, 0, 0, 0, {}}, At, reason);
+      }
+  }
+
+  TimePoint At = Now;
+  const Endpoint Odd{"10.0.0.1", 80};
+  const Endpoint Good{"10.0.0.2", 80};
+  direct::RecordFetch Fetch{
+      {},
+      {[](auto, auto) { return nullptr; }, [](auto) { return uint64_t{0}; }}};
+};
+
+/// Guards against a record that is never received again after one entry has
+/// offered a revision of it that nobody has.
+TEST_F(OddOfferTest, RevisionThatNobodyHasDoesNotHideTheOthers) {
+  EXPECT_TRUE(Fetch.onOffer({"config", UINT64_MAX}, Odd, At));
+  failCalls();
+  EXPECT_TRUE(Fetch.onOffer({"config", 2}, Good, At));
+  std::optional<direct::RecordPartCall> call = Fetch.next(At + 1s);
+  ASSERT_TRUE(call);
+  EXPECT_EQ(call->Source, Good);
+  EXPECT_EQ(call->Request.Revision, 2U);
+}
+
+/// Guards against an entry that counts as behind for good, and remembers each
+/// offer, after another one has offered records that nobody has.
+TEST_F(OddOfferTest, RecordsThatNobodyHasAreForgotten) {
+  for (int i = 0; i < 10'000; ++i)
+    EXPECT_TRUE(Fetch.onOffer({"k" + std::to_string(i), 5}, Odd, At));
+  EXPECT_LE(Fetch.pendingCount(), 64U);
+  for (int i = 0; i < 200; ++i)
+    failCalls();
+  EXPECT_FALSE(Fetch.behindSince());
+}
+
 } // namespace
 } // namespace daisytack
