Say why a process ended, and that its memory comes near the limit

An entry ended by itself, and nothing told why afterwards: a kill for memory leaves no line, an exception one without the memory.

An unhandled exception and a failed allocation write one line to standard error, with the type, the text, the resident memory and the memory limit. The entry logs when its memory passes 80% and 95% of instance.memory_mb and when it is back, with what holds it, and its metrics have the memory, its peak and the limit. The event of its start has the version and the limits.

process.terminate_test failed before ("terminate called after throwing", without the memory, and no limits in the started event) and passes now.

--- a/src/base/standard_metrics.h
+++ b/src/base/standard_metrics.h
@@ -21,6 +21,10 @@
 constexpr const char *LinkBytes = "daisytack_link_bytes_total";
 constexpr const char *ProcessCpu = "daisytack_process_cpu_microseconds_total";
 constexpr const char *ProcessMemory = "daisytack_process_resident_bytes";
+constexpr const char *ProcessMemoryPeak =
+    "daisytack_process_peak_resident_bytes";
+constexpr const char *ProcessMemoryLimit =
+    "daisytack_process_memory_limit_bytes";
 constexpr const char *CpuBudget =
     "daisytack_control_cpu_microseconds_per_second_budget";
 constexpr const char *MemoryBudget = "daisytack_control_memory_bytes_budget";
@@ -64,6 +68,8 @@
 struct ProcessUsage {
   uint64_t CpuMicros = 0;
   uint64_t ResidentBytes = 0;
+  /// Highest resident memory since the start.
+  uint64_t PeakResidentBytes = 0;
 };
 
 /// Processor and memory usage of a process, with gauges for the budget of the
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,6 +24,7 @@
 /// Longest time that a server is avoided because it loads new weights: its
 /// running requests end first, and the load itself takes a second or two.
 constexpr Duration MaxLoadAvoidance{3'000'000};
+constexpr size_t BytesPerMb = 1'000'000;
 
 net::HttpServerInit listenOn(const Endpoint &endpoint) {
   net::HttpServerInit out;
@@ -48,7 +49,8 @@
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &io, GatewayOptions options,
-                 direct::Protocol protocol, const KvStoreFactory &makeStore)
+                 direct::Protocol protocol, const KvStoreFactory &makeStore,
+                 MemoryReport::UsageReader readUsage)
     : Options(std::move(options)),
       Log(Options.Log, Options.Name, standardOutputSink(), Counters),
       State(io, Options, std::move(protocol), Counters, Log),
@@ -106,6 +108,9 @@
                            const std::shared_ptr<net::HttpExchange> &to) {
                       answerMetrics(*to);
                     }),
+      Memory(
+          Options.MemoryBytes, std::move(readUsage),
+          [this] { return countMemoryHolders(); }, Counters, Log),
       Ticker(ControlStrand), DrainTimer(ControlStrand) {
   State.OriginExchange = std::make_shared<StreamOriginExchange>(
       State, ControlStrand,
@@ -269,7 +274,10 @@
 
 bool Gateway::start(Error &reason) {
   Log.write(LogPriority::Notable, "started",
-            {{"failure_domain", Options.FailureDomain},
+            {{"version", DAISYTACK_VERSION},
+             {"memory_mb", Options.MemoryBytes / BytesPerMb},
+             {"max_connections", Options.MaxConnections},
+             {"failure_domain", Options.FailureDomain},
              {"callers", toString(Options.Callers)},
              {"service", toString(Options.Store)}},
             monotonicNow());
@@ -442,6 +450,15 @@
   LoggedShortages = std::move(services);
 }
 
+DecisionLog::Fields Gateway::countMemoryHolders() const {
+  size_t connections = CallerServer.openConnections();
+  size_t unanswered = std::min(CallerServer.unsentAnswers(), connections);
+  return {{"connections", connections},
+          {"idle_or_sending", connections - unanswered},
+          {"running", State.Running.size()},
+          {"parts", State.StoredParts.partsKnown()}};
+}
+
 void Gateway::tick() {
   TimePoint now = monotonicNow();
   LastTickAt = now;
@@ -471,6 +488,7 @@
     Contexts->freeUnused(now);
     Contexts->recordSettledEpochs(now);
   }
+  Memory.onTimer(now);
   Log.flush(now);
   Ticker.expires_after(TickInterval);
   Ticker.async_wait([this](auto ec) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway_options.h"
 #include "gateway/kv_service_follower.h"
 #include "gateway/load_exchange.h"
+#include "gateway/memory_report.h"
 #include "gateway/order_driver.h"
 #include "gateway/peer_exchange.h"
 #include "gateway/quarantine.h"
@@ -33,7 +34,8 @@
 class Gateway {
 public:
   Gateway(boost::asio::io_context &io, GatewayOptions options,
-          direct::Protocol protocol, const KvStoreFactory &makeStore);
+          direct::Protocol protocol, const KvStoreFactory &makeStore,
+          MemoryReport::UsageReader readUsage = {});
   ~Gateway();
 
   bool start(Error &reason);
@@ -84,6 +86,8 @@
   OrderDriverSettings orderSettings() const;
   /// Logs which services have come into a shortage, and which are out of it.
   void logShortages(TimePoint now);
+  /// Counts what holds memory, for the log.
+  DecisionLog::Fields countMemoryHolders() const;
   void tick();
   /// Lets running requests know when versions of weights or their ages have
   /// changed.
@@ -120,6 +124,7 @@
   GatewayHttp CallerServer;
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
+  MemoryReport Memory;
   net::Timer Ticker;
   net::Timer DrainTimer;
   /// Last time that the process was known to be running.
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "net/timer.h"
+#include "runtime/process_end.h"
 #include "runtime/process_log.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -103,7 +104,7 @@
                reason.Detail);
       return ExitCode::Start;
     }
-    logInfo("started");
+    logInfo("started, version " DAISYTACK_VERSION);
     runThreads();
     logInfo("stopped");
     if (Init.Stop)
@@ -261,6 +262,8 @@
     std::cout << FLAGS_config << ": no mistakes\n";
     return asInt(ExitCode::Done);
   }
+  if (init.MemoryLimit)
+    setMemoryLimit(init.MemoryLimit());
   openLog(init.Name, process.LogLevel);
   return asInt(ProcessRunner(init, process, startedAt).run());
 }
@@ -294,6 +297,7 @@
 }
 
 int runProcess(int argc, char **argv, const ProcessInit &init) {
+  reportAbnormalEnd(init.Name);
   maskSignals(SIG_BLOCK);
   TimePoint startedAt = monotonicNow();
   gflags::SetUsageMessage(processUsage(init));
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -51,6 +52,9 @@
   /// reload begins only after the one before it has ended.
   /// Empty: SIGHUP and changes of the file are ignored.
   std::function<void()> Reload = {};
+  /// Returns the memory limit of the process in bytes; 0: not known. Called
+  /// after ReadSettings. Empty: not known.
+  std::function<uint64_t()> MemoryLimit = {};
 };
 
 /// Runs the daemon to its end. Flags: --config, --check, --version, --help.
--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -59,8 +59,8 @@
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
 set_tests_properties(${SoakTests} PROPERTIES RESOURCE_LOCK deployment)
 
-# Libraries that process.stop_test and process.suspend_test preload into an entry.
-foreach(name stuck_threads suspended)
+# Libraries that process.stop_test, process.suspend_test and process.terminate_test preload into an entry.
+foreach(name stuck_threads suspended failing_thread)
   add_library(${name} SHARED ${CMAKE_SOURCE_DIR}/tests/process/preload/${name}.cpp)
   target_link_libraries(${name} PRIVATE ${CMAKE_DL_LIBS})
 endforeach()
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -11,6 +11,7 @@
 threads = 1
 [instance]
 name = {name}
+memory_mb = {memory_mb}
 failure_domain = d{domain}
 [callers]
 listen = 127.0.0.1:{callers}
@@ -50,19 +51,26 @@
 class Entry:
     """A real entry process with its own link to the key-value service."""
 
+    memory_mb = 88  # Memory of the smallest instances, in MB of 10^6 bytes.
+
     def __init__(self, fleet, number, domain, link):
         self.name, self.fleet, self.link, self.domain = f"entry-{number}", fleet, link, domain
         self.ports = {it: fleet.port() for it in ("callers", "readiness", "metrics", "peers")}
         self.seeds = ""
         self.stops = []
+        self.is_stopping = False
+        self.unexpected_ends = []  # Exit codes of processes that ended by themselves.
 
     def start(self):
+        self.is_stopping = False
         text = SETTINGS.format(name=self.name, domain=self.domain, store=self.link.port, seeds=self.seeds,
-                               **self.ports)
+                               memory_mb=self.memory_mb, **self.ports)
         self.fleet.start(self.name, "daisytack-entry", "--config=" + self.fleet.write(f"{self.name}.ini", text))
 
     def stop(self, now):
         """Begins a planned stop with SIGTERM."""
+        self.note_end()
+        self.is_stopping = True
         self.signal(signal.SIGTERM)
         self.stops.append(Stop(now))
         return self.stops[-1]
@@ -95,15 +103,28 @@
         return all(held >> (number - 1) & 1 for number in (signal.SIGHUP, signal.SIGTERM))
 
     def kill(self):
+        self.note_end()
         self.fleet.kill(self.name)
 
+    def note_end(self):
+        """Records the exit code if the process ended by itself, once."""
+        if self.is_running() or self.is_stopping or self.name not in self.fleet.processes:
+            return
+        self.unexpected_ends.append(self.ended())
+        self.is_stopping = True
+
+    def is_running(self):
+        return self.name in self.fleet.processes and self.ended() is None
+
     def ended(self):
         """Returns the exit code of the process, or None while it runs."""
         return self.fleet.processes[self.name].poll()
 
     def peak_memory_mb(self):
+        """Returns the highest resident memory of the process since its start, in MB of 10^6 bytes."""
         status = pathlib.Path(f"/proc/{self.fleet.processes[self.name].pid}/status").read_text()
-        return int(status.split("VmHWM:")[1].split()[0]) // 1024
+        _, _, peak = status.partition("VmHWM:")
+        return int(peak.split()[0]) * 1024 / 1e6 if peak else 0.0  # A process that has just ended has no such line.
 
     async def is_ready(self):
         try:
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -5,6 +5,7 @@
 #include "platform/kv_store.h"
 #include "platform/protocol.h"
 #include "runtime/process.h"
+#include "runtime/process_usage.h"
 
 #include <optional>
 
@@ -27,7 +28,8 @@
   init.Start = [&](boost::asio::io_context &io, Error &reason) {
     if (gatewayOptions) {
       gateway = std::make_unique<gateway::Gateway>(
-          io, *gatewayOptions, platform::makeProtocol(), platform::makeKvStore);
+          io, *gatewayOptions, platform::makeProtocol(), platform::makeKvStore,
+          [] { return runtime::processUsage(); });
       return gateway->start(reason);
     }
     daemon = std::make_unique<entry::EntryDaemon>(io, options);
@@ -43,6 +45,9 @@
     if (gateway && gatewayOptions)
       gateway->reload(*gatewayOptions);
   };
+  init.MemoryLimit = [&]() -> uint64_t {
+    return gatewayOptions ? gatewayOptions->MemoryBytes : 0;
+  };
   init.Stop = [&] {
     gateway.reset();
     daemon.reset();
