Say of a failed allocation only where nothing handles it

The handler of failed allocations ended the process also where the exception would have been caught, such as that of a message that claims a size. The handler of unhandled exceptions writes the line now. process.terminate_test holds as before.

--- a/src/runtime/process_end.cpp
+++ b/src/runtime/process_end.cpp
@@ -105,6 +105,8 @@
   const char *name = demangled ? demangled : type->name();
   try {
     throw;
+  } catch (const std::bad_alloc &) {
+    writeEnd("a failed allocation", "", "");
   } catch (const std::exception &error) {
     writeEnd("an unhandled exception", name, error.what());
   } catch (...) {
@@ -113,17 +115,11 @@
   std::abort();
 }
 
-[[noreturn]] void onFailedAllocation() {
-  writeEnd("a failed allocation", "", "");
-  std::abort();
-}
-
 } // namespace
 
 void reportAbnormalEnd(const std::string &name) {
   std::snprintf(processName().data(), processName().size(), "%s", name.c_str());
   std::set_terminate(onTerminate);
-  std::set_new_handler(onFailedAllocation);
 }
 
 void setMemoryLimit(uint64_t bytes) { MemoryLimit = bytes; }
