Pass on the last part of an answer that is longer than 256 KB

Callers got each answer without events that is longer than 256 KB without its last part, up to 256 KB of it, and could not see that: the answer goes on in chunks, and the last chunk ended it as if it were whole.

Such an answer is collected up to 256 KB and passed on in parts of that size. When it was complete, what had been collected since the last part was dropped. It is passed on now before the end.

ForwardFlow.PassesOnTheLastPartOfALongAnswer failed before ("end" in place of "write last") and passes now.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -243,6 +243,9 @@
       Hooks.AbortAnswer(); // The attempt to resume the stream failed.
       return finish();
     }
+    // The part of a long answer that came after the last one passed on.
+    if (!body.empty())
+      Hooks.WriteAnswer(std::move(body));
     Hooks.EndAnswer();
     return finish();
   }
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -433,6 +433,24 @@
   EXPECT_TRUE(it.hasLogged("break"));
 }
 
+// Guards against the loss of what follows the last full buffer of an answer.
+TEST(ForwardFlow, PassesOnTheLastPartOfALongAnswer) {
+  ForwardSettings settings;
+  settings.MaxBufferedAnswerBytes = 8;
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2), 3, settings);
+  it.Flow.start(FlowStart);
+  it.Flow.onHead(1, headOf(200), FlowStart);
+  it.Flow.onData(1, "0123456789", FlowStart);
+  it.Flow.onData(1, "last", FlowStart);
+  it.takeLog();
+  it.Flow.onDone(1, {}, false, FlowStart);
+  std::vector<std::string> log = it.takeLog();
+  ASSERT_GE(log.size(), 2U);
+  EXPECT_EQ(log[0], "write last");
+  EXPECT_EQ(log[1], "end");
+  EXPECT_TRUE(it.Flow.isEnded());
+}
+
 TEST(ForwardFlow, LimitsTheBufferedPartOfAnErrorAnswer) {
   ForwardSettings settings;
   settings.MaxBufferedAnswerBytes = 8;
