Soak: end entries at the memory of their instance, and hold much of it

The memory of the entries was looked at once, at the end, against 110 MB, and no caller held much of it. An entry that ended by itself went unnoticed if a fault of the soak started it again.

Entries are told that they have 88 MB, and a watcher kills one that takes more. It also notes each end that is no stop or kill of the soak, and all entries are stopped at the end and have to end with 0.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -115,7 +115,8 @@
 class Fleet:
     """The processes of one run. Leaving the context stops them all."""
 
-    def __init__(self):
+    def __init__(self, build=BUILD):
+        self.build = build
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="daisytack-"))
         self.processes = {}
         self.lock = None
@@ -170,7 +171,7 @@
     def start(self, name, program, *arguments):
         """Starts a program of the build directory."""
         with open(self.directory / f"{name}.log", "ab") as log:
-            self.processes[name] = subprocess.Popen([str(BUILD / program), *arguments], stdout=log, stderr=log,
+            self.processes[name] = subprocess.Popen([str(self.build / program), *arguments], stdout=log, stderr=log,
                                                     stdin=subprocess.DEVNULL)
 
     def start_standin(self, mode, name, *arguments):
--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -53,8 +53,11 @@
 # A seed of the same that fails now and then, see KNOWN-RED.txt.
 add_test(NAME process.soak_restarts_seed_43 COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=43 --restarts=plain --seconds=6)
+# The soak of large bodies and answers, with entries that are killed when they take more memory than their instance has.
+add_test(NAME process.soak_memory COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
+  --seeds=19 --seconds=6)
 set(SoakTests process.soak_short process.soak_parts process.soak_context process.soak_context_seed_2
-  process.soak_restarts process.soak_restarts_seed_43)
+  process.soak_restarts process.soak_restarts_seed_43 process.soak_memory)
 set_tests_properties(process.soak_checks ${SoakTests} PROPERTIES TIMEOUT 600
   ENVIRONMENT "DAISYTACK_BUILD=${CMAKE_BINARY_DIR};PYTHONDONTWRITEBYTECODE=1")
 set_tests_properties(${SoakTests} PROPERTIES RESOURCE_LOCK deployment)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -89,6 +89,10 @@
         if connection:
             http11.close(connection[1])
 
+    def close(self):
+        for entry in self.world.entries:
+            self._close_connection(entry)
+
     async def _connection(self, entry):
         known = self.connections.get(entry.name)
         if known and not known[1].is_closing() and not known[0].at_eof():
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,11 +3,13 @@
 import math
 import re
 
+import large_bodies
 from callers import ENTRY_CLOSES, KINDS, PROMPT_KINDS, STREAM_KINDS, UNREPEATABLE_KINDS
 from platform_side import RETRY_AFTER_SECONDS, FATAL_BODY, event_count, stream_id_of
 
 STATUSES_NOT_EXECUTED = (408, 421, 429, 503)
 ENDLESS_SECONDS = 8.0 + 1.5  # The longest timeout of a route, and until its server sees that the connection ends.
+MIN_SMALL_REQUESTS = 20  # Fewer tell nothing about their share.
 MIN_RESUMPTIONS = 12  # Fewer resumed streams tell nothing about their share.
 OVERLAP_SECONDS = 0.4  # A server may work on a request this long after another one begins to; the users' bound.
 REVOKED_SECONDS = 5.0  # Entries refuse a revoked key after this delay; the bound of the deployments.
@@ -397,13 +399,58 @@
                 yield f"{server.id} sent the answer to {request_id} for {end - begin:.1f} s"
 
 
+def memory_kept(world, _runs):
+    for entry, megabytes, limit in world.memory_passed:
+        yield f"{entry} took {megabytes:.1f} MB of {limit} MB, and was killed for it"
+
+
+def entries_end_well(world, _runs):
+    """Entries end only when they are stopped or killed; a stopped one ends in time and with exit code 0."""
+    yield from world.wrong_ends
+
+
+def no_fault_reports(world, _runs):
+    """No entry wrote a report of a sanitizer, a failed assertion of the library or an unhandled exception."""
+    yield from world.fault_reports
+
+
+def small_requests_not_refused_for_memory(world, _runs):
+    """Callers with large bodies hold memory; the organisations of small requests hold next to nothing, so that there is
+    always room for theirs. Refusals for the memory of an engine are another matter."""
+    for sent in world.sent:
+        if sent.kind not in PROMPT_KINDS and sent.status == 503 and not sent.signature and b"memory" in sent.answer:
+            yield f"{sent.id} ({sent.kind}, {len(sent.body)} bytes) at {sent.entry} was refused: {sent.answer!r}"
+
+
+def small_requests_go_on(world, _runs):
+    """Beside large bodies at least half of the small requests at undisturbed entries are answered."""
+    some = [it for it in world.sent if world.large_sent and it.kind in ("call", "safe") and it.ended
+            and not it.abandoned and it.key not in world.revoked
+            and world.had_no_faults(it.at - PROPAGATION_SECONDS, it.ended, it.entry, planned=True)
+            and world.ran_without_restart(it.at - PROPAGATION_SECONDS, it.ended, it.entry)]
+    answered = sum(it.status == 200 for it in some)
+    if len(some) >= MIN_SMALL_REQUESTS and answered * 2 < len(some):
+        yield f"{answered} of {len(some)} small requests were answered beside large bodies"
+
+
+def large_requests_answered_right(world, _runs):
+    """A whole answer to a large request is its own, and a refused one was not run and is told when to return."""
+    run = set().union(*[it.read_whole for it in world.large_servers])
+    for sent in world.large_sent:
+        if sent.status == 200 and sent.is_whole and sent.answer != large_bodies.expected_answer(sent):
+            yield f"{sent.id} ({sent.kind}, {sent.size} bytes) got {sent.answer[:80]!r}"
+        if sent.status == 503 and (seconds_of(sent.retry_after) <= 0 or sent.id in run):
+            yield f"{sent.id} ({sent.kind}) was refused, Retry-After {sent.retry_after!r}, run: {sent.id in run}"
+
+
 ALL_CHECKS = (at_most_once, runs_do_not_overlap, refusals_not_executed, callers_return, answers_match_runs, events_in_order,
               streams_of_one_version, resumptions_go_on, requests_as_sent,
               requests_end_with_answer, revoked_keys, draining_servers, servers_leaving_by_answer, rejecting_servers,
               evacuated_domains, cold_servers, limited_servers, revocations_stay, fatal_requests, fatal_parts,
               no_false_quarantine,
               planned_restarts_cut_nothing, stops_lose_no_request, parts_freed_while_read,
-              one_holder_per_fencing_token, endless_answers_closed)
+              one_holder_per_fencing_token, endless_answers_closed, memory_kept, entries_end_well, no_fault_reports,
+              small_requests_not_refused_for_memory, small_requests_go_on, large_requests_answered_right)
 
 
 def failed_checks(world):
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -2,15 +2,21 @@
 
 import asyncio
 import dataclasses
+import hashlib
+import pathlib
 import subprocess
 import sys
+import tempfile
 import types
 
 import checks
+import large_bodies
+import sanitizers
 from callers import PROMPT_KINDS, SentRequest
 from entry import Entry, Stop
 from http11 import Message
 from kept_context import Fetch
+from large_bodies import LargeRequest
 from platform_side import BackendServer, Run
 
 ID = "00112233"
@@ -30,6 +36,8 @@
         self.fatal_ends = []
         self.fatal_part_ends = []
         self.evacuated = {}
+        self.memory_passed, self.wrong_ends, self.fault_reports = [], [], []
+        self.large_sent, self.large_servers = [], [types.SimpleNamespace(read_whole=set())]
         path = checks.KINDS[kind][1] + ID
         self.request = Message([checks.KINDS[kind][0], path, "HTTP/1.1"],
                                {"x-daisytack-request-id": ID, "x-daisytack-tenant": "one"}, b"b")
@@ -382,6 +390,47 @@
     world.stops[0].end = 99.0
 
 
+def killed_for_memory(world):
+    world.memory_passed.append(("entry-0", 89.0, 88))
+
+
+def ended_by_itself(world):
+    world.wrong_ends.append("entry-0 ended by itself with -6")
+
+
+def sanitizer_report(world):
+    world.fault_reports.append("ERROR: AddressSanitizer")
+
+
+def small_request_refused_for_memory(world):
+    world.server.runs.clear()
+    world.change(status=503, signature="", retry_after="1", answer=b'{"detail":"no memory is left"}')
+
+
+def add_large_request(world, **values):
+    world.large_sent.append(LargeRequest("large0-1", "whole", "entry-0", 100.0, 10, **values))
+    world.large_servers[0].read_whole.add("large0-1")
+
+
+def small_requests_refused(world):
+    add_large_request(world)
+    for n in range(checks.MIN_SMALL_REQUESTS):
+        world.sent.append(dataclasses.replace(world.sent[0], id=f"f{n}", status=503, signature="", answer=b"",
+                                              retry_after="1"))
+
+
+def large_body_cut(world):
+    add_large_request(world, status=200, is_whole=True, answer=hashlib.sha256(large_bodies.BODY[:9]).hexdigest().encode())
+
+
+def large_body_refused_though_it_ran(world):
+    add_large_request(world, status=503, retry_after="1")
+
+
+def large_body_answered(world):
+    add_large_request(world, status=200, is_whole=True, answer=hashlib.sha256(large_bodies.BODY[:10]).hexdigest().encode())
+
+
 def freed_under_a_discarded_fetch(world):
     freed_under_a_fetch(world)
     world.fetch.discarded = True
@@ -395,7 +444,8 @@
            freed_under_a_discarded_fetch, freed_after_the_fetch, sent_shortly_after_rejection, fatal_sent_within_limit,
            fatal_part_sent_within_limit,
            sent_around_evacuations, sent_within_cold_limit, sent_within_limit, resumptions_refused_without_servers,
-           resumed_at_the_same_version, gone_on_after_the_first_run, gone_on_while_the_first_server_was_suspended)
+           resumed_at_the_same_version, gone_on_after_the_first_run, gone_on_while_the_first_server_was_suspended,
+           small_request_refused_for_memory, large_body_answered)
 DEFECTS = {
     second_run: "at_most_once", second_run_of_a_draft: "at_most_once",
     gone_on_beside_the_first_run: "runs_do_not_overlap",
@@ -416,7 +466,11 @@
     fatal_sent_too_often: "fatal_requests", fatal_part_sent_too_often: "fatal_parts", harmless_quarantined: "no_false_quarantine",
     sent_while_evacuated: "evacuated_domains", sent_beyond_limit: "limited_servers",
     accepted_revoked_key: "revocations_stay", overloaded_while_cold: "cold_servers",
-    overloaded_after_cold_record: "cold_servers", endless_answer_received: "endless_answers_closed"}
+    overloaded_after_cold_record: "cold_servers", endless_answer_received: "endless_answers_closed",
+    killed_for_memory: "memory_kept", ended_by_itself: "entries_end_well", sanitizer_report: "no_fault_reports",
+    small_request_refused_for_memory: "small_requests_not_refused_for_memory",
+    small_requests_refused: "small_requests_go_on", large_body_cut: "large_requests_answered_right",
+    large_body_refused_though_it_ran: "large_requests_answered_right"}
 KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", fatal_part_sent_too_often: "ask", passed_on_late_and_cut: "long",
          stream_of_two_versions: "ask", resumed_at_another_version: "ask", resumptions_refused: "ask",
          resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask",
@@ -424,6 +478,9 @@
          gone_on_at_another_entry_beside_the_first_run: "ask", gone_on_after_the_first_run: "ask",
          gone_on_while_the_first_server_was_suspended: "ask", gone_on_after_the_first_server_was_resumed: "ask"}
 
+# A request may be refused for the memory of an engine.
+ALLOWED_KINDS = {small_request_refused_for_memory: "ask"}
+
 
 PROGRAM = """import os, signal, sys, time
 if sys.argv[1] == "holds":
@@ -450,8 +507,30 @@
     await entry.wait_signals_handled()
 
 
+FAULTY_LOG = """2026-12-05T12:00:00.000Z INFO daisytack-entry started
+==7==ERROR: AddressSanitizer: heap-use-after-free on address 0x1
+    #0 0x2 in f
+SUMMARY: AddressSanitizer: heap-use-after-free in f
+/usr/include/c++/12/bits/stl_vector.h:1123: reference operator[](size_type): Assertion '__n < this->size()' failed.
+2026-12-05T12:00:00.000Z ERROR daisytack-entry ends by an unhandled exception of type X: text
+src/a.cpp:1:2: runtime error: signed integer overflow
+"""
+
+
+def check_report_finder():
+    """reports() finds each kind of report, and nothing in a log without one."""
+    with tempfile.TemporaryDirectory() as directory:
+        log = pathlib.Path(directory) / "entry-0.log"
+        log.write_text(FAULTY_LOG)
+        found = sanitizers.reports(log.parent)
+        assert len(found) == 4 and "#0 0x2 in f" in found[0], found
+        log.write_text(FAULTY_LOG.splitlines()[0])
+        assert not sanitizers.reports(log.parent)
+
+
 def main():
     asyncio.run(check_signal_guard())
+    check_report_finder()
     for kind in checks.KINDS:
         assert checks.failed_checks(FakeWorld(kind)) == [], checks.failed_checks(FakeWorld(kind))
     for defect, check in DEFECTS.items():
@@ -460,7 +539,7 @@
         found = {it.partition(":")[0] for it in checks.failed_checks(world)}
         assert found == {check}, (defect.__name__, found)
     for event in ALLOWED:
-        world = FakeWorld(KINDS.get(event, "long"))
+        world = FakeWorld(ALLOWED_KINDS.get(event) or KINDS.get(event, "long"))
         event(world)
         assert checks.failed_checks(world) == [], (event.__name__, checks.failed_checks(world))
     missed = {it.__name__ for it in checks.ALL_CHECKS} - set(DEFECTS.values())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,10 +37,10 @@
     if entry.ended() is None:
         left = [f"{it.id} ({it.kind}, sent completely after {it.fully_sent_at - stop.begin:.1f} s)"
                 for it in world.unanswered(entry)]
-        world.problems.append(f"{entry.name} still ran {GRACE_SECONDS:.0f} s after SIGTERM, with unanswered {left}")
+        world.wrong_ends.append(f"{entry.name} still ran {GRACE_SECONDS:.0f} s after SIGTERM, with unanswered {left}")
         entry.kill()
     elif entry.ended() != 0:
-        world.problems.append(f"{entry.name} ended with {entry.ended()} after SIGTERM")
+        world.wrong_ends.append(f"{entry.name} ended with {entry.ended()} after SIGTERM")
     entry.start()
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,19 +5,23 @@
 
 import argparse
 import asyncio
+import collections
 import pathlib
 import random
+import signal
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 import checks  # noqa: E402
+import large_bodies  # noqa: E402
+import sanitizers  # noqa: E402
 from callers import FatalCaller, FatalPartCaller, callers  # noqa: E402
 from entry import Entry  # noqa: E402
 from faults import (FAULT_KINDS, PLANNED_KINDS, answer_without_end, limit_connections, limit_server,  # noqa: E402
                     resize_config, restart_in_place, restore_service, run_extra_faults, run_faults, run_harmless_faults,
                     run_weights_faults, suspend_server)
-from fleet import Fleet  # noqa: E402
+from fleet import BUILD, Fleet  # noqa: E402
 from kept_context import ContextStore, Engine  # noqa: E402
 from late_callers import late_callers  # noqa: E402
 from platform_side import BackendServer, KeyValueService, has_fatal_part  # noqa: E402
@@ -36,7 +40,9 @@
 MISSED_HEARTBEATS = 3  # After so many the record of a server is removed.
 COLD_SECONDS = 2.0  # How long a server is cold after its start or an evacuation (setting cold-start-s).
 LOG_LINES = 40
-MAX_MEMORY_MB = 110  # Memory of the smallest instances.
+SHOWN_PROBLEMS = 12  # Of each check.
+MEMORY_WATCH_SECONDS = 0.02  # Interval between two looks at the memory of the entries.
+END_SECONDS = 8.0  # From SIGTERM to the end of an entry; the grace period of the deployments.
 WEIGHTS_TIMEOUT_SECONDS = 20  # Timeout for all engines to load the newest weights after the last fault.
 TIMEOUT_SECONDS = 2.5
 SHORT_TIMEOUT_SECONDS = 0.6
@@ -49,12 +55,19 @@
 class World:
     """One run: processes, stand-ins, the faults so far, and the recorded requests and problems."""
 
-    def __init__(self, fleet, seed, restarts=""):
+    def __init__(self, fleet, seed, restarts="", large_bodies_sent=False, is_sanitized=False):
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
         self.extra_rng = random.Random(f"{seed}/beside")
         self.large_rng = random.Random(f"{seed}/large")
         self.restart_rng = random.Random(f"{seed}/restarts")
         self.connection_rng = random.Random(f"{seed}/connections")
+        # Whether callers send bodies of the maximum size. Seed 3 stays what it was when it failed (failed_seeds.txt).
+        self.has_large_bodies = large_bodies_sent or (seed % 16 == 3 and seed > 3 and not restarts)
+        self.is_sanitized = is_sanitized  # Whether the entries are built with a sanitizer.
+        self.large_servers, self.large_sent = [], []
+        self.memory_passed = []  # (entry, its memory in MB, its limit) of each entry that was killed for its memory.
+        self.wrong_ends = []  # Texts about processes that ended by themselves, or not as a stop should.
+        self.fault_reports = []  # Reports of sanitizers and of unhandled exceptions.
         self.idle_routes = 0  # Routes of the configuration that no caller uses.
         self.kv = KeyValueService()
         self.has_kept_context = seed % 4 == 2
@@ -89,6 +102,8 @@
         for n in range(STORES if self.has_kept_context else 0):
             rng = random.Random(f"{self.seed}/store/{n}")
             self.stores.append(await ContextStore(f"kept{n}", f"d{n}", STORE_TOKENS, rng).start())
+        if self.has_large_bodies:
+            self.large_servers = await large_bodies.start_servers()
         self.write_config()
         engines = KEPT_CONTEXT_ENGINES if self.has_kept_context else 3
         plain = RESTART_PLAIN_SERVERS if self.restarts_in_place else 2
@@ -99,8 +114,11 @@
         seeds = ",".join(f"127.0.0.1:{it.ports['peers']}" for it in self.entries)
         for entry in self.entries:
             entry.seeds = seeds
+            if self.is_sanitized:
+                entry.memory_mb = sanitizers.MEMORY_MB
             entry.start()
         asyncio.ensure_future(self._heartbeats())
+        asyncio.ensure_future(self._watch_entries())
         await self.wait_ready("at the start")
 
     def entry_count(self):
@@ -148,13 +166,16 @@
                 {**route, "name": "draft", "path-prefix": "/draft/", "kind": "streaming", "service": "engines",
                  "sticky": True, "attempts": 1, **kept_route},
                 *[{**route, "name": f"idle{n * 7919}", "host": f"h{n * 104729}.example", "path-prefix": f"/p{n}/",
-                   "kind": "safe", "service": "plain", "target-latency-ms": 300} for n in range(self.idle_routes)]],
+                   "kind": "safe", "service": "plain", "target-latency-ms": 300} for n in range(self.idle_routes)],
+                *(large_bodies.routes(route) if self.has_large_bodies else [])],
             "services": [{"name": "plain", "connection-limit": 200, **cold},
                          {"name": "engines", "connection-limit": 200, **cold, "engine": engine},
-                         *[it.service() for it in self.stores]],
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": 100000, "header-timeout-ms": 3000,
+                         *[it.service() for it in self.stores],
+                         *(large_bodies.services() if self.has_large_bodies else [])],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": large_bodies.MAX_BODY_BYTES if self.has_large_bodies else 100000, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
-            "tenants": [{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()]}
+            "tenants": [*[{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()],
+                        *(large_bodies.organisations() if self.has_large_bodies else [])]}
         self.kv.put("op/config", self.config)
 
     def rewrite_lost_keys(self):
@@ -167,7 +188,7 @@
                 self.kv.put(f"op/evacuate/{domain}", {})
             else:
                 self.kv.remove(f"op/evacuate/{domain}")
-        living = {f"servers/{it.id}" for it in self.servers}
+        living = {f"servers/{it.id}" for it in self.servers + self.large_servers}
         for key in [it for it in self.kv.items if it.startswith("servers/") and it not in living]:
             self.kv.remove(key)
         for server in self.servers:
@@ -214,6 +235,8 @@
 
     async def _heartbeats(self):
         while True:
+            for server in self.large_servers:
+                self.kv.put(f"servers/{server.id}", server.record())
             await asyncio.sleep(HEARTBEAT_SECONDS)
             for server in self.servers:
                 if server.connections.is_suspended():
@@ -222,6 +245,44 @@
                 elif server.id not in self.leaving:
                     self.record(server)
 
+    async def _watch_entries(self):
+        """Records entries that end by themselves, and kills those that take more memory than their instance has, as a
+        platform does."""
+        while True:
+            await asyncio.sleep(MEMORY_WATCH_SECONDS)
+            for entry in self.entries:
+                entry.note_end()
+                peak = entry.peak_memory_mb() if entry.is_running() and not self.is_sanitized else 0
+                if peak > entry.memory_mb:
+                    self._end_for_memory(entry, peak)
+
+    def _end_for_memory(self, entry, peak):
+        self.memory_passed.append((entry.name, peak, entry.memory_mb))
+        self.log(f"{entry.name} took {peak:.1f} MB and is killed")
+        fault = {"begin": self.now(), "end": self.now(), "entry": entry.name, "planned": False, "kind": "memory_limit"}
+        self.faults.append(fault)
+        if entry.is_stopping:
+            entry.signal(signal.SIGKILL)  # The planned stop goes on, and starts the entry again.
+        else:
+            entry.kill()
+            entry.start()
+
+    async def end_entries(self):
+        """Stops all entries and records those that don't end well."""
+        for entry in self.entries:
+            await entry.wait_signals_handled()
+            entry.stop(self.now())
+        end = self.now() + END_SECONDS
+        while any(it.is_running() for it in self.entries) and self.now() < end:
+            await asyncio.sleep(0.02)
+        for entry in self.entries:
+            self.wrong_ends += [f"{entry.name} ended by itself with {it}" for it in entry.unexpected_ends]
+            if entry.is_running():
+                self.wrong_ends.append(f"{entry.name} still ran {END_SECONDS:.0f} s after the last SIGTERM")
+            elif entry.ended() != 0 and not entry.unexpected_ends:
+                self.wrong_ends.append(f"{entry.name} ended with {entry.ended()} after the last SIGTERM")
+        self.fault_reports = sanitizers.reports(self.fleet.directory)
+
     async def retire_server(self, server, drains):
         """Replaces a server by one with a new id, with a drain or without."""
         if drains:
@@ -286,7 +347,7 @@
     def ran_without_restart(self, begin, end, entry):
         """Returns whether the same process of the entry ran all the time."""
         stops = next(it for it in self.entries if it.name == entry).stops
-        kills = [it for it in self.faults if it["kind"] in ("kill_entries", "kill_pair")]
+        kills = [it for it in self.faults if it["kind"] in ("kill_entries", "kill_pair", "memory_limit")]
         times = [(it.begin, it.end) for it in stops] + [(it["begin"], it["end"] or end) for it in kills]
         return not any(first <= end and begin <= last for first, last in times)
 
@@ -328,19 +389,20 @@
     world.fleet.stop()
     for link in [it.link for it in world.entries] + list(world.links.values()):
         link.stop()
-    for server in [world.kv] + world.stores + world.all_servers:
+    for server in [world.kv] + world.stores + world.all_servers + world.large_servers:
         server.server.close()
     rest = [it for it in asyncio.all_tasks() if it is not asyncio.current_task()]
     for task in rest:
         task.cancel()
     await asyncio.gather(*rest, return_exceptions=True)
+    await asyncio.sleep(0)  # The transports that were closed last end in the next turn of the loop.
 
 
-async def run_seed(seed, seconds, fleet, has_fatal_part, restarts):
-    world = World(fleet, seed, restarts)
-    world.has_fatal_part = has_fatal_part
+async def run_seed(seed, fleet, options, is_sanitized):
+    world = World(fleet, seed, options.restarts, options.large_bodies, is_sanitized)
+    world.has_fatal_part = options.fatal_part
     try:
-        return await soak(world, seconds)
+        return await soak(world, options.seconds)
     finally:
         await end_everything(world)
 
@@ -354,6 +416,8 @@
     if world.has_fatal_part or world.seed % 8 == 7:
         some.append(FatalPartCaller(world))
     tasks = [asyncio.ensure_future(it.run()) for it in some]
+    large_callers = [asyncio.ensure_future(large_bodies.LargeCaller(n, world).run())
+                     for n in range(large_bodies.CALLERS if world.has_large_bodies else 0)]
     # Some seeds run planned work only, to check that it disturbs no requests.
     is_planned = world.seed % 4 == 0
     extra = asyncio.ensure_future(
@@ -383,18 +447,24 @@
     await asyncio.sleep(2)
     world.is_over = True
     await asyncio.gather(*tasks)
+    for task in large_callers:
+        task.cancel()
+    await asyncio.gather(*large_callers, return_exceptions=True)
     check_recovery(world, recovered)
-    for entry in world.entries:
-        if entry.ended() is not None:
-            world.problems.append(f"{entry.name} ended by itself with {entry.ended()}")
-        elif (peak := entry.peak_memory_mb()) > MAX_MEMORY_MB:
-            world.problems.append(f"{entry.name} took {peak} MB")
+    await world.end_entries()
+    for caller in some:
+        caller.close()
     world.problems += checks.failed_checks(world)
+    if world.is_sanitized:
+        world.problems = sanitizers.split_problems(world.problems)
     answered = sum(it.status == 200 for it in world.sent)
     resumed = [it for it in world.sent if it.resumes]
     print(f"seed {world.seed}: {len(world.sent)} requests, {answered} answered, {len(world.faults)} faults, "
           f"{len(resumed)} resumed streams, {sum(it.status == 200 for it in resumed)} of them answered, "
           f"{sum(len(it.fetches) for it in world.stores)} fetches, {len(world.problems)} problems", flush=True)
+    if world.large_sent:
+        statuses = collections.Counter(it.status for it in world.large_sent)
+        print(f"  large requests by status, 0 for none: {dict(sorted(statuses.items()))}", flush=True)
     return world.problems
 
 
@@ -423,6 +493,18 @@
     return out
 
 
+def show_problems(problems):
+    """Prints the first problems of each check, and how many there are."""
+    by_check = {}
+    for it in problems:
+        by_check.setdefault(it.partition(":")[0], []).append(it)
+    for some in by_check.values():
+        print(*[f"  PROBLEM {it}" for it in some[:SHOWN_PROBLEMS]], sep="\n")
+        if len(some) > SHOWN_PROBLEMS:
+            print(f"  and {len(some) - SHOWN_PROBLEMS} more of this check")
+    sys.stdout.flush()
+
+
 def show_logs(fleet):
     """Prints the last log lines of each entry, without belief_changed events: several are logged each second."""
     for log in sorted(fleet.directory.glob("*.log")):
@@ -438,14 +520,18 @@
     arguments.add_argument("--fatal-part", action="store_true", help="a prompt part crashes servers with every seed")
     arguments.add_argument("--restarts", default="", choices=("plain", "all"),
                            help="servers start again in place, and send answers twice, with every seed")
+    arguments.add_argument("--large-bodies", action="store_true", help="callers send large bodies with every seed")
+    arguments.add_argument("--build-directory", type=pathlib.Path, default=BUILD,
+                           help="of the entries, which may be built with a sanitizer")
     options = arguments.parse_args()
+    is_sanitized = sanitizers.prepare(options.build_directory)
     failed = []
     for seed in seeds_of(options):
-        with Fleet() as fleet:
-            problems = asyncio.run(run_seed(seed, options.seconds, fleet, options.fatal_part, options.restarts))
+        with Fleet(options.build_directory.resolve()) as fleet:
+            problems = asyncio.run(run_seed(seed, fleet, options, is_sanitized))
             if problems:
                 failed.append(seed)
-                print(*[f"  PROBLEM {it}" for it in problems[:20]], sep="\n", flush=True)
+                show_problems(problems)
                 show_logs(fleet)
     print("all promises kept" if not failed else f"broken with seeds {failed}")
     return 1 if failed else 0
