Bound the memory that the bodies of requests take at an entry

Callers lost every request that an entry held when many large bodies came at once: bodies were read without a limit on their sum and existed once more for each attempt, so that the process took more memory than its instance has, and the platform ended it.

A body is now read only once its bytes are reserved. The limit on the sum is a share of the instance's memory less everything else that the process takes, as measured ten times a second; unsent answers and unparsed input count in it. A refused body gets 503 with Retry-After before it is read. Bodies in chunks reserve step by step. Attempts share one copy of the body, which is dropped once no further attempt can need it, and freed bodies return to the system. An unfinished head takes half of the buffer that it took, and small instances accept fewer connections, with receive buffers that don't grow.

--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -10,8 +10,10 @@
 #include "direct/weight_order.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace daisytack::direct {
@@ -22,9 +24,12 @@
   std::function<std::optional<CallerHead>(const net::HttpRequest &,
                                           Error &reason)>
       ReadCallerHead;
-  /// Encodes the request that an attempt sends to its server.
+  /// The API key of a caller's request, as in CallerHead::ApiKey.
+  std::function<std::string_view(const net::HttpRequest &)> ReadApiKey;
+  /// Encodes the request that an attempt sends to its server. Attempts share
+  /// the body.
   std::function<net::HttpRequest(const CallerHead &, const AttemptOrder &,
-                                 std::string body)>
+                                 std::shared_ptr<const std::string> body)>
       WriteAttempt;
   /// Decodes the head of a server's answer.
   std::function<ServerHead(unsigned status,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "direct/revision.h"
 #include "gateway/gateway_request.h"
 #include "net/http_status.h"
+#include "runtime/process_usage.h"
 
 #include <boost/asio/dispatch.hpp>
 
@@ -17,6 +18,8 @@
 
 constexpr Duration TickInterval{100'000};
 constexpr Duration HolderWriteTimeout{1'200'000};
+/// A shortage of memory ends this time after the last refusal for it.
+constexpr Duration MemoryShortageTime{1'000'000};
 /// How long the load of an unused server is remembered.
 constexpr Duration LoadRetention{60'000'000};
 /// How long a server's request limit is remembered unless it is reported again.
@@ -442,6 +445,38 @@
   LoggedShortages = std::move(services);
 }
 
+void Gateway::updateMemory(TimePoint now) {
+  uint64_t resident = runtime::processUsage().ResidentBytes;
+  State.Memory->onResident(resident);
+  admission::RequestMemoryView view = State.Memory->view();
+  State.Stats.ResidentBytes.set(static_cast<int64_t>(resident));
+  State.Stats.MemoryLimit.set(static_cast<int64_t>(view.Limit));
+  for (size_t i = 0; i < view.Held.size(); ++i)
+    State.Stats.MemoryHeld[i]->set(static_cast<int64_t>(view.Held[i]));
+  bool hasRefused =
+      std::exchange(MemoryRefusals, view.Refusals) != view.Refusals;
+  bool hasBegun = hasRefused && !MemoryShortAt;
+  if (hasRefused)
+    MemoryShortAt = now;
+  bool hasEnded = MemoryShortAt && now >= *MemoryShortAt + MemoryShortageTime;
+  if (hasEnded)
+    MemoryShortAt.reset();
+  if (!hasBegun && !hasEnded)
+    return;
+  DecisionLog::Fields fields{{"resident_bytes", resident},
+                             {"limit_bytes", view.Limit},
+                             {"reserved_bytes", view.Reserved},
+                             {"refusals", view.Refusals}};
+  for (size_t i = 0; i < view.Held.size(); ++i) {
+    auto cause = static_cast<admission::MemoryCause>(i);
+    fields[std::string(admission::memoryCauseName(cause)) + "_bytes"] =
+        view.Held[i];
+  }
+  Log.write(LogPriority::Notable,
+            hasBegun ? "memory_shortage_began" : "memory_shortage_ended",
+            std::move(fields), now);
+}
+
 void Gateway::tick() {
   TimePoint now = monotonicNow();
   LastTickAt = now;
@@ -452,6 +487,7 @@
   State.Shares.forgetIdle(now - LoadRetention);
   State.Returns.onTimer(now);
   logShortages(now);
+  updateMemory(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   Probes->onTimer(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisytack::gateway {
 
@@ -84,6 +85,9 @@
   OrderDriverSettings orderSettings() const;
   /// Logs which services have come into a shortage, and which are out of it.
   void logShortages(TimePoint now);
+  /// Sets what requests may hold by the memory that the process takes, and logs
+  /// when requests begin or cease to be refused for it.
+  void updateMemory(TimePoint now);
   void tick();
   /// Lets running requests know when versions of weights or their ages have
   /// changed.
@@ -113,6 +117,10 @@
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
   std::vector<std::string> LoggedShortages;
+  uint64_t MemoryRefusals = 0; ///< Up to the last tick.
+  /// When a body was last refused for memory; nullopt if the end of the
+  /// shortage is logged.
+  std::optional<TimePoint> MemoryShortAt;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -17,6 +17,8 @@
 constexpr Duration RetrySoonAfter{300'000};
 /// Timeout of requests for which neither the caller nor the route sets one.
 constexpr Duration DefaultRequestTimeout{60'000'000};
+/// First reservation for a body of unknown length.
+constexpr size_t InitialBodyBytes = 8U << 10;
 
 /// Chooses a service of the route by weight. Retries with the same request id
 /// get the same service, and so do requests that resume that one's stream.
@@ -36,6 +38,23 @@
   return route.Shares.back().Service;
 }
 
+class HeldBody : public net::BodyReservation {
+public:
+  /// No body is longer than `maxBytes`.
+  HeldBody(admission::MemoryReservation room, size_t maxBytes)
+      : Room(std::move(room)), MaxBytes(maxBytes) {}
+  /// Doubles the room, as the buffer of the body does when it grows.
+  bool reserve(size_t bytes) override {
+    return bytes <= Room.bytes() ||
+           Room.grow(std::max(bytes, std::min(2 * Room.bytes(), MaxBytes)));
+  }
+  void onReceived(size_t bytes) override { Room.setReceived(bytes); }
+
+private:
+  admission::MemoryReservation Room;
+  size_t MaxBytes;
+};
+
 TimePoint deadlineOf(const direct::CallerHead &head, const direct::Route &route,
                      TimePoint now) {
   Duration limit = head.CallerTimeout.value_or(DefaultRequestTimeout);
@@ -57,7 +76,22 @@
 net::HttpServerInit GatewayHttp::serverInit() {
   net::HttpServerInit out;
   out.Listen = State.Options.Callers;
-  out.MaxConnections = State.Options.MaxConnections;
+  out.MaxConnections = State.Options.connectionLimit();
+  out.ReceiveBufferBytes = State.Options.receiveBufferBytes();
+  out.ReserveBody = [this](const net::HttpRequest &head,
+                           std::optional<uint64_t> length) {
+    return reserveBody(head, length);
+  };
+  out.RefusedBodyResponse = [this](const net::HttpRequest &head) {
+    return refuseBody(head, monotonicNow());
+  };
+  out.OnConnectionBytes = [memory = State.Memory](net::ConnectionBytes kind,
+                                                  int64_t change) {
+    memory->adjust(kind == net::ConnectionBytes::Input
+                       ? admission::MemoryCause::Head
+                       : admission::MemoryCause::Answer,
+                   change);
+  };
   out.LateRequestGrace = State.Options.Drain.LateRequestGrace;
   out.LateRequestResponse = [this](const net::HttpRequest &request) {
     return refuseLate(request, monotonicNow());
@@ -94,6 +128,38 @@
   return buildRefusal(*head, drainingError(), now);
 }
 
+std::shared_ptr<net::BodyReservation>
+GatewayHttp::reserveBody(const net::HttpRequest &head,
+                         std::optional<uint64_t> length) {
+  auto catalog = State.catalog();
+  const direct::OrganisationAccess *access = nullptr;
+  size_t maxBytes = MaxHttpBodyBytes;
+  if (catalog->Config) {
+    access = catalog->Config->findKey(State.WireProtocol.ReadApiKey(head));
+    maxBytes = catalog->Config->config().Limits.MaxBodyBytes;
+  }
+  std::optional<admission::MemoryReservation> room =
+      State.Memory->reserve(access ? access->Organisation : std::string_view(),
+                            length.value_or(InitialBodyBytes));
+  if (!room)
+    return nullptr;
+  return std::make_shared<HeldBody>(std::move(*room), maxBytes);
+}
+
+net::HttpResponse GatewayHttp::refuseBody(const net::HttpRequest &request,
+                                          TimePoint now) {
+  State.Stats.Requests.add();
+  State.Stats.RefusedForEntryMemory.add();
+  Error parseError;
+  std::optional<direct::CallerHead> head =
+      State.WireProtocol.ReadCallerHead(request, parseError);
+  if (!head)
+    return buildRefusal({}, parseError, now);
+  logWhileDraining(request, head->RequestId, now);
+  return buildRefusal(
+      *head, State.Memory->refusal(direct::unitHash(head->RequestId)), now);
+}
+
 void GatewayHttp::refuse(net::HttpExchange &exchange,
                          const direct::CallerHead &head, const Error &reason,
                          TimePoint now) {
@@ -178,7 +244,7 @@
   forward.Deadline = deadlineOf(*head, *route, now);
   forward.Head = std::move(*head);
   std::make_shared<GatewayRequest>(State, std::move(forward),
-                                   std::move(request.Body), exchange)
+                                   net::takeBody(request), exchange)
       ->start();
 }
 
--- a/src/gateway/gateway_http.h
+++ b/src/gateway/gateway_http.h
@@ -6,6 +6,7 @@
 #include "net/http_server.h"
 
 #include <memory>
+#include <optional>
 
 namespace daisytack::gateway {
 
@@ -27,6 +28,12 @@
 
 private:
   net::HttpServerInit serverInit();
+  /// Reserves room for the body of a request in the account of its
+  /// organisation; null if there is none. Requests with an unknown key share an
+  /// account.
+  std::shared_ptr<net::BodyReservation>
+  reserveBody(const net::HttpRequest &head, std::optional<uint64_t> length);
+  net::HttpResponse refuseBody(const net::HttpRequest &request, TimePoint now);
   void handle(net::HttpRequest request,
               const std::shared_ptr<net::HttpExchange> &exchange);
   /// Logs a request that arrives during the drain, and how it came in.
--- a/src/gateway/gateway_options.cpp
+++ b/src/gateway/gateway_options.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_options.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace daisytack::gateway {
@@ -25,6 +26,14 @@
 
 constexpr double OvershootUpperBound = 1000;
 
+/// Memory of the instance for each connection of a caller: the head of a
+/// request, input ahead of its answer, and a part of the request's own state.
+constexpr size_t BytesPerConnection = 80U << 10;
+/// On smaller instances, receive buffers don't grow beyond the usual initial
+/// size: many connections that are not read would fill the memory.
+constexpr size_t SmallInstanceBytes = 256'000'000;
+constexpr size_t SmallReceiveBufferBytes = 64U << 10;
+
 /// Reads a list of "DOMAIN:REGION".
 void readRegions(Settings &settings, GatewayOptions &out) {
   constexpr std::string_view Key = "instance.regions";
@@ -146,6 +155,14 @@
 
 } // namespace
 
+size_t GatewayOptions::connectionLimit() const {
+  return std::min(MaxConnections, MemoryBytes / BytesPerConnection);
+}
+
+size_t GatewayOptions::receiveBufferBytes() const {
+  return MemoryBytes < SmallInstanceBytes ? SmallReceiveBufferBytes : 0;
+}
+
 bool isGatewaySettings(const Settings &settings) {
   return settings.has("store.address");
 }
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/organisation_shares.h"
+#include "admission/request_memory.h"
 #include "admission/return_schedule.h"
 #include "balancing/prefill_rate.h"
 #include "balancing/request_limits.h"
@@ -108,6 +109,8 @@
   direct::CrashSuspectSettings Suspects;
   admission::OrganisationShareSettings Shares;
   admission::ReturnSettings Returns;
+  /// InstanceBytes is ignored; MemoryBytes applies.
+  admission::RequestMemorySettings Memory;
   balancing::SilenceSettings Silence;
   direct::ForwardSettings Forward;
   direct::PlacementSettings Placement;
@@ -119,6 +122,13 @@
   direct::KeptContextSettings StoredParts;
   direct::CatalogSettings Catalog;
   DecisionLogSettings Log;
+
+  /// Connections from callers: MaxConnections, or fewer on an instance with
+  /// little memory.
+  size_t connectionLimit() const;
+  /// Size of the receive buffer of each connection of a caller or to a server;
+  /// 0: the system decides.
+  size_t receiveBufferBytes() const;
 };
 
 /// Whether the settings are those of an entry that forwards directly.
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -27,14 +27,19 @@
 /// Longest answer that is passed on, in bytes. Ends one without end on a fast
 /// link before its request's time is over.
 constexpr size_t MaxAnswerBytes = 64U << 20;
+/// Smaller bodies are kept until the answer ends: it would cost more to compute
+/// the request's identity first.
+constexpr size_t MinDroppedBytes = 64U << 10;
 
 } // namespace
 
 GatewayRequest::GatewayRequest(GatewayState &state,
-                               direct::ForwardRequest request, std::string body,
+                               direct::ForwardRequest request,
+                               std::shared_ptr<const std::string> body,
                                std::shared_ptr<net::HttpExchange> exchange)
     : State(state), Executor(boost::asio::make_strand(state.Io)),
-      Timer(Executor), Body(std::move(body)), Exchange(std::move(exchange)),
+      Timer(Executor), Body(std::move(body)), BodyBytes(Body->size()),
+      Exchange(std::move(exchange)),
       Flow(std::move(request), state.Options.Forward, hooks()) {}
 
 void GatewayRequest::start() {
@@ -90,6 +95,7 @@
   };
   out.BeginAnswer = [this](const direct::ServerHead &head) {
     HasAnswerStarted = true;
+    dropBody();
     State.Stats.FirstByteTime.observe(monotonicNow() - Flow.request().Arrived);
     Exchange->beginStream(head.Status, head.ForwardedHeaders);
   };
@@ -117,6 +123,7 @@
   out.ArmTimer = [this](TimePoint at) { armTimer(at); };
   out.Ended = [this] {
     Timer.cancel();
+    Body.reset();
     State.Running.remove(this);
     State.Stats.Running.add(-1);
     State.Stats.RequestTime.observe(monotonicNow() - Flow.request().Arrived);
@@ -154,7 +161,7 @@
   auto catalog = State.catalog();
   bool isFirst = Flow.attempts() == 0;
   if (isFirst)
-    IsReturn = takeReturn(State, Flow.request(), Body.size(), now);
+    IsReturn = takeReturn(State, Flow.request(), BodyBytes, now);
   direct::ServerCriteria limited =
       withLimitFactor(State, Flow.request(), criteria, IsReturn, now);
   direct::Refusal refused;
@@ -166,7 +173,7 @@
   if (!out) {
     if (isFirst && refused.Busy)
       refused.Reason.RetryAfter =
-          scheduleReturn(State, Flow.request(), refused, Body.size(), now);
+          scheduleReturn(State, Flow.request(), refused, BodyBytes, now);
     reason = std::move(refused.Reason);
     reason.Detail += loadDetail(refused, limited.LimitFactor);
   }
@@ -191,6 +198,16 @@
           SentAt};
 }
 
+void GatewayRequest::dropBody() {
+  const direct::Route &route = Flow.request().MatchedRoute;
+  bool mayGoOn = route.Kind == direct::RouteKind::Stream && route.mayRepeat();
+  if (mayGoOn || BodyBytes < MinDroppedBytes)
+    return;
+  // The log names it if the answer breaks off, and the body is needed for it.
+  identity();
+  Body.reset();
+}
+
 bool GatewayRequest::takeRetry() {
   bool out = budget().tryRetry();
   (out ? State.Stats.RetryAttempts : State.Stats.RetriesDenied).add();
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -18,7 +18,8 @@
 class GatewayRequest : public std::enable_shared_from_this<GatewayRequest> {
 public:
   GatewayRequest(GatewayState &state, direct::ForwardRequest request,
-                 std::string body, std::shared_ptr<net::HttpExchange> exchange);
+                 std::shared_ptr<const std::string> body,
+                 std::shared_ptr<net::HttpExchange> exchange);
 
   /// Starts the forwarding. Call once, before any other member.
   void start();
@@ -81,6 +82,9 @@
   /// Records that the attempt's answer is complete and successful, if that is
   /// certain.
   void recordAnswer(TimePoint now);
+  /// Drops a large body if the request, whose answer has begun, can't be sent
+  /// again.
+  void dropBody();
   bool takeRetry();
   void send(uint32_t attempt, const direct::AttemptOrder &order);
   /// Whether an answer belongs to this request; logs it if it doesn't. See
@@ -118,7 +122,9 @@
   GatewayState &State;
   boost::asio::strand<boost::asio::io_context::executor_type> Executor;
   net::Timer Timer;
-  const std::string Body;
+  /// Null once no further attempt can need it.
+  std::shared_ptr<const std::string> Body;
+  const size_t BodyBytes;
   const std::shared_ptr<net::HttpExchange> Exchange;
   direct::ForwardFlow Flow;
   std::optional<Id128> Identity;
--- a/src/gateway/gateway_request_quarantine.cpp
+++ b/src/gateway/gateway_request_quarantine.cpp
@@ -21,7 +21,8 @@
 
 const Id128 &GatewayRequest::identity() {
   if (!Identity)
-    Identity = direct::wholeSignature(Flow.request(), Body);
+    Identity = direct::wholeSignature(
+        Flow.request(), Body ? std::string_view(*Body) : std::string_view());
   return *Identity;
 }
 
@@ -85,7 +86,7 @@
   State.Suspects.onAnswered(partSignatures(), now);
   // Identical requests of many callers are short, so that only short ones are
   // hashed without a suspect.
-  if (!State.Suspects.isEmpty() || Body.size() <= MaxCommonBodyBytes)
+  if (!State.Suspects.isEmpty() || BodyBytes <= MaxCommonBodyBytes)
     State.Suspects.onAnswered({&identity(), 1}, now);
 }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -34,10 +34,11 @@
 
 /// The client must not resend requests: only the forwarding flow does, so that
 /// an entry never claims that a request has not run although it may have.
-net::HttpClientInit backendInit() {
+net::HttpClientInit backendInit(const GatewayOptions &options) {
   net::HttpClientInit out =
       clientInit(MaxIdlePerBackend, BackendConnectTimeout);
   out.RetriesSafeMethods = false;
+  out.ReceiveBufferBytes = options.receiveBufferBytes();
   return out;
 }
 
@@ -104,6 +105,18 @@
       {{"cause", std::string(admission::busyReasonName(reason))}});
 }
 
+Gauge *requestMemory(Metrics &metrics, admission::MemoryCause cause) {
+  return &metrics.gauge(
+      "daisytack_request_memory_bytes", "Bytes that requests hold, by cause",
+      {{"cause", std::string(admission::memoryCauseName(cause))}});
+}
+
+admission::RequestMemorySettings memorySettings(const GatewayOptions &options) {
+  admission::RequestMemorySettings out = options.Memory;
+  out.InstanceBytes = options.MemoryBytes;
+  return out;
+}
+
 Gauge &returnTickets(Metrics &metrics, const char *outcome) {
   return metrics.gauge(
       "daisytack_return_tickets",
@@ -131,6 +144,9 @@
       RefusedForQueue(refusedForLoad(metrics, BusyReason::Queue)),
       RefusedForPatience(refusedForLoad(metrics, BusyReason::Patience)),
       RefusedWithheld(refusedForLoad(metrics, BusyReason::Withheld)),
+      RefusedForEntryMemory(metrics.counter(
+          "daisytack_requests_refused_for_entry_memory_total",
+          "Requests refused as this entry had no memory for their body")),
       Failed(metrics.counter("daisytack_requests_failed_total",
                              "Requests that ended without a server's answer")),
       AnswersBroken(metrics.counter("daisytack_answers_broken_total",
@@ -241,6 +257,14 @@
       ServiceEra(metrics.gauge("daisytack_service_era",
                                "Times that the key-value service has come back "
                                "from an older copy, as it counts them")),
+      MemoryLimit(metrics.gauge(
+          "daisytack_request_memory_limit_bytes",
+          "What requests may hold, by the memory of the instance")),
+      ResidentBytes(metrics.gauge("daisytack_process_resident_bytes",
+                                  "Memory of the whole process")),
+      MemoryHeld{requestMemory(metrics, admission::MemoryCause::Body),
+                 requestMemory(metrics, admission::MemoryCause::Answer),
+                 requestMemory(metrics, admission::MemoryCause::Head)},
       FirstByteTime(
           metrics.distribution("daisytack_first_byte_seconds",
                                "From arrival to the answer's first byte",
@@ -285,10 +309,12 @@
       ColdServers(options.SlowStart, options.Peers, monotonicNow()),
       Limits(options.Limits, options.Peers, monotonicNow()),
       Shares(options.Shares), Returns(options.Returns),
+      Memory(
+          std::make_shared<admission::RequestMemory>(memorySettings(options))),
       Placer(options.Placement, {options.FailureDomain, options.Regions},
              {Loads, Links, OutlierEjector, PrefillRates, StoredParts,
               ColdServers, Limits}),
-      Retries(options.Retries), BackendClient(io, backendInit()),
+      Retries(options.Retries), BackendClient(io, backendInit(options)),
       ControlClient(io,
                     clientInit(MaxIdlePerControlServer, ControlConnectTimeout)),
       Catalog(options.Catalog, catalogHooks(WireProtocol, log)) {}
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/organisation_shares.h"
+#include "admission/request_memory.h"
 #include "admission/return_schedule.h"
 #include "balancing/request_limits.h"
 #include "base/decision_log.h"
@@ -18,6 +19,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <atomic>
 #include <map>
 #include <memory>
@@ -39,6 +41,7 @@
   Counter &RefusedForQueue;
   Counter &RefusedForPatience;
   Counter &RefusedWithheld;
+  Counter &RefusedForEntryMemory;
   Counter &Failed;
   Counter &AnswersBroken;
   Counter &CallersGone;
@@ -85,6 +88,9 @@
   Gauge &ServiceReachable;
   Gauge &ServiceWatched;
   Gauge &ServiceEra;
+  Gauge &MemoryLimit;
+  Gauge &ResidentBytes;
+  std::array<Gauge *, admission::MemoryCauseCount> MemoryHeld;
   Distribution &FirstByteTime;
   Distribution &RequestTime;
 };
@@ -160,6 +166,7 @@
   balancing::RequestLimits Limits;
   admission::OrganisationShares Shares;
   admission::ReturnSchedule Returns;
+  std::shared_ptr<admission::RequestMemory> Memory;
   direct::Placement Placer;
   RetryBudgets Retries;
   ServerClock Clock;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -108,10 +108,16 @@
       std::make_shared<HttpClientCall>(Self->Io, Self->Init, Self->Pool, to,
                                        std::move(request), std::move(hooks));
   running->start(timeout, options);
-  return HttpCall([weak = std::weak_ptr(running)] {
-    if (auto self = weak.lock())
-      self->cancel();
-  });
+  std::weak_ptr<HttpClientCall> weak = running;
+  return HttpCall(
+      [weak] {
+        if (auto self = weak.lock())
+          self->cancel();
+      },
+      [weak] {
+        auto self = weak.lock();
+        return self ? self->pause() : HttpCall::Resume();
+      });
 }
 
 HttpCall
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -49,15 +49,24 @@
 class HttpCall {
 public:
   HttpCall() = default;
-  explicit HttpCall(std::function<void()> cancel) : Stop(std::move(cancel)) {}
+  /// A function that continues a paused call.
+  using Resume = std::function<void()>;
+  explicit HttpCall(std::function<void()> cancel,
+                    std::function<Resume()> pause = {})
+      : Stop(std::move(cancel)), Pause(std::move(pause)) {}
   /// Cancels the call; Done is called with Cancelled unless the call has ended.
   void cancel() const {
     if (Stop)
       Stop();
   }
+  /// Stops reading the response until the result is called: at most one more
+  /// Data follows. The call may end meanwhile, for example by its timeout. It
+  /// lives as long as the result, which may be empty.
+  Resume pause() const { return Pause ? Pause() : Resume(); }
 
 private:
   std::function<void()> Stop;
+  std::function<Resume()> Pause;
 };
 
 /// How long a call may take.
@@ -116,6 +125,9 @@
   /// request may have run: the response to the retry does not show whether the
   /// first attempt ran.
   bool RetriesSafeMethods = true;
+  /// Size of the sockets' receive buffers, which hold what servers send before
+  /// it is read; 0: the system decides.
+  size_t ReceiveBufferBytes = 0;
 };
 
 /// Thread-safe.
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -18,9 +18,15 @@
 
 constexpr unsigned HttpVersion11 = 11;
 
-http::request<http::string_body> toMessage(const Endpoint &to,
-                                           HttpRequest request) {
-  http::request<http::string_body> out;
+std::shared_ptr<const std::string> bodyOf(HttpRequest &request) {
+  return request.SharedBody ? std::move(request.SharedBody) : takeBody(request);
+}
+
+/// The message refers to the body and doesn't copy it.
+http::request<http::span_body<const char>> toMessage(const Endpoint &to,
+                                                     const HttpRequest &request,
+                                                     const std::string &body) {
+  http::request<http::span_body<const char>> out;
   out.version(HttpVersion11);
   out.method_string(request.Method);
   std::string target = request.Path.empty() ? "/" : request.Path;
@@ -31,7 +37,7 @@
     out.insert(header.Name, header.Value);
   if (out.count(http::field::host) == 0)
     out.set(http::field::host, toString(to));
-  out.body() = std::move(request.Body);
+  out.body() = boost::beast::span<const char>(body.data(), body.size());
   bool mayHaveBody =
       out.method() != http::verb::get && out.method() != http::verb::head;
   if (mayHaveBody || !out.body().empty())
@@ -69,8 +75,9 @@
                                Endpoint to, HttpRequest request,
                                HttpHooks hooks)
     : Io(io), Init(init), Pool(std::move(pool)), To(std::move(to)),
-      Message(toMessage(To, std::move(request))), Hooks(std::move(hooks)),
-      CallStrand(asio::make_strand(io)), Timer(CallStrand) {}
+      Body(bodyOf(request)), Message(toMessage(To, request, *Body)),
+      Hooks(std::move(hooks)), CallStrand(asio::make_strand(io)),
+      Timer(CallStrand) {}
 
 void HttpClientCall::start(HttpTimeout timeout, HttpCallOptions options) {
   Options = options;
@@ -107,6 +114,15 @@
   if (!toTcp(To, address))
     return fail(asio::error::invalid_argument, "address");
   armTimer(Init.ConnectTimeout);
+  if (Init.ReceiveBufferBytes > 0) {
+    // Before the connection is made, which fixes the scale of the window.
+    ErrorCode ignored;
+    Connection->Socket.open(address.protocol(), ignored);
+    Connection->Socket.set_option(
+        asio::socket_base::receive_buffer_size(
+            static_cast<int>(Init.ReceiveBufferBytes)),
+        ignored);
+  }
   Connection->Socket.async_connect(
       address, asio::bind_executor(CallStrand,
                                    [self = shared_from_this()](ErrorCode ec) {
@@ -155,6 +171,7 @@
       return;
     return fail(ec, "send");
   }
+  dropSentBody();
   // Read even after a failed write: a server may respond before it has read the
   // whole request and then close the connection.
   if (!IsReading)
@@ -195,6 +212,7 @@
   }
   if (!isFramingValid(Response->get()))
     return failProtocol("a response of ambiguous length");
+  dropSentBody();
   std::vector<HttpHeader> headers = headersOf(Response->get().base());
   bool isFirst = !Reused && SkippedBytes == 0;
   IgnoresResponse =
@@ -243,11 +261,40 @@
   if (Response->is_done())
     return onResponseComplete();
   extendDeadline(n);
+  if (IsPaused) {
+    WaitsForResume = true;
+    // Grows again as it is filled.
+    ReadBuffer = std::vector<char>(InitialReadBytes);
+    return;
+  }
   if (n == ReadBuffer.size() && n < MaxReadBytes)
     ReadBuffer.resize(2 * n);
   readBody();
 }
 
+HttpCall::Resume HttpClientCall::pause() {
+  IsPaused = true;
+  return [self = shared_from_this()] { self->resume(); };
+}
+
+void HttpClientCall::resume() {
+  IsPaused = false;
+  // A read that is left out by now is made up for on the strand.
+  asio::post(CallStrand, [self = shared_from_this()] {
+    if (!self->Finished && !self->IsPaused &&
+        std::exchange(self->WaitsForResume, false))
+      self->readBody();
+  });
+}
+
+void HttpClientCall::dropSentBody() {
+  // Without any byte of a response, the request may be sent once more.
+  if (!IsSent || !AnyReceived)
+    return;
+  Message.body() = {};
+  Body.reset();
+}
+
 bool HttpClientCall::retryOnNewConnection() {
   if (!Reused || AnyReceived)
     return false;
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -8,7 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/span_body.hpp>
 
 #include <array>
 #include <atomic>
@@ -87,9 +87,11 @@
                  HttpRequest request, HttpHooks hooks);
   void start(HttpTimeout timeout, HttpCallOptions options);
   void cancel();
+  /// See HttpCall::pause(). May be called from any thread.
+  HttpCall::Resume pause();
 
 private:
-  using Request = http::request<http::string_body>;
+  using Request = http::request<http::span_body<const char>>;
   using Parser = http::response_parser<http::buffer_body>;
   /// The read buffer for the body starts small, since the chunk of one
   /// generated token is small, and doubles each time that a read fills it.
@@ -108,6 +110,9 @@
   void onHead(ErrorCode ec, size_t n);
   void readBody();
   void onBody(ErrorCode ec);
+  void resume();
+  /// Drops the request's body if it will not be sent (again).
+  void dropSentBody();
   /// Ends the call after a complete response, or reads the next response if
   /// this one belongs to another request.
   void onResponseComplete();
@@ -133,6 +138,8 @@
   const HttpClientInit Init;
   std::shared_ptr<HttpConnectionPool> Pool;
   Endpoint To;
+  /// Bytes that the body of Message refers to.
+  std::shared_ptr<const std::string> Body;
   Request Message;
   HttpHooks Hooks;
   /// Runs begin(), cancel(), the timer and all I/O handlers.
@@ -149,6 +156,8 @@
   bool AnyReceived = false;
   bool IsSent = false; ///< The whole request was written to the socket.
   bool IsReading = false;
+  std::atomic<bool> IsPaused{false};
+  bool WaitsForResume = false; ///< The next read was left out in a pause.
   /// The current response is for another request.
   bool IgnoresResponse = false;
   HttpCallOptions Options;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace daisytack::net {
@@ -18,6 +19,10 @@
 constexpr size_t MaxRetainedBufferBytes = 4096;
 constexpr std::string_view HeaderEnd = "\r\n\r\n";
 constexpr size_t HeaderReadBytes = 4096; ///< Per read.
+/// A read may be shorter than this rather than have the buffer grow.
+constexpr size_t MinReadBytes = 512;
+/// Per read of a body that is longer.
+constexpr size_t BodyReadBytes = 16U << 10;
 /// Input that is read before the response to the earlier request has ended.
 constexpr size_t MaxReadAheadBytes = 16U << 10;
 
@@ -41,6 +46,9 @@
   void endStream() override { Connection->endStream(Serial); }
   void abort() override { Connection->abort(Serial); }
   size_t pendingBytes() const override { return Connection->pendingBytes(); }
+  void onDrained(size_t mark, std::function<void()> hook) override {
+    Connection->setDrainedHook(Serial, mark, std::move(hook));
+  }
   void onClosed(std::function<void()> hook) override {
     Connection->setClosedHook(Serial, std::move(hook));
   }
@@ -87,6 +95,8 @@
 }
 
 HttpConnection::~HttpConnection() {
+  subtractPending(PendingBytes);
+  Shared->onBytes(ConnectionBytes::Input, -static_cast<int64_t>(CountedInput));
   std::lock_guard guard(Shared->Lock);
   Shared->Connections.erase(this);
   Shared->OpenConnections.fetch_sub(1);
@@ -151,9 +161,17 @@
   // After an error nothing is read, and the wait ends with the connection.
   ErrorCode ignored;
   Buffer.commit(Socket.read_some(Buffer.prepare(HeaderReadBytes), ignored));
+  countInput();
   waitReadable();
 }
 
+void HttpConnection::countInput() {
+  size_t now = Buffer.capacity();
+  size_t before = std::exchange(CountedInput, now);
+  Shared->onBytes(ConnectionBytes::Input,
+                  static_cast<int64_t>(now) - static_cast<int64_t>(before));
+}
+
 void HttpConnection::startRequest() {
   CurrentState = State::Reading;
   ReadingSince = BootClock::now();
@@ -183,19 +201,24 @@
   }
   if (received.size() >= limit)
     return onHeader(http::error::header_limit);
-  Socket.async_read_some(Buffer.prepare(HeaderReadBytes),
-                         [self = shared_from_this()](ErrorCode ec, size_t n) {
-                           self->Buffer.commit(n);
-                           if (self->CurrentState != State::Reading)
-                             return;
-                           if (!ec && !self->TimedOut)
-                             return self->parseHeader();
-                           bool atStart = self->Buffer.size() == 0;
-                           if (ec == asio::error::eof)
-                             ec = atStart ? http::error::end_of_stream
-                                          : http::error::partial_message;
-                           self->onHeader(ec);
-                         });
+  // The buffer doubles when it grows: for a head just below the limit, it would
+  // take twice the limit.
+  size_t room = Buffer.capacity() - Buffer.size();
+  auto space = Buffer.prepare(
+      room < MinReadBytes ? HeaderReadBytes : std::min(room, HeaderReadBytes));
+  countInput();
+  Socket.async_read_some(space, [self = shared_from_this()](ErrorCode ec,
+                                                            size_t n) {
+    self->Buffer.commit(n);
+    if (self->CurrentState != State::Reading)
+      return;
+    if (!ec && !self->TimedOut)
+      return self->parseHeader();
+    bool atStart = self->Buffer.size() == 0;
+    if (ec == asio::error::eof)
+      ec = atStart ? http::error::end_of_stream : http::error::partial_message;
+    self->onHeader(ec);
+  });
 }
 
 void HttpConnection::onHeader(ErrorCode ec) {
@@ -207,6 +230,8 @@
     return rejectInput(ec);
   if (!isFramingValid(Input->get()))
     return rejectInput(http::error::bad_transfer_encoding);
+  if (!Input->is_done() && Shared->Init.ReserveBody && !reserveBody())
+    return;
   setDeadline(Shared->limits()->BodyTimeout);
   std::string_view expect = Input->get()[http::field::expect];
   if (!Input->is_done() && boost::beast::iequals(expect, "100-continue")) {
@@ -216,11 +241,38 @@
     }
     flush();
   }
+  Input->eager(true);
+  if (Input->content_length().value_or(0) > BodyReadBytes)
+    Buffer.reserve(BodyReadBytes);
   readBody();
 }
 
+bool HttpConnection::reserveBody() {
+  std::optional<uint64_t> length;
+  if (Input->content_length())
+    length = *Input->content_length();
+  // The headers are copied, the body is empty yet.
+  Incoming = toRequest(std::move(Input->get()));
+  Incoming->Reservation = Shared->Init.ReserveBody(*Incoming, length);
+  if (Incoming->Reservation)
+    return true;
+  refuseBody();
+  return false;
+}
+
+void HttpConnection::refuseBody() {
+  respondToInput(Shared->Init.RefusedBodyResponse(*Incoming));
+}
+
 void HttpConnection::readBody() {
-  http::async_read(
+  if (Input->is_done())
+    return handleRequest();
+  bool isOfKnownLength = Input->content_length().has_value();
+  if (Incoming && !isOfKnownLength &&
+      !Incoming->Reservation->reserve(Input->get().body().size() +
+                                      Buffer.capacity()))
+    return refuseBody();
+  http::async_read_some(
       Socket, Buffer, *Input,
       [self = shared_from_this()](ErrorCode ec, size_t) { self->onBody(ec); });
 }
@@ -230,7 +282,9 @@
     return;
   if (ec || TimedOut)
     return rejectInput(ec);
-  handleRequest();
+  if (Incoming)
+    Incoming->Reservation->onReceived(Input->get().body().size());
+  readBody();
 }
 
 void HttpConnection::rejectInput(ErrorCode ec) {
@@ -239,7 +293,11 @@
       http::make_error_code(http::error::end_of_stream).category();
   if (!isParserError && !TimedOut)
     return close();
-  Error error = inputError(ec, TimedOut);
+  respondToInput(
+      problemResponse(inputError(ec, TimedOut), Outcome::NotRun, RequestId{}));
+}
+
+void HttpConnection::respondToInput(HttpResponse response) {
   uint64_t serial = 0;
   {
     std::lock_guard guard(Lock);
@@ -247,8 +305,11 @@
     Ended = HeadSent = KeepAlive = IsHead = false;
   }
   CurrentState = State::Draining;
+  // Returns the room for the body.
+  Input.reset();
+  Incoming.reset();
   setDeadline(DiscardTimeout);
-  respond(serial, problemResponse(error, Outcome::NotRun, RequestId{}));
+  respond(serial, std::move(response));
 }
 
 void HttpConnection::handleRequest() {
@@ -264,13 +325,21 @@
     IsHead = Input->get().method() == http::verb::head;
     IsHttp10 = Input->get().version() < 11;
   }
-  HttpRequest request = toRequest(Input->release());
+  HttpRequest request;
+  if (Incoming) {
+    request = std::move(*Incoming);
+    request.Body = std::move(Input->get().body());
+    Incoming.reset();
+  } else {
+    request = toRequest(Input->release());
+  }
   request.ConnectionRequestNumber = ++HandledRequests;
   request.ReadTime =
       std::chrono::duration_cast<Duration>(BootClock::now() - ReadingSince);
   Input.reset();
   if (Buffer.size() == 0 && Buffer.capacity() > MaxRetainedBufferBytes)
     Buffer = {};
+  countInput();
   Pipelined = Buffer.size() > 0;
   waitReadable();
   auto exchange = std::make_shared<Exchange>(shared_from_this(), serial);
@@ -304,9 +373,10 @@
   Buffer.clear();
   if (maxBytes == 0)
     return close();
+  auto space = Buffer.prepare(BodyReadBytes);
+  countInput();
   Socket.async_read_some(
-      Buffer.prepare(MaxRetainedBufferBytes),
-      [self = shared_from_this(), maxBytes](ErrorCode ec, size_t n) {
+      space, [self = shared_from_this(), maxBytes](ErrorCode ec, size_t n) {
         if (ec || self->CurrentState == State::Closed)
           return self->close();
         self->discardInput(maxBytes - std::min(maxBytes, n));
@@ -351,14 +421,18 @@
   if (before == State::Responding)
     Shared->UnsentResponses.fetch_sub(1);
   std::function<void()> hook;
+  std::function<void()> drained;
   {
     std::lock_guard guard(Lock);
     IsClosed = true;
     if (!Ended)
       hook = std::move(ClosedHook);
     ClosedHook = nullptr;
+    // May hold what the closed hook refers to.
+    drained = std::move(DrainedHook);
+    DrainedHook = nullptr;
     Queued.clear();
-    PendingBytes = 0;
+    subtractPending(PendingBytes);
   }
   ErrorCode ignored;
   Socket.close(ignored);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -33,6 +34,10 @@
   /// Refuses requests that are received completely only after the time. The
   /// earliest time set takes effect.
   void refuseAfter(BootClock::time_point time);
+  void onBytes(ConnectionBytes kind, int64_t change) const {
+    if (change != 0 && Init.OnConnectionBytes)
+      Init.OnConnectionBytes(kind, change);
+  }
   /// Response to a request that was received completely only after
   /// HandleDeadline.
   HttpResponse lateRequestResponse(const HttpRequest &request) const;
@@ -87,6 +92,7 @@
   /// exchange without ending the response.
   void abandon(uint64_t serial);
   void setClosedHook(uint64_t serial, std::function<void()> hook);
+  void setDrainedHook(uint64_t serial, size_t mark, std::function<void()> hook);
   size_t pendingBytes() const { return PendingBytes.load(); }
 
 private:
@@ -108,9 +114,18 @@
   /// input until then.
   void parseHeader();
   void onHeader(ErrorCode ec);
+  /// Reserves room for the body; refuses the request and returns false if there
+  /// is none.
+  bool reserveBody();
+  void refuseBody();
   void readBody();
   void onBody(ErrorCode ec);
   void rejectInput(ErrorCode ec);
+  /// Responds to a request that was not received completely, and closes the
+  /// connection.
+  void respondToInput(HttpResponse response);
+  /// Reports the size of the input buffer if it has changed.
+  void countInput();
   void handleRequest();
   void nextRequest();
   void discardInput(size_t maxBytes);
@@ -121,6 +136,7 @@
     return Shared->Stopping || Shared->ClosesAfterResponse;
   }
   void queueLocked(std::string data);
+  void subtractPending(size_t bytes);
   void scheduleFlush();
   void flush();
   /// Sets whether closing the socket resets the connection. The kernel closes
@@ -144,7 +160,11 @@
   StrandTimer Timer;
   std::shared_ptr<HttpServerShared> Shared;
   boost::beast::flat_buffer Buffer;
+  size_t CountedInput = 0; ///< Size of Buffer as it was reported.
   std::unique_ptr<Parser> Input;
+  /// Head of the request whose body is being read, with the reservation for it;
+  /// nullopt if the server reserves no room.
+  std::optional<HttpRequest> Incoming;
   BootClock::time_point IdleSince;
   uint32_t HandledRequests = 0; ///< Requests received so far.
   BootClock::time_point ReadingSince;
@@ -164,6 +184,8 @@
   std::mutex Lock;                     ///< Guards the members below.
   std::vector<std::string> Queued;
   std::function<void()> ClosedHook;
+  std::function<void()> DrainedHook;
+  size_t DrainedMark = 0; ///< See HttpExchange::onDrained().
   uint64_t Serial = 0;
   bool Ended = true;    ///< The response was queued completely or aborted.
   bool Aborted = false; ///< Close after the queued data was sent.
--- a/src/net/http_connection_output.cpp
+++ b/src/net/http_connection_output.cpp
@@ -40,9 +40,15 @@
 
 void HttpConnection::queueLocked(std::string data) {
   PendingBytes += data.size();
+  Shared->onBytes(ConnectionBytes::Output, static_cast<int64_t>(data.size()));
   Queued.push_back(std::move(data));
 }
 
+void HttpConnection::subtractPending(size_t bytes) {
+  PendingBytes -= bytes;
+  Shared->onBytes(ConnectionBytes::Output, -static_cast<int64_t>(bytes));
+}
+
 std::string HttpConnection::encodeHead(unsigned status,
                                        const std::vector<HttpHeader> &headers,
                                        bool streamed, size_t length) {
@@ -155,6 +161,24 @@
     ClosedHook = std::move(hook);
 }
 
+void HttpConnection::setDrainedHook(uint64_t serial, size_t mark,
+                                    std::function<void()> hook) {
+  // Destroyed after the lock is released.
+  std::function<void()> earlier;
+  {
+    std::lock_guard guard(Lock);
+    if (!isOpenLocked(serial))
+      return;
+    earlier = std::exchange(DrainedHook, nullptr);
+    DrainedMark = mark;
+    if (PendingBytes > mark) {
+      DrainedHook = std::move(hook);
+      return;
+    }
+  }
+  hook();
+}
+
 void HttpConnection::scheduleFlush() {
   if (Shared->Closed)
     return; // The I/O context may be destroyed together with the server.
@@ -170,14 +194,17 @@
   bool resets = false;
   // Destroyed after the lock is released.
   std::function<void()> finishedHook;
+  std::function<void()> drainedHook;
   {
     std::lock_guard guard(Lock);
     Sending.swap(Queued);
     ended = Ended;
     aborted = Aborted;
     resets = IsCloseDelimited && (!ended || aborted);
-    if (ended)
+    if (ended) {
       finishedHook = std::exchange(ClosedHook, nullptr);
+      drainedHook = std::exchange(DrainedHook, nullptr);
+    }
   }
   setResetOnClose(resets);
   if (Sending.empty()) {
@@ -222,7 +249,15 @@
     return sendSome(); // onDeadline() cancels to end the pending read only.
   if (ec)
     return close();
-  PendingBytes -= n;
+  subtractPending(n);
+  std::function<void()> drained;
+  {
+    std::lock_guard guard(Lock);
+    if (DrainedHook && PendingBytes <= DrainedMark)
+      drained = std::exchange(DrainedHook, nullptr);
+  }
+  if (drained)
+    drained();
   for (SendOffset += n;
        SendIndex < Sending.size() && SendOffset >= Sending[SendIndex].size();
        ++SendIndex)
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace daisytack::net {
 
@@ -22,4 +23,14 @@
   return {};
 }
 
+std::shared_ptr<const std::string> takeBody(HttpRequest &request) {
+  struct Held {
+    std::string Body;
+    std::shared_ptr<BodyReservation> Reservation;
+  };
+  auto held = std::make_shared<Held>(
+      Held{std::move(request.Body), std::move(request.Reservation)});
+  return {held, &held->Body};
+}
+
 } // namespace daisytack::net
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -38,6 +38,12 @@
     Acceptor.open(address.protocol(), ec);
   if (!ec)
     Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  // Accepted sockets inherit the size. Set before listen(), which fixes the
+  // scale of the window.
+  if (!ec && Shared->Init.ReceiveBufferBytes > 0)
+    Acceptor.set_option(asio::socket_base::receive_buffer_size(
+                            static_cast<int>(Shared->Init.ReceiveBufferBytes)),
+                        ec);
   if (!ec)
     Acceptor.bind(address, ec);
   if (!ec)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,8 +7,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +28,20 @@
 /// of it may close the connection in the same way.
 bool isCloseDelimited(const std::vector<HttpHeader> &headers);
 
+/// Room for the body of one request. Its destructor returns the room.
+class BodyReservation {
+public:
+  BodyReservation() = default;
+  virtual ~BodyReservation() = default;
+  BodyReservation(const BodyReservation &) = delete;
+  BodyReservation &operator=(const BodyReservation &) = delete;
+  /// Makes sure that the room is at least this number of bytes, for a body of
+  /// unknown length; false if there is no more room.
+  virtual bool reserve(size_t bytes) = 0;
+  /// The body has grown to this number of bytes.
+  virtual void onReceived(size_t bytes) = 0;
+};
+
 struct HttpRequest {
   std::string Method;
   std::string Path;  ///< Without the query.
@@ -39,12 +55,21 @@
   /// request.
   uint32_t ConnectionRequestNumber = 0;
   Duration ReadTime{0}; ///< From the first byte to the end of the request.
+  /// Body of an outgoing request, which calls can share. Replaces Body unless
+  /// it is null.
+  std::shared_ptr<const std::string> SharedBody = {};
+  /// Room for the body of a received request; null if the server reserves none.
+  std::shared_ptr<BodyReservation> Reservation = {};
 
   /// Value of the first header with the name, compared case-insensitively;
   /// empty if there is none.
   std::string_view header(std::string_view name) const;
 };
 
+/// Moves the body and its reservation out of a received request. The room is
+/// returned together with the body. Never null.
+std::shared_ptr<const std::string> takeBody(HttpRequest &request);
+
 struct HttpResponse {
   unsigned Status = 200;
   std::vector<HttpHeader> Headers;
@@ -70,6 +95,10 @@
   virtual void abort() = 0;
   /// Bytes of the response queued and not yet written to the socket.
   virtual size_t pendingBytes() const = 0;
+  /// Sets a hook that is called once, on an I/O thread, when pendingBytes() is
+  /// `mark` or less; at once if it is already. Replaces an earlier hook. The
+  /// hook is dropped when the response has ended or the connection is closed.
+  virtual void onDrained(size_t mark, std::function<void()> hook) = 0;
   /// Sets a hook that is called at most once, if the caller disconnects before
   /// the response has ended. A caller that closes only its sending side is
   /// treated as disconnected, because TCP can't distinguish the two. Must be
@@ -92,6 +121,10 @@
   auto operator<=>(const HttpLimits &) const = default;
 };
 
+/// What connections hold apart from bodies: input that was read and not yet
+/// parsed, with its buffer, and output that was not yet written to the socket.
+enum class ConnectionBytes : uint8_t { Input, Output };
+
 struct HttpServerInit {
   Endpoint Listen;
   size_t MaxHeaderBytes = MaxHttpHeaderBytes;
@@ -110,6 +143,23 @@
   /// that time, or after that of refuseAfter(). If empty, the response is a
   /// problem document of kind draining with its remedy.
   std::function<HttpResponse(const HttpRequest &)> LateRequestResponse = {};
+  /// Reserves room for a body of this length, or of one that is not known yet
+  /// (nullopt), after the head was received and before the body is read. The
+  /// request has its head only. If the hook returns null, the body is not read,
+  /// and the request is refused. If empty, bodies need no reservation.
+  std::function<std::shared_ptr<BodyReservation>(
+      const HttpRequest &head, std::optional<uint64_t> length)>
+      ReserveBody = {};
+  /// Creates the response to a request whose body got no room. Required if
+  /// ReserveBody is set.
+  std::function<HttpResponse(const HttpRequest &head)> RefusedBodyResponse = {};
+  /// Called from any thread when the number of bytes that connections hold
+  /// changes. May be called after the server was destroyed.
+  std::function<void(ConnectionBytes kind, int64_t change)> OnConnectionBytes =
+      {};
+  /// Size of the sockets' receive buffers, which hold what callers send before
+  /// it is read; 0: the system decides.
+  size_t ReceiveBufferBytes = 0;
 };
 
 class HttpServer {
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
@@ -36,6 +37,10 @@
 /// that its last bytes are sent and its exit code is its own.
 constexpr Duration KillMargin{200'000};
 
+/// Size of blocks from which on each is mapped by itself; the initial value of
+/// the threshold in glibc.
+constexpr int LargeBlockBytes = 128 << 10;
+
 /// Settings section [process].
 struct ProcessSettings {
   unsigned Threads = 1;
@@ -282,6 +287,8 @@
          "            4 drain timeout, 5 SIGINT while draining\n";
 }
 
+void mapLargeBlocks() { ::mallopt(M_MMAP_THRESHOLD, LargeBlockBytes); }
+
 void endProcess(int code) {
   std::cout.flush();
   std::cerr.flush();
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -57,6 +57,12 @@
 /// Settings: [process] threads, log_level, drain_timeout and kill_after.
 int runProcess(int argc, char **argv, const ProcessInit &init);
 
+/// Makes large blocks return their memory to the system as soon as they are
+/// freed. Otherwise the allocator raises its threshold with the first of them,
+/// and takes later ones from the heap, where small blocks behind them keep
+/// their memory resident. Call it first in main().
+void mapLargeBlocks();
+
 /// Ends the process with the result of runProcess(), after the daemon has been
 /// freed and all log lines have been written. Destructors of static objects and
 /// atexit handlers do not run, because those of a library may wait for threads
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -119,7 +119,7 @@
   if (!head)
     return;
   for (const net::HttpHeader &it :
-       platform::writeAttempt(*head, {}, "").Headers)
+       platform::writeAttempt(*head, {}, nullptr).Headers)
     require(it.Name != "X-Api-Key");
 }
 
--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -36,6 +36,10 @@
   return out;
 }
 
+std::shared_ptr<const std::string> sharedBody() {
+  return std::make_shared<const std::string>("body");
+}
+
 direct::CallerHead readSample(const net::HttpRequest &request) {
   Error reason;
   auto out = readCallerHead(request, reason);
@@ -93,7 +97,7 @@
     net::HttpRequest request = sample();
     request.Headers.push_back({name, "forged"});
     net::HttpRequest out =
-        writeAttempt(readSample(request), orderSample(), "body");
+        writeAttempt(readSample(request), orderSample(), sharedBody());
     for (const HttpHeader &it : out.Headers)
       EXPECT_NE(it.Value, "forged") << name;
   }
@@ -104,7 +108,7 @@
   request.Headers.push_back({"X-Daisytack-Tenant", "other"});
   request.Headers.push_back({"X-Daisytack-Expected-Instance", "i-9"});
   net::HttpRequest out =
-      writeAttempt(readSample(request), orderSample(), "body");
+      writeAttempt(readSample(request), orderSample(), sharedBody());
   EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Tenant"), "org");
   EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Expected-Instance"), "i-1");
   EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Deadline-Milliseconds"), "1234");
@@ -114,7 +118,9 @@
   net::HttpRequest out =
       writeAttempt(readSample(sample()), orderSample(), "body");
   EXPECT_EQ(out.Target, "/a/b?c=1");
-  EXPECT_EQ(out.Body, "body");
+  ASSERT_TRUE(out.SharedBody);
+  EXPECT_EQ(*out.SharedBody, "body");
+  EXPECT_EQ(out.Body, "");
   for (const char *name :
        {"Host", "X-Daisytack-Request-Id", "X-Daisytack-Model",
         "X-Daisytack-Token-Counts", "X-Daisytack-Prompt-Prefix", "X-Other"})
@@ -128,7 +134,7 @@
   request.Headers.push_back({"Transfer-Encoding", "chunked"});
   request.Headers.push_back({"Expect", "100-continue"});
   net::HttpRequest out =
-      writeAttempt(readSample(request), orderSample(), "body");
+      writeAttempt(readSample(request), orderSample(), sharedBody());
   for (const char *name :
        {"Connection", "X-Hop", "Transfer-Encoding", "Expect"})
     EXPECT_EQ(valueOf(out.Headers, name), "") << name;
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -11,6 +11,7 @@
 using namespace daisytack;
 
 int main(int argc, char **argv) {
+  runtime::mapLargeBlocks();
   entry::EntryOptions options;
   std::optional<gateway::GatewayOptions> gatewayOptions;
   std::unique_ptr<entry::EntryDaemon> daemon;
