--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -17,6 +17,8 @@
 
 constexpr Duration TickInterval{100'000};
 constexpr Duration HolderWriteTimeout{1'200'000};
+/// A shortage of memory ends this time after the last refusal for it.
+constexpr Duration MemoryShortageTime{1'000'000};
 /// How long the load of an unused server is remembered.
 constexpr Duration LoadRetention{60'000'000};
 /// How long a server's request limit is remembered unless it is reported again.
@@ -50,7 +52,7 @@
 
 Gateway::Gateway(boost::asio::io_context &io, GatewayOptions options,
                  direct::Protocol protocol, const KvStoreFactory &makeStore,
-                 MemoryReport::UsageReader readUsage)
+                 UsageReader readUsage)
     : Options(std::move(options)),
       Log(Options.Log, Options.Name, standardOutputSink(), Counters),
       State(io, Options, std::move(protocol), Counters, Log),
@@ -109,9 +111,10 @@
                       answerMetrics(*to);
                     }),
       Memory(
-          Options.MemoryBytes, std::move(readUsage),
-          [this] { return countMemoryHolders(); }, Counters, Log),
-      Ticker(ControlStrand), DrainTimer(ControlStrand) {
+          Options.MemoryBytes, [this] { return countMemoryHolders(); },
+          Counters, Log),
+      ReadUsage(std::move(readUsage)), Ticker(ControlStrand),
+      DrainTimer(ControlStrand) {
   State.OriginExchange = std::make_shared<StreamOriginExchange>(
       State, ControlStrand,
       [this](const Endpoint &to, const direct::PeerMessage &message) {
@@ -459,6 +462,38 @@
           {"parts", State.StoredParts.partsKnown()}};
 }
 
+void Gateway::updateMemory(TimePoint now) {
+  ProcessUsage usage = ReadUsage();
+  Memory.onUsage(usage, now);
+  State.Memory->onResident(usage.ResidentBytes);
+  admission::RequestMemoryView view = State.Memory->view();
+  State.Stats.MemoryLimit.set(static_cast<int64_t>(view.Limit));
+  for (size_t i = 0; i < view.Held.size(); ++i)
+    State.Stats.MemoryHeld[i]->set(static_cast<int64_t>(view.Held[i]));
+  bool hasRefused =
+      std::exchange(MemoryRefusals, view.Refusals) != view.Refusals;
+  bool hasBegun = hasRefused && !MemoryShortAt;
+  if (hasRefused)
+    MemoryShortAt = now;
+  bool hasEnded = MemoryShortAt && now >= *MemoryShortAt + MemoryShortageTime;
+  if (hasEnded)
+    MemoryShortAt.reset();
+  if (!hasBegun && !hasEnded)
+    return;
+  DecisionLog::Fields fields{{"resident_bytes", usage.ResidentBytes},
+                             {"limit_bytes", view.Limit},
+                             {"reserved_bytes", view.Reserved},
+                             {"refusals", view.Refusals}};
+  for (size_t i = 0; i < view.Held.size(); ++i) {
+    auto cause = static_cast<admission::MemoryCause>(i);
+    fields[std::string(admission::memoryCauseName(cause)) + "_bytes"] =
+        view.Held[i];
+  }
+  Log.write(LogPriority::Notable,
+            hasBegun ? "memory_shortage_began" : "memory_shortage_ended",
+            std::move(fields), now);
+}
+
 void Gateway::tick() {
   TimePoint now = monotonicNow();
   LastTickAt = now;
@@ -469,6 +504,7 @@
   State.Shares.forgetIdle(now - LoadRetention);
   State.Returns.onTimer(now);
   logShortages(now);
+  updateMemory(now);
   enforceQuarantine(State, State.Suspects.onTimer(now), now);
   PeerLoads->onTimer(now);
   Probes->onTimer(now);
@@ -488,7 +524,6 @@
     Contexts->freeUnused(now);
     Contexts->recordSettledEpochs(now);
   }
-  Memory.onTimer(now);
   Log.flush(now);
   Ticker.expires_after(TickInterval);
   Ticker.async_wait([this](auto ec) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,10 +19,12 @@
 #include "gateway/server_probes.h"
 #include "gateway/stream_origin_exchange.h"
 #include "net/timer.h"
+#include "runtime/process_usage.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisytack::gateway {
 
@@ -33,9 +35,12 @@
 
 class Gateway {
 public:
+  /// Returns what the process uses.
+  using UsageReader = std::function<ProcessUsage()>;
+
   Gateway(boost::asio::io_context &io, GatewayOptions options,
           direct::Protocol protocol, const KvStoreFactory &makeStore,
-          MemoryReport::UsageReader readUsage = {});
+          UsageReader readUsage = runtime::processUsage);
   ~Gateway();
 
   bool start(Error &reason);
@@ -88,6 +93,9 @@
   void logShortages(TimePoint now);
   /// Counts what holds memory, for the log.
   DecisionLog::Fields countMemoryHolders() const;
+  /// Sets what requests may hold by the memory that the process takes, and logs
+  /// when requests begin or cease to be refused for it.
+  void updateMemory(TimePoint now);
   void tick();
   /// Lets running requests know when versions of weights or their ages have
   /// changed.
@@ -117,6 +125,10 @@
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
   std::vector<std::string> LoggedShortages;
+  uint64_t MemoryRefusals = 0; ///< Up to the last tick.
+  /// When a body was last refused for memory; nullopt if the end of the
+  /// shortage is logged.
+  std::optional<TimePoint> MemoryShortAt;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
@@ -125,6 +137,7 @@
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
   MemoryReport Memory;
+  const UsageReader ReadUsage;
   net::Timer Ticker;
   net::Timer DrainTimer;
   /// Last time that the process was known to be running.
--- a/src/gateway/memory_report.cpp
+++ b/src/gateway/memory_report.cpp
@@ -36,11 +36,10 @@
   return out;
 }
 
-MemoryReport::MemoryReport(uint64_t limitBytes, UsageReader readUsage,
-                           HolderCounts countHolders, Metrics &metrics,
-                           DecisionLog &log)
-    : Limit(limitBytes), ReadUsage(std::move(readUsage)),
-      CountHolders(std::move(countHolders)), Log(log), Thresholds(limitBytes),
+MemoryReport::MemoryReport(uint64_t limitBytes, HolderCounts countHolders,
+                           Metrics &metrics, DecisionLog &log)
+    : Limit(limitBytes), CountHolders(std::move(countHolders)), Log(log),
+      Thresholds(limitBytes),
       Resident(metrics.gauge(metric::ProcessMemory,
                              "Resident memory of the whole process")),
       Peak(metrics.gauge(metric::ProcessMemoryPeak,
@@ -52,10 +51,7 @@
       .set(static_cast<int64_t>(limitBytes));
 }
 
-void MemoryReport::onTimer(TimePoint now) {
-  if (!ReadUsage)
-    return;
-  ProcessUsage usage = ReadUsage();
+void MemoryReport::onUsage(const ProcessUsage &usage, TimePoint now) {
   Resident.set(static_cast<int64_t>(usage.ResidentBytes));
   Peak.set(static_cast<int64_t>(usage.PeakResidentBytes));
   auto change = Thresholds.onUsage(usage.ResidentBytes);
--- a/src/gateway/memory_report.h
+++ b/src/gateway/memory_report.h
@@ -39,19 +39,16 @@
 
 class MemoryReport {
 public:
-  using UsageReader = std::function<ProcessUsage()>;
   /// Returns log fields that count what holds memory.
   using HolderCounts = std::function<DecisionLog::Fields()>;
 
-  /// Without a reader it reports nothing.
-  MemoryReport(uint64_t limitBytes, UsageReader readUsage,
-               HolderCounts countHolders, Metrics &metrics, DecisionLog &log);
+  MemoryReport(uint64_t limitBytes, HolderCounts countHolders, Metrics &metrics,
+               DecisionLog &log);
   /// Call several times per second.
-  void onTimer(TimePoint now);
+  void onUsage(const ProcessUsage &usage, TimePoint now);
 
 private:
   uint64_t Limit;
-  UsageReader ReadUsage;
   HolderCounts CountHolders;
   DecisionLog &Log;
   MemoryThresholds Thresholds;
--- a/tests/gateway/memory_report_test.cpp
+++ b/tests/gateway/memory_report_test.cpp
@@ -47,7 +47,7 @@
       },
       metrics);
   MemoryReport report(
-      Limit, [&] { return usage; },
+      Limit,
       [] {
         return DecisionLog::Fields{{"connections", 7}};
       },
@@ -56,7 +56,7 @@
     usage.ResidentBytes = percent * Percent;
     usage.PeakResidentBytes =
         std::max(usage.PeakResidentBytes, usage.ResidentBytes);
-    report.onTimer(TimePoint{});
+    report.onUsage(usage, TimePoint{});
   }
   log.flush(TimePoint{});
   auto count = [&](const std::string &text) {
