Infer the version of an unknown stream only from state as recent as its resumption

Callers whose stream had begun on a server of a new software version got events of the old version in the same answer. During a release one entry was out of step for a moment while servers of the new version joined; a stream that began there through another entry broke and was resumed at that entry: `stream_resumed`, source `only_version`.

Cause: the lookup asked whether the history of seen versions is long enough, not how recent its end is. State that the key-value service confirmed less than 2.5 s ago counted as complete, and the silence of all owners did not count against it. A server that came and left between two updates was in no catalog and did not count at all.

Change: the conclusion needs a witness that has learned of all servers for StreamMaxAge and whose state includes everything that the service held when the resumption arrived. The entry reads the revision of the service and, if it lacks changes, these as well. Lookups share one such call per 100 ms; there is none if an owner knows the stream or several versions were seen. An entry without the history, or without an answer of the service, asks the owners that have it, which confirm their state in the same way (ServerVersionsRequest and its response, at the end of the list of messages, so that earlier entries drop them). Without an answer in time the caller is refused.

--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -135,13 +135,12 @@
   template <class Archive> void serialize(Archive &) {}
 };
 
-using PeerMessage =
-    std::variant<RecordsRequest, RecordsResponse, ServersLoading, ServerLoaded,
-                 EntryLoads, ContextRetired, Acknowledgement, CrashReports,
-                 RequestLimitUpdate, RolloutAges, StreamsBegan,
-                 StreamOriginRequest, StreamOriginResponse,
-                 admission::OrganisationUse, admission::ReturnTickets,
-                 balancing::QuotaLoanRequest, balancing::QuotaLoan,
-                 RecordPartRequest, RecordPart>;
+using PeerMessage = std::variant<
+    RecordsRequest, RecordsResponse, ServersLoading, ServerLoaded, EntryLoads,
+    ContextRetired, Acknowledgement, CrashReports, RequestLimitUpdate,
+    RolloutAges, StreamsBegan, StreamOriginRequest, StreamOriginResponse,
+    admission::OrganisationUse, admission::ReturnTickets,
+    balancing::QuotaLoanRequest, balancing::QuotaLoan, RecordPartRequest,
+    RecordPart, ServerVersionsRequest, ServerVersionsResponse>;
 
 } // namespace daisytack::direct
--- a/src/direct/software_versions.cpp
+++ b/src/direct/software_versions.cpp
@@ -25,6 +25,17 @@
   std::erase_if(Seen, [](const auto &it) { return it.second.empty(); });
 }
 
+void SoftwareVersions::onShortLived(const BackendServer &server,
+                                    TimePoint now) {
+  std::lock_guard guard(Lock);
+  Seen[server.Service][server.SoftwareVersion] = now;
+}
+
+void SoftwareVersions::onMissedChanges() {
+  std::lock_guard guard(Lock);
+  ConfirmedSince.reset();
+}
+
 bool SoftwareVersions::isInterruptedLocked(TimePoint now) const {
   return now > UpdatedAt + Settings.MaxUpdateInterval;
 }
--- a/src/direct/software_versions.h
+++ b/src/direct/software_versions.h
@@ -35,8 +35,8 @@
   /// Including versions whose last server has left recently; sorted. The first
   /// MaxSeenVersions, which is enough to show that there are several.
   std::vector<std::string> Versions;
-  /// For how long the entry has known of all servers without interruption, in
-  /// microseconds.
+  /// For how long the entry has learned of all servers without interruption, in
+  /// microseconds. Says nothing of how recent its state is.
   int64_t HistoryUs = 0;
   bool operator==(const SeenVersions &) const = default;
   template <class Archive> void serialize(Archive &ar) {
@@ -54,6 +54,10 @@
   /// whether the key-value service has confirmed the catalog recently. Call
   /// whenever the catalog has changed, and several times a second.
   void onCatalog(const Catalog &catalog, bool isConfirmed, TimePoint now);
+  /// Records the version of a server that left before any catalog listed it.
+  void onShortLived(const BackendServer &server, TimePoint now);
+  /// Servers may have come and left unseen: the history begins anew.
+  void onMissedChanges();
   SeenVersions seen(std::string_view service, TimePoint now) const;
 
 private:
--- a/src/direct/stream_origins.h
+++ b/src/direct/stream_origins.h
@@ -60,6 +60,29 @@
   }
 };
 
+/// Asks another entry for the software versions that it has seen, from a state
+/// that includes everything that the key-value service holds when the request
+/// arrives.
+struct ServerVersionsRequest {
+  std::string Service;
+  int64_t AskedAtUs = 0; ///< By the clock of the entry that asks.
+  bool operator==(const ServerVersionsRequest &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Service, AskedAtUs);
+  }
+};
+
+/// Response to ServerVersionsRequest.
+struct ServerVersionsResponse {
+  std::string Service;
+  int64_t AskedAtUs = 0; ///< Of the request.
+  SeenVersions Seen;
+  bool operator==(const ServerVersionsResponse &) const = default;
+  template <class Archive> void serialize(Archive &ar) {
+    ar(Service, AskedAtUs, Seen);
+  }
+};
+
 /// Identifies a stream by the id of the request that began it. A cryptographic
 /// digest, so that no organisation can name another one's stream.
 Id128 streamKey(std::string_view organisation, std::string_view requestId);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -112,6 +112,9 @@
       [this](const Endpoint &to, const direct::PeerMessage &message) {
         PeerLoads->sendTo(to, message);
       },
+      [this](std::function<void()> done) {
+        Follower->confirm(std::move(done));
+      },
       StreamOriginExchangeSettings{});
 }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -170,6 +170,10 @@
           "daisytack_streams_resumption_refused_total",
           "Streams not resumed as the version that began them is unknown or "
           "gone")),
+      ServiceConfirmations(metrics.counter(
+          "daisytack_service_confirmations_total",
+          "Calls to the key-value service to bring the state up to date for "
+          "resumed streams")),
       SharedTokens(metrics.counter("daisytack_shared_tokens_total",
                                    "Prompt tokens in parts that are shared")),
       SourcedTokens(metrics.counter(
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,6 +54,7 @@
   Counter &Ejections;
   Counter &StreamsResumed;
   Counter &StreamsRefused;
+  Counter &ServiceConfirmations;
   Counter &SharedTokens;
   Counter &SourcedTokens;
   Counter &SavesRequested;
--- a/src/gateway/kv_service_follower.cpp
+++ b/src/gateway/kv_service_follower.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
+#include <string_view>
 #include <utility>
 
 namespace daisytack::gateway {
@@ -42,6 +44,7 @@
     self->IsStopped = true;
     ++self->Epoch;
     self->Timer.cancel();
+    self->stopReadingChanges();
     if (self->StopWatch)
       std::exchange(self->StopWatch, nullptr)();
   });
@@ -51,6 +54,7 @@
   if (IsStopped)
     return;
   uint64_t epoch = ++Epoch;
+  ++Snapshots;
   // Reads and watches all keys: the configuration, the servers, the weights and
   // the entries have different prefixes, and a single watch costs fewer calls
   // than one for each prefix.
@@ -98,6 +102,7 @@
   logRestore(result.Header, now);
   onServiceAnswered(now);
   State.Catalog.applyAll(records, result.Header.Revision, now);
+  State.Software.onMissedChanges();
   HasSnapshot = true;
   State.advanceSyncedRevision(result.Header.Revision);
   OnCatalogChanged();
@@ -150,7 +155,7 @@
   TimePoint now = monotonicNow();
   onServiceAnswered(now);
   if (!records.empty()) {
-    State.Catalog.apply(records, now);
+    apply(records, now);
     OnCatalogChanged();
   }
   HistoryLosses = 0;
@@ -259,8 +264,96 @@
 }
 
 void KvServiceFollower::merge(const std::vector<direct::StoreRecord> &records) {
-  State.Catalog.apply(records, monotonicNow());
+  apply(records, monotonicNow());
   OnCatalogChanged();
 }
 
+void KvServiceFollower::apply(const std::vector<direct::StoreRecord> &records,
+                              TimePoint now) {
+  std::map<std::string_view, const direct::StoreRecord *> latest;
+  for (const direct::StoreRecord &record : records) {
+    if (State.WireProtocol.SubjectOf(record.Key).Kind !=
+        direct::RecordKind::Server)
+      continue;
+    auto it = latest.find(record.Key);
+    uint64_t known = State.Catalog.revisionOf(record.Key);
+    bool isListed = State.Catalog.valueAt(record.Key, known) != nullptr;
+    if (it != latest.end() && !it->second->IsDeleted) {
+      Error reason;
+      auto value = State.WireProtocol.DecodeRecord(*it->second, reason);
+      if (const auto *server =
+              value ? std::get_if<direct::BackendServer>(&*value) : nullptr)
+        State.Software.onShortLived(*server, now);
+    } else if (record.IsDeleted && record.Revision > known && !isListed) {
+      State.Software.onMissedChanges();
+    }
+    latest[record.Key] = &record;
+  }
+  State.Catalog.apply(records, now);
+}
+
+void KvServiceFollower::confirm(std::function<void()> done) {
+  if (IsStopped || !HasSnapshot)
+    return;
+  State.Stats.ServiceConfirmations.add();
+  // Any answer names the service's revision; this one is small.
+  std::string key = State.WireProtocol.EntryKey(State.Options.Name);
+  Store.Range({key, edge::prefixEnd(key), 0, 0}, Settings.ConfirmTimeout,
+              [self = shared_from_this(), askedAt = monotonicNow(),
+               done = std::move(done)](const edge::KvRangeResult &result) {
+                boost::asio::dispatch(self->Executor, [self, askedAt, done,
+                                                       header = result.Header] {
+                  self->onRevision(header, askedAt, done);
+                });
+              });
+}
+
+void KvServiceFollower::onRevision(const edge::KvHeader &header,
+                                   TimePoint askedAt,
+                                   const std::function<void()> &done) {
+  bool isUsable = header.Status == edge::KvStatus::Ok && HasSnapshot &&
+                  direct::eraOf(header.Revision) ==
+                      direct::eraOf(State.SyncedRevision.load());
+  if (!isUsable || IsStopped)
+    return;
+  if (header.Revision > State.SyncedRevision.load())
+    return readChanges(done);
+  State.advanceSyncTime(askedAt);
+  done();
+}
+
+void KvServiceFollower::readChanges(std::function<void()> done) {
+  stopReadingChanges();
+  auto stop = std::make_shared<edge::KvCancel>();
+  edge::KvWatchHooks hooks;
+  hooks.Changed = [self = shared_from_this(), stop, snapshots = Snapshots,
+                   askedAt = monotonicNow(), done = std::move(done)](
+                      const edge::KvHeader &header,
+                      std::vector<edge::KvChange> changes) {
+    boost::asio::dispatch(self->Executor,
+                          [self, stop, snapshots, askedAt, done, header,
+                           changes = std::move(changes)] {
+                            // The first answer has all changes, so that no
+                            // second one is needed.
+                            if (!*stop)
+                              return;
+                            std::exchange(*stop, nullptr)();
+                            if (snapshots != self->Snapshots || self->IsStopped)
+                              return;
+                            self->onChanged(header, changes, askedAt);
+                            done();
+                          });
+  };
+  // The entry's lasting watch handles failures, and the next call tries again.
+  hooks.Ended = [](const edge::KvHeader &, uint64_t) {};
+  *stop = Store.Watch("", edge::prefixEnd(""), State.SyncedRevision + 1,
+                      std::move(hooks));
+  StopReadingChanges = std::move(stop);
+}
+
+void KvServiceFollower::stopReadingChanges() {
+  if (StopReadingChanges && *StopReadingChanges)
+    std::exchange(*StopReadingChanges, nullptr)();
+}
+
 } // namespace daisytack::gateway
--- a/src/gateway/kv_service_follower.h
+++ b/src/gateway/kv_service_follower.h
@@ -18,6 +18,8 @@
 
 struct KvServiceFollowerSettings {
   Duration CallTimeout{1'500'000};
+  /// Of a call that only confirms the state, for requests that wait for it.
+  Duration ConfirmTimeout{250'000};
   /// Bounds of the pause between retries while the service does not answer.
   Duration MinRetryPause{150'000};
   Duration MaxRetryPause{600'000};
@@ -46,6 +48,10 @@
   /// on the strand. Pausing the watch has no effect while the service does not
   /// answer.
   void setWatching(bool isWatching);
+  /// Advances State.SyncedAt to the time of this call, or a later one, with
+  /// calls of its own, then calls `done`; doesn't call it on failure. On the
+  /// strand.
+  void confirm(std::function<void()> done);
   bool isReachable() const { return IsReachable; }
 
 private:
@@ -56,6 +62,15 @@
                  const std::vector<edge::KvChange> &changes,
                  TimePoint askedAfter);
   void onEnded(const edge::KvHeader &header, uint64_t compactRevision);
+  void onRevision(const edge::KvHeader &header, TimePoint askedAt,
+                  const std::function<void()> &done);
+  /// Reads the changes that the service has and this entry lacks at once; the
+  /// watch may wait between two calls.
+  void readChanges(std::function<void()> done);
+  void stopReadingChanges();
+  /// Merges the records; State.Software learns of servers among them that no
+  /// catalog lists.
+  void apply(const std::vector<direct::StoreRecord> &records, TimePoint now);
   void logRestore(const edge::KvHeader &header, TimePoint now);
   void onServiceAnswered(TimePoint now);
   void onServiceFailed(const Error &reason);
@@ -70,7 +85,9 @@
   std::function<void()> OnCatalogChanged;
   net::Timer Timer;
   edge::KvCancel StopWatch;
-  uint64_t Epoch = 0; ///< Answers to calls of an earlier epoch are dropped.
+  std::shared_ptr<edge::KvCancel> StopReadingChanges;
+  uint64_t Snapshots = 0; ///< That were requested.
+  uint64_t Epoch = 0;     ///< Answers to calls of an earlier epoch are dropped.
   bool HasSnapshot = false;
   bool IsReachable = false;
   bool HasBeenReachable = false;
--- a/src/gateway/stream_origin_exchange.cpp
+++ b/src/gateway/stream_origin_exchange.cpp
@@ -11,10 +11,11 @@
 namespace daisytack::gateway {
 
 StreamOriginExchange::StreamOriginExchange(
-    GatewayState &state, Strand strand, SendHook send,
+    GatewayState &state, Strand strand, SendHook send, ConfirmHook confirm,
     StreamOriginExchangeSettings settings)
     : State(state), Executor(std::move(strand)), Send(std::move(send)),
-      Settings(settings), TellTimer(Executor), LookupTimer(Executor) {}
+      Confirm(std::move(confirm)), Settings(settings), TellTimer(Executor),
+      LookupTimer(Executor) {}
 
 void StreamOriginExchange::stop() {
   IsStopped = true;
@@ -99,11 +100,20 @@
 
 void StreamOriginExchange::advance() {
   TimePoint now = monotonicNow();
+  TimePoint syncedAt{Duration(State.SyncedAt.load())};
+  bool needsState = answerPending(syncedAt, now);
   std::optional<TimePoint> next;
   for (auto it = Lookups.begin(); it != Lookups.end();) {
+    const std::string &service = it->Steps.request().Service;
     for (const Endpoint &owner : it->Steps.takeDue(now))
       Send(owner, it->Steps.request());
+    if (it->Steps.needsOwnState(now))
+      it->Steps.onState(State.Software.seen(service, now), syncedAt, now);
+    for (const Endpoint &owner : it->Steps.takeStateDue(now))
+      Send(owner, direct::ServerVersionsRequest{
+                      service, now.time_since_epoch().count()});
     if (!it->Steps.isDecided(now)) {
+      needsState |= it->Steps.needsOwnState(now);
       next = std::min(next.value_or(it->Steps.nextAt()), it->Steps.nextAt());
       ++it;
       continue;
@@ -114,6 +124,10 @@
     it = Lookups.erase(it);
     done(origin, reason);
   }
+  if (needsState && !IsStopped) {
+    TimePoint nextConfirm = confirm(now);
+    next = std::min(next.value_or(nextConfirm), nextConfirm);
+  }
   if (!next || IsStopped)
     return;
   LookupTimer.expires_after(std::max(*next - now, Duration::zero()));
@@ -124,6 +138,29 @@
       });
 }
 
+TimePoint StreamOriginExchange::confirm(TimePoint now) {
+  if (now < NextConfirmAt)
+    return NextConfirmAt;
+  NextConfirmAt = now + Settings.ConfirmInterval;
+  Confirm([weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->advance();
+  });
+  return NextConfirmAt;
+}
+
+bool StreamOriginExchange::answerPending(TimePoint syncedAt, TimePoint now) {
+  std::erase_if(Pending, [&](const PendingVersions &it) {
+    bool isRecent = syncedAt >= it.ArrivedAt;
+    if (isRecent)
+      Send(it.Sender, direct::ServerVersionsResponse{
+                          it.Request.Service, it.Request.AskedAtUs,
+                          State.Software.seen(it.Request.Service, now)});
+    return isRecent || now >= it.ArrivedAt + Settings.Lookup.Timeout;
+  });
+  return !Pending.empty();
+}
+
 void StreamOriginExchange::onCatalog() {
   auto catalog = State.catalog();
   bool isIndexed =
@@ -144,6 +181,25 @@
     return State.Origins.onTold(*began, monotonicNow());
   if (const auto *request = std::get_if<direct::StreamOriginRequest>(&message))
     return answer(sender, *request);
+  TimePoint now = monotonicNow();
+  if (const auto *versions =
+          std::get_if<direct::ServerVersionsRequest>(&message)) {
+    Duration history(State.Software.seen(versions->Service, now).HistoryUs);
+    if (history < State.Options.StreamMaxAge ||
+        Pending.size() >= Settings.MaxPending)
+      return;
+    Pending.push_back({sender, *versions, now});
+    return advance();
+  }
+  if (const auto *versions =
+          std::get_if<direct::ServerVersionsResponse>(&message)) {
+    // The sender's state is more recent than the request.
+    TimePoint completeAt{Duration(versions->AskedAtUs)};
+    for (Lookup &it : Lookups)
+      if (it.Steps.request().Service == versions->Service)
+        it.Steps.onState(versions->Seen, completeAt, now);
+    return advance();
+  }
   const auto *response = std::get_if<direct::StreamOriginResponse>(&message);
   if (!response)
     return;
--- a/src/gateway/stream_origin_exchange.h
+++ b/src/gateway/stream_origin_exchange.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace daisytack::gateway {
 
@@ -34,6 +35,11 @@
   Duration TellDelay{20'000};
   /// Streams in one datagram.
   size_t MaxStreamsPerDatagram = 64;
+  /// Shortest time between two calls that confirm the state of the key-value
+  /// service. All resumptions that wait share them.
+  Duration ConfirmInterval{100'000};
+  /// Maximum number of unanswered requests of other entries for versions.
+  size_t MaxPending = 1000;
   direct::OriginLookupSettings Lookup;
   bool operator==(const StreamOriginExchangeSettings &) const = default;
 };
@@ -45,8 +51,12 @@
 public:
   using SendHook =
       std::function<void(const Endpoint &, const direct::PeerMessage &)>;
+  /// Brings this entry's state up to date with the key-value service, then
+  /// calls `done`; doesn't call it on failure.
+  using ConfirmHook = std::function<void(std::function<void()> done)>;
 
   StreamOriginExchange(GatewayState &state, Strand strand, SendHook send,
+                       ConfirmHook confirm,
                        StreamOriginExchangeSettings settings);
 
   /// This entry has begun a stream.
@@ -68,22 +78,37 @@
     direct::OriginLookup Steps;
     OriginDone Done;
   };
+  /// Another entry's request that waits for a confirmation.
+  struct PendingVersions {
+    Endpoint Sender;
+    direct::ServerVersionsRequest Request;
+    TimePoint ArrivedAt;
+  };
 
   void armTell();
   void tell();
   void startLookup(const StreamResumption &resumption, OriginDone done);
   /// Sends due requests and finishes lookups that are decided.
   void advance();
+  /// Confirms the state unless that was done very recently; returns when it may
+  /// be done again.
+  TimePoint confirm(TimePoint now);
+  /// Answers other entries' requests for versions that the state is recent
+  /// enough for; returns whether others wait.
+  bool answerPending(TimePoint syncedAt, TimePoint now);
   void answer(const Endpoint &sender,
               const direct::StreamOriginRequest &request);
 
   GatewayState &State;
   Strand Executor;
   SendHook Send;
+  ConfirmHook Confirm;
   const StreamOriginExchangeSettings Settings;
   std::shared_ptr<const direct::Catalog> IndexedCatalog;
   direct::StreamOwnerIndex Owners;
   std::list<Lookup> Lookups;
+  std::vector<PendingVersions> Pending;
+  TimePoint NextConfirmAt;
   net::Timer TellTimer;
   net::Timer LookupTimer;
   bool IsStopped = false;
--- a/tests/direct/stream_origins_model_test.cpp
+++ b/tests/direct/stream_origins_model_test.cpp
@@ -1,5 +1,6 @@
 /// A model of entries that begin and resume streams while datagrams get lost,
-/// entries are killed or cut off, and software versions come and go.
+/// entries are killed, cut off or stand still, and software versions come and
+/// go.
 #include "direct/origin_lookup.h"
 
 #include <gtest/gtest.h>
@@ -22,15 +23,25 @@
 constexpr Duration WarmUp = 4s;    ///< Before the first stream begins.
 constexpr Duration Length = 20s;
 constexpr Duration CutLength = 3s;
-constexpr Duration CatalogDelay = 1s; ///< Until entries know of a new version.
+constexpr Duration MaxStall = 900ms;
+constexpr Duration MaxPollInterval = 2s; ///< Of entries and the service.
+constexpr Duration ConfirmedFor = 2500ms;
+constexpr Duration ConfirmInterval = 100ms;
+constexpr Duration MaxServiceDelay = 60ms;
+
+/// What happens to the software versions halfway.
+enum class Release { None, Replacement, Joining };
 
 struct ModelSettings {
   size_t Entries = 5;
   double Loss = 0.05;     ///< Share of datagrams.
   double KillsPerS = 0.2; ///< Of one random entry.
   double CutsPerS = 0.1;  ///< Each cuts one entry off for CutLength.
+  /// In each, one entry stands still for up to MaxStall and loses what is sent
+  /// to it meanwhile.
+  double StallsPerS = 0;
   double StreamsPerS = 60;
-  bool HasTwoVersions = true; ///< Else one version replaces the other.
+  Release Halfway = Release::None; ///< None: two versions serve all the time.
 };
 
 struct ModelResult {
@@ -72,16 +83,26 @@
     OriginLookup Steps;
     std::string Truth;
   };
+  /// A request for versions that waits for a confirmation.
+  struct PendingVersions {
+    size_t From;
+    ServerVersionsRequest Request;
+    TimePoint ArrivedAt;
+  };
   /// What a process has in its memory.
   struct Memory {
     StreamOrigins Origins{{}};
     SoftwareVersions Versions{{}};
     std::list<Lookup> Lookups;
+    std::list<PendingVersions> Pending;
+    TimePoint NextConfirmAt{};
+    TimePoint SyncedAt{}; ///< It knows what the service held then; 0: nothing.
+    TimePoint NextPollAt{};
   };
   struct Entry {
     std::unique_ptr<Memory> Process = std::make_unique<Memory>();
-    uint64_t Incarnation = 0;
     TimePoint CutUntil{};
+    TimePoint StalledUntil{};
   };
 
   bool chance(double p) {
@@ -98,13 +119,16 @@
     Events.emplace(Now + delay, std::move(step));
   }
   bool isCut(size_t i) const { return Now < Entries[i].CutUntil; }
+  bool isStalled(size_t i) const { return Now < Entries[i].StalledUntil; }
 
-  /// The versions that serve at a time, as far as entries know.
+  /// The versions that the service lists at a time.
   std::vector<std::string> versionsAt(TimePoint at) const {
-    if (Settings.HasTwoVersions)
-      return {"v1", "v2"};
-    bool isReplaced = at >= Start + WarmUp + Length / 2 + CatalogDelay;
-    return {isReplaced ? "v2" : "v1"};
+    bool isHalfway = at >= Start + WarmUp + Length / 2;
+    if (Settings.Halfway == Release::Replacement)
+      return {isHalfway ? "v2" : "v1"};
+    if (Settings.Halfway == Release::Joining && !isHalfway)
+      return {"v1"};
+    return {"v1", "v2"};
   }
 
   void disturbAndBegin() {
@@ -112,10 +136,11 @@
     if (chance(Settings.KillsPerS * seconds)) {
       Entry &it = Entries[pick(Entries.size())];
       it.Process = std::make_unique<Memory>();
-      ++it.Incarnation;
     }
     if (chance(Settings.CutsPerS * seconds))
       Entries[pick(Entries.size())].CutUntil = Now + CutLength;
+    if (chance(Settings.StallsPerS * seconds))
+      Entries[pick(Entries.size())].StalledUntil = Now + upTo(MaxStall);
     if (chance(Settings.StreamsPerS * seconds))
       begin();
   }
@@ -123,9 +148,14 @@
   /// A stream begins, and its caller resumes it somewhere later.
   void begin() {
     size_t at = pick(Entries.size());
-    std::vector<std::string> versions = versionsAt(Now);
-    // An entry that is cut off does not know of servers that came since.
-    if (isCut(at) && versionsAt(Entries[at].CutUntil - CutLength) != versions)
+    TimePoint syncedAt = Entries[at].Process->SyncedAt;
+    if (isStalled(at) || syncedAt == TimePoint{})
+      return;
+    std::vector<std::string> versions = versionsAt(syncedAt);
+    std::erase_if(versions, [serving = versionsAt(Now)](const auto &it) {
+      return std::find(serving.begin(), serving.end(), it) == serving.end();
+    });
+    if (versions.empty())
       return;
     std::string truth = versions[pick(versions.size())];
     Id128 stream{++LastStream, mix(LastStream)};
@@ -137,6 +167,9 @@
   static uint64_t mix(uint64_t n) { return stableHash(std::to_string(n)); }
 
   void resume(size_t at, const Id128 &stream, const std::string &truth) {
+    if (isStalled(at))
+      return in(Entries[at].StalledUntil - Now,
+                [this, at, stream, truth] { resume(at, stream, truth); });
     Memory &memory = *Entries[at].Process;
     if (auto known = memory.Origins.find(stream, Now))
       return finish(known->Origin.SoftwareVersion, truth);
@@ -166,20 +199,34 @@
     if (isCut(from) || isCut(target) || chance(Settings.Loss))
       return;
     in(upTo(2ms), [this, target, step = std::move(step)] {
-      step(target, *Entries[target].Process);
+      if (!isStalled(target))
+        step(target, *Entries[target].Process);
     });
   }
 
-  void tick(size_t i) {
-    Memory &memory = *Entries[i].Process;
+  /// The entry has what the service held at the time.
+  void sync(Memory &memory, TimePoint at) {
+    memory.SyncedAt = std::max(memory.SyncedAt, at);
     Catalog catalog;
-    TimePoint known = isCut(i) ? Entries[i].CutUntil - CutLength : Now;
-    for (const std::string &version : versionsAt(known)) {
+    for (const std::string &version : versionsAt(memory.SyncedAt)) {
       catalog.AllServers.emplace_back();
       catalog.AllServers.back().Service = "service";
       catalog.AllServers.back().SoftwareVersion = version;
     }
-    memory.Versions.onCatalog(catalog, !isCut(i), Now);
+    memory.Versions.onCatalog(catalog, Now < memory.SyncedAt + ConfirmedFor,
+                              Now);
+  }
+
+  void tick(size_t i) {
+    if (isStalled(i))
+      return;
+    Memory &memory = *Entries[i].Process;
+    if (!isCut(i) && Now >= memory.NextPollAt) {
+      memory.SyncedAt = Now;
+      memory.NextPollAt = Now + upTo(MaxPollInterval);
+    }
+    if (memory.SyncedAt != TimePoint{})
+      sync(memory, memory.SyncedAt);
     for (const StreamsBegan &began : memory.Origins.takeUntold())
       for (const Id128 &stream : began.Streams)
         for (const Endpoint &owner : Owners.ownersOf(stream, Peers[i].Peer))
@@ -190,12 +237,25 @@
   }
 
   void advance(size_t i, Memory &memory) {
-    for (Lookup &it : memory.Lookups)
+    bool needsState = !memory.Pending.empty();
+    for (Lookup &it : memory.Lookups) {
       for (const Endpoint &owner : it.Steps.takeDue(Now))
         send(i, owner,
              [this, i, request = it.Steps.request()](size_t at, Memory &to) {
                answer(at, to, i, request);
              });
+      if (it.Steps.needsOwnState(Now))
+        it.Steps.onState(memory.Versions.seen("service", Now), memory.SyncedAt,
+                         Now);
+      for (const Endpoint &owner : it.Steps.takeStateDue(Now))
+        send(i, owner, [this, i, askedAt = Now](size_t, Memory &to) {
+          to.Pending.push_back(
+              {i, {"service", askedAt.time_since_epoch().count()}, Now});
+        });
+      needsState |= it.Steps.needsOwnState(Now);
+    }
+    if (needsState && Now >= memory.NextConfirmAt)
+      confirm(i, memory);
     std::erase_if(memory.Lookups, [&](const Lookup &it) {
       if (!it.Steps.isDecided(Now))
         return false;
@@ -208,6 +268,30 @@
     });
   }
 
+  /// Asks the service, which answers other entries that wait as well.
+  void confirm(size_t i, Memory &memory) {
+    memory.NextConfirmAt = Now + ConfirmInterval;
+    if (isCut(i) || chance(Settings.Loss))
+      return;
+    in(upTo(MaxServiceDelay), [this, i, &memory, askedAt = Now] {
+      if (isStalled(i) || Entries[i].Process.get() != &memory)
+        return;
+      sync(memory, askedAt);
+      std::erase_if(memory.Pending, [&](const PendingVersions &it) {
+        if (memory.SyncedAt < it.ArrivedAt)
+          return false;
+        ServerVersionsResponse out{it.Request.Service, it.Request.AskedAtUs,
+                                   memory.Versions.seen("service", Now)};
+        send(i, Peers[it.From].Peer, [this, out](size_t, Memory &to) {
+          for (Lookup &lookup : to.Lookups)
+            lookup.Steps.onState(out.Seen, TimePoint(Duration(out.AskedAtUs)),
+                                 Now);
+        });
+        return true;
+      });
+    });
+  }
+
   void answer(size_t at, Memory &memory, size_t to,
               const StreamOriginRequest &request) {
     StreamOriginResponse out{request.Stream, std::nullopt,
@@ -253,7 +337,7 @@
 RC_GTEST_PROP(StreamOriginsModel, NoStreamGoesOnAtTheVersionThatReplacedItsOwn,
               ()) {
   ModelSettings settings;
-  settings.HasTwoVersions = false;
+  settings.Halfway = Release::Replacement;
   settings.Loss = *rc::gen::inRange(0, 30) / 100.0;
   settings.KillsPerS = *rc::gen::inRange(0, 20) / 10.0;
   ModelResult out = Model(settings, *rc::gen::arbitrary<uint64_t>()).run();
@@ -261,11 +345,27 @@
   RC_ASSERT(out.Resumed >= out.Refused);
 }
 
+/// Guards against an entry that is out of step for a moment continuing streams
+/// of a version that has just joined at the one that it knows.
+RC_GTEST_PROP(StreamOriginsModel, NoStreamGoesOnAtAnotherVersionAsOneJoins,
+              ()) {
+  ModelSettings settings;
+  settings.Halfway = Release::Joining;
+  settings.Entries = *rc::gen::inRange<size_t>(3, 8);
+  settings.Loss = *rc::gen::inRange(0, 30) / 100.0;
+  settings.KillsPerS = *rc::gen::inRange(0, 5) / 10.0;
+  settings.CutsPerS = *rc::gen::inRange(0, 2) / 10.0;
+  settings.StallsPerS = *rc::gen::inRange(0, 30) / 10.0;
+  ModelResult out = Model(settings, *rc::gen::arbitrary<uint64_t>()).run();
+  RC_ASSERT(out.Wrong == 0U);
+  RC_ASSERT(out.Resumed >= out.Refused);
+}
+
 /// All entries end at once and have lost what they knew: no stream is guessed.
 TEST(StreamOriginsModel, GuessesNothingAfterAllEntriesHaveLostTheirMemory) {
   ModelSettings settings;
   settings.KillsPerS = 40;
-  settings.HasTwoVersions = false;
+  settings.Halfway = Release::Replacement;
   ModelResult out = Model(settings, 7).run();
   EXPECT_EQ(out.Wrong, 0U);
 }
--- a/tests/direct/stream_version_test.cpp
+++ b/tests/direct/stream_version_test.cpp
@@ -164,6 +164,11 @@
         Case{"no server is known", {{}, Duration(10s).count()}, {}, false}}) {
     OriginLookup found = lookup(it.Own, {OwnerA});
     found.onResponse(OwnerA, unknownTo(it.Owner));
+    if (found.needsOwnState(FlowStart))
+      found.onState(it.Own, FlowStart, FlowStart);
+    for (size_t i = found.takeStateDue(FlowStart).size(); i > 0; --i)
+      found.onState(it.Owner, FlowStart, FlowStart);
+    EXPECT_TRUE(found.isDecided(FlowStart)) << it.Name;
     Error reason;
     EXPECT_EQ(found.result(reason).has_value(), it.IsInferred) << it.Name;
     ErrorKind expected =
@@ -172,6 +177,50 @@
   }
 }
 
+/// Guards against a version that has joined unheard: what an entry knows may
+/// end before the stream began, or begin after it.
+TEST(OriginLookup, InfersAVersionOnlyFromStateThatCoversTheStreamsLife) {
+  struct Case {
+    const char *Name;
+    Duration History;
+    TimePoint CompleteAt;
+    bool IsInferred;
+  };
+  for (const Case &it :
+       {Case{"whole", MaxAge + 1ms, FlowStart, true},
+        Case{"ends before the resumption", 10s, FlowStart - 1us, false},
+        Case{"begins too late", MaxAge, FlowStart, false}}) {
+    OriginLookup found = lookup(OneVersion, {});
+    ASSERT_TRUE(found.needsOwnState(FlowStart));
+    EXPECT_FALSE(found.isDecided(FlowStart));
+    found.onState({{"v1"}, it.History.count()}, it.CompleteAt, FlowStart + 1ms);
+    Error reason;
+    EXPECT_EQ(found.result(reason).has_value(), it.IsInferred) << it.Name;
+    EXPECT_EQ(found.isDecided(FlowStart + 1ms), it.IsInferred) << it.Name;
+    EXPECT_TRUE(found.isDecided(FlowStart + 250ms)) << it.Name;
+  }
+}
+
+/// Guards against a call of the key-value service for each resumption, also of
+/// streams that an owner knows, and against an entry without a history giving
+/// up although an owner has one.
+TEST(OriginLookup, AsksForStateOnlyWhatCanDecide) {
+  OriginLookup it = lookup(OneVersion, {OwnerA, OwnerB});
+  EXPECT_FALSE(it.needsOwnState(FlowStart));
+  it.onResponse(OwnerA, unknownTo({{"v1"}, 0}));
+  EXPECT_FALSE(it.needsOwnState(FlowStart + 1ms));
+  EXPECT_TRUE(it.needsOwnState(FlowStart + 60ms)); // An owner is silent.
+  it.onResponse(OwnerB, unknownTo(OneVersion));
+  EXPECT_TRUE(it.takeStateDue(FlowStart + 60ms).empty());
+  EXPECT_EQ(it.takeStateDue(FlowStart + 120ms), std::vector<Endpoint>{OwnerB});
+  OriginLookup young = lookup({{"v1"}, 0}, {OwnerA});
+  young.onResponse(OwnerA, unknownTo(OneVersion));
+  EXPECT_FALSE(young.needsOwnState(FlowStart));
+  EXPECT_EQ(young.takeStateDue(FlowStart), std::vector<Endpoint>{OwnerA});
+  OriginLookup mixed = lookup(TwoVersions, {});
+  EXPECT_FALSE(mixed.needsOwnState(FlowStart));
+}
+
 /// Guards against an entry that is cut off from the key-value service and from
 /// all others resuming streams at the only version that it knows.
 TEST(OriginLookup, RefusesWhenCutOff) {
@@ -225,6 +274,22 @@
   EXPECT_EQ(versions.seen("service", now).HistoryUs, 0);
 }
 
+/// Guards against a version whose only server came and left between two
+/// updates.
+TEST(SoftwareVersions, KnowsOfServersThatNoCatalogListed) {
+  SoftwareVersions versions({});
+  versions.onCatalog({}, true, FlowStart);
+  BackendServer server;
+  server.Service = "service";
+  server.SoftwareVersion = "v2";
+  versions.onShortLived(server, FlowStart);
+  EXPECT_EQ(versions.seen("service", FlowStart + 1s).Versions,
+            std::vector<std::string>{"v2"});
+  EXPECT_EQ(Duration(versions.seen("service", FlowStart + 1s).HistoryUs), 1s);
+  versions.onMissedChanges();
+  EXPECT_EQ(versions.seen("service", FlowStart + 1s).HistoryUs, 0);
+}
+
 /// Guards against a message about versions that doesn't fit into a datagram.
 TEST(SoftwareVersions, TellsOnlyOfAsManyVersionsAsFitIntoADatagram) {
   SoftwareVersions versions({});
--- a/tests/gateway/fake_servers.h
+++ b/tests/gateway/fake_servers.h
@@ -74,6 +74,12 @@
               {{"events", json::array()}, {"store-revision", Revision}});
     return std::exchange(PendingWatches, {}).size();
   }
+  /// Ends HoldsWatches.
+  void releaseWatches() {
+    std::lock_guard guard(Lock);
+    HoldsWatches = false;
+    notifyWatchesLocked();
+  }
   Snapshot snapshot() {
     std::lock_guard guard(Lock);
     return {Items, Leases, Revision};
@@ -99,6 +105,8 @@
   }
   /// Whether every watch ends with the error that its history is lost.
   std::atomic<bool> HasNoHistory{false};
+  /// Whether the answers to all watches are withheld.
+  std::atomic<bool> HoldsWatches{false};
   /// Status with which every call fails at once; 0: calls are answered.
   std::atomic<unsigned> RefusalStatus{0};
   bool has(const std::string &key) {
@@ -199,6 +207,8 @@
   }
 
   void notifyWatchesLocked() {
+    if (HoldsWatches)
+      return;
     std::erase_if(PendingWatches, [this](const PendingWatch &wait) {
       if (wait.After == Revision && !HasNoHistory)
         return false;
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -46,6 +46,21 @@
                       R"(","slots":4,"state":"ready","cold-remaining-ms":0,)" +
                       R"("sequence":1,"born":1,"models":[]})");
   }
+  /// Starts an entry and waits until it resumes streams that nobody knows, as
+  /// only one version can have begun them.
+  Entry &startWithHistory(const std::string &name) {
+    GatewayOptions options = Entry::optionsFor(name, KvService.address(), {});
+    options.ConfirmedFor = 60s; // However long the machine takes.
+    Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+    Entry &out = *Entries.back();
+    out.start();
+    EXPECT_TRUE(waitReady(out));
+    EXPECT_TRUE(eventually([&] {
+      KvService.completeWatches();
+      return statusOf(out, resume("probe", "before-the-start")) == 200;
+    }));
+    return out;
+  }
   static HttpRequest ask(const std::string &id) {
     return request("/ask/" + id, id);
   }
@@ -243,5 +258,51 @@
   EXPECT_TRUE(resumedAt(server).contains("again"));
 }
 
+/// Guards against an entry that does not hear of a new software version for a
+/// moment taking the old one for the only one: the caller got two versions in
+/// one stream.
+TEST_F(StreamVersionTest, RefusesStreamsOfAVersionThatJoinedUnheard) {
+  test::FakeServer &old = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  Entry &outOfStep = startWithHistory("e1");
+  KvService.HoldsWatches = true;
+  // Other entries don't reach this one, so that it is told of no stream.
+  KvService.remove(platform::makeProtocol().EntryKey("e1"));
+  test::FakeServer &recent = startServer("i-2", "v2");
+  Entry &other = start("e2", KvService.address());
+  ASSERT_TRUE(waitReady(other));
+  int streams = 0;
+  ASSERT_TRUE(eventually([&] {
+    fetch(other.Options.Callers, ask("r" + std::to_string(++streams)));
+    return !recent.requests().empty();
+  }));
+  for (const HttpRequest &it : recent.requests()) {
+    std::string id(it.header("X-Daisytack-Request-Id"));
+    Fetched got = fetch(outOfStep.Options.Callers, resume("again-" + id, id));
+    EXPECT_EQ(got.Response.Status, 503);
+    EXPECT_NE(got.Response.Body.find("stream_version_unknown"),
+              std::string::npos);
+    EXPECT_FALSE(resumedAt(old).contains("again-" + id));
+  }
+}
+
+/// Guards against the same when the last server of the new version has left by
+/// the time that the entry gets an answer, which then shows the end only.
+TEST_F(StreamVersionTest, RefusesStreamsWhileAServerCameAndLeftUnseen) {
+  test::FakeServer &old = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  Entry &entry = startWithHistory("e1");
+  KvService.HoldsWatches = true;
+  startServer("i-2", "v2");
+  KvService.remove("servers/i-2");
+  KvService.releaseWatches();
+  EXPECT_EQ(statusOf(entry, resume("again", "begun-at-v2")), 503U);
+  EXPECT_FALSE(resumedAt(old).contains("again"));
+  EXPECT_TRUE(eventually([&] { // Once all such streams are too old.
+    KvService.completeWatches();
+    return statusOf(entry, resume("later", "begun-at-v1")) == 200;
+  }));
+}
+
 } // namespace
 } // namespace daisytack::gateway
