--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -57,6 +57,7 @@
   Counter &Ejections;
   Counter &StreamsResumed;
   Counter &StreamsRefused;
+  Counter &ServiceConfirmations;
   Counter &SharedTokens;
   Counter &SourcedTokens;
   Counter &SavesRequested;
