--- a/src/direct/revision.h
+++ b/src/direct/revision.h
@@ -15,6 +15,11 @@
 /// second.
 constexpr unsigned RevisionBits = 40;
 
+constexpr uint64_t MaxRevisionCount = (uint64_t{1} << RevisionBits) - 1;
+/// A service is restored less often. A greater number is damaged, and believing
+/// it would make all later answers look outdated for good.
+constexpr uint64_t MaxEra = UINT16_MAX;
+
 /// Combines an era with the service's own count. Count 0 means "no revision"
 /// and gives 0 in every era.
 constexpr uint64_t monotonicRevision(uint64_t era, uint64_t revision) {
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -394,5 +394,50 @@
   EXPECT_EQ(outcome.CompactRevision, 0);
 }
 
+edge::KvRangeResult readAll(ScriptedService &service) {
+  return await<edge::KvRangeResult>([&](auto done) {
+    service.Store.Range({"", edge::prefixEnd("")}, CallTimeout,
+                        std::move(done));
+  });
+}
+
+/// Guards against a service that is never read again after one answer with an
+/// era that can't be, such as one that was damaged on the way.
+TEST(KvStore, IgnoresAnEraThatCanNotBe) {
+  for (const char *odd : {"18446744073709551615", "99999999999999999999",
+                          "70000", "-1", "1e3", "2x", ""}) {
+    std::atomic<int> calls{0};
+    ScriptedService service([&](const HttpRequest &) {
+      std::string era = calls++ == 1 ? odd : "2";
+      return HttpResponse{
+          200, {{"Store-Era", era}}, R"({"items":[],"store-revision":7})"};
+    });
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Ok);
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable) << odd;
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Ok) << odd;
+    EXPECT_EQ(service.Store.LatestEra(), 2) << odd;
+  }
+}
+
+/// Guards against a revision whose high bits are taken for a later era, by
+/// which the record hides all later ones of its key.
+TEST(KvStore, SkipsRevisionsThatCanNotBe) {
+  ScriptedService service([](const HttpRequest &request) {
+    bool isLarge = request.Query.find("path-prefix=large") != std::string::npos;
+    return okIn(1, R"({"items":[{"key":"a","revision":1099511627776},)"
+                   R"({"key":"b","revision":18446744073709551615},)" +
+                       item("c", 5) + R"(],"store-revision":)" +
+                       (isLarge ? "1099511627776" : "7") + "}");
+  });
+  edge::KvRangeResult result = readAll(service);
+  ASSERT_EQ(result.Entries.size(), 1);
+  EXPECT_EQ(result.Entries[0].Key, "c");
+  auto large = await<edge::KvRangeResult>([&](auto done) {
+    service.Store.Range({"large", edge::prefixEnd("large")}, CallTimeout,
+                        std::move(done));
+  });
+  EXPECT_EQ(large.Header.Status, KvStatus::Unavailable);
+}
+
 } // namespace
 } // namespace daisytack::platform
