--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -439,5 +439,22 @@
   EXPECT_EQ(large.Header.Status, KvStatus::Unavailable);
 }
 
+/// Guards against a watch that calls without a pause: a change that can't be
+/// read, and so never ends, is answered at once each time.
+TEST(KvStore, PausesBetweenAnswersThatComeAtOnce) {
+  constexpr int Calls = 5;
+  std::atomic<int> calls{0};
+  ScriptedService service([&](const HttpRequest &) {
+    if (++calls == Calls)
+      return HttpResponse{503, {}, {}};
+    return ok(R"({"events":[{"key":7,"revision":12}],"store-revision":10})");
+  });
+  auto begin = std::chrono::steady_clock::now();
+  watch(service);
+  EXPECT_EQ(calls, Calls);
+  // A lower bound, which a busy machine can't break.
+  EXPECT_GE(std::chrono::steady_clock::now() - begin, (Calls - 1) * 300ms);
+}
+
 } // namespace
 } // namespace daisytack::platform
