--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -456,5 +456,36 @@
   EXPECT_GE(std::chrono::steady_clock::now() - begin, (Calls - 1) * 300ms);
 }
 
+/// Guards against a range that is read for ever: the pages come again.
+TEST(KvStore, FailsARangeWhosePagesComeAgain) {
+  std::atomic<int> calls{0};
+  ScriptedService service([&](const HttpRequest &) {
+    int call = ++calls;
+    return ok(R"({"items":[)" + item(call % 2 == 0 ? "a" : "b", 3) +
+              R"(],"truncated":)" + (call < 200 ? "true" : "false") +
+              R"(,"store-revision":10})");
+  });
+  EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable);
+  EXPECT_LT(calls, 10);
+}
+
+/// Guards against a range that takes memory without bound.
+TEST(KvStore, FailsARangeThatIsTooLarge) {
+  std::atomic<int> calls{0};
+  const std::string value = encodeBase64(std::string(1U << 20U, 'v'));
+  ScriptedService service([&](const HttpRequest &) {
+    int call = ++calls;
+    std::string items;
+    for (int i = 0; i < 8; ++i)
+      items += (i > 0 ? "," : "") + std::string(R"({"key":"k)") +
+               std::to_string(1000 + 8 * call + i) + R"(","value":")" + value +
+               R"(","revision":3})";
+    return ok(R"({"items":[)" + items + R"(],"truncated":)" +
+              (call < 20 ? "true" : "false") + R"(,"store-revision":10})");
+  });
+  EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable);
+  EXPECT_LE(calls, 8);
+}
+
 } // namespace
 } // namespace daisytack::platform
