--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -487,5 +487,19 @@
   EXPECT_LE(calls, 8);
 }
 
+/// Guards against an odd field that makes an answer about a lease look as if
+/// the lease had ended.
+TEST(KvStore, ReportsAnOddAnswerAboutALeaseAsUnknown) {
+  for (const char *odd :
+       {R"({"lease":"x","ttl-ms":3000})", R"({"lease":7,"ttl-ms":1e400})",
+        R"({"lease":-1})", R"({"lease":1e300})"}) {
+    ScriptedService service([&](const HttpRequest &) { return ok(odd); });
+    auto result = await<edge::KvLeaseResult>([&](auto done) {
+      service.Store.GrantLease(3s, CallTimeout, std::move(done));
+    });
+    EXPECT_EQ(result.Header.Status, KvStatus::Unknown) << odd;
+  }
+}
+
 } // namespace
 } // namespace daisytack::platform
