--- a/tests/input/record_values_test.cpp
+++ b/tests/input/record_values_test.cpp
@@ -144,8 +144,9 @@
           continue;
         if (const auto *config = std::get_if<direct::ServingConfig>(&*value))
           expectFinite(*config);
-        if (const auto *it = std::get_if<direct::RetiredContext>(&*value)) {
-          for (const direct::Retirement &retirement : it->Retirements)
+        if (const auto *retired =
+                std::get_if<direct::RetiredContext>(&*value)) {
+          for (const direct::Retirement &retirement : retired->Retirements)
             EXPECT_TRUE(retirement.Share >= 0 && retirement.Share <= 1);
         }
       }
