Believe no impossible ages and revisions of other entries

What callers saw: after one odd answer to its request for records, an entry that didn't reach the key-value service answered 401 for an unknown key for good, as an age below zero confirms the records for the time to come; got no more records of any entry, as revision 2^64 - 1 counted as received; or took that revision for a restore. An answer with "more to come" that leads nowhere was asked for without end.

Cause: ages and revisions were taken as they came.

Change: an answer with a negative age, or a revision of an era that can't be, has no effect. A page is asked for only if it leads on, 4,096 in a row at most. Messages between entries over HTTP without effect are counted (daisytack_peer_messages_bad_total), and so are records that can't be read (daisytack_records_unreadable_total), which were only logged.

--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -60,6 +60,11 @@
   }
 };
 
+/// Whether all ages and revisions are such as an entry can have. A response
+/// with others would be believed for longer than it is true, or hide later
+/// ones.
+bool isCredible(const RecordsResponse &response);
+
 /// Whether a receiver that knew everything up to the revision has the sender's
 /// full state after merging the records. Never for revision 0: such a receiver
 /// has not read the service itself, so its state may have gaps.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,6 +41,12 @@
   return out;
 }
 
+/// The time this number of microseconds earlier. An entry that was never
+/// confirmed tells an age of half the range.
+TimePoint timeBefore(TimePoint at, int64_t micros) {
+  return at - Duration(std::min(micros, INT64_MAX / 2));
+}
+
 direct::EntryPeer ownPeer(const GatewayOptions &options) {
   return {options.Name, options.Peers, options.FailureDomain, options.LinkMbps};
 }
@@ -155,7 +161,7 @@
 void Gateway::onRecords(const direct::RecordsResponse &response,
                         const RecordsCall &call) {
   TimePoint now = monotonicNow();
-  TimePoint confirmedAt = call.SentAt - Duration(response.ConfirmationAge);
+  TimePoint confirmedAt = timeBefore(call.SentAt, response.ConfirmationAge);
   int64_t confirmed = confirmedAt.time_since_epoch().count();
   State.Catalog.onRestored(response.RestoredTo, now);
   State.Catalog.onPeerGrace(Duration(response.GraceLeft), now);
@@ -178,7 +184,7 @@
   if (!isComplete)
     return;
   State.advanceSyncedRevision(response.CompleteTo);
-  State.advanceSyncTime(call.SentAt - Duration(response.CompleteStateAge));
+  State.advanceSyncTime(timeBefore(call.SentAt, response.CompleteStateAge));
   WatchPlan.onAnswer(confirmedAt, now);
 }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -72,7 +72,7 @@
 }
 
 direct::CatalogHooks catalogHooks(const direct::Protocol &protocol,
-                                  DecisionLog &log) {
+                                  Counter &unreadable, DecisionLog &log) {
   direct::CatalogHooks out;
   out.SubjectOf = protocol.SubjectOf;
   out.Decode = protocol.DecodeRecord;
@@ -86,8 +86,9 @@
                {"revision", revision}},
               now);
   };
-  out.Unreadable = [&log](const direct::StoreRecord &record,
-                          const Error &reason, TimePoint now) {
+  out.Unreadable = [&log, &unreadable](const direct::StoreRecord &record,
+                                       const Error &reason, TimePoint now) {
+    unreadable.add();
     log.write(LogPriority::Notable, "record_unreadable",
               {{"key", record.Key},
                {"revision", record.Revision},
@@ -179,6 +180,14 @@
                                      "Parts that servers were asked to save")),
       BadDatagrams(metrics.counter("daisytack_peer_datagrams_bad_total",
                                    "Datagrams that could not be read")),
+      BadPeerMessages(metrics.counter(
+          "daisytack_peer_messages_bad_total",
+          "Messages of other entries over HTTP that could not be read or be "
+          "true")),
+      UnreadableRecords(metrics.counter(
+          "daisytack_records_unreadable_total",
+          "Revisions of records of the key-value service that could not be "
+          "read")),
       UnsentDatagrams(metrics.counter(
           "daisytack_peer_datagrams_unsent_total",
           "Datagrams to other entries that were too large or not sent")),
@@ -291,7 +300,8 @@
       Retries(options.Retries), BackendClient(io, backendInit()),
       ControlClient(io,
                     clientInit(MaxIdlePerControlServer, ControlConnectTimeout)),
-      Catalog(options.Catalog, catalogHooks(WireProtocol, log)) {}
+      Catalog(options.Catalog,
+              catalogHooks(WireProtocol, Stats.UnreadableRecords, log)) {}
 
 Error drainingError() {
   // Short, because a retry on a new connection reaches another entry.
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -58,6 +58,8 @@
   Counter &SourcedTokens;
   Counter &SavesRequested;
   Counter &BadDatagrams;
+  Counter &BadPeerMessages;
+  Counter &UnreadableRecords;
   Counter &UnsentDatagrams;
   Counter &BusyFeedCalls;
   Counter &RecordBytesSent;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -25,6 +25,9 @@
 /// outages of the key-value service. A call to an entry that has ended costs
 /// one connection attempt.
 constexpr Duration PeerRetention{30'000'000};
+/// Pages of records that one poll requests, each of which has at least one
+/// record.
+constexpr uint32_t MaxPages = 4096;
 constexpr const char *PeerPath = "/peer";
 
 net::HttpServerInit listenOn(const Endpoint &endpoint) {
@@ -63,8 +66,10 @@
 void PeerExchange::answer(std::string_view body, net::HttpExchange &exchange) {
   Error reason;
   auto message = wire::decode<direct::PeerMessage>(body, reason);
-  if (!message)
+  if (!message) {
+    State.Stats.BadPeerMessages.add();
     return exchange.respond({net::StatusBadRequest, {}, reason.Detail});
+  }
   exchange.respond({net::StatusOk, {}, wire::encode(reply(*message))});
 }
 
@@ -138,6 +143,8 @@
   request.Method = "POST";
   request.Path = PeerPath;
   request.Body = wire::encode(message);
+  net::HttpCallOptions options;
+  options.MaxBodyBytes = MaxFrameBytes;
   State.ControlClient.fetch(
       peer, std::move(request), timeout,
       [self = shared_from_this(), done = std::move(done)](
@@ -146,12 +153,15 @@
         std::optional<direct::PeerMessage> reply;
         if (!error && answer.Status == net::StatusOk)
           reply = wire::decode<direct::PeerMessage>(answer.Body, reason);
+        if (reason)
+          self->State.Stats.BadPeerMessages.add();
         // Most messages are repeated soon, so that a lost one needs no retry.
         boost::asio::dispatch(self->Executor,
                               [self, done, reply = std::move(reply)]() mutable {
                                 done(std::move(reply));
                               });
-      });
+      },
+      options);
 }
 
 void PeerExchange::sendTo(const Endpoint &peer,
@@ -165,27 +175,31 @@
   uint64_t syncedRevision = State.SyncedRevision;
   // Until it has read a snapshot itself, this entry only requests records newer
   // than those it got from others.
-  requestPage(peer, syncedRevision,
-              syncedRevision != 0 ? syncedRevision : ReceivedTo);
+  requestPage({peer, syncedRevision, monotonicNow(),
+               syncedRevision != 0 ? syncedRevision : ReceivedTo});
 }
 
 void PeerExchange::requestMore(const RecordsCall &call, uint64_t newerThan) {
-  requestPage(call.Peer, call.SyncedRevision, newerThan);
+  // Pages that don't lead on never end.
+  if (newerThan <= call.NewerThan || call.Page >= MaxPages)
+    return State.Stats.BadPeerMessages.add();
+  requestPage({call.Peer, call.SyncedRevision, monotonicNow(), newerThan,
+               call.Page + 1});
 }
 
-void PeerExchange::requestPage(const Endpoint &peer, uint64_t syncedRevision,
-                               uint64_t newerThan) {
-  if (!Asked.insert(peer).second)
+void PeerExchange::requestPage(RecordsCall call) {
+  if (!Asked.insert(call.Peer).second)
     return;
-  RecordsCall call{peer, syncedRevision, monotonicNow()};
-  post(peer, direct::RecordsRequest{newerThan}, CallTimeout,
+  post(call.Peer, direct::RecordsRequest{call.NewerThan}, CallTimeout,
        [this, call](const std::optional<direct::PeerMessage> &reply) {
          Asked.erase(call.Peer);
-         if (!reply)
+         const auto *response =
+             reply ? std::get_if<direct::RecordsResponse>(&*reply) : nullptr;
+         if (!response)
            return;
-         if (const auto *response =
-                 std::get_if<direct::RecordsResponse>(&*reply))
-           Hooks.OnRecords(*response, call);
+         if (!direct::isCredible(*response))
+           return State.Stats.BadPeerMessages.add();
+         Hooks.OnRecords(*response, call);
        });
 }
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -24,6 +24,8 @@
   Endpoint Peer;
   uint64_t SyncedRevision = 0;
   TimePoint SentAt;
+  uint64_t NewerThan = 0; ///< Revision that the records are newer than.
+  uint32_t Page = 1;      ///< Number of the request among those that led to it.
   bool operator==(const RecordsCall &) const = default;
 };
 
@@ -72,8 +74,7 @@
   direct::PeerMessage reply(const direct::PeerMessage &message);
   void updateRemembered(TimePoint now);
   std::vector<Endpoint> knownPeers() const;
-  void requestPage(const Endpoint &peer, uint64_t syncedRevision,
-                   uint64_t newerThan);
+  void requestPage(RecordsCall call);
   direct::RecordsResponse recordsFor(const direct::RecordsRequest &request);
   /// Calls `done` with the answer, or nothing without a valid one.
   void post(const Endpoint &peer, const direct::PeerMessage &message,
