Send no request with a header that the HTTP library can't hold

What callers saw: an exception that nothing catches, where a request to a server or another service has a header of 64 KB. By arithmetic, not by a run: a prompt with 4,000 parts whose context is kept makes one of 84 KB from a header of 16 KB. A server's id from the key-value service may have any length.

Cause: Boost.Beast throws std::length_error when such a field is inserted.

Change: the HTTP client ends such a call with HeaderTooLarge before it sends anything.

Measured: OddInputTest.HeaderThatIsTooLongIsAnError failed with "field value too large", and passes, as does OddRecordValue.NothingMakesAHeaderOfAnAttemptTooLong.

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -17,9 +17,13 @@
 namespace {
 
 constexpr unsigned HttpVersion11 = 11;
+/// Longest name or value of a header, in bytes. The HTTP library throws for
+/// those of 64 KB.
+constexpr size_t MaxFieldBytes = 65'000;
 
-http::request<http::string_body> toMessage(const Endpoint &to,
-                                           HttpRequest request) {
+/// Leaves out headers that are too long, and then sets `hasLongHeader`.
+http::request<http::string_body>
+toMessage(const Endpoint &to, HttpRequest request, bool &hasLongHeader) {
   http::request<http::string_body> out;
   out.version(HttpVersion11);
   out.method_string(request.Method);
@@ -27,8 +31,12 @@
   if (!request.Query.empty())
     target += "?" + request.Query;
   out.target(request.Target.empty() ? target : request.Target);
-  for (const HttpHeader &header : request.Headers)
-    out.insert(header.Name, header.Value);
+  for (const HttpHeader &header : request.Headers) {
+    if (std::max(header.Name.size(), header.Value.size()) > MaxFieldBytes)
+      hasLongHeader = true;
+    else
+      out.insert(header.Name, header.Value);
+  }
   if (out.count(http::field::host) == 0)
     out.set(http::field::host, toString(to));
   out.body() = std::move(request.Body);
@@ -69,8 +77,9 @@
                                Endpoint to, HttpRequest request,
                                HttpHooks hooks)
     : Io(io), Init(init), Pool(std::move(pool)), To(std::move(to)),
-      Message(toMessage(To, std::move(request))), Hooks(std::move(hooks)),
-      CallStrand(asio::make_strand(io)), Timer(CallStrand) {}
+      Message(toMessage(To, std::move(request), HasLongHeader)),
+      Hooks(std::move(hooks)), CallStrand(asio::make_strand(io)),
+      Timer(CallStrand) {}
 
 void HttpClientCall::start(HttpTimeout timeout, HttpCallOptions options) {
   Options = options;
@@ -90,6 +99,9 @@
 void HttpClientCall::begin() {
   if (Finished)
     return;
+  if (HasLongHeader)
+    return finish({ErrorKind::HeaderTooLarge,
+                   toString(To) + ": a header of the request is too long"});
   if (!Options.UsesOwnConnection)
     Connection = Pool->take(To, Options.ResponseKey);
   Reused = Connection != nullptr;
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -133,6 +133,7 @@
   const HttpClientInit Init;
   std::shared_ptr<HttpConnectionPool> Pool;
   Endpoint To;
+  bool HasLongHeader = false; ///< The request can't be sent.
   Request Message;
   HttpHooks Hooks;
   /// Runs begin(), cancel(), the timer and all I/O handlers.
--- a/tests/gateway/odd_input_test.cpp
+++ b/tests/gateway/odd_input_test.cpp
@@ -316,6 +316,16 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// Guards against an exception that nothing catches: the HTTP library holds no
+/// header of 64 KB.
+TEST_F(OddInputTest, HeaderThatIsTooLongIsAnError) {
+  test::FakeServer &server = startAnswering();
+  HttpRequest call = request("/call/x");
+  call.Headers.push_back({"X-Long", std::string(70'000, 'x')});
+  EXPECT_EQ(fetch(server.address(), call).Reason.Kind,
+            ErrorKind::HeaderTooLarge);
+}
+
 /// Guards against the same for a caller's header, where the configuration
 /// allows one of any length.
 TEST_F(OddInputTest, LimitOfHeadersIsWhatTheEntryCanHold) {
--- a/tests/input/record_values_test.cpp
+++ b/tests/input/record_values_test.cpp
@@ -2,6 +2,7 @@
 /// answers of engines and stores.
 #include "platform/engine_calls.h"
 #include "platform/record_format.h"
+#include "platform/request_head.h"
 
 #include <gtest/gtest.h>
 
@@ -153,6 +154,24 @@
   }
 }
 
+/// Guards against a prompt of thousands of parts, or a server's id, that makes
+/// a header of the attempt longer than the HTTP library can hold.
+TEST(OddRecordValue, NothingMakesAHeaderOfAnAttemptTooLong) {
+  direct::AttemptOrder order;
+  order.Sources.assign(4'000, Endpoint{"100.100.100.100", 18'080});
+  order.Destinations = order.Sources;
+  for (const net::HttpHeader &it : writeAttempt({}, order, "").Headers)
+    EXPECT_LT(it.Value.size(), 65'000U) << it.Name;
+  order.Sources.resize(2'000);
+  size_t headers = writeAttempt({}, order, "").Headers.size();
+  order.Sources.clear();
+  EXPECT_EQ(writeAttempt({}, order, "").Headers.size() + 1, headers);
+  Error reason;
+  EXPECT_FALSE(decodeRecord(
+      record("servers/" + std::string(70'000, 'x'), samples()[2].Value),
+      reason));
+}
+
 TEST(OddRecordValue, IsUnreadableWhenCut) {
   for (const Sample &it : samples())
     for (size_t n = 0; n < it.Value.size(); ++n) {
