Bound the memory of answers to an entry's own calls

By the code, an entry held up to 16 MB of each answer of the key-value service, of each store, engine and other entry, all at once, in an instance that may have 88 MB.

Change: the client of an entry's own calls holds at most 24 MiB of answers at a time, until they have been decoded; one that would exceed this fails and is asked for again.

Measured: OddInputTest.BodiesOfAllAnswersTogetherAreBounded: of eight answers of 300 KB under a limit of 1.2 MB no more than four are held, and four more come once those have ended. The limit didn't exist before.

--- a/src/gateway/context_follower.cpp
+++ b/src/gateway/context_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/duration.h"
+#include "daisytack/limits.h"
 #include "direct/context_planner.h"
 #include "net/http_status.h"
 
@@ -12,6 +13,20 @@
 
 namespace daisytack::gateway {
 
+namespace {
+
+/// Longest list of a store's parts, or of their changes, in bytes: 80,000 parts
+/// of 100 bytes each.
+constexpr size_t MaxStoreAnswerBytes = MaxFrameBytes;
+
+net::HttpCallOptions callOptions() {
+  net::HttpCallOptions out;
+  out.MaxBodyBytes = MaxStoreAnswerBytes;
+  return out;
+}
+
+} // namespace
+
 ContextFollower::ContextFollower(GatewayState &state, Strand strand,
                                  ContextFollowerSettings settings,
                                  RandomSource random, RetirementHooks hooks,
@@ -78,7 +93,8 @@
                               [self, store, list = std::move(list)] {
                                 self->onList(store, list);
                               });
-      });
+      },
+      callOptions());
 }
 
 void ContextFollower::onList(const std::string &store,
@@ -125,7 +141,8 @@
           else
             self->onChanges(store, changes);
         });
-      });
+      },
+      callOptions());
 }
 
 void ContextFollower::onBusy(const std::string &store) {
@@ -292,7 +309,7 @@
                      {"first", parts.front().Scope + "/" + parts.front().Part},
                      {"unused_below_version", unusedBelow}},
                     now);
-    net::HttpCallOptions options;
+    net::HttpCallOptions options = callOptions();
     options.UsesOwnConnection = true;
     State.ControlClient.fetch(
         followed.Address,
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_state.h"
 
 #include "base/clock.h"
+#include "daisytack/limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,11 +23,15 @@
 constexpr size_t MaxIdlePerControlServer = 4;
 /// Longest answer to an entry's own calls, in bytes: several values of the
 /// largest size in one answer of the key-value service.
-constexpr size_t MaxControlAnswerBytes = 16U << 20;
+constexpr size_t MaxControlAnswerBytes = 16 * MaxValueBytes;
+/// Bytes of all answers to an entry's own calls that are received or decoded at
+/// a time: the longest one, and one of the next longest kind beside it.
+constexpr size_t MaxHeldControlBytes = MaxControlAnswerBytes + MaxFrameBytes;
 
 net::HttpClientInit clientInit(size_t idle, Duration connect) {
   net::HttpClientInit out;
   out.MaxResponseBodyBytes = MaxControlAnswerBytes;
+  out.MaxHeldBytes = MaxHeldControlBytes;
   out.MaxIdlePerEndpoint = idle;
   out.ConnectTimeout = connect;
   return out;
--- a/src/gateway/order_driver.cpp
+++ b/src/gateway/order_driver.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+/// Longest report of an engine, and answer to an order, in bytes. A report
+/// names the versions of a few models.
+constexpr size_t MaxReportBytes = 256U << 10;
+
 OrderAnswer orderAnswer(const Error &error, unsigned status) {
   if (error)
     return OrderAnswer::Unknown;
@@ -152,6 +156,8 @@
 }
 
 void OrderDriver::requestReport(const direct::RequestReport &action) {
+  net::HttpCallOptions options;
+  options.MaxBodyBytes = MaxReportBytes;
   State.ControlClient.fetch(
       action.Address, State.WireProtocol.ReportRequest(),
       Settings.Weights.CallTimeout,
@@ -168,7 +174,8 @@
           if (self->token(now))
             self->perform(actions);
         });
-      });
+      },
+      options);
 }
 
 void OrderDriver::sendOrder(const direct::SendWeightOrder &action) {
@@ -186,6 +193,7 @@
                   now);
   net::HttpCallOptions options;
   options.UsesOwnConnection = true;
+  options.MaxBodyBytes = MaxReportBytes;
   State.ControlClient.fetch(
       action.Address,
       State.WireProtocol.OrderRequest({action.ServerId, action.Address,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -85,11 +85,13 @@
 struct HttpClient::Impl {
   Impl(asio::io_context &io, HttpClientInit init)
       : Io(io), Init(init),
-        Pool(std::make_shared<HttpConnectionPool>(init.MaxIdlePerEndpoint)) {}
+        Pool(std::make_shared<HttpConnectionPool>(init.MaxIdlePerEndpoint)),
+        Held(std::make_shared<HeldBytes>(init.MaxHeldBytes)) {}
 
   asio::io_context &Io;
   HttpClientInit Init;
   std::shared_ptr<HttpConnectionPool> Pool;
+  std::shared_ptr<HeldBytes> Held;
 };
 
 HttpClient::HttpClient(asio::io_context &io, HttpClientInit init)
@@ -104,9 +106,9 @@
 HttpCall HttpClient::call(const Endpoint &to, HttpRequest request,
                           HttpTimeout timeout, HttpHooks hooks,
                           HttpCallOptions options) {
-  auto running =
-      std::make_shared<HttpClientCall>(Self->Io, Self->Init, Self->Pool, to,
-                                       std::move(request), std::move(hooks));
+  auto running = std::make_shared<HttpClientCall>(
+      Self->Io, Self->Init, Self->Pool, Self->Held, to, std::move(request),
+      std::move(hooks));
   running->start(timeout, options);
   return HttpCall([weak = std::weak_ptr(running)] {
     if (auto self = weak.lock())
@@ -131,6 +133,7 @@
   hooks.Done = [response, done = std::move(done)](const Error &error) {
     done(error, error ? HttpResponse{} : std::move(*response));
   };
+  options.HoldsBody = true;
   options.MaxBodyBytes =
       std::min(options.MaxBodyBytes, Self->Init.MaxResponseBodyBytes);
   return call(to, std::move(request), timeout, std::move(hooks), options);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -88,6 +88,9 @@
   /// with an effect whose responses name no request: on a shared connection, a
   /// second copy of the response to an earlier call would be taken for theirs.
   bool UsesOwnConnection = false;
+  /// The body is held until it is complete, and counts against
+  /// HttpClientInit::MaxHeldBytes. Set by fetch().
+  bool HoldsBody = false;
   bool operator==(const HttpCallOptions &) const = default;
 };
 
@@ -108,6 +111,10 @@
   size_t MaxResponseHeaderBytes = 64U << 10;
   /// Applies to fetch(); call() takes the limit as an argument.
   size_t MaxResponseBodyBytes = 64U << 20;
+  /// Limit on the bodies of all responses together that fetch() holds, until
+  /// the calls' hooks have returned. A response that would exceed it ends with
+  /// ProtocolError.
+  size_t MaxHeldBytes = SIZE_MAX;
   /// Bytes of interim responses, and of responses to other requests, that a
   /// call skips before it ends with ProtocolError.
   size_t MaxSkippedBytes = 1U << 20;
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -74,9 +74,10 @@
 
 HttpClientCall::HttpClientCall(asio::io_context &io, const HttpClientInit &init,
                                std::shared_ptr<HttpConnectionPool> pool,
-                               Endpoint to, HttpRequest request,
-                               HttpHooks hooks)
-    : Io(io), Init(init), Pool(std::move(pool)), To(std::move(to)),
+                               std::shared_ptr<HeldBytes> held, Endpoint to,
+                               HttpRequest request, HttpHooks hooks)
+    : Io(io), Init(init), Pool(std::move(pool)), Held(std::move(held)),
+      To(std::move(to)),
       Message(toMessage(To, std::move(request), HasLongHeader)),
       Hooks(std::move(hooks)), CallStrand(asio::make_strand(io)),
       Timer(CallStrand) {}
@@ -241,7 +242,11 @@
   size_t n = ReadBuffer.size() - Response->get().body().size;
   if (IgnoresResponse && skipsTooMuch(n))
     return;
-  BodyBytes += IgnoresResponse ? 0 : n;
+  if (!IgnoresResponse) {
+    BodyBytes += n;
+    if (Options.HoldsBody && !Held->add(n))
+      return failProtocol("too many large responses at once");
+  }
   if (BodyBytes > Options.MaxBodyBytes)
     return failProtocol("the response is too large");
   if (n > 0 && Hooks.Data && !IgnoresResponse)
@@ -354,6 +359,8 @@
   HttpHooks hooks = std::exchange(Hooks, {});
   if (hooks.Done)
     hooks.Done(error);
+  if (Options.HoldsBody)
+    Held->remove(BodyBytes);
 }
 
 void HttpClientCall::extendDeadline(size_t received) {
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -79,11 +79,25 @@
   std::map<Endpoint, std::vector<std::shared_ptr<HttpClientConnection>>> Idle;
 };
 
+/// The bytes of response bodies that the calls of a client hold. Thread-safe.
+class HeldBytes {
+public:
+  explicit HeldBytes(size_t max) : Max(max) {}
+  /// Adds the bytes; returns whether all of them are within the limit.
+  bool add(size_t n) { return (Bytes += n) <= Max; }
+  void remove(size_t n) { Bytes -= n; }
+
+private:
+  const size_t Max;
+  std::atomic<size_t> Bytes{0};
+};
+
 /// Sends one request and reports its response. All steps run on CallStrand.
 class HttpClientCall : public std::enable_shared_from_this<HttpClientCall> {
 public:
   HttpClientCall(asio::io_context &io, const HttpClientInit &init,
-                 std::shared_ptr<HttpConnectionPool> pool, Endpoint to,
+                 std::shared_ptr<HttpConnectionPool> pool,
+                 std::shared_ptr<HeldBytes> held, Endpoint to,
                  HttpRequest request, HttpHooks hooks);
   void start(HttpTimeout timeout, HttpCallOptions options);
   void cancel();
@@ -132,6 +146,7 @@
   asio::io_context &Io;
   const HttpClientInit Init;
   std::shared_ptr<HttpConnectionPool> Pool;
+  std::shared_ptr<HeldBytes> Held; ///< By all calls.
   Endpoint To;
   bool HasLongHeader = false; ///< The request can't be sent.
   Request Message;
--- a/tests/gateway/odd_input_test.cpp
+++ b/tests/gateway/odd_input_test.cpp
@@ -341,5 +341,54 @@
   EXPECT_EQ(readinessStatus(entry), 200U);
 }
 
+/// Guards against an entry that runs out of memory as several stores, engines
+/// or entries answer with long bodies at once.
+TEST_F(OddInputTest, BodiesOfAllAnswersTogetherAreBounded) {
+  constexpr size_t BodyBytes = 300'000;
+  std::mutex lock;
+  std::vector<ExchangePtr> open;
+  test::FakeServer &server =
+      startBackend([&](const HttpRequest &, const ExchangePtr &to) {
+        to->beginStream(200, {});
+        to->write(std::string(BodyBytes, 'x'));
+        std::lock_guard guard(lock);
+        open.push_back(to);
+      });
+  net::HttpClientInit init;
+  init.MaxHeldBytes = 4 * BodyBytes;
+  net::HttpClient client(Threads.Io, init);
+  std::atomic<size_t> refused{0};
+  std::atomic<size_t> whole{0};
+  auto call = [&] {
+    client.fetch(server.address(), request("/x"), 10s,
+                 [&](const Error &error, const HttpResponse &answer) {
+                   refused += error.Kind == ErrorKind::ProtocolError;
+                   whole += answer.Body.size() == BodyBytes;
+                 });
+  };
+  for (int i = 0; i < 8; ++i)
+    call();
+  // Of those that exceed the limit at the same moment, all end.
+  EXPECT_TRUE(eventually([&] {
+    std::lock_guard guard(lock);
+    return refused >= 4 && open.size() == 8;
+  }));
+  for (const ExchangePtr &it : open)
+    it->endStream();
+  EXPECT_TRUE(eventually([&] { return whole + refused == 8; }));
+  size_t before = whole;
+  // What has ended no longer counts.
+  for (int i = 0; i < 4; ++i)
+    call();
+  EXPECT_TRUE(eventually([&] {
+    std::lock_guard guard(lock);
+    return open.size() == 12;
+  }));
+  for (const ExchangePtr &it : open)
+    it->endStream();
+  EXPECT_TRUE(eventually([&] { return whole == before + 4; })) << whole;
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 } // namespace
 } // namespace daisytack::gateway
