--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_state.h"
 
 #include "base/clock.h"
+#include "daisytack/limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,11 +23,15 @@
 constexpr size_t MaxIdlePerControlServer = 4;
 /// Longest answer to an entry's own calls, in bytes: several values of the
 /// largest size in one answer of the key-value service.
-constexpr size_t MaxControlAnswerBytes = 16U << 20;
+constexpr size_t MaxControlAnswerBytes = 16 * MaxValueBytes;
+/// Bytes of all answers to an entry's own calls that are received or decoded at
+/// a time: the longest one, and one of the next longest kind beside it.
+constexpr size_t MaxHeldControlBytes = MaxControlAnswerBytes + MaxFrameBytes;
 
 net::HttpClientInit clientInit(size_t idle, Duration connect) {
   net::HttpClientInit out;
   out.MaxResponseBodyBytes = MaxControlAnswerBytes;
+  out.MaxHeldBytes = MaxHeldControlBytes;
   out.MaxIdlePerEndpoint = idle;
   out.ConnectTimeout = connect;
   return out;
@@ -73,7 +78,7 @@
 }
 
 direct::CatalogHooks catalogHooks(const direct::Protocol &protocol,
-                                  DecisionLog &log) {
+                                  Counter &unreadable, DecisionLog &log) {
   direct::CatalogHooks out;
   out.SubjectOf = protocol.SubjectOf;
   out.Decode = protocol.DecodeRecord;
@@ -87,8 +92,9 @@
                {"revision", revision}},
               now);
   };
-  out.Unreadable = [&log](const direct::StoreRecord &record,
-                          const Error &reason, TimePoint now) {
+  out.Unreadable = [&log, &unreadable](const direct::StoreRecord &record,
+                                       const Error &reason, TimePoint now) {
+    unreadable.add();
     log.write(LogPriority::Notable, "record_unreadable",
               {{"key", record.Key},
                {"revision", record.Revision},
@@ -199,6 +205,14 @@
                                      "Parts that servers were asked to save")),
       BadDatagrams(metrics.counter("daisytack_peer_datagrams_bad_total",
                                    "Datagrams that could not be read")),
+      BadPeerMessages(metrics.counter(
+          "daisytack_peer_messages_bad_total",
+          "Messages of other entries over HTTP that could not be read or be "
+          "true")),
+      UnreadableRecords(metrics.counter(
+          "daisytack_records_unreadable_total",
+          "Revisions of records of the key-value service that could not be "
+          "read")),
       UnsentDatagrams(metrics.counter(
           "daisytack_peer_datagrams_unsent_total",
           "Datagrams to other entries that were too large or not sent")),
@@ -319,7 +333,8 @@
       Retries(options.Retries), BackendClient(io, backendInit(options)),
       ControlClient(io,
                     clientInit(MaxIdlePerControlServer, ControlConnectTimeout)),
-      Catalog(options.Catalog, catalogHooks(WireProtocol, log)) {}
+      Catalog(options.Catalog,
+              catalogHooks(WireProtocol, Stats.UnreadableRecords, log)) {}
 
 Error drainingError() {
   // Short, because a retry on a new connection reaches another entry.
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -17,15 +17,20 @@
 namespace {
 
 constexpr unsigned HttpVersion11 = 11;
+/// Longest name or value of a header, in bytes. The HTTP library throws for
+/// those of 64 KB.
+constexpr size_t MaxFieldBytes = 65'000;
 
 std::shared_ptr<const std::string> bodyOf(HttpRequest &request) {
   return request.SharedBody ? std::move(request.SharedBody) : takeBody(request);
 }
 
-/// The message refers to the body and doesn't copy it.
+/// The message refers to the body and doesn't copy it. Leaves out headers that
+/// are too long, and then sets `hasLongHeader`.
 http::request<http::span_body<const char>> toMessage(const Endpoint &to,
                                                      const HttpRequest &request,
-                                                     const std::string &body) {
+                                                     const std::string &body,
+                                                     bool &hasLongHeader) {
   http::request<http::span_body<const char>> out;
   out.version(HttpVersion11);
   out.method_string(request.Method);
@@ -33,8 +38,12 @@
   if (!request.Query.empty())
     target += "?" + request.Query;
   out.target(request.Target.empty() ? target : request.Target);
-  for (const HttpHeader &header : request.Headers)
-    out.insert(header.Name, header.Value);
+  for (const HttpHeader &header : request.Headers) {
+    if (std::max(header.Name.size(), header.Value.size()) > MaxFieldBytes)
+      hasLongHeader = true;
+    else
+      out.insert(header.Name, header.Value);
+  }
   if (out.count(http::field::host) == 0)
     out.set(http::field::host, toString(to));
   out.body() = boost::beast::span<const char>(body.data(), body.size());
@@ -72,10 +81,11 @@
 
 HttpClientCall::HttpClientCall(asio::io_context &io, const HttpClientInit &init,
                                std::shared_ptr<HttpConnectionPool> pool,
-                               Endpoint to, HttpRequest request,
-                               HttpHooks hooks)
-    : Io(io), Init(init), Pool(std::move(pool)), To(std::move(to)),
-      Body(bodyOf(request)), Message(toMessage(To, request, *Body)),
+                               std::shared_ptr<HeldBytes> held, Endpoint to,
+                               HttpRequest request, HttpHooks hooks)
+    : Io(io), Init(init), Pool(std::move(pool)), Held(std::move(held)),
+      To(std::move(to)), Body(bodyOf(request)),
+      Message(toMessage(To, request, *Body, HasLongHeader)),
       Hooks(std::move(hooks)), CallStrand(asio::make_strand(io)),
       Timer(CallStrand) {}
 
@@ -97,6 +107,9 @@
 void HttpClientCall::begin() {
   if (Finished)
     return;
+  if (HasLongHeader)
+    return finish({ErrorKind::HeaderTooLarge,
+                   toString(To) + ": a header of the request is too long"});
   if (!Options.UsesOwnConnection)
     Connection = Pool->take(To, Options.ResponseKey);
   Reused = Connection != nullptr;
@@ -247,7 +260,11 @@
   size_t n = ReadBuffer.size() - Response->get().body().size;
   if (IgnoresResponse && skipsTooMuch(n))
     return;
-  BodyBytes += IgnoresResponse ? 0 : n;
+  if (!IgnoresResponse) {
+    BodyBytes += n;
+    if (Options.HoldsBody && !Held->add(n))
+      return failProtocol("too many large responses at once");
+  }
   if (BodyBytes > Options.MaxBodyBytes)
     return failProtocol("the response is too large");
   if (n > 0 && Hooks.Data && !IgnoresResponse)
@@ -389,6 +406,8 @@
   HttpHooks hooks = std::exchange(Hooks, {});
   if (hooks.Done)
     hooks.Done(error);
+  if (Options.HoldsBody)
+    Held->remove(BodyBytes);
 }
 
 void HttpClientCall::extendDeadline(size_t received) {
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -394,5 +394,112 @@
   EXPECT_EQ(outcome.CompactRevision, 0);
 }
 
+edge::KvRangeResult readAll(ScriptedService &service) {
+  return await<edge::KvRangeResult>([&](auto done) {
+    service.Store.Range({"", edge::prefixEnd("")}, CallTimeout,
+                        std::move(done));
+  });
+}
+
+/// Guards against a service that is never read again after one answer with an
+/// era that can't be, such as one that was damaged on the way.
+TEST(KvStore, IgnoresAnEraThatCanNotBe) {
+  for (const char *odd : {"18446744073709551615", "99999999999999999999",
+                          "70000", "-1", "1e3", "2x", ""}) {
+    std::atomic<int> calls{0};
+    ScriptedService service([&](const HttpRequest &) {
+      std::string era = calls++ == 1 ? odd : "2";
+      return HttpResponse{
+          200, {{"Store-Era", era}}, R"({"items":[],"store-revision":7})"};
+    });
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Ok);
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable) << odd;
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Ok) << odd;
+    EXPECT_EQ(service.Store.LatestEra(), 2) << odd;
+  }
+}
+
+/// Guards against a revision whose high bits are taken for a later era, by
+/// which the record hides all later ones of its key.
+TEST(KvStore, SkipsRevisionsThatCanNotBe) {
+  ScriptedService service([](const HttpRequest &request) {
+    bool isLarge = request.Query.find("path-prefix=large") != std::string::npos;
+    return okIn(1, R"({"items":[{"key":"a","revision":1099511627776},)"
+                   R"({"key":"b","revision":18446744073709551615},)" +
+                       item("c", 5) + R"(],"store-revision":)" +
+                       (isLarge ? "1099511627776" : "7") + "}");
+  });
+  edge::KvRangeResult result = readAll(service);
+  ASSERT_EQ(result.Entries.size(), 1);
+  EXPECT_EQ(result.Entries[0].Key, "c");
+  auto large = await<edge::KvRangeResult>([&](auto done) {
+    service.Store.Range({"large", edge::prefixEnd("large")}, CallTimeout,
+                        std::move(done));
+  });
+  EXPECT_EQ(large.Header.Status, KvStatus::Unavailable);
+}
+
+/// Guards against a watch that calls without a pause: a change that can't be
+/// read, and so never ends, is answered at once each time.
+TEST(KvStore, PausesBetweenAnswersThatComeAtOnce) {
+  constexpr int Calls = 5;
+  std::atomic<int> calls{0};
+  ScriptedService service([&](const HttpRequest &) {
+    if (++calls == Calls)
+      return HttpResponse{503, {}, {}};
+    return ok(R"({"events":[{"key":7,"revision":12}],"store-revision":10})");
+  });
+  auto begin = std::chrono::steady_clock::now();
+  watch(service);
+  EXPECT_EQ(calls, Calls);
+  // A lower bound, which a busy machine can't break.
+  EXPECT_GE(std::chrono::steady_clock::now() - begin, (Calls - 1) * 300ms);
+}
+
+/// Guards against a range that is read for ever: the pages come again.
+TEST(KvStore, FailsARangeWhosePagesComeAgain) {
+  std::atomic<int> calls{0};
+  ScriptedService service([&](const HttpRequest &) {
+    int call = ++calls;
+    return ok(R"({"items":[)" + item(call % 2 == 0 ? "a" : "b", 3) +
+              R"(],"truncated":)" + (call < 200 ? "true" : "false") +
+              R"(,"store-revision":10})");
+  });
+  EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable);
+  EXPECT_LT(calls, 10);
+}
+
+/// Guards against a range that takes memory without bound.
+TEST(KvStore, FailsARangeThatIsTooLarge) {
+  std::atomic<int> calls{0};
+  const std::string value = encodeBase64(std::string(1U << 20U, 'v'));
+  ScriptedService service([&](const HttpRequest &) {
+    int call = ++calls;
+    std::string items;
+    for (int i = 0; i < 8; ++i)
+      items += (i > 0 ? "," : "") + std::string(R"({"key":"k)") +
+               std::to_string(1000 + 8 * call + i) + R"(","value":")" + value +
+               R"(","revision":3})";
+    return ok(R"({"items":[)" + items + R"(],"truncated":)" +
+              (call < 20 ? "true" : "false") + R"(,"store-revision":10})");
+  });
+  EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable);
+  EXPECT_LE(calls, 8);
+}
+
+/// Guards against an odd field that makes an answer about a lease look as if
+/// the lease had ended.
+TEST(KvStore, ReportsAnOddAnswerAboutALeaseAsUnknown) {
+  for (const char *odd :
+       {R"({"lease":"x","ttl-ms":3000})", R"({"lease":7,"ttl-ms":1e400})",
+        R"({"lease":-1})", R"({"lease":1e300})"}) {
+    ScriptedService service([&](const HttpRequest &) { return ok(odd); });
+    auto result = await<edge::KvLeaseResult>([&](auto done) {
+      service.Store.GrantLease(3s, CallTimeout, std::move(done));
+    });
+    EXPECT_EQ(result.Header.Status, KvStatus::Unknown) << odd;
+  }
+}
+
 } // namespace
 } // namespace daisytack::platform
