Free load slots by engines' reports, and repeat orders without an answer

What callers saw: with half of the orders to engines unanswered, engines still had older weights 17 s after a newer version was named, so that requests for them were refused or moved.

Cause: an order without an answer held its slot until the call had timed out, a pause had passed and a report had come: 1.3 s for each, 2 slots in a small fleet, and one order each time. A lost report held it for 1 s as well.

Change: a report that shows no load once it must show one (400 ms after the order) frees the slot. Once every outdated engine has had its turn for the version, an order without an answer is repeated every 100 ms within a turn, five at most; a request for a report likewise. All orders of a turn carry the same number of accepted orders, so that the engine accepts one of them; an answer of "conflict" then shows that one was. A call that fails is not repeated. The number of loads at a time and its bound are as before. A failure counts for the version that was ordered, not for one that was named meanwhile: such an engine had no turn for that one.

--- a/src/direct/weight_plan.cpp
+++ b/src/direct/weight_plan.cpp
@@ -102,8 +102,12 @@
                                    PostponeReason reason) {
   ServerStart start{load->first, load->second.StartedMs};
   FailureHistory &history = Failures[start];
-  if (history.Version != load->second.Desired.Version)
-    history = {load->second.Desired.Version};
+  // A version that was named after the order has had no turn yet.
+  uint64_t version = load->second.OrderedVersion != 0
+                         ? load->second.OrderedVersion
+                         : load->second.Desired.Version;
+  if (history.Version != version)
+    history = {version};
   ++history.Count;
   history.HasUnansweredOrder |= reason == PostponeReason::NoAnswer;
   NotePostponed out{start.Id, start.StartedMs, load->second.Desired, reason,
@@ -159,12 +163,13 @@
     const OutdatedServer *it = pickNext(outdated, catalog);
     if (!it)
       return;
-    Loads[it->Server->Id] = {it->Server->StartedMs,
-                             it->Server->Address,
-                             it->Desired,
-                             Phase::Asking,
-                             now,
-                             now + Settings.PrepareTime};
+    Load load;
+    load.StartedMs = it->Server->StartedMs;
+    load.Address = it->Server->Address;
+    load.Desired = it->Desired;
+    load.Since = now;
+    load.NextCheckAt = now + Settings.PrepareTime;
+    Loads.insert_or_assign(it->Server->Id, std::move(load));
   }
 }
 
@@ -173,11 +178,22 @@
   dropFinishedLoads(catalog);
   std::vector<WeightAction> out = postponeSlowLoads(now);
   startLoads(catalog, now);
+  bool mayRepeat = haveAllHadTurn(catalog);
   for (auto &[id, load] : Loads) {
-    if (now < load.NextCheckAt)
+    if (mayRepeat && isRepetitionDue(load, now))
+      out.push_back(sendOrder(id, load, now));
+    bool isRepetition =
+        (mayRepeat || load.OrderedVersion != 0) && load.OpenRequests > 0 &&
+        load.CurrentPhase == Phase::Asking && now >= load.NextRequestAt;
+    if (now < load.NextCheckAt && !isRepetition)
       continue;
+    if (!isRepetition) {
+      load.AskedAt = now;
+      load.NextCheckAt = now + Settings.CallTimeout;
+    }
     load.CurrentPhase = Phase::Asking;
-    load.NextCheckAt = now + Settings.CallTimeout;
+    load.NextRequestAt = now + Settings.RepeatInterval;
+    ++load.OpenRequests;
     // A newer version may have become desired since the engine was selected.
     load.Desired.Version = std::max(load.Desired.Version,
                                     catalog.desiredVersion(load.Desired.Model));
@@ -190,9 +206,14 @@
 WeightPlan::onReport(const std::string &server,
                      const std::optional<EngineReport> &report, TimePoint now) {
   auto it = Loads.find(server);
-  if (it == Loads.end() || it->second.CurrentPhase != Phase::Asking)
+  if (it == Loads.end())
     return {};
   Load &load = it->second;
+  load.OpenRequests -= std::min(load.OpenRequests, 1U);
+  bool isRepeated = !report && load.OpenRequests > 0 &&
+                    now < load.AskedAt + Settings.CallTimeout;
+  if (load.CurrentPhase != Phase::Asking || isRepeated)
+    return {};
   // A report of another start: either this one is late, or the record of a
   // newer start has not arrived yet.
   bool isOtherStart = report && report->StartedMs != 0 && load.StartedMs != 0 &&
@@ -220,14 +241,41 @@
     load.IsOrderAccepted = true;
     return {};
   }
-  if (load.IsOrderUnanswered)
+  if (load.IsOrderUnanswered && load.OrderedVersion == load.Desired.Version)
     return {postpone(it, PostponeReason::NoAnswer)};
   load.CurrentPhase = Phase::Ordering;
   load.IsOrderAccepted = false;
-  // The answer comes first, as the call has ended by then.
-  load.NextCheckAt = now + Settings.CallTimeout + Settings.RefusalRetryDelay;
-  return {SendWeightOrder{server, load.Address, load.Desired,
-                          report->OrdersTaken, load.StartedMs}};
+  load.OrdersTaken = report->OrdersTaken;
+  load.OrdersSent = 0;
+  load.OrdersFailed = 0;
+  return {sendOrder(server, load, now)};
+}
+
+bool WeightPlan::isRepetitionDue(const Load &load, TimePoint now) const {
+  return load.CurrentPhase == Phase::Ordering && now >= load.NextOrderAt &&
+         load.OrdersSent < Settings.OrdersPerTurn &&
+         load.OrdersSent > load.OrdersFailed;
+}
+
+SendWeightOrder WeightPlan::sendOrder(const std::string &server, Load &load,
+                                      TimePoint now) const {
+  load.OrderedVersion = load.Desired.Version;
+  ++load.OrdersSent;
+  load.IsOrderUnanswered = true;
+  load.NextOrderAt = now + Settings.RepeatInterval;
+  load.NextCheckAt = now + Settings.MaxReportAge;
+  return {server, load.Address, load.Desired, load.OrdersTaken, load.StartedMs};
+}
+
+bool WeightPlan::haveAllHadTurn(const Catalog &catalog) const {
+  std::vector<OutdatedServer> outdated = outdatedServers(catalog);
+  return std::all_of(
+      outdated.begin(), outdated.end(), [&](const OutdatedServer &it) {
+        auto load = Loads.find(it.Server->Id);
+        bool isOrdered = load != Loads.end() &&
+                         load->second.OrderedVersion == it.Desired.Version;
+        return isOrdered || failuresOf(it);
+      });
 }
 
 std::vector<WeightAction>
@@ -241,21 +289,20 @@
   }
   bool isExpected = it != Loads.end() &&
                     it->second.StartedMs == server.StartedMs &&
-                    it->second.CurrentPhase == Phase::Ordering;
+                    it->second.IsOrderUnanswered;
   if (!isExpected)
     return {}; // The order belongs to a load that was dropped.
   Load &load = it->second;
-  load.CurrentPhase = Phase::Loading;
   switch (answer) {
   case OrderAnswer::Accepted:
+    load.CurrentPhase = Phase::Loading;
+    load.IsOrderUnanswered = false;
     load.IsOrderAccepted = true;
     load.NextCheckAt = now + Settings.FirstCheckDelay;
     break;
-  case OrderAnswer::Unknown:
-    load.IsOrderUnanswered = true;
-    load.NextCheckAt = now + Settings.RefusalRetryDelay;
-    break;
   case OrderAnswer::Conflict:
+    load.CurrentPhase = Phase::Loading;
+    load.IsOrderUnanswered = false;
     load.NextCheckAt = now + Settings.RefusalRetryDelay;
     break;
   case OrderAnswer::Impossible:
@@ -263,6 +310,9 @@
   case OrderAnswer::OtherServer:
     Loads.erase(it);
     break;
+  case OrderAnswer::Unknown: // The next report shows whether it was accepted.
+    ++load.OrdersFailed;
+    break;
   case OrderAnswer::Fenced:
     break;
   }
--- a/src/direct/weight_plan.h
+++ b/src/direct/weight_plan.h
@@ -10,6 +10,8 @@
 ///
 /// An engine that doesn't report, answer or accept its order is postponed: its
 /// load slot goes to another one. The order may still be carried out later.
+/// A report, rather than a timeout, shows that an order was lost. Once every
+/// outdated engine has had its turn, lost orders are repeated within a turn.
 #pragma once
 
 #include "direct/catalog.h"
@@ -50,9 +52,19 @@
   /// An engine whose load takes longer is postponed. Several times the usual
   /// duration.
   Duration LoadTimeout{6'000'000};
-  /// Time until the next check of an engine whose order got no answer or met
-  /// another one, or whose report is of another start.
+  /// Time until the next check of an engine whose order met another one, or
+  /// whose report is of another start.
   Duration RefusalRetryDelay{300'000};
+  /// Maximum age of a report. An engine whose report is idle this long after an
+  /// order without an answer is not carrying it out, so its slot is freed.
+  Duration MaxReportAge{400'000};
+  /// An order or a request for a report without a response is repeated after
+  /// this time, but before a load only once every outdated engine has had its
+  /// turn. Responses take a few milliseconds.
+  Duration RepeatInterval{100'000};
+  /// Maximum number of orders that an engine gets in one turn. They carry the
+  /// same number of accepted orders, so the engine accepts one at most.
+  uint32_t OrdersPerTurn = 5;
   bool operator==(const WeightPlanSettings &) const = default;
 };
 
@@ -145,9 +157,18 @@
     Endpoint Address;
     ModelVersion Desired;
     Phase CurrentPhase = Phase::Asking;
-    TimePoint Since;       ///< When the engine was selected.
-    TimePoint NextCheckAt; ///< Next check, unless a response arrives earlier.
-    bool IsOrderUnanswered = false; ///< The latest order got no response.
+    TimePoint Since;         ///< When the engine was selected.
+    TimePoint NextCheckAt;   ///< Next check, unless a response arrives earlier.
+    TimePoint AskedAt;       ///< When this phase of asking began.
+    TimePoint NextRequestAt; ///< When a request for a report is repeated.
+    uint32_t OpenRequests = 0;   ///< Requests for a report without a response.
+    uint64_t OrderedVersion = 0; ///< Of the latest order; 0: none was sent.
+    uint64_t OrdersTaken = 0;    ///< Number that the latest order carries.
+    uint32_t OrdersSent = 0;     ///< Since the latest report.
+    uint32_t OrdersFailed = 0;   ///< Those of them whose call has failed.
+    TimePoint NextOrderAt;       ///< When the latest order may be repeated.
+    /// The latest order has got no response so far.
+    bool IsOrderUnanswered = false;
     /// The engine accepted an order or reported that it carries one out.
     bool IsOrderAccepted = false;
   };
@@ -187,6 +208,14 @@
   size_t concurrency(const Catalog &catalog,
                      const std::vector<OutdatedServer> &outdated,
                      TimePoint now) const;
+  /// Whether every outdated server was ordered to load its desired version, or
+  /// was postponed.
+  bool haveAllHadTurn(const Catalog &catalog) const;
+  /// Whether the latest order of the load is to be repeated now.
+  bool isRepetitionDue(const Load &load, TimePoint now) const;
+  /// The next order of the load, with the number from its latest report.
+  SendWeightOrder sendOrder(const std::string &server, Load &load,
+                            TimePoint now) const;
   /// The outdated server to load next; null if all are loading.
   const OutdatedServer *pickNext(const std::vector<OutdatedServer> &outdated,
                                  const Catalog &catalog) const;
