Keep parts of few records that never become whole

The parts of up to 64 records, 8 MiB each, of which the sources give some and no more, stayed in memory.

Change: parts of other records than the one that is called for are dropped when they take more than 8 MiB together.

--- a/src/direct/record_transfer.cpp
+++ b/src/direct/record_transfer.cpp
@@ -121,6 +121,14 @@
   for (auto &[key, transfer] : Pending) {
     if (transfer.Sources.empty() || now < transfer.NextCallAt)
       continue;
+    // Parts of other records are kept only as long as they take little memory.
+    size_t bytes = 0;
+    for (const auto &it : Pending)
+      bytes += it.second.Received.size();
+    if (bytes > MaxFrameBytes)
+      for (auto &it : Pending)
+        if (it.first != key)
+          std::exchange(it.second.Received, {});
     if (transfer.Received.empty())
       begin(key, transfer);
     CalledKey = key;
--- a/tests/input/peer_messages_test.cpp
+++ b/tests/input/peer_messages_test.cpp
@@ -140,5 +140,35 @@
   EXPECT_FALSE(Fetch.behindSince());
 }
 
+/// Guards against parts of many records, of which none becomes whole, that fill
+/// the memory.
+TEST_F(OddOfferTest, PartsOfManyRecordsTakeLittleMemory) {
+  constexpr size_t Records = 40;
+  for (size_t i = 0; i < Records; ++i)
+    Fetch.onOffer({"k" + std::to_string(i), 5}, Odd, At);
+  // Each source gives a megabyte of 8, and then nothing for some time.
+  for (size_t i = 0; i < 2 * Records; ++i, At += 1ms) {
+    std::optional<direct::RecordPartCall> call = Fetch.next(At);
+    if (!call)
+      continue;
+    Error reason;
+    const direct::RecordPartRequest &request = call->Request;
+    Fetch.onPart({request.Key, request.Revision, 0, request.Offset, 8U << 20U,
+                  1, std::string(1U << 20U, 'x')},
+                 At, reason);
+    EXPECT_FALSE(reason) << reason.Detail;
+    if (Fetch.next(At))
+      Fetch.onFailure(At);
+  }
+  At += 1s;
+  size_t kept = 0;
+  for (size_t i = 0; i < Records; ++i)
+    if (std::optional<direct::RecordPartCall> call = Fetch.next(At)) {
+      kept += call->Request.Offset;
+      Fetch.onFailure(At);
+    }
+  EXPECT_LE(kept, 17U << 20U);
+}
+
 } // namespace
 } // namespace daisytack
