Bound the parts that are known to be in stores

A store's list of 16 MB, or changes without end, made a table of any size in each entry.

Change: at most 200,000 parts are known over all stores, about 30 MB by arithmetic. What is beyond is computed again rather than fetched.

Measured: TableBound.PartsKnownAreBoundedOverAllStores passes; the bound didn't exist before.

--- a/src/direct/kept_context.cpp
+++ b/src/direct/kept_context.cpp
@@ -112,9 +112,14 @@
 
 void KeptContext::addPart(Store &store, const std::string &key,
                           uint32_t tokens) {
-  uint32_t &oldTokens = store.Parts[key];
-  store.UsedTokens += tokens - oldTokens;
-  oldTokens = tokens;
+  auto it = store.Parts.find(key);
+  if (it == store.Parts.end()) {
+    if (partCountLocked() >= Settings.MaxParts)
+      return;
+    it = store.Parts.emplace(key, 0).first;
+  }
+  store.UsedTokens += tokens - it->second;
+  it->second = tokens;
 }
 
 void KeptContext::removePart(Store &store, const std::string &key) {
@@ -359,6 +364,10 @@
 
 size_t KeptContext::partsKnown() const {
   std::lock_guard guard(Lock);
+  return partCountLocked();
+}
+
+size_t KeptContext::partCountLocked() const {
   size_t out = 0;
   for (const auto &[name, store] : Stores)
     out += store.Parts.size();
--- a/src/direct/kept_context.h
+++ b/src/direct/kept_context.h
@@ -123,6 +123,9 @@
   /// while it has space: a transfer between domains keeps the store's link busy
   /// twice as long.
   double SameDomainWeight = 100;
+  /// Maximum number of parts known, over all stores; about 150 bytes each.
+  /// Further ones are computed again rather than fetched.
+  size_t MaxParts = 200'000;
   bool operator==(const KeptContextSettings &) const = default;
 };
 
@@ -207,6 +210,7 @@
 
   static std::string keyOf(std::string_view scope, std::string_view part);
   void addPart(Store &store, const std::string &key, uint32_t tokens);
+  size_t partCountLocked() const;
   void removePart(Store &store, const std::string &key);
   /// Adopts the epoch of an answer; returns whether it is a new one, in which
   /// nothing is known to be kept.
