--- a/tests/input/stored_parts_test.cpp
+++ b/tests/input/stored_parts_test.cpp
@@ -1,5 +1,6 @@
 /// Guards against tables that grow with what others write or answer.
 #include "direct/kept_context.h"
+#include "platform/record_format.h"
 
 #include <gtest/gtest.h>
 
@@ -39,5 +40,20 @@
   EXPECT_EQ(kept.partsKnown(), 10U);
 }
 
+/// Guards against a configuration of a megabyte that takes a hundred.
+TEST(TableBound, ListsOfTheConfigurationAreBounded) {
+  auto isReadable = [](const std::string &list, int items) {
+    std::string text = "{\"" + list + "\":[{\"name\":\"x\"}";
+    for (int i = 1; i < items; ++i)
+      text += ",{}";
+    Error reason;
+    return platform::decodeRecord({"op/config", text + "]}", 5, false}, reason)
+        .has_value();
+  };
+  EXPECT_TRUE(isReadable("tenants", 20'000));
+  EXPECT_FALSE(isReadable("tenants", 20'001));
+  EXPECT_FALSE(isReadable("services", 300'000));
+}
+
 } // namespace
 } // namespace daisytack
