Extend the fuzz corpus with odd numbers, and the targets with more keys

Records under the keys of registrations, retired context, settled epochs and quarantines are decoded as well, and crash reports, rates and loans with extreme numbers are seeds.

--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -78,6 +78,11 @@
       wire::encode(PeerMessage(ServerLoaded{{"a", 5}, {"model", 2}})),
       wire::encode(PeerMessage(EntryLoads{"e", 100, {{1, 2, 3, 4}}, {{5, 6}}})),
       wire::encode(PeerMessage(RolloutAges{{{{"model", 2}, 5000}}})),
+      wire::encode(PeerMessage(CrashReports{
+          {{{1, 2}, UINT32_MAX, {{7, UINT32_MAX}}, INT64_MIN}}, {}, {}, {}})),
+      wire::encode(PeerMessage(admission::OrganisationUse{
+          "e", INT64_MAX, 1, true, -1, 0, {{1, 1e38F}}})),
+      wire::encode(PeerMessage(balancing::QuotaLoan{1, 2, UINT32_MAX, 3})),
       wire::encode(PeerMessage(Acknowledgement{}))};
 }
 
@@ -85,7 +90,10 @@
 void runRecords(std::string_view text) {
   for (const char *key :
        {"op/config", "op/version/m", "servers/i", "daisytack/entries/e",
-        "daisytack/holder", "daisytack/rollout-times"}) {
+        "daisytack/registered/10.0.0.1:80", "daisytack/holder",
+        "daisytack/retired-context", "daisytack/rollout-times",
+        "daisytack/store-epochs",
+        "daisytack/quarantined/00000000000000010000000000000002"}) {
     Error reason;
     auto record =
         platform::decodeRecord({key, std::string(text), 1, false}, reason);
