Test odd answers of a store of kept context

OddInputTest.OddAnswersOfAStoreDoNotHideItsLaterOnes sends seven odd answers, with odd headers, to the calls for lists and changes; the part of the first sound one is known afterwards.

--- a/tests/gateway/odd_input_test.cpp
+++ b/tests/gateway/odd_input_test.cpp
@@ -316,6 +316,51 @@
   Threads.stop(); // Handlers use what is destroyed here.
 }
 
+/// Guards against a store that is no longer followed, or called without a
+/// pause, after odd answers to the calls for its parts.
+TEST_F(OddInputTest, OddAnswersOfAStoreDoNotHideItsLaterOnes) {
+  const std::vector<std::string> odd{
+      "",
+      std::string(100'000, '['),
+      R"({"epoch":1e400,"next":-1})",
+      R"({"epoch":18446744073709551615,"next":18446744073709551615,)"
+      R"("clock_ms":1e300,"events":[[18446744073709551615,"+","","",-1],)"
+      R"([0,"+","s","p",1e400],[-1,"-",7,null,{}]]})",
+      R"({"epoch":0,"next":0,"clock_ms":-9223372036854775808,"held":[[],1]})",
+      R"({"epoch":3,"next":7,"clock_ms":9e15,"events":[],"held":[],)"
+      R"("incomplete-parts":[["\n","\n"],["a\r\nb",""]]})",
+      R"({"epoch":3,"next":7,"events":[[7,"+","s","p",4294967295],)"
+      R"([8,"+","s","p",4294967295],[9,"+","s","q",4294967295]]})"};
+  std::atomic<size_t> asked{0};
+  test::FakeServer &store =
+      startBackend([&](const HttpRequest &what, const ExchangePtr &to) {
+        size_t n = asked++;
+        HttpResponse out{200,
+                         {{"Retry-After", "1e300"},
+                          {"Keep-Alive", "timeout=99999999999999999999"},
+                          {"Server-Limit", "NaN"}},
+                         {}};
+        if (n < odd.size())
+          out.Body = odd[n];
+        else if (what.Path == "/kv-list")
+          out.Body = R"({"epoch":5,"next":7,"held":[["s","last",9]]})";
+        else
+          out.Body = R"({"epoch":5,"next":8,"clock_ms":1000,)"
+                     R"("events":[[7,"+","s","last",9]]})";
+        to->respond(std::move(out));
+      });
+  KvService.put("op/config", promptConfigText(store.address()));
+  Entry &entry = start("e1", KvService.address());
+  ASSERT_TRUE(waitReady(entry));
+  EXPECT_TRUE(eventually([&] {
+    std::string text =
+        fetch(entry.Options.Metrics, request("/metrics")).Response.Body;
+    return asked > odd.size() &&
+           text.find("daisytack_parts_known 1\n") != std::string::npos;
+  })) << asked;
+  Threads.stop(); // Handlers use what is destroyed here.
+}
+
 /// Guards against an exception that nothing catches: the HTTP library holds no
 /// header of 64 KB.
 TEST_F(OddInputTest, HeaderThatIsTooLongIsAnError) {
