--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace daisytack::gateway {
 
@@ -34,8 +35,7 @@
 class Gateway {
 public:
   Gateway(boost::asio::io_context &io, GatewayOptions options,
-          direct::Protocol protocol, const KvStoreFactory &makeStore,
-          MemoryReport::UsageReader readUsage = {});
+          direct::Protocol protocol, const KvStoreFactory &makeStore);
   ~Gateway();
 
   bool start(Error &reason);
@@ -88,6 +88,9 @@
   void logShortages(TimePoint now);
   /// Counts what holds memory, for the log.
   DecisionLog::Fields countMemoryHolders() const;
+  /// Sets what requests may hold by the memory that the process takes, and logs
+  /// when requests begin or cease to be refused for it.
+  void updateMemory(TimePoint now);
   void tick();
   /// Lets running requests know when versions of weights or their ages have
   /// changed.
@@ -117,6 +120,10 @@
   std::shared_ptr<LoadExchange> PeerLoads;
   std::shared_ptr<ServerProbes> Probes;
   std::vector<std::string> LoggedShortages;
+  uint64_t MemoryRefusals = 0; ///< Up to the last tick.
+  /// When a body was last refused for memory; nullopt if the end of the
+  /// shortage is logged.
+  std::optional<TimePoint> MemoryShortAt;
   std::shared_ptr<ContextFollower> Contexts;
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
--- a/tools/entry/main.cpp
+++ b/tools/entry/main.cpp
@@ -5,13 +5,13 @@
 #include "platform/kv_store.h"
 #include "platform/protocol.h"
 #include "runtime/process.h"
-#include "runtime/process_usage.h"
 
 #include <optional>
 
 using namespace daisytack;
 
 int main(int argc, char **argv) {
+  runtime::mapLargeBlocks();
   entry::EntryOptions options;
   std::optional<gateway::GatewayOptions> gatewayOptions;
   std::unique_ptr<entry::EntryDaemon> daemon;
@@ -28,8 +28,7 @@
   init.Start = [&](boost::asio::io_context &io, Error &reason) {
     if (gatewayOptions) {
       gateway = std::make_unique<gateway::Gateway>(
-          io, *gatewayOptions, platform::makeProtocol(), platform::makeKvStore,
-          [] { return runtime::processUsage(); });
+          io, *gatewayOptions, platform::makeProtocol(), platform::makeKvStore);
       return gateway->start(reason);
     }
     daemon = std::make_unique<entry::EntryDaemon>(io, options);
