Log how many connections an entry takes

The event of its start named the setting, where an instance with little memory takes fewer. process.terminate_test asks for the lower number.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -288,7 +288,7 @@
   Log.write(LogPriority::Notable, "started",
             {{"version", DAISYTACK_VERSION},
              {"memory_mb", Options.MemoryBytes / BytesPerMb},
-             {"max_connections", Options.MaxConnections},
+             {"max_connections", Options.connectionLimit()},
              {"failure_domain", Options.FailureDomain},
              {"callers", toString(Options.Callers)},
              {"service", toString(Options.Store)}},
