Pass on the end of an answer that is longer than the entry buffers

Callers got unary answers of more than 256 KB without their end, as complete: status 200, valid framing, up to 256 KB missing. An answer is buffered up to 256 KB, then passed on, and what follows is buffered anew; when the answer ended, the part that was buffered last was dropped.

It is now written before the answer ends.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -243,6 +243,9 @@
       Hooks.AbortAnswer(); // The attempt to resume the stream failed.
       return finish();
     }
+    // What was buffered since the last part that was forwarded.
+    if (!body.empty())
+      Hooks.WriteAnswer(std::move(body));
     Hooks.EndAnswer();
     return finish();
   }
