Leave answers with their servers while callers don't read them

Answers were read from servers as fast as these sent them. For a caller that was slower, up to 1 MB was held, then its connection was closed: large answers to slow callers broke off, and 300 such callers took more memory than a small instance has.

An entry now pauses a call while its caller leaves more of the answer unread than an allowance of 256 KB, less when little of the memory for requests is free, and resumes it at half of that. A paused answer doesn't count as silence of its server. Answers that are held until they are whole have the same bound and are counted.

--- a/src/admission/request_memory.h
+++ b/src/admission/request_memory.h
@@ -42,7 +42,7 @@
   /// What an organisation may hold, as a multiple of what is free.
   double ShareFactor = 1;
   /// An answer may have this share of what is free unsent, within the bounds.
-  double AnswerShare = 0.125;
+  double AnswerShare = 1.0 / 64;
   size_t MinAnswerBytes = 16U << 10;
   size_t MaxAnswerBytes = 256U << 10;
   /// Shortest and longest Retry-After of a refused body. Room becomes free as
--- a/src/balancing/server_loads.cpp
+++ b/src/balancing/server_loads.cpp
@@ -93,6 +93,23 @@
   removeWaiting(state, request);
 }
 
+void ServerLoads::onPaused(direct::ServerRef server, RequestLoad request) {
+  std::lock_guard guard(Lock);
+  State &state = Servers[server.key()];
+  ++state.Paused;
+  removeWait(state, Settings.InactivityTimeout, request.SentAt);
+}
+
+void ServerLoads::onResumed(direct::ServerRef server, RequestLoad request,
+                            TimePoint now) {
+  std::lock_guard guard(Lock);
+  State &state = Servers[server.key()];
+  state.Paused -= std::min(state.Paused, 1U);
+  state.LastActivity = now;
+  if (request.MaxSilence > Duration::zero())
+    state.Waits.emplace(Settings.InactivityTimeout, request.SentAt);
+}
+
 void ServerLoads::onEnded(direct::ServerRef server, RequestLoad request,
                           bool hadFirstByte, TimePoint now) {
   std::lock_guard guard(Lock);
@@ -270,7 +287,7 @@
   if (it != Servers.end()) {
     const State &state = it->second;
     bool isUnresponsive =
-        state.Running > 0 &&
+        state.Running > state.Paused &&
         (now >= state.LastActivity + Settings.InactivityTimeout ||
          isSilent(state, now));
     out = {state.Running,
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -124,6 +124,12 @@
   /// still running.
   void onFirstByte(direct::ServerRef server, RequestLoad request,
                    TimePoint now);
+  /// This entry stops reading the answer, whose first byte it has: that the
+  /// server sends nothing shows nothing about it. Ends with onResumed(), which
+  /// must be called before onEnded().
+  void onPaused(direct::ServerRef server, RequestLoad request);
+  /// `request` has the present time as the time at which it was sent.
+  void onResumed(direct::ServerRef server, RequestLoad request, TimePoint now);
   /// The request has ended. `hadFirstByte` is true if onFirstByte() was called
   /// for it.
   void onEnded(direct::ServerRef server, RequestLoad request, bool hadFirstByte,
@@ -174,11 +180,13 @@
 private:
   struct State {
     uint32_t Running = 0;
+    uint32_t Paused = 0; ///< Of the running requests.
     uint64_t WaitingTokens = 0;
     uint64_t UrgentTokens = 0;
     uint64_t HeldTokens = 0;
     /// When the server last sent something, or when a request was sent to it
-    /// while no other was in flight, whichever is later.
+    /// while no other was in flight, or an answer was resumed, whichever is
+    /// latest.
     TimePoint LastActivity;
     /// When this entry last received something from the server.
     TimePoint HeardAt;
--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -123,7 +123,7 @@
     return forwardData(std::move(events));
   }
   current.Buffered += data;
-  if (current.Buffered.size() <= Settings.MaxBufferedAnswerBytes)
+  if (current.Buffered.size() <= bufferLimit())
     return;
   if (isUnfitToResume()) {
     ++PossibleRuns;
@@ -140,6 +140,12 @@
   armTimer(now);
 }
 
+size_t ForwardFlow::bufferLimit() const {
+  if (!Hooks.BufferLimit)
+    return Settings.MaxBufferedAnswerBytes;
+  return std::min(Settings.MaxBufferedAnswerBytes, Hooks.BufferLimit());
+}
+
 void ForwardFlow::forwardData(std::string bytes) {
   if (bytes.empty())
     return;
--- a/src/direct/forward_flow.h
+++ b/src/direct/forward_flow.h
@@ -115,6 +115,9 @@
   /// Takes one retry from the budget that all entries share; false if it is
   /// spent.
   std::function<bool()> TakeRetry;
+  /// Limit on the buffered bytes of an answer, where it is lower than the
+  /// setting; empty: the setting applies.
+  std::function<size_t()> BufferLimit = {};
   std::function<void(uint32_t attempt, const AttemptOrder &)> SendAttempt;
   std::function<void(uint32_t attempt)> CancelAttempt;
   /// Records how an attempt ended; called once for each attempt sent.
@@ -175,6 +178,10 @@
   bool isEnded() const { return IsEnded; }
   /// Number of the latest attempt, counted from 1; 0 before the first one.
   uint32_t attempts() const { return AttemptNumber; }
+  /// Bytes of answers that are buffered until they are complete.
+  size_t bufferedBytes() const {
+    return FailedBody.size() + (Current ? Current->Buffered.size() : 0);
+  }
 
 private:
   /// State of the attempt in progress.
@@ -187,6 +194,7 @@
     EventSplitter Events;
   };
 
+  size_t bufferLimit() const;
   /// Whether the current attempt's answer is a stream of events.
   bool isStream() const;
   /// Whether the attempt goes on with a stream that the caller has begun to
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -17,6 +17,10 @@
 constexpr Duration RetrySoonAfter{300'000};
 /// Timeout of requests for which neither the caller nor the route sets one.
 constexpr Duration DefaultRequestTimeout{60'000'000};
+/// Unsent bytes of an answer at which its caller is given up. An answer is
+/// paused long before; with several I/O threads, what was read of it by then
+/// may still be added while the thread that pauses it doesn't run.
+constexpr size_t MaxPendingBytes = 16U << 20;
 /// First reservation for a body of unknown length.
 constexpr size_t InitialBodyBytes = 8U << 10;
 
@@ -77,6 +81,7 @@
   net::HttpServerInit out;
   out.Listen = State.Options.Callers;
   out.MaxConnections = State.Options.connectionLimit();
+  out.MaxPendingBytes = MaxPendingBytes;
   out.ReceiveBufferBytes = State.Options.receiveBufferBytes();
   out.ReserveBody = [this](const net::HttpRequest &head,
                            std::optional<uint64_t> length) {
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -40,7 +40,8 @@
     : State(state), Executor(boost::asio::make_strand(state.Io)),
       Timer(Executor), Body(std::move(body)), BodyBytes(Body->size()),
       Exchange(std::move(exchange)),
-      Flow(std::move(request), state.Options.Forward, hooks()) {}
+      Flow(std::move(request), state.Options.Forward, hooks()),
+      BufferedAnswer(state.Memory, admission::MemoryCause::Answer) {}
 
 void GatewayRequest::start() {
   State.Running.add(shared_from_this());
@@ -101,7 +102,9 @@
   };
   out.WriteAnswer = [this](std::string data) {
     Exchange->write(std::move(data));
+    pauseIfUnsent();
   };
+  out.BufferLimit = [this] { return State.Memory->answerAllowance(); };
   out.EndAnswer = [this] {
     Exchange->endStream();
     logEnd(200, "answered", {});
@@ -124,6 +127,7 @@
   out.Ended = [this] {
     Timer.cancel();
     Body.reset();
+    BufferedAnswer.set(0);
     State.Running.remove(this);
     State.Stats.Running.add(-1);
     State.Stats.RequestTime.observe(monotonicNow() - Flow.request().Arrived);
@@ -195,7 +199,7 @@
           balancing::maxSilence(State.Options.Silence,
                                 Flow.request().MatchedRoute.TargetLatency,
                                 predicted),
-          SentAt};
+          WaitingSince};
 }
 
 void GatewayRequest::dropBody() {
@@ -218,7 +222,7 @@
   const direct::ForwardRequest &request = Flow.request();
   TimePoint now = monotonicNow();
   Order = order;
-  SentAt = now;
+  SentAt = WaitingSince = now;
   FirstByteAt.reset();
   Connection.reset();
   HeadAt.reset();
@@ -354,6 +358,36 @@
   TimePoint now = monotonicNow();
   State.Loads.onActivity(Order.server(), now);
   Flow.onData(attempt, data, now);
+  BufferedAnswer.set(Flow.bufferedBytes());
+}
+
+void GatewayRequest::pauseIfUnsent() {
+  size_t allowed = State.Memory->answerAllowance();
+  if (Exchange->pendingBytes() <= allowed)
+    return;
+  if (!ResumeAnswer) {
+    ResumeAnswer = Call.pause();
+    if (!ResumeAnswer)
+      return; // The call has ended.
+    State.Loads.onPaused(Order.server(), loadOf(Order));
+  }
+  Exchange->onDrained(allowed / 2, [weak = weak_from_this()] {
+    if (auto self = weak.lock())
+      self->onStrand([raw = self.get()] { raw->resumeAnswer(); });
+  });
+}
+
+void GatewayRequest::resumeAnswer() {
+  if (net::HttpCall::Resume resume = endPause(monotonicNow()))
+    resume();
+}
+
+net::HttpCall::Resume GatewayRequest::endPause(TimePoint now) {
+  if (!ResumeAnswer)
+    return {};
+  WaitingSince = now;
+  State.Loads.onResumed(Order.server(), loadOf(Order), now);
+  return std::exchange(ResumeAnswer, nullptr);
 }
 
 void GatewayRequest::onDone(uint32_t attempt, const Error &error) {
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -100,6 +100,12 @@
   /// leaving, accepts no requests for some time, or limits their rate.
   void applyServerSignals(const direct::ServerHead &head, TimePoint now);
   void onData(uint32_t attempt, std::string_view data);
+  /// Stops reading the answer while the caller leaves too much of it unread.
+  void pauseIfUnsent();
+  void resumeAnswer();
+  /// The attempt's answer is no longer paused. Returns the function that
+  /// continues to read it; empty if it was not paused.
+  net::HttpCall::Resume endPause(TimePoint now);
   void onDone(uint32_t attempt, const Error &error);
   void recordResult(uint32_t attempt, const direct::AttemptOrder &order,
                     direct::AttemptResult result, TimePoint now);
@@ -136,6 +142,12 @@
   net::HttpCall Call;
   direct::AttemptOrder Order; ///< Parameters of the current attempt.
   TimePoint SentAt;
+  /// When the attempt was sent, or its paused answer was last resumed.
+  TimePoint WaitingSince;
+  /// Continues to read the answer; empty unless it is paused. Keeps the call
+  /// alive, which keeps this request alive.
+  net::HttpCall::Resume ResumeAnswer;
+  admission::HeldMemory BufferedAnswer;
   /// Carries the current attempt; nothing until it is sent.
   std::optional<net::HttpConnectionInfo> Connection;
   /// When the head of the answer to the current attempt arrived.
--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -31,6 +31,7 @@
 
 void GatewayRequest::recordResult(uint32_t attempt, const AttemptOrder &order,
                                   AttemptResult result, TimePoint now) {
+  endPause(now);
   State.Loads.onEnded(order.server(), loadOf(order), FirstByteAt.has_value(),
                       now);
   bool isSuccess = result == AttemptResult::Answered;
--- a/tests/balancing/server_silence_test.cpp
+++ b/tests/balancing/server_silence_test.cpp
@@ -59,6 +59,22 @@
   EXPECT_TRUE(loads.busyServers(Start + 9s).Silent.empty());
 }
 
+/// Guards against avoiding a server for the silence of a caller: an answer that
+/// its caller doesn't read is not read from its server.
+TEST(ServerSilence, DoesNotCountAnswersThatThisEntryStopsReading) {
+  ServerLoads loads{{}};
+  loads.onSent("a", {3000, true, 300ms, Start}, Start);
+  loads.onFirstByte("a", {3000, true, 300ms, Start}, Start + 100ms);
+  loads.onPaused("a", {3000, true, 300ms, Start});
+  EXPECT_TRUE(loads.busyServers(Start + 9s).Silent.empty());
+  EXPECT_FALSE(loads.view("a", Start + 9s).IsAvoided);
+  loads.onResumed("a", {3000, true, 300ms, Start + 9s}, Start + 9s);
+  EXPECT_FALSE(loads.view("a", Start + 10s).IsAvoided);
+  EXPECT_EQ(loads.busyServers(Start + 10'200ms).Silent.size(), 1U);
+  loads.onEnded("a", {3000, true, 300ms, Start + 9s}, true, Start + 11s);
+  EXPECT_TRUE(loads.busyServers(Start + 20s).Silent.empty());
+}
+
 /// Guards against calling a server silent that serves the requests of others,
 /// and against entries that take each other's new requests for an answer.
 TEST(ServerSilence, CountsWhatOtherEntriesReceived) {
