--- a/tests/platform/request_head_test.cpp
+++ b/tests/platform/request_head_test.cpp
@@ -116,7 +116,7 @@
 
 TEST(WriteAttempt, ForwardsOtherHeadersUnchanged) {
   net::HttpRequest out =
-      writeAttempt(readSample(sample()), orderSample(), "body");
+      writeAttempt(readSample(sample()), orderSample(), sharedBody());
   EXPECT_EQ(out.Target, "/a/b?c=1");
   ASSERT_TRUE(out.SharedBody);
   EXPECT_EQ(*out.SharedBody, "body");
@@ -148,7 +148,7 @@
   order.WeightVersion = 2;
   order.Priority = 3;
   order.FetchUntilMs = 99;
-  net::HttpRequest out = writeAttempt(readSample(sample()), order, "");
+  net::HttpRequest out = writeAttempt(readSample(sample()), order, nullptr);
   EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Source"), "10.0.0.1:80,-,-");
   EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Destination"),
             "-,10.0.0.2:81,-");
@@ -161,7 +161,7 @@
 TEST(WriteAttempt, OmitsTheSourceHeaderWithoutSources) {
   direct::AttemptOrder order = orderSample();
   order.Sources = {std::nullopt, std::nullopt};
-  net::HttpRequest out = writeAttempt(readSample(sample()), order, "");
+  net::HttpRequest out = writeAttempt(readSample(sample()), order, nullptr);
   EXPECT_EQ(valueOf(out.Headers, "X-Daisytack-Kv-Source"), "");
 }
 
