Let entries that start after a loss of all take over which versions were seen

After all entries were killed, each stream that no entry knew was refused for a minute (`stream_version_unknown`), also while servers of one version only had served: no entry had a minute of history.

Change: the holder of the order lease records every 5 s which software versions were seen, for how long all servers were known, and up to which revision of the key-value service (daisytack/software-versions; the catalog ignores the key). A process that starts reads all changes since that revision, notes the versions of the servers among them, and takes the history over. The record needs no clock, as a history is at least as old as when it was written. New streams wait for nothing.

Streams that nobody knows are still refused while two versions serve, or did within the last minute.

--- a/src/direct/protocol.h
+++ b/src/direct/protocol.h
@@ -7,6 +7,7 @@
 #include "direct/catalog.h"
 #include "direct/exchange.h"
 #include "direct/kept_context.h"
+#include "direct/software_versions.h"
 #include "direct/weight_order.h"
 
 #include <functional>
@@ -59,6 +60,14 @@
   std::function<std::string(const RolloutTimesRecord &)> EncodeRolloutTimes;
   std::string SettledEpochsKey; ///< Key of the epochs of context stores.
   std::function<std::string(const SettledEpochsRecord &)> EncodeSettledEpochs;
+  /// Key of the software versions that entries have seen. The catalog ignores
+  /// it.
+  std::string SoftwareVersionsKey;
+  std::function<std::string(const SoftwareVersionsRecord &)>
+      EncodeSoftwareVersions;
+  /// Empty if the value is malformed.
+  std::function<std::optional<SoftwareVersionsRecord>(std::string_view value)>
+      DecodeSoftwareVersions;
   std::function<std::string(const Id128 &signature)> QuarantineKey;
   std::function<std::string(const QuarantineRecord &)> EncodeQuarantine;
 
--- a/src/direct/software_versions.cpp
+++ b/src/direct/software_versions.cpp
@@ -7,8 +7,10 @@
   std::lock_guard guard(Lock);
   if (!isConfirmed || isInterruptedLocked(now))
     ConfirmedSince.reset();
-  if (isConfirmed && !ConfirmedSince)
+  if (isConfirmed && !ConfirmedSince) {
     ConfirmedSince = now;
+    ++Histories;
+  }
   UpdatedAt = now;
   const BackendServer *last = nullptr;
   for (const BackendServer &it : catalog.AllServers) {
@@ -40,6 +42,35 @@
   return now > UpdatedAt + Settings.MaxUpdateInterval;
 }
 
+SoftwareVersionsRecord SoftwareVersions::record(TimePoint now) const {
+  SoftwareVersionsRecord out;
+  std::lock_guard guard(Lock);
+  if (ConfirmedSince && !isInterruptedLocked(now))
+    out.HistoryMs = (now - *ConfirmedSince).count() / 1000;
+  for (const auto &[service, versions] : Seen)
+    for (const auto &[version, at] : versions)
+      out.Versions[service].push_back(version);
+  return out;
+}
+
+uint64_t SoftwareVersions::historyCount() const {
+  std::lock_guard guard(Lock);
+  return Histories;
+}
+
+void SoftwareVersions::inherit(const SoftwareVersionsRecord &record,
+                               uint64_t history, TimePoint now) {
+  std::lock_guard guard(Lock);
+  if (!ConfirmedSince || Histories != history)
+    return;
+  // Neither time since the record was written is known.
+  TimePoint since = now - std::chrono::milliseconds(record.HistoryMs);
+  ConfirmedSince = std::min(*ConfirmedSince, since);
+  for (const auto &[service, versions] : record.Versions)
+    for (const std::string &version : versions)
+      Seen[service][version] = now;
+}
+
 SeenVersions SoftwareVersions::seen(std::string_view service,
                                     TimePoint now) const {
   SeenVersions out;
--- a/src/direct/software_versions.h
+++ b/src/direct/software_versions.h
@@ -44,6 +44,19 @@
   }
 };
 
+/// The software versions that an entry has seen, as recorded for processes that
+/// start when no other one is left.
+struct SoftwareVersionsRecord {
+  /// The entry's state included everything up to this monotonic revision.
+  uint64_t Revision = 0;
+  /// For how long the entry had learned of all servers, in milliseconds. At
+  /// least as long when the record is read.
+  int64_t HistoryMs = 0;
+  /// By service; including versions whose last server had left recently.
+  std::map<std::string, std::vector<std::string>, std::less<>> Versions;
+  bool operator==(const SoftwareVersionsRecord &) const = default;
+};
+
 /// Thread-safe.
 class SoftwareVersions {
 public:
@@ -59,6 +72,15 @@
   /// Servers may have come and left unseen: the history begins anew.
   void onMissedChanges();
   SeenVersions seen(std::string_view service, TimePoint now) const;
+  /// What is to be recorded, without its revision.
+  SoftwareVersionsRecord record(TimePoint now) const;
+  /// Number of histories that have begun so far.
+  uint64_t historyCount() const;
+  /// Another entry had learned of all servers before `now`, as it recorded, and
+  /// everything that happened since is known. Has no effect if the history with
+  /// this number is over.
+  void inherit(const SoftwareVersionsRecord &record, uint64_t history,
+               TimePoint now);
 
 private:
   const SoftwareVersionSettings Settings;
@@ -69,6 +91,7 @@
   bool isInterruptedLocked(TimePoint now) const;
 
   std::optional<TimePoint> ConfirmedSince; ///< Empty while it is not confirmed.
+  uint64_t Histories = 0;                  ///< See historyCount().
   TimePoint UpdatedAt; ///< Of the latest call of onCatalog().
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -92,6 +92,13 @@
       Rollouts(State, std::make_shared<HolderRecord>(
                           State.WireProtocol.RolloutTimesKey,
                           HolderRecordSettings{}, holderRecordHooks())),
+      Versions(std::make_shared<VersionHistory>(
+          State, ControlStrand, Store,
+          std::make_shared<HolderRecord>(
+              State.WireProtocol.SoftwareVersionsKey,
+              HolderRecordSettings{Options.VersionsWriteInterval},
+              holderRecordHooks()),
+          VersionHistorySettings{})),
       CallerServer(State),
       ReadinessServer(io, listenOn(Options.Readiness),
                       [this](const net::HttpRequest &request,
@@ -116,6 +123,9 @@
         Follower->confirm(std::move(done));
       },
       StreamOriginExchangeSettings{});
+  Follower->OnSnapshotRead = [this](const edge::KvRangeResult &snapshot) {
+    Versions->onSnapshot(snapshot);
+  };
 }
 
 Gateway::~Gateway() = default;
@@ -468,6 +478,7 @@
   applyWatchPlan(now);
   Orders->onTimer(now);
   Rollouts.onTimer(now);
+  Versions->onTimer(now);
   reviewBeginLimits();
   if (Orders->token(now)) {
     Contexts->retireUnused(now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/rollout_times.h"
 #include "gateway/server_probes.h"
 #include "gateway/stream_origin_exchange.h"
+#include "gateway/version_history.h"
 #include "net/timer.h"
 
 #include <atomic>
@@ -117,6 +118,7 @@
   std::shared_ptr<OrderDriver> Orders;
   std::shared_ptr<QuarantineRecords> Quarantines;
   RolloutTimes Rollouts;
+  std::shared_ptr<VersionHistory> Versions;
   GatewayHttp CallerServer;
   net::HttpServer ReadinessServer;
   net::HttpServer MetricsServer;
--- a/src/gateway/gateway_drain.cpp
+++ b/src/gateway/gateway_drain.cpp
@@ -109,6 +109,7 @@
 
 void Gateway::stopComponents(bool isComplete) {
   Contexts->stop();
+  Versions->stop();
   Peers->stop();
   Fetcher->stop();
   State.OriginExchange->stop();
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -87,6 +87,10 @@
   /// all its tries. How old a stream is can't be seen. All entries must use the
   /// same value, so it is not a setting; tests shorten it.
   Duration StreamMaxAge = direct::StreamMaxAge;
+  /// Time between two writes of the software versions that entries have seen.
+  /// The service must keep the history of its changes for longer. Tests shorten
+  /// it.
+  Duration VersionsWriteInterval{5'000'000};
   /// Term of the order lease, and of the lease under which an entry announces
   /// itself.
   Duration LeaseTerm{3'000'000};
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -185,6 +185,9 @@
   /// Revision up to which the catalog holds everything that the key-value
   /// service held; 0: none. Written on the strand of KvServiceFollower.
   std::atomic<uint64_t> SyncedRevision{0};
+  /// Revision of the record of software versions; 0: none. Written on the same
+  /// strand; current only while this entry watches the service itself.
+  std::atomic<uint64_t> VersionsRecordRevision{0};
   /// Whether this process has read a full snapshot of the key-value service
   /// itself.
   std::atomic<bool> HasReadAll{false};
--- a/src/gateway/kv_service_follower.cpp
+++ b/src/gateway/kv_service_follower.cpp
@@ -108,6 +108,10 @@
   OnCatalogChanged();
   State.advanceSyncTime(askedAt);
   State.HasReadAll = true;
+  State.VersionsRecordRevision = 0;
+  noteVersionsRecord(records);
+  if (OnSnapshotRead)
+    OnSnapshotRead(result);
   watch();
 }
 
@@ -155,6 +159,7 @@
   TimePoint now = monotonicNow();
   onServiceAnswered(now);
   if (!records.empty()) {
+    noteVersionsRecord(records);
     apply(records, now);
     OnCatalogChanged();
   }
@@ -268,6 +273,13 @@
   OnCatalogChanged();
 }
 
+void KvServiceFollower::noteVersionsRecord(
+    const std::vector<direct::StoreRecord> &records) {
+  for (const direct::StoreRecord &it : records)
+    if (it.Key == State.WireProtocol.SoftwareVersionsKey)
+      State.VersionsRecordRevision = it.IsDeleted ? 0 : it.Revision;
+}
+
 void KvServiceFollower::apply(const std::vector<direct::StoreRecord> &records,
                               TimePoint now) {
   std::map<std::string_view, const direct::StoreRecord *> latest;
--- a/src/gateway/kv_service_follower.h
+++ b/src/gateway/kv_service_follower.h
@@ -34,6 +34,9 @@
                     KvServiceFollowerSettings settings, RandomSource random,
                     std::function<void()> onCatalogChanged);
 
+  /// Called after each snapshot with the raw records.
+  std::function<void(const edge::KvRangeResult &)> OnSnapshotRead;
+
   void start();
   void stop();
   /// Reads a new snapshot when the service was restored from a backup, and once
@@ -68,6 +71,7 @@
   /// watch may wait between two calls.
   void readChanges(std::function<void()> done);
   void stopReadingChanges();
+  void noteVersionsRecord(const std::vector<direct::StoreRecord> &records);
   /// Merges the records; State.Software learns of servers among them that no
   /// catalog lists.
   void apply(const std::vector<direct::StoreRecord> &records, TimePoint now);
--- a/tests/gateway/fake_servers.h
+++ b/tests/gateway/fake_servers.h
@@ -91,6 +91,7 @@
     Items = from.Items;
     Leases = from.Leases;
     Revision = from.Revision;
+    History.assign(Items.begin(), Items.end());
     ++Era;
     notifyWatchesLocked();
   }
@@ -105,6 +106,8 @@
   }
   /// Whether every watch ends with the error that its history is lost.
   std::atomic<bool> HasNoHistory{false};
+  /// Whether watches report each change, also of keys that changed again.
+  std::atomic<bool> KeepsAllChanges{false};
   /// Whether the answers to all watches are withheld.
   std::atomic<bool> HoldsWatches{false};
   /// Status with which every call fails at once; 0: calls are answered.
@@ -133,6 +136,7 @@
     if (item.Created == 0 || item.IsDeleted)
       item.Created = Revision;
     item = {value, Revision, item.Created, lease, false};
+    History.emplace_back(key, item);
   }
   void removeLocked(const std::string &key) {
     auto it = Items.find(key);
@@ -140,6 +144,7 @@
       return;
     it->second.IsDeleted = true;
     it->second.Revision = ++Revision;
+    History.emplace_back(*it);
   }
 
   static json::object entryOf(const std::string &key, const Item &item) {
@@ -218,8 +223,9 @@
         return true;
       }
       json::array events;
-      for (const auto &[key, item] : Items)
-        if (item.Revision > wait.After)
+      for (const auto &[key, item] : History)
+        if (item.Revision > wait.After &&
+            (KeepsAllChanges || Items[key].Revision == item.Revision))
           events.push_back(entryOf(key, item));
       respond(*wait.To,
               {{"events", std::move(events)}, {"store-revision", Revision}});
@@ -257,6 +263,7 @@
 
   std::mutex Lock;
   std::map<std::string, Item> Items;
+  std::vector<std::pair<std::string, Item>> History; ///< All changes.
   std::vector<PendingWatch> PendingWatches;
   uint64_t Revision = 1;
   uint64_t Era = 1;
--- a/tests/gateway/stream_version_test.cpp
+++ b/tests/gateway/stream_version_test.cpp
@@ -304,5 +304,111 @@
   }));
 }
 
+class VersionHistoryTest : public StreamVersionTest {
+protected:
+  VersionHistoryTest() { KvService.KeepsAllChanges = true; }
+
+  /// Starts an entry, and ends it once it has recorded the versions that it has
+  /// seen. The record then claims to be of an entry that has run for long.
+  void recordVersions() {
+    net::IoThreads lost; // Ends before what runs on it.
+    GatewayOptions options = optionsOf("e1", 1s);
+    Entry entry(lost.Io, options);
+    entry.start();
+    EXPECT_TRUE(waitReady(entry));
+    EXPECT_TRUE(eventually([&] { return KvService.has(RecordKey); }));
+    lost.stop();
+    auto record = Format.DecodeSoftwareVersions(
+        KvService.snapshot().Items.at(RecordKey).Value);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->Versions.size(), 1U);
+    EXPECT_EQ(record->Versions["plain"], std::vector<std::string>{"v1"});
+    EXPECT_GE(record->HistoryMs, 1000);
+    record->HistoryMs = 3'600'000;
+    std::string text = Format.EncodeSoftwareVersions(*record);
+    EXPECT_EQ(Format.DecodeSoftwareVersions(text), *record);
+    KvService.put(RecordKey, text);
+  }
+  /// Starts an entry that has no history of its own while the test runs.
+  Entry &startAfterLoss() {
+    Entries.push_back(
+        std::make_unique<Entry>(Threads.Io, optionsOf("e2", 60s)));
+    Entries.back()->start();
+    EXPECT_TRUE(waitReady(*Entries.back()));
+    return *Entries.back();
+  }
+  GatewayOptions optionsOf(const std::string &name, Duration maxAge) {
+    GatewayOptions out = Entry::optionsFor(name, KvService.address(), {});
+    out.StreamMaxAge = maxAge;
+    out.ConfirmedFor = 60s; // However long the machine takes.
+    out.VersionsWriteInterval = 100ms;
+    return out;
+  }
+
+  const direct::Protocol Format = platform::makeProtocol();
+  const std::string RecordKey = Format.SoftwareVersionsKey;
+};
+
+/// Guards against refusing all streams for a minute after all entries were
+/// killed, although only one version has served.
+TEST_F(VersionHistoryTest, ResumesUnknownStreamsAfterAllEntriesEnded) {
+  test::FakeServer &server = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  recordVersions();
+  Entry &entry = startAfterLoss();
+  EXPECT_TRUE(eventually(
+      [&] { return statusOf(entry, resume("again", "lost")) == 200; }));
+  EXPECT_TRUE(resumedAt(server).contains("again"));
+}
+
+/// Guards against taking the recorded versions for all: another one has come
+/// and left since.
+TEST_F(VersionHistoryTest, KnowsOfVersionsThatCameAndLeftSinceTheRecord) {
+  test::FakeServer &server = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  recordVersions();
+  startServer("i-2", "v2");
+  KvService.remove("servers/i-2");
+  Entry &entry = startAfterLoss();
+  EXPECT_TRUE(eventually([&] {
+    Fetched got = fetch(entry.Options.Callers, resume("again", "lost"));
+    EXPECT_EQ(got.Response.Status, 503);
+    return got.Response.Body.find("seen: 2") != std::string::npos;
+  }));
+  EXPECT_TRUE(resumedAt(server).empty());
+}
+
+/// Guards against a holder that never writes the record as it has not seen the
+/// latest one, which entries that rely on readers don't get.
+TEST_F(VersionHistoryTest, IsWrittenOverARecordThatTheHolderHasNotSeen) {
+  startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  Entries.push_back(
+      std::make_unique<Entry>(Threads.Io, optionsOf("e1", 100ms)));
+  Entries.back()->start();
+  ASSERT_TRUE(eventually([&] { return KvService.has(RecordKey); }));
+  KvService.HoldsWatches = true;
+  KvService.put(RecordKey, "{}");
+  EXPECT_TRUE(eventually(
+      [&] { return KvService.snapshot().Items.at(RecordKey).Value != "{}"; }));
+}
+
+/// Guards against the same when the service tells only the latest change of
+/// each key, so that the version can't be known.
+TEST_F(VersionHistoryTest, IsNotUsedWhenChangesSinceTheRecordAreMissing) {
+  test::FakeServer &server = startServer("i-1", "v1");
+  KvService.put("op/config", streamConfigText());
+  recordVersions();
+  KvService.KeepsAllChanges = false;
+  startServer("i-2", "v2");
+  KvService.remove("servers/i-2");
+  Entry &entry = startAfterLoss();
+  for (int i = 0; i < 10; ++i) {
+    EXPECT_EQ(statusOf(entry, resume("again", "lost")), 503U);
+    std::this_thread::sleep_for(50ms);
+  }
+  EXPECT_TRUE(resumedAt(server).empty());
+}
+
 } // namespace
 } // namespace daisytack::gateway
