End quarantines whose crashes are disputed or disproved right after the verdict

What callers saw: after an outage of a failure domain a sound request that nobody else sends stayed quarantined, as did sound parts beside guilty ones when entries restart.

Change: - A quarantine ends if within 500 ms its evidence is disputed so far that it would not be convicted. Later disputes don't count, as they come from entries that were paused. - A crash is explained only up to the 150 ms within which entries notice the same crash; reports on later breaks are sent. - A recorded quarantine doesn't say when its servers crashed, so it no longer disputes crashes. - The quarantine of a part that loses a crash, as its server is seen to be running, ends if others explain what is left. - An entry that is told of fewer crashes under a quarantined signature than it knows tells them again.

Evidence: five tests are new.

--- a/src/direct/crash_evidence.cpp
+++ b/src/direct/crash_evidence.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <tuple>
-#include <unordered_set>
 #include <utility>
 
 namespace daisytack::direct {
@@ -90,6 +89,12 @@
       [&](const CrashedServer &crashed) { return crashed.Key == server; });
 }
 
+size_t CrashSuspect::undisputed() const {
+  return static_cast<size_t>(std::count_if(
+      CrashedServers.begin(), CrashedServers.end(),
+      [](const CrashedServer &crashed) { return !crashed.IsDisputed; }));
+}
+
 const CrashSuspect *CrashEvidence::find(const Id128 &signature) const {
   auto it = Suspects.find(signature);
   return it == Suspects.end() ? nullptr : &it->second;
@@ -119,23 +124,28 @@
         crashed.IsDisputed = true;
 }
 
-void CrashEvidence::addServer(CrashSuspect &suspect, uint64_t server,
-                              TimePoint crashedAt) {
-  onBreak(server, crashedAt);
-  if (suspect.hasCrashed(server))
+void CrashEvidence::addServer(CrashSuspect &suspect,
+                              const CrashedServer &crashed) {
+  if (suspect.hasCrashed(crashed.Key))
     return;
   if (suspect.CrashedServers.size() >= MaxCrashedServers)
     suspect.CrashedServers.erase(suspect.CrashedServers.begin());
+  suspect.CrashedServers.push_back(crashed);
+  suspect.LastAt = std::max(suspect.LastAt, crashed.At);
+}
+
+void CrashEvidence::addCrash(CrashSuspect &suspect, uint64_t server,
+                             TimePoint crashedAt) {
+  onBreak(server, crashedAt);
   bool isDisputed = crashedAt + BreakSpread < LatestBreaks[server];
-  suspect.CrashedServers.push_back({server, crashedAt, isDisputed});
-  suspect.LastAt = std::max(suspect.LastAt, crashedAt);
+  addServer(suspect, {server, crashedAt, isDisputed});
 }
 
 void CrashEvidence::onCrash(const Id128 &signature, uint64_t server,
                             TimePoint sentAt, TimePoint now) {
   CrashSuspect &suspect = Suspects[signature];
   raiseIncidents(suspect, incidentsAt(suspect, sentAt) + 1, now);
-  addServer(suspect, server, now);
+  addCrash(suspect, server, now);
   scheduleReport(suspect, now + ReportDelay);
   evictIfFull();
 }
@@ -148,7 +158,7 @@
     if (isDisproved(report.Signature, crashed.Subject, at))
       hasAllServers = false;
     else
-      addServer(suspect, crashed.Subject, at);
+      addCrash(suspect, crashed.Subject, at);
   }
   // The number of incidents in the report only holds for all of its servers.
   if (hasAllServers)
@@ -159,6 +169,17 @@
   return hasAllServers;
 }
 
+void CrashEvidence::addRecorded(const Id128 &signature,
+                                const std::vector<uint64_t> &servers,
+                                size_t incidents, TimePoint now) {
+  CrashSuspect &suspect = Suspects[signature];
+  for (uint64_t server : servers)
+    if (!isDisproved(signature, server, now))
+      addServer(suspect, {server, now, false});
+  raiseIncidents(suspect, incidents, now);
+  evictIfFull();
+}
+
 void CrashEvidence::clear(const Id128 &signature, TimePoint at, TimePoint now) {
   Clearance &clearance = Cleared[signature];
   clearance = {std::max(clearance.At, at), now, clearance.SendsLeft};
@@ -218,8 +239,8 @@
                              });
     isNews |= n > 0;
     bool hasTooFew = suspect.CrashedServers.size() < servers;
-    if (n > 0 && suspect.isQuarantined() && hasTooFew)
-      lifted.push_back(signature);
+    if (n > 0 && suspect.isQuarantined())
+      (hasTooFew ? lifted : Weakened).push_back(signature);
   }
   for (const Id128 &signature : lifted)
     lift(signature, now);
@@ -300,13 +321,16 @@
 
 std::vector<CrashReport> CrashEvidence::takeReports(double share,
                                                     TimePoint now) {
-  std::unordered_set<uint64_t> explained;
+  // When the servers crashed that quarantined signatures explain.
+  std::unordered_map<uint64_t, TimePoint> explained;
   for (const auto &[signature, suspect] : Suspects)
     if (suspect.isQuarantined())
       for (const CrashedServer &crashed : suspect.CrashedServers)
-        explained.insert(crashed.Key);
+        explained[crashed.Key] = std::max(explained[crashed.Key], crashed.At);
+  // A later break disputes the crash, so that others have to learn of it.
   auto isExplained = [&](const CrashedServer &crashed) {
-    return explained.contains(crashed.Key);
+    auto it = explained.find(crashed.Key);
+    return it != explained.end() && crashed.At <= it->second + BreakSpread;
   };
   std::vector<std::pair<const Id128, CrashSuspect> *> due;
   for (auto &it : Suspects) {
@@ -363,6 +387,13 @@
   return out;
 }
 
+bool CrashEvidence::knowsMoreThan(const CrashReport &report) const {
+  const CrashSuspect *suspect = find(report.Signature);
+  return suspect &&
+         report.CrashedServers.size() <
+             std::min(suspect->CrashedServers.size(), MaxReportedServers);
+}
+
 void CrashEvidence::repeatReport(const Id128 &signature, TimePoint now) {
   CrashSuspect &suspect = Suspects[signature];
   if (suspect.SendsLeft <= 0)
--- a/src/direct/crash_evidence.h
+++ b/src/direct/crash_evidence.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace daisytack::direct {
@@ -39,6 +40,7 @@
   TimePoint SendFrom;   ///< No report is sent before this time.
   double SendsLeft = 0; ///< Times that every entry is still to get its report.
 
+  size_t undisputed() const;
   bool isQuarantined() const { return QuarantinedUntil.has_value(); }
   bool hasCrashed(uint64_t server) const;
 };
@@ -67,6 +69,10 @@
   /// Adds the crashes in another entry's report that are not disproved. Returns
   /// whether none is.
   bool merge(const CrashReport &report, TimePoint now);
+  /// Adds the crashes of a recorded quarantine. Their times are not known, so
+  /// they dispute no others.
+  void addRecorded(const Id128 &signature, const std::vector<uint64_t> &servers,
+                   size_t incidents, TimePoint now);
   /// A request with the signature was answered at `at`, which disproves the
   /// crashes before. Lifts a quarantine that rests on any of them.
   void clear(const Id128 &signature, TimePoint at, TimePoint now);
@@ -94,11 +100,16 @@
   std::vector<PastEvent<uint64_t>> takeLiveServers(double share, TimePoint now);
   /// Signatures whose quarantine was lifted here, to be reported.
   std::vector<Id128> takeLifted(double share);
+  /// Whether more servers are known under the signature than a report names.
+  bool knowsMoreThan(const CrashReport &report) const;
   /// Sends the report of the signature again.
   void repeatReport(const Id128 &signature, TimePoint now);
   /// Stops sending the report of the signature.
   void stopReport(const Id128 &signature);
   void dropEmptySuspects();
+  /// Quarantined signatures that have lost crashes since the last call, as
+  /// their servers turned out to be running.
+  std::vector<Id128> takeWeakened() { return std::exchange(Weakened, {}); }
 
 private:
   struct LiveServer {
@@ -111,7 +122,8 @@
     double SendsLeft = 0;
   };
 
-  void addServer(CrashSuspect &suspect, uint64_t server, TimePoint crashedAt);
+  static void addServer(CrashSuspect &suspect, const CrashedServer &crashed);
+  void addCrash(CrashSuspect &suspect, uint64_t server, TimePoint crashedAt);
   /// Disputes crashes of the server that were long before this break.
   void onBreak(uint64_t server, TimePoint at);
   /// Removes the server's crashes up to `at`; returns whether there were any.
@@ -123,6 +135,7 @@
 
   size_t MaxSuspects;
   CrashSuspectMap Suspects;
+  std::vector<Id128> Weakened; ///< See takeWeakened().
   std::unordered_map<Id128, Clearance> Cleared;
   std::unordered_map<uint64_t, LiveServer> LiveServers;
   /// When the latest known connection to each server broke.
--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -18,7 +18,7 @@
 /// answers requests with common signatures.
 constexpr Duration WarmUpTime{1'000'000};
 /// Number of incidents that a record of a quarantine stands for.
-constexpr uint32_t RecordedIncidents = 2;
+constexpr size_t RecordedIncidents = 2;
 /// Minimum time between two probes of a signature: longer than a server takes
 /// to begin an answer.
 constexpr Duration ProbeInterval{5'000'000};
@@ -31,6 +31,10 @@
 constexpr double SendsPerEntry = 3;
 /// Answers per datagram.
 constexpr size_t MaxReportedAnswers = 12;
+/// Disputes that arrive this long after a quarantine began still count: entries
+/// tell one another of broken connections three times, 100 ms apart. Later ones
+/// come from entries that were paused.
+constexpr Duration DisputeWindow{500'000};
 
 uint32_t ageMs(TimePoint at, TimePoint now) {
   auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - at);
@@ -140,6 +144,8 @@
 }
 
 std::vector<Id128> CrashSuspects::convict(TimePoint now) {
+  liftWeakened(now);
+  liftDisputed(now);
   std::vector<Id128> out;
   auto isAnswered = [this](const Id128 &it) { return wasAnsweredLately(it); };
   // Without an answer to a prompt that lacks a part, the part can't be told
@@ -160,6 +166,33 @@
   return out;
 }
 
+void CrashSuspects::liftWeakened(TimePoint now) {
+  auto isAnswered = [this](const Id128 &it) { return wasAnsweredLately(it); };
+  for (const Id128 &signature : Evidence.takeWeakened())
+    if (isPartSignature(signature) &&
+        isQuarantinedAt(Evidence.find(signature), now) &&
+        !isConvictable(Evidence.suspects(), signature, verdictSettings(),
+                       isAnswered))
+      Evidence.lift(signature, now);
+}
+
+void CrashSuspects::liftDisputed(TimePoint now) {
+  CrashVerdictSettings needed = verdictSettings();
+  std::vector<Id128> disputed;
+  for (const auto &[signature, suspect] : Evidence.suspects()) {
+    size_t known = suspect.CrashedServers.size();
+    size_t undisputed = suspect.undisputed();
+    bool isDisputed = undisputed < known && undisputed < needed.Servers &&
+                      known < needed.Servers + needed.FurtherServers;
+    if (isDisputed && isQuarantinedAt(&suspect, now) &&
+        now + Settings.QuarantineDuration <
+            *suspect.QuarantinedUntil + DisputeWindow)
+      disputed.push_back(signature);
+  }
+  for (const Id128 &signature : disputed)
+    Evidence.lift(signature, now);
+}
+
 void CrashSuspects::liftCovered(TimePoint now) {
   std::vector<Id128> culprits;
   for (const auto &[signature, suspect] : Evidence.suspects())
@@ -193,8 +226,9 @@
   if (std::optional<TimePoint> answered = Answers.find(signature))
     announceAnswer(signature, *answered);
   if (wasQuarantined) {
-    // The reporting entry started recently and doesn't know the quarantine.
-    if (report.QuarantineLeftUs == 0)
+    // The reporting entry started recently: it doesn't know the quarantine, or
+    // knows it from a record that lacks later crashes.
+    if (report.QuarantineLeftUs == 0 || Evidence.knowsMoreThan(report))
       Evidence.repeatReport(signature, now);
     return;
   }
@@ -282,10 +316,7 @@
   }
   if (Evidence.wasCleared(signature))
     return {};
-  CrashReport record{signature, RecordedIncidents, {}, 0};
-  for (uint64_t server : servers)
-    record.CrashedServers.push_back({server, 0});
-  Evidence.merge(record, now);
+  Evidence.addRecorded(signature, servers, RecordedIncidents, now);
   Evidence.quarantine(signature, now + Settings.QuarantineDuration, now);
   Evidence.stopReport(signature); // All entries read the same record.
   liftCovered(now);
@@ -329,6 +360,7 @@
   std::lock_guard guard(Lock);
   Evidence.onServerAlive(server, std::max(sentAt, now - LateDataWindow),
                          Settings.ServersToQuarantine, now);
+  liftWeakened(now);
   updateItemCount();
 }
 
--- a/src/direct/crash_suspects.h
+++ b/src/direct/crash_suspects.h
@@ -139,6 +139,10 @@
   bool wasAnsweredLately(const Id128 &signature) const;
   /// Quarantines all signatures for which there is enough evidence.
   std::vector<Id128> convict(TimePoint now);
+  /// Lifts quarantines of parts that lost crashes, if others explain the rest.
+  void liftWeakened(TimePoint now);
+  /// Lifts recent quarantines whose evidence has been disputed since.
+  void liftDisputed(TimePoint now);
   /// Lifts the quarantines of signatures whose evidence another one covers.
   void liftCovered(TimePoint now);
   /// Clears the signature, and tells other entries if it was suspected here.
--- a/tests/direct/crash_suspects_test.cpp
+++ b/tests/direct/crash_suspects_test.cpp
@@ -424,6 +424,73 @@
   EXPECT_FALSE(quarantineLeft(two, Poison, Start + 200ms));
 }
 
+/// Guards against a sound request that stays quarantined for resets of servers
+/// that an outage takes down at the moment of the verdict, also on entries that
+/// had no connection to them.
+TEST(CrashSuspects, LiftsAQuarantineWhoseCrashesAreDisputedAtOnce) {
+  CrashSuspects it({});
+  CrashSuspects peer({});
+  for (uint64_t i = 0; i < 3; ++i)
+    crash(it, Other, i + 1, Start + i * 200ms, Start + i * 200ms);
+  TimePoint now = Start + 400ms;
+  peer.onPeerReports(it.takeReports(AllEntries, now), now);
+  ASSERT_TRUE(quarantineLeft(it, Other, now));
+  ASSERT_TRUE(quarantineLeft(peer, Other, now));
+  crash(it, {3, 2}, 1, now, now);
+  EXPECT_FALSE(quarantineLeft(it, Other, now));
+  now = now + 100ms;
+  peer.onPeerReports(it.takeReports(AllEntries, now), now);
+  EXPECT_FALSE(quarantineLeft(peer, Other, now));
+}
+
+/// Entries that were paused notice broken connections late.
+TEST(CrashSuspects, KeepsAQuarantineThatIsDisputedLate) {
+  CrashSuspects it({});
+  crashInTurn(it, Poison, 1, 3);
+  crash(it, Other, 1, Start, Start + 600ms);
+  EXPECT_TRUE(quarantineLeft(it, Poison, Start + 600ms));
+}
+
+/// Guards against entries that started later and take crashes under a
+/// quarantined signature for unexplained, as its record lacks them.
+TEST(CrashSuspects, TellsAgainOfCrashesThatAReportOnAQuarantineLacks) {
+  CrashSuspects one({});
+  CrashSuspects two({});
+  crashInTurn(one, Poison, 1, 4);
+  for (int i = 0; i < 3; ++i)
+    one.takeReports(AllEntries, Start + 200ms);
+  two.onQuarantineRecord(Poison, {1, 2, 3}, Start);
+  crash(two, Poison, 5, Start, Start + 200ms);
+  TimePoint now = Start + 400ms;
+  one.onPeerReports(two.takeReports(AllEntries, now), now);
+  two.onPeerReports(one.takeReports(AllEntries, now), now);
+  EXPECT_EQ(two.crashedServers(Poison).size(), 5U);
+}
+
+/// Guards against a sound part that stays quarantined for crashes that a guilty
+/// part explains, after other servers were seen to be running.
+TEST(CrashSuspects, LiftsAPartWhoseRemainingCrashesAreExplained) {
+  CrashSuspects it({});
+  answerPrompt(it, {OtherPart}, Start);
+  for (uint64_t server = 1; server <= 5; ++server)
+    crashPrompt(it, {GuiltyPart}, server, Start + server * 100ms);
+  for (uint64_t server : {1U, 2U, 3U, 6U, 7U})
+    crashPrompt(it, {SoundPart}, server, Start + 1s + server * 100ms);
+  ASSERT_TRUE(quarantineLeft(it, SoundPart, Start + 2s));
+  it.onServerAlive(7, Start + 1900ms, Start + 2s);
+  EXPECT_FALSE(quarantineLeft(it, SoundPart, Start + 2s));
+  EXPECT_TRUE(quarantineLeft(it, GuiltyPart, Start + 2s));
+}
+
+/// A record doesn't tell when its servers crashed.
+TEST(CrashSuspects, TakesNoRecordForADispute) {
+  CrashSuspects it({});
+  crashInTurn(it, Poison, 1, 2);
+  it.onQuarantineRecord(Poison, {1, 2, 3}, Start + 400ms);
+  crash(it, Other, 9, Start + 400ms, Start + 400ms);
+  EXPECT_TRUE(quarantineLeft(it, Poison, Start + 400ms));
+}
+
 TEST(CrashSuspects, FitsIntoOneDatagram) {
   CrashSuspects it({});
   for (uint64_t request = 1; request <= 50; ++request) {
