Keep errors whole while memory is short, and end pauses with their attempt

What callers saw, by reading: while little memory is free, an answer 409 of more than 16 KB became 502, and its request was sent again. The last part of a long answer was written after its attempt had ended; a pause that it began never ended, so that a server that falls silent was not noticed for a minute.

Cause: both came with the pauses of answers. The smaller limit held for errors, which can't be passed on in parts, and the write stood behind the end of the attempt.

ForwardFlow.PassesOnAWholeErrorWhileMemoryIsShort and PassesOnTheLastPartOfALongAnswer, which now asks for the order of both, guard it.

--- a/src/direct/forward_flow.cpp
+++ b/src/direct/forward_flow.cpp
@@ -141,7 +141,8 @@
 }
 
 size_t ForwardFlow::bufferLimit() const {
-  if (!Hooks.BufferLimit)
+  // An error can't be passed on in parts.
+  if (!Hooks.BufferLimit || !isSuccess(Current->Head.Status))
     return Settings.MaxBufferedAnswerBytes;
   return std::min(Settings.MaxBufferedAnswerBytes, Hooks.BufferLimit());
 }
@@ -241,6 +242,10 @@
 void ForwardFlow::onAnswerComplete(TimePoint now) {
   ServerHead head = std::move(Current->Head);
   std::string body = std::move(Current->Buffered);
+  // The part of a long answer that came after the last one passed on. It is
+  // passed on as part of the attempt, which may pause for it.
+  if (HasAnswerBegun && isSuccess(head.Status) && !body.empty())
+    Hooks.WriteAnswer(std::exchange(body, {}));
   if (isSuccess(head.Status) || isCallerError(head.Status)) {
     closeAttempt(AttemptResult::Answered, now);
     if (!HasAnswerBegun)
@@ -249,9 +254,6 @@
       Hooks.AbortAnswer(); // The attempt to resume the stream failed.
       return finish();
     }
-    // The part of a long answer that came after the last one passed on.
-    if (!body.empty())
-      Hooks.WriteAnswer(std::move(body));
     Hooks.EndAnswer();
     return finish();
   }
--- a/tests/direct/flow_harness.h
+++ b/tests/direct/flow_harness.h
@@ -86,7 +86,10 @@
   std::optional<TimePoint> BeginLimit; ///< Of every attempt.
   /// Software versions by server; others have version "v1".
   std::map<std::string, std::string> Versions;
-  bool IsVersionCertain = true; ///< What BeginStream returns.
+  bool IsVersionCertain = true;  ///< What BeginStream returns.
+  size_t BufferLimit = SIZE_MAX; ///< Bytes of an answer that may be held.
+  /// Number of results at the latest WriteAnswer.
+  size_t ResultsAtWrite = 0;
   ForwardFlow Flow;
 
 private:
@@ -141,7 +144,11 @@
     out.BeginAnswer = [this](const ServerHead &head) {
       log("begin " + std::to_string(head.Status));
     };
-    out.WriteAnswer = [this](const std::string &text) { log("write " + text); };
+    out.WriteAnswer = [this](const std::string &text) {
+      ResultsAtWrite = Results.size();
+      log("write " + text);
+    };
+    out.BufferLimit = [this] { return BufferLimit; };
     out.EndAnswer = [this] {
       ++FinalAnswers;
       log("end");
--- a/tests/direct/forward_flow_test.cpp
+++ b/tests/direct/forward_flow_test.cpp
@@ -449,6 +449,30 @@
   EXPECT_EQ(log[0], "write last");
   EXPECT_EQ(log[1], "end");
   EXPECT_TRUE(it.Flow.isEnded());
+  // A pause that the write begins has to end with the attempt: a server would
+  // count as paused for good otherwise.
+  EXPECT_EQ(it.ResultsAtWrite, 0U);
+}
+
+// Guards against errors of servers that are replaced, and requests that are
+// sent again, because the entry is short of memory.
+TEST(ForwardFlow, PassesOnAWholeErrorWhileMemoryIsShort) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.BufferLimit = 8;
+  it.Flow.start(FlowStart);
+  it.answer(1, headOf(409), "0123456789");
+  EXPECT_EQ(it.FinalStatus, 409);
+  EXPECT_TRUE(it.hasLogged("answer 409 0123456789"));
+  EXPECT_EQ(it.SentOrders.size(), 1U);
+}
+
+TEST(ForwardFlow, BeginsASuccessEarlyWhileMemoryIsShort) {
+  FlowHarness it(routeFor(RouteKind::Idempotent, 2));
+  it.BufferLimit = 8;
+  it.Flow.start(FlowStart);
+  it.Flow.onHead(1, headOf(200), FlowStart);
+  it.Flow.onData(1, "0123456789", FlowStart);
+  EXPECT_TRUE(it.hasLogged("begin 200"));
 }
 
 TEST(ForwardFlow, LimitsTheBufferedPartOfAnErrorAnswer) {
