--- a/tests/input/record_values_test.cpp
+++ b/tests/input/record_values_test.cpp
@@ -160,12 +160,12 @@
   direct::AttemptOrder order;
   order.Sources.assign(4'000, Endpoint{"100.100.100.100", 18'080});
   order.Destinations = order.Sources;
-  for (const net::HttpHeader &it : writeAttempt({}, order, "").Headers)
+  for (const net::HttpHeader &it : writeAttempt({}, order, nullptr).Headers)
     EXPECT_LT(it.Value.size(), 65'000U) << it.Name;
   order.Sources.resize(2'000);
-  size_t headers = writeAttempt({}, order, "").Headers.size();
+  size_t headers = writeAttempt({}, order, nullptr).Headers.size();
   order.Sources.clear();
-  EXPECT_EQ(writeAttempt({}, order, "").Headers.size() + 1, headers);
+  EXPECT_EQ(writeAttempt({}, order, nullptr).Headers.size() + 1, headers);
   Error reason;
   EXPECT_FALSE(decodeRecord(
       record("servers/" + std::string(70'000, 'x'), samples()[2].Value),
