--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -172,8 +172,9 @@
                          {"name": "engines", "connection-limit": 200, **cold, "engine": engine},
                          *[it.service() for it in self.stores],
                          *(large_bodies.services() if self.has_large_bodies else [])],
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": large_bodies.MAX_BODY_BYTES if self.has_large_bodies else 100000, "header-timeout-ms": 3000,
-                       "idle-timeout-ms": 15000},
+            "limits": {"max-header-bytes": 16384,
+                       "max-body-bytes": large_bodies.MAX_BODY_BYTES if self.has_large_bodies else 100000,
+                       "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
             "tenants": [*[{"name": name, "api-keys": all_keys} for name, all_keys in keys.items()],
                         *(large_bodies.organisations() if self.has_large_bodies else [])]}
         self.kv.put("op/config", self.config)
