--- a/tests/balancing/quota_loans_model_test.cpp
+++ b/tests/balancing/quota_loans_model_test.cpp
@@ -200,7 +200,9 @@
       demand = 0;
     if (DemandKind == 2)
       demand = std::max(demand, 3 * perStep / entries);
-    int callers = std::poisson_distribution<int>(demand)(Random);
+    // The distribution is defined for a mean above 0 only.
+    int callers =
+        demand > 0 ? std::poisson_distribution<int>(demand)(Random) : 0;
     for (int n = 0; n < callers; ++n)
       if (it.Quota->tryAcquire(Server, Bound, Known, own))
         Sent.push_back(now);
