--- a/tests/extra.cmake
+++ b/tests/extra.cmake
@@ -44,7 +44,7 @@
 # The soak of kept context while engines load new weights.
 add_test(NAME process.soak_context COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=402 --seconds=10)
-# A seed of the same in which cold servers got too many requests after restores.
+# A seed of the same that fails now and then, see KNOWN-RED.txt.
 add_test(NAME process.soak_context_seed_2 COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/soak/soak.py
   --seeds=2 --seconds=10)
 # The soak of servers that start again at their addresses and send answers twice.
