Log a record of software versions that can't be used

An entry that started with a record that is malformed, of another era or too old went on without it, and without a line. It writes software_versions_read with complete false, as for a record whose changes are not all there. The four VersionHistoryTests pass; the line itself has no test.

--- a/src/gateway/version_history.cpp
+++ b/src/gateway/version_history.cpp
@@ -52,8 +52,15 @@
   bool isUsable = record && record->Revision <= revision &&
                   direct::eraOf(record->Revision) == direct::eraOf(revision) &&
                   revision - record->Revision <= Settings.MaxChanges;
-  if (!isUsable)
+  if (!isUsable) {
+    State.Log.write(LogPriority::Notable, "software_versions_read",
+                    {{"revision", record ? record->Revision : 0},
+                     {"changes", 0},
+                     {"history_ms", record ? record->HistoryMs : 0},
+                     {"complete", false}},
+                    monotonicNow());
     return;
+  }
   auto stop = std::make_shared<edge::KvCancel>();
   edge::KvWatchHooks hooks;
   hooks.Changed = [self = shared_from_this(), stop, record = *record, revision,
