Bound the bodies at an entry's ports without callers

Whoever reached the port for other entries, for readiness checks or for metrics could make an entry hold 20,000 bodies of 8 MB or 4 MB without a key, whatever the memory of its instance: only the callers' port reserved room for bodies. 40 bodies of 4 MB that stop before their end took an instance of 88 MB to a peak of 180.4 MB, at the peers' port and at the one for readiness checks (held_bytes_test before the change).

A message is at most 1 MiB long, its room is returned with the body and no longer before, and the body is not copied any more. The ports take a number of connections that follows the memory or the use, and close those that don't read their answers after 10 or 15 s. With the change the same bodies give a peak of 12.7 MB, 900 bodies of 1 MiB 19.8 MB, in chunks 25.0 MB, 900 connections with unread pages of records 13.7 MB, with heads without end 17.2 MB, with unread metrics 14.7 MB (37.6, 34.5 and 46.2 MB before).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,9 +28,21 @@
 constexpr Duration MaxLoadAvoidance{3'000'000};
 constexpr size_t BytesPerMb = 1'000'000;
 
-net::HttpServerInit listenOn(const Endpoint &endpoint) {
+/// Limits of the servers for readiness checks and for metrics. Their requests
+/// come from a few senders and have no body. A connection holds a head and
+/// input ahead of its answer, 32 KB, and one for metrics an unread answer, too.
+constexpr size_t MaxReadinessConnections = 256;
+constexpr size_t MaxMetricsConnections = 64;
+constexpr size_t MaxCheckBodyBytes = 1U << 10;
+constexpr Duration CheckIdleTimeout{15'000'000};
+
+net::HttpServerInit listenForChecks(const Endpoint &endpoint,
+                                    size_t maxConnections) {
   net::HttpServerInit out;
   out.Listen = endpoint;
+  out.MaxConnections = maxConnections;
+  out.MaxBodyBytes = MaxCheckBodyBytes;
+  out.IdleTimeout = CheckIdleTimeout;
   return out;
 }
 
@@ -110,15 +122,16 @@
               holderRecordHooks()),
           VersionHistorySettings{})),
       CallerServer(State),
-      ReadinessServer(io, listenOn(Options.Readiness),
-                      [this](const net::HttpRequest &request,
-                             const std::shared_ptr<net::HttpExchange> &to) {
-                        if (request.Path == Options.ReadinessPath)
-                          answerReadiness(*to);
-                        else
-                          to->respond({net::StatusNotFound, {}, {}});
-                      }),
-      MetricsServer(io, listenOn(Options.Metrics),
+      ReadinessServer(
+          io, listenForChecks(Options.Readiness, MaxReadinessConnections),
+          [this](const net::HttpRequest &request,
+                 const std::shared_ptr<net::HttpExchange> &to) {
+            if (request.Path == Options.ReadinessPath)
+              answerReadiness(*to);
+            else
+              to->respond({net::StatusNotFound, {}, {}});
+          }),
+      MetricsServer(io, listenForChecks(Options.Metrics, MaxMetricsConnections),
                     [this](const net::HttpRequest &,
                            const std::shared_ptr<net::HttpExchange> &to) {
                       answerMetrics(*to);
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "direct/rendezvous.h"
 #include "gateway/gateway_request.h"
+#include "gateway/held_body.h"
 
 #include <algorithm>
 #include <utility>
@@ -42,23 +43,6 @@
   return route.Shares.back().Service;
 }
 
-class HeldBody : public net::BodyReservation {
-public:
-  /// No body is longer than `maxBytes`.
-  HeldBody(admission::MemoryReservation room, size_t maxBytes)
-      : Room(std::move(room)), MaxBytes(maxBytes) {}
-  /// Doubles the room, as the buffer of the body does when it grows.
-  bool reserve(size_t bytes) override {
-    return bytes <= Room.bytes() ||
-           Room.grow(std::max(bytes, std::min(2 * Room.bytes(), MaxBytes)));
-  }
-  void onReceived(size_t bytes) override { Room.setReceived(bytes); }
-
-private:
-  admission::MemoryReservation Room;
-  size_t MaxBytes;
-};
-
 TimePoint deadlineOf(const direct::CallerHead &head, const direct::Route &route,
                      TimePoint now) {
   Duration limit = head.CallerTimeout.value_or(DefaultRequestTimeout);
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peer_exchange.h"
 
 #include "base/clock.h"
+#include "gateway/held_body.h"
 #include "net/http_status.h"
 #include "wire/codec.h"
 
@@ -30,10 +31,51 @@
 constexpr uint32_t MaxPages = 4096;
 constexpr const char *PeerPath = "/peer";
 
-net::HttpServerInit listenOn(const Endpoint &endpoint) {
+/// Longest message that another entry sends as a request, in bytes. Those that
+/// name every server of a large deployment take a fifth of it.
+constexpr size_t MaxRequestBytes = MaxValueBytes;
+/// First reservation for a body of unknown length.
+constexpr size_t InitialBodyBytes = 8U << 10;
+/// Share of the instance's memory for the bodies of all requests together, and
+/// the least number of bytes.
+constexpr size_t BodyShareDivisor = 16;
+constexpr size_t MinBodyBytes = 4U << 20;
+/// Memory of the instance for each connection: a head, input ahead of the
+/// answer and an unread page of records, which take a quarter of it at most.
+constexpr size_t BytesPerConnection = 400U << 10;
+/// Time between requests, and for an answer that isn't read. An entry that
+/// polls this one comes back within RequestInterval or not for long.
+constexpr Duration IdleTimeout{10'000'000};
+
+admission::RequestMemorySettings bodySettings(const GatewayOptions &options) {
+  admission::RequestMemorySettings out;
+  out.MinLimitBytes =
+      std::max(options.MemoryBytes / BodyShareDivisor, MinBodyBytes);
+  // Senders are not told apart, as none of them proves who it is.
+  out.ShareFactor = 1e9;
+  return out;
+}
+
+net::HttpServerInit
+serverInit(const GatewayOptions &options,
+           const std::shared_ptr<admission::RequestMemory> &bodies) {
   net::HttpServerInit out;
-  out.Listen = endpoint;
-  out.MaxBodyBytes = MaxFrameBytes;
+  out.Listen = options.Peers;
+  out.MaxBodyBytes = MaxRequestBytes;
+  out.MaxConnections = options.MemoryBytes / BytesPerConnection;
+  out.IdleTimeout = IdleTimeout;
+  out.ReceiveBufferBytes = options.receiveBufferBytes();
+  out.ReserveBody =
+      [bodies](const net::HttpRequest &,
+               std::optional<uint64_t> length) -> std::shared_ptr<HeldBody> {
+    auto room = bodies->reserve({}, length.value_or(InitialBodyBytes));
+    if (!room)
+      return nullptr;
+    return std::make_shared<HeldBody>(std::move(*room), MaxRequestBytes);
+  };
+  out.RefusedBodyResponse = [](const net::HttpRequest &) {
+    return net::HttpResponse{net::StatusUnavailable, {}, {}};
+  };
   return out;
 }
 
@@ -43,12 +85,15 @@
                            RandomSource random)
     : State(state), Executor(std::move(strand)), Hooks(std::move(hooks)),
       Random(std::move(random)), Source(lookupIn(state.Catalog)),
-      Server(state.Io, listenOn(state.Options.Peers),
-             [this](const net::HttpRequest &request,
+      Bodies(std::make_shared<admission::RequestMemory>(
+          bodySettings(state.Options))),
+      Server(state.Io, serverInit(state.Options, Bodies),
+             [this](net::HttpRequest request,
                     const std::shared_ptr<net::HttpExchange> &exchange) {
                boost::asio::dispatch(
-                   Executor, [self = shared_from_this(), body = request.Body,
-                              exchange] { self->answer(body, *exchange); });
+                   Executor,
+                   [self = shared_from_this(), body = net::takeBody(request),
+                    exchange] { self->answer(*body, *exchange); });
              }),
       Seeds(state.Options.Seeds) {}
 
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -86,6 +86,8 @@
   PeerHooks Hooks;
   RandomSource Random;
   direct::RecordSource Source;
+  /// For the bodies of requests.
+  std::shared_ptr<admission::RequestMemory> Bodies;
   net::HttpServer Server;
   std::vector<Endpoint> Seeds;
   /// Known entries, with the time at which each was last listed. An entry that
