Bound what framed connections hold before a proof

An acceptor of framed connections, such as an agent, read up to 8 MB from each peer that had not proven that it holds a key: the frame that proves it was allowed the length of any frame. The acceptor's own hello tells everybody the name of a key, which is all that a peer needs to get that far. Each connection also had a buffer of 64 KB from the start, and their number had no bound.

A proof now has no payload, as the length in front of it tells, so that a longer one ends the connection before it is read. Until the proof a connection reads 1 KB at a time. Of 256 connections without a proof the oldest one is closed for the next, so that peers with a key still get in.

--- a/src/net/frame_link.cpp
+++ b/src/net/frame_link.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <chrono>
+#include <deque>
 
 namespace daisytack::net {
 
@@ -17,6 +18,9 @@
 /// An accepted connection is closed if the peer does not authenticate within
 /// this time.
 constexpr Duration HandshakeTimeout{5'000'000};
+/// Accepted connections whose peers have not authenticated yet. Beyond it the
+/// oldest one is closed, so that peers with a key still get in.
+constexpr size_t MaxUnproven = 256;
 /// Delay after a failed accept, for example when file descriptors run out.
 constexpr Duration AcceptRetryDelay{50'000};
 
@@ -93,6 +97,16 @@
         Io, std::move(socket), FrameRole::Acceptor, std::move(keys), Hooks);
     std::erase_if(Sessions, [](const auto &weak) { return weak.expired(); });
     Sessions.push_back(session);
+    std::erase_if(Unproven, [](const auto &weak) {
+      auto known = weak.lock();
+      return !known || known->isProven();
+    });
+    if (Unproven.size() >= MaxUnproven) {
+      if (auto oldest = Unproven.front().lock())
+        oldest->close();
+      Unproven.pop_front();
+    }
+    Unproven.push_back(session);
     session->startAccepted(HandshakeTimeout);
   }
 
@@ -125,6 +139,7 @@
   PeerKeys Keys;
   FrameHooks Hooks;
   std::vector<std::weak_ptr<FrameSession>> Sessions;
+  std::deque<std::weak_ptr<FrameSession>> Unproven; ///< Oldest first.
 };
 
 FrameServer::FrameServer(asio::io_context &io, Endpoint listen, PeerKeys keys,
--- a/src/net/frame_session.cpp
+++ b/src/net/frame_session.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr size_t ReadChunkBytes = 64U << 10;
+/// Per read until the peer has proven that it holds its key.
+constexpr size_t UnprovenReadBytes = 1U << 10;
 /// A larger input buffer is freed when it is empty.
 constexpr size_t MaxRetainedInputBytes = 256U << 10;
 /// Time that close() allows for writing the queued frames.
@@ -120,14 +122,15 @@
     if (Input.size() > MaxRetainedInputBytes)
       std::vector<char>().swap(Input);
   }
-  if (InputBegin > 0 && Input.size() - InputEnd < ReadChunkBytes) {
+  size_t chunk = State == Phase::Open ? ReadChunkBytes : UnprovenReadBytes;
+  if (InputBegin > 0 && Input.size() - InputEnd < chunk) {
     std::memmove(Input.data(), Input.data() + InputBegin,
                  InputEnd - InputBegin);
     InputEnd -= InputBegin;
     InputBegin = 0;
   }
-  if (Input.size() - InputEnd < ReadChunkBytes)
-    Input.resize(InputEnd + ReadChunkBytes);
+  if (Input.size() - InputEnd < chunk)
+    Input.resize(InputEnd + chunk);
   Stream.async_read_some(
       asio::buffer(Input.data() + InputEnd, Input.size() - InputEnd),
       asio::bind_executor(
@@ -145,13 +148,26 @@
   readMore();
 }
 
+size_t FrameSession::maxFrameBytes() const {
+  switch (State) {
+  case Phase::Hello:
+    return MaxFrameHelloBytes;
+  case Phase::Proof:
+    return 0;
+  case Phase::Open:
+  case Phase::Closed:
+    break;
+  }
+  return MaxFrameBytes;
+}
+
 bool FrameSession::processFrame() {
   std::string_view input(Input.data() + InputBegin, InputEnd - InputBegin);
   if (input.size() < FrameLengthBytes)
     return false;
   size_t length = readFrameLength(input);
   bool isHello = State == Phase::Hello;
-  if (length > (isHello ? MaxFrameHelloBytes : MaxFrameBytes)) {
+  if (length > maxFrameBytes()) {
     finish({ErrorKind::ProtocolError,
             "frame of " + std::to_string(length) + " bytes"});
     return false;
@@ -205,9 +221,8 @@
       Hooks.Frame(shared_from_this(), payload);
     return;
   }
-  if (!payload.empty())
-    return finish({ErrorKind::ProtocolError, "proof carries a payload"});
   State = Phase::Open;
+  IsProven = true;
   if (!CloseRequested)
     Deadline.cancel();
   if (Hooks.Opened)
--- a/src/net/frame_session.h
+++ b/src/net/frame_session.h
@@ -37,6 +37,8 @@
   /// at once if the handshake is not complete.
   void close() override;
   size_t pendingBytes() const override;
+  /// Whether the peer has proven that it holds its key.
+  bool isProven() const { return IsProven; }
 
 private:
   enum class Phase : uint8_t { Hello, Proof, Open, Closed };
@@ -47,6 +49,8 @@
   void startHandshake();
   void readMore();
   void onRead(size_t n);
+  /// Longest payload of the next frame, in bytes. A proof has none.
+  size_t maxFrameBytes() const;
   /// Handles one complete frame of the input; false if more bytes are needed or
   /// the link was closed.
   bool processFrame();
@@ -86,6 +90,7 @@
   bool FlushScheduled = false;
   bool QueueClosed = false;
   std::atomic<size_t> PendingBytes{0};
+  std::atomic<bool> IsProven{false};
 };
 
 } // namespace daisytack::net
