Close the connection of an etcd watch that has ended

A watch that ended by what the service had sent, such as a line that can't be read, left its call running without a timeout, and each later watch added one. All that the service went on sending was added to a buffer that nothing looked at any more. An answer with another status was kept whole, up to 16 MiB, for the beginning of its text, and every part of a long line searched the line from its begin again.

The reader now cancels its call at its end and ignores what comes after, keeps 4 KB of an answer with another status, and searches only the added part.

--- a/src/edge/kv_etcd.cpp
+++ b/src/edge/kv_etcd.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace daisytack::edge {
@@ -13,6 +14,8 @@
 constexpr unsigned StatusOk = 200;
 constexpr unsigned FirstServerError = 500;
 constexpr size_t MaxWatchLineBytes = 16U << 20;
+/// Beginning of an answer with another status that is kept for its message.
+constexpr size_t MaxErrorBytes = 4U << 10;
 
 /// State shared by all hooks.
 struct EtcdGateway {
@@ -89,17 +92,36 @@
 }
 
 /// Splits the response stream of a watch into lines and reports their changes.
+/// A watch that ends by what the service sent closes its connection, on which
+/// the service could send without end otherwise.
 class WatchReader {
 public:
   WatchReader(EtcdGatewayPtr gateway, KvWatchHooks hooks)
       : Gateway(std::move(gateway)), Hooks(std::move(hooks)) {}
 
+  /// Sets the call whose response this is. Responses may arrive before that.
+  void setCall(const net::HttpCall &call) {
+    {
+      std::lock_guard guard(Lock);
+      Call = call;
+    }
+    if (HasEnded)
+      call.cancel();
+  }
+
   void head(unsigned status) { Status = status; }
 
   void data(std::string_view bytes) {
+    if (HasEnded)
+      return;
+    if (Status != StatusOk)
+      return addErrorText(bytes);
+    // What was buffered before has no end of a line.
+    size_t searched = Buffer.size();
     Buffer += bytes;
     size_t begin = 0;
-    for (size_t end = Buffer.find('\n'); end != std::string::npos && !HasEnded;
+    for (size_t end = Buffer.find('\n', searched);
+         end != std::string::npos && !HasEnded;
          end = Buffer.find('\n', begin)) {
       line(std::string_view(Buffer).substr(begin, end - begin));
       begin = end + 1;
@@ -112,6 +134,8 @@
   }
 
   void done(const Error &error) {
+    if (HasEnded)
+      return;
     if (error)
       Gateway->useNextEndpoint();
     if (Status != 0 && Status != StatusOk)
@@ -121,6 +145,12 @@
   }
 
 private:
+  void addErrorText(std::string_view bytes) {
+    Buffer += bytes.substr(0, MaxErrorBytes - Buffer.size());
+    if (Buffer.size() == MaxErrorBytes)
+      end(answerFailed(Status, Buffer, false), 0);
+  }
+
   void line(std::string_view text) {
     if (text.empty())
       return;
@@ -135,8 +165,14 @@
   }
 
   void end(const KvHeader &header, uint64_t compactRevision) {
-    if (std::exchange(HasEnded, true))
+    if (HasEnded.exchange(true))
       return;
+    net::HttpCall call;
+    {
+      std::lock_guard guard(Lock);
+      call = Call;
+    }
+    call.cancel();
     Hooks.Ended(header, compactRevision);
   }
 
@@ -144,7 +180,9 @@
   KvWatchHooks Hooks;
   unsigned Status = 0;
   std::string Buffer;
-  bool HasEnded = false;
+  std::atomic<bool> HasEnded{false};
+  std::mutex Lock;
+  net::HttpCall Call;
 };
 
 KvCancel watch(const EtcdGatewayPtr &gateway, const std::string &begin,
@@ -159,6 +197,7 @@
       gateway->endpoint(),
       post("/v3/watch", etcd::watchRequest(begin, end, fromRevision)),
       Duration(0), std::move(http));
+  reader->setCall(running);
   return [running] { running.cancel(); };
 }
 
