Bound the input that a connection holds unparsed

A caller, a server or any other peer could make a process take memory without end over one connection: with a chunk extension, digits of a chunk's size, or trailer fields that don't end. The parser of Boost.Beast collects each of these until it is whole, the buffer had no maximum, and the reading looped inside one operation of the library, so that neither the reservation of a body nor the limits on bodies and heads were asked.

All HTTP is now read through InputBuffer, which can't be made without a limit, and parsed by MessageReader, which sets that limit by the state of the message: the configured limit for a head, 16 KB for a body. Chunk extensions and trailer fields are ignored up to 4 KB a message, the RFC's way, rather than refused; beyond that the server answers 431 and closes, and the client ends the call with ProtocolError. Responses that are skipped are read from posted steps, as many in one read would otherwise grow the stack. The search for the end of a head doesn't start over with each read.

Trailer fields are no longer added to the headers of a request on ports that reserve no room for bodies: X-Api-Key in a trailer was taken for a header, and Connection in one decided on the connection.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -59,6 +59,7 @@
   std::lock_guard guard(Lock);
   if (Closed)
     return;
+  connection->releaseInput();
   auto &idle = Idle[to];
   idle.push_back(std::move(connection));
   if (idle.size() <= MaxIdle)
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -4,8 +4,9 @@
 
 #include "net/http_client.h"
 #include "net/http_socket.h"
+#include "net/input_buffer.h"
+#include "net/message_reader.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
@@ -20,8 +21,6 @@
 
 namespace daisytack::net {
 
-namespace http = boost::beast::http;
-
 /// A connection with its read buffer, which may hold bytes received after the
 /// last response.
 struct HttpClientConnection {
@@ -38,13 +37,19 @@
   /// the peer's idle timeout may be about to expire.
   bool isReusable(BootClock::time_point now);
 
+  /// Frees the memory of a large buffer that is empty.
+  void releaseInput() {
+    if (Input.size() == 0 && Input.capacity() > ShortReadBytes)
+      Input.release();
+  }
+
   /// Description for the call that is to be sent next.
   HttpConnectionInfo info() const;
 
   StrandSocket Socket;
   const uint64_t Number;
   uint64_t Calls = 0; ///< Sent on this connection.
-  boost::beast::flat_buffer Buffer;
+  InputBuffer Input{LongReadBytes};
   /// The connection is not reused from this time on.
   BootClock::time_point UsableUntil;
   /// Keys of the responses to the calls sent so far; see HttpCallOptions.
@@ -106,7 +111,7 @@
 
 private:
   using Request = http::request<http::span_body<const char>>;
-  using Parser = http::response_parser<http::buffer_body>;
+  using Reader = MessageReader<http::response_parser<http::buffer_body>>;
   /// The read buffer for the body starts small, since the chunk of one
   /// generated token is small, and doubles each time that a read fills it.
   static constexpr size_t InitialReadBytes = 1U << 10;
@@ -120,19 +125,33 @@
   void onConnected(ErrorCode ec);
   void send();
   void onSent(ErrorCode ec, size_t n);
+  /// Begins to read a response.
   void readHead();
-  void onHead(ErrorCode ec, size_t n);
+  /// Reads the next response after one that is not for this request. Posted, so
+  /// that many in one read can't grow the stack.
+  void readNextHead();
+  void parseHead();
+  void onHead(ErrorCode ec);
+  /// Reads some input and calls the function. The error is that of the message
+  /// if the connection's input has ended; none if that completes it.
+  void readInput(void (HttpClientCall::*then)(ErrorCode));
+  void onHeadInput(ErrorCode ec);
   void readBody();
-  void onBody(ErrorCode ec);
+  void onBodyInput(ErrorCode ec);
+  /// Passes on `n` bytes of the body. Returns whether to go on; false if the
+  /// call has ended, is paused, or reads another response.
+  bool onBody(ErrorCode ec, size_t n);
   void resume();
+  /// Whether the response is complete.
+  bool isComplete() const { return Response->parser().is_done(); }
   /// Drops the request's body if it will not be sent (again).
   void dropSentBody();
   /// Ends the call after a complete response, or reads the next response if
   /// this one belongs to another request.
   void onResponseComplete();
   /// How long the connection may stay idle, according to the Keep-Alive header
-  /// of the response.
-  Duration idleTimeout() const;
+  /// of the response, whose head was parsed and whose body was not.
+  Duration readIdleTimeout() const;
   /// Reconnects and sends the request again if the reused connection was stale.
   /// False if the connection was not reused or has received data.
   bool retryOnNewConnection();
@@ -165,7 +184,10 @@
   Duration ProgressTimeout{0};    ///< See HttpTimeout.
   size_t BytesSinceExtension = 0; ///< Received since the deadline was set.
   std::shared_ptr<HttpClientConnection> Connection;
-  std::optional<Parser> Response;
+  std::optional<Reader> Response;
+  bool MayKeepAlive = false;              ///< According to the response's head.
+  Duration IdleTimeout{0};                ///< See readIdleTimeout().
+  size_t InputReadBytes = ShortReadBytes; ///< Doubles up to LongReadBytes.
   std::vector<char> ReadBuffer;
   bool Reused = false;
   bool MayHaveSent = false; ///< Part of the request may have been sent.
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http/read.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -18,13 +17,8 @@
 /// A larger buffer is freed between requests.
 constexpr size_t MaxRetainedBufferBytes = 4096;
 constexpr std::string_view HeaderEnd = "\r\n\r\n";
-constexpr size_t HeaderReadBytes = 4096; ///< Per read.
 /// A read may be shorter than this rather than have the buffer grow.
 constexpr size_t MinReadBytes = 512;
-/// Per read of a body that is longer.
-constexpr size_t BodyReadBytes = 16U << 10;
-/// Input that is read before the response to the earlier request has ended.
-constexpr size_t MaxReadAheadBytes = 16U << 10;
 
 class Exchange : public HttpExchange {
 public:
@@ -156,17 +150,19 @@
 
 void HttpConnection::readAhead() {
   Pipelined = true;
-  if (Buffer.size() >= MaxReadAheadBytes)
+  Input.setLimit(MaxReadAheadBytes);
+  asio::mutable_buffer room = Input.prepare(ShortReadBytes);
+  if (room.size() == 0)
     return;
   // After an error nothing is read, and the wait ends with the connection.
   ErrorCode ignored;
-  Buffer.commit(Socket.read_some(Buffer.prepare(HeaderReadBytes), ignored));
+  Input.commit(Socket.read_some(room, ignored));
   countInput();
   waitReadable();
 }
 
 void HttpConnection::countInput() {
-  size_t now = Buffer.capacity();
+  size_t now = Input.capacity();
   size_t before = std::exchange(CountedInput, now);
   Shared->onBytes(ConnectionBytes::Input,
                   static_cast<int64_t>(now) - static_cast<int64_t>(before));
@@ -179,46 +175,50 @@
   Pipelined = false;
   auto limits = Shared->limits();
   setDeadline(limits->HeaderTimeout);
-  Input = std::make_unique<Parser>();
-  Input->header_limit(static_cast<uint32_t>(limits->MaxHeaderBytes));
-  Input->body_limit(limits->MaxBodyBytes);
+  ScannedBytes = 0;
+  Message = std::make_unique<Reader>(limits->MaxHeaderBytes);
+  Message->parser().body_limit(limits->MaxBodyBytes);
   parseHeader();
 }
 
 void HttpConnection::parseHeader() {
-  std::string_view received(static_cast<const char *>(Buffer.data().data()),
-                            Buffer.size());
-  size_t limit = Shared->limits()->MaxHeaderBytes;
-  size_t end = received.find(HeaderEnd);
-  if (end != std::string_view::npos) {
-    if (hasFoldedLine(received.substr(0, end)))
-      return onHeader(http::error::bad_value);
-    ErrorCode ec;
-    Buffer.consume(Input->put(Buffer.data(), ec));
-    if (ec == http::error::need_more)
-      ec = {};
-    return onHeader(ec);
-  }
+  std::string_view received = Input.view();
+  size_t limit = Message->maxHeadBytes();
+  size_t end = received.find(HeaderEnd, ScannedBytes);
+  if (end != std::string_view::npos)
+    return onHeader(hasFoldedLine(received.substr(0, end))
+                        ? http::error::bad_value
+                        : Message->parseHead(Input));
   if (received.size() >= limit)
     return onHeader(http::error::header_limit);
-  // The buffer doubles when it grows: for a head just below the limit, it would
-  // take twice the limit.
-  size_t room = Buffer.capacity() - Buffer.size();
-  auto space = Buffer.prepare(
-      room < MinReadBytes ? HeaderReadBytes : std::min(room, HeaderReadBytes));
+  ScannedBytes = received.size() - std::min(received.size(), HeaderEnd.size());
+  Input.setLimit(limit);
+  size_t room = Input.capacity() - Input.size();
+  readInput(room < MinReadBytes ? ShortReadBytes
+                                : std::min(room, ShortReadBytes),
+            &HttpConnection::onHeaderInput);
+}
+
+void HttpConnection::readInput(size_t n,
+                               void (HttpConnection::*then)(ErrorCode)) {
+  readSome(Socket, Input, n, Socket.get_executor(),
+           [self = shared_from_this(), then](ErrorCode ec, size_t) {
+             if (self->CurrentState != State::Reading)
+               return;
+             if (ec == asio::error::eof)
+               ec = http::error::partial_message;
+             (self.get()->*then)(ec);
+           });
   countInput();
-  Socket.async_read_some(space, [self = shared_from_this()](ErrorCode ec,
-                                                            size_t n) {
-    self->Buffer.commit(n);
-    if (self->CurrentState != State::Reading)
-      return;
-    if (!ec && !self->TimedOut)
-      return self->parseHeader();
-    bool atStart = self->Buffer.size() == 0;
-    if (ec == asio::error::eof)
-      ec = atStart ? http::error::end_of_stream : http::error::partial_message;
-    self->onHeader(ec);
-  });
+}
+
+void HttpConnection::onHeaderInput(ErrorCode ec) {
+  if (!ec && !TimedOut)
+    return parseHeader();
+  bool atStart = Input.size() == 0;
+  if (ec == http::error::partial_message && atStart)
+    ec = http::error::end_of_stream;
+  onHeader(ec);
 }
 
 void HttpConnection::onHeader(ErrorCode ec) {
@@ -228,31 +228,32 @@
     return close();
   if (ec || TimedOut)
     return rejectInput(ec);
-  if (!isFramingValid(Input->get()))
+  auto &parser = Message->parser();
+  if (!isFramingValid(parser.get()))
     return rejectInput(http::error::bad_transfer_encoding);
-  if (!Input->is_done() && Shared->Init.ReserveBody && !reserveBody())
+  std::string_view expect = parser.get()[http::field::expect];
+  bool isContinueExpected =
+      !parser.is_done() && boost::beast::iequals(expect, "100-continue");
+  MayKeepAlive = parser.keep_alive();
+  // The headers are copied, the body is empty yet.
+  Incoming = toRequest(std::move(parser.get()));
+  if (!parser.is_done() && Shared->Init.ReserveBody && !reserveBody())
     return;
   setDeadline(Shared->limits()->BodyTimeout);
-  std::string_view expect = Input->get()[http::field::expect];
-  if (!Input->is_done() && boost::beast::iequals(expect, "100-continue")) {
+  if (isContinueExpected) {
     {
       std::lock_guard guard(Lock);
       queueLocked("HTTP/1.1 100 Continue\r\n\r\n");
     }
     flush();
   }
-  Input->eager(true);
-  if (Input->content_length().value_or(0) > BodyReadBytes)
-    Buffer.reserve(BodyReadBytes);
   readBody();
 }
 
 bool HttpConnection::reserveBody() {
   std::optional<uint64_t> length;
-  if (Input->content_length())
-    length = *Input->content_length();
-  // The headers are copied, the body is empty yet.
-  Incoming = toRequest(std::move(Input->get()));
+  if (auto known = Message->parser().content_length())
+    length = *known;
   Incoming->Reservation = Shared->Init.ReserveBody(*Incoming, length);
   if (Incoming->Reservation)
     return true;
@@ -265,25 +266,28 @@
 }
 
 void HttpConnection::readBody() {
-  if (Input->is_done())
-    return handleRequest();
-  bool isOfKnownLength = Input->content_length().has_value();
-  if (Incoming && !isOfKnownLength &&
-      !Incoming->Reservation->reserve(Input->get().body().size() +
-                                      Buffer.capacity()))
+  auto &parser = Message->parser();
+  BodyReservation *room = Incoming->Reservation.get();
+  bool isOfKnownLength =
+      parser.is_done() || parser.content_length().has_value();
+  if (room && !isOfKnownLength &&
+      !room->reserve(parser.get().body().size() + Input.capacity()))
     return refuseBody();
-  http::async_read_some(
-      Socket, Buffer, *Input,
-      [self = shared_from_this()](ErrorCode ec, size_t) { self->onBody(ec); });
+  ErrorCode ec = Message->parseBody(Input);
+  if (room)
+    room->onReceived(parser.get().body().size());
+  if (!ec)
+    return handleRequest();
+  if (ec != http::error::need_more)
+    return rejectInput(ec);
+  bool isLong = parser.content_length().value_or(0) > LongReadBytes;
+  readInput(isLong ? LongReadBytes : ShortReadBytes,
+            &HttpConnection::onBodyInput);
 }
 
-void HttpConnection::onBody(ErrorCode ec) {
-  if (CurrentState != State::Reading)
-    return;
+void HttpConnection::onBodyInput(ErrorCode ec) {
   if (ec || TimedOut)
     return rejectInput(ec);
-  if (Incoming)
-    Incoming->Reservation->onReceived(Input->get().body().size());
   readBody();
 }
 
@@ -306,7 +310,7 @@
   }
   CurrentState = State::Draining;
   // Returns the room for the body.
-  Input.reset();
+  Message.reset();
   Incoming.reset();
   setDeadline(DiscardTimeout);
   respond(serial, std::move(response));
@@ -321,26 +325,21 @@
     std::lock_guard guard(Lock);
     serial = ++Serial;
     Ended = HeadSent = false;
-    KeepAlive = Input->keep_alive() && !closesAfterResponse();
-    IsHead = Input->get().method() == http::verb::head;
-    IsHttp10 = Input->get().version() < 11;
-  }
-  HttpRequest request;
-  if (Incoming) {
-    request = std::move(*Incoming);
-    request.Body = std::move(Input->get().body());
-    Incoming.reset();
-  } else {
-    request = toRequest(Input->release());
+    KeepAlive = MayKeepAlive && !closesAfterResponse();
+    IsHead = Message->parser().get().method() == http::verb::head;
+    IsHttp10 = Message->parser().get().version() < 11;
   }
+  HttpRequest request = std::move(*Incoming);
+  request.Body = std::move(Message->parser().get().body());
+  Incoming.reset();
   request.ConnectionRequestNumber = ++HandledRequests;
   request.ReadTime =
       std::chrono::duration_cast<Duration>(BootClock::now() - ReadingSince);
-  Input.reset();
-  if (Buffer.size() == 0 && Buffer.capacity() > MaxRetainedBufferBytes)
-    Buffer = {};
+  Message.reset();
+  if (Input.size() == 0 && Input.capacity() > MaxRetainedBufferBytes)
+    Input.release();
   countInput();
-  Pipelined = Buffer.size() > 0;
+  Pipelined = Input.size() > 0;
   waitReadable();
   auto exchange = std::make_shared<Exchange>(shared_from_this(), serial);
   // Checked for each request: a busy connection may become idle and receive
@@ -355,7 +354,7 @@
 
 void HttpConnection::nextRequest() {
   CurrentState = State::Idle;
-  if (Pipelined || Buffer.size() > 0) {
+  if (Pipelined || Input.size() > 0) {
     // Posted instead of called, so that pipelined requests can't grow the
     // stack.
     asio::post(Socket.get_executor(), [self = shared_from_this()] {
@@ -370,17 +369,17 @@
 }
 
 void HttpConnection::discardInput(size_t maxBytes) {
-  Buffer.clear();
+  Input.clear();
   if (maxBytes == 0)
     return close();
-  auto space = Buffer.prepare(BodyReadBytes);
+  Input.setLimit(LongReadBytes);
+  readSome(Socket, Input, LongReadBytes, Socket.get_executor(),
+           [self = shared_from_this(), maxBytes](ErrorCode ec, size_t n) {
+             if (ec || self->CurrentState == State::Closed)
+               return self->close();
+             self->discardInput(maxBytes - std::min(maxBytes, n));
+           });
   countInput();
-  Socket.async_read_some(
-      space, [self = shared_from_this(), maxBytes](ErrorCode ec, size_t n) {
-        if (ec || self->CurrentState == State::Closed)
-          return self->close();
-        self->discardInput(maxBytes - std::min(maxBytes, n));
-      });
 }
 
 void HttpConnection::onPeerHalfClosed() {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -3,8 +3,9 @@
 
 #include "net/http_server.h"
 #include "net/http_socket.h"
+#include "net/input_buffer.h"
+#include "net/message_reader.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -18,8 +19,6 @@
 
 namespace daisytack::net {
 
-namespace http = boost::beast::http;
-
 class HttpConnection;
 
 /// State shared by all connections of one server.
@@ -97,11 +96,13 @@
 
 private:
   enum class State : uint8_t { Idle, Reading, Responding, Draining, Closed };
-  using Parser = http::request_parser<http::string_body>;
+  using Reader = MessageReader<http::request_parser<http::string_body>>;
   /// Maximum amount of input, and maximum time, for discarding unread input
   /// before the connection is closed.
   static constexpr size_t MaxDiscardBytes = 16U << 20;
   static constexpr Duration DiscardTimeout{2'000'000};
+  /// Input that is read before the response to the earlier request has ended.
+  static constexpr size_t MaxReadAheadBytes = 16U << 10;
 
   // Input.
   void waitReadable();
@@ -114,12 +115,16 @@
   /// input until then.
   void parseHeader();
   void onHeader(ErrorCode ec);
+  /// Reads at most `n` bytes, while a request is being read. The hook gets
+  /// `partial_message` at the end of the connection's input.
+  void readInput(size_t n, void (HttpConnection::*then)(ErrorCode));
+  void onHeaderInput(ErrorCode ec);
   /// Reserves room for the body; refuses the request and returns false if there
   /// is none.
   bool reserveBody();
   void refuseBody();
   void readBody();
-  void onBody(ErrorCode ec);
+  void onBodyInput(ErrorCode ec);
   void rejectInput(ErrorCode ec);
   /// Responds to a request that was not received completely, and closes the
   /// connection.
@@ -159,12 +164,14 @@
   StrandSocket Socket;
   StrandTimer Timer;
   std::shared_ptr<HttpServerShared> Shared;
-  boost::beast::flat_buffer Buffer;
-  size_t CountedInput = 0; ///< Size of Buffer as it was reported.
-  std::unique_ptr<Parser> Input;
-  /// Head of the request whose body is being read, with the reservation for it;
-  /// nullopt if the server reserves no room.
+  InputBuffer Input{MaxReadAheadBytes};
+  size_t CountedInput = 0; ///< Memory that Input takes, as it was reported.
+  size_t ScannedBytes = 0; ///< Of Input; the head doesn't end in them.
+  std::unique_ptr<Reader> Message;
+  /// Head of the request whose body is being read, with the reservation for it
+  /// unless the server reserves no room.
   std::optional<HttpRequest> Incoming;
+  bool MayKeepAlive = false; ///< According to the request's head.
   BootClock::time_point IdleSince;
   uint32_t HandledRequests = 0; ///< Requests received so far.
   BootClock::time_point ReadingSince;
--- a/src/net/http_input.cpp
+++ b/src/net/http_input.cpp
@@ -58,8 +58,11 @@
 Error inputError(ErrorCode ec, bool timedOut) {
   if (timedOut)
     return {ErrorKind::RequestTimeout, "the request did not arrive in time"};
-  if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+  if (ec == http::error::header_limit)
     return {ErrorKind::HeaderTooLarge, "the headers exceed the limit"};
+  if (ec == http::error::buffer_overflow)
+    return {ErrorKind::HeaderTooLarge,
+            "the chunk extensions or trailer fields exceed the limit"};
   if (ec == http::error::body_limit)
     return {ErrorKind::BodyTooLarge, "the body exceeds the limit"};
   if (ec == http::error::partial_message || ec == asio::error::eof)
