--- a/tests/soak/late_callers.py
+++ b/tests/soak/late_callers.py
@@ -29,6 +29,8 @@
 
     def _random_request(self):
         keys = [it for it in self.world.all_keys if it not in self.world.revoked]
+        if self.world.varies_stops:
+            return self._next_request(self.entry, self.rng.choice(self._kind_mix()), keys)
         return self._next_request(self.entry, "long" if self.rng.random() < 0.8 else "call", keys)
 
 
