Send every state of a message to every port in each run of the soak

Callers now begin with all 126 pairs of a state and a port, and servers go through all states before one comes again.

--- a/tests/soak/endless_callers.py
+++ b/tests/soak/endless_callers.py
@@ -56,8 +56,12 @@
         self.false_peer = None
 
     async def run(self, seconds):
-        """Begins rounds for some seconds, and waits until the connections of all of them have ended."""
+        """Begins rounds for some seconds, and waits until the connections of all of them have ended. The first rounds
+        send every state of a message to every port."""
         end, rounds = self.world.now() + seconds, []
+        while seconds and (self.inputs or not rounds):
+            rounds.append(asyncio.ensure_future(self._send_all_states(self.rng.choice(self.world.entries))))
+            await asyncio.sleep(self.rng.random() * MAX_PAUSE_SECONDS)
         while self.world.now() < end:
             rounds.append(asyncio.ensure_future(self._round(self.rng.choice(ROUNDS))))
             await asyncio.sleep(self.rng.random() * MAX_PAUSE_SECONDS)
@@ -66,9 +70,10 @@
     async def start_false_peer(self):
         """Starts a peer whose answers never end. Returns its address."""
         rng = random.Random(f"{self.world.seed}/false peer")
+        inputs = endless_input.Inputs(rng)
 
         async def answer(_request, writer):
-            given = endless_input.any_input(rng, "HTTP/1.1 200 OK", {})
+            given = inputs.next("HTTP/1.1 200 OK", {})
             await self._send_as(None, "as a peer", given, rng.choice(endless_input.PACES), writer)
             raise http11.Broken("the answer has no end")
 
@@ -97,9 +102,16 @@
             headers["X-Api-Key"] = key
         return f"POST /{self.rng.choice(('call', 'safe', 'ask'))}/endless HTTP/1.1", headers
 
-    def _next_input(self):
+    async def _send_all_states(self, entry):
+        """Sends the next some dozens of the states of a message to ports of an entry."""
+        some = [self._next_input(False)]
+        while self.inputs and len(some) < MANY:
+            some.append(self._next_input(False))
+        await self._open(entry, some, 1, "flood")
+
+    def _next_input(self, may_be_cut):
         """Returns the port, the key and the input of the next connection. Those of all states of a message at all ports
-        come once each in random order, every second one cut anywhere."""
+        come once each in random order; every second one may be cut anywhere."""
         if not self.inputs:
             states = endless_input.named_inputs("POST / HTTP/1.1", {})
             self.inputs = [(port, key, state) for port, key in TARGETS for state in states]
@@ -107,7 +119,7 @@
         port, key, state = self.inputs.pop()
         self.turn += 1
         first, headers = self._request(port, key)
-        if self.turn % 2:
+        if self.turn % 2 or not may_be_cut:
             return port, key, endless_input.named_inputs(first, headers)[state]
         return port, key, endless_input.random_input(self.rng, first, headers)
 
@@ -115,7 +127,7 @@
         """Opens one connection, some dozens with the same input, or as many with unlike inputs."""
         way, pace = self.rng.choice(WAYS), self.rng.choice(endless_input.PACES)
         count, is_mixed = self.rng.choice(((1, False), (MANY, False), (MANY, True)))
-        some = [self._next_input() for _ in range(count if is_mixed else 1)]
+        some = [self._next_input(True) for _ in range(count if is_mixed else 1)]
         if way == "pipelined":
             port, key, _ = some[0]
             first, headers = self._request(port, key)
@@ -126,11 +138,14 @@
                     for port, key, given in some]
         elif way == "silent":
             some = [("callers", None, endless_input.Input("nothing", b"", b""))]
+        await self._open(entry, some, count // len(some), pace)
+
+    async def _open(self, entry, some, count, pace):
         for port, key, given in some:
-            self.world.log(f"{count // len(some)} callers without end at {port} of {entry.name}"
+            self.world.log(f"{count} callers without end at {port} of {entry.name}"
                            f"{f' with key {key}' if key else ''}: {given.name}, {pace}")
         await asyncio.gather(*[self._connect(entry, port, given, pace)
-                               for port, _, given in some for _ in range(count // len(some))])
+                               for port, _, given in some for _ in range(count)])
 
     async def _connect(self, entry, port, given, pace):
         try:
--- a/tests/soak/endless_input.py
+++ b/tests/soak/endless_input.py
@@ -15,6 +15,7 @@
 # All floods of a run together: an entry that keeps what it can't parse passes 88 MB within two seconds, and the
 # soak's only thread has time left for everything else.
 FLOOD_BYTES_PER_SECOND = 64e6
+MAX_LAG_SECONDS, LAG_FACTOR = 0.01, 3.0
 MAX_MESSAGE_BYTES = 10 ** 12  # Length of a body that never ends.
 UNITS = ("byte", "line", "two lines", "part")
 EVENTS = b"id: 1\nevent: m\ndata: a\n\n: comment\nid: 2\ndata: b\n\n"
@@ -35,15 +36,17 @@
 
 
 class Pace:
-    """Shares FLOOD_BYTES_PER_SECOND among all floods."""
+    """Shares FLOOD_BYTES_PER_SECOND among all floods, and less while the soak's own thread is late: it measures times
+    of the stand-ins, too."""
 
     def __init__(self):
         self.free_at = 0.0
 
     async def wait(self, size):
-        now = asyncio.get_event_loop().time()
-        self.free_at = max(self.free_at, now) + size / FLOOD_BYTES_PER_SECOND
-        await asyncio.sleep(self.free_at - now)
+        loop = asyncio.get_event_loop()
+        self.free_at = due = max(self.free_at, loop.time()) + size / FLOOD_BYTES_PER_SECOND
+        await asyncio.sleep(due - loop.time())
+        self.free_at += LAG_FACTOR * max(0.0, loop.time() - due - MAX_LAG_SECONDS)
 
 
 FLOOD_PACE = Pace()
@@ -128,11 +131,22 @@
     return {name: Input(name, begin, piece) for name, (begin, piece) in out.items()}
 
 
-def any_input(rng, first, headers):
-    """Returns a named input or one that is cut anywhere."""
-    if rng.random() < 0.5:
-        return random_input(rng, first, headers)
-    return rng.choice(list(named_inputs(first, headers).values()))
+class Inputs:
+    """Gives one input after another: those of all states of a message in random order, and between them as many that
+    are cut anywhere."""
+
+    def __init__(self, rng):
+        self.rng, self.left, self.turn = rng, [], 0
+
+    def next(self, first, headers):
+        self.turn += 1
+        if self.turn % 2 == 0:
+            return random_input(self.rng, first, headers)
+        named = named_inputs(first, headers)
+        if not self.left:
+            self.left = sorted(named)
+            self.rng.shuffle(self.left)
+        return named[self.left.pop()]
 
 
 async def send(writer, given, pace, seconds):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,7 +1,6 @@
 """Faults and planned operations of the soak: single ones, and the series while engines load new weights."""
 
 import asyncio
-import random
 import signal
 
 import endless_answers
@@ -203,7 +202,7 @@
     server = rng.choice(world.servers)
     if server.endless or server.endless_input:
         return
-    server.endless_input = (random.Random(rng.random()), rng.choice(endless_input.PACES))
+    server.endless_input = (world.endless_answers, rng.choice(endless_input.PACES))
     world.log(f"{server.id}: input without end, {server.endless_input[1]}")
     await asyncio.sleep(0.5 + rng.random() * 3)
     server.endless_input = None
@@ -211,7 +210,7 @@
 
 async def endless_input_of_service(world, rng):
     """Makes half of the answers of the key-value service go on without end for a while."""
-    given = endless_input.any_input(rng, "HTTP/1.1 200 OK", {"Store-Era": str(world.kv.era)})
+    given = world.endless_service_answers.next("HTTP/1.1 200 OK", {"Store-Era": str(world.kv.era)})
     world.kv.endless = (given, rng.choice(endless_input.PACES))
     world.log(f"key-value service: {given.name}, {world.kv.endless[1]}")
     await asyncio.sleep(0.5 + rng.random() * 2)
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -222,7 +222,7 @@
     is_loading = False  # True while new weights load; without Engine they load at once.
     is_leaving, is_rejecting = False, False
     endless = None  # (kind, whether slow) of answers that don't end; see endless_answers.py.
-    endless_input = None  # The same: (random numbers, pace), each answer another one of endless_input.py.
+    endless_input = None  # The same: (Inputs, pace) of endless_input.py, each answer another one.
     seconds_of_answer = None  # Function of a request's kind and id: how long its answer takes; None: see work.
     limit = None  # Maximum requests per second from all entries together; None for no limit.
     cold_until = 0.0
@@ -412,8 +412,8 @@
         return self.seconds_of_answer(kind, stream_id) / event_count(stream_id, kind)
 
     async def _answer_endless_input(self, request, run, echo, writer):
-        rng, pace = self.endless_input
-        given = endless_input.any_input(rng, "HTTP/1.1 200 OK", echo)
+        inputs, pace = self.endless_input
+        given = inputs.next("HTTP/1.1 200 OK", echo)
         request_id = request.header("x-daisytack-request-id")
         self.endless_inputs[request_id] = given.name
         begin = now()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,6 +15,7 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "scripts"))
 import checks  # noqa: E402
 import endless_callers  # noqa: E402
+import endless_input  # noqa: E402
 import large_bodies  # noqa: E402
 import sanitizers  # noqa: E402
 from callers import KINDS, FatalCaller, FatalPartCaller, callers  # noqa: E402
@@ -63,7 +64,7 @@
 class World:
     """One run: processes, stand-ins, the faults so far, and the recorded requests and problems."""
 
-    def __init__(self, fleet, seed, restarts="", large_bodies_sent=False, is_sanitized=False, endless_input=False,
+    def __init__(self, fleet, seed, restarts="", large_bodies_sent=False, is_sanitized=False, has_endless_input=False,
                  varied_stops=False):
         self.fleet, self.seed, self.rng = fleet, seed, random.Random(seed)
         self.extra_rng = random.Random(f"{seed}/beside")
@@ -73,9 +74,11 @@
         # Whether callers send bodies of the maximum size. Seed 3 stays what it was when it failed (failed_seeds.txt).
         self.has_large_bodies = large_bodies_sent or (seed % 16 == 3 and seed > 3 and not restarts)
         # Whether callers, servers, the key-value service and a false peer send input without end.
-        self.has_endless_input = endless_input or (seed % 16 == 5 and seed > VARIED_FROM and not restarts)
+        self.has_endless_input = has_endless_input or (seed % 16 == 5 and seed > VARIED_FROM and not restarts)
         self.endless_callers = endless_callers.EndlessCallers(self)
         self.endless_connections = []
+        self.endless_answers = endless_input.Inputs(random.Random(f"{seed}/endless answers"))
+        self.endless_service_answers = endless_input.Inputs(random.Random(f"{seed}/endless answers of the service"))
         # Whether the grace period, the memory, the lease term and how long answers take vary; nothing but planned stops.
         self.varies_stops = varied_stops or (seed % 16 == 8 and seed > VARIED_FROM and not restarts)
         self.stop_rng = random.Random(f"{seed}/stops")
