Give the parser five bytes of a chunked body at first

Processes ended by themselves with exit code -6, from any caller, backend server or key-value service that sent an empty chunked body in pieces ("0\r\n", then a single byte). Boost.Beast 1.81 asserts that five unparsed bytes are there when it parses the line of the last chunk again; there are four if that line is the first of the body and was parsed alone. Server and client now read five bytes, the length of the shortest chunked body, before the body is parsed. Later the parser never gets fewer: a chunk before the last one leaves its line end.

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -1,9 +1,11 @@
 #include "net/http_client_call.h"
 
+#include "net/first_chunk.h"
 #include "net/http_status.h"
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -239,7 +241,26 @@
   if (Response->is_done())
     return onResponseComplete();
   ReadBuffer.resize(InitialReadBytes);
-  readBody();
+  readFirstChunk();
+}
+
+void HttpClientCall::readFirstChunk() {
+  boost::beast::flat_buffer &buffer = Connection->Buffer;
+  if (!needsMoreForFirstChunk(*Response, buffer.size()))
+    return readBody();
+  asio::async_read(Connection->Socket, buffer.prepare(InitialReadBytes),
+                   asio::transfer_at_least(MinChunkedBodyBytes - buffer.size()),
+                   asio::bind_executor(CallStrand, [self = shared_from_this()](
+                                                       ErrorCode ec, size_t n) {
+                     if (self->Finished)
+                       return;
+                     self->Connection->Buffer.commit(n);
+                     if (ec == asio::error::eof)
+                       ec = http::error::partial_message;
+                     if (ec)
+                       return self->fail(ec, "response");
+                     self->readBody();
+                   }));
 }
 
 void HttpClientCall::readBody() {
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -122,6 +122,8 @@
   void onSent(ErrorCode ec, size_t n);
   void readHead();
   void onHead(ErrorCode ec, size_t n);
+  /// Reads enough of a chunked body for the parser, then the body.
+  void readFirstChunk();
   void readBody();
   void onBody(ErrorCode ec);
   void resume();
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,10 +1,12 @@
 #include "net/http_connection.h"
 
+#include "net/first_chunk.h"
 #include "net/http_input.h"
 #include "net/problem.h"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -244,7 +246,25 @@
   Input->eager(true);
   if (Input->content_length().value_or(0) > BodyReadBytes)
     Buffer.reserve(BodyReadBytes);
-  readBody();
+  readFirstChunk();
+}
+
+void HttpConnection::readFirstChunk() {
+  if (!needsMoreForFirstChunk(*Input, Buffer.size()))
+    return readBody();
+  asio::async_read(Socket, Buffer.prepare(HeaderReadBytes),
+                   asio::transfer_at_least(MinChunkedBodyBytes - Buffer.size()),
+                   [self = shared_from_this()](ErrorCode ec, size_t n) {
+                     self->Buffer.commit(n);
+                     if (self->CurrentState != State::Reading)
+                       return;
+                     if (ec == asio::error::eof)
+                       ec = http::error::partial_message;
+                     if (ec || self->TimedOut)
+                       return self->rejectInput(ec);
+                     self->readBody();
+                   });
+  countInput();
 }
 
 bool HttpConnection::reserveBody() {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -118,6 +118,8 @@
   /// is none.
   bool reserveBody();
   void refuseBody();
+  /// Reads enough of a chunked body for the parser, then the body.
+  void readFirstChunk();
   void readBody();
   void onBody(ErrorCode ec);
   void rejectInput(ErrorCode ec);
