--- a/tests/soak/pieces_test.py
+++ b/tests/soak/pieces_test.py
@@ -1,6 +1,6 @@
 """Messages that arrive a byte at a time end no entry.
 
-Guards against assertions of the HTTP parser that hold only while messages arrive in larger pieces: "0\\r\\n" and one byte
+Guards against assertions of the HTTP parser that hold only while messages arrive in larger pieces: "0\\r\\n" and a byte
 more ended an entry by SIGABRT, from a caller without a key, at every port.
 """
 
@@ -22,6 +22,7 @@
          "metrics": "GET /metrics HTTP/1.1"}
 LAST_CHUNKS = (b"0\r\n\r\n", b"00\r\n\r\n", b"0;a=b\r\n\r\n", b"0\r\nX-First: v\r\n\r\n", b"0\r\n\r\nx",
                b"0\r\nx\r\n\r\n", b"0\n\n")
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
 BODIES = tuple(begin + last for begin in (b"", chunk(b"x", b""), chunk(b"xy")) for last in LAST_CHUNKS)
 
 
@@ -62,15 +63,19 @@
 
 
 def answer_in_pieces(world, owner, method, headers):
-    """Makes a stand-in answer each request with the next body, a byte at a time. Returns what it has sent."""
+    """Makes a stand-in answer each request with the next body, a byte at a time, and every second round of them with a
+    head in bytes, too, after interim answers. Returns what it has sent."""
     sent = []
 
     async def answer(*arguments):
         writer = next(it for it in arguments if isinstance(it, asyncio.StreamWriter))
-        body = BODIES[len(sent) % len(BODIES)]
-        sent.append(body)
+        turn, n = divmod(len(sent), len(BODIES))
+        sent.append(BODIES[n])
         head = message("HTTP/1.1 200 OK", b"", headers)
-        await write_bytes(writer, head + body, len(head))
+        if turn % 2:
+            await write_bytes(writer, INTERIM + head + BODIES[n], 0)
+        else:
+            await write_bytes(writer, head + BODIES[n], len(head))
         raise http11.Broken("the answer has ended")
 
     setattr(owner, method, answer)
