--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -23,12 +23,6 @@
 /// fields of one message, in bytes. They are read and ignored (RFC 9112, 7.1.1
 /// and 7.1.2); the parser holds each of them until it is whole.
 constexpr size_t MaxChunkExtraBytes = 4096;
-/// Bytes of the shortest chunked body, "0", CR, LF, CR, LF. Boost.Beast 1.81
-/// asserts that as many are there when it parses the line of the last chunk
-/// again, and gets four if the body is empty, its line was parsed alone, and a
-/// single byte follows. Given five at first, it never gets fewer: a chunk
-/// before the last one leaves its line end with the next line.
-constexpr size_t MinChunkedBodyBytes = 5;
 
 /// Sets the limit of the buffer that it parses, according to the state of the
 /// message. What remains in the buffer when more input is needed is below that
@@ -72,9 +66,8 @@
   ErrorCode parseBody(InputBuffer &input) {
     input.setLimit(LongReadBytes);
     while (!Message.is_done()) {
-      if (input.size() == 0 || needsMoreAtFirst(input.size()))
+      if (input.size() == 0)
         return http::error::need_more;
-      HasBegunBody = true;
       IsChunkLine = false;
       ErrorCode ec;
       size_t n = Message.put(input.data(), ec);
@@ -105,15 +98,9 @@
   }
 
 private:
-  /// Whether there is too little input to begin with the body.
-  bool needsMoreAtFirst(size_t unparsed) const {
-    return !HasBegunBody && Message.chunked() && unparsed < MinChunkedBodyBytes;
-  }
-
   const size_t MaxHeadBytes;
   size_t HeadBytes = 0;
   size_t ExtraBytes = 0; ///< See MaxChunkExtraBytes.
-  bool HasBegunBody = false;
   bool IsChunkLine = false;
   std::function<void(uint64_t, std::string_view, ErrorCode &)> OnChunkLine =
       [this](uint64_t, std::string_view, ErrorCode &) { IsChunkLine = true; };
