Survive the end of an empty chunked body that comes in pieces

A process ended by SIGABRT when one connection, of a caller with or without a key or of any other peer, sent an empty body in chunks whose last line came without the bytes after it: "0\r\n" and then a byte. Any slow sender of an empty body in chunks may split it so.

Boost.Beast's parser asserts (basic_parser.ipp, parse_chunk_header, `n >= 5`) that the last chunk's line is not parsed again with fewer than five bytes. The release build keeps assertions. MessageReader now parses a chunk's line again only with five bytes or more; no body has fewer left at that point, since its end alone, "0\r\n\r\n", has five.

The tests of MessageReader parse messages in pieces of 1 to 1000 bytes and compare the results.

--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -19,6 +19,11 @@
 /// before, the size and the line's own end. The empty line at the end of the
 /// body is counted too.
 constexpr size_t MaxPlainChunkLineBytes = 2 + 16 + 2 + 2;
+/// Shortest rest of a body whose last chunk's line was parsed in part. The
+/// parser asserts that the last line is not parsed again with fewer bytes,
+/// which are there if the end of an empty body, "0\r\n\r\n", comes in two
+/// pieces.
+constexpr size_t MinChunkLineBytes = 5;
 /// Maximum of all chunk extensions, leading zeros of chunk sizes and trailer
 /// fields of one message, in bytes. They are read and ignored (RFC 9112, 7.1.1
 /// and 7.1.2); the parser holds each of them until it is whole.
@@ -66,13 +71,14 @@
   ErrorCode parseBody(InputBuffer &input) {
     input.setLimit(LongReadBytes);
     while (!Message.is_done()) {
-      if (input.size() == 0)
+      if (input.size() < (AwaitsLine ? MinChunkLineBytes : 1))
         return http::error::need_more;
       IsChunkLine = false;
       ErrorCode ec;
       size_t n = Message.put(input.data(), ec);
       input.consume(n);
       bool needsMore = ec == http::error::need_more;
+      AwaitsLine = needsMore;
       if (IsChunkLine || needsMore) {
         // The trailer fields belong to the line of the last chunk.
         size_t line = IsChunkLine ? n : input.size();
@@ -100,7 +106,8 @@
 private:
   const size_t MaxHeadBytes;
   size_t HeadBytes = 0;
-  size_t ExtraBytes = 0; ///< See MaxChunkExtraBytes.
+  size_t ExtraBytes = 0;   ///< See MaxChunkExtraBytes.
+  bool AwaitsLine = false; ///< A part of a chunk's line was parsed.
   bool IsChunkLine = false;
   std::function<void(uint64_t, std::string_view, ErrorCode &)> OnChunkLine =
       [this](uint64_t, std::string_view, ErrorCode &) { IsChunkLine = true; };
