Bound what an entry keeps of other entries' messages

Datagrams and requests at the peers' port carry no key. What an entry keeps of them had no bound but a time, up to an hour, or a bound on a number that assumed short texts. An entry that is sent such messages, by mistake or on purpose, ends when its instance's memory is used up.

Each now has a limit on its number, and the origins of streams one on their texts; versions are only noted for models in the record of a listed server; records with keys above 4 KB are not requested. What an entry learns by itself is never refused for these limits.

--- a/src/admission/organisation_shares.cpp
+++ b/src/admission/organisation_shares.cpp
@@ -94,15 +94,27 @@
   Duration period = std::clamp(Duration(report.Period), Duration::zero(),
                                Duration(10'000'000));
   std::lock_guard guard(Lock);
+  auto known = Services.find(report.Service);
+  bool isKnown =
+      known != Services.end() && known->second.Reports.contains(report.Entry);
+  if (!isKnown && Reported >= Settings.MaxPeerReports)
+    return;
   ServiceState &state = Services[report.Service];
-  state.Reports[report.Entry] = {report,
-                                 now + period * Settings.ReportTtlPeriods};
+  PeerReport &kept = state.Reports[report.Entry];
+  kept = {report, now + period * Settings.ReportTtlPeriods};
+  std::string().swap(kept.Use.Entry); // It is the key.
+  Reported += isKnown ? 0 : 1;
   if (report.HasRefused)
     beginShortage(state, now);
 }
 
-void OrganisationShares::updateFactors(ServiceState &state,
-                                       TimePoint now) const {
+void OrganisationShares::dropReports(ServiceState &state, TimePoint expiredBy) {
+  Reported -= std::erase_if(state.Reports, [&](const auto &it) {
+    return expiredBy >= it.second.ExpiresAt;
+  });
+}
+
+void OrganisationShares::updateFactors(ServiceState &state, TimePoint now) {
   state.FactorsAt = now;
   state.Factors.clear();
   std::unordered_map<uint32_t, double> requested;
@@ -110,8 +122,7 @@
   double others = 0;
   for (const auto &[key, rate] : state.Requested)
     requested[key] += at(rate, now);
-  std::erase_if(state.Reports,
-                [&](const auto &it) { return now >= it.second.ExpiresAt; });
+  dropReports(state, now);
   for (const auto &[entry, report] : state.Reports) {
     admitted += report.Use.AdmittedPerSecond;
     others += report.Use.OtherPerSecond;
@@ -217,9 +228,7 @@
     Tracked -= std::erase_if(state.Requested, [&](const auto &it) {
       return it.second.At < usedBefore;
     });
-    std::erase_if(state.Reports, [&](const auto &it) {
-      return usedBefore >= it.second.ExpiresAt;
-    });
+    dropReports(state, usedBefore);
   }
   std::erase_if(Services, [&](const auto &it) {
     return it.second.Requested.empty() && it.second.Reports.empty() &&
--- a/src/admission/organisation_shares.h
+++ b/src/admission/organisation_shares.h
@@ -51,6 +51,9 @@
   /// Maximum number of organisations for which rates are kept, over all
   /// services; further ones have the factor 1.
   size_t MaxTracked = 16'384;
+  /// Maximum number of other entries' reports that are kept, over all services.
+  /// They come by datagrams, which anybody can send.
+  size_t MaxPeerReports = 4096;
   bool operator==(const OrganisationShareSettings &) const = default;
 };
 
@@ -153,7 +156,9 @@
 
   void add(Rate &rate, double tokens, TimePoint now) const;
   double at(const Rate &rate, TimePoint now) const;
-  void updateFactors(ServiceState &state, TimePoint now) const;
+  void updateFactors(ServiceState &state, TimePoint now);
+  /// Drops the reports that have expired by then.
+  void dropReports(ServiceState &state, TimePoint expiredBy);
   void beginShortage(ServiceState &state, TimePoint now);
 
   const OrganisationShareSettings Settings;
@@ -162,7 +167,8 @@
   std::atomic<int64_t> ShortUntil{INT64_MIN / 2};
   mutable std::mutex Lock;
   std::unordered_map<uint64_t, ServiceState> Services; ///< By stableHash(name).
-  size_t Tracked = 0; ///< Organisations with rates, over all services.
+  size_t Tracked = 0;  ///< Organisations with rates, over all services.
+  size_t Reported = 0; ///< Reports of other entries, over all services.
 };
 
 } // namespace daisytack::admission
--- a/src/balancing/request_limits.cpp
+++ b/src/balancing/request_limits.cpp
@@ -73,7 +73,9 @@
       continue;
     }
     bool isValid = std::isfinite(report.PerSecond) && report.PerSecond >= 0;
-    if (!isValid || (it == Servers.end() && !report.IsLimited))
+    bool isNew = it == Servers.end();
+    bool isFull = Servers.size() >= Settings.MaxServers;
+    if (!isValid || (isNew && (isFull || !report.IsLimited)))
       continue;
     State &state = Servers[report.ServerKey];
     state.PerSecond =
--- a/src/balancing/request_limits.h
+++ b/src/balancing/request_limits.h
@@ -29,6 +29,9 @@
   Duration LiftGossipTime{10'000'000};
   /// Maximum number of limits in one message, so that it fits into a datagram.
   size_t MaxGossipReports = 64;
+  /// Number of servers with limits from which on other entries' reports about
+  /// further ones are ignored. They come by datagrams, which anybody can send.
+  size_t MaxServers = 16'384;
   /// Whether entries lend one another requests of their shares.
   bool HasLoans = true;
   bool operator==(const RequestLimitSettings &) const = default;
--- a/src/balancing/server_loads.cpp
+++ b/src/balancing/server_loads.cpp
@@ -1,6 +1,7 @@
 #include "balancing/server_loads.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace daisytack::balancing {
 
@@ -147,7 +148,12 @@
 
 bool ServerLoads::onLeaving(uint64_t server, TimePoint now) {
   std::lock_guard guard(Lock);
-  return LeavingSince.try_emplace(server, now).second;
+  bool isNew = LeavingSince.try_emplace(server, now).second;
+  if (LeavingSince.size() > Settings.MaxLeaving) {
+    auto any = LeavingSince.begin();
+    LeavingSince.erase(any->first == server ? std::next(any) : any);
+  }
+  return isNew;
 }
 
 std::vector<uint64_t> ServerLoads::recentlyLeaving(TimePoint now) const {
@@ -233,6 +239,10 @@
                                Duration period, TimePoint now) {
   std::lock_guard guard(Lock);
   removeReport(entry);
+  if (Reports.size() >= Settings.MaxPeers)
+    dropExpired(now);
+  if (Reports.size() >= Settings.MaxPeers)
+    return;
   Duration cappedPeriod =
       std::clamp(period, Duration::zero(), Settings.MaxPeerTtl);
   TimePoint expiresAt = now + std::min(cappedPeriod * Settings.PeerTtlPeriods,
--- a/src/balancing/server_loads.h
+++ b/src/balancing/server_loads.h
@@ -51,6 +51,11 @@
   /// How long a lost server is avoided. A connection to it takes as long to
   /// fail as one to any other that is down.
   Duration LostBackoff{2'000'000};
+  /// Maximum number of other entries whose reports are kept, and of servers
+  /// that are remembered as leaving. Reports come by datagrams, which anybody
+  /// can send.
+  size_t MaxPeers = 2048;
+  size_t MaxLeaving = 16'384;
   bool operator==(const ServerLoadSettings &) const = default;
 };
 
--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -14,6 +14,8 @@
 /// Deleted keys that are kept. Covers an outage of the store in a large
 /// deployment where one server a second is replaced.
 constexpr size_t DeletionsRemembered = 2000;
+/// Starts of one server for which versions are noted that its record lacks.
+constexpr int64_t MaxNotedStarts = 4;
 
 /// Whether both values describe servers, but different starts.
 bool isOtherStart(const RecordValue &before, const BackendServer &server) {
@@ -298,6 +300,24 @@
 
 void CatalogKeeper::noteLoaded(const ServerStart &server,
                                const ModelVersion &loaded, TimePoint now) {
+  // Messages can name anything. A version matters only for a model in the
+  // record of a server.
+  auto servers = view();
+  auto listed = std::lower_bound(
+      servers->AllServers.begin(), servers->AllServers.end(), server.Id,
+      [](const BackendServer &a, const std::string &id) { return a.Id < id; });
+  bool isListed = listed != servers->AllServers.end() &&
+                  listed->Id == server.Id &&
+                  std::any_of(listed->Weights.begin(), listed->Weights.end(),
+                              [&](const ModelVersion &it) {
+                                return it.Model == loaded.Model;
+                              });
+  auto starts =
+      std::count_if(NotedVersions.begin(), NotedVersions.end(),
+                    [&](const auto &it) { return it.first.Id == server.Id; });
+  if (!isListed ||
+      (starts >= MaxNotedStarts && !NotedVersions.contains(server)))
+    return;
   ModelVersion &known = NotedVersions[server];
   if (known.Model == loaded.Model && known.Version >= loaded.Version)
     return;
--- a/src/direct/record_transfer.cpp
+++ b/src/direct/record_transfer.cpp
@@ -16,6 +16,8 @@
 constexpr size_t PartBytes = 32U << 10;
 /// Sources that are remembered for one record.
 constexpr size_t MaxSources = 8;
+/// Longest key of a record that is requested, in bytes.
+constexpr size_t MaxKeyBytes = 4096;
 /// Keys whose received revisions are remembered.
 constexpr size_t MaxSettled = 1024;
 
@@ -73,7 +75,7 @@
                           TimePoint now) {
   bool isHeld = offer.Revision <= Held.RevisionOf(offer.Key) ||
                 offer.Revision <= settledRevision(offer.Key);
-  if (isHeld)
+  if (isHeld || offer.Key.size() > MaxKeyBytes)
     return false;
   if (Pending.size() >= Settings.MaxTransfers && !Pending.contains(offer.Key))
     return true;
--- a/src/direct/store_links.cpp
+++ b/src/direct/store_links.cpp
@@ -33,7 +33,9 @@
                               TimePoint now) {
   std::lock_guard guard(Lock);
   for (const LinkDelay &it : delays)
-    update(it.StoreKey, std::min<double>(it.LateMs, Settings.MaxDelayMs), now);
+    if (Delays.size() < Settings.MaxLinks || Delays.contains(it.StoreKey))
+      update(it.StoreKey, std::min<double>(it.LateMs, Settings.MaxDelayMs),
+             now);
 }
 
 std::vector<LinkDelay> StoreLinks::takeGossip() {
--- a/src/direct/store_links.h
+++ b/src/direct/store_links.h
@@ -40,6 +40,9 @@
   /// Maximum number of observations kept for the other entries. They fit into a
   /// datagram along with the loads of 40 servers.
   size_t MaxGossipDelays = 32;
+  /// Number of links from which on other entries' delays of further ones are
+  /// ignored. They come by datagrams, which anybody can send.
+  size_t MaxLinks = 1024;
   bool operator==(const StoreLinkSettings &) const = default;
 };
 
--- a/src/direct/stream_origins.cpp
+++ b/src/direct/stream_origins.cpp
@@ -43,18 +43,30 @@
   return out;
 }
 
+void StreamOrigins::beginGenerationLocked(TimePoint now) {
+  Older = std::exchange(Recent, {});
+  RecentSince = now;
+  RecentTextBytes = 0;
+}
+
+void StreamOrigins::countTextLocked(const StreamOrigin &origin, TimePoint now) {
+  size_t bytes = origin.Service.size() + origin.SoftwareVersion.size();
+  if (RecentTextBytes + bytes > Settings.MaxTextBytes)
+    beginGenerationLocked(now);
+  RecentTextBytes += bytes;
+}
+
 void StreamOrigins::addLocked(const Id128 &stream, Item item) {
   bool isOld = item.At >= RecentSince + Settings.Retention;
-  if (isOld || Recent.size() >= Settings.MaxStreams) {
-    Older = std::exchange(Recent, {});
-    RecentSince = item.At;
-  }
+  if (isOld || Recent.size() >= Settings.MaxStreams)
+    beginGenerationLocked(item.At);
   Recent.insert_or_assign(stream, std::move(item));
 }
 
 bool StreamOrigins::onBegan(const Id128 &stream, const StreamOrigin &origin,
                             TimePoint now) {
   std::lock_guard guard(Lock);
+  countTextLocked(origin, now);
   addLocked(stream, {std::make_shared<const StreamOrigin>(origin), now, true});
   bool isFirst = Untold.empty();
   auto it = std::find_if(Untold.begin(), Untold.end(), [&](const auto &known) {
@@ -69,6 +81,7 @@
 void StreamOrigins::onTold(const StreamsBegan &message, TimePoint now) {
   auto origin = std::make_shared<const StreamOrigin>(message.Origin);
   std::lock_guard guard(Lock);
+  countTextLocked(*origin, now);
   for (const Id128 &stream : message.Streams)
     addLocked(stream, {origin, now, false});
 }
--- a/src/direct/stream_origins.h
+++ b/src/direct/stream_origins.h
@@ -110,6 +110,9 @@
   /// Maximum number of origins in each of two generations; about 100 bytes
   /// each.
   size_t MaxStreams = 60'000;
+  /// Maximum size of the texts of each generation, in bytes. Names in messages
+  /// may be as long as a datagram.
+  size_t MaxTextBytes = 6'000'000;
   bool operator==(const StreamOriginSettings &) const = default;
 };
 
@@ -145,12 +148,16 @@
   using Generation = std::unordered_map<Id128, Item>;
 
   void addLocked(const Id128 &stream, Item item);
+  /// Counts the texts of an origin that is added next.
+  void countTextLocked(const StreamOrigin &origin, TimePoint now);
+  void beginGenerationLocked(TimePoint now);
 
   const StreamOriginSettings Settings;
   mutable std::mutex Lock;
   Generation Recent;
   Generation Older;
   TimePoint RecentSince;
+  size_t RecentTextBytes = 0;
   std::vector<StreamsBegan> Untold;
 };
 
