Send the loads of an entry while many servers leave

The datagram with an entry's loads also names all servers that have said within three seconds that they are leaving. From about a hundred on they alone don't fit into a datagram, which was then not sent at all, so that other entries lost the loads of this one. As leaving servers are passed on, one message with many of them did the same at every entry. With 1,000 of them the message had 8,049 bytes, where 1,400 fit.

A message now names 48 of them, others in each turn, which leaves room for the loads of at least 20 servers.

--- a/src/gateway/load_datagram.cpp
+++ b/src/gateway/load_datagram.cpp
@@ -7,7 +7,24 @@
 
 namespace daisytack::gateway {
 
-std::string encodeLoads(direct::EntryLoads loads, size_t maxBytes) {
+namespace {
+
+/// Servers that are leaving in one message. They leave room for the loads of
+/// two dozen servers beside the delays of 32 links.
+constexpr size_t MaxLeavingPerMessage = 48;
+
+} // namespace
+
+std::string encodeLoads(direct::EntryLoads loads, size_t maxBytes,
+                        size_t turn) {
+  auto &leaving = loads.Leaving;
+  if (leaving.size() > MaxLeavingPerMessage) {
+    size_t first = turn * MaxLeavingPerMessage % leaving.size();
+    std::rotate(leaving.begin(),
+                leaving.begin() + static_cast<std::ptrdiff_t>(first),
+                leaving.end());
+    leaving.resize(MaxLeavingPerMessage);
+  }
   auto &servers = loads.Servers;
   std::string whole = wire::encode(direct::PeerMessage(loads));
   if (whole.size() <= maxBytes || servers.empty())
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -149,7 +149,7 @@
   std::vector<std::string> messages{encodeLoads(
       {State.Options.Name, period.count(), State.Loads.ownLoads(now),
        State.Links.takeGossip(), State.Loads.recentlyLeaving(now)},
-      MaxDatagramBytes)};
+      MaxDatagramBytes, Turn++)};
   direct::CrashReports reports =
       State.Suspects.takeReports(1.0 / static_cast<double>(rounds), now);
   if (!reports.isEmpty())
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -54,6 +54,7 @@
   TimePoint NextSendAt;
   /// Index of the next entry to send to, modulo the number of entries.
   size_t NextPeer = 0;
+  size_t Turn = 0; ///< Number of the next message with loads.
 };
 
 } // namespace daisytack::gateway
--- a/tests/input/peer_memory_test.cpp
+++ b/tests/input/peer_memory_test.cpp
@@ -9,11 +9,15 @@
 #include "direct/record_transfer.h"
 #include "direct/store_links.h"
 #include "direct/stream_origins.h"
+#include "gateway/load_datagram.h"
+#include "wire/codec.h"
 
 #include <gtest/gtest.h>
 
 #include <malloc.h>
 
+#include <set>
+
 namespace daisytack {
 namespace {
 
@@ -73,6 +77,31 @@
   EXPECT_LE(bytes, MaxBytes);
 }
 
+/// Guards against an entry whose loads fit into no datagram any more, and are
+/// not sent, because of the servers that are leaving.
+TEST(PeerMemory, LoadsAreSentWhenManyServersLeave) {
+  direct::EntryLoads loads;
+  loads.Entry = "entry-1";
+  for (uint64_t i = 0; i < 40; ++i)
+    loads.Servers.push_back({i, 1, static_cast<uint32_t>(i), 1, 0, 0});
+  for (uint64_t i = 0; i < 1000; ++i)
+    loads.Leaving.push_back(i);
+  EXPECT_LE(gateway::encodeLoads(loads, MaxDatagramBytes).size(),
+            MaxDatagramBytes);
+  // All of them are named in turn.
+  std::set<uint64_t> named;
+  for (size_t turn = 0; turn < 30; ++turn) {
+    Error reason;
+    auto message = wire::decode<direct::PeerMessage>(
+        gateway::encodeLoads(loads, MaxDatagramBytes, turn), reason);
+    ASSERT_TRUE(message);
+    const auto &sent = std::get<direct::EntryLoads>(*message);
+    named.insert(sent.Leaving.begin(), sent.Leaving.end());
+    EXPECT_GE(sent.Servers.size(), 20U);
+  }
+  EXPECT_EQ(named.size(), 1000U);
+}
+
 /// Guards against request limits of any number of servers.
 TEST(PeerMemory, RequestLimitsAreBounded) {
   balancing::RequestLimits limits({}, {"10.0.0.1", 7000}, Now);
