Let the limits on service answers follow the memory

A range of the key-value service could take 64 MiB at an entry, and answers to an entry's own calls 24 MiB beside it, whatever the memory of the instance. On an instance of 88 MB a range whose pages never end, as a faulty service sends, took the entry to a peak of 91.5 MB, at which the platform ends it, again and again.

A range may now take an eighth of the memory, from 4 to 64 MiB, an answer an eighth, at most 16 MiB, and all answers together one and a half times that. From 537 MB on the limit on a range, and from 128 MiB on those on answers, are what they were.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/digest.h"
+#include "daisytack/limits.h"
 #include "direct/revision.h"
 #include "gateway/gateway_request.h"
 #include "net/http_status.h"
@@ -62,6 +63,18 @@
   return at - Duration(std::min(micros, INT64_MAX / 2));
 }
 
+/// Share of the instance's memory that a range of the key-value service may
+/// take. It exists up to three times: as it is read, as records and in the
+/// catalog.
+constexpr size_t RangeShareDivisor = 8;
+constexpr size_t MinRangeBytes = 4U << 20;
+constexpr size_t MaxRangeBytes = 64 * MaxValueBytes;
+
+size_t maxRangeBytes(const GatewayOptions &options) {
+  return std::clamp(options.MemoryBytes / RangeShareDivisor, MinRangeBytes,
+                    MaxRangeBytes);
+}
+
 direct::EntryPeer ownPeer(const GatewayOptions &options) {
   return {options.Name, options.Peers, options.FailureDomain, options.LinkMbps};
 }
@@ -75,7 +88,8 @@
       Log(Options.Log, Options.Name, standardOutputSink(), Counters),
       State(io, Options, std::move(protocol), Counters, Log),
       ControlStrand(boost::asio::make_strand(io)),
-      Store(makeStore(State.ControlClient, Options.Store)),
+      Store(makeStore(State.ControlClient, Options.Store,
+                      maxRangeBytes(Options))),
       Follower(std::make_shared<KvServiceFollower>(
           State, ControlStrand, Store, KvServiceFollowerSettings{},
           secureRandom, [this] { onCatalog(); })),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,9 +30,9 @@
 namespace daisytack::gateway {
 
 /// Creates the calls to the key-value service at an address, made with a
-/// client.
-using KvStoreFactory =
-    std::function<edge::KvStore(net::HttpClient &, const Endpoint &)>;
+/// client. A range with more bytes of keys and values can't be read.
+using KvStoreFactory = std::function<edge::KvStore(
+    net::HttpClient &, const Endpoint &, size_t maxRangeBytes)>;
 
 class Gateway {
 public:
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -27,11 +27,17 @@
 /// Bytes of all answers to an entry's own calls that are received or decoded at
 /// a time: the longest one, and one of the next longest kind beside it.
 constexpr size_t MaxHeldControlBytes = MaxControlAnswerBytes + MaxFrameBytes;
+/// Share of the instance's memory that the longest answer may take. Decoded it
+/// takes up to three times its length.
+constexpr size_t AnswerShareDivisor = 8;
 
-net::HttpClientInit clientInit(size_t idle, Duration connect) {
+net::HttpClientInit clientInit(const GatewayOptions &options, size_t idle,
+                               Duration connect) {
   net::HttpClientInit out;
-  out.MaxResponseBodyBytes = MaxControlAnswerBytes;
-  out.MaxHeldBytes = MaxHeldControlBytes;
+  out.MaxResponseBodyBytes =
+      std::min(MaxControlAnswerBytes, options.MemoryBytes / AnswerShareDivisor);
+  out.MaxHeldBytes =
+      std::min(MaxHeldControlBytes, out.MaxResponseBodyBytes * 3 / 2);
   out.MaxIdlePerEndpoint = idle;
   out.ConnectTimeout = connect;
   return out;
@@ -41,7 +47,7 @@
 /// an entry never claims that a request has not run although it may have.
 net::HttpClientInit backendInit(const GatewayOptions &options) {
   net::HttpClientInit out =
-      clientInit(MaxIdlePerBackend, BackendConnectTimeout);
+      clientInit(options, MaxIdlePerBackend, BackendConnectTimeout);
   out.RetriesSafeMethods = false;
   out.ReceiveBufferBytes = options.receiveBufferBytes();
   return out;
@@ -331,8 +337,8 @@
              {Loads, Links, OutlierEjector, PrefillRates, StoredParts,
               ColdServers, Limits}),
       Retries(options.Retries), BackendClient(io, backendInit(options)),
-      ControlClient(io,
-                    clientInit(MaxIdlePerControlServer, ControlConnectTimeout)),
+      ControlClient(io, clientInit(options, MaxIdlePerControlServer,
+                                   ControlConnectTimeout)),
       Catalog(options.Catalog,
               catalogHooks(WireProtocol, Stats.UnreadableRecords, log)) {}
 
--- a/tests/process/held_bytes_test.py
+++ b/tests/process/held_bytes_test.py
@@ -1,10 +1,14 @@
-"""An entry stays below the memory of its instance whatever is sent to the ports that callers don't use, without a key.
+"""An entry stays below the memory of its instance whatever is sent to the ports that callers don't use, without a key, and
+whatever the key-value service answers.
 
 Guards against entries that the platform ends as they hold bodies, heads or unread answers at the ports for other entries,
-readiness checks and metrics: these held up to 20,000 bodies of 4 or 8 MB, whatever the memory of the instance.
+readiness checks and metrics: these held up to 20,000 bodies of 4 or 8 MB, whatever the memory of the instance. Also against
+entries that end as they read a range of the key-value service that has no end: they held 64 MiB of it, on any instance.
 """
 
 import asyncio
+import base64
+import json
 import pathlib
 import struct
 import sys
@@ -20,6 +24,9 @@
 MANY_CONNECTIONS = 900
 BODY_BYTES = 4 << 20
 HOLD_SECONDS = 1.5
+PAGE_VALUE_BYTES = 1 << 20
+VALUES_PER_PAGE = 4
+MIN_PAGES = 40
 PORTS = ("callers", "readiness", "metrics", "peers")
 SETTINGS = """[process]
 threads = 1
@@ -54,13 +61,16 @@
     def __init__(self, fleet):
         self.fleet, self.ports = fleet, {it: fleet.port() for it in PORTS}
 
+    async def start_entry(self, store):
+        text = SETTINGS.format(memory=MEMORY_MB, store=store, **self.ports)
+        self.fleet.start("entry", "daisytack-entry", "--config=" + self.fleet.write("entry.ini", text))
+
     async def start(self):
         kv = await KeyValueService().start()
         kv.put("op/config", CONFIG)
         for number in range(RECORDS):
             kv.put(f"other/{number}", "x" * RECORD_BYTES)
-        text = SETTINGS.format(memory=MEMORY_MB, store=kv.port, **self.ports)
-        self.fleet.start("entry", "daisytack-entry", "--config=" + self.fleet.write("entry.ini", text))
+        await self.start_entry(kv.port)
         for _ in range(1000):
             if await self.readiness() == "200":
                 return self
@@ -161,12 +171,39 @@
                      "unread metrics")
 
 
+async def endless_range(world):
+    """Pages of a range without end, each with new keys."""
+    pages, value = 0, base64.b64encode(b"v" * PAGE_VALUE_BYTES).decode()
+
+    async def serve(request, writer):
+        nonlocal pages
+        pages += 1
+        items = [{"key": f"k{pages:06}{it}", "value": value, "revision": 3, "created": 3, "lease": 0}
+                 for it in range(VALUES_PER_PAGE)]
+        body = {"items": items, "truncated": True, "store-revision": 10}
+        writer.write(http11.response(200, {"Store-Era": "1"}, json.dumps(body).encode()))
+        await writer.drain()
+    server = await http11.serve(serve)
+    await world.start_entry(server.sockets[0].getsockname()[1])
+    for _ in range(1500):
+        if pages >= MIN_PAGES:
+            break
+        await asyncio.sleep(0.02)
+    check(pages >= MIN_PAGES, f"only {pages} pages were read")
+    world.check_memory("a range without end")
+    check(await world.readiness() == "503", "an entry without a configuration is ready")
+
+
 async def run():
     failed = []
-    for case in (bodies_of_peers, answers_to_peers, heads_of_peers, bodies_of_checks, unread_metrics):
+    for case in (bodies_of_peers, answers_to_peers, heads_of_peers, bodies_of_checks, unread_metrics, endless_range):
+        if len(sys.argv) > 1 and case.__name__ not in sys.argv[1:]:
+            continue
         with Fleet() as fleet:
-            world = await World(fleet).start()
+            world = World(fleet)
             try:
+                if case != endless_range:
+                    await world.start()
                 await case(world)
                 print(f"{case.__name__} ok", flush=True)
             except Failure as error:
