Limit the texts of a log line

The buffer of the log is limited, but a line was added whole whatever its length. Keys of records, reasons and paths may be as long as a message of a service or a peer, and take up to six times that when they are escaped: a text of 1 MB gave a line of 6.0 MB, and the lines after it were dropped until it had been written.

Texts in a line are now cut after 4 KB, between two characters. Lines with three such texts stay below the test's limit of 50 KB together.

--- a/src/base/decision_log.cpp
+++ b/src/base/decision_log.cpp
@@ -10,6 +10,22 @@
 namespace {
 
 constexpr Duration OneSecond{1'000'000};
+/// Longest text in a line, in bytes: keys of records and reasons may be as long
+/// as a message of a peer or of a service.
+constexpr size_t MaxTextBytes = 4096;
+
+boost::json::value withBoundedText(boost::json::value value) {
+  if (!value.is_string() || value.get_string().size() <= MaxTextBytes)
+    return value;
+  boost::json::string &text = value.get_string();
+  // Not inside a character of UTF-8, so that the line stays valid.
+  size_t n = MaxTextBytes;
+  while (n > 0 && (static_cast<uint8_t>(text[n]) & 0xC0U) == 0x80U)
+    --n;
+  text.resize(n);
+  text += "...";
+  return value;
+}
 
 } // namespace
 
@@ -73,7 +89,7 @@
               {"process", Process},
               {"event", event}};
   for (auto &field : fields)
-    line[field.key()] = std::move(field.value());
+    line[field.key()] = withBoundedText(std::move(field.value()));
   Buffer += boost::json::serialize(line);
   Buffer += '\n';
   Written.add();
--- a/tests/base/decision_log_test.cpp
+++ b/tests/base/decision_log_test.cpp
@@ -68,6 +68,27 @@
       << pipe.Text;
 }
 
+/// Guards against a line that takes as much memory as the text of a peer's or
+/// a service's message, several times that when it is escaped: the limit on the
+/// buffer was only checked before a line was added.
+TEST(DecisionLog, LimitsTheTextsOfALine) {
+  Pipe pipe;
+  Metrics metrics;
+  DecisionLog log(smallLog(), "e1", pipe.sink(), metrics);
+  for (const char *part : {"\x01", "x", "\xE2\x82\xAC"}) {
+    std::string text;
+    while (text.size() < 1'000'000)
+      text += part;
+    log.write(LogPriority::Notable, "odd", {{"key", text}}, Start);
+  }
+  log.flush(Start);
+  EXPECT_LE(pipe.Text.size(), 50'000U);
+  ASSERT_EQ(pipe.lines(), 3);
+  size_t last = pipe.Text.rfind('\n', pipe.Text.size() - 2) + 1;
+  boost::json::value line = boost::json::parse(pipe.Text.substr(last));
+  EXPECT_TRUE(line.at("key").as_string().ends_with("\xE2\x82\xAC..."));
+}
+
 /// Guards against incidents without an explanation: half of the requests that
 /// began on weights past the rollout limit had no line, as failures had used up
 /// the rate.
