End quarantines whose crashes turn out to be a single incident

What callers saw: after the outage of a failure domain a sound prompt part stayed quarantined until the end of the model's run.

Change: when crashes are dropped, so are incidents that the remaining ones can't be: crashes within 150 ms of one another may be one outage. A quarantine that has one incident left ends. Crashes known from a record have no time and may each be an incident.

Evidence: LiftsAQuarantineThatOneIncidentIsLeftOf fails with the code before and passes.

--- a/src/direct/crash_evidence.cpp
+++ b/src/direct/crash_evidence.cpp
@@ -58,6 +58,28 @@
     suspect.IncidentsKnownAt.resize(incidents, now);
 }
 
+/// Maximum number of incidents that the suspect's crashes can be: those within
+/// BreakSpread may be one outage. Nothing is known of the times of recorded
+/// crashes, so each may be an incident.
+size_t possibleIncidents(const CrashSuspect &suspect) {
+  std::vector<TimePoint> times;
+  size_t out = 0;
+  for (const CrashedServer &crashed : suspect.CrashedServers)
+    if (crashed.IsRecorded)
+      ++out;
+    else
+      times.push_back(crashed.At);
+  std::sort(times.begin(), times.end());
+  std::optional<TimePoint> first;
+  for (TimePoint at : times) {
+    if (first && at <= *first + BreakSpread)
+      continue;
+    first = at;
+    ++out;
+  }
+  return out;
+}
+
 /// Number of incidents that were known at a time.
 size_t incidentsAt(const CrashSuspect &suspect, TimePoint at) {
   const std::vector<TimePoint> &known = suspect.IncidentsKnownAt;
@@ -65,6 +87,16 @@
       known.begin(), known.end(), [&](TimePoint it) { return it <= at; }));
 }
 
+/// Forgets incidents that the remaining crashes can't be. Returns whether that
+/// leaves too few for a quarantine.
+bool lowerIncidents(CrashSuspect &suspect) {
+  size_t possible = possibleIncidents(suspect);
+  if (suspect.IncidentsKnownAt.size() <= possible)
+    return false;
+  suspect.IncidentsKnownAt.resize(possible);
+  return possible < MinIncidents;
+}
+
 void scheduleReport(CrashSuspect &suspect, TimePoint from) {
   suspect.SendsLeft = SendsPerEntry;
   suspect.SendFrom = from;
@@ -143,7 +175,7 @@
                              TimePoint crashedAt) {
   onBreak(server, crashedAt);
   bool isDisputed = crashedAt + BreakSpread < LatestBreaks[server];
-  addServer(suspect, {server, crashedAt, isDisputed});
+  addServer(suspect, {server, crashedAt, isDisputed, false});
 }
 
 void CrashEvidence::onCrash(const Id128 &signature, uint64_t server,
@@ -180,7 +212,7 @@
   CrashSuspect &suspect = Suspects[signature];
   for (uint64_t server : servers)
     if (!isDisproved(signature, server, now))
-      addServer(suspect, {server, now, false});
+      addServer(suspect, {server, now, false, true});
   raiseIncidents(suspect, incidents, now);
   evictIfFull();
 }
@@ -242,9 +274,13 @@
                              [&](const CrashedServer &crashed) {
                                return crashed.Key == server && crashed.At <= at;
                              });
-    isNews |= n > 0;
-    bool hasTooFew = suspect.CrashedServers.size() < servers;
-    if (n > 0 && suspect.isQuarantined())
+    if (n == 0)
+      continue;
+    isNews = true;
+    bool hasTooFewIncidents = lowerIncidents(suspect);
+    bool hasTooFew =
+        hasTooFewIncidents || suspect.CrashedServers.size() < servers;
+    if (suspect.isQuarantined())
       (hasTooFew ? lifted : Weakened).push_back(signature);
   }
   for (const Id128 &signature : lifted)
--- a/src/direct/crash_evidence.h
+++ b/src/direct/crash_evidence.h
@@ -16,6 +16,10 @@
 
 namespace daisytack::direct {
 
+/// Minimum number of incidents under a signature that is quarantined; with one,
+/// an outage of several servers at once would quarantine requests.
+constexpr size_t MinIncidents = 2;
+
 struct CrashedServer {
   uint64_t Key = 0; ///< ServerRef::key of the server.
   TimePoint At;     ///< When a connection to it broke.
@@ -23,6 +27,8 @@
   /// at once: the server may have reset this one, or the entry that noticed the
   /// other one was late.
   bool IsDisputed = false;
+  /// Known from the record of a quarantine, which doesn't tell when it was.
+  bool IsRecorded = false;
   auto operator<=>(const CrashedServer &) const = default;
 };
 
--- a/src/direct/crash_verdict.cpp
+++ b/src/direct/crash_verdict.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// Minimum number of incidents; with one, an outage of several servers at once
-/// would quarantine requests.
-constexpr size_t MinIncidents = 2;
-
 using Item = CrashSuspectMap::value_type;
 
 using Quarantined = std::vector<const CrashSuspect *>;
--- a/tests/direct/crash_suspects_test.cpp
+++ b/tests/direct/crash_suspects_test.cpp
@@ -66,6 +66,28 @@
   EXPECT_FALSE(quarantineLeft(it, Poison, Start));
 }
 
+/// Guards against a quarantine by one outage: servers 1 to 3 crash together
+/// after a connection to server 9 was reset, which then answers.
+TEST(CrashSuspects, LiftsAQuarantineThatOneIncidentIsLeftOf) {
+  CrashSuspects it({});
+  crash(it, Poison, 9, Start, Start);
+  for (uint64_t server = 1; server <= 3; ++server)
+    crash(it, Poison, server, Start + 200ms, Start + 500ms);
+  ASSERT_TRUE(quarantineLeft(it, Poison, Start + 500ms));
+  it.onServerAlive(9, Start + 300ms, Start + 600ms);
+  EXPECT_EQ(it.incidents(Poison), 1U);
+  EXPECT_FALSE(quarantineLeft(it, Poison, Start + 600ms));
+}
+
+/// A record names servers, but not when they crashed: what is left of its
+/// crashes may still be several incidents.
+TEST(CrashSuspects, KeepsARecordedQuarantineThatLosesOneOfFourCrashes) {
+  CrashSuspects it({});
+  it.onQuarantineRecord(Poison, {1, 2, 3, 4}, Start);
+  it.onServerAlive(4, Start + 100ms, Start + 200ms);
+  EXPECT_TRUE(quarantineLeft(it, Poison, Start + 200ms));
+}
+
 /// Guards against: an attempt that was sent while an incident was known against
 /// the request breaks after the request was cleared, and counts as the second
 /// incident.
