Close silent connections for further ones, and keep those of entries longer

At its limit a server closed each further connection, so that as many silent ones kept everybody out: 256 at the port for readiness checks took an entry out of rotation, since its connections have a limit of their own. It now closes the connection that has waited longest for a whole request, first of those that have never sent one; served requests go on. Entries' connections were closed when idle for 10 s, while the other side uses them again for 20 s, and a message that crosses the close is not sent again; they are kept for 25 s. Found by a review.

--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -43,9 +43,10 @@
 /// Memory of the instance for each connection: a head, input ahead of the
 /// answer and an unread page of records, which take a quarter of it at most.
 constexpr size_t BytesPerConnection = 400U << 10;
-/// Time between requests, and for an answer that isn't read. An entry that
-/// polls this one comes back within RequestInterval or not for long.
-constexpr Duration IdleTimeout{10'000'000};
+/// Time between requests, and for an answer that isn't read. Longer than other
+/// entries use an idle connection again, as a message that crosses its close is
+/// not sent once more.
+constexpr Duration IdleTimeout{25'000'000};
 
 admission::RequestMemorySettings bodySettings(const GatewayOptions &options) {
   admission::RequestMemorySettings out;
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -81,6 +81,21 @@
   return out;
 }
 
+bool HttpServerShared::closeLongestWaiting() {
+  std::shared_ptr<HttpConnection> longest;
+  std::optional<HttpConnection::Wait> longestWait;
+  for (auto &it : connections()) {
+    std::optional<HttpConnection::Wait> wait = it->wait();
+    if (!wait || (longestWait && *longestWait <= *wait))
+      continue;
+    longest = std::move(it);
+    longestWait = wait;
+  }
+  if (longest)
+    longest->closeIfWaiting();
+  return longest != nullptr;
+}
+
 HttpConnection::HttpConnection(StrandSocket socket,
                                std::shared_ptr<HttpServerShared> shared)
     : Socket(std::move(socket)), Timer(Socket.get_executor()),
@@ -102,6 +117,7 @@
     Shared->Connections[this] = weak_from_this();
   }
   tuneSocket(Socket);
+  WaitingSince = BootClock::now();
   asio::dispatch(Socket.get_executor(), [self = shared_from_this()] {
     self->IdleSince = BootClock::now();
     self->setDeadline(self->Shared->idleTimeout());
@@ -121,6 +137,22 @@
              [self = shared_from_this()] { self->close(); });
 }
 
+void HttpConnection::closeIfWaiting() {
+  WaitingSince = BootClock::time_point::max();
+  asio::post(Socket.get_executor(), [self = shared_from_this()] {
+    if (self->CurrentState == State::Idle ||
+        self->CurrentState == State::Reading)
+      self->close();
+  });
+}
+
+std::optional<HttpConnection::Wait> HttpConnection::wait() const {
+  BootClock::time_point since = WaitingSince;
+  if (since == BootClock::time_point::max())
+    return std::nullopt;
+  return Wait{HasSentRequest, since};
+}
+
 void HttpConnection::waitReadable() {
   if (std::exchange(WaitingReadable, true))
     return;
@@ -309,6 +341,7 @@
     Ended = HeadSent = KeepAlive = IsHead = false;
   }
   CurrentState = State::Draining;
+  WaitingSince = BootClock::time_point::max();
   // Returns the room for the body.
   Message.reset();
   Incoming.reset();
@@ -318,6 +351,8 @@
 
 void HttpConnection::handleRequest() {
   CurrentState = State::Responding;
+  WaitingSince = BootClock::time_point::max();
+  HasSentRequest = true;
   Shared->UnsentResponses.fetch_add(1);
   Deadline = BootClock::time_point::max();
   uint64_t serial = 0;
@@ -354,6 +389,7 @@
 
 void HttpConnection::nextRequest() {
   CurrentState = State::Idle;
+  WaitingSince = BootClock::now();
   if (Pipelined || Input.size() > 0) {
     // Posted instead of called, so that pipelined requests can't grow the
     // stack.
@@ -417,6 +453,7 @@
   State before = std::exchange(CurrentState, State::Closed);
   if (before == State::Closed)
     return;
+  WaitingSince = BootClock::time_point::max();
   if (before == State::Responding)
     Shared->UnsentResponses.fetch_sub(1);
   std::function<void()> hook;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -62,6 +62,9 @@
   std::unordered_map<HttpConnection *, std::weak_ptr<HttpConnection>>
       Connections;
   std::vector<std::shared_ptr<HttpConnection>> connections();
+  /// Closes the connection that has waited longest for a whole request; first
+  /// of those that have never sent one. False if none waits.
+  bool closeLongestWaiting();
 };
 
 /// Reads requests one after another, passes each to the handler and writes its
@@ -79,6 +82,17 @@
   /// connection closes soon.
   void closeWhenIdle();
   void closeNow();
+  /// Closes the connection unless a request is being handled by then.
+  void closeIfWaiting();
+  /// Number of requests received so far, and since when the connection has
+  /// waited for the next one to be whole; nullopt while a request is handled or
+  /// after closeIfWaiting(). Thread-safe.
+  struct Wait {
+    bool HasSentRequest = false;
+    BootClock::time_point Since;
+    auto operator<=>(const Wait &) const = default;
+  };
+  std::optional<Wait> wait() const;
 
   // Operations of the exchange with the serial number; ignored after it ended.
   void respond(uint64_t serial, HttpResponse response);
@@ -187,6 +201,9 @@
   size_t SendIndex = 0;
   size_t SendOffset = 0;
 
+  /// See wait(); BootClock::time_point::max(): it does not wait.
+  std::atomic<BootClock::time_point> WaitingSince{BootClock::time_point::max()};
+  std::atomic<bool> HasSentRequest{false};
   std::atomic<size_t> PendingBytes{0}; ///< Bytes queued and not yet sent.
   std::mutex Lock;                     ///< Guards the members below.
   std::vector<std::string> Queued;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -84,8 +84,10 @@
 }
 
 void HttpServer::Impl::admit(StrandSocket socket) {
-  if (Shared->Closed || Shared->OpenConnections >= Shared->Init.MaxConnections)
-    return; // The destructor of the socket closes the connection.
+  bool isFull = Shared->OpenConnections >= Shared->Init.MaxConnections;
+  // If this returns, the destructor of the socket closes the connection.
+  if (Shared->Closed || (isFull && !Shared->closeLongestWaiting()))
+    return;
   std::make_shared<HttpConnection>(std::move(socket), Shared)->start();
 }
 
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -132,7 +132,11 @@
   /// Unsent bytes of a streamed response above which the next write closes the
   /// connection, because its caller reads too slowly.
   size_t MaxPendingBytes = 1U << 20;
-  size_t MaxConnections = 20'000;   ///< Further ones are closed at once.
+  /// For each further one, the connection that has waited longest for a whole
+  /// request is closed, first of those that have never sent one, so that
+  /// silent connections keep nobody out. If all are being served, the further
+  /// one is closed.
+  size_t MaxConnections = 20'000;
   Duration ReadTimeout{10'000'000}; ///< For the headers, and for the body.
   Duration IdleTimeout{60'000'000}; ///< Between requests, and for a write that
                                     ///< makes no progress.
