Log and count the requests that a planned stop cuts or refuses

When the grace period of an entry ended, only the number of its unanswered requests was logged. Which they were, whether they may be repeated, and whether they were taken before or after the signal could not be told.

The line request_cut now names each request that the last word answers or that the end cuts: route, kind, whether it may be repeated, how many ms after the signal it was taken, the age of its attempt, and whether its answer had begun. Lines about requests that may not be repeated are audit lines, so that a burst of others can't displace them. Two counters tell refused requests from cut ones. The entry waits for the lines before it ends its announcement, and checks the end of its plan when it is due rather than up to 20 ms later, as the process may be gone by then.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -108,8 +108,10 @@
   bool isBusy() const;
   /// Whether the listener is closed and no caller waits for anything.
   bool isDrained(TimePoint now) const;
-  /// Ends the announcement, then stops the components.
+  /// Records the requests that are cut off, ends the announcement, then stops
+  /// the components.
   void finish(bool isComplete);
+  void endAnnouncement(bool isComplete);
   void stopComponents(bool isComplete);
 
   GatewayOptions Options;
--- a/src/gateway/gateway_drain.cpp
+++ b/src/gateway/gateway_drain.cpp
@@ -60,7 +60,9 @@
     return finish(true);
   if (plan->isOver(now))
     return finish(false);
-  DrainTimer.expires_after(DrainCheckInterval);
+  // The process ends soon after the end of the plan, so that a later check
+  // might not run.
+  DrainTimer.expires_after(std::min(DrainCheckInterval, plan->end() - now));
   DrainTimer.async_wait([this](auto ec) {
     if (!ec)
       checkDrain();
@@ -102,6 +104,19 @@
 }
 
 void Gateway::finish(bool isComplete) {
+  std::vector<std::shared_ptr<GatewayRequest>> cut = State.Running.all();
+  if (cut.empty())
+    return endAnnouncement(isComplete);
+  auto left = std::make_shared<std::atomic<size_t>>(cut.size());
+  for (const auto &request : cut)
+    request->recordCutOff([this, left, isComplete] {
+      if (left->fetch_sub(1) == 1)
+        boost::asio::dispatch(
+            ControlStrand, [this, isComplete] { endAnnouncement(isComplete); });
+    });
+}
+
+void Gateway::endAnnouncement(bool isComplete) {
   // The announcement ends first because its call needs I/O, which stops with
   // the process.
   Announcement->stop([this, isComplete] { stopComponents(isComplete); });
--- a/src/gateway/gateway_http.cpp
+++ b/src/gateway/gateway_http.cpp
@@ -176,6 +176,8 @@
                                             TimePoint now) {
   unsigned status = errorStatus(reason.Kind);
   State.Stats.Refused.add();
+  if (reason.Kind == ErrorKind::Draining)
+    State.Stats.RefusedForDrain.add();
   auto catalog = State.catalog();
   State.Log.write(LogPriority::Notable, "request_refused",
                   {{"request", head.RequestId},
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -449,13 +449,31 @@
   (isRefusal ? State.Stats.Refused : State.Stats.Failed).add();
   if (isRefusal && reason.Kind == ErrorKind::WeightsOutdated)
     State.Stats.RefusedForWeights.add();
+  if (reason.Kind == ErrorKind::Draining)
+    (isRefusal ? State.Stats.RefusedForDrain : State.Stats.CutByDrain).add();
   Exchange->respond(State.WireProtocol.WriteErrorAnswer(
       status, Flow.request().Head.RequestId, reason));
   logEnd(status, isRefusal ? "refused" : "failed", reason);
 }
 
 void GatewayRequest::failIfUnanswered() {
-  onStrand([this] { Flow.onProcessEnd(monotonicNow()); });
+  onStrand([this] {
+    TimePoint now = monotonicNow();
+    if (Flow.isEnded() || HasAnswerStarted)
+      return;
+    logCut("last_word", now);
+    Flow.onProcessEnd(now);
+  });
+}
+
+void GatewayRequest::recordCutOff(std::function<void()> done) {
+  onStrand([this, done = std::move(done)] {
+    if (!Flow.isEnded()) {
+      State.Stats.CutByDrain.add();
+      logCut("end", monotonicNow());
+    }
+    done();
+  });
 }
 
 void GatewayRequest::onVersionsChanged() {
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -26,6 +26,9 @@
   /// Answers the request with an error if its answer has not begun, because the
   /// process is about to end. Thread-safe.
   void failIfUnanswered();
+  /// Records that the end of the process cuts the request off, unless it has
+  /// ended, and calls `done` on the strand of the request. Thread-safe.
+  void recordCutOff(std::function<void()> done);
   /// Other versions of weights are desired, or their ages have changed.
   /// Thread-safe.
   void onVersionsChanged();
@@ -124,6 +127,9 @@
   void answerError(unsigned status, const Error &reason);
   void armTimer(TimePoint at);
   void logEnd(unsigned status, std::string_view outcome, const Error &reason);
+  /// Logs that the drain ends the request without a complete answer. `step` is
+  /// the step of the drain that ends it.
+  void logCut(std::string_view step, TimePoint now);
 
   GatewayState &State;
   boost::asio::strand<boost::asio::io_context::executor_type> Executor;
--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -11,6 +11,22 @@
 using direct::AttemptOrder;
 using direct::AttemptResult;
 
+namespace {
+
+std::string_view routeKindName(direct::RouteKind kind) {
+  switch (kind) {
+  case direct::RouteKind::Idempotent:
+    return "idempotent";
+  case direct::RouteKind::NonIdempotent:
+    return "non_idempotent";
+  case direct::RouteKind::Stream:
+    return "stream";
+  }
+  return "unknown";
+}
+
+} // namespace
+
 std::string GatewayRequest::sharedParts() const {
   const std::vector<direct::PromptPart> &parts = Flow.request().Head.Parts;
   std::string out;
@@ -123,6 +139,25 @@
                   "request_ended", std::move(fields), now);
 }
 
+void GatewayRequest::logCut(std::string_view step, TimePoint now) {
+  const direct::ForwardRequest &request = Flow.request();
+  const direct::Route &route = request.MatchedRoute;
+  std::shared_ptr<const direct::DrainPlan> drain = State.Drain.load();
+  DecisionLog::Fields fields{
+      {"request", request.Head.RequestId},
+      {"route", route.Name},
+      {"kind", routeKindName(route.Kind)},
+      {"may_repeat", route.mayRepeat()},
+      {"step", step},
+      {"taken_ms", millisecondsOf(drain->elapsed(request.Arrived))},
+      {"attempts", Flow.attempts()},
+      {"answer_begun", HasAnswerStarted}};
+  if (Flow.attempts() > 0)
+    fields["attempt_age_ms"] = millisecondsOf(now - SentAt);
+  State.Log.write(route.mayRepeat() ? LogPriority::Notable : LogPriority::Audit,
+                  "request_cut", std::move(fields), now);
+}
+
 bool GatewayRequest::isOwnAnswer(const std::string &server,
                                  const std::vector<net::HttpHeader> &headers,
                                  bool isFirst) const {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -153,6 +153,12 @@
       RefusedForEntryMemory(metrics.counter(
           "daisytack_requests_refused_for_entry_memory_total",
           "Requests refused as this entry had no memory for their body")),
+      RefusedForDrain(metrics.counter(
+          "daisytack_requests_refused_for_drain_total",
+          "Requests answered as surely not run since this entry is stopping")),
+      CutByDrain(metrics.counter(
+          "daisytack_requests_cut_by_drain_total",
+          "Requests that may have run and that the end of this entry cut")),
       Failed(metrics.counter("daisytack_requests_failed_total",
                              "Requests that ended without a server's answer")),
       AnswersBroken(metrics.counter("daisytack_answers_broken_total",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -42,6 +42,8 @@
   Counter &RefusedForPatience;
   Counter &RefusedWithheld;
   Counter &RefusedForEntryMemory;
+  Counter &RefusedForDrain;
+  Counter &CutByDrain;
   Counter &Failed;
   Counter &AnswersBroken;
   Counter &CallersGone;
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -9,6 +9,7 @@
 #include "gateway/gateway_fixture.h"
 
 #include "base/clock.h"
+#include "gateway/stdout_capture.h"
 
 namespace daisytack::gateway {
 namespace {
@@ -158,5 +159,34 @@
   EXPECT_TRUE(eventually([&] { return Drained.load(); }));
 }
 
+/// Guards against requests that a stop cuts without a trace: an operator could
+/// not tell which they were, nor whether they may be repeated.
+TEST_F(DrainTest, LogsEachRequestThatItCuts) {
+  ASSERT_TRUE(waitReady(Stopping));
+  test::StdoutCapture lines;
+  net::RawClient streaming(port());
+  streaming.send(streamRequest("r1"));
+  streaming.readUntil("data: a\n\n");
+  Streams.IsSilent = true;
+  net::RawClient unanswered(port());
+  unanswered.send(streamRequest("r2"));
+  ASSERT_TRUE(eventually([&] { return Backend.requests().size() == 2; }));
+  Stopping.Daemon.drain(monotonicNow() + 1200ms,
+                        [this](bool) { Drained = true; });
+  ASSERT_TRUE(eventually([&] { return Drained.load(); }));
+  EXPECT_EQ(lines.countLines({R"("event":"request_cut")"}), 2U);
+  std::vector<std::string> common{
+      R"("event":"request_cut")", R"("route":"talk")", R"("kind":"stream")",
+      R"("may_repeat":false)",    R"("taken_ms":-)",   R"("attempt_age_ms":)"};
+  auto hasLine = [&](std::vector<std::string> texts) {
+    texts.insert(texts.end(), common.begin(), common.end());
+    return !lines.findLine(texts).empty();
+  };
+  EXPECT_TRUE(hasLine({R"("request":"r2")", R"("step":"last_word")",
+                       R"("answer_begun":false)"}));
+  EXPECT_TRUE(hasLine(
+      {R"("request":"r1")", R"("step":"end")", R"("answer_begun":true)"}));
+}
+
 } // namespace
 } // namespace daisytack::gateway
