Begin nothing in a drain that can't end before it

Callers of a stopping entry saw 502 for requests that ran and may not be repeated, and streams that broke off midway, though they had sent them after the signal. Cause: the entry took requests for 2.75 s whatever its grace period, and asked only whether an attempt of 200 ms could begin, not whether this one could end.

An attempt at a request that was taken after the signal now begins only if its answer is expected when the final answers are due, 500 ms before the end: by the request's deadline, or by the slowest recent answer to the same route and service (balancing/answer_times.h), scaled by the output tokens asked for, and a quarter more, as the same answer takes a little longer on a busy machine. Attempts that still run count with their age. With fewer than ten complete answers nothing is known and the deadline decides. Others are refused at once as not run (503 draining), before the origin of a resumed stream is looked up; retries are decided in the same way. Nothing changes for requests that were taken before the signal.

The listener now stays open for the whole notice period, or until the final answers are due: with a grace of 3 s (end at 2.8 s) until 2.3 s instead of 1.85 s. Late requests get a refusal rather than a failed connection, and the load balancer has its two misses. The notice period still counts from when the signal was seen, as the load balancer sees nothing before; all other moments follow the end, which counts from when the signal was sent.

--- a/src/direct/drain_plan.cpp
+++ b/src/direct/drain_plan.cpp
@@ -28,6 +28,6 @@
       AcceptsUntil(
           std::min(seen + settings.NoticePeriod + settings.LateRequestGrace,
                    AttemptsUntil)),
-      CloseAt(std::max(AcceptsUntil - settings.LateRequestGrace, seen)) {}
+      CloseAt(std::min(seen + settings.NoticePeriod, FinalAnswersAt)) {}
 
 } // namespace daisytack::direct
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -5,6 +5,7 @@
 #include "admission/organisation_shares.h"
 #include "admission/request_memory.h"
 #include "admission/return_schedule.h"
+#include "balancing/answer_times.h"
 #include "balancing/prefill_rate.h"
 #include "balancing/request_limits.h"
 #include "balancing/server_loads.h"
@@ -123,6 +124,7 @@
   balancing::ServerLoadSettings Loads;
   direct::StoreLinkSettings Links;
   balancing::PrefillRateSettings PrefillRate;
+  balancing::AnswerTimeSettings AnswerTimes;
   direct::KeptContextSettings StoredParts;
   direct::CatalogSettings Catalog;
   DecisionLogSettings Log;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -58,10 +58,15 @@
       });
   });
   onStrand([this] {
-    if (isResumption())
+    TimePoint now = monotonicNow();
+    Error reason;
+    // Before the origin of a stream is looked up, which may take other entries.
+    if (isDraining(now, reason))
+      Flow.onBlocked(reason, now);
+    else if (isResumption())
       resumeStream();
     else
-      Flow.start(monotonicNow());
+      Flow.start(now);
   });
 }
 
@@ -137,12 +142,27 @@
 
 bool GatewayRequest::isDraining(TimePoint now, Error &reason) const {
   std::shared_ptr<const direct::DrainPlan> drain = State.Drain.load();
-  if (!drain || drain->mayAttempt(now))
+  if (!drain || drain->mayAttempt(now, expectedEnd(*drain, now)))
     return false;
   reason = drainingError();
   return true;
 }
 
+TimePoint GatewayRequest::expectedEnd(const direct::DrainPlan &drain,
+                                      TimePoint now) const {
+  const direct::ForwardRequest &request = Flow.request();
+  // The drain finishes what was taken before it, with all its attempts.
+  if (drain.isBeforeSignal(request.Arrived))
+    return now;
+  std::optional<Duration> answer = State.AnswerTimes.estimate(
+      answerKey(), request.Head.MaxOutputTokens, now);
+  return answer ? std::min(request.Deadline, now + *answer) : request.Deadline;
+}
+
+balancing::AnswerKey GatewayRequest::answerKey() const {
+  return {Flow.request().MatchedRoute.Name, Flow.request().Service};
+}
+
 bool GatewayRequest::mustNotAttempt(TimePoint now, Error &reason) {
   if (isDraining(now, reason))
     return true;
@@ -231,6 +251,7 @@
   if (order.OutdatedFor > Duration::zero())
     State.Stats.OutdatedAttempts.add();
   State.Loads.onSent(order.server(), loadOf(order), now);
+  State.AnswerTimes.onSent(answerKey(), now);
   uint64_t saves = 0;
   uint64_t sourced = 0;
   for (size_t i = 0; i < order.Sources.size(); ++i) {
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -74,9 +74,15 @@
   /// Whether this entry sends the request, which is quarantined, to find out
   /// whether its signatures crash servers.
   bool takeProbe(TimePoint now);
-  /// Whether the entry drains and the request must not be sent any more; sets
-  /// the reason.
+  /// Whether the entry drains and the request must not be sent any more, as its
+  /// answer is not expected before the end; sets the reason.
   bool isDraining(TimePoint now, Error &reason) const;
+  /// When the answer to an attempt that begins now is expected to be complete,
+  /// as far as the drain asks for it.
+  TimePoint expectedEnd(const direct::DrainPlan &drain, TimePoint now) const;
+  balancing::AnswerKey answerKey() const;
+  /// How the attempt ended, as evidence for the duration of answers.
+  balancing::AnswerEnd answerEnd(direct::AttemptResult result) const;
   /// Load of an attempt on its server.
   balancing::RequestLoad loadOf(const direct::AttemptOrder &order) const;
   /// Records that the attempt's connection broke before its answer was
--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/duration.h"
+#include "net/http_status.h"
 
 #include <utility>
 
@@ -35,6 +36,26 @@
   return out;
 }
 
+balancing::AnswerEnd GatewayRequest::answerEnd(AttemptResult result) const {
+  switch (result) {
+  case AttemptResult::Answered:
+    // An error that the request caused is no measure of a whole answer.
+    return net::isSuccess(AnswerStatus) ? balancing::AnswerEnd::Complete
+                                        : balancing::AnswerEnd::NotRun;
+  case AttemptResult::Failed:
+  case AttemptResult::ServerLost:
+  case AttemptResult::BrokenOff:
+  case AttemptResult::Abandoned:
+    return balancing::AnswerEnd::Incomplete;
+  case AttemptResult::TurnedAway:
+  case AttemptResult::Misdirected:
+  case AttemptResult::Unreached:
+  case AttemptResult::Expired:
+    return balancing::AnswerEnd::NotRun;
+  }
+  return balancing::AnswerEnd::NotRun;
+}
+
 LogPriority GatewayRequest::logPriority(const AttemptOrder &order,
                                         LogPriority usual) const {
   constexpr int64_t AuditedPart = 2; // The second half of the rollout.
@@ -50,6 +71,8 @@
   endPause(now);
   State.Loads.onEnded(order.server(), loadOf(order), FirstByteAt.has_value(),
                       now);
+  State.AnswerTimes.onEnded(answerKey(), answerEnd(result),
+                            Flow.request().Head.MaxOutputTokens, SentAt, now);
   bool isSuccess = result == AttemptResult::Answered;
   bool wasRefused = result == AttemptResult::TurnedAway ||
                     result == AttemptResult::Misdirected;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -159,6 +159,7 @@
   balancing::ServerLoads Loads;
   direct::StoreLinks Links;
   balancing::PrefillRate PrefillRates;
+  balancing::AnswerTimes AnswerTimes;
   Ejector OutlierEjector;
   direct::CrashSuspects Suspects;
   direct::StreamOrigins Origins;
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -11,6 +11,9 @@
 #include "base/clock.h"
 #include "gateway/stdout_capture.h"
 
+#include <array>
+#include <future>
+
 namespace daisytack::gateway {
 namespace {
 
@@ -188,5 +191,191 @@
       {R"("request":"r1")", R"("step":"end")", R"("answer_begun":true)"}));
 }
 
+/// A route of each kind, with time-outs beyond each grace period.
+constexpr const char *KindsConfig = R"({"version":1,"routes":[
+  {"name":"unsafe","host":"a.example","path-prefix":"/unsafe/",
+   "kind":"unsafe","timeout-ms":30000,"target-latency-ms":8000,
+   "service":"plain","attempts":1},
+  {"name":"safe","host":"a.example","path-prefix":"/safe/","kind":"safe",
+   "timeout-ms":30000,"target-latency-ms":8000,"service":"plain",
+   "attempts":2},
+  {"name":"stream","host":"a.example","path-prefix":"/stream/",
+   "kind":"streaming","timeout-ms":30000,"target-latency-ms":8000,
+   "service":"plain","attempts":1},
+  {"name":"resumable","host":"a.example","path-prefix":"/resumable/",
+   "kind":"streaming","resumable":true,"timeout-ms":30000,
+   "target-latency-ms":8000,"service":"plain","attempts":2}],
+  "services":[{"name":"plain","connection-limit":200}]})";
+
+constexpr std::array<const char *, 4> KindPaths{"/unsafe/x", "/safe/x",
+                                                "/stream/x", "/resumable/x"};
+
+/// Guards against a draining entry that passes on requests which it can't
+/// answer before its end: they ran, and their callers got 502, half of an
+/// answer or none.
+class LateRequestTest : public GatewayTest,
+                        public testing::WithParamInterface<int> {
+protected:
+  LateRequestTest()
+      : Backend(startBackend(
+            [this](const HttpRequest &what, const ExchangePtr &to) {
+              onRequest(what, to);
+            })),
+        Stopping(startServing()) {}
+  ~LateRequestTest() override { Threads.stop(); }
+
+  Entry &startServing() {
+    registerServer("i-1", Backend);
+    KvService.put("op/config", KindsConfig);
+    GatewayOptions options = Entry::optionsFor("e1", KvService.address(), {});
+    options.Drain = {};
+    Entries.push_back(std::make_unique<Entry>(Threads.Io, std::move(options)));
+    Entries.back()->start();
+    return *Entries.back();
+  }
+
+  void onRequest(const HttpRequest &what, const ExchangePtr &to) {
+    Duration delay = AnswerDelay.load();
+    if (delay == Duration::max()) {
+      std::lock_guard guard(Lock);
+      Held.push_back(to);
+      return;
+    }
+    auto timer = std::make_shared<net::asio::steady_timer>(Threads.Io, delay);
+    timer->async_wait([what, to, timer](auto) {
+      HttpResponse out = signedAnswer(what, "id: 1\ndata: a\n\n");
+      out.Headers.push_back({"Content-Type", "text/event-stream"});
+      to->respond(std::move(out));
+    });
+  }
+
+  HttpRequest lateRequest(const char *path) {
+    HttpRequest out = request(path, "r" + std::to_string(++LastId));
+    for (net::HttpHeader &header : out.Headers)
+      if (header.Name == "X-Daisytack-Deadline-Milliseconds")
+        header.Value = "30000";
+    return out;
+  }
+  unsigned statusOfLate(const char *path) {
+    return statusOf(Stopping, lateRequest(path));
+  }
+  /// Has requests of the kind answered, all at the same time.
+  void learnAnswers(const char *path) {
+    std::vector<std::future<unsigned>> answers;
+    for (uint32_t i = 0; i < Stopping.Options.AnswerTimes.MinAnswers; ++i)
+      answers.push_back(std::async(
+          std::launch::async, [this, path] { return statusOfLate(path); }));
+    for (auto &it : answers)
+      ASSERT_EQ(it.get(), 200U);
+  }
+  /// Drains as a process does that the platform kills after the grace period.
+  void drain(Duration grace) {
+    constexpr Duration KillMargin = 200ms;
+    DrainEnd = monotonicNow() + grace - KillMargin;
+    Stopping.Daemon.drain(DrainEnd, [this](bool isComplete) {
+      WasComplete = isComplete;
+      Drained = true;
+    });
+  }
+  void expectRefused(const char *path) {
+    Fetched got = fetch(Stopping.Options.Callers, lateRequest(path));
+    EXPECT_EQ(got.Response.Status, 503U) << path << got.Reason.Detail;
+    bool hasRetryAfter = false;
+    for (const net::HttpHeader &header : got.Response.Headers)
+      hasRetryAfter |= header.Name == "Retry-After";
+    EXPECT_TRUE(hasRetryAfter) << path;
+  }
+
+  /// How long the server takes for an answer; Duration::max(): for ever.
+  std::atomic<Duration> AnswerDelay{Duration::zero()};
+  std::atomic<uint32_t> LastId{0};
+  std::atomic<bool> Drained{false};
+  std::atomic<bool> WasComplete{false};
+  TimePoint DrainEnd;
+  std::mutex Lock;
+  std::vector<ExchangePtr> Held;
+  test::FakeServer &Backend;
+  Entry &Stopping;
+};
+
+TEST_P(LateRequestTest, IsRefusedIfItsAnswerMayOutlastTheGracePeriod) {
+  ASSERT_TRUE(waitReady(Stopping));
+  AnswerDelay = Duration::max();
+  drain(std::chrono::seconds(GetParam()));
+  for (const char *path : KindPaths)
+    expectRefused(path);
+  std::this_thread::sleep_for(500ms);
+  for (const char *path : KindPaths)
+    expectRefused(path);
+  EXPECT_EQ(Backend.requests().size(), 0U);
+}
+
+/// Guards against an entry that refuses all late requests: the others would
+/// have to take its load at once.
+TEST_P(LateRequestTest, IsAnsweredIfItsAnswerIsShort) {
+  ASSERT_TRUE(waitReady(Stopping));
+  for (const char *path : KindPaths)
+    learnAnswers(path);
+  drain(std::chrono::seconds(GetParam()));
+  for (int i = 0; i < 3; ++i) {
+    for (const char *path : KindPaths)
+      EXPECT_EQ(statusOfLate(path), 200U) << path;
+    std::this_thread::sleep_for(100ms);
+  }
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+  EXPECT_TRUE(WasComplete);
+  EXPECT_LE(monotonicNow(), DrainEnd + 1s);
+}
+
+INSTANTIATE_TEST_SUITE_P(GraceSeconds, LateRequestTest,
+                         testing::Values(2, 3, 4, 8, 20));
+
+/// The kinds share the decision, so that one is enough for what it depends on.
+class LateRequestTimeTest : public LateRequestTest {};
+
+TEST_P(LateRequestTimeTest, IsTakenOnlyIfThereIsTimeForTheAnswersSeenBefore) {
+  ASSERT_TRUE(waitReady(Stopping));
+  AnswerDelay = 1500ms;
+  learnAnswers("/unsafe/x");
+  size_t before = Backend.requests().size();
+  drain(std::chrono::seconds(GetParam()));
+  if (GetParam() <= 2) {
+    expectRefused("/unsafe/x");
+    EXPECT_EQ(Backend.requests().size(), before);
+  } else {
+    EXPECT_EQ(statusOfLate("/unsafe/x"), 200U);
+  }
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+  EXPECT_TRUE(WasComplete);
+}
+
+INSTANTIATE_TEST_SUITE_P(GraceSeconds, LateRequestTimeTest,
+                         testing::Values(2, 8));
+
+class SlowAnswersTest : public LateRequestTest {};
+
+/// Guards against answer times from before the servers became slow.
+TEST_P(SlowAnswersTest, RefusesLateRequestsWhileEarlierOnesAreNotAnswered) {
+  ASSERT_TRUE(waitReady(Stopping));
+  learnAnswers("/unsafe/x");
+  AnswerDelay = Duration::max();
+  size_t before = Backend.requests().size();
+  net::RawClient caller(Stopping.Options.Callers.Port);
+  caller.send("POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\n"
+              "Content-Length: 0\r\nX-Daisytack-Request-Id: early\r\n"
+              "X-Daisytack-Deadline-Milliseconds: 30000\r\n\r\n");
+  std::this_thread::sleep_for(1500ms);
+  ASSERT_EQ(Backend.requests().size(), before + 1);
+  drain(std::chrono::seconds(GetParam()));
+  expectRefused("/unsafe/x");
+  EXPECT_EQ(Backend.requests().size(), before + 1);
+  // The one that was taken before the signal gets the last word.
+  std::string got = caller.readAll();
+  EXPECT_NE(got.find("HTTP/1.1 502"), std::string::npos) << got;
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(GraceSeconds, SlowAnswersTest, testing::Values(2));
+
 } // namespace
 } // namespace daisytack::gateway
