--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -26,6 +26,9 @@
   /// Answers the request with an error if its answer has not begun, because the
   /// process is about to end. Thread-safe.
   void failIfUnanswered();
+  /// Records that the end of the process cuts the request off, unless it has
+  /// ended, and calls `done` on the strand of the request. Thread-safe.
+  void recordCutOff(std::function<void()> done);
   /// Other versions of weights are desired, or their ages have changed.
   /// Thread-safe.
   void onVersionsChanged();
@@ -71,9 +74,15 @@
   /// Whether this entry sends the request, which is quarantined, to find out
   /// whether its signatures crash servers.
   bool takeProbe(TimePoint now);
-  /// Whether the entry drains and the request must not be sent any more; sets
-  /// the reason.
+  /// Whether the entry drains and the request must not be sent any more, as its
+  /// answer is not expected before the end; sets the reason.
   bool isDraining(TimePoint now, Error &reason) const;
+  /// When the answer to an attempt that begins now is expected to be complete,
+  /// as far as the drain asks for it.
+  TimePoint expectedEnd(const direct::DrainPlan &drain, TimePoint now) const;
+  balancing::AnswerKey answerKey() const;
+  /// How the attempt ended, as evidence for the duration of answers.
+  balancing::AnswerEnd answerEnd(direct::AttemptResult result) const;
   /// Load of an attempt on its server.
   balancing::RequestLoad loadOf(const direct::AttemptOrder &order) const;
   /// Records that the attempt's connection broke before its answer was
@@ -124,6 +133,9 @@
   void answerError(unsigned status, const Error &reason);
   void armTimer(TimePoint at);
   void logEnd(unsigned status, std::string_view outcome, const Error &reason);
+  /// Logs that the drain ends the request without a complete answer. `step` is
+  /// the step of the drain that ends it.
+  void logCut(std::string_view step, TimePoint now);
 
   GatewayState &State;
   boost::asio::strand<boost::asio::io_context::executor_type> Executor;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -42,6 +42,8 @@
   Counter &RefusedForPatience;
   Counter &RefusedWithheld;
   Counter &RefusedForEntryMemory;
+  Counter &RefusedForDrain;
+  Counter &CutByDrain;
   Counter &Failed;
   Counter &AnswersBroken;
   Counter &CallersGone;
@@ -157,6 +159,7 @@
   balancing::ServerLoads Loads;
   direct::StoreLinks Links;
   balancing::PrefillRate PrefillRates;
+  balancing::AnswerTimes AnswerTimes;
   Ejector OutlierEjector;
   direct::CrashSuspects Suspects;
   direct::StreamOrigins Origins;
