Fuzz the reading of HTTP messages in pieces

The target http parses its input as a request and as a response, in pieces of one, three, a thousand and a growing number of bytes. It fails when more is held unparsed than the limit of the state, when a full buffer is neither parsed nor refused, when the memory of the buffer exceeds the largest limit, or when the result depends on the pieces.

--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -8,6 +8,7 @@
 #include "direct/peer_messages.h"
 #include "edge/engine_codec.h"
 #include "edge/kv_etcd_json.h"
+#include "net/message_reader.h"
 #include "net/sse.h"
 #include "once/ticket.h"
 #include "platform/engine_calls.h"
@@ -19,7 +20,13 @@
 #include "wire/codec.h"
 #include "wire/samples.h"
 
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <algorithm>
+#include <array>
 #include <cstdlib>
+#include <cstring>
 
 namespace daisytack::fuzz {
 
@@ -223,6 +230,92 @@
   require(!verifyTicket(text, "a secret that the input can't know"));
 }
 
+constexpr size_t MaxHeadBytes = 2048;
+constexpr size_t MaxBodyBytes = 1U << 20;
+
+struct ParsedMessage {
+  bool IsComplete = false;
+  bool IsRefused = false;
+  std::string Body = {};
+};
+
+/// Parses the message from pieces of the size, 0 for pieces that grow. What is
+/// held unparsed stays within the limit of the state.
+template <class Parser, class TakeBody>
+ParsedMessage readMessage(std::string_view bytes, size_t step,
+                          const TakeBody &takeBody) {
+  net::InputBuffer input(MaxHeadBytes);
+  net::MessageReader<Parser> reader(MaxHeadBytes);
+  reader.parser().body_limit(MaxBodyBytes);
+  ParsedMessage out;
+  net::ErrorCode ec = net::http::error::need_more;
+  for (size_t n = step; !bytes.empty(); n += step == 0 ? 1 : 0) {
+    auto room = input.prepare(std::min(std::max<size_t>(n, 1), bytes.size()));
+    // Input that is neither parsed nor refused leaves room for more.
+    require(room.size() > 0);
+    std::memcpy(room.data(), bytes.data(), room.size());
+    input.commit(room.size());
+    bytes.remove_prefix(room.size());
+    if (!reader.parser().is_header_done())
+      ec = reader.parseHead(input);
+    require(input.size() <= input.limit() + MaxHeadBytes);
+    if (reader.parser().is_header_done() &&
+        (!ec || ec == net::http::error::need_more))
+      ec = takeBody(reader, input, out.Body);
+    require(input.capacity() <= std::max(MaxHeadBytes, net::LongReadBytes));
+    if (ec != net::http::error::need_more)
+      break;
+    require(!reader.parser().is_header_done() ||
+            input.size() <=
+                net::MaxChunkExtraBytes + net::MaxPlainChunkLineBytes);
+  }
+  out.IsComplete = !ec;
+  out.IsRefused = ec && ec != net::http::error::need_more;
+  return out;
+}
+
+/// Reads the input as a request and as a response. The result does not depend
+/// on how the input is split.
+void runHttp(std::string_view text) {
+  using namespace net;
+  using RequestParser = http::request_parser<http::string_body>;
+  using ResponseParser = http::response_parser<http::buffer_body>;
+  auto request = [&](size_t step) {
+    return readMessage<RequestParser>(
+        text, step, [](auto &reader, InputBuffer &input, std::string &body) {
+          ErrorCode ec = reader.parseBody(input);
+          body = reader.parser().get().body();
+          return ec;
+        });
+  };
+  auto response = [&](size_t step) {
+    return readMessage<ResponseParser>(
+        text, step, [](auto &reader, InputBuffer &input, std::string &out) {
+          std::array<char, 7> room{};
+          ErrorCode ec = http::error::need_buffer;
+          while (ec == http::error::need_buffer) {
+            auto &body = reader.parser().get().body();
+            body.data = room.data();
+            body.size = room.size();
+            body.more = true;
+            ec = reader.parseBody(input);
+            out.append(room.data(), room.size() - body.size);
+          }
+          return ec;
+        });
+  };
+  auto compare = [](const ParsedMessage &a, const ParsedMessage &b) {
+    require(a.IsComplete == b.IsComplete);
+    require(!a.IsComplete || a.Body == b.Body);
+  };
+  ParsedMessage whole = request(1000);
+  ParsedMessage answer = response(1000);
+  for (size_t step : {0U, 1U, 3U}) {
+    compare(whole, request(step));
+    compare(answer, response(step));
+  }
+}
+
 std::vector<std::string> noSeeds() { return {}; }
 
 } // namespace
@@ -245,6 +338,7 @@
       {"instances", runInstances, noSeeds},
       {"engine", runEngine, noSeeds},
       {"ticket", runTicket, noSeeds},
+      {"http", runHttp, noSeeds},
   };
   return All;
 }
