--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/duration.h"
+#include "net/http_status.h"
 
 #include <utility>
 
@@ -11,6 +12,22 @@
 using direct::AttemptOrder;
 using direct::AttemptResult;
 
+namespace {
+
+std::string_view routeKindName(direct::RouteKind kind) {
+  switch (kind) {
+  case direct::RouteKind::Idempotent:
+    return "idempotent";
+  case direct::RouteKind::NonIdempotent:
+    return "non_idempotent";
+  case direct::RouteKind::Stream:
+    return "stream";
+  }
+  return "unknown";
+}
+
+} // namespace
+
 std::string GatewayRequest::sharedParts() const {
   const std::vector<direct::PromptPart> &parts = Flow.request().Head.Parts;
   std::string out;
@@ -19,6 +36,26 @@
   return out;
 }
 
+balancing::AnswerEnd GatewayRequest::answerEnd(AttemptResult result) const {
+  switch (result) {
+  case AttemptResult::Answered:
+    // An error that the request caused is no measure of a whole answer.
+    return net::isSuccess(AnswerStatus) ? balancing::AnswerEnd::Complete
+                                        : balancing::AnswerEnd::NotRun;
+  case AttemptResult::Failed:
+  case AttemptResult::ServerLost:
+  case AttemptResult::BrokenOff:
+  case AttemptResult::Abandoned:
+    return balancing::AnswerEnd::Incomplete;
+  case AttemptResult::TurnedAway:
+  case AttemptResult::Misdirected:
+  case AttemptResult::Unreached:
+  case AttemptResult::Expired:
+    return balancing::AnswerEnd::NotRun;
+  }
+  return balancing::AnswerEnd::NotRun;
+}
+
 LogPriority GatewayRequest::logPriority(const AttemptOrder &order,
                                         LogPriority usual) const {
   constexpr int64_t AuditedPart = 2; // The second half of the rollout.
@@ -34,6 +71,8 @@
   endPause(now);
   State.Loads.onEnded(order.server(), loadOf(order), FirstByteAt.has_value(),
                       now);
+  State.AnswerTimes.onEnded(answerKey(), answerEnd(result),
+                            Flow.request().Head.MaxOutputTokens, SentAt, now);
   bool isSuccess = result == AttemptResult::Answered;
   bool wasRefused = result == AttemptResult::TurnedAway ||
                     result == AttemptResult::Misdirected;
@@ -123,6 +162,25 @@
                   "request_ended", std::move(fields), now);
 }
 
+void GatewayRequest::logCut(std::string_view step, TimePoint now) {
+  const direct::ForwardRequest &request = Flow.request();
+  const direct::Route &route = request.MatchedRoute;
+  std::shared_ptr<const direct::DrainPlan> drain = State.Drain.load();
+  DecisionLog::Fields fields{
+      {"request", request.Head.RequestId},
+      {"route", route.Name},
+      {"kind", routeKindName(route.Kind)},
+      {"may_repeat", route.mayRepeat()},
+      {"step", step},
+      {"taken_ms", millisecondsOf(drain->elapsed(request.Arrived))},
+      {"attempts", Flow.attempts()},
+      {"answer_begun", HasAnswerStarted}};
+  if (Flow.attempts() > 0)
+    fields["attempt_age_ms"] = millisecondsOf(now - SentAt);
+  State.Log.write(route.mayRepeat() ? LogPriority::Notable : LogPriority::Audit,
+                  "request_cut", std::move(fields), now);
+}
+
 bool GatewayRequest::isOwnAnswer(const std::string &server,
                                  const std::vector<net::HttpHeader> &headers,
                                  bool isFirst) const {
