Begin no attempt in a drain that can't be repeated and can't end

Found by a review of the drain. A request that came before the signal and may not be repeated could begin its first attempt, or another after a rejection, until 0.7 s before the end, whatever its answer takes: it ran and got 502. It is now refused as not run by the same rule as later ones. A drain that ends with open connections and no request left counts as complete: with a grace of 2 s the listener closes at the end, and a refused caller that stayed connected made the exit code 4. The process's own timer no longer stops the daemon at the moment at which it ends its drain itself and logs what it cuts.

--- a/src/balancing/answer_times.cpp
+++ b/src/balancing/answer_times.cpp
@@ -90,8 +90,8 @@
   if (window.Answers < Settings.MinAnswers)
     return std::nullopt;
   // How much longer a longer answer takes is not known without one of a known
-  // length.
-  if (outputTokens > 0 && window.LargestOutput == 0)
+  // length, and how long an answer without a limit takes not from others.
+  if ((outputTokens > 0) != (window.LargestOutput > 0))
     return std::nullopt;
   Duration slowest = window.Slowest;
   if (!it->second.Running.empty())
--- a/src/balancing/answer_times.h
+++ b/src/balancing/answer_times.h
@@ -1,5 +1,5 @@
-/// Upper estimate of how long the servers of a service take for a complete
-/// answer, learned from the recent answers to the requests of each route.
+/// Estimate of how long the servers of a service take for a complete answer,
+/// learned from the slowest recent answers to the requests of each route.
 ///
 /// A process that is about to end uses it to decide which requests can still be
 /// answered, so that the estimate follows the slowest answers, not the average.
--- a/src/gateway/gateway_drain.cpp
+++ b/src/gateway/gateway_drain.cpp
@@ -59,7 +59,7 @@
   if (isDrained(now))
     return finish(true);
   if (plan->isOver(now))
-    return finish(false);
+    return finish(!isBusy());
   // The process ends soon after the end of the plan, so that a later check
   // might not run.
   DrainTimer.expires_after(std::min(DrainCheckInterval, plan->end() - now));
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -151,8 +151,10 @@
 TimePoint GatewayRequest::expectedEnd(const direct::DrainPlan &drain,
                                       TimePoint now) const {
   const direct::ForwardRequest &request = Flow.request();
-  // The drain finishes what was taken before it, with all its attempts.
-  if (drain.isBeforeSignal(request.Arrived))
+  // The drain finishes what was taken before it, with all its attempts. One
+  // that may not be repeated has not run if another attempt is due, and can
+  // still be refused as not run.
+  if (drain.isBeforeSignal(request.Arrived) && request.MatchedRoute.mayRepeat())
     return now;
   std::optional<Duration> answer = State.AnswerTimes.estimate(
       answerKey(), request.Head.MaxOutputTokens, now);
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -38,6 +38,10 @@
 /// that its last bytes are sent and its exit code is its own.
 constexpr Duration KillMargin{200'000};
 
+/// A daemon that has not ended its drain by itself is stopped this long after
+/// the end of the drain.
+constexpr Duration DrainEndMargin{100'000};
+
 /// Size of blocks from which on each is mapped by itself; the initial value of
 /// the threshold in glibc.
 constexpr int LargeBlockBytes = 128 << 10;
@@ -196,7 +200,7 @@
     TimePoint now = monotonicNow();
     TimePoint end = drainEnd(now);
     logInfo("draining, for at most " + toString(end - now));
-    Timer.expires_after(end - now);
+    Timer.expires_after(end - now + DrainEndMargin);
     Timer.async_wait([this](boost::system::error_code ec) {
       if (!ec)
         stop(ExitCode::DrainTimeout);
