--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -13,7 +13,7 @@
 import endless_input
 import large_bodies
 import sanitizers
-from callers import PROMPT_KINDS, SentRequest
+from callers import KINDS as REQUEST_KINDS, PROMPT_KINDS, SentRequest
 from endless_callers import EndlessConnection
 from entry import Entry, Stop
 from http11 import Message
@@ -84,6 +84,8 @@
         return next((it for it in self.stops if it.begin <= end and begin <= it.end), None)
 
     grace_seconds = 8.0
+    varies_stops = False
+    answer_seconds = dict.fromkeys(REQUEST_KINDS, 0.02)
     outlasts_stop = World.outlasts_stop
 
     @property
@@ -431,8 +433,10 @@
 
 
 def cut_in_a_grace_period_too_short_for_it(world):
-    """A request that came before the signal, with more time of its own than the grace period has."""
+    """A request that came before the signal, and whose server takes longer than the grace period."""
     world.grace_seconds = 2.0
+    world.varies_stops = True
+    world.answer_seconds = dict.fromkeys(FakeWorld.answer_seconds, 6.0)
     world.stops.append(Stop(100.5, 102.5))
     world.change(fully_sent_at=100.0, timeout=4.8, ended=102.5, failure="gone", answer=world.sent[0].answer[:-2])
 
@@ -443,6 +447,12 @@
     world.change(ended=101.0)
 
 
+def short_and_cut_in_a_short_grace_period(world):
+    """The request's own time is longer than the grace period, but not what its server takes."""
+    cut_in_a_grace_period_too_short_for_it(world)
+    world.answer_seconds = FakeWorld.answer_seconds
+
+
 def endless_input_cut(world):
     """A caller sees input without end of a server break off; what it got is no beginning of its stream."""
     world.server.endless_inputs[ID] = "id lines"
@@ -545,6 +555,7 @@
     overloaded_after_cold_record: "cold_servers", endless_answer_received: "endless_answers_closed",
     answered_by_a_stopping_entry: "late_requests_end_with_their_answer",
     sent_late_and_cut_in_a_short_grace_period: "stops_lose_no_request",
+    short_and_cut_in_a_short_grace_period: "stops_lose_no_request",
     endless_connection_stays: "endless_connections_closed",
     small_requests_refused_beside_endless_input: "small_requests_go_on",
     killed_for_memory: "memory_kept", ended_by_itself: "entries_end_well", sanitizer_report: "no_fault_reports",
@@ -554,7 +565,8 @@
 KINDS = {missing_event: "ask", fatal_sent_too_often: "ask", fatal_part_sent_too_often: "ask", passed_on_late_and_cut: "long",
          stream_of_two_versions: "ask", resumed_at_another_version: "ask", resumptions_refused: "ask",
          resumptions_refused_without_servers: "ask", resumed_at_the_same_version: "ask",
-         sent_late_and_cut_in_a_short_grace_period: "long", repeatable_answered_by_a_stopping_entry: "safe",
+         sent_late_and_cut_in_a_short_grace_period: "long", short_and_cut_in_a_short_grace_period: "long",
+         repeatable_answered_by_a_stopping_entry: "safe",
          endless_input_cut: "ask",
          run_after_a_servers_refusal: "safe", second_run_of_a_draft: "draft", gone_on_beside_the_first_run: "ask",
          gone_on_at_another_entry_beside_the_first_run: "ask", gone_on_after_the_first_run: "ask",
