Learn from other entries what the record of a quarantine lacks

What callers saw: beside parts that crash servers, sound parts stayed quarantined while entries restarted, and parts that crash servers were sent again and again.

The entry counted the quarantine from its own start, so that the delay of its probes began anew with few crashes, and crashes that the guilty part explains spoke against sound parts.

Change: an entry reports a quarantine that it takes over from a record. An entry that knows more crashes, or that the quarantine ends more than a second earlier, repeats its own report, as it did for reports with fewer crashes; the starting entry takes the earlier end. Only an end that was read from a record is changed so. The format of the messages stays.

Evidence: LearnsFromOthersWhatARecordLacks fails with the code before and passes.

--- a/src/direct/crash_evidence.cpp
+++ b/src/direct/crash_evidence.cpp
@@ -206,17 +206,27 @@
   return hasAllServers;
 }
 
-void CrashEvidence::addRecorded(const Id128 &signature,
-                                const std::vector<uint64_t> &servers,
-                                size_t incidents, TimePoint now) {
+void CrashEvidence::quarantineByRecord(const Id128 &signature,
+                                       const std::vector<uint64_t> &servers,
+                                       size_t incidents, TimePoint until,
+                                       TimePoint now) {
   CrashSuspect &suspect = Suspects[signature];
   for (uint64_t server : servers)
     if (!isDisproved(signature, server, now))
       addServer(suspect, {server, now, false, true});
   raiseIncidents(suspect, incidents, now);
+  quarantine(signature, until, now);
+  suspect.IsEndAssumed = true;
   evictIfFull();
 }
 
+void CrashEvidence::onReportedEnd(const Id128 &signature, TimePoint until) {
+  auto it = Suspects.find(signature);
+  if (it != Suspects.end() && it->second.isQuarantined() &&
+      it->second.IsEndAssumed)
+    it->second.QuarantinedUntil = std::min(*it->second.QuarantinedUntil, until);
+}
+
 void CrashEvidence::clear(const Id128 &signature, TimePoint at, TimePoint now) {
   Clearance &clearance = Cleared[signature];
   clearance = {std::max(clearance.At, at), now, clearance.SendsLeft};
@@ -309,6 +319,7 @@
                                TimePoint now) {
   CrashSuspect &suspect = Suspects[signature];
   suspect.QuarantinedUntil = until;
+  suspect.IsEndAssumed = false;
   suspect.LastAt = now;
   scheduleReport(suspect, now);
 }
--- a/src/direct/crash_evidence.h
+++ b/src/direct/crash_evidence.h
@@ -39,6 +39,8 @@
   std::vector<TimePoint> IncidentsKnownAt;
   std::vector<CrashedServer> CrashedServers;
   std::optional<TimePoint> QuarantinedUntil;
+  /// The quarantine was read from a record, which doesn't tell when it began.
+  bool IsEndAssumed = false;
   /// Time of the last crash, or of the last start or end of a quarantine.
   TimePoint LastAt;
   /// When this entry last let a quarantined request through to test it.
@@ -75,10 +77,14 @@
   /// Adds the crashes in another entry's report that are not disproved. Returns
   /// whether none is.
   bool merge(const CrashReport &report, TimePoint now);
-  /// Adds the crashes of a recorded quarantine. Their times are not known, so
-  /// they dispute no others.
-  void addRecorded(const Id128 &signature, const std::vector<uint64_t> &servers,
-                   size_t incidents, TimePoint now);
+  /// Takes over a recorded quarantine with its crashes. Their times are not
+  /// known, so they dispute no others. The quarantine ends at `until`, unless
+  /// another entry reports an earlier time.
+  void quarantineByRecord(const Id128 &signature,
+                          const std::vector<uint64_t> &servers,
+                          size_t incidents, TimePoint until, TimePoint now);
+  /// Another entry has reported when the quarantine ends.
+  void onReportedEnd(const Id128 &signature, TimePoint until);
   /// A request with the signature was answered at `at`, which disproves the
   /// crashes before. Lifts a quarantine that rests on any of them.
   void clear(const Id128 &signature, TimePoint at, TimePoint now);
--- a/src/direct/crash_suspects.cpp
+++ b/src/direct/crash_suspects.cpp
@@ -19,6 +19,9 @@
 constexpr Duration WarmUpTime{1'000'000};
 /// Number of incidents that a record of a quarantine stands for.
 constexpr size_t RecordedIncidents = 2;
+/// Entries that convict a signature, or hear of it at once, agree on the end of
+/// its quarantine within this time.
+constexpr Duration MaxEndDifference{1'000'000};
 /// Minimum time between two probes of a signature: longer than a server takes
 /// to begin an answer.
 constexpr Duration ProbeInterval{5'000'000};
@@ -227,9 +230,16 @@
     announceAnswer(signature, *answered);
   if (wasQuarantined) {
     // The reporting entry started recently: it doesn't know the quarantine, or
-    // knows it from a record that lacks later crashes.
-    if (report.QuarantineLeftUs <= 0 || Evidence.knowsMoreThan(report))
+    // knows it from a record that lacks its begin and later crashes.
+    TimePoint reportedEnd = now + Duration(report.QuarantineLeftUs);
+    bool isEndAssumed =
+        reportedEnd >
+        *Evidence.find(signature)->QuarantinedUntil + MaxEndDifference;
+    if (report.QuarantineLeftUs <= 0 || isEndAssumed ||
+        Evidence.knowsMoreThan(report))
       Evidence.repeatReport(signature, now);
+    if (report.QuarantineLeftUs > 0)
+      Evidence.onReportedEnd(signature, reportedEnd);
     return;
   }
   if (report.QuarantineLeftUs <= 0)
@@ -316,9 +326,9 @@
   }
   if (Evidence.wasCleared(signature))
     return {};
-  Evidence.addRecorded(signature, servers, RecordedIncidents, now);
-  Evidence.quarantine(signature, now + Settings.QuarantineDuration, now);
-  Evidence.stopReport(signature); // All entries read the same record.
+  // Its report makes others tell the quarantine's end and later crashes.
+  Evidence.quarantineByRecord(signature, servers, RecordedIncidents,
+                              now + Settings.QuarantineDuration, now);
   liftCovered(now);
   updateItemCount();
   return {signature};
--- a/tests/direct/crash_suspects_test.cpp
+++ b/tests/direct/crash_suspects_test.cpp
@@ -489,6 +489,37 @@
   EXPECT_EQ(two.crashedServers(Poison).size(), 5U);
 }
 
+/// Guards against an entry that counts a recorded quarantine from its own
+/// start: it would probe the signature too soon and refuse it for too long.
+TEST(CrashSuspects, LearnsFromOthersWhatARecordLacks) {
+  CrashSuspects one({});
+  CrashSuspects two({});
+  crashInTurn(one, Poison, 1, 4);
+  for (int i = 0; i < 3; ++i)
+    one.takeReports(AllEntries, Start + 200ms);
+  TimePoint now = Start + 60s;
+  two.onQuarantineRecord(Poison, {1, 2, 3}, now);
+  one.onPeerReports(two.takeReports(AllEntries, now), now);
+  two.onPeerReports(one.takeReports(AllEntries, now), now);
+  EXPECT_EQ(two.crashedServers(Poison).size(), 4U);
+  EXPECT_EQ(quarantineLeft(two, Poison, now),
+            CrashSuspectSettings().QuarantineDuration - 60s);
+  EXPECT_EQ(quarantineLeft(one, Poison, now),
+            CrashSuspectSettings().QuarantineDuration - 60s);
+}
+
+/// Guards against a quarantine that ends early because another entry still
+/// reports the one before.
+TEST(CrashSuspects, KeepsTheEndOfItsOwnQuarantine) {
+  CrashSuspects it({});
+  crashInTurn(it, Poison, 1, 3);
+  CrashReports reports;
+  reports.Suspects = {{Poison, 2, {{1, 0}, {2, 0}, {3, 0}}, 50'000}};
+  it.onPeerReports(reports, Start);
+  EXPECT_EQ(quarantineLeft(it, Poison, Start),
+            CrashSuspectSettings().QuarantineDuration);
+}
+
 /// Guards against a sound part that stays quarantined for crashes that a guilty
 /// part explains, after other servers were seen to be running.
 TEST(CrashSuspects, LiftsAPartWhoseRemainingCrashesAreExplained) {
