--- a/tests/balancing/answer_times_test.cpp
+++ b/tests/balancing/answer_times_test.cpp
@@ -92,6 +92,14 @@
   EXPECT_EQ(unknown.estimate(Key, 300, Start), std::nullopt);
 }
 
+/// Guards against an answer of any length that is expected as soon as a short
+/// one.
+TEST(AnswerTimes, IsNoEstimateOfAnAnswerWithoutALimitFromLimitedOnes) {
+  AnswerTimes times(settings());
+  answer(times, 50ms, Start, 3, 16);
+  EXPECT_EQ(times.estimate(Key, 0, Start), std::nullopt);
+}
+
 TEST(AnswerTimes, HasAnUpperBound) {
   AnswerTimes times(settings());
   answer(times, 2s, Start, 3, 1);
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -377,5 +377,60 @@
 
 INSTANTIATE_TEST_SUITE_P(GraceSeconds, SlowAnswersTest, testing::Values(2));
 
+class RejectedRequestTest : public LateRequestTest {};
+
+/// Guards against a request from before the signal that may not be repeated,
+/// and runs at a second server which can't answer before the end.
+TEST_P(RejectedRequestTest, GoesToNoOtherServerIfItsAnswerMayNotComeInTime) {
+  test::FakeServer &other =
+      startBackend([this](const HttpRequest &what, const ExchangePtr &to) {
+        onRequest(what, to);
+      });
+  registerServer("i-2", other);
+  ASSERT_TRUE(waitReady(Stopping));
+  AnswerDelay = Duration::max();
+  auto answered = std::async(std::launch::async,
+                             [this] { return statusOfLate("/unsafe/x"); });
+  auto runs = [&] {
+    return Backend.requests().size() + other.requests().size();
+  };
+  ASSERT_TRUE(eventually([&] { return runs() == 1; }));
+  HttpRequest sent =
+      (Backend.requests().empty() ? other : Backend).requests().front();
+  drain(std::chrono::seconds(GetParam()));
+  HttpResponse rejection = signedAnswer(sent);
+  rejection.Status = 503;
+  rejection.Headers.push_back({"X-Daisytack-Not-Executed", "1"});
+  {
+    std::lock_guard guard(Lock);
+    Held.front()->respond(rejection);
+  }
+  EXPECT_EQ(answered.get(), 503U);
+  EXPECT_EQ(runs(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(GraceSeconds, RejectedRequestTest,
+                         testing::Values(3, 20));
+
+class OpenConnectionTest : public LateRequestTest {};
+
+/// Guards against a drain that ends as incomplete because a caller keeps its
+/// connection open after its request was refused.
+TEST_P(OpenConnectionTest, DelaysNoEndAfterTheLastAnswer) {
+  ASSERT_TRUE(waitReady(Stopping));
+  net::RawClient caller(Stopping.Options.Callers.Port);
+  drain(std::chrono::seconds(GetParam()));
+  std::this_thread::sleep_for(1200ms);
+  caller.send("POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\n"
+              "Content-Length: 0\r\nX-Daisytack-Request-Id: late\r\n"
+              "X-Daisytack-Deadline-Milliseconds: 30000\r\n\r\n");
+  EXPECT_NE(caller.readUntil("\r\n\r\n").find(" 503 "), std::string::npos);
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+  EXPECT_TRUE(WasComplete);
+}
+
+INSTANTIATE_TEST_SUITE_P(GraceSeconds, OpenConnectionTest,
+                         testing::Values(2, 3));
+
 } // namespace
 } // namespace daisytack::gateway
