Refuse bodies at the ports of readiness and metrics

Fifty connections to these ports, each with a body of 4 MB that stops before its end, took an entry of 110 MB to 217 MB, since the ports had the default limit on bodies and reserve no room for them. Their requests have no body; one above 1 KB now gets 413.

Measured with the case stopped_bodies of tests/process/endless_input_test.py: 217.5 MB with an entry built from, 217.9 MB before this change, 28.7 MB with it; the other cases pass as before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,9 +28,14 @@
 constexpr Duration MaxLoadAvoidance{3'000'000};
 constexpr size_t BytesPerMb = 1'000'000;
 
+/// Longest body at the ports of readiness and metrics, in bytes. Their requests
+/// have none, and bodies there have no reservation.
+constexpr size_t MaxProbeBodyBytes = 1024;
+
 net::HttpServerInit listenOn(const Endpoint &endpoint) {
   net::HttpServerInit out;
   out.Listen = endpoint;
+  out.MaxBodyBytes = MaxProbeBodyBytes;
   return out;
 }
 
--- a/tests/process/endless_input_test.py
+++ b/tests/process/endless_input_test.py
@@ -261,6 +261,22 @@
     await asyncio.gather(*[run_some(begin) for begin in range(4)])
 
 
+async def stopped_bodies(world):
+    """Many bodies that stop before their end, at the ports that take none and reserve no room for them."""
+    async def send(port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.ports[port])
+        try:
+            writer.write(http11.head_of("POST /x HTTP/1.1", {"Host": "x", "Content-Length": str(4 << 20)}))
+            for _ in range(250):
+                writer.write(PIECE)
+                await writer.drain()
+        except OSError:
+            pass  # The entry has closed the connection.
+        await asyncio.sleep(1)
+        http11.close(writer)
+    await asyncio.gather(*[send(port) for port in ("readiness", "metrics") for _ in range(25)])
+
+
 async def backend_server(world):
     """Endless answers of a backend server; each request gets an answer of the entry."""
     async def call(kind):
@@ -326,7 +342,7 @@
     await world.start()
     wanted = sys.argv[1:]
     try:
-        for case in (split_end, requests, backend_server, key_value_service, peer_entry):
+        for case in (split_end, requests, stopped_bodies, backend_server, key_value_service, peer_entry):
             if wanted and case.__name__ not in wanted:
                 continue
             try:
