--- a/tests/soak/endless_input.py
+++ b/tests/soak/endless_input.py
@@ -163,7 +163,9 @@
             if left <= 0:
                 return True
             writer.write(block)
-            await asyncio.wait_for(writer.drain(), left)
+            # wait_for() loses a cancellation that comes as its coroutine ends, before Python 3.12.
+            async with asyncio.timeout(left):
+                await writer.drain()
             if pace == "flood" and block:
                 await FLOOD_PACE.wait(len(block))
             else:
