Bound the connections at the operators' port

The operators' port of agents and entries took 20,000 connections, each of which holds a head, a body and input ahead of 16 KB each before a key is checked, 960 MB together. In the test all of 600 silent connections stayed open.

The port now takes 512, and closes further ones at once. Operators and the instances that pass their queries on use a few.

--- a/src/runtime/operator_http.cpp
+++ b/src/runtime/operator_http.cpp
@@ -21,6 +21,9 @@
 using Exchange = std::shared_ptr<net::HttpExchange>;
 
 constexpr size_t MaxBodyBytes = 16U << 10;
+/// Each holds a head, a body and input ahead of 16 KB each at most, before a
+/// key is checked.
+constexpr size_t MaxConnections = 512;
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNotReady = 503;
 constexpr std::string_view BearerPrefix = "Bearer ";
@@ -101,6 +104,7 @@
     net::HttpServerInit out;
     out.Listen = Init.Settings.Listen;
     out.MaxBodyBytes = MaxBodyBytes;
+    out.MaxConnections = MaxConnections;
     return out;
   }
 
--- a/tests/operators/operator_http_test.cpp
+++ b/tests/operators/operator_http_test.cpp
@@ -4,6 +4,7 @@
 #include "base/request_id.h"
 #include "query/answer.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
@@ -415,6 +416,34 @@
   EXPECT_EQ(sendCommand("stop " + toHex(gone), "otto").Status, 404U);
 }
 
+/// Guards against a port that holds heads and bodies of any number of
+/// connections before a key is checked.
+TEST_F(OperatorRoutes, ConnectionsAreBounded) {
+  constexpr size_t Connections = 600;
+  constexpr size_t MaxOpen = 512;
+  boost::asio::io_context other;
+  boost::asio::ip::tcp::endpoint address{
+      boost::asio::ip::make_address("127.0.0.1"),
+      Processes["agent-1"].Http->port()};
+  std::vector<boost::asio::ip::tcp::socket> sockets;
+  Io.restart();
+  for (size_t i = 0; i < Connections; ++i) {
+    sockets.emplace_back(other).connect(address);
+    sockets.back().non_blocking(true);
+    Io.poll();
+  }
+  Io.run_for(std::chrono::milliseconds(200));
+  size_t open = 0;
+  for (auto &it : sockets) {
+    char c = 0;
+    boost::system::error_code ec;
+    it.read_some(boost::asio::buffer(&c, 1), ec);
+    open += ec == boost::asio::error::would_block ? 1 : 0;
+  }
+  EXPECT_LE(open, MaxOpen);
+  EXPECT_GT(open, MaxOpen / 2);
+}
+
 TEST(Answers, RoundTripThroughJson) {
   query::Answer it;
   it.Rows.Columns = {
