Name the requests beside a wrong exit code, and allow any early signal to end a process

start_series.py allowed only the first signal of a series to end a process before main(). A signal that was not sent is still wrong.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -41,7 +41,11 @@
         world.wrong_ends.append(f"{entry.name} still ran {entry.grace_seconds:.0f} s after SIGTERM, with unanswered {left}")
         entry.kill()
     elif entry.ended() != 0 and not (entry.ended() == DRAIN_TIMEOUT_CODE and world.was_too_short(stop, entry)):
-        world.wrong_ends.append(f"{entry.name} ended with {entry.ended()} after SIGTERM")
+        left = [f"{it.id} ({it.kind}, sent at {it.at - stop.begin:.1f} s, timeout {it.timeout} s, ended at "
+                f"{it.ended - stop.begin:.1f} s)" for it in world.sent
+                if it.entry == entry.name and it.at < stop.end and (not it.ended or it.ended > stop.end - 1)]
+        world.wrong_ends.append(f"{entry.name} ended with {entry.ended()} {stop.end - stop.begin:.1f} s after SIGTERM, "
+                                f"with {left}")
     entry.start()
 
 
--- a/tests/soak/start_series.py
+++ b/tests/soak/start_series.py
@@ -154,12 +154,12 @@
         last = re.sub(r"^\S+ ", "", lines[-1]) if lines else "no line"
         last = re.sub(r"\d+", "N", last)
         self.ends[(way, code, "early" if was_early else "", last)] += 1
-        first = SIGNALS[way][0]
         allowed = {0}
         if signal.SIGKILL in SIGNALS[way]:
             allowed.add(-signal.SIGKILL)
         if was_early:
-            allowed.add(-first)
+            # Signals that came while all were blocked, as a thread was created, are delivered by their numbers.
+            allowed.update(-it for it in SIGNALS[way])
         reports = [it for it in lines if sanitizers.REPORT.search(it)]
         if code not in allowed or reports:
             self.problems.append(f"round {number}: {way}, {how}{', before main()' if was_early else ''}: ended with "
