Take the start for the last tick until the first one

By reading: an entry that got SIGTERM before its first tick took the signal for one sent when the machine had started, so that its drain was over at once, and connections that it had taken were reset.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -331,6 +331,8 @@
              {"service", toString(Options.Store)}},
             monotonicNow());
   State.Suspects.onStart(monotonicNow());
+  // A signal may come before the first tick.
+  LastTickAt = monotonicNow();
   bool isUp = CallerServer.start(reason) && ReadinessServer.start(reason) &&
               MetricsServer.start(reason) && Peers->start(reason) &&
               PeerLoads->start(reason);
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -162,6 +162,19 @@
   EXPECT_TRUE(eventually([&] { return Drained.load(); }));
 }
 
+/// Guards against an entry that is stopped right after its start, takes the
+/// signal for one that was sent long ago, and ends at once with open
+/// connections.
+TEST_F(DrainTest, KeepsItsPlanIfTheSignalComesRightAfterTheStart) {
+  Entry &fresh = start("e9", KvService.address());
+  fresh.Daemon.drain(monotonicNow() + 1500ms, [this](bool) { Drained = true; });
+  net::RawClient caller(fresh.Options.Callers.Port);
+  caller.send(streamRequest("r1"));
+  std::string got = caller.readAll();
+  EXPECT_NE(got.find(" 503 "), std::string::npos) << got;
+  EXPECT_TRUE(eventually([&] { return Drained.load(); }));
+}
+
 /// Guards against requests that a stop cuts without a trace: an operator could
 /// not tell which they were, nor whether they may be repeated.
 TEST_F(DrainTest, LogsEachRequestThatItCuts) {
