--- a/tests/net_frame/unproven_peer_test.cpp
+++ b/tests/net_frame/unproven_peer_test.cpp
@@ -88,8 +88,9 @@
 
   std::atomic<int> Opened{0};
   std::atomic<ErrorKind> Reason{ErrorKind::None};
-  std::optional<FrameServer> Server;
   IoThreads Threads{1};
+  /// Its timers use the I/O context.
+  std::optional<FrameServer> Server;
 };
 
 /// Guards against 8 MB that each of many connections without a key could make
