--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -50,6 +50,7 @@
 
 admission::RequestMemorySettings bodySettings(const GatewayOptions &options) {
   admission::RequestMemorySettings out;
+  // The limit stays at its minimum, as it is told no use of the process.
   out.MinLimitBytes =
       std::max(options.MemoryBytes / BodyShareDivisor, MinBodyBytes);
   // Senders are not told apart, as none of them proves who it is.
