Treat a response with an undefined status as malformed

What callers saw: a server in trouble sent an answer with status 000, and the caller got it as an answer: "HTTP/1.1 0 <unknown-status>" with the server's body, on each kind of route. 600 to 999 were passed on as well.

Cause: the HTTP library accepts any three digits, and nothing checked them after it. What is below 500 counted as an error of the caller's, so that the attempt was taken for answered. Behind an agent, an engine's status below 500 even means that the request was not run; to the key-value client, that nothing was written.

Evidence: without the change, 500 of 500 statuses outside 100 to 599 are accepted (MalformedResponse.StatusOutsideTheDefinedRangeIsAnError, all of 000 to 999), and BrokenAnswerTest.StatusThatIsNoneIsNotPassedOn fails for each of five statuses on each of three kinds of routes. Both pass now.

Why this works: every answer, of servers, engines, stores, the key-value service and peers, is read by HttpClientCall::onHead(), which now ends the call with ProtocolError, as for bytes that are no response. All readers treat that as "may have run" or "may have been written". RFC 9110, 15 asks to treat such a response as a 5xx.

Handled before, tests kept: status lines with two or four digits, other versions, blanks and control bytes (MalformedResponse.StatusLineThatIsNoneIsAnError).

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -243,6 +243,9 @@
   const auto &message = Response->parser().get();
   size_t n = Response->headBytes();
   unsigned status = message.result_int();
+  // The parser accepts any three digits.
+  if (!isDefinedStatus(status))
+    return failProtocol("a response with an undefined status");
   if (status == StatusSwitchingProtocols)
     return failProtocol("a switch to another protocol");
   if (isInterim(status)) {
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -18,6 +18,11 @@
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
 
+/// Whether a response may have the status (RFC 9110, 15). Any other status
+/// makes the response malformed.
+constexpr bool isDefinedStatus(unsigned status) {
+  return status >= 100 && status < 600;
+}
 /// Whether the final response follows on the connection.
 constexpr bool isInterim(unsigned status) {
   return status >= 100 && status < 200 && status != StatusSwitchingProtocols;
