--- /dev/null
+++ b/tests/edge/broken_answer_test.cpp
@@ -0,0 +1,65 @@
+/// Tests of what the adapters to engines, services and stores believe of an
+/// answer that is broken.
+#include "edge/edge_rig.h"
+#include "edge/service.h"
+#include "net_http/scripted_server.h"
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace daisytack::edge::test {
+namespace {
+
+using net::ScriptedServer;
+using net::tcp;
+
+/// Sends the answer to a call that it reads whole.
+ScriptedServer::Step answerWith(const std::string &answer) {
+  return [answer](tcp::socket &s) {
+    net::readCall(s);
+    net::ErrorCode ignored;
+    net::asio::write(s, net::asio::buffer(answer), ignored);
+  };
+}
+
+std::string answerOfStatus(const std::string &status) {
+  return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}";
+}
+
+/// Runs one request against an engine, or a plain service.
+serve::RunFailed run(const ScriptedServer &server, bool isService) {
+  EdgeRig rig([](const auto &, const auto &) {});
+  serve::StartRun start = startOf(isService ? "{}" : R"({"prompt":"p"})");
+  std::vector<serve::AgentInput> inputs;
+  if (isService) {
+    auto offer = std::make_shared<wire::Offer>(*start.Offer);
+    offer->Call = {"POST", "/call", {}};
+    start.Offer = offer;
+    Service service =
+        makeHttpService(rig.Client, server.endpoint(), rig.sink());
+    service.Start(start);
+    inputs = rig.wait(1);
+  } else {
+    Engine engine =
+        makeHttpEngine(rig.Client, {server.endpoint(), {}}, rig.sink());
+    engine.Start(start);
+    inputs = rig.wait(1);
+  }
+  const auto *out = std::get_if<serve::RunFailed>(&inputs.at(0));
+  EXPECT_NE(out, nullptr);
+  return out ? *out : serve::RunFailed{};
+}
+
+/// Guards against a request that is sent to a second server, or said not to
+/// have run, because of an answer that says nothing.
+TEST(BrokenAnswer, RunWithAnUndefinedStatusMayHaveRun) {
+  for (const std::string status : {"000", "001", "099", "600", "999"})
+    for (bool isService : {false, true}) {
+      ScriptedServer server({answerWith(answerOfStatus(status))});
+      EXPECT_EQ(run(server, isService).RunOutcome, Outcome::MayHaveRun)
+          << status << (isService ? " of a service" : " of an engine");
+    }
+}
+
+} // namespace
+} // namespace daisytack::edge::test
