Count a response that its connection ends only after the request is sent

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer, with a Content-Length of its own. Context counted as saved in a store, or imported by an engine, in the same way.

Cause: a response with neither a length nor chunks is complete at the end of its connection, unless that failed (RFC 9112, 8). The system reports a reset once, to whichever call comes first. While the request is being written that is mostly the write, whose error was noted only for the reuse of the connection; the read behind it saw an orderly end. Without any race, an end that came while the request was still being written completed the response, and a reset after it was not seen.

Change: an end of the input that completes a response waits for the result of the write. An error of the write ends the call with ServerLost, in any order of the two. A server that doesn't read the rest of the request within a second of its end is given up, so that a call without a timeout can't wait forever.

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -162,7 +162,7 @@
   if (Options.ResponseKey)
     Connection->ResponseKeys.push_back(*Options.ResponseKey);
   MayHaveSent = true;
-  IsSent = false;
+  SendResult.reset();
   if (Message.body().size() > MaxBytesBeforeRead)
     readHead();
   http::async_write(
@@ -176,7 +176,7 @@
 void HttpClientCall::onSent(ErrorCode ec, size_t n) {
   if (Finished)
     return;
-  IsSent = !ec;
+  SendResult = ec;
   if (ec && n == 0 && !IsReading) {
     MayHaveSent = false;
     if (retryOnNewConnection())
@@ -184,6 +184,8 @@
     return fail(ec, "send");
   }
   dropSentBody();
+  if (AfterSend)
+    return (this->*std::exchange(AfterSend, nullptr))(ec);
   // Read even after a failed write: a server may respond before it has read the
   // whole request and then close the connection.
   if (!IsReading)
@@ -219,20 +221,30 @@
   parseHead();
 }
 
-void HttpClientCall::readInput(void (HttpClientCall::*then)(ErrorCode)) {
+void HttpClientCall::readInput(InputStep then) {
   readSome(Connection->Socket, Connection->Input, InputReadBytes, CallStrand,
            [self = shared_from_this(), connection = Connection,
             then](ErrorCode ec, size_t n) {
              if (self->Finished)
                return;
              if (ec == asio::error::eof)
-               ec = self->Response->endInput();
+               return self->onInputEnd(then);
              if (n == self->InputReadBytes)
                self->InputReadBytes = std::min(2 * n, LongReadBytes);
              (self.get()->*then)(ec);
            });
 }
 
+void HttpClientCall::onInputEnd(InputStep then) {
+  ErrorCode ec = Response->endInput();
+  if (ec || isSent())
+    return (this->*then)(ec);
+  if (SendResult)
+    return (this->*then)(*SendResult);
+  AfterSend = then;
+  armTimer(SendTimeoutAfterEnd);
+}
+
 void HttpClientCall::onHead(ErrorCode ec) {
   if (ec) {
     bool mayRetry = Init.RetriesSafeMethods && isSafe(Message.method());
@@ -353,7 +365,7 @@
 
 void HttpClientCall::dropSentBody() {
   // Without any byte of a response, the request may be sent once more.
-  if (!IsSent || !AnyReceived)
+  if (!isSent() || !AnyReceived)
     return;
   Message.body() = {};
   Body.reset();
@@ -401,7 +413,7 @@
 
 void HttpClientCall::complete() {
   bool mayReuse =
-      !Options.UsesOwnConnection && IsSent && MayKeepAlive &&
+      !Options.UsesOwnConnection && isSent() && MayKeepAlive &&
       Connection->Input.size() == 0 &&
       Connection->ResponseKeys.size() < HttpClientConnection::MaxResponseKeys;
   if (mayReuse) {
@@ -438,6 +450,8 @@
 }
 
 void HttpClientCall::onTimeout() {
+  if (AfterSend)
+    return fail(asio::error::timed_out, "request");
   if (!MayHaveSent)
     return finish(
         {ErrorKind::ServiceUnavailable, toString(To) + ": no connection"});
--- a/src/net/http_client_call.h
+++ b/src/net/http_client_call.h
@@ -119,12 +119,17 @@
   /// For a longer request body, reading the response starts together with the
   /// write, since a server may respond before it has read the whole request.
   static constexpr size_t MaxBytesBeforeRead = 16U << 10;
+  /// A server that has ended its response by closing its half of the connection
+  /// has this long to read the rest of the request.
+  static constexpr std::chrono::seconds SendTimeoutAfterEnd{1};
 
   void begin();
   void connect();
   void onConnected(ErrorCode ec);
   void send();
   void onSent(ErrorCode ec, size_t n);
+  /// Whether the whole request was written to the socket.
+  bool isSent() const { return SendResult && !*SendResult; }
   /// Begins to read a response.
   void readHead();
   /// Reads the next response after one that is not for this request. Posted, so
@@ -132,9 +137,15 @@
   void readNextHead();
   void parseHead();
   void onHead(ErrorCode ec);
-  /// Reads some input and calls the function. The error is that of the message
-  /// if the connection's input has ended; none if that completes it.
-  void readInput(void (HttpClientCall::*then)(ErrorCode));
+  /// A step that follows a read.
+  using InputStep = void (HttpClientCall::*)(ErrorCode);
+  /// Reads some input and calls the step. The error is that of the message if
+  /// the connection's input has ended; none if that completes it.
+  void readInput(InputStep then);
+  /// The connection's input has ended. A response that this completes counts
+  /// only once the request is sent without an error: the system reports a reset
+  /// once, to the write or to the read, and the other one sees an orderly end.
+  void onInputEnd(InputStep then);
   void onHeadInput(ErrorCode ec);
   void readBody();
   void onBodyInput(ErrorCode ec);
@@ -192,7 +203,10 @@
   bool Reused = false;
   bool MayHaveSent = false; ///< Part of the request may have been sent.
   bool AnyReceived = false;
-  bool IsSent = false; ///< The whole request was written to the socket.
+  /// Of writing the request; empty while it is being written.
+  std::optional<ErrorCode> SendResult;
+  /// Called after the write, for which an end of the input waits; or null.
+  InputStep AfterSend = nullptr;
   bool IsReading = false;
   std::atomic<bool> IsPaused{false};
   bool WaitsForResume = false; ///< The next read was left out in a pause.
--- a/tests/edge/broken_answer_test.cpp
+++ b/tests/edge/broken_answer_test.cpp
@@ -2,6 +2,7 @@
 /// answer that is broken.
 #include "edge/edge_rig.h"
 #include "edge/service.h"
+#include "edge/store.h"
 #include "net_http/scripted_server.h"
 
 #include <boost/asio/write.hpp>
@@ -26,6 +27,21 @@
   return "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}";
 }
 
+/// Sends a success without a length to a call whose body it doesn't read, and
+/// resets the connection.
+void answerAndReset(tcp::socket &s) {
+  net::readRequest(s);
+  net::ErrorCode ignored;
+  net::asio::write(s, net::asio::buffer(std::string("HTTP/1.1 200 X\r\n\r\n")),
+                   ignored);
+  s.set_option(net::asio::socket_base::linger(true, 0), ignored);
+  s.close(ignored);
+}
+
+std::shared_ptr<const std::string> longPiece() {
+  return std::make_shared<const std::string>(8U << 20, 'x');
+}
+
 /// Runs one request against an engine, or a plain service.
 serve::RunFailed run(const ScriptedServer &server, bool isService) {
   EdgeRig rig([](const auto &, const auto &) {});
@@ -61,5 +77,23 @@
     }
 }
 
+/// Guards against context that counts as saved or imported because the answer
+/// ended with its connection, which was reset under the upload.
+TEST(BrokenAnswer, UploadThatWasResetIsNotDone) {
+  ScriptedServer server({answerAndReset, answerAndReset});
+  EdgeRig rig([](const auto &, const auto &) {});
+  Stores stores = makeHttpStores(rig.Client, {server.endpoint()}, rig.sink());
+  stores.Call(
+      {1, {0}, serve::WritePiece{{}, 1, longPiece()}, Duration(5'000'000)});
+  auto inputs = rig.wait(1);
+  EXPECT_TRUE(std::holds_alternative<Error>(
+      std::get<serve::StoreAnswer>(inputs.at(0)).Result));
+  Engine engine =
+      makeHttpEngine(rig.Client, {server.endpoint(), {}}, rig.sink());
+  engine.Import({2, {}, longPiece()});
+  inputs = rig.wait(2);
+  EXPECT_TRUE(std::get<serve::PieceImport>(inputs.at(1)).Why);
+}
+
 } // namespace
 } // namespace daisytack::edge::test
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/gateway_fixture.h"
 #include "net_http/scripted_server.h"
 
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -16,6 +17,8 @@
 using net::ConnectionServer;
 using net::tcp;
 
+constexpr size_t LongBodyBytes = 4U << 20;
+
 /// What a server sends that answers as it should, but for what is passed.
 std::string answerWith(const std::string &status,
                        const std::string &fields = "Content-Length: 5\r\n",
@@ -92,5 +95,33 @@
   expectBadGateway(answers);
 }
 
+/// Guards against the part of an answer that came before a reset reaching a
+/// caller with a length of its own.
+TEST_F(BrokenAnswerTest, PartBeforeAResetIsNotPassedOnAsWhole) {
+  const std::vector<std::string> statuses{"200", "201", "404", "413", "500"};
+  ConnectionServer server([&](tcp::socket &s) {
+    std::string call;
+    net::ErrorCode ignored;
+    net::asio::read_until(s, net::asio::dynamic_buffer(call), "\r\n\r\n",
+                          ignored);
+    if (call.empty())
+      return;
+    size_t number = std::stoul(call.substr(call.find('/', 6) + 1));
+    std::string answer = answerWith(statuses.at(number), "");
+    net::asio::write(s, net::asio::buffer(answer), ignored);
+    s.set_option(net::asio::socket_base::linger(true, 0), ignored);
+    s.close(ignored);
+  });
+  Entry &entry = startBefore(server.endpoint());
+  for (size_t i = 0; i < statuses.size(); ++i)
+    for (const auto &[prefix, kind] : Routes) {
+      HttpRequest upload = request(prefix + std::to_string(i));
+      upload.Body = std::string(LongBodyBytes, 'x');
+      Fetched got = fetch(entry.Options.Callers, upload);
+      EXPECT_EQ(got.Response.Status, 502U)
+          << kind << " " << statuses[i] << got.Reason.Detail;
+    }
+}
+
 } // namespace
 } // namespace daisytack::gateway
