Refuse responses whose header section has continuation lines

What callers saw: a line in the head of an answer that began with a blank, such as " Transfer-Encoding: chunked", was joined to the field before it. The caller got "A: b Transfer-Encoding: chunked" and the chunks' framing as the body, which is not the server's; with " Content-Length: 5", what came until the end of the connection.

Cause: the HTTP library replaces an obsolete line folding (RFC 9112, 5.2) by a blank. Requests were checked for it before they were parsed, responses were not.

Change: MessageReader, through which every head is read in both directions, refuses what it consumed if a line in it begins with a blank. The parser consumes whole fields with their continuation lines, so that it doesn't matter in which pieces the bytes come (MessageReader.RefusesContinuationLinesInAnyPieces). The check of requests moved there. RFC 9112 lets a gateway refuse or join; joined, a field that frames the body is lost, so that only a refusal is safe.

Handled before, tests kept: every byte that is no character of a token, at the beginning, inside and at the end of a name, also in the first line, in the names of framing fields and of trailer fields; control bytes in values and reasons.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -216,11 +216,8 @@
 void HttpConnection::parseHeader() {
   std::string_view received = Input.view();
   size_t limit = Message->maxHeadBytes();
-  size_t end = received.find(HeaderEnd, ScannedBytes);
-  if (end != std::string_view::npos)
-    return onHeader(hasFoldedLine(received.substr(0, end))
-                        ? http::error::bad_value
-                        : Message->parseHead(Input));
+  if (received.find(HeaderEnd, ScannedBytes) != std::string_view::npos)
+    return onHeader(Message->parseHead(Input));
   if (received.size() >= limit)
     return onHeader(http::error::header_limit);
   ScannedBytes = received.size() - std::min(received.size(), HeaderEnd.size());
--- a/src/net/http_input.cpp
+++ b/src/net/http_input.cpp
@@ -17,11 +17,6 @@
 
 } // namespace
 
-bool hasFoldedLine(std::string_view head) {
-  return head.find("\r\n ") != std::string_view::npos ||
-         head.find("\r\n\t") != std::string_view::npos;
-}
-
 bool isFramingValid(const http::request<http::string_body> &message) {
   size_t lengths = message.count(http::field::content_length);
   size_t codings = message.count(http::field::transfer_encoding);
--- a/src/net/http_input.h
+++ b/src/net/http_input.h
@@ -7,16 +7,10 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <string_view>
-
 namespace daisytack::net {
 
 namespace http = boost::beast::http;
 
-/// Whether the header section has a continuation line. These are obsolete (RFC
-/// 9112, 5.2), and implementations interpret them differently.
-bool hasFoldedLine(std::string_view head);
-
 /// Whether the length of the message is unambiguous (RFC 9112, 6.3) and it has
 /// exactly one Host header (3.2; optional in HTTP/1.0). Otherwise two
 /// implementations could read different requests from the same bytes (request
--- a/src/net/message_reader.h
+++ b/src/net/message_reader.h
@@ -29,6 +29,13 @@
 /// and 7.1.2); the parser holds each of them until it is whole.
 constexpr size_t MaxChunkExtraBytes = 4096;
 
+/// Whether the header section has a continuation line. These are obsolete (RFC
+/// 9112, 5.2), and implementations interpret them differently.
+inline bool hasFoldedLine(std::string_view head) {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 /// Sets the limit of the buffer that it parses, according to the state of the
 /// message. What remains in the buffer when more input is needed is below that
 /// limit.
@@ -50,13 +57,19 @@
   size_t headBytes() const { return HeadBytes; }
 
   /// Parses the first line and the headers. need_more: read further input
-  /// first.
+  /// first. bad_value: a field has an invalid value, or continues on a second
+  /// line.
   ErrorCode parseHead(InputBuffer &input) {
     input.setLimit(MaxHeadBytes);
     ErrorCode ec;
     size_t n = Message.put(input.data(), ec);
+    // The parser joins the lines of a field, so that one that frames the body
+    // would become part of another one's value. It consumes whole fields.
+    bool isFolded = hasFoldedLine(input.view().substr(0, n));
     input.consume(n);
     HeadBytes += n;
+    if (isFolded)
+      return http::error::bad_value;
     bool needsMore = ec == http::error::need_more;
     if (HeadBytes > MaxHeadBytes ||
         (needsMore && HeadBytes + input.size() >= MaxHeadBytes))
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -123,5 +123,19 @@
     }
 }
 
+/// Guards against a line whose name is none reaching a caller, and against a
+/// field that frames the body being lost in the value of the one before it.
+TEST_F(BrokenAnswerTest, LineThatIsNoFieldIsNotPassedOn) {
+  const std::string length = "Content-Length: 5\r\n";
+  std::vector<std::string> answers{
+      answerWith("200", "A: b\r\n Transfer-Encoding: chunked\r\n",
+                 "5\r\nwhole\r\n0\r\n\r\n"),
+      answerWith("200", "A: b\r\n Content-Length: 5\r\n"),
+      answerWith("200", "A: b\r\n\tc\r\n" + length)};
+  for (const std::string name : {"A b", "A ", "A\t", "A\x01", "A\x7f", "\x01"})
+    answers.push_back(answerWith("200", length + name + ": c\r\n"));
+  expectBadGateway(answers);
+}
+
 } // namespace
 } // namespace daisytack::gateway
--- a/tests/net_http/malformed_response_test.cpp
+++ b/tests/net_http/malformed_response_test.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cctype>
+#include <cstdio>
 #include <string>
 #include <vector>
 
@@ -51,6 +54,33 @@
       << name << ": " << got.Reason.Detail;
 }
 
+/// A character of a token (RFC 9110, 5.6.2), such as the name of a field.
+bool isTokenChar(unsigned char c) {
+  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  bool isAlphanumeric = c < 0x80 && std::isalnum(c) != 0;
+  return isAlphanumeric ||
+         Others.find(static_cast<char>(c)) != std::string_view::npos;
+}
+
+/// A character of a field's value or a reason phrase (RFC 9110, 5.5; RFC 9112,
+/// 4).
+bool isTextChar(unsigned char c) {
+  return c == '\t' || (c >= 0x20 && c != 0x7f);
+}
+
+/// A line with the character before, between and after others.
+std::vector<std::string> withCharAt(const std::string &before, char c,
+                                    const std::string &after) {
+  return {before + c + "ab" + after, before + "a" + c + "b" + after,
+          before + "ab" + c + after};
+}
+
+std::string hexOf(unsigned char c) {
+  std::array<char, 8> out{};
+  std::snprintf(out.data(), out.size(), "0x%02x", c);
+  return out.data();
+}
+
 /// Guards against a status that is none, such as 000, reaching a caller as an
 /// answer, and against a request that is said not to have run for its sake.
 TEST(MalformedResponse, StatusOutsideTheDefinedRangeIsAnError) {
@@ -91,5 +121,99 @@
     expectRejected(got[i], lines[i]);
 }
 
+/// Guards against a line whose name is none, for example with a blank or a
+/// control byte, being passed on, or hiding where the body ends.
+TEST(MalformedResponse, FieldNameThatIsNoTokenIsAnError) {
+  for (const std::string name : {"", "Content-Length", "Transfer-Encoding"}) {
+    std::vector<std::string> responses;
+    std::vector<unsigned char> chars;
+    for (unsigned c = 0; c <= 0xff; ++c) {
+      if (c == ':')
+        continue; // Ends the name.
+      for (const std::string &line :
+           withCharAt(name, static_cast<char>(c), ": 2")) {
+        responses.push_back(responseWith("HTTP/1.1 200 X", line));
+        chars.push_back(static_cast<unsigned char>(c));
+      }
+    }
+    std::vector<HttpFixture::Fetched> got = fetchEach(responses);
+    for (size_t i = 0; i < got.size(); ++i) {
+      std::string what =
+          name + " " + hexOf(chars[i]) + " at " + std::to_string(i % 3);
+      if (isTokenChar(chars[i]))
+        expectAccepted(got[i], what);
+      else
+        expectRejected(got[i], what);
+    }
+  }
+}
+
+TEST(MalformedResponse, FieldWithoutANameOrAColonIsAnError) {
+  const std::vector<std::string> lines{": b",    "a",     "a b",    " a: b",
+                                       "\ta: b", "a : b", "a\t: b", " "};
+  std::vector<std::string> responses;
+  for (const std::string &line : lines)
+    responses.push_back(responseWith("HTTP/1.1 200 X", line));
+  std::vector<HttpFixture::Fetched> got = fetchEach(responses);
+  for (size_t i = 0; i < got.size(); ++i)
+    expectRejected(got[i], lines[i]);
+}
+
+/// Guards against a field that frames the body being joined to the value of the
+/// field before it, so that the body is another one than the server's.
+TEST(MalformedResponse, ContinuationLineIsAnError) {
+  std::vector<std::string> responses;
+  for (const std::string line :
+       {" Transfer-Encoding: chunked", "\tTransfer-Encoding: chunked",
+        " Content-Length: 3", "\tContent-Length: 3", " ", "\t", "  b"})
+    for (const std::string field : {"A: c", "A:", "Date: c", "Connection: c"})
+      responses.push_back(
+          responseWith("HTTP/1.1 200 X", field + "\r\n" + line));
+  // The last line of the head, and the only framing.
+  responses.emplace_back("HTTP/1.1 200 X\r\nA: b\r\n"
+                         " Transfer-Encoding: chunked\r\n\r\n"
+                         "4\r\nbody\r\n0\r\n\r\n");
+  std::vector<HttpFixture::Fetched> got = fetchEach(responses);
+  for (size_t i = 0; i < got.size(); ++i)
+    expectRejected(got[i], responses[i]);
+}
+
+TEST(MalformedResponse, NameOfATrailerFieldThatIsNoTokenIsAnError) {
+  std::vector<std::string> responses;
+  const std::vector<std::string> names{"A b", " A", "A ", "A\x01", "\x7f", ""};
+  for (const std::string &name : names)
+    responses.push_back("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "4\r\nbody\r\n0\r\n" +
+                        name + ": c\r\n\r\n");
+  std::vector<HttpFixture::Fetched> got = fetchEach(responses);
+  for (size_t i = 0; i < got.size(); ++i)
+    expectRejected(got[i], names[i]);
+}
+
+TEST(MalformedResponse, ControlByteInAValueOrReasonIsAnError) {
+  std::vector<std::string> responses;
+  std::vector<unsigned char> chars;
+  for (unsigned c = 0; c <= 0xff; ++c) {
+    for (const std::string &line :
+         withCharAt("A: ", static_cast<char>(c), "")) {
+      responses.push_back(responseWith("HTTP/1.1 200 X", line));
+      chars.push_back(static_cast<unsigned char>(c));
+    }
+    for (const std::string &line :
+         withCharAt("HTTP/1.1 200 ", static_cast<char>(c), "")) {
+      responses.push_back(responseWith(line));
+      chars.push_back(static_cast<unsigned char>(c));
+    }
+  }
+  std::vector<HttpFixture::Fetched> got = fetchEach(responses);
+  for (size_t i = 0; i < got.size(); ++i) {
+    std::string what = hexOf(chars[i]) + " at " + std::to_string(i % 6);
+    if (isTextChar(chars[i]))
+      expectAccepted(got[i], what);
+    else
+      expectRejected(got[i], what);
+  }
+}
+
 } // namespace
 } // namespace daisytack::net
--- a/tests/net_http/message_reader_test.cpp
+++ b/tests/net_http/message_reader_test.cpp
@@ -56,6 +56,8 @@
   for (const std::string &message :
        {std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
         std::string("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"),
+        std::string("GET / HTTP/1.1\r\nHost: a\r\nA: b\r\n c\r\n\r\n"),
+        std::string("GET / HTTP/1.1\r\nHost: a\r\nA: b\r\n\t\r\n\r\n"),
         chunkedRequest("0\r\n\r\n"), chunkedRequest("0\r\nA: b\r\n\r\n"),
         chunkedRequest("1\r\nx\r\n0\r\n\r\n"),
         chunkedRequest("1;a=b\r\nx\r\n0;c\r\nA: b\r\nC: d\r\n\r\n"),
@@ -75,6 +77,19 @@
   }
 }
 
+/// Guards against a field being joined to the one before it.
+TEST(MessageReader, RefusesContinuationLinesInAnyPieces) {
+  const std::string head = "POST / HTTP/1.1\r\nHost: a\r\n";
+  for (const std::string line : {" Content-Length: 3", "\tb", " ", "\t"})
+    for (const std::string rest : {"", "A: b\r\n"})
+      for (size_t piece : {1U, 2U, 3U, 5U, 7U, 1000U}) {
+        std::string message = head + line + "\r\n" + rest + "\r\n";
+        EXPECT_EQ(parse(message, piece).Error,
+                  ErrorCode(http::error::bad_value).message())
+            << piece << ": " << message;
+      }
+}
+
 /// The limit holds for a message, not for each of its lines.
 TEST(MessageReader, LimitsAllExtensionsTogether) {
   std::string chunks;
