Refuse transfer codings of HTTP/1.0 responses

What callers saw: an answer of HTTP/1.0 in chunks was taken as whole. RFC 9112, 6.1 treats such framing as faulty: a recipient of HTTP/1.0 reads the chunks' framing as the body, so that nobody can say which body the server meant.

Cause: the check of a response's framing, unlike that of a request's, didn't look at the version.

Evidence: MalformedResponse.TransferCodingOfHttp10IsAnError failed before and passes now. The call ends with ProtocolError, as for other ambiguous lengths.

--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -63,7 +63,10 @@
   size_t codings = message.count(http::field::transfer_encoding);
   if (lengths > 1 || codings > 1 || (lengths == 1 && codings == 1))
     return false;
-  return codings == 0 ||
+  if (codings == 0)
+    return true;
+  // Transfer codings are not defined before HTTP/1.1 (RFC 9112, 6.1).
+  return message.version() >= HttpVersion11 &&
          boost::beast::iequals(message[http::field::transfer_encoding],
                                "chunked");
 }
--- a/tests/net_http/malformed_response_test.cpp
+++ b/tests/net_http/malformed_response_test.cpp
@@ -178,6 +178,14 @@
     expectRejected(got[i], responses[i]);
 }
 
+/// Guards against an answer whose end two implementations see in two places.
+TEST(MalformedResponse, TransferCodingOfHttp10IsAnError) {
+  expectRejected(fetchEach({"HTTP/1.0 200 X\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n4\r\nbody\r\n0\r\n\r\n"})
+                     .at(0),
+                 "HTTP/1.0");
+}
+
 TEST(MalformedResponse, NameOfATrailerFieldThatIsNoTokenIsAnError) {
   std::vector<std::string> responses;
   const std::vector<std::string> names{"A b", " A", "A ", "A\x01", "\x7f", ""};
