Take only a refusal's status to mean "not run" or "not written"

What callers saw: nothing known; found while the readers of answers were checked for the same class. An engine's answer 202, 204 or 302 to a run was reported as "not run", on which a request that may run once is sent to a second server. A write to the key-value service answered with 201 to 399 was believed not to have been done, on which for example a key of an at-most-once request counts as unbound.

Cause: every status below 500 counted as a refusal, where the comments spoke of client errors. The undefined statuses below 100 fell into the same gap.

Change: net::isRefusal() says which statuses promise that nothing was done, 4xx and 503, for all three readers. etcd's 503 stays unknown, as before.

--- a/src/edge/engine_http.cpp
+++ b/src/edge/engine_http.cpp
@@ -45,9 +45,8 @@
   return out;
 }
 
-/// The result of a run that the engine answered with an error status. A client
-/// error, 503 or 429 says that it was not run; another server error may have
-/// occurred while it ran.
+/// The result of a run that the engine answered with another status than 200. A
+/// refusal says that it was not run; after others it may have been.
 serve::RunFailed failureOfStatus(const serve::RunToken &run, unsigned status,
                                  const std::string &body) {
   ErrorKind kind = ErrorKind::ServerFailed;
@@ -57,9 +56,8 @@
     kind = ErrorKind::Overloaded;
   Error why{kind, "engine answered " + std::to_string(status) + ": " +
                       body.substr(0, MaxErrorBytes)};
-  bool mayHaveRun = net::isServerError(status) && status != StatusUnavailable;
   return {run, std::move(why),
-          mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun};
+          net::isRefusal(status) ? Outcome::NotRun : Outcome::MayHaveRun};
 }
 
 /// Response stream of one run. Used by one I/O thread at a time.
--- a/src/edge/kv_etcd.cpp
+++ b/src/edge/kv_etcd.cpp
@@ -1,6 +1,7 @@
 #include "edge/kv_etcd.h"
 
 #include "edge/kv_etcd_json.h"
+#include "net/http_status.h"
 
 #include <atomic>
 #include <memory>
@@ -11,8 +12,8 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned FirstServerError = 500;
+using net::StatusOk;
+
 constexpr size_t MaxWatchLineBytes = 16U << 20;
 /// Beginning of an answer with another status that is kept for its message.
 constexpr size_t MaxErrorBytes = 4U << 10;
@@ -57,7 +58,9 @@
 KvHeader answerFailed(unsigned status, std::string_view body, bool writes) {
   std::string detail =
       "status " + std::to_string(status) + ", " + etcd::errorMessage(body);
-  if (writes && status >= FirstServerError)
+  // The service also answers 503 if it lost the outcome of a write.
+  bool isRefused = net::isRefusal(status) && status != net::StatusUnavailable;
+  if (writes && !isRefused)
     return failed(KvStatus::Unknown, ErrorKind::ServiceUnknown, detail);
   return failed(KvStatus::Unavailable, ErrorKind::ServiceUnavailable, detail);
 }
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -31,5 +31,11 @@
   return status >= 200 && status < 300;
 }
 constexpr bool isServerError(unsigned status) { return status >= 500; }
+/// Whether the status says that the request was refused and had no effect. A
+/// success or redirection that the caller doesn't expect doesn't say so, nor
+/// does a server error other than 503.
+constexpr bool isRefusal(unsigned status) {
+  return (status >= 400 && status < 500) || status == StatusUnavailable;
+}
 
 } // namespace daisytack::net
--- a/tests/edge/broken_answer_test.cpp
+++ b/tests/edge/broken_answer_test.cpp
@@ -1,6 +1,7 @@
 /// Tests of what the adapters to engines, services and stores believe of an
 /// answer that is broken.
 #include "edge/edge_rig.h"
+#include "edge/kv_etcd.h"
 #include "edge/service.h"
 #include "edge/store.h"
 #include "net_http/scripted_server.h"
@@ -8,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <future>
+
 namespace daisytack::edge::test {
 namespace {
 
@@ -77,6 +80,26 @@
     }
 }
 
+/// Guards against a write that is believed not to have been done because of an
+/// answer that doesn't say so.
+TEST(BrokenAnswer, EtcdWriteIsUnknownUnlessItWasRefused) {
+  unsigned status = 0;
+  EdgeRig rig([&](const net::HttpRequest &, const auto &exchange) {
+    exchange->respond({status, {}, "{}"});
+  });
+  KvStore store = makeEtcdStore(rig.Client, {rig.address()});
+  for (status = 200; status < 600; ++status) {
+    std::promise<KvStatus> result;
+    store.Commit({}, Duration(5'000'000), [&](const KvTransactionResult &it) {
+      result.set_value(it.Header.Status);
+    });
+    bool isRefused = status >= 400 && status < 500;
+    EXPECT_EQ(result.get_future().get(),
+              isRefused ? KvStatus::Unavailable : KvStatus::Unknown)
+        << status;
+  }
+}
+
 /// Guards against context that counts as saved or imported because the answer
 /// ended with its connection, which was reset under the upload.
 TEST(BrokenAnswer, UploadThatWasResetIsNotDone) {
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -182,6 +182,11 @@
         Case{{429, {}, {}}, KvStatus::Unavailable},
         Case{{503, {}, {}}, KvStatus::Unavailable},
         Case{{500, {}, {}}, KvStatus::Unknown},
+        Case{{201, {}, R"({"revision":412})"}, KvStatus::Unknown},
+        Case{{202, {}, {}}, KvStatus::Unknown},
+        Case{{204, {}, {}}, KvStatus::Unknown},
+        Case{{302, {}, {}}, KvStatus::Unknown},
+        Case{{599, {}, {}}, KvStatus::Unknown},
         Case{{504, {}, {}}, KvStatus::Unknown},
         Case{ok("junk"), KvStatus::Unknown},
         Case{lostConnection(), KvStatus::Unknown}}) {
