Refuse answers of the platform that lack what was asked for

What callers saw: nothing known; found while the readers of answers were checked. An object without its fields, for example "{}", was read as an empty one: a range of the key-value service as "all keys are gone", a watch as "nothing changed until this revision", a transaction as written at revision 0, a store's list and events as a restart with nothing kept, an engine's report as one without weights. An answer about a lease that couldn't be parsed meant "not granted" or "not renewed", though it may have been.

Cause: absent fields were given fallbacks, also those that are the answer.

A read fails and is repeated, a write is unknown.

KvStore.ReadsTheRangeDespiteInvalidValues answered its last page with "{}", which is no page; the stand-in sends an empty one now. Its expectations are the same.

--- a/tests/platform/format_test.cpp
+++ b/tests/platform/format_test.cpp
@@ -264,6 +264,22 @@
   EXPECT_EQ(list->Incomplete, (std::vector<direct::PartRef>{{"s", "b"}}));
 }
 
+/// Guards against a store that seems to have restarted or lost its parts, and
+/// against an engine that seems to hold no weights, because of an answer that
+/// doesn't hold what was asked for.
+TEST(ReadAnswers, RequireTheirFields) {
+  for (const char *body :
+       {"{}", R"({"epoch":7,"next":9})", R"({"epoch":7,"events":[],"held":[]})",
+        R"({"next":9,"events":[],"held":[]})",
+        R"({"epoch":null,"next":9,"events":[],"held":[]})"}) {
+    EXPECT_FALSE(readChanges(body, 1)) << body;
+    EXPECT_FALSE(readList(body)) << body;
+  }
+  for (const char *body : {"{}", R"({"busy":false,"sequence":3})",
+                           R"({"models":null,"sequence":3})"})
+    EXPECT_FALSE(readReport(body)) << body;
+}
+
 TEST(Requests, CarryTheirFields) {
   net::HttpRequest order =
       orderRequest({"i-1", {"10.0.0.1", 80}, {"m", 2}, "e", 41, 6});
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -117,7 +117,7 @@
       return ok("{\"items\":[{\"key\":\"b\xff\",\"value\":\"dg==\","
                 "\"revision\":5}],\"truncated\":true,"
                 "\"store-revision\":12}");
-    return ok("{}");
+    return ok(R"({"items":[],"truncated":false,"store-revision":12})");
   });
   auto result = await<edge::KvRangeResult>([&](auto done) {
     service.Store.Range({"", edge::prefixEnd(""), 0, 0}, CallTimeout,
@@ -188,7 +188,8 @@
         Case{{302, {}, {}}, KvStatus::Unknown},
         Case{{599, {}, {}}, KvStatus::Unknown},
         Case{{504, {}, {}}, KvStatus::Unknown},
-        Case{ok("junk"), KvStatus::Unknown},
+        Case{ok("junk"), KvStatus::Unknown}, Case{ok("{}"), KvStatus::Unknown},
+        Case{ok(R"({"revision":0})"), KvStatus::Unknown},
         Case{lostConnection(), KvStatus::Unknown}}) {
     ScriptedService service([&](const HttpRequest &) { return it.Response; });
     EXPECT_EQ(commit(service).Header.Status, it.Status)
@@ -492,12 +493,28 @@
   EXPECT_LE(calls, 8);
 }
 
+/// Guards against all keys being taken for deleted, or their changes for
+/// reported, because of an answer that doesn't hold what was asked for.
+TEST(KvStore, FailsARangeOrWatchWhoseAnswerLacksAField) {
+  for (const char *body :
+       {"{}", R"({"store-revision":20})", R"({"items":[],"events":[]})",
+        R"({"items":null,"events":null,"store-revision":20})",
+        R"({"items":{},"events":{},"store-revision":20})"}) {
+    ScriptedService service([&](const HttpRequest &) { return ok(body); });
+    EXPECT_EQ(readAll(service).Header.Status, KvStatus::Unavailable) << body;
+    WatchOutcome outcome = watch(service);
+    EXPECT_EQ(outcome.Status, KvStatus::Unavailable) << body;
+    EXPECT_EQ(outcome.Revision, 0) << body;
+  }
+}
+
 /// Guards against an odd field that makes an answer about a lease look as if
 /// the lease had ended.
 TEST(KvStore, ReportsAnOddAnswerAboutALeaseAsUnknown) {
   for (const char *odd :
        {R"({"lease":"x","ttl-ms":3000})", R"({"lease":7,"ttl-ms":1e400})",
-        R"({"lease":-1})", R"({"lease":1e300})"}) {
+        R"({"lease":-1})", R"({"lease":1e300})", "", "{}", "junk",
+        R"({"ttl-ms":3000})", R"({"lease":0,"ttl-ms":3000})"}) {
     ScriptedService service([&](const HttpRequest &) { return ok(odd); });
     auto result = await<edge::KvLeaseResult>([&](auto done) {
       service.Store.GrantLease(3s, CallTimeout, std::move(done));
