--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -416,6 +416,9 @@
 void GatewayRequest::onDone(uint32_t attempt, const Error &error) {
   // The client reports ServiceUnavailable if nothing was sent.
   bool wasNotSent = error.Kind == ErrorKind::ServiceUnavailable;
+  bool isCurrent = !Flow.isEnded() && attempt == Flow.attempts();
+  if (isCurrent && error.Kind == ErrorKind::ProtocolError)
+    logMalformedAnswer(attempt, error, monotonicNow());
   Flow.onDone(attempt, error, wasNotSent, monotonicNow());
 }
 
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -116,6 +116,8 @@
   /// continues to read it; empty if it was not paused.
   net::HttpCall::Resume endPause(TimePoint now);
   void onDone(uint32_t attempt, const Error &error);
+  /// Counts and logs that what the server sent is no valid answer.
+  void logMalformedAnswer(uint32_t attempt, const Error &reason, TimePoint now);
   void recordResult(uint32_t attempt, const direct::AttemptOrder &order,
                     direct::AttemptResult result, TimePoint now);
   /// Avoids a server at whose address another instance answered.
--- a/src/gateway/gateway_request_log.cpp
+++ b/src/gateway/gateway_request_log.cpp
@@ -181,6 +181,17 @@
                   "request_cut", std::move(fields), now);
 }
 
+void GatewayRequest::logMalformedAnswer(uint32_t attempt, const Error &reason,
+                                        TimePoint now) {
+  State.Stats.AnswersMalformed.add();
+  State.Log.write(LogPriority::Notable, "answer_malformed",
+                  {{"request", Flow.request().Head.RequestId},
+                   {"attempt", attempt},
+                   {"server", Order.ServerId},
+                   {"reason", reason.Detail}},
+                  now);
+}
+
 bool GatewayRequest::isOwnAnswer(const std::string &server,
                                  const std::vector<net::HttpHeader> &headers,
                                  bool isFirst) const {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -188,6 +188,9 @@
       AnswersDiscarded(metrics.counter(
           "daisytack_answers_discarded_total",
           "Answers of servers that belonged to another request")),
+      AnswersMalformed(metrics.counter(
+          "daisytack_answers_malformed_total",
+          "Answers of servers that were malformed or too long")),
       ServersLost(metrics.counter(
           "daisytack_servers_lost_total",
           "Servers that sent nothing and established no connection")),
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -54,6 +54,7 @@
   Counter &AttemptsRejected;
   Counter &AttemptsLost;
   Counter &AnswersDiscarded;
+  Counter &AnswersMalformed;
   Counter &ServersLost;
   Counter &ServerProbes;
   Counter &Ejections;
--- a/tests/gateway/broken_answer_test.cpp
+++ b/tests/gateway/broken_answer_test.cpp
@@ -1,5 +1,6 @@
 /// Tests of a complete entry against servers whose answers are broken.
 #include "gateway/gateway_fixture.h"
+#include "gateway/stdout_capture.h"
 #include "net_http/scripted_server.h"
 
 #include <boost/asio/read_until.hpp>
@@ -89,10 +90,16 @@
 
 /// Guards against an answer whose status is none reaching a caller.
 TEST_F(BrokenAnswerTest, StatusThatIsNoneIsNotPassedOn) {
+  test::StdoutCapture lines;
   std::vector<std::string> answers;
   for (const std::string status : {"000", "001", "099", "600", "999"})
     answers.push_back(answerWith(status));
   expectBadGateway(answers);
+  EXPECT_TRUE(eventually([&] {
+    return !lines.findLine({"answer_malformed", "i-1", "undefined status"})
+                .empty();
+  }));
+  Threads.stop(); // Handlers use what is destroyed here.
 }
 
 /// Guards against the part of an answer that came before a reset reaching a
