Let the endless stand-in keep its connections until the client closes them

EndlessAnswerTest.EndsWithTheRequestAndHarmsNoOther/0 failed in a whole run of test_gateway and in four of four runs on an idle machine: its repeatable request was refused as request_quarantined. Trace: the stand-in stops after 48 MB and reads one byte "until the client closes" the connection, but gets a byte of the request's body, and closes the connection itself. Where 48 MB take less than the request's 2.5 s, three servers then break their connections under the same request; if their three connections each break within 150 ms (BreakSpread), these are crashes, and the quarantine is right.

The stand-in reads on until the connection ends. What the test asks is unchanged, and it now asks it: the entry has to end the answer. Two of two runs pass idle, in 73 s for both parameters, where the requests wait for their time to be over.

--- a/tests/net_http/endless_server.h
+++ b/tests/net_http/endless_server.h
@@ -114,8 +114,9 @@
     uint64_t sent = 0;
     for (; !ec && !IsStopped && sent < MaxBytes; sent += Repeat.size())
       send(socket, Repeat, IsSlow ? 1 : Repeat.size(), ec);
-    if (sent >= MaxBytes)
-      socket.read_some(asio::buffer(&c, 1), ec); // Until the client closes it.
+    // Until the client closes it. The rest of the request comes first.
+    while (!ec && !IsStopped)
+      socket.read_some(asio::buffer(&c, 1), ec);
   }
 
   void send(tcp::socket &socket, const std::string &text, size_t step,
