Wait until the entry was told of its peers before the service fails

It gave the entry half a second to hear of two peers, right after a case in which the key-value service sends answers without end. That the entry was still pausing after those failures is by reading: its log of the failing run is cut. The test now waits until a range or a watch was answered up to the peers' records, up to 20 s, and then half a second as before; what it checks is unchanged.

--- a/tests/process/endless_input_test.py
+++ b/tests/process/endless_input_test.py
@@ -314,6 +314,11 @@
         server = await http11.serve(world.serve_peer)
         port = server.sockets[0].getsockname()[1]
         world.kv.put(f"daisytack/entries/entry-{number}", record.replace(str(world.ports["peers"]), str(port)))
+    # The entry may still pause after the failures of the case before.
+    for _ in range(2000):
+        if world.kv.revision_sent >= world.kv.revision:
+            break
+        await asyncio.sleep(0.01)
     await asyncio.sleep(0.5)
     world.kv.status = 503
     for _ in range(2000):
--- a/tests/soak/platform_side.py
+++ b/tests/soak/platform_side.py
@@ -41,6 +41,7 @@
         self.items, self.history, self.leases = {}, [], {}
         self.revision, self.compacted, self.next_lease = 1, 0, 1000
         self.status, self.delay, self.lose_answers = 0, 0.0, False
+        self.revision_sent = 0  # Up to which ranges and watches were answered.
         self.era, self.copies = 1, []
         self.changed = asyncio.Event()
         # (input, pace, time until which they are sent) of answers that don't end; see endless_input.py.
@@ -126,6 +127,7 @@
             raise http11.Broken("the answer is lost")
         writer.write(http11.response(status, {**JSON, **self._era()}, json.dumps(body).encode()))
         await writer.drain()
+        self.revision_sent = max(self.revision_sent, body.get("store-revision", 0))
 
     def _era(self):
         return {"Store-Era": str(self.era)}
