--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,6 @@
 import tomllib  # noqa: F401
 import case, deployment, model_servers, platform_store, servers, web  # noqa: E401, F401
 PYTHON
+for folder in ../4 ../7; do
+  (cd "$folder" && python3 -B -c "import standins")
+done
