Show why a removed server stays listed, and requests chosen before it left

removed_server_kept, with a counter, names a removal that is taken for an expired record, for how long, and since when the service has answered. service_regained tells for how long no entry was known to have had an answer. server_left_before_sending, with a counter, names an attempt whose server left between its choice and the sending. No decision changes.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -261,6 +261,15 @@
                           : TimePoint::max();
   Hooks.Changed(state.Subject, mayHaveExpired ? "lapsed" : "gone", revision,
                 now);
+  if (!mayHaveExpired)
+    return true;
+  KeptServer kept{state.Subject.Name, revision, {}, {}};
+  if (StoreRecoveredAt) {
+    kept.KeptFor = *state.KeptUntil - now;
+    kept.AnsweringFor = now - *StoreRecoveredAt;
+  }
+  if (Hooks.Kept)
+    Hooks.Kept(kept, now);
   return true;
 }
 
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -85,6 +85,8 @@
 
   /// Servers of the service that take new requests; empty if it has none.
   const std::vector<BackendServer> &serversOf(std::string_view service) const;
+  /// Whether this start of a server takes new requests, as far as records tell.
+  bool takesRequests(ServerRef server) const;
   /// Whether an entry with this name is announced at this address.
   bool isAnnounced(std::string_view name, const Endpoint &peer) const;
   /// The oldest version of weights that any server may still use; empty if no
@@ -140,6 +142,18 @@
   bool operator==(const CatalogSettings &) const = default;
 };
 
+/// A server that stays listed although its record was removed, as the record
+/// may have expired in an outage of the store.
+struct KeptServer {
+  std::string Id;
+  uint64_t Revision = 0; ///< Of the removal.
+  /// For how long it is kept; empty: until the outage is over.
+  std::optional<Duration> KeptFor;
+  /// For how long the store has answered since the outage; empty: it is lost.
+  std::optional<Duration> AnsweringFor;
+  auto operator<=>(const KeptServer &) const = default;
+};
+
 /// Hooks to the store's format and to the log.
 struct CatalogHooks {
   /// What a key of the store is about.
@@ -152,6 +166,8 @@
   std::function<void(const RecordSubject &, std::string_view change,
                      uint64_t revision, TimePoint now)>
       Changed;
+  /// Called when a removed server stays listed; may be empty.
+  std::function<void(const KeptServer &, TimePoint now)> Kept;
   /// Called once per revision of a record that can't be decoded, or of a server
   /// that doesn't match the configuration.
   std::function<void(const StoreRecord &, const Error &, TimePoint now)>
--- a/src/direct/catalog_view.cpp
+++ b/src/direct/catalog_view.cpp
@@ -12,6 +12,17 @@
   return it == Servers.end() ? None : it->second;
 }
 
+bool Catalog::takesRequests(ServerRef server) const {
+  auto byId = [](const BackendServer &it, std::string_view id) {
+    return it.Id < id;
+  };
+  auto it =
+      std::lower_bound(AllServers.begin(), AllServers.end(), server.Id, byId);
+  return it != AllServers.end() && it->Id == server.Id &&
+         it->StartedMs == server.StartedMs && !it->IsDraining &&
+         !Evacuated.contains(it->FailureDomain);
+}
+
 bool Catalog::isAnnounced(std::string_view name, const Endpoint &peer) const {
   return std::any_of(Entries.begin(), Entries.end(), [&](const EntryPeer &it) {
     return it.Name == name && it.Peer == peer;
--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -400,8 +400,19 @@
 
 void GatewayRequest::onSending(uint32_t attempt,
                                const net::HttpConnectionInfo &connection) {
-  if (!Flow.isEnded() && attempt == Flow.attempts())
-    Connection = connection;
+  if (Flow.isEnded() || attempt != Flow.attempts())
+    return;
+  Connection = connection;
+  TimePoint now = monotonicNow();
+  if (State.takesRequests(Order.server(), now))
+    return;
+  State.Stats.AttemptsAfterLeaving.add();
+  State.Log.write(LogPriority::Notable, "server_left_before_sending",
+                  {{"request", Flow.request().Head.RequestId},
+                   {"attempt", attempt},
+                   {"server", Order.ServerId},
+                   {"since_choice_ms", millisecondsOf(now - SentAt)}},
+                  now);
 }
 
 void GatewayRequest::onHead(uint32_t attempt, unsigned status,
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_state.h"
 
 #include "base/clock.h"
+#include "base/duration.h"
 #include "daisytack/limits.h"
 
 #include <algorithm>
@@ -84,7 +85,7 @@
 }
 
 direct::CatalogHooks catalogHooks(const direct::Protocol &protocol,
-                                  Counter &unreadable, DecisionLog &log) {
+                                  GatewayMetrics &stats, DecisionLog &log) {
   direct::CatalogHooks out;
   out.SubjectOf = protocol.SubjectOf;
   out.Decode = protocol.DecodeRecord;
@@ -98,9 +99,20 @@
                {"revision", revision}},
               now);
   };
-  out.Unreadable = [&log, &unreadable](const direct::StoreRecord &record,
-                                       const Error &reason, TimePoint now) {
-    unreadable.add();
+  out.Kept = [&log, &stats](const direct::KeptServer &kept, TimePoint now) {
+    stats.RemovedServersKept.add();
+    DecisionLog::Fields fields{{"server", kept.Id},
+                               {"revision", kept.Revision}};
+    if (kept.KeptFor)
+      fields["kept_ms"] = millisecondsOf(*kept.KeptFor);
+    if (kept.AnsweringFor)
+      fields["answering_ms"] = millisecondsOf(*kept.AnsweringFor);
+    log.write(LogPriority::Notable, "removed_server_kept", std::move(fields),
+              now);
+  };
+  out.Unreadable = [&log, &stats](const direct::StoreRecord &record,
+                                  const Error &reason, TimePoint now) {
+    stats.UnreadableRecords.add();
     log.write(LogPriority::Notable, "record_unreadable",
               {{"key", record.Key},
                {"revision", record.Revision},
@@ -211,6 +223,14 @@
           "daisytack_service_confirmations_total",
           "Calls to the key-value service to bring the state up to date for "
           "resumed streams")),
+      RemovedServersKept(
+          metrics.counter("daisytack_removed_servers_kept_total",
+                          "Servers that stayed listed as their removed records "
+                          "may have expired "
+                          "in an outage of the key-value service")),
+      AttemptsAfterLeaving(metrics.counter(
+          "daisytack_attempts_after_leaving_total",
+          "Attempts whose server left between its choice and the sending")),
       SharedTokens(metrics.counter("daisytack_shared_tokens_total",
                                    "Prompt tokens in parts that are shared")),
       SourcedTokens(metrics.counter(
@@ -354,8 +374,7 @@
       Retries(options.Retries), BackendClient(io, backendInit(options)),
       ControlClient(io, clientInit(options, MaxIdlePerControlServer,
                                    ControlConnectTimeout)),
-      Catalog(options.Catalog,
-              catalogHooks(WireProtocol, Stats.UnreadableRecords, log)) {}
+      Catalog(options.Catalog, catalogHooks(WireProtocol, Stats, log)) {}
 
 Error drainingError() {
   // Short, because a retry on a new connection reaches another entry.
@@ -419,6 +438,11 @@
   return Clock.at(now);
 }
 
+bool GatewayState::takesRequests(direct::ServerRef server,
+                                 TimePoint now) const {
+  return catalog()->takesRequests(server) && !Loads.view(server, now).IsLeaving;
+}
+
 bool GatewayState::isConfirmed(TimePoint now) const {
   return now.time_since_epoch().count() - ConfirmedAt.load() <
          Options.ConfirmedFor.count();
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -61,6 +61,8 @@
   Counter &StreamsResumed;
   Counter &StreamsRefused;
   Counter &ServiceConfirmations;
+  Counter &RemovedServersKept;
+  Counter &AttemptsAfterLeaving;
   Counter &SharedTokens;
   Counter &SourcedTokens;
   Counter &SavesRequested;
@@ -215,6 +217,9 @@
   /// Whether the key-value service confirmed the catalog less than
   /// Options.ConfirmedFor ago.
   bool isConfirmed(TimePoint now) const;
+  /// Whether this start of a server takes new requests: neither its record nor
+  /// its answers say that it leaves.
+  bool takesRequests(direct::ServerRef server, TimePoint now) const;
   /// Raises SyncedAt. Call it only after everything that the key-value service
   /// held at that time is in the catalog.
   void advanceSyncTime(TimePoint at);
--- a/src/gateway/kv_service_follower.cpp
+++ b/src/gateway/kv_service_follower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/kv_service_follower.h"
 
 #include "base/clock.h"
+#include "base/duration.h"
 #include "direct/revision.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -201,15 +202,19 @@
 }
 
 void KvServiceFollower::onServiceAnswered(TimePoint now) {
-  State.ConfirmedAt = now.time_since_epoch().count();
+  int64_t nowUs = now.time_since_epoch().count();
+  Duration unanswered(nowUs - State.ConfirmedAt.exchange(nowUs));
   Failures = 0;
   if (std::exchange(IsReachable, true))
     return;
   State.Stats.ServiceReachable.set(1);
   State.Catalog.onStoreRecovered(now);
+  DecisionLog::Fields fields{{"revision", State.Catalog.revision()}};
+  if (HasBeenReachable)
+    fields["unanswered_ms"] = millisecondsOf(unanswered);
   State.Log.write(LogPriority::Notable,
                   HasBeenReachable ? "service_regained" : "service_reached",
-                  {{"revision", State.Catalog.revision()}}, now);
+                  std::move(fields), now);
   HasBeenReachable = true;
 }
 
