--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -90,6 +90,15 @@
   EXPECT_TRUE(keeper.view()->AllServers.empty());
 }
 
+/// Guards against servers that never leave: an answer of another entry that was
+/// older than the first read named one that had been removed in between.
+TEST(CatalogKeeper, TakesNoUnknownRecordThatIsOlderThanItsRead) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.applyAll({put("server:a", "1", 3)}, 10, Start);
+  keeper.apply({put("server:b", "1", 5), put("server:c", "1", 11)}, Start);
+  EXPECT_EQ(idsOf(keeper), (Ids{"a", "c"}));
+}
+
 TEST(CatalogKeeper, AFullReadKeepsRecordsThatAreNewerThanTheRead) {
   CatalogKeeper keeper({}, textHooks());
   keeper.apply({put("server:a", "1", 1), put("server:b", "1", 12)}, Start);
--- a/tests/gateway/fake_servers.h
+++ b/tests/gateway/fake_servers.h
@@ -54,6 +54,29 @@
 
   Endpoint address() const { return {"127.0.0.1", Server.port()}; }
 
+  /// A further address of the service, whose calls can fail while those at the
+  /// others succeed.
+  class Path {
+  public:
+    Path(net::asio::io_context &io, FakeKvService &service)
+        : Server(io, net::HttpFixture::withLoopback({}),
+                 [this, &service](const HttpRequest &request,
+                                  const ExchangePtr &to) {
+                   if (unsigned status = RefusalStatus)
+                     return to->respond({status, {}, {}});
+                   service.handle(request, to);
+                 }) {
+      Error reason;
+      EXPECT_TRUE(Server.start(reason)) << reason.Detail;
+    }
+    Endpoint address() const { return {"127.0.0.1", Server.port()}; }
+    /// Status with which every call fails at once; 0: calls are passed on.
+    std::atomic<unsigned> RefusalStatus{0};
+
+  private:
+    net::HttpServer Server;
+  };
+
   void put(const std::string &key, const std::string &value,
            uint64_t lease = 0) {
     std::lock_guard guard(Lock);
