Tell a removed server from one whose record expired by the store's answers

Cause: a removal counted as an expired lease while this entry, or one that told it, had a failed call behind it. One refused call is enough, each recovery began the grace period anew, and hearsay of an entry that knows less overruled what the store said.

An outage is now a time without an answer to any entry, long enough for leases to run out. Entries tell one another when the store last answered, and since when without an outage; that can only show that there was none or that it ended earlier. The grace counts from the first answer to any entry, once. What the store removes after it is followed within 1.5 s. The period ends with an answer at or after its end, so that outages in series lose no server.

Tests changed: those of the catalog that called onStoreRecovered() or onPeerGrace() now name the answers. CountsTheGraceOfARecordThatExpired... asked that an entry keep a removed server for a minute while another one had answers, which was the fault; CountsTheGraceFromTheFirstAnswerToAnyEntry replaces it. Three tests have an answer at the end of the grace, without which a record isn't known to be missing still.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 CatalogKeeper::CatalogKeeper(CatalogSettings settings, CatalogHooks hooks)
-    : Settings(settings), Hooks(std::move(hooks)),
+    : Settings(settings), Hooks(std::move(hooks)), Uptime(Settings.MinOutage),
       Published(std::make_shared<const Catalog>()) {}
 
 void CatalogKeeper::apply(const std::vector<StoreRecord> &records,
@@ -76,8 +76,8 @@
   IsRestoreSettled = false;
   // Servers that registered after the copy was made are missing from it. They
   // get the same grace period as those whose records expire during an outage.
-  IsStoreLost = true;
-  onStoreRecovered(now);
+  Uptime.onRestored(now, upTo);
+  updateKept(now);
 }
 
 bool CatalogKeeper::needsReread(TimePoint now) const {
@@ -254,28 +254,54 @@
   if (state.Subject.Kind == RecordKind::Config)
     return false;
   const auto *server = std::get_if<BackendServer>(&state.Value);
-  bool mayHaveExpired = server && !server->IsDraining && isInGrace(now);
-  if (mayHaveExpired)
-    state.KeptUntil = StoreRecoveredAt
-                          ? *StoreRecoveredAt + Settings.ExpiryGrace
-                          : TimePoint::max();
-  Hooks.Changed(state.Subject, mayHaveExpired ? "lapsed" : "gone", revision,
+  if (server && !server->IsDraining)
+    state.KeptUntil = keptUntil(revision, now);
+  Hooks.Changed(state.Subject, state.KeptUntil ? "lapsed" : "gone", revision,
                 now);
-  if (!mayHaveExpired)
-    return true;
-  KeptServer kept{state.Subject.Name, revision, {}, {}};
-  if (StoreRecoveredAt) {
-    kept.KeptFor = *state.KeptUntil - now;
-    kept.AnsweringFor = now - *StoreRecoveredAt;
-  }
-  if (Hooks.Kept)
-    Hooks.Kept(kept, now);
+  if (state.KeptUntil && Hooks.Kept)
+    Hooks.Kept({state.Subject.Name, revision, *state.KeptUntil - now,
+                now - Uptime.period()->Since},
+               now);
   return true;
 }
 
-bool CatalogKeeper::isInGrace(TimePoint now) const {
-  return IsStoreLost ||
-         (StoreRecoveredAt && now < *StoreRecoveredAt + Settings.ExpiryGrace);
+std::optional<TimePoint> CatalogKeeper::keptUntil(uint64_t revision,
+                                                  TimePoint now) const {
+  std::optional<AnswerPeriod> period = Uptime.periodAfterOutage();
+  if (!period)
+    return std::nullopt;
+  TimePoint out = period->Since + Settings.ExpiryGrace;
+  if (revision > period->Revision)
+    out = std::min(out, now + Settings.LateExpiryGrace);
+  return out > now ? std::optional(out) : std::nullopt;
+}
+
+void CatalogKeeper::updateKept(TimePoint now) {
+  std::optional<AnswerPeriod> period = Uptime.periodAfterOutage();
+  for (auto &[key, state] : States) {
+    if (!state.KeptUntil)
+      continue;
+    // A server that was kept when another outage began could not register anew
+    // before it.
+    bool isFromBefore = period && state.Record.Revision <= period->Revision;
+    TimePoint until =
+        period ? period->Since + Settings.ExpiryGrace : *Uptime.latest();
+    state.KeptUntil = isFromBefore ? until : std::min(*state.KeptUntil, until);
+  }
+  dropExpired(now);
+}
+
+bool CatalogKeeper::isKept(const KeyState &state, TimePoint now) const {
+  // After that time, only an answer shows that the record is still missing:
+  // another outage may have begun.
+  return state.KeptUntil &&
+         (now < *state.KeptUntil || Uptime.latest() < state.KeptUntil);
+}
+
+bool CatalogKeeper::keepsServers() const {
+  return std::any_of(States.begin(), States.end(), [](const auto &it) {
+    return it.second.KeptUntil.has_value();
+  });
 }
 
 void CatalogKeeper::noteDesiredVersion(const ModelVersion &desired,
@@ -370,11 +396,7 @@
   to.AllServers.push_back(std::move(server));
 }
 
-void CatalogKeeper::onStoreLost() {
-  IsStoreLost = true;
-  StoreRecoveredAt.reset();
-  setStale(true);
-}
+void CatalogKeeper::onStoreLost() { setStale(true); }
 
 void CatalogKeeper::setStale(bool isStale) {
   if (std::exchange(IsStale, isStale) == isStale)
@@ -384,37 +406,23 @@
   Published.publish(std::move(next));
 }
 
-void CatalogKeeper::onStoreRecovered(TimePoint now) {
-  if (!std::exchange(IsStoreLost, false))
-    return;
-  StoreRecoveredAt = now;
-  for (auto &[key, state] : States)
-    if (state.KeptUntil)
-      state.KeptUntil = now + Settings.ExpiryGrace;
+void CatalogKeeper::onStoreAnswered(uint64_t revision, TimePoint now) {
   setStale(false);
+  if (Uptime.onAnswer(now, revision))
+    updateKept(now);
 }
 
-Duration CatalogKeeper::graceLeft(TimePoint now) const {
-  if (IsStoreLost)
-    return Settings.ExpiryGrace;
-  if (!isInGrace(now))
-    return Duration(0);
-  return *StoreRecoveredAt + Settings.ExpiryGrace - now;
+void CatalogKeeper::onPeerAnswers(const PeerAnswers &answers, TimePoint now) {
+  if (Uptime.onPeerAnswers(answers))
+    updateKept(now);
 }
 
-void CatalogKeeper::onPeerGrace(Duration left, TimePoint now) {
-  if (IsStoreLost || left <= Duration(0))
-    return;
-  Duration grace = std::min(left, Settings.ExpiryGrace);
-  TimePoint recoveredAt = now + grace - Settings.ExpiryGrace;
-  StoreRecoveredAt =
-      std::max(StoreRecoveredAt.value_or(recoveredAt), recoveredAt);
-}
+void CatalogKeeper::onTimer(TimePoint now) { dropExpired(now); }
 
-void CatalogKeeper::onTimer(TimePoint now) {
+void CatalogKeeper::dropExpired(TimePoint now) {
   bool changed = false;
   for (auto &[key, state] : States) {
-    if (!state.KeptUntil || now < *state.KeptUntil)
+    if (!state.KeptUntil || isKept(state, now))
       continue;
     state.KeptUntil.reset();
     Hooks.Changed(state.Subject, "gone", state.Record.Revision, now);
@@ -454,7 +462,7 @@
   next->RestoredAt = RestoredAt;
   std::vector<BackendServer> servers;
   for (const auto &[key, state] : States) {
-    if (state.Record.IsDeleted && !(state.KeptUntil && now < *state.KeptUntil))
+    if (state.Record.IsDeleted && !isKept(state, now))
       continue;
     if (const auto *peer = std::get_if<EntryPeer>(&state.Value))
       next->Entries.push_back(*peer);
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -9,6 +9,7 @@
 #include "direct/record_history.h"
 #include "direct/record_transfer.h"
 #include "direct/records.h"
+#include "direct/store_uptime.h"
 
 #include <compare>
 #include <functional>
@@ -127,6 +128,16 @@
   /// kept after the store's recovery. The platform promises that running
   /// servers register again within about two seconds.
   Duration ExpiryGrace{2'000'000};
+  /// How long a server is kept whose record was removed by a store that answers
+  /// again. The record may have expired all the same, as it could not be
+  /// renewed in time. Or the server leaves, and must get no requests later than
+  /// 2 s after the removal; the difference covers the way of the news and that
+  /// of a request.
+  Duration LateExpiryGrace{1'500'000};
+  /// Shortest outage in which a lease may run out: servers renew leases of
+  /// three heartbeats with each heartbeat, of 1.2 s. Longer than the time
+  /// between two answers to an entry that waits for changes.
+  Duration MinOutage{2'300'000};
   /// Assumed age of a desired version that is found at the first read, until
   /// another entry tells its age: a third of the time within which it must be
   /// in force. Counting from the start of the process instead would let a
@@ -146,11 +157,9 @@
 /// may have expired in an outage of the store.
 struct KeptServer {
   std::string Id;
-  uint64_t Revision = 0; ///< Of the removal.
-  /// For how long it is kept; empty: until the outage is over.
-  std::optional<Duration> KeptFor;
-  /// For how long the store has answered since the outage; empty: it is lost.
-  std::optional<Duration> AnsweringFor;
+  uint64_t Revision = 0;    ///< Of the removal.
+  Duration KeptFor{0};      ///< For how long it is kept.
+  Duration AnsweringFor{0}; ///< For how long the store has answered again.
   auto operator<=>(const KeptServer &) const = default;
 };
 
@@ -206,19 +215,21 @@
   /// of the version late, are replaced. Returns those that were.
   std::vector<DesiredVersionAge>
   onPeerAges(const std::vector<DesiredVersionAge> &ages, TimePoint now);
-  /// The store stopped answering.
+  /// The store stopped answering this entry.
   void onStoreLost();
-  /// The store answers again.
-  void onStoreRecovered(TimePoint now);
+  /// The store answered this entry, and had this revision. Call it before the
+  /// records of the answer are merged.
+  void onStoreAnswered(uint64_t revision, TimePoint now);
+  /// What another entry knows of the store's answers. Call it before the
+  /// records of that entry are merged.
+  void onPeerAnswers(const PeerAnswers &answers, TimePoint now);
+  /// The store's answers to any entry.
+  const StoreUptime &storeUptime() const { return Uptime; }
+  /// Whether a removed server stays listed.
+  bool keepsServers() const;
   /// Sets Catalog::AreRecordsStale. onStoreLost() sets it too, until this call
-  /// or the store's recovery clears it.
+  /// or the store's next answer clears it.
   void setStale(bool isStale);
-  /// How much longer servers whose records expired during an outage are kept; 0
-  /// if no such grace period is running.
-  Duration graceLeft(TimePoint now) const;
-  /// Another entry keeps such servers for this much longer. This entry may not
-  /// have seen the outage itself.
-  void onPeerGrace(Duration left, TimePoint now);
   /// Drops servers whose grace period is over. Call a few times a second.
   void onTimer(TimePoint now);
 
@@ -249,8 +260,8 @@
     /// Weights in the newest record that described a usable server. Not carried
     /// over across a deletion.
     std::vector<ModelVersion> LastUsableWeights;
-    /// Set if the record expired during an outage: the server counts as present
-    /// until then.
+    /// Set if the record may have expired in an outage: the server counts as
+    /// present until then.
     std::optional<TimePoint> KeptUntil;
     TimePoint ReadAt; ///< When this process read the record.
   };
@@ -304,8 +315,16 @@
   /// Adds the server to AllServers, its weights to OldestVersions and, if it
   /// takes requests, the server to Servers.
   void addToLists(BackendServer server, Catalog &to) const;
-  /// Whether servers whose records expire now are kept for ExpiryGrace.
-  bool isInGrace(TimePoint now) const;
+  /// Until when a server is kept whose record was removed at this revision;
+  /// empty if the record can't have expired in an outage.
+  std::optional<TimePoint> keptUntil(uint64_t revision, TimePoint now) const;
+  /// Whether the server stays listed although its record was removed.
+  bool isKept(const KeyState &state, TimePoint now) const;
+  /// Corrects until when servers are kept, after the period of the store's
+  /// answers changed.
+  void updateKept(TimePoint now);
+  /// Drops servers that are no longer kept.
+  void dropExpired(TimePoint now);
   /// Drops the oldest deletions when too many are kept. Deletions are kept only
   /// to be passed on to other entries.
   void dropOldDeletions();
@@ -336,9 +355,8 @@
   /// False from a restore until the store has been read again after the grace
   /// period.
   bool IsRestoreSettled = true;
-  bool IsStoreLost = false;
   bool IsStale = false;
-  std::optional<TimePoint> StoreRecoveredAt;
+  StoreUptime Uptime;
   Rcu<Catalog> Published;
 };
 
--- a/src/direct/peer_messages.cpp
+++ b/src/direct/peer_messages.cpp
@@ -10,8 +10,8 @@
   auto isRevision = [](uint64_t it) { return eraOf(it) <= MaxEra; };
   auto hasRevision = [&](const auto &it) { return isRevision(it.Revision); };
   return response.ConfirmationAge >= 0 && response.CompleteStateAge >= 0 &&
-         response.GraceLeft >= 0 && isRevision(response.UpTo) &&
-         isRevision(response.CompleteTo) &&
+         response.AnsweringAge >= 0 && isRevision(response.AnsweringRevision) &&
+         isRevision(response.UpTo) && isRevision(response.CompleteTo) &&
          isRevision(response.DeletionsMissingTo) &&
          isRevision(response.RestoredTo) &&
          std::all_of(response.Records.begin(), response.Records.end(),
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -48,16 +48,19 @@
   /// that requested records from a lower revision on does not get the sender's
   /// full state.
   uint64_t DeletionsMissingTo = 0;
-  /// Microseconds for which the sender still keeps servers whose records
-  /// expired during an outage of the service; 0: none.
-  int64_t GraceLeft = 0;
+  /// Microseconds since the beginning of the period in which the service has
+  /// answered without an outage, up to ConfirmationAge (direct/store_uptime.h).
+  int64_t AnsweringAge = 0;
+  /// The service's revision then; 0: it has not answered yet.
+  uint64_t AnsweringRevision = 0;
   /// Records up to this revision may come from an older copy that the service
   /// was restored from; 0: no restore was seen.
   uint64_t RestoredTo = 0;
   bool operator==(const RecordsResponse &) const = default;
   template <class Archive> void serialize(Archive &ar) {
     ar(Records, Offers, UpTo, HasMore, ConfirmationAge, CompleteStateAge,
-       CompleteTo, DeletionsMissingTo, GraceLeft, RestoredTo);
+       CompleteTo, DeletionsMissingTo, AnsweringAge, AnsweringRevision,
+       RestoredTo);
   }
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -227,7 +227,12 @@
   TimePoint confirmedAt = timeBefore(call.SentAt, response.ConfirmationAge);
   int64_t confirmed = confirmedAt.time_since_epoch().count();
   State.Catalog.onRestored(response.RestoredTo, now);
-  State.Catalog.onPeerGrace(Duration(response.GraceLeft), now);
+  if (response.AnsweringRevision > 0)
+    State.Catalog.onPeerAnswers(
+        {confirmedAt,
+         std::max(response.CompleteTo, response.UpTo),
+         {timeBefore(now, response.AnsweringAge), response.AnsweringRevision}},
+        now);
   if (!response.Records.empty())
     Follower->merge(response.Records);
   if (direct::eraOf(response.CompleteTo) > direct::eraOf(State.SyncedRevision))
@@ -575,7 +580,9 @@
   State.OriginExchange->onTimer(now);
   State.SaveExchange->onTimer(now);
   Quarantines->onTimer(now);
-  Peers->onTimer(Follower->isReachable(), now);
+  // Other entries may know that there was no outage in which the records of
+  // kept servers can have expired.
+  Peers->onTimer(!Follower->isReachable() || State.Catalog.keepsServers(), now);
   Fetcher->onTimer(now);
   if (State.HasReadAll)
     State.Catalog.setStale(!State.isConfirmed(now));
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -101,13 +101,11 @@
   };
   out.Kept = [&log, &stats](const direct::KeptServer &kept, TimePoint now) {
     stats.RemovedServersKept.add();
-    DecisionLog::Fields fields{{"server", kept.Id},
-                               {"revision", kept.Revision}};
-    if (kept.KeptFor)
-      fields["kept_ms"] = millisecondsOf(*kept.KeptFor);
-    if (kept.AnsweringFor)
-      fields["answering_ms"] = millisecondsOf(*kept.AnsweringFor);
-    log.write(LogPriority::Notable, "removed_server_kept", std::move(fields),
+    log.write(LogPriority::Notable, "removed_server_kept",
+              {{"server", kept.Id},
+               {"revision", kept.Revision},
+               {"kept_ms", millisecondsOf(kept.KeptFor)},
+               {"answering_ms", millisecondsOf(kept.AnsweringFor)}},
               now);
   };
   out.Unreadable = [&log, &stats](const direct::StoreRecord &record,
@@ -438,6 +436,10 @@
   return Clock.at(now);
 }
 
+bool GatewayState::hasBeenConfirmed() const {
+  return ConfirmedAt.load() != NeverConfirmed;
+}
+
 bool GatewayState::takesRequests(direct::ServerRef server,
                                  TimePoint now) const {
   return catalog()->takesRequests(server) && !Loads.view(server, now).IsLeaving;
--- a/src/gateway/kv_service_follower.cpp
+++ b/src/gateway/kv_service_follower.cpp
@@ -101,7 +101,7 @@
     records.push_back(toStoreRecord(entry, false));
   TimePoint now = monotonicNow();
   logRestore(result.Header, now);
-  onServiceAnswered(now);
+  onServiceAnswered(result.Header.Revision, now);
   State.Catalog.applyAll(records, result.Header.Revision, now);
   State.Software.onMissedChanges();
   HasSnapshot = true;
@@ -158,7 +158,7 @@
   for (const edge::KvChange &change : changes)
     records.push_back(toStoreRecord(change.Entry, change.Deleted));
   TimePoint now = monotonicNow();
-  onServiceAnswered(now);
+  onServiceAnswered(header.Revision, now);
   if (!records.empty()) {
     noteVersionsRecord(records);
     apply(records, now);
@@ -201,14 +201,14 @@
                   now);
 }
 
-void KvServiceFollower::onServiceAnswered(TimePoint now) {
+void KvServiceFollower::onServiceAnswered(uint64_t revision, TimePoint now) {
   int64_t nowUs = now.time_since_epoch().count();
   Duration unanswered(nowUs - State.ConfirmedAt.exchange(nowUs));
   Failures = 0;
+  State.Catalog.onStoreAnswered(revision, now);
   if (std::exchange(IsReachable, true))
     return;
   State.Stats.ServiceReachable.set(1);
-  State.Catalog.onStoreRecovered(now);
   DecisionLog::Fields fields{{"revision", State.Catalog.revision()}};
   if (HasBeenReachable)
     fields["unanswered_ms"] = millisecondsOf(unanswered);
--- a/src/gateway/kv_service_follower.h
+++ b/src/gateway/kv_service_follower.h
@@ -76,7 +76,8 @@
   /// catalog lists.
   void apply(const std::vector<direct::StoreRecord> &records, TimePoint now);
   void logRestore(const edge::KvHeader &header, TimePoint now);
-  void onServiceAnswered(TimePoint now);
+  /// The service answered, and had this revision.
+  void onServiceAnswered(uint64_t revision, TimePoint now);
   void onServiceFailed(const Error &reason);
   void retryLater();
 
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -157,7 +157,12 @@
   out.CompleteStateAge = nowUs - State.SyncedAt.load();
   out.CompleteTo = State.SyncedRevision;
   out.DeletionsMissingTo = State.Catalog.deletionsMissingTo();
-  out.GraceLeft = State.Catalog.graceLeft(now).count();
+  const std::optional<direct::AnswerPeriod> &period =
+      State.Catalog.storeUptime().period();
+  if (period && State.hasBeenConfirmed()) {
+    out.AnsweringAge = (now - period->Since).count();
+    out.AnsweringRevision = period->Revision;
+  }
   out.RestoredTo = State.Catalog.restoredTo();
   return out;
 }
@@ -268,9 +273,9 @@
        });
 }
 
-void PeerExchange::onTimer(bool serviceIsReachable, TimePoint now) {
+void PeerExchange::onTimer(bool needsRecords, TimePoint now) {
   updateRemembered(now);
-  if (serviceIsReachable || now < NextRequestAt)
+  if (!needsRecords || now < NextRequestAt)
     return;
   NextRequestAt = now + RequestInterval;
   std::vector<Endpoint> peers = knownPeers();
--- a/src/gateway/peer_exchange.h
+++ b/src/gateway/peer_exchange.h
@@ -46,9 +46,9 @@
 
   bool start(Error &reason);
   void stop();
-  /// Polls a few entries for newer records while the key-value service is
-  /// unreachable. Call several times a second.
-  void onTimer(bool serviceIsReachable, TimePoint now);
+  /// Polls a few entries for newer records while they are needed. Call several
+  /// times a second.
+  void onTimer(bool needsRecords, TimePoint now);
   /// Requests records newer than those of this entry from one other entry. Has
   /// no effect while that entry owes an answer to such a request.
   void requestRecords(const Endpoint &peer);
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -54,42 +54,117 @@
 
 TEST(CatalogKeeper, KeepsServersWhoseRecordsExpiredWithAnOutage) {
   CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(2, Start);
   keeper.apply({put("server:a", "1", 1), put("server:b", "1", 2)}, Start);
   keeper.onStoreLost();
-  keeper.onStoreRecovered(Start + 10s);
+  keeper.onStoreAnswered(9, Start + 10s);
   keeper.applyAll({}, 9, Start + 10s);
   EXPECT_EQ(idsOf(keeper), (Ids{"a", "b"}));
   keeper.apply({put("server:b", "1", 10)}, Start + 11s);
   keeper.onTimer(Start + 11'900ms);
   EXPECT_EQ(idsOf(keeper), (Ids{"a", "b"}));
+  keeper.onStoreAnswered(10, Start + 12s);
   keeper.onTimer(Start + 12s);
   EXPECT_EQ(idsOf(keeper), Ids{"b"});
 }
 
-TEST(CatalogKeeper, CountsTheGraceOfARecordThatExpiredInAnOutageFromRecovery) {
+/// This entry is still without answers when another one has the first.
+TEST(CatalogKeeper, CountsTheGraceFromTheFirstAnswerToAnyEntry) {
   CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(1, Start);
   keeper.apply({put("server:a", "1", 1)}, Start);
   keeper.onStoreLost();
-  // Received from another entry.
-  keeper.apply({deletion("server:a", 5)}, Start + 1s);
-  keeper.onTimer(Start + 60s);
-  EXPECT_EQ(idsOf(keeper), Ids{"a"});
-  keeper.onStoreRecovered(Start + 60s);
-  keeper.onTimer(Start + 61s);
+  keeper.onPeerAnswers({Start + 60s, 5, {Start + 60s, 5}}, Start + 60s);
+  keeper.apply({deletion("server:a", 5)}, Start + 60s);
+  keeper.onPeerAnswers({Start + 61s, 6, {Start + 60s, 5}}, Start + 61s);
+  keeper.onTimer(Start + 61'900ms);
   EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  keeper.onStoreAnswered(8, Start + 62s);
   keeper.onTimer(Start + 62s);
   EXPECT_EQ(idsOf(keeper), Ids{});
 }
 
+/// Guards against dropping servers that run when an outage follows another one
+/// within the grace period: they could not register anew in between.
+TEST(CatalogKeeper, KeepsServersThroughOutagesInSeries) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(1, Start);
+  keeper.apply({put("server:a", "1", 1)}, Start);
+  keeper.onStoreAnswered(5, Start + 10s);
+  keeper.apply({deletion("server:a", 5)}, Start + 10s);
+  keeper.onStoreLost();
+  keeper.onTimer(Start + 30s);
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  keeper.onStoreAnswered(6, Start + 30s);
+  keeper.onTimer(Start + 31'900ms);
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  keeper.onStoreAnswered(6, Start + 32s);
+  keeper.onTimer(Start + 32s);
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
+/// Guards against requests to a server that left: its removal was taken for an
+/// expiry, as a call of this entry had failed just before.
+TEST(CatalogKeeper, DropsARemovedServerAtOnceAfterAFailedCall) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(1, Start);
+  keeper.apply({put("server:a", "1", 1)}, Start);
+  keeper.onStoreLost();
+  keeper.onStoreAnswered(2, Start + 500ms);
+  keeper.apply({deletion("server:a", 2)}, Start + 500ms);
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
+/// Guards against the same if the path of this entry alone was broken for long.
+TEST(CatalogKeeper, DropsARemovedServerOnceOthersHadAnswersAllTheTime) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(1, Start);
+  keeper.apply({put("server:a", "1", 1)}, Start);
+  keeper.onStoreLost();
+  keeper.onStoreAnswered(9, Start + 10s);
+  keeper.apply({deletion("server:a", 4)}, Start + 10s);
+  EXPECT_TRUE(keeper.keepsServers());
+  keeper.onPeerAnswers({Start + 9s, 8, {Start - 60s, 1}}, Start + 10'100ms);
+  EXPECT_FALSE(keeper.keepsServers());
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
+/// Guards against requests later than 2 s after a removal by a store that
+/// answers again.
+TEST(CatalogKeeper, KeepsAServerThatWasRemovedAfterAnOutageForLess) {
+  CatalogSettings settings;
+  CatalogKeeper keeper(settings, textHooks());
+  keeper.onStoreAnswered(1, Start);
+  keeper.apply({put("server:a", "1", 1)}, Start);
+  keeper.onStoreAnswered(9, Start + 10s);
+  keeper.apply({deletion("server:a", 10)}, Start + 10'100ms);
+  keeper.onTimer(Start + 10'100ms + settings.LateExpiryGrace - 1ms);
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+  TimePoint end = Start + 10'100ms + settings.LateExpiryGrace;
+  keeper.onStoreAnswered(11, end);
+  keeper.onTimer(end);
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
 TEST(CatalogKeeper, GivesNoGraceToAServerThatWasDraining) {
   CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(1, Start);
   keeper.apply({put("server:a", "1!", 1)}, Start);
   keeper.onStoreLost();
-  keeper.onStoreRecovered(Start);
-  keeper.applyAll({}, 9, Start);
+  keeper.onStoreAnswered(9, Start + 10s);
+  keeper.applyAll({}, 9, Start + 10s);
   EXPECT_TRUE(keeper.view()->AllServers.empty());
 }
 
+TEST(Catalog, TellsWhichServersTakeRequests) {
+  CatalogKeeper keeper({}, textHooks());
+  keeper.apply({put("server:a", "1#5", 1), put("server:b", "1!", 2)}, Start);
+  EXPECT_TRUE(keeper.view()->takesRequests({"a", 5}));
+  EXPECT_FALSE(keeper.view()->takesRequests({"a", 4}));
+  EXPECT_FALSE(keeper.view()->takesRequests({"b"}));
+  EXPECT_FALSE(keeper.view()->takesRequests({"c"}));
+}
+
 /// Guards against servers that never leave: an answer of another entry that was
 /// older than the first read named one that had been removed in between.
 TEST(CatalogKeeper, TakesNoUnknownRecordThatIsOlderThanItsRead) {
@@ -337,26 +412,27 @@
   EXPECT_LT(keeper.deletionsMissingTo(), 5099);
 }
 
-/// An entry that follows readers may not see an outage of the store that they
-/// saw. They pass the records that expired in it on as deleted.
+/// An entry that follows readers learns of an outage of the store from them.
+/// They pass the records that expired in it on as deleted.
 TEST(CatalogKeeper, KeepsServersThatExpiredInAnOutageThatOthersSaw) {
   CatalogSettings settings;
   CatalogKeeper reader(settings, textHooks());
+  reader.onStoreAnswered(5, Start);
   reader.apply({put("server:a", "1", 5)}, Start);
   CatalogKeeper keeper(settings, textHooks());
+  keeper.onPeerAnswers({Start, 5, {Start, 5}}, Start);
   keeper.apply(reader.recordsSince(0).Records, Start);
-  EXPECT_EQ(reader.graceLeft(Start), Duration(0));
   reader.onStoreLost();
-  EXPECT_EQ(reader.graceLeft(Start + 1s), settings.ExpiryGrace);
-  reader.onStoreRecovered(Start + 3s);
-  EXPECT_EQ(reader.graceLeft(Start + 4s), settings.ExpiryGrace - 1s);
-  keeper.onPeerGrace(reader.graceLeft(Start + 4s), Start + 4s);
+  reader.onStoreAnswered(9, Start + 3s);
+  keeper.onPeerAnswers(
+      {*reader.storeUptime().latest(), 9, *reader.storeUptime().period()},
+      Start + 4s);
   keeper.apply({deletion("server:a", 9)}, Start + 4s);
   EXPECT_EQ(keeper.view()->AllServers.size(), 1);
-  keeper.onTimer(Start + 3s + settings.ExpiryGrace);
+  TimePoint end = Start + 3s + settings.ExpiryGrace;
+  keeper.onPeerAnswers({end, 9, *reader.storeUptime().period()}, end);
+  keeper.onTimer(end);
   EXPECT_TRUE(keeper.view()->AllServers.empty());
-  keeper.onPeerGrace(Duration(0), Start + 9s);
-  EXPECT_EQ(keeper.graceLeft(Start + 9s), Duration(0));
 }
 
 /// Records may arrive in any order, repeatedly and from any source. The final
--- a/tests/direct/catalog_unreadable_test.cpp
+++ b/tests/direct/catalog_unreadable_test.cpp
@@ -116,9 +116,10 @@
 /// server in use.
 TEST(UnreadableRecord, GetsNoGraceWhenItIsDeleted) {
   CatalogKeeper keeper({2s}, textHooks());
+  keeper.onStoreAnswered(2, Start);
   keeper.apply({put("server:a", "1", 1), put("server:a", "bad", 2)}, Start);
-  keeper.onStoreLost();
-  keeper.apply({deletion("server:a", 3)}, Start);
+  keeper.onStoreAnswered(3, Start + 10s);
+  keeper.apply({deletion("server:a", 3)}, Start + 10s);
   EXPECT_EQ(allIdsOf(keeper), Ids{});
 }
 
--- a/tests/gateway/odd_input_test.cpp
+++ b/tests/gateway/odd_input_test.cpp
@@ -189,7 +189,8 @@
         SaveGrantRequest{1, {"store", 7, "s", "p"}, time, UINT32_MAX});
     RecordsResponse records;
     records.ConfirmationAge = records.CompleteStateAge = time;
-    records.GraceLeft = time;
+    records.AnsweringAge = time;
+    records.AnsweringRevision = UINT64_MAX;
     records.UpTo = records.CompleteTo = UINT64_MAX;
     records.DeletionsMissingTo = records.RestoredTo = UINT64_MAX;
     out.push_back(std::move(records));
@@ -282,7 +283,7 @@
       {"op/config", configText("\"other\"", 9), UINT64_MAX - 1, false});
   direct::RecordsResponse restored;
   restored.RestoredTo = UINT64_MAX;
-  restored.GraceLeft = std::numeric_limits<int64_t>::min();
+  restored.AnsweringAge = std::numeric_limits<int64_t>::min();
   const std::vector<direct::RecordsResponse> odd{future, endless, beyond,
                                                  newest, restored};
   std::atomic<size_t> asked{0};
--- a/tests/gateway/removed_server_test.cpp
+++ b/tests/gateway/removed_server_test.cpp
@@ -23,16 +23,30 @@
     KvService.put("op/config", configText("\"k1\""));
   }
 
-  /// Starts entries that have a path to the service each.
+  /// Starts entries that have a path to the service each, and know those that
+  /// started before them.
   void startEntries(size_t count) {
     for (size_t i = 0; i < count; ++i) {
       Paths.push_back(
           std::make_unique<test::FakeKvService::Path>(Threads.Io, KvService));
-      start("e" + std::to_string(i), Paths.back()->address());
+      std::vector<Endpoint> seeds;
+      for (auto &it : Entries)
+        seeds.push_back(it->Options.Peers);
+      startWith("e" + std::to_string(i), seeds);
     }
     for (auto &entry : Entries)
       ASSERT_TRUE(waitReady(*entry));
   }
+  /// Starts an entry on the last path. The service has no outage, however long
+  /// the machine takes.
+  Entry &startWith(const std::string &name, std::vector<Endpoint> seeds) {
+    GatewayOptions options =
+        Entry::optionsFor(name, Paths.back()->address(), std::move(seeds));
+    options.Catalog.MinOutage = 60s;
+    Entries.push_back(std::make_unique<Entry>(Threads.Io, options));
+    Entries.back()->start();
+    return *Entries.back();
+  }
   std::string metrics(const Entry &entry) {
     return fetch(entry.Options.Metrics, request("/metrics")).Response.Body;
   }
@@ -74,8 +88,8 @@
 
 TEST_F(RemovedServerTest, IsGivenUpByAnEntryWhosePathToTheServiceIsBroken) {
   startEntries(2);
-  ASSERT_TRUE(eventually([&] { return status(*Entries[0]) == 200; }));
-  breakPath(*Paths[0], *Entries[0]);
+  ASSERT_TRUE(eventually([&] { return status(*Entries[1]) == 200; }));
+  breakPath(*Paths[1], *Entries[1]);
   KvService.remove("servers/i-1");
   EXPECT_TRUE(allGiveUp());
   expectNoneKept();
@@ -99,7 +113,7 @@
   Paths.push_back(
       std::make_unique<test::FakeKvService::Path>(Threads.Io, KvService));
   Paths[1]->RefusalStatus = 503;
-  Entry &late = start("late", Paths[1]->address(), {Entries[0]->Options.Peers});
+  Entry &late = startWith("late", {Entries[0]->Options.Peers});
   ASSERT_TRUE(eventually([&] {
     KvService.completeWatches();
     return status(late) == 200;
@@ -154,7 +168,7 @@
   Paths.push_back(
       std::make_unique<test::FakeKvService::Path>(Threads.Io, KvService));
   Paths[0]->RefusalStatus = 503;
-  Entry &entry = start("e1", Paths[0]->address(), {peer.address()});
+  Entry &entry = startWith("e1", {peer.address()});
   ASSERT_TRUE(eventually([&] { return !peer.requests().empty(); }));
   Paths[0]->RefusalStatus = 0;
   ASSERT_TRUE(waitReady(entry));
