Take no first read for a restore of the store

An entry that started within earshot of others heard their records before its own first read, knew no era then, and took the store's era for that of a restore. It kept removed servers for 2 s, at rest, without any failure.

A first read is a restore only if the records heard before are of an earlier era.

CatalogKeeper.SeesNoRestoreInItsFirstRead, SeesARestoreInItsFirstRead.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -67,9 +67,10 @@
 void CatalogKeeper::onRestored(uint64_t upTo, TimePoint now) {
   if (eraOf(upTo) <= Era)
     return;
-  Era = eraOf(upTo);
+  bool isFirst = std::exchange(Era, eraOf(upTo)) == 0;
   EraSince = now;
-  if (States.empty())
+  // Before its first read, a process may have heard records of this era.
+  if (States.empty() || (isFirst && eraOf(HighestRevision) >= Era))
     return;
   RestoredTo = upTo;
   RestoredAt = now;
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -146,6 +146,29 @@
   EXPECT_EQ(idsOf(keeper), Ids{});
 }
 
+/// Guards against a start that is taken for a restore: records of another entry
+/// came before this one's first read.
+TEST(CatalogKeeper, SeesNoRestoreInItsFirstRead) {
+  CatalogKeeper keeper({2s}, textHooks());
+  StoreRecord record = put("server:a", "1", monotonicRevision(3, 1));
+  keeper.apply({record}, Start);
+  keeper.onStoreAnswered(monotonicRevision(3, 2), Start);
+  keeper.applyAll({record}, monotonicRevision(3, 2), Start);
+  EXPECT_EQ(keeper.restoredTo(), 0U);
+  keeper.apply({deletion("server:a", monotonicRevision(3, 4))}, Start + 100ms);
+  EXPECT_EQ(idsOf(keeper), Ids{});
+}
+
+/// The records of another entry are older than the restore.
+TEST(CatalogKeeper, SeesARestoreInItsFirstRead) {
+  CatalogKeeper keeper({2s}, textHooks());
+  keeper.apply({put("server:a", "1", monotonicRevision(3, 9))}, Start);
+  keeper.onStoreAnswered(monotonicRevision(4, 2), Start);
+  keeper.applyAll({}, monotonicRevision(4, 2), Start);
+  EXPECT_EQ(keeper.restoredTo(), monotonicRevision(4, 2));
+  EXPECT_EQ(idsOf(keeper), Ids{"a"});
+}
+
 TEST(CatalogKeeper, GivesNoGraceToAServerThatWasDraining) {
   CatalogKeeper keeper({2s}, textHooks());
   keeper.onStoreAnswered(1, Start);
