Ignore unknown records that are older than the last full read

An answer of another entry that was older than a starting entry's first read and arrived after it brought a removed server back. The removal lies before the entry's watch, so that nothing took the server away again: requests went there until the process restarted. The same held for records of any kind, as an evacuation that had ended.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -33,11 +33,19 @@
                           TimePoint now) {
   bool changed = false;
   for (const StoreRecord &record : records)
-    changed |= merge(record, now);
+    if (!isUnknownAndOld(record))
+      changed |= merge(record, now);
   if (changed)
     publish(now);
 }
 
+bool CatalogKeeper::isUnknownAndOld(const StoreRecord &record) const {
+  return HasReadAll && !record.IsDeleted &&
+         record.Revision <= DeletionsMissingTo &&
+         eraOf(record.Revision) == eraOf(DeletionsMissingTo) &&
+         !States.contains(record.Key);
+}
+
 void CatalogKeeper::applyAll(const std::vector<StoreRecord> &records,
                              uint64_t revision, TimePoint now) {
   bool changed = eraOf(revision) > Era;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -271,6 +271,9 @@
     uint64_t Revision = 0;
   };
 
+  /// Whether the record's key is not known although the store was read later:
+  /// the key was deleted since. An answer of another entry may be that old.
+  bool isUnknownAndOld(const StoreRecord &record) const;
   /// Merges one record and returns whether the catalog changed.
   bool merge(const StoreRecord &record, TimePoint now);
   /// Whether the known state of the key takes precedence over the record.
