Ask once more before sending whether the server takes requests

An attempt is bound to its server when it is chosen. It may then wait 30 ms for grants of saves and up to a second for a connection, and was sent whatever the entry had learned of the server meanwhile.

The call asks right before the first byte, on each connection.

HttpClient.SendsNothingOnceItMayNotBeSent.

--- a/src/gateway/gateway_request.cpp
+++ b/src/gateway/gateway_request.cpp
@@ -370,6 +370,10 @@
                              const auto &headers, bool isFirst) {
     return self->isOwnAnswer(server, headers, isFirst);
   };
+  hooks.MaySend = [self = shared_from_this(), attempt,
+                   server = order.server().start(), chosenAt = SentAt] {
+    return self->maySend(attempt, server, chosenAt);
+  };
   hooks.Sending = [self = shared_from_this(), attempt](const auto &connection) {
     self->onStrand([raw = self.get(), attempt, connection] {
       raw->onSending(attempt, connection);
@@ -403,16 +407,22 @@
   if (Flow.isEnded() || attempt != Flow.attempts())
     return;
   Connection = connection;
+}
+
+bool GatewayRequest::maySend(uint32_t attempt,
+                             const direct::ServerStart &server,
+                             TimePoint chosenAt) const {
   TimePoint now = monotonicNow();
-  if (State.takesRequests(Order.server(), now))
-    return;
+  if (State.takesRequests(server, now))
+    return true;
   State.Stats.AttemptsAfterLeaving.add();
   State.Log.write(LogPriority::Notable, "server_left_before_sending",
                   {{"request", Flow.request().Head.RequestId},
                    {"attempt", attempt},
-                   {"server", Order.ServerId},
-                   {"since_choice_ms", millisecondsOf(now - SentAt)}},
+                   {"server", server.Id},
+                   {"since_choice_ms", millisecondsOf(now - chosenAt)}},
                   now);
+  return false;
 }
 
 void GatewayRequest::onHead(uint32_t attempt, unsigned status,
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -116,6 +116,11 @@
   bool isOwnAnswer(const std::string &server,
                    const std::vector<net::HttpHeader> &headers,
                    bool isFirst) const;
+  /// Whether the attempt may still be sent: its server may have left since it
+  /// was chosen, while the attempt waited for a connection. Called on the
+  /// thread of the call.
+  bool maySend(uint32_t attempt, const direct::ServerStart &server,
+               TimePoint chosenAt) const;
   /// The attempt is sent on this connection.
   void onSending(uint32_t attempt, const net::HttpConnectionInfo &connection);
   void onHead(uint32_t attempt, unsigned status,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -23,6 +23,10 @@
   /// The request is about to be sent on this connection. Called once more if
   /// the connection turns out to be stale and another one is used.
   std::function<void(const HttpConnectionInfo &connection)> Sending;
+  /// Asked right before the request is sent, on each connection. If it must not
+  /// be sent any more, the call ends with ServiceUnavailable. If empty, every
+  /// request is sent.
+  std::function<bool()> MaySend;
   /// Returns whether a response belongs to this request. A response that does
   /// not is read and discarded, and the next one on the connection is checked.
   /// If empty, every response is accepted. `isFirst` tells that the connection
--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -159,6 +159,9 @@
 }
 
 void HttpClientCall::send() {
+  if (Hooks.MaySend && !Hooks.MaySend())
+    return finish(
+        {ErrorKind::ServiceUnavailable, toString(To) + ": not sent any more"});
   if (Hooks.Sending)
     Hooks.Sending(Connection->info());
   ++Connection->Calls;
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -203,6 +203,34 @@
   kept.reset();
 }
 
+/// Guards against requests to a server that left while they waited for a
+/// connection.
+TEST(HttpClient, SendsNothingOnceItMayNotBeSent) {
+  std::atomic<int> received{0};
+  HttpFixture fixture(
+      [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &to) {
+        ++received;
+        to->respond({200, {}, {}});
+      });
+  std::atomic<bool> maySend{true};
+  auto call = [&] {
+    auto done = std::make_shared<std::promise<Error>>();
+    HttpHooks hooks;
+    hooks.MaySend = [&] { return maySend.load(); };
+    hooks.Done = [done](const Error &error) { done->set_value(error); };
+    fixture.Client.call(fixture.endpoint(), {"POST", "/", "", {}, "b"},
+                        WaitLimit, std::move(hooks));
+    return done->get_future().get().Kind;
+  };
+  EXPECT_EQ(call(), ErrorKind::None);
+  maySend = false;
+  EXPECT_EQ(call(), ErrorKind::ServiceUnavailable) << "on a kept connection";
+  EXPECT_EQ(call(), ErrorKind::ServiceUnavailable) << "on a new connection";
+  maySend = true;
+  EXPECT_EQ(call(), ErrorKind::None);
+  EXPECT_EQ(received, 2);
+}
+
 TEST(HttpClient, StaleConnectionIsReplacedForGet) {
   ScriptedServer server(
       {answerThenDrop, [](tcp::socket &s) { answer(s, "second"); }});
