--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -203,6 +203,38 @@
   kept.reset();
 }
 
+/// Guards against requests that arrive long after they were given up: the
+/// system goes on sending what a closed connection holds, once a path that was
+/// cut is repaired.
+TEST(HttpClient, GivenUpCallDiscardsWhatIsNotSentYet) {
+  constexpr size_t BodyBytes = 32U << 20; // More than the sockets hold.
+  std::promise<void> arrived;
+  std::promise<void> cancelled;
+  std::promise<ErrorCode> end;
+  ScriptedServer server({[&](tcp::socket &socket) {
+    readRequest(socket);
+    arrived.set_value();
+    cancelled.get_future().wait();
+    std::vector<char> unread(1U << 20);
+    ErrorCode ec;
+    while (!ec)
+      socket.read_some(asio::buffer(unread), ec);
+    end.set_value(ec);
+  }});
+  HttpFixture fixture(echo);
+  std::promise<void> done;
+  HttpHooks hooks;
+  hooks.Done = [&](const Error &) { done.set_value(); };
+  HttpCall call = fixture.Client.call(
+      server.endpoint(), {"POST", "/", "", {}, std::string(BodyBytes, 'b')},
+      Duration(0), std::move(hooks));
+  arrived.get_future().wait();
+  call.cancel();
+  done.get_future().wait();
+  cancelled.set_value();
+  EXPECT_EQ(end.get_future().get(), asio::error::connection_reset);
+}
+
 /// Guards against requests to a server that left while they waited for a
 /// connection.
 TEST(HttpClient, SendsNothingOnceItMayNotBeSent) {
