Soak: servers leave without a word, and must get nothing new

A quarter of the replaced ones now have their record removed and serve on for 3 s. removed_servers judges entries that nothing disturbs, also while the paths of others are in trouble.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -235,6 +235,16 @@
                 yield f"{request_id} reached {server.id} {at - since:.1f} s after it was draining"
 
 
+def removed_servers(world, _runs):
+    """A server whose record was removed gets nothing new of entries that nothing disturbs, whatever happens to others."""
+    for server in world.all_servers:
+        since = world.removed.get(server.id)
+        for at, request_id in server.arrivals:
+            is_late = since and at > since + DRAIN_SECONDS
+            if is_late and world.ran_undisturbed(world.entry_of(request_id), since - 3, at):
+                yield f"{request_id} reached {server.id} {at - since:.1f} s after its record was removed"
+
+
 def servers_leaving_by_answer(world, _runs):
     """An entry that passed on an answer with Server-Leaving sends no new requests to that server."""
     for server in world.all_servers:
@@ -491,7 +501,7 @@
 
 ALL_CHECKS = (at_most_once, runs_do_not_overlap, refusals_not_executed, callers_return, answers_match_runs, events_in_order,
               streams_of_one_version, resumptions_go_on, requests_as_sent,
-              requests_end_with_answer, revoked_keys, draining_servers, servers_leaving_by_answer, rejecting_servers,
+              requests_end_with_answer, revoked_keys, draining_servers, removed_servers, servers_leaving_by_answer, rejecting_servers,
               evacuated_domains, cold_servers, limited_servers, revocations_stay, fatal_requests, fatal_parts,
               no_false_quarantine,
               planned_restarts_cut_nothing, stops_lose_no_request, late_requests_end_with_their_answer, parts_freed_while_read,
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -32,7 +32,7 @@
         self.server = BackendServer("engines0" if kind in PROMPT_KINDS else "plain0", "service")
         self.all_servers = [self.server]
         self.organisation_of = {"k1": "one"}
-        self.revoked, self.leaving, self.stops = {}, {}, []
+        self.revoked, self.leaving, self.removed, self.stops = {}, {}, {}, []
         self.fetch = Fetch(ID, ("shared@1", "aa11"), 100.0, 100.5, discarded=False, was_whole=True)
         self.store = types.SimpleNamespace(name="kept0", fetches=[self.fetch], freed=[])
         self.stores = [self.store]
@@ -257,6 +257,11 @@
     world.server.arrivals.append((100.0, ID))
 
 
+def sent_to_removed_server(world):
+    world.removed[world.server.id] = 90.0
+    world.server.arrivals.append((100.0, ID))
+
+
 def sent_after_leaving_answer(world):
     world.server.leaving_answers.append((90.0, ID))
     world.server.arrivals += [(91.0, ID), (93.0, ID)]
@@ -544,7 +549,8 @@
     stream_of_two_versions: "streams_of_one_version", resumed_at_another_version: "streams_of_one_version",
     resumptions_refused: "resumptions_go_on", changed_body: "requests_as_sent", forwarded_key: "requests_as_sent", wrong_organisation: "requests_as_sent",
     run_without_request: "requests_as_sent", never_answered: "requests_end_with_answer", revoked_key: "revoked_keys",
-    sent_to_draining_server: "draining_servers", cut_by_a_planned_stop: "planned_restarts_cut_nothing",
+    sent_to_draining_server: "draining_servers", sent_to_removed_server: "removed_servers",
+    cut_by_a_planned_stop: "planned_restarts_cut_nothing",
     two_holders: "one_holder_per_fencing_token", passed_on_late_and_cut: "stops_lose_no_request",
     read_late_and_dropped: "stops_lose_no_request", refused_late_without_a_time: "refusals_not_executed",
     freed_under_a_fetch: "parts_freed_while_read", fetched_while_written: "parts_freed_while_read",
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -103,9 +103,10 @@
     staying = [it for it in world.servers if it.id not in world.leaving]
     if len(staying) < 4:
         return
-    server, drains = rng.choice(staying), rng.random() < 0.5
-    world.log(f"{server.id} {'drains' if drains else 'crashes'}")
-    await world.retire_server(server, drains)
+    server, draw = rng.choice(staying), rng.random()
+    how = "drains" if draw < 0.5 else "leaves" if draw < 0.75 else "crashes"
+    world.log(f"{server.id} {how}")
+    await world.retire_server(server, how)
 
 
 async def restart_in_place(world, rng):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -102,7 +102,7 @@
         self.entries, self.servers, self.all_servers, self.links = [], [], [], {}
         self.stores = []
         self.sent, self.problems, self.faults = [], [], []
-        self.revoked, self.leaving = {}, {}
+        self.revoked, self.leaving, self.removed = {}, {}, {}
         self.evacuated = {}  # By failure domain: (begin, end) of each evacuation; end is None while it lasts.
         self.fatal_ends = []  # Times at which servers crashed on the fatal request.
         self.has_fatal_part = False  # Whether a caller sends requests with the fatal part, whatever the seed.
@@ -324,13 +324,18 @@
                 self.wrong_ends.append(f"{entry.name} ended with {entry.ended()} after the last SIGTERM")
         self.fault_reports = sanitizers.reports(self.fleet.directory)
 
-    async def retire_server(self, server, drains):
-        """Replaces a server by one with a new id, with a drain or without."""
-        if drains:
+    async def retire_server(self, server, how):
+        """Replaces a server by one with a new id. It drains; or leaves without a word: its record is removed, and it
+        serves on for a while; or crashes."""
+        if how == "drains":
             self.record(server, "draining")
             self.leaving[server.id] = self.now()
             server.is_leaving = True
             await asyncio.sleep(3)
+        elif how == "leaves":
+            self.kv.remove(f"servers/{server.id}")
+            self.leaving[server.id] = self.removed[server.id] = self.now()
+            await asyncio.sleep(3)
         self.leaving.setdefault(server.id, self.now())
         if server not in self.servers:
             return  # It has crashed.
