--- a/tests/direct/restore_test.cpp
+++ b/tests/direct/restore_test.cpp
@@ -105,7 +105,9 @@
   Keeper.applyAll({put("server:new", "1", inFirstEra(10))}, inFirstEra(10),
                   CatalogStart);
   Keeper.applyAll({}, inSecondEra(5), CatalogStart);
+  Keeper.onTimer(CatalogStart + 1'900ms);
   EXPECT_EQ(idsOf(Keeper), Ids{"new"});
+  Keeper.onStoreAnswered(inSecondEra(5), CatalogStart + 2s);
   Keeper.onTimer(CatalogStart + 2s);
   EXPECT_EQ(idsOf(Keeper), Ids{});
 }
