Pass on how uncertain a time of the store's answers is

Callers saw nothing yet; found by reading and shown by the model. Running servers were dropped after an outage in which their leases ran out, so that requests were refused or crowded onto the others until the servers' next records.

Cause: an entry took the earliest possible time for the time of an answer that another entry told of. If the call took 0.7 s, its timeout, an outage of up to 3 s looked shorter than the shortest one that counts (2.3 s). That entry then told all others that there had been none, which they believe. Passed on over several entries, the errors add up.

An answer's time now goes with the delay by which it may have come later, and the delays of all messages that it crossed add up. A gap counts by the latest possible time, what another entry has covered by the earliest. The entries' own answers are exact as before.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -293,8 +293,8 @@
     // A server that was kept when another outage began could not register anew
     // before it.
     bool isFromBefore = period && state.Record.Revision <= period->Revision;
-    TimePoint until =
-        period ? period->Since + Settings.ExpiryGrace : *Uptime.latest();
+    TimePoint until = period ? period->Since + Settings.ExpiryGrace
+                             : Uptime.latest()->Earliest;
     state.KeptUntil = isFromBefore ? until : std::min(*state.KeptUntil, until);
   }
   dropExpired(now);
@@ -303,8 +303,8 @@
 bool CatalogKeeper::isKept(const KeyState &state, TimePoint now) const {
   // After that time, only an answer shows that the record is still missing:
   // another outage may have begun.
-  return state.KeptUntil &&
-         (now < *state.KeptUntil || Uptime.latest() < state.KeptUntil);
+  return state.KeptUntil && (now < *state.KeptUntil ||
+                             Uptime.latest()->Earliest < *state.KeptUntil);
 }
 
 bool CatalogKeeper::keepsServers() const {
--- a/src/direct/peer_messages.h
+++ b/src/direct/peer_messages.h
@@ -48,10 +48,15 @@
   /// that requested records from a lower revision on does not get the sender's
   /// full state.
   uint64_t DeletionsMissingTo = 0;
+  /// Microseconds since the service last answered any entry, as far as the
+  /// sender knows (direct/store_uptime.h).
+  int64_t AnswerAge = 0;
+  /// Microseconds by which that answer may have come later.
+  int64_t AnswerDelay = 0;
   /// Microseconds since the beginning of the period in which the service has
-  /// answered without an outage, up to ConfirmationAge (direct/store_uptime.h).
+  /// answered without an outage, up to that answer.
   int64_t AnsweringAge = 0;
-  /// The service's revision then; 0: it has not answered yet.
+  /// The service's revision at that beginning; 0: it has not answered yet.
   uint64_t AnsweringRevision = 0;
   /// Records up to this revision may come from an older copy that the service
   /// was restored from; 0: no restore was seen.
@@ -59,8 +64,8 @@
   bool operator==(const RecordsResponse &) const = default;
   template <class Archive> void serialize(Archive &ar) {
     ar(Records, Offers, UpTo, HasMore, ConfirmationAge, CompleteStateAge,
-       CompleteTo, DeletionsMissingTo, AnsweringAge, AnsweringRevision,
-       RestoredTo);
+       CompleteTo, DeletionsMissingTo, AnswerAge, AnswerDelay, AnsweringAge,
+       AnsweringRevision, RestoredTo);
   }
 };
 
--- a/src/direct/store_uptime.cpp
+++ b/src/direct/store_uptime.cpp
@@ -8,18 +8,23 @@
 namespace daisytack::direct {
 
 bool StoreUptime::onAnswer(TimePoint at, uint64_t revision) {
-  if (Latest && at <= *Latest)
+  return note({at}, revision);
+}
+
+bool StoreUptime::note(UncertainTime at, uint64_t revision) {
+  if (Latest && at.Earliest <= Latest->Earliest)
     return false;
-  std::optional<TimePoint> before = std::exchange(Latest, at);
-  if (before && at <= *before + MinOutage)
+  std::optional<UncertainTime> before = std::exchange(Latest, at);
+  // A delayed message must not hide an outage.
+  if (before && at.latest() <= before->Earliest + MinOutage)
     return false;
-  Period = AnswerPeriod{at, revision};
-  OutageSince = before;
+  Period = AnswerPeriod{at.latest(), revision};
+  OutageSince = before ? std::optional(before->Earliest) : std::nullopt;
   return true;
 }
 
 bool StoreUptime::onPeerAnswers(const PeerAnswers &peer) {
-  bool isNew = onAnswer(peer.Latest, peer.LatestRevision);
+  bool isNew = note(peer.Latest, peer.LatestRevision);
   bool isAdopted = adoptPeriod(peer);
   return isNew || isAdopted;
 }
@@ -28,7 +33,7 @@
   // If an outage fits between the other entry's latest answer and this period,
   // the other entry may not have noticed it yet.
   bool isSamePeriod = Period && peer.Period.Since < Period->Since &&
-                      Period->Since <= peer.Latest + MinOutage &&
+                      Period->Since <= peer.Latest.Earliest + MinOutage &&
                       eraOf(peer.Period.Revision) == eraOf(Period->Revision);
   if (!isSamePeriod)
     return false;
@@ -41,7 +46,8 @@
 }
 
 void StoreUptime::onRestored(TimePoint at, uint64_t revision) {
-  Latest = std::max(Latest.value_or(at), at);
+  if (!Latest || Latest->Earliest < at)
+    Latest = UncertainTime{at};
   Period = AnswerPeriod{at, revision};
   // Other entries may have noticed the restore earlier, but none can show that
   // there was none.
--- a/src/direct/store_uptime.h
+++ b/src/direct/store_uptime.h
@@ -30,11 +30,21 @@
   auto operator<=>(const AnswerPeriod &) const = default;
 };
 
+/// A time that is known from another entry's message only, which took an
+/// unknown part of the call.
+struct UncertainTime {
+  TimePoint Earliest;
+  Duration Delay{0}; ///< The time may be later by this much.
+  auto operator<=>(const UncertainTime &) const = default;
+  TimePoint latest() const { return Earliest + Delay; }
+};
+
 /// What another entry knows of the store's answers to any entry.
 struct PeerAnswers {
-  TimePoint Latest;            ///< Its latest answer.
+  UncertainTime Latest;        ///< Its latest answer.
   uint64_t LatestRevision = 0; ///< The store's revision then.
-  AnswerPeriod Period;         ///< The period of that answer.
+  /// The period of that answer, which began no later than Since.
+  AnswerPeriod Period;
   auto operator<=>(const PeerAnswers &) const = default;
 };
 
@@ -44,9 +54,8 @@
   /// `minOutage`.
   explicit StoreUptime(Duration minOutage) : MinOutage(minOutage) {}
 
-  /// The store answered some entry at this time, when it had this revision.
-  /// Answers before the latest one have no effect. Returns whether the current
-  /// period changed.
+  /// The store answered this entry, and had this revision. Returns whether the
+  /// current period changed.
   bool onAnswer(TimePoint at, uint64_t revision);
   /// Returns whether the current period changed.
   bool onPeerAnswers(const PeerAnswers &peer);
@@ -59,16 +68,19 @@
   /// The period, if it began with the end of an outage.
   std::optional<AnswerPeriod> periodAfterOutage() const;
   /// The latest answer to any entry; empty before the first one.
-  std::optional<TimePoint> latest() const { return Latest; }
+  const std::optional<UncertainTime> &latest() const { return Latest; }
 
 private:
+  /// The store answered some entry at this time. Answers before the latest one
+  /// have no effect.
+  bool note(UncertainTime at, uint64_t revision);
   /// Takes over the other entry's beginning of the current period if it is
   /// earlier.
   bool adoptPeriod(const PeerAnswers &peer);
 
   Duration MinOutage;
   std::optional<AnswerPeriod> Period;
-  std::optional<TimePoint> Latest;
+  std::optional<UncertainTime> Latest;
   /// Latest answer before the outage that the period follows; empty if no
   /// outage is known.
   std::optional<TimePoint> OutageSince;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,6 +64,16 @@
   return at - Duration(std::min(micros, INT64_MAX / 2));
 }
 
+/// What the response to a call that was sent at this time tells of the
+/// service's answers.
+direct::PeerAnswers peerAnswers(const direct::RecordsResponse &response,
+                                TimePoint sentAt, TimePoint now) {
+  Duration told(std::min(response.AnswerDelay, INT64_MAX / 4));
+  return {{timeBefore(sentAt, response.AnswerAge), told + (now - sentAt)},
+          std::max(response.CompleteTo, response.UpTo),
+          {timeBefore(now, response.AnsweringAge), response.AnsweringRevision}};
+}
+
 /// Share of the instance's memory that a range of the key-value service may
 /// take. It exists up to three times: as it is read, as records and in the
 /// catalog.
@@ -228,11 +238,7 @@
   int64_t confirmed = confirmedAt.time_since_epoch().count();
   State.Catalog.onRestored(response.RestoredTo, now);
   if (response.AnsweringRevision > 0)
-    State.Catalog.onPeerAnswers(
-        {confirmedAt,
-         std::max(response.CompleteTo, response.UpTo),
-         {timeBefore(now, response.AnsweringAge), response.AnsweringRevision}},
-        now);
+    State.Catalog.onPeerAnswers(peerAnswers(response, call.SentAt, now), now);
   if (!response.Records.empty())
     Follower->merge(response.Records);
   if (direct::eraOf(response.CompleteTo) > direct::eraOf(State.SyncedRevision))
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -436,10 +436,6 @@
   return Clock.at(now);
 }
 
-bool GatewayState::hasBeenConfirmed() const {
-  return ConfirmedAt.load() != NeverConfirmed;
-}
-
 bool GatewayState::takesRequests(direct::ServerRef server,
                                  TimePoint now) const {
   return catalog()->takesRequests(server) && !Loads.view(server, now).IsLeaving;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -188,10 +188,9 @@
   /// and peers.
   net::HttpClient ControlClient;
   direct::CatalogKeeper Catalog;
-  static constexpr int64_t NeverConfirmed = INT64_MIN / 2;
   /// When the key-value service last confirmed the catalog, in microseconds of
   /// the monotonic clock.
-  std::atomic<int64_t> ConfirmedAt{NeverConfirmed};
+  std::atomic<int64_t> ConfirmedAt{INT64_MIN / 2};
   /// Null until the drain begins.
   std::atomic<std::shared_ptr<const direct::DrainPlan>> Drain;
   RunningRequests Running;
@@ -218,8 +217,6 @@
   /// Whether the key-value service confirmed the catalog less than
   /// Options.ConfirmedFor ago.
   bool isConfirmed(TimePoint now) const;
-  /// Whether the service has answered this entry, or another one that told it.
-  bool hasBeenConfirmed() const;
   /// Whether this start of a server takes new requests: neither its record nor
   /// its answers say that it leaves.
   bool takesRequests(direct::ServerRef server, TimePoint now) const;
--- a/src/gateway/peer_exchange.cpp
+++ b/src/gateway/peer_exchange.cpp
@@ -157,11 +157,12 @@
   out.CompleteStateAge = nowUs - State.SyncedAt.load();
   out.CompleteTo = State.SyncedRevision;
   out.DeletionsMissingTo = State.Catalog.deletionsMissingTo();
-  const std::optional<direct::AnswerPeriod> &period =
-      State.Catalog.storeUptime().period();
-  if (period && State.hasBeenConfirmed()) {
-    out.AnsweringAge = (now - period->Since).count();
-    out.AnsweringRevision = period->Revision;
+  const direct::StoreUptime &uptime = State.Catalog.storeUptime();
+  if (uptime.latest()) {
+    out.AnswerAge = (now - uptime.latest()->Earliest).count();
+    out.AnswerDelay = uptime.latest()->Delay.count();
+    out.AnsweringAge = (now - uptime.period()->Since).count();
+    out.AnsweringRevision = uptime.period()->Revision;
   }
   out.RestoredTo = State.Catalog.restoredTo();
   return out;
--- a/tests/direct/catalog_test.cpp
+++ b/tests/direct/catalog_test.cpp
@@ -74,9 +74,9 @@
   keeper.onStoreAnswered(1, Start);
   keeper.apply({put("server:a", "1", 1)}, Start);
   keeper.onStoreLost();
-  keeper.onPeerAnswers({Start + 60s, 5, {Start + 60s, 5}}, Start + 60s);
+  keeper.onPeerAnswers({{Start + 60s}, 5, {Start + 60s, 5}}, Start + 60s);
   keeper.apply({deletion("server:a", 5)}, Start + 60s);
-  keeper.onPeerAnswers({Start + 61s, 6, {Start + 60s, 5}}, Start + 61s);
+  keeper.onPeerAnswers({{Start + 61s}, 6, {Start + 60s, 5}}, Start + 61s);
   keeper.onTimer(Start + 61'900ms);
   EXPECT_EQ(idsOf(keeper), Ids{"a"});
   keeper.onStoreAnswered(8, Start + 62s);
@@ -124,7 +124,7 @@
   keeper.onStoreAnswered(9, Start + 10s);
   keeper.apply({deletion("server:a", 4)}, Start + 10s);
   EXPECT_TRUE(keeper.keepsServers());
-  keeper.onPeerAnswers({Start + 9s, 8, {Start - 60s, 1}}, Start + 10'100ms);
+  keeper.onPeerAnswers({{Start + 9s}, 8, {Start - 60s, 1}}, Start + 10'100ms);
   EXPECT_FALSE(keeper.keepsServers());
   EXPECT_EQ(idsOf(keeper), Ids{});
 }
@@ -443,19 +443,25 @@
   reader.onStoreAnswered(5, Start);
   reader.apply({put("server:a", "1", 5)}, Start);
   CatalogKeeper keeper(settings, textHooks());
-  keeper.onPeerAnswers({Start, 5, {Start, 5}}, Start);
+  keeper.onPeerAnswers({{Start}, 5, {Start, 5}}, Start);
   keeper.apply(reader.recordsSince(0).Records, Start);
+  EXPECT_FALSE(reader.storeUptime().periodAfterOutage());
   reader.onStoreLost();
+  EXPECT_FALSE(reader.storeUptime().periodAfterOutage());
   reader.onStoreAnswered(9, Start + 3s);
+  EXPECT_EQ(reader.storeUptime().periodAfterOutage(),
+            (AnswerPeriod{Start + 3s, 9}));
   keeper.onPeerAnswers(
       {*reader.storeUptime().latest(), 9, *reader.storeUptime().period()},
       Start + 4s);
   keeper.apply({deletion("server:a", 9)}, Start + 4s);
   EXPECT_EQ(keeper.view()->AllServers.size(), 1);
   TimePoint end = Start + 3s + settings.ExpiryGrace;
-  keeper.onPeerAnswers({end, 9, *reader.storeUptime().period()}, end);
+  keeper.onPeerAnswers({{end}, 9, *reader.storeUptime().period()}, end);
   keeper.onTimer(end);
   EXPECT_TRUE(keeper.view()->AllServers.empty());
+  keeper.apply({put("server:a", "1", 10), deletion("server:a", 11)}, end);
+  EXPECT_TRUE(keeper.view()->AllServers.empty());
 }
 
 /// Records may arrive in any order, repeatedly and from any source. The final
--- a/tests/direct/removal_model_test.cpp
+++ b/tests/direct/removal_model_test.cpp
@@ -79,7 +79,8 @@
 
 class RemovalModel {
 public:
-  explicit RemovalModel(uint64_t seed) : Random(seed), Now(CatalogStart) {
+  explicit RemovalModel(uint64_t seed, Duration slowestMessage)
+      : SlowestMessage(slowestMessage), Random(seed), Now(CatalogStart) {
     for (Trouble kind :
          {Trouble::None, Trouble::None, Trouble::Resets, Trouble::Silence,
           Trouble::Restarts, Trouble::Follows, Trouble::Follows}) {
@@ -277,7 +278,7 @@
     for (int i = 0; i < (follows ? 1 : 3); ++i) {
       size_t from = Random() % (follows ? 2 : Entries.size());
       TimePoint askedAt = Now;
-      TimePoint arrivesAt = Now + random(0ms, 100ms);
+      TimePoint arrivesAt = Now + messageDelay(asking);
       if (from != to)
         Messages.emplace(arrivesAt, [this, from, to, askedAt] {
           answerEntry(Entries[from], to, askedAt);
@@ -289,21 +290,28 @@
     const StoreUptime &uptime = from.Keeper->storeUptime();
     if (!uptime.period())
       return;
-    Duration latestAge = Now - *uptime.latest();
+    Duration latestAge = Now - uptime.latest()->Earliest;
     Duration periodAge = Now - uptime.period()->Since;
-    PeerAnswers answers{askedAt - latestAge,
+    PeerAnswers answers{{askedAt - latestAge, uptime.latest()->Delay},
                         from.Keeper->revision(),
                         {TimePoint(), uptime.period()->Revision}};
     std::vector<StoreRecord> records = from.Keeper->recordsSince(0).Records;
-    Messages.emplace(Now + random(0ms, 100ms),
-                     [this, to, answers, periodAge, records] {
+    Messages.emplace(Now + messageDelay(Entries[to]),
+                     [this, to, answers, askedAt, periodAge, records] {
                        PeerAnswers arrived = answers;
+                       arrived.Latest.Delay += Now - askedAt;
                        arrived.Period.Since = Now - periodAge;
                        Entries[to].Keeper->onPeerAnswers(arrived, Now);
                        Entries[to].Keeper->apply(records, Now);
                      });
   }
 
+  /// Entries that follow ask others all the time, and must learn in time.
+  Duration messageDelay(const ModelEntry &asking) {
+    return random(0ms,
+                  asking.Kind == Trouble::Follows ? 100ms : SlowestMessage);
+  }
+
   void check() {
     for (size_t i = 0; i < Entries.size(); ++i) {
       const ModelEntry &entry = Entries[i];
@@ -328,6 +336,8 @@
     }
   }
 
+  /// Of the messages of entries that ask others on occasion, in one direction.
+  const Duration SlowestMessage;
   std::mt19937_64 Random;
   TimePoint Now;
   ModelStore Store;
@@ -349,10 +359,11 @@
   size_t Removals = 0;
   size_t Expiries = 0;
 
-  explicit RemovalCounts(const std::vector<uint64_t> &seeds) {
+  explicit RemovalCounts(const std::vector<uint64_t> &seeds,
+                         Duration slowestMessage = 100ms) {
     for (uint64_t seed : seeds) {
       SCOPED_TRACE("seed " + std::to_string(seed));
-      RemovalModel model(seed);
+      RemovalModel model(seed, slowestMessage);
       model.run(60s);
       Outages += model.Outages;
       Removals += model.Removals;
@@ -372,10 +383,17 @@
   EXPECT_GT(counts.Expiries, 100U);
 }
 
+/// Guards against an outage that is hidden by messages which take as long as
+/// the timeout of their call allows.
+TEST(RemovalModel, KeepsServersThatRunBehindSlowMessages) {
+  RemovalCounts counts({337, 480, 629, 1093, 1410, 1908, 2916}, 350ms);
+  EXPECT_GT(counts.Expiries, 0U);
+}
+
 /// Leases run out over two outages, of which the second, or both, are too short
 /// to be told from a cut path.
 TEST(RemovalModel, KeepsServersThatRunInShortOutagesInSeries) {
-  RemovalCounts counts({636, 1007});
+  RemovalCounts counts({636, 1007, 1544});
   EXPECT_GT(counts.Expiries, 0U);
 }
 
--- a/tests/direct/store_uptime_test.cpp
+++ b/tests/direct/store_uptime_test.cpp
@@ -21,7 +21,7 @@
 /// An entry that had answers up to `latest`, in a period since `since`.
 PeerAnswers peer(Duration latest, uint64_t revision, Duration since,
                  uint64_t sinceRevision) {
-  return {Start + latest, revision, period(since, sinceRevision)};
+  return {{Start + latest}, revision, period(since, sinceRevision)};
 }
 
 TEST(StoreUptime, KnowsOfNoOutageBeforeTheFirstAnswer) {
@@ -48,6 +48,18 @@
   EXPECT_FALSE(uptime.periodAfterOutage());
 }
 
+/// Guards against an outage that is hidden by a slow message: it tells of an
+/// answer whose earliest possible time lies in the outage.
+TEST(StoreUptime, NoticesAnOutageBehindASlowMessage) {
+  StoreUptime uptime(MinOutage);
+  uptime.onAnswer(Start, 7);
+  PeerAnswers slow = peer(1900ms, 9, 1900ms, 9);
+  slow.Latest.Delay = 500ms;
+  slow.Period.Since += slow.Latest.Delay;
+  EXPECT_TRUE(uptime.onPeerAnswers(slow));
+  EXPECT_EQ(uptime.periodAfterOutage(), period(2400ms, 9));
+}
+
 TEST(StoreUptime, LearnsFromOthersThatTheStoreAnsweredAllTheTime) {
   StoreUptime uptime(MinOutage);
   uptime.onAnswer(Start, 7);
--- a/tests/gateway/odd_input_test.cpp
+++ b/tests/gateway/odd_input_test.cpp
@@ -189,6 +189,7 @@
         SaveGrantRequest{1, {"store", 7, "s", "p"}, time, UINT32_MAX});
     RecordsResponse records;
     records.ConfirmationAge = records.CompleteStateAge = time;
+    records.AnswerAge = records.AnswerDelay = time;
     records.AnsweringAge = time;
     records.AnsweringRevision = UINT64_MAX;
     records.UpTo = records.CompleteTo = UINT64_MAX;
