Log ends of outages, and outages that were none

Whether removed servers stay listed depends on what an entry takes for an outage of the key-value service, and on other entries that deny it. Neither had a line: only the servers kept under it had one, and none if it was denied.

service_outage_ended and service_outage_denied, with a counter each. No decision changes; process.operations_page_test and the gateway's tests of removed servers pass.

--- a/src/direct/catalog.cpp
+++ b/src/direct/catalog.cpp
@@ -287,6 +287,9 @@
 
 void CatalogKeeper::updateKept(TimePoint now) {
   std::optional<AnswerPeriod> period = Uptime.periodAfterOutage();
+  bool wasAfterOutage = std::exchange(IsAfterOutage, period.has_value());
+  if ((wasAfterOutage || IsAfterOutage) && Hooks.OutageSeen)
+    Hooks.OutageSeen(period, now);
   for (auto &[key, state] : States) {
     if (!state.KeptUntil)
       continue;
--- a/src/direct/catalog.h
+++ b/src/direct/catalog.h
@@ -175,6 +175,11 @@
   std::function<void(const RecordSubject &, std::string_view change,
                      uint64_t revision, TimePoint now)>
       Changed;
+  /// Called when an outage of the store ends, with the period that follows it;
+  /// once more if it turns out to have ended earlier, and without a period if
+  /// it turns out to have been none. May be empty.
+  std::function<void(const std::optional<AnswerPeriod> &, TimePoint now)>
+      OutageSeen;
   /// Called when a removed server stays listed; may be empty.
   std::function<void(const KeptServer &, TimePoint now)> Kept;
   /// Called once per revision of a record that can't be decoded, or of a server
@@ -360,6 +365,7 @@
   bool IsRestoreSettled = true;
   bool IsStale = false;
   StoreUptime Uptime;
+  bool IsAfterOutage = false; ///< As last told to CatalogHooks::OutageSeen.
   Rcu<Catalog> Published;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -99,6 +99,19 @@
                {"revision", revision}},
               now);
   };
+  out.OutageSeen = [&log,
+                    &stats](const std::optional<direct::AnswerPeriod> &period,
+                            TimePoint now) {
+    if (!period) {
+      stats.OutagesDenied.add();
+      return log.write(LogPriority::Notable, "service_outage_denied", {}, now);
+    }
+    stats.OutagesSeen.add();
+    log.write(LogPriority::Notable, "service_outage_ended",
+              {{"answering_ms", millisecondsOf(now - period->Since)},
+               {"revision", period->Revision}},
+              now);
+  };
   out.Kept = [&log, &stats](const direct::KeptServer &kept, TimePoint now) {
     stats.RemovedServersKept.add();
     log.write(LogPriority::Notable, "removed_server_kept",
@@ -221,6 +234,13 @@
           "daisytack_service_confirmations_total",
           "Calls to the key-value service to bring the state up to date for "
           "resumed streams")),
+      OutagesSeen(metrics.counter(
+          "daisytack_service_outages_seen_total",
+          "Ends of outages of the key-value service, also corrected ones")),
+      OutagesDenied(metrics.counter(
+          "daisytack_service_outages_denied_total",
+          "Outages of the key-value service that were none, as it answered "
+          "other entries")),
       RemovedServersKept(
           metrics.counter("daisytack_removed_servers_kept_total",
                           "Servers that stayed listed as their removed records "
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -61,6 +61,8 @@
   Counter &StreamsResumed;
   Counter &StreamsRefused;
   Counter &ServiceConfirmations;
+  Counter &OutagesSeen;
+  Counter &OutagesDenied;
   Counter &RemovedServersKept;
   Counter &AttemptsAfterLeaving;
   Counter &SharedTokens;
