--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -103,12 +103,21 @@
     staying = [it for it in world.servers if it.id not in world.leaving]
     if len(staying) < 4:
         return
-    server, draw = rng.choice(staying), rng.random()
-    how = "drains" if draw < 0.5 else "leaves" if draw < 0.75 else "crashes"
+    server, how = rng.choice(staying), "drains" if rng.random() < 0.5 else "crashes"
     world.log(f"{server.id} {how}")
     await world.retire_server(server, how)
 
 
+async def remove_server(world, rng):
+    """A server leaves without a word."""
+    staying = [it for it in world.servers if it.id not in world.leaving]
+    if len(staying) < 4:
+        return
+    server = rng.choice(staying)
+    world.log(f"{server.id} leaves without a word")
+    await world.retire_server(server, "leaves")
+
+
 async def restart_in_place(world, rng):
     """Ends a server and starts it again at once at its address, under another id. The record of the one before stays
     until its heartbeats have been missing for some time."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,8 +21,8 @@
 from callers import KINDS, FatalCaller, FatalPartCaller, callers  # noqa: E402
 from entry import Entry  # noqa: E402
 from faults import (FAULT_KINDS, PLANNED_KINDS, STOP_KINDS, answer_without_end, limit_connections, limit_server,  # noqa: E402
-                    resize_config, restart_in_place, restore_service, run_extra_faults, run_faults, run_harmless_faults,
-                    run_weights_faults, suspend_server)
+                    remove_server, resize_config, restart_in_place, restore_service, run_extra_faults, run_faults,
+                    run_harmless_faults, run_weights_faults, suspend_server)
 from fleet import BUILD, Fleet  # noqa: E402
 from kept_context import ContextStore, Engine  # noqa: E402
 from late_callers import late_callers  # noqa: E402
@@ -49,6 +49,7 @@
 TIMEOUT_SECONDS = 2.5
 SHORT_TIMEOUT_SECONDS = 0.6
 MAX_RESTART_PAUSE_SECONDS = 1.0  # Maximum pause between two restarts of servers in place.
+MAX_REMOVAL_PAUSE_SECONDS = 4.0  # Maximum pause between two servers that leave without a word.
 IDLE_SECONDS = (0.05, 0.3, 1.0, 3.0, None)  # After one of these a server closes an idle connection.
 LONG_TIMEOUT_SECONDS = 4.8  # A request read until 3 s after SIGTERM ends within the grace period of 8 s.
 KEPT_CONTEXT_TIMEOUT_SECONDS = 6.0  # Slow fetches take some seconds.
@@ -73,6 +74,7 @@
         self.extra_rng = random.Random(f"{seed}/beside")
         self.large_rng = random.Random(f"{seed}/large")
         self.restart_rng = random.Random(f"{seed}/restarts")
+        self.removal_rng = random.Random(f"{seed}/removals")
         self.connection_rng = random.Random(f"{seed}/connections")
         # Whether callers send bodies of the maximum size. Seed 3 stays what it was when it failed (failed_seeds.txt).
         self.has_large_bodies = large_bodies_sent or (seed % 16 == 3 and seed > 3 and not restarts)
@@ -507,6 +509,10 @@
     restarts = asyncio.ensure_future(
         run_harmless_faults(world, seconds if world.restarts_in_place else 0, (restart_in_place,), world.restart_rng,
                             MAX_RESTART_PAUSE_SECONDS))
+    replaces_servers = not world.varies_stops and not world.has_kept_context
+    removals = asyncio.ensure_future(
+        run_harmless_faults(world, seconds if replaces_servers else 0, (remove_server,), world.removal_rng,
+                            MAX_REMOVAL_PAUSE_SECONDS))
     connections = asyncio.ensure_future(
         run_harmless_faults(world, seconds if world.restarts_in_place else 0, (suspend_server, limit_connections),
                             world.connection_rng))
@@ -521,6 +527,7 @@
     await endless
     await large
     await restarts
+    await removals
     await connections
     await world.wait_ready("after the last fault")
     if world.has_kept_context:
