--- a/src/net/http_client_call.cpp
+++ b/src/net/http_client_call.cpp
@@ -470,8 +470,8 @@
   Timer.cancel();
   if (Connection) {
     ErrorCode ignored;
-    // A reset discards what the system holds, which would otherwise arrive once
-    // a path that is cut is repaired.
+    // A reset discards what the kernel has not sent yet, which would otherwise
+    // arrive once a path that is cut is repaired.
     if (error)
       Connection->Socket.set_option(asio::socket_base::linger(true, 0),
                                     ignored);
--- a/tests/net_http/client_test.cpp
+++ b/tests/net_http/client_test.cpp
@@ -204,7 +204,7 @@
 }
 
 /// Guards against requests that arrive long after they were given up: the
-/// system goes on sending what a closed connection holds, once a path that was
+/// kernel goes on sending what a closed connection holds, once a path that was
 /// cut is repaired.
 TEST(HttpClient, GivenUpCallDiscardsWhatIsNotSentYet) {
   constexpr size_t BodyBytes = 32U << 20; // More than the sockets hold.
